--- /dev/null
+++ b/crates/kelpworks-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The command line of kelpworks.
+
+fn main() {}
--- /dev/null
+++ b/crates/kelpworks-coord/src/lib.rs
@@ -0,0 +1,1 @@
+//! Coordination parts of kelpworks, as state machines without I/O.
--- /dev/null
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -0,0 +1,44 @@
+//! Measurements: `cargo run --release --locked --example measure -- NAME [--json]`.
+//!
+//! Each prints a table, every row beside a named baseline of the same run.
+//! Timings are given as ratios. Nothing here runs in CI.
+
+use std::process::ExitCode;
+
+mod table;
+
+use crate::table::Table;
+
+/// A measurement by name.
+struct Measurement {
+    /// Name on the command line.
+    name: &'static str,
+    /// Runs it.
+    run: fn() -> Table,
+}
+
+const MEASUREMENTS: &[Measurement] = &[];
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let json = args.iter().any(|a| a == "--json");
+    let name = args.iter().find(|a| !a.starts_with("--"));
+    let found = MEASUREMENTS
+        .iter()
+        .find(|m| Some(m.name) == name.map(String::as_str));
+    let Some(found) = found else {
+        let names: Vec<&str> = MEASUREMENTS.iter().map(|m| m.name).collect();
+        eprintln!(
+            "usage: measure NAME [--json]; NAME is one of {}",
+            names.join(", ")
+        );
+        return ExitCode::from(2);
+    };
+    let table = (found.run)();
+    if json {
+        table.print_json()
+    } else {
+        table.print()
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/kelpworks/examples/measure/table.rs
@@ -0,0 +1,51 @@
+//! Tables of results, for people and as JSON.
+
+/// A table of results.
+pub(crate) struct Table {
+    /// What was measured, with the command's bounds and seeds.
+    pub(crate) title: String,
+    /// Heads of the columns.
+    pub(crate) head: Vec<&'static str>,
+    /// Rows, each as long as the head.
+    pub(crate) rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// Prints the table in columns.
+    pub(crate) fn print(&self) {
+        let width = |i: usize| {
+            let cells = self.rows.iter().map(|r| r[i].len());
+            cells.chain([self.head[i].len()]).max().unwrap_or(0)
+        };
+        let widths: Vec<usize> = (0..self.head.len()).map(width).collect();
+        let line = |cells: &[String]| {
+            let padded: Vec<String> = cells
+                .iter()
+                .zip(&widths)
+                .map(|(c, w)| format!("{c:<w$}"))
+                .collect();
+            println!("{}", padded.join("  ").trim_end());
+        };
+        println!("{}", self.title);
+        line(
+            &self
+                .head
+                .iter()
+                .map(|h| (*h).to_owned())
+                .collect::<Vec<_>>(),
+        );
+        for row in &self.rows {
+            line(row);
+        }
+    }
+
+    /// Prints the table as one JSON object.
+    pub(crate) fn print_json(&self) {
+        let value = serde_json::json!({
+            "title": self.title,
+            "head": self.head,
+            "rows": self.rows,
+        });
+        println!("{value}");
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/lib.rs
@@ -0,0 +1,18 @@
+//! A router for pipelines of language models over mixed accelerators.
+//!
+//! Callers speak HTTP to any daemon. The daemon drives each request step by
+//! step through upstreams that hold ranges of the model's layers, and checks
+//! that every layer ran exactly once and in order for every token.
+//!
+//! One folder or file a duty, each with its own state, messages and tests.
+
+pub mod admission;
+pub mod border;
+pub mod fleet;
+pub mod placement;
+pub mod register;
+pub mod routing;
+pub mod rules;
+pub mod settings;
+pub mod units;
+pub mod verdict;
--- /dev/null
+++ b/crates/kelpworks/src/placement/mod.rs
@@ -0,0 +1,1 @@
+//! Which upstream holds which layers of which model.
--- /dev/null
+++ b/crates/kelpworks/src/settings.rs
@@ -0,0 +1,81 @@
+//! Settings of one daemon: its name, addresses and failure domain, and where the platform is.
+
+use std::net::SocketAddr;
+
+use crate::units::Span;
+
+/// Settings of one daemon.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of this daemon, unique among daemons.
+    pub name: String,
+    /// Failure domain it stands in.
+    pub failure_domain: String,
+    /// Addresses it listens on.
+    pub listen: Listen,
+    /// Where the platform is.
+    pub platform: Platform,
+    /// Log level: `error`, `warn`, `info`, `debug` or `trace`. Default `info`.
+    pub log_level: String,
+    /// Bounds on requests.
+    pub limits: Limits,
+    /// Timeouts and intervals.
+    pub timing: Timing,
+}
+
+/// Addresses of a daemon; port 0 takes a free one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators: metrics, health and status.
+    pub operators: SocketAddr,
+    /// For other daemons.
+    pub peers: SocketAddr,
+}
+
+/// Base URLs of the platform's services.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Platform {
+    /// The object API.
+    pub object_api: String,
+    /// The host list.
+    pub host_list: String,
+}
+
+/// Bounds on requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Largest request body, in bytes. Default 1 MiB.
+    pub body_bytes: u64,
+    /// Most tokens that one request may generate. Default 4096.
+    pub max_tokens: u32,
+    /// Requests waiting for admission, at most. Default 1024.
+    pub queue: u32,
+    /// Writes a second to the object API that the whole fleet of daemons may spend on claims.
+    /// Default 200.
+    pub claim_writes_per_second: u32,
+}
+
+/// Timeouts and intervals.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Timing {
+    /// Longest time for a whole request. Default 120 s.
+    pub request: Span,
+    /// Longest time to open a connection. Default 1 s.
+    pub connect: Span,
+    /// Least progress deadline of a step. Default 200 ms.
+    pub step_floor: Span,
+    /// Greatest progress deadline of a step. Default 5 s.
+    pub step_ceiling: Span,
+    /// How often upstreams are asked for their state. Default 500 ms.
+    pub state_poll: Span,
+    /// How often the host list is read. Default 1 s.
+    pub host_list_poll: Span,
+    /// Longest wait of an object API watch before it is opened anew. Default 10 s.
+    pub watch: Span,
+    /// How often a heartbeat goes to peers. Default 1 s.
+    pub heartbeat: Span,
+    /// How long a planned stop waits for requests in flight. Default 60 s.
+    pub drain: Span,
+}
