settings: first landing: read settings, register and rules; object API and host list clients

Cause: the checked types had no reader and the platform no client. Ruled out: hand-written TOML walking; serde with toml::Spanned gives line and key. Change: Settings::parse, Register::parse, Rules::parse with errors by file, line and key; ObjectApi and HostListApi with their HTTP clients.

--- /dev/null
+++ b/crates/kelpworks/src/border/host_list.rs
@@ -0,0 +1,130 @@
+//! The platform's host list: which hosts are live and which are leaving. It lags.
+//!
+//! ```no_run
+//! use kelpworks::border::host_list::HostListApi;
+//! use kelpworks::border::host_list::HttpHostList;
+//!
+//! # async fn f() -> kelpworks::border::host_list::Result<()> {
+//! let api = HttpHostList::new("http://10.0.1.2:8000", Default::default())?;
+//! let list = api.hosts().await?;
+//! println!("{} hosts as of version {}", list.hosts.len(), list.version);
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! Limits: the list is read whole at each call; it has no watch.
+
+use std::future::Future;
+use std::time::Duration;
+
+use kelpworks_wire::HostList;
+use reqwest::Url;
+use thiserror::Error;
+
+use super::fresh::FreshClient;
+use super::fresh::Stage;
+use super::fresh::stage_of;
+
+/// The result of this module.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why the host list could not be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[non_exhaustive]
+pub enum Error {
+    /// No connection.
+    #[error("no connection to the host list")]
+    NotSent,
+    /// Connected, but no whole reply within the deadline. The connection may
+    /// be dead: ask again after [`HostListApi::fresh`].
+    #[error("the host list does not answer")]
+    Silent,
+    /// It answered with an error or with something else than a list.
+    #[error("the host list is unavailable")]
+    Unavailable,
+    /// The base URL cannot be used.
+    #[error("the host list's URL cannot be used")]
+    Url,
+}
+
+/// The platform's host list.
+pub trait HostListApi: Send + Sync {
+    /// Reads the list.
+    ///
+    /// # Errors
+    ///
+    /// When no list came; what was read before remains the best knowledge.
+    fn hosts(&self) -> impl Future<Output = Result<HostList>> + Send;
+
+    /// Leaves all present connections behind, so that the next call opens a new one.
+    fn fresh(&self);
+}
+
+/// Longest times of the calls of [`HttpHostList`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Deadlines {
+    /// To open a connection. Default 1 s.
+    pub connect: Duration,
+    /// For the whole call. Default 2 s.
+    pub call: Duration,
+}
+
+impl Default for Deadlines {
+    fn default() -> Deadlines {
+        Deadlines {
+            connect: Duration::from_secs(1),
+            call: Duration::from_secs(2),
+        }
+    }
+}
+
+/// The host list over HTTP.
+#[derive(Debug)]
+pub struct HttpHostList {
+    url: Url,
+    client: FreshClient,
+    deadlines: Deadlines,
+}
+
+impl HttpHostList {
+    /// A client of the host list at a base URL.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Url`] when the URL cannot be used.
+    pub fn new(base: &str, deadlines: Deadlines) -> Result<HttpHostList> {
+        let mut url = Url::parse(base).map_err(|_| Error::Url)?;
+        url.path_segments_mut()
+            .map_err(|()| Error::Url)?
+            .pop_if_empty()
+            .push("hosts");
+        let client = FreshClient::new(deadlines.connect).map_err(|_| Error::Url)?;
+        Ok(HttpHostList {
+            url,
+            client,
+            deadlines,
+        })
+    }
+}
+
+impl HostListApi for HttpHostList {
+    async fn hosts(&self) -> Result<HostList> {
+        let req = self.client.get().get(self.url.clone());
+        let reply = req.timeout(self.deadlines.call).send().await;
+        let reply = reply.map_err(|e| match stage_of(&e) {
+            Stage::NotSent => Error::NotSent,
+            Stage::Lost => Error::Silent,
+        })?;
+        if !reply.status().is_success() {
+            return Err(Error::Unavailable);
+        }
+        reply.json().await.map_err(|e| match e.is_timeout() {
+            true => Error::Silent,
+            false => Error::Unavailable,
+        })
+    }
+
+    fn fresh(&self) {
+        self.client.fresh();
+    }
+}
--- a/crates/kelpworks/src/border/mod.rs
+++ b/crates/kelpworks/src/border/mod.rs
@@ -1,1 +1,5 @@
 //! The borders: one small trait for each outside system, and its HTTP client.
+
+pub(crate) mod fresh;
+pub mod host_list;
+pub mod object_api;
--- /dev/null
+++ b/crates/kelpworks/src/border/object_api.rs
@@ -0,0 +1,346 @@
+//! The platform's object API: versioned objects, conditional updates and watches.
+//!
+//! [`ObjectApi`] is the border; another format of the API is another
+//! implementation. [`HttpObjectApi`] speaks the wire types of `kelpworks-wire`.
+//!
+//! ```no_run
+//! use std::time::Duration;
+//!
+//! use kelpworks::border::object_api::Condition;
+//! use kelpworks::border::object_api::Deadlines;
+//! use kelpworks::border::object_api::HttpObjectApi;
+//! use kelpworks::border::object_api::ObjectApi;
+//!
+//! # async fn f() -> kelpworks::border::object_api::Result<()> {
+//! let api = HttpObjectApi::new("http://10.0.1.1:8000", Deadlines::default())?;
+//! let lease = api.put("kelpworks.lease", "m1", "{}".to_owned(), Condition::Absent).await?;
+//! let changes = api.watch("kelpworks.lease", lease.version, Duration::from_secs(10)).await?;
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! Limits: a body holds up to a megabyte, and each call, a waiting watch too,
+//! counts against the API's rate. Nothing is retried here, since only the
+//! caller knows what a repeated write would mean.
+
+use std::future::Future;
+use std::time::Duration;
+
+use kelpworks_wire::ApiError;
+use kelpworks_wire::ApiErrorCode;
+use kelpworks_wire::Object;
+use kelpworks_wire::ObjectBody;
+use kelpworks_wire::ObjectList;
+use kelpworks_wire::WatchReply;
+use reqwest::Method;
+use reqwest::RequestBuilder;
+use reqwest::StatusCode;
+use reqwest::Url;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use super::fresh::FreshClient;
+use super::fresh::Stage;
+use super::fresh::stage_of;
+
+/// The result of this module.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a call to the object API failed.
+#[derive(Clone, Debug, PartialEq, Error)]
+#[non_exhaustive]
+pub enum Error {
+    /// There is no such object.
+    #[error("no such object")]
+    NotFound,
+    /// The condition did not hold; nothing was written.
+    #[error("the object has changed")]
+    Conflict {
+        /// The object as it stands; `None` when it does not exist.
+        current: Option<Box<Object>>,
+    },
+    /// The body is larger than the API takes; nothing was written.
+    #[error("the body is too large for the object API")]
+    TooLarge,
+    /// Over the API's rate; nothing was done.
+    #[error("over the object API's rate")]
+    OverRate,
+    /// The API says that it is out; nothing was done.
+    #[error("the object API is unavailable")]
+    Unavailable,
+    /// A watch from a version so old that the changes since are forgotten: list anew.
+    #[error("the version to watch from is too old")]
+    Expired,
+    /// No connection: nothing was sent.
+    #[error("no connection to the object API")]
+    NotSent,
+    /// The call was sent and its reply lost: a write may have taken effect.
+    #[error("the object API's reply was lost")]
+    Lost,
+    /// A watch brought neither an event nor a bookmark within its bound. The
+    /// connection may be dead: reopen it after [`ObjectApi::fresh`].
+    #[error("the watch of the object API is silent")]
+    Silent,
+    /// The base URL cannot be used.
+    #[error("the object API's URL cannot be used")]
+    Url,
+}
+
+impl Error {
+    /// Whether the call, a write, may have taken effect all the same.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, Error::Lost)
+    }
+}
+
+/// What must hold for a write to take place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// Nothing.
+    Always,
+    /// The object does not exist.
+    Absent,
+    /// The object has this version.
+    Version(u64),
+}
+
+impl Condition {
+    /// The value of `if_version`, where 0 stands for an object that does not exist.
+    fn if_version(self) -> Option<u64> {
+        match self {
+            Condition::Always => None,
+            Condition::Absent => Some(0),
+            Condition::Version(v) => Some(v),
+        }
+    }
+}
+
+/// The platform's object API.
+pub trait ObjectApi: Send + Sync {
+    /// Reads an object.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotFound`] when there is none.
+    fn get(&self, kind: &str, name: &str) -> impl Future<Output = Result<Object>> + Send;
+
+    /// Writes an object when the condition holds; returns it with its new version.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Conflict`] when the condition does not hold; [`Error::Lost`]
+    /// when the write may have taken effect.
+    fn put(
+        &self,
+        kind: &str,
+        name: &str,
+        body: String,
+        condition: Condition,
+    ) -> impl Future<Output = Result<Object>> + Send;
+
+    /// Deletes an object when the condition holds.
+    ///
+    /// # Errors
+    ///
+    /// As [`ObjectApi::put`], and [`Error::NotFound`].
+    fn delete(
+        &self,
+        kind: &str,
+        name: &str,
+        condition: Condition,
+    ) -> impl Future<Output = Result<()>> + Send;
+
+    /// Lists the objects of a kind.
+    ///
+    /// # Errors
+    ///
+    /// When no list came.
+    fn list(&self, kind: &str) -> impl Future<Output = Result<ObjectList>> + Send;
+
+    /// Waits up to `wait` for changes of a kind after version `from`; a reply without any
+    /// is a bookmark.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Silent`] when nothing came within `wait` and a margin;
+    /// [`Error::Expired`] when `from` is too old.
+    fn watch(
+        &self,
+        kind: &str,
+        from: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<WatchReply>> + Send;
+
+    /// Leaves all present connections behind, so that the next call opens a new one.
+    fn fresh(&self);
+}
+
+/// Longest times of the calls of [`HttpObjectApi`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Deadlines {
+    /// To open a connection. Default 1 s.
+    pub connect: Duration,
+    /// For a whole call other than a watch. Default 3 s.
+    pub call: Duration,
+    /// For a watch, beyond the time it was asked to wait. Default 2 s.
+    pub watch_margin: Duration,
+}
+
+impl Default for Deadlines {
+    fn default() -> Deadlines {
+        Deadlines {
+            connect: Duration::from_secs(1),
+            call: Duration::from_secs(3),
+            watch_margin: Duration::from_secs(2),
+        }
+    }
+}
+
+/// The object API over HTTP.
+#[derive(Debug)]
+pub struct HttpObjectApi {
+    base: Url,
+    client: FreshClient,
+    deadlines: Deadlines,
+}
+
+impl HttpObjectApi {
+    /// A client of the object API at a base URL.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Url`] when the URL cannot be used.
+    pub fn new(base: &str, deadlines: Deadlines) -> Result<HttpObjectApi> {
+        let base = Url::parse(base).map_err(|_| Error::Url)?;
+        if base.cannot_be_a_base() {
+            return Err(Error::Url);
+        }
+        let client = FreshClient::new(deadlines.connect).map_err(|_| Error::Url)?;
+        Ok(HttpObjectApi {
+            base,
+            client,
+            deadlines,
+        })
+    }
+
+    /// The URL of a path below the base; each segment is escaped.
+    fn url(&self, segments: &[&str]) -> Url {
+        let mut url = self.base.clone();
+        if let Ok(mut path) = url.path_segments_mut() {
+            path.pop_if_empty().extend(segments);
+        }
+        url
+    }
+
+    /// A request on an object, with its condition.
+    fn on_object(
+        &self,
+        method: Method,
+        kind: &str,
+        name: &str,
+        condition: Condition,
+    ) -> RequestBuilder {
+        let mut url = self.url(&["objects", kind, name]);
+        if let Some(version) = condition.if_version() {
+            url.query_pairs_mut()
+                .append_pair("if_version", &version.to_string());
+        }
+        self.client
+            .get()
+            .request(method, url)
+            .timeout(self.deadlines.call)
+    }
+}
+
+impl ObjectApi for HttpObjectApi {
+    async fn get(&self, kind: &str, name: &str) -> Result<Object> {
+        let req = self.on_object(Method::GET, kind, name, Condition::Always);
+        read_json(req).await
+    }
+
+    async fn put(
+        &self,
+        kind: &str,
+        name: &str,
+        body: String,
+        condition: Condition,
+    ) -> Result<Object> {
+        let req = self.on_object(Method::PUT, kind, name, condition);
+        read_json(req.json(&ObjectBody { body })).await
+    }
+
+    async fn delete(&self, kind: &str, name: &str, condition: Condition) -> Result<()> {
+        let req = self.on_object(Method::DELETE, kind, name, condition);
+        send(req).await?;
+        Ok(())
+    }
+
+    async fn list(&self, kind: &str) -> Result<ObjectList> {
+        let url = self.url(&["objects", kind]);
+        let req = self.client.get().get(url).timeout(self.deadlines.call);
+        read_json(req).await
+    }
+
+    async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Result<WatchReply> {
+        let mut url = self.url(&["watch", kind]);
+        url.query_pairs_mut()
+            .append_pair("from", &from.to_string())
+            .append_pair("wait_ms", &wait.as_millis().to_string());
+        let bound = wait + self.deadlines.watch_margin;
+        let req = self.client.get().get(url);
+        let reply = tokio::time::timeout(bound, read_json(req)).await;
+        reply.unwrap_or(Err(Error::Silent))
+    }
+
+    fn fresh(&self) {
+        self.client.fresh();
+    }
+}
+
+/// Sends a request and reads its reply. A reply that cannot be read counts as lost.
+async fn read_json<T: DeserializeOwned>(req: RequestBuilder) -> Result<T> {
+    let reply = send(req).await?;
+    reply.json().await.map_err(|_| Error::Lost)
+}
+
+/// Sends a request; any status but success is an error.
+async fn send(req: RequestBuilder) -> Result<reqwest::Response> {
+    let reply = req.send().await.map_err(|e| match stage_of(&e) {
+        Stage::NotSent => Error::NotSent,
+        Stage::Lost => Error::Lost,
+    })?;
+    if reply.status().is_success() {
+        return Ok(reply);
+    }
+    let status = reply.status();
+    match reply.json::<ApiError>().await {
+        Ok(error) => Err(refused(error)),
+        Err(_) => Err(unexplained(status)),
+    }
+}
+
+/// The error that the API states itself.
+fn refused(error: ApiError) -> Error {
+    match error.code {
+        ApiErrorCode::NotFound => Error::NotFound,
+        ApiErrorCode::Conflict => Error::Conflict {
+            current: error.current.map(Box::new),
+        },
+        ApiErrorCode::TooLarge => Error::TooLarge,
+        ApiErrorCode::TooManyRequests => Error::OverRate,
+        ApiErrorCode::Unavailable => Error::Unavailable,
+        ApiErrorCode::Expired => Error::Expired,
+    }
+}
+
+/// The error of a status without the API's own words. Something between may
+/// have answered in its place, so only a client's error says that nothing ran.
+fn unexplained(status: StatusCode) -> Error {
+    match status {
+        StatusCode::NOT_FOUND => Error::NotFound,
+        StatusCode::PAYLOAD_TOO_LARGE => Error::TooLarge,
+        StatusCode::TOO_MANY_REQUESTS => Error::OverRate,
+        s if s.is_client_error() => Error::Unavailable,
+        _ => Error::Lost,
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/config/document.rs
@@ -0,0 +1,310 @@
+//! A configuration file while it is read: finds the line and key of each fault.
+//!
+//! The three kinds of files (settings, register, rules) share this reader, so
+//! that each fault is reported in one form, `file:line: key: message`.
+//!
+//! Values never enter a message unless they are names or quantities: a bearer
+//! token that strays into a file must not reach a log.
+
+use std::fmt;
+use std::fs::File;
+use std::io;
+use std::io::Read;
+use std::ops::Range;
+use std::path::Path;
+
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+use toml::Spanned;
+use toml::de::DeTable;
+use toml::de::DeValue;
+
+/// The result of this module.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Largest configuration file; the object API holds values of up to a megabyte.
+pub const MAX_BYTES: usize = 1_000_000;
+
+/// Longest name of anything in a configuration.
+pub const MAX_NAME: usize = 128;
+
+/// A fault in a configuration file.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{file}:{line}: {}{kind}", KeyPrefix(key))]
+pub struct Error {
+    /// Name of the file.
+    pub file: String,
+    /// Line, from 1.
+    pub line: usize,
+    /// Path of the key, such as `host[3].address`; empty when the fault is the file's.
+    pub key: String,
+    /// What is wrong.
+    pub kind: Kind,
+}
+
+/// The key as it stands before a message.
+struct KeyPrefix<'a>(&'a str);
+
+impl fmt::Display for KeyPrefix<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            "" => Ok(()),
+            key => write!(f, "{key}: "),
+        }
+    }
+}
+
+/// What is wrong with a configuration file.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[non_exhaustive]
+pub enum Kind {
+    /// The file cannot be read.
+    #[error("cannot be read: {0}")]
+    Io(io::ErrorKind),
+    /// The file is larger than [`MAX_BYTES`].
+    #[error("file is larger than {MAX_BYTES} bytes")]
+    TooLarge,
+    /// The file holds nothing.
+    #[error("file is empty")]
+    Empty,
+    /// The file is not text.
+    #[error("file is not UTF-8")]
+    NotUtf8,
+    /// The text is not TOML, or a key is unknown, missing or of another type.
+    #[error("{0}")]
+    Form(String),
+    /// A name that is empty, too long or has a character that names may not have.
+    #[error("names have 1 to {MAX_NAME} letters, digits, `-`, `_` or `.`")]
+    Name,
+    /// A value that must differ from every other one appears twice.
+    #[error("duplicate {what} `{value}`, first on line {first}")]
+    Duplicate {
+        /// What it is.
+        what: &'static str,
+        /// The value.
+        value: String,
+        /// Line of its first appearance.
+        first: usize,
+    },
+    /// A token digest that appears twice; it is not repeated here.
+    #[error("duplicate token digest, first on line {first}")]
+    DuplicateToken {
+        /// Line of its first appearance.
+        first: usize,
+    },
+    /// A reference to something that is not defined.
+    #[error("unknown {what} `{name}`")]
+    Unknown {
+        /// What it is.
+        what: &'static str,
+        /// Its name.
+        name: String,
+    },
+    /// A number that must be above 0.
+    #[error("must be above 0")]
+    NotPositive,
+    /// A share that is not within 0 and 1.
+    #[error("must be between 0 and 1")]
+    Share,
+    /// A token digest in another form; the value is not repeated here.
+    #[error("expected a list of SHA-256 digests, each of 64 hexadecimal digits")]
+    Digest,
+    /// A list that must not be empty.
+    #[error("must name at least one {0}")]
+    None(&'static str),
+    /// A host that is neither or both of engine and service, and the like.
+    #[error("{0}")]
+    Mixed(&'static str),
+    /// A URL in a form that is not taken; it is not repeated here.
+    #[error("expected a URL such as `http://10.0.0.1:8080`, without user or password")]
+    Url,
+    /// A value that must not exceed another.
+    #[error("must not be above `{0}`")]
+    Above(&'static str),
+    /// A value that must not be less than another.
+    #[error("must not be below `{0}`")]
+    Below(&'static str),
+    /// None of the kinds of files.
+    #[error("neither settings, a register nor rules")]
+    UnknownFile,
+}
+
+/// Reads a file, refusing a large one by its size before its content is read.
+///
+/// # Errors
+///
+/// When the file cannot be read, is too large or is not UTF-8.
+pub fn read_file(path: &Path) -> Result<String> {
+    let name = path.display().to_string();
+    let io_error = |e: io::Error| file_error(&name, Kind::Io(e.kind()));
+    let file = File::open(path).map_err(io_error)?;
+    let mut bytes = Vec::new();
+    let limit = MAX_BYTES as u64 + 1;
+    file.take(limit).read_to_end(&mut bytes).map_err(io_error)?;
+    text_of(&name, bytes)
+}
+
+/// Turns the bytes of a file into its text.
+///
+/// # Errors
+///
+/// When there are too many bytes or they are not UTF-8.
+pub fn text_of(file: &str, bytes: Vec<u8>) -> Result<String> {
+    if bytes.len() > MAX_BYTES {
+        return Err(file_error(file, Kind::TooLarge));
+    }
+    String::from_utf8(bytes).map_err(|e| {
+        let valid = e.utf8_error().valid_up_to();
+        Error {
+            file: file.to_owned(),
+            line: line_at(e.as_bytes(), valid),
+            key: String::new(),
+            kind: Kind::NotUtf8,
+        }
+    })
+}
+
+/// A fault of a whole file, reported on its first line.
+fn file_error(file: &str, kind: Kind) -> Error {
+    Error {
+        file: file.to_owned(),
+        line: 1,
+        key: String::new(),
+        kind,
+    }
+}
+
+/// Line of a byte offset, from 1.
+fn line_at(text: &[u8], offset: usize) -> usize {
+    let before = &text[..offset.min(text.len())];
+    1 + before.iter().filter(|&&b| b == b'\n').count()
+}
+
+/// A file under reading, and the faults found in it so far.
+#[derive(Debug)]
+pub(crate) struct Document<'a> {
+    file: &'a str,
+    text: &'a str,
+    root: Spanned<DeTable<'a>>,
+    faults: Vec<Error>,
+}
+
+impl<'a> Document<'a> {
+    /// Opens a document: checks its size and that it is TOML.
+    pub(crate) fn open(file: &'a str, text: &'a str) -> Result<Document<'a>> {
+        if text.len() > MAX_BYTES {
+            return Err(file_error(file, Kind::TooLarge));
+        }
+        let root = DeTable::parse(text).map_err(|e| Error {
+            file: file.to_owned(),
+            line: line_at(text.as_bytes(), e.span().map_or(0, |s| s.start)),
+            key: String::new(),
+            kind: Kind::Form(one_line(e.message())),
+        })?;
+        if root.get_ref().is_empty() {
+            return Err(file_error(file, Kind::Empty));
+        }
+        Ok(Document {
+            file,
+            text,
+            root,
+            faults: Vec::new(),
+        })
+    }
+
+    /// Reads the document into its raw form.
+    pub(crate) fn read<T: DeserializeOwned>(&self) -> Result<T> {
+        toml::from_str(self.text).map_err(|e| {
+            let span = e.span().unwrap_or(0..0);
+            self.error(&span, Kind::Form(one_line(e.message())))
+        })
+    }
+
+    /// Whether the document has this key at its top.
+    pub(crate) fn has(&self, key: &str) -> bool {
+        self.root.get_ref().contains_key(key)
+    }
+
+    /// Line of a span.
+    pub(crate) fn line(&self, span: &Range<usize>) -> usize {
+        line_at(self.text.as_bytes(), span.start)
+    }
+
+    /// Notes a fault at a span.
+    pub(crate) fn fault(&mut self, span: Range<usize>, kind: Kind) {
+        let error = self.error(&span, kind);
+        self.faults.push(error);
+    }
+
+    /// Ends the checks: the first fault by line, if there is any.
+    pub(crate) fn finish(self) -> Result<()> {
+        let first = self.faults.into_iter().min_by_key(|e| e.line);
+        first.map_or(Ok(()), Err)
+    }
+
+    /// The fault at a span.
+    fn error(&self, span: &Range<usize>, kind: Kind) -> Error {
+        let mut key = String::new();
+        key_in_table(self.root.get_ref(), span, &mut key);
+        Error {
+            file: self.file.to_owned(),
+            line: self.line(span),
+            key,
+            kind,
+        }
+    }
+}
+
+/// A message of the TOML library on one line.
+fn one_line(message: &str) -> String {
+    message.trim().replace('\n', ", ")
+}
+
+/// Whether `outer` covers the start of `inner`.
+fn covers(outer: &Range<usize>, inner: &Range<usize>) -> bool {
+    outer.start <= inner.start && inner.end <= outer.end
+}
+
+/// Appends the path of the innermost key at a span; says whether there is one.
+fn key_in_table(table: &DeTable<'_>, span: &Range<usize>, path: &mut String) -> bool {
+    for (key, value) in table.iter() {
+        let before = path.len();
+        if !path.is_empty() {
+            path.push('.');
+        }
+        path.push_str(key.get_ref());
+        let inside = key_in_value(value, span, path);
+        if inside || covers(&key.span(), span) {
+            return true;
+        }
+        path.truncate(before);
+    }
+    false
+}
+
+/// As [`key_in_table`], for a value.
+fn key_in_value(value: &Spanned<DeValue<'_>>, span: &Range<usize>, path: &mut String) -> bool {
+    let inside = match value.get_ref() {
+        DeValue::Table(table) => key_in_table(table, span, path),
+        DeValue::Array(array) => key_in_array(array.iter(), span, path),
+        _ => false,
+    };
+    inside || covers(&value.span(), span)
+}
+
+/// As [`key_in_table`], for the items of an array.
+fn key_in_array<'v, 'i: 'v>(
+    items: impl Iterator<Item = &'v Spanned<DeValue<'i>>>,
+    span: &Range<usize>,
+    path: &mut String,
+) -> bool {
+    for (i, item) in items.enumerate() {
+        let before = path.len();
+        path.push_str(&format!("[{i}]"));
+        if key_in_value(item, span, path) {
+            return true;
+        }
+        path.truncate(before);
+    }
+    false
+}
--- a/crates/kelpworks/src/lib.rs
+++ b/crates/kelpworks/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod border;
+pub mod config;
 pub mod fleet;
 pub mod placement;
 pub mod register;
--- /dev/null
+++ b/crates/kelpworks/src/register/check.rs
@@ -0,0 +1,252 @@
+//! Checks of the register across its keys: names are unique, references resolve.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use toml::Spanned;
+
+use super::Accelerator;
+use super::EngineHost;
+use super::FailureDomain;
+use super::Host;
+use super::HostRole;
+use super::Link;
+use super::Model;
+use super::Register;
+use super::Result;
+use super::file::AcceleratorTable;
+use super::file::DomainTable;
+use super::file::HostTable;
+use super::file::LinkTable;
+use super::file::ModelTable;
+use super::file::RegisterFile;
+use crate::config::document::Document;
+use crate::config::document::Kind;
+use crate::config::unique::Names;
+
+const ENGINE_KEYS_MISSING: &str =
+    "needs either `service`, or `accelerator`, `accelerators` and `models`";
+const SERVICE_AND_ENGINE: &str = "a host with `service` takes none of `accelerator`, \
+     `accelerators`, `models` and `checks_fencing`";
+
+/// Reads and checks a register.
+pub(super) fn parse(file: &str, text: &str) -> Result<Register> {
+    let mut doc = Document::open(file, text)?;
+    let raw: RegisterFile = doc.read()?;
+    let names = Defined::collect(&mut doc, &raw);
+    check_amounts(&mut doc, &raw);
+    check_links(&mut doc, &raw.link, &names);
+    check_addresses(&mut doc, &raw.host);
+    let hosts = check_hosts(&mut doc, &raw.host, &names);
+    doc.finish()?;
+    Ok(Register {
+        accelerators: raw.accelerator.into_iter().map(accelerator).collect(),
+        failure_domains: raw.failure_domain.into_iter().map(domain).collect(),
+        models: raw.model.into_iter().map(model).collect(),
+        hosts,
+        links: raw.link.into_iter().map(link).collect(),
+    })
+}
+
+/// What the file defines for other tables to refer to.
+struct Defined<'a> {
+    accelerators: Names<'a>,
+    domains: Names<'a>,
+    models: Names<'a>,
+}
+
+impl<'a> Defined<'a> {
+    /// Collects the names and notes those that are malformed or appear twice.
+    fn collect(doc: &mut Document<'_>, raw: &'a RegisterFile) -> Defined<'a> {
+        let mut accelerators = Names::new("accelerator");
+        for a in &raw.accelerator {
+            accelerators.define(doc, &a.name);
+        }
+        let mut domains = Names::new("failure domain");
+        for d in &raw.failure_domain {
+            domains.define(doc, &d.name);
+            Names::new("region").define(doc, &d.region);
+        }
+        let mut models = Names::new("model");
+        for m in &raw.model {
+            models.define(doc, &m.name);
+            Names::new("version").define(doc, &m.version);
+        }
+        let mut hosts = Names::new("host");
+        for h in &raw.host {
+            hosts.define(doc, &h.get_ref().name);
+        }
+        Defined {
+            accelerators,
+            domains,
+            models,
+        }
+    }
+}
+
+/// Notes amounts that must be above 0 and are not.
+fn check_amounts(doc: &mut Document<'_>, raw: &RegisterFile) {
+    for a in &raw.accelerator {
+        let rate = *a.layer_rate.get_ref();
+        positive(doc, &a.layer_rate, rate.is_finite() && rate > 0.0);
+        positive(doc, &a.memory, a.memory.get_ref().0 > 0);
+    }
+    for m in &raw.model {
+        positive(doc, &m.layers, *m.layers.get_ref() > 0);
+        positive(doc, &m.layer_size, m.layer_size.get_ref().0 > 0);
+    }
+    for l in &raw.link {
+        positive(doc, &l.bandwidth, l.bandwidth.get_ref().0 > 0);
+    }
+}
+
+/// Notes a fault where an amount is not above 0.
+fn positive<T>(doc: &mut Document<'_>, at: &Spanned<T>, is_positive: bool) {
+    if !is_positive {
+        doc.fault(at.span(), Kind::NotPositive);
+    }
+}
+
+/// Checks that links join known failure domains, and each pair at most once.
+fn check_links(doc: &mut Document<'_>, links: &[LinkTable], names: &Defined<'_>) {
+    let mut seen = HashMap::new();
+    for l in links {
+        names.domains.refer(doc, &l.from);
+        names.domains.refer(doc, &l.to);
+        let (a, b) = (l.from.get_ref(), l.to.get_ref());
+        let pair = (a.min(b), a.max(b));
+        let line = doc.line(&l.from.span());
+        if let Some(first) = seen.insert(pair, line) {
+            let what = "link";
+            let value = format!("{} - {}", pair.0, pair.1);
+            doc.fault(l.from.span(), Kind::Duplicate { what, value, first });
+        }
+    }
+}
+
+/// Checks that no two hosts share an address and that each can be dialled.
+fn check_addresses(doc: &mut Document<'_>, hosts: &[Spanned<HostTable>]) {
+    let mut seen: HashMap<SocketAddr, usize> = HashMap::new();
+    for h in hosts {
+        let address = &h.get_ref().address;
+        positive(doc, address, address.get_ref().port() > 0);
+        let line = doc.line(&address.span());
+        if let Some(first) = seen.insert(*address.get_ref(), line) {
+            let what = "address";
+            let value = address.get_ref().to_string();
+            doc.fault(address.span(), Kind::Duplicate { what, value, first });
+        }
+    }
+}
+
+/// Checks every host and turns it into its checked form.
+fn check_hosts(
+    doc: &mut Document<'_>,
+    hosts: &[Spanned<HostTable>],
+    names: &Defined<'_>,
+) -> Vec<Host> {
+    let mut checked = Vec::with_capacity(hosts.len());
+    for h in hosts {
+        names.domains.refer(doc, &h.get_ref().failure_domain);
+        let Some(role) = check_role(doc, h, names) else {
+            continue;
+        };
+        let h = h.get_ref();
+        checked.push(Host {
+            name: h.name.get_ref().clone(),
+            failure_domain: h.failure_domain.get_ref().clone(),
+            address: *h.address.get_ref(),
+            role,
+        });
+    }
+    checked
+}
+
+/// What a host does; `None` after a fault was noted.
+fn check_role(
+    doc: &mut Document<'_>,
+    host: &Spanned<HostTable>,
+    names: &Defined<'_>,
+) -> Option<HostRole> {
+    let h = host.get_ref();
+    let any_engine_key = h.accelerator.is_some()
+        || h.accelerators.is_some()
+        || h.models.is_some()
+        || h.checks_fencing.is_some();
+    if let Some(service) = &h.service {
+        Names::new("service").define(doc, service);
+        if any_engine_key {
+            doc.fault(service.span(), Kind::Mixed(SERVICE_AND_ENGINE));
+            return None;
+        }
+        return Some(HostRole::Service(service.get_ref().clone()));
+    }
+    let (Some(accelerator), Some(count), Some(models)) =
+        (&h.accelerator, &h.accelerators, &h.models)
+    else {
+        doc.fault(host.span(), Kind::Mixed(ENGINE_KEYS_MISSING));
+        return None;
+    };
+    names.accelerators.refer(doc, accelerator);
+    positive(doc, count, *count.get_ref() > 0);
+    check_models(doc, models, names);
+    Some(HostRole::Engine(EngineHost {
+        accelerator: accelerator.get_ref().clone(),
+        accelerators: *count.get_ref(),
+        models: models
+            .get_ref()
+            .iter()
+            .map(|m| m.get_ref().clone())
+            .collect(),
+        checks_fencing: h.checks_fencing.unwrap_or(false),
+    }))
+}
+
+/// Checks the models that a host may carry.
+fn check_models(
+    doc: &mut Document<'_>,
+    models: &Spanned<Vec<Spanned<String>>>,
+    names: &Defined<'_>,
+) {
+    if models.get_ref().is_empty() {
+        doc.fault(models.span(), Kind::None("model"));
+    }
+    let mut own = Names::new("model");
+    for m in models.get_ref() {
+        names.models.refer(doc, m);
+        own.define(doc, m);
+    }
+}
+
+fn accelerator(raw: AcceleratorTable) -> Accelerator {
+    Accelerator {
+        name: raw.name.into_inner(),
+        layer_rate: raw.layer_rate.into_inner(),
+        memory: raw.memory.into_inner(),
+    }
+}
+
+fn domain(raw: DomainTable) -> FailureDomain {
+    FailureDomain {
+        name: raw.name.into_inner(),
+        region: raw.region.into_inner(),
+    }
+}
+
+fn model(raw: ModelTable) -> Model {
+    Model {
+        name: raw.name.into_inner(),
+        version: raw.version.into_inner(),
+        layers: raw.layers.into_inner(),
+        layer_size: raw.layer_size.into_inner(),
+    }
+}
+
+fn link(raw: LinkTable) -> Link {
+    Link {
+        from: raw.from.into_inner(),
+        to: raw.to.into_inner(),
+        latency: raw.latency,
+        bandwidth: raw.bandwidth.into_inner(),
+    }
+}
--- a/crates/kelpworks/src/register.rs
+++ b/crates/kelpworks/src/register/mod.rs
@@ -1,7 +1,34 @@
 //! The register: hosts, accelerators, failure domains and the models each host may carry.
+//!
+//! Operators keep it as a TOML file and import it as a whole. It says what may
+//! be; what an upstream really holds, it says itself.
+//!
+//! ```
+//! use kelpworks::register::Register;
+//!
+//! let text = r#"
+//! [[failure_domain]]
+//! name = "hall-a"
+//! region = "north"
+//!
+//! [[host]]
+//! name = "thumbs-1"
+//! failure_domain = "hall-a"
+//! address = "10.0.0.1:8000"
+//! service = "thumbnails"
+//! "#;
+//! let register = Register::parse("register.toml", text)?;
+//! assert_eq!(register.hosts[0].name, "thumbs-1");
+//! # Ok::<(), kelpworks::config::document::Error>(())
+//! ```
+
+mod check;
+mod file;
 
 use std::net::SocketAddr;
 
+pub use crate::config::document::Error;
+pub use crate::config::document::Result;
 use crate::units::Rate;
 use crate::units::Size;
 use crate::units::Span;
@@ -21,6 +48,34 @@
     pub links: Vec<Link>,
 }
 
+impl Register {
+    /// Reads a register from its TOML text; `file` names it in errors.
+    ///
+    /// # Errors
+    ///
+    /// The first fault by line: not TOML, an unknown or missing key, a wrong
+    /// unit, a duplicate, a reference to something undefined, an amount of 0.
+    pub fn parse(file: &str, text: &str) -> Result<Register> {
+        check::parse(file, text)
+    }
+
+    /// Whether a model of this name is in the register.
+    pub fn has_model(&self, name: &str) -> bool {
+        self.models.iter().any(|m| m.name == name)
+    }
+
+    /// Whether any host runs a plain service of this name.
+    pub fn has_service(&self, name: &str) -> bool {
+        let runs = |h: &Host| matches!(&h.role, HostRole::Service(s) if s == name);
+        self.hosts.iter().any(runs)
+    }
+
+    /// Whether a failure domain of this name is in the register.
+    pub fn has_failure_domain(&self, name: &str) -> bool {
+        self.failure_domains.iter().any(|d| d.name == name)
+    }
+}
+
 /// A kind of accelerator.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Accelerator {
--- /dev/null
+++ b/crates/kelpworks/src/rules/check.rs
@@ -0,0 +1,143 @@
+//! Checks of the rules across their keys and against a register.
+
+use std::collections::HashMap;
+
+use toml::Spanned;
+
+use super::NonIdempotent;
+use super::Result;
+use super::Rules;
+use super::Team;
+use super::file::NonIdempotentTable;
+use super::file::RulesFile;
+use super::file::TeamTable;
+use crate::config::document::Document;
+use crate::config::document::Kind;
+use crate::config::unique::Names;
+use crate::config::unique::unknown;
+use crate::register::Register;
+
+/// Hexadecimal digits of a SHA-256 digest.
+const DIGEST_DIGITS: usize = 64;
+
+const MATCH_KEYS: &str =
+    "needs either `service`, `method` and `path`, or `model` and `team`, and nothing else";
+const METHOD_FORM: &str = "expected an HTTP method in upper case";
+const PATH_FORM: &str = "expected a path that starts with `/`";
+
+/// Reads and checks rules; models and services only when there is a register.
+pub(super) fn parse(file: &str, text: &str, register: Option<&Register>) -> Result<Rules> {
+    let mut doc = Document::open(file, text)?;
+    let raw: RulesFile = doc.read()?;
+    let share = *raw.trial.share.get_ref();
+    if !(0.0..=1.0).contains(&share) {
+        doc.fault(raw.trial.share.span(), Kind::Share);
+    }
+    let mut names = Names::new("team");
+    for t in &raw.team {
+        names.define(&mut doc, &t.name);
+    }
+    let teams = check_teams(&mut doc, &raw.team);
+    let mut non_idempotent = Vec::with_capacity(raw.non_idempotent.len());
+    for r in &raw.non_idempotent {
+        non_idempotent.extend(check_match(&mut doc, r, &names, register));
+    }
+    doc.finish()?;
+    Ok(Rules {
+        trial_share: share,
+        teams,
+        non_idempotent,
+    })
+}
+
+/// Checks weights and token digests.
+fn check_teams(doc: &mut Document<'_>, teams: &[TeamTable]) -> Vec<Team> {
+    let mut seen = HashMap::new();
+    let mut checked = Vec::with_capacity(teams.len());
+    for t in teams {
+        if *t.weight.get_ref() == 0 {
+            doc.fault(t.weight.span(), Kind::NotPositive);
+        }
+        let Some(token_sha256) = digests(t.token_sha256.get_ref()) else {
+            doc.fault(t.token_sha256.span(), Kind::Digest);
+            continue;
+        };
+        let line = doc.line(&t.token_sha256.span());
+        for digest in &token_sha256 {
+            if let Some(first) = seen.insert(digest.clone(), line) {
+                doc.fault(t.token_sha256.span(), Kind::DuplicateToken { first });
+            }
+        }
+        checked.push(Team {
+            name: t.name.get_ref().clone(),
+            class: t.class,
+            weight: *t.weight.get_ref(),
+            token_sha256,
+        });
+    }
+    checked
+}
+
+/// The digests in lower case; `None` when the value is anything else than a list of digests.
+fn digests(value: &toml::Value) -> Option<Vec<String>> {
+    let items = value.as_array()?;
+    if items.is_empty() {
+        return None;
+    }
+    items.iter().map(digest).collect()
+}
+
+/// One digest in lower case.
+fn digest(value: &toml::Value) -> Option<String> {
+    let text = value.as_str()?;
+    let is_digest = text.len() == DIGEST_DIGITS && text.bytes().all(|b| b.is_ascii_hexdigit());
+    is_digest.then(|| text.to_ascii_lowercase())
+}
+
+/// Checks one match of non-idempotent requests; `None` after a fault was noted.
+fn check_match(
+    doc: &mut Document<'_>,
+    rule: &Spanned<NonIdempotentTable>,
+    teams: &Names<'_>,
+    register: Option<&Register>,
+) -> Option<NonIdempotent> {
+    let r = rule.get_ref();
+    match (&r.service, &r.method, &r.path, &r.model, &r.team) {
+        (Some(service), Some(method), Some(path), None, None) => {
+            if register.is_some_and(|reg| !reg.has_service(service.get_ref())) {
+                unknown(doc, "service", service);
+            }
+            check_call(doc, method, path);
+            Some(NonIdempotent::Service {
+                service: service.get_ref().clone(),
+                method: method.get_ref().clone(),
+                path: path.get_ref().clone(),
+            })
+        }
+        (None, None, None, Some(model), Some(team)) => {
+            if register.is_some_and(|reg| !reg.has_model(model.get_ref())) {
+                unknown(doc, "model", model);
+            }
+            teams.refer(doc, team);
+            Some(NonIdempotent::Model {
+                model: model.get_ref().clone(),
+                team: team.get_ref().clone(),
+            })
+        }
+        _ => {
+            doc.fault(rule.span(), Kind::Mixed(MATCH_KEYS));
+            None
+        }
+    }
+}
+
+/// Checks the method and the path of a call.
+fn check_call(doc: &mut Document<'_>, method: &Spanned<String>, path: &Spanned<String>) {
+    let text = method.get_ref();
+    if text.is_empty() || !text.bytes().all(|b| b.is_ascii_uppercase()) {
+        doc.fault(method.span(), Kind::Mixed(METHOD_FORM));
+    }
+    if !path.get_ref().starts_with('/') {
+        doc.fault(path.span(), Kind::Mixed(PATH_FORM));
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/settings/check.rs
@@ -0,0 +1,156 @@
+//! Checks of the settings across their keys.
+
+use std::collections::HashMap;
+
+use toml::Spanned;
+
+use super::Limits;
+use super::Listen;
+use super::Platform;
+use super::Result;
+use super::Settings;
+use super::Timing;
+use super::file::LimitsTable;
+use super::file::ListenTable;
+use super::file::PlatformTable;
+use super::file::SettingsFile;
+use super::file::TimingTable;
+use crate::config::document::Document;
+use crate::config::document::Kind;
+use crate::config::unique::Names;
+
+/// Reads and checks settings.
+pub(super) fn parse(file: &str, text: &str) -> Result<Settings> {
+    let mut doc = Document::open(file, text)?;
+    let raw: SettingsFile = doc.read()?;
+    Names::new("daemon").define(&mut doc, &raw.name);
+    Names::new("failure domain").define(&mut doc, &raw.failure_domain);
+    check_listen(&mut doc, &raw.listen);
+    check_url(&mut doc, &raw.platform.object_api);
+    check_url(&mut doc, &raw.platform.host_list);
+    check_limits(&mut doc, &raw.limits);
+    check_timing(&mut doc, &raw.timing);
+    doc.finish()?;
+    Ok(Settings {
+        name: raw.name.into_inner(),
+        failure_domain: raw.failure_domain.into_inner(),
+        listen: listen(raw.listen),
+        platform: platform(raw.platform),
+        log_level: raw.log.level.as_str().to_owned(),
+        limits: limits(raw.limits),
+        timing: timing(raw.timing),
+    })
+}
+
+/// Checks that no address is given twice; port 0 takes a free one and may repeat.
+fn check_listen(doc: &mut Document<'_>, listen: &ListenTable) {
+    let mut seen = HashMap::new();
+    for address in [&listen.callers, &listen.operators, &listen.peers] {
+        if address.get_ref().port() == 0 {
+            continue;
+        }
+        let line = doc.line(&address.span());
+        if let Some(first) = seen.insert(*address.get_ref(), line) {
+            let what = "address";
+            let value = address.get_ref().to_string();
+            doc.fault(address.span(), Kind::Duplicate { what, value, first });
+        }
+    }
+}
+
+/// Checks a base URL; one with a password is refused, since URLs are logged.
+fn check_url(doc: &mut Document<'_>, url: &Spanned<String>) {
+    if !is_base_url(url.get_ref()) {
+        doc.fault(url.span(), Kind::Url);
+    }
+}
+
+/// Whether a text is a base URL of HTTP without user, password, query or fragment.
+pub(crate) fn is_base_url(text: &str) -> bool {
+    let Ok(url) = reqwest::Url::parse(text) else {
+        return false;
+    };
+    let has_user = !url.username().is_empty() || url.password().is_some();
+    let has_more = url.query().is_some() || url.fragment().is_some();
+    matches!(url.scheme(), "http" | "https") && url.has_host() && !has_user && !has_more
+}
+
+/// Checks that every limit is above 0.
+fn check_limits(doc: &mut Document<'_>, limits: &LimitsTable) {
+    positive(doc, &limits.body, limits.body.get_ref().0 > 0);
+    positive(doc, &limits.max_tokens, *limits.max_tokens.get_ref() > 0);
+    positive(doc, &limits.queue, *limits.queue.get_ref() > 0);
+    let claims = &limits.claim_writes_per_second;
+    positive(doc, claims, *claims.get_ref() > 0);
+}
+
+/// Checks that every time is above 0 and the floor not above the ceiling.
+fn check_timing(doc: &mut Document<'_>, timing: &TimingTable) {
+    let all = [
+        &timing.request,
+        &timing.connect,
+        &timing.step_floor,
+        &timing.step_ceiling,
+        &timing.state_poll,
+        &timing.host_list_poll,
+        &timing.watch,
+        &timing.heartbeat,
+        &timing.drain,
+    ];
+    for span in all {
+        positive(doc, span, !span.get_ref().0.is_zero());
+    }
+    if timing.step_floor.get_ref() <= timing.step_ceiling.get_ref() {
+        return;
+    }
+    // Either may stand at its default; the fault goes to the one in the file.
+    match timing.step_floor.span().is_empty() {
+        true => doc.fault(timing.step_ceiling.span(), Kind::Below("timing.step_floor")),
+        false => doc.fault(timing.step_floor.span(), Kind::Above("timing.step_ceiling")),
+    }
+}
+
+/// Notes a fault where an amount is not above 0.
+fn positive<T>(doc: &mut Document<'_>, at: &Spanned<T>, is_positive: bool) {
+    if !is_positive {
+        doc.fault(at.span(), Kind::NotPositive);
+    }
+}
+
+fn listen(raw: ListenTable) -> Listen {
+    Listen {
+        callers: raw.callers.into_inner(),
+        operators: raw.operators.into_inner(),
+        peers: raw.peers.into_inner(),
+    }
+}
+
+fn platform(raw: PlatformTable) -> Platform {
+    Platform {
+        object_api: raw.object_api.into_inner(),
+        host_list: raw.host_list.into_inner(),
+    }
+}
+
+fn limits(raw: LimitsTable) -> Limits {
+    Limits {
+        body_bytes: raw.body.into_inner().0,
+        max_tokens: raw.max_tokens.into_inner(),
+        queue: raw.queue.into_inner(),
+        claim_writes_per_second: raw.claim_writes_per_second.into_inner(),
+    }
+}
+
+fn timing(raw: TimingTable) -> Timing {
+    Timing {
+        request: raw.request.into_inner(),
+        connect: raw.connect.into_inner(),
+        step_floor: raw.step_floor.into_inner(),
+        step_ceiling: raw.step_ceiling.into_inner(),
+        state_poll: raw.state_poll.into_inner(),
+        host_list_poll: raw.host_list_poll.into_inner(),
+        watch: raw.watch.into_inner(),
+        heartbeat: raw.heartbeat.into_inner(),
+        drain: raw.drain.into_inner(),
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/settings/file.rs
@@ -0,0 +1,136 @@
+//! Settings as they stand in their file, with the defaults of what may be left out.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use toml::Spanned;
+
+use crate::units::Size;
+use crate::units::Span;
+
+/// The file.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct SettingsFile {
+    pub(super) name: Spanned<String>,
+    pub(super) failure_domain: Spanned<String>,
+    pub(super) listen: ListenTable,
+    pub(super) platform: PlatformTable,
+    #[serde(default)]
+    pub(super) log: LogTable,
+    #[serde(default)]
+    pub(super) limits: LimitsTable,
+    #[serde(default)]
+    pub(super) timing: TimingTable,
+}
+
+/// `[listen]`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct ListenTable {
+    pub(super) callers: Spanned<SocketAddr>,
+    pub(super) operators: Spanned<SocketAddr>,
+    pub(super) peers: Spanned<SocketAddr>,
+}
+
+/// `[platform]`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct PlatformTable {
+    pub(super) object_api: Spanned<String>,
+    pub(super) host_list: Spanned<String>,
+}
+
+/// Log levels, named as operators write them.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(super) enum LogLevel {
+    Error,
+    Warn,
+    #[default]
+    Info,
+    Debug,
+    Trace,
+}
+
+impl LogLevel {
+    /// The level as the logger reads it.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            LogLevel::Error => "error",
+            LogLevel::Warn => "warn",
+            LogLevel::Info => "info",
+            LogLevel::Debug => "debug",
+            LogLevel::Trace => "trace",
+        }
+    }
+}
+
+/// `[log]`.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(super) struct LogTable {
+    pub(super) level: LogLevel,
+}
+
+/// `[limits]`.
+#[derive(Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(super) struct LimitsTable {
+    pub(super) body: Spanned<Size>,
+    pub(super) max_tokens: Spanned<u32>,
+    pub(super) queue: Spanned<u32>,
+    pub(super) claim_writes_per_second: Spanned<u32>,
+}
+
+impl Default for LimitsTable {
+    fn default() -> LimitsTable {
+        LimitsTable {
+            body: unplaced(Size(1 << 20)),
+            max_tokens: unplaced(4096),
+            queue: unplaced(1024),
+            claim_writes_per_second: unplaced(200),
+        }
+    }
+}
+
+/// `[timing]`.
+#[derive(Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(super) struct TimingTable {
+    pub(super) request: Spanned<Span>,
+    pub(super) connect: Spanned<Span>,
+    pub(super) step_floor: Spanned<Span>,
+    pub(super) step_ceiling: Spanned<Span>,
+    pub(super) state_poll: Spanned<Span>,
+    pub(super) host_list_poll: Spanned<Span>,
+    pub(super) watch: Spanned<Span>,
+    pub(super) heartbeat: Spanned<Span>,
+    pub(super) drain: Spanned<Span>,
+}
+
+impl Default for TimingTable {
+    fn default() -> TimingTable {
+        TimingTable {
+            request: millis(120_000),
+            connect: millis(1_000),
+            step_floor: millis(200),
+            step_ceiling: millis(5_000),
+            state_poll: millis(500),
+            host_list_poll: millis(1_000),
+            watch: millis(10_000),
+            heartbeat: millis(1_000),
+            drain: millis(60_000),
+        }
+    }
+}
+
+/// A default; it has no place in the file.
+fn unplaced<T>(value: T) -> Spanned<T> {
+    Spanned::new(0..0, value)
+}
+
+fn millis(n: u64) -> Spanned<Span> {
+    unplaced(Span(Duration::from_millis(n)))
+}
--- a/crates/kelpworks/src/settings.rs
+++ b/crates/kelpworks/src/settings/mod.rs
@@ -1,7 +1,36 @@
 //! Settings of one daemon: its name, addresses and failure domain, and where the platform is.
+//!
+//! Each host has its own file; what the whole fleet shares is in the register
+//! and the rules instead. Tables `log`, `limits` and `timing` may be left out.
+//!
+//! ```
+//! use kelpworks::settings::Settings;
+//!
+//! let text = r#"
+//! name = "entry-1"
+//! failure_domain = "hall-a"
+//!
+//! [listen]
+//! callers = "10.0.0.1:8080"
+//! operators = "10.0.0.1:9090"
+//! peers = "10.0.0.1:7070"
+//!
+//! [platform]
+//! object_api = "http://10.0.1.1:8000"
+//! host_list = "http://10.0.1.2:8000"
+//! "#;
+//! let settings = Settings::parse("settings.toml", text)?;
+//! assert_eq!(settings.limits.queue, 1024);
+//! # Ok::<(), kelpworks::config::document::Error>(())
+//! ```
+
+mod check;
+mod file;
 
 use std::net::SocketAddr;
 
+pub use crate::config::document::Error;
+pub use crate::config::document::Result;
 use crate::units::Span;
 
 /// Settings of one daemon.
@@ -23,6 +52,18 @@
     pub timing: Timing,
 }
 
+impl Settings {
+    /// Reads settings from their TOML text; `file` names it in errors.
+    ///
+    /// # Errors
+    ///
+    /// The first fault by line: not TOML, an unknown or missing key, a wrong
+    /// unit, an address twice, a URL with a password, an amount of 0.
+    pub fn parse(file: &str, text: &str) -> Result<Settings> {
+        check::parse(file, text)
+    }
+}
+
 /// Addresses of a daemon; port 0 takes a free one.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listen {
@@ -46,7 +87,7 @@
 /// Bounds on requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
-    /// Largest request body, in bytes. Default 1 MiB.
+    /// Largest request body, in bytes; key `body`, a size. Default 1 MiB.
     pub body_bytes: u64,
     /// Most tokens that one request may generate. Default 4096.
     pub max_tokens: u32,
