--- /dev/null
+++ b/crates/kelpworks/src/border/engine.rs
@@ -0,0 +1,249 @@
+//! Border to the model engines.
+//!
+//! The daemon sends steps, cancels and probes; it reads what an engine says of
+//! itself. Assumed of the other side: a reply echoes what ran, and a step whose
+//! positions have run already is refused instead of run again.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::RwLock;
+use std::time::Duration;
+
+use reqwest::Client;
+use reqwest::StatusCode;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use kelpworks_wire::CancelRequest;
+use kelpworks_wire::EngineOrder;
+use kelpworks_wire::EngineState;
+use kelpworks_wire::OrderReply;
+use kelpworks_wire::StepBatch;
+use kelpworks_wire::StepBatchReply;
+
+use crate::verdict::Verdict;
+
+/// The result of this module.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a call of an engine gave no usable reply.
+#[derive(Debug, Error)]
+#[non_exhaustive]
+pub enum Error {
+    /// No connection could be opened; nothing was sent.
+    #[error("connect: {0}")]
+    Connect(String),
+    /// No reply within the deadline.
+    #[error("timeout")]
+    Timeout,
+    /// The connection broke after the request may have been sent.
+    #[error("connection lost: {0}")]
+    Lost(String),
+    /// An HTTP status other than success.
+    #[error("status {0}")]
+    Status(StatusCode),
+    /// A reply that could not be read as its type.
+    #[error("reply: {0}")]
+    Decode(String),
+}
+
+impl Error {
+    /// Whether the call may have been executed.
+    pub fn verdict(&self) -> Verdict {
+        match self {
+            Error::Connect(_) => Verdict::NotRun,
+            _ => Verdict::MayHaveRun,
+        }
+    }
+
+    pub(crate) fn from_reqwest(e: reqwest::Error) -> Error {
+        if e.is_connect() {
+            return Error::Connect(e.to_string());
+        }
+        if e.is_timeout() {
+            return Error::Timeout;
+        }
+        if e.is_decode() {
+            return Error::Decode(e.to_string());
+        }
+        Error::Lost(e.to_string())
+    }
+}
+
+/// What the daemon asks of an engine. `url` is the engine's base URL.
+pub trait Engine: Send + Sync + 'static {
+    /// Runs steps.
+    fn steps(
+        &self,
+        url: &Arc<str>,
+        batch: &StepBatch,
+        deadline: Duration,
+    ) -> impl Future<Output = Result<StepBatchReply>> + Send;
+
+    /// Ends a session and frees its memory.
+    fn cancel(
+        &self,
+        url: &Arc<str>,
+        req: &CancelRequest,
+        deadline: Duration,
+    ) -> impl Future<Output = Result<()>> + Send;
+
+    /// Reads what the engine says of itself.
+    fn state(
+        &self,
+        url: &Arc<str>,
+        deadline: Duration,
+    ) -> impl Future<Output = Result<EngineState>> + Send;
+
+    /// Gives an order.
+    fn order(
+        &self,
+        url: &Arc<str>,
+        order: &EngineOrder,
+        deadline: Duration,
+    ) -> impl Future<Output = Result<OrderReply>> + Send;
+
+    /// Reads the engine's state over a connection opened just for this; on success the kept
+    /// connections to it are dropped, as they may have gone silent.
+    fn probe(
+        &self,
+        url: &Arc<str>,
+        deadline: Duration,
+    ) -> impl Future<Output = Result<EngineState>> + Send;
+}
+
+/// The engine border over HTTP.
+#[derive(Debug)]
+pub struct HttpEngine {
+    connect_timeout: Duration,
+    /// One client an upstream, so that dropping it drops that upstream's connections only.
+    clients: RwLock<HashMap<Arc<str>, Client>>,
+}
+
+impl HttpEngine {
+    /// A border whose connections are opened within `connect_timeout`.
+    pub fn new(connect_timeout: Duration) -> HttpEngine {
+        HttpEngine {
+            connect_timeout,
+            clients: RwLock::default(),
+        }
+    }
+
+    /// A client with connections of its own.
+    ///
+    /// # Panics
+    ///
+    /// When the HTTP library can't be set up at all.
+    pub(crate) fn fresh(&self) -> Client {
+        Client::builder()
+            .connect_timeout(self.connect_timeout)
+            .tcp_nodelay(true)
+            .no_proxy()
+            .build()
+            .expect("an HTTP client without TLS needs no outside resource")
+    }
+
+    pub(crate) fn client(&self, url: &Arc<str>) -> Client {
+        if let Some(client) = self.clients.read().expect("not poisoned").get(url) {
+            return client.clone();
+        }
+        let mut clients = self.clients.write().expect("not poisoned");
+        clients
+            .entry(Arc::clone(url))
+            .or_insert_with(|| self.fresh())
+            .clone()
+    }
+
+    fn replace(&self, url: &Arc<str>, client: Client) {
+        self.clients
+            .write()
+            .expect("not poisoned")
+            .insert(Arc::clone(url), client);
+    }
+
+    async fn post<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        url: &Arc<str>,
+        path: &str,
+        body: &Q,
+        deadline: Duration,
+    ) -> Result<A> {
+        let client = self.client(url);
+        let sent = client
+            .post(format!("{url}{path}"))
+            .timeout(deadline)
+            .json(body)
+            .send()
+            .await;
+        read(sent).await
+    }
+}
+
+async fn read<A: DeserializeOwned>(sent: reqwest::Result<reqwest::Response>) -> Result<A> {
+    let res = sent.map_err(Error::from_reqwest)?;
+    if !res.status().is_success() {
+        return Err(Error::Status(res.status()));
+    }
+    let body = res.bytes().await.map_err(Error::from_reqwest)?;
+    serde_json::from_slice(&body).map_err(|e| Error::Decode(e.to_string()))
+}
+
+async fn get_state(client: &Client, url: &Arc<str>, deadline: Duration) -> Result<EngineState> {
+    read(
+        client
+            .get(format!("{url}/v1/state"))
+            .timeout(deadline)
+            .send()
+            .await,
+    )
+    .await
+}
+
+impl Engine for HttpEngine {
+    async fn steps(
+        &self,
+        url: &Arc<str>,
+        batch: &StepBatch,
+        deadline: Duration,
+    ) -> Result<StepBatchReply> {
+        self.post(url, "/v1/steps", batch, deadline).await
+    }
+
+    async fn cancel(&self, url: &Arc<str>, req: &CancelRequest, deadline: Duration) -> Result<()> {
+        let client = self.client(url);
+        let sent = client
+            .post(format!("{url}/v1/cancel"))
+            .timeout(deadline)
+            .json(req)
+            .send()
+            .await;
+        let res = sent.map_err(Error::from_reqwest)?;
+        if res.status().is_success() {
+            Ok(())
+        } else {
+            Err(Error::Status(res.status()))
+        }
+    }
+
+    async fn state(&self, url: &Arc<str>, deadline: Duration) -> Result<EngineState> {
+        get_state(&self.client(url), url, deadline).await
+    }
+
+    async fn order(
+        &self,
+        url: &Arc<str>,
+        order: &EngineOrder,
+        deadline: Duration,
+    ) -> Result<OrderReply> {
+        self.post(url, "/v1/orders", order, deadline).await
+    }
+
+    async fn probe(&self, url: &Arc<str>, deadline: Duration) -> Result<EngineState> {
+        let client = self.fresh();
+        let state = get_state(&client, url, deadline).await?;
+        self.replace(url, client);
+        Ok(state)
+    }
+}
--- a/crates/kelpworks/src/border/mod.rs
+++ b/crates/kelpworks/src/border/mod.rs
@@ -1,5 +1,6 @@
 //! The borders: one small trait for each outside system, and its HTTP client.
 
+pub mod engine;
 pub(crate) mod fresh;
 pub mod host_list;
 pub mod object_api;
--- a/crates/kelpworks/src/config/document.rs
+++ b/crates/kelpworks/src/config/document.rs
@@ -220,11 +220,6 @@
         })
     }
 
-    /// Whether the document has this key at its top.
-    pub(crate) fn has(&self, key: &str) -> bool {
-        self.root.get_ref().contains_key(key)
-    }
-
     /// Line of a span.
     pub(crate) fn line(&self, span: &Range<usize>) -> usize {
         line_at(self.text.as_bytes(), span.start)
--- /dev/null
+++ b/crates/kelpworks/src/daemon/hosts.rs
@@ -0,0 +1,50 @@
+//! Reads the platform's host list and reports it to the keeper.
+
+use std::time::Duration;
+
+use log::warn;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::border::host_list::HostListApi;
+use crate::upstreams::HostSeen;
+use crate::upstreams::Report;
+
+/// Reads the host list again and again.
+#[derive(Debug)]
+pub(crate) struct HostWatch<H> {
+    pub(crate) api: H,
+    pub(crate) reports: mpsc::UnboundedSender<Report>,
+    pub(crate) interval: Duration,
+}
+
+impl<H: HostListApi> HostWatch<H> {
+    /// Runs until `stop`. What was read last stays in use while the list is away.
+    pub(crate) async fn run(self, stop: CancellationToken) {
+        let mut tick = tokio::time::interval(self.interval);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                _ = tick.tick() => self.read().await,
+            }
+        }
+    }
+
+    async fn read(&self) {
+        match self.api.hosts().await {
+            Ok(list) => {
+                let seen = |h: kelpworks_wire::HostEntry| HostSeen {
+                    name: h.name,
+                    state: h.state,
+                };
+                let hosts = list.hosts.into_iter().map(seen).collect();
+                let _ = self.reports.send(Report::HostList(hosts));
+            }
+            Err(e) => {
+                warn!("host list: {e}");
+                self.api.fresh();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/entry/auth.rs
@@ -0,0 +1,23 @@
+//! Who calls: the bearer token names the team.
+
+use salvo::http::HeaderMap;
+use salvo::http::header::AUTHORIZATION;
+
+use crate::entry::reply::Failure;
+use crate::in_force::Caller;
+use crate::in_force::InForce;
+
+const SCHEME: &[u8] = b"Bearer ";
+
+/// The team that a request's bearer token names.
+///
+/// # Errors
+///
+/// A 401 when the token is absent or unknown; which of the two is not told.
+pub(crate) fn caller(config: &InForce, headers: &HeaderMap) -> Result<Caller, Failure> {
+    let value = headers.get(AUTHORIZATION).map(|v| v.as_bytes());
+    let token = value.and_then(|v| v.strip_prefix(SCHEME));
+    token
+        .and_then(|t| config.caller(t))
+        .ok_or(Failure::UNAUTHORIZED)
+}
--- /dev/null
+++ b/crates/kelpworks/src/entry/completions.rs
@@ -0,0 +1,305 @@
+//! Model requests: `/v1/completions` and `/v1/chat/completions`.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use futures_util::Stream;
+use futures_util::stream;
+use log::info;
+use salvo::Depot;
+use salvo::FlowCtrl;
+use salvo::Handler;
+use salvo::Request;
+use salvo::Response;
+use salvo::async_trait;
+use salvo::http::HeaderValue;
+use salvo::http::ParseError;
+use salvo::http::StatusCode;
+use salvo::http::header::CONTENT_TYPE;
+use salvo::sse;
+use salvo::sse::SseEvent;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use kelpworks_wire::FinishReason;
+use kelpworks_wire::Usage;
+
+use crate::admission::Ask;
+use crate::entry::Entry;
+use crate::entry::auth;
+use crate::entry::reply::Failure;
+use crate::entry::reply::REQUEST_ID;
+use crate::entry::shape::Asked;
+use crate::entry::shape::Frame;
+use crate::entry::shape::Shape;
+use crate::in_force::Caller;
+use crate::pipeline::Ending;
+use crate::pipeline::Job;
+use crate::pipeline::Outcome;
+use crate::pipeline::tokens;
+use crate::verdict::Verdict;
+
+/// The result of this module.
+type Result<T> = std::result::Result<T, Failure>;
+
+/// Tokens that may wait for a slow caller; then its session waits.
+const TOKENS_AHEAD: usize = 32;
+/// Last event of a stream, by custom of this interface.
+const DONE: &str = "[DONE]";
+
+/// Handler of model requests.
+pub(crate) struct Completions {
+    entry: Arc<Entry>,
+    shape: Shape,
+}
+
+/// A session under way.
+struct Running {
+    tokens: mpsc::Receiver<u32>,
+    outcome: oneshot::Receiver<Outcome>,
+}
+
+impl Completions {
+    pub(crate) fn new(entry: Arc<Entry>, shape: Shape) -> Completions {
+        Completions { entry, shape }
+    }
+
+    async fn serve(&self, id: &str, req: &mut Request, res: &mut Response) -> Result<()> {
+        if self.entry.is_draining() {
+            return Err(Failure::draining());
+        }
+        let caller = auth::caller(&self.entry.config.load(), req.headers())?;
+        let body = body(req, self.entry.limits.body_bytes).await?;
+        let asked = self.shape.read(body)?;
+        let job = self.job(id, &caller, &asked)?;
+        let frame = Frame {
+            id: id.to_owned(),
+            model: asked.model.clone(),
+            created: unix_now(),
+        };
+        let prompt_tokens = job.prompt.len() as u32;
+        let running = self.start(&caller, job).await?;
+        if let Ok(value) = HeaderValue::from_str(id) {
+            res.headers_mut().insert(REQUEST_ID, value);
+        }
+        if asked.stream {
+            self.stream(frame, running, res).await
+        } else {
+            self.whole(&frame, prompt_tokens, running, res).await
+        }
+    }
+
+    fn job(&self, id: &str, caller: &Caller, asked: &Asked) -> Result<Job> {
+        let fleet = self.entry.fleet.load();
+        let Some(model) = fleet.model(&asked.model) else {
+            let message = format!("there is no model {:?}", asked.model);
+            return Err(Failure::bad(
+                StatusCode::NOT_FOUND,
+                "unknown_model",
+                message,
+            ));
+        };
+        let most = self.entry.limits.max_tokens;
+        if asked.max_tokens == 0 || asked.max_tokens > most {
+            let message = format!("max_tokens must be from 1 to {most}");
+            return Err(Failure::bad(
+                StatusCode::BAD_REQUEST,
+                "invalid_request",
+                message,
+            ));
+        }
+        if asked.prompt.is_empty() {
+            let message = "the prompt is empty";
+            return Err(Failure::bad(
+                StatusCode::BAD_REQUEST,
+                "invalid_request",
+                message,
+            ));
+        }
+        Ok(Job {
+            session: id.to_owned(),
+            team: caller.team.clone(),
+            class: caller.class,
+            model,
+            prompt: tokens::encode(&asked.prompt),
+            max_tokens: asked.max_tokens,
+            deadline: Instant::now() + self.entry.request_timeout,
+        })
+    }
+
+    /// Waits for admission and starts the session in a task of its own, which frees its memory on
+    /// the engines also when the caller goes.
+    async fn start(&self, caller: &Caller, job: Job) -> Result<Running> {
+        let ask = Ask {
+            team: &caller.team,
+            class: caller.class,
+            weight: caller.weight,
+            cost: job.prompt.len() as u32 + job.max_tokens,
+        };
+        let permit = self.entry.admission.admit(ask).await?;
+        let (tx, tokens) = mpsc::channel(TOKENS_AHEAD);
+        let (done, outcome) = oneshot::channel();
+        let entry = Arc::clone(&self.entry);
+        self.entry.tasks.spawn(async move {
+            let id = job.session.clone();
+            let ended = entry.driver.run(job, &permit, &tx).await;
+            info!(
+                target: "decision", decision = "end", request = id.as_str(),
+                result:? = ended.result, verdict = ended.verdict.as_str(),
+                recoveries = ended.recoveries;
+                "session ended"
+            );
+            let _ = done.send(ended);
+        });
+        Ok(Running { tokens, outcome })
+    }
+
+    async fn whole(
+        &self,
+        frame: &Frame,
+        prompt_tokens: u32,
+        mut running: Running,
+        res: &mut Response,
+    ) -> Result<()> {
+        let mut text = String::new();
+        let mut count = 0;
+        while let Some(token) = running.tokens.recv().await {
+            text.push_str(&tokens::decode(token));
+            count += 1;
+        }
+        let end = finish(running.outcome).await?;
+        let usage = Usage {
+            completion_tokens: count,
+            prompt_tokens,
+            total_tokens: prompt_tokens + count,
+        };
+        res.headers_mut()
+            .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        res.body(self.shape.whole(frame, text, end, usage));
+        Ok(())
+    }
+
+    /// Streams the answer. Until the first token is there a failure still gets a status.
+    async fn stream(&self, frame: Frame, mut running: Running, res: &mut Response) -> Result<()> {
+        let Some(first) = running.tokens.recv().await else {
+            let end = finish(running.outcome).await?;
+            let last = [
+                self.shape.piece(&frame, String::new(), Some(end)),
+                DONE.into(),
+            ];
+            sse::stream(
+                res,
+                stream::iter(last.map(|data| Ok::<_, Infallible>(event(&data)))),
+            );
+            return Ok(());
+        };
+        sse::stream(res, events(self.shape, frame, first, running));
+        Ok(())
+    }
+}
+
+/// Where a stream of events stands.
+enum Next {
+    Token(u32),
+    Tokens,
+    Done,
+    Ended,
+}
+
+fn events(
+    shape: Shape,
+    frame: Frame,
+    first: u32,
+    running: Running,
+) -> impl Stream<Item = std::result::Result<SseEvent, Infallible>> {
+    let start = (Next::Token(first), running);
+    stream::unfold(start, move |(next, mut running)| {
+        let frame = frame.clone();
+        async move {
+            let token = match next {
+                Next::Token(token) => Some(token),
+                Next::Tokens => running.tokens.recv().await,
+                Next::Done => return Some((Ok(event(DONE.as_bytes())), (Next::Ended, running))),
+                Next::Ended => return None,
+            };
+            if let Some(token) = token {
+                let data = shape.piece(&frame, tokens::decode(token), None);
+                return Some((Ok(event(&data)), (Next::Tokens, running)));
+            }
+            let (tx, spent) = oneshot::channel();
+            drop(tx);
+            let outcome = std::mem::replace(&mut running.outcome, spent);
+            match finish(outcome).await {
+                Ok(end) => {
+                    let data = shape.piece(&frame, String::new(), Some(end));
+                    Some((Ok(event(&data)), (Next::Done, running)))
+                }
+                Err(failure) => {
+                    let data = serde_json::to_vec(&failure.body(&frame.id)).unwrap_or_default();
+                    Some((Ok(event(&data).name("error")), (Next::Ended, running)))
+                }
+            }
+        }
+    })
+}
+
+fn event(data: &[u8]) -> SseEvent {
+    SseEvent::default().text(String::from_utf8_lossy(data))
+}
+
+async fn finish(outcome: oneshot::Receiver<Outcome>) -> Result<FinishReason> {
+    match outcome.await {
+        Ok(Outcome {
+            result: Ok(end), ..
+        }) => Ok(end),
+        Ok(Outcome {
+            result: Err(ending),
+            verdict,
+            ..
+        }) => Err(Failure::ended(&ending, verdict)),
+        // The task is gone without a word: it was stopped with the daemon.
+        Err(_) => Err(Failure::ended(&Ending::CallerGone, Verdict::MayHaveRun)),
+    }
+}
+
+/// Reads a request's body, up to `most` bytes.
+pub(crate) async fn body(req: &mut Request, most: u64) -> Result<&[u8]> {
+    let payload = req.payload_with_max_size(most as usize).await;
+    payload.map(|b| &b[..]).map_err(|e| match e {
+        ParseError::PayloadTooLarge => {
+            let message = format!("the body is larger than {most} bytes");
+            Failure::bad(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message)
+        }
+        e => Failure::bad(StatusCode::BAD_REQUEST, "invalid_request", e.to_string()),
+    })
+}
+
+fn unix_now() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_secs())
+}
+
+/// A request id that no other daemon gives out.
+pub(crate) fn request_id() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
+
+#[async_trait]
+impl Handler for Completions {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let id = request_id();
+        if let Err(failure) = self.serve(&id, req, res).await {
+            failure.write(&id, res);
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/entry/mod.rs
@@ -0,0 +1,67 @@
+//! The callers' side: HTTP requests in, answers or refusals with a verdict out.
+
+mod auth;
+mod completions;
+mod reply;
+mod services;
+mod shape;
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use salvo::Router;
+use tokio::sync::mpsc;
+use tokio_util::task::TaskTracker;
+
+use crate::admission::Admission;
+use crate::border::engine::HttpEngine;
+use crate::fleet::Fleet;
+use crate::in_force::InForce;
+use crate::pipeline::Driver;
+use crate::settings::Limits;
+use crate::upstreams::Report;
+
+/// What the callers' side works with; one for the whole daemon.
+#[derive(Debug)]
+pub struct Entry {
+    /// Bounds on requests.
+    pub limits: Limits,
+    /// Longest time for a whole request.
+    pub request_timeout: Duration,
+    /// The configuration in force.
+    pub config: Arc<ArcSwap<InForce>>,
+    /// The fleet.
+    pub fleet: Arc<ArcSwap<Fleet>>,
+    /// Admission.
+    pub admission: Admission,
+    /// Drives sessions.
+    pub driver: Driver<HttpEngine>,
+    /// Connections to upstreams.
+    pub engine: Arc<HttpEngine>,
+    /// Where failures of upstreams are reported.
+    pub reports: mpsc::UnboundedSender<Report>,
+    /// Running sessions.
+    pub tasks: TaskTracker,
+    /// True from the start of a planned stop on; new requests are refused then.
+    pub draining: AtomicBool,
+}
+
+impl Entry {
+    fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+}
+
+/// Routes of the callers' address.
+pub fn router(entry: &Arc<Entry>) -> Router {
+    let completions = completions::Completions::new(Arc::clone(entry), shape::Shape::Text);
+    let chat = completions::Completions::new(Arc::clone(entry), shape::Shape::Chat);
+    let services = services::Services::new(Arc::clone(entry));
+    Router::new()
+        .push(Router::with_path("v1/completions").post(completions))
+        .push(Router::with_path("v1/chat/completions").post(chat))
+        .push(Router::with_path("services/{name}/{**rest}").goal(services))
+}
--- /dev/null
+++ b/crates/kelpworks/src/entry/reply.rs
@@ -0,0 +1,147 @@
+//! Refusals and failures as callers see them.
+
+use std::time::Duration;
+
+use salvo::Response;
+use salvo::http::HeaderValue;
+use salvo::http::StatusCode;
+use salvo::http::header::CONTENT_TYPE;
+use salvo::http::header::RETRY_AFTER;
+
+use kelpworks_wire::ErrorBody;
+use kelpworks_wire::ErrorDetail;
+
+use crate::admission::Refusal;
+use crate::pipeline::Ending;
+use crate::verdict::Verdict;
+
+/// Header with the request id.
+pub(crate) const REQUEST_ID: &str = "kelpworks-request-id";
+
+/// When to come back after a failure whose end is not known.
+const DEFAULT_RETRY: Duration = Duration::from_secs(1);
+
+/// An answer that is not a success.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Failure {
+    pub(crate) status: StatusCode,
+    /// Kind of error, for programs.
+    pub(crate) kind: &'static str,
+    /// For people; never holds a secret.
+    pub(crate) message: String,
+    pub(crate) verdict: Verdict,
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl Failure {
+    pub(crate) const UNAUTHORIZED: Failure = Failure {
+        status: StatusCode::UNAUTHORIZED,
+        kind: "unauthorized",
+        message: String::new(),
+        verdict: Verdict::NotRun,
+        retry_after: None,
+    };
+
+    /// A request that can't be run as it is.
+    pub(crate) fn bad(status: StatusCode, kind: &'static str, message: impl Into<String>) -> Self {
+        let message = message.into();
+        Failure {
+            status,
+            kind,
+            message,
+            verdict: Verdict::NotRun,
+            retry_after: None,
+        }
+    }
+
+    /// A request that failed on the way.
+    pub(crate) fn failed(
+        status: StatusCode,
+        kind: &'static str,
+        message: impl Into<String>,
+        verdict: Verdict,
+    ) -> Self {
+        let retry_after = Some(DEFAULT_RETRY);
+        Failure {
+            status,
+            kind,
+            message: message.into(),
+            verdict,
+            retry_after,
+        }
+    }
+
+    /// The daemon is stopping.
+    pub(crate) fn draining() -> Self {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Failure::failed(
+            status,
+            "draining",
+            "this daemon is stopping",
+            Verdict::NotRun,
+        )
+    }
+
+    /// The whole body in JSON.
+    pub(crate) fn body(&self, request: &str) -> ErrorBody {
+        let message = match self.message.as_str() {
+            "" => "a bearer token that names a team is needed".to_owned(),
+            text => text.to_owned(),
+        };
+        ErrorBody {
+            error: ErrorDetail {
+                message,
+                request_id: request.to_owned(),
+                type_: self.kind.to_owned(),
+                verdict: self.verdict.to_string(),
+            },
+        }
+    }
+
+    /// Writes the failure as the whole response.
+    pub(crate) fn write(&self, request: &str, res: &mut Response) {
+        metrics::counter!("kelpworks_failures_total", "kind" => self.kind).increment(1);
+        res.status_code(self.status);
+        let headers = res.headers_mut();
+        let verdict = HeaderValue::from_static(self.verdict.as_str());
+        headers.insert(Verdict::HEADER, verdict);
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Ok(id) = HeaderValue::from_str(request) {
+            headers.insert(REQUEST_ID, id);
+        }
+        if let Some(after) = self.retry_after {
+            headers.insert(RETRY_AFTER, HeaderValue::from(whole_seconds(after)));
+        }
+        let body = serde_json::to_vec(&self.body(request)).unwrap_or_default();
+        res.body(body);
+    }
+}
+
+/// Rounded up, as `retry-after` has whole seconds.
+fn whole_seconds(wait: Duration) -> u64 {
+    wait.as_secs() + u64::from(wait.subsec_nanos() > 0)
+}
+
+impl From<Refusal> for Failure {
+    fn from(refusal: Refusal) -> Failure {
+        Failure {
+            status: StatusCode::TOO_MANY_REQUESTS,
+            kind: "overloaded",
+            message: refusal.reason.to_owned(),
+            verdict: Verdict::NotRun,
+            retry_after: Some(refusal.retry_after),
+        }
+    }
+}
+
+impl Failure {
+    /// A session that ended before its answer was whole.
+    pub(crate) fn ended(ending: &Ending, verdict: Verdict) -> Failure {
+        let (status, kind) = match ending {
+            Ending::NoPath(_) => (StatusCode::SERVICE_UNAVAILABLE, "no_upstream"),
+            Ending::Deadline => (StatusCode::GATEWAY_TIMEOUT, "deadline"),
+            _ => (StatusCode::BAD_GATEWAY, "upstream_failed"),
+        };
+        Failure::failed(status, kind, ending.to_string(), verdict)
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/entry/shape.rs
@@ -0,0 +1,176 @@
+//! The two shapes of a model request and its answer: text completion and chat.
+
+use salvo::http::StatusCode;
+use serde::Serialize;
+
+use kelpworks_wire::ChatChoice;
+use kelpworks_wire::ChatChunk;
+use kelpworks_wire::ChatChunkChoice;
+use kelpworks_wire::ChatDelta;
+use kelpworks_wire::ChatMessage;
+use kelpworks_wire::ChatRequest;
+use kelpworks_wire::ChatResponse;
+use kelpworks_wire::CompletionChoice;
+use kelpworks_wire::CompletionRequest;
+use kelpworks_wire::CompletionResponse;
+use kelpworks_wire::FinishReason;
+use kelpworks_wire::Usage;
+
+use crate::entry::reply::Failure;
+
+/// Tokens generated where the caller sets no bound.
+const DEFAULT_MAX_TOKENS: u32 = 16;
+/// Role of an answer in a chat.
+const ASSISTANT: &str = "assistant";
+
+/// Shape of a request and its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Shape {
+    /// `/v1/completions`.
+    Text,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+/// What both shapes ask for.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Asked {
+    pub(crate) model: String,
+    pub(crate) prompt: String,
+    pub(crate) max_tokens: u32,
+    pub(crate) stream: bool,
+}
+
+/// What both shapes say of an answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Frame {
+    pub(crate) id: String,
+    pub(crate) model: String,
+    /// Unix time, in seconds.
+    pub(crate) created: u64,
+}
+
+impl Shape {
+    /// Reads a request body.
+    ///
+    /// # Errors
+    ///
+    /// A 400 when it is not JSON of this shape.
+    pub(crate) fn read(self, body: &[u8]) -> Result<Asked, Failure> {
+        let invalid = |e: serde_json::Error| {
+            Failure::bad(StatusCode::BAD_REQUEST, "invalid_request", e.to_string())
+        };
+        let asked = match self {
+            Shape::Text => {
+                let req: CompletionRequest = serde_json::from_slice(body).map_err(invalid)?;
+                Asked {
+                    model: req.model,
+                    prompt: req.prompt,
+                    max_tokens: req.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+                    stream: req.stream.unwrap_or(false),
+                }
+            }
+            Shape::Chat => {
+                let req: ChatRequest = serde_json::from_slice(body).map_err(invalid)?;
+                Asked {
+                    model: req.model,
+                    prompt: prompt(&req.messages),
+                    max_tokens: req.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+                    stream: req.stream.unwrap_or(false),
+                }
+            }
+        };
+        Ok(asked)
+    }
+
+    /// The whole answer as JSON.
+    pub(crate) fn whole(self, frame: &Frame, text: String, end: FinishReason, u: Usage) -> Vec<u8> {
+        let Frame { id, model, created } = frame.clone();
+        match self {
+            Shape::Text => json(&CompletionResponse {
+                choices: vec![CompletionChoice {
+                    finish_reason: Some(end),
+                    index: 0,
+                    text,
+                }],
+                created,
+                id,
+                model,
+                object: "text_completion".to_owned(),
+                usage: Some(u),
+            }),
+            Shape::Chat => {
+                let message = ChatMessage {
+                    content: text,
+                    role: ASSISTANT.to_owned(),
+                };
+                json(&ChatResponse {
+                    choices: vec![ChatChoice {
+                        finish_reason: Some(end),
+                        index: 0,
+                        message,
+                    }],
+                    created,
+                    id,
+                    model,
+                    object: "chat.completion".to_owned(),
+                    usage: u,
+                })
+            }
+        }
+    }
+
+    /// One event of a streamed answer as JSON.
+    pub(crate) fn piece(self, frame: &Frame, text: String, end: Option<FinishReason>) -> Vec<u8> {
+        let Frame { id, model, created } = frame.clone();
+        match self {
+            Shape::Text => json(&CompletionResponse {
+                choices: vec![CompletionChoice {
+                    finish_reason: end,
+                    index: 0,
+                    text,
+                }],
+                created,
+                id,
+                model,
+                object: "text_completion".to_owned(),
+                usage: None,
+            }),
+            Shape::Chat => {
+                let delta = ChatDelta {
+                    content: Some(text),
+                    role: Some(ASSISTANT.to_owned()),
+                };
+                json(&ChatChunk {
+                    choices: vec![ChatChunkChoice {
+                        delta,
+                        finish_reason: end,
+                        index: 0,
+                    }],
+                    created,
+                    id,
+                    model,
+                    object: "chat.completion.chunk".to_owned(),
+                })
+            }
+        }
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).expect("wire types have no maps with keys other than text")
+}
+
+/// The chat as one prompt, a line a message, ending where the answer begins.
+fn prompt(messages: &[ChatMessage]) -> String {
+    let mut text = String::new();
+    for message in messages {
+        text.push_str(&message.role);
+        text.push_str(": ");
+        text.push_str(&message.content);
+        text.push('\n');
+    }
+    text.push_str(ASSISTANT);
+    text.push(':');
+    text
+}
--- a/crates/kelpworks/src/lib.rs
+++ b/crates/kelpworks/src/lib.rs
@@ -9,11 +9,17 @@
 pub mod admission;
 pub mod border;
 pub mod config;
+pub mod daemon;
+pub mod entry;
 pub mod fleet;
+pub mod in_force;
+pub mod operators;
+pub mod pipeline;
 pub mod placement;
 pub mod register;
 pub mod routing;
 pub mod rules;
 pub mod settings;
 pub mod units;
+pub mod upstreams;
 pub mod verdict;
--- /dev/null
+++ b/crates/kelpworks/src/operators/mod.rs
@@ -0,0 +1,96 @@
+//! The operators' address: `/metrics`, `/healthz`, `/readyz` and `/status`.
+//!
+//! `/readyz` is what the platform's balancer asks; it fails first on a planned
+//! stop, and until the daemon has a configuration and a fleet.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use salvo::Depot;
+use salvo::FlowCtrl;
+use salvo::Handler;
+use salvo::Request;
+use salvo::Response;
+use salvo::Router;
+use salvo::async_trait;
+use salvo::http::StatusCode;
+
+use crate::entry::Entry;
+use crate::fleet::Health;
+
+/// What the operators' side shows.
+#[derive(Clone, Debug)]
+pub struct Operators {
+    /// The callers' side.
+    pub entry: Arc<Entry>,
+    /// Recorder of the metrics.
+    pub metrics: PrometheusHandle,
+}
+
+/// A page of the operators' address.
+#[derive(Clone, Copy, Debug)]
+enum Page {
+    Metrics,
+    Health,
+    Ready,
+}
+
+struct Show {
+    operators: Operators,
+    page: Page,
+}
+
+/// Routes of the operators' address.
+pub fn router(operators: &Operators) -> Router {
+    let show = |page| Show {
+        operators: operators.clone(),
+        page,
+    };
+    Router::new()
+        .push(Router::with_path("metrics").get(show(Page::Metrics)))
+        .push(Router::with_path("healthz").get(show(Page::Health)))
+        .push(Router::with_path("readyz").get(show(Page::Ready)))
+}
+
+impl Show {
+    /// Why the daemon is not ready; `None` when it is.
+    fn unready(&self) -> Option<&'static str> {
+        let entry = &self.operators.entry;
+        if entry.draining.load(Ordering::Relaxed) {
+            return Some("stopping");
+        }
+        if entry.config.load().generation == 0 {
+            return Some("no configuration yet");
+        }
+        let fleet = entry.fleet.load();
+        let live = fleet.upstreams.values().any(|u| u.health == Health::Live);
+        if live { None } else { Some("no live upstream") }
+    }
+}
+
+#[async_trait]
+impl Handler for Show {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        match self.page {
+            Page::Metrics => {
+                self.operators.metrics.run_upkeep();
+                res.render(self.operators.metrics.render());
+            }
+            Page::Health => res.render("ok\n"),
+            Page::Ready => match self.unready() {
+                None => res.render("ready\n"),
+                Some(why) => {
+                    res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+                    res.render(format!("{why}\n"));
+                }
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -0,0 +1,489 @@
+//! Drives one session from prompt to last token, over failures of its stages.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use log::info;
+use rand::RngExt;
+use thiserror::Error;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use kelpworks_wire::CancelRequest;
+use kelpworks_wire::Class;
+use kelpworks_wire::FinishReason;
+use kelpworks_wire::OutputForm;
+use kelpworks_wire::RefusalReason;
+use kelpworks_wire::StepInput;
+
+use crate::admission::Permit;
+use crate::border::engine::Engine;
+use crate::fleet::DomainKey;
+use crate::fleet::Fleet;
+use crate::fleet::Health;
+use crate::fleet::ModelKey;
+use crate::fleet::UpstreamKey;
+use crate::pipeline::hop::HopState;
+use crate::pipeline::step::Call;
+use crate::pipeline::step::Deadlines;
+use crate::pipeline::step::Fixed;
+use crate::pipeline::step::Output;
+use crate::pipeline::step::StepFailure;
+use crate::pipeline::tokens;
+use crate::routing;
+use crate::routing::PathQuery;
+use crate::upstreams::Report;
+use crate::verdict::Verdict;
+
+/// The result of this module.
+pub(crate) type Result<T> = std::result::Result<T, Ending>;
+
+/// Most recoveries of one session; above it something is wrong that another try won't mend.
+const MAX_RECOVERIES: u32 = 32;
+/// Wait before the path is asked for again when no stage can take the session.
+const NO_PATH_WAIT: Duration = Duration::from_millis(50);
+/// Doublings of that wait, at most, when the same upstream fails again and again.
+const MAX_BACKOFF_DOUBLINGS: u32 = 4;
+/// Wait for an engine to take a cancel.
+const CANCEL_DEADLINE: Duration = Duration::from_secs(1);
+
+/// A session to drive.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Session identifier; also the request id in log lines.
+    pub session: String,
+    /// Name of the team.
+    pub team: String,
+    /// Class of the team.
+    pub class: Class,
+    /// The model.
+    pub model: ModelKey,
+    /// Tokens of the prompt; never empty.
+    pub prompt: Vec<u32>,
+    /// Most tokens to generate; above 0.
+    pub max_tokens: u32,
+    /// When the caller's time is up.
+    pub deadline: Instant,
+}
+
+/// Why a session ended before its answer was whole.
+#[derive(Clone, Debug, PartialEq, Error)]
+#[non_exhaustive]
+pub enum Ending {
+    /// No path through the stages within the deadline.
+    #[error("no upstream can take the request: {0}")]
+    NoPath(routing::Error),
+    /// The caller's time is up.
+    #[error("deadline exceeded")]
+    Deadline,
+    /// The caller has gone.
+    #[error("caller gone")]
+    CallerGone,
+    /// A stage failed in a way that another try won't mend.
+    #[error("stage failed: {0}")]
+    Stage(StepFailure),
+}
+
+/// How a session ended.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Why it ended.
+    pub result: std::result::Result<FinishReason, Ending>,
+    /// Whether any of it may have run.
+    pub verdict: Verdict,
+    /// Stages replaced on the way.
+    pub recoveries: u32,
+}
+
+/// Drives sessions; one for the whole daemon.
+#[derive(Debug)]
+pub struct Driver<E> {
+    /// The engines.
+    pub engine: Arc<E>,
+    /// The fleet, replaced as a whole on each change.
+    pub fleet: Arc<ArcSwap<Fleet>>,
+    /// Where failures of upstreams are reported.
+    pub reports: mpsc::UnboundedSender<Report>,
+    /// Failure domain of this daemon.
+    pub domain: String,
+    /// Bounds on the wait for a step.
+    pub deadlines: Deadlines,
+    /// Form in which outputs are asked for.
+    pub output: OutputForm,
+    /// Start of the daemon, the origin of `Counters::busy_until_ms`.
+    pub start: Instant,
+}
+
+impl<E: Engine> Driver<E> {
+    /// Drives a session; each token goes into `tx` as soon as it is known. Where the receiver is
+    /// dropped the session ends and its memory on the engines is freed.
+    pub async fn run(&self, job: Job, permit: &Permit, tx: &mpsc::Sender<u32>) -> Outcome {
+        let mut session = Session::new(self, &job);
+        let deadline = job.deadline;
+        let result = tokio::select! {
+            result = session.answer(permit, tx) => result,
+            () = tx.closed() => Err(Ending::CallerGone),
+            () = tokio::time::sleep_until(deadline) => Err(Ending::Deadline),
+        };
+        session.free().await;
+        Outcome {
+            result,
+            verdict: session.verdict,
+            recoveries: session.recoveries,
+        }
+    }
+
+    /// This daemon's failure domain in a snapshot; the first where the register has no such.
+    fn from(&self, fleet: &Fleet) -> DomainKey {
+        let at = fleet.domains.iter().position(|d| *d == self.domain);
+        DomainKey(at.unwrap_or(0) as u16)
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+}
+
+/// Full jitter over the upper half, so that waiters spread out.
+fn jittered(wait: Duration) -> Duration {
+    wait.mul_f64(rand::rng().random_range(0.5..1.0))
+}
+
+struct Session<'a, E> {
+    driver: &'a Driver<E>,
+    job: &'a Job,
+    fixed: Fixed,
+    /// Version index that the session is bound to, once its first path is chosen.
+    version: Option<u16>,
+    /// Prompt and the tokens generated so far; those sent to the caller are never changed.
+    known: Vec<u32>,
+    /// The stages in order of layers; together they cover every layer once.
+    hops: Vec<HopState>,
+    /// Upstreams that failed or refused this session; taken last.
+    avoid: Vec<UpstreamKey>,
+    /// Attempt number that the next new stage gets.
+    next_attempt: u32,
+    recoveries: u32,
+    /// Worst over all steps sent.
+    verdict: Verdict,
+    /// Stages left behind, to be freed at the end.
+    left: Vec<HopState>,
+}
+
+impl<'a, E: Engine> Session<'a, E> {
+    fn new(driver: &'a Driver<E>, job: &'a Job) -> Session<'a, E> {
+        let fleet = driver.fleet.load();
+        let model = &fleet.models[usize::from(job.model.0)];
+        let fixed = Fixed {
+            session: job.session.clone(),
+            model: model.name.clone(),
+            version: String::new(),
+            layers: model.layers,
+            class: job.class,
+            output: driver.output,
+        };
+        Session {
+            driver,
+            job,
+            fixed,
+            version: None,
+            known: job.prompt.clone(),
+            hops: Vec::new(),
+            avoid: Vec::new(),
+            next_attempt: 0,
+            recoveries: 0,
+            verdict: Verdict::NotRun,
+            left: Vec::new(),
+        }
+    }
+
+    async fn answer(&mut self, permit: &Permit, tx: &mpsc::Sender<u32>) -> Result<FinishReason> {
+        self.route("new session").await?;
+        let most = self.job.prompt.len() + self.job.max_tokens as usize;
+        loop {
+            permit.turn().await;
+            self.leave_if_asked().await?;
+            let token = self.next_token().await?;
+            if token == tokens::END {
+                return Ok(FinishReason::Stop);
+            }
+            self.known.push(token);
+            tx.send(token).await.map_err(|_| Ending::CallerGone)?;
+            if self.known.len() == most {
+                return Ok(FinishReason::Length);
+            }
+        }
+    }
+
+    /// Moves stages off upstreams that are leaving, between two tokens.
+    async fn leave_if_asked(&mut self) -> Result<()> {
+        let fleet = self.driver.fleet.load_full();
+        let leaving = |h: &HopState| {
+            fleet
+                .upstreams
+                .get(h.upstream)
+                .is_none_or(|u| u.health == Health::Leaving)
+        };
+        let asked: Vec<UpstreamKey> = self
+            .hops
+            .iter()
+            .filter(|h| leaving(h))
+            .map(|h| h.upstream)
+            .collect();
+        if asked.is_empty() {
+            return Ok(());
+        }
+        for upstream in asked {
+            self.avoid(upstream);
+        }
+        self.route("upstream leaving").await
+    }
+
+    async fn next_token(&mut self) -> Result<u32> {
+        loop {
+            match self.pass().await {
+                Ok(token) => return Ok(token),
+                Err((at, failure)) => self.recover(at, failure).await?,
+            }
+        }
+    }
+
+    /// Brings every stage up to the known tokens, in order; the last one gives the next token.
+    async fn pass(&mut self) -> std::result::Result<u32, (usize, StepFailure)> {
+        let target = self.known.len() as u32;
+        for at in 0..self.hops.len() {
+            let hop = &self.hops[at];
+            let count = target - hop.have;
+            if count == 0 {
+                continue;
+            }
+            let output = self.step(at, count).await.map_err(|e| (at, e))?;
+            let hop = &mut self.hops[at];
+            hop.have = target;
+            match output {
+                Output::Kept => {}
+                Output::Rows(rows) => hop.rows.extend(rows),
+                Output::Token(token) => return Ok(token),
+            }
+        }
+        // Only a last stage that has run without its token being seen gets here.
+        Err((self.hops.len() - 1, StepFailure::ReplyLost))
+    }
+
+    async fn step(&mut self, at: usize, count: u32) -> std::result::Result<Output, StepFailure> {
+        let fleet = self.driver.fleet.load_full();
+        let hop = &self.hops[at];
+        let Some(upstream) = fleet.upstreams.get(hop.upstream) else {
+            return Err(StepFailure::Unreachable);
+        };
+        let input = match at {
+            0 => StepInput::Tokens(self.known[hop.have as usize..].to_vec()),
+            _ => self.hops[at - 1].output(&self.fixed.session, hop.have, count),
+        };
+        let call = Call {
+            engine: &*self.driver.engine,
+            fixed: &self.fixed,
+            hop,
+            counters: &upstream.counters,
+            deadlines: self.driver.deadlines,
+            count,
+        };
+        // Until the reply says otherwise: this future may be dropped after the step was sent.
+        let before = self.verdict;
+        self.verdict = Verdict::MayHaveRun;
+        let result = call.run(input).await;
+        let not_run = matches!(
+            result,
+            Err(StepFailure::Busy(_) | StepFailure::Refused { .. } | StepFailure::Unreachable)
+        );
+        if not_run {
+            self.verdict = before;
+        }
+        result
+    }
+
+    async fn recover(&mut self, at: usize, failure: StepFailure) -> Result<()> {
+        self.recoveries += 1;
+        if self.recoveries > MAX_RECOVERIES {
+            return Err(Ending::Stage(failure));
+        }
+        let upstream = self.hops[at].upstream;
+        let name = Arc::clone(&self.hops[at].name);
+        info!(
+            target: "decision", decision = "recover", request = self.fixed.session.as_str(),
+            upstream = &*name, position = self.hops[at].have, reason = failure.to_string();
+            "stage failed"
+        );
+        match failure {
+            StepFailure::Busy(after) => self.wait_or_move(at, after).await,
+            StepFailure::Refused {
+                reason: RefusalReason::PositionGap,
+                ..
+            }
+            | StepFailure::ReplyLost => {
+                self.restart(at);
+                Ok(())
+            }
+            StepFailure::Refused {
+                reason: RefusalReason::HandleMissing,
+                ..
+            } => {
+                self.restart_all();
+                Ok(())
+            }
+            StepFailure::Refused {
+                reason: RefusalReason::Invalid,
+                ..
+            } => Err(Ending::Stage(failure)),
+            StepFailure::Refused { .. } => self.move_off(upstream, "stage refused").await,
+            StepFailure::Unreachable | StepFailure::Silent => {
+                let _ = self.driver.reports.send(Report::Suspect(upstream));
+                self.move_off(upstream, "stage died").await
+            }
+            StepFailure::Mismatch => self.move_off(upstream, "reply of another step").await,
+        }
+    }
+
+    /// A stage without state moves on; one with state waits for its turn.
+    async fn wait_or_move(&mut self, at: usize, after: Duration) -> Result<()> {
+        let until = self.driver.now_ms() + after.as_millis() as u64;
+        let fleet = self.driver.fleet.load_full();
+        if let Some(upstream) = fleet.upstreams.get(self.hops[at].upstream) {
+            upstream
+                .counters
+                .busy_until_ms
+                .store(until, std::sync::atomic::Ordering::Relaxed);
+        }
+        // Waiting is not a failure of the session; only its deadline bounds it.
+        self.recoveries -= 1;
+        let busy = self.hops[at].upstream;
+        if self.hops[at].have == 0 {
+            self.avoid(busy);
+            self.route("stage busy").await?;
+        }
+        if self.hops.iter().any(|h| h.upstream == busy) {
+            tokio::time::sleep(jittered(after)).await;
+        }
+        Ok(())
+    }
+
+    /// Moves the session off an upstream that failed; where nobody else can take its place, waits
+    /// a growing time before it is tried again.
+    async fn move_off(&mut self, upstream: UpstreamKey, reason: &'static str) -> Result<()> {
+        self.avoid(upstream);
+        self.route(reason).await?;
+        if self.hops.iter().any(|h| h.upstream == upstream) {
+            let doublings = self.recoveries.min(MAX_BACKOFF_DOUBLINGS);
+            tokio::time::sleep(jittered(NO_PATH_WAIT * (1 << doublings))).await;
+        }
+        Ok(())
+    }
+
+    fn avoid(&mut self, upstream: UpstreamKey) {
+        if !self.avoid.contains(&upstream) {
+            self.avoid.push(upstream);
+        }
+    }
+
+    /// The stage's state is gone or unknown: it runs again from position 0 as a new lineage.
+    fn restart(&mut self, at: usize) {
+        let hop = &mut self.hops[at];
+        self.left.push(hop.clone());
+        hop.attempt = self.next_attempt;
+        hop.have = 0;
+        hop.rows.clear();
+        self.next_attempt += 1;
+    }
+
+    fn restart_all(&mut self) {
+        for at in 0..self.hops.len() {
+            self.restart(at);
+        }
+    }
+
+    /// Chooses a path; stages that still serve keep their place and state.
+    async fn route(&mut self, reason: &'static str) -> Result<()> {
+        loop {
+            match self.try_route(reason) {
+                Ok(()) => return Ok(()),
+                Err(e) if self.job.deadline <= Instant::now() + NO_PATH_WAIT => {
+                    return Err(Ending::NoPath(e));
+                }
+                Err(e) if self.verdict == Verdict::NotRun && self.hops.is_empty() => {
+                    return Err(Ending::NoPath(e));
+                }
+                Err(_) => tokio::time::sleep(NO_PATH_WAIT).await,
+            }
+        }
+    }
+
+    fn try_route(&mut self, reason: &'static str) -> routing::Result<()> {
+        let fleet = self.driver.fleet.load_full();
+        let keep: Vec<routing::Hop> = self
+            .hops
+            .iter()
+            .filter(|h| !self.avoid.contains(&h.upstream))
+            .map(HopState::as_hop)
+            .collect();
+        let query = PathQuery {
+            model: self.job.model,
+            version: self.version,
+            from: self.driver.from(&fleet),
+            class: self.job.class,
+            prefill: self.known.len() as u32,
+            avoid: &self.avoid,
+            keep: &keep,
+            now_ms: self.driver.now_ms(),
+        };
+        let path = routing::choose_path(&fleet, &query, &mut rand::rng())?;
+        self.version = Some(path.version);
+        let model = &fleet.models[usize::from(self.job.model.0)];
+        self.fixed.version = model.versions[usize::from(path.version)].clone();
+        self.take(&fleet, &path);
+        let names: Vec<&str> = self.hops.iter().map(|h| &*h.name).collect();
+        info!(
+            target: "decision", decision = "route", request = self.fixed.session.as_str(),
+            team = self.job.team.as_str(), candidates = path.candidates,
+            choice = names.join(","), reason = reason;
+            "path chosen"
+        );
+        Ok(())
+    }
+
+    fn take(&mut self, fleet: &Fleet, path: &routing::Path) {
+        let mut old = std::mem::take(&mut self.hops);
+        for hop in &path.hops {
+            if let Some(at) = old.iter().position(|h| h.serves(hop)) {
+                self.hops.push(old.swap_remove(at));
+                continue;
+            }
+            let upstream = &fleet.upstreams[hop.upstream];
+            self.hops.push(HopState {
+                upstream: hop.upstream,
+                url: Arc::clone(&upstream.url),
+                name: Arc::clone(&upstream.name),
+                layers: hop.layers.clone(),
+                attempt: self.next_attempt,
+                have: 0,
+                rows: Vec::new(),
+            });
+            self.next_attempt += 1;
+        }
+        self.left.extend(old);
+    }
+
+    /// Frees the session's memory on every engine that may hold some, without waiting for it.
+    async fn free(&mut self) {
+        let hops = self.hops.drain(..).chain(self.left.drain(..));
+        for hop in hops {
+            let engine = Arc::clone(&self.driver.engine);
+            let session = self.fixed.session.clone();
+            let req = CancelRequest {
+                session,
+                attempt: hop.attempt,
+            };
+            tokio::spawn(async move { engine.cancel(&hop.url, &req, CANCEL_DEADLINE).await });
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/pipeline/mod.rs
@@ -0,0 +1,19 @@
+//! Drives a session through the stages of a model, token by token.
+//!
+//! The daemon sends each step to one replica of each stage in order; between
+//! the stages activations go from engine to engine by handle, or inline where an
+//! engine can't keep them. A stage that fails is replaced alone: its successor
+//! replays the positions from its predecessor's kept outputs, and the other
+//! stages go on from where they stand. Tokens already sent are never changed.
+
+mod driver;
+mod hop;
+mod step;
+pub mod tokens;
+
+pub use driver::Driver;
+pub use driver::Ending;
+pub use driver::Job;
+pub use driver::Outcome;
+pub use step::Deadlines;
+pub use step::StepFailure;
--- /dev/null
+++ b/crates/kelpworks/src/pipeline/step.rs
@@ -0,0 +1,314 @@
+//! One step on one stage: sent, checked against its echo, and settled when the reply stays away.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use thiserror::Error;
+use tokio::time::Instant;
+
+use kelpworks_wire::Class;
+use kelpworks_wire::OutputForm;
+use kelpworks_wire::RefusalReason;
+use kelpworks_wire::Step;
+use kelpworks_wire::StepBatch;
+use kelpworks_wire::StepBatchReply;
+use kelpworks_wire::StepInput;
+use kelpworks_wire::StepOutcome;
+use kelpworks_wire::StepReply;
+
+use crate::border::engine;
+use crate::border::engine::Engine;
+use crate::fleet::Counters;
+use crate::pipeline::hop::HopState;
+
+/// The result of this module.
+pub(crate) type Result<T> = std::result::Result<T, StepFailure>;
+
+/// How long a first reply may still take once the engine says that the step has run.
+const LATE_REPLY_GRACE: Duration = Duration::from_millis(20);
+/// Weight of a new observation in the smoothed step time, as a power of two.
+const EWMA_SHIFT: u64 = 3;
+/// Progress deadline as a multiple of the smoothed step time.
+const DEADLINE_FACTOR: u64 = 16;
+
+/// Why a step gave no result.
+#[derive(Clone, Debug, PartialEq, Error)]
+#[non_exhaustive]
+pub enum StepFailure {
+    /// The engine has no capacity; nothing ran.
+    #[error("busy, retry after {0:?}")]
+    Busy(Duration),
+    /// The engine refused; nothing ran.
+    #[error("refused: {reason}, have {have}")]
+    Refused {
+        /// Why.
+        reason: RefusalReason,
+        /// Positions it holds of this stage.
+        have: u32,
+    },
+    /// No connection could be opened; nothing ran.
+    #[error("unreachable")]
+    Unreachable,
+    /// Silent or broken, also on a new connection; may have run.
+    #[error("silent")]
+    Silent,
+    /// The step ran, but its reply is lost for good.
+    #[error("reply lost")]
+    ReplyLost,
+    /// The reply is not of this step.
+    #[error("reply does not match the step")]
+    Mismatch,
+}
+
+/// What a step gave.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Output {
+    /// Activations kept by the engine under the stage's handle.
+    Kept,
+    /// Activations, one a position.
+    Rows(Vec<u64>),
+    /// The next token, from the last layer.
+    Token(u32),
+}
+
+/// What stays the same over all steps of a session.
+#[derive(Clone, Debug)]
+pub(crate) struct Fixed {
+    /// Session identifier.
+    pub(crate) session: String,
+    /// Model name.
+    pub(crate) model: String,
+    /// Version that the session is bound to.
+    pub(crate) version: String,
+    /// Layers of the model.
+    pub(crate) layers: u32,
+    /// Class of the request.
+    pub(crate) class: Class,
+    /// Form in which outputs are asked for.
+    pub(crate) output: OutputForm,
+}
+
+/// Bounds on the wait for a step.
+#[derive(Clone, Copy, Debug)]
+pub struct Deadlines {
+    /// Least progress deadline.
+    pub floor: Duration,
+    /// Greatest progress deadline.
+    pub ceiling: Duration,
+    /// Wait for the answer to a probe.
+    pub probe: Duration,
+}
+
+impl Deadlines {
+    /// Time after which a step of `count` positions is looked into.
+    ///
+    /// Until a step was observed, the ceiling. A prefill is allowed the time of as many single
+    /// steps as it has positions, which no engine with batching comes near.
+    fn progress(&self, counters: &Counters, count: u32) -> Duration {
+        let observed = counters.step_us.load(Ordering::Relaxed);
+        if observed == 0 {
+            return self.ceiling;
+        }
+        let expected = observed * DEADLINE_FACTOR.max(u64::from(count));
+        Duration::from_micros(expected).clamp(self.floor, self.ceiling)
+    }
+}
+
+/// One step about to run on a stage.
+pub(crate) struct Call<'a, E> {
+    pub(crate) engine: &'a E,
+    pub(crate) fixed: &'a Fixed,
+    pub(crate) hop: &'a HopState,
+    pub(crate) counters: &'a Counters,
+    pub(crate) deadlines: Deadlines,
+    /// Positions to run from `hop.have` on; above 0.
+    pub(crate) count: u32,
+}
+
+impl<E: Engine> Call<'_, E> {
+    /// Runs the step.
+    ///
+    /// # Errors
+    ///
+    /// A failure that says whether the step may have run.
+    pub(crate) async fn run(&self, input: StepInput) -> Result<Output> {
+        let counters = self.counters;
+        counters.in_flight.fetch_add(1, Ordering::Relaxed);
+        counters.sent_since_report.fetch_add(1, Ordering::Relaxed);
+        let guard = InFlight(counters);
+        let sent = Instant::now();
+        let result = self.settle(input).await;
+        drop(guard);
+        if result.is_ok() {
+            self.observe(sent.elapsed());
+        }
+        result
+    }
+
+    fn observe(&self, took: Duration) {
+        if self.count != 1 {
+            return;
+        }
+        let took = (took.as_micros() as u64).max(1);
+        let old = self.counters.step_us.load(Ordering::Relaxed);
+        let new = if old == 0 {
+            took
+        } else {
+            old - (old >> EWMA_SHIFT) + (took >> EWMA_SHIFT)
+        };
+        self.counters.step_us.store(new.max(1), Ordering::Relaxed);
+    }
+
+    fn step(&self, input: StepInput) -> Step {
+        Step {
+            session: self.fixed.session.clone(),
+            attempt: self.hop.attempt,
+            position: self.hop.have,
+            layers: self.hop.layers.clone(),
+            model: self.fixed.model.clone(),
+            version: self.fixed.version.clone(),
+            class: self.fixed.class,
+            input,
+            output: self.fixed.output,
+            deadline_ms: self.deadlines.ceiling.as_millis() as u32,
+            prefix: String::new(),
+        }
+    }
+
+    /// Sends the step; where the reply stays away or the connection breaks, asks the engine on a
+    /// new connection and sends it once more there. Sending twice is safe: an engine refuses
+    /// positions that it has run.
+    async fn settle(&self, input: StepInput) -> Result<Output> {
+        let batch = StepBatch {
+            steps: vec![self.step(input)],
+        };
+        let limit = self.deadlines.ceiling * 4;
+        let first = self.engine.steps(&self.hop.url, &batch, limit);
+        tokio::pin!(first);
+        let progress = self.deadlines.progress(self.counters, self.count);
+        match tokio::time::timeout(progress, &mut first).await {
+            Ok(Ok(reply)) => match self.check(reply) {
+                // A reply of another step says nothing of this one, which may have run.
+                Err(StepFailure::Mismatch) => return self.again(&batch).await,
+                result => return result,
+            },
+            Ok(Err(engine::Error::Connect(_))) => return Err(StepFailure::Unreachable),
+            Ok(Err(_)) => {
+                self.probe().await?;
+                return self.again(&batch).await;
+            }
+            Err(_) => {}
+        }
+        self.probe().await?;
+        let again = self.again(&batch);
+        tokio::pin!(again);
+        tokio::select! {
+            reply = &mut first => match reply {
+                Ok(reply) => self.check(reply),
+                Err(_) => again.await,
+            },
+            result = &mut again => match result {
+                Err(StepFailure::ReplyLost) => {
+                    match tokio::time::timeout(LATE_REPLY_GRACE, &mut first).await {
+                        Ok(Ok(reply)) => self.check(reply),
+                        _ => Err(StepFailure::ReplyLost),
+                    }
+                }
+                other => other,
+            },
+        }
+    }
+
+    async fn probe(&self) -> Result<()> {
+        let probed = self.engine.probe(&self.hop.url, self.deadlines.probe).await;
+        match probed {
+            Ok(_) => {
+                metrics::counter!("kelpworks_connections_dropped_total").increment(1);
+                Ok(())
+            }
+            Err(engine::Error::Connect(_)) => Err(StepFailure::Unreachable),
+            Err(_) => Err(StepFailure::Silent),
+        }
+    }
+
+    async fn again(&self, batch: &StepBatch) -> Result<Output> {
+        let reply = self
+            .engine
+            .steps(&self.hop.url, batch, self.deadlines.ceiling)
+            .await;
+        let reply = reply.map_err(|e| match e {
+            engine::Error::Connect(_) => StepFailure::Unreachable,
+            _ => StepFailure::Silent,
+        })?;
+        match self.check(reply) {
+            Err(StepFailure::Refused {
+                reason: RefusalReason::PositionGap,
+                have,
+            }) if have == self.hop.have + self.count => self.ran_unseen(),
+            other => other,
+        }
+    }
+
+    /// The step has run and its reply is gone: kept outputs can still be fetched, others not.
+    fn ran_unseen(&self) -> Result<Output> {
+        let last = self.hop.layers.end == self.fixed.layers;
+        if last || self.fixed.output == OutputForm::Inline {
+            return Err(StepFailure::ReplyLost);
+        }
+        Ok(Output::Kept)
+    }
+
+    fn check(&self, batch: StepBatchReply) -> Result<Output> {
+        let mut replies = batch.replies.into_iter();
+        let (Some(reply), None) = (replies.next(), replies.next()) else {
+            return Err(self.mismatch());
+        };
+        if !self.echoes(&reply) {
+            return Err(self.mismatch());
+        }
+        let last = self.hop.layers.end == self.fixed.layers;
+        match reply.outcome {
+            StepOutcome::Busy(busy) => Err(StepFailure::Busy(Duration::from_millis(u64::from(
+                busy.retry_after_ms,
+            )))),
+            StepOutcome::Refused(r) => Err(StepFailure::Refused {
+                reason: r.reason,
+                have: r.have,
+            }),
+            _ if reply.count != self.count => Err(self.mismatch()),
+            StepOutcome::Token(token) if last => Ok(Output::Token(token)),
+            StepOutcome::Rows(rows) if !last && rows.len() == self.count as usize => {
+                Ok(Output::Rows(rows))
+            }
+            StepOutcome::Handle(handle)
+                if !last && handle == self.hop.handle(&self.fixed.session, self.hop.have) =>
+            {
+                Ok(Output::Kept)
+            }
+            _ => Err(self.mismatch()),
+        }
+    }
+
+    fn echoes(&self, reply: &StepReply) -> bool {
+        reply.session == self.fixed.session
+            && reply.attempt == self.hop.attempt
+            && reply.position == self.hop.have
+            && reply.layers == self.hop.layers
+            && reply.model == self.fixed.model
+            && reply.version == self.fixed.version
+    }
+
+    fn mismatch(&self) -> StepFailure {
+        metrics::counter!("kelpworks_replies_dropped_total").increment(1);
+        StepFailure::Mismatch
+    }
+}
+
+/// Counts a call as in flight until dropped, also when its future is.
+struct InFlight<'a>(&'a Counters);
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/upstreams/keeper.rs
@@ -0,0 +1,172 @@
+//! The task that owns the view, and publishes snapshots of it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use log::info;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::border::engine::HttpEngine;
+use crate::fleet::Fleet;
+use crate::fleet::UpstreamKey;
+use crate::register::Register;
+use crate::upstreams::Report;
+use crate::upstreams::poll;
+use crate::upstreams::view::View;
+
+/// Changes of load alone are published together, at most this often.
+const LOAD_PUBLISH_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Settings of the keeper.
+#[derive(Clone, Debug)]
+pub struct KeeperConfig {
+    /// How often each upstream is asked for its state.
+    pub state_poll: Duration,
+    /// How long an upstream may take to answer.
+    pub poll_deadline: Duration,
+}
+
+/// Owner of the view of the fleet.
+#[derive(Debug)]
+pub struct Keeper {
+    cfg: KeeperConfig,
+    engine: Arc<HttpEngine>,
+    view: View,
+    fleet: Arc<ArcSwap<Fleet>>,
+    reports: mpsc::UnboundedReceiver<Report>,
+    reports_tx: mpsc::UnboundedSender<Report>,
+    register: watch::Receiver<Arc<Register>>,
+}
+
+impl Keeper {
+    /// A keeper that publishes into `fleet`.
+    pub fn new(
+        cfg: KeeperConfig,
+        engine: Arc<HttpEngine>,
+        register: watch::Receiver<Arc<Register>>,
+        fleet: Arc<ArcSwap<Fleet>>,
+    ) -> Keeper {
+        let (reports_tx, reports) = mpsc::unbounded_channel();
+        Keeper {
+            cfg,
+            engine,
+            view: View::default(),
+            fleet,
+            reports,
+            reports_tx,
+            register,
+        }
+    }
+
+    /// Where reports go.
+    pub fn reports(&self) -> mpsc::UnboundedSender<Report> {
+        self.reports_tx.clone()
+    }
+
+    /// Runs until `stop`.
+    pub async fn run(mut self, stop: CancellationToken) {
+        self.take_register();
+        let mut poll = tokio::time::interval(self.cfg.state_poll);
+        poll.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut publish_at: Option<Instant> = None;
+        loop {
+            let due = publish_at.unwrap_or_else(|| Instant::now() + self.cfg.state_poll);
+            tokio::select! {
+                () = stop.cancelled() => return,
+                _ = poll.tick() => self.poll_all(),
+                changed = self.register.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.take_register();
+                    self.poll_all();
+                }
+                Some(report) = self.reports.recv() => {
+                    if self.take(report) {
+                        self.publish();
+                        publish_at = None;
+                    } else {
+                        publish_at.get_or_insert(Instant::now() + LOAD_PUBLISH_INTERVAL);
+                    }
+                }
+                () = tokio::time::sleep_until(due), if publish_at.is_some() => {
+                    self.publish();
+                    publish_at = None;
+                }
+            }
+        }
+    }
+
+    fn take_register(&mut self) {
+        let register = Arc::clone(&self.register.borrow_and_update());
+        self.view.take_register(&register);
+        self.publish();
+    }
+
+    fn publish(&self) {
+        self.fleet.store(Arc::new(self.view.fleet.clone()));
+    }
+
+    /// Takes a report; tells whether requests have to know at once.
+    fn take(&mut self, report: Report) -> bool {
+        match report {
+            Report::Suspect(key) => {
+                self.poll_one(key);
+                let changed = self.view.suspect(key);
+                self.note(changed, key, "failed under a request")
+            }
+            Report::State(key, state) => {
+                let changed = self.view.take_state(key, &state);
+                self.note(changed, key, "state of the engine")
+            }
+            Report::Service(key, live) => {
+                let changed = self.view.answered(key, !live);
+                self.note(changed, key, "health of the service")
+            }
+            Report::Silent(key) => {
+                let changed = self.view.missed(key);
+                self.note(changed, key, "no answer to a poll")
+            }
+            Report::HostList(hosts) => self.view.take_host_list(&hosts),
+        }
+    }
+
+    fn note(&self, changed: bool, key: UpstreamKey, reason: &'static str) -> bool {
+        if let Some(upstream) = self.view.fleet.upstreams.get(key).filter(|_| changed) {
+            info!(
+                target: "decision", decision = "health", upstream = &*upstream.name,
+                health:? = upstream.health, holdings = upstream.holdings.len(), reason = reason;
+                "upstream changed"
+            );
+        }
+        changed
+    }
+
+    fn poll_all(&self) {
+        for key in self.view.fleet.upstreams.keys() {
+            self.poll_one(key);
+        }
+    }
+
+    fn poll_one(&self, key: UpstreamKey) {
+        let Some(upstream) = self.view.fleet.upstreams.get(key) else {
+            return;
+        };
+        let poll = poll::Poll {
+            key,
+            url: Arc::clone(&upstream.url),
+            service: upstream.service.is_some(),
+            deadline: self.cfg.poll_deadline,
+        };
+        let engine = Arc::clone(&self.engine);
+        let tx = self.reports_tx.clone();
+        tokio::spawn(async move {
+            let report = poll.run(&engine).await;
+            let _ = tx.send(report);
+        });
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/upstreams/poll.rs
@@ -0,0 +1,46 @@
+//! One poll of one upstream.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::border::engine::Engine;
+use crate::border::engine::HttpEngine;
+use crate::fleet::UpstreamKey;
+use crate::upstreams::Report;
+
+/// A poll of an upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Poll {
+    pub(crate) key: UpstreamKey,
+    /// Base URL.
+    pub(crate) url: Arc<str>,
+    /// Whether it is a plain service.
+    pub(crate) service: bool,
+    pub(crate) deadline: Duration,
+}
+
+impl Poll {
+    /// Asks the upstream; after silence on a kept connection, once more on a new one.
+    pub(crate) async fn run(&self, engine: &HttpEngine) -> Report {
+        if self.service {
+            return self.run_service(engine).await;
+        }
+        if let Ok(state) = engine.state(&self.url, self.deadline).await {
+            return Report::State(self.key, Box::new(state));
+        }
+        match engine.probe(&self.url, self.deadline).await {
+            Ok(state) => Report::State(self.key, Box::new(state)),
+            Err(_) => Report::Silent(self.key),
+        }
+    }
+
+    async fn run_service(&self, engine: &HttpEngine) -> Report {
+        let url = format!("{}/healthz", self.url);
+        for client in [engine.client(&self.url), engine.fresh()] {
+            if let Ok(res) = client.get(&url).timeout(self.deadline).send().await {
+                return Report::Service(self.key, res.status().is_success());
+            }
+        }
+        Report::Silent(self.key)
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/upstreams/view.rs
@@ -0,0 +1,332 @@
+//! The keeper's own state, and how a register and reports change it. No I/O.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use kelpworks_wire::EngineState;
+use kelpworks_wire::HostState;
+use kelpworks_wire::LoadedRange;
+
+use crate::fleet::DomainKey;
+use crate::fleet::Fleet;
+use crate::fleet::Health;
+use crate::fleet::Holding;
+use crate::fleet::LinkCost;
+use crate::fleet::LoadReport;
+use crate::fleet::ModelView;
+use crate::fleet::Upstream;
+use crate::fleet::UpstreamKey;
+use crate::register::Host;
+use crate::register::HostRole;
+use crate::register::Register;
+use crate::upstreams::HostSeen;
+
+/// Link cost of a pair of failure domains that the register does not list.
+const DEFAULT_LINK: LinkCost = LinkCost {
+    latency: Duration::from_millis(1),
+    bytes_per_second: 1_250_000_000,
+};
+/// Polls without an answer after which an upstream counts as down.
+const MISSES_UNTIL_DOWN: u32 = 3;
+
+/// What the keeper knows of an upstream beside the snapshot.
+#[derive(Clone, Debug, Default)]
+struct Track {
+    /// Polls without an answer since the last answer.
+    misses: u32,
+    /// Said by the upstream itself.
+    draining: bool,
+    /// Reported by a request since the last answer to a poll.
+    suspect: bool,
+}
+
+/// The keeper's state.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct View {
+    pub(crate) fleet: Fleet,
+    tracks: HashMap<UpstreamKey, Track>,
+    by_name: HashMap<String, UpstreamKey>,
+    /// Hosts that the platform's list shows as leaving.
+    leaving: HashSet<String>,
+    /// What engines last said they hold; kept to read it anew when the register changes.
+    loaded: HashMap<UpstreamKey, Vec<LoadedRange>>,
+}
+
+impl View {
+    /// Takes a register into use; upstreams that stay keep their keys, counters and state.
+    pub(crate) fn take_register(&mut self, register: &Register) {
+        self.fleet.domains = register
+            .failure_domains
+            .iter()
+            .map(|d| d.name.clone())
+            .collect();
+        self.fleet.links = links(register);
+        self.take_models(register);
+        let listed: HashSet<&str> = register.hosts.iter().map(|h| h.name.as_str()).collect();
+        let gone: Vec<String> = self
+            .by_name
+            .keys()
+            .filter(|n| !listed.contains(n.as_str()))
+            .cloned()
+            .collect();
+        for name in gone {
+            self.remove(&name);
+        }
+        for host in &register.hosts {
+            self.take_host(register, host);
+        }
+        self.reindex();
+    }
+
+    fn take_models(&mut self, register: &Register) {
+        let old = std::mem::take(&mut self.fleet.models);
+        for model in &register.models {
+            let mut versions = vec![model.version.clone()];
+            // Versions seen before stay known, so that running sessions keep theirs.
+            if let Some(before) = old.iter().find(|m| m.name == model.name) {
+                let more = before
+                    .versions
+                    .iter()
+                    .filter(|v| **v != model.version)
+                    .cloned();
+                versions.extend(more);
+            }
+            let name = model.name.clone();
+            self.fleet.models.push(ModelView {
+                name,
+                layers: model.layers,
+                versions,
+            });
+        }
+    }
+
+    fn remove(&mut self, name: &str) {
+        let Some(key) = self.by_name.remove(name) else {
+            return;
+        };
+        self.fleet.upstreams.remove(key);
+        self.tracks.remove(&key);
+        self.loaded.remove(&key);
+    }
+
+    fn take_host(&mut self, register: &Register, host: &Host) {
+        let url: Arc<str> = format!("http://{}", host.address).into();
+        if let Some(&key) = self.by_name.get(&host.name) {
+            if self.fleet.upstreams[key].url == url {
+                self.update_host(register, host, key);
+                return;
+            }
+            self.remove(&host.name);
+        }
+        let upstream = Upstream {
+            name: host.name.as_str().into(),
+            url,
+            domain: self.domain(&host.failure_domain),
+            health: Health::Down,
+            layer_rate: layer_rate(register, host),
+            holdings: Vec::new(),
+            service: service(host),
+            incarnation: 0,
+            load: LoadReport::default(),
+            counters: Arc::default(),
+        };
+        let key = self.fleet.upstreams.insert(upstream);
+        self.by_name.insert(host.name.clone(), key);
+        // Not used until it has answered a poll.
+        let track = Track {
+            misses: MISSES_UNTIL_DOWN,
+            ..Track::default()
+        };
+        self.tracks.insert(key, track);
+    }
+
+    fn update_host(&mut self, register: &Register, host: &Host, key: UpstreamKey) {
+        let domain = self.domain(&host.failure_domain);
+        let holdings = self.holdings(self.loaded.get(&key).map_or(&[][..], Vec::as_slice));
+        let upstream = &mut self.fleet.upstreams[key];
+        upstream.domain = domain;
+        upstream.layer_rate = layer_rate(register, host);
+        upstream.service = service(host);
+        upstream.holdings = holdings;
+    }
+
+    fn domain(&self, name: &str) -> DomainKey {
+        let at = self.fleet.domains.iter().position(|d| d == name);
+        DomainKey(at.expect("a checked register names only its own failure domains") as u16)
+    }
+
+    /// Takes what an engine says of itself; tells whether routing has to know at once.
+    pub(crate) fn take_state(&mut self, key: UpstreamKey, state: &EngineState) -> bool {
+        if !self.fleet.upstreams.contains_key(key) {
+            return false;
+        }
+        for range in &state.loaded {
+            self.learn_version(range);
+        }
+        self.loaded.insert(key, state.loaded.clone());
+        let holdings = self.holdings(&state.loaded);
+        let upstream = &mut self.fleet.upstreams[key];
+        upstream.incarnation = state.incarnation;
+        upstream.load = LoadReport {
+            queued: state.load.queued,
+            running: state.load.running,
+            queue: Duration::from_millis(u64::from(state.load.queue_ms)),
+        };
+        upstream
+            .counters
+            .sent_since_report
+            .store(0, Ordering::Relaxed);
+        let changed = upstream.holdings != holdings;
+        upstream.holdings = holdings;
+        if changed {
+            self.reindex();
+        }
+        self.answered(key, state.draining) || changed
+    }
+
+    /// Takes an answer of an upstream; tells whether its health changed.
+    pub(crate) fn answered(&mut self, key: UpstreamKey, draining: bool) -> bool {
+        let Some(track) = self.tracks.get_mut(&key) else {
+            return false;
+        };
+        *track = Track {
+            misses: 0,
+            draining,
+            suspect: false,
+        };
+        self.judge(key)
+    }
+
+    /// Takes a poll without an answer; tells whether the upstream's health changed.
+    pub(crate) fn missed(&mut self, key: UpstreamKey) -> bool {
+        let Some(track) = self.tracks.get_mut(&key) else {
+            return false;
+        };
+        track.misses = track.misses.saturating_add(1);
+        self.judge(key)
+    }
+
+    /// Takes the failure of a request; tells whether the upstream's health changed.
+    pub(crate) fn suspect(&mut self, key: UpstreamKey) -> bool {
+        let Some(track) = self.tracks.get_mut(&key) else {
+            return false;
+        };
+        track.suspect = true;
+        self.judge(key)
+    }
+
+    /// Takes the platform's host list; tells whether any upstream's health changed.
+    pub(crate) fn take_host_list(&mut self, hosts: &[HostSeen]) -> bool {
+        self.leaving = hosts
+            .iter()
+            .filter(|h| h.state == HostState::Leaving)
+            .map(|h| h.name.clone())
+            .collect();
+        let keys: Vec<UpstreamKey> = self.fleet.upstreams.keys().collect();
+        let mut changed = false;
+        for key in keys {
+            changed |= self.judge(key);
+        }
+        changed
+    }
+
+    fn judge(&mut self, key: UpstreamKey) -> bool {
+        let track = &self.tracks[&key];
+        let upstream = &mut self.fleet.upstreams[key];
+        let leaving = track.draining || self.leaving.contains(&*upstream.name);
+        let health = match track {
+            t if t.misses >= MISSES_UNTIL_DOWN => Health::Down,
+            _ if leaving => Health::Leaving,
+            t if t.suspect || t.misses > 0 => Health::Suspect,
+            _ => Health::Live,
+        };
+        let changed = upstream.health != health;
+        upstream.health = health;
+        changed
+    }
+
+    fn learn_version(&mut self, range: &LoadedRange) {
+        let model = self.fleet.models.iter_mut().find(|m| m.name == range.model);
+        let Some(model) = model else { return };
+        if !model.versions.contains(&range.version) {
+            model.versions.push(range.version.clone());
+        }
+    }
+
+    fn holdings(&self, loaded: &[LoadedRange]) -> Vec<Holding> {
+        let mut holdings = Vec::new();
+        for range in loaded {
+            let Some(model) = self.fleet.model(&range.model) else {
+                continue;
+            };
+            let versions = &self.fleet.models[usize::from(model.0)].versions;
+            let Some(version) = versions.iter().position(|v| *v == range.version) else {
+                continue;
+            };
+            let layers = range.layers.clone();
+            holdings.push(Holding {
+                model,
+                version: version as u16,
+                layers,
+            });
+        }
+        holdings
+    }
+
+    fn reindex(&mut self) {
+        let mut by_model = vec![Vec::new(); self.fleet.models.len()];
+        let mut by_service: HashMap<String, Vec<UpstreamKey>> = HashMap::new();
+        for (key, upstream) in &self.fleet.upstreams {
+            for holding in &upstream.holdings {
+                let keys: &mut Vec<UpstreamKey> = &mut by_model[usize::from(holding.model.0)];
+                if keys.last() != Some(&key) {
+                    keys.push(key);
+                }
+            }
+            if let Some(name) = &upstream.service {
+                by_service.entry(name.to_string()).or_default().push(key);
+            }
+        }
+        self.fleet.by_model = by_model;
+        self.fleet.by_service = by_service;
+    }
+}
+
+fn service(host: &Host) -> Option<Arc<str>> {
+    match &host.role {
+        HostRole::Service(name) => Some(name.as_str().into()),
+        HostRole::Engine(_) => None,
+    }
+}
+
+fn layer_rate(register: &Register, host: &Host) -> f64 {
+    let HostRole::Engine(engine) = &host.role else {
+        return 0.0;
+    };
+    let kind = register
+        .accelerators
+        .iter()
+        .find(|a| a.name == engine.accelerator);
+    kind.map_or(0.0, |a| a.layer_rate * f64::from(engine.accelerators))
+}
+
+fn links(register: &Register) -> Vec<LinkCost> {
+    let domains = &register.failure_domains;
+    let mut links = vec![DEFAULT_LINK; domains.len() * domains.len()];
+    let index = |name: &str| domains.iter().position(|d| d.name == name);
+    for link in &register.links {
+        let (Some(from), Some(to)) = (index(&link.from), index(&link.to)) else {
+            continue;
+        };
+        let cost = LinkCost {
+            latency: link.latency.0,
+            bytes_per_second: link.bandwidth.0,
+        };
+        links[from * domains.len() + to] = cost;
+        links[to * domains.len() + from] = cost;
+    }
+    links
+}
