--- /dev/null
+++ b/crates/kelpworks/src/admission/config.rs
@@ -0,0 +1,67 @@
+//! Bounds and targets of admission.
+
+use std::time::Duration;
+
+/// Bounds and targets of admission.
+///
+/// ```
+/// use kelpworks::admission::Config;
+///
+/// let cfg = Config { queue: 64, ..Config::default() };
+/// assert!(cfg.trial_delay < cfg.paying_delay);
+/// ```
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// Requests waiting, at most, over all teams of a class. Default 1024.
+    pub queue: u32,
+    /// Requests of one team waiting, at most. Default 256.
+    pub team_queue: u32,
+    /// Longest expected queue delay of a paying request that is queued. Default 5 s.
+    pub paying_delay: Duration,
+    /// Longest expected queue delay of a trial request that is queued. Default 500 ms, far below
+    /// that of paying ones, so that trials are refused first and early.
+    pub trial_delay: Duration,
+    /// A request that has waited so many times its longest expected delay is refused. Default 2:
+    /// the estimate may be off by as much.
+    pub patience: u32,
+    /// Requests in service at the start. Default 64.
+    pub limit: u32,
+    /// Requests in service, at least. Default 4.
+    pub limit_min: u32,
+    /// Requests in service, at most. Default 4096.
+    pub limit_max: u32,
+    /// The limit falls when the time of a token is above its floor by this factor. Default 2.
+    pub tolerance: f64,
+    /// How often limit and trial backstop are adjusted. Default 100 ms.
+    pub interval: Duration,
+    /// Trials give way when a paying request waited longer than this. Default 20 ms.
+    pub paying_delay_target: Duration,
+    /// Longest pause of an admitted trial between two tokens: it always makes progress, so it is
+    /// answered whole. Default 250 ms.
+    pub trial_pause: Duration,
+    /// Least and greatest `retry_after` of a refusal. Default 200 ms to 30 s.
+    pub retry_after: (Duration, Duration),
+    /// Seed of the jitter in `retry_after`; `None`, the default, takes one from the system.
+    pub seed: Option<u64>,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            queue: 1024,
+            team_queue: 256,
+            paying_delay: Duration::from_secs(5),
+            trial_delay: Duration::from_millis(500),
+            patience: 2,
+            limit: 64,
+            limit_min: 4,
+            limit_max: 4096,
+            tolerance: 2.0,
+            interval: Duration::from_millis(100),
+            paying_delay_target: Duration::from_millis(20),
+            trial_pause: Duration::from_millis(250),
+            retry_after: (Duration::from_millis(200), Duration::from_secs(30)),
+            seed: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/admission/fair.rs
@@ -0,0 +1,224 @@
+//! Weighted fair queueing over teams, by start time.
+//!
+//! Each team has a virtual finish time, which grows by cost / weight with each request served.
+//! The team whose next request has the least virtual start time goes next. A team that was idle
+//! starts at the virtual time of the queue: it gains no credit and owes none. Over any time in
+//! which two teams both wait, what they are served, divided by weight, differs by at most one
+//! request of each. All operations take O(log n) of the teams and of the requests of a team.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::admission::queue::Ticket;
+
+/// Virtual time of a cost of 1 at weight 1; keeps fractions with integers, so that no rounding
+/// error grows with time.
+const UNIT: u64 = 1 << 16;
+
+/// Teams kept before idle ones are forgotten for the first time.
+const SWEEP: usize = 64;
+
+new_key_type! {
+    /// Key of a team.
+    struct TeamKey;
+}
+
+/// Where a request waits.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Place {
+    team: TeamKey,
+    number: u64,
+}
+
+/// A team with something to settle: requests waiting, or a finish time ahead of the queue's.
+#[derive(Debug)]
+struct Team {
+    name: Arc<str>,
+    weight: u32,
+    /// Virtual finish time of what it was served.
+    finish: u64,
+    /// Virtual start time of its first waiting request; meaningful while some wait.
+    start: u64,
+    /// Waiting requests in order of arrival.
+    waiting: BTreeMap<u64, Waiting>,
+    /// Sum of the cost of `waiting`.
+    cost: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    ticket: Ticket,
+    cost: u32,
+}
+
+/// Requests of one class, waiting.
+#[derive(Debug, Default)]
+pub(super) struct FairQueue {
+    teams: SlotMap<TeamKey, Team>,
+    by_name: HashMap<Arc<str>, TeamKey>,
+    /// Teams with requests waiting, by virtual start time.
+    order: BTreeSet<(u64, TeamKey)>,
+    /// Virtual start time of the request served last; never falls.
+    now: u64,
+    next_number: u64,
+    len: u32,
+    /// Sum of the cost of all waiting requests.
+    cost: u64,
+    /// Sum of the weights of the teams in `order`.
+    weight: u64,
+    /// Number of teams at which idle ones are forgotten.
+    sweep_at: usize,
+}
+
+impl FairQueue {
+    /// Requests waiting.
+    pub(super) fn len(&self) -> u32 {
+        self.len
+    }
+
+    /// Cost of all requests waiting.
+    pub(super) fn cost(&self) -> u64 {
+        self.cost
+    }
+
+    /// Requests of this team waiting.
+    pub(super) fn team_len(&self, name: &str) -> u32 {
+        let team = self.by_name.get(name).map(|&key| &self.teams[key]);
+        team.map_or(0, |t| t.waiting.len() as u32)
+    }
+
+    /// Cost that is served before a new request of this team, at most: its own team's part of the
+    /// rate has to carry its own backlog, but never more than the whole backlog goes before it.
+    pub(super) fn cost_ahead(&self, name: &str, weight: u32) -> u64 {
+        let weight = u64::from(weight.max(1));
+        let team = self.by_name.get(name).map(|&key| &self.teams[key]);
+        let (own, known) = match team {
+            Some(t) if !t.waiting.is_empty() => (t.cost, u64::from(t.weight)),
+            _ => (0, 0),
+        };
+        let weights = self.weight - known + weight;
+        let share = own.saturating_mul(weights) / weight;
+        share.min(self.cost)
+    }
+
+    /// Puts a request behind those of its team.
+    pub(super) fn push(&mut self, name: &str, weight: u32, cost: u32, ticket: Ticket) -> Place {
+        let key = self.team_key(name);
+        let team = &mut self.teams[key];
+        if !team.waiting.is_empty() {
+            self.weight -= u64::from(team.weight);
+        }
+        team.weight = weight.max(1);
+        self.weight += u64::from(team.weight);
+        if team.waiting.is_empty() {
+            team.start = team.finish.max(self.now);
+            self.order.insert((team.start, key));
+        }
+        let number = self.next_number;
+        self.next_number += 1;
+        team.waiting.insert(number, Waiting { ticket, cost });
+        team.cost += u64::from(cost);
+        self.cost += u64::from(cost);
+        self.len += 1;
+        Place { team: key, number }
+    }
+
+    /// Takes the next request to serve.
+    pub(super) fn pop(&mut self) -> Option<Ticket> {
+        let &(start, key) = self.order.first()?;
+        let team = &mut self.teams[key];
+        let (&number, &next) = team.waiting.first_key_value()?;
+        team.finish = start + virtual_cost(next.cost, team.weight);
+        self.now = self.now.max(start);
+        self.take(Place { team: key, number });
+        let team = &mut self.teams[key];
+        if !team.waiting.is_empty() {
+            self.order.remove(&(start, key));
+            team.start = team.finish;
+            self.order.insert((team.start, key));
+        }
+        Some(next.ticket)
+    }
+
+    /// Takes a waiting request out; nothing is charged to its team.
+    pub(super) fn remove(&mut self, place: Place) {
+        self.take(place);
+    }
+
+    /// Gives a team back what a request did not use of its cost.
+    pub(super) fn refund(&mut self, name: &str, cost: u32) {
+        let Some(&key) = self.by_name.get(name) else {
+            return;
+        };
+        let team = &mut self.teams[key];
+        let back = virtual_cost(cost, team.weight);
+        team.finish = team
+            .finish
+            .saturating_sub(back)
+            .max(self.now.min(team.finish));
+        if !team.waiting.is_empty() {
+            self.order.remove(&(team.start, key));
+            team.start = team.finish.max(self.now);
+            self.order.insert((team.start, key));
+        }
+    }
+
+    fn take(&mut self, place: Place) {
+        let Some(team) = self.teams.get_mut(place.team) else {
+            return;
+        };
+        let Some(taken) = team.waiting.remove(&place.number) else {
+            return;
+        };
+        team.cost -= u64::from(taken.cost);
+        self.cost -= u64::from(taken.cost);
+        self.len -= 1;
+        if team.waiting.is_empty() {
+            self.weight -= u64::from(team.weight);
+            self.order.remove(&(team.start, place.team));
+        }
+    }
+
+    fn team_key(&mut self, name: &str) -> TeamKey {
+        if let Some(&key) = self.by_name.get(name) {
+            return key;
+        }
+        if self.teams.len() >= self.sweep_at.max(SWEEP) {
+            self.forget_idle();
+            self.sweep_at = self.teams.len() * 2;
+        }
+        let name: Arc<str> = Arc::from(name);
+        let key = self.teams.insert(Team {
+            name: Arc::clone(&name),
+            weight: 1,
+            finish: 0,
+            start: 0,
+            waiting: BTreeMap::new(),
+            cost: 0,
+        });
+        self.by_name.insert(name, key);
+        key
+    }
+
+    /// Forgets teams that a new one of the same name would not differ from.
+    fn forget_idle(&mut self) {
+        let now = self.now;
+        let by_name = &mut self.by_name;
+        self.teams.retain(|_, team| {
+            let keep = !team.waiting.is_empty() || team.finish > now;
+            if !keep {
+                by_name.remove(&team.name);
+            }
+            keep
+        });
+    }
+}
+
+fn virtual_cost(cost: u32, weight: u32) -> u64 {
+    u64::from(cost) * UNIT / u64::from(weight.max(1))
+}
--- /dev/null
+++ b/crates/kelpworks/src/admission/queue.rs
@@ -0,0 +1,444 @@
+//! The decisions of admission, without tasks or clocks: calls come with the time, and what follows
+//! from them is fetched with [`Queue::next_event`].
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kelpworks_wire::Class;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::admission::Ask;
+use crate::admission::Refusal;
+use crate::admission::Result;
+use crate::admission::config::Config;
+use crate::admission::fair::FairQueue;
+use crate::admission::fair::Place;
+use crate::admission::limit::Limit;
+use crate::admission::trial::TrialShare;
+
+/// Weight of what came before in the smoothed speed of a slot.
+const SPEED_MEMORY: f64 = 0.95;
+
+new_key_type! {
+    /// A request that waits or is in service.
+    pub struct Ticket;
+}
+
+/// What follows from a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Event {
+    /// The request may start.
+    Admitted(Ticket),
+    /// The trial may go on with its tokens.
+    Resumed(Ticket),
+}
+
+/// A request that waits or is in service.
+#[derive(Debug)]
+struct Entry {
+    team: Arc<str>,
+    class: Class,
+    cost: u32,
+    /// When it came, or when its service began.
+    since: Duration,
+    state: State,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    Waiting(Place),
+    /// In service; the number is its rank by age.
+    Running(u64),
+    /// A trial that holds between tokens; the number is its rank by age.
+    Paused(u64),
+}
+
+/// What a slot gets done: smoothed cost and smoothed time of requests that ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct Speed {
+    cost: f64,
+    seconds: f64,
+}
+
+/// Admission of one daemon, without tasks or clocks.
+///
+/// All times are since one fixed moment and never fall.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use kelpworks::admission::Ask;
+/// use kelpworks::admission::Config;
+/// use kelpworks::admission::Event;
+/// use kelpworks::admission::Queue;
+/// use kelpworks_wire::Class;
+///
+/// let mut queue = Queue::new(Config::default());
+/// let ask = Ask { team: "sellers", class: Class::Paying, weight: 1, cost: 100 };
+/// let ticket = queue.offer(Duration::ZERO, &ask)?;
+/// assert_eq!(queue.next_event(), Some(Event::Admitted(ticket)));
+/// queue.finish(Duration::from_secs(1), ticket, None);
+/// # Ok::<(), kelpworks::admission::Refusal>(())
+/// ```
+#[derive(Debug)]
+pub struct Queue {
+    cfg: Config,
+    entries: SlotMap<Ticket, Entry>,
+    paying: FairQueue,
+    trial: FairQueue,
+    limit: Limit,
+    share: TrialShare,
+    /// Paying requests in service.
+    paying_running: u32,
+    /// Trials in service by age, those that run and those that hold; the former are all older.
+    running: BTreeMap<u64, Ticket>,
+    paused: BTreeMap<u64, Ticket>,
+    next_rank: u64,
+    paying_speed: Speed,
+    trial_speed: Speed,
+    events: VecDeque<Event>,
+    next_adjust: Duration,
+    /// Longest wait of a paying request that was admitted since the last adjustment.
+    paying_wait: Duration,
+    /// Whether the limit kept a request waiting since the last adjustment.
+    full: bool,
+    rng: StdRng,
+}
+
+impl Queue {
+    /// An empty queue.
+    pub fn new(cfg: Config) -> Queue {
+        let rng = match cfg.seed {
+            Some(seed) => StdRng::seed_from_u64(seed),
+            None => StdRng::from_rng(&mut rand::rng()),
+        };
+        Queue {
+            limit: Limit::new(&cfg),
+            next_adjust: cfg.interval,
+            cfg,
+            entries: SlotMap::with_key(),
+            paying: FairQueue::default(),
+            trial: FairQueue::default(),
+            share: TrialShare::new(),
+            paying_running: 0,
+            running: BTreeMap::new(),
+            paused: BTreeMap::new(),
+            next_rank: 0,
+            paying_speed: Speed::default(),
+            trial_speed: Speed::default(),
+            events: VecDeque::new(),
+            paying_wait: Duration::ZERO,
+            full: false,
+            rng,
+        }
+    }
+
+    /// Takes a request in. It waits until [`Event::Admitted`] names its ticket, perhaps at once.
+    ///
+    /// # Errors
+    ///
+    /// When it would wait too long, or too many wait; it leaves no trace then.
+    pub fn offer(&mut self, now: Duration, ask: &Ask<'_>) -> Result<Ticket> {
+        self.tick(now);
+        self.check(now, ask)?;
+        let ticket = self.entries.insert(Entry {
+            team: Arc::from(ask.team),
+            class: ask.class,
+            cost: ask.cost,
+            since: now,
+            state: State::Running(0),
+        });
+        let queue = self.class_queue(ask.class);
+        let place = queue.push(ask.team, ask.weight, ask.cost, ticket);
+        self.entries[ticket].state = State::Waiting(place);
+        self.dispatch(now);
+        Ok(ticket)
+    }
+
+    /// Ends a request, waiting or in service; `used` is the cost that it really took, if known.
+    pub fn finish(&mut self, now: Duration, ticket: Ticket, used: Option<u32>) {
+        self.tick(now);
+        let Some(entry) = self.entries.remove(ticket) else {
+            return;
+        };
+        match entry.state {
+            State::Waiting(place) => self.class_queue(entry.class).remove(place),
+            State::Running(rank) | State::Paused(rank) => {
+                self.leave(rank, &entry);
+                self.settle(now, &entry, used);
+            }
+        }
+        self.dispatch(now);
+    }
+
+    /// Ends a request that has waited beyond [`Queue::patience`] and says when to come back.
+    /// `None` when it does not wait.
+    pub fn give_up(&mut self, now: Duration, ticket: Ticket) -> Option<Refusal> {
+        let entry = self.entries.get(ticket)?;
+        let State::Waiting(_) = entry.state else {
+            return None;
+        };
+        let delay = self.patience(entry.class).as_secs_f64();
+        self.finish(now, ticket, None);
+        Some(self.refusal(delay, "waited too long"))
+    }
+
+    /// Longest time that a request of a class waits.
+    pub fn patience(&self, class: Class) -> Duration {
+        self.longest_delay(class) * self.cfg.patience.max(1)
+    }
+
+    /// Longest pause of a trial between two tokens.
+    pub fn trial_pause(&self) -> Duration {
+        self.cfg.trial_pause
+    }
+
+    /// What followed from the calls so far, in order.
+    pub fn next_event(&mut self) -> Option<Event> {
+        self.events.pop_front()
+    }
+
+    /// Whether a request in service may run its next token.
+    pub fn may_run(&self, ticket: Ticket) -> bool {
+        let entry = self.entries.get(ticket);
+        entry.is_none_or(|e| !matches!(e.state, State::Paused(_)))
+    }
+
+    /// Notes the time that a request took for one token over the whole pipeline.
+    pub fn observe_token(&mut self, now: Duration, class: Class, token: Duration) {
+        self.limit.observe(class, token);
+        self.tick(now);
+    }
+
+    /// Sets the positions a second that trials may start on this daemon; infinite for no bound.
+    pub fn set_trial_rate(&mut self, now: Duration, rate: f64) {
+        self.share.set_rate(now, rate);
+        self.dispatch(now);
+    }
+
+    /// Does what has become due: adjusts the limits, and starts what may start now.
+    pub fn poll(&mut self, now: Duration) {
+        self.tick(now);
+        self.dispatch(now);
+    }
+
+    /// Requests that may be in service at once, as adapted.
+    pub fn limit(&self) -> u32 {
+        self.limit.get()
+    }
+
+    /// Requests waiting, of a class.
+    pub fn waiting(&self, class: Class) -> u32 {
+        match class {
+            Class::Paying => self.paying.len(),
+            Class::Trial => self.trial.len(),
+        }
+    }
+
+    /// Requests in service, of a class, with trials that hold.
+    pub fn in_service(&self, class: Class) -> u32 {
+        match class {
+            Class::Paying => self.paying_running,
+            Class::Trial => (self.running.len() + self.paused.len()) as u32,
+        }
+    }
+
+    fn class_queue(&mut self, class: Class) -> &mut FairQueue {
+        match class {
+            Class::Paying => &mut self.paying,
+            Class::Trial => &mut self.trial,
+        }
+    }
+
+    fn longest_delay(&self, class: Class) -> Duration {
+        match class {
+            Class::Paying => self.cfg.paying_delay,
+            Class::Trial => self.cfg.trial_delay,
+        }
+    }
+
+    /// Refuses what would wait too long. The estimate goes by the cost that is served before it,
+    /// not by the length of the queue: requests differ a thousandfold in cost.
+    fn check(&mut self, now: Duration, ask: &Ask<'_>) -> Result<()> {
+        let delay = self.expected_delay(now, ask);
+        let longest = self.longest_delay(ask.class).as_secs_f64();
+        if delay > longest {
+            return Err(self.refusal(delay - longest, "expected queue delay too long"));
+        }
+        let queue = self.class_queue(ask.class);
+        let (len, team_len) = (queue.len(), queue.team_len(ask.team));
+        if len >= self.cfg.queue {
+            return Err(self.refusal(delay, "queue full"));
+        }
+        if team_len >= self.cfg.team_queue {
+            return Err(self.refusal(delay, "queue of the team full"));
+        }
+        Ok(())
+    }
+
+    /// Expected time that a request would wait, in seconds.
+    fn expected_delay(&mut self, now: Duration, ask: &Ask<'_>) -> f64 {
+        match ask.class {
+            Class::Paying => {
+                let slots = self.limit.get();
+                if self.paying.len() == 0 && self.paying_running < slots {
+                    return 0.0;
+                }
+                let ahead = self.paying.cost_ahead(ask.team, ask.weight);
+                self.paying_speed.time(ahead, slots)
+            }
+            Class::Trial => self.expected_trial_delay(now, ask),
+        }
+    }
+
+    fn expected_trial_delay(&mut self, now: Duration, ask: &Ask<'_>) -> f64 {
+        let slots = self.trial_slots();
+        if slots == 0 {
+            let paying = self.paying_speed.time(self.paying.cost(), self.limit.get());
+            return paying + 2.0 * self.cfg.trial_delay.as_secs_f64();
+        }
+        let ahead = self.trial.cost_ahead(ask.team, ask.weight);
+        let by_rate = self.share.delay(now, ahead as f64);
+        if self.trial.len() == 0 && self.in_service(Class::Trial) < slots {
+            return by_rate;
+        }
+        by_rate.max(self.trial_speed.time(ahead, slots))
+    }
+
+    /// Requests of trials that may run at once: what paying ones leave.
+    fn trial_slots(&self) -> u32 {
+        let paying = self.paying_running + self.paying.len();
+        let free = self.limit.get().saturating_sub(paying);
+        (f64::from(free) * self.share.backstop()).ceil() as u32
+    }
+
+    fn refusal(&mut self, delay: f64, reason: &'static str) -> Refusal {
+        let (least, greatest) = self.cfg.retry_after;
+        // Jitter upwards only: to come back before the estimate is of no use.
+        let jittered = delay.max(least.as_secs_f64()) * self.rng.random_range(1.0..1.5);
+        Refusal {
+            retry_after: Duration::from_secs_f64(jittered.min(greatest.as_secs_f64())),
+            reason,
+        }
+    }
+
+    /// Starts what may start, paying before trial, then lets as many trials run as there is room.
+    fn dispatch(&mut self, now: Duration) {
+        while self.paying_running < self.limit.get() {
+            let Some(ticket) = self.paying.pop() else {
+                break;
+            };
+            self.paying_running += 1;
+            let waited = self.start(now, ticket);
+            self.paying_wait = self.paying_wait.max(waited);
+        }
+        self.full |= self.paying.len() > 0;
+        self.balance_trials();
+        while self.trial.len() > 0 && self.in_service(Class::Trial) < self.trial_slots() {
+            if !self.share.may_start(now) {
+                return;
+            }
+            let Some(ticket) = self.trial.pop() else {
+                break;
+            };
+            self.share.charge(self.entries[ticket].cost);
+            self.start(now, ticket);
+        }
+        self.full |= self.trial.len() > 0;
+    }
+
+    /// Starts a request and returns how long it waited.
+    fn start(&mut self, now: Duration, ticket: Ticket) -> Duration {
+        let rank = self.next_rank;
+        self.next_rank += 1;
+        let entry = &mut self.entries[ticket];
+        let waited = now.saturating_sub(entry.since);
+        entry.since = now;
+        entry.state = State::Running(rank);
+        if entry.class == Class::Trial {
+            self.running.insert(rank, ticket);
+        }
+        self.events.push_back(Event::Admitted(ticket));
+        waited
+    }
+
+    /// Holds the youngest trials that have no room, and lets the oldest go on that have.
+    fn balance_trials(&mut self) {
+        let slots = self.trial_slots() as usize;
+        while self.running.len() > slots {
+            let Some((rank, ticket)) = self.running.pop_last() else {
+                break;
+            };
+            self.entries[ticket].state = State::Paused(rank);
+            self.paused.insert(rank, ticket);
+        }
+        while self.running.len() < slots {
+            let Some((rank, ticket)) = self.paused.pop_first() else {
+                break;
+            };
+            self.entries[ticket].state = State::Running(rank);
+            self.running.insert(rank, ticket);
+            self.events.push_back(Event::Resumed(ticket));
+        }
+    }
+
+    fn leave(&mut self, rank: u64, entry: &Entry) {
+        match entry.class {
+            Class::Paying => self.paying_running -= 1,
+            Class::Trial => {
+                self.running.remove(&rank);
+                self.paused.remove(&rank);
+            }
+        }
+    }
+
+    fn settle(&mut self, now: Duration, entry: &Entry, used: Option<u32>) {
+        let seconds = now.saturating_sub(entry.since).as_secs_f64();
+        let speed = match entry.class {
+            Class::Paying => &mut self.paying_speed,
+            Class::Trial => &mut self.trial_speed,
+        };
+        speed.note(entry.cost, seconds);
+        let unused = used.map_or(0, |used| entry.cost.saturating_sub(used));
+        if unused == 0 {
+            return;
+        }
+        self.class_queue(entry.class).refund(&entry.team, unused);
+        if entry.class == Class::Trial {
+            self.share.refund(unused);
+        }
+    }
+
+    fn tick(&mut self, now: Duration) {
+        if now < self.next_adjust {
+            return;
+        }
+        self.next_adjust = now + self.cfg.interval;
+        self.limit.adjust(self.full);
+        self.share
+            .adjust(self.paying_wait > self.cfg.paying_delay_target);
+        self.full = false;
+        self.paying_wait = Duration::ZERO;
+    }
+}
+
+impl Speed {
+    fn note(&mut self, cost: u32, seconds: f64) {
+        self.cost = self.cost * SPEED_MEMORY + f64::from(cost);
+        self.seconds = self.seconds * SPEED_MEMORY + seconds;
+    }
+
+    /// Seconds that so many slots take for a cost; 0 as long as nothing has ended.
+    fn time(&self, cost: u64, slots: u32) -> f64 {
+        if self.cost == 0.0 {
+            return 0.0;
+        }
+        cost as f64 * self.seconds / self.cost / f64::from(slots.max(1))
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/admission/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of admission.
--- a/crates/kelpworks/src/fleet.rs
+++ b/crates/kelpworks/src/fleet.rs
@@ -11,6 +11,8 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+use crate::routing::Index;
+
 new_key_type! {
     /// Key of an upstream in the arena of a [`Fleet`]; stays the same from snapshot to snapshot.
     pub struct UpstreamKey;
@@ -132,9 +134,18 @@
     pub by_model: Vec<Vec<UpstreamKey>>,
     /// For each plain service, its upstreams.
     pub by_service: HashMap<String, Vec<UpstreamKey>>,
+    /// Holders of each layer, for routing; must match the rest of the snapshot. While it is
+    /// `None`, each decision works it out anew.
+    pub index: Option<Arc<Index>>,
 }
 
 impl Fleet {
+    /// This snapshot with its index built; the last step of making a snapshot.
+    pub fn indexed(mut self) -> Fleet {
+        self.index = Some(Arc::new(Index::build(&self)));
+        self
+    }
+
     /// Key of the model of this name.
     pub fn model(&self, name: &str) -> Option<ModelKey> {
         let at = self.models.iter().position(|m| m.name == name)?;
--- a/crates/kelpworks/src/lib.rs
+++ b/crates/kelpworks/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod placement;
 pub mod register;
+pub mod retry;
 pub mod routing;
 pub mod rules;
 pub mod settings;
--- /dev/null
+++ b/crates/kelpworks/src/retry/budget.rs
@@ -0,0 +1,157 @@
+//! The retry budget: retries are a fraction of recent successes, so that a failing stage cannot
+//! multiply the load on itself and on others.
+
+use std::fmt;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::verdict::Verdict;
+
+/// Bounds on retries.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RetryConfig {
+    /// Retries that each success earns. Default 0.2.
+    pub ratio: f64,
+    /// Retries a second that are always earned, so that a daemon with few requests can retry at
+    /// all. Default 2.
+    pub floor: f64,
+    /// Retries saved up, at most. Default 50.
+    pub burst: f64,
+    /// Attempts of one request, at most. Default 6.
+    pub attempts: u32,
+    /// Bound of the first backoff; it doubles with each attempt. Default 20 ms.
+    pub backoff: Duration,
+    /// Greatest bound of the backoff. Default 1 s.
+    pub backoff_max: Duration,
+}
+
+impl Default for RetryConfig {
+    fn default() -> RetryConfig {
+        RetryConfig {
+            ratio: 0.2,
+            floor: 2.0,
+            burst: 50.0,
+            attempts: 6,
+            backoff: Duration::from_millis(20),
+            backoff_max: Duration::from_secs(1),
+        }
+    }
+}
+
+/// A request whose last attempt failed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Attempt {
+    /// The worst verdict over its attempts.
+    pub verdict: Verdict,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Attempts made; 1 after the first.
+    pub attempts: u32,
+    /// Time left until the caller's deadline.
+    pub left: Duration,
+}
+
+/// What to do after a failed attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Decision {
+    /// Try again after this delay, elsewhere if possible.
+    RetryAt(Duration),
+    /// Answer the caller now.
+    GiveUp(GiveUp),
+}
+
+/// Why a request is not tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum GiveUp {
+    /// It may have run, and must not run twice.
+    MayHaveRun,
+    /// The caller's deadline comes first.
+    Deadline,
+    /// It was tried as often as is allowed.
+    Attempts,
+    /// Too many retries of late.
+    Budget,
+}
+
+impl GiveUp {
+    /// The word for the log and the caller.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            GiveUp::MayHaveRun => "may have run and is not idempotent",
+            GiveUp::Deadline => "deadline",
+            GiveUp::Attempts => "attempts",
+            GiveUp::Budget => "retry budget",
+        }
+    }
+}
+
+impl fmt::Display for GiveUp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Retries that may still be made, over all requests of a daemon.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    cfg: RetryConfig,
+    /// Retries that may be made now, 0 to `cfg.burst`.
+    balance: f64,
+    /// Time of `balance`.
+    at: Duration,
+}
+
+impl RetryBudget {
+    /// A full budget.
+    pub fn new(cfg: RetryConfig) -> RetryBudget {
+        RetryBudget {
+            balance: cfg.burst,
+            at: Duration::ZERO,
+            cfg,
+        }
+    }
+
+    /// Notes a success, which earns a part of a retry.
+    pub fn succeeded(&mut self) {
+        self.earn(self.cfg.ratio);
+    }
+
+    /// Decides about a request whose attempt failed, and takes the retry from the budget. `now` is
+    /// the time since one fixed moment.
+    pub fn decide<R: Rng>(&mut self, now: Duration, attempt: &Attempt, rng: &mut R) -> Decision {
+        let passed = now.saturating_sub(self.at);
+        self.at = self.at.max(now);
+        self.earn(self.cfg.floor * passed.as_secs_f64());
+        if attempt.verdict == Verdict::MayHaveRun && !attempt.idempotent {
+            return Decision::GiveUp(GiveUp::MayHaveRun);
+        }
+        if attempt.attempts >= self.cfg.attempts {
+            return Decision::GiveUp(GiveUp::Attempts);
+        }
+        let delay = self.backoff(attempt.attempts, rng);
+        if delay >= attempt.left {
+            return Decision::GiveUp(GiveUp::Deadline);
+        }
+        if self.balance < 1.0 {
+            return Decision::GiveUp(GiveUp::Budget);
+        }
+        self.balance -= 1.0;
+        Decision::RetryAt(delay)
+    }
+
+    fn earn(&mut self, retries: f64) {
+        self.balance = (self.balance + retries).min(self.cfg.burst);
+    }
+
+    /// Full jitter: evenly from nothing to a bound that doubles with each attempt.
+    fn backoff<R: Rng>(&self, attempts: u32, rng: &mut R) -> Duration {
+        let doublings = attempts.saturating_sub(1).min(16);
+        let bound = self.cfg.backoff * 2u32.pow(doublings);
+        bound
+            .min(self.cfg.backoff_max)
+            .mul_f64(rng.random_range(0.0..1.0))
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/retry/deadline.rs
@@ -0,0 +1,106 @@
+//! How long to wait for a step: from the times observed, between a floor and a ceiling.
+//!
+//! A deadline that expires is no verdict on the upstream. The caller probes it on a new
+//! connection: an answer means that the connection is dead, silence that the upstream is suspect.
+
+use std::time::Duration;
+
+/// Weight of a new time in the mean, and in the deviation (Jacobson and Karels, 1988).
+const MEAN_GAIN: f64 = 1.0 / 8.0;
+const DEVIATION_GAIN: f64 = 1.0 / 4.0;
+
+/// Bounds on step deadlines.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DeadlineConfig {
+    /// Least deadline. Default 200 ms.
+    pub floor: Duration,
+    /// Greatest deadline, and the one of an upstream that has not answered yet. Default 5 s.
+    pub ceiling: Duration,
+    /// Deviations above the mean. Default 6: step times have long tails, and a deadline that
+    /// expires for nothing costs a probe.
+    pub deviations: f64,
+}
+
+impl Default for DeadlineConfig {
+    fn default() -> DeadlineConfig {
+        DeadlineConfig {
+            floor: Duration::from_millis(200),
+            ceiling: Duration::from_secs(5),
+            deviations: 6.0,
+        }
+    }
+}
+
+/// Step times of one upstream, smoothed.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct StepDeadline {
+    /// Steps of one position.
+    decode: Smoothed,
+    /// Steps of more, by the time of one position: they share fixed costs, so one estimate for
+    /// both would be too tight for decode steps.
+    prefill: Smoothed,
+}
+
+/// Mean and mean deviation of a time, in seconds; meaningful once `known`.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Smoothed {
+    mean: f64,
+    deviation: f64,
+    known: bool,
+}
+
+impl StepDeadline {
+    /// Notes the time of a step that covered so many positions. When the deadline expired and a
+    /// probe was answered, the time waited is to be noted, so that the next deadline is longer.
+    pub fn observe(&mut self, took: Duration, positions: u32) {
+        let seconds = took.as_secs_f64();
+        if positions > 1 {
+            self.prefill.observe(seconds / f64::from(positions));
+        } else {
+            self.decode.observe(seconds);
+        }
+    }
+
+    /// Mean time of a decode step, if one was observed; for `Counters::step_us`.
+    pub fn mean(&self) -> Option<Duration> {
+        let known = self.decode.known;
+        known.then(|| Duration::from_secs_f64(self.decode.mean))
+    }
+
+    /// Time to wait for a step that covers so many positions. The ceiling bounds a decode step;
+    /// a long prefill may take longer.
+    pub fn deadline(&self, cfg: &DeadlineConfig, positions: u32) -> Duration {
+        let decode = match self.decode.bound(cfg.deviations) {
+            Some(bound) => bound.clamp(cfg.floor, cfg.ceiling.max(cfg.floor)),
+            None => cfg.ceiling,
+        };
+        if positions <= 1 {
+            return decode;
+        }
+        match self.prefill.bound(cfg.deviations) {
+            Some(bound) => decode + bound * positions,
+            None => cfg.ceiling,
+        }
+    }
+}
+
+impl Smoothed {
+    fn observe(&mut self, seconds: f64) {
+        if !self.known {
+            *self = Smoothed {
+                mean: seconds,
+                deviation: seconds / 2.0,
+                known: true,
+            };
+            return;
+        }
+        let error = seconds - self.mean;
+        self.mean += error * MEAN_GAIN;
+        self.deviation += (error.abs() - self.deviation) * DEVIATION_GAIN;
+    }
+
+    fn bound(&self, deviations: f64) -> Option<Duration> {
+        let bound = self.mean + deviations * self.deviation;
+        self.known.then(|| Duration::from_secs_f64(bound))
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/retry/mod.rs
@@ -0,0 +1,41 @@
+//! What to do after an attempt failed: try again, when, and where not; and how long to wait for a
+//! step before it counts as silent.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use kelpworks::retry::Attempt;
+//! use kelpworks::retry::Decision;
+//! use kelpworks::retry::RetryBudget;
+//! use kelpworks::retry::RetryConfig;
+//! use kelpworks::verdict::Verdict;
+//!
+//! let mut budget = RetryBudget::new(RetryConfig::default());
+//! let attempt = Attempt {
+//!     verdict: Verdict::NotRun,
+//!     idempotent: false,
+//!     attempts: 1,
+//!     left: Duration::from_secs(10),
+//! };
+//! let decision = budget.decide(Duration::ZERO, &attempt, &mut rand::rng());
+//! assert!(matches!(decision, Decision::RetryAt(_)));
+//! ```
+//!
+//! Limits: budget, cooldowns and deadlines are of one daemon; they are not shared.
+
+mod budget;
+mod busy;
+mod deadline;
+
+#[cfg(test)]
+mod tests;
+
+pub use crate::retry::budget::Attempt;
+pub use crate::retry::budget::Decision;
+pub use crate::retry::budget::GiveUp;
+pub use crate::retry::budget::RetryBudget;
+pub use crate::retry::budget::RetryConfig;
+pub use crate::retry::busy::BusyConfig;
+pub use crate::retry::busy::Cooldowns;
+pub use crate::retry::deadline::DeadlineConfig;
+pub use crate::retry::deadline::StepDeadline;
--- /dev/null
+++ b/crates/kelpworks/src/retry/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of retries.
--- /dev/null
+++ b/crates/kelpworks/src/routing/cost.rs
@@ -0,0 +1,163 @@
+//! What it costs to run a range of layers on an upstream, in microseconds over a session.
+
+use std::sync::atomic::Ordering;
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::fleet::Fleet;
+use crate::fleet::Health;
+use crate::fleet::LinkCost;
+use crate::fleet::Upstream;
+use crate::fleet::UpstreamKey;
+use crate::routing::CachedPrefix;
+use crate::routing::PathQuery;
+use crate::routing::index::Candidate;
+
+/// Tokens that a session is taken to generate. The true number is unknown when the path is chosen;
+/// this weighs the time of a token against the time of the prefill.
+const SESSION_TOKENS: f64 = 64.0;
+
+/// Bytes of activations of one position at a cut.
+const ACTIVATION_BYTES: f64 = 16_384.0;
+
+/// Cost of one more hop for each token, in microseconds: a message there and back.
+const HOP_US: f64 = 100.0;
+
+/// Layers a second taken for an upstream whose speed is unknown.
+const UNKNOWN_RATE: f64 = 1_000.0;
+
+/// One in so many weighings leaves out the observed step time. Without it an upstream that was
+/// slow once would get no work, hence no new observation, and stay slow for ever.
+const EXPLORE: u32 = 32;
+
+/// Added for each rank of [`rank`]; above the cost of any session.
+const LAST: f64 = 1e12;
+
+/// An upstream with what is fixed about its cost, whatever part of its layers it runs.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Quote {
+    /// Time that its queue adds to each token.
+    wait_us: f64,
+    /// Time of one layer of one position.
+    layer_us: f64,
+    /// Time of one layer of a token as observed, at least `layer_us`.
+    observed_us: f64,
+    /// Positions that must be prefilled.
+    prefill: f64,
+    /// What puts it behind others: 0 for a candidate in good standing.
+    penalty: f64,
+}
+
+impl Quote {
+    /// Cost of running this many layers in each step of a session.
+    pub(super) fn work(&self, layers: u32) -> f64 {
+        let layers = f64::from(layers);
+        let token = self.wait_us + layers * self.observed_us + HOP_US;
+        token * SESSION_TOKENS + self.prefill * layers * self.layer_us + self.penalty
+    }
+
+    /// Whether it stands behind others.
+    pub(super) fn is_last(&self) -> bool {
+        self.penalty > 0.0
+    }
+}
+
+/// Weighs a candidate; `None` when it must get no work.
+pub(super) fn quote<R: Rng>(
+    fleet: &Fleet,
+    query: &PathQuery<'_>,
+    cached: &[CachedPrefix],
+    candidate: Candidate,
+    rng: &mut R,
+) -> Option<Quote> {
+    let upstream = fleet.upstreams.get(candidate.upstream)?;
+    let rank = rank(upstream, candidate.upstream, query.avoid, query.now_ms)?;
+    let rate = if upstream.layer_rate > 0.0 {
+        upstream.layer_rate
+    } else {
+        UNKNOWN_RATE
+    };
+    let layer_us = 1e6 / rate;
+    let holding = f64::from(candidate.end - candidate.first);
+    let observed = upstream.counters.step_us.load(Ordering::Relaxed) as f64 / holding;
+    let explore = rng.random_range(0..EXPLORE) == 0;
+    let observed_us = if explore {
+        layer_us
+    } else {
+        observed.max(layer_us)
+    };
+    let penalty = match rank {
+        Rank::First => 0.0,
+        Rank::Last { ranks, cooling_ms } => {
+            // Jitter, so that daemons that see the same cooldowns do not all take the same.
+            f64::from(ranks) * LAST + cooling_ms as f64 * 1e3 * rng.random_range(1.0..1.5)
+        }
+    };
+    Some(Quote {
+        wait_us: backlog(upstream) * holding * layer_us,
+        layer_us,
+        observed_us,
+        prefill: f64::from(
+            query
+                .prefill
+                .saturating_sub(positions(cached, candidate.upstream)),
+        ),
+        penalty,
+    })
+}
+
+/// Cost of bringing the activations of a session over a link.
+pub(super) fn link(link: LinkCost, prefill: u32) -> f64 {
+    let per_position = ACTIVATION_BYTES / (link.bytes_per_second.max(1) as f64) * 1e6;
+    let latency = link.latency.as_secs_f64() * 1e6;
+    (latency + per_position) * SESSION_TOKENS + per_position * f64::from(prefill)
+}
+
+/// Standing of an upstream for one request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Rank {
+    /// In good standing.
+    First,
+    /// Behind all that are in good standing, and behind those of fewer ranks.
+    Last {
+        /// How many ranks behind.
+        ranks: u32,
+        /// Milliseconds of its cooldown that are left.
+        cooling_ms: u64,
+    },
+}
+
+/// Standing of an upstream: cooling one rank back, suspect two, failed for this request four;
+/// `None` when it must get no new work.
+pub(super) fn rank(
+    upstream: &Upstream,
+    key: UpstreamKey,
+    avoid: &[UpstreamKey],
+    now_ms: u64,
+) -> Option<Rank> {
+    let suspect = match upstream.health {
+        Health::Live => 0,
+        Health::Suspect => 2,
+        Health::Leaving | Health::Down => return None,
+    };
+    let busy_until = upstream.counters.busy_until_ms.load(Ordering::Relaxed);
+    let cooling_ms = busy_until.saturating_sub(now_ms);
+    let failed = if avoid.contains(&key) { 4 } else { 0 };
+    let ranks = suspect + failed + u32::from(cooling_ms > 0);
+    if ranks == 0 {
+        return Some(Rank::First);
+    }
+    Some(Rank::Last { ranks, cooling_ms })
+}
+
+/// Steps ahead of a new one: as last reported, and own ones sent since.
+fn backlog(upstream: &Upstream) -> f64 {
+    let sent = upstream.counters.sent_since_report.load(Ordering::Relaxed);
+    f64::from(upstream.load.queued) + f64::from(upstream.load.running) + f64::from(sent)
+}
+
+fn positions(cached: &[CachedPrefix], upstream: UpstreamKey) -> u32 {
+    let hint = cached.iter().find(|c| c.upstream == upstream);
+    hint.map_or(0, |c| c.positions)
+}
--- /dev/null
+++ b/crates/kelpworks/src/routing/index.rs
@@ -0,0 +1,236 @@
+//! What a decision needs of a snapshot, worked out once a snapshot: for each model, version and
+//! layer, who holds it, grouped by failure domain.
+
+use std::collections::BTreeSet;
+
+use rand::Rng;
+use rand::RngExt;
+
+use crate::fleet::DomainKey;
+use crate::fleet::Fleet;
+use crate::fleet::Health;
+use crate::fleet::Holding;
+use crate::fleet::ModelKey;
+use crate::fleet::Upstream;
+use crate::fleet::UpstreamKey;
+
+/// Rate that stands in for an unknown one, in layers a second, so that it still can be drawn.
+const UNKNOWN_RATE: f64 = 1.0;
+
+/// Holders of every layer of every model, for one snapshot of the fleet.
+///
+/// It lists live and suspect upstreams only. It must be built anew whenever holdings or health of
+/// the fleet change; [`Fleet::indexed`] does so.
+///
+/// ```
+/// use kelpworks::fleet::Fleet;
+///
+/// let fleet = Fleet::default().indexed();
+/// assert!(fleet.index.is_some());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Index {
+    /// One a model; [`ModelKey`] is the index.
+    models: Vec<Vec<VersionIndex>>,
+}
+
+/// Holders of the layers of one version of a model.
+#[derive(Clone, Debug)]
+pub(super) struct VersionIndex {
+    /// Number of layers of the model.
+    pub(super) layers: u32,
+    /// Segments in order; together they are all layers.
+    pub(super) segments: Vec<Segment>,
+    /// First layer that nobody holds, if any.
+    pub(super) missing: Option<u32>,
+}
+
+/// Layers between two neighbouring cuts; each holder holds all of them or none.
+#[derive(Clone, Debug)]
+pub(super) struct Segment {
+    /// First layer.
+    pub(super) first: u32,
+    /// Live holders by failure domain; no pool is empty.
+    pub(super) pools: Vec<Pool>,
+    /// Suspect holders.
+    pub(super) suspects: Vec<Candidate>,
+}
+
+/// An upstream that may run layers up to the end of what it holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Candidate {
+    /// The upstream.
+    pub(super) upstream: UpstreamKey,
+    /// First layer of its holding.
+    pub(super) first: u32,
+    /// One past the last layer of its holding.
+    pub(super) end: u32,
+}
+
+/// Candidates of one failure domain.
+#[derive(Clone, Debug)]
+pub(super) struct Pool {
+    domain: DomainKey,
+    /// The candidates; never empty.
+    pub(super) candidates: Vec<Candidate>,
+    /// Running sum of the candidates' speeds; as long as `candidates` and increasing.
+    cumulative: Vec<f64>,
+}
+
+impl Index {
+    /// Works out the holders of every layer.
+    pub fn build(fleet: &Fleet) -> Index {
+        let models = (0..fleet.models.len())
+            .map(|m| model_versions(fleet, ModelKey(m as u16)))
+            .collect();
+        Index { models }
+    }
+
+    /// The version to run: the one asked for, or else the one to serve if complete, or else the
+    /// first that is complete. `None` when there is no such version.
+    pub(super) fn version(
+        &self,
+        model: ModelKey,
+        wanted: Option<u16>,
+    ) -> Option<(u16, &VersionIndex)> {
+        let versions = self.models.get(usize::from(model.0))?;
+        let complete = || versions.iter().position(|v| v.missing.is_none());
+        let at = match wanted {
+            Some(v) => usize::from(v),
+            None => complete().unwrap_or(0),
+        };
+        Some((at as u16, versions.get(at)?))
+    }
+}
+
+impl VersionIndex {
+    /// Segment that this layer is in.
+    ///
+    /// # Panics
+    ///
+    /// When the model has no such layer.
+    pub(super) fn segment(&self, layer: u32) -> &Segment {
+        let after = self.segments.partition_point(|s| s.first <= layer);
+        &self.segments[after - 1]
+    }
+}
+
+impl Segment {
+    /// All candidates, live ones first.
+    pub(super) fn all(&self) -> impl Iterator<Item = &Candidate> {
+        let live = self.pools.iter().flat_map(|p| &p.candidates);
+        live.chain(&self.suspects)
+    }
+
+    fn is_empty(&self) -> bool {
+        self.pools.is_empty() && self.suspects.is_empty()
+    }
+
+    fn add(&mut self, upstream: &Upstream, candidate: Candidate) {
+        if upstream.health == Health::Suspect {
+            self.suspects.push(candidate);
+            return;
+        }
+        let known = self.pools.iter().position(|p| p.domain == upstream.domain);
+        let at = known.unwrap_or_else(|| {
+            self.pools.push(Pool {
+                domain: upstream.domain,
+                candidates: Vec::new(),
+                cumulative: Vec::new(),
+            });
+            self.pools.len() - 1
+        });
+        let pool = &mut self.pools[at];
+        let before = pool.cumulative.last().copied().unwrap_or(0.0);
+        let rate = if upstream.layer_rate > 0.0 {
+            upstream.layer_rate
+        } else {
+            UNKNOWN_RATE
+        };
+        pool.candidates.push(candidate);
+        pool.cumulative.push(before + rate);
+    }
+}
+
+impl Pool {
+    /// Draws a candidate, each with a chance in proportion to its speed, so that a fast upstream
+    /// is weighed as often as it can take work.
+    pub(super) fn draw<R: Rng>(&self, rng: &mut R) -> Candidate {
+        let total = self.cumulative[self.cumulative.len() - 1];
+        let point = rng.random_range(0.0..total);
+        let at = self.cumulative.partition_point(|&c| c <= point);
+        self.candidates[at.min(self.candidates.len() - 1)]
+    }
+}
+
+fn model_versions(fleet: &Fleet, model: ModelKey) -> Vec<VersionIndex> {
+    let versions = fleet.models[usize::from(model.0)].versions.len();
+    (0..versions)
+        .map(|v| version_index(fleet, model, v as u16))
+        .collect()
+}
+
+fn version_index(fleet: &Fleet, model: ModelKey, version: u16) -> VersionIndex {
+    let layers = fleet.models[usize::from(model.0)].layers;
+    let mut held = Vec::new();
+    for (key, upstream) in serving(fleet, model) {
+        for h in &upstream.holdings {
+            if holds(h, model, version, layers) {
+                held.push((key, upstream, h));
+            }
+        }
+    }
+    let cuts: BTreeSet<u32> = held
+        .iter()
+        .flat_map(|(_, _, h)| [h.layers.first, h.layers.end])
+        .chain([0])
+        .filter(|&cut| cut < layers)
+        .collect();
+    let mut segments: Vec<Segment> = cuts.into_iter().map(Segment::at).collect();
+    for (key, upstream, h) in held {
+        let candidate = Candidate {
+            upstream: key,
+            first: h.layers.first,
+            end: h.layers.end,
+        };
+        for segment in segments.iter_mut().filter(|s| candidate.covers(s.first)) {
+            segment.add(upstream, candidate);
+        }
+    }
+    let missing = segments.iter().find(|s| s.is_empty()).map(|s| s.first);
+    VersionIndex {
+        layers,
+        segments,
+        missing,
+    }
+}
+
+impl Segment {
+    fn at(first: u32) -> Segment {
+        Segment {
+            first,
+            pools: Vec::new(),
+            suspects: Vec::new(),
+        }
+    }
+}
+
+impl Candidate {
+    /// Whether its holding includes this layer.
+    pub(super) fn covers(&self, layer: u32) -> bool {
+        self.first <= layer && layer < self.end
+    }
+}
+
+fn serving(fleet: &Fleet, model: ModelKey) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+    let keys = fleet.by_model.get(usize::from(model.0));
+    keys.into_iter()
+        .flatten()
+        .filter_map(|&key| Some((key, fleet.upstreams.get(key)?)))
+        .filter(|(_, u)| matches!(u.health, Health::Live | Health::Suspect))
+}
+
+fn holds(h: &Holding, model: ModelKey, version: u16, layers: u32) -> bool {
+    let sound = h.layers.first < h.layers.end && h.layers.end <= layers;
+    h.model == model && h.version == version && sound
+}
--- a/crates/kelpworks/src/routing/mod.rs
+++ b/crates/kelpworks/src/routing/mod.rs
@@ -1,16 +1,52 @@
-//! Choice of the path that a session takes through the stages of a model.
+//! Choice of the path that a session takes through the stages of a model, and of the upstream of
+//! a plain service.
+//!
+//! Links differ a hundredfold, so the cost of a stage depends on where the one before it ran: what
+//! is chosen is a whole path, by a shortest path over the cuts of the model. Only a sample of the
+//! holders is weighed for each cut, so a decision takes about as long with 600 upstreams as with
+//! 40, and daemons that share the same lagged load reports do not all take the same upstream.
+//!
+//! ```
+//! use kelpworks::fleet::Fleet;
+//! use kelpworks::routing::Error;
+//! use kelpworks::routing::choose_service;
+//!
+//! let fleet = Fleet::default().indexed();
+//! let chosen = choose_service(&fleet, "thumbnails", &[], 0, &mut rand::rng());
+//! assert_eq!(chosen, Err(Error::ServiceMissing));
+//! ```
+//!
+//! Limits: costs are estimates from lagged reports; a path is the cheapest of those weighed, not
+//! of all. Links are known by failure domain, not by host.
+
+mod cost;
+mod explain;
+mod index;
+mod search;
+mod service;
+
+#[cfg(test)]
+mod tests;
 
 use kelpworks_wire::Class;
 use kelpworks_wire::LayerRange;
 use rand::Rng;
-use rand::RngExt;
 use thiserror::Error;
 
+pub use crate::routing::explain::Explanation;
+pub use crate::routing::explain::HopReason;
+pub use crate::routing::explain::Reason;
+pub use crate::routing::explain::RunnerUp;
+pub use crate::routing::index::Index;
+pub use crate::routing::service::choose_service;
+
 use crate::fleet::DomainKey;
 use crate::fleet::Fleet;
 use crate::fleet::Health;
 use crate::fleet::ModelKey;
 use crate::fleet::UpstreamKey;
+use crate::routing::search::Search;
+use crate::routing::search::Span;
 
 /// The result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -25,6 +61,9 @@
         /// First layer that nobody holds.
         layer: u32,
     },
+    /// No upstream of the plain service may take work.
+    #[error("no live upstream runs the service")]
+    ServiceMissing,
 }
 
 /// What a path is wanted for.
@@ -66,47 +105,152 @@
     pub version: u16,
     /// Candidates weighed, for the log line.
     pub candidates: u32,
+    /// Why these hops, for the log line.
+    pub explanation: Explanation,
+}
+
+/// A hint that an upstream's prefix cache holds the start of the prompt. It may be out of date:
+/// it moves the choice and nothing else.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CachedPrefix {
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// Positions of the prompt that it holds.
+    pub positions: u32,
 }
 
 /// Chooses a path through the stages of a model.
 ///
+/// Hops in [`PathQuery::keep`] stay where their upstream still serves them, even while it is
+/// leaving. Upstreams that are cooling, suspect or in [`PathQuery::avoid`] are taken only when
+/// nobody in good standing holds the layers.
+///
 /// # Errors
 ///
 /// When some layer is held by no upstream that may take work.
+///
+/// # Panics
+///
+/// When a key of the query is not of this snapshot's models or failure domains.
 pub fn choose_path<R: Rng>(fleet: &Fleet, query: &PathQuery<'_>, rng: &mut R) -> Result<Path> {
-    let layers = fleet.models[usize::from(query.model.0)].layers;
-    let version = query.version.unwrap_or(0);
-    let mut hops = Vec::new();
-    let mut candidates = 0;
-    let mut at = 0;
-    while at < layers {
-        let mut holders = Vec::new();
-        for &key in &fleet.by_model[usize::from(query.model.0)] {
-            let upstream = &fleet.upstreams[key];
-            if upstream.health != Health::Live || query.avoid.contains(&key) {
-                continue;
-            }
-            for h in &upstream.holdings {
-                let fits = h.model == query.model && h.version == version;
-                if fits && h.layers.first <= at && at < h.layers.end {
-                    holders.push((key, h.layers.end));
-                }
-            }
-        }
-        candidates += holders.len() as u32;
-        if holders.is_empty() {
-            return Err(Error::LayerMissing { layer: at });
+    choose_path_cached(fleet, query, &[], rng)
+}
+
+/// Chooses a path as [`choose_path`] does, with hints of what is in prefix caches.
+///
+/// # Errors
+///
+/// When some layer is held by no upstream that may take work.
+///
+/// # Panics
+///
+/// When a key of the query is not of this snapshot's models or failure domains.
+pub fn choose_path_cached<R: Rng>(
+    fleet: &Fleet,
+    query: &PathQuery<'_>,
+    cached: &[CachedPrefix],
+    rng: &mut R,
+) -> Result<Path> {
+    let built;
+    let index = match &fleet.index {
+        Some(index) => &**index,
+        None => {
+            built = Index::build(fleet);
+            &built
         }
-        let (upstream, end) = holders[rng.random_range(0..holders.len())];
-        hops.push(Hop {
-            upstream,
-            layers: LayerRange { first: at, end },
+    };
+    let missing = Error::LayerMissing { layer: 0 };
+    let (version, holders) = index.version(query.model, query.version).ok_or(missing)?;
+    let kept = kept_hops(fleet, query, version);
+    let mut search = Search {
+        fleet,
+        query,
+        cached,
+        version: holders,
+        rng,
+    };
+    let mut path = Path {
+        hops: Vec::new(),
+        version,
+        candidates: 0,
+        explanation: Explanation::default(),
+    };
+    let mut at = 0;
+    let mut from = query.from;
+    for hop in kept {
+        let domain = fleet.upstreams[hop.upstream].domain;
+        let gap = Span {
+            first: at,
+            end: hop.layers.first,
+            from,
+            to: Some(domain),
+        };
+        extend(&mut path, &mut search, gap)?;
+        at = hop.layers.end;
+        from = domain;
+        path.keep(hop);
+    }
+    let rest = Span {
+        first: at,
+        end: holders.layers,
+        from,
+        to: None,
+    };
+    extend(&mut path, &mut search, rest)?;
+    Ok(path)
+}
+
+/// Adds the hops of a span to a path.
+fn extend<R: Rng>(path: &mut Path, search: &mut Search<'_, R>, span: Span) -> Result<()> {
+    if span.first == span.end {
+        return Ok(());
+    }
+    let found = search
+        .find(span)
+        .map_err(|layer| Error::LayerMissing { layer })?;
+    path.candidates += found.candidates;
+    path.hops.extend(found.hops);
+    path.explanation.hops.extend(found.reasons);
+    Ok(())
+}
+
+impl Path {
+    fn keep(&mut self, hop: &Hop) {
+        self.candidates += 1;
+        self.hops.push(hop.clone());
+        self.explanation.hops.push(HopReason {
+            upstream: hop.upstream,
+            cost_us: 0.0,
+            runner_up: None,
+            reason: Reason::Kept,
         });
-        at = end;
     }
-    Ok(Path {
-        hops,
-        version,
-        candidates,
-    })
+}
+
+/// Hops of the previous attempt that still serve, in order and without overlap.
+fn kept_hops<'a>(fleet: &Fleet, query: &PathQuery<'a>, version: u16) -> Vec<&'a Hop> {
+    let mut kept: Vec<&Hop> = Vec::with_capacity(query.keep.len());
+    for hop in query.keep {
+        let after = kept.last().map_or(0, |h| h.layers.end);
+        let in_order = after <= hop.layers.first && hop.layers.first < hop.layers.end;
+        if in_order && still_serves(fleet, query, version, hop) {
+            kept.push(hop);
+        }
+    }
+    kept
+}
+
+fn still_serves(fleet: &Fleet, query: &PathQuery<'_>, version: u16, hop: &Hop) -> bool {
+    let Some(upstream) = fleet.upstreams.get(hop.upstream) else {
+        return false;
+    };
+    if upstream.health == Health::Down || query.avoid.contains(&hop.upstream) {
+        return false;
+    }
+    let layers = fleet.models[usize::from(query.model.0)].layers;
+    hop.layers.end <= layers
+        && upstream.holdings.iter().any(|h| {
+            let same = h.model == query.model && h.version == version;
+            same && h.layers.first <= hop.layers.first && hop.layers.end <= h.layers.end
+        })
 }
--- /dev/null
+++ b/crates/kelpworks/src/routing/search.rs
@@ -0,0 +1,324 @@
+//! Shortest path over the cuts of a model.
+//!
+//! A node is a cut together with the failure domain in which the stage before it ran, because the
+//! cost of a link depends on both ends. Nodes are settled in the order of the cuts, so one pass
+//! is enough. Ends of holdings and starts of others are the only cuts worth a change of upstream:
+//! the cost of a range grows linearly with its layers.
+
+use kelpworks_wire::LayerRange;
+use rand::Rng;
+
+use crate::fleet::DomainKey;
+use crate::fleet::Fleet;
+use crate::fleet::UpstreamKey;
+use crate::routing::CachedPrefix;
+use crate::routing::Hop;
+use crate::routing::PathQuery;
+use crate::routing::cost;
+use crate::routing::cost::Quote;
+use crate::routing::explain::HopReason;
+use crate::routing::explain::Reason;
+use crate::routing::explain::RunnerUp;
+use crate::routing::index::Candidate;
+use crate::routing::index::Segment;
+use crate::routing::index::VersionIndex;
+
+/// Candidates drawn for each cut and failure domain. Two is enough to keep the longest queue
+/// short and few enough that daemons with the same lagged reports do not all take the same
+/// upstream. One draw for each failure domain, as links between them may differ a hundredfold.
+const SAMPLE: usize = 2;
+
+/// Draws for each cut and failure domain, at most, to find [`SAMPLE`] in good standing.
+const DRAWS: usize = 6;
+
+/// Cuts within its holding at which a drawn candidate may stop.
+const STOPS: usize = 4;
+
+/// Layers to find a path for, and what stands at both ends.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Span {
+    /// First layer.
+    pub(super) first: u32,
+    /// One past the last layer.
+    pub(super) end: u32,
+    /// Failure domain that the input comes from.
+    pub(super) from: DomainKey,
+    /// Failure domain that the output goes to, if known.
+    pub(super) to: Option<DomainKey>,
+}
+
+/// Hops found for a span.
+#[derive(Debug, Default)]
+pub(super) struct Found {
+    /// The hops, in order.
+    pub(super) hops: Vec<Hop>,
+    /// Why each was taken.
+    pub(super) reasons: Vec<HopReason>,
+    /// Whether some hop is one that should be taken last.
+    pub(super) last: bool,
+    /// Candidates weighed.
+    pub(super) candidates: u32,
+}
+
+/// Cheapest way known to a node.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    cost: f64,
+    /// Cut and failure domain that it came from.
+    from: (usize, DomainKey),
+    upstream: UpstreamKey,
+    last: bool,
+}
+
+/// A candidate's cost for a range, kept to name the runner-up.
+#[derive(Clone, Copy, Debug)]
+struct Weighed {
+    cuts: (usize, usize),
+    upstream: UpstreamKey,
+    cost: f64,
+}
+
+/// Whether all candidates are weighed, or a sample.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Breadth {
+    /// A sample.
+    Sample,
+    /// All.
+    All,
+}
+
+/// The search for one span.
+pub(super) struct Search<'a, R> {
+    pub(super) fleet: &'a Fleet,
+    pub(super) query: &'a PathQuery<'a>,
+    pub(super) cached: &'a [CachedPrefix],
+    pub(super) version: &'a VersionIndex,
+    pub(super) rng: &'a mut R,
+}
+
+impl<R: Rng> Search<'_, R> {
+    /// Finds hops for a span; on failure the first layer that no upstream may run.
+    pub(super) fn find(&mut self, span: Span) -> Result<Found, u32> {
+        let sampled = self.run(span, Breadth::Sample);
+        if let Ok(found) = &sampled
+            && !found.last
+        {
+            return sampled;
+        }
+        // Rare: some stage seems to have nobody in good standing. Only a look at all tells.
+        self.run(span, Breadth::All)
+    }
+
+    fn run(&mut self, span: Span, breadth: Breadth) -> Result<Found, u32> {
+        let cuts = cuts(self.version, span);
+        let domains = self.fleet.domains.len();
+        let mut nodes: Vec<Option<Arrival>> = vec![None; cuts.len() * domains];
+        let mut weighed = Vec::new();
+        let mut drawn = Vec::new();
+        let mut count = 0;
+        let mut reached = span.first;
+        for at in 0..cuts.len() - 1 {
+            let row = &nodes[at * domains..(at + 1) * domains];
+            if at > 0 && row.iter().all(Option::is_none) {
+                continue;
+            }
+            reached = cuts[at];
+            self.draw(self.version.segment(cuts[at]), breadth, &mut drawn);
+            count += drawn.len() as u32;
+            for &(candidate, quote) in &drawn {
+                let Some((before, from)) = self.cheapest_entry(&nodes, at, candidate, span) else {
+                    continue;
+                };
+                let domain = self.fleet.upstreams[candidate.upstream].domain;
+                for stop in stops(&cuts, at, candidate.end, breadth) {
+                    let own = quote.work(cuts[stop] - cuts[at]);
+                    let arrival = Arrival {
+                        cost: before + own + self.exit(domain, stop, &cuts, span),
+                        from: (at, from),
+                        upstream: candidate.upstream,
+                        last: quote.is_last(),
+                    };
+                    weighed.push(Weighed {
+                        cuts: (at, stop),
+                        upstream: candidate.upstream,
+                        cost: arrival.cost,
+                    });
+                    let node = &mut nodes[stop * domains + usize::from(domain.0)];
+                    if node.is_none_or(|n| arrival.cost < n.cost) {
+                        *node = Some(arrival);
+                    }
+                }
+            }
+        }
+        let mut found = trace_back(&nodes, &cuts, domains, &weighed).ok_or(reached)?;
+        found.candidates = count;
+        Ok(found)
+    }
+
+    /// Lowest cost up to the start of a candidate's work, and the failure domain it comes from.
+    fn cheapest_entry(
+        &self,
+        nodes: &[Option<Arrival>],
+        at: usize,
+        candidate: Candidate,
+        span: Span,
+    ) -> Option<(f64, DomainKey)> {
+        let to = self.fleet.upstreams[candidate.upstream].domain;
+        let enter = |from| cost::link(self.fleet.link(from, to), self.query.prefill);
+        if at == 0 {
+            return Some((enter(span.from), span.from));
+        }
+        let domains = self.fleet.domains.len();
+        let row = &nodes[at * domains..(at + 1) * domains];
+        let entries = row.iter().enumerate().filter_map(|(d, node)| {
+            let from = DomainKey(d as u16);
+            let node = node.as_ref()?;
+            Some((node.cost + enter(from), from))
+        });
+        entries.min_by(|a, b| a.0.total_cmp(&b.0))
+    }
+
+    fn exit(&self, domain: DomainKey, stop: usize, cuts: &[u32], span: Span) -> f64 {
+        match span.to {
+            Some(to) if stop == cuts.len() - 1 => {
+                cost::link(self.fleet.link(domain, to), self.query.prefill)
+            }
+            _ => 0.0,
+        }
+    }
+
+    fn draw(&mut self, segment: &Segment, breadth: Breadth, out: &mut Vec<(Candidate, Quote)>) {
+        out.clear();
+        match breadth {
+            Breadth::All => {
+                for &candidate in segment.all() {
+                    if let Some(quote) = self.quote(candidate) {
+                        out.push((candidate, quote));
+                    }
+                }
+            }
+            Breadth::Sample => {
+                self.draw_sample(segment, out);
+                self.draw_cached(segment, out);
+            }
+        }
+    }
+
+    fn draw_sample(&mut self, segment: &Segment, out: &mut Vec<(Candidate, Quote)>) {
+        for pool in &segment.pools {
+            let full = out.len() + SAMPLE.min(pool.candidates.len());
+            for _ in 0..DRAWS {
+                if out.len() == full {
+                    break;
+                }
+                let candidate = pool.draw(self.rng);
+                if out.iter().any(|(c, _)| *c == candidate) {
+                    continue;
+                }
+                match self.quote(candidate) {
+                    Some(quote) if !quote.is_last() => out.push((candidate, quote)),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn draw_cached(&mut self, segment: &Segment, out: &mut Vec<(Candidate, Quote)>) {
+        for hint in self.cached {
+            if out.iter().any(|(c, _)| c.upstream == hint.upstream) {
+                continue;
+            }
+            let candidate = segment.all().find(|c| c.upstream == hint.upstream);
+            let Some(&candidate) = candidate else {
+                continue;
+            };
+            match self.quote(candidate) {
+                Some(quote) if !quote.is_last() => out.push((candidate, quote)),
+                _ => {}
+            }
+        }
+    }
+
+    fn quote(&mut self, candidate: Candidate) -> Option<Quote> {
+        cost::quote(self.fleet, self.query, self.cached, candidate, self.rng)
+    }
+}
+
+/// The cuts within a span, its ends included.
+fn cuts(version: &VersionIndex, span: Span) -> Vec<u32> {
+    let inner = version.segments.iter().map(|s| s.first);
+    let inner = inner.filter(|&cut| span.first < cut && cut < span.end);
+    [span.first]
+        .into_iter()
+        .chain(inner)
+        .chain([span.end])
+        .collect()
+}
+
+/// Cuts at which a candidate that starts at one may stop, the farthest first.
+fn stops(
+    cuts: &[u32],
+    at: usize,
+    end: u32,
+    breadth: Breadth,
+) -> impl Iterator<Item = usize> + use<> {
+    let farthest = cuts.partition_point(|&cut| cut <= end) - 1;
+    let stride = match breadth {
+        Breadth::All => 1,
+        Breadth::Sample => (farthest - at).div_ceil(STOPS).max(1),
+    };
+    (at + 1..=farthest).rev().step_by(stride)
+}
+
+fn trace_back(
+    nodes: &[Option<Arrival>],
+    cuts: &[u32],
+    domains: usize,
+    weighed: &[Weighed],
+) -> Option<Found> {
+    let mut at = cuts.len() - 1;
+    let row = &nodes[at * domains..];
+    let ends = row.iter().flatten();
+    let mut arrival = *ends.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
+    let mut found = Found::default();
+    loop {
+        let (start, domain) = arrival.from;
+        found.hops.push(Hop {
+            upstream: arrival.upstream,
+            layers: LayerRange {
+                first: cuts[start],
+                end: cuts[at],
+            },
+        });
+        found.last |= arrival.last;
+        found.reasons.push(reason(&arrival, (start, at), weighed));
+        if start == 0 {
+            break;
+        }
+        at = start;
+        arrival = nodes[at * domains + usize::from(domain.0)]?;
+    }
+    found.hops.reverse();
+    found.reasons.reverse();
+    Some(found)
+}
+
+fn reason(arrival: &Arrival, cuts: (usize, usize), weighed: &[Weighed]) -> HopReason {
+    let others = weighed
+        .iter()
+        .filter(|w| w.cuts == cuts && w.upstream != arrival.upstream);
+    let runner_up = others.min_by(|a, b| a.cost.total_cmp(&b.cost));
+    HopReason {
+        upstream: arrival.upstream,
+        cost_us: arrival.cost,
+        runner_up: runner_up.map(|w| RunnerUp {
+            upstream: w.upstream,
+            cost_us: w.cost,
+        }),
+        reason: match (arrival.last, runner_up) {
+            (true, _) => Reason::LastResort,
+            (false, None) => Reason::OnlyCandidate,
+            (false, Some(_)) => Reason::Cheapest,
+        },
+    }
+}
