--- a/crates/kelpworks/src/lib.rs
+++ b/crates/kelpworks/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod pipeline;
 pub mod placement;
 pub mod register;
+pub mod retry;
 pub mod routing;
 pub mod rules;
 pub mod settings;
