placement: first landing of the planner

Cause: the slice was an empty module; nothing chose cuts or hosts. Ruled out: equal layers for every host (the slowest host sets the rate). Change: candidates of cuts from the hosts' memory, a greedy start, local search on the slowest stage under the rule that each stage stands in two failure domains, repair, absorb and improve on a plan in force, and the reason for each host's stage. Broken on purpose: without mending 2 fail, with a layer over memory 3 fail; without the flow start and without hysteresis none fails yet, so those two are not covered.

--- /dev/null
+++ b/crates/kelpworks/examples/measure/fleets.rs
@@ -0,0 +1,296 @@
+//! Mixed fleets for the measurement of placement, drawn from a seed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kelpworks::fleet::DomainKey;
+use kelpworks::fleet::LinkCost;
+use kelpworks::fleet::ModelKey;
+use kelpworks::placement::HostSpec;
+use kelpworks::placement::Input;
+use kelpworks::placement::ModelSpec;
+use kelpworks::units::Rate;
+use kelpworks::units::Size;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+/// Bytes of a gigabyte.
+const GB: u64 = 1_000_000_000;
+/// Bytes a second of the weight store.
+const WEIGHT_RATE: u64 = 20 * GB;
+
+/// A kind of accelerator.
+#[derive(Clone, Copy)]
+pub(crate) struct Kind {
+    /// Layers of one token a second.
+    rate: f64,
+    /// Memory, in gigabytes.
+    memory: u64,
+    /// Weight in the draw of a host's kind.
+    share: u32,
+}
+
+/// A model.
+#[derive(Clone, Copy)]
+pub(crate) struct ModelShape {
+    /// Layers.
+    layers: u32,
+    /// Megabytes a layer.
+    layer_mb: u64,
+    /// Demand relative to the others.
+    demand: f64,
+}
+
+/// What to draw fleets from.
+pub(crate) struct FleetShape {
+    /// Name of the row.
+    pub(crate) name: &'static str,
+    /// Engine hosts.
+    pub(crate) hosts: u32,
+    /// Accelerators a host.
+    accelerators: u32,
+    /// Failure domains of each region.
+    regions: &'static [u16],
+    /// One-way latency within a domain, between domains of a region, between regions; microseconds.
+    latency_us: [u64; 3],
+    /// Kinds of accelerators.
+    kinds: &'static [Kind],
+    /// Models.
+    models: &'static [ModelShape],
+    /// Chance that a host may carry a model; each may carry one at least.
+    allowed: f64,
+    /// Chance that a host stands in the first failure domain rather than in a uniformly drawn one.
+    skew: f64,
+}
+
+const SMALL: Kind = Kind {
+    rate: 9_000.0,
+    memory: 24,
+    share: 2,
+};
+const MIDDLE: Kind = Kind {
+    rate: 17_000.0,
+    memory: 48,
+    share: 2,
+};
+const LARGE: Kind = Kind {
+    rate: 41_000.0,
+    memory: 80,
+    share: 1,
+};
+const OLD: Kind = Kind {
+    rate: 6_500.0,
+    memory: 32,
+    share: 1,
+};
+const WIDE: Kind = Kind {
+    rate: 58_000.0,
+    memory: 141,
+    share: 1,
+};
+
+const CAPTION: ModelShape = ModelShape {
+    layers: 80,
+    layer_mb: 1_750,
+    demand: 1.0,
+};
+const REPORT: ModelShape = ModelShape {
+    layers: 64,
+    layer_mb: 2_100,
+    demand: 1.0,
+};
+const BIG: ModelShape = ModelShape {
+    layers: 126,
+    layer_mb: 6_430,
+    demand: 1.0,
+};
+const LIGHT: ModelShape = ModelShape {
+    layers: 48,
+    layer_mb: 900,
+    demand: 3.0,
+};
+
+/// The fleets, by row.
+pub(crate) const FLEETS: &[FleetShape] = &[
+    FleetShape {
+        name: "aralsky-40",
+        hosts: 40,
+        accelerators: 2,
+        regions: &[3],
+        latency_us: [50, 700, 700],
+        kinds: &[SMALL, MIDDLE, LARGE],
+        models: &[CAPTION],
+        allowed: 1.0,
+        skew: 0.0,
+    },
+    FleetShape {
+        name: "nile-delta-40",
+        hosts: 40,
+        accelerators: 2,
+        regions: &[3],
+        latency_us: [50, 700, 700],
+        kinds: &[MIDDLE, LARGE],
+        models: &[REPORT],
+        allowed: 1.0,
+        skew: 0.0,
+    },
+    FleetShape {
+        name: "skewed-domains-40",
+        hosts: 40,
+        accelerators: 2,
+        regions: &[3],
+        latency_us: [50, 700, 700],
+        kinds: &[SMALL, MIDDLE, LARGE],
+        models: &[CAPTION],
+        allowed: 1.0,
+        skew: 0.6,
+    },
+    FleetShape {
+        name: "small-memory-40",
+        hosts: 40,
+        accelerators: 1,
+        regions: &[3],
+        latency_us: [50, 700, 700],
+        kinds: &[SMALL, OLD, WIDE],
+        models: &[CAPTION],
+        allowed: 1.0,
+        skew: 0.0,
+    },
+    FleetShape {
+        name: "two-models-40",
+        hosts: 40,
+        accelerators: 4,
+        regions: &[3],
+        latency_us: [50, 700, 700],
+        kinds: &[SMALL, MIDDLE, LARGE],
+        models: &[CAPTION, REPORT],
+        allowed: 0.8,
+        skew: 0.0,
+    },
+    FleetShape {
+        name: "five-kinds-100",
+        hosts: 100,
+        accelerators: 4,
+        regions: &[2, 2],
+        latency_us: [50, 500, 5_000],
+        kinds: &[SMALL, MIDDLE, LARGE, OLD, WIDE],
+        models: &[CAPTION],
+        allowed: 1.0,
+        skew: 0.0,
+    },
+    FleetShape {
+        name: "three-models-100",
+        hosts: 100,
+        accelerators: 4,
+        regions: &[2, 2],
+        latency_us: [50, 500, 5_000],
+        kinds: &[SMALL, MIDDLE, LARGE, OLD, WIDE],
+        models: &[CAPTION, REPORT, LIGHT],
+        allowed: 0.6,
+        skew: 0.2,
+    },
+    FleetShape {
+        name: "one-model-200",
+        hosts: 200,
+        accelerators: 8,
+        regions: &[2, 2],
+        latency_us: [50, 500, 5_000],
+        kinds: &[SMALL, MIDDLE, LARGE, OLD, WIDE],
+        models: &[BIG],
+        allowed: 1.0,
+        skew: 0.0,
+    },
+    FleetShape {
+        name: "target-600",
+        hosts: 600,
+        accelerators: 8,
+        regions: &[2, 2],
+        latency_us: [50, 500, 5_000],
+        kinds: &[SMALL, MIDDLE, LARGE, OLD, WIDE],
+        models: &[CAPTION, REPORT, BIG, LIGHT],
+        allowed: 0.7,
+        skew: 0.0,
+    },
+];
+
+/// Draws a fleet; the same seed gives the same fleet.
+pub(crate) fn draw(shape: &FleetShape, seed: u64) -> Input {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let domains: u16 = shape.regions.iter().sum();
+    let hosts = (0..shape.hosts).map(|i| draw_host(shape, domains, i, &mut rng));
+    let hosts = hosts.collect();
+    let models = shape.models.iter().enumerate().map(|(i, m)| ModelSpec {
+        name: Arc::from(format!("model-{i}")),
+        version: Arc::from("v1"),
+        layers: m.layers,
+        layer_size: Size(m.layer_mb * 1_000_000),
+        demand: m.demand,
+    });
+    Input {
+        domains: (0..domains)
+            .map(|d| Arc::from(format!("domain-{d}")))
+            .collect(),
+        hosts,
+        models: models.collect(),
+        links: links(shape, domains),
+        holdings: Vec::new(),
+        weight_rate: Rate(WEIGHT_RATE),
+    }
+}
+
+fn draw_host(shape: &FleetShape, domains: u16, index: u32, rng: &mut StdRng) -> HostSpec {
+    let total: u32 = shape.kinds.iter().map(|k| k.share).sum();
+    let mut drawn = rng.random_range(0..total);
+    let mut kind = shape.kinds[0];
+    for k in shape.kinds {
+        kind = *k;
+        if drawn < k.share {
+            break;
+        }
+        drawn -= k.share;
+    }
+    let skewed = rng.random_bool(shape.skew);
+    let domain = if skewed {
+        0
+    } else {
+        rng.random_range(0..domains)
+    };
+    let count = shape.models.len();
+    let sure = rng.random_range(0..count);
+    let may = (0..count).filter(|&m| m == sure || rng.random_bool(shape.allowed));
+    HostSpec {
+        name: Arc::from(format!("host-{index}")),
+        domain: DomainKey(domain),
+        memory: Size(kind.memory * u64::from(shape.accelerators) * GB),
+        layer_rate: kind.rate * f64::from(shape.accelerators),
+        models: may.map(|m| ModelKey(m as u16)).collect(),
+        live: true,
+    }
+}
+
+fn links(shape: &FleetShape, domains: u16) -> Vec<LinkCost> {
+    let region = |d: u16| {
+        let mut end = 0;
+        shape.regions.iter().position(|&r| {
+            end += r;
+            d < end
+        })
+    };
+    let mut links = Vec::new();
+    for a in 0..domains {
+        for b in 0..domains {
+            let [within, near, far] = shape.latency_us;
+            let us = match (a == b, region(a) == region(b)) {
+                (true, _) => within,
+                (false, true) => near,
+                (false, false) => far,
+            };
+            links.push(LinkCost {
+                latency: Duration::from_micros(us),
+                bytes_per_second: 100 * GB / us,
+            });
+        }
+    }
+    links
+}
--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -5,6 +5,8 @@
 
 use std::process::ExitCode;
 
+mod fleets;
+mod placement;
 mod table;
 
 use crate::table::Table;
@@ -17,7 +19,10 @@
     run: fn() -> Table,
 }
 
-const MEASUREMENTS: &[Measurement] = &[];
+const MEASUREMENTS: &[Measurement] = &[Measurement {
+    name: "placement",
+    run: placement::run,
+}];
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
--- /dev/null
+++ b/crates/kelpworks/src/placement/locality.rs
@@ -0,0 +1,133 @@
+//! Shortens the links between a stage and the next, without touching any stage's rate.
+
+use super::input::HostKey;
+use super::input::Input;
+use super::state::State;
+use crate::fleet::DomainKey;
+
+/// Most rounds over all pairs of slots.
+const ROUNDS: usize = 4;
+
+/// Swaps hosts of equal rate between stages while that lowers the mean link latency of a token.
+pub(super) fn shorten(input: &Input, state: &mut State<'_>) {
+    let links = Links::new(input);
+    for _ in 0..ROUNDS {
+        let mut changed = false;
+        for a in 0..state.slots.len() {
+            for b in a + 1..state.slots.len() {
+                changed |= shorten_pair(&links, state, a, b);
+            }
+        }
+        if !changed {
+            return;
+        }
+    }
+}
+
+/// Links between failure domains, shortest first.
+struct Links {
+    /// Seconds one way, and both ends.
+    sorted: Vec<(f64, usize, usize)>,
+    /// Number of failure domains.
+    domains: usize,
+}
+
+impl Links {
+    fn new(input: &Input) -> Links {
+        let domains = input.domains.len();
+        let mut sorted = Vec::new();
+        for from in 0..domains {
+            for to in 0..domains {
+                let link = input.link(DomainKey(from as u16), DomainKey(to as u16));
+                sorted.push((link.latency.as_secs_f64(), from, to));
+            }
+        }
+        sorted.sort_by(|a, b| a.0.total_cmp(&b.0).then((a.1, a.2).cmp(&(b.1, b.2))));
+        Links { sorted, domains }
+    }
+
+    /// Latency between slot `next` and the one before it, weighed by demand; 0 when that is of
+    /// another model. Each stage's work is shared among its domains by rate, and goes on over the
+    /// shortest links first.
+    fn between(&self, state: &State<'_>, next: usize) -> f64 {
+        if next == 0 || next >= state.slots.len() {
+            return 0.0;
+        }
+        if state.slots[next - 1].model != state.slots[next].model {
+            return 0.0;
+        }
+        let mut from = self.shares(state, next - 1);
+        let mut to = self.shares(state, next);
+        let mut total = 0.0;
+        for &(latency, a, b) in &self.sorted {
+            let flow = f64::min(from[a], to[b]);
+            from[a] -= flow;
+            to[b] -= flow;
+            total += flow * latency;
+        }
+        total * state.slots[next].demand
+    }
+
+    /// Share of each domain in a slot's rate.
+    fn shares(&self, state: &State<'_>, slot: usize) -> Vec<f64> {
+        let mut shares = vec![0.0; self.domains];
+        let slot = &state.slots[slot];
+        for &h in &slot.hosts {
+            shares[state.domain(h)] += state.rate(h) / slot.rate;
+        }
+        shares
+    }
+
+    /// Latency of all links that end in one of two slots.
+    fn around(&self, state: &State<'_>, a: usize, b: usize) -> f64 {
+        let mut ends = vec![a, a + 1, b, b + 1];
+        ends.sort_unstable();
+        ends.dedup();
+        ends.iter().map(|&s| self.between(state, s)).sum()
+    }
+}
+
+/// Tries one swap for each pair of kinds in two slots; keeps those that shorten.
+fn shorten_pair(links: &Links, state: &mut State<'_>, a: usize, b: usize) -> bool {
+    let mut changed = false;
+    for (x, y) in pairs(state, a, b) {
+        let current = state.at[x.index()] == Some(a) && state.at[y.index()] == Some(b);
+        if !current {
+            continue;
+        }
+        let before = (state.deficit(), links.around(state, a, b));
+        state.place(x, Some(b));
+        state.place(y, Some(a));
+        let after = (state.deficit(), links.around(state, a, b));
+        if after.0 <= before.0 && after.1 < before.1 * (1.0 - 1e-9) {
+            changed = true;
+        } else {
+            state.place(x, Some(a));
+            state.place(y, Some(b));
+        }
+    }
+    changed
+}
+
+/// Pairs of hosts, one of each slot, of equal rate and in different failure domains; one pair for
+/// each pair of domains and rate.
+fn pairs(state: &State<'_>, a: usize, b: usize) -> Vec<(HostKey, HostKey)> {
+    let mut found: Vec<(HostKey, HostKey)> = Vec::new();
+    for &x in &state.slots[a].hosts {
+        for &y in &state.slots[b].hosts {
+            let swaps = state.rate(x) == state.rate(y)
+                && state.domain(x) != state.domain(y)
+                && state.fits(x, b)
+                && state.fits(y, a);
+            let known = found.iter().any(|&(u, v)| {
+                state.rate(u) == state.rate(x)
+                    && state.domain(u) == state.domain(x)
+                    && state.domain(v) == state.domain(y)
+            });
+            if swaps && !known {
+                found.push((x, y));
+            }
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/kelpworks/src/placement/planner.rs
@@ -0,0 +1,221 @@
+//! The full plan: tries cuts, balances hosts over them, then prefers fewer moves and short links.
+
+use kelpworks_wire::LayerRange;
+
+use super::cuts;
+use super::input::HostKey;
+use super::input::Input;
+use super::locality;
+use super::plan::Assignment;
+use super::plan::ModelPlan;
+use super::plan::Plan;
+use super::plan::Shortfall;
+use super::plan::Stage;
+use super::search::Allowed;
+use super::standing;
+use super::state::Cuts;
+use super::state::Slot;
+use super::state::State;
+use super::state::View;
+use super::today;
+use crate::fleet::ModelKey;
+
+/// Share of the bound at which the search for cuts ends.
+const GOOD_ENOUGH: f64 = 0.985;
+/// Share of the best rate that is given up for fewer stages.
+const STAGE_TOLERANCE: f64 = 0.01;
+/// Share of the best rate that is given up for fewer moves from today's holdings.
+pub const MOVE_TOLERANCE: f64 = 0.03;
+
+/// Everything may change.
+const ANY: Allowed = Allowed {
+    shift: true,
+    rate: true,
+};
+/// Hosts may change places, cuts stay.
+const KEEP_CUTS: Allowed = Allowed {
+    shift: false,
+    rate: true,
+};
+
+/// Plans the placement of all models on all live hosts.
+///
+/// In this order: every stage stands after the loss of any one failure domain and any one host
+/// where a way is found ([`Plan::shortfalls`] names the stages that do not); the greatest
+/// [`Plan::scale`], within [`MOVE_TOLERANCE`]; the fewest moves from today's holdings; short links
+/// between a stage and the next.
+///
+/// # Panics
+///
+/// When a key in the input points past what it indexes.
+pub fn plan(input: &Input) -> Plan {
+    let view = View::new(input);
+    let fresh = best_cuts(input, &view);
+    let goal = fresh.scale() * (1.0 - MOVE_TOLERANCE);
+    let kept = today::state(input, &view).and_then(|mut state| {
+        state.fill();
+        state.improve(goal, KEEP_CUTS);
+        let good = state.deficit() <= fresh.deficit() && state.scale() >= goal;
+        good.then_some(state)
+    });
+    if let Some(state) = kept {
+        return finish(input, &state);
+    }
+    let mut state = fresh;
+    locality::shorten(input, &mut state);
+    today::keep_alike(input, &mut state);
+    finish(input, &state)
+}
+
+/// A trial of cuts: one candidate for each model.
+struct Trial<'a> {
+    /// Candidate of each model.
+    chosen: Vec<usize>,
+    /// The assignment found.
+    state: State<'a>,
+    /// Its deficit.
+    deficit: u32,
+    /// Its scale.
+    scale: f64,
+}
+
+impl Trial<'_> {
+    fn better(&self, other: &Trial<'_>) -> bool {
+        if self.deficit != other.deficit {
+            return self.deficit < other.deficit;
+        }
+        let fewer = self.state.slots.len() < other.state.slots.len();
+        let give = if fewer {
+            1.0 - STAGE_TOLERANCE
+        } else {
+            1.0 + STAGE_TOLERANCE
+        };
+        self.scale > other.scale * give
+    }
+}
+
+fn best_cuts<'a>(input: &Input, view: &'a View) -> State<'a> {
+    let models = (0..input.models.len()).map(|m| ModelKey(m as u16));
+    let candidates: Vec<Vec<Vec<u32>>> = models.map(|m| cuts::candidates(input, view, m)).collect();
+    let goal = input.bound() * GOOD_ENOUGH;
+    let most = candidates.iter().map(Vec::len).max().unwrap_or(0);
+    let done = |t: &Trial<'_>| t.deficit == 0 && t.scale >= goal;
+    let mut best = attempt(input, view, &candidates, vec![0; candidates.len()]);
+    for level in 1..most {
+        if done(&best) {
+            return best.state;
+        }
+        let chosen = candidates
+            .iter()
+            .map(|c| level.min(c.len().saturating_sub(1)));
+        let trial = attempt(input, view, &candidates, chosen.collect());
+        if trial.better(&best) {
+            best = trial;
+        }
+    }
+    for model in 0..candidates.len() {
+        for level in 0..candidates[model].len() {
+            if done(&best) {
+                return best.state;
+            }
+            let mut chosen = best.chosen.clone();
+            if chosen[model] == level {
+                continue;
+            }
+            chosen[model] = level;
+            let trial = attempt(input, view, &candidates, chosen);
+            if trial.better(&best) {
+                best = trial;
+            }
+        }
+    }
+    best.state
+}
+
+fn attempt<'a>(
+    input: &Input,
+    view: &'a View,
+    candidates: &[Vec<Vec<u32>>],
+    chosen: Vec<usize>,
+) -> Trial<'a> {
+    let lengths = chosen.iter().zip(candidates);
+    let lengths = lengths.map(|(&c, all)| all.get(c).cloned().unwrap_or_default());
+    let cuts = Cuts {
+        lengths: lengths.collect(),
+    };
+    let mut state = State::new(view, input, &cuts);
+    state.fill();
+    state.improve(f64::INFINITY, ANY);
+    if state.deficit() > 0 {
+        let mut other = standing::anchored(input, view, &cuts);
+        other.fill();
+        other.improve(f64::INFINITY, ANY);
+        if other.deficit() < state.deficit() {
+            state = other;
+        }
+    }
+    Trial {
+        deficit: state.deficit(),
+        scale: state.scale(),
+        chosen,
+        state,
+    }
+}
+
+/// Turns a state into a plan.
+pub(super) fn finish(input: &Input, state: &State<'_>) -> Plan {
+    let mut plan = Plan {
+        models: Vec::new(),
+        assignments: vec![None; input.hosts.len()],
+        shortfalls: Vec::new(),
+    };
+    for m in 0..input.models.len() {
+        let model = ModelKey(m as u16);
+        let slots: Vec<&Slot> = state.slots.iter().filter(|s| s.model == m).collect();
+        if slots.is_empty() {
+            plan.shortfalls.push(Shortfall::Unplaceable { model });
+            continue;
+        }
+        let mut first = 0;
+        let mut stages = Vec::new();
+        for (at, slot) in slots.iter().enumerate() {
+            let stage = at as u16;
+            let end = first + slot.length;
+            let mut hosts = slot.hosts.clone();
+            hosts.sort_unstable();
+            assign(&mut plan, &hosts, Assignment { model, stage });
+            plan.shortfalls.extend(shortfall(slot, model, stage));
+            let layers = LayerRange { first, end };
+            let rate = slot.rate / f64::from(slot.length);
+            stages.push(Stage {
+                layers,
+                hosts,
+                rate,
+            });
+            first = end;
+        }
+        let version = input.models[m].version.clone();
+        plan.models.push(ModelPlan {
+            model,
+            version,
+            stages,
+        });
+    }
+    plan
+}
+
+fn assign(plan: &mut Plan, hosts: &[HostKey], to: Assignment) {
+    for host in hosts {
+        plan.assignments[host.index()] = Some(to);
+    }
+}
+
+fn shortfall(slot: &Slot, model: ModelKey, stage: u16) -> Option<Shortfall> {
+    let domains = slot.per_domain.iter().filter(|&&count| count > 0).count();
+    match (slot.hosts.len(), domains) {
+        (0, _) => Some(Shortfall::NoReplica { model, stage }),
+        (1, _) => Some(Shortfall::OneHost { model, stage }),
+        (_, 1) => Some(Shortfall::OneFailureDomain { model, stage }),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/placement/tests.rs
@@ -0,0 +1,344 @@
+//! Tests of placement on small fleets.
+
+use std::fmt::Write as _;
+use std::sync::Arc;
+use std::time::Duration;
+
+use insta::assert_snapshot;
+use proptest::prelude::*;
+use rstest::rstest;
+
+use super::*;
+use crate::fleet::DomainKey;
+use crate::fleet::LinkCost;
+use crate::fleet::ModelKey;
+use crate::units::Rate;
+use crate::units::Size;
+
+/// Bytes of a layer in these tests.
+const LAYER: u64 = 1_000;
+
+/// A host that may hold so many layers of any model.
+fn host(name: &str, domain: u16, layers: u64, layer_rate: f64) -> HostSpec {
+    let bytes = (layers * LAYER) as f64 / (1.0 - KV_HEADROOM);
+    HostSpec {
+        name: Arc::from(name),
+        domain: DomainKey(domain),
+        memory: Size(bytes.ceil() as u64),
+        layer_rate,
+        models: vec![ModelKey(0)],
+        live: true,
+    }
+}
+
+fn model(name: &str, layers: u32, demand: f64) -> ModelSpec {
+    ModelSpec {
+        name: Arc::from(name),
+        version: Arc::from("v1"),
+        layers,
+        layer_size: Size(LAYER),
+        demand,
+    }
+}
+
+fn input(domains: u16, hosts: Vec<HostSpec>, models: Vec<ModelSpec>) -> Input {
+    let link = |near: bool| LinkCost {
+        latency: Duration::from_micros(if near { 10 } else { 1_000 }),
+        bytes_per_second: 1_000_000_000,
+    };
+    let ends = (0..domains).flat_map(|a| (0..domains).map(move |b| a == b));
+    Input {
+        domains: (0..domains)
+            .map(|d| Arc::from(format!("hall-{d}")))
+            .collect(),
+        hosts,
+        models,
+        links: ends.map(link).collect(),
+        holdings: Vec::new(),
+        weight_rate: Rate(LAYER),
+    }
+}
+
+/// Hosts dealt to the domains in turn; `shapes` are layers and rate.
+fn dealt(domains: u16, shapes: &[(u64, f64)]) -> Vec<HostSpec> {
+    let shapes = shapes.iter().enumerate();
+    shapes
+        .map(|(i, &(layers, rate))| host(&format!("h{i}"), i as u16 % domains, layers, rate))
+        .collect()
+}
+
+/// Holdings that a plan leads to.
+fn held(plan: &Plan, input: &Input) -> Vec<HeldRange> {
+    let ranges = input.host_keys().filter_map(|host| {
+        let (model, layers) = plan.layers(host)?;
+        let version = plan.model(model)?.version.clone();
+        let layers = layers.clone();
+        Some(HeldRange {
+            host,
+            model,
+            version,
+            layers,
+        })
+    });
+    ranges.collect()
+}
+
+/// The invariants of every plan.
+fn check(input: &Input, plan: &Plan) {
+    for m in &plan.models {
+        let mut at = 0;
+        for (s, stage) in m.stages.iter().enumerate() {
+            assert_eq!(stage.layers.first, at, "stages cover each layer once");
+            assert!(stage.layers.end > at, "no stage is empty");
+            at = stage.layers.end;
+            for &h in &stage.hosts {
+                let length = stage.layers.end - stage.layers.first;
+                assert!(
+                    length <= input.layer_capacity(h, m.model),
+                    "memory, models, live"
+                );
+                let expected = Assignment {
+                    model: m.model,
+                    stage: s as u16,
+                };
+                assert_eq!(plan.assignments[h.index()], Some(expected));
+            }
+        }
+        assert_eq!(at, input.model(m.model).layers);
+    }
+    let placed: usize = plan
+        .models
+        .iter()
+        .flat_map(|m| &m.stages)
+        .map(|s| s.hosts.len())
+        .sum();
+    assert_eq!(placed, plan.assignments.iter().flatten().count());
+    if plan.shortfalls.is_empty() {
+        let domains = (0..input.domains.len()).map(|d| Lost::FailureDomain(DomainKey(d as u16)));
+        let losses = input.host_keys().map(Lost::Host).chain(domains);
+        for lost in losses {
+            assert!(
+                plan.stands_without(|h| lost.covers(input, h)),
+                "stands without {lost:?}"
+            );
+        }
+    }
+}
+
+#[rstest]
+#[case::equal_hosts(2, &[(8, 100.0); 8], 16, 1.0)]
+#[case::three_domains(3, &[(8, 100.0); 12], 24, 1.0)]
+#[case::mixed_rates(2, &[(10, 300.0), (10, 300.0), (10, 100.0), (10, 100.0), (10, 100.0),
+    (10, 100.0), (10, 100.0), (10, 100.0)], 20, 1.0)]
+#[case::small_and_large(2, &[(4, 100.0), (4, 100.0), (12, 300.0), (12, 300.0)], 16, 1.0)]
+#[case::unequal_cuts_win(2, &[(5, 100.0), (5, 100.0), (20, 400.0), (20, 400.0)], 25, 1.0)]
+fn reaches_the_bound(
+    #[case] domains: u16,
+    #[case] shapes: &[(u64, f64)],
+    #[case] layers: u32,
+    #[case] share: f64,
+) {
+    let input = input(
+        domains,
+        dealt(domains, shapes),
+        vec![model("m", layers, 1.0)],
+    );
+    let plan = plan(&input);
+    check(&input, &plan);
+    assert_eq!(plan.shortfalls, []);
+    assert!(plan.scale(&input) >= share * input.bound() * (1.0 - 1e-9));
+}
+
+#[rstest]
+#[case::no_host(vec![], "[Unplaceable { model: ModelKey(0) }]")]
+#[case::too_little_memory(
+    dealt(2, &[(0, 1.0), (0, 1.0)]),
+    "[Unplaceable { model: ModelKey(0) }]"
+)]
+#[case::one_host(dealt(1, &[(9, 1.0)]), "[OneHost { model: ModelKey(0), stage: 0 }]")]
+#[case::one_domain(
+    dealt(1, &[(9, 1.0), (9, 1.0)]),
+    "[OneFailureDomain { model: ModelKey(0), stage: 0 }]"
+)]
+#[case::half_of_the_layers(
+    dealt(1, &[(4, 1.0)]),
+    "[OneHost { model: ModelKey(0), stage: 0 }, NoReplica { model: ModelKey(0), stage: 1 }]"
+)]
+fn names_the_rules_that_cannot_be_met(#[case] hosts: Vec<HostSpec>, #[case] expected: &str) {
+    let input = input(2, hosts, vec![model("m", 8, 1.0)]);
+    let plan = plan(&input);
+    check(&input, &plan);
+    assert_eq!(format!("{:?}", plan.shortfalls), expected);
+}
+
+#[test]
+fn demand_divides_hosts_among_models() {
+    let mut hosts = dealt(2, &[(8, 100.0); 16]);
+    for h in &mut hosts {
+        h.models.push(ModelKey(1));
+    }
+    let models = vec![model("a", 8, 3.0), model("b", 8, 1.0)];
+    let input = input(2, hosts, models);
+    let plan = plan(&input);
+    check(&input, &plan);
+    let rates: Vec<f64> = plan.models.iter().map(ModelPlan::rate).collect();
+    assert_eq!(rates, [150.0, 50.0]);
+    assert_eq!(plan.scale(&input), input.bound());
+}
+
+#[test]
+fn a_plan_in_words() {
+    let shapes = [
+        (6, 100.0),
+        (6, 100.0),
+        (12, 200.0),
+        (12, 200.0),
+        (6, 100.0),
+        (2, 50.0),
+    ];
+    let mut input = input(3, dealt(3, &shapes), vec![model("caption", 12, 1.0)]);
+    input.hosts.push(HostSpec {
+        live: false,
+        ..host("h6", 0, 12, 100.0)
+    });
+    input.hosts.push(HostSpec {
+        models: vec![],
+        ..host("h7", 0, 12, 100.0)
+    });
+    let plan = plan(&input);
+    check(&input, &plan);
+    let mut text = String::new();
+    for host in input.host_keys() {
+        writeln!(text, "{}", plan.explain(&input, host)).unwrap();
+    }
+    writeln!(
+        text,
+        "scale={:.3} bound={:.3}",
+        plan.scale(&input),
+        input.bound()
+    )
+    .unwrap();
+    assert_snapshot!(text);
+}
+
+#[rstest]
+#[case::nothing_changed(0)]
+#[case::one_host_lost(1)]
+fn planning_again_moves_little(#[case] lost: u32) {
+    let shapes: Vec<(u64, f64)> = (0..24)
+        .map(|i| (10, 100.0 + f64::from(i % 3) * 70.0))
+        .collect();
+    let mut input = input(3, dealt(3, &shapes), vec![model("m", 30, 1.0)]);
+    input.holdings = held(&plan(&input), &input);
+    for h in 0..lost {
+        input = without(&input, Lost::Host(HostKey(h)));
+    }
+    let again = plan(&input);
+    check(&input, &again);
+    assert!(
+        again.moves(&input) <= lost as usize,
+        "{} moves",
+        again.moves(&input)
+    );
+}
+
+#[rstest]
+#[case::replicas_left(&[(8, 100.0); 12], Lost::Host(HostKey(0)), 0)]
+#[case::second_domain_gone(&[(8, 100.0); 5], Lost::Host(HostKey(1)), 1)]
+fn repair_moves_the_least(#[case] shapes: &[(u64, f64)], #[case] lost: Lost, #[case] moves: usize) {
+    let mut input = input(2, dealt(2, shapes), vec![model("m", 16, 1.0)]);
+    let before = plan(&input);
+    input.holdings = held(&before, &input);
+    let after = repair(&input, &before, lost);
+    check(&without(&input, lost), &after);
+    assert_eq!(after.moves(&input), moves);
+}
+
+#[test]
+fn improvement_needs_more_than_the_hysteresis() {
+    let mut input = input(2, dealt(2, &[(8, 100.0); 8]), vec![model("m", 16, 1.0)]);
+    let before = plan(&input);
+    input.holdings = held(&before, &input);
+    assert_eq!(improve(&input, &before), None);
+    input.hosts.extend(dealt(2, &[(8, 100.0); 4]));
+    let mut grown = before.clone();
+    grown.assignments.resize(12, None);
+    let better = improve(&input, &grown).unwrap();
+    assert_eq!(better.scale(&input), 75.0);
+    let absorbed = absorb(&input, &grown);
+    assert_eq!(absorbed.scale(&input), 75.0);
+    assert_eq!(absorbed.moves(&input), 4);
+    assert_eq!(improve(&input, &absorbed), None);
+}
+
+/// Fleets with hosts of any shape.
+fn any_input() -> impl Strategy<Value = Input> {
+    let hosts = prop::collection::vec(
+        (0_u16..4, 0_u64..20, 1_u32..50, 0_u8..4, any::<bool>()),
+        0..24,
+    );
+    (hosts, 1_u32..40, 1_u32..40).prop_map(|(shapes, a, b)| {
+        let shaped = |(d, layers, rate, models, live): (u16, u64, u32, u8, bool)| HostSpec {
+            models: (0..2)
+                .filter(|m| models & (1 << m) != 0)
+                .map(ModelKey)
+                .collect(),
+            live: live || layers % 3 > 0,
+            ..host("h", d, layers, f64::from(rate))
+        };
+        let hosts = shapes.into_iter().map(shaped).collect();
+        input(4, hosts, vec![model("a", a, 1.0), model("b", b, 2.0)])
+    })
+}
+
+/// Fleets on which some cut lets every stage stand: two hosts in two domains for each stage of
+/// `layers` layers, each allowed one model, and others besides.
+fn standing_input() -> impl Strategy<Value = Input> {
+    let others = prop::collection::vec((0_u16..3, 0_u64..9, 0_u16..2), 0..8);
+    let pairs = prop::collection::vec((0_u16..3, 1_u16..3), 5);
+    (pairs, others).prop_map(|(pairs, others)| {
+        let of = |model: usize, d: u16, layers: u64| HostSpec {
+            models: vec![ModelKey(model as u16)],
+            ..host("h", d, layers, 100.0)
+        };
+        let mut hosts = Vec::new();
+        for (i, (domain, step)) in pairs.into_iter().enumerate() {
+            let model = usize::from(i >= 3);
+            hosts.push(of(model, domain, 8));
+            hosts.push(of(model, (domain + step) % 3, 8));
+        }
+        hosts.extend(others.into_iter().map(|(d, l, m)| of(usize::from(m), d, l)));
+        input(3, hosts, vec![model("a", 24, 1.0), model("b", 16, 1.0)])
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 200,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn every_plan_keeps_the_invariants(input in any_input()) {
+        let found = plan(&input);
+        check(&input, &found);
+        prop_assert!(found.scale(&input) <= input.bound() * (1.0 + 1e-9));
+        prop_assert_eq!(plan(&input), found);
+    }
+
+    #[test]
+    fn every_stage_stands_where_that_is_possible(input in standing_input()) {
+        let found = plan(&input);
+        check(&input, &found);
+        prop_assert_eq!(found.shortfalls, []);
+    }
+
+    #[test]
+    fn repair_keeps_the_invariants(input in any_input(), lost in 0_u16..4) {
+        let before = plan(&input);
+        let lost = Lost::FailureDomain(DomainKey(lost));
+        check(&without(&input, lost), &repair(&input, &before, lost));
+    }
+}
