--- /dev/null
+++ b/crates/kelpworks-coord/src/budget.rs
@@ -0,0 +1,164 @@
+//! This daemon's part of the object API's write rate.
+//!
+//! The API takes several hundred writes a second, however many daemons there are. Each daemon
+//! limits its claims to an equal part of what is left after the writes on which the whole fleet
+//! depends: those of the config head and of leases, which have a bucket of their own.
+//!
+//! ```
+//! use kelpworks_coord::budget::Config;
+//! use kelpworks_coord::budget::Purpose;
+//! use kelpworks_coord::budget::WriteBudget;
+//! use kelpworks_coord::time::Instant;
+//!
+//! let cfg = Config { fleet_per_second: 200, reserved_per_second: 20, burst: 2 };
+//! let mut budget = WriteBudget::new(cfg, Instant::ZERO);
+//! budget.set_members(Instant::ZERO, 6); // 180 / 6 = 30 claim writes a second here
+//! assert!(budget.try_take(Instant::ZERO, Purpose::Claim, 2).is_ok());
+//! let refused = budget.try_take(Instant::ZERO, Purpose::Claim, 2).unwrap_err();
+//! assert_eq!(refused.retry_after.as_millis(), 67);
+//! assert!(budget.try_take(Instant::ZERO, Purpose::Lease, 1).is_ok());
+//! ```
+//!
+//! The parts are equal; a daemon that gets more keyed requests than its part refuses some that
+//! another could have taken. Daemons that disagree on the number of members can together pass the
+//! rate, so drivers pass the number of daemons on the host list, not of those seen live.
+
+use thiserror::Error;
+
+use crate::time::Instant;
+use crate::time::Span;
+
+const MILLI: u64 = 1_000;
+
+/// Result of asking for writes.
+pub type Result<T> = std::result::Result<T, Refused>;
+
+/// The budget is spent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("write budget spent, retry after {} ms", .retry_after.as_millis())]
+pub struct Refused {
+    /// When it will do, if nothing else takes it first.
+    pub retry_after: Span,
+}
+
+/// What a write is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Purpose {
+    /// The config head and its blobs.
+    Head,
+    /// A lease.
+    Lease,
+    /// A claim; ask for both of its writes at once, so that the outcome can be recorded.
+    Claim,
+}
+
+/// Rates of the whole fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Config {
+    /// Writes a second that all daemons may spend together. Default 200.
+    pub fleet_per_second: u64,
+    /// Of those, for head and leases. Default 20.
+    pub reserved_per_second: u64,
+    /// Writes that a daemon may spend at once, at least the 2 of a claim. Default 8.
+    pub burst: u64,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            fleet_per_second: 200,
+            reserved_per_second: 20,
+            burst: 8,
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Bucket {
+    /// Thousandths of a write; at most 1,000 times the burst.
+    level: u64,
+    /// Thousandths of a write a second, shared by the members.
+    fleet_rate: u64,
+}
+
+impl Bucket {
+    fn refill(&mut self, passed: Span, members: u64, burst: u64) {
+        let gain = self.fleet_rate.saturating_mul(passed.as_millis()) / members / MILLI;
+        self.level = self.level.saturating_add(gain).min(burst * MILLI);
+    }
+
+    fn take(&mut self, writes: u64, members: u64) -> Result<()> {
+        let need = writes * MILLI;
+        if self.level >= need {
+            self.level -= need;
+            return Ok(());
+        }
+        let rate = (self.fleet_rate / members).max(1);
+        let ms = ((need - self.level) * MILLI).div_ceil(rate);
+        Err(Refused {
+            retry_after: Span::from_millis(ms),
+        })
+    }
+}
+
+/// Token buckets of one daemon.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct WriteBudget {
+    cfg: Config,
+    /// At least 1.
+    members: u64,
+    claims: Bucket,
+    reserved: Bucket,
+    filled: Instant,
+}
+
+impl WriteBudget {
+    /// Full buckets, of a fleet of one.
+    pub fn new(cfg: Config, now: Instant) -> WriteBudget {
+        let left = cfg.fleet_per_second.saturating_sub(cfg.reserved_per_second);
+        let bucket = |rate: u64| Bucket {
+            level: cfg.burst * MILLI,
+            fleet_rate: rate * MILLI,
+        };
+        WriteBudget {
+            cfg,
+            members: 1,
+            claims: bucket(left),
+            reserved: bucket(cfg.reserved_per_second),
+            filled: now,
+        }
+    }
+
+    /// Sets the number of daemons that share the rate; 0 counts as 1.
+    pub fn set_members(&mut self, now: Instant, members: usize) {
+        self.refill(now);
+        self.members = (members as u64).max(1);
+    }
+
+    /// Takes so many writes, all or none.
+    ///
+    /// # Errors
+    ///
+    /// When the bucket holds fewer; says when to ask again.
+    pub fn try_take(&mut self, now: Instant, purpose: Purpose, writes: u64) -> Result<()> {
+        self.refill(now);
+        let members = self.members;
+        match purpose {
+            // Few daemons write the head or hold a lease, so its rate is not divided: the
+            // reserve bounds each of them by the whole, and their number is bounded otherwise.
+            Purpose::Head | Purpose::Lease => self.reserved.take(writes, 1),
+            Purpose::Claim => self.claims.take(writes, members),
+        }
+    }
+
+    fn refill(&mut self, now: Instant) {
+        let passed = now.since(self.filled);
+        // Below a few milliseconds the gain of a small share would round to nothing for ever.
+        if passed < Span::from_millis(10) {
+            return;
+        }
+        self.filled = now;
+        self.claims.refill(passed, self.members, self.cfg.burst);
+        self.reserved.refill(passed, 1, self.cfg.burst);
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-coord/src/head.rs
@@ -0,0 +1,467 @@
+//! The config head: which configuration is accepted, and which is in force on a daemon.
+//!
+//! Register and rules are immutable objects named by their digest. One small head object names the
+//! pair in force, and a conditional update of it is what accepts a change. [`Swap`] is the side of
+//! an operator, [`Follower`] that of a daemon.
+//!
+//! - The pair is validated together before each swap, also after a rebase.
+//! - The head keeps for each part who changed it last ([`Part::nonce`]) and at which generation
+//!   ([`Part::since`]). So a lost reply can be settled by reading back even if others have swapped
+//!   since, and a part that was changed and changed back still counts as changed.
+//! - A daemon moves to a higher generation only, whatever an API replica or a peer says.
+//!
+//! ```
+//! use kelpworks_coord::head::*;
+//! use kelpworks_coord::id::*;
+//! use kelpworks_coord::time::Instant;
+//!
+//! let change = Change { which: Which::Rules, digest: Digest([1; 32]), nonce: Nonce(5) };
+//! let mut swap = Swap::new(Config::default(), change, Instant::ZERO);
+//! assert_eq!(swap.on_event(Instant::ZERO, SwapEvent::Start), [SwapAction::PutBlob(change.digest)]);
+//! let actions = swap.on_event(Instant::ZERO, SwapEvent::BlobStored);
+//! assert_eq!(actions, [SwapAction::ReadHead]);
+//!
+//! let mut follower = Follower::new();
+//! let newer = Head { generation: Generation(4), ..Head::EMPTY };
+//! assert_eq!(follower.on_event(FollowerEvent::Seen(newer)), [FollowerAction::Fetch(newer)]);
+//! let older = Head { generation: Generation(3), ..Head::EMPTY };
+//! assert_eq!(follower.on_event(FollowerEvent::Seen(older)), []);
+//! ```
+//!
+//! Limits: an operator's command that ends with [`SwapOutcome::Unknown`] may yet take effect, when
+//! its last write is still under way. A stale first read can report a conflict with a change that
+//! the operator did not see; it never overwrites one.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::Digest;
+use crate::id::Nonce;
+use crate::id::Version;
+use crate::time::Instant;
+use crate::time::Span;
+
+/// Number of a configuration; rises by one with each accepted change.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Generation(pub u64);
+
+/// One part of a configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Part {
+    /// Its text, by digest.
+    pub digest: Digest,
+    /// Generation that brought it; at most the head's.
+    pub since: Generation,
+    /// The change that brought it.
+    pub nonce: Nonce,
+}
+
+/// Body of the head object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Head {
+    /// Higher than that of each head before.
+    pub generation: Generation,
+    /// The register; `None` before the first import.
+    pub register: Option<Part>,
+    /// The rules; `None` before they are first applied.
+    pub rules: Option<Part>,
+}
+
+impl Head {
+    /// What stands before the first change.
+    pub const EMPTY: Head = Head {
+        generation: Generation(0),
+        register: None,
+        rules: None,
+    };
+
+    fn part(&self, which: Which) -> Option<Part> {
+        match which {
+            Which::Register => self.register,
+            Which::Rules => self.rules,
+        }
+    }
+
+    fn with(self, change: Change) -> Head {
+        let generation = Generation(self.generation.0 + 1);
+        let part = Some(Part {
+            digest: change.digest,
+            since: generation,
+            nonce: change.nonce,
+        });
+        match change.which {
+            Which::Register => Head {
+                generation,
+                register: part,
+                ..self
+            },
+            Which::Rules => Head {
+                generation,
+                rules: part,
+                ..self
+            },
+        }
+    }
+}
+
+/// Which part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Which {
+    /// The register.
+    Register,
+    /// The rules.
+    Rules,
+}
+
+/// A change that an operator asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Change {
+    /// The part to replace.
+    pub which: Which,
+    /// Its new text.
+    pub digest: Digest,
+    /// Drawn for this change.
+    pub nonce: Nonce,
+}
+
+/// Bounds of a swap.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Config {
+    /// Pause before a call is tried again. Default 200 ms.
+    pub retry: Span,
+    /// Longest time for the whole change. Default 30 s.
+    pub give_up: Span,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            retry: Span::from_millis(200),
+            give_up: Span::from_secs(30),
+        }
+    }
+}
+
+/// The head object as the API shows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StoredHead {
+    /// Its version; [`Version::ABSENT`] with [`Head::EMPTY`] when there is none.
+    pub version: Version,
+    /// Its body.
+    pub head: Head,
+}
+
+/// An input of [`Swap`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum SwapEvent {
+    /// Begin.
+    Start,
+    /// The text is stored.
+    BlobStored,
+    /// The head was read.
+    HeadRead(StoredHead),
+    /// The pair fits together.
+    Valid,
+    /// The pair does not.
+    Invalid,
+    /// The head was written.
+    Swapped,
+    /// The head was not written; it stands so.
+    Conflict(StoredHead),
+    /// The call was turned away before any effect.
+    Refused,
+    /// The call got no answer; it may have taken effect, or take effect later.
+    Lost,
+    /// Time passed.
+    Tick,
+}
+
+/// Something for the operator's driver to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum SwapAction {
+    /// Store the new text under its digest, unless it is there.
+    PutBlob(Digest),
+    /// Read the head.
+    ReadHead,
+    /// Check that the parts of this head fit together.
+    Validate(Head),
+    /// Write the head.
+    SwapHead {
+        /// Condition.
+        if_version: Version,
+        /// New body.
+        head: Head,
+    },
+    /// The end.
+    Done(SwapOutcome),
+}
+
+/// How a change ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum SwapOutcome {
+    /// In force from this generation on.
+    Accepted(Generation),
+    /// The same part was changed since it was first read; nothing was applied.
+    Conflict {
+        /// What stands.
+        current: Head,
+    },
+    /// The same part was changed after a write of ours whose reply was lost. Ours was applied and
+    /// replaced, or never applied.
+    Superseded {
+        /// What stands.
+        current: Head,
+    },
+    /// The pair does not fit; nothing was applied.
+    Invalid,
+    /// Time ran out before the first write of the head; nothing was applied.
+    NotApplied,
+    /// Time ran out after a write whose effect is not known.
+    Unknown,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Call {
+    Blob,
+    Read,
+    Validate(StoredHead),
+    Swap(StoredHead),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum SwapState {
+    New,
+    Outstanding(Call),
+    Waiting { call: Call, until: Instant },
+    Done,
+}
+
+/// An operator's change, from its text to its acceptance.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Swap {
+    cfg: Config,
+    change: Change,
+    give_up_at: Instant,
+    /// The head as first read: what the operator's change was made against.
+    base: Option<Head>,
+    /// Whether a write of the head may have taken effect without our knowing.
+    exposed: bool,
+    state: SwapState,
+}
+
+impl Swap {
+    /// A change that has not begun.
+    pub fn new(cfg: Config, change: Change, now: Instant) -> Swap {
+        let give_up_at = now + cfg.give_up;
+        Swap {
+            cfg,
+            change,
+            give_up_at,
+            base: None,
+            exposed: false,
+            state: SwapState::New,
+        }
+    }
+
+    /// Takes an input. Inputs that do not fit the present state are ignored.
+    pub fn on_event(&mut self, now: Instant, event: SwapEvent) -> Vec<SwapAction> {
+        match (self.state, event) {
+            (SwapState::New, SwapEvent::Start) => self.call(Call::Blob),
+            (SwapState::Waiting { call, until }, SwapEvent::Tick) => {
+                if now >= self.give_up_at {
+                    return self.time_out();
+                }
+                if now >= until {
+                    self.call(call)
+                } else {
+                    Vec::new()
+                }
+            }
+            (SwapState::Outstanding(_), SwapEvent::Tick) if now >= self.give_up_at => {
+                self.time_out()
+            }
+            (SwapState::Outstanding(call), event) => self.on_reply(now, call, event),
+            _ => Vec::new(),
+        }
+    }
+
+    fn call(&mut self, call: Call) -> Vec<SwapAction> {
+        self.state = SwapState::Outstanding(call);
+        vec![match call {
+            Call::Blob => SwapAction::PutBlob(self.change.digest),
+            Call::Read => SwapAction::ReadHead,
+            Call::Validate(at) => SwapAction::Validate(at.head.with(self.change)),
+            Call::Swap(at) => SwapAction::SwapHead {
+                if_version: at.version,
+                head: at.head.with(self.change),
+            },
+        }]
+    }
+
+    fn on_reply(&mut self, now: Instant, call: Call, event: SwapEvent) -> Vec<SwapAction> {
+        match (call, event) {
+            (Call::Blob, SwapEvent::BlobStored) => self.call(Call::Read),
+            (Call::Read, SwapEvent::HeadRead(at)) => self.on_head(at),
+            (Call::Validate(at), SwapEvent::Valid) => self.call(Call::Swap(at)),
+            (Call::Validate(_), SwapEvent::Invalid) => self.on_invalid(),
+            (Call::Swap(at), SwapEvent::Swapped) => {
+                self.done(SwapOutcome::Accepted(at.head.with(self.change).generation))
+            }
+            (Call::Swap(_), SwapEvent::Conflict(at)) => self.on_head(at),
+            (Call::Swap(_), SwapEvent::Lost) => {
+                self.exposed = true;
+                self.call(Call::Read)
+            }
+            (call, SwapEvent::Lost | SwapEvent::Refused) => {
+                self.state = SwapState::Waiting {
+                    call,
+                    until: now + self.cfg.retry,
+                };
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Decides on a head that was read, or that stood in the way.
+    fn on_head(&mut self, at: StoredHead) -> Vec<SwapAction> {
+        let base = *self.base.get_or_insert(at.head);
+        let ours = at.head.part(self.change.which);
+        if let Some(part) = ours.filter(|p| p.nonce == self.change.nonce) {
+            return self.done(SwapOutcome::Accepted(part.since));
+        }
+        let since = |part: Option<Part>| part.map(|p| p.since);
+        if since(ours) == since(base.part(self.change.which)) {
+            return self.call(Call::Validate(at));
+        }
+        match self.exposed {
+            true => self.done(SwapOutcome::Superseded { current: at.head }),
+            false => self.done(SwapOutcome::Conflict { current: at.head }),
+        }
+    }
+
+    fn on_invalid(&mut self) -> Vec<SwapAction> {
+        match self.exposed {
+            true => self.done(SwapOutcome::Unknown),
+            false => self.done(SwapOutcome::Invalid),
+        }
+    }
+
+    fn time_out(&mut self) -> Vec<SwapAction> {
+        let writing = matches!(
+            self.state,
+            SwapState::Outstanding(Call::Swap(_))
+                | SwapState::Waiting {
+                    call: Call::Swap(_),
+                    ..
+                }
+        );
+        match self.exposed || writing {
+            true => self.done(SwapOutcome::Unknown),
+            false => self.done(SwapOutcome::NotApplied),
+        }
+    }
+
+    fn done(&mut self, outcome: SwapOutcome) -> Vec<SwapAction> {
+        self.state = SwapState::Done;
+        vec![SwapAction::Done(outcome)]
+    }
+}
+
+/// An input of [`Follower`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum FollowerEvent {
+    /// A head from the API, a watch or a peer.
+    Seen(Head),
+    /// Both texts of this generation are here, checked against their digests and parsed.
+    Fetched(Generation),
+    /// They are not to be had now, or do not parse.
+    FetchFailed(Generation),
+    /// Time to try again.
+    Retry,
+}
+
+/// Something for the daemon to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum FollowerAction {
+    /// Get both texts, from the API or from peers.
+    Fetch(Head),
+    /// Put this configuration in force.
+    Apply(Head),
+}
+
+/// A daemon's view of the configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Follower {
+    /// In force; its generation never falls.
+    current: Option<Head>,
+    /// Being fetched; its generation is higher than that of [`Follower::current`].
+    pending: Option<Head>,
+    /// Whether the last fetch of `pending` failed.
+    failed: bool,
+    stale: u32,
+}
+
+impl Follower {
+    /// A daemon without configuration.
+    pub fn new() -> Follower {
+        Follower::default()
+    }
+
+    /// Takes an input.
+    pub fn on_event(&mut self, event: FollowerEvent) -> Vec<FollowerAction> {
+        match event {
+            FollowerEvent::Seen(head) => self.on_seen(head),
+            FollowerEvent::Fetched(generation) => self.on_fetched(generation),
+            FollowerEvent::FetchFailed(generation) => {
+                self.failed |= self.pending.is_some_and(|p| p.generation == generation);
+                Vec::new()
+            }
+            FollowerEvent::Retry => {
+                let again = self.pending.filter(|_| self.failed);
+                self.failed = false;
+                again.map(FollowerAction::Fetch).into_iter().collect()
+            }
+        }
+    }
+
+    fn on_seen(&mut self, head: Head) -> Vec<FollowerAction> {
+        if head.generation < self.known() {
+            self.stale = self.stale.saturating_add(1);
+        }
+        if head.generation <= self.known() {
+            return Vec::new();
+        }
+        self.pending = Some(head);
+        self.failed = false;
+        vec![FollowerAction::Fetch(head)]
+    }
+
+    fn on_fetched(&mut self, generation: Generation) -> Vec<FollowerAction> {
+        let Some(head) = self.pending.filter(|p| p.generation == generation) else {
+            return Vec::new();
+        };
+        self.pending = None;
+        self.current = Some(head);
+        vec![FollowerAction::Apply(head)]
+    }
+
+    /// The configuration in force.
+    pub fn current(&self) -> Option<Head> {
+        self.current
+    }
+
+    /// Highest generation seen, in force or being fetched; 0 before any.
+    pub fn known(&self) -> Generation {
+        self.pending
+            .or(self.current)
+            .map_or(Generation(0), |h| h.generation)
+    }
+
+    /// Heads dropped for being older than what is known.
+    pub fn stale(&self) -> u32 {
+        self.stale
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-coord/src/id.rs
@@ -0,0 +1,106 @@
+//! Small `Copy` identifiers that mean the same on every daemon.
+//!
+//! ```
+//! use kelpworks_coord::id::NodeId;
+//!
+//! assert_eq!(NodeId::of("alm-entry-1"), NodeId::of("alm-entry-1"));
+//! assert_ne!(NodeId::of("alm-entry-1"), NodeId::of("alm-entry-2"));
+//! ```
+//!
+//! A name's identifier is its 64-bit hash. Two of 1,000 names collide with a probability of about
+//! 3e-14; the drivers refuse a host list in which two do.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A daemon, by the hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct NodeId(pub u64);
+
+impl NodeId {
+    /// Identifier of the daemon of this name.
+    pub fn of(name: &str) -> NodeId {
+        NodeId(xxh3_64(name.as_bytes()))
+    }
+}
+
+/// An upstream, by the hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct UpstreamId(pub u64);
+
+impl UpstreamId {
+    /// Identifier of the upstream of this name.
+    pub fn of(name: &str) -> UpstreamId {
+        UpstreamId(xxh3_64(name.as_bytes()))
+    }
+}
+
+/// A failure domain, by the hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct DomainId(pub u64);
+
+impl DomainId {
+    /// Identifier of the failure domain of this name.
+    pub fn of(name: &str) -> DomainId {
+        DomainId(xxh3_64(name.as_bytes()))
+    }
+}
+
+/// One run of a process: higher for a later run of the same daemon or engine.
+///
+/// A daemon also raises its own to refute a report of its death, see [`crate::membership`].
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Incarnation(pub u64);
+
+/// A number that a writer draws at random to know its own write again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Nonce(pub u64);
+
+/// Version of an object of the object API; 0 stands for an object that does not exist.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Version(pub u64);
+
+impl Version {
+    /// Version of an object that does not exist, as the condition of a create.
+    pub const ABSENT: Version = Version(0);
+}
+
+/// SHA-256 digest of an immutable object; also its name.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Digest(pub [u8; 32]);
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Digest({self})")
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> String {
+        digest.to_string()
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = hex::FromHexError;
+
+    fn try_from(text: String) -> std::result::Result<Digest, hex::FromHexError> {
+        let mut bytes = [0; 32];
+        hex::decode_to_slice(text, &mut bytes)?;
+        Ok(Digest(bytes))
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-coord/src/membership.rs
@@ -0,0 +1,611 @@
+//! Which daemons are live, by the platform's host list and by probes.
+//!
+//! The protocol is SWIM's: each daemon probes one other at a time, directly and then through a few
+//! others, and passes on what it learns with its messages. Its load does not grow with the fleet.
+//!
+//! - A silent member is a suspect first. It counts as dead once others suspect it as well, or after
+//!   a long timeout, so one bad link of one daemon buries no one.
+//! - A probe tells its target what the prober holds of it. A target that reads that it is suspect
+//!   or dead raises its incarnation, and its answer overrides the report.
+//! - Dead members that the host list still shows are probed on, at a slower pace. So a daemon that
+//!   is live and can be reached does not stay dead for ever.
+//!
+//! ```
+//! use kelpworks_coord::id::*;
+//! use kelpworks_coord::membership::*;
+//! use kelpworks_coord::time::*;
+//!
+//! let (a, b) = (NodeId::of("a"), NodeId::of("b"));
+//! let mut members = Membership::new(Config::default(), a, DomainId(1), Incarnation(1));
+//! let now = Instant::ZERO;
+//! members.on_event(now, Event::Listed(vec![Entry { node: b, domain: DomainId(1), leaving: false }]));
+//! let actions = members.on_event(now, Event::Tick);
+//! assert!(matches!(actions[..], [Action::Probe { target, .. }] if target == b));
+//! members.on_event(now, Event::Heard { from: b, incarnation: Incarnation(5) });
+//! assert_eq!(members.health(b), Some(Health::Alive));
+//! ```
+//!
+//! Limits: a daemon must start with an incarnation above that of its earlier runs, such as the
+//! time of its start. Two sides of a cut each count the other dead, and both go on.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::id::DomainId;
+use crate::id::Incarnation;
+use crate::id::NodeId;
+use crate::time::Instant;
+use crate::time::Span;
+
+/// Times and bounds of membership.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Config {
+    /// One member is probed in each of these. Default 1 s.
+    pub probe_every: Span,
+    /// How long a probe, direct or indirect, may take. Default 400 ms.
+    pub probe_timeout: Span,
+    /// Members asked to probe a silent one. Default 3.
+    pub indirect: usize,
+    /// Daemons that must suspect a member before it counts as dead, this one included; fewer when
+    /// there are not so many, but at least 2. Default 3.
+    pub confirmations: usize,
+    /// Least time from suspicion to death, in which to refute it. Default 2 s.
+    pub suspect_min: Span,
+    /// A suspect counts as dead after so long without confirmation too. Default 15 s.
+    pub suspect_max: Span,
+    /// How often a dead member is probed. Default 10 s.
+    pub dead_probe: Span,
+    /// How long a dead member that is no longer listed, or one that left, is remembered.
+    /// Default 10 min.
+    pub forget: Span,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            probe_every: Span::from_secs(1),
+            probe_timeout: Span::from_millis(400),
+            indirect: 3,
+            confirmations: 3,
+            suspect_min: Span::from_secs(2),
+            suspect_max: Span::from_secs(15),
+            dead_probe: Span::from_secs(10),
+            forget: Span::from_secs(600),
+        }
+    }
+}
+
+/// What is held of a member; in rising order of rank within one incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Health {
+    /// Live.
+    Alive,
+    /// Silent towards some; still counted as live.
+    Suspect,
+    /// Not counted as live.
+    Dead,
+    /// Left by its own word.
+    Left,
+}
+
+/// A line of the platform's host list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Entry {
+    /// The daemon.
+    pub node: NodeId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Whether the platform is about to take the host away.
+    pub leaving: bool,
+}
+
+/// What one daemon tells another of a third.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Update {
+    /// The member.
+    pub node: NodeId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Incarnation that the report is about.
+    pub incarnation: Incarnation,
+    /// What it says.
+    pub health: Health,
+    /// Who says so of its own knowledge.
+    pub by: NodeId,
+}
+
+/// An input.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// Time passed.
+    Tick,
+    /// The host list was read.
+    Listed(Vec<Entry>),
+    /// A message of any kind came straight from a member, or its answer by an indirect probe.
+    Heard {
+        /// The member.
+        from: NodeId,
+        /// As it says.
+        incarnation: Incarnation,
+    },
+    /// A probe came in; `view` is what the prober holds of this daemon.
+    Probed {
+        /// The prober.
+        from: NodeId,
+        /// Its incarnation.
+        incarnation: Incarnation,
+        /// What it holds of this daemon.
+        view: Update,
+    },
+    /// Reports came with a message.
+    Updates(Vec<Update>),
+    /// This daemon is about to stop.
+    Leave,
+}
+
+/// Something for the driver to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Action {
+    /// Probe a member; [`Event::Heard`] if it answers.
+    Probe {
+        /// The member.
+        target: NodeId,
+        /// What this daemon holds of it; goes with the probe.
+        view: Update,
+    },
+    /// Ask `via` to probe `target`; [`Event::Heard`] of the target if that answers.
+    ProbeVia {
+        /// Whom to ask.
+        via: NodeId,
+        /// Whom to probe.
+        target: NodeId,
+        /// Goes with the probe.
+        view: Update,
+    },
+    /// Answer a probe, with this daemon's incarnation.
+    Answer {
+        /// The prober.
+        to: NodeId,
+        /// May have been raised by the probe.
+        incarnation: Incarnation,
+        /// What this daemon holds of the prober, for it to refute.
+        view: Option<Update>,
+    },
+    /// What is held of a member changed.
+    Changed {
+        /// The member.
+        node: NodeId,
+        /// From now on.
+        health: Health,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Member {
+    domain: DomainId,
+    /// Never falls while the member is known.
+    incarnation: Incarnation,
+    health: Health,
+    /// Since when it has this health.
+    since: Instant,
+    /// Who suspects it under this incarnation; empty unless it is a suspect.
+    suspected_by: BTreeSet<NodeId>,
+    listed: bool,
+    leaving: bool,
+    last_probe: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Probe {
+    target: NodeId,
+    sent: Instant,
+    indirect: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Queued {
+    update: Update,
+    /// Messages that it still goes with; at least 1.
+    sends: u32,
+}
+
+/// One daemon's view of the others.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Membership {
+    cfg: Config,
+    me: NodeId,
+    domain: DomainId,
+    /// Above every incarnation under which anyone reported this daemon suspect or dead.
+    incarnation: Incarnation,
+    left: bool,
+    /// Never holds this daemon itself.
+    members: BTreeMap<NodeId, Member>,
+    /// At most one at a time, so that the load is constant.
+    probe: Option<Probe>,
+    next_probe: Instant,
+    /// One update a member at most, bar suspicions of different daemons.
+    queue: VecDeque<Queued>,
+}
+
+impl Membership {
+    /// A daemon that knows of no other yet.
+    pub fn new(cfg: Config, me: NodeId, domain: DomainId, incarnation: Incarnation) -> Membership {
+        Membership {
+            cfg,
+            me,
+            domain,
+            incarnation,
+            left: false,
+            members: BTreeMap::new(),
+            probe: None,
+            next_probe: Instant::ZERO,
+            queue: VecDeque::new(),
+        }
+    }
+
+    /// Takes an input.
+    pub fn on_event(&mut self, now: Instant, event: Event) -> Vec<Action> {
+        match event {
+            Event::Tick => self.on_tick(now),
+            Event::Listed(entries) => self.on_listed(now, &entries),
+            Event::Heard { from, incarnation } => self.on_heard(now, from, incarnation),
+            Event::Probed {
+                from,
+                incarnation,
+                view,
+            } => {
+                let mut actions = self.on_heard(now, from, incarnation);
+                actions.extend(self.on_update(now, view));
+                let view = self.view(from);
+                let incarnation = self.incarnation;
+                actions.push(Action::Answer {
+                    to: from,
+                    incarnation,
+                    view,
+                });
+                actions
+            }
+            Event::Updates(updates) => updates
+                .into_iter()
+                .flat_map(|u| self.on_update(now, u))
+                .collect(),
+            Event::Leave => {
+                self.left = true;
+                self.enqueue(self.own_update());
+                Vec::new()
+            }
+        }
+    }
+
+    /// What is held of a member; `None` of one that is not known, and of this daemon.
+    pub fn health(&self, node: NodeId) -> Option<Health> {
+        self.members.get(&node).map(|m| m.health)
+    }
+
+    /// This daemon's incarnation, for every message it sends.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Members that count as live, suspects included, with their failure domains; not this daemon.
+    pub fn live(&self) -> impl Iterator<Item = (NodeId, DomainId)> + '_ {
+        self.members
+            .iter()
+            .filter(|(_, m)| m.health <= Health::Suspect)
+            .map(|(&node, m)| (node, m.domain))
+    }
+
+    /// Whether the host list shows the member as leaving.
+    pub fn is_leaving(&self, node: NodeId) -> bool {
+        self.members.get(&node).is_some_and(|m| m.leaving)
+    }
+
+    /// Up to `max` reports to go with the next message; those that went least often come first.
+    pub fn take_updates(&mut self, max: usize) -> Vec<Update> {
+        let n = self.queue.len().min(max);
+        let mut taken: Vec<Queued> = self.queue.drain(..n).collect();
+        let updates = taken.iter().map(|q| q.update).collect();
+        for queued in &mut taken {
+            queued.sends -= 1;
+        }
+        self.queue.extend(taken.into_iter().filter(|q| q.sends > 0));
+        updates
+    }
+
+    /// All that is held, this daemon included, for a peer that just joined.
+    pub fn snapshot(&self) -> Vec<Update> {
+        let others = self.members.keys().filter_map(|&node| self.view(node));
+        others.chain([self.own_update()]).collect()
+    }
+
+    fn own_update(&self) -> Update {
+        let health = if self.left {
+            Health::Left
+        } else {
+            Health::Alive
+        };
+        Update {
+            node: self.me,
+            domain: self.domain,
+            incarnation: self.incarnation,
+            health,
+            by: self.me,
+        }
+    }
+
+    fn view(&self, node: NodeId) -> Option<Update> {
+        let m = self.members.get(&node)?;
+        let (domain, incarnation, health) = (m.domain, m.incarnation, m.health);
+        Some(Update {
+            node,
+            domain,
+            incarnation,
+            health,
+            by: self.me,
+        })
+    }
+
+    fn on_listed(&mut self, now: Instant, entries: &[Entry]) -> Vec<Action> {
+        for m in self.members.values_mut() {
+            m.listed = false;
+        }
+        for entry in entries.iter().filter(|e| e.node != self.me) {
+            let m = self
+                .members
+                .entry(entry.node)
+                .or_insert_with(|| Member::new(now, entry.domain));
+            m.listed = true;
+            m.domain = entry.domain;
+            m.leaving = entry.leaving;
+        }
+        Vec::new()
+    }
+
+    fn on_heard(&mut self, now: Instant, from: NodeId, incarnation: Incarnation) -> Vec<Action> {
+        if self.probe.is_some_and(|p| p.target == from) {
+            self.probe = None;
+        }
+        let domain = self.members.get(&from).map_or(DomainId(0), |m| m.domain);
+        let health = Health::Alive;
+        self.on_update(
+            now,
+            Update {
+                node: from,
+                domain,
+                incarnation,
+                health,
+                by: from,
+            },
+        )
+    }
+
+    fn on_update(&mut self, now: Instant, update: Update) -> Vec<Action> {
+        if update.node == self.me {
+            self.refute(update);
+            return Vec::new();
+        }
+        let known = self.members.contains_key(&update.node);
+        if !known && update.health != Health::Alive {
+            return Vec::new();
+        }
+        let m = self
+            .members
+            .entry(update.node)
+            .or_insert_with(|| Member::new(now, update.domain));
+        let (old, new) = (
+            (m.incarnation, m.health),
+            (update.incarnation, update.health),
+        );
+        if new == old && update.health == Health::Suspect {
+            if m.suspected_by.insert(update.by) {
+                self.enqueue(update);
+            }
+            return Vec::new();
+        }
+        if new <= old {
+            return Vec::new();
+        }
+        m.incarnation = update.incarnation;
+        m.suspected_by.clear();
+        if update.health == Health::Suspect {
+            m.suspected_by.insert(update.by);
+            // Look for ourselves soon: our word may confirm it, or give the member its chance.
+            m.last_probe = None;
+        }
+        let changed = m.health != update.health || !known;
+        if changed {
+            m.health = update.health;
+            m.since = now;
+        }
+        self.enqueue(update);
+        let health = update.health;
+        changed
+            .then_some(Action::Changed {
+                node: update.node,
+                health,
+            })
+            .into_iter()
+            .collect()
+    }
+
+    fn refute(&mut self, update: Update) {
+        let buried = update.health != Health::Alive && update.incarnation >= self.incarnation;
+        let newer = update.incarnation > self.incarnation;
+        if (buried || newer) && !self.left {
+            self.incarnation = Incarnation(update.incarnation.0 + 1);
+            self.enqueue(self.own_update());
+        }
+    }
+
+    fn enqueue(&mut self, update: Update) {
+        let replaced = |old: &Update| {
+            // Suspicions of different daemons add up, so they do not replace each other.
+            let both = old.health == Health::Suspect && update.health == Health::Suspect;
+            old.node == update.node && (!both || old.by == update.by)
+        };
+        self.queue.retain(|q| !replaced(&q.update));
+        let sends = 3 * (self.members.len() as u32 + 2).ilog2();
+        self.queue.push_front(Queued { update, sends });
+    }
+
+    fn on_tick(&mut self, now: Instant) -> Vec<Action> {
+        let mut actions = self.bury(now);
+        self.forget(now);
+        actions.extend(self.advance_probe(now));
+        if self.probe.is_none() && now >= self.next_probe && !self.left {
+            actions.extend(self.start_probe(now));
+        }
+        actions
+    }
+
+    fn bury(&mut self, now: Instant) -> Vec<Action> {
+        let counted = self
+            .members
+            .values()
+            .filter(|m| m.health == Health::Alive)
+            .count()
+            + 1;
+        // One daemon's word is never enough; the long timeout is for when there is no other's.
+        let need = self.cfg.confirmations.min(counted).max(2);
+        let due: Vec<NodeId> = self
+            .members
+            .iter()
+            .filter(|(_, m)| m.is_due_for_burial(&self.cfg, now, need))
+            .map(|(&node, _)| node)
+            .collect();
+        let mut actions = Vec::new();
+        for node in due {
+            if let Some(view) = self.view(node) {
+                actions.extend(self.on_update(
+                    now,
+                    Update {
+                        health: Health::Dead,
+                        ..view
+                    },
+                ));
+            }
+        }
+        actions
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let keep = self.cfg.forget;
+        self.members.retain(|_, m| {
+            let gone = m.health == Health::Left || (m.health == Health::Dead && !m.listed);
+            !gone || now.since(m.since) < keep
+        });
+    }
+
+    fn advance_probe(&mut self, now: Instant) -> Vec<Action> {
+        let Some(probe) = self
+            .probe
+            .filter(|p| now.since(p.sent) >= self.cfg.probe_timeout)
+        else {
+            return Vec::new();
+        };
+        let Some(view) = self.view(probe.target) else {
+            self.probe = None;
+            return Vec::new();
+        };
+        let helpers = self.helpers(probe.target);
+        if !probe.indirect && !helpers.is_empty() {
+            self.probe = Some(Probe {
+                sent: now,
+                indirect: true,
+                ..probe
+            });
+            let ask = |via| Action::ProbeVia {
+                via,
+                target: probe.target,
+                view,
+            };
+            return helpers.into_iter().map(ask).collect();
+        }
+        self.probe = None;
+        match view.health {
+            Health::Alive | Health::Suspect => self.on_update(
+                now,
+                Update {
+                    health: Health::Suspect,
+                    ..view
+                },
+            ),
+            Health::Dead | Health::Left => Vec::new(),
+        }
+    }
+
+    fn helpers(&self, target: NodeId) -> Vec<NodeId> {
+        let mut live: Vec<NodeId> = self
+            .members
+            .iter()
+            .filter(|&(&node, m)| node != target && m.health == Health::Alive)
+            .map(|(&node, _)| node)
+            .collect();
+        live.sort_by_key(|node| xxh3_64_with_seed(&node.0.to_le_bytes(), target.0 ^ self.me.0));
+        live.truncate(self.cfg.indirect);
+        live
+    }
+
+    fn start_probe(&mut self, now: Instant) -> Vec<Action> {
+        self.next_probe = now + self.cfg.probe_every;
+        let cfg = self.cfg;
+        // Least recently probed first, those never probed before all others. Ties fall to a hash
+        // that differs between probers, so that a fleet started together does not probe in step.
+        let me = self.me;
+        let target = self
+            .members
+            .iter()
+            .filter(|(_, m)| m.is_due_for_probe(&cfg, now))
+            .min_by_key(|&(node, m)| (m.last_probe, xxh3_64_with_seed(&node.0.to_le_bytes(), me.0)))
+            .map(|(&node, _)| node);
+        let Some((target, view)) = target.and_then(|t| Some((t, self.view(t)?))) else {
+            return Vec::new();
+        };
+        if let Some(m) = self.members.get_mut(&target) {
+            m.last_probe = Some(now);
+        }
+        self.probe = Some(Probe {
+            target,
+            sent: now,
+            indirect: false,
+        });
+        vec![Action::Probe { target, view }]
+    }
+}
+
+impl Member {
+    fn new(now: Instant, domain: DomainId) -> Member {
+        Member {
+            domain,
+            incarnation: Incarnation(0),
+            health: Health::Alive,
+            since: now,
+            suspected_by: BTreeSet::new(),
+            listed: false,
+            leaving: false,
+            last_probe: None,
+        }
+    }
+
+    fn is_due_for_burial(&self, cfg: &Config, now: Instant, need: usize) -> bool {
+        let waited = now.since(self.since);
+        let confirmed = self.suspected_by.len() >= need && waited >= cfg.suspect_min;
+        self.health == Health::Suspect && (confirmed || waited >= cfg.suspect_max)
+    }
+
+    fn is_due_for_probe(&self, cfg: &Config, now: Instant) -> bool {
+        match self.health {
+            Health::Alive | Health::Suspect => true,
+            Health::Dead => self
+                .last_probe
+                .is_none_or(|at| now.since(at) >= cfg.dead_probe),
+            Health::Left => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-coord/src/spread.rs
@@ -0,0 +1,109 @@
+//! Dissemination of the config generation among daemons.
+//!
+//! A daemon that learns of a new generation pushes it to a few peers at once; each of them does the
+//! same, once a generation. What that misses, heartbeats find: they carry the generation, and a
+//! peer that is behind is pushed to, one that is ahead is asked.
+//!
+//! ```
+//! use kelpworks_coord::head::Generation;
+//! use kelpworks_coord::id::NodeId;
+//! use kelpworks_coord::spread::*;
+//!
+//! let peers = [NodeId(2), NodeId(3), NodeId(4), NodeId(5)];
+//! let mut spread = Spread::new(Config::default(), NodeId(1));
+//! assert_eq!(spread.on_event(Event::Learned(Generation(8)), &peers).len(), 3);
+//! assert_eq!(spread.on_event(Event::Learned(Generation(8)), &peers), [], "once a generation");
+//! let behind = Event::Heartbeat { from: NodeId(4), generation: Generation(7) };
+//! assert_eq!(spread.on_event(behind, &peers), [Action::Push(NodeId(4))]);
+//! ```
+//!
+//! The targets follow from a hash of generation, pusher and peer: they differ from generation to
+//! generation, and need no generator. With fanout `f` an eager push alone misses a share of about
+//! `e^-f` of the daemons (5% for 3), whom the next heartbeat serves.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::head::Generation;
+use crate::id::NodeId;
+
+/// Bounds of dissemination.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Config {
+    /// Peers pushed to at once. Default 3.
+    pub fanout: usize,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config { fanout: 3 }
+    }
+}
+
+/// An input.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// This daemon learned of a generation, from the API or a peer's push.
+    Learned(Generation),
+    /// A peer's heartbeat, or its answer to ours.
+    Heartbeat {
+        /// The peer.
+        from: NodeId,
+        /// The highest it knows.
+        generation: Generation,
+    },
+}
+
+/// Something for the driver to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Action {
+    /// Send the head to this peer.
+    Push(NodeId),
+    /// Ask this peer for its head.
+    Pull(NodeId),
+}
+
+/// One daemon's part in dissemination.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Spread {
+    cfg: Config,
+    me: NodeId,
+    /// Highest generation known, and pushed; never falls.
+    known: Generation,
+}
+
+impl Spread {
+    /// A daemon that knows of no generation.
+    pub fn new(cfg: Config, me: NodeId) -> Spread {
+        Spread {
+            cfg,
+            me,
+            known: Generation(0),
+        }
+    }
+
+    /// Takes an input; `peers` are the members that count as live, without this daemon.
+    pub fn on_event(&mut self, event: Event, peers: &[NodeId]) -> Vec<Action> {
+        match event {
+            Event::Learned(generation) if generation > self.known => {
+                self.known = generation;
+                self.targets(peers).into_iter().map(Action::Push).collect()
+            }
+            Event::Learned(_) => Vec::new(),
+            Event::Heartbeat { from, generation } if generation < self.known => {
+                vec![Action::Push(from)]
+            }
+            Event::Heartbeat { from, generation } if generation > self.known => {
+                vec![Action::Pull(from)]
+            }
+            Event::Heartbeat { .. } => Vec::new(),
+        }
+    }
+
+    fn targets(&self, peers: &[NodeId]) -> Vec<NodeId> {
+        let seed = self.known.0.rotate_left(32) ^ self.me.0;
+        let mut peers = peers.to_vec();
+        peers.sort_by_cached_key(|peer| xxh3_64_with_seed(&peer.0.to_le_bytes(), seed));
+        peers.truncate(self.cfg.fanout);
+        peers
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-coord/src/time.rs
@@ -0,0 +1,87 @@
+//! Monotonic time, as the driver passes it in.
+//!
+//! ```
+//! use kelpworks_coord::time::Instant;
+//! use kelpworks_coord::time::Span;
+//!
+//! let t = Instant::from_millis(5) + Span::from_millis(10);
+//! assert_eq!(t, Instant::from_millis(15));
+//! ```
+//!
+//! Values of two daemons are not comparable: each counts from its own start.
+
+use std::ops::Add;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A length of time in whole milliseconds.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Span(u64);
+
+impl Span {
+    /// No time.
+    pub const ZERO: Span = Span(0);
+
+    /// A span of so many milliseconds.
+    pub const fn from_millis(ms: u64) -> Span {
+        Span(ms)
+    }
+
+    /// A span of so many seconds.
+    pub const fn from_secs(s: u64) -> Span {
+        Span(s * 1_000)
+    }
+
+    /// Its length in milliseconds.
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// This span `n` times.
+    pub const fn times(self, n: u64) -> Span {
+        Span(self.0.saturating_mul(n))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+
+    fn add(self, rhs: Span) -> Span {
+        Span(self.0.saturating_add(rhs.0))
+    }
+}
+
+/// A point in time: milliseconds of a monotonic clock since the daemon's start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Instant(u64);
+
+impl Instant {
+    /// The daemon's start.
+    pub const ZERO: Instant = Instant(0);
+
+    /// The point so many milliseconds after the daemon's start.
+    pub const fn from_millis(ms: u64) -> Instant {
+        Instant(ms)
+    }
+
+    /// Milliseconds since the daemon's start.
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// Time from `earlier` to this point; zero when `earlier` is later.
+    pub const fn since(self, earlier: Instant) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Span> for Instant {
+    type Output = Instant;
+
+    fn add(self, rhs: Span) -> Instant {
+        Instant(self.0.saturating_add(rhs.0))
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-coord/tests/control.rs
@@ -0,0 +1,336 @@
+//! Table tests of the config head, the lease, repair, the write budget and dissemination.
+
+use rstest::rstest;
+
+use kelpworks_coord::budget;
+use kelpworks_coord::budget::Purpose;
+use kelpworks_coord::budget::WriteBudget;
+use kelpworks_coord::head::Change;
+use kelpworks_coord::head::Follower;
+use kelpworks_coord::head::FollowerAction;
+use kelpworks_coord::head::FollowerEvent;
+use kelpworks_coord::head::Generation;
+use kelpworks_coord::head::Head;
+use kelpworks_coord::head::Part;
+use kelpworks_coord::head::StoredHead;
+use kelpworks_coord::head::Swap;
+use kelpworks_coord::head::SwapAction;
+use kelpworks_coord::head::SwapEvent;
+use kelpworks_coord::head::SwapOutcome;
+use kelpworks_coord::head::Which;
+use kelpworks_coord::id::Digest;
+use kelpworks_coord::id::DomainId;
+use kelpworks_coord::id::Incarnation;
+use kelpworks_coord::id::NodeId;
+use kelpworks_coord::id::Nonce;
+use kelpworks_coord::id::Version;
+use kelpworks_coord::lease;
+use kelpworks_coord::lease::Action;
+use kelpworks_coord::lease::ApiReply;
+use kelpworks_coord::lease::Event;
+use kelpworks_coord::lease::Lease;
+use kelpworks_coord::lease::Owner;
+use kelpworks_coord::lease::Record;
+use kelpworks_coord::lease::Stored;
+use kelpworks_coord::lease::Token;
+use kelpworks_coord::rendezvous;
+use kelpworks_coord::repair::Repair;
+use kelpworks_coord::spread;
+use kelpworks_coord::spread::Spread;
+use kelpworks_coord::time::Instant;
+use kelpworks_coord::time::Span;
+
+const OURS: Change = Change {
+    which: Which::Rules,
+    digest: Digest([9; 32]),
+    nonce: Nonce(9),
+};
+
+fn part(byte: u8, since: u64) -> Option<Part> {
+    let nonce = Nonce(u64::from(byte));
+    Some(Part {
+        digest: Digest([byte; 32]),
+        since: Generation(since),
+        nonce,
+    })
+}
+
+fn head(version: u64, generation: u64, register: Option<Part>, rules: Option<Part>) -> SwapEvent {
+    let head = Head {
+        generation: Generation(generation),
+        register,
+        rules,
+    };
+    let at = StoredHead {
+        version: Version(version),
+        head,
+    };
+    if version > 10 {
+        SwapEvent::Conflict(at)
+    } else {
+        SwapEvent::HeadRead(at)
+    }
+}
+
+#[rstest]
+#[case::accepted(vec![SwapEvent::Swapped], SwapOutcome::Accepted(Generation(6)))]
+#[case::other_part_changed(
+    vec![head(11, 6, part(3, 6), part(2, 5)), SwapEvent::Valid, SwapEvent::Swapped],
+    SwapOutcome::Accepted(Generation(7)))]
+#[case::pair_no_longer_fits(
+    vec![head(11, 6, part(3, 6), part(2, 5)), SwapEvent::Invalid], SwapOutcome::Invalid)]
+#[case::lost_reply_read_back(
+    vec![SwapEvent::Lost, head(7, 6, part(1, 4), part(9, 6))],
+    SwapOutcome::Accepted(Generation(6)))]
+#[case::lost_reply_then_another_change(
+    vec![SwapEvent::Lost, head(8, 7, part(3, 7), part(9, 6))],
+    SwapOutcome::Accepted(Generation(6)))]
+#[case::lost_reply_not_applied(
+    vec![SwapEvent::Lost, head(6, 5, part(1, 4), part(2, 5)), SwapEvent::Valid, SwapEvent::Swapped],
+    SwapOutcome::Accepted(Generation(6)))]
+#[case::refused_then_accepted(
+    vec![SwapEvent::Refused, SwapEvent::Tick, SwapEvent::Swapped],
+    SwapOutcome::Accepted(Generation(6)))]
+fn a_swap_ends(#[case] events: Vec<SwapEvent>, #[case] outcome: SwapOutcome) {
+    assert_eq!(run_swap(events), Some(SwapAction::Done(outcome)));
+}
+
+fn run_swap(events: Vec<SwapEvent>) -> Option<SwapAction> {
+    let mut swap = Swap::new(Default::default(), OURS, Instant::ZERO);
+    let opening = [
+        SwapEvent::Start,
+        SwapEvent::BlobStored,
+        head(6, 5, part(1, 4), part(2, 5)),
+        SwapEvent::Valid,
+    ];
+    let mut last = None;
+    for (i, event) in opening.into_iter().chain(events).enumerate() {
+        let now = Instant::from_millis(1_000 * i as u64);
+        last = swap.on_event(now, event).pop().or(last);
+    }
+    last
+}
+
+/// The same part came and went again: a compare of digests alone would take it for unchanged.
+#[rstest]
+#[case::seen_at_once(vec![head(12, 7, part(1, 4), part(2, 7))], false)]
+#[case::after_a_lost_reply(vec![SwapEvent::Lost, head(9, 7, part(1, 4), part(2, 7))], true)]
+fn a_part_changed_and_changed_back_is_a_conflict(
+    #[case] events: Vec<SwapEvent>,
+    #[case] superseded: bool,
+) {
+    let Some(SwapAction::Done(outcome)) = run_swap(events) else {
+        panic!("not done")
+    };
+    assert_eq!(
+        matches!(outcome, SwapOutcome::Superseded { .. }),
+        superseded
+    );
+    assert_eq!(matches!(outcome, SwapOutcome::Conflict { .. }), !superseded);
+}
+
+#[test]
+fn a_follower_goes_up_only() {
+    let seen = |n| Head {
+        generation: Generation(n),
+        ..Head::EMPTY
+    };
+    let mut follower = Follower::new();
+    follower.on_event(FollowerEvent::Seen(seen(4)));
+    follower.on_event(FollowerEvent::Seen(seen(5)));
+    assert_eq!(
+        follower.on_event(FollowerEvent::Fetched(Generation(4))),
+        [],
+        "overtaken"
+    );
+    let applied = follower.on_event(FollowerEvent::Fetched(Generation(5)));
+    assert_eq!(applied, [FollowerAction::Apply(seen(5))]);
+    assert_eq!(follower.on_event(FollowerEvent::Seen(seen(4))), []);
+    assert_eq!((follower.known(), follower.stale()), (Generation(5), 1));
+    follower.on_event(FollowerEvent::Seen(seen(6)));
+    follower.on_event(FollowerEvent::FetchFailed(Generation(6)));
+    assert_eq!(
+        follower.current(),
+        Some(seen(5)),
+        "the old stays in force meanwhile"
+    );
+    assert_eq!(
+        follower.on_event(FollowerEvent::Retry),
+        [FollowerAction::Fetch(seen(6))]
+    );
+}
+
+const ME: Owner = Owner {
+    node: NodeId(1),
+    incarnation: Incarnation(1),
+};
+const OTHER: Owner = Owner {
+    node: NodeId(2),
+    incarnation: Incarnation(1),
+};
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(ms)
+}
+
+fn stored(version: u64, owner: Owner, token: u64, renewal: u64) -> Stored {
+    let record = Record {
+        owner: Some(owner),
+        token: Token(token),
+        renewal,
+    };
+    Stored {
+        version: Version(version),
+        record,
+    }
+}
+
+fn holder() -> Lease {
+    let mut lease = Lease::new(lease::Config::default(), ME, at(0));
+    lease.on_event(at(0), Event::Tick);
+    lease.on_event(at(0), Event::Api(ApiReply::Read(Stored::ABSENT)));
+    lease.on_event(at(100), Event::Api(ApiReply::Written(Version(1))));
+    lease
+}
+
+#[test]
+fn a_lost_renewal_is_read_back_and_counts_from_its_sending() {
+    let mut lease = holder();
+    assert!(matches!(
+        lease.on_event(at(3_000), Event::Tick)[..],
+        [Action::Write { .. }]
+    ));
+    assert_eq!(
+        lease.on_event(at(4_000), Event::Api(ApiReply::Lost)),
+        [Action::Read]
+    );
+    let ours = Event::Api(ApiReply::Read(stored(2, ME, 1, 1)));
+    assert_eq!(lease.on_event(at(5_000), ours), []);
+    assert_eq!(lease.fence(at(10_999)), Some(Token(1)));
+    assert_eq!(lease.fence(at(11_000)), None, "3 s + 10 s - 2 s");
+}
+
+#[test]
+fn a_holder_that_was_overtaken_resigns() {
+    let mut lease = holder();
+    lease.on_event(at(20_000), Event::Tick);
+    let taken = Event::Api(ApiReply::Conflict(stored(5, OTHER, 2, 0)));
+    assert_eq!(lease.on_event(at(20_010), taken), [Action::Resigned]);
+    assert_eq!(lease.fence(at(20_010)), None);
+}
+
+#[test]
+fn a_successor_waits_ttl_and_order_bound_and_drift() {
+    let mut lease = Lease::new(lease::Config::default(), ME, at(0));
+    lease.on_event(at(0), Event::Tick);
+    lease.on_event(at(50), Event::Api(ApiReply::Read(stored(7, OTHER, 4, 3))));
+    let due = 50 + 12_121; // 12 s * 1005 / 995, rounded up
+    assert_eq!(lease.on_event(at(due - 1), Event::Tick), [Action::Read]);
+    let unchanged = Event::Api(ApiReply::Read(stored(7, OTHER, 4, 3)));
+    assert_eq!(lease.on_event(at(due - 1), unchanged), []);
+    lease.on_event(at(due + 2_000), Event::Tick);
+    let record = Record {
+        owner: Some(ME),
+        token: Token(5),
+        renewal: 0,
+    };
+    let write = Action::Write {
+        if_version: Version(7),
+        record,
+    };
+    assert_eq!(
+        lease.on_event(at(due + 2_000), Event::Api(ApiReply::Lost)),
+        [Action::Read]
+    );
+    assert_eq!(
+        lease.on_event(at(due + 2_000), unchanged),
+        [write],
+        "the same write again"
+    );
+}
+
+#[test]
+fn a_reading_asked_for_before_an_order_took_effect_orders_nothing() {
+    let mut engine = Repair::new(Span::from_secs(2));
+    engine.want(1);
+    engine.read_back(at(0), at(0), 0);
+    assert_eq!(engine.due(at(10), Some(Token(1))), Some((Token(1), 1)));
+    engine.read_back(at(1_500), at(1_000), 0);
+    assert_eq!(engine.due(at(1_500), Some(Token(1))), None);
+    engine.read_back(at(2_100), at(2_010), 0);
+    assert_eq!(engine.due(at(2_100), Some(Token(2))), Some((Token(2), 1)));
+}
+
+#[rstest]
+#[case::one(1, 180)]
+#[case::seven(7, 25)]
+#[case::many(370, 0)]
+fn claims_get_an_equal_part_after_the_reserve(#[case] members: usize, #[case] per_second: u64) {
+    let cfg = budget::Config::default();
+    let mut budget = WriteBudget::new(cfg, at(0));
+    budget.set_members(at(0), members);
+    let take = |budget: &mut WriteBudget, ms| budget.try_take(at(ms), Purpose::Claim, 1).is_ok();
+    let at_once = (0..100).filter(|_| take(&mut budget, 0)).count() as u64;
+    assert_eq!(at_once, cfg.burst);
+    let taken = (1..=10_000).filter(|&ms| take(&mut budget, ms)).count() as u64;
+    assert!(taken.abs_diff(per_second * 10) <= 9, "{taken}");
+    assert!(
+        budget.try_take(at(10_000), Purpose::Lease, 1).is_ok(),
+        "the reserve is apart"
+    );
+}
+
+#[test]
+fn a_dead_watcher_changes_no_other_place() {
+    let members: Vec<_> = (0..40).map(|n| (NodeId(n), DomainId(n % 4))).collect();
+    let before = rendezvous::choose(&members, "kelpworks.head", 2);
+    assert_eq!(before.len(), 8);
+    let left: Vec<_> = members
+        .iter()
+        .copied()
+        .filter(|(n, _)| *n != before[0])
+        .collect();
+    let after = rendezvous::choose(&left, "kelpworks.head", 2);
+    assert_eq!(before[1..].iter().filter(|n| after.contains(n)).count(), 7);
+}
+
+#[rstest]
+#[case::today(7)]
+#[case::target(370)]
+fn a_generation_reaches_all_by_push_and_one_round_of_heartbeats(#[case] n: u64) {
+    let nodes: Vec<NodeId> = (0..n).map(NodeId).collect();
+    let mut daemons: Vec<Spread> = nodes
+        .iter()
+        .map(|&me| Spread::new(spread::Config::default(), me))
+        .collect();
+    let peers = |me: u64| {
+        nodes
+            .iter()
+            .copied()
+            .filter(|p| p.0 != me)
+            .collect::<Vec<_>>()
+    };
+    let mut reached = vec![false; n as usize];
+    let mut pushes = vec![NodeId(0)];
+    while let Some(to) = pushes.pop() {
+        reached[to.0 as usize] = true;
+        let learned = spread::Event::Learned(Generation(1));
+        for action in daemons[to.0 as usize].on_event(learned, &peers(to.0)) {
+            let spread::Action::Push(peer) = action else {
+                panic!("unasked pull")
+            };
+            pushes.push(peer);
+        }
+    }
+    let by_push = reached.iter().filter(|r| **r).count() as u64;
+    assert!(by_push * 10 >= n * 8, "{by_push} of {n}");
+    let missed = (0..n as usize).filter(|&i| !reached[i]);
+    for i in missed.collect::<Vec<_>>() {
+        let heartbeat = spread::Event::Heartbeat {
+            from: NodeId(0),
+            generation: Generation(1),
+        };
+        let pull = daemons[i].on_event(heartbeat, &[]);
+        assert_eq!(pull, [spread::Action::Pull(NodeId(0))]);
+    }
+}
