--- /dev/null
+++ b/crates/kelpworks/src/config/diff.rs
@@ -0,0 +1,165 @@
+//! What a change adds, removes and changes, for operators to look at before it is applied.
+//!
+//! ```
+//! use kelpworks::config::diff::Diff;
+//! use kelpworks::rules::Rules;
+//!
+//! let old = Rules::default();
+//! let new = Rules { trial_share: 0.2, ..Rules::default() };
+//! assert_eq!(Diff::of_rules(&old, &new).to_string(), "trial share: 0 -> 0.2\n");
+//! ```
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use crate::register::Register;
+use crate::rules::NonIdempotent;
+use crate::rules::Rules;
+
+/// The difference of two registers or two sets of rules.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Diff {
+    /// Lists of named things that differ; equal ones are left out.
+    pub sections: Vec<Section>,
+    /// The trial share before and after, when it differs.
+    pub trial_share: Option<(f64, f64)>,
+}
+
+/// What differs in one list of named things, each in the order of names.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Section {
+    /// What is listed, such as `hosts`.
+    pub what: &'static str,
+    /// Names that are new.
+    pub added: Vec<String>,
+    /// Names that are gone.
+    pub removed: Vec<String>,
+    /// Names that stay with another content.
+    pub changed: Vec<String>,
+}
+
+impl Diff {
+    /// The difference of two registers.
+    pub fn of_registers(old: &Register, new: &Register) -> Diff {
+        let pair = |l: &crate::register::Link| {
+            let (a, b) = (&l.from, &l.to);
+            format!("{} - {}", a.min(b), a.max(b))
+        };
+        let sections = vec![
+            section("accelerators", &old.accelerators, &new.accelerators, |a| {
+                a.name.clone()
+            }),
+            section(
+                "failure domains",
+                &old.failure_domains,
+                &new.failure_domains,
+                |d| d.name.clone(),
+            ),
+            section("models", &old.models, &new.models, |m| m.name.clone()),
+            section("hosts", &old.hosts, &new.hosts, |h| h.name.clone()),
+            section("links", &old.links, &new.links, pair),
+        ];
+        Diff {
+            sections: kept(sections),
+            trial_share: None,
+        }
+    }
+
+    /// The difference of two sets of rules.
+    pub fn of_rules(old: &Rules, new: &Rules) -> Diff {
+        let sections = vec![
+            section("teams", &old.teams, &new.teams, |t| t.name.clone()),
+            section(
+                "non-idempotent",
+                &old.non_idempotent,
+                &new.non_idempotent,
+                match_name,
+            ),
+        ];
+        let shares = (old.trial_share, new.trial_share);
+        Diff {
+            sections: kept(sections),
+            trial_share: (shares.0 != shares.1).then_some(shares),
+        }
+    }
+
+    /// Whether nothing differs.
+    pub fn is_empty(&self) -> bool {
+        self.sections.is_empty() && self.trial_share.is_none()
+    }
+}
+
+/// Compares two lists of things that have unique names.
+fn section<T: PartialEq>(
+    what: &'static str,
+    old: &[T],
+    new: &[T],
+    name: impl Fn(&T) -> String,
+) -> Section {
+    let old: BTreeMap<String, &T> = old.iter().map(|t| (name(t), t)).collect();
+    let new: BTreeMap<String, &T> = new.iter().map(|t| (name(t), t)).collect();
+    let differs = |n: &&String| old.get(*n).is_some_and(|t| *t != new[*n]);
+    Section {
+        what,
+        added: new
+            .keys()
+            .filter(|n| !old.contains_key(*n))
+            .cloned()
+            .collect(),
+        removed: old
+            .keys()
+            .filter(|n| !new.contains_key(*n))
+            .cloned()
+            .collect(),
+        changed: new.keys().filter(differs).cloned().collect(),
+    }
+}
+
+/// The sections that hold anything.
+fn kept(sections: Vec<Section>) -> Vec<Section> {
+    let holds = |s: &Section| !(s.added.is_empty() && s.removed.is_empty() && s.changed.is_empty());
+    sections.into_iter().filter(holds).collect()
+}
+
+/// A match of non-idempotent requests in words; it has no other content.
+fn match_name(rule: &NonIdempotent) -> String {
+    match rule {
+        NonIdempotent::Service {
+            service,
+            method,
+            path,
+        } => format!("{method} {service}{path}"),
+        NonIdempotent::Model { model, team } => format!("model {model} by team {team}"),
+    }
+}
+
+impl fmt::Display for Diff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some((old, new)) = self.trial_share {
+            writeln!(f, "trial share: {old} -> {new}")?;
+        }
+        self.sections.iter().try_for_each(|s| s.fmt(f))
+    }
+}
+
+impl fmt::Display for Section {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let counts = (self.added.len(), self.removed.len(), self.changed.len());
+        let what = self.what;
+        writeln!(
+            f,
+            "{what}: {} added, {} removed, {} changed",
+            counts.0, counts.1, counts.2
+        )?;
+        for (sign, names) in [
+            ("+", &self.added),
+            ("-", &self.removed),
+            ("~", &self.changed),
+        ] {
+            for name in names {
+                writeln!(f, "  {sign} {name}")?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/kelpworks/src/config/document.rs
+++ b/crates/kelpworks/src/config/document.rs
@@ -70,7 +70,13 @@
     /// The file is not text.
     #[error("file is not UTF-8")]
     NotUtf8,
-    /// The text is not TOML, or a key is unknown, missing or of another type.
+    /// A key that must be there is not; the line is that of its table.
+    #[error("missing key")]
+    Missing,
+    /// A key that is not known here.
+    #[error("unknown key, {0}")]
+    UnknownKey(String),
+    /// The text is not TOML, or a value is of another type.
     #[error("{0}")]
     Form(String),
     /// A name that is empty, too long or has a character that names may not have.
@@ -215,8 +221,14 @@
     /// Reads the document into its raw form.
     pub(crate) fn read<T: DeserializeOwned>(&self) -> Result<T> {
         toml::from_str(self.text).map_err(|e| {
-            let span = e.span().unwrap_or(0..0);
-            self.error(&span, Kind::Form(one_line(e.message())))
+            // Without a span the fault is the whole file's.
+            let span = e.span().filter(|s| !s.is_empty());
+            let mut error = match span {
+                Some(span) => self.error(&span, Kind::Form(one_line(e.message()))),
+                None => self.file_error(Kind::Form(one_line(e.message()))),
+            };
+            name_missing_or_unknown(&mut error);
+            error
         })
     }
 
@@ -225,6 +237,11 @@
         self.root.get_ref().contains_key(key)
     }
 
+    /// A fault of the whole file.
+    pub(crate) fn file_error(&self, kind: Kind) -> Error {
+        file_error(self.file, kind)
+    }
+
     /// Line of a span.
     pub(crate) fn line(&self, span: &Range<usize>) -> usize {
         line_at(self.text.as_bytes(), span.start)
@@ -255,6 +272,25 @@
     }
 }
 
+/// Turns serde's two messages about keys into kinds of their own. Should serde word them
+/// otherwise one day, the message stays as it is.
+fn name_missing_or_unknown(error: &mut Error) {
+    let Kind::Form(message) = &error.kind else {
+        return;
+    };
+    let missing = message.strip_prefix("missing field `");
+    if let Some(name) = missing.and_then(|m| m.strip_suffix('`')) {
+        let dot = if error.key.is_empty() { "" } else { "." };
+        error.key = format!("{}{dot}{name}", error.key);
+        error.kind = Kind::Missing;
+        return;
+    }
+    let unknown = message.strip_prefix("unknown field `");
+    if let Some((_, expected)) = unknown.and_then(|m| m.split_once("`, ")) {
+        error.kind = Kind::UnknownKey(expected.to_owned());
+    }
+}
+
 /// A message of the TOML library on one line.
 fn one_line(message: &str) -> String {
     message.trim().replace('\n', ", ")
--- a/crates/kelpworks/src/lib.rs
+++ b/crates/kelpworks/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod routing;
 pub mod rules;
 pub mod settings;
+pub mod status;
 pub mod units;
 pub mod verdict;
--- a/crates/kelpworks/src/register/check.rs
+++ b/crates/kelpworks/src/register/check.rs
@@ -28,6 +28,7 @@
     "needs either `service`, or `accelerator`, `accelerators` and `models`";
 const SERVICE_AND_ENGINE: &str = "a host with `service` takes none of `accelerator`, \
      `accelerators`, `models` and `checks_fencing`";
+const PORT_ZERO: &str = "the port of an upstream must be above 0";
 
 /// Reads and checks a register.
 pub(super) fn parse(file: &str, text: &str) -> Result<Register> {
@@ -129,7 +130,9 @@
     let mut seen: HashMap<SocketAddr, usize> = HashMap::new();
     for h in hosts {
         let address = &h.get_ref().address;
-        positive(doc, address, address.get_ref().port() > 0);
+        if address.get_ref().port() == 0 {
+            doc.fault(address.span(), Kind::Mixed(PORT_ZERO));
+        }
         let line = doc.line(&address.span());
         if let Some(first) = seen.insert(*address.get_ref(), line) {
             let what = "address";
--- a/crates/kelpworks/src/register/mod.rs
+++ b/crates/kelpworks/src/register/mod.rs
@@ -34,7 +34,7 @@
 use crate::units::Span;
 
 /// The whole register, checked: names are unique and every reference resolves.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Register {
     /// Kinds of accelerators.
     pub accelerators: Vec<Accelerator>,
--- a/crates/kelpworks/src/rules/mod.rs
+++ b/crates/kelpworks/src/rules/mod.rs
@@ -8,13 +8,7 @@
 //! use kelpworks::register::Register;
 //! use kelpworks::rules::Rules;
 //!
-//! let register = Register {
-//!     accelerators: vec![],
-//!     failure_domains: vec![],
-//!     models: vec![],
-//!     hosts: vec![],
-//!     links: vec![],
-//! };
+//! let register = Register::default();
 //! let text = r#"
 //! [trial]
 //! share = 0.2
--- a/crates/kelpworks/src/settings/check.rs
+++ b/crates/kelpworks/src/settings/check.rs
@@ -18,13 +18,19 @@
 use crate::config::document::Document;
 use crate::config::document::Kind;
 use crate::config::unique::Names;
+use crate::config::unique::unknown;
+use crate::register::Register;
 
-/// Reads and checks settings.
-pub(super) fn parse(file: &str, text: &str) -> Result<Settings> {
+/// Reads and checks settings; the failure domain only when there is a register.
+pub(super) fn parse(file: &str, text: &str, register: Option<&Register>) -> Result<Settings> {
     let mut doc = Document::open(file, text)?;
     let raw: SettingsFile = doc.read()?;
     Names::new("daemon").define(&mut doc, &raw.name);
     Names::new("failure domain").define(&mut doc, &raw.failure_domain);
+    let domain = raw.failure_domain.get_ref();
+    if register.is_some_and(|r| !r.has_failure_domain(domain)) {
+        unknown(&mut doc, "failure domain", &raw.failure_domain);
+    }
     check_listen(&mut doc, &raw.listen);
     check_url(&mut doc, &raw.platform.object_api);
     check_url(&mut doc, &raw.platform.host_list);
@@ -66,7 +72,7 @@
 }
 
 /// Whether a text is a base URL of HTTP without user, password, query or fragment.
-pub(crate) fn is_base_url(text: &str) -> bool {
+fn is_base_url(text: &str) -> bool {
     let Ok(url) = reqwest::Url::parse(text) else {
         return false;
     };
--- a/crates/kelpworks/src/settings/mod.rs
+++ b/crates/kelpworks/src/settings/mod.rs
@@ -31,6 +31,7 @@
 
 pub use crate::config::document::Error;
 pub use crate::config::document::Result;
+use crate::register::Register;
 use crate::units::Span;
 
 /// Settings of one daemon.
@@ -60,7 +61,16 @@
     /// The first fault by line: not TOML, an unknown or missing key, a wrong
     /// unit, an address twice, a URL with a password, an amount of 0.
     pub fn parse(file: &str, text: &str) -> Result<Settings> {
-        check::parse(file, text)
+        check::parse(file, text, None)
+    }
+
+    /// Reads settings and checks their failure domain against a register.
+    ///
+    /// # Errors
+    ///
+    /// As [`Settings::parse`], and when the register lacks the failure domain.
+    pub fn parse_with(file: &str, text: &str, register: &Register) -> Result<Settings> {
+        check::parse(file, text, Some(register))
     }
 }
 
--- a/crates/kelpworks/src/units.rs
+++ b/crates/kelpworks/src/units.rs
@@ -30,13 +30,13 @@
 #[non_exhaustive]
 pub enum Error {
     /// Not a whole number followed by a unit.
-    #[error("expected a whole number and a unit, {expected}")]
+    #[error("expected a whole number and a unit {expected}")]
     Form {
         /// What is expected, with an example.
         expected: &'static str,
     },
     /// The unit is not one of this quantity.
-    #[error("wrong unit, {expected}")]
+    #[error("wrong unit, expected one {expected}")]
     Unit {
         /// What is expected, with an example.
         expected: &'static str,
