Join configuration, routing and admission to the daemon

Cause: the slices were built apart; the daemon used its own random choice. Change: merge of the configuration slice; the driver chooses whole paths by expected cost and logs why, plain services are chosen by two choices, every request passes admission, the index is rebuilt only when health or holdings change, not on load reports.

--- a/crates/kelpworks/src/border/engine.rs
+++ b/crates/kelpworks/src/border/engine.rs
@@ -29,7 +29,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Why a call of an engine gave no usable reply.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum Error {
     /// No connection could be opened; nothing was sent.
--- a/crates/kelpworks/src/border/host_list.rs
+++ b/crates/kelpworks/src/border/host_list.rs
@@ -29,7 +29,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Why the host list could not be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum Error {
     /// No connection.
--- a/crates/kelpworks/src/daemon/follow.rs
+++ b/crates/kelpworks/src/daemon/follow.rs
@@ -13,11 +13,11 @@
 
 use crate::border::object_api;
 use crate::border::object_api::ObjectApi;
+use crate::config::accept::BLOB_KIND;
+use crate::config::accept::HEAD_KIND;
+use crate::config::accept::HEAD_NAME;
+use crate::config::accept::Head;
 use crate::config::document;
-use crate::config::head::BLOB_KIND;
-use crate::config::head::HEAD_KIND;
-use crate::config::head::HEAD_NAME;
-use crate::config::head::Head;
 use crate::in_force::InForce;
 use crate::register::Register;
 use crate::rules::Rules;
@@ -34,8 +34,8 @@
 enum Error {
     #[error("object API: {0}")]
     Api(#[from] object_api::Error),
-    #[error("configuration head: {0}")]
-    Head(String),
+    #[error("the configuration head can't be read")]
+    Head,
     #[error("configuration: {0}")]
     Config(#[from] document::Error),
 }
@@ -102,14 +102,14 @@
     }
 
     async fn take(&self, body: &str) -> Result<()> {
-        let head = Head::parse(body).map_err(|e| Error::Head(e.to_string()))?;
+        let head = Head::from_body(body).ok_or(Error::Head)?;
         if head.generation <= self.config.load().generation {
             return Ok(());
         }
-        let register = Register::parse("register", &self.blob(&head.register).await?)?;
-        let rules = match head.rules.as_str() {
-            "" => Rules::default(),
-            digest => Rules::parse("rules", &self.blob(digest).await?, &register)?,
+        let register = Register::parse("register", &self.blob(&head.register.to_string()).await?)?;
+        let rules = match &head.rules {
+            None => Rules::default(),
+            Some(d) => Rules::parse("rules", &self.blob(&d.to_string()).await?, &register)?,
         };
         let in_force = InForce::new(head.generation, register.clone(), rules);
         self.config.store(Arc::new(in_force));
--- a/crates/kelpworks/src/entry/services.rs
+++ b/crates/kelpworks/src/entry/services.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use log::info;
-use rand::RngExt;
 use salvo::Depot;
 use salvo::FlowCtrl;
 use salvo::Handler;
@@ -27,8 +26,8 @@
 use crate::entry::completions::request_id;
 use crate::entry::reply::Failure;
 use crate::fleet::Fleet;
-use crate::fleet::Health;
 use crate::fleet::UpstreamKey;
+use crate::routing::choose_service;
 use crate::upstreams::Report;
 use crate::verdict::Verdict;
 
@@ -171,43 +170,15 @@
                 message,
             ));
         };
-        let usable =
-            |k: &UpstreamKey, health| fleet.upstreams[*k].health == health && !tried.contains(k);
-        let mut found: Vec<UpstreamKey> = keys
-            .iter()
-            .copied()
-            .filter(|k| usable(k, Health::Live))
-            .collect();
-        if found.is_empty() {
-            found = keys
-                .iter()
-                .copied()
-                .filter(|k| usable(k, Health::Suspect))
-                .collect();
-        }
-        if found.is_empty() {
+        let now = self.entry.driver.now_ms();
+        let chosen = choose_service(fleet, &call.service, tried, now, &mut rand::rng());
+        let Some(key) = chosen.ok().filter(|k| !tried.contains(k)) else {
             return Ok(None);
-        }
-        let mut rng = rand::rng();
-        let (a, b) = (
-            rng.random_range(0..found.len()),
-            rng.random_range(0..found.len()),
-        );
-        let load = |k: UpstreamKey| {
-            fleet.upstreams[k]
-                .counters
-                .in_flight
-                .load(Ordering::Relaxed)
-        };
-        let key = if load(found[b]) < load(found[a]) {
-            found[b]
-        } else {
-            found[a]
         };
         info!(
             target: "decision", decision = "service", request = call.id.as_str(),
             team = call.team.as_str(), service = call.service.as_str(),
-            candidates = found.len(), choice = &*fleet.upstreams[key].name,
+            candidates = keys.len(), choice = &*fleet.upstreams[key].name,
             reason = "fewest in flight of two";
             "upstream chosen"
         );
--- a/crates/kelpworks/src/lib.rs
+++ b/crates/kelpworks/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod routing;
 pub mod rules;
 pub mod settings;
+pub mod status;
 pub mod units;
 pub mod upstreams;
 pub mod verdict;
--- a/crates/kelpworks/src/pipeline/driver.rs
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -126,7 +126,8 @@
             () = tx.closed() => Err(Ending::CallerGone),
             () = tokio::time::sleep_until(deadline) => Err(Ending::Deadline),
         };
-        session.free().await;
+        permit.used(session.known.len() as u32);
+        session.free();
         Outcome {
             result,
             verdict: session.verdict,
@@ -140,7 +141,8 @@
         DomainKey(at.unwrap_or(0) as u16)
     }
 
-    fn now_ms(&self) -> u64 {
+    /// Milliseconds since the daemon's start.
+    pub(crate) fn now_ms(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
     }
 }
@@ -204,7 +206,9 @@
         loop {
             permit.turn().await;
             self.leave_if_asked().await?;
+            let asked = Instant::now();
             let token = self.next_token().await?;
+            permit.observe_token(asked.elapsed());
             if token == tokens::END {
                 return Ok(FinishReason::Stop);
             }
@@ -445,7 +449,8 @@
         info!(
             target: "decision", decision = "route", request = self.fixed.session.as_str(),
             team = self.job.team.as_str(), candidates = path.candidates,
-            choice = names.join(","), reason = reason;
+            choice = names.join(","), reason = reason,
+            why:% = path.explanation.display(&fleet);
             "path chosen"
         );
         Ok(())
@@ -474,7 +479,7 @@
     }
 
     /// Frees the session's memory on every engine that may hold some, without waiting for it.
-    async fn free(&mut self) {
+    fn free(&mut self) {
         let hops = self.hops.drain(..).chain(self.left.drain(..));
         for hop in hops {
             let engine = Arc::clone(&self.driver.engine);
--- a/crates/kelpworks/src/upstreams/keeper.rs
+++ b/crates/kelpworks/src/upstreams/keeper.rs
@@ -87,7 +87,7 @@
                 }
                 Some(report) = self.reports.recv() => {
                     if self.take(report) {
-                        self.publish();
+                        self.publish_change();
                         publish_at = None;
                     } else {
                         publish_at.get_or_insert(Instant::now() + LOAD_PUBLISH_INTERVAL);
@@ -104,9 +104,16 @@
     fn take_register(&mut self) {
         let register = Arc::clone(&self.register.borrow_and_update());
         self.view.take_register(&register);
+        self.publish_change();
+    }
+
+    /// Publishes a snapshot after a change of health or holdings.
+    fn publish_change(&mut self) {
+        self.view.refresh_index();
         self.publish();
     }
 
+    /// Publishes a snapshot in which only loads differ from the last one.
     fn publish(&self) {
         self.fleet.store(Arc::new(self.view.fleet.clone()));
     }
--- a/crates/kelpworks/src/upstreams/view.rs
+++ b/crates/kelpworks/src/upstreams/view.rs
@@ -22,6 +22,7 @@
 use crate::register::Host;
 use crate::register::HostRole;
 use crate::register::Register;
+use crate::routing::Index;
 use crate::upstreams::HostSeen;
 
 /// Link cost of a pair of failure domains that the register does not list.
@@ -293,6 +294,11 @@
         self.fleet.by_model = by_model;
         self.fleet.by_service = by_service;
     }
+
+    /// Works out the holders of each layer anew; needed after a change of health or holdings.
+    pub(crate) fn refresh_index(&mut self) {
+        self.fleet.index = Some(Arc::new(Index::build(&self.fleet)));
+    }
 }
 
 fn service(host: &Host) -> Option<Arc<str>> {
