--- /dev/null
+++ b/crates/kelpworks-fakes/src/engine/core.rs
@@ -0,0 +1,358 @@
+//! What an engine holds and decides, free of I/O and time.
+
+use std::sync::Arc;
+
+use kelpworks_wire::BusyReply;
+use kelpworks_wire::CancelRequest;
+use kelpworks_wire::Class;
+use kelpworks_wire::EngineLoad;
+use kelpworks_wire::EngineState;
+use kelpworks_wire::KvBlob;
+use kelpworks_wire::KvExportRequest;
+use kelpworks_wire::LayerRange;
+use kelpworks_wire::LoadedRange;
+use kelpworks_wire::OutputForm;
+use kelpworks_wire::RefusalReason;
+use kelpworks_wire::Step;
+use kelpworks_wire::StepOutcome;
+use kelpworks_wire::StepRefusal;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::model::KvCache;
+use crate::model::Model;
+
+use super::config::EngineConfig;
+use super::config::POISON;
+use super::orders::Fences;
+use super::sessions::Part;
+use super::sessions::Sessions;
+use super::sessions::handle;
+
+/// Input of a step, at hand.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Input {
+    /// Token ids, for layer 0.
+    Tokens(Vec<u32>),
+    /// Rows, for any other layer.
+    Rows(Vec<u64>),
+}
+
+impl Input {
+    pub(crate) fn count(&self) -> u32 {
+        match self {
+            Input::Tokens(tokens) => tokens.len() as u32,
+            Input::Rows(rows) => rows.len() as u32,
+        }
+    }
+
+    /// Whether it is a prompt with [`POISON`].
+    pub(crate) fn is_poison(&self) -> bool {
+        let Input::Tokens(tokens) = self else {
+            return false;
+        };
+        let spells = |w: &[u32]| w.iter().zip(POISON).all(|(t, b)| *t == u32::from(*b) + 1);
+        tokens.windows(POISON.len()).any(spells)
+    }
+}
+
+/// A step that is not run, and the answer to it.
+pub(crate) type Refused = Box<StepOutcome>;
+
+/// A range held.
+#[derive(Debug)]
+struct Held {
+    range: LoadedRange,
+    model: Arc<Model>,
+}
+
+/// What an engine holds.
+#[derive(Debug)]
+pub(crate) struct Core {
+    models: Vec<Model>,
+    held: Vec<Held>,
+    /// Ranges being loaded; none is also held.
+    loading: Vec<LoadedRange>,
+    pub(crate) sessions: Sessions,
+    pub(crate) fences: Fences,
+    draining: bool,
+    kv_capacity: u64,
+    retain: usize,
+    retry_after_ms: u32,
+}
+
+impl Core {
+    pub(crate) fn new(cfg: &EngineConfig) -> Result<Core> {
+        let mut core = Core {
+            models: cfg.models.clone(),
+            held: Vec::new(),
+            loading: Vec::new(),
+            sessions: Sessions::default(),
+            fences: Fences::new(cfg.checks_fencing),
+            draining: false,
+            kv_capacity: cfg.kv_capacity,
+            retain: cfg.retain,
+            retry_after_ms: cfg.retry_after.as_millis() as u32,
+        };
+        for range in &cfg.loaded {
+            core.known(range).map_err(Error::Config)?;
+            core.hold(range.clone());
+        }
+        Ok(core)
+    }
+
+    /// Checks that a range is one of a known model; the error says why not.
+    pub(crate) fn known(&self, range: &LoadedRange) -> std::result::Result<(), String> {
+        let Some(model) = self.models.iter().find(|m| m.name() == range.model) else {
+            return Err(format!("unknown model `{}`", range.model));
+        };
+        let LayerRange { first, end } = range.layers;
+        if first >= end || end > model.layers() {
+            let layers = model.layers();
+            return Err(format!("layers {first}..{end} of a model of {layers}"));
+        }
+        Ok(())
+    }
+
+    /// Whether this exact range is held.
+    pub(crate) fn holds(&self, range: &LoadedRange) -> bool {
+        self.held.iter().any(|h| h.range == *range)
+    }
+
+    pub(crate) fn layers_taken(&self) -> u32 {
+        let held = self.held.iter().map(|h| &h.range);
+        held.chain(&self.loading)
+            .map(|r| r.layers.end - r.layers.first)
+            .sum()
+    }
+
+    /// Notes that a range is being loaded; false when it already is.
+    pub(crate) fn begin_load(&mut self, range: &LoadedRange) -> bool {
+        let new = !self.loading.contains(range);
+        if new {
+            self.loading.push(range.clone());
+        }
+        new
+    }
+
+    /// Takes in a range that came from the weight store, unless it was dropped meanwhile.
+    pub(crate) fn end_load(&mut self, range: &LoadedRange, loaded: bool) {
+        let before = self.loading.len();
+        self.loading.retain(|r| r != range);
+        if loaded && self.loading.len() < before {
+            self.hold(range.clone());
+        }
+    }
+
+    fn hold(&mut self, range: LoadedRange) {
+        let known = self.models.iter().find(|m| m.name() == range.model);
+        if let Some(model) = known {
+            let model = Arc::new(model.at_version(&range.version));
+            self.held.push(Held { range, model });
+        }
+    }
+
+    /// Drops a range and the sessions on it.
+    pub(crate) fn unload(&mut self, range: &LoadedRange) {
+        self.loading.retain(|r| r != range);
+        self.held.retain(|h| h.range != *range);
+        let held = &self.held;
+        self.sessions.retain(|_, part| {
+            let (name, version) = (part.model.name(), part.model.version());
+            held.iter()
+                .any(|h| covers(&h.range, name, version, &part.layers))
+        });
+    }
+
+    pub(crate) fn set_draining(&mut self, draining: bool) {
+        self.draining = draining;
+    }
+
+    /// What a crash takes: all sessions, and the loads under way.
+    pub(crate) fn lose_sessions(&mut self) {
+        self.sessions = Sessions::default();
+        self.loading.clear();
+    }
+
+    pub(crate) fn kv_free(&self) -> u64 {
+        self.kv_capacity.saturating_sub(self.sessions.used())
+    }
+
+    pub(crate) fn state(&self, name: &str, incarnation: u64, load: EngineLoad) -> EngineState {
+        EngineState {
+            name: name.to_owned(),
+            incarnation,
+            draining: self.draining,
+            highest_fence: self.fences.highest(),
+            loaded: self.held.iter().map(|h| h.range.clone()).collect(),
+            loading: self.loading.clone(),
+            load,
+        }
+    }
+
+    pub(crate) fn draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Decides whether a step may run, and on which model.
+    pub(crate) fn check(&self, step: &Step) -> std::result::Result<Arc<Model>, Refused> {
+        if self.sessions.ended(&step.session, step.attempt) {
+            return refused(RefusalReason::Invalid, 0);
+        }
+        let mut have = 0;
+        for part in self.sessions.attempt(&step.session, step.attempt) {
+            if part.layers == step.layers {
+                have = part.positions;
+                let (name, version) = (part.model.name(), part.model.version());
+                if name != step.model || version != step.version {
+                    return refused(RefusalReason::WrongVersion, have);
+                }
+            } else if overlap(&part.layers, &step.layers) {
+                return refused(RefusalReason::WrongLayers, 0);
+            }
+        }
+        let model = self.model(step, have)?;
+        if have != step.position {
+            return refused(RefusalReason::PositionGap, have);
+        }
+        if have == 0 && self.draining {
+            return refused(RefusalReason::Draining, 0);
+        }
+        Ok(model)
+    }
+
+    fn model(&self, step: &Step, have: u32) -> std::result::Result<Arc<Model>, Refused> {
+        let of_model = || self.held.iter().filter(|h| h.range.model == step.model);
+        let fits = |h: &&Held| covers(&h.range, &step.model, &step.version, &step.layers);
+        if let Some(held) = of_model().find(fits) {
+            return Ok(held.model.clone());
+        }
+        let other_version =
+            of_model().any(|h| covers(&h.range, &step.model, &h.range.version, &step.layers));
+        match other_version {
+            true => refused(RefusalReason::WrongVersion, have),
+            false => refused(RefusalReason::WrongLayers, have),
+        }
+    }
+
+    /// Runs a step.
+    pub(crate) fn run(
+        &mut self,
+        step: &Step,
+        input: &Input,
+    ) -> std::result::Result<StepOutcome, Refused> {
+        let model = self.check(step)?;
+        let count = input.count();
+        let takes_tokens = step.layers.first == 0;
+        if count == 0 || takes_tokens != matches!(input, Input::Tokens(_)) {
+            return refused(RefusalReason::Invalid, step.position);
+        }
+        if u64::from(count) > self.kv_free() {
+            return Err(Box::new(self.busy()));
+        }
+        let rows = self.advance(step, input, &model);
+        if step.layers.end == model.layers() {
+            let last = rows.last().copied().unwrap_or_default();
+            return Ok(StepOutcome::Token(model.next_token(last)));
+        }
+        Ok(match step.output {
+            OutputForm::Inline => StepOutcome::Rows(rows),
+            OutputForm::Handle => {
+                let name = handle(&step.session, step.attempt, &step.layers, step.position);
+                StepOutcome::Handle(name)
+            }
+        })
+    }
+
+    fn advance(&mut self, step: &Step, input: &Input, model: &Arc<Model>) -> Vec<u64> {
+        let rows: Vec<u64> = match input {
+            Input::Rows(rows) => rows.clone(),
+            Input::Tokens(tokens) => (step.position..)
+                .zip(tokens)
+                .map(|(position, token)| model.embed(*token, position))
+                .collect(),
+        };
+        if step.position == 0 {
+            let part = Part::new(step.attempt, step.layers.clone(), model.clone());
+            self.sessions.insert(&step.session, part);
+        }
+        self.sessions.take_kv(rows.len() as u32);
+        let retain = self.retain;
+        let found = self
+            .sessions
+            .part_mut(&step.session, step.attempt, &step.layers);
+        let part = found.expect("a step at position 0 made the part, and check() found any other");
+        rows.into_iter().map(|r| part.advance(r, retain)).collect()
+    }
+
+    pub(crate) fn busy(&self) -> StepOutcome {
+        StepOutcome::Busy(BusyReply {
+            retry_after_ms: self.retry_after_ms,
+        })
+    }
+
+    pub(crate) fn cancel(&mut self, req: &CancelRequest) {
+        self.sessions.cancel(req);
+    }
+
+    /// Exports the lowest layer range of an attempt; absent when there is none.
+    pub(crate) fn export(&self, req: &KvExportRequest) -> Option<KvBlob> {
+        let parts = self.sessions.attempt(&req.session, req.attempt);
+        let part = parts.min_by_key(|p| p.layers.first)?;
+        Some(KvBlob {
+            session: req.session.clone(),
+            attempt: req.attempt,
+            model: part.model.name().to_owned(),
+            version: part.model.version().to_owned(),
+            layers: part.layers.clone(),
+            positions: part.positions,
+            state: part.kv.digests().to_vec(),
+        })
+    }
+
+    /// Imports a KV cache; the error is the refusal that a step in its place would get.
+    pub(crate) fn import(&mut self, blob: KvBlob) -> std::result::Result<(), Refused> {
+        let step = Step {
+            session: blob.session,
+            attempt: blob.attempt,
+            position: 0,
+            layers: blob.layers,
+            model: blob.model,
+            version: blob.version,
+            class: Class::Paying,
+            input: Vec::<u64>::new().into(),
+            output: OutputForm::Inline,
+            deadline_ms: 0,
+            prefix: String::new(),
+        };
+        let model = self.check(&step)?;
+        let layers = (step.layers.end - step.layers.first) as usize;
+        if blob.state.len() != layers {
+            return refused(RefusalReason::Invalid, 0);
+        }
+        if u64::from(blob.positions) > self.kv_free() {
+            return Err(Box::new(self.busy()));
+        }
+        let mut part = Part::new(step.attempt, step.layers.clone(), model);
+        part.kv = KvCache::from_digests(step.layers.first, blob.state);
+        part.positions = blob.positions;
+        self.sessions.insert(&step.session, part);
+        Ok(())
+    }
+}
+
+fn refused<T>(reason: RefusalReason, have: u32) -> std::result::Result<T, Refused> {
+    Err(Box::new(StepOutcome::Refused(StepRefusal { reason, have })))
+}
+
+fn overlap(a: &LayerRange, b: &LayerRange) -> bool {
+    a.first < b.end && b.first < a.end
+}
+
+fn covers(range: &LoadedRange, model: &str, version: &str, layers: &LayerRange) -> bool {
+    range.model == model
+        && range.version == version
+        && range.layers.first <= layers.first
+        && layers.end <= range.layers.end
+        && layers.first < layers.end
+}
--- /dev/null
+++ b/crates/kelpworks-fakes/src/engine/http.rs
@@ -0,0 +1,267 @@
+//! The HTTP border of an engine.
+
+use std::future::pending;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use kelpworks_wire::ActivationRequest;
+use kelpworks_wire::Activations;
+use kelpworks_wire::CancelRequest;
+use kelpworks_wire::EngineOrder;
+use kelpworks_wire::HandleRef;
+use kelpworks_wire::KvBlob;
+use kelpworks_wire::KvExportRequest;
+use kelpworks_wire::RefusalReason;
+use kelpworks_wire::Step;
+use kelpworks_wire::StepBatch;
+use kelpworks_wire::StepBatchReply;
+use kelpworks_wire::StepInput;
+use kelpworks_wire::StepOutcome;
+use kelpworks_wire::StepRefusal;
+use kelpworks_wire::StepReply;
+use salvo::Depot;
+use salvo::Request;
+use salvo::Router;
+use salvo::handler;
+use salvo::http::StatusCode;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::fault::FaultKind;
+use crate::fault::lock;
+use crate::server::Answer;
+use crate::server::read_json;
+use crate::server::state;
+
+use super::Shared;
+use super::core::Input;
+use super::scheduler::Ran;
+use super::scheduler::Waiting;
+
+/// Path of steps.
+pub(super) const STEPS: &str = "/v1/steps";
+
+type Reply = std::result::Result<Answer, Answer>;
+type State = Arc<Shared>;
+
+pub(super) fn router() -> Router {
+    Router::new()
+        .push(Router::with_path("v1/steps").post(post_steps))
+        .push(Router::with_path("v1/activations").post(post_activations))
+        .push(Router::with_path("v1/cancel").post(post_cancel))
+        .push(Router::with_path("v1/kv/export").post(post_kv_export))
+        .push(Router::with_path("v1/kv/import").post(post_kv_import))
+        .push(Router::with_path("v1/state").get(get_state))
+        .push(Router::with_path("v1/orders").post(post_order))
+        .push(Router::with_path("v1/cache-events").get(get_cache_events))
+        .push(Router::with_path("fake/ledger").get(get_ledger))
+        .push(Router::with_path("fake/draining").post(post_draining))
+        .push(Router::with_path("fake/crash").post(post_crash))
+}
+
+#[handler]
+async fn post_steps(req: &mut Request, depot: &mut Depot) -> Reply {
+    let engine = state::<State>(depot);
+    let batch: StepBatch = read_json(req).await?;
+    let replies = join_all(batch.steps.into_iter().map(|s| engine.step(s))).await;
+    Ok(Answer::json(&StepBatchReply { replies }))
+}
+
+#[handler]
+async fn post_activations(req: &mut Request, depot: &mut Depot) -> Reply {
+    let engine = state::<State>(depot);
+    let wanted: ActivationRequest = read_json(req).await?;
+    let rows = lock(&engine.core)
+        .sessions
+        .rows(&wanted.handle, wanted.count);
+    match rows {
+        Some(rows) => Ok(Answer::json(&Activations { rows })),
+        None => Err(Answer::empty(StatusCode::NOT_FOUND)),
+    }
+}
+
+#[handler]
+async fn post_cancel(req: &mut Request, depot: &mut Depot) -> Reply {
+    let engine = state::<State>(depot);
+    let req: CancelRequest = read_json(req).await?;
+    lock(&engine.core).cancel(&req);
+    engine.ledger.count(|t| t.cancels += 1);
+    Ok(Answer::empty(StatusCode::NO_CONTENT))
+}
+
+#[handler]
+async fn post_kv_export(req: &mut Request, depot: &mut Depot) -> Reply {
+    let engine = state::<State>(depot);
+    let req: KvExportRequest = read_json(req).await?;
+    let blob = lock(&engine.core).export(&req);
+    match blob {
+        Some(blob) => Ok(Answer::json(&blob)),
+        None => Err(Answer::empty(StatusCode::NOT_FOUND)),
+    }
+}
+
+#[handler]
+async fn post_kv_import(req: &mut Request, depot: &mut Depot) -> Reply {
+    let engine = state::<State>(depot);
+    let blob: KvBlob = read_json(req).await?;
+    let imported = lock(&engine.core).import(blob);
+    match imported {
+        Ok(()) => {
+            engine.ledger.count(|t| t.imports += 1);
+            Ok(Answer::empty(StatusCode::NO_CONTENT))
+        }
+        Err(refused) => {
+            let status = match *refused {
+                StepOutcome::Busy(_) => StatusCode::SERVICE_UNAVAILABLE,
+                _ => StatusCode::CONFLICT,
+            };
+            Err(Answer::json_with(status, &*refused))
+        }
+    }
+}
+
+#[handler]
+async fn get_state(depot: &mut Depot) -> Answer {
+    Answer::json(&state::<State>(depot).state())
+}
+
+#[handler]
+async fn post_order(req: &mut Request, depot: &mut Depot) -> Reply {
+    let engine = state::<State>(depot);
+    let order: EngineOrder = read_json(req).await?;
+    Ok(Answer::json(&engine.order(order)))
+}
+
+#[handler]
+async fn get_cache_events(req: &mut Request, depot: &mut Depot) -> Answer {
+    let engine = state::<State>(depot);
+    let from = req.query("from").unwrap_or(0);
+    let events = lock(&engine.cache).events(from, engine.incarnation());
+    Answer::json(&events)
+}
+
+#[handler]
+async fn get_ledger(depot: &mut Depot) -> Answer {
+    Answer::json(&state::<State>(depot).ledger.view())
+}
+
+#[handler]
+async fn post_draining(req: &mut Request, depot: &mut Depot) -> Reply {
+    let engine = state::<State>(depot);
+    let draining: bool = read_json(req).await?;
+    lock(&engine.core).set_draining(draining);
+    Ok(Answer::empty(StatusCode::NO_CONTENT))
+}
+
+#[handler]
+async fn post_crash(depot: &mut Depot) {
+    state::<State>(depot).crash();
+}
+
+impl Shared {
+    async fn step(&self, mut step: Step) -> StepReply {
+        let ran = self.submit(&mut step).await;
+        let reply = StepReply {
+            session: step.session,
+            attempt: step.attempt,
+            position: step.position,
+            count: ran.count,
+            layers: step.layers,
+            model: step.model,
+            version: step.version,
+            incarnation: self.incarnation(),
+            outcome: ran.outcome,
+            load: self.load(),
+        };
+        self.spoil(reply)
+    }
+
+    /// Queues a step and waits until it ran; takes the input out of it.
+    async fn submit(&self, step: &mut Step) -> Ran {
+        let busy = |k: &FaultKind| matches!(k, FaultKind::Busy(_));
+        if let Some(FaultKind::Busy(ms)) = self.faults.take_own(STEPS, busy) {
+            let reply = kelpworks_wire::BusyReply { retry_after_ms: ms };
+            return self.not_run(StepOutcome::Busy(reply));
+        }
+        let given = std::mem::replace(&mut step.input, Vec::<u64>::new().into());
+        let input = match self.input(given, step).await {
+            Ok(input) => input,
+            Err(refused) => return self.not_run(refused),
+        };
+        let (tx, rx) = oneshot::channel();
+        let waiting = Waiting {
+            step: step.clone(),
+            input,
+            at: Instant::now(),
+            tx,
+        };
+        if self.queue.push(waiting, self.cfg.queue_bound).is_err() {
+            let busy = lock(&self.core).busy();
+            return self.not_run(busy);
+        }
+        match rx.await {
+            Ok(ran) => ran,
+            // The engine crashed; the connection is about to close.
+            Err(_) => pending().await,
+        }
+    }
+
+    async fn input(
+        &self,
+        given: StepInput,
+        step: &Step,
+    ) -> std::result::Result<Input, StepOutcome> {
+        match given {
+            StepInput::Tokens(tokens) => Ok(Input::Tokens(tokens)),
+            StepInput::Rows(rows) => Ok(Input::Rows(rows)),
+            StepInput::Handle(wanted) => {
+                let deadline = Duration::from_millis(u64::from(step.deadline_ms));
+                if let Some(rows) = self.fetch(wanted, deadline).await {
+                    return Ok(Input::Rows(rows));
+                }
+                // Where the step could not have run anyway, that is the better answer.
+                lock(&self.core).check(step).map_err(|refused| *refused)?;
+                Err(StepOutcome::Refused(StepRefusal {
+                    reason: RefusalReason::HandleMissing,
+                    have: step.position,
+                }))
+            }
+        }
+    }
+
+    /// Fetches rows that another engine keeps; absent when they can't be had in time.
+    async fn fetch(&self, wanted: HandleRef, deadline: Duration) -> Option<Vec<u64>> {
+        if wanted.upstream == self.url {
+            return lock(&self.core).sessions.rows(&wanted.handle, wanted.count);
+        }
+        let url = format!("{}/v1/activations", wanted.upstream);
+        let body = ActivationRequest {
+            handle: wanted.handle,
+            count: wanted.count,
+        };
+        let req = self.client.post(url).timeout(deadline).json(&body);
+        let res = req.send().await.ok()?.error_for_status().ok()?;
+        let activations: Activations = res.json().await.ok()?;
+        Some(activations.rows)
+    }
+
+    /// Shows the faults of replies.
+    fn spoil(&self, reply: StepReply) -> StepReply {
+        let mut shown = reply.clone();
+        let previous = lock(&self.previous).replace(reply);
+        if self.struck(&FaultKind::PreviousReply)
+            && let Some(previous) = &previous
+        {
+            shown = previous.clone();
+        }
+        if self.struck(&FaultKind::OtherSession) {
+            let other = previous.map(|p| p.session).filter(|s| *s != shown.session);
+            shown.session = other.unwrap_or_else(|| format!("{}-other", shown.session));
+        }
+        if self.struck(&FaultKind::WrongRange) {
+            shown.layers.end += 1;
+        }
+        shown
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-fakes/src/engine/load.rs
@@ -0,0 +1,46 @@
+//! The load report of an engine, which lags.
+
+use kelpworks_wire::EngineLoad;
+use tokio::time::Instant;
+
+use crate::fault::lock;
+
+use super::Shared;
+
+/// The latest load report.
+#[derive(Debug, Default)]
+pub(crate) struct LoadMeter {
+    latest: Option<(Instant, EngineLoad)>,
+}
+
+impl Shared {
+    /// The load, as of at most [`EngineConfig::load_lag`](super::EngineConfig::load_lag) ago;
+    /// whether the engine is draining is as of now.
+    pub(super) fn load(&self) -> EngineLoad {
+        let now = Instant::now();
+        let draining = lock(&self.core).draining();
+        let mut meter = lock(&self.meter);
+        if let Some((at, load)) = &meter.latest
+            && now - *at < self.cfg.load_lag
+        {
+            return EngineLoad {
+                draining,
+                ..load.clone()
+            };
+        }
+        let load = self.measure(now, draining);
+        meter.latest = Some((now, load.clone()));
+        load
+    }
+
+    fn measure(&self, now: Instant, draining: bool) -> EngineLoad {
+        let waiting = self.queue.waiting(now);
+        EngineLoad {
+            queued: waiting.queued,
+            running: waiting.running,
+            queue_ms: waiting.oldest.as_millis() as u32,
+            kv_free: lock(&self.core).kv_free(),
+            draining,
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-fakes/src/engine/orders.rs
@@ -0,0 +1,123 @@
+//! Orders to an engine, and the fencing tokens that guard them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use kelpworks_wire::EngineOrder;
+use kelpworks_wire::LoadedRange;
+use kelpworks_wire::OrderAction;
+use kelpworks_wire::OrderReply;
+
+use crate::fault::lock;
+
+use super::Shared;
+use super::ledger::OrderRecord;
+
+/// Roles that an engine can be given; [`ROLE_DRAIN`] refuses new sessions, the others take them.
+const ROLES: [&str; 4] = [ROLE_DRAIN, "serve", "prefill", "decode"];
+const ROLE_DRAIN: &str = "drain";
+
+/// The highest fencing token seen of each lease.
+#[derive(Debug)]
+pub(crate) struct Fences {
+    checks: bool,
+    seen: HashMap<String, u64>,
+}
+
+impl Fences {
+    pub(crate) fn new(checks: bool) -> Fences {
+        Fences {
+            checks,
+            seen: HashMap::new(),
+        }
+    }
+
+    pub(crate) fn highest(&self) -> u64 {
+        self.seen.values().copied().max().unwrap_or(0)
+    }
+
+    /// Notes the token of an order; the higher one seen before it, if any.
+    fn note(&mut self, order: &EngineOrder) -> Option<u64> {
+        let seen = self.seen.entry(order.fence.lease.clone()).or_default();
+        if order.fence.token < *seen {
+            return Some(*seen);
+        }
+        *seen = order.fence.token;
+        None
+    }
+}
+
+impl Shared {
+    /// Carries out an order.
+    pub(super) fn order(self: &Arc<Shared>, order: EngineOrder) -> OrderReply {
+        let (stale, checks) = {
+            let mut core = lock(&self.core);
+            (core.fences.note(&order), core.fences.checks)
+        };
+        let reply = match stale {
+            Some(seen) if checks => OrderReply::Stale(seen),
+            _ => match self.carry_out(&order.action) {
+                Ok(()) => OrderReply::Accepted(order.fence.token),
+                Err(why) => OrderReply::Refused(why),
+            },
+        };
+        self.ledger.note_order(OrderRecord {
+            order,
+            reply: reply.clone(),
+            was_stale: stale.is_some(),
+        });
+        reply
+    }
+
+    fn carry_out(self: &Arc<Shared>, action: &OrderAction) -> Result<(), String> {
+        match action {
+            OrderAction::Load(range) => self.begin_load(range),
+            OrderAction::Unload(range) => {
+                lock(&self.core).unload(range);
+                Ok(())
+            }
+            OrderAction::Role(role) if ROLES.contains(&role.as_str()) => {
+                lock(&self.core).set_draining(role == ROLE_DRAIN);
+                Ok(())
+            }
+            OrderAction::Role(role) => Err(format!("unknown role `{role}`")),
+            OrderAction::Adapter(_) => Ok(()),
+        }
+    }
+
+    fn begin_load(self: &Arc<Shared>, range: &LoadedRange) -> Result<(), String> {
+        let mut core = lock(&self.core);
+        core.known(range)?;
+        if core.holds(range) {
+            return Ok(());
+        }
+        let layers = range.layers.end - range.layers.first;
+        if core.layers_taken().saturating_add(layers) > self.cfg.max_layers {
+            return Err("out of memory".to_owned());
+        }
+        if !core.begin_load(range) {
+            return Ok(());
+        }
+        match self.cfg.weight_store.clone() {
+            None => core.end_load(range, true),
+            Some(store) => {
+                tokio::spawn(self.clone().fetch_weights(store, range.clone()));
+            }
+        }
+        Ok(())
+    }
+
+    async fn fetch_weights(self: Arc<Shared>, store: String, range: LoadedRange) {
+        let url = format!("{store}/weights/{}/{}", range.model, range.version);
+        let query = format!("first={}&end={}", range.layers.first, range.layers.end);
+        let sent = self.client.get(format!("{url}?{query}")).send().await;
+        let fetched = match sent.and_then(reqwest::Response::error_for_status) {
+            Ok(res) => res.bytes().await.map(drop),
+            Err(e) => Err(e),
+        };
+        if let Err(e) = &fetched {
+            log::warn!("{}: weights of {range:?}: {e}", self.cfg.name);
+        }
+        lock(&self.core).end_load(&range, fetched.is_ok());
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-fakes/src/engine/scheduler.rs
@@ -0,0 +1,223 @@
+//! Continuous batching: waiting steps run in iterations, paying ones first.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use kelpworks_wire::Class;
+use kelpworks_wire::Step;
+use kelpworks_wire::StepOutcome;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::fault::FaultKind;
+use crate::fault::lock;
+
+use super::Shared;
+use super::core::Input;
+
+/// Path that lost cache events are injected on.
+const CACHE_EVENTS: &str = "/v1/cache-events";
+
+/// A step that waits to run.
+#[derive(Debug)]
+pub(crate) struct Waiting {
+    pub(crate) step: Step,
+    pub(crate) input: Input,
+    pub(crate) at: Instant,
+    /// Dropped without an answer when the engine crashes.
+    pub(crate) tx: oneshot::Sender<Ran>,
+}
+
+/// What became of a step.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Ran {
+    /// Positions run.
+    pub(crate) count: u32,
+    pub(crate) outcome: StepOutcome,
+}
+
+/// Steps waiting and running.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    lanes: Mutex<Lanes>,
+    arrived: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Lanes {
+    paying: VecDeque<Waiting>,
+    trial: VecDeque<Waiting>,
+    running: u32,
+}
+
+/// Figures of a [`Queue`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct QueueFigures {
+    pub(crate) queued: u32,
+    pub(crate) running: u32,
+    /// Age of the oldest waiting step.
+    pub(crate) oldest: Duration,
+}
+
+impl Queue {
+    /// Adds a step unless `bound` steps wait already.
+    pub(crate) fn push(&self, waiting: Waiting, bound: usize) -> Result<(), Waiting> {
+        let mut lanes = lock(&self.lanes);
+        if lanes.paying.len() + lanes.trial.len() >= bound {
+            return Err(waiting);
+        }
+        match waiting.step.class {
+            Class::Paying => lanes.paying.push_back(waiting),
+            Class::Trial => lanes.trial.push_back(waiting),
+        }
+        drop(lanes);
+        self.arrived.notify_one();
+        Ok(())
+    }
+
+    /// Waits for steps and takes up to `max` of them.
+    async fn next_batch(&self, max: usize) -> Vec<Waiting> {
+        loop {
+            let batch = self.take(max);
+            if !batch.is_empty() {
+                return batch;
+            }
+            self.arrived.notified().await;
+        }
+    }
+
+    fn take(&self, max: usize) -> Vec<Waiting> {
+        let mut lanes = lock(&self.lanes);
+        let paying = lanes.paying.len().min(max);
+        let trial = lanes.trial.len().min(max - paying);
+        let mut batch: Vec<Waiting> = lanes.paying.drain(..paying).collect();
+        batch.extend(lanes.trial.drain(..trial));
+        lanes.running = batch.len() as u32;
+        batch
+    }
+
+    /// Drops all waiting steps without an answer.
+    pub(crate) fn clear(&self) {
+        let mut lanes = lock(&self.lanes);
+        lanes.paying.clear();
+        lanes.trial.clear();
+    }
+
+    pub(crate) fn waiting(&self, now: Instant) -> QueueFigures {
+        let lanes = lock(&self.lanes);
+        let fronts = [lanes.paying.front(), lanes.trial.front()];
+        let oldest = fronts.into_iter().flatten().map(|w| now - w.at).max();
+        QueueFigures {
+            queued: (lanes.paying.len() + lanes.trial.len()) as u32,
+            running: lanes.running,
+            oldest: oldest.unwrap_or_default(),
+        }
+    }
+}
+
+/// Runs iterations for ever.
+///
+/// An iteration starts where the last one should have ended if steps were waiting by then, so that
+/// late timers do not slow the modelled rate.
+pub(crate) async fn run(engine: Arc<Shared>) {
+    let mut last_end = Instant::now();
+    loop {
+        let batch = engine.queue.next_batch(engine.cfg.max_batch).await;
+        let begun = engine.incarnation();
+        let first = batch.iter().map(|w| w.at).min();
+        let start = last_end.max(first.unwrap_or(last_end));
+        let Some(iteration) = engine.iterate(batch) else {
+            engine.crash();
+            continue;
+        };
+        last_end = start + engine.cfg.iteration(iteration.layer_positions);
+        if last_end > Instant::now() {
+            tokio::time::sleep_until(last_end).await;
+        }
+        if engine.incarnation() == begun {
+            iteration.answer();
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Iteration {
+    layer_positions: u64,
+    done: Vec<Done>,
+}
+
+#[derive(Debug)]
+struct Done {
+    tx: oneshot::Sender<Ran>,
+    ran: Ran,
+}
+
+impl Iteration {
+    fn answer(self) {
+        for done in self.done {
+            // A caller that is gone needs no answer.
+            let _ = done.tx.send(done.ran);
+        }
+    }
+}
+
+impl Shared {
+    /// Runs a batch; absent when one of its steps crashes the engine.
+    fn iterate(&self, batch: Vec<Waiting>) -> Option<Iteration> {
+        let mut iteration = Iteration::default();
+        self.ledger.count(|t| t.iterations += 1);
+        for waiting in batch {
+            let Waiting {
+                step, input, tx, ..
+            } = waiting;
+            let poison = self.cfg.crashes_on_poison && input.is_poison();
+            let ran = self.run_step(&step, &input);
+            if ran.count > 0 {
+                iteration.layer_positions += self.cost(&step, ran.count);
+                if poison || self.struck(&FaultKind::Crash) {
+                    return None;
+                }
+            }
+            iteration.done.push(Done { tx, ran });
+        }
+        Some(iteration)
+    }
+
+    fn run_step(&self, step: &Step, input: &Input) -> Ran {
+        let ran = lock(&self.core).run(step, input);
+        match ran {
+            Ok(outcome) => {
+                let count = input.count();
+                self.ledger.note_run(step, count, self.incarnation());
+                Ran { count, outcome }
+            }
+            Err(refused) => self.not_run(*refused),
+        }
+    }
+
+    /// Counts a step that is not run.
+    pub(super) fn not_run(&self, outcome: StepOutcome) -> Ran {
+        self.ledger.count(|t| match outcome {
+            StepOutcome::Busy(_) => t.busy += 1,
+            _ => t.refused += 1,
+        });
+        Ran { count: 0, outcome }
+    }
+
+    /// Layer-positions that a step takes; a cached prompt takes those of one position.
+    fn cost(&self, step: &Step, count: u32) -> u64 {
+        let layers = u64::from(step.layers.end - step.layers.first);
+        let lost = || {
+            let wanted = |k: &FaultKind| *k == FaultKind::LostCacheEvent;
+            self.faults.take_own(CACHE_EVENTS, wanted).is_some()
+        };
+        let cached = step.position == 0 && lock(&self.cache).touch(&step.model, &step.prefix, lost);
+        match cached {
+            true => layers,
+            false => layers * u64::from(count),
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-fakes/src/fleet.rs
@@ -0,0 +1,251 @@
+//! A whole set of stand-ins at once.
+
+use std::net::SocketAddr;
+
+use kelpworks_wire::HostEntry;
+use kelpworks_wire::HostState;
+use kelpworks_wire::LoadedRange;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::engine::Engine;
+use crate::engine::EngineConfig;
+use crate::engine::Run;
+use crate::error::Error;
+use crate::error::Result;
+use crate::host_list::HostListConfig;
+use crate::host_list::HostListStandIn;
+use crate::model::Model;
+use crate::object_api::ObjectApi;
+use crate::object_api::ObjectApiConfig;
+use crate::plain_service::PlainService;
+use crate::plain_service::PlainServiceConfig;
+use crate::weight_store::WeightStore;
+use crate::weight_store::WeightStoreConfig;
+
+/// Configuration of a set of stand-ins.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FleetConfig {
+    /// Engines. Default none.
+    pub engines: Vec<EngineConfig>,
+    /// Plain services. Default none.
+    pub services: Vec<PlainServiceConfig>,
+    /// Hosts of the list beside the engines and services, which it always shows. Default none.
+    pub hosts: HostListConfig,
+    /// The object API.
+    pub object_api: ObjectApiConfig,
+    /// The weight store; engines that name none use it.
+    pub weight_store: WeightStoreConfig,
+}
+
+impl FleetConfig {
+    /// A pipeline over `model`: stages of about equal length, each with this many replicas in
+    /// failure domains of their own, and one plain service `jobs` on two hosts.
+    ///
+    /// # Panics
+    ///
+    /// When `stages` or `replicas` is 0, or there are more stages than layers.
+    pub fn pipeline(model: &Model, stages: u32, replicas: u32) -> FleetConfig {
+        assert!(
+            stages > 0 && replicas > 0,
+            "a pipeline has stages and replicas"
+        );
+        assert!(stages <= model.layers(), "a stage has a layer");
+        let mut fleet = FleetConfig::default();
+        for stage in 0..stages {
+            let first = stage * model.layers() / stages;
+            let end = (stage + 1) * model.layers() / stages;
+            for replica in 0..replicas {
+                let name = format!("engine-{stage}-{replica}");
+                let mut cfg = EngineConfig::new(&name, vec![model.clone()]);
+                cfg.failure_domain = format!("domain-{replica}");
+                cfg.load(model.name(), first..end);
+                fleet.engines.push(cfg);
+            }
+        }
+        for replica in 0..2 {
+            let mut cfg = PlainServiceConfig::new(&format!("jobs-{replica}"), "jobs");
+            cfg.failure_domain = format!("domain-{replica}");
+            fleet.services.push(cfg);
+        }
+        fleet
+    }
+}
+
+/// A running set of stand-ins; dropping it stops all.
+#[derive(Debug)]
+pub struct StandIns {
+    /// The object API.
+    pub object_api: ObjectApi,
+    /// The host list.
+    pub host_list: HostListStandIn,
+    /// The weight store.
+    pub weight_store: WeightStore,
+    /// Engines, in the order of the configuration.
+    pub engines: Vec<Engine>,
+    /// Plain services, in the order of the configuration.
+    pub services: Vec<PlainService>,
+}
+
+/// Where everything is; what a register and settings need to know.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct FleetView {
+    /// Base URL of the object API.
+    pub object_api: String,
+    /// Base URL of the host list.
+    pub host_list: String,
+    /// Base URL of the weight store.
+    pub weight_store: String,
+    /// Engines.
+    pub engines: Vec<EngineView>,
+    /// Plain services.
+    pub services: Vec<ServiceView>,
+}
+
+/// An engine of a [`FleetView`].
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct EngineView {
+    /// Host name.
+    pub name: String,
+    /// Base URL.
+    pub url: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Kind of accelerator.
+    pub accelerator: String,
+    /// Layers of one position that it runs a second; absent: without limit.
+    pub layer_rate: Option<f64>,
+    /// Whether it refuses an old fencing token.
+    pub checks_fencing: bool,
+    /// Names of the models it may carry.
+    pub models: Vec<String>,
+    /// Ranges held.
+    pub loaded: Vec<LoadedRange>,
+}
+
+/// A plain service of a [`FleetView`].
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct ServiceView {
+    /// Host name.
+    pub name: String,
+    /// Name of the service.
+    pub service: String,
+    /// Base URL.
+    pub url: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: String,
+}
+
+impl StandIns {
+    /// Starts all stand-ins.
+    ///
+    /// # Errors
+    ///
+    /// When a port cannot be bound, or an engine is to hold a range that no model has.
+    pub async fn spawn(cfg: FleetConfig) -> Result<StandIns> {
+        let weight_store = WeightStore::spawn(cfg.weight_store).await?;
+        let mut engines = Vec::new();
+        for mut engine in cfg.engines {
+            engine
+                .weight_store
+                .get_or_insert_with(|| weight_store.url());
+            engines.push(Engine::spawn(engine).await?);
+        }
+        let mut services = Vec::new();
+        for service in cfg.services {
+            services.push(PlainService::spawn(service).await?);
+        }
+        let mut hosts = cfg.hosts;
+        hosts.hosts.extend(engines.iter().map(|e| {
+            let domain = &e.config().failure_domain;
+            live_host(e.name(), e.addr(), domain)
+        }));
+        hosts.hosts.extend(services.iter().map(|s| {
+            let PlainServiceConfig {
+                name,
+                failure_domain,
+                ..
+            } = s.config();
+            live_host(name, s.addr(), failure_domain)
+        }));
+        Ok(StandIns {
+            object_api: ObjectApi::spawn(cfg.object_api).await?,
+            host_list: HostListStandIn::spawn(hosts).await?,
+            weight_store,
+            engines,
+            services,
+        })
+    }
+
+    /// Where everything is.
+    pub fn view(&self) -> FleetView {
+        FleetView {
+            object_api: self.object_api.url(),
+            host_list: self.host_list.url(),
+            weight_store: self.weight_store.url(),
+            engines: self.engines.iter().map(EngineView::of).collect(),
+            services: self.services.iter().map(ServiceView::of).collect(),
+        }
+    }
+
+    /// The engine of this name.
+    ///
+    /// # Errors
+    ///
+    /// When there is none.
+    pub fn engine(&self, name: &str) -> Result<&Engine> {
+        let found = self.engines.iter().find(|e| e.name() == name);
+        found.ok_or_else(|| Error::Config(format!("no engine `{name}`")))
+    }
+
+    /// All runs of a session on all engines, engine by engine.
+    pub fn runs_of(&self, session: &str) -> Vec<Run> {
+        let ledgers = self.engines.iter().map(Engine::ledger);
+        ledgers.flat_map(|l| l.runs_of(session)).collect()
+    }
+}
+
+impl EngineView {
+    /// Describes an engine.
+    pub fn of(engine: &Engine) -> EngineView {
+        let cfg = engine.config();
+        EngineView {
+            name: cfg.name.clone(),
+            url: engine.url(),
+            address: engine.addr(),
+            failure_domain: cfg.failure_domain.clone(),
+            accelerator: cfg.accelerator.clone(),
+            layer_rate: Some(cfg.layer_rate).filter(|r| r.is_finite()),
+            checks_fencing: cfg.checks_fencing,
+            models: cfg.models.iter().map(|m| m.name().to_owned()).collect(),
+            loaded: engine.state().loaded,
+        }
+    }
+}
+
+impl ServiceView {
+    /// Describes a plain service.
+    pub fn of(service: &PlainService) -> ServiceView {
+        let cfg = service.config();
+        ServiceView {
+            name: cfg.name.clone(),
+            service: cfg.service.clone(),
+            url: service.url(),
+            address: service.addr(),
+            failure_domain: cfg.failure_domain.clone(),
+        }
+    }
+}
+
+fn live_host(name: &str, addr: SocketAddr, failure_domain: &str) -> HostEntry {
+    HostEntry {
+        name: name.to_owned(),
+        address: addr.to_string(),
+        failure_domain: failure_domain.to_owned(),
+        state: HostState::Live,
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-fakes/src/host_list.rs
@@ -0,0 +1,172 @@
+//! The stand-in host list, which lags.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use kelpworks_wire::HostEntry;
+use kelpworks_wire::HostList;
+use kelpworks_wire::HostState;
+use salvo::Depot;
+use salvo::Request;
+use salvo::Router;
+use salvo::handler;
+use salvo::http::StatusCode;
+use tokio::time::Instant;
+
+use crate::error::Result;
+use crate::fault::Faults;
+use crate::fault::lock;
+use crate::server::Answer;
+use crate::server::Port;
+use crate::server::Server;
+use crate::server::read_json;
+use crate::server::state;
+
+/// Configuration of a stand-in host list.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HostListConfig {
+    /// Loopback port. Default 0: a free one.
+    pub port: u16,
+    /// Time until a change shows. Default 0.
+    pub lag: Duration,
+    /// Hosts at the start; they show at once. Default none.
+    pub hosts: Vec<HostEntry>,
+}
+
+/// A running host list; dropping it stops it.
+#[derive(Debug)]
+pub struct HostListStandIn {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+#[derive(Debug)]
+struct Shared {
+    lag: Duration,
+    /// Lists in order of version; the last one whose time has come is shown. Never empty.
+    lists: Mutex<Vec<Dated>>,
+}
+
+#[derive(Debug)]
+struct Dated {
+    at: Instant,
+    list: HostList,
+}
+
+impl HostListStandIn {
+    /// Starts a host list.
+    ///
+    /// # Errors
+    ///
+    /// When the port cannot be bound.
+    pub async fn spawn(cfg: HostListConfig) -> Result<HostListStandIn> {
+        let port = Port::bind(cfg.port)?;
+        let first = Dated {
+            at: Instant::now(),
+            list: HostList {
+                version: 1,
+                hosts: cfg.hosts,
+            },
+        };
+        let shared = Arc::new(Shared {
+            lag: cfg.lag,
+            lists: Mutex::new(vec![first]),
+        });
+        let router = Router::new()
+            .push(Router::with_path("hosts").get(get_hosts))
+            .push(
+                Router::with_path("fake/hosts")
+                    .get(get_true_hosts)
+                    .post(post_hosts),
+            );
+        let server = port.serve(Faults::default(), shared.clone(), router)?;
+        Ok(HostListStandIn { shared, server })
+    }
+
+    /// Base URL.
+    pub fn url(&self) -> String {
+        self.server.url()
+    }
+
+    /// Its faults.
+    pub fn faults(&self) -> &Faults {
+        self.server.faults()
+    }
+
+    /// The hosts as they are, whether or not they show yet.
+    pub fn hosts(&self) -> Vec<HostEntry> {
+        self.shared.newest().hosts
+    }
+
+    /// Replaces all hosts.
+    pub fn set_hosts(&self, hosts: Vec<HostEntry>) {
+        self.shared.change(|all| *all = hosts);
+    }
+
+    /// Adds a host, or replaces the one of that name.
+    pub fn set_host(&self, host: HostEntry) {
+        self.shared.change(|all| {
+            all.retain(|h| h.name != host.name);
+            all.push(host);
+        });
+    }
+
+    /// Sets the state of a host.
+    pub fn set_state(&self, name: &str, state: HostState) {
+        self.shared.change(|all| {
+            for host in all.iter_mut().filter(|h| h.name == name) {
+                host.state = state;
+            }
+        });
+    }
+
+    /// Removes a host.
+    pub fn remove(&self, name: &str) {
+        self.shared.change(|all| all.retain(|h| h.name != name));
+    }
+
+    /// Stops it; the same as dropping it.
+    pub fn stop(self) {}
+}
+
+impl Shared {
+    fn newest(&self) -> HostList {
+        let lists = lock(&self.lists);
+        lists[lists.len() - 1].list.clone()
+    }
+
+    fn change(&self, edit: impl FnOnce(&mut Vec<HostEntry>)) {
+        let mut list = self.newest();
+        edit(&mut list.hosts);
+        list.version += 1;
+        let at = Instant::now() + self.lag;
+        lock(&self.lists).push(Dated { at, list });
+    }
+
+    /// The list that shows now; forgets those before it.
+    fn shown(&self) -> HostList {
+        let now = Instant::now();
+        let mut lists = lock(&self.lists);
+        let due = lists.iter().rposition(|d| d.at <= now).unwrap_or(0);
+        lists.drain(..due);
+        lists[0].list.clone()
+    }
+}
+
+#[handler]
+async fn get_hosts(depot: &mut Depot) -> Answer {
+    Answer::json(&state::<Arc<Shared>>(depot).shown())
+}
+
+#[handler]
+async fn get_true_hosts(depot: &mut Depot) -> Answer {
+    Answer::json(&state::<Arc<Shared>>(depot).newest())
+}
+
+#[handler]
+async fn post_hosts(req: &mut Request, depot: &mut Depot) -> std::result::Result<Answer, Answer> {
+    let hosts: Vec<HostEntry> = read_json(req).await?;
+    state::<Arc<Shared>>(depot).change(|all| *all = hosts);
+    Ok(Answer::empty(StatusCode::NO_CONTENT))
+}
--- a/crates/kelpworks-fakes/src/lib.rs
+++ b/crates/kelpworks-fakes/src/lib.rs
@@ -1,1 +1,69 @@
-//! Stand-ins of the systems that kelpworks serves. For development only.
+//! Stand-ins of the systems around kelpworks, for tests, examples and measurements only.
+//!
+//! Each stand-in serves the same HTTP border as the real system on a loopback port, keeps a ledger
+//! of what it ran, and misbehaves on demand: see [`Fault`] for single requests, [`Connections`]
+//! for whole connections and [`Link`] for what lies between two ends. The answer that a pipeline
+//! of stand-in engines must give is computed directly by [`Model::answer`].
+//!
+//! ```
+//! use kelpworks_fakes::Engine;
+//! use kelpworks_fakes::EngineConfig;
+//! use kelpworks_fakes::Model;
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() -> kelpworks_fakes::Result<()> {
+//! let model = Model::new("caption", "1", 8);
+//! let mut cfg = EngineConfig::new("engine-0", vec![model]);
+//! cfg.load("caption", 0..8);
+//! let engine = Engine::spawn(cfg).await?;
+//! assert!(engine.url().starts_with("http://127.0.0.1:"));
+//! assert!(engine.ledger().runs().is_empty());
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! Limits: a stand-in keeps no state over the end of its process, and time in an engine is a model
+//! (one line per iteration), not a measurement of an accelerator.
+
+mod error;
+mod fault;
+mod host_list;
+mod link;
+mod model;
+mod object_api;
+mod plain_service;
+mod server;
+mod weight_store;
+
+pub mod engine;
+pub mod fleet;
+
+pub use engine::Engine;
+pub use engine::EngineConfig;
+pub use error::Error;
+pub use error::Result;
+pub use fault::Connections;
+pub use fault::Fault;
+pub use fault::FaultKind;
+pub use fault::FaultOrder;
+pub use fault::Faults;
+pub use fleet::FleetConfig;
+pub use fleet::StandIns;
+pub use host_list::HostListConfig;
+pub use host_list::HostListStandIn;
+pub use link::Link;
+pub use link::LinkState;
+pub use model::KvCache;
+pub use model::Model;
+pub use model::VOCABULARY;
+pub use model::text;
+pub use model::tokens;
+pub use object_api::ApiMode;
+pub use object_api::CallCounts;
+pub use object_api::ObjectApi;
+pub use object_api::ObjectApiConfig;
+pub use plain_service::Execution;
+pub use plain_service::PlainService;
+pub use plain_service::PlainServiceConfig;
+pub use weight_store::WeightStore;
+pub use weight_store::WeightStoreConfig;
--- /dev/null
+++ b/crates/kelpworks-fakes/src/link.rs
@@ -0,0 +1,233 @@
+//! A TCP relay that stands for the link in front of an address.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::error::Result;
+
+/// Connections that wait to be accepted, at most.
+const BACKLOG: u32 = 1024;
+const BUFFER: usize = 64 << 10;
+
+/// What a link does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LinkState {
+    /// Forwards both ways.
+    #[default]
+    Pass,
+    /// Closes all connections and refuses new ones.
+    Cut,
+    /// Connections open now never forward again, in any later state but [`LinkState::Cut`]; new
+    /// ones work.
+    SilenceExisting,
+    /// Forwards nothing; what was sent meanwhile arrives after the next [`LinkState::Pass`].
+    SilenceAll,
+    /// Forwards only what the target answers.
+    SilenceForward,
+    /// Forwards only what goes to the target.
+    SilenceBack,
+    /// Forwards each piece after this time.
+    Delay(Duration),
+}
+
+/// A relay on a loopback port; dropping it closes all its connections.
+#[derive(Debug)]
+pub struct Link {
+    addr: SocketAddr,
+    control: Arc<watch::Sender<Control>>,
+    _task: AbortOnDropHandle<()>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Control {
+    state: LinkState,
+    /// Rises by one a connection.
+    accepted: u64,
+    /// Connections with a number below this one never forward again.
+    silent_below: u64,
+}
+
+impl Link {
+    /// Starts a link to this address, in [`LinkState::Pass`].
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub async fn spawn(target: SocketAddr) -> Result<Link> {
+        // Bound, never listening: it keeps the port while the link is cut.
+        let keeper = reusable()?;
+        keeper.bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let addr = keeper.local_addr()?;
+        let listener = listen(addr)?;
+        let control = Arc::new(watch::Sender::new(Control::default()));
+        let relay = Relay {
+            _keeper: keeper,
+            addr,
+            target,
+            control: control.clone(),
+        };
+        let task = tokio::spawn(relay.run(listener));
+        Ok(Link {
+            addr,
+            control,
+            _task: AbortOnDropHandle::new(task),
+        })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Base URL of an HTTP server behind it.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.addr)
+    }
+
+    /// Sets what it does from now on.
+    pub fn set(&self, state: LinkState) {
+        self.control.send_modify(|c| {
+            c.state = state;
+            if state == LinkState::SilenceExisting {
+                c.silent_below = c.accepted;
+            }
+        });
+    }
+
+    /// Connections accepted so far.
+    pub fn accepted(&self) -> u64 {
+        self.control.borrow().accepted
+    }
+}
+
+fn reusable() -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    Ok(socket)
+}
+
+fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = reusable()?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
+struct Relay {
+    _keeper: TcpSocket,
+    addr: SocketAddr,
+    target: SocketAddr,
+    control: Arc<watch::Sender<Control>>,
+}
+
+impl Relay {
+    async fn run(self, first: TcpListener) {
+        let mut rx = self.control.subscribe();
+        let mut listener = Some(first);
+        loop {
+            if let Some(listener) = listener.take() {
+                tokio::select! {
+                    () = self.accept(listener) => {}
+                    _ = rx.wait_for(|c| c.state == LinkState::Cut) => {}
+                }
+            }
+            if rx.wait_for(|c| c.state != LinkState::Cut).await.is_err() {
+                return;
+            }
+            match listen(self.addr) {
+                Ok(again) => listener = Some(again),
+                Err(e) => return log::error!("link cannot listen on {} again: {e}", self.addr),
+            }
+        }
+    }
+
+    /// Relays connections until dropped.
+    async fn accept(&self, listener: TcpListener) {
+        let mut conns = JoinSet::new();
+        loop {
+            while conns.try_join_next().is_some() {}
+            let Ok((client, _)) = listener.accept().await else {
+                continue;
+            };
+            let mut number = 0;
+            self.control.send_modify(|c| {
+                number = c.accepted;
+                c.accepted += 1;
+            });
+            conns.spawn(relay(client, self.target, number, self.control.subscribe()));
+        }
+    }
+}
+
+async fn relay(client: TcpStream, target: SocketAddr, number: u64, rx: watch::Receiver<Control>) {
+    let mut forward = Lane {
+        number,
+        shut: LinkState::SilenceForward,
+        rx,
+    };
+    let back = Lane {
+        shut: LinkState::SilenceBack,
+        ..forward.clone()
+    };
+    forward.pass().await;
+    let Ok(upstream) = TcpStream::connect(target).await else {
+        return;
+    };
+    let _ = (client.set_nodelay(true), upstream.set_nodelay(true));
+    let (client_rx, client_tx) = client.into_split();
+    let (upstream_rx, upstream_tx) = upstream.into_split();
+    tokio::join!(
+        pump(client_rx, upstream_tx, forward),
+        pump(upstream_rx, client_tx, back)
+    );
+}
+
+/// One direction of a connection.
+#[derive(Clone, Debug)]
+struct Lane {
+    number: u64,
+    /// The state that stops this direction only.
+    shut: LinkState,
+    rx: watch::Receiver<Control>,
+}
+
+impl Lane {
+    /// Waits until this direction may forward.
+    async fn pass(&mut self) {
+        let (number, shut) = (self.number, self.shut);
+        let open = |c: &Control| {
+            number >= c.silent_below && c.state != shut && c.state != LinkState::SilenceAll
+        };
+        let state = match self.rx.wait_for(open).await {
+            Ok(control) => control.state,
+            Err(_) => return,
+        };
+        if let LinkState::Delay(delay) = state {
+            tokio::time::sleep(delay).await;
+        }
+    }
+}
+
+async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut lane: Lane) {
+    let mut buf = vec![0; BUFFER];
+    loop {
+        let read = from.read(&mut buf).await.unwrap_or(0);
+        lane.pass().await;
+        if read == 0 || to.write_all(&buf[..read]).await.is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown().await;
+}
--- /dev/null
+++ b/crates/kelpworks-fakes/src/object_api/http.rs
@@ -0,0 +1,209 @@
+//! The HTTP border of the object API.
+
+use std::future::pending;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kelpworks_wire::ApiErrorCode;
+use kelpworks_wire::Object;
+use kelpworks_wire::ObjectBody;
+use kelpworks_wire::ObjectList;
+use kelpworks_wire::WatchReply;
+use salvo::Depot;
+use salvo::Request;
+use salvo::Router;
+use salvo::handler;
+use salvo::http::StatusCode;
+use tokio::time::Instant;
+
+use crate::fault::FaultKind;
+use crate::fault::lock;
+use crate::server::Answer;
+use crate::server::read_json;
+use crate::server::state;
+
+use super::ApiMode;
+use super::Call;
+use super::Shared;
+use super::error;
+use super::unavailable;
+
+type Reply = std::result::Result<Answer, Answer>;
+type State = Arc<Shared>;
+
+pub(super) fn router() -> Router {
+    let object = Router::with_path("objects/{kind}/{name}")
+        .get(get_object)
+        .put(put_object)
+        .delete(delete_object);
+    Router::new()
+        .push(object)
+        .push(Router::with_path("objects/{kind}").get(list_objects))
+        .push(Router::with_path("watch/{kind}").get(get_watch))
+        .push(Router::with_path("fake/counts").get(get_counts))
+        .push(Router::with_path("fake/mode").post(post_mode))
+}
+
+/// Kind and name of the object in a request's path.
+#[derive(Clone, Debug)]
+struct Path {
+    kind: String,
+    name: String,
+}
+
+impl Path {
+    fn of(req: &Request) -> Path {
+        Path {
+            kind: req.param("kind").unwrap_or_default(),
+            name: req.param("name").unwrap_or_default(),
+        }
+    }
+}
+
+#[handler]
+async fn get_object(req: &mut Request, depot: &mut Depot) -> Reply {
+    let api = state::<State>(depot);
+    api.admit(Call::Read).await?;
+    let Path { kind, name } = Path::of(req);
+    let stale = api.stale(req.uri().path());
+    let store = lock(&api.store);
+    let object = match stale {
+        true => store.get_stale(&kind, &name),
+        false => store.get(&kind, &name),
+    };
+    match object {
+        Some(object) => Ok(Answer::json(object)),
+        None => Err(not_found()),
+    }
+}
+
+#[handler]
+async fn put_object(req: &mut Request, depot: &mut Depot) -> Reply {
+    let api = state::<State>(depot);
+    api.admit(Call::Write).await?;
+    let Path { kind, name } = Path::of(req);
+    let ObjectBody { body } = read_json(req).await?;
+    if body.len() > api.cfg.max_body {
+        let status = StatusCode::PAYLOAD_TOO_LARGE;
+        return Err(error(status, ApiErrorCode::TooLarge, None));
+    }
+    let mut store = lock(&api.store);
+    check_version(req, store.get(&kind, &name))?;
+    let object = store.put(&kind, &name, body);
+    api.version.send_replace(object.version);
+    Ok(Answer::json(&object))
+}
+
+#[handler]
+async fn delete_object(req: &mut Request, depot: &mut Depot) -> Reply {
+    let api = state::<State>(depot);
+    api.admit(Call::Write).await?;
+    let Path { kind, name } = Path::of(req);
+    let mut store = lock(&api.store);
+    let current = store.get(&kind, &name);
+    if current.is_none() {
+        return Err(not_found());
+    }
+    check_version(req, current)?;
+    store.delete(&kind, &name);
+    api.version.send_replace(store.version());
+    Ok(Answer::empty(StatusCode::NO_CONTENT))
+}
+
+/// Checks the condition of a write against the current object.
+fn check_version(req: &Request, current: Option<&Object>) -> std::result::Result<(), Answer> {
+    let Some(wanted) = req.query::<u64>("if_version") else {
+        return Ok(());
+    };
+    if current.map_or(0, |o| o.version) == wanted {
+        return Ok(());
+    }
+    let status = StatusCode::CONFLICT;
+    Err(error(status, ApiErrorCode::Conflict, current.cloned()))
+}
+
+#[handler]
+async fn list_objects(req: &mut Request, depot: &mut Depot) -> Reply {
+    let api = state::<State>(depot);
+    api.admit(Call::List).await?;
+    let Path { kind, .. } = Path::of(req);
+    let store = lock(&api.store);
+    Ok(Answer::json(&ObjectList {
+        items: store.list(&kind),
+        version: store.version(),
+    }))
+}
+
+#[handler]
+async fn get_watch(req: &mut Request, depot: &mut Depot) -> Reply {
+    let api = state::<State>(depot);
+    api.admit(Call::Watch).await?;
+    let Path { kind, .. } = Path::of(req);
+    let from = req.query("from").unwrap_or(0);
+    let wait = Duration::from_millis(req.query("wait_ms").unwrap_or(0));
+    let expired = |k: &FaultKind| *k == FaultKind::ExpiredVersion;
+    if api.faults.take_own(req.uri().path(), expired).is_some() {
+        return Err(error(StatusCode::GONE, ApiErrorCode::Expired, None));
+    }
+    api.wait_for_events(&kind, from, wait).await
+}
+
+#[handler]
+async fn get_counts(depot: &mut Depot) -> Answer {
+    Answer::json(&state::<State>(depot).counts())
+}
+
+#[handler]
+async fn post_mode(req: &mut Request, depot: &mut Depot) -> Reply {
+    let mode: ApiMode = read_json(req).await?;
+    state::<State>(depot).mode.send_replace(mode);
+    Ok(Answer::empty(StatusCode::NO_CONTENT))
+}
+
+fn not_found() -> Answer {
+    error(StatusCode::NOT_FOUND, ApiErrorCode::NotFound, None)
+}
+
+impl Shared {
+    fn stale(&self, path: &str) -> bool {
+        let wanted = |k: &FaultKind| *k == FaultKind::StaleRead;
+        self.faults.take_own(path, wanted).is_some()
+    }
+
+    /// Answers a watch once a change shows, the wait is over or the mode changes.
+    async fn wait_for_events(&self, kind: &str, from: u64, wait: Duration) -> Reply {
+        let deadline = Instant::now() + wait;
+        let mut version = self.version.subscribe();
+        let mut mode = self.mode.subscribe();
+        loop {
+            version.borrow_and_update();
+            let over = Instant::now() >= deadline;
+            if let Some(reply) = self.watch_reply(kind, from, over) {
+                return reply;
+            }
+            tokio::select! {
+                _ = tokio::time::sleep_until(deadline) => {}
+                _ = version.changed() => {}
+                _ = mode.changed() => {}
+            }
+            let now = *mode.borrow_and_update();
+            match now {
+                ApiMode::Up => {}
+                ApiMode::Unavailable => return Err(unavailable()),
+                ApiMode::Silent => pending().await,
+            }
+        }
+    }
+
+    fn watch_reply(&self, kind: &str, from: u64, over: bool) -> Option<Reply> {
+        let store = lock(&self.store);
+        let Some(events) = store.after(kind, from) else {
+            return Some(Err(error(StatusCode::GONE, ApiErrorCode::Expired, None)));
+        };
+        if events.is_empty() && !over {
+            return None;
+        }
+        let version = store.version().max(from);
+        Some(Ok(Answer::json(&WatchReply { events, version })))
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-fakes/src/object_api/rate.rs
@@ -0,0 +1,58 @@
+//! A token bucket that holds one second's calls.
+
+use tokio::time::Instant;
+
+/// Calls a second, with a burst of one second's worth.
+#[derive(Debug)]
+pub(super) struct Rate {
+    per_second: f64,
+    /// Calls that may come at once; at most `per_second`.
+    left: f64,
+    at: Instant,
+    /// Start of the second that is counted now.
+    second: Instant,
+    in_second: u64,
+    peak: u64,
+}
+
+impl Rate {
+    pub(super) fn new(per_second: u32) -> Rate {
+        let now = Instant::now();
+        Rate {
+            per_second: f64::from(per_second),
+            left: f64::from(per_second),
+            at: now,
+            second: now,
+            in_second: 0,
+            peak: 0,
+        }
+    }
+
+    /// Counts a call; false when it is over the rate.
+    pub(super) fn take(&mut self) -> bool {
+        let now = Instant::now();
+        self.count(now);
+        let earned = (now - self.at).as_secs_f64() * self.per_second;
+        self.left = (self.left + earned).min(self.per_second);
+        self.at = now;
+        if self.left < 1.0 {
+            return false;
+        }
+        self.left -= 1.0;
+        true
+    }
+
+    fn count(&mut self, now: Instant) {
+        if (now - self.second).as_secs() >= 1 {
+            self.second = now;
+            self.in_second = 0;
+        }
+        self.in_second += 1;
+        self.peak = self.peak.max(self.in_second);
+    }
+
+    /// Calls in the busiest second so far.
+    pub(super) fn peak(&self) -> u64 {
+        self.peak
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-fakes/src/plain_service.rs
@@ -0,0 +1,210 @@
+//! The stand-in plain service: idempotent reads beside calls that may not be repeated.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use salvo::Depot;
+use salvo::Request;
+use salvo::Router;
+use salvo::handler;
+use salvo::http::StatusCode;
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::error::Result;
+use crate::fault::Faults;
+use crate::fault::lock;
+use crate::server::Answer;
+use crate::server::Port;
+use crate::server::Server;
+use crate::server::read_body;
+use crate::server::read_json;
+use crate::server::state;
+
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Configuration of a stand-in plain service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlainServiceConfig {
+    /// Host name.
+    pub name: String,
+    /// Name of the service it runs.
+    pub service: String,
+    /// Loopback port. Default 0: a free one.
+    pub port: u16,
+    /// Failure domain, for the register. Default `domain-0`.
+    pub failure_domain: String,
+    /// Time that each call takes. Default 0.
+    pub latency: Duration,
+}
+
+impl PlainServiceConfig {
+    /// A host of this name that runs this service, with the defaults.
+    pub fn new(name: &str, service: &str) -> PlainServiceConfig {
+        PlainServiceConfig {
+            name: name.to_owned(),
+            service: service.to_owned(),
+            port: 0,
+            failure_domain: "domain-0".to_owned(),
+            latency: Duration::ZERO,
+        }
+    }
+}
+
+/// A call that ran; it is also the answer to the call.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Execution {
+    /// Host that ran it.
+    pub host: String,
+    /// Place in the order of this host's calls, from 0.
+    pub order: u64,
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// The caller's `idempotency-key`.
+    pub key: Option<String>,
+    /// Digest of the body.
+    pub body: String,
+}
+
+/// A running plain service; dropping it stops it.
+#[derive(Debug)]
+pub struct PlainService {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+#[derive(Debug)]
+struct Shared {
+    cfg: PlainServiceConfig,
+    leaving: AtomicBool,
+    ledger: Mutex<Vec<Execution>>,
+}
+
+impl PlainService {
+    /// Starts a plain service.
+    ///
+    /// # Errors
+    ///
+    /// When the port cannot be bound.
+    pub async fn spawn(cfg: PlainServiceConfig) -> Result<PlainService> {
+        let port = Port::bind(cfg.port)?;
+        let shared = Arc::new(Shared {
+            cfg,
+            leaving: AtomicBool::new(false),
+            ledger: Mutex::default(),
+        });
+        let router = Router::new()
+            .push(Router::with_path("healthz").get(get_healthz))
+            .push(Router::with_path("fake/ledger").get(get_ledger))
+            .push(Router::with_path("fake/leaving").post(post_leaving))
+            .push(Router::with_path("{**rest}").goal(any_call));
+        let server = port.serve(Faults::default(), shared.clone(), router)?;
+        Ok(PlainService { shared, server })
+    }
+
+    /// The configuration it started with.
+    pub fn config(&self) -> &PlainServiceConfig {
+        &self.shared.cfg
+    }
+
+    /// Base URL.
+    pub fn url(&self) -> String {
+        self.server.url()
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Its faults.
+    pub fn faults(&self) -> &Faults {
+        self.server.faults()
+    }
+
+    /// All calls that ran, in order.
+    pub fn ledger(&self) -> Vec<Execution> {
+        lock(&self.shared.ledger).clone()
+    }
+
+    /// Calls with this `idempotency-key` that ran.
+    pub fn runs_of(&self, key: &str) -> usize {
+        let ledger = lock(&self.shared.ledger);
+        let same = ledger.iter().filter(|e| e.key.as_deref() == Some(key));
+        same.count()
+    }
+
+    /// Sets whether it says that it is leaving.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.shared.leaving.store(leaving, Ordering::Release);
+    }
+
+    /// Closes its port and all connections, or opens the port again.
+    pub fn set_listening(&self, listening: bool) {
+        match listening {
+            true => self.server.power().up(),
+            false => self.server.power().down(),
+        }
+    }
+
+    /// Stops it; the same as dropping it.
+    pub fn stop(self) {}
+}
+
+#[handler]
+async fn get_healthz(depot: &mut Depot) -> Answer {
+    let service = state::<Arc<Shared>>(depot);
+    match service.leaving.load(Ordering::Acquire) {
+        true => Answer::text(StatusCode::SERVICE_UNAVAILABLE, "leaving".to_owned()),
+        false => Answer::text(StatusCode::OK, "ok".to_owned()),
+    }
+}
+
+#[handler]
+async fn get_ledger(depot: &mut Depot) -> Answer {
+    Answer::json(&*lock(&state::<Arc<Shared>>(depot).ledger))
+}
+
+#[handler]
+async fn post_leaving(req: &mut Request, depot: &mut Depot) -> std::result::Result<Answer, Answer> {
+    let leaving = read_json(req).await?;
+    let service = state::<Arc<Shared>>(depot);
+    service.leaving.store(leaving, Ordering::Release);
+    Ok(Answer::empty(StatusCode::NO_CONTENT))
+}
+
+#[handler]
+async fn any_call(req: &mut Request, depot: &mut Depot) -> std::result::Result<Answer, Answer> {
+    let service = state::<Arc<Shared>>(depot);
+    let body = read_body(req).await?;
+    let execution = service.execute(req, &body);
+    if !service.cfg.latency.is_zero() {
+        tokio::time::sleep(service.cfg.latency).await;
+    }
+    Ok(Answer::json(&execution))
+}
+
+impl Shared {
+    fn execute(&self, req: &Request, body: &[u8]) -> Execution {
+        let uri = req.uri();
+        let path = uri.path_and_query().map_or(uri.path(), |p| p.as_str());
+        let mut ledger = lock(&self.ledger);
+        let execution = Execution {
+            host: self.cfg.name.clone(),
+            order: ledger.len() as u64,
+            method: req.method().to_string(),
+            path: path.to_owned(),
+            key: req.header(IDEMPOTENCY_KEY),
+            body: format!("{:016x}", xxh3_64(body)),
+        };
+        ledger.push(execution.clone());
+        execution
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-fakes/src/weight_store.rs
@@ -0,0 +1,133 @@
+//! The stand-in weight store, whose rate all readers share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use kelpworks_wire::WeightsReply;
+use salvo::Depot;
+use salvo::Request;
+use salvo::Router;
+use salvo::handler;
+use salvo::http::StatusCode;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::error::Result;
+use crate::fault::Faults;
+use crate::fault::lock;
+use crate::server::Answer;
+use crate::server::Port;
+use crate::server::Server;
+use crate::server::state;
+
+/// Configuration of a stand-in weight store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WeightStoreConfig {
+    /// Loopback port. Default 0: a free one.
+    pub port: u16,
+    /// Bytes a second, over all readers. Default infinite.
+    pub bytes_per_second: f64,
+    /// Weights of one layer, in bytes. Default 1,000,000.
+    pub layer_bytes: u64,
+}
+
+impl Default for WeightStoreConfig {
+    fn default() -> WeightStoreConfig {
+        WeightStoreConfig {
+            port: 0,
+            bytes_per_second: f64::INFINITY,
+            layer_bytes: 1_000_000,
+        }
+    }
+}
+
+/// A running weight store; dropping it stops it.
+#[derive(Debug)]
+pub struct WeightStore {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+#[derive(Debug)]
+struct Shared {
+    cfg: WeightStoreConfig,
+    line: Mutex<Line>,
+}
+
+/// Reads follow one another at the store's rate.
+#[derive(Debug)]
+struct Line {
+    /// When the last read admitted so far ends.
+    free_at: Instant,
+    bytes: u64,
+}
+
+impl WeightStore {
+    /// Starts a weight store.
+    ///
+    /// # Errors
+    ///
+    /// When the port cannot be bound.
+    pub async fn spawn(cfg: WeightStoreConfig) -> Result<WeightStore> {
+        let port = Port::bind(cfg.port)?;
+        let line = Line {
+            free_at: Instant::now(),
+            bytes: 0,
+        };
+        let shared = Arc::new(Shared {
+            cfg,
+            line: Mutex::new(line),
+        });
+        let router = Router::with_path("weights/{model}/{version}").get(get_weights);
+        let server = port.serve(Faults::default(), shared.clone(), router)?;
+        Ok(WeightStore { shared, server })
+    }
+
+    /// Base URL.
+    pub fn url(&self) -> String {
+        self.server.url()
+    }
+
+    /// Its faults.
+    pub fn faults(&self) -> &Faults {
+        self.server.faults()
+    }
+
+    /// Bytes asked for so far.
+    pub fn bytes(&self) -> u64 {
+        lock(&self.shared.line).bytes
+    }
+
+    /// Stops it; the same as dropping it.
+    pub fn stop(self) {}
+}
+
+impl Shared {
+    /// Queues a read; returns when it ends.
+    fn reserve(&self, bytes: u64) -> Instant {
+        let takes = Duration::from_secs_f64(bytes as f64 / self.cfg.bytes_per_second);
+        let mut line = lock(&self.line);
+        line.bytes += bytes;
+        line.free_at = line.free_at.max(Instant::now()) + takes;
+        line.free_at
+    }
+}
+
+#[handler]
+async fn get_weights(req: &mut Request, depot: &mut Depot) -> std::result::Result<Answer, Answer> {
+    let store = state::<Arc<Shared>>(depot);
+    let first: u32 = req.query("first").unwrap_or(0);
+    let end: u32 = req.query("end").unwrap_or(0);
+    if first >= end {
+        let why = format!("layers {first}..{end}");
+        return Err(Answer::text(StatusCode::BAD_REQUEST, why));
+    }
+    let bytes = u64::from(end - first) * store.cfg.layer_bytes;
+    tokio::time::sleep_until(store.reserve(bytes)).await;
+    let named = format!("{}?{first}..{end}", req.uri().path());
+    Ok(Answer::json(&WeightsReply {
+        bytes,
+        digest: format!("{:016x}", xxh3_64(named.as_bytes())),
+    }))
+}
--- a/crates/kelpworks-wire/src/types.rs
+++ b/crates/kelpworks-wire/src/types.rs
@@ -3,7 +3,9 @@
 ///Fetch of activations kept under a handle.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ActivationRequest {
-    ///The handle.
+    ///Number of positions, from the first on.
+    pub count: u32,
+    ///The handle; names its first position.
     pub handle: ::std::string::String,
 }
 ///Activations of consecutive positions.
