settings: the command line

Cause: operators had no command to check files or change what the fleet runs by. Ruled out: status from the object API, since it must work in its outage; a daemon is asked. Change: check, register import, rules apply, status, serve (not connected to a daemon yet). Conclusion: exit codes 0, 1 and 2 as documented.

--- /dev/null
+++ b/crates/kelpworks-cli/src/args.rs
@@ -0,0 +1,209 @@
+//! The command line, read into typed commands.
+
+use std::ffi::OsStr;
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use kelpworks::config::accept::Part;
+use kelpworks::units::Span;
+use pico_args::Arguments;
+
+use crate::failure::Failure;
+use crate::failure::Result;
+
+/// How long a change is waited for.
+const DEFAULT_WAIT: Duration = Duration::from_secs(10);
+
+/// A command.
+#[derive(Debug)]
+pub(crate) enum Command {
+    /// `--help`.
+    Help,
+    /// `--version`.
+    Version,
+    /// `serve`.
+    Serve {
+        /// The settings.
+        settings: PathBuf,
+    },
+    /// `check`.
+    Check {
+        /// The files, at least one.
+        files: Vec<PathBuf>,
+    },
+    /// `register import` and `rules apply`.
+    Change(Change),
+    /// `status`.
+    Status(StatusQuery),
+}
+
+/// A change of the register or the rules.
+#[derive(Debug)]
+pub(crate) struct Change {
+    /// What to change.
+    pub(crate) part: Part,
+    /// The file with its new text.
+    pub(crate) file: PathBuf,
+    /// Only show the difference.
+    pub(crate) dry_run: bool,
+    /// Settings to take addresses from.
+    pub(crate) settings: Option<PathBuf>,
+    /// The object API; goes before the settings.
+    pub(crate) object_api: Option<String>,
+    /// Daemons to ask; go before the settings.
+    pub(crate) operators: Vec<SocketAddr>,
+    /// How long to wait until it is in force everywhere.
+    pub(crate) wait: Duration,
+}
+
+/// A question for the status.
+#[derive(Debug)]
+pub(crate) struct StatusQuery {
+    /// Print JSON.
+    pub(crate) json: bool,
+    /// Settings to take the operators' address from.
+    pub(crate) settings: Option<PathBuf>,
+    /// Daemons to ask; go before the settings.
+    pub(crate) operators: Vec<SocketAddr>,
+}
+
+/// Reads the command line.
+///
+/// # Errors
+///
+/// [`Failure::Usage`] for anything that is not understood, an option of another command too.
+pub(crate) fn parse(args: Vec<OsString>) -> Result<Command> {
+    let mut args = Arguments::from_vec(args);
+    if args.contains(["-h", "--help"]) {
+        return Ok(Command::Help);
+    }
+    if args.contains(["-V", "--version"]) {
+        return Ok(Command::Version);
+    }
+    match subcommand(&mut args)?.as_deref() {
+        Some("serve") => serve(args),
+        Some("check") => check(args),
+        Some("register") => change(args, Part::Register, "import"),
+        Some("rules") => change(args, Part::Rules, "apply"),
+        Some("status") => status(args),
+        Some(other) => Err(Failure::Usage(format!("unknown command `{other}`"))),
+        None => Err(Failure::Usage("a command is missing".to_owned())),
+    }
+}
+
+fn serve(mut args: Arguments) -> Result<Command> {
+    let settings = path_option(&mut args, "--settings")?;
+    no_more(args)?;
+    let missing = || Failure::Usage("serve needs --settings FILE".to_owned());
+    Ok(Command::Serve {
+        settings: settings.ok_or_else(missing)?,
+    })
+}
+
+fn check(args: Arguments) -> Result<Command> {
+    let files = args.finish();
+    if let Some(option) = files.iter().find(|f| is_option(f)) {
+        return Err(unexpected(option));
+    }
+    if files.is_empty() {
+        return Err(Failure::Usage("check needs at least one FILE".to_owned()));
+    }
+    Ok(Command::Check {
+        files: files.into_iter().map(PathBuf::from).collect(),
+    })
+}
+
+fn change(mut args: Arguments, part: Part, verb: &str) -> Result<Command> {
+    let noun = part.as_str();
+    if subcommand(&mut args)?.as_deref() != Some(verb) {
+        return Err(Failure::Usage(format!("expected `{noun} {verb} FILE`")));
+    }
+    let dry_run = args.contains("--dry-run");
+    let settings = path_option(&mut args, "--settings")?;
+    let object_api = args.opt_value_from_str("--object-api").map_err(usage)?;
+    let operators = operators(&mut args)?;
+    let wait = args
+        .opt_value_from_str::<_, Span>("--wait")
+        .map_err(usage)?;
+    let mut rest = args.finish();
+    if settings.is_none() && object_api.is_none() {
+        let text = format!("{noun} {verb} needs --settings FILE or --object-api URL");
+        return Err(Failure::Usage(text));
+    }
+    if let Some(option) = rest.iter().find(|a| is_option(a)) {
+        return Err(unexpected(option));
+    }
+    let (Some(file), true) = (rest.pop(), rest.is_empty()) else {
+        return Err(Failure::Usage(format!("{noun} {verb} needs one FILE")));
+    };
+    Ok(Command::Change(Change {
+        part,
+        file: file.into(),
+        dry_run,
+        settings,
+        object_api,
+        operators,
+        wait: wait.map_or(DEFAULT_WAIT, |w| w.0),
+    }))
+}
+
+fn status(mut args: Arguments) -> Result<Command> {
+    let json = args.contains("--json");
+    let settings = path_option(&mut args, "--settings")?;
+    let operators = operators(&mut args)?;
+    no_more(args)?;
+    if settings.is_none() && operators.is_empty() {
+        let text = "status needs --operators ADDR or --settings FILE";
+        return Err(Failure::Usage(text.to_owned()));
+    }
+    Ok(Command::Status(StatusQuery {
+        json,
+        settings,
+        operators,
+    }))
+}
+
+/// The next word that is no option.
+fn subcommand(args: &mut Arguments) -> Result<Option<String>> {
+    args.subcommand().map_err(usage)
+}
+
+fn path_option(args: &mut Arguments, name: &'static str) -> Result<Option<PathBuf>> {
+    let to_path = |s: &OsStr| Ok::<_, std::convert::Infallible>(PathBuf::from(s));
+    args.opt_value_from_os_str(name, to_path).map_err(usage)
+}
+
+/// The addresses of `--operators`, divided by commas.
+fn operators(args: &mut Arguments) -> Result<Vec<SocketAddr>> {
+    let list: Option<String> = args.opt_value_from_str("--operators").map_err(usage)?;
+    let Some(list) = list else {
+        return Ok(Vec::new());
+    };
+    let address = |text: &str| {
+        let wrong = |_| Failure::Usage(format!("`{text}` is no address such as 10.0.0.1:9090"));
+        text.trim().parse().map_err(wrong)
+    };
+    list.split(',').map(address).collect()
+}
+
+/// Refuses what is left over.
+fn no_more(args: Arguments) -> Result<()> {
+    match args.finish().first() {
+        Some(arg) => Err(unexpected(arg)),
+        None => Ok(()),
+    }
+}
+
+fn is_option(arg: &OsStr) -> bool {
+    arg.as_encoded_bytes().starts_with(b"-")
+}
+
+fn unexpected(arg: &OsStr) -> Failure {
+    Failure::Usage(format!("unexpected argument `{}`", arg.display()))
+}
+
+fn usage(error: pico_args::Error) -> Failure {
+    Failure::Usage(error.to_string())
+}
--- /dev/null
+++ b/crates/kelpworks-cli/src/change.rs
@@ -0,0 +1,104 @@
+//! `kelpworks register import` and `kelpworks rules apply`.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use kelpworks::border::object_api::Deadlines;
+use kelpworks::border::object_api::HttpObjectApi;
+use kelpworks::config::accept;
+use kelpworks::config::accept::Part;
+use kelpworks::config::accept::Proposal;
+use kelpworks::config::accept::RetryPolicy;
+use kelpworks::config::document::read_file;
+use kelpworks::register::Register;
+use kelpworks::rules::Rules;
+use kelpworks::settings::Settings;
+
+use crate::args::Change;
+use crate::failure::Failure;
+use crate::failure::Result;
+use crate::force;
+
+/// The systems that a change talks to.
+struct Target {
+    api: HttpObjectApi,
+    operators: Vec<SocketAddr>,
+}
+
+/// Applies a change, or shows what it would do.
+pub(crate) async fn run(change: &Change) -> Result<()> {
+    let proposal = read_proposal(change.part, &change.file)?;
+    let target = target(change)?;
+    if change.dry_run {
+        return show(&target, &proposal).await;
+    }
+    let accepted = accept::accept(&target.api, &proposal, RetryPolicy::default()).await;
+    let accepted = accepted.map_err(Failure::Accept)?;
+    let generation = accepted.generation;
+    let noun = change.part.as_str();
+    match accepted.changed {
+        true => println!("{noun} accepted as generation {generation}"),
+        false => println!("{noun} already accepted, as of generation {generation}"),
+    }
+    force::wait(generation, &target.operators, change.wait).await
+}
+
+/// Reads the new text. What is wrong with it by itself is told before any system is asked.
+fn read_proposal(part: Part, file: &Path) -> Result<Proposal> {
+    let name = file.display().to_string();
+    let text = read_file(file)?;
+    match part {
+        Part::Register => {
+            Register::parse(&name, &text)?;
+            Ok(Proposal::register(&name, text))
+        }
+        Part::Rules => {
+            Rules::parse_alone(&name, &text)?;
+            Ok(Proposal::rules(&name, text))
+        }
+    }
+}
+
+/// Where to apply the change: options go before the settings.
+fn target(change: &Change) -> Result<Target> {
+    let settings = match &change.settings {
+        Some(file) => Some(read_settings(file)?),
+        None => None,
+    };
+    let from_settings = settings.as_ref().map(|s| s.platform.object_api.clone());
+    let url = change.object_api.clone().or(from_settings);
+    let missing = || Failure::Usage("an object API is missing".to_owned());
+    let api = HttpObjectApi::new(&url.ok_or_else(missing)?, Deadlines::default());
+    let api = api.map_err(|e| Failure::Usage(e.to_string()))?;
+    Ok(Target {
+        api,
+        operators: operators(&change.operators, settings.as_ref()),
+    })
+}
+
+/// Reads a settings file.
+pub(crate) fn read_settings(file: &Path) -> Result<Settings> {
+    let name = file.display().to_string();
+    let text = read_file(file)?;
+    Ok(Settings::parse(&name, &text)?)
+}
+
+/// The daemons to ask: those given, or else the one of the settings.
+pub(crate) fn operators(given: &[SocketAddr], settings: Option<&Settings>) -> Vec<SocketAddr> {
+    match settings {
+        Some(s) if given.is_empty() => vec![s.listen.operators],
+        _ => given.to_vec(),
+    }
+}
+
+/// Shows what the change would do.
+async fn show(target: &Target, proposal: &Proposal) -> Result<()> {
+    let plan = accept::plan(&target.api, proposal, RetryPolicy::default()).await;
+    let plan = plan.map_err(Failure::Accept)?;
+    println!("against generation {}, nothing applied:", plan.generation);
+    match plan.diff.is_empty() {
+        true => println!("no difference"),
+        false => print!("{}", plan.diff),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/kelpworks-cli/src/check.rs
@@ -0,0 +1,125 @@
+//! `kelpworks check`: reads files of any kind and applies nothing.
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use kelpworks::config::document;
+use kelpworks::config::document::read_file;
+use kelpworks::config::file_kind::FileKind;
+use kelpworks::register::Register;
+use kelpworks::rules::Rules;
+use kelpworks::settings::Settings;
+
+use crate::failure::Failure;
+use crate::failure::Result;
+
+/// A file whose kind is known.
+struct Input<'a> {
+    path: &'a Path,
+    name: String,
+    text: String,
+    kind: FileKind,
+}
+
+/// A register among the files.
+struct Candidate<'a> {
+    path: &'a Path,
+    register: Register,
+}
+
+/// Checks all files and names the first fault of each.
+pub(crate) fn run(files: &[PathBuf]) -> Result<()> {
+    let mut faults = Vec::new();
+    let mut inputs = Vec::new();
+    for path in files {
+        match open(path) {
+            Ok(input) => inputs.push(input),
+            Err(e) => faults.push(e),
+        }
+    }
+    let registers = registers(&inputs);
+    for input in &inputs {
+        let register = register_for(input, &registers)?;
+        match check(input, register) {
+            Ok(()) => println!("{}: {}", input.name, verdict(input, register)),
+            Err(e) => faults.push(e),
+        }
+    }
+    match faults.is_empty() {
+        true => Ok(()),
+        false => Err(Failure::Files(faults)),
+    }
+}
+
+/// Reads a file and tells its kind.
+fn open(path: &Path) -> document::Result<Input<'_>> {
+    let name = path.display().to_string();
+    let text = read_file(path)?;
+    let kind = FileKind::of(&name, &text)?;
+    Ok(Input {
+        path,
+        name,
+        text,
+        kind,
+    })
+}
+
+/// The registers that are good; the faults of the others are found again, and told, by [`check`].
+fn registers<'a>(inputs: &[Input<'a>]) -> Vec<Candidate<'a>> {
+    let parse = |i: &Input<'a>| {
+        let register = Register::parse(&i.name, &i.text).ok()?;
+        Some(Candidate {
+            path: i.path,
+            register,
+        })
+    };
+    let is_register = |i: &&Input<'_>| i.kind == FileKind::Register;
+    inputs
+        .iter()
+        .filter(is_register)
+        .filter_map(parse)
+        .collect()
+}
+
+/// The register that a file belongs to: the one beside it, or else the only one.
+fn register_for<'a>(
+    input: &Input<'_>,
+    registers: &'a [Candidate<'_>],
+) -> Result<Option<&'a Register>> {
+    let is_beside = |c: &&Candidate<'_>| c.path.parent() == input.path.parent();
+    let beside: Vec<_> = registers.iter().filter(is_beside).collect();
+    let candidates = match beside.is_empty() {
+        true => registers.iter().collect(),
+        false => beside,
+    };
+    match candidates[..] {
+        [] => Ok(None),
+        [one] => Ok(Some(&one.register)),
+        _ if input.kind == FileKind::Register => Ok(None),
+        _ => {
+            let text = format!("{}: several registers to check it against", input.name);
+            Err(Failure::Usage(text))
+        }
+    }
+}
+
+/// Checks one file.
+fn check(input: &Input<'_>, register: Option<&Register>) -> document::Result<()> {
+    let (name, text) = (&input.name, &input.text);
+    match (input.kind, register) {
+        (FileKind::Settings, Some(r)) => Settings::parse_with(name, text, r).map(drop),
+        (FileKind::Settings, None) => Settings::parse(name, text).map(drop),
+        (FileKind::Register, _) => Register::parse(name, text).map(drop),
+        (FileKind::Rules, Some(r)) => Rules::parse(name, text, r).map(drop),
+        (FileKind::Rules, None) => Rules::parse_alone(name, text).map(drop),
+    }
+}
+
+/// What is said of a good file.
+fn verdict(input: &Input<'_>, register: Option<&Register>) -> String {
+    let kind = input.kind.as_str();
+    match (input.kind, register) {
+        (FileKind::Rules, None) => format!("{kind} ok, not checked against a register"),
+        _ => format!("{kind} ok"),
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-cli/src/force.rs
@@ -0,0 +1,85 @@
+//! Waits until a generation is in force on every daemon.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use kelpworks::status::Result as StatusResult;
+use kelpworks::status::Status;
+use kelpworks::status::fetch;
+use tokio::time::Instant;
+
+use crate::failure::Failure;
+use crate::failure::Result;
+
+/// Pause between two questions.
+const POLL: Duration = Duration::from_millis(200);
+/// Longest time for one answer.
+const ANSWER: Duration = Duration::from_secs(2);
+
+/// Asks the daemons in order; the first that answers tells of all.
+pub(crate) async fn ask(operators: &[SocketAddr]) -> Option<StatusResult<Status>> {
+    let mut last = None;
+    for &address in operators {
+        let answer = fetch(address, ANSWER).await;
+        if answer.is_ok() {
+            return Some(answer);
+        }
+        last = Some(answer);
+    }
+    last
+}
+
+/// Waits, with progress, until every daemon has the generation.
+///
+/// # Errors
+///
+/// [`Failure::Lagging`] names those that do not have it in time; [`Failure::Unseen`] when no
+/// daemon could be asked. The change is accepted all the same.
+pub(crate) async fn wait(generation: u64, operators: &[SocketAddr], time: Duration) -> Result<()> {
+    if operators.is_empty() || time.is_zero() {
+        eprintln!("not waiting until generation {generation} is in force");
+        return Ok(());
+    }
+    let deadline = Instant::now() + time;
+    let mut shown = None;
+    loop {
+        let failure = match ask(operators).await {
+            Some(Ok(status)) => match lagging(&status, generation) {
+                Some(failure) => failure,
+                None => {
+                    let daemons = 1 + status.members.len();
+                    println!("generation {generation} is in force on {daemons} daemons");
+                    return Ok(());
+                }
+            },
+            Some(Err(reason)) => Failure::Unseen { generation, reason },
+            None => return Ok(()),
+        };
+        if Instant::now() + POLL >= deadline {
+            return Err(failure);
+        }
+        show_once(&mut shown, &failure);
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+/// The failure that the wait would end in now; `None` when the generation is in force.
+fn lagging(status: &Status, generation: u64) -> Option<Failure> {
+    let names = status.lagging(generation);
+    if names.is_empty() {
+        return None;
+    }
+    Some(Failure::Lagging {
+        generation,
+        lagging: names.into_iter().map(str::to_owned).collect(),
+    })
+}
+
+/// Shows progress when it differs from what was shown last.
+fn show_once(shown: &mut Option<String>, failure: &Failure) {
+    let line = failure.to_string();
+    if shown.as_ref() != Some(&line) {
+        eprintln!("waiting: {line}");
+        *shown = Some(line);
+    }
+}
--- a/crates/kelpworks-cli/src/main.rs
+++ b/crates/kelpworks-cli/src/main.rs
@@ -1,3 +1,58 @@
 //! The command line of kelpworks.
+//!
+//! One binary serves and is driven: `serve` runs a daemon, the other commands
+//! check files and change what the fleet runs by. Results go to standard
+//! output, progress and errors to standard error.
+//!
+//! Exit codes: 0 done; 1 the outcome failed (a conflict, a daemon that lags,
+//! an outage); 2 bad input, and nothing was applied.
 
-fn main() {}
+mod args;
+mod change;
+mod check;
+mod failure;
+mod force;
+mod help;
+mod serve;
+mod status;
+
+use std::process::ExitCode;
+
+use crate::args::Command;
+use crate::failure::Result;
+
+fn main() -> ExitCode {
+    match args::parse(std::env::args_os().skip(1).collect()).and_then(run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("{failure}");
+            failure.exit_code()
+        }
+    }
+}
+
+/// Runs a command to its end.
+fn run(command: Command) -> Result<()> {
+    match command {
+        Command::Help => {
+            print!("{}", help::TEXT);
+            Ok(())
+        }
+        Command::Version => {
+            println!("kelpworks {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Command::Check { files } => check::run(&files),
+        Command::Serve { settings } => serve::run(&settings),
+        Command::Change(change) => block_on(change::run(&change)),
+        Command::Status(query) => block_on(status::run(&query)),
+    }
+}
+
+/// Runs a short command on one thread.
+fn block_on(command: impl Future<Output = Result<()>>) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(command)
+}
--- /dev/null
+++ b/crates/kelpworks-cli/src/status.rs
@@ -0,0 +1,27 @@
+//! `kelpworks status`.
+
+use crate::args::StatusQuery;
+use crate::change::operators;
+use crate::change::read_settings;
+use crate::failure::Failure;
+use crate::failure::Result;
+use crate::force::ask;
+
+/// Shows what the first daemon that answers knows.
+pub(crate) async fn run(query: &StatusQuery) -> Result<()> {
+    let settings = match &query.settings {
+        Some(file) => Some(read_settings(file)?),
+        None => None,
+    };
+    let operators = operators(&query.operators, settings.as_ref());
+    let missing = || Failure::Usage("an operators' address is missing".to_owned());
+    let status = ask(&operators).await.ok_or_else(missing)??;
+    match query.json {
+        true => println!(
+            "{}",
+            serde_json::to_string_pretty(&status).map_err(std::io::Error::from)?
+        ),
+        false => print!("{status}"),
+    }
+    Ok(())
+}
--- a/crates/kelpworks/src/config/document.rs
+++ b/crates/kelpworks/src/config/document.rs
@@ -30,11 +30,11 @@
 
 /// A fault in a configuration file.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("{file}:{line}: {}{kind}", KeyPrefix(key))]
+#[error("{file}{}: {}{kind}", LineSuffix(*line), KeyPrefix(key))]
 pub struct Error {
     /// Name of the file.
     pub file: String,
-    /// Line, from 1.
+    /// Line, from 1; 0 when the file has no line to show.
     pub line: usize,
     /// Path of the key, such as `host[3].address`; empty when the fault is the file's.
     pub key: String,
@@ -42,6 +42,18 @@
     pub kind: Kind,
 }
 
+/// The line as it stands after the name of the file.
+struct LineSuffix(usize);
+
+impl fmt::Display for LineSuffix {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            0 => Ok(()),
+            line => write!(f, ":{line}"),
+        }
+    }
+}
+
 /// The key as it stands before a message.
 struct KeyPrefix<'a>(&'a str);
 
@@ -142,7 +154,10 @@
 /// When the file cannot be read, is too large or is not UTF-8.
 pub fn read_file(path: &Path) -> Result<String> {
     let name = path.display().to_string();
-    let io_error = |e: io::Error| file_error(&name, Kind::Io(e.kind()));
+    let io_error = |e: io::Error| Error {
+        line: 0,
+        ..file_error(&name, Kind::Io(e.kind()))
+    };
     let file = File::open(path).map_err(io_error)?;
     let mut bytes = Vec::new();
     let limit = MAX_BYTES as u64 + 1;
