Test admission and retries

Ruled out: wall time; all clocks are virtual or paused (tokio's test-util, for tests only).

Change: tables of order, refusals, bounds, limits, cooldowns and deadlines; properties: shares follow weights, a refused request leaves no trace, none starts twice, no retry after the deadline.

Conclusion: the decisions are covered; rates under load are for the measurements.

--- a/crates/kelpworks/src/admission/tests.rs
+++ b/crates/kelpworks/src/admission/tests.rs
@@ -1,1 +1,344 @@
 //! Tests of admission.
+
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use kelpworks_wire::Class;
+use proptest::prelude::*;
+use rstest::rstest;
+use tokio::time::Instant;
+
+use crate::admission::Admission;
+use crate::admission::Ask;
+use crate::admission::Config;
+use crate::admission::Event;
+use crate::admission::Queue;
+use crate::admission::Refusal;
+use crate::admission::Ticket;
+use crate::admission::fair::FairQueue;
+use crate::admission::limit::Limit;
+
+use Class::Paying;
+use Class::Trial;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// One request in service at a time, whatever is observed.
+fn single() -> Config {
+    slots(1)
+}
+
+fn slots(limit: u32) -> Config {
+    Config {
+        limit,
+        limit_min: limit,
+        limit_max: limit,
+        seed: Some(1),
+        ..Config::default()
+    }
+}
+
+fn ask(team: &str, class: Class, cost: u32) -> Ask<'_> {
+    Ask {
+        team,
+        class,
+        weight: 1,
+        cost,
+    }
+}
+
+fn admitted(queue: &mut Queue) -> Vec<Ticket> {
+    let events = std::iter::from_fn(|| queue.next_event());
+    let admitted = events.filter_map(|e| match e {
+        Event::Admitted(ticket) => Some(ticket),
+        Event::Resumed(_) => None,
+    });
+    admitted.collect()
+}
+
+/// A queue that has seen one request of cost 100 take a second, with one of each class in service.
+fn warm(cfg: Config) -> Queue {
+    let mut queue = Queue::new(cfg);
+    for class in [Paying, Trial] {
+        let ticket = queue.offer(ms(0), &ask("warm", class, 100)).unwrap();
+        queue.finish(ms(1000), ticket, None);
+    }
+    admitted(&mut queue);
+    queue
+}
+
+/// Each asks in turn, all at once; one slot. The order in which they are served.
+#[rstest]
+#[case::paying_first(&[("t", Trial, 9), ("t", Trial, 9), ("p", Paying, 9)], &[0, 2, 1])]
+#[case::teams_in_turn(
+    &[("a", Paying, 9), ("a", Paying, 9), ("a", Paying, 9), ("b", Paying, 9), ("c", Paying, 9)],
+    &[0, 3, 4, 1, 2]
+)]
+#[case::by_cost(
+    &[("x", Paying, 1), ("a", Paying, 4), ("a", Paying, 4), ("b", Paying, 1), ("b", Paying, 1), ("b", Paying, 1)],
+    &[0, 1, 3, 4, 5, 2]
+)]
+fn order(#[case] asks: &[(&str, Class, u32)], #[case] expected: &[usize]) {
+    let mut queue = Queue::new(single());
+    let tickets: Vec<Ticket> = asks
+        .iter()
+        .map(|&(team, class, cost)| queue.offer(ms(0), &ask(team, class, cost)).unwrap())
+        .collect();
+    let mut served = Vec::new();
+    let mut running = VecDeque::new();
+    loop {
+        running.extend(admitted(&mut queue));
+        let Some(ticket) = running.pop_front() else {
+            break;
+        };
+        served.push(tickets.iter().position(|&t| t == ticket).unwrap());
+        queue.finish(ms(1), ticket, None);
+    }
+    assert_eq!(served, expected);
+}
+
+/// One slot, busy; each earlier request takes a second for a cost of 100. What becomes of an ask.
+#[rstest]
+#[case::paying_waits(&[("a", Paying, 100); 3], ("a", Paying), None)]
+#[case::paying_delay(&[("a", Paying, 100); 7], ("a", Paying), Some("expected queue delay too long"))]
+#[case::not_behind_the_backlog_of_others(&[("a", Paying, 100); 7], ("b", Paying), None)]
+#[case::by_cost_not_length(&[("a", Paying, 1); 20], ("a", Paying), None)]
+#[case::trial_while_paying_fills(&[("a", Paying, 100); 1], ("t", Trial), Some("expected queue delay too long"))]
+#[case::trial_is_refused_earlier(&[("t", Trial, 100); 2], ("t", Trial), Some("expected queue delay too long"))]
+fn refusals(
+    #[case] before: &[(&str, Class, u32)],
+    #[case] last: (&str, Class),
+    #[case] expected: Option<&str>,
+) {
+    let mut queue = warm(single());
+    for &(team, class, cost) in before {
+        queue.offer(ms(1000), &ask(team, class, cost)).unwrap();
+    }
+    let waiting = queue.waiting(last.1);
+    let got = queue.offer(ms(1000), &ask(last.0, last.1, 100));
+    let reason = got.as_ref().err().map(|r| r.reason);
+    assert_eq!(reason, expected);
+    assert_eq!(queue.waiting(last.1), waiting + u32::from(got.is_ok()));
+}
+
+#[rstest]
+#[case::all(4, 100, "queue full")]
+#[case::team(100, 4, "queue of the team full")]
+fn queues_are_bounded(#[case] all: u32, #[case] team: u32, #[case] reason: &str) {
+    let mut queue = Queue::new(Config {
+        queue: all,
+        team_queue: team,
+        ..single()
+    });
+    for _ in 0..5 {
+        queue.offer(ms(0), &ask("a", Paying, 1)).unwrap();
+    }
+    let refusal = queue.offer(ms(0), &ask("a", Paying, 1)).unwrap_err();
+    assert_eq!(refusal.reason, reason);
+    assert!(refusal.retry_after >= Config::default().retry_after.0);
+}
+
+#[test]
+fn trials_hold_while_paying_needs_the_room() {
+    let mut queue = Queue::new(slots(2));
+    let old = queue.offer(ms(0), &ask("t", Trial, 1)).unwrap();
+    let young = queue.offer(ms(0), &ask("t", Trial, 1)).unwrap();
+    let first = queue.offer(ms(1), &ask("p", Paying, 1)).unwrap();
+    assert_eq!(admitted(&mut queue), [old, young, first]);
+    assert!(queue.may_run(old) && !queue.may_run(young));
+    let second = queue.offer(ms(2), &ask("p", Paying, 1)).unwrap();
+    assert!(!queue.may_run(old) && !queue.may_run(young));
+    queue.finish(ms(3), first, None);
+    queue.finish(ms(4), second, None);
+    assert!(queue.may_run(old) && queue.may_run(young));
+    let resumed = std::iter::from_fn(|| queue.next_event());
+    let resumed: Vec<Event> = resumed.filter(|e| matches!(e, Event::Resumed(_))).collect();
+    assert_eq!(resumed, [Event::Resumed(old), Event::Resumed(young)]);
+}
+
+#[rstest]
+#[case::whole_cost(None, 1000)]
+#[case::half_is_given_back(Some(50), 2000)]
+fn trials_keep_to_their_rate(#[case] used: Option<u32>, #[case] expected: u32) {
+    let mut queue = Queue::new(slots(8));
+    queue.set_trial_rate(ms(0), 100.0);
+    let mut started = 0;
+    for step in 0..10_000 {
+        let now = ms(step);
+        let _ = queue.offer(now, &ask("t", Trial, 100));
+        for ticket in admitted(&mut queue) {
+            started += 100;
+            queue.finish(now, ticket, used);
+        }
+    }
+    let bound = expected + 200;
+    assert!((expected - 100..=bound).contains(&started), "{started}");
+}
+
+#[rstest]
+#[case::room_is_not_needed(&[10; 50], false, 64)]
+#[case::nothing_observed(&[], true, 64)]
+#[case::grows(&[10; 50], true, 300)]
+#[case::shrinks(&[10, 30, 30, 30, 30, 30, 30], true, 36)]
+#[case::floor(&[10, 30, 30, 30, 30, 30, 30, 30, 30, 30, 30, 30, 30, 30, 30, 30, 30, 30, 30, 30], true, 16)]
+fn limit_adapts(#[case] tokens: &[u64], #[case] full: bool, #[case] expected: u32) {
+    let cfg = Config {
+        limit_min: 16,
+        ..Config::default()
+    };
+    let mut limit = Limit::new(&cfg);
+    for &token in tokens {
+        limit.observe(Paying, ms(token));
+        limit.adjust(full);
+    }
+    if tokens.is_empty() {
+        limit.adjust(full);
+    }
+    let got = limit.get();
+    assert!(got.abs_diff(expected) <= expected / 20, "{got}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn dropped_future_leaves_the_queue() {
+    let admission = Admission::new(single());
+    let running = admission.admit(ask("a", Paying, 1)).await.unwrap();
+    {
+        let waiting = admission.admit(ask("a", Paying, 1));
+        let waited = tokio::time::timeout(ms(100), waiting).await;
+        assert!(waited.is_err());
+    }
+    assert_eq!(admission.inspect(|q| q.waiting(Paying)), 0);
+    drop(running);
+    assert_eq!(admission.inspect(|q| q.in_service(Paying)), 0);
+    admission.admit(ask("a", Paying, 1)).await.unwrap();
+}
+
+#[tokio::test(start_paused = true)]
+async fn future_dropped_after_its_admission_frees_the_slot() {
+    let admission = Admission::new(single());
+    let running = admission.admit(ask("a", Paying, 1)).await.unwrap();
+    let mut waiting = Box::pin(admission.admit(ask("a", Paying, 1)));
+    assert!(futures_util::poll!(&mut waiting).is_pending());
+    drop(running);
+    assert_eq!(admission.inspect(|q| q.in_service(Paying)), 1);
+    drop(waiting);
+    assert_eq!(admission.inspect(|q| q.in_service(Paying)), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn refusal_comes_at_once() {
+    let cfg = Config {
+        queue: 0,
+        ..single()
+    };
+    let admission = Admission::new(cfg);
+    let start = Instant::now();
+    let refused: Result<_, Refusal> = admission.admit(ask("a", Paying, 1)).await;
+    assert!(refused.is_err());
+    assert_eq!(Instant::now(), start);
+}
+
+#[tokio::test(start_paused = true)]
+async fn wait_is_bounded_when_nothing_ends() {
+    let admission = Admission::new(single());
+    let _running = admission.admit(ask("a", Paying, 1)).await.unwrap();
+    let start = Instant::now();
+    let refusal = admission.admit(ask("a", Paying, 1)).await.unwrap_err();
+    assert_eq!(refusal.reason, "waited too long");
+    assert_eq!(start.elapsed().as_secs(), 10);
+    assert_eq!(admission.inspect(|q| q.waiting(Paying)), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn held_trial_still_makes_progress() {
+    let admission = Admission::new(single());
+    let trial = admission.admit(ask("t", Trial, 1)).await.unwrap();
+    let start = Instant::now();
+    trial.turn().await;
+    assert_eq!(start.elapsed(), ms(0));
+    let paying = admission.admit(ask("p", Paying, 1)).await.unwrap();
+    paying.turn().await;
+    assert_eq!(start.elapsed(), ms(0));
+    for _ in 0..4 {
+        trial.turn().await;
+    }
+    assert_eq!(start.elapsed(), ms(1000));
+    let resumed = async {
+        tokio::time::sleep(ms(10)).await;
+        drop(paying);
+    };
+    tokio::join!(trial.turn(), resumed);
+    assert_eq!(start.elapsed(), ms(1010));
+}
+
+proptest! {
+    /// Of two teams that both wait all the time, neither is ahead of the other, by cost over
+    /// weight, by more than one request of each.
+    #[test]
+    fn shares_follow_weights(
+        teams in prop::collection::vec((1..8u32, 1..500u32), 2..12),
+        rounds in 1..300usize,
+    ) {
+        let mut queue = FairQueue::default();
+        let mut tickets = slotmap::SlotMap::<Ticket, usize>::with_key();
+        let names: Vec<String> = (0..teams.len()).map(|t| t.to_string()).collect();
+        for (t, &(weight, cost)) in teams.iter().enumerate() {
+            for _ in 0..=rounds {
+                queue.push(&names[t], weight, cost, tickets.insert(t));
+            }
+        }
+        let mut served = vec![0.0; teams.len()];
+        for _ in 0..rounds {
+            let t = tickets[queue.pop().unwrap()];
+            served[t] += f64::from(teams[t].1) / f64::from(teams[t].0);
+        }
+        let largest = |t: usize| f64::from(teams[t].1) / f64::from(teams[t].0);
+        for a in 0..teams.len() {
+            for b in 0..teams.len() {
+                prop_assert!(served[a] - served[b] <= largest(a) + largest(b) + 0.1);
+            }
+        }
+    }
+
+    /// Whatever comes: a refused request leaves no trace, none starts twice, no more are in
+    /// service than the limit allows, no trial starts before a paying one that waits, and in the
+    /// end nothing is left.
+    #[test]
+    fn queue_is_sound(ops in prop::collection::vec((0..4u8, 0..5u8, 1..300u32, any::<u16>()), 1..200)) {
+        let mut queue = Queue::new(Config { queue: 8, team_queue: 4, ..slots(3) });
+        let mut open: Vec<Ticket> = Vec::new();
+        let mut started = HashSet::new();
+        for (step, (op, team, cost, pick)) in ops.into_iter().enumerate() {
+            let now = ms(step as u64 * 10);
+            let class = if op == 0 { Trial } else { Paying };
+            let name = team.to_string();
+            if op < 2 {
+                let before = (queue.waiting(class), queue.in_service(class));
+                match queue.offer(now, &ask(&name, class, cost)) {
+                    Ok(ticket) => open.push(ticket),
+                    Err(_) => prop_assert_eq!(
+                        before, (queue.waiting(class), queue.in_service(class))
+                    ),
+                }
+            } else if !open.is_empty() {
+                let ticket = open.swap_remove(usize::from(pick) % open.len());
+                queue.finish(now, ticket, Some(cost));
+            }
+            for ticket in admitted(&mut queue) {
+                prop_assert!(started.insert(ticket));
+            }
+            prop_assert!(queue.in_service(Paying) <= 3 && queue.in_service(Trial) <= 3);
+            let room = queue.in_service(Paying) < 3;
+            prop_assert!(!(room && queue.waiting(Paying) > 0));
+        }
+        for ticket in open {
+            queue.finish(ms(10_000), ticket, None);
+        }
+        for class in [Paying, Trial] {
+            prop_assert_eq!((queue.waiting(class), queue.in_service(class)), (0, 0));
+        }
+    }
+}
--- a/crates/kelpworks/src/retry/tests.rs
+++ b/crates/kelpworks/src/retry/tests.rs
@@ -1,1 +1,139 @@
 //! Tests of retries.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rstest::rstest;
+use slotmap::SlotMap;
+
+use crate::fleet::Counters;
+use crate::fleet::UpstreamKey;
+use crate::retry::Attempt;
+use crate::retry::BusyConfig;
+use crate::retry::Cooldowns;
+use crate::retry::DeadlineConfig;
+use crate::retry::Decision;
+use crate::retry::GiveUp;
+use crate::retry::RetryBudget;
+use crate::retry::RetryConfig;
+use crate::retry::StepDeadline;
+use crate::verdict::Verdict;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn attempt(verdict: Verdict, idempotent: bool, attempts: u32, left: Duration) -> Attempt {
+    Attempt {
+        verdict,
+        idempotent,
+        attempts,
+        left,
+    }
+}
+
+fn rng() -> StdRng {
+    StdRng::seed_from_u64(1)
+}
+
+use Verdict::MayHaveRun;
+use Verdict::NotRun;
+
+#[rstest]
+#[case::idempotent(attempt(MayHaveRun, true, 1, ms(1000)), None)]
+#[case::not_run(attempt(NotRun, false, 1, ms(1000)), None)]
+#[case::at_most_once(attempt(MayHaveRun, false, 1, ms(1000)), Some(GiveUp::MayHaveRun))]
+#[case::attempts(attempt(NotRun, true, 6, ms(1000)), Some(GiveUp::Attempts))]
+#[case::deadline(attempt(NotRun, true, 1, ms(0)), Some(GiveUp::Deadline))]
+fn decisions(#[case] attempt: Attempt, #[case] expected: Option<GiveUp>) {
+    let mut budget = RetryBudget::new(RetryConfig::default());
+    let got = match budget.decide(ms(0), &attempt, &mut rng()) {
+        Decision::RetryAt(_) => None,
+        Decision::GiveUp(reason) => Some(reason),
+    };
+    assert_eq!(got, expected);
+}
+
+/// Retries allowed out of 1000 failures in a second.
+#[rstest]
+#[case::burst_and_floor(0, 51)]
+#[case::earned(500, 151)]
+fn budget_bounds_retries(#[case] successes: u32, #[case] expected: u32) {
+    let mut budget = RetryBudget::new(RetryConfig::default());
+    let failed = attempt(NotRun, true, 1, ms(1000));
+    let mut retries = 0;
+    for step in 0..1000 {
+        if step < successes {
+            budget.succeeded();
+        }
+        let decision = budget.decide(ms(step.into()), &failed, &mut rng());
+        retries += u32::from(matches!(decision, Decision::RetryAt(_)));
+    }
+    assert!(retries.abs_diff(expected) <= 1, "{retries}");
+}
+
+/// Refusals at these times; what is left of the cooldown after the last, in milliseconds.
+#[rstest]
+#[case::first(&[0], 0, 50..75)]
+#[case::grows(&[0, 100, 300], 0, 200..300)]
+#[case::capped(&[0, 1, 2, 3, 4, 5, 6, 7, 8], 0, 1990..2001)]
+#[case::forgotten(&[0, 1, 2, 3, 20_000], 0, 50..75)]
+#[case::own_word(&[0], 1000, 1000..1500)]
+#[case::own_word_is_capped(&[0], 60_000, 2000..2001)]
+fn cooldowns(
+    #[case] refusals: &[u64],
+    #[case] retry_after: u64,
+    #[case] expected: std::ops::Range<u64>,
+) {
+    let mut keys = SlotMap::<UpstreamKey, ()>::with_key();
+    let key = keys.insert(());
+    let counters = Counters::default();
+    let mut cooldowns = Cooldowns::new(BusyConfig::default());
+    let mut rng = rng();
+    let mut left = Duration::ZERO;
+    for &now in refusals {
+        left = cooldowns.refused(key, &counters, ms(retry_after), now, &mut rng);
+    }
+    let left = left.as_millis() as u64;
+    assert!(expected.contains(&left), "{left}");
+    let until = counters.busy_until_ms.load(Ordering::Relaxed);
+    assert_eq!(until, refusals[refusals.len() - 1] + left);
+    cooldowns.served(key, &counters);
+    assert_eq!(counters.busy_until_ms.load(Ordering::Relaxed), 0);
+    let again = cooldowns.refused(key, &counters, ms(0), 30_000, &mut rng);
+    assert!((50..75).contains(&again.as_millis()));
+}
+
+/// Step times in milliseconds, with positions; the deadline of a decode step and of a prefill.
+#[rstest]
+#[case::unknown(&[], 5000, 5000)]
+#[case::floor(&[(1, 1); 20], 200, 5000)]
+#[case::steady(&[(100, 1); 100], 200, 5000)]
+#[case::varying(&[(100, 1), (300, 1), (100, 1), (300, 1), (100, 1), (300, 1)], 782, 5000)]
+#[case::ceiling(&[(4000, 1)], 5000, 5000)]
+#[case::prefill(&[(1000, 100); 50], 5000, 6000)]
+fn deadlines(#[case] steps: &[(u64, u32)], #[case] decode: u64, #[case] prefill: u64) {
+    let mut step = StepDeadline::default();
+    for &(took, positions) in steps {
+        step.observe(ms(took), positions);
+    }
+    let cfg = DeadlineConfig::default();
+    let got = |positions| step.deadline(&cfg, positions).as_millis() as u64;
+    assert_eq!((got(1), got(100)), (decode, prefill));
+}
+
+proptest! {
+    /// A retry is never put beyond the caller's deadline.
+    #[test]
+    fn retries_end_before_the_deadline(attempts in 1..6u32, left in 0..2000u64, seed: u64) {
+        let mut budget = RetryBudget::new(RetryConfig::default());
+        let attempt = attempt(NotRun, true, attempts, ms(left));
+        let decision = budget.decide(ms(0), &attempt, &mut StdRng::seed_from_u64(seed));
+        if let Decision::RetryAt(delay) = decision {
+            prop_assert!(delay < ms(left));
+        }
+    }
+}
