--- a/crates/kelpworks-cli/src/failure.rs
+++ b/crates/kelpworks-cli/src/failure.rs
@@ -53,9 +53,9 @@
     /// The logger cannot start.
     #[error(transparent)]
     Logger(#[from] flexi_logger::FlexiLoggerError),
-    /// The daemon is not part of this build.
-    #[error("not connected: this build has no daemon")]
-    NotConnected,
+    /// A daemon could not start.
+    #[error(transparent)]
+    Daemon(#[from] kelpworks::daemon::Error),
 }
 
 impl Failure {
--- a/crates/kelpworks-coord/src/claim.rs
+++ b/crates/kelpworks-coord/src/claim.rs
@@ -90,7 +90,17 @@
 }
 
 /// A recorded answer.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct Outcome {
     /// HTTP status.
     pub status: u16,
@@ -99,7 +109,17 @@
 }
 
 /// How far a claim has come, as recorded.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 #[serde(rename_all = "snake_case")]
 pub enum Phase {
     /// Dispatched, or about to be.
@@ -113,7 +133,17 @@
 }
 
 /// Body of a claim object.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct Record {
     /// [`Request::digest`].
     pub digest: u64,
--- a/crates/kelpworks-coord/src/lease.rs
+++ b/crates/kelpworks-coord/src/lease.rs
@@ -89,7 +89,18 @@
 }
 
 /// A run of a daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct Owner {
     /// The daemon.
     pub node: NodeId,
@@ -99,12 +110,33 @@
 
 /// Fencing token; higher for a later acquisition.
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
 )]
 pub struct Token(pub u64);
 
 /// Body of the lease object.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct Record {
     /// Who holds it; `None` after it was given up.
     pub owner: Option<Owner>,
--- a/crates/kelpworks-coord/src/membership.rs
+++ b/crates/kelpworks-coord/src/membership.rs
@@ -81,7 +81,18 @@
 }
 
 /// What is held of a member; in rising order of rank within one incarnation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 #[serde(rename_all = "snake_case")]
 pub enum Health {
     /// Live.
@@ -106,7 +117,18 @@
 }
 
 /// What one daemon tells another of a third.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
+)]
 pub struct Update {
     /// The member.
     pub node: NodeId,
--- a/crates/kelpworks-coord/src/time.rs
+++ b/crates/kelpworks-coord/src/time.rs
@@ -17,7 +17,17 @@
 
 /// A length of time in whole milliseconds.
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize
 )]
 pub struct Span(u64);
 
--- a/crates/kelpworks-fakes/src/lib.rs
+++ b/crates/kelpworks-fakes/src/lib.rs
@@ -35,6 +35,7 @@
 mod server;
 mod weight_store;
 
+pub mod documents;
 pub mod engine;
 pub mod fleet;
 
--- /dev/null
+++ b/crates/kelpworks/examples/demo.rs
@@ -0,0 +1,147 @@
+//! The embedded default: stand-ins and three daemons in one process.
+//!
+//! `cargo run --release --locked --example demo` prints how to call it and runs until Ctrl-C;
+//! with `-- --once` it sends requests of both kinds through all daemons, checks the answers
+//! against the model computed directly, and exits.
+
+use std::process::ExitCode;
+
+use kelpworks::daemon;
+use kelpworks::daemon::Daemon;
+use kelpworks_fakes::Model;
+
+mod support;
+
+use support::ExampleTeam;
+use support::Result;
+
+const MODEL: &str = "caption";
+const MAX_TOKENS: u32 = 12;
+const TEAMS: [ExampleTeam; 2] = [
+    ExampleTeam {
+        name: "merchandisers",
+        class: "paying",
+        weight: 4,
+        token: "demo-paying",
+    },
+    ExampleTeam {
+        name: "trial-sellers",
+        class: "trial",
+        weight: 1,
+        token: "demo-trial",
+    },
+];
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let once = std::env::args().any(|a| a == "--once");
+    match run(once).await {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(wrong) => {
+            eprintln!("demo: {wrong} answers differ from the model computed directly");
+            ExitCode::FAILURE
+        }
+        Err(e) => {
+            eprintln!("demo: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Returns how many answers were wrong.
+async fn run(once: bool) -> Result<u32> {
+    let model = Model::new(MODEL, "1", 12);
+    let fakes = support::pipeline(&model, 3, 2).await?;
+    support::put_config(&fakes, std::slice::from_ref(&model), 0.2, &TEAMS);
+    let metrics = daemon::install_metrics()?;
+    let daemons = support::daemons(&fakes, 3, "", &metrics).await?;
+    let wrong = if once {
+        check(&model, &daemons).await?
+    } else {
+        serve(&daemons).await?
+    };
+    for daemon in daemons {
+        daemon.stop().await;
+    }
+    Ok(wrong)
+}
+
+async fn serve(daemons: &[Daemon]) -> Result<u32> {
+    let bound = daemons[0].bound();
+    println!("callers:  http://{}", bound.callers);
+    println!("status:   http://{}/status", bound.operators);
+    println!("metrics:  http://{}/metrics", bound.operators);
+    println!(
+        "\ntry:\n  curl -N http://{}/v1/completions \\",
+        bound.callers
+    );
+    println!("    -H 'authorization: Bearer {}' \\", TEAMS[0].token);
+    println!("    -d '{{\"model\": \"{MODEL}\", \"prompt\": \"A red kettle\", \"stream\": true}}'");
+    println!("\nCtrl-C ends it.");
+    tokio::signal::ctrl_c().await?;
+    Ok(0)
+}
+
+/// Sends requests of both kinds through every daemon.
+async fn check(model: &Model, daemons: &[Daemon]) -> Result<u32> {
+    let client = reqwest::Client::new();
+    let (mut asked, mut wrong) = (0, 0);
+    for (n, daemon) in daemons.iter().enumerate() {
+        let base = format!("http://{}", daemon.bound().callers);
+        for team in &TEAMS {
+            let prompt = format!("shot {n} of {}", team.name);
+            asked += 2;
+            let text = complete(&client, &base, team.token, &prompt).await?;
+            wrong += u32::from(text != model.answer_text(&prompt, MAX_TOKENS));
+            let text = chat(&client, &base, team.token, &prompt).await?;
+            let whole = format!("user: {prompt}\nassistant:");
+            wrong += u32::from(text != model.answer_text(&whole, MAX_TOKENS));
+        }
+        asked += 1;
+        let url = format!("{base}/services/jobs/jobs/7");
+        let res = client.get(url).bearer_auth(TEAMS[0].token).send().await?;
+        wrong += u32::from(!res.status().is_success());
+    }
+    println!(
+        "{asked} requests through {} daemons, {wrong} wrong answers",
+        daemons.len()
+    );
+    Ok(wrong)
+}
+
+async fn complete(
+    client: &reqwest::Client,
+    base: &str,
+    token: &str,
+    prompt: &str,
+) -> Result<String> {
+    let body = serde_json::json!({ "model": MODEL, "prompt": prompt, "max_tokens": MAX_TOKENS });
+    let url = format!("{base}/v1/completions");
+    let res = client
+        .post(url)
+        .bearer_auth(token)
+        .json(&body)
+        .send()
+        .await?;
+    let answer: kelpworks_wire::CompletionResponse = res.error_for_status()?.json().await?;
+    Ok(answer.choices.into_iter().map(|c| c.text).collect())
+}
+
+async fn chat(client: &reqwest::Client, base: &str, token: &str, prompt: &str) -> Result<String> {
+    let messages = [serde_json::json!({ "role": "user", "content": prompt })];
+    let body =
+        serde_json::json!({ "model": MODEL, "messages": messages, "max_tokens": MAX_TOKENS });
+    let url = format!("{base}/v1/chat/completions");
+    let res = client
+        .post(url)
+        .bearer_auth(token)
+        .json(&body)
+        .send()
+        .await?;
+    let answer: kelpworks_wire::ChatResponse = res.error_for_status()?.json().await?;
+    Ok(answer
+        .choices
+        .into_iter()
+        .map(|c| c.message.content)
+        .collect())
+}
--- /dev/null
+++ b/crates/kelpworks/examples/support/mod.rs
@@ -0,0 +1,127 @@
+//! Stand-ins and daemons in one process, for the examples.
+
+#![allow(dead_code, reason = "each example uses a part")]
+
+use std::error::Error;
+use std::time::Duration;
+
+use kelpworks::config::accept::BLOB_KIND;
+use kelpworks::config::accept::Digest;
+use kelpworks::config::accept::HEAD_KIND;
+use kelpworks::config::accept::HEAD_NAME;
+use kelpworks::config::accept::Head;
+use kelpworks::daemon::Daemon;
+use kelpworks::settings::Settings;
+use kelpworks_fakes::FleetConfig;
+use kelpworks_fakes::Model;
+use kelpworks_fakes::StandIns;
+use kelpworks_fakes::documents;
+use kelpworks_fakes::documents::DaemonAddresses;
+use kelpworks_fakes::documents::NonIdempotentCall;
+use kelpworks_fakes::documents::Team;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+/// The result of the examples.
+pub(crate) type Result<T> = std::result::Result<T, Box<dyn Error>>;
+
+/// Any free loopback port.
+const FREE: &str = "127.0.0.1:0";
+/// Longest wait for daemons to serve.
+const READY_WAIT: Duration = Duration::from_secs(10);
+
+/// A team with its token, for an example only.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ExampleTeam {
+    pub(crate) name: &'static str,
+    pub(crate) class: &'static str,
+    pub(crate) weight: u32,
+    pub(crate) token: &'static str,
+}
+
+/// Puts a register and rules in force on the object API stand-in, as generation 1.
+pub(crate) fn put_config(fakes: &StandIns, models: &[Model], share: f64, teams: &[ExampleTeam]) {
+    let register = documents::register(&fakes.view(), models);
+    let digests: Vec<String> = teams
+        .iter()
+        .map(|t| Digest::of(t.token).to_string())
+        .collect();
+    let listed: Vec<Team<'_>> = teams
+        .iter()
+        .zip(&digests)
+        .map(|(t, token_sha256)| Team {
+            name: t.name,
+            class: t.class,
+            weight: t.weight,
+            token_sha256,
+        })
+        .collect();
+    let once = NonIdempotentCall {
+        service: "jobs",
+        method: "POST",
+        path: "/certificates",
+    };
+    let rules = documents::rules(share, &listed, &[once]);
+    let head = Head {
+        generation: 1,
+        register: Digest::of(&register),
+        rules: Some(Digest::of(&rules)),
+        nonce: "example".to_owned(),
+    };
+    for text in [&register, &rules] {
+        fakes
+            .object_api
+            .put(BLOB_KIND, &Digest::of(text).to_string(), text);
+    }
+    fakes.object_api.put(HEAD_KIND, HEAD_NAME, &head.to_body());
+}
+
+/// Settings of the `n`th daemon beside the stand-ins.
+pub(crate) fn settings(fakes: &StandIns, n: usize, timing: &str) -> Result<Settings> {
+    let name = format!("daemon-{n}");
+    let addresses = DaemonAddresses {
+        name: &name,
+        failure_domain: "domain-0",
+        callers: FREE,
+        operators: FREE,
+        peers: FREE,
+    };
+    let text = documents::settings(&fakes.view(), addresses, timing);
+    Ok(Settings::parse("settings", &text)?)
+}
+
+/// Starts daemons beside the stand-ins and waits until each is ready.
+pub(crate) async fn daemons(
+    fakes: &StandIns,
+    count: usize,
+    timing: &str,
+    metrics: &PrometheusHandle,
+) -> Result<Vec<Daemon>> {
+    let mut daemons = Vec::new();
+    for n in 0..count {
+        let settings = settings(fakes, n, timing)?;
+        daemons.push(Daemon::start(&settings, metrics.clone()).await?);
+    }
+    let wait = async {
+        for daemon in &daemons {
+            ready(daemon).await;
+        }
+    };
+    tokio::time::timeout(READY_WAIT, wait).await?;
+    Ok(daemons)
+}
+
+async fn ready(daemon: &Daemon) {
+    let url = format!("http://{}/readyz", daemon.bound().operators);
+    loop {
+        let answer = reqwest::get(&url).await;
+        if answer.is_ok_and(|a| a.status().is_success()) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// A pipeline of stand-in engines over one model.
+pub(crate) async fn pipeline(model: &Model, stages: u32, replicas: u32) -> Result<StandIns> {
+    Ok(StandIns::spawn(FleetConfig::pipeline(model, stages, replicas)).await?)
+}
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -168,6 +168,7 @@
             draining: AtomicBool::new(false),
         });
         let operators = Operators {
+            name: settings.name.clone(),
             entry: Arc::clone(&entry),
             metrics,
         };
--- a/crates/kelpworks/src/operators/mod.rs
+++ b/crates/kelpworks/src/operators/mod.rs
@@ -15,13 +15,17 @@
 use salvo::Router;
 use salvo::async_trait;
 use salvo::http::StatusCode;
+use salvo::writing::Json;
 
 use crate::entry::Entry;
 use crate::fleet::Health;
+use crate::status::Status;
 
 /// What the operators' side shows.
 #[derive(Clone, Debug)]
 pub struct Operators {
+    /// Name of this daemon.
+    pub name: String,
     /// The callers' side.
     pub entry: Arc<Entry>,
     /// Recorder of the metrics.
@@ -34,6 +38,7 @@
     Metrics,
     Health,
     Ready,
+    Status,
 }
 
 struct Show {
@@ -51,9 +56,18 @@
         .push(Router::with_path("metrics").get(show(Page::Metrics)))
         .push(Router::with_path("healthz").get(show(Page::Health)))
         .push(Router::with_path("readyz").get(show(Page::Ready)))
+        .push(Router::with_path("status").get(show(Page::Status)))
 }
 
 impl Show {
+    fn status(&self) -> Status {
+        Status {
+            daemon: self.operators.name.clone(),
+            generation: self.operators.entry.config.load().generation,
+            members: Vec::new(),
+        }
+    }
+
     /// Why the daemon is not ready; `None` when it is.
     fn unready(&self) -> Option<&'static str> {
         let entry = &self.operators.entry;
@@ -83,6 +97,7 @@
                 self.operators.metrics.run_upkeep();
                 res.render(self.operators.metrics.render());
             }
+            Page::Status => res.render(Json(self.status())),
             Page::Health => res.render("ok\n"),
             Page::Ready => match self.unready() {
                 None => res.render("ready\n"),
