Measure the gap that a caller sees when a stage fails

Change: measure recovery: six ways to fail, beside a fixed timeout and a caller that is told at once and sends all again; each answer is compared with the model computed directly.

--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -7,6 +7,10 @@
 
 mod fleets;
 mod placement;
+mod recovery;
+mod stats;
+#[path = "../support/mod.rs"]
+mod support;
 mod table;
 
 use crate::table::Table;
@@ -19,10 +23,16 @@
     run: fn() -> Table,
 }
 
-const MEASUREMENTS: &[Measurement] = &[Measurement {
-    name: "placement",
-    run: placement::run,
-}];
+const MEASUREMENTS: &[Measurement] = &[
+    Measurement {
+        name: "placement",
+        run: placement::run,
+    },
+    Measurement {
+        name: "recovery",
+        run: recovery::run,
+    },
+];
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
--- /dev/null
+++ b/crates/kelpworks/examples/measure/recovery.rs
@@ -0,0 +1,258 @@
+//! `recovery`: the gap that a caller sees when a stage fails in the middle of an answer.
+//!
+//! Each row is one way to fail, with the greatest gap between two tokens after it, as a multiple
+//! of the usual time of a token in the same run.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use kelpworks::daemon;
+use kelpworks::daemon::Daemon;
+use kelpworks_fakes::Connections;
+use kelpworks_fakes::Engine;
+use kelpworks_fakes::FleetConfig;
+use kelpworks_fakes::Model;
+use kelpworks_fakes::StandIns;
+use kelpworks_wire::HostState;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::stats;
+use crate::support;
+use crate::support::ExampleTeam;
+use crate::support::Result;
+use crate::support::client::Call;
+use crate::table::Table;
+
+const MODEL: &str = "caption";
+const LAYERS: u32 = 12;
+const STAGES: u32 = 3;
+const REPLICAS: u32 = 3;
+const TOKENS: u32 = 60;
+/// The failure comes after this token.
+const FAIL_AT: usize = 20;
+const RUNS: u64 = 5;
+/// Time of an engine's iteration, and layers of a position that it runs a second.
+const ITERATION: Duration = Duration::from_millis(4);
+const LAYER_RATE: f64 = 40_000.0;
+const TEAM: ExampleTeam = ExampleTeam {
+    name: "testers",
+    class: "paying",
+    weight: 1,
+    token: "t",
+};
+/// Baseline: a fixed timeout in place of the progress deadline.
+const FIXED_TIMEOUT: &str = "step_floor = \"1 s\"\nstep_ceiling = \"1 s\"";
+
+/// How a stage fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Failure {
+    /// Nothing fails.
+    None,
+    /// The engine's process ends: connections close, new ones are refused.
+    Reset,
+    /// The engine's host goes silent on all connections.
+    Silence,
+    /// Only the open connections go silent.
+    SilentConnections,
+    /// All engines of the stage's failure domain end.
+    Domain,
+    /// The host list shows the host as leaving.
+    Leave,
+}
+
+const FAILURES: [Failure; 6] = [
+    Failure::None,
+    Failure::Reset,
+    Failure::Silence,
+    Failure::SilentConnections,
+    Failure::Domain,
+    Failure::Leave,
+];
+
+impl Failure {
+    fn name(self) -> &'static str {
+        match self {
+            Failure::None => "none",
+            Failure::Reset => "reset",
+            Failure::Silence => "silence",
+            Failure::SilentConnections => "connections silent",
+            Failure::Domain => "failure domain",
+            Failure::Leave => "planned leave",
+        }
+    }
+
+    fn strike(self, fakes: &StandIns, victim: &Engine) {
+        match self {
+            Failure::None => {}
+            Failure::Reset => victim.crash(),
+            Failure::Silence => victim.faults().connections(Connections::SilenceAll),
+            Failure::SilentConnections => victim.faults().connections(Connections::SilenceExisting),
+            Failure::Domain => {
+                let domain = &victim.config().failure_domain;
+                let lost = fakes
+                    .engines
+                    .iter()
+                    .filter(|e| e.config().failure_domain == *domain);
+                lost.for_each(Engine::crash);
+            }
+            Failure::Leave => fakes.host_list.set_state(victim.name(), HostState::Leaving),
+        }
+    }
+}
+
+/// How the caller gets on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    /// The daemon recovers.
+    Recover,
+    /// The daemon recovers, with a fixed timeout of 1 s.
+    FixedTimeout,
+    /// The caller knows of the failure at once and sends the whole request again.
+    Resubmit,
+}
+
+/// Runs the measurement.
+pub(crate) fn run() -> Table {
+    let rt = tokio::runtime::Runtime::new().expect("a runtime");
+    let metrics = daemon::install_metrics().expect("the first recorder");
+    let mut rows = Vec::new();
+    for failure in FAILURES {
+        for way in [Way::Recover, Way::FixedTimeout, Way::Resubmit] {
+            if failure == Failure::None && way != Way::Recover {
+                continue;
+            }
+            rows.push(rt.block_on(row(failure, way, &metrics)));
+        }
+    }
+    Table {
+        title: format!(
+            "recovery: greatest gap over usual token time, {STAGES} stages x {REPLICAS} replicas, \
+             failure after token {FAIL_AT} of {TOKENS}, {RUNS} runs"
+        ),
+        head: vec!["failure", "way", "min", "median", "max", "answers whole"],
+        rows,
+    }
+}
+
+async fn row(failure: Failure, way: Way, metrics: &PrometheusHandle) -> Vec<String> {
+    let mut gaps = Vec::new();
+    let mut whole = 0;
+    for seed in 0..RUNS {
+        match one(failure, way, seed, metrics).await {
+            Ok(gap) => {
+                whole += 1;
+                gaps.push(gap);
+            }
+            Err(e) => eprintln!("{} {way:?}: {e}", failure.name()),
+        }
+    }
+    let name = match way {
+        Way::Recover => "recover",
+        Way::FixedTimeout => "baseline: fixed timeout",
+        Way::Resubmit => "baseline: resubmit, told at once",
+    };
+    let mut row = vec![failure.name().to_owned(), name.to_owned()];
+    row.extend(stats::min_median_max(&gaps, 1));
+    row.push(format!("{whole}/{RUNS}"));
+    row
+}
+
+/// One run; the greatest gap over the usual time of a token.
+async fn one(failure: Failure, way: Way, seed: u64, metrics: &PrometheusHandle) -> Result<f64> {
+    let model = Model::new(MODEL, "1", LAYERS);
+    let mut cfg = FleetConfig::pipeline(&model, STAGES, REPLICAS);
+    for engine in &mut cfg.engines {
+        engine.iteration_base = ITERATION;
+        engine.layer_rate = LAYER_RATE;
+        engine.restart_after = None;
+    }
+    let fakes = Arc::new(StandIns::spawn(cfg).await?);
+    support::put_config(&fakes, std::slice::from_ref(&model), 0.2, &[TEAM]);
+    let timing = if way == Way::FixedTimeout {
+        FIXED_TIMEOUT
+    } else {
+        ""
+    };
+    let daemons = support::daemons(&fakes, 1, timing, metrics).await?;
+    let call = call(&daemons[0], seed);
+    let client = reqwest::Client::new();
+    // Warm up: connections are open and step times observed.
+    call.stream(&client, |_, _| true).await?;
+    let result = match way {
+        Way::Resubmit => resubmit(&call, &client, &fakes, failure).await,
+        _ => watch(&call, &client, &fakes, failure, &model).await,
+    };
+    for daemon in daemons {
+        daemon.abort();
+    }
+    result
+}
+
+fn call(daemon: &Daemon, seed: u64) -> Call {
+    Call {
+        base: format!("http://{}", daemon.bound().callers),
+        token: TEAM.token.to_owned(),
+        model: MODEL.to_owned(),
+        prompt: format!("valve {seed}, upstream side, shut and dripping"),
+        max_tokens: TOKENS,
+    }
+}
+
+/// The engine that runs the middle stage of a session.
+fn victim<'a>(fakes: &'a StandIns, session: &str) -> Option<&'a Engine> {
+    let middle = |e: &&Engine| {
+        let runs = e.ledger().runs_of(session);
+        runs.iter().any(|r| r.layers.first == LAYERS / STAGES)
+    };
+    fakes.engines.iter().find(middle)
+}
+
+async fn watch(
+    call: &Call,
+    client: &reqwest::Client,
+    fakes: &StandIns,
+    failure: Failure,
+    model: &Model,
+) -> Result<f64> {
+    let answer = call
+        .stream(client, |session, n| {
+            if n == FAIL_AT
+                && let Some(victim) = victim(fakes, session)
+            {
+                failure.strike(fakes, victim);
+            }
+            true
+        })
+        .await?;
+    if !answer.whole || answer.text != model.answer_text(&call.prompt, TOKENS) {
+        return Err(format!("answer broken after {} tokens", answer.at.len()).into());
+    }
+    let usual = stats::median(&stats::gaps(&answer.at[..FAIL_AT]));
+    let after = stats::gaps(&answer.at[FAIL_AT - 1..]);
+    Ok(after.iter().copied().fold(0.0, f64::max) / usual)
+}
+
+/// The time from the failure until the token after it has come by a new request.
+async fn resubmit(
+    call: &Call,
+    client: &reqwest::Client,
+    fakes: &StandIns,
+    failure: Failure,
+) -> Result<f64> {
+    let mut session = String::new();
+    let before = call
+        .stream(client, |id, n| {
+            session = id.to_owned();
+            n < FAIL_AT
+        })
+        .await?;
+    if let Some(victim) = victim(fakes, &session) {
+        failure.strike(fakes, victim);
+    }
+    let failed = Instant::now();
+    let again = call.stream(client, |_, n| n <= FAIL_AT).await?;
+    let usual = stats::median(&stats::gaps(&before.at));
+    let back = again.at.last().ok_or("no token")?.duration_since(failed);
+    Ok(back.as_secs_f64() / usual)
+}
--- a/crates/kelpworks/examples/support/mod.rs
+++ b/crates/kelpworks/examples/support/mod.rs
@@ -21,6 +21,8 @@
 use kelpworks_fakes::documents::Team;
 use metrics_exporter_prometheus::PrometheusHandle;
 
+pub(crate) mod client;
+
 /// The result of the examples.
 pub(crate) type Result<T> = std::result::Result<T, Box<dyn Error>>;
 
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -197,6 +197,13 @@
         self.bound
     }
 
+    /// Ends at once, without a word to anyone; requests in flight are cut off.
+    pub fn abort(self) {
+        self.stop.cancel();
+        self.callers.abort();
+        self.operators.abort();
+    }
+
     /// A planned stop: the balancer's check fails first, then requests in flight finish, then
     /// the addresses close.
     pub async fn stop(self) {
--- a/crates/kelpworks/src/daemon/serve.rs
+++ b/crates/kelpworks/src/daemon/serve.rs
@@ -48,6 +48,12 @@
         })
     }
 
+    /// Closes everything at once.
+    pub(crate) fn abort(self) {
+        self.handle.stop_forceful();
+        self.task.abort();
+    }
+
     /// Stops taking connections and waits for the requests in flight, at most `wait`.
     pub(crate) async fn stop(self, wait: Duration) {
         self.handle.stop_graceful(wait);
