fakes: contract tests of each stand-in and each fault

Cause: the stand-ins stood untested but for the pipeline's answer. Ruled out: one bound for answers and silences alike, since a slow machine would turn an answer into a silence; answers may take a minute, silences 300 ms. Conclusion: each fault is seen from both ends.

--- a/crates/kelpworks-fakes/src/engine/http.rs
+++ b/crates/kelpworks-fakes/src/engine/http.rs
@@ -160,7 +160,8 @@
 }
 
 impl Shared {
-    async fn step(&self, mut step: Step) -> StepReply {
+    /// Runs a step, or says why not.
+    pub(super) async fn step(&self, mut step: Step) -> StepReply {
         let ran = self.submit(&mut step).await;
         let reply = StepReply {
             session: step.session,
@@ -196,7 +197,7 @@
             at: Instant::now(),
             tx,
         };
-        if self.queue.push(waiting, self.cfg.queue_bound).is_err() {
+        if !self.queue.push(waiting, self.cfg.queue_bound) {
             let busy = lock(&self.core).busy();
             return self.not_run(busy);
         }
--- a/crates/kelpworks-fakes/src/engine/mod.rs
+++ b/crates/kelpworks-fakes/src/engine/mod.rs
@@ -226,3 +226,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/kelpworks-fakes/src/engine/scheduler.rs
+++ b/crates/kelpworks-fakes/src/engine/scheduler.rs
@@ -63,11 +63,11 @@
 }
 
 impl Queue {
-    /// Adds a step unless `bound` steps wait already.
-    pub(crate) fn push(&self, waiting: Waiting, bound: usize) -> Result<(), Waiting> {
+    /// Adds a step and returns true, unless `bound` steps wait already.
+    pub(crate) fn push(&self, waiting: Waiting, bound: usize) -> bool {
         let mut lanes = lock(&self.lanes);
         if lanes.paying.len() + lanes.trial.len() >= bound {
-            return Err(waiting);
+            return false;
         }
         match waiting.step.class {
             Class::Paying => lanes.paying.push_back(waiting),
@@ -75,7 +75,7 @@
         }
         drop(lanes);
         self.arrived.notify_one();
-        Ok(())
+        true
     }
 
     /// Waits for steps and takes up to `max` of them.
--- a/crates/kelpworks-fakes/src/weight_store.rs
+++ b/crates/kelpworks-fakes/src/weight_store.rs
@@ -131,3 +131,6 @@
         digest: format!("{:016x}", xxh3_64(named.as_bytes())),
     }))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/kelpworks-fakes/tests/engine.rs
+++ b/crates/kelpworks-fakes/tests/engine.rs
@@ -2,13 +2,53 @@
 
 mod support;
 
+use kelpworks_fakes::Engine;
+use kelpworks_fakes::EngineConfig;
 use kelpworks_fakes::FleetConfig;
+use kelpworks_fakes::Model;
 use kelpworks_fakes::StandIns;
+use kelpworks_fakes::WeightStore;
+use kelpworks_fakes::WeightStoreConfig;
 use kelpworks_fakes::tokens;
+use kelpworks_wire::CancelRequest;
+use kelpworks_wire::EngineOrder;
+use kelpworks_wire::Fence;
+use kelpworks_wire::HandleRef;
+use kelpworks_wire::KvBlob;
+use kelpworks_wire::KvExportRequest;
+use kelpworks_wire::LoadedRange;
+use kelpworks_wire::OrderAction;
+use kelpworks_wire::OrderReply;
 use kelpworks_wire::OutputForm;
+use kelpworks_wire::RefusalReason;
+use kelpworks_wire::Step;
+use kelpworks_wire::StepInput;
+use kelpworks_wire::StepOutcome;
+use reqwest::StatusCode;
 use rstest::rstest;
 use support::answer;
+use support::layers;
 use support::model;
+use support::post;
+use support::run;
+use support::step;
+
+/// An engine that holds layers 0..4, and ran positions 0..3 of layers 0..2 of session `s`.
+async fn used_engine() -> Engine {
+    let mut cfg = EngineConfig::new("e", vec![model()]);
+    cfg.load("caption", 0..4);
+    cfg.kv_capacity = 100;
+    let engine = Engine::spawn(cfg).await.unwrap();
+    run(&engine, step(vec![1, 2, 3_u32])).await;
+    engine
+}
+
+fn later(position: u32) -> Step {
+    Step {
+        position,
+        ..step(vec![4_u32])
+    }
+}
 
 #[rstest]
 #[case::inline(OutputForm::Inline, 64)]
@@ -17,20 +57,258 @@
 #[case::handle_in_chunks(OutputForm::Handle, 5)]
 #[tokio::test]
 async fn a_pipeline_answers_as_the_model(#[case] output: OutputForm, #[case] chunk: usize) {
-    let fleet = StandIns::spawn(FleetConfig::pipeline(&model(), 3, 1))
-        .await
-        .unwrap();
+    let cfg = FleetConfig::pipeline(&model(), 3, 1);
+    let fleet = StandIns::spawn(cfg).await.unwrap();
     let prompt = tokens(b"a red chair");
     let got = answer(&fleet, output, &prompt, chunk, 12).await;
     assert_eq!(got, model().answer(&prompt, 12));
     for engine in &fleet.engines {
-        let ran: Vec<u32> = engine
-            .ledger()
-            .runs_of("s")
-            .iter()
-            .flat_map(|r| r.position..r.position + r.count)
-            .collect();
-        let all: Vec<u32> = (0..(prompt.len() + 12) as u32).collect();
-        assert_eq!(ran, all);
+        let runs = engine.ledger().runs_of("s");
+        let positions = runs.iter().flat_map(|r| r.position..r.position + r.count);
+        assert!(positions.eq(0..(prompt.len() + 12) as u32));
+    }
+}
+
+#[rstest]
+#[case::next(later(3), None)]
+#[case::gap(later(4), Some((RefusalReason::PositionGap, 3)))]
+#[case::repeated(later(2), Some((RefusalReason::PositionGap, 3)))]
+#[case::begun_again(step(vec![1_u32]), Some((RefusalReason::PositionGap, 3)))]
+#[case::new_attempt(Step { attempt: 2, ..step(vec![1_u32]) }, None)]
+#[case::unknown_session(
+    Step { session: "t".to_owned(), ..later(3) },
+    Some((RefusalReason::PositionGap, 0))
+)]
+#[case::other_cut(
+    Step { layers: layers(0, 4), ..later(3) },
+    Some((RefusalReason::WrongLayers, 0))
+)]
+#[case::not_held(
+    Step { layers: layers(2, 6), ..step(vec![1_u64]) },
+    Some((RefusalReason::WrongLayers, 0))
+)]
+#[case::empty_range(
+    Step { layers: layers(3, 3), ..step(vec![1_u64]) },
+    Some((RefusalReason::WrongLayers, 0))
+)]
+#[case::other_model(
+    Step { model: "report".to_owned(), attempt: 2, ..step(vec![1_u32]) },
+    Some((RefusalReason::WrongLayers, 0))
+)]
+#[case::other_version(
+    Step { version: "2".to_owned(), attempt: 2, ..step(vec![1_u32]) },
+    Some((RefusalReason::WrongVersion, 0))
+)]
+#[case::version_changed(
+    Step { version: "2".to_owned(), ..later(3) },
+    Some((RefusalReason::WrongVersion, 3))
+)]
+#[case::rows_for_layer_0(
+    Step { position: 3, ..step(vec![1_u64]) },
+    Some((RefusalReason::Invalid, 3))
+)]
+#[case::no_input(Step { position: 3, ..step(Vec::<u32>::new()) }, Some((RefusalReason::Invalid, 3)))]
+#[case::missing_handle(
+    Step { layers: layers(2, 4), ..step(nowhere()) },
+    Some((RefusalReason::HandleMissing, 0))
+)]
+#[tokio::test]
+async fn steps_that_do_not_fit_are_refused(
+    #[case] step: Step,
+    #[case] refused: Option<(RefusalReason, u32)>,
+) {
+    let engine = used_engine().await;
+    let outcome = run(&engine, step).await;
+    let got = match outcome {
+        StepOutcome::Refused(r) => Some((r.reason, r.have)),
+        _ => None,
+    };
+    assert_eq!(got, refused);
+    let ran = 1 + u64::from(refused.is_none());
+    assert_eq!(engine.ledger().totals().runs, ran);
+}
+
+fn nowhere() -> StepInput {
+    StepInput::Handle(HandleRef {
+        upstream: "http://127.0.0.1:9".to_owned(),
+        handle: "s/1/0/0".to_owned(),
+        count: 1,
+    })
+}
+
+#[tokio::test]
+async fn full_kv_cache_is_busy() {
+    let engine = used_engine().await;
+    let big = Step {
+        session: "t".to_owned(),
+        ..step(vec![1_u32; 98])
+    };
+    let outcome = run(&engine, big).await;
+    assert!(matches!(outcome, StepOutcome::Busy(_)), "{outcome:?}");
+    assert_eq!(engine.kv_free(), 97);
+}
+
+#[tokio::test]
+async fn draining_refuses_new_sessions_only() {
+    let engine = used_engine().await;
+    let drain = post(&engine.url(), "/fake/draining", &true).await.unwrap();
+    assert_eq!(drain.status(), StatusCode::NO_CONTENT);
+    assert!(matches!(run(&engine, later(3)).await, StepOutcome::Rows(_)));
+    let fresh = Step {
+        session: "t".to_owned(),
+        ..step(vec![1_u32])
+    };
+    let StepOutcome::Refused(refused) = run(&engine, fresh).await else {
+        panic!("a draining engine took a new session");
+    };
+    assert_eq!(refused.reason, RefusalReason::Draining);
+}
+
+#[tokio::test]
+async fn cancel_frees_and_late_steps_do_not_run() {
+    let engine = used_engine().await;
+    let req = CancelRequest {
+        session: "s".to_owned(),
+        attempt: 1,
+    };
+    let res = post(&engine.url(), "/v1/cancel", &req).await.unwrap();
+    assert_eq!(res.status(), StatusCode::NO_CONTENT);
+    assert_eq!((engine.sessions(), engine.kv_free()), (0, 100));
+    for late in [later(3), step(vec![1_u32])] {
+        let outcome = run(&engine, late).await;
+        assert!(matches!(outcome, StepOutcome::Refused(_)), "{outcome:?}");
+    }
+    assert_eq!(engine.ledger().totals().runs, 1);
+}
+
+#[rstest]
+#[case::whole_history("s/1/0/0", 3, true)]
+#[case::from_the_middle("s/1/0/1", 2, true)]
+#[case::not_yet_run("s/1/0/1", 3, false)]
+#[case::other_attempt("s/2/0/0", 3, false)]
+#[case::other_session("t/1/0/0", 3, false)]
+#[case::other_layer("s/1/2/0", 3, false)]
+#[case::no_handle("s", 1, false)]
+#[tokio::test]
+async fn rows_are_kept_by_position(#[case] handle: &str, #[case] count: u32, #[case] kept: bool) {
+    let engine = used_engine().await;
+    let wanted = kelpworks_wire::ActivationRequest {
+        handle: handle.to_owned(),
+        count,
+    };
+    let res = post(&engine.url(), "/v1/activations", &wanted).await;
+    let res = res.unwrap();
+    assert_eq!(res.status().is_success(), kept);
+    if kept {
+        let got: kelpworks_wire::Activations = res.json().await.unwrap();
+        assert_eq!(got.rows.len(), count as usize);
     }
 }
+
+#[tokio::test]
+async fn an_imported_cache_goes_on_where_the_export_stopped() {
+    let (source, target) = (used_engine().await, used_engine().await);
+    let wanted = KvExportRequest {
+        session: "s".to_owned(),
+        attempt: 1,
+    };
+    let res = post(&source.url(), "/v1/kv/export", &wanted).await.unwrap();
+    let mut blob: KvBlob = res.json().await.unwrap();
+    let again = post(&target.url(), "/v1/kv/import", &blob).await.unwrap();
+    assert_eq!(again.status(), StatusCode::CONFLICT);
+    blob.attempt = 2;
+    let res = post(&target.url(), "/v1/kv/import", &blob).await.unwrap();
+    assert_eq!(res.status(), StatusCode::NO_CONTENT);
+    let moved = Step {
+        attempt: 2,
+        ..later(3)
+    };
+    assert_eq!(run(&target, moved).await, run(&source, later(3)).await);
+}
+
+fn order(token: u64, action: OrderAction) -> EngineOrder {
+    let fence = Fence {
+        lease: "placement/caption".to_owned(),
+        token,
+    };
+    EngineOrder { fence, action }
+}
+
+fn range(version: &str, first: u32, end: u32) -> LoadedRange {
+    LoadedRange {
+        model: "caption".to_owned(),
+        version: version.to_owned(),
+        layers: layers(first, end),
+    }
+}
+
+#[rstest]
+#[case::checks(true, OrderReply::Stale(7), 2)]
+#[case::ignores(false, OrderReply::Accepted(6), 1)]
+#[tokio::test]
+async fn old_fencing_tokens(
+    #[case] checks_fencing: bool,
+    #[case] wanted: OrderReply,
+    #[case] ranges: usize,
+) {
+    let store = WeightStore::spawn(WeightStoreConfig::default());
+    let store = store.await.unwrap();
+    let mut cfg = EngineConfig::new("e", vec![model()]);
+    cfg.load("caption", 0..4);
+    cfg.checks_fencing = checks_fencing;
+    cfg.weight_store = Some(store.url());
+    let engine = Engine::spawn(cfg).await.unwrap();
+    let load = OrderAction::Load(range("2", 2, 6));
+    let unload = OrderAction::Unload(range("1", 0, 4));
+    assert_eq!(give(&engine, order(7, load)).await, OrderReply::Accepted(7));
+    while !engine.state().loading.is_empty() {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(store.bytes(), 4_000_000);
+    assert_eq!(give(&engine, order(6, unload)).await, wanted);
+    assert_eq!(engine.state().loaded.len(), ranges);
+    assert_eq!(engine.state().highest_fence, 7);
+    let stale: Vec<bool> = engine
+        .ledger()
+        .orders()
+        .iter()
+        .map(|o| o.was_stale)
+        .collect();
+    assert_eq!(stale, [false, true]);
+}
+
+async fn give(engine: &Engine, order: EngineOrder) -> OrderReply {
+    let res = post(&engine.url(), "/v1/orders", &order).await;
+    res.unwrap().json().await.unwrap()
+}
+
+#[rstest]
+#[case::unknown_model(OrderAction::Load(LoadedRange { model: "x".to_owned(), ..range("1", 0, 2) }))]
+#[case::past_the_end(OrderAction::Load(range("1", 4, 7)))]
+#[case::out_of_memory(OrderAction::Load(range("2", 0, 3)))]
+#[case::unknown_role(OrderAction::Role("cook".to_owned()))]
+#[tokio::test]
+async fn orders_that_cannot_be_carried_out(#[case] action: OrderAction) {
+    let mut cfg = EngineConfig::new("e", vec![model()]);
+    cfg.load("caption", 0..4);
+    cfg.max_layers = 6;
+    let engine = Engine::spawn(cfg).await.unwrap();
+    let reply = give(&engine, order(1, action)).await;
+    assert!(matches!(reply, OrderReply::Refused(_)), "{reply:?}");
+    assert_eq!(engine.state().loaded, [range("1", 0, 4)]);
+}
+
+#[tokio::test]
+async fn unloading_ends_the_sessions_on_the_range() {
+    let engine = used_engine().await;
+    let unload = OrderAction::Unload(range("1", 0, 4));
+    give(&engine, order(1, unload)).await;
+    assert_eq!((engine.sessions(), engine.kv_free()), (0, 100));
+}
+
+#[tokio::test]
+async fn an_unknown_range_does_not_start() {
+    let mut cfg = EngineConfig::new("e", vec![Model::new("caption", "1", 2)]);
+    cfg.load("caption", 0..4);
+    assert!(Engine::spawn(cfg).await.is_err());
+}
--- a/crates/kelpworks-fakes/tests/support/mod.rs
+++ b/crates/kelpworks-fakes/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Each test file is a crate of its own and uses a part of this.
 #![allow(dead_code)]
 
+use std::time::Duration;
+
 use kelpworks_fakes::Engine;
 use kelpworks_fakes::Model;
 use kelpworks_fakes::StandIns;
@@ -21,6 +23,14 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+/// Longest wait for an answer that is to come; for one that is not to come, long enough to tell.
+pub(crate) fn patience(comes: bool) -> Duration {
+    match comes {
+        true => Duration::from_secs(60),
+        false => Duration::from_millis(300),
+    }
+}
+
 pub(crate) fn model() -> Model {
     Model::new("caption", "1", 6)
 }
