fakes: slow engines, closed ports, cancels in constant time

Cause: a cancel walked all sessions of an engine; a degraded accelerator and an engine that is unreachable but alive could not be shown. Ruled out: lower timers' granularity by spinning, which would take a core of the machine that is measured; the limit is documented instead. Change: cancel looks up its session; Engine::set_slowdown, set_listening on each stand-in with state; runnable examples in the docs.

--- a/crates/kelpworks-fakes/src/engine/config.rs
+++ b/crates/kelpworks-fakes/src/engine/config.rs
@@ -57,7 +57,7 @@
     pub crashes_on_poison: bool,
     /// Time from a crash to the restart; absent: it stays down. Default 500 ms.
     pub restart_after: Option<Duration>,
-    /// Runs that the ledger keeps; later ones only count. Default 1,000,000.
+    /// Runs that the ledger keeps; later ones only count. Default 250,000.
     pub ledger_limit: usize,
 }
 
@@ -86,7 +86,7 @@
             weight_store: None,
             crashes_on_poison: true,
             restart_after: Some(Duration::from_millis(500)),
-            ledger_limit: 1_000_000,
+            ledger_limit: 250_000,
         }
     }
 
--- a/crates/kelpworks-fakes/src/engine/core.rs
+++ b/crates/kelpworks-fakes/src/engine/core.rs
@@ -157,7 +157,7 @@
         self.loading.retain(|r| r != range);
         self.held.retain(|h| h.range != *range);
         let held = &self.held;
-        self.sessions.retain(|_, part| {
+        self.sessions.retain(|part| {
             let (name, version) = (part.model.name(), part.model.version());
             held.iter()
                 .any(|h| covers(&h.range, name, version, &part.layers))
--- a/crates/kelpworks-fakes/src/engine/http.rs
+++ b/crates/kelpworks-fakes/src/engine/http.rs
@@ -57,6 +57,7 @@
         .push(Router::with_path("v1/cache-events").get(get_cache_events))
         .push(Router::with_path("fake/ledger").get(get_ledger))
         .push(Router::with_path("fake/draining").post(post_draining))
+        .push(Router::with_path("fake/slowdown").post(post_slowdown))
         .push(Router::with_path("fake/crash").post(post_crash))
 }
 
@@ -154,6 +155,17 @@
     Ok(Answer::empty(StatusCode::NO_CONTENT))
 }
 
+#[handler]
+async fn post_slowdown(req: &mut Request, depot: &mut Depot) -> Reply {
+    let engine = state::<State>(depot);
+    let factor: f64 = read_json(req).await?;
+    if factor <= 0.0 {
+        return Err(Answer::empty(StatusCode::BAD_REQUEST));
+    }
+    *lock(&engine.slowdown) = factor;
+    Ok(Answer::empty(StatusCode::NO_CONTENT))
+}
+
 #[handler]
 async fn post_crash(depot: &mut Depot) {
     state::<State>(depot).crash();
--- a/crates/kelpworks-fakes/src/engine/mod.rs
+++ b/crates/kelpworks-fakes/src/engine/mod.rs
@@ -21,7 +21,9 @@
 //! # }
 //! ```
 //!
-//! Limits: a prompt that crashes an engine ([`POISON`]) is seen only where tokens come in, so by
+//! Limits: timers of tokio round up to a millisecond. A busy engine makes up for it, and keeps its
+//! modelled rate; one with few steps at a time does not, so choose iterations of 10 ms and more
+//! where time is measured. A prompt that crashes an engine ([`POISON`]) is seen only where tokens come in, so by
 //! engines that run layer 0.
 
 mod cache;
@@ -87,6 +89,8 @@
     meter: Mutex<LoadMeter>,
     ledger: Ledger,
     faults: Faults,
+    /// How many times longer than configured an iteration takes; above 0.
+    slowdown: Mutex<f64>,
     /// The latest true reply to a step, for [`FaultKind::PreviousReply`].
     previous: Mutex<Option<StepReply>>,
     client: reqwest::Client,
@@ -113,6 +117,7 @@
             meter: Mutex::new(LoadMeter::default()),
             ledger,
             faults: faults.clone(),
+            slowdown: Mutex::new(1.0),
             previous: Mutex::new(None),
             client: reqwest::Client::builder().no_proxy().build()?,
             power: OnceLock::new(),
@@ -186,7 +191,23 @@
 
     /// Brings it up again after a crash.
     pub fn restart(&self) {
-        self.server.power().up();
+        self.set_listening(true);
+    }
+
+    /// Closes its port and all connections, or opens the port again; unlike a crash it keeps its
+    /// sessions and its incarnation.
+    pub fn set_listening(&self, listening: bool) {
+        self.server.power().set_listening(listening);
+    }
+
+    /// Makes it run this many times slower than configured, as a degraded accelerator does.
+    ///
+    /// # Panics
+    ///
+    /// When the factor is not above 0.
+    pub fn set_slowdown(&self, factor: f64) {
+        assert!(factor > 0.0, "a slowdown is above 0");
+        *lock(&self.shared.slowdown) = factor;
     }
 
     /// Stops it; the same as dropping it.
@@ -217,11 +238,11 @@
         let Some(power) = self.power.get().cloned() else {
             return;
         };
-        power.down();
+        power.set_listening(false);
         if let Some(after) = self.cfg.restart_after {
             tokio::spawn(async move {
                 tokio::time::sleep(after).await;
-                power.up();
+                power.set_listening(true);
             });
         }
     }
--- a/crates/kelpworks-fakes/src/engine/scheduler.rs
+++ b/crates/kelpworks-fakes/src/engine/scheduler.rs
@@ -133,7 +133,9 @@
             engine.crash();
             continue;
         };
-        last_end = start + engine.cfg.iteration(iteration.layer_positions);
+        let slowdown = *lock(&engine.slowdown);
+        let takes = engine.cfg.iteration(iteration.layer_positions);
+        last_end = start + takes.mul_f64(slowdown);
         if last_end > Instant::now() {
             tokio::time::sleep_until(last_end).await;
         }
--- a/crates/kelpworks-fakes/src/engine/sessions.rs
+++ b/crates/kelpworks-fakes/src/engine/sessions.rs
@@ -119,7 +119,13 @@
 
     /// Ends all attempts of a session up to the one given.
     pub(crate) fn cancel(&mut self, req: &CancelRequest) {
-        self.retain(|session, p| session != req.session || p.attempt > req.attempt);
+        if let Some(parts) = self.parts.get_mut(&req.session) {
+            let ended = parts.extract_if(.., |p| p.attempt <= req.attempt);
+            self.used -= ended.map(|p| u64::from(p.positions)).sum::<u64>();
+            if parts.is_empty() {
+                self.parts.remove(&req.session);
+            }
+        }
         let ended = self.ended.entry(req.session.clone()).or_insert_with(|| {
             self.ended_order.push_back(req.session.clone());
             req.attempt
@@ -133,19 +139,12 @@
     }
 
     /// Drops the parts for which `keep` is false.
-    pub(crate) fn retain(&mut self, keep: impl Fn(&str, &Part) -> bool) {
-        let mut freed = 0;
-        self.parts.retain(|session, parts| {
-            parts.retain(|p| {
-                let kept = keep(session, p);
-                if !kept {
-                    freed += u64::from(p.positions);
-                }
-                kept
-            });
+    pub(crate) fn retain(&mut self, keep: impl Fn(&Part) -> bool) {
+        self.parts.retain(|_, parts| {
+            let dropped = parts.extract_if(.., |p| !keep(p));
+            self.used -= dropped.map(|p| u64::from(p.positions)).sum::<u64>();
             !parts.is_empty()
         });
-        self.used -= freed;
     }
 
     /// The rows that a handle names; see [`handle`].
--- a/crates/kelpworks-fakes/src/engine/tests.rs
+++ b/crates/kelpworks-fakes/src/engine/tests.rs
@@ -84,6 +84,14 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_degraded_engine_is_slower() {
+    let engine = Engine::spawn(config()).await.unwrap();
+    engine.set_slowdown(3.0);
+    let took = times(&engine, vec![step("a", Class::Paying, 1)]).await;
+    assert_eq!(took, [42]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_full_queue_is_busy() {
     let cfg = EngineConfig {
--- a/crates/kelpworks-fakes/src/fleet.rs
+++ b/crates/kelpworks-fakes/src/fleet.rs
@@ -1,4 +1,18 @@
 //! A whole set of stand-ins at once.
+//!
+//! ```
+//! use kelpworks_fakes::FleetConfig;
+//! use kelpworks_fakes::Model;
+//! use kelpworks_fakes::StandIns;
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() -> kelpworks_fakes::Result<()> {
+//! let model = Model::new("caption", "1", 12);
+//! let fleet = StandIns::spawn(FleetConfig::pipeline(&model, 3, 2)).await?;
+//! assert_eq!(fleet.view().engines.len(), 6);
+//! # Ok(())
+//! # }
+//! ```
 
 use std::net::SocketAddr;
 
--- a/crates/kelpworks-fakes/src/host_list.rs
+++ b/crates/kelpworks-fakes/src/host_list.rs
@@ -126,6 +126,11 @@
         self.shared.change(|all| all.retain(|h| h.name != name));
     }
 
+    /// Closes its port and all connections, or opens the port again.
+    pub fn set_listening(&self, listening: bool) {
+        self.server.power().set_listening(listening);
+    }
+
     /// Stops it; the same as dropping it.
     pub fn stop(self) {}
 }
--- a/crates/kelpworks-fakes/src/link.rs
+++ b/crates/kelpworks-fakes/src/link.rs
@@ -44,6 +44,24 @@
 }
 
 /// A relay on a loopback port; dropping it closes all its connections.
+///
+/// # Examples
+///
+/// ```
+/// use kelpworks_fakes::Link;
+/// use kelpworks_fakes::LinkState;
+/// use kelpworks_fakes::PlainService;
+/// use kelpworks_fakes::PlainServiceConfig;
+///
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> kelpworks_fakes::Result<()> {
+/// let jobs = PlainService::spawn(PlainServiceConfig::new("jobs-0", "jobs")).await?;
+/// let link = Link::spawn(jobs.addr()).await?;
+/// assert_ne!(link.url(), jobs.url());
+/// link.set(LinkState::SilenceExisting);
+/// # Ok(())
+/// # }
+/// ```
 #[derive(Debug)]
 pub struct Link {
     addr: SocketAddr,
--- a/crates/kelpworks-fakes/src/object_api/mod.rs
+++ b/crates/kelpworks-fakes/src/object_api/mod.rs
@@ -88,6 +88,23 @@
 }
 
 /// A running object API; dropping it stops it and loses its objects.
+///
+/// # Examples
+///
+/// ```
+/// use kelpworks_fakes::ApiMode;
+/// use kelpworks_fakes::ObjectApi;
+/// use kelpworks_fakes::ObjectApiConfig;
+///
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> kelpworks_fakes::Result<()> {
+/// let api = ObjectApi::spawn(ObjectApiConfig::default()).await?;
+/// let object = api.put("kelpworks.head", "current", "{}");
+/// assert_eq!(api.get("kelpworks.head", "current"), Some(object));
+/// api.set_mode(ApiMode::Unavailable);
+/// # Ok(())
+/// # }
+/// ```
 #[derive(Debug)]
 pub struct ObjectApi {
     shared: Arc<Shared>,
@@ -164,10 +181,7 @@
 
     /// Closes its port and all connections, or opens the port again; objects are kept.
     pub fn set_listening(&self, listening: bool) {
-        match listening {
-            true => self.server.power().up(),
-            false => self.server.power().down(),
-        }
+        self.server.power().set_listening(listening);
     }
 
     /// Calls so far.
--- a/crates/kelpworks-fakes/src/plain_service.rs
+++ b/crates/kelpworks-fakes/src/plain_service.rs
@@ -148,10 +148,7 @@
 
     /// Closes its port and all connections, or opens the port again.
     pub fn set_listening(&self, listening: bool) {
-        match listening {
-            true => self.server.power().up(),
-            false => self.server.power().down(),
-        }
+        self.server.power().set_listening(listening);
     }
 
     /// Stops it; the same as dropping it.
--- a/crates/kelpworks-fakes/src/server.rs
+++ b/crates/kelpworks-fakes/src/server.rs
@@ -61,14 +61,9 @@
 pub(crate) struct Power(Arc<watch::Sender<bool>>);
 
 impl Power {
-    /// Closes the port and all connections.
-    pub(crate) fn down(&self) {
-        self.0.send_replace(false);
-    }
-
-    /// Opens the port again.
-    pub(crate) fn up(&self) {
-        self.0.send_replace(true);
+    /// Opens the port, or closes it and all connections.
+    pub(crate) fn set_listening(&self, listening: bool) {
+        self.0.send_replace(listening);
     }
 }
 
--- a/crates/kelpworks-fakes/tests/engine.rs
+++ b/crates/kelpworks-fakes/tests/engine.rs
@@ -10,6 +10,8 @@
 use kelpworks_fakes::WeightStore;
 use kelpworks_fakes::WeightStoreConfig;
 use kelpworks_fakes::tokens;
+use kelpworks_wire::ActivationRequest;
+use kelpworks_wire::Activations;
 use kelpworks_wire::CancelRequest;
 use kelpworks_wire::EngineOrder;
 use kelpworks_wire::Fence;
@@ -32,6 +34,7 @@
 use support::post;
 use support::run;
 use support::step;
+use support::try_steps;
 
 /// An engine that holds layers 0..4, and ran positions 0..3 of layers 0..2 of session `s`.
 async fn used_engine() -> Engine {
@@ -192,7 +195,7 @@
 #[tokio::test]
 async fn rows_are_kept_by_position(#[case] handle: &str, #[case] count: u32, #[case] kept: bool) {
     let engine = used_engine().await;
-    let wanted = kelpworks_wire::ActivationRequest {
+    let wanted = ActivationRequest {
         handle: handle.to_owned(),
         count,
     };
@@ -200,11 +203,36 @@
     let res = res.unwrap();
     assert_eq!(res.status().is_success(), kept);
     if kept {
-        let got: kelpworks_wire::Activations = res.json().await.unwrap();
+        let got: Activations = res.json().await.unwrap();
         assert_eq!(got.rows.len(), count as usize);
     }
 }
 
+#[tokio::test]
+async fn rows_are_kept_within_a_bound() {
+    let mut cfg = EngineConfig::new("e", vec![model()]);
+    cfg.load("caption", 0..4);
+    cfg.retain = 2;
+    let engine = Engine::spawn(cfg).await.unwrap();
+    run(&engine, step(vec![1, 2, 3_u32])).await;
+    for (handle, count, status) in [("s/1/0/0", 1, 404), ("s/1/0/1", 2, 200)] {
+        let handle = handle.to_owned();
+        let wanted = ActivationRequest { handle, count };
+        let res = post(&engine.url(), "/v1/activations", &wanted).await;
+        assert_eq!(res.unwrap().status(), status);
+    }
+}
+
+#[tokio::test]
+async fn an_unreachable_engine_keeps_its_sessions() {
+    let engine = used_engine().await;
+    engine.set_listening(false);
+    while try_steps(&engine.url(), Vec::new()).await.is_ok() {}
+    engine.set_listening(true);
+    while try_steps(&engine.url(), Vec::new()).await.is_err() {}
+    assert!(matches!(run(&engine, later(3)).await, StepOutcome::Rows(_)));
+}
+
 #[tokio::test]
 async fn an_imported_cache_goes_on_where_the_export_stopped() {
     let (source, target) = (used_engine().await, used_engine().await);
