--- a/crates/kelpworks-wire/src/types.rs
+++ b/crates/kelpworks-wire/src/types.rs
@@ -410,6 +410,8 @@
     ///Kind of error.
     #[serde(rename = "type")]
     pub type_: ::std::string::String,
+    ///`not-run` or `may-have-run`.
+    pub verdict: ::std::string::String,
 }
 ///Fencing token of a lease.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
--- a/crates/kelpworks/src/lib.rs
+++ b/crates/kelpworks/src/lib.rs
@@ -8,11 +8,20 @@
 
 pub mod admission;
 pub mod border;
+pub mod config;
+pub mod daemon;
+pub mod entry;
 pub mod fleet;
+pub mod in_force;
+pub mod operators;
+pub mod pipeline;
 pub mod placement;
 pub mod register;
+pub mod retry;
 pub mod routing;
 pub mod rules;
 pub mod settings;
+pub mod status;
 pub mod units;
+pub mod upstreams;
 pub mod verdict;
