--- a/crates/kelpworks/tests/support/mod.rs
+++ b/crates/kelpworks/tests/support/mod.rs
@@ -10,12 +10,18 @@
 use kelpworks::border::object_api::Error;
 use kelpworks::border::object_api::ObjectApi;
 use kelpworks::border::object_api::Result;
-use kelpworks::config::accept::BLOB_KIND;
-use kelpworks::config::accept::Digest;
-use kelpworks::config::accept::HEAD_KIND;
-use kelpworks::config::accept::HEAD_NAME;
-use kelpworks::config::accept::Head;
-use kelpworks::config::accept::Part;
+use kelpworks::config::accept::Which;
+use kelpworks::config::head::BLOB_KIND;
+use kelpworks::config::head::HEAD_KIND;
+use kelpworks::config::head::HEAD_NAME;
+use kelpworks::config::head::Head;
+use kelpworks::config::head::digest_of;
+use kelpworks::config::head::parse;
+use kelpworks::config::head::to_body;
+use kelpworks_coord::head::Generation;
+use kelpworks_coord::head::Part;
+use kelpworks_coord::id::Digest;
+use kelpworks_coord::id::Nonce;
 use kelpworks_wire::Object;
 use kelpworks_wire::ObjectList;
 use kelpworks_wire::WatchReply;
@@ -25,6 +31,8 @@
 pub(crate) enum Fault {
     /// It takes effect and its reply is lost.
     LostAfterEffect,
+    /// As [`Fault::LostAfterEffect`], and some reads of the head after it are refused.
+    LostThenOut,
     /// It is lost on its way.
     LostBeforeEffect,
     /// No connection.
@@ -39,11 +47,16 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Rival {
     /// The part that it changes.
-    pub(crate) part: Part,
+    pub(crate) which: Which,
     /// The new text.
     pub(crate) text: String,
 }
 
+/// Reads of the head that [`Fault::LostThenOut`] refuses.
+const REFUSED_READS: usize = 3;
+/// Nonces of rivals start here.
+const RIVAL: u64 = 1_000;
+
 type Key = (String, String);
 
 #[derive(Default)]
@@ -53,6 +66,7 @@
     faults: VecDeque<Fault>,
     heads: Vec<Object>,
     frozen: Option<u64>,
+    refused_reads: usize,
     before: Option<Rival>,
     after: Option<Rival>,
 }
@@ -68,7 +82,7 @@
 }
 
 fn generation(object: &Object) -> u64 {
-    Head::from_body(&object.body).expect("a head").generation
+    parse(&object.body).expect("a head").generation.0
 }
 
 impl MemoryApi {
@@ -83,7 +97,8 @@
 
     /// Faults that have not struck yet.
     pub(crate) fn faults_left(&self) -> usize {
-        self.state().faults.len()
+        let state = self.state();
+        state.faults.len() + state.refused_reads
     }
 
     /// Another operator is accepted just before the next write of the head.
@@ -113,7 +128,7 @@
 
     /// The head in force.
     pub(crate) fn head(&self) -> Head {
-        Head::from_body(&self.state().objects[&head_key()].body).expect("a head")
+        parse(&self.state().objects[&head_key()].body).expect("a head")
     }
 
     /// All objects.
@@ -149,20 +164,28 @@
 
     /// Accepts the rival's text as one more generation.
     fn admit(&self, rival: Option<Rival>) {
-        let Some(Rival { part, text }) = rival else {
+        let Some(Rival { which, text }) = rival else {
             return;
         };
-        let digest = Digest::of(&text);
+        let digest = digest_of(&text);
         let mut head = self.head();
-        head.generation += 1;
-        head.nonce = format!("rival-{}", head.generation);
-        match part {
-            Part::Register => head.register = digest,
-            Part::Rules => head.rules = Some(digest),
+        head.generation = Generation(head.generation.0 + 1);
+        let part = Some(Part {
+            digest,
+            since: head.generation,
+            nonce: Nonce(RIVAL + head.generation.0),
+        });
+        match which {
+            Which::Register => head.register = part,
+            Which::Rules => head.rules = part,
         }
         let blob = (BLOB_KIND.to_owned(), digest.to_string());
         let _there_already = self.write(blob, text, Condition::Absent);
-        let written = self.write(head_key(), head.to_body(), Condition::Always);
+        let written = self.write(
+            head_key(),
+            to_body(&head).expect("a body"),
+            Condition::Always,
+        );
         written.expect("an unconditional write");
     }
 
@@ -177,6 +200,10 @@
         let reply = match fault {
             None => write(),
             Some(Fault::LostAfterEffect) => write().and(Err(Error::Lost)),
+            Some(Fault::LostThenOut) => {
+                self.state().refused_reads = REFUSED_READS;
+                write().and(Err(Error::Lost))
+            }
             Some(Fault::LostBeforeEffect) => Err(Error::Lost),
             Some(Fault::NotSent) => Err(Error::NotSent),
             Some(Fault::OverRate) => Err(Error::OverRate),
@@ -191,7 +218,11 @@
     async fn get(&self, kind: &str, name: &str) -> Result<Object> {
         let key = (kind.to_owned(), name.to_owned());
         tokio::task::yield_now().await;
-        let state = self.state();
+        let mut state = self.state();
+        if key == head_key() && state.refused_reads > 0 {
+            state.refused_reads -= 1;
+            return Err(Error::Unavailable);
+        }
         if let Some(frozen) = state.frozen.filter(|_| key == head_key()) {
             let old = state.heads.iter().rfind(|h| generation(h) == frozen);
             return old.cloned().ok_or(Error::NotFound);
