--- a/crates/kelpworks/src/border/object_api.rs
+++ b/crates/kelpworks/src/border/object_api.rs
@@ -47,7 +47,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Why a call to the object API failed.
-#[derive(Clone, Debug, PartialEq, Error)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum Error {
     /// There is no such object.
--- a/crates/kelpworks/src/config/accept/mod.rs
+++ b/crates/kelpworks/src/config/accept/mod.rs
@@ -58,7 +58,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Why a register or rules were not accepted.
-#[derive(Clone, Debug, PartialEq, Error)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum Error {
     /// The proposal itself is at fault.
--- a/crates/kelpworks/src/config/head.rs
+++ b/crates/kelpworks/src/config/head.rs
@@ -4,11 +4,14 @@
 //! generation that brought it, so that a part which was changed and changed
 //! back still counts as changed.
 
-use kelpworks_coord::id::Digest;
 use sha2::Digest as _;
 use sha2::Sha256;
 
+pub use kelpworks_coord::head::Generation;
 pub use kelpworks_coord::head::Head;
+pub use kelpworks_coord::head::Part;
+pub use kelpworks_coord::id::Digest;
+pub use kelpworks_coord::id::Nonce;
 
 /// Kind of the objects that hold the text of a register or of rules, named by its SHA-256.
 pub const BLOB_KIND: &str = "kelpworks.blob";
--- a/crates/kelpworks/src/daemon/follow.rs
+++ b/crates/kelpworks/src/daemon/follow.rs
@@ -35,8 +35,8 @@
 enum Error {
     #[error("object API: {0}")]
     Api(#[from] object_api::Error),
-    #[error("configuration head: {0}")]
-    Head(String),
+    #[error("the configuration head can't be read: {0}")]
+    Head(serde_json::Error),
     #[error("configuration: {0}")]
     Config(#[from] document::Error),
 }
@@ -103,7 +103,7 @@
     }
 
     async fn take(&self, body: &str) -> Result<()> {
-        let head = head::parse(body).map_err(|e| Error::Head(e.to_string()))?;
+        let head = head::parse(body).map_err(Error::Head)?;
         let Some(part) = head.register else {
             return Ok(());
         };
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -25,6 +25,7 @@
 
 use kelpworks_wire::OutputForm;
 
+use crate::admission;
 use crate::admission::Admission;
 use crate::border::engine::HttpEngine;
 use crate::border::host_list;
@@ -159,7 +160,7 @@
             request_timeout: timing.request.0,
             config,
             fleet,
-            admission: Admission::default(),
+            admission: Admission::new(admission_config(settings)),
             driver,
             engine,
             reports,
@@ -167,6 +168,7 @@
             draining: AtomicBool::new(false),
         });
         let operators = Operators {
+            name: settings.name.clone(),
             entry: Arc::clone(&entry),
             metrics,
         };
@@ -210,6 +212,13 @@
     }
 }
 
+fn admission_config(settings: &Settings) -> admission::Config {
+    admission::Config {
+        queue: settings.limits.queue,
+        ..admission::Config::default()
+    }
+}
+
 fn object_api(settings: &Settings) -> Result<HttpObjectApi> {
     let deadlines = object_api::Deadlines::default();
     Ok(HttpObjectApi::new(
