settings: operators' processes before a failing object API and in races

Cause: acceptance had been tested over a trait in memory only. Ruled out: a second object API in the tests of the command line; the stand-in has the faults. Change: tests run the binary against the stand-in: thirteen faults, a stale read, two outages, six operators at once; the outage test moved here and now also looks at the head; bounds of the client's tests no longer depend on the machine's speed; imports in three groups. Conclusion: each accepted change has one generation of its own.

--- a/crates/kelpworks-cli/src/args.rs
+++ b/crates/kelpworks-cli/src/args.rs
@@ -6,13 +6,13 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use kelpworks::config::accept::Which;
-use kelpworks::config::accept::name_of;
-use kelpworks::units::Span;
 use pico_args::Arguments;
 
 use crate::failure::Failure;
 use crate::failure::Result;
+use kelpworks::config::accept::Which;
+use kelpworks::config::accept::name_of;
+use kelpworks::units::Span;
 
 /// How long a change is waited for.
 const DEFAULT_WAIT: Duration = Duration::from_secs(10);
--- a/crates/kelpworks-cli/src/change.rs
+++ b/crates/kelpworks-cli/src/change.rs
@@ -3,6 +3,10 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use crate::args::Change;
+use crate::failure::Failure;
+use crate::failure::Result;
+use crate::force;
 use kelpworks::border::object_api::Deadlines;
 use kelpworks::border::object_api::HttpObjectApi;
 use kelpworks::config::accept;
@@ -15,11 +19,6 @@
 use kelpworks::rules::Rules;
 use kelpworks::settings::Settings;
 
-use crate::args::Change;
-use crate::failure::Failure;
-use crate::failure::Result;
-use crate::force;
-
 /// The systems that a change talks to.
 struct Target {
     api: HttpObjectApi,
--- a/crates/kelpworks-cli/src/check.rs
+++ b/crates/kelpworks-cli/src/check.rs
@@ -3,6 +3,8 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use crate::failure::Failure;
+use crate::failure::Result;
 use kelpworks::config::document;
 use kelpworks::config::document::read_file;
 use kelpworks::config::file_kind::FileKind;
@@ -10,9 +12,6 @@
 use kelpworks::rules::Rules;
 use kelpworks::settings::Settings;
 
-use crate::failure::Failure;
-use crate::failure::Result;
-
 /// A file whose kind is known.
 struct Input<'a> {
     path: &'a Path,
--- a/crates/kelpworks-cli/src/failure.rs
+++ b/crates/kelpworks-cli/src/failure.rs
@@ -3,9 +3,10 @@
 use std::io;
 use std::process::ExitCode;
 
+use thiserror::Error;
+
 use kelpworks::config::accept;
 use kelpworks::config::document;
-use thiserror::Error;
 
 /// The result of a command.
 pub(crate) type Result<T> = std::result::Result<T, Failure>;
--- a/crates/kelpworks-cli/src/force.rs
+++ b/crates/kelpworks-cli/src/force.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use kelpworks::status::Result as StatusResult;
-use kelpworks::status::Status;
-use kelpworks::status::fetch;
 use tokio::time::Instant;
 
 use crate::failure::Failure;
 use crate::failure::Result;
+use kelpworks::status::Result as StatusResult;
+use kelpworks::status::Status;
+use kelpworks::status::fetch;
 
 /// Pause between two questions.
 const POLL: Duration = Duration::from_millis(200);
--- a/crates/kelpworks-cli/src/serve.rs
+++ b/crates/kelpworks-cli/src/serve.rs
@@ -5,10 +5,9 @@
 use flexi_logger::Logger;
 use flexi_logger::LoggerHandle;
 
-use kelpworks::daemon;
-
 use crate::change::read_settings;
 use crate::failure::Result;
+use kelpworks::daemon;
 
 /// Runs a daemon until it is stopped.
 pub(crate) fn run(file: &Path) -> Result<()> {
--- a/crates/kelpworks-cli/tests/cli_commands.rs
+++ b/crates/kelpworks-cli/tests/cli_commands.rs
@@ -6,6 +6,7 @@
 
 use insta::assert_snapshot;
 use rstest::rstest;
+
 use support::Platform;
 use support::kelpworks;
 use support::report;
@@ -52,70 +53,64 @@
     "--object-api", "http://h", "--wait", "10"])]
 #[case::status_nowhere("status_nowhere", &["status", "--json"])]
 #[case::status_address("status_address", &["status", "--operators", "localhost"])]
-fn without_a_platform(#[case] name: &str, #[case] args: &[&str]) {
-    assert_snapshot!(name, report(&kelpworks(args)));
-}
-
-/// Arguments that go on with the platform's addresses.
-fn with_platform(platform: &Platform, args: &[&str]) -> String {
-    let url = format!("http://{}", platform.address);
-    let operators = platform.address.to_string();
-    let rest = [
-        "--object-api",
-        &url,
-        "--operators",
-        &operators,
-        "--wait",
-        "0 s",
-    ];
-    let all: Vec<&str> = args.iter().chain(&rest).copied().collect();
-    report(&kelpworks(&all))
+#[tokio::test]
+async fn without_a_platform(#[case] name: &str, #[case] args: &[&str]) {
+    assert_snapshot!(name, report(&kelpworks(args).await));
 }
 
-#[test]
-fn a_register_and_rules_are_applied_in_turn() {
-    let platform = Platform::start();
-    let early = with_platform(&platform, &["rules", "apply", "aralsky/rules.toml"]);
+#[tokio::test]
+async fn a_register_and_rules_are_applied_in_turn() {
+    let platform = Platform::start().await;
+    let early = platform
+        .run(&["rules", "apply", "aralsky/rules.toml"])
+        .await;
     assert_snapshot!("rules_before_register", early);
-    let import = with_platform(&platform, &["register", "import", "aralsky/register.toml"]);
+    let import = platform
+        .run(&["register", "import", "aralsky/register.toml"])
+        .await;
     assert_snapshot!("first_import", import);
-    let apply = with_platform(&platform, &["rules", "apply", "aralsky/rules.toml"]);
+    let apply = platform
+        .run(&["rules", "apply", "aralsky/rules.toml"])
+        .await;
     assert_snapshot!("first_apply", apply);
-    let again = with_platform(&platform, &["rules", "apply", "aralsky/rules.toml"]);
+    let again = platform
+        .run(&["rules", "apply", "aralsky/rules.toml"])
+        .await;
     assert_snapshot!("second_apply", again);
 
     let head = platform.head();
-    let bad = with_platform(&platform, &["rules", "apply", "bad/rules.toml"]);
+    let bad = platform.run(&["rules", "apply", "bad/rules.toml"]).await;
     assert_snapshot!("bad_apply", bad);
-    let unfit = with_platform(
-        &platform,
-        &["register", "import", "nile-delta/register.toml"],
-    );
+    let unfit = platform
+        .run(&["register", "import", "nile-delta/register.toml"])
+        .await;
     assert_snapshot!("unfit_import", unfit);
     let args = ["rules", "apply", "nile-delta/rules.toml", "--dry-run"];
-    assert_snapshot!("unfit_dry_run", with_platform(&platform, &args));
+    assert_snapshot!("unfit_dry_run", platform.run(&args).await);
     let args = ["register", "import", "aralsky/register.toml", "--dry-run"];
-    assert_snapshot!("dry_run_same", with_platform(&platform, &args));
+    assert_snapshot!("dry_run_same", platform.run(&args).await);
     assert_eq!(platform.head(), head, "refused and dry runs change nothing");
 }
 
-#[test]
-fn a_dry_run_shows_the_difference() {
-    let platform = Platform::start();
+#[tokio::test]
+async fn a_dry_run_shows_the_difference() {
+    let platform = Platform::start().await;
     let args = ["register", "import", "aralsky/register.toml", "--dry-run"];
-    let first = with_platform(&platform, &args);
+    let first = platform.run(&args).await;
     assert!(
         first.contains("hosts: 43 added, 0 removed, 0 changed"),
         "{first}"
     );
-    with_platform(&platform, &["register", "import", "aralsky/register.toml"]);
+    platform
+        .run(&["register", "import", "aralsky/register.toml"])
+        .await;
     let args = [
         "register",
         "import",
         "nile-delta/register.toml",
         "--dry-run",
     ];
-    assert_snapshot!("dry_run_other", with_platform(&platform, &args));
+    assert_snapshot!("dry_run_other", platform.run(&args).await);
 }
 
 /// The wait ends as soon as every daemon that is not held for dead has the generation.
@@ -123,45 +118,33 @@
 #[case::everywhere("wait_everywhere", "60 s", &[NONE_AT_2, SOME_AT_2, SOME_AT_2, ALL_AT_2])]
 #[case::lagging("wait_lagging", "1 ms", &[SOME_AT_2])]
 #[case::not_a_status("wait_not_a_status", "1 ms", &["hello"])]
-fn a_change_is_waited_for(#[case] name: &str, #[case] wait: &str, #[case] statuses: &[&str]) {
-    let platform = Platform::start();
-    with_platform(&platform, &["register", "import", "aralsky/register.toml"]);
+#[tokio::test]
+async fn a_change_is_waited_for(#[case] name: &str, #[case] wait: &str, #[case] statuses: &[&str]) {
+    let platform = Platform::start().await;
+    platform
+        .run(&["register", "import", "aralsky/register.toml"])
+        .await;
     platform.statuses(statuses);
-    let url = format!("http://{}", platform.address);
-    let operators = platform.address.to_string();
-    let change = ["rules", "apply", "aralsky/rules.toml", "--object-api", &url];
-    let waiting = ["--operators", &operators, "--wait", wait];
-    let text = report(&kelpworks(&[&change[..], &waiting[..]].concat()));
-    assert_snapshot!(name, text.replace(&operators, "[address]"));
-}
-
-#[test]
-fn an_outage_of_the_object_api_is_an_outcome() {
-    let platform = Platform::start();
-    platform.state.lock().unwrap().out = true;
-    let text = with_platform(&platform, &["register", "import", "aralsky/register.toml"]);
-    assert_snapshot!("import_outage", text);
+    let args = ["rules", "apply", "aralsky/rules.toml"];
+    assert_snapshot!(name, platform.run_and_wait(&args, wait).await);
 }
 
 #[rstest]
 #[case::table("status_table", &[])]
 #[case::json("status_json", &["--json"])]
-fn status_of_a_daemon(#[case] name: &str, #[case] args: &[&str]) {
-    let platform = Platform::start();
+#[tokio::test]
+async fn status_of_a_daemon(#[case] name: &str, #[case] args: &[&str]) {
+    let platform = Platform::start().await;
     platform.statuses(&[SOME_AT_2]);
-    let dead = dead_address();
-    let operators = format!("{dead},{}", platform.address);
-    let all: Vec<&str> = ["status", "--operators", &operators]
-        .into_iter()
-        .chain(args.iter().copied())
-        .collect();
-    assert_snapshot!(name, report(&kelpworks(&all)));
+    let operators = format!("{},{}", dead_address(), platform.operators);
+    let asked = ["status", "--operators", &operators];
+    assert_snapshot!(name, report(&kelpworks(&[&asked, args].concat()).await));
 }
 
-#[test]
-fn status_without_a_daemon_is_an_outcome() {
+#[tokio::test]
+async fn status_without_a_daemon_is_an_outcome() {
     let dead = dead_address();
-    let text = report(&kelpworks(&["status", "--operators", &dead]));
+    let text = report(&kelpworks(&["status", "--operators", &dead]).await);
     assert_snapshot!("status_dead", text.replace(&dead, "[address]"));
 }
 
--- /dev/null
+++ b/crates/kelpworks-cli/tests/cli_faults.rs
@@ -0,0 +1,169 @@
+//! Operators' processes before an object API that fails, and in races with one another.
+
+mod support;
+
+use std::fs;
+use std::path::PathBuf;
+
+use insta::assert_snapshot;
+use rstest::rstest;
+
+use kelpworks::config::head::HEAD_KIND;
+use kelpworks_fakes::ApiMode;
+use kelpworks_fakes::Connections;
+use kelpworks_fakes::Fault;
+use kelpworks_fakes::FaultKind;
+use support::Platform;
+use support::testdata;
+
+const PUT_HEAD: &str = "PUT /objects/kelpworks.head";
+const GET_HEAD: &str = "GET /objects/kelpworks.head";
+const PUT_BLOB: &str = "PUT /objects/kelpworks.blob";
+const GET_BLOB: &str = "GET /objects/kelpworks.blob";
+
+/// A platform with Aralsky's register, at generation 1.
+async fn prepared() -> Platform {
+    let platform = Platform::start().await;
+    let import = platform
+        .run(&["register", "import", "aralsky/register.toml"])
+        .await;
+    assert!(import.starts_with("exit 0"), "{import}");
+    platform
+}
+
+/// One fault on one call, and the change is accepted all the same, exactly once.
+#[rstest]
+#[case::swap_lost_after(FaultKind::ResetAfter, PUT_HEAD)]
+#[case::swap_lost_before(FaultKind::ResetBefore, PUT_HEAD)]
+#[case::swap_cut(FaultKind::CutBody, PUT_HEAD)]
+#[case::swap_silent_after(FaultKind::SilentAfter, PUT_HEAD)]
+#[case::swap_silent_before(FaultKind::SilentBefore, PUT_HEAD)]
+#[case::swap_bad_gateway(FaultKind::StatusAfter(502), PUT_HEAD)]
+#[case::swap_unavailable(FaultKind::Status(503), PUT_HEAD)]
+#[case::swap_over_rate(FaultKind::Status(429), PUT_HEAD)]
+#[case::blob_lost(FaultKind::ResetAfter, PUT_BLOB)]
+#[case::blob_unavailable(FaultKind::Status(503), PUT_BLOB)]
+#[case::head_read_lost(FaultKind::ResetBefore, GET_HEAD)]
+#[case::head_read_silent(FaultKind::SilentBefore, GET_HEAD)]
+#[case::blob_read_cut(FaultKind::CutBody, GET_BLOB)]
+#[tokio::test]
+async fn one_fault_is_overcome(#[case] kind: FaultKind, #[case] on: &str) {
+    let platform = prepared().await;
+    platform.object_api.faults().add(Fault::once(kind).on(on));
+    let text = platform
+        .run(&["rules", "apply", "aralsky/rules.toml"])
+        .await;
+    assert_snapshot!("one_fault", text);
+    assert_eq!(platform.object_api.faults().list(), [], "the fault struck");
+    assert_eq!(platform.head().map(|h| h.generation.0), Some(2));
+}
+
+/// The head is read as it stood one change ago, from a replica that lags.
+#[tokio::test]
+async fn a_stale_read_is_overcome() {
+    let platform = prepared().await;
+    let apply = platform
+        .run(&["rules", "apply", "aralsky/rules.toml"])
+        .await;
+    assert!(apply.starts_with("exit 0"), "{apply}");
+    let stale = Fault::always(FaultKind::StaleRead).on(&format!("/objects/{HEAD_KIND}"));
+    platform.object_api.faults().add(stale);
+    let text = platform
+        .run(&["register", "import", "aralsky/register.toml"])
+        .await;
+    assert_snapshot!("stale_read", text);
+    let head = platform.head().unwrap();
+    assert!(head.generation.0 >= 2, "never back: {head:?}");
+    assert!(head.rules.is_some(), "the rules stay: {head:?}");
+}
+
+#[rstest]
+#[case::unavailable("outage_unavailable", ApiMode::Unavailable, Connections::Pass)]
+#[case::refused("outage_refused", ApiMode::Up, Connections::Refuse)]
+#[tokio::test]
+async fn an_outage_is_an_outcome(
+    #[case] name: &str,
+    #[case] mode: ApiMode,
+    #[case] connections: Connections,
+) {
+    let platform = prepared().await;
+    platform.object_api.set_mode(mode);
+    platform.object_api.faults().connections(connections);
+    let text = platform
+        .run(&["rules", "apply", "aralsky/rules.toml"])
+        .await;
+    assert_snapshot!(name, text);
+    assert_eq!(platform.head().map(|h| h.generation.0), Some(1));
+}
+
+/// A file of this test's own, removed when it ends.
+struct Scratch(PathBuf);
+
+impl Scratch {
+    fn write(name: &str, text: &str) -> Scratch {
+        let file = format!("kelpworks-{}-{name}.toml", std::process::id());
+        let path = std::env::temp_dir().join(file);
+        fs::write(&path, text).unwrap();
+        Scratch(path)
+    }
+
+    fn path(&self) -> &str {
+        self.0.to_str().expect("a path in UTF-8")
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _gone = fs::remove_file(&self.0);
+    }
+}
+
+/// An example with one of its lines changed.
+fn variant(file: &str, from: &str, to: &str) -> String {
+    let text = fs::read_to_string(testdata().join(file)).unwrap();
+    assert!(text.contains(from), "{from} is not in {file}");
+    text.replacen(from, to, 1)
+}
+
+/// Six operators at once, three on each part: each is accepted with a generation of its own, or
+/// told of the conflict; what is in force is what the winners wrote.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn racing_operators() {
+    let platform = prepared().await;
+    let mut files = Vec::new();
+    for n in 1..=3 {
+        let text = variant("aralsky/register.toml", "2026-11", &format!("2026-11-{n}"));
+        files.push((
+            ["register", "import"],
+            Scratch::write(&format!("register-{n}"), &text),
+        ));
+        let text = variant("aralsky/rules.toml", "0.20", &format!("0.2{n}"));
+        files.push((
+            ["rules", "apply"],
+            Scratch::write(&format!("rules-{n}"), &text),
+        ));
+    }
+    let [a, b, c, d, e, f] = [0, 1, 2, 3, 4, 5].map(|i| {
+        let (command, file) = &files[i];
+        let args = [command[0], command[1], file.path()];
+        let platform = &platform;
+        async move { platform.run(&args).await }
+    });
+    let (a, b, c, d, e, f) = tokio::join!(a, b, c, d, e, f);
+    let reports = [a, b, c, d, e, f];
+
+    let accepted = reports.iter().filter(|r| r.starts_with("exit 0")).count();
+    let conflicts = reports
+        .iter()
+        .filter(|r| r.contains("changed meanwhile"))
+        .count();
+    assert_eq!(accepted + conflicts, reports.len(), "{reports:#?}");
+    assert!(accepted >= 2, "each part has a winner: {reports:#?}");
+    let head = platform.head().unwrap();
+    assert_eq!(head.generation.0, 1 + accepted as u64, "{reports:#?}");
+    for generation in 2..=head.generation.0 {
+        let line = format!("accepted as generation {generation}\n");
+        let winners = reports.iter().filter(|r| r.contains(&line)).count();
+        assert_eq!(winners, 1, "generation {generation}: {reports:#?}");
+    }
+}
--- a/crates/kelpworks-cli/tests/support/mod.rs
+++ b/crates/kelpworks-cli/tests/support/mod.rs
@@ -1,160 +1,108 @@
-//! A platform for the command line: an object API and a daemon's status, on a loopback port.
+//! A platform for the command line: the stand-in object API, and a daemon's status page.
 
-use std::collections::BTreeMap;
-use std::io::BufRead;
-use std::io::BufReader;
-use std::io::Read;
-use std::io::Write;
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::net::TcpListener;
-use std::net::TcpStream;
 use std::path::PathBuf;
-use std::process::Command;
 use std::process::Output;
 use std::sync::Arc;
 use std::sync::Mutex;
 
-use kelpworks_wire::ApiError;
-use kelpworks_wire::ApiErrorCode;
-use kelpworks_wire::Object;
-use kelpworks_wire::ObjectBody;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::process::Command;
 
-/// What the platform holds.
-#[derive(Default)]
-pub(crate) struct State {
-    pub(crate) objects: BTreeMap<String, Object>,
-    pub(crate) version: u64,
-    /// Replies of `GET /status`, in order; the last one stays.
-    pub(crate) statuses: Vec<String>,
-    /// The object API refuses everything.
-    pub(crate) out: bool,
-}
+use kelpworks::config::head;
+use kelpworks::config::head::HEAD_KIND;
+use kelpworks::config::head::HEAD_NAME;
+use kelpworks::config::head::Head;
+use kelpworks_fakes::ObjectApi;
+use kelpworks_fakes::ObjectApiConfig;
+
+/// Stands for the platform's address in snapshots.
+const ADDRESS: &str = "[address]";
 
 /// A platform that serves until the test ends.
 pub(crate) struct Platform {
-    pub(crate) address: SocketAddr,
-    pub(crate) state: Arc<Mutex<State>>,
+    pub(crate) object_api: ObjectApi,
+    /// The status page.
+    pub(crate) operators: SocketAddr,
+    statuses: Arc<Mutex<VecDeque<String>>>,
 }
 
 impl Platform {
-    pub(crate) fn start() -> Platform {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let state = Arc::new(Mutex::new(State::default()));
-        let shared = Arc::clone(&state);
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let state = Arc::clone(&shared);
-                std::thread::spawn(move || serve(stream, &state));
-            }
-        });
-        Platform { address, state }
+    pub(crate) async fn start() -> Platform {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let operators = listener.local_addr().unwrap();
+        let statuses = Arc::new(Mutex::new(VecDeque::new()));
+        tokio::spawn(serve_statuses(listener, Arc::clone(&statuses)));
+        Platform {
+            object_api: ObjectApi::spawn(ObjectApiConfig::default()).await.unwrap(),
+            operators,
+            statuses,
+        }
     }
 
-    /// Replies of `GET /status`, in order.
+    /// Replies of `GET /status`, in order; the last one stays.
     pub(crate) fn statuses(&self, statuses: &[&str]) {
-        self.state.lock().unwrap().statuses = statuses.iter().map(ToString::to_string).collect();
+        let mut queue = self.statuses.lock().unwrap();
+        *queue = statuses.iter().map(ToString::to_string).collect();
     }
 
-    /// Body of the head object, if there is one.
-    pub(crate) fn head(&self) -> Option<String> {
-        let state = self.state.lock().unwrap();
-        let head = state.objects.get("/objects/kelpworks.head/current")?;
-        Some(head.body.clone())
+    /// The head in force.
+    pub(crate) fn head(&self) -> Option<Head> {
+        let object = self.object_api.get(HEAD_KIND, HEAD_NAME)?;
+        Some(head::parse(&object.body).unwrap())
     }
-}
 
-/// Serves one connection.
-fn serve(stream: TcpStream, state: &Mutex<State>) {
-    let mut reader = BufReader::new(stream);
-    while let Some((method, target, body)) = read_request(&mut reader) {
-        let (status, reply) = answer(&mut state.lock().unwrap(), &method, &target, &body);
-        let length = reply.len();
-        let text = format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n\r\n{reply}");
-        if reader.get_mut().write_all(text.as_bytes()).is_err() {
-            return;
-        }
+    /// Runs a command against this platform, without a wait for daemons.
+    pub(crate) async fn run(&self, args: &[&str]) -> String {
+        let url = self.object_api.url();
+        let rest = ["--object-api", &url];
+        report(&kelpworks(&[args, &rest].concat()).await)
     }
-}
 
-/// Reads one request: its method, target and body.
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<(String, String, String)> {
-    let mut first = String::new();
-    reader.read_line(&mut first).ok().filter(|&n| n > 0)?;
-    let mut length = 0;
-    loop {
-        let mut line = String::new();
-        reader.read_line(&mut line).ok()?;
-        if line.trim().is_empty() {
-            break;
-        }
-        if let Some(n) = line.strip_prefix("content-length: ") {
-            length = n.trim().parse().ok()?;
-        }
+    /// Runs a command against this platform, and waits for daemons so long.
+    pub(crate) async fn run_and_wait(&self, args: &[&str], wait: &str) -> String {
+        let operators = self.operators.to_string();
+        let rest = ["--operators", &operators, "--wait", wait];
+        let text = self.run(&[args, &rest].concat()).await;
+        text.replace(&operators, ADDRESS)
     }
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
-    let mut words = first.split_whitespace().map(str::to_owned);
-    Some((words.next()?, words.next()?, String::from_utf8(body).ok()?))
 }
 
-fn answer(state: &mut State, method: &str, target: &str, body: &str) -> (u16, String) {
-    if target == "/status" {
-        let more = state.statuses.len() > 1;
-        let status = match more {
-            true => state.statuses.remove(0),
-            false => state.statuses.first().cloned().unwrap_or_default(),
-        };
-        return (200, status);
-    }
-    if state.out {
-        return refuse(503, ApiErrorCode::Unavailable, None);
-    }
-    let (path, query) = target.split_once('?').unwrap_or((target, ""));
-    let current = state.objects.get(path).cloned();
-    if method == "GET" {
-        return match current {
-            Some(object) => (200, serde_json::to_string(&object).unwrap()),
-            None => refuse(404, ApiErrorCode::NotFound, None),
+/// Answers each connection with the next status.
+async fn serve_statuses(listener: TcpListener, statuses: Arc<Mutex<VecDeque<String>>>) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let mut buf = [0; 4096];
+        let _request = stream.read(&mut buf).await;
+        let body = {
+            let mut queue = statuses.lock().unwrap();
+            let next = queue.front().cloned().unwrap_or_default();
+            if queue.len() > 1 {
+                queue.pop_front();
+            }
+            next
         };
+        let length = body.len();
+        let head = format!("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {length}");
+        let _gone = stream
+            .write_all(format!("{head}\r\n\r\n{body}").as_bytes())
+            .await;
     }
-    let wanted = query
-        .strip_prefix("if_version=")
-        .and_then(|v| v.parse().ok());
-    if wanted.is_some_and(|w: u64| w != current.as_ref().map_or(0, |c| c.version)) {
-        return refuse(409, ApiErrorCode::Conflict, current);
-    }
-    state.version += 1;
-    let names: Vec<&str> = path.split('/').collect();
-    let object = Object {
-        kind: names[2].to_owned(),
-        name: names[3].to_owned(),
-        version: state.version,
-        body: serde_json::from_str::<ObjectBody>(body).unwrap().body,
-    };
-    state.objects.insert(path.to_owned(), object.clone());
-    (200, serde_json::to_string(&object).unwrap())
-}
-
-fn refuse(status: u16, code: ApiErrorCode, current: Option<Object>) -> (u16, String) {
-    let error = ApiError {
-        code,
-        message: String::new(),
-        current,
-    };
-    (status, serde_json::to_string(&error).unwrap())
 }
 
 /// Runs the binary in the directory of the examples.
-pub(crate) fn kelpworks(args: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_kelpworks"))
-        .args(args)
-        .current_dir(testdata())
-        .output()
-        .unwrap()
+pub(crate) async fn kelpworks(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_kelpworks"));
+    command.args(args).current_dir(testdata());
+    command.output().await.unwrap()
 }
 
-fn testdata() -> PathBuf {
+/// The directory of the examples.
+pub(crate) fn testdata() -> PathBuf {
     PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../testdata")
 }
 
--- a/crates/kelpworks/src/border/host_list.rs
+++ b/crates/kelpworks/src/border/host_list.rs
@@ -17,13 +17,13 @@
 use std::future::Future;
 use std::time::Duration;
 
-use kelpworks_wire::HostList;
 use reqwest::Url;
 use thiserror::Error;
 
 use super::fresh::FreshClient;
 use super::fresh::Stage;
 use super::fresh::stage_of;
+use kelpworks_wire::HostList;
 
 /// The result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
--- a/crates/kelpworks/src/border/object_api.rs
+++ b/crates/kelpworks/src/border/object_api.rs
@@ -26,12 +26,6 @@
 use std::future::Future;
 use std::time::Duration;
 
-use kelpworks_wire::ApiError;
-use kelpworks_wire::ApiErrorCode;
-use kelpworks_wire::Object;
-use kelpworks_wire::ObjectBody;
-use kelpworks_wire::ObjectList;
-use kelpworks_wire::WatchReply;
 use reqwest::Method;
 use reqwest::RequestBuilder;
 use reqwest::StatusCode;
@@ -42,6 +36,12 @@
 use super::fresh::FreshClient;
 use super::fresh::Stage;
 use super::fresh::stage_of;
+use kelpworks_wire::ApiError;
+use kelpworks_wire::ApiErrorCode;
+use kelpworks_wire::Object;
+use kelpworks_wire::ObjectBody;
+use kelpworks_wire::ObjectList;
+use kelpworks_wire::WatchReply;
 
 /// The result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
--- a/crates/kelpworks/src/config/accept/mod.rs
+++ b/crates/kelpworks/src/config/accept/mod.rs
@@ -30,6 +30,15 @@
 mod proposal;
 mod store;
 
+use thiserror::Error;
+use tokio::time::Instant;
+
+use self::store::Store;
+use crate::border::object_api;
+use crate::border::object_api::ObjectApi;
+use crate::config::diff::Diff;
+use crate::config::document;
+use crate::config::file_kind::FileKind;
 use kelpworks_coord::head;
 use kelpworks_coord::head::Generation;
 use kelpworks_coord::head::Head;
@@ -40,19 +49,10 @@
 use kelpworks_coord::head::SwapOutcome;
 use kelpworks_coord::id::Digest;
 use kelpworks_coord::time;
-use thiserror::Error;
-use tokio::time::Instant;
-
-pub use kelpworks_coord::head::Which;
 
 pub use self::proposal::Proposal;
 pub use self::store::RetryPolicy;
-use self::store::Store;
-use crate::border::object_api;
-use crate::border::object_api::ObjectApi;
-use crate::config::diff::Diff;
-use crate::config::document;
-use crate::config::file_kind::FileKind;
+pub use kelpworks_coord::head::Which;
 
 /// The result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
--- a/crates/kelpworks/src/config/accept/proposal.rs
+++ b/crates/kelpworks/src/config/accept/proposal.rs
@@ -1,12 +1,5 @@
 //! A new text of one part, and the pair that it makes with the other.
 
-use kelpworks_coord::head::Change;
-use kelpworks_coord::head::Head;
-use kelpworks_coord::head::Part;
-use kelpworks_coord::head::Which;
-use kelpworks_coord::id::Digest;
-use kelpworks_coord::id::Nonce;
-
 use super::Error;
 use super::Result;
 use super::store::Texts;
@@ -14,6 +7,12 @@
 use crate::config::head::digest_of;
 use crate::register::Register;
 use crate::rules::Rules;
+use kelpworks_coord::head::Change;
+use kelpworks_coord::head::Head;
+use kelpworks_coord::head::Part;
+use kelpworks_coord::head::Which;
+use kelpworks_coord::id::Digest;
+use kelpworks_coord::id::Nonce;
 
 /// Name of a part in force, where errors would name a file.
 const RULES_IN_FORCE: &str = "rules in force";
--- a/crates/kelpworks/src/config/accept/store.rs
+++ b/crates/kelpworks/src/config/accept/store.rs
@@ -2,12 +2,6 @@
 
 use std::time::Duration;
 
-use kelpworks_coord::head::Head;
-use kelpworks_coord::head::StoredHead;
-use kelpworks_coord::head::SwapEvent;
-use kelpworks_coord::id::Digest;
-use kelpworks_coord::id::Version;
-use kelpworks_wire::Object;
 use rand::RngExt;
 
 use super::Error;
@@ -21,6 +15,12 @@
 use crate::config::head::digest_of;
 use crate::config::head::parse;
 use crate::config::head::to_body;
+use kelpworks_coord::head::Head;
+use kelpworks_coord::head::StoredHead;
+use kelpworks_coord::head::SwapEvent;
+use kelpworks_coord::id::Digest;
+use kelpworks_coord::id::Version;
+use kelpworks_wire::Object;
 
 /// How often and how patiently calls to the object API are repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/kelpworks/src/register/mod.rs
+++ b/crates/kelpworks/src/register/mod.rs
@@ -27,12 +27,13 @@
 
 use std::net::SocketAddr;
 
-pub use crate::config::document::Error;
-pub use crate::config::document::Result;
 use crate::units::Rate;
 use crate::units::Size;
 use crate::units::Span;
 
+pub use crate::config::document::Error;
+pub use crate::config::document::Result;
+
 /// The whole register, checked: names are unique and every reference resolves.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Register {
--- a/crates/kelpworks/src/rules/file.rs
+++ b/crates/kelpworks/src/rules/file.rs
@@ -1,9 +1,10 @@
 //! The rules as they stand in their file, before any check across keys.
 
-use kelpworks_wire::Class;
 use serde::Deserialize;
 use toml::Spanned;
 
+use kelpworks_wire::Class;
+
 /// The file.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/kelpworks/src/rules/mod.rs
+++ b/crates/kelpworks/src/rules/mod.rs
@@ -28,11 +28,11 @@
 
 use std::fmt;
 
+use crate::register::Register;
 use kelpworks_wire::Class;
 
 pub use crate::config::document::Error;
 pub use crate::config::document::Result;
-use crate::register::Register;
 
 /// The whole of the rules, checked against a register.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/kelpworks/src/settings/mod.rs
+++ b/crates/kelpworks/src/settings/mod.rs
@@ -29,11 +29,12 @@
 
 use std::net::SocketAddr;
 
-pub use crate::config::document::Error;
-pub use crate::config::document::Result;
 use crate::register::Register;
 use crate::units::Span;
 
+pub use crate::config::document::Error;
+pub use crate::config::document::Result;
+
 /// Settings of one daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
--- a/crates/kelpworks/tests/border_object_api.rs
+++ b/crates/kelpworks/tests/border_object_api.rs
@@ -8,6 +8,12 @@
 use std::time::Duration;
 
 use insta::assert_snapshot;
+use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
 use kelpworks::border::host_list;
 use kelpworks::border::host_list::HostListApi;
 use kelpworks::border::host_list::HttpHostList;
@@ -16,11 +22,6 @@
 use kelpworks::border::object_api::Error;
 use kelpworks::border::object_api::HttpObjectApi;
 use kelpworks::border::object_api::ObjectApi;
-use rstest::rstest;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 
 const OBJECT: &str = r#"{"kind": "k", "name": "n", "version": 7, "body": "text"}"#;
 const CONFLICT: &str = r#"{"code": "conflict", "message": "m", "current":
@@ -41,8 +42,24 @@
     FirstSilent(&'static str),
 }
 
+/// Bound of calls that are meant to run into it.
+const SHORT: Duration = Duration::from_millis(200);
+/// Bound of calls that are meant to be answered, on however slow a machine.
+const LONG: Duration = Duration::from_secs(60);
+
+impl Answer {
+    /// How long a client should wait for it.
+    fn bound(&self) -> Duration {
+        match self {
+            Answer::Silence | Answer::FirstSilent(_) => SHORT,
+            _ => LONG,
+        }
+    }
+}
+
 /// A server that gives each request the same answer.
 struct Server {
+    bound: Duration,
     address: SocketAddr,
     connections: Arc<AtomicUsize>,
     requests: Arc<Mutex<Vec<String>>>,
@@ -52,6 +69,7 @@
     async fn start(answer: Answer) -> Server {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let server = Server {
+            bound: answer.bound(),
             address: listener.local_addr().unwrap(),
             connections: Arc::default(),
             requests: Arc::default(),
@@ -74,9 +92,9 @@
 
     fn api(&self) -> HttpObjectApi {
         let deadlines = Deadlines {
-            call: Duration::from_millis(200),
-            watch_margin: Duration::from_millis(200),
-            ..Deadlines::default()
+            connect: LONG,
+            call: self.bound,
+            watch_margin: self.bound,
         };
         HttpObjectApi::new(&self.url(), deadlines).unwrap()
     }
@@ -212,7 +230,7 @@
     let silent = api.watch("k", 4, Duration::from_millis(10)).await;
     assert_eq!(silent, Err(Error::Silent));
     api.fresh();
-    let bookmark = api.watch("k", 4, Duration::from_millis(10)).await.unwrap();
+    let bookmark = api.watch("k", 4, LONG).await.unwrap();
     assert_eq!((bookmark.events.len(), bookmark.version), (0, 12));
     assert_eq!(server.connections.load(Ordering::SeqCst), 2);
 }
@@ -238,8 +256,8 @@
 async fn host_list_answers(#[case] name: &str, #[case] answer: Answer) {
     let server = Server::start(answer).await;
     let deadlines = host_list::Deadlines {
-        call: Duration::from_millis(200),
-        ..host_list::Deadlines::default()
+        connect: LONG,
+        call: server.bound,
     };
     let api = HttpHostList::new(&server.url(), deadlines).unwrap();
     let text = match api.hosts().await {
--- a/crates/kelpworks/tests/config_accept.rs
+++ b/crates/kelpworks/tests/config_accept.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use insta::assert_snapshot;
+use rstest::rstest;
+
 use kelpworks::config::accept::Accepted;
 use kelpworks::config::accept::Error;
 use kelpworks::config::accept::Proposal;
@@ -15,7 +17,6 @@
 use kelpworks::config::head::digest_of;
 use kelpworks_coord::head::Part;
 use kelpworks_coord::id::Digest;
-use rstest::rstest;
 use support::Fault;
 use support::MemoryApi;
 use support::Rival;
@@ -277,6 +278,25 @@
     assert_eq!(api.head().generation.0, 2);
 }
 
+/// A conflict that does not show the head is settled by reading it.
+#[tokio::test(start_paused = true)]
+async fn a_bare_conflict_is_read_back() {
+    let api = prepared().await;
+    api.hide_current();
+    api.rival_at_next_swap(rival(Race::Register));
+    let outcome = accept(&api, &rules("0.2", "report"), RETRY).await;
+    assert_eq!(outcome, Ok(accepted(4)));
+
+    api.freeze_reads_at_generation(3);
+    let outcome = accept(&api, &rules("0.3", "report"), RETRY).await;
+    assert!(matches!(outcome, Err(Error::Unavailable(_))), "{outcome:?}");
+    assert_eq!(
+        api.head().generation.0,
+        4,
+        "an old head is no ground to write on"
+    );
+}
+
 /// Reads answer from generation 1 while generation 2 is in force.
 #[tokio::test(start_paused = true)]
 async fn an_older_answer_never_takes_the_head_back() {
--- a/crates/kelpworks/tests/config_parse.rs
+++ b/crates/kelpworks/tests/config_parse.rs
@@ -5,6 +5,9 @@
 use std::path::PathBuf;
 
 use insta::assert_snapshot;
+use proptest::prelude::*;
+use rstest::rstest;
+
 use kelpworks::config::document::MAX_BYTES;
 use kelpworks::config::document::read_file;
 use kelpworks::config::document::text_of;
@@ -16,8 +19,6 @@
 use kelpworks::units::Size;
 use kelpworks::units::Span;
 use kelpworks_wire::Class;
-use proptest::prelude::*;
-use rstest::rstest;
 
 const SETTINGS: &str = r#"name = "entry-1"
 failure_domain = "hall-a"
--- a/crates/kelpworks/tests/support/mod.rs
+++ b/crates/kelpworks/tests/support/mod.rs
@@ -67,6 +67,7 @@
     heads: Vec<Object>,
     frozen: Option<u64>,
     refused_reads: usize,
+    hides_current: bool,
     before: Option<Rival>,
     after: Option<Rival>,
 }
@@ -116,6 +117,11 @@
         self.state().frozen = Some(generation);
     }
 
+    /// Conflicts no longer show the object that stood in the way.
+    pub(crate) fn hide_current(&self) {
+        self.state().hides_current = true;
+    }
+
     /// Replaces the body of a blob, or removes it.
     pub(crate) fn replace_blob(&self, digest: Digest, body: Option<&str>) {
         let key = (BLOB_KIND.to_owned(), digest.to_string());
@@ -145,7 +151,7 @@
             Condition::Version(v) => current.as_ref().is_some_and(|c| c.version == v),
         };
         if !holds {
-            let current = current.map(Box::new);
+            let current = current.filter(|_| !state.hides_current).map(Box::new);
             return Err(Error::Conflict { current });
         }
         state.version += 1;
