--- a/crates/kelpworks/src/config/accept/mod.rs
+++ b/crates/kelpworks/src/config/accept/mod.rs
@@ -3,18 +3,20 @@
 //! The text is stored under its digest, the pair that it makes with the other
 //! part in force is validated, and one conditional update of the head accepts
 //! it. An operator who loses a race rebases when only the other part changed,
-//! and is told the conflict when the same part changed.
+//! and is told the conflict when the same part changed. The decisions are those
+//! of [`kelpworks_coord::head::Swap`]; here are the calls that it asks for.
 //!
 //! ```no_run
 //! use kelpworks::border::object_api::Deadlines;
 //! use kelpworks::border::object_api::HttpObjectApi;
 //! use kelpworks::config::accept::Proposal;
 //! use kelpworks::config::accept::RetryPolicy;
+//! use kelpworks::config::accept::Which;
 //! use kelpworks::config::accept::accept;
 //!
 //! # async fn f(text: String) -> Result<(), Box<dyn std::error::Error>> {
 //! let api = HttpObjectApi::new("http://10.0.1.1:8000", Deadlines::default())?;
-//! let proposal = Proposal::register("register.toml", text);
+//! let proposal = Proposal::new(Which::Register, "register.toml", text);
 //! let accepted = accept(&api, &proposal, RetryPolicy::default()).await?;
 //! println!("generation {}", accepted.generation);
 //! # Ok(())
@@ -25,38 +27,36 @@
 //! that an operator made of an older file is not told from a deliberate one;
 //! the difference that [`plan`] shows is there to be looked at.
 
-mod head;
+mod proposal;
 mod store;
 
 use thiserror::Error;
+use tokio::time::Instant;
 
-pub use self::head::BLOB_KIND;
-pub use self::head::Digest;
-pub use self::head::HEAD_KIND;
-pub use self::head::HEAD_NAME;
-pub use self::head::Head;
-use self::store::InForce;
-pub use self::store::RetryPolicy;
 use self::store::Store;
-use self::store::Swap;
 use crate::border::object_api;
 use crate::border::object_api::ObjectApi;
 use crate::config::diff::Diff;
 use crate::config::document;
 use crate::config::file_kind::FileKind;
-use crate::register::Register;
-use crate::rules::Rules;
+use kelpworks_coord::head;
+use kelpworks_coord::head::Generation;
+use kelpworks_coord::head::Head;
+use kelpworks_coord::head::StoredHead;
+use kelpworks_coord::head::Swap;
+use kelpworks_coord::head::SwapAction;
+use kelpworks_coord::head::SwapEvent;
+use kelpworks_coord::head::SwapOutcome;
+use kelpworks_coord::id::Digest;
+use kelpworks_coord::time;
+
+pub use self::proposal::Proposal;
+pub use self::store::RetryPolicy;
+pub use kelpworks_coord::head::Which;
 
 /// The result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Name of a part in force, where errors would name a file.
-const RULES_IN_FORCE: &str = "rules in force";
-/// As [`RULES_IN_FORCE`].
-const REGISTER_IN_FORCE: &str = "register in force";
-/// Races lost to changes of the other part before giving up.
-const MAX_REBASES: u32 = 16;
-
 /// Why a register or rules were not accepted.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Error)]
@@ -72,10 +72,10 @@
     #[error("no register has been imported yet; rules are checked against one")]
     NoRegister,
     /// Another operator changed the same part meanwhile.
-    #[error("conflict: the {} changed meanwhile, see generation {generation}", part.as_str())]
+    #[error("conflict: the {} changed meanwhile, see generation {generation}", name_of(*.which))]
     Conflict {
         /// The part.
-        part: Part,
+        which: Which,
         /// The generation that holds the other change.
         generation: u64,
     },
@@ -84,17 +84,14 @@
     #[error(
         "the {} changed again while a reply was lost, see generation {generation}; \
          the proposal may have been in force before that",
-        part.as_str()
+        name_of(*.which)
     )]
     Superseded {
         /// The part.
-        part: Part,
+        which: Which,
         /// The generation that holds the other change.
         generation: u64,
     },
-    /// The other part kept changing.
-    #[error("gave up after {MAX_REBASES} changes of the other part; nothing was applied")]
-    Contended,
     /// The object API did not do its part; nothing was applied.
     #[error("{0}; nothing was applied")]
     Unavailable(object_api::Error),
@@ -118,38 +115,18 @@
     },
 }
 
-/// A part of the fleet's configuration.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Part {
-    /// The register.
-    Register,
-    /// The rules.
-    Rules,
-}
-
-impl Part {
-    /// The part as operators call it.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Part::Register => FileKind::Register.as_str(),
-            Part::Rules => FileKind::Rules.as_str(),
-        }
+/// A part as operators call it.
+pub fn name_of(which: Which) -> &'static str {
+    match which {
+        Which::Register => FileKind::Register.as_str(),
+        Which::Rules => FileKind::Rules.as_str(),
     }
 }
 
-/// A new text of one part.
-#[derive(Clone, Debug)]
-pub struct Proposal {
-    part: Part,
-    file: String,
-    text: String,
-    digest: Digest,
-}
-
 /// An accepted proposal.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Accepted {
-    /// The generation that holds it.
+    /// The generation that brought it.
     pub generation: u64,
     /// False when the very text was found in force, by whomever.
     pub changed: bool,
@@ -164,118 +141,26 @@
     pub diff: Diff,
 }
 
-impl Proposal {
-    /// Proposes a register; `file` names it in errors.
-    pub fn register(file: &str, text: String) -> Proposal {
-        Proposal::new(Part::Register, file, text)
-    }
-
-    /// Proposes rules; `file` names them in errors.
-    pub fn rules(file: &str, text: String) -> Proposal {
-        Proposal::new(Part::Rules, file, text)
-    }
-
-    fn new(part: Part, file: &str, text: String) -> Proposal {
-        Proposal {
-            part,
-            file: file.to_owned(),
-            digest: Digest::of(&text),
-            text,
-        }
-    }
-
-    /// The digest that a head names for this proposal's part.
-    fn digest_in(&self, current: Option<&InForce>) -> Option<Digest> {
-        let head = &current?.head;
-        match self.part {
-            Part::Register => Some(head.register),
-            Part::Rules => head.rules,
-        }
-    }
-
-    /// Validates the pair that the proposal makes with the other part in force, and compares.
-    fn validate(&self, current: Option<&InForce>) -> Result<Diff> {
-        match self.part {
-            Part::Register => self.validate_register(current),
-            Part::Rules => self.validate_rules(current),
-        }
-    }
-
-    fn validate_register(&self, current: Option<&InForce>) -> Result<Diff> {
-        let new = Register::parse(&self.file, &self.text).map_err(Error::Invalid)?;
-        if let Some(rules) = current.and_then(|c| c.rules.as_deref()) {
-            Rules::parse(RULES_IN_FORCE, rules, &new).map_err(Error::BreaksRules)?;
-        }
-        let old = match current {
-            Some(c) => old_register(c),
-            None => Register::default(),
-        };
-        Ok(Diff::of_registers(&old, &new))
-    }
-
-    fn validate_rules(&self, current: Option<&InForce>) -> Result<Diff> {
-        let current = current.ok_or(Error::NoRegister)?;
-        let register = Register::parse(REGISTER_IN_FORCE, &current.register);
-        let register = register.map_err(Error::Invalid)?;
-        let new = Rules::parse(&self.file, &self.text, &register).map_err(Error::Invalid)?;
-        let old = current.rules.as_deref().map_or_else(Rules::default, |r| {
-            Rules::parse(RULES_IN_FORCE, r, &register).unwrap_or_default()
-        });
-        Ok(Diff::of_rules(&old, &new))
-    }
-
-    /// Whether the proposal's very text is in force.
-    fn is_in(&self, current: &InForce) -> bool {
-        self.digest_in(Some(current)) == Some(self.digest)
-    }
-
-    /// The head that accepts the proposal on top of what is in force.
-    ///
-    /// When the text is in force already this is the same head. It is written all the same,
-    /// since the condition of that write proves that the head read was not out of date.
-    fn next_head(&self, current: Option<&InForce>) -> Result<Head> {
-        if let Some(current) = current.filter(|c| self.is_in(c)) {
-            return Ok(current.head.clone());
-        }
-        let nonce = format!("{:032x}", rand::random::<u128>());
-        let generation = 1 + current.map_or(0, |c| c.head.generation);
-        let (register, rules) = match (self.part, current) {
-            (Part::Register, _) => (self.digest, current.and_then(|c| c.head.rules)),
-            (Part::Rules, Some(c)) => (c.head.register, Some(self.digest)),
-            (Part::Rules, None) => return Err(Error::NoRegister),
-        };
-        Ok(Head {
-            generation,
-            register,
-            rules,
-            nonce,
-        })
-    }
-}
-
-/// The register in force, for comparison only. One that an older release accepted and this
-/// one does not read counts as empty, or it could never be replaced.
-fn old_register(current: &InForce) -> Register {
-    Register::parse(REGISTER_IN_FORCE, &current.register).unwrap_or_default()
-}
-
 /// Says what accepting a proposal would do, and does none of it.
 ///
 /// # Errors
 ///
 /// As [`accept`], but for races.
 pub async fn plan<A: ObjectApi>(api: &A, proposal: &Proposal, retry: RetryPolicy) -> Result<Plan> {
-    let store = Store { api, retry };
-    let current = store.in_force().await?;
-    let diff = proposal.validate(current.as_ref())?;
+    let mut store = Store::new(api, retry);
+    let head = store.head().await?.head;
+    let texts = store.texts(&head, None).await?;
     Ok(Plan {
-        generation: current.map_or(0, |c| c.head.generation),
-        diff,
+        generation: head.generation.0,
+        diff: proposal.diff(&texts)?,
     })
 }
 
 /// Validates a proposal against what is in force, and makes it the fleet's.
 ///
+/// A refused proposal leaves nothing behind: it is validated before its text is stored. Only one
+/// that a race made unfit leaves its text, which nothing names.
+///
 /// # Errors
 ///
 /// [`Error::Invalid`], [`Error::BreaksRules`] and [`Error::NoRegister`] when the proposal is
@@ -287,56 +172,146 @@
     proposal: &Proposal,
     retry: RetryPolicy,
 ) -> Result<Accepted> {
-    let store = Store { api, retry };
-    let mut current = store.in_force().await?;
-    let base = proposal.digest_in(current.as_ref());
-    proposal.validate(current.as_ref())?;
-    store.put_blob(&proposal.text).await?;
-    for _ in 0..MAX_REBASES {
-        let next = proposal.next_head(current.as_ref())?;
-        let (object, may_have_run) = match store.swap(current.as_ref(), &next).await? {
-            Swap::Done => return Ok(done(&next, current.as_ref())),
-            Swap::Moved {
-                object,
-                may_have_run,
-            } => (object, may_have_run),
+    let mut driver = Driver {
+        store: Store::new(api, retry),
+        proposal,
+        unfit: None,
+        written: false,
+    };
+    let head = driver.store.head().await?;
+    let texts = driver.store.texts(&head.head, None).await?;
+    proposal.validate(&texts)?;
+    if let Some(accepted) = driver.confirm(head).await {
+        return Ok(accepted);
+    }
+    let outcome = driver.run().await?;
+    driver.conclude(outcome)
+}
+
+/// Carries out what a [`Swap`] asks for.
+struct Driver<'a, A> {
+    store: Store<'a, A>,
+    proposal: &'a Proposal,
+    /// Why the pair was found not to fit.
+    unfit: Option<Error>,
+    /// Whether a write of the head may have taken effect.
+    written: bool,
+}
+
+impl<A: ObjectApi> Driver<'_, A> {
+    /// Finds the proposal in force already, and makes sure that the head read was not out of
+    /// date: the same head is written again on the condition of its version.
+    ///
+    /// Whatever becomes of that write does no harm, so when it fails the swap goes its course.
+    async fn confirm(&mut self, at: StoredHead) -> Option<Accepted> {
+        let found = self.same_text(&at.head)?;
+        let event = self.store.swap_head(at.version, &at.head).await.ok()?;
+        (event == SwapEvent::Swapped).then_some(found)
+    }
+
+    /// Runs the swap to its end.
+    async fn run(&mut self) -> Result<SwapOutcome> {
+        let started = Instant::now();
+        let now = || time::Instant::from_millis(millis(started.elapsed()));
+        let mut swap = Swap::new(self.config(), self.proposal.change(), now());
+        let mut event = SwapEvent::Start;
+        loop {
+            // A swap asks for one thing at a time, or for nothing while it waits. It looks at
+            // the time on a tick only, so past the end a tick goes in place of another call.
+            event = match swap.on_event(now(), event).pop() {
+                Some(SwapAction::Done(outcome)) => return Ok(outcome),
+                Some(_) if started.elapsed() >= self.store.retry.give_up => SwapEvent::Tick,
+                Some(action) => self.act(action).await?,
+                None => {
+                    self.store.retry.pause().await;
+                    SwapEvent::Tick
+                }
+            };
+        }
+    }
+
+    fn config(&self) -> head::Config {
+        let retry = self.store.retry;
+        head::Config {
+            retry: time::Span::from_millis(millis(retry.pause)),
+            give_up: time::Span::from_millis(millis(retry.give_up)),
+        }
+    }
+
+    /// Does one thing, and tells what came of it.
+    async fn act(&mut self, action: SwapAction) -> Result<SwapEvent> {
+        let event = match action {
+            SwapAction::PutBlob(_) => self.store.put_blob(&self.proposal.text).await,
+            SwapAction::ReadHead => self.store.read_head().await,
+            SwapAction::Validate(head) => self.validate(&head).await,
+            SwapAction::SwapHead { if_version, head } => {
+                let event = self.store.swap_head(if_version, &head).await;
+                if event == Ok(SwapEvent::Lost) {
+                    self.written = true;
+                    self.store.retry.pause().await;
+                }
+                event
+            }
+            SwapAction::Done(_) => Ok(SwapEvent::Tick),
         };
-        let moved = store.load(&object).await?;
-        if proposal.is_in(&moved) {
-            return Ok(done(&moved.head, Some(&moved)));
+        // After a lost write no error can promise that nothing was applied.
+        event.map_err(|e| if self.written { Error::Unsettled } else { e })
+    }
+
+    /// Validates the pair of a head that holds the proposal.
+    async fn validate(&mut self, head: &Head) -> Result<SwapEvent> {
+        let texts = self.store.texts(head, Some(self.proposal.digest)).await;
+        let texts = match texts {
+            Ok(texts) => texts,
+            Err(Error::Unavailable(_)) => return Ok(SwapEvent::Refused),
+            Err(e) => return Err(e),
+        };
+        self.unfit = self.proposal.validate(&texts).err();
+        Ok(match self.unfit {
+            None => SwapEvent::Valid,
+            Some(_) => SwapEvent::Invalid,
+        })
+    }
+
+    /// What the outcome means to the operator.
+    fn conclude(self, outcome: SwapOutcome) -> Result<Accepted> {
+        let which = self.proposal.which;
+        match outcome {
+            SwapOutcome::Accepted(generation) => Ok(accepted(generation, true)),
+            SwapOutcome::Conflict { current } => self.same_text(&current).ok_or(Error::Conflict {
+                which,
+                generation: current.generation.0,
+            }),
+            SwapOutcome::Superseded { current } => {
+                self.same_text(&current).ok_or(Error::Superseded {
+                    which,
+                    generation: current.generation.0,
+                })
+            }
+            SwapOutcome::Invalid => Err(self.unfit.unwrap_or(Error::Unsettled)),
+            SwapOutcome::NotApplied => Err(Error::Unavailable(self.store.last)),
+            // The swap does not tell a write that was refused from one under way; here every
+            // call has ended, so only a lost one leaves a doubt.
+            SwapOutcome::Unknown if !self.written => Err(Error::Unavailable(self.store.last)),
+            SwapOutcome::Unknown => Err(Error::Unsettled),
         }
-        check_race(proposal, base, &moved, may_have_run)?;
-        proposal.validate(Some(&moved))?;
-        current = Some(moved);
     }
-    Err(Error::Contended)
+
+    /// The other change brought the very text that was proposed.
+    fn same_text(&self, current: &Head) -> Option<Accepted> {
+        let part = self.proposal.part_in(current)?;
+        (part.digest == self.proposal.digest).then(|| accepted(part.since, false))
+    }
 }
 
-/// The head that holds the proposal stands, on top of `before`.
-fn done(head: &Head, before: Option<&InForce>) -> Accepted {
+fn accepted(generation: Generation, changed: bool) -> Accepted {
     Accepted {
-        generation: head.generation,
-        changed: before.is_none_or(|b| b.head != *head),
+        generation: generation.0,
+        changed,
     }
 }
 
-/// Refuses to rebase over a change of the same part.
-///
-/// After a lost reply the swap may have been in force and been undone since, so not even the
-/// text it started from is then overwritten.
-fn check_race(
-    proposal: &Proposal,
-    base: Option<Digest>,
-    moved: &InForce,
-    may_have_run: bool,
-) -> Result<()> {
-    let part = proposal.part;
-    let generation = moved.head.generation;
-    if may_have_run {
-        return Err(Error::Superseded { part, generation });
-    }
-    if proposal.digest_in(Some(moved)) != base {
-        return Err(Error::Conflict { part, generation });
-    }
-    Ok(())
+/// A time as the state machines count it.
+fn millis(time: std::time::Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/kelpworks/src/config/accept/store.rs
+++ b/crates/kelpworks/src/config/accept/store.rs
@@ -1,237 +1,216 @@
-//! Reads and writes of the head and the blobs, with bounded retries.
+//! Calls to the object API for the head and the blobs.
 
 use std::time::Duration;
 
-use kelpworks_wire::Object;
 use rand::RngExt;
 
 use super::Error;
 use super::Result;
-use super::head::BLOB_KIND;
-use super::head::Digest;
-use super::head::HEAD_KIND;
-use super::head::HEAD_NAME;
-use super::head::Head;
 use crate::border::object_api;
 use crate::border::object_api::Condition;
 use crate::border::object_api::ObjectApi;
+use crate::config::head::BLOB_KIND;
+use crate::config::head::HEAD_KIND;
+use crate::config::head::HEAD_NAME;
+use crate::config::head::digest_of;
+use crate::config::head::parse;
+use crate::config::head::to_body;
+use kelpworks_coord::head::Head;
+use kelpworks_coord::head::StoredHead;
+use kelpworks_coord::head::SwapEvent;
+use kelpworks_coord::id::Digest;
+use kelpworks_coord::id::Version;
+use kelpworks_wire::Object;
 
 /// How often and how patiently calls to the object API are repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RetryPolicy {
-    /// Calls for one purpose, at most. Default 6.
+    /// Reads for one purpose, at most. Default 6.
     pub attempts: u32,
-    /// Longest pause before the first repetition; doubles with each. Default 100 ms.
+    /// Pause before a repetition, at least; up to twice as long. Default 200 ms.
     pub pause: Duration,
-    /// Longest pause. Default 2 s.
-    pub max_pause: Duration,
+    /// Longest time for a whole change. Default 15 s.
+    pub give_up: Duration,
 }
 
 impl Default for RetryPolicy {
     fn default() -> RetryPolicy {
         RetryPolicy {
             attempts: 6,
-            pause: Duration::from_millis(100),
-            max_pause: Duration::from_secs(2),
+            pause: Duration::from_millis(200),
+            give_up: Duration::from_secs(15),
         }
     }
 }
 
 impl RetryPolicy {
-    /// Waits before repetition `n`, counted from 0, with full jitter.
-    async fn pause(&self, n: u32) {
-        let factor = 2_u32.saturating_pow(n);
-        let longest = self.pause.saturating_mul(factor).min(self.max_pause);
-        let share = rand::rng().random_range(0.0..=1.0);
-        tokio::time::sleep(longest.mul_f64(share)).await;
+    /// Waits before a repetition, with jitter so that rivals do not meet again.
+    pub(super) async fn pause(&self) {
+        let factor = rand::rng().random_range(1.0..2.0);
+        tokio::time::sleep(self.pause.mul_f64(factor)).await;
     }
 }
 
-/// The configuration in force, as the object API holds it.
+/// The texts that a head names.
 #[derive(Clone, Debug, PartialEq)]
-pub(super) struct InForce {
-    /// Version of the head object, for the next conditional update.
-    pub(super) version: u64,
-    /// The head.
-    pub(super) head: Head,
-    /// Text of the register.
-    pub(super) register: String,
-    /// Text of the rules, when there are any.
+pub(super) struct Texts {
+    pub(super) register: Option<String>,
     pub(super) rules: Option<String>,
 }
 
-/// What became of a swap of the head.
-#[derive(Clone, Debug, PartialEq)]
-pub(super) enum Swap {
-    /// It took effect.
-    Done,
-    /// The head had moved, and stands at this object.
-    Moved {
-        /// The head object.
-        object: Object,
-        /// Whether the swap may have taken effect before and been replaced since.
-        may_have_run: bool,
-    },
-}
-
-/// The object API with a retry policy.
+/// The object API with a retry policy, and its last error.
 #[derive(Debug)]
 pub(super) struct Store<'a, A> {
     pub(super) api: &'a A,
     pub(super) retry: RetryPolicy,
+    /// What the API last failed with, for the report when time runs out.
+    pub(super) last: object_api::Error,
 }
 
-impl<A: ObjectApi> Store<'_, A> {
-    /// Reads the configuration in force; `None` before the first import.
-    pub(super) async fn in_force(&self) -> Result<Option<InForce>> {
-        match self.get(HEAD_KIND, HEAD_NAME).await? {
-            Some(object) => Ok(Some(self.load(&object).await?)),
-            None => Ok(None),
+impl<'a, A: ObjectApi> Store<'a, A> {
+    pub(super) fn new(api: &'a A, retry: RetryPolicy) -> Store<'a, A> {
+        Store {
+            api,
+            retry,
+            last: object_api::Error::Unavailable,
         }
     }
 
-    /// Reads what a head object names.
-    pub(super) async fn load(&self, object: &Object) -> Result<InForce> {
-        let head = head_of(object)?;
-        let rules = match head.rules {
-            Some(digest) => Some(self.blob(digest).await?),
-            None => None,
-        };
-        Ok(InForce {
-            version: object.version,
-            register: self.blob(head.register).await?,
-            rules,
-            head,
-        })
+    /// Reads the head, patiently.
+    pub(super) async fn head(&mut self) -> Result<StoredHead> {
+        let object = self.get(HEAD_KIND, HEAD_NAME).await?;
+        stored(object.as_ref())
+    }
+
+    /// Reads the texts that a head names, patiently; `skip` is at hand already.
+    pub(super) async fn texts(&mut self, head: &Head, skip: Option<Digest>) -> Result<Texts> {
+        let mut blobs = [None, None];
+        for (blob, part) in blobs.iter_mut().zip([head.register, head.rules]) {
+            let wanted = part.map(|p| p.digest).filter(|d| Some(*d) != skip);
+            if let Some(digest) = wanted {
+                *blob = Some(self.blob(digest).await?);
+            }
+        }
+        let [register, rules] = blobs;
+        Ok(Texts { register, rules })
     }
 
     /// Reads a blob and checks that it is the one its name promises.
-    async fn blob(&self, digest: Digest) -> Result<String> {
+    async fn blob(&mut self, digest: Digest) -> Result<String> {
         let object = self.get(BLOB_KIND, &digest.to_string()).await?;
         let body = object.ok_or(Error::BlobMissing { digest })?.body;
-        match Digest::of(&body) == digest {
+        match digest_of(&body) == digest {
             true => Ok(body),
             false => Err(Error::BlobCorrupt { digest }),
         }
     }
 
     /// Reads an object; reading twice does no harm, so any failure is retried.
-    async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>> {
-        let mut last = object_api::Error::Unavailable;
-        for n in 0..self.retry.attempts {
+    async fn get(&mut self, kind: &str, name: &str) -> Result<Option<Object>> {
+        for _ in 0..self.retry.attempts {
             match self.api.get(kind, name).await {
                 Ok(object) => return Ok(Some(object)),
                 Err(object_api::Error::NotFound) => return Ok(None),
-                Err(e) => last = e,
+                Err(e) => self.failed(e),
             }
-            self.before_repetition(&last, n).await;
+            self.retry.pause().await;
         }
-        Err(Error::Unavailable(last))
+        Err(Error::Unavailable(self.last.clone()))
     }
 
-    /// Writes a blob. Its name is its digest, so writing it twice does no harm.
-    pub(super) async fn put_blob(&self, text: &str) -> Result<()> {
-        let name = Digest::of(text).to_string();
-        let mut last = object_api::Error::Unavailable;
-        for n in 0..self.retry.attempts {
-            let body = text.to_owned();
-            match self
-                .api
-                .put(BLOB_KIND, &name, body, Condition::Absent)
-                .await
-            {
-                Ok(_) | Err(object_api::Error::Conflict { .. }) => return Ok(()),
-                Err(e) if is_final(&e) => return Err(Error::Unavailable(e)),
-                Err(e) => last = e,
+    /// Reads the head once, as an event of the swap.
+    pub(super) async fn read_head(&mut self) -> Result<SwapEvent> {
+        match self.api.get(HEAD_KIND, HEAD_NAME).await {
+            Ok(object) => Ok(SwapEvent::HeadRead(stored(Some(&object))?)),
+            Err(object_api::Error::NotFound) => Ok(SwapEvent::HeadRead(stored(None)?)),
+            Err(e) => {
+                self.failed(e);
+                Ok(SwapEvent::Refused)
             }
-            self.before_repetition(&last, n).await;
         }
-        Err(Error::Unavailable(last))
     }
 
-    /// Swaps the head from what is in force to `next`.
-    ///
-    /// A lost reply is settled by the same conditional write again: either it
-    /// takes effect now, or the conflict shows the head as it stands, which by
-    /// its nonce is this swap's or another's. A write that is still under way
-    /// can no longer take effect once the version has moved.
-    pub(super) async fn swap(&self, from: Option<&InForce>, next: &Head) -> Result<Swap> {
-        let condition = from.map_or(Condition::Absent, |f| Condition::Version(f.version));
-        let mut lost = false;
-        let mut last = object_api::Error::Unavailable;
-        for n in 0..self.retry.attempts {
-            let put = self
-                .api
-                .put(HEAD_KIND, HEAD_NAME, next.to_body(), condition);
-            match put.await {
-                Ok(_) => return Ok(Swap::Done),
-                Err(object_api::Error::Conflict { current }) => {
-                    if let Some(swap) = self.settle(current, next, lost).await? {
-                        return Ok(swap);
-                    }
-                }
-                Err(e) if is_final(&e) && !lost => return Err(Error::Unavailable(e)),
-                Err(e) => {
-                    lost |= e.may_have_run();
-                    last = e;
-                }
+    /// Writes a blob once. Its name is its digest, so writing it twice does no harm.
+    pub(super) async fn put_blob(&mut self, text: &str) -> Result<SwapEvent> {
+        let name = digest_of(text).to_string();
+        let put = self
+            .api
+            .put(BLOB_KIND, &name, text.to_owned(), Condition::Absent);
+        match put.await {
+            Ok(_) | Err(object_api::Error::Conflict { .. }) => Ok(SwapEvent::BlobStored),
+            Err(object_api::Error::TooLarge) => {
+                Err(Error::Unavailable(object_api::Error::TooLarge))
+            }
+            Err(e) => {
+                self.failed(e);
+                Ok(SwapEvent::Refused)
             }
-            self.before_repetition(&last, n).await;
         }
-        match lost {
-            true => Err(Error::Unsettled),
-            false => Err(Error::Unavailable(last)),
+    }
+
+    /// Writes the head once, when it still has this version.
+    pub(super) async fn swap_head(
+        &mut self,
+        if_version: Version,
+        head: &Head,
+    ) -> Result<SwapEvent> {
+        let condition = match if_version {
+            Version::ABSENT => Condition::Absent,
+            Version(v) => Condition::Version(v),
+        };
+        let body = to_body(head).map_err(|_| Error::HeadCorrupt)?;
+        match self.api.put(HEAD_KIND, HEAD_NAME, body, condition).await {
+            Ok(_) => Ok(SwapEvent::Swapped),
+            Err(object_api::Error::Conflict { current }) => {
+                self.conflict(current, if_version).await
+            }
+            Err(e) => {
+                let may_have_run = e.may_have_run();
+                self.failed(e);
+                Ok(match may_have_run {
+                    true => SwapEvent::Lost,
+                    false => SwapEvent::Refused,
+                })
+            }
         }
     }
 
-    /// Judges the head that a conflict shows; `None` when it is older than what the swap is
-    /// from, an answer out of date.
-    async fn settle(
-        &self,
+    /// The head that stood in the way. An answer that is not newer than the version that just
+    /// failed is out of date and tells nothing: the write is tried again later.
+    async fn conflict(
+        &mut self,
         current: Option<Box<Object>>,
-        next: &Head,
-        lost: bool,
-    ) -> Result<Option<Swap>> {
-        let object = match current {
-            Some(object) => Some(*object),
-            None => self.get(HEAD_KIND, HEAD_NAME).await?,
-        };
-        let Some(object) = object else {
-            return Ok(None);
+        if_version: Version,
+    ) -> Result<SwapEvent> {
+        let at = match current {
+            Some(object) => stored(Some(&object))?,
+            None => self.head().await?,
         };
-        let head = head_of(&object)?;
-        if head.nonce == next.nonce {
-            return Ok(Some(Swap::Done));
-        }
-        if head.generation < next.generation {
-            return Ok(None);
-        }
-        // At the very next generation stands another's swap, so this one never took effect.
-        let may_have_run = lost && head.generation > next.generation;
-        Ok(Some(Swap::Moved {
-            object,
-            may_have_run,
-        }))
+        Ok(match at.version > if_version {
+            true => SwapEvent::Conflict(at),
+            false => SwapEvent::Refused,
+        })
     }
 
-    /// Prepares for a repetition: waits, and leaves a connection behind that may be dead.
-    async fn before_repetition(&self, error: &object_api::Error, n: u32) {
-        if matches!(error, object_api::Error::Lost) {
+    /// Notes an error, and leaves a connection behind that may be dead.
+    fn failed(&mut self, error: object_api::Error) {
+        if error == object_api::Error::Lost {
             self.api.fresh();
         }
-        self.retry.pause(n).await;
+        self.last = error;
     }
 }
 
-/// Whether repeating the call cannot help.
-fn is_final(error: &object_api::Error) -> bool {
-    matches!(
-        error,
-        object_api::Error::TooLarge | object_api::Error::Url | object_api::Error::NotFound
-    )
-}
-
-/// Reads the head of its object.
-fn head_of(object: &Object) -> Result<Head> {
-    Head::from_body(&object.body).ok_or(Error::HeadCorrupt)
+/// The head of its object; the empty one when there is none.
+fn stored(object: Option<&Object>) -> Result<StoredHead> {
+    let Some(object) = object else {
+        return Ok(StoredHead {
+            version: Version::ABSENT,
+            head: Head::EMPTY,
+        });
+    };
+    Ok(StoredHead {
+        version: Version(object.version),
+        head: parse(&object.body).map_err(|_| Error::HeadCorrupt)?,
+    })
 }
--- a/crates/kelpworks/src/daemon/follow.rs
+++ b/crates/kelpworks/src/daemon/follow.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use kelpworks_coord::id::Digest;
 use log::info;
 use log::warn;
 use rand::RngExt;
@@ -13,11 +14,11 @@
 
 use crate::border::object_api;
 use crate::border::object_api::ObjectApi;
-use crate::config::accept::BLOB_KIND;
-use crate::config::accept::HEAD_KIND;
-use crate::config::accept::HEAD_NAME;
-use crate::config::accept::Head;
 use crate::config::document;
+use crate::config::head;
+use crate::config::head::BLOB_KIND;
+use crate::config::head::HEAD_KIND;
+use crate::config::head::HEAD_NAME;
 use crate::in_force::InForce;
 use crate::register::Register;
 use crate::rules::Rules;
@@ -34,8 +35,8 @@
 enum Error {
     #[error("object API: {0}")]
     Api(#[from] object_api::Error),
-    #[error("the configuration head can't be read")]
-    Head,
+    #[error("the configuration head can't be read: {0}")]
+    Head(serde_json::Error),
     #[error("configuration: {0}")]
     Config(#[from] document::Error),
 }
@@ -102,27 +103,31 @@
     }
 
     async fn take(&self, body: &str) -> Result<()> {
-        let head = Head::from_body(body).ok_or(Error::Head)?;
-        if head.generation <= self.config.load().generation {
+        let head = head::parse(body).map_err(Error::Head)?;
+        let Some(part) = head.register else {
+            return Ok(());
+        };
+        let generation = head.generation.0;
+        if generation <= self.config.load().generation {
             return Ok(());
         }
-        let register = Register::parse("register", &self.blob(&head.register.to_string()).await?)?;
-        let rules = match &head.rules {
+        let register = Register::parse("register", &self.blob(part.digest).await?)?;
+        let rules = match head.rules {
             None => Rules::default(),
-            Some(d) => Rules::parse("rules", &self.blob(&d.to_string()).await?, &register)?,
+            Some(part) => Rules::parse("rules", &self.blob(part.digest).await?, &register)?,
         };
-        let in_force = InForce::new(head.generation, register.clone(), rules);
+        let in_force = InForce::new(generation, register.clone(), rules);
         self.config.store(Arc::new(in_force));
         self.register.send_replace(Arc::new(register));
-        metrics::gauge!("kelpworks_generation").set(head.generation as f64);
+        metrics::gauge!("kelpworks_generation").set(generation as f64);
         info!(
-            target: "decision", decision = "config", generation = head.generation;
+            target: "decision", decision = "config", generation = generation;
             "configuration in force"
         );
         Ok(())
     }
 
-    async fn blob(&self, digest: &str) -> Result<String> {
-        Ok(self.api.get(BLOB_KIND, digest).await?.body)
+    async fn blob(&self, digest: Digest) -> Result<String> {
+        Ok(self.api.get(BLOB_KIND, &digest.to_string()).await?.body)
     }
 }
