--- a/crates/kelpworks/examples/measure/fleets.rs
+++ b/crates/kelpworks/examples/measure/fleets.rs
@@ -90,26 +90,62 @@
     share: 1,
 };
 
+// Each model is larger than the weights that any host of its fleets can hold.
 const CAPTION: ModelShape = ModelShape {
     layers: 80,
-    layer_mb: 1_750,
+    layer_mb: 1750,
     demand: 1.0,
 };
 const REPORT: ModelShape = ModelShape {
     layers: 64,
-    layer_mb: 2_100,
+    layer_mb: 2100,
     demand: 1.0,
 };
-const BIG: ModelShape = ModelShape {
-    layers: 126,
-    layer_mb: 6_430,
+const PAIR_A: ModelShape = ModelShape {
+    layers: 80,
+    layer_mb: 3500,
+    demand: 1.0,
+};
+const PAIR_B: ModelShape = ModelShape {
+    layers: 64,
+    layer_mb: 4200,
+    demand: 1.0,
+};
+const WIDE_A: ModelShape = ModelShape {
+    layers: 80,
+    layer_mb: 6000,
+    demand: 1.0,
+};
+const WIDE_B: ModelShape = ModelShape {
+    layers: 64,
+    layer_mb: 8000,
     demand: 1.0,
 };
-const LIGHT: ModelShape = ModelShape {
+const WIDE_C: ModelShape = ModelShape {
     layers: 48,
-    layer_mb: 900,
+    layer_mb: 10000,
     demand: 3.0,
 };
+const HUGE_A: ModelShape = ModelShape {
+    layers: 126,
+    layer_mb: 7500,
+    demand: 1.0,
+};
+const HUGE_B: ModelShape = ModelShape {
+    layers: 80,
+    layer_mb: 12000,
+    demand: 1.0,
+};
+const HUGE_C: ModelShape = ModelShape {
+    layers: 61,
+    layer_mb: 15500,
+    demand: 2.0,
+};
+const HUGE_D: ModelShape = ModelShape {
+    layers: 96,
+    layer_mb: 10000,
+    demand: 0.5,
+};
 
 /// The fleets, by row.
 pub(crate) const FLEETS: &[FleetShape] = &[
@@ -164,10 +200,32 @@
         regions: &[3],
         latency_us: [50, 700, 700],
         kinds: &[SMALL, MIDDLE, LARGE],
-        models: &[CAPTION, REPORT],
+        models: &[PAIR_A, PAIR_B],
         allowed: 0.8,
         skew: 0.0,
     },
+    FleetShape {
+        name: "few-hosts-12",
+        hosts: 12,
+        accelerators: 2,
+        regions: &[3],
+        latency_us: [50, 700, 700],
+        kinds: &[MIDDLE, LARGE],
+        models: &[CAPTION],
+        allowed: 1.0,
+        skew: 0.0,
+    },
+    FleetShape {
+        name: "own-hosts-60",
+        hosts: 60,
+        accelerators: 4,
+        regions: &[3],
+        latency_us: [50, 700, 700],
+        kinds: &[SMALL, MIDDLE, LARGE],
+        models: &[PAIR_A, PAIR_B],
+        allowed: 0.1,
+        skew: 0.3,
+    },
     FleetShape {
         name: "five-kinds-100",
         hosts: 100,
@@ -175,7 +233,7 @@
         regions: &[2, 2],
         latency_us: [50, 500, 5_000],
         kinds: &[SMALL, MIDDLE, LARGE, OLD, WIDE],
-        models: &[CAPTION],
+        models: &[WIDE_A],
         allowed: 1.0,
         skew: 0.0,
     },
@@ -186,7 +244,7 @@
         regions: &[2, 2],
         latency_us: [50, 500, 5_000],
         kinds: &[SMALL, MIDDLE, LARGE, OLD, WIDE],
-        models: &[CAPTION, REPORT, LIGHT],
+        models: &[WIDE_A, WIDE_B, WIDE_C],
         allowed: 0.6,
         skew: 0.2,
     },
@@ -197,7 +255,7 @@
         regions: &[2, 2],
         latency_us: [50, 500, 5_000],
         kinds: &[SMALL, MIDDLE, LARGE, OLD, WIDE],
-        models: &[BIG],
+        models: &[HUGE_A],
         allowed: 1.0,
         skew: 0.0,
     },
@@ -208,7 +266,7 @@
         regions: &[2, 2],
         latency_us: [50, 500, 5_000],
         kinds: &[SMALL, MIDDLE, LARGE, OLD, WIDE],
-        models: &[CAPTION, REPORT, BIG, LIGHT],
+        models: &[HUGE_A, HUGE_B, HUGE_C, HUGE_D],
         allowed: 0.7,
         skew: 0.0,
     },
--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -7,6 +7,7 @@
 
 mod fleets;
 mod placement;
+mod placement_baselines;
 mod table;
 
 use crate::table::Table;
--- a/crates/kelpworks/examples/measure/placement.rs
+++ b/crates/kelpworks/examples/measure/placement.rs
@@ -1,44 +1,280 @@
 //! Placement on mixed fleets: rate over the hardware bound, survival, times and moves.
+//!
+//! All figures are of the plans themselves, no engine runs. Survival is checked by taking away
+//! each host and each failure domain in turn. The least number of moves after a loss is a lower
+//! bound: a stage left in fewer than two failure domains needs one host for each that it lacks,
+//! and a host holds one stage, so no host helps two. Losses after which some stage still lacks a
+//! second domain are counted apart and left out of the moves. The link latency counts the links
+//! from stage to stage only; that of the greedy baseline has other cuts.
 
+use std::time::Duration;
 use std::time::Instant;
 
+use kelpworks::fleet::DomainKey;
+use kelpworks::fleet::ModelKey;
 use kelpworks::placement;
+use kelpworks::placement::HostKey;
+use kelpworks::placement::Input;
+use kelpworks::placement::Lost;
+use kelpworks::placement::ModelPlan;
+use kelpworks::placement::Plan;
 
 use crate::fleets;
+use crate::fleets::FleetShape;
+use crate::placement_baselines;
 use crate::table::Table;
 
 /// Seeds of each row.
-const SEEDS: std::ops::Range<u64> = 1..6;
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=7;
+/// Longest time for a plan.
+const PLAN_LIMIT: Duration = Duration::from_secs(2);
+/// Longest time for a repair.
+const REPAIR_LIMIT: Duration = Duration::from_millis(100);
+/// Failure domains that a stage should stand in.
+const STANDING_DOMAINS: usize = 2;
 
 /// Runs the measurement.
 pub(crate) fn run() -> Table {
-    let mut rows = Vec::new();
-    for shape in fleets::FLEETS {
-        for seed in SEEDS {
-            let input = fleets::draw(shape, seed);
-            let start = Instant::now();
-            let plan = placement::plan(&input);
-            let t = start.elapsed();
-            let stages: Vec<String> = plan
-                .models
-                .iter()
-                .map(|m| m.stages.len().to_string())
-                .collect();
-            let spare = plan.assignments.iter().filter(|a| a.is_none()).count();
-            rows.push(vec![
-                shape.name.to_owned(),
-                seed.to_string(),
-                format!("{:.4}", plan.scale(&input) / input.bound()),
-                format!("{:?}", t),
-                stages.join("+"),
-                spare.to_string(),
-                format!("{:?}", plan.shortfalls),
-            ]);
+    let shapes = fleets::FLEETS.iter();
+    Table {
+        title: format!(
+            "placement: rate / hardware bound as min/median/max over {} seeds; times as the \
+             longest over its limit (plan 2 s, repair 0.1 s); moves as done/least, all losses",
+            SEEDS.count()
+        ),
+        head: vec![
+            "fleet",
+            "planned",
+            "equal layers",
+            "greedy",
+            "host losses survived",
+            "domain losses survived",
+            "greedy: domain",
+            "plan",
+            "replan",
+            "orders",
+            "repair",
+            "moves, host",
+            "moves, domain",
+            "lacking, repair",
+            "lacking, improve/impossible",
+            "rate after domain loss",
+            "and improve",
+            "link latency/greedy",
+        ],
+        rows: shapes.map(row).collect(),
+    }
+}
+
+/// Losses survived, of those tried.
+#[derive(Default)]
+struct Survived {
+    survived: usize,
+    tried: usize,
+}
+
+impl Survived {
+    fn count(&mut self, survived: bool) {
+        self.survived += usize::from(survived);
+        self.tried += 1;
+    }
+
+    fn text(&self) -> String {
+        format!("{}/{}", self.survived, self.tried)
+    }
+}
+
+/// Moves done and the least possible.
+#[derive(Default)]
+struct Moves {
+    done: usize,
+    least: usize,
+}
+
+/// What the seeds of one fleet gave.
+#[derive(Default)]
+struct Samples {
+    planned: Vec<f64>,
+    equal: Vec<f64>,
+    greedy: Vec<f64>,
+    hosts: Survived,
+    domains: Survived,
+    greedy_domains: Survived,
+    plan: Duration,
+    replan: Duration,
+    orders: Duration,
+    repair: Duration,
+    host_moves: Moves,
+    domain_moves: Moves,
+    lacking: Survived,
+    still_lacking: usize,
+    impossible: usize,
+    repaired: Vec<f64>,
+    improved: Vec<f64>,
+    latency: Vec<f64>,
+}
+
+fn row(shape: &FleetShape) -> Vec<String> {
+    let mut samples = Samples::default();
+    for seed in SEEDS {
+        sample(&mut samples, fleets::draw(shape, seed));
+    }
+    let over =
+        |t: Duration, limit: Duration| format!("{:.4}", t.as_secs_f64() / limit.as_secs_f64());
+    let moves = |m: &Moves| format!("{}/{}", m.done, m.least);
+    vec![
+        shape.name.to_owned(),
+        spread(&mut samples.planned),
+        spread(&mut samples.equal),
+        spread(&mut samples.greedy),
+        samples.hosts.text(),
+        samples.domains.text(),
+        samples.greedy_domains.text(),
+        over(samples.plan, PLAN_LIMIT),
+        over(samples.replan, PLAN_LIMIT),
+        over(samples.orders, PLAN_LIMIT),
+        over(samples.repair, REPAIR_LIMIT),
+        moves(&samples.host_moves),
+        moves(&samples.domain_moves),
+        samples.lacking.text(),
+        format!("{}/{}", samples.still_lacking, samples.impossible),
+        spread(&mut samples.repaired),
+        spread(&mut samples.improved),
+        spread(&mut samples.latency),
+    ]
+}
+
+/// `min/median/max`.
+fn spread(values: &mut [f64]) -> String {
+    values.sort_by(f64::total_cmp);
+    let at = |i: usize| values.get(i).copied().unwrap_or(f64::NAN);
+    let (mid, last) = (values.len() / 2, values.len().saturating_sub(1));
+    format!("{:.3}/{:.3}/{:.3}", at(0), at(mid), at(last))
+}
+
+fn timed<T>(longest: &mut Duration, f: impl FnOnce() -> T) -> T {
+    let start = Instant::now();
+    let value = f();
+    *longest = start.elapsed().max(*longest);
+    value
+}
+
+fn sample(samples: &mut Samples, mut input: Input) {
+    let plan = timed(&mut samples.plan, || placement::plan(&input));
+    let bound = input.bound();
+    samples.planned.push(plan.scale(&input) / bound);
+    let equal = placement_baselines::equal_layers(&input);
+    samples.equal.push(equal.scale(&input) / bound);
+    let greedy = placement_baselines::greedy(&input);
+    samples.greedy.push(greedy.scale(&input) / bound);
+    let planned_latency = latency(&input, &plan);
+    samples
+        .latency
+        .push(planned_latency / greedy.latency(&input));
+    for lost in losses(&input) {
+        let stands = plan.stands_without(|h| lost.covers(&input, h));
+        match lost {
+            Lost::Host(_) => samples.hosts.count(stands),
+            Lost::FailureDomain(_) => {
+                samples.domains.count(stands);
+                let stands = greedy.stands_without(|h| lost.covers(&input, h));
+                samples.greedy_domains.count(stands);
+            }
         }
     }
-    Table {
-        title: "placement".to_owned(),
-        head: vec!["fleet", "seed", "ratio", "time", "stages", "spare", "short"],
-        rows,
+    input.holdings = plan.holdings(&input);
+    for lost in losses(&input) {
+        sample_loss(samples, &input, &plan, lost);
+    }
+    roll(samples, input);
+}
+
+/// Link latency of a token, summed over models by demand.
+fn latency(input: &Input, plan: &Plan) -> f64 {
+    let of_model = |m: &ModelPlan| {
+        let stages: Vec<&[HostKey]> = m.stages.iter().map(|s| s.hosts.as_slice()).collect();
+        placement::link_latency(input, &stages) * input.model(m.model).demand
+    };
+    plan.models.iter().map(of_model).sum()
+}
+
+/// Every host and every failure domain.
+fn losses(input: &Input) -> Vec<Lost> {
+    let domains = (0..input.domains.len()).map(|d| Lost::FailureDomain(DomainKey(d as u16)));
+    input.host_keys().map(Lost::Host).chain(domains).collect()
+}
+
+fn sample_loss(samples: &mut Samples, input: &Input, plan: &Plan, lost: Lost) {
+    let left = placement::without(input, lost);
+    let repaired = timed(&mut samples.repair, || placement::repair(input, plan, lost));
+    let mended = repaired.shortfalls.is_empty();
+    samples.lacking.count(!mended);
+    let moves = match lost {
+        Lost::Host(_) => &mut samples.host_moves,
+        Lost::FailureDomain(_) => &mut samples.domain_moves,
+    };
+    if mended {
+        moves.done += repaired.moves(&left);
+        moves.least += least_moves(&left, plan);
     }
+    if mended && matches!(lost, Lost::Host(_)) {
+        return;
+    }
+    let bound = left.bound();
+    let before = repaired.scale(&left) / bound;
+    let better = placement::improve(&left, &repaired).unwrap_or(repaired);
+    if !better.shortfalls.is_empty() {
+        samples.still_lacking += 1;
+        samples.impossible += usize::from(is_impossible(&left));
+    }
+    if let Lost::FailureDomain(_) = lost {
+        samples.repaired.push(before);
+        samples.improved.push(better.scale(&left) / bound);
+    }
+}
+
+/// Whether no placement at all can stand: some failure domain holds so much of the fleet that the
+/// others together can't hold every model, while a host holds one model.
+fn is_impossible(left: &Input) -> bool {
+    let models = || (0..left.models.len()).map(|m| ModelKey(m as u16));
+    let share = |h: HostKey, m: ModelKey| {
+        f64::from(left.layer_capacity(h, m)) / f64::from(left.model(m).layers)
+    };
+    (0..left.domains.len()).any(|d| {
+        let others = || {
+            left.host_keys()
+                .filter(move |&h| usize::from(left.host(h).domain.0) != d)
+        };
+        let lacks = models().any(|m| others().map(|h| share(h, m)).sum::<f64>() < 1.0);
+        let most = |h: HostKey| models().map(|m| share(h, m)).fold(0.0, f64::max);
+        lacks || others().map(most).sum::<f64>() < left.models.len() as f64
+    })
+}
+
+/// Hosts that stages lack for standing in two failure domains, or in as many as are left.
+fn least_moves(left: &Input, plan: &Plan) -> usize {
+    let domains = |hosts: &mut dyn Iterator<Item = u16>| {
+        let mut domains: Vec<u16> = hosts.collect();
+        domains.sort_unstable();
+        domains.dedup();
+        domains.len()
+    };
+    let live = |h: &HostKey| left.host(*h).live;
+    let all = domains(&mut left.host_keys().filter(live).map(|h| left.host(h).domain.0));
+    let wanted = all.min(STANDING_DOMAINS);
+    let stages = plan.models.iter().flat_map(|m| &m.stages);
+    let lacks = stages.map(|s| {
+        let hosts = s.hosts.iter().copied().filter(live);
+        let mut held = hosts.map(|h| left.host(h).domain.0);
+        let has = domains(&mut held);
+        wanted.saturating_sub(has)
+    });
+    lacks.sum()
+}
+
+/// Times a new version of the first model, and the orders to it.
+fn roll(samples: &mut Samples, mut input: Input) {
+    input.models[0].version = "v2".into();
+    let next = timed(&mut samples.replan, || placement::plan(&input));
+    timed(&mut samples.orders, || placement::orders(&input, &next));
 }
--- a/crates/kelpworks/src/placement/input.rs
+++ b/crates/kelpworks/src/placement/input.rs
@@ -7,6 +7,9 @@
 use crate::fleet::DomainKey;
 use crate::fleet::LinkCost;
 use crate::fleet::ModelKey;
+use crate::register::Host;
+use crate::register::HostRole;
+use crate::register::Register;
 use crate::units::Rate;
 use crate::units::Size;
 
@@ -90,6 +93,38 @@
 }
 
 impl Input {
+    /// The engine hosts, models and links of a register: all hosts live, all demands 1, nothing
+    /// held. The fields are open to be set to what is known; model and failure domain keys are
+    /// positions in the register, host keys are positions among its engine hosts.
+    pub fn from_register(register: &Register, default_link: LinkCost, rate: Rate) -> Input {
+        let models = register.models.iter().map(|m| ModelSpec {
+            name: Arc::from(m.name.as_str()),
+            version: Arc::from(m.version.as_str()),
+            layers: m.layers,
+            layer_size: m.layer_size,
+            demand: 1.0,
+        });
+        let domains = register.failure_domains.iter();
+        Input {
+            domains: domains.map(|d| Arc::from(d.name.as_str())).collect(),
+            hosts: register
+                .hosts
+                .iter()
+                .filter_map(|h| engine_host(register, h))
+                .collect(),
+            models: models.collect(),
+            links: links(register, default_link),
+            holdings: Vec::new(),
+            weight_rate: rate,
+        }
+    }
+
+    /// Key of the host of this name.
+    pub fn host_named(&self, name: &str) -> Option<HostKey> {
+        let at = self.hosts.iter().position(|h| &*h.name == name)?;
+        Some(HostKey(at as u32))
+    }
+
     /// The host of this key.
     ///
     /// # Panics
@@ -163,3 +198,48 @@
         self.links[usize::from(from.0) * self.domains.len() + usize::from(to.0)]
     }
 }
+
+/// An engine host of a register; `None` for a plain service, or when a name does not resolve.
+fn engine_host(register: &Register, host: &Host) -> Option<HostSpec> {
+    let HostRole::Engine(engine) = &host.role else {
+        return None;
+    };
+    let mut kinds = register.accelerators.iter();
+    let kind = kinds.find(|k| k.name == engine.accelerator)?;
+    let model = |name: &String| register.models.iter().position(|m| m.name == *name);
+    let models = engine.models.iter().filter_map(model);
+    Some(HostSpec {
+        name: Arc::from(host.name.as_str()),
+        domain: domain_key(register, &host.failure_domain)?,
+        memory: Size(kind.memory.0 * u64::from(engine.accelerators)),
+        layer_rate: kind.layer_rate * f64::from(engine.accelerators),
+        models: models.map(|m| ModelKey(m as u16)).collect(),
+        live: true,
+    })
+}
+
+fn domain_key(register: &Register, name: &str) -> Option<DomainKey> {
+    let at = register
+        .failure_domains
+        .iter()
+        .position(|d| d.name == name)?;
+    Some(DomainKey(at as u16))
+}
+
+fn links(register: &Register, default_link: LinkCost) -> Vec<LinkCost> {
+    let count = register.failure_domains.len();
+    let mut links = vec![default_link; count * count];
+    for link in &register.links {
+        let ends = [&link.from, &link.to].map(|n| domain_key(register, n));
+        let [Some(from), Some(to)] = ends.map(|d| d.map(|d| usize::from(d.0))) else {
+            continue;
+        };
+        let cost = LinkCost {
+            latency: link.latency.0,
+            bytes_per_second: link.bandwidth.0,
+        };
+        links[from * count + to] = cost;
+        links[to * count + from] = cost;
+    }
+    links
+}
--- a/crates/kelpworks/src/placement/locality.rs
+++ b/crates/kelpworks/src/placement/locality.rs
@@ -24,6 +24,26 @@
     }
 }
 
+/// Mean latency of the links that one token crosses from stage to stage, in seconds, when work
+/// goes on over the shortest links that balance allows. `stages` are the hosts of one model's
+/// stages, in order, none of them empty.
+///
+/// # Panics
+///
+/// When a key is not of this input.
+pub fn link_latency(input: &Input, stages: &[&[HostKey]]) -> f64 {
+    let links = Links::new(input);
+    let of_host = |h: &HostKey| {
+        let host = input.host(*h);
+        (usize::from(host.domain.0), host.layer_rate)
+    };
+    let shares = |hosts: &[HostKey]| links.shares(hosts.iter().map(of_host));
+    let pairs = stages.windows(2);
+    pairs
+        .map(|p| links.latency(shares(p[0]), shares(p[1])))
+        .sum()
+}
+
 /// Links between failure domains, shortest first.
 struct Links {
     /// Seconds one way, and both ends.
@@ -47,8 +67,7 @@
     }
 
     /// Latency between slot `next` and the one before it, weighed by demand; 0 when that is of
-    /// another model. Each stage's work is shared among its domains by rate, and goes on over the
-    /// shortest links first.
+    /// another model.
     fn between(&self, state: &State<'_>, next: usize) -> f64 {
         if next == 0 || next >= state.slots.len() {
             return 0.0;
@@ -56,8 +75,16 @@
         if state.slots[next - 1].model != state.slots[next].model {
             return 0.0;
         }
-        let mut from = self.shares(state, next - 1);
-        let mut to = self.shares(state, next);
+        let shares = |slot: usize| {
+            let hosts = state.slots[slot].hosts.iter();
+            self.shares(hosts.map(|&h| (state.domain(h), state.rate(h))))
+        };
+        self.latency(shares(next - 1), shares(next)) * state.slots[next].demand
+    }
+
+    /// Mean latency from one stage to the next, in seconds, when each domain does its share of
+    /// either stage's work and work goes on over the shortest links first.
+    fn latency(&self, mut from: Vec<f64>, mut to: Vec<f64>) -> f64 {
         let mut total = 0.0;
         for &(latency, a, b) in &self.sorted {
             let flow = f64::min(from[a], to[b]);
@@ -65,16 +92,17 @@
             to[b] -= flow;
             total += flow * latency;
         }
-        total * state.slots[next].demand
+        total
     }
 
-    /// Share of each domain in a slot's rate.
-    fn shares(&self, state: &State<'_>, slot: usize) -> Vec<f64> {
+    /// Share of each domain in a stage's rate, from its hosts' domains and rates.
+    fn shares(&self, hosts: impl Iterator<Item = (usize, f64)>) -> Vec<f64> {
         let mut shares = vec![0.0; self.domains];
-        let slot = &state.slots[slot];
-        for &h in &slot.hosts {
-            shares[state.domain(h)] += state.rate(h) / slot.rate;
+        for (domain, rate) in hosts {
+            shares[domain] += rate;
         }
+        let total: f64 = shares.iter().sum();
+        shares.iter_mut().for_each(|s| *s /= total);
         shares
     }
 
--- a/crates/kelpworks/src/placement/plan.rs
+++ b/crates/kelpworks/src/placement/plan.rs
@@ -5,6 +5,7 @@
 
 use kelpworks_wire::LayerRange;
 
+use super::input::HeldRange;
 use super::input::HostKey;
 use super::input::Input;
 use crate::fleet::DomainKey;
@@ -216,20 +217,36 @@
         keys.map(|h| self.missing_bytes(input, h)).sum()
     }
 
-    /// Bytes that one host has to load.
+    /// Bytes that one host has to load; engines load a range as a whole.
     fn missing_bytes(&self, input: &Input, host: HostKey) -> u64 {
         let Some((model, layers)) = self.layers(host) else {
             return 0;
         };
         let spec = input.model(model);
-        let held: u32 = input
-            .holdings
-            .iter()
-            .filter(|r| r.host == host && r.model == model && r.version == spec.version)
-            .map(|r| overlap(&r.layers, layers))
-            .sum();
-        let missing = (layers.end - layers.first).saturating_sub(held);
-        u64::from(missing) * spec.layer_size.0
+        let held = input.holdings.iter().any(|r| {
+            r.host == host
+                && r.model == model
+                && r.version == spec.version
+                && covers(&r.layers, layers)
+        });
+        if held {
+            return 0;
+        }
+        u64::from(layers.end - layers.first) * spec.layer_size.0
+    }
+
+    /// What hosts hold when the plan is in force.
+    pub fn holdings(&self, input: &Input) -> Vec<HeldRange> {
+        let range = |host| {
+            let (model, layers) = self.layers(host)?;
+            Some(HeldRange {
+                host,
+                model,
+                version: self.model(model)?.version.clone(),
+                layers: layers.clone(),
+            })
+        };
+        input.host_keys().filter_map(range).collect()
     }
 
     /// Hosts that get a stage which they do not hold in full today.
@@ -307,7 +324,7 @@
     }
 }
 
-/// Number of layers that two ranges share.
-pub(super) fn overlap(a: &LayerRange, b: &LayerRange) -> u32 {
-    a.end.min(b.end).saturating_sub(a.first.max(b.first))
+/// Whether a range holds all layers of another.
+pub(super) fn covers(held: &LayerRange, wanted: &LayerRange) -> bool {
+    held.first <= wanted.first && wanted.end <= held.end
 }
--- a/crates/kelpworks/src/placement/planner.rs
+++ b/crates/kelpworks/src/placement/planner.rs
@@ -12,7 +12,6 @@
 use super::plan::Shortfall;
 use super::plan::Stage;
 use super::search::Allowed;
-use super::standing;
 use super::state::Cuts;
 use super::state::Slot;
 use super::state::State;
@@ -146,14 +145,6 @@
     let mut state = State::new(view, input, &cuts);
     state.fill();
     state.improve(f64::INFINITY, ANY);
-    if state.deficit() > 0 {
-        let mut other = standing::anchored(input, view, &cuts);
-        other.fill();
-        other.improve(f64::INFINITY, ANY);
-        if other.deficit() < state.deficit() {
-            state = other;
-        }
-    }
     Trial {
         deficit: state.deficit(),
         scale: state.scale(),
--- a/crates/kelpworks/src/placement/search.rs
+++ b/crates/kelpworks/src/placement/search.rs
@@ -5,6 +5,7 @@
 //! model. A change must leave both stages better off than the worst one was, so the search ends.
 
 use super::input::HostKey;
+use super::standing;
 use super::state::Slot;
 use super::state::State;
 
@@ -150,13 +151,13 @@
             if best.change.is_none() {
                 self.weigh_swaps(slot, &mut best);
             }
-            if best.change.is_none() {
-                self.weigh_chains(slot, &mut best);
-            }
             if let Some(change) = best.change {
                 self.apply(slot, change);
                 return true;
             }
+            if standing::augment(self, slot) {
+                return true;
+            }
         }
         false
     }
--- a/crates/kelpworks/src/placement/tests.rs
+++ b/crates/kelpworks/src/placement/tests.rs
@@ -67,22 +67,6 @@
         .collect()
 }
 
-/// Holdings that a plan leads to.
-fn held(plan: &Plan, input: &Input) -> Vec<HeldRange> {
-    let ranges = input.host_keys().filter_map(|host| {
-        let (model, layers) = plan.layers(host)?;
-        let version = plan.model(model)?.version.clone();
-        let layers = layers.clone();
-        Some(HeldRange {
-            host,
-            model,
-            version,
-            layers,
-        })
-    });
-    ranges.collect()
-}
-
 /// The invariants of every plan.
 fn check(input: &Input, plan: &Plan) {
     for m in &plan.models {
@@ -229,7 +213,7 @@
         .map(|i| (10, 100.0 + f64::from(i % 3) * 70.0))
         .collect();
     let mut input = input(3, dealt(3, &shapes), vec![model("m", 30, 1.0)]);
-    input.holdings = held(&plan(&input), &input);
+    input.holdings = plan(&input).holdings(&input);
     for h in 0..lost {
         input = without(&input, Lost::Host(HostKey(h)));
     }
@@ -248,29 +232,125 @@
 fn repair_moves_the_least(#[case] shapes: &[(u64, f64)], #[case] lost: Lost, #[case] moves: usize) {
     let mut input = input(2, dealt(2, shapes), vec![model("m", 16, 1.0)]);
     let before = plan(&input);
-    input.holdings = held(&before, &input);
+    input.holdings = before.holdings(&input);
     let after = repair(&input, &before, lost);
     check(&without(&input, lost), &after);
     assert_eq!(after.moves(&input), moves);
 }
 
-#[test]
-fn improvement_needs_more_than_the_hysteresis() {
-    let mut input = input(2, dealt(2, &[(8, 100.0); 8]), vec![model("m", 16, 1.0)]);
-    let before = plan(&input);
-    input.holdings = held(&before, &input);
+#[rstest]
+#[case::below_the_hysteresis(24, 1, false)]
+#[case::above_the_hysteresis(24, 2, true)]
+fn improvement_needs_more_than_the_hysteresis(
+    #[case] hosts: usize,
+    #[case] joined: usize,
+    #[case] adopted: bool,
+) {
+    // One stage, so that each host that joins adds 1 part in 24.
+    let mut input = input(
+        2,
+        dealt(2, &vec![(8, 100.0); hosts]),
+        vec![model("m", 8, 1.0)],
+    );
+    let mut before = plan(&input);
+    input.holdings = before.holdings(&input);
     assert_eq!(improve(&input, &before), None);
-    input.hosts.extend(dealt(2, &[(8, 100.0); 4]));
-    let mut grown = before.clone();
-    grown.assignments.resize(12, None);
-    let better = improve(&input, &grown).unwrap();
-    assert_eq!(better.scale(&input), 75.0);
-    let absorbed = absorb(&input, &grown);
-    assert_eq!(absorbed.scale(&input), 75.0);
-    assert_eq!(absorbed.moves(&input), 4);
+    input.hosts.extend(dealt(2, &vec![(8, 100.0); joined]));
+    before.assignments.resize(hosts + joined, None);
+    assert_eq!(improve(&input, &before).is_some(), adopted);
+    let absorbed = absorb(&input, &before);
+    check(&input, &absorbed);
+    assert_eq!(absorbed.moves(&input), joined);
     assert_eq!(improve(&input, &absorbed), None);
 }
 
+/// Applies orders step by step; after each, memory is kept and no version that was whole stops
+/// being so before the one to serve is. Returns the holdings at the end.
+fn follow(input: &Input, orders: &Orders) -> Vec<HeldRange> {
+    let mut held = input.holdings.clone();
+    held.retain(|h| input.host(h.host).live);
+    let whole = |held: &[HeldRange], model: ModelKey, version: &str| {
+        (0..input.model(model).layers).all(|l| {
+            held.iter().any(|h| {
+                h.model == model
+                    && *h.version == *version
+                    && (h.layers.first..h.layers.end).contains(&l)
+            })
+        })
+    };
+    let before = held.clone();
+    let mut wave = 0;
+    for step in &orders.steps {
+        assert!(step.wave >= wave);
+        wave = step.wave;
+        match step.action {
+            Action::Load { .. } => held.push(step.range.clone()),
+            Action::Unload { .. } => {
+                let at = held.iter().position(|h| *h == step.range).expect("held");
+                held.remove(at);
+            }
+        }
+        let on_host = held.iter().filter(|h| h.host == step.range.host);
+        let bytes = |h: &HeldRange| u64::from(h.layers.end - h.layers.first) * LAYER;
+        let used: u64 = on_host.map(bytes).sum();
+        assert!(used <= input.weight_memory(step.range.host), "memory");
+        for h in &before {
+            let was = whole(&before, h.model, &h.version);
+            let served = whole(&held, h.model, &input.model(h.model).version);
+            assert!(
+                !was || served || whole(&held, h.model, &h.version),
+                "cut at {step:?}"
+            );
+        }
+    }
+    held
+}
+
+/// Steps as text, one a line.
+fn steps_text(input: &Input, orders: &Orders) -> String {
+    let mut text = String::new();
+    for s in &orders.steps {
+        let r = &s.range;
+        write!(
+            text,
+            "{} {} {}",
+            s.wave,
+            input.host(r.host).name,
+            s.reason.as_str()
+        )
+        .unwrap();
+        let layers = format!("{}..{}", r.layers.first, r.layers.end);
+        writeln!(text, " {}@{layers} {:?}", r.version, s.action).unwrap();
+    }
+    for s in &orders.switches {
+        writeln!(text, "{} switch to {}", s.wave, s.version).unwrap();
+    }
+    writeln!(text, "blocked={}", orders.blocked.len()).unwrap();
+    text
+}
+
+#[test]
+fn a_new_version_rolls_without_a_cut() {
+    let mut input = input(2, dealt(2, &[(4, 100.0); 8]), vec![model("m", 8, 1.0)]);
+    input.holdings = plan(&input).holdings(&input);
+    input.models[0].version = Arc::from("v2");
+    let next = plan(&input);
+    let orders = orders(&input, &next);
+    assert_eq!(follow(&input, &orders).len(), 8);
+    assert_eq!(orders.blocked, []);
+    assert_snapshot!(steps_text(&input, &orders));
+}
+
+#[test]
+fn a_version_that_has_no_second_replica_is_not_cut() {
+    let mut input = input(2, dealt(2, &[(4, 100.0); 2]), vec![model("m", 8, 1.0)]);
+    input.holdings = plan(&input).holdings(&input);
+    input.models[0].version = Arc::from("v2");
+    let orders = orders(&input, &plan(&input));
+    assert_eq!(orders.steps, []);
+    assert_eq!(orders.blocked.len(), 2);
+}
+
 /// Fleets with hosts of any shape.
 fn any_input() -> impl Strategy<Value = Input> {
     let hosts = prop::collection::vec(
@@ -341,4 +421,33 @@
         let lost = Lost::FailureDomain(DomainKey(lost));
         check(&without(&input, lost), &repair(&input, &before, lost));
     }
+
+    #[test]
+    fn orders_keep_models_whole(
+        before in any_input(),
+        lost in 0_u32..24,
+        version in 1_u32..3,
+        rate in 1_u32..50,
+    ) {
+        let mut input = before.clone();
+        input.holdings = plan(&before).holdings(&before);
+        if let Some(host) = input.hosts.get_mut(lost as usize) {
+            host.live = false;
+        }
+        if let Some(host) = input.hosts.first_mut() {
+            host.layer_rate = f64::from(rate);
+        }
+        input.models[0].version = Arc::from(format!("v{version}"));
+        let next = plan(&input);
+        let orders = orders(&input, &next);
+        let held = follow(&input, &orders);
+        if orders.blocked.is_empty() {
+            let wanted = next.holdings(&input);
+            let serves = |w: &HeldRange, h: &HeldRange| {
+                h.host == w.host && h.model == w.model && h.version == w.version
+                    && h.layers.first <= w.layers.first && w.layers.end <= h.layers.end
+            };
+            prop_assert!(wanted.iter().all(|w| held.iter().any(|h| serves(w, h))));
+        }
+    }
 }
--- a/crates/kelpworks/src/placement/today.rs
+++ b/crates/kelpworks/src/placement/today.rs
@@ -4,7 +4,7 @@
 
 use super::input::HostKey;
 use super::input::Input;
-use super::plan::overlap;
+use super::plan::covers;
 use super::state::Cuts;
 use super::state::State;
 use super::state::View;
@@ -115,12 +115,16 @@
     ranges
 }
 
-/// Bytes of a slot's layers that a host holds in the version to serve.
+/// Bytes that a host need not load for a slot, since it holds all its layers in the version to
+/// serve.
 fn held_bytes(input: &Input, host: HostKey, slot: &SlotRange) -> u64 {
     let model = &input.models[slot.model];
-    let of_slot = input.holdings.iter().filter(|h| {
-        h.host == host && usize::from(h.model.0) == slot.model && h.version == model.version
+    let held = input.holdings.iter().any(|h| {
+        h.host == host
+            && usize::from(h.model.0) == slot.model
+            && h.version == model.version
+            && covers(&h.layers, &slot.layers)
     });
-    let layers: u32 = of_slot.map(|h| overlap(&h.layers, &slot.layers)).sum();
-    u64::from(layers) * model.layer_size.0
+    let layers = slot.layers.end - slot.layers.first;
+    u64::from(held) * u64::from(layers) * model.layer_size.0
 }
