Placement: cuts of one failure domain, and tests for what no test held

Ruled out: too weak a search for the cuts tried (augmenting paths found no more). Change: a candidate of cuts from each failure domain's own hosts; tests for the augmenting path, hysteresis, room budget, switch share, alike hosts, chains, reasons and the register.

--- a/crates/kelpworks/src/placement/cuts.rs
+++ b/crates/kelpworks/src/placement/cuts.rs
@@ -4,6 +4,7 @@
 //! each kind of host the fewest stages of equal length that it can hold, and some more; and, for
 //! fleets where small hosts are many, short stages for those and long ones for the rest.
 
+use super::input::HostKey;
 use super::input::Input;
 use super::state::View;
 use crate::fleet::ModelKey;
@@ -33,6 +34,8 @@
     if mixed.len() as u32 <= most {
         found.push(mixed);
     }
+    let domains = (0..view.domain_count).filter_map(|d| by_domain(input, view, model, d));
+    found.extend(domains.filter(|lengths| lengths.len() as u32 <= most));
     found.sort_by(|a, b| a.len().cmp(&b.len()).then_with(|| a.cmp(b)));
     found.dedup();
     found
@@ -91,6 +94,32 @@
     lengths
 }
 
+/// The fewest stages that the hosts of one failure domain can hold, each as long as its host
+/// allows. Several models take the domain's hosts in turn, largest first. `None` when the domain
+/// can't hold all layers.
+fn by_domain(input: &Input, view: &View, model: ModelKey, domain: usize) -> Option<Vec<u32>> {
+    let layers = input.model(model).layers;
+    let hosts = view
+        .usable
+        .iter()
+        .filter(|h| view.domains[h.index()] == domain);
+    let capacity = |h: &HostKey| view.capacities[h.index()][usize::from(model.0)];
+    let mut capacities: Vec<u32> = hosts.map(capacity).filter(|&c| c > 0).collect();
+    capacities.sort_unstable_by(|a, b| b.cmp(a));
+    let turn = capacities.into_iter().skip(usize::from(model.0));
+    let mut lengths = Vec::new();
+    let mut left = layers;
+    for capacity in turn.step_by(input.models.len()) {
+        let length = capacity.min(left);
+        lengths.push(length);
+        left -= length;
+        if left == 0 {
+            return Some(lengths);
+        }
+    }
+    None
+}
+
 /// Stages of equal length, as near as whole layers allow.
 pub(super) fn equal(layers: u32, stages: u32) -> Vec<u32> {
     let end = |s: u32| (u64::from(layers) * u64::from(s) / u64::from(stages)) as u32;
--- a/crates/kelpworks/src/placement/tests.rs
+++ b/crates/kelpworks/src/placement/tests.rs
@@ -1,10 +1,12 @@
 //! Tests of placement on small fleets.
 
 use std::fmt::Write as _;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use insta::assert_snapshot;
+use kelpworks_wire::LayerRange;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -12,8 +14,17 @@
 use crate::fleet::DomainKey;
 use crate::fleet::LinkCost;
 use crate::fleet::ModelKey;
+use crate::register::Accelerator;
+use crate::register::EngineHost;
+use crate::register::FailureDomain;
+use crate::register::Host;
+use crate::register::HostRole;
+use crate::register::Link;
+use crate::register::Model;
+use crate::register::Register;
 use crate::units::Rate;
 use crate::units::Size;
+use crate::units::Span;
 
 /// Bytes of a layer in these tests.
 const LAYER: u64 = 1_000;
@@ -116,7 +127,9 @@
     (10, 100.0), (10, 100.0), (10, 100.0)], 20, 1.0)]
 #[case::small_and_large(2, &[(4, 100.0), (4, 100.0), (12, 300.0), (12, 300.0)], 16, 1.0)]
 #[case::unequal_cuts_win(2, &[(5, 100.0), (5, 100.0), (20, 400.0), (20, 400.0)], 25, 1.0)]
-fn reaches_the_bound(
+#[case::only_the_cuts_of_one_domain_stand(2, &[(7, 40.0), (7, 40.0), (3, 40.0), (3, 40.0),
+    (2, 40.0), (2, 40.0)], 12, 0.57)]
+fn reaches_a_share_of_the_bound(
     #[case] domains: u16,
     #[case] shapes: &[(u64, f64)],
     #[case] layers: u32,
@@ -351,6 +364,200 @@
     assert_eq!(orders.blocked.len(), 2);
 }
 
+/// Models of one stage of 4 layers each; every host may hold one, and only the models named.
+fn one_stage_each(models: u16, hosts: &[(u16, &[u16])]) -> Input {
+    let spec = |(i, &(domain, allowed)): (usize, &(u16, &[u16]))| HostSpec {
+        models: allowed.iter().map(|&m| ModelKey(m)).collect(),
+        ..host(&format!("h{i}"), domain, 4, 100.0)
+    };
+    let hosts = hosts.iter().enumerate().map(spec).collect();
+    let models = (0..models).map(|m| model(&format!("m{m}"), 4, 1.0));
+    input(2, hosts, models.collect())
+}
+
+#[test]
+fn repair_finds_a_way_over_a_third_stage() {
+    let mut input = one_stage_each(
+        3,
+        &[
+            (0, &[0]),
+            (1, &[0]),
+            (0, &[1]),
+            (1, &[0, 1]),
+            (0, &[2]),
+            (1, &[1, 2]),
+            (1, &[2]),
+        ],
+    );
+    let stages = [vec![0, 1], vec![2, 3], vec![4, 5, 6]];
+    let assigned = stages.iter().enumerate();
+    let assigned = assigned.flat_map(|(m, hosts)| hosts.iter().map(move |_| m as u16));
+    let assigned = assigned.map(|m| {
+        Some(Assignment {
+            model: ModelKey(m),
+            stage: 0,
+        })
+    });
+    let planned = |(m, hosts): (usize, &Vec<u32>)| ModelPlan {
+        model: ModelKey(m as u16),
+        version: Arc::from("v1"),
+        stages: vec![Stage {
+            layers: LayerRange { first: 0, end: 4 },
+            hosts: hosts.iter().copied().map(HostKey).collect(),
+            rate: 25.0 * hosts.len() as f64,
+        }],
+    };
+    let before = Plan {
+        models: stages.iter().enumerate().map(planned).collect(),
+        assignments: assigned.collect(),
+        shortfalls: vec![],
+    };
+    check(&input, &before);
+    input.holdings = before.holdings(&input);
+    let after = repair(&input, &before, Lost::Host(HostKey(1)));
+    check(&without(&input, Lost::Host(HostKey(1))), &after);
+    assert_eq!(after.shortfalls, []);
+    assert_eq!(after.moves(&input), 2);
+}
+
+#[test]
+fn rate_goes_on_over_a_third_model() {
+    let only = |m: &'static [u16]| [(0, m), (1, m)];
+    let mut hosts: Vec<(u16, &[u16])> = vec![(0, &[0, 2]), (1, &[0, 1])];
+    hosts.extend([only(&[2]), only(&[0]), only(&[1]), only(&[1])].concat());
+    let input = one_stage_each(3, &hosts);
+    let plan = plan(&input);
+    check(&input, &plan);
+    assert_eq!(plan.scale(&input), input.bound());
+}
+
+#[rstest]
+#[case::first([0, 1])]
+#[case::middle([2, 5])]
+#[case::last([6, 7])]
+fn hosts_that_are_alike_keep_what_they_hold(#[case] holders: [u32; 2]) {
+    let mut input = input(1, dealt(1, &[(4, 100.0); 8]), vec![model("m", 8, 1.0)]);
+    // Only half of the model is held, so these are no cuts to keep.
+    input.holdings = plan(&input).holdings(&input);
+    input.holdings.truncate(2);
+    for (h, holder) in input.holdings.iter_mut().zip(holders) {
+        h.host = HostKey(holder);
+        h.layers = LayerRange { first: 4, end: 8 };
+    }
+    assert_eq!(plan(&input).moves(&input), 6);
+}
+
+#[test]
+fn a_roll_empties_few_hosts_at_once() {
+    let mut input = input(2, dealt(2, &[(16, 100.0); 12]), vec![model("m", 16, 1.0)]);
+    input.holdings = plan(&input).holdings(&input);
+    input.models[0].version = Arc::from("v2");
+    let orders = orders(&input, &plan(&input));
+    assert_eq!(follow(&input, &orders).len(), 12);
+    let switch = orders.switches[0].wave;
+    // A host takes 16 s to load, so that 3 are emptied within 60 s, and half stay.
+    let emptied = |wave: u32| {
+        let steps = orders.steps.iter().filter(|s| s.wave == wave);
+        steps
+            .filter(|s| matches!(s.action, Action::Unload { .. }))
+            .count()
+    };
+    let before: Vec<usize> = (0..switch).map(emptied).filter(|&n| n > 0).collect();
+    assert_eq!(before, [3, 3]);
+    assert_eq!(emptied(switch), 6);
+}
+
+#[test]
+fn new_sessions_switch_once_the_new_version_has_half_of_the_rate() {
+    let mut input = input(2, dealt(2, &[(4, 100.0); 3]), vec![model("m", 4, 1.0)]);
+    input.holdings = plan(&input).holdings(&input);
+    input.models[0].version = Arc::from("v2");
+    let orders = orders(&input, &plan(&input));
+    assert_eq!(follow(&input, &orders).len(), 3);
+    let switch = orders.switches[0].wave;
+    let loaded = orders.steps.iter().filter(|s| s.wave < switch);
+    let loaded = loaded.filter(|s| matches!(s.action, Action::Load { .. }));
+    assert_eq!(loaded.count(), 2);
+}
+
+#[rstest]
+#[case::two_hosts(dealt(2, &[(8, 1.0); 2]), Reason::FailureDomain)]
+#[case::four_hosts(dealt(2, &[(8, 1.0); 4]), Reason::Rate)]
+#[case::small(dealt(2, &[(0, 1.0), (8, 1.0), (8, 1.0)]), Reason::TooLittleMemory)]
+fn explains_the_first_host(#[case] hosts: Vec<HostSpec>, #[case] reason: Reason) {
+    let input = input(2, hosts, vec![model("m", 8, 1.0)]);
+    assert_eq!(plan(&input).explain(&input, HostKey(0)).reason, reason);
+}
+
+#[test]
+fn reads_a_register() {
+    let register = Register {
+        accelerators: vec![Accelerator {
+            name: "x".into(),
+            layer_rate: 5.0,
+            memory: Size(7),
+        }],
+        failure_domains: ["a", "b"]
+            .map(|name| FailureDomain {
+                name: name.into(),
+                region: "r".into(),
+            })
+            .into(),
+        models: vec![Model {
+            name: "m".into(),
+            version: "v1".into(),
+            layers: 3,
+            layer_size: Size(2),
+        }],
+        hosts: vec![
+            registered("records", "a", HostRole::Service("records".into())),
+            registered(
+                "e1",
+                "b",
+                HostRole::Engine(EngineHost {
+                    accelerator: "x".into(),
+                    accelerators: 2,
+                    models: vec!["m".into()],
+                    checks_fencing: true,
+                }),
+            ),
+        ],
+        links: vec![Link {
+            from: "a".into(),
+            to: "b".into(),
+            latency: Span(Duration::from_millis(9)),
+            bandwidth: Rate(11),
+        }],
+    };
+    let near = LinkCost {
+        latency: Duration::ZERO,
+        bytes_per_second: 1,
+    };
+    let input = Input::from_register(&register, near, Rate(3));
+    let key = input.host_named("e1").unwrap();
+    assert_eq!(input.host_named("records"), None);
+    assert_eq!(
+        (input.host(key).memory, input.host(key).layer_rate),
+        (Size(14), 10.0)
+    );
+    assert_eq!(input.host(key).domain, DomainKey(1));
+    assert_eq!(input.layer_capacity(key, ModelKey(0)), 3);
+    let far = LinkCost {
+        latency: Duration::from_millis(9),
+        bytes_per_second: 11,
+    };
+    assert_eq!(input.links, [near, far, far, near]);
+}
+
+fn registered(name: &str, domain: &str, role: HostRole) -> Host {
+    Host {
+        name: name.into(),
+        failure_domain: domain.into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        role,
+    }
+}
+
 /// Fleets with hosts of any shape.
 fn any_input() -> impl Strategy<Value = Input> {
     let hosts = prop::collection::vec(
