Placement: hosts that come back keep their stage; a model left out costs nothing

Cause: absorb gave hosts that came back to whatever stage was worst off, though they still held another; and a model that no host may carry made the bound, and with it the goal of the search, 0, so that the first cuts were taken for good. Ruled out: the search itself; with the goal of the placeable models it finds the bound. Change: absorb starts from what idle hosts hold; the goal is the bound over the models that can be placed.

--- a/crates/kelpworks/src/placement/cuts.rs
+++ b/crates/kelpworks/src/placement/cuts.rs
@@ -18,6 +18,9 @@
 pub(super) fn candidates(input: &Input, view: &View, model: ModelKey) -> Vec<Vec<u32>> {
     let layers = input.model(model).layers;
     let kinds = kinds(view, model);
+    if kinds.is_empty() {
+        return Vec::new();
+    }
     let hosts: u32 = kinds.iter().map(|k| k.hosts).sum();
     let most = (hosts / REPLICAS).clamp(1, layers);
     let fewest = |k: &Kind| layers.div_ceil(k.capacity);
--- a/crates/kelpworks/src/placement/input.rs
+++ b/crates/kelpworks/src/placement/input.rs
@@ -171,13 +171,23 @@
     /// model this is the sum of layer rates over its layers. Memory is left out, so the bound may
     /// lie above what any placement can reach.
     pub fn bound(&self) -> f64 {
-        let count = self.models.len();
-        if count > SUBSET_MODELS {
-            let singles = (0..count).map(|m| self.subset_bound(|k| k == m));
-            return singles.fold(self.subset_bound(|_| true), f64::min);
+        let all: Vec<usize> = (0..self.models.len()).collect();
+        self.bound_over(&all)
+    }
+
+    /// The bound for some models, were the others not served.
+    pub(super) fn bound_over(&self, models: &[usize]) -> f64 {
+        if models.len() > SUBSET_MODELS {
+            let singles = models.iter().map(|&m| self.subset_bound(|k| k == m));
+            let all = self.subset_bound(|k| models.contains(&k));
+            return singles.fold(all, f64::min);
         }
-        (1..1_u32 << count)
-            .map(|set| self.subset_bound(|m| set & (1 << m) != 0))
+        let has = |set: u32, m: usize| {
+            let mut chosen = models.iter().enumerate();
+            chosen.any(|(i, &k)| k == m && set & (1 << i) != 0)
+        };
+        (1..1_u32 << models.len())
+            .map(|set| self.subset_bound(|m| has(set, m)))
             .fold(f64::INFINITY, f64::min)
     }
 
--- a/crates/kelpworks/src/placement/planner.rs
+++ b/crates/kelpworks/src/placement/planner.rs
@@ -96,7 +96,9 @@
 fn best_cuts<'a>(input: &Input, view: &'a View) -> State<'a> {
     let models = (0..input.models.len()).map(|m| ModelKey(m as u16));
     let candidates: Vec<Vec<Vec<u32>>> = models.map(|m| cuts::candidates(input, view, m)).collect();
-    let goal = input.bound() * GOOD_ENOUGH;
+    let placeable = |m: &usize| !candidates[*m].is_empty();
+    let placeable: Vec<usize> = (0..candidates.len()).filter(placeable).collect();
+    let goal = input.bound_over(&placeable) * GOOD_ENOUGH;
     let most = candidates.iter().map(Vec::len).max().unwrap_or(0);
     let done = |t: &Trial<'_>| t.deficit == 0 && t.scale >= goal;
     let mut best = attempt(input, view, &candidates, vec![0; candidates.len()]);
--- a/crates/kelpworks/src/placement/repair.rs
+++ b/crates/kelpworks/src/placement/repair.rs
@@ -10,6 +10,7 @@
 use super::state::Cuts;
 use super::state::State;
 use super::state::View;
+use super::today;
 use crate::fleet::DomainKey;
 
 /// Relative gain in scale above which [`improve`] gives up the plan in force.
@@ -73,8 +74,8 @@
     repaired
 }
 
-/// The plan with its idle hosts put to use, each on the stage that is worst off; no host that has
-/// a stage moves. For hosts that joined.
+/// The plan with its idle hosts put to use: each on the stage that it holds already, or else on the
+/// one that is worst off. No host that has a stage moves. For hosts that joined or came back.
 ///
 /// # Panics
 ///
@@ -82,6 +83,7 @@
 pub fn absorb(input: &Input, plan_in_force: &Plan) -> Plan {
     let view = View::new(input);
     let mut state = state_of(input, &view, plan_in_force);
+    today::take_held(input, &mut state);
     state.fill();
     finish(input, &state)
 }
--- a/crates/kelpworks/src/placement/tests.rs
+++ b/crates/kelpworks/src/placement/tests.rs
@@ -277,6 +277,36 @@
     assert_eq!(improve(&input, &absorbed), None);
 }
 
+#[rstest]
+#[case::first(0)]
+#[case::second(1)]
+#[case::third(2)]
+fn hosts_that_come_back_keep_their_stages(#[case] domain: u16) {
+    let shapes: Vec<(u64, f64)> = (0..18).map(|i| (8, 100.0 + f64::from(i % 4))).collect();
+    let mut input = input(3, dealt(3, &shapes), vec![model("m", 24, 1.0)]);
+    let before = plan(&input);
+    input.holdings = before.holdings(&input);
+    let lost = Lost::FailureDomain(DomainKey(domain));
+    let repaired = repair(&input, &before, lost);
+    assert_eq!(repaired.moves(&input), 0);
+    assert_eq!(absorb(&input, &repaired), before);
+}
+
+#[test]
+fn a_model_that_no_host_may_carry_costs_the_others_nothing() {
+    let mut shapes = vec![(12, 300.0); 4];
+    shapes.extend([(4, 300.0); 8]);
+    let models = vec![model("m", 16, 1.0), model("none", 16, 1.0)];
+    let input = input(2, dealt(2, &shapes), models);
+    let plan = plan(&input);
+    check(&input, &plan);
+    assert_eq!(
+        plan.shortfalls,
+        [Shortfall::Unplaceable { model: ModelKey(1) }]
+    );
+    assert_eq!(plan.models[0].rate(), 225.0);
+}
+
 /// Applies orders step by step; after each, memory is kept and no version that was whole stops
 /// being so before the one to serve is. Returns the holdings at the end.
 fn follow(input: &Input, orders: &Orders) -> Vec<HeldRange> {
--- a/crates/kelpworks/src/placement/today.rs
+++ b/crates/kelpworks/src/placement/today.rs
@@ -20,22 +20,22 @@
         lengths: lengths.collect(),
     };
     let mut state = State::new(view, input, &cuts);
-    let slots: Vec<(usize, &LayerRange)> = tiles
-        .iter()
-        .enumerate()
-        .flat_map(|(m, t)| t.iter().map(move |r| (m, r)))
-        .collect();
+    take_held(input, &mut state);
+    Some(state)
+}
+
+/// Places idle hosts on the slots whose layers they hold, of whatever version.
+pub(super) fn take_held(input: &Input, state: &mut State<'_>) {
+    let ranges = ranges(state);
     for held in &input.holdings {
-        let same =
-            |&(m, r): &(usize, &LayerRange)| m == usize::from(held.model.0) && *r == held.layers;
-        let Some(slot) = slots.iter().position(same) else {
+        let same = |r: &SlotRange| r.model == usize::from(held.model.0) && r.layers == held.layers;
+        let Some(slot) = ranges.iter().position(same) else {
             continue;
         };
         if state.at[held.host.index()].is_none() && state.fits(held.host, slot) {
             state.place(held.host, Some(slot));
         }
     }
-    Some(state)
 }
 
 /// Held ranges of a model that cover each layer once, in order: from each layer on, the range that
