--- a/crates/kelpworks/examples/measure/placement.rs
+++ b/crates/kelpworks/examples/measure/placement.rs
@@ -7,6 +7,7 @@
 //! second domain are counted apart and left out of the moves. The link latency counts the links
 //! from stage to stage only; that of the greedy baseline has other cuts.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -60,6 +61,7 @@
             "lacking, improve/impossible",
             "rate after domain loss",
             "and improve",
+            "hosts moved by it",
             "link latency/greedy",
         ],
         rows: shapes.map(row).collect(),
@@ -111,6 +113,7 @@
     impossible: usize,
     repaired: Vec<f64>,
     improved: Vec<f64>,
+    improve_moves: Vec<f64>,
     latency: Vec<f64>,
 }
 
@@ -140,6 +143,7 @@
         format!("{}/{}", samples.still_lacking, samples.impossible),
         spread(&mut samples.repaired),
         spread(&mut samples.improved),
+        spread(&mut samples.improve_moves),
         spread(&mut samples.latency),
     ]
 }
@@ -230,6 +234,9 @@
     if let Lost::FailureDomain(_) = lost {
         samples.repaired.push(before);
         samples.improved.push(better.scale(&left) / bound);
+        let live = left.hosts.iter().filter(|h| h.live).count();
+        let moved = better.moves(&left) as f64 / live as f64;
+        samples.improve_moves.push(moved);
     }
 }
 
@@ -253,25 +260,19 @@
 
 /// Hosts that stages lack for standing in two failure domains, or in as many as are left.
 fn least_moves(left: &Input, plan: &Plan) -> usize {
-    let domains = |hosts: &mut dyn Iterator<Item = u16>| {
-        let mut domains: Vec<u16> = hosts.collect();
-        domains.sort_unstable();
-        domains.dedup();
-        domains.len()
-    };
-    let live = |h: &HostKey| left.host(*h).live;
-    let all = domains(&mut left.host_keys().filter(live).map(|h| left.host(h).domain.0));
-    let wanted = all.min(STANDING_DOMAINS);
+    let wanted = live_domains(left, left.host_keys()).min(STANDING_DOMAINS);
     let stages = plan.models.iter().flat_map(|m| &m.stages);
-    let lacks = stages.map(|s| {
-        let hosts = s.hosts.iter().copied().filter(live);
-        let mut held = hosts.map(|h| left.host(h).domain.0);
-        let has = domains(&mut held);
-        wanted.saturating_sub(has)
-    });
+    let lacks = stages.map(|s| wanted.saturating_sub(live_domains(left, s.hosts.iter().copied())));
     lacks.sum()
 }
 
+/// Failure domains of those hosts that are live.
+fn live_domains(left: &Input, hosts: impl Iterator<Item = HostKey>) -> usize {
+    let live = hosts.filter(|&h| left.host(h).live);
+    let domains: BTreeSet<u16> = live.map(|h| left.host(h).domain.0).collect();
+    domains.len()
+}
+
 /// Times a new version of the first model, and the orders to it.
 fn roll(samples: &mut Samples, mut input: Input) {
     input.models[0].version = "v2".into();
--- a/crates/kelpworks/src/placement/locality.rs
+++ b/crates/kelpworks/src/placement/locality.rs
@@ -7,6 +7,8 @@
 
 /// Most rounds over all pairs of slots.
 const ROUNDS: usize = 4;
+/// Least relative gain for which hosts are swapped.
+const EPSILON: f64 = 1e-9;
 
 /// Swaps hosts of equal rate between stages while that lowers the mean link latency of a token.
 pub(super) fn shorten(input: &Input, state: &mut State<'_>) {
@@ -127,7 +129,7 @@
         state.place(x, Some(b));
         state.place(y, Some(a));
         let after = (state.deficit(), links.around(state, a, b));
-        if after.0 <= before.0 && after.1 < before.1 * (1.0 - 1e-9) {
+        if after.0 <= before.0 && after.1 < before.1 * (1.0 - EPSILON) {
             changed = true;
         } else {
             state.place(x, Some(a));
--- a/crates/kelpworks/src/placement/mod.rs
+++ b/crates/kelpworks/src/placement/mod.rs
@@ -1,4 +1,66 @@
 //! Which upstream holds which layers of which model.
+//!
+//! No host can hold a whole model, accelerators differ in rate and memory, and any host or failure
+//! domain may be lost. So a model is cut into stages, and every stage gets hosts of at least two
+//! failure domains, whose rates together keep it from being the bottleneck. Everything here is a
+//! pure function of its [`Input`]: no clock, no chance, no I/O.
+//!
+//! * [`plan()`] places all models anew, near today's holdings where that costs little rate;
+//! * [`repair()`] changes a plan in force after a loss, by the fewest moves;
+//! * [`absorb`] puts hosts to use that joined or came back;
+//! * [`improve`] gives a better plan when it is worth the moves;
+//! * [`orders()`] leads from today's holdings to a plan without a model ceasing to be whole;
+//! * [`Plan::explain`] gives the reason for each host, for the log.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use kelpworks::fleet::{DomainKey, LinkCost, ModelKey};
+//! use kelpworks::placement::{HostSpec, Input, Lost, ModelSpec, orders, plan, repair};
+//! use kelpworks::units::{Rate, Size};
+//!
+//! let host = |i: u16| HostSpec {
+//!     name: format!("host-{i}").into(),
+//!     domain: DomainKey(i % 2),
+//!     memory: Size(50_000_000_000),
+//!     layer_rate: 8_000.0,
+//!     models: vec![ModelKey(0)],
+//!     live: true,
+//! };
+//! let link = LinkCost { latency: Duration::from_millis(1), bytes_per_second: 1_000_000_000 };
+//! let mut input = Input {
+//!     domains: vec!["hall-a".into(), "hall-b".into()],
+//!     hosts: (0..8).map(host).collect(),
+//!     models: vec![ModelSpec {
+//!         name: "caption".into(),
+//!         version: "v1".into(),
+//!         layers: 40,
+//!         layer_size: Size(1_500_000_000),
+//!         demand: 1.0,
+//!     }],
+//!     links: vec![link; 4],
+//!     holdings: Vec::new(),
+//!     weight_rate: Rate(2_000_000_000),
+//! };
+//! let placed = plan(&input);
+//! assert_eq!(placed.models[0].stages.len(), 2);
+//! assert_eq!(placed.scale(&input), input.bound());
+//!
+//! let steps = orders(&input, &placed).steps;
+//! assert_eq!(steps.len(), 8);
+//!
+//! input.holdings = placed.holdings(&input);
+//! let lost = Lost::Host(input.host_named("host-3").unwrap());
+//! assert_eq!(repair(&input, &placed, lost).moves(&input), 0);
+//! ```
+//!
+//! # Limits
+//!
+//! A host holds one range of one model, so a fleet needs two hosts for each stage of each model;
+//! where it has fewer, [`Plan::shortfalls`] says which stages do not stand. All replicas of a stage
+//! hold the same range. Rates are those of the register, not measured ones, and a part of a host's
+//! memory, [`KV_HEADROOM`], is left to the KV cache whatever its load. The search is local: it
+//! proves no optimum. Adapters and roles of engines are not placed.
 
 mod cuts;
 mod input;
--- a/crates/kelpworks/src/placement/planner.rs
+++ b/crates/kelpworks/src/placement/planner.rs
@@ -50,20 +50,32 @@
 pub fn plan(input: &Input) -> Plan {
     let view = View::new(input);
     let fresh = best_cuts(input, &view);
-    let goal = fresh.scale() * (1.0 - MOVE_TOLERANCE);
-    let kept = today::state(input, &view).and_then(|mut state| {
-        state.fill();
-        state.improve(goal, KEEP_CUTS);
-        let good = state.deficit() <= fresh.deficit() && state.scale() >= goal;
-        good.then_some(state)
-    });
-    if let Some(state) = kept {
+    if let Some(state) = kept(input, &view, &fresh, KEEP_CUTS) {
         return finish(input, &state);
     }
+    let shifted = kept(input, &view, &fresh, ANY).map(|s| finish(input, &s));
     let mut state = fresh;
     locality::shorten(input, &mut state);
     today::keep_alike(input, &mut state);
-    finish(input, &state)
+    let anew = finish(input, &state);
+    let fewer = |p: &Plan| p.bytes_to_load(input) < anew.bytes_to_load(input);
+    shifted.filter(fewer).unwrap_or(anew)
+}
+
+/// Today's holdings, changed until they are as good as a fresh state within [`MOVE_TOLERANCE`];
+/// `None` when they can't be.
+fn kept<'a>(
+    input: &Input,
+    view: &'a View,
+    fresh: &State<'_>,
+    allowed: Allowed,
+) -> Option<State<'a>> {
+    let goal = fresh.scale() * (1.0 - MOVE_TOLERANCE);
+    let mut state = today::state(input, view)?;
+    state.fill();
+    state.improve(goal, allowed);
+    let good = state.deficit() <= fresh.deficit() && state.scale() >= goal;
+    good.then_some(state)
 }
 
 /// A trial of cuts: one candidate for each model.
--- a/crates/kelpworks/src/placement/search.rs
+++ b/crates/kelpworks/src/placement/search.rs
@@ -1,8 +1,10 @@
 //! Balances the rates of stages: a greedy start, then local search on the slowest stage.
 //!
-//! Each step takes the stage that is worst off and makes the one change that helps it most: take a
-//! host from another stage, swap two hosts, or hand a layer to the neighbouring ranges of the same
-//! model. A change must leave both stages better off than the worst one was, so the search ends.
+//! First, every stage is brought to stand after any one loss, by moves, swaps or augmenting paths.
+//! Then each step takes the slowest stage and makes the one change that helps it most: take a host
+//! from another stage, swap two hosts, give a layer to another stage of the same model, or take a
+//! host whose stage gets one from a third. A change must leave all its stages faster than the
+//! slowest was, so the search ends.
 
 use super::input::HostKey;
 use super::standing;
@@ -30,7 +32,7 @@
         /// Goes.
         back: HostKey,
     },
-    /// One layer goes from the worst slot to another of its model.
+    /// One layer goes from the worst slot to another of its model; ranges between them slide.
     Shift {
         /// Gets the layer.
         to: usize,
@@ -90,7 +92,7 @@
 pub(super) struct Allowed {
     /// Cuts may shift.
     pub(super) shift: bool,
-    /// Hosts may change places for rate, not for standing alone.
+    /// Changes may be made for rate, not only to let stages stand.
     pub(super) rate: bool,
 }
 
@@ -121,17 +123,10 @@
         s.scale_with(s.rate + DOMAIN_SHARE * domains * here, s.length)
     }
 
-    /// Improves the worst slot until no change helps or `goal` is reached; returns the number of
-    /// changes.
-    pub(super) fn improve(&mut self, goal: f64, allowed: Allowed) -> usize {
-        let mut changes = 0;
-        while self.mend() {
-            changes += 1;
-        }
-        while allowed.rate && self.scale() < goal && self.raise(allowed.shift) {
-            changes += 1;
-        }
-        changes
+    /// Lets stages stand, then raises the slowest until no change helps or `goal` is reached.
+    pub(super) fn improve(&mut self, goal: f64, allowed: Allowed) {
+        while self.mend() {}
+        while allowed.rate && self.scale() < goal && self.raise(allowed.shift) {}
     }
 
     /// Brings a stage that would not stand closer to it, by the fewest hosts; returns whether a
--- a/crates/kelpworks/src/placement/state.rs
+++ b/crates/kelpworks/src/placement/state.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Layer rates of hosts, added anew so that no rounding error is carried along.
+    fn sum(&self, hosts: &[HostKey]) -> f64 {
+        hosts.iter().map(|h| self.rates[h.index()]).sum()
+    }
+
     /// Whether two hosts can take each other's place without any difference.
     pub(super) fn alike(&self, a: HostKey, b: HostKey) -> bool {
         let (a, b) = (a.index(), b.index());
@@ -185,21 +190,15 @@
             let slot = &mut self.slots[from];
             slot.hosts.retain(|&h| h != host);
             slot.per_domain[domain] -= 1;
+            slot.rate = self.view.sum(&slot.hosts);
         }
         if let Some(to) = to {
             let slot = &mut self.slots[to];
             slot.hosts.push(host);
             slot.per_domain[domain] += 1;
+            slot.rate = self.view.sum(&slot.hosts);
             self.at[host.index()] = Some(to);
         }
-        self.resum();
-    }
-
-    /// Sums rates anew, so that no rounding error is carried along.
-    fn resum(&mut self) {
-        for slot in &mut self.slots {
-            slot.rate = slot.hosts.iter().map(|h| self.view.rates[h.index()]).sum();
-        }
     }
 
     /// The sum of all deficits.
--- /dev/null
+++ b/crates/kelpworks/src/placement/tests/changes.rs
@@ -0,0 +1,203 @@
+//! Tests of changes to a plan in force, and of keeping to what is held.
+
+use super::*;
+
+#[rstest]
+#[case::nothing_changed(0)]
+#[case::one_host_lost(1)]
+fn planning_again_moves_little(#[case] lost: u32) {
+    let shapes: Vec<(u64, f64)> = (0..24)
+        .map(|i| (10, 100.0 + f64::from(i % 3) * 70.0))
+        .collect();
+    let mut input = input(3, dealt(3, &shapes), vec![model("m", 30, 1.0)]);
+    input.holdings = plan(&input).holdings(&input);
+    for h in 0..lost {
+        input = without(&input, Lost::Host(HostKey(h)));
+    }
+    let again = plan(&input);
+    check(&input, &again);
+    assert!(
+        again.moves(&input) <= lost as usize,
+        "{} moves",
+        again.moves(&input)
+    );
+}
+
+#[rstest]
+#[case::replicas_left(&[(8, 100.0); 12], Lost::Host(HostKey(0)), 0)]
+#[case::second_domain_gone(&[(8, 100.0); 5], Lost::Host(HostKey(1)), 1)]
+fn repair_moves_the_least(#[case] shapes: &[(u64, f64)], #[case] lost: Lost, #[case] moves: usize) {
+    let mut input = input(2, dealt(2, shapes), vec![model("m", 16, 1.0)]);
+    let before = plan(&input);
+    input.holdings = before.holdings(&input);
+    let after = repair(&input, &before, lost);
+    check(&without(&input, lost), &after);
+    assert_eq!(after.moves(&input), moves);
+}
+
+#[rstest]
+#[case::below_the_hysteresis(24, 1, false)]
+#[case::above_the_hysteresis(24, 2, true)]
+fn improvement_needs_more_than_the_hysteresis(
+    #[case] hosts: usize,
+    #[case] joined: usize,
+    #[case] adopted: bool,
+) {
+    // One stage, so that each host that joins adds 1 part in 24.
+    let mut input = input(
+        2,
+        dealt(2, &vec![(8, 100.0); hosts]),
+        vec![model("m", 8, 1.0)],
+    );
+    let mut before = plan(&input);
+    input.holdings = before.holdings(&input);
+    assert_eq!(improve(&input, &before), None);
+    input.hosts.extend(dealt(2, &vec![(8, 100.0); joined]));
+    before.assignments.resize(hosts + joined, None);
+    assert_eq!(improve(&input, &before).is_some(), adopted);
+    let absorbed = absorb(&input, &before);
+    check(&input, &absorbed);
+    assert_eq!(absorbed.moves(&input), joined);
+    assert_eq!(improve(&input, &absorbed), None);
+}
+
+#[rstest]
+#[case::first(0)]
+#[case::second(1)]
+#[case::third(2)]
+fn hosts_that_come_back_keep_their_stages(#[case] domain: u16) {
+    let shapes: Vec<(u64, f64)> = (0..18).map(|i| (8, 100.0 + f64::from(i % 4))).collect();
+    let mut input = input(3, dealt(3, &shapes), vec![model("m", 24, 1.0)]);
+    let before = plan(&input);
+    input.holdings = before.holdings(&input);
+    let lost = Lost::FailureDomain(DomainKey(domain));
+    let repaired = repair(&input, &before, lost);
+    assert_eq!(repaired.moves(&input), 0);
+    assert_eq!(absorb(&input, &repaired), before);
+}
+
+/// Models of one stage of 4 layers each; every host may hold one, and only the models named.
+fn one_stage_each(models: u16, hosts: &[(u16, &[u16])]) -> Input {
+    let spec = |(i, &(domain, allowed)): (usize, &(u16, &[u16]))| HostSpec {
+        models: allowed.iter().map(|&m| ModelKey(m)).collect(),
+        ..host(&format!("h{i}"), domain, 4, 100.0)
+    };
+    let hosts = hosts.iter().enumerate().map(spec).collect();
+    let models = (0..models).map(|m| model(&format!("m{m}"), 4, 1.0));
+    input(2, hosts, models.collect())
+}
+
+#[test]
+fn repair_finds_a_way_over_a_third_stage() {
+    let mut input = one_stage_each(
+        3,
+        &[
+            (0, &[0]),
+            (1, &[0]),
+            (0, &[1]),
+            (1, &[0, 1]),
+            (0, &[2]),
+            (1, &[1, 2]),
+            (1, &[2]),
+        ],
+    );
+    let stages = [vec![0, 1], vec![2, 3], vec![4, 5, 6]];
+    let assigned = stages.iter().enumerate();
+    let assigned = assigned.flat_map(|(m, hosts)| hosts.iter().map(move |_| m as u16));
+    let assigned = assigned.map(|m| {
+        Some(Assignment {
+            model: ModelKey(m),
+            stage: 0,
+        })
+    });
+    let planned = |(m, hosts): (usize, &Vec<u32>)| ModelPlan {
+        model: ModelKey(m as u16),
+        version: Arc::from("v1"),
+        stages: vec![Stage {
+            layers: LayerRange { first: 0, end: 4 },
+            hosts: hosts.iter().copied().map(HostKey).collect(),
+            rate: 25.0 * hosts.len() as f64,
+        }],
+    };
+    let before = Plan {
+        models: stages.iter().enumerate().map(planned).collect(),
+        assignments: assigned.collect(),
+        shortfalls: vec![],
+    };
+    check(&input, &before);
+    input.holdings = before.holdings(&input);
+    let after = repair(&input, &before, Lost::Host(HostKey(1)));
+    check(&without(&input, Lost::Host(HostKey(1))), &after);
+    assert_eq!(after.shortfalls, []);
+    assert_eq!(after.moves(&input), 2);
+}
+
+#[test]
+fn rate_goes_on_over_a_third_model() {
+    let only = |m: &'static [u16]| [(0, m), (1, m)];
+    let mut hosts: Vec<(u16, &[u16])> = vec![(0, &[0, 2]), (1, &[0, 1])];
+    hosts.extend([only(&[2]), only(&[0]), only(&[1]), only(&[1])].concat());
+    let input = one_stage_each(3, &hosts);
+    let plan = plan(&input);
+    check(&input, &plan);
+    assert_eq!(plan.scale(&input), input.bound());
+}
+
+#[rstest]
+#[case::first([0, 1])]
+#[case::middle([2, 5])]
+#[case::last([6, 7])]
+fn hosts_that_are_alike_keep_what_they_hold(#[case] holders: [u32; 2]) {
+    let mut input = input(1, dealt(1, &[(4, 100.0); 8]), vec![model("m", 8, 1.0)]);
+    // Only half of the model is held, so these are no cuts to keep.
+    input.holdings = plan(&input).holdings(&input);
+    input.holdings.truncate(2);
+    for (h, holder) in input.holdings.iter_mut().zip(holders) {
+        h.host = HostKey(holder);
+        h.layers = LayerRange { first: 4, end: 8 };
+    }
+    assert_eq!(plan(&input).moves(&input), 6);
+}
+
+#[rstest]
+// Two hosts change places for 1.960 of 2; a shift gives 1.964, but three hosts have to load.
+#[case::swap_before_shift(
+    &[(12, 5.0), (12, 5.0), (12, 11.6), (12, 8.0), (12, 10.4)],
+    &[3, 2],
+    &[0, 10, 20],
+    2
+)]
+// No two hosts are alike, so that a plan made anew has no reason to keep any in its place. The
+// first stage gives a layer to the second, whose hosts alone have to load.
+#[case::shift_before_anew(
+    &[(9, 100.0), (9, 100.1), (9, 100.2), (9, 100.3), (9, 100.4), (9, 100.5), (9, 100.6),
+        (9, 100.7), (9, 100.8), (9, 100.9), (9, 101.0), (9, 101.1)],
+    &[4, 4, 4],
+    &[0, 9, 16, 24],
+    4
+)]
+fn the_way_of_fewest_loads_is_taken(
+    #[case] shapes: &[(u64, f64)],
+    #[case] replicas: &[usize],
+    #[case] cuts: &[u32],
+    #[case] moves: usize,
+) {
+    let layers = cuts[cuts.len() - 1];
+    let mut input = input(2, dealt(2, shapes), vec![model("m", layers, 1.0)]);
+    let stages = replicas.iter().enumerate();
+    let stages = stages.flat_map(|(s, &count)| std::iter::repeat_n(s, count));
+    let range = |(host, stage): (HostKey, usize)| HeldRange {
+        host,
+        model: ModelKey(0),
+        version: Arc::from("v1"),
+        layers: LayerRange {
+            first: cuts[stage],
+            end: cuts[stage + 1],
+        },
+    };
+    input.holdings = input.host_keys().zip(stages).map(range).collect();
+    let found = plan(&input);
+    check(&input, &found);
+    assert!(found.scale(&input) >= (1.0 - MOVE_TOLERANCE) * input.bound());
+    assert_eq!(found.moves(&input), moves);
+}
