--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -7,6 +7,7 @@
 
 mod fleets;
 mod placement;
+mod placement_baselines;
 mod recovery;
 mod stats;
 #[path = "../support/mod.rs"]
--- a/crates/kelpworks/src/placement/planner.rs
+++ b/crates/kelpworks/src/placement/planner.rs
@@ -12,7 +12,6 @@
 use super::plan::Shortfall;
 use super::plan::Stage;
 use super::search::Allowed;
-use super::standing;
 use super::state::Cuts;
 use super::state::Slot;
 use super::state::State;
@@ -51,20 +50,32 @@
 pub fn plan(input: &Input) -> Plan {
     let view = View::new(input);
     let fresh = best_cuts(input, &view);
-    let goal = fresh.scale() * (1.0 - MOVE_TOLERANCE);
-    let kept = today::state(input, &view).and_then(|mut state| {
-        state.fill();
-        state.improve(goal, KEEP_CUTS);
-        let good = state.deficit() <= fresh.deficit() && state.scale() >= goal;
-        good.then_some(state)
-    });
-    if let Some(state) = kept {
+    if let Some(state) = kept(input, &view, &fresh, KEEP_CUTS) {
         return finish(input, &state);
     }
+    let shifted = kept(input, &view, &fresh, ANY).map(|s| finish(input, &s));
     let mut state = fresh;
     locality::shorten(input, &mut state);
     today::keep_alike(input, &mut state);
-    finish(input, &state)
+    let anew = finish(input, &state);
+    let fewer = |p: &Plan| p.bytes_to_load(input) < anew.bytes_to_load(input);
+    shifted.filter(fewer).unwrap_or(anew)
+}
+
+/// Today's holdings, changed until they are as good as a fresh state within [`MOVE_TOLERANCE`];
+/// `None` when they can't be.
+fn kept<'a>(
+    input: &Input,
+    view: &'a View,
+    fresh: &State<'_>,
+    allowed: Allowed,
+) -> Option<State<'a>> {
+    let goal = fresh.scale() * (1.0 - MOVE_TOLERANCE);
+    let mut state = today::state(input, view)?;
+    state.fill();
+    state.improve(goal, allowed);
+    let good = state.deficit() <= fresh.deficit() && state.scale() >= goal;
+    good.then_some(state)
 }
 
 /// A trial of cuts: one candidate for each model.
@@ -97,7 +108,9 @@
 fn best_cuts<'a>(input: &Input, view: &'a View) -> State<'a> {
     let models = (0..input.models.len()).map(|m| ModelKey(m as u16));
     let candidates: Vec<Vec<Vec<u32>>> = models.map(|m| cuts::candidates(input, view, m)).collect();
-    let goal = input.bound() * GOOD_ENOUGH;
+    let placeable = |m: &usize| !candidates[*m].is_empty();
+    let placeable: Vec<usize> = (0..candidates.len()).filter(placeable).collect();
+    let goal = input.bound_over(&placeable) * GOOD_ENOUGH;
     let most = candidates.iter().map(Vec::len).max().unwrap_or(0);
     let done = |t: &Trial<'_>| t.deficit == 0 && t.scale >= goal;
     let mut best = attempt(input, view, &candidates, vec![0; candidates.len()]);
@@ -146,14 +159,6 @@
     let mut state = State::new(view, input, &cuts);
     state.fill();
     state.improve(f64::INFINITY, ANY);
-    if state.deficit() > 0 {
-        let mut other = standing::anchored(input, view, &cuts);
-        other.fill();
-        other.improve(f64::INFINITY, ANY);
-        if other.deficit() < state.deficit() {
-            state = other;
-        }
-    }
     Trial {
         deficit: state.deficit(),
         scale: state.scale(),
--- a/crates/kelpworks/src/placement/today.rs
+++ b/crates/kelpworks/src/placement/today.rs
@@ -4,7 +4,7 @@
 
 use super::input::HostKey;
 use super::input::Input;
-use super::plan::overlap;
+use super::plan::covers;
 use super::state::Cuts;
 use super::state::State;
 use super::state::View;
@@ -20,22 +20,22 @@
         lengths: lengths.collect(),
     };
     let mut state = State::new(view, input, &cuts);
-    let slots: Vec<(usize, &LayerRange)> = tiles
-        .iter()
-        .enumerate()
-        .flat_map(|(m, t)| t.iter().map(move |r| (m, r)))
-        .collect();
+    take_held(input, &mut state);
+    Some(state)
+}
+
+/// Places idle hosts on the slots whose layers they hold, of whatever version.
+pub(super) fn take_held(input: &Input, state: &mut State<'_>) {
+    let ranges = ranges(state);
     for held in &input.holdings {
-        let same =
-            |&(m, r): &(usize, &LayerRange)| m == usize::from(held.model.0) && *r == held.layers;
-        let Some(slot) = slots.iter().position(same) else {
+        let same = |r: &SlotRange| r.model == usize::from(held.model.0) && r.layers == held.layers;
+        let Some(slot) = ranges.iter().position(same) else {
             continue;
         };
         if state.at[held.host.index()].is_none() && state.fits(held.host, slot) {
             state.place(held.host, Some(slot));
         }
     }
-    Some(state)
 }
 
 /// Held ranges of a model that cover each layer once, in order: from each layer on, the range that
@@ -115,12 +115,16 @@
     ranges
 }
 
-/// Bytes of a slot's layers that a host holds in the version to serve.
+/// Bytes that a host need not load for a slot, since it holds all its layers in the version to
+/// serve.
 fn held_bytes(input: &Input, host: HostKey, slot: &SlotRange) -> u64 {
     let model = &input.models[slot.model];
-    let of_slot = input.holdings.iter().filter(|h| {
-        h.host == host && usize::from(h.model.0) == slot.model && h.version == model.version
+    let held = input.holdings.iter().any(|h| {
+        h.host == host
+            && usize::from(h.model.0) == slot.model
+            && h.version == model.version
+            && covers(&h.layers, &slot.layers)
     });
-    let layers: u32 = of_slot.map(|h| overlap(&h.layers, &slot.layers)).sum();
-    u64::from(layers) * model.layer_size.0
+    let layers = slot.layers.end - slot.layers.first;
+    u64::from(held) * u64::from(layers) * model.layer_size.0
 }
