Measure fairness and the growth of decision times

Cause: nothing showed that shares hold against a greedy team, nor that decisions stay short.

Ruled out: counting allocations, which needs an allocator with unsafe code; wall times as such, as the machine is shared: only ratios.

Change: measure fairness and measure decision, with FIFO, round robin and scans as baselines.

--- /dev/null
+++ b/crates/kelpworks/examples/measure/fairness.rs
@@ -0,0 +1,299 @@
+//! `fairness`: one team offers twenty times its share; what the others get.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use kelpworks::admission::Ask;
+use kelpworks::admission::Config;
+use kelpworks::admission::Event;
+use kelpworks::admission::Queue;
+use kelpworks::admission::Ticket;
+use kelpworks_wire::Class;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::sim::Agenda;
+use crate::sim::exponential;
+use crate::sim::jain;
+use crate::sim::spread;
+use crate::table::Table;
+
+const SEEDS: u64 = 7;
+const TEAMS: usize = 10;
+const GREEDY: usize = 0;
+/// What the greedy team offers, over its share.
+const EXCESS: f64 = 20.0;
+const SLOTS: usize = 32;
+/// Positions a second that a slot runs.
+const SPEED: f64 = 1000.0;
+const WARM_UP: Duration = Duration::from_secs(10);
+const END: Duration = Duration::from_secs(130);
+/// Requests waiting, at most, under every policy.
+const QUEUE: usize = 1024;
+/// Mean positions of a request: the greedy team sends batches with long ones.
+const COST: u32 = 200;
+const GREEDY_COST: u32 = 800;
+
+#[derive(Clone, Copy)]
+struct Job {
+    team: usize,
+    cost: u32,
+}
+
+enum Happening {
+    Arrival(usize),
+    End(u64),
+}
+
+/// A policy under measurement.
+trait Policy {
+    fn offer(&mut self, now: Duration, id: u64, job: Job);
+    fn end(&mut self, now: Duration, id: u64);
+    /// The next request that starts now.
+    fn start(&mut self) -> Option<u64>;
+}
+
+/// The daemon's admission.
+struct Fair {
+    queue: Queue,
+    weights: Vec<u32>,
+    names: Vec<String>,
+    ids: HashMap<Ticket, u64>,
+    tickets: HashMap<u64, Ticket>,
+}
+
+impl Fair {
+    fn new(seed: u64, weights: Vec<u32>) -> Fair {
+        let slots = SLOTS as u32;
+        let cfg = Config {
+            queue: QUEUE as u32,
+            limit: slots,
+            limit_min: slots,
+            limit_max: slots,
+            seed: Some(seed),
+            ..Config::default()
+        };
+        Fair {
+            queue: Queue::new(cfg),
+            weights,
+            names: (0..TEAMS).map(|t| format!("team-{t}")).collect(),
+            ids: HashMap::new(),
+            tickets: HashMap::new(),
+        }
+    }
+}
+
+impl Policy for Fair {
+    fn offer(&mut self, now: Duration, id: u64, job: Job) {
+        let ask = Ask {
+            team: &self.names[job.team],
+            class: Class::Paying,
+            weight: self.weights[job.team],
+            cost: job.cost,
+        };
+        if let Ok(ticket) = self.queue.offer(now, &ask) {
+            self.ids.insert(ticket, id);
+            self.tickets.insert(id, ticket);
+        }
+    }
+
+    fn end(&mut self, now: Duration, id: u64) {
+        if let Some(ticket) = self.tickets.remove(&id) {
+            self.ids.remove(&ticket);
+            self.queue.finish(now, ticket, None);
+        }
+    }
+
+    fn start(&mut self) -> Option<u64> {
+        match self.queue.next_event()? {
+            Event::Admitted(ticket) => self.ids.get(&ticket).copied(),
+            Event::Resumed(_) => None,
+        }
+    }
+}
+
+/// One queue for all, first in, first out.
+#[derive(Default)]
+struct Fifo {
+    waiting: VecDeque<u64>,
+    running: usize,
+}
+
+impl Policy for Fifo {
+    fn offer(&mut self, _now: Duration, id: u64, _job: Job) {
+        if self.waiting.len() < QUEUE {
+            self.waiting.push_back(id);
+        }
+    }
+
+    fn end(&mut self, _now: Duration, _id: u64) {
+        self.running -= 1;
+    }
+
+    fn start(&mut self) -> Option<u64> {
+        if self.running == SLOTS {
+            return None;
+        }
+        let id = self.waiting.pop_front()?;
+        self.running += 1;
+        Some(id)
+    }
+}
+
+/// A queue for each team; one request of each in turn.
+struct RoundRobin {
+    waiting: Vec<VecDeque<u64>>,
+    next: usize,
+    running: usize,
+}
+
+impl Policy for RoundRobin {
+    fn offer(&mut self, _now: Duration, id: u64, job: Job) {
+        if self.waiting[job.team].len() < QUEUE / TEAMS {
+            self.waiting[job.team].push_back(id);
+        }
+    }
+
+    fn end(&mut self, _now: Duration, _id: u64) {
+        self.running -= 1;
+    }
+
+    fn start(&mut self) -> Option<u64> {
+        if self.running == SLOTS {
+            return None;
+        }
+        for step in 0..TEAMS {
+            let team = (self.next + step) % TEAMS;
+            if let Some(id) = self.waiting[team].pop_front() {
+                self.next = team + 1;
+                self.running += 1;
+                return Some(id);
+            }
+        }
+        None
+    }
+}
+
+/// What one run gave, by team: cost served over the lesser of its fair share and what it offered.
+fn run<P: Policy>(policy: &mut P, weights: &[u32], seed: u64) -> Vec<f64> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut agenda = Agenda::new();
+    let capacity = SLOTS as f64 * SPEED;
+    let total: u32 = weights.iter().sum();
+    let share = |team: usize| capacity * f64::from(weights[team]) / f64::from(total);
+    let gap = |team: usize| {
+        let (cost, rate) = match team {
+            GREEDY => (GREEDY_COST, share(team) * EXCESS),
+            _ => (COST, share(team)),
+        };
+        Duration::from_secs_f64(f64::from(cost) / rate)
+    };
+    for team in 0..TEAMS {
+        agenda.add(exponential(gap(team), &mut rng), Happening::Arrival(team));
+    }
+    let mut jobs = HashMap::new();
+    let mut offered = [0.0; TEAMS];
+    let mut served = [0.0; TEAMS];
+    let mut next_id = 0;
+    while let Some((now, happening)) = agenda.next() {
+        if now > END {
+            break;
+        }
+        let counts = now > WARM_UP;
+        match happening {
+            Happening::Arrival(team) => {
+                let mean = if team == GREEDY { GREEDY_COST } else { COST };
+                let cost = rng.random_range(mean / 4..mean * 7 / 4);
+                let job = Job { team, cost };
+                jobs.insert(next_id, job);
+                policy.offer(now, next_id, job);
+                next_id += 1;
+                offered[team] += if counts { f64::from(cost) } else { 0.0 };
+                agenda.add(
+                    now + exponential(gap(team), &mut rng),
+                    Happening::Arrival(team),
+                );
+            }
+            Happening::End(id) => {
+                policy.end(now, id);
+                let job: Job = jobs[&id];
+                served[job.team] += if counts { f64::from(job.cost) } else { 0.0 };
+            }
+        }
+        while let Some(id) = policy.start() {
+            let took = Duration::from_secs_f64(f64::from(jobs[&id].cost) / SPEED);
+            agenda.add(now + took, Happening::End(id));
+        }
+    }
+    let window = (END - WARM_UP).as_secs_f64();
+    (0..TEAMS)
+        .map(|t| served[t] / offered[t].min(share(t) * window))
+        .collect()
+}
+
+fn row(
+    policy: &str,
+    weighting: &str,
+    weights: &[u32],
+    run: impl Fn(u64, Vec<u32>) -> Vec<f64>,
+) -> Vec<String> {
+    let runs: Vec<Vec<f64>> = (0..SEEDS).map(|s| run(s, weights.to_vec())).collect();
+    let worst = runs
+        .iter()
+        .map(|r| r[1..].iter().copied().fold(f64::INFINITY, f64::min));
+    let mean = runs
+        .iter()
+        .map(|r| r[1..].iter().sum::<f64>() / (TEAMS - 1) as f64);
+    let greedy = runs.iter().map(|r| r[GREEDY]);
+    let index = runs.iter().map(|r| jain(r));
+    vec![
+        weighting.to_owned(),
+        policy.to_owned(),
+        spread(worst.collect()),
+        spread(mean.collect()),
+        spread(greedy.collect()),
+        spread(index.collect()),
+    ]
+}
+
+/// Runs the measurement.
+pub(crate) fn table() -> Table {
+    let equal = vec![1; TEAMS];
+    // A few large teams.
+    let mixed = vec![2, 4, 4, 2, 1, 1, 1, 1, 1, 1];
+    let mut rows = Vec::new();
+    for (name, weights) in [("equal", &equal), ("mixed", &mixed)] {
+        rows.push(row("fair queueing", name, weights, |seed, w| {
+            run(&mut Fair::new(seed, w.clone()), &w, seed)
+        }));
+        rows.push(row("FIFO (baseline)", name, weights, |seed, w| {
+            run(&mut Fifo::default(), &w, seed)
+        }));
+        rows.push(row("round robin (baseline)", name, weights, |seed, w| {
+            let mut policy = RoundRobin {
+                waiting: vec![VecDeque::new(); TEAMS],
+                next: 0,
+                running: 0,
+            };
+            run(&mut policy, &w, seed)
+        }));
+    }
+    Table {
+        title: format!(
+            "fairness: {TEAMS} paying teams, one at {EXCESS} times its share with requests 4 times \
+             as long, the others at 1 time theirs; virtual time, 120 s, {SEEDS} seeds; \
+             served / min(fair share, offered), min / median / max"
+        ),
+        head: vec![
+            "weights",
+            "policy",
+            "worst other",
+            "mean other",
+            "greedy team",
+            "Jain index",
+        ],
+        rows,
+    }
+}
--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -5,6 +5,9 @@
 
 use std::process::ExitCode;
 
+mod decision;
+mod fairness;
+mod sim;
 mod table;
 
 use crate::table::Table;
@@ -17,7 +20,16 @@
     run: fn() -> Table,
 }
 
-const MEASUREMENTS: &[Measurement] = &[];
+const MEASUREMENTS: &[Measurement] = &[
+    Measurement {
+        name: "decision",
+        run: decision::table,
+    },
+    Measurement {
+        name: "fairness",
+        run: fairness::table,
+    },
+];
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
--- /dev/null
+++ b/crates/kelpworks/examples/measure/sim.rs
@@ -0,0 +1,60 @@
+//! Virtual time and statistics for measurements of policies.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::RngExt;
+
+/// Events in the order of their virtual time; those of one moment in the order they were put in.
+pub(crate) struct Agenda<E> {
+    events: BTreeMap<(Duration, u64), E>,
+    count: u64,
+}
+
+impl<E> Agenda<E> {
+    pub(crate) fn new() -> Agenda<E> {
+        Agenda {
+            events: BTreeMap::new(),
+            count: 0,
+        }
+    }
+
+    pub(crate) fn add(&mut self, at: Duration, event: E) {
+        self.events.insert((at, self.count), event);
+        self.count += 1;
+    }
+
+    pub(crate) fn next(&mut self) -> Option<(Duration, E)> {
+        let ((at, _), event) = self.events.pop_first()?;
+        Some((at, event))
+    }
+}
+
+/// A time drawn from the exponential distribution of this mean.
+pub(crate) fn exponential<R: Rng>(mean: Duration, rng: &mut R) -> Duration {
+    let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
+    mean.mul_f64(-uniform.ln())
+}
+
+/// The value that this part of the values, 0 to 1, does not exceed; 0 without values.
+pub(crate) fn quantile(values: &mut [f64], part: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    let last = values.len().saturating_sub(1) as f64;
+    let at = (last * part).round() as usize;
+    values.get(at).copied().unwrap_or(0.0)
+}
+
+/// Jain's index of fairness: 1 when all values are equal, 1/n when one has all.
+pub(crate) fn jain(values: &[f64]) -> f64 {
+    let sum: f64 = values.iter().sum();
+    let squares: f64 = values.iter().map(|v| v * v).sum();
+    sum * sum / (values.len() as f64 * squares)
+}
+
+/// Least, median and greatest of the values of several seeds.
+pub(crate) fn spread(mut values: Vec<f64>) -> String {
+    let median = quantile(&mut values, 0.5);
+    let (min, max) = (values[0], values[values.len() - 1]);
+    format!("{min:.3} / {median:.3} / {max:.3}")
+}
