Measure busy answers and overload; let refused steps retry at less cost

Change: a retry of what has not run takes a quarter; ten attempts; a sampled search considers sixteen main cuts. measure busy and measure overload-policy.

--- /dev/null
+++ b/crates/kelpworks/examples/measure/busy.rs
@@ -0,0 +1,421 @@
+//! `busy`: what an upstream's refusal for want of capacity should mean to the daemon.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use kelpworks::fleet::Counters;
+use kelpworks::fleet::DomainKey;
+use kelpworks::fleet::Fleet;
+use kelpworks::fleet::Health;
+use kelpworks::fleet::Holding;
+use kelpworks::fleet::LinkCost;
+use kelpworks::fleet::LoadReport;
+use kelpworks::fleet::ModelKey;
+use kelpworks::fleet::ModelView;
+use kelpworks::fleet::Upstream;
+use kelpworks::fleet::UpstreamKey;
+use kelpworks::retry::Attempt;
+use kelpworks::retry::BusyConfig;
+use kelpworks::retry::Cooldowns;
+use kelpworks::retry::DeadlineConfig;
+use kelpworks::retry::Decision;
+use kelpworks::retry::RetryBudget;
+use kelpworks::retry::RetryConfig;
+use kelpworks::retry::StepDeadline;
+use kelpworks::routing::PathQuery;
+use kelpworks::routing::choose_path;
+use kelpworks::verdict::Verdict;
+use kelpworks_wire::Class;
+use kelpworks_wire::LayerRange;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::sim::Agenda;
+use crate::sim::exponential;
+use crate::sim::quantile;
+use crate::sim::spread;
+use crate::table::Table;
+
+const SEEDS: u64 = 5;
+const DAEMONS: usize = 7;
+/// Calls that each upstream runs at once; it refuses others.
+const SLOTS: [u32; 12] = [2, 2, 3, 3, 4, 4, 5, 5, 6, 6, 8, 12];
+const SERVICE: Duration = Duration::from_millis(200);
+const LINK: Duration = Duration::from_micros(500);
+const REPORT: Duration = Duration::from_millis(500);
+const END: Duration = Duration::from_secs(60);
+/// The callers' deadline.
+const DEADLINE: Duration = Duration::from_secs(5);
+/// How long a penalty lasts.
+const PENALTY: Duration = Duration::from_secs(5);
+/// Part of the calls that may not run twice.
+const NON_IDEMPOTENT: f64 = 0.2;
+
+/// What a refusal means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Answer {
+    /// Answered as busy; the upstream is put last for a while.
+    Cooldown,
+    /// Answered as busy; another upstream is tried, and that is all.
+    Plain,
+    /// Answered as busy; the upstream counts as suspect.
+    Penalty,
+    /// Not answered; the step deadline ends the attempt, and it may have run.
+    Silence,
+    /// Not answered, and the upstream counts as suspect after the deadline.
+    SilencePenalty,
+}
+
+impl Answer {
+    fn is_silent(self) -> bool {
+        matches!(self, Answer::Silence | Answer::SilencePenalty)
+    }
+
+    fn is_penalty(self) -> bool {
+        matches!(self, Answer::Penalty | Answer::SilencePenalty)
+    }
+}
+
+/// One daemon with its own view of the fleet.
+struct Daemon {
+    fleet: Fleet,
+    keys: Vec<UpstreamKey>,
+    budget: RetryBudget,
+    cooldowns: Cooldowns,
+    deadlines: Vec<StepDeadline>,
+}
+
+/// A caller's request.
+struct Call {
+    daemon: usize,
+    came: Duration,
+    idempotent: bool,
+    attempts: u32,
+    failed: Vec<UpstreamKey>,
+}
+
+#[derive(Clone, Copy)]
+enum Happening {
+    Arrival,
+    Attempt(u64),
+    /// A call reaches an upstream.
+    Reach(u64, usize),
+    Served(u64, usize, Duration),
+    Refused(u64, usize),
+    Forgiven(usize, usize),
+    Report,
+}
+
+/// What one run gave.
+#[derive(Default)]
+struct Outcome {
+    calls: u32,
+    refusals: u32,
+    latencies: Vec<f64>,
+}
+
+struct World {
+    answer: Answer,
+    load: f64,
+    rng: StdRng,
+    agenda: Agenda<Happening>,
+    daemons: Vec<Daemon>,
+    running: Vec<u32>,
+    calls: HashMap<u64, Call>,
+    next_call: u64,
+    outcome: Outcome,
+}
+
+fn fleet() -> (Fleet, Vec<UpstreamKey>) {
+    let mut fleet = Fleet {
+        domains: vec!["alm-hall-a".to_owned()],
+        models: vec![ModelView {
+            name: "captions".to_owned(),
+            layers: 1,
+            versions: vec!["v1".to_owned()],
+        }],
+        links: vec![LinkCost {
+            latency: LINK,
+            bytes_per_second: 1_000_000_000,
+        }],
+        ..Fleet::default()
+    };
+    let upstream = |slots: u32| Upstream {
+        name: Arc::from("host"),
+        url: Arc::from(""),
+        domain: DomainKey(0),
+        health: Health::Live,
+        layer_rate: f64::from(slots) / SERVICE.as_secs_f64(),
+        holdings: vec![Holding {
+            model: ModelKey(0),
+            version: 0,
+            layers: LayerRange { first: 0, end: 1 },
+        }],
+        service: None,
+        incarnation: 1,
+        load: LoadReport::default(),
+        counters: Arc::new(Counters::default()),
+    };
+    let keys: Vec<UpstreamKey> = SLOTS
+        .iter()
+        .map(|&slots| fleet.upstreams.insert(upstream(slots)))
+        .collect();
+    fleet.by_model = vec![keys.clone()];
+    (fleet.indexed(), keys)
+}
+
+impl World {
+    fn new(answer: Answer, load: f64, seed: u64) -> World {
+        let daemon = |_| {
+            let (fleet, keys) = fleet();
+            Daemon {
+                fleet,
+                keys,
+                budget: RetryBudget::new(RetryConfig::default()),
+                cooldowns: Cooldowns::new(BusyConfig::default()),
+                deadlines: vec![StepDeadline::default(); SLOTS.len()],
+            }
+        };
+        World {
+            answer,
+            load,
+            rng: StdRng::seed_from_u64(seed),
+            agenda: Agenda::new(),
+            daemons: (0..DAEMONS).map(daemon).collect(),
+            running: vec![0; SLOTS.len()],
+            calls: HashMap::new(),
+            next_call: 0,
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn run(mut self) -> Outcome {
+        self.agenda.add(Duration::ZERO, Happening::Arrival);
+        self.agenda.add(REPORT, Happening::Report);
+        while let Some((now, happening)) = self.agenda.next() {
+            match happening {
+                Happening::Arrival => self.arrival(now),
+                Happening::Attempt(call) => self.attempt(now, call),
+                Happening::Reach(call, at) => self.reach(now, call, at),
+                Happening::Served(call, at, took) => self.served(now, call, at, took),
+                Happening::Refused(call, at) => self.refused(now, call, at),
+                Happening::Forgiven(daemon, at) => self.set_health(daemon, at, Health::Live),
+                Happening::Report => self.report(now),
+            }
+        }
+        self.outcome
+    }
+
+    fn arrival(&mut self, now: Duration) {
+        if now > END {
+            return;
+        }
+        let slots: u32 = SLOTS.iter().sum();
+        let gap = SERVICE.div_f64(f64::from(slots) * self.load);
+        self.agenda
+            .add(now + exponential(gap, &mut self.rng), Happening::Arrival);
+        let call = Call {
+            daemon: self.rng.random_range(0..DAEMONS),
+            came: now,
+            idempotent: !self.rng.random_bool(NON_IDEMPOTENT),
+            attempts: 0,
+            failed: Vec::new(),
+        };
+        self.calls.insert(self.next_call, call);
+        self.outcome.calls += 1;
+        self.attempt(now, self.next_call);
+        self.next_call += 1;
+    }
+
+    fn attempt(&mut self, now: Duration, id: u64) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.attempts += 1;
+        let daemon = &self.daemons[call.daemon];
+        let query = PathQuery {
+            model: ModelKey(0),
+            version: None,
+            from: DomainKey(0),
+            class: Class::Paying,
+            prefill: 0,
+            avoid: &call.failed,
+            keep: &[],
+            now_ms: now.as_millis() as u64,
+        };
+        let Ok(path) = choose_path(&daemon.fleet, &query, &mut self.rng) else {
+            return;
+        };
+        let key = path.hops[0].upstream;
+        let at = daemon.keys.iter().position(|&k| k == key).unwrap_or(0);
+        let counters = &daemon.fleet.upstreams[key].counters;
+        counters.sent_since_report.fetch_add(1, Ordering::Relaxed);
+        self.agenda.add(now + LINK, Happening::Reach(id, at));
+    }
+
+    fn reach(&mut self, now: Duration, id: u64, at: usize) {
+        if self.running[at] < SLOTS[at] {
+            self.running[at] += 1;
+            let took = exponential(SERVICE, &mut self.rng);
+            self.agenda.add(now + took, Happening::Served(id, at, took));
+            return;
+        }
+        self.outcome.refusals += 1;
+        let daemon = &self.daemons[self.calls[&id].daemon];
+        let wait = if self.answer.is_silent() {
+            daemon.deadlines[at].deadline(&DeadlineConfig::default(), 1)
+        } else {
+            LINK
+        };
+        self.agenda.add(now + wait, Happening::Refused(id, at));
+    }
+
+    fn served(&mut self, now: Duration, id: u64, at: usize, took: Duration) {
+        self.running[at] -= 1;
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        let daemon = &mut self.daemons[call.daemon];
+        daemon.budget.succeeded();
+        daemon.deadlines[at].observe(took, 1);
+        if self.answer == Answer::Cooldown {
+            let counters = &daemon.fleet.upstreams[daemon.keys[at]].counters;
+            daemon.cooldowns.served(daemon.keys[at], counters);
+        }
+        let latency = now + LINK - call.came;
+        if latency <= DEADLINE {
+            self.outcome.latencies.push(latency.as_secs_f64() * 1e3);
+        }
+    }
+
+    fn refused(&mut self, now: Duration, id: u64, at: usize) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let index = call.daemon;
+        let daemon = &mut self.daemons[index];
+        let key = daemon.keys[at];
+        call.failed.push(key);
+        let now_ms = now.as_millis() as u64;
+        if self.answer == Answer::Cooldown {
+            let counters = &daemon.fleet.upstreams[key].counters;
+            let none = Duration::ZERO;
+            daemon
+                .cooldowns
+                .refused(key, counters, none, now_ms, &mut self.rng);
+        }
+        let attempt = Attempt {
+            verdict: if self.answer.is_silent() {
+                Verdict::MayHaveRun
+            } else {
+                Verdict::NotRun
+            },
+            idempotent: call.idempotent,
+            attempts: call.attempts,
+            left: (call.came + DEADLINE).saturating_sub(now),
+        };
+        match daemon.budget.decide(now, &attempt, &mut self.rng) {
+            Decision::RetryAt(delay) => self.agenda.add(now + delay, Happening::Attempt(id)),
+            Decision::GiveUp(_) => {
+                self.calls.remove(&id);
+            }
+        }
+        if self.answer.is_penalty() {
+            self.set_health(index, at, Health::Suspect);
+            self.agenda
+                .add(now + PENALTY, Happening::Forgiven(index, at));
+        }
+    }
+
+    fn set_health(&mut self, daemon: usize, at: usize, health: Health) {
+        let daemon = &mut self.daemons[daemon];
+        daemon.fleet.upstreams[daemon.keys[at]].health = health;
+        daemon.fleet = std::mem::take(&mut daemon.fleet).indexed();
+    }
+
+    fn report(&mut self, now: Duration) {
+        if now > END {
+            return;
+        }
+        self.agenda.add(now + REPORT, Happening::Report);
+        for daemon in &mut self.daemons {
+            for (at, &key) in daemon.keys.iter().enumerate() {
+                let upstream = &mut daemon.fleet.upstreams[key];
+                upstream.load.running = self.running[at];
+                upstream
+                    .counters
+                    .sent_since_report
+                    .store(0, Ordering::Relaxed);
+            }
+        }
+    }
+}
+
+fn row(answer: Answer, name: &str, load: f64) -> Vec<String> {
+    let runs = (0..SEEDS).map(|seed| World::new(answer, load, seed).run());
+    let mut runs: Vec<Outcome> = runs.collect();
+    let completed = runs
+        .iter()
+        .map(|r| r.latencies.len() as f64 / f64::from(r.calls));
+    let completed = spread(completed.collect());
+    let refusals = runs
+        .iter()
+        .map(|r| f64::from(r.refusals) / f64::from(r.calls));
+    let refusals = spread(refusals.collect());
+    let mut latency = |part| {
+        let values = runs
+            .iter_mut()
+            .map(|r| quantile(&mut r.latencies, part) / 200.0);
+        spread(values.collect())
+    };
+    vec![
+        format!("{load}"),
+        name.to_owned(),
+        completed,
+        latency(0.5),
+        latency(0.95),
+        latency(0.99),
+        refusals,
+    ]
+}
+
+/// Runs the measurement.
+pub(crate) fn table() -> Table {
+    let ways = [
+        (Answer::Cooldown, "busy, cooldown"),
+        (Answer::Plain, "busy, no cooldown (baseline)"),
+        (Answer::Penalty, "busy, suspect for 5 s (baseline)"),
+        (Answer::Silence, "silence (baseline)"),
+        (
+            Answer::SilencePenalty,
+            "silence, suspect for 5 s (baseline)",
+        ),
+    ];
+    let mut rows = Vec::new();
+    for load in [0.7, 0.9, 1.2] {
+        for (answer, name) in ways {
+            rows.push(row(answer, name, load));
+        }
+    }
+    Table {
+        title: format!(
+            "busy: {DAEMONS} daemons, {} upstreams that refuse when full, 20% of the calls \
+             non-idempotent, deadline 5 s; virtual time, 60 s, {SEEDS} seeds; latency over the \
+             mean service time, min / median / max",
+            SLOTS.len()
+        ),
+        head: vec![
+            "load",
+            "a refusal is",
+            "completed",
+            "p50",
+            "p95",
+            "p99",
+            "refusals a call",
+        ],
+        rows,
+    }
+}
--- a/crates/kelpworks/examples/measure/decision.rs
+++ b/crates/kelpworks/examples/measure/decision.rs
@@ -49,8 +49,10 @@
 enum Cuts {
     /// The same four ranges everywhere.
     Four,
-    /// Ranges of many lengths that overlap.
+    /// Ranges of many lengths that overlap, from ten starts.
     Mixed,
+    /// The same, from any layer: the number of cuts grows with the fleet too.
+    Any,
 }
 
 fn fleet(size: usize, cuts: Cuts, seed: u64) -> Fleet {
@@ -80,9 +82,12 @@
                 first: (i % 4) as u32 * 20,
                 end: (i % 4) as u32 * 20 + 20,
             },
-            Cuts::Mixed => {
+            Cuts::Mixed | Cuts::Any => {
                 let len = [10, 16, 20, 28, 40][rng.random_range(0..5)];
-                let first = (i as u32 * 8) % LAYERS;
+                let first = match cuts {
+                    Cuts::Any if i >= 10 => rng.random_range(0..LAYERS),
+                    _ => (i as u32 * 8) % LAYERS,
+                };
                 LayerRange {
                     first,
                     end: (first + len).min(LAYERS),
@@ -229,6 +234,7 @@
     for (name, cuts) in [
         ("path, four stages", Cuts::Four),
         ("path, mixed cuts", Cuts::Mixed),
+        ("path, any cuts", Cuts::Any),
     ] {
         let fleets = |seed| (fleet(sizes.0, cuts, seed), fleet(sizes.1, cuts, seed));
         let sampled = (0..SEEDS).map(|seed| {
--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -5,8 +5,10 @@
 
 use std::process::ExitCode;
 
+mod busy;
 mod decision;
 mod fairness;
+mod overload_policy;
 mod sim;
 mod table;
 
@@ -21,6 +23,10 @@
 }
 
 const MEASUREMENTS: &[Measurement] = &[
+    Measurement {
+        name: "busy",
+        run: busy::table,
+    },
     Measurement {
         name: "decision",
         run: decision::table,
@@ -29,6 +35,10 @@
         name: "fairness",
         run: fairness::table,
     },
+    Measurement {
+        name: "overload-policy",
+        run: overload_policy::table,
+    },
 ];
 
 fn main() -> ExitCode {
--- a/crates/kelpworks/src/retry/budget.rs
+++ b/crates/kelpworks/src/retry/budget.rs
@@ -14,12 +14,16 @@
 pub struct RetryConfig {
     /// Retries that each success earns. Default 0.2.
     pub ratio: f64,
+    /// What a retry takes from the budget when nothing of the request can have run, against 1
+    /// otherwise. Default 0.25: a refusal costs an upstream next to nothing, and a caller should
+    /// not lose an answer because several refused.
+    pub not_run_cost: f64,
     /// Retries a second that are always earned, so that a daemon with few requests can retry at
     /// all. Default 2.
     pub floor: f64,
     /// Retries saved up, at most. Default 50.
     pub burst: f64,
-    /// Attempts of one request, at most. Default 6.
+    /// Attempts of one request, at most. Default 10.
     pub attempts: u32,
     /// Bound of the first backoff; it doubles with each attempt. Default 20 ms.
     pub backoff: Duration,
@@ -31,9 +35,10 @@
     fn default() -> RetryConfig {
         RetryConfig {
             ratio: 0.2,
+            not_run_cost: 0.25,
             floor: 2.0,
             burst: 50.0,
-            attempts: 6,
+            attempts: 10,
             backoff: Duration::from_millis(20),
             backoff_max: Duration::from_secs(1),
         }
@@ -135,10 +140,14 @@
         if delay >= attempt.left {
             return Decision::GiveUp(GiveUp::Deadline);
         }
-        if self.balance < 1.0 {
+        let cost = match attempt.verdict {
+            Verdict::NotRun => self.cfg.not_run_cost,
+            Verdict::MayHaveRun => 1.0,
+        };
+        if self.balance < cost {
             return Decision::GiveUp(GiveUp::Budget);
         }
-        self.balance -= 1.0;
+        self.balance -= cost;
         Decision::RetryAt(delay)
     }
 
--- a/crates/kelpworks/src/retry/tests.rs
+++ b/crates/kelpworks/src/retry/tests.rs
@@ -46,7 +46,7 @@
 #[case::idempotent(attempt(MayHaveRun, true, 1, ms(1000)), None)]
 #[case::not_run(attempt(NotRun, false, 1, ms(1000)), None)]
 #[case::at_most_once(attempt(MayHaveRun, false, 1, ms(1000)), Some(GiveUp::MayHaveRun))]
-#[case::attempts(attempt(NotRun, true, 6, ms(1000)), Some(GiveUp::Attempts))]
+#[case::attempts(attempt(NotRun, true, 10, ms(1000)), Some(GiveUp::Attempts))]
 #[case::deadline(attempt(NotRun, true, 1, ms(0)), Some(GiveUp::Deadline))]
 fn decisions(#[case] attempt: Attempt, #[case] expected: Option<GiveUp>) {
     let mut budget = RetryBudget::new(RetryConfig::default());
@@ -59,11 +59,13 @@
 
 /// Retries allowed out of 1000 failures in a second.
 #[rstest]
-#[case::burst_and_floor(0, 51)]
-#[case::earned(500, 151)]
-fn budget_bounds_retries(#[case] successes: u32, #[case] expected: u32) {
+#[case::burst_and_floor(MayHaveRun, 0, 51)]
+#[case::earned(MayHaveRun, 500, 151)]
+#[case::not_run(NotRun, 0, 207)]
+#[case::not_run_earned(NotRun, 500, 607)]
+fn budget_bounds_retries(#[case] verdict: Verdict, #[case] successes: u32, #[case] expected: u32) {
     let mut budget = RetryBudget::new(RetryConfig::default());
-    let failed = attempt(NotRun, true, 1, ms(1000));
+    let failed = attempt(verdict, true, 1, ms(1000));
     let mut retries = 0;
     for step in 0..1000 {
         if step < successes {
@@ -128,7 +130,7 @@
 proptest! {
     /// A retry is never put beyond the caller's deadline.
     #[test]
-    fn retries_end_before_the_deadline(attempts in 1..6u32, left in 0..2000u64, seed: u64) {
+    fn retries_end_before_the_deadline(attempts in 1..10u32, left in 0..2000u64, seed: u64) {
         let mut budget = RetryBudget::new(RetryConfig::default());
         let attempt = attempt(NotRun, true, attempts, ms(left));
         let decision = budget.decide(ms(0), &attempt, &mut StdRng::seed_from_u64(seed));
--- a/crates/kelpworks/src/routing/index.rs
+++ b/crates/kelpworks/src/routing/index.rs
@@ -1,7 +1,7 @@
 //! What a decision needs of a snapshot, worked out once a snapshot: for each model, version and
 //! layer, who holds it, grouped by failure domain.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use rand::Rng;
 use rand::RngExt;
@@ -17,6 +17,10 @@
 /// Rate that stands in for an unknown one, in layers a second, so that it still can be drawn.
 const UNKNOWN_RATE: f64 = 1.0;
 
+/// Cuts that a search over a sample considers, at most. Fleets that are cut alike have fewer; in
+/// one that is cut at any layer, the time of a decision would grow with their number.
+const MAIN_CUTS: usize = 16;
+
 /// Holders of every layer of every model, for one snapshot of the fleet.
 ///
 /// It lists live and suspect upstreams only. It must be built anew whenever holdings or health of
@@ -41,6 +45,9 @@
     pub(super) layers: u32,
     /// Segments in order; together they are all layers.
     pub(super) segments: Vec<Segment>,
+    /// Firsts of the segments at which most holdings start or end, one in each of at most
+    /// [`MAIN_CUTS`] runs of neighbouring segments.
+    pub(super) main_cuts: Vec<u32>,
     /// First layer that nobody holds, if any.
     pub(super) missing: Option<u32>,
 }
@@ -180,13 +187,16 @@
             }
         }
     }
-    let cuts: BTreeSet<u32> = held
-        .iter()
-        .flat_map(|(_, _, h)| [h.layers.first, h.layers.end])
-        .chain([0])
-        .filter(|&cut| cut < layers)
-        .collect();
-    let mut segments: Vec<Segment> = cuts.into_iter().map(Segment::at).collect();
+    let mut cuts = BTreeMap::from([(0, 0)]);
+    for (_, _, h) in &held {
+        for cut in [h.layers.first, h.layers.end] {
+            if cut < layers {
+                *cuts.entry(cut).or_default() += 1;
+            }
+        }
+    }
+    let main_cuts = main_cuts(&cuts);
+    let mut segments: Vec<Segment> = cuts.into_keys().map(Segment::at).collect();
     for (key, upstream, h) in held {
         let candidate = Candidate {
             upstream: key,
@@ -201,10 +211,20 @@
     VersionIndex {
         layers,
         segments,
+        main_cuts,
         missing,
     }
 }
 
+/// The most frequent cut of each run of neighbours; all of them when there are few.
+fn main_cuts(cuts: &BTreeMap<u32, u32>) -> Vec<u32> {
+    let all: Vec<(u32, u32)> = cuts.iter().map(|(&cut, &count)| (cut, count)).collect();
+    all.chunks(all.len().div_ceil(MAIN_CUTS))
+        .filter_map(|run| run.iter().max_by_key(|(_, count)| count))
+        .map(|&(cut, _)| cut)
+        .collect()
+}
+
 impl Segment {
     fn at(first: u32) -> Segment {
         Segment {
--- a/crates/kelpworks/src/routing/search.rs
+++ b/crates/kelpworks/src/routing/search.rs
@@ -105,12 +105,13 @@
         {
             return sampled;
         }
-        // Rare: some stage seems to have nobody in good standing. Only a look at all tells.
+        // Rare: some stage seems to have nobody in good standing, or some holdings lie between the
+        // main cuts. Only a look at all tells.
         self.run(span, Breadth::All)
     }
 
     fn run(&mut self, span: Span, breadth: Breadth) -> Result<Found, u32> {
-        let cuts = cuts(self.version, span);
+        let cuts = cuts(self.version, span, breadth);
         let domains = self.fleet.domains.len();
         let mut nodes: Vec<Option<Arrival>> = vec![None; cuts.len() * domains];
         let mut weighed = Vec::new();
@@ -245,14 +246,15 @@
 }
 
 /// The cuts within a span, its ends included.
-fn cuts(version: &VersionIndex, span: Span) -> Vec<u32> {
-    let inner = version.segments.iter().map(|s| s.first);
-    let inner = inner.filter(|&cut| span.first < cut && cut < span.end);
-    [span.first]
-        .into_iter()
-        .chain(inner)
-        .chain([span.end])
-        .collect()
+fn cuts(version: &VersionIndex, span: Span, breadth: Breadth) -> Vec<u32> {
+    let mut cuts = vec![span.first];
+    let within = |cut: &u32| span.first < *cut && *cut < span.end;
+    match breadth {
+        Breadth::Sample => cuts.extend(version.main_cuts.iter().copied().filter(within)),
+        Breadth::All => cuts.extend(version.segments.iter().map(|s| s.first).filter(within)),
+    }
+    cuts.push(span.end);
+    cuts
 }
 
 /// Cuts at which a candidate that starts at one may stop, the farthest first.
