Adapt paying limit and room for trials apart

Change: two limits; trials give way first, also when paying tokens are slower than the target; limits grow up to a token time (50 ms); trials that hold take at most a twentieth of the room together.

--- a/crates/kelpworks/src/admission/config.rs
+++ b/crates/kelpworks/src/admission/config.rs
@@ -24,20 +24,24 @@
     /// A request that has waited so many times its longest expected delay is refused. Default 2:
     /// the estimate may be off by as much.
     pub patience: u32,
-    /// Requests in service at the start. Default 64.
+    /// Paying requests in service, and room for trials, at the start. Default 64.
     pub limit: u32,
-    /// Requests in service, at least. Default 4.
+    /// The least that either falls to. Default 4.
     pub limit_min: u32,
-    /// Requests in service, at most. Default 4096.
+    /// The greatest that either grows to. Default 4096.
     pub limit_max: u32,
-    /// The limit falls when the time of a token is above its floor by this factor. Default 2.
+    /// Token time that is aimed at: limits grow up to it, as more requests at once mean more
+    /// tokens a second. Default 50 ms.
+    pub token_target: Duration,
+    /// Where the floor of the token time is so high that the target cannot be met: the multiple
+    /// of the floor that is aimed at instead. Default 2.
     pub tolerance: f64,
     /// How often limit and trial backstop are adjusted. Default 100 ms.
     pub interval: Duration,
     /// Trials give way when a paying request waited longer than this. Default 20 ms.
     pub paying_delay_target: Duration,
     /// Longest pause of an admitted trial between two tokens: it always makes progress, so it is
-    /// answered whole. Default 250 ms.
+    /// answered whole. Where many hold, up to 2 s. Default 250 ms.
     pub trial_pause: Duration,
     /// Least and greatest `retry_after` of a refusal. Default 200 ms to 30 s.
     pub retry_after: (Duration, Duration),
@@ -56,6 +60,7 @@
             limit: 64,
             limit_min: 4,
             limit_max: 4096,
+            token_target: Duration::from_millis(50),
             tolerance: 2.0,
             interval: Duration::from_millis(100),
             paying_delay_target: Duration::from_millis(20),
--- a/crates/kelpworks/src/admission/limit.rs
+++ b/crates/kelpworks/src/admission/limit.rs
@@ -1,7 +1,11 @@
 //! How many requests may be in service at once: additive increase, multiplicative decrease.
 //!
 //! The time of a token over the whole pipeline grows as soon as any one stage is overloaded, so it
-//! stands for the bottleneck, whichever stage that is.
+//! stands for the bottleneck, whichever stage that is. There are two limits: one for paying
+//! requests, and the room up to which trials may fill what paying ones leave.
+//!
+//! Engines serve paying steps first, so trials lengthen the tokens of paying requests little, as
+//! long as those that hold take little.
 
 use std::time::Duration;
 
@@ -9,25 +13,53 @@
 
 use crate::admission::config::Config;
 
-/// Factor by which the limit falls.
+/// Factor by which a limit falls.
 const DECREASE: f64 = 0.9;
 
-/// Part of the limit that is added in each interval, and at least 1.
-const INCREASE: f64 = 1.0 / 32.0;
+/// Part of a limit that is added in each interval, and at least 1.
+const INCREASE: f64 = 1.0 / 8.0;
 
-/// Growth of the floor in each interval; forgets a floor that a changed fleet no longer reaches,
+/// Growth of a floor in each interval; forgets a floor that a changed fleet no longer reaches,
 /// within minutes.
 const FLOOR_GROWTH: f64 = 1.0005;
 
-/// The adaptive limit.
+/// Multiple of the token time aimed at for paying requests up to which trials may slow down.
+const TRIAL_PATIENCE: f64 = 2.0;
+
+/// Part of the room that trials may take while they hold.
+const HELD_SHARE: f64 = 0.05;
+
+/// Longest pause of a trial between two tokens.
+const PAUSE_MAX: Duration = Duration::from_secs(2);
+
+/// Who was kept waiting, and who was in service, since the last adjustment.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Demand {
+    /// Paying requests waited for a slot.
+    pub(super) paying_waited: bool,
+    /// Trials waited, or were refused, for want of room.
+    pub(super) trials_waited: bool,
+    /// Trials were in service.
+    pub(super) trials_ran: bool,
+}
+
+/// Both limits.
+#[derive(Debug)]
+pub(super) struct Limits {
+    paying: Aimd,
+    room: Aimd,
+    paying_tokens: TokenTime,
+    trial_tokens: TokenTime,
+    tolerance: f64,
+    /// In seconds.
+    token_target: f64,
+}
+
 #[derive(Debug)]
-pub(super) struct Limit {
+struct Aimd {
     limit: f64,
     min: f64,
     max: f64,
-    tolerance: f64,
-    paying: TokenTime,
-    trial: TokenTime,
 }
 
 /// Token times of one class. The classes are apart because engines serve paying steps first: the
@@ -41,43 +73,89 @@
     count: u32,
 }
 
-impl Limit {
-    pub(super) fn new(cfg: &Config) -> Limit {
-        let min = f64::from(cfg.limit_min.max(1));
-        let max = f64::from(cfg.limit_max).max(min);
-        Limit {
-            limit: f64::from(cfg.limit).clamp(min, max),
-            min,
-            max,
-            tolerance: cfg.tolerance.max(1.0),
-            paying: TokenTime::new(),
-            trial: TokenTime::new(),
+impl Limits {
+    pub(super) fn new(cfg: &Config) -> Limits {
+        let aimd = |min: u32| Aimd {
+            limit: f64::from(cfg.limit),
+            min: f64::from(min.max(1)),
+            max: f64::from(cfg.limit_max.max(min).max(1)),
+        };
+        Limits {
+            paying: aimd(cfg.limit_min),
+            room: aimd(cfg.limit_min),
+            paying_tokens: TokenTime::new(),
+            trial_tokens: TokenTime::new(),
+            tolerance: cfg.tolerance,
+            token_target: cfg.token_target.as_secs_f64(),
         }
     }
 
-    /// Requests that may be in service; at least 1.
-    pub(super) fn get(&self) -> u32 {
-        self.limit as u32
+    /// Paying requests that may be in service; at least 1.
+    pub(super) fn paying(&self) -> u32 {
+        self.paying.get()
+    }
+
+    /// Requests of both classes up to which trials may run; at least 1.
+    pub(super) fn room(&self) -> u32 {
+        self.room.get()
+    }
+
+    /// How long a trial holds between two tokens when so many do, so that they take at most
+    /// [`HELD_SHARE`] of the room together.
+    pub(super) fn pause(&self, held: usize) -> Duration {
+        if !self.trial_tokens.floor.is_finite() {
+            return Duration::ZERO;
+        }
+        let share = f64::from(self.room()) * HELD_SHARE;
+        let pause = self.trial_tokens.floor * held as f64 / share;
+        Duration::from_secs_f64(pause.min(PAUSE_MAX.as_secs_f64()))
     }
 
     /// Notes the time that a request took for one token over the whole pipeline.
     pub(super) fn observe(&mut self, class: Class, token: Duration) {
-        let times = match class {
-            Class::Paying => &mut self.paying,
-            Class::Trial => &mut self.trial,
-        };
-        times.observe(token);
+        match class {
+            Class::Paying => self.paying_tokens.observe(token),
+            Class::Trial => self.trial_tokens.observe(token),
+        }
     }
 
-    /// Adjusts the limit; `full` says whether it kept requests waiting. Without any token observed
-    /// there is no evidence either way, and it stays.
-    pub(super) fn adjust(&mut self, full: bool) {
-        let paying = self.paying.stretch();
-        let trial = self.trial.stretch();
-        match paying.or(trial) {
-            Some(stretch) if stretch > self.tolerance => self.limit *= DECREASE,
-            Some(_) if full => self.limit += (self.limit * INCREASE).max(1.0),
-            _ => {}
+    /// Adjusts the limits. Without any token observed there is no evidence either way, and they
+    /// stay.
+    pub(super) fn adjust(&mut self, demand: Demand) {
+        let paying = self.paying_tokens.mean();
+        let trial = self.trial_tokens.mean();
+        let paying_slow = paying.is_some_and(|mean| mean > self.bound(&self.paying_tokens));
+        let trial_bound = self.bound(&self.trial_tokens) * TRIAL_PATIENCE;
+        let trial_slow = trial.is_some_and(|mean| mean > trial_bound);
+        if paying.is_some() {
+            // While trials run, they are the ones to give way.
+            let fall = paying_slow && !demand.trials_ran;
+            self.paying
+                .adjust(fall, demand.paying_waited && !paying_slow);
+        }
+        if paying.is_some() || trial.is_some() {
+            self.room
+                .adjust(paying_slow || trial_slow, demand.trials_waited);
+        }
+        self.paying_tokens.next_interval();
+        self.trial_tokens.next_interval();
+    }
+
+    fn bound(&self, tokens: &TokenTime) -> f64 {
+        (tokens.floor * self.tolerance).max(self.token_target)
+    }
+}
+
+impl Aimd {
+    fn get(&self) -> u32 {
+        self.limit.clamp(self.min, self.max) as u32
+    }
+
+    fn adjust(&mut self, fall: bool, grow: bool) {
+        if fall {
+            self.limit *= DECREASE;
+        } else if grow {
+            self.limit += (self.limit * INCREASE).max(1.0);
         }
         self.limit = self.limit.clamp(self.min, self.max);
     }
@@ -99,16 +177,14 @@
         self.count += 1;
     }
 
-    /// Mean over the floor since the last call; `None` when there was no token.
-    fn stretch(&mut self) -> Option<f64> {
-        if self.count == 0 {
-            return None;
-        }
-        let mean = self.sum / f64::from(self.count);
-        let stretch = mean / self.floor.max(f64::MIN_POSITIVE);
+    /// Mean of this interval, if there was a token.
+    fn mean(&self) -> Option<f64> {
+        (self.count > 0).then(|| self.sum / f64::from(self.count))
+    }
+
+    fn next_interval(&mut self) {
         self.floor *= FLOOR_GROWTH;
         self.sum = 0.0;
         self.count = 0;
-        Some(stretch)
     }
 }
--- a/crates/kelpworks/src/admission/queue.rs
+++ b/crates/kelpworks/src/admission/queue.rs
@@ -19,7 +19,8 @@
 use crate::admission::config::Config;
 use crate::admission::fair::FairQueue;
 use crate::admission::fair::Place;
-use crate::admission::limit::Limit;
+use crate::admission::limit::Demand;
+use crate::admission::limit::Limits;
 use crate::admission::trial::TrialShare;
 
 /// Weight of what came before in the smoothed speed of a slot.
@@ -92,7 +93,7 @@
     entries: SlotMap<Ticket, Entry>,
     paying: FairQueue,
     trial: FairQueue,
-    limit: Limit,
+    limits: Limits,
     share: TrialShare,
     /// Paying requests in service.
     paying_running: u32,
@@ -106,8 +107,8 @@
     next_adjust: Duration,
     /// Longest wait of a paying request that was admitted since the last adjustment.
     paying_wait: Duration,
-    /// Whether the limit kept a request waiting since the last adjustment.
-    full: bool,
+    /// What happened since the last adjustment.
+    demand: Demand,
     rng: StdRng,
 }
 
@@ -119,7 +120,7 @@
             None => StdRng::from_rng(&mut rand::rng()),
         };
         Queue {
-            limit: Limit::new(&cfg),
+            limits: Limits::new(&cfg),
             next_adjust: cfg.interval,
             cfg,
             entries: SlotMap::with_key(),
@@ -134,7 +135,7 @@
             trial_speed: Speed::default(),
             events: VecDeque::new(),
             paying_wait: Duration::ZERO,
-            full: false,
+            demand: Demand::default(),
             rng,
         }
     }
@@ -194,9 +195,11 @@
         self.longest_delay(class) * self.cfg.patience.max(1)
     }
 
-    /// Longest pause of a trial between two tokens.
+    /// Longest pause of a trial between two tokens, at this moment.
     pub fn trial_pause(&self) -> Duration {
-        self.cfg.trial_pause
+        self.limits
+            .pause(self.paused.len())
+            .max(self.cfg.trial_pause)
     }
 
     /// What followed from the calls so far, in order.
@@ -212,7 +215,7 @@
 
     /// Notes the time that a request took for one token over the whole pipeline.
     pub fn observe_token(&mut self, now: Duration, class: Class, token: Duration) {
-        self.limit.observe(class, token);
+        self.limits.observe(class, token);
         self.tick(now);
     }
 
@@ -228,9 +231,14 @@
         self.dispatch(now);
     }
 
-    /// Requests that may be in service at once, as adapted.
+    /// Paying requests that may be in service at once, as adapted.
     pub fn limit(&self) -> u32 {
-        self.limit.get()
+        self.limits.paying()
+    }
+
+    /// Requests of both classes up to which trials may run, as adapted.
+    pub fn room(&self) -> u32 {
+        self.limits.room()
     }
 
     /// Requests waiting, of a class.
@@ -286,7 +294,7 @@
     fn expected_delay(&mut self, now: Duration, ask: &Ask<'_>) -> f64 {
         match ask.class {
             Class::Paying => {
-                let slots = self.limit.get();
+                let slots = self.limits.paying();
                 if self.paying.len() == 0 && self.paying_running < slots {
                     return 0.0;
                 }
@@ -300,7 +308,10 @@
     fn expected_trial_delay(&mut self, now: Duration, ask: &Ask<'_>) -> f64 {
         let slots = self.trial_slots();
         if slots == 0 {
-            let paying = self.paying_speed.time(self.paying.cost(), self.limit.get());
+            self.demand.trials_waited = true;
+            let paying = self
+                .paying_speed
+                .time(self.paying.cost(), self.limits.paying());
             return paying + 2.0 * self.cfg.trial_delay.as_secs_f64();
         }
         let ahead = self.trial.cost_ahead(ask.team, ask.weight);
@@ -308,13 +319,14 @@
         if self.trial.len() == 0 && self.in_service(Class::Trial) < slots {
             return by_rate;
         }
+        self.demand.trials_waited = true;
         by_rate.max(self.trial_speed.time(ahead, slots))
     }
 
     /// Requests of trials that may run at once: what paying ones leave.
     fn trial_slots(&self) -> u32 {
         let paying = self.paying_running + self.paying.len();
-        let free = self.limit.get().saturating_sub(paying);
+        let free = self.limits.room().saturating_sub(paying);
         (f64::from(free) * self.share.backstop()).ceil() as u32
     }
 
@@ -330,7 +342,7 @@
 
     /// Starts what may start, paying before trial, then lets as many trials run as there is room.
     fn dispatch(&mut self, now: Duration) {
-        while self.paying_running < self.limit.get() {
+        while self.paying_running < self.limits.paying() {
             let Some(ticket) = self.paying.pop() else {
                 break;
             };
@@ -338,7 +350,7 @@
             let waited = self.start(now, ticket);
             self.paying_wait = self.paying_wait.max(waited);
         }
-        self.full |= self.paying.len() > 0;
+        self.demand.paying_waited |= self.paying.len() > 0;
         self.balance_trials();
         while self.trial.len() > 0 && self.in_service(Class::Trial) < self.trial_slots() {
             if !self.share.may_start(now) {
@@ -350,7 +362,8 @@
             self.share.charge(self.entries[ticket].cost);
             self.start(now, ticket);
         }
-        self.full |= self.trial.len() > 0;
+        self.demand.trials_waited |= self.trial.len() > 0;
+        self.demand.trials_ran |= !self.running.is_empty();
     }
 
     /// Starts a request and returns how long it waited.
@@ -420,10 +433,10 @@
             return;
         }
         self.next_adjust = now + self.cfg.interval;
-        self.limit.adjust(self.full);
+        self.limits.adjust(self.demand);
         self.share
             .adjust(self.paying_wait > self.cfg.paying_delay_target);
-        self.full = false;
+        self.demand = Demand::default();
         self.paying_wait = Duration::ZERO;
     }
 }
