--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -5,10 +5,15 @@
 
 use std::process::ExitCode;
 
+mod busy;
+mod decision;
+mod fairness;
 mod fleets;
+mod overload_policy;
 mod placement;
 mod placement_baselines;
 mod recovery;
+mod sim;
 mod stats;
 #[path = "../support/mod.rs"]
 mod support;
@@ -25,6 +30,22 @@
 }
 
 const MEASUREMENTS: &[Measurement] = &[
+    Measurement {
+        name: "busy",
+        run: busy::table,
+    },
+    Measurement {
+        name: "decision",
+        run: decision::table,
+    },
+    Measurement {
+        name: "fairness",
+        run: fairness::table,
+    },
+    Measurement {
+        name: "overload-policy",
+        run: overload_policy::table,
+    },
     Measurement {
         name: "placement",
         run: placement::run,
