Placement: orders asked anew half way lead the same way

Cause: the half of the replicas that stays was counted from those at the start of the orders, so each asking anew halved the old version once more: 12 hosts were emptied as 3, 3, 3, 3 with new sessions still on the old version for the third. Ruled out: pacing, which kept to 60 s a wave all the time. Change: half of the planned replicas; the switch to a whole new version with half of the rate goes before further drops. Tests for both floors.

--- a/crates/kelpworks/src/placement/orders.rs
+++ b/crates/kelpworks/src/placement/orders.rs
@@ -21,8 +21,8 @@
 use super::plan::covers;
 use crate::fleet::ModelKey;
 
-/// Replicas of a layer that stay while others are exchanged, as a divisor of those at the start:
-/// half of them, rounded up.
+/// Replicas of a layer that stay while others are exchanged, as a divisor of those that the plan
+/// gives it: half of them, rounded up.
 const KEEP_DIVISOR: usize = 2;
 /// Failure domains that keep a layer, where it had as many.
 const KEEP_DOMAINS: usize = 2;
@@ -117,7 +117,8 @@
 pub struct Orders {
     /// The steps, by wave.
     pub steps: Vec<OrderStep>,
-    /// Where new versions take over from old ones, by wave.
+    /// Where new versions take over from old ones, by wave. A model that has no entry goes on with
+    /// the version that is whole, the one to serve before another.
     pub switches: Vec<Switch>,
     /// Ranges of the plan that can't be loaded without breaking a model that is whole; empty when
     /// the steps lead to the plan. Another live host, or more memory, would help.
@@ -324,16 +325,16 @@
         if !find(&range.version).is_some_and(|v| v.whole) {
             return Some(Drain::Nothing);
         }
+        let served = &self.input.model(range.model).version;
+        let newer = find(served).filter(|v| v.whole && *served != range.version);
+        if newer.is_some_and(|v| v.share >= SWITCH_SHARE) {
+            return Some(Drain::Version);
+        }
         if self.keeps(range, care) {
             return Some(Drain::Host);
         }
-        let served = &self.input.model(range.model).version;
-        if *served == range.version {
-            return None;
-        }
-        let enough = |v: &VersionState| v.share >= SWITCH_SHARE || care == Care::Whole;
-        let ready = find(served).is_some_and(|v| v.whole && enough(v));
-        ready.then_some(Drain::Version)
+        let last_way = care == Care::Whole && newer.is_some();
+        last_way.then_some(Drain::Version)
     }
 
     /// All versions that are held now.
@@ -386,8 +387,11 @@
         }
         let start = holders(self.start.iter(), range, layer);
         let domains = self.domains(&start).min(KEEP_DOMAINS);
-        let enough = left.len() >= start.len().div_ceil(KEEP_DIVISOR).max(1);
-        enough && self.domains(&left) >= domains
+        // Of the planned replicas, not of those at the start: the answer must stay the same when
+        // orders are asked for anew half way.
+        let of_layer = |w: &&HeldRange| w.model == range.model && contains(&w.layers, layer);
+        let planned = self.wanted.iter().filter(of_layer).count();
+        left.len() >= planned.div_ceil(KEEP_DIVISOR).max(1) && self.domains(&left) >= domains
     }
 
     fn domains(&self, hosts: &[HostKey]) -> usize {
--- a/crates/kelpworks/src/placement/tests/orders.rs
+++ b/crates/kelpworks/src/placement/tests/orders.rs
@@ -89,24 +89,47 @@
     assert_eq!(orders.blocked.len(), 2);
 }
 
-#[test]
-fn a_roll_empties_few_hosts_at_once() {
+/// Twelve hosts that hold the one stage of a model, and a new version of it to load.
+fn twelve_hosts_to_roll() -> Input {
     let mut input = input(2, dealt(2, &[(16, 100.0); 12]), vec![model("m", 16, 1.0)]);
     input.holdings = plan(&input).holdings(&input);
     input.models[0].version = Arc::from("v2");
+    input
+}
+
+/// Number of steps of a wave that drop a range.
+fn dropped(orders: &Orders, wave: u32) -> usize {
+    let steps = orders.steps.iter().filter(|s| s.wave == wave);
+    let drops = steps.filter(|s| matches!(s.action, Action::Unload { .. }));
+    drops.count()
+}
+
+#[test]
+fn a_roll_empties_few_hosts_at_once() {
+    let input = twelve_hosts_to_roll();
     let orders = orders(&input, &plan(&input));
     assert_eq!(follow(&input, &orders).len(), 12);
     let switch = orders.switches[0].wave;
     // A host takes 16 s to load, so that 3 are emptied within 60 s, and half stay.
-    let emptied = |wave: u32| {
-        let steps = orders.steps.iter().filter(|s| s.wave == wave);
-        steps
-            .filter(|s| matches!(s.action, Action::Unload { .. }))
-            .count()
-    };
-    let before: Vec<usize> = (0..switch).map(emptied).filter(|&n| n > 0).collect();
-    assert_eq!(before, [3, 3]);
-    assert_eq!(emptied(switch), 6);
+    let before: Vec<usize> = (0..switch).map(|w| dropped(&orders, w)).collect();
+    assert_eq!(before, [3, 0, 3, 0]);
+    assert_eq!(dropped(&orders, switch), 6);
+}
+
+#[test]
+fn orders_asked_anew_after_each_wave_lead_the_same_way() {
+    let mut input = twelve_hosts_to_roll();
+    let mut drops = Vec::new();
+    loop {
+        let mut next = orders(&input, &plan(&input));
+        if next.steps.is_empty() {
+            break;
+        }
+        next.steps.retain(|s| s.wave == 0);
+        drops.push(dropped(&next, 0));
+        input.holdings = follow(&input, &next);
+    }
+    assert_eq!(drops, [3, 0, 3, 0, 6, 0]);
 }
 
 #[test]
@@ -121,3 +144,32 @@
     let loaded = loaded.filter(|s| matches!(s.action, Action::Load { .. }));
     assert_eq!(loaded.count(), 2);
 }
+
+#[test]
+fn half_of_the_replicas_and_two_domains_stay_while_stages_change_places() {
+    let mut hosts = dealt(1, &[(8, 100.0); 12]);
+    for (i, h) in hosts.iter_mut().enumerate() {
+        h.domain = DomainKey(u16::from(i >= 6));
+    }
+    let mut input = input(2, hosts, vec![model("m", 16, 1.0)]);
+    let next = plan(&input);
+    input.holdings = next.holdings(&input);
+    for h in &mut input.holdings {
+        let first = 8 - h.layers.first;
+        let end = first + 8;
+        h.layers = LayerRange { first, end };
+    }
+    let mut first_wave = orders(&input, &next);
+    let all = first_wave.clone();
+    first_wave.steps.retain(|s| s.wave == 0);
+    let left = follow(&input, &first_wave);
+    for first in [0, 8] {
+        let stage = left.iter().filter(|h| h.layers.first == first);
+        let mut domains: Vec<u16> = stage.map(|h| input.host(h.host).domain.0).collect();
+        domains.dedup();
+        assert_eq!(domains, [0, 1]);
+    }
+    // A host takes 8 s to load: the 60 s would do for 7, the half of each stage for 6.
+    assert_eq!(left.len(), 6);
+    assert_eq!(follow(&input, &all).len(), 12);
+}
