Count sessions on the upstreams of their paths

Change: routing::Assignment counts a session on its path while it lasts (Counters::sessions, additive), and a candidate's queue includes that count. measure path-policy.

--- a/crates/kelpworks/examples/measure/decision.rs
+++ b/crates/kelpworks/examples/measure/decision.rs
@@ -38,7 +38,8 @@
 const DECISIONS: u32 = 2_000;
 /// Batches of which the fastest counts: what is slower was disturbed by others on the machine.
 const BATCHES: usize = 9;
-const LAYERS: u32 = 80;
+/// Layers of the model.
+pub(crate) const LAYERS: u32 = 80;
 const SMALL_FLEET: usize = 40;
 const LARGE_FLEET: usize = 600;
 const FEW_TEAMS: usize = 10;
@@ -46,7 +47,7 @@
 
 /// How the layers are cut.
 #[derive(Clone, Copy)]
-enum Cuts {
+pub(crate) enum Cuts {
     /// The same four ranges everywhere.
     Four,
     /// Ranges of many lengths that overlap, from ten starts.
@@ -55,7 +56,8 @@
     Any,
 }
 
-fn fleet(size: usize, cuts: Cuts, seed: u64) -> Fleet {
+/// A fleet of three speeds over four failure domains.
+pub(crate) fn fleet(size: usize, cuts: Cuts, seed: u64) -> Fleet {
     let mut rng = StdRng::seed_from_u64(seed);
     let link = |from: usize, to: usize| LinkCost {
         latency: Duration::from_micros(if from == to { 100 } else { 800 }),
--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -9,6 +9,7 @@
 mod decision;
 mod fairness;
 mod overload_policy;
+mod path_policy;
 mod sim;
 mod table;
 
@@ -39,6 +40,10 @@
         name: "overload-policy",
         run: overload_policy::table,
     },
+    Measurement {
+        name: "path-policy",
+        run: path_policy::table,
+    },
 ];
 
 fn main() -> ExitCode {
--- /dev/null
+++ b/crates/kelpworks/examples/measure/path_policy.rs
@@ -0,0 +1,339 @@
+//! `path-policy`: tokens a second over the bound of the slowest stage, by choice of paths alone.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use kelpworks::fleet::DomainKey;
+use kelpworks::fleet::Fleet;
+use kelpworks::fleet::LoadReport;
+use kelpworks::fleet::ModelKey;
+use kelpworks::fleet::Upstream;
+use kelpworks::fleet::UpstreamKey;
+use kelpworks::routing::Assignment;
+use kelpworks::routing::Hop;
+use kelpworks::routing::PathQuery;
+use kelpworks::routing::choose_path;
+use kelpworks_wire::Class;
+use kelpworks_wire::LayerRange;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::decision::Cuts;
+use crate::decision::LAYERS;
+use crate::decision::fleet;
+use crate::sim::Agenda;
+use crate::sim::quantile;
+use crate::sim::spread;
+use crate::table::Table;
+
+const SEEDS: u64 = 5;
+const UPSTREAMS: usize = 40;
+const DAEMONS: usize = 7;
+/// Tokens of a session, evenly from the first to the second.
+const TOKENS: (u32, u32) = (20, 200);
+const WARM_UP: Duration = Duration::from_secs(2);
+const END: Duration = Duration::from_secs(12);
+/// Weight of a new step time in the smoothed one.
+const GAIN: f64 = 0.125;
+
+/// How a session's path is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    /// As the daemon does.
+    Shortest,
+    /// For each stage, the holder with the least load as reported and sent since.
+    LeastLoaded,
+    /// For each stage, the holder with the fewest sessions of the daemon.
+    FewestSessions,
+    /// For each stage, the holders in turn.
+    RoundRobin,
+}
+
+/// A session; another takes its place when it ends.
+struct Session {
+    daemon: usize,
+    hops: Vec<Hop>,
+    assignment: Option<Assignment>,
+    /// Index of the hop that runs next.
+    at: usize,
+    left: u32,
+    /// When the step under way was sent, and the token begun.
+    sent: Duration,
+    begun: Duration,
+}
+
+struct World {
+    way: Way,
+    rng: StdRng,
+    /// The view of each daemon; keys are the same in all.
+    daemons: Vec<Fleet>,
+    /// When each upstream has run what it has; by the key's place in `keys`.
+    free: Vec<Duration>,
+    keys: Vec<UpstreamKey>,
+    sessions: Vec<Session>,
+    turn: usize,
+    tokens: u32,
+    token_times: Vec<f64>,
+}
+
+#[derive(Clone, Copy)]
+enum Happening {
+    /// A step reaches its upstream.
+    Step(usize),
+    /// Its reply reaches the daemon.
+    Reply(usize),
+}
+
+impl World {
+    fn new(way: Way, sessions: usize, seed: u64) -> World {
+        let daemon = |_| {
+            let mut fleet = fleet(UPSTREAMS, Cuts::Four, seed);
+            for (_, upstream) in &mut fleet.upstreams {
+                upstream.load = LoadReport::default();
+            }
+            fleet
+        };
+        let daemons: Vec<Fleet> = (0..DAEMONS).map(daemon).collect();
+        let session = |i| Session {
+            daemon: i % DAEMONS,
+            hops: Vec::new(),
+            assignment: None,
+            at: 0,
+            left: 0,
+            sent: Duration::ZERO,
+            begun: Duration::ZERO,
+        };
+        World {
+            way,
+            rng: StdRng::seed_from_u64(seed),
+            keys: daemons[0].by_model[0].clone(),
+            daemons,
+            free: vec![Duration::ZERO; UPSTREAMS],
+            sessions: (0..sessions).map(session).collect(),
+            turn: 0,
+            tokens: 0,
+            token_times: Vec::new(),
+        }
+    }
+
+    fn run(mut self) -> World {
+        let mut agenda = Agenda::new();
+        for id in 0..self.sessions.len() {
+            self.begin(id, Duration::ZERO);
+            agenda.add(Duration::from_micros(id as u64 * 100), Happening::Step(id));
+        }
+        while let Some((now, happening)) = agenda.next() {
+            if now > END {
+                break;
+            }
+            match happening {
+                Happening::Step(id) => {
+                    let end = self.step(id, now);
+                    agenda.add(end, Happening::Reply(id));
+                }
+                Happening::Reply(id) => {
+                    let at = now + self.reply(id, now);
+                    agenda.add(at, Happening::Step(id));
+                }
+            }
+        }
+        self
+    }
+
+    /// A new session in place of one that ended.
+    fn begin(&mut self, id: usize, now: Duration) {
+        let daemon = self.sessions[id].daemon;
+        self.sessions[id].assignment = None;
+        let hops = self.path(daemon);
+        let assignment = Assignment::new(&self.daemons[daemon], &hops);
+        let left = self.rng.random_range(TOKENS.0..=TOKENS.1);
+        let session = &mut self.sessions[id];
+        session.hops = hops;
+        session.assignment = Some(assignment);
+        session.left = left;
+        session.at = 0;
+        session.begun = now;
+        self.send(id, now);
+    }
+
+    fn send(&mut self, id: usize, now: Duration) {
+        let session = &mut self.sessions[id];
+        session.sent = now;
+        let key = session.hops[session.at].upstream;
+        let counters = &self.daemons[session.daemon].upstreams[key].counters;
+        counters.sent_since_report.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Runs a step in the order of arrival and returns when its reply arrives.
+    fn step(&mut self, id: usize, now: Duration) -> Duration {
+        let session = &self.sessions[id];
+        let hop = &session.hops[session.at];
+        let upstream = &self.daemons[session.daemon].upstreams[hop.upstream];
+        let layers = f64::from(hop.layers.end - hop.layers.first);
+        let place = self.place(hop.upstream);
+        let end = self.free[place].max(now) + Duration::from_secs_f64(layers / upstream.layer_rate);
+        self.free[place] = end;
+        end
+    }
+
+    /// Takes a reply, with the load that rides on it; returns the latency of the next step.
+    fn reply(&mut self, id: usize, now: Duration) -> Duration {
+        let session = &mut self.sessions[id];
+        let daemon = session.daemon;
+        let hop = session.hops[session.at].clone();
+        let took = (now - session.sent).as_secs_f64() * 1e6;
+        session.at += 1;
+        if session.at == session.hops.len() {
+            session.at = 0;
+            session.left -= 1;
+            if now > WARM_UP {
+                self.tokens += 1;
+                self.token_times.push((now - session.begun).as_secs_f64());
+            }
+            session.begun = now;
+        }
+        let ended = session.left == 0;
+        self.report(daemon, &hop, took, now);
+        if ended {
+            self.begin(id, now);
+        } else {
+            self.send(id, now);
+        }
+        let session = &self.sessions[id];
+        let fleet = &self.daemons[daemon];
+        let next = fleet.upstreams[session.hops[session.at].upstream].domain;
+        let from = fleet.upstreams[hop.upstream].domain;
+        fleet.link(from, next).latency
+    }
+
+    fn report(&mut self, daemon: usize, hop: &Hop, took: f64, now: Duration) {
+        let place = self.place(hop.upstream);
+        let upstream = &mut self.daemons[daemon].upstreams[hop.upstream];
+        let layers = f64::from(hop.layers.end - hop.layers.first);
+        let waiting = self.free[place].saturating_sub(now).as_secs_f64();
+        upstream.load.queued = (waiting * upstream.layer_rate / layers).round() as u32;
+        let counters = &upstream.counters;
+        counters.sent_since_report.store(0, Ordering::Relaxed);
+        let before = counters.step_us.load(Ordering::Relaxed) as f64;
+        let smoothed = if before == 0.0 {
+            took
+        } else {
+            before + (took - before) * GAIN
+        };
+        counters.step_us.store(smoothed as u64, Ordering::Relaxed);
+    }
+
+    fn path(&mut self, daemon: usize) -> Vec<Hop> {
+        if self.way != Way::Shortest {
+            return (0..4).map(|stage| self.stage_hop(daemon, stage)).collect();
+        }
+        let query = PathQuery {
+            model: ModelKey(0),
+            version: None,
+            from: DomainKey(0),
+            class: Class::Paying,
+            prefill: 0,
+            avoid: &[],
+            keep: &[],
+            now_ms: 0,
+        };
+        let path = choose_path(&self.daemons[daemon], &query, &mut self.rng);
+        path.map(|p| p.hops).unwrap_or_default()
+    }
+
+    fn stage_hop(&mut self, daemon: usize, stage: u32) -> Hop {
+        let layers = LayerRange {
+            first: stage * LAYERS / 4,
+            end: (stage + 1) * LAYERS / 4,
+        };
+        let fleet = &self.daemons[daemon];
+        let holds = |key: &&UpstreamKey| fleet.upstreams[**key].holdings[0].layers == layers;
+        let holders: Vec<UpstreamKey> = self.keys.iter().filter(holds).copied().collect();
+        self.turn += 1;
+        let rng = &mut self.rng;
+        let mut least = |load: fn(&Upstream) -> u32| {
+            // Ties are broken at random, or all would take the first.
+            let loads = holders.iter().map(|&key| {
+                let order = (load(&fleet.upstreams[key]), rng.random::<u32>());
+                (order, key)
+            });
+            loads.min().map(|(_, key)| key)
+        };
+        let upstream = match self.way {
+            Way::LeastLoaded => {
+                least(|u| u.load.queued + u.counters.sent_since_report.load(Ordering::Relaxed))
+            }
+            Way::FewestSessions => least(|u| u.counters.sessions.load(Ordering::Relaxed)),
+            _ => holders.get(self.turn / 4 % holders.len()).copied(),
+        };
+        Hop {
+            upstream: upstream.unwrap_or(self.keys[0]),
+            layers,
+        }
+    }
+
+    fn place(&self, key: UpstreamKey) -> usize {
+        self.keys.iter().position(|&k| k == key).unwrap_or(0)
+    }
+
+    /// Tokens a second that the slowest stage can run.
+    fn bound(&self) -> f64 {
+        let fleet = &self.daemons[0];
+        let stage = |s: u32| {
+            let holds = fleet.upstreams.values();
+            let holds = holds.filter(|u| u.holdings[0].layers.first == s * LAYERS / 4);
+            holds.map(|u| u.layer_rate).sum::<f64>() / f64::from(LAYERS / 4)
+        };
+        (0..4).map(stage).fold(f64::INFINITY, f64::min)
+    }
+}
+
+fn row(way: Way, name: &str, sessions: usize) -> Vec<String> {
+    let runs = (0..SEEDS).map(|seed| World::new(way, sessions, seed).run());
+    let mut runs: Vec<World> = runs.collect();
+    let seconds = (END - WARM_UP).as_secs_f64();
+    let rates = runs
+        .iter()
+        .map(|w| f64::from(w.tokens) / seconds / w.bound());
+    let rates = spread(rates.collect());
+    // With all queues even, a token takes this long by Little's law.
+    let even: Vec<f64> = runs.iter().map(|w| sessions as f64 / w.bound()).collect();
+    let times = runs.iter_mut().zip(even);
+    let times = times.map(|(w, even)| quantile(&mut w.token_times, 0.95) / even);
+    vec![
+        sessions.to_string(),
+        name.to_owned(),
+        rates,
+        spread(times.collect()),
+    ]
+}
+
+/// Runs the measurement.
+pub(crate) fn table() -> Table {
+    let mut rows = Vec::new();
+    for sessions in [70, 210, 700] {
+        rows.push(row(Way::Shortest, "shortest path, sampled", sessions));
+        rows.push(row(Way::LeastLoaded, "least loaded (baseline)", sessions));
+        rows.push(row(
+            Way::FewestSessions,
+            "fewest sessions (baseline)",
+            sessions,
+        ));
+        rows.push(row(Way::RoundRobin, "round robin (baseline)", sessions));
+    }
+    Table {
+        title: format!(
+            "path-policy: {UPSTREAMS} upstreams of three speeds (1 : 2.25 : 5) in four stages and \
+             four failure domains, {DAEMONS} daemons with reports that ride on replies; virtual \
+             time, 10 s, {SEEDS} seeds, min / median / max"
+        ),
+        head: vec![
+            "sessions",
+            "way",
+            "tokens/s over the bound",
+            "p95 token time over even",
+        ],
+        rows,
+    }
+}
--- a/crates/kelpworks/src/fleet.rs
+++ b/crates/kelpworks/src/fleet.rs
@@ -57,6 +57,8 @@
     pub in_flight: AtomicU32,
     /// Of those, sent since the load report in the snapshot.
     pub sent_since_report: AtomicU32,
+    /// Sessions of this daemon whose path goes through it; kept by `routing::Assignment`.
+    pub sessions: AtomicU32,
     /// Smoothed time of one decode step as observed, in microseconds; 0 when unknown.
     pub step_us: AtomicU64,
     /// Monotonic time until which the upstream is busy, in milliseconds since the daemon's start.
--- a/crates/kelpworks/src/routing/cost.rs
+++ b/crates/kelpworks/src/routing/cost.rs
@@ -151,10 +151,14 @@
     Some(Rank::Last { ranks, cooling_ms })
 }
 
-/// Steps ahead of a new one: as last reported, and own ones sent since.
+/// Steps ahead of a new one: as last reported, own ones sent since, and one for each session of
+/// this daemon. The last makes sessions settle in proportion to speed; some of their steps are
+/// counted twice by it, the more the busier the upstream is, which moves the choice the right way.
 fn backlog(upstream: &Upstream) -> f64 {
     let sent = upstream.counters.sent_since_report.load(Ordering::Relaxed);
-    f64::from(upstream.load.queued) + f64::from(upstream.load.running) + f64::from(sent)
+    let sessions = upstream.counters.sessions.load(Ordering::Relaxed);
+    let reported = f64::from(upstream.load.queued) + f64::from(upstream.load.running);
+    reported + f64::from(sent) + f64::from(sessions)
 }
 
 fn positions(cached: &[CachedPrefix], upstream: UpstreamKey) -> u32 {
--- a/crates/kelpworks/src/routing/mod.rs
+++ b/crates/kelpworks/src/routing/mod.rs
@@ -19,6 +19,7 @@
 //! Limits: costs are estimates from lagged reports; a path is the cheapest of those weighed, not
 //! of all. Links are known by failure domain, not by host.
 
+mod assignment;
 mod cost;
 mod explain;
 mod index;
@@ -33,6 +34,7 @@
 use rand::Rng;
 use thiserror::Error;
 
+pub use crate::routing::assignment::Assignment;
 pub use crate::routing::explain::Explanation;
 pub use crate::routing::explain::HopReason;
 pub use crate::routing::explain::Reason;
--- a/crates/kelpworks/src/routing/tests.rs
+++ b/crates/kelpworks/src/routing/tests.rs
@@ -22,6 +22,7 @@
 use crate::fleet::ModelView;
 use crate::fleet::Upstream;
 use crate::fleet::UpstreamKey;
+use crate::routing::Assignment;
 use crate::routing::CachedPrefix;
 use crate::routing::Error;
 use crate::routing::Hop;
@@ -217,6 +218,9 @@
 #[case::sent_since_report(|fleet: &mut Fleet, u0: UpstreamKey| {
     fleet.upstreams[u0].counters.sent_since_report.store(9, Ordering::Relaxed);
 })]
+#[case::sessions(|fleet: &mut Fleet, u0: UpstreamKey| {
+    fleet.upstreams[u0].counters.sessions.store(9, Ordering::Relaxed);
+})]
 #[case::slow(|fleet: &mut Fleet, u0: UpstreamKey| fleet.upstreams[u0].layer_rate = 500.0)]
 #[case::cooling(|fleet: &mut Fleet, u0: UpstreamKey| {
     fleet.upstreams[u0].counters.busy_until_ms.store(1500, Ordering::Relaxed);
@@ -232,6 +236,32 @@
     }
 }
 
+#[test]
+fn sessions_that_start_together_spread_by_speed() {
+    let (mut fleet, keys) = fleet(&[Spec(Live, 0, 0, 0, 12); 4]);
+    fleet.upstreams[keys[0]].layer_rate = 5000.0;
+    let fleet = fleet.indexed();
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut start = || {
+        let path = choose_path(&fleet, &query(), &mut rng).unwrap();
+        Assignment::new(&fleet, &path.hops)
+    };
+    let assigned: Vec<Assignment> = (0..80).map(|_| start()).collect();
+    let sessions = |key: &UpstreamKey| {
+        let counters = &fleet.upstreams[*key].counters;
+        counters.sessions.load(Ordering::Relaxed)
+    };
+    let counts: Vec<u32> = keys.iter().map(sessions).collect();
+    assert_eq!(counts.iter().sum::<u32>(), 80);
+    assert!(counts[0].abs_diff(50) <= 5, "{counts:?}");
+    assert!(
+        counts[1..].iter().all(|c| c.abs_diff(10) <= 3),
+        "{counts:?}"
+    );
+    drop(assigned);
+    assert!(keys.iter().all(|key| sessions(key) == 0));
+}
+
 #[test]
 fn slow_upstream_is_left_but_tried_now_and_then() {
     let (fleet, keys) = fleet(&[Spec(Live, 0, 0, 0, 12), Spec(Live, 0, 0, 0, 12)]);
