--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -10,6 +10,7 @@
 mod fairness;
 mod fleets;
 mod overload_policy;
+mod path_policy;
 mod placement;
 mod placement_baselines;
 mod recovery;
@@ -46,6 +47,10 @@
         name: "overload-policy",
         run: overload_policy::table,
     },
+    Measurement {
+        name: "path-policy",
+        run: path_policy::table,
+    },
     Measurement {
         name: "placement",
         run: placement::run,
