Find a silent upstream from its own step times, not from a fixed floor

Change: the progress deadline is the smoothed mean and deviation of the step times of that upstream, at least twice the mean; floor 50 ms; the wait for a probe comes from the times of answered polls in the same way, 50 to 500 ms. A time waited in vain counts as observed, so a slow upstream gets a longer one. The test's expected values follow the new floor and the new least margin: a steady prefill is now allowed 7 s where 6 s left 1 % of room above the mean. A session now counts on its upstreams as long as it lasts (routing).

--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -19,6 +19,7 @@
 #[path = "../support/mod.rs"]
 mod support;
 mod table;
+mod throughput;
 
 use crate::table::Table;
 
@@ -59,6 +60,10 @@
         name: "recovery",
         run: recovery::run,
     },
+    Measurement {
+        name: "throughput",
+        run: throughput::run,
+    },
 ];
 
 fn main() -> ExitCode {
--- a/crates/kelpworks/examples/support/client.rs
+++ b/crates/kelpworks/examples/support/client.rs
@@ -34,7 +34,7 @@
     pub(crate) async fn stream(
         &self,
         client: &reqwest::Client,
-        mut on_token: impl FnMut(&str, usize) -> bool,
+        mut on_token: impl FnMut(&str, usize) -> bool + Send,
     ) -> Result<Streamed> {
         let body = serde_json::json!({
             "model": self.model, "prompt": self.prompt, "max_tokens": self.max_tokens,
@@ -47,7 +47,9 @@
             .json(&body)
             .send()
             .await?;
-        let res = res.error_for_status()?;
+        if !res.status().is_success() {
+            return Err(format!("{}: {}", res.status(), res.text().await?).into());
+        }
         let id = res.headers().get("kelpworks-request-id");
         let id = id
             .and_then(|v| v.to_str().ok())
--- a/crates/kelpworks/examples/support/mod.rs
+++ b/crates/kelpworks/examples/support/mod.rs
@@ -28,7 +28,7 @@
 pub(crate) mod client;
 
 /// The result of the examples.
-pub(crate) type Result<T> = std::result::Result<T, Box<dyn Error>>;
+pub(crate) type Result<T> = std::result::Result<T, Box<dyn Error + Send + Sync>>;
 
 /// Any free loopback port.
 const FREE: &str = "127.0.0.1:0";
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -44,6 +44,7 @@
 use crate::pipeline::Deadlines;
 use crate::pipeline::Driver;
 use crate::register::Register;
+use crate::retry::DeadlineConfig;
 use crate::settings::Settings;
 use crate::upstreams::Keeper;
 use crate::upstreams::KeeperConfig;
@@ -51,7 +52,9 @@
 /// The result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Wait for the answer to a probe or a poll of an upstream.
+/// Wait for the answer to a probe of an upstream, at least.
+const PROBE_FLOOR: Duration = Duration::from_millis(50);
+/// Wait for the answer to a poll of an upstream, and to a probe at most.
 const PROBE_DEADLINE: Duration = Duration::from_millis(500);
 /// Pause between the balancer's check failing and the end of new connections.
 const BALANCER_NOTICE: Duration = Duration::from_millis(500);
@@ -148,9 +151,16 @@
             reports: reports.clone(),
             domain: settings.failure_domain.clone(),
             deadlines: Deadlines {
-                floor: timing.step_floor.0,
-                ceiling: timing.step_ceiling.0,
-                probe: PROBE_DEADLINE,
+                step: DeadlineConfig {
+                    floor: timing.step_floor.0,
+                    ceiling: timing.step_ceiling.0,
+                    ..DeadlineConfig::default()
+                },
+                probe: DeadlineConfig {
+                    floor: PROBE_FLOOR,
+                    ceiling: PROBE_DEADLINE,
+                    ..DeadlineConfig::default()
+                },
             },
             output: OutputForm::Handle,
             start: Instant::now(),
--- a/crates/kelpworks/src/fleet.rs
+++ b/crates/kelpworks/src/fleet.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
+use crate::retry::StepDeadline;
 use crate::routing::Index;
 
 new_key_type! {
@@ -61,6 +63,10 @@
     pub sessions: AtomicU32,
     /// Smoothed time of one decode step as observed, in microseconds; 0 when unknown.
     pub step_us: AtomicU64,
+    /// Times of steps, for the progress deadline.
+    pub step: Mutex<StepDeadline>,
+    /// Times of answered polls, for the deadline of a probe.
+    pub poll: Mutex<StepDeadline>,
     /// Monotonic time until which the upstream is busy, in milliseconds since the daemon's start.
     pub busy_until_ms: AtomicU64,
 }
--- a/crates/kelpworks/src/pipeline/driver.rs
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -32,6 +32,7 @@
 use crate::pipeline::step::StepFailure;
 use crate::pipeline::tokens;
 use crate::routing;
+use crate::routing::Assignment;
 use crate::routing::PathQuery;
 use crate::upstreams::Report;
 use crate::verdict::Verdict;
@@ -162,6 +163,8 @@
     known: Vec<u32>,
     /// The stages in order of layers; together they cover every layer once.
     hops: Vec<HopState>,
+    /// What the path counts for on its upstreams, while it lasts.
+    assignment: Option<Assignment>,
     /// Upstreams that failed or refused this session; taken last.
     avoid: Vec<UpstreamKey>,
     /// Attempt number that the next new stage gets.
@@ -192,6 +195,7 @@
             version: None,
             known: job.prompt.clone(),
             hops: Vec::new(),
+            assignment: None,
             avoid: Vec::new(),
             next_attempt: 0,
             recoveries: 0,
@@ -290,7 +294,7 @@
             fixed: &self.fixed,
             hop,
             counters: &upstream.counters,
-            deadlines: self.driver.deadlines,
+            deadlines: &self.driver.deadlines,
             count,
         };
         // Until the reply says otherwise: this future may be dropped after the step was sent.
@@ -445,6 +449,7 @@
         let model = &fleet.models[usize::from(self.job.model.0)];
         self.fixed.version = model.versions[usize::from(path.version)].clone();
         self.take(&fleet, &path);
+        self.assignment = Some(Assignment::new(&fleet, &path.hops));
         let names: Vec<&str> = self.hops.iter().map(|h| &*h.name).collect();
         info!(
             target: "decision", decision = "route", request = self.fixed.session.as_str(),
--- a/crates/kelpworks/src/pipeline/step.rs
+++ b/crates/kelpworks/src/pipeline/step.rs
@@ -1,5 +1,8 @@
 //! One step on one stage: sent, checked against its echo, and settled when the reply stays away.
 
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -20,16 +23,16 @@
 use crate::border::engine::Engine;
 use crate::fleet::Counters;
 use crate::pipeline::hop::HopState;
+use crate::retry::DeadlineConfig;
+use crate::retry::StepDeadline;
 
 /// The result of this module.
 pub(crate) type Result<T> = std::result::Result<T, StepFailure>;
 
 /// How long a first reply may still take once the engine says that the step has run.
 const LATE_REPLY_GRACE: Duration = Duration::from_millis(20);
-/// Weight of a new observation in the smoothed step time, as a power of two.
-const EWMA_SHIFT: u64 = 3;
-/// Progress deadline as a multiple of the smoothed step time.
-const DEADLINE_FACTOR: u64 = 16;
+/// A step that an engine is still about is waited for so many ceilings, while it answers probes.
+const SILENT_CEILINGS: u32 = 4;
 
 /// Why a step gave no result.
 #[derive(Clone, Debug, PartialEq, Error)]
@@ -89,29 +92,17 @@
 }
 
 /// Bounds on the wait for a step.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Deadlines {
-    /// Least progress deadline.
-    pub floor: Duration,
-    /// Greatest progress deadline.
-    pub ceiling: Duration,
-    /// Wait for the answer to a probe.
-    pub probe: Duration,
+    /// Progress deadline of a step.
+    pub step: DeadlineConfig,
+    /// Wait for the answer to a probe, from the times of answered polls.
+    pub probe: DeadlineConfig,
 }
 
-impl Deadlines {
-    /// Time after which a step of `count` positions is looked into.
-    ///
-    /// Until a step was observed, the ceiling. A prefill is allowed the time of as many single
-    /// steps as it has positions, which no engine with batching comes near.
-    fn progress(&self, counters: &Counters, count: u32) -> Duration {
-        let observed = counters.step_us.load(Ordering::Relaxed);
-        if observed == 0 {
-            return self.ceiling;
-        }
-        let expected = observed * DEADLINE_FACTOR.max(u64::from(count));
-        Duration::from_micros(expected).clamp(self.floor, self.ceiling)
-    }
+/// A lock on smoothed times; they are consistent after each call, also when a holder panicked.
+fn lock(times: &Mutex<StepDeadline>) -> MutexGuard<'_, StepDeadline> {
+    times.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// One step about to run on a stage.
@@ -120,7 +111,7 @@
     pub(crate) fixed: &'a Fixed,
     pub(crate) hop: &'a HopState,
     pub(crate) counters: &'a Counters,
-    pub(crate) deadlines: Deadlines,
+    pub(crate) deadlines: &'a Deadlines,
     /// Positions to run from `hop.have` on; above 0.
     pub(crate) count: u32,
 }
@@ -145,18 +136,14 @@
         result
     }
 
+    /// Notes the time of a step, or the time waited in vain for one that is still under way.
     fn observe(&self, took: Duration) {
-        if self.count != 1 {
-            return;
+        let mut times = lock(&self.counters.step);
+        times.observe(took, self.count);
+        if let Some(mean) = times.mean() {
+            let micros = (mean.as_micros() as u64).max(1);
+            self.counters.step_us.store(micros, Ordering::Relaxed);
         }
-        let took = (took.as_micros() as u64).max(1);
-        let old = self.counters.step_us.load(Ordering::Relaxed);
-        let new = if old == 0 {
-            took
-        } else {
-            old - (old >> EWMA_SHIFT) + (took >> EWMA_SHIFT)
-        };
-        self.counters.step_us.store(new.max(1), Ordering::Relaxed);
     }
 
     fn step(&self, input: StepInput) -> Step {
@@ -170,7 +157,7 @@
             class: self.fixed.class,
             input,
             output: self.fixed.output,
-            deadline_ms: self.deadlines.ceiling.as_millis() as u32,
+            deadline_ms: self.deadlines.step.ceiling.as_millis() as u32,
             prefix: String::new(),
         }
     }
@@ -182,10 +169,10 @@
         let batch = StepBatch {
             steps: vec![self.step(input)],
         };
-        let limit = self.deadlines.ceiling * 4;
+        let limit = self.deadlines.step.ceiling * SILENT_CEILINGS;
         let first = self.engine.steps(&self.hop.url, &batch, limit);
         tokio::pin!(first);
-        let progress = self.deadlines.progress(self.counters, self.count);
+        let progress = lock(&self.counters.step).deadline(&self.deadlines.step, self.count);
         match tokio::time::timeout(progress, &mut first).await {
             Ok(Ok(reply)) => match self.check(reply) {
                 // A reply of another step says nothing of this one, which may have run.
@@ -200,6 +187,7 @@
             Err(_) => {}
         }
         self.probe().await?;
+        self.observe(progress);
         let again = self.again(&batch);
         tokio::pin!(again);
         tokio::select! {
@@ -220,7 +208,8 @@
     }
 
     async fn probe(&self) -> Result<()> {
-        let probed = self.engine.probe(&self.hop.url, self.deadlines.probe).await;
+        let deadline = lock(&self.counters.poll).deadline(&self.deadlines.probe, 1);
+        let probed = self.engine.probe(&self.hop.url, deadline).await;
         match probed {
             Ok(_) => {
                 metrics::counter!("kelpworks_connections_dropped_total").increment(1);
@@ -234,7 +223,7 @@
     async fn again(&self, batch: &StepBatch) -> Result<Output> {
         let reply = self
             .engine
-            .steps(&self.hop.url, batch, self.deadlines.ceiling)
+            .steps(&self.hop.url, batch, self.deadlines.step.ceiling)
             .await;
         let reply = reply.map_err(|e| match e {
             engine::Error::Connect(_) => StepFailure::Unreachable,
--- a/crates/kelpworks/src/retry/deadline.rs
+++ b/crates/kelpworks/src/retry/deadline.rs
@@ -9,10 +9,14 @@
 const MEAN_GAIN: f64 = 1.0 / 8.0;
 const DEVIATION_GAIN: f64 = 1.0 / 4.0;
 
+/// Least margin over the mean, as a fraction of it: steady times have next to no deviation, and
+/// the first hiccup would pass for silence.
+const LEAST_MARGIN: f64 = 1.0;
+
 /// Bounds on step deadlines.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DeadlineConfig {
-    /// Least deadline. Default 200 ms.
+    /// Least deadline. Default 50 ms.
     pub floor: Duration,
     /// Greatest deadline, and the one of an upstream that has not answered yet. Default 5 s.
     pub ceiling: Duration,
@@ -24,7 +28,7 @@
 impl Default for DeadlineConfig {
     fn default() -> DeadlineConfig {
         DeadlineConfig {
-            floor: Duration::from_millis(200),
+            floor: Duration::from_millis(50),
             ceiling: Duration::from_secs(5),
             deviations: 6.0,
         }
@@ -100,7 +104,7 @@
     }
 
     fn bound(&self, deviations: f64) -> Option<Duration> {
-        let bound = self.mean + deviations * self.deviation;
+        let bound = self.mean + (deviations * self.deviation).max(self.mean * LEAST_MARGIN);
         self.known.then(|| Duration::from_secs_f64(bound))
     }
 }
--- a/crates/kelpworks/src/retry/tests.rs
+++ b/crates/kelpworks/src/retry/tests.rs
@@ -112,11 +112,11 @@
 /// Step times in milliseconds, with positions; the deadline of a decode step and of a prefill.
 #[rstest]
 #[case::unknown(&[], 5000, 5000)]
-#[case::floor(&[(1, 1); 20], 200, 5000)]
+#[case::floor(&[(1, 1); 20], 50, 5000)]
 #[case::steady(&[(100, 1); 100], 200, 5000)]
 #[case::varying(&[(100, 1), (300, 1), (100, 1), (300, 1), (100, 1), (300, 1)], 782, 5000)]
 #[case::ceiling(&[(4000, 1)], 5000, 5000)]
-#[case::prefill(&[(1000, 100); 50], 5000, 6000)]
+#[case::prefill(&[(1000, 100); 50], 5000, 7000)]
 fn deadlines(#[case] steps: &[(u64, u32)], #[case] decode: u64, #[case] prefill: u64) {
     let mut step = StepDeadline::default();
     for &(took, positions) in steps {
--- a/crates/kelpworks/src/settings/file.rs
+++ b/crates/kelpworks/src/settings/file.rs
@@ -115,7 +115,7 @@
         TimingTable {
             request: millis(120_000),
             connect: millis(1_000),
-            step_floor: millis(200),
+            step_floor: millis(50),
             step_ceiling: millis(5_000),
             state_poll: millis(500),
             host_list_poll: millis(1_000),
--- a/crates/kelpworks/src/settings/mod.rs
+++ b/crates/kelpworks/src/settings/mod.rs
@@ -116,7 +116,7 @@
     pub request: Span,
     /// Longest time to open a connection. Default 1 s.
     pub connect: Span,
-    /// Least progress deadline of a step. Default 200 ms.
+    /// Least progress deadline of a step. Default 50 ms.
     pub step_floor: Span,
     /// Greatest progress deadline of a step. Default 5 s.
     pub step_ceiling: Span,
--- a/crates/kelpworks/src/upstreams/keeper.rs
+++ b/crates/kelpworks/src/upstreams/keeper.rs
@@ -168,6 +168,7 @@
             url: Arc::clone(&upstream.url),
             service: upstream.service.is_some(),
             deadline: self.cfg.poll_deadline,
+            counters: Arc::clone(&upstream.counters),
         };
         let engine = Arc::clone(&self.engine);
         let tx = self.reports_tx.clone();
--- a/crates/kelpworks/src/upstreams/poll.rs
+++ b/crates/kelpworks/src/upstreams/poll.rs
@@ -1,10 +1,14 @@
 //! One poll of one upstream.
 
 use std::sync::Arc;
+use std::sync::PoisonError;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::border::engine::Engine;
 use crate::border::engine::HttpEngine;
+use crate::fleet::Counters;
 use crate::fleet::UpstreamKey;
 use crate::upstreams::Report;
 
@@ -17,6 +21,7 @@
     /// Whether it is a plain service.
     pub(crate) service: bool,
     pub(crate) deadline: Duration,
+    pub(crate) counters: Arc<Counters>,
 }
 
 impl Poll {
@@ -25,7 +30,9 @@
         if self.service {
             return self.run_service(engine).await;
         }
+        let sent = Instant::now();
         if let Ok(state) = engine.state(&self.url, self.deadline).await {
+            self.observe(sent.elapsed());
             return Report::State(self.key, Box::new(state));
         }
         match engine.probe(&self.url, self.deadline).await {
@@ -34,6 +41,13 @@
         }
     }
 
+    fn observe(&self, took: Duration) {
+        let times = self.counters.poll.lock();
+        times
+            .unwrap_or_else(PoisonError::into_inner)
+            .observe(took, 1);
+    }
+
     async fn run_service(&self, engine: &HttpEngine) -> Report {
         let url = format!("{}/healthz", self.url);
         for client in [engine.client(&self.url), engine.fresh()] {
