procs: first landing: a process-level test frame, and processes killed under requests

The promises hold only if they hold between processes, so the frame starts daemons, the platform's stand-ins and every engine as processes of their own, puts the configuration by the operators' commands, and signals by pid.

Three tests: three daemons answer both kinds, whole and streamed, equal to the model computed directly; an engine killed under six streams; a daemon killed under six streams while six run at another.

--- /dev/null
+++ b/crates/kelpworks-cli/tests/frame/process.rs
@@ -0,0 +1,103 @@
+//! A child process that a test signals, and that ends with the test.
+
+use std::fs::File;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+
+/// Bound on a start or an end; never what a verdict rests on.
+const BOUND: Duration = Duration::from_secs(20);
+/// Lines of a log that a failed test shows.
+const LOG_TAIL: usize = 30;
+
+/// A running child; killed when dropped.
+#[derive(Debug)]
+pub(crate) struct Process {
+    child: Child,
+    log: PathBuf,
+    /// The first line of its standard output.
+    pub(crate) first_line: String,
+}
+
+impl Process {
+    /// Starts a command and waits for its first line. Its standard error goes into `log`.
+    pub(crate) fn spawn(mut command: Command, log: PathBuf) -> Process {
+        let file = File::create(&log).expect("a log file");
+        let spawned = command
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(file)
+            .spawn();
+        let mut child = spawned.unwrap_or_else(|e| panic!("{command:?}: {e}"));
+        let out = child.stdout.take().expect("a pipe");
+        let (tx, rx) = mpsc::channel();
+        thread::spawn(move || {
+            for line in BufReader::new(out).lines().map_while(Result::ok) {
+                // After the first line nobody listens; the pipe is read so that it can't fill.
+                let _ = tx.send(line);
+            }
+        });
+        let mut process = Process {
+            child,
+            log,
+            first_line: String::new(),
+        };
+        let first = rx.recv_timeout(BOUND);
+        process.first_line = first.unwrap_or_else(|e| panic!("{command:?}: no first line: {e}"));
+        process
+    }
+
+    /// Sends a signal.
+    pub(crate) fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).expect("a child that was not waited for can be signalled");
+    }
+
+    /// SIGKILL, and waits until it is gone.
+    pub(crate) fn kill(&mut self) {
+        self.child.kill().expect("a child can be killed");
+        self.child.wait().expect("a child can be waited for");
+    }
+
+    /// Waits until it has ended by itself.
+    pub(crate) fn wait(&mut self) -> ExitStatus {
+        let until = Instant::now() + BOUND;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().expect("a child can be asked") {
+                return status;
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        panic!("the process did not end");
+    }
+
+    /// What it logged so far.
+    pub(crate) fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if thread::panicking() {
+            let log = self.log();
+            let lines: Vec<&str> = log.lines().collect();
+            let tail = &lines[lines.len().saturating_sub(LOG_TAIL)..];
+            eprintln!("-- {}\n{}", self.log.display(), tail.join("\n"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/tests/caller/mod.rs
@@ -0,0 +1,266 @@
+//! A caller of daemons: sends model requests and reads whole and streamed answers.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::time::Duration;
+
+use kelpworks_wire::ChatChunk;
+use kelpworks_wire::ChatResponse;
+use kelpworks_wire::CompletionResponse;
+use kelpworks_wire::ErrorBody;
+use kelpworks_wire::FinishReason;
+use reqwest::Client;
+use reqwest::RequestBuilder;
+use reqwest::Response;
+use reqwest::StatusCode;
+use serde_json::json;
+
+/// Bound on a whole request; never what a verdict rests on.
+const REQUEST_BOUND: Duration = Duration::from_secs(30);
+/// Header with the request id, which is also the session's name on the engines.
+const REQUEST_ID: &str = "kelpworks-request-id";
+
+/// A caller with the token of one team.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller {
+    client: Client,
+    /// Base URL of a daemon.
+    base: String,
+    token: String,
+    model: String,
+}
+
+/// What a caller has at the end of a stream.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum End {
+    /// The answer is whole: a finish reason and the last event came.
+    Whole(FinishReason),
+    /// The stream ended by an error event.
+    Error(Box<ErrorBody>),
+    /// The connection ended before the answer did.
+    Cut,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Answer {
+    pub(crate) request: String,
+    pub(crate) text: String,
+    pub(crate) end: End,
+}
+
+/// A streamed answer under way.
+#[derive(Debug)]
+pub(crate) struct Streamed {
+    pub(crate) request: String,
+    chat: bool,
+    res: Response,
+    buf: String,
+    /// Text of all tokens so far.
+    pub(crate) text: String,
+    finish: Option<FinishReason>,
+    end: Option<End>,
+}
+
+impl Caller {
+    pub(crate) fn new(base: &str, token: &str, model: &str) -> Caller {
+        let client = Client::builder().no_proxy().timeout(REQUEST_BOUND);
+        Caller {
+            client: client.build().expect("a client"),
+            base: base.to_owned(),
+            token: token.to_owned(),
+            model: model.to_owned(),
+        }
+    }
+
+    /// A request with the caller's token.
+    pub(crate) fn post(&self, path: &str) -> RequestBuilder {
+        let url = format!("{}{path}", self.base);
+        self.client.post(url).bearer_auth(&self.token)
+    }
+
+    pub(crate) fn get(&self, path: &str) -> RequestBuilder {
+        let url = format!("{}{path}", self.base);
+        self.client.get(url).bearer_auth(&self.token)
+    }
+
+    fn completion(&self, prompt: &str, max_tokens: u32, stream: bool) -> RequestBuilder {
+        let body = json!({
+            "model": self.model, "prompt": prompt, "max_tokens": max_tokens, "stream": stream,
+        });
+        self.post("/v1/completions").json(&body)
+    }
+
+    fn chat_request(&self, prompt: &str, max_tokens: u32, stream: bool) -> RequestBuilder {
+        let messages = [json!({ "role": "user", "content": prompt })];
+        let body = json!({
+            "model": self.model, "messages": messages, "max_tokens": max_tokens, "stream": stream,
+        });
+        self.post("/v1/chat/completions").json(&body)
+    }
+
+    /// A completion in one piece.
+    pub(crate) async fn complete(
+        &self,
+        prompt: &str,
+        max_tokens: u32,
+    ) -> Result<Answer, reqwest::Error> {
+        let res = self.completion(prompt, max_tokens, false).send().await?;
+        let request = request_id(&res);
+        if !res.status().is_success() {
+            let error = Box::new(res.json().await?);
+            return Ok(failed(request, error));
+        }
+        let mut whole: CompletionResponse = res.json().await?;
+        let choice = whole.choices.remove(0);
+        let finish = choice.finish_reason.expect("a whole answer has an end");
+        Ok(Answer {
+            request,
+            text: choice.text,
+            end: End::Whole(finish),
+        })
+    }
+
+    /// A chat in one piece.
+    pub(crate) async fn chat(
+        &self,
+        prompt: &str,
+        max_tokens: u32,
+    ) -> Result<Answer, reqwest::Error> {
+        let res = self.chat_request(prompt, max_tokens, false).send().await?;
+        let request = request_id(&res);
+        if !res.status().is_success() {
+            let error = Box::new(res.json().await?);
+            return Ok(failed(request, error));
+        }
+        let mut whole: ChatResponse = res.json().await?;
+        let choice = whole.choices.remove(0);
+        let finish = choice.finish_reason.expect("a whole answer has an end");
+        Ok(Answer {
+            request,
+            text: choice.message.content,
+            end: End::Whole(finish),
+        })
+    }
+
+    /// A streamed completion.
+    pub(crate) async fn stream(
+        &self,
+        prompt: &str,
+        max_tokens: u32,
+    ) -> Result<Streamed, reqwest::Error> {
+        let res = self.completion(prompt, max_tokens, true).send().await?;
+        Ok(Streamed::of(res, false))
+    }
+
+    /// A streamed chat.
+    pub(crate) async fn stream_chat(
+        &self,
+        prompt: &str,
+        max_tokens: u32,
+    ) -> Result<Streamed, reqwest::Error> {
+        let res = self.chat_request(prompt, max_tokens, true).send().await?;
+        Ok(Streamed::of(res, true))
+    }
+}
+
+/// The prompt that the engines see of a chat with one message of the user.
+pub(crate) fn chat_prompt(prompt: &str) -> String {
+    format!("user: {prompt}\nassistant:")
+}
+
+fn request_id(res: &Response) -> String {
+    let id = res.headers().get(REQUEST_ID).and_then(|v| v.to_str().ok());
+    id.expect("each answer names its request").to_owned()
+}
+
+fn failed(request: String, error: Box<ErrorBody>) -> Answer {
+    Answer {
+        request,
+        text: String::new(),
+        end: End::Error(error),
+    }
+}
+
+impl Streamed {
+    fn of(res: Response, chat: bool) -> Streamed {
+        assert_eq!(res.status(), StatusCode::OK, "a stream begins");
+        Streamed {
+            request: request_id(&res),
+            chat,
+            res,
+            buf: String::new(),
+            text: String::new(),
+            finish: None,
+            end: None,
+        }
+    }
+
+    /// Reads until this much text is there, or the stream has ended.
+    pub(crate) async fn read_tokens(&mut self, count: usize) -> &str {
+        // The text of a token has four bytes; see `kelpworks_fakes::text`.
+        while self.text.len() < 4 * count && self.end.is_none() {
+            self.event().await;
+        }
+        &self.text
+    }
+
+    /// Reads to the end.
+    pub(crate) async fn rest(mut self) -> Answer {
+        while self.end.is_none() {
+            self.event().await;
+        }
+        Answer {
+            request: self.request,
+            text: self.text,
+            end: self.end.expect("the loop ends with an end"),
+        }
+    }
+
+    async fn event(&mut self) {
+        while !self.buf.contains("\n\n") {
+            match self.res.chunk().await {
+                Ok(Some(bytes)) => self.buf.push_str(&String::from_utf8_lossy(&bytes)),
+                Ok(None) | Err(_) => {
+                    self.end = Some(End::Cut);
+                    return;
+                }
+            }
+        }
+        let at = self.buf.find("\n\n").expect("the loop ends with one");
+        let event: String = self.buf.drain(..at + 2).collect();
+        let field = |name: &str| event.lines().find_map(|l| l.strip_prefix(name));
+        let Some(data) = field("data:").map(str::trim) else {
+            return;
+        };
+        let kind = field("event:").map(str::trim);
+        self.take(kind, data);
+    }
+
+    fn take(&mut self, kind: Option<&str>, data: &str) {
+        if kind == Some("error") {
+            let body = serde_json::from_str(data).expect("an error body");
+            self.end = Some(End::Error(Box::new(body)));
+            return;
+        }
+        if data == "[DONE]" {
+            let finish = self.finish.expect("a finish reason comes before the end");
+            self.end = Some(End::Whole(finish));
+            return;
+        }
+        let (text, finish) = if self.chat {
+            let mut chunk: ChatChunk = serde_json::from_str(data).expect("a chunk");
+            let choice = chunk.choices.remove(0);
+            (
+                choice.delta.content.unwrap_or_default(),
+                choice.finish_reason,
+            )
+        } else {
+            let mut chunk: CompletionResponse = serde_json::from_str(data).expect("a chunk");
+            let choice = chunk.choices.remove(0);
+            (choice.text, choice.finish_reason)
+        };
+        self.text.push_str(&text);
+        self.finish = self.finish.or(finish);
+    }
+}
