--- a/crates/kelpworks-cli/tests/frame/mod.rs
+++ b/crates/kelpworks-cli/tests/frame/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub(crate) mod process;
+pub(crate) mod streams;
 
 use std::path::Path;
 use std::path::PathBuf;
@@ -24,9 +25,11 @@
 use kelpworks_fakes::engine::LedgerView;
 use kelpworks_fakes::fleet::EngineView;
 use kelpworks_fakes::fleet::FleetView;
+use kelpworks_wire::EngineState;
 use kelpworks_wire::HostEntry;
 use kelpworks_wire::HostState;
 use serde::Deserialize;
+use serde::Serialize;
 
 use self::process::Process;
 use crate::caller::Caller;
@@ -268,6 +271,13 @@
         answer.json().await.expect("a ledger")
     }
 
+    /// What an engine says of itself.
+    pub(crate) async fn state(&self, engine: usize) -> EngineState {
+        let url = format!("{}/v1/state", self.engines[engine].view.url);
+        let answer = self.client.get(url).send().await.expect("the engine lives");
+        answer.json().await.expect("a state")
+    }
+
     /// The engine of this stage that ran most positions of a session.
     pub(crate) async fn engine_of(&self, session: &str, stage: &str) -> usize {
         let mut best = None;
@@ -304,7 +314,7 @@
     }
 
     /// Orders something of a stand-in.
-    pub(crate) async fn fake<T: serde::Serialize>(&self, base: &str, what: &str, body: &T) {
+    pub(crate) async fn fake<T: Serialize>(&self, base: &str, what: &str, body: &T) {
         let url = format!("{base}/fake/{what}");
         let answer = self.client.post(url).json(body).send().await;
         let answer = answer.expect("the stand-in lives");
--- a/crates/kelpworks-cli/tests/proc_kill.rs
+++ b/crates/kelpworks-cli/tests/proc_kill.rs
@@ -4,44 +4,14 @@
 mod caller;
 mod frame;
 
-use futures_util::future::join_all;
 use kelpworks_wire::FinishReason;
 
-use caller::Answer;
 use caller::End;
-use caller::Streamed;
 use caller::chat_prompt;
 use frame::Frame;
 use frame::Shape;
-
-const MAX_TOKENS: u32 = 40;
-const STREAMS: usize = 6;
-
-/// Starts streams and reads the first tokens of each.
-async fn begin(frame: &Frame, daemon: usize, label: &str) -> Vec<Streamed> {
-    let caller = frame.caller(daemon);
-    let mut streams = Vec::new();
-    for n in 0..STREAMS {
-        let prompt = format!("{label} {n}");
-        streams.push(caller.stream(&prompt, MAX_TOKENS).await.expect("a stream"));
-    }
-    for stream in &mut streams {
-        stream.read_tokens(2).await;
-    }
-    streams
-}
-
-async fn end(streams: Vec<Streamed>) -> Vec<Answer> {
-    join_all(streams.into_iter().map(Streamed::rest)).await
-}
-
-fn assert_whole(frame: &Frame, label: &str, answers: &[Answer]) {
-    for (n, answer) in answers.iter().enumerate() {
-        let prompt = format!("{label} {n}");
-        assert_eq!(answer.text, frame.model.answer_text(&prompt, MAX_TOKENS));
-        assert!(matches!(answer.end, End::Whole(_)), "{:?}", answer.end);
-    }
-}
+use frame::streams::MAX_TOKENS;
+use frame::streams::Streams;
 
 #[tokio::test]
 async fn three_daemons_answer_both_kinds() {
@@ -84,15 +54,26 @@
 #[tokio::test]
 async fn a_killed_engine_costs_no_answer() {
     let mut frame = Frame::start(Shape::default()).await;
-    let streams = begin(&frame, 0, "kettle").await;
-    let victim = frame.engine_of(&streams[0].request, "engine-1").await;
+    let streams = Streams::begin(&frame, 0, "kettle").await;
+    let victim = frame.engine_of(streams.request(0), "engine-1").await;
     frame.engines[victim].process.kill();
-    let answers = end(streams).await;
-    assert_whole(&frame, "kettle", &answers);
+    streams.rest().await.assert_whole(&frame);
     let log = frame.daemons[0].process.log();
     assert!(log.contains("stage failed"), "the kill struck a session");
 }
 
+/// Two stages lose a replica at the same time.
+#[tokio::test]
+async fn two_killed_engines_cost_no_answer() {
+    let mut frame = Frame::start(Shape::default()).await;
+    let streams = Streams::begin(&frame, 0, "kettle").await;
+    let first = frame.engine_of(streams.request(0), "engine-0").await;
+    let last = frame.engine_of(streams.request(0), "engine-2").await;
+    frame.engines[first].process.kill();
+    frame.engines[last].process.kill();
+    streams.rest().await.assert_whole(&frame);
+}
+
 /// A daemon is killed: its callers are cut and repeat elsewhere; the others' callers see nothing.
 #[tokio::test]
 async fn a_killed_daemon_costs_only_a_repeat() {
@@ -101,16 +82,17 @@
         ..Shape::default()
     };
     let mut frame = Frame::start(shape).await;
-    let lost = begin(&frame, 0, "lost").await;
-    let kept = begin(&frame, 1, "kept").await;
+    let lost = Streams::begin(&frame, 0, "lost").await;
+    let kept = Streams::begin(&frame, 1, "kept").await;
     frame.daemons[0].process.kill();
-    for (n, answer) in end(lost).await.into_iter().enumerate() {
+    let lost = lost.rest().await;
+    for (n, answer) in lost.answers.iter().enumerate() {
         assert_eq!(answer.end, End::Cut);
-        let prompt = format!("lost {n}");
+        let prompt = lost.prompt(n);
         let whole = frame.model.answer_text(&prompt, MAX_TOKENS);
         assert!(whole.starts_with(&answer.text) && whole != answer.text);
         let again = frame.caller(1).complete(&prompt, MAX_TOKENS).await;
         assert_eq!(again.expect("an answer").text, whole);
     }
-    assert_whole(&frame, "kept", &end(kept).await);
+    kept.rest().await.assert_whole(&frame);
 }
