daemon: a planned stop takes requests until the balancer has noticed, and ends with verdicts

Cause: the flag that fails the balancer's check also refused new requests, so whatever the balancer still sent was answered 503; a second signal dropped the runtime, so callers saw a cut instead of a verdict; and the calls that free KV cache on the engines were spawned loose, so the end of the process lost them.

Ruled out: requests in flight were cut by the graceful stop of the HTTP server (they were not, in no run).

Change: the check fails first; requests are taken for timing.balancer_notice more (new setting, default 2 s; the pause was a constant of 500 ms); then new ones are refused while those in flight finish. An abort, by a second signal or the end of the drain, ends sessions by the new Ending::Stopped, with a verdict. The frees run in the tracker that a stop waits for.

Before: proc_stop: both tests fail (503 to a new stream while the check had just failed; streams cut without a verdict).

--- a/crates/kelpworks-cli/tests/proc_stop.rs
+++ b/crates/kelpworks-cli/tests/proc_stop.rs
@@ -12,12 +12,19 @@
 use frame::Shape;
 use frame::streams::Streams;
 
+async fn assert_engines_are_free(frame: &Frame) {
+    let whole = EngineConfig::new("any", Vec::new()).kv_capacity;
+    for n in 0..frame.engines.len() {
+        assert_eq!(frame.state(n).await.load.kv_free, whole);
+    }
+}
+
 /// The balancer's check fails first, while requests are still taken; those in flight finish;
 /// then the process ends with success, and the engines hold nothing of it.
 #[tokio::test]
 async fn a_planned_stop_cuts_nobody_off() {
     let shape = Shape {
-        timing: "state_poll = \"200 ms\"",
+        timing: "balancer_notice = \"4 s\"\nstate_poll = \"200 ms\"",
         ..Shape::default()
     };
     let mut frame = Frame::start(shape).await;
@@ -33,10 +40,7 @@
     late.rest().await.assert_whole(&frame);
     let status = frame.daemons[0].process.wait();
     assert_eq!(status.code(), Some(0));
-    let whole = EngineConfig::new("any", Vec::new()).kv_capacity;
-    for n in 0..frame.engines.len() {
-        assert_eq!(frame.state(n).await.load.kv_free, whole);
-    }
+    assert_engines_are_free(&frame).await;
 }
 
 /// A second signal ends the daemon at once; callers get a verdict, not a cut.
@@ -63,4 +67,5 @@
         assert_eq!(body.error.verdict, "may-have-run");
     }
     assert_eq!(frame.daemons[0].process.wait().code(), Some(0));
+    assert_engines_are_free(&frame).await;
 }
--- a/crates/kelpworks/examples/demo.rs
+++ b/crates/kelpworks/examples/demo.rs
@@ -54,7 +54,7 @@
     let fakes = support::pipeline(&model, 3, 2).await?;
     support::put_config(&fakes, std::slice::from_ref(&model), 0.2, &TEAMS);
     let metrics = daemon::install_metrics()?;
-    let daemons = support::daemons(&fakes, 3, "", &metrics).await?;
+    let daemons = support::daemons(&fakes, 3, "balancer_notice = \"1 ms\"", &metrics).await?;
     let wrong = if once {
         check(&model, &daemons).await?
     } else {
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -53,8 +53,8 @@
 
 /// Wait for the answer to a probe or a poll of an upstream.
 const PROBE_DEADLINE: Duration = Duration::from_millis(500);
-/// Pause between the balancer's check failing and the end of new connections.
-const BALANCER_NOTICE: Duration = Duration::from_millis(500);
+/// Wait for the last answers and the last calls to engines of a stop.
+const LAST_ANSWERS: Duration = Duration::from_secs(2);
 
 /// Why a daemon could not start.
 #[derive(Debug, Error)]
@@ -99,6 +99,10 @@
     stop: CancellationToken,
     callers: Server,
     operators: Server,
+    /// Ends the sessions in flight at once, each with a verdict.
+    abort: CancellationToken,
+    /// Time for the balancer to notice a stop.
+    notice: Duration,
     /// Longest wait for requests in flight.
     drain: Duration,
 }
@@ -142,6 +146,8 @@
             reports: reports.clone(),
             interval: timing.host_list_poll.0,
         };
+        let abort = CancellationToken::new();
+        let tasks = TaskTracker::new();
         let driver = Driver {
             engine: Arc::clone(&engine),
             fleet: Arc::clone(&fleet),
@@ -154,6 +160,8 @@
             },
             output: OutputForm::Handle,
             start: Instant::now(),
+            abort: abort.clone(),
+            tasks: tasks.clone(),
         };
         let entry = Arc::new(Entry {
             limits: settings.limits.clone(),
@@ -164,8 +172,9 @@
             driver,
             engine,
             reports,
-            tasks: TaskTracker::new(),
+            tasks,
             draining: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
         });
         let operators = Operators {
             name: settings.name.clone(),
@@ -188,6 +197,8 @@
             stop,
             callers,
             operators: shown,
+            abort,
+            notice: timing.balancer_notice.0,
             drain: timing.drain.0,
         })
     }
@@ -197,21 +208,45 @@
         self.bound
     }
 
-    /// A planned stop: the balancer's check fails first, then requests in flight finish, then
-    /// the addresses close.
-    pub async fn stop(self) {
+    /// What ends a stop at once: sessions in flight end with a verdict.
+    pub fn abort(&self) -> CancellationToken {
+        self.abort.clone()
+    }
+
+    /// A planned stop: the balancer's check fails first, then new requests are refused while
+    /// those in flight finish, then the addresses close.
+    pub async fn stop(mut self) {
         self.entry.draining.store(true, Ordering::Relaxed);
         info!("stopping, {} sessions in flight", self.entry.tasks.len());
-        tokio::time::sleep(BALANCER_NOTICE).await;
-        self.callers.stop(self.drain).await;
+        let _ = timeout_or(self.notice, &self.abort, std::future::pending::<()>()).await;
+        self.entry.closed.store(true, Ordering::Relaxed);
+        self.callers.close();
+        let drained = timeout_or(self.drain, &self.abort, self.callers.drained()).await;
+        if drained.is_none() {
+            self.abort.cancel();
+            self.callers.stop(LAST_ANSWERS).await;
+        }
         self.entry.tasks.close();
-        let _ = tokio::time::timeout(self.drain, self.entry.tasks.wait()).await;
+        let _ = tokio::time::timeout(LAST_ANSWERS, self.entry.tasks.wait()).await;
         self.stop.cancel();
         self.operators.stop(Duration::ZERO).await;
         info!("stopped");
     }
 }
 
+/// Waits for `work`, at most `wait` and not beyond `abort`; `None` when it was not done by then.
+async fn timeout_or<T>(
+    wait: Duration,
+    abort: &CancellationToken,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::select! {
+        done = work => Some(done),
+        () = tokio::time::sleep(wait) => None,
+        () = abort.cancelled() => None,
+    }
+}
+
 fn admission_config(settings: &Settings) -> admission::Config {
     admission::Config {
         queue: settings.limits.queue,
@@ -255,10 +290,16 @@
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
+    let abort = daemon.abort();
+    let stop = daemon.stop();
+    tokio::pin!(stop);
     tokio::select! {
-        () = daemon.stop() => {}
-        _ = term.recv() => info!("stopped at once"),
-        _ = int.recv() => info!("stopped at once"),
+        () = &mut stop => return Ok(()),
+        _ = term.recv() => {}
+        _ = int.recv() => {}
     }
+    info!("stopping at once");
+    abort.cancel();
+    stop.await;
     Ok(())
 }
--- a/crates/kelpworks/src/daemon/serve.rs
+++ b/crates/kelpworks/src/daemon/serve.rs
@@ -48,9 +48,21 @@
         })
     }
 
-    /// Stops taking connections and waits for the requests in flight, at most `wait`.
-    pub(crate) async fn stop(self, wait: Duration) {
-        self.handle.stop_graceful(wait);
-        let _ = self.task.await;
+    /// Stops taking connections; requests in flight go on.
+    pub(crate) fn close(&self) {
+        self.handle.stop_graceful(None);
+    }
+
+    /// Waits until the last request in flight has its answer; needs [`Server::close`] before.
+    pub(crate) async fn drained(&mut self) {
+        let _ = (&mut self.task).await;
+    }
+
+    /// Waits as [`Server::drained`] does, at most `wait`, and ends what is left.
+    pub(crate) async fn stop(mut self, wait: Duration) {
+        self.close();
+        if tokio::time::timeout(wait, self.drained()).await.is_err() {
+            self.handle.stop_forceful();
+        }
     }
 }
--- a/crates/kelpworks/src/entry/completions.rs
+++ b/crates/kelpworks/src/entry/completions.rs
@@ -68,7 +68,7 @@
     }
 
     async fn serve(&self, id: &str, req: &mut Request, res: &mut Response) -> Result<()> {
-        if self.entry.is_draining() {
+        if self.entry.is_closed() {
             return Err(Failure::draining());
         }
         let caller = auth::caller(&self.entry.config.load(), req.headers())?;
@@ -139,7 +139,10 @@
             weight: caller.weight,
             cost: job.prompt.len() as u32 + job.max_tokens,
         };
-        let permit = self.entry.admission.admit(ask).await?;
+        let permit = tokio::select! {
+            permit = self.entry.admission.admit(ask) => permit?,
+            () = self.entry.driver.abort.cancelled() => return Err(Failure::draining()),
+        };
         let (tx, tokens) = mpsc::channel(TOKENS_AHEAD);
         let (done, outcome) = oneshot::channel();
         let entry = Arc::clone(&self.entry);
--- a/crates/kelpworks/src/entry/mod.rs
+++ b/crates/kelpworks/src/entry/mod.rs
@@ -45,13 +45,15 @@
     pub reports: mpsc::UnboundedSender<Report>,
     /// Running sessions.
     pub tasks: TaskTracker,
-    /// True from the start of a planned stop on; new requests are refused then.
+    /// True from the start of a planned stop on; the balancer's check fails then.
     pub draining: AtomicBool,
+    /// True once the balancer has had time to notice; new requests are refused then.
+    pub closed: AtomicBool,
 }
 
 impl Entry {
-    fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+    fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Relaxed)
     }
 }
 
--- a/crates/kelpworks/src/entry/reply.rs
+++ b/crates/kelpworks/src/entry/reply.rs
@@ -139,6 +139,7 @@
     pub(crate) fn ended(ending: &Ending, verdict: Verdict) -> Failure {
         let (status, kind) = match ending {
             Ending::NoPath(_) => (StatusCode::SERVICE_UNAVAILABLE, "no_upstream"),
+            Ending::Stopped => (StatusCode::SERVICE_UNAVAILABLE, "draining"),
             Ending::Deadline => (StatusCode::GATEWAY_TIMEOUT, "deadline"),
             _ => (StatusCode::BAD_GATEWAY, "upstream_failed"),
         };
--- a/crates/kelpworks/src/entry/services.rs
+++ b/crates/kelpworks/src/entry/services.rs
@@ -85,7 +85,7 @@
     }
 
     async fn serve(&self, id: &str, req: &mut Request, res: &mut Response) -> Result<()> {
-        if self.entry.is_draining() {
+        if self.entry.is_closed() {
             return Err(Failure::draining());
         }
         let call = self.read(id, req).await?;
--- a/crates/kelpworks/src/pipeline/driver.rs
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -9,6 +9,8 @@
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use kelpworks_wire::CancelRequest;
 use kelpworks_wire::Class;
@@ -80,6 +82,9 @@
     /// The caller has gone.
     #[error("caller gone")]
     CallerGone,
+    /// The daemon ends before the session does.
+    #[error("the daemon is stopping")]
+    Stopped,
     /// A stage failed in a way that another try won't mend.
     #[error("stage failed: {0}")]
     Stage(StepFailure),
@@ -113,6 +118,10 @@
     pub output: OutputForm,
     /// Start of the daemon, the origin of `Counters::busy_until_ms`.
     pub start: Instant,
+    /// Ends all sessions at once.
+    pub abort: CancellationToken,
+    /// Calls that free memory on engines; a stop waits for them.
+    pub tasks: TaskTracker,
 }
 
 impl<E: Engine> Driver<E> {
@@ -125,6 +134,7 @@
             result = session.answer(permit, tx) => result,
             () = tx.closed() => Err(Ending::CallerGone),
             () = tokio::time::sleep_until(deadline) => Err(Ending::Deadline),
+            () = self.abort.cancelled() => Err(Ending::Stopped),
         };
         permit.used(session.known.len() as u32);
         session.free();
@@ -488,7 +498,8 @@
                 session,
                 attempt: hop.attempt,
             };
-            tokio::spawn(async move { engine.cancel(&hop.url, &req, CANCEL_DEADLINE).await });
+            let cancel = async move { engine.cancel(&hop.url, &req, CANCEL_DEADLINE).await };
+            self.driver.tasks.spawn(cancel);
         }
     }
 }
--- a/crates/kelpworks/src/settings/check.rs
+++ b/crates/kelpworks/src/settings/check.rs
@@ -101,6 +101,7 @@
         &timing.host_list_poll,
         &timing.watch,
         &timing.heartbeat,
+        &timing.balancer_notice,
         &timing.drain,
     ];
     for span in all {
@@ -157,6 +158,7 @@
         host_list_poll: raw.host_list_poll.into_inner(),
         watch: raw.watch.into_inner(),
         heartbeat: raw.heartbeat.into_inner(),
+        balancer_notice: raw.balancer_notice.into_inner(),
         drain: raw.drain.into_inner(),
     }
 }
--- a/crates/kelpworks/src/settings/file.rs
+++ b/crates/kelpworks/src/settings/file.rs
@@ -107,6 +107,7 @@
     pub(super) host_list_poll: Spanned<Span>,
     pub(super) watch: Spanned<Span>,
     pub(super) heartbeat: Spanned<Span>,
+    pub(super) balancer_notice: Spanned<Span>,
     pub(super) drain: Spanned<Span>,
 }
 
@@ -121,6 +122,7 @@
             host_list_poll: millis(1_000),
             watch: millis(10_000),
             heartbeat: millis(1_000),
+            balancer_notice: millis(2_000),
             drain: millis(60_000),
         }
     }
--- a/crates/kelpworks/src/settings/mod.rs
+++ b/crates/kelpworks/src/settings/mod.rs
@@ -127,6 +127,9 @@
     pub watch: Span,
     /// How often a heartbeat goes to peers. Default 1 s.
     pub heartbeat: Span,
+    /// How long a planned stop still takes requests once the balancer's check fails; longer than
+    /// the balancer needs to notice. Default 2 s.
+    pub balancer_notice: Span,
     /// How long a planned stop waits for requests in flight. Default 60 s.
     pub drain: Span,
 }
