pipeline: make a lost cancel again, on a new connection

Cause: the call that frees a session's KV cache on an engine was made once and its result dropped. A reset, a silent connection or a 503 left the memory held by a session that nobody uses, until the engine's restart.

Ruled out: sessions that moved off a stage without a cancel (the stages left behind are kept and freed at the end; the tables of failing stages end with all memory free).

Change: up to four tries with a doubling wait from 100 ms, a probe on a new connection between them, in a module of its own. An engine that stays away for longer keeps the memory; that limit is in the module's page, and counted.

--- a/crates/kelpworks/src/pipeline/driver.rs
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -27,6 +27,7 @@
 use crate::fleet::ModelKey;
 use crate::fleet::UpstreamKey;
 use crate::pipeline::hop::HopState;
+use crate::pipeline::release::release;
 use crate::pipeline::step::Call;
 use crate::pipeline::step::Deadlines;
 use crate::pipeline::step::Fixed;
@@ -47,8 +48,6 @@
 const NO_PATH_WAIT: Duration = Duration::from_millis(50);
 /// Doublings of that wait, at most, when the same upstream fails again and again.
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
-/// Wait for an engine to take a cancel.
-const CANCEL_DEADLINE: Duration = Duration::from_secs(1);
 
 /// A session to drive.
 #[derive(Clone, Debug)]
@@ -498,8 +497,8 @@
                 session,
                 attempt: hop.attempt,
             };
-            let cancel = async move { engine.cancel(&hop.url, &req, CANCEL_DEADLINE).await };
-            self.driver.tasks.spawn(cancel);
+            let free = async move { release(&*engine, &hop.url, &req).await };
+            self.driver.tasks.spawn(free);
         }
     }
 }
--- a/crates/kelpworks/src/pipeline/mod.rs
+++ b/crates/kelpworks/src/pipeline/mod.rs
@@ -8,6 +8,7 @@
 
 mod driver;
 mod hop;
+mod release;
 mod step;
 pub mod tokens;
 
--- /dev/null
+++ b/crates/kelpworks/src/pipeline/release.rs
@@ -0,0 +1,36 @@
+//! Frees a session's memory on an engine.
+//!
+//! A lost call would leave KV cache held that no session uses, so it is made again, on a new
+//! connection. Limit: an engine that stays away for longer than the tries keeps the memory until
+//! it forgets idle sessions by itself.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kelpworks_wire::CancelRequest;
+use log::warn;
+
+use crate::border::engine::Engine;
+
+/// Wait for an engine to take a cancel, or to answer a probe.
+const CANCEL_DEADLINE: Duration = Duration::from_secs(1);
+/// Tries, at most.
+const TRIES: u32 = 4;
+/// Wait after the first try; doubles after each.
+const FIRST_WAIT: Duration = Duration::from_millis(100);
+
+/// Frees the memory of one attempt and those before it.
+pub(crate) async fn release<E: Engine>(engine: &E, url: &Arc<str>, req: &CancelRequest) {
+    for attempt in 0..TRIES {
+        let Err(e) = engine.cancel(url, req, CANCEL_DEADLINE).await else {
+            return;
+        };
+        warn!("cancel of {} at {url}: {e}", req.session);
+        if attempt + 1 < TRIES {
+            tokio::time::sleep(FIRST_WAIT * (1 << attempt)).await;
+            // Where the connection went silent, the answer of a new one takes its place.
+            let _ = engine.probe(url, CANCEL_DEADLINE).await;
+        }
+    }
+    metrics::counter!("kelpworks_cancels_lost_total").increment(1);
+}
