pipeline: get past a link between two stages that is down

Cause: when a stage could not fetch its input from the engine before it, every stage was run again from position 0 on the same engines. Where the link between two of them is down while both answer the daemon, that never ends: after 32 recoveries the answer was cut off.

Ruled out: the engines themselves (both answer steps and probes); a lost output (running the stage before again, in place, gives it anew and the fetch still fails).

Change: on the first failed fetch only the stage before runs again, in place; on further ones without a token between them, that stage moves, then the other one, in turn. The other stages keep their KV cache.

Before: a_failing_fetch_costs_no_answer (path_faults) failed in all 6 cases of a fetch that fails for good (reset, silence, 500; either link), with 5 or 6 of 48 tokens. After: all pass, with the 100 other cases.

--- a/crates/kelpworks/src/pipeline/driver.rs
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -176,6 +176,8 @@
     /// Attempt number that the next new stage gets.
     next_attempt: u32,
     recoveries: u32,
+    /// Fetches between stages that failed since the last token.
+    unfetched: u32,
     /// Worst over all steps sent.
     verdict: Verdict,
     /// Stages left behind, to be freed at the end.
@@ -204,6 +206,7 @@
             avoid: Vec::new(),
             next_attempt: 0,
             recoveries: 0,
+            unfetched: 0,
             verdict: Verdict::NotRun,
             left: Vec::new(),
         }
@@ -217,6 +220,7 @@
             self.leave_if_asked().await?;
             let asked = Instant::now();
             let token = self.next_token().await?;
+            self.unfetched = 0;
             permit.observe_token(asked.elapsed());
             if token == tokens::END {
                 return Ok(FinishReason::Stop);
@@ -341,10 +345,7 @@
             StepFailure::Refused {
                 reason: RefusalReason::HandleMissing,
                 ..
-            } => {
-                self.restart_all();
-                Ok(())
-            }
+            } => self.fetch_failed(at).await,
             StepFailure::Refused {
                 reason: RefusalReason::Invalid,
                 ..
@@ -409,9 +410,26 @@
         self.next_attempt += 1;
     }
 
-    fn restart_all(&mut self) {
-        for at in 0..self.hops.len() {
-            self.restart(at);
+    /// A stage could not fetch its input from the one before it.
+    ///
+    /// That one may have lost its outputs, and then runs again where it is. Where that does not
+    /// help, the link between the two may be down, at either end: one moves, then the other.
+    async fn fetch_failed(&mut self, at: usize) -> Result<()> {
+        let before = at.saturating_sub(1);
+        self.unfetched += 1;
+        match self.unfetched {
+            1 => {
+                self.restart(before);
+                Ok(())
+            }
+            n if n % 2 == 0 => {
+                let upstream = self.hops[before].upstream;
+                self.move_off(upstream, "output can't be fetched").await
+            }
+            _ => {
+                let upstream = self.hops[at].upstream;
+                self.move_off(upstream, "input can't be fetched").await
+            }
         }
     }
 
