pipeline: let an engine give up on its input soon after the progress deadline

Cause: a step told the engine that its sender waits for the ceiling (5 s), so an engine whose predecessor is silent waited that long for its input before it said so, while the daemon had looked into the step after the progress deadline.

Ruled out: the probe and the second send (the first reply, after the fetch's end, decides). Tried: the progress deadline itself; then the first send gives up just as the second one would fetch on a new connection, and the stage before is run again for a connection that only went silent (two of three cases of a_silent_connection_moves_nobody failed).

Change: the step carries twice the progress deadline.

--- a/crates/kelpworks/src/pipeline/step.rs
+++ b/crates/kelpworks/src/pipeline/step.rs
@@ -159,7 +159,7 @@
         self.counters.step_us.store(new.max(1), Ordering::Relaxed);
     }
 
-    fn step(&self, input: StepInput) -> Step {
+    fn step(&self, input: StepInput, progress: Duration) -> Step {
         Step {
             session: self.fixed.session.clone(),
             attempt: self.hop.attempt,
@@ -170,7 +170,9 @@
             class: self.fixed.class,
             input,
             output: self.fixed.output,
-            deadline_ms: self.deadlines.ceiling.as_millis() as u32,
+            // What the engine waits for itself, its input above all, is late by then too. Twice,
+            // so that a second send gets its chance first: it may fetch on a new connection.
+            deadline_ms: 2 * progress.as_millis() as u32,
             prefix: String::new(),
         }
     }
@@ -179,13 +181,13 @@
     /// new connection and sends it once more there. Sending twice is safe: an engine refuses
     /// positions that it has run.
     async fn settle(&self, input: StepInput) -> Result<Output> {
+        let progress = self.deadlines.progress(self.counters, self.count);
         let batch = StepBatch {
-            steps: vec![self.step(input)],
+            steps: vec![self.step(input, progress)],
         };
         let limit = self.deadlines.ceiling * 4;
         let first = self.engine.steps(&self.hop.url, &batch, limit);
         tokio::pin!(first);
-        let progress = self.deadlines.progress(self.counters, self.count);
         match tokio::time::timeout(progress, &mut first).await {
             Ok(Ok(reply)) => match self.check(reply) {
                 // A reply of another step says nothing of this one, which may have run.
