--- a/crates/kelpworks/examples/measure/recovery.rs
+++ b/crates/kelpworks/examples/measure/recovery.rs
@@ -184,7 +184,7 @@
         _ => watch(&call, &client, &fakes, failure, &model).await,
     };
     for daemon in daemons {
-        daemon.abort();
+        daemon.kill();
     }
     result
 }
--- a/crates/kelpworks/examples/measure/throughput.rs
+++ b/crates/kelpworks/examples/measure/throughput.rs
@@ -170,7 +170,7 @@
     let done = tally.positions.load(Ordering::Relaxed) - before;
     let positions_per_second = done as f64 / start.elapsed().as_secs_f64();
     callers.iter().for_each(|c| c.abort());
-    daemons.into_iter().for_each(daemon::Daemon::abort);
+    daemons.into_iter().for_each(daemon::Daemon::kill);
     Ok(Run {
         positions_per_second,
         bound,
