Refuse an invalid configuration in the measurement's set-up

Cause: throughput never became ready: its rules named a service that its register did not have, and daemons rightly kept out such a pair. Change: the set-up checks the pair before it is put on the object API.

--- a/crates/kelpworks/examples/demo.rs
+++ b/crates/kelpworks/examples/demo.rs
@@ -52,7 +52,7 @@
 async fn run(once: bool) -> Result<u32> {
     let model = Model::new(MODEL, "1", 12);
     let fakes = support::pipeline(&model, 3, 2).await?;
-    support::put_config(&fakes, std::slice::from_ref(&model), 0.2, &TEAMS);
+    support::put_config(&fakes, std::slice::from_ref(&model), 0.2, &TEAMS)?;
     let metrics = daemon::install_metrics()?;
     let daemons = support::daemons(&fakes, 3, "balancer_notice = \"1 ms\"", &metrics).await?;
     let wrong = if once {
--- a/crates/kelpworks/examples/measure/recovery.rs
+++ b/crates/kelpworks/examples/measure/recovery.rs
@@ -168,7 +168,7 @@
         engine.restart_after = None;
     }
     let fakes = Arc::new(StandIns::spawn(cfg).await?);
-    support::put_config(&fakes, std::slice::from_ref(&model), 0.2, &[TEAM]);
+    support::put_config(&fakes, std::slice::from_ref(&model), 0.2, &[TEAM])?;
     let timing = if way == Way::FixedTimeout {
         FIXED_TIMEOUT
     } else {
--- a/crates/kelpworks/examples/measure/throughput.rs
+++ b/crates/kelpworks/examples/measure/throughput.rs
@@ -140,7 +140,7 @@
     let cfg = fleet(deployment, &model);
     let bound = bound(&cfg);
     let fakes = StandIns::spawn(cfg).await?;
-    support::put_config(&fakes, std::slice::from_ref(&model), 0.2, &[TEAM]);
+    support::put_config(&fakes, std::slice::from_ref(&model), 0.2, &[TEAM])?;
     let daemons = support::daemons(&fakes, DAEMONS, "", metrics).await?;
     let bases: Vec<String> = daemons
         .iter()
--- a/crates/kelpworks/examples/support/mod.rs
+++ b/crates/kelpworks/examples/support/mod.rs
@@ -15,6 +15,8 @@
 use kelpworks::config::head::digest_of;
 use kelpworks::config::head::to_body;
 use kelpworks::daemon::Daemon;
+use kelpworks::register::Register;
+use kelpworks::rules::Rules;
 use kelpworks::settings::Settings;
 use kelpworks_fakes::FleetConfig;
 use kelpworks_fakes::Model;
@@ -45,7 +47,16 @@
 }
 
 /// Puts a register and rules in force on the object API stand-in, as generation 1.
-pub(crate) fn put_config(fakes: &StandIns, models: &[Model], share: f64, teams: &[ExampleTeam]) {
+///
+/// # Errors
+///
+/// When the pair is not valid; daemons would never take it.
+pub(crate) fn put_config(
+    fakes: &StandIns,
+    models: &[Model],
+    share: f64,
+    teams: &[ExampleTeam],
+) -> Result<()> {
     let register = documents::register(&fakes.view(), models);
     let digests: Vec<String> = teams
         .iter()
@@ -66,7 +77,13 @@
         method: "POST",
         path: "/certificates",
     };
-    let rules = documents::rules(share, &listed, &[once]);
+    let calls = if fakes.services.is_empty() {
+        &[][..]
+    } else {
+        &[once][..]
+    };
+    let rules = documents::rules(share, &listed, calls);
+    Rules::parse("rules", &rules, &Register::parse("register", &register)?)?;
     let first = Generation(1);
     let part = |text: &str| Part {
         digest: digest_of(text),
@@ -85,6 +102,7 @@
     }
     let body = to_body(&head).expect("a head has a body");
     fakes.object_api.put(HEAD_KIND, HEAD_NAME, &body);
+    Ok(())
 }
 
 /// Settings of the `n`th daemon beside the stand-ins.
