--- a/crates/kelpworks-coord/src/head.rs
+++ b/crates/kelpworks-coord/src/head.rs
@@ -246,6 +246,8 @@
     give_up_at: Instant,
     /// The head as first read: what the operator's change was made against.
     base: Option<Head>,
+    /// Latest version read; an older one is the answer of a lagging replica.
+    latest: Version,
     /// Whether a write of the head may have taken effect without our knowing.
     exposed: bool,
     state: SwapState,
@@ -260,6 +262,7 @@
             change,
             give_up_at,
             base: None,
+            latest: Version::ABSENT,
             exposed: false,
             state: SwapState::New,
         }
@@ -303,30 +306,34 @@
     fn on_reply(&mut self, now: Instant, call: Call, event: SwapEvent) -> Vec<SwapAction> {
         match (call, event) {
             (Call::Blob, SwapEvent::BlobStored) => self.call(Call::Read),
-            (Call::Read, SwapEvent::HeadRead(at)) => self.on_head(at),
+            (Call::Read, SwapEvent::HeadRead(at)) => self.on_head(now, at),
             (Call::Validate(at), SwapEvent::Valid) => self.call(Call::Swap(at)),
             (Call::Validate(_), SwapEvent::Invalid) => self.on_invalid(),
             (Call::Swap(at), SwapEvent::Swapped) => {
                 self.done(SwapOutcome::Accepted(at.head.with(self.change).generation))
             }
-            (Call::Swap(_), SwapEvent::Conflict(at)) => self.on_head(at),
+            (Call::Swap(_), SwapEvent::Conflict(at)) => self.on_head(now, at),
             (Call::Swap(_), SwapEvent::Lost) => {
                 self.exposed = true;
                 self.call(Call::Read)
             }
-            (call, SwapEvent::Lost | SwapEvent::Refused) => {
-                self.state = SwapState::Waiting {
-                    call,
-                    until: now + self.cfg.retry,
-                };
-                Vec::new()
-            }
+            (call, SwapEvent::Lost | SwapEvent::Refused) => self.wait(now, call),
             _ => Vec::new(),
         }
     }
 
+    fn wait(&mut self, now: Instant, call: Call) -> Vec<SwapAction> {
+        let until = now + self.cfg.retry;
+        self.state = SwapState::Waiting { call, until };
+        Vec::new()
+    }
+
     /// Decides on a head that was read, or that stood in the way.
-    fn on_head(&mut self, at: StoredHead) -> Vec<SwapAction> {
+    fn on_head(&mut self, now: Instant, at: StoredHead) -> Vec<SwapAction> {
+        if at.version < self.latest {
+            return self.wait(now, Call::Read);
+        }
+        self.latest = at.version;
         let base = *self.base.get_or_insert(at.head);
         let ours = at.head.part(self.change.which);
         if let Some(part) = ours.filter(|p| p.nonce == self.change.nonce) {
@@ -460,8 +467,8 @@
             .map_or(Generation(0), |h| h.generation)
     }
 
-    /// Heads dropped for being older than what is known.
-    pub fn stale(&self) -> u32 {
-        self.stale
+    /// Takes the count of heads dropped for being older than what is known, for metrics.
+    pub fn take_stale(&mut self) -> u32 {
+        std::mem::take(&mut self.stale)
     }
 }
--- a/crates/kelpworks-coord/src/lease.rs
+++ b/crates/kelpworks-coord/src/lease.rs
@@ -36,7 +36,7 @@
 //!
 //! While the object API is down no one can renew: the holder's orders stop when its lease runs
 //! out, and placement stays as it is until the API is back. The object must never be removed,
-//! since its token must not fall.
+//! since its token must not fall; daemons that saw it take no lease from its absence.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -321,7 +321,7 @@
             return Vec::new();
         };
         match (call, reply) {
-            (Call::Read, ApiReply::Read(stored)) | (_, ApiReply::Conflict(stored)) => {
+            (Call::Read, ApiReply::Read(stored)) => {
                 self.next_call = now + self.cfg.watch;
                 let mut actions = self.observe(now, stored);
                 if self.held.is_none() && actions.is_empty() {
@@ -329,6 +329,11 @@
                 }
                 actions
             }
+            // What stands in the way is newer than what was seen, unless the object was removed.
+            (Call::Write { .. }, ApiReply::Conflict(stored)) => {
+                self.next_call = now + self.cfg.retry;
+                self.observe(now, stored)
+            }
             (Call::Write { record, .. }, ApiReply::Written(version)) => {
                 self.observe(now, Stored { version, record })
             }
--- a/crates/kelpworks-coord/src/token.rs
+++ b/crates/kelpworks-coord/src/token.rs
@@ -397,10 +397,15 @@
         self.stages[stage].held
     }
 
-    /// Replies dropped so far.
+    /// Replies dropped since the counts were last taken.
     pub fn drops(&self) -> DropCounts {
         self.drops
     }
+
+    /// Takes the counts of dropped replies, for metrics.
+    pub fn take_drops(&mut self) -> DropCounts {
+        std::mem::take(&mut self.drops)
+    }
 }
 
 fn check(spec: Spec, stages: &[LayerRange]) -> Result<()> {
--- /dev/null
+++ b/crates/kelpworks-coord/tests/checker/mod.rs
@@ -0,0 +1,116 @@
+//! Explores a model's states exhaustively, breadth first, by `pathfinding`.
+//!
+//! `KELPWORKS_MODEL_BOUND=2 cargo test --release -p kelpworks-coord --test 'model_*' -- --nocapture`
+//! explores the larger bounds; 1 is the default.
+
+use std::fmt;
+use std::fmt::Debug;
+use std::hash::Hash;
+
+use pathfinding::directed::bfs::bfs;
+use pathfinding::directed::bfs::bfs_reach;
+
+/// More states than this are an error in the choice of bounds.
+const MAX_STATES: usize = 10_000_000;
+
+/// A protocol together with its environment.
+pub(crate) trait Model {
+    /// A state of all parts and the environment.
+    type State: Clone + Eq + Hash + Debug;
+    /// What leads from one state to another.
+    type Step: Debug;
+
+    /// The state at the beginning.
+    fn start(&self) -> Self::State;
+
+    /// Every step possible in a state, with the state it leads to.
+    fn next(&self, state: &Self::State) -> Vec<(Self::Step, Self::State)>;
+
+    /// The name of an invariant that does not hold in a state.
+    fn broken(&self, state: &Self::State) -> Option<&'static str>;
+}
+
+/// An invariant that does not hold, with the shortest way there.
+pub(crate) struct Violation {
+    /// The invariant.
+    pub(crate) invariant: &'static str,
+    steps: Vec<String>,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{} is broken after {} steps:",
+            self.invariant,
+            self.steps.len()
+        )?;
+        for (i, step) in self.steps.iter().enumerate() {
+            writeln!(f, "{:>4}. {step}", i + 1)?;
+        }
+        Ok(())
+    }
+}
+
+/// Number of states reached, or the first violation.
+pub(crate) fn explore<M: Model>(model: &M) -> Result<usize, Violation> {
+    let mut states = 0;
+    for state in bfs_reach(model.start(), |s| successors(model, s)) {
+        states += 1;
+        assert!(states <= MAX_STATES, "bounds too large");
+        if let Some(invariant) = model.broken(&state) {
+            return Err(Violation {
+                invariant,
+                steps: trace(model, &state),
+            });
+        }
+    }
+    Ok(states)
+}
+
+fn successors<M: Model>(model: &M, state: &M::State) -> Vec<M::State> {
+    model
+        .next(state)
+        .into_iter()
+        .map(|(_, next)| next)
+        .collect()
+}
+
+fn trace<M: Model>(model: &M, end: &M::State) -> Vec<String> {
+    let path = bfs(&model.start(), |s| successors(model, s), |s| s == end);
+    let path = path.expect("a state that was reached");
+    let step = |from: &M::State, to: &M::State| {
+        let mut steps = model.next(from).into_iter();
+        steps
+            .find(|(_, s)| s == to)
+            .map(|(step, _)| format!("{step:?}"))
+    };
+    path.windows(2).filter_map(|w| step(&w[0], &w[1])).collect()
+}
+
+/// Asserts that no invariant is broken, and prints the number of states.
+pub(crate) fn assert_holds<M: Model>(name: &str, model: &M) {
+    match explore(model) {
+        Ok(states) => println!("{name}: {states} states"),
+        Err(violation) => panic!("{name}: {violation}"),
+    }
+}
+
+/// Asserts that the checker finds this invariant broken, and prints the trace.
+pub(crate) fn assert_caught<M: Model>(name: &str, model: &M, invariant: &str) {
+    match explore(model) {
+        Ok(states) => panic!("{name}: not caught in {states} states"),
+        Err(violation) => {
+            println!("{name}: {violation}");
+            assert_eq!(violation.invariant, invariant, "{name}: {violation}");
+        }
+    }
+}
+
+/// The bound that was asked for, 1 if none was.
+pub(crate) fn bound() -> u32 {
+    let text = std::env::var("KELPWORKS_MODEL_BOUND");
+    text.map_or(1, |t| {
+        t.parse().expect("KELPWORKS_MODEL_BOUND is a small number")
+    })
+}
--- a/crates/kelpworks-coord/tests/control.rs
+++ b/crates/kelpworks-coord/tests/control.rs
@@ -88,6 +88,10 @@
 #[case::lost_reply_not_applied(
     vec![SwapEvent::Lost, head(6, 5, part(1, 4), part(2, 5)), SwapEvent::Valid, SwapEvent::Swapped],
     SwapOutcome::Accepted(Generation(6)))]
+#[case::lost_reply_and_a_stale_read_back(
+    vec![SwapEvent::Lost, head(4, 4, part(1, 4), part(7, 2)), SwapEvent::Tick,
+         head(7, 6, part(1, 4), part(9, 6))],
+    SwapOutcome::Accepted(Generation(6)))]
 #[case::refused_then_accepted(
     vec![SwapEvent::Refused, SwapEvent::Tick, SwapEvent::Swapped],
     SwapOutcome::Accepted(Generation(6)))]
@@ -146,7 +150,10 @@
     let applied = follower.on_event(FollowerEvent::Fetched(Generation(5)));
     assert_eq!(applied, [FollowerAction::Apply(seen(5))]);
     assert_eq!(follower.on_event(FollowerEvent::Seen(seen(4))), []);
-    assert_eq!((follower.known(), follower.stale()), (Generation(5), 1));
+    assert_eq!(
+        (follower.known(), follower.take_stale()),
+        (Generation(5), 1)
+    );
     follower.on_event(FollowerEvent::Seen(seen(6)));
     follower.on_event(FollowerEvent::FetchFailed(Generation(6)));
     assert_eq!(
--- /dev/null
+++ b/crates/kelpworks-coord/tests/model_claim.rs
@@ -0,0 +1,536 @@
+//! Model check of claims; specified in `docs/spec/claim.md`.
+
+mod checker;
+
+use rstest::rstest;
+
+use checker::Model;
+use checker::assert_caught;
+use checker::assert_holds;
+use checker::bound;
+use kelpworks_coord::claim::Action;
+use kelpworks_coord::claim::Answer;
+use kelpworks_coord::claim::ApiReply;
+use kelpworks_coord::claim::Claim;
+use kelpworks_coord::claim::Config;
+use kelpworks_coord::claim::Event;
+use kelpworks_coord::claim::NotRun;
+use kelpworks_coord::claim::Outcome;
+use kelpworks_coord::claim::PeerStatus;
+use kelpworks_coord::claim::Record;
+use kelpworks_coord::claim::Request;
+use kelpworks_coord::claim::Run;
+use kelpworks_coord::claim::Stored;
+use kelpworks_coord::id::Incarnation;
+use kelpworks_coord::id::NodeId;
+use kelpworks_coord::id::Nonce;
+use kelpworks_coord::id::Version;
+use kelpworks_coord::time::Instant;
+use kelpworks_coord::time::Span;
+
+const AT_MOST_ONCE: &str = "at most one run";
+const NOT_RUN_IS_TRUE: &str = "a submission told not-run never ran";
+const SAME_OUTCOME: &str = "all answers of a key are the same";
+const NOT_BLOCKED: &str = "a key that was never dispatched is not blocked while its holders live";
+
+/// All deadlines lie here; before it the clock stands still, since only their passing matters.
+const DEADLINE: Instant = Instant::from_millis(1_000);
+
+#[derive(Clone, Copy, PartialEq)]
+enum Mutant {
+    None,
+    /// The object API ignores the condition of a write.
+    Unconditional,
+    /// A lost reply is taken for a write that took effect.
+    LostIsStored,
+    /// A dead holder is taken for one that never dispatched.
+    DeadNeverDispatched,
+    /// The driver answers a waiting caller `not-run` without telling the machine.
+    DriverAnswers,
+    /// What is recorded is not what was answered.
+    OutcomeChanged,
+    /// A daemon forgets the claims that it gave up.
+    Forgets,
+}
+
+struct ClaimModel {
+    /// For each submission, the daemon it goes to.
+    sent_to: Vec<usize>,
+    faults: u8,
+    crashes: u8,
+    mutant: Mutant,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Call {
+    Action(Action),
+    Replied(ApiReply),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Upstream {
+    Idle,
+    /// Dispatched and not executed yet.
+    Sent,
+    Executed,
+    Ended,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Submission {
+    claim: Claim,
+    started: bool,
+    /// The daemon that held it crashed.
+    gone: bool,
+    /// Its daemon sees that the deadline has passed.
+    late: bool,
+    call: Option<Call>,
+    upstream: Upstream,
+    answer: Option<Answer>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    object: Option<Stored>,
+    version: u64,
+    submissions: Vec<Submission>,
+    /// Writes and removals that may take effect at any later time.
+    delayed: Vec<(Version, Option<Record>)>,
+    runs: u8,
+    dispatched: bool,
+    crashed: bool,
+    faults: u8,
+    crashes: u8,
+    broken: Option<&'static str>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Start(usize),
+    Effect(usize),
+    Reply(usize),
+    LoseReply(usize),
+    Delay(usize),
+    Refuse(usize),
+    LateWrite(usize),
+    AskHolder(usize),
+    HolderSilent(usize),
+    Execute(usize),
+    Complete(usize),
+    UpstreamRefuses(usize),
+    UpstreamCut(usize),
+    Tick(usize),
+    DeadlinePasses(usize),
+    DriverAnswers(usize),
+    Crash(usize),
+}
+
+impl ClaimModel {
+    fn submission(&self, i: usize, daemon: usize) -> Submission {
+        let cfg = Config {
+            retry: Span::ZERO,
+            record: Span::ZERO,
+            ..Config::default()
+        };
+        let req = Request {
+            digest: 1,
+            holder: NodeId(daemon as u64),
+            incarnation: Incarnation(1),
+            nonce: Nonce(i as u64),
+            deadline: DEADLINE,
+        };
+        Submission {
+            claim: Claim::new(cfg, req),
+            started: false,
+            gone: false,
+            late: false,
+            call: None,
+            upstream: Upstream::Idle,
+            answer: None,
+        }
+    }
+
+    fn feed(&self, world: &mut World, i: usize, event: Event) {
+        let now = if world.submissions[i].late {
+            DEADLINE
+        } else {
+            Instant::ZERO
+        };
+        for action in world.submissions[i].claim.on_event(now, event) {
+            match action {
+                Action::Dispatch => {
+                    world.dispatched = true;
+                    world.submissions[i].upstream = Upstream::Sent;
+                }
+                Action::Answer(answer) => self.answer(world, i, answer),
+                call => world.submissions[i].call = Some(Call::Action(call)),
+            }
+        }
+    }
+
+    fn answer(&self, world: &mut World, i: usize, answer: Answer) {
+        let answered = world.submissions.iter().filter_map(|s| match &s.answer {
+            Some(Answer::Completed(outcome)) => Some(outcome),
+            _ => None,
+        });
+        if let Answer::Completed(outcome) = &answer
+            && answered.into_iter().any(|o| o != outcome)
+        {
+            world.broken = Some(SAME_OUTCOME);
+        }
+        world.submissions[i].answer.get_or_insert(answer);
+    }
+
+    fn write(&self, world: &mut World, if_version: Version, record: Option<Record>) -> ApiReply {
+        let current = world.object.as_ref().map_or(Version::ABSENT, |s| s.version);
+        if current != if_version && self.mutant != Mutant::Unconditional {
+            return ApiReply::Conflict(world.object.clone());
+        }
+        world.version += 1;
+        let version = Version(world.version);
+        let removed = record.is_none();
+        world.object = record.map(|record| Stored { version, record });
+        if removed {
+            ApiReply::Removed
+        } else {
+            ApiReply::Stored(version)
+        }
+    }
+
+    fn effect(&self, world: &mut World, i: usize) {
+        let reply = match world.submissions[i].call.clone() {
+            Some(Call::Action(Action::Read)) => match &world.object {
+                Some(stored) => ApiReply::Found(stored.clone()),
+                None => ApiReply::Absent,
+            },
+            Some(Call::Action(action)) => match change(&action) {
+                Some((if_version, record)) => self.write(world, if_version, record),
+                None => return,
+            },
+            _ => return,
+        };
+        world.submissions[i].call = Some(Call::Replied(reply));
+    }
+
+    fn reply(&self, world: &mut World, i: usize, reply: ApiReply) {
+        let was = world.submissions[i].call.take();
+        let creates = matches!(was, Some(Call::Action(Action::Write { .. })));
+        let reply = match reply {
+            ApiReply::Lost if self.mutant == Mutant::LostIsStored && creates => {
+                ApiReply::Stored(Version(world.version))
+            }
+            reply => reply,
+        };
+        self.feed(world, i, Event::Api(reply));
+    }
+
+    fn peer_status(&self, world: &World, nonce: Nonce) -> Option<PeerStatus> {
+        let holder = &world.submissions[nonce.0 as usize];
+        if holder.gone {
+            let never = self.mutant == Mutant::DeadNeverDispatched;
+            return never.then_some(PeerStatus::NeverDispatched);
+        }
+        match holder.claim.status() {
+            PeerStatus::Done(_) if self.mutant == Mutant::OutcomeChanged => {
+                Some(PeerStatus::Done(Outcome {
+                    status: 200,
+                    body: "another".into(),
+                }))
+            }
+            PeerStatus::NeverDispatched if self.mutant == Mutant::Forgets => None,
+            status => Some(status),
+        }
+    }
+
+    fn execute(&self, world: &mut World, i: usize) {
+        world.submissions[i].upstream = Upstream::Executed;
+        world.runs += 1;
+    }
+
+    fn finish(&self, world: &mut World, i: usize, run: Run) {
+        world.submissions[i].upstream = Upstream::Ended;
+        self.feed(world, i, Event::Finished(run));
+    }
+
+    fn steps(&self, world: &World) -> Vec<Step> {
+        let mut steps: Vec<Step> = (0..world.delayed.len()).map(Step::LateWrite).collect();
+        for (i, s) in world.submissions.iter().enumerate() {
+            if s.upstream == Upstream::Sent {
+                // The request may be on its way though its daemon is gone.
+                steps.push(Step::Execute(i));
+            }
+            if !s.gone {
+                self.submission_steps(world, i, &mut steps);
+            }
+        }
+        steps
+    }
+
+    fn submission_steps(&self, world: &World, i: usize, steps: &mut Vec<Step>) {
+        let s = &world.submissions[i];
+        if !s.started {
+            steps.push(Step::Start(i));
+            return;
+        }
+        let faulty = world.faults > 0;
+        steps.push(Step::Tick(i));
+        steps.extend((!s.late && faulty).then_some(Step::DeadlinePasses(i)));
+        steps.extend((world.crashes > 0).then_some(Step::Crash(i)));
+        let waits = s.answer.is_none() && s.upstream == Upstream::Idle;
+        let answers = waits && self.mutant == Mutant::DriverAnswers;
+        steps.extend(answers.then_some(Step::DriverAnswers(i)));
+        match &s.call {
+            Some(Call::Action(Action::AskHolder { .. })) => {
+                steps.push(Step::AskHolder(i));
+                steps.extend(faulty.then_some(Step::HolderSilent(i)));
+            }
+            Some(Call::Action(action)) => {
+                steps.push(Step::Effect(i));
+                steps.extend(faulty.then_some(Step::Refuse(i)));
+                steps.extend((faulty && change(action).is_some()).then_some(Step::Delay(i)));
+            }
+            Some(Call::Replied(_)) => {
+                steps.push(Step::Reply(i));
+                steps.extend(faulty.then_some(Step::LoseReply(i)));
+            }
+            None => {}
+        }
+        match s.upstream {
+            Upstream::Sent if faulty => {
+                steps.extend([Step::UpstreamRefuses(i), Step::UpstreamCut(i)]);
+            }
+            Upstream::Executed => {
+                steps.push(Step::Complete(i));
+                steps.extend(faulty.then_some(Step::UpstreamCut(i)));
+            }
+            _ => {}
+        }
+    }
+
+    fn take(&self, world: &mut World, step: Step) {
+        if self.costs_a_fault(step) {
+            world.faults -= 1;
+        }
+        match step {
+            Step::Start(i) => {
+                world.submissions[i].started = true;
+                self.feed(world, i, Event::Start);
+            }
+            Step::Effect(i) => self.effect(world, i),
+            Step::Reply(i) => {
+                if let Some(Call::Replied(reply)) = world.submissions[i].call.clone() {
+                    self.reply(world, i, reply);
+                }
+            }
+            Step::LoseReply(i) => self.reply(world, i, ApiReply::Lost),
+            Step::Delay(i) => {
+                delay(world, i);
+                self.reply(world, i, ApiReply::Lost);
+            }
+            Step::Refuse(i) => self.reply(world, i, ApiReply::Refused),
+            Step::LateWrite(i) => {
+                let (if_version, record) = world.delayed.remove(i);
+                self.write(world, if_version, record);
+            }
+            Step::AskHolder(i) => self.ask_holder(world, i),
+            Step::HolderSilent(i) => {
+                world.submissions[i].call = None;
+                self.feed(world, i, Event::Peer(None));
+            }
+            Step::Execute(i) => self.execute(world, i),
+            Step::Complete(i) => {
+                let body = format!("run {i}");
+                self.finish(world, i, Run::Completed(Outcome { status: 200, body }));
+            }
+            Step::UpstreamRefuses(i) => self.finish(world, i, Run::NotRun),
+            Step::UpstreamCut(i) => {
+                // The request may still be on its way.
+                let sent = world.submissions[i].upstream;
+                self.finish(world, i, Run::MayHaveRun);
+                world.submissions[i].upstream = match sent {
+                    Upstream::Sent => Upstream::Sent,
+                    _ => Upstream::Ended,
+                };
+            }
+            Step::Tick(i) => self.feed(world, i, Event::Tick),
+            Step::DeadlinePasses(i) => world.submissions[i].late = true,
+            Step::DriverAnswers(i) => {
+                self.answer(world, i, Answer::NotRun(NotRun::Unavailable));
+            }
+            Step::Crash(i) => {
+                world.crashes -= 1;
+                world.crashed = true;
+                delay(world, i);
+                let daemon = self.sent_to[i];
+                for (j, s) in world.submissions.iter_mut().enumerate() {
+                    // What was not submitted yet goes to the daemon's next run.
+                    s.gone |= self.sent_to[j] == daemon && s.started;
+                    s.call = s.call.take().filter(|_| !s.gone);
+                }
+            }
+        }
+    }
+
+    fn costs_a_fault(&self, step: Step) -> bool {
+        matches!(
+            step,
+            Step::LoseReply(_)
+                | Step::Delay(_)
+                | Step::Refuse(_)
+                | Step::HolderSilent(_)
+                | Step::UpstreamRefuses(_)
+                | Step::UpstreamCut(_)
+                | Step::DeadlinePasses(_)
+        )
+    }
+
+    fn ask_holder(&self, world: &mut World, i: usize) {
+        if let Some(Call::Action(Action::AskHolder { nonce, .. })) = world.submissions[i].call {
+            world.submissions[i].call = None;
+            let status = self.peer_status(world, nonce);
+            self.feed(world, i, Event::Peer(status));
+        }
+    }
+
+    /// Whether a further submission is dispatched once faults stop.
+    fn serves_another(&self, world: &World) -> bool {
+        let mut world = world.clone();
+        let fresh = world.submissions.len();
+        world.submissions.push(self.submission(fresh, 0));
+        world.faults = 0;
+        world.crashes = 0;
+        for round in 0..40 {
+            let late = (0..world.delayed.len()).map(|_| Step::LateWrite(0));
+            late.collect::<Vec<_>>()
+                .into_iter()
+                .for_each(|step| self.take(&mut world, step));
+            if round == 20 {
+                self.take(&mut world, Step::Start(fresh));
+            }
+            for i in 0..world.submissions.len() {
+                let mut steps = Vec::new();
+                if !world.submissions[i].gone && (i != fresh || round > 20) {
+                    self.submission_steps(&world, i, &mut steps);
+                }
+                steps.retain(|s| !matches!(s, Step::Start(_)));
+                if let Some(&step) = steps.last() {
+                    self.take(&mut world, step);
+                }
+            }
+        }
+        world.submissions[fresh].upstream != Upstream::Idle
+    }
+}
+
+/// Condition and new body of a write or removal.
+fn change(action: &Action) -> Option<(Version, Option<Record>)> {
+    match action {
+        Action::Write { if_version, record } => Some((*if_version, Some(record.clone()))),
+        Action::Remove { if_version } => Some((*if_version, None)),
+        _ => None,
+    }
+}
+
+fn delay(world: &mut World, i: usize) {
+    if let Some(Call::Action(action)) = &world.submissions[i].call {
+        world.delayed.extend(change(action));
+        world.delayed.sort_unstable();
+    }
+}
+
+impl Model for ClaimModel {
+    type State = World;
+    type Step = Step;
+
+    fn start(&self) -> World {
+        let submissions = self
+            .sent_to
+            .iter()
+            .enumerate()
+            .map(|(i, &d)| self.submission(i, d));
+        World {
+            object: None,
+            version: 0,
+            submissions: submissions.collect(),
+            delayed: Vec::new(),
+            runs: 0,
+            dispatched: false,
+            crashed: false,
+            faults: self.faults,
+            crashes: self.crashes,
+            broken: None,
+        }
+    }
+
+    fn next(&self, world: &World) -> Vec<(Step, World)> {
+        let take = |step| {
+            let mut next = world.clone();
+            self.take(&mut next, step);
+            (step, next)
+        };
+        self.steps(world)
+            .into_iter()
+            .map(take)
+            .filter(|(_, next)| next != world)
+            .collect()
+    }
+
+    fn broken(&self, world: &World) -> Option<&'static str> {
+        let lied = |s: &Submission| {
+            let told = matches!(s.answer, Some(Answer::NotRun(_)));
+            told && (s.upstream == Upstream::Executed || s.upstream == Upstream::Sent)
+        };
+        if world.runs > 1 {
+            return Some(AT_MOST_ONCE);
+        }
+        if world.submissions.iter().any(lied) {
+            return Some(NOT_RUN_IS_TRUE);
+        }
+        if world.broken.is_some() {
+            return world.broken;
+        }
+        let all_ended = world
+            .submissions
+            .iter()
+            .all(|s| s.answer.is_some() && s.call.is_none());
+        let idle = all_ended && !world.dispatched && !world.crashed;
+        (idle && !self.serves_another(world)).then_some(NOT_BLOCKED)
+    }
+}
+
+fn model() -> ClaimModel {
+    ClaimModel {
+        sent_to: vec![0, 1],
+        faults: 2,
+        crashes: 1,
+        mutant: Mutant::None,
+    }
+}
+
+#[test]
+fn claims_hold_for_two_submissions() {
+    let faults = 2 + bound() as u8;
+    assert_holds("claim, two submissions", &ClaimModel { faults, ..model() });
+}
+
+#[test]
+fn claims_hold_for_three_submissions() {
+    let faults = bound() as u8;
+    let model = ClaimModel {
+        sent_to: vec![0, 1, 0],
+        faults,
+        ..model()
+    };
+    assert_holds("claim, three submissions", &model);
+}
+
+#[rstest]
+#[case::unconditional(Mutant::Unconditional, AT_MOST_ONCE)]
+#[case::lost_is_stored(Mutant::LostIsStored, AT_MOST_ONCE)]
+#[case::dead_never_dispatched(Mutant::DeadNeverDispatched, AT_MOST_ONCE)]
+#[case::driver_answers(Mutant::DriverAnswers, NOT_RUN_IS_TRUE)]
+#[case::outcome_changed(Mutant::OutcomeChanged, SAME_OUTCOME)]
+#[case::forgets(Mutant::Forgets, NOT_BLOCKED)]
+fn the_checker_catches(#[case] mutant: Mutant, #[case] invariant: &str) {
+    assert_caught("claim", &ClaimModel { mutant, ..model() }, invariant);
+}
--- /dev/null
+++ b/crates/kelpworks-coord/tests/model_head.rs
@@ -0,0 +1,565 @@
+//! Model check of the config head; specified in `docs/spec/head.md`.
+
+mod checker;
+
+use rstest::rstest;
+
+use checker::Model;
+use checker::assert_caught;
+use checker::assert_holds;
+use checker::bound;
+use kelpworks_coord::head::Change;
+use kelpworks_coord::head::Config;
+use kelpworks_coord::head::Follower;
+use kelpworks_coord::head::FollowerAction;
+use kelpworks_coord::head::FollowerEvent;
+use kelpworks_coord::head::Generation;
+use kelpworks_coord::head::Head;
+use kelpworks_coord::head::Part;
+use kelpworks_coord::head::StoredHead;
+use kelpworks_coord::head::Swap;
+use kelpworks_coord::head::SwapAction;
+use kelpworks_coord::head::SwapEvent;
+use kelpworks_coord::head::SwapOutcome;
+use kelpworks_coord::head::Which;
+use kelpworks_coord::id::Digest;
+use kelpworks_coord::id::Nonce;
+use kelpworks_coord::id::Version;
+use kelpworks_coord::time::Instant;
+use kelpworks_coord::time::Span;
+
+const RISES: &str = "generations rise by one with each accepted change";
+const NEVER_DOWN: &str = "a daemon's generation never goes down";
+const NOT_LOST: &str = "no change overwrites one that its operator did not see";
+const ONCE: &str = "a change is applied once";
+const TOLD: &str = "an operator is told what became of the change";
+const VALID: &str = "every accepted pair was validated together";
+const FOLLOWS: &str = "every daemon reaches the accepted head once faults stop";
+
+const GIVE_UP: Span = Span::from_secs(1);
+
+#[derive(Clone, Copy, PartialEq)]
+enum Mutant {
+    None,
+    /// The object API ignores the condition of a write.
+    Unconditional,
+    /// Operators do not see when a part was brought.
+    NoSince,
+    /// Operators do not see which change brought a part.
+    NoNonce,
+    /// A write that was delayed takes effect whatever its condition.
+    LateUnconditional,
+    /// Operators skip validation.
+    NoValidation,
+    /// A daemon takes any head it is shown.
+    TakesAny,
+    /// A daemon takes no head from the API after the first.
+    Deaf,
+}
+
+struct HeadModel {
+    changes: Vec<Change>,
+    /// The pair of registers and rules with these digests does not fit.
+    misfit: (Digest, Digest),
+    faults: u8,
+    mutant: Mutant,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Call {
+    Action(SwapAction),
+    Replied(SwapEvent),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Operator {
+    swap: Swap,
+    /// Generation of the operator's part at the first read of the head.
+    base: Option<Generation>,
+    call: Option<Call>,
+    outcome: Option<SwapOutcome>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Daemon {
+    follower: Follower,
+    fetching: Option<Head>,
+    highest: Generation,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    /// Every head that was ever accepted; the last is in force, the version is its index.
+    history: Vec<Head>,
+    operators: Vec<Operator>,
+    daemons: [Daemon; 2],
+    delayed: Vec<(Version, Head, usize)>,
+    faults: u8,
+    broken: Option<&'static str>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Effect(usize),
+    /// A read that shows an older head.
+    StaleRead(usize, usize),
+    Reply(usize),
+    LoseReply(usize),
+    Delay(usize),
+    Refuse(usize),
+    LateWrite(usize),
+    Tick(usize),
+    GiveUp(usize),
+    /// A daemon is shown a head of the history, by whatever source.
+    Show(usize, usize),
+    /// A daemon is shown what the other has in force.
+    Push(usize),
+    Fetched(usize),
+    Restart(usize),
+}
+
+impl HeadModel {
+    fn feed(&self, world: &mut World, o: usize, now: Instant, event: SwapEvent) {
+        if let SwapEvent::HeadRead(at) = event {
+            let since = part(&at.head, self.changes[o].which).map_or(Generation(0), |p| p.since);
+            world.operators[o].base.get_or_insert(since);
+        }
+        let event = match event {
+            SwapEvent::HeadRead(at) => SwapEvent::HeadRead(self.shown(at)),
+            SwapEvent::Conflict(at) => SwapEvent::Conflict(self.shown(at)),
+            event => event,
+        };
+        for action in world.operators[o].swap.on_event(now, event) {
+            match action {
+                SwapAction::Done(outcome) => {
+                    world.operators[o].call = None;
+                    world.operators[o].outcome = Some(outcome);
+                }
+                call => world.operators[o].call = Some(Call::Action(call)),
+            }
+        }
+    }
+
+    /// The head as an operator sees it.
+    fn shown(&self, at: StoredHead) -> StoredHead {
+        let shown = |p: Part| match self.mutant {
+            Mutant::NoSince => Part {
+                since: Generation(0),
+                ..p
+            },
+            Mutant::NoNonce => Part {
+                nonce: Nonce(0),
+                ..p
+            },
+            _ => p,
+        };
+        let register = at.head.register.map(shown);
+        let rules = at.head.rules.map(shown);
+        StoredHead {
+            head: Head {
+                register,
+                rules,
+                ..at.head
+            },
+            ..at
+        }
+    }
+
+    fn fits(&self, head: &Head) -> bool {
+        let digest = |p: Option<Part>| p.map(|p| p.digest);
+        let pair = (digest(head.register), digest(head.rules));
+        pair != (Some(self.misfit.0), Some(self.misfit.1))
+    }
+
+    fn write(&self, world: &mut World, o: usize, if_version: Version, head: Head) -> bool {
+        let current = stored(world, world.history.len() - 1);
+        if current.version != if_version && self.mutant != Mutant::Unconditional {
+            return false;
+        }
+        let change = self.changes[o];
+        let seen = world.operators[o].base.unwrap_or_default();
+        let replaced = part(&current.head, change.which);
+        if replaced.is_some_and(|p| p.since != seen) {
+            world.broken = Some(NOT_LOST);
+        }
+        if head.generation.0 != current.head.generation.0 + 1 {
+            world.broken = Some(RISES);
+        }
+        if !self.fits(&head) {
+            world.broken = Some(VALID);
+        }
+        let ours = |h: &&Head| {
+            part(h, change.which)
+                .is_some_and(|p| p.nonce == change.nonce && p.since == h.generation)
+        };
+        if world.history.iter().any(|h| ours(&h)) {
+            world.broken = Some(ONCE);
+        }
+        world.history.push(head);
+        true
+    }
+
+    fn effect(&self, world: &mut World, o: usize, shown: usize) {
+        let Some(Call::Action(action)) = world.operators[o].call else {
+            return;
+        };
+        let reply = match action {
+            SwapAction::PutBlob(_) => SwapEvent::BlobStored,
+            SwapAction::ReadHead => SwapEvent::HeadRead(stored(world, shown)),
+            SwapAction::Validate(head) if self.fits(&head) => SwapEvent::Valid,
+            SwapAction::Validate(_) if self.mutant == Mutant::NoValidation => SwapEvent::Valid,
+            SwapAction::Validate(_) => SwapEvent::Invalid,
+            SwapAction::SwapHead { if_version, head } => {
+                match self.write(world, o, if_version, head) {
+                    true => SwapEvent::Swapped,
+                    false => SwapEvent::Conflict(stored(world, world.history.len() - 1)),
+                }
+            }
+            SwapAction::Done(_) => return,
+        };
+        world.operators[o].call = Some(Call::Replied(reply));
+    }
+
+    fn show(&self, world: &mut World, d: usize, head: Head) {
+        let mutant = self.mutant;
+        let daemon = &mut world.daemons[d];
+        if mutant == Mutant::TakesAny {
+            daemon.follower = Follower::new();
+        }
+        if mutant == Mutant::Deaf && daemon.follower.current().is_some() {
+            return;
+        }
+        for action in daemon.follower.on_event(FollowerEvent::Seen(head)) {
+            if let FollowerAction::Fetch(head) = action {
+                daemon.fetching = Some(head);
+            }
+        }
+        // The count would tell states apart without end.
+        daemon.follower.take_stale();
+    }
+
+    fn fetched(&self, world: &mut World, d: usize) {
+        let daemon = &mut world.daemons[d];
+        let Some(head) = daemon.fetching.take() else {
+            return;
+        };
+        for action in daemon
+            .follower
+            .on_event(FollowerEvent::Fetched(head.generation))
+        {
+            if let FollowerAction::Apply(head) = action {
+                if head.generation < daemon.highest {
+                    world.broken = Some(NEVER_DOWN);
+                }
+                daemon.highest = daemon.highest.max(head.generation);
+            }
+        }
+    }
+
+    fn follows(&self, world: &World) -> bool {
+        let mut world = world.clone();
+        let last = world.history[world.history.len() - 1];
+        for d in 0..2 {
+            self.fetched(&mut world, d);
+            self.show(&mut world, d, last);
+            self.fetched(&mut world, d);
+        }
+        last == Head::EMPTY
+            || world
+                .daemons
+                .iter()
+                .all(|d| d.follower.current() == Some(last))
+    }
+
+    fn operator_steps(&self, world: &World, o: usize, steps: &mut Vec<Step>) {
+        let operator = &world.operators[o];
+        if operator.outcome.is_some() {
+            return;
+        }
+        let faulty = world.faults > 0;
+        steps.extend(faulty.then_some(Step::GiveUp(o)));
+        match operator.call {
+            None => steps.push(Step::Tick(o)),
+            Some(Call::Replied(_)) => {
+                steps.push(Step::Reply(o));
+                steps.extend(faulty.then_some(Step::LoseReply(o)));
+            }
+            Some(Call::Action(action)) => {
+                steps.push(Step::Effect(o));
+                let call = !matches!(action, SwapAction::Validate(_));
+                steps.extend((faulty && call).then_some(Step::Refuse(o)));
+                let write = matches!(action, SwapAction::SwapHead { .. });
+                steps.extend((faulty && write).then_some(Step::Delay(o)));
+                if faulty && action == SwapAction::ReadHead {
+                    steps.extend((0..world.history.len() - 1).map(|i| Step::StaleRead(o, i)));
+                }
+            }
+        }
+    }
+
+    fn steps(&self, world: &World) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for o in 0..world.operators.len() {
+            self.operator_steps(world, o, &mut steps);
+        }
+        steps.extend((0..world.delayed.len()).map(Step::LateWrite));
+        for d in 0..2 {
+            steps.extend((1..world.history.len()).map(|i| Step::Show(d, i)));
+            steps.push(Step::Push(d));
+            steps.push(Step::Fetched(d));
+            steps.extend((world.faults > 0).then_some(Step::Restart(d)));
+        }
+        steps
+    }
+
+    fn take(&self, world: &mut World, step: Step) {
+        let now = Instant::ZERO;
+        match step {
+            Step::Effect(o) => self.effect(world, o, world.history.len() - 1),
+            Step::Reply(o) => {
+                if let Some(Call::Replied(reply)) = world.operators[o].call.take() {
+                    self.feed(world, o, now, reply);
+                }
+            }
+            Step::LateWrite(i) => {
+                let (mut if_version, head, o) = world.delayed.remove(i);
+                if self.mutant == Mutant::LateUnconditional {
+                    if_version = stored(world, world.history.len() - 1).version;
+                }
+                self.write(world, o, if_version, head);
+            }
+            Step::Tick(o) => self.feed(world, o, now, SwapEvent::Tick),
+            Step::Show(d, i) => self.show(world, d, world.history[i]),
+            Step::Push(d) => {
+                if let Some(head) = world.daemons[1 - d].follower.current() {
+                    self.show(world, d, head);
+                }
+            }
+            Step::Fetched(d) => self.fetched(world, d),
+            fault => {
+                world.faults -= 1;
+                self.take_fault(world, fault);
+            }
+        }
+    }
+
+    fn take_fault(&self, world: &mut World, step: Step) {
+        let now = Instant::ZERO;
+        match step {
+            Step::StaleRead(o, i) => self.effect(world, o, i),
+            Step::LoseReply(o) => {
+                world.operators[o].call = None;
+                self.feed(world, o, now, SwapEvent::Lost);
+            }
+            Step::Delay(o) => {
+                delay(world, o);
+                world.operators[o].call = None;
+                self.feed(world, o, now, SwapEvent::Lost);
+            }
+            Step::Refuse(o) => {
+                world.operators[o].call = None;
+                self.feed(world, o, now, SwapEvent::Refused);
+            }
+            Step::GiveUp(o) => {
+                delay(world, o);
+                self.feed(world, o, now + GIVE_UP, SwapEvent::Tick);
+            }
+            Step::Restart(d) => world.daemons[d] = daemon(),
+            _ => {}
+        }
+    }
+
+    /// What an operator was told, against what happened.
+    fn told_rightly(&self, world: &World, o: usize) -> bool {
+        let change = self.changes[o];
+        let applied = world.history.iter().find(|h| {
+            part(h, change.which)
+                .is_some_and(|p| p.nonce == change.nonce && p.since == h.generation)
+        });
+        match world.operators[o].outcome {
+            Some(SwapOutcome::Accepted(g)) => applied.is_some_and(|h| h.generation == g),
+            Some(SwapOutcome::Superseded { current }) => {
+                let stands = world
+                    .history
+                    .iter()
+                    .find(|h| h.generation == current.generation);
+                let part = stands.and_then(|h| part(h, change.which));
+                part.is_some_and(|p| p.nonce != change.nonce)
+            }
+            Some(SwapOutcome::Unknown) | None => true,
+            Some(_) => applied.is_none(),
+        }
+    }
+}
+
+fn daemon() -> Daemon {
+    Daemon {
+        follower: Follower::new(),
+        fetching: None,
+        highest: Generation(0),
+    }
+}
+
+fn part(head: &Head, which: Which) -> Option<Part> {
+    match which {
+        Which::Register => head.register,
+        Which::Rules => head.rules,
+    }
+}
+
+fn stored(world: &World, index: usize) -> StoredHead {
+    StoredHead {
+        version: Version(index as u64),
+        head: world.history[index],
+    }
+}
+
+fn delay(world: &mut World, o: usize) {
+    if let Some(Call::Action(SwapAction::SwapHead { if_version, head })) = world.operators[o].call {
+        world.delayed.push((if_version, head, o));
+    }
+}
+
+impl Model for HeadModel {
+    type State = World;
+    type Step = Step;
+
+    fn start(&self) -> World {
+        let cfg = Config {
+            retry: Span::ZERO,
+            give_up: GIVE_UP,
+        };
+        let operator = |&change: &Change| {
+            let mut swap = Swap::new(cfg, change, Instant::ZERO);
+            let call = swap
+                .on_event(Instant::ZERO, SwapEvent::Start)
+                .pop()
+                .map(Call::Action);
+            Operator {
+                swap,
+                base: None,
+                call,
+                outcome: None,
+            }
+        };
+        World {
+            history: vec![Head::EMPTY],
+            operators: self.changes.iter().map(operator).collect(),
+            daemons: [daemon(), daemon()],
+            delayed: Vec::new(),
+            faults: self.faults,
+            broken: None,
+        }
+    }
+
+    fn next(&self, world: &World) -> Vec<(Step, World)> {
+        let take = |step| {
+            let mut next = world.clone();
+            self.take(&mut next, step);
+            (step, next)
+        };
+        self.steps(world)
+            .into_iter()
+            .map(take)
+            .filter(|(_, next)| next != world)
+            .collect()
+    }
+
+    fn broken(&self, world: &World) -> Option<&'static str> {
+        if world.broken.is_some() {
+            return world.broken;
+        }
+        if !(0..world.operators.len()).all(|o| self.told_rightly(world, o)) {
+            return Some(TOLD);
+        }
+        (!self.follows(world)).then_some(FOLLOWS)
+    }
+}
+
+fn change(which: Which, byte: u8) -> Change {
+    Change {
+        which,
+        digest: Digest([byte; 32]),
+        nonce: Nonce(u64::from(byte)),
+    }
+}
+
+/// Two operators on different parts that do not fit together.
+fn misfits() -> HeadModel {
+    let changes = vec![change(Which::Register, 1), change(Which::Rules, 2)];
+    HeadModel {
+        misfit: (changes[0].digest, changes[1].digest),
+        ..model(changes)
+    }
+}
+
+/// Two operators on the same part.
+fn rivals() -> HeadModel {
+    model(vec![change(Which::Rules, 1), change(Which::Rules, 2)])
+}
+
+/// One operator before two that race.
+fn three_rivals() -> HeadModel {
+    model([1, 2, 3].map(|byte| change(Which::Rules, byte)).to_vec())
+}
+
+fn model(changes: Vec<Change>) -> HeadModel {
+    let none = Digest([0; 32]);
+    HeadModel {
+        changes,
+        misfit: (none, none),
+        faults: 1,
+        mutant: Mutant::None,
+    }
+}
+
+#[rstest]
+#[case::different_parts(model(vec![change(Which::Register, 1), change(Which::Rules, 2)]))]
+#[case::same_part(rivals())]
+#[case::misfits(misfits())]
+fn the_head_holds_for_two_operators(#[case] model: HeadModel) {
+    let faults = 1 + bound() as u8;
+    assert_holds("head, two operators", &HeadModel { faults, ..model });
+}
+
+#[test]
+fn the_head_holds_for_three_operators() {
+    let changes = vec![
+        change(Which::Rules, 1),
+        change(Which::Register, 2),
+        change(Which::Rules, 3),
+    ];
+    let faults = bound() as u8 - 1;
+    assert_holds(
+        "head, three operators",
+        &HeadModel {
+            faults,
+            ..model(changes)
+        },
+    );
+}
+
+#[rstest]
+#[case::unconditional(Mutant::Unconditional, rivals(), RISES, 0)]
+#[case::no_since(Mutant::NoSince, three_rivals(), NOT_LOST, 0)]
+#[case::no_nonce(Mutant::NoNonce, rivals(), TOLD, 1)]
+#[case::late_unconditional(Mutant::LateUnconditional, model(vec![change(Which::Rules, 1)]), ONCE, 1)]
+#[case::no_validation(Mutant::NoValidation, misfits(), VALID, 1)]
+#[case::takes_any(Mutant::TakesAny, rivals(), NEVER_DOWN, 1)]
+#[case::deaf(Mutant::Deaf, rivals(), FOLLOWS, 1)]
+fn the_checker_catches(
+    #[case] mutant: Mutant,
+    #[case] model: HeadModel,
+    #[case] invariant: &str,
+    #[case] faults: u8,
+) {
+    assert_caught(
+        "head",
+        &HeadModel {
+            mutant,
+            faults,
+            ..model
+        },
+        invariant,
+    );
+}
--- /dev/null
+++ b/crates/kelpworks-coord/tests/model_membership.rs
@@ -0,0 +1,411 @@
+//! Model check of membership; specified in `docs/spec/membership.md`.
+
+mod checker;
+
+use rstest::rstest;
+
+use checker::Model;
+use checker::assert_caught;
+use checker::assert_holds;
+use checker::bound;
+use kelpworks_coord::id::DomainId;
+use kelpworks_coord::id::Incarnation;
+use kelpworks_coord::id::NodeId;
+use kelpworks_coord::membership::Action;
+use kelpworks_coord::membership::Config;
+use kelpworks_coord::membership::Entry;
+use kelpworks_coord::membership::Event;
+use kelpworks_coord::membership::Health;
+use kelpworks_coord::membership::Membership;
+use kelpworks_coord::membership::Update;
+use kelpworks_coord::time::Instant;
+use kelpworks_coord::time::Span;
+
+const LIVE_IS_SEEN: &str = "no live daemon is held dead for ever";
+const CRASHED_IS_DEAD: &str = "a crashed daemon ends up dead for all";
+const CONFIRMED: &str = "no daemon counts as dead by one daemon's word before the long timeout";
+
+const NODES: usize = 3;
+const ROUND_MS: u64 = 1_000;
+const LONG_TIMEOUT_MS: u64 = 4 * ROUND_MS;
+const HEAL_ROUNDS: u64 = 16;
+const DOMAIN: DomainId = DomainId(1);
+
+#[derive(Clone, Copy, PartialEq)]
+enum Mutant {
+    None,
+    /// No daemon learns what others hold of it, so none refutes.
+    NoRefutation,
+    /// Passed-on suspicions count as the relaying daemon's own.
+    RelayedCountsAsOwn,
+    /// A helper answers for its target without probing it.
+    HelperLies,
+}
+
+/// Directed links that are cut, `(from, to)`.
+type Cut = &'static [(usize, usize)];
+
+const WHOLE: Cut = &[];
+const CUTS: [Cut; 6] = [
+    WHOLE,
+    &[(0, 1), (1, 0)],
+    &[(0, 1)],
+    &[(1, 0), (1, 2)],
+    &[(0, 1), (1, 0), (0, 2), (2, 0)],
+    &[(0, 1), (1, 0), (0, 2), (2, 0), (1, 2), (2, 1)],
+];
+
+struct MembershipModel {
+    rounds: u64,
+    crashes: u8,
+    /// Whether rounds also run in the reverse order of daemons.
+    reorder: bool,
+    mutant: Mutant,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    members: [Membership; NODES],
+    up: [bool; NODES],
+    round: u64,
+    crashes: u8,
+    /// When a daemon first found another silent.
+    failed: [[Option<u64>; NODES]; NODES],
+    broken: Option<&'static str>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Round { cut: Cut, reverse: bool },
+    Crash(usize),
+}
+
+/// What goes on within one round.
+struct Round<'a> {
+    world: &'a mut World,
+    cut: Cut,
+    mutant: Mutant,
+    now: Instant,
+}
+
+impl Round<'_> {
+    fn passes(&self, from: usize, to: usize) -> bool {
+        self.world.up[from] && self.world.up[to] && !self.cut.contains(&(from, to))
+    }
+
+    fn tick(&mut self, d: usize) {
+        let actions = self.feed(d, Event::Tick);
+        for action in actions {
+            match action {
+                Action::Probe { target, view } => self.probe(d, index(target), view),
+                Action::ProbeVia { via, target, view } => {
+                    self.probe_via(d, index(via), index(target), view);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn feed(&mut self, d: usize, event: Event) -> Vec<Action> {
+        let actions = self.world.members[d].on_event(self.now, event);
+        for action in &actions {
+            if let Action::Changed {
+                node,
+                health: Health::Dead,
+            } = *action
+            {
+                self.check_confirmed(index(node));
+            }
+        }
+        actions
+    }
+
+    fn check_confirmed(&mut self, t: usize) {
+        let since: Vec<u64> = (0..NODES).filter_map(|d| self.world.failed[d][t]).collect();
+        let late = |at: &u64| self.now.as_millis() - at >= LONG_TIMEOUT_MS;
+        if since.len() < 2 && !since.iter().any(late) {
+            self.world.broken = Some(CONFIRMED);
+        }
+    }
+
+    fn gossip(&mut self, from: usize, to: usize) {
+        let mut updates = self.world.members[from].take_updates(4);
+        for update in &mut updates {
+            if self.mutant == Mutant::RelayedCountsAsOwn {
+                update.by = node(from);
+            }
+        }
+        if self.mutant == Mutant::NoRefutation {
+            updates.retain(|u| u.node != node(to));
+        }
+        self.feed(to, Event::Updates(updates));
+    }
+
+    /// A probe and its answer; true when the answer arrived.
+    fn probe_and_answer(&mut self, d: usize, t: usize, mut view: Update) -> Option<Incarnation> {
+        if !self.passes(d, t) {
+            return None;
+        }
+        if self.mutant == Mutant::NoRefutation {
+            view.health = Health::Alive;
+            view.incarnation = self.world.members[t].incarnation();
+        }
+        self.gossip(d, t);
+        let incarnation = self.world.members[d].incarnation();
+        let answers = self.feed(
+            t,
+            Event::Probed {
+                from: node(d),
+                incarnation,
+                view,
+            },
+        );
+        if !self.passes(t, d) {
+            return None;
+        }
+        self.gossip(t, d);
+        let mut answered = None;
+        for action in answers {
+            if let Action::Answer {
+                incarnation, view, ..
+            } = action
+            {
+                answered = Some(incarnation);
+                self.feed(
+                    d,
+                    Event::Heard {
+                        from: node(t),
+                        incarnation,
+                    },
+                );
+                let view = view.filter(|_| self.mutant != Mutant::NoRefutation);
+                self.feed(d, Event::Updates(view.into_iter().collect()));
+            }
+        }
+        answered
+    }
+
+    fn probe(&mut self, d: usize, t: usize, view: Update) {
+        if self.probe_and_answer(d, t, view).is_none() {
+            let now = self.now.as_millis();
+            self.world.failed[d][t].get_or_insert(now);
+        }
+    }
+
+    fn probe_via(&mut self, d: usize, via: usize, t: usize, view: Update) {
+        if !self.passes(d, via) {
+            return;
+        }
+        let answered = match self.mutant {
+            Mutant::HelperLies => Some(view.incarnation),
+            _ => self.probe_and_answer(via, t, view),
+        };
+        if let Some(incarnation) = answered.filter(|_| self.passes(via, d)) {
+            self.feed(
+                d,
+                Event::Heard {
+                    from: node(t),
+                    incarnation,
+                },
+            );
+        }
+    }
+}
+
+impl MembershipModel {
+    fn round(&self, world: &mut World, cut: Cut, reverse: bool) {
+        let start = world.round * ROUND_MS;
+        world.round += 1;
+        // The probe, its direct timeout and its indirect timeout.
+        for sub in [0, 400, 800] {
+            for i in 0..NODES {
+                let d = if reverse { NODES - 1 - i } else { i };
+                if world.up[d] {
+                    let now = Instant::from_millis(start + sub);
+                    Round {
+                        world,
+                        cut,
+                        mutant: self.mutant,
+                        now,
+                    }
+                    .tick(d);
+                }
+            }
+        }
+    }
+
+    fn healed(&self, world: &World) -> Option<&'static str> {
+        let mut world = world.clone();
+        for _ in 0..HEAL_ROUNDS {
+            self.round(&mut world, WHOLE, false);
+        }
+        for d in (0..NODES).filter(|&d| world.up[d]) {
+            for t in (0..NODES).filter(|&t| t != d) {
+                let health = world.members[d].health(node(t));
+                match world.up[t] {
+                    true if health != Some(Health::Alive) => return Some(LIVE_IS_SEEN),
+                    false if health != Some(Health::Dead) => return Some(CRASHED_IS_DEAD),
+                    _ => {}
+                }
+            }
+        }
+        None
+    }
+}
+
+fn node(i: usize) -> NodeId {
+    NodeId(i as u64)
+}
+
+fn index(node: NodeId) -> usize {
+    node.0 as usize
+}
+
+fn member(i: usize) -> Membership {
+    let cfg = Config {
+        probe_every: Span::from_millis(ROUND_MS),
+        probe_timeout: Span::from_millis(400),
+        indirect: 2,
+        confirmations: 3,
+        suspect_min: Span::from_millis(ROUND_MS),
+        suspect_max: Span::from_millis(LONG_TIMEOUT_MS),
+        dead_probe: Span::from_millis(2 * ROUND_MS),
+        forget: Span::from_secs(600),
+    };
+    let mut member = Membership::new(cfg, node(i), DOMAIN, Incarnation(1));
+    let entry = |n| Entry {
+        node: node(n),
+        domain: DOMAIN,
+        leaving: false,
+    };
+    member.on_event(
+        Instant::ZERO,
+        Event::Listed((0..NODES).map(entry).collect()),
+    );
+    for from in (0..NODES).filter(|&n| n != i).map(node) {
+        member.on_event(
+            Instant::ZERO,
+            Event::Heard {
+                from,
+                incarnation: Incarnation(1),
+            },
+        );
+    }
+    member
+}
+
+impl Model for MembershipModel {
+    type State = World;
+    type Step = Step;
+
+    fn start(&self) -> World {
+        World {
+            members: [member(0), member(1), member(2)],
+            up: [true; NODES],
+            round: 0,
+            crashes: self.crashes,
+            failed: [[None; NODES]; NODES],
+            broken: None,
+        }
+    }
+
+    fn next(&self, world: &World) -> Vec<(Step, World)> {
+        if world.round == self.rounds {
+            return Vec::new();
+        }
+        let mut steps: Vec<Step> = CUTS
+            .iter()
+            .map(|cut| Step::Round {
+                cut,
+                reverse: false,
+            })
+            .collect();
+        if self.reorder {
+            steps.extend(CUTS.iter().map(|cut| Step::Round { cut, reverse: true }));
+        }
+        if world.crashes > 0 {
+            steps.extend((0..NODES).map(Step::Crash));
+        }
+        let take = |step| {
+            let mut next = world.clone();
+            match step {
+                Step::Round { cut, reverse } => self.round(&mut next, cut, reverse),
+                Step::Crash(d) => {
+                    next.up[d] = false;
+                    next.crashes -= 1;
+                }
+            }
+            (step, next)
+        };
+        steps.into_iter().map(take).collect()
+    }
+
+    fn broken(&self, world: &World) -> Option<&'static str> {
+        if world.broken.is_some() {
+            return world.broken;
+        }
+        if world.round == self.rounds {
+            self.healed(world)
+        } else {
+            None
+        }
+    }
+}
+
+fn model() -> MembershipModel {
+    MembershipModel {
+        rounds: 4,
+        crashes: 0,
+        reorder: false,
+        mutant: Mutant::None,
+    }
+}
+
+#[test]
+fn members_find_each_other_after_cuts() {
+    let rounds = 5 + u64::from(bound());
+    assert_holds("membership, cuts", &MembershipModel { rounds, ..model() });
+}
+
+#[test]
+fn members_find_each_other_after_cuts_in_any_order() {
+    let rounds = 4 + u64::from(bound());
+    assert_holds(
+        "membership, orders",
+        &MembershipModel {
+            rounds,
+            reorder: true,
+            ..model()
+        },
+    );
+}
+
+#[test]
+fn members_find_out_a_crash() {
+    let rounds = 4 + u64::from(bound());
+    assert_holds(
+        "membership, crash",
+        &MembershipModel {
+            rounds,
+            crashes: 1,
+            ..model()
+        },
+    );
+}
+
+#[rstest]
+#[case::no_refutation(Mutant::NoRefutation, LIVE_IS_SEEN)]
+#[case::relayed_counts_as_own(Mutant::RelayedCountsAsOwn, CONFIRMED)]
+#[case::helper_lies(Mutant::HelperLies, CRASHED_IS_DEAD)]
+fn the_checker_catches(#[case] mutant: Mutant, #[case] invariant: &str) {
+    let crashes = u8::from(mutant == Mutant::HelperLies);
+    assert_caught(
+        "membership",
+        &MembershipModel {
+            mutant,
+            crashes,
+            ..model()
+        },
+        invariant,
+    );
+}
--- /dev/null
+++ b/crates/kelpworks-coord/tests/model_token.rs
@@ -0,0 +1,501 @@
+//! Model check of the token order; specified in `docs/spec/token.md`.
+
+mod checker;
+
+use rstest::rstest;
+
+use checker::Model;
+use checker::assert_caught;
+use checker::assert_holds;
+use checker::bound;
+use kelpworks_coord::id::Incarnation;
+use kelpworks_coord::token::Expected;
+use kelpworks_coord::token::LayerRange;
+use kelpworks_coord::token::Lineage;
+use kelpworks_coord::token::Progress;
+use kelpworks_coord::token::Reply;
+use kelpworks_coord::token::SessionId;
+use kelpworks_coord::token::Spec;
+use kelpworks_coord::token::VersionKey;
+
+const RIGHT_TOKENS: &str = "each token is the one that all layers in order give";
+const KV_STANDS: &str = "what a stage is held to hold, its engine computed in that attempt";
+const ONE_INCARNATION: &str = "one attempt of a stage runs on one incarnation";
+const COMPLETES: &str = "the answer completes once faults stop";
+
+const STAGES: usize = 2;
+const PROMPT: usize = 2;
+const SESSION: SessionId = SessionId(1);
+const OTHER_SESSION: SessionId = SessionId(2);
+
+const LAYERS: [LayerRange; STAGES] = [
+    LayerRange { first: 0, end: 1 },
+    LayerRange { first: 1, end: 2 },
+];
+
+/// The field of a reply that a mutant does not compare.
+#[derive(Clone, Copy, PartialEq)]
+enum Ignore {
+    Nothing,
+    Session,
+    Attempt,
+    Position,
+    Layers,
+    Version,
+    Incarnation,
+}
+
+struct TokenModel {
+    tokens: usize,
+    faults: u8,
+    duplicates: u8,
+    ignore: Ignore,
+    /// Whether the driver leaves a stage without its replay after replacing it, as a mutant.
+    stuck: bool,
+}
+
+/// An output row, or a token: a chain over stage, position, input and all earlier inputs.
+type Row = u64;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Engine {
+    incarnation: u64,
+    version: u32,
+    /// Attempt and input rows, one a position, of the session.
+    kv: Option<(u32, Vec<Row>)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Request {
+    replica: usize,
+    stage: usize,
+    attempt: u32,
+    position: u32,
+    inputs: Vec<Row>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Answer {
+    reply: Reply,
+    rows: Vec<Row>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    lineage: Lineage,
+    /// Replica in use for each stage, and the incarnation that its attempt began on.
+    used: [usize; STAGES],
+    began_on: [Option<Incarnation>; STAGES],
+    /// What the driver keeps: inputs of each stage by position; after the last, the tokens.
+    rows: Vec<Vec<Row>>,
+    /// Two for each stage.
+    engines: [[Engine; 2]; STAGES],
+    requests: Vec<Request>,
+    answers: Vec<Answer>,
+    emitted: Vec<Row>,
+    faults: u8,
+    duplicates: u8,
+    broken: Option<&'static str>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Run(usize),
+    RunTwice(usize),
+    Deliver(usize),
+    DeliverTwice(usize),
+    Drop(usize),
+    Foreign,
+    /// The driver takes the stage to the replica, that may be the same.
+    Replace(usize, usize),
+    Restart,
+    Crash(usize, usize),
+    Upgrade(usize, usize),
+}
+
+fn chain(stage: usize, version: u32, inputs: &[Row]) -> Row {
+    let seed = 31 * (stage as u64 + 1) + 1_000 * u64::from(version);
+    inputs.iter().fold(seed, |h, row| {
+        h.wrapping_mul(0x9E37_79B9).wrapping_add(row + 1)
+    })
+}
+
+/// Token after the sequence, by running every stage over all of it.
+fn reference(sequence: &[Row]) -> Row {
+    let mut rows = sequence.to_vec();
+    for stage in 0..STAGES {
+        rows = (1..=rows.len())
+            .map(|n| chain(stage, 1, &rows[..n]))
+            .collect();
+    }
+    rows[rows.len() - 1]
+}
+
+impl TokenModel {
+    fn send(&self, world: &mut World) {
+        if world.emitted.len() >= self.tokens {
+            return;
+        }
+        let due = world.lineage.expect();
+        let from = due.position as usize;
+        let inputs = world.rows[due.stage][from..from + due.count as usize].to_vec();
+        let Expected {
+            stage,
+            attempt,
+            position,
+            ..
+        } = due;
+        let replica = world.used[stage];
+        world.requests.push(Request {
+            replica,
+            stage,
+            attempt,
+            position,
+            inputs,
+        });
+        world.requests.sort_unstable();
+    }
+
+    fn run(&self, world: &mut World, request: Request) {
+        let Request {
+            replica,
+            stage,
+            attempt,
+            position,
+            inputs,
+        } = request;
+        let engine = &mut world.engines[stage][replica];
+        let newer = engine.kv.as_ref().is_none_or(|(a, _)| *a < attempt);
+        if position == 0 && newer {
+            engine.kv = Some((attempt, Vec::new()));
+        }
+        // A gap, a repeat or an old attempt is refused.
+        let Some((_, kv)) = engine
+            .kv
+            .as_mut()
+            .filter(|(a, kv)| *a == attempt && kv.len() == position as usize)
+        else {
+            return;
+        };
+        let count = inputs.len() as u32;
+        let mut rows = Vec::new();
+        for input in inputs {
+            kv.push(input);
+            rows.push(chain(stage, engine.version, kv));
+        }
+        let reply = Reply {
+            session: SESSION,
+            attempt,
+            position,
+            count,
+            layers: LAYERS[stage],
+            version: VersionKey(engine.version),
+            incarnation: Incarnation(engine.incarnation),
+        };
+        world.answers.push(Answer { reply, rows });
+        world.answers.sort_unstable();
+    }
+
+    fn deliver(&self, world: &mut World, answer: Answer) {
+        let due = world.lineage.expect();
+        let mut reply = answer.reply;
+        match self.ignore {
+            Ignore::Nothing => {}
+            Ignore::Session => reply.session = due.session,
+            Ignore::Attempt => reply.attempt = due.attempt,
+            Ignore::Position => (reply.position, reply.count) = (due.position, due.count),
+            Ignore::Layers => reply.layers = due.layers,
+            Ignore::Version => reply.version = due.version,
+            Ignore::Incarnation => {
+                reply.incarnation = due.incarnation.unwrap_or(reply.incarnation);
+            }
+        }
+        let done = world.emitted.len() >= self.tokens;
+        let accepted = if done {
+            return;
+        } else {
+            world.lineage.accept(&reply)
+        };
+        // The counts would tell states apart without end.
+        world.lineage.take_drops();
+        let Ok(progress) = accepted else { return };
+        let began = *world.began_on[due.stage].get_or_insert(answer.reply.incarnation);
+        if began != answer.reply.incarnation {
+            world.broken = Some(ONE_INCARNATION);
+        }
+        let kept = &mut world.rows[due.stage + 1];
+        match progress {
+            Progress::NextStage => {
+                kept.truncate(due.position as usize);
+                kept.extend(answer.rows);
+            }
+            Progress::Token { position } => {
+                let token = answer.rows.last().copied().unwrap_or(0);
+                if position as usize != world.rows[0].len() {
+                    world.broken = Some(RIGHT_TOKENS);
+                }
+                if token != reference(&world.rows[0]) {
+                    world.broken = Some(RIGHT_TOKENS);
+                }
+                world.emitted.push(token);
+                world.rows[0].push(token);
+            }
+        }
+        self.send(world);
+    }
+
+    fn foreign(&self, world: &mut World) {
+        let due = world.lineage.expect();
+        let reply = Reply {
+            session: OTHER_SESSION,
+            ..Reply::to(&due, Incarnation(1))
+        };
+        self.deliver(
+            world,
+            Answer {
+                reply,
+                rows: vec![77; due.count as usize],
+            },
+        );
+    }
+
+    fn replace(&self, world: &mut World, stage: usize, replica: usize) {
+        world.used[stage] = replica;
+        world.began_on[stage] = None;
+        world.lineage.replace(stage, 0, None);
+        // The step that was due may have changed with it.
+        if !self.stuck {
+            self.send(world);
+        }
+    }
+
+    fn kv_stands(&self, world: &World) -> bool {
+        (0..STAGES).all(|stage| {
+            let engine = &world.engines[stage][world.used[stage]];
+            let restarted = world.began_on[stage].is_some_and(|i| i.0 != engine.incarnation);
+            let held = world.lineage.held(stage) as usize;
+            let computed = engine
+                .kv
+                .as_ref()
+                .is_some_and(|(_, kv)| kv.len() >= held && kv[..held] == world.rows[stage][..held]);
+            held == 0 || restarted || computed
+        })
+    }
+
+    /// Once faults stop, the driver replaces a stage that refuses, and the answer completes.
+    fn completes(&self, world: &World) -> bool {
+        let mut world = world.clone();
+        for _ in 0..40 {
+            while let Some(request) = world.requests.pop() {
+                self.run(&mut world, request);
+            }
+            while let Some(answer) = world.answers.pop() {
+                self.deliver(&mut world, answer);
+            }
+            if world.emitted.len() >= self.tokens {
+                return true;
+            }
+            if world.requests.is_empty() {
+                let stage = world.lineage.expect().stage;
+                let good = (0..2).find(|&r| world.engines[stage][r].version == 1);
+                match good {
+                    Some(replica) => self.replace(&mut world, stage, replica),
+                    // No replica of the version is left; a driver fails the session.
+                    None => return true,
+                }
+            }
+        }
+        false
+    }
+
+    fn steps(&self, world: &World) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let twice = world.duplicates > 0;
+        for i in 0..world.requests.len() {
+            steps.push(Step::Run(i));
+            steps.extend(twice.then_some(Step::RunTwice(i)));
+        }
+        for i in 0..world.answers.len() {
+            steps.push(Step::Deliver(i));
+            steps.extend(twice.then_some(Step::DeliverTwice(i)));
+        }
+        if world.emitted.len() >= self.tokens {
+            return steps;
+        }
+        if twice {
+            steps.push(Step::Foreign);
+        }
+        if world.faults > 0 {
+            steps.extend((0..world.answers.len()).map(Step::Drop));
+            steps.push(Step::Restart);
+            for (stage, replica) in [(0, 0), (0, 1), (1, 0), (1, 1)] {
+                steps.push(Step::Replace(stage, replica));
+                steps.push(Step::Crash(stage, replica));
+                steps.push(Step::Upgrade(stage, replica));
+            }
+        }
+        steps
+    }
+
+    fn take(&self, world: &mut World, step: Step) {
+        match step {
+            Step::Run(i) => {
+                let request = world.requests.remove(i);
+                self.run(world, request);
+            }
+            Step::RunTwice(i) => {
+                world.duplicates -= 1;
+                self.run(world, world.requests[i].clone());
+            }
+            Step::Deliver(i) => {
+                let answer = world.answers.remove(i);
+                self.deliver(world, answer);
+            }
+            Step::DeliverTwice(i) => {
+                world.duplicates -= 1;
+                self.deliver(world, world.answers[i].clone());
+            }
+            Step::Foreign => {
+                world.duplicates -= 1;
+                self.foreign(world);
+            }
+            fault => {
+                world.faults -= 1;
+                self.take_fault(world, fault);
+            }
+        }
+    }
+
+    fn take_fault(&self, world: &mut World, step: Step) {
+        match step {
+            Step::Drop(i) => {
+                world.answers.remove(i);
+            }
+            Step::Replace(stage, replica) => self.replace(world, stage, replica),
+            Step::Restart => {
+                world.began_on = [None; STAGES];
+                world.lineage.restart(&LAYERS).expect("the same stages");
+                self.send(world);
+            }
+            Step::Crash(stage, replica) => {
+                let engine = &mut world.engines[stage][replica];
+                engine.incarnation += 1;
+                engine.kv = None;
+            }
+            Step::Upgrade(stage, replica) => world.engines[stage][replica].version = 2,
+            _ => {}
+        }
+    }
+}
+
+impl Model for TokenModel {
+    type State = World;
+    type Step = Step;
+
+    fn start(&self) -> World {
+        let spec = Spec {
+            session: SESSION,
+            version: VersionKey(1),
+            layers: STAGES as u32,
+            prompt_len: PROMPT as u32,
+        };
+        let engine = Engine {
+            incarnation: 1,
+            version: 1,
+            kv: None,
+        };
+        let pair = [engine.clone(), engine];
+        let mut rows = vec![Vec::new(); STAGES + 1];
+        rows[0] = vec![5, 6];
+        let mut world = World {
+            lineage: Lineage::new(spec, &LAYERS).expect("stages cover the layers"),
+            used: [0; STAGES],
+            began_on: [None; STAGES],
+            rows,
+            engines: [pair.clone(), pair],
+            requests: Vec::new(),
+            answers: Vec::new(),
+            emitted: Vec::new(),
+            faults: self.faults,
+            duplicates: self.duplicates,
+            broken: None,
+        };
+        self.send(&mut world);
+        world
+    }
+
+    fn next(&self, world: &World) -> Vec<(Step, World)> {
+        let take = |step| {
+            let mut next = world.clone();
+            self.take(&mut next, step);
+            (step, next)
+        };
+        self.steps(world)
+            .into_iter()
+            .map(take)
+            .filter(|(_, next)| next != world)
+            .collect()
+    }
+
+    fn broken(&self, world: &World) -> Option<&'static str> {
+        if world.broken.is_some() {
+            return world.broken;
+        }
+        if !self.kv_stands(world) {
+            return Some(KV_STANDS);
+        }
+        (!self.completes(world)).then_some(COMPLETES)
+    }
+}
+
+fn model() -> TokenModel {
+    TokenModel {
+        tokens: 2,
+        faults: 2,
+        duplicates: 1,
+        ignore: Ignore::Nothing,
+        stuck: false,
+    }
+}
+
+#[test]
+fn tokens_keep_their_order_under_two_faults() {
+    let faults = 1 + bound() as u8;
+    assert_holds("token, two faults", &TokenModel { faults, ..model() });
+}
+
+#[test]
+fn tokens_keep_their_order_under_duplicates() {
+    let duplicates = 1 + bound() as u8;
+    assert_holds(
+        "token, duplicates",
+        &TokenModel {
+            faults: 1,
+            duplicates,
+            ..model()
+        },
+    );
+}
+
+#[rstest]
+#[case::session(Ignore::Session, KV_STANDS)]
+#[case::attempt(Ignore::Attempt, KV_STANDS)]
+#[case::position(Ignore::Position, KV_STANDS)]
+#[case::layers(Ignore::Layers, RIGHT_TOKENS)]
+#[case::version(Ignore::Version, RIGHT_TOKENS)]
+#[case::incarnation(Ignore::Incarnation, ONE_INCARNATION)]
+fn the_checker_catches(#[case] ignore: Ignore, #[case] invariant: &str) {
+    assert_caught("token", &TokenModel { ignore, ..model() }, invariant);
+}
+
+#[test]
+fn the_checker_catches_a_stage_that_is_never_replayed() {
+    assert_caught(
+        "token",
+        &TokenModel {
+            stuck: true,
+            ..model()
+        },
+        COMPLETES,
+    );
+}
