--- a/crates/kelpworks-coord/src/claim.rs
+++ b/crates/kelpworks-coord/src/claim/mod.rs
@@ -38,221 +38,28 @@
 //!
 //! The machine assumes that conditional writes are linearizable; reads may be stale.
 
-use serde::Deserialize;
-use serde::Serialize;
+mod messages;
 
-use crate::id::Incarnation;
-use crate::id::NodeId;
-use crate::id::Nonce;
 use crate::id::Version;
 use crate::time::Instant;
-use crate::time::Span;
 
-/// Bounds of a claim.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Config {
-    /// Largest outcome body that is recorded, in bytes. Default 256 KiB; the object API holds 1 MB.
-    pub max_outcome_bytes: usize,
-    /// Pause before a read or write is tried again. Default 100 ms.
-    pub retry: Span,
-    /// Longest time to find out whether the claim was created. Default 1 s.
-    pub settle: Span,
-    /// Longest time that an answer waits for its recording. Default 500 ms. A longer one makes it
-    /// likelier that a repeat gets the same answer though the holder dies at once; every caller
-    /// pays it while the object API is down.
-    pub record: Span,
-}
-
-impl Default for Config {
-    fn default() -> Config {
-        Config {
-            max_outcome_bytes: 256 * 1024,
-            retry: Span::from_millis(100),
-            settle: Span::from_secs(1),
-            record: Span::from_millis(500),
-        }
-    }
-}
-
-/// One submission of a keyed request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Request {
-    /// Hash of the request's body; a key may not be used for another body.
-    pub digest: u64,
-    /// This daemon.
-    pub holder: NodeId,
-    /// Its incarnation.
-    pub incarnation: Incarnation,
-    /// Drawn for this submission.
-    pub nonce: Nonce,
-    /// Not dispatched from then on.
-    pub deadline: Instant,
-}
-
-/// A recorded answer.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Outcome {
-    /// HTTP status.
-    pub status: u16,
-    /// Body; the driver encodes what is not text.
-    pub body: String,
-}
-
-/// How far a claim has come, as recorded.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Phase {
-    /// Dispatched, or about to be.
-    Claimed,
-    /// Ran, with this outcome.
-    Done(Outcome),
-    /// Ran, with an outcome too large to record.
-    DoneUnrecorded,
-    /// Dispatched, and no answer came.
-    MayHaveRun,
-}
-
-/// Body of a claim object.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Record {
-    /// [`Request::digest`].
-    pub digest: u64,
-    /// [`Request::holder`].
-    pub holder: NodeId,
-    /// [`Request::incarnation`].
-    pub incarnation: Incarnation,
-    /// [`Request::nonce`]; tells the writer its own object.
-    pub nonce: Nonce,
-    /// How far it has come.
-    pub phase: Phase,
-}
-
-/// An object as the API shows it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Stored {
-    /// Its version.
-    pub version: Version,
-    /// Its body.
-    pub record: Record,
-}
-
-/// Answer of the object API to the last read, write or removal.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum ApiReply {
-    /// Written, under this version.
-    Stored(Version),
-    /// Removed.
-    Removed,
-    /// Read: there is none.
-    Absent,
-    /// Read.
-    Found(Stored),
-    /// Not written or removed: the object stands so, or does not exist.
-    Conflict(Option<Stored>),
-    /// Turned away before any effect.
-    Refused,
-    /// No answer; it may have taken effect, or take effect later.
-    Lost,
-}
-
-/// What a claim's holder says of it to a peer.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum PeerStatus {
-    /// Being created or running.
-    InProgress,
-    /// Given up before dispatch; the holder will never dispatch it.
-    NeverDispatched,
-    /// Ran, with this outcome.
-    Done(Outcome),
-    /// Dispatched, and no answer came; or not known to this incarnation.
-    MayHaveRun,
-}
-
-/// How a dispatched request ended.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Run {
-    /// With an answer.
-    Completed(Outcome),
-    /// No byte of it reached execution.
-    NotRun,
-    /// Without an answer.
-    MayHaveRun,
-}
-
-/// An input.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Event {
-    /// Begin.
-    Start,
-    /// The object API answered.
-    Api(ApiReply),
-    /// The holder of the claim answered; `None` when it did not, or runs under another
-    /// incarnation.
-    Peer(Option<PeerStatus>),
-    /// The dispatched request ended.
-    Finished(Run),
-    /// Time passed.
-    Tick,
-}
-
-/// Something for the driver to do. At most one read, write or removal is outstanding at a time.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Action {
-    /// Read the claim object.
-    Read,
-    /// Write it.
-    Write {
-        /// Condition.
-        if_version: Version,
-        /// New body.
-        record: Record,
-    },
-    /// Remove it.
-    Remove {
-        /// Condition.
-        if_version: Version,
-    },
-    /// Ask the daemon that holds the claim.
-    AskHolder {
-        /// The daemon.
-        holder: NodeId,
-        /// Only this run of it knows.
-        incarnation: Incarnation,
-        /// The claim.
-        nonce: Nonce,
-    },
-    /// Send the request to an upstream, once.
-    Dispatch,
-    /// Answer the caller.
-    Answer(Answer),
-}
-
-/// Why a request was not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum NotRun {
-    /// The object API did not confirm the claim.
-    Unavailable,
-    /// The deadline passed before dispatch.
-    Deadline,
-    /// No upstream took it.
-    Upstream,
-    /// The key was used for another body.
-    KeyReused,
-}
-
-/// Answer to the caller.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Answer {
-    /// The outcome; of this submission or of an earlier one.
-    Completed(Outcome),
-    /// An earlier submission is running; come back. Its verdict is `may-have-run`.
-    InProgress,
-    /// It, or an earlier submission, may have run.
-    MayHaveRun,
-    /// This submission did not run and never will.
-    NotRun(NotRun),
-}
+pub use messages::Action;
+pub use messages::Answer;
+pub use messages::ApiReply;
+pub use messages::Config;
+pub use messages::Event;
+pub use messages::NotRun;
+pub use messages::Outcome;
+pub use messages::PeerStatus;
+pub use messages::Phase;
+pub use messages::Record;
+pub use messages::Request;
+pub use messages::Run;
+pub use messages::Stored;
+
+/// A claim that was given up is taken for removed after finding it absent so often and once more:
+/// one such read may be a lagging replica's, or come before a late write.
+const ABSENT_READS: u8 = 2;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Cleanup {
@@ -306,6 +113,8 @@
     settle_by: Instant,
     /// Whether a write of the claim may have taken effect without our knowing.
     exposed: bool,
+    /// Reads of the cleanup that found nothing; at most [`ABSENT_READS`].
+    absent_reads: u8,
     state: State,
 }
 
@@ -317,6 +126,7 @@
             req,
             settle_by: req.deadline,
             exposed: false,
+            absent_reads: 0,
             state: State::New,
         }
     }
@@ -586,6 +396,10 @@
                     if_version: found.version,
                 }],
             ),
+            (Cleanup::Reading, ApiReply::Absent) if self.absent_reads < ABSENT_READS => {
+                self.absent_reads += 1;
+                (Cleanup::At(now + self.cfg.retry), Vec::new())
+            }
             (Cleanup::Reading, ApiReply::Found(_) | ApiReply::Absent)
             | (Cleanup::Removing, ApiReply::Removed | ApiReply::Conflict(_)) => {
                 (Cleanup::Finished, Vec::new())
--- a/crates/kelpworks-coord/tests/checker/mod.rs
+++ b/crates/kelpworks-coord/tests/checker/mod.rs
@@ -11,7 +11,7 @@
 use pathfinding::directed::bfs::bfs_reach;
 
 /// More states than this are an error in the choice of bounds.
-const MAX_STATES: usize = 10_000_000;
+const MAX_STATES: usize = 4_000_000;
 
 /// A protocol together with its environment.
 pub(crate) trait Model {
--- a/crates/kelpworks-coord/tests/model_claim.rs
+++ b/crates/kelpworks-coord/tests/model_claim.rs
@@ -17,6 +17,7 @@
 use kelpworks_coord::claim::NotRun;
 use kelpworks_coord::claim::Outcome;
 use kelpworks_coord::claim::PeerStatus;
+use kelpworks_coord::claim::Phase;
 use kelpworks_coord::claim::Record;
 use kelpworks_coord::claim::Request;
 use kelpworks_coord::claim::Run;
@@ -31,6 +32,7 @@
 const AT_MOST_ONCE: &str = "at most one run";
 const NOT_RUN_IS_TRUE: &str = "a submission told not-run never ran";
 const SAME_OUTCOME: &str = "all answers of a key are the same";
+const REPEATED: &str = "a repeat after success gets its outcome while the holder lives";
 const NOT_BLOCKED: &str = "a key that was never dispatched is not blocked while its holders live";
 
 /// All deadlines lie here; before it the clock stands still, since only their passing matters.
@@ -51,6 +53,8 @@
     OutcomeChanged,
     /// A daemon forgets the claims that it gave up.
     Forgets,
+    /// Outcomes are neither recorded nor told to peers.
+    OutcomeLost,
 }
 
 struct ClaimModel {
@@ -92,6 +96,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct World {
     object: Option<Stored>,
+    /// What stood before, for stale reads.
+    past: Vec<Option<Stored>>,
     version: u64,
     submissions: Vec<Submission>,
     /// Writes and removals that may take effect at any later time.
@@ -108,6 +114,8 @@
 enum Step {
     Start(usize),
     Effect(usize),
+    /// A read that shows what stood before.
+    StaleRead(usize, usize),
     Reply(usize),
     LoseReply(usize),
     Delay(usize),
@@ -186,10 +194,21 @@
         if current != if_version && self.mutant != Mutant::Unconditional {
             return ApiReply::Conflict(world.object.clone());
         }
+        let record = record.map(|record| match record.phase {
+            Phase::Done(_) if self.mutant == Mutant::OutcomeLost => Record {
+                phase: Phase::MayHaveRun,
+                ..record
+            },
+            _ => record,
+        });
         world.version += 1;
         let version = Version(world.version);
         let removed = record.is_none();
-        world.object = record.map(|record| Stored { version, record });
+        let before = std::mem::replace(
+            &mut world.object,
+            record.map(|record| Stored { version, record }),
+        );
+        world.past.push(before);
         if removed {
             ApiReply::Removed
         } else {
@@ -238,6 +257,7 @@
                 }))
             }
             PeerStatus::NeverDispatched if self.mutant == Mutant::Forgets => None,
+            PeerStatus::Done(_) if self.mutant == Mutant::OutcomeLost => None,
             status => Some(status),
         }
     }
@@ -287,6 +307,9 @@
             Some(Call::Action(action)) => {
                 steps.push(Step::Effect(i));
                 steps.extend(faulty.then_some(Step::Refuse(i)));
+                if faulty && *action == Action::Read {
+                    steps.extend((0..world.past.len()).map(|n| Step::StaleRead(i, n)));
+                }
                 steps.extend((faulty && change(action).is_some()).then_some(Step::Delay(i)));
             }
             Some(Call::Replied(_)) => {
@@ -317,6 +340,12 @@
                 self.feed(world, i, Event::Start);
             }
             Step::Effect(i) => self.effect(world, i),
+            Step::StaleRead(i, n) => {
+                let reply = world.past[n]
+                    .clone()
+                    .map_or(ApiReply::Absent, ApiReply::Found);
+                world.submissions[i].call = Some(Call::Replied(reply));
+            }
             Step::Reply(i) => {
                 if let Some(Call::Replied(reply)) = world.submissions[i].call.clone() {
                     self.reply(world, i, reply);
@@ -360,12 +389,13 @@
             Step::Crash(i) => {
                 world.crashes -= 1;
                 world.crashed = true;
-                delay(world, i);
-                let daemon = self.sent_to[i];
-                for (j, s) in world.submissions.iter_mut().enumerate() {
+                for j in (0..self.sent_to.len()).filter(|&j| self.sent_to[j] == self.sent_to[i]) {
                     // What was not submitted yet goes to the daemon's next run.
-                    s.gone |= self.sent_to[j] == daemon && s.started;
-                    s.call = s.call.take().filter(|_| !s.gone);
+                    if world.submissions[j].started {
+                        delay(world, j);
+                        world.submissions[j].gone = true;
+                        world.submissions[j].call = None;
+                    }
                 }
             }
         }
@@ -375,6 +405,7 @@
         matches!(
             step,
             Step::LoseReply(_)
+                | Step::StaleRead(..)
                 | Step::Delay(_)
                 | Step::Refuse(_)
                 | Step::HolderSilent(_)
@@ -392,8 +423,8 @@
         }
     }
 
-    /// Whether a further submission is dispatched once faults stop.
-    fn serves_another(&self, world: &World) -> bool {
+    /// What becomes of a further submission once faults stop.
+    fn repeated(&self, world: &World) -> Submission {
         let mut world = world.clone();
         let fresh = world.submissions.len();
         world.submissions.push(self.submission(fresh, 0));
@@ -418,7 +449,7 @@
                 }
             }
         }
-        world.submissions[fresh].upstream != Upstream::Idle
+        world.submissions.remove(fresh)
     }
 }
 
@@ -450,6 +481,7 @@
             .map(|(i, &d)| self.submission(i, d));
         World {
             object: None,
+            past: Vec::new(),
             version: 0,
             submissions: submissions.collect(),
             delayed: Vec::new(),
@@ -493,8 +525,18 @@
             .submissions
             .iter()
             .all(|s| s.answer.is_some() && s.call.is_none());
-        let idle = all_ended && !world.dispatched && !world.crashed;
-        (idle && !self.serves_another(world)).then_some(NOT_BLOCKED)
+        if world.crashed || !all_ended {
+            return None;
+        }
+        let completed = world.submissions.iter().find_map(|s| match &s.answer {
+            Some(answer @ Answer::Completed(_)) => Some(answer),
+            _ => None,
+        });
+        if completed.is_some() && self.repeated(world).answer.as_ref() != completed {
+            return Some(REPEATED);
+        }
+        let blocked = || self.repeated(world).upstream == Upstream::Idle;
+        (!world.dispatched && blocked()).then_some(NOT_BLOCKED)
     }
 }
 
@@ -531,6 +573,7 @@
 #[case::driver_answers(Mutant::DriverAnswers, NOT_RUN_IS_TRUE)]
 #[case::outcome_changed(Mutant::OutcomeChanged, SAME_OUTCOME)]
 #[case::forgets(Mutant::Forgets, NOT_BLOCKED)]
+#[case::outcome_lost(Mutant::OutcomeLost, REPEATED)]
 fn the_checker_catches(#[case] mutant: Mutant, #[case] invariant: &str) {
     assert_caught("claim", &ClaimModel { mutant, ..model() }, invariant);
 }
--- a/crates/kelpworks-coord/tests/model_lease.rs
+++ b/crates/kelpworks-coord/tests/model_lease.rs
@@ -98,6 +98,8 @@
 struct World {
     time: u64,
     object: Stored,
+    /// What stood before, for stale reads.
+    past: Stored,
     daemons: [Daemon; 2],
     delayed: Vec<(Version, Record)>,
     orders: Vec<Order>,
@@ -120,6 +122,8 @@
     Resume(usize),
     Tick(usize),
     Effect(usize),
+    /// A read that shows what stood before.
+    StaleRead(usize),
     Reply(usize),
     LoseReply(usize),
     DelayWrite(usize),
@@ -329,6 +333,7 @@
         let daemon = &world.daemons[d];
         if let Some(call @ (Call::Read | Call::Write { .. })) = daemon.call {
             steps.push(Step::Effect(d));
+            steps.extend((faulty && call == Call::Read).then_some(Step::StaleRead(d)));
             let write = matches!(call, Call::Write { .. });
             steps.extend((faulty && write).then_some(Step::DelayWrite(d)));
         }
@@ -359,6 +364,10 @@
             Step::Resume(d) => world.daemons[d].paused = false,
             Step::Tick(d) => self.tick(world, d),
             Step::Effect(d) => self.effect(world, d),
+            Step::StaleRead(d) => {
+                world.faults -= 1;
+                world.daemons[d].call = Some(Call::Replied(ApiReply::Read(world.past)));
+            }
             Step::Reply(d) => {
                 if let Some(Call::Replied(reply)) = world.daemons[d].call {
                     self.reply(world, d, reply);
@@ -441,6 +450,7 @@
     if world.object.version != if_version {
         return false;
     }
+    world.past = world.object;
     world.object = Stored {
         version: Version(if_version.0 + 1),
         record,
@@ -456,6 +466,7 @@
         World {
             time: 0,
             object: Stored::ABSENT,
+            past: Stored::ABSENT,
             daemons: [self.daemon(0, 1, 0), self.daemon(1, 1, 0)],
             delayed: Vec::new(),
             orders: Vec::new(),
