coord: one stepping function for all models

Cause: each model repeated how a step leads to its next state. Change: the checker clones and steps; models list steps and take them. Ruled out: nothing else was weighed; the states are the same. Conclusion: no change of meaning.

--- a/crates/kelpworks-coord/tests/checker/mod.rs
+++ b/crates/kelpworks-coord/tests/checker/mod.rs
@@ -18,13 +18,16 @@
     /// A state of all parts and the environment.
     type State: Clone + Eq + Hash + Debug;
     /// What leads from one state to another.
-    type Step: Debug;
+    type Step: Copy + Debug;
 
     /// The state at the beginning.
     fn start(&self) -> Self::State;
 
-    /// Every step possible in a state, with the state it leads to.
-    fn next(&self, state: &Self::State) -> Vec<(Self::Step, Self::State)>;
+    /// Every step possible in a state.
+    fn steps(&self, state: &Self::State) -> Vec<Self::Step>;
+
+    /// Takes a step.
+    fn take(&self, state: &mut Self::State, step: Self::Step);
 
     /// The name of an invariant that does not hold in a state.
     fn broken(&self, state: &Self::State) -> Option<&'static str>;
@@ -68,22 +71,25 @@
     Ok(states)
 }
 
+fn after<M: Model>(model: &M, state: &M::State, step: M::Step) -> M::State {
+    let mut next = state.clone();
+    model.take(&mut next, step);
+    next
+}
+
 fn successors<M: Model>(model: &M, state: &M::State) -> Vec<M::State> {
-    model
-        .next(state)
-        .into_iter()
-        .map(|(_, next)| next)
-        .collect()
+    let steps = model.steps(state).into_iter();
+    steps.map(|step| after(model, state, step)).collect()
 }
 
 fn trace<M: Model>(model: &M, end: &M::State) -> Vec<String> {
     let path = bfs(&model.start(), |s| successors(model, s), |s| s == end);
     let path = path.expect("a state that was reached");
     let step = |from: &M::State, to: &M::State| {
-        let mut steps = model.next(from).into_iter();
+        let mut steps = model.steps(from).into_iter();
         steps
-            .find(|(_, s)| s == to)
-            .map(|(step, _)| format!("{step:?}"))
+            .find(|&step| after(model, from, step) == *to)
+            .map(|step| format!("{step:?}"))
     };
     path.windows(2).filter_map(|w| step(&w[0], &w[1])).collect()
 }
--- a/crates/kelpworks-coord/tests/model_claim.rs
+++ b/crates/kelpworks-coord/tests/model_claim.rs
@@ -272,20 +272,6 @@
         self.feed(world, i, Event::Finished(run));
     }
 
-    fn steps(&self, world: &World) -> Vec<Step> {
-        let mut steps: Vec<Step> = (0..world.delayed.len()).map(Step::LateWrite).collect();
-        for (i, s) in world.submissions.iter().enumerate() {
-            if s.upstream == Upstream::Sent {
-                // The request may be on its way though its daemon is gone.
-                steps.push(Step::Execute(i));
-            }
-            if !s.gone {
-                self.submission_steps(world, i, &mut steps);
-            }
-        }
-        steps
-    }
-
     fn submission_steps(&self, world: &World, i: usize, steps: &mut Vec<Step>) {
         let s = &world.submissions[i];
         if !s.started {
@@ -330,77 +316,6 @@
         }
     }
 
-    fn take(&self, world: &mut World, step: Step) {
-        if self.costs_a_fault(step) {
-            world.faults -= 1;
-        }
-        match step {
-            Step::Start(i) => {
-                world.submissions[i].started = true;
-                self.feed(world, i, Event::Start);
-            }
-            Step::Effect(i) => self.effect(world, i),
-            Step::StaleRead(i, n) => {
-                let reply = world.past[n]
-                    .clone()
-                    .map_or(ApiReply::Absent, ApiReply::Found);
-                world.submissions[i].call = Some(Call::Replied(reply));
-            }
-            Step::Reply(i) => {
-                if let Some(Call::Replied(reply)) = world.submissions[i].call.clone() {
-                    self.reply(world, i, reply);
-                }
-            }
-            Step::LoseReply(i) => self.reply(world, i, ApiReply::Lost),
-            Step::Delay(i) => {
-                delay(world, i);
-                self.reply(world, i, ApiReply::Lost);
-            }
-            Step::Refuse(i) => self.reply(world, i, ApiReply::Refused),
-            Step::LateWrite(i) => {
-                let (if_version, record) = world.delayed.remove(i);
-                self.write(world, if_version, record);
-            }
-            Step::AskHolder(i) => self.ask_holder(world, i),
-            Step::HolderSilent(i) => {
-                world.submissions[i].call = None;
-                self.feed(world, i, Event::Peer(None));
-            }
-            Step::Execute(i) => self.execute(world, i),
-            Step::Complete(i) => {
-                let body = format!("run {i}");
-                self.finish(world, i, Run::Completed(Outcome { status: 200, body }));
-            }
-            Step::UpstreamRefuses(i) => self.finish(world, i, Run::NotRun),
-            Step::UpstreamCut(i) => {
-                // The request may still be on its way.
-                let sent = world.submissions[i].upstream;
-                self.finish(world, i, Run::MayHaveRun);
-                world.submissions[i].upstream = match sent {
-                    Upstream::Sent => Upstream::Sent,
-                    _ => Upstream::Ended,
-                };
-            }
-            Step::Tick(i) => self.feed(world, i, Event::Tick),
-            Step::DeadlinePasses(i) => world.submissions[i].late = true,
-            Step::DriverAnswers(i) => {
-                self.answer(world, i, Answer::NotRun(NotRun::Unavailable));
-            }
-            Step::Crash(i) => {
-                world.crashes -= 1;
-                world.crashed = true;
-                for j in (0..self.sent_to.len()).filter(|&j| self.sent_to[j] == self.sent_to[i]) {
-                    // What was not submitted yet goes to the daemon's next run.
-                    if world.submissions[j].started {
-                        delay(world, j);
-                        world.submissions[j].gone = true;
-                        world.submissions[j].call = None;
-                    }
-                }
-            }
-        }
-    }
-
     fn costs_a_fault(&self, step: Step) -> bool {
         matches!(
             step,
@@ -494,17 +409,89 @@
         }
     }
 
-    fn next(&self, world: &World) -> Vec<(Step, World)> {
-        let take = |step| {
-            let mut next = world.clone();
-            self.take(&mut next, step);
-            (step, next)
-        };
-        self.steps(world)
-            .into_iter()
-            .map(take)
-            .filter(|(_, next)| next != world)
-            .collect()
+    fn steps(&self, world: &World) -> Vec<Step> {
+        let mut steps: Vec<Step> = (0..world.delayed.len()).map(Step::LateWrite).collect();
+        for (i, s) in world.submissions.iter().enumerate() {
+            if s.upstream == Upstream::Sent {
+                // The request may be on its way though its daemon is gone.
+                steps.push(Step::Execute(i));
+            }
+            if !s.gone {
+                self.submission_steps(world, i, &mut steps);
+            }
+        }
+        steps
+    }
+
+    fn take(&self, world: &mut World, step: Step) {
+        if self.costs_a_fault(step) {
+            world.faults -= 1;
+        }
+        match step {
+            Step::Start(i) => {
+                world.submissions[i].started = true;
+                self.feed(world, i, Event::Start);
+            }
+            Step::Effect(i) => self.effect(world, i),
+            Step::StaleRead(i, n) => {
+                let reply = world.past[n]
+                    .clone()
+                    .map_or(ApiReply::Absent, ApiReply::Found);
+                world.submissions[i].call = Some(Call::Replied(reply));
+            }
+            Step::Reply(i) => {
+                if let Some(Call::Replied(reply)) = world.submissions[i].call.clone() {
+                    self.reply(world, i, reply);
+                }
+            }
+            Step::LoseReply(i) => self.reply(world, i, ApiReply::Lost),
+            Step::Delay(i) => {
+                delay(world, i);
+                self.reply(world, i, ApiReply::Lost);
+            }
+            Step::Refuse(i) => self.reply(world, i, ApiReply::Refused),
+            Step::LateWrite(i) => {
+                let (if_version, record) = world.delayed.remove(i);
+                self.write(world, if_version, record);
+            }
+            Step::AskHolder(i) => self.ask_holder(world, i),
+            Step::HolderSilent(i) => {
+                world.submissions[i].call = None;
+                self.feed(world, i, Event::Peer(None));
+            }
+            Step::Execute(i) => self.execute(world, i),
+            Step::Complete(i) => {
+                let body = format!("run {i}");
+                self.finish(world, i, Run::Completed(Outcome { status: 200, body }));
+            }
+            Step::UpstreamRefuses(i) => self.finish(world, i, Run::NotRun),
+            Step::UpstreamCut(i) => {
+                // The request may still be on its way.
+                let sent = world.submissions[i].upstream;
+                self.finish(world, i, Run::MayHaveRun);
+                world.submissions[i].upstream = match sent {
+                    Upstream::Sent => Upstream::Sent,
+                    _ => Upstream::Ended,
+                };
+            }
+            Step::Tick(i) => self.feed(world, i, Event::Tick),
+            Step::DeadlinePasses(i) => world.submissions[i].late = true,
+            Step::DriverAnswers(i) => {
+                self.answer(world, i, Answer::NotRun(NotRun::Unavailable));
+            }
+            Step::Crash(i) => {
+                world.crashes -= 1;
+                world.crashed = true;
+                for j in (0..self.sent_to.len()).filter(|&j| self.sent_to[j] == self.sent_to[i]) {
+                    // What was not submitted yet goes to the daemon's next run.
+                    if world.submissions[j].started {
+                        delay(world, j);
+                        world.submissions[j].gone = true;
+                        world.submissions[j].call = None;
+                    }
+                }
+            }
+        }
     }
 
     fn broken(&self, world: &World) -> Option<&'static str> {
--- a/crates/kelpworks-coord/tests/model_head.rs
+++ b/crates/kelpworks-coord/tests/model_head.rs
@@ -297,52 +297,6 @@
         }
     }
 
-    fn steps(&self, world: &World) -> Vec<Step> {
-        let mut steps = Vec::new();
-        for o in 0..world.operators.len() {
-            self.operator_steps(world, o, &mut steps);
-        }
-        steps.extend((0..world.delayed.len()).map(Step::LateWrite));
-        for d in 0..2 {
-            steps.extend((1..world.history.len()).map(|i| Step::Show(d, i)));
-            steps.push(Step::Push(d));
-            steps.push(Step::Fetched(d));
-            steps.extend((world.faults > 0).then_some(Step::Restart(d)));
-        }
-        steps
-    }
-
-    fn take(&self, world: &mut World, step: Step) {
-        let now = Instant::ZERO;
-        match step {
-            Step::Effect(o) => self.effect(world, o, world.history.len() - 1),
-            Step::Reply(o) => {
-                if let Some(Call::Replied(reply)) = world.operators[o].call.take() {
-                    self.feed(world, o, now, reply);
-                }
-            }
-            Step::LateWrite(i) => {
-                let (mut if_version, head, o) = world.delayed.remove(i);
-                if self.mutant == Mutant::LateUnconditional {
-                    if_version = stored(world, world.history.len() - 1).version;
-                }
-                self.write(world, o, if_version, head);
-            }
-            Step::Tick(o) => self.feed(world, o, now, SwapEvent::Tick),
-            Step::Show(d, i) => self.show(world, d, world.history[i]),
-            Step::Push(d) => {
-                if let Some(head) = world.daemons[1 - d].follower.current() {
-                    self.show(world, d, head);
-                }
-            }
-            Step::Fetched(d) => self.fetched(world, d),
-            fault => {
-                world.faults -= 1;
-                self.take_fault(world, fault);
-            }
-        }
-    }
-
     fn take_fault(&self, world: &mut World, step: Step) {
         let now = Instant::ZERO;
         match step {
@@ -452,17 +406,50 @@
         }
     }
 
-    fn next(&self, world: &World) -> Vec<(Step, World)> {
-        let take = |step| {
-            let mut next = world.clone();
-            self.take(&mut next, step);
-            (step, next)
-        };
-        self.steps(world)
-            .into_iter()
-            .map(take)
-            .filter(|(_, next)| next != world)
-            .collect()
+    fn steps(&self, world: &World) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for o in 0..world.operators.len() {
+            self.operator_steps(world, o, &mut steps);
+        }
+        steps.extend((0..world.delayed.len()).map(Step::LateWrite));
+        for d in 0..2 {
+            steps.extend((1..world.history.len()).map(|i| Step::Show(d, i)));
+            steps.push(Step::Push(d));
+            steps.push(Step::Fetched(d));
+            steps.extend((world.faults > 0).then_some(Step::Restart(d)));
+        }
+        steps
+    }
+
+    fn take(&self, world: &mut World, step: Step) {
+        let now = Instant::ZERO;
+        match step {
+            Step::Effect(o) => self.effect(world, o, world.history.len() - 1),
+            Step::Reply(o) => {
+                if let Some(Call::Replied(reply)) = world.operators[o].call.take() {
+                    self.feed(world, o, now, reply);
+                }
+            }
+            Step::LateWrite(i) => {
+                let (mut if_version, head, o) = world.delayed.remove(i);
+                if self.mutant == Mutant::LateUnconditional {
+                    if_version = stored(world, world.history.len() - 1).version;
+                }
+                self.write(world, o, if_version, head);
+            }
+            Step::Tick(o) => self.feed(world, o, now, SwapEvent::Tick),
+            Step::Show(d, i) => self.show(world, d, world.history[i]),
+            Step::Push(d) => {
+                if let Some(head) = world.daemons[1 - d].follower.current() {
+                    self.show(world, d, head);
+                }
+            }
+            Step::Fetched(d) => self.fetched(world, d),
+            fault => {
+                world.faults -= 1;
+                self.take_fault(world, fault);
+            }
+        }
     }
 
     fn broken(&self, world: &World) -> Option<&'static str> {
--- a/crates/kelpworks-coord/tests/model_lease.rs
+++ b/crates/kelpworks-coord/tests/model_lease.rs
@@ -308,26 +308,6 @@
         }
     }
 
-    fn steps(&self, world: &World) -> Vec<Step> {
-        let mut steps = Vec::new();
-        if world.time < self.horizon && !pending(world) {
-            steps.push(Step::Advance);
-        }
-        for d in 0..2 {
-            self.daemon_steps(world, d, &mut steps);
-        }
-        steps.extend((0..world.delayed.len()).map(Step::LateWrite));
-        steps.extend((0..world.late.len()).map(Step::DeliverLate));
-        for i in 0..world.orders.len() {
-            steps.push(Step::Deliver(i));
-            steps.extend((world.duplicates > 0).then_some(Step::DeliverTwice(i)));
-            if world.faults > 0 {
-                steps.extend([Step::HoldBack(i), Step::DropOrder(i)]);
-            }
-        }
-        steps
-    }
-
     fn daemon_steps(&self, world: &World, d: usize, steps: &mut Vec<Step>) {
         let faulty = world.faults > 0;
         let daemon = &world.daemons[d];
@@ -353,6 +333,80 @@
         }
         steps.push(daemon.checked.map_or(Step::Decide(d), |_| Step::Send(d)));
     }
+}
+
+/// Whether anything is outstanding that takes no time unless a fault delays it.
+fn pending(world: &World) -> bool {
+    let idle = |d: &Daemon| {
+        let now = Instant::from_millis(d.clock);
+        let due = || !d.lease.clone().on_event(now, Event::Tick).is_empty();
+        d.paused || !(d.call.is_some() || d.checked.is_some() || due())
+    };
+    !world.orders.is_empty() || !world.daemons.iter().all(idle)
+}
+
+/// The write of an outstanding call may take effect at any later time.
+fn delay(world: &mut World, d: usize) {
+    if let Some(Call::Write { if_version, record }) = world.daemons[d].call {
+        world.delayed.push((if_version, record));
+        world.delayed.sort_unstable();
+    }
+}
+
+fn write(world: &mut World, if_version: Version, record: Record) -> bool {
+    if world.object.version != if_version {
+        return false;
+    }
+    world.past = world.object;
+    world.object = Stored {
+        version: Version(if_version.0 + 1),
+        record,
+    };
+    true
+}
+
+impl Model for LeaseModel {
+    type State = World;
+    type Step = Step;
+
+    fn start(&self) -> World {
+        World {
+            time: 0,
+            object: Stored::ABSENT,
+            past: Stored::ABSENT,
+            daemons: [self.daemon(0, 1, 0), self.daemon(1, 1, 0)],
+            delayed: Vec::new(),
+            orders: Vec::new(),
+            late: Vec::new(),
+            value: Token(0),
+            highest: Token(0),
+            holders: BTreeMap::new(),
+            faults: self.faults,
+            crashes: self.crashes,
+            duplicates: self.duplicates,
+            broken: None,
+        }
+    }
+
+    fn steps(&self, world: &World) -> Vec<Step> {
+        let mut steps = Vec::new();
+        if world.time < self.horizon && !pending(world) {
+            steps.push(Step::Advance);
+        }
+        for d in 0..2 {
+            self.daemon_steps(world, d, &mut steps);
+        }
+        steps.extend((0..world.delayed.len()).map(Step::LateWrite));
+        steps.extend((0..world.late.len()).map(Step::DeliverLate));
+        for i in 0..world.orders.len() {
+            steps.push(Step::Deliver(i));
+            steps.extend((world.duplicates > 0).then_some(Step::DeliverTwice(i)));
+            if world.faults > 0 {
+                steps.extend([Step::HoldBack(i), Step::DropOrder(i)]);
+            }
+        }
+        steps
+    }
 
     fn take(&self, world: &mut World, step: Step) {
         match step {
@@ -426,73 +480,6 @@
             }
         }
     }
-}
-
-/// Whether anything is outstanding that takes no time unless a fault delays it.
-fn pending(world: &World) -> bool {
-    let idle = |d: &Daemon| {
-        let now = Instant::from_millis(d.clock);
-        let due = || !d.lease.clone().on_event(now, Event::Tick).is_empty();
-        d.paused || !(d.call.is_some() || d.checked.is_some() || due())
-    };
-    !world.orders.is_empty() || !world.daemons.iter().all(idle)
-}
-
-/// The write of an outstanding call may take effect at any later time.
-fn delay(world: &mut World, d: usize) {
-    if let Some(Call::Write { if_version, record }) = world.daemons[d].call {
-        world.delayed.push((if_version, record));
-        world.delayed.sort_unstable();
-    }
-}
-
-fn write(world: &mut World, if_version: Version, record: Record) -> bool {
-    if world.object.version != if_version {
-        return false;
-    }
-    world.past = world.object;
-    world.object = Stored {
-        version: Version(if_version.0 + 1),
-        record,
-    };
-    true
-}
-
-impl Model for LeaseModel {
-    type State = World;
-    type Step = Step;
-
-    fn start(&self) -> World {
-        World {
-            time: 0,
-            object: Stored::ABSENT,
-            past: Stored::ABSENT,
-            daemons: [self.daemon(0, 1, 0), self.daemon(1, 1, 0)],
-            delayed: Vec::new(),
-            orders: Vec::new(),
-            late: Vec::new(),
-            value: Token(0),
-            highest: Token(0),
-            holders: BTreeMap::new(),
-            faults: self.faults,
-            crashes: self.crashes,
-            duplicates: self.duplicates,
-            broken: None,
-        }
-    }
-
-    fn next(&self, world: &World) -> Vec<(Step, World)> {
-        let take = |step| {
-            let mut next = world.clone();
-            self.take(&mut next, step);
-            (step, next)
-        };
-        self.steps(world)
-            .into_iter()
-            .map(take)
-            .filter(|(_, next)| next != world)
-            .collect()
-    }
 
     fn broken(&self, world: &World) -> Option<&'static str> {
         if world.broken.is_some() {
--- a/crates/kelpworks-coord/tests/model_membership.rs
+++ b/crates/kelpworks-coord/tests/model_membership.rs
@@ -309,35 +309,29 @@
         }
     }
 
-    fn next(&self, world: &World) -> Vec<(Step, World)> {
+    fn steps(&self, world: &World) -> Vec<Step> {
         if world.round == self.rounds {
             return Vec::new();
         }
-        let mut steps: Vec<Step> = CUTS
-            .iter()
-            .map(|cut| Step::Round {
-                cut,
-                reverse: false,
-            })
-            .collect();
+        let round = |reverse| CUTS.iter().map(move |cut| Step::Round { cut, reverse });
+        let mut steps: Vec<Step> = round(false).collect();
         if self.reorder {
-            steps.extend(CUTS.iter().map(|cut| Step::Round { cut, reverse: true }));
+            steps.extend(round(true));
         }
         if world.crashes > 0 {
             steps.extend((0..NODES).map(Step::Crash));
         }
-        let take = |step| {
-            let mut next = world.clone();
-            match step {
-                Step::Round { cut, reverse } => self.round(&mut next, cut, reverse),
-                Step::Crash(d) => {
-                    next.up[d] = false;
-                    next.crashes -= 1;
-                }
+        steps
+    }
+
+    fn take(&self, world: &mut World, step: Step) {
+        match step {
+            Step::Round { cut, reverse } => self.round(world, cut, reverse),
+            Step::Crash(d) => {
+                world.up[d] = false;
+                world.crashes -= 1;
             }
-            (step, next)
-        };
-        steps.into_iter().map(take).collect()
+        }
     }
 
     fn broken(&self, world: &World) -> Option<&'static str> {
--- a/crates/kelpworks-coord/tests/model_token.rs
+++ b/crates/kelpworks-coord/tests/model_token.rs
@@ -308,64 +308,6 @@
         false
     }
 
-    fn steps(&self, world: &World) -> Vec<Step> {
-        let mut steps = Vec::new();
-        let twice = world.duplicates > 0;
-        for i in 0..world.requests.len() {
-            steps.push(Step::Run(i));
-            steps.extend(twice.then_some(Step::RunTwice(i)));
-        }
-        for i in 0..world.answers.len() {
-            steps.push(Step::Deliver(i));
-            steps.extend(twice.then_some(Step::DeliverTwice(i)));
-        }
-        if world.emitted.len() >= self.tokens {
-            return steps;
-        }
-        if twice {
-            steps.push(Step::Foreign);
-        }
-        if world.faults > 0 {
-            steps.extend((0..world.answers.len()).map(Step::Drop));
-            steps.push(Step::Restart);
-            for (stage, replica) in [(0, 0), (0, 1), (1, 0), (1, 1)] {
-                steps.push(Step::Replace(stage, replica));
-                steps.push(Step::Crash(stage, replica));
-                steps.push(Step::Upgrade(stage, replica));
-            }
-        }
-        steps
-    }
-
-    fn take(&self, world: &mut World, step: Step) {
-        match step {
-            Step::Run(i) => {
-                let request = world.requests.remove(i);
-                self.run(world, request);
-            }
-            Step::RunTwice(i) => {
-                world.duplicates -= 1;
-                self.run(world, world.requests[i].clone());
-            }
-            Step::Deliver(i) => {
-                let answer = world.answers.remove(i);
-                self.deliver(world, answer);
-            }
-            Step::DeliverTwice(i) => {
-                world.duplicates -= 1;
-                self.deliver(world, world.answers[i].clone());
-            }
-            Step::Foreign => {
-                world.duplicates -= 1;
-                self.foreign(world);
-            }
-            fault => {
-                world.faults -= 1;
-                self.take_fault(world, fault);
-            }
-        }
-    }
-
     fn take_fault(&self, world: &mut World, step: Step) {
         match step {
             Step::Drop(i) => {
@@ -424,17 +366,62 @@
         world
     }
 
-    fn next(&self, world: &World) -> Vec<(Step, World)> {
-        let take = |step| {
-            let mut next = world.clone();
-            self.take(&mut next, step);
-            (step, next)
-        };
-        self.steps(world)
-            .into_iter()
-            .map(take)
-            .filter(|(_, next)| next != world)
-            .collect()
+    fn steps(&self, world: &World) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let twice = world.duplicates > 0;
+        for i in 0..world.requests.len() {
+            steps.push(Step::Run(i));
+            steps.extend(twice.then_some(Step::RunTwice(i)));
+        }
+        for i in 0..world.answers.len() {
+            steps.push(Step::Deliver(i));
+            steps.extend(twice.then_some(Step::DeliverTwice(i)));
+        }
+        if world.emitted.len() >= self.tokens {
+            return steps;
+        }
+        if twice {
+            steps.push(Step::Foreign);
+        }
+        if world.faults > 0 {
+            steps.extend((0..world.answers.len()).map(Step::Drop));
+            steps.push(Step::Restart);
+            for (stage, replica) in [(0, 0), (0, 1), (1, 0), (1, 1)] {
+                steps.push(Step::Replace(stage, replica));
+                steps.push(Step::Crash(stage, replica));
+                steps.push(Step::Upgrade(stage, replica));
+            }
+        }
+        steps
+    }
+
+    fn take(&self, world: &mut World, step: Step) {
+        match step {
+            Step::Run(i) => {
+                let request = world.requests.remove(i);
+                self.run(world, request);
+            }
+            Step::RunTwice(i) => {
+                world.duplicates -= 1;
+                self.run(world, world.requests[i].clone());
+            }
+            Step::Deliver(i) => {
+                let answer = world.answers.remove(i);
+                self.deliver(world, answer);
+            }
+            Step::DeliverTwice(i) => {
+                world.duplicates -= 1;
+                self.deliver(world, world.answers[i].clone());
+            }
+            Step::Foreign => {
+                world.duplicates -= 1;
+                self.foreign(world);
+            }
+            fault => {
+                world.faults -= 1;
+                self.take_fault(world, fault);
+            }
+        }
     }
 
     fn broken(&self, world: &World) -> Option<&'static str> {
