coord: when a starting daemon may serve; giving a lease up

Cause: a daemon that starts while API replicas or peers lag has to ask widely and take the highest generation; that rule had no code. Giving a lease up had no test. Ruled out: waiting for all answers without end, which an API outage would turn into a daemon that never starts. Change: join::Joining, five table cases; one test of a release.

--- a/crates/kelpworks-coord/src/lib.rs
+++ b/crates/kelpworks-coord/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`claim`] | whether a keyed non-idempotent request may be dispatched |
 //! | [`budget`] | whether a write to the object API fits this daemon's part of its rate |
 //! | [`head`] | which configuration is accepted, and which is in force |
+//! | [`join`] | whether a daemon that just started may serve |
 //! | [`lease`], [`repair`] | who places models, and which orders may be sent |
 //! | [`membership`], [`facts`] | who is live, and rare facts about upstreams |
 //! | [`rendezvous`], [`spread`] | who watches the object API, and whom to push a generation to |
@@ -33,6 +34,7 @@
 pub mod facts;
 pub mod head;
 pub mod id;
+pub mod join;
 pub mod lease;
 pub mod membership;
 pub mod poison;
--- a/crates/kelpworks-coord/tests/control.rs
+++ b/crates/kelpworks-coord/tests/control.rs
@@ -24,6 +24,8 @@
 use kelpworks_coord::id::NodeId;
 use kelpworks_coord::id::Nonce;
 use kelpworks_coord::id::Version;
+use kelpworks_coord::join::Joining;
+use kelpworks_coord::join::Source;
 use kelpworks_coord::lease;
 use kelpworks_coord::lease::Action;
 use kelpworks_coord::lease::ApiReply;
@@ -226,6 +228,67 @@
     assert_eq!(lease.fence(at(20_010)), None);
 }
 
+#[test]
+fn a_lease_that_is_given_up_is_free_at_once() {
+    let mut lease = holder();
+    let record = Record {
+        owner: None,
+        token: Token(1),
+        renewal: 1,
+    };
+    let write = Action::Write {
+        if_version: Version(1),
+        record,
+    };
+    assert_eq!(lease.on_event(at(200), Event::Release), [write]);
+    assert_eq!(
+        lease.fence(at(200)),
+        None,
+        "no order while it is being given up"
+    );
+    let written = Event::Api(ApiReply::Written(Version(2)));
+    assert_eq!(lease.on_event(at(210), written), [Action::Resigned]);
+    assert_eq!(
+        lease.on_event(at(60_000), Event::Tick),
+        [Action::Read],
+        "it is not taken back"
+    );
+
+    let mut next = Lease::new(lease::Config::default(), OTHER, at(0));
+    next.on_event(at(0), Event::Tick);
+    let free = Stored {
+        version: Version(2),
+        record,
+    };
+    let taken = next.on_event(at(0), Event::Api(ApiReply::Read(free)));
+    let record = Record {
+        owner: Some(OTHER),
+        token: Token(2),
+        renewal: 0,
+    };
+    assert_eq!(
+        taken,
+        [Action::Write {
+            if_version: Version(2),
+            record
+        }]
+    );
+}
+
+#[rstest]
+#[case::all_answered(&[Source::Api, Source::Peer, Source::Peer], 0, true)]
+#[case::a_peer_is_missing(&[Source::Api, Source::Peer], 99, false)]
+#[case::a_peer_is_gone(&[Source::Api, Source::Peer], 100, true)]
+#[case::the_api_is_down(&[Source::Peer], 100, true)]
+#[case::no_one_answers(&[], 1_000_000, false)]
+fn a_starting_daemon_is_ready(#[case] answers: &[Source], #[case] ms: u64, #[case] ready: bool) {
+    let mut joining = Joining::new(at(100), 2);
+    for &source in answers {
+        joining.on_answer(source);
+    }
+    assert_eq!(joining.is_settled(at(ms)), ready);
+}
+
 #[test]
 fn a_successor_waits_ttl_and_order_bound_and_drift() {
     let mut lease = Lease::new(lease::Config::default(), ME, at(0));
