--- a/crates/kelpworks-fakes/src/documents.rs
+++ b/crates/kelpworks-fakes/src/documents.rs
@@ -134,7 +134,7 @@
 }
 
 /// Settings of a daemon beside a set of stand-ins. `timing` is the body of the table of that
-/// name, and may be empty.
+/// name, with other tables after it where needed, and may be empty.
 pub fn settings(view: &FleetView, daemon: DaemonAddresses<'_>, timing: &str) -> String {
     format!(
         "name = \"{}\"\nfailure_domain = \"{}\"\n\n[listen]\ncallers = \"{}\"\noperators = \"{}\"\n\
--- a/crates/kelpworks/src/settings/check.rs
+++ b/crates/kelpworks/src/settings/check.rs
@@ -88,6 +88,8 @@
     positive(doc, &limits.queue, *limits.queue.get_ref() > 0);
     let claims = &limits.claim_writes_per_second;
     positive(doc, claims, *claims.get_ref() > 0);
+    let target = &limits.token_target;
+    positive(doc, target, !target.get_ref().0.is_zero());
 }
 
 /// Checks that every time is above 0 and the floor not above the ceiling.
@@ -145,6 +147,7 @@
         max_tokens: raw.max_tokens.into_inner(),
         queue: raw.queue.into_inner(),
         claim_writes_per_second: raw.claim_writes_per_second.into_inner(),
+        token_target: raw.token_target.into_inner(),
     }
 }
 
--- a/crates/kelpworks/src/settings/file.rs
+++ b/crates/kelpworks/src/settings/file.rs
@@ -82,6 +82,7 @@
     pub(super) max_tokens: Spanned<u32>,
     pub(super) queue: Spanned<u32>,
     pub(super) claim_writes_per_second: Spanned<u32>,
+    pub(super) token_target: Spanned<Span>,
 }
 
 impl Default for LimitsTable {
@@ -91,6 +92,7 @@
             max_tokens: unplaced(4096),
             queue: unplaced(1024),
             claim_writes_per_second: unplaced(200),
+            token_target: millis(50),
         }
     }
 }
--- a/crates/kelpworks/src/settings/mod.rs
+++ b/crates/kelpworks/src/settings/mod.rs
@@ -107,6 +107,9 @@
     /// Writes a second to the object API that the whole fleet of daemons may spend on claims.
     /// Default 200.
     pub claim_writes_per_second: u32,
+    /// Time between tokens that is aimed at under load: a longer one lets more requests run at
+    /// once and gives more tokens a second, a shorter one answers sooner. Default 50 ms.
+    pub token_target: Span,
 }
 
 /// Timeouts and intervals.
