--- a/crates/kelpworks/examples/measure/busy.rs
+++ b/crates/kelpworks/examples/measure/busy.rs
@@ -11,7 +11,6 @@
 use kelpworks::fleet::Health;
 use kelpworks::fleet::Holding;
 use kelpworks::fleet::LinkCost;
-use kelpworks::fleet::LoadReport;
 use kelpworks::fleet::ModelKey;
 use kelpworks::fleet::ModelView;
 use kelpworks::fleet::Upstream;
@@ -156,7 +155,6 @@
         }],
         service: None,
         incarnation: 1,
-        load: LoadReport::default(),
         counters: Arc::new(Counters::default()),
     };
     let keys: Vec<UpstreamKey> = SLOTS
@@ -344,11 +342,9 @@
         for daemon in &mut self.daemons {
             for (at, &key) in daemon.keys.iter().enumerate() {
                 let upstream = &mut daemon.fleet.upstreams[key];
-                upstream.load.running = self.running[at];
-                upstream
-                    .counters
-                    .sent_since_report
-                    .store(0, Ordering::Relaxed);
+                let counters = &upstream.counters;
+                counters.reported.store(self.running[at], Ordering::Relaxed);
+                counters.sent_since_report.store(0, Ordering::Relaxed);
             }
         }
     }
--- a/crates/kelpworks/examples/measure/decision.rs
+++ b/crates/kelpworks/examples/measure/decision.rs
@@ -5,6 +5,8 @@
 
 use std::hint::black_box;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,7 +20,6 @@
 use kelpworks::fleet::Health;
 use kelpworks::fleet::Holding;
 use kelpworks::fleet::LinkCost;
-use kelpworks::fleet::LoadReport;
 use kelpworks::fleet::ModelKey;
 use kelpworks::fleet::ModelView;
 use kelpworks::fleet::Upstream;
@@ -109,11 +110,10 @@
             }],
             service: None,
             incarnation: 1,
-            load: LoadReport {
-                queued: rng.random_range(0..8),
-                ..LoadReport::default()
-            },
-            counters: Arc::new(Counters::default()),
+            counters: Arc::new(Counters {
+                reported: AtomicU32::new(rng.random_range(0..8)),
+                ..Counters::default()
+            }),
         };
         keys.push(fleet.upstreams.insert(upstream));
     }
@@ -166,7 +166,7 @@
                 let layers = &u.holdings[0].layers;
                 layers.first <= at && at < layers.end
             });
-            let least = fits.min_by_key(|u| u.load.queued);
+            let least = fits.min_by_key(|u| u.counters.reported.load(Ordering::Relaxed));
             let Some(least) = black_box(least) else {
                 return;
             };
--- a/crates/kelpworks/examples/measure/path_policy.rs
+++ b/crates/kelpworks/examples/measure/path_policy.rs
@@ -5,7 +5,6 @@
 
 use kelpworks::fleet::DomainKey;
 use kelpworks::fleet::Fleet;
-use kelpworks::fleet::LoadReport;
 use kelpworks::fleet::ModelKey;
 use kelpworks::fleet::Upstream;
 use kelpworks::fleet::UpstreamKey;
@@ -90,7 +89,7 @@
         let daemon = |_| {
             let mut fleet = fleet(UPSTREAMS, Cuts::Four, seed);
             for (_, upstream) in &mut fleet.upstreams {
-                upstream.load = LoadReport::default();
+                upstream.counters.reported.store(0, Ordering::Relaxed);
             }
             fleet
         };
@@ -212,8 +211,9 @@
         let upstream = &mut self.daemons[daemon].upstreams[hop.upstream];
         let layers = f64::from(hop.layers.end - hop.layers.first);
         let waiting = self.free[place].saturating_sub(now).as_secs_f64();
-        upstream.load.queued = (waiting * upstream.layer_rate / layers).round() as u32;
+        let queued = (waiting * upstream.layer_rate / layers).round() as u32;
         let counters = &upstream.counters;
+        counters.reported.store(queued, Ordering::Relaxed);
         counters.sent_since_report.store(0, Ordering::Relaxed);
         let before = counters.step_us.load(Ordering::Relaxed) as f64;
         let smoothed = if before == 0.0 {
@@ -261,9 +261,10 @@
             loads.min().map(|(_, key)| key)
         };
         let upstream = match self.way {
-            Way::LeastLoaded => {
-                least(|u| u.load.queued + u.counters.sent_since_report.load(Ordering::Relaxed))
-            }
+            Way::LeastLoaded => least(|u| {
+                u.counters.reported.load(Ordering::Relaxed)
+                    + u.counters.sent_since_report.load(Ordering::Relaxed)
+            }),
             Way::FewestSessions => least(|u| u.counters.sessions.load(Ordering::Relaxed)),
             _ => holders.get(self.turn / 4 % holders.len()).copied(),
         };
--- a/crates/kelpworks/examples/measure/throughput.rs
+++ b/crates/kelpworks/examples/measure/throughput.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use kelpworks::daemon;
+use kelpworks_fakes::Engine;
 use kelpworks_fakes::EngineConfig;
 use kelpworks_fakes::FleetConfig;
 use kelpworks_fakes::Model;
@@ -26,7 +27,7 @@
 
 const LAYERS: u32 = 24;
 const STAGES: u32 = 4;
-const RUNS: u64 = 1;
+const RUNS: u64 = 3;
 const WARM_UP: Duration = Duration::from_secs(6);
 const WINDOW: Duration = Duration::from_secs(6);
 const DAEMONS: usize = 3;
@@ -91,6 +92,9 @@
             "median",
             "max",
             "wrong answers",
+            "least busy engine",
+            "median engine",
+            "busiest engine",
         ],
         rows,
     }
@@ -99,6 +103,7 @@
 async fn row(deployment: &Deployment, sessions: usize, metrics: &PrometheusHandle) -> Vec<String> {
     let mut shares = Vec::new();
     let mut wrong = 0;
+    let mut busy = Vec::new();
     let mut bound = 0.0;
     for seed in 0..RUNS {
         match one(deployment, sessions, seed, metrics).await {
@@ -106,6 +111,7 @@
                 shares.push(run.positions_per_second / run.bound);
                 bound = run.bound;
                 wrong += run.wrong;
+                busy.extend(run.busy);
             }
             Err(e) => eprintln!("{}: {e}", deployment.name),
         }
@@ -117,6 +123,7 @@
     ];
     row.extend(stats::min_median_max(&shares, 3));
     row.push(wrong.to_string());
+    row.extend(stats::min_median_max(&busy, 2));
     row
 }
 
@@ -124,6 +131,8 @@
     positions_per_second: f64,
     bound: f64,
     wrong: u64,
+    /// Part of the window that each engine was busy.
+    busy: Vec<f64>,
 }
 
 #[derive(Default)]
@@ -167,19 +176,33 @@
         )));
     }
     tokio::time::sleep(WARM_UP).await;
+    let idle: Vec<u64> = fakes.engines.iter().map(work).collect();
     let (before, start) = (tally.positions.load(Ordering::Relaxed), Instant::now());
     tokio::time::sleep(WINDOW).await;
     let done = tally.positions.load(Ordering::Relaxed) - before;
-    let positions_per_second = done as f64 / start.elapsed().as_secs_f64();
+    let seconds = start.elapsed().as_secs_f64();
+    let positions_per_second = done as f64 / seconds;
+    let busy: Vec<f64> = fakes
+        .engines
+        .iter()
+        .zip(&idle)
+        .map(|(e, before)| (work(e) - before) as f64 / e.config().layer_rate / seconds)
+        .collect();
     callers.iter().for_each(|c| c.abort());
     daemons.into_iter().for_each(daemon::Daemon::kill);
     Ok(Run {
         positions_per_second,
         bound,
+        busy,
         wrong: tally.wrong.load(Ordering::Relaxed),
     })
 }
 
+/// Layers times positions that an engine has run.
+fn work(engine: &Engine) -> u64 {
+    engine.ledger().totals().layer_positions
+}
+
 /// Asks again and again.
 async fn caller(call: Call, client: reqwest::Client, model: Model, tally: Arc<Tally>) {
     for turn in 0.. {
--- a/crates/kelpworks/src/fleet.rs
+++ b/crates/kelpworks/src/fleet.rs
@@ -6,8 +6,10 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use kelpworks_wire::EngineLoad;
 use kelpworks_wire::LayerRange;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
@@ -57,7 +59,9 @@
 pub struct Counters {
     /// Steps or calls of this daemon in flight.
     pub in_flight: AtomicU32,
-    /// Of those, sent since the load report in the snapshot.
+    /// Steps waiting or running on the upstream, of all daemons, as it last reported; late.
+    pub reported: AtomicU32,
+    /// Steps of this daemon sent since that report.
     pub sent_since_report: AtomicU32,
     /// Sessions of this daemon whose path goes through it; kept by `routing::Assignment`.
     pub sessions: AtomicU32,
@@ -71,15 +75,14 @@
     pub busy_until_ms: AtomicU64,
 }
 
-/// Load as the upstream last reported it.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct LoadReport {
-    /// Steps waiting.
-    pub queued: u32,
-    /// Steps running.
-    pub running: u32,
-    /// Age of the oldest waiting step.
-    pub queue: Duration,
+impl Counters {
+    /// Takes the load that the upstream reports, on a poll or with a reply. It covers what was
+    /// sent before.
+    pub fn report(&self, load: &EngineLoad) {
+        self.reported
+            .store(load.queued + load.running, Ordering::Relaxed);
+        self.sent_since_report.store(0, Ordering::Relaxed);
+    }
 }
 
 /// An upstream host.
@@ -101,8 +104,6 @@
     pub service: Option<Arc<str>>,
     /// Its incarnation, as it last said itself.
     pub incarnation: u64,
-    /// Load as last reported.
-    pub load: LoadReport,
     /// Counters of this daemon.
     pub counters: Arc<Counters>,
 }
--- a/crates/kelpworks/src/routing/cost.rs
+++ b/crates/kelpworks/src/routing/cost.rs
@@ -157,8 +157,8 @@
 fn backlog(upstream: &Upstream) -> f64 {
     let sent = upstream.counters.sent_since_report.load(Ordering::Relaxed);
     let sessions = upstream.counters.sessions.load(Ordering::Relaxed);
-    let reported = f64::from(upstream.load.queued) + f64::from(upstream.load.running);
-    reported + f64::from(sent) + f64::from(sessions)
+    let reported = upstream.counters.reported.load(Ordering::Relaxed);
+    f64::from(reported) + f64::from(sent) + f64::from(sessions)
 }
 
 fn positions(cached: &[CachedPrefix], upstream: UpstreamKey) -> u32 {
--- a/crates/kelpworks/src/routing/tests.rs
+++ b/crates/kelpworks/src/routing/tests.rs
@@ -17,7 +17,6 @@
 use crate::fleet::Health;
 use crate::fleet::Holding;
 use crate::fleet::LinkCost;
-use crate::fleet::LoadReport;
 use crate::fleet::ModelKey;
 use crate::fleet::ModelView;
 use crate::fleet::Upstream;
@@ -54,7 +53,6 @@
         }],
         service: None,
         incarnation: 1,
-        load: LoadReport::default(),
         counters: Arc::new(Counters::default()),
     }
 }
@@ -214,7 +212,9 @@
 
 /// What draws a session from u0 to u1, all else being equal.
 #[rstest]
-#[case::queue(|fleet: &mut Fleet, u0: UpstreamKey| fleet.upstreams[u0].load.queued = 9)]
+#[case::queue(|fleet: &mut Fleet, u0: UpstreamKey| {
+    fleet.upstreams[u0].counters.reported.store(9, Ordering::Relaxed);
+})]
 #[case::sent_since_report(|fleet: &mut Fleet, u0: UpstreamKey| {
     fleet.upstreams[u0].counters.sent_since_report.store(9, Ordering::Relaxed);
 })]
@@ -294,12 +294,15 @@
 
 #[test]
 fn explanation_names_the_runner_up() {
-    let (mut fleet, keys) = fleet(&[
+    let (fleet, keys) = fleet(&[
         Spec(Live, 0, 0, 0, 6),
         Spec(Live, 0, 0, 0, 6),
         Spec(Live, 1, 0, 6, 12),
     ]);
-    fleet.upstreams[keys[1]].load.queued = 3;
+    fleet.upstreams[keys[1]]
+        .counters
+        .reported
+        .store(3, Ordering::Relaxed);
     let fleet = fleet.indexed();
     let path = choose_path(&fleet, &query(), &mut StdRng::seed_from_u64(3)).unwrap();
     insta::assert_snapshot!(path.explanation.display(&fleet));
--- a/crates/kelpworks/src/upstreams/keeper.rs
+++ b/crates/kelpworks/src/upstreams/keeper.rs
@@ -7,7 +7,6 @@
 use log::info;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
-use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::border::engine::HttpEngine;
@@ -18,9 +17,6 @@
 use crate::upstreams::poll;
 use crate::upstreams::view::View;
 
-/// Changes of load alone are published together, at most this often.
-const LOAD_PUBLISH_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Settings of the keeper.
 #[derive(Clone, Debug)]
 pub struct KeeperConfig {
@@ -72,9 +68,7 @@
         self.take_register();
         let mut poll = tokio::time::interval(self.cfg.state_poll);
         poll.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut publish_at: Option<Instant> = None;
         loop {
-            let due = publish_at.unwrap_or_else(|| Instant::now() + self.cfg.state_poll);
             tokio::select! {
                 () = stop.cancelled() => return,
                 _ = poll.tick() => self.poll_all(),
@@ -87,16 +81,9 @@
                 }
                 Some(report) = self.reports.recv() => {
                     if self.take(report) {
-                        self.publish_change();
-                        publish_at = None;
-                    } else {
-                        publish_at.get_or_insert(Instant::now() + LOAD_PUBLISH_INTERVAL);
+                        self.publish();
                     }
                 }
-                () = tokio::time::sleep_until(due), if publish_at.is_some() => {
-                    self.publish();
-                    publish_at = None;
-                }
             }
         }
     }
@@ -104,17 +91,13 @@
     fn take_register(&mut self) {
         let register = Arc::clone(&self.register.borrow_and_update());
         self.view.take_register(&register);
-        self.publish_change();
-    }
-
-    /// Publishes a snapshot after a change of health or holdings.
-    fn publish_change(&mut self) {
-        self.view.refresh_index();
         self.publish();
     }
 
-    /// Publishes a snapshot in which only loads differ from the last one.
-    fn publish(&self) {
+    /// Publishes a snapshot after a change of health, holdings or incarnation; loads change in
+    /// the counters, which snapshots share.
+    fn publish(&mut self) {
+        self.view.refresh_index();
         self.fleet.store(Arc::new(self.view.fleet.clone()));
     }
 
--- a/crates/kelpworks/src/upstreams/view.rs
+++ b/crates/kelpworks/src/upstreams/view.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use kelpworks_wire::EngineState;
@@ -15,7 +14,6 @@
 use crate::fleet::Health;
 use crate::fleet::Holding;
 use crate::fleet::LinkCost;
-use crate::fleet::LoadReport;
 use crate::fleet::ModelView;
 use crate::fleet::Upstream;
 use crate::fleet::UpstreamKey;
@@ -131,7 +129,6 @@
             holdings: Vec::new(),
             service: service(host),
             incarnation: 0,
-            load: LoadReport::default(),
             counters: Arc::default(),
         };
         let key = self.fleet.upstreams.insert(upstream);
@@ -170,17 +167,10 @@
         self.loaded.insert(key, state.loaded.clone());
         let holdings = self.holdings(&state.loaded);
         let upstream = &mut self.fleet.upstreams[key];
+        let restarted = upstream.incarnation != state.incarnation;
         upstream.incarnation = state.incarnation;
-        upstream.load = LoadReport {
-            queued: state.load.queued,
-            running: state.load.running,
-            queue: Duration::from_millis(u64::from(state.load.queue_ms)),
-        };
-        upstream
-            .counters
-            .sent_since_report
-            .store(0, Ordering::Relaxed);
-        let changed = upstream.holdings != holdings;
+        upstream.counters.report(&state.load);
+        let changed = restarted || upstream.holdings != holdings;
         upstream.holdings = holdings;
         if changed {
             self.reindex();
