Run keyed calls that are not idempotent at most once, under claims

Cause: a repeat of a keyed call ran again, and a POST's redirect was followed. Ruled out: a third write before dispatch; removal of old claims by listing. Change: the claims slice drives kelpworks-coord's claim machine over the object API; services and models of a non_idempotent rule go through it; retries of services use the retry budget.

--- a/crates/kelpworks/src/border/engine.rs
+++ b/crates/kelpworks/src/border/engine.rs
@@ -12,6 +12,7 @@
 
 use reqwest::Client;
 use reqwest::StatusCode;
+use reqwest::redirect::Policy;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -142,6 +143,8 @@
             .connect_timeout(self.connect_timeout)
             .tcp_nodelay(true)
             .no_proxy()
+            // An upstream's redirect is the caller's to follow: here it would send a call twice.
+            .redirect(Policy::none())
             .build()
             .expect("an HTTP client without TLS needs no outside resource")
     }
@@ -157,7 +160,8 @@
             .clone()
     }
 
-    fn replace(&self, url: &Arc<str>, client: Client) {
+    /// Leaves the connections to an upstream behind for those of `client`.
+    pub(crate) fn replace(&self, url: &Arc<str>, client: Client) {
         self.clients
             .write()
             .expect("not poisoned")
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -32,6 +32,9 @@
 use crate::border::host_list::HttpHostList;
 use crate::border::object_api;
 use crate::border::object_api::HttpObjectApi;
+use crate::claims;
+use crate::claims::Claims;
+use crate::claims::NoPeers;
 use crate::daemon::follow::Follower;
 use crate::daemon::hosts::HostWatch;
 use crate::daemon::serve::Server;
@@ -155,6 +158,7 @@
             output: OutputForm::Handle,
             start: Instant::now(),
         };
+        let tasks = TaskTracker::new();
         let entry = Arc::new(Entry {
             limits: settings.limits.clone(),
             request_timeout: timing.request.0,
@@ -164,7 +168,8 @@
             driver,
             engine,
             reports,
-            tasks: TaskTracker::new(),
+            claims: Arc::new(claims(settings, tasks.clone())?),
+            tasks,
             draining: AtomicBool::new(false),
         });
         let operators = Operators {
@@ -219,6 +224,15 @@
     }
 }
 
+/// Claims have a client of their own, so that leaving its connections behind touches no watch.
+fn claims(settings: &Settings, tasks: TaskTracker) -> Result<Claims<HttpObjectApi>> {
+    let cfg = claims::Config {
+        writes_per_second: u64::from(settings.limits.claim_writes_per_second),
+        ..claims::Config::new(&settings.name)
+    };
+    Ok(Claims::new(cfg, object_api(settings)?, NoPeers, tasks))
+}
+
 fn object_api(settings: &Settings) -> Result<HttpObjectApi> {
     let deadlines = object_api::Deadlines::default();
     Ok(HttpObjectApi::new(
--- a/crates/kelpworks/src/entry/completions.rs
+++ b/crates/kelpworks/src/entry/completions.rs
@@ -28,8 +28,11 @@
 use kelpworks_wire::Usage;
 
 use crate::admission::Ask;
+use crate::admission::Permit;
+use crate::claims::ClaimKey;
 use crate::entry::Entry;
 use crate::entry::auth;
+use crate::entry::once;
 use crate::entry::reply::Failure;
 use crate::entry::reply::REQUEST_ID;
 use crate::entry::shape::Asked;
@@ -57,9 +60,9 @@
 }
 
 /// A session under way.
-struct Running {
-    tokens: mpsc::Receiver<u32>,
-    outcome: oneshot::Receiver<Outcome>,
+pub(super) struct Running {
+    pub(super) tokens: mpsc::Receiver<u32>,
+    pub(super) outcome: oneshot::Receiver<Outcome>,
 }
 
 impl Completions {
@@ -75,13 +78,25 @@
         let body = body(req, self.entry.limits.body_bytes).await?;
         let asked = self.shape.read(body)?;
         let job = self.job(id, &caller, &asked)?;
-        let frame = Frame {
+        let claim = self.claim(req, &caller, &asked)?;
+        let mut frame = Frame {
             id: id.to_owned(),
             model: asked.model.clone(),
             created: unix_now(),
         };
         let prompt_tokens = job.prompt.len() as u32;
-        let running = self.start(&caller, job).await?;
+        let running = match claim {
+            None => self.start(&caller, job).await?,
+            Some(claim) => {
+                let permit = self.admit(&caller, &job).await?;
+                let started = once::start(&self.entry, claim, frame, job, permit).await?;
+                if started.replayed {
+                    once::mark_replayed(res);
+                }
+                frame = started.frame;
+                started.running
+            }
+        };
         if let Ok(value) = HeaderValue::from_str(id) {
             res.headers_mut().insert(REQUEST_ID, value);
         }
@@ -130,16 +145,30 @@
         })
     }
 
-    /// Waits for admission and starts the session in a task of its own, which frees its memory on
-    /// the engines also when the caller goes.
-    async fn start(&self, caller: &Caller, job: Job) -> Result<Running> {
+    /// The claim of a keyed request that must run at most once.
+    fn claim(&self, req: &Request, caller: &Caller, asked: &Asked) -> Result<Option<ClaimKey>> {
+        let config = self.entry.config.load();
+        if !config.model_is_non_idempotent(&asked.model, &caller.team) {
+            return Ok(None);
+        }
+        let key = once::key(req.headers())?;
+        Ok(key.map(|k| once::model_claim(&caller.team, self.shape, asked, &k)))
+    }
+
+    async fn admit(&self, caller: &Caller, job: &Job) -> Result<Permit> {
         let ask = Ask {
             team: &caller.team,
             class: caller.class,
             weight: caller.weight,
             cost: job.prompt.len() as u32 + job.max_tokens,
         };
-        let permit = self.entry.admission.admit(ask).await?;
+        Ok(self.entry.admission.admit(ask).await?)
+    }
+
+    /// Waits for admission and starts the session in a task of its own, which frees its memory on
+    /// the engines also when the caller goes.
+    async fn start(&self, caller: &Caller, job: Job) -> Result<Running> {
+        let permit = self.admit(caller, &job).await?;
         let (tx, tokens) = mpsc::channel(TOKENS_AHEAD);
         let (done, outcome) = oneshot::channel();
         let entry = Arc::clone(&self.entry);
--- a/crates/kelpworks/src/entry/mod.rs
+++ b/crates/kelpworks/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod auth;
 mod completions;
+mod once;
 mod reply;
 mod services;
 mod shape;
@@ -18,6 +19,8 @@
 
 use crate::admission::Admission;
 use crate::border::engine::HttpEngine;
+use crate::border::object_api::HttpObjectApi;
+use crate::claims::Claims;
 use crate::fleet::Fleet;
 use crate::in_force::InForce;
 use crate::pipeline::Driver;
@@ -43,7 +46,9 @@
     pub engine: Arc<HttpEngine>,
     /// Where failures of upstreams are reported.
     pub reports: mpsc::UnboundedSender<Report>,
-    /// Running sessions.
+    /// Claims of keyed calls that run at most once.
+    pub claims: Arc<Claims<HttpObjectApi>>,
+    /// Running sessions and calls.
     pub tasks: TaskTracker,
     /// True from the start of a planned stop on; new requests are refused then.
     pub draining: AtomicBool,
--- /dev/null
+++ b/crates/kelpworks/src/entry/services/call.rs
@@ -0,0 +1,111 @@
+//! A call of a plain service as read from the caller.
+
+use bytes::Bytes;
+use salvo::Request;
+use salvo::http::HeaderMap;
+use salvo::http::HeaderName;
+use salvo::http::HeaderValue;
+use salvo::http::Method;
+use salvo::http::header;
+use tokio::time::Instant;
+
+use crate::claims;
+use crate::claims::ClaimKey;
+use crate::entry::Entry;
+use crate::entry::auth;
+use crate::entry::completions::body;
+use crate::entry::once;
+use crate::entry::reply::Failure;
+
+/// Headers of a request that go on to the service.
+const FORWARDED: [HeaderName; 4] = [
+    header::CONTENT_TYPE,
+    header::ACCEPT,
+    header::IF_MATCH,
+    header::IF_NONE_MATCH,
+];
+
+/// One call.
+pub(super) struct Call {
+    pub(super) id: String,
+    pub(super) team: String,
+    pub(super) service: String,
+    pub(super) method: Method,
+    /// Path and query below the service, starting with `/`.
+    pub(super) path: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    /// Whether it may be sent again after it may have run.
+    pub(super) repeatable: bool,
+    /// Its claim, where it has a key and may run only once.
+    pub(super) claim: Option<ClaimKey>,
+    pub(super) deadline: Instant,
+}
+
+impl Call {
+    /// Reads a call.
+    ///
+    /// # Errors
+    ///
+    /// When the token names no team, the body is too large, or the key can't be used.
+    pub(super) async fn read(entry: &Entry, id: &str, req: &mut Request) -> Result<Call, Failure> {
+        let config = entry.config.load_full();
+        let caller = auth::caller(&config, req.headers())?;
+        let service: String = req.param("name").unwrap_or_default();
+        let path = below(req.uri().path(), &service);
+        let method = req.method().clone();
+        let non_idempotent = config.call_is_non_idempotent(&service, method.as_str(), &path);
+        let repeatable = method.is_idempotent() && !non_idempotent;
+        let query = req.uri().query().map_or(String::new(), |q| format!("?{q}"));
+        let key = once::key(req.headers())?.filter(|_| !repeatable);
+        let mut headers = pick(req.headers(), &FORWARDED);
+        let body = Bytes::copy_from_slice(body(req, entry.limits.body_bytes).await?);
+        let path = path + &query;
+        let claim = key.map(|key| {
+            let target = format!("service {service} {method} {path}");
+            ClaimKey::new(&caller.team, &target, &key, &body)
+        });
+        if let Some(value) = claim.as_ref().and_then(upstream_key) {
+            headers.insert(claims::HEADER, value);
+        }
+        Ok(Call {
+            id: id.to_owned(),
+            team: caller.team,
+            service,
+            method,
+            path,
+            headers,
+            body,
+            repeatable,
+            claim,
+            deadline: Instant::now() + entry.request_timeout,
+        })
+    }
+}
+
+/// The key that the service sees. The caller's own would not do: two teams may use the same, and a
+/// service that looks calls up by key would give one team the other's answer.
+fn upstream_key(claim: &ClaimKey) -> Option<HeaderValue> {
+    HeaderValue::from_str(claim.name()).ok()
+}
+
+/// Path below `/services/{name}`, starting with `/`.
+fn below(path: &str, service: &str) -> String {
+    let prefix = format!("/services/{service}");
+    let rest = path.strip_prefix(&prefix).unwrap_or("/");
+    if rest.is_empty() {
+        "/".to_owned()
+    } else {
+        rest.to_owned()
+    }
+}
+
+fn pick(headers: &HeaderMap, names: &[HeaderName]) -> HeaderMap {
+    let mut picked = HeaderMap::new();
+    for name in names {
+        if let Some(value) = headers.get(name) {
+            picked.insert(name.clone(), value.clone());
+        }
+    }
+    picked
+}
--- /dev/null
+++ b/crates/kelpworks/src/entry/services/send.rs
@@ -0,0 +1,301 @@
+//! Sends a call to upstreams of its service: which, how often, and for how long.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use log::info;
+use reqwest::RequestBuilder;
+use salvo::http::HeaderName;
+use salvo::http::StatusCode;
+use salvo::http::header;
+use tokio::time::Instant;
+
+use crate::border::engine::Error;
+use crate::claims::Header;
+use crate::claims::Reply;
+use crate::entry::Entry;
+use crate::entry::reply::Failure;
+use crate::entry::services::call::Call;
+use crate::fleet::Fleet;
+use crate::fleet::UpstreamKey;
+use crate::retry::Attempt;
+use crate::retry::Decision;
+use crate::retry::RetryBudget;
+use crate::retry::RetryConfig;
+use crate::routing::choose_service;
+use crate::upstreams::Report;
+use crate::verdict::Verdict;
+
+/// The result of this module.
+pub(super) type Result<T> = std::result::Result<T, Failure>;
+
+/// Most attempts of one call.
+const MAX_ATTEMPTS: u32 = 3;
+/// Headers of an answer that go back to the caller.
+const RETURNED: [HeaderName; 5] = [
+    header::CONTENT_TYPE,
+    header::ETAG,
+    header::LOCATION,
+    header::CACHE_CONTROL,
+    header::RETRY_AFTER,
+];
+
+/// Sends calls; one for the whole daemon.
+pub(super) struct Sender {
+    entry: Arc<Entry>,
+    retries: Mutex<RetryBudget>,
+}
+
+/// How an attempt ended without an answer.
+struct Lost {
+    error: Error,
+    /// The upstream answered on a new connection, so only the old one was at fault.
+    connection: bool,
+}
+
+impl Lost {
+    fn is_timeout(&self) -> bool {
+        matches!(self.error, Error::Timeout)
+    }
+}
+
+/// A call and its attempts so far.
+struct Attempts<'a> {
+    call: &'a Call,
+    made: u32,
+    /// Upstreams that failed under it.
+    tried: Vec<UpstreamKey>,
+    /// The worst over all attempts.
+    verdict: Verdict,
+}
+
+impl Sender {
+    pub(super) fn new(entry: Arc<Entry>) -> Sender {
+        let cfg = RetryConfig {
+            attempts: MAX_ATTEMPTS,
+            ..RetryConfig::default()
+        };
+        Sender {
+            entry,
+            retries: Mutex::new(RetryBudget::new(cfg)),
+        }
+    }
+
+    /// Sends the call to an upstream of the service, and again where that is safe.
+    pub(super) async fn send(&self, call: &Call) -> Result<Reply> {
+        let mut attempts = Attempts {
+            call,
+            made: 0,
+            tried: Vec::new(),
+            verdict: Verdict::NotRun,
+        };
+        loop {
+            let fleet = self.entry.fleet.load_full();
+            let key = self.choose(&fleet, &attempts)?;
+            attempts.made += 1;
+            let ended = self.attempt(&fleet, key, &attempts).await;
+            match &ended {
+                Ok(reply) if call.repeatable && is_passing(reply.status) => {
+                    attempts.failed(key, Verdict::MayHaveRun);
+                }
+                Ok(_) => {
+                    self.retries().succeeded();
+                    return ended.map_err(|lost| attempts.failure(&lost));
+                }
+                Err(lost) if lost.connection => attempts.worsen(lost.error.verdict()),
+                Err(lost) => {
+                    attempts.failed(key, lost.error.verdict());
+                    let _ = self.entry.reports.send(Report::Suspect(key));
+                }
+            }
+            let Some(delay) = self.again(&attempts) else {
+                return ended.map_err(|lost| attempts.failure(&lost));
+            };
+            tokio::time::sleep(delay).await;
+        }
+    }
+
+    /// The pause before another attempt; `None` when there is to be none.
+    fn again(&self, attempts: &Attempts<'_>) -> Option<Duration> {
+        let attempt = Attempt {
+            verdict: attempts.verdict,
+            idempotent: attempts.call.repeatable,
+            attempts: attempts.made,
+            left: left(attempts.call),
+        };
+        let now = Duration::from_millis(self.entry.driver.now_ms());
+        let decision = self.retries().decide(now, &attempt, &mut rand::rng());
+        match decision {
+            Decision::RetryAt(delay) => Some(delay),
+            Decision::GiveUp(reason) => {
+                info!(
+                    target: "decision", decision = "give_up", request = attempts.call.id.as_str(),
+                    reason = reason.as_str(), verdict = attempts.verdict.as_str();
+                    "call not tried again"
+                );
+                None
+            }
+        }
+    }
+
+    fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn choose(&self, fleet: &Fleet, attempts: &Attempts<'_>) -> Result<UpstreamKey> {
+        let call = attempts.call;
+        let Some(keys) = fleet.by_service.get(&call.service) else {
+            let message = format!("there is no service {:?}", call.service);
+            let status = StatusCode::NOT_FOUND;
+            return Err(Failure::bad(status, "unknown_service", message));
+        };
+        let now = self.entry.driver.now_ms();
+        let tried = &attempts.tried;
+        let chosen = choose_service(fleet, &call.service, tried, now, &mut rand::rng());
+        let key = chosen.map_err(|_| {
+            let message = "no upstream of the service takes calls";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            Failure::failed(status, "no_upstream", message, attempts.verdict)
+        })?;
+        info!(
+            target: "decision", decision = "service", request = call.id.as_str(),
+            team = call.team.as_str(), service = call.service.as_str(),
+            candidates = keys.len(), choice = &*fleet.upstreams[key].name,
+            attempt = attempts.made, reason = "fewest in flight of two";
+            "upstream chosen"
+        );
+        Ok(key)
+    }
+
+    /// One attempt. After the progress deadline the upstream is probed on a new connection: a call
+    /// that may be repeated is given up then, another waits on for its own answer.
+    async fn attempt(
+        &self,
+        fleet: &Fleet,
+        key: UpstreamKey,
+        attempts: &Attempts<'_>,
+    ) -> std::result::Result<Reply, Lost> {
+        let call = attempts.call;
+        let upstream = &fleet.upstreams[key];
+        let req = self.request(&upstream.url, call);
+        let _in_flight = InFlight::enter(&upstream.counters.in_flight);
+        let reply = read(req);
+        tokio::pin!(reply);
+        let whole = |error| Lost {
+            error,
+            connection: false,
+        };
+        let progress = self.progress(attempts.made).min(left(call));
+        tokio::select! {
+            biased;
+            reply = &mut reply => return reply.map_err(whole),
+            () = tokio::time::sleep(progress) => {}
+        }
+        if !call.repeatable {
+            let (reply, _) = tokio::join!(reply, self.probe(&upstream.url));
+            return reply.map_err(whole);
+        }
+        let connection = self.probe(&upstream.url).await;
+        Err(Lost {
+            error: Error::Timeout,
+            connection,
+        })
+    }
+
+    /// Longer with each attempt, as the call may just be a slow one.
+    fn progress(&self, made: u32) -> Duration {
+        let doublings = made.saturating_sub(1);
+        self.entry.driver.deadlines.ceiling * 2u32.pow(doublings)
+    }
+
+    /// Asks an upstream for its health on a new connection. Where it answers, the kept ones are
+    /// left behind.
+    async fn probe(&self, url: &Arc<str>) -> bool {
+        let client = self.entry.engine.fresh();
+        let req = client
+            .get(format!("{url}/healthz"))
+            .timeout(self.entry.driver.deadlines.probe);
+        let answered = req.send().await.is_ok();
+        if answered {
+            self.entry.engine.replace(url, client);
+        }
+        answered
+    }
+
+    fn request(&self, url: &Arc<str>, call: &Call) -> RequestBuilder {
+        let client = self.entry.engine.client(url);
+        client
+            .request(call.method.clone(), format!("{url}{}", call.path))
+            .headers(call.headers.clone())
+            .timeout(left(call).max(Duration::from_millis(1)))
+            .body(call.body.clone())
+    }
+}
+
+impl Attempts<'_> {
+    fn failed(&mut self, key: UpstreamKey, verdict: Verdict) {
+        self.tried.push(key);
+        self.worsen(verdict);
+    }
+
+    fn worsen(&mut self, verdict: Verdict) {
+        self.verdict = self.verdict.max(verdict);
+    }
+
+    fn failure(&self, lost: &Lost) -> Failure {
+        let (status, kind) = match lost.is_timeout() {
+            true => (StatusCode::GATEWAY_TIMEOUT, "deadline"),
+            false => (StatusCode::BAD_GATEWAY, "upstream_failed"),
+        };
+        Failure::failed(status, kind, lost.error.to_string(), self.verdict)
+    }
+}
+
+/// A call in flight, counted until it is dropped.
+struct InFlight<'a>(&'a AtomicU32);
+
+impl InFlight<'_> {
+    fn enter(count: &AtomicU32) -> InFlight<'_> {
+        count.fetch_add(1, Ordering::Relaxed);
+        InFlight(count)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Whether another upstream may do better: a gateway's errors and a service that is leaving.
+fn is_passing(status: u16) -> bool {
+    matches!(status, 502..=504)
+}
+
+fn left(call: &Call) -> Duration {
+    call.deadline.saturating_duration_since(Instant::now())
+}
+
+async fn read(req: RequestBuilder) -> std::result::Result<Reply, Error> {
+    let res = req.send().await.map_err(Error::from_reqwest)?;
+    let status = res.status().as_u16();
+    let mut headers = Vec::new();
+    for name in &RETURNED {
+        let value = res.headers().get(name).and_then(|v| v.to_str().ok());
+        headers.extend(value.map(|value| Header {
+            name: name.to_string(),
+            value: value.to_owned(),
+        }));
+    }
+    let body = res.bytes().await.map_err(Error::from_reqwest)?;
+    Ok(Reply {
+        status,
+        headers,
+        body,
+    })
+}
--- a/crates/kelpworks/src/lib.rs
+++ b/crates/kelpworks/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod border;
+pub mod claims;
 pub mod config;
 pub mod daemon;
 pub mod entry;
