Test verdicts and at most once of plain services

Cause: neither had a test. Change: tables over faults of services, claims, callers and daemons; each checks the stand-ins' ledgers.

--- /dev/null
+++ b/crates/kelpworks/tests/claims_support/mod.rs
@@ -0,0 +1,263 @@
+//! Daemons beside stand-ins, and calls whose runs are counted.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::future::Future;
+use std::time::Duration;
+
+use bytes::Bytes;
+use kelpworks::config::accept::BLOB_KIND;
+use kelpworks::config::accept::Digest;
+use kelpworks::config::accept::HEAD_KIND;
+use kelpworks::config::accept::HEAD_NAME;
+use kelpworks::config::accept::Head;
+use kelpworks::daemon::Daemon;
+use kelpworks::settings::Settings;
+use kelpworks_fakes::Fault;
+use kelpworks_fakes::FaultKind;
+use kelpworks_fakes::FleetConfig;
+use kelpworks_fakes::Model;
+use kelpworks_fakes::StandIns;
+use kelpworks_fakes::documents;
+use kelpworks_fakes::documents::DaemonAddresses;
+use kelpworks_fakes::documents::NonIdempotentCall;
+use kelpworks_fakes::documents::Team;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use reqwest::Client;
+use reqwest::RequestBuilder;
+use reqwest::Response;
+use tokio::runtime::Runtime;
+
+pub(crate) const MODEL: &str = "report";
+pub(crate) const TOKENS: [&str; 2] = ["token-0", "token-1"];
+/// Path of the claim objects on the object API.
+pub(crate) const CLAIMS: &str = "/objects/kelpworks.claim";
+/// Path of the call that runs at most once, below its service.
+pub(crate) const CERTIFICATES: &str = "/certificates";
+
+const TEAM_NAMES: [&str; 2] = ["inspectors", "contractors"];
+const FREE: &str = "127.0.0.1:0";
+const POLL: Duration = Duration::from_millis(5);
+/// Longest wait for something that comes at once on an idle machine.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// An answer, as far as tests look at it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Got {
+    pub(crate) status: u16,
+    pub(crate) verdict: Option<String>,
+    pub(crate) replayed: bool,
+    pub(crate) retry_after: bool,
+    pub(crate) body: Bytes,
+}
+
+impl Got {
+    pub(crate) async fn of(res: Response) -> Got {
+        let header = |name: &str| {
+            let value = res.headers().get(name).and_then(|v| v.to_str().ok());
+            value.map(str::to_owned)
+        };
+        Got {
+            status: res.status().as_u16(),
+            verdict: header("kelpworks-verdict"),
+            replayed: header("kelpworks-replayed").is_some(),
+            retry_after: header("retry-after").is_some(),
+            body: res.bytes().await.expect("a whole answer"),
+        }
+    }
+
+    /// Status and verdict on one line.
+    pub(crate) fn line(&self) -> String {
+        let verdict = self.verdict.as_deref().unwrap_or("-");
+        format!("{} {verdict}", self.status)
+    }
+}
+
+/// A daemon on a runtime of its own, so that it can go without a word.
+pub(crate) struct Host {
+    pub(crate) daemon: Option<Daemon>,
+    pub(crate) base: String,
+    runtime: Option<Runtime>,
+}
+
+impl Host {
+    async fn start(settings: Settings) -> Host {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let starting = runtime.spawn(async move {
+            let metrics = PrometheusBuilder::new().build_recorder().handle();
+            Daemon::start(&settings, metrics).await
+        });
+        let daemon = starting.await.expect("no panic").expect("a daemon");
+        let operators = daemon.bound().operators;
+        until(async || {
+            let ready = reqwest::get(format!("http://{operators}/readyz")).await;
+            ready.is_ok_and(|r| r.status().is_success()).then_some(())
+        })
+        .await;
+        Host {
+            base: format!("http://{}", daemon.bound().callers),
+            daemon: Some(daemon),
+            runtime: Some(runtime),
+        }
+    }
+
+    /// Ends the daemon at once: its tasks stop where they are.
+    pub(crate) fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Begins a planned stop.
+    pub(crate) fn stop(&mut self) {
+        let daemon = self.daemon.take().expect("not stopped yet");
+        let runtime = self.runtime.as_ref().expect("not killed");
+        runtime.spawn(daemon.stop());
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Stand-ins and daemons.
+pub(crate) struct Bench {
+    pub(crate) fakes: StandIns,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) model: Model,
+    pub(crate) client: Client,
+}
+
+impl Bench {
+    /// `timing` is the body of that table of the settings; `state_poll` is long already, so that
+    /// the upstreams' health changes by what requests see only.
+    pub(crate) async fn start(daemons: usize, timing: &str) -> Bench {
+        let model = Model::new(MODEL, "1", 4);
+        let fakes = StandIns::spawn(FleetConfig::pipeline(&model, 2, 2)).await;
+        let fakes = fakes.expect("stand-ins");
+        put_config(&fakes, &model);
+        let mut hosts = Vec::new();
+        for n in 0..daemons {
+            hosts.push(Host::start(settings(&fakes, n, timing)).await);
+        }
+        Bench {
+            fakes,
+            hosts,
+            model,
+            client: Client::new(),
+        }
+    }
+
+    /// A call of the service `jobs` through a daemon.
+    pub(crate) fn call(&self, host: usize, method: &str, path: &str) -> RequestBuilder {
+        let method = method.parse().expect("a method");
+        let url = format!("{}/services/jobs{path}", self.hosts[host].base);
+        self.client.request(method, url).bearer_auth(TOKENS[0])
+    }
+
+    /// The call that runs at most once, with a key.
+    pub(crate) fn keyed(&self, host: usize, key: &str) -> RequestBuilder {
+        let call = self.call(host, "POST", CERTIFICATES).body("visit 17");
+        call.header("idempotency-key", key)
+    }
+
+    /// Runs of calls of this method on all hosts of the service.
+    pub(crate) fn runs(&self, method: &str) -> usize {
+        let ledgers = self.fakes.services.iter().flat_map(|s| s.ledger());
+        ledgers.filter(|e| e.method == method).count()
+    }
+
+    /// Puts a fault on each host of the service, in place of those before.
+    pub(crate) fn fault(&self, fault: &Fault) {
+        for service in &self.fakes.services {
+            service.faults().clear();
+            service.faults().add(fault.clone());
+        }
+    }
+
+    pub(crate) fn clear_faults(&self) {
+        for service in &self.fakes.services {
+            service.faults().clear();
+        }
+        self.fakes.object_api.faults().clear();
+    }
+
+    /// Strikes the next claim calls of this method on the object API.
+    pub(crate) fn api_fault(&self, method: &str, kind: FaultKind) {
+        let fault = Fault::once(kind).on(&format!("{method} {CLAIMS}"));
+        self.fakes.object_api.faults().add(fault);
+    }
+}
+
+pub(crate) async fn send(req: RequestBuilder) -> Got {
+    Got::of(req.send().await.expect("an answer")).await
+}
+
+/// Sends on until the answer is a success.
+pub(crate) async fn until_ok(req: impl Fn() -> RequestBuilder) -> Got {
+    until(async || Some(send(req()).await).filter(|got| got.status == 200)).await
+}
+
+/// Polls until there is a value.
+pub(crate) async fn until<T, Fut: Future<Output = Option<T>>>(look: impl Fn() -> Fut) -> T {
+    let polling = async {
+        loop {
+            if let Some(value) = look().await {
+                return value;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    };
+    let found = tokio::time::timeout(PATIENCE, polling).await;
+    found.expect("it came about")
+}
+
+fn put_config(fakes: &StandIns, model: &Model) {
+    let register = documents::register(&fakes.view(), std::slice::from_ref(model));
+    let digests = TOKENS.map(|t| Digest::of(t).to_string());
+    let team = |n: usize| Team {
+        name: TEAM_NAMES[n],
+        class: "paying",
+        weight: 1,
+        token_sha256: &digests[n],
+    };
+    let once = NonIdempotentCall {
+        service: "jobs",
+        method: "POST",
+        path: CERTIFICATES,
+    };
+    let mut rules = documents::rules(0.2, &[team(0), team(1)], &[once]);
+    for team in TEAM_NAMES {
+        rules += &format!("[[non_idempotent]]\nmodel = \"{MODEL}\"\nteam = \"{team}\"\n\n");
+    }
+    let head = Head {
+        generation: 1,
+        register: Digest::of(&register),
+        rules: Some(Digest::of(&rules)),
+        nonce: "test".to_owned(),
+    };
+    for text in [&register, &rules] {
+        let name = Digest::of(text).to_string();
+        fakes.object_api.put(BLOB_KIND, &name, text);
+    }
+    fakes.object_api.put(HEAD_KIND, HEAD_NAME, &head.to_body());
+}
+
+fn settings(fakes: &StandIns, n: usize, timing: &str) -> Settings {
+    let addresses = DaemonAddresses {
+        name: &format!("daemon-{n}"),
+        failure_domain: "domain-0",
+        callers: FREE,
+        operators: FREE,
+        peers: FREE,
+    };
+    let timing = format!("state_poll = \"60 s\"\n{timing}");
+    let text = documents::settings(&fakes.view(), addresses, &timing);
+    Settings::parse("settings", &text).expect("settings")
+}
--- /dev/null
+++ b/crates/kelpworks/tests/claims_verdict.rs
@@ -0,0 +1,176 @@
+//! Verdicts of calls of plain services: `not-run` only where the ledger shows no run.
+
+mod claims_support;
+
+use kelpworks_fakes::ApiMode;
+use kelpworks_fakes::Connections;
+use kelpworks_fakes::Fault;
+use kelpworks_fakes::FaultKind;
+use rstest::rstest;
+
+use claims_support::Bench;
+use claims_support::Got;
+use claims_support::send;
+use claims_support::until;
+use claims_support::until_ok;
+
+/// The caller's deadline ends a call soon.
+const SHORT: &str = "request = \"400 ms\"";
+/// The progress deadline ends an attempt long before the caller's deadline.
+const PROGRESS: &str = "step_floor = \"20 ms\"\nstep_ceiling = \"100 ms\"\nrequest = \"10 s\"";
+
+/// Calls of which no answer may say `not-run` when one ran.
+async fn calls(bench: &Bench, method: &str, fault: &Fault) -> [String; 2] {
+    let mut lines = Vec::new();
+    for key in [None, Some("k")] {
+        bench.fault(fault);
+        let before = bench.runs(method);
+        let call = bench.call(0, method, "/certificates");
+        let got = match key {
+            Some(key) => send(call.header("idempotency-key", key)).await,
+            None => send(call).await,
+        };
+        lines.push(checked(&got, bench.runs(method) - before));
+    }
+    lines.try_into().expect("two")
+}
+
+fn checked(got: &Got, runs: usize) -> String {
+    if got.verdict.as_deref() == Some("not-run") {
+        assert_eq!(runs, 0, "{got:?}");
+        assert!(got.status >= 400);
+    }
+    format!("{}, runs {runs}", got.line())
+}
+
+#[rstest]
+#[case::none(FaultKind::Delay(0), "200 -, runs 1")]
+#[case::reset_before_run(FaultKind::ResetBefore, "502 may-have-run, runs 0")]
+#[case::reset_after_run(FaultKind::ResetAfter, "502 may-have-run, runs 1")]
+#[case::cut_body(FaultKind::CutBody, "502 may-have-run, runs 1")]
+#[case::leaving(FaultKind::Status(503), "503 may-have-run, runs 0")]
+#[case::error_after_run(FaultKind::StatusAfter(500), "500 may-have-run, runs 1")]
+#[case::refusal(FaultKind::Status(409), "409 -, runs 0")]
+#[case::redirect(FaultKind::StatusAfter(307), "307 -, runs 1")]
+#[case::silent_before_run(FaultKind::SilentBefore, "504 may-have-run, runs 0")]
+#[case::silent_after_run(FaultKind::SilentAfter, "504 may-have-run, runs 1")]
+#[tokio::test]
+async fn non_idempotent(#[case] kind: FaultKind, #[case] expected: &str) {
+    let bench = Bench::start(1, SHORT).await;
+    let fault = Fault::once(kind).on("POST /certificates");
+    let [unkeyed, keyed] = calls(&bench, "POST", &fault).await;
+    assert_eq!((unkeyed.as_str(), keyed.as_str()), (expected, expected));
+}
+
+/// Each host of the service shows the fault once; the third attempt gets through.
+#[rstest]
+#[case::reset_before_run(FaultKind::ResetBefore, "200 -, runs 1")]
+#[case::reset_after_run(FaultKind::ResetAfter, "200 -, runs 3")]
+#[case::cut_body(FaultKind::CutBody, "200 -, runs 3")]
+#[case::leaving(FaultKind::Status(503), "200 -, runs 1")]
+#[case::silent_before_run(FaultKind::SilentBefore, "200 -, runs 1")]
+#[tokio::test]
+async fn idempotent(#[case] kind: FaultKind, #[case] expected: &str) {
+    let bench = Bench::start(1, PROGRESS).await;
+    let fault = Fault::once(kind).on("GET /certificates");
+    let [unkeyed, keyed] = calls(&bench, "GET", &fault).await;
+    // A single silent connection is no fault of its host, so the retry may meet the same host.
+    let expected = expected.to_owned();
+    assert_eq!([unkeyed, keyed], [expected.clone(), expected]);
+}
+
+/// The connections that a daemon has kept go silent; new ones work.
+async fn silenced(timing: &str) -> Bench {
+    let bench = Bench::start(1, timing).await;
+    until(async || {
+        assert_eq!(send(bench.call(0, "GET", "/jobs/1")).await.status, 200);
+        let mut ledgers = bench.fakes.services.iter().map(|s| s.ledger());
+        ledgers.all(|l| !l.is_empty()).then_some(())
+    })
+    .await;
+    for service in &bench.fakes.services {
+        service.faults().connections(Connections::SilenceExisting);
+    }
+    bench
+}
+
+#[tokio::test]
+async fn kept_connections_silent_under_an_idempotent_call() {
+    let bench = silenced(PROGRESS).await;
+    assert_eq!(send(bench.call(0, "GET", "/jobs/1")).await.status, 200);
+}
+
+/// The call is not sent again; those after it get through, as the connection is left behind.
+#[tokio::test]
+async fn kept_connections_silent_under_a_non_idempotent_call() {
+    let bench = silenced(SHORT).await;
+    let got = send(bench.call(0, "POST", "/certificates")).await;
+    assert_eq!(
+        checked(&got, bench.runs("POST")),
+        "504 may-have-run, runs 0"
+    );
+    until_ok(|| bench.call(0, "POST", "/certificates")).await;
+    assert_eq!(bench.runs("POST"), 1);
+}
+
+/// What keeps a call from being sent at all.
+#[derive(Clone, Copy, Debug)]
+enum Refusal {
+    OneHostDown,
+    AllHostsDown,
+    DaemonStops,
+    ApiOut,
+    ApiSilent,
+    OtherService,
+}
+
+#[rstest]
+#[case(Refusal::OneHostDown, "200 -, runs 1", "200 -, runs 1")]
+#[case(Refusal::AllHostsDown, "not-run, runs 0", "not-run, runs 0")]
+#[case(Refusal::DaemonStops, "503 not-run, runs 0", "503 not-run, runs 0")]
+#[case(Refusal::ApiOut, "200 -, runs 1", "503 not-run, runs 0")]
+#[case(Refusal::ApiSilent, "200 -, runs 1", "503 not-run, runs 0")]
+#[case(Refusal::OtherService, "404 not-run, runs 0", "404 not-run, runs 0")]
+#[tokio::test]
+async fn not_sent(#[case] refusal: Refusal, #[case] unkeyed: &str, #[case] keyed: &str) {
+    let mut bench = Bench::start(1, "").await;
+    let mut path = "/certificates";
+    match refusal {
+        Refusal::OneHostDown => bench.fakes.services[0].set_listening(false),
+        Refusal::AllHostsDown => bench
+            .fakes
+            .services
+            .iter()
+            .for_each(|s| s.set_listening(false)),
+        Refusal::DaemonStops => stopping(&mut bench).await,
+        Refusal::ApiOut => bench.fakes.object_api.set_mode(ApiMode::Unavailable),
+        Refusal::ApiSilent => bench.fakes.object_api.set_mode(ApiMode::Silent),
+        Refusal::OtherService => path = "/../other/certificates",
+    }
+    let url = format!("{}/services/jobs{path}", bench.hosts[0].base);
+    for (key, expected) in [(None, unkeyed), (Some("k"), keyed)] {
+        let before = bench.runs("POST");
+        let mut call = bench
+            .client
+            .post(&url)
+            .bearer_auth(claims_support::TOKENS[0]);
+        if let Some(key) = key {
+            call = call.header("idempotency-key", key);
+        }
+        let got = send(call).await;
+        let line = checked(&got, bench.runs("POST") - before);
+        // The status of a host that is down depends on whether a poll found it first.
+        assert!(line.ends_with(expected), "{line}");
+    }
+}
+
+/// Begins a planned stop and waits until it shows.
+async fn stopping(bench: &mut Bench) {
+    bench.hosts[0].stop();
+    let bench = &*bench;
+    until(async || {
+        let got = send(bench.call(0, "GET", "/jobs/1")).await;
+        (got.status == 503).then_some(())
+    })
+    .await;
+}
