--- a/crates/kelpworks/src/claims/drive.rs
+++ b/crates/kelpworks/src/claims/drive.rs
@@ -13,6 +13,7 @@
 use kelpworks_coord::claim::Event;
 use kelpworks_coord::claim::NotRun;
 use kelpworks_coord::claim::PeerStatus;
+use kelpworks_coord::claim::Phase;
 use kelpworks_coord::claim::Record;
 use kelpworks_coord::claim::Request;
 use kelpworks_coord::claim::Run;
@@ -54,6 +55,10 @@
     claim: Arc<Mutex<Claim>>,
     /// Writes already taken from the budget.
     prepaid: u64,
+    /// The claim is not written for the first time after this. The machine itself writes again
+    /// whenever it reads that there is none, which could hold the caller for as long as each write
+    /// is lost and each read answered.
+    create_by: Instant,
 }
 
 impl<A: ObjectApi + 'static, P: Peers> Drop for Holding<A, P> {
@@ -110,7 +115,8 @@
     }
 
     async fn write(&mut self, if_version: Version, record: &Record) -> ApiReply {
-        if !self.pay() {
+        let creates = record.phase == Phase::Claimed;
+        if (creates && self.claims.now() > self.create_by) || !self.pay() {
             return ApiReply::Refused;
         }
         let body = serde_json::to_string(record).expect("a record has no maps");
@@ -213,6 +219,7 @@
             nonce,
             claim,
             prepaid: WRITES_A_CLAIM,
+            create_by: claims.now() + claims.machine().settle,
         };
         Drive {
             holding,
--- a/crates/kelpworks/tests/claims_support/mod.rs
+++ b/crates/kelpworks/tests/claims_support/mod.rs
@@ -3,6 +3,9 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,10 +25,23 @@
 use kelpworks_fakes::documents::DaemonAddresses;
 use kelpworks_fakes::documents::NonIdempotentCall;
 use kelpworks_fakes::documents::Team;
+use kelpworks_fakes::fleet::ServiceView;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use reqwest::Client;
 use reqwest::RequestBuilder;
 use reqwest::Response;
+use salvo::Depot;
+use salvo::FlowCtrl;
+use salvo::Handler;
+use salvo::Listener;
+use salvo::Request;
+use salvo::Router;
+use salvo::Server;
+use salvo::async_trait;
+use salvo::conn::Acceptor;
+use salvo::conn::TcpListener;
+use salvo::handler;
+use salvo::http::StatusCode;
 use tokio::runtime::Runtime;
 
 pub(crate) const MODEL: &str = "report";
@@ -138,10 +154,15 @@
     /// `timing` is the body of that table of the settings; `state_poll` is long already, so that
     /// the upstreams' health changes by what requests see only.
     pub(crate) async fn start(daemons: usize, timing: &str) -> Bench {
+        Bench::start_with(daemons, timing, &[]).await
+    }
+
+    /// The same, with more services in the register.
+    pub(crate) async fn start_with(daemons: usize, timing: &str, more: &[ServiceView]) -> Bench {
         let model = Model::new(MODEL, "1", 4);
         let fakes = StandIns::spawn(FleetConfig::pipeline(&model, 2, 2)).await;
         let fakes = fakes.expect("stand-ins");
-        put_config(&fakes, &model);
+        put_config(&fakes, &model, more);
         let mut hosts = Vec::new();
         for n in 0..daemons {
             hosts.push(Host::start(settings(&fakes, n, timing)).await);
@@ -195,6 +216,66 @@
     }
 }
 
+/// A service that redirects each call; tests of the HTTP client's own doings need no more.
+pub(crate) struct Redirecting {
+    address: SocketAddr,
+    target: Arc<Mutex<String>>,
+}
+
+impl Redirecting {
+    pub(crate) async fn start() -> Redirecting {
+        let acceptor = TcpListener::new(FREE).bind().await;
+        let address = acceptor.holdings()[0].local_addr.clone().into_std();
+        let target = Arc::new(Mutex::new(String::new()));
+        let calls = Router::with_path("{**rest}").goal(Redirect(Arc::clone(&target)));
+        let router = Router::new()
+            .push(Router::with_path("healthz").get(healthy))
+            .push(calls);
+        tokio::spawn(async move { Server::new(acceptor).serve(router).await });
+        Redirecting {
+            address: address.expect("a socket address"),
+            target,
+        }
+    }
+
+    /// Sets where calls are sent on to.
+    pub(crate) fn to(&self, target: &str) {
+        target.clone_into(&mut self.target.lock().expect("no panic"));
+    }
+
+    pub(crate) fn view(&self, service: &str) -> ServiceView {
+        ServiceView {
+            name: format!("{service}-0"),
+            service: service.to_owned(),
+            url: format!("http://{}", self.address),
+            address: self.address,
+            failure_domain: "domain-0".to_owned(),
+        }
+    }
+}
+
+struct Redirect(Arc<Mutex<String>>);
+
+#[async_trait]
+impl Handler for Redirect {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut salvo::Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        res.status_code(StatusCode::TEMPORARY_REDIRECT);
+        let target = self.0.lock().expect("no panic").clone();
+        let _ = res.add_header("location", target, true);
+    }
+}
+
+#[handler]
+async fn healthy() -> &'static str {
+    "ok"
+}
+
 pub(crate) async fn send(req: RequestBuilder) -> Got {
     Got::of(req.send().await.expect("an answer")).await
 }
@@ -218,8 +299,10 @@
     found.expect("it came about")
 }
 
-fn put_config(fakes: &StandIns, model: &Model) {
-    let register = documents::register(&fakes.view(), std::slice::from_ref(model));
+fn put_config(fakes: &StandIns, model: &Model, more: &[ServiceView]) {
+    let mut view = fakes.view();
+    view.services.extend_from_slice(more);
+    let register = documents::register(&view, std::slice::from_ref(model));
     let digests = TOKENS.map(|t| Digest::of(t).to_string());
     let team = |n: usize| Team {
         name: TEAM_NAMES[n],
--- a/crates/kelpworks/tests/claims_verdict.rs
+++ b/crates/kelpworks/tests/claims_verdict.rs
@@ -10,6 +10,8 @@
 
 use claims_support::Bench;
 use claims_support::Got;
+use claims_support::Redirecting;
+use claims_support::TOKENS;
 use claims_support::send;
 use claims_support::until;
 use claims_support::until_ok;
@@ -62,6 +64,18 @@
     assert_eq!((unkeyed.as_str(), keyed.as_str()), (expected, expected));
 }
 
+/// An upstream's redirect goes to the caller: followed here, it would send the call a second time.
+#[tokio::test]
+async fn redirect_is_not_followed() {
+    let moved = Redirecting::start().await;
+    let bench = Bench::start_with(1, "", &[moved.view("moved")]).await;
+    moved.to(&format!("{}/certificates/2", bench.fakes.services[0].url()));
+    let url = format!("{}/services/moved/certificates", bench.hosts[0].base);
+    let call = bench.client.post(&url).bearer_auth(TOKENS[0]);
+    assert_eq!(send(call).await.line(), "307 -");
+    assert_eq!(bench.runs("POST"), 0);
+}
+
 /// Each host of the service shows the fault once; the third attempt gets through.
 #[rstest]
 #[case::reset_before_run(FaultKind::ResetBefore, "200 -, runs 1")]
@@ -150,10 +164,7 @@
     let url = format!("{}/services/jobs{path}", bench.hosts[0].base);
     for (key, expected) in [(None, unkeyed), (Some("k"), keyed)] {
         let before = bench.runs("POST");
-        let mut call = bench
-            .client
-            .post(&url)
-            .bearer_auth(claims_support::TOKENS[0]);
+        let mut call = bench.client.post(&url).bearer_auth(TOKENS[0]);
         if let Some(key) = key {
             call = call.header("idempotency-key", key);
         }
