Tests: show redirects as they are, and a vanished caller of an unkeyed call

Change: the test's client follows none. A mutant that ran service calls in the caller's own future survived all tests; the new case catches it.

--- a/crates/kelpworks/tests/claims_once.rs
+++ b/crates/kelpworks/tests/claims_once.rs
@@ -211,6 +211,21 @@
     assert_eq!(bench.runs("POST"), 1);
 }
 
+/// An unkeyed call is not broken off midway when its caller goes.
+#[tokio::test]
+async fn caller_of_an_unkeyed_call_gone() {
+    let bench = Bench::start(1, "").await;
+    bench.fault(&Fault::once(FaultKind::Delay(100)).on("POST /"));
+    let call = tokio::spawn(bench.call(0, "POST", "/certificates").send());
+    until(async || {
+        let mut faults = bench.fakes.services.iter().map(|s| s.faults().list());
+        faults.any(|f| f.is_empty()).then_some(())
+    })
+    .await;
+    call.abort();
+    until(async || (bench.runs("POST") == 1).then_some(())).await;
+}
+
 /// What the second call changes; its answer; and runs.
 #[rstest]
 #[case::other_body("visit 18", TOKENS[0], "/certificates", "422 not-run", 1)]
--- a/crates/kelpworks/tests/claims_support/mod.rs
+++ b/crates/kelpworks/tests/claims_support/mod.rs
@@ -30,6 +30,7 @@
 use reqwest::Client;
 use reqwest::RequestBuilder;
 use reqwest::Response;
+use reqwest::redirect::Policy;
 use salvo::Depot;
 use salvo::FlowCtrl;
 use salvo::Handler;
@@ -167,11 +168,13 @@
         for n in 0..daemons {
             hosts.push(Host::start(settings(&fakes, n, timing)).await);
         }
+        // Shows a daemon's redirect in place of following it.
+        let client = Client::builder().redirect(Policy::none()).build();
         Bench {
             fakes,
             hosts,
             model,
-            client: Client::new(),
+            client: client.expect("a client"),
         }
     }
 
