--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -5,9 +5,21 @@
 
 use std::process::ExitCode;
 
+mod busy;
+mod decision;
+mod fairness;
 mod fleets;
+mod overload_policy;
+mod path_policy;
 mod placement;
+mod placement_baselines;
+mod recovery;
+mod sim;
+mod stats;
+#[path = "../support/mod.rs"]
+mod support;
 mod table;
+mod throughput;
 
 use crate::table::Table;
 
@@ -19,10 +31,40 @@
     run: fn() -> Table,
 }
 
-const MEASUREMENTS: &[Measurement] = &[Measurement {
-    name: "placement",
-    run: placement::run,
-}];
+const MEASUREMENTS: &[Measurement] = &[
+    Measurement {
+        name: "busy",
+        run: busy::table,
+    },
+    Measurement {
+        name: "decision",
+        run: decision::table,
+    },
+    Measurement {
+        name: "fairness",
+        run: fairness::table,
+    },
+    Measurement {
+        name: "overload-policy",
+        run: overload_policy::table,
+    },
+    Measurement {
+        name: "path-policy",
+        run: path_policy::table,
+    },
+    Measurement {
+        name: "placement",
+        run: placement::run,
+    },
+    Measurement {
+        name: "recovery",
+        run: recovery::run,
+    },
+    Measurement {
+        name: "throughput",
+        run: throughput::run,
+    },
+];
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
--- a/crates/kelpworks/src/entry/completions.rs
+++ b/crates/kelpworks/src/entry/completions.rs
@@ -71,7 +71,7 @@
     }
 
     async fn serve(&self, id: &str, req: &mut Request, res: &mut Response) -> Result<()> {
-        if self.entry.is_draining() {
+        if self.entry.is_closed() {
             return Err(Failure::draining());
         }
         let caller = auth::caller(&self.entry.config.load(), req.headers())?;
@@ -162,7 +162,10 @@
             weight: caller.weight,
             cost: job.prompt.len() as u32 + job.max_tokens,
         };
-        Ok(self.entry.admission.admit(ask).await?)
+        tokio::select! {
+            permit = self.entry.admission.admit(ask) => Ok(permit?),
+            () = self.entry.driver.abort.cancelled() => Err(Failure::draining()),
+        }
     }
 
     /// Waits for admission and starts the session in a task of its own, which frees its memory on
--- a/crates/kelpworks/src/entry/services/send.rs
+++ b/crates/kelpworks/src/entry/services/send.rs
@@ -98,7 +98,12 @@
             let fleet = self.entry.fleet.load_full();
             let key = self.choose(&fleet, &attempts)?;
             attempts.made += 1;
-            let ended = self.attempt(&fleet, key, &attempts).await;
+            let ended = tokio::select! {
+                ended = self.attempt(&fleet, key, &attempts) => ended,
+                () = self.entry.driver.abort.cancelled() => {
+                    return Err(stopped(Verdict::MayHaveRun));
+                }
+            };
             match &ended {
                 Ok(reply) if call.repeatable && is_passing(reply.status) => {
                     attempts.failed(key, Verdict::MayHaveRun);
@@ -116,7 +121,12 @@
             let Some(delay) = self.again(&attempts) else {
                 return ended.map_err(|lost| attempts.failure(&lost));
             };
-            tokio::time::sleep(delay).await;
+            tokio::select! {
+                () = tokio::time::sleep(delay) => {}
+                () = self.entry.driver.abort.cancelled() => {
+                    return Err(stopped(attempts.verdict));
+                }
+            }
         }
     }
 
@@ -210,7 +220,7 @@
     /// Longer with each attempt, as the call may just be a slow one.
     fn progress(&self, made: u32) -> Duration {
         let doublings = made.saturating_sub(1);
-        self.entry.driver.deadlines.ceiling * 2u32.pow(doublings)
+        self.entry.driver.deadlines.step.ceiling * 2u32.pow(doublings)
     }
 
     /// Asks an upstream for its health on a new connection. Where it answers, the kept ones are
@@ -219,7 +229,7 @@
         let client = self.entry.engine.fresh();
         let req = client
             .get(format!("{url}/healthz"))
-            .timeout(self.entry.driver.deadlines.probe);
+            .timeout(self.entry.driver.deadlines.probe.ceiling);
         let answered = req.send().await.is_ok();
         if answered {
             self.entry.engine.replace(url, client);
@@ -272,6 +282,14 @@
     }
 }
 
+/// The daemon was told to stop at once.
+fn stopped(verdict: Verdict) -> Failure {
+    Failure {
+        verdict,
+        ..Failure::draining()
+    }
+}
+
 /// Whether another upstream may do better: a gateway's errors and a service that is leaving.
 fn is_passing(status: u16) -> bool {
     matches!(status, 502..=504)
--- a/crates/kelpworks/src/pipeline/driver.rs
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -9,6 +9,8 @@
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use kelpworks_wire::CancelRequest;
 use kelpworks_wire::Class;
@@ -25,6 +27,7 @@
 use crate::fleet::ModelKey;
 use crate::fleet::UpstreamKey;
 use crate::pipeline::hop::HopState;
+use crate::pipeline::release::release;
 use crate::pipeline::step::Call;
 use crate::pipeline::step::Deadlines;
 use crate::pipeline::step::Fixed;
@@ -32,6 +35,7 @@
 use crate::pipeline::step::StepFailure;
 use crate::pipeline::tokens;
 use crate::routing;
+use crate::routing::Assignment;
 use crate::routing::PathQuery;
 use crate::upstreams::Report;
 use crate::verdict::Verdict;
@@ -45,8 +49,6 @@
 const NO_PATH_WAIT: Duration = Duration::from_millis(50);
 /// Doublings of that wait, at most, when the same upstream fails again and again.
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
-/// Wait for an engine to take a cancel.
-const CANCEL_DEADLINE: Duration = Duration::from_secs(1);
 
 /// A session to drive.
 #[derive(Clone, Debug)]
@@ -80,6 +82,9 @@
     /// The caller has gone.
     #[error("caller gone")]
     CallerGone,
+    /// The daemon ends before the session does.
+    #[error("the daemon is stopping")]
+    Stopped,
     /// A stage failed in a way that another try won't mend.
     #[error("stage failed: {0}")]
     Stage(StepFailure),
@@ -113,6 +118,10 @@
     pub output: OutputForm,
     /// Start of the daemon, the origin of `Counters::busy_until_ms`.
     pub start: Instant,
+    /// Ends all sessions at once.
+    pub abort: CancellationToken,
+    /// Calls that free memory on engines; a stop waits for them.
+    pub tasks: TaskTracker,
 }
 
 impl<E: Engine> Driver<E> {
@@ -125,6 +134,7 @@
             result = session.answer(permit, tx) => result,
             () = tx.closed() => Err(Ending::CallerGone),
             () = tokio::time::sleep_until(deadline) => Err(Ending::Deadline),
+            () = self.abort.cancelled() => Err(Ending::Stopped),
         };
         permit.used(session.known.len() as u32);
         session.free();
@@ -162,11 +172,15 @@
     known: Vec<u32>,
     /// The stages in order of layers; together they cover every layer once.
     hops: Vec<HopState>,
+    /// What the path counts for on its upstreams, while it lasts.
+    assignment: Option<Assignment>,
     /// Upstreams that failed or refused this session; taken last.
     avoid: Vec<UpstreamKey>,
     /// Attempt number that the next new stage gets.
     next_attempt: u32,
     recoveries: u32,
+    /// Fetches between stages that failed since the last token.
+    unfetched: u32,
     /// Worst over all steps sent.
     verdict: Verdict,
     /// Stages left behind, to be freed at the end.
@@ -192,9 +206,11 @@
             version: None,
             known: job.prompt.clone(),
             hops: Vec::new(),
+            assignment: None,
             avoid: Vec::new(),
             next_attempt: 0,
             recoveries: 0,
+            unfetched: 0,
             verdict: Verdict::NotRun,
             left: Vec::new(),
         }
@@ -208,6 +224,7 @@
             self.leave_if_asked().await?;
             let asked = Instant::now();
             let token = self.next_token().await?;
+            self.unfetched = 0;
             permit.observe_token(asked.elapsed());
             if token == tokens::END {
                 return Ok(FinishReason::Stop);
@@ -290,7 +307,7 @@
             fixed: &self.fixed,
             hop,
             counters: &upstream.counters,
-            deadlines: self.driver.deadlines,
+            deadlines: &self.driver.deadlines,
             count,
         };
         // Until the reply says otherwise: this future may be dropped after the step was sent.
@@ -332,10 +349,7 @@
             StepFailure::Refused {
                 reason: RefusalReason::HandleMissing,
                 ..
-            } => {
-                self.restart_all();
-                Ok(())
-            }
+            } => self.fetch_failed(at).await,
             StepFailure::Refused {
                 reason: RefusalReason::Invalid,
                 ..
@@ -400,9 +414,26 @@
         self.next_attempt += 1;
     }
 
-    fn restart_all(&mut self) {
-        for at in 0..self.hops.len() {
-            self.restart(at);
+    /// A stage could not fetch its input from the one before it.
+    ///
+    /// That one may have lost its outputs, and then runs again where it is. Where that does not
+    /// help, the link between the two may be down, at either end: one moves, then the other.
+    async fn fetch_failed(&mut self, at: usize) -> Result<()> {
+        let before = at.saturating_sub(1);
+        self.unfetched += 1;
+        match self.unfetched {
+            1 => {
+                self.restart(before);
+                Ok(())
+            }
+            n if n % 2 == 0 => {
+                let upstream = self.hops[before].upstream;
+                self.move_off(upstream, "output can't be fetched").await
+            }
+            _ => {
+                let upstream = self.hops[at].upstream;
+                self.move_off(upstream, "input can't be fetched").await
+            }
         }
     }
 
@@ -445,6 +476,7 @@
         let model = &fleet.models[usize::from(self.job.model.0)];
         self.fixed.version = model.versions[usize::from(path.version)].clone();
         self.take(&fleet, &path);
+        self.assignment = Some(Assignment::new(&fleet, &path.hops));
         let names: Vec<&str> = self.hops.iter().map(|h| &*h.name).collect();
         info!(
             target: "decision", decision = "route", request = self.fixed.session.as_str(),
@@ -488,7 +520,8 @@
                 session,
                 attempt: hop.attempt,
             };
-            tokio::spawn(async move { engine.cancel(&hop.url, &req, CANCEL_DEADLINE).await });
+            let free = async move { release(&*engine, &hop.url, &req).await };
+            self.driver.tasks.spawn(free);
         }
     }
 }
--- a/crates/kelpworks/src/settings/file.rs
+++ b/crates/kelpworks/src/settings/file.rs
@@ -107,6 +107,7 @@
     pub(super) host_list_poll: Spanned<Span>,
     pub(super) watch: Spanned<Span>,
     pub(super) heartbeat: Spanned<Span>,
+    pub(super) balancer_notice: Spanned<Span>,
     pub(super) drain: Spanned<Span>,
 }
 
@@ -115,12 +116,13 @@
         TimingTable {
             request: millis(120_000),
             connect: millis(1_000),
-            step_floor: millis(200),
+            step_floor: millis(50),
             step_ceiling: millis(5_000),
             state_poll: millis(500),
             host_list_poll: millis(1_000),
             watch: millis(10_000),
             heartbeat: millis(1_000),
+            balancer_notice: millis(2_000),
             drain: millis(60_000),
         }
     }
--- a/crates/kelpworks/src/settings/mod.rs
+++ b/crates/kelpworks/src/settings/mod.rs
@@ -29,11 +29,12 @@
 
 use std::net::SocketAddr;
 
-pub use crate::config::document::Error;
-pub use crate::config::document::Result;
 use crate::register::Register;
 use crate::units::Span;
 
+pub use crate::config::document::Error;
+pub use crate::config::document::Result;
+
 /// Settings of one daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -115,7 +116,7 @@
     pub request: Span,
     /// Longest time to open a connection. Default 1 s.
     pub connect: Span,
-    /// Least progress deadline of a step. Default 200 ms.
+    /// Least progress deadline of a step. Default 50 ms.
     pub step_floor: Span,
     /// Greatest progress deadline of a step. Default 5 s.
     pub step_ceiling: Span,
@@ -127,6 +128,9 @@
     pub watch: Span,
     /// How often a heartbeat goes to peers. Default 1 s.
     pub heartbeat: Span,
+    /// How long a planned stop still takes requests once the balancer's check fails; longer than
+    /// the balancer needs to notice. Default 2 s.
+    pub balancer_notice: Span,
     /// How long a planned stop waits for requests in flight. Default 60 s.
     pub drain: Span,
 }
