--- a/crates/kelpworks/src/claims/mod.rs
+++ b/crates/kelpworks/src/claims/mod.rs
@@ -152,7 +152,7 @@
         retry_after: Duration,
     },
     /// The object API did not confirm the claim. Not run.
-    #[error("the claim could not be recorded")]
+    #[error("the claim of the key could not be recorded")]
     Unavailable {
         /// When to come back.
         retry_after: Duration,
@@ -164,7 +164,7 @@
     #[error("the key was used for another request")]
     KeyReused,
     /// An earlier submission is running; a repeat will get its answer.
-    #[error("an earlier submission is running")]
+    #[error("an earlier submission of the key is running")]
     InProgress {
         /// When to come back.
         retry_after: Duration,
--- a/crates/kelpworks/src/entry/once.rs
+++ b/crates/kelpworks/src/entry/once.rs
@@ -97,19 +97,10 @@
         }
         Error::Failed(_) => (StatusCode::BAD_GATEWAY, "upstream_failed", None),
     };
-    let message = match error {
-        Error::Busy { .. } => "too many keyed calls",
-        Error::Unavailable { .. } => "the claim of the key could not be recorded",
-        Error::Deadline => "deadline exceeded before the call was sent",
-        Error::KeyReused => "the key was used for another request",
-        Error::InProgress { .. } => "an earlier submission of the key is running",
-        Error::MayHaveRun { .. } => "the call may have run; its answer is not known",
-        Error::Failed(_) => "the call failed",
-    };
     Failure {
         status,
         kind,
-        message: message.to_owned(),
+        message: error.to_string(),
         verdict,
         retry_after,
     }
--- a/crates/kelpworks/tests/claims_slice.rs
+++ b/crates/kelpworks/tests/claims_slice.rs
@@ -236,6 +236,23 @@
     assert_eq!(bench.runs(), 0);
 }
 
+/// The create took effect, its reply was lost, and a read answers from before it.
+#[tokio::test]
+async fn read_back_is_stale() {
+    let bench = Bench::start().await;
+    let node = bench.node(config(16), Direct::default());
+    let lost = Fault::once(FaultKind::ResetAfter).on("PUT /objects");
+    bench.api.faults().add(lost);
+    let stale = Fault::once(FaultKind::StaleRead).on("/objects");
+    bench.api.faults().add(stale);
+    let first = bench.call(&node, "k", Ok(reply(b"a"))).await;
+    assert!(first.is_ok_and(|k| !k.replayed));
+    assert!(bench.api.faults().list().is_empty());
+    let again = bench.call(&node, "k", Ok(reply(b"b"))).await;
+    assert!(again.is_ok_and(|k| k.replayed && k.reply == reply(b"a")));
+    assert_eq!(bench.runs(), 1);
+}
+
 /// A claim that its holder gave up, and could not remove, is taken over through the holder's word.
 #[tokio::test]
 async fn given_up_claim_is_taken_over() {
--- a/crates/kelpworks/tests/claims_verdict.rs
+++ b/crates/kelpworks/tests/claims_verdict.rs
@@ -168,6 +168,29 @@
     }
 }
 
+/// Keyed calls beyond the write budget are refused at once.
+#[tokio::test]
+async fn over_the_write_budget() {
+    let bench = Bench::start(1, "[limits]\nclaim_writes_per_second = 1").await;
+    let before = bench.fakes.object_api.counts().writes;
+    let mut refused = 0;
+    for n in 0..12 {
+        let got = send(bench.keyed(0, &format!("k{n}"))).await;
+        if got.status != 200 {
+            assert_eq!(
+                (got.line().as_str(), got.retry_after),
+                ("429 not-run", true)
+            );
+            refused += 1;
+        }
+    }
+    // The burst is 16 writes, two a call; one more call's worth comes back in 16 s.
+    assert!((3..=4).contains(&refused), "{refused}");
+    assert_eq!(bench.runs("POST"), 12 - refused);
+    let writes = bench.fakes.object_api.counts().writes - before;
+    assert_eq!(writes, 2 * (12 - refused as u64));
+}
+
 /// Closes the ports of hosts, and sees to it that the daemon keeps no connection to them: a call
 /// that meets one while it closes may have run, for all the daemon knows.
 async fn hosts_down(bench: &Bench, count: usize) {
