--- a/crates/kelpworks/tests/path/mod.rs
+++ b/crates/kelpworks/tests/path/mod.rs
@@ -74,7 +74,8 @@
     /// Starts a set of stand-ins.
     pub(crate) async fn of(cfg: FleetConfig, model: Model, daemons: usize) -> Bench {
         let fakes = StandIns::spawn(cfg).await.expect("stand-ins");
-        support::put_config(&fakes, std::slice::from_ref(&model), 0.5, &[PAYING, TRIAL]);
+        support::put_config(&fakes, std::slice::from_ref(&model), 0.5, &[PAYING, TRIAL])
+            .expect("a valid configuration");
         let daemons = support::daemons(&fakes, daemons, TIMING, &metrics()).await;
         let bench = Bench {
             fakes,
