--- a/crates/kelpworks-cli/tests/proc_kill.rs
+++ b/crates/kelpworks-cli/tests/proc_kill.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod frame;
 
+use futures_util::future::join_all;
 use kelpworks_wire::FinishReason;
 
 use caller::End;
@@ -91,7 +92,12 @@
         let prompt = lost.prompt(n);
         let whole = frame.model.answer_text(&prompt, MAX_TOKENS);
         assert!(whole.starts_with(&answer.text) && whole != answer.text);
-        let again = frame.caller(1).complete(&prompt, MAX_TOKENS).await;
+    }
+    let caller = frame.caller(1);
+    let prompts: Vec<String> = (0..lost.answers.len()).map(|n| lost.prompt(n)).collect();
+    let again = prompts.iter().map(|p| caller.complete(p, MAX_TOKENS));
+    for (prompt, again) in prompts.iter().zip(join_all(again).await) {
+        let whole = frame.model.answer_text(prompt, MAX_TOKENS);
         assert_eq!(again.expect("an answer").text, whole);
     }
     kept.rest().await.assert_whole(&frame);
