entry: refuse unknown paths, other methods and empty chats as other bad requests

Cause: paths and methods without a route fell to the HTTP library's own page: 404 or 405 without a JSON error and without a verdict, so a caller's program could not tell that nothing ran. A chat without messages was answered as if the prompt were the assistant's mark alone.

Ruled out: the routes themselves (right path and method were served).

Change: routes that answer 404 unknown_path and 405 method_not_allowed (with allow) through the same failure type as all refusals; no messages is the empty prompt, 400.

Test: path_input, a table of bad requests, each with its status, kind, verdict, request id, and the engines' ledgers unchanged.

--- a/crates/kelpworks/src/entry/shape.rs
+++ b/crates/kelpworks/src/entry/shape.rs
@@ -161,8 +161,12 @@
     serde_json::to_vec(value).expect("wire types have no maps with keys other than text")
 }
 
-/// The chat as one prompt, a line a message, ending where the answer begins.
+/// The chat as one prompt, a line a message, ending where the answer begins; empty for a chat
+/// without messages.
 fn prompt(messages: &[ChatMessage]) -> String {
+    if messages.is_empty() {
+        return String::new();
+    }
     let mut text = String::new();
     for message in messages {
         text.push_str(&message.role);
--- /dev/null
+++ b/crates/kelpworks/src/entry/unserved.rs
@@ -0,0 +1,52 @@
+//! Answers to paths and methods that are not served.
+
+use salvo::Depot;
+use salvo::FlowCtrl;
+use salvo::Handler;
+use salvo::Request;
+use salvo::Response;
+use salvo::async_trait;
+use salvo::http::HeaderValue;
+use salvo::http::StatusCode;
+use salvo::http::header::ALLOW;
+
+use crate::entry::completions::request_id;
+use crate::entry::reply::Failure;
+
+/// What a request asks for that is not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unserved {
+    /// Its path.
+    Path,
+    /// Its method, at a path that takes only POST.
+    Method,
+}
+
+#[async_trait]
+impl Handler for Unserved {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let failure = match self {
+            Unserved::Path => Failure::bad(
+                StatusCode::NOT_FOUND,
+                "unknown_path",
+                "nothing is served at this path",
+            ),
+            Unserved::Method => {
+                let allowed = HeaderValue::from_static("POST");
+                res.headers_mut().insert(ALLOW, allowed);
+                Failure::bad(
+                    StatusCode::METHOD_NOT_ALLOWED,
+                    "method_not_allowed",
+                    "this path takes POST only",
+                )
+            }
+        };
+        failure.write(&request_id(), res);
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/tests/path_input.rs
@@ -0,0 +1,306 @@
+//! Bad requests: each gets a clear refusal that says that nothing ran, and nothing did run.
+
+mod caller;
+mod path;
+#[path = "../examples/support/mod.rs"]
+mod support;
+
+use std::time::Duration;
+
+use kelpworks_wire::ErrorBody;
+use reqwest::Body;
+use reqwest::Client;
+use reqwest::Method;
+use reqwest::RequestBuilder;
+use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use caller::Caller;
+use path::Bench;
+use path::MODEL;
+use path::PAYING;
+use path::TRIAL;
+
+const TEXT: &str = "/v1/completions";
+const CHAT: &str = "/v1/chat/completions";
+const GOOD: &str = r#"{"model": "demo", "prompt": "a red kettle"}"#;
+/// Above the default bound of 1 MiB on a body.
+const OVERSIZED: usize = (1 << 20) + 1;
+/// Above what any HTTP server takes as the head of a request.
+const HEADER_BOMB: usize = 1 << 20;
+
+/// How a request names its team.
+#[derive(Clone, Copy, Debug)]
+enum Token {
+    Good,
+    Absent,
+    Wrong,
+    Basic,
+    Empty,
+    NotText,
+}
+
+impl Token {
+    fn put(self, req: RequestBuilder) -> RequestBuilder {
+        match self {
+            Token::Good => req.bearer_auth(PAYING.token),
+            Token::Absent => req,
+            Token::Wrong => req.bearer_auth("nobody's"),
+            Token::Basic => req.basic_auth(PAYING.name, Some(PAYING.token)),
+            Token::Empty => req.header("authorization", "Bearer "),
+            Token::NotText => req.header("authorization", &b"Bearer \xff\xfe"[..]),
+        }
+    }
+}
+
+fn text(body: &str) -> Vec<u8> {
+    body.as_bytes().to_vec()
+}
+
+fn nested() -> Vec<u8> {
+    let deep = "[".repeat(100_000);
+    format!("{{\"model\": \"demo\", \"prompt\": {deep}").into_bytes()
+}
+
+fn oversized() -> Vec<u8> {
+    let prompt = "x".repeat(OVERSIZED);
+    format!("{{\"model\": \"demo\", \"prompt\": \"{prompt}\"}}").into_bytes()
+}
+
+/// Sends a request and asserts its refusal.
+async fn assert_refused(bench: &Bench, req: RequestBuilder, status: u16, kind: &str) {
+    let ran = runs(bench);
+    let res = req.send().await.expect("an answer");
+    assert_eq!(res.status().as_u16(), status);
+    let header = |name: &str| {
+        res.headers()
+            .get(name)
+            .map(|v| v.to_str().unwrap().to_owned())
+    };
+    assert_eq!(header("kelpworks-verdict").as_deref(), Some("not-run"));
+    assert_eq!(header("content-type").as_deref(), Some("application/json"));
+    let id = header("kelpworks-request-id");
+    let body: ErrorBody = res.json().await.expect("a JSON error");
+    assert_eq!(body.error.type_, kind);
+    assert_eq!(body.error.verdict, "not-run");
+    assert_eq!(Some(body.error.request_id), id);
+    assert!(!body.error.message.is_empty());
+    assert!(
+        !body.error.message.contains(PAYING.token),
+        "no secret in an answer"
+    );
+    assert_eq!(runs(bench), ran, "what was refused did not run");
+    assert_serves(bench).await;
+}
+
+fn runs(bench: &Bench) -> u64 {
+    let engines = bench.fakes.engines.iter();
+    engines.map(|e| e.ledger().totals().runs).sum()
+}
+
+async fn assert_serves(bench: &Bench) {
+    let answer = bench.caller(0).complete("still here", 2).await;
+    let text = bench.model.answer_text("still here", 2);
+    assert_eq!(answer.expect("an answer").text, text);
+}
+
+#[rstest]
+#[case::no_token(TEXT, Token::Absent, text(GOOD), 401, "unauthorized")]
+#[case::wrong_token(TEXT, Token::Wrong, text(GOOD), 401, "unauthorized")]
+#[case::other_scheme(TEXT, Token::Basic, text(GOOD), 401, "unauthorized")]
+#[case::empty_token(TEXT, Token::Empty, text(GOOD), 401, "unauthorized")]
+#[case::token_not_text(TEXT, Token::NotText, text(GOOD), 401, "unauthorized")]
+#[case::chat_no_token(CHAT, Token::Absent, text("{}"), 401, "unauthorized")]
+#[case::service_no_token("/services/jobs/jobs/7", Token::Absent, text(""), 401, "unauthorized")]
+#[case::no_body(TEXT, Token::Good, text(""), 400, "invalid_request")]
+#[case::not_json(TEXT, Token::Good, text("a red kettle"), 400, "invalid_request")]
+#[case::cut_json(
+    TEXT,
+    Token::Good,
+    text(r#"{"model": "demo", "#),
+    400,
+    "invalid_request"
+)]
+#[case::not_utf8(TEXT, Token::Good, vec![0xff, 0xfe, 0x00], 400, "invalid_request")]
+#[case::nested(TEXT, Token::Good, nested(), 400, "invalid_request")]
+#[case::no_prompt(
+    TEXT,
+    Token::Good,
+    text(r#"{"model": "demo"}"#),
+    400,
+    "invalid_request"
+)]
+#[case::empty_prompt(
+    TEXT,
+    Token::Good,
+    text(r#"{"model": "demo", "prompt": ""}"#),
+    400,
+    "invalid_request"
+)]
+#[case::prompt_of_another_type(
+    TEXT,
+    Token::Good,
+    text(r#"{"model": "demo", "prompt": 7}"#),
+    400,
+    "invalid_request"
+)]
+#[case::no_tokens(
+    TEXT,
+    Token::Good,
+    text(r#"{"model": "demo", "prompt": "a", "max_tokens": 0}"#),
+    400,
+    "invalid_request"
+)]
+#[case::negative_tokens(
+    TEXT,
+    Token::Good,
+    text(r#"{"model": "demo", "prompt": "a", "max_tokens": -1}"#),
+    400,
+    "invalid_request"
+)]
+#[case::too_many_tokens(
+    TEXT,
+    Token::Good,
+    text(r#"{"model": "demo", "prompt": "a", "max_tokens": 4000000000}"#),
+    400,
+    "invalid_request"
+)]
+#[case::no_messages(
+    CHAT,
+    Token::Good,
+    text(r#"{"model": "demo", "messages": []}"#),
+    400,
+    "invalid_request"
+)]
+#[case::unknown_model(
+    TEXT,
+    Token::Good,
+    text(r#"{"model": "other", "prompt": "a"}"#),
+    404,
+    "unknown_model"
+)]
+#[case::oversized(TEXT, Token::Good, oversized(), 413, "too_large")]
+#[case::oversized_chat(CHAT, Token::Good, oversized(), 413, "too_large")]
+#[case::unknown_path("/v1/other", Token::Good, text(GOOD), 404, "unknown_path")]
+#[case::unknown_path_no_token("/", Token::Absent, text(""), 404, "unknown_path")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_bad_request_is_refused(
+    #[case] path: &str,
+    #[case] token: Token,
+    #[case] body: Vec<u8>,
+    #[case] status: u16,
+    #[case] kind: &str,
+) {
+    let bench = Bench::start(1, Duration::ZERO).await;
+    let url = format!("{}{path}", bench.base(0));
+    let req = token.put(Client::new().post(url)).body(body);
+    assert_refused(&bench, req, status, kind).await;
+}
+
+#[rstest]
+#[case::get(Method::GET)]
+#[case::put(Method::PUT)]
+#[case::delete(Method::DELETE)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn another_method_is_refused(#[case] method: Method, #[values(TEXT, CHAT)] path: &str) {
+    let bench = Bench::start(1, Duration::ZERO).await;
+    let url = format!("{}{path}", bench.base(0));
+    let req = Token::Good
+        .put(Client::new().request(method, url))
+        .body(GOOD);
+    assert_refused(&bench, req, 405, "method_not_allowed").await;
+}
+
+/// Without a length beforehand, the bound holds while the body comes in.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_oversized_body_of_unknown_length_is_refused() {
+    let bench = Bench::start(1, Duration::ZERO).await;
+    let chunks = oversized()
+        .chunks(1 << 14)
+        .map(<[u8]>::to_vec)
+        .collect::<Vec<_>>();
+    let chunks = futures_util::stream::iter(chunks.into_iter().map(Ok::<_, std::io::Error>));
+    let body = Body::wrap_stream(chunks);
+    let url = format!("{}{TEXT}", bench.base(0));
+    let req = Token::Good.put(Client::new().post(url)).body(body);
+    assert_refused(&bench, req, 413, "too_large").await;
+}
+
+/// What is not HTTP, or has a head without end, is answered 4xx or closed; the daemon serves on.
+#[rstest]
+#[case::garbage(b"\x16\x03\x01\x00\xa5\x01\x00\x00\xa1\x03\x03 not http\r\n\r\n".to_vec())]
+#[case::bad_request_line(b"POST\r\n\r\n".to_vec())]
+#[case::one_long_header(one_long_header())]
+#[case::many_headers(many_headers())]
+#[case::bad_length(b"POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-length: x\r\n\r\n".to_vec())]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_broken_head_is_refused(#[case] head: Vec<u8>) {
+    let bench = Bench::start(1, Duration::ZERO).await;
+    let ran = runs(&bench);
+    let mut conn = TcpStream::connect(bench.daemons[0].bound().callers)
+        .await
+        .expect("connects");
+    // The daemon may close before it has read all.
+    let _ = conn.write_all(&head).await;
+    let mut answer = Vec::new();
+    let _ = conn.read_to_end(&mut answer).await;
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(
+        answer.is_empty() || answer.starts_with("HTTP/1.1 4"),
+        "{answer}"
+    );
+    assert_eq!(runs(&bench), ran);
+    assert_serves(&bench).await;
+}
+
+fn one_long_header() -> Vec<u8> {
+    let value = "x".repeat(HEADER_BOMB);
+    format!("POST {TEXT} HTTP/1.1\r\nhost: a\r\nbomb: {value}\r\n\r\n").into_bytes()
+}
+
+fn many_headers() -> Vec<u8> {
+    let lines: String = (0..10_000).map(|n| format!("h{n}: x\r\n")).collect();
+    format!("POST {TEXT} HTTP/1.1\r\nhost: a\r\n{lines}\r\n").into_bytes()
+}
+
+/// A caller can't name a session: ids in its request mean nothing, also not those of another
+/// team's running request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_callers_ids_mean_nothing() {
+    let bench = Bench::start(1, Duration::from_millis(2)).await;
+    let mut own = bench
+        .caller(0)
+        .stream("the owner's", 40)
+        .await
+        .expect("a stream");
+    own.read_tokens(2).await;
+    let other = Caller::new(&bench.base(0), TRIAL.token, MODEL);
+    let id = own.request.clone();
+    let body = serde_json::json!({
+        "model": MODEL, "prompt": "another's", "max_tokens": 8,
+        "id": id, "session": id, "request_id": id, "attempt": 0,
+    });
+    let sent = other
+        .post(TEXT)
+        .header("kelpworks-request-id", &id)
+        .header("x-request-id", &id);
+    let res = sent.json(&body).send().await.expect("an answer");
+    assert_ne!(res.headers()["kelpworks-request-id"], id.as_str());
+    let answer: kelpworks_wire::CompletionResponse = res.json().await.expect("a completion");
+    assert_eq!(
+        answer.choices[0].text,
+        bench.model.answer_text("another's", 8)
+    );
+    assert_ne!(answer.id, id);
+    let gone = other
+        .get(&format!("{TEXT}/{id}"))
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(gone.status().as_u16(), 404);
+    let own = own.rest().await;
+    assert_eq!(own.text, bench.model.answer_text("the owner's", 40));
+    bench.until_free().await;
+}
