entry: give up on a body that stops halfway

Cause: a request's body was waited for without bound, so a caller that sent a head and stopped held its connection and its handler for ever.

Ruled out: the head (the HTTP library's timeout ends that, tested beside it).

Change: 30 s for the whole body, then 408 body_timeout, not-run, and a close.

Before: path_slow failed in its two cases of bodies (still open after 300 s of the paused clock).

--- a/crates/kelpworks/src/entry/completions.rs
+++ b/crates/kelpworks/src/entry/completions.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -47,6 +48,8 @@
 
 /// Tokens that may wait for a slow caller; then its session waits.
 const TOKENS_AHEAD: usize = 32;
+/// Wait for the whole body of a request; a caller that stops halfway holds nothing for longer.
+const BODY_DEADLINE: Duration = Duration::from_secs(30);
 /// Last event of a stream, by custom of this interface.
 const DONE: &str = "[DONE]";
 
@@ -270,7 +273,14 @@
 
 /// Reads a request's body, up to `most` bytes.
 pub(crate) async fn body(req: &mut Request, most: u64) -> Result<&[u8]> {
-    let payload = req.payload_with_max_size(most as usize).await;
+    let reading = req.payload_with_max_size(most as usize);
+    let Ok(payload) = tokio::time::timeout(BODY_DEADLINE, reading).await else {
+        return Err(Failure::bad(
+            StatusCode::REQUEST_TIMEOUT,
+            "body_timeout",
+            "the body did not come in time",
+        ));
+    };
     payload.map(|b| &b[..]).map_err(|e| match e {
         ParseError::PayloadTooLarge => {
             let message = format!("the body is larger than {most} bytes");
--- a/crates/kelpworks/tests/path/mod.rs
+++ b/crates/kelpworks/tests/path/mod.rs
@@ -68,14 +68,14 @@
         for engine in &mut cfg.engines {
             engine.iteration_base = iteration;
         }
-        Bench::of(cfg, model, daemons).await
+        Bench::of(cfg, model, daemons, TIMING).await
     }
 
-    /// Starts a set of stand-ins.
-    pub(crate) async fn of(cfg: FleetConfig, model: Model, daemons: usize) -> Bench {
+    /// Starts a set of stand-ins and daemons with these timings.
+    pub(crate) async fn of(cfg: FleetConfig, model: Model, daemons: usize, timing: &str) -> Bench {
         let fakes = StandIns::spawn(cfg).await.expect("stand-ins");
         support::put_config(&fakes, std::slice::from_ref(&model), 0.5, &[PAYING, TRIAL]);
-        let daemons = support::daemons(&fakes, daemons, TIMING, &metrics()).await;
+        let daemons = support::daemons(&fakes, daemons, timing, &metrics()).await;
         let bench = Bench {
             fakes,
             daemons: daemons.expect("daemons"),
