pipeline: finish sessions on a stage that leaves as a whole

Cause: between two tokens a session marks the upstreams that are leaving and asks for another path, and waited for one until its deadline. Where every replica of a stage leaves (or the only one) there is none, so a planned stop cut off requests in flight on engines that still served them.

Ruled out: the engines (a draining engine refuses only new sessions).

Change: each stage on a leaving upstream is tried by itself; where nobody else can take it, it stays and is looked at again after 250 ms. Every other stage still moves at once.

Before: a_whole_stage_that_leaves_finishes_its_sessions, by the host list, ended after 7 of 300 tokens at the test's bound. (Its case by the engine's own word did not get that far: its probe request was admitted before the daemon knew and waited for a path; the test now gives such a probe up after 100 ms.) After: both cases pass, and the 106 others.

--- a/crates/kelpworks/src/pipeline/driver.rs
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -46,6 +46,8 @@
 const MAX_RECOVERIES: u32 = 32;
 /// Wait before the path is asked for again when no stage can take the session.
 const NO_PATH_WAIT: Duration = Duration::from_millis(50);
+/// Pause until a stage on a leaving upstream that could not move is looked at again.
+const LEAVE_AGAIN: Duration = Duration::from_millis(250);
 /// Doublings of that wait, at most, when the same upstream fails again and again.
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 
@@ -171,6 +173,8 @@
     known: Vec<u32>,
     /// The stages in order of layers; together they cover every layer once.
     hops: Vec<HopState>,
+    /// When a stage that could not move off a leaving upstream is looked at again.
+    leave_again: Instant,
     /// Upstreams that failed or refused this session; taken last.
     avoid: Vec<UpstreamKey>,
     /// Attempt number that the next new stage gets.
@@ -203,6 +207,7 @@
             version: None,
             known: job.prompt.clone(),
             hops: Vec::new(),
+            leave_again: Instant::now(),
             avoid: Vec::new(),
             next_attempt: 0,
             recoveries: 0,
@@ -217,7 +222,7 @@
         let most = self.job.prompt.len() + self.job.max_tokens as usize;
         loop {
             permit.turn().await;
-            self.leave_if_asked().await?;
+            self.leave_if_asked();
             let asked = Instant::now();
             let token = self.next_token().await?;
             self.unfetched = 0;
@@ -233,10 +238,15 @@
         }
     }
 
-    /// Moves stages off upstreams that are leaving, between two tokens.
-    async fn leave_if_asked(&mut self) -> Result<()> {
+    /// Moves stages off upstreams that are leaving, between two tokens. A stage that nobody else
+    /// can take stays where it is, as an upstream that leaves still serves what it has begun.
+    fn leave_if_asked(&mut self) {
+        let now = Instant::now();
+        if now < self.leave_again {
+            return;
+        }
         let fleet = self.driver.fleet.load_full();
-        let leaving = |h: &HopState| {
+        let leaving = |h: &&HopState| {
             fleet
                 .upstreams
                 .get(h.upstream)
@@ -245,16 +255,17 @@
         let asked: Vec<UpstreamKey> = self
             .hops
             .iter()
-            .filter(|h| leaving(h))
+            .filter(leaving)
             .map(|h| h.upstream)
             .collect();
-        if asked.is_empty() {
-            return Ok(());
-        }
         for upstream in asked {
+            let avoided = self.avoid.len();
             self.avoid(upstream);
+            if self.try_route("upstream leaving").is_err() {
+                self.avoid.truncate(avoided);
+                self.leave_again = now + LEAVE_AGAIN;
+            }
         }
-        self.route("upstream leaving").await
     }
 
     async fn next_token(&mut self) -> Result<u32> {
--- a/crates/kelpworks/tests/path_faults.rs
+++ b/crates/kelpworks/tests/path_faults.rs
@@ -16,6 +16,7 @@
 use kelpworks_wire::EngineOrder;
 use kelpworks_wire::Fence;
 use kelpworks_wire::FinishReason;
+use kelpworks_wire::HostState;
 use kelpworks_wire::OrderAction;
 use rstest::rstest;
 
@@ -260,6 +261,39 @@
     bench.until_free().await;
 }
 
+/// All replicas of a stage leave: new requests are refused, the sessions on it finish there.
+#[rstest]
+#[case::host_list(true)]
+#[case::itself(false)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_whole_stage_that_leaves_finishes_its_sessions(#[case] by_host_list: bool) {
+    const LONG: u32 = 300;
+    let bench = Bench::start(1, ITERATION).await;
+    let caller = bench.caller(0);
+    let mut stream = caller.stream("a long one", LONG).await.expect("a stream");
+    stream.read_tokens(2).await;
+    for engine in &bench.fakes.engines[2..4] {
+        if by_host_list {
+            let host_list = &bench.fakes.host_list;
+            host_list.set_state(engine.name(), HostState::Leaving);
+        } else {
+            engine.set_draining(true);
+        }
+    }
+    path::until("new requests are refused", async || {
+        // One that was admitted before the daemon knew waits for a path.
+        let answer = caller.complete("a new one", 1);
+        let answer = tokio::time::timeout(Duration::from_millis(100), answer).await;
+        let Ok(Ok(answer)) = answer else { return false };
+        matches!(answer.end, End::Error(body) if body.error.verdict == "not-run")
+    })
+    .await;
+    let seen = stream.text.len() / 4;
+    assert!(seen < LONG as usize, "still under way");
+    let answer = stream.rest().await;
+    assert_eq!(answer.text, bench.model.answer_text("a long one", LONG));
+}
+
 /// A lost call to free memory is made again.
 #[rstest]
 #[case::reset(FaultKind::ResetBefore)]
