--- a/crates/kelpworks-cli/src/args.rs
+++ b/crates/kelpworks-cli/src/args.rs
@@ -6,12 +6,13 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use kelpworks::config::accept::Part;
-use kelpworks::units::Span;
 use pico_args::Arguments;
 
 use crate::failure::Failure;
 use crate::failure::Result;
+use kelpworks::config::accept::Which;
+use kelpworks::config::accept::name_of;
+use kelpworks::units::Span;
 
 /// How long a change is waited for.
 const DEFAULT_WAIT: Duration = Duration::from_secs(10);
@@ -43,7 +44,7 @@
 #[derive(Debug)]
 pub(crate) struct Change {
     /// What to change.
-    pub(crate) part: Part,
+    pub(crate) which: Which,
     /// The file with its new text.
     pub(crate) file: PathBuf,
     /// Only show the difference.
@@ -85,8 +86,8 @@
     match subcommand(&mut args)?.as_deref() {
         Some("serve") => serve(args),
         Some("check") => check(args),
-        Some("register") => change(args, Part::Register, "import"),
-        Some("rules") => change(args, Part::Rules, "apply"),
+        Some("register") => change(args, Which::Register, "import"),
+        Some("rules") => change(args, Which::Rules, "apply"),
         Some("status") => status(args),
         Some(other) => Err(Failure::Usage(format!("unknown command `{other}`"))),
         None => Err(Failure::Usage("a command is missing".to_owned())),
@@ -115,8 +116,8 @@
     })
 }
 
-fn change(mut args: Arguments, part: Part, verb: &str) -> Result<Command> {
-    let noun = part.as_str();
+fn change(mut args: Arguments, which: Which, verb: &str) -> Result<Command> {
+    let noun = name_of(which);
     if subcommand(&mut args)?.as_deref() != Some(verb) {
         return Err(Failure::Usage(format!("expected `{noun} {verb} FILE`")));
     }
@@ -139,7 +140,7 @@
         return Err(Failure::Usage(format!("{noun} {verb} needs one FILE")));
     };
     Ok(Command::Change(Change {
-        part,
+        which,
         file: file.into(),
         dry_run,
         settings,
--- a/crates/kelpworks-cli/src/change.rs
+++ b/crates/kelpworks-cli/src/change.rs
@@ -3,22 +3,22 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use crate::args::Change;
+use crate::failure::Failure;
+use crate::failure::Result;
+use crate::force;
 use kelpworks::border::object_api::Deadlines;
 use kelpworks::border::object_api::HttpObjectApi;
 use kelpworks::config::accept;
-use kelpworks::config::accept::Part;
 use kelpworks::config::accept::Proposal;
 use kelpworks::config::accept::RetryPolicy;
+use kelpworks::config::accept::Which;
+use kelpworks::config::accept::name_of;
 use kelpworks::config::document::read_file;
 use kelpworks::register::Register;
 use kelpworks::rules::Rules;
 use kelpworks::settings::Settings;
 
-use crate::args::Change;
-use crate::failure::Failure;
-use crate::failure::Result;
-use crate::force;
-
 /// The systems that a change talks to.
 struct Target {
     api: HttpObjectApi,
@@ -27,7 +27,7 @@
 
 /// Applies a change, or shows what it would do.
 pub(crate) async fn run(change: &Change) -> Result<()> {
-    let proposal = read_proposal(change.part, &change.file)?;
+    let proposal = read_proposal(change.which, &change.file)?;
     let target = target(change)?;
     if change.dry_run {
         return show(&target, &proposal).await;
@@ -35,7 +35,7 @@
     let accepted = accept::accept(&target.api, &proposal, RetryPolicy::default()).await;
     let accepted = accepted.map_err(Failure::Accept)?;
     let generation = accepted.generation;
-    let noun = change.part.as_str();
+    let noun = name_of(change.which);
     match accepted.changed {
         true => println!("{noun} accepted as generation {generation}"),
         false => println!("{noun} already accepted, as of generation {generation}"),
@@ -44,19 +44,14 @@
 }
 
 /// Reads the new text. What is wrong with it by itself is told before any system is asked.
-fn read_proposal(part: Part, file: &Path) -> Result<Proposal> {
+fn read_proposal(which: Which, file: &Path) -> Result<Proposal> {
     let name = file.display().to_string();
     let text = read_file(file)?;
-    match part {
-        Part::Register => {
-            Register::parse(&name, &text)?;
-            Ok(Proposal::register(&name, text))
-        }
-        Part::Rules => {
-            Rules::parse_alone(&name, &text)?;
-            Ok(Proposal::rules(&name, text))
-        }
+    match which {
+        Which::Register => Register::parse(&name, &text).map(drop)?,
+        Which::Rules => Rules::parse_alone(&name, &text).map(drop)?,
     }
+    Ok(Proposal::new(which, &name, text))
 }
 
 /// Where to apply the change: options go before the settings.
--- a/crates/kelpworks-cli/tests/frame/mod.rs
+++ b/crates/kelpworks-cli/tests/frame/mod.rs
@@ -16,7 +16,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use kelpworks::config::accept::Digest;
+use kelpworks::config::head::digest_of;
 use kelpworks_fakes::Model;
 use kelpworks_fakes::documents;
 use kelpworks_fakes::documents::DaemonAddresses;
@@ -183,8 +183,8 @@
         let models = std::slice::from_ref(&self.model);
         let register = documents::register(&self.view, models);
         self.apply("register", "import", &register);
-        let paying = Digest::of(PAYING).to_string();
-        let trial = Digest::of(TRIAL).to_string();
+        let paying = digest_of(PAYING).to_string();
+        let trial = digest_of(TRIAL).to_string();
         let team = |name, class, token_sha256| Team {
             name,
             class,
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -44,6 +44,7 @@
 use crate::pipeline::Deadlines;
 use crate::pipeline::Driver;
 use crate::register::Register;
+use crate::retry::DeadlineConfig;
 use crate::settings::Settings;
 use crate::upstreams::Keeper;
 use crate::upstreams::KeeperConfig;
@@ -51,7 +52,9 @@
 /// The result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Wait for the answer to a probe or a poll of an upstream.
+/// Wait for the answer to a probe of an upstream, at least.
+const PROBE_FLOOR: Duration = Duration::from_millis(50);
+/// Wait for the answer to a poll of an upstream, and to a probe at most.
 const PROBE_DEADLINE: Duration = Duration::from_millis(500);
 /// Wait for the last answers and the last calls to engines of a stop.
 const LAST_ANSWERS: Duration = Duration::from_secs(2);
@@ -154,9 +157,16 @@
             reports: reports.clone(),
             domain: settings.failure_domain.clone(),
             deadlines: Deadlines {
-                floor: timing.step_floor.0,
-                ceiling: timing.step_ceiling.0,
-                probe: PROBE_DEADLINE,
+                step: DeadlineConfig {
+                    floor: timing.step_floor.0,
+                    ceiling: timing.step_ceiling.0,
+                    ..DeadlineConfig::default()
+                },
+                probe: DeadlineConfig {
+                    floor: PROBE_FLOOR,
+                    ceiling: PROBE_DEADLINE,
+                    ..DeadlineConfig::default()
+                },
             },
             output: OutputForm::Handle,
             start: Instant::now(),
@@ -208,6 +218,13 @@
         self.bound
     }
 
+    /// Ends at once, without a word to anyone; requests in flight are cut off.
+    pub fn kill(self) {
+        self.stop.cancel();
+        self.callers.abort();
+        self.operators.abort();
+    }
+
     /// What ends a stop at once: sessions in flight end with a verdict.
     pub fn abort(&self) -> CancellationToken {
         self.abort.clone()
--- a/crates/kelpworks/src/daemon/serve.rs
+++ b/crates/kelpworks/src/daemon/serve.rs
@@ -48,6 +48,12 @@
         })
     }
 
+    /// Closes everything at once.
+    pub(crate) fn abort(self) {
+        self.handle.stop_forceful();
+        self.task.abort();
+    }
+
     /// Stops taking connections; requests in flight go on.
     pub(crate) fn close(&self) {
         self.handle.stop_graceful(None);
--- a/crates/kelpworks/src/pipeline/driver.rs
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -35,6 +35,7 @@
 use crate::pipeline::step::StepFailure;
 use crate::pipeline::tokens;
 use crate::routing;
+use crate::routing::Assignment;
 use crate::routing::PathQuery;
 use crate::upstreams::Report;
 use crate::verdict::Verdict;
@@ -175,6 +176,8 @@
     hops: Vec<HopState>,
     /// When a stage that could not move off a leaving upstream is looked at again.
     leave_again: Instant,
+    /// What the path counts for on its upstreams, while it lasts.
+    assignment: Option<Assignment>,
     /// Upstreams that failed or refused this session; taken last.
     avoid: Vec<UpstreamKey>,
     /// Attempt number that the next new stage gets.
@@ -208,6 +211,7 @@
             known: job.prompt.clone(),
             hops: Vec::new(),
             leave_again: Instant::now(),
+            assignment: None,
             avoid: Vec::new(),
             next_attempt: 0,
             recoveries: 0,
@@ -314,7 +318,7 @@
             fixed: &self.fixed,
             hop,
             counters: &upstream.counters,
-            deadlines: self.driver.deadlines,
+            deadlines: &self.driver.deadlines,
             count,
         };
         // Until the reply says otherwise: this future may be dropped after the step was sent.
@@ -483,6 +487,7 @@
         let model = &fleet.models[usize::from(self.job.model.0)];
         self.fixed.version = model.versions[usize::from(path.version)].clone();
         self.take(&fleet, &path);
+        self.assignment = Some(Assignment::new(&fleet, &path.hops));
         let names: Vec<&str> = self.hops.iter().map(|h| &*h.name).collect();
         info!(
             target: "decision", decision = "route", request = self.fixed.session.as_str(),
--- a/crates/kelpworks/src/settings/mod.rs
+++ b/crates/kelpworks/src/settings/mod.rs
@@ -29,11 +29,12 @@
 
 use std::net::SocketAddr;
 
-pub use crate::config::document::Error;
-pub use crate::config::document::Result;
 use crate::register::Register;
 use crate::units::Span;
 
+pub use crate::config::document::Error;
+pub use crate::config::document::Result;
+
 /// Settings of one daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -115,7 +116,7 @@
     pub request: Span,
     /// Longest time to open a connection. Default 1 s.
     pub connect: Span,
-    /// Least progress deadline of a step. Default 200 ms.
+    /// Least progress deadline of a step. Default 50 ms.
     pub step_floor: Span,
     /// Greatest progress deadline of a step. Default 5 s.
     pub step_ceiling: Span,
