fakes: note a run under the incarnation whose memory it used

Cause: an engine's crash changed its incarnation first and dropped its sessions after that, and a run read the incarnation after it ran. A run between the two used the old sessions and stood in the ledger under the new incarnation, as a lineage that begins in the middle.

Ruled out: a fault of the daemon (the run was never answered, since its iteration began under the old incarnation).

Change: both sides do both steps under the lock of the engine's core.

--- a/crates/kelpworks-fakes/src/engine/mod.rs
+++ b/crates/kelpworks-fakes/src/engine/mod.rs
@@ -230,8 +230,12 @@
     }
 
     fn crash(&self) {
-        self.incarnation.store(rand::random(), Ordering::Release);
-        lock(&self.core).lose_sessions();
+        {
+            // Together, so that no run of the old sessions is noted under the new incarnation.
+            let mut core = lock(&self.core);
+            self.incarnation.store(rand::random(), Ordering::Release);
+            core.lose_sessions();
+        }
         lock(&self.cache).clear();
         self.queue.clear();
         self.ledger.note_crash();
--- a/crates/kelpworks-fakes/src/engine/scheduler.rs
+++ b/crates/kelpworks-fakes/src/engine/scheduler.rs
@@ -189,11 +189,14 @@
     }
 
     fn run_step(&self, step: &Step, input: &Input) -> Ran {
-        let ran = lock(&self.core).run(step, input);
+        let (ran, incarnation) = {
+            let mut core = lock(&self.core);
+            (core.run(step, input), self.incarnation())
+        };
         match ran {
             Ok(outcome) => {
                 let count = input.count();
-                self.ledger.note_run(step, count, self.incarnation());
+                self.ledger.note_run(step, count, incarnation);
                 Ran { count, outcome }
             }
             Err(refused) => self.not_run(*refused),
