--- a/crates/kelpworks/tests/path_faults.rs
+++ b/crates/kelpworks/tests/path_faults.rs
@@ -16,6 +16,7 @@
 use kelpworks_wire::EngineOrder;
 use kelpworks_wire::Fence;
 use kelpworks_wire::FinishReason;
+use kelpworks_wire::HostState;
 use kelpworks_wire::OrderAction;
 use rstest::rstest;
 
@@ -260,17 +261,52 @@
     bench.until_free().await;
 }
 
+/// All replicas of a stage leave: new requests are refused, the sessions on it finish there.
+#[rstest]
+#[case::host_list(true)]
+#[case::itself(false)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_whole_stage_that_leaves_finishes_its_sessions(#[case] by_host_list: bool) {
+    const LONG: u32 = 300;
+    let bench = Bench::start(1, ITERATION).await;
+    let caller = bench.caller(0);
+    let mut stream = caller.stream("a long one", LONG).await.expect("a stream");
+    stream.read_tokens(2).await;
+    for engine in &bench.fakes.engines[2..4] {
+        if by_host_list {
+            let host_list = &bench.fakes.host_list;
+            host_list.set_state(engine.name(), HostState::Leaving);
+        } else {
+            engine.set_draining(true);
+        }
+    }
+    path::until("new requests are refused", async || {
+        // One that was admitted before the daemon knew waits for a path.
+        let answer = caller.complete("a new one", 1);
+        let answer = tokio::time::timeout(Duration::from_millis(100), answer).await;
+        let Ok(Ok(answer)) = answer else { return false };
+        matches!(answer.end, End::Error(body) if body.error.verdict == "not-run")
+    })
+    .await;
+    let seen = stream.text.len() / 4;
+    assert!(seen < LONG as usize, "still under way");
+    let answer = stream.rest().await;
+    assert_eq!(answer.text, bench.model.answer_text("a long one", LONG));
+}
+
 /// A lost call to free memory is made again.
 #[rstest]
-#[case::reset(FaultKind::ResetBefore)]
-#[case::silent(FaultKind::SilentBefore)]
-#[case::refused(FaultKind::Status(503))]
+#[case::reset(FaultKind::ResetBefore, 1)]
+#[case::silent(FaultKind::SilentBefore, 1)]
+#[case::refused(FaultKind::Status(503), 1)]
+#[case::reset_for_longer(FaultKind::ResetBefore, 5)]
+#[case::refused_for_longer(FaultKind::Status(503), 5)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_lost_cancel_leaks_no_memory(#[case] kind: FaultKind) {
+async fn a_lost_cancel_leaks_no_memory(#[case] kind: FaultKind, #[case] count: u32) {
     let bench = Bench::start(1, ITERATION).await;
     let streams = begin(&bench).await;
     let engine = bench.engine_of(&streams[0].request, 1);
-    let blow = Blow::Calls(CANCEL, kind, 1);
+    let blow = Blow::Calls(CANCEL, kind, count);
     blow.strike(engine).await;
     check(&bench, streams).await;
     bench.until_free().await;
