executor: first landing: one daemon at a time places models on engines

Cause: the planner made plans that nobody carried out; engines had to hold their layers before the daemons started.

Ruled out: a lease for each model, since models share hosts and the planner weighs them together; remembering orders as done, since a lost or stale order would stay.

Change: a task in each daemon takes the lease kelpworks.lease/placement; its holder plans from the register, the hosts' health and what engines echo, reads engines back and sends the first wave's orders under its fencing token.

--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -37,6 +37,8 @@
 use crate::daemon::serve::Server;
 use crate::entry;
 use crate::entry::Entry;
+use crate::executor;
+use crate::executor::Executor;
 use crate::fleet::Fleet;
 use crate::in_force::InForce;
 use crate::operators;
@@ -56,6 +58,9 @@
 /// Pause between the balancer's check failing and the end of new connections.
 const BALANCER_NOTICE: Duration = Duration::from_millis(500);
 
+/// Polls until every daemon knows of a new version that is whole.
+const DRAIN_POLLS: u32 = 4;
+
 /// Why a daemon could not start.
 #[derive(Debug, Error)]
 #[non_exhaustive]
@@ -101,6 +106,8 @@
     operators: Server,
     /// Longest wait for requests in flight.
     drain: Duration,
+    /// Cancelled at a planned stop: gives the placement lease up.
+    leave: CancellationToken,
 }
 
 impl Daemon {
@@ -142,6 +149,18 @@
             reports: reports.clone(),
             interval: timing.host_list_poll.0,
         };
+        let leave = CancellationToken::new();
+        if settings.placement.enabled {
+            let executor = Executor::new(
+                executor_config(settings),
+                &settings.name,
+                Arc::clone(&engine),
+                object_api(settings)?,
+                Arc::clone(&config),
+                Arc::clone(&fleet),
+            );
+            tokio::spawn(executor.run(leave.clone(), stop.clone()));
+        }
         let driver = Driver {
             engine: Arc::clone(&engine),
             fleet: Arc::clone(&fleet),
@@ -189,6 +208,7 @@
             callers,
             operators: shown,
             drain: timing.drain.0,
+            leave,
         })
     }
 
@@ -208,6 +228,7 @@
     /// the addresses close.
     pub async fn stop(self) {
         self.entry.draining.store(true, Ordering::Relaxed);
+        self.leave.cancel();
         info!("stopping, {} sessions in flight", self.entry.tasks.len());
         tokio::time::sleep(BALANCER_NOTICE).await;
         self.callers.stop(self.drain).await;
@@ -219,6 +240,19 @@
     }
 }
 
+fn executor_config(settings: &Settings) -> executor::Config {
+    let placement = &settings.placement;
+    executor::Config {
+        lease: executor::lease_config(placement.lease.0, placement.order_bound.0),
+        interval: placement.interval.0,
+        lost_after: placement.lost_after.0,
+        improve_after: placement.improve_after.0,
+        drain: settings.timing.request.0 + settings.timing.state_poll.0 * DRAIN_POLLS,
+        poll_deadline: PROBE_DEADLINE,
+        weight_rate: placement.weight_rate,
+    }
+}
+
 fn admission_config(settings: &Settings) -> admission::Config {
     admission::Config {
         queue: settings.limits.queue,
--- /dev/null
+++ b/crates/kelpworks/src/executor/hold.rs
@@ -0,0 +1,183 @@
+//! The placement lease: keeps it through the object API, and says when orders may be sent.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use kelpworks_coord::id::Version;
+use kelpworks_coord::lease;
+use kelpworks_coord::lease::Action;
+use kelpworks_coord::lease::ApiReply;
+use kelpworks_coord::lease::Event;
+use kelpworks_coord::lease::Lease;
+use kelpworks_coord::lease::Owner;
+use kelpworks_coord::lease::Record;
+use kelpworks_coord::lease::Stored;
+use kelpworks_coord::lease::Token;
+use kelpworks_coord::time;
+use log::info;
+use log::warn;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use kelpworks_wire::Object;
+
+use crate::border::object_api::Condition;
+use crate::border::object_api::Error;
+use crate::border::object_api::ObjectApi;
+
+/// Kind of the lease objects.
+pub const LEASE_KIND: &str = "kelpworks.lease";
+/// Name of the lease on placement; it also goes with each order.
+pub const LEASE_NAME: &str = "placement";
+
+/// How often the lease's state machine is asked whether a call is due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// One daemon's hold on the placement lease, shared by the task that keeps it and those that use
+/// it.
+#[derive(Debug)]
+pub struct Hold {
+    start: Instant,
+    lease: Mutex<Lease>,
+}
+
+impl Hold {
+    /// A daemon that holds nothing yet.
+    pub fn new(cfg: lease::Config, me: Owner) -> Hold {
+        Hold {
+            start: Instant::now(),
+            lease: Mutex::new(Lease::new(cfg, me, time::Instant::ZERO)),
+        }
+    }
+
+    /// The token under which an order may be sent now, if any. To be asked for right before each
+    /// order.
+    pub fn fence(&self) -> Option<Token> {
+        self.lease().fence(self.now())
+    }
+
+    /// Now, as the state machines count it.
+    pub(super) fn now(&self) -> time::Instant {
+        time::Instant::from_millis(self.start.elapsed().as_millis() as u64)
+    }
+
+    fn on_event(&self, event: Event) -> Vec<Action> {
+        self.lease().on_event(self.now(), event)
+    }
+
+    /// A panic elsewhere leaves the state machine as it was between two events.
+    fn lease(&self) -> MutexGuard<'_, Lease> {
+        self.lease.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Keeps the lease.
+#[derive(Debug)]
+pub(super) struct LeaseKeeper<A> {
+    pub(super) api: A,
+    pub(super) hold: Arc<Hold>,
+}
+
+impl<A: ObjectApi> LeaseKeeper<A> {
+    /// Takes and renews the lease until `leave`, then gives it up, so that a successor need not
+    /// wait for its end.
+    pub(super) async fn run(&self, leave: &CancellationToken) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = leave.cancelled() => break,
+                _ = tick.tick() => {}
+            }
+            // Never dropped half way, since the state machine waits for the reply.
+            self.drive(Event::Tick).await;
+        }
+        self.drive(Event::Release).await;
+    }
+
+    async fn drive(&self, event: Event) {
+        let mut actions = VecDeque::from(self.hold.on_event(event));
+        while let Some(action) = actions.pop_front() {
+            let reply = match action {
+                Action::Read => self.read().await,
+                Action::Write { if_version, record } => self.write(if_version, record).await,
+                Action::Acquired(token) => {
+                    note(true, Some(token));
+                    continue;
+                }
+                Action::Resigned => {
+                    note(false, None);
+                    continue;
+                }
+            };
+            actions.extend(self.hold.on_event(Event::Api(reply)));
+        }
+    }
+
+    async fn read(&self) -> ApiReply {
+        match self.api.get(LEASE_KIND, LEASE_NAME).await {
+            Ok(object) => stored(&object).map_or(ApiReply::Refused, ApiReply::Read),
+            Err(Error::NotFound) => ApiReply::Read(Stored::ABSENT),
+            Err(e) => self.failed(&e),
+        }
+    }
+
+    async fn write(&self, if_version: Version, record: Record) -> ApiReply {
+        let condition = match if_version {
+            Version::ABSENT => Condition::Absent,
+            Version(v) => Condition::Version(v),
+        };
+        let body = match serde_json::to_string(&record) {
+            Ok(body) => body,
+            Err(e) => {
+                warn!("lease record: {e}");
+                return ApiReply::Refused;
+            }
+        };
+        let sent = self.api.put(LEASE_KIND, LEASE_NAME, body, condition);
+        match sent.await {
+            Ok(object) => ApiReply::Written(Version(object.version)),
+            Err(Error::Conflict { current: Some(o) }) => {
+                stored(&o).map_or(ApiReply::Lost, ApiReply::Conflict)
+            }
+            // Read what stands there.
+            Err(Error::Conflict { current: None }) => ApiReply::Lost,
+            Err(e) => self.failed(&e),
+        }
+    }
+
+    /// What a failed call means; silence may be the connection's, so the next call opens another.
+    fn failed(&self, e: &Error) -> ApiReply {
+        warn!("placement lease: {e}");
+        if e.may_have_run() {
+            self.api.fresh();
+            return ApiReply::Lost;
+        }
+        ApiReply::Refused
+    }
+}
+
+/// The lease that an object holds; `None` when its body is none.
+fn stored(object: &Object) -> Option<Stored> {
+    match serde_json::from_str(&object.body) {
+        Ok(record) => Some(Stored {
+            version: Version(object.version),
+            record,
+        }),
+        Err(e) => {
+            warn!("placement lease: {e}");
+            None
+        }
+    }
+}
+
+fn note(held: bool, token: Option<Token>) {
+    metrics::gauge!("kelpworks_placement_lease").set(f64::from(u8::from(held)));
+    let reason = if held { "acquired" } else { "resigned" };
+    let token = token.map_or(0, |t| t.0);
+    info!(target: "decision", decision = "lease", token = token, reason = reason; "placement lease");
+}
--- /dev/null
+++ b/crates/kelpworks/src/executor/planning.rs
@@ -0,0 +1,233 @@
+//! Which plan to follow: from the register, the fleet and the plan followed so far. No I/O.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::liveness::Liveness;
+use crate::fleet::Fleet;
+use crate::fleet::LinkCost;
+use crate::fleet::ModelKey;
+use crate::placement::HeldRange;
+use crate::placement::HostKey;
+use crate::placement::Input;
+use crate::placement::Lost;
+use crate::placement::Plan;
+use crate::placement::Shortfall;
+use crate::placement::absorb;
+use crate::placement::held;
+use crate::placement::improve;
+use crate::placement::plan;
+use crate::placement::repair;
+use crate::register::Register;
+use crate::units::Rate;
+
+/// Link cost of a pair of failure domains that the register does not list.
+const DEFAULT_LINK: LinkCost = LinkCost {
+    latency: Duration::from_millis(1),
+    bytes_per_second: 1_250_000_000,
+};
+
+/// What the planner is to know: the register, with hosts and holdings as seen.
+pub(super) fn input(
+    register: &Register,
+    fleet: &Fleet,
+    rate: Rate,
+    is_live: impl Fn(&str) -> bool,
+) -> Input {
+    let mut input = Input::from_register(register, DEFAULT_LINK, rate);
+    for host in &mut input.hosts {
+        host.live = is_live(&host.name);
+    }
+    let hosts = input.hosts.iter().enumerate();
+    let hosts: HashMap<Arc<str>, HostKey> = hosts
+        .map(|(at, h)| (Arc::clone(&h.name), HostKey(at as u32)))
+        .collect();
+    for upstream in fleet.upstreams.values() {
+        let Some(&host) = hosts.get(&upstream.name) else {
+            continue;
+        };
+        for holding in &upstream.holdings {
+            let seen = &fleet.models[usize::from(holding.model.0)];
+            // The snapshot may still be of the register before this one.
+            let model = input.models.iter().position(|m| *m.name == seen.name);
+            let Some(model) = model else { continue };
+            input.holdings.push(HeldRange {
+                host,
+                model: ModelKey(model as u16),
+                version: seen.versions[usize::from(holding.version)].as_str().into(),
+                layers: holding.layers.clone(),
+            });
+        }
+    }
+    input
+}
+
+/// Why a plan was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PlanReason {
+    /// It is what hosts hold already.
+    Held,
+    /// What hosts hold makes no whole model.
+    NotWhole,
+    /// A host of the plan before was lost or leaves.
+    Loss,
+    /// A host without layers can be put to use.
+    Joined,
+    /// It meets more rules or gains rate.
+    Improved,
+}
+
+impl PlanReason {
+    /// Short name for the log.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            PlanReason::Held => "held",
+            PlanReason::NotWhole => "not-whole",
+            PlanReason::Loss => "loss",
+            PlanReason::Joined => "joined",
+            PlanReason::Improved => "improved",
+        }
+    }
+}
+
+/// A plan, and why it was taken.
+#[derive(Clone, Debug)]
+pub(super) struct Decided {
+    pub(super) plan: Arc<Plan>,
+    pub(super) reason: PlanReason,
+    /// Whether it differs from the plan before.
+    pub(super) changed: bool,
+}
+
+/// The plan followed so far, and for how long nothing has changed.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Planning {
+    /// The plan, with the generation of the configuration that it was made for; its keys mean
+    /// nothing under another.
+    followed: Option<(u64, Arc<Plan>)>,
+    /// Hosts as they were when last they changed, and when that was.
+    seen: Option<(Vec<HostSeen>, Instant)>,
+    /// Whether an improvement was looked for since.
+    sought: bool,
+}
+
+/// What of a host bears on the worth of a plan.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct HostSeen {
+    live: bool,
+    layer_rate: f64,
+}
+
+impl Planning {
+    /// The plan to follow now. Repair comes before improvement: a loss or an idle host is dealt
+    /// with at once and by few moves; a better plan is looked for only once hosts have stayed as
+    /// they are for `improve_after`, or when some model can't be served at all.
+    pub(super) fn decide(
+        &mut self,
+        generation: u64,
+        input: &Input,
+        improve_after: Duration,
+        now: Instant,
+    ) -> Decided {
+        let before = self.followed.take().filter(|(g, _)| *g == generation);
+        let before = before.map(|(_, plan)| plan);
+        let calm = self.calm(input, improve_after, now);
+        let (plan, reason) = match &before {
+            Some(plan) => self.next(input, plan, PlanReason::Held, calm),
+            None => match held(input) {
+                Some(plan) => self.next(input, &Arc::new(plan), PlanReason::Held, calm),
+                None => (Arc::new(plan(input)), PlanReason::NotWhole),
+            },
+        };
+        let changed = before.as_ref() != Some(&plan);
+        self.followed = Some((generation, Arc::clone(&plan)));
+        Decided {
+            plan,
+            reason,
+            changed,
+        }
+    }
+
+    /// Whether it is time to look for a better plan; true once after each change of the hosts.
+    fn calm(&mut self, input: &Input, improve_after: Duration, now: Instant) -> bool {
+        let seen = input.hosts.iter().map(|h| HostSeen {
+            live: h.live,
+            layer_rate: h.layer_rate,
+        });
+        let seen: Vec<HostSeen> = seen.collect();
+        let since = match &self.seen {
+            Some((before, since)) if *before == seen => *since,
+            _ => {
+                self.seen = Some((seen, now));
+                self.sought = false;
+                now
+            }
+        };
+        let calm = !self.sought && now - since >= improve_after;
+        self.sought |= calm;
+        calm
+    }
+
+    fn next(
+        &self,
+        input: &Input,
+        from: &Arc<Plan>,
+        reason: PlanReason,
+        calm: bool,
+    ) -> (Arc<Plan>, PlanReason) {
+        let (mut plan, mut why) = (Arc::clone(from), reason);
+        if let Some(host) = lost(input, &plan) {
+            plan = Arc::new(repair(input, &plan, Lost::Host(host)));
+            why = PlanReason::Loss;
+        }
+        if has_idle(input, &plan) {
+            let fuller = absorb(input, &plan);
+            if fuller != *plan {
+                plan = Arc::new(fuller);
+                why = if why == PlanReason::Loss {
+                    why
+                } else {
+                    PlanReason::Joined
+                };
+            }
+        }
+        let seek = calm || is_broken(input, &plan);
+        let better = if seek { improve(input, &plan) } else { None };
+        match better {
+            Some(better) => (Arc::new(better), PlanReason::Improved),
+            None => (plan, why),
+        }
+    }
+}
+
+/// A host of the plan that is not live.
+fn lost(input: &Input, plan: &Plan) -> Option<HostKey> {
+    let assigned = |h: &HostKey| plan.assignments[h.index()].is_some();
+    input
+        .host_keys()
+        .find(|h| assigned(h) && !input.host(*h).live)
+}
+
+/// Whether a live host has nothing to do.
+fn has_idle(input: &Input, plan: &Plan) -> bool {
+    let idle = |h: HostKey| plan.assignments[h.index()].is_none() && input.host(h).live;
+    input.host_keys().any(idle)
+}
+
+/// Whether some model can't be served by this plan.
+fn is_broken(input: &Input, plan: &Plan) -> bool {
+    let broken = |s: &Shortfall| matches!(s, Shortfall::NoReplica { .. });
+    plan.models.len() < input.models.len() || plan.shortfalls.iter().any(broken)
+}
+
+/// Whether a host counts for placement; see [`Liveness::is_live`].
+pub(super) fn live_at<'a>(
+    liveness: &'a Liveness,
+    lost_after: Duration,
+    now: Instant,
+) -> impl Fn(&str) -> bool + 'a {
+    move |name| liveness.is_live(name, lost_after, now)
+}
--- /dev/null
+++ b/crates/kelpworks/src/executor/round.rs
@@ -0,0 +1,284 @@
+//! One round: plan, read back, order.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use futures_util::StreamExt;
+use futures_util::stream;
+use kelpworks_coord::lease::Token;
+use log::info;
+use log::warn;
+use tokio::time::Instant;
+
+use kelpworks_wire::EngineOrder;
+use kelpworks_wire::Fence;
+use kelpworks_wire::LoadedRange;
+use kelpworks_wire::OrderAction;
+use kelpworks_wire::OrderReply;
+
+use super::Config;
+use super::gate::Due;
+use super::gate::Gate;
+use super::gate::Now;
+use super::gate::Reading;
+use super::hold::Hold;
+use super::hold::LEASE_NAME;
+use super::liveness::Liveness;
+use super::planning;
+use super::planning::Decided;
+use super::planning::Planning;
+use crate::border::engine;
+use crate::border::engine::Engine;
+use crate::fleet::Fleet;
+use crate::fleet::ModelKey;
+use crate::in_force::InForce;
+use crate::placement::Action;
+use crate::placement::HeldRange;
+use crate::placement::HostKey;
+use crate::placement::Input;
+use crate::placement::OrderStep;
+use crate::placement::Plan;
+use crate::placement::orders;
+
+/// Engines asked or ordered at the same time, at most.
+const CONCURRENCY: usize = 32;
+/// Steps of a wave that are looked at in one round, at most; each costs a reading of its engine.
+const WINDOW: usize = 64;
+
+/// The rounds of one daemon.
+#[derive(Debug)]
+pub(super) struct Rounds<E> {
+    cfg: Config,
+    hold: Arc<Hold>,
+    engine: Arc<E>,
+    config: Arc<ArcSwap<InForce>>,
+    fleet: Arc<ArcSwap<Fleet>>,
+    liveness: Liveness,
+    planning: Planning,
+    gate: Gate,
+}
+
+/// Base URLs of the engines of an input.
+type Urls = HashMap<HostKey, Arc<str>>;
+
+impl<E: Engine> Rounds<E> {
+    pub(super) fn new(
+        cfg: Config,
+        hold: Arc<Hold>,
+        engine: Arc<E>,
+        config: Arc<ArcSwap<InForce>>,
+        fleet: Arc<ArcSwap<Fleet>>,
+    ) -> Rounds<E> {
+        Rounds {
+            gate: Gate::new(cfg.lease.order_bound, cfg.drain),
+            cfg,
+            hold,
+            engine,
+            config,
+            fleet,
+            liveness: Liveness::default(),
+            planning: Planning::default(),
+        }
+    }
+
+    pub(super) async fn run(&mut self) {
+        let mut tick = tokio::time::interval(self.cfg.interval);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tick.tick().await;
+            let now = Instant::now();
+            self.liveness.observe(&self.fleet.load(), now);
+            if self.hold.fence().is_none() {
+                // A later hold starts from what engines say then.
+                self.planning = Planning::default();
+                self.gate.reset();
+                continue;
+            }
+            if self.liveness.is_settled(self.cfg.lost_after, now) {
+                self.round(now).await;
+            }
+        }
+    }
+
+    async fn round(&mut self, now: Instant) {
+        let config = self.config.load_full();
+        let fleet = self.fleet.load_full();
+        let live = planning::live_at(&self.liveness, self.cfg.lost_after, now);
+        let input = planning::input(&config.register, &fleet, self.cfg.weight_rate, live);
+        if input.hosts.is_empty() || input.models.is_empty() {
+            return;
+        }
+        let (input, decided) = self.decide(config.generation, input, now).await;
+        if decided.changed {
+            note_plan(&input, &decided);
+        }
+        let urls = urls(&input, &fleet);
+        let wave = first_wave(&input, &decided.plan);
+        if wave.is_empty() {
+            return;
+        }
+        let drops = wave.iter().any(is_unload);
+        let readings = self.read(hosts_to_read(&wave, &urls, drops), &urls).await;
+        let input = refreshed(input, &readings, drops);
+        let wave = first_wave(&input, &decided.plan);
+        if wave.iter().any(is_unload) && !drops {
+            // Not all engines were read; the next round reads them.
+            return;
+        }
+        let now = Now {
+            tokio: Instant::now(),
+            coord: self.hold.now(),
+            fence: self.hold.fence(),
+        };
+        let due = self.gate.due(&input, &wave, &readings, now);
+        self.send(&input, &urls, due).await;
+    }
+
+    /// Settles on a plan, away from the threads that serve requests: for a large fleet it takes a
+    /// good part of a second.
+    async fn decide(&mut self, generation: u64, input: Input, now: Instant) -> (Input, Decided) {
+        let mut planning = std::mem::take(&mut self.planning);
+        let improve_after = self.cfg.improve_after;
+        let work = move || {
+            let decided = planning.decide(generation, &input, improve_after, now);
+            (planning, input, decided)
+        };
+        let done = tokio::task::spawn_blocking(work).await;
+        let (planning, input, decided) = done.expect("planning does not panic");
+        self.planning = planning;
+        (input, decided)
+    }
+
+    async fn read(&self, hosts: Vec<HostKey>, urls: &Urls) -> HashMap<HostKey, Reading> {
+        let one = async |host: HostKey| {
+            let asked = self.hold.now();
+            let state = self.engine.state(urls.get(&host)?, self.cfg.poll_deadline);
+            let state = state.await.ok()?;
+            Some((host, Reading { asked, state }))
+        };
+        let read = stream::iter(hosts).map(one).buffer_unordered(CONCURRENCY);
+        read.filter_map(async |r| r).collect().await
+    }
+
+    async fn send(&self, input: &Input, urls: &Urls, due: Vec<Due>) {
+        let one = async |due: Due| {
+            if let Some(url) = urls.get(&due.host) {
+                self.send_one(input, url, due).await;
+            }
+        };
+        stream::iter(due)
+            .for_each_concurrent(CONCURRENCY, one)
+            .await;
+    }
+
+    async fn send_one(&self, input: &Input, url: &Arc<str>, due: Due) {
+        // Asked for again: orders before this one may have taken long.
+        let Some(Token(token)) = self.hold.fence() else {
+            return;
+        };
+        let order = EngineOrder {
+            action: due.action.clone(),
+            fence: Fence {
+                lease: LEASE_NAME.to_owned(),
+                token,
+            },
+        };
+        let reply = self.engine.order(url, &order, self.cfg.order_bound());
+        note_order(input, &due, token, reply.await);
+    }
+}
+
+fn first_wave(input: &Input, plan: &Plan) -> Vec<OrderStep> {
+    let steps = orders(input, plan).steps;
+    steps.into_iter().take_while(|s| s.wave == 0).collect()
+}
+
+fn is_unload(step: &OrderStep) -> bool {
+    matches!(step.action, Action::Unload { .. })
+}
+
+/// Before something is dropped, every engine is read: what is dropped must stand elsewhere.
+fn hosts_to_read(wave: &[OrderStep], urls: &Urls, drops: bool) -> Vec<HostKey> {
+    if drops {
+        return urls.keys().copied().collect();
+    }
+    let hosts: HashSet<HostKey> = wave.iter().take(WINDOW).map(|s| s.range.host).collect();
+    hosts.into_iter().collect()
+}
+
+fn urls(input: &Input, fleet: &Fleet) -> Urls {
+    let engines = fleet.upstreams.values().filter(|u| u.service.is_none());
+    let by_name: HashMap<&str, &Arc<str>> = engines.map(|u| (&*u.name, &u.url)).collect();
+    let hosts = input.host_keys();
+    hosts
+        .filter_map(|h| Some((h, Arc::clone(by_name.get(&*input.host(h).name)?))))
+        .collect()
+}
+
+/// The input with holdings as just read. An engine that did not answer holds nothing when
+/// something is to be dropped, and else what it said last.
+fn refreshed(mut input: Input, readings: &HashMap<HostKey, Reading>, drops: bool) -> Input {
+    let stays = |h: &HeldRange| !drops && !readings.contains_key(&h.host);
+    input.holdings.retain(stays);
+    let mut read: Vec<(&HostKey, &Reading)> = readings.iter().collect();
+    read.sort_by_key(|(host, _)| **host);
+    for (&host, reading) in read {
+        for range in &reading.state.loaded {
+            input.holdings.extend(held_range(&input, host, range));
+        }
+    }
+    input
+}
+
+fn held_range(input: &Input, host: HostKey, range: &LoadedRange) -> Option<HeldRange> {
+    let model = input.models.iter().position(|m| *m.name == range.model)?;
+    Some(HeldRange {
+        host,
+        model: ModelKey(model as u16),
+        version: range.version.as_str().into(),
+        layers: range.layers.clone(),
+    })
+}
+
+fn note_plan(input: &Input, decided: &Decided) {
+    let plan = &decided.plan;
+    info!(
+        target: "decision", decision = "plan", reason = decided.reason.as_str(),
+        scale = plan.scale(input), bound = input.bound(), moves = plan.moves(input),
+        bytes = plan.bytes_to_load(input), shortfalls:? = plan.shortfalls;
+        "placement plan"
+    );
+    for host in input.host_keys() {
+        let host = plan.explain(input, host);
+        info!(target: "decision", decision = "placement", reason = host.reason.as_str(); "{host}");
+    }
+}
+
+fn note_order(input: &Input, due: &Due, token: u64, reply: engine::Result<OrderReply>) {
+    let (kind, range) = match &due.action {
+        OrderAction::Load(range) => ("load", Some(range)),
+        OrderAction::Unload(range) => ("unload", Some(range)),
+        OrderAction::Role(_) => ("role", None),
+        OrderAction::Adapter(_) => ("adapter", None),
+    };
+    let outcome = match &reply {
+        Ok(OrderReply::Accepted(_)) => "accepted",
+        Ok(OrderReply::Stale(_)) => "stale",
+        Ok(OrderReply::Refused(_)) => "refused",
+        Err(_) => "failed",
+    };
+    metrics::counter!("kelpworks_placement_orders", "outcome" => outcome).increment(1);
+    info!(
+        target: "decision", decision = "order", upstream = &*input.host(due.host).name,
+        order = kind, range:? = range, token = token, reason = due.reason.as_str(),
+        outcome = outcome;
+        "placement order"
+    );
+    match reply {
+        Ok(OrderReply::Refused(why)) => warn!("{} refused: {why}", input.host(due.host).name),
+        Err(e) => warn!("order to {}: {e}", input.host(due.host).name),
+        Ok(_) => {}
+    }
+}
--- a/crates/kelpworks/src/lib.rs
+++ b/crates/kelpworks/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod daemon;
 pub mod entry;
+pub mod executor;
 pub mod fleet;
 pub mod in_force;
 pub mod operators;
--- a/crates/kelpworks/src/placement/mod.rs
+++ b/crates/kelpworks/src/placement/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! * [`plan()`] places all models anew, near today's holdings where that costs little rate;
 //! * [`repair()`] changes a plan in force after a loss, by the fewest moves;
+//! * [`held`] is the plan that today's holdings amount to;
 //! * [`absorb`] puts hosts to use that joined or came back;
 //! * [`improve`] gives a better plan when it is worth the moves;
 //! * [`orders()`] leads from today's holdings to a plan without a model ceasing to be whole;
@@ -101,6 +102,7 @@
 pub use repair::IMPROVE_HYSTERESIS;
 pub use repair::Lost;
 pub use repair::absorb;
+pub use repair::held;
 pub use repair::improve;
 pub use repair::repair;
 pub use repair::without;
--- a/crates/kelpworks/src/placement/repair.rs
+++ b/crates/kelpworks/src/placement/repair.rs
@@ -74,6 +74,19 @@
     repaired
 }
 
+/// The plan that today's holdings amount to: their cuts, with the live hosts that hold them, and
+/// the versions to serve. `None` when some model's holdings tile no cuts. To carry on from, when
+/// the plan in force isn't known.
+///
+/// # Panics
+///
+/// When a key in the input points past what it indexes.
+pub fn held(input: &Input) -> Option<Plan> {
+    let view = View::new(input);
+    let state = today::state(input, &view)?;
+    Some(finish(input, &state))
+}
+
 /// The plan with its idle hosts put to use: each on the stage that it holds already, or else on the
 /// one that is worst off. No host that has a stage moves. For hosts that joined or came back.
 ///
--- a/crates/kelpworks/src/settings/check.rs
+++ b/crates/kelpworks/src/settings/check.rs
@@ -6,12 +6,14 @@
 
 use super::Limits;
 use super::Listen;
+use super::Placement;
 use super::Platform;
 use super::Result;
 use super::Settings;
 use super::Timing;
 use super::file::LimitsTable;
 use super::file::ListenTable;
+use super::file::PlacementTable;
 use super::file::PlatformTable;
 use super::file::SettingsFile;
 use super::file::TimingTable;
@@ -21,6 +23,12 @@
 use crate::config::unique::unknown;
 use crate::register::Register;
 
+/// A lease is at least as long as so many order bounds: a holder renews it when three tenths have
+/// passed, and must have time for an order then even after a renewal failed.
+const ORDER_BOUNDS_A_LEASE: u32 = 3;
+const ORDER_BOUNDS: &str = "3 times placement.order_bound";
+const LEASE_PART: &str = "a third of placement.lease";
+
 /// Reads and checks settings; the failure domain only when there is a register.
 pub(super) fn parse(file: &str, text: &str, register: Option<&Register>) -> Result<Settings> {
     let mut doc = Document::open(file, text)?;
@@ -36,6 +44,7 @@
     check_url(&mut doc, &raw.platform.host_list);
     check_limits(&mut doc, &raw.limits);
     check_timing(&mut doc, &raw.timing);
+    check_placement(&mut doc, &raw.placement);
     doc.finish()?;
     Ok(Settings {
         name: raw.name.into_inner(),
@@ -45,6 +54,7 @@
         log_level: raw.log.level.as_str().to_owned(),
         limits: limits(raw.limits),
         timing: timing(raw.timing),
+        placement: placement(raw.placement),
     })
 }
 
@@ -116,6 +126,29 @@
     }
 }
 
+/// Checks that every time and rate is above 0, and that a lease leaves time for orders.
+fn check_placement(doc: &mut Document<'_>, placement: &PlacementTable) {
+    let all = [
+        &placement.lease,
+        &placement.order_bound,
+        &placement.interval,
+        &placement.lost_after,
+        &placement.improve_after,
+    ];
+    for span in all {
+        positive(doc, span, !span.get_ref().0.is_zero());
+    }
+    let rate = &placement.weight_rate;
+    positive(doc, rate, rate.get_ref().0 > 0);
+    if placement.order_bound.get_ref().0 * ORDER_BOUNDS_A_LEASE <= placement.lease.get_ref().0 {
+        return;
+    }
+    match placement.order_bound.span().is_empty() {
+        true => doc.fault(placement.lease.span(), Kind::Below(ORDER_BOUNDS)),
+        false => doc.fault(placement.order_bound.span(), Kind::Above(LEASE_PART)),
+    }
+}
+
 /// Notes a fault where an amount is not above 0.
 fn positive<T>(doc: &mut Document<'_>, at: &Spanned<T>, is_positive: bool) {
     if !is_positive {
@@ -160,3 +193,15 @@
         drain: raw.drain.into_inner(),
     }
 }
+
+fn placement(raw: PlacementTable) -> Placement {
+    Placement {
+        enabled: raw.enabled,
+        lease: raw.lease.into_inner(),
+        order_bound: raw.order_bound.into_inner(),
+        interval: raw.interval.into_inner(),
+        lost_after: raw.lost_after.into_inner(),
+        improve_after: raw.improve_after.into_inner(),
+        weight_rate: raw.weight_rate.into_inner(),
+    }
+}
--- a/crates/kelpworks/src/settings/file.rs
+++ b/crates/kelpworks/src/settings/file.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use toml::Spanned;
 
+use crate::units::Rate;
 use crate::units::Size;
 use crate::units::Span;
 
@@ -23,6 +24,8 @@
     pub(super) limits: LimitsTable,
     #[serde(default)]
     pub(super) timing: TimingTable,
+    #[serde(default)]
+    pub(super) placement: PlacementTable,
 }
 
 /// `[listen]`.
@@ -126,6 +129,33 @@
     }
 }
 
+/// `[placement]`.
+#[derive(Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(super) struct PlacementTable {
+    pub(super) enabled: bool,
+    pub(super) lease: Spanned<Span>,
+    pub(super) order_bound: Spanned<Span>,
+    pub(super) interval: Spanned<Span>,
+    pub(super) lost_after: Spanned<Span>,
+    pub(super) improve_after: Spanned<Span>,
+    pub(super) weight_rate: Spanned<Rate>,
+}
+
+impl Default for PlacementTable {
+    fn default() -> PlacementTable {
+        PlacementTable {
+            enabled: true,
+            lease: millis(10_000),
+            order_bound: millis(2_000),
+            interval: millis(1_000),
+            lost_after: millis(10_000),
+            improve_after: millis(60_000),
+            weight_rate: unplaced(Rate(1_000_000_000)),
+        }
+    }
+}
+
 /// A default; it has no place in the file.
 fn unplaced<T>(value: T) -> Spanned<T> {
     Spanned::new(0..0, value)
--- a/crates/kelpworks/src/settings/mod.rs
+++ b/crates/kelpworks/src/settings/mod.rs
@@ -1,7 +1,7 @@
 //! Settings of one daemon: its name, addresses and failure domain, and where the platform is.
 //!
 //! Each host has its own file; what the whole fleet shares is in the register
-//! and the rules instead. Tables `log`, `limits` and `timing` may be left out.
+//! and the rules instead. Tables `log`, `limits`, `timing` and `placement` may be left out.
 //!
 //! ```
 //! use kelpworks::settings::Settings;
@@ -30,6 +30,7 @@
 use std::net::SocketAddr;
 
 use crate::register::Register;
+use crate::units::Rate;
 use crate::units::Span;
 
 pub use crate::config::document::Error;
@@ -52,6 +53,8 @@
     pub limits: Limits,
     /// Timeouts and intervals.
     pub timing: Timing,
+    /// How this daemon takes part in placement.
+    pub placement: Placement,
 }
 
 impl Settings {
@@ -131,3 +134,22 @@
     /// How long a planned stop waits for requests in flight. Default 60 s.
     pub drain: Span,
 }
+
+/// How a daemon takes part in placement. The times of the lease must be the same on all daemons.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// Whether it may take the placement lease and order engines. Default true.
+    pub enabled: bool,
+    /// Length of the placement lease. Default 10 s.
+    pub lease: Span,
+    /// Longest time from an order to its effect; at most a third of the lease. Default 2 s.
+    pub order_bound: Span,
+    /// Time between two looks at the fleet. Default 1 s.
+    pub interval: Span,
+    /// How long a host may be down before its layers are placed elsewhere. Default 10 s.
+    pub lost_after: Span,
+    /// How long hosts must stay as they are before a better placement is looked for. Default 60 s.
+    pub improve_after: Span,
+    /// What the weight store delivers to the whole fleet. Default 1 GB/s.
+    pub weight_rate: Rate,
+}
