--- /dev/null
+++ b/crates/kelpworks-cli/tests/proc_kill.rs
@@ -0,0 +1,98 @@
+//! Processes killed under running requests.
+
+#[path = "../../kelpworks/tests/caller/mod.rs"]
+mod caller;
+mod frame;
+
+use kelpworks_wire::FinishReason;
+
+use caller::End;
+use caller::chat_prompt;
+use frame::Frame;
+use frame::Shape;
+use frame::streams::MAX_TOKENS;
+use frame::streams::Streams;
+
+#[tokio::test]
+async fn three_daemons_answer_both_kinds() {
+    let shape = Shape {
+        daemons: 3,
+        iteration_ms: 0,
+        ..Shape::default()
+    };
+    let frame = Frame::start(shape).await;
+    for daemon in 0..3 {
+        let caller = frame.caller(daemon);
+        let prompt = format!("a red kettle {daemon}");
+        let text = frame.model.answer_text(&prompt, 12);
+        let answer = caller.complete(&prompt, 12).await.expect("an answer");
+        assert_eq!(answer.text, text);
+        assert_eq!(answer.end, End::Whole(FinishReason::Length));
+        let streamed = caller
+            .stream(&prompt, 12)
+            .await
+            .expect("a stream")
+            .rest()
+            .await;
+        assert_eq!((streamed.text, streamed.end), (text, answer.end));
+        let text = frame.model.answer_text(&chat_prompt(&prompt), 12);
+        let answer = caller.chat(&prompt, 12).await.expect("an answer");
+        assert_eq!(answer.text, text);
+        let streamed = caller
+            .stream_chat(&prompt, 12)
+            .await
+            .expect("a stream")
+            .rest()
+            .await;
+        assert_eq!((streamed.text, streamed.end), (text, answer.end));
+        let service = caller.get("/services/jobs/jobs/7").send().await;
+        assert!(service.expect("an answer").status().is_success());
+    }
+}
+
+/// The engine is killed while it runs stages of streamed answers: nobody sees it.
+#[tokio::test]
+async fn a_killed_engine_costs_no_answer() {
+    let mut frame = Frame::start(Shape::default()).await;
+    let streams = Streams::begin(&frame, 0, "kettle").await;
+    let victim = frame.engine_of(streams.request(0), "engine-1").await;
+    frame.engines[victim].process.kill();
+    streams.rest().await.assert_whole(&frame);
+    let log = frame.daemons[0].process.log();
+    assert!(log.contains("stage failed"), "the kill struck a session");
+}
+
+/// Two stages lose a replica at the same time.
+#[tokio::test]
+async fn two_killed_engines_cost_no_answer() {
+    let mut frame = Frame::start(Shape::default()).await;
+    let streams = Streams::begin(&frame, 0, "kettle").await;
+    let first = frame.engine_of(streams.request(0), "engine-0").await;
+    let last = frame.engine_of(streams.request(0), "engine-2").await;
+    frame.engines[first].process.kill();
+    frame.engines[last].process.kill();
+    streams.rest().await.assert_whole(&frame);
+}
+
+/// A daemon is killed: its callers are cut and repeat elsewhere; the others' callers see nothing.
+#[tokio::test]
+async fn a_killed_daemon_costs_only_a_repeat() {
+    let shape = Shape {
+        daemons: 2,
+        ..Shape::default()
+    };
+    let mut frame = Frame::start(shape).await;
+    let lost = Streams::begin(&frame, 0, "lost").await;
+    let kept = Streams::begin(&frame, 1, "kept").await;
+    frame.daemons[0].process.kill();
+    let lost = lost.rest().await;
+    for (n, answer) in lost.answers.iter().enumerate() {
+        assert_eq!(answer.end, End::Cut);
+        let prompt = lost.prompt(n);
+        let whole = frame.model.answer_text(&prompt, MAX_TOKENS);
+        assert!(whole.starts_with(&answer.text) && whole != answer.text);
+        let again = frame.caller(1).complete(&prompt, MAX_TOKENS).await;
+        assert_eq!(again.expect("an answer").text, whole);
+    }
+    kept.rest().await.assert_whole(&frame);
+}
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -46,6 +46,7 @@
 use crate::pipeline::Deadlines;
 use crate::pipeline::Driver;
 use crate::register::Register;
+use crate::retry::DeadlineConfig;
 use crate::settings::Settings;
 use crate::upstreams::Keeper;
 use crate::upstreams::KeeperConfig;
@@ -53,10 +54,12 @@
 /// The result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Wait for the answer to a probe or a poll of an upstream.
+/// Wait for the answer to a probe of an upstream, at least.
+const PROBE_FLOOR: Duration = Duration::from_millis(50);
+/// Wait for the answer to a poll of an upstream, and to a probe at most.
 const PROBE_DEADLINE: Duration = Duration::from_millis(500);
-/// Pause between the balancer's check failing and the end of new connections.
-const BALANCER_NOTICE: Duration = Duration::from_millis(500);
+/// Wait for the last answers and the last calls to engines of a stop.
+const LAST_ANSWERS: Duration = Duration::from_secs(2);
 
 /// Polls until every daemon knows of a new version that is whole.
 const DRAIN_POLLS: u32 = 4;
@@ -104,6 +107,10 @@
     stop: CancellationToken,
     callers: Server,
     operators: Server,
+    /// Ends the sessions in flight at once, each with a verdict.
+    abort: CancellationToken,
+    /// Time for the balancer to notice a stop.
+    notice: Duration,
     /// Longest wait for requests in flight.
     drain: Duration,
     /// Cancelled at a planned stop: gives the placement lease up.
@@ -151,28 +158,32 @@
         };
         let leave = CancellationToken::new();
         if settings.placement.enabled {
-            let executor = Executor::new(
-                executor_config(settings),
-                &settings.name,
-                Arc::clone(&engine),
-                object_api(settings)?,
-                Arc::clone(&config),
-                Arc::clone(&fleet),
-            );
+            let executor = executor(settings, &engine, &config, &fleet)?;
             tokio::spawn(executor.run(leave.clone(), stop.clone()));
         }
+        let abort = CancellationToken::new();
+        let tasks = TaskTracker::new();
         let driver = Driver {
             engine: Arc::clone(&engine),
             fleet: Arc::clone(&fleet),
             reports: reports.clone(),
             domain: settings.failure_domain.clone(),
             deadlines: Deadlines {
-                floor: timing.step_floor.0,
-                ceiling: timing.step_ceiling.0,
-                probe: PROBE_DEADLINE,
+                step: DeadlineConfig {
+                    floor: timing.step_floor.0,
+                    ceiling: timing.step_ceiling.0,
+                    ..DeadlineConfig::default()
+                },
+                probe: DeadlineConfig {
+                    floor: PROBE_FLOOR,
+                    ceiling: PROBE_DEADLINE,
+                    ..DeadlineConfig::default()
+                },
             },
             output: OutputForm::Handle,
             start: Instant::now(),
+            abort: abort.clone(),
+            tasks: tasks.clone(),
         };
         let entry = Arc::new(Entry {
             limits: settings.limits.clone(),
@@ -183,8 +194,9 @@
             driver,
             engine,
             reports,
-            tasks: TaskTracker::new(),
+            tasks,
             draining: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
         });
         let operators = Operators {
             name: settings.name.clone(),
@@ -207,6 +219,8 @@
             stop,
             callers,
             operators: shown,
+            abort,
+            notice: timing.balancer_notice.0,
             drain: timing.drain.0,
             leave,
         })
@@ -218,28 +232,55 @@
     }
 
     /// Ends at once, without a word to anyone; requests in flight are cut off.
-    pub fn abort(self) {
+    pub fn kill(self) {
         self.stop.cancel();
         self.callers.abort();
         self.operators.abort();
     }
 
-    /// A planned stop: the balancer's check fails first, then requests in flight finish, then
-    /// the addresses close.
-    pub async fn stop(self) {
+    /// What ends a stop at once: sessions in flight end with a verdict.
+    pub fn abort(&self) -> CancellationToken {
+        self.abort.clone()
+    }
+
+    /// A planned stop: the balancer's check fails first, then new requests are refused while
+    /// those in flight finish, then the addresses close.
+    pub async fn stop(mut self) {
         self.entry.draining.store(true, Ordering::Relaxed);
         self.leave.cancel();
         info!("stopping, {} sessions in flight", self.entry.tasks.len());
-        tokio::time::sleep(BALANCER_NOTICE).await;
-        self.callers.stop(self.drain).await;
+        let _ = timeout_or(self.notice, &self.abort, std::future::pending::<()>()).await;
+        self.entry.closed.store(true, Ordering::Relaxed);
+        self.callers.close();
+        let drained = timeout_or(self.drain, &self.abort, self.callers.drained()).await;
+        if drained.is_none() {
+            self.abort.cancel();
+            self.callers.stop(LAST_ANSWERS).await;
+        }
         self.entry.tasks.close();
-        let _ = tokio::time::timeout(self.drain, self.entry.tasks.wait()).await;
+        let _ = tokio::time::timeout(LAST_ANSWERS, self.entry.tasks.wait()).await;
         self.stop.cancel();
         self.operators.stop(Duration::ZERO).await;
         info!("stopped");
     }
 }
 
+fn executor(
+    settings: &Settings,
+    engine: &Arc<HttpEngine>,
+    config: &Arc<ArcSwap<InForce>>,
+    fleet: &Arc<ArcSwap<Fleet>>,
+) -> Result<Executor<HttpEngine, HttpObjectApi>> {
+    Ok(Executor::new(
+        executor_config(settings),
+        &settings.name,
+        Arc::clone(engine),
+        object_api(settings)?,
+        Arc::clone(config),
+        Arc::clone(fleet),
+    ))
+}
+
 fn executor_config(settings: &Settings) -> executor::Config {
     let placement = &settings.placement;
     executor::Config {
@@ -253,6 +294,19 @@
     }
 }
 
+/// Waits for `work`, at most `wait` and not beyond `abort`; `None` when it was not done by then.
+async fn timeout_or<T>(
+    wait: Duration,
+    abort: &CancellationToken,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::select! {
+        done = work => Some(done),
+        () = tokio::time::sleep(wait) => None,
+        () = abort.cancelled() => None,
+    }
+}
+
 fn admission_config(settings: &Settings) -> admission::Config {
     admission::Config {
         queue: settings.limits.queue,
@@ -296,10 +350,16 @@
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
+    let abort = daemon.abort();
+    let stop = daemon.stop();
+    tokio::pin!(stop);
     tokio::select! {
-        () = daemon.stop() => {}
-        _ = term.recv() => info!("stopped at once"),
-        _ = int.recv() => info!("stopped at once"),
+        () = &mut stop => return Ok(()),
+        _ = term.recv() => {}
+        _ = int.recv() => {}
     }
+    info!("stopping at once");
+    abort.cancel();
+    stop.await;
     Ok(())
 }
