--- a/crates/kelpworks/src/pipeline/driver.rs
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -166,8 +166,6 @@
     driver: &'a Driver<E>,
     job: &'a Job,
     fixed: Fixed,
-    /// Version index that the session is bound to, once its first path is chosen.
-    version: Option<u16>,
     /// Prompt and the tokens generated so far; those sent to the caller are never changed.
     known: Vec<u32>,
     /// The stages in order of layers; together they cover every layer once.
@@ -203,7 +201,6 @@
             driver,
             job,
             fixed,
-            version: None,
             known: job.prompt.clone(),
             hops: Vec::new(),
             assignment: None,
@@ -453,6 +450,21 @@
         }
     }
 
+    /// Keys of the session's model and, once its first path is chosen, of its version in a
+    /// snapshot. Looked up by name: a new register gives other keys. One that is gone gets a key
+    /// that nothing has, so that the session never goes on with another.
+    fn bound(&self, fleet: &Fleet) -> (ModelKey, Option<u16>) {
+        let Some(key) = fleet.model(&self.fixed.model) else {
+            return (ModelKey(u16::MAX), None);
+        };
+        if self.fixed.version.is_empty() {
+            return (key, None);
+        }
+        let mut versions = fleet.models[usize::from(key.0)].versions.iter();
+        let at = versions.position(|v| *v == self.fixed.version);
+        (key, Some(at.map_or(u16::MAX, |at| at as u16)))
+    }
+
     fn try_route(&mut self, reason: &'static str) -> routing::Result<()> {
         let fleet = self.driver.fleet.load_full();
         let keep: Vec<routing::Hop> = self
@@ -461,9 +473,10 @@
             .filter(|h| !self.avoid.contains(&h.upstream))
             .map(HopState::as_hop)
             .collect();
+        let (model, version) = self.bound(&fleet);
         let query = PathQuery {
-            model: self.job.model,
-            version: self.version,
+            model,
+            version,
             from: self.driver.from(&fleet),
             class: self.job.class,
             prefill: self.known.len() as u32,
@@ -472,8 +485,7 @@
             now_ms: self.driver.now_ms(),
         };
         let path = routing::choose_path(&fleet, &query, &mut rand::rng())?;
-        self.version = Some(path.version);
-        let model = &fleet.models[usize::from(self.job.model.0)];
+        let model = &fleet.models[usize::from(model.0)];
         self.fixed.version = model.versions[usize::from(path.version)].clone();
         self.take(&fleet, &path);
         self.assignment = Some(Assignment::new(&fleet, &path.hops));
--- a/crates/kelpworks/tests/executor_support/mod.rs
+++ b/crates/kelpworks/tests/executor_support/mod.rs
@@ -38,13 +38,18 @@
 const BOUND: Duration = Duration::from_secs(60);
 const PAUSE: Duration = Duration::from_millis(20);
 /// Short times, so that the tests end soon; what they assert does not hang on them.
-const TIMES: &str = "state_poll = \"50 ms\"\nhost_list_poll = \"100 ms\"\nrequest = \"10 s\"\n";
+const TIMES: &str = "state_poll = \"50 ms\"\nhost_list_poll = \"100 ms\"\nrequest = \"6 s\"\n";
 const PLACEMENT: &str = "lease = \"1200 ms\"\norder_bound = \"200 ms\"\ninterval = \"50 ms\"\n\
                          lost_after = \"600 ms\"\nimprove_after = \"1 h\"\n";
 
 static METRICS: LazyLock<PrometheusHandle> =
     LazyLock::new(|| install_metrics().expect("the first recorder of this process"));
 
+/// Length of the placement lease in these settings.
+pub(crate) const LEASE: Duration = Duration::from_millis(1200);
+/// Time between two rounds in these settings.
+pub(crate) const INTERVAL: Duration = Duration::from_millis(50);
+
 /// Layers of the model; no engine may hold all of them.
 pub(crate) const LAYERS: u32 = 12;
 
@@ -68,12 +73,17 @@
 
 /// The register of these stand-ins; weights of 8 layers fit on an engine.
 pub(crate) fn register(fakes: &StandIns, version: &str) -> String {
+    register_with(fakes, version, "10 GB")
+}
+
+/// The register of these stand-ins, with so much memory on each host; a layer takes 1 GB.
+pub(crate) fn register_with(fakes: &StandIns, version: &str, memory: &str) -> String {
     let text = documents::register(&fakes.view(), &[model(version)]);
-    text.replace("memory = \"80 GB\"", "memory = \"10 GB\"")
+    text.replace("memory = \"80 GB\"", &format!("memory = \"{memory}\""))
 }
 
-/// Puts a register in force.
-pub(crate) fn accept(fakes: &StandIns, generation: u64, register: &str) {
+/// The rules of the tests.
+pub(crate) fn rules() -> String {
     let digest = digest_of(TOKEN).to_string();
     let team = Team {
         name: "authority",
@@ -81,7 +91,12 @@
         weight: 1,
         token_sha256: &digest,
     };
-    let rules = documents::rules(0.2, &[team], &[]);
+    documents::rules(0.2, &[team], &[])
+}
+
+/// Puts a register in force.
+pub(crate) fn accept(fakes: &StandIns, generation: u64, register: &str) {
+    let rules = rules();
     let part = |text: &str| Part {
         digest: digest_of(text),
         since: Generation(generation),
@@ -200,3 +215,14 @@
         .map(|e| e.ledger().orders().len())
         .sum()
 }
+
+/// Whether no engine that is up holds anything of a version.
+pub(crate) fn is_gone(fakes: &StandIns, version: &str) -> bool {
+    let holds = |e: &Engine| e.state().loaded.iter().any(|r| r.version == version);
+    !fakes.engines.iter().any(holds)
+}
+
+/// Waits for a number of rounds.
+pub(crate) async fn rounds(count: u32) {
+    tokio::time::sleep(INTERVAL * count).await;
+}
