--- a/crates/kelpworks/tests/executor_support/mod.rs
+++ b/crates/kelpworks/tests/executor_support/mod.rs
@@ -47,6 +47,8 @@
 
 /// Length of the placement lease in these settings.
 pub(crate) const LEASE: Duration = Duration::from_millis(1200);
+/// Longest time to the effect of an order in these settings.
+pub(crate) const ORDER_BOUND: Duration = Duration::from_millis(200);
 /// Time between two rounds in these settings.
 pub(crate) const INTERVAL: Duration = Duration::from_millis(50);
 
