executor: degraded accelerators, and hosts that do not load

And one engine that refuses a load held back every later wave, a roll of the version among them.

Ruled out: rates from step times alone, since batching and the network slow all replicas of a stage alike; dropping the layers of a host that does not load, since it may still serve them.

Change: step times over what the register lets expect, against the median of the other replicas of the stage; twice as slow and 5 ms above it, five times in a row, makes a decision line with figures, and placement counts on the measured part of the rate. A host that was ordered three times to load the same range and did not is left out for ten minutes.

Conclusion: detection is shown on step times given by hand, not with a slowed engine under load.

--- a/crates/kelpworks/src/executor/gate.rs
+++ b/crates/kelpworks/src/executor/gate.rs
@@ -29,6 +29,11 @@
 /// replicas come first; but always one.
 const LOAD_AHEAD: Duration = Duration::from_secs(5);
 
+/// Orders to load the same range, without its being loaded, after which a host is left out.
+const MOST_LOADS: u32 = 3;
+/// How long it is left out; one host that loads nothing must not hold up the others' waves.
+const UNFIT_TIME: Duration = Duration::from_secs(600);
+
 /// What an engine said of itself.
 #[derive(Clone, Debug)]
 pub(super) struct Reading {
@@ -66,6 +71,17 @@
     drain: Duration,
     repairs: HashMap<Arc<str>, Repair<Vec<LoadedRange>>>,
     drains: Vec<Draining>,
+    /// The range last ordered of each host, and how often.
+    loads: HashMap<Arc<str>, Loads>,
+    /// Hosts found unfit since they were last asked for.
+    newly_unfit: Vec<(Arc<str>, LoadedRange)>,
+}
+
+#[derive(Clone, Debug)]
+struct Loads {
+    range: LoadedRange,
+    orders: u32,
+    unfit_until: Option<Instant>,
 }
 
 #[derive(Clone, Debug)]
@@ -83,13 +99,54 @@
             drain,
             repairs: HashMap::new(),
             drains: Vec::new(),
+            loads: HashMap::new(),
+            newly_unfit: Vec::new(),
+        }
+    }
+
+    /// Whether a host is left out, since it did not load what it was ordered to.
+    pub(super) fn is_unfit(&self, host: &str, now: Instant) -> bool {
+        let until = self.loads.get(host).and_then(|l| l.unfit_until);
+        until.is_some_and(|until| now < until)
+    }
+
+    /// Hosts found unfit since the last call, with the range that they don't load.
+    pub(super) fn newly_unfit(&mut self) -> Vec<(Arc<str>, LoadedRange)> {
+        std::mem::take(&mut self.newly_unfit)
+    }
+
+    /// Counts an order to load a range; false when there were enough and the host is left out.
+    fn count_load(&mut self, host: &Arc<str>, range: &LoadedRange, now: Instant) -> bool {
+        let fresh = Loads {
+            range: range.clone(),
+            orders: 0,
+            unfit_until: None,
+        };
+        let loads = self
+            .loads
+            .entry(Arc::clone(host))
+            .or_insert_with(|| fresh.clone());
+        let expired = loads.unfit_until.is_some_and(|until| until <= now);
+        if loads.range != *range || expired {
+            *loads = fresh;
         }
+        if loads.unfit_until.is_some() {
+            return false;
+        }
+        if loads.orders == MOST_LOADS {
+            loads.unfit_until = Some(now + UNFIT_TIME);
+            self.newly_unfit.push((Arc::clone(host), range.clone()));
+            return false;
+        }
+        loads.orders += 1;
+        true
     }
 
     /// Forgets all, as after the loss of the lease.
     pub(super) fn reset(&mut self) {
         self.repairs.clear();
         self.drains.clear();
+        self.loads.clear();
     }
 
     /// The orders of a wave that are due. Steps of hosts without a reading wait.
@@ -100,7 +157,7 @@
         readings: &HashMap<HostKey, Reading>,
         now: Now,
     ) -> Vec<Due> {
-        self.keep_drains(input, wave);
+        self.keep(input, wave);
         let loading = readings.values().flat_map(|r| &r.state.loading);
         let mut in_flight: u64 = loading.map(|r| bytes(input, r)).sum();
         let ahead = (LOAD_AHEAD.as_secs_f64() * input.weight_rate.0 as f64) as u64;
@@ -127,6 +184,11 @@
             if waits || !self.may_order(input, step.range.host, reading, &action, now) {
                 continue;
             }
+            let host = &input.host(step.range.host).name;
+            let is_load = matches!(step.action, Action::Load { .. });
+            if is_load && !self.count_load(host, &range, now.tokio) {
+                continue;
+            }
             in_flight += size;
             due.push(Due {
                 host: step.range.host,
@@ -164,14 +226,21 @@
         repair.due(now.coord, now.fence).is_some()
     }
 
-    /// Forgets drains whose step is no longer in the wave.
-    fn keep_drains(&mut self, input: &Input, wave: &[OrderStep]) {
-        self.drains.retain(|d| {
-            let same = |s: &OrderStep| {
-                input.host(s.range.host).name == d.host && loaded_range(input, s) == d.range
-            };
-            wave.iter().any(same)
-        });
+    /// Forgets what was noted of steps that are not in the wave, but for hosts that are unfit.
+    pub(super) fn keep(&mut self, input: &Input, wave: &[OrderStep]) {
+        let named = |s: &OrderStep| {
+            (
+                Arc::clone(&input.host(s.range.host).name),
+                loaded_range(input, s),
+            )
+        };
+        let steps: Vec<(Arc<str>, LoadedRange)> = wave.iter().map(named).collect();
+        let has = |host: &Arc<str>, range: &LoadedRange| {
+            steps.iter().any(|(h, r)| h == host && r == range)
+        };
+        self.drains.retain(|d| has(&d.host, &d.range));
+        self.loads
+            .retain(|host, l| l.unfit_until.is_some() || has(host, &l.range));
     }
 
     /// Whether the sessions that an unload waits for have ended.
--- a/crates/kelpworks/src/executor/mod.rs
+++ b/crates/kelpworks/src/executor/mod.rs
@@ -36,11 +36,14 @@
 //! routing and recovery go on over what engines hold. Engines don't say which sessions they hold,
 //! so an old version is dropped only after the longest time that a request may take.
 
+mod degraded;
 mod gate;
 mod hold;
 mod liveness;
 mod planning;
 mod round;
+#[cfg(test)]
+mod tests;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/kelpworks/src/executor/planning.rs
+++ b/crates/kelpworks/src/executor/planning.rs
@@ -6,7 +6,6 @@
 
 use tokio::time::Instant;
 
-use super::liveness::Liveness;
 use crate::fleet::Fleet;
 use crate::fleet::LinkCost;
 use crate::fleet::ModelKey;
@@ -30,17 +29,9 @@
     bytes_per_second: 1_250_000_000,
 };
 
-/// What the planner is to know: the register, with hosts and holdings as seen.
-pub(super) fn input(
-    register: &Register,
-    fleet: &Fleet,
-    rate: Rate,
-    is_live: impl Fn(&str) -> bool,
-) -> Input {
+/// The register, with what its hosts hold.
+pub(super) fn input(register: &Register, fleet: &Fleet, rate: Rate) -> Input {
     let mut input = Input::from_register(register, DEFAULT_LINK, rate);
-    for host in &mut input.hosts {
-        host.live = is_live(&host.name);
-    }
     let hosts = input.hosts.iter().enumerate();
     let hosts: HashMap<Arc<str>, HostKey> = hosts
         .map(|(at, h)| (Arc::clone(&h.name), HostKey(at as u32)))
@@ -222,12 +213,3 @@
     let broken = |s: &Shortfall| matches!(s, Shortfall::NoReplica { .. });
     plan.models.len() < input.models.len() || plan.shortfalls.iter().any(broken)
 }
-
-/// Whether a host counts for placement; see [`Liveness::is_live`].
-pub(super) fn live_at<'a>(
-    liveness: &'a Liveness,
-    lost_after: Duration,
-    now: Instant,
-) -> impl Fn(&str) -> bool + 'a {
-    move |name| liveness.is_live(name, lost_after, now)
-}
--- a/crates/kelpworks/src/executor/round.rs
+++ b/crates/kelpworks/src/executor/round.rs
@@ -19,6 +19,7 @@
 use kelpworks_wire::OrderReply;
 
 use super::Config;
+use super::degraded::Degraded;
 use super::gate::Due;
 use super::gate::Gate;
 use super::gate::Now;
@@ -56,6 +57,7 @@
     config: Arc<ArcSwap<InForce>>,
     fleet: Arc<ArcSwap<Fleet>>,
     liveness: Liveness,
+    degraded: Degraded,
     planning: Planning,
     gate: Gate,
 }
@@ -79,6 +81,7 @@
             config,
             fleet,
             liveness: Liveness::default(),
+            degraded: Degraded::default(),
             planning: Planning::default(),
         }
     }
@@ -89,7 +92,7 @@
         loop {
             tick.tick().await;
             let now = Instant::now();
-            self.liveness.observe(&self.fleet.load(), now);
+            self.observe(now);
             if self.hold.fence().is_none() {
                 // A later hold starts from what engines say then.
                 self.planning = Planning::default();
@@ -102,11 +105,35 @@
         }
     }
 
+    /// Takes note of the fleet, also while another daemon holds the lease.
+    fn observe(&mut self, now: Instant) {
+        let fleet = self.fleet.load();
+        self.liveness.observe(&fleet, now);
+        for change in self.degraded.observe(&fleet) {
+            info!(
+                target: "decision", decision = "degraded", upstream = &*change.host,
+                step_us = change.step_us, slower = change.slower,
+                reason = if change.degraded { "slower-than-peers" } else { "recovered" };
+                "observed rate of an engine"
+            );
+        }
+    }
+
+    /// The register as it is: hosts that are live, at the rates they reach, with what they hold.
+    fn input(&self, config: &InForce, fleet: &Fleet, now: Instant) -> Input {
+        let mut input = planning::input(&config.register, fleet, self.cfg.weight_rate);
+        for host in &mut input.hosts {
+            let live = self.liveness.is_live(&host.name, self.cfg.lost_after, now);
+            host.live = live && !self.gate.is_unfit(&host.name, now);
+            host.layer_rate *= self.degraded.part_of_rate(&host.name);
+        }
+        input
+    }
+
     async fn round(&mut self, now: Instant) {
         let config = self.config.load_full();
         let fleet = self.fleet.load_full();
-        let live = planning::live_at(&self.liveness, self.cfg.lost_after, now);
-        let input = planning::input(&config.register, &fleet, self.cfg.weight_rate, live);
+        let input = self.input(&config, &fleet, now);
         if input.hosts.is_empty() || input.models.is_empty() {
             return;
         }
@@ -117,6 +144,7 @@
         let urls = urls(&input, &fleet);
         let wave = first_wave(&input, &decided.plan);
         if wave.is_empty() {
+            self.gate.keep(&input, &wave);
             return;
         }
         let drops = wave.iter().any(is_unload);
@@ -133,6 +161,13 @@
             fence: self.hold.fence(),
         };
         let due = self.gate.due(&input, &wave, &readings, now);
+        for (host, range) in self.gate.newly_unfit() {
+            warn!("{host} does not load {range:?}: left out of placement for a while");
+            info!(
+                target: "decision", decision = "unfit", upstream = &*host, range:? = range,
+                reason = "loads-failed"; "host left out of placement"
+            );
+        }
         self.send(&input, &urls, due).await;
     }
 
--- /dev/null
+++ b/crates/kelpworks/src/executor/tests.rs
@@ -0,0 +1,227 @@
+//! The decisions of the executor, without I/O.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use kelpworks_coord::lease::Token;
+use kelpworks_coord::time;
+use kelpworks_coord::time::Span;
+use kelpworks_wire::EngineLoad;
+use kelpworks_wire::EngineState;
+use kelpworks_wire::LayerRange;
+use kelpworks_wire::LoadedRange;
+use rstest::rstest;
+use tokio::time::Instant;
+
+use super::degraded::Degraded;
+use super::gate::Gate;
+use super::gate::Now;
+use super::gate::Reading;
+use super::planning::PlanReason;
+use super::planning::Planning;
+use crate::fleet::DomainKey;
+use crate::fleet::Fleet;
+use crate::fleet::Health;
+use crate::fleet::Holding;
+use crate::fleet::LinkCost;
+use crate::fleet::LoadReport;
+use crate::fleet::ModelKey;
+use crate::fleet::Upstream;
+use crate::placement::HostSpec;
+use crate::placement::Input;
+use crate::placement::ModelSpec;
+use crate::placement::orders;
+use crate::placement::plan;
+use crate::units::Rate;
+use crate::units::Size;
+
+const GB: u64 = 1_000_000_000;
+const IMPROVE_AFTER: Duration = Duration::from_secs(60);
+
+/// Six hosts of three failure domains; eight of the model's twelve layers fit on one.
+fn input(weight_rate: Rate) -> Input {
+    let host = |i: u16| HostSpec {
+        name: format!("host-{i}").into(),
+        domain: DomainKey(i % 3),
+        memory: Size(10 * GB),
+        layer_rate: 1_000.0,
+        models: vec![ModelKey(0)],
+        live: true,
+    };
+    let link = LinkCost {
+        latency: Duration::from_millis(1),
+        bytes_per_second: GB,
+    };
+    Input {
+        domains: vec!["a".into(), "b".into(), "c".into()],
+        hosts: (0..6).map(host).collect(),
+        models: vec![ModelSpec {
+            name: "caption".into(),
+            version: "1".into(),
+            layers: 12,
+            layer_size: Size(GB),
+            demand: 1.0,
+        }],
+        links: vec![link; 9],
+        holdings: Vec::new(),
+        weight_rate,
+    }
+}
+
+/// Replicas of one stage, with their step times in milliseconds; 10 ms is expected.
+fn replicas(step_ms: &[u64]) -> Fleet {
+    let mut fleet = Fleet::default();
+    for (at, &ms) in step_ms.iter().enumerate() {
+        let upstream = Upstream {
+            name: format!("host-{at}").into(),
+            url: "".into(),
+            domain: DomainKey(0),
+            health: Health::Live,
+            layer_rate: 400.0,
+            holdings: vec![Holding {
+                model: ModelKey(0),
+                version: 0,
+                layers: LayerRange { first: 0, end: 4 },
+            }],
+            service: None,
+            incarnation: 0,
+            load: LoadReport::default(),
+            counters: Arc::default(),
+        };
+        upstream
+            .counters
+            .step_us
+            .store(ms * 1_000, Ordering::Relaxed);
+        fleet.upstreams.insert(upstream);
+    }
+    fleet
+}
+
+/// Looks so often at step times that change a little each time.
+fn observe(degraded: &mut Degraded, fleet: &Fleet, looks: usize) -> Vec<String> {
+    let mut changes = Vec::new();
+    for _ in 0..looks {
+        for upstream in fleet.upstreams.values() {
+            upstream.counters.step_us.fetch_add(1, Ordering::Relaxed);
+        }
+        let seen = degraded.observe(fleet);
+        changes.extend(seen.iter().map(|c| format!("{} {}", c.host, c.degraded)));
+    }
+    changes
+}
+
+#[rstest]
+#[case::alike(&[10, 11, 12], 20, &[])]
+#[case::one_slow(&[10, 30, 10], 20, &["host-1 true"])]
+#[case::one_of_two(&[10, 30], 20, &["host-1 true"])]
+#[case::all_slow(&[40, 41, 42], 20, &[])]
+#[case::few_looks(&[10, 30, 10], 4, &[])]
+#[case::network_noise(&[1, 4, 1], 20, &[])]
+#[case::alone(&[90], 20, &[])]
+fn a_host_slower_than_its_peers_is_degraded(
+    #[case] step_ms: &[u64],
+    #[case] looks: usize,
+    #[case] expected: &[&str],
+) {
+    let mut degraded = Degraded::default();
+    assert_eq!(observe(&mut degraded, &replicas(step_ms), looks), expected);
+}
+
+#[test]
+fn a_degraded_host_reaches_a_part_of_its_rate_until_it_recovers() {
+    let mut degraded = Degraded::default();
+    observe(&mut degraded, &replicas(&[10, 40, 10]), 10);
+    let part = degraded.part_of_rate("host-1");
+    assert!((0.2..0.3).contains(&part), "{part}");
+    assert_eq!(degraded.part_of_rate("host-0"), 1.0);
+    let back = observe(&mut degraded, &replicas(&[10, 11, 10]), 10);
+    assert_eq!(back, ["host-1 false"]);
+    assert_eq!(degraded.part_of_rate("host-1"), 1.0);
+}
+
+#[test]
+fn an_improvement_waits_until_hosts_stay_as_they_are() {
+    let mut input = input(Rate(GB));
+    let mut planning = Planning::default();
+    let start = Instant::now();
+    let mut decide = |input: &Input, secs| {
+        let now = start + Duration::from_secs(secs);
+        planning.decide(1, input, IMPROVE_AFTER, now)
+    };
+    assert_eq!(decide(&input, 0).reason, PlanReason::NotWhole);
+    let stage = decide(&input, 1).plan.models[0].stages[0].clone();
+    for host in &stage.hosts[1..] {
+        input.hosts[host.index()].live = false;
+    }
+    let repaired = decide(&input, 2);
+    assert_eq!(repaired.reason, PlanReason::Loss);
+    assert!(repaired.changed && repaired.plan.shortfalls.is_empty());
+    // Now it gains from other cuts: five sixths of the rate are gone with one host.
+    for host in input.hosts.iter_mut().filter(|h| h.live).take(1) {
+        host.layer_rate = 6_000.0;
+    }
+    assert!(!decide(&input, 3).changed);
+    assert!(!decide(&input, 62).changed);
+    assert_eq!(decide(&input, 63).reason, PlanReason::Improved);
+}
+
+#[rstest]
+#[case::slow_store(Rate(GB), 1)]
+#[case::fast_store(Rate(100 * GB), 6)]
+fn loads_are_paced_by_the_weight_store(#[case] rate: Rate, #[case] expected: usize) {
+    let input = input(rate);
+    let wave = orders(&input, &plan(&input)).steps;
+    let mut gate = Gate::new(Span::from_secs(2), IMPROVE_AFTER);
+    let now = now(0);
+    let readings = input.host_keys().map(|h| (h, reading(0, &[]))).collect();
+    assert_eq!(gate.due(&input, &wave, &readings, now).len(), expected);
+    let unfenced = Now { fence: None, ..now };
+    assert_eq!(gate.due(&input, &wave, &readings, unfenced).len(), 0);
+}
+
+#[test]
+fn a_host_that_does_not_load_is_left_out() {
+    let input = input(Rate(GB));
+    let wave = orders(&input, &plan(&input)).steps;
+    let mut gate = Gate::new(Span::from_secs(2), IMPROVE_AFTER);
+    let first = wave[0].range.host;
+    let mut ordered = Vec::new();
+    for secs in [0, 1, 2, 4, 6, 8] {
+        let readings = [(first, reading(secs, &[]))].into();
+        ordered.push(gate.due(&input, &wave, &readings, now(secs)).len());
+    }
+    assert_eq!(ordered, [1, 0, 1, 1, 0, 0]);
+    assert!(gate.is_unfit(&input.host(first).name, now(8).tokio));
+    assert_eq!(gate.newly_unfit().len(), 1);
+}
+
+fn now(secs: u64) -> Now {
+    static START: std::sync::LazyLock<Instant> = std::sync::LazyLock::new(Instant::now);
+    Now {
+        tokio: *START + Duration::from_secs(secs),
+        coord: time::Instant::from_millis(secs * 1_000),
+        fence: Some(Token(1)),
+    }
+}
+
+fn reading(secs: u64, loaded: &[LoadedRange]) -> Reading {
+    Reading {
+        asked: time::Instant::from_millis(secs * 1_000),
+        state: EngineState {
+            name: String::new(),
+            incarnation: 0,
+            draining: false,
+            highest_fence: 0,
+            loaded: loaded.to_vec(),
+            loading: Vec::new(),
+            load: EngineLoad {
+                draining: false,
+                kv_free: 0,
+                queue_ms: 0,
+                queued: 0,
+                running: 0,
+            },
+        },
+    }
+}
