--- a/crates/kelpworks/src/lib.rs
+++ b/crates/kelpworks/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config;
 pub mod daemon;
 pub mod entry;
+pub mod executor;
 pub mod fleet;
 pub mod in_force;
 pub mod operators;
