poison: first landing of request isolation and the retry budget in the driver

Cause: a request that crashes every upstream was replayed on one replica after another, and nothing bounded how much all sessions of a daemon try again. Change: the quarantine slice keeps what is in flight on each upstream, gives suspects their turn apart from each other, refuses after a second crash, and exchanges facts with other daemons. The driver asks the retry budget before each recovery and the cooldowns after each busy answer. A probe after a sent step that finds nobody listening is no longer called not run. Ruled out: keeping suspects apart for their whole session, which would put sessions of a crashed host one after another on its only replica.

--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -23,6 +24,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use kelpworks_coord::id::NodeId;
 use kelpworks_wire::OutputForm;
 
 use crate::admission;
@@ -43,7 +45,13 @@
 use crate::operators::Operators;
 use crate::pipeline::Deadlines;
 use crate::pipeline::Driver;
+use crate::quarantine;
+use crate::quarantine::Quarantine;
 use crate::register::Register;
+use crate::retry::BusyConfig;
+use crate::retry::Cooldowns;
+use crate::retry::RetryBudget;
+use crate::retry::RetryConfig;
 use crate::settings::Settings;
 use crate::upstreams::Keeper;
 use crate::upstreams::KeeperConfig;
@@ -154,6 +162,12 @@
             },
             output: OutputForm::Handle,
             start: Instant::now(),
+            quarantine: Arc::new(Quarantine::new(
+                quarantine::Config::default(),
+                NodeId::of(&settings.name),
+            )),
+            retries: Mutex::new(RetryBudget::new(RetryConfig::default())),
+            cooldowns: Mutex::new(Cooldowns::new(BusyConfig::default())),
         };
         let entry = Arc::new(Entry {
             limits: settings.limits.clone(),
@@ -197,6 +211,11 @@
         self.bound
     }
 
+    /// Requests that crash upstreams, as this daemon knows them; to exchange facts with others.
+    pub fn quarantine(&self) -> Arc<Quarantine> {
+        Arc::clone(&self.entry.driver.quarantine)
+    }
+
     /// Ends at once, without a word to anyone; requests in flight are cut off.
     pub fn abort(self) {
         self.stop.cancel();
--- a/crates/kelpworks/src/entry/completions.rs
+++ b/crates/kelpworks/src/entry/completions.rs
@@ -40,6 +40,7 @@
 use crate::pipeline::Job;
 use crate::pipeline::Outcome;
 use crate::pipeline::tokens;
+use crate::quarantine::fingerprint;
 use crate::verdict::Verdict;
 
 /// The result of this module.
@@ -75,6 +76,7 @@
         let body = body(req, self.entry.limits.body_bytes).await?;
         let asked = self.shape.read(body)?;
         let job = self.job(id, &caller, &asked)?;
+        self.entry.driver.quarantine.check(job.fingerprint)?;
         let frame = Frame {
             id: id.to_owned(),
             model: asked.model.clone(),
@@ -123,6 +125,7 @@
             session: id.to_owned(),
             team: caller.team.clone(),
             class: caller.class,
+            fingerprint: fingerprint(&caller.team, &asked.model, &asked.prompt),
             model,
             prompt: tokens::encode(&asked.prompt),
             max_tokens: asked.max_tokens,
--- a/crates/kelpworks/src/entry/reply.rs
+++ b/crates/kelpworks/src/entry/reply.rs
@@ -13,6 +13,7 @@
 
 use crate::admission::Refusal;
 use crate::pipeline::Ending;
+use crate::quarantine;
 use crate::verdict::Verdict;
 
 /// Header with the request id.
@@ -134,12 +135,40 @@
     }
 }
 
+impl From<quarantine::Refusal> for Failure {
+    /// The failure of a request that was refused before it was sent anywhere.
+    fn from(refusal: quarantine::Refusal) -> Failure {
+        let (status, kind, retry_after) = match refusal {
+            quarantine::Refusal::Crashes { retry_after } => {
+                (StatusCode::UNPROCESSABLE_ENTITY, "quarantined", retry_after)
+            }
+            quarantine::Refusal::UnderTest { retry_after } => {
+                (StatusCode::SERVICE_UNAVAILABLE, "under_test", retry_after)
+            }
+        };
+        Failure {
+            status,
+            kind,
+            message: refusal.to_string(),
+            verdict: Verdict::NotRun,
+            retry_after: Some(retry_after),
+        }
+    }
+}
+
 impl Failure {
     /// A session that ended before its answer was whole.
     pub(crate) fn ended(ending: &Ending, verdict: Verdict) -> Failure {
+        if let Ending::Quarantined(refusal) = *ending {
+            return Failure {
+                verdict,
+                ..Failure::from(refusal)
+            };
+        }
         let (status, kind) = match ending {
             Ending::NoPath(_) => (StatusCode::SERVICE_UNAVAILABLE, "no_upstream"),
             Ending::Deadline => (StatusCode::GATEWAY_TIMEOUT, "deadline"),
+            Ending::Retries { .. } => (StatusCode::SERVICE_UNAVAILABLE, "upstream_failed"),
             _ => (StatusCode::BAD_GATEWAY, "upstream_failed"),
         };
         Failure::failed(status, kind, ending.to_string(), verdict)
--- a/crates/kelpworks/src/lib.rs
+++ b/crates/kelpworks/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod operators;
 pub mod pipeline;
 pub mod placement;
+pub mod quarantine;
 pub mod register;
 pub mod retry;
 pub mod routing;
--- a/crates/kelpworks/src/pipeline/driver.rs
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -1,6 +1,10 @@
 //! Drives one session from prompt to last token, over failures of its stages.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -10,6 +14,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use kelpworks_coord::poison::Fingerprint;
 use kelpworks_wire::CancelRequest;
 use kelpworks_wire::Class;
 use kelpworks_wire::FinishReason;
@@ -19,6 +24,7 @@
 
 use crate::admission::Permit;
 use crate::border::engine::Engine;
+use crate::fleet::Counters;
 use crate::fleet::DomainKey;
 use crate::fleet::Fleet;
 use crate::fleet::Health;
@@ -31,6 +37,14 @@
 use crate::pipeline::step::Output;
 use crate::pipeline::step::StepFailure;
 use crate::pipeline::tokens;
+use crate::quarantine;
+use crate::quarantine::Quarantine;
+use crate::quarantine::Wanted;
+use crate::retry::Attempt;
+use crate::retry::Cooldowns;
+use crate::retry::Decision;
+use crate::retry::GiveUp;
+use crate::retry::RetryBudget;
 use crate::routing;
 use crate::routing::PathQuery;
 use crate::upstreams::Report;
@@ -39,6 +53,8 @@
 /// The result of this module.
 pub(crate) type Result<T> = std::result::Result<T, Ending>;
 
+/// Wait before a session over the retry budget goes on.
+const SLOWEST_BACKOFF: Duration = Duration::from_secs(1);
 /// Most recoveries of one session; above it something is wrong that another try won't mend.
 const MAX_RECOVERIES: u32 = 32;
 /// Wait before the path is asked for again when no stage can take the session.
@@ -57,6 +73,8 @@
     pub team: String,
     /// Class of the team.
     pub class: Class,
+    /// Fingerprint of the request; the same for its caller's repeats.
+    pub fingerprint: Fingerprint,
     /// The model.
     pub model: ModelKey,
     /// Tokens of the prompt; never empty.
@@ -83,6 +101,17 @@
     /// A stage failed in a way that another try won't mend.
     #[error("stage failed: {0}")]
     Stage(StepFailure),
+    /// A stage failed, and too much has been tried again of late.
+    #[error("stage failed: {failure}; not tried again: {reason}")]
+    Retries {
+        /// How the stage failed.
+        failure: StepFailure,
+        /// Why it is not tried again.
+        reason: GiveUp,
+    },
+    /// Upstreams crashed while they ran the request.
+    #[error(transparent)]
+    Quarantined(quarantine::Refusal),
 }
 
 /// How a session ended.
@@ -113,6 +142,12 @@
     pub output: OutputForm,
     /// Start of the daemon, the origin of `Counters::busy_until_ms`.
     pub start: Instant,
+    /// Requests that crash upstreams.
+    pub quarantine: Arc<Quarantine>,
+    /// Bounds how much is tried again, over all sessions.
+    pub retries: Mutex<RetryBudget>,
+    /// Cooldowns of busy upstreams.
+    pub cooldowns: Mutex<Cooldowns>,
 }
 
 impl<E: Engine> Driver<E> {
@@ -127,6 +162,9 @@
             () = tokio::time::sleep_until(deadline) => Err(Ending::Deadline),
         };
         permit.used(session.known.len() as u32);
+        if result.is_ok() {
+            session.succeeded();
+        }
         session.free();
         Outcome {
             result,
@@ -145,6 +183,32 @@
     pub(crate) fn now_ms(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
     }
+
+    fn decide(&self, attempt: &Attempt) -> Decision {
+        lock(&self.retries).decide(self.start.elapsed(), attempt, &mut rand::rng())
+    }
+
+    /// Notes that an upstream refused for want of capacity; what is left of its cooldown.
+    fn cool(&self, upstream: UpstreamKey, after: Duration) -> Duration {
+        let fleet = self.fleet.load();
+        let Some(counters) = fleet.upstreams.get(upstream).map(|u| &u.counters) else {
+            return after;
+        };
+        let now_ms = self.now_ms();
+        lock(&self.cooldowns).refused(upstream, counters, after, now_ms, &mut rand::rng())
+    }
+
+    /// Notes that an upstream served; it cools no longer.
+    fn served(&self, upstream: UpstreamKey, counters: &Counters) {
+        if counters.busy_until_ms.load(Ordering::Relaxed) != 0 {
+            lock(&self.cooldowns).served(upstream, counters);
+        }
+    }
+}
+
+/// Locks; what is behind it is changed by single calls only, so a panic elsewhere leaves it whole.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Full jitter over the upper half, so that waiters spread out.
@@ -213,6 +277,10 @@
                 return Ok(FinishReason::Stop);
             }
             self.known.push(token);
+            let known = self.known.len() as u32;
+            self.driver
+                .quarantine
+                .reached(self.job.fingerprint, known, false);
             tx.send(token).await.map_err(|_| Ending::CallerGone)?;
             if self.known.len() == most {
                 return Ok(FinishReason::Length);
@@ -285,11 +353,19 @@
             0 => StepInput::Tokens(self.known[hop.have as usize..].to_vec()),
             _ => self.hops[at - 1].output(&self.fixed.session, hop.have, count),
         };
+        let turn = self.driver.quarantine.begin(Wanted {
+            fingerprint: self.job.fingerprint,
+            upstream: hop.upstream,
+            name: &upstream.name,
+            known: self.known.len() as u32,
+        });
+        let turn = turn.await.map_err(StepFailure::Quarantined)?;
         let call = Call {
             engine: &*self.driver.engine,
             fixed: &self.fixed,
             hop,
             counters: &upstream.counters,
+            incarnation: upstream.incarnation,
             deadlines: self.driver.deadlines,
             count,
         };
@@ -304,14 +380,15 @@
         if not_run {
             self.verdict = before;
         }
+        match result {
+            Err(StepFailure::Silent | StepFailure::Restarted) => turn.crashed(),
+            Ok(_) => self.driver.served(hop.upstream, &upstream.counters),
+            Err(_) => {}
+        }
         result
     }
 
     async fn recover(&mut self, at: usize, failure: StepFailure) -> Result<()> {
-        self.recoveries += 1;
-        if self.recoveries > MAX_RECOVERIES {
-            return Err(Ending::Stage(failure));
-        }
         let upstream = self.hops[at].upstream;
         let name = Arc::clone(&self.hops[at].name);
         info!(
@@ -319,8 +396,13 @@
             upstream = &*name, position = self.hops[at].have, reason = failure.to_string();
             "stage failed"
         );
+        if !matches!(failure, StepFailure::Busy(_) | StepFailure::Quarantined(_)) {
+            self.before_retry(upstream, &failure).await?;
+        }
         match failure {
+            // Waiting is not a failure of the session; only its deadline bounds it.
             StepFailure::Busy(after) => self.wait_or_move(at, after).await,
+            StepFailure::Quarantined(refusal) => Err(Ending::Quarantined(refusal)),
             StepFailure::Refused {
                 reason: RefusalReason::PositionGap,
                 ..
@@ -341,33 +423,79 @@
                 ..
             } => Err(Ending::Stage(failure)),
             StepFailure::Refused { .. } => self.move_off(upstream, "stage refused").await,
-            StepFailure::Unreachable | StepFailure::Silent => {
-                let _ = self.driver.reports.send(Report::Suspect(upstream));
+            StepFailure::Unreachable | StepFailure::Silent | StepFailure::Restarted => {
                 self.move_off(upstream, "stage died").await
             }
             StepFailure::Mismatch => self.move_off(upstream, "reply of another step").await,
         }
     }
 
+    /// What goes before any other try: the failure is reported, the session may end here, and a
+    /// wait keeps tries apart.
+    async fn before_retry(&mut self, upstream: UpstreamKey, failure: &StepFailure) -> Result<()> {
+        let died = [StepFailure::Unreachable, StepFailure::Silent];
+        if died.contains(failure) {
+            let _ = self.driver.reports.send(Report::Suspect(upstream));
+        }
+        let checked = self.driver.quarantine.check(self.job.fingerprint);
+        if let Err(refusal @ quarantine::Refusal::Crashes { .. }) = checked {
+            return Err(Ending::Quarantined(refusal));
+        }
+        self.recoveries += 1;
+        let delay = self.back_off(failure)?;
+        tokio::time::sleep(delay).await;
+        Ok(())
+    }
+
+    /// How long to wait before the session goes on after a failure of a stage.
+    ///
+    /// Over the budget a session that has sent nothing ends, with its final answer at once. One
+    /// whose caller has part of the answer goes on, at the slowest rate: only its deadline and
+    /// [`MAX_RECOVERIES`] bound it.
+    fn back_off(&self, failure: &StepFailure) -> Result<Duration> {
+        let attempt = Attempt {
+            verdict: match failure {
+                StepFailure::Unreachable | StepFailure::Refused { .. } => Verdict::NotRun,
+                _ => Verdict::MayHaveRun,
+            },
+            // An engine refuses positions that it has run, and no token is sent twice.
+            idempotent: true,
+            attempts: self.recoveries,
+            left: self.job.deadline.saturating_duration_since(Instant::now()),
+        };
+        let decision = self.driver.decide(&attempt);
+        let sent = self.known.len() > self.job.prompt.len();
+        match decision {
+            Decision::RetryAt(delay) => Ok(delay),
+            Decision::GiveUp(_) if sent && self.recoveries <= MAX_RECOVERIES => {
+                Ok(jittered(SLOWEST_BACKOFF))
+            }
+            Decision::GiveUp(reason) => {
+                let failure = failure.clone();
+                Err(Ending::Retries { failure, reason })
+            }
+        }
+    }
+
+    /// Notes that the answer is whole.
+    fn succeeded(&self) {
+        lock(&self.driver.retries).succeeded();
+        let known = self.known.len() as u32;
+        self.driver
+            .quarantine
+            .reached(self.job.fingerprint, known, true);
+    }
+
     /// A stage without state moves on; one with state waits for its turn.
     async fn wait_or_move(&mut self, at: usize, after: Duration) -> Result<()> {
-        let until = self.driver.now_ms() + after.as_millis() as u64;
-        let fleet = self.driver.fleet.load_full();
-        if let Some(upstream) = fleet.upstreams.get(self.hops[at].upstream) {
-            upstream
-                .counters
-                .busy_until_ms
-                .store(until, std::sync::atomic::Ordering::Relaxed);
-        }
-        // Waiting is not a failure of the session; only its deadline bounds it.
-        self.recoveries -= 1;
         let busy = self.hops[at].upstream;
+        let left = self.driver.cool(busy, after);
         if self.hops[at].have == 0 {
             self.avoid(busy);
             self.route("stage busy").await?;
         }
         if self.hops.iter().any(|h| h.upstream == busy) {
-            tokio::time::sleep(jittered(after)).await;
+            tokio::time::sleep(left).await;
         }
         Ok(())
     }
@@ -430,13 +558,14 @@
             .filter(|h| !self.avoid.contains(&h.upstream))
             .map(HopState::as_hop)
             .collect();
+        let avoid = self.avoided(&keep);
         let query = PathQuery {
             model: self.job.model,
             version: self.version,
             from: self.driver.from(&fleet),
             class: self.job.class,
             prefill: self.known.len() as u32,
-            avoid: &self.avoid,
+            avoid: &avoid,
             keep: &keep,
             now_ms: self.driver.now_ms(),
         };
@@ -445,6 +574,8 @@
         let model = &fleet.models[usize::from(self.job.model.0)];
         self.fixed.version = model.versions[usize::from(path.version)].clone();
         self.take(&fleet, &path);
+        let on_path = self.hops.iter().map(|h| h.upstream);
+        self.driver.quarantine.routed(self.job.fingerprint, on_path);
         let names: Vec<&str> = self.hops.iter().map(|h| &*h.name).collect();
         info!(
             target: "decision", decision = "route", request = self.fixed.session.as_str(),
@@ -456,6 +587,16 @@
         Ok(())
     }
 
+    /// Upstreams to take last: those that failed this session and, for a suspect, those where
+    /// others would share the harm; never one that keeps its place.
+    fn avoided(&self, keep: &[routing::Hop]) -> Vec<UpstreamKey> {
+        let occupied = self.driver.quarantine.avoid(self.job.fingerprint);
+        let kept = |key: &UpstreamKey| keep.iter().any(|h| h.upstream == *key);
+        let mut avoid = self.avoid.clone();
+        avoid.extend(occupied.into_iter().filter(|key| !kept(key)));
+        avoid
+    }
+
     fn take(&mut self, fleet: &Fleet, path: &routing::Path) {
         let mut old = std::mem::take(&mut self.hops);
         for hop in &path.hops {
--- a/crates/kelpworks/src/pipeline/step.rs
+++ b/crates/kelpworks/src/pipeline/step.rs
@@ -20,6 +20,7 @@
 use crate::border::engine::Engine;
 use crate::fleet::Counters;
 use crate::pipeline::hop::HopState;
+use crate::quarantine;
 
 /// The result of this module.
 pub(crate) type Result<T> = std::result::Result<T, StepFailure>;
@@ -52,6 +53,12 @@
     /// Silent or broken, also on a new connection; may have run.
     #[error("silent")]
     Silent,
+    /// The engine restarted under the step; it may have run before.
+    #[error("engine restarted")]
+    Restarted,
+    /// The request is refused for what it did to other upstreams; the step was not sent.
+    #[error(transparent)]
+    Quarantined(quarantine::Refusal),
     /// The step ran, but its reply is lost for good.
     #[error("reply lost")]
     ReplyLost,
@@ -120,6 +127,8 @@
     pub(crate) fixed: &'a Fixed,
     pub(crate) hop: &'a HopState,
     pub(crate) counters: &'a Counters,
+    /// The engine's incarnation as last known; 0 when unknown.
+    pub(crate) incarnation: u64,
     pub(crate) deadlines: Deadlines,
     /// Positions to run from `hop.have` on; above 0.
     pub(crate) count: u32,
@@ -222,11 +231,14 @@
     async fn probe(&self) -> Result<()> {
         let probed = self.engine.probe(&self.hop.url, self.deadlines.probe).await;
         match probed {
+            Ok(state) if self.incarnation != 0 && state.incarnation != self.incarnation => {
+                Err(StepFailure::Restarted)
+            }
             Ok(_) => {
                 metrics::counter!("kelpworks_connections_dropped_total").increment(1);
                 Ok(())
             }
-            Err(engine::Error::Connect(_)) => Err(StepFailure::Unreachable),
+            // Also when nobody listens any more: the step was sent before, and may have run.
             Err(_) => Err(StepFailure::Silent),
         }
     }
@@ -236,10 +248,7 @@
             .engine
             .steps(&self.hop.url, batch, self.deadlines.ceiling)
             .await;
-        let reply = reply.map_err(|e| match e {
-            engine::Error::Connect(_) => StepFailure::Unreachable,
-            _ => StepFailure::Silent,
-        })?;
+        let reply = reply.map_err(|_| StepFailure::Silent)?;
         match self.check(reply) {
             Err(StepFailure::Refused {
                 reason: RefusalReason::PositionGap,
--- /dev/null
+++ b/crates/kelpworks/src/quarantine/state.rs
@@ -0,0 +1,401 @@
+//! What is in flight, who is suspect and whose turn it is. No I/O and no waiting.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use kelpworks_coord::id::NodeId;
+use kelpworks_coord::id::UpstreamId;
+use kelpworks_coord::poison::Action;
+use kelpworks_coord::poison::Admit;
+use kelpworks_coord::poison::Config as PoisonConfig;
+use kelpworks_coord::poison::Event;
+use kelpworks_coord::poison::Fingerprint;
+use kelpworks_coord::poison::Poison;
+use kelpworks_coord::time::Instant;
+use kelpworks_coord::time::Span;
+use slotmap::SecondaryMap;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::fleet::UpstreamKey;
+use crate::quarantine::Config;
+use crate::quarantine::Fact;
+use crate::quarantine::Refusal;
+use crate::quarantine::Result;
+use crate::quarantine::Statement;
+use crate::quarantine::Wanted;
+
+/// When to ask again for a request that another daemon is about to clear or refuse.
+const SOON: Duration = Duration::from_secs(1);
+
+new_key_type! {
+    /// Key of a step in flight.
+    pub(super) struct StepKey;
+}
+
+/// A step in flight.
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    fingerprint: Fingerprint,
+    upstream: UpstreamKey,
+    /// Tokens known when it began.
+    known: u32,
+    /// It holds the turn of its fingerprint.
+    apart: bool,
+    /// The crash of its upstream has been noted for all that was in flight there.
+    counted: bool,
+}
+
+/// What is known of a suspect beside the judgement.
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    /// Tokens known at the latest crash seen here; `None` while only other daemons saw one.
+    crashed_at: Option<u32>,
+    /// The latest upstream that died with it here.
+    crashed_on: Option<UpstreamKey>,
+    /// Upstreams of the path of its latest session.
+    path: Vec<UpstreamKey>,
+    /// Held by a step of this fingerprint; at most one.
+    turn: Option<StepKey>,
+    /// The other daemon that goes first, and until when it may.
+    ahead: Option<Ahead>,
+}
+
+/// Another daemon that runs a suspect.
+#[derive(Clone, Copy, Debug)]
+struct Ahead {
+    by: NodeId,
+    until: Instant,
+}
+
+/// Whether a step may begin.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Begin {
+    /// It has begun.
+    Begun(StepKey),
+    /// Not yet.
+    Wait,
+    /// Not at all.
+    Refused(Refusal),
+}
+
+/// The state of a [`crate::quarantine::Quarantine`].
+#[derive(Debug)]
+pub(super) struct State {
+    cfg: Config,
+    me: NodeId,
+    poison: Poison,
+    steps: SlotMap<StepKey, Step>,
+    /// Crashes of each upstream so far; absent for none.
+    crashes: SecondaryMap<UpstreamKey, u32>,
+    /// Those that `poison` holds for suspects, and perhaps some that it has forgotten since.
+    suspects: HashMap<Fingerprint, Suspect>,
+}
+
+impl State {
+    pub(super) fn new(cfg: &Config, me: NodeId) -> State {
+        let poison = PoisonConfig {
+            refuse: span(cfg.refuse),
+            remember: span(cfg.remember),
+            max_tracked: cfg.max_tracked,
+        };
+        State {
+            cfg: cfg.clone(),
+            me,
+            poison: Poison::new(poison),
+            steps: SlotMap::with_key(),
+            crashes: SecondaryMap::new(),
+            suspects: HashMap::new(),
+        }
+    }
+
+    /// Whether a new request may run.
+    pub(super) fn check(&self, now: Instant, fingerprint: Fingerprint) -> Result<()> {
+        match self.poison.check(now, fingerprint) {
+            Admit::Normal => Ok(()),
+            Admit::Refused { retry_after } => Err(Refusal::Crashes {
+                retry_after: duration(retry_after),
+            }),
+            Admit::Apart => match self.wait_for_other(now, fingerprint) {
+                Some(left) => Err(Refusal::UnderTest {
+                    retry_after: left.min(SOON),
+                }),
+                None => Ok(()),
+            },
+        }
+    }
+
+    /// How long another daemon may still go first.
+    fn wait_for_other(&self, now: Instant, fingerprint: Fingerprint) -> Option<Duration> {
+        let suspect = self.suspects.get(&fingerprint)?;
+        let ahead = suspect.ahead.filter(|a| a.until > now)?;
+        // Where both saw a crash, the order of their names decides.
+        let first = suspect.crashed_at.is_none() || ahead.by < self.me;
+        first.then(|| duration(ahead.until.since(now)))
+    }
+
+    /// Asks to begin a step, and notes that it is in flight.
+    pub(super) fn begin(&mut self, now: Instant, wanted: Wanted<'_>) -> Begin {
+        let Wanted {
+            fingerprint,
+            upstream,
+            known,
+            ..
+        } = wanted;
+        let apart = match self.poison.check(now, fingerprint) {
+            Admit::Normal => false,
+            Admit::Apart => true,
+            Admit::Refused { retry_after } => {
+                let retry_after = duration(retry_after);
+                return Begin::Refused(Refusal::Crashes { retry_after });
+            }
+        };
+        if apart && !self.take_turn(now, wanted) {
+            return Begin::Wait;
+        }
+        let key = self.steps.insert(Step {
+            fingerprint,
+            upstream,
+            known,
+            apart,
+            counted: false,
+        });
+        if apart {
+            self.suspects.entry(fingerprint).or_default().turn = Some(key);
+        }
+        Begin::Begun(key)
+    }
+
+    fn take_turn(&mut self, now: Instant, wanted: Wanted<'_>) -> bool {
+        let fingerprint = wanted.fingerprint;
+        let suspect = self.suspects.get(&fingerprint);
+        if suspect.is_some_and(|s| s.turn.is_some())
+            || self.wait_for_other(now, fingerprint).is_some()
+        {
+            return false;
+        }
+        let life = self.life(wanted.upstream, wanted.name);
+        self.poison.begin(now, fingerprint, life)
+    }
+
+    /// Ends a step; tells whether that may let another go on.
+    pub(super) fn end(&mut self, now: Instant, key: StepKey) -> bool {
+        let Some(step) = self.steps.remove(key) else {
+            return false;
+        };
+        let Some(suspect) = self.suspects.get_mut(&step.fingerprint) else {
+            return step.apart;
+        };
+        if suspect.turn == Some(key) {
+            suspect.turn = None;
+            self.poison.on_event(now, Event::Ended(step.fingerprint));
+        }
+        step.apart
+    }
+
+    /// Notes that the upstream died under a step, and judges all that it had in flight. Later
+    /// reports of the same crash change nothing.
+    pub(super) fn crashed(&mut self, now: Instant, key: StepKey, name: &str) -> Vec<Fact> {
+        let Some(&Step {
+            upstream, counted, ..
+        }) = self.steps.get(key)
+        else {
+            return Vec::new();
+        };
+        if counted {
+            return Vec::new();
+        }
+        self.forget(now);
+        let life = self.life(upstream, name);
+        *self.crashes.entry(upstream).unwrap().or_insert(0) += 1;
+        let mut running = Vec::new();
+        let mut crashed = Vec::new();
+        for step in self.steps.values_mut() {
+            if step.upstream != upstream || step.counted {
+                continue;
+            }
+            step.counted = true;
+            crashed.push(*step);
+            // One that began before it was a suspect was not apart: no second crash of its own.
+            let suspect = self.poison.check(now, step.fingerprint) == Admit::Apart;
+            if step.apart || !suspect {
+                running.push(step.fingerprint);
+            }
+        }
+        let event = Event::Crashed {
+            upstream: life,
+            running,
+        };
+        let actions = self.poison.on_event(now, event);
+        for step in crashed {
+            let suspect = self.suspects.entry(step.fingerprint).or_default();
+            suspect.crashed_at = suspect.crashed_at.max(Some(step.known));
+            suspect.crashed_on = Some(upstream);
+        }
+        self.facts(actions, UpstreamId::of(name))
+    }
+
+    fn facts(&mut self, actions: Vec<Action>, upstream: UpstreamId) -> Vec<Fact> {
+        let mut facts = Vec::new();
+        for action in actions {
+            let (fingerprint, statement) = match action {
+                Action::RerunApart { fingerprint, .. } => {
+                    let remaining = self.cfg.remember;
+                    let statement = Statement::Suspect {
+                        upstream,
+                        remaining,
+                    };
+                    (fingerprint, statement)
+                }
+                Action::Refuse(fingerprint) => {
+                    self.suspects.remove(&fingerprint);
+                    let remaining = self.cfg.refuse;
+                    (fingerprint, Statement::Refused { remaining })
+                }
+                Action::Clear(fingerprint) => {
+                    self.suspects.remove(&fingerprint);
+                    (fingerprint, Statement::Cleared)
+                }
+            };
+            facts.push(Fact {
+                by: self.me,
+                fingerprint,
+                statement,
+            });
+        }
+        facts
+    }
+
+    /// A step further; clears a suspect that has come past the point of its crash.
+    pub(super) fn reached(
+        &mut self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        known: u32,
+        whole: bool,
+    ) -> Vec<Fact> {
+        let Some(suspect) = self.suspects.get(&fingerprint) else {
+            return Vec::new();
+        };
+        let passed = match suspect.crashed_at {
+            Some(at) if whole => known > at,
+            Some(at) => known >= at.saturating_add(self.cfg.clear_after),
+            // Only the other daemon knows the point.
+            None => whole,
+        };
+        if !passed {
+            return Vec::new();
+        }
+        self.suspects.remove(&fingerprint);
+        let actions = self.poison.on_event(now, Event::Finished(fingerprint));
+        self.facts(actions, UpstreamId(0))
+    }
+
+    pub(super) fn refuse(&mut self, now: Instant, fingerprint: Fingerprint) -> Vec<Fact> {
+        let remaining = span(self.cfg.refuse);
+        let event = Event::PeerConvicted {
+            fingerprint,
+            remaining,
+        };
+        self.poison.on_event(now, event);
+        self.facts(vec![Action::Refuse(fingerprint)], UpstreamId(0))
+    }
+
+    pub(super) fn learn(&mut self, now: Instant, fact: Fact) {
+        let fingerprint = fact.fingerprint;
+        match fact.statement {
+            Statement::Suspect {
+                upstream,
+                remaining,
+            } => self.learn_suspect(now, fact, upstream, remaining),
+            Statement::Cleared => {
+                let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+                    return;
+                };
+                suspect.ahead = suspect.ahead.filter(|a| a.by != fact.by);
+                // What this daemon saw itself is its own to clear.
+                if suspect.crashed_at.is_none() && suspect.ahead.is_none() {
+                    self.suspects.remove(&fingerprint);
+                    self.poison.on_event(now, Event::Finished(fingerprint));
+                }
+            }
+            Statement::Refused { remaining } => {
+                let remaining = span(remaining);
+                self.suspects.remove(&fingerprint);
+                let event = Event::PeerConvicted {
+                    fingerprint,
+                    remaining,
+                };
+                self.poison.on_event(now, event);
+            }
+        }
+    }
+
+    /// Drops what is kept of suspects that the judgement has forgotten.
+    fn forget(&mut self, now: Instant) {
+        let poison = &self.poison;
+        self.suspects
+            .retain(|f, s| s.turn.is_some() || poison.check(now, *f) == Admit::Apart);
+    }
+
+    fn learn_suspect(
+        &mut self,
+        now: Instant,
+        fact: Fact,
+        upstream: UpstreamId,
+        remaining: Duration,
+    ) {
+        let fingerprint = fact.fingerprint;
+        if matches!(self.poison.check(now, fingerprint), Admit::Refused { .. }) {
+            return;
+        }
+        self.forget(now);
+        let event = Event::PeerSuspects {
+            fingerprint,
+            // No life of an upstream that this daemon gives work to.
+            upstream: UpstreamId(!upstream.0),
+        };
+        self.poison.on_event(now, event);
+        let until = now + span(remaining.min(self.cfg.hold));
+        let suspect = self.suspects.entry(fingerprint).or_default();
+        // Told again, it does not hold longer.
+        if suspect.ahead.is_none_or(|a| a.by != fact.by) {
+            suspect.ahead = Some(Ahead { by: fact.by, until });
+        }
+    }
+
+    pub(super) fn avoid(&self, fingerprint: Fingerprint) -> Vec<UpstreamKey> {
+        let Some(me) = self.suspects.get(&fingerprint) else {
+            return Vec::new();
+        };
+        let others = self.suspects.iter().filter(|(f, _)| **f != fingerprint);
+        let paths = others.flat_map(|(_, s)| s.path.iter().copied());
+        paths.chain(me.crashed_on).collect()
+    }
+
+    pub(super) fn routed(
+        &mut self,
+        fingerprint: Fingerprint,
+        upstreams: impl Iterator<Item = UpstreamKey>,
+    ) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.path = upstreams.collect();
+        }
+    }
+
+    /// One life of an upstream, from one crash to the next: what the judgement counts as an
+    /// upstream, so that a stage with a single replica can be run on again after its restart, and
+    /// a second crash there counts.
+    fn life(&self, upstream: UpstreamKey, name: &str) -> UpstreamId {
+        let crashes = self.crashes.get(upstream).copied().unwrap_or(0);
+        UpstreamId(UpstreamId::of(name).0.wrapping_add(crashes.into()))
+    }
+}
+
+fn span(d: Duration) -> Span {
+    Span::from_millis(d.as_millis() as u64)
+}
+
+fn duration(span: Span) -> Duration {
+    Duration::from_millis(span.as_millis())
+}
--- /dev/null
+++ b/crates/kelpworks/tests/poison/mod.rs
@@ -0,0 +1,172 @@
+//! Daemons beside stand-ins in this process, and callers that check answers against the model.
+
+#![allow(dead_code, reason = "each test binary uses a part")]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kelpworks::daemon::Daemon;
+use kelpworks::quarantine::Fact;
+use kelpworks::quarantine::Quarantine;
+use kelpworks::quarantine::Statement;
+use kelpworks_fakes::FleetConfig;
+use kelpworks_fakes::Model;
+use kelpworks_fakes::StandIns;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use reqwest::header::RETRY_AFTER;
+use tokio::sync::broadcast;
+use tokio::task::JoinSet;
+
+use crate::support::ExampleTeam;
+use crate::support::daemons;
+use crate::support::put_config;
+
+const TEAM: ExampleTeam = ExampleTeam {
+    name: "studio",
+    class: "paying",
+    weight: 1,
+    token: "token-of-studio",
+};
+const TIMING: &str = "step_floor = \"500ms\"\n";
+
+/// A model's pipeline of 2 stages and two daemons or more.
+pub(crate) struct Bench {
+    pub(crate) model: Model,
+    pub(crate) fakes: StandIns,
+    pub(crate) daemons: Vec<Daemon>,
+    client: reqwest::Client,
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) verdict: Option<String>,
+    /// In seconds.
+    pub(crate) retry_after: Option<u64>,
+    pub(crate) body: serde_json::Value,
+}
+
+impl Reply {
+    pub(crate) fn text(&self) -> &str {
+        self.body["choices"][0]["text"].as_str().unwrap_or_default()
+    }
+}
+
+impl Bench {
+    pub(crate) async fn start(replicas: u32, daemon_count: usize) -> Bench {
+        let model = Model::new("caption", "1", 4);
+        let mut cfg = FleetConfig::pipeline(&model, 2, replicas);
+        for engine in &mut cfg.engines {
+            engine.iteration_base = Duration::from_millis(10);
+        }
+        let fakes = StandIns::spawn(cfg).await.expect("stand-ins");
+        put_config(&fakes, std::slice::from_ref(&model), 0.5, &[TEAM]);
+        let metrics = PrometheusBuilder::new().build_recorder().handle();
+        let daemons = daemons(&fakes, daemon_count, TIMING, &metrics)
+            .await
+            .expect("daemons");
+        Bench {
+            model,
+            fakes,
+            daemons,
+            client: reqwest::Client::builder()
+                .no_proxy()
+                .build()
+                .expect("a client"),
+        }
+    }
+
+    /// Carries facts between all daemons, at once.
+    pub(crate) fn join_daemons(&self) {
+        for from in &self.daemons {
+            let from = from.quarantine();
+            let to: Vec<Arc<Quarantine>> = self.daemons.iter().map(Daemon::quarantine).collect();
+            let mut facts = from.subscribe();
+            tokio::spawn(async move {
+                while let Ok(fact) = facts.recv().await {
+                    to.iter().for_each(|q| q.learn(fact));
+                }
+            });
+        }
+    }
+
+    /// Sends a request to the `n`th daemon, and reads the whole answer.
+    pub(crate) async fn ask(&self, n: usize, prompt: &str, max_tokens: u32) -> Reply {
+        let url = self.url(n);
+        ask(&self.client, &url, prompt, max_tokens).await
+    }
+
+    fn url(&self, n: usize) -> String {
+        format!("http://{}/v1/completions", self.daemons[n].bound().callers)
+    }
+
+    /// Starts callers that share the daemons evenly; each sends one request.
+    pub(crate) fn innocents(&self, count: usize, max_tokens: u32) -> JoinSet<(String, Reply)> {
+        let mut callers = JoinSet::new();
+        for n in 0..count {
+            let url = self.url(n % self.daemons.len());
+            let client = self.client.clone();
+            let prompt = format!("mug number {n}");
+            callers.spawn(async move {
+                let reply = ask(&client, &url, &prompt, max_tokens).await;
+                (prompt, reply)
+            });
+        }
+        callers
+    }
+
+    /// Waits until engines have run so many steps in all.
+    pub(crate) async fn steps_run(&self, at_least: u64) {
+        while self.total(|t| t.runs) < at_least {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
+    pub(crate) fn crashes(&self) -> u64 {
+        self.total(|t| t.crashes)
+    }
+
+    fn total(&self, of: impl Fn(kelpworks_fakes::engine::Totals) -> u64) -> u64 {
+        let engines = self.fakes.engines.iter();
+        engines.map(|e| of(e.ledger().totals())).sum()
+    }
+
+    /// Checks that every caller has the model's answer.
+    pub(crate) async fn all_answered(&self, callers: JoinSet<(String, Reply)>, max_tokens: u32) {
+        for (prompt, reply) in callers.join_all().await {
+            assert_eq!(reply.status, 200, "{prompt}: {reply:?}");
+            let expected = self.model.answer_text(&prompt, max_tokens);
+            assert_eq!(reply.text(), expected, "{prompt}");
+        }
+    }
+}
+
+async fn ask(client: &reqwest::Client, url: &str, prompt: &str, max_tokens: u32) -> Reply {
+    let body = serde_json::json!({
+        "model": "caption", "prompt": prompt, "max_tokens": max_tokens,
+    });
+    let req = client.post(url).bearer_auth(TEAM.token).json(&body);
+    let res = req.send().await.expect("an answer");
+    let header = |name: &str| {
+        let value = res.headers().get(name)?;
+        Some(value.to_str().expect("text").to_owned())
+    };
+    let status = res.status().as_u16();
+    let verdict = header("kelpworks-verdict");
+    let retry_after = header(RETRY_AFTER.as_str()).map(|v| v.parse().expect("seconds"));
+    Reply {
+        status,
+        verdict,
+        retry_after,
+        body: res.json().await.expect("JSON"),
+    }
+}
+
+/// Requests that facts so far say are refused.
+pub(crate) fn refused(facts: &mut broadcast::Receiver<Fact>) -> usize {
+    let facts = std::iter::from_fn(|| facts.try_recv().ok());
+    facts
+        .filter(|f| matches!(f.statement, Statement::Refused { .. }))
+        .count()
+}
--- /dev/null
+++ b/crates/kelpworks/tests/poison_requests.rs
@@ -0,0 +1,64 @@
+//! A request that crashes each upstream that runs it, between innocent ones and over its repeats.
+
+mod poison;
+#[path = "../examples/support/mod.rs"]
+mod support;
+
+use rstest::rstest;
+
+use poison::Bench;
+use poison::refused;
+
+const POISON: &str = "a poison mug";
+const TOKENS: u32 = 24;
+const INNOCENTS: usize = 24;
+/// Steps after which the load is well under way.
+const UNDER_WAY: u64 = 100;
+
+/// Daemons that the caller of the poison request sends it to, one after another.
+#[rstest]
+#[case::same_daemon(&[0, 0, 0, 0])]
+#[case::other_daemon(&[0, 1, 1, 0])]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn poison_costs_two_upstreams(#[case] sent_to: &[usize]) {
+    let bench = Bench::start(4, 2).await;
+    bench.join_daemons();
+    let innocents = bench.innocents(INNOCENTS, TOKENS);
+    bench.steps_run(UNDER_WAY).await;
+    let mut replies = Vec::new();
+    for &daemon in sent_to {
+        replies.push(bench.ask(daemon, POISON, TOKENS).await);
+    }
+    bench.all_answered(innocents, TOKENS).await;
+    assert_eq!(bench.crashes(), 2);
+    for (n, reply) in replies.iter().enumerate() {
+        let verdict = if n == 0 { "may-have-run" } else { "not-run" };
+        assert_eq!(reply.status, 422, "{reply:?}");
+        assert_eq!(reply.verdict.as_deref(), Some(verdict));
+        assert_eq!(reply.body["error"]["type"], "quarantined");
+        assert!(reply.retry_after.is_some_and(|s| (200..=300).contains(&s)));
+    }
+}
+
+/// Hosts that crash for reasons of their own: every caller gets its answer, nobody is refused.
+#[rstest]
+#[case::first_stage(&["engine-0-0"])]
+#[case::last_stage(&["engine-1-1"])]
+#[case::two_in_turn(&["engine-0-0", "engine-0-1"])]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_crash_quarantines_nobody(#[case] hosts: &[&str]) {
+    let bench = Bench::start(3, 2).await;
+    bench.join_daemons();
+    let mut facts = bench.daemons.iter().map(|d| d.quarantine().subscribe());
+    let mut facts: Vec<_> = facts.by_ref().collect();
+    let innocents = bench.innocents(INNOCENTS, TOKENS);
+    for (n, host) in hosts.iter().enumerate() {
+        bench.steps_run(UNDER_WAY * 3 * (n as u64 + 1)).await;
+        bench.fakes.engine(host).expect("a host").crash();
+    }
+    bench.all_answered(innocents, TOKENS).await;
+    assert_eq!(bench.crashes(), hosts.len() as u64);
+    assert_eq!(facts.iter_mut().map(refused).sum::<usize>(), 0);
+    let again = bench.innocents(INNOCENTS, TOKENS);
+    bench.all_answered(again, TOKENS).await;
+}
