Take daemons with suspects in turn, so that none blames its own for another's

Ruled out: judging after the fact from both daemons' facts, which would need a third upstream; spreading daemons over replicas, which a stage of two lacks. Change: daemons with suspects go in the order of their identifiers, after a settling time in which each hears of the others' suspects; a crash while another is to go first blames nobody.

--- a/crates/kelpworks/examples/support/mod.rs
+++ b/crates/kelpworks/examples/support/mod.rs
@@ -122,7 +122,7 @@
     Ok(daemons)
 }
 
-async fn ready(daemon: &Daemon) {
+pub(crate) async fn ready(daemon: &Daemon) {
     let url = format!("http://{}/readyz", daemon.bound().operators);
     loop {
         let answer = reqwest::get(&url).await;
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -118,6 +118,19 @@
     ///
     /// When an address can't be listened on or a URL of the platform can't be used.
     pub async fn start(settings: &Settings, metrics: PrometheusHandle) -> Result<Daemon> {
+        Daemon::start_with(settings, metrics, quarantine::Config::default()).await
+    }
+
+    /// As [`Daemon::start`], with bounds of its own on suspects and refused requests.
+    ///
+    /// # Errors
+    ///
+    /// As [`Daemon::start`].
+    pub async fn start_with(
+        settings: &Settings,
+        metrics: PrometheusHandle,
+        quarantine: quarantine::Config,
+    ) -> Result<Daemon> {
         let stop = CancellationToken::new();
         let timing = &settings.timing;
         let engine = Arc::new(HttpEngine::new(timing.connect.0));
@@ -162,10 +175,7 @@
             },
             output: OutputForm::Handle,
             start: Instant::now(),
-            quarantine: Arc::new(Quarantine::new(
-                quarantine::Config::default(),
-                NodeId::of(&settings.name),
-            )),
+            quarantine: Arc::new(Quarantine::new(quarantine, NodeId::of(&settings.name))),
             retries: Mutex::new(RetryBudget::new(RetryConfig::default())),
             cooldowns: Mutex::new(Cooldowns::new(BusyConfig::default())),
         };
--- a/crates/kelpworks/src/quarantine/mod.rs
+++ b/crates/kelpworks/src/quarantine/mod.rs
@@ -1,9 +1,10 @@
 //! Requests that crash the upstreams that run them, and how they are kept from doing it again.
 //!
 //! When an upstream dies, every request that had a step in flight there is a suspect. A suspect's
-//! steps run apart: one suspect at a time on an upstream, and one at a time of equal requests. It
-//! is cleared once it has come past the point of the crash. A second crash in its own turn shows
-//! it as the culprit, and it is refused for a while, here and on the daemons that are told.
+//! steps run apart: one suspect at a time on an upstream, one at a time of equal requests, and one
+//! daemon with suspects after another. It is cleared once it has come past the point of the crash.
+//! A second crash in its own turn shows it as the culprit, and it is refused for a while, here and
+//! on the daemons that are told.
 //!
 //! The judgement is that of [`kelpworks_coord::poison`]; this slice keeps what is in flight, gives
 //! the turns, and exchanges facts with other daemons.
@@ -71,9 +72,14 @@
     pub refuse: Duration,
     /// How long a suspicion lasts when nothing clears it. Default 5 min.
     pub remember: Duration,
-    /// How long a request waits for another daemon that runs it as a suspect. Default 10 s: by
-    /// then a crash or the all-clear is known, or that daemon is gone.
+    /// How long after its latest fact another daemon is still thought to be at work on its
+    /// suspects, so that this one waits. Default 3 s: a fact comes with each suspect that it
+    /// clears.
     pub hold: Duration,
+    /// Wait between a crash and the first turn of a suspect, where other daemons hear of it.
+    /// Default 50 ms: the daemons see the crash at about the same time, and each has to know of
+    /// the others' suspects before any is run again. Recovery takes that much longer.
+    pub settle: Duration,
     /// Tokens past the point of the crash that clear a suspect. Default 2: the first comes from
     /// replaying what was in flight in one step, which may take another way through the engine
     /// than the step that crashed it; the second is an ordinary step again.
@@ -87,7 +93,8 @@
         Config {
             refuse: Duration::from_secs(300),
             remember: Duration::from_secs(300),
-            hold: Duration::from_secs(10),
+            hold: Duration::from_secs(3),
+            settle: Duration::from_millis(50),
             clear_after: 2,
             max_tracked: 4_096,
         }
--- a/crates/kelpworks/src/quarantine/state.rs
+++ b/crates/kelpworks/src/quarantine/state.rs
@@ -1,6 +1,8 @@
 //! What is in flight, who is suspect and whose turn it is. No I/O and no waiting.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use kelpworks_coord::id::NodeId;
@@ -57,14 +59,14 @@
     path: Vec<UpstreamKey>,
     /// Held by a step of this fingerprint; at most one.
     turn: Option<StepKey>,
-    /// The other daemon that goes first, and until when it may.
-    ahead: Option<Ahead>,
 }
 
-/// Another daemon that runs a suspect.
-#[derive(Clone, Copy, Debug)]
-struct Ahead {
-    by: NodeId,
+/// Another daemon that has suspects of its own.
+#[derive(Clone, Debug)]
+struct Other {
+    /// Those that it has stated and not withdrawn.
+    suspects: HashSet<Fingerprint>,
+    /// Until then it is thought to be at work on them; renewed by each fact from it.
     until: Instant,
 }
 
@@ -90,6 +92,10 @@
     crashes: SecondaryMap<UpstreamKey, u32>,
     /// Those that `poison` holds for suspects, and perhaps some that it has forgotten since.
     suspects: HashMap<Fingerprint, Suspect>,
+    /// Daemons with suspects; their turns are in the order of the identifiers.
+    others: BTreeMap<NodeId, Other>,
+    /// No suspect has its turn before: facts of the latest crash may be on their way.
+    settled_at: Instant,
 }
 
 impl State {
@@ -106,6 +112,8 @@
             steps: SlotMap::with_key(),
             crashes: SecondaryMap::new(),
             suspects: HashMap::new(),
+            others: BTreeMap::new(),
+            settled_at: Instant::ZERO,
         }
     }
 
@@ -116,7 +124,7 @@
             Admit::Refused { retry_after } => Err(Refusal::Crashes {
                 retry_after: duration(retry_after),
             }),
-            Admit::Apart => match self.wait_for_other(now, fingerprint) {
+            Admit::Apart => match self.under_test(now, fingerprint) {
                 Some(left) => Err(Refusal::UnderTest {
                     retry_after: left.min(SOON),
                 }),
@@ -125,13 +133,25 @@
         }
     }
 
-    /// How long another daemon may still go first.
-    fn wait_for_other(&self, now: Instant, fingerprint: Fingerprint) -> Option<Duration> {
+    /// How long another daemon may still take over a suspect that only others saw crash.
+    fn under_test(&self, now: Instant, fingerprint: Fingerprint) -> Option<Duration> {
         let suspect = self.suspects.get(&fingerprint)?;
-        let ahead = suspect.ahead.filter(|a| a.until > now)?;
-        // Where both saw a crash, the order of their names decides.
-        let first = suspect.crashed_at.is_none() || ahead.by < self.me;
-        first.then(|| duration(ahead.until.since(now)))
+        if suspect.crashed_at.is_some() {
+            return None;
+        }
+        let testing = self.others.values();
+        let testing = testing.filter(|o| o.until > now && o.suspects.contains(&fingerprint));
+        let until = testing.map(|o| o.until).max()?;
+        Some(duration(until.since(now)))
+    }
+
+    /// Whether a daemon that comes before this one has suspects.
+    ///
+    /// Suspects of two daemons on one upstream would each be alone in the view of their own, and
+    /// both be blamed for its crash; so the daemons go one after another.
+    fn others_first(&self, now: Instant) -> bool {
+        let mut before = self.others.range(..self.me);
+        before.any(|(_, o)| o.until > now && !o.suspects.is_empty())
     }
 
     /// Asks to begin a step, and notes that it is in flight.
@@ -170,7 +190,9 @@
         let fingerprint = wanted.fingerprint;
         let suspect = self.suspects.get(&fingerprint);
         if suspect.is_some_and(|s| s.turn.is_some())
-            || self.wait_for_other(now, fingerprint).is_some()
+            || now < self.settled_at
+            || self.others_first(now)
+            || self.under_test(now, fingerprint).is_some()
         {
             return false;
         }
@@ -195,7 +217,15 @@
 
     /// Notes that the upstream died under a step, and judges all that it had in flight. Later
     /// reports of the same crash change nothing.
-    pub(super) fn crashed(&mut self, now: Instant, key: StepKey, name: &str) -> Vec<Fact> {
+    ///
+    /// `told` says whether other daemons hear of it.
+    pub(super) fn crashed(
+        &mut self,
+        now: Instant,
+        key: StepKey,
+        name: &str,
+        told: bool,
+    ) -> Vec<Fact> {
         let Some(&Step {
             upstream, counted, ..
         }) = self.steps.get(key)
@@ -206,6 +236,10 @@
             return Vec::new();
         }
         self.forget(now);
+        if told {
+            self.settled_at = now + span(self.cfg.settle);
+        }
+        let blame = !self.others_first(now);
         let life = self.life(upstream, name);
         *self.crashes.entry(upstream).unwrap().or_insert(0) += 1;
         let mut running = Vec::new();
@@ -216,9 +250,10 @@
             }
             step.counted = true;
             crashed.push(*step);
-            // One that began before it was a suspect was not apart: no second crash of its own.
+            // One that began before it was a suspect was not apart, and one that ran beside other
+            // daemons' suspects was not either: no second crash of its own.
             let suspect = self.poison.check(now, step.fingerprint) == Admit::Apart;
-            if step.apart || !suspect {
+            if (step.apart && blame) || !suspect {
                 running.push(step.fingerprint);
             }
         }
@@ -292,76 +327,85 @@
     }
 
     pub(super) fn refuse(&mut self, now: Instant, fingerprint: Fingerprint) -> Vec<Fact> {
-        let remaining = span(self.cfg.refuse);
-        let event = Event::PeerConvicted {
-            fingerprint,
-            remaining,
-        };
-        self.poison.on_event(now, event);
+        self.refused(now, fingerprint, span(self.cfg.refuse));
         self.facts(vec![Action::Refuse(fingerprint)], UpstreamId(0))
     }
 
     pub(super) fn learn(&mut self, now: Instant, fact: Fact) {
-        let fingerprint = fact.fingerprint;
-        match fact.statement {
-            Statement::Suspect {
-                upstream,
-                remaining,
-            } => self.learn_suspect(now, fact, upstream, remaining),
+        self.forget(now);
+        let Fact {
+            by,
+            fingerprint,
+            statement,
+        } = fact;
+        let until = now + span(self.cfg.hold);
+        let other = self.others.entry(by).or_insert_with(|| Other {
+            suspects: HashSet::new(),
+            until,
+        });
+        other.until = until;
+        match statement {
+            Statement::Suspect { upstream, .. } => {
+                other.suspects.insert(fingerprint);
+                self.learn_suspect(now, fingerprint, upstream);
+            }
             Statement::Cleared => {
-                let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
-                    return;
-                };
-                suspect.ahead = suspect.ahead.filter(|a| a.by != fact.by);
-                // What this daemon saw itself is its own to clear.
-                if suspect.crashed_at.is_none() && suspect.ahead.is_none() {
-                    self.suspects.remove(&fingerprint);
-                    self.poison.on_event(now, Event::Finished(fingerprint));
-                }
+                other.suspects.remove(&fingerprint);
+                self.learn_cleared(now, fingerprint);
             }
             Statement::Refused { remaining } => {
                 let remaining = span(remaining);
-                self.suspects.remove(&fingerprint);
-                let event = Event::PeerConvicted {
-                    fingerprint,
-                    remaining,
-                };
-                self.poison.on_event(now, event);
+                self.refused(now, fingerprint, remaining);
             }
         }
     }
 
-    /// Drops what is kept of suspects that the judgement has forgotten.
-    fn forget(&mut self, now: Instant) {
-        let poison = &self.poison;
-        self.suspects
-            .retain(|f, s| s.turn.is_some() || poison.check(now, *f) == Admit::Apart);
-    }
-
-    fn learn_suspect(
-        &mut self,
-        now: Instant,
-        fact: Fact,
-        upstream: UpstreamId,
-        remaining: Duration,
-    ) {
-        let fingerprint = fact.fingerprint;
+    fn learn_suspect(&mut self, now: Instant, fingerprint: Fingerprint, upstream: UpstreamId) {
         if matches!(self.poison.check(now, fingerprint), Admit::Refused { .. }) {
             return;
         }
-        self.forget(now);
         let event = Event::PeerSuspects {
             fingerprint,
             // No life of an upstream that this daemon gives work to.
             upstream: UpstreamId(!upstream.0),
         };
         self.poison.on_event(now, event);
-        let until = now + span(remaining.min(self.cfg.hold));
-        let suspect = self.suspects.entry(fingerprint).or_default();
-        // Told again, it does not hold longer.
-        if suspect.ahead.is_none_or(|a| a.by != fact.by) {
-            suspect.ahead = Some(Ahead { by: fact.by, until });
+        self.suspects.entry(fingerprint).or_default();
+    }
+
+    fn learn_cleared(&mut self, now: Instant, fingerprint: Fingerprint) {
+        let mut others = self.others.values();
+        let suspected = others.any(|o| o.suspects.contains(&fingerprint));
+        let Some(suspect) = self.suspects.get(&fingerprint) else {
+            return;
+        };
+        // What this daemon saw itself is its own to clear.
+        if suspect.crashed_at.is_none() && !suspected {
+            self.suspects.remove(&fingerprint);
+            self.poison.on_event(now, Event::Finished(fingerprint));
+        }
+    }
+
+    fn refused(&mut self, now: Instant, fingerprint: Fingerprint, remaining: Span) {
+        self.suspects.remove(&fingerprint);
+        for other in self.others.values_mut() {
+            other.suspects.remove(&fingerprint);
         }
+        let event = Event::PeerConvicted {
+            fingerprint,
+            remaining,
+        };
+        self.poison.on_event(now, event);
+    }
+
+    /// Drops what is kept of suspects that the judgement has forgotten, and of daemons that are
+    /// done with theirs.
+    fn forget(&mut self, now: Instant) {
+        let poison = &self.poison;
+        self.suspects
+            .retain(|f, s| s.turn.is_some() || poison.check(now, *f) == Admit::Apart);
+        self.others
+            .retain(|_, o| o.until > now && !o.suspects.is_empty());
     }
 
     pub(super) fn avoid(&self, fingerprint: Fingerprint) -> Vec<UpstreamKey> {
--- a/crates/kelpworks/src/quarantine/turn.rs
+++ b/crates/kelpworks/src/quarantine/turn.rs
@@ -10,8 +10,8 @@
 use crate::quarantine::state::Begin;
 use crate::quarantine::state::StepKey;
 
-/// Longest wait before a turn is asked for again: suspicions also end by time alone.
-const ASK_AGAIN: Duration = Duration::from_millis(500);
+/// Longest wait before a turn is asked for again: some waits end by time alone.
+const ASK_AGAIN: Duration = Duration::from_millis(50);
 
 /// A step that is about to be sent.
 #[derive(Clone, Copy, Debug)]
@@ -67,9 +67,9 @@
     /// Notes that the upstream died under the step.
     pub fn crashed(&self) {
         let quarantine = self.quarantine;
-        let facts = quarantine
-            .lock()
-            .crashed(quarantine.now(), self.key, self.name);
+        let told = quarantine.facts.receiver_count() > 0;
+        let now = quarantine.now();
+        let facts = quarantine.lock().crashed(now, self.key, self.name, told);
         quarantine.publish(facts);
     }
 }
--- a/crates/kelpworks/tests/poison/mod.rs
+++ b/crates/kelpworks/tests/poison/mod.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use kelpworks::daemon::Daemon;
+use kelpworks::quarantine;
 use kelpworks::quarantine::Fact;
 use kelpworks::quarantine::Quarantine;
 use kelpworks::quarantine::Statement;
@@ -18,8 +19,9 @@
 use tokio::task::JoinSet;
 
 use crate::support::ExampleTeam;
-use crate::support::daemons;
 use crate::support::put_config;
+use crate::support::ready;
+use crate::support::settings;
 
 const TEAM: ExampleTeam = ExampleTeam {
     name: "studio",
@@ -29,6 +31,14 @@
 };
 const TIMING: &str = "step_floor = \"500ms\"\n";
 
+/// Long enough for facts to arrive also on a machine with much else to do.
+fn patient() -> quarantine::Config {
+    quarantine::Config {
+        settle: Duration::from_millis(500),
+        ..quarantine::Config::default()
+    }
+}
+
 /// A model's pipeline of 2 stages and two daemons or more.
 pub(crate) struct Bench {
     pub(crate) model: Model,
@@ -63,9 +73,15 @@
         let fakes = StandIns::spawn(cfg).await.expect("stand-ins");
         put_config(&fakes, std::slice::from_ref(&model), 0.5, &[TEAM]);
         let metrics = PrometheusBuilder::new().build_recorder().handle();
-        let daemons = daemons(&fakes, daemon_count, TIMING, &metrics)
-            .await
-            .expect("daemons");
+        let mut daemons = Vec::new();
+        for n in 0..daemon_count {
+            let settings = settings(&fakes, n, TIMING).expect("settings");
+            let daemon = Daemon::start_with(&settings, metrics.clone(), patient());
+            daemons.push(daemon.await.expect("a daemon"));
+        }
+        for daemon in &daemons {
+            ready(daemon).await;
+        }
         Bench {
             model,
             fakes,
