Test quarantine and retries; a failing step alone is no crash

Cause: an engine that answers probes and fails a step twice counted as dead, so a stage that resets every step would have had its callers' requests refused as crashing it. Suspects could also be routed to a dead upstream rather than to one where another suspect runs. Change: such a step is Broken, and no crash; a path apart from others is taken only where it uses nobody that failed. Recovery's bounds are a file of their own.

--- a/crates/kelpworks/src/pipeline/driver.rs
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -2,9 +2,6 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -24,7 +21,6 @@
 
 use crate::admission::Permit;
 use crate::border::engine::Engine;
-use crate::fleet::Counters;
 use crate::fleet::DomainKey;
 use crate::fleet::Fleet;
 use crate::fleet::Health;
@@ -40,9 +36,7 @@
 use crate::quarantine;
 use crate::quarantine::Quarantine;
 use crate::quarantine::Wanted;
-use crate::retry::Attempt;
 use crate::retry::Cooldowns;
-use crate::retry::Decision;
 use crate::retry::GiveUp;
 use crate::retry::RetryBudget;
 use crate::routing;
@@ -53,10 +47,6 @@
 /// The result of this module.
 pub(crate) type Result<T> = std::result::Result<T, Ending>;
 
-/// Wait before a session over the retry budget goes on.
-const SLOWEST_BACKOFF: Duration = Duration::from_secs(1);
-/// Most recoveries of one session; above it something is wrong that another try won't mend.
-const MAX_RECOVERIES: u32 = 32;
 /// Wait before the path is asked for again when no stage can take the session.
 const NO_PATH_WAIT: Duration = Duration::from_millis(50);
 /// Doublings of that wait, at most, when the same upstream fails again and again.
@@ -183,54 +173,28 @@
     pub(crate) fn now_ms(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
     }
-
-    fn decide(&self, attempt: &Attempt) -> Decision {
-        lock(&self.retries).decide(self.start.elapsed(), attempt, &mut rand::rng())
-    }
-
-    /// Notes that an upstream refused for want of capacity; what is left of its cooldown.
-    fn cool(&self, upstream: UpstreamKey, after: Duration) -> Duration {
-        let fleet = self.fleet.load();
-        let Some(counters) = fleet.upstreams.get(upstream).map(|u| &u.counters) else {
-            return after;
-        };
-        let now_ms = self.now_ms();
-        lock(&self.cooldowns).refused(upstream, counters, after, now_ms, &mut rand::rng())
-    }
-
-    /// Notes that an upstream served; it cools no longer.
-    fn served(&self, upstream: UpstreamKey, counters: &Counters) {
-        if counters.busy_until_ms.load(Ordering::Relaxed) != 0 {
-            lock(&self.cooldowns).served(upstream, counters);
-        }
-    }
-}
-
-/// Locks; what is behind it is changed by single calls only, so a panic elsewhere leaves it whole.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Full jitter over the upper half, so that waiters spread out.
-fn jittered(wait: Duration) -> Duration {
+pub(super) fn jittered(wait: Duration) -> Duration {
     wait.mul_f64(rand::rng().random_range(0.5..1.0))
 }
 
-struct Session<'a, E> {
-    driver: &'a Driver<E>,
-    job: &'a Job,
+pub(super) struct Session<'a, E> {
+    pub(super) driver: &'a Driver<E>,
+    pub(super) job: &'a Job,
     fixed: Fixed,
     /// Version index that the session is bound to, once its first path is chosen.
     version: Option<u16>,
     /// Prompt and the tokens generated so far; those sent to the caller are never changed.
-    known: Vec<u32>,
+    pub(super) known: Vec<u32>,
     /// The stages in order of layers; together they cover every layer once.
     hops: Vec<HopState>,
     /// Upstreams that failed or refused this session; taken last.
     avoid: Vec<UpstreamKey>,
     /// Attempt number that the next new stage gets.
     next_attempt: u32,
-    recoveries: u32,
+    pub(super) recoveries: u32,
     /// Worst over all steps sent.
     verdict: Verdict,
     /// Stages left behind, to be freed at the end.
@@ -423,69 +387,14 @@
                 ..
             } => Err(Ending::Stage(failure)),
             StepFailure::Refused { .. } => self.move_off(upstream, "stage refused").await,
-            StepFailure::Unreachable | StepFailure::Silent | StepFailure::Restarted => {
-                self.move_off(upstream, "stage died").await
-            }
+            StepFailure::Unreachable
+            | StepFailure::Silent
+            | StepFailure::Broken
+            | StepFailure::Restarted => self.move_off(upstream, "stage died").await,
             StepFailure::Mismatch => self.move_off(upstream, "reply of another step").await,
         }
     }
 
-    /// What goes before any other try: the failure is reported, the session may end here, and a
-    /// wait keeps tries apart.
-    async fn before_retry(&mut self, upstream: UpstreamKey, failure: &StepFailure) -> Result<()> {
-        let died = [StepFailure::Unreachable, StepFailure::Silent];
-        if died.contains(failure) {
-            let _ = self.driver.reports.send(Report::Suspect(upstream));
-        }
-        let checked = self.driver.quarantine.check(self.job.fingerprint);
-        if let Err(refusal @ quarantine::Refusal::Crashes { .. }) = checked {
-            return Err(Ending::Quarantined(refusal));
-        }
-        self.recoveries += 1;
-        let delay = self.back_off(failure)?;
-        tokio::time::sleep(delay).await;
-        Ok(())
-    }
-
-    /// How long to wait before the session goes on after a failure of a stage.
-    ///
-    /// Over the budget a session that has sent nothing ends, with its final answer at once. One
-    /// whose caller has part of the answer goes on, at the slowest rate: only its deadline and
-    /// [`MAX_RECOVERIES`] bound it.
-    fn back_off(&self, failure: &StepFailure) -> Result<Duration> {
-        let attempt = Attempt {
-            verdict: match failure {
-                StepFailure::Unreachable | StepFailure::Refused { .. } => Verdict::NotRun,
-                _ => Verdict::MayHaveRun,
-            },
-            // An engine refuses positions that it has run, and no token is sent twice.
-            idempotent: true,
-            attempts: self.recoveries,
-            left: self.job.deadline.saturating_duration_since(Instant::now()),
-        };
-        let decision = self.driver.decide(&attempt);
-        let sent = self.known.len() > self.job.prompt.len();
-        match decision {
-            Decision::RetryAt(delay) => Ok(delay),
-            Decision::GiveUp(_) if sent && self.recoveries <= MAX_RECOVERIES => {
-                Ok(jittered(SLOWEST_BACKOFF))
-            }
-            Decision::GiveUp(reason) => {
-                let failure = failure.clone();
-                Err(Ending::Retries { failure, reason })
-            }
-        }
-    }
-
-    /// Notes that the answer is whole.
-    fn succeeded(&self) {
-        lock(&self.driver.retries).succeeded();
-        let known = self.known.len() as u32;
-        self.driver
-            .quarantine
-            .reached(self.job.fingerprint, known, true);
-    }
-
     /// A stage without state moves on; one with state waits for its turn.
     async fn wait_or_move(&mut self, at: usize, after: Duration) -> Result<()> {
         let busy = self.hops[at].upstream;
@@ -558,18 +467,7 @@
             .filter(|h| !self.avoid.contains(&h.upstream))
             .map(HopState::as_hop)
             .collect();
-        let avoid = self.avoided(&keep);
-        let query = PathQuery {
-            model: self.job.model,
-            version: self.version,
-            from: self.driver.from(&fleet),
-            class: self.job.class,
-            prefill: self.known.len() as u32,
-            avoid: &avoid,
-            keep: &keep,
-            now_ms: self.driver.now_ms(),
-        };
-        let path = routing::choose_path(&fleet, &query, &mut rand::rng())?;
+        let path = self.choose(&fleet, &keep)?;
         self.version = Some(path.version);
         let model = &fleet.models[usize::from(self.job.model.0)];
         self.fixed.version = model.versions[usize::from(path.version)].clone();
@@ -587,14 +485,35 @@
         Ok(())
     }
 
-    /// Upstreams to take last: those that failed this session and, for a suspect, those where
-    /// others would share the harm; never one that keeps its place.
-    fn avoided(&self, keep: &[routing::Hop]) -> Vec<UpstreamKey> {
-        let occupied = self.driver.quarantine.avoid(self.job.fingerprint);
-        let kept = |key: &UpstreamKey| keep.iter().any(|h| h.upstream == *key);
-        let mut avoid = self.avoid.clone();
-        avoid.extend(occupied.into_iter().filter(|key| !kept(key)));
-        avoid
+    /// Chooses a path; for a suspect, where possible one on which it harms nobody else.
+    fn choose(&self, fleet: &Fleet, keep: &[routing::Hop]) -> routing::Result<routing::Path> {
+        let query = PathQuery {
+            model: self.job.model,
+            version: self.version,
+            from: self.driver.from(fleet),
+            class: self.job.class,
+            prefill: self.known.len() as u32,
+            avoid: &self.avoid,
+            keep,
+            now_ms: self.driver.now_ms(),
+        };
+        let mut avoid = self.apart_from(fleet, keep);
+        if !avoid.is_empty() {
+            avoid.extend(&self.avoid);
+            let apart = PathQuery {
+                avoid: &avoid,
+                ..query.clone()
+            };
+            let path = routing::choose_path(fleet, &apart, &mut rand::rng());
+            let harms =
+                |path: &routing::Path| path.hops.iter().any(|h| avoid.contains(&h.upstream));
+            if let Ok(path) = path
+                && !harms(&path)
+            {
+                return Ok(path);
+            }
+        }
+        routing::choose_path(fleet, &query, &mut rand::rng())
     }
 
     fn take(&mut self, fleet: &Fleet, path: &routing::Path) {
--- a/crates/kelpworks/src/pipeline/mod.rs
+++ b/crates/kelpworks/src/pipeline/mod.rs
@@ -8,6 +8,7 @@
 
 mod driver;
 mod hop;
+mod recovery;
 mod step;
 pub mod tokens;
 
--- a/crates/kelpworks/src/pipeline/step.rs
+++ b/crates/kelpworks/src/pipeline/step.rs
@@ -50,9 +50,12 @@
     /// No connection could be opened; nothing ran.
     #[error("unreachable")]
     Unreachable,
-    /// Silent or broken, also on a new connection; may have run.
+    /// The engine doesn't answer on a new connection either; may have run.
     #[error("silent")]
     Silent,
+    /// The engine answers probes and fails the step; may have run.
+    #[error("step failed twice")]
+    Broken,
     /// The engine restarted under the step; it may have run before.
     #[error("engine restarted")]
     Restarted,
@@ -248,7 +251,10 @@
             .engine
             .steps(&self.hop.url, batch, self.deadlines.ceiling)
             .await;
-        let reply = reply.map_err(|_| StepFailure::Silent)?;
+        let Ok(reply) = reply else {
+            self.probe().await?;
+            return Err(StepFailure::Broken);
+        };
         match self.check(reply) {
             Err(StepFailure::Refused {
                 reason: RefusalReason::PositionGap,
--- a/crates/kelpworks/src/quarantine/mod.rs
+++ b/crates/kelpworks/src/quarantine/mod.rs
@@ -34,6 +34,9 @@
 mod state;
 mod turn;
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -120,6 +123,15 @@
     },
 }
 
+/// Upstreams that matter to the path of a suspect.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Places {
+    /// The latest that died while it ran there.
+    pub crashed: Option<UpstreamKey>,
+    /// Those on the paths of other suspects.
+    pub occupied: Vec<UpstreamKey>,
+}
+
 /// Fingerprint of a request: the same when its caller sends it again, whatever form the answer
 /// shall have. Cut from a cryptographic digest, so that no team can get another's request refused.
 pub fn fingerprint(team: &str, model: &str, prompt: &str) -> Fingerprint {
@@ -188,10 +200,9 @@
         self.lock().check(self.now(), fingerprint)
     }
 
-    /// Upstreams that a request shall rather not be routed to: for a suspect the one that died
-    /// with it and those where other suspects run, for all others none.
-    pub fn avoid(&self, fingerprint: Fingerprint) -> Vec<UpstreamKey> {
-        self.lock().avoid(fingerprint)
+    /// What a suspect's path should take note of; empty for all others.
+    pub fn places(&self, fingerprint: Fingerprint) -> Places {
+        self.lock().places(fingerprint)
     }
 
     /// Notes where a suspect is routed to; of others it takes no note.
--- a/crates/kelpworks/src/quarantine/state.rs
+++ b/crates/kelpworks/src/quarantine/state.rs
@@ -22,6 +22,7 @@
 use crate::fleet::UpstreamKey;
 use crate::quarantine::Config;
 use crate::quarantine::Fact;
+use crate::quarantine::Places;
 use crate::quarantine::Refusal;
 use crate::quarantine::Result;
 use crate::quarantine::Statement;
@@ -408,13 +409,15 @@
             .retain(|_, o| o.until > now && !o.suspects.is_empty());
     }
 
-    pub(super) fn avoid(&self, fingerprint: Fingerprint) -> Vec<UpstreamKey> {
+    pub(super) fn places(&self, fingerprint: Fingerprint) -> Places {
         let Some(me) = self.suspects.get(&fingerprint) else {
-            return Vec::new();
+            return Places::default();
         };
         let others = self.suspects.iter().filter(|(f, _)| **f != fingerprint);
-        let paths = others.flat_map(|(_, s)| s.path.iter().copied());
-        paths.chain(me.crashed_on).collect()
+        Places {
+            crashed: me.crashed_on,
+            occupied: others.flat_map(|(_, s)| s.path.iter().copied()).collect(),
+        }
     }
 
     pub(super) fn routed(
--- /dev/null
+++ b/crates/kelpworks/src/quarantine/tests.rs
@@ -0,0 +1,230 @@
+//! Tests of the quarantine: scripts of what happens, with what follows as snapshots.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use insta::assert_snapshot;
+use kelpworks_coord::id::NodeId;
+use kelpworks_coord::id::UpstreamId;
+use kelpworks_coord::poison::Fingerprint;
+use kelpworks_coord::time::Instant;
+use kelpworks_coord::time::Span;
+use rstest::rstest;
+use slotmap::SlotMap;
+
+use crate::fleet::UpstreamKey;
+use crate::quarantine::Config;
+use crate::quarantine::Fact;
+use crate::quarantine::Statement;
+use crate::quarantine::Wanted;
+use crate::quarantine::fingerprint;
+use crate::quarantine::state::Begin;
+use crate::quarantine::state::State;
+use crate::quarantine::state::StepKey;
+
+use Op::*;
+
+/// The daemon under test; others come before or after it.
+const ME: NodeId = NodeId(5);
+const BEFORE: u64 = 1;
+const AFTER: u64 = 9;
+/// Names of the upstreams.
+const NAMES: [&str; 4] = ["a", "b", "c", "d"];
+
+/// Something that happens; requests and upstreams are numbered.
+#[derive(Clone, Copy, Debug)]
+enum Op {
+    /// A step of a request is to begin on an upstream, with so many tokens known.
+    Start(u64, usize, u32),
+    /// The `n`th step begun ends.
+    End(usize),
+    /// The upstream of the `n`th step begun dies under it.
+    Crash(usize),
+    /// A request has come so far.
+    Reach(u64, u32),
+    /// A request has its whole answer.
+    Whole(u64, u32),
+    /// A new request asks for admission.
+    Check(u64),
+    /// Another daemon's fact.
+    Suspects(u64, u64),
+    Clears(u64, u64),
+    Refuses(u64, u64),
+    /// Time passes, in milliseconds.
+    Wait(u64),
+}
+
+struct Script {
+    state: State,
+    keys: Vec<UpstreamKey>,
+    now: Instant,
+    /// Steps, with the name of their upstream.
+    begun: Vec<(StepKey, &'static str)>,
+}
+
+impl Script {
+    fn new() -> Script {
+        let mut arena = SlotMap::with_key();
+        Script {
+            state: State::new(&Config::default(), ME),
+            keys: NAMES.map(|_| arena.insert(())).into(),
+            now: Instant::ZERO,
+            begun: Vec::new(),
+        }
+    }
+
+    fn run(ops: &[Op]) -> String {
+        let mut script = Script::new();
+        let mut transcript = String::new();
+        for &op in ops {
+            let result = script.step(op);
+            writeln!(transcript, "{op:?}: {result}").expect("text");
+        }
+        transcript
+    }
+
+    fn step(&mut self, op: Op) -> String {
+        let facts = match op {
+            Start(request, upstream, known) => return self.start(request, upstream, known),
+            End(n) => {
+                self.state.end(self.now, self.begun[n].0);
+                Vec::new()
+            }
+            Crash(n) => {
+                let (key, name) = self.begun[n];
+                self.state.crashed(self.now, key, name, true)
+            }
+            Reach(request, known) => {
+                let request = Fingerprint(request);
+                self.state.reached(self.now, request, known, false)
+            }
+            Whole(request, known) => {
+                let request = Fingerprint(request);
+                self.state.reached(self.now, request, known, true)
+            }
+            Check(request) => {
+                let checked = self.state.check(self.now, Fingerprint(request));
+                return format!("{checked:?}");
+            }
+            Suspects(by, request) => self.learn(by, request, suspect()),
+            Clears(by, request) => self.learn(by, request, Statement::Cleared),
+            Refuses(by, request) => self.learn(by, request, refused()),
+            Wait(ms) => {
+                self.now = self.now + Span::from_millis(ms);
+                Vec::new()
+            }
+        };
+        let facts: Vec<String> = facts
+            .iter()
+            .map(|f| format!("{} {}", f.name(), f.fingerprint.0))
+            .collect();
+        facts.join(", ")
+    }
+
+    fn start(&mut self, request: u64, upstream: usize, known: u32) -> String {
+        let wanted = Wanted {
+            fingerprint: Fingerprint(request),
+            upstream: self.keys[upstream],
+            name: NAMES[upstream],
+            known,
+        };
+        match self.state.begin(self.now, wanted) {
+            Begin::Begun(key) => {
+                self.begun.push((key, NAMES[upstream]));
+                format!("begun as {}", self.begun.len() - 1)
+            }
+            other => format!("{other:?}"),
+        }
+    }
+
+    fn learn(&mut self, by: u64, request: u64, statement: Statement) -> Vec<Fact> {
+        let fact = Fact {
+            by: NodeId(by),
+            fingerprint: Fingerprint(request),
+            statement,
+        };
+        self.state.learn(self.now, fact);
+        Vec::new()
+    }
+}
+
+fn suspect() -> Statement {
+    Statement::Suspect {
+        upstream: UpstreamId::of("a"),
+        remaining: Duration::from_secs(300),
+    }
+}
+
+fn refused() -> Statement {
+    Statement::Refused {
+        remaining: Duration::from_secs(300),
+    }
+}
+
+#[rstest]
+#[case::second_crash_in_its_turn(&[
+    Start(1, 0, 3), Start(2, 0, 8), Crash(0), Crash(1), End(0), End(1), Wait(50),
+    Start(1, 1, 3), Start(2, 1, 8), Start(2, 2, 8), Start(3, 1, 5), Crash(2), End(2),
+    Check(1), Check(2), Check(3), Start(1, 3, 3),
+])]
+#[case::equal_requests_one_at_a_time(&[
+    Start(1, 0, 3), Crash(0), End(0), Wait(50),
+    Start(1, 1, 3), Start(1, 2, 3), End(1), Start(1, 2, 3),
+])]
+#[case::begun_before_the_suspicion(&[
+    Start(1, 0, 3), Start(1, 1, 3), Crash(0), End(0), Crash(1), End(1), Check(1),
+    Wait(50), Start(1, 2, 3), Crash(2), Check(1),
+])]
+#[case::a_stage_of_one(&[
+    Start(1, 0, 3), Crash(0), End(0), Wait(50), Start(1, 0, 3), Crash(1), Check(1),
+])]
+#[case::cleared_past_the_crash(&[
+    Start(1, 0, 8), Crash(0), End(0), Reach(1, 8), Reach(1, 9), Reach(1, 10),
+    Start(1, 0, 10), Start(2, 0, 4), Crash(1), Check(1),
+])]
+#[case::cleared_by_the_whole_answer(&[
+    Start(1, 0, 8), Crash(0), End(0), Whole(1, 5), Whole(1, 9),
+])]
+#[case::refusal_ends(&[Refuses(BEFORE, 1), Check(1), Wait(299_999), Check(1), Wait(1), Check(1)])]
+#[case::suspicion_ends(&[
+    Start(1, 0, 3), Crash(0), End(0), Wait(299_999), Start(1, 1, 3), End(1), Wait(1),
+    Start(1, 1, 3), Start(1, 2, 3),
+])]
+#[case::settles_first(&[Start(1, 0, 3), Crash(0), End(0), Wait(49), Start(1, 1, 3), Wait(1), Start(1, 1, 3)])]
+#[case::the_daemon_before_goes_first(&[
+    Start(1, 0, 3), Suspects(BEFORE, 2), Crash(0), End(0), Wait(50),
+    Start(1, 1, 3), Clears(BEFORE, 2), Start(1, 1, 3),
+])]
+#[case::the_daemon_after_waits(&[
+    Start(1, 0, 3), Suspects(AFTER, 2), Crash(0), End(0), Wait(50), Start(1, 1, 3),
+])]
+#[case::a_daemon_that_is_gone(&[
+    Start(1, 0, 3), Suspects(BEFORE, 2), Crash(0), End(0), Wait(2_999),
+    Start(1, 1, 3), Wait(1), Start(1, 1, 3),
+])]
+#[case::another_to_go_first_at_the_crash(&[
+    Start(1, 0, 3), Crash(0), End(0), Wait(50), Start(1, 1, 3), Suspects(BEFORE, 2), Crash(1),
+    Check(1),
+])]
+#[case::under_test_elsewhere(&[
+    Suspects(AFTER, 1), Check(1), Start(1, 0, 3), Clears(AFTER, 1), Check(1), Start(1, 0, 3),
+])]
+#[case::refused_elsewhere(&[Suspects(AFTER, 1), Refuses(AFTER, 1), Check(1), Suspects(AFTER, 1), Check(1)])]
+fn scripts(#[case] ops: &[Op]) {
+    let name = std::thread::current().name().unwrap_or_default().to_owned();
+    let case = name.rsplit("::").next().unwrap_or_default();
+    let case = case.splitn(3, '_').last().unwrap_or_default();
+    assert_snapshot!(case, Script::run(ops));
+}
+
+#[rstest]
+#[case::same(("t", "m", "p"), true)]
+#[case::team(("u", "m", "p"), false)]
+#[case::model(("t", "n", "p"), false)]
+#[case::prompt(("t", "m", "q"), false)]
+#[case::parts_do_not_run_together(("t", "mp", ""), false)]
+fn fingerprints(#[case] parts: (&str, &str, &str), #[case] same: bool) {
+    let (team, model, prompt) = parts;
+    let equal = fingerprint(team, model, prompt) == fingerprint("t", "m", "p");
+    assert_eq!(equal, same);
+}
--- /dev/null
+++ b/crates/kelpworks/tests/retry_driver.rs
@@ -0,0 +1,382 @@
+//! The driver's retries: bounded over all sessions, and not at the cost of an answer begun.
+//!
+//! The engine here runs in memory, on a paused clock, so that the counts are the same on any
+//! machine.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicI64;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use rstest::rstest;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use kelpworks::admission::Admission;
+use kelpworks::admission::Ask;
+use kelpworks::border::engine;
+use kelpworks::border::engine::Engine;
+use kelpworks::fleet::DomainKey;
+use kelpworks::fleet::Fleet;
+use kelpworks::fleet::Health;
+use kelpworks::fleet::Holding;
+use kelpworks::fleet::LinkCost;
+use kelpworks::fleet::LoadReport;
+use kelpworks::fleet::ModelKey;
+use kelpworks::fleet::ModelView;
+use kelpworks::fleet::Upstream;
+use kelpworks::pipeline::Deadlines;
+use kelpworks::pipeline::Driver;
+use kelpworks::pipeline::Ending;
+use kelpworks::pipeline::Job;
+use kelpworks::pipeline::Outcome;
+use kelpworks::quarantine;
+use kelpworks::quarantine::Quarantine;
+use kelpworks::quarantine::fingerprint;
+use kelpworks::retry::BusyConfig;
+use kelpworks::retry::Cooldowns;
+use kelpworks::retry::GiveUp;
+use kelpworks::retry::RetryBudget;
+use kelpworks::retry::RetryConfig;
+use kelpworks::verdict::Verdict;
+use kelpworks_coord::id::NodeId;
+use kelpworks_wire::BusyReply;
+use kelpworks_wire::CancelRequest;
+use kelpworks_wire::Class;
+use kelpworks_wire::EngineLoad;
+use kelpworks_wire::EngineOrder;
+use kelpworks_wire::EngineState;
+use kelpworks_wire::LayerRange;
+use kelpworks_wire::OrderReply;
+use kelpworks_wire::OutputForm;
+use kelpworks_wire::Step;
+use kelpworks_wire::StepBatch;
+use kelpworks_wire::StepBatchReply;
+use kelpworks_wire::StepOutcome;
+use kelpworks_wire::StepReply;
+
+const LAYERS: u32 = 4;
+/// First layer of the last stage, the one that fails.
+const LAST_STAGE: u32 = 2;
+const REPLICAS: u32 = 3;
+const STEP_TIME: Duration = Duration::from_millis(5);
+const TOKENS: u32 = 6;
+const REQUESTS: u64 = 100;
+const LOAD: EngineLoad = EngineLoad {
+    draining: false,
+    kv_free: 1_000,
+    queue_ms: 0,
+    queued: 0,
+    running: 0,
+};
+
+/// What the last stage does with its steps; the other one runs all.
+#[derive(Debug, Default)]
+struct Script {
+    /// Steps of the last stage sent so far.
+    sent: AtomicU64,
+    /// Steps that it still runs before it fails.
+    good: AtomicI64,
+    /// Steps that it then fails.
+    bad: AtomicI64,
+    /// Steps that it answers busy before all else.
+    busy: AtomicI64,
+}
+
+fn take(count: &AtomicI64) -> bool {
+    count.fetch_sub(1, Ordering::Relaxed) > 0
+}
+
+impl Engine for Script {
+    async fn steps(
+        &self,
+        _url: &Arc<str>,
+        batch: &StepBatch,
+        _deadline: Duration,
+    ) -> engine::Result<StepBatchReply> {
+        tokio::time::sleep(STEP_TIME).await;
+        let step = &batch.steps[0];
+        let first = step.layers.first;
+        if first != LAST_STAGE {
+            let handle = format!(
+                "{}/{}/{first}/{}",
+                step.session, step.attempt, step.position
+            );
+            return Ok(reply(step, StepOutcome::Handle(handle)));
+        }
+        self.sent.fetch_add(1, Ordering::Relaxed);
+        if take(&self.busy) {
+            let busy = BusyReply { retry_after_ms: 10 };
+            return Ok(reply(step, StepOutcome::Busy(busy)));
+        }
+        if !take(&self.good) && take(&self.bad) {
+            return Err(engine::Error::Lost("reset".to_owned()));
+        }
+        Ok(reply(step, StepOutcome::Token(7)))
+    }
+
+    async fn cancel(
+        &self,
+        _url: &Arc<str>,
+        _req: &CancelRequest,
+        _deadline: Duration,
+    ) -> engine::Result<()> {
+        Ok(())
+    }
+
+    async fn state(&self, _url: &Arc<str>, _deadline: Duration) -> engine::Result<EngineState> {
+        Ok(EngineState {
+            draining: false,
+            highest_fence: 0,
+            incarnation: 1,
+            load: LOAD,
+            loaded: Vec::new(),
+            loading: Vec::new(),
+            name: String::new(),
+        })
+    }
+
+    async fn order(
+        &self,
+        _url: &Arc<str>,
+        _order: &EngineOrder,
+        _deadline: Duration,
+    ) -> engine::Result<OrderReply> {
+        unimplemented!("the driver gives no orders")
+    }
+
+    async fn probe(&self, url: &Arc<str>, deadline: Duration) -> engine::Result<EngineState> {
+        self.state(url, deadline).await
+    }
+}
+
+fn reply(step: &Step, outcome: StepOutcome) -> StepBatchReply {
+    let ran = !matches!(outcome, StepOutcome::Busy(_));
+    let positions = match &step.input {
+        kelpworks_wire::StepInput::Tokens(tokens) => tokens.len() as u32,
+        kelpworks_wire::StepInput::Handle(handle) => handle.count,
+        kelpworks_wire::StepInput::Rows(rows) => rows.len() as u32,
+    };
+    let reply = StepReply {
+        attempt: step.attempt,
+        count: if ran { positions } else { 0 },
+        incarnation: 1,
+        layers: step.layers.clone(),
+        load: LOAD,
+        model: step.model.clone(),
+        outcome,
+        position: step.position,
+        session: step.session.clone(),
+        version: step.version.clone(),
+    };
+    StepBatchReply {
+        replies: vec![reply],
+    }
+}
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet {
+        domains: vec!["hall".to_owned()],
+        models: vec![ModelView {
+            name: "caption".to_owned(),
+            layers: LAYERS,
+            versions: vec!["1".to_owned()],
+        }],
+        links: vec![LinkCost {
+            latency: Duration::ZERO,
+            bytes_per_second: 1_000_000,
+        }],
+        ..Fleet::default()
+    };
+    let mut keys = Vec::new();
+    for (first, end) in [(0, LAST_STAGE), (LAST_STAGE, LAYERS)] {
+        for replica in 0..REPLICAS {
+            let name: Arc<str> = format!("engine-{first}-{replica}").into();
+            keys.push(fleet.upstreams.insert(Upstream {
+                url: Arc::clone(&name),
+                name,
+                domain: DomainKey(0),
+                health: Health::Live,
+                layer_rate: 1_000.0,
+                holdings: vec![Holding {
+                    model: ModelKey(0),
+                    version: 0,
+                    layers: LayerRange { first, end },
+                }],
+                service: None,
+                incarnation: 1,
+                load: LoadReport::default(),
+                counters: Arc::default(),
+            }));
+        }
+    }
+    fleet.by_model = vec![keys];
+    fleet.indexed()
+}
+
+fn driver(script: Script, retries: RetryConfig) -> Driver<Script> {
+    let (reports, _) = mpsc::unbounded_channel();
+    Driver {
+        engine: Arc::new(script),
+        fleet: Arc::new(ArcSwap::from_pointee(fleet())),
+        reports,
+        domain: "hall".to_owned(),
+        deadlines: Deadlines {
+            floor: Duration::from_millis(200),
+            ceiling: Duration::from_secs(5),
+            probe: Duration::from_millis(500),
+        },
+        output: OutputForm::Handle,
+        start: Instant::now(),
+        quarantine: Arc::new(Quarantine::new(quarantine::Config::default(), NodeId(1))),
+        retries: Mutex::new(RetryBudget::new(retries)),
+        cooldowns: Mutex::new(Cooldowns::new(BusyConfig::default())),
+    }
+}
+
+/// Runs one session to its end; its tokens are read at once.
+async fn run(driver: &Driver<Script>, name: &str) -> (Outcome, u32) {
+    let admission = Admission::new(kelpworks::admission::Config::default());
+    let ask = Ask {
+        team: "studio",
+        class: Class::Paying,
+        weight: 1,
+        cost: 10,
+    };
+    let permit = admission.admit(ask).await.expect("room");
+    let job = Job {
+        session: name.to_owned(),
+        team: "studio".to_owned(),
+        class: Class::Paying,
+        fingerprint: fingerprint("studio", "caption", name),
+        model: ModelKey(0),
+        prompt: vec![1, 2, 3],
+        max_tokens: TOKENS,
+        deadline: Instant::now() + Duration::from_secs(60),
+    };
+    let (tx, mut rx) = mpsc::channel(TOKENS as usize);
+    let outcome = driver.run(job, &permit, &tx).await;
+    drop(tx);
+    let mut tokens = 0;
+    while rx.recv().await.is_some() {
+        tokens += 1;
+    }
+    (outcome, tokens)
+}
+
+fn unbounded() -> RetryConfig {
+    RetryConfig {
+        burst: f64::INFINITY,
+        floor: f64::INFINITY,
+        attempts: 32,
+        ..RetryConfig::default()
+    }
+}
+
+/// Steps sent to a stage that fails each of them, for 100 requests one after another: at most the
+/// requests themselves and what the budget allows, against the same without a budget. Each try
+/// sends a step twice, as a broken connection is not yet a failure of the engine.
+#[rstest]
+#[case::budget(50.0, 2.0)]
+#[case::larger_burst(100.0, 0.0)]
+#[case::none(0.0, 2.0)]
+#[tokio::test(start_paused = true)]
+async fn a_failing_stage_is_not_flooded(#[case] burst: f64, #[case] floor: f64) {
+    let retries = RetryConfig {
+        burst,
+        floor,
+        ..RetryConfig::default()
+    };
+    let (sent, took) = flood(retries).await;
+    let (baseline, _) = flood(unbounded()).await;
+    // What is earned as time passes is kept up to the burst only.
+    let earned = if burst > 0.0 {
+        burst + floor * took.as_secs_f64()
+    } else {
+        0.0
+    };
+    let bound = 2 * (REQUESTS + earned.ceil() as u64);
+    println!("steps sent: {sent}, bound {bound}, without a budget {baseline}");
+    assert!(sent <= bound, "{sent} steps, bound {bound}");
+    assert_eq!(baseline, 2 * REQUESTS * u64::from(unbounded().attempts));
+}
+
+async fn flood(retries: RetryConfig) -> (u64, Duration) {
+    let script = Script {
+        bad: AtomicI64::new(i64::MAX),
+        ..Script::default()
+    };
+    let driver = driver(script, retries);
+    for n in 0..REQUESTS {
+        let (outcome, tokens) = run(&driver, &n.to_string()).await;
+        assert!(matches!(outcome.result, Err(Ending::Retries { .. })));
+        assert_eq!((outcome.verdict, tokens), (Verdict::MayHaveRun, 0));
+    }
+    let sent = driver.engine.sent.load(Ordering::Relaxed);
+    (sent, driver.start.elapsed())
+}
+
+/// With the budget spent: one that has sent nothing ends at its first failure, one that has sent
+/// tokens is completed.
+#[rstest]
+#[case::nothing_sent(0, 10, Err(GiveUp::Budget), 0, 1)]
+#[case::tokens_sent(2, 10, Ok(()), TOKENS, 5)]
+#[tokio::test(start_paused = true)]
+async fn an_answer_begun_is_completed(
+    #[case] good: i64,
+    #[case] bad: i64,
+    #[case] expected: Result<(), GiveUp>,
+    #[case] tokens: u32,
+    #[case] recoveries: u32,
+) {
+    let script = Script {
+        good: AtomicI64::new(good),
+        bad: AtomicI64::new(bad),
+        ..Script::default()
+    };
+    let spent = RetryConfig {
+        burst: 0.0,
+        ..RetryConfig::default()
+    };
+    let driver = driver(script, spent);
+    let (outcome, got) = run(&driver, "a").await;
+    let result = match outcome.result {
+        Ok(_) => Ok(()),
+        Err(Ending::Retries { reason, .. }) => Err(reason),
+        Err(other) => panic!("{other}"),
+    };
+    assert_eq!((result, got), (expected, tokens));
+    assert_eq!(outcome.recoveries, recoveries);
+}
+
+/// Busy answers cost no retries, cool their upstream, and end with the first step that it serves.
+#[rstest]
+#[case::once(1)]
+#[case::often(40)]
+#[tokio::test(start_paused = true)]
+async fn busy_is_an_answer(#[case] busy: i64) {
+    let script = Script {
+        good: AtomicI64::new(i64::MAX),
+        busy: AtomicI64::new(busy),
+        ..Script::default()
+    };
+    let spent = RetryConfig {
+        burst: 0.0,
+        ..RetryConfig::default()
+    };
+    let driver = driver(script, spent);
+    let (outcome, tokens) = run(&driver, "a").await;
+    assert!(outcome.result.is_ok(), "{outcome:?}");
+    assert_eq!((tokens, outcome.recoveries), (TOKENS, 0));
+    // The replica that served last no longer cools; the others do until they are tried.
+    let fleet = driver.fleet.load();
+    let until = fleet
+        .upstreams
+        .values()
+        .map(|u| u.counters.busy_until_ms.load(Ordering::Relaxed));
+    let cooling = until.filter(|&until| until > 0).count() as i64;
+    assert_eq!(cooling, busy.min(i64::from(REPLICAS) - 1));
+}
