Blame a second crash also when others learn of the same one first

Change: only suspects of an earlier crash count against the blame. Tests wait until each stage is known, restart engines at once in one more case, and show what a caller gets after facts of another daemon.

--- a/crates/kelpworks/src/pipeline/recovery.rs
+++ b/crates/kelpworks/src/pipeline/recovery.rs
@@ -68,7 +68,10 @@
     ) -> Result<()> {
         let dead = matches!(
             failure,
-            StepFailure::Unreachable | StepFailure::Silent | StepFailure::Broken
+            StepFailure::Unreachable
+                | StepFailure::Silent
+                | StepFailure::Broken
+                | StepFailure::Restarted
         );
         if dead {
             let _ = self.driver.reports.send(Report::Suspect(upstream));
--- a/crates/kelpworks/src/quarantine/state.rs
+++ b/crates/kelpworks/src/quarantine/state.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::time::Duration;
 
 use kelpworks_coord::id::NodeId;
@@ -65,8 +64,8 @@
 /// Another daemon that has suspects of its own.
 #[derive(Clone, Debug)]
 struct Other {
-    /// Those that it has stated and not withdrawn.
-    suspects: HashSet<Fingerprint>,
+    /// Those that it has stated and not withdrawn, with the upstream that died.
+    suspects: HashMap<Fingerprint, UpstreamId>,
     /// Until then it is thought to be at work on them; renewed by each fact from it.
     until: Instant,
 }
@@ -141,7 +140,7 @@
             return None;
         }
         let testing = self.others.values();
-        let testing = testing.filter(|o| o.until > now && o.suspects.contains(&fingerprint));
+        let testing = testing.filter(|o| o.until > now && o.suspects.contains_key(&fingerprint));
         let until = testing.map(|o| o.until).max()?;
         Some(duration(until.since(now)))
     }
@@ -155,6 +154,13 @@
         before.any(|(_, o)| o.until > now && !o.suspects.is_empty())
     }
 
+    /// Whether a daemon that comes before this one has suspects that it may just have run on an
+    /// upstream that died. Those that the same death made suspects ran like any others there.
+    fn others_ran(&self, now: Instant, upstream: UpstreamId) -> bool {
+        let mut before = self.others.range(..self.me);
+        before.any(|(_, o)| o.until > now && o.suspects.values().any(|&at| at != upstream))
+    }
+
     /// Asks to begin a step, and notes that it is in flight.
     pub(super) fn begin(&mut self, now: Instant, wanted: Wanted<'_>) -> Begin {
         let Wanted {
@@ -240,7 +246,7 @@
         if told {
             self.settled_at = now + span(self.cfg.settle);
         }
-        let blame = !self.others_first(now);
+        let blame = !self.others_ran(now, UpstreamId::of(name));
         let life = self.life(upstream, name);
         *self.crashes.entry(upstream).unwrap().or_insert(0) += 1;
         let mut running = Vec::new();
@@ -341,13 +347,13 @@
         } = fact;
         let until = now + span(self.cfg.hold);
         let other = self.others.entry(by).or_insert_with(|| Other {
-            suspects: HashSet::new(),
+            suspects: HashMap::new(),
             until,
         });
         other.until = until;
         match statement {
             Statement::Suspect { upstream, .. } => {
-                other.suspects.insert(fingerprint);
+                other.suspects.insert(fingerprint, upstream);
                 self.learn_suspect(now, fingerprint, upstream);
             }
             Statement::Cleared => {
@@ -376,7 +382,7 @@
 
     fn learn_cleared(&mut self, now: Instant, fingerprint: Fingerprint) {
         let mut others = self.others.values();
-        let suspected = others.any(|o| o.suspects.contains(&fingerprint));
+        let suspected = others.any(|o| o.suspects.contains_key(&fingerprint));
         let Some(suspect) = self.suspects.get(&fingerprint) else {
             return;
         };
--- a/crates/kelpworks/src/quarantine/tests.rs
+++ b/crates/kelpworks/src/quarantine/tests.rs
@@ -46,8 +46,8 @@
     Whole(u64, u32),
     /// A new request asks for admission.
     Check(u64),
-    /// Another daemon's fact.
-    Suspects(u64, u64),
+    /// Another daemon's fact; the first with the upstream that died.
+    Suspects(u64, u64, usize),
     Clears(u64, u64),
     Refuses(u64, u64),
     /// Time passes, in milliseconds.
@@ -106,7 +106,7 @@
                 let checked = self.state.check(self.now, Fingerprint(request));
                 return format!("{checked:?}");
             }
-            Suspects(by, request) => self.learn(by, request, suspect()),
+            Suspects(by, request, died) => self.learn(by, request, suspect(died)),
             Clears(by, request) => self.learn(by, request, Statement::Cleared),
             Refuses(by, request) => self.learn(by, request, refused()),
             Wait(ms) => {
@@ -148,9 +148,9 @@
     }
 }
 
-fn suspect() -> Statement {
+fn suspect(died: usize) -> Statement {
     Statement::Suspect {
-        upstream: UpstreamId::of("a"),
+        upstream: UpstreamId::of(NAMES[died]),
         remaining: Duration::from_secs(300),
     }
 }
@@ -192,24 +192,28 @@
 ])]
 #[case::settles_first(&[Start(1, 0, 3), Crash(0), End(0), Wait(49), Start(1, 1, 3), Wait(1), Start(1, 1, 3)])]
 #[case::the_daemon_before_goes_first(&[
-    Start(1, 0, 3), Suspects(BEFORE, 2), Crash(0), End(0), Wait(50),
+    Start(1, 0, 3), Suspects(BEFORE, 2, 0), Crash(0), End(0), Wait(50),
     Start(1, 1, 3), Clears(BEFORE, 2), Start(1, 1, 3),
 ])]
 #[case::the_daemon_after_waits(&[
-    Start(1, 0, 3), Suspects(AFTER, 2), Crash(0), End(0), Wait(50), Start(1, 1, 3),
+    Start(1, 0, 3), Suspects(AFTER, 2, 0), Crash(0), End(0), Wait(50), Start(1, 1, 3),
 ])]
 #[case::a_daemon_that_is_gone(&[
-    Start(1, 0, 3), Suspects(BEFORE, 2), Crash(0), End(0), Wait(2_999),
+    Start(1, 0, 3), Suspects(BEFORE, 2, 0), Crash(0), End(0), Wait(2_999),
     Start(1, 1, 3), Wait(1), Start(1, 1, 3),
 ])]
 #[case::another_to_go_first_at_the_crash(&[
-    Start(1, 0, 3), Crash(0), End(0), Wait(50), Start(1, 1, 3), Suspects(BEFORE, 2), Crash(1),
+    Start(1, 0, 3), Crash(0), End(0), Wait(50), Start(1, 1, 3), Suspects(BEFORE, 2, 0), Crash(1),
+    Check(1),
+])]
+#[case::suspects_of_the_same_crash(&[
+    Start(1, 0, 3), Crash(0), End(0), Wait(50), Start(1, 1, 3), Suspects(BEFORE, 2, 1), Crash(1),
     Check(1),
 ])]
 #[case::under_test_elsewhere(&[
-    Suspects(AFTER, 1), Check(1), Start(1, 0, 3), Clears(AFTER, 1), Check(1), Start(1, 0, 3),
+    Suspects(AFTER, 1, 0), Check(1), Start(1, 0, 3), Clears(AFTER, 1), Check(1), Start(1, 0, 3),
 ])]
-#[case::refused_elsewhere(&[Suspects(AFTER, 1), Refuses(AFTER, 1), Check(1), Suspects(AFTER, 1), Check(1)])]
+#[case::refused_elsewhere(&[Suspects(AFTER, 1, 0), Refuses(AFTER, 1), Check(1), Suspects(AFTER, 1, 0), Check(1)])]
 fn scripts(#[case] ops: &[Op]) {
     let name = std::thread::current().name().unwrap_or_default().to_owned();
     let case = name.rsplit("::").next().unwrap_or_default();
--- a/crates/kelpworks/tests/poison/mod.rs
+++ b/crates/kelpworks/tests/poison/mod.rs
@@ -29,6 +29,7 @@
     weight: 1,
     token: "token-of-studio",
 };
+const DAEMONS: usize = 2;
 const TIMING: &str = "step_floor = \"500ms\"\n";
 
 /// Long enough for facts to arrive also on a machine with much else to do.
@@ -39,7 +40,7 @@
     }
 }
 
-/// A model's pipeline of 2 stages and two daemons or more.
+/// A model's pipeline of 2 stages, and two daemons.
 pub(crate) struct Bench {
     pub(crate) model: Model,
     pub(crate) fakes: StandIns,
@@ -64,17 +65,19 @@
 }
 
 impl Bench {
-    pub(crate) async fn start(replicas: u32, daemon_count: usize) -> Bench {
+    /// Engines restart this long after a crash.
+    pub(crate) async fn start(replicas: u32, restart: Duration) -> Bench {
         let model = Model::new("caption", "1", 4);
         let mut cfg = FleetConfig::pipeline(&model, 2, replicas);
         for engine in &mut cfg.engines {
             engine.iteration_base = Duration::from_millis(10);
+            engine.restart_after = Some(restart);
         }
         let fakes = StandIns::spawn(cfg).await.expect("stand-ins");
         put_config(&fakes, std::slice::from_ref(&model), 0.5, &[TEAM]);
         let metrics = PrometheusBuilder::new().build_recorder().handle();
         let mut daemons = Vec::new();
-        for n in 0..daemon_count {
+        for n in 0..DAEMONS {
             let settings = settings(&fakes, n, TIMING).expect("settings");
             let daemon = Daemon::start_with(&settings, metrics.clone(), patient());
             daemons.push(daemon.await.expect("a daemon"));
@@ -82,7 +85,7 @@
         for daemon in &daemons {
             ready(daemon).await;
         }
-        Bench {
+        let bench = Bench {
             model,
             fakes,
             daemons,
@@ -90,6 +93,17 @@
                 .no_proxy()
                 .build()
                 .expect("a client"),
+        };
+        bench.every_stage_seen().await;
+        bench
+    }
+
+    /// Waits until each daemon has a path: it is ready as soon as it has seen any upstream.
+    async fn every_stage_seen(&self) {
+        for n in 0..self.daemons.len() {
+            while self.ask(n, "the first mug", 1).await.status != 200 {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
         }
     }
 
--- a/crates/kelpworks/tests/poison_requests.rs
+++ b/crates/kelpworks/tests/poison_requests.rs
@@ -4,6 +4,13 @@
 #[path = "../examples/support/mod.rs"]
 mod support;
 
+use std::time::Duration;
+
+use kelpworks::quarantine::Fact;
+use kelpworks::quarantine::Statement;
+use kelpworks::quarantine::fingerprint;
+use kelpworks_coord::id::NodeId;
+use kelpworks_coord::id::UpstreamId;
 use rstest::rstest;
 
 use poison::Bench;
@@ -15,13 +22,17 @@
 /// Steps after which the load is well under way.
 const UNDER_WAY: u64 = 100;
 
+/// Time from a crash to the restart.
+const RESTART: Duration = Duration::from_millis(500);
+
 /// Daemons that the caller of the poison request sends it to, one after another.
 #[rstest]
-#[case::same_daemon(&[0, 0, 0, 0])]
-#[case::other_daemon(&[0, 1, 1, 0])]
+#[case::same_daemon(&[0, 0, 0, 0], RESTART)]
+#[case::other_daemon(&[0, 1, 1, 0], RESTART)]
+#[case::engines_back_at_once(&[0, 1, 1, 0], Duration::ZERO)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn poison_costs_two_upstreams(#[case] sent_to: &[usize]) {
-    let bench = Bench::start(4, 2).await;
+async fn poison_costs_two_upstreams(#[case] sent_to: &[usize], #[case] restart: Duration) {
+    let bench = Bench::start(4, restart).await;
     bench.join_daemons();
     let innocents = bench.innocents(INNOCENTS, TOKENS);
     bench.steps_run(UNDER_WAY).await;
@@ -47,7 +58,7 @@
 #[case::two_in_turn(&["engine-0-0", "engine-0-1"])]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_host_crash_quarantines_nobody(#[case] hosts: &[&str]) {
-    let bench = Bench::start(3, 2).await;
+    let bench = Bench::start(3, RESTART).await;
     bench.join_daemons();
     let mut facts = bench.daemons.iter().map(|d| d.quarantine().subscribe());
     let mut facts: Vec<_> = facts.by_ref().collect();
@@ -62,3 +73,40 @@
     let again = bench.innocents(INNOCENTS, TOKENS);
     bench.all_answered(again, TOKENS).await;
 }
+
+const SUSPECT: Statement = Statement::Suspect {
+    upstream: UpstreamId(1),
+    remaining: Duration::from_secs(300),
+};
+const REFUSED: Statement = Statement::Refused {
+    remaining: Duration::from_secs(300),
+};
+
+/// What a caller gets at once after facts of another daemon, and when it is to come back.
+#[rstest]
+#[case::nothing_known(&[], 200, None)]
+#[case::under_test(&[SUSPECT], 503, Some(1))]
+#[case::cleared(&[SUSPECT, Statement::Cleared], 200, None)]
+#[case::refused(&[SUSPECT, REFUSED], 422, Some(300))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn facts_of_others_count(
+    #[case] statements: &[Statement],
+    #[case] status: u16,
+    #[case] retry_after: Option<u64>,
+) {
+    let bench = Bench::start(1, RESTART).await;
+    for &statement in statements {
+        bench.daemons[0].quarantine().learn(Fact {
+            by: NodeId(1),
+            fingerprint: fingerprint("studio", "caption", "a mug"),
+            statement,
+        });
+    }
+    let reply = bench.ask(0, "a mug", TOKENS).await;
+    assert_eq!(reply.status, status, "{reply:?}");
+    assert_eq!(reply.retry_after, retry_after);
+    let refused = retry_after.map(|_| "not-run");
+    assert_eq!(reply.verdict.as_deref(), refused);
+    let other = bench.ask(0, "another mug", TOKENS).await;
+    assert_eq!(other.status, 200);
+}
