--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -10,6 +10,7 @@
 mod fairness;
 mod fleets;
 mod overload_policy;
+mod path_policy;
 mod placement;
 mod placement_baselines;
 mod recovery;
@@ -18,6 +19,7 @@
 #[path = "../support/mod.rs"]
 mod support;
 mod table;
+mod throughput;
 
 use crate::table::Table;
 
@@ -46,6 +48,10 @@
         name: "overload-policy",
         run: overload_policy::table,
     },
+    Measurement {
+        name: "path-policy",
+        run: path_policy::table,
+    },
     Measurement {
         name: "placement",
         run: placement::run,
@@ -54,6 +60,10 @@
         name: "recovery",
         run: recovery::run,
     },
+    Measurement {
+        name: "throughput",
+        run: throughput::run,
+    },
 ];
 
 fn main() -> ExitCode {
--- a/crates/kelpworks/src/entry/reply.rs
+++ b/crates/kelpworks/src/entry/reply.rs
@@ -167,6 +167,7 @@
         }
         let (status, kind) = match ending {
             Ending::NoPath(_) => (StatusCode::SERVICE_UNAVAILABLE, "no_upstream"),
+            Ending::Stopped => (StatusCode::SERVICE_UNAVAILABLE, "draining"),
             Ending::Deadline => (StatusCode::GATEWAY_TIMEOUT, "deadline"),
             Ending::Retries { .. } => (StatusCode::SERVICE_UNAVAILABLE, "upstream_failed"),
             _ => (StatusCode::BAD_GATEWAY, "upstream_failed"),
--- a/crates/kelpworks/src/pipeline/mod.rs
+++ b/crates/kelpworks/src/pipeline/mod.rs
@@ -9,6 +9,7 @@
 mod driver;
 mod hop;
 mod recovery;
+mod release;
 mod step;
 pub mod tokens;
 
--- a/crates/kelpworks/src/pipeline/step.rs
+++ b/crates/kelpworks/src/pipeline/step.rs
@@ -1,5 +1,8 @@
 //! One step on one stage: sent, checked against its echo, and settled when the reply stays away.
 
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -21,16 +24,16 @@
 use crate::fleet::Counters;
 use crate::pipeline::hop::HopState;
 use crate::quarantine;
+use crate::retry::DeadlineConfig;
+use crate::retry::StepDeadline;
 
 /// The result of this module.
 pub(crate) type Result<T> = std::result::Result<T, StepFailure>;
 
 /// How long a first reply may still take once the engine says that the step has run.
 const LATE_REPLY_GRACE: Duration = Duration::from_millis(20);
-/// Weight of a new observation in the smoothed step time, as a power of two.
-const EWMA_SHIFT: u64 = 3;
-/// Progress deadline as a multiple of the smoothed step time.
-const DEADLINE_FACTOR: u64 = 16;
+/// A step that an engine is still about is waited for so many ceilings, while it answers probes.
+const SILENT_CEILINGS: u32 = 4;
 
 /// Why a step gave no result.
 #[derive(Clone, Debug, PartialEq, Error)]
@@ -99,29 +102,17 @@
 }
 
 /// Bounds on the wait for a step.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Deadlines {
-    /// Least progress deadline.
-    pub floor: Duration,
-    /// Greatest progress deadline.
-    pub ceiling: Duration,
-    /// Wait for the answer to a probe.
-    pub probe: Duration,
+    /// Progress deadline of a step.
+    pub step: DeadlineConfig,
+    /// Wait for the answer to a probe, from the times of answered polls.
+    pub probe: DeadlineConfig,
 }
 
-impl Deadlines {
-    /// Time after which a step of `count` positions is looked into.
-    ///
-    /// Until a step was observed, the ceiling. A prefill is allowed the time of as many single
-    /// steps as it has positions, which no engine with batching comes near.
-    fn progress(&self, counters: &Counters, count: u32) -> Duration {
-        let observed = counters.step_us.load(Ordering::Relaxed);
-        if observed == 0 {
-            return self.ceiling;
-        }
-        let expected = observed * DEADLINE_FACTOR.max(u64::from(count));
-        Duration::from_micros(expected).clamp(self.floor, self.ceiling)
-    }
+/// A lock on smoothed times; they are consistent after each call, also when a holder panicked.
+fn lock(times: &Mutex<StepDeadline>) -> MutexGuard<'_, StepDeadline> {
+    times.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// One step about to run on a stage.
@@ -132,7 +123,7 @@
     pub(crate) counters: &'a Counters,
     /// The engine's incarnation as last known; 0 when unknown.
     pub(crate) incarnation: u64,
-    pub(crate) deadlines: Deadlines,
+    pub(crate) deadlines: &'a Deadlines,
     /// Positions to run from `hop.have` on; above 0.
     pub(crate) count: u32,
 }
@@ -157,21 +148,17 @@
         result
     }
 
+    /// Notes the time of a step, or the time waited in vain for one that is still under way.
     fn observe(&self, took: Duration) {
-        if self.count != 1 {
-            return;
+        let mut times = lock(&self.counters.step);
+        times.observe(took, self.count);
+        if let Some(mean) = times.mean() {
+            let micros = (mean.as_micros() as u64).max(1);
+            self.counters.step_us.store(micros, Ordering::Relaxed);
         }
-        let took = (took.as_micros() as u64).max(1);
-        let old = self.counters.step_us.load(Ordering::Relaxed);
-        let new = if old == 0 {
-            took
-        } else {
-            old - (old >> EWMA_SHIFT) + (took >> EWMA_SHIFT)
-        };
-        self.counters.step_us.store(new.max(1), Ordering::Relaxed);
     }
 
-    fn step(&self, input: StepInput) -> Step {
+    fn step(&self, input: StepInput, progress: Duration) -> Step {
         Step {
             session: self.fixed.session.clone(),
             attempt: self.hop.attempt,
@@ -182,7 +169,9 @@
             class: self.fixed.class,
             input,
             output: self.fixed.output,
-            deadline_ms: self.deadlines.ceiling.as_millis() as u32,
+            // What the engine waits for itself, its input above all, is late by then too. Twice,
+            // so that a second send gets its chance first: it may fetch on a new connection.
+            deadline_ms: 2 * progress.as_millis() as u32,
             prefix: String::new(),
         }
     }
@@ -191,13 +180,13 @@
     /// new connection and sends it once more there. Sending twice is safe: an engine refuses
     /// positions that it has run.
     async fn settle(&self, input: StepInput) -> Result<Output> {
+        let progress = lock(&self.counters.step).deadline(&self.deadlines.step, self.count);
         let batch = StepBatch {
-            steps: vec![self.step(input)],
+            steps: vec![self.step(input, progress)],
         };
-        let limit = self.deadlines.ceiling * 4;
+        let limit = self.deadlines.step.ceiling * SILENT_CEILINGS;
         let first = self.engine.steps(&self.hop.url, &batch, limit);
         tokio::pin!(first);
-        let progress = self.deadlines.progress(self.counters, self.count);
         match tokio::time::timeout(progress, &mut first).await {
             Ok(Ok(reply)) => match self.check(reply) {
                 // A reply of another step says nothing of this one, which may have run.
@@ -212,6 +201,7 @@
             Err(_) => {}
         }
         self.probe().await?;
+        self.observe(progress);
         let again = self.again(&batch);
         tokio::pin!(again);
         tokio::select! {
@@ -232,7 +222,8 @@
     }
 
     async fn probe(&self) -> Result<()> {
-        let probed = self.engine.probe(&self.hop.url, self.deadlines.probe).await;
+        let deadline = lock(&self.counters.poll).deadline(&self.deadlines.probe, 1);
+        let probed = self.engine.probe(&self.hop.url, deadline).await;
         match probed {
             Ok(state) if self.incarnation != 0 && state.incarnation != self.incarnation => {
                 Err(StepFailure::Restarted)
@@ -249,7 +240,7 @@
     async fn again(&self, batch: &StepBatch) -> Result<Output> {
         let reply = self
             .engine
-            .steps(&self.hop.url, batch, self.deadlines.ceiling)
+            .steps(&self.hop.url, batch, self.deadlines.step.ceiling)
             .await;
         let Ok(reply) = reply else {
             self.probe().await?;
--- a/crates/kelpworks/src/settings/check.rs
+++ b/crates/kelpworks/src/settings/check.rs
@@ -88,6 +88,8 @@
     positive(doc, &limits.queue, *limits.queue.get_ref() > 0);
     let claims = &limits.claim_writes_per_second;
     positive(doc, claims, *claims.get_ref() > 0);
+    let target = &limits.token_target;
+    positive(doc, target, !target.get_ref().0.is_zero());
 }
 
 /// Checks that every time is above 0 and the floor not above the ceiling.
@@ -101,6 +103,7 @@
         &timing.host_list_poll,
         &timing.watch,
         &timing.heartbeat,
+        &timing.balancer_notice,
         &timing.drain,
     ];
     for span in all {
@@ -144,6 +147,7 @@
         max_tokens: raw.max_tokens.into_inner(),
         queue: raw.queue.into_inner(),
         claim_writes_per_second: raw.claim_writes_per_second.into_inner(),
+        token_target: raw.token_target.into_inner(),
     }
 }
 
@@ -157,6 +161,7 @@
         host_list_poll: raw.host_list_poll.into_inner(),
         watch: raw.watch.into_inner(),
         heartbeat: raw.heartbeat.into_inner(),
+        balancer_notice: raw.balancer_notice.into_inner(),
         drain: raw.drain.into_inner(),
     }
 }
--- a/crates/kelpworks/src/settings/file.rs
+++ b/crates/kelpworks/src/settings/file.rs
@@ -82,6 +82,7 @@
     pub(super) max_tokens: Spanned<u32>,
     pub(super) queue: Spanned<u32>,
     pub(super) claim_writes_per_second: Spanned<u32>,
+    pub(super) token_target: Spanned<Span>,
 }
 
 impl Default for LimitsTable {
@@ -91,6 +92,7 @@
             max_tokens: unplaced(4096),
             queue: unplaced(1024),
             claim_writes_per_second: unplaced(200),
+            token_target: millis(50),
         }
     }
 }
@@ -107,6 +109,7 @@
     pub(super) host_list_poll: Spanned<Span>,
     pub(super) watch: Spanned<Span>,
     pub(super) heartbeat: Spanned<Span>,
+    pub(super) balancer_notice: Spanned<Span>,
     pub(super) drain: Spanned<Span>,
 }
 
@@ -115,12 +118,13 @@
         TimingTable {
             request: millis(120_000),
             connect: millis(1_000),
-            step_floor: millis(200),
+            step_floor: millis(50),
             step_ceiling: millis(5_000),
             state_poll: millis(500),
             host_list_poll: millis(1_000),
             watch: millis(10_000),
             heartbeat: millis(1_000),
+            balancer_notice: millis(2_000),
             drain: millis(60_000),
         }
     }
--- a/crates/kelpworks/src/settings/mod.rs
+++ b/crates/kelpworks/src/settings/mod.rs
@@ -107,6 +107,9 @@
     /// Writes a second to the object API that the whole fleet of daemons may spend on claims.
     /// Default 200.
     pub claim_writes_per_second: u32,
+    /// Time between tokens that is aimed at under load: a longer one lets more requests run at
+    /// once and gives more tokens a second, a shorter one answers sooner. Default 50 ms.
+    pub token_target: Span,
 }
 
 /// Timeouts and intervals.
@@ -116,7 +119,7 @@
     pub request: Span,
     /// Longest time to open a connection. Default 1 s.
     pub connect: Span,
-    /// Least progress deadline of a step. Default 200 ms.
+    /// Least progress deadline of a step. Default 50 ms.
     pub step_floor: Span,
     /// Greatest progress deadline of a step. Default 5 s.
     pub step_ceiling: Span,
@@ -128,6 +131,9 @@
     pub watch: Span,
     /// How often a heartbeat goes to peers. Default 1 s.
     pub heartbeat: Span,
+    /// How long a planned stop still takes requests once the balancer's check fails; longer than
+    /// the balancer needs to notice. Default 2 s.
+    pub balancer_notice: Span,
     /// How long a planned stop waits for requests in flight. Default 60 s.
     pub drain: Span,
 }
--- a/crates/kelpworks/tests/poison/mod.rs
+++ b/crates/kelpworks/tests/poison/mod.rs
@@ -74,7 +74,7 @@
             engine.restart_after = Some(restart);
         }
         let fakes = StandIns::spawn(cfg).await.expect("stand-ins");
-        put_config(&fakes, std::slice::from_ref(&model), 0.5, &[TEAM]);
+        put_config(&fakes, std::slice::from_ref(&model), 0.5, &[TEAM]).expect("a configuration");
         let metrics = PrometheusBuilder::new().build_recorder().handle();
         let mut daemons = Vec::new();
         for n in 0..DAEMONS {
--- a/crates/kelpworks/tests/retry_driver.rs
+++ b/crates/kelpworks/tests/retry_driver.rs
@@ -14,6 +14,8 @@
 use rstest::rstest;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use kelpworks::admission::Admission;
 use kelpworks::admission::Ask;
@@ -38,6 +40,7 @@
 use kelpworks::quarantine::fingerprint;
 use kelpworks::retry::BusyConfig;
 use kelpworks::retry::Cooldowns;
+use kelpworks::retry::DeadlineConfig;
 use kelpworks::retry::GiveUp;
 use kelpworks::retry::RetryBudget;
 use kelpworks::retry::RetryConfig;
@@ -225,15 +228,16 @@
         reports,
         domain: "hall".to_owned(),
         deadlines: Deadlines {
-            floor: Duration::from_millis(200),
-            ceiling: Duration::from_secs(5),
-            probe: Duration::from_millis(500),
+            step: DeadlineConfig::default(),
+            probe: DeadlineConfig::default(),
         },
         output: OutputForm::Handle,
         start: Instant::now(),
         quarantine: Arc::new(Quarantine::new(quarantine::Config::default(), NodeId(1))),
         retries: Mutex::new(RetryBudget::new(retries)),
         cooldowns: Mutex::new(Cooldowns::new(BusyConfig::default())),
+        abort: CancellationToken::new(),
+        tasks: TaskTracker::new(),
     }
 }
 
