Ask a suspect's upstream for a sign of life before its step

Ruled out: not counting silence, as a crash may look like that too. Change: a step of a suspect is sent only to an upstream that has just answered on a new connection; one that doesn't answer is not held against it.

--- a/crates/kelpworks/src/pipeline/driver.rs
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -341,7 +341,7 @@
             known: self.known.len() as u32,
         });
         let turn = turn.await.map_err(StepFailure::Quarantined)?;
-        let call = Call {
+        let mut call = Call {
             engine: &*self.driver.engine,
             fixed: &self.fixed,
             hop,
@@ -350,6 +350,9 @@
             deadlines: &self.driver.deadlines,
             count,
         };
+        if turn.is_apart() {
+            call.incarnation = call.alive().await?;
+        }
         // Until the reply says otherwise: this future may be dropped after the step was sent.
         let before = self.verdict;
         self.verdict = Verdict::MayHaveRun;
--- a/crates/kelpworks/src/pipeline/step.rs
+++ b/crates/kelpworks/src/pipeline/step.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use kelpworks_wire::Class;
+use kelpworks_wire::EngineState;
 use kelpworks_wire::OutputForm;
 use kelpworks_wire::RefusalReason;
 use kelpworks_wire::Step;
@@ -221,10 +222,26 @@
         }
     }
 
-    async fn probe(&self) -> Result<()> {
+    /// Checks that the engine lives before a suspect's step is sent, so that an engine that died
+    /// of something else isn't held against it. Returns the engine's incarnation.
+    ///
+    /// # Errors
+    ///
+    /// When it doesn't answer on a new connection; nothing ran.
+    pub(crate) async fn alive(&self) -> Result<u64> {
+        let probed = self.ask().await;
+        let state = probed.map_err(|_| StepFailure::Unreachable)?;
+        Ok(state.incarnation)
+    }
+
+    /// Asks the engine for its state on a new connection.
+    async fn ask(&self) -> engine::Result<EngineState> {
         let deadline = lock(&self.counters.poll).deadline(&self.deadlines.probe, 1);
-        let probed = self.engine.probe(&self.hop.url, deadline).await;
-        match probed {
+        self.engine.probe(&self.hop.url, deadline).await
+    }
+
+    async fn probe(&self) -> Result<()> {
+        match self.ask().await {
             Ok(state) if self.incarnation != 0 && state.incarnation != self.incarnation => {
                 Err(StepFailure::Restarted)
             }
--- a/crates/kelpworks/src/quarantine/state.rs
+++ b/crates/kelpworks/src/quarantine/state.rs
@@ -74,7 +74,12 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Begin {
     /// It has begun.
-    Begun(StepKey),
+    Begun {
+        /// To end it with.
+        key: StepKey,
+        /// It holds the turn of its fingerprint.
+        apart: bool,
+    },
     /// Not yet.
     Wait,
     /// Not at all.
@@ -190,7 +195,7 @@
         if apart {
             self.suspects.entry(fingerprint).or_default().turn = Some(key);
         }
-        Begin::Begun(key)
+        Begin::Begun { key, apart }
     }
 
     fn take_turn(&mut self, now: Instant, wanted: Wanted<'_>) -> bool {
--- a/crates/kelpworks/src/quarantine/tests.rs
+++ b/crates/kelpworks/src/quarantine/tests.rs
@@ -129,7 +129,7 @@
             known,
         };
         match self.state.begin(self.now, wanted) {
-            Begin::Begun(key) => {
+            Begin::Begun { key, .. } => {
                 self.begun.push((key, NAMES[upstream]));
                 format!("begun as {}", self.begun.len() - 1)
             }
--- a/crates/kelpworks/src/quarantine/turn.rs
+++ b/crates/kelpworks/src/quarantine/turn.rs
@@ -32,6 +32,7 @@
     quarantine: &'a Quarantine,
     key: StepKey,
     name: &'a str,
+    apart: bool,
 }
 
 impl Quarantine {
@@ -47,11 +48,12 @@
             changed.as_mut().enable();
             let begin = self.lock().begin(self.now(), wanted);
             match begin {
-                Begin::Begun(key) => {
+                Begin::Begun { key, apart } => {
                     return Ok(Turn {
                         quarantine: self,
                         key,
                         name: wanted.name,
+                        apart,
                     });
                 }
                 Begin::Refused(refusal) => return Err(refusal),
@@ -64,6 +66,11 @@
 }
 
 impl Turn<'_> {
+    /// Whether this is a suspect's step, for which its upstream's death would count.
+    pub fn is_apart(&self) -> bool {
+        self.apart
+    }
+
     /// Notes that the upstream died under the step.
     pub fn crashed(&self) {
         let quarantine = self.quarantine;
