--- a/crates/kelpworks/src/pipeline/driver.rs
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -1,6 +1,7 @@
 //! Drives one session from prompt to last token, over failures of its stages.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -12,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use kelpworks_coord::poison::Fingerprint;
 use kelpworks_wire::CancelRequest;
 use kelpworks_wire::Class;
 use kelpworks_wire::FinishReason;
@@ -34,6 +36,12 @@
 use crate::pipeline::step::Output;
 use crate::pipeline::step::StepFailure;
 use crate::pipeline::tokens;
+use crate::quarantine;
+use crate::quarantine::Quarantine;
+use crate::quarantine::Wanted;
+use crate::retry::Cooldowns;
+use crate::retry::GiveUp;
+use crate::retry::RetryBudget;
 use crate::routing;
 use crate::routing::Assignment;
 use crate::routing::PathQuery;
@@ -43,8 +51,6 @@
 /// The result of this module.
 pub(crate) type Result<T> = std::result::Result<T, Ending>;
 
-/// Most recoveries of one session; above it something is wrong that another try won't mend.
-const MAX_RECOVERIES: u32 = 32;
 /// Wait before the path is asked for again when no stage can take the session.
 const NO_PATH_WAIT: Duration = Duration::from_millis(50);
 /// Pause until a stage on a leaving upstream that could not move is looked at again.
@@ -61,6 +67,8 @@
     pub team: String,
     /// Class of the team.
     pub class: Class,
+    /// Fingerprint of the request; the same for its caller's repeats.
+    pub fingerprint: Fingerprint,
     /// The model.
     pub model: ModelKey,
     /// Tokens of the prompt; never empty.
@@ -90,6 +98,17 @@
     /// A stage failed in a way that another try won't mend.
     #[error("stage failed: {0}")]
     Stage(StepFailure),
+    /// A stage failed, and too much has been tried again of late.
+    #[error("stage failed: {failure}; not tried again: {reason}")]
+    Retries {
+        /// How the stage failed.
+        failure: StepFailure,
+        /// Why it is not tried again.
+        reason: GiveUp,
+    },
+    /// Upstreams crashed while they ran the request.
+    #[error(transparent)]
+    Quarantined(quarantine::Refusal),
 }
 
 /// How a session ended.
@@ -120,6 +139,12 @@
     pub output: OutputForm,
     /// Start of the daemon, the origin of `Counters::busy_until_ms`.
     pub start: Instant,
+    /// Requests that crash upstreams.
+    pub quarantine: Arc<Quarantine>,
+    /// Bounds how much is tried again, over all sessions.
+    pub retries: Mutex<RetryBudget>,
+    /// Cooldowns of busy upstreams.
+    pub cooldowns: Mutex<Cooldowns>,
     /// Ends all sessions at once.
     pub abort: CancellationToken,
     /// Calls that free memory on engines; a stop waits for them.
@@ -139,6 +164,9 @@
             () = self.abort.cancelled() => Err(Ending::Stopped),
         };
         permit.used(session.known.len() as u32);
+        if result.is_ok() {
+            session.succeeded();
+        }
         session.free();
         Outcome {
             result,
@@ -160,16 +188,16 @@
 }
 
 /// Full jitter over the upper half, so that waiters spread out.
-fn jittered(wait: Duration) -> Duration {
+pub(super) fn jittered(wait: Duration) -> Duration {
     wait.mul_f64(rand::rng().random_range(0.5..1.0))
 }
 
-struct Session<'a, E> {
-    driver: &'a Driver<E>,
-    job: &'a Job,
+pub(super) struct Session<'a, E> {
+    pub(super) driver: &'a Driver<E>,
+    pub(super) job: &'a Job,
     fixed: Fixed,
     /// Prompt and the tokens generated so far; those sent to the caller are never changed.
-    known: Vec<u32>,
+    pub(super) known: Vec<u32>,
     /// The stages in order of layers; together they cover every layer once.
     hops: Vec<HopState>,
     /// When a stage that could not move off a leaving upstream is looked at again.
@@ -180,7 +208,7 @@
     avoid: Vec<UpstreamKey>,
     /// Attempt number that the next new stage gets.
     next_attempt: u32,
-    recoveries: u32,
+    pub(super) recoveries: u32,
     /// Fetches between stages that failed since the last token.
     unfetched: u32,
     /// Worst over all steps sent.
@@ -232,6 +260,10 @@
                 return Ok(FinishReason::Stop);
             }
             self.known.push(token);
+            let known = self.known.len() as u32;
+            self.driver
+                .quarantine
+                .reached(self.job.fingerprint, known, false);
             tx.send(token).await.map_err(|_| Ending::CallerGone)?;
             if self.known.len() == most {
                 return Ok(FinishReason::Length);
@@ -310,14 +342,25 @@
             0 => StepInput::Tokens(self.known[hop.have as usize..].to_vec()),
             _ => self.hops[at - 1].output(&self.fixed.session, hop.have, count),
         };
-        let call = Call {
+        let turn = self.driver.quarantine.begin(Wanted {
+            fingerprint: self.job.fingerprint,
+            upstream: hop.upstream,
+            name: &upstream.name,
+            known: self.known.len() as u32,
+        });
+        let turn = turn.await.map_err(StepFailure::Quarantined)?;
+        let mut call = Call {
             engine: &*self.driver.engine,
             fixed: &self.fixed,
             hop,
             counters: &upstream.counters,
+            incarnation: upstream.incarnation,
             deadlines: &self.driver.deadlines,
             count,
         };
+        if turn.is_apart() {
+            call.incarnation = call.alive().await?;
+        }
         // Until the reply says otherwise: this future may be dropped after the step was sent.
         let before = self.verdict;
         self.verdict = Verdict::MayHaveRun;
@@ -329,14 +372,15 @@
         if not_run {
             self.verdict = before;
         }
+        match result {
+            Err(StepFailure::Silent | StepFailure::Restarted) => turn.crashed(),
+            Ok(_) => self.driver.served(hop.upstream, &upstream.counters),
+            Err(_) => {}
+        }
         result
     }
 
     async fn recover(&mut self, at: usize, failure: StepFailure) -> Result<()> {
-        self.recoveries += 1;
-        if self.recoveries > MAX_RECOVERIES {
-            return Err(Ending::Stage(failure));
-        }
         let upstream = self.hops[at].upstream;
         let name = Arc::clone(&self.hops[at].name);
         info!(
@@ -344,8 +388,13 @@
             upstream = &*name, position = self.hops[at].have, reason = failure.to_string();
             "stage failed"
         );
+        if !matches!(failure, StepFailure::Busy(_) | StepFailure::Quarantined(_)) {
+            self.before_retry(upstream, &failure).await?;
+        }
         match failure {
+            // Waiting is not a failure of the session; only its deadline bounds it.
             StepFailure::Busy(after) => self.wait_or_move(at, after).await,
+            StepFailure::Quarantined(refusal) => Err(Ending::Quarantined(refusal)),
             StepFailure::Refused {
                 reason: RefusalReason::PositionGap,
                 ..
@@ -363,33 +412,24 @@
                 ..
             } => Err(Ending::Stage(failure)),
             StepFailure::Refused { .. } => self.move_off(upstream, "stage refused").await,
-            StepFailure::Unreachable | StepFailure::Silent => {
-                let _ = self.driver.reports.send(Report::Suspect(upstream));
-                self.move_off(upstream, "stage died").await
-            }
+            StepFailure::Unreachable
+            | StepFailure::Silent
+            | StepFailure::Broken
+            | StepFailure::Restarted => self.move_off(upstream, "stage died").await,
             StepFailure::Mismatch => self.move_off(upstream, "reply of another step").await,
         }
     }
 
     /// A stage without state moves on; one with state waits for its turn.
     async fn wait_or_move(&mut self, at: usize, after: Duration) -> Result<()> {
-        let until = self.driver.now_ms() + after.as_millis() as u64;
-        let fleet = self.driver.fleet.load_full();
-        if let Some(upstream) = fleet.upstreams.get(self.hops[at].upstream) {
-            upstream
-                .counters
-                .busy_until_ms
-                .store(until, std::sync::atomic::Ordering::Relaxed);
-        }
-        // Waiting is not a failure of the session; only its deadline bounds it.
-        self.recoveries -= 1;
         let busy = self.hops[at].upstream;
+        let left = self.driver.cool(busy, after);
         if self.hops[at].have == 0 {
             self.avoid(busy);
             self.route("stage busy").await?;
         }
         if self.hops.iter().any(|h| h.upstream == busy) {
-            tokio::time::sleep(jittered(after)).await;
+            tokio::time::sleep(left).await;
         }
         Ok(())
     }
@@ -484,21 +524,13 @@
             .filter(|h| !self.avoid.contains(&h.upstream))
             .map(HopState::as_hop)
             .collect();
-        let (model, version) = self.bound(&fleet);
-        let query = PathQuery {
-            model,
-            version,
-            from: self.driver.from(&fleet),
-            class: self.job.class,
-            prefill: self.known.len() as u32,
-            avoid: &self.avoid,
-            keep: &keep,
-            now_ms: self.driver.now_ms(),
-        };
-        let path = routing::choose_path(&fleet, &query, &mut rand::rng())?;
+        let path = self.choose(&fleet, &keep)?;
+        let (model, _) = self.bound(&fleet);
         let model = &fleet.models[usize::from(model.0)];
         self.fixed.version = model.versions[usize::from(path.version)].clone();
         self.take(&fleet, &path);
+        let on_path = self.hops.iter().map(|h| h.upstream);
+        self.driver.quarantine.routed(self.job.fingerprint, on_path);
         self.assignment = Some(Assignment::new(&fleet, &path.hops));
         let names: Vec<&str> = self.hops.iter().map(|h| &*h.name).collect();
         info!(
@@ -511,6 +543,38 @@
         Ok(())
     }
 
+    /// Chooses a path; for a suspect, where possible one on which it harms nobody else.
+    fn choose(&self, fleet: &Fleet, keep: &[routing::Hop]) -> routing::Result<routing::Path> {
+        let (model, version) = self.bound(fleet);
+        let query = PathQuery {
+            model,
+            version,
+            from: self.driver.from(fleet),
+            class: self.job.class,
+            prefill: self.known.len() as u32,
+            avoid: &self.avoid,
+            keep,
+            now_ms: self.driver.now_ms(),
+        };
+        let mut avoid = self.apart_from(fleet, keep);
+        if !avoid.is_empty() {
+            avoid.extend(&self.avoid);
+            let apart = PathQuery {
+                avoid: &avoid,
+                ..query.clone()
+            };
+            let path = routing::choose_path(fleet, &apart, &mut rand::rng());
+            let harms =
+                |path: &routing::Path| path.hops.iter().any(|h| avoid.contains(&h.upstream));
+            if let Ok(path) = path
+                && !harms(&path)
+            {
+                return Ok(path);
+            }
+        }
+        routing::choose_path(fleet, &query, &mut rand::rng())
+    }
+
     fn take(&mut self, fleet: &Fleet, path: &routing::Path) {
         let mut old = std::mem::take(&mut self.hops);
         for hop in &path.hops {
