--- a/crates/kelpworks/src/border/engine.rs
+++ b/crates/kelpworks/src/border/engine.rs
@@ -10,8 +10,12 @@
 use std::sync::RwLock;
 use std::time::Duration;
 
+use bytes::Bytes;
+use bytes::BytesMut;
 use reqwest::Client;
+use reqwest::Response;
 use reqwest::StatusCode;
+use reqwest::redirect::Policy;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -28,6 +32,11 @@
 /// The result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// Largest reply that is read, in bytes; one beyond it is given up in the middle, so that an
+/// engine gone wrong can't take the daemon's memory. A batch of rows for the longest prompt, the
+/// largest reply of use, stays far below.
+const MAX_REPLY: usize = 16 << 20;
+
 /// Why a call of an engine gave no usable reply.
 #[derive(Debug)]
 #[derive(Error)]
@@ -48,6 +57,9 @@
     /// A reply that could not be read as its type.
     #[error("reply: {0}")]
     Decode(String),
+    /// A reply larger than 16 MiB.
+    #[error("reply too large")]
+    TooLarge,
 }
 
 impl Error {
@@ -142,6 +154,8 @@
             .connect_timeout(self.connect_timeout)
             .tcp_nodelay(true)
             .no_proxy()
+            // An upstream's redirect is the caller's to follow: here it would send a call twice.
+            .redirect(Policy::none())
             .build()
             .expect("an HTTP client without TLS needs no outside resource")
     }
@@ -182,12 +196,24 @@
     }
 }
 
-async fn read<A: DeserializeOwned>(sent: reqwest::Result<reqwest::Response>) -> Result<A> {
+/// The body of a reply, as long as it is within bounds.
+async fn bounded(mut res: Response) -> Result<Bytes> {
+    let mut body = BytesMut::new();
+    while let Some(piece) = res.chunk().await.map_err(Error::from_reqwest)? {
+        if body.len() + piece.len() > MAX_REPLY {
+            return Err(Error::TooLarge);
+        }
+        body.extend_from_slice(&piece);
+    }
+    Ok(body.freeze())
+}
+
+async fn read<A: DeserializeOwned>(sent: reqwest::Result<Response>) -> Result<A> {
     let res = sent.map_err(Error::from_reqwest)?;
     if !res.status().is_success() {
         return Err(Error::Status(res.status()));
     }
-    let body = res.bytes().await.map_err(Error::from_reqwest)?;
+    let body = bounded(res).await?;
     serde_json::from_slice(&body).map_err(|e| Error::Decode(e.to_string()))
 }
 
