Contract tests of the callers' border; a verdict on unknown paths and wrong methods

Cause, found by the new tests: a path or method that no route takes was answered by the HTTP library, as a page without a verdict, a request id or a JSON error. Change: routes of last resort answer 404 unknown_path and 405 wrong_method like any refusal. Conclusion: what is refused before it is HTTP at all (400 and 431 of the library) still has no verdict header; nothing of it was read as a request.

--- a/crates/kelpworks/src/entry/mod.rs
+++ b/crates/kelpworks/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod reply;
 mod services;
 mod shape;
+mod unserved;
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -18,6 +19,7 @@
 
 use crate::admission::Admission;
 use crate::border::engine::HttpEngine;
+use crate::entry::unserved::Unserved;
 use crate::fleet::Fleet;
 use crate::in_force::InForce;
 use crate::pipeline::Driver;
@@ -62,8 +64,10 @@
     let completions = completions::Completions::new(Arc::clone(entry), shape::Shape::Text);
     let chat = completions::Completions::new(Arc::clone(entry), shape::Shape::Chat);
     let services = services::Services::new(Arc::clone(entry));
+    let model = |path, handler| Router::with_path(path).post(handler).goal(Unserved::Method);
     Router::new()
-        .push(Router::with_path("v1/completions").post(completions))
-        .push(Router::with_path("v1/chat/completions").post(chat))
+        .push(model("v1/completions", completions))
+        .push(model("v1/chat/completions", chat))
         .push(Router::with_path("services/{name}/{**rest}").goal(services))
+        .push(Router::with_path("{**rest}").goal(Unserved::Path))
 }
--- a/crates/kelpworks/tests/contract/answer.rs
+++ b/crates/kelpworks/tests/contract/answer.rs
@@ -6,7 +6,7 @@
 use reqwest::Response;
 
 /// Headers that are part of the contract.
-const HEADERS: [&str; 3] = ["location", "retry-after", "kelpworks-verdict"];
+const HEADERS: [&str; 4] = ["allow", "location", "retry-after", "kelpworks-verdict"];
 /// Longest body that is shown.
 const SHOWN: usize = 40;
 
--- /dev/null
+++ b/crates/kelpworks/tests/contract_callers.rs
@@ -0,0 +1,252 @@
+//! The callers' border: what each wrong request and each failure behind the daemon looks like to a
+//! caller. No refusal or failure goes without a verdict.
+
+mod caller;
+mod contract;
+#[path = "../examples/support/mod.rs"]
+mod support;
+
+use std::time::Duration;
+
+use insta::assert_snapshot;
+use kelpworks_fakes::Connections;
+use kelpworks_fakes::Fault;
+use kelpworks_fakes::FaultKind;
+use reqwest::Client;
+use reqwest::Method;
+use reqwest::RequestBuilder;
+use rstest::rstest;
+use serde_json::Value;
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use contract::Setup;
+use contract::TOKEN;
+use contract::answer::describe;
+use contract::until;
+
+const TEXT: &str = "/v1/completions";
+const CHAT: &str = "/v1/chat/completions";
+const STEPS: &str = "/v1/steps";
+/// Settings under which the limits are soon reached.
+const TIGHT: &str = "request = \"400 ms\"\n[limits]\nbody = \"4 KiB\"\nmax_tokens = 8";
+/// Bound on what a client waits; never what a verdict rests on.
+const CLIENT_BOUND: Duration = Duration::from_secs(30);
+
+fn client() -> Client {
+    let client = Client::builder().no_proxy().timeout(CLIENT_BOUND);
+    client.build().expect("a client")
+}
+
+async fn start(timing: &str) -> Setup {
+    Setup::start(async |_: &mut kelpworks_fakes::fleet::FleetView| {}, timing).await
+}
+
+async fn tell(req: RequestBuilder) -> String {
+    describe(req.send().await.expect("an answer")).await
+}
+
+/// A request body that is right but for what a case changes.
+fn text_body(change: Value) -> Value {
+    let mut body = json!({ "model": "demo", "prompt": "a kettle", "max_tokens": 2 });
+    for (name, value) in change.as_object().expect("fields") {
+        body[name] = value.clone();
+    }
+    body
+}
+
+#[rstest]
+#[case::no_token("no_token", None)]
+#[case::unknown_token("unknown_token", Some("Bearer nobody"))]
+#[case::empty_token("empty_token", Some("Bearer "))]
+#[case::other_scheme("other_scheme", Some("Basic Y29udHJhY3QtdG9rZW4="))]
+#[case::bare_token("bare_token", Some(TOKEN))]
+#[tokio::test]
+async fn who_calls(#[case] name: &str, #[case] header: Option<&str>) {
+    let setup = start(TIGHT).await;
+    let mut told = String::new();
+    for path in [TEXT, CHAT, "/services/jobs/1"] {
+        let mut req = client().post(format!("{}{path}", setup.base()));
+        if let Some(header) = header {
+            req = req.header("authorization", header);
+        }
+        // Who calls is settled before the body is looked at.
+        told.push_str(&format!("{path}\n{}\n", tell(req.body("no JSON")).await));
+    }
+    assert_snapshot!(format!("caller_{name}"), told);
+}
+
+#[rstest]
+#[case::unknown_model("unknown_model", text_body(json!({ "model": "poem" })))]
+#[case::no_prompt("no_prompt", json!({ "model": "demo" }))]
+#[case::empty_prompt("empty_prompt", text_body(json!({ "prompt": "" })))]
+#[case::prompt_list("prompt_list", text_body(json!({ "prompt": ["a", "b"] })))]
+#[case::no_tokens("no_tokens", text_body(json!({ "max_tokens": 0 })))]
+#[case::too_many_tokens("too_many_tokens", text_body(json!({ "max_tokens": 9 })))]
+#[case::negative_tokens("negative_tokens", text_body(json!({ "max_tokens": -1 })))]
+#[case::huge_tokens("huge_tokens", text_body(json!({ "max_tokens": 1e30 })))]
+#[case::stream_word("stream_word", text_body(json!({ "stream": "yes" })))]
+#[case::list("list", json!([1, 2]))]
+#[case::null("null", Value::Null)]
+#[case::too_large("too_large", text_body(json!({ "prompt": "x".repeat(5000) })))]
+#[case::later_field("later_field", text_body(json!({ "temperature": 0.5, "n": { "x": 1 } })))]
+#[tokio::test]
+async fn bodies(#[case] name: &str, #[case] body: Value) {
+    let setup = start(TIGHT).await;
+    let caller = setup.caller();
+    until("the daemon has a path", async || {
+        let req = caller.post(TEXT).json(&text_body(json!({})));
+        req.send().await.expect("an answer").status().is_success()
+    })
+    .await;
+    assert_snapshot!(
+        format!("caller_{name}"),
+        tell(caller.post(TEXT).json(&body)).await
+    );
+}
+
+/// What is not JSON, and chats.
+#[rstest]
+#[case::not_json("raw_not_json", TEXT, b"model=demo")]
+#[case::empty("raw_empty", TEXT, b"")]
+#[case::half("raw_half", TEXT, br#"{"model": "demo", "prompt": "#)]
+#[case::not_utf8(
+    "raw_not_utf8",
+    TEXT,
+    b"{\"model\": \"demo\", \"prompt\": \"\xff\xfe\"}"
+)]
+#[case::twice(
+    "raw_twice",
+    TEXT,
+    br#"{"model": "demo", "model": "demo", "prompt": "a"}"#
+)]
+#[case::deep("raw_deep", TEXT, &[b'['; 4000])]
+#[case::chat_of_text("raw_chat_of_text", CHAT, br#"{"model": "demo", "prompt": "a"}"#)]
+#[case::chat_without_role(
+    "raw_chat_no_role",
+    CHAT,
+    br#"{"model": "demo", "messages": [{"content": "a"}]}"#
+)]
+#[tokio::test]
+async fn raw_bodies(#[case] name: &str, #[case] path: &str, #[case] body: &'static [u8]) {
+    let setup = start(TIGHT).await;
+    let req = setup.caller().post(path).body(body);
+    assert_snapshot!(format!("caller_{name}"), tell(req).await);
+}
+
+#[rstest]
+#[case::unknown_path("unknown_path", Method::GET, "/v1/nothing")]
+#[case::root("root", Method::GET, "/")]
+#[case::wrong_method("wrong_method", Method::GET, TEXT)]
+#[case::unknown_service("unknown_service", Method::GET, "/services/poems/1")]
+#[case::no_service("no_service", Method::GET, "/services/")]
+#[case::dots("dots", Method::GET, "/services/jobs/../../v1/state")]
+#[tokio::test]
+async fn paths(#[case] name: &str, #[case] method: Method, #[case] path: &str) {
+    let setup = start(TIGHT).await;
+    let url = format!("{}{path}", setup.base());
+    let req = client().request(method, url).bearer_auth(TOKEN);
+    let res = req.send().await.expect("an answer");
+    let verdict = res.headers().get("kelpworks-verdict").cloned();
+    assert_eq!(verdict.expect("a verdict"), "not-run");
+    assert_snapshot!(format!("caller_{name}"), describe(res).await);
+}
+
+/// What befalls the engines while a caller waits for a first token.
+#[derive(Clone, Copy, Debug)]
+enum Behind {
+    /// Both engines have been gone for a while.
+    Gone,
+    /// Both are silent from now on.
+    Silent,
+    /// Steps are refused with this status from now on.
+    Status(u16),
+    /// Steps are answered busy, to be asked again after this many milliseconds, from now on.
+    Busy(u32),
+}
+
+#[rstest]
+#[case::gone("behind_gone", Behind::Gone)]
+#[case::silent("behind_silent", Behind::Silent)]
+#[case::error("behind_error", Behind::Status(500))]
+#[case::busy("behind_busy", Behind::Busy(50))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn failures_behind(
+    #[case] name: &str,
+    #[case] behind: Behind,
+    #[values(false, true)] stream: bool,
+) {
+    let setup = start(TIGHT).await;
+    let caller = setup.caller();
+    let body = text_body(json!({ "stream": stream }));
+    let request = || caller.post(TEXT).json(&body);
+    until("the daemon has a path", async || {
+        request()
+            .send()
+            .await
+            .expect("an answer")
+            .status()
+            .is_success()
+    })
+    .await;
+    for engine in &setup.fakes.engines {
+        match behind {
+            Behind::Gone => engine.faults().connections(Connections::Refuse),
+            Behind::Silent => engine.faults().connections(Connections::SilenceAll),
+            Behind::Status(s) => engine
+                .faults()
+                .add(Fault::always(FaultKind::Status(s)).on(STEPS)),
+            Behind::Busy(ms) => engine
+                .faults()
+                .add(Fault::always(FaultKind::Busy(ms)).on(STEPS)),
+        }
+    }
+    if let Behind::Gone = behind {
+        until("the engines are down", async || {
+            let res = request().send().await.expect("an answer");
+            let verdict = res.headers().get("kelpworks-verdict").cloned();
+            verdict.is_some_and(|v| v == "not-run")
+        })
+        .await;
+    }
+    assert_snapshot!(name, tell(request()).await);
+}
+
+/// Requests that are no HTTP, or HTTP beyond any use, on a connection of their own. The daemon
+/// answers the next caller.
+#[rstest]
+#[case::noise("http_noise", b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n".to_vec())]
+#[case::no_version("http_no_version", b"GET\r\n\r\n".to_vec())]
+#[case::many_headers("http_many_headers", bomb(5_000, 8))]
+#[case::long_header("http_long_header", bomb(1, 1 << 20))]
+#[case::two_lengths("http_two_lengths", b"POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\n{}".to_vec())]
+#[case::bad_chunk("http_bad_chunk", b"POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer contract-token\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n".to_vec())]
+#[tokio::test]
+async fn no_http(#[case] name: &str, #[case] bytes: Vec<u8>) {
+    let setup = start(TIGHT).await;
+    let mut stream = TcpStream::connect(setup.daemon.bound().callers)
+        .await
+        .expect("connected");
+    // The daemon may close before it has read everything.
+    let _sent = stream.write_all(&bytes).await;
+    let _closed = stream.shutdown().await;
+    let mut reply = Vec::new();
+    let read = stream.read_to_end(&mut reply);
+    let ended = tokio::time::timeout(CLIENT_BOUND, read).await;
+    assert!(ended.is_ok(), "the connection ends");
+    let first = String::from_utf8_lossy(&reply);
+    let first = first.lines().next().unwrap_or("closed");
+    assert_snapshot!(name, first);
+    let next = setup.caller().post(TEXT).body("{}").send().await;
+    assert_eq!(next.expect("an answer").status(), 400, "the daemon goes on");
+}
+
+fn bomb(count: usize, size: usize) -> Vec<u8> {
+    let mut text = "GET / HTTP/1.1\r\nhost: a\r\n".to_owned();
+    for n in 0..count {
+        text.push_str(&format!("x-{n}: {}\r\n", "x".repeat(size)));
+    }
+    (text + "\r\n").into_bytes()
+}
