--- a/crates/kelpworks/src/in_force.rs
+++ b/crates/kelpworks/src/in_force.rs
@@ -10,6 +10,7 @@
 use crate::register::Register;
 use crate::rules::NonIdempotent;
 use crate::rules::Rules;
+use crate::rules::path;
 
 /// Index of a team in the rules in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -69,14 +70,14 @@
         })
     }
 
-    /// Whether a call of a plain service must run at most once.
+    /// Whether a call of a plain service must run at most once, however its path is spelt.
     pub fn call_is_non_idempotent(&self, service: &str, method: &str, path: &str) -> bool {
         self.rules.non_idempotent.iter().any(|rule| match rule {
             NonIdempotent::Service {
                 service: s,
                 method: m,
                 path: p,
-            } => s == service && m == method && path.starts_with(p.as_str()),
+            } => s == service && m == method && path::is_below(path, p),
             NonIdempotent::Model { .. } => false,
         })
     }
--- a/crates/kelpworks/src/rules/mod.rs
+++ b/crates/kelpworks/src/rules/mod.rs
@@ -25,6 +25,7 @@
 
 mod check;
 mod file;
+pub(crate) mod path;
 
 use std::fmt;
 
--- a/crates/kelpworks/tests/contract/mod.rs
+++ b/crates/kelpworks/tests/contract/mod.rs
@@ -31,6 +31,8 @@
 pub(crate) const MODEL: &str = "demo";
 pub(crate) const LAYERS: u32 = 12;
 pub(crate) const STAGES: u32 = 2;
+/// The plain service; its calls `PUT /certificates` may run only once.
+pub(crate) const SERVICE: &str = "jobs";
 pub(crate) const TEAM: &str = "merchandisers";
 pub(crate) const TOKEN: &str = "contract-token";
 /// Short deadlines, so that a silent engine is found soon.
@@ -94,7 +96,12 @@
         token_sha256: &digest_of(TOKEN).to_string(),
     };
     let register = documents::register(view, std::slice::from_ref(model));
-    let rules = documents::rules(0.5, &[team], &[]);
+    let once = documents::NonIdempotentCall {
+        service: SERVICE,
+        method: "PUT",
+        path: "/certificates",
+    };
+    let rules = documents::rules(0.5, &[team], &[once]);
     let api = HttpObjectApi::new(&view.object_api, Deadlines::default()).expect("a URL");
     for (which, text) in [(Which::Register, register), (Which::Rules, rules)] {
         let proposal = Proposal::new(which, "contract", text);
