--- a/crates/kelpworks/src/entry/mod.rs
+++ b/crates/kelpworks/src/entry/mod.rs
@@ -19,7 +19,6 @@
 
 use crate::admission::Admission;
 use crate::border::engine::HttpEngine;
-use crate::entry::unserved::Unserved;
 use crate::fleet::Fleet;
 use crate::in_force::InForce;
 use crate::pipeline::Driver;
@@ -64,10 +63,14 @@
     let completions = completions::Completions::new(Arc::clone(entry), shape::Shape::Text);
     let chat = completions::Completions::new(Arc::clone(entry), shape::Shape::Chat);
     let services = services::Services::new(Arc::clone(entry));
-    let model = |path, handler| Router::with_path(path).post(handler).goal(Unserved::Method);
+    let model = |path, handler| {
+        Router::with_path(path)
+            .post(handler)
+            .goal(unserved::Unserved::Method)
+    };
     Router::new()
         .push(model("v1/completions", completions))
         .push(model("v1/chat/completions", chat))
         .push(Router::with_path("services/{name}/{**rest}").goal(services))
-        .push(Router::with_path("{**rest}").goal(Unserved::Path))
+        .push(Router::with_path("{**rest}").goal(unserved::Unserved::Path))
 }
