--- a/crates/kelpworks/tests/contract_callers.rs
+++ b/crates/kelpworks/tests/contract_callers.rs
@@ -12,6 +12,11 @@
 use kelpworks_fakes::Connections;
 use kelpworks_fakes::Fault;
 use kelpworks_fakes::FaultKind;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::Index;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::TestRunner;
 use reqwest::Client;
 use reqwest::Method;
 use reqwest::RequestBuilder;
@@ -30,6 +35,8 @@
 const TEXT: &str = "/v1/completions";
 const CHAT: &str = "/v1/chat/completions";
 const STEPS: &str = "/v1/steps";
+/// Bodies that are sent to each path.
+const ANY_BODIES: usize = 300;
 /// Settings under which the limits are soon reached.
 const TIGHT: &str = "request = \"400 ms\"\n[limits]\nbody = \"4 KiB\"\nmax_tokens = 8";
 /// Bound on what a client waits; never what a verdict rests on.
@@ -154,6 +161,49 @@
     assert_snapshot!(format!("caller_{name}"), describe(res).await);
 }
 
+/// Bodies of noise, and right ones with a few bytes changed.
+fn bodies_of_any_kind() -> impl Strategy<Value = Vec<u8>> {
+    let noise = vec(any::<u8>(), 0..200);
+    let damage = vec((any::<Index>(), any::<u8>()), 1..4);
+    let damaged = (any::<bool>(), damage).prop_map(|(stream, damage)| {
+        let mut body = text_body(json!({ "stream": stream }))
+            .to_string()
+            .into_bytes();
+        for (at, byte) in damage {
+            let at = at.index(body.len());
+            body[at] = byte;
+        }
+        body
+    });
+    prop_oneof![1 => noise, 3 => damaged]
+}
+
+/// Whatever the body: an answer, or a refusal with a verdict; and the daemon goes on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_body_goes_without_a_verdict() {
+    let setup = start(TIGHT).await;
+    let caller = setup.caller();
+    let mut runner = TestRunner::deterministic();
+    for _ in 0..ANY_BODIES {
+        let body = bodies_of_any_kind()
+            .new_tree(&mut runner)
+            .expect("a body")
+            .current();
+        for path in [TEXT, CHAT] {
+            let res = caller
+                .post(path)
+                .body(body.clone())
+                .send()
+                .await
+                .expect("an answer");
+            let shown = String::from_utf8_lossy(&body);
+            let has_verdict = res.headers().contains_key("kelpworks-verdict");
+            assert_ne!(res.status(), 500, "{shown}");
+            assert_eq!(has_verdict, !res.status().is_success(), "{shown}");
+        }
+    }
+}
+
 /// What befalls the engines while a caller waits for a first token.
 #[derive(Clone, Copy, Debug)]
 enum Behind {
