--- a/crates/kelpworks/src/border/engine.rs
+++ b/crates/kelpworks/src/border/engine.rs
@@ -171,7 +171,8 @@
             .clone()
     }
 
-    fn replace(&self, url: &Arc<str>, client: Client) {
+    /// Leaves the connections to an upstream behind for those of `client`.
+    pub(crate) fn replace(&self, url: &Arc<str>, client: Client) {
         self.clients
             .write()
             .expect("not poisoned")
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -32,6 +32,9 @@
 use crate::border::host_list::HttpHostList;
 use crate::border::object_api;
 use crate::border::object_api::HttpObjectApi;
+use crate::claims;
+use crate::claims::Claims;
+use crate::claims::NoPeers;
 use crate::daemon::follow::Follower;
 use crate::daemon::hosts::HostWatch;
 use crate::daemon::serve::Server;
@@ -182,6 +185,7 @@
             driver,
             engine,
             reports,
+            claims: Arc::new(claims(settings, tasks.clone())?),
             tasks,
             draining: AtomicBool::new(false),
             closed: AtomicBool::new(false),
@@ -267,10 +271,20 @@
 fn admission_config(settings: &Settings) -> admission::Config {
     admission::Config {
         queue: settings.limits.queue,
+        token_target: settings.limits.token_target.0,
         ..admission::Config::default()
     }
 }
 
+/// Claims have a client of their own, so that leaving its connections behind touches no watch.
+fn claims(settings: &Settings, tasks: TaskTracker) -> Result<Claims<HttpObjectApi>> {
+    let cfg = claims::Config {
+        writes_per_second: u64::from(settings.limits.claim_writes_per_second),
+        ..claims::Config::new(&settings.name)
+    };
+    Ok(Claims::new(cfg, object_api(settings)?, NoPeers, tasks))
+}
+
 fn object_api(settings: &Settings) -> Result<HttpObjectApi> {
     let deadlines = object_api::Deadlines::default();
     Ok(HttpObjectApi::new(
