Bound answers of services; no upstream address to callers; any spelling of a service's name

Cause, found by the contract tests of services: an answer of any size was held whole (100 MiB passed); an error's text told callers the URL of the upstream; and /services/j%6Fbs/things/1 was routed to the service but its path lost, so that the service got PUT /. Change: 16 MiB for answers as for engines' replies, given up without a repeat, 502 may-have-run; URLs are left out of errors; the service's name is passed over as a segment. Conclusion: streaming large answers through would lift the bound; no service of today needs it.

--- a/crates/kelpworks/src/border/engine.rs
+++ b/crates/kelpworks/src/border/engine.rs
@@ -32,9 +32,9 @@
 /// The result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Largest reply that is read, in bytes; one beyond it is given up in the middle, so that an
-/// engine gone wrong can't take the daemon's memory. A batch of rows for the longest prompt, the
-/// largest reply of use, stays far below.
+/// Largest reply of an upstream that is read, in bytes; one beyond it is given up in the middle, so
+/// that an upstream gone wrong can't take the daemon's memory. A batch of rows for the longest
+/// prompt, the largest reply of use of an engine, stays far below.
 const MAX_REPLY: usize = 16 << 20;
 
 /// Why a call of an engine gave no usable reply.
@@ -71,7 +71,9 @@
         }
     }
 
+    /// Leaves the URL out: the text may reach a caller, who learns no address of an upstream.
     pub(crate) fn from_reqwest(e: reqwest::Error) -> Error {
+        let e = e.without_url();
         if e.is_connect() {
             return Error::Connect(e.to_string());
         }
@@ -198,7 +200,7 @@
 }
 
 /// The body of a reply, as long as it is within bounds.
-async fn bounded(mut res: Response) -> Result<Bytes> {
+pub(crate) async fn bounded(mut res: Response) -> Result<Bytes> {
     let mut body = BytesMut::new();
     while let Some(piece) = res.chunk().await.map_err(Error::from_reqwest)? {
         if body.len() + piece.len() > MAX_REPLY {
--- a/crates/kelpworks/src/entry/services/call.rs
+++ b/crates/kelpworks/src/entry/services/call.rs
@@ -52,7 +52,7 @@
         let config = entry.config.load_full();
         let caller = auth::caller(&config, req.headers())?;
         let service: String = req.param("name").unwrap_or_default();
-        let path = below(req.uri().path(), &service);
+        let path = below(req.uri().path());
         let method = req.method().clone();
         let non_idempotent = config.call_is_non_idempotent(&service, method.as_str(), &path);
         let repeatable = method.is_idempotent() && !non_idempotent;
@@ -89,15 +89,12 @@
     HeaderValue::from_str(claim.name()).ok()
 }
 
-/// Path below `/services/{name}`, starting with `/`.
-fn below(path: &str, service: &str) -> String {
-    let prefix = format!("/services/{service}");
-    let rest = path.strip_prefix(&prefix).unwrap_or("/");
-    if rest.is_empty() {
-        "/".to_owned()
-    } else {
-        rest.to_owned()
-    }
+/// Path below `/services/{name}`, starting with `/`. The name may be spelt in more ways than one, so
+/// it is passed over as a segment.
+fn below(path: &str) -> String {
+    let mut segments = path.splitn(4, '/');
+    let rest = segments.nth(3).unwrap_or_default();
+    format!("/{rest}")
 }
 
 fn pick(headers: &HeaderMap, names: &[HeaderName]) -> HeaderMap {
--- a/crates/kelpworks/src/entry/services/send.rs
+++ b/crates/kelpworks/src/entry/services/send.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::border::engine::Error;
+use crate::border::engine::bounded;
 use crate::claims::Header;
 use crate::claims::Reply;
 use crate::entry::Entry;
@@ -112,6 +113,14 @@
                     self.retries().succeeded();
                     return ended.map_err(|lost| attempts.failure(&lost));
                 }
+                // Another upstream would say the same.
+                Err(Lost {
+                    error: Error::TooLarge,
+                    ..
+                }) => {
+                    attempts.worsen(Verdict::MayHaveRun);
+                    return ended.map_err(|lost| attempts.failure(&lost));
+                }
                 Err(lost) if lost.connection => attempts.worsen(lost.error.verdict()),
                 Err(lost) => {
                     attempts.failed(key, lost.error.verdict());
@@ -310,7 +319,7 @@
             value: value.to_owned(),
         }));
     }
-    let body = res.bytes().await.map_err(Error::from_reqwest)?;
+    let body = bounded(res).await?;
     Ok(Reply {
         status,
         headers,
--- a/crates/kelpworks/tests/contract/answer.rs
+++ b/crates/kelpworks/tests/contract/answer.rs
@@ -33,6 +33,12 @@
         let _ = write!(text, "  error {}, {}", error.type_, error.verdict);
         assert!(names_request, "an error names its request");
         assert!(!error.message.is_empty(), "an error says something");
+        let tells_address = error.message.contains("127.0.0.1");
+        assert!(
+            !tells_address,
+            "no caller learns an address: {}",
+            error.message
+        );
         return text;
     }
     let shown = String::from_utf8_lossy(&body[..body.len().min(SHOWN)]).into_owned();
--- a/crates/kelpworks/tests/contract_services.rs
+++ b/crates/kelpworks/tests/contract_services.rs
@@ -82,6 +82,20 @@
         sent.await.expect("an answer")
     }
 
+    /// Sends a `PUT` with its path as it stands, and gives the whole reply.
+    async fn put(&self, path: &str) -> String {
+        let callers = self.setup.daemon.bound().callers;
+        let mut stream = TcpStream::connect(callers).await.expect("connected");
+        let head = format!(
+            "PUT {path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {TOKEN}\r\n\
+             content-length: 0\r\nconnection: close\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.expect("sent");
+        let mut reply = String::new();
+        stream.read_to_string(&mut reply).await.expect("an answer");
+        reply
+    }
+
     fn calls(&self) -> usize {
         self.hosts.iter().map(|h| h.calls().len()).sum()
     }
@@ -144,17 +158,24 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn no_spelling_of_a_path_escapes_its_rule(#[case] path: &str, #[case] is_repeated: bool) {
     let services = Services::start(Reply::Cut).await;
-    let callers = services.setup.daemon.bound().callers;
-    let mut stream = TcpStream::connect(callers).await.expect("connected");
-    let head = format!(
-        "PUT /services/{SERVICE}{path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {TOKEN}\r\n\
-         content-length: 0\r\nconnection: close\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).await.expect("sent");
-    let mut reply = String::new();
-    stream.read_to_string(&mut reply).await.expect("an answer");
+    let reply = services.put(&format!("/services/{SERVICE}{path}")).await;
     assert!(reply.contains("kelpworks-verdict: may-have-run"), "{reply}");
     let calls = services.calls();
     assert_eq!(calls > 1, is_repeated, "{:?}", services.hosts);
     assert!(calls > 0, "it was sent");
 }
+
+/// The name of the service may be spelt in more ways too; what follows it is the path.
+#[rstest]
+#[case::plain("/services/jobs/things/1", "PUT /things/1")]
+#[case::encoded("/services/j%6Fbs/things/1", "PUT /things/1")]
+#[case::longer_name("/services/jobs/services/jobs/1", "PUT /services/jobs/1")]
+#[case::bare("/services/jobs", "PUT /")]
+#[case::slash("/services/jobs/", "PUT /")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_follows_the_name_is_the_path(#[case] path: &str, #[case] call: &str) {
+    let services = Services::start(Reply::Whole(200, "done")).await;
+    services.put(path).await;
+    let calls: Vec<String> = services.hosts.iter().flat_map(Script::calls).collect();
+    assert_eq!(calls, [call]);
+}
