--- a/crates/kelpworks/src/entry/mod.rs
+++ b/crates/kelpworks/src/entry/mod.rs
@@ -22,6 +22,7 @@
 use crate::border::engine::HttpEngine;
 use crate::border::object_api::HttpObjectApi;
 use crate::claims::Claims;
+use crate::entry::unserved::Unserved;
 use crate::fleet::Fleet;
 use crate::in_force::InForce;
 use crate::pipeline::Driver;
@@ -68,14 +69,15 @@
     let completions = completions::Completions::new(Arc::clone(entry), shape::Shape::Text);
     let chat = completions::Completions::new(Arc::clone(entry), shape::Shape::Chat);
     let services = services::Services::new(Arc::clone(entry));
-    let model = |path, handler| {
-        Router::with_path(path)
-            .post(handler)
-            .goal(unserved::Unserved::Method)
-    };
     Router::new()
-        .push(model("v1/completions", completions))
-        .push(model("v1/chat/completions", chat))
+        .push(post_only("v1/completions", completions))
+        .push(post_only("v1/chat/completions", chat))
         .push(Router::with_path("services/{name}/{**rest}").goal(services))
-        .push(Router::with_path("{**rest}").goal(unserved::Unserved::Path))
+        .push(Router::with_path("{**rest}").goal(Unserved::Path))
+}
+
+fn post_only(path: &str, handler: completions::Completions) -> Router {
+    Router::with_path(path)
+        .push(Router::new().post(handler))
+        .push(Router::new().goal(Unserved::Method))
 }
--- a/crates/kelpworks/src/entry/unserved.rs
+++ b/crates/kelpworks/src/entry/unserved.rs
@@ -1,4 +1,4 @@
-//! Answers to requests for what is not served here: they carry a verdict as all refusals do.
+//! Answers to paths and methods that are not served.
 
 use salvo::Depot;
 use salvo::FlowCtrl;
@@ -13,30 +13,15 @@
 use crate::entry::completions::request_id;
 use crate::entry::reply::Failure;
 
-/// Handler of what no other route takes.
-#[derive(Clone, Copy, Debug)]
+/// What a request asks for that is not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Unserved {
-    /// No such path.
+    /// Its path.
     Path,
-    /// A path of model requests, asked with another method than POST.
+    /// Its method, at a path that takes only POST.
     Method,
 }
 
-impl Unserved {
-    fn failure(self) -> Failure {
-        match self {
-            Unserved::Path => {
-                let message = "there is nothing at this path";
-                Failure::bad(StatusCode::NOT_FOUND, "unknown_path", message)
-            }
-            Unserved::Method => {
-                let message = "this path takes POST only";
-                Failure::bad(StatusCode::METHOD_NOT_ALLOWED, "wrong_method", message)
-            }
-        }
-    }
-}
-
 #[async_trait]
 impl Handler for Unserved {
     async fn handle(
@@ -46,10 +31,22 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        self.failure().write(&request_id(), res);
-        if let Unserved::Method = self {
-            let allow = HeaderValue::from_static("POST");
-            res.headers_mut().insert(ALLOW, allow);
-        }
+        let failure = match self {
+            Unserved::Path => Failure::bad(
+                StatusCode::NOT_FOUND,
+                "unknown_path",
+                "nothing is served at this path",
+            ),
+            Unserved::Method => {
+                let allowed = HeaderValue::from_static("POST");
+                res.headers_mut().insert(ALLOW, allowed);
+                Failure::bad(
+                    StatusCode::METHOD_NOT_ALLOWED,
+                    "method_not_allowed",
+                    "this path takes POST only",
+                )
+            }
+        };
+        failure.write(&request_id(), res);
     }
 }
