Take any case of the bearer scheme; drop contract cases that path_input has

Cause: a scheme is case-insensitive in HTTP, and the daemon took only `Bearer`, so a client that writes `bearer` got 401 with a good token.

--- a/crates/kelpworks/src/entry/auth.rs
+++ b/crates/kelpworks/src/entry/auth.rs
@@ -7,6 +7,7 @@
 use crate::in_force::Caller;
 use crate::in_force::InForce;
 
+/// Of any case, as HTTP has it.
 const SCHEME: &[u8] = b"Bearer ";
 
 /// The team that a request's bearer token names.
@@ -16,8 +17,10 @@
 /// A 401 when the token is absent or unknown; which of the two is not told.
 pub(crate) fn caller(config: &InForce, headers: &HeaderMap) -> Result<Caller, Failure> {
     let value = headers.get(AUTHORIZATION).map(|v| v.as_bytes());
-    let token = value.and_then(|v| v.strip_prefix(SCHEME));
+    let parts = value.and_then(|v| v.split_at_checked(SCHEME.len()));
+    let token = parts.filter(|(scheme, _)| scheme.eq_ignore_ascii_case(SCHEME));
     token
+        .map(|(_, token)| token)
         .and_then(|t| config.caller(t))
         .ok_or(Failure::UNAUTHORIZED)
 }
--- a/crates/kelpworks/tests/contract_callers.rs
+++ b/crates/kelpworks/tests/contract_callers.rs
@@ -65,39 +65,39 @@
 }
 
 #[rstest]
-#[case::no_token("no_token", None)]
-#[case::unknown_token("unknown_token", Some("Bearer nobody"))]
-#[case::empty_token("empty_token", Some("Bearer "))]
-#[case::other_scheme("other_scheme", Some("Basic Y29udHJhY3QtdG9rZW4="))]
-#[case::bare_token("bare_token", Some(TOKEN))]
+#[case::no_scheme("no_scheme", TOKEN)]
+#[case::two_tokens("two_tokens", &format!("Bearer {TOKEN} {TOKEN}"))]
 #[tokio::test]
-async fn who_calls(#[case] name: &str, #[case] header: Option<&str>) {
+async fn who_calls(#[case] name: &str, #[case] header: &str) {
     let setup = start(TIGHT).await;
     let mut told = String::new();
     for path in [TEXT, CHAT, "/services/jobs/1"] {
-        let mut req = client().post(format!("{}{path}", setup.base()));
-        if let Some(header) = header {
-            req = req.header("authorization", header);
-        }
+        let req = client().post(format!("{}{path}", setup.base()));
+        let req = req.header("authorization", header);
         // Who calls is settled before the body is looked at.
         told.push_str(&format!("{path}\n{}\n", tell(req.body("no JSON")).await));
     }
     assert_snapshot!(format!("caller_{name}"), told);
 }
 
+/// HTTP says that the case of a scheme does not count.
+#[rstest]
+#[tokio::test]
+async fn any_case_of_the_scheme(#[values("Bearer", "bearer", "BEARER")] scheme: &str) {
+    let setup = start(TIGHT).await;
+    let req = client().post(format!("{}{TEXT}", setup.base()));
+    let req = req.header("authorization", format!("{scheme} {TOKEN}"));
+    let res = req.body("no JSON").send().await.expect("an answer");
+    assert_eq!(res.status(), 400, "past the token, up to the body");
+}
+
 #[rstest]
-#[case::unknown_model("unknown_model", text_body(json!({ "model": "poem" })))]
-#[case::no_prompt("no_prompt", json!({ "model": "demo" }))]
-#[case::empty_prompt("empty_prompt", text_body(json!({ "prompt": "" })))]
 #[case::prompt_list("prompt_list", text_body(json!({ "prompt": ["a", "b"] })))]
-#[case::no_tokens("no_tokens", text_body(json!({ "max_tokens": 0 })))]
 #[case::too_many_tokens("too_many_tokens", text_body(json!({ "max_tokens": 9 })))]
-#[case::negative_tokens("negative_tokens", text_body(json!({ "max_tokens": -1 })))]
 #[case::huge_tokens("huge_tokens", text_body(json!({ "max_tokens": 1e30 })))]
 #[case::stream_word("stream_word", text_body(json!({ "stream": "yes" })))]
 #[case::list("list", json!([1, 2]))]
 #[case::null("null", Value::Null)]
-#[case::too_large("too_large", text_body(json!({ "prompt": "x".repeat(5000) })))]
 #[case::later_field("later_field", text_body(json!({ "temperature": 0.5, "n": { "x": 1 } })))]
 #[tokio::test]
 async fn bodies(#[case] name: &str, #[case] body: Value) {
@@ -116,9 +116,6 @@
 
 /// What is not JSON, and chats.
 #[rstest]
-#[case::not_json("raw_not_json", TEXT, b"model=demo")]
-#[case::empty("raw_empty", TEXT, b"")]
-#[case::half("raw_half", TEXT, br#"{"model": "demo", "prompt": "#)]
 #[case::not_utf8(
     "raw_not_utf8",
     TEXT,
@@ -129,7 +126,6 @@
     TEXT,
     br#"{"model": "demo", "model": "demo", "prompt": "a"}"#
 )]
-#[case::deep("raw_deep", TEXT, &[b'['; 4000])]
 #[case::chat_of_text("raw_chat_of_text", CHAT, br#"{"model": "demo", "prompt": "a"}"#)]
 #[case::chat_without_role(
     "raw_chat_no_role",
@@ -144,12 +140,10 @@
 }
 
 #[rstest]
-#[case::unknown_path("unknown_path", Method::GET, "/v1/nothing")]
-#[case::root("root", Method::GET, "/")]
-#[case::wrong_method("wrong_method", Method::GET, TEXT)]
+#[case::trailing_slash("trailing_slash", Method::POST, "/v1/completions/")]
+#[case::upper_case("upper_case", Method::POST, "/V1/COMPLETIONS")]
 #[case::unknown_service("unknown_service", Method::GET, "/services/poems/1")]
 #[case::no_service("no_service", Method::GET, "/services/")]
-#[case::dots("dots", Method::GET, "/services/jobs/../../v1/state")]
 #[tokio::test]
 async fn paths(#[case] name: &str, #[case] method: Method, #[case] path: &str) {
     let setup = start(TIGHT).await;
@@ -267,10 +261,6 @@
 /// Requests that are no HTTP, or HTTP beyond any use, on a connection of their own. The daemon
 /// answers the next caller.
 #[rstest]
-#[case::noise("http_noise", b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n".to_vec())]
-#[case::no_version("http_no_version", b"GET\r\n\r\n".to_vec())]
-#[case::many_headers("http_many_headers", bomb(5_000, 8))]
-#[case::long_header("http_long_header", bomb(1, 1 << 20))]
 #[case::two_lengths("http_two_lengths", b"POST /v1/completions HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\n{}".to_vec())]
 #[case::bad_chunk("http_bad_chunk", b"POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer contract-token\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n".to_vec())]
 #[tokio::test]
@@ -292,11 +282,3 @@
     let next = setup.caller().post(TEXT).body("{}").send().await;
     assert_eq!(next.expect("an answer").status(), 400, "the daemon goes on");
 }
-
-fn bomb(count: usize, size: usize) -> Vec<u8> {
-    let mut text = "GET / HTTP/1.1\r\nhost: a\r\n".to_owned();
-    for n in 0..count {
-        text.push_str(&format!("x-{n}: {}\r\n", "x".repeat(size)));
-    }
-    (text + "\r\n").into_bytes()
-}
