--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -40,6 +40,8 @@
 use crate::daemon::serve::Server;
 use crate::entry;
 use crate::entry::Entry;
+use crate::executor;
+use crate::executor::Executor;
 use crate::fleet::Fleet;
 use crate::in_force::InForce;
 use crate::operators;
@@ -62,6 +64,9 @@
 /// Wait for the last answers and the last calls to engines of a stop.
 const LAST_ANSWERS: Duration = Duration::from_secs(2);
 
+/// Polls until every daemon knows of a new version that is whole.
+const DRAIN_POLLS: u32 = 4;
+
 /// Why a daemon could not start.
 #[derive(Debug, Error)]
 #[non_exhaustive]
@@ -111,6 +116,8 @@
     notice: Duration,
     /// Longest wait for requests in flight.
     drain: Duration,
+    /// Cancelled at a planned stop: gives the placement lease up.
+    leave: CancellationToken,
 }
 
 impl Daemon {
@@ -152,6 +159,11 @@
             reports: reports.clone(),
             interval: timing.host_list_poll.0,
         };
+        let leave = CancellationToken::new();
+        if settings.placement.enabled {
+            let executor = executor(settings, &engine, &config, &fleet)?;
+            tokio::spawn(executor.run(leave.clone(), stop.clone()));
+        }
         let abort = CancellationToken::new();
         let tasks = TaskTracker::new();
         let driver = Driver {
@@ -214,6 +226,7 @@
             abort,
             notice: timing.balancer_notice.0,
             drain: timing.drain.0,
+            leave,
         })
     }
 
@@ -238,6 +251,7 @@
     /// those in flight finish, then the addresses close.
     pub async fn stop(mut self) {
         self.entry.draining.store(true, Ordering::Relaxed);
+        self.leave.cancel();
         info!("stopping, {} sessions in flight", self.entry.tasks.len());
         let _ = timeout_or(self.notice, &self.abort, std::future::pending::<()>()).await;
         self.entry.closed.store(true, Ordering::Relaxed);
@@ -255,6 +269,35 @@
     }
 }
 
+fn executor(
+    settings: &Settings,
+    engine: &Arc<HttpEngine>,
+    config: &Arc<ArcSwap<InForce>>,
+    fleet: &Arc<ArcSwap<Fleet>>,
+) -> Result<Executor<HttpEngine, HttpObjectApi>> {
+    Ok(Executor::new(
+        executor_config(settings),
+        &settings.name,
+        Arc::clone(engine),
+        object_api(settings)?,
+        Arc::clone(config),
+        Arc::clone(fleet),
+    ))
+}
+
+fn executor_config(settings: &Settings) -> executor::Config {
+    let placement = &settings.placement;
+    executor::Config {
+        lease: executor::lease_config(placement.lease.0, placement.order_bound.0),
+        interval: placement.interval.0,
+        lost_after: placement.lost_after.0,
+        improve_after: placement.improve_after.0,
+        drain: settings.timing.request.0 + settings.timing.state_poll.0 * DRAIN_POLLS,
+        poll_deadline: PROBE_DEADLINE,
+        weight_rate: placement.weight_rate,
+    }
+}
+
 /// Waits for `work`, at most `wait` and not beyond `abort`; `None` when it was not done by then.
 async fn timeout_or<T>(
     wait: Duration,
