--- a/crates/kelpworks-wire/src/types.rs
+++ b/crates/kelpworks-wire/src/types.rs
@@ -358,6 +358,26 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub usage: ::std::option::Option<Usage>,
 }
+///The configuration head that a daemon has in force.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ConfigHead {
+    ///Body of the head object; empty before the first configuration.
+    pub body: ::std::string::String,
+    pub from: MemberContact,
+}
+///A register's or rules' text.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+pub struct ConfigText {
+    ///The text; absent when it is not held.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub text: ::std::option::Option<::std::string::String>,
+}
+///Asks for a register's or rules' text.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ConfigTextRequest {
+    ///SHA-256 of the text, in hex.
+    pub digest: ::std::string::String,
+}
 ///Load of an engine, as of a moment ago.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct EngineLoad {
@@ -622,6 +642,108 @@
     ///Version.
     pub version: ::std::string::String,
 }
+///How a daemon is reached by its peers; body of its object in the object API.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MemberContact {
+    ///Where it listens for peers, `IP:port`.
+    pub address: ::std::string::String,
+    ///Failure domain it stands in.
+    pub failure_domain: ::std::string::String,
+    ///Name of the daemon.
+    pub name: ::std::string::String,
+    ///Incarnation that its run began with: the time of its start, in milliseconds since 1970.
+    pub started: u64,
+}
+///What is held of a daemon.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum MemberHealth {
+    #[serde(rename = "alive")]
+    Alive,
+    #[serde(rename = "suspect")]
+    Suspect,
+    #[serde(rename = "dead")]
+    Dead,
+    #[serde(rename = "left")]
+    Left,
+}
+impl ::std::fmt::Display for MemberHealth {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Alive => f.write_str("alive"),
+            Self::Suspect => f.write_str("suspect"),
+            Self::Dead => f.write_str("dead"),
+            Self::Left => f.write_str("left"),
+        }
+    }
+}
+impl ::std::str::FromStr for MemberHealth {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "alive" => Ok(Self::Alive),
+            "suspect" => Ok(Self::Suspect),
+            "dead" => Ok(Self::Dead),
+            "left" => Ok(Self::Left),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for MemberHealth {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for MemberHealth {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///What a daemon says of itself now and then; the highest version counts.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MemberSample {
+    ///Generation in force.
+    pub generation: u64,
+    ///Whether it is about to stop.
+    pub leaving: bool,
+    ///The daemon, by the hash of its name.
+    pub node: u64,
+    ///Positions a second that trials ask of it.
+    pub trial_demand: u32,
+    ///Rises with each change, over restarts too.
+    pub version: u64,
+}
+///What one daemon tells another of a third.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct MemberUpdate {
+    ///Who says so of its own knowledge.
+    pub by: u64,
+    ///Its failure domain, by the hash of its name.
+    pub domain: u64,
+    pub health: MemberHealth,
+    ///Incarnation that the report is about.
+    pub incarnation: u64,
+    ///The daemon, by the hash of its name.
+    pub node: u64,
+}
 ///An object of the platform's object API.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct Object {
@@ -732,6 +854,148 @@
         value.parse()
     }
 }
+///A rare fact, spread among daemons.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerFact {
+    ///The daemon that observed it.
+    pub author: u64,
+    ///More about it, by kind.
+    pub detail: u64,
+    ///False when it was cleared.
+    pub holds: bool,
+    ///Of the author.
+    pub incarnation: u64,
+    pub kind: PeerFactKind,
+    ///Rises with each change by the author.
+    pub sequence: u64,
+    ///Hash of an upstream's name, or fingerprint of a request.
+    pub subject: u64,
+    ///Time it has left, in milliseconds.
+    pub ttl_ms: u64,
+}
+///What a fact says of its subject.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum PeerFactKind {
+    #[serde(rename = "leaving")]
+    Leaving,
+    #[serde(rename = "down")]
+    Down,
+    #[serde(rename = "quarantine")]
+    Quarantine,
+    #[serde(rename = "suspect")]
+    Suspect,
+    #[serde(rename = "poison")]
+    Poison,
+}
+impl ::std::fmt::Display for PeerFactKind {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Leaving => f.write_str("leaving"),
+            Self::Down => f.write_str("down"),
+            Self::Quarantine => f.write_str("quarantine"),
+            Self::Suspect => f.write_str("suspect"),
+            Self::Poison => f.write_str("poison"),
+        }
+    }
+}
+impl ::std::str::FromStr for PeerFactKind {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "leaving" => Ok(Self::Leaving),
+            "down" => Ok(Self::Down),
+            "quarantine" => Ok(Self::Quarantine),
+            "suspect" => Ok(Self::Suspect),
+            "poison" => Ok(Self::Poison),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for PeerFactKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for PeerFactKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///A heartbeat between daemons, and the answer to one.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerMessage {
+    ///New contacts.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub contacts: ::std::vec::Vec<MemberContact>,
+    ///New facts.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub facts: ::std::vec::Vec<PeerFact>,
+    ///Hash over the facts that the sender holds.
+    pub facts_digest: u64,
+    pub from: MemberContact,
+    ///Generation that the sender has in force.
+    pub generation: u64,
+    ///Incarnation of the sender.
+    pub incarnation: u64,
+    ///Hash over the live members as the sender sees them.
+    pub members_digest: u64,
+    ///New samples.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub samples: ::std::vec::Vec<MemberSample>,
+    ///New reports of members.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub updates: ::std::vec::Vec<MemberUpdate>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub view: ::std::option::Option<MemberUpdate>,
+}
+///All that a daemon holds of its peers, for one that joins or differs for long.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct PeerState {
+    ///Contacts of live members.
+    pub contacts: ::std::vec::Vec<MemberContact>,
+    ///All facts.
+    pub facts: ::std::vec::Vec<PeerFact>,
+    pub from: MemberContact,
+    ///Generation that the sender has in force.
+    pub generation: u64,
+    ///Incarnation of the sender.
+    pub incarnation: u64,
+    ///The last sample of each.
+    pub samples: ::std::vec::Vec<MemberSample>,
+    ///What is held of each.
+    pub updates: ::std::vec::Vec<MemberUpdate>,
+}
+///What came of a heartbeat that was passed on.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, Default, PartialEq)]
+pub struct ProbeReply {
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub answer: ::std::option::Option<PeerMessage>,
+}
+///Asks a daemon to pass a heartbeat on to another.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ProbeRequest {
+    pub message: PeerMessage,
+    pub target: MemberContact,
+}
 ///Why an engine did not run a step.
 #[derive(
     ::serde::Deserialize,
--- a/crates/kelpworks/src/admission/mod.rs
+++ b/crates/kelpworks/src/admission/mod.rs
@@ -39,6 +39,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -102,6 +103,8 @@
     state: Mutex<State>,
     /// Zero of the queue's times.
     start: Instant,
+    /// Cost of all trials that asked so far, those refused included.
+    trial_demand: AtomicU64,
 }
 
 #[derive(Debug)]
@@ -143,6 +146,7 @@
         let shared = Shared {
             state: Mutex::new(state),
             start: Instant::now(),
+            trial_demand: AtomicU64::new(0),
         };
         Admission {
             shared: Arc::new(shared),
@@ -168,6 +172,11 @@
             .change(|queue, now| queue.set_trial_rate(now, rate));
     }
 
+    /// Positions that trials asked for so far, those refused included; only ever rises.
+    pub fn trial_demand(&self) -> u64 {
+        self.shared.trial_demand.load(Ordering::Relaxed)
+    }
+
     /// Looks at the queue, for status and metrics.
     pub fn inspect<T>(&self, look: impl FnOnce(&Queue) -> T) -> T {
         look(&self.shared.lock().queue)
@@ -212,6 +221,10 @@
     }
 
     fn offer(self: &Arc<Shared>, ask: &Ask<'_>) -> Result<Place> {
+        if ask.class == Class::Trial {
+            let cost = u64::from(ask.cost);
+            self.trial_demand.fetch_add(cost, Ordering::Relaxed);
+        }
         let mut state = self.lock();
         let now = self.now();
         let ticket = state.queue.offer(now, ask)?;
--- a/crates/kelpworks/src/config/accept/head.rs
+++ b/crates/kelpworks/src/config/accept/head.rs
@@ -26,6 +26,11 @@
     pub fn of(text: &str) -> Digest {
         Digest(Sha256::digest(text).into())
     }
+
+    /// Its bytes.
+    pub fn bytes(&self) -> [u8; 32] {
+        self.0
+    }
 }
 
 impl fmt::Display for Digest {
--- /dev/null
+++ b/crates/kelpworks/src/daemon/control.rs
@@ -0,0 +1,165 @@
+//! The parts of a daemon that follow the platform and the peers, beside the request path.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::admission::Admission;
+use crate::border::host_list;
+use crate::border::host_list::HttpHostList;
+use crate::border::object_api;
+use crate::border::object_api::HttpObjectApi;
+use crate::daemon::Result;
+use crate::daemon::follow::Follower;
+use crate::daemon::head_watch::HeadWatch;
+use crate::daemon::hosts::HostWatch;
+use crate::in_force::InForce;
+use crate::membership::Directory;
+use crate::membership::Peers;
+use crate::membership::PeersConfig;
+use crate::membership::TrialShare;
+use crate::membership::UpstreamFacts;
+use crate::register::Register;
+use crate::settings::Settings;
+use crate::upstreams::Keeper;
+
+/// Longest wait for the tasks to end.
+const TASKS_END: Duration = Duration::from_secs(2);
+
+/// What the control parts share with the request path.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) config: Arc<ArcSwap<InForce>>,
+    pub(crate) register: watch::Sender<Arc<Register>>,
+    pub(crate) keeper: Keeper,
+    pub(crate) admission: Admission,
+}
+
+/// The running control parts.
+#[derive(Debug)]
+pub(crate) struct Control {
+    pub(crate) peers: Peers,
+    api: Arc<HttpObjectApi>,
+    tasks: TaskTracker,
+    stop: CancellationToken,
+}
+
+impl Control {
+    /// Starts all control parts.
+    ///
+    /// # Errors
+    ///
+    /// When the peers' address can't be listened on or a URL of the platform can't be used.
+    pub(crate) async fn start(settings: &Settings, shared: Shared) -> Result<Control> {
+        let stop = CancellationToken::new();
+        let deadlines = object_api::Deadlines::default();
+        let api = HttpObjectApi::new(&settings.platform.object_api, deadlines)?;
+        let deadlines = host_list::Deadlines::default();
+        let host_list = HttpHostList::new(&settings.platform.host_list, deadlines)?;
+        let (peers, from_peers) = Peers::start(peers_config(settings), stop.child_token()).await?;
+        let control = Control {
+            peers,
+            api: Arc::new(api),
+            tasks: TaskTracker::new(),
+            stop,
+        };
+        control.follow_hosts(settings, host_list, &shared);
+        control.carry_facts(&shared);
+        control.follow_config(settings, shared, from_peers);
+        Ok(control)
+    }
+
+    /// Follows the configuration, keeps trials at their share of it, and keeps the view of
+    /// upstreams.
+    fn follow_config(
+        &self,
+        settings: &Settings,
+        shared: Shared,
+        from_peers: mpsc::UnboundedReceiver<crate::membership::SeenHead>,
+    ) {
+        let (heads, from_api) = mpsc::unbounded_channel();
+        let watch = HeadWatch {
+            api: Arc::clone(&self.api),
+            chosen: self.peers.watcher(),
+            heads,
+            wait: settings.timing.watch.0,
+        };
+        let trials = TrialShare {
+            peers: self.peers.clone(),
+            admission: shared.admission,
+            config: Arc::clone(&shared.config),
+        };
+        let follower = Follower {
+            api: Arc::clone(&self.api),
+            peers: self.peers.clone(),
+            from_api,
+            from_peers,
+            config: shared.config,
+            register: shared.register,
+            texts: Vec::new(),
+            newest: None,
+        };
+        self.tasks.spawn(watch.run(self.stop.clone()));
+        self.tasks.spawn(trials.run(self.stop.clone()));
+        self.tasks.spawn(follower.run(self.stop.clone()));
+        self.tasks.spawn(shared.keeper.run(self.stop.clone()));
+    }
+
+    /// Reads the host list, and finds the other daemons.
+    fn follow_hosts(&self, settings: &Settings, host_list: HttpHostList, shared: &Shared) {
+        let (addresses, hosts) = watch::channel(Vec::new());
+        let watch = HostWatch {
+            api: host_list,
+            reports: shared.keeper.reports(),
+            interval: settings.timing.host_list_poll.0,
+            addresses,
+        };
+        let directory = Directory {
+            api: Arc::clone(&self.api),
+            peers: self.peers.clone(),
+            hosts,
+        };
+        self.tasks.spawn(watch.run(self.stop.clone()));
+        self.tasks.spawn(directory.run(self.stop.clone()));
+    }
+
+    /// Carries facts of upstreams between this daemon's view and its peers.
+    fn carry_facts(&self, shared: &Shared) {
+        let facts = UpstreamFacts {
+            peers: self.peers.clone(),
+            observed: shared.keeper.observed(),
+            reports: shared.keeper.reports(),
+        };
+        self.tasks.spawn(facts.run(self.stop.clone()));
+    }
+
+    /// Says good-bye to peers, takes this daemon off the list and ends all parts.
+    pub(crate) async fn leave(&self) {
+        self.peers.leave().await;
+        Directory::withdraw(&*self.api, &self.peers).await;
+        self.stop.cancel();
+        self.tasks.close();
+        let _ = tokio::time::timeout(TASKS_END, self.tasks.wait()).await;
+    }
+
+    /// Ends all parts without a word.
+    pub(crate) fn abort(&self) {
+        self.peers.close();
+        self.stop.cancel();
+    }
+}
+
+fn peers_config(settings: &Settings) -> PeersConfig {
+    PeersConfig {
+        name: settings.name.clone(),
+        failure_domain: settings.failure_domain.clone(),
+        listen: settings.listen.peers,
+        advertise: None,
+        heartbeat: settings.timing.heartbeat.0,
+    }
+}
--- a/crates/kelpworks/src/daemon/follow.rs
+++ b/crates/kelpworks/src/daemon/follow.rs
@@ -1,128 +1,245 @@
-//! Follows the configuration head of the object API and puts each new generation in force.
+//! Puts each new generation of the configuration in force, from the object API or from peers.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use kelpworks_coord::head;
+use kelpworks_coord::head::FollowerAction;
+use kelpworks_coord::head::FollowerEvent;
+use kelpworks_coord::head::Generation;
+use kelpworks_coord::head::Part;
+use kelpworks_coord::id::Nonce;
 use log::info;
 use log::warn;
-use rand::RngExt;
 use thiserror::Error;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::border::object_api;
 use crate::border::object_api::ObjectApi;
 use crate::config::accept::BLOB_KIND;
-use crate::config::accept::HEAD_KIND;
-use crate::config::accept::HEAD_NAME;
+use crate::config::accept::Digest;
 use crate::config::accept::Head;
 use crate::config::document;
 use crate::in_force::InForce;
+use crate::membership::Peers;
+use crate::membership::SeenHead;
 use crate::register::Register;
 use crate::rules::Rules;
 
 /// The result of this module.
 type Result<T> = std::result::Result<T, Error>;
 
-/// Wait after a failed call, at least and at most; doubled in between.
-const BACKOFF_MIN: Duration = Duration::from_millis(100);
-const BACKOFF_MAX: Duration = Duration::from_secs(2);
+/// Pause before a configuration whose texts are not to be had is fetched again.
+const RETRY: Duration = Duration::from_millis(500);
+/// Longest wait for a text from the object API before peers are asked; much longer than the
+/// milliseconds in which it answers.
+const API_WAIT: Duration = Duration::from_secs(1);
 
-/// Why the head could not be followed this time.
-#[derive(Debug, Error)]
+/// Why a configuration could not be put in force this time.
+#[derive(Debug)]
+#[derive(Error)]
 enum Error {
     #[error("object API: {0}")]
     Api(#[from] object_api::Error),
-    #[error("the configuration head can't be read")]
-    Head,
+    #[error("the text of {0} is not the one that the digest promises")]
+    Corrupt(Digest),
     #[error("configuration: {0}")]
     Config(#[from] document::Error),
 }
 
+/// A head with its texts, parsed.
+#[derive(Debug)]
+struct Fetched {
+    register: Register,
+    rules: Rules,
+    texts: Vec<String>,
+}
+
 /// Puts new generations in force.
 #[derive(Debug)]
 pub(crate) struct Follower<A> {
-    pub(crate) api: A,
+    pub(crate) api: Arc<A>,
+    pub(crate) peers: Peers,
+    /// Heads that the object API showed.
+    pub(crate) from_api: mpsc::UnboundedReceiver<String>,
+    /// Heads that peers told of.
+    pub(crate) from_peers: mpsc::UnboundedReceiver<SeenHead>,
     pub(crate) config: Arc<ArcSwap<InForce>>,
     pub(crate) register: watch::Sender<Arc<Register>>,
-    /// Longest wait of a watch before it is opened anew.
-    pub(crate) watch_wait: Duration,
+    /// Texts in force, which the next generation may share.
+    pub(crate) texts: Vec<String>,
+    /// The newest head seen, and the address of the peer that told of it.
+    pub(crate) newest: Option<Newest>,
+}
+
+/// A head on its way to being in force.
+#[derive(Clone, Debug)]
+pub(crate) struct Newest {
+    head: Head,
+    body: String,
+    holder: Option<String>,
 }
 
 impl<A: ObjectApi> Follower<A> {
-    /// Runs until `stop`. What is in force stays so while the object API is away.
-    pub(crate) async fn run(self, stop: CancellationToken) {
+    /// Runs until `stop`. What is in force stays so while the object API and all peers are away.
+    pub(crate) async fn run(mut self, stop: CancellationToken) {
         tokio::select! {
             () = stop.cancelled() => {}
             () = self.follow() => {}
         }
     }
 
-    async fn follow(&self) {
-        let mut backoff = BACKOFF_MIN;
-        let mut from = None;
+    async fn follow(&mut self) {
+        let mut state = head::Follower::new();
+        let mut retry = tokio::time::interval(RETRY);
+        retry.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
-            match self.turn(from).await {
-                Ok(version) => {
-                    from = Some(version);
-                    backoff = BACKOFF_MIN;
+            let event = tokio::select! {
+                Some(body) = self.from_api.recv() => self.seen(&state, body, None),
+                Some(SeenHead { from, body }) = self.from_peers.recv() => {
+                    self.seen(&state, body, Some(from.address))
+                }
+                _ = retry.tick() => Some(FollowerEvent::Retry),
+            };
+            let Some(event) = event else { continue };
+            let actions = state.on_event(event);
+            self.carry_out(&mut state, actions).await;
+        }
+    }
+
+    /// Notes a head for fetching when it is newer than all before; the state machine judges it.
+    fn seen(
+        &mut self,
+        state: &head::Follower,
+        body: String,
+        holder: Option<String>,
+    ) -> Option<FollowerEvent> {
+        let Some(head) = Head::from_body(&body) else {
+            warn!("a configuration head can't be read");
+            return None;
+        };
+        let event = FollowerEvent::Seen(coord_head(&head));
+        match &mut self.newest {
+            // Whoever has it in force holds its texts; the next attempt asks there.
+            Some(newest) if newest.head.generation == head.generation => {
+                newest.holder = holder.or(newest.holder.take());
+            }
+            _ if Generation(head.generation) > state.known() => {
+                self.newest = Some(Newest { head, body, holder });
+            }
+            _ => {}
+        }
+        Some(event)
+    }
+
+    async fn carry_out(&mut self, state: &mut head::Follower, actions: Vec<FollowerAction>) {
+        let mut due = actions;
+        while let Some(action) = due.pop() {
+            let Some(newest) = self.newest.clone() else {
+                return;
+            };
+            let FollowerAction::Fetch(head) = action else {
+                continue;
+            };
+            match self.fetch(&newest).await {
+                Ok(fetched) => {
+                    let done = state.on_event(FollowerEvent::Fetched(head.generation));
+                    // The state machine says whether this is still the one to apply.
+                    if matches!(done[..], [FollowerAction::Apply(_)]) {
+                        self.apply(newest, fetched);
+                    }
                 }
                 Err(e) => {
-                    warn!("{e}");
-                    self.api.fresh();
-                    from = None;
-                    let jitter = rand::rng().random_range(0.5..1.0);
-                    tokio::time::sleep(backoff.mul_f64(jitter)).await;
-                    backoff = (backoff * 2).min(BACKOFF_MAX);
+                    warn!("generation {}: {e}", head.generation.0);
+                    due.extend(state.on_event(FollowerEvent::FetchFailed(head.generation)));
                 }
             }
         }
     }
 
-    /// Reads the head, or waits for it to change; returns the version to watch on from.
-    async fn turn(&self, from: Option<u64>) -> Result<u64> {
-        let Some(from) = from else {
-            let heads = self.api.list(HEAD_KIND).await?;
-            if let Some(head) = heads.items.iter().find(|o| o.name == HEAD_NAME) {
-                self.take(&head.body).await?;
+    async fn fetch(&self, newest: &Newest) -> Result<Fetched> {
+        let Head {
+            register, rules, ..
+        } = &newest.head;
+        let text = self.text(*register, newest.holder.as_deref()).await?;
+        let register = Register::parse("register", &text)?;
+        let mut texts = vec![text];
+        let rules = match rules {
+            None => Rules::default(),
+            Some(digest) => {
+                let text = self.text(*digest, newest.holder.as_deref()).await?;
+                let rules = Rules::parse("rules", &text, &register)?;
+                texts.push(text);
+                rules
             }
-            return Ok(heads.version);
         };
-        let reply = self.api.watch(HEAD_KIND, from, self.watch_wait).await?;
-        let last = reply
-            .events
-            .iter()
-            .rev()
-            .find(|e| e.object.name == HEAD_NAME);
-        if let Some(event) = last {
-            self.take(&event.object.body).await?;
-        }
-        Ok(reply.version)
+        Ok(Fetched {
+            register,
+            rules,
+            texts,
+        })
     }
 
-    async fn take(&self, body: &str) -> Result<()> {
-        let head = Head::from_body(body).ok_or(Error::Head)?;
-        if head.generation <= self.config.load().generation {
-            return Ok(());
+    /// A text by its digest: the one in force, or from whoever told of it, or from the other side.
+    async fn text(&self, digest: Digest, holder: Option<&str>) -> Result<String> {
+        if let Some(text) = self.texts.iter().find(|t| Digest::of(t) == digest) {
+            return Ok(text.clone());
         }
-        let register = Register::parse("register", &self.blob(&head.register.to_string()).await?)?;
-        let rules = match &head.rules {
-            None => Rules::default(),
-            Some(d) => Rules::parse("rules", &self.blob(&d.to_string()).await?, &register)?,
+        if let Some(holder) = holder
+            && let Some(text) = self.peers.text(digest, holder).await
+        {
+            return Ok(text);
+        }
+        let name = digest.to_string();
+        let get = tokio::time::timeout(API_WAIT, self.api.get(BLOB_KIND, &name));
+        let error = match get.await {
+            Ok(Ok(object)) if Digest::of(&object.body) == digest => return Ok(object.body),
+            Ok(Ok(_)) => Error::Corrupt(digest),
+            Ok(Err(e)) => Error::Api(e),
+            Err(_) => Error::Api(object_api::Error::Silent),
         };
+        self.peers.any_text(digest).await.ok_or(error)
+    }
+
+    fn apply(&mut self, newest: Newest, fetched: Fetched) {
+        let Newest { head, body, holder } = newest;
+        let Fetched {
+            register,
+            rules,
+            texts,
+        } = fetched;
         let in_force = InForce::new(head.generation, register.clone(), rules);
         self.config.store(Arc::new(in_force));
         self.register.send_replace(Arc::new(register));
+        self.texts.clone_from(&texts);
+        self.peers.in_force(head.generation, body, texts);
         metrics::gauge!("kelpworks_generation").set(head.generation as f64);
+        let source = if holder.is_some() {
+            "peer"
+        } else {
+            "object API"
+        };
         info!(
-            target: "decision", decision = "config", generation = head.generation;
+            target: "decision", decision = "config", generation = head.generation, source = source;
             "configuration in force"
         );
-        Ok(())
     }
+}
 
-    async fn blob(&self, digest: &str) -> Result<String> {
-        Ok(self.api.get(BLOB_KIND, digest).await?.body)
+/// The head as the state machine knows it. Who changed a part, and when, matters to operators
+/// only; a follower goes by the generation.
+fn coord_head(head: &Head) -> head::Head {
+    let part = |digest: &Digest| Part {
+        digest: kelpworks_coord::id::Digest(digest.bytes()),
+        since: Generation(head.generation),
+        nonce: Nonce(0),
+    };
+    head::Head {
+        generation: Generation(head.generation),
+        register: Some(part(&head.register)),
+        rules: head.rules.as_ref().map(part),
     }
 }
--- a/crates/kelpworks/src/daemon/hosts.rs
+++ b/crates/kelpworks/src/daemon/hosts.rs
@@ -1,9 +1,11 @@
 //! Reads the platform's host list and reports it to the keeper.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use log::warn;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::border::host_list::HostListApi;
@@ -16,6 +18,8 @@
     pub(crate) api: H,
     pub(crate) reports: mpsc::UnboundedSender<Report>,
     pub(crate) interval: Duration,
+    /// Addresses of all hosts on the list, some of which may be daemons.
+    pub(crate) addresses: watch::Sender<Vec<SocketAddr>>,
 }
 
 impl<H: HostListApi> HostWatch<H> {
@@ -34,6 +38,8 @@
     async fn read(&self) {
         match self.api.hosts().await {
             Ok(list) => {
+                let addresses = list.hosts.iter().filter_map(|h| h.address.parse().ok());
+                self.addresses.send_replace(addresses.collect());
                 let seen = |h: kelpworks_wire::HostEntry| HostSeen {
                     name: h.name,
                     state: h.state,
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -1,6 +1,8 @@
 //! One daemon: wires the slices together, runs them, and stops them in order.
 
+mod control;
 mod follow;
+mod head_watch;
 mod hosts;
 mod serve;
 
@@ -20,7 +22,6 @@
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use kelpworks_wire::OutputForm;
@@ -29,16 +30,15 @@
 use crate::admission::Admission;
 use crate::border::engine::HttpEngine;
 use crate::border::host_list;
-use crate::border::host_list::HttpHostList;
 use crate::border::object_api;
-use crate::border::object_api::HttpObjectApi;
-use crate::daemon::follow::Follower;
-use crate::daemon::hosts::HostWatch;
+use crate::daemon::control::Control;
+use crate::daemon::control::Shared;
 use crate::daemon::serve::Server;
 use crate::entry;
 use crate::entry::Entry;
 use crate::fleet::Fleet;
 use crate::in_force::InForce;
+use crate::membership;
 use crate::operators;
 use crate::operators::Operators;
 use crate::pipeline::Deadlines;
@@ -77,6 +77,9 @@
     /// The host list can't be used as it is set.
     #[error("host list: {0}")]
     HostList(#[from] host_list::Error),
+    /// Peers can't be served.
+    #[error("peers: {0}")]
+    Peers(#[from] membership::Error),
     /// A recorder of metrics is installed already.
     #[error("metrics: {0}")]
     Metrics(#[from] BuildError),
@@ -89,6 +92,8 @@
     pub callers: SocketAddr,
     /// For operators.
     pub operators: SocketAddr,
+    /// For other daemons.
+    pub peers: SocketAddr,
 }
 
 /// A running daemon.
@@ -96,7 +101,7 @@
 pub struct Daemon {
     bound: Bound,
     entry: Arc<Entry>,
-    stop: CancellationToken,
+    control: Control,
     callers: Server,
     operators: Server,
     /// Longest wait for requests in flight.
@@ -110,7 +115,6 @@
     ///
     /// When an address can't be listened on or a URL of the platform can't be used.
     pub async fn start(settings: &Settings, metrics: PrometheusHandle) -> Result<Daemon> {
-        let stop = CancellationToken::new();
         let timing = &settings.timing;
         let engine = Arc::new(HttpEngine::new(timing.connect.0));
         let config = Arc::new(ArcSwap::from_pointee(InForce::default()));
@@ -127,21 +131,7 @@
             Arc::clone(&fleet),
         );
         let reports = keeper.reports();
-        let api = object_api(settings)?;
-        let follower = Follower {
-            api,
-            config: Arc::clone(&config),
-            register,
-            watch_wait: timing.watch.0,
-        };
-        let hosts = HostWatch {
-            api: HttpHostList::new(
-                &settings.platform.host_list,
-                host_list::Deadlines::default(),
-            )?,
-            reports: reports.clone(),
-            interval: timing.host_list_poll.0,
-        };
+        let admission = Admission::new(admission_config(settings));
         let driver = Driver {
             engine: Arc::clone(&engine),
             fleet: Arc::clone(&fleet),
@@ -155,12 +145,19 @@
             output: OutputForm::Handle,
             start: Instant::now(),
         };
+        let shared = Shared {
+            config: Arc::clone(&config),
+            register,
+            keeper,
+            admission: admission.clone(),
+        };
+        let control = Control::start(settings, shared).await?;
         let entry = Arc::new(Entry {
             limits: settings.limits.clone(),
             request_timeout: timing.request.0,
             config,
             fleet,
-            admission: Admission::new(admission_config(settings)),
+            admission,
             driver,
             engine,
             reports,
@@ -170,6 +167,7 @@
         let operators = Operators {
             name: settings.name.clone(),
             entry: Arc::clone(&entry),
+            peers: control.peers.clone(),
             metrics,
         };
         let callers = Server::start(settings.listen.callers, entry::router(&entry)).await?;
@@ -177,15 +175,13 @@
         let bound = Bound {
             callers: callers.address,
             operators: shown.address,
+            peers: control.peers.address(),
         };
-        tokio::spawn(keeper.run(stop.clone()));
-        tokio::spawn(follower.run(stop.clone()));
-        tokio::spawn(hosts.run(stop.clone()));
         info!(callers:% = bound.callers, operators:% = bound.operators; "daemon started");
         Ok(Daemon {
             bound,
             entry,
-            stop,
+            control,
             callers,
             operators: shown,
             drain: timing.drain.0,
@@ -197,16 +193,24 @@
         self.bound
     }
 
+    /// Ends at once, as a crash would: requests in flight are cut and peers told nothing.
+    pub fn abort(self) {
+        self.control.abort();
+        self.callers.abort();
+        self.operators.abort();
+    }
+
     /// A planned stop: the balancer's check fails first, then requests in flight finish, then
     /// the addresses close.
     pub async fn stop(self) {
         self.entry.draining.store(true, Ordering::Relaxed);
+        self.control.peers.set_leaving();
         info!("stopping, {} sessions in flight", self.entry.tasks.len());
         tokio::time::sleep(BALANCER_NOTICE).await;
         self.callers.stop(self.drain).await;
         self.entry.tasks.close();
         let _ = tokio::time::timeout(self.drain, self.entry.tasks.wait()).await;
-        self.stop.cancel();
+        self.control.leave().await;
         self.operators.stop(Duration::ZERO).await;
         info!("stopped");
     }
@@ -219,14 +223,6 @@
     }
 }
 
-fn object_api(settings: &Settings) -> Result<HttpObjectApi> {
-    let deadlines = object_api::Deadlines::default();
-    Ok(HttpObjectApi::new(
-        &settings.platform.object_api,
-        deadlines,
-    )?)
-}
-
 /// Installs the recorder of metrics; once in a process.
 ///
 /// # Errors
@@ -246,10 +242,14 @@
     let mut term = signal(SignalKind::terminate()).map_err(Error::Signal)?;
     let mut int = signal(SignalKind::interrupt()).map_err(Error::Signal)?;
     let daemon = Daemon::start(settings, install_metrics()?).await?;
-    let Bound { callers, operators } = daemon.bound();
+    let Bound {
+        callers,
+        operators,
+        peers,
+    } = daemon.bound();
     println!(
         "{}",
-        serde_json::json!({ "callers": callers, "operators": operators })
+        serde_json::json!({ "callers": callers, "operators": operators, "peers": peers })
     );
     tokio::select! {
         _ = term.recv() => {}
--- a/crates/kelpworks/src/daemon/serve.rs
+++ b/crates/kelpworks/src/daemon/serve.rs
@@ -53,4 +53,9 @@
         self.handle.stop_graceful(wait);
         let _ = self.task.await;
     }
+
+    /// Stops taking connections at once.
+    pub(crate) fn abort(self) {
+        self.task.abort();
+    }
 }
--- a/crates/kelpworks/src/lib.rs
+++ b/crates/kelpworks/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod entry;
 pub mod fleet;
 pub mod in_force;
+pub mod membership;
 pub mod operators;
 pub mod pipeline;
 pub mod placement;
--- /dev/null
+++ b/crates/kelpworks/src/membership/directory.rs
@@ -0,0 +1,133 @@
+//! How daemons find each other: one object a daemon in the object API, and the host list while
+//! that is out.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kelpworks_wire::MemberContact;
+use log::info;
+use log::warn;
+use rand::RngExt;
+use rand::seq::SliceRandom;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use super::Peers;
+use crate::border::object_api;
+use crate::border::object_api::Condition;
+use crate::border::object_api::ObjectApi;
+
+/// Kind of the objects that say where daemons are reached; each is named after its daemon.
+pub(crate) const MEMBER_KIND: &str = "kelpworks.member";
+
+/// Interval of reading the list while no peer is known or this daemon is not on it yet.
+const SEARCH: Duration = Duration::from_secs(1);
+/// Interval of reading the list for a daemon that watches the object API anyway.
+const POLL_WATCHER: Duration = Duration::from_secs(10);
+/// Interval of reading the list for the others: news reach them from peers.
+const POLL: Duration = Duration::from_secs(60);
+/// Addresses of the host list tried in one turn.
+const TRIES: usize = 4;
+/// Longest wait for the deletion on a planned stop.
+const DELETE_WAIT: Duration = Duration::from_secs(1);
+
+/// Keeps a daemon findable and finds the others.
+#[derive(Debug)]
+pub(crate) struct Directory<A> {
+    pub(crate) api: Arc<A>,
+    pub(crate) peers: Peers,
+    /// Addresses that the host list shows; some may be daemons.
+    pub(crate) hosts: watch::Receiver<Vec<SocketAddr>>,
+}
+
+impl<A: ObjectApi> Directory<A> {
+    /// Runs until `stop`. An object API that is out changes nothing but that new daemons find
+    /// their first peer by the host list.
+    pub(crate) async fn run(self, stop: CancellationToken) {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = self.keep() => {}
+        }
+    }
+
+    /// Deletes this daemon's object, on a planned stop.
+    pub(crate) async fn withdraw(api: &A, peers: &Peers) {
+        let name = peers.contact().name;
+        let delete = api.delete(MEMBER_KIND, &name, Condition::Always);
+        let _ = tokio::time::timeout(DELETE_WAIT, delete).await;
+    }
+
+    async fn keep(&self) {
+        let mut announced = false;
+        loop {
+            if !announced {
+                announced = self.announce().await;
+            }
+            let listed = self.list().await;
+            if self.peers.is_alone() && !listed {
+                self.try_hosts().await;
+            }
+            let pause = if !announced || !listed || self.peers.is_alone() {
+                SEARCH
+            } else if *self.peers.watcher().borrow() {
+                POLL_WATCHER
+            } else {
+                POLL
+            };
+            let jitter = rand::rng().random_range(0.75..1.0);
+            tokio::time::sleep(pause.mul_f64(jitter)).await;
+        }
+    }
+
+    async fn announce(&self) -> bool {
+        let contact = self.peers.contact();
+        let body = serde_json::to_string(&contact).unwrap_or_default();
+        let put = self
+            .api
+            .put(MEMBER_KIND, &contact.name, body, Condition::Always);
+        self.heard(put.await.map(|_| ())).is_some()
+    }
+
+    async fn list(&self) -> bool {
+        let Some(list) = self.heard(self.api.list(MEMBER_KIND).await) else {
+            return false;
+        };
+        let read = |o: &kelpworks_wire::Object| serde_json::from_str(&o.body).ok();
+        let contacts: Vec<MemberContact> = list.items.iter().filter_map(read).collect();
+        self.peers.listed(&contacts);
+        true
+    }
+
+    fn heard<T>(&self, reply: object_api::Result<T>) -> Option<T> {
+        match reply {
+            Ok(reply) => Some(reply),
+            Err(e) => {
+                warn!("list of daemons: {e}");
+                self.api.fresh();
+                None
+            }
+        }
+    }
+
+    /// Tries some hosts of the list: at this daemon's own port for peers, which daemons of one
+    /// deployment share as a rule, and at the port listed. What is no daemon refuses.
+    async fn try_hosts(&self) {
+        let own = self.peers.address();
+        let mut addresses: Vec<SocketAddr> = Vec::new();
+        for host in self.hosts.borrow().iter() {
+            addresses.push(*host);
+            addresses.push(SocketAddr::new(host.ip(), own.port()));
+        }
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses.retain(|a| *a != own);
+        addresses.shuffle(&mut rand::rng());
+        for address in addresses.into_iter().take(TRIES) {
+            if self.peers.join(&address.to_string()).await {
+                info!("found a peer at {address} by the host list");
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/membership/node.rs
@@ -0,0 +1,638 @@
+//! What one daemon knows of the others and tells them, without I/O: membership, facts and the
+//! generation ride on the same heartbeats.
+
+use kelpworks_coord::facts;
+use kelpworks_coord::facts::Fact;
+use kelpworks_coord::facts::Facts;
+use kelpworks_coord::facts::Kind;
+use kelpworks_coord::head::Generation;
+use kelpworks_coord::id::DomainId;
+use kelpworks_coord::id::Incarnation;
+use kelpworks_coord::id::NodeId;
+use kelpworks_coord::membership;
+use kelpworks_coord::membership::Health;
+use kelpworks_coord::membership::Membership;
+use kelpworks_coord::membership::Update;
+use kelpworks_coord::rendezvous;
+use kelpworks_coord::spread;
+use kelpworks_coord::spread::Spread;
+use kelpworks_coord::time::Instant;
+use kelpworks_coord::time::Span;
+use kelpworks_wire::MemberContact;
+use kelpworks_wire::MemberSample;
+use kelpworks_wire::PeerMessage;
+use kelpworks_wire::PeerState;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::allowance::Allowance;
+use super::book::Book;
+use super::book::Known;
+use super::convert;
+use crate::status::Member;
+use crate::status::MemberState;
+
+/// Duty under which the watchers of the head are chosen.
+const WATCH_DUTY: &str = "kelpworks.head";
+/// Largest size of each piece of news in JSON, for byte budgets.
+const UPDATE_BYTES: usize = 170;
+const CONTACT_BYTES: usize = 160;
+const SAMPLE_BYTES: usize = 125;
+/// Peers that a daemon asks for all they hold when it joins.
+const JOIN_PEERS: usize = 3;
+
+/// Times and bounds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// Of the membership protocol.
+    pub membership: membership::Config,
+    /// Of the store of facts.
+    pub facts: facts::Config,
+    /// Of the spreading of generations.
+    pub spread: spread::Config,
+    /// Daemons of each failure domain that watch the object API. Default 2.
+    pub watchers: usize,
+    /// Bytes of news a second, on average. Default 700.
+    pub news_rate: u64,
+    /// Bytes of news at once. Default 32 KiB.
+    pub news_burst: u64,
+    /// How long two daemons may differ before one asks the other for all it holds. Default 5 s.
+    pub settle: Span,
+    /// Least time between two such exchanges. Default 10 s.
+    pub sync_every: Span,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            membership: membership::Config::default(),
+            facts: facts::Config::default(),
+            spread: spread::Config::default(),
+            watchers: 2,
+            news_rate: 700,
+            news_burst: 32 << 10,
+            settle: Span::from_secs(5),
+            sync_every: Span::from_secs(10),
+        }
+    }
+}
+
+/// Something for the driver to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a heartbeat; its answer goes to [`Node::on_answer`].
+    Heartbeat {
+        /// To whom.
+        to: NodeId,
+        /// What.
+        message: Box<PeerMessage>,
+    },
+    /// Have a heartbeat passed on; the target's answer goes to [`Node::on_answer`].
+    HeartbeatVia {
+        /// Through whom.
+        via: NodeId,
+        /// To whom.
+        target: NodeId,
+        /// What.
+        message: Box<PeerMessage>,
+    },
+    /// Send the head in force.
+    Push(NodeId),
+    /// Ask for the head in force.
+    Pull(NodeId),
+    /// Send [`Node::state`]; the state that answers it goes to [`Node::on_state`].
+    Sync(NodeId),
+    /// The health of a member changed.
+    Changed {
+        /// The member.
+        node: NodeId,
+        /// From now on.
+        health: Health,
+    },
+    /// Facts of others came or were cleared.
+    FactsChanged,
+}
+
+/// A heartbeat's answer, and what else follows from it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// Goes back to the sender.
+    pub message: PeerMessage,
+    /// To be done.
+    pub actions: Vec<Action>,
+}
+
+/// A digest of this daemon's, and since when it has been the same.
+#[derive(Clone, Copy, Debug)]
+struct Settled {
+    digest: u64,
+    since: Instant,
+}
+
+impl Settled {
+    fn note(&mut self, now: Instant, digest: u64) {
+        if self.digest != digest {
+            *self = Settled { digest, since: now };
+        }
+    }
+
+    fn differs(&self, now: Instant, theirs: u64, settle: Span) -> bool {
+        self.digest != theirs && now.since(self.since) >= settle
+    }
+}
+
+/// One daemon's knowledge of the others.
+#[derive(Clone, Debug)]
+pub struct Node {
+    cfg: Config,
+    id: NodeId,
+    contact: MemberContact,
+    members: Membership,
+    facts: Facts,
+    spread: Spread,
+    book: Book,
+    /// In force here.
+    generation: u64,
+    allowance: Allowance,
+    members_settled: Settled,
+    facts_settled: Settled,
+    last_sync: Option<Instant>,
+    /// Whether any peer has told all it holds since the start.
+    joined: bool,
+    /// Whether facts of others changed since the driver was last told.
+    news: bool,
+}
+
+impl Node {
+    /// A daemon that knows of no other.
+    pub fn new(cfg: Config, contact: MemberContact, now: Instant) -> Node {
+        let id = NodeId::of(&contact.name);
+        let incarnation = Incarnation(contact.started);
+        let domain = DomainId::of(&contact.failure_domain);
+        let mut book = Book::default();
+        book.take_contact(&contact);
+        let settled = Settled {
+            digest: 0,
+            since: now,
+        };
+        Node {
+            cfg,
+            id,
+            members: Membership::new(cfg.membership, id, domain, incarnation),
+            facts: Facts::new(cfg.facts, id, incarnation),
+            spread: Spread::new(cfg.spread, id),
+            book,
+            contact,
+            generation: 0,
+            allowance: Allowance::new(cfg.news_rate, cfg.news_burst, now),
+            members_settled: settled,
+            facts_settled: settled,
+            last_sync: None,
+            joined: false,
+            news: false,
+        }
+    }
+
+    /// This daemon.
+    pub fn id(&self) -> NodeId {
+        self.id
+    }
+
+    /// How this daemon is reached.
+    pub fn own_contact(&self) -> &MemberContact {
+        &self.contact
+    }
+
+    /// How a daemon is reached; `None` when it is not known.
+    pub fn contact(&self, node: NodeId) -> Option<&MemberContact> {
+        self.book.get(node).map(|k| &k.contact)
+    }
+
+    /// Time passed.
+    pub fn tick(&mut self, now: Instant) -> Vec<Action> {
+        let actions = self.members.on_event(now, membership::Event::Tick);
+        let mut actions = self.carry_out(now, actions);
+        self.book
+            .forget(|n| n == self.id || self.members.health(n).is_some());
+        self.note_digests(now);
+        let due = self
+            .last_sync
+            .is_none_or(|at| now.since(at) >= self.cfg.membership.probe_every);
+        if !self.joined && due {
+            let peers = self.peers();
+            if !peers.is_empty() {
+                self.last_sync = Some(now);
+                let chosen = peers.into_iter().take(JOIN_PEERS);
+                actions.extend(chosen.map(Action::Sync));
+            }
+        }
+        actions
+    }
+
+    /// The object API's list of daemons was read.
+    pub fn on_listed(&mut self, now: Instant, contacts: &[MemberContact]) -> Vec<Action> {
+        let mut actions = self.take_contacts(now, contacts);
+        let entries = contacts.iter().map(|c| membership::Entry {
+            node: NodeId::of(&c.name),
+            domain: DomainId::of(&c.failure_domain),
+            leaving: false,
+        });
+        let listed = membership::Event::Listed(entries.collect());
+        let changed = self.members.on_event(now, listed);
+        actions.extend(self.carry_out(now, changed));
+        actions
+    }
+
+    /// A heartbeat came in.
+    pub fn on_heartbeat(&mut self, now: Instant, message: &PeerMessage) -> Answer {
+        let from = NodeId::of(&message.from.name);
+        let mut actions = self.take_contacts(now, std::slice::from_ref(&message.from));
+        let incarnation = Incarnation(message.incarnation);
+        let event = match &message.view {
+            Some(view) => membership::Event::Probed {
+                from,
+                incarnation,
+                view: convert::update_from_wire(view),
+            },
+            None => membership::Event::Heard { from, incarnation },
+        };
+        let done = self.members.on_event(now, event);
+        let view = done.iter().find_map(|a| match a {
+            membership::Action::Answer { view, .. } => *view,
+            _ => None,
+        });
+        actions.extend(self.carry_out(now, done));
+        actions.extend(self.take_news(now, from, message));
+        Answer {
+            message: self.message(now, view),
+            actions,
+        }
+    }
+
+    /// The answer to a heartbeat came.
+    pub fn on_answer(&mut self, now: Instant, message: &PeerMessage) -> Vec<Action> {
+        let from = NodeId::of(&message.from.name);
+        let mut actions = self.take_contacts(now, std::slice::from_ref(&message.from));
+        let incarnation = Incarnation(message.incarnation);
+        let heard = membership::Event::Heard { from, incarnation };
+        let done = self.members.on_event(now, heard);
+        actions.extend(self.carry_out(now, done));
+        if let Some(view) = &message.view {
+            let view = convert::update_from_wire(view);
+            let done = self
+                .members
+                .on_event(now, membership::Event::Updates(vec![view]));
+            actions.extend(self.carry_out(now, done));
+        }
+        actions.extend(self.take_news(now, from, message));
+        actions
+    }
+
+    /// All that this daemon holds.
+    pub fn state(&self, now: Instant) -> PeerState {
+        let live = |n: NodeId| self.members.health(n).is_none_or(|h| h <= Health::Suspect);
+        let known: Vec<&Known> = self
+            .book
+            .iter()
+            .filter(|&(n, _)| live(n))
+            .map(|(_, k)| k)
+            .collect();
+        let sampled = known.iter().filter(|k| k.sample.version > 0);
+        PeerState {
+            from: self.contact.clone(),
+            incarnation: self.members.incarnation().0,
+            generation: self.generation,
+            contacts: known.iter().map(|k| k.contact.clone()).collect(),
+            updates: self
+                .members
+                .snapshot()
+                .iter()
+                .map(convert::update_to_wire)
+                .collect(),
+            facts: self
+                .facts
+                .snapshot(now)
+                .iter()
+                .map(convert::fact_to_wire)
+                .collect(),
+            samples: sampled.map(|k| k.sample.clone()).collect(),
+        }
+    }
+
+    /// A peer told all that it holds.
+    pub fn on_state(&mut self, now: Instant, state: &PeerState) -> Vec<Action> {
+        self.joined = true;
+        let from = NodeId::of(&state.from.name);
+        let mut actions = self.take_contacts(now, std::slice::from_ref(&state.from));
+        let incarnation = Incarnation(state.incarnation);
+        let heard = membership::Event::Heard { from, incarnation };
+        let done = self.members.on_event(now, heard);
+        actions.extend(self.carry_out(now, done));
+        actions.extend(self.take_contacts(now, &state.contacts));
+        actions.extend(self.take_updates(now, &state.updates));
+        self.take_facts(now, &state.facts);
+        for sample in &state.samples {
+            self.take_sample(sample);
+        }
+        actions.extend(self.compare_generation(from, state.generation));
+        actions.extend(self.told_of_news());
+        actions
+    }
+
+    /// A generation is in force here.
+    pub fn on_learned(&mut self, generation: u64) -> Vec<Action> {
+        self.generation = self.generation.max(generation);
+        self.change_sample(|s| s.generation = s.generation.max(generation));
+        let peers = self.peers();
+        let learned = spread::Event::Learned(Generation(generation));
+        let done = self.spread.on_event(learned, &peers);
+        done.into_iter().map(spread_action).collect()
+    }
+
+    /// Tells the others how much trials ask of this daemon, in positions a second.
+    pub fn set_trial_demand(&mut self, demand: u32) {
+        self.change_sample(|s| s.trial_demand = demand);
+    }
+
+    /// Tells the others that this daemon is about to stop.
+    pub fn set_leaving(&mut self) {
+        self.change_sample(|s| s.leaving = true);
+    }
+
+    /// Says good-bye: heartbeats to send before the end.
+    pub fn leave(&mut self, now: Instant) -> Vec<Action> {
+        self.members.on_event(now, membership::Event::Leave);
+        let peers = self.peers().into_iter().take(JOIN_PEERS);
+        let chosen: Vec<NodeId> = peers.collect();
+        chosen
+            .into_iter()
+            .map(|to| Action::Heartbeat {
+                to,
+                message: Box::new(self.message(now, None)),
+            })
+            .collect()
+    }
+
+    /// States a fact of this daemon's own observation, or renews it.
+    pub fn set_fact(&mut self, now: Instant, kind: Kind, subject: u64, detail: u64, ttl: Span) {
+        self.facts.set_detail(now, kind, subject, detail, ttl);
+    }
+
+    /// Clears a fact that this daemon stated.
+    pub fn clear_fact(&mut self, now: Instant, kind: Kind, subject: u64) {
+        self.facts.clear(now, kind, subject);
+    }
+
+    /// Facts of a kind that hold now, of all authors.
+    pub fn standing(&self, now: Instant, kind: Kind) -> Vec<Fact> {
+        self.facts.standing(now, kind).collect()
+    }
+
+    /// Live members, without this daemon, in an order that differs between daemons.
+    pub fn peers(&self) -> Vec<NodeId> {
+        let mut peers: Vec<NodeId> = self
+            .members
+            .live()
+            .map(|(node, _)| node)
+            .filter(|&node| self.book.get(node).is_some())
+            .collect();
+        peers.sort_by_key(|n| n.0.wrapping_mul(self.id.0 | 1).rotate_left(17));
+        peers
+    }
+
+    /// Whether this daemon is one of those that watch the object API.
+    pub fn is_watcher(&self) -> bool {
+        let leaving = |n: NodeId| self.book.get(n).is_some_and(|k| k.sample.leaving);
+        let mut members: Vec<_> = self.members.live().filter(|&(n, _)| !leaving(n)).collect();
+        members.push((self.id, DomainId::of(&self.contact.failure_domain)));
+        rendezvous::choose(&members, WATCH_DUTY, self.cfg.watchers).contains(&self.id)
+    }
+
+    /// How much trials ask of each other live daemon, in positions a second.
+    pub fn trial_demands(&self) -> Vec<u32> {
+        self.members
+            .live()
+            .filter_map(|(node, _)| self.book.get(node))
+            .map(|k| k.sample.trial_demand)
+            .collect()
+    }
+
+    /// The other daemons, for operators; those that left are not shown.
+    pub fn members(&self) -> Vec<Member> {
+        let mut members: Vec<Member> = self
+            .book
+            .iter()
+            .filter(|&(node, _)| node != self.id)
+            .filter_map(|(node, known)| {
+                let state = match self.members.health(node)? {
+                    Health::Left => return None,
+                    Health::Dead => MemberState::Down,
+                    _ if known.sample.leaving => MemberState::Leaving,
+                    Health::Suspect => MemberState::Suspect,
+                    Health::Alive => MemberState::Live,
+                };
+                Some(Member {
+                    name: known.contact.name.clone(),
+                    generation: known.sample.generation,
+                    state,
+                })
+            })
+            .collect();
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        members
+    }
+
+    /// What is held of a member.
+    pub fn health(&self, node: NodeId) -> Option<Health> {
+        self.members.health(node)
+    }
+
+    fn change_sample(&mut self, change: impl FnOnce(&mut MemberSample)) {
+        let Some(known) = self.book.get(self.id) else {
+            return;
+        };
+        let mut sample = known.sample.clone();
+        change(&mut sample);
+        if sample != known.sample {
+            sample.version = known.sample.version.max(self.contact.started) + 1;
+            self.book.take_sample(&sample);
+        }
+    }
+
+    fn take_sample(&mut self, sample: &MemberSample) {
+        if sample.node != self.id.0 {
+            self.book.take_sample(sample);
+        }
+    }
+
+    fn carry_out(&mut self, now: Instant, actions: Vec<membership::Action>) -> Vec<Action> {
+        let mut done = Vec::new();
+        for action in actions {
+            match action {
+                membership::Action::Probe { target, view } => done.push(Action::Heartbeat {
+                    to: target,
+                    message: Box::new(self.message(now, Some(view))),
+                }),
+                membership::Action::ProbeVia { via, target, view } => {
+                    done.push(Action::HeartbeatVia {
+                        via,
+                        target,
+                        message: Box::new(self.message(now, Some(view))),
+                    });
+                }
+                membership::Action::Changed { node, health } => {
+                    done.push(Action::Changed { node, health });
+                }
+                membership::Action::Answer { .. } => {}
+            }
+        }
+        done
+    }
+
+    /// A heartbeat or an answer, with as much news as the allowance lets through.
+    fn message(&mut self, now: Instant, view: Option<Update>) -> PeerMessage {
+        let available = self.allowance.available(now);
+        let mut left = available;
+        let updates = self.members.take_updates(left / UPDATE_BYTES);
+        left -= updates.len() * UPDATE_BYTES;
+        let contacts = self.book.next_contacts(left / CONTACT_BYTES);
+        left -= contacts.len() * CONTACT_BYTES;
+        let members = self.book.iter().count();
+        let facts = self.facts.take_delta(now, left, members);
+        left -= facts.len() * facts::FACT_BYTES;
+        let samples = self.book.next_samples(left / SAMPLE_BYTES);
+        left -= samples.len() * SAMPLE_BYTES;
+        self.allowance.spend(available - left);
+        self.note_digests(now);
+        PeerMessage {
+            from: self.contact.clone(),
+            incarnation: self.members.incarnation().0,
+            generation: self.generation,
+            view: view.as_ref().map(convert::update_to_wire),
+            members_digest: self.members_settled.digest,
+            facts_digest: self.facts_settled.digest,
+            contacts,
+            updates: updates.iter().map(convert::update_to_wire).collect(),
+            facts: facts.iter().map(convert::fact_to_wire).collect(),
+            samples,
+        }
+    }
+
+    fn take_news(&mut self, now: Instant, from: NodeId, message: &PeerMessage) -> Vec<Action> {
+        let mut actions = self.take_contacts(now, &message.contacts);
+        actions.extend(self.take_updates(now, &message.updates));
+        self.take_facts(now, &message.facts);
+        for sample in &message.samples {
+            self.take_sample(sample);
+        }
+        actions.extend(self.compare_generation(from, message.generation));
+        actions.extend(self.compare_digests(now, from, message));
+        actions.extend(self.told_of_news());
+        actions
+    }
+
+    /// Takes contacts; those of a new run count as alive until a probe says otherwise.
+    fn take_contacts(&mut self, now: Instant, contacts: &[MemberContact]) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for contact in contacts {
+            let node = NodeId::of(&contact.name);
+            if node == self.id || !self.book.take_contact(contact) {
+                continue;
+            }
+            let alive = Update {
+                node,
+                domain: DomainId::of(&contact.failure_domain),
+                incarnation: Incarnation(contact.started),
+                health: Health::Alive,
+                by: node,
+            };
+            let done = self
+                .members
+                .on_event(now, membership::Event::Updates(vec![alive]));
+            actions.extend(self.carry_out(now, done));
+        }
+        actions
+    }
+
+    /// Takes reports of members that can be reached; of others the contact must come first.
+    fn take_updates(
+        &mut self,
+        now: Instant,
+        updates: &[kelpworks_wire::MemberUpdate],
+    ) -> Vec<Action> {
+        let known = updates
+            .iter()
+            .map(convert::update_from_wire)
+            .filter(|u| self.book.get(u.node).is_some())
+            .collect();
+        let done = self
+            .members
+            .on_event(now, membership::Event::Updates(known));
+        self.carry_out(now, done)
+    }
+
+    fn take_facts(&mut self, now: Instant, facts: &[kelpworks_wire::PeerFact]) {
+        for fact in facts {
+            self.news |= self.facts.merge(now, convert::fact_from_wire(fact));
+        }
+    }
+
+    fn told_of_news(&mut self) -> Option<Action> {
+        std::mem::take(&mut self.news).then_some(Action::FactsChanged)
+    }
+
+    fn compare_generation(&mut self, from: NodeId, generation: u64) -> Vec<Action> {
+        let generation = Generation(generation);
+        let event = spread::Event::Heartbeat { from, generation };
+        let done = self.spread.on_event(event, &[]);
+        done.into_iter().map(spread_action).collect()
+    }
+
+    fn compare_digests(
+        &mut self,
+        now: Instant,
+        from: NodeId,
+        message: &PeerMessage,
+    ) -> Option<Action> {
+        self.note_digests(now);
+        let settle = self.cfg.settle;
+        let members = self
+            .members_settled
+            .differs(now, message.members_digest, settle);
+        let facts = self
+            .facts_settled
+            .differs(now, message.facts_digest, settle);
+        let due = self
+            .last_sync
+            .is_none_or(|at| now.since(at) >= self.cfg.sync_every);
+        if !(members || facts) || !due {
+            return None;
+        }
+        self.last_sync = Some(now);
+        Some(Action::Sync(from))
+    }
+
+    fn note_digests(&mut self, now: Instant) {
+        let mut live: Vec<(u64, u64)> = self
+            .members
+            .snapshot()
+            .iter()
+            .filter(|u| u.health <= Health::Suspect)
+            .map(|u| (u.node.0, u.incarnation.0))
+            .collect();
+        live.sort_unstable();
+        let mut hasher = Xxh3::new();
+        for (node, incarnation) in live {
+            hasher.update(&node.to_le_bytes());
+            hasher.update(&incarnation.to_le_bytes());
+        }
+        self.members_settled.note(now, hasher.digest());
+        self.facts_settled.note(now, self.facts.digest(now));
+    }
+}
+
+fn spread_action(action: spread::Action) -> Action {
+    match action {
+        spread::Action::Push(to) => Action::Push(to),
+        spread::Action::Pull(from) => Action::Pull(from),
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/src/membership/peers.rs
@@ -0,0 +1,609 @@
+//! Drives a [`Node`] over `jsonrpsee`.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use arc_swap::ArcSwap;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::async_trait;
+use jsonrpsee::server::Server;
+use jsonrpsee::server::ServerConfig;
+use jsonrpsee::server::ServerHandle;
+use kelpworks_coord::facts::Fact;
+use kelpworks_coord::facts::Kind;
+use kelpworks_coord::id::NodeId;
+use kelpworks_coord::membership;
+use kelpworks_coord::membership::Health;
+use kelpworks_coord::time::Instant as CoordInstant;
+use kelpworks_coord::time::Span;
+use kelpworks_wire::ConfigHead;
+use kelpworks_wire::ConfigText;
+use kelpworks_wire::ConfigTextRequest;
+use kelpworks_wire::MemberContact;
+use kelpworks_wire::PeerMessage;
+use kelpworks_wire::PeerState;
+use kelpworks_wire::ProbeReply;
+use kelpworks_wire::ProbeRequest;
+use log::debug;
+use log::info;
+use thiserror::Error;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::links;
+use super::links::Client;
+use super::links::Links;
+use super::node::Action;
+use super::node::Config;
+use super::node::Node;
+use super::rpc::PeerApiClient;
+use super::rpc::PeerApiServer;
+use crate::config::accept::Digest;
+use crate::status::Member;
+
+/// The result of this module.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Connections from peers, at most: several times the daemons of the largest fleet.
+const MAX_CONNECTIONS: u32 = 2_048;
+/// Ticks of the state machine in a heartbeat's interval.
+const TICKS: u32 = 10;
+/// Longest wait for the good-byes of a planned stop.
+const GOOD_BYE: Duration = Duration::from_secs(1);
+/// Peers asked for a text that neither the object API nor the peer that told of it gives.
+const TEXT_TRIES: usize = 4;
+/// Deadline of an exchange of a configuration or of a whole state, beyond that of a heartbeat.
+const TRANSFER: Duration = Duration::from_secs(1);
+
+/// Why peers could not be served.
+#[derive(Debug)]
+#[derive(Error)]
+#[non_exhaustive]
+pub enum Error {
+    /// The address could not be listened on.
+    #[error("listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+}
+
+/// Settings of one daemon among its peers.
+#[derive(Clone, Debug)]
+pub struct PeersConfig {
+    /// Name of this daemon.
+    pub name: String,
+    /// Failure domain it stands in.
+    pub failure_domain: String,
+    /// Where it listens for peers; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Where peers reach it, when that differs from where it listens. Default `None`.
+    pub advertise: Option<SocketAddr>,
+    /// Interval of heartbeats; the times of [`membership::Config`] grow and shrink with it.
+    /// Default 1 s.
+    pub heartbeat: Duration,
+}
+
+/// A head that a peer told of.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SeenHead {
+    /// The peer; it holds the texts.
+    pub from: MemberContact,
+    /// Body of the head object.
+    pub body: String,
+}
+
+/// The configuration that this daemon serves to its peers.
+#[derive(Clone, Debug, Default)]
+struct Held {
+    /// Body of the head object; empty before the first.
+    body: String,
+    /// Texts of the register and the rules.
+    texts: Vec<String>,
+}
+
+/// One daemon among its peers; clones share it.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    node: Mutex<Node>,
+    /// Zero of the state machine's times.
+    start: Instant,
+    heartbeat: Duration,
+    links: Links,
+    held: ArcSwap<Held>,
+    heads: mpsc::UnboundedSender<SeenHead>,
+    watcher: watch::Sender<bool>,
+    /// Rises when facts of others change.
+    facts: watch::Sender<u64>,
+    tasks: TaskTracker,
+    server: ServerHandle,
+    address: SocketAddr,
+    stop: CancellationToken,
+}
+
+impl Peers {
+    /// Listens for peers and begins to send heartbeats, until `stop`. Heads that peers tell of
+    /// come out at the receiver.
+    ///
+    /// # Errors
+    ///
+    /// When the address can't be listened on.
+    pub async fn start(
+        cfg: PeersConfig,
+        stop: CancellationToken,
+    ) -> Result<(Peers, mpsc::UnboundedReceiver<SeenHead>)> {
+        let address = cfg.listen;
+        let listen = |source| Error::Listen { address, source };
+        let server = Server::builder()
+            .set_config(server_config())
+            .build(address)
+            .await
+            .map_err(listen)?;
+        let address = server.local_addr().map_err(listen)?;
+        let contact = MemberContact {
+            name: cfg.name.clone(),
+            failure_domain: cfg.failure_domain.clone(),
+            address: cfg.advertise.unwrap_or(address).to_string(),
+            started: now_ms(),
+        };
+        let (heads, heads_rx) = mpsc::unbounded_channel();
+        let methods = Methods::default();
+        let handle = server.start(methods.clone().into_rpc());
+        let node = Node::new(node_config(cfg.heartbeat), contact, CoordInstant::ZERO);
+        let peers = Peers {
+            inner: Arc::new(Inner {
+                node: Mutex::new(node),
+                start: Instant::now(),
+                heartbeat: cfg.heartbeat,
+                links: Links::default(),
+                held: ArcSwap::default(),
+                heads,
+                watcher: watch::Sender::new(true),
+                facts: watch::Sender::new(0),
+                tasks: TaskTracker::new(),
+                server: handle,
+                address,
+                stop: stop.clone(),
+            }),
+        };
+        methods.serve(peers.clone());
+        tokio::spawn(peers.clone().run(stop));
+        Ok((peers, heads_rx))
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.inner.address
+    }
+
+    /// How peers reach this daemon.
+    pub fn contact(&self) -> MemberContact {
+        self.lock().own_contact().clone()
+    }
+
+    /// The other daemons, for operators.
+    pub fn members(&self) -> Vec<Member> {
+        self.lock().members()
+    }
+
+    /// Whether this daemon is to watch the object API; true while it knows of no other.
+    pub fn watcher(&self) -> watch::Receiver<bool> {
+        self.inner.watcher.subscribe()
+    }
+
+    /// Changes whenever facts of others came or were cleared.
+    pub fn facts_changed(&self) -> watch::Receiver<u64> {
+        self.inner.facts.subscribe()
+    }
+
+    /// Facts of a kind that hold now, of all daemons.
+    pub fn standing(&self, kind: Kind) -> Vec<Fact> {
+        let now = self.now();
+        self.lock().standing(now, kind)
+    }
+
+    /// States a fact of this daemon's own observation, or renews it.
+    pub fn set_fact(&self, kind: Kind, subject: u64, detail: u64, ttl: Duration) {
+        let now = self.now();
+        let ttl = Span::from_millis(ttl.as_millis() as u64);
+        self.lock().set_fact(now, kind, subject, detail, ttl);
+    }
+
+    /// Clears a fact that this daemon stated.
+    pub fn clear_fact(&self, kind: Kind, subject: u64) {
+        let now = self.now();
+        self.lock().clear_fact(now, kind, subject);
+    }
+
+    /// Tells the others how much trials ask of this daemon, in positions a second.
+    pub fn set_trial_demand(&self, demand: u32) {
+        self.lock().set_trial_demand(demand);
+    }
+
+    /// How much trials ask of each other live daemon, in positions a second.
+    pub fn trial_demands(&self) -> Vec<u32> {
+        self.lock().trial_demands()
+    }
+
+    /// Whether no live peer is known.
+    pub fn is_alone(&self) -> bool {
+        self.lock().peers().is_empty()
+    }
+
+    /// The object API's list of daemons was read.
+    pub fn listed(&self, contacts: &[MemberContact]) {
+        self.act(|node, now| node.on_listed(now, contacts));
+    }
+
+    /// A generation is in force; peers are told, and may fetch its texts here from now on.
+    pub fn in_force(&self, generation: u64, body: String, texts: Vec<String>) {
+        self.inner.held.store(Arc::new(Held { body, texts }));
+        self.act(|node, _| node.on_learned(generation));
+    }
+
+    /// Asks an address for all that a daemon there holds; tells whether one answered.
+    pub async fn join(&self, address: &str) -> bool {
+        let mine = self.state();
+        let deadline = self.inner.heartbeat + TRANSFER;
+        let call = |client: Client| {
+            let mine = mine.clone();
+            async move { client.sync(mine).await }
+        };
+        match self.inner.links.call(address, deadline, call).await {
+            Ok(theirs) => {
+                self.act(|node, now| node.on_state(now, &theirs));
+                true
+            }
+            Err(e) => {
+                debug!("join: {e}");
+                false
+            }
+        }
+    }
+
+    /// The text of a digest, from the peer at an address.
+    pub async fn text(&self, digest: Digest, holder: &str) -> Option<String> {
+        let deadline = self.inner.heartbeat + TRANSFER;
+        let call = |client: Client| async move {
+            let req = ConfigTextRequest {
+                digest: digest.to_string(),
+            };
+            client.config_text(req).await
+        };
+        let reply = self.inner.links.call(holder, deadline, call).await;
+        let text = reply.ok()?.text?;
+        (Digest::of(&text) == digest).then_some(text)
+    }
+
+    /// The text of a digest, from any of some live peers.
+    pub async fn any_text(&self, digest: Digest) -> Option<String> {
+        for address in self.addresses().into_iter().take(TEXT_TRIES) {
+            if let Some(text) = self.text(digest, &address).await {
+                return Some(text);
+            }
+        }
+        None
+    }
+
+    /// Tells the others that this daemon is about to stop.
+    pub fn set_leaving(&self) {
+        self.lock().set_leaving();
+    }
+
+    /// Says good-bye to some peers, who pass it on, and stops serving peers.
+    pub async fn leave(&self) {
+        self.act(Node::leave_at);
+        self.inner.tasks.close();
+        let _ = tokio::time::timeout(GOOD_BYE, self.inner.tasks.wait()).await;
+        self.close();
+    }
+
+    /// Stops at once, without a word.
+    pub fn close(&self) {
+        self.inner.stop.cancel();
+        let _ = self.inner.server.stop();
+        self.inner.links.retain(|_| false);
+    }
+
+    fn addresses(&self) -> Vec<String> {
+        let node = self.lock();
+        let peers = node.peers();
+        let contacts = peers.into_iter().filter_map(|n| node.contact(n));
+        contacts.map(|c| c.address.clone()).collect()
+    }
+
+    async fn run(self, stop: CancellationToken) {
+        let mut tick = tokio::time::interval(self.inner.heartbeat / TICKS);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => break,
+                _ = tick.tick() => self.act(Node::tick),
+            }
+        }
+        self.close();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Node> {
+        // The node is consistent after each call, also when a holder of the lock panicked.
+        self.inner
+            .node
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> CoordInstant {
+        CoordInstant::from_millis(self.inner.start.elapsed().as_millis() as u64)
+    }
+
+    fn state(&self) -> PeerState {
+        let now = self.now();
+        self.lock().state(now)
+    }
+
+    /// Lets the node do something and carries out what follows.
+    fn act(&self, call: impl FnOnce(&mut Node, CoordInstant) -> Vec<Action>) {
+        let now = self.now();
+        let (actions, is_watcher) = {
+            let mut node = self.lock();
+            let actions = call(&mut node, now);
+            (actions, node.is_watcher())
+        };
+        self.inner
+            .watcher
+            .send_if_modified(|old| std::mem::replace(old, is_watcher) != is_watcher);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&self, action: Action) {
+        match action {
+            Action::Heartbeat { to, message } => {
+                self.spawn(to, |peers, to| peers.heartbeat(to, *message));
+            }
+            Action::HeartbeatVia {
+                via,
+                target,
+                message,
+            } => self.heartbeat_via(via, target, *message),
+            Action::Push(to) => self.spawn(to, Peers::push),
+            Action::Pull(from) => self.spawn(from, Peers::pull),
+            Action::Sync(with) => self.spawn(with, |peers, with| async move {
+                peers.join(&with.address).await;
+            }),
+            Action::Changed { node, health } => self.changed(node, health),
+            Action::FactsChanged => self.inner.facts.send_modify(|n| *n += 1),
+        }
+    }
+
+    /// Runs a call to a peer beside the state machine.
+    fn spawn<F>(&self, to: NodeId, call: impl FnOnce(Peers, MemberContact) -> F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let Some(contact) = self.lock().contact(to).cloned() else {
+            return;
+        };
+        let stop = self.inner.stop.clone();
+        let call = call(self.clone(), contact);
+        self.inner
+            .tasks
+            .spawn(async move { stop.run_until_cancelled(call).await });
+    }
+
+    fn heartbeat_via(&self, via: NodeId, target: NodeId, message: PeerMessage) {
+        let Some(target) = self.lock().contact(target).cloned() else {
+            return;
+        };
+        self.spawn(via, |peers, via| async move {
+            let req = ProbeRequest { target, message };
+            let call = |client: Client| {
+                let req = req.clone();
+                async move { client.probe(req).await }
+            };
+            let deadline = peers.inner.heartbeat;
+            let reply = peers.inner.links.call(&via.address, deadline, call).await;
+            if let Ok(ProbeReply {
+                answer: Some(answer),
+            }) = reply
+            {
+                peers.act(|node, now| node.on_answer(now, &answer));
+            }
+        });
+    }
+
+    async fn heartbeat(self, to: MemberContact, message: PeerMessage) {
+        match self.exchange(&to.address, message).await {
+            Ok(answer) => self.act(|node, now| node.on_answer(now, &answer)),
+            Err(e) => debug!("heartbeat to {}: {e}", to.name),
+        }
+    }
+
+    /// Half of the probe's timeout for each try, so that a new connection has its chance before
+    /// the peer counts as silent.
+    async fn exchange(&self, address: &str, message: PeerMessage) -> links::Result<PeerMessage> {
+        let deadline = probe_timeout(self.inner.heartbeat) / 2;
+        let call = |client: Client| {
+            let message = message.clone();
+            async move { client.heartbeat(message).await }
+        };
+        self.inner.links.call(address, deadline, call).await
+    }
+
+    async fn push(self, to: MemberContact) {
+        let head = self.head();
+        if head.body.is_empty() {
+            return;
+        }
+        let call = |client: Client| {
+            let head = head.clone();
+            async move { client.config_push(head).await }
+        };
+        let deadline = self.inner.heartbeat;
+        if let Err(e) = self.inner.links.call(&to.address, deadline, call).await {
+            debug!("push to {}: {e}", to.name);
+        }
+    }
+
+    async fn pull(self, from: MemberContact) {
+        let call = |client: Client| async move { client.config_head().await };
+        let deadline = self.inner.heartbeat;
+        match self.inner.links.call(&from.address, deadline, call).await {
+            Ok(head) => self.seen(head),
+            Err(e) => debug!("pull from {}: {e}", from.name),
+        }
+    }
+
+    fn head(&self) -> ConfigHead {
+        ConfigHead {
+            from: self.contact(),
+            body: self.inner.held.load().body.clone(),
+        }
+    }
+
+    fn seen(&self, head: ConfigHead) {
+        if !head.body.is_empty() {
+            let ConfigHead { from, body } = head;
+            let _ = self.inner.heads.send(SeenHead { from, body });
+        }
+    }
+
+    fn changed(&self, node: NodeId, health: Health) {
+        let name = self.lock().contact(node).map(|c| c.name.clone());
+        let name = name.unwrap_or_default();
+        info!(
+            target: "decision", decision = "member", member = name, health:? = health;
+            "daemon changed"
+        );
+    }
+}
+
+impl Node {
+    /// [`Node::leave`] in the form that [`Peers::act`] takes.
+    fn leave_at(&mut self, now: CoordInstant) -> Vec<Action> {
+        self.leave(now)
+    }
+}
+
+/// The server's side; answers with errors until [`Methods::serve`].
+#[derive(Clone, Debug, Default)]
+struct Methods {
+    peers: Arc<std::sync::OnceLock<Peers>>,
+}
+
+impl Methods {
+    fn serve(&self, peers: Peers) {
+        let _ = self.peers.set(peers);
+    }
+
+    fn peers(&self) -> RpcResult<&Peers> {
+        use jsonrpsee::types::ErrorObject;
+        use jsonrpsee::types::error::INTERNAL_ERROR_CODE;
+        let starting = || ErrorObject::borrowed(INTERNAL_ERROR_CODE, "starting", None);
+        self.peers.get().ok_or_else(starting)
+    }
+}
+
+#[async_trait]
+impl PeerApiServer for Methods {
+    async fn heartbeat(&self, message: PeerMessage) -> RpcResult<PeerMessage> {
+        let peers = self.peers()?;
+        let mut reply = None;
+        peers.act(|node, now| {
+            let answer = node.on_heartbeat(now, &message);
+            reply = Some(answer.message);
+            answer.actions
+        });
+        Ok(reply.expect("the closure ran"))
+    }
+
+    async fn probe(&self, req: ProbeRequest) -> RpcResult<ProbeReply> {
+        let peers = self.peers()?;
+        let answer = peers.exchange(&req.target.address, req.message).await;
+        Ok(ProbeReply {
+            answer: answer.ok(),
+        })
+    }
+
+    async fn sync(&self, state: PeerState) -> RpcResult<PeerState> {
+        let peers = self.peers()?;
+        peers.act(|node, now| node.on_state(now, &state));
+        Ok(peers.state())
+    }
+
+    async fn config_push(&self, head: ConfigHead) -> RpcResult<()> {
+        self.peers()?.seen(head);
+        Ok(())
+    }
+
+    async fn config_head(&self) -> RpcResult<ConfigHead> {
+        Ok(self.peers()?.head())
+    }
+
+    async fn config_text(&self, req: ConfigTextRequest) -> RpcResult<ConfigText> {
+        let held = self.peers()?.inner.held.load_full();
+        let wanted = |t: &&String| Digest::of(t).to_string() == req.digest;
+        let text = held.texts.iter().find(wanted).cloned();
+        Ok(ConfigText { text })
+    }
+}
+
+fn server_config() -> ServerConfig {
+    ServerConfig::builder()
+        .ws_only()
+        .max_connections(MAX_CONNECTIONS)
+        .max_request_body_size(links::MAX_MESSAGE)
+        .max_response_body_size(links::MAX_MESSAGE)
+        .set_tcp_no_delay(true)
+        .build()
+}
+
+/// The membership's times for an interval of heartbeats; the defaults are those of one second.
+fn node_config(heartbeat: Duration) -> Config {
+    let scale = |span: Span| {
+        let ms = heartbeat.mul_f64(span.as_millis() as f64 / 1_000.0);
+        Span::from_millis((ms.as_millis() as u64).max(1))
+    };
+    let times = membership::Config::default();
+    let defaults = Config::default();
+    Config {
+        membership: membership::Config {
+            probe_every: scale(times.probe_every),
+            probe_timeout: scale(times.probe_timeout),
+            suspect_min: scale(times.suspect_min),
+            suspect_max: scale(times.suspect_max),
+            dead_probe: scale(times.dead_probe),
+            ..times
+        },
+        settle: scale(defaults.settle),
+        sync_every: scale(defaults.sync_every),
+        ..defaults
+    }
+}
+
+fn probe_timeout(heartbeat: Duration) -> Duration {
+    let timeout = node_config(heartbeat).membership.probe_timeout;
+    Duration::from_millis(timeout.as_millis())
+}
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| d.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/kelpworks/src/membership/trials.rs
@@ -0,0 +1,57 @@
+//! Keeps admission's trial rate at this daemon's part of the fleet's.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use tokio_util::sync::CancellationToken;
+
+use super::Peers;
+use super::share::Demand;
+use super::share::fleet_positions;
+use super::share::part;
+use crate::admission::Admission;
+use crate::in_force::InForce;
+
+/// How often the rate is set; the demand is that of one such interval.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Sets the trial rate again and again.
+#[derive(Debug)]
+pub(crate) struct TrialShare {
+    pub(crate) peers: Peers,
+    pub(crate) admission: Admission,
+    pub(crate) config: Arc<ArcSwap<InForce>>,
+}
+
+impl TrialShare {
+    /// Runs until `stop`.
+    pub(crate) async fn run(self, stop: CancellationToken) {
+        let mut tick = tokio::time::interval(INTERVAL);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut demand = Demand::default();
+        let mut asked_before = 0;
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                _ = tick.tick() => {}
+            }
+            let asked = self.admission.trial_demand();
+            let own = demand.note(asked - asked_before);
+            asked_before = asked;
+            self.peers.set_trial_demand(own);
+            self.set_rate(own);
+        }
+    }
+
+    fn set_rate(&self, own: u32) {
+        let config = self.config.load();
+        if config.generation == 0 {
+            return;
+        }
+        let whole = config.rules.trial_share * fleet_positions(&config.register);
+        let rate = part(whole, own, &self.peers.trial_demands());
+        metrics::gauge!("kelpworks_trial_rate").set(rate);
+        self.admission.set_trial_rate(rate);
+    }
+}
--- a/crates/kelpworks/src/operators/mod.rs
+++ b/crates/kelpworks/src/operators/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::entry::Entry;
 use crate::fleet::Health;
+use crate::membership::Peers;
 use crate::status::Status;
 
 /// What the operators' side shows.
@@ -28,6 +29,8 @@
     pub name: String,
     /// The callers' side.
     pub entry: Arc<Entry>,
+    /// The other daemons.
+    pub peers: Peers,
     /// Recorder of the metrics.
     pub metrics: PrometheusHandle,
 }
@@ -64,7 +67,7 @@
         Status {
             daemon: self.operators.name.clone(),
             generation: self.operators.entry.config.load().generation,
-            members: Vec::new(),
+            members: self.operators.peers.members(),
         }
     }
 
--- a/crates/kelpworks/src/upstreams/keeper.rs
+++ b/crates/kelpworks/src/upstreams/keeper.rs
@@ -14,6 +14,8 @@
 use crate::fleet::Fleet;
 use crate::fleet::UpstreamKey;
 use crate::register::Register;
+use crate::upstreams::Observation;
+use crate::upstreams::PeerWord;
 use crate::upstreams::Report;
 use crate::upstreams::poll;
 use crate::upstreams::view::View;
@@ -40,6 +42,7 @@
     reports: mpsc::UnboundedReceiver<Report>,
     reports_tx: mpsc::UnboundedSender<Report>,
     register: watch::Receiver<Arc<Register>>,
+    observed: watch::Sender<Vec<Observation>>,
 }
 
 impl Keeper {
@@ -59,6 +62,7 @@
             reports,
             reports_tx,
             register,
+            observed: watch::Sender::default(),
         }
     }
 
@@ -67,6 +71,11 @@
         self.reports_tx.clone()
     }
 
+    /// What this daemon observes of upstreams itself, for its peers.
+    pub fn observed(&self) -> watch::Receiver<Vec<Observation>> {
+        self.observed.subscribe()
+    }
+
     /// Runs until `stop`.
     pub async fn run(mut self, stop: CancellationToken) {
         self.take_register();
@@ -111,6 +120,9 @@
     fn publish_change(&mut self) {
         self.view.refresh_index();
         self.publish();
+        let observed = self.view.observed();
+        self.observed
+            .send_if_modified(|old| std::mem::replace(old, observed.clone()) != observed);
     }
 
     /// Publishes a snapshot in which only loads differ from the last one.
@@ -139,7 +151,17 @@
                 self.note(changed, key, "no answer to a poll")
             }
             Report::HostList(hosts) => self.view.take_host_list(&hosts),
+            Report::Peers(words) => self.take_peers(&words),
+        }
+    }
+
+    fn take_peers(&mut self, words: &[PeerWord]) -> bool {
+        let changed = self.view.take_peers(words);
+        for &key in &changed {
+            self.note(true, key, "word of other daemons");
+            self.poll_one(key);
         }
+        !changed.is_empty()
     }
 
     fn note(&self, changed: bool, key: UpstreamKey, reason: &'static str) -> bool {
--- a/crates/kelpworks/src/upstreams/mod.rs
+++ b/crates/kelpworks/src/upstreams/mod.rs
@@ -7,6 +7,9 @@
 mod poll;
 mod view;
 
+use std::sync::Arc;
+
+use kelpworks_coord::id::UpstreamId;
 use kelpworks_wire::EngineState;
 use kelpworks_wire::HostState;
 
@@ -29,6 +32,37 @@
     Silent(UpstreamKey),
     /// The host list was read.
     HostList(Vec<HostSeen>),
+    /// What other daemons state of upstreams; of those not listed they state nothing.
+    Peers(Vec<PeerWord>),
+}
+
+/// What other daemons state of one upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerWord {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Whether any states that it takes no new work: leaving, or in quarantine.
+    pub leaving: bool,
+    /// How many state that it is down.
+    pub down: u32,
+}
+
+/// What this daemon observed of an upstream itself, for others to know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Observation {
+    /// Host name of the upstream.
+    pub upstream: Arc<str>,
+    /// What is the matter with it.
+    pub kind: Trouble,
+}
+
+/// What is the matter with an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Trouble {
+    /// It takes no new work.
+    Leaving,
+    /// It does not answer.
+    Down,
 }
 
 /// A host on the platform's list.
--- a/crates/kelpworks/src/upstreams/view.rs
+++ b/crates/kelpworks/src/upstreams/view.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use kelpworks_coord::id::UpstreamId;
 use kelpworks_wire::EngineState;
 use kelpworks_wire::HostState;
 use kelpworks_wire::LoadedRange;
@@ -24,6 +25,9 @@
 use crate::register::Register;
 use crate::routing::Index;
 use crate::upstreams::HostSeen;
+use crate::upstreams::Observation;
+use crate::upstreams::PeerWord;
+use crate::upstreams::Trouble;
 
 /// Link cost of a pair of failure domains that the register does not list.
 const DEFAULT_LINK: LinkCost = LinkCost {
@@ -32,16 +36,24 @@
 };
 /// Polls without an answer after which an upstream counts as down.
 const MISSES_UNTIL_DOWN: u32 = 3;
+/// Other daemons whose word makes a single poll without an answer enough.
+const PEERS_UNTIL_DOWN: u32 = 2;
 
 /// What the keeper knows of an upstream beside the snapshot.
 #[derive(Clone, Debug, Default)]
 struct Track {
     /// Polls without an answer since the last answer.
     misses: u32,
+    /// Whether it ever answered, so that its silence is news.
+    answered: bool,
     /// Said by the upstream itself.
     draining: bool,
-    /// Reported by a request since the last answer to a poll.
+    /// Reported by a request, or newly by a peer, since the last answer to a poll.
     suspect: bool,
+    /// Other daemons state that it takes no new work.
+    peers_leaving: bool,
+    /// Other daemons that state that it is down; own answers count for more.
+    peers_down: u32,
 }
 
 /// The keeper's state.
@@ -195,8 +207,10 @@
         };
         *track = Track {
             misses: 0,
+            answered: true,
             draining,
             suspect: false,
+            ..*track
         };
         self.judge(key)
     }
@@ -234,12 +248,54 @@
         changed
     }
 
+    /// Takes what other daemons state; returns the upstreams whose health changed by it.
+    pub(crate) fn take_peers(&mut self, words: &[PeerWord]) -> Vec<UpstreamKey> {
+        let words: HashMap<UpstreamId, &PeerWord> = words.iter().map(|w| (w.upstream, w)).collect();
+        let named = self.fleet.upstreams.iter();
+        let named: Vec<_> = named.map(|(k, u)| (k, UpstreamId::of(&u.name))).collect();
+        let mut changed = Vec::new();
+        for (key, id) in named {
+            let word = words.get(&id);
+            let Some(track) = self.tracks.get_mut(&key) else {
+                continue;
+            };
+            let down = word.map_or(0, |w| w.down);
+            // Only the news makes a suspect: an answer to the poll that follows is newer.
+            track.suspect |= down > track.peers_down;
+            track.peers_down = down;
+            track.peers_leaving = word.is_some_and(|w| w.leaving);
+            if self.judge(key) {
+                changed.push(key);
+            }
+        }
+        changed
+    }
+
+    /// What this daemon observed itself, in order of the arena.
+    pub(crate) fn observed(&self) -> Vec<Observation> {
+        let mut observed = Vec::new();
+        for (key, upstream) in &self.fleet.upstreams {
+            let track = &self.tracks[&key];
+            let leaving = track.draining || self.leaving.contains(&*upstream.name);
+            let kind = match track.misses {
+                MISSES_UNTIL_DOWN.. if track.answered => Trouble::Down,
+                _ if leaving => Trouble::Leaving,
+                _ => continue,
+            };
+            let upstream = Arc::clone(&upstream.name);
+            observed.push(Observation { upstream, kind });
+        }
+        observed
+    }
+
     fn judge(&mut self, key: UpstreamKey) -> bool {
         let track = &self.tracks[&key];
         let upstream = &mut self.fleet.upstreams[key];
-        let leaving = track.draining || self.leaving.contains(&*upstream.name);
+        let listed = self.leaving.contains(&*upstream.name);
+        let leaving = track.draining || listed || track.peers_leaving;
         let health = match track {
             t if t.misses >= MISSES_UNTIL_DOWN => Health::Down,
+            t if t.misses > 0 && t.peers_down >= PEERS_UNTIL_DOWN => Health::Down,
             _ if leaving => Health::Leaving,
             t if t.suspect || t.misses > 0 => Health::Suspect,
             _ => Health::Live,
