--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -5,8 +5,15 @@
 
 use std::process::ExitCode;
 
+mod control;
 mod fleets;
+mod net;
 mod placement;
+mod share;
+mod spread;
+mod stats;
+#[path = "../support/mod.rs"]
+mod support;
 mod table;
 
 use crate::table::Table;
@@ -19,10 +26,24 @@
     run: fn() -> Table,
 }
 
-const MEASUREMENTS: &[Measurement] = &[Measurement {
-    name: "placement",
-    run: placement::run,
-}];
+const MEASUREMENTS: &[Measurement] = &[
+    Measurement {
+        name: "placement",
+        run: placement::run,
+    },
+    Measurement {
+        name: "spread",
+        run: spread::run,
+    },
+    Measurement {
+        name: "share",
+        run: share::run,
+    },
+    Measurement {
+        name: "control",
+        run: control::run,
+    },
+];
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
--- /dev/null
+++ b/crates/kelpworks/examples/measure/spread.rs
@@ -0,0 +1,254 @@
+//! Time and messages until a generation is in force on every daemon.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use kelpworks::config::accept::BLOB_KIND;
+use kelpworks::config::accept::Digest;
+use kelpworks::config::accept::HEAD_KIND;
+use kelpworks::config::accept::HEAD_NAME;
+use kelpworks::config::accept::Head;
+use kelpworks::daemon;
+use kelpworks::daemon::Daemon;
+use kelpworks::membership::Config;
+use kelpworks::status;
+use kelpworks_coord::spread;
+use kelpworks_fakes::ApiMode;
+use kelpworks_fakes::Model;
+use kelpworks_fakes::StandIns;
+
+use crate::net::Net;
+use crate::net::NetConfig;
+use crate::stats::Spread;
+use crate::support;
+use crate::support::ExampleTeam;
+use crate::table::Table;
+
+const SEEDS: std::ops::Range<u64> = 1..8;
+/// Time for daemons to get to know each other.
+const WARM_UP_MS: u64 = 30_000;
+/// Longest wait for a generation.
+const BOUND_MS: u64 = 60_000;
+/// Generations on real daemons.
+const SWAPS: u64 = 9;
+const REAL: usize = 7;
+
+/// What goes wrong around the swap.
+#[derive(Clone, Copy)]
+struct Case {
+    name: &'static str,
+    watcher_dies: bool,
+    /// Daemons that read the new configuration before the object API is out.
+    readers: Option<u64>,
+    links_cut: f64,
+}
+
+const PLAIN: Case = Case {
+    name: "nothing fails",
+    watcher_dies: false,
+    readers: None,
+    links_cut: 0.0,
+};
+
+const CASES: &[Case] = &[
+    PLAIN,
+    Case {
+        name: "one watcher dead",
+        watcher_dies: true,
+        ..PLAIN
+    },
+    Case {
+        name: "API out, 1 reader",
+        readers: Some(1),
+        ..PLAIN
+    },
+    Case {
+        name: "20% of links cut",
+        links_cut: 0.2,
+        ..PLAIN
+    },
+    Case {
+        name: "all three",
+        watcher_dies: true,
+        readers: Some(1),
+        links_cut: 0.2,
+    },
+];
+
+/// Ways to spread a generation.
+#[derive(Clone, Copy)]
+enum Way {
+    Push,
+    HeartbeatsOnly,
+    AllWatch,
+}
+
+/// What one run showed.
+struct Run {
+    /// `None` when it was not in force everywhere within the bound.
+    ms: Option<f64>,
+    calls: f64,
+    reads: f64,
+}
+
+/// Runs the measurement.
+pub(crate) fn run() -> Table {
+    let mut rows = Vec::new();
+    for daemons in [7, 100, 370] {
+        for case in CASES {
+            rows.push(row(daemons, case));
+        }
+    }
+    rows.push(real(None));
+    rows.push(real(Some(())));
+    Table {
+        title: format!(
+            "spread: ms until a generation is in force everywhere (min/median/max of {} seeds, \
+             virtual clock; last rows: real daemons, wall clock, {SWAPS} swaps); `-` is longer \
+             than {BOUND_MS}",
+            SEEDS.end - SEEDS.start
+        ),
+        head: vec![
+            "daemons",
+            "case",
+            "ms",
+            "calls/daemon",
+            "API reads",
+            "heartbeats only: ms",
+            "all watch: ms",
+            "all watch: API reads",
+        ],
+        rows,
+    }
+}
+
+fn row(daemons: usize, case: &Case) -> Vec<String> {
+    let runs = |way| SEEDS.map(|seed| one(daemons, case, way, seed)).collect();
+    let push: Vec<Run> = runs(Way::Push);
+    let beats: Vec<Run> = runs(Way::HeartbeatsOnly);
+    let watch: Vec<Run> = runs(Way::AllWatch);
+    let times = |runs: &[Run]| Spread::of_options(runs.iter().map(|r| r.ms)).show(0);
+    let calls = Spread::of(push.iter().map(|r| r.calls));
+    let reads = |runs: &[Run]| Spread::of(runs.iter().map(|r| r.reads)).show(0);
+    vec![
+        daemons.to_string(),
+        case.name.to_owned(),
+        times(&push),
+        calls.show(1),
+        reads(&push),
+        times(&beats),
+        times(&watch),
+        reads(&watch),
+    ]
+}
+
+fn one(daemons: usize, case: &Case, way: Way, seed: u64) -> Run {
+    let mut node = Config::default();
+    if matches!(way, Way::HeartbeatsOnly) {
+        node.spread = spread::Config { fanout: 0 };
+    }
+    let mut net = Net::new(NetConfig {
+        daemons,
+        regions: if daemons > 100 { 2 } else { 1 },
+        node,
+        all_watch: matches!(way, Way::AllWatch),
+        seed,
+    });
+    net.run_for(WARM_UP_MS);
+    net.cut_share(case.links_cut);
+    let (watchers, before, start) = (net.watchers(), net.counts, net.now_ms());
+    net.swap(case.readers);
+    if case.watcher_dies {
+        net.crash(watchers[seed as usize % watchers.len()]);
+    }
+    let done = net.run_until(BOUND_MS, |net| net.in_force() == net.up());
+    let ms = (net.now_ms() - start) as f64;
+    // What is still on its way counts too.
+    net.run_for(1_000);
+    Run {
+        ms: done.then_some(ms),
+        calls: (net.counts.config_calls - before.config_calls) as f64 / daemons as f64,
+        reads: (net.counts.api_reads - before.api_reads) as f64,
+    }
+}
+
+const TEAMS: [ExampleTeam; 1] = [ExampleTeam {
+    name: "sellers",
+    class: "paying",
+    weight: 1,
+    token: "measure",
+}];
+
+/// Real daemons over loopback; with an outage, the object API is out once one daemon is there.
+fn real(outage: Option<()>) -> Vec<String> {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let times = runtime.block_on(async {
+        let model = Model::new("caption", "1", 4);
+        let fakes = support::pipeline(&model, 1, 1).await.expect("stand-ins");
+        support::put_config(&fakes, std::slice::from_ref(&model), 0.2, &TEAMS);
+        let metrics = daemon::build_metrics();
+        let daemons = support::daemons(&fakes, REAL, "", &metrics).await;
+        let daemons = daemons.expect("daemons");
+        until(&daemons, |s| s.members.len() == REAL - 1).await;
+        let mut times = Vec::new();
+        for generation in 2..2 + SWAPS {
+            fakes.object_api.set_mode(ApiMode::Up);
+            tokio::time::sleep(Duration::from_millis(2_500)).await;
+            let start = Instant::now();
+            swap(&fakes, generation);
+            if outage.is_some() {
+                until_any(&daemons, generation).await;
+                fakes.object_api.set_mode(ApiMode::Unavailable);
+            }
+            until(&daemons, |s| s.generation == generation).await;
+            times.push(start.elapsed().as_secs_f64() * 1_000.0);
+        }
+        times
+    });
+    let case = match outage {
+        None => "real daemons, nothing fails",
+        Some(()) => "real daemons, API out after 1",
+    };
+    let mut row = vec![REAL.to_string(), case.to_owned()];
+    row.push(Spread::of(times.into_iter()).show(0));
+    row.resize(8, String::new());
+    row
+}
+
+/// Swaps the head to another generation of the same texts.
+fn swap(fakes: &StandIns, generation: u64) {
+    let object = fakes.object_api.get(HEAD_KIND, HEAD_NAME).expect("a head");
+    let mut head = Head::from_body(&object.body).expect("a head");
+    let rules = head.rules.expect("rules").to_string();
+    let text = fakes.object_api.get(BLOB_KIND, &rules).expect("rules").body;
+    let text = format!("{text}\n# generation {generation}\n");
+    head.generation = generation;
+    head.rules = Some(Digest::of(&text));
+    let digest = Digest::of(&text).to_string();
+    fakes.object_api.put(BLOB_KIND, &digest, &text);
+    fakes.object_api.put(HEAD_KIND, HEAD_NAME, &head.to_body());
+}
+
+async fn until(daemons: &[Daemon], holds: impl Fn(&status::Status) -> bool) {
+    for daemon in daemons {
+        while !status_of(daemon.bound().operators).await.is_some_and(|s| holds(&s)) {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+}
+
+async fn until_any(daemons: &[Daemon], generation: u64) {
+    loop {
+        for daemon in daemons {
+            let status = status_of(daemon.bound().operators).await;
+            if status.is_some_and(|s| s.generation == generation) {
+                return;
+            }
+        }
+    }
+}
+
+async fn status_of(address: SocketAddr) -> Option<status::Status> {
+    status::fetch(address, Duration::from_secs(1)).await.ok()
+}
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -232,6 +232,12 @@
     Ok(PrometheusBuilder::new().install_recorder()?)
 }
 
+/// A recorder of metrics that nothing is recorded in: for several daemons in one process that
+/// are not looked at.
+pub fn build_metrics() -> PrometheusHandle {
+    PrometheusBuilder::new().build_recorder().handle()
+}
+
 /// Runs a daemon until the process is told to stop: a first SIGTERM or SIGINT begins a planned
 /// stop, a second ends it at once.
 ///
--- a/crates/kelpworks/src/membership/links.rs
+++ b/crates/kelpworks/src/membership/links.rs
@@ -13,7 +13,11 @@
 use jsonrpsee::core::ClientError;
 use jsonrpsee::ws_client::WsClient;
 use jsonrpsee::ws_client::WsClientBuilder;
+use serde::Serialize;
 use thiserror::Error;
+use tokio::time::error::Elapsed;
+
+use super::traffic::Traffic;
 
 /// The result of this module.
 pub(super) type Result<T> = std::result::Result<T, Error>;
@@ -56,40 +60,62 @@
 #[derive(Debug, Default)]
 pub(super) struct Links {
     table: Mutex<Table>,
+    pub(super) traffic: Traffic,
 }
 
 impl Links {
     /// Calls a peer: on the kept connection first, then, after silence, once on a new one. Each
     /// of the two tries may take `deadline`, opening a connection included.
-    pub(super) async fn call<T, F>(
+    pub(super) async fn call<R, T, F>(
         &self,
         address: &str,
         deadline: Duration,
-        call: impl Fn(Client) -> F,
+        req: &R,
+        call: impl Fn(Client, R) -> F,
     ) -> Result<T>
     where
+        R: Clone + Serialize,
+        T: Serialize,
         F: Future<Output = std::result::Result<T, ClientError>>,
     {
-        let old = self.kept(address);
-        if let Some(old) = old {
-            let reply = tokio::time::timeout(deadline, call(Arc::clone(&old.client))).await;
-            match reply {
+        if let Some(kept) = self.kept(address) {
+            let client = Arc::clone(&kept.client);
+            match self.attempt(deadline, req, call(client, req.clone())).await {
                 Ok(Ok(reply)) => return Ok(reply),
                 Ok(Err(ClientError::Call(e))) => return Err(refused(address, &e.to_string())),
-                _ => self.drop_link(address, old.serial),
+                _ => self.drop_link(address, kept.serial),
             }
         }
         let fresh = async {
             let client = self.open(address, deadline).await?;
-            call(client).await
+            call(client, req.clone()).await
         };
-        match tokio::time::timeout(deadline, fresh).await {
+        match self.attempt(deadline, req, fresh).await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(ClientError::Call(e))) => Err(refused(address, &e.to_string())),
             _ => Err(Error::Silent(address.to_owned())),
         }
     }
 
+    async fn attempt<R, T, F>(
+        &self,
+        deadline: Duration,
+        req: &R,
+        call: F,
+    ) -> std::result::Result<F::Output, Elapsed>
+    where
+        R: Serialize,
+        T: Serialize,
+        F: Future<Output = std::result::Result<T, ClientError>>,
+    {
+        self.traffic.called(req);
+        let reply = tokio::time::timeout(deadline, call).await;
+        if let Ok(Ok(reply)) = &reply {
+            self.traffic.answered(reply);
+        }
+        reply
+    }
+
     /// Drops the connections to all addresses but these.
     pub(super) fn retain(&self, keep: impl Fn(&str) -> bool) {
         self.lock().kept.retain(|address, _| keep(address));
@@ -107,6 +133,7 @@
             .max_response_size(MAX_MESSAGE)
             .build(format!("ws://{address}"))
             .await?;
+        self.traffic.opened();
         let client = Arc::new(client);
         let mut table = self.lock();
         table.serial += 1;
--- a/crates/kelpworks/src/membership/mod.rs
+++ b/crates/kelpworks/src/membership/mod.rs
@@ -40,6 +40,7 @@
 mod peers;
 mod rpc;
 pub mod share;
+mod traffic;
 mod trials;
 mod upstream_facts;
 
@@ -55,6 +56,8 @@
 pub use peers::PeersConfig;
 pub use peers::Result;
 pub use peers::SeenHead;
+pub use traffic::TrafficTotals;
+pub use traffic::exchange_bytes;
 
 pub(crate) use directory::Directory;
 pub(crate) use trials::TrialShare;
--- a/crates/kelpworks/src/membership/node.rs
+++ b/crates/kelpworks/src/membership/node.rs
@@ -247,13 +247,11 @@
         let from = NodeId::of(&message.from.name);
         let mut actions = self.take_contacts(now, std::slice::from_ref(&message.from));
         let incarnation = Incarnation(message.incarnation);
-        let event = match &message.view {
-            Some(view) => membership::Event::Probed {
-                from,
-                incarnation,
-                view: convert::update_from_wire(view),
-            },
-            None => membership::Event::Heard { from, incarnation },
+        let view = message.view.as_ref().map(convert::update_from_wire);
+        let event = membership::Event::Probed {
+            from,
+            incarnation,
+            view: view.unwrap_or_else(|| self.unremarkable(from)),
         };
         let done = self.members.on_event(now, event);
         let view = done.iter().find_map(|a| match a {
@@ -488,6 +486,17 @@
         done
     }
 
+    /// A view of this daemon that has nothing to refute.
+    fn unremarkable(&self, by: NodeId) -> Update {
+        Update {
+            node: self.id,
+            domain: DomainId::of(&self.contact.failure_domain),
+            incarnation: Incarnation(0),
+            health: Health::Alive,
+            by,
+        }
+    }
+
     /// A heartbeat or an answer, with as much news as the allowance lets through.
     fn message(&mut self, now: Instant, view: Option<Update>) -> PeerMessage {
         let available = self.allowance.available(now);
@@ -507,7 +516,10 @@
             from: self.contact.clone(),
             incarnation: self.members.incarnation().0,
             generation: self.generation,
-            view: view.as_ref().map(convert::update_to_wire),
+            view: view
+                .filter(|v| v.health != Health::Alive)
+                .as_ref()
+                .map(convert::update_to_wire),
             members_digest: self.members_settled.digest,
             facts_digest: self.facts_settled.digest,
             contacts,
--- a/crates/kelpworks/src/membership/peers.rs
+++ b/crates/kelpworks/src/membership/peers.rs
@@ -32,6 +32,7 @@
 use kelpworks_wire::ProbeRequest;
 use log::debug;
 use log::info;
+use serde::Serialize;
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -43,10 +44,12 @@
 use super::links::Client;
 use super::links::Links;
 use super::node::Action;
+use super::node::Answer;
 use super::node::Config;
 use super::node::Node;
 use super::rpc::PeerApiClient;
 use super::rpc::PeerApiServer;
+use super::traffic::TrafficTotals;
 use crate::config::accept::Digest;
 use crate::status::Member;
 
@@ -261,11 +264,8 @@
     pub async fn join(&self, address: &str) -> bool {
         let mine = self.state();
         let deadline = self.inner.heartbeat + TRANSFER;
-        let call = |client: Client| {
-            let mine = mine.clone();
-            async move { client.sync(mine).await }
-        };
-        match self.inner.links.call(address, deadline, call).await {
+        let call = |client: Client, mine| async move { client.sync(mine).await };
+        match self.inner.links.call(address, deadline, &mine, call).await {
             Ok(theirs) => {
                 self.act(|node, now| node.on_state(now, &theirs));
                 true
@@ -280,13 +280,11 @@
     /// The text of a digest, from the peer at an address.
     pub async fn text(&self, digest: Digest, holder: &str) -> Option<String> {
         let deadline = self.inner.heartbeat + TRANSFER;
-        let call = |client: Client| async move {
-            let req = ConfigTextRequest {
-                digest: digest.to_string(),
-            };
-            client.config_text(req).await
+        let req = ConfigTextRequest {
+            digest: digest.to_string(),
         };
-        let reply = self.inner.links.call(holder, deadline, call).await;
+        let call = |client: Client, req| async move { client.config_text(req).await };
+        let reply = self.inner.links.call(holder, deadline, &req, call).await;
         let text = reply.ok()?.text?;
         (Digest::of(&text) == digest).then_some(text)
     }
@@ -301,6 +299,11 @@
         None
     }
 
+    /// Bytes exchanged with peers since the start.
+    pub fn traffic(&self) -> TrafficTotals {
+        self.inner.links.traffic.totals()
+    }
+
     /// Tells the others that this daemon is about to stop.
     pub fn set_leaving(&self) {
         self.lock().set_leaving();
@@ -308,7 +311,7 @@
 
     /// Says good-bye to some peers, who pass it on, and stops serving peers.
     pub async fn leave(&self) {
-        self.act(Node::leave_at);
+        self.act(Node::leave);
         self.inner.tasks.close();
         let _ = tokio::time::timeout(GOOD_BYE, self.inner.tasks.wait()).await;
         self.close();
@@ -359,11 +362,16 @@
 
     /// Lets the node do something and carries out what follows.
     fn act(&self, call: impl FnOnce(&mut Node, CoordInstant) -> Vec<Action>) {
+        self.act_and(|node, now| ((), call(node, now)));
+    }
+
+    /// As [`Peers::act`], with a result.
+    fn act_and<T>(&self, call: impl FnOnce(&mut Node, CoordInstant) -> (T, Vec<Action>)) -> T {
         let now = self.now();
-        let (actions, is_watcher) = {
+        let (done, actions, is_watcher) = {
             let mut node = self.lock();
-            let actions = call(&mut node, now);
-            (actions, node.is_watcher())
+            let (done, actions) = call(&mut node, now);
+            (done, actions, node.is_watcher())
         };
         self.inner
             .watcher
@@ -371,6 +379,13 @@
         for action in actions {
             self.carry_out(action);
         }
+        done
+    }
+
+    /// Counts a peer's call with its answer; returns the answer.
+    fn served<T: Serialize>(&self, req: &impl Serialize, reply: T) -> T {
+        self.inner.links.traffic.served(req, &reply);
+        reply
     }
 
     fn carry_out(&self, action: Action) {
@@ -414,12 +429,10 @@
         };
         self.spawn(via, |peers, via| async move {
             let req = ProbeRequest { target, message };
-            let call = |client: Client| {
-                let req = req.clone();
-                async move { client.probe(req).await }
-            };
+            let call = |client: Client, req| async move { client.probe(req).await };
             let deadline = peers.inner.heartbeat;
-            let reply = peers.inner.links.call(&via.address, deadline, call).await;
+            let links = &peers.inner.links;
+            let reply = links.call(&via.address, deadline, &req, call).await;
             if let Ok(ProbeReply {
                 answer: Some(answer),
             }) = reply
@@ -440,11 +453,9 @@
     /// the peer counts as silent.
     async fn exchange(&self, address: &str, message: PeerMessage) -> links::Result<PeerMessage> {
         let deadline = probe_timeout(self.inner.heartbeat) / 2;
-        let call = |client: Client| {
-            let message = message.clone();
-            async move { client.heartbeat(message).await }
-        };
-        self.inner.links.call(address, deadline, call).await
+        let call = |client: Client, message| async move { client.heartbeat(message).await };
+        let links = &self.inner.links;
+        links.call(address, deadline, &message, call).await
     }
 
     async fn push(self, to: MemberContact) {
@@ -452,20 +463,19 @@
         if head.body.is_empty() {
             return;
         }
-        let call = |client: Client| {
-            let head = head.clone();
-            async move { client.config_push(head).await }
-        };
+        let call = |client: Client, head| async move { client.config_push(head).await };
         let deadline = self.inner.heartbeat;
-        if let Err(e) = self.inner.links.call(&to.address, deadline, call).await {
+        let links = &self.inner.links;
+        if let Err(e) = links.call(&to.address, deadline, &head, call).await {
             debug!("push to {}: {e}", to.name);
         }
     }
 
     async fn pull(self, from: MemberContact) {
-        let call = |client: Client| async move { client.config_head().await };
+        let call = |client: Client, ()| async move { client.config_head().await };
         let deadline = self.inner.heartbeat;
-        match self.inner.links.call(&from.address, deadline, call).await {
+        let links = &self.inner.links;
+        match links.call(&from.address, deadline, &(), call).await {
             Ok(head) => self.seen(head),
             Err(e) => debug!("pull from {}: {e}", from.name),
         }
@@ -495,13 +505,6 @@
     }
 }
 
-impl Node {
-    /// [`Node::leave`] in the form that [`Peers::act`] takes.
-    fn leave_at(&mut self, now: CoordInstant) -> Vec<Action> {
-        self.leave(now)
-    }
-}
-
 /// The server's side; answers with errors until [`Methods::serve`].
 #[derive(Clone, Debug, Default)]
 struct Methods {
@@ -525,43 +528,44 @@
 impl PeerApiServer for Methods {
     async fn heartbeat(&self, message: PeerMessage) -> RpcResult<PeerMessage> {
         let peers = self.peers()?;
-        let mut reply = None;
-        peers.act(|node, now| {
-            let answer = node.on_heartbeat(now, &message);
-            reply = Some(answer.message);
-            answer.actions
+        let reply = peers.act_and(|node, now| {
+            let Answer { message, actions } = node.on_heartbeat(now, &message);
+            (message, actions)
         });
-        Ok(reply.expect("the closure ran"))
+        Ok(peers.served(&message, reply))
     }
 
     async fn probe(&self, req: ProbeRequest) -> RpcResult<ProbeReply> {
         let peers = self.peers()?;
-        let answer = peers.exchange(&req.target.address, req.message).await;
-        Ok(ProbeReply {
-            answer: answer.ok(),
-        })
+        let message = req.message.clone();
+        let answer = peers.exchange(&req.target.address, message).await.ok();
+        Ok(peers.served(&req, ProbeReply { answer }))
     }
 
     async fn sync(&self, state: PeerState) -> RpcResult<PeerState> {
         let peers = self.peers()?;
         peers.act(|node, now| node.on_state(now, &state));
-        Ok(peers.state())
+        Ok(peers.served(&state, peers.state()))
     }
 
     async fn config_push(&self, head: ConfigHead) -> RpcResult<()> {
-        self.peers()?.seen(head);
+        let peers = self.peers()?;
+        peers.served(&head, ());
+        peers.seen(head);
         Ok(())
     }
 
     async fn config_head(&self) -> RpcResult<ConfigHead> {
-        Ok(self.peers()?.head())
+        let peers = self.peers()?;
+        Ok(peers.served(&(), peers.head()))
     }
 
     async fn config_text(&self, req: ConfigTextRequest) -> RpcResult<ConfigText> {
-        let held = self.peers()?.inner.held.load_full();
+        let peers = self.peers()?;
+        let held = peers.inner.held.load_full();
         let wanted = |t: &&String| Digest::of(t).to_string() == req.digest;
         let text = held.texts.iter().find(wanted).cloned();
-        Ok(ConfigText { text })
+        Ok(peers.served(&req, ConfigText { text }))
     }
 }
 
--- /dev/null
+++ b/crates/kelpworks/src/membership/traffic.rs
@@ -0,0 +1,95 @@
+//! Bytes that a daemon exchanges with its peers.
+//!
+//! Counted are the JSON texts as they are serialized, and estimates for what the libraries and the
+//! system add to them, since neither shows it: see the constants.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use serde::Serialize;
+
+/// JSON-RPC envelope of a call: version, identifier, method and brackets.
+const CALL: u64 = 75;
+/// JSON-RPC envelope of an answer.
+const ANSWER: u64 = 40;
+/// WebSocket frame with mask, and headers of TCP with timestamps and of IPv4.
+const FRAME: u64 = 8 + 32 + 20;
+/// An acknowledgement without data, one for each answer; a call's rides on its answer.
+const ACK: u64 = 52;
+/// Opening a connection: handshakes of TCP and of the WebSocket.
+const OPEN_SENT: u64 = 600;
+const OPEN_RECEIVED: u64 = 450;
+
+/// Counters since the start.
+#[derive(Debug, Default)]
+pub(super) struct Traffic {
+    sent: AtomicU64,
+    received: AtomicU64,
+    calls: AtomicU64,
+}
+
+/// What a daemon exchanged with its peers since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TrafficTotals {
+    /// Bytes sent.
+    pub sent: u64,
+    /// Bytes received.
+    pub received: u64,
+    /// Calls made and answered.
+    pub calls: u64,
+}
+
+impl Traffic {
+    /// A call went out, whether or not its answer comes.
+    pub(super) fn called(&self, req: &impl Serialize) {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        self.send(size(req) + CALL + FRAME);
+    }
+
+    /// The answer to a call came.
+    pub(super) fn answered(&self, reply: &impl Serialize) {
+        self.receive(size(reply) + ANSWER + FRAME);
+        self.send(ACK);
+    }
+
+    /// A peer's call came and was answered.
+    pub(super) fn served(&self, req: &impl Serialize, reply: &impl Serialize) {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        self.receive(size(req) + CALL + FRAME + ACK);
+        self.send(size(reply) + ANSWER + FRAME);
+    }
+
+    /// A connection was opened to a peer.
+    pub(super) fn opened(&self) {
+        self.send(OPEN_SENT);
+        self.receive(OPEN_RECEIVED);
+    }
+
+    pub(super) fn totals(&self) -> TrafficTotals {
+        TrafficTotals {
+            sent: self.sent.load(Ordering::Relaxed),
+            received: self.received.load(Ordering::Relaxed),
+            calls: self.calls.load(Ordering::Relaxed),
+        }
+    }
+
+    fn send(&self, bytes: u64) {
+        self.sent.fetch_add(bytes, Ordering::Relaxed);
+        metrics::counter!("kelpworks_peer_sent_bytes_total").increment(bytes);
+    }
+
+    fn receive(&self, bytes: u64) {
+        self.received.fetch_add(bytes, Ordering::Relaxed);
+        metrics::counter!("kelpworks_peer_received_bytes_total").increment(bytes);
+    }
+}
+
+/// Size of a value as JSON; wire types always have a form in JSON.
+fn size(value: &impl Serialize) -> u64 {
+    serde_json::to_vec(value).map_or(0, |json| json.len() as u64)
+}
+
+/// Bytes on the wire of one exchange, for those that carry the messages otherwise.
+pub fn exchange_bytes(req: &impl Serialize, reply: &impl Serialize) -> u64 {
+    size(req) + CALL + FRAME + size(reply) + ANSWER + FRAME + ACK
+}
--- a/crates/kelpworks/tests/peers/mod.rs
+++ b/crates/kelpworks/tests/peers/mod.rs
@@ -9,6 +9,7 @@
 use kelpworks::config::accept::HEAD_KIND;
 use kelpworks::config::accept::HEAD_NAME;
 use kelpworks::config::accept::Head;
+use kelpworks::daemon;
 use kelpworks::daemon::Daemon;
 use kelpworks::settings::Settings;
 use kelpworks::status::MemberState;
@@ -20,7 +21,7 @@
 use kelpworks_fakes::documents;
 use kelpworks_fakes::documents::DaemonAddresses;
 use kelpworks_fakes::documents::Team;
-use metrics_exporter_prometheus::PrometheusBuilder;
+
 
 /// Much longer than anything here takes; reached only by a fault.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -97,7 +98,7 @@
         };
         let text = documents::settings(&view, addresses, TIMING);
         let settings = Settings::parse("settings", &text).expect("settings");
-        let metrics = PrometheusBuilder::new().build_recorder().handle();
+        let metrics = daemon::build_metrics();
         Daemon::start(&settings, metrics).await.expect("a daemon")
     }
 
