--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -5,11 +5,18 @@
 
 use std::process::ExitCode;
 
+mod busy;
 mod control;
+mod decision;
+mod fairness;
 mod fleets;
 mod net;
+mod overload_policy;
 mod placement;
+mod placement_baselines;
+mod recovery;
 mod share;
+mod sim;
 mod spread;
 mod stats;
 #[path = "../support/mod.rs"]
@@ -27,21 +34,41 @@
 }
 
 const MEASUREMENTS: &[Measurement] = &[
+    Measurement {
+        name: "busy",
+        run: busy::table,
+    },
+    Measurement {
+        name: "decision",
+        run: decision::table,
+    },
+    Measurement {
+        name: "fairness",
+        run: fairness::table,
+    },
+    Measurement {
+        name: "overload-policy",
+        run: overload_policy::table,
+    },
     Measurement {
         name: "placement",
         run: placement::run,
     },
     Measurement {
-        name: "spread",
-        run: spread::run,
+        name: "recovery",
+        run: recovery::run,
+    },
+    Measurement {
+        name: "control",
+        run: control::run,
     },
     Measurement {
         name: "share",
         run: share::run,
     },
     Measurement {
-        name: "control",
-        run: control::run,
+        name: "spread",
+        run: spread::run,
     },
 ];
 
--- /dev/null
+++ b/crates/kelpworks/examples/measure/share.rs
@@ -0,0 +1,282 @@
+//! What trials get of the whole fleet, while each daemon limits its own part.
+
+use std::time::Duration;
+
+use kelpworks::admission;
+use kelpworks::admission::Ask;
+use kelpworks::admission::Event;
+use kelpworks::admission::Queue;
+use kelpworks::admission::Ticket;
+use kelpworks::membership::Config;
+use kelpworks::membership::share::Demand;
+use kelpworks::membership::share::part;
+use kelpworks_wire::Class;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::net::Net;
+use crate::net::NetConfig;
+use crate::stats::min_median_max;
+use crate::table::Table;
+
+const SEEDS: std::ops::Range<u64> = 1..8;
+const DAEMONS: usize = 7;
+/// What the rule lets trials take of the fleet, in positions a second.
+const RULE: f64 = 20_000.0;
+/// What trials ask for altogether, over the rule.
+const OFFERED: f64 = 1.5;
+/// Positions of a request, at least and at most.
+const COST: std::ops::Range<u32> = 50..150;
+/// Service time of a request.
+const SERVICE: Duration = Duration::from_secs(2);
+/// Requests arrive and rates are looked at in steps of this.
+const STEP_MS: u64 = 10;
+/// Time until the balancer sends a dead daemon's callers elsewhere.
+const BALANCER_MS: u64 = 2_000;
+/// Phases: to settle, steady, and after a death.
+const SETTLE_S: u64 = 30;
+const STEADY_S: u64 = 60;
+const DEATH_S: u64 = 60;
+/// Window for the worst case.
+const WINDOW_S: usize = 10;
+
+/// How a daemon works out its part.
+#[derive(Clone, Copy, PartialEq)]
+enum Way {
+    ByDemand,
+    Equal,
+}
+
+/// One daemon's callers and admission.
+struct Gate {
+    queue: Queue,
+    demand: Demand,
+    asked: u64,
+    asked_before: u64,
+    /// Part of all callers.
+    skew: f64,
+    /// Positions of callers that are not a whole request yet.
+    pending: f64,
+    running: Vec<(Duration, Ticket)>,
+    costs: Vec<(Ticket, u32)>,
+}
+
+/// A run: positions started in each second, over the rule.
+struct Run {
+    seconds: Vec<f64>,
+}
+
+impl Run {
+    fn mean(&self, from: u64, to: u64) -> f64 {
+        let part = &self.seconds[from as usize..to as usize];
+        part.iter().sum::<f64>() / part.len() as f64
+    }
+
+    /// Least mean over a window.
+    fn worst(&self, from: u64, to: u64) -> f64 {
+        let part = &self.seconds[from as usize..to as usize];
+        let means = part
+            .windows(WINDOW_S)
+            .map(|w| w.iter().sum::<f64>() / WINDOW_S as f64);
+        means.fold(f64::INFINITY, f64::min)
+    }
+
+    /// Greatest mean over a window.
+    fn most(&self, from: u64, to: u64) -> f64 {
+        let part = &self.seconds[from as usize..to as usize];
+        let means = part
+            .windows(WINDOW_S)
+            .map(|w| w.iter().sum::<f64>() / WINDOW_S as f64);
+        means.fold(0.0, f64::max)
+    }
+}
+
+/// Runs the measurement.
+pub(crate) fn run() -> Table {
+    let mut rows = Vec::new();
+    for (dies, name) in [(0, "least loaded dies"), (DAEMONS - 1, "most loaded dies")] {
+        for (way, baseline) in [(Way::ByDemand, "by demand"), (Way::Equal, "equal split")] {
+            let runs: Vec<Run> = SEEDS.map(|seed| one(way, dies, seed)).collect();
+            rows.push(row(name, baseline, &runs));
+        }
+    }
+    Table {
+        title: format!(
+            "share: positions that trials started over the rule, {DAEMONS} daemons, balancer skew \
+             1:5, offered {OFFERED} times the rule (min/median/max of {} seeds, virtual clock)",
+            SEEDS.end - SEEDS.start
+        ),
+        head: vec![
+            "death",
+            "parts",
+            "steady 60 s",
+            "60 s from the death",
+            "worst 10 s",
+            "greatest 10 s",
+        ],
+        rows,
+    }
+}
+
+fn row(name: &str, way: &str, runs: &[Run]) -> Vec<String> {
+    let death = SETTLE_S + STEADY_S;
+    let end = death + DEATH_S;
+    let show = |of: &dyn Fn(&Run) -> f64| {
+        let values: Vec<f64> = runs.iter().map(of).collect();
+        min_median_max(&values, 3).join("/")
+    };
+    vec![
+        name.to_owned(),
+        way.to_owned(),
+        show(&|r| r.mean(SETTLE_S, death)),
+        show(&|r| r.mean(death, end)),
+        show(&|r| r.worst(SETTLE_S, end)),
+        show(&|r| r.most(SETTLE_S, end)),
+    ]
+}
+
+fn one(way: Way, dies: usize, seed: u64) -> Run {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut net = Net::new(NetConfig {
+        daemons: DAEMONS,
+        regions: 1,
+        node: Config::default(),
+        all_watch: false,
+        count_bytes: false,
+        seed,
+    });
+    let mut gates: Vec<Gate> = (0..DAEMONS).map(|at| Gate::new(skew(at), seed)).collect();
+    let death = SETTLE_S + STEADY_S;
+    let mut seconds = Vec::new();
+    for second in 0..death + DEATH_S {
+        if second == death {
+            net.crash(dies);
+        }
+        for at in 0..DAEMONS {
+            if net.node(at).is_some() {
+                gates[at].set_rate(way, &mut net, at);
+            }
+        }
+        let mut started = 0;
+        for _ in 0..1_000 / STEP_MS {
+            net.run_for(STEP_MS);
+            let moved = net.now_ms() >= death * 1_000 + BALANCER_MS;
+            started += step(&mut gates, &net, moved, &mut rng);
+        }
+        seconds.push(started as f64 / RULE);
+    }
+    Run { seconds }
+}
+
+/// Parts of callers from 1 to 5 over the daemons, adding up to 1.
+fn skew(at: usize) -> f64 {
+    let weight = |at: usize| 1.0 + 4.0 * at as f64 / (DAEMONS - 1) as f64;
+    weight(at) / (0..DAEMONS).map(weight).sum::<f64>()
+}
+
+/// Lets callers come for one step; returns the positions that started.
+fn step(gates: &mut [Gate], net: &Net, moved: bool, rng: &mut StdRng) -> u64 {
+    let now = Duration::from_millis(net.now_ms());
+    let up = |at: usize| net.node(at).is_some();
+    let lost: f64 = (0..gates.len())
+        .filter(|&at| !up(at))
+        .map(|at| gates[at].skew)
+        .sum();
+    let mut started = 0;
+    for (at, gate) in gates.iter_mut().enumerate() {
+        if !up(at) {
+            continue;
+        }
+        // Callers of a dead daemon get no answer until the balancer sends them elsewhere.
+        let skew = if moved {
+            gate.skew / (1.0 - lost)
+        } else {
+            gate.skew
+        };
+        gate.arrive(now, skew, rng);
+        started += gate.serve(now);
+    }
+    started
+}
+
+impl Gate {
+    fn new(skew: f64, seed: u64) -> Gate {
+        let cfg = admission::Config {
+            // Only the trial rate is to bound them here.
+            limit: 100_000,
+            limit_max: 100_000,
+            seed: Some(seed),
+            ..admission::Config::default()
+        };
+        Gate {
+            queue: Queue::new(cfg),
+            demand: Demand::default(),
+            asked: 0,
+            asked_before: 0,
+            skew,
+            pending: 0.0,
+            running: Vec::new(),
+            costs: Vec::new(),
+        }
+    }
+
+    /// What the daemon does once a second.
+    fn set_rate(&mut self, way: Way, net: &mut Net, at: usize) {
+        let own = self.demand.note(self.asked - self.asked_before);
+        self.asked_before = self.asked;
+        let mut others = Vec::new();
+        net.act(at, |node, _| {
+            node.set_trial_demand(own);
+            others = node.trial_demands();
+            Vec::new()
+        });
+        let rate = match way {
+            Way::ByDemand => part(RULE, own, &others),
+            Way::Equal => RULE / (others.len() as f64 + 1.0),
+        };
+        let now = Duration::from_millis(net.now_ms());
+        self.queue.set_trial_rate(now, rate);
+    }
+
+    fn arrive(&mut self, now: Duration, skew: f64, rng: &mut StdRng) {
+        let mean = RULE * OFFERED * skew * STEP_MS as f64 / 1_000.0;
+        self.pending += mean * rng.random_range(0.0..2.0);
+        while self.pending > 0.0 {
+            let cost = rng.random_range(COST);
+            self.pending -= f64::from(cost);
+            self.asked += u64::from(cost);
+            let ask = Ask {
+                team: "trial",
+                class: Class::Trial,
+                weight: 1,
+                cost,
+            };
+            if let Ok(ticket) = self.queue.offer(now, &ask) {
+                self.costs.push((ticket, cost));
+            }
+        }
+    }
+
+    /// Starts what may start and ends what is done; returns the positions that started.
+    fn serve(&mut self, now: Duration) -> u64 {
+        let mut started = 0;
+        self.queue.poll(now);
+        while let Some(event) = self.queue.next_event() {
+            let Event::Admitted(ticket) = event else {
+                continue;
+            };
+            let at = self.costs.iter().position(|c| c.0 == ticket);
+            let (_, cost) = self.costs.swap_remove(at.expect("an offered request"));
+            started += u64::from(cost);
+            self.running.push((now + SERVICE, ticket));
+        }
+        let (done, running) = self.running.iter().partition(|r| r.0 <= now);
+        self.running = running;
+        let done: Vec<(Duration, Ticket)> = done;
+        for (_, ticket) in done {
+            self.queue.finish(now, ticket, None);
+        }
+        started
+    }
+}
--- a/crates/kelpworks/src/config/mod.rs
+++ b/crates/kelpworks/src/config/mod.rs
@@ -9,4 +9,5 @@
 pub mod diff;
 pub mod document;
 pub mod file_kind;
+pub mod head;
 pub(crate) mod unique;
--- a/crates/kelpworks/src/daemon/follow.rs
+++ b/crates/kelpworks/src/daemon/follow.rs
@@ -7,9 +7,6 @@
 use kelpworks_coord::head;
 use kelpworks_coord::head::FollowerAction;
 use kelpworks_coord::head::FollowerEvent;
-use kelpworks_coord::head::Generation;
-use kelpworks_coord::head::Part;
-use kelpworks_coord::id::Nonce;
 use log::info;
 use log::warn;
 use thiserror::Error;
@@ -19,10 +16,12 @@
 
 use crate::border::object_api;
 use crate::border::object_api::ObjectApi;
-use crate::config::accept::BLOB_KIND;
-use crate::config::accept::Digest;
-use crate::config::accept::Head;
 use crate::config::document;
+use crate::config::head::BLOB_KIND;
+use crate::config::head::Digest;
+use crate::config::head::Head;
+use crate::config::head::digest_of;
+use crate::config::head::parse;
 use crate::in_force::InForce;
 use crate::membership::Peers;
 use crate::membership::SeenHead;
@@ -46,6 +45,8 @@
     Api(#[from] object_api::Error),
     #[error("the text of {0} is not the one that the digest promises")]
     Corrupt(Digest),
+    #[error("the head names no register")]
+    NoRegister,
     #[error("configuration: {0}")]
     Config(#[from] document::Error),
 }
@@ -117,22 +118,24 @@
         body: String,
         holder: Option<String>,
     ) -> Option<FollowerEvent> {
-        let Some(head) = Head::from_body(&body) else {
-            warn!("a configuration head can't be read");
-            return None;
+        let head = match parse(&body) {
+            Ok(head) => head,
+            Err(e) => {
+                warn!("a configuration head can't be read: {e}");
+                return None;
+            }
         };
-        let event = FollowerEvent::Seen(coord_head(&head));
         match &mut self.newest {
             // Whoever has it in force holds its texts; the next attempt asks there.
             Some(newest) if newest.head.generation == head.generation => {
                 newest.holder = holder.or(newest.holder.take());
             }
-            _ if Generation(head.generation) > state.known() => {
+            _ if head.generation > state.known() => {
                 self.newest = Some(Newest { head, body, holder });
             }
             _ => {}
         }
-        Some(event)
+        Some(FollowerEvent::Seen(head))
     }
 
     async fn carry_out(&mut self, state: &mut head::Follower, actions: Vec<FollowerAction>) {
@@ -161,16 +164,15 @@
     }
 
     async fn fetch(&self, newest: &Newest) -> Result<Fetched> {
-        let Head {
-            register, rules, ..
-        } = &newest.head;
-        let text = self.text(*register, newest.holder.as_deref()).await?;
+        let Newest { head, holder, .. } = newest;
+        let register = head.register.ok_or(Error::NoRegister)?;
+        let text = self.text(register.digest, holder.as_deref()).await?;
         let register = Register::parse("register", &text)?;
         let mut texts = vec![text];
-        let rules = match rules {
+        let rules = match head.rules {
             None => Rules::default(),
-            Some(digest) => {
-                let text = self.text(*digest, newest.holder.as_deref()).await?;
+            Some(part) => {
+                let text = self.text(part.digest, holder.as_deref()).await?;
                 let rules = Rules::parse("rules", &text, &register)?;
                 texts.push(text);
                 rules
@@ -185,7 +187,7 @@
 
     /// A text by its digest: the one in force, or from whoever told of it, or from the other side.
     async fn text(&self, digest: Digest, holder: Option<&str>) -> Result<String> {
-        if let Some(text) = self.texts.iter().find(|t| Digest::of(t) == digest) {
+        if let Some(text) = self.texts.iter().find(|t| digest_of(t) == digest) {
             return Ok(text.clone());
         }
         if let Some(holder) = holder
@@ -196,7 +198,7 @@
         let name = digest.to_string();
         let get = tokio::time::timeout(API_WAIT, self.api.get(BLOB_KIND, &name));
         let error = match get.await {
-            Ok(Ok(object)) if Digest::of(&object.body) == digest => return Ok(object.body),
+            Ok(Ok(object)) if digest_of(&object.body) == digest => return Ok(object.body),
             Ok(Ok(_)) => Error::Corrupt(digest),
             Ok(Err(e)) => Error::Api(e),
             Err(_) => Error::Api(object_api::Error::Silent),
@@ -211,35 +213,21 @@
             rules,
             texts,
         } = fetched;
-        let in_force = InForce::new(head.generation, register.clone(), rules);
+        let generation = head.generation.0;
+        let in_force = InForce::new(generation, register.clone(), rules);
         self.config.store(Arc::new(in_force));
         self.register.send_replace(Arc::new(register));
         self.texts.clone_from(&texts);
-        self.peers.in_force(head.generation, body, texts);
-        metrics::gauge!("kelpworks_generation").set(head.generation as f64);
+        self.peers.in_force(generation, body, texts);
+        metrics::gauge!("kelpworks_generation").set(generation as f64);
         let source = if holder.is_some() {
             "peer"
         } else {
             "object API"
         };
         info!(
-            target: "decision", decision = "config", generation = head.generation, source = source;
+            target: "decision", decision = "config", generation = generation, source = source;
             "configuration in force"
         );
     }
 }
-
-/// The head as the state machine knows it. Who changed a part, and when, matters to operators
-/// only; a follower goes by the generation.
-fn coord_head(head: &Head) -> head::Head {
-    let part = |digest: &Digest| Part {
-        digest: kelpworks_coord::id::Digest(digest.bytes()),
-        since: Generation(head.generation),
-        nonce: Nonce(0),
-    };
-    head::Head {
-        generation: Generation(head.generation),
-        register: Some(part(&head.register)),
-        rules: head.rules.as_ref().map(part),
-    }
-}
--- a/crates/kelpworks/src/daemon/head_watch.rs
+++ b/crates/kelpworks/src/daemon/head_watch.rs
@@ -12,8 +12,8 @@
 
 use crate::border::object_api;
 use crate::border::object_api::ObjectApi;
-use crate::config::accept::HEAD_KIND;
-use crate::config::accept::HEAD_NAME;
+use crate::config::head::HEAD_KIND;
+use crate::config::head::HEAD_NAME;
 
 /// Wait after a failed call, at least and at most; doubled in between.
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -193,7 +193,7 @@
         self.bound
     }
 
-    /// Ends at once, as a crash would: requests in flight are cut and peers told nothing.
+    /// Ends at once, without a word to anyone; requests in flight are cut off.
     pub fn abort(self) {
         self.control.abort();
         self.callers.abort();
--- a/crates/kelpworks/src/membership/mod.rs
+++ b/crates/kelpworks/src/membership/mod.rs
@@ -44,9 +44,6 @@
 mod trials;
 mod upstream_facts;
 
-#[cfg(test)]
-mod tests;
-
 pub use node::Action;
 pub use node::Answer;
 pub use node::Config;
--- a/crates/kelpworks/src/membership/node.rs
+++ b/crates/kelpworks/src/membership/node.rs
@@ -37,6 +37,8 @@
 const UPDATE_BYTES: usize = 170;
 const CONTACT_BYTES: usize = 160;
 const SAMPLE_BYTES: usize = 125;
+/// Least time between two computations of the digests.
+const DIGESTS_EVERY: Span = Span::from_millis(500);
 /// Peers that a daemon asks for all they hold when it joins.
 const JOIN_PEERS: usize = 3;
 
@@ -49,6 +51,8 @@
     pub facts: facts::Config,
     /// Of the spreading of generations.
     pub spread: spread::Config,
+    /// Peers next in order of identifier that a generation is pushed to as well. Default 2.
+    pub ring: usize,
     /// Daemons of each failure domain that watch the object API. Default 2.
     pub watchers: usize,
     /// Bytes of news a second, on average. Default 700.
@@ -67,6 +71,7 @@
             membership: membership::Config::default(),
             facts: facts::Config::default(),
             spread: spread::Config::default(),
+            ring: 2,
             watchers: 2,
             news_rate: 700,
             news_burst: 32 << 10,
@@ -155,6 +160,7 @@
     allowance: Allowance,
     members_settled: Settled,
     facts_settled: Settled,
+    next_digests: Instant,
     last_sync: Option<Instant>,
     /// Whether any peer has told all it holds since the start.
     joined: bool,
@@ -186,6 +192,7 @@
             allowance: Allowance::new(cfg.news_rate, cfg.news_burst, now),
             members_settled: settled,
             facts_settled: settled,
+            next_digests: now,
             last_sync: None,
             joined: false,
             news: false,
@@ -211,8 +218,6 @@
     pub fn tick(&mut self, now: Instant) -> Vec<Action> {
         let actions = self.members.on_event(now, membership::Event::Tick);
         let mut actions = self.carry_out(now, actions);
-        self.book
-            .forget(|n| n == self.id || self.members.health(n).is_some());
         self.note_digests(now);
         let due = self
             .last_sync
@@ -342,10 +347,25 @@
         self.change_sample(|s| s.generation = s.generation.max(generation));
         let peers = self.peers();
         let learned = spread::Event::Learned(Generation(generation));
-        let done = self.spread.on_event(learned, &peers);
+        let mut done = self.spread.on_event(learned, &peers);
+        if !done.is_empty() {
+            let next = self.next_on_ring(peers).into_iter();
+            done.extend(next.map(spread::Action::Push));
+            done.sort_unstable();
+            done.dedup();
+        }
         done.into_iter().map(spread_action).collect()
     }
 
+    /// The peers that follow this daemon in order of identifier. Targets drawn by hash alone miss
+    /// a share of `e^-fanout` of the daemons; pushed to along the ring too, a daemon is missed
+    /// only when those before it are gone or cut off as well.
+    fn next_on_ring(&self, mut peers: Vec<NodeId>) -> Vec<NodeId> {
+        peers.sort_by_key(|n| n.0.wrapping_sub(self.id.0));
+        peers.truncate(self.cfg.ring);
+        peers
+    }
+
     /// Tells the others how much trials ask of this daemon, in positions a second.
     pub fn set_trial_demand(&mut self, demand: u32) {
         self.change_sample(|s| s.trial_demand = demand);
@@ -623,7 +643,15 @@
         Some(Action::Sync(from))
     }
 
+    /// Works the digests out anew when the last ones are old enough: it takes a look at all that
+    /// is held, and differences count only after [`Config::settle`].
     fn note_digests(&mut self, now: Instant) {
+        if now < self.next_digests {
+            return;
+        }
+        self.next_digests = now + DIGESTS_EVERY;
+        self.book
+            .forget(|n| n == self.id || self.members.health(n).is_some());
         let mut live: Vec<(u64, u64)> = self
             .members
             .snapshot()
--- a/crates/kelpworks/src/membership/peers.rs
+++ b/crates/kelpworks/src/membership/peers.rs
@@ -50,7 +50,8 @@
 use super::rpc::PeerApiClient;
 use super::rpc::PeerApiServer;
 use super::traffic::TrafficTotals;
-use crate::config::accept::Digest;
+use crate::config::head::Digest;
+use crate::config::head::digest_of;
 use crate::status::Member;
 
 /// The result of this module.
@@ -286,7 +287,7 @@
         let call = |client: Client, req| async move { client.config_text(req).await };
         let reply = self.inner.links.call(holder, deadline, &req, call).await;
         let text = reply.ok()?.text?;
-        (Digest::of(&text) == digest).then_some(text)
+        (digest_of(&text) == digest).then_some(text)
     }
 
     /// The text of a digest, from any of some live peers.
@@ -563,7 +564,7 @@
     async fn config_text(&self, req: ConfigTextRequest) -> RpcResult<ConfigText> {
         let peers = self.peers()?;
         let held = peers.inner.held.load_full();
-        let wanted = |t: &&String| Digest::of(t).to_string() == req.digest;
+        let wanted = |t: &&String| digest_of(t).to_string() == req.digest;
         let text = held.texts.iter().find(wanted).cloned();
         Ok(peers.served(&req, ConfigText { text }))
     }
