--- /dev/null
+++ b/crates/kelpworks/examples/measure/control.rs
@@ -0,0 +1,202 @@
+//! Bytes that daemons exchange for control, and how they grow with the fleet.
+
+use std::time::Duration;
+
+use kelpworks::membership::Config;
+use kelpworks::membership::Peers;
+use kelpworks::membership::PeersConfig;
+use kelpworks::membership::TrafficTotals;
+use kelpworks_coord::facts::Kind;
+use kelpworks_coord::time::Span;
+use tokio_util::sync::CancellationToken;
+
+use crate::net::Net;
+use crate::net::NetConfig;
+use crate::table::Table;
+
+/// Sizes with real sockets.
+const REAL: [usize; 3] = [7, 30, 100];
+/// Sizes by the state machines alone.
+const VIRTUAL: [usize; 4] = [7, 30, 100, 370];
+/// Time to get to know each other, and time measured.
+const WARM_UP: Duration = Duration::from_secs(10);
+const MEASURED: Duration = Duration::from_secs(30);
+const VIRTUAL_MS: u64 = 600_000;
+const DAY_MS: f64 = 86_400_000.0;
+/// Aim of the two-year target, in bytes a second a daemon.
+const AIM: f64 = 2_000.0;
+/// Rows of the fit.
+const TARGET: f64 = 370.0;
+
+/// What happens meanwhile.
+#[derive(Clone, Copy)]
+enum Load {
+    Quiet,
+    Demand,
+    Day,
+}
+
+/// Runs the measurement.
+pub(crate) fn run() -> Table {
+    let mut rows = Vec::new();
+    let mut points = Vec::new();
+    for daemons in REAL {
+        let rates = real(daemons);
+        let mean = rates.iter().sum::<f64>() / rates.len() as f64;
+        let most = rates.iter().copied().fold(0.0, f64::max);
+        points.push((daemons as f64, mean));
+        rows.push(line(daemons, "real sockets, quiet", mean, Some(most)));
+    }
+    let (slope, at_target) = fit(&points);
+    let what = format!("fit of real sockets, {slope:+.2} B/s for each daemon");
+    rows.push(line(TARGET as usize, &what, at_target, None));
+    for daemons in VIRTUAL {
+        let quiet = virtual_rate(daemons, Load::Quiet);
+        let demand = virtual_rate(daemons, Load::Demand);
+        let packed = virtual_rate(daemons, Load::Day);
+        let day = quiet + (packed - quiet) * VIRTUAL_MS as f64 / DAY_MS;
+        let rates = [
+            ("state machines, quiet", quiet),
+            ("state machines, demand of all moves each 5 s", demand),
+            ("state machines, a day's events over the day", day),
+            ("state machines, a day's events in 10 min", packed),
+        ];
+        rows.extend(rates.map(|(case, rate)| line(daemons, case, rate, None)));
+    }
+    Table {
+        title: format!(
+            "control: bytes a second that a daemon sends and receives for peers; sockets over \
+             {MEASURED:?}, state machines over {} s; aim {AIM} sent",
+            VIRTUAL_MS / 1_000
+        ),
+        head: vec![
+            "daemons",
+            "case",
+            "sent+received",
+            "sent",
+            "over aim",
+            "most sent",
+        ],
+        rows,
+    }
+}
+
+/// `both` is what a daemon sends and receives a second.
+fn line(daemons: usize, case: &str, both: f64, most: Option<f64>) -> Vec<String> {
+    vec![
+        daemons.to_string(),
+        case.to_owned(),
+        format!("{both:.0}"),
+        format!("{:.0}", both / 2.0),
+        format!("{:.2}", both / 2.0 / AIM),
+        most.map_or(String::new(), |m| format!("{:.0}", m / 2.0)),
+    ]
+}
+
+/// Slope and value at the target of the least-squares line.
+fn fit(points: &[(f64, f64)]) -> (f64, f64) {
+    let n = points.len() as f64;
+    let mean_x = points.iter().map(|p| p.0).sum::<f64>() / n;
+    let mean_y = points.iter().map(|p| p.1).sum::<f64>() / n;
+    let over = points.iter().map(|p| (p.0 - mean_x) * (p.1 - mean_y));
+    let under = points.iter().map(|p| (p.0 - mean_x).powi(2));
+    let slope = over.sum::<f64>() / under.sum::<f64>();
+    (slope, mean_y + slope * (TARGET - mean_x))
+}
+
+/// Bytes a second, sent and received, of each of so many daemons over loopback.
+fn real(daemons: usize) -> Vec<f64> {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    runtime.block_on(async {
+        let stop = CancellationToken::new();
+        let mut all = Vec::new();
+        for at in 0..daemons {
+            let cfg = PeersConfig {
+                name: format!("entry-{at}"),
+                failure_domain: format!("domain-{}", at % 3),
+                listen: "127.0.0.1:0".parse().expect("an address"),
+                advertise: None,
+                heartbeat: Duration::from_secs(1),
+            };
+            let (peers, _heads) = Peers::start(cfg, stop.child_token()).await.expect("a port");
+            all.push(peers);
+        }
+        let contacts: Vec<_> = all.iter().map(Peers::contact).collect();
+        for peers in &all {
+            peers.listed(&contacts);
+        }
+        tokio::time::sleep(WARM_UP).await;
+        let before: Vec<TrafficTotals> = all.iter().map(Peers::traffic).collect();
+        tokio::time::sleep(MEASURED).await;
+        let bytes = |(peers, before): (&Peers, &TrafficTotals)| {
+            let now = peers.traffic();
+            let bytes = now.sent + now.received - before.sent - before.received;
+            bytes as f64 / MEASURED.as_secs_f64()
+        };
+        let rates = all.iter().zip(&before).map(bytes).collect();
+        stop.cancel();
+        rates
+    })
+}
+
+/// Bytes a second, sent and received, of a daemon by the state machines alone. A day has 75
+/// restarts, 5 crashes, 400 generations and 40 facts, here in ten minutes.
+fn virtual_rate(daemons: usize, load: Load) -> f64 {
+    let mut net = Net::new(NetConfig {
+        daemons,
+        regions: if daemons > 100 { 2 } else { 1 },
+        node: Config::default(),
+        all_watch: false,
+        count_bytes: true,
+        seed: 1,
+    });
+    net.run_for(60_000);
+    let before = net.counts.bytes;
+    let steps = 400;
+    for step in 0..steps {
+        match load {
+            Load::Day => day(&mut net, step, daemons),
+            Load::Demand if step.is_multiple_of(3) => move_demand(&mut net, step, daemons),
+            Load::Demand | Load::Quiet => {}
+        }
+        net.run_for(VIRTUAL_MS / steps);
+    }
+    let bytes = (net.counts.bytes - before) as f64;
+    2.0 * bytes / daemons as f64 / (VIRTUAL_MS as f64 / 1_000.0)
+}
+
+/// Changes what trials ask of each daemon by more than peers need not be told.
+fn move_demand(net: &mut Net, step: u64, daemons: usize) {
+    for at in 0..daemons {
+        net.act(at, |node, _| {
+            node.set_trial_demand(1_000 + (step as u32 + at as u32) % 7 * 200);
+            Vec::new()
+        });
+    }
+}
+
+/// One of 400 parts of a day.
+fn day(net: &mut Net, step: u64, daemons: usize) {
+    net.swap(None);
+    let at = step as usize % daemons;
+    if step.is_multiple_of(5) {
+        net.crash(at);
+        net.restart(at);
+    }
+    if step.is_multiple_of(80) {
+        net.crash((at + 1) % daemons);
+    }
+    if step % 80 == 40 {
+        let down = (0..daemons).find(|&at| net.node(at).is_none());
+        if let Some(at) = down {
+            net.restart(at);
+        }
+    }
+    if step.is_multiple_of(10) {
+        let now_at = (at + 2) % daemons;
+        net.act(now_at, |node, now| {
+            node.set_fact(now, Kind::Leaving, step, 0, Span::from_secs(30));
+            Vec::new()
+        });
+    }
+}
--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -6,15 +6,19 @@
 use std::process::ExitCode;
 
 mod busy;
+mod control;
 mod decision;
 mod fairness;
 mod fleets;
+mod net;
 mod overload_policy;
 mod path_policy;
 mod placement;
 mod placement_baselines;
 mod recovery;
+mod share;
 mod sim;
+mod spread;
 mod stats;
 #[path = "../support/mod.rs"]
 mod support;
@@ -36,6 +40,10 @@
         name: "busy",
         run: busy::table,
     },
+    Measurement {
+        name: "control",
+        run: control::run,
+    },
     Measurement {
         name: "decision",
         run: decision::table,
@@ -60,6 +68,14 @@
         name: "recovery",
         run: recovery::run,
     },
+    Measurement {
+        name: "share",
+        run: share::run,
+    },
+    Measurement {
+        name: "spread",
+        run: spread::run,
+    },
     Measurement {
         name: "throughput",
         run: throughput::run,
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -1,6 +1,8 @@
 //! One daemon: wires the slices together, runs them, and stops them in order.
 
+mod control;
 mod follow;
+mod head_watch;
 mod hosts;
 mod serve;
 
@@ -31,14 +33,13 @@
 use crate::admission::Admission;
 use crate::border::engine::HttpEngine;
 use crate::border::host_list;
-use crate::border::host_list::HttpHostList;
 use crate::border::object_api;
 use crate::border::object_api::HttpObjectApi;
 use crate::claims;
 use crate::claims::Claims;
 use crate::claims::NoPeers;
-use crate::daemon::follow::Follower;
-use crate::daemon::hosts::HostWatch;
+use crate::daemon::control::Control;
+use crate::daemon::control::Shared;
 use crate::daemon::serve::Server;
 use crate::entry;
 use crate::entry::Entry;
@@ -46,6 +47,7 @@
 use crate::executor::Executor;
 use crate::fleet::Fleet;
 use crate::in_force::InForce;
+use crate::membership;
 use crate::operators;
 use crate::operators::Operators;
 use crate::pipeline::Deadlines;
@@ -96,6 +98,9 @@
     /// The host list can't be used as it is set.
     #[error("host list: {0}")]
     HostList(#[from] host_list::Error),
+    /// Peers can't be served.
+    #[error("peers: {0}")]
+    Peers(#[from] membership::Error),
     /// A recorder of metrics is installed already.
     #[error("metrics: {0}")]
     Metrics(#[from] BuildError),
@@ -108,6 +113,8 @@
     pub callers: SocketAddr,
     /// For operators.
     pub operators: SocketAddr,
+    /// For other daemons.
+    pub peers: SocketAddr,
 }
 
 /// A running daemon.
@@ -115,7 +122,7 @@
 pub struct Daemon {
     bound: Bound,
     entry: Arc<Entry>,
-    stop: CancellationToken,
+    control: Control,
     callers: Server,
     operators: Server,
     /// Ends the sessions in flight at once, each with a verdict.
@@ -148,7 +155,6 @@
         metrics: PrometheusHandle,
         quarantine: quarantine::Config,
     ) -> Result<Daemon> {
-        let stop = CancellationToken::new();
         let timing = &settings.timing;
         let engine = Arc::new(HttpEngine::new(timing.connect.0));
         let config = Arc::new(ArcSwap::from_pointee(InForce::default()));
@@ -165,28 +171,10 @@
             Arc::clone(&fleet),
         );
         let reports = keeper.reports();
-        let api = object_api(settings)?;
-        let follower = Follower {
-            api,
-            config: Arc::clone(&config),
-            register,
-            watch_wait: timing.watch.0,
-        };
-        let hosts = HostWatch {
-            api: HttpHostList::new(
-                &settings.platform.host_list,
-                host_list::Deadlines::default(),
-            )?,
-            reports: reports.clone(),
-            interval: timing.host_list_poll.0,
-        };
         let leave = CancellationToken::new();
-        if settings.placement.enabled {
-            let executor = executor(settings, &engine, &config, &fleet)?;
-            tokio::spawn(executor.run(leave.clone(), stop.clone()));
-        }
         let abort = CancellationToken::new();
         let tasks = TaskTracker::new();
+        let admission = Admission::new(admission_config(settings));
         let driver = Driver {
             engine: Arc::clone(&engine),
             fleet: Arc::clone(&fleet),
@@ -212,12 +200,23 @@
             abort: abort.clone(),
             tasks: tasks.clone(),
         };
+        let shared = Shared {
+            config: Arc::clone(&config),
+            register,
+            keeper,
+            admission: admission.clone(),
+        };
+        let control = Control::start(settings, shared).await?;
+        if settings.placement.enabled {
+            let executor = executor(settings, &engine, &config, &fleet)?;
+            tokio::spawn(executor.run(leave.clone(), control.stop.clone()));
+        }
         let entry = Arc::new(Entry {
             limits: settings.limits.clone(),
             request_timeout: timing.request.0,
             config,
             fleet,
-            admission: Admission::new(admission_config(settings)),
+            admission,
             driver,
             engine,
             reports,
@@ -229,6 +228,7 @@
         let operators = Operators {
             name: settings.name.clone(),
             entry: Arc::clone(&entry),
+            peers: control.peers.clone(),
             metrics,
         };
         let callers = Server::start(settings.listen.callers, entry::router(&entry)).await?;
@@ -236,15 +236,13 @@
         let bound = Bound {
             callers: callers.address,
             operators: shown.address,
+            peers: control.peers.address(),
         };
-        tokio::spawn(keeper.run(stop.clone()));
-        tokio::spawn(follower.run(stop.clone()));
-        tokio::spawn(hosts.run(stop.clone()));
         info!(callers:% = bound.callers, operators:% = bound.operators; "daemon started");
         Ok(Daemon {
             bound,
             entry,
-            stop,
+            control,
             callers,
             operators: shown,
             abort,
@@ -266,7 +264,7 @@
 
     /// Ends at once, without a word to anyone; requests in flight are cut off.
     pub fn kill(self) {
-        self.stop.cancel();
+        self.control.abort();
         self.callers.abort();
         self.operators.abort();
     }
@@ -281,6 +279,7 @@
     pub async fn stop(mut self) {
         self.entry.draining.store(true, Ordering::Relaxed);
         self.leave.cancel();
+        self.control.peers.set_leaving();
         info!("stopping, {} sessions in flight", self.entry.tasks.len());
         let _ = timeout_or(self.notice, &self.abort, std::future::pending::<()>()).await;
         self.entry.closed.store(true, Ordering::Relaxed);
@@ -292,7 +291,7 @@
         }
         self.entry.tasks.close();
         let _ = tokio::time::timeout(LAST_ANSWERS, self.entry.tasks.wait()).await;
-        self.stop.cancel();
+        self.control.leave().await;
         self.operators.stop(Duration::ZERO).await;
         info!("stopped");
     }
@@ -374,6 +373,12 @@
     Ok(PrometheusBuilder::new().install_recorder()?)
 }
 
+/// A recorder of metrics that nothing is recorded in: for several daemons in one process that
+/// are not looked at.
+pub fn build_metrics() -> PrometheusHandle {
+    PrometheusBuilder::new().build_recorder().handle()
+}
+
 /// Runs a daemon until the process is told to stop: a first SIGTERM or SIGINT begins a planned
 /// stop, a second ends it at once.
 ///
@@ -384,10 +389,14 @@
     let mut term = signal(SignalKind::terminate()).map_err(Error::Signal)?;
     let mut int = signal(SignalKind::interrupt()).map_err(Error::Signal)?;
     let daemon = Daemon::start(settings, install_metrics()?).await?;
-    let Bound { callers, operators } = daemon.bound();
+    let Bound {
+        callers,
+        operators,
+        peers,
+    } = daemon.bound();
     println!(
         "{}",
-        serde_json::json!({ "callers": callers, "operators": operators })
+        serde_json::json!({ "callers": callers, "operators": operators, "peers": peers })
     );
     tokio::select! {
         _ = term.recv() => {}
--- a/crates/kelpworks/src/lib.rs
+++ b/crates/kelpworks/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod executor;
 pub mod fleet;
 pub mod in_force;
+pub mod membership;
 pub mod operators;
 pub mod pipeline;
 pub mod placement;
--- a/crates/kelpworks/src/upstreams/keeper.rs
+++ b/crates/kelpworks/src/upstreams/keeper.rs
@@ -13,6 +13,8 @@
 use crate::fleet::Fleet;
 use crate::fleet::UpstreamKey;
 use crate::register::Register;
+use crate::upstreams::Observation;
+use crate::upstreams::PeerWord;
 use crate::upstreams::Report;
 use crate::upstreams::poll;
 use crate::upstreams::view::View;
@@ -36,6 +38,7 @@
     reports: mpsc::UnboundedReceiver<Report>,
     reports_tx: mpsc::UnboundedSender<Report>,
     register: watch::Receiver<Arc<Register>>,
+    observed: watch::Sender<Vec<Observation>>,
 }
 
 impl Keeper {
@@ -55,6 +58,7 @@
             reports,
             reports_tx,
             register,
+            observed: watch::Sender::default(),
         }
     }
 
@@ -63,6 +67,11 @@
         self.reports_tx.clone()
     }
 
+    /// What this daemon observes of upstreams itself, for its peers.
+    pub fn observed(&self) -> watch::Receiver<Vec<Observation>> {
+        self.observed.subscribe()
+    }
+
     /// Runs until `stop`.
     pub async fn run(mut self, stop: CancellationToken) {
         self.take_register();
@@ -92,6 +101,9 @@
         let register = Arc::clone(&self.register.borrow_and_update());
         self.view.take_register(&register);
         self.publish();
+        let observed = self.view.observed();
+        self.observed
+            .send_if_modified(|old| std::mem::replace(old, observed.clone()) != observed);
     }
 
     /// Publishes a snapshot after a change of health, holdings or incarnation; loads change in
@@ -122,7 +134,17 @@
                 self.note(changed, key, "no answer to a poll")
             }
             Report::HostList(hosts) => self.view.take_host_list(&hosts),
+            Report::Peers(words) => self.take_peers(&words),
+        }
+    }
+
+    fn take_peers(&mut self, words: &[PeerWord]) -> bool {
+        let changed = self.view.take_peers(words);
+        for &key in &changed {
+            self.note(true, key, "word of other daemons");
+            self.poll_one(key);
         }
+        !changed.is_empty()
     }
 
     fn note(&self, changed: bool, key: UpstreamKey, reason: &'static str) -> bool {
