--- a/crates/kelpworks-cli/tests/proc_stop.rs
+++ b/crates/kelpworks-cli/tests/proc_stop.rs
@@ -69,3 +69,25 @@
     assert_eq!(frame.daemons[0].process.wait().code(), Some(0));
     assert_engines_are_free(&frame).await;
 }
+
+/// Requests that outlast the balancer's notice finish all the same; new ones find the address
+/// closed, and nothing of them runs.
+#[tokio::test]
+async fn a_drain_waits_for_what_is_in_flight() {
+    let shape = Shape {
+        iteration_ms: 20,
+        timing: "balancer_notice = \"50 ms\"\nstate_poll = \"200 ms\"",
+        ..Shape::default()
+    };
+    let mut frame = Frame::start(shape).await;
+    let streams = Streams::begin(&frame, 0, "kettle").await;
+    frame.daemons[0].process.signal(Signal::TERM);
+    frame
+        .until("the address is closed", async || {
+            frame.caller(0).complete("new", 1).await.is_err()
+        })
+        .await;
+    streams.rest().await.assert_whole(&frame);
+    assert_eq!(frame.daemons[0].process.wait().code(), Some(0));
+    assert_engines_are_free(&frame).await;
+}
