--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -23,6 +24,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use kelpworks_coord::id::NodeId;
 use kelpworks_wire::OutputForm;
 
 use crate::admission;
@@ -48,8 +50,14 @@
 use crate::operators::Operators;
 use crate::pipeline::Deadlines;
 use crate::pipeline::Driver;
+use crate::quarantine;
+use crate::quarantine::Quarantine;
 use crate::register::Register;
+use crate::retry::BusyConfig;
+use crate::retry::Cooldowns;
 use crate::retry::DeadlineConfig;
+use crate::retry::RetryBudget;
+use crate::retry::RetryConfig;
 use crate::settings::Settings;
 use crate::upstreams::Keeper;
 use crate::upstreams::KeeperConfig;
@@ -127,6 +135,19 @@
     ///
     /// When an address can't be listened on or a URL of the platform can't be used.
     pub async fn start(settings: &Settings, metrics: PrometheusHandle) -> Result<Daemon> {
+        Daemon::start_with(settings, metrics, quarantine::Config::default()).await
+    }
+
+    /// As [`Daemon::start`], with bounds of its own on suspects and refused requests.
+    ///
+    /// # Errors
+    ///
+    /// As [`Daemon::start`].
+    pub async fn start_with(
+        settings: &Settings,
+        metrics: PrometheusHandle,
+        quarantine: quarantine::Config,
+    ) -> Result<Daemon> {
         let stop = CancellationToken::new();
         let timing = &settings.timing;
         let engine = Arc::new(HttpEngine::new(timing.connect.0));
@@ -185,6 +206,9 @@
             },
             output: OutputForm::Handle,
             start: Instant::now(),
+            quarantine: Arc::new(Quarantine::new(quarantine, NodeId::of(&settings.name))),
+            retries: Mutex::new(RetryBudget::new(RetryConfig::default())),
+            cooldowns: Mutex::new(Cooldowns::new(BusyConfig::default())),
             abort: abort.clone(),
             tasks: tasks.clone(),
         };
@@ -235,6 +259,11 @@
         self.bound
     }
 
+    /// Requests that crash upstreams, as this daemon knows them; to exchange facts with others.
+    pub fn quarantine(&self) -> Arc<Quarantine> {
+        Arc::clone(&self.entry.driver.quarantine)
+    }
+
     /// Ends at once, without a word to anyone; requests in flight are cut off.
     pub fn kill(self) {
         self.stop.cancel();
--- a/crates/kelpworks/src/executor/tests.rs
+++ b/crates/kelpworks/src/executor/tests.rs
@@ -25,7 +25,6 @@
 use crate::fleet::Health;
 use crate::fleet::Holding;
 use crate::fleet::LinkCost;
-use crate::fleet::LoadReport;
 use crate::fleet::ModelKey;
 use crate::fleet::Upstream;
 use crate::placement::HostSpec;
@@ -86,7 +85,6 @@
             }],
             service: None,
             incarnation: 0,
-            load: LoadReport::default(),
             counters: Arc::default(),
         };
         upstream
--- a/crates/kelpworks/src/pipeline/step.rs
+++ b/crates/kelpworks/src/pipeline/step.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use kelpworks_wire::Class;
+use kelpworks_wire::EngineState;
 use kelpworks_wire::OutputForm;
 use kelpworks_wire::RefusalReason;
 use kelpworks_wire::Step;
@@ -23,6 +24,7 @@
 use crate::border::engine::Engine;
 use crate::fleet::Counters;
 use crate::pipeline::hop::HopState;
+use crate::quarantine;
 use crate::retry::DeadlineConfig;
 use crate::retry::StepDeadline;
 
@@ -52,9 +54,18 @@
     /// No connection could be opened; nothing ran.
     #[error("unreachable")]
     Unreachable,
-    /// Silent or broken, also on a new connection; may have run.
+    /// The engine doesn't answer on a new connection either; may have run.
     #[error("silent")]
     Silent,
+    /// The engine answers probes and fails the step; may have run.
+    #[error("step failed twice")]
+    Broken,
+    /// The engine restarted under the step; it may have run before.
+    #[error("engine restarted")]
+    Restarted,
+    /// The request is refused for what it did to other upstreams; the step was not sent.
+    #[error(transparent)]
+    Quarantined(quarantine::Refusal),
     /// The step ran, but its reply is lost for good.
     #[error("reply lost")]
     ReplyLost,
@@ -111,6 +122,8 @@
     pub(crate) fixed: &'a Fixed,
     pub(crate) hop: &'a HopState,
     pub(crate) counters: &'a Counters,
+    /// The engine's incarnation as last known; 0 when unknown.
+    pub(crate) incarnation: u64,
     pub(crate) deadlines: &'a Deadlines,
     /// Positions to run from `hop.have` on; above 0.
     pub(crate) count: u32,
@@ -209,15 +222,34 @@
         }
     }
 
-    async fn probe(&self) -> Result<()> {
+    /// Checks that the engine lives before a suspect's step is sent, so that an engine that died
+    /// of something else isn't held against it. Returns the engine's incarnation.
+    ///
+    /// # Errors
+    ///
+    /// When it doesn't answer on a new connection; nothing ran.
+    pub(crate) async fn alive(&self) -> Result<u64> {
+        let probed = self.ask().await;
+        let state = probed.map_err(|_| StepFailure::Unreachable)?;
+        Ok(state.incarnation)
+    }
+
+    /// Asks the engine for its state on a new connection.
+    async fn ask(&self) -> engine::Result<EngineState> {
         let deadline = lock(&self.counters.poll).deadline(&self.deadlines.probe, 1);
-        let probed = self.engine.probe(&self.hop.url, deadline).await;
-        match probed {
+        self.engine.probe(&self.hop.url, deadline).await
+    }
+
+    async fn probe(&self) -> Result<()> {
+        match self.ask().await {
+            Ok(state) if self.incarnation != 0 && state.incarnation != self.incarnation => {
+                Err(StepFailure::Restarted)
+            }
             Ok(_) => {
                 metrics::counter!("kelpworks_connections_dropped_total").increment(1);
                 Ok(())
             }
-            Err(engine::Error::Connect(_)) => Err(StepFailure::Unreachable),
+            // Also when nobody listens any more: the step was sent before, and may have run.
             Err(_) => Err(StepFailure::Silent),
         }
     }
@@ -227,10 +259,10 @@
             .engine
             .steps(&self.hop.url, batch, self.deadlines.step.ceiling)
             .await;
-        let reply = reply.map_err(|e| match e {
-            engine::Error::Connect(_) => StepFailure::Unreachable,
-            _ => StepFailure::Silent,
-        })?;
+        let Ok(reply) = reply else {
+            self.probe().await?;
+            return Err(StepFailure::Broken);
+        };
         match self.check(reply) {
             Err(StepFailure::Refused {
                 reason: RefusalReason::PositionGap,
