--- a/crates/kelpworks/tests/retry_driver.rs
+++ b/crates/kelpworks/tests/retry_driver.rs
@@ -26,7 +26,6 @@
 use kelpworks::fleet::Health;
 use kelpworks::fleet::Holding;
 use kelpworks::fleet::LinkCost;
-use kelpworks::fleet::LoadReport;
 use kelpworks::fleet::ModelKey;
 use kelpworks::fleet::ModelView;
 use kelpworks::fleet::Upstream;
@@ -211,7 +210,6 @@
                 }],
                 service: None,
                 incarnation: 1,
-                load: LoadReport::default(),
                 counters: Arc::default(),
             }));
         }
