--- a/crates/kelpworks/tests/poison_requests.rs
+++ b/crates/kelpworks/tests/poison_requests.rs
@@ -51,6 +51,27 @@
     }
 }
 
+/// Copies sent at once: each may be in flight before the first crash is known, and one turn follows.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn copies_at_once_cost_one_more() {
+    let bench = Bench::start(4, RESTART).await;
+    bench.join_daemons();
+    let innocents = bench.innocents(INNOCENTS, TOKENS);
+    bench.steps_run(UNDER_WAY).await;
+    let one = bench.ask(0, POISON, TOKENS);
+    let other = bench.ask(1, POISON, TOKENS);
+    let (one, other) = tokio::join!(one, other);
+    bench.all_answered(innocents, TOKENS).await;
+    assert!((2..=3).contains(&bench.crashes()), "{}", bench.crashes());
+    for reply in [one, other] {
+        let kind = reply.body["error"]["type"].as_str().expect("an error");
+        // The second is under test where it came after the news of the first's crash.
+        assert!(["quarantined", "under_test"].contains(&kind), "{reply:?}");
+    }
+    let again = bench.ask(1, POISON, TOKENS).await;
+    assert_eq!(again.body["error"]["type"], "quarantined");
+}
+
 /// Hosts that crash for reasons of their own: every caller gets its answer, nobody is refused.
 #[rstest]
 #[case::first_stage(&["engine-0-0"])]
