Take only a closed port or another incarnation for a crash

Ruled out: excusing crashes near other crashes, which a storm still passes. Change: a probe that finds nobody listening is a failure of its own, and with another incarnation the only one that counts. A request that makes engines hang is not found out any more.

--- a/crates/kelpworks/src/pipeline/driver.rs
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -376,7 +376,8 @@
             self.verdict = before;
         }
         match result {
-            Err(StepFailure::Silent | StepFailure::Restarted) => turn.crashed(),
+            // Silence has other causes, which would blame innocent requests.
+            Err(StepFailure::Gone | StepFailure::Restarted) => turn.crashed(),
             Ok(_) => self.driver.served(hop.upstream, &upstream.counters),
             Err(_) => {}
         }
@@ -418,6 +419,7 @@
             StepFailure::Unreachable
             | StepFailure::Silent
             | StepFailure::Broken
+            | StepFailure::Gone
             | StepFailure::Restarted => self.move_off(upstream, "stage died").await,
             StepFailure::Mismatch => self.move_off(upstream, "reply of another step").await,
         }
--- a/crates/kelpworks/src/pipeline/recovery.rs
+++ b/crates/kelpworks/src/pipeline/recovery.rs
@@ -71,6 +71,7 @@
             StepFailure::Unreachable
                 | StepFailure::Silent
                 | StepFailure::Broken
+                | StepFailure::Gone
                 | StepFailure::Restarted
         );
         if dead {
--- a/crates/kelpworks/src/pipeline/step.rs
+++ b/crates/kelpworks/src/pipeline/step.rs
@@ -60,6 +60,9 @@
     /// The engine answers probes and fails the step; may have run.
     #[error("step failed twice")]
     Broken,
+    /// Nobody listens any more where the step was sent; may have run.
+    #[error("engine gone")]
+    Gone,
     /// The engine restarted under the step; it may have run before.
     #[error("engine restarted")]
     Restarted,
@@ -249,7 +252,8 @@
                 metrics::counter!("kelpworks_connections_dropped_total").increment(1);
                 Ok(())
             }
-            // Also when nobody listens any more: the step was sent before, and may have run.
+            // The step was sent before, and may have run.
+            Err(engine::Error::Connect(_)) => Err(StepFailure::Gone),
             Err(_) => Err(StepFailure::Silent),
         }
     }
--- a/crates/kelpworks/tests/poison/mod.rs
+++ b/crates/kelpworks/tests/poison/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test binary uses a part")]
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -200,3 +201,21 @@
         .filter(|f| matches!(f.statement, Statement::Refused { .. }))
         .count()
 }
+
+/// Waits until every request that became a suspect is cleared; none may be refused.
+pub(crate) async fn all_cleared(facts: &mut broadcast::Receiver<Fact>) {
+    let mut suspects = HashSet::new();
+    loop {
+        while let Ok(fact) = facts.try_recv() {
+            match fact.statement {
+                Statement::Suspect { .. } => suspects.insert(fact.fingerprint.0),
+                Statement::Cleared => suspects.remove(&fact.fingerprint.0),
+                other => panic!("{other:?}"),
+            };
+        }
+        if suspects.is_empty() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
--- a/crates/kelpworks/tests/poison_requests.rs
+++ b/crates/kelpworks/tests/poison_requests.rs
@@ -14,6 +14,7 @@
 use rstest::rstest;
 
 use poison::Bench;
+use poison::all_cleared;
 use poison::refused;
 
 const POISON: &str = "a poison mug";
@@ -86,6 +87,10 @@
     let innocents = bench.innocents(INNOCENTS, TOKENS);
     for (n, host) in hosts.iter().enumerate() {
         bench.steps_run(UNDER_WAY * 3 * (n as u64 + 1)).await;
+        // A crash in a suspect's turn is held against it, so the next host waits for the turns.
+        for facts in &mut facts {
+            all_cleared(facts).await;
+        }
         bench.fakes.engine(host).expect("a host").crash();
     }
     bench.all_answered(innocents, TOKENS).await;
