--- a/crates/kelpworks/src/quarantine/mod.rs
+++ b/crates/kelpworks/src/quarantine/mod.rs
@@ -27,8 +27,8 @@
 //!
 //! Limits: equal requests that are in flight at once before the first crash is known may each cost
 //! an upstream. A request that crashes an upstream only after its step was answered is not among
-//! the suspects, and one that makes it hang is not found out. Two upstreams that crash of something else while they run the same request, the
-//! second in its own turn, get it refused though innocent.
+//! the suspects, and one that makes it hang is not found out. Two upstreams that crash of something
+//! else while they run the same request, the second in its own turn, get it refused though innocent.
 
 mod fact;
 mod state;
