--- a/crates/kelpworks/src/executor/hold.rs
+++ b/crates/kelpworks/src/executor/hold.rs
@@ -176,7 +176,6 @@
 }
 
 fn note(held: bool, token: Option<Token>) {
-    metrics::gauge!("kelpworks_placement_lease").set(f64::from(u8::from(held)));
     let reason = if held { "acquired" } else { "resigned" };
     let token = token.map_or(0, |t| t.0);
     info!(target: "decision", decision = "lease", token = token, reason = reason; "placement lease");
--- a/crates/kelpworks/src/executor/tests.rs
+++ b/crates/kelpworks/src/executor/tests.rs
@@ -166,6 +166,21 @@
     assert_eq!(decide(&input, 63).reason, PlanReason::Improved);
 }
 
+#[test]
+fn a_new_holder_follows_what_is_held_and_improves_it_later() {
+    let mut input = input(Rate(GB));
+    input.holdings = plan(&input).holdings(&input);
+    input.hosts[0].layer_rate = 6_000.0;
+    assert!(plan(&input).moves(&input) > 0, "a better plan is to be had");
+    let mut planning = Planning::default();
+    let start = Instant::now();
+    let first = planning.decide(1, &input, IMPROVE_AFTER, start);
+    assert_eq!(first.reason, PlanReason::Held);
+    assert_eq!(first.plan.moves(&input), 0);
+    let later = planning.decide(1, &input, IMPROVE_AFTER, start + IMPROVE_AFTER);
+    assert_eq!(later.reason, PlanReason::Improved);
+}
+
 #[rstest]
 #[case::slow_store(Rate(GB), 1)]
 #[case::fast_store(Rate(100 * GB), 6)]
