--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -23,6 +24,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use kelpworks_coord::id::NodeId;
 use kelpworks_wire::OutputForm;
 
 use crate::admission;
@@ -32,6 +34,9 @@
 use crate::border::host_list::HttpHostList;
 use crate::border::object_api;
 use crate::border::object_api::HttpObjectApi;
+use crate::claims;
+use crate::claims::Claims;
+use crate::claims::NoPeers;
 use crate::daemon::follow::Follower;
 use crate::daemon::hosts::HostWatch;
 use crate::daemon::serve::Server;
@@ -45,8 +50,14 @@
 use crate::operators::Operators;
 use crate::pipeline::Deadlines;
 use crate::pipeline::Driver;
+use crate::quarantine;
+use crate::quarantine::Quarantine;
 use crate::register::Register;
+use crate::retry::BusyConfig;
+use crate::retry::Cooldowns;
 use crate::retry::DeadlineConfig;
+use crate::retry::RetryBudget;
+use crate::retry::RetryConfig;
 use crate::settings::Settings;
 use crate::upstreams::Keeper;
 use crate::upstreams::KeeperConfig;
@@ -124,6 +135,19 @@
     ///
     /// When an address can't be listened on or a URL of the platform can't be used.
     pub async fn start(settings: &Settings, metrics: PrometheusHandle) -> Result<Daemon> {
+        Daemon::start_with(settings, metrics, quarantine::Config::default()).await
+    }
+
+    /// As [`Daemon::start`], with bounds of its own on suspects and refused requests.
+    ///
+    /// # Errors
+    ///
+    /// As [`Daemon::start`].
+    pub async fn start_with(
+        settings: &Settings,
+        metrics: PrometheusHandle,
+        quarantine: quarantine::Config,
+    ) -> Result<Daemon> {
         let stop = CancellationToken::new();
         let timing = &settings.timing;
         let engine = Arc::new(HttpEngine::new(timing.connect.0));
@@ -182,6 +206,9 @@
             },
             output: OutputForm::Handle,
             start: Instant::now(),
+            quarantine: Arc::new(Quarantine::new(quarantine, NodeId::of(&settings.name))),
+            retries: Mutex::new(RetryBudget::new(RetryConfig::default())),
+            cooldowns: Mutex::new(Cooldowns::new(BusyConfig::default())),
             abort: abort.clone(),
             tasks: tasks.clone(),
         };
@@ -194,6 +221,7 @@
             driver,
             engine,
             reports,
+            claims: Arc::new(claims(settings, tasks.clone())?),
             tasks,
             draining: AtomicBool::new(false),
             closed: AtomicBool::new(false),
@@ -231,6 +259,11 @@
         self.bound
     }
 
+    /// Requests that crash upstreams, as this daemon knows them; to exchange facts with others.
+    pub fn quarantine(&self) -> Arc<Quarantine> {
+        Arc::clone(&self.entry.driver.quarantine)
+    }
+
     /// Ends at once, without a word to anyone; requests in flight are cut off.
     pub fn kill(self) {
         self.stop.cancel();
@@ -310,10 +343,20 @@
 fn admission_config(settings: &Settings) -> admission::Config {
     admission::Config {
         queue: settings.limits.queue,
+        token_target: settings.limits.token_target.0,
         ..admission::Config::default()
     }
 }
 
+/// Claims have a client of their own, so that leaving its connections behind touches no watch.
+fn claims(settings: &Settings, tasks: TaskTracker) -> Result<Claims<HttpObjectApi>> {
+    let cfg = claims::Config {
+        writes_per_second: u64::from(settings.limits.claim_writes_per_second),
+        ..claims::Config::new(&settings.name)
+    };
+    Ok(Claims::new(cfg, object_api(settings)?, NoPeers, tasks))
+}
+
 fn object_api(settings: &Settings) -> Result<HttpObjectApi> {
     let deadlines = object_api::Deadlines::default();
     Ok(HttpObjectApi::new(
--- a/crates/kelpworks/src/entry/completions.rs
+++ b/crates/kelpworks/src/entry/completions.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -28,8 +29,11 @@
 use kelpworks_wire::Usage;
 
 use crate::admission::Ask;
+use crate::admission::Permit;
+use crate::claims::ClaimKey;
 use crate::entry::Entry;
 use crate::entry::auth;
+use crate::entry::once;
 use crate::entry::reply::Failure;
 use crate::entry::reply::REQUEST_ID;
 use crate::entry::shape::Asked;
@@ -40,6 +44,7 @@
 use crate::pipeline::Job;
 use crate::pipeline::Outcome;
 use crate::pipeline::tokens;
+use crate::quarantine::fingerprint;
 use crate::verdict::Verdict;
 
 /// The result of this module.
@@ -47,6 +52,8 @@
 
 /// Tokens that may wait for a slow caller; then its session waits.
 const TOKENS_AHEAD: usize = 32;
+/// Wait for the whole body of a request; a caller that stops halfway holds nothing for longer.
+const BODY_DEADLINE: Duration = Duration::from_secs(30);
 /// Last event of a stream, by custom of this interface.
 const DONE: &str = "[DONE]";
 
@@ -57,9 +64,9 @@
 }
 
 /// A session under way.
-struct Running {
-    tokens: mpsc::Receiver<u32>,
-    outcome: oneshot::Receiver<Outcome>,
+pub(super) struct Running {
+    pub(super) tokens: mpsc::Receiver<u32>,
+    pub(super) outcome: oneshot::Receiver<Outcome>,
 }
 
 impl Completions {
@@ -75,13 +82,26 @@
         let body = body(req, self.entry.limits.body_bytes).await?;
         let asked = self.shape.read(body)?;
         let job = self.job(id, &caller, &asked)?;
-        let frame = Frame {
+        self.entry.driver.quarantine.check(job.fingerprint)?;
+        let claim = self.claim(req, &caller, &asked)?;
+        let mut frame = Frame {
             id: id.to_owned(),
             model: asked.model.clone(),
             created: unix_now(),
         };
         let prompt_tokens = job.prompt.len() as u32;
-        let running = self.start(&caller, job).await?;
+        let running = match claim {
+            None => self.start(&caller, job).await?,
+            Some(claim) => {
+                let permit = self.admit(&caller, &job).await?;
+                let started = once::start(&self.entry, claim, frame, job, permit).await?;
+                if started.replayed {
+                    once::mark_replayed(res);
+                }
+                frame = started.frame;
+                started.running
+            }
+        };
         if let Ok(value) = HeaderValue::from_str(id) {
             res.headers_mut().insert(REQUEST_ID, value);
         }
@@ -123,6 +143,7 @@
             session: id.to_owned(),
             team: caller.team.clone(),
             class: caller.class,
+            fingerprint: fingerprint(&caller.team, &asked.model, &asked.prompt),
             model,
             prompt: tokens::encode(&asked.prompt),
             max_tokens: asked.max_tokens,
@@ -130,19 +151,33 @@
         })
     }
 
-    /// Waits for admission and starts the session in a task of its own, which frees its memory on
-    /// the engines also when the caller goes.
-    async fn start(&self, caller: &Caller, job: Job) -> Result<Running> {
+    /// The claim of a keyed request that must run at most once.
+    fn claim(&self, req: &Request, caller: &Caller, asked: &Asked) -> Result<Option<ClaimKey>> {
+        let config = self.entry.config.load();
+        if !config.model_is_non_idempotent(&asked.model, &caller.team) {
+            return Ok(None);
+        }
+        let key = once::key(req.headers())?;
+        Ok(key.map(|k| once::model_claim(&caller.team, self.shape, asked, &k)))
+    }
+
+    async fn admit(&self, caller: &Caller, job: &Job) -> Result<Permit> {
         let ask = Ask {
             team: &caller.team,
             class: caller.class,
             weight: caller.weight,
             cost: job.prompt.len() as u32 + job.max_tokens,
         };
-        let permit = tokio::select! {
-            permit = self.entry.admission.admit(ask) => permit?,
-            () = self.entry.driver.abort.cancelled() => return Err(Failure::draining()),
-        };
+        tokio::select! {
+            permit = self.entry.admission.admit(ask) => Ok(permit?),
+            () = self.entry.driver.abort.cancelled() => Err(Failure::draining()),
+        }
+    }
+
+    /// Waits for admission and starts the session in a task of its own, which frees its memory on
+    /// the engines also when the caller goes.
+    async fn start(&self, caller: &Caller, job: Job) -> Result<Running> {
+        let permit = self.admit(caller, &job).await?;
         let (tx, tokens) = mpsc::channel(TOKENS_AHEAD);
         let (done, outcome) = oneshot::channel();
         let entry = Arc::clone(&self.entry);
@@ -270,7 +305,14 @@
 
 /// Reads a request's body, up to `most` bytes.
 pub(crate) async fn body(req: &mut Request, most: u64) -> Result<&[u8]> {
-    let payload = req.payload_with_max_size(most as usize).await;
+    let reading = req.payload_with_max_size(most as usize);
+    let Ok(payload) = tokio::time::timeout(BODY_DEADLINE, reading).await else {
+        return Err(Failure::bad(
+            StatusCode::REQUEST_TIMEOUT,
+            "body_timeout",
+            "the body did not come in time",
+        ));
+    };
     payload.map(|b| &b[..]).map_err(|e| match e {
         ParseError::PayloadTooLarge => {
             let message = format!("the body is larger than {most} bytes");
--- a/crates/kelpworks/src/lib.rs
+++ b/crates/kelpworks/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod border;
+pub mod claims;
 pub mod config;
 pub mod daemon;
 pub mod entry;
@@ -17,6 +18,7 @@
 pub mod operators;
 pub mod pipeline;
 pub mod placement;
+pub mod quarantine;
 pub mod register;
 pub mod retry;
 pub mod routing;
