--- a/crates/kelpworks/src/membership/mod.rs
+++ b/crates/kelpworks/src/membership/mod.rs
@@ -33,9 +33,11 @@
 
 mod allowance;
 mod book;
+mod contract;
 mod convert;
 mod directory;
 mod links;
+mod methods;
 mod node;
 mod peers;
 mod rpc;
@@ -44,9 +46,9 @@
 mod trials;
 mod upstream_facts;
 
-pub use node::Action;
-pub use node::Answer;
-pub use node::Config;
+pub use contract::Action;
+pub use contract::Answer;
+pub use contract::Config;
 pub use node::Node;
 pub use peers::Error;
 pub use peers::Peers;
--- a/crates/kelpworks/src/membership/node.rs
+++ b/crates/kelpworks/src/membership/node.rs
@@ -27,6 +27,9 @@
 use super::allowance::Allowance;
 use super::book::Book;
 use super::book::Known;
+use super::contract::Action;
+use super::contract::Answer;
+use super::contract::Config;
 use super::convert;
 use crate::status::Member;
 use crate::status::MemberState;
@@ -42,90 +45,6 @@
 /// Peers that a daemon asks for all they hold when it joins.
 const JOIN_PEERS: usize = 3;
 
-/// Times and bounds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Config {
-    /// Of the membership protocol.
-    pub membership: membership::Config,
-    /// Of the store of facts.
-    pub facts: facts::Config,
-    /// Of the spreading of generations.
-    pub spread: spread::Config,
-    /// Peers next in order of identifier that a generation is pushed to as well. Default 2.
-    pub ring: usize,
-    /// Daemons of each failure domain that watch the object API. Default 2.
-    pub watchers: usize,
-    /// Bytes of news a second, on average. Default 700.
-    pub news_rate: u64,
-    /// Bytes of news at once. Default 32 KiB.
-    pub news_burst: u64,
-    /// How long two daemons may differ before one asks the other for all it holds. Default 5 s.
-    pub settle: Span,
-    /// Least time between two such exchanges. Default 10 s.
-    pub sync_every: Span,
-}
-
-impl Default for Config {
-    fn default() -> Config {
-        Config {
-            membership: membership::Config::default(),
-            facts: facts::Config::default(),
-            spread: spread::Config::default(),
-            ring: 2,
-            watchers: 2,
-            news_rate: 700,
-            news_burst: 32 << 10,
-            settle: Span::from_secs(5),
-            sync_every: Span::from_secs(10),
-        }
-    }
-}
-
-/// Something for the driver to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Send a heartbeat; its answer goes to [`Node::on_answer`].
-    Heartbeat {
-        /// To whom.
-        to: NodeId,
-        /// What.
-        message: Box<PeerMessage>,
-    },
-    /// Have a heartbeat passed on; the target's answer goes to [`Node::on_answer`].
-    HeartbeatVia {
-        /// Through whom.
-        via: NodeId,
-        /// To whom.
-        target: NodeId,
-        /// What.
-        message: Box<PeerMessage>,
-    },
-    /// Send the head in force.
-    Push(NodeId),
-    /// Ask for the head in force.
-    Pull(NodeId),
-    /// Send [`Node::state`]; the state that answers it goes to [`Node::on_state`].
-    Sync(NodeId),
-    /// The health of a member changed.
-    Changed {
-        /// The member.
-        node: NodeId,
-        /// From now on.
-        health: Health,
-    },
-    /// Facts of others came or were cleared.
-    FactsChanged,
-}
-
-/// A heartbeat's answer, and what else follows from it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Answer {
-    /// Goes back to the sender.
-    pub message: PeerMessage,
-    /// To be done.
-    pub actions: Vec<Action>,
-}
-
 /// A digest of this daemon's, and since when it has been the same.
 #[derive(Clone, Copy, Debug)]
 struct Settled {
@@ -425,10 +344,12 @@
         rendezvous::choose(&members, WATCH_DUTY, self.cfg.watchers).contains(&self.id)
     }
 
-    /// How much trials ask of each other live daemon, in positions a second.
+    /// How much trials ask of each other live daemon, in positions a second. Suspects are left
+    /// out: most are gone, and paying work is protected from trials on the daemon itself.
     pub fn trial_demands(&self) -> Vec<u32> {
         self.members
             .live()
+            .filter(|&(node, _)| self.members.health(node) == Some(Health::Alive))
             .filter_map(|(node, _)| self.book.get(node))
             .map(|k| k.sample.trial_demand)
             .collect()
--- a/crates/kelpworks/src/membership/peers.rs
+++ b/crates/kelpworks/src/membership/peers.rs
@@ -10,8 +10,6 @@
 use std::time::UNIX_EPOCH;
 
 use arc_swap::ArcSwap;
-use jsonrpsee::core::RpcResult;
-use jsonrpsee::core::async_trait;
 use jsonrpsee::server::Server;
 use jsonrpsee::server::ServerConfig;
 use jsonrpsee::server::ServerHandle;
@@ -23,7 +21,6 @@
 use kelpworks_coord::time::Instant as CoordInstant;
 use kelpworks_coord::time::Span;
 use kelpworks_wire::ConfigHead;
-use kelpworks_wire::ConfigText;
 use kelpworks_wire::ConfigTextRequest;
 use kelpworks_wire::MemberContact;
 use kelpworks_wire::PeerMessage;
@@ -40,12 +37,12 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::contract::Action;
+use super::contract::Config;
 use super::links;
 use super::links::Client;
 use super::links::Links;
-use super::node::Action;
-use super::node::Answer;
-use super::node::Config;
+use super::methods::Methods;
 use super::node::Node;
 use super::rpc::PeerApiClient;
 use super::rpc::PeerApiServer;
@@ -325,6 +322,13 @@
         self.inner.links.retain(|_| false);
     }
 
+    /// A text in force here, by its digest in hex.
+    pub(super) fn held_text(&self, digest: &str) -> Option<String> {
+        let held = self.inner.held.load();
+        let mut texts = held.texts.iter();
+        texts.find(|t| digest_of(t).to_string() == digest).cloned()
+    }
+
     fn addresses(&self) -> Vec<String> {
         let node = self.lock();
         let peers = node.peers();
@@ -356,18 +360,21 @@
         CoordInstant::from_millis(self.inner.start.elapsed().as_millis() as u64)
     }
 
-    fn state(&self) -> PeerState {
+    pub(super) fn state(&self) -> PeerState {
         let now = self.now();
         self.lock().state(now)
     }
 
     /// Lets the node do something and carries out what follows.
-    fn act(&self, call: impl FnOnce(&mut Node, CoordInstant) -> Vec<Action>) {
+    pub(super) fn act(&self, call: impl FnOnce(&mut Node, CoordInstant) -> Vec<Action>) {
         self.act_and(|node, now| ((), call(node, now)));
     }
 
     /// As [`Peers::act`], with a result.
-    fn act_and<T>(&self, call: impl FnOnce(&mut Node, CoordInstant) -> (T, Vec<Action>)) -> T {
+    pub(super) fn act_and<T>(
+        &self,
+        call: impl FnOnce(&mut Node, CoordInstant) -> (T, Vec<Action>),
+    ) -> T {
         let now = self.now();
         let (done, actions, is_watcher) = {
             let mut node = self.lock();
@@ -384,7 +391,7 @@
     }
 
     /// Counts a peer's call with its answer; returns the answer.
-    fn served<T: Serialize>(&self, req: &impl Serialize, reply: T) -> T {
+    pub(super) fn served<T: Serialize>(&self, req: &impl Serialize, reply: T) -> T {
         self.inner.links.traffic.served(req, &reply);
         reply
     }
@@ -452,7 +459,11 @@
 
     /// Half of the probe's timeout for each try, so that a new connection has its chance before
     /// the peer counts as silent.
-    async fn exchange(&self, address: &str, message: PeerMessage) -> links::Result<PeerMessage> {
+    pub(super) async fn exchange(
+        &self,
+        address: &str,
+        message: PeerMessage,
+    ) -> links::Result<PeerMessage> {
         let deadline = probe_timeout(self.inner.heartbeat) / 2;
         let call = |client: Client, message| async move { client.heartbeat(message).await };
         let links = &self.inner.links;
@@ -482,14 +493,14 @@
         }
     }
 
-    fn head(&self) -> ConfigHead {
+    pub(super) fn head(&self) -> ConfigHead {
         ConfigHead {
             from: self.contact(),
             body: self.inner.held.load().body.clone(),
         }
     }
 
-    fn seen(&self, head: ConfigHead) {
+    pub(super) fn seen(&self, head: ConfigHead) {
         if !head.body.is_empty() {
             let ConfigHead { from, body } = head;
             let _ = self.inner.heads.send(SeenHead { from, body });
@@ -506,70 +517,6 @@
     }
 }
 
-/// The server's side; answers with errors until [`Methods::serve`].
-#[derive(Clone, Debug, Default)]
-struct Methods {
-    peers: Arc<std::sync::OnceLock<Peers>>,
-}
-
-impl Methods {
-    fn serve(&self, peers: Peers) {
-        let _ = self.peers.set(peers);
-    }
-
-    fn peers(&self) -> RpcResult<&Peers> {
-        use jsonrpsee::types::ErrorObject;
-        use jsonrpsee::types::error::INTERNAL_ERROR_CODE;
-        let starting = || ErrorObject::borrowed(INTERNAL_ERROR_CODE, "starting", None);
-        self.peers.get().ok_or_else(starting)
-    }
-}
-
-#[async_trait]
-impl PeerApiServer for Methods {
-    async fn heartbeat(&self, message: PeerMessage) -> RpcResult<PeerMessage> {
-        let peers = self.peers()?;
-        let reply = peers.act_and(|node, now| {
-            let Answer { message, actions } = node.on_heartbeat(now, &message);
-            (message, actions)
-        });
-        Ok(peers.served(&message, reply))
-    }
-
-    async fn probe(&self, req: ProbeRequest) -> RpcResult<ProbeReply> {
-        let peers = self.peers()?;
-        let message = req.message.clone();
-        let answer = peers.exchange(&req.target.address, message).await.ok();
-        Ok(peers.served(&req, ProbeReply { answer }))
-    }
-
-    async fn sync(&self, state: PeerState) -> RpcResult<PeerState> {
-        let peers = self.peers()?;
-        peers.act(|node, now| node.on_state(now, &state));
-        Ok(peers.served(&state, peers.state()))
-    }
-
-    async fn config_push(&self, head: ConfigHead) -> RpcResult<()> {
-        let peers = self.peers()?;
-        peers.served(&head, ());
-        peers.seen(head);
-        Ok(())
-    }
-
-    async fn config_head(&self) -> RpcResult<ConfigHead> {
-        let peers = self.peers()?;
-        Ok(peers.served(&(), peers.head()))
-    }
-
-    async fn config_text(&self, req: ConfigTextRequest) -> RpcResult<ConfigText> {
-        let peers = self.peers()?;
-        let held = peers.inner.held.load_full();
-        let wanted = |t: &&String| digest_of(t).to_string() == req.digest;
-        let text = held.texts.iter().find(wanted).cloned();
-        Ok(peers.served(&req, ConfigText { text }))
-    }
-}
-
 fn server_config() -> ServerConfig {
     ServerConfig::builder()
         .ws_only()
