Measure what each role costs at several sizes

Cause: nothing told how a role's cost grows, so no capacity could be worked out.

Ruled out: wall time (the machine is shared; only the decisions of routing and admission keep the fastest of nine batches, from `measure -- decision`); one process a role (no child processes); freeing values between figures of memory (freed memory that is used again does not show).

Change: `measure -- capacity`: three or more sizes a role, least-squares line and residual; processor time of threads from the scheduler's account, resident memory, bytes by a counting relay. Two functions of `decision` are visible to it.

Small counts of idle connections are unsure, since memory freed before is used again.

--- /dev/null
+++ b/crates/kelpworks/examples/measure/capacity.rs
@@ -0,0 +1,126 @@
+//! `capacity`: what each role of a daemon costs at several sizes, and how that grows.
+//!
+//! Each row is a least-squares line through the sizes. Processor time is that of threads, from the
+//! scheduler's own account, so that other work on the machine does not count; memory is the
+//! resident set of the process. Stand-ins, callers and daemon run on threads of their own, but in
+//! one process: processor time is of the daemon alone, memory has the stand-ins' side of a
+//! connection in it and is an upper bound where the row says so. The page `docs/CAPACITY.md` takes
+//! its slopes from here.
+
+mod border;
+mod cost;
+mod path;
+mod state;
+mod tap;
+mod traffic;
+
+use crate::table::Table;
+
+/// What was measured at several sizes.
+struct Series {
+    /// Role of the daemon.
+    role: &'static str,
+    /// What was measured, with its unit.
+    what: String,
+    /// What the size counts.
+    by: &'static str,
+    /// Size and measured value; at least two different sizes.
+    points: Vec<(f64, f64)>,
+}
+
+/// A least-squares line.
+#[derive(Clone, Copy, Debug)]
+struct Line {
+    slope: f64,
+    intercept: f64,
+    /// Greatest distance of a point from the line, as a share of the greatest value.
+    residual: f64,
+}
+
+impl Series {
+    fn new(role: &'static str, what: impl Into<String>, by: &'static str) -> Series {
+        Series {
+            role,
+            what: what.into(),
+            by,
+            points: Vec::new(),
+        }
+    }
+
+    fn add(&mut self, size: f64, value: f64) {
+        self.points.push((size, value));
+    }
+
+    fn line(&self) -> Line {
+        let n = self.points.len() as f64;
+        let mean = |f: fn(&(f64, f64)) -> f64| self.points.iter().map(f).sum::<f64>() / n;
+        let (x, y) = (mean(|p| p.0), mean(|p| p.1));
+        let covariance: f64 = self.points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum();
+        let variance: f64 = self.points.iter().map(|p| (p.0 - x).powi(2)).sum();
+        let slope = covariance / variance;
+        let intercept = y - slope * x;
+        let distance = |p: &(f64, f64)| (p.1 - intercept - slope * p.0).abs();
+        let far = self.points.iter().map(distance).fold(0.0, f64::max);
+        let most = self.points.iter().map(|p| p.1.abs()).fold(0.0, f64::max);
+        let residual = if most > 0.0 { far / most } else { 0.0 };
+        Line {
+            slope,
+            intercept,
+            residual,
+        }
+    }
+
+    fn row(&self) -> Vec<String> {
+        let line = self.line();
+        let points = self.points.iter();
+        let points: Vec<String> = points
+            .map(|p| format!("{:.0}: {}", p.0, number(p.1)))
+            .collect();
+        vec![
+            self.role.to_owned(),
+            self.what.clone(),
+            self.by.to_owned(),
+            points.join(", "),
+            number(line.slope),
+            number(line.intercept),
+            format!("{:.1}%", 100.0 * line.residual),
+        ]
+    }
+}
+
+/// Three significant digits for what is small, whole numbers for what is large.
+fn number(value: f64) -> String {
+    match value.abs() {
+        v if v >= 1_000.0 => format!("{value:.0}"),
+        v if v >= 10.0 => format!("{value:.1}"),
+        v if v >= 0.1 => format!("{value:.3}"),
+        v if v < 1e-9 => "0".to_owned(),
+        _ => format!("{value:.2e}"),
+    }
+}
+
+/// Runs the measurement.
+pub(crate) fn run() -> Table {
+    // What is in memory only comes first, while the process is small.
+    let mut series = state::all();
+    series.extend(traffic::all());
+    match path::all() {
+        Ok(more) => series.extend(more),
+        Err(e) => eprintln!("the request path was not measured: {e}"),
+    }
+    Table {
+        title: "capacity: cost by size, with a least-squares line; processor time of threads, \
+                resident memory; residual as a share of the greatest value"
+            .to_owned(),
+        head: vec![
+            "role",
+            "what",
+            "size",
+            "measured",
+            "slope",
+            "intercept",
+            "residual",
+        ],
+        rows: series.iter().map(Series::row).collect(),
+    }
+}
--- /dev/null
+++ b/crates/kelpworks/examples/measure/capacity/path.rs
@@ -0,0 +1,318 @@
+//! The request path: a daemon between callers and stand-in engines, over loopback sockets.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use kelpworks::daemon;
+use kelpworks::daemon::Daemon;
+use kelpworks_fakes::FleetConfig;
+use kelpworks_fakes::Model;
+use kelpworks_fakes::StandIns;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
+
+use crate::capacity::Series;
+use crate::capacity::border;
+use crate::capacity::cost;
+use crate::support;
+use crate::support::ExampleTeam;
+use crate::support::Result;
+use crate::support::client::Call;
+
+pub(super) const DAEMON: &str = "cap-daemon";
+const THREADS: usize = 2;
+pub(super) const LAYERS: u32 = 24;
+const PROMPT: &str = "a red chair by the window";
+const TEAM: ExampleTeam = ExampleTeam {
+    name: "sellers",
+    class: "paying",
+    weight: 1,
+    token: "t",
+};
+const CALLERS: usize = 16;
+/// Length of an answer, and answers that each caller asks for.
+const ANSWERS: [(u32, u32); 3] = [(8, 40), (32, 16), (128, 6)];
+const STAGES: [u32; 4] = [1, 2, 4, 8];
+/// Runs of which the cheapest counts: others on the machine make a step dearer, not cheaper.
+const RUNS: usize = 3;
+/// Polls so rare that they do not count.
+const RARE_POLLS: &str = "state_poll = \"60 s\"";
+const ENGINES: [u32; 3] = [20, 60, 150];
+const IDLE_TIME: Duration = Duration::from_secs(5);
+const SETTLE: Duration = Duration::from_secs(2);
+const CONNECTIONS: [usize; 4] = [200, 400, 800, 1_200];
+const SESSIONS: [usize; 3] = [100, 200, 400];
+const DEADLINE: Duration = Duration::from_secs(10);
+pub(super) const MICROS: f64 = 1e6;
+
+/// Threads of their own for daemon, stand-ins and callers, so that each one's time is known.
+pub(super) struct Threads {
+    pub(super) daemon: Runtime,
+    pub(super) fakes: Runtime,
+    callers: Runtime,
+    metrics: PrometheusHandle,
+}
+
+impl Threads {
+    fn new() -> Result<Threads> {
+        let named = |name: &str| {
+            Builder::new_multi_thread()
+                .worker_threads(THREADS)
+                .thread_name(name)
+                .enable_all()
+                .build()
+        };
+        Ok(Threads {
+            daemon: named(DAEMON)?,
+            fakes: named("cap-fakes")?,
+            callers: named("cap-callers")?,
+            metrics: daemon::install_metrics()?,
+        })
+    }
+
+    pub(super) fn fakes(&self, model: &Model, cfg: FleetConfig) -> Result<StandIns> {
+        let fakes = self.fakes.block_on(StandIns::spawn(cfg))?;
+        support::put_config(&fakes, std::slice::from_ref(model), 0.2, &[TEAM])?;
+        Ok(fakes)
+    }
+
+    fn daemon(&self, fakes: &StandIns, timing: &str) -> Result<Daemon> {
+        let started = support::daemons(fakes, 1, timing, &self.metrics);
+        let mut daemons = self.daemon.block_on(started)?;
+        daemons.pop().ok_or_else(|| "no daemon".into())
+    }
+}
+
+pub(super) fn model() -> Model {
+    Model::new("captions", "1", LAYERS)
+}
+
+/// Measures the whole path.
+///
+/// # Errors
+///
+/// When daemon or stand-ins can't be started, or an answer is wrong.
+pub(super) fn all() -> Result<Vec<Series>> {
+    let threads = Threads::new()?;
+    // Memory first, before freed memory of other runs is used again.
+    let mut series = upstreams(&threads)?;
+    series.extend(connections(&threads)?);
+    series.extend(sessions(&threads)?);
+    series.extend(caller_bytes(&threads)?);
+    series.extend(polls(&threads)?);
+    series.extend(border::all(&threads)?);
+    Ok(series)
+}
+
+/// Processor time of the daemon by length of the answer, and how that grows with the stages.
+fn sessions(threads: &Threads) -> Result<Vec<Series>> {
+    let mut all = Vec::new();
+    let mut token = Series::new("driver", "us a token (slopes above)", "stages");
+    let mut request = Series::new("caller side", "us a request (intercepts above)", "stages");
+    for stages in STAGES {
+        let what = format!("us a request, {stages} stages");
+        let mut time = Series::new("caller side and driver", what, "tokens");
+        let fakes = threads.fakes(&model(), FleetConfig::pipeline(&model(), stages, 1))?;
+        let daemon = threads.daemon(&fakes, RARE_POLLS)?;
+        let base = format!("http://{}", daemon.bound().callers);
+        answers(threads, &base, 8, 8)?;
+        for (tokens, turns) in ANSWERS {
+            let requests = f64::from(turns) * CALLERS as f64;
+            let mut told = 0;
+            let mut least = f64::INFINITY;
+            for _ in 0..RUNS {
+                let before = cost::of_threads(DAEMON);
+                told = answers(threads, &base, tokens, turns)?;
+                let spent = (cost::of_threads(DAEMON) - before).as_secs_f64();
+                least = least.min(spent * MICROS / requests);
+            }
+            time.add(told as f64 / requests, least);
+        }
+        let line = time.line();
+        token.add(f64::from(stages), line.slope);
+        request.add(f64::from(stages), line.intercept);
+        all.push(time);
+        daemon.kill();
+    }
+    all.extend([token, request]);
+    Ok(all)
+}
+
+/// Has every caller ask so many times; returns the tokens of all answers, each of which is right.
+fn answers(threads: &Threads, base: &str, max_tokens: u32, turns: u32) -> Result<usize> {
+    let client = reqwest::Client::builder().no_proxy().build()?;
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|n| {
+            let (base, client) = (base.to_owned(), client.clone());
+            threads.callers.spawn(async move {
+                let mut told = 0;
+                for turn in 0..turns {
+                    let call = Call {
+                        base: base.clone(),
+                        token: TEAM.token.to_owned(),
+                        model: model().name().to_owned(),
+                        prompt: format!("{PROMPT} {n:03} {turn:03}"),
+                        max_tokens,
+                    };
+                    let answer = call.stream(&client, |_, _| true).await?;
+                    if answer.text != model().answer_text(&call.prompt, max_tokens) {
+                        return Err("an answer is wrong".into());
+                    }
+                    told += answer.at.len();
+                }
+                Ok::<usize, Box<dyn std::error::Error + Send + Sync>>(told)
+            })
+        })
+        .collect();
+    let mut told = 0;
+    for caller in callers {
+        told += threads.callers.block_on(caller)??;
+    }
+    Ok(told)
+}
+
+/// Bytes between a caller and the daemon, HTTP's heads with them.
+fn caller_bytes(threads: &Threads) -> Result<Vec<Series>> {
+    let mut bytes = Series::new("caller side", "bytes to the caller, streamed", "tokens");
+    let fakes = threads.fakes(&model(), FleetConfig::pipeline(&model(), 2, 1))?;
+    let daemon = threads.daemon(&fakes, RARE_POLLS)?;
+    for (tokens, _) in ANSWERS {
+        let mut stream = ask(daemon.bound().callers, PROMPT, tokens)?;
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer)?;
+        let told = model().answer(&kelpworks_fakes::tokens(PROMPT.as_bytes()), tokens);
+        bytes.add(told.len() as f64, answer.len() as f64);
+    }
+    daemon.kill();
+    Ok(vec![bytes])
+}
+
+/// Asks for a streamed answer on a connection of its own.
+fn ask(daemon: SocketAddr, prompt: &str, max_tokens: u32) -> Result<TcpStream> {
+    let model = model();
+    let body = serde_json::json!({
+        "model": model.name(), "prompt": prompt, "max_tokens": max_tokens, "stream": true,
+    })
+    .to_string();
+    let mut stream = TcpStream::connect(daemon)?;
+    stream.set_read_timeout(Some(DEADLINE))?;
+    write!(
+        stream,
+        "POST /v1/completions HTTP/1.1\r\nhost: daemon\r\nauthorization: Bearer {}\r\n\
+         content-type: application/json\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        TEAM.token,
+        body.len()
+    )?;
+    Ok(stream)
+}
+
+/// What upstreams take of a daemon's memory; no daemon ends before the last has been measured.
+fn upstreams(threads: &Threads) -> Result<Vec<Series>> {
+    let what = "bytes, with the stand-ins' ends";
+    let mut memory = Series::new("upstream connections", what, "upstreams");
+    let mut kept = Vec::new();
+    for engines in ENGINES {
+        let fakes = threads.fakes(&model(), FleetConfig::pipeline(&model(), 4, engines / 4))?;
+        let upstreams = (fakes.engines.len() + fakes.services.len()) as f64;
+        let before = cost::memory();
+        let daemon = threads.daemon(&fakes, "")?;
+        std::thread::sleep(SETTLE);
+        memory.add(upstreams, cost::memory().saturating_sub(before) as f64);
+        kept.push((fakes, daemon));
+    }
+    kept.into_iter().for_each(|(_, daemon)| daemon.kill());
+    std::thread::sleep(SETTLE);
+    Ok(vec![memory])
+}
+
+/// State polls of an idle daemon.
+fn polls(threads: &Threads) -> Result<Vec<Series>> {
+    let role = "state polls";
+    let mut time = Series::new(
+        role,
+        "us/s of processor, idle daemon, 2 polls/s",
+        "upstreams",
+    );
+    let model = model();
+    for engines in ENGINES {
+        let fakes = threads.fakes(&model, FleetConfig::pipeline(&model, 4, engines / 4))?;
+        let upstreams = (fakes.engines.len() + fakes.services.len()) as f64;
+        let daemon = threads.daemon(&fakes, "")?;
+        std::thread::sleep(SETTLE);
+        let before = cost::of_threads(DAEMON);
+        std::thread::sleep(IDLE_TIME);
+        let spent = (cost::of_threads(DAEMON) - before).as_secs_f64();
+        time.add(upstreams, spent * MICROS / IDLE_TIME.as_secs_f64());
+        daemon.kill();
+        std::thread::sleep(SETTLE);
+    }
+    Ok(vec![time])
+}
+
+/// Memory of connections without a request, and of sessions under way.
+fn connections(threads: &Threads) -> Result<Vec<Series>> {
+    let mut idle = Series::new("caller side", "bytes of idle connections", "connections");
+    let mut held = Series::new(
+        "driver",
+        "bytes of sessions, with the stand-ins' state",
+        "sessions",
+    );
+    let mut cfg = FleetConfig::pipeline(&model(), 4, 1);
+    for engine in &mut cfg.engines {
+        engine.iteration_base = Duration::from_millis(200);
+        engine.max_batch = 1_024;
+    }
+    let fakes = threads.fakes(&model(), cfg)?;
+    let daemon = threads.daemon(&fakes, RARE_POLLS)?;
+    let address = daemon.bound().callers;
+    let before = cost::memory();
+    let mut kept = Vec::new();
+    for count in CONNECTIONS {
+        while kept.len() < count {
+            kept.push(idle_connection(address)?);
+        }
+        idle.add(count as f64, cost::memory().saturating_sub(before) as f64);
+    }
+    let before = cost::memory();
+    let mut running = Vec::new();
+    for count in SESSIONS {
+        while running.len() < count {
+            running.push(ask(
+                address,
+                &format!("{PROMPT} {:04}", running.len()),
+                200,
+            )?);
+        }
+        std::thread::sleep(Duration::from_secs(4));
+        held.add(count as f64, cost::memory().saturating_sub(before) as f64);
+    }
+    let mut begun = 0;
+    for stream in &mut running {
+        stream.set_read_timeout(Some(Duration::from_millis(1)))?;
+        begun += usize::from(stream.read(&mut [0; 512]).is_ok_and(|n| n > 0));
+    }
+    eprintln!(
+        "{begun} of {} held sessions had begun to answer",
+        running.len()
+    );
+    drop(running);
+    drop(kept);
+    daemon.kill();
+    Ok(vec![idle, held])
+}
+
+/// A connection that has had one small answer and is kept open.
+fn idle_connection(daemon: SocketAddr) -> Result<TcpStream> {
+    let mut stream = TcpStream::connect(daemon)?;
+    stream.set_read_timeout(Some(DEADLINE))?;
+    stream.write_all(b"GET /none HTTP/1.1\r\nhost: daemon\r\n\r\n")?;
+    let read = stream.read(&mut [0; 2_048])?;
+    if read == 0 {
+        return Err("the daemon closed a connection".into());
+    }
+    Ok(stream)
+}
--- a/crates/kelpworks/examples/measure/decision.rs
+++ b/crates/kelpworks/examples/measure/decision.rs
@@ -148,7 +148,7 @@
     quantile(&mut batches, 0.0)
 }
 
-fn sampled_path(fleet: &Fleet, seed: u64) -> f64 {
+pub(crate) fn sampled_path(fleet: &Fleet, seed: u64) -> f64 {
     let mut rng = StdRng::seed_from_u64(seed);
     time(|| {
         let path = choose_path(black_box(fleet), &query(), &mut rng);
@@ -176,7 +176,7 @@
 }
 
 /// One request offered and one ended, while every team has some waiting.
-fn fair_admission(teams: usize, seed: u64) -> f64 {
+pub(crate) fn fair_admission(teams: usize, seed: u64) -> f64 {
     let names: Vec<String> = (0..teams).map(|t| format!("team-{t}")).collect();
     let mut queue = Queue::new(Config {
         queue: u32::MAX,
--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 
 mod busy;
+mod capacity;
 mod decision;
 mod fairness;
 mod fleets;
@@ -36,6 +37,10 @@
         name: "busy",
         run: busy::table,
     },
+    Measurement {
+        name: "capacity",
+        run: capacity::run,
+    },
     Measurement {
         name: "decision",
         run: decision::table,
