--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -6,6 +6,7 @@
 use std::process::ExitCode;
 
 mod busy;
+mod capacity;
 mod control;
 mod decision;
 mod fairness;
@@ -40,6 +41,10 @@
         name: "busy",
         run: busy::table,
     },
+    Measurement {
+        name: "capacity",
+        run: capacity::run,
+    },
     Measurement {
         name: "control",
         run: control::run,
