--- a/crates/kelpworks/src/upstreams/keeper.rs
+++ b/crates/kelpworks/src/upstreams/keeper.rs
@@ -101,9 +101,6 @@
         let register = Arc::clone(&self.register.borrow_and_update());
         self.view.take_register(&register);
         self.publish();
-        let observed = self.view.observed();
-        self.observed
-            .send_if_modified(|old| std::mem::replace(old, observed.clone()) != observed);
     }
 
     /// Publishes a snapshot after a change of health, holdings or incarnation; loads change in
@@ -111,6 +108,9 @@
     fn publish(&mut self) {
         self.view.refresh_index();
         self.fleet.store(Arc::new(self.view.fleet.clone()));
+        let observed = self.view.observed();
+        self.observed
+            .send_if_modified(|old| std::mem::replace(old, observed.clone()) != observed);
     }
 
     /// Takes a report; tells whether requests have to know at once.
--- a/crates/kelpworks/tests/peers_daemons.rs
+++ b/crates/kelpworks/tests/peers_daemons.rs
@@ -122,7 +122,7 @@
     platform.swap(1);
     let mut daemons = platform.daemons(&NAMES).await;
     all_at(&daemons, 1).await;
-    daemons.pop().expect("three daemons").abort();
+    daemons.pop().expect("three daemons").kill();
     for daemon in &daemons {
         until("the crash is seen", async || {
             state_of(daemon, NAMES[2]).await == Some(MemberState::Down)
