Mend what a failing upstream and a full test run showed

Changes: each further suspicion takes twice as many answers to clear, up to 16; ready means that a model is held whole, and stays so; the first failed fetch only sends the step again; offsets of line breaks are kept; the list is whole, and an optional list that is empty counts as left out, as on the wire.

--- a/crates/kelpworks-wire/tests/wire_types.rs
+++ b/crates/kelpworks-wire/tests/wire_types.rs
@@ -70,6 +70,19 @@
     EngineState,
     ErrorBody,
     ErrorDetail,
+    ConfigHead,
+    ConfigText,
+    ConfigTextRequest,
+    MemberContact,
+    MemberHealth,
+    MemberSample,
+    MemberUpdate,
+    PeerFact,
+    PeerFactKind,
+    PeerMessage,
+    PeerState,
+    ProbeReply,
+    ProbeRequest,
     Fence,
     FinishReason,
     HandleRef,
@@ -149,7 +162,12 @@
         let is_required = required.iter().any(|r| r == name);
         let field = match is_required {
             true => values(field, all).prop_map(Some).boxed(),
-            false => prop::option::of(values(field, all)).boxed(),
+            // A list that may be left out is left out when it is empty: the two mean the same.
+            false => prop::option::of(values(field, all))
+                .prop_map(|field| {
+                    field.filter(|f| f.as_array().is_none_or(|list| !list.is_empty()))
+                })
+                .boxed(),
         };
         let name = name.clone();
         (object, field)
--- a/crates/kelpworks/src/config/document.rs
+++ b/crates/kelpworks/src/config/document.rs
@@ -206,6 +206,9 @@
 pub(crate) struct Document<'a> {
     file: &'a str,
     text: &'a str,
+    /// Offsets of the line breaks, rising: the line of each name is asked for, and counting from
+    /// the start of the text each time would take time by the square of its size.
+    breaks: Vec<usize>,
     root: Spanned<DeTable<'a>>,
     faults: Vec<Error>,
 }
@@ -228,6 +231,7 @@
         Ok(Document {
             file,
             text,
+            breaks: text.match_indices('\n').map(|(at, _)| at).collect(),
             root,
             faults: Vec::new(),
         })
@@ -259,7 +263,7 @@
 
     /// Line of a span.
     pub(crate) fn line(&self, span: &Range<usize>) -> usize {
-        line_at(self.text.as_bytes(), span.start)
+        1 + self.breaks.partition_point(|&at| at < span.start)
     }
 
     /// Notes a fault at a span.
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -227,6 +227,7 @@
         });
         let operators = Operators {
             name: settings.name.clone(),
+            served: Arc::default(),
             entry: Arc::clone(&entry),
             peers: control.peers.clone(),
             metrics,
--- a/crates/kelpworks/src/operators/mod.rs
+++ b/crates/kelpworks/src/operators/mod.rs
@@ -4,6 +4,7 @@
 //! stop, and until the daemon has a configuration and a fleet.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -18,7 +19,9 @@
 use salvo::writing::Json;
 
 use crate::entry::Entry;
+use crate::fleet::Fleet;
 use crate::fleet::Health;
+use crate::fleet::ModelKey;
 use crate::membership::Peers;
 use crate::status::Status;
 
@@ -27,6 +30,8 @@
 pub struct Operators {
     /// Name of this daemon.
     pub name: String,
+    /// Whether the daemon was ready before.
+    pub served: Arc<AtomicBool>,
     /// The callers' side.
     pub entry: Arc<Entry>,
     /// The other daemons.
@@ -80,10 +85,27 @@
         if entry.config.load().generation == 0 {
             return Some("no configuration yet");
         }
-        let fleet = entry.fleet.load();
-        let live = fleet.upstreams.values().any(|u| u.health == Health::Live);
-        if live { None } else { Some("no live upstream") }
+        // Once a daemon has served it stays ready: where all upstreams are lost, callers get a
+        // verdict from any daemon, and nothing from a balancer without one.
+        if self.operators.served.load(Ordering::Relaxed) {
+            return None;
+        }
+        if !can_serve(&entry.fleet.load()) {
+            return Some("no model is held whole yet");
+        }
+        self.operators.served.store(true, Ordering::Relaxed);
+        None
+    }
+}
+
+/// Whether some model, or where the register has none some plain service, can be served.
+fn can_serve(fleet: &Fleet) -> bool {
+    if fleet.models.is_empty() {
+        return fleet.upstreams.values().any(|u| u.health == Health::Live);
     }
+    let models = (0..fleet.models.len()).map(|m| ModelKey(m as u16));
+    let index = fleet.index.as_ref();
+    index.is_some_and(|i| models.into_iter().any(|m| i.serves(m)))
 }
 
 #[async_trait]
--- a/crates/kelpworks/src/pipeline/driver.rs
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -466,17 +466,19 @@
 
     /// A stage could not fetch its input from the one before it.
     ///
-    /// That one may have lost its outputs, and then runs again where it is. Where that does not
-    /// help, the link between the two may be down, at either end: one moves, then the other.
+    /// The fetch may have met a connection that is dead; the step is sent once more, and finds a new
+    /// one. Else that stage may have lost its outputs, and runs again where it is. Where that does
+    /// not help, the link between the two may be down, at either end: one moves, then the other.
     async fn fetch_failed(&mut self, at: usize) -> Result<()> {
         let before = at.saturating_sub(1);
         self.unfetched += 1;
         match self.unfetched {
-            1 => {
+            1 => Ok(()),
+            2 => {
                 self.restart(before);
                 Ok(())
             }
-            n if n % 2 == 0 => {
+            n if n % 2 == 1 => {
                 let upstream = self.hops[before].upstream;
                 self.move_off(upstream, "output can't be fetched").await
             }
--- a/crates/kelpworks/src/routing/index.rs
+++ b/crates/kelpworks/src/routing/index.rs
@@ -93,6 +93,12 @@
         Index { models }
     }
 
+    /// Whether some version of the model is held whole by upstreams that may take work.
+    pub fn serves(&self, model: ModelKey) -> bool {
+        let versions = self.models.get(usize::from(model.0));
+        versions.is_some_and(|v| v.iter().any(|v| v.missing.is_none()))
+    }
+
     /// The version to run: the one asked for, or else the one to serve if complete, or else the
     /// first that is complete. `None` when there is no such version.
     pub(super) fn version(
--- a/crates/kelpworks/src/upstreams/mod.rs
+++ b/crates/kelpworks/src/upstreams/mod.rs
@@ -7,6 +7,9 @@
 mod poll;
 mod view;
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 
 use kelpworks_coord::id::UpstreamId;
--- a/crates/kelpworks/src/upstreams/view.rs
+++ b/crates/kelpworks/src/upstreams/view.rs
@@ -37,6 +37,11 @@
 /// Other daemons whose word makes a single poll without an answer enough.
 const PEERS_UNTIL_DOWN: u32 = 2;
 
+/// Doublings of the answers needed to clear a suspicion, at most.
+const MAX_STRIKES: u32 = 4;
+/// Answers to polls without a suspicion after which earlier ones are forgotten.
+const CLEAN_UNTIL_FORGOTTEN: u32 = 60;
+
 /// What the keeper knows of an upstream beside the snapshot.
 #[derive(Clone, Debug, Default)]
 struct Track {
@@ -46,14 +51,42 @@
     answered: bool,
     /// Said by the upstream itself.
     draining: bool,
-    /// Reported by a request, or newly by a peer, since the last answer to a poll.
+    /// Reported by a request, or newly by a peer, and not cleared by answers to polls since.
     suspect: bool,
+    /// Suspicions of late; an upstream that answers polls but fails requests collects them.
+    strikes: u32,
+    /// Answers to polls that are still needed to clear the suspicion.
+    to_clear: u32,
+    /// Answers to polls since the last suspicion.
+    clean: u32,
     /// Other daemons state that it takes no new work.
     peers_leaving: bool,
     /// Other daemons that state that it is down; own answers count for more.
     peers_down: u32,
 }
 
+impl Track {
+    /// Notes a suspicion. The first is cleared by one answer, as it may be of a connection only;
+    /// each further one takes twice as many, so that an upstream that answers polls but fails
+    /// requests is not taken first again and again.
+    fn strike(&mut self) {
+        self.suspect = true;
+        self.clean = 0;
+        self.to_clear = 1 << self.strikes.min(MAX_STRIKES);
+        self.strikes = self.strikes.saturating_add(1);
+    }
+
+    /// Notes an answer to a poll.
+    fn clear(&mut self) {
+        self.to_clear = self.to_clear.saturating_sub(1);
+        self.suspect = self.to_clear > 0;
+        self.clean = self.clean.saturating_add(1);
+        if self.clean >= CLEAN_UNTIL_FORGOTTEN {
+            self.strikes = 0;
+        }
+    }
+}
+
 /// The keeper's state.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct View {
@@ -195,13 +228,10 @@
         let Some(track) = self.tracks.get_mut(&key) else {
             return false;
         };
-        *track = Track {
-            misses: 0,
-            answered: true,
-            draining,
-            suspect: false,
-            ..*track
-        };
+        track.misses = 0;
+        track.answered = true;
+        track.draining = draining;
+        track.clear();
         self.judge(key)
     }
 
@@ -219,7 +249,7 @@
         let Some(track) = self.tracks.get_mut(&key) else {
             return false;
         };
-        track.suspect = true;
+        track.strike();
         self.judge(key)
     }
 
