Measure overload through real daemons

Paying callers at 80% of capacity and trials at ten times capacity, before stand-in engines, beside a run without trials and one with trials as paying.

--- a/crates/kelpworks/examples/measure/main.rs
+++ b/crates/kelpworks/examples/measure/main.rs
@@ -12,6 +12,7 @@
 mod fairness;
 mod fleets;
 mod net;
+mod overload;
 mod overload_policy;
 mod path_policy;
 mod placement;
@@ -57,6 +58,10 @@
         name: "fairness",
         run: fairness::table,
     },
+    Measurement {
+        name: "overload",
+        run: overload::run,
+    },
     Measurement {
         name: "overload-policy",
         run: overload_policy::table,
--- a/crates/kelpworks/examples/support/client.rs
+++ b/crates/kelpworks/examples/support/client.rs
@@ -1,8 +1,11 @@
 //! A caller: streams answers and notes when each token came.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use futures_util::StreamExt;
+use reqwest::Response;
+use thiserror::Error;
 
 use crate::support::Result;
 
@@ -17,6 +20,32 @@
     pub(crate) whole: bool,
 }
 
+/// An answer that is not a success.
+#[derive(Clone, Debug)]
+#[derive(Error)]
+#[error("{status}: {body}")]
+pub(crate) struct Refused {
+    pub(crate) status: u16,
+    pub(crate) body: String,
+    /// Whether the daemon says that nothing of the request ran.
+    pub(crate) not_run: bool,
+    /// When to come back.
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl Refused {
+    async fn read(res: Response) -> Result<Refused> {
+        let header = |name| res.headers().get(name).and_then(|v| v.to_str().ok());
+        let seconds = header("retry-after").and_then(|v| v.parse().ok());
+        Ok(Refused {
+            status: res.status().as_u16(),
+            not_run: header("kelpworks-verdict") == Some("not-run"),
+            retry_after: seconds.map(Duration::from_secs),
+            body: res.text().await?,
+        })
+    }
+}
+
 /// A request for a streamed completion.
 #[derive(Clone, Debug)]
 pub(crate) struct Call {
@@ -48,7 +77,7 @@
             .send()
             .await?;
         if !res.status().is_success() {
-            return Err(format!("{}: {}", res.status(), res.text().await?).into());
+            return Err(Refused::read(res).await?.into());
         }
         let id = res.headers().get("kelpworks-request-id");
         let id = id
