Set the trial rate as soon as a configuration is in force

Cause: until the first tick after the configuration, up to a second, no rate was set and trials filled all the room that a daemon starts with. Each accepted trial is answered whole, so at ten times capacity these held the engines for tens of seconds: none that came within the window was answered.

--- a/crates/kelpworks/src/daemon/control.rs
+++ b/crates/kelpworks/src/daemon/control.rs
@@ -93,6 +93,7 @@
             peers: self.peers.clone(),
             admission: shared.admission,
             config: Arc::clone(&shared.config),
+            register: shared.register.subscribe(),
         };
         let follower = Follower {
             api: Arc::clone(&self.api),
--- a/crates/kelpworks/src/membership/share.rs
+++ b/crates/kelpworks/src/membership/share.rs
@@ -66,6 +66,11 @@
 }
 
 impl Demand {
+    /// What peers should know, in positions a second.
+    pub fn told(&self) -> u32 {
+        self.told
+    }
+
     /// Notes the positions that trials asked for in the last second; returns what peers should
     /// know, which changes only when the demand does by more than a tenth.
     pub fn note(&mut self, asked: u64) -> u32 {
--- a/crates/kelpworks/src/membership/trials.rs
+++ b/crates/kelpworks/src/membership/trials.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use super::Peers;
@@ -12,6 +13,7 @@
 use super::share::part;
 use crate::admission::Admission;
 use crate::in_force::InForce;
+use crate::register::Register;
 
 /// How often the rate is set; the demand is that of one such interval.
 const INTERVAL: Duration = Duration::from_secs(1);
@@ -22,11 +24,13 @@
     pub(crate) peers: Peers,
     pub(crate) admission: Admission,
     pub(crate) config: Arc<ArcSwap<InForce>>,
+    /// Changes with each configuration that comes in force.
+    pub(crate) register: watch::Receiver<Arc<Register>>,
 }
 
 impl TrialShare {
     /// Runs until `stop`.
-    pub(crate) async fn run(self, stop: CancellationToken) {
+    pub(crate) async fn run(mut self, stop: CancellationToken) {
         let mut tick = tokio::time::interval(INTERVAL);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut demand = Demand::default();
@@ -34,6 +38,12 @@
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
+                // At once: until a rate is set trials fill all the room there is, and each that
+                // was accepted is answered whole.
+                Ok(()) = self.register.changed() => {
+                    self.set_rate(demand.told());
+                    continue;
+                }
                 _ = tick.tick() => {}
             }
             let asked = self.admission.trial_demand();
