--- a/crates/kelpworks/src/pipeline/mod.rs
+++ b/crates/kelpworks/src/pipeline/mod.rs
@@ -8,8 +8,10 @@
 
 mod driver;
 mod hop;
+mod path;
 mod recovery;
 mod release;
+mod session;
 mod step;
 pub mod tokens;
 
--- /dev/null
+++ b/crates/kelpworks/src/pipeline/path.rs
@@ -0,0 +1,136 @@
+//! The path of a session: chosen, explained in the log, and taken.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use tokio::time::Instant;
+
+use crate::border::engine::Engine;
+use crate::fleet::Fleet;
+use crate::fleet::ModelKey;
+use crate::pipeline::driver::Ending;
+use crate::pipeline::driver::Result;
+use crate::pipeline::hop::HopState;
+use crate::pipeline::session::Session;
+use crate::routing;
+use crate::routing::Assignment;
+use crate::routing::PathQuery;
+use crate::verdict::Verdict;
+
+/// Wait before the path is asked for again when no stage can take the session.
+pub(super) const NO_PATH_WAIT: Duration = Duration::from_millis(50);
+
+impl<E: Engine> Session<'_, E> {
+    /// Chooses a path; stages that still serve keep their place and state.
+    pub(super) async fn route(&mut self, reason: &'static str) -> Result<()> {
+        loop {
+            match self.try_route(reason) {
+                Ok(()) => return Ok(()),
+                Err(e) if self.job.deadline <= Instant::now() + NO_PATH_WAIT => {
+                    return Err(Ending::NoPath(e));
+                }
+                Err(e) if self.verdict == Verdict::NotRun && self.hops.is_empty() => {
+                    return Err(Ending::NoPath(e));
+                }
+                Err(_) => tokio::time::sleep(NO_PATH_WAIT).await,
+            }
+        }
+    }
+
+    /// Keys of the session's model and, once its first path is chosen, of its version in a
+    /// snapshot. Looked up by name: a new register gives other keys. One that is gone gets a key
+    /// that nothing has, so that the session never goes on with another.
+    fn bound(&self, fleet: &Fleet) -> (ModelKey, Option<u16>) {
+        let Some(key) = fleet.model(&self.fixed.model) else {
+            return (ModelKey(u16::MAX), None);
+        };
+        if self.fixed.version.is_empty() {
+            return (key, None);
+        }
+        let mut versions = fleet.models[usize::from(key.0)].versions.iter();
+        let at = versions.position(|v| *v == self.fixed.version);
+        (key, Some(at.map_or(u16::MAX, |at| at as u16)))
+    }
+
+    pub(super) fn try_route(&mut self, reason: &'static str) -> routing::Result<()> {
+        let fleet = self.driver.fleet.load_full();
+        let keep: Vec<routing::Hop> = self
+            .hops
+            .iter()
+            .filter(|h| !self.avoid.contains(&h.upstream))
+            .map(HopState::as_hop)
+            .collect();
+        let path = self.choose(&fleet, &keep)?;
+        let (model, _) = self.bound(&fleet);
+        let model = &fleet.models[usize::from(model.0)];
+        self.fixed.version = model.versions[usize::from(path.version)].clone();
+        self.take(&fleet, &path);
+        let on_path = self.hops.iter().map(|h| h.upstream);
+        self.driver.quarantine.routed(self.job.fingerprint, on_path);
+        self.assignment = Some(Assignment::new(&fleet, &path.hops));
+        let names: Vec<&str> = self.hops.iter().map(|h| &*h.name).collect();
+        info!(
+            target: "decision", decision = "route", request = self.fixed.session.as_str(),
+            team = self.job.team.as_str(), candidates = path.candidates,
+            choice = names.join(","), reason = reason,
+            why:% = path.explanation.display(&fleet);
+            "path chosen"
+        );
+        Ok(())
+    }
+
+    /// Chooses a path; for a suspect, where possible one on which it harms nobody else.
+    fn choose(&self, fleet: &Fleet, keep: &[routing::Hop]) -> routing::Result<routing::Path> {
+        let (model, version) = self.bound(fleet);
+        let query = PathQuery {
+            model,
+            version,
+            from: self.driver.from(fleet),
+            class: self.job.class,
+            prefill: self.known.len() as u32,
+            avoid: &self.avoid,
+            keep,
+            now_ms: self.driver.now_ms(),
+        };
+        let mut avoid = self.apart_from(fleet, keep);
+        if !avoid.is_empty() {
+            avoid.extend(&self.avoid);
+            let apart = PathQuery {
+                avoid: &avoid,
+                ..query.clone()
+            };
+            let path = routing::choose_path(fleet, &apart, &mut rand::rng());
+            let harms =
+                |path: &routing::Path| path.hops.iter().any(|h| avoid.contains(&h.upstream));
+            if let Ok(path) = path
+                && !harms(&path)
+            {
+                return Ok(path);
+            }
+        }
+        routing::choose_path(fleet, &query, &mut rand::rng())
+    }
+
+    fn take(&mut self, fleet: &Fleet, path: &routing::Path) {
+        let mut old = std::mem::take(&mut self.hops);
+        for hop in &path.hops {
+            if let Some(at) = old.iter().position(|h| h.serves(hop)) {
+                self.hops.push(old.swap_remove(at));
+                continue;
+            }
+            let upstream = &fleet.upstreams[hop.upstream];
+            self.hops.push(HopState {
+                upstream: hop.upstream,
+                url: Arc::clone(&upstream.url),
+                name: Arc::clone(&upstream.name),
+                layers: hop.layers.clone(),
+                attempt: self.next_attempt,
+                have: 0,
+                rows: Vec::new(),
+            });
+            self.next_attempt += 1;
+        }
+        self.left.extend(old);
+    }
+}
--- a/crates/kelpworks/src/pipeline/recovery.rs
+++ b/crates/kelpworks/src/pipeline/recovery.rs
@@ -1,11 +1,14 @@
 //! What bounds the recoveries of a session: quarantine, retry budget and cooldowns.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use kelpworks_wire::RefusalReason;
+use log::info;
 use tokio::time::Instant;
 
 use crate::border::engine::Engine;
@@ -15,8 +18,9 @@
 use crate::pipeline::driver::Driver;
 use crate::pipeline::driver::Ending;
 use crate::pipeline::driver::Result;
-use crate::pipeline::driver::Session;
 use crate::pipeline::driver::jittered;
+use crate::pipeline::path::NO_PATH_WAIT;
+use crate::pipeline::session::Session;
 use crate::pipeline::step::StepFailure;
 use crate::quarantine;
 use crate::retry::Attempt;
@@ -25,6 +29,8 @@
 use crate::upstreams::Report;
 use crate::verdict::Verdict;
 
+/// Doublings of that wait, at most, when the same upstream fails again and again.
+const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 /// Wait before a session over the retry budget goes on.
 const SLOWEST_BACKOFF: Duration = Duration::from_secs(1);
 /// Most recoveries of one session; above it something is wrong that another try won't mend.
@@ -59,6 +65,114 @@
 }
 
 impl<E: Engine> Session<'_, E> {
+    pub(super) async fn recover(&mut self, at: usize, failure: StepFailure) -> Result<()> {
+        let upstream = self.hops[at].upstream;
+        let name = Arc::clone(&self.hops[at].name);
+        info!(
+            target: "decision", decision = "recover", request = self.fixed.session.as_str(),
+            upstream = &*name, position = self.hops[at].have, reason = failure.to_string();
+            "stage failed"
+        );
+        if !matches!(failure, StepFailure::Busy(_) | StepFailure::Quarantined(_)) {
+            self.before_retry(upstream, &failure).await?;
+        }
+        match failure {
+            // Waiting is not a failure of the session; only its deadline bounds it.
+            StepFailure::Busy(after) => self.wait_or_move(at, after).await,
+            StepFailure::Quarantined(refusal) => Err(Ending::Quarantined(refusal)),
+            StepFailure::Refused {
+                reason: RefusalReason::PositionGap,
+                ..
+            }
+            | StepFailure::ReplyLost => {
+                self.restart(at);
+                Ok(())
+            }
+            StepFailure::Refused {
+                reason: RefusalReason::HandleMissing,
+                ..
+            } => self.fetch_failed(at).await,
+            StepFailure::Refused {
+                reason: RefusalReason::Invalid,
+                ..
+            } => Err(Ending::Stage(failure)),
+            StepFailure::Refused { .. } => self.move_off(upstream, "stage refused").await,
+            StepFailure::Unreachable
+            | StepFailure::Silent
+            | StepFailure::Broken
+            | StepFailure::Gone
+            | StepFailure::Restarted => self.move_off(upstream, "stage died").await,
+            StepFailure::Mismatch => self.move_off(upstream, "reply of another step").await,
+        }
+    }
+
+    /// A stage without state moves on; one with state waits for its turn.
+    async fn wait_or_move(&mut self, at: usize, after: Duration) -> Result<()> {
+        let busy = self.hops[at].upstream;
+        let left = self.driver.cool(busy, after);
+        if self.hops[at].have == 0 {
+            self.avoid(busy);
+            self.route("stage busy").await?;
+        }
+        if self.hops.iter().any(|h| h.upstream == busy) {
+            tokio::time::sleep(left).await;
+        }
+        Ok(())
+    }
+
+    /// Moves the session off an upstream that failed; where nobody else can take its place, waits
+    /// a growing time before it is tried again.
+    async fn move_off(&mut self, upstream: UpstreamKey, reason: &'static str) -> Result<()> {
+        self.avoid(upstream);
+        self.route(reason).await?;
+        if self.hops.iter().any(|h| h.upstream == upstream) {
+            let doublings = self.recoveries.min(MAX_BACKOFF_DOUBLINGS);
+            tokio::time::sleep(jittered(NO_PATH_WAIT * (1 << doublings))).await;
+        }
+        Ok(())
+    }
+
+    pub(super) fn avoid(&mut self, upstream: UpstreamKey) {
+        if !self.avoid.contains(&upstream) {
+            self.avoid.push(upstream);
+        }
+    }
+
+    /// The stage's state is gone or unknown: it runs again from position 0 as a new lineage.
+    fn restart(&mut self, at: usize) {
+        let hop = &mut self.hops[at];
+        self.left.push(hop.clone());
+        hop.attempt = self.next_attempt;
+        hop.have = 0;
+        hop.rows.clear();
+        self.next_attempt += 1;
+    }
+
+    /// A stage could not fetch its input from the one before it.
+    ///
+    /// The fetch may have met a connection that is dead; the step is sent once more, and finds a new
+    /// one. Else that stage may have lost its outputs, and runs again where it is. Where that does
+    /// not help, the link between the two may be down, at either end: one moves, then the other.
+    async fn fetch_failed(&mut self, at: usize) -> Result<()> {
+        let before = at.saturating_sub(1);
+        self.unfetched += 1;
+        match self.unfetched {
+            1 => Ok(()),
+            2 => {
+                self.restart(before);
+                Ok(())
+            }
+            n if n % 2 == 1 => {
+                let upstream = self.hops[before].upstream;
+                self.move_off(upstream, "output can't be fetched").await
+            }
+            _ => {
+                let upstream = self.hops[at].upstream;
+                self.move_off(upstream, "input can't be fetched").await
+            }
+        }
+    }
+
     /// What goes before any other try: the failure is reported, the session may end here, and a
     /// wait keeps tries apart.
     pub(super) async fn before_retry(
