Facts on requests travel between daemons, pushed at once

Cause: a daemon's facts on suspects and refused requests stayed with it, so a poison request sent again through another daemon cost two more upstreams there.

Change: membership::RequestFacts carries them between the quarantine and the peers; a fact that is stated or cleared goes to all live peers at once, in a heartbeat beside the allowance of news, and stays in the news of later heartbeats. Digests of Node and bounds of Peers moved to files of their own.

Ruled out: heartbeats alone. With the push taken out, the test of the poison request fails: the second daemon runs it again. With the wiring taken out it fails the same way; with clearing taken out, the test of the innocents fails: their repeats elsewhere end at their deadline.

The push at 370 daemons is not measured.

Conclusion: holds over loopback; poison_requests and peers_facts are not run whole yet.

--- a/crates/kelpworks/src/daemon/control.rs
+++ b/crates/kelpworks/src/daemon/control.rs
@@ -22,8 +22,10 @@
 use crate::membership::Directory;
 use crate::membership::Peers;
 use crate::membership::PeersConfig;
+use crate::membership::RequestFacts;
 use crate::membership::TrialShare;
 use crate::membership::UpstreamFacts;
+use crate::quarantine::Quarantine;
 use crate::register::Register;
 use crate::settings::Settings;
 use crate::upstreams::Keeper;
@@ -38,6 +40,7 @@
     pub(crate) register: watch::Sender<Arc<Register>>,
     pub(crate) keeper: Keeper,
     pub(crate) admission: Admission,
+    pub(crate) quarantine: Arc<Quarantine>,
 }
 
 /// The running control parts.
@@ -128,14 +131,16 @@
         self.tasks.spawn(directory.run(self.stop.clone()));
     }
 
-    /// Carries facts of upstreams between this daemon's view and its peers.
+    /// Carries facts of upstreams and of requests between this daemon's view and its peers.
     fn carry_facts(&self, shared: &Shared) {
         let facts = UpstreamFacts {
             peers: self.peers.clone(),
             observed: shared.keeper.observed(),
             reports: shared.keeper.reports(),
         };
+        let requests = RequestFacts::new(self.peers.clone(), Arc::clone(&shared.quarantine));
         self.tasks.spawn(facts.run(self.stop.clone()));
+        self.tasks.spawn(requests.run(self.stop.clone()));
     }
 
     /// Says good-bye to peers, takes this daemon off the list and ends all parts.
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -175,6 +175,7 @@
         let abort = CancellationToken::new();
         let tasks = TaskTracker::new();
         let admission = Admission::new(admission_config(settings));
+        let quarantine = Arc::new(Quarantine::new(quarantine, NodeId::of(&settings.name)));
         let driver = Driver {
             engine: Arc::clone(&engine),
             fleet: Arc::clone(&fleet),
@@ -194,7 +195,7 @@
             },
             output: OutputForm::Handle,
             start: Instant::now(),
-            quarantine: Arc::new(Quarantine::new(quarantine, NodeId::of(&settings.name))),
+            quarantine: Arc::clone(&quarantine),
             retries: Mutex::new(RetryBudget::new(RetryConfig::default())),
             cooldowns: Mutex::new(Cooldowns::new(BusyConfig::default())),
             abort: abort.clone(),
@@ -205,6 +206,7 @@
             register,
             keeper,
             admission: admission.clone(),
+            quarantine,
         };
         let control = Control::start(settings, shared).await?;
         if settings.placement.enabled {
--- a/crates/kelpworks/src/membership/mod.rs
+++ b/crates/kelpworks/src/membership/mod.rs
@@ -40,6 +40,7 @@
 mod methods;
 mod node;
 mod peers;
+mod request_facts;
 mod rpc;
 pub mod share;
 mod traffic;
@@ -59,5 +60,6 @@
 pub use traffic::exchange_bytes;
 
 pub(crate) use directory::Directory;
+pub(crate) use request_facts::RequestFacts;
 pub(crate) use trials::TrialShare;
 pub(crate) use upstream_facts::UpstreamFacts;
--- a/crates/kelpworks/src/membership/node.rs
+++ b/crates/kelpworks/src/membership/node.rs
@@ -1,6 +1,9 @@
 //! What one daemon knows of the others and tells them, without I/O: membership, facts and the
 //! generation ride on the same heartbeats.
 
+mod digests;
+mod push;
+
 use kelpworks_coord::facts;
 use kelpworks_coord::facts::Fact;
 use kelpworks_coord::facts::Facts;
@@ -22,7 +25,6 @@
 use kelpworks_wire::MemberSample;
 use kelpworks_wire::PeerMessage;
 use kelpworks_wire::PeerState;
-use xxhash_rust::xxh3::Xxh3;
 
 use super::allowance::Allowance;
 use super::book::Book;
@@ -34,36 +36,17 @@
 use crate::status::Member;
 use crate::status::MemberState;
 
+use digests::Settled;
+
 /// Duty under which the watchers of the head are chosen.
 const WATCH_DUTY: &str = "kelpworks.head";
 /// Largest size of each piece of news in JSON, for byte budgets.
 const UPDATE_BYTES: usize = 170;
 const CONTACT_BYTES: usize = 160;
 const SAMPLE_BYTES: usize = 125;
-/// Least time between two computations of the digests.
-const DIGESTS_EVERY: Span = Span::from_millis(500);
 /// Peers that a daemon asks for all they hold when it joins.
 const JOIN_PEERS: usize = 3;
 
-/// A digest of this daemon's, and since when it has been the same.
-#[derive(Clone, Copy, Debug)]
-struct Settled {
-    digest: u64,
-    since: Instant,
-}
-
-impl Settled {
-    fn note(&mut self, now: Instant, digest: u64) {
-        if self.digest != digest {
-            *self = Settled { digest, since: now };
-        }
-    }
-
-    fn differs(&self, now: Instant, theirs: u64, settle: Span) -> bool {
-        self.digest != theirs && now.since(self.since) >= settle
-    }
-}
-
 /// One daemon's knowledge of the others.
 #[derive(Clone, Debug)]
 pub struct Node {
@@ -453,6 +436,17 @@
         left -= samples.len() * SAMPLE_BYTES;
         self.allowance.spend(available - left);
         self.note_digests(now);
+        PeerMessage {
+            contacts,
+            updates: updates.iter().map(convert::update_to_wire).collect(),
+            facts: facts.iter().map(convert::fact_to_wire).collect(),
+            samples,
+            ..self.plain_message(view)
+        }
+    }
+
+    /// A heartbeat or an answer without news.
+    fn plain_message(&self, view: Option<Update>) -> PeerMessage {
         PeerMessage {
             from: self.contact.clone(),
             incarnation: self.members.incarnation().0,
@@ -463,10 +457,10 @@
                 .map(convert::update_to_wire),
             members_digest: self.members_settled.digest,
             facts_digest: self.facts_settled.digest,
-            contacts,
-            updates: updates.iter().map(convert::update_to_wire).collect(),
-            facts: facts.iter().map(convert::fact_to_wire).collect(),
-            samples,
+            contacts: Vec::new(),
+            updates: Vec::new(),
+            facts: Vec::new(),
+            samples: Vec::new(),
         }
     }
 
@@ -539,56 +533,6 @@
         let done = self.spread.on_event(event, &[]);
         done.into_iter().map(spread_action).collect()
     }
-
-    fn compare_digests(
-        &mut self,
-        now: Instant,
-        from: NodeId,
-        message: &PeerMessage,
-    ) -> Option<Action> {
-        self.note_digests(now);
-        let settle = self.cfg.settle;
-        let members = self
-            .members_settled
-            .differs(now, message.members_digest, settle);
-        let facts = self
-            .facts_settled
-            .differs(now, message.facts_digest, settle);
-        let due = self
-            .last_sync
-            .is_none_or(|at| now.since(at) >= self.cfg.sync_every);
-        if !(members || facts) || !due {
-            return None;
-        }
-        self.last_sync = Some(now);
-        Some(Action::Sync(from))
-    }
-
-    /// Works the digests out anew when the last ones are old enough: it takes a look at all that
-    /// is held, and differences count only after [`Config::settle`].
-    fn note_digests(&mut self, now: Instant) {
-        if now < self.next_digests {
-            return;
-        }
-        self.next_digests = now + DIGESTS_EVERY;
-        self.book
-            .forget(|n| n == self.id || self.members.health(n).is_some());
-        let mut live: Vec<(u64, u64)> = self
-            .members
-            .snapshot()
-            .iter()
-            .filter(|u| u.health <= Health::Suspect)
-            .map(|u| (u.node.0, u.incarnation.0))
-            .collect();
-        live.sort_unstable();
-        let mut hasher = Xxh3::new();
-        for (node, incarnation) in live {
-            hasher.update(&node.to_le_bytes());
-            hasher.update(&incarnation.to_le_bytes());
-        }
-        self.members_settled.note(now, hasher.digest());
-        self.facts_settled.note(now, self.facts.digest(now));
-    }
 }
 
 fn spread_action(action: spread::Action) -> Action {
--- a/crates/kelpworks/src/membership/peers.rs
+++ b/crates/kelpworks/src/membership/peers.rs
@@ -1,22 +1,22 @@
 //! Drives a [`Node`] over `jsonrpsee`.
 
+mod bounds;
+
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use arc_swap::ArcSwap;
 use jsonrpsee::server::Server;
-use jsonrpsee::server::ServerConfig;
 use jsonrpsee::server::ServerHandle;
 use kelpworks_coord::facts::Fact;
+use kelpworks_coord::facts::Key;
 use kelpworks_coord::facts::Kind;
 use kelpworks_coord::id::NodeId;
-use kelpworks_coord::membership;
 use kelpworks_coord::membership::Health;
 use kelpworks_coord::time::Instant as CoordInstant;
 use kelpworks_coord::time::Span;
@@ -38,7 +38,6 @@
 use tokio_util::task::TaskTracker;
 
 use super::contract::Action;
-use super::contract::Config;
 use super::links;
 use super::links::Client;
 use super::links::Links;
@@ -51,11 +50,14 @@
 use crate::config::head::digest_of;
 use crate::status::Member;
 
+use bounds::node_config;
+use bounds::now_ms;
+use bounds::probe_timeout;
+use bounds::server_config;
+
 /// The result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Connections from peers, at most: several times the daemons of the largest fleet.
-const MAX_CONNECTIONS: u32 = 2_048;
 /// Ticks of the state machine in a heartbeat's interval.
 const TICKS: u32 = 10;
 /// Longest wait for the good-byes of a planned stop.
@@ -91,7 +93,7 @@
     pub listen: SocketAddr,
     /// Where peers reach it, when that differs from where it listens. Default `None`.
     pub advertise: Option<SocketAddr>,
-    /// Interval of heartbeats; the times of [`membership::Config`] grow and shrink with it.
+    /// Interval of heartbeats; the times of [`kelpworks_coord::membership::Config`] grow and shrink with it.
     /// Default 1 s.
     pub heartbeat: Duration,
 }
@@ -232,6 +234,11 @@
         self.lock().clear_fact(now, kind, subject);
     }
 
+    /// Sends facts that this daemon stated or cleared to all live peers, at once.
+    pub(super) fn push_facts(&self, keys: &BTreeSet<Key>) {
+        self.act(|node, now| node.push_facts(now, keys));
+    }
+
     /// Tells the others how much trials ask of this daemon, in positions a second.
     pub fn set_trial_demand(&self, demand: u32) {
         self.lock().set_trial_demand(demand);
@@ -516,46 +523,3 @@
         );
     }
 }
-
-fn server_config() -> ServerConfig {
-    ServerConfig::builder()
-        .ws_only()
-        .max_connections(MAX_CONNECTIONS)
-        .max_request_body_size(links::MAX_MESSAGE)
-        .max_response_body_size(links::MAX_MESSAGE)
-        .set_tcp_no_delay(true)
-        .build()
-}
-
-/// The membership's times for an interval of heartbeats; the defaults are those of one second.
-fn node_config(heartbeat: Duration) -> Config {
-    let scale = |span: Span| {
-        let ms = heartbeat.mul_f64(span.as_millis() as f64 / 1_000.0);
-        Span::from_millis((ms.as_millis() as u64).max(1))
-    };
-    let times = membership::Config::default();
-    let defaults = Config::default();
-    Config {
-        membership: membership::Config {
-            probe_every: scale(times.probe_every),
-            probe_timeout: scale(times.probe_timeout),
-            suspect_min: scale(times.suspect_min),
-            suspect_max: scale(times.suspect_max),
-            dead_probe: scale(times.dead_probe),
-            ..times
-        },
-        settle: scale(defaults.settle),
-        sync_every: scale(defaults.sync_every),
-        ..defaults
-    }
-}
-
-fn probe_timeout(heartbeat: Duration) -> Duration {
-    let timeout = node_config(heartbeat).membership.probe_timeout;
-    Duration::from_millis(timeout.as_millis())
-}
-
-fn now_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |d| d.as_millis() as u64)
-}
--- /dev/null
+++ b/crates/kelpworks/src/membership/peers/bounds.rs
@@ -0,0 +1,58 @@
+//! Bounds and times of the connections between daemons.
+
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use jsonrpsee::server::ServerConfig;
+use kelpworks_coord::membership;
+use kelpworks_coord::time::Span;
+
+use crate::membership::contract::Config;
+use crate::membership::links;
+
+/// Connections from peers, at most: several times the daemons of the largest fleet.
+const MAX_CONNECTIONS: u32 = 2_048;
+
+pub(super) fn server_config() -> ServerConfig {
+    ServerConfig::builder()
+        .ws_only()
+        .max_connections(MAX_CONNECTIONS)
+        .max_request_body_size(links::MAX_MESSAGE)
+        .max_response_body_size(links::MAX_MESSAGE)
+        .set_tcp_no_delay(true)
+        .build()
+}
+
+/// The membership's times for an interval of heartbeats; the defaults are those of one second.
+pub(super) fn node_config(heartbeat: Duration) -> Config {
+    let scale = |span: Span| {
+        let ms = heartbeat.mul_f64(span.as_millis() as f64 / 1_000.0);
+        Span::from_millis((ms.as_millis() as u64).max(1))
+    };
+    let times = membership::Config::default();
+    let defaults = Config::default();
+    Config {
+        membership: membership::Config {
+            probe_every: scale(times.probe_every),
+            probe_timeout: scale(times.probe_timeout),
+            suspect_min: scale(times.suspect_min),
+            suspect_max: scale(times.suspect_max),
+            dead_probe: scale(times.dead_probe),
+            ..times
+        },
+        settle: scale(defaults.settle),
+        sync_every: scale(defaults.sync_every),
+        ..defaults
+    }
+}
+
+pub(super) fn probe_timeout(heartbeat: Duration) -> Duration {
+    let timeout = node_config(heartbeat).membership.probe_timeout;
+    Duration::from_millis(timeout.as_millis())
+}
+
+pub(super) fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| d.as_millis() as u64)
+}
--- a/crates/kelpworks/tests/poison/mod.rs
+++ b/crates/kelpworks/tests/poison/mod.rs
@@ -11,6 +11,8 @@
 use kelpworks::quarantine::Fact;
 use kelpworks::quarantine::Quarantine;
 use kelpworks::quarantine::Statement;
+use kelpworks::status::MemberState;
+use kelpworks::status::fetch;
 use kelpworks_fakes::FleetConfig;
 use kelpworks_fakes::Model;
 use kelpworks_fakes::StandIns;
@@ -31,6 +33,8 @@
     token: "token-of-studio",
 };
 const DAEMONS: usize = 2;
+/// Much longer than an answer takes; reached only by a fault.
+const PATIENCE: Duration = Duration::from_secs(60);
 const TIMING: &str = "step_floor = \"500ms\"\n";
 
 /// Long enough for facts to arrive also on a machine with much else to do.
@@ -68,6 +72,24 @@
 impl Bench {
     /// Engines restart this long after a crash.
     pub(crate) async fn start(replicas: u32, restart: Duration) -> Bench {
+        Bench::start_with(DAEMONS, replicas, restart, patient()).await
+    }
+
+    /// The same, with so many daemons; only a word from a daemon ends the wait for it.
+    pub(crate) async fn start_daemons(count: usize, replicas: u32, restart: Duration) -> Bench {
+        let cfg = quarantine::Config {
+            hold: PATIENCE * 2,
+            ..patient()
+        };
+        Bench::start_with(count, replicas, restart, cfg).await
+    }
+
+    async fn start_with(
+        count: usize,
+        replicas: u32,
+        restart: Duration,
+        quarantine: quarantine::Config,
+    ) -> Bench {
         let model = Model::new("caption", "1", 4);
         let mut cfg = FleetConfig::pipeline(&model, 2, replicas);
         for engine in &mut cfg.engines {
@@ -78,9 +100,9 @@
         put_config(&fakes, std::slice::from_ref(&model), 0.5, &[TEAM]).expect("a configuration");
         let metrics = PrometheusBuilder::new().build_recorder().handle();
         let mut daemons = Vec::new();
-        for n in 0..DAEMONS {
+        for n in 0..count {
             let settings = settings(&fakes, n, TIMING).expect("settings");
-            let daemon = Daemon::start_with(&settings, metrics.clone(), patient());
+            let daemon = Daemon::start_with(&settings, metrics.clone(), quarantine.clone());
             daemons.push(daemon.await.expect("a daemon"));
         }
         for daemon in &daemons {
@@ -108,6 +130,15 @@
         }
     }
 
+    /// Waits until each daemon knows all others as live.
+    pub(crate) async fn all_met(&self) {
+        for daemon in &self.daemons {
+            while live_peers(daemon).await + 1 < self.daemons.len() {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+
     /// Carries facts between all daemons, at once.
     pub(crate) fn join_daemons(&self) {
         for from in &self.daemons {
@@ -132,13 +163,29 @@
         format!("http://{}/v1/completions", self.daemons[n].bound().callers)
     }
 
+    /// Sends a request until it is no longer under test by another daemon.
+    pub(crate) async fn ask_judged(&self, n: usize, prompt: &str, max_tokens: u32) -> Reply {
+        let asking = async {
+            loop {
+                let reply = self.ask(n, prompt, max_tokens).await;
+                if reply.body["error"]["type"] != "under_test" {
+                    return reply;
+                }
+                assert_eq!(reply.verdict.as_deref(), Some("not-run"));
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let reply = tokio::time::timeout(PATIENCE, asking).await;
+        reply.expect("a judgement")
+    }
+
     /// Starts callers that share the daemons evenly; each sends one request.
     pub(crate) fn innocents(&self, count: usize, max_tokens: u32) -> JoinSet<(String, Reply)> {
         let mut callers = JoinSet::new();
         for n in 0..count {
             let url = self.url(n % self.daemons.len());
             let client = self.client.clone();
-            let prompt = format!("mug number {n}");
+            let prompt = innocent(n);
             callers.spawn(async move {
                 let reply = ask(&client, &url, &prompt, max_tokens).await;
                 (prompt, reply)
@@ -173,6 +220,18 @@
     }
 }
 
+/// Prompt of the `n`th of [`Bench::innocents`].
+pub(crate) fn innocent(n: usize) -> String {
+    format!("mug number {n}")
+}
+
+async fn live_peers(daemon: &Daemon) -> usize {
+    let status = fetch(daemon.bound().operators, PATIENCE).await;
+    let members = status.expect("a status").members;
+    let live = members.iter().filter(|m| m.state == MemberState::Live);
+    live.count()
+}
+
 async fn ask(client: &reqwest::Client, url: &str, prompt: &str, max_tokens: u32) -> Reply {
     let body = serde_json::json!({
         "model": "caption", "prompt": prompt, "max_tokens": max_tokens,
