A repeat of a keyed call asks the daemon that holds the claim

Cause: Claims ran with NoPeers, so a call running on another daemon read as one that may have run, and the write budget was divided by an assumed number of daemons.

Change: the method kelpworks.claim_status with its wire types; Peers implements claims::Peers and answers for this daemon's claims; set_members follows the live members, and keeps what it has while none is known.

Ruled out: taking silence or a dead holder for a claim that never ran: it reads may-have-run.

Conclusion: holds for two daemons over loopback; that set_members follows is not under test.

--- a/crates/kelpworks-wire/src/types.rs
+++ b/crates/kelpworks-wire/src/types.rs
@@ -263,6 +263,96 @@
     pub object: ::std::string::String,
     pub usage: Usage,
 }
+///The answer of a call that ran.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ClaimOutcome {
+    ///Body, encoded as claims record it.
+    pub body: ::std::string::String,
+    ///HTTP status.
+    pub status: u32,
+}
+///How far a claim has come, by its daemon's word.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum ClaimState {
+    #[serde(rename = "in_progress")]
+    InProgress,
+    #[serde(rename = "never_dispatched")]
+    NeverDispatched,
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "may_have_run")]
+    MayHaveRun,
+    #[serde(rename = "unknown")]
+    Unknown,
+}
+impl ::std::fmt::Display for ClaimState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::InProgress => f.write_str("in_progress"),
+            Self::NeverDispatched => f.write_str("never_dispatched"),
+            Self::Done => f.write_str("done"),
+            Self::MayHaveRun => f.write_str("may_have_run"),
+            Self::Unknown => f.write_str("unknown"),
+        }
+    }
+}
+impl ::std::str::FromStr for ClaimState {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "in_progress" => Ok(Self::InProgress),
+            "never_dispatched" => Ok(Self::NeverDispatched),
+            "done" => Ok(Self::Done),
+            "may_have_run" => Ok(Self::MayHaveRun),
+            "unknown" => Ok(Self::Unknown),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for ClaimState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ClaimState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///What a daemon says of a claim.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ClaimStatusReply {
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub outcome: ::std::option::Option<ClaimOutcome>,
+    pub state: ClaimState,
+}
+///Asks a daemon about a claim that it made.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ClaimStatusRequest {
+    ///Incarnation of the daemon, as the claim names it.
+    pub incarnation: u64,
+    ///Drawn for the claim's submission.
+    pub nonce: u64,
+}
 ///Class of service of a team's work.
 #[derive(
     ::serde::Deserialize,
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -37,7 +37,6 @@
 use crate::border::object_api::HttpObjectApi;
 use crate::claims;
 use crate::claims::Claims;
-use crate::claims::NoPeers;
 use crate::daemon::control::Control;
 use crate::daemon::control::Shared;
 use crate::daemon::serve::Server;
@@ -48,6 +47,8 @@
 use crate::fleet::Fleet;
 use crate::in_force::InForce;
 use crate::membership;
+use crate::membership::PeerClaims;
+use crate::membership::Peers;
 use crate::operators;
 use crate::operators::Operators;
 use crate::pipeline::Deadlines;
@@ -213,6 +214,8 @@
             let executor = executor(settings, &engine, &config, &fleet)?;
             tokio::spawn(executor.run(leave.clone(), control.stop.clone()));
         }
+        let claims = Arc::new(claims(settings, &control.peers, tasks.clone())?);
+        control.peers.serve_claims(&claims, control.stop.clone());
         let entry = Arc::new(Entry {
             limits: settings.limits.clone(),
             request_timeout: timing.request.0,
@@ -222,7 +225,7 @@
             driver,
             engine,
             reports,
-            claims: Arc::new(claims(settings, tasks.clone())?),
+            claims,
             tasks,
             draining: AtomicBool::new(false),
             closed: AtomicBool::new(false),
@@ -350,12 +353,17 @@
 }
 
 /// Claims have a client of their own, so that leaving its connections behind touches no watch.
-fn claims(settings: &Settings, tasks: TaskTracker) -> Result<Claims<HttpObjectApi>> {
+fn claims(settings: &Settings, peers: &Peers, tasks: TaskTracker) -> Result<PeerClaims> {
     let cfg = claims::Config {
         writes_per_second: u64::from(settings.limits.claim_writes_per_second),
         ..claims::Config::new(&settings.name)
     };
-    Ok(Claims::new(cfg, object_api(settings)?, NoPeers, tasks))
+    Ok(Claims::new(
+        cfg,
+        object_api(settings)?,
+        peers.clone(),
+        tasks,
+    ))
 }
 
 fn object_api(settings: &Settings) -> Result<HttpObjectApi> {
--- a/crates/kelpworks/src/entry/mod.rs
+++ b/crates/kelpworks/src/entry/mod.rs
@@ -20,11 +20,10 @@
 
 use crate::admission::Admission;
 use crate::border::engine::HttpEngine;
-use crate::border::object_api::HttpObjectApi;
-use crate::claims::Claims;
 use crate::entry::unserved::Unserved;
 use crate::fleet::Fleet;
 use crate::in_force::InForce;
+use crate::membership::PeerClaims;
 use crate::pipeline::Driver;
 use crate::settings::Limits;
 use crate::upstreams::Report;
@@ -49,7 +48,7 @@
     /// Where failures of upstreams are reported.
     pub reports: mpsc::UnboundedSender<Report>,
     /// Claims of keyed calls that run at most once.
-    pub claims: Arc<Claims<HttpObjectApi>>,
+    pub claims: Arc<PeerClaims>,
     /// Running sessions and calls.
     pub tasks: TaskTracker,
     /// True from the start of a planned stop on; the balancer's check fails then.
--- /dev/null
+++ b/crates/kelpworks/src/membership/claim_status.rs
@@ -0,0 +1,130 @@
+//! Claims of other daemons: asked of their holder, and answered for this one's.
+
+use std::sync::Arc;
+use std::sync::Weak;
+use std::time::Duration;
+
+use kelpworks_coord::claim::Outcome;
+use kelpworks_coord::claim::PeerStatus;
+use kelpworks_coord::id::Incarnation;
+use kelpworks_coord::id::NodeId;
+use kelpworks_coord::id::Nonce;
+use kelpworks_coord::membership::Health;
+use kelpworks_wire::ClaimOutcome;
+use kelpworks_wire::ClaimState;
+use kelpworks_wire::ClaimStatusReply;
+use kelpworks_wire::ClaimStatusRequest;
+use log::debug;
+use tokio_util::sync::CancellationToken;
+
+use super::Peers;
+use super::links::Client;
+use super::rpc::PeerApiClient;
+use crate::border::object_api::HttpObjectApi;
+use crate::claims;
+use crate::claims::Claims;
+
+/// The claims of a daemon among peers.
+pub(crate) type PeerClaims = Claims<HttpObjectApi, Peers>;
+
+/// Wait for a holder's word on one connection; a caller waits for it, and a holder that says
+/// nothing costs it two of these.
+const ASK: Duration = Duration::from_millis(500);
+/// How often the number of daemons is looked at.
+const COUNT_EVERY: Duration = Duration::from_secs(1);
+
+impl claims::Peers for Peers {
+    async fn claim_status(
+        &self,
+        holder: NodeId,
+        incarnation: Incarnation,
+        nonce: Nonce,
+    ) -> Option<PeerStatus> {
+        let contact = self.live_contact(holder)?;
+        let req = ClaimStatusRequest {
+            incarnation: incarnation.0,
+            nonce: nonce.0,
+        };
+        let call = |client: Client, req| async move { client.claim_status(req).await };
+        let reply = self.links().call(&contact.address, ASK, &req, call).await;
+        match reply {
+            Ok(reply) => from_wire(reply),
+            Err(e) => {
+                debug!("claim status from {}: {e}", contact.name);
+                None
+            }
+        }
+    }
+}
+
+impl Peers {
+    /// Answers other daemons' questions about these claims from now on, and keeps their share of
+    /// the write rate current until `stop`.
+    pub(crate) fn serve_claims(&self, claims: &Arc<PeerClaims>, stop: CancellationToken) {
+        let claims = Arc::downgrade(claims);
+        self.set_claims(Weak::clone(&claims));
+        let peers = self.clone();
+        tokio::spawn(async move {
+            stop.run_until_cancelled(peers.count_members(claims)).await;
+        });
+    }
+
+    /// A daemon that knows of no other keeps the number it has: it can't tell whether it is alone
+    /// or cut off.
+    async fn count_members(self, claims: Weak<PeerClaims>) {
+        let mut look = tokio::time::interval(COUNT_EVERY);
+        let mut last = 0;
+        loop {
+            look.tick().await;
+            let Some(claims) = claims.upgrade() else {
+                return;
+            };
+            let others = self.live();
+            if others != 0 && others != last {
+                claims.set_members(others + 1);
+                last = others;
+            }
+        }
+    }
+
+    /// What to tell a peer that asks about a claim of this daemon.
+    pub(super) fn own_claim(&self, req: &ClaimStatusRequest) -> ClaimStatusReply {
+        let claims = self.claims().and_then(Weak::upgrade);
+        let status = claims.and_then(|c| c.status(Incarnation(req.incarnation), Nonce(req.nonce)));
+        to_wire(status)
+    }
+}
+
+/// Whether a member may be asked: a suspect is often only slow.
+pub(super) fn may_answer(health: Health) -> bool {
+    health <= Health::Suspect
+}
+
+fn to_wire(status: Option<PeerStatus>) -> ClaimStatusReply {
+    let (state, outcome) = match status {
+        None => (ClaimState::Unknown, None),
+        Some(PeerStatus::InProgress) => (ClaimState::InProgress, None),
+        Some(PeerStatus::NeverDispatched) => (ClaimState::NeverDispatched, None),
+        Some(PeerStatus::MayHaveRun) => (ClaimState::MayHaveRun, None),
+        Some(PeerStatus::Done(Outcome { status, body })) => {
+            let status = status.into();
+            (ClaimState::Done, Some(ClaimOutcome { status, body }))
+        }
+    };
+    ClaimStatusReply { state, outcome }
+}
+
+/// A reply that makes no sense says nothing.
+fn from_wire(reply: ClaimStatusReply) -> Option<PeerStatus> {
+    match reply.state {
+        ClaimState::InProgress => Some(PeerStatus::InProgress),
+        ClaimState::NeverDispatched => Some(PeerStatus::NeverDispatched),
+        ClaimState::MayHaveRun => Some(PeerStatus::MayHaveRun),
+        ClaimState::Unknown => None,
+        ClaimState::Done => {
+            let ClaimOutcome { status, body } = reply.outcome?;
+            let status = status.try_into().ok()?;
+            Some(PeerStatus::Done(Outcome { status, body }))
+        }
+    }
+}
--- a/crates/kelpworks/src/membership/methods.rs
+++ b/crates/kelpworks/src/membership/methods.rs
@@ -7,6 +7,8 @@
 use jsonrpsee::core::async_trait;
 use jsonrpsee::types::ErrorObject;
 use jsonrpsee::types::error::INTERNAL_ERROR_CODE;
+use kelpworks_wire::ClaimStatusReply;
+use kelpworks_wire::ClaimStatusRequest;
 use kelpworks_wire::ConfigHead;
 use kelpworks_wire::ConfigText;
 use kelpworks_wire::ConfigTextRequest;
@@ -77,4 +79,9 @@
         let text = peers.held_text(&req.digest);
         Ok(peers.served(&req, ConfigText { text }))
     }
+
+    async fn claim_status(&self, req: ClaimStatusRequest) -> RpcResult<ClaimStatusReply> {
+        let peers = self.peers()?;
+        Ok(peers.served(&req, peers.own_claim(&req)))
+    }
 }
--- a/crates/kelpworks/src/membership/mod.rs
+++ b/crates/kelpworks/src/membership/mod.rs
@@ -33,6 +33,7 @@
 
 mod allowance;
 mod book;
+mod claim_status;
 mod contract;
 mod convert;
 mod directory;
@@ -59,6 +60,7 @@
 pub use traffic::TrafficTotals;
 pub use traffic::exchange_bytes;
 
+pub(crate) use claim_status::PeerClaims;
 pub(crate) use directory::Directory;
 pub(crate) use request_facts::RequestFacts;
 pub(crate) use trials::TrialShare;
--- a/crates/kelpworks/src/membership/peers.rs
+++ b/crates/kelpworks/src/membership/peers.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::sync::Weak;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -37,6 +39,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::claim_status::PeerClaims;
+use super::claim_status::may_answer;
 use super::contract::Action;
 use super::links;
 use super::links::Client;
@@ -138,6 +142,8 @@
     server: ServerHandle,
     address: SocketAddr,
     stop: CancellationToken,
+    /// Of this daemon, once they are served.
+    claims: OnceLock<Weak<PeerClaims>>,
 }
 
 impl Peers {
@@ -183,6 +189,7 @@
                 server: handle,
                 address,
                 stop: stop.clone(),
+                claims: OnceLock::new(),
             }),
         };
         methods.serve(peers.clone());
@@ -336,6 +343,30 @@
         texts.find(|t| digest_of(t).to_string() == digest).cloned()
     }
 
+    pub(super) fn links(&self) -> &Links {
+        &self.inner.links
+    }
+
+    pub(super) fn set_claims(&self, claims: Weak<PeerClaims>) {
+        let _ = self.inner.claims.set(claims);
+    }
+
+    pub(super) fn claims(&self) -> Option<&Weak<PeerClaims>> {
+        self.inner.claims.get()
+    }
+
+    /// How a member is reached that is not held for dead or gone.
+    pub(super) fn live_contact(&self, node: NodeId) -> Option<MemberContact> {
+        let state = self.lock();
+        state.health(node).filter(|&h| may_answer(h))?;
+        state.contact(node).cloned()
+    }
+
+    /// Number of live members, without this daemon.
+    pub(super) fn live(&self) -> usize {
+        self.lock().peers().len()
+    }
+
     fn addresses(&self) -> Vec<String> {
         let node = self.lock();
         let peers = node.peers();
--- a/crates/kelpworks/src/membership/rpc.rs
+++ b/crates/kelpworks/src/membership/rpc.rs
@@ -2,6 +2,8 @@
 
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
+use kelpworks_wire::ClaimStatusReply;
+use kelpworks_wire::ClaimStatusRequest;
 use kelpworks_wire::ConfigHead;
 use kelpworks_wire::ConfigText;
 use kelpworks_wire::ConfigTextRequest;
@@ -37,4 +39,8 @@
     /// The text of a register or of rules in force here.
     #[method(name = "config_text")]
     async fn config_text(&self, req: ConfigTextRequest) -> RpcResult<ConfigText>;
+
+    /// What this daemon says of a claim that it made.
+    #[method(name = "claim_status")]
+    async fn claim_status(&self, req: ClaimStatusRequest) -> RpcResult<ClaimStatusReply>;
 }
--- a/crates/kelpworks/tests/claims_support/mod.rs
+++ b/crates/kelpworks/tests/claims_support/mod.rs
@@ -20,6 +20,8 @@
 use kelpworks::config::head::to_body;
 use kelpworks::daemon::Daemon;
 use kelpworks::settings::Settings;
+use kelpworks::status::MemberState;
+use kelpworks::status::fetch;
 use kelpworks_fakes::Fault;
 use kelpworks_fakes::FaultKind;
 use kelpworks_fakes::FleetConfig;
@@ -189,6 +191,18 @@
         }
     }
 
+    /// Waits until a daemon shows so many others in a state.
+    pub(crate) async fn sees(&self, host: usize, others: usize, state: MemberState) {
+        let daemon = self.hosts[host].daemon.as_ref().expect("not stopped yet");
+        let operators = daemon.bound().operators;
+        until(async || {
+            let members = fetch(operators, PATIENCE).await.ok()?.members;
+            let count = members.iter().filter(|m| m.state == state).count();
+            (count == others).then_some(())
+        })
+        .await;
+    }
+
     /// A call of the service `jobs` through a daemon.
     pub(crate) fn call(&self, host: usize, method: &str, path: &str) -> RequestBuilder {
         let method = method.parse().expect("a method");
