--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -37,7 +37,6 @@
 use crate::border::object_api::HttpObjectApi;
 use crate::claims;
 use crate::claims::Claims;
-use crate::claims::NoPeers;
 use crate::daemon::control::Control;
 use crate::daemon::control::Shared;
 use crate::daemon::serve::Server;
@@ -48,6 +47,8 @@
 use crate::fleet::Fleet;
 use crate::in_force::InForce;
 use crate::membership;
+use crate::membership::PeerClaims;
+use crate::membership::Peers;
 use crate::operators;
 use crate::operators::Operators;
 use crate::pipeline::Deadlines;
@@ -175,6 +176,7 @@
         let abort = CancellationToken::new();
         let tasks = TaskTracker::new();
         let admission = Admission::new(admission_config(settings));
+        let quarantine = Arc::new(Quarantine::new(quarantine, NodeId::of(&settings.name)));
         let driver = Driver {
             engine: Arc::clone(&engine),
             fleet: Arc::clone(&fleet),
@@ -194,7 +196,7 @@
             },
             output: OutputForm::Handle,
             start: Instant::now(),
-            quarantine: Arc::new(Quarantine::new(quarantine, NodeId::of(&settings.name))),
+            quarantine: Arc::clone(&quarantine),
             retries: Mutex::new(RetryBudget::new(RetryConfig::default())),
             cooldowns: Mutex::new(Cooldowns::new(BusyConfig::default())),
             abort: abort.clone(),
@@ -205,12 +207,15 @@
             register,
             keeper,
             admission: admission.clone(),
+            quarantine,
         };
         let control = Control::start(settings, shared).await?;
         if settings.placement.enabled {
             let executor = executor(settings, &engine, &config, &fleet)?;
             tokio::spawn(executor.run(leave.clone(), control.stop.clone()));
         }
+        let claims = Arc::new(claims(settings, &control.peers, tasks.clone())?);
+        control.peers.serve_claims(&claims, control.stop.clone());
         let entry = Arc::new(Entry {
             limits: settings.limits.clone(),
             request_timeout: timing.request.0,
@@ -220,7 +225,7 @@
             driver,
             engine,
             reports,
-            claims: Arc::new(claims(settings, tasks.clone())?),
+            claims,
             tasks,
             draining: AtomicBool::new(false),
             closed: AtomicBool::new(false),
@@ -349,12 +354,17 @@
 }
 
 /// Claims have a client of their own, so that leaving its connections behind touches no watch.
-fn claims(settings: &Settings, tasks: TaskTracker) -> Result<Claims<HttpObjectApi>> {
+fn claims(settings: &Settings, peers: &Peers, tasks: TaskTracker) -> Result<PeerClaims> {
     let cfg = claims::Config {
         writes_per_second: u64::from(settings.limits.claim_writes_per_second),
         ..claims::Config::new(&settings.name)
     };
-    Ok(Claims::new(cfg, object_api(settings)?, NoPeers, tasks))
+    Ok(Claims::new(
+        cfg,
+        object_api(settings)?,
+        peers.clone(),
+        tasks,
+    ))
 }
 
 fn object_api(settings: &Settings) -> Result<HttpObjectApi> {
--- a/crates/kelpworks/src/membership/mod.rs
+++ b/crates/kelpworks/src/membership/mod.rs
@@ -33,6 +33,7 @@
 
 mod allowance;
 mod book;
+mod claim_status;
 mod contract;
 mod convert;
 mod directory;
@@ -40,6 +41,7 @@
 mod methods;
 mod node;
 mod peers;
+mod request_facts;
 mod rpc;
 pub mod share;
 mod traffic;
@@ -58,6 +60,8 @@
 pub use traffic::TrafficTotals;
 pub use traffic::exchange_bytes;
 
+pub(crate) use claim_status::PeerClaims;
 pub(crate) use directory::Directory;
+pub(crate) use request_facts::RequestFacts;
 pub(crate) use trials::TrialShare;
 pub(crate) use upstream_facts::UpstreamFacts;
