Keep the answers of a lost host whose sessions outnumber the retry budget

Cause: over the budget a session without a token ended at its first failure, so the loss of a host with more than 50 such sessions of one daemon cost the rest their answers, though another replica stood by. Ruled out: a larger burst, which multiplies the load on a stage that fails every step without bounding the loss. Change: the first two recoveries of a session are only slowed by the budget (0.5 to 1 s), never refused; from the third on as before.

--- a/crates/kelpworks/src/pipeline/recovery.rs
+++ b/crates/kelpworks/src/pipeline/recovery.rs
@@ -25,6 +25,7 @@
 use crate::quarantine;
 use crate::retry::Attempt;
 use crate::retry::Decision;
+use crate::retry::GiveUp;
 use crate::routing;
 use crate::upstreams::Report;
 use crate::verdict::Verdict;
@@ -33,6 +34,8 @@
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 /// Wait before a session over the retry budget goes on.
 const SLOWEST_BACKOFF: Duration = Duration::from_secs(1);
+/// Recoveries of a session that the budget only slows.
+const SURE_RECOVERIES: u32 = 2;
 /// Most recoveries of one session; above it something is wrong that another try won't mend.
 const MAX_RECOVERIES: u32 = 32;
 
@@ -203,9 +206,11 @@
 
     /// How long to wait before the session goes on after a failure of a stage.
     ///
-    /// Over the budget a session that has sent nothing ends, with its final answer at once. One
-    /// whose caller has part of the answer goes on, at the slowest rate: only its deadline and
-    /// [`MAX_RECOVERIES`] bound it.
+    /// Over the budget a session goes on at the slowest rate: one whose caller has part of the
+    /// answer until its deadline or [`MAX_RECOVERIES`], one that has sent nothing for
+    /// [`SURE_RECOVERIES`], after which it ends with its final answer at once. The loss of a host
+    /// that ran more sessions than the budget has retries so costs none its answer, and a stage
+    /// that fails every step still gets a bounded number of steps a session.
     fn back_off(&self, failure: &StepFailure) -> Result<Duration> {
         let attempt = Attempt {
             verdict: match failure {
@@ -224,6 +229,9 @@
             Decision::GiveUp(_) if sent && self.recoveries <= MAX_RECOVERIES => {
                 Ok(jittered(SLOWEST_BACKOFF))
             }
+            Decision::GiveUp(GiveUp::Budget) if self.recoveries <= SURE_RECOVERIES => {
+                Ok(jittered(SLOWEST_BACKOFF))
+            }
             Decision::GiveUp(reason) => {
                 let failure = failure.clone();
                 Err(Ending::Retries { failure, reason })
