A planned stop waits for claims within the drain's bound

Cause: once no caller waited, a stop gave calls whose callers had gone and outcomes not yet recorded 2 s, whatever the drain allowed; a repeat of what was cut off reads may-have-run for good.

Change: it waits for the daemon's tasks until the drain's bound from its beginning, then 2 s.

Ruled out: waiting for tasks with a claim only. All tasks are sessions and calls that end by their deadline, and one wait is simpler; a stop may take longer for unkeyed calls without a caller.

--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -290,19 +290,29 @@
         let _ = timeout_or(self.notice, &self.abort, std::future::pending::<()>()).await;
         self.entry.closed.store(true, Ordering::Relaxed);
         self.callers.close();
+        let drained_by = Instant::now() + self.drain;
         let drained = timeout_or(self.drain, &self.abort, self.callers.drained()).await;
         if drained.is_none() {
             self.abort.cancel();
             self.callers.stop(LAST_ANSWERS).await;
         }
-        self.entry.tasks.close();
-        let _ = tokio::time::timeout(LAST_ANSWERS, self.entry.tasks.wait()).await;
+        finish(&self.entry.tasks, drained_by, &self.abort).await;
         self.control.leave().await;
         self.operators.stop(Duration::ZERO).await;
         info!("stopped");
     }
 }
 
+/// Waits for calls that outlive their callers and for outcomes that are not recorded yet: what is
+/// cut off here reads "may have run" ever after.
+async fn finish(tasks: &TaskTracker, by: Instant, abort: &CancellationToken) {
+    tasks.close();
+    let left = by.saturating_duration_since(Instant::now());
+    if timeout_or(left, abort, tasks.wait()).await.is_none() {
+        let _ = tokio::time::timeout(LAST_ANSWERS, tasks.wait()).await;
+    }
+}
+
 fn executor(
     settings: &Settings,
     engine: &Arc<HttpEngine>,
--- a/crates/kelpworks/tests/claims_peers.rs
+++ b/crates/kelpworks/tests/claims_peers.rs
@@ -82,3 +82,20 @@
     );
     assert_eq!(bench.runs("POST"), 1);
 }
+
+/// A planned stop waits for a call whose caller is gone, longer than for last answers.
+#[tokio::test]
+async fn a_planned_stop_waits_for_the_outcome_of_a_claim() {
+    let timing = "balancer_notice = \"10 ms\"\ndrain = \"60 s\"";
+    let mut bench = Bench::start(2, timing).await;
+    bench.fault(&Fault::once(FaultKind::DelayReply(3_000)).on("POST /"));
+    let call = bench.keyed(0, "k");
+    let call = tokio::spawn(async move { call.send().await });
+    until(async || (bench.runs("POST") == 1).then_some(())).await;
+    call.abort();
+    let _ = call.await;
+    bench.hosts[0].stop_whole().await;
+    let again = send(bench.keyed(1, "k")).await;
+    assert_eq!((again.line().as_str(), again.replayed), ("200 -", true));
+    assert_eq!(bench.runs("POST"), 1);
+}
--- a/crates/kelpworks/tests/claims_support/mod.rs
+++ b/crates/kelpworks/tests/claims_support/mod.rs
@@ -142,6 +142,14 @@
         runtime.spawn(daemon.stop());
     }
 
+    /// A planned stop to its end, and that of the daemon's process.
+    pub(crate) async fn stop_whole(&mut self) {
+        let daemon = self.daemon.take().expect("not stopped yet");
+        let runtime = self.runtime.as_ref().expect("not killed");
+        runtime.spawn(daemon.stop()).await.expect("no panic");
+        self.kill();
+    }
+
     /// Begins a stop that ends what is in flight.
     pub(crate) fn stop_at_once(&mut self) {
         let abort = self.daemon.as_ref().map(Daemon::abort);
