--- a/crates/kelpworks-cli/examples/stand_ins.rs
+++ b/crates/kelpworks-cli/examples/stand_ins.rs
@@ -12,6 +12,12 @@
 use std::thread;
 use std::time::Duration;
 
+use pico_args::Arguments;
+use thiserror::Error;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::oneshot;
+
 use kelpworks_fakes::Engine;
 use kelpworks_fakes::EngineConfig;
 use kelpworks_fakes::FleetConfig;
@@ -21,11 +27,6 @@
 use kelpworks_fakes::StandIns;
 use kelpworks_fakes::fleet::EngineView;
 use kelpworks_fakes::fleet::ServiceView;
-use pico_args::Arguments;
-use thiserror::Error;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
-use tokio::sync::oneshot;
 
 const HELP: &str = "\
 Starts stand-ins and prints one line of JSON with their addresses.
@@ -53,7 +54,8 @@
 
 type Result<T> = std::result::Result<T, Error>;
 
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 enum Error {
     #[error("{0}; see --help")]
     Usage(#[from] pico_args::Error),
--- a/crates/kelpworks-cli/src/failure.rs
+++ b/crates/kelpworks-cli/src/failure.rs
@@ -17,7 +17,8 @@
 const BAD_INPUT: u8 = 2;
 
 /// Why a command failed.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 #[non_exhaustive]
 pub(crate) enum Failure {
     /// The command line is not understood.
--- a/crates/kelpworks-cli/tests/frame/mod.rs
+++ b/crates/kelpworks-cli/tests/frame/mod.rs
@@ -16,6 +16,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
+use self::process::Process;
+use crate::caller::Caller;
 use kelpworks::config::head::digest_of;
 use kelpworks_fakes::Model;
 use kelpworks_fakes::documents;
@@ -28,11 +33,6 @@
 use kelpworks_wire::EngineState;
 use kelpworks_wire::HostEntry;
 use kelpworks_wire::HostState;
-use serde::Deserialize;
-use serde::Serialize;
-
-use self::process::Process;
-use crate::caller::Caller;
 
 const KELPWORKS: &str = env!("CARGO_BIN_EXE_kelpworks");
 const MODEL: &str = "demo";
@@ -108,7 +108,8 @@
 }
 
 /// Addresses that a daemon prints.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 pub(crate) struct Bound {
     pub(crate) callers: String,
     pub(crate) operators: String,
--- a/crates/kelpworks-cli/tests/proc_kill.rs
+++ b/crates/kelpworks-cli/tests/proc_kill.rs
@@ -5,7 +5,6 @@
 mod frame;
 
 use futures_util::future::join_all;
-use kelpworks_wire::FinishReason;
 
 use caller::End;
 use caller::chat_prompt;
@@ -13,6 +12,7 @@
 use frame::Shape;
 use frame::streams::MAX_TOKENS;
 use frame::streams::Streams;
+use kelpworks_wire::FinishReason;
 
 #[tokio::test]
 async fn three_daemons_answer_both_kinds() {
--- a/crates/kelpworks-cli/tests/proc_leave.rs
+++ b/crates/kelpworks-cli/tests/proc_leave.rs
@@ -6,12 +6,12 @@
 
 use std::collections::HashSet;
 
-use kelpworks_fakes::ApiMode;
 use rstest::rstest;
 
 use frame::Frame;
 use frame::Shape;
 use frame::streams::Streams;
+use kelpworks_fakes::ApiMode;
 
 /// Who says that an upstream leaves.
 #[derive(Clone, Copy, Debug)]
--- a/crates/kelpworks-cli/tests/proc_stop.rs
+++ b/crates/kelpworks-cli/tests/proc_stop.rs
@@ -4,13 +4,13 @@
 mod caller;
 mod frame;
 
-use kelpworks_fakes::EngineConfig;
 use rustix::process::Signal;
 
 use caller::End;
 use frame::Frame;
 use frame::Shape;
 use frame::streams::Streams;
+use kelpworks_fakes::EngineConfig;
 
 async fn assert_engines_are_free(frame: &Frame) {
     let whole = EngineConfig::new("any", Vec::new()).kv_capacity;
--- a/crates/kelpworks-coord/src/budget.rs
+++ b/crates/kelpworks-coord/src/budget.rs
@@ -34,7 +34,8 @@
 pub type Result<T> = std::result::Result<T, Refused>;
 
 /// The budget is spent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[error("write budget spent, retry after {} ms", .retry_after.as_millis())]
 pub struct Refused {
     /// When it will do, if nothing else takes it first.
--- a/crates/kelpworks-coord/src/claim/messages.rs
+++ b/crates/kelpworks-coord/src/claim/messages.rs
@@ -52,17 +52,8 @@
 }
 
 /// A recorded answer.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Outcome {
     /// HTTP status.
     pub status: u16,
@@ -71,17 +62,8 @@
 }
 
 /// How far a claim has come, as recorded.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Phase {
     /// Dispatched, or about to be.
@@ -95,17 +77,8 @@
 }
 
 /// Body of a claim object.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     /// [`Request::digest`].
     pub digest: u64,
@@ -148,7 +121,8 @@
 }
 
 /// What a claim's holder says of it to a peer.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PeerStatus {
     /// Being created or running.
--- a/crates/kelpworks-coord/src/facts.rs
+++ b/crates/kelpworks-coord/src/facts.rs
@@ -54,18 +54,8 @@
 }
 
 /// What a fact says of its subject.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// The upstream is leaving: no new work.
@@ -81,18 +71,8 @@
 }
 
 /// What identifies a fact.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Key {
     /// The daemon that observed it.
     pub author: NodeId,
@@ -103,18 +83,8 @@
 }
 
 /// Version of a fact; a restarted author's are all newer.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Stamp {
     /// Of the author.
     pub incarnation: Incarnation,
@@ -123,18 +93,8 @@
 }
 
 /// A fact on its way.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Fact {
     /// Its identity.
     pub key: Key,
--- a/crates/kelpworks-coord/src/head.rs
+++ b/crates/kelpworks-coord/src/head.rs
@@ -42,34 +42,13 @@
 use crate::time::Span;
 
 /// Number of a configuration; rises by one with each accepted change.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Generation(pub u64);
 
 /// One part of a configuration.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Part {
     /// Its text, by digest.
     pub digest: Digest,
@@ -80,18 +59,8 @@
 }
 
 /// Body of the head object.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Head {
     /// Higher than that of each head before.
     pub generation: Generation,
--- a/crates/kelpworks-coord/src/id.rs
+++ b/crates/kelpworks-coord/src/id.rs
@@ -17,18 +17,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// A daemon, by the hash of its name.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct NodeId(pub u64);
 
 impl NodeId {
@@ -39,18 +29,8 @@
 }
 
 /// An upstream, by the hash of its name.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct UpstreamId(pub u64);
 
 impl UpstreamId {
@@ -61,18 +41,8 @@
 }
 
 /// A failure domain, by the hash of its name.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct DomainId(pub u64);
 
 impl DomainId {
@@ -85,50 +55,18 @@
 /// One run of a process: higher for a later run of the same daemon or engine.
 ///
 /// A daemon also raises its own to refute a report of its death, see [`crate::membership`].
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
 
 /// A number that a writer draws at random to know its own write again.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Nonce(pub u64);
 
 /// Version of an object of the object API; 0 stands for an object that does not exist.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Version(pub u64);
 
 impl Version {
@@ -137,17 +75,8 @@
 }
 
 /// SHA-256 digest of an immutable object; also its name.
-#[derive(
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct Digest(pub [u8; 32]);
 
--- a/crates/kelpworks-coord/src/lease.rs
+++ b/crates/kelpworks-coord/src/lease.rs
@@ -89,18 +89,8 @@
 }
 
 /// A run of a daemon.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Owner {
     /// The daemon.
     pub node: NodeId,
@@ -109,34 +99,13 @@
 }
 
 /// Fencing token; higher for a later acquisition.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Token(pub u64);
 
 /// Body of the lease object.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     /// Who holds it; `None` after it was given up.
     pub owner: Option<Owner>,
--- a/crates/kelpworks-coord/src/membership/messages.rs
+++ b/crates/kelpworks-coord/src/membership/messages.rs
@@ -47,18 +47,8 @@
 }
 
 /// What is held of a member; in rising order of rank within one incarnation.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Health {
     /// Live.
@@ -83,18 +73,8 @@
 }
 
 /// What one daemon tells another of a third.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Update {
     /// The member.
     pub node: NodeId,
--- a/crates/kelpworks-coord/src/time.rs
+++ b/crates/kelpworks-coord/src/time.rs
@@ -16,19 +16,8 @@
 use serde::Serialize;
 
 /// A length of time in whole milliseconds.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Span(u64);
 
 impl Span {
--- a/crates/kelpworks-coord/src/token.rs
+++ b/crates/kelpworks-coord/src/token.rs
@@ -49,7 +49,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Why a pipeline cannot be driven.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum Error {
     /// The stages do not cover each layer exactly once and in order.
@@ -169,7 +170,8 @@
 }
 
 /// Why a reply was dropped. The first difference in this order counts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Error)]
 pub enum DropReason {
     /// Another session's.
     #[error("of another session")]
--- a/crates/kelpworks-coord/tests/model_lease.rs
+++ b/crates/kelpworks-coord/tests/model_lease.rs
@@ -4,12 +4,12 @@
 
 use std::collections::BTreeMap;
 
+use rstest::rstest;
+
 use checker::Model;
 use checker::assert_caught;
 use checker::assert_holds;
 use checker::bound;
-use rstest::rstest;
-
 use kelpworks_coord::id::Incarnation;
 use kelpworks_coord::id::NodeId;
 use kelpworks_coord::id::Version;
--- a/crates/kelpworks-fakes/src/engine/cache.rs
+++ b/crates/kelpworks-fakes/src/engine/cache.rs
@@ -3,10 +3,11 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use kelpworks_wire::CacheEvent;
 use kelpworks_wire::CacheEventKind;
 use kelpworks_wire::CacheEvents;
-use tokio::time::Instant;
 
 /// Events kept; older ones are a gap to whoever asks.
 const EVENT_LIMIT: usize = 4096;
--- a/crates/kelpworks-fakes/src/engine/config.rs
+++ b/crates/kelpworks-fakes/src/engine/config.rs
@@ -3,11 +3,10 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use crate::model::Model;
 use kelpworks_wire::LayerRange;
 use kelpworks_wire::LoadedRange;
 
-use crate::model::Model;
-
 /// A prompt that holds these bytes crashes the engine that runs its layer 0, unless
 /// [`EngineConfig::crashes_on_poison`] is off.
 pub const POISON: &[u8] = b"poison";
--- a/crates/kelpworks-fakes/src/engine/core.rs
+++ b/crates/kelpworks-fakes/src/engine/core.rs
@@ -2,6 +2,16 @@
 
 use std::sync::Arc;
 
+use super::config::EngineConfig;
+use super::config::POISON;
+use super::orders::Fences;
+use super::sessions::Part;
+use super::sessions::Sessions;
+use super::sessions::handle;
+use crate::error::Error;
+use crate::error::Result;
+use crate::model::KvCache;
+use crate::model::Model;
 use kelpworks_wire::BusyReply;
 use kelpworks_wire::CancelRequest;
 use kelpworks_wire::Class;
@@ -17,18 +27,6 @@
 use kelpworks_wire::StepOutcome;
 use kelpworks_wire::StepRefusal;
 
-use crate::error::Error;
-use crate::error::Result;
-use crate::model::KvCache;
-use crate::model::Model;
-
-use super::config::EngineConfig;
-use super::config::POISON;
-use super::orders::Fences;
-use super::sessions::Part;
-use super::sessions::Sessions;
-use super::sessions::handle;
-
 /// Input of a step, at hand.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Input {
--- a/crates/kelpworks-fakes/src/engine/http.rs
+++ b/crates/kelpworks-fakes/src/engine/http.rs
@@ -5,6 +5,23 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use salvo::Depot;
+use salvo::Request;
+use salvo::Router;
+use salvo::handler;
+use salvo::http::StatusCode;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use super::Shared;
+use super::core::Input;
+use super::scheduler::Ran;
+use super::scheduler::Waiting;
+use crate::fault::FaultKind;
+use crate::fault::lock;
+use crate::server::Answer;
+use crate::server::read_json;
+use crate::server::state;
 use kelpworks_wire::ActivationRequest;
 use kelpworks_wire::Activations;
 use kelpworks_wire::CancelRequest;
@@ -20,24 +37,6 @@
 use kelpworks_wire::StepOutcome;
 use kelpworks_wire::StepRefusal;
 use kelpworks_wire::StepReply;
-use salvo::Depot;
-use salvo::Request;
-use salvo::Router;
-use salvo::handler;
-use salvo::http::StatusCode;
-use tokio::sync::oneshot;
-use tokio::time::Instant;
-
-use crate::fault::FaultKind;
-use crate::fault::lock;
-use crate::server::Answer;
-use crate::server::read_json;
-use crate::server::state;
-
-use super::Shared;
-use super::core::Input;
-use super::scheduler::Ran;
-use super::scheduler::Waiting;
 
 /// Path of steps.
 pub(super) const STEPS: &str = "/v1/steps";
--- a/crates/kelpworks-fakes/src/engine/ledger.rs
+++ b/crates/kelpworks-fakes/src/engine/ledger.rs
@@ -3,17 +3,18 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
-use kelpworks_wire::EngineOrder;
-use kelpworks_wire::LayerRange;
-use kelpworks_wire::OrderReply;
-use kelpworks_wire::Step;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::fault::lock;
+use kelpworks_wire::EngineOrder;
+use kelpworks_wire::LayerRange;
+use kelpworks_wire::OrderReply;
+use kelpworks_wire::Step;
 
 /// One run of a layer range over consecutive positions.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Run {
     /// Place in the order of this engine's runs, from 0.
     pub order: u64,
@@ -36,7 +37,8 @@
 }
 
 /// An order and what became of it.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct OrderRecord {
     /// The order.
     pub order: EngineOrder,
@@ -47,7 +49,8 @@
 }
 
 /// Sums over all runs, also those that the ledger no longer had room for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct Totals {
     /// Runs.
     pub runs: u64,
@@ -68,7 +71,8 @@
 }
 
 /// A copy of a ledger.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct LedgerView {
     /// Runs, in order; at most the configured number.
     pub runs: Vec<Run>,
--- a/crates/kelpworks-fakes/src/engine/load.rs
+++ b/crates/kelpworks-fakes/src/engine/load.rs
@@ -1,11 +1,10 @@
 //! The load report of an engine, which lags.
 
-use kelpworks_wire::EngineLoad;
 use tokio::time::Instant;
 
-use crate::fault::lock;
-
 use super::Shared;
+use crate::fault::lock;
+use kelpworks_wire::EngineLoad;
 
 /// The latest load report.
 #[derive(Debug, Default)]
--- a/crates/kelpworks-fakes/src/engine/mod.rs
+++ b/crates/kelpworks-fakes/src/engine/mod.rs
@@ -43,10 +43,12 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
-use kelpworks_wire::EngineState;
-use kelpworks_wire::StepReply;
 use tokio_util::task::AbortOnDropHandle;
 
+use self::cache::PrefixCache;
+use self::core::Core;
+use self::load::LoadMeter;
+use self::scheduler::Queue;
 use crate::error::Result;
 use crate::fault::FaultKind;
 use crate::fault::Faults;
@@ -54,11 +56,8 @@
 use crate::server::Port;
 use crate::server::Power;
 use crate::server::Server;
-
-use self::cache::PrefixCache;
-use self::core::Core;
-use self::load::LoadMeter;
-use self::scheduler::Queue;
+use kelpworks_wire::EngineState;
+use kelpworks_wire::StepReply;
 
 pub use self::config::EngineConfig;
 pub use self::config::POISON;
--- a/crates/kelpworks-fakes/src/engine/orders.rs
+++ b/crates/kelpworks-fakes/src/engine/orders.rs
@@ -3,16 +3,14 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use super::Shared;
+use super::ledger::OrderRecord;
+use crate::fault::lock;
 use kelpworks_wire::EngineOrder;
 use kelpworks_wire::LoadedRange;
 use kelpworks_wire::OrderAction;
 use kelpworks_wire::OrderReply;
 
-use crate::fault::lock;
-
-use super::Shared;
-use super::ledger::OrderRecord;
-
 /// Roles that an engine can be given; [`ROLE_DRAIN`] refuses new sessions, the others take them.
 const ROLES: [&str; 4] = [ROLE_DRAIN, "serve", "prefill", "decode"];
 const ROLE_DRAIN: &str = "drain";
--- a/crates/kelpworks-fakes/src/engine/scheduler.rs
+++ b/crates/kelpworks-fakes/src/engine/scheduler.rs
@@ -5,18 +5,17 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use kelpworks_wire::Class;
-use kelpworks_wire::Step;
-use kelpworks_wire::StepOutcome;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use crate::fault::FaultKind;
-use crate::fault::lock;
-
 use super::Shared;
 use super::core::Input;
+use crate::fault::FaultKind;
+use crate::fault::lock;
+use kelpworks_wire::Class;
+use kelpworks_wire::Step;
+use kelpworks_wire::StepOutcome;
 
 /// Path that lost cache events are injected on.
 const CACHE_EVENTS: &str = "/v1/cache-events";
--- a/crates/kelpworks-fakes/src/engine/sessions.rs
+++ b/crates/kelpworks-fakes/src/engine/sessions.rs
@@ -4,11 +4,10 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use kelpworks_wire::CancelRequest;
-use kelpworks_wire::LayerRange;
-
 use crate::model::KvCache;
 use crate::model::Model;
+use kelpworks_wire::CancelRequest;
+use kelpworks_wire::LayerRange;
 
 /// Cancelled sessions remembered, so that a late step does not run again.
 const ENDED_LIMIT: usize = 65_536;
--- a/crates/kelpworks-fakes/src/engine/tests.rs
+++ b/crates/kelpworks-fakes/src/engine/tests.rs
@@ -3,21 +3,20 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use kelpworks_wire::Class;
-use kelpworks_wire::LayerRange;
-use kelpworks_wire::OutputForm;
-use kelpworks_wire::Step;
-use kelpworks_wire::StepOutcome;
 use rstest::rstest;
 use tokio::time::Instant;
 
+use super::Engine;
+use super::EngineConfig;
 use crate::fault::Fault;
 use crate::fault::FaultKind;
 use crate::fault::lock;
 use crate::model::Model;
-
-use super::Engine;
-use super::EngineConfig;
+use kelpworks_wire::Class;
+use kelpworks_wire::LayerRange;
+use kelpworks_wire::OutputForm;
+use kelpworks_wire::Step;
+use kelpworks_wire::StepOutcome;
 
 const BASE: Duration = Duration::from_millis(10);
 
--- a/crates/kelpworks-fakes/src/error.rs
+++ b/crates/kelpworks-fakes/src/error.rs
@@ -8,7 +8,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Why a stand-in could not start.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum Error {
     /// No port could be bound.
--- a/crates/kelpworks-fakes/src/fault.rs
+++ b/crates/kelpworks-fakes/src/fault.rs
@@ -12,7 +12,8 @@
 use serde::Serialize;
 
 /// What goes wrong with one request.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FaultKind {
     /// The connection closes before anything runs.
@@ -69,7 +70,8 @@
 }
 
 /// A fault, where it strikes and how often.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct Fault {
     /// What goes wrong.
     pub kind: FaultKind,
@@ -122,7 +124,8 @@
 }
 
 /// What becomes of whole connections.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Connections {
     /// All work.
@@ -137,7 +140,8 @@
 }
 
 /// Body of `POST /fake/faults`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct FaultOrder {
     /// Forget all faults before adding new ones.
     #[serde(default)]
--- a/crates/kelpworks-fakes/src/fleet.rs
+++ b/crates/kelpworks-fakes/src/fleet.rs
@@ -16,9 +16,6 @@
 
 use std::net::SocketAddr;
 
-use kelpworks_wire::HostEntry;
-use kelpworks_wire::HostState;
-use kelpworks_wire::LoadedRange;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -36,6 +33,9 @@
 use crate::plain_service::PlainServiceConfig;
 use crate::weight_store::WeightStore;
 use crate::weight_store::WeightStoreConfig;
+use kelpworks_wire::HostEntry;
+use kelpworks_wire::HostState;
+use kelpworks_wire::LoadedRange;
 
 /// Configuration of a set of stand-ins.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -102,7 +102,8 @@
 }
 
 /// Where everything is; what a register and settings need to know.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct FleetView {
     /// Base URL of the object API.
     pub object_api: String,
@@ -117,7 +118,8 @@
 }
 
 /// An engine of a [`FleetView`].
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct EngineView {
     /// Host name.
     pub name: String,
@@ -140,7 +142,8 @@
 }
 
 /// A plain service of a [`FleetView`].
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ServiceView {
     /// Host name.
     pub name: String,
--- a/crates/kelpworks-fakes/src/host_list.rs
+++ b/crates/kelpworks-fakes/src/host_list.rs
@@ -4,9 +4,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use kelpworks_wire::HostEntry;
-use kelpworks_wire::HostList;
-use kelpworks_wire::HostState;
 use salvo::Depot;
 use salvo::Request;
 use salvo::Router;
@@ -22,6 +19,9 @@
 use crate::server::Server;
 use crate::server::read_json;
 use crate::server::state;
+use kelpworks_wire::HostEntry;
+use kelpworks_wire::HostList;
+use kelpworks_wire::HostState;
 
 /// Configuration of a stand-in host list.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/kelpworks-fakes/src/object_api/http.rs
+++ b/crates/kelpworks-fakes/src/object_api/http.rs
@@ -4,11 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kelpworks_wire::ApiErrorCode;
-use kelpworks_wire::Object;
-use kelpworks_wire::ObjectBody;
-use kelpworks_wire::ObjectList;
-use kelpworks_wire::WatchReply;
 use salvo::Depot;
 use salvo::Request;
 use salvo::Router;
@@ -16,17 +11,21 @@
 use salvo::http::StatusCode;
 use tokio::time::Instant;
 
-use crate::fault::FaultKind;
-use crate::fault::lock;
-use crate::server::Answer;
-use crate::server::read_json;
-use crate::server::state;
-
 use super::ApiMode;
 use super::Call;
 use super::Shared;
 use super::error;
 use super::unavailable;
+use crate::fault::FaultKind;
+use crate::fault::lock;
+use crate::server::Answer;
+use crate::server::read_json;
+use crate::server::state;
+use kelpworks_wire::ApiErrorCode;
+use kelpworks_wire::Object;
+use kelpworks_wire::ObjectBody;
+use kelpworks_wire::ObjectList;
+use kelpworks_wire::WatchReply;
 
 type Reply = std::result::Result<Answer, Answer>;
 type State = Arc<Shared>;
--- a/crates/kelpworks-fakes/src/object_api/mod.rs
+++ b/crates/kelpworks-fakes/src/object_api/mod.rs
@@ -9,23 +9,22 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use kelpworks_wire::ApiError;
-use kelpworks_wire::ApiErrorCode;
-use kelpworks_wire::Object;
 use salvo::http::StatusCode;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::watch;
 
+use self::rate::Rate;
+use self::store::Store;
 use crate::error::Result;
 use crate::fault::Faults;
 use crate::fault::lock;
 use crate::server::Answer;
 use crate::server::Port;
 use crate::server::Server;
-
-use self::rate::Rate;
-use self::store::Store;
+use kelpworks_wire::ApiError;
+use kelpworks_wire::ApiErrorCode;
+use kelpworks_wire::Object;
 
 /// Configuration of a stand-in object API.
 #[derive(Clone, Debug, PartialEq)]
@@ -58,7 +57,8 @@
 }
 
 /// Whether the object API works.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ApiMode {
     /// It works.
@@ -71,7 +71,8 @@
 }
 
 /// Calls since the start, those refused included.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct CallCounts {
     /// Reads of one object.
     pub reads: u64,
--- a/crates/kelpworks-fakes/src/plain_service.rs
+++ b/crates/kelpworks-fakes/src/plain_service.rs
@@ -57,7 +57,8 @@
 }
 
 /// A call that ran; it is also the answer to the call.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct Execution {
     /// Host that ran it.
     pub host: String,
--- a/crates/kelpworks-fakes/src/weight_store.rs
+++ b/crates/kelpworks-fakes/src/weight_store.rs
@@ -4,7 +4,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use kelpworks_wire::WeightsReply;
 use salvo::Depot;
 use salvo::Request;
 use salvo::Router;
@@ -20,6 +19,7 @@
 use crate::server::Port;
 use crate::server::Server;
 use crate::server::state;
+use kelpworks_wire::WeightsReply;
 
 /// Configuration of a stand-in weight store.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/kelpworks-fakes/tests/engine.rs
+++ b/crates/kelpworks-fakes/tests/engine.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use reqwest::StatusCode;
+use rstest::rstest;
+
 use kelpworks_fakes::Engine;
 use kelpworks_fakes::EngineConfig;
 use kelpworks_fakes::FleetConfig;
@@ -26,8 +29,6 @@
 use kelpworks_wire::Step;
 use kelpworks_wire::StepInput;
 use kelpworks_wire::StepOutcome;
-use reqwest::StatusCode;
-use rstest::rstest;
 use support::answer;
 use support::layers;
 use support::model;
--- a/crates/kelpworks-fakes/tests/faults.rs
+++ b/crates/kelpworks-fakes/tests/faults.rs
@@ -4,6 +4,9 @@
 
 use std::time::Duration;
 
+use reqwest::StatusCode;
+use rstest::rstest;
+
 use kelpworks_fakes::Connections;
 use kelpworks_fakes::Engine;
 use kelpworks_fakes::EngineConfig;
@@ -12,8 +15,6 @@
 use kelpworks_fakes::FaultOrder;
 use kelpworks_wire::Step;
 use kelpworks_wire::StepReply;
-use reqwest::StatusCode;
-use rstest::rstest;
 use support::get;
 use support::model;
 use support::patience;
--- a/crates/kelpworks-fakes/tests/model.rs
+++ b/crates/kelpworks-fakes/tests/model.rs
@@ -3,14 +3,15 @@
 use std::ops::Range;
 use std::slice;
 
-use kelpworks_fakes::Model;
-use kelpworks_fakes::text;
-use kelpworks_fakes::tokens;
 use proptest::prelude::any;
 use proptest::prelude::prop_assert_eq;
 use proptest::prelude::prop_assert_ne;
 use proptest::proptest;
 
+use kelpworks_fakes::Model;
+use kelpworks_fakes::text;
+use kelpworks_fakes::tokens;
+
 const LAYERS: u32 = 6;
 
 /// All layers in one range.
--- a/crates/kelpworks-fakes/tests/object_api.rs
+++ b/crates/kelpworks-fakes/tests/object_api.rs
@@ -5,6 +5,9 @@
 use std::pin::pin;
 use std::time::Duration;
 
+use reqwest::Method;
+use rstest::rstest;
+
 use kelpworks_fakes::ApiMode;
 use kelpworks_fakes::CallCounts;
 use kelpworks_fakes::Fault;
@@ -13,8 +16,6 @@
 use kelpworks_fakes::ObjectApiConfig;
 use kelpworks_wire::ObjectBody;
 use kelpworks_wire::WatchReply;
-use reqwest::Method;
-use rstest::rstest;
 use support::client;
 use support::get;
 use support::patience;
--- a/crates/kelpworks-fakes/tests/platform.rs
+++ b/crates/kelpworks-fakes/tests/platform.rs
@@ -4,6 +4,10 @@
 
 use std::time::Duration;
 
+use reqwest::Client;
+use reqwest::StatusCode;
+use rstest::rstest;
+
 use kelpworks_fakes::Execution;
 use kelpworks_fakes::Fault;
 use kelpworks_fakes::FaultKind;
@@ -16,9 +20,6 @@
 use kelpworks_wire::HostEntry;
 use kelpworks_wire::HostList;
 use kelpworks_wire::HostState;
-use reqwest::Client;
-use reqwest::StatusCode;
-use rstest::rstest;
 use support::client;
 use support::get;
 use support::patience;
--- a/crates/kelpworks-fakes/tests/support/mod.rs
+++ b/crates/kelpworks-fakes/tests/support/mod.rs
@@ -5,6 +5,11 @@
 
 use std::time::Duration;
 
+use reqwest::Client;
+use reqwest::Response;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
 use kelpworks_fakes::Engine;
 use kelpworks_fakes::Model;
 use kelpworks_fakes::StandIns;
@@ -18,10 +23,6 @@
 use kelpworks_wire::StepInput;
 use kelpworks_wire::StepOutcome;
 use kelpworks_wire::StepReply;
-use reqwest::Client;
-use reqwest::Response;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 
 /// Longest wait for an answer that is to come; for one that is not to come, long enough to tell.
 pub(crate) fn patience(comes: bool) -> Duration {
--- a/crates/kelpworks-wire/tests/wire_types.rs
+++ b/crates/kelpworks-wire/tests/wire_types.rs
@@ -5,7 +5,6 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use kelpworks_wire as wire;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -15,6 +14,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+use kelpworks_wire as wire;
+
 const SCHEMA: &str = include_str!("../schemas/wire.json");
 /// Items of a generated list, at most.
 const MAX_ITEMS: usize = 3;
--- a/crates/kelpworks/examples/measure/busy.rs
+++ b/crates/kelpworks/examples/measure/busy.rs
@@ -5,6 +5,15 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::sim::Agenda;
+use crate::sim::exponential;
+use crate::sim::quantile;
+use crate::sim::spread;
+use crate::table::Table;
 use kelpworks::fleet::Counters;
 use kelpworks::fleet::DomainKey;
 use kelpworks::fleet::Fleet;
@@ -28,15 +37,6 @@
 use kelpworks::verdict::Verdict;
 use kelpworks_wire::Class;
 use kelpworks_wire::LayerRange;
-use rand::RngExt;
-use rand::SeedableRng;
-use rand::rngs::StdRng;
-
-use crate::sim::Agenda;
-use crate::sim::exponential;
-use crate::sim::quantile;
-use crate::sim::spread;
-use crate::table::Table;
 
 const SEEDS: u64 = 5;
 const DAEMONS: usize = 7;
--- a/crates/kelpworks/examples/measure/capacity/border.rs
+++ b/crates/kelpworks/examples/measure/capacity/border.rs
@@ -4,6 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::capacity::Series;
+use crate::capacity::cost;
+use crate::capacity::path::DAEMON;
+use crate::capacity::path::LAYERS;
+use crate::capacity::path::MICROS;
+use crate::capacity::path::Threads;
+use crate::capacity::path::model;
+use crate::capacity::tap::Tap;
+use crate::support::Result;
 use kelpworks::border::engine::Engine;
 use kelpworks::border::engine::HttpEngine;
 use kelpworks::border::host_list;
@@ -24,16 +33,6 @@
 use kelpworks_wire::StepInput;
 use kelpworks_wire::StepOutcome;
 
-use crate::capacity::Series;
-use crate::capacity::cost;
-use crate::capacity::path::DAEMON;
-use crate::capacity::path::LAYERS;
-use crate::capacity::path::MICROS;
-use crate::capacity::path::Threads;
-use crate::capacity::path::model;
-use crate::capacity::tap::Tap;
-use crate::support::Result;
-
 const BATCHES: [u32; 4] = [1, 8, 32, 64];
 const SENDERS: u32 = 8;
 const STEPS_PER_SENDER: u32 = 2_000;
--- a/crates/kelpworks/examples/measure/capacity/path.rs
+++ b/crates/kelpworks/examples/measure/capacity/path.rs
@@ -6,11 +6,6 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use kelpworks::daemon;
-use kelpworks::daemon::Daemon;
-use kelpworks_fakes::FleetConfig;
-use kelpworks_fakes::Model;
-use kelpworks_fakes::StandIns;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
@@ -22,6 +17,11 @@
 use crate::support::ExampleTeam;
 use crate::support::Result;
 use crate::support::client::Call;
+use kelpworks::daemon;
+use kelpworks::daemon::Daemon;
+use kelpworks_fakes::FleetConfig;
+use kelpworks_fakes::Model;
+use kelpworks_fakes::StandIns;
 
 pub(super) const DAEMON: &str = "cap-daemon";
 const THREADS: usize = 2;
--- a/crates/kelpworks/examples/measure/capacity/state.rs
+++ b/crates/kelpworks/examples/measure/capacity/state.rs
@@ -4,6 +4,11 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use crate::capacity::Series;
+use crate::capacity::cost;
+use crate::decision;
+use crate::decision::Cuts;
+use crate::fleets;
 use kelpworks::placement;
 use kelpworks::placement::HostKey;
 use kelpworks::placement::Lost;
@@ -26,12 +31,6 @@
 use kelpworks_fakes::fleet::EngineView;
 use kelpworks_fakes::fleet::FleetView;
 
-use crate::capacity::Series;
-use crate::capacity::cost;
-use crate::decision;
-use crate::decision::Cuts;
-use crate::fleets;
-
 const UPSTREAMS: [usize; 3] = [40, 150, 600];
 const TEAMS: [usize; 3] = [10, 500, 2_100];
 const HOSTS: [usize; 3] = [100, 300, 600];
--- a/crates/kelpworks/examples/measure/capacity/traffic.rs
+++ b/crates/kelpworks/examples/measure/capacity/traffic.rs
@@ -6,6 +6,10 @@
 use std::hint::black_box;
 use std::time::Duration;
 
+use serde::Serialize;
+
+use crate::capacity::Series;
+use crate::capacity::cost;
 use kelpworks_coord::claim::Action as ClaimAction;
 use kelpworks_coord::claim::ApiReply;
 use kelpworks_coord::claim::Claim;
@@ -31,10 +35,6 @@
 use kelpworks_coord::spread;
 use kelpworks_coord::spread::Spread;
 use kelpworks_coord::time::Instant;
-use serde::Serialize;
-
-use crate::capacity::Series;
-use crate::capacity::cost;
 
 const DAEMONS: [usize; 4] = [30, 100, 200, 370];
 /// Virtual time of a run of membership, and between two ticks.
--- a/crates/kelpworks/examples/measure/control.rs
+++ b/crates/kelpworks/examples/measure/control.rs
@@ -2,17 +2,17 @@
 
 use std::time::Duration;
 
+use tokio_util::sync::CancellationToken;
+
+use crate::net::Net;
+use crate::net::NetConfig;
+use crate::table::Table;
 use kelpworks::membership::Config;
 use kelpworks::membership::Peers;
 use kelpworks::membership::PeersConfig;
 use kelpworks::membership::TrafficTotals;
 use kelpworks_coord::facts::Kind;
 use kelpworks_coord::time::Span;
-use tokio_util::sync::CancellationToken;
-
-use crate::net::Net;
-use crate::net::NetConfig;
-use crate::table::Table;
 
 /// Sizes with real sockets.
 const REAL: [usize; 3] = [7, 30, 100];
--- a/crates/kelpworks/examples/measure/decision.rs
+++ b/crates/kelpworks/examples/measure/decision.rs
@@ -10,6 +10,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::sim::quantile;
+use crate::sim::spread;
+use crate::table::Table;
 use kelpworks::admission::Ask;
 use kelpworks::admission::Config;
 use kelpworks::admission::Event;
@@ -27,13 +34,6 @@
 use kelpworks::routing::choose_path;
 use kelpworks_wire::Class;
 use kelpworks_wire::LayerRange;
-use rand::RngExt;
-use rand::SeedableRng;
-use rand::rngs::StdRng;
-
-use crate::sim::quantile;
-use crate::sim::spread;
-use crate::table::Table;
 
 const SEEDS: u64 = 7;
 const DECISIONS: u32 = 2_000;
--- a/crates/kelpworks/examples/measure/fleets.rs
+++ b/crates/kelpworks/examples/measure/fleets.rs
@@ -3,6 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
 use kelpworks::fleet::DomainKey;
 use kelpworks::fleet::LinkCost;
 use kelpworks::fleet::ModelKey;
@@ -11,9 +15,6 @@
 use kelpworks::placement::ModelSpec;
 use kelpworks::units::Rate;
 use kelpworks::units::Size;
-use rand::RngExt;
-use rand::SeedableRng;
-use rand::rngs::StdRng;
 
 /// Bytes of a gigabyte.
 const GB: u64 = 1_000_000_000;
--- a/crates/kelpworks/examples/measure/net.rs
+++ b/crates/kelpworks/examples/measure/net.rs
@@ -11,6 +11,11 @@
 use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde::Serialize;
+
 use kelpworks::membership::Action;
 use kelpworks::membership::Config;
 use kelpworks::membership::Node;
@@ -20,10 +25,6 @@
 use kelpworks_wire::MemberContact;
 use kelpworks_wire::PeerMessage;
 use kelpworks_wire::PeerState;
-use rand::RngExt;
-use rand::SeedableRng;
-use rand::rngs::StdRng;
-use serde::Serialize;
 
 /// Interval of ticks, as in the daemon.
 const TICK_MS: u64 = 100;
--- a/crates/kelpworks/examples/measure/overload.rs
+++ b/crates/kelpworks/examples/measure/overload.rs
@@ -14,10 +14,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use kelpworks::daemon;
-use kelpworks_fakes::FleetConfig;
-use kelpworks_fakes::Model;
-use kelpworks_fakes::StandIns;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -32,6 +28,10 @@
 use crate::support::client::Call;
 use crate::support::client::Refused;
 use crate::table::Table;
+use kelpworks::daemon;
+use kelpworks_fakes::FleetConfig;
+use kelpworks_fakes::Model;
+use kelpworks_fakes::StandIns;
 
 const MODEL: &str = "caption";
 const LAYERS: u32 = 12;
--- a/crates/kelpworks/examples/measure/overload_policy.rs
+++ b/crates/kelpworks/examples/measure/overload_policy.rs
@@ -5,12 +5,6 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use kelpworks::admission::Ask;
-use kelpworks::admission::Config;
-use kelpworks::admission::Event;
-use kelpworks::admission::Queue;
-use kelpworks::admission::Ticket;
-use kelpworks_wire::Class;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -20,6 +14,12 @@
 use crate::sim::quantile;
 use crate::sim::spread;
 use crate::table::Table;
+use kelpworks::admission::Ask;
+use kelpworks::admission::Config;
+use kelpworks::admission::Event;
+use kelpworks::admission::Queue;
+use kelpworks::admission::Ticket;
+use kelpworks_wire::Class;
 
 const SEEDS: u64 = 5;
 /// Tokens that the pipeline runs at once; others wait there.
--- a/crates/kelpworks/examples/measure/path_policy.rs
+++ b/crates/kelpworks/examples/measure/path_policy.rs
@@ -3,17 +3,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use kelpworks::fleet::DomainKey;
-use kelpworks::fleet::Fleet;
-use kelpworks::fleet::ModelKey;
-use kelpworks::fleet::Upstream;
-use kelpworks::fleet::UpstreamKey;
-use kelpworks::routing::Assignment;
-use kelpworks::routing::Hop;
-use kelpworks::routing::PathQuery;
-use kelpworks::routing::choose_path;
-use kelpworks_wire::Class;
-use kelpworks_wire::LayerRange;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -25,6 +14,17 @@
 use crate::sim::quantile;
 use crate::sim::spread;
 use crate::table::Table;
+use kelpworks::fleet::DomainKey;
+use kelpworks::fleet::Fleet;
+use kelpworks::fleet::ModelKey;
+use kelpworks::fleet::Upstream;
+use kelpworks::fleet::UpstreamKey;
+use kelpworks::routing::Assignment;
+use kelpworks::routing::Hop;
+use kelpworks::routing::PathQuery;
+use kelpworks::routing::choose_path;
+use kelpworks_wire::Class;
+use kelpworks_wire::LayerRange;
 
 const SEEDS: u64 = 5;
 const UPSTREAMS: usize = 40;
--- a/crates/kelpworks/examples/measure/placement.rs
+++ b/crates/kelpworks/examples/measure/placement.rs
@@ -11,6 +11,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::fleets;
+use crate::fleets::FleetShape;
+use crate::placement_baselines;
+use crate::table::Table;
 use kelpworks::fleet::DomainKey;
 use kelpworks::fleet::ModelKey;
 use kelpworks::placement;
@@ -20,11 +24,6 @@
 use kelpworks::placement::ModelPlan;
 use kelpworks::placement::Plan;
 
-use crate::fleets;
-use crate::fleets::FleetShape;
-use crate::placement_baselines;
-use crate::table::Table;
-
 /// Seeds of each row.
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=7;
 /// Longest time for a plan.
--- a/crates/kelpworks/examples/measure/recovery.rs
+++ b/crates/kelpworks/examples/measure/recovery.rs
@@ -7,14 +7,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use kelpworks::daemon;
-use kelpworks::daemon::Daemon;
-use kelpworks_fakes::Connections;
-use kelpworks_fakes::Engine;
-use kelpworks_fakes::FleetConfig;
-use kelpworks_fakes::Model;
-use kelpworks_fakes::StandIns;
-use kelpworks_wire::HostState;
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::stats;
@@ -23,6 +15,14 @@
 use crate::support::Result;
 use crate::support::client::Call;
 use crate::table::Table;
+use kelpworks::daemon;
+use kelpworks::daemon::Daemon;
+use kelpworks_fakes::Connections;
+use kelpworks_fakes::Engine;
+use kelpworks_fakes::FleetConfig;
+use kelpworks_fakes::Model;
+use kelpworks_fakes::StandIns;
+use kelpworks_wire::HostState;
 
 const MODEL: &str = "caption";
 const LAYERS: u32 = 12;
--- a/crates/kelpworks/examples/measure/share.rs
+++ b/crates/kelpworks/examples/measure/share.rs
@@ -2,6 +2,14 @@
 
 use std::time::Duration;
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::net::Net;
+use crate::net::NetConfig;
+use crate::stats::min_median_max;
+use crate::table::Table;
 use kelpworks::admission;
 use kelpworks::admission::Ask;
 use kelpworks::admission::Event;
@@ -11,14 +19,6 @@
 use kelpworks::membership::share::Demand;
 use kelpworks::membership::share::part;
 use kelpworks_wire::Class;
-use rand::RngExt;
-use rand::SeedableRng;
-use rand::rngs::StdRng;
-
-use crate::net::Net;
-use crate::net::NetConfig;
-use crate::stats::min_median_max;
-use crate::table::Table;
 
 const SEEDS: std::ops::Range<u64> = 1..8;
 const DAEMONS: usize = 7;
--- a/crates/kelpworks/examples/measure/spread.rs
+++ b/crates/kelpworks/examples/measure/spread.rs
@@ -4,6 +4,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::net::Net;
+use crate::net::NetConfig;
+use crate::stats::min_median_max;
+use crate::support;
+use crate::support::ExampleTeam;
+use crate::table::Table;
 use kelpworks::config::head::BLOB_KIND;
 use kelpworks::config::head::Generation;
 use kelpworks::config::head::HEAD_KIND;
@@ -21,13 +27,6 @@
 use kelpworks_fakes::Model;
 use kelpworks_fakes::StandIns;
 
-use crate::net::Net;
-use crate::net::NetConfig;
-use crate::stats::min_median_max;
-use crate::support;
-use crate::support::ExampleTeam;
-use crate::table::Table;
-
 const SEEDS: std::ops::Range<u64> = 1..6;
 /// Time for daemons to get to know each other.
 const WARM_UP_MS: u64 = 5_000;
--- a/crates/kelpworks/examples/measure/throughput.rs
+++ b/crates/kelpworks/examples/measure/throughput.rs
@@ -10,12 +10,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use kelpworks::daemon;
-use kelpworks_fakes::Engine;
-use kelpworks_fakes::EngineConfig;
-use kelpworks_fakes::FleetConfig;
-use kelpworks_fakes::Model;
-use kelpworks_fakes::StandIns;
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::stats;
@@ -24,6 +18,12 @@
 use crate::support::Result;
 use crate::support::client::Call;
 use crate::table::Table;
+use kelpworks::daemon;
+use kelpworks_fakes::Engine;
+use kelpworks_fakes::EngineConfig;
+use kelpworks_fakes::FleetConfig;
+use kelpworks_fakes::Model;
+use kelpworks_fakes::StandIns;
 
 const LAYERS: u32 = 24;
 const STAGES: u32 = 4;
--- a/crates/kelpworks/examples/support/mod.rs
+++ b/crates/kelpworks/examples/support/mod.rs
@@ -5,6 +5,8 @@
 use std::error::Error;
 use std::time::Duration;
 
+use metrics_exporter_prometheus::PrometheusHandle;
+
 use kelpworks::config::head::BLOB_KIND;
 use kelpworks::config::head::Generation;
 use kelpworks::config::head::HEAD_KIND;
@@ -25,7 +27,6 @@
 use kelpworks_fakes::documents::DaemonAddresses;
 use kelpworks_fakes::documents::NonIdempotentCall;
 use kelpworks_fakes::documents::Team;
-use metrics_exporter_prometheus::PrometheusHandle;
 
 pub(crate) mod client;
 
--- a/crates/kelpworks/src/admission/limit.rs
+++ b/crates/kelpworks/src/admission/limit.rs
@@ -9,9 +9,8 @@
 
 use std::time::Duration;
 
-use kelpworks_wire::Class;
-
 use crate::admission::config::Config;
+use kelpworks_wire::Class;
 
 /// Factor by which a limit falls.
 const DECREASE: f64 = 0.9;
--- a/crates/kelpworks/src/admission/mod.rs
+++ b/crates/kelpworks/src/admission/mod.rs
@@ -43,11 +43,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use kelpworks_wire::Class;
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use kelpworks_wire::Class;
+
 pub use crate::admission::config::Config;
 pub use crate::admission::queue::Event;
 pub use crate::admission::queue::Queue;
--- a/crates/kelpworks/src/admission/queue.rs
+++ b/crates/kelpworks/src/admission/queue.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kelpworks_wire::Class;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -22,6 +21,7 @@
 use crate::admission::limit::Demand;
 use crate::admission::limit::Limits;
 use crate::admission::trial::TrialShare;
+use kelpworks_wire::Class;
 
 /// Weight of what came before in the smoothed speed of a slot.
 const SPEED_MEMORY: f64 = 0.95;
--- a/crates/kelpworks/src/admission/tests.rs
+++ b/crates/kelpworks/src/admission/tests.rs
@@ -4,7 +4,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use kelpworks_wire::Class;
+use Class::Paying;
+use Class::Trial;
 use proptest::prelude::*;
 use rstest::rstest;
 use tokio::time::Instant;
@@ -19,9 +20,7 @@
 use crate::admission::fair::FairQueue;
 use crate::admission::limit::Demand;
 use crate::admission::limit::Limits;
-
-use Class::Paying;
-use Class::Trial;
+use kelpworks_wire::Class;
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
--- a/crates/kelpworks/src/border/engine.rs
+++ b/crates/kelpworks/src/border/engine.rs
@@ -20,6 +20,7 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+use crate::verdict::Verdict;
 use kelpworks_wire::CancelRequest;
 use kelpworks_wire::EngineOrder;
 use kelpworks_wire::EngineState;
@@ -27,8 +28,6 @@
 use kelpworks_wire::StepBatch;
 use kelpworks_wire::StepBatchReply;
 
-use crate::verdict::Verdict;
-
 /// The result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
 
--- a/crates/kelpworks/src/claims/drive.rs
+++ b/crates/kelpworks/src/claims/drive.rs
@@ -6,22 +6,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use kelpworks_coord::claim::Action;
-use kelpworks_coord::claim::Answer;
-use kelpworks_coord::claim::ApiReply;
-use kelpworks_coord::claim::Claim;
-use kelpworks_coord::claim::Event;
-use kelpworks_coord::claim::NotRun;
-use kelpworks_coord::claim::PeerStatus;
-use kelpworks_coord::claim::Phase;
-use kelpworks_coord::claim::Record;
-use kelpworks_coord::claim::Request;
-use kelpworks_coord::claim::Run;
-use kelpworks_coord::claim::Stored;
-use kelpworks_coord::id::Nonce;
-use kelpworks_coord::id::Version;
-use kelpworks_coord::time::Instant;
-use kelpworks_wire::Object;
 use log::info;
 use tokio::sync::oneshot;
 
@@ -41,6 +25,22 @@
 use crate::claims::WRITES_A_CLAIM;
 use crate::claims::lock;
 use crate::verdict::Verdict;
+use kelpworks_coord::claim::Action;
+use kelpworks_coord::claim::Answer;
+use kelpworks_coord::claim::ApiReply;
+use kelpworks_coord::claim::Claim;
+use kelpworks_coord::claim::Event;
+use kelpworks_coord::claim::NotRun;
+use kelpworks_coord::claim::PeerStatus;
+use kelpworks_coord::claim::Phase;
+use kelpworks_coord::claim::Record;
+use kelpworks_coord::claim::Request;
+use kelpworks_coord::claim::Run;
+use kelpworks_coord::claim::Stored;
+use kelpworks_coord::id::Nonce;
+use kelpworks_coord::id::Version;
+use kelpworks_coord::time::Instant;
+use kelpworks_wire::Object;
 
 /// First pause between two looks at a claim; it doubles up to [`LONGEST_PAUSE`] once the caller
 /// has its answer, so that many unsettled claims don't meet the object API at once when it is back.
--- a/crates/kelpworks/src/claims/mod.rs
+++ b/crates/kelpworks/src/claims/mod.rs
@@ -47,6 +47,14 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use thiserror::Error;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
+
+use crate::border::object_api::ObjectApi;
+use crate::claims::drive::Drive;
+use crate::verdict::Verdict;
 use kelpworks_coord::budget;
 use kelpworks_coord::budget::Purpose;
 use kelpworks_coord::budget::WriteBudget;
@@ -58,14 +66,6 @@
 use kelpworks_coord::id::Nonce;
 use kelpworks_coord::time;
 use kelpworks_coord::time::Span;
-use thiserror::Error;
-use tokio::sync::oneshot;
-use tokio::time::Instant;
-use tokio_util::task::TaskTracker;
-
-use crate::border::object_api::ObjectApi;
-use crate::claims::drive::Drive;
-use crate::verdict::Verdict;
 
 pub use crate::claims::key::ClaimKey;
 pub use crate::claims::key::Error as KeyError;
--- a/crates/kelpworks/src/claims/record.rs
+++ b/crates/kelpworks/src/claims/record.rs
@@ -1,10 +1,11 @@
 //! Answers as claims record them.
 
 use bytes::Bytes;
-use kelpworks_coord::claim::Outcome;
 use serde::Deserialize;
 use serde::Serialize;
 
+use kelpworks_coord::claim::Outcome;
+
 /// A header of an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/kelpworks/src/config/document.rs
+++ b/crates/kelpworks/src/config/document.rs
@@ -29,7 +29,8 @@
 pub const MAX_NAME: usize = 128;
 
 /// A fault in a configuration file.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[error("{file}{}: {}{kind}", LineSuffix(*line), KeyPrefix(key))]
 pub struct Error {
     /// Name of the file.
@@ -67,7 +68,8 @@
 }
 
 /// What is wrong with a configuration file.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum Kind {
     /// The file cannot be read.
--- a/crates/kelpworks/src/daemon/follow.rs
+++ b/crates/kelpworks/src/daemon/follow.rs
@@ -4,9 +4,6 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use kelpworks_coord::head;
-use kelpworks_coord::head::FollowerAction;
-use kelpworks_coord::head::FollowerEvent;
 use log::info;
 use log::warn;
 use thiserror::Error;
@@ -27,6 +24,9 @@
 use crate::membership::SeenHead;
 use crate::register::Register;
 use crate::rules::Rules;
+use kelpworks_coord::head;
+use kelpworks_coord::head::FollowerAction;
+use kelpworks_coord::head::FollowerEvent;
 
 /// The result of this module.
 type Result<T> = std::result::Result<T, Error>;
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -26,9 +26,6 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use kelpworks_coord::id::NodeId;
-use kelpworks_wire::OutputForm;
-
 use crate::admission;
 use crate::admission::Admission;
 use crate::border::engine::HttpEngine;
@@ -64,6 +61,8 @@
 use crate::settings::Settings;
 use crate::upstreams::Keeper;
 use crate::upstreams::KeeperConfig;
+use kelpworks_coord::id::NodeId;
+use kelpworks_wire::OutputForm;
 
 /// The result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -79,7 +78,8 @@
 const DRAIN_POLLS: u32 = 4;
 
 /// Why a daemon could not start.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum Error {
     /// An address could not be listened on.
--- a/crates/kelpworks/src/entry/completions.rs
+++ b/crates/kelpworks/src/entry/completions.rs
@@ -25,9 +25,6 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
-use kelpworks_wire::FinishReason;
-use kelpworks_wire::Usage;
-
 use crate::admission::Ask;
 use crate::admission::Permit;
 use crate::claims::ClaimKey;
@@ -46,6 +43,8 @@
 use crate::pipeline::tokens;
 use crate::quarantine::fingerprint;
 use crate::verdict::Verdict;
+use kelpworks_wire::FinishReason;
+use kelpworks_wire::Usage;
 
 /// The result of this module.
 type Result<T> = std::result::Result<T, Failure>;
--- a/crates/kelpworks/src/entry/once.rs
+++ b/crates/kelpworks/src/entry/once.rs
@@ -11,8 +11,6 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-use kelpworks_wire::FinishReason;
-
 use crate::admission::Permit;
 use crate::claims;
 use crate::claims::ClaimKey;
@@ -29,6 +27,7 @@
 use crate::pipeline::Job;
 use crate::pipeline::Outcome;
 use crate::verdict::Verdict;
+use kelpworks_wire::FinishReason;
 
 /// Header of an answer that an earlier submission of the key got first.
 const REPLAYED: &str = "kelpworks-replayed";
--- a/crates/kelpworks/src/entry/reply.rs
+++ b/crates/kelpworks/src/entry/reply.rs
@@ -8,13 +8,12 @@
 use salvo::http::header::CONTENT_TYPE;
 use salvo::http::header::RETRY_AFTER;
 
-use kelpworks_wire::ErrorBody;
-use kelpworks_wire::ErrorDetail;
-
 use crate::admission::Refusal;
 use crate::pipeline::Ending;
 use crate::quarantine;
 use crate::verdict::Verdict;
+use kelpworks_wire::ErrorBody;
+use kelpworks_wire::ErrorDetail;
 
 /// Header with the request id.
 pub(crate) const REQUEST_ID: &str = "kelpworks-request-id";
--- a/crates/kelpworks/src/entry/shape.rs
+++ b/crates/kelpworks/src/entry/shape.rs
@@ -3,6 +3,7 @@
 use salvo::http::StatusCode;
 use serde::Serialize;
 
+use crate::entry::reply::Failure;
 use kelpworks_wire::ChatChoice;
 use kelpworks_wire::ChatChunk;
 use kelpworks_wire::ChatChunkChoice;
@@ -16,8 +17,6 @@
 use kelpworks_wire::FinishReason;
 use kelpworks_wire::Usage;
 
-use crate::entry::reply::Failure;
-
 /// Tokens generated where the caller sets no bound.
 const DEFAULT_MAX_TOKENS: u32 = 16;
 /// Role of an answer in a chat.
--- a/crates/kelpworks/src/executor/degraded.rs
+++ b/crates/kelpworks/src/executor/degraded.rs
@@ -9,11 +9,10 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use kelpworks_wire::LayerRange;
-
 use crate::fleet::Fleet;
 use crate::fleet::ModelKey;
 use crate::fleet::Upstream;
+use kelpworks_wire::LayerRange;
 
 /// Times slower than its peers from which a host counts as degraded, and below which it no longer
 /// does.
--- a/crates/kelpworks/src/executor/gate.rs
+++ b/crates/kelpworks/src/executor/gate.rs
@@ -8,22 +8,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kelpworks_coord::lease::Token;
-use kelpworks_coord::repair::Repair;
-use kelpworks_coord::time;
-use kelpworks_coord::time::Span;
 use tokio::time::Instant;
 
-use kelpworks_wire::EngineState;
-use kelpworks_wire::LoadedRange;
-use kelpworks_wire::OrderAction;
-
 use crate::placement::Action;
 use crate::placement::Drain;
 use crate::placement::HostKey;
 use crate::placement::Input;
 use crate::placement::OrderReason;
 use crate::placement::OrderStep;
+use kelpworks_coord::lease::Token;
+use kelpworks_coord::repair::Repair;
+use kelpworks_coord::time;
+use kelpworks_coord::time::Span;
+use kelpworks_wire::EngineState;
+use kelpworks_wire::LoadedRange;
+use kelpworks_wire::OrderAction;
 
 /// Loads run ahead of the weight store by no more than it delivers in this time, so that the first
 /// replicas come first; but always one.
--- a/crates/kelpworks/src/executor/hold.rs
+++ b/crates/kelpworks/src/executor/hold.rs
@@ -7,6 +7,14 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use log::info;
+use log::warn;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::border::object_api::Condition;
+use crate::border::object_api::Error;
+use crate::border::object_api::ObjectApi;
 use kelpworks_coord::id::Version;
 use kelpworks_coord::lease;
 use kelpworks_coord::lease::Action;
@@ -18,17 +26,8 @@
 use kelpworks_coord::lease::Stored;
 use kelpworks_coord::lease::Token;
 use kelpworks_coord::time;
-use log::info;
-use log::warn;
-use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
-
 use kelpworks_wire::Object;
 
-use crate::border::object_api::Condition;
-use crate::border::object_api::Error;
-use crate::border::object_api::ObjectApi;
-
 /// Kind of the lease objects.
 pub const LEASE_KIND: &str = "kelpworks.lease";
 /// Name of the lease on placement; it also goes with each order.
--- a/crates/kelpworks/src/executor/mod.rs
+++ b/crates/kelpworks/src/executor/mod.rs
@@ -51,11 +51,6 @@
 use std::time::UNIX_EPOCH;
 
 use arc_swap::ArcSwap;
-use kelpworks_coord::id::Incarnation;
-use kelpworks_coord::id::NodeId;
-use kelpworks_coord::lease;
-use kelpworks_coord::lease::Owner;
-use kelpworks_coord::time::Span;
 use tokio_util::sync::CancellationToken;
 
 use crate::border::engine::Engine;
@@ -65,6 +60,11 @@
 use crate::fleet::Fleet;
 use crate::in_force::InForce;
 use crate::units::Rate;
+use kelpworks_coord::id::Incarnation;
+use kelpworks_coord::id::NodeId;
+use kelpworks_coord::lease;
+use kelpworks_coord::lease::Owner;
+use kelpworks_coord::time::Span;
 
 pub use hold::Hold;
 pub use hold::LEASE_KIND;
--- a/crates/kelpworks/src/executor/round.rs
+++ b/crates/kelpworks/src/executor/round.rs
@@ -7,17 +7,10 @@
 use arc_swap::ArcSwap;
 use futures_util::StreamExt;
 use futures_util::stream;
-use kelpworks_coord::lease::Token;
 use log::info;
 use log::warn;
 use tokio::time::Instant;
 
-use kelpworks_wire::EngineOrder;
-use kelpworks_wire::Fence;
-use kelpworks_wire::LoadedRange;
-use kelpworks_wire::OrderAction;
-use kelpworks_wire::OrderReply;
-
 use super::Config;
 use super::degraded::Degraded;
 use super::gate::Due;
@@ -42,6 +35,12 @@
 use crate::placement::OrderStep;
 use crate::placement::Plan;
 use crate::placement::orders;
+use kelpworks_coord::lease::Token;
+use kelpworks_wire::EngineOrder;
+use kelpworks_wire::Fence;
+use kelpworks_wire::LoadedRange;
+use kelpworks_wire::OrderAction;
+use kelpworks_wire::OrderReply;
 
 /// Engines asked or ordered at the same time, at most.
 const CONCURRENCY: usize = 32;
--- a/crates/kelpworks/src/executor/tests.rs
+++ b/crates/kelpworks/src/executor/tests.rs
@@ -4,13 +4,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use kelpworks_coord::lease::Token;
-use kelpworks_coord::time;
-use kelpworks_coord::time::Span;
-use kelpworks_wire::EngineLoad;
-use kelpworks_wire::EngineState;
-use kelpworks_wire::LayerRange;
-use kelpworks_wire::LoadedRange;
 use rstest::rstest;
 use tokio::time::Instant;
 
@@ -34,6 +27,13 @@
 use crate::placement::plan;
 use crate::units::Rate;
 use crate::units::Size;
+use kelpworks_coord::lease::Token;
+use kelpworks_coord::time;
+use kelpworks_coord::time::Span;
+use kelpworks_wire::EngineLoad;
+use kelpworks_wire::EngineState;
+use kelpworks_wire::LayerRange;
+use kelpworks_wire::LoadedRange;
 
 const GB: u64 = 1_000_000_000;
 const IMPROVE_AFTER: Duration = Duration::from_secs(60);
--- a/crates/kelpworks/src/fleet.rs
+++ b/crates/kelpworks/src/fleet.rs
@@ -9,13 +9,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use kelpworks_wire::EngineLoad;
-use kelpworks_wire::LayerRange;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
 use crate::retry::StepDeadline;
 use crate::routing::Index;
+use kelpworks_wire::EngineLoad;
+use kelpworks_wire::LayerRange;
 
 new_key_type! {
     /// Key of an upstream in the arena of a [`Fleet`]; stays the same from snapshot to snapshot.
--- a/crates/kelpworks/src/in_force.rs
+++ b/crates/kelpworks/src/in_force.rs
@@ -5,12 +5,11 @@
 use sha2::Digest;
 use sha2::Sha256;
 
-use kelpworks_wire::Class;
-
 use crate::register::Register;
 use crate::rules::NonIdempotent;
 use crate::rules::Rules;
 use crate::rules::path;
+use kelpworks_wire::Class;
 
 /// Index of a team in the rules in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/kelpworks/src/membership/claim_status.rs
+++ b/crates/kelpworks/src/membership/claim_status.rs
@@ -4,6 +4,15 @@
 use std::sync::Weak;
 use std::time::Duration;
 
+use log::debug;
+use tokio_util::sync::CancellationToken;
+
+use super::Peers;
+use super::links::Client;
+use super::rpc::PeerApiClient;
+use crate::border::object_api::HttpObjectApi;
+use crate::claims;
+use crate::claims::Claims;
 use kelpworks_coord::claim::Outcome;
 use kelpworks_coord::claim::PeerStatus;
 use kelpworks_coord::id::Incarnation;
@@ -14,15 +23,6 @@
 use kelpworks_wire::ClaimState;
 use kelpworks_wire::ClaimStatusReply;
 use kelpworks_wire::ClaimStatusRequest;
-use log::debug;
-use tokio_util::sync::CancellationToken;
-
-use super::Peers;
-use super::links::Client;
-use super::rpc::PeerApiClient;
-use crate::border::object_api::HttpObjectApi;
-use crate::claims;
-use crate::claims::Claims;
 
 /// The claims of a daemon among peers.
 pub(crate) type PeerClaims = Claims<HttpObjectApi, Peers>;
--- a/crates/kelpworks/src/membership/directory.rs
+++ b/crates/kelpworks/src/membership/directory.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kelpworks_wire::MemberContact;
 use log::info;
 use log::warn;
 use rand::RngExt;
@@ -17,6 +16,7 @@
 use crate::border::object_api;
 use crate::border::object_api::Condition;
 use crate::border::object_api::ObjectApi;
+use kelpworks_wire::MemberContact;
 
 /// Kind of the objects that say where daemons are reached; each is named after its daemon.
 pub(crate) const MEMBER_KIND: &str = "kelpworks.member";
--- a/crates/kelpworks/src/membership/methods.rs
+++ b/crates/kelpworks/src/membership/methods.rs
@@ -7,6 +7,10 @@
 use jsonrpsee::core::async_trait;
 use jsonrpsee::types::ErrorObject;
 use jsonrpsee::types::error::INTERNAL_ERROR_CODE;
+
+use super::Peers;
+use super::contract::Answer;
+use super::rpc::PeerApiServer;
 use kelpworks_wire::ClaimStatusReply;
 use kelpworks_wire::ClaimStatusRequest;
 use kelpworks_wire::ConfigHead;
@@ -17,10 +21,6 @@
 use kelpworks_wire::ProbeReply;
 use kelpworks_wire::ProbeRequest;
 
-use super::Peers;
-use super::contract::Answer;
-use super::rpc::PeerApiServer;
-
 /// The server's side; answers with errors until [`Methods::serve`].
 #[derive(Clone, Debug, Default)]
 pub(super) struct Methods {
--- a/crates/kelpworks/src/membership/node.rs
+++ b/crates/kelpworks/src/membership/node.rs
@@ -4,6 +4,16 @@
 mod digests;
 mod push;
 
+use super::allowance::Allowance;
+use super::book::Book;
+use super::book::Known;
+use super::contract::Action;
+use super::contract::Answer;
+use super::contract::Config;
+use super::convert;
+use crate::status::Member;
+use crate::status::MemberState;
+use digests::Settled;
 use kelpworks_coord::facts;
 use kelpworks_coord::facts::Fact;
 use kelpworks_coord::facts::Facts;
@@ -26,18 +36,6 @@
 use kelpworks_wire::PeerMessage;
 use kelpworks_wire::PeerState;
 
-use super::allowance::Allowance;
-use super::book::Book;
-use super::book::Known;
-use super::contract::Action;
-use super::contract::Answer;
-use super::contract::Config;
-use super::convert;
-use crate::status::Member;
-use crate::status::MemberState;
-
-use digests::Settled;
-
 /// Duty under which the watchers of the head are chosen.
 const WATCH_DUTY: &str = "kelpworks.head";
 /// Largest size of each piece of news in JSON, for byte budgets.
--- a/crates/kelpworks/src/membership/node/digests.rs
+++ b/crates/kelpworks/src/membership/node/digests.rs
@@ -1,14 +1,14 @@
 //! Digests of what daemons hold: where two differ for long, one asks the other for all.
 
+use xxhash_rust::xxh3::Xxh3;
+
+use super::Node;
+use crate::membership::contract::Action;
 use kelpworks_coord::id::NodeId;
 use kelpworks_coord::membership::Health;
 use kelpworks_coord::time::Instant;
 use kelpworks_coord::time::Span;
 use kelpworks_wire::PeerMessage;
-use xxhash_rust::xxh3::Xxh3;
-
-use super::Node;
-use crate::membership::contract::Action;
 
 /// Least time between two computations of the digests.
 const DIGESTS_EVERY: Span = Span::from_millis(500);
--- a/crates/kelpworks/src/membership/node/push.rs
+++ b/crates/kelpworks/src/membership/node/push.rs
@@ -2,13 +2,12 @@
 
 use std::collections::BTreeSet;
 
-use kelpworks_coord::facts::Fact;
-use kelpworks_coord::facts::Key;
-use kelpworks_coord::time::Instant;
-
 use super::Node;
 use crate::membership::contract::Action;
 use crate::membership::convert;
+use kelpworks_coord::facts::Fact;
+use kelpworks_coord::facts::Key;
+use kelpworks_coord::time::Instant;
 
 impl Node {
     /// Heartbeats that carry these facts, as they are held now, to all live peers.
--- a/crates/kelpworks/src/membership/peers/bounds.rs
+++ b/crates/kelpworks/src/membership/peers/bounds.rs
@@ -5,11 +5,11 @@
 use std::time::UNIX_EPOCH;
 
 use jsonrpsee::server::ServerConfig;
-use kelpworks_coord::membership;
-use kelpworks_coord::time::Span;
 
 use crate::membership::contract::Config;
 use crate::membership::links;
+use kelpworks_coord::membership;
+use kelpworks_coord::time::Span;
 
 /// Connections from peers, at most: several times the daemons of the largest fleet.
 const MAX_CONNECTIONS: u32 = 2_048;
--- a/crates/kelpworks/src/membership/request_facts.rs
+++ b/crates/kelpworks/src/membership/request_facts.rs
@@ -10,13 +10,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kelpworks_coord::facts;
-use kelpworks_coord::facts::Key;
-use kelpworks_coord::facts::Kind;
-use kelpworks_coord::facts::Stamp;
-use kelpworks_coord::id::NodeId;
-use kelpworks_coord::id::UpstreamId;
-use kelpworks_coord::poison::Fingerprint;
 use tokio::sync::broadcast;
 use tokio::sync::broadcast::error::RecvError;
 use tokio::time::Instant;
@@ -26,6 +19,13 @@
 use crate::quarantine::Fact;
 use crate::quarantine::Quarantine;
 use crate::quarantine::Statement;
+use kelpworks_coord::facts;
+use kelpworks_coord::facts::Key;
+use kelpworks_coord::facts::Kind;
+use kelpworks_coord::facts::Stamp;
+use kelpworks_coord::id::NodeId;
+use kelpworks_coord::id::UpstreamId;
+use kelpworks_coord::poison::Fingerprint;
 
 /// Least time between two pushes: the suspects of one crash are cleared one after another, and
 /// those of a few milliseconds go together.
--- a/crates/kelpworks/src/membership/rpc.rs
+++ b/crates/kelpworks/src/membership/rpc.rs
@@ -2,6 +2,7 @@
 
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
+
 use kelpworks_wire::ClaimStatusReply;
 use kelpworks_wire::ClaimStatusRequest;
 use kelpworks_wire::ConfigHead;
--- a/crates/kelpworks/src/membership/upstream_facts.rs
+++ b/crates/kelpworks/src/membership/upstream_facts.rs
@@ -4,9 +4,6 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use kelpworks_coord::facts::Kind;
-use kelpworks_coord::id::NodeId;
-use kelpworks_coord::id::UpstreamId;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -16,6 +13,9 @@
 use crate::upstreams::PeerWord;
 use crate::upstreams::Report;
 use crate::upstreams::Trouble;
+use kelpworks_coord::facts::Kind;
+use kelpworks_coord::id::NodeId;
+use kelpworks_coord::id::UpstreamId;
 
 /// Life of a fact that is not renewed, so that the word of a daemon that is gone fades.
 const TTL: Duration = Duration::from_secs(30);
--- a/crates/kelpworks/src/pipeline/driver.rs
+++ b/crates/kelpworks/src/pipeline/driver.rs
@@ -12,11 +12,6 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use kelpworks_coord::poison::Fingerprint;
-use kelpworks_wire::Class;
-use kelpworks_wire::FinishReason;
-use kelpworks_wire::OutputForm;
-
 use crate::admission::Permit;
 use crate::border::engine::Engine;
 use crate::fleet::DomainKey;
@@ -33,6 +28,10 @@
 use crate::routing;
 use crate::upstreams::Report;
 use crate::verdict::Verdict;
+use kelpworks_coord::poison::Fingerprint;
+use kelpworks_wire::Class;
+use kelpworks_wire::FinishReason;
+use kelpworks_wire::OutputForm;
 
 /// The result of this module.
 pub(crate) type Result<T> = std::result::Result<T, Ending>;
@@ -59,7 +58,8 @@
 }
 
 /// Why a session ended before its answer was whole.
-#[derive(Clone, Debug, PartialEq, Error)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum Ending {
     /// No path through the stages within the deadline.
--- a/crates/kelpworks/src/pipeline/hop.rs
+++ b/crates/kelpworks/src/pipeline/hop.rs
@@ -2,13 +2,12 @@
 
 use std::sync::Arc;
 
+use crate::fleet::UpstreamKey;
+use crate::routing;
 use kelpworks_wire::HandleRef;
 use kelpworks_wire::LayerRange;
 use kelpworks_wire::StepInput;
 
-use crate::fleet::UpstreamKey;
-use crate::routing;
-
 /// A stage of a running session.
 #[derive(Clone, Debug)]
 pub(crate) struct HopState {
--- a/crates/kelpworks/src/pipeline/recovery.rs
+++ b/crates/kelpworks/src/pipeline/recovery.rs
@@ -7,7 +7,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use kelpworks_wire::RefusalReason;
 use log::info;
 use tokio::time::Instant;
 
@@ -29,6 +28,7 @@
 use crate::routing;
 use crate::upstreams::Report;
 use crate::verdict::Verdict;
+use kelpworks_wire::RefusalReason;
 
 /// Doublings of that wait, at most, when the same upstream fails again and again.
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
--- a/crates/kelpworks/src/pipeline/release.rs
+++ b/crates/kelpworks/src/pipeline/release.rs
@@ -7,12 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kelpworks_wire::CancelRequest;
 use log::debug;
 use log::warn;
 
 use crate::border::engine::Engine;
 use crate::border::engine::Error;
+use kelpworks_wire::CancelRequest;
 
 /// Wait for an engine to take a cancel, or to answer a probe.
 const CANCEL_DEADLINE: Duration = Duration::from_secs(1);
--- a/crates/kelpworks/src/pipeline/session.rs
+++ b/crates/kelpworks/src/pipeline/session.rs
@@ -6,10 +6,6 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use kelpworks_wire::CancelRequest;
-use kelpworks_wire::FinishReason;
-use kelpworks_wire::StepInput;
-
 use crate::admission::Permit;
 use crate::border::engine::Engine;
 use crate::fleet::Health;
@@ -28,6 +24,9 @@
 use crate::quarantine::Wanted;
 use crate::routing::Assignment;
 use crate::verdict::Verdict;
+use kelpworks_wire::CancelRequest;
+use kelpworks_wire::FinishReason;
+use kelpworks_wire::StepInput;
 
 /// Pause until a stage on a leaving upstream that could not move is looked at again.
 const LEAVE_AGAIN: Duration = Duration::from_millis(250);
--- a/crates/kelpworks/src/pipeline/step.rs
+++ b/crates/kelpworks/src/pipeline/step.rs
@@ -9,6 +9,13 @@
 use thiserror::Error;
 use tokio::time::Instant;
 
+use crate::border::engine;
+use crate::border::engine::Engine;
+use crate::fleet::Counters;
+use crate::pipeline::hop::HopState;
+use crate::quarantine;
+use crate::retry::DeadlineConfig;
+use crate::retry::StepDeadline;
 use kelpworks_wire::Class;
 use kelpworks_wire::EngineState;
 use kelpworks_wire::OutputForm;
@@ -20,14 +27,6 @@
 use kelpworks_wire::StepOutcome;
 use kelpworks_wire::StepReply;
 
-use crate::border::engine;
-use crate::border::engine::Engine;
-use crate::fleet::Counters;
-use crate::pipeline::hop::HopState;
-use crate::quarantine;
-use crate::retry::DeadlineConfig;
-use crate::retry::StepDeadline;
-
 /// The result of this module.
 pub(crate) type Result<T> = std::result::Result<T, StepFailure>;
 
@@ -37,7 +36,8 @@
 const SILENT_CEILINGS: u32 = 4;
 
 /// Why a step gave no result.
-#[derive(Clone, Debug, PartialEq, Error)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum StepFailure {
     /// The engine has no capacity; nothing ran.
--- a/crates/kelpworks/src/placement/input.rs
+++ b/crates/kelpworks/src/placement/input.rs
@@ -2,8 +2,6 @@
 
 use std::sync::Arc;
 
-use kelpworks_wire::LayerRange;
-
 use crate::fleet::DomainKey;
 use crate::fleet::LinkCost;
 use crate::fleet::ModelKey;
@@ -12,6 +10,7 @@
 use crate::register::Register;
 use crate::units::Rate;
 use crate::units::Size;
+use kelpworks_wire::LayerRange;
 
 /// Part of a host's memory that weights may not take: it is left to the KV cache.
 pub const KV_HEADROOM: f64 = 0.2;
--- a/crates/kelpworks/src/placement/orders.rs
+++ b/crates/kelpworks/src/placement/orders.rs
@@ -12,14 +12,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kelpworks_wire::LayerRange;
-
 use super::input::HeldRange;
 use super::input::HostKey;
 use super::input::Input;
 use super::plan::Plan;
 use super::plan::covers;
 use crate::fleet::ModelKey;
+use kelpworks_wire::LayerRange;
 
 /// Replicas of a layer that stay while others are exchanged, as a divisor of those that the plan
 /// gives it: half of them, rounded up.
--- a/crates/kelpworks/src/placement/plan.rs
+++ b/crates/kelpworks/src/placement/plan.rs
@@ -3,13 +3,12 @@
 use std::fmt;
 use std::sync::Arc;
 
-use kelpworks_wire::LayerRange;
-
 use super::input::HeldRange;
 use super::input::HostKey;
 use super::input::Input;
 use crate::fleet::DomainKey;
 use crate::fleet::ModelKey;
+use kelpworks_wire::LayerRange;
 
 /// A stage of a model: a range of its layers and the hosts that hold it.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/kelpworks/src/placement/planner.rs
+++ b/crates/kelpworks/src/placement/planner.rs
@@ -1,7 +1,5 @@
 //! The full plan: tries cuts, balances hosts over them, then prefers fewer moves and short links.
 
-use kelpworks_wire::LayerRange;
-
 use super::cuts;
 use super::input::HostKey;
 use super::input::Input;
@@ -18,6 +16,7 @@
 use super::state::View;
 use super::today;
 use crate::fleet::ModelKey;
+use kelpworks_wire::LayerRange;
 
 /// Share of the bound at which the search for cuts ends.
 const GOOD_ENOUGH: f64 = 0.985;
--- a/crates/kelpworks/src/placement/tests.rs
+++ b/crates/kelpworks/src/placement/tests.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use insta::assert_snapshot;
-use kelpworks_wire::LayerRange;
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -25,6 +24,7 @@
 use crate::units::Rate;
 use crate::units::Size;
 use crate::units::Span;
+use kelpworks_wire::LayerRange;
 
 mod changes;
 mod invariants;
--- a/crates/kelpworks/src/placement/today.rs
+++ b/crates/kelpworks/src/placement/today.rs
@@ -1,13 +1,12 @@
 //! Keeps to what hosts hold today, so that few layers have to be loaded.
 
-use kelpworks_wire::LayerRange;
-
 use super::input::HostKey;
 use super::input::Input;
 use super::plan::covers;
 use super::state::Cuts;
 use super::state::State;
 use super::state::View;
+use kelpworks_wire::LayerRange;
 
 /// The state that today's holdings amount to: for each model the ranges that tile its layers, of
 /// whatever version, with their holders. `None` when some model's holdings tile no such cuts.
--- a/crates/kelpworks/src/quarantine/mod.rs
+++ b/crates/kelpworks/src/quarantine/mod.rs
@@ -50,13 +50,12 @@
 use tokio::sync::broadcast;
 use tokio::time::Instant;
 
+use crate::fleet::UpstreamKey;
+use crate::quarantine::state::State;
 use kelpworks_coord::id::NodeId;
 use kelpworks_coord::poison::Fingerprint;
 use kelpworks_coord::time;
 
-use crate::fleet::UpstreamKey;
-use crate::quarantine::state::State;
-
 pub use fact::Fact;
 pub use fact::Statement;
 pub use turn::Turn;
--- a/crates/kelpworks/src/quarantine/state.rs
+++ b/crates/kelpworks/src/quarantine/state.rs
@@ -4,16 +4,6 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use kelpworks_coord::id::NodeId;
-use kelpworks_coord::id::UpstreamId;
-use kelpworks_coord::poison::Action;
-use kelpworks_coord::poison::Admit;
-use kelpworks_coord::poison::Config as PoisonConfig;
-use kelpworks_coord::poison::Event;
-use kelpworks_coord::poison::Fingerprint;
-use kelpworks_coord::poison::Poison;
-use kelpworks_coord::time::Instant;
-use kelpworks_coord::time::Span;
 use slotmap::SecondaryMap;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
@@ -26,6 +16,16 @@
 use crate::quarantine::Result;
 use crate::quarantine::Statement;
 use crate::quarantine::Wanted;
+use kelpworks_coord::id::NodeId;
+use kelpworks_coord::id::UpstreamId;
+use kelpworks_coord::poison::Action;
+use kelpworks_coord::poison::Admit;
+use kelpworks_coord::poison::Config as PoisonConfig;
+use kelpworks_coord::poison::Event;
+use kelpworks_coord::poison::Fingerprint;
+use kelpworks_coord::poison::Poison;
+use kelpworks_coord::time::Instant;
+use kelpworks_coord::time::Span;
 
 /// When to ask again for a request that another daemon is about to clear or refuse.
 const SOON: Duration = Duration::from_secs(1);
--- a/crates/kelpworks/src/quarantine/tests.rs
+++ b/crates/kelpworks/src/quarantine/tests.rs
@@ -3,12 +3,8 @@
 use std::fmt::Write;
 use std::time::Duration;
 
+use Op::*;
 use insta::assert_snapshot;
-use kelpworks_coord::id::NodeId;
-use kelpworks_coord::id::UpstreamId;
-use kelpworks_coord::poison::Fingerprint;
-use kelpworks_coord::time::Instant;
-use kelpworks_coord::time::Span;
 use rstest::rstest;
 use slotmap::SlotMap;
 
@@ -21,8 +17,11 @@
 use crate::quarantine::state::Begin;
 use crate::quarantine::state::State;
 use crate::quarantine::state::StepKey;
-
-use Op::*;
+use kelpworks_coord::id::NodeId;
+use kelpworks_coord::id::UpstreamId;
+use kelpworks_coord::poison::Fingerprint;
+use kelpworks_coord::time::Instant;
+use kelpworks_coord::time::Span;
 
 /// The daemon under test; others come before or after it.
 const ME: NodeId = NodeId(5);
--- a/crates/kelpworks/src/quarantine/turn.rs
+++ b/crates/kelpworks/src/quarantine/turn.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
-use kelpworks_coord::poison::Fingerprint;
-
 use crate::fleet::UpstreamKey;
 use crate::quarantine::Quarantine;
 use crate::quarantine::Result;
 use crate::quarantine::state::Begin;
 use crate::quarantine::state::StepKey;
+use kelpworks_coord::poison::Fingerprint;
 
 /// Longest wait before a turn is asked for again: some waits end by time alone.
 const ASK_AGAIN: Duration = Duration::from_millis(50);
--- a/crates/kelpworks/src/register/file.rs
+++ b/crates/kelpworks/src/register/file.rs
@@ -10,7 +10,8 @@
 use crate::units::Span;
 
 /// The file.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct RegisterFile {
     #[serde(default)]
@@ -24,7 +25,8 @@
 }
 
 /// One `[[accelerator]]`.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct AcceleratorTable {
     pub(super) name: Spanned<String>,
@@ -33,7 +35,8 @@
 }
 
 /// One `[[failure_domain]]`.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct DomainTable {
     pub(super) name: Spanned<String>,
@@ -41,7 +44,8 @@
 }
 
 /// One `[[model]]`.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct ModelTable {
     pub(super) name: Spanned<String>,
@@ -51,7 +55,8 @@
 }
 
 /// One `[[host]]`: with `service` a plain service, otherwise a model engine.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct HostTable {
     pub(super) name: Spanned<String>,
@@ -65,7 +70,8 @@
 }
 
 /// One `[[link]]`.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct LinkTable {
     pub(super) from: Spanned<String>,
--- a/crates/kelpworks/src/routing/mod.rs
+++ b/crates/kelpworks/src/routing/mod.rs
@@ -29,11 +29,12 @@
 #[cfg(test)]
 mod tests;
 
-use kelpworks_wire::Class;
-use kelpworks_wire::LayerRange;
 use rand::Rng;
 use thiserror::Error;
 
+use kelpworks_wire::Class;
+use kelpworks_wire::LayerRange;
+
 pub use crate::routing::assignment::Assignment;
 pub use crate::routing::explain::Explanation;
 pub use crate::routing::explain::HopReason;
@@ -54,7 +55,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Why there is no path.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum Error {
     /// No live upstream holds this layer.
--- a/crates/kelpworks/src/routing/search.rs
+++ b/crates/kelpworks/src/routing/search.rs
@@ -5,7 +5,6 @@
 //! is enough. Ends of holdings and starts of others are the only cuts worth a change of upstream:
 //! the cost of a range grows linearly with its layers.
 
-use kelpworks_wire::LayerRange;
 use rand::Rng;
 
 use crate::fleet::DomainKey;
@@ -22,6 +21,7 @@
 use crate::routing::index::Candidate;
 use crate::routing::index::Segment;
 use crate::routing::index::VersionIndex;
+use kelpworks_wire::LayerRange;
 
 /// Candidates drawn for each cut and failure domain. Two is enough to keep the longest queue
 /// short and few enough that daemons with the same lagged reports do not all take the same
--- a/crates/kelpworks/src/routing/tests.rs
+++ b/crates/kelpworks/src/routing/tests.rs
@@ -4,8 +4,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use kelpworks_wire::Class;
-use kelpworks_wire::LayerRange;
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -31,6 +29,8 @@
 use crate::routing::choose_path;
 use crate::routing::choose_path_cached;
 use crate::routing::choose_service;
+use kelpworks_wire::Class;
+use kelpworks_wire::LayerRange;
 
 const LAYERS: u32 = 12;
 
--- a/crates/kelpworks/src/rules/file.rs
+++ b/crates/kelpworks/src/rules/file.rs
@@ -6,7 +6,8 @@
 use kelpworks_wire::Class;
 
 /// The file.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct RulesFile {
     pub(super) trial: TrialTable,
@@ -17,14 +18,16 @@
 }
 
 /// `[trial]`.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct TrialTable {
     pub(super) share: Spanned<f64>,
 }
 
 /// One `[[team]]`.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct TeamTable {
     pub(super) name: Spanned<String>,
@@ -37,7 +40,8 @@
 }
 
 /// One `[[non_idempotent]]`.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct NonIdempotentTable {
     pub(super) service: Option<Spanned<String>>,
--- a/crates/kelpworks/src/settings/file.rs
+++ b/crates/kelpworks/src/settings/file.rs
@@ -11,7 +11,8 @@
 use crate::units::Span;
 
 /// The file.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct SettingsFile {
     pub(super) name: Spanned<String>,
@@ -29,7 +30,8 @@
 }
 
 /// `[listen]`.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct ListenTable {
     pub(super) callers: Spanned<SocketAddr>,
@@ -38,7 +40,8 @@
 }
 
 /// `[platform]`.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct PlatformTable {
     pub(super) object_api: Spanned<String>,
@@ -46,7 +49,8 @@
 }
 
 /// Log levels, named as operators write them.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub(super) enum LogLevel {
     Error,
@@ -71,14 +75,16 @@
 }
 
 /// `[log]`.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub(super) struct LogTable {
     pub(super) level: LogLevel,
 }
 
 /// `[limits]`.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub(super) struct LimitsTable {
     pub(super) body: Spanned<Size>,
@@ -101,7 +107,8 @@
 }
 
 /// `[timing]`.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub(super) struct TimingTable {
     pub(super) request: Spanned<Span>,
@@ -134,7 +141,8 @@
 }
 
 /// `[placement]`.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub(super) struct PlacementTable {
     pub(super) enabled: bool,
--- a/crates/kelpworks/src/status.rs
+++ b/crates/kelpworks/src/status.rs
@@ -27,7 +27,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Why there is no status.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum Error {
     /// No daemon answers there.
@@ -45,7 +46,8 @@
 }
 
 /// The fleet of daemons as one of them sees it.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct Status {
     /// Name of the daemon that answers.
     pub daemon: String,
@@ -56,7 +58,8 @@
 }
 
 /// Another daemon.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct Member {
     /// Its name.
     pub name: String,
@@ -67,7 +70,8 @@
 }
 
 /// Whether a daemon is alive, as another sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum MemberState {
     /// It answers.
--- a/crates/kelpworks/src/units.rs
+++ b/crates/kelpworks/src/units.rs
@@ -26,7 +26,8 @@
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Why a text is not a quantity.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[non_exhaustive]
 pub enum Error {
     /// Not a whole number followed by a unit.
--- a/crates/kelpworks/src/upstreams/mod.rs
+++ b/crates/kelpworks/src/upstreams/mod.rs
@@ -12,12 +12,11 @@
 
 use std::sync::Arc;
 
+use crate::fleet::UpstreamKey;
 use kelpworks_coord::id::UpstreamId;
 use kelpworks_wire::EngineState;
 use kelpworks_wire::HostState;
 
-use crate::fleet::UpstreamKey;
-
 pub use keeper::Keeper;
 pub use keeper::KeeperConfig;
 
--- a/crates/kelpworks/src/upstreams/view.rs
+++ b/crates/kelpworks/src/upstreams/view.rs
@@ -5,11 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use kelpworks_coord::id::UpstreamId;
-use kelpworks_wire::EngineState;
-use kelpworks_wire::HostState;
-use kelpworks_wire::LoadedRange;
-
 use crate::fleet::DomainKey;
 use crate::fleet::Fleet;
 use crate::fleet::Health;
@@ -26,6 +21,10 @@
 use crate::upstreams::Observation;
 use crate::upstreams::PeerWord;
 use crate::upstreams::Trouble;
+use kelpworks_coord::id::UpstreamId;
+use kelpworks_wire::EngineState;
+use kelpworks_wire::HostState;
+use kelpworks_wire::LoadedRange;
 
 /// Link cost of a pair of failure domains that the register does not list.
 const DEFAULT_LINK: LinkCost = LinkCost {
--- a/crates/kelpworks/tests/caller/mod.rs
+++ b/crates/kelpworks/tests/caller/mod.rs
@@ -4,17 +4,18 @@
 
 use std::time::Duration;
 
-use kelpworks_wire::ChatChunk;
-use kelpworks_wire::ChatResponse;
-use kelpworks_wire::CompletionResponse;
-use kelpworks_wire::ErrorBody;
-use kelpworks_wire::FinishReason;
 use reqwest::Client;
 use reqwest::RequestBuilder;
 use reqwest::Response;
 use reqwest::StatusCode;
 use serde_json::json;
 
+use kelpworks_wire::ChatChunk;
+use kelpworks_wire::ChatResponse;
+use kelpworks_wire::CompletionResponse;
+use kelpworks_wire::ErrorBody;
+use kelpworks_wire::FinishReason;
+
 /// Bound on a whole request; never what a verdict rests on.
 const REQUEST_BOUND: Duration = Duration::from_secs(30);
 /// Header with the request id, which is also the session's name on the engines.
--- a/crates/kelpworks/tests/claims_model.rs
+++ b/crates/kelpworks/tests/claims_model.rs
@@ -3,9 +3,6 @@
 mod claims_support;
 
 use futures_util::StreamExt;
-use kelpworks_fakes::ApiMode;
-use kelpworks_fakes::Fault;
-use kelpworks_fakes::FaultKind;
 use reqwest::RequestBuilder;
 use rstest::rstest;
 use serde_json::Value;
@@ -18,6 +15,9 @@
 use claims_support::send;
 use claims_support::until;
 use claims_support::until_ok;
+use kelpworks_fakes::ApiMode;
+use kelpworks_fakes::Fault;
+use kelpworks_fakes::FaultKind;
 
 const PROMPT: &str = "valve 17";
 const MOST: u32 = 12;
--- a/crates/kelpworks/tests/claims_once.rs
+++ b/crates/kelpworks/tests/claims_once.rs
@@ -3,9 +3,6 @@
 
 mod claims_support;
 
-use kelpworks_fakes::ApiMode;
-use kelpworks_fakes::Fault;
-use kelpworks_fakes::FaultKind;
 use rstest::rstest;
 
 use claims_support::Bench;
@@ -14,6 +11,9 @@
 use claims_support::send;
 use claims_support::until;
 use claims_support::until_ok;
+use kelpworks_fakes::ApiMode;
+use kelpworks_fakes::Fault;
+use kelpworks_fakes::FaultKind;
 
 const MAY_HAVE_RUN: &str = "409 may-have-run";
 
--- a/crates/kelpworks/tests/claims_peers.rs
+++ b/crates/kelpworks/tests/claims_peers.rs
@@ -2,16 +2,15 @@
 
 mod claims_support;
 
-use kelpworks::claims::CLAIM_KIND;
-use kelpworks::status::MemberState;
-use kelpworks_fakes::Fault;
-use kelpworks_fakes::FaultKind;
-
 use claims_support::Bench;
 use claims_support::CLAIMS;
 use claims_support::Got;
 use claims_support::send;
 use claims_support::until;
+use kelpworks::claims::CLAIM_KIND;
+use kelpworks::status::MemberState;
+use kelpworks_fakes::Fault;
+use kelpworks_fakes::FaultKind;
 
 const MAY_HAVE_RUN: &str = "409 may-have-run";
 const HEARTBEAT: &str = "heartbeat = \"100ms\"";
--- a/crates/kelpworks/tests/claims_slice.rs
+++ b/crates/kelpworks/tests/claims_slice.rs
@@ -6,6 +6,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use rstest::rstest;
+use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
+
 use kelpworks::border::object_api::Deadlines;
 use kelpworks::border::object_api::HttpObjectApi;
 use kelpworks::claims::CLAIM_KIND;
@@ -27,9 +31,6 @@
 use kelpworks_fakes::FaultKind;
 use kelpworks_fakes::ObjectApi;
 use kelpworks_fakes::ObjectApiConfig;
-use rstest::rstest;
-use tokio::time::Instant;
-use tokio_util::task::TaskTracker;
 
 type Answer = Result<Kept, Error<&'static str>>;
 
--- a/crates/kelpworks/tests/claims_verdict.rs
+++ b/crates/kelpworks/tests/claims_verdict.rs
@@ -2,10 +2,6 @@
 
 mod claims_support;
 
-use kelpworks_fakes::ApiMode;
-use kelpworks_fakes::Connections;
-use kelpworks_fakes::Fault;
-use kelpworks_fakes::FaultKind;
 use rstest::rstest;
 
 use claims_support::Bench;
@@ -15,6 +11,10 @@
 use claims_support::send;
 use claims_support::until;
 use claims_support::until_ok;
+use kelpworks_fakes::ApiMode;
+use kelpworks_fakes::Connections;
+use kelpworks_fakes::Fault;
+use kelpworks_fakes::FaultKind;
 
 /// The caller's deadline ends a call soon.
 const SHORT: &str = "request = \"400 ms\"";
--- a/crates/kelpworks/tests/contract/answer.rs
+++ b/crates/kelpworks/tests/contract/answer.rs
@@ -2,9 +2,10 @@
 
 use std::fmt::Write;
 
-use kelpworks_wire::ErrorBody;
 use reqwest::Response;
 
+use kelpworks_wire::ErrorBody;
+
 /// Headers that are part of the contract.
 const HEADERS: [&str; 4] = ["allow", "location", "retry-after", "kelpworks-verdict"];
 /// Longest body that is shown.
--- a/crates/kelpworks/tests/contract/mod.rs
+++ b/crates/kelpworks/tests/contract/mod.rs
@@ -9,6 +9,11 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::caller::Caller;
+use crate::support;
 use kelpworks::border::object_api::Deadlines;
 use kelpworks::border::object_api::HttpObjectApi;
 use kelpworks::config::accept;
@@ -22,11 +27,6 @@
 use kelpworks_fakes::StandIns;
 use kelpworks_fakes::documents;
 use kelpworks_fakes::fleet::FleetView;
-use metrics_exporter_prometheus::PrometheusBuilder;
-use metrics_exporter_prometheus::PrometheusHandle;
-
-use crate::caller::Caller;
-use crate::support;
 
 pub(crate) const MODEL: &str = "demo";
 pub(crate) const LAYERS: u32 = 12;
--- a/crates/kelpworks/tests/contract_callers.rs
+++ b/crates/kelpworks/tests/contract_callers.rs
@@ -9,10 +9,6 @@
 use std::time::Duration;
 
 use insta::assert_snapshot;
-use kelpworks_fakes::Connections;
-use kelpworks_fakes::Fault;
-use kelpworks_fakes::FaultKind;
-use kelpworks_wire::ErrorBody;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::sample::Index;
@@ -32,6 +28,10 @@
 use contract::TOKEN;
 use contract::answer::describe;
 use contract::until;
+use kelpworks_fakes::Connections;
+use kelpworks_fakes::Fault;
+use kelpworks_fakes::FaultKind;
+use kelpworks_wire::ErrorBody;
 
 const TEXT: &str = "/v1/completions";
 const CHAT: &str = "/v1/chat/completions";
--- a/crates/kelpworks/tests/contract_engine.rs
+++ b/crates/kelpworks/tests/contract_engine.rs
@@ -16,6 +16,12 @@
 use serde_json::Value;
 use serde_json::json;
 
+use caller::End;
+use contract::LAYERS;
+use contract::mangle::Mangle;
+use contract::mangle::MangledFleet;
+use contract::script::Reply;
+use contract::script::Script;
 use kelpworks::border::engine::Engine;
 use kelpworks::border::engine::Error;
 use kelpworks::border::engine::HttpEngine;
@@ -24,13 +30,6 @@
 use kelpworks_wire::Fence;
 use kelpworks_wire::OrderAction;
 use kelpworks_wire::StepBatch;
-
-use caller::End;
-use contract::LAYERS;
-use contract::mangle::Mangle;
-use contract::mangle::MangledFleet;
-use contract::script::Reply;
-use contract::script::Script;
 use lineage::assert_exactly_once;
 
 /// Bound of calls that are meant to run into it.
--- a/crates/kelpworks/tests/executor_place.rs
+++ b/crates/kelpworks/tests/executor_place.rs
@@ -4,16 +4,6 @@
 
 use std::time::Duration;
 
-use kelpworks::border::engine::Engine as _;
-use kelpworks::border::engine::HttpEngine;
-use kelpworks_coord::id::NodeId;
-use kelpworks_fakes::ApiMode;
-use kelpworks_fakes::Engine;
-use kelpworks_fakes::FleetConfig;
-use kelpworks_fakes::StandIns;
-use kelpworks_wire::EngineOrder;
-use kelpworks_wire::Fence;
-use kelpworks_wire::OrderAction;
 use rstest::rstest;
 
 use crate::executor_support::LAYERS;
@@ -35,6 +25,16 @@
 use crate::executor_support::stands;
 use crate::executor_support::until;
 use crate::executor_support::until_now;
+use kelpworks::border::engine::Engine as _;
+use kelpworks::border::engine::HttpEngine;
+use kelpworks_coord::id::NodeId;
+use kelpworks_fakes::ApiMode;
+use kelpworks_fakes::Engine;
+use kelpworks_fakes::FleetConfig;
+use kelpworks_fakes::StandIns;
+use kelpworks_wire::EngineOrder;
+use kelpworks_wire::Fence;
+use kelpworks_wire::OrderAction;
 
 /// Tokens of a session across a change of the version; each takes 20 ms or more.
 const TOKENS: u32 = 50;
--- a/crates/kelpworks/tests/executor_support/mod.rs
+++ b/crates/kelpworks/tests/executor_support/mod.rs
@@ -6,6 +6,8 @@
 use std::sync::LazyLock;
 use std::time::Duration;
 
+use metrics_exporter_prometheus::PrometheusHandle;
+
 use kelpworks::config::head::BLOB_KIND;
 use kelpworks::config::head::Generation;
 use kelpworks::config::head::HEAD_KIND;
@@ -30,7 +32,6 @@
 use kelpworks_fakes::documents::DaemonAddresses;
 use kelpworks_fakes::documents::Team;
 use kelpworks_wire::LoadedRange;
-use metrics_exporter_prometheus::PrometheusHandle;
 
 const FREE: &str = "127.0.0.1:0";
 const TOKEN: &str = "token-of-a-test";
--- a/crates/kelpworks/tests/overload_admission.rs
+++ b/crates/kelpworks/tests/overload_admission.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
+use rstest::rstest;
+
 use kelpworks::admission::Admission;
 use kelpworks::admission::Ask;
 use kelpworks::admission::Config;
 use kelpworks_wire::Class;
-use rstest::rstest;
 
 const OFFERED: usize = 1_000;
 const LIMIT: u32 = 4;
--- a/crates/kelpworks/tests/path/mod.rs
+++ b/crates/kelpworks/tests/path/mod.rs
@@ -7,11 +7,6 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
-use kelpworks::daemon::Daemon;
-use kelpworks_fakes::Engine;
-use kelpworks_fakes::FleetConfig;
-use kelpworks_fakes::Model;
-use kelpworks_fakes::StandIns;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 
@@ -19,6 +14,11 @@
 use crate::caller::End;
 use crate::support;
 use crate::support::ExampleTeam;
+use kelpworks::daemon::Daemon;
+use kelpworks_fakes::Engine;
+use kelpworks_fakes::FleetConfig;
+use kelpworks_fakes::Model;
+use kelpworks_fakes::StandIns;
 
 pub(crate) const MODEL: &str = "demo";
 pub(crate) const LAYERS: u32 = 12;
--- a/crates/kelpworks/tests/path_faults.rs
+++ b/crates/kelpworks/tests/path_faults.rs
@@ -9,6 +9,10 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use rstest::rstest;
+
+use caller::End;
+use caller::Streamed;
 use kelpworks_fakes::Connections;
 use kelpworks_fakes::Engine;
 use kelpworks_fakes::Fault;
@@ -18,10 +22,6 @@
 use kelpworks_wire::FinishReason;
 use kelpworks_wire::HostState;
 use kelpworks_wire::OrderAction;
-use rstest::rstest;
-
-use caller::End;
-use caller::Streamed;
 use path::Bench;
 use path::LAYERS;
 use path::lineage::assert_exactly_once;
--- a/crates/kelpworks/tests/path_input.rs
+++ b/crates/kelpworks/tests/path_input.rs
@@ -7,7 +7,6 @@
 
 use std::time::Duration;
 
-use kelpworks_wire::ErrorBody;
 use reqwest::Body;
 use reqwest::Client;
 use reqwest::Method;
@@ -18,6 +17,7 @@
 use tokio::net::TcpStream;
 
 use caller::Caller;
+use kelpworks_wire::ErrorBody;
 use path::Bench;
 use path::MODEL;
 use path::PAYING;
--- a/crates/kelpworks/tests/path_slow.rs
+++ b/crates/kelpworks/tests/path_slow.rs
@@ -8,8 +8,6 @@
 
 use std::time::Duration;
 
-use kelpworks_fakes::FleetConfig;
-use kelpworks_fakes::Model;
 use rstest::rstest;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -17,6 +15,8 @@
 use tokio::time::timeout;
 
 use caller::End;
+use kelpworks_fakes::FleetConfig;
+use kelpworks_fakes::Model;
 use path::Bench;
 use path::LAYERS;
 use path::MODEL;
--- a/crates/kelpworks/tests/path_storm.rs
+++ b/crates/kelpworks/tests/path_storm.rs
@@ -9,11 +9,6 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use kelpworks_fakes::Connections;
-use kelpworks_fakes::Engine;
-use kelpworks_fakes::Fault;
-use kelpworks_fakes::FaultKind;
-use kelpworks_wire::FinishReason;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -21,6 +16,11 @@
 
 use caller::Answer;
 use caller::End;
+use kelpworks_fakes::Connections;
+use kelpworks_fakes::Engine;
+use kelpworks_fakes::Fault;
+use kelpworks_fakes::FaultKind;
+use kelpworks_wire::FinishReason;
 use path::Bench;
 use path::LAYERS;
 use path::lineage::assert_exactly_once;
--- a/crates/kelpworks/tests/peers_daemons.rs
+++ b/crates/kelpworks/tests/peers_daemons.rs
@@ -8,7 +8,6 @@
 use kelpworks_fakes::LinkState;
 use kelpworks_wire::HostEntry;
 use kelpworks_wire::HostState;
-
 use peers::Platform;
 use peers::all_at;
 use peers::state_of;
--- a/crates/kelpworks/tests/peers_facts.rs
+++ b/crates/kelpworks/tests/peers_facts.rs
@@ -6,6 +6,10 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
 use kelpworks::border::engine::HttpEngine;
 use kelpworks::fleet::Fleet;
 use kelpworks::fleet::Health;
@@ -22,10 +26,6 @@
 use kelpworks_fakes::Model;
 use kelpworks_fakes::StandIns;
 use kelpworks_fakes::documents;
-use tokio::sync::mpsc;
-use tokio::sync::watch;
-use tokio_util::sync::CancellationToken;
-
 use peers::until;
 
 const ENGINE: &str = "engine-0-0";
--- a/crates/kelpworks/tests/peers_links.rs
+++ b/crates/kelpworks/tests/peers_links.rs
@@ -4,14 +4,14 @@
 
 use std::time::Duration;
 
+use tokio_util::sync::CancellationToken;
+
 use kelpworks::membership::Peers;
 use kelpworks::membership::PeersConfig;
 use kelpworks::status::MemberState;
 use kelpworks_coord::facts::Kind;
 use kelpworks_fakes::Link;
 use kelpworks_fakes::LinkState;
-use tokio_util::sync::CancellationToken;
-
 use peers::until;
 
 /// Three daemons; the others reach the last one through a link.
--- a/crates/kelpworks/tests/peers_nodes.rs
+++ b/crates/kelpworks/tests/peers_nodes.rs
@@ -3,15 +3,15 @@
 #[path = "../examples/measure/net.rs"]
 mod net;
 
+use proptest::prelude::*;
+use rstest::rstest;
+
 use kelpworks::membership::Config;
 use kelpworks::membership::share::Demand;
 use kelpworks::membership::share::part;
 use kelpworks::status::MemberState;
 use kelpworks_coord::facts::Kind;
 use kelpworks_coord::time::Span;
-use proptest::prelude::*;
-use rstest::rstest;
-
 use net::Net;
 use net::NetConfig;
 
--- a/crates/kelpworks/tests/poison/mod.rs
+++ b/crates/kelpworks/tests/poison/mod.rs
@@ -6,6 +6,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use metrics_exporter_prometheus::PrometheusBuilder;
+use reqwest::header::RETRY_AFTER;
+use tokio::sync::broadcast;
+use tokio::task::JoinSet;
+
+use crate::support::ExampleTeam;
+use crate::support::put_config;
+use crate::support::ready;
+use crate::support::settings;
 use kelpworks::daemon::Daemon;
 use kelpworks::quarantine;
 use kelpworks::quarantine::Fact;
@@ -16,15 +25,6 @@
 use kelpworks_fakes::FleetConfig;
 use kelpworks_fakes::Model;
 use kelpworks_fakes::StandIns;
-use metrics_exporter_prometheus::PrometheusBuilder;
-use reqwest::header::RETRY_AFTER;
-use tokio::sync::broadcast;
-use tokio::task::JoinSet;
-
-use crate::support::ExampleTeam;
-use crate::support::put_config;
-use crate::support::ready;
-use crate::support::settings;
 
 const TEAM: ExampleTeam = ExampleTeam {
     name: "studio",
--- a/crates/kelpworks/tests/poison_requests.rs
+++ b/crates/kelpworks/tests/poison_requests.rs
@@ -6,13 +6,13 @@
 
 use std::time::Duration;
 
+use rstest::rstest;
+
 use kelpworks::quarantine::Fact;
 use kelpworks::quarantine::Statement;
 use kelpworks::quarantine::fingerprint;
 use kelpworks_coord::id::NodeId;
 use kelpworks_coord::id::UpstreamId;
-use rstest::rstest;
-
 use poison::Bench;
 use poison::all_cleared;
 use poison::refused;
