Refuse no paying request for a token time that only trials were to keep

Cause: with the default token target paying answers were lost at 80 % of capacity even without trials (3 of 271): the limit of paying requests fell as soon as tokens were slower than aimed at, which moved their wait from the engines into the daemon, where it ends in a refusal. Ruled out: trials in the engines (none ran), the trial rate. Change: paying requests may slow each other to four times the target before their limit falls; the room for trials falls at the target as before. The test cases move with the rule: 60 ms now only shrinks the room, 199 ms is the last that grows, 201 ms falls.

--- a/crates/kelpworks/src/admission/limit.rs
+++ b/crates/kelpworks/src/admission/limit.rs
@@ -25,6 +25,10 @@
 /// Multiple of the token time aimed at for paying requests up to which trials may slow down.
 const TRIAL_PATIENCE: f64 = 2.0;
 
+/// Multiple of the token time aimed at up to which paying requests may slow each other down. A
+/// lower one only moves their wait from the engines into the daemon, and refuses some of them.
+const PAYING_PATIENCE: f64 = 4.0;
+
 /// Part of the room that trials may take while they hold.
 const HELD_SHARE: f64 = 0.05;
 
@@ -128,9 +132,11 @@
         let trial_slow = trial.is_some_and(|mean| mean > trial_bound);
         if paying.is_some() {
             // While trials run, they are the ones to give way.
-            let fall = paying_slow && !demand.trials_ran;
+            let bound = self.bound(&self.paying_tokens) * PAYING_PATIENCE;
+            let congested = paying.is_some_and(|mean| mean > bound);
+            let fall = congested && !demand.trials_ran;
             self.paying
-                .adjust(fall, demand.paying_waited && !paying_slow);
+                .adjust(fall, demand.paying_waited && !congested);
         }
         if paying.is_some() || trial.is_some() {
             self.room
--- a/crates/kelpworks/src/admission/tests.rs
+++ b/crates/kelpworks/src/admission/tests.rs
@@ -201,8 +201,10 @@
 #[case::paying_grows(&[(Paying, 10)], PAYING_WAITED, (207, 64))]
 #[case::both_grow(&[(Paying, 10), (Trial, 10)], BOTH_WAITED, (207, 207))]
 #[case::up_to_the_target(&[(Paying, 49)], PAYING_WAITED, (207, 64))]
-#[case::too_slow(&[(Paying, 60)], PAYING_WAITED, (22, 22))]
-#[case::trials_give_way_first(&[(Paying, 60), (Trial, 60)], BOTH_WAITED, (64, 22))]
+#[case::slow_for_trials(&[(Paying, 60)], PAYING_WAITED, (207, 22))]
+#[case::up_to_the_patience(&[(Paying, 199)], PAYING_WAITED, (207, 22))]
+#[case::too_slow(&[(Paying, 201)], PAYING_WAITED, (22, 22))]
+#[case::trials_give_way_first(&[(Paying, 201), (Trial, 60)], BOTH_WAITED, (64, 22))]
 #[case::trials_may_be_slower(&[(Paying, 10), (Trial, 99)], BOTH_WAITED, (207, 207))]
 #[case::trials_too_slow(&[(Paying, 10), (Trial, 150)], BOTH_WAITED, (207, 22))]
 fn limits_adapt(
