Give plain services a border of their own

Cause: calls and health checks of plain services were built in the callers' side and in the poll, so another format would have touched both. Change: border/plain_service.rs: a small trait and its HTTP client; both use it.

--- a/crates/kelpworks/src/admission/limit.rs
+++ b/crates/kelpworks/src/admission/limit.rs
@@ -135,8 +135,7 @@
             let bound = self.bound(&self.paying_tokens) * PAYING_PATIENCE;
             let congested = paying.is_some_and(|mean| mean > bound);
             let fall = congested && !demand.trials_ran;
-            self.paying
-                .adjust(fall, demand.paying_waited && !congested);
+            self.paying.adjust(fall, demand.paying_waited && !congested);
         }
         if paying.is_some() || trial.is_some() {
             self.room
--- a/crates/kelpworks/src/border/mod.rs
+++ b/crates/kelpworks/src/border/mod.rs
@@ -4,3 +4,4 @@
 pub(crate) mod fresh;
 pub mod host_list;
 pub mod object_api;
+pub mod plain_service;
--- a/crates/kelpworks/src/entry/services/send.rs
+++ b/crates/kelpworks/src/entry/services/send.rs
@@ -9,14 +9,15 @@
 use std::time::Duration;
 
 use log::info;
-use reqwest::RequestBuilder;
 use salvo::http::HeaderName;
 use salvo::http::StatusCode;
 use salvo::http::header;
 use tokio::time::Instant;
 
 use crate::border::engine::Error;
-use crate::border::engine::bounded;
+use crate::border::plain_service::PlainService;
+use crate::border::plain_service::ServiceAnswer;
+use crate::border::plain_service::ServiceCall;
 use crate::claims::Header;
 use crate::claims::Reply;
 use crate::entry::Entry;
@@ -201,9 +202,8 @@
     ) -> std::result::Result<Reply, Lost> {
         let call = attempts.call;
         let upstream = &fleet.upstreams[key];
-        let req = self.request(&upstream.url, call);
         let _in_flight = InFlight::enter(&upstream.counters.in_flight);
-        let reply = read(req);
+        let reply = self.call(&upstream.url, call);
         tokio::pin!(reply);
         let whole = |error| Lost {
             error,
@@ -235,24 +235,21 @@
     /// Asks an upstream for its health on a new connection. Where it answers, the kept ones are
     /// left behind.
     async fn probe(&self, url: &Arc<str>) -> bool {
-        let client = self.entry.engine.fresh();
-        let req = client
-            .get(format!("{url}/healthz"))
-            .timeout(self.entry.driver.deadlines.probe.ceiling);
-        let answered = req.send().await.is_ok();
-        if answered {
-            self.entry.engine.replace(url, client);
-        }
-        answered
+        let deadline = self.entry.driver.deadlines.probe.ceiling;
+        let probed = self.entry.engine.probe_health(url, deadline).await;
+        probed.is_ok()
     }
 
-    fn request(&self, url: &Arc<str>, call: &Call) -> RequestBuilder {
-        let client = self.entry.engine.client(url);
-        client
-            .request(call.method.clone(), format!("{url}{}", call.path))
-            .headers(call.headers.clone())
-            .timeout(left(call).max(Duration::from_millis(1)))
-            .body(call.body.clone())
+    async fn call(&self, url: &Arc<str>, call: &Call) -> std::result::Result<Reply, Error> {
+        let sent = ServiceCall {
+            method: &call.method,
+            path: &call.path,
+            headers: &call.headers,
+            body: &call.body,
+        };
+        let deadline = left(call).max(Duration::from_millis(1));
+        let answer = self.entry.engine.call(url, sent, deadline).await?;
+        Ok(reply(answer))
     }
 }
 
@@ -308,21 +305,19 @@
     call.deadline.saturating_duration_since(Instant::now())
 }
 
-async fn read(req: RequestBuilder) -> std::result::Result<Reply, Error> {
-    let res = req.send().await.map_err(Error::from_reqwest)?;
-    let status = res.status().as_u16();
+/// What goes back to the caller of an answer.
+fn reply(answer: ServiceAnswer) -> Reply {
     let mut headers = Vec::new();
     for name in &RETURNED {
-        let value = res.headers().get(name).and_then(|v| v.to_str().ok());
+        let value = answer.headers.get(name).and_then(|v| v.to_str().ok());
         headers.extend(value.map(|value| Header {
             name: name.to_string(),
             value: value.to_owned(),
         }));
     }
-    let body = bounded(res).await?;
-    Ok(Reply {
-        status,
+    Reply {
+        status: answer.status,
         headers,
-        body,
-    })
+        body: answer.body,
+    }
 }
--- a/crates/kelpworks/src/upstreams/poll.rs
+++ b/crates/kelpworks/src/upstreams/poll.rs
@@ -8,6 +8,7 @@
 
 use crate::border::engine::Engine;
 use crate::border::engine::HttpEngine;
+use crate::border::plain_service::PlainService;
 use crate::fleet::Counters;
 use crate::fleet::UpstreamKey;
 use crate::upstreams::Report;
@@ -49,12 +50,12 @@
     }
 
     async fn run_service(&self, engine: &HttpEngine) -> Report {
-        let url = format!("{}/healthz", self.url);
-        for client in [engine.client(&self.url), engine.fresh()] {
-            if let Ok(res) = client.get(&url).timeout(self.deadline).send().await {
-                return Report::Service(self.key, res.status().is_success());
-            }
+        if let Ok(takes_work) = engine.health(&self.url, self.deadline).await {
+            return Report::Service(self.key, takes_work);
+        }
+        match engine.probe_health(&self.url, self.deadline).await {
+            Ok(takes_work) => Report::Service(self.key, takes_work),
+            Err(_) => Report::Silent(self.key),
         }
-        Report::Silent(self.key)
     }
 }
