--- a/crates/kelpworks/examples/measure/overload.rs
+++ b/crates/kelpworks/examples/measure/overload.rs
@@ -55,9 +55,8 @@
 const WINDOW: Duration = Duration::from_secs(20);
 /// Longest wait for the answers under way at the end.
 const LAST_ANSWERS: Duration = Duration::from_secs(30);
-/// A token takes 30 ms on idle engines, and an engine that batches gains nothing here: at this
-/// load tokens queue at the engines. With a target near 30 ms the daemons hold paying requests
-/// back and lose answers even without trials; see docs/design/overload.md.
+/// The defaults; with a token target of 1 s trials get their share, and the first token is later:
+/// see docs/design/overload.md.
 const SETTINGS: &str = "";
 const PAYING: ExampleTeam = ExampleTeam {
     name: "merchandisers",
