Answer a keyed call by its settling time when the API loses writes only

Cause: a claim whose writes are lost and whose reads answer wrote again without looking at the time, so its caller was held until the write budget was spent (16 writes, 8 s, seen by the claims slice, whose driver turned later writes away). Ruled out: the driver; the machine itself made the next write. Change: the settling time is looked at before any other write. Figures: new test: at 999 ms it writes, at 1,000 ms it answers; with the old order it wrote at both by reading.

--- a/crates/kelpworks-coord/src/claim/mod.rs
+++ b/crates/kelpworks-coord/src/claim/mod.rs
@@ -234,12 +234,14 @@
 
     fn on_read_back(&mut self, now: Instant, if_version: Version, reply: ApiReply) -> Vec<Action> {
         match reply {
-            ApiReply::Found(found) if found.version == if_version => self.create(if_version),
-            ApiReply::Found(found) => self.on_found(now, found),
+            ApiReply::Found(found) if found.version != if_version => self.on_found(now, found),
+            // Before any other write: an API that takes reads and loses writes would hold the
+            // caller until the budget is spent.
+            _ if now >= self.settle_by => self.give_up(now, NotRun::Unavailable),
             // The same write again: whichever of the two takes effect, the other conflicts and
             // shows our nonce.
+            ApiReply::Found(_) => self.create(if_version),
             ApiReply::Absent => self.create(Version::ABSENT),
-            _ if now >= self.settle_by => self.give_up(now, NotRun::Unavailable),
             _ => {
                 let read_at = Some(now + self.cfg.retry);
                 self.state = State::Unsure {
--- a/crates/kelpworks-coord/tests/claim.rs
+++ b/crates/kelpworks-coord/tests/claim.rs
@@ -123,6 +123,18 @@
     )
 }
 
+/// An API that loses writes and takes reads: the write is tried again until the claim should have
+/// been settled, and the caller is told then.
+#[rstest]
+#[case::before(999, "[Write]")]
+#[case::after(1_000, "[NotRun(Unavailable)]")]
+fn writes_lost_again_and_again(#[case] at_ms: u64, #[case] actions: &str) {
+    let mut claim = started();
+    feed(&mut claim, vec![api(ApiReply::Lost)]);
+    let now = Instant::from_millis(at_ms);
+    assert_eq!(names(&claim.on_event(now, api(ApiReply::Absent))), actions);
+}
+
 #[test]
 fn an_outage_after_a_lost_reply_is_refused_and_cleaned_up_later() {
     let mut claim = started();
