Tell a caller that has nothing yet when a whole stage is lost

Cause: a request whose stage had no upstream left waited until its own deadline, 120 s by default, though its caller had nothing of the answer and could have asked elsewhere. Ruled out: ending answers that have begun; their caller can get the rest only here, and they go on when the stage is back.

--- a/crates/kelpworks/src/pipeline/path.rs
+++ b/crates/kelpworks/src/pipeline/path.rs
@@ -21,12 +21,21 @@
 /// Wait before the path is asked for again when no stage can take the session.
 pub(super) const NO_PATH_WAIT: Duration = Duration::from_millis(50);
 
+/// Longest time without a path of a session that has sent nothing.
+const NO_PATH_PATIENCE: Duration = Duration::from_secs(5);
+
 impl<E: Engine> Session<'_, E> {
     /// Chooses a path; stages that still serve keep their place and state.
     pub(super) async fn route(&mut self, reason: &'static str) -> Result<()> {
+        let give_up = Instant::now() + NO_PATH_PATIENCE;
         loop {
             match self.try_route(reason) {
                 Ok(()) => return Ok(()),
+                // Its caller has nothing yet and may ask elsewhere; one that has a part of the
+                // answer can only get the rest here.
+                Err(e) if !self.has_sent() && give_up <= Instant::now() => {
+                    return Err(Ending::NoPath(e));
+                }
                 Err(e) if self.job.deadline <= Instant::now() + NO_PATH_WAIT => {
                     return Err(Ending::NoPath(e));
                 }
--- a/crates/kelpworks/src/pipeline/recovery.rs
+++ b/crates/kelpworks/src/pipeline/recovery.rs
@@ -223,7 +223,7 @@
             left: self.job.deadline.saturating_duration_since(Instant::now()),
         };
         let decision = self.driver.decide(&attempt);
-        let sent = self.known.len() > self.job.prompt.len();
+        let sent = self.has_sent();
         match decision {
             Decision::RetryAt(delay) => Ok(delay),
             Decision::GiveUp(_) if sent && self.recoveries <= MAX_RECOVERIES => {
--- a/crates/kelpworks/src/pipeline/session.rs
+++ b/crates/kelpworks/src/pipeline/session.rs
@@ -145,6 +145,11 @@
         }
     }
 
+    /// Whether the caller has a part of the answer.
+    pub(super) fn has_sent(&self) -> bool {
+        self.known.len() > self.job.prompt.len()
+    }
+
     async fn next_token(&mut self) -> Result<u32> {
         loop {
             match self.pass().await {
--- a/crates/kelpworks/tests/retry_driver.rs
+++ b/crates/kelpworks/tests/retry_driver.rs
@@ -357,6 +357,49 @@
     assert_eq!(outcome.recoveries, recoveries);
 }
 
+/// A fleet whose last stage is lost.
+fn fleet_without_last_stage() -> Fleet {
+    let mut fleet = fleet();
+    for upstream in fleet.upstreams.values_mut() {
+        if upstream.holdings[0].layers.first == LAST_STAGE {
+            upstream.health = Health::Down;
+        }
+    }
+    fleet.indexed()
+}
+
+/// All replicas of a stage are lost under a request, for 20 s: one that has sent nothing is told
+/// after 5 s, one that has sent tokens is completed.
+#[rstest]
+#[case::nothing_sent(0, false, 0, 5..6)]
+#[case::tokens_sent(2, true, TOKENS, 20..22)]
+#[tokio::test(start_paused = true)]
+async fn a_stage_is_lost_for_a_while(
+    #[case] good: i64,
+    #[case] whole: bool,
+    #[case] tokens: u32,
+    #[case] seconds: std::ops::Range<u64>,
+) {
+    let script = Script {
+        good: AtomicI64::new(good),
+        bad: AtomicI64::new(2),
+        ..Script::default()
+    };
+    let driver = driver(script, RetryConfig::default());
+    let shared = Arc::clone(&driver.fleet);
+    tokio::spawn(async move {
+        // A step of each stage has begun by then, or the third token's.
+        tokio::time::sleep(STEP_TIME * (2 * good as u32 + 1)).await;
+        shared.store(Arc::new(fleet_without_last_stage()));
+        tokio::time::sleep(Duration::from_secs(20)).await;
+        shared.store(Arc::new(fleet()));
+    });
+    let (outcome, got) = run(&driver, "a").await;
+    let told = matches!(outcome.result, Err(Ending::NoPath(_)));
+    assert_eq!((outcome.result.is_ok(), told, got), (whole, !whole, tokens));
+    assert!(seconds.contains(&driver.start.elapsed().as_secs()));
+}
+
 /// Busy answers cost no retries, cool their upstream, and end with the first step that it serves.
 #[rstest]
 #[case::once(1)]
