--- a/crates/kelpworks/examples/demo.rs
+++ b/crates/kelpworks/examples/demo.rs
@@ -116,14 +116,8 @@
     prompt: &str,
 ) -> Result<String> {
     let body = serde_json::json!({ "model": MODEL, "prompt": prompt, "max_tokens": MAX_TOKENS });
-    let url = format!("{base}/v1/completions");
-    let res = client
-        .post(url)
-        .bearer_auth(token)
-        .json(&body)
-        .send()
-        .await?;
-    let answer: kelpworks_wire::CompletionResponse = res.error_for_status()?.json().await?;
+    let res = post(client, format!("{base}/v1/completions"), token, &body).await?;
+    let answer: kelpworks_wire::CompletionResponse = res.json().await?;
     Ok(answer.choices.into_iter().map(|c| c.text).collect())
 }
 
@@ -131,17 +125,26 @@
     let messages = [serde_json::json!({ "role": "user", "content": prompt })];
     let body =
         serde_json::json!({ "model": MODEL, "messages": messages, "max_tokens": MAX_TOKENS });
-    let url = format!("{base}/v1/chat/completions");
-    let res = client
-        .post(url)
-        .bearer_auth(token)
-        .json(&body)
-        .send()
-        .await?;
-    let answer: kelpworks_wire::ChatResponse = res.error_for_status()?.json().await?;
+    let res = post(client, format!("{base}/v1/chat/completions"), token, &body).await?;
+    let answer: kelpworks_wire::ChatResponse = res.json().await?;
     Ok(answer
         .choices
         .into_iter()
         .map(|c| c.message.content)
         .collect())
 }
+
+async fn post(
+    client: &reqwest::Client,
+    url: String,
+    token: &str,
+    body: &serde_json::Value,
+) -> Result<reqwest::Response> {
+    let res = client
+        .post(url)
+        .bearer_auth(token)
+        .json(body)
+        .send()
+        .await?;
+    Ok(res.error_for_status()?)
+}
