--- a/crates/kelpworks-cli/src/args.rs
+++ b/crates/kelpworks-cli/src/args.rs
@@ -29,6 +29,11 @@
         /// The settings.
         settings: PathBuf,
     },
+    /// `relay`.
+    Relay {
+        /// The settings.
+        settings: PathBuf,
+    },
     /// `check`.
     Check {
         /// The files, at least one.
@@ -84,7 +89,12 @@
         return Ok(Command::Version);
     }
     match subcommand(&mut args)?.as_deref() {
-        Some("serve") => serve(args),
+        Some("serve") => Ok(Command::Serve {
+            settings: settings_only(args, "serve")?,
+        }),
+        Some("relay") => Ok(Command::Relay {
+            settings: settings_only(args, "relay")?,
+        }),
         Some("check") => check(args),
         Some("register") => change(args, Which::Register, "import"),
         Some("rules") => change(args, Which::Rules, "apply"),
@@ -94,13 +104,12 @@
     }
 }
 
-fn serve(mut args: Arguments) -> Result<Command> {
+/// The settings of a command that takes nothing else.
+fn settings_only(mut args: Arguments, command: &str) -> Result<PathBuf> {
     let settings = path_option(&mut args, "--settings")?;
     no_more(args)?;
-    let missing = || Failure::Usage("serve needs --settings FILE".to_owned());
-    Ok(Command::Serve {
-        settings: settings.ok_or_else(missing)?,
-    })
+    let missing = || Failure::Usage(format!("{command} needs --settings FILE"));
+    settings.ok_or_else(missing)
 }
 
 fn check(args: Arguments) -> Result<Command> {
--- a/crates/kelpworks-cli/src/failure.rs
+++ b/crates/kelpworks-cli/src/failure.rs
@@ -58,6 +58,18 @@
     /// A daemon could not start.
     #[error(transparent)]
     Daemon(#[from] kelpworks::daemon::Error),
+    /// A relaying daemon could not start.
+    #[error(transparent)]
+    Relay(#[from] kelpworks_relay::daemon::Error),
+    /// The settings of a relaying daemon can't be used.
+    #[error(transparent)]
+    RelaySettings(#[from] kelpworks_relay::settings::Error),
+    /// A client of the platform's store could not be built.
+    #[error("store: {0}")]
+    Store(#[from] kelpworks::border::object_api::Error),
+    /// A client of engines could not be built.
+    #[error("engines: {0}")]
+    Engines(#[from] reqwest::Error),
 }
 
 impl Failure {
--- a/crates/kelpworks-cli/src/help.rs
+++ b/crates/kelpworks-cli/src/help.rs
@@ -6,6 +6,7 @@
 
 Usage:
   kelpworks serve --settings FILE
+  kelpworks relay --settings FILE
   kelpworks check FILE...
   kelpworks register import FILE [--dry-run] WHERE [--wait TIME]
   kelpworks rules apply FILE [--dry-run] WHERE [--wait TIME]
@@ -13,6 +14,7 @@
 
 Commands:
   serve            Run a daemon
+  relay            Run a daemon before engines that pass requests along a path
   check            Check settings, registers and rules; nothing is applied
   register import  Make a register the fleet's, and wait until it is in force
   rules apply      Make rules the fleet's, and wait until they are in force
--- a/crates/kelpworks-cli/src/main.rs
+++ b/crates/kelpworks-cli/src/main.rs
@@ -13,6 +13,7 @@
 mod failure;
 mod force;
 mod help;
+mod relay;
 mod serve;
 mod status;
 
@@ -44,6 +45,7 @@
         }
         Command::Check { files } => check::run(&files),
         Command::Serve { settings } => serve::run(&settings),
+        Command::Relay { settings } => relay::run(&settings),
         Command::Change(change) => block_on(change::run(&change)),
         Command::Status(query) => block_on(status::run(&query)),
     }
--- a/crates/kelpworks-cli/src/serve.rs
+++ b/crates/kelpworks-cli/src/serve.rs
@@ -19,13 +19,15 @@
     Ok(runtime.block_on(daemon::run(&settings))?)
 }
 
-/// Starts the log on standard error; it ends with the handle.
+/// Starts the log on standard output; it ends with the handle.
 ///
 /// Each line is a JSON object; decisions carry their inputs and reason as fields. The level is for the code of kelpworks; libraries log warnings only, since their lines
 /// would drown the decisions.
-fn start_logger(level: &str) -> Result<LoggerHandle> {
-    let spec = format!("warn, decision={level}, kelpworks={level}, kelpworks_coord={level}");
+pub(crate) fn start_logger(level: &str) -> Result<LoggerHandle> {
+    let spec = format!(
+        "warn, decision={level}, kelpworks={level}, kelpworks_coord={level}, kelpworks_relay={level}"
+    );
     let logger = Logger::try_with_str(spec)?;
-    let logger = logger.format(flexi_logger::json_format).log_to_stderr();
+    let logger = logger.format(flexi_logger::json_format).log_to_stdout();
     Ok(logger.start()?)
 }
--- /dev/null
+++ b/crates/kelpworks-relay/src/crashes.rs
@@ -0,0 +1,85 @@
+//! Requests that crash the upstreams that run them.
+//!
+//! Such a request comes again with the same team, path and body, at any daemon. Attempts that end
+//! with the upstream's death count against its fingerprint, here and at all peers; from
+//! [`REFUSED_FROM`] on it is refused. An innocent request that died with an upstream is answered on
+//! its next attempt, which clears it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Crashes after which a request is refused. Two may be bad luck in a bad hour; a third request with
+/// the same bytes that dies the same way is not.
+pub const REFUSED_FROM: u32 = 3;
+/// How long a fingerprint is remembered.
+const REMEMBERED: Duration = Duration::from_secs(120);
+/// Fingerprints remembered at most; beyond it the oldest go.
+const MOST: usize = 4_096;
+
+/// Hash of team, path and body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Fingerprint(pub u64);
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    crashes: u32,
+    last: Instant,
+}
+
+/// Fingerprints under suspicion.
+#[derive(Clone, Debug, Default)]
+pub struct Crashes {
+    records: HashMap<Fingerprint, Record>,
+}
+
+impl Crashes {
+    /// Whether a request is refused.
+    pub fn refuses(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(|r| r.crashes >= REFUSED_FROM && now.duration_since(r.last) < REMEMBERED)
+    }
+
+    /// Counts an attempt that ended with its upstream's death; returns how many there were.
+    pub fn crashed(&mut self, fingerprint: Fingerprint, now: Instant) -> u32 {
+        let crashes = self.records.get(&fingerprint).map_or(0, |r| r.crashes) + 1;
+        self.insert(fingerprint, crashes, now);
+        crashes
+    }
+
+    /// Clears a request that was answered.
+    pub fn answered(&mut self, fingerprint: Fingerprint) {
+        self.records.remove(&fingerprint);
+    }
+
+    /// Takes a peer's count over where it is higher.
+    pub fn told(&mut self, fingerprint: Fingerprint, crashes: u32, now: Instant) {
+        let own = self.records.get(&fingerprint).map_or(0, |r| r.crashes);
+        if crashes > own {
+            self.insert(fingerprint, crashes, now);
+        }
+    }
+
+    /// All counts, for peers: at most `most`, the highest first.
+    pub fn counts(&self, most: usize) -> Vec<(Fingerprint, u32)> {
+        let mut counts: Vec<(Fingerprint, u32)> =
+            self.records.iter().map(|(&f, r)| (f, r.crashes)).collect();
+        counts.sort_by_key(|&(f, n)| (std::cmp::Reverse(n), f.0));
+        counts.truncate(most);
+        counts
+    }
+
+    fn insert(&mut self, fingerprint: Fingerprint, crashes: u32, now: Instant) {
+        self.records
+            .insert(fingerprint, Record { crashes, last: now });
+        self.records
+            .retain(|_, r| now.duration_since(r.last) < REMEMBERED);
+        if self.records.len() > MOST {
+            let oldest = self.records.iter().min_by_key(|(_, r)| r.last);
+            if let Some(f) = oldest.map(|(&f, _)| f) {
+                self.records.remove(&f);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -0,0 +1,314 @@
+//! One relaying daemon: starts its parts, reloads its settings, and stops in order.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use jsonrpsee::server::ServerHandle;
+use kelpworks::border::object_api::ObjectApi;
+use kelpworks::executor::Hold;
+use kelpworks::executor::LeaseKeeper;
+use kelpworks_coord::id::Incarnation;
+use kelpworks_coord::id::NodeId;
+use kelpworks_coord::lease;
+use kelpworks_coord::lease::Owner;
+use kelpworks_coord::time::Span;
+use log::info;
+use log::warn;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use thiserror::Error;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::dialect::Dialect;
+use crate::dialect::EngineOrders;
+use crate::documents::Documents;
+use crate::follow::Follower;
+use crate::follow::What;
+use crate::operators;
+use crate::operators::Readiness;
+use crate::peers::Peers;
+use crate::placer::Placer;
+use crate::relay;
+use crate::repeats::Bound;
+use crate::server::Server;
+use crate::settings;
+use crate::settings::Settings;
+use crate::shared::Shared;
+
+/// The result of this module.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Longest idle time of a caller's connection: the configuration's limit is enforced by closing no
+/// sooner, and callers leave theirs before it.
+const CALLER_IDLE: Duration = Duration::from_secs(60);
+/// Part of the grace time for which a stopping daemon still takes requests, so that the balancer
+/// notices (two misses at one a second) and callers move their connections.
+const NOTICE_PART: f64 = 0.3;
+/// Kept back of the grace time for the last writes.
+const LAST: Duration = Duration::from_millis(700);
+/// Time between two looks at the settings file, which may change without a signal.
+const SETTINGS_POLL: Duration = Duration::from_secs(2);
+/// Daemons assumed to share a bound before any was heard of.
+const ASSUMED_DAEMONS: usize = 8;
+/// Length of the placement lease. Engines that are lost while its holder is too are replaced after
+/// it: short, but with room for two failed renewals.
+const LEASE: Span = Span::from_millis(4_000);
+/// Time between renewals; each is a paid call.
+const RENEW: Span = Span::from_millis(1_300);
+/// Longest time from the check of the lease to an order's effect.
+const ORDER_BOUND: Span = Span::from_millis(1_000);
+/// Time between two looks of the others at the lease.
+const LEASE_WATCH: Span = Span::from_millis(2_500);
+/// Pause before a failed call for the lease is made again.
+const LEASE_RETRY: Span = Span::from_millis(400);
+
+/// Why a daemon could not start.
+#[derive(Debug)]
+#[derive(Error)]
+#[non_exhaustive]
+pub enum Error {
+    /// An address could not be listened on.
+    #[error("listen for {whom}: {source}")]
+    Listen {
+        /// Who would connect.
+        whom: &'static str,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// A signal handler could not be installed.
+    #[error("signals: {0}")]
+    Signal(std::io::Error),
+    /// The settings can't be used.
+    #[error(transparent)]
+    Settings(#[from] settings::Error),
+    /// A recorder of metrics is installed already.
+    #[error("metrics: {0}")]
+    Metrics(#[from] metrics_exporter_prometheus::BuildError),
+}
+
+/// Clients of the platform.
+#[derive(Debug)]
+pub struct Clients<A, E> {
+    /// The store, for following it.
+    pub store: A,
+    /// The store, for the lease, so that a new connection of one disturbs no watch of the other.
+    pub lease: A,
+    /// Orders to engines.
+    pub engines: E,
+}
+
+/// A running daemon.
+struct Daemon {
+    shared: Arc<Shared>,
+    peers: Arc<Peers>,
+    callers: Server,
+    pages: Vec<Server>,
+    rpc: ServerHandle,
+    /// Ends the lease at the start of a planned stop.
+    leave: CancellationToken,
+    lease: JoinHandle<()>,
+    /// Ends the other tasks at its end.
+    stop: CancellationToken,
+    grace: Duration,
+}
+
+/// Runs a daemon until the process is told to stop; SIGHUP reads the settings again.
+///
+/// # Errors
+///
+/// When it can't start.
+pub async fn run<D, A, E>(file: &Path, settings: Settings, clients: Clients<A, E>) -> Result<()>
+where
+    D: Dialect,
+    A: ObjectApi + 'static,
+    E: EngineOrders,
+{
+    let mut signals = Signals::new()?;
+    let daemon = Daemon::start::<D, A, E>(&settings, clients).await?;
+    info!(
+        name:% = settings.name,
+        failure_domain:% = settings.failure_domain,
+        callers:% = settings.listen.callers,
+        version:% = env!("CARGO_PKG_VERSION");
+        "daemon started"
+    );
+    daemon.serve(file, settings, &mut signals).await;
+    daemon.stop().await;
+    Ok(())
+}
+
+struct Signals {
+    term: Signal,
+    int: Signal,
+    hup: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Signals> {
+        let handler = |kind| signal(kind).map_err(Error::Signal);
+        Ok(Signals {
+            term: handler(SignalKind::terminate())?,
+            int: handler(SignalKind::interrupt())?,
+            hup: handler(SignalKind::hangup())?,
+        })
+    }
+}
+
+impl Daemon {
+    async fn start<D, A, E>(settings: &Settings, clients: Clients<A, E>) -> Result<Daemon>
+    where
+        D: Dialect,
+        A: ObjectApi + 'static,
+        E: EngineOrders,
+    {
+        let metrics = PrometheusBuilder::new().install_recorder()?;
+        let bound = Bound {
+            window: settings.repeats.window.0,
+            ratio: settings.repeats.ratio,
+            slack: settings.repeats.slack,
+        };
+        let shared = Arc::new(Shared::new(
+            &settings.failure_domain,
+            bound,
+            ASSUMED_DAEMONS,
+        ));
+        let documents = Arc::new(Documents::new(Arc::clone(&shared)));
+        let listen = &settings.listen;
+        let peers = Peers::new(
+            &settings.name,
+            listen.peers,
+            Arc::clone(&shared),
+            Arc::clone(&documents),
+        );
+        let peers = Arc::new(peers);
+        peers.set_seeds(&settings.peers.seeds);
+        let stop = CancellationToken::new();
+        let store = Arc::new(clients.store);
+        for what in [What::Configuration, What::Upstreams] {
+            let follower = Follower {
+                api: Arc::clone(&store),
+                documents: Arc::clone(&documents),
+                what,
+            };
+            tokio::spawn(follower.run::<D>(stop.clone()));
+        }
+        let rpc = peers.listen::<D>().await.map_err(for_whom("peers"))?;
+        tokio::spawn(Arc::clone(&peers).run::<D>(stop.clone()));
+        let leave = CancellationToken::new();
+        let hold = Arc::new(Hold::new(lease_config(), owner(&settings.name)));
+        let keeper = LeaseKeeper::new(clients.lease, Arc::clone(&hold));
+        let left = leave.clone();
+        let lease = tokio::spawn(async move { keeper.run(&left).await });
+        let placer = Placer::new(Arc::clone(&shared), hold, clients.engines);
+        tokio::spawn(placer.run(leave.clone()));
+        let readiness = operators::readiness(&shared);
+        let readiness = Server::start(listen.readiness, readiness, CALLER_IDLE).await;
+        let pages = operators::metrics(metrics);
+        let pages = Server::start(listen.operators, pages, CALLER_IDLE).await;
+        let callers = relay::router::<D>(&shared);
+        let callers = Server::start(listen.callers, callers, CALLER_IDLE).await;
+        Ok(Daemon {
+            callers: callers.map_err(for_whom("callers"))?,
+            pages: vec![
+                readiness.map_err(for_whom("readiness"))?,
+                pages.map_err(for_whom("operators"))?,
+            ],
+            shared,
+            peers,
+            rpc,
+            leave,
+            lease,
+            stop,
+            grace: settings.stop.grace.0,
+        })
+    }
+
+    /// Serves until a signal to stop.
+    async fn serve(&self, file: &Path, mut settings: Settings, signals: &mut Signals) {
+        let mut poll = tokio::time::interval(SETTINGS_POLL);
+        let mut ready = None;
+        loop {
+            tokio::select! {
+                _ = signals.term.recv() => return,
+                _ = signals.int.recv() => return,
+                _ = signals.hup.recv() => self.reload(file, &mut settings, true),
+                _ = poll.tick() => self.reload(file, &mut settings, false),
+            }
+            let readiness = Readiness::of(&self.shared);
+            if ready.replace(readiness) != Some(readiness) {
+                info!(state:% = readiness.as_str(); "readiness");
+            }
+        }
+    }
+
+    /// Takes over what may change while it runs: the seeds.
+    fn reload(&self, file: &Path, settings: &mut Settings, told: bool) {
+        let new = match Settings::read(file) {
+            Ok(new) => new,
+            Err(e) => {
+                warn!(error:% = e; "settings kept: the file can't be used");
+                return;
+            }
+        };
+        if new != *settings {
+            self.peers.set_seeds(&new.peers.seeds);
+            *settings = new;
+            info!(signal = told; "settings reloaded");
+        }
+    }
+
+    /// A planned stop: readiness fails first, callers are told to leave their connections, requests
+    /// in flight finish.
+    async fn stop(self) {
+        let by = Instant::now() + self.grace.saturating_sub(LAST);
+        self.shared.closing.store(true, Ordering::Relaxed);
+        self.leave.cancel();
+        info!(in_flight = self.shared.in_flight.load(Ordering::Relaxed); "stopping");
+        tokio::time::sleep(self.grace.mul_f64(NOTICE_PART)).await;
+        let left = by.saturating_duration_since(Instant::now());
+        self.callers.stop(left).await;
+        let _ = tokio::time::timeout(LAST / 2, self.lease).await;
+        self.stop.cancel();
+        if let Err(e) = self.rpc.stop() {
+            info!(error:% = e; "peers' server had stopped");
+        }
+        for page in self.pages {
+            page.stop(Duration::ZERO).await;
+        }
+        info!(in_flight = self.shared.in_flight.load(Ordering::Relaxed); "stopped");
+    }
+}
+
+fn for_whom(whom: &'static str) -> impl Fn(std::io::Error) -> Error {
+    move |source| Error::Listen { whom, source }
+}
+
+fn lease_config() -> lease::Config {
+    lease::Config {
+        ttl: LEASE,
+        renew: RENEW,
+        order_bound: ORDER_BOUND,
+        watch: LEASE_WATCH,
+        retry: LEASE_RETRY,
+        ..lease::Config::default()
+    }
+}
+
+/// This run of the daemon; a later run of the same name has a higher number unless the clock was
+/// set back, and then still another one.
+fn owner(name: &str) -> Owner {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.map_or(0, |d| d.as_millis() as u64);
+    Owner {
+        node: NodeId::of(name),
+        incarnation: Incarnation(millis),
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/dialect.rs
@@ -0,0 +1,223 @@
+//! What a platform's adapter translates: heads of requests and answers, documents of the store,
+//! and orders to engines.
+//!
+//! The adapter decodes names and formats once, into the types of this module, and decides nothing.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use thiserror::Error;
+
+use crate::config::Configuration;
+
+/// The result of decoding.
+pub type Result<T> = std::result::Result<T, DecodeError>;
+
+/// A document or head that can't be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
+#[error("{what}: {why}")]
+pub struct DecodeError {
+    /// What was read.
+    pub what: &'static str,
+    /// What is wrong with it.
+    pub why: String,
+}
+
+/// Layers `from` to `to`, the latter not included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LayerRange {
+    /// First layer.
+    pub from: u16,
+    /// First layer after the range; greater than `from`.
+    pub to: u16,
+}
+
+impl LayerRange {
+    /// Number of layers.
+    pub fn len(self) -> u16 {
+        self.to.saturating_sub(self.from)
+    }
+
+    /// Whether it holds no layer.
+    pub fn is_empty(self) -> bool {
+        self.to <= self.from
+    }
+
+    /// Whether a layer is in it.
+    pub fn contains(self, layer: u16) -> bool {
+        self.from <= layer && layer < self.to
+    }
+}
+
+/// What a caller's head says beside method and path.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CallerHead {
+    /// Id of this attempt of the caller; no two attempts share one.
+    pub request_id: Option<Box<str>>,
+    /// Key of the caller.
+    pub key: Option<Box<str>>,
+    /// How long the caller waits from now on.
+    pub patience: Option<Duration>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: Option<u32>,
+    /// Most tokens of the answer.
+    pub most_tokens: Option<u32>,
+    /// The caller's estimate of the answer's tokens.
+    pub length_hint: Option<u32>,
+    /// The last event that the caller read of a stream that broke off.
+    pub last_event: Option<u64>,
+}
+
+/// One part of a path: the layers that an engine runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hop {
+    /// Address of the engine.
+    pub address: SocketAddr,
+    /// The layers it runs, all of which it holds.
+    pub layers: LayerRange,
+}
+
+/// What the daemon tells an upstream beside the caller's own head.
+#[derive(Clone, Debug, Default)]
+pub struct Forwarded<'a> {
+    /// Time left for the work.
+    pub time_left: Duration,
+    /// Incarnation that is to answer; any other refuses.
+    pub instance: Option<&'a str>,
+    /// Team of the caller.
+    pub team: Option<&'a str>,
+    /// Engines to pass, in order; empty for a plain service.
+    pub path: &'a [Hop],
+    /// Continue a stream after this event.
+    pub resume_after: Option<u64>,
+    /// Version of the weights that must answer.
+    pub weight_version: Option<u64>,
+}
+
+/// What an upstream's head says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct AnswerHead {
+    /// Id of the request that it answers.
+    pub request_id: Option<Box<str>>,
+    /// Whether it carries the signature of an upstream.
+    pub signed: bool,
+    /// The upstream states that it has not run the request.
+    pub not_run: bool,
+    /// Incarnation that answered, where the upstream says so.
+    pub instance: Option<Box<str>>,
+    /// Address of the engine on the path that is at fault.
+    pub at_fault: Option<SocketAddr>,
+    /// Version of the weights.
+    pub weight_version: Option<u64>,
+}
+
+/// State of an upstream as discovery shows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Takes requests.
+    Ready,
+    /// Leaving: finishes what it has.
+    Leaving,
+}
+
+/// An upstream as discovery shows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamEntry {
+    /// Id of this incarnation.
+    pub instance: Arc<str>,
+    /// Service that it belongs to.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Ready or leaving.
+    pub stage: Stage,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Layers that it holds.
+    pub layers: Option<LayerRange>,
+    /// Kind of its accelerator.
+    pub kind: Option<Arc<str>>,
+}
+
+/// An engine's own word on itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Report {
+    /// Number of orders it has begun since its start.
+    pub orders: u64,
+    /// Whether an order is being carried out.
+    pub busy: bool,
+    /// Layers that it holds.
+    pub layers: Option<LayerRange>,
+}
+
+/// What an engine answered to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderReply {
+    /// Begun, or done already.
+    Accepted,
+    /// Its state differs from what the order expected; nothing was begun.
+    Conflict,
+    /// Refused for another reason; nothing was begun.
+    Refused,
+    /// No answer: it may be carried out, now or later.
+    Lost,
+}
+
+/// Translates heads and documents.
+pub trait Dialect: Send + Sync + 'static {
+    /// Kind under which the store keeps the configuration.
+    const CONFIGURATION_KIND: &'static str;
+    /// Name of the configuration's object.
+    const CONFIGURATION_NAME: &'static str;
+    /// Kind under which upstreams register.
+    const UPSTREAMS_KIND: &'static str;
+
+    /// Reads a caller's head.
+    ///
+    /// # Errors
+    ///
+    /// When a field that the daemon needs can't be read.
+    fn caller(headers: &HeaderMap) -> Result<CallerHead>;
+
+    /// Turns a caller's headers into those for an upstream; the key is taken out.
+    fn forward(headers: &mut HeaderMap, forwarded: &Forwarded<'_>);
+
+    /// Reads an upstream's head.
+    fn answer(headers: &HeaderMap) -> AnswerHead;
+
+    /// Reads a configuration.
+    ///
+    /// # Errors
+    ///
+    /// When it is not one, or names a service that it does not define.
+    fn configuration(body: &str) -> Result<Configuration>;
+
+    /// Reads what an upstream registered under the name of its incarnation.
+    ///
+    /// # Errors
+    ///
+    /// When a field is missing or can't be read.
+    fn upstream(name: &str, body: &str) -> Result<UpstreamEntry>;
+}
+
+/// Orders to engines.
+pub trait EngineOrders: Send + Sync + 'static {
+    /// Asks an engine for its state; `None` when no answer came.
+    fn report(&self, address: SocketAddr) -> impl Future<Output = Option<Report>> + Send;
+
+    /// Orders an engine to hold a range, on the condition that it has begun `expected` orders.
+    fn place(
+        &self,
+        address: SocketAddr,
+        instance: &str,
+        layers: LayerRange,
+        expected: u64,
+        fence: u64,
+    ) -> impl Future<Output = OrderReply> + Send;
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/documents.rs
@@ -0,0 +1,186 @@
+//! What the store holds for daemons, as last read: the configuration and the upstreams' entries.
+//!
+//! The texts are kept as they came, so that a daemon which the store turns away can get them from
+//! a peer. Newer texts replace older ones, never the other way round, whatever way they came.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use log::info;
+use log::warn;
+
+use crate::config::Table;
+use crate::dialect::Dialect;
+use crate::dialect::UpstreamEntry;
+use crate::shared::Shared;
+
+/// How a text came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// From the store.
+    Store,
+    /// From a peer.
+    Peer,
+}
+
+impl Source {
+    fn as_str(self) -> &'static str {
+        match self {
+            Source::Store => "store",
+            Source::Peer => "peer",
+        }
+    }
+}
+
+/// The upstreams' entries as of a revision of the store.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Entries {
+    /// Revision of the store.
+    pub revision: u64,
+    /// Texts by the name of the incarnation.
+    pub texts: BTreeMap<Arc<str>, Arc<str>>,
+}
+
+#[derive(Debug, Default)]
+struct Held {
+    configuration: Arc<str>,
+    entries: Entries,
+}
+
+/// The texts, and the views that are built from them.
+#[derive(Debug)]
+pub struct Documents {
+    shared: Arc<Shared>,
+    held: Mutex<Held>,
+}
+
+impl Documents {
+    /// Nothing read yet.
+    pub fn new(shared: Arc<Shared>) -> Documents {
+        Documents {
+            shared,
+            held: Mutex::default(),
+        }
+    }
+
+    /// Version of the configuration in force; 0 when none is known.
+    pub fn version(&self) -> u64 {
+        self.shared.table.load().version()
+    }
+
+    /// Revision of the upstreams' entries.
+    pub fn revision(&self) -> u64 {
+        self.held().entries.revision
+    }
+
+    /// Text of the configuration in force.
+    pub fn configuration(&self) -> Arc<str> {
+        Arc::clone(&self.held().configuration)
+    }
+
+    /// The upstreams' entries.
+    pub fn entries(&self) -> Entries {
+        self.held().entries.clone()
+    }
+
+    /// Puts a configuration in force unless a newer one is. False when it can't be read.
+    pub fn put_configuration<D: Dialect>(&self, text: &str, source: Source) -> bool {
+        let configuration = match D::configuration(text) {
+            Ok(configuration) => configuration,
+            Err(e) => {
+                warn!(error:% = e, source:% = source.as_str(); "configuration can't be read");
+                return false;
+            }
+        };
+        let mut held = self.held();
+        let old = self.shared.table.load().version();
+        if configuration.version <= old {
+            return true;
+        }
+        let version = configuration.version;
+        held.configuration = Arc::from(text);
+        self.shared.table.store(Arc::new(Table::new(configuration)));
+        drop(held);
+        info!(
+            target: "decision",
+            old,
+            version,
+            source:% = source.as_str();
+            "configuration in force"
+        );
+        metrics::gauge!("kelpworks_config_version").set(version as f64);
+        true
+    }
+
+    /// Takes the whole list of entries as of a revision, unless a newer one is held.
+    pub fn put_entries<D: Dialect>(&self, entries: Entries, source: Source) {
+        let mut held = self.held();
+        if entries.revision < held.entries.revision {
+            return;
+        }
+        held.entries = entries;
+        self.publish::<D>(&held.entries, source);
+    }
+
+    /// Takes changes up to a revision: new texts, or `None` for entries that are gone.
+    pub fn change_entries<D: Dialect>(
+        &self,
+        changes: Vec<(Arc<str>, Option<Arc<str>>)>,
+        revision: u64,
+    ) {
+        let mut held = self.held();
+        if revision < held.entries.revision {
+            return;
+        }
+        for (name, text) in changes {
+            match text {
+                Some(text) => held.entries.texts.insert(name, text),
+                None => held.entries.texts.remove(&name),
+            };
+        }
+        held.entries.revision = revision;
+        self.publish::<D>(&held.entries, Source::Store);
+    }
+
+    fn publish<D: Dialect>(&self, entries: &Entries, source: Source) {
+        let decoded = entries
+            .texts
+            .iter()
+            .filter_map(|(name, text)| decode::<D>(name, text));
+        let decoded: Vec<UpstreamEntry> = decoded.collect();
+        let mut fleet = self.shared.fleet();
+        let changes = fleet.replace(decoded, entries.revision);
+        self.shared.pool.retain(|key| fleet.get(key).is_some());
+        drop(fleet);
+        if changes.is_empty() {
+            return;
+        }
+        info!(
+            target: "decision",
+            revision = entries.revision,
+            source:% = source.as_str(),
+            added:% = changes.added.join(","),
+            leaving:% = changes.leaving.join(","),
+            removed:% = changes.removed.join(",");
+            "upstreams changed"
+        );
+    }
+
+    /// The texts stay consistent line by line, so a panic of a holder spoils nothing.
+    fn held(&self) -> MutexGuard<'_, Held> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn decode<D: Dialect>(name: &str, text: &str) -> Option<UpstreamEntry> {
+    match D::upstream(name, text) {
+        Ok(entry) => Some(entry),
+        Err(e) => {
+            warn!(upstream:% = name, error:% = e; "upstream left out");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -0,0 +1,284 @@
+//! Upstreams and what is known of each: registration, load, and recent health.
+//!
+//! Health is learnt from the work itself: each event or answer marks the upstreams that produced it
+//! as live at that moment, and a silent request points at those that nothing has confirmed since.
+//! This costs no probes, and finds a dead engine within a few usual pauses between events.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+use tokio::time::Instant;
+
+use crate::dialect::LayerRange;
+use crate::dialect::Stage;
+use crate::dialect::UpstreamEntry;
+
+new_key_type! {
+    /// Key of an upstream's incarnation; never reused.
+    pub struct UpstreamKey;
+}
+
+/// First time that an upstream is passed over after a failure. Under the heartbeat interval of
+/// discovery (about a second), so that an upstream that recovers is tried again by then.
+const FIRST_DOUBT: Duration = Duration::from_millis(800);
+/// Longest time that an upstream is passed over after failures in a row: three heartbeats, after
+/// which discovery itself has removed one that is dead.
+const LONGEST_DOUBT: Duration = Duration::from_secs(4);
+/// Weight of a new answer time in its moving average.
+const ANSWER_WEIGHT: f64 = 0.2;
+
+/// Requests and memory that are promised.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests under way.
+    pub running: f64,
+    /// Token-layers of KV cache that they may come to take.
+    pub reserved: f64,
+}
+
+/// An incarnation of an upstream.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// As registered.
+    pub entry: UpstreamEntry,
+    /// Load by this daemon.
+    pub own: Load,
+    /// Load by all other daemons, as they last told.
+    pub others: Load,
+    /// When work of any request was last seen to pass.
+    pub last_good: Option<Instant>,
+    /// Passed over until then where others can do its work.
+    pub doubted_until: Option<Instant>,
+    /// Failures in a row.
+    failures: u32,
+    /// Moving average of its answer times, in milliseconds.
+    pub answer_ms: Option<f64>,
+}
+
+impl Upstream {
+    /// Whether new work may go there by registration.
+    pub fn is_open(&self) -> bool {
+        self.entry.stage == Stage::Ready
+    }
+
+    /// Whether it failed so recently that others are preferred.
+    pub fn is_doubted(&self, now: Instant) -> bool {
+        self.doubted_until.is_some_and(|until| now < until)
+    }
+
+    /// Load by all daemons.
+    pub fn load(&self) -> Load {
+        Load {
+            running: self.own.running + self.others.running,
+            reserved: self.own.reserved + self.others.reserved,
+        }
+    }
+}
+
+/// What changed by a new registration list.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Changes {
+    /// Incarnations that came.
+    pub added: Vec<Arc<str>>,
+    /// Incarnations that went.
+    pub removed: Vec<Arc<str>>,
+    /// Incarnations that began to leave.
+    pub leaving: Vec<Arc<str>>,
+}
+
+impl Changes {
+    /// Whether anything changed.
+    pub fn is_empty(&self) -> bool {
+        self.added.is_empty() && self.removed.is_empty() && self.leaving.is_empty()
+    }
+}
+
+/// All upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    upstreams: SlotMap<UpstreamKey, Upstream>,
+    by_instance: HashMap<Arc<str>, UpstreamKey>,
+    by_service: HashMap<Arc<str>, Vec<UpstreamKey>>,
+    /// Revision of the store that the registrations are of; never falls.
+    revision: u64,
+}
+
+impl Fleet {
+    /// Revision of the store that the registrations are of.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Takes the whole list of registrations as of a revision; an older one changes nothing.
+    pub fn replace(&mut self, entries: Vec<UpstreamEntry>, revision: u64) -> Changes {
+        let mut changes = Changes::default();
+        if revision < self.revision {
+            return changes;
+        }
+        self.revision = revision;
+        let known: HashMap<Arc<str>, ()> = entries
+            .iter()
+            .map(|e| (Arc::clone(&e.instance), ()))
+            .collect();
+        let gone = self.by_instance.keys().filter(|i| !known.contains_key(*i));
+        for instance in gone.cloned().collect::<Vec<_>>() {
+            self.remove(&instance);
+            changes.removed.push(instance);
+        }
+        for entry in entries {
+            self.upsert(entry, &mut changes);
+        }
+        changes
+    }
+
+    fn upsert(&mut self, entry: UpstreamEntry, changes: &mut Changes) {
+        if let Some(&key) = self.by_instance.get(&entry.instance) {
+            if let Some(upstream) = self.upstreams.get_mut(key) {
+                if upstream.is_open() && entry.stage == Stage::Leaving {
+                    changes.leaving.push(Arc::clone(&entry.instance));
+                }
+                upstream.entry = entry;
+            }
+            return;
+        }
+        let instance = Arc::clone(&entry.instance);
+        let service = Arc::clone(&entry.service);
+        let key = self.upstreams.insert(Upstream {
+            entry,
+            own: Load::default(),
+            others: Load::default(),
+            last_good: None,
+            doubted_until: None,
+            failures: 0,
+            answer_ms: None,
+        });
+        self.by_instance.insert(Arc::clone(&instance), key);
+        self.by_service.entry(service).or_default().push(key);
+        changes.added.push(instance);
+    }
+
+    fn remove(&mut self, instance: &str) {
+        let Some(key) = self.by_instance.remove(instance) else {
+            return;
+        };
+        let Some(upstream) = self.upstreams.remove(key) else {
+            return;
+        };
+        if let Some(keys) = self.by_service.get_mut(&upstream.entry.service) {
+            keys.retain(|&k| k != key);
+        }
+    }
+
+    /// An upstream; `None` once its incarnation is gone.
+    pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
+        self.upstreams.get(key)
+    }
+
+    /// An upstream, to change.
+    pub fn get_mut(&mut self, key: UpstreamKey) -> Option<&mut Upstream> {
+        self.upstreams.get_mut(key)
+    }
+
+    /// The upstream of an incarnation.
+    pub fn key_of(&self, instance: &str) -> Option<UpstreamKey> {
+        self.by_instance.get(instance).copied()
+    }
+
+    /// Upstreams of a service, in the order in which they came.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        keys.filter_map(|&k| Some((k, self.upstreams.get(k)?)))
+    }
+
+    /// All upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        self.upstreams.iter()
+    }
+
+    /// All registrations.
+    pub fn entries(&self) -> Vec<UpstreamEntry> {
+        self.upstreams.values().map(|u| u.entry.clone()).collect()
+    }
+
+    /// Forgets what other daemons told of their load.
+    pub fn clear_others(&mut self) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.others = Load::default();
+        }
+    }
+
+    /// Adds to the load of an upstream by this daemon.
+    pub fn take(&mut self, key: UpstreamKey, reserved: f64) {
+        if let Some(u) = self.upstreams.get_mut(key) {
+            u.own.running += 1.0;
+            u.own.reserved += reserved;
+        }
+    }
+
+    /// Undoes [`Fleet::take`].
+    pub fn release(&mut self, key: UpstreamKey, reserved: f64) {
+        if let Some(u) = self.upstreams.get_mut(key) {
+            u.own.running = (u.own.running - 1.0).max(0.0);
+            u.own.reserved = (u.own.reserved - reserved).max(0.0);
+        }
+    }
+
+    /// Notes that work passed an upstream.
+    pub fn good(&mut self, key: UpstreamKey, now: Instant) {
+        if let Some(u) = self.upstreams.get_mut(key) {
+            u.last_good = Some(now);
+            u.doubted_until = None;
+            u.failures = 0;
+        }
+    }
+
+    /// Notes the time that an answer took.
+    pub fn answered(&mut self, key: UpstreamKey, took: Duration) {
+        if let Some(u) = self.upstreams.get_mut(key) {
+            let ms = took.as_secs_f64() * 1e3;
+            let old = u.answer_ms.unwrap_or(ms);
+            u.answer_ms = Some(old + ANSWER_WEIGHT * (ms - old));
+        }
+    }
+
+    /// Notes a failure: the upstream is passed over for a while, longer with each one in a row.
+    pub fn doubt(&mut self, key: UpstreamKey, now: Instant) {
+        let Some(u) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        if u.is_doubted(now) {
+            return;
+        }
+        let doublings = u.failures.min(4);
+        u.failures += 1;
+        let span = (FIRST_DOUBT * 2u32.pow(doublings)).min(LONGEST_DOUBT);
+        u.doubted_until = Some(now + span);
+    }
+
+    /// Takes another daemon's doubt of an upstream over, unless work has passed it since.
+    pub fn doubt_told(&mut self, key: UpstreamKey, since: Instant, until: Instant) {
+        let Some(u) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        let confirmed = u.last_good.is_some_and(|at| at > since);
+        if !confirmed && u.doubted_until.is_none_or(|d| d < until) {
+            u.doubted_until = Some(until);
+        }
+    }
+
+    /// Upstreams of a path that nothing has confirmed since a moment.
+    pub fn unconfirmed(
+        &self,
+        path: &[(UpstreamKey, LayerRange)],
+        since: Instant,
+    ) -> Vec<UpstreamKey> {
+        let unconfirmed = |key: &UpstreamKey| {
+            let upstream = self.upstreams.get(*key);
+            upstream.is_none_or(|u| u.last_good.is_none_or(|at| at <= since))
+        };
+        path.iter().map(|&(k, _)| k).filter(unconfirmed).collect()
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/follow.rs
@@ -0,0 +1,153 @@
+//! Following the store: lists a kind once, then watches it.
+//!
+//! A watch waits long, since each call is paid for; that a connection has died is found by the
+//! system's keepalive, and by peers that know something newer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kelpworks::border::object_api::Error;
+use kelpworks::border::object_api::ObjectApi;
+use kelpworks::border::object_api::Result;
+use kelpworks_wire::Object;
+use kelpworks_wire::WatchEventKind;
+use log::info;
+use log::warn;
+use tokio_util::sync::CancellationToken;
+
+use crate::dialect::Dialect;
+use crate::documents::Documents;
+use crate::documents::Entries;
+use crate::documents::Source;
+
+/// Longest wait of a watch: each one is a paid call, and the platform allows 30 s.
+const WATCH: Duration = Duration::from_secs(20);
+/// First pause after a failed call, doubled up to [`LONGEST_PAUSE`].
+const PAUSE: Duration = Duration::from_millis(150);
+/// Longest pause after failed calls: a fraction of the time within which changes must hold.
+const LONGEST_PAUSE: Duration = Duration::from_millis(900);
+
+/// What is followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum What {
+    /// The configuration.
+    Configuration,
+    /// The upstreams' entries.
+    Upstreams,
+}
+
+/// Follows one kind of the store.
+#[derive(Debug)]
+pub(crate) struct Follower<A> {
+    pub(crate) api: Arc<A>,
+    pub(crate) documents: Arc<Documents>,
+    pub(crate) what: What,
+}
+
+impl<A: ObjectApi> Follower<A> {
+    /// Follows until it is stopped.
+    pub(crate) async fn run<D: Dialect>(self, stop: CancellationToken) {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = self.follow::<D>() => {}
+        }
+    }
+
+    async fn follow<D: Dialect>(&self) {
+        let mut revision = None;
+        let mut pause = PAUSE;
+        let mut lost = false;
+        loop {
+            match self.step::<D>(revision).await {
+                Ok(seen) => {
+                    if lost {
+                        info!(kind:% = self.kind::<D>(), revision = seen; "store regained");
+                    }
+                    lost = false;
+                    revision = Some(seen);
+                    pause = PAUSE;
+                }
+                Err(Error::Expired) => {
+                    info!(kind:% = self.kind::<D>(); "history of the store is gone, listing anew");
+                    revision = None;
+                }
+                Err(e) => {
+                    if !lost {
+                        warn!(kind:% = self.kind::<D>(), error:% = e; "store lost");
+                    }
+                    lost = true;
+                    self.api.fresh();
+                    tokio::time::sleep(pause).await;
+                    pause = (pause * 2).min(LONGEST_PAUSE);
+                }
+            }
+        }
+    }
+
+    fn kind<D: Dialect>(&self) -> &'static str {
+        match self.what {
+            What::Configuration => D::CONFIGURATION_KIND,
+            What::Upstreams => D::UPSTREAMS_KIND,
+        }
+    }
+
+    /// One call; returns the revision that was seen.
+    async fn step<D: Dialect>(&self, revision: Option<u64>) -> Result<u64> {
+        let kind = self.kind::<D>();
+        match revision {
+            None => {
+                let list = self.api.list(kind).await?;
+                self.listed::<D>(list.items, list.version);
+                Ok(list.version)
+            }
+            Some(from) => {
+                let reply = self.api.watch(kind, from, WATCH).await?;
+                let events = reply.events.into_iter().map(|e| (e.kind, e.object));
+                self.changed::<D>(events.collect(), reply.version);
+                Ok(reply.version)
+            }
+        }
+    }
+
+    fn listed<D: Dialect>(&self, objects: Vec<Object>, version: u64) {
+        match self.what {
+            What::Configuration => {
+                let named = objects.iter().filter(|o| o.name == D::CONFIGURATION_NAME);
+                for object in named {
+                    self.documents
+                        .put_configuration::<D>(&object.body, Source::Store);
+                }
+            }
+            What::Upstreams => {
+                let texts = objects
+                    .iter()
+                    .map(|o| (Arc::from(&*o.name), Arc::from(&*o.body)));
+                let entries = Entries {
+                    revision: version,
+                    texts: texts.collect(),
+                };
+                self.documents.put_entries::<D>(entries, Source::Store);
+            }
+        }
+    }
+
+    fn changed<D: Dialect>(&self, events: Vec<(WatchEventKind, Object)>, version: u64) {
+        if events.is_empty() {
+            return;
+        }
+        match self.what {
+            What::Configuration => {
+                let objects = events.into_iter().map(|(_, o)| o).collect();
+                self.listed::<D>(objects, version);
+            }
+            What::Upstreams => {
+                let change = |(kind, o): (WatchEventKind, Object)| {
+                    let text = (kind == WatchEventKind::Put).then(|| Arc::from(&*o.body));
+                    (Arc::from(&*o.name), text)
+                };
+                let changes = events.into_iter().map(change).collect();
+                self.documents.change_entries::<D>(changes, version);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/layout.rs
@@ -0,0 +1,199 @@
+//! Which layers each engine is to hold.
+//!
+//! Three things compete for an engine's memory: layers (more copies, so that the loss of an engine
+//! leaves a path), room for requests, and time (a slow accelerator with many layers slows every
+//! path over it). Room decides most: an engine without it refuses, or cuts streams off. So each
+//! engine gets as many layers as leave room for [`ROOM_REQUESTS`] usual requests, and the layers
+//! are laid so that each failure domain covers the model by its fastest engines first; what is
+//! left backs up the layers that are held least.
+//!
+//! What stands is kept: only engines that hold nothing are given layers, unless some layer is held
+//! nowhere at all.
+
+use std::sync::Arc;
+
+use crate::config::Accelerator;
+use crate::config::Engines;
+use crate::dialect::LayerRange;
+
+/// Usual requests that an engine must have room for beside its layers. At 86 requests a second on
+/// three domains about 37 run in each at a time, and bursts double that.
+const ROOM_REQUESTS: f64 = 80.0;
+/// Weight of a layer that no engine of the fleet holds, against one that only the domain lacks.
+const NOWHERE: f64 = 1e6;
+/// Weight of a layer that no engine of the domain holds, against one more copy.
+const NOT_IN_DOMAIN: f64 = 1e3;
+
+/// An engine to place layers on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Host {
+    /// Its incarnation.
+    pub instance: Arc<str>,
+    /// Failure domain.
+    pub domain: Arc<str>,
+    /// Kind of accelerator.
+    pub kind: Arc<str>,
+    /// What it holds or has been ordered to hold.
+    pub layers: Option<LayerRange>,
+}
+
+/// An engine and the layers that it should hold.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// Its incarnation.
+    pub instance: Arc<str>,
+    /// What it should hold.
+    pub layers: LayerRange,
+}
+
+/// Layers that an engine of a kind is given: as many as leave the room that requests need, at
+/// least one if it fits.
+pub fn layers_for(engines: &Engines, kind: &Accelerator) -> u16 {
+    let request = engines.usual_prompt + engines.usual_answer;
+    let leaves_room = |layers: &u16| {
+        let room = engines.kv_room(kind, *layers) / f64::from(*layers);
+        room >= ROOM_REQUESTS * request
+    };
+    let most = engines.most_layers(kind);
+    let fitting = (1..=most).rev().find(leaves_room);
+    fitting.unwrap_or(most.min(1))
+}
+
+/// The orders that are missing for a good placement; empty when what stands is to stay.
+pub fn plan(engines: &Engines, hosts: &[Host]) -> Vec<Placement> {
+    let mut cover = Cover::new(engines, hosts);
+    let mut empty: Vec<&Host> = hosts.iter().filter(|h| h.layers.is_none()).collect();
+    empty.sort_by(|a, b| cover.by_speed(engines, a, b));
+    let mut orders = Vec::new();
+    for host in empty {
+        let Some(kind) = engines.kind(&host.kind) else {
+            continue;
+        };
+        let len = layers_for(engines, kind);
+        if len == 0 {
+            continue;
+        }
+        let layers = cover.window(&host.domain, len);
+        cover.add(&host.domain, layers);
+        orders.push(Placement {
+            instance: Arc::clone(&host.instance),
+            layers,
+        });
+    }
+    if orders.is_empty() {
+        orders.extend(cover.rescue(engines, hosts));
+    }
+    orders
+}
+
+/// How often each layer is held, by failure domain.
+struct Cover {
+    layers: u16,
+    domains: Vec<(Arc<str>, Vec<u32>)>,
+}
+
+impl Cover {
+    fn new(engines: &Engines, hosts: &[Host]) -> Cover {
+        let mut cover = Cover {
+            layers: engines.layers,
+            domains: Vec::new(),
+        };
+        for host in hosts {
+            let none = LayerRange { from: 0, to: 0 };
+            cover.add(&host.domain, host.layers.unwrap_or(none));
+        }
+        cover
+    }
+
+    /// Fast accelerators first, so that they make up the path of their domain.
+    fn by_speed(&self, engines: &Engines, a: &Host, b: &Host) -> std::cmp::Ordering {
+        let factor = |h: &Host| engines.kind(&h.kind).map_or(f64::MAX, |k| k.step_factor);
+        let by_factor = factor(a).total_cmp(&factor(b));
+        by_factor.then_with(|| a.instance.cmp(&b.instance))
+    }
+
+    fn add(&mut self, domain: &Arc<str>, range: LayerRange) {
+        let counts = self.counts_mut(domain);
+        for count in counts
+            .iter_mut()
+            .take(usize::from(range.to))
+            .skip(usize::from(range.from))
+        {
+            *count += 1;
+        }
+    }
+
+    fn counts_mut(&mut self, domain: &Arc<str>) -> &mut Vec<u32> {
+        if let Some(i) = self.domains.iter().position(|(d, _)| d == domain) {
+            return &mut self.domains[i].1;
+        }
+        let none = vec![0; usize::from(self.layers)];
+        self.domains.push((Arc::clone(domain), none));
+        let last = self.domains.len() - 1;
+        &mut self.domains[last].1
+    }
+
+    fn held_anywhere(&self, layer: usize) -> u32 {
+        self.domains.iter().map(|(_, counts)| counts[layer]).sum()
+    }
+
+    /// What one more copy of a layer in a domain is worth.
+    fn need(&self, counts: &[u32], layer: usize) -> f64 {
+        let nowhere = if self.held_anywhere(layer) == 0 {
+            NOWHERE
+        } else {
+            0.0
+        };
+        let in_domain = match counts[layer] {
+            0 => NOT_IN_DOMAIN,
+            n => 1.0 / f64::from(n * n),
+        };
+        let copies = f64::from(self.held_anywhere(layer));
+        nowhere + in_domain + 0.1 / (1.0 + copies)
+    }
+
+    /// The range of so many layers that is needed most in a domain; the first of equals.
+    fn window(&mut self, domain: &Arc<str>, len: u16) -> LayerRange {
+        let counts = self.counts_mut(domain).clone();
+        let needs: Vec<f64> = (0..counts.len()).map(|l| self.need(&counts, l)).collect();
+        let len = len.min(self.layers);
+        let worth = |from: u16| -> f64 {
+            let range = usize::from(from)..usize::from(from + len);
+            needs[range].iter().sum()
+        };
+        let mut best = (0, f64::MIN);
+        for from in 0..=self.layers - len {
+            let here = worth(from);
+            if here > best.1 + 1e-9 {
+                best = (from, here);
+            }
+        }
+        LayerRange {
+            from: best.0,
+            to: best.0 + len,
+        }
+    }
+
+    /// Moves one engine whose layers are all held elsewhere to layers that are held nowhere.
+    fn rescue(&mut self, engines: &Engines, hosts: &[Host]) -> Option<Placement> {
+        let layers = usize::from(self.layers);
+        if (0..layers).all(|l| self.held_anywhere(l) > 0) {
+            return None;
+        }
+        let spare = |range: LayerRange| {
+            let mut held = usize::from(range.from)..usize::from(range.to);
+            held.all(|l| self.held_anywhere(l) > 1)
+        };
+        let spared = |h: &&Host| h.layers.is_some_and(spare);
+        let host = hosts
+            .iter()
+            .filter(spared)
+            .min_by_key(|h| h.layers.map(LayerRange::len))?;
+        let kind = engines.kind(&host.kind)?;
+        let layers = self.window(&host.domain, layers_for(engines, kind));
+        Some(Placement {
+            instance: Arc::clone(&host.instance),
+            layers,
+        })
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -0,0 +1,35 @@
+//! The relaying side of kelpworks: whole requests, forwarded to plain services and along paths of
+//! engines that pass activations on among themselves.
+//!
+//! The crate `kelpworks` drives engines step by step; engines that know how to pass a request along
+//! a path need a daemon only to choose the path, to watch the stream, and to go on elsewhere when it
+//! breaks. The platform's words are translated by an adapter, see [`dialect`].
+//!
+//! ```
+//! use kelpworks_relay::config::Configuration;
+//! use kelpworks_relay::config::Table;
+//!
+//! let table = Table::new(Configuration::default());
+//! assert_eq!(table.version(), 0, "a daemon without a configuration refuses all requests");
+//! ```
+//!
+//! Limits: HTTP/1.1 without encryption; request bodies are read whole before they are sent.
+
+pub mod config;
+pub mod crashes;
+pub mod daemon;
+pub mod dialect;
+pub mod documents;
+pub mod fleet;
+mod follow;
+pub mod layout;
+mod operators;
+pub mod path;
+mod peers;
+mod placer;
+pub mod pool;
+mod relay;
+pub mod repeats;
+mod server;
+pub mod settings;
+pub mod shared;
--- /dev/null
+++ b/crates/kelpworks-relay/src/operators.rs
@@ -0,0 +1,107 @@
+//! The pages for the balancer and for operators: readiness and metrics.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use salvo::Depot;
+use salvo::FlowCtrl;
+use salvo::Handler;
+use salvo::Request;
+use salvo::Response;
+use salvo::Router;
+use salvo::async_trait;
+use salvo::http::StatusCode;
+
+use crate::shared::Shared;
+
+/// Whether this daemon can serve.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Readiness {
+    /// It can.
+    Ready,
+    /// A planned stop has begun.
+    Stopping,
+    /// No configuration is known.
+    NoConfiguration,
+    /// No upstream is known.
+    NoUpstreams,
+}
+
+impl Readiness {
+    /// As things stand.
+    pub(crate) fn of(shared: &Shared) -> Readiness {
+        if shared.closing.load(Ordering::Relaxed) {
+            return Readiness::Stopping;
+        }
+        if shared.table.load().version() == 0 {
+            return Readiness::NoConfiguration;
+        }
+        match shared.fleet().iter().next() {
+            Some(_) => Readiness::Ready,
+            None => Readiness::NoUpstreams,
+        }
+    }
+
+    /// The word for the page and the log.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Readiness::Ready => "ready",
+            Readiness::Stopping => "stopping",
+            Readiness::NoConfiguration => "no configuration yet",
+            Readiness::NoUpstreams => "no upstreams yet",
+        }
+    }
+}
+
+struct Ready {
+    shared: Arc<Shared>,
+}
+
+struct Metrics {
+    metrics: PrometheusHandle,
+}
+
+/// The balancer's page; any path, since platforms differ in it.
+pub(crate) fn readiness(shared: &Arc<Shared>) -> Router {
+    let ready = Ready {
+        shared: Arc::clone(shared),
+    };
+    Router::with_path("{**rest}").get(ready)
+}
+
+/// The operators' page.
+pub(crate) fn metrics(metrics: PrometheusHandle) -> Router {
+    Router::with_path("metrics").get(Metrics { metrics })
+}
+
+#[async_trait]
+impl Handler for Ready {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let readiness = Readiness::of(&self.shared);
+        if readiness != Readiness::Ready {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        res.render(readiness.as_str());
+    }
+}
+
+#[async_trait]
+impl Handler for Metrics {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        self.metrics.run_upkeep();
+        res.render(self.metrics.render());
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/path.rs
@@ -0,0 +1,355 @@
+//! The path of a request through engines that pass activations on themselves.
+//!
+//! A path covers every layer once and in order. Each part may be a piece of what its engine holds,
+//! so overlapping holdings give many paths. The search is a shortest path over the layer boundaries
+//! at which holdings begin or end; its cost is the time that a token takes, with what the engines
+//! already run. On 38 engines a search looks at a few thousand edges.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::Rng;
+use rand::RngExt;
+use tokio::time::Instant;
+
+use crate::config::Engines;
+use crate::dialect::Hop;
+use crate::dialect::LayerRange;
+use crate::fleet::Fleet;
+use crate::fleet::Upstream;
+use crate::fleet::UpstreamKey;
+
+/// Time that passing activations on takes a token within a failure domain, in milliseconds: the
+/// delay of a link and a share of the next engine's running pass.
+const HOP_MS: f64 = 0.4;
+/// Added where activations leave a failure domain, in milliseconds. It stands for the delay and for
+/// a pipe that all paths between two domains share and that one crossing a request nearly fills.
+const CROSSING_MS: f64 = 6.0;
+/// Added for an engine that failed lately, in milliseconds: more than any detour costs.
+const DOUBT_MS: f64 = 200.0;
+/// Costs are drawn within this part above and below, so that daemons with the same view spread.
+const JITTER: f64 = 0.15;
+/// Part of an engine's KV room that requests may be promised; the estimate of an answer's length
+/// is often far off.
+const ROOM_SHARE: f64 = 0.9;
+/// Most engines of a path: what engines accept.
+pub const MOST_HOPS: usize = 32;
+/// How strongly promised memory raises the cost: an engine with all its room promised costs this
+/// many times more than an empty one.
+const PRESSURE: f64 = 3.0;
+
+/// What a path is sought for.
+#[derive(Clone, Debug)]
+pub struct Ask<'a> {
+    /// Service of the engines.
+    pub service: &'a str,
+    /// Tokens of prompt and answer that are expected.
+    pub tokens: f64,
+    /// Failure domain of the daemon.
+    pub domain: &'a str,
+    /// Engines that must not be on it.
+    pub avoid: &'a [UpstreamKey],
+    /// Engine that must come first.
+    pub first: Option<UpstreamKey>,
+    /// Now.
+    pub now: Instant,
+}
+
+/// A path.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Path {
+    /// Engines and what each runs, in order.
+    pub parts: Vec<(UpstreamKey, LayerRange)>,
+    /// The same as engines are told; empty for an engine that holds the whole model.
+    pub hops: Vec<Hop>,
+    /// Address of the first engine.
+    pub address: SocketAddr,
+    /// Incarnation of the first engine.
+    pub instance: Arc<str>,
+    /// Failure domains that it changes.
+    pub crossings: u32,
+}
+
+/// Why there is no path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoPath {
+    /// No engine that may be used holds this layer.
+    Uncovered(u16),
+    /// Layers are held, but the memory for requests is promised to others.
+    Full,
+}
+
+impl NoPath {
+    /// The word for the log and the caller.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            NoPath::Uncovered(_) => "a layer is held by no engine",
+            NoPath::Full => "the memory of the engines is promised",
+        }
+    }
+}
+
+/// An engine that may be used.
+struct Candidate {
+    key: UpstreamKey,
+    range: LayerRange,
+    /// Index of its failure domain.
+    domain: usize,
+    /// Cost of a layer, in milliseconds a token.
+    layer_ms: f64,
+    /// Cost of using it at all, in milliseconds a token.
+    entry_ms: f64,
+}
+
+/// How a state was reached.
+#[derive(Clone, Copy)]
+struct Step {
+    cost: f64,
+    candidate: usize,
+    /// Boundary and domain that it came from.
+    from: (usize, usize),
+}
+
+/// Seeks the cheapest path.
+///
+/// # Errors
+///
+/// When no engines that may be used hold all layers, or none of them has room.
+pub fn search<R: Rng>(
+    fleet: &Fleet,
+    engines: &Engines,
+    ask: &Ask<'_>,
+    rng: &mut R,
+) -> Result<Path, NoPath> {
+    let mut graph = Graph::new(fleet, engines, ask, rng);
+    if let Some(layer) = graph.uncovered(engines.layers, ask.first) {
+        return match Graph::holds(fleet, ask, layer) {
+            true => Err(NoPath::Full),
+            false => Err(NoPath::Uncovered(layer)),
+        };
+    }
+    for whole in [false, true] {
+        graph.whole = whole;
+        if let Some(path) = graph.solve(fleet, engines.layers, ask)
+            && !path.repeats()
+            && path.parts.len() <= MOST_HOPS
+        {
+            return Ok(path);
+        }
+    }
+    Err(NoPath::Full)
+}
+
+impl Path {
+    /// Whether an engine is on it twice, which engines refuse.
+    fn repeats(&self) -> bool {
+        let later = |i: usize, key: UpstreamKey| self.parts[i + 1..].iter().any(|&(k, _)| k == key);
+        let mut parts = self.parts.iter().enumerate();
+        parts.any(|(i, &(key, _))| later(i, key))
+    }
+
+    /// Keys of its engines, in order.
+    pub fn keys(&self) -> impl Iterator<Item = UpstreamKey> {
+        self.parts.iter().map(|&(k, _)| k)
+    }
+}
+
+struct Graph {
+    candidates: Vec<Candidate>,
+    /// Layer boundaries at which a holding begins or ends, rising, from 0 to the last.
+    bounds: Vec<u16>,
+    domains: Vec<Arc<str>>,
+    /// Whether each engine runs all that is left of its holding, so that none can come twice.
+    whole: bool,
+}
+
+impl Graph {
+    fn new<R: Rng>(fleet: &Fleet, engines: &Engines, ask: &Ask<'_>, rng: &mut R) -> Graph {
+        let mut domains: Vec<Arc<str>> = Vec::new();
+        let mut candidates = Vec::new();
+        let mut bounds = vec![0, engines.layers];
+        for (key, upstream) in fleet.of_service(ask.service) {
+            let Some(mut candidate) = candidate(key, upstream, engines, ask) else {
+                continue;
+            };
+            candidate.layer_ms *= rng.random_range(1.0 - JITTER..1.0 + JITTER);
+            candidate.domain = index_of(&mut domains, &upstream.entry.domain);
+            bounds.push(candidate.range.from);
+            bounds.push(candidate.range.to);
+            candidates.push(candidate);
+        }
+        bounds.sort_unstable();
+        bounds.dedup();
+        bounds.retain(|&b| b <= engines.layers);
+        Graph {
+            candidates,
+            bounds,
+            domains,
+            whole: false,
+        }
+    }
+
+    /// Whether an engine that is open holds a layer, whatever its load.
+    fn holds(fleet: &Fleet, ask: &Ask<'_>, layer: u16) -> bool {
+        let holds = |u: &Upstream| u.entry.layers.is_some_and(|r| r.contains(layer));
+        let mut engines = fleet.of_service(ask.service);
+        engines.any(|(key, u)| u.is_open() && !ask.avoid.contains(&key) && holds(u))
+    }
+
+    /// The first layer that no candidate holds.
+    fn uncovered(&self, layers: u16, first: Option<UpstreamKey>) -> Option<u16> {
+        let at_start = |c: &Candidate| first.is_none_or(|f| f == c.key);
+        let covered = |layer: u16| {
+            let mut candidates = self.candidates.iter();
+            candidates.any(|c| c.range.contains(layer) && (layer > 0 || at_start(c)))
+        };
+        (0..layers).find(|&l| !covered(l))
+    }
+
+    fn solve(&self, fleet: &Fleet, layers: u16, ask: &Ask<'_>) -> Option<Path> {
+        let home = self.domains.iter().position(|d| &**d == ask.domain);
+        let width = self.domains.len();
+        let mut best: Vec<Option<Step>> = vec![None; self.bounds.len() * width];
+        for b in 0..self.bounds.len() - 1 {
+            self.extend(b, home, ask, &mut best);
+        }
+        let last = self.bounds.len() - 1;
+        debug_assert_eq!(self.bounds[last], layers);
+        let cost = |d: usize| best[last * width + d].map(|s| s.cost);
+        let reached = (0..width).filter_map(|d| Some((d, cost(d)?)));
+        let (domain, _) = reached.min_by(|a, b| a.1.total_cmp(&b.1))?;
+        self.trace(fleet, &best, (last, domain))
+    }
+
+    /// Extends all states at a boundary by every candidate that holds the layer there.
+    fn extend(&self, b: usize, home: Option<usize>, ask: &Ask<'_>, best: &mut [Option<Step>]) {
+        let width = self.domains.len();
+        let layer = self.bounds[b];
+        for (i, candidate) in self.candidates.iter().enumerate() {
+            if !candidate.range.contains(layer) {
+                continue;
+            }
+            let arrival = match b {
+                0 if ask.first.is_some_and(|f| f != candidate.key) => None,
+                0 => Some((0.0, home.unwrap_or(candidate.domain))),
+                _ => self.arrival(b, candidate.domain, best),
+            };
+            let Some((cost, from)) = arrival else {
+                continue;
+            };
+            let crossing = if from == candidate.domain {
+                0.0
+            } else {
+                CROSSING_MS
+            };
+            let cost = cost + crossing + HOP_MS + candidate.entry_ms;
+            for (e, &end) in self.bounds.iter().enumerate().skip(b + 1) {
+                if end > candidate.range.to {
+                    break;
+                }
+                if self.whole && end != candidate.range.to {
+                    continue;
+                }
+                let cost = cost + candidate.layer_ms * f64::from(end - layer);
+                let slot = &mut best[e * width + candidate.domain];
+                if slot.is_none_or(|s| cost < s.cost) {
+                    *slot = Some(Step {
+                        cost,
+                        candidate: i,
+                        from: (b, from),
+                    });
+                }
+            }
+        }
+    }
+
+    /// The cheapest way to stand at a boundary before going on in a domain.
+    fn arrival(&self, b: usize, domain: usize, best: &[Option<Step>]) -> Option<(f64, usize)> {
+        let width = self.domains.len();
+        let with_crossing = |d: usize| {
+            let step = best[b * width + d]?;
+            let crossing = if d == domain { 0.0 } else { CROSSING_MS };
+            Some((step.cost, step.cost + crossing, d))
+        };
+        let reached = (0..width).filter_map(with_crossing);
+        let (cost, _, d) = reached.min_by(|a, b| a.1.total_cmp(&b.1))?;
+        Some((cost, d))
+    }
+
+    fn trace(&self, fleet: &Fleet, best: &[Option<Step>], end: (usize, usize)) -> Option<Path> {
+        let width = self.domains.len();
+        let mut parts = Vec::new();
+        let mut domains = Vec::new();
+        let mut at = end;
+        while at.0 > 0 {
+            let step = best[at.0 * width + at.1]?;
+            let candidate = &self.candidates[step.candidate];
+            let layers = LayerRange {
+                from: self.bounds[step.from.0],
+                to: self.bounds[at.0],
+            };
+            parts.push((candidate.key, layers));
+            domains.push(candidate.domain);
+            at = step.from;
+        }
+        parts.reverse();
+        let hop = |&(key, layers): &(UpstreamKey, LayerRange)| {
+            let address = fleet.get(key)?.entry.address;
+            Some(Hop { address, layers })
+        };
+        let hops = parts.iter().map(hop).collect::<Option<Vec<Hop>>>()?;
+        let first = fleet.get(parts.first()?.0)?;
+        let crossings = domains.windows(2).filter(|w| w[0] != w[1]).count() as u32;
+        Some(Path {
+            instance: Arc::clone(&first.entry.instance),
+            address: first.entry.address,
+            parts,
+            hops,
+            crossings,
+        })
+    }
+}
+
+/// An engine as a candidate; `None` when it may not be used or has no room.
+fn candidate(
+    key: UpstreamKey,
+    upstream: &Upstream,
+    engines: &Engines,
+    ask: &Ask<'_>,
+) -> Option<Candidate> {
+    let range = upstream.entry.layers.filter(|r| !r.is_empty())?;
+    let kind = engines.kind(upstream.entry.kind.as_deref()?)?;
+    if !upstream.is_open() || ask.avoid.contains(&key) {
+        return None;
+    }
+    let load = upstream.load();
+    let held = f64::from(range.len());
+    let room = engines.kv_room(kind, range.len()) * ROOM_SHARE;
+    if load.reserved + ask.tokens * held > room {
+        return None;
+    }
+    let sequences = load.running + 1.0;
+    let context = sequences * ask.tokens / 1e3;
+    let step = engines.step_ms + engines.sequence_ms * sequences + engines.context_ms * context;
+    let pressure = 1.0 + PRESSURE * (load.reserved / room).powi(2);
+    let doubt = if upstream.is_doubted(ask.now) {
+        DOUBT_MS
+    } else {
+        0.0
+    };
+    Some(Candidate {
+        key,
+        range,
+        domain: 0,
+        layer_ms: kind.step_factor * step * pressure / f64::from(engines.layers),
+        entry_ms: doubt,
+    })
+}
+
+fn index_of(domains: &mut Vec<Arc<str>>, domain: &Arc<str>) -> usize {
+    if let Some(i) = domains.iter().position(|d| d == domain) {
+        return i;
+    }
+    domains.push(Arc::clone(domain));
+    domains.len() - 1
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -0,0 +1,460 @@
+//! Daemons among themselves: what each knows of the configuration, upstreams, load and failures.
+//!
+//! Every [`EXCHANGE`] a daemon calls a few others with a short digest and gets theirs. Who sees that
+//! the other holds a newer configuration or newer entries of upstreams asks for the texts; so what
+//! one daemon read in the store reaches all, also those that the store turns away. Digests also
+//! carry load, doubts and suspicions, which need no history: the last one told counts.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::async_trait;
+use jsonrpsee::proc_macros::rpc;
+use jsonrpsee::server::Server;
+use jsonrpsee::server::ServerConfig;
+use jsonrpsee::server::ServerHandle;
+use kelpworks::membership::links::Links;
+use log::info;
+use rand::seq::IndexedRandom;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::crashes::Fingerprint;
+use crate::dialect::Dialect;
+use crate::documents::Documents;
+use crate::documents::Entries;
+use crate::documents::Source;
+use crate::fleet::Load;
+use crate::shared::Shared;
+
+/// Time between two exchanges with each partner: load told a quarter of a second ago is still that
+/// of most streams, which last longer than a second.
+const EXCHANGE: Duration = Duration::from_millis(250);
+/// Daemons that are called each time.
+const FANOUT: usize = 8;
+/// Longest time for an exchange.
+const CALL: Duration = Duration::from_millis(400);
+/// Largest text between daemons: a whole fleet's entries.
+const MOST_BYTES: u32 = 8 << 20;
+/// A daemon counts as live so long after it was last heard of, directly or through others.
+const LIVE: Duration = Duration::from_secs(2);
+/// A daemon counts among those that share a bound so long after it was last heard of: a daemon that
+/// can't be heard may still be working.
+const SHARING: Duration = Duration::from_secs(60);
+/// Daemons that are assumed to share a bound until a daemon has had time to hear of the others.
+const ASSUMED: usize = 8;
+/// How long that is.
+const LEARNING: Duration = Duration::from_secs(3);
+/// Fingerprints told at most in a digest.
+const MOST_FINGERPRINTS: usize = 64;
+
+/// A daemon as others know it.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Contact {
+    /// Its name.
+    name: String,
+    /// Where it listens for peers.
+    address: SocketAddr,
+    /// Milliseconds since it was last heard of.
+    age_ms: u64,
+}
+
+/// What a daemon runs on an upstream.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct LoadOf {
+    instance: Arc<str>,
+    running: f64,
+    reserved: f64,
+}
+
+/// An upstream that a daemon passes over.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct DoubtOf {
+    instance: Arc<str>,
+    left_ms: u64,
+}
+
+/// A request that died with upstreams.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct CrashesOf {
+    fingerprint: u64,
+    crashes: u32,
+}
+
+/// What a daemon tells of itself.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Digest {
+    from: Contact,
+    /// Version of the configuration in force there.
+    version: u64,
+    /// Revision of the upstreams' entries there.
+    revision: u64,
+    members: Vec<Contact>,
+    load: Vec<LoadOf>,
+    doubts: Vec<DoubtOf>,
+    crashes: Vec<CrashesOf>,
+}
+
+/// Texts that a daemon holds.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Texts {
+    /// The configuration, when it is newer than was asked for.
+    configuration: Option<Arc<str>>,
+    /// The entries of upstreams and their revision, when newer than was asked for.
+    entries: Option<(u64, Vec<(Arc<str>, Arc<str>)>)>,
+}
+
+/// What the asking daemon holds already.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Known {
+    version: u64,
+    revision: u64,
+}
+
+/// Methods of a daemon for its peers; all may be repeated.
+#[rpc(server, client, namespace = "kelpworks", namespace_separator = ".")]
+pub(crate) trait PeerApi {
+    /// Tells a digest and gets one.
+    #[method(name = "exchange")]
+    async fn exchange(&self, digest: Digest) -> RpcResult<Digest>;
+
+    /// Gets the texts that are newer than known.
+    #[method(name = "texts")]
+    async fn texts(&self, known: Known) -> RpcResult<Texts>;
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    address: SocketAddr,
+    heard: Instant,
+    /// Load that it told last.
+    load: Vec<LoadOf>,
+    /// When it told it.
+    told: Option<Instant>,
+}
+
+/// The daemons, and what they tell each other.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    name: String,
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    documents: Arc<Documents>,
+    links: Links,
+    started: Instant,
+    seeds: Mutex<Vec<SocketAddr>>,
+    members: Mutex<HashMap<String, Member>>,
+}
+
+impl Peers {
+    /// A daemon that has heard of no other.
+    pub(crate) fn new(
+        name: &str,
+        address: SocketAddr,
+        shared: Arc<Shared>,
+        documents: Arc<Documents>,
+    ) -> Peers {
+        Peers {
+            name: name.to_owned(),
+            address,
+            shared,
+            documents,
+            links: Links::default(),
+            started: Instant::now(),
+            seeds: Mutex::default(),
+            members: Mutex::default(),
+        }
+    }
+
+    /// Sets the addresses by which others are found.
+    pub(crate) fn set_seeds(&self, seeds: &[SocketAddr]) {
+        let others = seeds.iter().copied().filter(|&s| s != self.address);
+        *lock(&self.seeds) = others.collect();
+    }
+
+    /// Daemons that may be working now, this one included.
+    pub(crate) fn sharing(&self) -> usize {
+        let now = Instant::now();
+        let members = lock(&self.members);
+        let heard = members
+            .values()
+            .filter(|m| now.duration_since(m.heard) < SHARING);
+        let known = heard.count() + 1;
+        if now.duration_since(self.started) < LEARNING {
+            return known.max(ASSUMED);
+        }
+        known
+    }
+
+    /// Listens for peers.
+    pub(crate) async fn listen<D: Dialect>(self: &Arc<Peers>) -> std::io::Result<ServerHandle> {
+        let cfg = ServerConfig::builder()
+            .max_request_body_size(MOST_BYTES)
+            .max_response_body_size(MOST_BYTES)
+            .build();
+        let server = Server::builder()
+            .set_config(cfg)
+            .build(self.address)
+            .await?;
+        let methods: Methods<D> = Methods {
+            peers: Arc::clone(self),
+            dialect: std::marker::PhantomData,
+        };
+        Ok(server.start(methods.into_rpc()))
+    }
+
+    /// Exchanges digests until it is stopped.
+    pub(crate) async fn run<D: Dialect>(self: Arc<Peers>, stop: CancellationToken) {
+        let mut tick = tokio::time::interval(EXCHANGE);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                _ = tick.tick() => {}
+            }
+            for address in self.partners() {
+                let peers = Arc::clone(&self);
+                tokio::spawn(async move { peers.call::<D>(address).await });
+            }
+            self.shared.repeats().set_daemons(self.sharing());
+            self.sum_load();
+        }
+    }
+
+    /// Who is called next: live daemons drawn at random, and seeds that are not among them.
+    fn partners(&self) -> Vec<SocketAddr> {
+        let now = Instant::now();
+        let members = lock(&self.members);
+        let live = members
+            .values()
+            .filter(|m| now.duration_since(m.heard) < LIVE);
+        let live: Vec<SocketAddr> = live.map(|m| m.address).collect();
+        let mut rng = rand::rng();
+        let mut chosen: Vec<SocketAddr> = live.sample(&mut rng, FANOUT).copied().collect();
+        let seeds = lock(&self.seeds);
+        let unknown = seeds.iter().filter(|s| !live.contains(s));
+        chosen.extend(unknown);
+        chosen
+    }
+
+    async fn call<D: Dialect>(&self, address: SocketAddr) {
+        let address = address.to_string();
+        let digest = self.digest();
+        let exchange = self
+            .links
+            .call(&address, CALL, &digest, |client, digest| async move {
+                client.exchange(digest).await
+            });
+        let Ok(theirs) = exchange.await else {
+            return;
+        };
+        self.heard(&theirs);
+        let known = Known {
+            version: self.documents.version(),
+            revision: self.documents.revision(),
+        };
+        if theirs.version <= known.version && theirs.revision <= known.revision {
+            return;
+        }
+        let texts = self
+            .links
+            .call(&address, CALL * 2, &known, |client, known| async move {
+                client.texts(known).await
+            });
+        if let Ok(texts) = texts.await {
+            self.take::<D>(texts);
+        }
+    }
+
+    fn take<D: Dialect>(&self, texts: Texts) {
+        if let Some(text) = texts.configuration {
+            self.documents.put_configuration::<D>(&text, Source::Peer);
+        }
+        if let Some((revision, texts)) = texts.entries {
+            let texts = texts.into_iter().collect();
+            let entries = Entries { revision, texts };
+            self.documents.put_entries::<D>(entries, Source::Peer);
+        }
+    }
+
+    fn digest(&self) -> Digest {
+        let now = Instant::now();
+        let mut load = Vec::new();
+        let mut doubts = Vec::new();
+        {
+            let fleet = self.shared.fleet();
+            for (_, u) in fleet.iter() {
+                if u.own.running > 0.0 {
+                    load.push(LoadOf {
+                        instance: Arc::clone(&u.entry.instance),
+                        running: u.own.running,
+                        reserved: u.own.reserved.round(),
+                    });
+                }
+                let left = u.doubted_until.and_then(|d| d.checked_duration_since(now));
+                if let Some(left) = left {
+                    doubts.push(DoubtOf {
+                        instance: Arc::clone(&u.entry.instance),
+                        left_ms: left.as_millis() as u64,
+                    });
+                }
+            }
+        }
+        let crashes = self.shared.crashes().counts(MOST_FINGERPRINTS);
+        let crashes = crashes.into_iter().map(|(f, crashes)| CrashesOf {
+            fingerprint: f.0,
+            crashes,
+        });
+        Digest {
+            from: Contact {
+                name: self.name.clone(),
+                address: self.address,
+                age_ms: 0,
+            },
+            version: self.documents.version(),
+            revision: self.documents.revision(),
+            members: self.contacts(now),
+            load,
+            doubts,
+            crashes: crashes.collect(),
+        }
+    }
+
+    fn contacts(&self, now: Instant) -> Vec<Contact> {
+        let members = lock(&self.members);
+        let live = members
+            .iter()
+            .filter(|(_, m)| now.duration_since(m.heard) < LIVE);
+        let contact = |(name, m): (&String, &Member)| Contact {
+            name: name.clone(),
+            address: m.address,
+            age_ms: now.duration_since(m.heard).as_millis() as u64,
+        };
+        live.map(contact).collect()
+    }
+
+    /// Takes what a daemon tells.
+    fn heard(&self, digest: &Digest) {
+        let now = Instant::now();
+        self.meet(&digest.from, now);
+        for contact in &digest.members {
+            self.meet(contact, now);
+        }
+        if let Some(member) = lock(&self.members).get_mut(&digest.from.name) {
+            member.load = digest.load.clone();
+            member.told = Some(now);
+        }
+        {
+            let mut fleet = self.shared.fleet();
+            for doubt in &digest.doubts {
+                if let Some(key) = fleet.key_of(&doubt.instance) {
+                    let until = now + Duration::from_millis(doubt.left_ms);
+                    fleet.doubt_told(key, now - EXCHANGE, until);
+                }
+            }
+        }
+        let mut crashes = self.shared.crashes();
+        for told in &digest.crashes {
+            crashes.told(Fingerprint(told.fingerprint), told.crashes, now);
+        }
+    }
+
+    fn meet(&self, contact: &Contact, now: Instant) {
+        let age = Duration::from_millis(contact.age_ms);
+        let Some(heard) = now.checked_sub(age) else {
+            return;
+        };
+        if contact.name == self.name {
+            return;
+        }
+        let mut members = lock(&self.members);
+        let known = members.get(&contact.name);
+        let is_news = known.is_none_or(|m| now.duration_since(m.heard) >= LIVE);
+        if known.is_some_and(|m| m.heard >= heard) {
+            return;
+        }
+        let new = Member {
+            address: contact.address,
+            heard,
+            load: Vec::new(),
+            told: None,
+        };
+        let member = members.entry(contact.name.clone()).or_insert(new);
+        member.heard = heard;
+        member.address = contact.address;
+        if is_news && age < LIVE {
+            info!(peer:% = contact.name, address:% = contact.address; "peer heard");
+        }
+    }
+
+    /// Sums the load of all others up, as they last told it.
+    fn sum_load(&self) {
+        let now = Instant::now();
+        let members = lock(&self.members);
+        let mut fleet = self.shared.fleet();
+        fleet.clear_others();
+        for member in members.values() {
+            if member.told.is_none_or(|at| now.duration_since(at) >= LIVE) {
+                continue;
+            }
+            for load in &member.load {
+                let upstream = fleet.key_of(&load.instance).and_then(|k| fleet.get_mut(k));
+                if let Some(u) = upstream {
+                    u.others = Load {
+                        running: u.others.running + load.running,
+                        reserved: u.others.reserved + load.reserved,
+                    };
+                }
+            }
+        }
+    }
+
+    fn texts(&self, known: Known) -> Texts {
+        let configuration =
+            (self.documents.version() > known.version).then(|| self.documents.configuration());
+        let entries = self.documents.entries();
+        let newer = entries.revision > known.revision;
+        Texts {
+            configuration,
+            entries: newer.then(|| (entries.revision, entries.texts.into_iter().collect())),
+        }
+    }
+}
+
+/// The server's side.
+struct Methods<D> {
+    peers: Arc<Peers>,
+    dialect: std::marker::PhantomData<D>,
+}
+
+#[async_trait]
+impl<D: Dialect> PeerApiServer for Methods<D> {
+    async fn exchange(&self, digest: Digest) -> RpcResult<Digest> {
+        self.peers.heard(&digest);
+        Ok(self.peers.digest())
+    }
+
+    async fn texts(&self, known: Known) -> RpcResult<Texts> {
+        Ok(self.peers.texts(known))
+    }
+}
+
+/// Tables are consistent line by line, so a panic of a holder spoils nothing.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -0,0 +1,254 @@
+//! Kept connections to upstreams, one request at a time on each.
+//!
+//! `reqwest` does not tell whether a request that failed on a kept connection had been written, and
+//! sends some again by itself. What runs at most once needs both known, so this pool stands on
+//! `hyper`'s connections, on which `reqwest` is built: a request that was not written comes back,
+//! and nothing is sent twice unless the caller asks for it.
+//!
+//! A connection whose answer was not read to its end, or brought anything unexpected, is closed.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::header;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use log::debug;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::fleet::UpstreamKey;
+
+/// The result of this module.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Longest time to open a connection: many round trips within a region, and less than the time
+/// after which callers give a new connection up.
+const CONNECT: Duration = Duration::from_millis(250);
+/// Longest idle time of a kept connection whose upstream names none. Servers close idle
+/// connections after a few seconds; a request that meets the closing is lost.
+const IDLE: Duration = Duration::from_secs(3);
+/// What is left unused of an idle time that the upstream names, in parts of it.
+const IDLE_PART: f64 = 0.6;
+/// Longest idle time of a connection for a request that must not be lost: one that was used just
+/// now has not been closed for idleness.
+const IDLE_AT_MOST_ONCE: Duration = Duration::from_millis(400);
+/// Unacknowledged data after which the system gives a connection up.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
+/// Idle time before the system probes a connection, and between its probes.
+const KEEPALIVE: Duration = Duration::from_secs(2);
+/// Kept idle connections to one upstream.
+const KEPT: usize = 32;
+
+/// The body of a request; it is read whole before, so that it can be sent again.
+pub type Body = Full<Bytes>;
+
+/// Why a request got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
+pub enum Error {
+    /// No connection could be opened, or the request was not written: nothing was sent.
+    #[error("not sent")]
+    NotSent,
+    /// The connection failed after the request or a part of it was sent.
+    #[error("connection lost")]
+    Lost,
+}
+
+/// A connection and its last answer.
+#[derive(Debug)]
+pub struct Exchange {
+    /// The answer; its body is still to be read.
+    pub response: Response<Incoming>,
+    /// The connection, to be kept once the body is read.
+    pub connection: Connection,
+}
+
+/// A connection in use.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Body>,
+    upstream: UpstreamKey,
+    idle: Duration,
+    closes: bool,
+}
+
+#[derive(Debug)]
+struct Kept {
+    connection: Connection,
+    since: Instant,
+}
+
+/// Connections kept for their next request.
+#[derive(Debug, Default)]
+pub struct Pool {
+    kept: Mutex<HashMap<UpstreamKey, Vec<Kept>>>,
+}
+
+/// How a request may use kept connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any that is not idle for too long.
+    Any,
+    /// Only one that was used just now: the request can't be repeated if it is lost.
+    Recent,
+}
+
+impl Pool {
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotSent`] when nothing was sent; [`Error::Lost`] when it may have been read.
+    pub async fn send(
+        &self,
+        upstream: UpstreamKey,
+        address: SocketAddr,
+        mut req: Request<Body>,
+        reuse: Reuse,
+    ) -> Result<Exchange> {
+        while let Some(connection) = self.take(upstream, reuse) {
+            match exchange(connection, req).await {
+                Ok(exchange) => return Ok(exchange),
+                Err((error, None)) => return Err(error),
+                // The upstream closed the kept connection before; nothing was written.
+                Err((_, Some(back))) => req = *back,
+            }
+        }
+        let connection = open(upstream, address).await?;
+        exchange(connection, req).await.map_err(|(error, _)| error)
+    }
+
+    /// Keeps a connection whose answer has been read to its end.
+    pub fn keep(&self, connection: Connection) {
+        if connection.closes || connection.sender.is_closed() {
+            return;
+        }
+        let mut table = self.lock();
+        let kept = table.entry(connection.upstream).or_default();
+        if kept.len() >= KEPT {
+            kept.remove(0);
+        }
+        let since = Instant::now();
+        kept.push(Kept { connection, since });
+    }
+
+    /// Closes the kept connections to all upstreams but these.
+    pub fn retain(&self, keep: impl Fn(UpstreamKey) -> bool) {
+        self.lock().retain(|&key, _| keep(key));
+    }
+
+    /// Closes the kept connections to an upstream.
+    pub fn forget(&self, upstream: UpstreamKey) {
+        self.lock().remove(&upstream);
+    }
+
+    /// The connection that was used last; older ones may be idle for too long.
+    fn take(&self, upstream: UpstreamKey, reuse: Reuse) -> Option<Connection> {
+        let mut table = self.lock();
+        let kept = table.get_mut(&upstream)?;
+        let now = Instant::now();
+        while let Some(Kept { connection, since }) = kept.pop() {
+            let idle = match reuse {
+                Reuse::Any => connection.idle,
+                Reuse::Recent => connection.idle.min(IDLE_AT_MOST_ONCE),
+            };
+            if now.duration_since(since) < idle && connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<UpstreamKey, Vec<Kept>>> {
+        // The table is consistent after each call, also when a holder of the lock panicked.
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn open(upstream: UpstreamKey, address: SocketAddr) -> Result<Connection> {
+    let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
+    let Ok(Ok(stream)) = connecting else {
+        return Err(Error::NotSent);
+    };
+    if let Err(e) = prepare(&stream) {
+        debug!(address:%, error:% = e; "socket options not set");
+    }
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|_| Error::NotSent)?;
+    tokio::spawn(async move {
+        if let Err(e) = connection.await {
+            debug!(address:%, error:% = e; "connection to an upstream ended");
+        }
+    });
+    metrics::counter!("kelpworks_upstream_connections_total").increment(1);
+    Ok(Connection {
+        sender,
+        upstream,
+        idle: IDLE,
+        closes: false,
+    })
+}
+
+/// Sets what finds a connection dead whose other end is silent.
+pub(crate) fn prepare(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE);
+    socket.set_tcp_keepalive(&keepalive)
+}
+
+/// The request comes back with the error when it was not written.
+async fn exchange(
+    mut connection: Connection,
+    req: Request<Body>,
+) -> std::result::Result<Exchange, (Error, Option<Box<Request<Body>>>)> {
+    match connection.sender.try_send_request(req).await {
+        Ok(response) => {
+            connection.closes = closes(response.headers());
+            connection.idle = idle_time(response.headers());
+            Ok(Exchange {
+                response,
+                connection,
+            })
+        }
+        Err(mut e) => match e.take_message() {
+            Some(back) => Err((Error::NotSent, Some(Box::new(back)))),
+            None => Err((Error::Lost, None)),
+        },
+    }
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    let value = headers
+        .get(header::CONNECTION)
+        .and_then(|v| v.to_str().ok());
+    value.is_some_and(|v| v.to_ascii_lowercase().contains("close"))
+}
+
+/// How long a connection may be kept idle, by the upstream's own word if there is one.
+fn idle_time(headers: &HeaderMap) -> Duration {
+    let value = headers.get("keep-alive").and_then(|v| v.to_str().ok());
+    let parameters = value.into_iter().flat_map(|v| v.split(','));
+    let mut timeouts = parameters.filter_map(|p| p.trim().strip_prefix("timeout="));
+    let seconds = timeouts.find_map(|t| t.trim().parse::<f64>().ok());
+    let named = seconds.and_then(|s| Duration::try_from_secs_f64(s * IDLE_PART).ok());
+    named.unwrap_or(IDLE).min(Duration::from_secs(30))
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -0,0 +1,356 @@
+//! Requests to plain services: one whole answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use kelpworks::verdict::Verdict;
+use log::info;
+use rand::RngExt;
+use tokio::time::Instant;
+
+use super::Refusal;
+use super::Ticket;
+use super::outcome::Outcome;
+use crate::dialect::AnswerHead;
+use crate::dialect::Dialect;
+use crate::dialect::Forwarded;
+use crate::fleet::Fleet;
+use crate::fleet::UpstreamKey;
+use crate::pool;
+use crate::pool::Exchange;
+use crate::pool::Reuse;
+use crate::shared::Shared;
+
+/// Largest answer that is read whole; the services answer with a few kilobytes.
+const MOST_BYTES: usize = 16 << 20;
+/// Least time left for a further attempt: a round trip and the usual work of a call.
+const WORTH_TRYING: Duration = Duration::from_millis(20);
+/// Attempts beyond the route's own that may follow a proof that nothing has run.
+const SPARE_ATTEMPTS: u32 = 1;
+/// An attempt that may be repeated is given up after this many usual answer times.
+const PATIENCE: f64 = 6.0;
+/// And not sooner than this: answers of these services vary by a factor of five.
+const LEAST_PATIENCE: Duration = Duration::from_millis(250);
+/// When to come back after a refusal for want of room: a few answer times.
+const BUSY_RETRY: Duration = Duration::from_millis(250);
+
+/// How an attempt ended.
+enum Attempt {
+    /// With an answer to pass on.
+    Answer {
+        status: StatusCode,
+        headers: HeaderMap,
+        body: Bytes,
+    },
+    /// Without one.
+    Failed {
+        verdict: Verdict,
+        why: &'static str,
+        /// The upstream's own failure, to be passed on if nothing better comes.
+        answer: Option<(StatusCode, HeaderMap, Bytes)>,
+    },
+}
+
+/// Counts a request at its upstream for as long as it lives.
+struct Running<'a> {
+    shared: &'a Shared,
+    upstream: UpstreamKey,
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.shared.fleet().release(self.upstream, 0.0);
+    }
+}
+
+/// Forwards a request until it is answered, may not be sent again, or its time is over.
+pub(super) async fn serve<D: Dialect>(shared: &Arc<Shared>, ticket: &Ticket) -> Outcome {
+    let mut tried: Vec<UpstreamKey> = Vec::new();
+    let mut verdict = Verdict::NotRun;
+    let mut why = "no upstream";
+    let mut kept = None;
+    while let Some(upstream) = next_upstream(shared, ticket, &tried, verdict) {
+        tried.push(upstream);
+        let attempt = attempt::<D>(shared, ticket, upstream, &tried).await;
+        match attempt {
+            Attempt::Answer {
+                status,
+                headers,
+                body,
+            } => {
+                log_answer(ticket, status, tried.len());
+                return Outcome::Whole {
+                    status,
+                    headers,
+                    body,
+                };
+            }
+            Attempt::Failed {
+                verdict: v,
+                why: reason,
+                answer,
+            } => {
+                log_attempt(shared, ticket, upstream, v, reason);
+                verdict = verdict.max(v);
+                why = reason;
+                kept = answer.or(kept);
+            }
+        }
+    }
+    if let Some((status, headers, body)) = kept {
+        return Outcome::Whole {
+            status,
+            headers,
+            body,
+        };
+    }
+    Outcome::Refused(give_up(ticket, verdict, why))
+}
+
+/// The final answer of a request that is not sent again.
+pub(super) fn give_up(ticket: &Ticket, verdict: Verdict, why: &'static str) -> Refusal {
+    let late = ticket.left().is_zero();
+    let (status, retry_after) = match (verdict, late) {
+        (Verdict::NotRun, _) => (StatusCode::SERVICE_UNAVAILABLE, Some(BUSY_RETRY)),
+        (Verdict::MayHaveRun, true) => (StatusCode::GATEWAY_TIMEOUT, None),
+        (Verdict::MayHaveRun, false) => (StatusCode::BAD_GATEWAY, None),
+    };
+    let refusal = Refusal {
+        request_id: ticket.id.clone(),
+        status,
+        retry_after,
+        why,
+        version: ticket.version,
+    };
+    super::log_refusal(&refusal);
+    refusal
+}
+
+/// The upstream for the next attempt; `None` when there is to be none.
+fn next_upstream(
+    shared: &Shared,
+    ticket: &Ticket,
+    tried: &[UpstreamKey],
+    verdict: Verdict,
+) -> Option<UpstreamKey> {
+    let attempts = tried.len() as u32;
+    if attempts > 0 {
+        let repeatable = verdict == Verdict::NotRun || ticket.route.kind.may_repeat();
+        let most = match verdict {
+            Verdict::NotRun => ticket.route.attempts + SPARE_ATTEMPTS,
+            Verdict::MayHaveRun => ticket.route.attempts,
+        };
+        if !repeatable || attempts >= most || ticket.left() < WORTH_TRYING {
+            return None;
+        }
+    }
+    let chosen = choose(&shared.fleet(), &ticket.service.name, tried)?;
+    let now = Instant::now();
+    let allowed = attempts == 0 || shared.repeats().try_take(&ticket.service.name, now);
+    allowed.then_some(chosen)
+}
+
+/// The upstream with the least work for its speed among those that did not fail lately.
+fn choose(fleet: &Fleet, service: &str, tried: &[UpstreamKey]) -> Option<UpstreamKey> {
+    let now = Instant::now();
+    let open = fleet.of_service(service).filter(|(key, u)| {
+        let untried = !tried.contains(key);
+        u.is_open() && untried
+    });
+    let cost = |key: UpstreamKey| {
+        let Some(u) = fleet.get(key) else {
+            return f64::MAX;
+        };
+        let doubt = if u.is_doubted(now) { 1e6 } else { 0.0 };
+        let ms = u.answer_ms.unwrap_or(1.0);
+        let jitter = rand::rng().random_range(0.9..1.1);
+        (u.load().running + 1.0) * ms * jitter + doubt
+    };
+    let costs = open.map(|(key, _)| (key, cost(key)));
+    costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(key, _)| key)
+}
+
+async fn attempt<D: Dialect>(
+    shared: &Shared,
+    ticket: &Ticket,
+    upstream: UpstreamKey,
+    tried: &[UpstreamKey],
+) -> Attempt {
+    let (address, instance, usual) = {
+        let mut fleet = shared.fleet();
+        fleet.take(upstream, 0.0);
+        let Some(u) = fleet.get(upstream) else {
+            return failed(Verdict::NotRun, "upstream gone");
+        };
+        (u.entry.address, Arc::clone(&u.entry.instance), u.answer_ms)
+    };
+    let _running = Running { shared, upstream };
+    let left = ticket.left();
+    let forwarded = Forwarded {
+        time_left: left,
+        instance: Some(&instance),
+        team: ticket.team.as_deref(),
+        ..Forwarded::default()
+    };
+    let req = ticket.to_request::<D>(&forwarded);
+    let repeatable = ticket.route.kind.may_repeat();
+    let has_more = repeatable && (tried.len() as u32) < ticket.route.attempts;
+    let patience = match has_more {
+        true => left.min(patience(usual)),
+        false => left,
+    };
+    let reuse = if repeatable {
+        Reuse::Any
+    } else {
+        Reuse::Recent
+    };
+    let sent = Instant::now();
+    let work = async {
+        let exchange = shared.pool.send(upstream, address, req, reuse).await;
+        read::<D>(shared, ticket, exchange).await
+    };
+    let result = match tokio::time::timeout(patience, work).await {
+        Ok(result) => result,
+        Err(_) => failed(Verdict::MayHaveRun, "no answer in time"),
+    };
+    let mut fleet = shared.fleet();
+    match &result {
+        Attempt::Answer { .. } => {
+            fleet.good(upstream, Instant::now());
+            fleet.answered(upstream, sent.elapsed());
+        }
+        Attempt::Failed {
+            answer: Some(_), ..
+        } => {}
+        Attempt::Failed { .. } => fleet.doubt(upstream, Instant::now()),
+    }
+    result
+}
+
+fn patience(usual_ms: Option<f64>) -> Duration {
+    let usual = Duration::from_secs_f64(usual_ms.unwrap_or(0.0) * PATIENCE / 1e3);
+    usual.max(LEAST_PATIENCE)
+}
+
+fn failed(verdict: Verdict, why: &'static str) -> Attempt {
+    Attempt::Failed {
+        verdict,
+        why,
+        answer: None,
+    }
+}
+
+/// Judges an answer and reads it whole.
+async fn read<D: Dialect>(
+    shared: &Shared,
+    ticket: &Ticket,
+    exchange: pool::Result<Exchange>,
+) -> Attempt {
+    let Exchange {
+        response,
+        connection,
+    } = match exchange {
+        Ok(exchange) => exchange,
+        Err(pool::Error::NotSent) => return failed(Verdict::NotRun, "not sent"),
+        Err(pool::Error::Lost) => return failed(Verdict::MayHaveRun, "connection lost"),
+    };
+    let head = D::answer(response.headers());
+    if let Some((verdict, why)) = fault(ticket, &response, &head) {
+        return failed(verdict, why);
+    }
+    let (parts, body) = response.into_parts();
+    let Ok(body) = Limited::new(body, MOST_BYTES).collect().await else {
+        return failed(Verdict::MayHaveRun, "answer cut off");
+    };
+    shared.pool.keep(connection);
+    let body = body.to_bytes();
+    if parts.status.is_server_error() && ticket.route.kind.may_repeat() {
+        return Attempt::Failed {
+            verdict: Verdict::MayHaveRun,
+            why: "upstream failed",
+            answer: Some((parts.status, parts.headers, body)),
+        };
+    }
+    Attempt::Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    }
+}
+
+/// What is wrong with an answer's head, and what that says of the request.
+pub(super) fn fault(
+    ticket: &Ticket,
+    response: &Response<Incoming>,
+    head: &AnswerHead,
+) -> Option<(Verdict, &'static str)> {
+    if head
+        .request_id
+        .as_deref()
+        .is_some_and(|id| id != &*ticket.id)
+    {
+        return Some((Verdict::MayHaveRun, "answer to another request"));
+    }
+    if head.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
+        return Some((Verdict::NotRun, "refused by the upstream"));
+    }
+    if !head.signed || response.headers().contains_key(header::CONTENT_ENCODING) {
+        return Some((Verdict::MayHaveRun, "not an upstream's answer"));
+    }
+    let promises = [
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    if promises.contains(&response.status()) {
+        // To callers these statuses promise that nothing ran, which this answer does not.
+        return Some((Verdict::MayHaveRun, "failed without a proof"));
+    }
+    None
+}
+
+fn log_answer(ticket: &Ticket, status: StatusCode, attempts: usize) {
+    let took = ticket.arrived.elapsed();
+    info!(
+        target: "decision",
+        request:% = ticket.id,
+        route:% = ticket.route.name,
+        status = status.as_u16(),
+        attempts,
+        took_ms = took.as_millis() as u64,
+        config_version = ticket.version;
+        "answered"
+    );
+    metrics::histogram!("kelpworks_answer_seconds").record(took.as_secs_f64());
+}
+
+fn log_attempt(
+    shared: &Shared,
+    ticket: &Ticket,
+    upstream: UpstreamKey,
+    verdict: Verdict,
+    why: &'static str,
+) {
+    let fleet = shared.fleet();
+    let instance = fleet.get(upstream).map(|u| Arc::clone(&u.entry.instance));
+    info!(
+        target: "decision",
+        request:% = ticket.id,
+        upstream:% = instance.as_deref().unwrap_or("gone"),
+        fleet_revision = fleet.revision(),
+        verdict:% = verdict,
+        left_ms = ticket.left().as_millis() as u64,
+        why:% = why;
+        "attempt failed"
+    );
+    let labels = [("why", why)];
+    metrics::counter!("kelpworks_failed_attempts_total", &labels).increment(1);
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/relay/events.rs
@@ -0,0 +1,74 @@
+//! Events of a stream, cut at their ends.
+//!
+//! An upstream may stop in the middle of an event; what is passed on is whole events only, so that
+//! another upstream can continue after the last one.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+/// Whole events and what they say.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Whole {
+    /// The events' bytes, with their closing blank lines.
+    pub(super) bytes: Bytes,
+    /// Id of the last one that has one.
+    pub(super) last_id: Option<u64>,
+}
+
+/// Cuts bytes into events.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Cutter {
+    buf: BytesMut,
+}
+
+impl Cutter {
+    /// Takes bytes in.
+    pub(super) fn push(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// Bytes of an event that is not whole.
+    pub(super) fn rest(&self) -> usize {
+        self.buf.len()
+    }
+
+    /// The whole events so far; those with an id up to `after` are left out.
+    pub(super) fn take(&mut self, after: Option<u64>) -> Whole {
+        let mut out = BytesMut::new();
+        let mut last_id = None;
+        while let Some(end) = end_of_event(&self.buf) {
+            let event = self.buf.split_to(end);
+            let id = id_of(&event);
+            if id.is_some() && id <= after.or(last_id) {
+                continue;
+            }
+            last_id = id.or(last_id);
+            out.extend_from_slice(&event);
+        }
+        Whole {
+            bytes: out.freeze(),
+            last_id,
+        }
+    }
+}
+
+/// Length of the first event with the blank line that closes it.
+fn end_of_event(buf: &[u8]) -> Option<usize> {
+    let mut start = 0;
+    while let Some(n) = buf[start..].iter().position(|&b| b == b'\n') {
+        let line = &buf[start..start + n];
+        let end = start + n + 1;
+        if line.is_empty() || line == b"\r" {
+            return Some(end);
+        }
+        start = end;
+    }
+    None
+}
+
+fn id_of(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|&b| b == b'\n');
+    let mut ids = lines.filter_map(|l| l.strip_prefix(b"id:"));
+    let id = std::str::from_utf8(ids.next()?).ok()?;
+    id.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/relay/incoming.rs
@@ -0,0 +1,199 @@
+//! Reading a caller's request, and whether it may go on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::StatusCode;
+use http::header;
+use http::uri::PathAndQuery;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use rand::RngExt;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::Refusal;
+use super::Ticket;
+use super::outcome::end_to_end;
+use crate::config::Route;
+use crate::config::Service;
+use crate::config::Table;
+use crate::config::Team;
+use crate::crashes::Fingerprint;
+use crate::dialect::CallerHead;
+use crate::dialect::Dialect;
+use crate::shared::Shared;
+
+/// Longest time for a body: as long as for a head would do, but bodies are larger.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// When to come back to a daemon that knows no configuration yet.
+const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(300);
+/// When to come back with a request that crashes upstreams.
+const CRASHING_RETRY: Duration = Duration::from_secs(60);
+
+/// A request's head with what it is judged by.
+struct Judged<'a> {
+    table: &'a Table,
+    id: Box<str>,
+}
+
+impl Judged<'_> {
+    fn refuse(&self, status: StatusCode, why: &'static str) -> Refusal {
+        Refusal {
+            request_id: self.id.clone(),
+            status,
+            retry_after: None,
+            why,
+            version: self.table.version(),
+        }
+    }
+
+    fn come_back(&self, after: Duration, why: &'static str) -> Refusal {
+        Refusal {
+            retry_after: Some(after),
+            ..self.refuse(StatusCode::SERVICE_UNAVAILABLE, why)
+        }
+    }
+}
+
+/// Reads a request and decides whether it is forwarded.
+///
+/// # Errors
+///
+/// The refusal that the caller gets.
+pub(super) async fn admit<D: Dialect>(
+    shared: &Shared,
+    req: &mut salvo::Request,
+    arrived: Instant,
+) -> Result<Ticket, Refusal> {
+    let table = shared.table.load_full();
+    let head = D::caller(req.headers());
+    let id = head.as_ref().ok().and_then(|h| h.request_id.clone());
+    let judged = Judged {
+        table: &table,
+        id: id.unwrap_or_default(),
+    };
+    if table.version() == 0 {
+        return Err(judged.come_back(NO_CONFIGURATION_RETRY, "no configuration yet"));
+    }
+    if head_bytes(req) > table.limits().header_bytes {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(judged.refuse(status, "head too large"));
+    }
+    let host = host_of(req).unwrap_or_default();
+    let path = req.uri().path();
+    let no_route = || judged.refuse(StatusCode::NOT_FOUND, "no route");
+    let route = table.route(&host, path).ok_or_else(no_route)?.clone();
+    let unreadable = |_| judged.refuse(StatusCode::BAD_REQUEST, "head can't be read");
+    let head = head.map_err(unreadable)?;
+    let team = team_of(&judged, &route, &head)?.map(|t| Arc::clone(&t.name));
+    let body = read_body(&judged, req).await?;
+    let target = req.uri().path_and_query().cloned();
+    let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
+    let fingerprint = fingerprint(team.as_deref(), &target, &body);
+    if shared.crashes().refuses(fingerprint, Instant::now()) {
+        return Err(judged.come_back(CRASHING_RETRY, "crashes upstreams"));
+    }
+    let service = choose_service(&judged, &route)?.clone();
+    let patience = head.patience.unwrap_or(route.timeout);
+    let deadline = arrived + patience.min(route.timeout);
+    Ok(Ticket {
+        id: judged.id,
+        service,
+        head,
+        method: req.method().clone(),
+        target,
+        headers: for_upstream(req.headers()),
+        body,
+        team,
+        fingerprint,
+        arrived,
+        deadline,
+        version: table.version(),
+        route,
+    })
+}
+
+fn head_bytes(req: &salvo::Request) -> usize {
+    let line = req.uri().path_and_query().map_or(0, |p| p.as_str().len());
+    let fields = req.headers().iter();
+    line + fields
+        .map(|(k, v)| k.as_str().len() + v.len() + 4)
+        .sum::<usize>()
+}
+
+/// The host name asked for, without a port.
+fn host_of(req: &salvo::Request) -> Option<String> {
+    let field = req.headers().get(header::HOST);
+    let host = match field.and_then(|v| v.to_str().ok()) {
+        Some(host) => host,
+        None => req.uri().host()?,
+    };
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    Some(name.to_ascii_lowercase())
+}
+
+/// The caller's team; `None` where the route needs none.
+fn team_of<'a>(
+    judged: &Judged<'a>,
+    route: &Route,
+    head: &CallerHead,
+) -> Result<Option<&'a Team>, Refusal> {
+    let team = head.key.as_deref().and_then(|k| judged.table.team_of(k));
+    if team.is_some() || route.anonymous || !judged.table.has_teams() {
+        return Ok(team);
+    }
+    Err(judged.refuse(StatusCode::UNAUTHORIZED, "unknown key"))
+}
+
+async fn read_body(judged: &Judged<'_>, req: &mut salvo::Request) -> Result<Bytes, Refusal> {
+    let most = judged.table.limits().body_bytes;
+    let body = Limited::new(req.take_body(), most);
+    match tokio::time::timeout(BODY_TIMEOUT, body.collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+            Err(judged.refuse(StatusCode::PAYLOAD_TOO_LARGE, "body too large"))
+        }
+        Ok(Err(_)) => Err(judged.refuse(StatusCode::BAD_REQUEST, "body broken off")),
+        Err(_) => Err(judged.refuse(StatusCode::REQUEST_TIMEOUT, "body too slow")),
+    }
+}
+
+/// Draws a service by the weights of the route's targets.
+fn choose_service<'a>(judged: &Judged<'a>, route: &Route) -> Result<&'a Service, Refusal> {
+    let total: u32 = route.targets.iter().map(|t| t.weight).sum();
+    let mut drawn = rand::rng().random_range(0..total.max(1));
+    let mut chosen = route.targets.first();
+    for target in &route.targets {
+        if drawn < target.weight {
+            chosen = Some(target);
+            break;
+        }
+        drawn -= target.weight;
+    }
+    let service = chosen.and_then(|t| judged.table.service(&t.service));
+    service.ok_or_else(|| judged.come_back(NO_CONFIGURATION_RETRY, "service not defined"))
+}
+
+fn for_upstream(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = end_to_end(headers.clone());
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    headers
+}
+
+/// What is the same when a caller sends a request again.
+fn fingerprint(team: Option<&str>, target: &PathAndQuery, body: &[u8]) -> Fingerprint {
+    let mut hash = Xxh3::new();
+    for part in [
+        team.unwrap_or_default().as_bytes(),
+        target.as_str().as_bytes(),
+        body,
+    ] {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    Fingerprint(hash.digest())
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/relay/mod.rs
@@ -0,0 +1,170 @@
+//! The callers' side: a request is matched to its route and team, read whole, and forwarded.
+
+mod call;
+mod events;
+mod incoming;
+mod outcome;
+mod stream;
+
+use std::marker::PhantomData;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::header;
+use http::uri::PathAndQuery;
+use log::info;
+use salvo::Depot;
+use salvo::FlowCtrl;
+use salvo::Handler;
+use salvo::Response;
+use salvo::Router;
+use salvo::async_trait;
+use tokio::time::Instant;
+
+use crate::config::Route;
+use crate::config::Service;
+use crate::crashes::Fingerprint;
+use crate::dialect::CallerHead;
+use crate::dialect::Dialect;
+use crate::dialect::Forwarded;
+use crate::pool::Body;
+use crate::shared::Shared;
+use outcome::Outcome;
+
+pub(crate) use outcome::Refusal;
+
+/// A caller's request, read whole and admitted.
+#[derive(Debug)]
+struct Ticket {
+    /// Id for logs; the caller's own.
+    id: Box<str>,
+    route: Route,
+    service: Service,
+    head: CallerHead,
+    method: Method,
+    target: PathAndQuery,
+    headers: HeaderMap,
+    body: Bytes,
+    /// Name of the caller's team.
+    team: Option<Arc<str>>,
+    fingerprint: Fingerprint,
+    arrived: Instant,
+    /// The earlier of the caller's deadline and the route's timeout.
+    deadline: Instant,
+    /// Version of the configuration that admitted it.
+    version: u64,
+}
+
+impl Ticket {
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// The request as an upstream gets it.
+    fn to_request<D: Dialect>(&self, forwarded: &Forwarded<'_>) -> Request<Body> {
+        let mut headers = self.headers.clone();
+        D::forward(&mut headers, forwarded);
+        let mut req = Request::new(Body::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = http::Uri::from(self.target.clone());
+        *req.headers_mut() = headers;
+        req
+    }
+}
+
+/// Serves callers.
+#[derive(Debug)]
+pub(crate) struct Relay<D> {
+    shared: Arc<Shared>,
+    dialect: PhantomData<D>,
+}
+
+/// Routes of the callers' address: everything goes to the relay.
+pub(crate) fn router<D: Dialect>(shared: &Arc<Shared>) -> Router {
+    let relay: Relay<D> = Relay {
+        shared: Arc::clone(shared),
+        dialect: PhantomData,
+    };
+    Router::with_path("{**rest}").goal(relay)
+}
+
+#[async_trait]
+impl<D: Dialect> Handler for Relay<D> {
+    async fn handle(
+        &self,
+        req: &mut salvo::Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let counted = Counted::new(&self.shared);
+        let arrived = Instant::now();
+        let outcome = match incoming::admit::<D>(&self.shared, req, arrived).await {
+            Ok(ticket) => self.forward(ticket, counted).await,
+            Err(refusal) => {
+                log_refusal(&refusal);
+                Outcome::Refused(refusal)
+            }
+        };
+        outcome.write(res);
+        if self.shared.closing.load(Ordering::Relaxed) {
+            let close = HeaderValue::from_static("close");
+            res.headers_mut().insert(header::CONNECTION, close);
+        }
+    }
+}
+
+impl<D: Dialect> Relay<D> {
+    async fn forward(&self, ticket: Ticket, counted: Counted) -> Outcome {
+        use crate::config::RouteKind;
+        let shared = Arc::clone(&self.shared);
+        {
+            let mut repeats = shared.repeats();
+            repeats.requested(&ticket.service.name, ticket.arrived);
+        }
+        match ticket.route.kind {
+            RouteKind::Stream { .. } => stream::serve::<D>(shared, ticket, counted).await,
+            _ => call::serve::<D>(&shared, &ticket).await,
+        }
+    }
+}
+
+fn log_refusal(refusal: &Refusal) {
+    info!(
+        target: "decision",
+        request:% = refusal.request_id,
+        status = refusal.status.as_u16(),
+        why:% = refusal.why,
+        config_version = refusal.version;
+        "request refused"
+    );
+    let labels = [("why", refusal.why)];
+    metrics::counter!("kelpworks_refused_total", &labels).increment(1);
+}
+
+/// A request in flight, for as long as it lives.
+#[derive(Debug)]
+struct Counted {
+    shared: Arc<Shared>,
+}
+
+impl Counted {
+    fn new(shared: &Arc<Shared>) -> Counted {
+        shared.in_flight.fetch_add(1, Ordering::Relaxed);
+        Counted {
+            shared: Arc::clone(shared),
+        }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.shared.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/relay/outcome.rs
@@ -0,0 +1,119 @@
+//! What a caller is told.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream::BoxStream;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header;
+use salvo::Response;
+use salvo::http::ResBody;
+
+/// Pieces of a streamed answer; an error breaks the connection off, so that the answer does not
+/// look complete.
+pub(super) type Pieces = BoxStream<'static, std::io::Result<Bytes>>;
+
+/// An answer of the daemon's own.
+#[derive(Clone, Debug)]
+pub(crate) struct Refusal {
+    /// Id of the request, empty where it has none.
+    pub(crate) request_id: Box<str>,
+    /// Status. 408, 421, 429 and 503 promise that the request has not run and never will.
+    pub(crate) status: StatusCode,
+    /// When to come back.
+    pub(crate) retry_after: Option<Duration>,
+    /// Why, as a label of few values.
+    pub(crate) why: &'static str,
+    /// Version of the configuration that it was decided by.
+    pub(crate) version: u64,
+}
+
+/// What a request came to.
+pub(super) enum Outcome {
+    /// An upstream's answer, whole.
+    Whole {
+        status: StatusCode,
+        headers: HeaderMap,
+        body: Bytes,
+    },
+    /// An upstream's answer as it comes.
+    Streamed {
+        status: StatusCode,
+        headers: HeaderMap,
+        pieces: Pieces,
+    },
+    /// The daemon's own answer.
+    Refused(Refusal),
+}
+
+impl Outcome {
+    pub(super) fn write(self, res: &mut Response) {
+        match self {
+            Outcome::Whole {
+                status,
+                headers,
+                body,
+            } => {
+                res.status_code(status);
+                *res.headers_mut() = end_to_end(headers);
+                res.body(ResBody::Once(body));
+            }
+            Outcome::Streamed {
+                status,
+                headers,
+                pieces,
+            } => {
+                res.status_code(status);
+                *res.headers_mut() = end_to_end(headers);
+                res.stream(pieces);
+            }
+            Outcome::Refused(refusal) => refusal.write(res),
+        }
+    }
+}
+
+impl Refusal {
+    fn write(self, res: &mut Response) {
+        res.status_code(self.status);
+        if let Some(after) = self.retry_after {
+            let text = format!("{:.2}", after.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&text) {
+                res.headers_mut().insert(header::RETRY_AFTER, value);
+            }
+        }
+        let body = serde_json::json!({ "error": self.why }).to_string();
+        let json = HeaderValue::from_static("application/json");
+        res.headers_mut().insert(header::CONTENT_TYPE, json);
+        res.body(ResBody::Once(body.into()));
+    }
+}
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const CONNECTION_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Takes out the headers that concern one connection only, with those that `connection` names.
+pub(super) fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in CONNECTION_HEADERS.iter().chain(&named) {
+        headers.remove(name);
+    }
+    headers
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -0,0 +1,563 @@
+//! Streams of events from engines that pass activations on along a path.
+//!
+//! The daemon chooses a path, sends the request to its first engine and passes whole events on.
+//! When the stream falls silent, the engines of the path that nothing has confirmed since are passed
+//! over, and where the route allows it the stream is continued on another path after the last event,
+//! within the same answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream;
+use http::HeaderMap;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use kelpworks::verdict::Verdict;
+use log::info;
+use tokio::time::Instant;
+
+use super::Counted;
+use super::Refusal;
+use super::Ticket;
+use super::call::fault;
+use super::call::give_up;
+use super::events::Cutter;
+use super::outcome::Outcome;
+use crate::config::Engines;
+use crate::config::RouteKind;
+use crate::dialect::AnswerHead;
+use crate::dialect::Dialect;
+use crate::dialect::Forwarded;
+use crate::dialect::LayerRange;
+use crate::fleet::UpstreamKey;
+use crate::path;
+use crate::path::Path;
+use crate::pool;
+use crate::pool::Connection;
+use crate::pool::Exchange;
+use crate::pool::Reuse;
+use crate::shared::Shared;
+
+/// Least time left for a further attempt: reading a usual prompt again.
+const WORTH_TRYING: Duration = Duration::from_millis(50);
+/// Silence after which unconfirmed engines of the path are suspected: several usual pauses between
+/// events (20 to 30 ms), and early enough that another path can go on within a pause of 250 ms.
+const SILENT: Duration = Duration::from_millis(110);
+/// Silence before the first event after which they are: reading a large prompt over slow engines
+/// takes about half as long.
+const SILENT_FIRST: Duration = Duration::from_millis(220);
+/// Silence after which a stream moves although all engines of its path work for others; callers
+/// leave after 2 s.
+const STUCK: Duration = Duration::from_millis(1_200);
+/// Attempts beyond the route's own, all by way of an engine that was sent the request before.
+const SPARE_ATTEMPTS: u32 = 2;
+/// When to come back while no path has room: a usual answer ends by then.
+const FULL_RETRY: Duration = Duration::from_millis(500);
+/// Largest event that is waited for.
+const MOST_EVENT_BYTES: usize = 4 << 20;
+/// Tokens to expect of an answer whose caller says nothing about it.
+const UNKNOWN_LENGTH: f64 = 256.0;
+
+/// Why an attempt ended before the stream did.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Failure {
+    verdict: Verdict,
+    why: &'static str,
+    /// Whether it looks as if the request had crashed an engine.
+    crash: bool,
+}
+
+/// Memory and places that a request is counted for, until dropped.
+struct Reservation {
+    shared: Arc<Shared>,
+    parts: Vec<(UpstreamKey, f64)>,
+}
+
+impl Reservation {
+    fn take(shared: &Arc<Shared>, parts: &[(UpstreamKey, LayerRange)], tokens: f64) -> Reservation {
+        let reserved = |&(key, layers): &(UpstreamKey, LayerRange)| {
+            let amount = tokens * f64::from(layers.len());
+            (key, amount)
+        };
+        let parts: Vec<(UpstreamKey, f64)> = parts.iter().map(reserved).collect();
+        let mut fleet = shared.fleet();
+        for &(key, amount) in &parts {
+            fleet.take(key, amount);
+        }
+        drop(fleet);
+        Reservation {
+            shared: Arc::clone(shared),
+            parts,
+        }
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let mut fleet = self.shared.fleet();
+        for &(key, amount) in &self.parts {
+            fleet.release(key, amount);
+        }
+    }
+}
+
+/// A stream that is being read.
+struct Reading {
+    body: Incoming,
+    connection: Connection,
+    parts: Vec<(UpstreamKey, LayerRange)>,
+    cutter: Cutter,
+    /// When this attempt last brought something; when it was sent, before that.
+    heard: Instant,
+    begun: bool,
+    _reservation: Reservation,
+}
+
+/// A request to engines, over all its attempts.
+struct Relayed<D> {
+    shared: Arc<Shared>,
+    ticket: Ticket,
+    engines: Option<Arc<Engines>>,
+    /// First engines that it was sent to.
+    sent_to: Vec<UpstreamKey>,
+    attempts: u32,
+    /// Id of the last event that the caller has, or had before.
+    last_event: Option<u64>,
+    weight_version: Option<u64>,
+    reading: Option<Reading>,
+    /// Whether the caller has a part of the answer.
+    begun: bool,
+    done: bool,
+    _counted: Counted,
+    _dialect: std::marker::PhantomData<D>,
+}
+
+/// Forwards a streamed request; the answer begins with its first event.
+pub(super) async fn serve<D: Dialect>(
+    shared: Arc<Shared>,
+    ticket: Ticket,
+    counted: Counted,
+) -> Outcome {
+    let mut relayed: Relayed<D> = Relayed {
+        engines: ticket.service.engines.clone(),
+        last_event: ticket.head.last_event,
+        shared,
+        ticket,
+        sent_to: Vec::new(),
+        attempts: 0,
+        weight_version: None,
+        reading: None,
+        begun: false,
+        done: false,
+        _counted: counted,
+        _dialect: std::marker::PhantomData,
+    };
+    let (status, headers, first) = match relayed.begin().await {
+        Ok(begun) => begun,
+        Err(refusal) => return Outcome::Refused(refusal),
+    };
+    relayed.begun = true;
+    let rest = stream::unfold(relayed, |mut relayed| async move {
+        let piece = relayed.next().await?;
+        Some((piece, relayed))
+    });
+    let pieces = stream::iter([Ok(first)]).chain(rest).boxed();
+    Outcome::Streamed {
+        status,
+        headers,
+        pieces,
+    }
+}
+
+impl<D: Dialect> Relayed<D> {
+    /// Makes attempts until the first event is there.
+    async fn begin(&mut self) -> Result<(StatusCode, HeaderMap, Bytes), Refusal> {
+        let mut verdict = Verdict::NotRun;
+        loop {
+            let failure = match self.attempt().await {
+                Ok((status, headers)) => match self.read().await {
+                    Ok(first) => return Ok((status, headers, first.unwrap_or_default())),
+                    Err(failure) => failure,
+                },
+                Err(failure) => failure,
+            };
+            verdict = verdict.max(failure.verdict);
+            self.failed(failure);
+            if !self.may_go_on(verdict) {
+                return Err(give_up(&self.ticket, verdict, failure.why));
+            }
+        }
+    }
+
+    /// The next piece; `None` after the end.
+    async fn next(&mut self) -> Option<std::io::Result<Bytes>> {
+        if self.done {
+            return None;
+        }
+        loop {
+            let failure = match self.read().await {
+                Ok(Some(events)) => return Some(Ok(events)),
+                Ok(None) => {
+                    self.finish();
+                    return None;
+                }
+                Err(failure) => failure,
+            };
+            if let Err(why) = self.resume(failure).await {
+                self.done = true;
+                self.log_end("broken off", why);
+                return Some(Err(std::io::Error::other(why)));
+            }
+        }
+    }
+
+    /// Goes on by another path after the last event.
+    async fn resume(&mut self, failure: Failure) -> Result<(), &'static str> {
+        let mut failure = failure;
+        loop {
+            self.failed(failure);
+            if !self.may_go_on(Verdict::MayHaveRun) {
+                return Err(failure.why);
+            }
+            match self.attempt().await {
+                Ok(_) => return Ok(()),
+                Err(next) => failure = next,
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        self.done = true;
+        self.shared.crashes().answered(self.ticket.fingerprint);
+        self.log_end("finished", "end of the stream");
+    }
+
+    /// Whether a further attempt is allowed by the route, the time left and the fleet's bound.
+    fn may_go_on(&self, verdict: Verdict) -> bool {
+        let kind = self.ticket.route.kind;
+        let resumable = matches!(kind, RouteKind::Stream { resumable: true });
+        let repeatable = verdict == Verdict::NotRun || resumable;
+        let most = self.ticket.route.attempts + SPARE_ATTEMPTS;
+        let now = Instant::now();
+        if !repeatable || self.attempts >= most || self.ticket.left() < WORTH_TRYING {
+            return false;
+        }
+        if self.shared.crashes().refuses(self.ticket.fingerprint, now) {
+            return false;
+        }
+        self.shared
+            .repeats()
+            .try_take(&self.ticket.service.name, now)
+    }
+
+    /// Notes a failed attempt.
+    fn failed(&mut self, failure: Failure) {
+        self.reading = None;
+        let mut crashes = 0;
+        if failure.crash {
+            let now = Instant::now();
+            crashes = self.shared.crashes().crashed(self.ticket.fingerprint, now);
+        }
+        info!(
+            target: "decision",
+            request:% = self.ticket.id,
+            attempt = self.attempts,
+            verdict:% = failure.verdict,
+            last_event = self.last_event.unwrap_or(0),
+            crashes,
+            left_ms = self.ticket.left().as_millis() as u64,
+            why:% = failure.why;
+            "attempt failed"
+        );
+        let labels = [("why", failure.why)];
+        metrics::counter!("kelpworks_failed_attempts_total", &labels).increment(1);
+    }
+
+    /// Tokens that the request may come to hold.
+    fn tokens(&self) -> f64 {
+        let head = &self.ticket.head;
+        let prompt = f64::from(head.prompt_tokens.unwrap_or(0));
+        let most = head.most_tokens.map(f64::from);
+        let answer = head.length_hint.map(f64::from).or(most);
+        let answer = answer.unwrap_or(UNKNOWN_LENGTH);
+        prompt + most.map_or(answer, |m| answer.min(m))
+    }
+
+    /// Chooses a path; one part with all layers for engines without a description.
+    fn choose(&self) -> Result<Path, &'static str> {
+        let fleet = self.shared.fleet();
+        let Some(engines) = &self.engines else {
+            return whole_engine(&fleet, &self.ticket.service.name, &self.sent_to)
+                .ok_or("no upstream");
+        };
+        let beyond = self.attempts >= self.ticket.route.attempts;
+        let first = if beyond {
+            self.sent_to.last().copied()
+        } else {
+            None
+        };
+        let ask = path::Ask {
+            service: &self.ticket.service.name,
+            tokens: self.tokens(),
+            domain: &self.shared.domain,
+            avoid: &[],
+            first,
+            now: Instant::now(),
+        };
+        path::search(&fleet, engines, &ask, &mut rand::rng()).map_err(|e| e.as_str())
+    }
+
+    /// Sends the request along a new path and waits for the answer's head.
+    async fn attempt(&mut self) -> Result<(StatusCode, HeaderMap), Failure> {
+        let path = self.choose().map_err(|why| Failure {
+            verdict: Verdict::NotRun,
+            why,
+            crash: false,
+        })?;
+        self.attempts += 1;
+        let (first, _) = path.parts[0];
+        let forwarded = Forwarded {
+            time_left: self.ticket.left(),
+            instance: Some(&path.instance),
+            team: self.ticket.team.as_deref(),
+            path: &path.hops,
+            resume_after: self.last_event,
+            weight_version: self.weight_version,
+        };
+        let req = self.ticket.to_request::<D>(&forwarded);
+        let reservation = Reservation::take(&self.shared, &path.parts, self.tokens());
+        self.log_path(&path);
+        if !self.sent_to.contains(&first) {
+            self.sent_to.push(first);
+        }
+        let shared = Arc::clone(&self.shared);
+        let sent = Instant::now();
+        let sending = shared.pool.send(first, path.address, req, Reuse::Any);
+        let exchange = self.wait(sending, &path.parts, sent, SILENT_FIRST).await?;
+        let Exchange {
+            response,
+            connection,
+        } = exchange.map_err(|e| self.not_sent(first, e))?;
+        let head = D::answer(response.headers());
+        self.judge(first, &path, &response, &head)?;
+        self.weight_version = self.weight_version.or(head.weight_version);
+        let (mut parts, body) = response.into_parts();
+        parts.headers.remove(header::CONTENT_LENGTH);
+        self.reading = Some(Reading {
+            body,
+            connection,
+            parts: path.parts,
+            cutter: Cutter::default(),
+            heard: sent,
+            begun: false,
+            _reservation: reservation,
+        });
+        Ok((parts.status, parts.headers))
+    }
+
+    fn not_sent(&self, first: UpstreamKey, error: pool::Error) -> Failure {
+        self.shared.fleet().doubt(first, Instant::now());
+        match error {
+            pool::Error::NotSent => Failure {
+                verdict: Verdict::NotRun,
+                why: "not sent",
+                crash: false,
+            },
+            pool::Error::Lost => Failure {
+                verdict: Verdict::MayHaveRun,
+                why: "connection lost",
+                crash: true,
+            },
+        }
+    }
+
+    /// Judges an answer's head; blames the engine that it names, or else the first.
+    fn judge(
+        &self,
+        first: UpstreamKey,
+        path: &Path,
+        response: &http::Response<Incoming>,
+        head: &AnswerHead,
+    ) -> Result<(), Failure> {
+        let found = fault(&self.ticket, response, head);
+        let failed = response.status().is_server_error();
+        let found = found.or(failed.then_some((Verdict::MayHaveRun, "upstream failed")));
+        let Some((verdict, why)) = found else {
+            return Ok(());
+        };
+        let named = head.at_fault.and_then(|address| {
+            let hops = path.hops.iter().zip(path.keys());
+            let mut at = hops.filter(|(hop, _)| hop.address == address);
+            at.next().map(|(_, key)| key)
+        });
+        self.shared
+            .fleet()
+            .doubt(named.unwrap_or(first), Instant::now());
+        Err(Failure {
+            verdict,
+            why,
+            crash: false,
+        })
+    }
+
+    /// Waits for something of this attempt; fails when it stays silent for longer than engines do
+    /// that work.
+    async fn wait<T>(
+        &self,
+        work: impl Future<Output = T>,
+        parts: &[(UpstreamKey, LayerRange)],
+        since: Instant,
+        silent: Duration,
+    ) -> Result<T, Failure> {
+        tokio::pin!(work);
+        let mut patience = silent;
+        loop {
+            let until = (since + patience).min(self.ticket.deadline);
+            tokio::select! {
+                done = &mut work => return Ok(done),
+                () = tokio::time::sleep_until(until) => {}
+            }
+            let now = Instant::now();
+            if now >= self.ticket.deadline {
+                return Err(silence("out of time"));
+            }
+            let mut fleet = self.shared.fleet();
+            let suspects = fleet.unconfirmed(parts, since);
+            if !suspects.is_empty() {
+                for key in suspects {
+                    fleet.doubt(key, now);
+                }
+                return Err(silence("engines silent"));
+            }
+            if now.duration_since(since) >= STUCK {
+                return Err(silence("stream stuck"));
+            }
+            patience += silent;
+        }
+    }
+
+    /// Reads on to the next whole events; `None` at the end of the stream.
+    async fn read(&mut self) -> Result<Option<Bytes>, Failure> {
+        let Some(mut reading) = self.reading.take() else {
+            return Err(silence("no attempt under way"));
+        };
+        loop {
+            let silent = if reading.begun { SILENT } else { SILENT_FIRST };
+            let since = reading.heard;
+            let frame = self
+                .wait(reading.body.frame(), &reading.parts, since, silent)
+                .await?;
+            let now = Instant::now();
+            match frame {
+                Some(Ok(frame)) => {
+                    let Ok(bytes) = frame.into_data() else {
+                        continue;
+                    };
+                    reading.heard = now;
+                    reading.begun = true;
+                    self.confirm(&reading.parts, now);
+                    reading.cutter.push(&bytes);
+                    let events = reading.cutter.take(self.last_event);
+                    self.last_event = events.last_id.or(self.last_event);
+                    if reading.cutter.rest() > MOST_EVENT_BYTES {
+                        return Err(silence("event too large"));
+                    }
+                    if events.bytes.is_empty() {
+                        continue;
+                    }
+                    self.reading = Some(reading);
+                    return Ok(Some(events.bytes));
+                }
+                Some(Err(_)) => return Err(self.broken(&reading, now)),
+                None if reading.cutter.rest() > 0 => return Err(self.broken(&reading, now)),
+                None => {
+                    self.shared.pool.keep(reading.connection);
+                    return Ok(None);
+                }
+            }
+        }
+    }
+
+    fn confirm(&self, parts: &[(UpstreamKey, LayerRange)], now: Instant) {
+        let mut fleet = self.shared.fleet();
+        for &(key, _) in parts {
+            fleet.good(key, now);
+        }
+    }
+
+    /// A stream that broke off: its first engine closed it.
+    fn broken(&self, reading: &Reading, now: Instant) -> Failure {
+        if let Some(&(first, _)) = reading.parts.first() {
+            self.shared.fleet().doubt(first, now);
+        }
+        Failure {
+            verdict: Verdict::MayHaveRun,
+            why: "stream broken off",
+            crash: true,
+        }
+    }
+
+    fn log_path(&self, path: &Path) {
+        let hops = path.hops.iter();
+        let text: Vec<String> = hops
+            .map(|h| format!("{}={}-{}", h.address, h.layers.from, h.layers.to))
+            .collect();
+        info!(
+            target: "decision",
+            request:% = self.ticket.id,
+            route:% = self.ticket.route.name,
+            config_version = self.ticket.version,
+            attempt = self.attempts,
+            after_event = self.last_event.unwrap_or(0),
+            tokens = self.tokens(),
+            crossings = path.crossings,
+            path:% = text.join(",");
+            "path chosen"
+        );
+    }
+
+    fn log_end(&self, how: &'static str, why: &'static str) {
+        let took = self.ticket.arrived.elapsed();
+        info!(
+            target: "decision",
+            request:% = self.ticket.id,
+            attempts = self.attempts,
+            last_event = self.last_event.unwrap_or(0),
+            took_ms = took.as_millis() as u64,
+            begun = self.begun,
+            why:% = why;
+            "stream {how}"
+        );
+        let labels = [("how", how)];
+        metrics::counter!("kelpworks_streams_total", &labels).increment(1);
+        metrics::histogram!("kelpworks_stream_seconds").record(took.as_secs_f64());
+    }
+}
+
+fn silence(why: &'static str) -> Failure {
+    Failure {
+        verdict: Verdict::MayHaveRun,
+        why,
+        crash: false,
+    }
+}
+
+/// An engine that holds a whole model, by the least work.
+fn whole_engine(fleet: &crate::fleet::Fleet, service: &str, tried: &[UpstreamKey]) -> Option<Path> {
+    let open = fleet.of_service(service).filter(|(_, u)| u.is_open());
+    let untried = open.filter(|(key, _)| !tried.contains(key));
+    let least = |u: &crate::fleet::Upstream| u.load().running;
+    let (key, upstream) = untried.min_by(|a, b| least(a.1).total_cmp(&least(b.1)))?;
+    let none = LayerRange { from: 0, to: 0 };
+    Some(Path {
+        parts: vec![(key, none)],
+        hops: Vec::new(),
+        address: upstream.entry.address,
+        instance: Arc::clone(&upstream.entry.instance),
+        crossings: 0,
+    })
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/repeats.rs
@@ -0,0 +1,93 @@
+//! The part of a fleet-wide bound on repeats that this daemon may use.
+//!
+//! A repeat is an arrival at a service beyond the first of its request. In any window, all daemons
+//! together may cause a fixed number of repeats and a share of the requests. Each daemon keeps to
+//! that share of its own requests and to an equal part of the fixed number, so that the bound holds
+//! without a message between them, also while daemons can't hear each other.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Part of what is allowed that is used: windows of the bound slide, and those of daemons are not
+/// at the same moment.
+const SAFETY: f64 = 0.75;
+
+/// The bound, for the whole fleet.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bound {
+    /// Length of the window.
+    pub window: Duration,
+    /// Repeats allowed for each request.
+    pub ratio: f64,
+    /// Repeats allowed besides.
+    pub slack: f64,
+}
+
+/// Requests and repeats of one service in the last window.
+#[derive(Clone, Debug, Default)]
+struct Service {
+    requests: VecDeque<Instant>,
+    repeats: VecDeque<Instant>,
+}
+
+/// Counts of this daemon.
+#[derive(Clone, Debug)]
+pub struct Repeats {
+    bound: Bound,
+    /// Daemons that share the bound, at least 1.
+    daemons: usize,
+    services: HashMap<Arc<str>, Service>,
+}
+
+impl Repeats {
+    /// Nothing counted yet. `daemons` is how many share the bound.
+    pub fn new(bound: Bound, daemons: usize) -> Repeats {
+        Repeats {
+            bound,
+            daemons: daemons.max(1),
+            services: HashMap::new(),
+        }
+    }
+
+    /// Sets how many daemons share the bound.
+    pub fn set_daemons(&mut self, daemons: usize) {
+        self.daemons = daemons.max(1);
+    }
+
+    /// Counts a request.
+    pub fn requested(&mut self, service: &Arc<str>, now: Instant) {
+        let counts = self.service(service, now);
+        counts.requests.push_back(now);
+    }
+
+    /// Takes a repeat, if there is one left.
+    pub fn try_take(&mut self, service: &Arc<str>, now: Instant) -> bool {
+        let Bound { ratio, slack, .. } = self.bound;
+        let fixed = slack / self.daemons as f64;
+        let counts = self.service(service, now);
+        let allowed = (fixed + ratio * counts.requests.len() as f64) * SAFETY;
+        if counts.repeats.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        counts.repeats.push_back(now);
+        true
+    }
+
+    fn service(&mut self, service: &Arc<str>, now: Instant) -> &mut Service {
+        let window = self.bound.window;
+        let counts = self.services.entry(Arc::clone(service)).or_default();
+        for queue in [&mut counts.requests, &mut counts.repeats] {
+            while queue
+                .front()
+                .is_some_and(|&at| now.duration_since(at) > window)
+            {
+                queue.pop_front();
+            }
+        }
+        counts
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-relay/src/server.rs
@@ -0,0 +1,54 @@
+//! HTTP servers of a daemon.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use salvo::Listener;
+use salvo::Router;
+use salvo::Server as HttpServer;
+use salvo::conn::TcpListener;
+use salvo::server::ServerHandle;
+use tokio::task::JoinHandle;
+
+/// A running server.
+#[derive(Debug)]
+pub(crate) struct Server {
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Listens on an address. A connection on which no head comes for `idle` is closed.
+    ///
+    /// # Errors
+    ///
+    /// When the address can't be listened on.
+    pub(crate) async fn start(
+        address: SocketAddr,
+        router: Router,
+        idle: Duration,
+    ) -> std::io::Result<Server> {
+        let acceptor = TcpListener::new(address)
+            .try_bind()
+            .await
+            .map_err(|e| std::io::Error::other(e.to_string()))?;
+        let mut server = HttpServer::new(acceptor).disable_fuse();
+        server.http1_mut().header_read_timeout(idle);
+        let handle = server.handle();
+        let task = tokio::spawn(server.serve(router));
+        Ok(Server { handle, task })
+    }
+
+    /// Stops taking connections; requests in flight go on, and their connections close after them.
+    pub(crate) fn close(&self) {
+        self.handle.stop_graceful(None);
+    }
+
+    /// Waits at most `wait` for the last request in flight, and ends what is left.
+    pub(crate) async fn stop(mut self, wait: Duration) {
+        self.close();
+        if tokio::time::timeout(wait, &mut self.task).await.is_err() {
+            self.handle.stop_forceful();
+        }
+    }
+}
--- a/crates/kelpworks/src/border/fresh.rs
+++ b/crates/kelpworks/src/border/fresh.rs
@@ -12,16 +12,22 @@
 /// Longest idle time of a pooled connection, well under what middleboxes forget.
 const POOL_IDLE: Duration = Duration::from_secs(20);
 
+/// Idle time after which the system probes a connection, and the time between its probes.
+const KEEPALIVE: Duration = Duration::from_millis(1_000);
+/// Probes without an answer after which the system gives a connection up: a long wait for a change
+/// then ends about three seconds after its connection went silent.
+const KEEPALIVE_RETRIES: u32 = 2;
+
 /// A client with a replaceable pool of connections.
 #[derive(Debug)]
-pub(crate) struct FreshClient {
+pub struct FreshClient {
     client: ArcSwap<Client>,
     connect_timeout: Duration,
 }
 
 /// Where a request got to before it failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Stage {
+pub enum Stage {
     /// It could not be built or no connection could be opened: nothing was sent.
     NotSent,
     /// It was sent, in part or whole, and no whole reply came.
@@ -30,7 +36,11 @@
 
 impl FreshClient {
     /// A client that waits at most `connect_timeout` for a connection.
-    pub(crate) fn new(connect_timeout: Duration) -> reqwest::Result<FreshClient> {
+    ///
+    /// # Errors
+    ///
+    /// When the system's TLS or resolver can't be set up.
+    pub fn new(connect_timeout: Duration) -> reqwest::Result<FreshClient> {
         let client = build(connect_timeout)?;
         Ok(FreshClient {
             client: ArcSwap::from_pointee(client),
@@ -39,12 +49,12 @@
     }
 
     /// The client to use for the next request.
-    pub(crate) fn get(&self) -> Client {
+    pub fn get(&self) -> Client {
         Client::clone(&self.client.load())
     }
 
     /// Leaves all present connections behind; requests under way keep theirs.
-    pub(crate) fn fresh(&self) {
+    pub fn fresh(&self) {
         match build(self.connect_timeout) {
             Ok(client) => self.client.store(client.into()),
             Err(e) => log::warn!("connections kept: no new client: {e}"),
@@ -53,7 +63,7 @@
 }
 
 /// The stage at which an error of the client struck.
-pub(crate) fn stage_of(error: &reqwest::Error) -> Stage {
+pub fn stage_of(error: &reqwest::Error) -> Stage {
     match error.is_connect() || error.is_builder() {
         true => Stage::NotSent,
         false => Stage::Lost,
@@ -65,6 +75,9 @@
     Client::builder()
         .connect_timeout(connect_timeout)
         .pool_idle_timeout(POOL_IDLE)
+        .tcp_keepalive(KEEPALIVE)
+        .tcp_keepalive_interval(KEEPALIVE)
+        .tcp_keepalive_retries(KEEPALIVE_RETRIES)
         .no_proxy()
         .redirect(reqwest::redirect::Policy::none())
         .build()
--- a/crates/kelpworks/src/border/mod.rs
+++ b/crates/kelpworks/src/border/mod.rs
@@ -1,7 +1,7 @@
 //! The borders: one small trait for each outside system, and its HTTP client.
 
 pub mod engine;
-pub(crate) mod fresh;
+pub mod fresh;
 pub mod host_list;
 pub mod object_api;
 pub mod plain_service;
--- a/crates/kelpworks/src/executor/hold.rs
+++ b/crates/kelpworks/src/executor/hold.rs
@@ -60,7 +60,7 @@
     }
 
     /// Now, as the state machines count it.
-    pub(super) fn now(&self) -> time::Instant {
+    pub(crate) fn now(&self) -> time::Instant {
         time::Instant::from_millis(self.start.elapsed().as_millis() as u64)
     }
 
@@ -76,15 +76,20 @@
 
 /// Keeps the lease.
 #[derive(Debug)]
-pub(super) struct LeaseKeeper<A> {
+pub struct LeaseKeeper<A> {
     pub(super) api: A,
     pub(super) hold: Arc<Hold>,
 }
 
 impl<A: ObjectApi> LeaseKeeper<A> {
+    /// Keeps a hold through an object API.
+    pub fn new(api: A, hold: Arc<Hold>) -> LeaseKeeper<A> {
+        LeaseKeeper { api, hold }
+    }
+
     /// Takes and renews the lease until `leave`, then gives it up, so that a successor need not
     /// wait for its end.
-    pub(super) async fn run(&self, leave: &CancellationToken) {
+    pub async fn run(&self, leave: &CancellationToken) {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
--- a/crates/kelpworks/src/executor/mod.rs
+++ b/crates/kelpworks/src/executor/mod.rs
@@ -55,7 +55,7 @@
 
 use crate::border::engine::Engine;
 use crate::border::object_api::ObjectApi;
-use crate::executor::hold::LeaseKeeper;
+
 use crate::executor::round::Rounds;
 use crate::fleet::Fleet;
 use crate::in_force::InForce;
@@ -69,6 +69,7 @@
 pub use hold::Hold;
 pub use hold::LEASE_KIND;
 pub use hold::LEASE_NAME;
+pub use hold::LeaseKeeper;
 
 /// Settings of an executor.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/kelpworks/src/membership/links.rs
+++ b/crates/kelpworks/src/membership/links.rs
@@ -20,10 +20,10 @@
 use super::traffic::Traffic;
 
 /// The result of this module.
-pub(super) type Result<T> = std::result::Result<T, Error>;
+pub type Result<T> = std::result::Result<T, Error>;
 
 /// A connection to a peer.
-pub(super) type Client = Arc<WsClient>;
+pub type Client = Arc<WsClient>;
 
 /// Largest answer; a register's text is the largest part of one.
 pub(super) const MAX_MESSAGE: u32 = 4 << 20;
@@ -33,13 +33,18 @@
 /// Why a peer gave no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Error)]
-pub(super) enum Error {
+pub enum Error {
     /// Nothing came within the deadline, on a new connection too.
     #[error("no answer from {0}")]
     Silent(String),
     /// It answered with an error.
     #[error("{address} refused: {reason}")]
-    Refused { address: String, reason: String },
+    Refused {
+        /// Address of the peer.
+        address: String,
+        /// What it said.
+        reason: String,
+    },
 }
 
 /// A kept connection.
@@ -58,7 +63,7 @@
 
 /// One connection an address, opened when it is first needed.
 #[derive(Debug, Default)]
-pub(super) struct Links {
+pub struct Links {
     table: Mutex<Table>,
     pub(super) traffic: Traffic,
 }
@@ -66,7 +71,11 @@
 impl Links {
     /// Calls a peer: on the kept connection first, then, after silence, once on a new one. Each
     /// of the two tries may take `deadline`, opening a connection included.
-    pub(super) async fn call<R, T, F>(
+    ///
+    /// # Errors
+    ///
+    /// When the peer stays silent on both, or refuses.
+    pub async fn call<R, T, F>(
         &self,
         address: &str,
         deadline: Duration,
--- a/crates/kelpworks/src/membership/mod.rs
+++ b/crates/kelpworks/src/membership/mod.rs
@@ -37,7 +37,7 @@
 mod contract;
 mod convert;
 mod directory;
-mod links;
+pub mod links;
 mod methods;
 mod node;
 mod peers;
