Keep a silent stream unless another attempt is allowed; blame what silent streams share

Ruled out: the daemon's stop itself (the cut came before its listeners closed). Change: permission and a path come before the cut; without them the stream is kept. Engines common to the most silent streams are blamed instead of all unconfirmed ones; an engine that failed gets one trial request at a time; a second or later first engine counts against the route's attempts only if it may have run and is still there.

--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -27,6 +27,8 @@
 /// Longest time that an upstream is passed over after failures in a row: three heartbeats, after
 /// which discovery itself has removed one that is dead.
 const LONGEST_DOUBT: Duration = Duration::from_secs(4);
+/// Time for which a request to an upstream that failed before keeps others away from it.
+const TRIAL: Duration = Duration::from_millis(400);
 /// Weight of a new answer time in its moving average.
 const ANSWER_WEIGHT: f64 = 0.2;
 
@@ -54,6 +56,8 @@
     pub doubted_until: Option<Instant>,
     /// Failures in a row.
     failures: u32,
+    /// Streams of this daemon that are silent now and have it on their path, unconfirmed.
+    silent: i32,
     /// Moving average of its answer times, in milliseconds.
     pub answer_ms: Option<f64>,
 }
@@ -153,6 +157,7 @@
             last_good: None,
             doubted_until: None,
             failures: 0,
+            silent: 0,
             answer_ms: None,
         });
         self.by_instance.insert(Arc::clone(&instance), key);
@@ -269,6 +274,32 @@
         }
     }
 
+    /// Counts a silent stream against an upstream, or takes that back.
+    pub fn note_silent(&mut self, key: UpstreamKey, change: i32) {
+        if let Some(u) = self.upstreams.get_mut(key) {
+            u.silent += change;
+        }
+    }
+
+    /// Those of some upstreams that the most silent streams have in common: the one that stopped is
+    /// on all of their paths, the others only on some.
+    pub fn most_silent(&self, keys: &[UpstreamKey]) -> Vec<UpstreamKey> {
+        let silent = |key: &UpstreamKey| self.upstreams.get(*key).map_or(0, |u| u.silent);
+        let most = keys.iter().map(silent).max().unwrap_or(0);
+        keys.iter().copied().filter(|k| silent(k) == most).collect()
+    }
+
+    /// Notes that a request goes to an upstream. One that failed and is due again gets this request
+    /// only, until the request tells how it is.
+    pub fn tried(&mut self, key: UpstreamKey, now: Instant) {
+        let Some(u) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        if u.failures > 0 && !u.is_doubted(now) {
+            u.doubted_until = Some(now + TRIAL);
+        }
+    }
+
     /// Upstreams of a path that nothing has confirmed since a moment.
     pub fn unconfirmed(
         &self,
--- a/crates/kelpworks-relay/src/path.rs
+++ b/crates/kelpworks-relay/src/path.rs
@@ -49,8 +49,8 @@
     pub domain: &'a str,
     /// Engines that must not be on it.
     pub avoid: &'a [UpstreamKey],
-    /// Engine that must come first.
-    pub first: Option<UpstreamKey>,
+    /// Engines of which one must come first; any may when there are none.
+    pub first: &'a [UpstreamKey],
     /// Now.
     pub now: Instant,
 }
@@ -197,8 +197,8 @@
     }
 
     /// The first layer that no candidate holds.
-    fn uncovered(&self, layers: u16, first: Option<UpstreamKey>) -> Option<u16> {
-        let at_start = |c: &Candidate| first.is_none_or(|f| f == c.key);
+    fn uncovered(&self, layers: u16, first: &[UpstreamKey]) -> Option<u16> {
+        let at_start = |c: &Candidate| first.is_empty() || first.contains(&c.key);
         let covered = |layer: u16| {
             let mut candidates = self.candidates.iter();
             candidates.any(|c| c.range.contains(layer) && (layer > 0 || at_start(c)))
@@ -230,7 +230,7 @@
                 continue;
             }
             let arrival = match b {
-                0 if ask.first.is_some_and(|f| f != candidate.key) => None,
+                0 if !ask.first.is_empty() && !ask.first.contains(&candidate.key) => None,
                 0 => Some((0.0, home.unwrap_or(candidate.domain))),
                 _ => self.arrival(b, candidate.domain, best),
             };
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -44,19 +44,23 @@
 
 /// Least time left for a further attempt: reading a usual prompt again.
 const WORTH_TRYING: Duration = Duration::from_millis(50);
-/// Silence after which unconfirmed engines of the path are suspected: several usual pauses between
-/// events (20 to 30 ms), and early enough that another path can go on within a pause of 250 ms.
-const SILENT: Duration = Duration::from_millis(110);
-/// Silence before the first event after which they are: reading a large prompt over slow engines
-/// takes about half as long.
-const SILENT_FIRST: Duration = Duration::from_millis(220);
+/// Silence after which a stream counts against the unconfirmed engines of its path: more than two
+/// usual pauses between events (20 to 30 ms).
+const NOTICED: Duration = Duration::from_millis(65);
+/// Silence after which the engines with the most silent streams are suspected: early enough that
+/// another path can go on within a pause of 250 ms.
+const SILENT: Duration = Duration::from_millis(115);
+/// Added to both before the first event: reading a prompt over slow engines takes up to this.
+const READING: Duration = Duration::from_millis(80);
+/// Added for each token of the prompt, in microseconds.
+const READING_TOKEN_US: u64 = 60;
 /// Silence after which a stream moves although all engines of its path work for others; callers
 /// leave after 2 s.
 const STUCK: Duration = Duration::from_millis(1_200);
-/// Attempts beyond the route's own, all by way of an engine that was sent the request before.
-const SPARE_ATTEMPTS: u32 = 2;
-/// When to come back while no path has room: a usual answer ends by then.
-const FULL_RETRY: Duration = Duration::from_millis(500);
+/// Attempts of one request, with those that were refused without having run.
+const MOST_ATTEMPTS: u32 = 6;
+/// Pause before an attempt that follows a refusal; doubled with each one.
+const REFUSED_PAUSE: Duration = Duration::from_millis(25);
 /// Largest event that is waited for.
 const MOST_EVENT_BYTES: usize = 4 << 20;
 /// Tokens to expect of an answer whose caller says nothing about it.
@@ -69,6 +73,51 @@
     why: &'static str,
     /// Whether it looks as if the request had crashed an engine.
     crash: bool,
+    /// Whether the next attempt was asked for and allowed already.
+    permitted: bool,
+}
+
+impl Failure {
+    fn new(verdict: Verdict, why: &'static str) -> Failure {
+        Failure {
+            verdict,
+            why,
+            crash: false,
+            permitted: false,
+        }
+    }
+
+    fn crash(why: &'static str) -> Failure {
+        Failure {
+            crash: true,
+            ..Failure::new(Verdict::MayHaveRun, why)
+        }
+    }
+}
+
+/// Engines that a silent stream counts against, until dropped.
+struct Silence<'a> {
+    shared: &'a Shared,
+    suspects: Vec<UpstreamKey>,
+}
+
+impl<'a> Silence<'a> {
+    fn note(shared: &'a Shared, suspects: Vec<UpstreamKey>) -> Silence<'a> {
+        let mut fleet = shared.fleet();
+        for &key in &suspects {
+            fleet.note_silent(key, 1);
+        }
+        Silence { shared, suspects }
+    }
+}
+
+impl Drop for Silence<'_> {
+    fn drop(&mut self) {
+        let mut fleet = self.shared.fleet();
+        for &key in &self.suspects {
+            fleet.note_silent(key, -1);
+        }
+    }
 }
 
 /// Memory and places that a request is counted for, until dropped.
@@ -85,8 +134,10 @@
         };
         let parts: Vec<(UpstreamKey, f64)> = parts.iter().map(reserved).collect();
         let mut fleet = shared.fleet();
+        let now = Instant::now();
         for &(key, amount) in &parts {
             fleet.take(key, amount);
+            fleet.tried(key, now);
         }
         drop(fleet);
         Reservation {
@@ -122,9 +173,11 @@
     shared: Arc<Shared>,
     ticket: Ticket,
     engines: Option<Arc<Engines>>,
-    /// First engines that it was sent to.
-    sent_to: Vec<UpstreamKey>,
+    /// First engines of the attempts that may have run.
+    ran_at: Vec<UpstreamKey>,
     attempts: u32,
+    /// Attempts refused in a row.
+    refusals: u32,
     /// Id of the last event that the caller has, or had before.
     last_event: Option<u64>,
     weight_version: Option<u64>,
@@ -147,8 +200,9 @@
         last_event: ticket.head.last_event,
         shared,
         ticket,
-        sent_to: Vec::new(),
+        ran_at: Vec::new(),
         attempts: 0,
+        refusals: 0,
         weight_version: None,
         reading: None,
         begun: false,
@@ -187,9 +241,10 @@
             };
             verdict = verdict.max(failure.verdict);
             self.failed(failure);
-            if !self.may_go_on(verdict) {
+            if !failure.permitted && !self.may_go_on(verdict) {
                 return Err(give_up(&self.ticket, verdict, failure.why));
             }
+            self.pause(failure).await;
         }
     }
 
@@ -220,9 +275,10 @@
         let mut failure = failure;
         loop {
             self.failed(failure);
-            if !self.may_go_on(Verdict::MayHaveRun) {
+            if !failure.permitted && !self.may_go_on(Verdict::MayHaveRun) {
                 return Err(failure.why);
             }
+            self.pause(failure).await;
             match self.attempt().await {
                 Ok(_) => return Ok(()),
                 Err(next) => failure = next,
@@ -230,6 +286,17 @@
         }
     }
 
+    /// Waits a little after a refusal, since what refused is busy.
+    async fn pause(&mut self, failure: Failure) {
+        if failure.verdict == Verdict::MayHaveRun {
+            self.refusals = 0;
+            return;
+        }
+        let pause = REFUSED_PAUSE * 2u32.pow(self.refusals.min(4));
+        self.refusals += 1;
+        tokio::time::sleep(pause.min(self.ticket.left())).await;
+    }
+
     fn finish(&mut self) {
         self.done = true;
         self.shared.crashes().answered(self.ticket.fingerprint);
@@ -241,9 +308,8 @@
         let kind = self.ticket.route.kind;
         let resumable = matches!(kind, RouteKind::Stream { resumable: true });
         let repeatable = verdict == Verdict::NotRun || resumable;
-        let most = self.ticket.route.attempts + SPARE_ATTEMPTS;
         let now = Instant::now();
-        if !repeatable || self.attempts >= most || self.ticket.left() < WORTH_TRYING {
+        if !repeatable || self.attempts >= MOST_ATTEMPTS || self.ticket.left() < WORTH_TRYING {
             return false;
         }
         if self.shared.crashes().refuses(self.ticket.fingerprint, now) {
@@ -291,21 +357,21 @@
     fn choose(&self) -> Result<Path, &'static str> {
         let fleet = self.shared.fleet();
         let Some(engines) = &self.engines else {
-            return whole_engine(&fleet, &self.ticket.service.name, &self.sent_to)
+            return whole_engine(&fleet, &self.ticket.service.name, &self.ran_at)
                 .ok_or("no upstream");
         };
-        let beyond = self.attempts >= self.ticket.route.attempts;
-        let first = if beyond {
-            self.sent_to.last().copied()
-        } else {
-            None
-        };
+        // Engines that are gone don't count among those that a request was sent to.
+        let mut first: Vec<UpstreamKey> = self.ran_at.clone();
+        first.retain(|&key| fleet.get(key).is_some());
+        if (first.len() as u32) < self.ticket.route.attempts {
+            first.clear();
+        }
         let ask = path::Ask {
             service: &self.ticket.service.name,
             tokens: self.tokens(),
             domain: &self.shared.domain,
             avoid: &[],
-            first,
+            first: &first,
             now: Instant::now(),
         };
         path::search(&fleet, engines, &ask, &mut rand::rng()).map_err(|e| e.as_str())
@@ -313,11 +379,8 @@
 
     /// Sends the request along a new path and waits for the answer's head.
     async fn attempt(&mut self) -> Result<(StatusCode, HeaderMap), Failure> {
-        let path = self.choose().map_err(|why| Failure {
-            verdict: Verdict::NotRun,
-            why,
-            crash: false,
-        })?;
+        let path = self.choose();
+        let path = path.map_err(|why| Failure::new(Verdict::NotRun, why))?;
         self.attempts += 1;
         let (first, _) = path.parts[0];
         let forwarded = Forwarded {
@@ -331,19 +394,19 @@
         let req = self.ticket.to_request::<D>(&forwarded);
         let reservation = Reservation::take(&self.shared, &path.parts, self.tokens());
         self.log_path(&path);
-        if !self.sent_to.contains(&first) {
-            self.sent_to.push(first);
-        }
         let shared = Arc::clone(&self.shared);
         let sent = Instant::now();
         let sending = shared.pool.send(first, path.address, req, Reuse::Any);
-        let exchange = self.wait(sending, &path.parts, sent, SILENT_FIRST).await?;
+        let answer = self.head(sending, &path, sent).await;
+        let may_have_run = !matches!(&answer, Err(f) if f.verdict == Verdict::NotRun);
+        if may_have_run && !self.ran_at.contains(&first) {
+            self.ran_at.push(first);
+        }
+        let (exchange, head) = answer?;
         let Exchange {
             response,
             connection,
-        } = exchange.map_err(|e| self.not_sent(first, e))?;
-        let head = D::answer(response.headers());
-        self.judge(first, &path, &response, &head)?;
+        } = exchange;
         self.weight_version = self.weight_version.or(head.weight_version);
         let (mut parts, body) = response.into_parts();
         parts.headers.remove(header::CONTENT_LENGTH);
@@ -359,19 +422,26 @@
         Ok((parts.status, parts.headers))
     }
 
+    /// Waits for the head of an answer and judges it.
+    async fn head(
+        &self,
+        sending: impl Future<Output = pool::Result<Exchange>>,
+        path: &Path,
+        sent: Instant,
+    ) -> Result<(Exchange, AnswerHead), Failure> {
+        let (first, _) = path.parts[0];
+        let exchange = self.wait(sending, &path.parts, sent, false).await?;
+        let exchange = exchange.map_err(|e| self.not_sent(first, e))?;
+        let head = D::answer(exchange.response.headers());
+        self.judge(first, path, &exchange.response, &head)?;
+        Ok((exchange, head))
+    }
+
     fn not_sent(&self, first: UpstreamKey, error: pool::Error) -> Failure {
         self.shared.fleet().doubt(first, Instant::now());
         match error {
-            pool::Error::NotSent => Failure {
-                verdict: Verdict::NotRun,
-                why: "not sent",
-                crash: false,
-            },
-            pool::Error::Lost => Failure {
-                verdict: Verdict::MayHaveRun,
-                why: "connection lost",
-                crash: true,
-            },
+            pool::Error::NotSent => Failure::new(Verdict::NotRun, "not sent"),
+            pool::Error::Lost => Failure::crash("connection lost"),
         }
     }
 
@@ -397,59 +467,95 @@
         self.shared
             .fleet()
             .doubt(named.unwrap_or(first), Instant::now());
-        Err(Failure {
-            verdict,
-            why,
-            crash: false,
-        })
+        Err(Failure::new(verdict, why))
     }
 
-    /// Waits for something of this attempt; fails when it stays silent for longer than engines do
-    /// that work.
+    /// Waits for something of this attempt. Fails when engines of the path seem to have stopped and
+    /// another attempt is allowed; without one, waiting on is all that is left.
     async fn wait<T>(
         &self,
         work: impl Future<Output = T>,
         parts: &[(UpstreamKey, LayerRange)],
         since: Instant,
-        silent: Duration,
+        begun: bool,
     ) -> Result<T, Failure> {
         tokio::pin!(work);
-        let mut patience = silent;
+        let reading = if begun { Duration::ZERO } else { self.reading_time() };
+        let noticed = since + NOTICED + reading;
+        if let Some(done) = self.until(&mut work, noticed).await? {
+            return Ok(done);
+        }
+        let suspects = self.shared.fleet().unconfirmed(parts, since);
+        let _silence = Silence::note(&self.shared, suspects);
+        let mut at = since + SILENT + reading;
         loop {
-            let until = (since + patience).min(self.ticket.deadline);
-            tokio::select! {
-                done = &mut work => return Ok(done),
-                () = tokio::time::sleep_until(until) => {}
+            if let Some(done) = self.until(&mut work, at).await? {
+                return Ok(done);
             }
-            let now = Instant::now();
-            if now >= self.ticket.deadline {
-                return Err(silence("out of time"));
+            if let Some(why) = self.suspect(parts, since) {
+                return Err(Failure {
+                    permitted: true,
+                    ..Failure::new(Verdict::MayHaveRun, why)
+                });
             }
+            at += SILENT;
+        }
+    }
+
+    /// Waits until a moment; `None` when it comes first.
+    async fn until<T>(
+        &self,
+        work: &mut (impl Future<Output = T> + Unpin),
+        at: Instant,
+    ) -> Result<Option<T>, Failure> {
+        let at = at.min(self.ticket.deadline);
+        tokio::select! {
+            done = work => return Ok(Some(done)),
+            () = tokio::time::sleep_until(at) => {}
+        }
+        match self.ticket.left().is_zero() {
+            true => Err(Failure::new(Verdict::MayHaveRun, "out of time")),
+            false => Ok(None),
+        }
+    }
+
+    /// Passes the likely culprits of a silence over; the reason when the stream should move, which
+    /// is allowed then.
+    fn suspect(&self, parts: &[(UpstreamKey, LayerRange)], since: Instant) -> Option<&'static str> {
+        let now = Instant::now();
+        let stuck = now.duration_since(since) >= STUCK;
+        let culprits = {
             let mut fleet = self.shared.fleet();
             let suspects = fleet.unconfirmed(parts, since);
-            if !suspects.is_empty() {
-                for key in suspects {
-                    fleet.doubt(key, now);
-                }
-                return Err(silence("engines silent"));
-            }
-            if now.duration_since(since) >= STUCK {
-                return Err(silence("stream stuck"));
+            let culprits = fleet.most_silent(&suspects);
+            for &key in &culprits {
+                fleet.doubt(key, now);
             }
-            patience += silent;
+            culprits
+        };
+        if culprits.is_empty() && !stuck {
+            return None;
         }
+        let moves = self.choose().is_ok() && self.may_go_on(Verdict::MayHaveRun);
+        let why = if culprits.is_empty() { "stream stuck" } else { "engines silent" };
+        moves.then_some(why)
+    }
+
+    /// Time that reading the prompt may take before the first event.
+    fn reading_time(&self) -> Duration {
+        let tokens = u64::from(self.ticket.head.prompt_tokens.unwrap_or(0));
+        READING + Duration::from_micros(tokens * READING_TOKEN_US)
     }
 
     /// Reads on to the next whole events; `None` at the end of the stream.
     async fn read(&mut self) -> Result<Option<Bytes>, Failure> {
         let Some(mut reading) = self.reading.take() else {
-            return Err(silence("no attempt under way"));
+            return Err(Failure::new(Verdict::MayHaveRun, "no attempt under way"));
         };
         loop {
-            let silent = if reading.begun { SILENT } else { SILENT_FIRST };
             let since = reading.heard;
             let frame = self
-                .wait(reading.body.frame(), &reading.parts, since, silent)
+                .wait(reading.body.frame(), &reading.parts, since, reading.begun)
                 .await?;
             let now = Instant::now();
             match frame {
@@ -464,7 +570,7 @@
                     let events = reading.cutter.take(self.last_event);
                     self.last_event = events.last_id.or(self.last_event);
                     if reading.cutter.rest() > MOST_EVENT_BYTES {
-                        return Err(silence("event too large"));
+                        return Err(Failure::new(Verdict::MayHaveRun, "event too large"));
                     }
                     if events.bytes.is_empty() {
                         continue;
@@ -494,11 +600,7 @@
         if let Some(&(first, _)) = reading.parts.first() {
             self.shared.fleet().doubt(first, now);
         }
-        Failure {
-            verdict: Verdict::MayHaveRun,
-            why: "stream broken off",
-            crash: true,
-        }
+        Failure::crash("stream broken off")
     }
 
     fn log_path(&self, path: &Path) {
@@ -538,14 +640,6 @@
     }
 }
 
-fn silence(why: &'static str) -> Failure {
-    Failure {
-        verdict: Verdict::MayHaveRun,
-        why,
-        crash: false,
-    }
-}
-
 /// An engine that holds a whole model, by the least work.
 fn whole_engine(fleet: &crate::fleet::Fleet, service: &str, tried: &[UpstreamKey]) -> Option<Path> {
     let open = fleet.of_service(service).filter(|(_, u)| u.is_open());
--- a/crates/kelpworks-relay/src/repeats.rs
+++ b/crates/kelpworks-relay/src/repeats.rs
@@ -12,9 +12,9 @@
 
 use tokio::time::Instant;
 
-/// Part of what is allowed that is used: windows of the bound slide, and those of daemons are not
-/// at the same moment.
-const SAFETY: f64 = 0.75;
+/// Part of what is allowed that is used: a window here begins a little earlier than at the
+/// service, where the repeat arrives.
+const SAFETY: f64 = 0.9;
 
 /// The bound, for the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
