Whole paths elsewhere before crossings, backups for the largest engines, moves into holes

Change: a first engine elsewhere costs 1 ms a token, a crossing 6; layers held by one large engine are backed up first; an engine whose layers its domain holds twice moves into a hole; waiting for prompts counts in the cost; signs of life count from 30 ms after a silence began; watches gather changes for 120 ms.

--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -27,6 +27,9 @@
 /// Longest time that an upstream is passed over after failures in a row: three heartbeats, after
 /// which discovery itself has removed one that is dead.
 const LONGEST_DOUBT: Duration = Duration::from_secs(4);
+/// Events of other streams may come so long after an upstream has died, since they were on their
+/// way; they don't show that it lives.
+const ON_ITS_WAY: Duration = Duration::from_millis(30);
 /// Time for which a request to an upstream that failed before keeps others away from it.
 const TRIAL: Duration = Duration::from_millis(400);
 /// Weight of a new answer time in its moving average.
@@ -300,15 +303,16 @@
         }
     }
 
-    /// Upstreams of a path that nothing has confirmed since a moment.
+    /// Upstreams of a path that nothing has confirmed since a stream on it fell silent.
     pub fn unconfirmed(
         &self,
         path: &[(UpstreamKey, LayerRange)],
-        since: Instant,
+        silent_since: Instant,
     ) -> Vec<UpstreamKey> {
+        let since = silent_since + ON_ITS_WAY;
         let unconfirmed = |key: &UpstreamKey| {
             let upstream = self.upstreams.get(*key);
-            upstream.is_none_or(|u| u.last_good.is_none_or(|at| at <= since))
+upstream.is_none_or(|u| u.last_good.is_none_or(|at| at <= since))
         };
         path.iter().map(|&(k, _)| k).filter(unconfirmed).collect()
     }
--- a/crates/kelpworks-relay/src/follow.rs
+++ b/crates/kelpworks-relay/src/follow.rs
@@ -22,6 +22,9 @@
 
 /// Longest wait of a watch: each one is a paid call, and the platform allows 30 s.
 const WATCH: Duration = Duration::from_secs(20);
+/// Pause before a watch goes on, so that changes which come together cost one call: entries of a
+/// fleet that starts come one by one, each a paid call for each daemon without it.
+const GATHER: Duration = Duration::from_millis(120);
 /// First pause after a failed call, doubled up to [`LONGEST_PAUSE`].
 const PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls: a fraction of the time within which changes must hold.
@@ -66,6 +69,7 @@
                     lost = false;
                     revision = Some(seen);
                     pause = PAUSE;
+                    tokio::time::sleep(GATHER).await;
                 }
                 Err(Error::Expired) => {
                     info!(kind:% = self.kind::<D>(); "history of the store is gone, listing anew");
--- a/crates/kelpworks-relay/src/layout.rs
+++ b/crates/kelpworks-relay/src/layout.rs
@@ -7,8 +7,9 @@
 //! are laid so that each failure domain covers the model by its fastest engines first; what is
 //! left backs up the layers that are held least.
 //!
-//! What stands is kept: only engines that hold nothing are given layers, unless some layer is held
-//! nowhere at all.
+//! What stands is kept: only engines that hold nothing are given layers. But where a failure domain
+//! lacks a layer, so that its paths would have to leave it, an engine moves whose own layers its
+//! domain holds elsewhere.
 
 use std::sync::Arc;
 
@@ -89,7 +90,16 @@
 /// How often each layer is held, by failure domain.
 struct Cover {
     layers: u16,
-    domains: Vec<(Arc<str>, Vec<u32>)>,
+    domains: Vec<Domain>,
+}
+
+/// Holdings of a failure domain.
+struct Domain {
+    name: Arc<str>,
+    /// Engines that hold each layer.
+    counts: Vec<u32>,
+    /// Layers of the largest engine that holds each layer: what is lost with it.
+    largest: Vec<u16>,
 }
 
 impl Cover {
@@ -113,49 +123,50 @@
     }
 
     fn add(&mut self, domain: &Arc<str>, range: LayerRange) {
-        let counts = self.counts_mut(domain);
-        for count in counts
-            .iter_mut()
-            .take(usize::from(range.to))
-            .skip(usize::from(range.from))
-        {
-            *count += 1;
+        let domain = self.domain_mut(domain);
+        for layer in usize::from(range.from)..usize::from(range.to).min(domain.counts.len()) {
+            domain.counts[layer] += 1;
+            domain.largest[layer] = domain.largest[layer].max(range.len());
         }
     }
 
-    fn counts_mut(&mut self, domain: &Arc<str>) -> &mut Vec<u32> {
-        if let Some(i) = self.domains.iter().position(|(d, _)| d == domain) {
-            return &mut self.domains[i].1;
+    fn domain_mut(&mut self, name: &Arc<str>) -> &mut Domain {
+        if let Some(i) = self.domains.iter().position(|d| d.name == *name) {
+            return &mut self.domains[i];
         }
-        let none = vec![0; usize::from(self.layers)];
-        self.domains.push((Arc::clone(domain), none));
+        let layers = usize::from(self.layers);
+        self.domains.push(Domain {
+            name: Arc::clone(name),
+            counts: vec![0; layers],
+            largest: vec![0; layers],
+        });
         let last = self.domains.len() - 1;
-        &mut self.domains[last].1
+        &mut self.domains[last]
     }
 
     fn held_anywhere(&self, layer: usize) -> u32 {
-        self.domains.iter().map(|(_, counts)| counts[layer]).sum()
+        self.domains.iter().map(|d| d.counts[layer]).sum()
     }
 
-    /// What one more copy of a layer in a domain is worth.
-    fn need(&self, counts: &[u32], layer: usize) -> f64 {
-        let nowhere = if self.held_anywhere(layer) == 0 {
-            NOWHERE
-        } else {
-            0.0
-        };
-        let in_domain = match counts[layer] {
+    /// What one more copy of a layer in a domain is worth: most where it has none, then where a
+    /// single large engine holds it.
+    fn need(&self, domain: &Domain, layer: usize) -> f64 {
+        let copies = self.held_anywhere(layer);
+        let nowhere = if copies == 0 { NOWHERE } else { 0.0 };
+        let in_domain = match domain.counts[layer] {
             0 => NOT_IN_DOMAIN,
-            n => 1.0 / f64::from(n * n),
+            n => f64::from(domain.largest[layer]) / f64::from(n.pow(3)),
         };
-        let copies = f64::from(self.held_anywhere(layer));
-        nowhere + in_domain + 0.1 / (1.0 + copies)
+        nowhere + in_domain + 0.1 / (1.0 + f64::from(copies))
     }
 
     /// The range of so many layers that is needed most in a domain; the first of equals.
     fn window(&mut self, domain: &Arc<str>, len: u16) -> LayerRange {
-        let counts = self.counts_mut(domain).clone();
-        let needs: Vec<f64> = (0..counts.len()).map(|l| self.need(&counts, l)).collect();
+        self.domain_mut(domain);
+        let domain = self.domains.iter().find(|d| d.name == *domain);
+        let layers = 0..usize::from(self.layers);
+        let need = |l| domain.map_or(0.0, |d| self.need(d, l));
+        let needs: Vec<f64> = layers.map(need).collect();
         let len = len.min(self.layers);
         let worth = |from: u16| -> f64 {
             let range = usize::from(from)..usize::from(from + len);
@@ -174,21 +185,19 @@
         }
     }
 
-    /// Moves one engine whose layers are all held elsewhere to layers that are held nowhere.
+    /// Moves one engine to layers that its domain lacks, if its domain holds its own elsewhere.
     fn rescue(&mut self, engines: &Engines, hosts: &[Host]) -> Option<Placement> {
-        let layers = usize::from(self.layers);
-        if (0..layers).all(|l| self.held_anywhere(l) > 0) {
-            return None;
-        }
-        let spare = |range: LayerRange| {
+        let lacks = |d: &&Domain| d.counts.contains(&0);
+        let spare = |host: &&Host| {
+            let Some(range) = host.layers else {
+                return false;
+            };
+            let domain = self.domains.iter().filter(lacks).find(|d| d.name == host.domain);
             let mut held = usize::from(range.from)..usize::from(range.to);
-            held.all(|l| self.held_anywhere(l) > 1)
+            domain.is_some_and(|d| held.all(|l| d.counts[l] > 1))
         };
-        let spared = |h: &&Host| h.layers.is_some_and(spare);
-        let host = hosts
-            .iter()
-            .filter(spared)
-            .min_by_key(|h| h.layers.map(LayerRange::len))?;
+        let spared = hosts.iter().filter(spare);
+        let host = spared.min_by_key(|h| h.layers.map(LayerRange::len))?;
         let kind = engines.kind(&host.kind)?;
         let layers = self.window(&host.domain, layers_for(engines, kind));
         Some(Placement {
--- a/crates/kelpworks-relay/src/path.rs
+++ b/crates/kelpworks-relay/src/path.rs
@@ -12,6 +12,7 @@
 use rand::RngExt;
 use tokio::time::Instant;
 
+use crate::config::Accelerator;
 use crate::config::Engines;
 use crate::dialect::Hop;
 use crate::dialect::LayerRange;
@@ -25,6 +26,10 @@
 /// Added where activations leave a failure domain, in milliseconds. It stands for the delay and for
 /// a pipe that all paths between two domains share and that one crossing a request nearly fills.
 const CROSSING_MS: f64 = 6.0;
+/// Added where the first engine is in another failure domain than the daemon, in milliseconds a
+/// token. Only the text of the answer crosses then, which costs next to nothing, so that load moves
+/// to a whole path elsewhere long before activations cross.
+const AWAY_MS: f64 = 1.0;
 /// Added for an engine that failed lately, in milliseconds: more than any detour costs.
 const DOUBT_MS: f64 = 200.0;
 /// Costs are drawn within this part above and below, so that daemons with the same view spread.
@@ -32,6 +37,12 @@
 /// Part of an engine's KV room that requests may be promised; the estimate of an answer's length
 /// is often far off.
 const ROOM_SHARE: f64 = 0.9;
+/// Usual time of a token over a whole path, in milliseconds; measured on calm fleets of today's
+/// kinds of accelerators.
+const TOKEN_MS: f64 = 6.0;
+/// Most of an engine's time that reading prompts is taken to need; beyond it the formula for
+/// waiting means nothing.
+const MOST_BUSY: f64 = 0.85;
 /// Most engines of a path: what engines accept.
 pub const MOST_HOPS: usize = 32;
 /// How strongly promised memory raises the cost: an engine with all its room promised costs this
@@ -237,10 +248,10 @@
             let Some((cost, from)) = arrival else {
                 continue;
             };
-            let crossing = if from == candidate.domain {
-                0.0
-            } else {
-                CROSSING_MS
+            let crossing = match (from == candidate.domain, b) {
+                (true, _) => 0.0,
+                (false, 0) => AWAY_MS,
+                (false, _) => CROSSING_MS,
             };
             let cost = cost + crossing + HOP_MS + candidate.entry_ms;
             for (e, &end) in self.bounds.iter().enumerate().skip(b + 1) {
@@ -332,6 +343,7 @@
     let context = sequences * ask.tokens / 1e3;
     let step = engines.step_ms + engines.sequence_ms * sequences + engines.context_ms * context;
     let pressure = 1.0 + PRESSURE * (load.reserved / room).powi(2);
+    let waiting = waiting(engines, kind, held, load.running);
     let doubt = if upstream.is_doubted(ask.now) {
         DOUBT_MS
     } else {
@@ -341,11 +353,21 @@
         key,
         range,
         domain: 0,
-        layer_ms: kind.step_factor * step * pressure / f64::from(engines.layers),
+        layer_ms: kind.step_factor * step * pressure * waiting / f64::from(engines.layers),
         entry_ms: doubt,
     })
 }
 
+/// How much longer steps take because prompts are read between them. An engine with many requests
+/// also begins many, and each has its prompt read once.
+fn waiting(engines: &Engines, kind: &Accelerator, layers: f64, running: f64) -> f64 {
+    let share = layers / f64::from(engines.layers.max(1));
+    let reading_ms = engines.usual_prompt / engines.read_per_s * 1e3 * kind.read_factor * share;
+    let lasting_ms = (engines.usual_answer * TOKEN_MS).max(1.0);
+    let busy = (running * reading_ms / lasting_ms).min(MOST_BUSY);
+    (1.0 - busy).powi(-2)
+}
+
 fn index_of(domains: &mut Vec<Arc<str>>, domain: &Arc<str>) -> usize {
     if let Some(i) = domains.iter().position(|d| d == domain) {
         return i;
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -46,10 +46,10 @@
 const WORTH_TRYING: Duration = Duration::from_millis(50);
 /// Silence after which a stream counts against the unconfirmed engines of its path: more than two
 /// usual pauses between events (20 to 30 ms).
-const NOTICED: Duration = Duration::from_millis(65);
+const NOTICED: Duration = Duration::from_millis(70);
 /// Silence after which the engines with the most silent streams are suspected: early enough that
 /// another path can go on within a pause of 250 ms.
-const SILENT: Duration = Duration::from_millis(115);
+const SILENT: Duration = Duration::from_millis(130);
 /// Added to both before the first event: reading a prompt over slow engines takes up to this.
 const READING: Duration = Duration::from_millis(80);
 /// Added for each token of the prompt, in microseconds.
@@ -61,6 +61,8 @@
 const MOST_ATTEMPTS: u32 = 6;
 /// Pause before an attempt that follows a refusal; doubled with each one.
 const REFUSED_PAUSE: Duration = Duration::from_millis(25);
+/// Why an attempt failed that was not written to a connection.
+const NOT_SENT: &str = "not sent";
 /// Largest event that is waited for.
 const MOST_EVENT_BYTES: usize = 4 << 20;
 /// Tokens to expect of an answer whose caller says nothing about it.
@@ -398,9 +400,12 @@
         let sent = Instant::now();
         let sending = shared.pool.send(first, path.address, req, Reuse::Any);
         let answer = self.head(sending, &path, sent).await;
-        let may_have_run = !matches!(&answer, Err(f) if f.verdict == Verdict::NotRun);
-        if may_have_run && !self.ran_at.contains(&first) {
-            self.ran_at.push(first);
+        match &answer {
+            // It takes no connections, so it has ended or is cut off.
+            Err(f) if f.why == NOT_SENT => self.ran_at.retain(|&key| key != first),
+            Err(f) if f.verdict == Verdict::NotRun => {}
+            _ if self.ran_at.contains(&first) => {}
+            _ => self.ran_at.push(first),
         }
         let (exchange, head) = answer?;
         let Exchange {
@@ -440,7 +445,7 @@
     fn not_sent(&self, first: UpstreamKey, error: pool::Error) -> Failure {
         self.shared.fleet().doubt(first, Instant::now());
         match error {
-            pool::Error::NotSent => Failure::new(Verdict::NotRun, "not sent"),
+            pool::Error::NotSent => Failure::new(Verdict::NotRun, NOT_SENT),
             pool::Error::Lost => Failure::crash("connection lost"),
         }
     }
