--- a/crates/kelpworks-relay/src/path.rs
+++ b/crates/kelpworks-relay/src/path.rs
@@ -29,7 +29,7 @@
 /// Added where the first engine is in another failure domain than the daemon, in milliseconds a
 /// token. Only the text of the answer crosses then, which costs next to nothing, so that load moves
 /// to a whole path elsewhere long before activations cross.
-const AWAY_MS: f64 = 1.0;
+const AWAY_MS: f64 = 3.0;
 /// Added for an engine that failed lately, in milliseconds: more than any detour costs.
 const DOUBT_MS: f64 = 200.0;
 /// Costs are drawn within this part above and below, so that daemons with the same view spread.
