--- a/crates/kelpworks-relay/src/path.rs
+++ b/crates/kelpworks-relay/src/path.rs
@@ -86,16 +86,27 @@
 pub enum NoPath {
     /// No engine that may be used holds this layer.
     Uncovered(u16),
-    /// Layers are held, but the memory for requests is promised to others.
-    Full,
+    /// Engines hold this layer, but their memory for requests is promised to others.
+    Full(u16),
+    /// Every path that was found passes an engine twice or too many engines.
+    Tangled,
 }
 
 impl NoPath {
+    /// The layer that is in the way.
+    pub fn layer(self) -> Option<u16> {
+        match self {
+            NoPath::Uncovered(layer) | NoPath::Full(layer) => Some(layer),
+            NoPath::Tangled => None,
+        }
+    }
+
     /// The word for the log and the caller.
     pub fn as_str(self) -> &'static str {
         match self {
             NoPath::Uncovered(_) => "a layer is held by no engine",
-            NoPath::Full => "the memory of the engines is promised",
+            NoPath::Full(_) => "the memory of the engines is promised",
+            NoPath::Tangled => "no path without detours",
         }
     }
 }
@@ -135,7 +146,7 @@
     let mut graph = Graph::new(fleet, engines, ask, rng);
     if let Some(layer) = graph.uncovered(engines.layers, ask.first) {
         return match Graph::holds(fleet, ask, layer) {
-            true => Err(NoPath::Full),
+            true => Err(NoPath::Full(layer)),
             false => Err(NoPath::Uncovered(layer)),
         };
     }
@@ -148,7 +159,7 @@
             return Ok(path);
         }
     }
-    Err(NoPath::Full)
+    Err(NoPath::Tangled)
 }
 
 impl Path {
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -33,6 +33,9 @@
 use crate::dialect::Dialect;
 use crate::dialect::Forwarded;
 use crate::dialect::LayerRange;
+use crate::fleet::Fleet;
+use crate::fleet::Load;
+use crate::fleet::Upstream;
 use crate::fleet::UpstreamKey;
 use crate::path;
 use crate::path::Path;
@@ -376,7 +379,10 @@
             first: &first,
             now: Instant::now(),
         };
-        path::search(&fleet, engines, &ask, &mut rand::rng()).map_err(|e| e.as_str())
+        path::search(&fleet, engines, &ask, &mut rand::rng()).map_err(|e| {
+            log_no_path(&fleet, &self.ticket.id, &ask, e);
+            e.as_str()
+        })
     }
 
     /// Sends the request along a new path and waits for the answer's head.
@@ -469,9 +475,19 @@
             let mut at = hops.filter(|(hop, _)| hop.address == address);
             at.next().map(|(_, key)| key)
         });
-        self.shared
-            .fleet()
-            .doubt(named.unwrap_or(first), Instant::now());
+        let blamed = named.unwrap_or(first);
+        let mut fleet = self.shared.fleet();
+        fleet.doubt(blamed, Instant::now());
+        info!(
+            target: "decision",
+            request:% = self.ticket.id,
+            upstream:% = fleet.get(blamed).map_or("gone", |u| &u.entry.instance),
+            named = named.is_some(),
+            fleet_revision = fleet.revision(),
+            status = response.status().as_u16(),
+            why:% = why;
+            "engine passed over"
+        );
         Err(Failure::new(verdict, why))
     }
 
@@ -645,11 +661,35 @@
     }
 }
 
+/// Logs what stands in the way of a path: the engines that hold the layer and what they run.
+fn log_no_path(fleet: &Fleet, id: &str, ask: &path::Ask<'_>, why: path::NoPath) {
+    let layer = why.layer();
+    let holds = |u: &Upstream| layer.is_some_and(|l| u.entry.layers.is_some_and(|r| r.contains(l)));
+    let holders = fleet.of_service(ask.service).filter(|(_, u)| holds(u));
+    let state = |u: &Upstream| {
+        let Load { running, reserved } = u.load();
+        let instance = &u.entry.instance;
+        let open = if u.is_open() { "" } else { " leaving" };
+        format!("{instance}{open} runs {running} with {reserved:.0} token-layers")
+    };
+    let holders: Vec<String> = holders.map(|(_, u)| state(u)).collect();
+    info!(
+        target: "decision",
+        request:% = id,
+        tokens = ask.tokens,
+        fleet_revision = fleet.revision(),
+        layer = layer.unwrap_or(0),
+        holders:% = holders.join("; "),
+        why:% = why.as_str();
+        "no path"
+    );
+}
+
 /// An engine that holds a whole model, by the least work.
-fn whole_engine(fleet: &crate::fleet::Fleet, service: &str, tried: &[UpstreamKey]) -> Option<Path> {
+fn whole_engine(fleet: &Fleet, service: &str, tried: &[UpstreamKey]) -> Option<Path> {
     let open = fleet.of_service(service).filter(|(_, u)| u.is_open());
     let untried = open.filter(|(key, _)| !tried.contains(key));
-    let least = |u: &crate::fleet::Upstream| u.load().running;
+    let least = |u: &Upstream| u.load().running;
     let (key, upstream) = untried.min_by(|a, b| least(a.1).total_cmp(&least(b.1)))?;
     let none = LayerRange { from: 0, to: 0 };
     Some(Path {
