--- a/crates/kelpworks-relay/src/pool.rs
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -180,6 +180,12 @@
     }
 }
 
+/// Whether an address takes connections.
+pub async fn is_reachable(address: SocketAddr) -> bool {
+    let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
+    matches!(connecting, Ok(Ok(_)))
+}
+
 async fn open(upstream: UpstreamKey, address: SocketAddr) -> Result<Connection> {
     let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
     let Ok(Ok(stream)) = connecting else {
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -39,8 +39,12 @@
 const PATIENCE: f64 = 6.0;
 /// And not sooner than this: answers of these services vary by a factor of five.
 const LEAST_PATIENCE: Duration = Duration::from_millis(250);
-/// When to come back after a refusal for want of room: a few answer times.
-const BUSY_RETRY: Duration = Duration::from_millis(250);
+/// When to come back after a refusal, at least: what stands in the way is a lost engine or too many
+/// requests, and either takes seconds to pass. A caller that comes back sooner is refused again and
+/// does not come a third time.
+const BUSY_RETRY: Duration = Duration::from_millis(1_500);
+/// Added to it at random, so that callers don't come back together.
+const BUSY_SPREAD: Duration = Duration::from_millis(2_000);
 
 /// How an attempt ended.
 enum Attempt {
@@ -119,7 +123,7 @@
 pub(super) fn give_up(ticket: &Ticket, verdict: Verdict, why: &'static str) -> Refusal {
     let late = ticket.left().is_zero();
     let (status, retry_after) = match (verdict, late) {
-        (Verdict::NotRun, _) => (StatusCode::SERVICE_UNAVAILABLE, Some(BUSY_RETRY)),
+        (Verdict::NotRun, _) => (StatusCode::SERVICE_UNAVAILABLE, Some(come_back(ticket))),
         (Verdict::MayHaveRun, true) => (StatusCode::GATEWAY_TIMEOUT, None),
         (Verdict::MayHaveRun, false) => (StatusCode::BAD_GATEWAY, None),
     };
@@ -134,6 +138,13 @@
     refusal
 }
 
+/// When a caller should come back: after what stands in the way has passed, but with most of its
+/// time left.
+fn come_back(ticket: &Ticket) -> Duration {
+    let spread = BUSY_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+    (BUSY_RETRY + spread).min(ticket.left() / 4)
+}
+
 /// The upstream for the next attempt; `None` when there is to be none.
 fn next_upstream(
     shared: &Shared,
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -5,6 +5,7 @@
 //! over, and where the route allows it the stream is continued on another path after the last event,
 //! within the same answer.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -62,6 +63,10 @@
 const STUCK: Duration = Duration::from_millis(1_200);
 /// Attempts of one request, with those that were refused without having run.
 const MOST_ATTEMPTS: u32 = 6;
+/// Part of a route's latency target for which a request waits for room.
+const ROOM_WAIT_PART: f64 = 0.5;
+/// Time between two looks for room.
+const ROOM_PAUSE: Duration = Duration::from_millis(30);
 /// Pause before an attempt that follows a refusal; doubled with each one.
 const REFUSED_PAUSE: Duration = Duration::from_millis(25);
 /// Why an attempt failed that was not written to a connection.
@@ -161,6 +166,13 @@
     }
 }
 
+/// An engine at which a request may have run.
+#[derive(Clone, Copy, Debug)]
+struct RanAt {
+    key: UpstreamKey,
+    address: SocketAddr,
+}
+
 /// A stream that is being read.
 struct Reading {
     body: Incoming,
@@ -178,8 +190,8 @@
     shared: Arc<Shared>,
     ticket: Ticket,
     engines: Option<Arc<Engines>>,
-    /// First engines of the attempts that may have run.
-    ran_at: Vec<UpstreamKey>,
+    /// First engines of the attempts that may have run, as far as they have not ended.
+    ran_at: Vec<RanAt>,
     attempts: u32,
     /// Attempts refused in a row.
     refusals: u32,
@@ -187,6 +199,8 @@
     last_event: Option<u64>,
     weight_version: Option<u64>,
     reading: Option<Reading>,
+    /// The stream that fell silent last; it may still go on.
+    silent: Option<Reading>,
     /// Whether the caller has a part of the answer.
     begun: bool,
     done: bool,
@@ -210,6 +224,7 @@
         refusals: 0,
         weight_version: None,
         reading: None,
+        silent: None,
         begun: false,
         done: false,
         _counted: counted,
@@ -275,13 +290,19 @@
         }
     }
 
-    /// Goes on by another path after the last event.
+    /// Goes on by another path after the last event. A stream that was only silent is kept until the
+    /// new one has begun, and is gone back to when none begins.
     async fn resume(&mut self, failure: Failure) -> Result<(), &'static str> {
+        let silent = self.silent.take();
         let mut failure = failure;
         loop {
             self.failed(failure);
             if !failure.permitted && !self.may_go_on(Verdict::MayHaveRun) {
-                return Err(failure.why);
+                self.reading = silent;
+                return match self.reading {
+                    Some(_) => Ok(()),
+                    None => Err(failure.why),
+                };
             }
             self.pause(failure).await;
             match self.attempt().await {
@@ -348,6 +369,30 @@
         metrics::counter!("kelpworks_failed_attempts_total", &labels).increment(1);
     }
 
+    /// Whether a further attempt has to go to an engine that the request was sent to before.
+    fn ran_at_enough(&self) -> bool {
+        self.ran_at.len() as u32 >= self.ticket.route.attempts
+    }
+
+    /// Strikes out engines that have ended since the request ran there: they are registered no
+    /// more and take no connections. One that merely left the registration may still be working.
+    async fn strike_out_ended(&mut self) {
+        if !self.ran_at_enough() {
+            return;
+        }
+        let is_registered = |r: &RanAt| self.shared.fleet().get(r.key).is_some();
+        if self.ran_at.iter().any(is_registered) {
+            return;
+        }
+        let mut left = Vec::new();
+        for ran_at in std::mem::take(&mut self.ran_at) {
+            if pool::is_reachable(ran_at.address).await {
+                left.push(ran_at);
+            }
+        }
+        self.ran_at = left;
+    }
+
     /// Tokens that the request may come to hold.
     fn tokens(&self) -> f64 {
         let head = &self.ticket.head;
@@ -362,14 +407,12 @@
     fn choose(&self) -> Result<Path, &'static str> {
         let fleet = self.shared.fleet();
         let Some(engines) = &self.engines else {
-            return whole_engine(&fleet, &self.ticket.service.name, &self.ran_at)
-                .ok_or("no upstream");
+            let ran_at: Vec<UpstreamKey> = self.ran_at.iter().map(|r| r.key).collect();
+            return whole_engine(&fleet, &self.ticket.service.name, &ran_at).ok_or("no upstream");
         };
-        // Engines that are gone don't count among those that a request was sent to.
-        let mut first: Vec<UpstreamKey> = self.ran_at.clone();
-        first.retain(|&key| fleet.get(key).is_some());
-        if (first.len() as u32) < self.ticket.route.attempts {
-            first.clear();
+        let mut first: Vec<UpstreamKey> = Vec::new();
+        if self.ran_at_enough() {
+            first.extend(self.ran_at.iter().map(|r| r.key));
         }
         let ask = path::Ask {
             service: &self.ticket.service.name,
@@ -385,9 +428,25 @@
         })
     }
 
+    /// Chooses a path, and waits a little for one where there is none: requests end all the time, and
+    /// one that begins within its latency target is served in full.
+    async fn choose_when_there_is_room(&self) -> Result<Path, &'static str> {
+        let until = Instant::now() + self.ticket.route.latency_target.mul_f64(ROOM_WAIT_PART);
+        loop {
+            match self.choose() {
+                Err(why) if Instant::now() >= until || self.ticket.left().is_zero() => {
+                    return Err(why);
+                }
+                Err(_) => tokio::time::sleep(ROOM_PAUSE).await,
+                chosen => return chosen,
+            }
+        }
+    }
+
     /// Sends the request along a new path and waits for the answer's head.
     async fn attempt(&mut self) -> Result<(StatusCode, HeaderMap), Failure> {
-        let path = self.choose();
+        self.strike_out_ended().await;
+        let path = self.choose_when_there_is_room().await;
         let path = path.map_err(|why| Failure::new(Verdict::NotRun, why))?;
         self.attempts += 1;
         let (first, _) = path.parts[0];
@@ -408,10 +467,13 @@
         let answer = self.head(sending, &path, sent).await;
         match &answer {
             // It takes no connections, so it has ended or is cut off.
-            Err(f) if f.why == NOT_SENT => self.ran_at.retain(|&key| key != first),
+            Err(f) if f.why == NOT_SENT => self.ran_at.retain(|r| r.key != first),
             Err(f) if f.verdict == Verdict::NotRun => {}
-            _ if self.ran_at.contains(&first) => {}
-            _ => self.ran_at.push(first),
+            _ if self.ran_at.iter().any(|r| r.key == first) => {}
+            _ => self.ran_at.push(RanAt {
+                key: first,
+                address: path.address,
+            }),
         }
         let (exchange, head) = answer?;
         let Exchange {
@@ -575,9 +637,14 @@
         };
         loop {
             let since = reading.heard;
-            let frame = self
-                .wait(reading.body.frame(), &reading.parts, since, reading.begun)
-                .await?;
+            let waited = self.wait(reading.body.frame(), &reading.parts, since, reading.begun);
+            let frame = match waited.await {
+                Ok(frame) => frame,
+                Err(failure) => {
+                    self.silent = (failure.permitted && reading.begun).then_some(reading);
+                    return Err(failure);
+                }
+            };
             let now = Instant::now();
             match frame {
                 Some(Ok(frame)) => {
