--- a/crates/kelpworks-relay/src/dialect.rs
+++ b/crates/kelpworks-relay/src/dialect.rs
@@ -156,6 +156,30 @@
     pub layers: Option<LayerRange>,
 }
 
+/// What becomes of the requests on layers that an engine gives up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Displaced {
+    /// They finish before the new layers are loaded, which may take many seconds.
+    Finish,
+    /// They are cut off.
+    Cut,
+}
+
+/// An order to hold a range of layers.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceOrder<'a> {
+    /// Incarnation that is meant.
+    pub instance: &'a str,
+    /// What it is to hold.
+    pub layers: LayerRange,
+    /// What becomes of requests on layers that it gives up.
+    pub displaced: Displaced,
+    /// Orders that it must have begun, no more and no fewer.
+    pub expected: u64,
+    /// Fencing token of the lease.
+    pub fence: u64,
+}
+
 /// What an engine answered to an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderReply {
@@ -211,13 +235,10 @@
     /// Asks an engine for its state; `None` when no answer came.
     fn report(&self, address: SocketAddr) -> impl Future<Output = Option<Report>> + Send;
 
-    /// Orders an engine to hold a range, on the condition that it has begun `expected` orders.
+    /// Orders an engine to hold a range, if its state is as the order expects.
     fn place(
         &self,
         address: SocketAddr,
-        instance: &str,
-        layers: LayerRange,
-        expected: u64,
-        fence: u64,
+        order: PlaceOrder<'_>,
     ) -> impl Future<Output = OrderReply> + Send;
 }
--- a/crates/kelpworks-relay/src/documents.rs
+++ b/crates/kelpworks-relay/src/documents.rs
@@ -158,12 +158,18 @@
         if changes.is_empty() {
             return;
         }
+        let layers = changes.layers.iter().map(|(instance, range)| match range {
+            Some(r) => format!("{instance}={}-{}", r.from, r.to),
+            None => format!("{instance}=none"),
+        });
+        let layers: Vec<String> = layers.collect();
         info!(
             target: "decision",
             revision = entries.revision,
             source:% = source.as_str(),
             added:% = changes.added.join(","),
             leaving:% = changes.leaving.join(","),
+            layers:% = layers.join(","),
             removed:% = changes.removed.join(",");
             "upstreams changed"
         );
--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -30,8 +30,13 @@
 /// Events of other streams may come so long after an upstream has died, since they were on their
 /// way; they don't show that it lives.
 const ON_ITS_WAY: Duration = Duration::from_millis(30);
+/// An upstream that nothing has confirmed for so long is suspected by every silent stream on it: some
+/// five usual pauses of one stream.
+const LATELY: Duration = Duration::from_millis(130);
 /// Time for which a request to an upstream that failed before keeps others away from it.
 const TRIAL: Duration = Duration::from_millis(400);
+/// Weight of an attempt in the moving share of failures: about the last ten count.
+const FAILING_WEIGHT: f64 = 0.1;
 /// Weight of a new answer time in its moving average.
 const ANSWER_WEIGHT: f64 = 0.2;
 
@@ -63,6 +68,8 @@
     silent: i32,
     /// Moving average of its answer times, in milliseconds.
     pub answer_ms: Option<f64>,
+    /// Moving share of attempts that it failed though it lives, 0 to 1.
+    pub failing: f64,
 }
 
 impl Upstream {
@@ -94,12 +101,17 @@
     pub removed: Vec<Arc<str>>,
     /// Incarnations that began to leave.
     pub leaving: Vec<Arc<str>>,
+    /// Incarnations that hold other layers than before.
+    pub layers: Vec<(Arc<str>, Option<LayerRange>)>,
 }
 
 impl Changes {
     /// Whether anything changed.
     pub fn is_empty(&self) -> bool {
-        self.added.is_empty() && self.removed.is_empty() && self.leaving.is_empty()
+        self.added.is_empty()
+            && self.removed.is_empty()
+            && self.leaving.is_empty()
+            && self.layers.is_empty()
     }
 }
 
@@ -147,6 +159,11 @@
                 if upstream.is_open() && entry.stage == Stage::Leaving {
                     changes.leaving.push(Arc::clone(&entry.instance));
                 }
+                if upstream.entry.layers != entry.layers {
+                    changes
+                        .layers
+                        .push((Arc::clone(&entry.instance), entry.layers));
+                }
                 upstream.entry = entry;
             }
             return;
@@ -162,6 +179,7 @@
             failures: 0,
             silent: 0,
             answer_ms: None,
+            failing: 0.0,
         });
         self.by_instance.insert(Arc::clone(&instance), key);
         self.by_service.entry(service).or_default().push(key);
@@ -252,6 +270,14 @@
         }
     }
 
+    /// Notes whether an upstream that lives failed an attempt.
+    pub fn outcome(&mut self, key: UpstreamKey, failed: bool) {
+        if let Some(u) = self.upstreams.get_mut(key) {
+            let now = if failed { 1.0 } else { 0.0 };
+            u.failing += FAILING_WEIGHT * (now - u.failing);
+        }
+    }
+
     /// Notes a failure: the upstream is passed over for a while, longer with each one in a row.
     pub fn doubt(&mut self, key: UpstreamKey, now: Instant) {
         let Some(u) = self.upstreams.get_mut(key) else {
@@ -303,16 +329,19 @@
         }
     }
 
-    /// Upstreams of a path that nothing has confirmed since a stream on it fell silent.
+    /// Upstreams of a path that nothing has confirmed since a stream on it fell silent, or lately if
+    /// that was long ago.
     pub fn unconfirmed(
         &self,
         path: &[(UpstreamKey, LayerRange)],
         silent_since: Instant,
+        now: Instant,
     ) -> Vec<UpstreamKey> {
-        let since = silent_since + ON_ITS_WAY;
+        let lately = now.checked_sub(LATELY).unwrap_or(silent_since);
+        let since = (silent_since + ON_ITS_WAY).max(lately);
         let unconfirmed = |key: &UpstreamKey| {
             let upstream = self.upstreams.get(*key);
-upstream.is_none_or(|u| u.last_good.is_none_or(|at| at <= since))
+            upstream.is_none_or(|u| u.last_good.is_none_or(|at| at <= since))
         };
         path.iter().map(|&(k, _)| k).filter(unconfirmed).collect()
     }
--- a/crates/kelpworks-relay/src/layout.rs
+++ b/crates/kelpworks-relay/src/layout.rs
@@ -19,7 +19,7 @@
 
 /// Usual requests that an engine must have room for beside its layers. At 86 requests a second on
 /// three domains about 37 run in each at a time, and bursts double that.
-const ROOM_REQUESTS: f64 = 80.0;
+const ROOM_REQUESTS: f64 = 85.0;
 /// Weight of a layer that no engine of the fleet holds, against one that only the domain lacks.
 const NOWHERE: f64 = 1e6;
 /// Weight of a layer that no engine of the domain holds, against one more copy.
@@ -36,6 +36,8 @@
     pub kind: Arc<str>,
     /// What it holds or has been ordered to hold.
     pub layers: Option<LayerRange>,
+    /// Requests that pass it.
+    pub running: f64,
 }
 
 /// An engine and the layers that it should hold.
@@ -45,6 +47,8 @@
     pub instance: Arc<str>,
     /// What it should hold.
     pub layers: LayerRange,
+    /// Whether it gives up others for them.
+    pub moves: bool,
 }
 
 /// Layers that an engine of a kind is given: as many as leave the room that requests need, at
@@ -79,6 +83,7 @@
         orders.push(Placement {
             instance: Arc::clone(&host.instance),
             layers,
+            moves: false,
         });
     }
     if orders.is_empty() {
@@ -192,17 +197,22 @@
             let Some(range) = host.layers else {
                 return false;
             };
-            let domain = self.domains.iter().filter(lacks).find(|d| d.name == host.domain);
+            let domain = self
+                .domains
+                .iter()
+                .filter(lacks)
+                .find(|d| d.name == host.domain);
             let mut held = usize::from(range.from)..usize::from(range.to);
             domain.is_some_and(|d| held.all(|l| d.counts[l] > 1))
         };
         let spared = hosts.iter().filter(spare);
-        let host = spared.min_by_key(|h| h.layers.map(LayerRange::len))?;
+        let host = spared.min_by(|a, b| a.running.total_cmp(&b.running))?;
         let kind = engines.kind(&host.kind)?;
         let layers = self.window(&host.domain, layers_for(engines, kind));
         Some(Placement {
             instance: Arc::clone(&host.instance),
             layers,
+            moves: true,
         })
     }
 }
--- a/crates/kelpworks-relay/src/path.rs
+++ b/crates/kelpworks-relay/src/path.rs
@@ -32,6 +32,9 @@
 const AWAY_MS: f64 = 3.0;
 /// Added for an engine that failed lately, in milliseconds: more than any detour costs.
 const DOUBT_MS: f64 = 200.0;
+/// Added for an engine that fails all its attempts though it lives, in milliseconds a token; one that
+/// fails some gets that part of it. A failed attempt costs a prompt read in vain and a repeat.
+const FAILING_MS: f64 = 20.0;
 /// Costs are drawn within this part above and below, so that daemons with the same view spread.
 const JITTER: f64 = 0.15;
 /// Part of an engine's KV room that requests may be promised; the estimate of an answer's length
@@ -360,12 +363,13 @@
     } else {
         0.0
     };
+    let failing = upstream.failing * FAILING_MS;
     Some(Candidate {
         key,
         range,
         domain: 0,
         layer_ms: kind.step_factor * step * pressure * waiting / f64::from(engines.layers),
-        entry_ms: doubt,
+        entry_ms: doubt + failing,
     })
 }
 
--- a/crates/kelpworks-relay/src/placer.rs
+++ b/crates/kelpworks-relay/src/placer.rs
@@ -6,6 +6,7 @@
 //! condition gone.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,9 +16,11 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::config::Engines;
+use crate::dialect::Displaced;
 use crate::dialect::EngineOrders;
 use crate::dialect::LayerRange;
 use crate::dialect::OrderReply;
+use crate::dialect::PlaceOrder;
 use crate::dialect::Stage;
 use crate::fleet::Upstream;
 use crate::layout;
@@ -31,8 +34,8 @@
 /// together come within about a heartbeat.
 const SETTLE: Duration = Duration::from_millis(600);
 /// How long an order may take to show in an engine's entry, beside the time to load its layers:
-/// heartbeats of engines and the store's delay.
-const SHOWN: Duration = Duration::from_secs(4);
+/// a heartbeat of the engine and the store's delay. After it the engine is asked itself.
+const SHOWN: Duration = Duration::from_millis(1_500);
 /// Pause before an order that was not accepted is given again.
 const AGAIN: Duration = Duration::from_secs(1);
 
@@ -135,12 +138,17 @@
         if settled {
             self.ordered.remove(&entry.instance);
         }
+        if settled && shown.is_none() {
+            // What became of the order is not known: the engine is asked before the next one.
+            self.counts.remove(&entry.instance);
+        }
         let pending = self.ordered.get(&entry.instance).map(|o| o.layers);
         Some(Host {
             instance: Arc::clone(&entry.instance),
             domain: Arc::clone(&entry.domain),
             kind: entry.kind.clone()?,
             layers: pending.or(shown),
+            running: upstream.load().running,
         })
     }
 
@@ -159,19 +167,25 @@
         let instance = &placement.instance;
         let expected = match self.counts.get(instance) {
             Some(&count) => count,
-            None => match self.engines.report(address).await {
-                Some(report) => report.orders,
+            None => match self.ask(instance, address).await {
+                Some(orders) => orders,
                 None => {
                     self.put_off(instance);
                     return;
                 }
             },
         };
-        let layers = placement.layers;
-        let sent = self
-            .engines
-            .place(address, instance, layers, expected, fence.0);
-        let reply = sent.await;
+        let order = PlaceOrder {
+            instance,
+            layers: placement.layers,
+            displaced: match placement.moves {
+                true => Displaced::Cut,
+                false => Displaced::Finish,
+            },
+            expected,
+            fence: fence.0,
+        };
+        let reply = self.engines.place(address, order).await;
         self.log(placement, expected, fence.0, reply);
         match reply {
             OrderReply::Accepted => {
@@ -190,13 +204,29 @@
         }
     }
 
+    /// Asks an engine how many orders it has begun; `None` when it can't take another one now.
+    async fn ask(&self, instance: &Arc<str>, address: SocketAddr) -> Option<u64> {
+        let report = self.engines.report(address).await;
+        let held = report.as_ref().and_then(|r| r.layers);
+        info!(
+            target: "decision",
+            upstream:% = instance,
+            answered = report.is_some(),
+            busy = report.as_ref().is_some_and(|r| r.busy),
+            orders = report.as_ref().map_or(0, |r| r.orders),
+            holds:? = held;
+            "engine asked"
+        );
+        report.filter(|r| !r.busy).map(|r| r.orders)
+    }
+
     fn remember(&mut self, engines: &Engines, placement: &Placement) {
         let share = f64::from(placement.layers.len()) / f64::from(engines.layers.max(1));
         let loading = Duration::from_secs_f64(engines.load_s * share);
         let ordered = Ordered {
             layers: placement.layers,
             // Loads slow each other down when many run at once.
-            until: Instant::now() + SHOWN + loading * 4,
+            until: Instant::now() + SHOWN + loading * 2,
         };
         self.ordered
             .insert(Arc::clone(&placement.instance), ordered);
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -31,6 +31,8 @@
 
 /// Largest answer that is read whole; the services answer with a few kilobytes.
 const MOST_BYTES: usize = 16 << 20;
+/// How much dearer an upstream counts that fails all its attempts.
+const FAILING_FACTOR: f64 = 6.0;
 /// Least time left for a further attempt: a round trip and the usual work of a call.
 const WORTH_TRYING: Duration = Duration::from_millis(20);
 /// Attempts beyond the route's own that may follow a proof that nothing has run.
@@ -183,7 +185,8 @@
         let doubt = if u.is_doubted(now) { 1e6 } else { 0.0 };
         let ms = u.answer_ms.unwrap_or(1.0);
         let jitter = rand::rng().random_range(0.9..1.1);
-        (u.load().running + 1.0) * ms * jitter + doubt
+        let failing = 1.0 + FAILING_FACTOR * u.failing;
+        (u.load().running + 1.0) * ms * jitter * failing + doubt
     };
     let costs = open.map(|(key, _)| (key, cost(key)));
     costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(key, _)| key)
@@ -236,11 +239,12 @@
     match &result {
         Attempt::Answer { .. } => {
             fleet.good(upstream, Instant::now());
+            fleet.outcome(upstream, false);
             fleet.answered(upstream, sent.elapsed());
         }
         Attempt::Failed {
             answer: Some(_), ..
-        } => {}
+        } => fleet.outcome(upstream, true),
         Attempt::Failed { .. } => fleet.doubt(upstream, Instant::now()),
     }
     result
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -39,6 +39,7 @@
 use crate::fleet::Upstream;
 use crate::fleet::UpstreamKey;
 use crate::path;
+use crate::path::NoPath;
 use crate::path::Path;
 use crate::pool;
 use crate::pool::Connection;
@@ -404,11 +405,12 @@
     }
 
     /// Chooses a path; one part with all layers for engines without a description.
-    fn choose(&self) -> Result<Path, &'static str> {
+    fn choose(&self) -> Result<Path, NoPath> {
         let fleet = self.shared.fleet();
         let Some(engines) = &self.engines else {
             let ran_at: Vec<UpstreamKey> = self.ran_at.iter().map(|r| r.key).collect();
-            return whole_engine(&fleet, &self.ticket.service.name, &ran_at).ok_or("no upstream");
+            let chosen = whole_engine(&fleet, &self.ticket.service.name, &ran_at);
+            return chosen.ok_or(NoPath::Uncovered(0));
         };
         let mut first: Vec<UpstreamKey> = Vec::new();
         if self.ran_at_enough() {
@@ -422,10 +424,7 @@
             first: &first,
             now: Instant::now(),
         };
-        path::search(&fleet, engines, &ask, &mut rand::rng()).map_err(|e| {
-            log_no_path(&fleet, &self.ticket.id, &ask, e);
-            e.as_str()
-        })
+        path::search(&fleet, engines, &ask, &mut rand::rng())
     }
 
     /// Chooses a path, and waits a little for one where there is none: requests end all the time, and
@@ -435,10 +434,11 @@
         loop {
             match self.choose() {
                 Err(why) if Instant::now() >= until || self.ticket.left().is_zero() => {
-                    return Err(why);
+                    self.log_no_path(why);
+                    return Err(why.as_str());
                 }
                 Err(_) => tokio::time::sleep(ROOM_PAUSE).await,
-                chosen => return chosen,
+                Ok(path) => return Ok(path),
             }
         }
     }
@@ -511,10 +511,16 @@
     }
 
     fn not_sent(&self, first: UpstreamKey, error: pool::Error) -> Failure {
-        self.shared.fleet().doubt(first, Instant::now());
+        let mut fleet = self.shared.fleet();
         match error {
-            pool::Error::NotSent => Failure::new(Verdict::NotRun, NOT_SENT),
-            pool::Error::Lost => Failure::crash("connection lost"),
+            pool::Error::NotSent => {
+                fleet.doubt(first, Instant::now());
+                Failure::new(Verdict::NotRun, NOT_SENT)
+            }
+            pool::Error::Lost => {
+                fleet.outcome(first, true);
+                Failure::crash("connection lost")
+            }
         }
     }
 
@@ -539,7 +545,10 @@
         });
         let blamed = named.unwrap_or(first);
         let mut fleet = self.shared.fleet();
-        fleet.doubt(blamed, Instant::now());
+        match failed && !head.not_run {
+            true => fleet.outcome(blamed, true),
+            false => fleet.doubt(blamed, Instant::now()),
+        }
         info!(
             target: "decision",
             request:% = self.ticket.id,
@@ -563,12 +572,17 @@
         begun: bool,
     ) -> Result<T, Failure> {
         tokio::pin!(work);
-        let reading = if begun { Duration::ZERO } else { self.reading_time() };
+        let reading = if begun {
+            Duration::ZERO
+        } else {
+            self.reading_time()
+        };
         let noticed = since + NOTICED + reading;
         if let Some(done) = self.until(&mut work, noticed).await? {
             return Ok(done);
         }
-        let suspects = self.shared.fleet().unconfirmed(parts, since);
+        let now = Instant::now();
+        let suspects = self.shared.fleet().unconfirmed(parts, since, now);
         let _silence = Silence::note(&self.shared, suspects);
         let mut at = since + SILENT + reading;
         loop {
@@ -609,7 +623,7 @@
         let stuck = now.duration_since(since) >= STUCK;
         let culprits = {
             let mut fleet = self.shared.fleet();
-            let suspects = fleet.unconfirmed(parts, since);
+            let suspects = fleet.unconfirmed(parts, since, now);
             let culprits = fleet.most_silent(&suspects);
             for &key in &culprits {
                 fleet.doubt(key, now);
@@ -620,7 +634,11 @@
             return None;
         }
         let moves = self.choose().is_ok() && self.may_go_on(Verdict::MayHaveRun);
-        let why = if culprits.is_empty() { "stream stuck" } else { "engines silent" };
+        let why = if culprits.is_empty() {
+            "stream stuck"
+        } else {
+            "engines silent"
+        };
         moves.then_some(why)
     }
 
@@ -666,9 +684,12 @@
                     self.reading = Some(reading);
                     return Ok(Some(events.bytes));
                 }
-                Some(Err(_)) => return Err(self.broken(&reading, now)),
-                None if reading.cutter.rest() > 0 => return Err(self.broken(&reading, now)),
+                Some(Err(_)) => return Err(self.broken(&reading)),
+                None if reading.cutter.rest() > 0 => return Err(self.broken(&reading)),
                 None => {
+                    if let Some(&(first, _)) = reading.parts.first() {
+                        self.shared.fleet().outcome(first, false);
+                    }
                     self.shared.pool.keep(reading.connection);
                     return Ok(None);
                 }
@@ -683,14 +704,42 @@
         }
     }
 
-    /// A stream that broke off: its first engine closed it.
-    fn broken(&self, reading: &Reading, now: Instant) -> Failure {
+    /// A stream that broke off. The engine that closed it may live: then the next attempts show it, and
+    /// a dead one takes no connections.
+    fn broken(&self, reading: &Reading) -> Failure {
         if let Some(&(first, _)) = reading.parts.first() {
-            self.shared.fleet().doubt(first, now);
+            self.shared.fleet().outcome(first, true);
         }
         Failure::crash("stream broken off")
     }
 
+    /// Logs what stands in the way of a path: the engines that hold the layer and what they run.
+    fn log_no_path(&self, why: NoPath) {
+        let fleet = self.shared.fleet();
+        let layer = why.layer();
+        let holds =
+            |u: &Upstream| layer.is_some_and(|l| u.entry.layers.is_some_and(|r| r.contains(l)));
+        let engines = fleet.of_service(&self.ticket.service.name);
+        let holders = engines.filter(|(_, u)| holds(u));
+        let state = |u: &Upstream| {
+            let Load { running, reserved } = u.load();
+            let instance = &u.entry.instance;
+            let open = if u.is_open() { "" } else { " leaving" };
+            format!("{instance}{open} runs {running} with {reserved:.0} token-layers")
+        };
+        let holders: Vec<String> = holders.map(|(_, u)| state(u)).collect();
+        info!(
+            target: "decision",
+            request:% = self.ticket.id,
+            tokens = self.tokens(),
+            fleet_revision = fleet.revision(),
+            layer = layer.unwrap_or(0),
+            holders:% = holders.join("; "),
+            why:% = why.as_str();
+            "no path"
+        );
+    }
+
     fn log_path(&self, path: &Path) {
         let hops = path.hops.iter();
         let text: Vec<String> = hops
@@ -728,30 +777,6 @@
     }
 }
 
-/// Logs what stands in the way of a path: the engines that hold the layer and what they run.
-fn log_no_path(fleet: &Fleet, id: &str, ask: &path::Ask<'_>, why: path::NoPath) {
-    let layer = why.layer();
-    let holds = |u: &Upstream| layer.is_some_and(|l| u.entry.layers.is_some_and(|r| r.contains(l)));
-    let holders = fleet.of_service(ask.service).filter(|(_, u)| holds(u));
-    let state = |u: &Upstream| {
-        let Load { running, reserved } = u.load();
-        let instance = &u.entry.instance;
-        let open = if u.is_open() { "" } else { " leaving" };
-        format!("{instance}{open} runs {running} with {reserved:.0} token-layers")
-    };
-    let holders: Vec<String> = holders.map(|(_, u)| state(u)).collect();
-    info!(
-        target: "decision",
-        request:% = id,
-        tokens = ask.tokens,
-        fleet_revision = fleet.revision(),
-        layer = layer.unwrap_or(0),
-        holders:% = holders.join("; "),
-        why:% = why.as_str();
-        "no path"
-    );
-}
-
 /// An engine that holds a whole model, by the least work.
 fn whole_engine(fleet: &Fleet, service: &str, tried: &[UpstreamKey]) -> Option<Path> {
     let open = fleet.of_service(service).filter(|(_, u)| u.is_open());
