--- a/crates/kelpworks-cli/src/relay.rs
+++ b/crates/kelpworks-cli/src/relay.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use crate::failure::Result;
+use crate::serve::Output;
 use crate::serve::start_logger;
 use kelpworks::border::object_api::Deadlines;
 use kelpworks_platform::Objects;
@@ -17,7 +18,7 @@
 /// One thread: its hosts have one core, on which a second thread only adds switches.
 pub(crate) fn run(file: &Path) -> Result<()> {
     let settings = Settings::read(file)?;
-    let _logger = start_logger(&settings.log.level)?;
+    let _logger = start_logger(&settings.log.level, Output::Standard)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
--- a/crates/kelpworks-cli/src/serve.rs
+++ b/crates/kelpworks-cli/src/serve.rs
@@ -12,22 +12,35 @@
 /// Runs a daemon until it is stopped.
 pub(crate) fn run(file: &Path) -> Result<()> {
     let settings = read_settings(file)?;
-    let _logger = start_logger(&settings.log_level)?;
+    let _logger = start_logger(&settings.log_level, Output::Error)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
     Ok(runtime.block_on(daemon::run(&settings))?)
 }
 
-/// Starts the log on standard output; it ends with the handle.
+/// Where the log goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Output {
+    /// To standard error: standard output carries the addresses that the daemon got.
+    Error,
+    /// To standard output.
+    Standard,
+}
+
+/// Starts the log; it ends with the handle.
 ///
 /// Each line is a JSON object; decisions carry their inputs and reason as fields. The level is for the code of kelpworks; libraries log warnings only, since their lines
 /// would drown the decisions.
-pub(crate) fn start_logger(level: &str) -> Result<LoggerHandle> {
+pub(crate) fn start_logger(level: &str, output: Output) -> Result<LoggerHandle> {
     let spec = format!(
         "warn, decision={level}, kelpworks={level}, kelpworks_coord={level}, kelpworks_relay={level}"
     );
     let logger = Logger::try_with_str(spec)?;
-    let logger = logger.format(flexi_logger::json_format).log_to_stdout();
+    let logger = logger.format(flexi_logger::json_format);
+    let logger = match output {
+        Output::Error => logger.log_to_stderr(),
+        Output::Standard => logger.log_to_stdout(),
+    };
     Ok(logger.start()?)
 }
--- /dev/null
+++ b/crates/kelpworks-cli/tests/relay_faults.rs
@@ -0,0 +1,137 @@
+//! What callers get while engines, services and the store fail, through separate processes.
+
+mod relay_site;
+
+use std::time::Duration;
+
+use reqwest::Method;
+use rstest::rstest;
+
+use relay_site::BOUND;
+use relay_site::Site;
+use relay_site::configuration;
+use relay_site::daemon::Budget;
+use relay_site::daemon::Relay;
+use relay_site::engine::Fault;
+use relay_site::engine::is_whole;
+use relay_site::route;
+
+#[rstest]
+#[case::cut("cut", Fault::Cut(3))]
+#[case::silent("silent", Fault::Silent(3, Duration::from_secs(20)))]
+#[tokio::test]
+async fn a_stream_goes_on_elsewhere_without_a_gap_or_a_repeat(
+    #[case] name: &str,
+    #[case] fault: Fault,
+) {
+    let site = Site::start(&format!("resume-{name}"), 1).await;
+    site.engines.fault_everywhere(fault);
+    let rest = site.daemons[0].begin("r-1", 12).await;
+    site.engines.heal();
+    let body = rest.await;
+    let ids = body.lines().filter_map(|l| l.strip_prefix("id: "));
+    let ids: Vec<u64> = ids.map(|id| id.parse().expect("a number")).collect();
+    assert_eq!(ids, (1..=12).collect::<Vec<u64>>());
+    let runs = site.engines.runs();
+    assert!(runs.len() >= 2, "{runs:?}");
+    assert!(runs.iter().all(|r| is_whole(&r.hops)), "{runs:?}");
+    assert_eq!(runs[1].after, 3, "{runs:?}");
+}
+
+/// A drawn day cut such a stream: it was dropped before a repeat was asked for, and refused.
+#[tokio::test]
+async fn a_silent_stream_is_kept_when_no_repeat_is_allowed() {
+    let none = Budget {
+        ratio: 0.0,
+        slack: 0.0,
+    };
+    let site = Site::start_with("kept", 1, none).await;
+    let pause = Duration::from_millis(700);
+    site.engines.fault_everywhere(Fault::Silent(3, pause));
+    let answer = site.daemons[0].stream("k-1", 12).await.expect("an answer");
+    assert_eq!(answer.ids(), (1..=12).collect::<Vec<u64>>());
+    assert_eq!(site.engines.runs().len(), 1);
+}
+
+/// A drawn day cut such a stream: the attempt that was to go on was refused.
+#[tokio::test]
+async fn a_silent_stream_is_gone_back_to_when_the_next_attempt_is_refused() {
+    let one = Budget {
+        ratio: 0.0,
+        slack: 1.2,
+    };
+    let site = Site::start_with("back", 1, one).await;
+    // Until then the daemon shares the one repeat with others that it assumes.
+    tokio::time::sleep(Duration::from_millis(3_300)).await;
+    let pause = Duration::from_millis(900);
+    site.engines.fault_everywhere(Fault::Silent(3, pause));
+    let rest = site.daemons[0].begin("b-1", 12).await;
+    site.engines.fault_everywhere(Fault::Refused);
+    let body = rest.await;
+    assert_eq!(
+        body.matches("id: ").count(),
+        12,
+        "{}",
+        site.daemons[0].log()
+    );
+}
+
+#[rstest]
+#[case::lost("/once/reset", 502, 1)]
+#[case::another_request("/once/foreign", 502, 1)]
+#[case::refused("/once/full", 503, 0)]
+#[tokio::test]
+async fn a_call_runs_at_most_once_and_refusals_are_true(
+    #[case] path: &str,
+    #[case] status: u16,
+    #[case] ran: u32,
+) {
+    let site = Site::start(&format!("once-{}", path.replace('/', "-")), 1).await;
+    let daemon = &site.daemons[0];
+    let req = daemon.request(Method::POST, path, "o-1").body("x");
+    let answer = daemon.send(req).await.expect("an answer");
+    assert_eq!(answer.status, status);
+    assert_eq!(site.app.ran("o-1"), ran);
+    assert_eq!(answer.retry_after.is_some(), status == 503);
+}
+
+#[tokio::test]
+async fn a_daemon_that_the_store_turns_away_hears_changes_from_a_peer() {
+    let mut site = Site::start("peers", 1).await;
+    let (second, handle) = site.store.second_address().await;
+    let relay = Relay::start("peers", 1, second, &site.daemons, &Budget::default());
+    site.daemons.push(relay);
+    let cut_off = &site.daemons[1];
+    until(async || get(cut_off, "/often/x").await == Ok(200)).await;
+    handle.stop_forceful();
+    let mut newer = configuration(9);
+    newer["routes"] = serde_json::json!([route("often", "/later/", "idempotent", "app")]);
+    site.store.put("config", "main", newer);
+    until(async || get(cut_off, "/later/x").await == Ok(200)).await;
+    assert_eq!(get(cut_off, "/often/x").await, Ok(404));
+}
+
+#[tokio::test]
+async fn service_goes_on_while_the_store_is_down() {
+    let site = Site::start("store-down", 2).await;
+    site.store.set_down(true);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for daemon in &site.daemons {
+        let answer = daemon.stream("d-1", 4).await.expect("an answer");
+        assert_eq!((answer.status, answer.ids().len()), (200, 4));
+    }
+}
+
+async fn get(daemon: &Relay, path: &str) -> Result<u16, String> {
+    let req = daemon.request(Method::GET, path, "g-1");
+    let answer = daemon.send(req).await.map_err(|e| e.to_string())?;
+    Ok(answer.status)
+}
+
+async fn until(check: impl AsyncFn() -> bool) {
+    let end = tokio::time::Instant::now() + BOUND;
+    while !check().await {
+        assert!(tokio::time::Instant::now() < end, "it did not come to pass");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-cli/tests/relay_site/daemon.rs
@@ -0,0 +1,204 @@
+//! A relaying daemon as a process, and a caller of it.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use reqwest::Method;
+use reqwest::RequestBuilder;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+
+use super::BOUND;
+use super::HOST;
+use super::KEY;
+
+/// The fleet's bound on repeats.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Budget {
+    pub(crate) ratio: f64,
+    pub(crate) slack: f64,
+}
+
+impl Default for Budget {
+    fn default() -> Budget {
+        Budget {
+            ratio: 0.2,
+            slack: 200.0,
+        }
+    }
+}
+
+/// A running daemon; killed when dropped.
+#[derive(Debug)]
+pub(crate) struct Relay {
+    child: Child,
+    log: PathBuf,
+    pub(crate) callers: SocketAddr,
+    pub(crate) readiness: SocketAddr,
+    pub(crate) peers: SocketAddr,
+    client: reqwest::Client,
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) retry_after: Option<String>,
+    pub(crate) body: String,
+}
+
+impl Answer {
+    /// Ids of the events of a stream, in the order in which they came.
+    pub(crate) fn ids(&self) -> Vec<u64> {
+        let lines = self.body.lines().filter_map(|l| l.strip_prefix("id: "));
+        lines.map(|id| id.parse().expect("a number")).collect()
+    }
+}
+
+impl Relay {
+    pub(crate) fn start(
+        test: &str,
+        number: usize,
+        store: SocketAddr,
+        others: &[Relay],
+        budget: &Budget,
+    ) -> Relay {
+        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("relay-{test}-{number}"));
+        std::fs::create_dir_all(&dir).expect("a directory");
+        let [callers, readiness, operators, peers] = free_addresses();
+        let seeds: Vec<String> = others.iter().map(|o| format!("\"{}\"", o.peers)).collect();
+        let domain = ["hall-a", "hall-b"][number % 2];
+        let settings = format!(
+            "name = \"entry-{number}\"\nfailure_domain = \"{domain}\"\n[listen]\n\
+             callers = \"{callers}\"\nreadiness = \"{readiness}\"\noperators = \"{operators}\"\n\
+             peers = \"{peers}\"\n[store]\naddress = \"{store}\"\n[peers]\nseeds = [{}]\n\
+             [stop]\ngrace = \"8 s\"\n[repeats]\nwindow = \"10 s\"\nratio = {:.2}\nslack = {:.2}\n",
+            seeds.join(", "),
+            budget.ratio,
+            budget.slack
+        );
+        let file = dir.join("settings.toml");
+        std::fs::write(&file, settings).expect("settings");
+        let log = dir.join("log.jsonl");
+        let out = File::create(&log).expect("a log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_kelpworks"))
+            .args(["relay", "--settings"])
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stderr(out.try_clone().expect("a second handle"))
+            .stdout(out)
+            .spawn()
+            .expect("the daemon starts");
+        let client = reqwest::Client::builder()
+            .no_proxy()
+            .build()
+            .expect("a client");
+        Relay {
+            child,
+            log,
+            callers,
+            readiness,
+            peers,
+            client,
+        }
+    }
+
+    pub(crate) fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).expect("a child that was not waited for can be signalled");
+    }
+
+    /// Waits until it has ended; whether it ended well.
+    pub(crate) async fn ended(&mut self) -> bool {
+        let until = tokio::time::Instant::now() + BOUND;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a child can be asked") {
+                return status.success();
+            }
+            assert!(
+                tokio::time::Instant::now() < until,
+                "the daemon did not end"
+            );
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// A request with the team's key.
+    pub(crate) fn request(&self, method: Method, path: &str, id: &str) -> RequestBuilder {
+        let req = self
+            .client
+            .request(method, format!("http://{}{path}", self.callers));
+        let req = req
+            .header("host", HOST)
+            .header("x-kelpworks-attempt-id", id);
+        req.bearer_auth(KEY)
+            .header("x-kelpworks-deadline-ms", "8000")
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub(crate) async fn send(&self, req: RequestBuilder) -> reqwest::Result<Answer> {
+        let res = req.timeout(BOUND).send().await?;
+        let retry_after = res.headers().get("retry-after").cloned();
+        Ok(Answer {
+            status: res.status().as_u16(),
+            retry_after: retry_after.and_then(|v| v.to_str().ok().map(str::to_owned)),
+            body: res.text().await?,
+        })
+    }
+
+    /// A stream of so many events.
+    pub(crate) async fn stream(&self, id: &str, events: u64) -> reqwest::Result<Answer> {
+        let req = self.stream_request(id, events);
+        self.send(req).await
+    }
+
+    pub(crate) fn stream_request(&self, id: &str, events: u64) -> RequestBuilder {
+        let req = self.request(Method::POST, "/stream/x", id);
+        let req = req.header("x-kelpworks-token-count", format!("10,{events}"));
+        req.body(format!("prompt of {id}"))
+    }
+
+    /// Reads a stream's first piece, to know that it is under way; the rest comes by the future.
+    pub(crate) async fn begin(
+        &self,
+        id: &str,
+        events: u64,
+    ) -> impl Future<Output = String> + use<> {
+        let res = self.stream_request(id, events).timeout(BOUND).send().await;
+        let mut pieces = res.expect("an answer").bytes_stream();
+        let first = pieces.next().await.expect("a piece").expect("bytes");
+        async move {
+            let mut body = first.to_vec();
+            while let Some(piece) = pieces.next().await {
+                body.extend_from_slice(&piece.expect("the rest of the stream"));
+            }
+            String::from_utf8(body).expect("text")
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Free loopback addresses; they are bound together, so that they differ.
+fn free_addresses() -> [SocketAddr; 4] {
+    let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let listeners = [bind(), bind(), bind(), bind()];
+    listeners.map(|l| l.local_addr().expect("an address"))
+}
--- /dev/null
+++ b/crates/kelpworks-cli/tests/relay_site/engine.rs
@@ -0,0 +1,373 @@
+//! Engines that hold layers and pass requests along a path, and a plain service.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream;
+use salvo::Depot;
+use salvo::FlowCtrl;
+use salvo::Handler;
+use salvo::Request;
+use salvo::Response;
+use salvo::Router;
+use salvo::async_trait;
+use salvo::http::ResBody;
+use salvo::http::StatusCode;
+use salvo::writing::Json;
+use serde_json::Value;
+use serde_json::json;
+
+use super::LAYERS;
+
+/// Time between two events of a stream.
+const EVENT: Duration = Duration::from_millis(10);
+const ATTEMPT: &str = "x-kelpworks-attempt-id";
+const STAMP: &str = "x-kelpworks-server-stamp";
+
+/// What goes wrong, once, with the next request that is first sent to an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// The stream falls silent after so many events, and goes on after this time.
+    Silent(u64, Duration),
+    /// The connection is closed in the middle of an event after so many.
+    Cut(u64),
+    /// Refused without having run.
+    Refused,
+}
+
+/// A run of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Run {
+    pub(crate) request: String,
+    pub(crate) first: String,
+    pub(crate) hops: Vec<(u16, u16)>,
+    pub(crate) after: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct Inner {
+    pub(crate) instance: String,
+    pub(crate) domain: String,
+    address: Mutex<Option<SocketAddr>>,
+    held: Mutex<Option<(u16, u16)>>,
+    orders: AtomicU64,
+    fault: Mutex<Option<Fault>>,
+}
+
+/// A running engine.
+#[derive(Clone, Debug)]
+pub(crate) struct Engine(Arc<Inner>);
+
+impl std::ops::Deref for Engine {
+    type Target = Inner;
+
+    fn deref(&self) -> &Inner {
+        &self.0
+    }
+}
+
+/// All engines, and what they ran.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Registry {
+    engines: Arc<Mutex<HashMap<SocketAddr, Engine>>>,
+    runs: Arc<Mutex<Vec<Run>>>,
+}
+
+impl Registry {
+    pub(crate) fn all(&self) -> Vec<Engine> {
+        let engines = self.engines.lock().expect("no panic");
+        engines.values().cloned().collect()
+    }
+
+    pub(crate) fn runs(&self) -> Vec<Run> {
+        self.runs.lock().expect("no panic").clone()
+    }
+
+    pub(crate) fn clear_runs(&self) {
+        self.runs.lock().expect("no panic").clear();
+    }
+
+    /// The next request of any engine that comes first goes wrong; each engine takes part once.
+    pub(crate) fn fault_everywhere(&self, fault: Fault) {
+        for engine in self.all() {
+            engine.set_fault(Some(fault));
+        }
+    }
+
+    /// Ends all faults that have not struck.
+    pub(crate) fn heal(&self) {
+        for engine in self.all() {
+            engine.set_fault(None);
+        }
+    }
+}
+
+impl Engine {
+    pub(crate) async fn start(registry: &Registry, instance: &str, domain: &str) -> Engine {
+        let engine = Engine(Arc::new(Inner {
+            instance: instance.to_owned(),
+            domain: domain.to_owned(),
+            address: Mutex::default(),
+            held: Mutex::default(),
+            orders: AtomicU64::new(0),
+            fault: Mutex::default(),
+        }));
+        let serve = Serve {
+            engine: engine.clone(),
+            registry: registry.clone(),
+        };
+        let (address, _) = super::serve(Router::with_path("{**rest}").goal(serve)).await;
+        *engine.address.lock().expect("no panic") = Some(address);
+        let mut engines = registry.engines.lock().expect("no panic");
+        engines.insert(address, engine.clone());
+        engine
+    }
+
+    /// Its entry in the store.
+    pub(crate) fn entry(&self) -> Value {
+        let address = self.address.lock().expect("no panic").expect("started");
+        let layers = match *self.held.lock().expect("no panic") {
+            Some((from, to)) => json!({ "from": from, "to": to, "version": 1 }),
+            None => Value::Null,
+        };
+        json!({
+            "service": "llm", "address": address.to_string(), "zone": self.domain,
+            "version": "v1", "slots": 64, "state": "ready", "cold-left-ms": 0,
+            "layers": layers, "route-kind": "big", "seq": 1
+        })
+    }
+
+    fn set_fault(&self, fault: Option<Fault>) {
+        *self.fault.lock().expect("no panic") = fault;
+    }
+
+    fn holds(&self, from: u16, to: u16) -> bool {
+        let held = *self.held.lock().expect("no panic");
+        held.is_some_and(|(f, t)| f <= from && to <= t)
+    }
+}
+
+struct Serve {
+    engine: Engine,
+    registry: Registry,
+}
+
+impl Serve {
+    fn report(&self) -> Value {
+        let held = *self.engine.held.lock().expect("no panic");
+        let layers = held.map(|(from, to)| json!({ "from": from, "to": to }));
+        let orders = self.engine.orders.load(Ordering::Relaxed);
+        json!({ "busy": false, "seq": orders, "layers": layers })
+    }
+
+    async fn order(&self, req: &mut Request) -> StatusCode {
+        let order: Value = req.parse_json().await.expect("a JSON order");
+        let orders = self.engine.orders.load(Ordering::Relaxed);
+        if order["expect"].as_u64().is_some_and(|e| e != orders) {
+            return StatusCode::CONFLICT;
+        }
+        let layer = |key: &str| order[key].as_u64().expect("a layer") as u16;
+        *self.engine.held.lock().expect("no panic") = Some((layer("from"), layer("to")));
+        self.engine.orders.fetch_add(1, Ordering::Relaxed);
+        StatusCode::ACCEPTED
+    }
+
+    /// The parts of a path, or the address that does not hold its part.
+    fn path(&self, hops: &str) -> Result<Vec<(u16, u16)>, String> {
+        let mut parts = Vec::new();
+        for hop in hops.split(',') {
+            let (address, range) = hop.split_once('=').expect("address and layers");
+            let (from, to) = range.split_once('-').expect("two layers");
+            let part = (from.parse().expect("a layer"), to.parse().expect("a layer"));
+            let engines = self.registry.engines.lock().expect("no panic");
+            let engine = engines.get(&address.parse().expect("an address"));
+            if !engine.is_some_and(|e| e.holds(part.0, part.1)) {
+                return Err(address.to_owned());
+            }
+            parts.push(part);
+        }
+        Ok(parts)
+    }
+
+    fn stream(&self, req: &Request, res: &mut Response) {
+        let field = |name: &str| req.header::<String>(name).unwrap_or_default();
+        let request = field(ATTEMPT);
+        let _ = res.add_header(ATTEMPT, request.clone(), true);
+        let path = self.path(&field("x-kelpworks-hops"));
+        let fault = self.engine.fault.lock().expect("no panic").take();
+        let refused = fault == Some(Fault::Refused);
+        let Ok(hops) = path else {
+            let _ = res.add_header("at-server", path.unwrap_err(), true);
+            let _ = res.add_header("x-kelpworks-not-executed", "1", true);
+            res.status_code(StatusCode::MISDIRECTED_REQUEST);
+            return;
+        };
+        if refused {
+            let _ = res.add_header("x-kelpworks-not-executed", "1", true);
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            return;
+        }
+        let after = field("last-event-id").parse().unwrap_or(0);
+        let counts = field("x-kelpworks-token-count");
+        let events: u64 = counts
+            .split_once(',')
+            .expect("two")
+            .1
+            .parse()
+            .expect("a number");
+        let run = Run {
+            request,
+            first: self.engine.instance.clone(),
+            hops,
+            after,
+        };
+        self.registry.runs.lock().expect("no panic").push(run);
+        let _ = res.add_header(STAMP, format!("stamp-of-{}", self.engine.instance), true);
+        let _ = res.add_header("content-type", "text/event-stream", true);
+        let pieces = stream::iter(after + 1..=events).then(move |id| piece(id, after, fault));
+        res.stream(pieces);
+    }
+}
+
+/// An event; an error cuts the stream off.
+async fn piece(id: u64, after: u64, fault: Option<Fault>) -> std::io::Result<Bytes> {
+    tokio::time::sleep(EVENT).await;
+    match fault {
+        Some(Fault::Silent(n, pause)) if id == after + n + 1 => tokio::time::sleep(pause).await,
+        Some(Fault::Cut(n)) if id == after + n + 1 => return Err(std::io::Error::other("cut")),
+        _ => {}
+    }
+    Ok(Bytes::from(format!("id: {id}\ndata: word-{id}\n\n")))
+}
+
+#[async_trait]
+impl Handler for Serve {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        match req.uri().path() {
+            "/report" => res.render(Json(self.report())),
+            "/order" => {
+                let status = self.order(req).await;
+                res.status_code(status);
+                res.render(Json(json!({})));
+            }
+            _ => self.stream(req, res),
+        }
+    }
+}
+
+/// Whether a path runs every layer once and in order.
+pub(crate) fn is_whole(hops: &[(u16, u16)]) -> bool {
+    let ends = hops.iter().map(|h| h.1);
+    let starts = std::iter::once(0).chain(ends);
+    let joined = hops.iter().zip(starts).all(|(hop, start)| hop.0 == start);
+    joined && hops.last().is_some_and(|h| h.1 == LAYERS)
+}
+
+/// What goes wrong at the plain service with a request that holds this word in its path.
+const RESET: &str = "reset";
+const FULL: &str = "full";
+const FOREIGN: &str = "foreign";
+
+/// A plain service; the word at the end of a path says how it answers.
+#[derive(Clone, Debug)]
+pub(crate) struct App {
+    instance: String,
+    address: SocketAddr,
+    /// Attempts that ran, by request.
+    ran: Arc<Mutex<HashMap<String, u32>>>,
+}
+
+impl App {
+    pub(crate) async fn start(instance: &str) -> App {
+        let ran: Arc<Mutex<HashMap<String, u32>>> = Arc::default();
+        let handler = Plain {
+            instance: instance.to_owned(),
+            ran: Arc::clone(&ran),
+        };
+        let (address, _) = super::serve(Router::with_path("{**rest}").goal(handler)).await;
+        App {
+            instance: instance.to_owned(),
+            address,
+            ran,
+        }
+    }
+
+    pub(crate) fn entry(&self) -> Value {
+        json!({
+            "service": "app", "address": self.address.to_string(), "zone": "hall-a",
+            "version": "v1", "slots": 6, "state": "ready", "cold-left-ms": 0, "seq": 1
+        })
+    }
+
+    /// How often a request ran.
+    pub(crate) fn ran(&self, request: &str) -> u32 {
+        let ran = self.ran.lock().expect("no panic");
+        ran.get(request).copied().unwrap_or(0)
+    }
+}
+
+struct Plain {
+    instance: String,
+    ran: Arc<Mutex<HashMap<String, u32>>>,
+}
+
+#[async_trait]
+impl Handler for Plain {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let request = req.header::<String>(ATTEMPT).unwrap_or_default();
+        let expected = req.header::<String>("x-kelpworks-expect-instance");
+        assert_eq!(expected.as_deref(), Some(&*self.instance));
+        assert!(
+            req.headers().get("authorization").is_none(),
+            "the key was passed on"
+        );
+        let path = req.uri().path().to_owned();
+        if path.ends_with(FULL) {
+            let _ = res.add_header("x-kelpworks-not-executed", "1", true);
+            let _ = res.add_header(ATTEMPT, request, true);
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            return;
+        }
+        *self
+            .ran
+            .lock()
+            .expect("no panic")
+            .entry(request.clone())
+            .or_default() += 1;
+        let echoed = if path.ends_with(FOREIGN) {
+            "another".to_owned()
+        } else {
+            request
+        };
+        let _ = res.add_header(ATTEMPT, echoed, true);
+        let _ = res.add_header(STAMP, "stamp", true);
+        if path.ends_with(RESET) {
+            let lost = stream::iter([Err::<Bytes, _>(std::io::Error::other("lost"))]);
+            res.stream(lost);
+            return;
+        }
+        let team = req
+            .header::<String>("x-kelpworks-tenant")
+            .unwrap_or_default();
+        res.body(ResBody::Once(format!("{path} for {team}").into()));
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-cli/tests/relay_site/mod.rs
@@ -0,0 +1,152 @@
+//! A small site on loopback for relaying daemons: a store, engines that pass requests along a path,
+//! a plain service, and the daemons themselves as processes.
+
+#![allow(dead_code, reason = "each test crate uses a part")]
+
+pub(crate) mod daemon;
+pub(crate) mod engine;
+pub(crate) mod store;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use salvo::Listener;
+use salvo::Router;
+use salvo::Server;
+use salvo::conn::Acceptor;
+use salvo::conn::TcpListener;
+use salvo::server::ServerHandle;
+use serde_json::Value;
+use serde_json::json;
+
+use daemon::Relay;
+use engine::Engine;
+use engine::Registry;
+use store::Store;
+
+/// Layers of the site's model.
+pub(crate) const LAYERS: u16 = 12;
+/// Host name of all routes.
+pub(crate) const HOST: &str = "site.example";
+/// Key of the only team.
+pub(crate) const KEY: &str = "key-of-team-a";
+/// Bound on what must happen; never what a verdict rests on.
+pub(crate) const BOUND: Duration = Duration::from_secs(15);
+
+/// Serves a router on a free loopback port; ends with the handle's `stop_forceful`.
+pub(crate) async fn serve(router: Router) -> (SocketAddr, ServerHandle) {
+    let acceptor = TcpListener::new("127.0.0.1:0").bind().await;
+    let address = acceptor.holdings()[0].local_addr.clone();
+    let address = address.into_std().expect("a TCP address");
+    let server = Server::new(acceptor);
+    let handle = server.handle();
+    tokio::spawn(server.serve(router));
+    (address, handle)
+}
+
+/// The configuration of the site.
+pub(crate) fn configuration(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [
+            route("streams", "/stream/", "streaming", "llm"),
+            route("once", "/once/", "non_idempotent", "app"),
+            route("often", "/often/", "idempotent", "app"),
+        ],
+        "services": [
+            {
+                "name": "llm", "health-path": "/healthz", "max-conns": 100,
+                "engine": {
+                    "slots": 64, "kv-capacity": 100_000, "kv-token-bytes": 12_000.0,
+                    "step_ms": 1.0, "per_seq_ms": 0.01, "context_per_k": 0.01,
+                    "read_per_s": 164_000.0, "models": [{"name": "m", "load-s": 0.1}],
+                    "usual": {"prompt": 10, "answer": 10},
+                    "layers": LAYERS, "layer-mb": 100.0,
+                    "kinds": [{"name": "big", "size-mb": 800.0, "pace": 1.0, "read-factor": 1.0}]
+                }
+            },
+            {"name": "app", "health-path": "/healthz", "max-conns": 100}
+        ],
+        "limits": {
+            "max-header-bytes": 8192, "max-body-bytes": 65536,
+            "header-timeout-ms": 3000, "idle-timeout-ms": 15000
+        },
+        "tenants": [{"name": "team-a", "api-keys": [KEY]}]
+    })
+}
+
+pub(crate) fn route(name: &str, prefix: &str, kind: &str, service: &str) -> Value {
+    json!({
+        "name": name, "hostname": HOST, "path-prefix": prefix, "route-kind": kind,
+        "timeout-ms": 8000, "target-latency-ms": 500, "gap-target-ms": 250, "priority": 1,
+        "service": service, "max-attempts": 2, "anonymous": false, "resumable": true
+    })
+}
+
+/// A running site.
+pub(crate) struct Site {
+    pub(crate) store: Store,
+    pub(crate) engines: Registry,
+    pub(crate) app: engine::App,
+    pub(crate) daemons: Vec<Relay>,
+}
+
+impl Site {
+    /// Starts a store, engines in two failure domains, a plain service and daemons, and waits
+    /// until the daemons can serve.
+    pub(crate) async fn start(name: &str, daemons: usize) -> Site {
+        Site::start_with(name, daemons, daemon::Budget::default()).await
+    }
+
+    pub(crate) async fn start_with(name: &str, daemons: usize, budget: daemon::Budget) -> Site {
+        let store = Store::start().await;
+        store.put("config", "main", configuration(3));
+        let engines = Registry::default();
+        for (i, domain) in ["hall-a", "hall-a", "hall-b", "hall-b"].iter().enumerate() {
+            let engine = Engine::start(&engines, &format!("e-{i}"), domain).await;
+            store.put("servers", &engine.instance, engine.entry());
+        }
+        let app = engine::App::start("s-0").await;
+        store.put("servers", "s-0", app.entry());
+        let mut site = Site {
+            store,
+            engines,
+            app,
+            daemons: Vec::new(),
+        };
+        for i in 0..daemons {
+            let relay = Relay::start(name, i, site.store.address, &site.daemons, &budget);
+            site.daemons.push(relay);
+        }
+        site.until_served().await;
+        site
+    }
+
+    /// Publishes what engines hold, as their heartbeats would.
+    pub(crate) fn heartbeat(&self) {
+        for engine in self.engines.all() {
+            self.store.put("servers", &engine.instance, engine.entry());
+        }
+    }
+
+    /// Waits until a stream is answered by every daemon.
+    async fn until_served(&self) {
+        let until = tokio::time::Instant::now() + BOUND;
+        for i in 0..self.daemons.len() {
+            loop {
+                self.heartbeat();
+                let answer = self.daemons[i].stream("warm-up", 2).await;
+                if answer.is_ok_and(|a| a.status == 200) {
+                    break;
+                }
+                assert!(
+                    tokio::time::Instant::now() < until,
+                    "daemon {i} does not serve: {}",
+                    self.daemons[i].log()
+                );
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        self.engines.clear_runs();
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-cli/tests/relay_site/store.rs
@@ -0,0 +1,214 @@
+//! The store: versioned objects, conditional writes, watches.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use salvo::Depot;
+use salvo::FlowCtrl;
+use salvo::Handler;
+use salvo::Request;
+use salvo::Response;
+use salvo::Router;
+use salvo::async_trait;
+use salvo::http::Method;
+use salvo::http::StatusCode;
+use salvo::writing::Json;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::Notify;
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    objects: BTreeMap<(String, String), (u64, Value)>,
+    /// Changes by revision: kind, object, whether it was deleted.
+    history: Vec<(u64, String, Value, bool)>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    state: Mutex<State>,
+    changed: Notify,
+    down: AtomicBool,
+}
+
+/// A running store.
+#[derive(Clone, Debug)]
+pub(crate) struct Store {
+    inner: Arc<Inner>,
+    pub(crate) address: SocketAddr,
+}
+
+impl Store {
+    pub(crate) async fn start() -> Store {
+        let inner = Arc::new(Inner::default());
+        inner.state.lock().expect("no panic").revision = 100;
+        let handler = Objects {
+            inner: Arc::clone(&inner),
+        };
+        let router = Router::with_path("objects/{**rest}").goal(handler);
+        let (address, _) = super::serve(router).await;
+        Store { inner, address }
+    }
+
+    /// A second address of the same store, which can be taken down by itself.
+    pub(crate) async fn second_address(&self) -> (SocketAddr, salvo::server::ServerHandle) {
+        let handler = Objects {
+            inner: Arc::clone(&self.inner),
+        };
+        super::serve(Router::with_path("objects/{**rest}").goal(handler)).await
+    }
+
+    /// Writes an object; writing the same again changes nothing.
+    pub(crate) fn put(&self, kind: &str, name: &str, spec: Value) {
+        let mut state = self.inner.state.lock().expect("no panic");
+        state.put(kind, name, spec);
+        drop(state);
+        self.inner.changed.notify_waiters();
+    }
+
+    pub(crate) fn delete(&self, kind: &str, name: &str) {
+        let mut state = self.inner.state.lock().expect("no panic");
+        let key = (kind.to_owned(), name.to_owned());
+        if let Some((_, spec)) = state.objects.remove(&key) {
+            state.revision += 1;
+            let object = object(name, state.revision, &spec);
+            let change = (state.revision, kind.to_owned(), object, true);
+            state.history.push(change);
+        }
+        drop(state);
+        self.inner.changed.notify_waiters();
+    }
+
+    /// Answers 503 to every call, and cuts waiting watches off.
+    pub(crate) fn set_down(&self, down: bool) {
+        self.inner.down.store(down, Ordering::Relaxed);
+        self.inner.changed.notify_waiters();
+    }
+}
+
+impl State {
+    fn put(&mut self, kind: &str, name: &str, spec: Value) -> u64 {
+        let key = (kind.to_owned(), name.to_owned());
+        if let Some((revision, old)) = self.objects.get(&key)
+            && *old == spec
+        {
+            return *revision;
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        let object = object(name, revision, &spec);
+        self.objects.insert(key, (revision, spec));
+        self.history
+            .push((revision, kind.to_owned(), object, false));
+        revision
+    }
+}
+
+fn object(name: &str, revision: u64, spec: &Value) -> Value {
+    let metadata = json!({ "name": name, "revision": revision, "created": 1 });
+    json!({ "metadata": metadata, "spec": spec, "status": null })
+}
+
+struct Objects {
+    inner: Arc<Inner>,
+}
+
+impl Objects {
+    async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Value {
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = self.inner.changed.notified();
+            let (events, revision) = {
+                let state = self.inner.state.lock().expect("no panic");
+                let newer = state
+                    .history
+                    .iter()
+                    .filter(|(r, k, _, _)| *r > from && k == kind);
+                let event = |(_, _, object, deleted): &(u64, String, Value, bool)| json!({ "deleted": deleted, "object": object });
+                (newer.map(event).collect::<Vec<Value>>(), state.revision)
+            };
+            let down = self.inner.down.load(Ordering::Relaxed);
+            if !events.is_empty() || down || tokio::time::Instant::now() >= until {
+                return json!({ "events": events, "current-rev": revision });
+            }
+            let _ = tokio::time::timeout_at(until, changed).await;
+        }
+    }
+
+    fn list(&self, kind: &str) -> Value {
+        let state = self.inner.state.lock().expect("no panic");
+        let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
+        let entries = of_kind.map(|((_, name), (revision, spec))| object(name, *revision, spec));
+        let entries: Vec<Value> = entries.collect();
+        json!({ "entries": entries, "truncated": false, "current-rev": state.revision })
+    }
+
+    fn write(&self, kind: &str, name: &str, body: &Value, create: bool) -> (StatusCode, Value) {
+        let mut state = self.inner.state.lock().expect("no panic");
+        let key = (kind.to_owned(), name.to_owned());
+        let standing = state.objects.get(&key).cloned();
+        let condition = body["metadata"]["revision"].as_u64();
+        match (&standing, create) {
+            (None, false) => return (StatusCode::NOT_FOUND, json!({})),
+            (Some((revision, spec)), true) => {
+                return (StatusCode::CONFLICT, object(name, *revision, spec));
+            }
+            (Some((revision, spec)), false) if condition.is_some_and(|c| c != *revision) => {
+                return (StatusCode::CONFLICT, object(name, *revision, spec));
+            }
+            _ => {}
+        }
+        let revision = state.put(kind, name, body["spec"].clone());
+        drop(state);
+        self.inner.changed.notify_waiters();
+        (StatusCode::OK, object(name, revision, &body["spec"]))
+    }
+}
+
+#[async_trait]
+impl Handler for Objects {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        if self.inner.down.load(Ordering::Relaxed) {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+            return;
+        }
+        let path = req.uri().path().trim_start_matches("/objects/").to_owned();
+        let (kind, name) = path.split_once('/').unwrap_or((path.as_str(), ""));
+        let (status, body) = match (req.method().clone(), name) {
+            (Method::GET, "") => match req.query::<u64>("watch") {
+                Some(from) => {
+                    let wait = Duration::from_millis(req.query("wait-ms").unwrap_or(0));
+                    (StatusCode::OK, self.watch(kind, from, wait).await)
+                }
+                None => (StatusCode::OK, self.list(kind)),
+            },
+            (Method::GET, name) => {
+                let state = self.inner.state.lock().expect("no panic");
+                let key = (kind.to_owned(), name.to_owned());
+                match state.objects.get(&key) {
+                    Some((revision, spec)) => (StatusCode::OK, object(name, *revision, spec)),
+                    None => (StatusCode::NOT_FOUND, json!({})),
+                }
+            }
+            (method, name) => {
+                let body: Value = req.parse_json().await.expect("a JSON body");
+                let named = body["metadata"]["name"].as_str().unwrap_or(name).to_owned();
+                self.write(kind, &named, &body, method == Method::POST)
+            }
+        };
+        res.status_code(status);
+        res.render(Json(body));
+    }
+}
