Table and property tests of paths, layers, bounds, events and the adapter

One expectation was wrong when first run (which layer of a full engine is named first) and now states the range.

--- a/crates/kelpworks-relay/src/relay/events.rs
+++ b/crates/kelpworks-relay/src/relay/events.rs
@@ -3,6 +3,9 @@
 //! An upstream may stop in the middle of an event; what is passed on is whole events only, so that
 //! another upstream can continue after the last one.
 
+#[cfg(test)]
+mod tests;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 
--- /dev/null
+++ b/crates/kelpworks-relay/tests/bounds.rs
@@ -0,0 +1,122 @@
+//! Bounds on repeats, requests that crash upstreams, and settings.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::time::Instant;
+
+use kelpworks_relay::crashes::Crashes;
+use kelpworks_relay::crashes::Fingerprint;
+use kelpworks_relay::crashes::REFUSED_FROM;
+use kelpworks_relay::repeats::Bound;
+use kelpworks_relay::repeats::Repeats;
+use kelpworks_relay::settings::Settings;
+
+const BOUND: Bound = Bound {
+    window: Duration::from_secs(10),
+    ratio: 0.2,
+    slack: 70.0,
+};
+
+/// Repeats that are given out at once.
+fn given(repeats: &mut Repeats, service: &Arc<str>, now: Instant) -> usize {
+    (0..1_000)
+        .take_while(|_| repeats.try_take(service, now))
+        .count()
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_daemons_together_stay_below_the_bound() {
+    let service: Arc<str> = Arc::from("llm");
+    let now = Instant::now();
+    let mut total = 0;
+    for requests in [0, 5, 50, 100, 200, 300, 400] {
+        let mut repeats = Repeats::new(BOUND, 7);
+        for _ in 0..requests {
+            repeats.requested(&service, now);
+        }
+        total += given(&mut repeats, &service, now);
+    }
+    let allowed = BOUND.slack + BOUND.ratio * 1_055.0;
+    assert!(total as f64 <= allowed, "{total} of {allowed}");
+    assert!(total as f64 >= allowed * 0.8, "{total} of {allowed}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeats_come_back_when_the_window_has_passed() {
+    let service: Arc<str> = Arc::from("llm");
+    let mut repeats = Repeats::new(BOUND, 7);
+    let first = given(&mut repeats, &service, Instant::now());
+    assert_eq!(given(&mut repeats, &service, Instant::now()), 0);
+    tokio::time::advance(Duration::from_millis(10_001)).await;
+    assert_eq!(given(&mut repeats, &service, Instant::now()), first);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_crashes_upstreams_is_refused_also_by_word_of_peers() {
+    let now = Instant::now();
+    let request = Fingerprint(7);
+    let mut here = Crashes::default();
+    let mut there = Crashes::default();
+    for _ in 1..REFUSED_FROM {
+        here.crashed(request, now);
+        assert!(!here.refuses(request, now));
+    }
+    here.crashed(request, now);
+    assert!(here.refuses(request, now));
+    for (fingerprint, crashes) in here.counts(8) {
+        there.told(fingerprint, crashes, now);
+    }
+    assert!(there.refuses(request, now));
+    assert!(!there.refuses(Fingerprint(8), now));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_clears_a_request() {
+    let now = Instant::now();
+    let mut crashes = Crashes::default();
+    crashes.crashed(Fingerprint(7), now);
+    crashes.answered(Fingerprint(7));
+    crashes.crashed(Fingerprint(7), now);
+    crashes.crashed(Fingerprint(7), now);
+    assert!(!crashes.refuses(Fingerprint(7), now));
+}
+
+const SETTINGS: &str = r#"
+name = "entry-1"
+failure_domain = "hall-a"
+[listen]
+callers = "10.0.0.1:8080"
+readiness = "10.0.0.1:8081"
+operators = "10.0.0.1:9464"
+peers = "10.0.0.1:7070"
+[store]
+address = "10.0.1.1:8000"
+[peers]
+seeds = ["10.0.0.2:7070"]
+[stop]
+grace = "8 s"
+[repeats]
+window = "10 s"
+ratio = 0.2
+slack = 198.0
+"#;
+
+#[rstest]
+#[case::missing("failure_domain = \"hall-a\"\n", "", "failure_domain")]
+#[case::half_written("ratio = 0.2\nslack = 198.0\n", "ratio = ", "settings")]
+#[case::unknown_key("[stop]\n", "[stop]\nhaste = 1\n", "haste")]
+#[case::no_address("10.0.1.1:8000", "the store", "address")]
+#[case::no_name("\"entry-1\"", "\"\"", "name")]
+#[case::negative("slack = 198.0", "slack = -1.0", "repeats.slack")]
+#[case::no_window("\"10 s\"", "\"0 s\"", "repeats.window")]
+#[case::no_grace("\"8 s\"", "\"0 s\"", "stop.grace")]
+fn bad_settings_are_named(#[case] good: &str, #[case] bad: &str, #[case] named: &str) {
+    assert!(Settings::parse(SETTINGS).is_ok());
+    let text = SETTINGS.replacen(good, bad, 1);
+    let error = Settings::parse(&text)
+        .expect_err("bad settings")
+        .to_string();
+    assert!(error.contains(named), "{error}");
+}
--- /dev/null
+++ b/crates/kelpworks-relay/tests/fleet_support/mod.rs
@@ -0,0 +1,83 @@
+//! Fleets for tests: engines of three kinds in failure domains.
+
+#![allow(dead_code, reason = "each test crate uses a part")]
+
+use std::sync::Arc;
+
+use kelpworks_relay::config::Accelerator;
+use kelpworks_relay::config::Engines;
+use kelpworks_relay::dialect::LayerRange;
+use kelpworks_relay::dialect::Stage;
+use kelpworks_relay::dialect::UpstreamEntry;
+use kelpworks_relay::layout::Host;
+
+/// Layers of the model.
+pub const LAYERS: u16 = 80;
+
+/// A model of 80 layers on three kinds of accelerators.
+pub fn engines() -> Engines {
+    let kind = |name: &str, memory_mb, step_factor, read_factor| Accelerator {
+        name: Arc::from(name),
+        memory_mb,
+        step_factor,
+        read_factor,
+    };
+    Engines {
+        layers: LAYERS,
+        layer_mb: 1_750.0,
+        kv_token_bytes: 590_000.0,
+        step_ms: 1.0,
+        sequence_ms: 0.005,
+        context_ms: 0.006,
+        read_per_s: 164_000.0,
+        load_s: 14.0,
+        usual_prompt: 774.0,
+        usual_answer: 210.0,
+        kinds: vec![
+            kind("large", 72_000.0, 2.4, 3.2),
+            kind("middle", 14_400.0, 5.3, 7.9),
+            kind("slow", 21_600.0, 16.0, 8.2),
+        ],
+    }
+}
+
+/// Engines that hold nothing: one large, eight middle and four slow ones a domain.
+pub fn empty_hosts(domains: &[&str]) -> Vec<Host> {
+    let mut hosts = Vec::new();
+    for domain in domains {
+        let kinds = [("large", 1), ("middle", 8), ("slow", 4)];
+        for (kind, count) in kinds {
+            for i in 0..count {
+                hosts.push(Host {
+                    instance: Arc::from(format!("{domain}-{kind}-{i}")),
+                    domain: Arc::from(*domain),
+                    kind: Arc::from(kind),
+                    layers: None,
+                    running: 0.0,
+                });
+            }
+        }
+    }
+    hosts
+}
+
+/// The registration of an engine.
+pub fn entry(number: usize, host: &Host) -> UpstreamEntry {
+    UpstreamEntry {
+        instance: Arc::clone(&host.instance),
+        service: Arc::from("llm"),
+        address: format!("10.0.{}.{}:8000", number / 250, number % 250 + 1)
+            .parse()
+            .expect("an address"),
+        domain: Arc::clone(&host.domain),
+        stage: Stage::Ready,
+        slots: 192,
+        layers: host.layers,
+        kind: Some(Arc::clone(&host.kind)),
+    }
+}
+
+/// A range.
+pub fn range(from: u16, to: u16) -> LayerRange {
+    LayerRange { from, to }
+}
--- /dev/null
+++ b/crates/kelpworks-relay/tests/layout.rs
@@ -0,0 +1,137 @@
+//! Which layers engines are given.
+
+mod fleet_support;
+
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use rstest::rstest;
+
+use fleet_support::LAYERS;
+use fleet_support::empty_hosts;
+use fleet_support::engines;
+use kelpworks_relay::layout::Host;
+use kelpworks_relay::layout::layers_for;
+use kelpworks_relay::layout::plan;
+
+/// Carries the orders of a plan out.
+fn carry_out(hosts: &mut [Host]) -> usize {
+    let orders = plan(&engines(), hosts);
+    for order in &orders {
+        let host = hosts.iter_mut().find(|h| h.instance == order.instance);
+        host.expect("a known engine").layers = Some(order.layers);
+    }
+    orders.len()
+}
+
+/// Layers that a domain lacks.
+fn lacks(hosts: &[Host], domain: &str) -> usize {
+    let held = |l: u16| {
+        let mut here = hosts.iter().filter(|h| &*h.domain == domain);
+        here.any(|h| h.layers.is_some_and(|r| r.contains(l)))
+    };
+    (0..LAYERS).filter(|&l| !held(l)).count()
+}
+
+#[test]
+fn each_domain_covers_the_model() {
+    let mut hosts = empty_hosts(&["a", "b", "c"]);
+    carry_out(&mut hosts);
+    for domain in ["a", "b", "c"] {
+        assert_eq!(lacks(&hosts, domain), 0, "domain {domain}");
+    }
+    assert_eq!(carry_out(&mut hosts), 0, "what stands is kept");
+}
+
+#[rstest]
+#[case("large")]
+#[case("middle")]
+#[case("slow")]
+fn layers_leave_room_for_requests_and_fit(#[case] kind: &str) {
+    let engines = engines();
+    let kind = engines.kind(kind).expect("a kind");
+    let layers = layers_for(&engines, kind);
+    assert!(layers >= 1);
+    assert!(f64::from(layers) * engines.layer_mb < kind.memory_mb);
+    let requests = engines.kv_room(kind, layers) / f64::from(layers) / 984.0;
+    assert!(requests >= 80.0, "room for {requests} requests");
+}
+
+#[test]
+fn the_loss_of_the_largest_engine_leaves_its_domain_whole() {
+    let mut hosts = empty_hosts(&["a"]);
+    carry_out(&mut hosts);
+    hosts.retain(|h| &*h.kind != "large");
+    carry_out(&mut hosts);
+    assert_eq!(lacks(&hosts, "a"), 0);
+}
+
+#[test]
+fn an_engine_that_comes_back_empty_fills_the_hole() {
+    let mut hosts = empty_hosts(&["a", "b"]);
+    carry_out(&mut hosts);
+    let held = hosts[1].layers.take().expect("layers");
+    let orders = plan(&engines(), &hosts);
+    assert_eq!(orders.len(), 1);
+    assert_eq!(orders[0].instance, hosts[1].instance);
+    assert_eq!(orders[0].layers, held);
+    assert!(!orders[0].moves);
+}
+
+#[test]
+fn the_engine_with_the_least_work_moves_into_a_hole() {
+    let mut hosts = empty_hosts(&["a"]);
+    carry_out(&mut hosts);
+    let lost = hosts
+        .iter()
+        .position(|h| &*h.kind == "middle")
+        .expect("one");
+    hosts.remove(lost);
+    for host in &mut hosts {
+        host.running = if &*host.instance == "a-slow-2" {
+            1.0
+        } else {
+            9.0
+        };
+    }
+    let orders = plan(&engines(), &hosts);
+    let [order] = &orders[..] else {
+        panic!("one move: {orders:?}");
+    };
+    assert!(order.moves);
+    assert_eq!(&*order.instance, "a-slow-2");
+}
+
+proptest! {
+    /// Whatever engines there are, none is ordered more than its memory holds, and plans end.
+    #[test]
+    fn orders_fit_and_end(kept in proptest::collection::vec(any::<bool>(), 39)) {
+        let mut hosts = empty_hosts(&["a", "b", "c"]);
+        let mut keep = kept.iter();
+        hosts.retain(|_| *keep.next().expect("as many"));
+        let engines = engines();
+        let mut orders = 0;
+        while orders < 200 {
+            for order in plan(&engines, &hosts) {
+                let host = hosts.iter().find(|h| h.instance == order.instance).expect("known");
+                let kind = engines.kind(&host.kind).expect("a kind");
+                prop_assert!(f64::from(order.layers.len()) * engines.layer_mb <= kind.memory_mb);
+                prop_assert!(order.layers.to <= LAYERS && !order.layers.is_empty());
+            }
+            let given = carry_out(&mut hosts);
+            if given == 0 {
+                return Ok(());
+            }
+            orders += given;
+        }
+        prop_assert!(false, "plans don't end");
+    }
+}
+
+#[test]
+fn an_unknown_kind_is_left_alone() {
+    let mut hosts = empty_hosts(&["a"]);
+    hosts[0].kind = Arc::from("unheard-of");
+    let orders = plan(&engines(), &hosts);
+    assert!(orders.iter().all(|o| o.instance != hosts[0].instance));
+}
--- /dev/null
+++ b/crates/kelpworks-relay/tests/path.rs
@@ -0,0 +1,224 @@
+//! Paths through engines: each layer once and in order, inside a domain, around what fails.
+
+mod fleet_support;
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rstest::rstest;
+use tokio::time::Instant;
+
+use fleet_support::LAYERS;
+use fleet_support::empty_hosts;
+use fleet_support::engines;
+use fleet_support::entry;
+use fleet_support::range;
+use kelpworks_relay::dialect::Stage;
+use kelpworks_relay::fleet::Fleet;
+use kelpworks_relay::fleet::UpstreamKey;
+use kelpworks_relay::layout::plan;
+use kelpworks_relay::path::Ask;
+use kelpworks_relay::path::NoPath;
+use kelpworks_relay::path::Path;
+use kelpworks_relay::path::search;
+
+/// A fleet as the layout makes it.
+fn fleet(domains: &[&str]) -> Fleet {
+    let mut hosts = empty_hosts(domains);
+    for order in plan(&engines(), &hosts) {
+        let host = hosts.iter_mut().find(|h| h.instance == order.instance);
+        host.expect("a known engine").layers = Some(order.layers);
+    }
+    let entries = hosts.iter().enumerate().map(|(i, h)| entry(i, h)).collect();
+    let mut fleet = Fleet::default();
+    fleet.replace(entries, 1);
+    fleet
+}
+
+fn ask<'a>(domain: &'a str, first: &'a [UpstreamKey]) -> Ask<'a> {
+    Ask {
+        service: "llm",
+        tokens: 984.0,
+        domain,
+        avoid: &[],
+        first,
+        now: Instant::now(),
+    }
+}
+
+fn find(fleet: &Fleet, ask: &Ask<'_>, seed: u64) -> Result<Path, NoPath> {
+    search(fleet, &engines(), ask, &mut StdRng::seed_from_u64(seed))
+}
+
+fn assert_whole(fleet: &Fleet, path: &Path) {
+    let mut next = 0;
+    for (i, &(key, layers)) in path.parts.iter().enumerate() {
+        assert_eq!(layers.from, next);
+        let held = fleet.get(key).and_then(|u| u.entry.layers).expect("layers");
+        assert!(held.from <= layers.from && layers.to <= held.to);
+        assert!(
+            path.parts[..i].iter().all(|&(k, _)| k != key),
+            "twice on a path"
+        );
+        next = layers.to;
+    }
+    assert_eq!(next, LAYERS);
+}
+
+#[tokio::test]
+async fn a_path_stays_in_the_domain_of_its_daemon() {
+    let fleet = fleet(&["a", "b"]);
+    for seed in 0..20 {
+        let path = find(&fleet, &ask("b", &[]), seed).expect("a path");
+        assert_whole(&fleet, &path);
+        let domain = |k| &*fleet.get(k).expect("known").entry.domain;
+        assert!(path.keys().all(|k| domain(k) == "b"));
+        assert_eq!(path.crossings, 0);
+    }
+}
+
+#[tokio::test]
+async fn a_domain_that_lacks_a_layer_is_left_as_a_whole() {
+    let mut fleet = fleet(&["a", "b"]);
+    let at = |u: &kelpworks_relay::fleet::Upstream| {
+        let holds = u.entry.layers.is_some_and(|r| r.contains(70));
+        holds && &*u.entry.domain == "b"
+    };
+    let rest = fleet
+        .iter()
+        .filter(|(_, u)| !at(u))
+        .map(|(_, u)| u.entry.clone());
+    let rest = rest.collect();
+    fleet.replace(rest, 2);
+    let path = find(&fleet, &ask("b", &[]), 1).expect("a path");
+    assert_whole(&fleet, &path);
+    assert_eq!(path.crossings, 0, "activations don't cross");
+}
+
+#[tokio::test]
+async fn an_engine_that_failed_is_passed_over_where_others_hold_its_layers() {
+    let mut fleet = fleet(&["a", "b"]);
+    let before = find(&fleet, &ask("a", &[]), 1).expect("a path");
+    let now = Instant::now();
+    let failed = before.parts[0].0;
+    fleet.doubt(failed, now);
+    for seed in 0..20 {
+        let path = find(&fleet, &ask("a", &[]), seed).expect("a path");
+        assert!(path.keys().all(|k| k != failed));
+    }
+    fleet.good(failed, now);
+    let after = find(&fleet, &ask("a", &[]), 1).expect("a path");
+    assert_eq!(after, before);
+}
+
+#[tokio::test]
+async fn the_first_engine_can_be_given() {
+    let fleet = fleet(&["a", "b"]);
+    let elsewhere = find(&fleet, &ask("b", &[]), 1).expect("a path").parts[0].0;
+    let path = find(&fleet, &ask("a", &[elsewhere]), 1).expect("a path");
+    assert_eq!(path.parts[0].0, elsewhere);
+    assert_whole(&fleet, &path);
+}
+
+#[rstest]
+#[case::held_by_none(false)]
+#[case::held_but_promised(true)]
+#[tokio::test]
+async fn what_stands_in_the_way_is_named(#[case] held: bool) {
+    let mut fleet = fleet(&["a"]);
+    let entries = fleet.entries().into_iter();
+    let holds =
+        |r: Option<_>| r.is_some_and(|r: kelpworks_relay::dialect::LayerRange| r.contains(79));
+    if held {
+        let keys: Vec<UpstreamKey> = fleet
+            .iter()
+            .filter(|(_, u)| holds(u.entry.layers))
+            .map(|(k, _)| k)
+            .collect();
+        for key in keys {
+            fleet.take(key, 1e9);
+        }
+        let why = find(&fleet, &ask("a", &[]), 1);
+        assert!(matches!(why, Err(NoPath::Full(71..=79))), "{why:?}");
+        return;
+    }
+    let rest = entries.filter(|e| !holds(e.layers)).collect();
+    fleet.replace(rest, 2);
+    let why = find(&fleet, &ask("a", &[]), 1);
+    assert!(matches!(why, Err(NoPath::Uncovered(71..=79))), "{why:?}");
+}
+
+#[tokio::test]
+async fn a_leaving_engine_gets_no_new_work() {
+    let mut fleet = fleet(&["a", "b"]);
+    let first = find(&fleet, &ask("a", &[]), 1).expect("a path").instance;
+    let mut entries = fleet.entries();
+    for entry in &mut entries {
+        if entry.instance == first {
+            entry.stage = Stage::Leaving;
+        }
+    }
+    let changes = fleet.replace(entries, 2);
+    assert_eq!(changes.leaving, [std::sync::Arc::clone(&first)]);
+    for seed in 0..20 {
+        let path = find(&fleet, &ask("a", &[]), seed).expect("a path");
+        assert_ne!(path.instance, first);
+    }
+}
+
+/// A drawn day: an event that was on its way when its engine died hid the death for 1.2 s.
+#[tokio::test(start_paused = true)]
+async fn an_event_on_its_way_does_not_show_that_an_engine_lives() {
+    let mut fleet = fleet(&["a"]);
+    let path = find(&fleet, &ask("a", &[]), 1).expect("a path");
+    let silent_since = Instant::now();
+    let dead = path.parts[1].0;
+    tokio::time::advance(Duration::from_millis(45)).await;
+    fleet.good(dead, Instant::now());
+    tokio::time::advance(Duration::from_millis(215)).await;
+    let now = Instant::now();
+    for &(key, _) in path.parts.iter().filter(|p| p.0 != dead) {
+        fleet.good(key, now);
+    }
+    let suspects = fleet.unconfirmed(&path.parts, silent_since, now);
+    assert_eq!(suspects, [dead]);
+}
+
+#[tokio::test]
+async fn the_engine_that_most_silent_streams_share_is_blamed() {
+    let mut fleet = fleet(&["a"]);
+    let path = find(&fleet, &ask("a", &[]), 1).expect("a path");
+    let keys: Vec<UpstreamKey> = path.keys().collect();
+    for &key in &keys[..3] {
+        fleet.note_silent(key, 1);
+    }
+    fleet.note_silent(keys[1], 1);
+    assert_eq!(fleet.most_silent(&keys), [keys[1]]);
+}
+
+proptest! {
+    /// Any holdings: a path that is found runs every layer once and in order.
+    #[test]
+    fn paths_are_whole(
+        cuts in proptest::collection::vec((0u16..80, 1u16..40, 0usize..3), 1..30),
+        seed in any::<u64>(),
+    ) {
+        let mut hosts = empty_hosts(&["a", "b", "c"]);
+        hosts.truncate(cuts.len());
+        for (host, &(from, len, _)) in hosts.iter_mut().zip(&cuts) {
+            host.kind = "large".into();
+            host.layers = Some(range(from, (from + len).min(LAYERS)));
+        }
+        let entries = hosts.iter().enumerate().map(|(i, h)| entry(i, h)).collect();
+        let mut fleet = Fleet::default();
+        fleet.replace(entries, 1);
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
+        runtime.expect("a runtime").block_on(async {
+            if let Ok(path) = find(&fleet, &ask("a", &[]), seed) {
+                assert_whole(&fleet, &path);
+            }
+        });
+    }
+}
