A started daemon earns its part of the repeats over one window

Ruled out: the count of daemons (none had been forgotten). Change: the fixed part grows over one window from the start; 0.85 of the bound is used instead of 0.9.

--- a/crates/kelpworks-cli/tests/relay_faults.rs
+++ b/crates/kelpworks-cli/tests/relay_faults.rs
@@ -42,6 +42,7 @@
 #[tokio::test]
 async fn a_silent_stream_is_kept_when_no_repeat_is_allowed() {
     let none = Budget {
+        window: "10 s",
         ratio: 0.0,
         slack: 0.0,
     };
@@ -57,6 +58,7 @@
 #[tokio::test]
 async fn a_silent_stream_is_gone_back_to_when_the_next_attempt_is_refused() {
     let one = Budget {
+        window: "1 s",
         ratio: 0.0,
         slack: 1.2,
     };
--- a/crates/kelpworks-cli/tests/relay_site/daemon.rs
+++ b/crates/kelpworks-cli/tests/relay_site/daemon.rs
@@ -23,6 +23,7 @@
 /// The fleet's bound on repeats.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Budget {
+    pub(crate) window: &'static str,
     pub(crate) ratio: f64,
     pub(crate) slack: f64,
 }
@@ -30,6 +31,7 @@
 impl Default for Budget {
     fn default() -> Budget {
         Budget {
+            window: "10 s",
             ratio: 0.2,
             slack: 200.0,
         }
@@ -80,8 +82,9 @@
             "name = \"entry-{number}\"\nfailure_domain = \"{domain}\"\n[listen]\n\
              callers = \"{callers}\"\nreadiness = \"{readiness}\"\noperators = \"{operators}\"\n\
              peers = \"{peers}\"\n[store]\naddress = \"{store}\"\n[peers]\nseeds = [{}]\n\
-             [stop]\ngrace = \"8 s\"\n[repeats]\nwindow = \"10 s\"\nratio = {:.2}\nslack = {:.2}\n",
+             [stop]\ngrace = \"8 s\"\n[repeats]\nwindow = \"{}\"\nratio = {:.2}\nslack = {:.2}\n",
             seeds.join(", "),
+            budget.window,
             budget.ratio,
             budget.slack
         );
--- a/crates/kelpworks-relay/src/documents.rs
+++ b/crates/kelpworks-relay/src/documents.rs
@@ -11,6 +11,8 @@
 
 use log::info;
 use log::warn;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::config::Table;
 use crate::dialect::Dialect;
@@ -37,6 +39,7 @@
 
 /// The upstreams' entries as of a revision of the store.
 #[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Entries {
     /// Revision of the store.
     pub revision: u64,
@@ -44,6 +47,15 @@
     pub texts: BTreeMap<Arc<str>, Arc<str>>,
 }
 
+/// A change of one entry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EntryChange {
+    /// Name of the incarnation.
+    pub name: Arc<str>,
+    /// Its new text; `None` when the entry is gone.
+    pub text: Option<Arc<str>>,
+}
+
 #[derive(Debug, Default)]
 struct Held {
     configuration: Arc<str>,
@@ -125,17 +137,13 @@
         self.publish::<D>(&held.entries, source);
     }
 
-    /// Takes changes up to a revision: new texts, or `None` for entries that are gone.
-    pub fn change_entries<D: Dialect>(
-        &self,
-        changes: Vec<(Arc<str>, Option<Arc<str>>)>,
-        revision: u64,
-    ) {
+    /// Takes changes up to a revision.
+    pub fn change_entries<D: Dialect>(&self, changes: Vec<EntryChange>, revision: u64) {
         let mut held = self.held();
         if revision < held.entries.revision {
             return;
         }
-        for (name, text) in changes {
+        for EntryChange { name, text } in changes {
             match text {
                 Some(text) => held.entries.texts.insert(name, text),
                 None => held.entries.texts.remove(&name),
--- a/crates/kelpworks-relay/src/follow.rs
+++ b/crates/kelpworks-relay/src/follow.rs
@@ -18,6 +18,7 @@
 use crate::dialect::Dialect;
 use crate::documents::Documents;
 use crate::documents::Entries;
+use crate::documents::EntryChange;
 use crate::documents::Source;
 
 /// Longest wait of a watch: each one is a paid call, and the platform allows 30 s.
@@ -145,9 +146,9 @@
                 self.listed::<D>(objects, version);
             }
             What::Upstreams => {
-                let change = |(kind, o): (WatchEventKind, Object)| {
-                    let text = (kind == WatchEventKind::Put).then(|| Arc::from(&*o.body));
-                    (Arc::from(&*o.name), text)
+                let change = |(kind, o): (WatchEventKind, Object)| EntryChange {
+                    name: Arc::from(&*o.name),
+                    text: (kind == WatchEventKind::Put).then(|| Arc::from(&*o.body)),
                 };
                 let changes = events.into_iter().map(change).collect();
                 self.documents.change_entries::<D>(changes, version);
--- a/crates/kelpworks-relay/src/layout.rs
+++ b/crates/kelpworks-relay/src/layout.rs
@@ -3,7 +3,7 @@
 //! Three things compete for an engine's memory: layers (more copies, so that the loss of an engine
 //! leaves a path), room for requests, and time (a slow accelerator with many layers slows every
 //! path over it). Room decides most: an engine without it refuses, or cuts streams off. So each
-//! engine gets as many layers as leave room for [`ROOM_REQUESTS`] usual requests, and the layers
+//! engine gets as many layers as leave room for a fixed number of usual requests, and the layers
 //! are laid so that each failure domain covers the model by its fastest engines first; what is
 //! left backs up the layers that are held least.
 //!
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -115,7 +115,7 @@
     /// The configuration, when it is newer than was asked for.
     configuration: Option<Arc<str>>,
     /// The entries of upstreams and their revision, when newer than was asked for.
-    entries: Option<(u64, Vec<(Arc<str>, Arc<str>)>)>,
+    entries: Option<Entries>,
 }
 
 /// What the asking daemon holds already.
@@ -285,9 +285,7 @@
         if let Some(text) = texts.configuration {
             self.documents.put_configuration::<D>(&text, Source::Peer);
         }
-        if let Some((revision, texts)) = texts.entries {
-            let texts = texts.into_iter().collect();
-            let entries = Entries { revision, texts };
+        if let Some(entries) = texts.entries {
             self.documents.put_entries::<D>(entries, Source::Peer);
         }
     }
@@ -428,10 +426,9 @@
         let configuration =
             (self.documents.version() > known.version).then(|| self.documents.configuration());
         let entries = self.documents.entries();
-        let newer = entries.revision > known.revision;
         Texts {
             configuration,
-            entries: newer.then(|| (entries.revision, entries.texts.into_iter().collect())),
+            entries: (entries.revision > known.revision).then_some(entries),
         }
     }
 }
--- a/crates/kelpworks-relay/src/repeats.rs
+++ b/crates/kelpworks-relay/src/repeats.rs
@@ -3,7 +3,8 @@
 //! A repeat is an arrival at a service beyond the first of its request. In any window, all daemons
 //! together may cause a fixed number of repeats and a share of the requests. Each daemon keeps to
 //! that share of its own requests and to an equal part of the fixed number, so that the bound holds
-//! without a message between them, also while daemons can't hear each other.
+//! without a message between them, also while daemons can't hear each other. A process that starts
+//! gets its equal part little by little over one window, since the one before it may have spent it.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -13,8 +14,8 @@
 use tokio::time::Instant;
 
 /// Part of what is allowed that is used: a window here begins a little earlier than at the
-/// service, where the repeat arrives.
-const SAFETY: f64 = 0.9;
+/// service, where the repeat arrives. With 0.9 one drawn day in 160 had 392 repeats for 390 allowed.
+const SAFETY: f64 = 0.85;
 
 /// The bound, for the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -40,15 +41,18 @@
     bound: Bound,
     /// Daemons that share the bound, at least 1.
     daemons: usize,
+    /// When this process began to count.
+    started: Instant,
     services: HashMap<Arc<str>, Service>,
 }
 
 impl Repeats {
     /// Nothing counted yet. `daemons` is how many share the bound.
-    pub fn new(bound: Bound, daemons: usize) -> Repeats {
+    pub fn new(bound: Bound, daemons: usize, started: Instant) -> Repeats {
         Repeats {
             bound,
             daemons: daemons.max(1),
+            started,
             services: HashMap::new(),
         }
     }
@@ -66,8 +70,14 @@
 
     /// Takes a repeat, if there is one left.
     pub fn try_take(&mut self, service: &Arc<str>, now: Instant) -> bool {
-        let Bound { ratio, slack, .. } = self.bound;
-        let fixed = slack / self.daemons as f64;
+        let Bound {
+            window,
+            ratio,
+            slack,
+        } = self.bound;
+        let running = now.duration_since(self.started).as_secs_f64();
+        let earned = (running / window.as_secs_f64()).min(1.0);
+        let fixed = slack / self.daemons as f64 * earned;
         let counts = self.service(service, now);
         let allowed = (fixed + ratio * counts.requests.len() as f64) * SAFETY;
         if counts.repeats.len() as f64 + 1.0 > allowed {
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::AtomicU64;
 
 use arc_swap::ArcSwap;
+use tokio::time::Instant;
 
 use crate::config::Table;
 use crate::crashes::Crashes;
@@ -40,7 +41,7 @@
             domain: domain.to_owned(),
             table: ArcSwap::from_pointee(Table::default()),
             fleet: Mutex::new(Fleet::default()),
-            repeats: Mutex::new(Repeats::new(bound, daemons)),
+            repeats: Mutex::new(Repeats::new(bound, daemons, Instant::now())),
             crashes: Mutex::default(),
             pool: Pool::default(),
             closing: AtomicBool::new(false),
--- a/crates/kelpworks-relay/tests/bounds.rs
+++ b/crates/kelpworks-relay/tests/bounds.rs
@@ -29,10 +29,12 @@
 #[tokio::test(start_paused = true)]
 async fn all_daemons_together_stay_below_the_bound() {
     let service: Arc<str> = Arc::from("llm");
+    let started = Instant::now();
+    tokio::time::advance(BOUND.window).await;
     let now = Instant::now();
     let mut total = 0;
     for requests in [0, 5, 50, 100, 200, 300, 400] {
-        let mut repeats = Repeats::new(BOUND, 7);
+        let mut repeats = Repeats::new(BOUND, 7, started);
         for _ in 0..requests {
             repeats.requested(&service, now);
         }
@@ -46,13 +48,28 @@
 #[tokio::test(start_paused = true)]
 async fn repeats_come_back_when_the_window_has_passed() {
     let service: Arc<str> = Arc::from("llm");
-    let mut repeats = Repeats::new(BOUND, 7);
+    let mut repeats = Repeats::new(BOUND, 7, Instant::now());
+    tokio::time::advance(BOUND.window).await;
     let first = given(&mut repeats, &service, Instant::now());
     assert_eq!(given(&mut repeats, &service, Instant::now()), 0);
     tokio::time::advance(Duration::from_millis(10_001)).await;
     assert_eq!(given(&mut repeats, &service, Instant::now()), first);
 }
 
+/// A drawn day broke the bound by two: a daemon that was killed had its part again at once.
+#[tokio::test(start_paused = true)]
+async fn a_daemon_that_starts_again_gets_its_part_by_and_by() {
+    let service: Arc<str> = Arc::from("llm");
+    let mut before = Repeats::new(BOUND, 7, Instant::now());
+    tokio::time::advance(BOUND.window).await;
+    let part = given(&mut before, &service, Instant::now());
+    let mut after = Repeats::new(BOUND, 7, Instant::now());
+    assert_eq!(given(&mut after, &service, Instant::now()), 0);
+    tokio::time::advance(BOUND.window / 2).await;
+    let half = given(&mut after, &service, Instant::now());
+    assert!(half > 0 && half <= part / 2 + 1, "{half} of {part}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_request_that_crashes_upstreams_is_refused_also_by_word_of_peers() {
     let now = Instant::now();
--- a/crates/kelpworks-relay/tests/fleet_support/mod.rs
+++ b/crates/kelpworks-relay/tests/fleet_support/mod.rs
@@ -12,10 +12,10 @@
 use kelpworks_relay::layout::Host;
 
 /// Layers of the model.
-pub const LAYERS: u16 = 80;
+pub(crate) const LAYERS: u16 = 80;
 
 /// A model of 80 layers on three kinds of accelerators.
-pub fn engines() -> Engines {
+pub(crate) fn engines() -> Engines {
     let kind = |name: &str, memory_mb, step_factor, read_factor| Accelerator {
         name: Arc::from(name),
         memory_mb,
@@ -42,7 +42,7 @@
 }
 
 /// Engines that hold nothing: one large, eight middle and four slow ones a domain.
-pub fn empty_hosts(domains: &[&str]) -> Vec<Host> {
+pub(crate) fn empty_hosts(domains: &[&str]) -> Vec<Host> {
     let mut hosts = Vec::new();
     for domain in domains {
         let kinds = [("large", 1), ("middle", 8), ("slow", 4)];
@@ -62,7 +62,7 @@
 }
 
 /// The registration of an engine.
-pub fn entry(number: usize, host: &Host) -> UpstreamEntry {
+pub(crate) fn entry(number: usize, host: &Host) -> UpstreamEntry {
     UpstreamEntry {
         instance: Arc::clone(&host.instance),
         service: Arc::from("llm"),
@@ -78,6 +78,6 @@
 }
 
 /// A range.
-pub fn range(from: u16, to: u16) -> LayerRange {
+pub(crate) fn range(from: u16, to: u16) -> LayerRange {
     LayerRange { from, to }
 }
