Wait for room an eighth of the latency target

Cause: with half of the target, requests that waited came together when room was there and slowed all others: tokens took 57 ms an event instead of 38, and twice as many requests ran at a time. Change: ROOM_WAIT_PART 0.5 to 0.12.

--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -65,7 +65,7 @@
 /// Attempts of one request, with those that were refused without having run.
 const MOST_ATTEMPTS: u32 = 6;
 /// Part of a route's latency target for which a request waits for room.
-const ROOM_WAIT_PART: f64 = 0.5;
+const ROOM_WAIT_PART: f64 = 0.12;
 /// Time between two looks for room.
 const ROOM_PAUSE: Duration = Duration::from_millis(30);
 /// Pause before an attempt that follows a refusal; doubled with each one.
