A request without a path uses no repeat; a shorter placement lease

Ruled out: repeats used by calls (another service). Change: without a path a request is refused after its short wait; mid-stream an unused repeat is kept for the next look. Counter of repeats. Lease 3 s instead of 4.

--- a/crates/kelpworks-cli/tests/relay_faults.rs
+++ b/crates/kelpworks-cli/tests/relay_faults.rs
@@ -16,6 +16,9 @@
 use relay_site::engine::is_whole;
 use relay_site::route;
 
+/// Repeats that a daemon has used.
+const REPEATS: &str = "kelpworks_repeats_total{outcome=\"taken\"}";
+
 #[rstest]
 #[case::cut("cut", Fault::Cut(3))]
 #[case::silent("silent", Fault::Silent(3, Duration::from_secs(20)))]
@@ -78,6 +81,21 @@
     );
 }
 
+/// An incident: requests that found no path used up the repeats that streams needed to go on.
+#[tokio::test]
+async fn a_request_without_a_path_is_refused_and_uses_no_repeat() {
+    let site = Site::start("no-path", 1).await;
+    for engine in site.engines.all() {
+        site.store.delete("servers", &engine.instance);
+    }
+    let daemon = &site.daemons[0];
+    until(async || daemon.stream("n-1", 4).await.is_ok_and(|a| a.status == 503)).await;
+    let before = daemon.counter(REPEATS).await;
+    let answer = daemon.stream("n-2", 4).await.expect("an answer");
+    assert_eq!((answer.status, answer.retry_after.is_some()), (503, true));
+    assert_eq!(daemon.counter(REPEATS).await, before);
+}
+
 #[rstest]
 #[case::lost("/once/reset", 502, 1)]
 #[case::another_request("/once/foreign", 502, 1)]
--- a/crates/kelpworks-cli/tests/relay_site/daemon.rs
+++ b/crates/kelpworks-cli/tests/relay_site/daemon.rs
@@ -45,6 +45,7 @@
     log: PathBuf,
     pub(crate) callers: SocketAddr,
     pub(crate) readiness: SocketAddr,
+    operators: SocketAddr,
     pub(crate) peers: SocketAddr,
     client: reqwest::Client,
 }
@@ -109,6 +110,7 @@
             log,
             callers,
             readiness,
+            operators,
             peers,
             client,
         }
@@ -138,6 +140,15 @@
         }
     }
 
+    /// A counter of its metrics with these labels; 0 when it has not counted yet.
+    pub(crate) async fn counter(&self, name: &str) -> u64 {
+        let url = format!("http://{}/metrics", self.operators);
+        let page = self.client.get(url).send().await.expect("metrics");
+        let page = page.text().await.expect("text");
+        let value = page.lines().find_map(|l| l.strip_prefix(name));
+        value.map_or(0, |v| v.trim().parse().expect("a number"))
+    }
+
     /// A request with the team's key.
     pub(crate) fn request(&self, method: Method, path: &str, id: &str) -> RequestBuilder {
         let req = self
--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -60,13 +60,13 @@
 const ASSUMED_DAEMONS: usize = 8;
 /// Length of the placement lease. Engines that are lost while its holder is too are replaced after
 /// it: short, but with room for two failed renewals.
-const LEASE: Span = Span::from_millis(4_000);
+const LEASE: Span = Span::from_millis(3_000);
 /// Time between renewals; each is a paid call.
-const RENEW: Span = Span::from_millis(1_300);
+const RENEW: Span = Span::from_millis(900);
 /// Longest time from the check of the lease to an order's effect.
-const ORDER_BOUND: Span = Span::from_millis(1_000);
+const ORDER_BOUND: Span = Span::from_millis(700);
 /// Time between two looks of the others at the lease.
-const LEASE_WATCH: Span = Span::from_millis(2_500);
+const LEASE_WATCH: Span = Span::from_millis(1_500);
 /// Pause before a failed call for the lease is made again.
 const LEASE_RETRY: Span = Span::from_millis(400);
 
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -167,7 +167,7 @@
     }
     let chosen = choose(&shared.fleet(), &ticket.service.name, tried)?;
     let now = Instant::now();
-    let allowed = attempts == 0 || shared.repeats().try_take(&ticket.service.name, now);
+    let allowed = attempts == 0 || shared.take_repeat(&ticket.service.name, now);
     allowed.then_some(chosen)
 }
 
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -86,6 +86,8 @@
     crash: bool,
     /// Whether the next attempt was asked for and allowed already.
     permitted: bool,
+    /// Whether there was no path, so that nothing was sent and no repeat was used.
+    unsent: bool,
 }
 
 impl Failure {
@@ -95,6 +97,14 @@
             why,
             crash: false,
             permitted: false,
+            unsent: false,
+        }
+    }
+
+    fn no_path(why: &'static str) -> Failure {
+        Failure {
+            unsent: true,
+            ..Failure::new(Verdict::NotRun, why)
         }
     }
 
@@ -262,7 +272,8 @@
             };
             verdict = verdict.max(failure.verdict);
             self.failed(failure);
-            if !failure.permitted && !self.may_go_on(verdict) {
+            // Without a path it has waited for one; the caller is told to come back.
+            if failure.unsent || (!failure.permitted && !self.may_go_on(verdict)) {
                 return Err(give_up(&self.ticket, verdict, failure.why));
             }
             self.pause(failure).await;
@@ -298,7 +309,9 @@
         let mut failure = failure;
         loop {
             self.failed(failure);
-            if !failure.permitted && !self.may_go_on(Verdict::MayHaveRun) {
+            // A repeat that found no path was not used.
+            let unused = failure.unsent && self.refusals < MOST_ATTEMPTS;
+            if !unused && !failure.permitted && !self.may_go_on(Verdict::MayHaveRun) {
                 self.reading = silent;
                 return match self.reading {
                     Some(_) => Ok(()),
@@ -342,9 +355,7 @@
         if self.shared.crashes().refuses(self.ticket.fingerprint, now) {
             return false;
         }
-        self.shared
-            .repeats()
-            .try_take(&self.ticket.service.name, now)
+        self.shared.take_repeat(&self.ticket.service.name, now)
     }
 
     /// Notes a failed attempt.
@@ -447,7 +458,7 @@
     async fn attempt(&mut self) -> Result<(StatusCode, HeaderMap), Failure> {
         self.strike_out_ended().await;
         let path = self.choose_when_there_is_room().await;
-        let path = path.map_err(|why| Failure::new(Verdict::NotRun, why))?;
+        let path = path.map_err(Failure::no_path)?;
         self.attempts += 1;
         let (first, _) = path.parts[0];
         let forwarded = Forwarded {
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -1,5 +1,6 @@
 //! What the parts of a relaying daemon share.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -59,6 +60,14 @@
         lock(&self.repeats)
     }
 
+    /// Takes a repeat at a service from this daemon's part, if there is one left.
+    pub fn take_repeat(&self, service: &Arc<str>, now: Instant) -> bool {
+        let taken = self.repeats().try_take(service, now);
+        let outcome = if taken { "taken" } else { "denied" };
+        metrics::counter!("kelpworks_repeats_total", "outcome" => outcome).increment(1);
+        taken
+    }
+
     /// Requests that crash upstreams.
     pub fn crashes(&self) -> MutexGuard<'_, Crashes> {
         lock(&self.crashes)
