Measure silence against the pauses of all streams

Cause: while the fleet is slow (60 to 70 ms between events instead of 38) a pause of 130 ms is usual; streams moved then only added prompts to be read again. Change: both bounds stretch with a moving average of pauses, up to three times.

--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -53,7 +53,8 @@
 /// usual pauses between events (20 to 30 ms).
 const NOTICED: Duration = Duration::from_millis(70);
 /// Silence after which the engines with the most silent streams are suspected: early enough that
-/// another path can go on within a pause of 250 ms.
+/// another path can go on within a pause of 250 ms. Both are stretched while all streams are slow:
+/// moving them then would only add prompts to be read again.
 const SILENT: Duration = Duration::from_millis(130);
 /// Added to both before the first event: reading a prompt over slow engines takes up to this.
 const READING: Duration = Duration::from_millis(80);
@@ -583,19 +584,21 @@
         begun: bool,
     ) -> Result<T, Failure> {
         tokio::pin!(work);
-        let reading = if begun {
-            Duration::ZERO
-        } else {
-            self.reading_time()
+        let reading = match begun {
+            true => Duration::ZERO,
+            false => self.reading_time(),
         };
-        let noticed = since + NOTICED + reading;
+        let slowness = self.shared.slowness();
+        let silent = SILENT.mul_f64(slowness);
+        let reading = reading.mul_f64(slowness);
+        let noticed = since + NOTICED.mul_f64(slowness) + reading;
         if let Some(done) = self.until(&mut work, noticed).await? {
             return Ok(done);
         }
         let now = Instant::now();
         let suspects = self.shared.fleet().unconfirmed(parts, since, now);
         let _silence = Silence::note(&self.shared, suspects);
-        let mut at = since + SILENT + reading;
+        let mut at = since + silent + reading;
         loop {
             if let Some(done) = self.until(&mut work, at).await? {
                 return Ok(done);
@@ -606,7 +609,7 @@
                     ..Failure::new(Verdict::MayHaveRun, why)
                 });
             }
-            at += SILENT;
+            at += silent;
         }
     }
 
@@ -680,6 +683,9 @@
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
+                    if reading.begun {
+                        self.shared.paused(now.duration_since(reading.heard));
+                    }
                     reading.heard = now;
                     reading.begun = true;
                     self.confirm(&reading.parts, now);
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -6,6 +6,8 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use tokio::time::Instant;
@@ -17,6 +19,13 @@
 use crate::repeats::Bound;
 use crate::repeats::Repeats;
 
+/// Pause between two events on a calm fleet of today's kinds of accelerators, measured.
+const USUAL_PAUSE: Duration = Duration::from_millis(38);
+/// One in so many of the moving average is the newest pause: about what a daemon reads in a second.
+const PAUSE_WEIGHT: u64 = 256;
+/// Bound on slowness: callers leave a stream after two seconds without an event.
+const MOST_SLOWNESS: f64 = 3.0;
+
 /// State of one daemon. Locks are held for a few lines and never across an await.
 #[derive(Debug)]
 pub struct Shared {
@@ -27,6 +36,8 @@
     fleet: Mutex<Fleet>,
     repeats: Mutex<Repeats>,
     crashes: Mutex<Crashes>,
+    /// Moving average of the pause between two events of a stream, in microseconds.
+    pause_us: AtomicU64,
     /// Connections to upstreams.
     pub pool: Pool,
     /// Set from the start of a planned stop: callers are told to leave their connections.
@@ -44,6 +55,7 @@
             fleet: Mutex::new(Fleet::default()),
             repeats: Mutex::new(Repeats::new(bound, daemons, Instant::now())),
             crashes: Mutex::default(),
+            pause_us: AtomicU64::new(USUAL_PAUSE.as_micros() as u64),
             pool: Pool::default(),
             closing: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
@@ -60,6 +72,20 @@
         lock(&self.repeats)
     }
 
+    /// Notes a pause between two events of a stream.
+    pub fn paused(&self, pause: Duration) {
+        let pause = pause.as_micros() as u64;
+        let old = self.pause_us.load(Ordering::Relaxed);
+        let new = old - old / PAUSE_WEIGHT + pause / PAUSE_WEIGHT;
+        self.pause_us.store(new, Ordering::Relaxed);
+    }
+
+    /// How much longer pauses are now than usual; at least 1.
+    pub fn slowness(&self) -> f64 {
+        let pause = Duration::from_micros(self.pause_us.load(Ordering::Relaxed));
+        (pause.as_secs_f64() / USUAL_PAUSE.as_secs_f64()).clamp(1.0, MOST_SLOWNESS)
+    }
+
     /// Takes a repeat at a service from this daemon's part, if there is one left.
     pub fn take_repeat(&self, service: &Arc<str>, now: Instant) -> bool {
         let taken = self.repeats().try_take(service, now);
