Presume engines lost that fail again and again

Ruled out: doubts that end too soon (peers' word kept them doubted all the while, so that failures were not even counted). Change: failures at four moments with nothing passing for 2.4 s take an engine out of the planner's view. Conclusion: kept for its cause; the outage stays open.

--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -35,6 +35,12 @@
 const LATELY: Duration = Duration::from_millis(130);
 /// Time for which a request to an upstream that failed before keeps others away from it.
 const TRIAL: Duration = Duration::from_millis(400);
+/// Moments of failure after which an upstream is presumed lost: one or two may be a slow moment.
+const LOST_MOMENTS: u32 = 4;
+/// Failures closer together than this count as one moment: all streams on an engine fail together.
+const MOMENT: Duration = Duration::from_millis(250);
+/// And time without any work passing: two heartbeats of discovery.
+const LOST_AFTER: Duration = Duration::from_millis(2_400);
 /// Weight of an attempt in the moving share of failures: about the last ten count.
 const FAILING_WEIGHT: f64 = 0.1;
 /// Weight of a new answer time in its moving average.
@@ -62,8 +68,12 @@
     pub last_good: Option<Instant>,
     /// Passed over until then where others can do its work.
     pub doubted_until: Option<Instant>,
-    /// Failures in a row.
+    /// Failures in a row, as far as each made it passed over for longer.
     failures: u32,
+    /// Moments at which it failed since work last passed it, [`MOMENT`] apart at least.
+    moments: u32,
+    /// The last of them.
+    last_moment: Option<Instant>,
     /// Streams of this daemon that are silent now and have it on their path, unconfirmed.
     silent: i32,
     /// Moving average of its answer times, in milliseconds.
@@ -83,6 +93,15 @@
         self.doubted_until.is_some_and(|until| now < until)
     }
 
+    /// Whether it failed again and again with nothing passing in between: dead, or leaving without
+    /// its entry saying so, as while the store is down.
+    pub fn is_presumed_lost(&self, now: Instant) -> bool {
+        let idle = self
+            .last_good
+            .is_none_or(|at| now.duration_since(at) > LOST_AFTER);
+        self.moments >= LOST_MOMENTS && idle
+    }
+
     /// Load by all daemons.
     pub fn load(&self) -> Load {
         Load {
@@ -177,6 +196,8 @@
             last_good: None,
             doubted_until: None,
             failures: 0,
+            moments: 0,
+            last_moment: None,
             silent: 0,
             answer_ms: None,
             failing: 0.0,
@@ -258,6 +279,7 @@
             u.last_good = Some(now);
             u.doubted_until = None;
             u.failures = 0;
+            u.moments = 0;
         }
     }
 
@@ -283,6 +305,12 @@
         let Some(u) = self.upstreams.get_mut(key) else {
             return;
         };
+        if u.last_moment
+            .is_none_or(|at| now.duration_since(at) >= MOMENT)
+        {
+            u.moments += 1;
+            u.last_moment = Some(now);
+        }
         if u.is_doubted(now) {
             return;
         }
--- a/crates/kelpworks-relay/src/placer.rs
+++ b/crates/kelpworks-relay/src/placer.rs
@@ -110,7 +110,7 @@
         let now = Instant::now();
         let shared = Arc::clone(&self.shared);
         let fleet = shared.fleet();
-        let open = |u: &&Upstream| u.entry.stage == Stage::Ready;
+        let open = |u: &&Upstream| u.entry.stage == Stage::Ready && !u.is_presumed_lost(now);
         let upstreams: Vec<&Upstream> = fleet
             .of_service(service)
             .map(|(_, u)| u)
--- a/crates/kelpworks-relay/tests/path.rs
+++ b/crates/kelpworks-relay/tests/path.rs
@@ -186,6 +186,28 @@
     assert_eq!(suspects, [dead]);
 }
 
+/// A drawn day: engines left while the store was down, so that no entry said so.
+#[tokio::test(start_paused = true)]
+async fn an_engine_that_fails_again_and_again_is_presumed_lost() {
+    let mut fleet = fleet(&["a"]);
+    let key = find(&fleet, &ask("a", &[]), 1).expect("a path").parts[0].0;
+    let is_lost = |fleet: &Fleet| {
+        fleet
+            .get(key)
+            .expect("known")
+            .is_presumed_lost(Instant::now())
+    };
+    fleet.good(key, Instant::now());
+    for _ in 0..9 {
+        assert!(!is_lost(&fleet));
+        fleet.doubt(key, Instant::now());
+        tokio::time::advance(Duration::from_millis(300)).await;
+    }
+    assert!(is_lost(&fleet));
+    fleet.good(key, Instant::now());
+    assert!(!is_lost(&fleet));
+}
+
 #[tokio::test]
 async fn the_engine_that_most_silent_streams_share_is_blamed() {
     let mut fleet = fleet(&["a"]);
