Log lines go through a bounded queue that never holds the daemon up

Cause: lines were written to standard output by the thread that serves requests; a reader that stops would have stopped the daemon. Change: a queue of 4,096 lines and a thread; what is dropped is counted and said.

--- /dev/null
+++ b/crates/kelpworks-cli/src/log_writer.rs
@@ -0,0 +1,99 @@
+//! Log lines on standard output that never hold the daemon up.
+//!
+//! Lines go through a bounded queue to a thread of their own. When whoever reads them stops, the
+//! queue fills and further lines are dropped; how many is said in the first line after it.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::sync_channel;
+use std::thread;
+
+use flexi_logger::DeferredNow;
+use flexi_logger::writers::LogWriter;
+use log::Record;
+
+/// Lines that wait, at most: some seconds of a busy daemon's, about 2 MB.
+const QUEUE: usize = 4_096;
+
+enum Message {
+    Line(Vec<u8>),
+    /// Everything before it is to be written; the answer says that it is.
+    Flush(SyncSender<()>),
+}
+
+/// Writes lines by a thread of its own.
+pub(crate) struct QueuedWriter {
+    tx: SyncSender<Message>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl QueuedWriter {
+    /// A writer to `out`, which is only touched by the thread.
+    pub(crate) fn new(out: impl Write + Send + 'static) -> io::Result<QueuedWriter> {
+        let (tx, rx) = sync_channel(QUEUE);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counted = Arc::clone(&dropped);
+        thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || write_lines(&rx, out, &counted))?;
+        Ok(QueuedWriter { tx, dropped })
+    }
+}
+
+fn write_lines(rx: &Receiver<Message>, mut out: impl Write, dropped: &AtomicU64) {
+    for message in rx {
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        let note = format!(
+            "{{\"level\":\"WARN\",\"text\":\"log lines dropped\",\"kv\":{{\"count\":{lost}}}}}\n"
+        );
+        let noted = if lost > 0 {
+            out.write_all(note.as_bytes())
+        } else {
+            Ok(())
+        };
+        let written = match message {
+            Message::Line(line) => noted.and_then(|()| out.write_all(&line)),
+            Message::Flush(done) => {
+                let flushed = noted.and_then(|()| out.flush());
+                // Whoever asked may have stopped waiting.
+                let _ = done.send(());
+                flushed
+            }
+        };
+        // The reader of the log is gone for good; there is nobody left to tell.
+        if written.is_err() {
+            return;
+        }
+    }
+}
+
+impl LogWriter for QueuedWriter {
+    fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+        let mut line = Vec::with_capacity(256);
+        flexi_logger::json_format(&mut line, now, record)?;
+        line.push(b'\n');
+        if self.tx.try_send(Message::Line(line)).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        let (tx, rx) = sync_channel(1);
+        if self.tx.try_send(Message::Flush(tx)).is_ok() {
+            let _ = rx.recv_timeout(FLUSH);
+        }
+        Ok(())
+    }
+}
+
+/// Longest wait for the last lines at the end of the process.
+const FLUSH: std::time::Duration = std::time::Duration::from_millis(300);
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/kelpworks-cli/src/log_writer/tests.rs
@@ -0,0 +1,108 @@
+//! The queued log under a reader that stops.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+
+use flexi_logger::DeferredNow;
+use flexi_logger::writers::LogWriter;
+use log::Level;
+use log::Record;
+
+use super::QUEUE;
+use super::QueuedWriter;
+
+#[derive(Default)]
+struct State {
+    is_open: bool,
+    taken: Vec<u8>,
+}
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    opened: Condvar,
+}
+
+/// A reader that takes nothing until it is opened.
+#[derive(Clone, Default)]
+struct Gate(Arc<Shared>);
+
+impl Gate {
+    fn open(&self) {
+        self.0.state.lock().expect("no panic").is_open = true;
+        self.0.opened.notify_all();
+    }
+
+    fn text(&self) -> String {
+        let state = self.0.state.lock().expect("no panic");
+        String::from_utf8(state.taken.clone()).expect("text")
+    }
+}
+
+impl Write for Gate {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        let state = self.0.state.lock().expect("no panic");
+        let closed = |s: &mut State| !s.is_open;
+        let mut state = self.0.opened.wait_while(state, closed).expect("no panic");
+        state.taken.extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn write(writer: &QueuedWriter, text: &str) {
+    let args = format_args!("{text}");
+    let record = Record::builder().args(args).level(Level::Info).build();
+    writer
+        .write(&mut DeferredNow::new(), &record)
+        .expect("no error");
+}
+
+#[test]
+fn a_reader_that_stops_holds_nobody_up_and_learns_what_it_missed() {
+    let gate = Gate::default();
+    let writer = QueuedWriter::new(gate.clone()).expect("a thread");
+    // One line may be in the hands of the thread, so at least these are dropped.
+    let dropped = 100;
+    for i in 0..=QUEUE + dropped {
+        write(&writer, &format!("line {i}"));
+    }
+    gate.open();
+    while !gate.text().contains(&format!("\"line {}\"", QUEUE - 1)) {
+        std::thread::yield_now();
+    }
+    write(&writer, "after");
+    while !gate.text().contains("\"after\"") {
+        std::thread::yield_now();
+    }
+    let text = gate.text();
+    let note = text
+        .lines()
+        .find(|l| l.contains("log lines dropped"))
+        .expect("a note");
+    let count = note
+        .rsplit_once("\"count\":")
+        .and_then(|(_, n)| n.trim_end_matches('}').parse().ok());
+    let count: usize = count.expect("a number");
+    let lines = text.lines().filter(|l| l.contains("\"line ")).count();
+    assert_eq!(lines + count, QUEUE + dropped + 1);
+}
+
+#[test]
+fn lines_come_out_in_order_after_a_flush() {
+    let gate = Gate::default();
+    gate.open();
+    let writer = QueuedWriter::new(gate.clone()).expect("a thread");
+    write(&writer, "first");
+    write(&writer, "second");
+    writer.flush().expect("no error");
+    let text = gate.text();
+    let at = |word: &str| text.find(word).expect("written");
+    assert!(at("first") < at("second"));
+}
--- a/crates/kelpworks-cli/src/main.rs
+++ b/crates/kelpworks-cli/src/main.rs
@@ -13,6 +13,7 @@
 mod failure;
 mod force;
 mod help;
+mod log_writer;
 mod relay;
 mod serve;
 mod status;
--- a/crates/kelpworks-cli/src/serve.rs
+++ b/crates/kelpworks-cli/src/serve.rs
@@ -7,6 +7,7 @@
 
 use crate::change::read_settings;
 use crate::failure::Result;
+use crate::log_writer::QueuedWriter;
 use kelpworks::daemon;
 
 /// Runs a daemon until it is stopped.
@@ -24,7 +25,7 @@
 pub(crate) enum Output {
     /// To standard error: standard output carries the addresses that the daemon got.
     Error,
-    /// To standard output.
+    /// To standard output, by a bounded queue.
     Standard,
 }
 
@@ -40,7 +41,7 @@
     let logger = logger.format(flexi_logger::json_format);
     let logger = match output {
         Output::Error => logger.log_to_stderr(),
-        Output::Standard => logger.log_to_stdout(),
+        Output::Standard => logger.log_to_writer(Box::new(QueuedWriter::new(std::io::stdout())?)),
     };
     Ok(logger.start()?)
 }
