--- a/crates/kelpworks-cli/tests/relay_faults.rs
+++ b/crates/kelpworks-cli/tests/relay_faults.rs
@@ -115,6 +115,39 @@
     assert_eq!(answer.retry_after.is_some(), status == 503);
 }
 
+/// A drawn day: engines left the registration and worked on, and a third one got the request.
+#[tokio::test]
+async fn engines_that_leave_the_registration_still_count_as_tried() {
+    let domains = ["hall-a", "hall-b", "hall-c"];
+    let site = Site::start_in("tried", 1, Budget::default(), &domains).await;
+    let pause = Duration::from_secs(20);
+    site.engines.fault_everywhere(Fault::Silent(2, pause));
+    let firsts = async || {
+        let mut firsts: Vec<String> = site.engines.runs().into_iter().map(|r| r.first).collect();
+        firsts.sort_unstable();
+        firsts.dedup();
+        for first in &firsts {
+            site.store.delete("servers", first);
+        }
+        firsts
+    };
+    let rest = tokio::spawn(site.daemons[0].begin("f-1", 12).await);
+    until(async || firsts().await.len() == 2).await;
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    assert_eq!(firsts().await.len(), 2);
+    rest.abort();
+}
+
+#[tokio::test]
+async fn work_ends_soon_after_its_caller_has_left() {
+    let site = Site::start("left", 1).await;
+    let rest = site.daemons[0].begin("l-1", 2_000).await;
+    assert_eq!(site.engines.working(), 1);
+    drop(rest);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(site.engines.working(), 0);
+}
+
 #[tokio::test]
 async fn a_daemon_that_the_store_turns_away_hears_changes_from_a_peer() {
     let mut site = Site::start("peers", 1).await;
--- a/crates/kelpworks-cli/tests/relay_site/engine.rs
+++ b/crates/kelpworks-cli/tests/relay_site/engine.rs
@@ -59,6 +59,24 @@
     held: Mutex<Option<(u16, u16)>>,
     orders: AtomicU64,
     fault: Mutex<Option<Fault>>,
+    /// Streams that it is working on.
+    working: AtomicU64,
+}
+
+/// A stream that an engine is working on, until dropped.
+struct Work(Engine);
+
+impl Work {
+    fn begin(engine: &Engine) -> Work {
+        engine.working.fetch_add(1, Ordering::Relaxed);
+        Work(engine.clone())
+    }
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        self.0.working.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// A running engine.
@@ -101,6 +119,12 @@
         }
     }
 
+    /// Streams that engines are working on.
+    pub(crate) fn working(&self) -> u64 {
+        let working = |e: &Engine| e.working.load(Ordering::Relaxed);
+        self.all().iter().map(working).sum()
+    }
+
     /// Ends all faults that have not struck.
     pub(crate) fn heal(&self) {
         for engine in self.all() {
@@ -118,6 +142,7 @@
             held: Mutex::default(),
             orders: AtomicU64::new(0),
             fault: Mutex::default(),
+            working: AtomicU64::new(0),
         }));
         let serve = Serve {
             engine: engine.clone(),
@@ -231,7 +256,11 @@
         self.registry.runs.lock().expect("no panic").push(run);
         let _ = res.add_header(STAMP, format!("stamp-of-{}", self.engine.instance), true);
         let _ = res.add_header("content-type", "text/event-stream", true);
-        let pieces = stream::iter(after + 1..=events).then(move |id| piece(id, after, fault));
+        let work = Work::begin(&self.engine);
+        let pieces = stream::iter(after + 1..=events).then(move |id| {
+            let _work = &work;
+            piece(id, after, fault)
+        });
         res.stream(pieces);
     }
 }
--- a/crates/kelpworks-cli/tests/relay_site/mod.rs
+++ b/crates/kelpworks-cli/tests/relay_site/mod.rs
@@ -99,10 +99,21 @@
     }
 
     pub(crate) async fn start_with(name: &str, daemons: usize, budget: daemon::Budget) -> Site {
+        Site::start_in(name, daemons, budget, &["hall-a", "hall-b"]).await
+    }
+
+    /// As [`Site::start`], with two engines in each of some failure domains.
+    pub(crate) async fn start_in(
+        name: &str,
+        daemons: usize,
+        budget: daemon::Budget,
+        domains: &[&str],
+    ) -> Site {
         let store = Store::start().await;
         store.put("config", "main", configuration(3));
         let engines = Registry::default();
-        for (i, domain) in ["hall-a", "hall-a", "hall-b", "hall-b"].iter().enumerate() {
+        let each_twice = domains.iter().flat_map(|d| [d, d]);
+        for (i, domain) in each_twice.enumerate() {
             let engine = Engine::start(&engines, &format!("e-{i}"), domain).await;
             store.put("servers", &engine.instance, engine.entry());
         }
