Make the test of tried engines fail without its change

The streams are now cut after their silence; without the change three first engines get the request, with it two.

--- a/crates/kelpworks-cli/tests/relay_faults.rs
+++ b/crates/kelpworks-cli/tests/relay_faults.rs
@@ -120,8 +120,9 @@
 async fn engines_that_leave_the_registration_still_count_as_tried() {
     let domains = ["hall-a", "hall-b", "hall-c"];
     let site = Site::start_in("tried", 1, Budget::default(), &domains).await;
-    let pause = Duration::from_secs(20);
-    site.engines.fault_everywhere(Fault::Silent(2, pause));
+    let pause = Duration::from_millis(1_500);
+    site.engines
+        .fault_everywhere(Fault::SilentThenCut(2, pause));
     let firsts = async || {
         let mut firsts: Vec<String> = site.engines.runs().into_iter().map(|r| r.first).collect();
         firsts.sort_unstable();
@@ -131,11 +132,11 @@
         }
         firsts
     };
-    let rest = tokio::spawn(site.daemons[0].begin("f-1", 12).await);
+    let caller = tokio::spawn(site.daemons[0].stream_request("f-1", 12).send());
     until(async || firsts().await.len() == 2).await;
-    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    tokio::time::sleep(pause * 2).await;
     assert_eq!(firsts().await.len(), 2);
-    rest.abort();
+    caller.abort();
 }
 
 #[tokio::test]
--- a/crates/kelpworks-cli/tests/relay_site/engine.rs
+++ b/crates/kelpworks-cli/tests/relay_site/engine.rs
@@ -38,6 +38,8 @@
     Silent(u64, Duration),
     /// The connection is closed in the middle of an event after so many.
     Cut(u64),
+    /// Silent after so many events, and cut after this time.
+    SilentThenCut(u64, Duration),
     /// Refused without having run.
     Refused,
 }
@@ -270,6 +272,10 @@
     tokio::time::sleep(EVENT).await;
     match fault {
         Some(Fault::Silent(n, pause)) if id == after + n + 1 => tokio::time::sleep(pause).await,
+        Some(Fault::SilentThenCut(n, pause)) if id == after + n + 1 => {
+            tokio::time::sleep(pause).await;
+            return Err(std::io::Error::other("cut"));
+        }
         Some(Fault::Cut(n)) if id == after + n + 1 => return Err(std::io::Error::other("cut")),
         _ => {}
     }
