Larger fleets: few watchers of the store, few and near partners, load by sample

Ruled out: the processor (0.01 of a core). Change: above eight peers, two daemons a failure domain watch the store and are candidates for the lease; three exchanges every half second, two of them near; twelve members a digest; the load of those heard stands for their failure domain; members count as live for 5 s, their load for 2.

--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -67,6 +67,8 @@
 const ORDER_BOUND: Span = Span::from_millis(700);
 /// Time between two looks of the others at the lease.
 const LEASE_WATCH: Span = Span::from_millis(1_500);
+/// Time between two looks whether this daemon is a candidate for the lease.
+const CANDIDATES_POLL: Duration = Duration::from_millis(500);
 /// Pause before a failed call for the lease is made again.
 const LEASE_RETRY: Span = Span::from_millis(400);
 
@@ -196,6 +198,8 @@
             let follower = Follower {
                 api: Arc::clone(&store),
                 documents: Arc::clone(&documents),
+                shared: Arc::clone(&shared),
+                peers: Arc::clone(&peers),
                 what,
             };
             tokio::spawn(follower.run::<D>(stop.clone()));
@@ -205,8 +209,8 @@
         let leave = CancellationToken::new();
         let hold = Arc::new(Hold::new(lease_config(), owner(&settings.name)));
         let keeper = LeaseKeeper::new(clients.lease, Arc::clone(&hold));
-        let left = leave.clone();
-        let lease = tokio::spawn(async move { keeper.run(&left).await });
+        let keeping = keep_lease(keeper, Arc::clone(&peers), leave.clone());
+        let lease = tokio::spawn(keeping);
         let placer = Placer::new(Arc::clone(&shared), hold, clients.engines);
         tokio::spawn(placer.run(leave.clone()));
         let readiness = operators::readiness(&shared);
@@ -287,6 +291,33 @@
     }
 }
 
+/// Keeps the lease while this daemon is one of those that watch the store: the others' looks at it
+/// would cost a call each and change nothing.
+async fn keep_lease<A: ObjectApi>(
+    keeper: LeaseKeeper<A>,
+    peers: Arc<Peers>,
+    leave: CancellationToken,
+) {
+    while !leave.is_cancelled() {
+        if !peers.is_watcher() {
+            tokio::time::sleep(CANDIDATES_POLL).await;
+            continue;
+        }
+        let turn = leave.child_token();
+        let others_watch = async {
+            while peers.is_watcher() {
+                tokio::time::sleep(CANDIDATES_POLL).await;
+            }
+            turn.cancel();
+            std::future::pending::<()>().await;
+        };
+        tokio::select! {
+            () = keeper.run(&turn) => {}
+            () = others_watch => {}
+        }
+    }
+}
+
 fn for_whom(whom: &'static str) -> impl Fn(std::io::Error) -> Error {
     move |source| Error::Listen { whom, source }
 }
--- a/crates/kelpworks-relay/src/follow.rs
+++ b/crates/kelpworks-relay/src/follow.rs
@@ -4,6 +4,7 @@
 //! system's keepalive, and by peers that know something newer.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use kelpworks::border::object_api::Error;
@@ -20,12 +21,16 @@
 use crate::documents::Entries;
 use crate::documents::EntryChange;
 use crate::documents::Source;
+use crate::peers::Peers;
+use crate::shared::Shared;
 
 /// Longest wait of a watch: each one is a paid call, and the platform allows 30 s.
 const WATCH: Duration = Duration::from_secs(20);
 /// Pause before a watch goes on, so that changes which come together cost one call: entries of a
 /// fleet that starts come one by one, each a paid call for each daemon without it.
 const GATHER: Duration = Duration::from_millis(120);
+/// Time between two looks whether this daemon should watch, while others do.
+const OTHERS_WATCH: Duration = Duration::from_millis(500);
 /// First pause after a failed call, doubled up to [`LONGEST_PAUSE`].
 const PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls: a fraction of the time within which changes must hold.
@@ -45,6 +50,9 @@
 pub(crate) struct Follower<A> {
     pub(crate) api: Arc<A>,
     pub(crate) documents: Arc<Documents>,
+    pub(crate) shared: Arc<Shared>,
+    /// Other daemons, which may watch in place of this one.
+    pub(crate) peers: Arc<Peers>,
     pub(crate) what: What,
 }
 
@@ -62,12 +70,19 @@
         let mut pause = PAUSE;
         let mut lost = false;
         loop {
+            if !self.peers.is_watcher() {
+                // What others tell meanwhile is newer than this revision.
+                revision = None;
+                tokio::time::sleep(OTHERS_WATCH).await;
+                continue;
+            }
             match self.step::<D>(revision).await {
                 Ok(seen) => {
                     if lost {
                         info!(kind:% = self.kind::<D>(), revision = seen; "store regained");
                     }
                     lost = false;
+                    self.shared.store_answers.store(true, Ordering::Relaxed);
                     revision = Some(seen);
                     pause = PAUSE;
                     tokio::time::sleep(GATHER).await;
@@ -81,6 +96,7 @@
                         warn!(kind:% = self.kind::<D>(), error:% = e; "store lost");
                     }
                     lost = true;
+                    self.shared.store_answers.store(false, Ordering::Relaxed);
                     self.api.fresh();
                     tokio::time::sleep(pause).await;
                     pause = (pause * 2).min(LONGEST_PAUSE);
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -4,6 +4,10 @@
 //! the other holds a newer configuration or newer entries of upstreams asks for the texts; so what
 //! one daemon read in the store reaches all, also those that the store turns away. Digests also
 //! carry load, doubts and suspicions, which need no history: the last one told counts.
+//!
+//! In a small fleet every daemon talks to every other and watches the store. In a larger one each
+//! talks to a few, most of them in its own failure domain, takes the load of those it heard for a
+//! sample of the fleet, and a few daemons of each domain watch the store for all.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -11,6 +15,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use jsonrpsee::core::RpcResult;
@@ -26,25 +31,39 @@
 use serde::Serialize;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::crashes::Fingerprint;
 use crate::dialect::Dialect;
 use crate::documents::Documents;
 use crate::documents::Entries;
 use crate::documents::Source;
-use crate::fleet::Load;
 use crate::shared::Shared;
 
 /// Time between two exchanges with each partner: load told a quarter of a second ago is still that
 /// of most streams, which last longer than a second.
 const EXCHANGE: Duration = Duration::from_millis(250);
-/// Daemons that are called each time.
-const FANOUT: usize = 8;
+/// Daemons besides this one up to which a fleet counts as small.
+const SMALL: usize = 8;
+/// Exchanges of a larger fleet are so many times rarer.
+const RARER: u32 = 2;
+/// Daemons of the own failure domain that are called each time in a larger fleet.
+const NEAR: usize = 2;
+/// Daemons of other failure domains that are called each time: bytes between domains are paid for.
+const FAR: usize = 1;
+/// Members that a digest names in a larger fleet: three exchanges each way name every one of 66
+/// within a second.
+const NAMED: usize = 12;
+/// Daemons of each failure domain that watch the store for the others.
+const WATCHERS: usize = 2;
 /// Longest time for an exchange.
 const CALL: Duration = Duration::from_millis(400);
 /// Largest text between daemons: a whole fleet's entries.
 const MOST_BYTES: u32 = 8 << 20;
-/// A daemon counts as live so long after it was last heard of, directly or through others.
+/// A daemon counts as live so long after it was last heard of, directly or through others: in a
+/// fleet of 66 word of a daemon comes about once a second, and at times not for three.
+const HEARD: Duration = Duration::from_secs(5);
+/// What a daemon told of its load and of the store counts so long.
 const LIVE: Duration = Duration::from_secs(2);
 /// A daemon counts among those that share a bound so long after it was last heard of: a daemon that
 /// can't be heard may still be working.
@@ -62,6 +81,8 @@
 pub(crate) struct Contact {
     /// Its name.
     name: String,
+    /// Failure domain it stands in.
+    domain: String,
     /// Where it listens for peers.
     address: SocketAddr,
     /// Milliseconds since it was last heard of.
@@ -102,6 +123,8 @@
     version: u64,
     /// Revision of the upstreams' entries there.
     revision: u64,
+    /// Whether it watches the store and the store answers it.
+    watches: bool,
     members: Vec<Contact>,
     load: Vec<LoadOf>,
     doubts: Vec<DoubtOf>,
@@ -140,12 +163,15 @@
 
 #[derive(Clone, Debug)]
 struct Member {
+    domain: String,
     address: SocketAddr,
     heard: Instant,
     /// Load that it told last.
     load: Vec<LoadOf>,
     /// When it told it.
     told: Option<Instant>,
+    /// Whether it watched the store then.
+    watches: bool,
 }
 
 /// The daemons, and what they tell each other.
@@ -201,6 +227,27 @@
         known
     }
 
+    /// Whether this daemon watches the store. In a larger fleet it does when it is among the first of
+    /// its failure domain by a hash, or has not heard for a while from a daemon that watches.
+    pub(crate) fn is_watcher(&self) -> bool {
+        let now = Instant::now();
+        let members = lock(&self.members);
+        let is_live = |m: &&Member| now.duration_since(m.heard) < HEARD;
+        if members.values().filter(is_live).count() <= SMALL {
+            return true;
+        }
+        let told = |m: &Member| m.told.is_some_and(|at| now.duration_since(at) < LIVE);
+        if !members.values().any(|m| m.watches && told(m)) {
+            return true;
+        }
+        let hash = |name: &str| xxh3_64(name.as_bytes());
+        let own = hash(&self.name);
+        let here = members
+            .iter()
+            .filter(|(_, m)| m.domain == self.shared.domain && is_live(m));
+        here.filter(|(name, _)| hash(name) < own).count() < WATCHERS
+    }
+
     /// Listens for peers.
     pub(crate) async fn listen<D: Dialect>(self: &Arc<Peers>) -> std::io::Result<ServerHandle> {
         let cfg = ServerConfig::builder()
@@ -222,11 +269,17 @@
     pub(crate) async fn run<D: Dialect>(self: Arc<Peers>, stop: CancellationToken) {
         let mut tick = tokio::time::interval(EXCHANGE);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut ticks = 0u32;
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
                 _ = tick.tick() => {}
             }
+            ticks = ticks.wrapping_add(1);
+            let is_small = lock(&self.members).len() <= SMALL;
+            if !is_small && !ticks.is_multiple_of(RARER) {
+                continue;
+            }
             for address in self.partners() {
                 let peers = Arc::clone(&self);
                 tokio::spawn(async move { peers.call::<D>(address).await });
@@ -242,14 +295,21 @@
         let members = lock(&self.members);
         let live = members
             .values()
-            .filter(|m| now.duration_since(m.heard) < LIVE);
-        let live: Vec<SocketAddr> = live.map(|m| m.address).collect();
-        let mut rng = rand::rng();
-        let mut chosen: Vec<SocketAddr> = live.sample(&mut rng, FANOUT).copied().collect();
+            .filter(|m| now.duration_since(m.heard) < HEARD);
+        let (near, far): (Vec<&Member>, Vec<&Member>) =
+            live.partition(|m| m.domain == self.shared.domain);
+        let live = near.iter().chain(&far).map(|m| m.address);
+        let live: Vec<SocketAddr> = live.collect();
         let seeds = lock(&self.seeds);
-        let unknown = seeds.iter().filter(|s| !live.contains(s));
-        chosen.extend(unknown);
-        chosen
+        let unknown = seeds.iter().filter(|s| !live.contains(s)).copied();
+        if live.len() <= SMALL {
+            return live.iter().copied().chain(unknown).collect();
+        }
+        let mut rng = rand::rng();
+        let near = near.sample(&mut rng, NEAR).map(|m| m.address);
+        let near: Vec<SocketAddr> = near.collect();
+        let far = far.sample(&mut rng, FAR).map(|m| m.address);
+        near.into_iter().chain(far).chain(unknown).collect()
     }
 
     async fn call<D: Dialect>(&self, address: SocketAddr) {
@@ -321,11 +381,13 @@
         Digest {
             from: Contact {
                 name: self.name.clone(),
+                domain: self.shared.domain.clone(),
                 address: self.address,
                 age_ms: 0,
             },
             version: self.documents.version(),
             revision: self.documents.revision(),
+            watches: self.is_watcher() && self.shared.store_answers.load(Ordering::Relaxed),
             members: self.contacts(now),
             load,
             doubts,
@@ -337,13 +399,20 @@
         let members = lock(&self.members);
         let live = members
             .iter()
-            .filter(|(_, m)| now.duration_since(m.heard) < LIVE);
-        let contact = |(name, m): (&String, &Member)| Contact {
+            .filter(|(_, m)| now.duration_since(m.heard) < HEARD);
+        let live: Vec<(&String, &Member)> = live.collect();
+        let named = if live.len() <= SMALL {
+            live.len()
+        } else {
+            NAMED
+        };
+        let contact = |&(name, m): &(&String, &Member)| Contact {
             name: name.clone(),
+            domain: m.domain.clone(),
             address: m.address,
             age_ms: now.duration_since(m.heard).as_millis() as u64,
         };
-        live.map(contact).collect()
+        live.sample(&mut rand::rng(), named).map(contact).collect()
     }
 
     /// Takes what a daemon tells.
@@ -356,6 +425,7 @@
         if let Some(member) = lock(&self.members).get_mut(&digest.from.name) {
             member.load = digest.load.clone();
             member.told = Some(now);
+            member.watches = digest.watches;
         }
         {
             let mut fleet = self.shared.fleet();
@@ -382,41 +452,49 @@
         }
         let mut members = lock(&self.members);
         let known = members.get(&contact.name);
-        let is_news = known.is_none_or(|m| now.duration_since(m.heard) >= LIVE);
+        let is_news = known.is_none_or(|m| now.duration_since(m.heard) >= HEARD);
         if known.is_some_and(|m| m.heard >= heard) {
             return;
         }
         let new = Member {
+            domain: contact.domain.clone(),
             address: contact.address,
             heard,
             load: Vec::new(),
             told: None,
+            watches: false,
         };
         let member = members.entry(contact.name.clone()).or_insert(new);
         member.heard = heard;
         member.address = contact.address;
-        if is_news && age < LIVE {
+        if is_news && age < HEARD {
             info!(peer:% = contact.name, address:% = contact.address; "peer heard");
         }
     }
 
-    /// Sums the load of all others up, as they last told it.
+    /// Estimates the load of all others: in each failure domain, the daemons that told theirs lately
+    /// stand for all that are live there. Over all domains at once those of the own one would count
+    /// too much, since they are called more often.
     fn sum_load(&self) {
         let now = Instant::now();
         let members = lock(&self.members);
+        let told = |m: &&Member| m.told.is_some_and(|at| now.duration_since(at) < LIVE);
+        let is_live = |m: &&Member| now.duration_since(m.heard) < HEARD;
+        let count = |domain: &str, which: &dyn Fn(&&Member) -> bool| {
+            let there = members.values().filter(|m| m.domain == domain);
+            there.filter(|m| which(m)).count() as f64
+        };
         let mut fleet = self.shared.fleet();
         fleet.clear_others();
-        for member in members.values() {
-            if member.told.is_none_or(|at| now.duration_since(at) >= LIVE) {
-                continue;
-            }
+        for member in members.values().filter(told) {
+            let stands_for =
+                count(&member.domain, &is_live) / count(&member.domain, &told).max(1.0);
+            let stands_for = stands_for.max(1.0);
             for load in &member.load {
                 let upstream = fleet.key_of(&load.instance).and_then(|k| fleet.get_mut(k));
                 if let Some(u) = upstream {
-                    u.others = Load {
-                        running: u.others.running + load.running,
-                        reserved: u.others.reserved + load.reserved,
-                    };
+                    u.others.running += load.running * stands_for;
+                    u.others.reserved += load.reserved * stands_for;
                 }
             }
         }
