--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -9,6 +9,9 @@
 //! talks to a few, most of them in its own failure domain, takes the load of those it heard for a
 //! sample of the fleet, and a few daemons of each domain watch the store for all.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- /dev/null
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -0,0 +1,140 @@
+//! Who watches the store, and what is taken for the load of others, without a network.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::advance;
+
+use super::Contact;
+use super::Digest;
+use super::LIVE;
+use super::LoadOf;
+use super::Peers;
+use super::SMALL;
+use super::WATCHERS;
+use crate::dialect::Stage;
+use crate::dialect::UpstreamEntry;
+use crate::documents::Documents;
+use crate::repeats::Bound;
+use crate::shared::Shared;
+
+const BOUND: Bound = Bound {
+    window: Duration::from_secs(10),
+    ratio: 0.2,
+    slack: 200.0,
+};
+
+fn domain_of(number: usize) -> &'static str {
+    ["a", "b", "c"][number % 3]
+}
+
+fn peers(number: usize) -> Peers {
+    let shared = Arc::new(Shared::new(domain_of(number), BOUND, 1));
+    let documents = Arc::new(Documents::new(Arc::clone(&shared)));
+    let address = address(number);
+    Peers::new(&format!("entry-{number}"), address, shared, documents)
+}
+
+fn address(number: usize) -> std::net::SocketAddr {
+    std::net::SocketAddr::from(([127, 0, 0, 1], 7_000 + number as u16))
+}
+
+fn digest(number: usize, watches: bool) -> Digest {
+    Digest {
+        from: Contact {
+            name: format!("entry-{number}"),
+            domain: domain_of(number).to_owned(),
+            address: address(number),
+            age_ms: 0,
+        },
+        version: 0,
+        revision: 0,
+        watches,
+        members: Vec::new(),
+        load: Vec::new(),
+        doubts: Vec::new(),
+        crashes: Vec::new(),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn in_a_small_fleet_everyone_watches() {
+    let me = peers(0);
+    for other in 1..=SMALL {
+        me.heard(&digest(other, true));
+    }
+    assert!(me.is_watcher());
+}
+
+#[tokio::test(start_paused = true)]
+async fn in_a_larger_fleet_a_few_of_each_domain_watch_for_all() {
+    let fleet = 66;
+    let mut watchers = [0; 3];
+    for number in 0..fleet {
+        let me = peers(number);
+        for other in (0..fleet).filter(|&o| o != number) {
+            me.heard(&digest(other, other % 11 == 0));
+        }
+        watchers[number % 3] += usize::from(me.is_watcher());
+    }
+    assert_eq!(watchers, [WATCHERS; 3]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn who_hears_of_no_watcher_watches() {
+    for number in 0..20 {
+        let me = peers(number);
+        for other in (0..20).filter(|&o| o != number) {
+            me.heard(&digest(other, false));
+        }
+        assert!(me.is_watcher(), "daemon {number}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_was_told_stands_for_its_domain_and_grows_old() {
+    let me = peers(0);
+    let engine = UpstreamEntry {
+        instance: Arc::from("e-1"),
+        service: Arc::from("llm"),
+        address: address(900),
+        domain: Arc::from("a"),
+        stage: Stage::Ready,
+        slots: 1,
+        layers: None,
+        kind: None,
+    };
+    me.shared.fleet().replace(vec![engine], 1);
+    let mut told = digest(1, true);
+    told.load.push(LoadOf {
+        instance: Arc::from("e-1"),
+        running: 2.0,
+        reserved: 10.0,
+    });
+    // Three more of its domain are known by word of this one only, and two of another domain.
+    told.members = [4, 7, 10, 2, 5]
+        .iter()
+        .map(|&n| digest(n, false).from)
+        .collect();
+    me.heard(&told);
+    me.sum_load();
+    let running = || {
+        let fleet = me.shared.fleet();
+        let key = fleet.key_of("e-1").expect("known");
+        fleet.get(key).expect("known").others.running
+    };
+    assert_eq!(running(), 8.0);
+    advance(LIVE).await;
+    me.sum_load();
+    assert_eq!(running(), 0.0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_daemon_that_falls_silent_still_shares_the_bound() {
+    let me = peers(0);
+    me.heard(&digest(1, true));
+    advance(Duration::from_secs(20)).await;
+    assert_eq!(me.sharing(), 2);
+    advance(Duration::from_secs(60)).await;
+    assert_eq!(me.sharing(), 1);
+}
