Ports that no other test can take

Cause: a_call_runs_at_most_once (another_request) failed once in a run of the relay's tests: its daemon's log says "listen for readiness: Address already in use". A port that is bound to find a free one and dropped can go to another test; the same pattern stood in four older tests, one of which (a_refused_connection_sent_nothing) had failed so. Ruled out: the daemon's start (it ended by itself with that error). Change: daemons of tests get addresses of their own in the loopback range; closed ports are bound and never listened on. No assertion changes.

--- a/crates/kelpworks-cli/tests/cli_commands.rs
+++ b/crates/kelpworks-cli/tests/cli_commands.rs
@@ -2,8 +2,6 @@
 
 mod support;
 
-use std::net::TcpListener;
-
 use insta::assert_snapshot;
 use rstest::rstest;
 
@@ -148,8 +146,8 @@
     assert_snapshot!("status_dead", text.replace(&dead, "[address]"));
 }
 
-/// An address where nothing listens.
+/// An address where nothing listens: no test binds to this one of the loopback range, so that no
+/// other test can take its port.
 fn dead_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap().to_string()
+    "127.99.98.97:9".to_owned()
 }
--- a/crates/kelpworks-cli/tests/relay_site/daemon.rs
+++ b/crates/kelpworks-cli/tests/relay_site/daemon.rs
@@ -2,11 +2,12 @@
 
 use std::fs::File;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -76,7 +77,7 @@
     ) -> Relay {
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("relay-{test}-{number}"));
         std::fs::create_dir_all(&dir).expect("a directory");
-        let [callers, readiness, operators, peers] = free_addresses();
+        let [callers, readiness, operators, peers] = own_addresses();
         let seeds: Vec<String> = others.iter().map(|o| format!("\"{}\"", o.peers)).collect();
         let domain = ["hall-a", "hall-b"][number % 2];
         let settings = format!(
@@ -210,9 +211,12 @@
     }
 }
 
-/// Free loopback addresses; they are bound together, so that they differ.
-fn free_addresses() -> [SocketAddr; 4] {
-    let bind = || TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let listeners = [bind(), bind(), bind(), bind()];
-    listeners.map(|l| l.local_addr().expect("an address"))
+/// Addresses that nobody else takes: an address of the loopback range for each daemon of each test
+/// process. A free port of 127.0.0.1 can be taken by another test before the daemon listens on it.
+fn own_addresses() -> [SocketAddr; 4] {
+    static DAEMONS: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let host = DAEMONS.fetch_add(1, Ordering::Relaxed);
+    let ip = [127, 1 + high % 250, low, host];
+    [8_080, 8_081, 8_082, 8_083].map(|port| SocketAddr::from((ip, port)))
 }
--- a/crates/kelpworks/tests/border_object_api.rs
+++ b/crates/kelpworks/tests/border_object_api.rs
@@ -12,6 +12,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 use kelpworks::border::host_list;
@@ -212,9 +213,10 @@
 
 #[tokio::test]
 async fn a_refused_connection_sent_nothing() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let url = format!("http://{}", listener.local_addr().unwrap());
-    drop(listener);
+    // Bound and never listened on, so that the port stays closed and goes to no other test.
+    let closed = TcpSocket::new_v4().unwrap();
+    closed.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let url = format!("http://{}", closed.local_addr().unwrap());
     let api = HttpObjectApi::new(&url, Deadlines::default()).unwrap();
     let error = api.put("k", "n", String::new(), Condition::Always).await;
     assert_eq!(error, Err(Error::NotSent));
--- a/crates/kelpworks/tests/contract_engine.rs
+++ b/crates/kelpworks/tests/contract_engine.rs
@@ -97,11 +97,11 @@
 
 #[tokio::test]
 async fn a_refused_connection_sent_nothing() {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("a port");
-    let url: Arc<str> = format!("http://{}", listener.local_addr().expect("bound")).into();
-    drop(listener);
+    // Bound and never listened on, so that the port stays closed and goes to no other test.
+    let closed = tokio::net::TcpSocket::new_v4().expect("a socket");
+    let free = "127.0.0.1:0".parse().expect("an address");
+    closed.bind(free).expect("a port");
+    let url: Arc<str> = format!("http://{}", closed.local_addr().expect("bound")).into();
     let engine = HttpEngine::new(LONG);
     let batch = StepBatch { steps: Vec::new() };
     let result = engine.steps(&url, &batch, LONG).await;
--- a/crates/kelpworks/tests/peers_links.rs
+++ b/crates/kelpworks/tests/peers_links.rs
@@ -2,6 +2,9 @@
 
 mod peers;
 
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio_util::sync::CancellationToken;
@@ -14,6 +17,15 @@
 use kelpworks_fakes::LinkState;
 use peers::until;
 
+/// Addresses that were given out in this process.
+static GIVEN: AtomicU8 = AtomicU8::new(1);
+
+fn own_address() -> SocketAddr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let host = GIVEN.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, 1 + high % 250, low, host], 7_070))
+}
+
 /// Three daemons; the others reach the last one through a link.
 struct Three {
     all: Vec<Peers>,
@@ -22,9 +34,9 @@
 
 impl Three {
     async fn start() -> Three {
-        let port = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-        let listen = port.local_addr().expect("an address");
-        drop(port);
+        // An address of its own in the loopback range: a free port of 127.0.0.1 could go to another
+        // test before the daemon listens on it.
+        let listen = own_address();
         let link = Link::spawn(listen).await.expect("a free port");
         let mut all = Vec::new();
         for name in ["a", "b", "c"] {
