--- a/crates/kelpworks-cli/tests/cli_commands.rs
+++ b/crates/kelpworks-cli/tests/cli_commands.rs
@@ -27,6 +27,8 @@
 #[case::serve_without_settings("serve_without_settings", &["serve"])]
 #[case::serve_bad_settings("serve_bad_settings", &["serve", "--settings", "bad/settings.toml"])]
 #[case::serve_no_file("serve_no_file", &["serve", "--settings", "bad/none.toml"])]
+#[case::relay_without_settings("relay_without_settings", &["relay"])]
+#[case::relay_bad_settings("relay_bad_settings", &["relay", "--settings", "bad/settings.toml"])]
 #[case::check_nothing("check_nothing", &["check"])]
 #[case::check_option("check_option", &["check", "--dry-run", "aralsky/rules.toml"])]
 #[case::check_all("check_all", &["check", "aralsky/settings.toml", "aralsky/register.toml",
