--- a/crates/kelpworks-cli/src/failure.rs
+++ b/crates/kelpworks-cli/src/failure.rs
@@ -76,7 +76,7 @@
     /// The exit code that tells scripts what happened.
     pub(crate) fn exit_code(&self) -> ExitCode {
         let code = match self {
-            Failure::Usage(_) | Failure::Files(_) => BAD_INPUT,
+            Failure::Usage(_) | Failure::Files(_) | Failure::RelaySettings(_) => BAD_INPUT,
             Failure::Accept(e) if is_bad_input(e) => BAD_INPUT,
             _ => OUTCOME,
         };
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -421,6 +421,8 @@
     /// Takes what a daemon tells.
     fn heard(&self, digest: &Digest) {
         let now = Instant::now();
+        // What was told was true up to one exchange ago.
+        let since = now.checked_sub(EXCHANGE).unwrap_or(now);
         self.meet(&digest.from, now);
         for contact in &digest.members {
             self.meet(contact, now);
@@ -435,7 +437,7 @@
             for doubt in &digest.doubts {
                 if let Some(key) = fleet.key_of(&doubt.instance) {
                     let until = now + Duration::from_millis(doubt.left_ms);
-                    fleet.doubt_told(key, now - EXCHANGE, until);
+                    fleet.doubt_told(key, since, until);
                 }
             }
         }
