--- a/crates/kelpworks-cli/src/serve.rs
+++ b/crates/kelpworks-cli/src/serve.rs
@@ -31,8 +31,8 @@
 
 /// Starts the log; it ends with the handle.
 ///
-/// Each line is a JSON object; decisions carry their inputs and reason as fields. The level is for the code of kelpworks; libraries log warnings only, since their lines
-/// would drown the decisions.
+/// Each line is a JSON object; decisions carry their inputs and reason as fields. The level is for
+/// the code of kelpworks; libraries log warnings only, since their lines would drown the decisions.
 pub(crate) fn start_logger(level: &str, output: Output) -> Result<LoggerHandle> {
     let spec = format!(
         "warn, decision={level}, kelpworks={level}, kelpworks_coord={level}, kelpworks_relay={level}"
--- a/crates/kelpworks-cli/tests/relay_faults.rs
+++ b/crates/kelpworks-cli/tests/relay_faults.rs
@@ -41,7 +41,7 @@
     assert_eq!(runs[1].after, 3, "{runs:?}");
 }
 
-/// A drawn day cut such a stream: it was dropped before a repeat was asked for, and refused.
+/// Such a stream was once cut off: it was dropped before a repeat was asked for, and refused.
 #[tokio::test]
 async fn a_silent_stream_is_kept_when_no_repeat_is_allowed() {
     let none = Budget {
@@ -57,7 +57,7 @@
     assert_eq!(site.engines.runs().len(), 1);
 }
 
-/// A drawn day cut such a stream: the attempt that was to go on was refused.
+/// Such a stream was once cut off: the attempt that was to go on was refused.
 #[tokio::test]
 async fn a_silent_stream_is_gone_back_to_when_the_next_attempt_is_refused() {
     let one = Budget {
@@ -81,7 +81,7 @@
     );
 }
 
-/// An incident: requests that found no path used up the repeats that streams needed to go on.
+/// Seen once: requests that found no path used up the repeats that streams needed to go on.
 #[tokio::test]
 async fn a_request_without_a_path_is_refused_and_uses_no_repeat() {
     let site = Site::start("no-path", 1).await;
@@ -115,7 +115,7 @@
     assert_eq!(answer.retry_after.is_some(), status == 503);
 }
 
-/// A drawn day: engines left the registration and worked on, and a third one got the request.
+/// Seen once: engines left the registration and worked on, and a third one got the request.
 #[tokio::test]
 async fn engines_that_leave_the_registration_still_count_as_tried() {
     let domains = ["hall-a", "hall-b", "hall-c"];
--- a/crates/kelpworks-relay/src/relay/mod.rs
+++ b/crates/kelpworks-relay/src/relay/mod.rs
@@ -28,6 +28,7 @@
 use tokio::time::Instant;
 
 use crate::config::Route;
+use crate::config::RouteKind;
 use crate::config::Service;
 use crate::crashes::Fingerprint;
 use crate::dialect::CallerHead;
@@ -122,7 +123,6 @@
 
 impl<D: Dialect> Relay<D> {
     async fn forward(&self, ticket: Ticket, counted: Counted) -> Outcome {
-        use crate::config::RouteKind;
         let shared = Arc::clone(&self.shared);
         {
             let mut repeats = shared.repeats();
--- a/crates/kelpworks-relay/src/repeats.rs
+++ b/crates/kelpworks-relay/src/repeats.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 /// Part of what is allowed that is used: a window here begins a little earlier than at the
-/// service, where the repeat arrives. With 0.9 one drawn day in 160 had 392 repeats for 390 allowed.
+/// service, where the repeat arrives. With 0.9 one run in 160 had 392 repeats where 390 were allowed.
 const SAFETY: f64 = 0.85;
 
 /// The bound, for the whole fleet.
--- a/crates/kelpworks-relay/tests/bounds.rs
+++ b/crates/kelpworks-relay/tests/bounds.rs
@@ -56,7 +56,7 @@
     assert_eq!(given(&mut repeats, &service, Instant::now()), first);
 }
 
-/// A drawn day broke the bound by two: a daemon that was killed had its part again at once.
+/// The bound was once broken by two: a daemon that was killed had its part again at once.
 #[tokio::test(start_paused = true)]
 async fn a_daemon_that_starts_again_gets_its_part_by_and_by() {
     let service: Arc<str> = Arc::from("llm");
--- a/crates/kelpworks-relay/tests/path.rs
+++ b/crates/kelpworks-relay/tests/path.rs
@@ -168,7 +168,7 @@
     }
 }
 
-/// A drawn day: an event that was on its way when its engine died hid the death for 1.2 s.
+/// Seen once: an event that was on its way when its engine died hid the death for 1.2 s.
 #[tokio::test(start_paused = true)]
 async fn an_event_on_its_way_does_not_show_that_an_engine_lives() {
     let mut fleet = fleet(&["a"]);
@@ -186,7 +186,7 @@
     assert_eq!(suspects, [dead]);
 }
 
-/// A drawn day: engines left while the store was down, so that no entry said so.
+/// Seen once: engines left while the store was down, so that no entry said so.
 #[tokio::test(start_paused = true)]
 async fn an_engine_that_fails_again_and_again_is_presumed_lost() {
     let mut fleet = fleet(&["a"]);
