Log and count the first event and the longest pause of each stream

Cause: late streams could not be told apart in the logs: a slow first event, a long pause, and a caller that came back look the same in took_ms. Change: the line at the end of a stream has first_ms and longest_pause_ms; two histograms.

--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -6,6 +6,7 @@
 //! within the same answer.
 
 mod attempt;
+mod pace;
 mod silence;
 mod trace;
 
@@ -38,6 +39,7 @@
 use crate::shared::Shared;
 use attempt::RanAt;
 use attempt::Reservation;
+use pace::Pace;
 
 /// Least time left for a further attempt: reading a usual prompt again.
 const WORTH_TRYING: Duration = Duration::from_millis(50);
@@ -115,8 +117,8 @@
     reading: Option<Reading>,
     /// The stream that fell silent last; it may still go on.
     silent: Option<Reading>,
-    /// Whether the caller has a part of the answer.
-    begun: bool,
+    /// What the caller has seen of the stream's pace.
+    pace: Pace,
     done: bool,
     _counted: Counted,
     _dialect: std::marker::PhantomData<D>,
@@ -139,7 +141,7 @@
         weight_version: None,
         reading: None,
         silent: None,
-        begun: false,
+        pace: Pace::default(),
         done: false,
         _counted: counted,
         _dialect: std::marker::PhantomData,
@@ -148,7 +150,8 @@
         Ok(begun) => begun,
         Err(refusal) => return Outcome::Refused(refusal),
     };
-    relayed.begun = true;
+    let arrived = relayed.ticket.arrived;
+    relayed.pace.passed_on(arrived, Instant::now());
     let rest = stream::unfold(relayed, |mut relayed| async move {
         let piece = relayed.next().await?;
         Some((piece, relayed))
@@ -190,7 +193,10 @@
         }
         loop {
             let failure = match self.read().await {
-                Ok(Some(events)) => return Some(Ok(events)),
+                Ok(Some(events)) => {
+                    self.pace.passed_on(self.ticket.arrived, Instant::now());
+                    return Some(Ok(events));
+                }
                 Ok(None) => {
                     self.finish();
                     return None;
--- a/crates/kelpworks-relay/src/relay/stream/trace.rs
+++ b/crates/kelpworks-relay/src/relay/stream/trace.rs
@@ -64,10 +64,12 @@
             attempts = self.attempts,
             last_event = self.last_event.unwrap_or(0),
             took_ms = took.as_millis() as u64,
-            begun = self.begun,
+            first_ms = self.pace.first.map(|d| d.as_millis() as u64),
+            longest_pause_ms = self.pace.longest_pause.as_millis() as u64,
             why:% = why;
             "stream {how}"
         );
+        self.pace.record();
         let labels = [("how", how)];
         metrics::counter!("kelpworks_streams_total", &labels).increment(1);
         metrics::histogram!("kelpworks_stream_seconds").record(took.as_secs_f64());
