Change the path of a running stream when an engine in its middle stops

Cause: a stream that met a dead engine was sent again on a whole new path: its prompt was read again through all layers, memory was promised twice, and a repeat was used. Ruled out: late detection alone (silence is noticed after 130 ms). Change: the first engine is ordered to replace the parts that stopped, by engines of the same failure domain that are not on the path; they read the tokens so far through these layers only. Another attempt follows where that can't be done. A path search can cover a part of the layers. The wait for a stream is split by what may follow it. Before/after: a_stream_passes_an_engine_that_stopped_by_without_a_repeat passes, and fails with no change of path allowed (a request ran again). Most streams that lose an engine still go elsewhere, since few layers are held twice in a domain or the first engine is the one that stopped.

--- a/crates/kelpworks-cli/tests/relay_faults.rs
+++ b/crates/kelpworks-cli/tests/relay_faults.rs
@@ -13,9 +13,12 @@
 use relay_site::daemon::Budget;
 use relay_site::daemon::Relay;
 use relay_site::engine::Fault;
+use relay_site::engine::Run;
 use relay_site::engine::is_whole;
 use relay_site::route;
 
+/// Changes of path that engines accepted.
+const REROUTES: &str = "kelpworks_reroutes_total{outcome=\"accepted\"}";
 /// Repeats that a daemon has used.
 const REPEATS: &str = "kelpworks_repeats_total{outcome=\"taken\"}";
 
@@ -41,6 +44,43 @@
     assert_eq!(runs[1].after, 3, "{runs:?}");
 }
 
+#[tokio::test]
+async fn a_stream_passes_an_engine_that_stopped_by_without_a_repeat() {
+    let domain = ["hall-a", "hall-a"];
+    let site = Site::start_in("reroute", 1, Budget::default(), &domain).await;
+    let daemon = &site.daemons[0];
+    let mut streams = Vec::new();
+    let stopped = loop {
+        let id = format!("p-{}", streams.len());
+        streams.push(tokio::spawn(daemon.begin(&id, 150).await));
+        if let Some(inner) = inner_engine(&site.engines.runs()) {
+            break inner;
+        }
+        assert!(streams.len() < 40, "{:?}", site.engines.runs());
+    };
+    let before = daemon.counter(REPEATS).await;
+    site.engines.stop(&stopped);
+    let count = streams.len();
+    for stream in streams {
+        let body = stream.await.expect("no panic");
+        assert_eq!(body.matches("id: ").count(), 150, "{}", daemon.log());
+    }
+    assert_eq!(site.engines.runs().len(), count, "no request ran again");
+    assert_eq!(daemon.counter(REPEATS).await, before);
+    assert!(daemon.counter(REROUTES).await > 0);
+}
+
+/// An engine that some paths pass, but none first, and not all.
+fn inner_engine(runs: &[Run]) -> Option<String> {
+    let mut later = runs.iter().flat_map(|r| &r.path[1..]);
+    let is_inner = |engine: &&String| {
+        let on = runs.iter().filter(|r| r.path.contains(engine)).count();
+        let first = runs.iter().any(|r| r.first == **engine);
+        !first && on < runs.len()
+    };
+    later.find(is_inner).cloned()
+}
+
 /// Such a stream was once cut off: it was dropped before a repeat was asked for, and refused.
 #[tokio::test]
 async fn a_silent_stream_is_kept_when_no_repeat_is_allowed() {
--- a/crates/kelpworks-cli/tests/relay_site/engine.rs
+++ b/crates/kelpworks-cli/tests/relay_site/engine.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -50,9 +51,14 @@
     pub(crate) request: String,
     pub(crate) first: String,
     pub(crate) hops: Vec<(u16, u16)>,
+    /// Incarnations of its path, in order.
+    pub(crate) path: Vec<String>,
     pub(crate) after: u64,
 }
 
+/// A part of a path: an engine and the layers that it runs.
+type Part = (Engine, (u16, u16));
+
 #[derive(Debug)]
 pub(crate) struct Inner {
     pub(crate) instance: String,
@@ -63,6 +69,8 @@
     fault: Mutex<Option<Fault>>,
     /// Streams that it is working on.
     working: AtomicU64,
+    /// It has stopped: streams that pass it stand still.
+    stopped: AtomicBool,
 }
 
 /// A stream that an engine is working on, until dropped.
@@ -98,6 +106,8 @@
 pub(crate) struct Registry {
     engines: Arc<Mutex<HashMap<SocketAddr, Engine>>>,
     runs: Arc<Mutex<Vec<Run>>>,
+    /// Paths of running requests.
+    paths: Arc<Mutex<HashMap<String, Vec<Part>>>>,
 }
 
 impl Registry {
@@ -121,6 +131,21 @@
         }
     }
 
+    /// Stops an engine for good.
+    pub(crate) fn stop(&self, instance: &str) {
+        let all = self.all();
+        let mut named = all.iter().filter(|e| e.instance == instance);
+        let engine = named.next().expect("a known engine");
+        engine.stopped.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a request's path passes an engine that has stopped.
+    fn stands_still(&self, request: &str) -> bool {
+        let paths = self.paths.lock().expect("no panic");
+        let mut parts = paths.get(request).into_iter().flatten();
+        parts.any(|(e, _)| e.stopped.load(Ordering::Relaxed))
+    }
+
     /// Streams that engines are working on.
     pub(crate) fn working(&self) -> u64 {
         let working = |e: &Engine| e.working.load(Ordering::Relaxed);
@@ -145,6 +170,7 @@
             orders: AtomicU64::new(0),
             fault: Mutex::default(),
             working: AtomicU64::new(0),
+            stopped: AtomicBool::new(false),
         }));
         let serve = Serve {
             engine: engine.clone(),
@@ -196,6 +222,9 @@
 
     async fn order(&self, req: &mut Request) -> StatusCode {
         let order: Value = req.parse_json().await.expect("a JSON order");
+        if order["op"] == "repath" {
+            return self.repath(&order);
+        }
         let orders = self.engine.orders.load(Ordering::Relaxed);
         if order["expect"].as_u64().is_some_and(|e| e != orders) {
             return StatusCode::CONFLICT;
@@ -206,19 +235,37 @@
         StatusCode::ACCEPTED
     }
 
+    /// Changes the path of a running request; its first part must stay.
+    fn repath(&self, order: &Value) -> StatusCode {
+        let Ok(new) = self.parts(order["path"].as_str().expect("a path")) else {
+            return StatusCode::CONFLICT;
+        };
+        let mut paths = self.registry.paths.lock().expect("no panic");
+        let request = order["id"].as_str().expect("an id");
+        let Some(old) = paths.get_mut(request) else {
+            return StatusCode::NOT_FOUND;
+        };
+        let is_first_kept = old[0].1 == new[0].1 && old[0].0.instance == new[0].0.instance;
+        assert!(is_first_kept, "the first part was changed");
+        assert!(is_whole(&ranges(&new)), "a path with gaps");
+        *old = new;
+        StatusCode::ACCEPTED
+    }
+
     /// The parts of a path, or the address that does not hold its part.
-    fn path(&self, hops: &str) -> Result<Vec<(u16, u16)>, String> {
+    fn parts(&self, hops: &str) -> Result<Vec<Part>, String> {
         let mut parts = Vec::new();
         for hop in hops.split(',') {
             let (address, range) = hop.split_once('=').expect("address and layers");
             let (from, to) = range.split_once('-').expect("two layers");
-            let part = (from.parse().expect("a layer"), to.parse().expect("a layer"));
+            let range = (from.parse().expect("a layer"), to.parse().expect("a layer"));
             let engines = self.registry.engines.lock().expect("no panic");
-            let engine = engines.get(&address.parse().expect("an address"));
-            if !engine.is_some_and(|e| e.holds(part.0, part.1)) {
-                return Err(address.to_owned());
+            match engines.get(&address.parse().expect("an address")) {
+                Some(engine) if engine.holds(range.0, range.1) => {
+                    parts.push((engine.clone(), range));
+                }
+                _ => return Err(address.to_owned()),
             }
-            parts.push(part);
         }
         Ok(parts)
     }
@@ -227,11 +274,12 @@
         let field = |name: &str| req.header::<String>(name).unwrap_or_default();
         let request = field(ATTEMPT);
         let _ = res.add_header(ATTEMPT, request.clone(), true);
-        let path = self.path(&field("x-kelpworks-hops"));
+        let path = self.parts(&field("x-kelpworks-hops"));
         let fault = self.engine.fault.lock().expect("no panic").take();
         let refused = fault == Some(Fault::Refused);
-        let Ok(hops) = path else {
-            let _ = res.add_header("at-server", path.unwrap_err(), true);
+        let Ok(parts) = path else {
+            let at = path.err().expect("an address");
+            let _ = res.add_header("at-server", at, true);
             let _ = res.add_header("x-kelpworks-not-executed", "1", true);
             res.status_code(StatusCode::MISDIRECTED_REQUEST);
             return;
@@ -250,18 +298,29 @@
             .parse()
             .expect("a number");
         let run = Run {
-            request,
+            request: request.clone(),
             first: self.engine.instance.clone(),
-            hops,
+            hops: ranges(&parts),
+            path: parts.iter().map(|(e, _)| e.instance.clone()).collect(),
             after,
         };
+        let mut paths = self.registry.paths.lock().expect("no panic");
+        paths.insert(request.clone(), parts);
+        drop(paths);
         self.registry.runs.lock().expect("no panic").push(run);
         let _ = res.add_header(STAMP, format!("stamp-of-{}", self.engine.instance), true);
         let _ = res.add_header("content-type", "text/event-stream", true);
         let work = Work::begin(&self.engine);
+        let registry = self.registry.clone();
         let pieces = stream::iter(after + 1..=events).then(move |id| {
             let _work = &work;
-            piece(id, after, fault)
+            let (registry, request) = (registry.clone(), request.clone());
+            async move {
+                while registry.stands_still(&request) {
+                    tokio::time::sleep(EVENT).await;
+                }
+                piece(id, after, fault).await
+            }
         });
         res.stream(pieces);
     }
@@ -303,6 +362,10 @@
     }
 }
 
+fn ranges(parts: &[Part]) -> Vec<(u16, u16)> {
+    parts.iter().map(|&(_, range)| range).collect()
+}
+
 /// Whether a path runs every layer once and in order.
 pub(crate) fn is_whole(hops: &[(u16, u16)]) -> bool {
     let ends = hops.iter().map(|h| h.1);
--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -211,13 +211,14 @@
         let keeper = LeaseKeeper::new(clients.lease, Arc::clone(&hold));
         let keeping = keep_lease(keeper, Arc::clone(&peers), leave.clone());
         let lease = tokio::spawn(keeping);
-        let placer = Placer::new(Arc::clone(&shared), hold, clients.engines);
+        let engines = Arc::new(clients.engines);
+        let placer = Placer::new(Arc::clone(&shared), hold, Arc::clone(&engines));
         tokio::spawn(placer.run(leave.clone()));
         let readiness = operators::readiness(&shared);
         let readiness = Server::start(listen.readiness, readiness, CALLER_IDLE).await;
         let pages = operators::metrics(metrics);
         let pages = Server::start(listen.operators, pages, CALLER_IDLE).await;
-        let callers = relay::router::<D>(&shared);
+        let callers = relay::router::<D, E>(&shared, &engines);
         let callers = Server::start(listen.callers, callers, CALLER_IDLE).await;
         Ok(Daemon {
             callers: callers.map_err(for_whom("callers"))?,
--- a/crates/kelpworks-relay/src/dialect.rs
+++ b/crates/kelpworks-relay/src/dialect.rs
@@ -180,6 +180,18 @@
     pub fence: u64,
 }
 
+/// An order to go on with a request that runs on other engines.
+#[derive(Clone, Copy, Debug)]
+pub struct RerouteOrder<'a> {
+    /// Incarnation of the request's first engine, which takes the order.
+    pub instance: &'a str,
+    /// Id of the request.
+    pub request: &'a str,
+    /// The new path; its first part is that of the old one. Parts that stay keep their KV cache, and
+    /// new ones read all tokens so far through their layers.
+    pub path: &'a [Hop],
+}
+
 /// What an engine answered to an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderReply {
@@ -193,6 +205,18 @@
     Lost,
 }
 
+impl OrderReply {
+    /// The word for the log and the metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            OrderReply::Accepted => "accepted",
+            OrderReply::Conflict => "conflict",
+            OrderReply::Refused => "refused",
+            OrderReply::Lost => "lost",
+        }
+    }
+}
+
 /// Translates heads and documents.
 pub trait Dialect: Send + Sync + 'static {
     /// Kind under which the store keeps the configuration.
@@ -241,4 +265,11 @@
         address: SocketAddr,
         order: PlaceOrder<'_>,
     ) -> impl Future<Output = OrderReply> + Send;
+
+    /// Orders a request's first engine to change the request's path.
+    fn reroute(
+        &self,
+        address: SocketAddr,
+        order: RerouteOrder<'_>,
+    ) -> impl Future<Output = OrderReply> + Send;
 }
--- a/crates/kelpworks-relay/src/path.rs
+++ b/crates/kelpworks-relay/src/path.rs
@@ -59,8 +59,10 @@
     pub service: &'a str,
     /// Tokens of prompt and answer that are expected.
     pub tokens: f64,
-    /// Failure domain of the daemon.
+    /// Failure domain that the path is entered from: that of the daemon, or of the part before.
     pub domain: &'a str,
+    /// Layers that the path covers; a part of the model where it replaces parts of another path.
+    pub layers: LayerRange,
     /// Engines that must not be on it.
     pub avoid: &'a [UpstreamKey],
     /// Engines of which one must come first; any may when there are none.
@@ -147,7 +149,7 @@
     rng: &mut R,
 ) -> Result<Path, NoPath> {
     let mut graph = Graph::new(fleet, engines, ask, rng);
-    if let Some(layer) = graph.uncovered(engines.layers, ask.first) {
+    if let Some(layer) = graph.uncovered(ask) {
         return match Graph::holds(fleet, ask, layer) {
             true => Err(NoPath::Full(layer)),
             false => Err(NoPath::Uncovered(layer)),
@@ -155,7 +157,7 @@
     }
     for whole in [false, true] {
         graph.whole = whole;
-        if let Some(path) = graph.solve(fleet, engines.layers, ask)
+        if let Some(path) = graph.solve(fleet, ask)
             && !path.repeats()
             && path.parts.len() <= MOST_HOPS
         {
@@ -181,7 +183,8 @@
 
 struct Graph {
     candidates: Vec<Candidate>,
-    /// Layer boundaries at which a holding begins or ends, rising, from 0 to the last.
+    /// Layer boundaries at which a holding begins or ends, rising, from the first to the last that
+    /// is asked for.
     bounds: Vec<u16>,
     domains: Vec<Arc<str>>,
     /// Whether each engine runs all that is left of its holding, so that none can come twice.
@@ -192,7 +195,7 @@
     fn new<R: Rng>(fleet: &Fleet, engines: &Engines, ask: &Ask<'_>, rng: &mut R) -> Graph {
         let mut domains: Vec<Arc<str>> = Vec::new();
         let mut candidates = Vec::new();
-        let mut bounds = vec![0, engines.layers];
+        let mut bounds = vec![ask.layers.from, ask.layers.to];
         for (key, upstream) in fleet.of_service(ask.service) {
             let Some(mut candidate) = candidate(key, upstream, engines, ask) else {
                 continue;
@@ -205,7 +208,7 @@
         }
         bounds.sort_unstable();
         bounds.dedup();
-        bounds.retain(|&b| b <= engines.layers);
+        bounds.retain(|&b| ask.layers.from <= b && b <= ask.layers.to);
         Graph {
             candidates,
             bounds,
@@ -222,16 +225,17 @@
     }
 
     /// The first layer that no candidate holds.
-    fn uncovered(&self, layers: u16, first: &[UpstreamKey]) -> Option<u16> {
-        let at_start = |c: &Candidate| first.is_empty() || first.contains(&c.key);
+    fn uncovered(&self, ask: &Ask<'_>) -> Option<u16> {
+        let LayerRange { from, to } = ask.layers;
+        let at_start = |c: &Candidate| ask.first.is_empty() || ask.first.contains(&c.key);
         let covered = |layer: u16| {
             let mut candidates = self.candidates.iter();
-            candidates.any(|c| c.range.contains(layer) && (layer > 0 || at_start(c)))
+            candidates.any(|c| c.range.contains(layer) && (layer > from || at_start(c)))
         };
-        (0..layers).find(|&l| !covered(l))
+        (from..to).find(|&l| !covered(l))
     }
 
-    fn solve(&self, fleet: &Fleet, layers: u16, ask: &Ask<'_>) -> Option<Path> {
+    fn solve(&self, fleet: &Fleet, ask: &Ask<'_>) -> Option<Path> {
         let home = self.domains.iter().position(|d| &**d == ask.domain);
         let width = self.domains.len();
         let mut best: Vec<Option<Step>> = vec![None; self.bounds.len() * width];
@@ -239,7 +243,7 @@
             self.extend(b, home, ask, &mut best);
         }
         let last = self.bounds.len() - 1;
-        debug_assert_eq!(self.bounds[last], layers);
+        debug_assert_eq!(self.bounds[last], ask.layers.to);
         let cost = |d: usize| best[last * width + d].map(|s| s.cost);
         let reached = (0..width).filter_map(|d| Some((d, cost(d)?)));
         let (domain, _) = reached.min_by(|a, b| a.1.total_cmp(&b.1))?;
@@ -262,8 +266,9 @@
             let Some((cost, from)) = arrival else {
                 continue;
             };
-            let crossing = match (from == candidate.domain, b) {
+            let crossing = match (from == candidate.domain, layer) {
                 (true, _) => 0.0,
+                // Only the answer's text comes from there to the daemon.
                 (false, 0) => AWAY_MS,
                 (false, _) => CROSSING_MS,
             };
@@ -272,7 +277,7 @@
                 if end > candidate.range.to {
                     break;
                 }
-                if self.whole && end != candidate.range.to {
+                if self.whole && end != candidate.range.to.min(ask.layers.to) {
                     continue;
                 }
                 let cost = cost + candidate.layer_ms * f64::from(end - layer);
@@ -318,11 +323,7 @@
             at = step.from;
         }
         parts.reverse();
-        let hop = |&(key, layers): &(UpstreamKey, LayerRange)| {
-            let address = fleet.get(key)?.entry.address;
-            Some(Hop { address, layers })
-        };
-        let hops = parts.iter().map(hop).collect::<Option<Vec<Hop>>>()?;
+        let hops = hops(fleet, &parts)?;
         let first = fleet.get(parts.first()?.0)?;
         let crossings = domains.windows(2).filter(|w| w[0] != w[1]).count() as u32;
         Some(Path {
@@ -335,6 +336,15 @@
     }
 }
 
+/// The parts of a path as engines are told; `None` when one of them is gone.
+pub fn hops(fleet: &Fleet, parts: &[(UpstreamKey, LayerRange)]) -> Option<Vec<Hop>> {
+    let hop = |&(key, layers): &(UpstreamKey, LayerRange)| {
+        let address = fleet.get(key)?.entry.address;
+        Some(Hop { address, layers })
+    };
+    parts.iter().map(hop).collect()
+}
+
 /// An engine as a candidate; `None` when it may not be used or has no room.
 fn candidate(
     key: UpstreamKey,
@@ -350,7 +360,8 @@
     let load = upstream.load();
     let held = f64::from(range.len());
     let room = engines.kv_room(kind, range.len()) * ROOM_SHARE;
-    if load.reserved + ask.tokens * held > room {
+    let most = held.min(f64::from(ask.layers.len()));
+    if load.reserved + ask.tokens * most > room {
         return None;
     }
     let sequences = load.running + 1.0;
--- a/crates/kelpworks-relay/src/placer.rs
+++ b/crates/kelpworks-relay/src/placer.rs
@@ -52,7 +52,7 @@
 pub(crate) struct Placer<E> {
     shared: Arc<Shared>,
     hold: Arc<Hold>,
-    engines: E,
+    engines: Arc<E>,
     ordered: HashMap<Arc<str>, Ordered>,
     /// Orders that each incarnation has begun, as far as known.
     counts: HashMap<Arc<str>, u64>,
@@ -63,7 +63,7 @@
 
 impl<E: EngineOrders> Placer<E> {
     /// A placer that has ordered nothing.
-    pub(crate) fn new(shared: Arc<Shared>, hold: Arc<Hold>, engines: E) -> Placer<E> {
+    pub(crate) fn new(shared: Arc<Shared>, hold: Arc<Hold>, engines: Arc<E>) -> Placer<E> {
         Placer {
             shared,
             hold,
@@ -238,12 +238,7 @@
     }
 
     fn log(&self, placement: &Placement, expected: u64, fence: u64, reply: OrderReply) {
-        let reply = match reply {
-            OrderReply::Accepted => "accepted",
-            OrderReply::Conflict => "conflict",
-            OrderReply::Refused => "refused",
-            OrderReply::Lost => "lost",
-        };
+        let reply = reply.as_str();
         info!(
             target: "decision",
             upstream:% = placement.instance,
--- a/crates/kelpworks-relay/src/relay/mod.rs
+++ b/crates/kelpworks-relay/src/relay/mod.rs
@@ -33,6 +33,7 @@
 use crate::crashes::Fingerprint;
 use crate::dialect::CallerHead;
 use crate::dialect::Dialect;
+use crate::dialect::EngineOrders;
 use crate::dialect::Forwarded;
 use crate::pool::Body;
 use crate::shared::Shared;
@@ -81,22 +82,27 @@
 
 /// Serves callers.
 #[derive(Debug)]
-pub(crate) struct Relay<D> {
+pub(crate) struct Relay<D, E> {
     shared: Arc<Shared>,
+    engines: Arc<E>,
     dialect: PhantomData<D>,
 }
 
 /// Routes of the callers' address: everything goes to the relay.
-pub(crate) fn router<D: Dialect>(shared: &Arc<Shared>) -> Router {
-    let relay: Relay<D> = Relay {
+pub(crate) fn router<D: Dialect, E: EngineOrders>(
+    shared: &Arc<Shared>,
+    engines: &Arc<E>,
+) -> Router {
+    let relay: Relay<D, E> = Relay {
         shared: Arc::clone(shared),
+        engines: Arc::clone(engines),
         dialect: PhantomData,
     };
     Router::with_path("{**rest}").goal(relay)
 }
 
 #[async_trait]
-impl<D: Dialect> Handler for Relay<D> {
+impl<D: Dialect, E: EngineOrders> Handler for Relay<D, E> {
     async fn handle(
         &self,
         req: &mut salvo::Request,
@@ -121,7 +127,7 @@
     }
 }
 
-impl<D: Dialect> Relay<D> {
+impl<D: Dialect, E: EngineOrders> Relay<D, E> {
     async fn forward(&self, ticket: Ticket, counted: Counted) -> Outcome {
         let shared = Arc::clone(&self.shared);
         {
@@ -129,7 +135,10 @@
             repeats.requested(&ticket.service.name, ticket.arrived);
         }
         match ticket.route.kind {
-            RouteKind::Stream { .. } => stream::serve::<D>(shared, ticket, counted).await,
+            RouteKind::Stream { .. } => {
+                let engines = Arc::clone(&self.engines);
+                stream::serve::<D, E>(shared, engines, ticket, counted).await
+            }
             _ => call::serve::<D>(&shared, &ticket).await,
         }
     }
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod pace;
+mod reroute;
 mod silence;
 mod trace;
 
@@ -33,6 +34,7 @@
 use crate::config::Engines;
 use crate::config::RouteKind;
 use crate::dialect::Dialect;
+use crate::dialect::EngineOrders;
 use crate::dialect::LayerRange;
 use crate::fleet::UpstreamKey;
 use crate::pool::Connection;
@@ -93,17 +95,26 @@
 struct Reading {
     body: Incoming,
     connection: Connection,
-    parts: Vec<(UpstreamKey, LayerRange)>,
+    course: Course,
     cutter: Cutter,
     /// When this attempt last brought something; when it was sent, before that.
     heard: Instant,
     begun: bool,
+}
+
+/// The engines that work on a request, and what it is counted for there.
+struct Course {
+    parts: Vec<(UpstreamKey, LayerRange)>,
+    /// Times that the path was changed while the request ran.
+    reroutes: u32,
     _reservation: Reservation,
 }
 
 /// A request to engines, over all its attempts.
-struct Relayed<D> {
+struct Relayed<D, E> {
     shared: Arc<Shared>,
+    /// Where orders to change the path of a running request go.
+    orders: Arc<E>,
     ticket: Ticket,
     engines: Option<Arc<Engines>>,
     /// First engines of the attempts that may have run, as far as they have not ended.
@@ -125,15 +136,17 @@
 }
 
 /// Forwards a streamed request; the answer begins with its first event.
-pub(super) async fn serve<D: Dialect>(
+pub(super) async fn serve<D: Dialect, E: EngineOrders>(
     shared: Arc<Shared>,
+    orders: Arc<E>,
     ticket: Ticket,
     counted: Counted,
 ) -> Outcome {
-    let mut relayed: Relayed<D> = Relayed {
+    let mut relayed: Relayed<D, E> = Relayed {
         engines: ticket.service.engines.clone(),
         last_event: ticket.head.last_event,
         shared,
+        orders,
         ticket,
         ran_at: Vec::new(),
         attempts: 0,
@@ -164,7 +177,7 @@
     }
 }
 
-impl<D: Dialect> Relayed<D> {
+impl<D: Dialect, E: EngineOrders> Relayed<D, E> {
     /// Makes attempts until the first event is there.
     async fn begin(&mut self) -> Result<(StatusCode, HeaderMap, Bytes), Refusal> {
         let mut verdict = Verdict::NotRun;
@@ -297,8 +310,18 @@
         };
         loop {
             let since = reading.heard;
-            let waited = self.wait(reading.body.frame(), &reading.parts, since, reading.begun);
-            let frame = match waited.await {
+            let waited = match reading.begun {
+                true => {
+                    let frame = reading.body.frame();
+                    self.wait_for_more(frame, &mut reading.course, since).await
+                }
+                false => {
+                    let parts = &reading.course.parts;
+                    self.wait_for_first(reading.body.frame(), parts, since)
+                        .await
+                }
+            };
+            let frame = match waited {
                 Ok(frame) => frame,
                 Err(failure) => {
                     self.silent = (failure.permitted && reading.begun).then_some(reading);
@@ -316,7 +339,7 @@
                     }
                     reading.heard = now;
                     reading.begun = true;
-                    self.confirm(&reading.parts, now);
+                    self.confirm(&reading.course.parts, now);
                     reading.cutter.push(&bytes);
                     let events = reading.cutter.take(self.last_event);
                     self.last_event = events.last_id.or(self.last_event);
@@ -332,7 +355,7 @@
                 Some(Err(_)) => return Err(self.broken(&reading)),
                 None if reading.cutter.rest() > 0 => return Err(self.broken(&reading)),
                 None => {
-                    if let Some(&(first, _)) = reading.parts.first() {
+                    if let Some(&(first, _)) = reading.course.parts.first() {
                         self.shared.fleet().outcome(first, false);
                     }
                     self.shared.pool.keep(reading.connection);
@@ -352,7 +375,7 @@
     /// A stream that broke off. The engine that closed it may live: then the next attempts show it, and
     /// a dead one takes no connections.
     fn broken(&self, reading: &Reading) -> Failure {
-        if let Some(&(first, _)) = reading.parts.first() {
+        if let Some(&(first, _)) = reading.course.parts.first() {
             self.shared.fleet().outcome(first, true);
         }
         Failure::crash("stream broken off")
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -13,12 +13,14 @@
 use log::info;
 use tokio::time::Instant;
 
+use super::Course;
 use super::Cutter;
 use super::Failure;
 use super::Reading;
 use super::Relayed;
 use crate::dialect::AnswerHead;
 use crate::dialect::Dialect;
+use crate::dialect::EngineOrders;
 use crate::dialect::Forwarded;
 use crate::dialect::LayerRange;
 use crate::fleet::Fleet;
@@ -49,7 +51,11 @@
 }
 
 impl Reservation {
-    fn take(shared: &Arc<Shared>, parts: &[(UpstreamKey, LayerRange)], tokens: f64) -> Reservation {
+    pub(super) fn take(
+        shared: &Arc<Shared>,
+        parts: &[(UpstreamKey, LayerRange)],
+        tokens: f64,
+    ) -> Reservation {
         let reserved = |&(key, layers): &(UpstreamKey, LayerRange)| {
             let amount = tokens * f64::from(layers.len());
             (key, amount)
@@ -85,7 +91,7 @@
     address: SocketAddr,
 }
 
-impl<D: Dialect> Relayed<D> {
+impl<D: Dialect, E: EngineOrders> Relayed<D, E> {
     /// Whether a further attempt has to go to an engine that the request was sent to before.
     fn ran_at_enough(&self) -> bool {
         self.ran_at.len() as u32 >= self.ticket.route.attempts
@@ -136,6 +142,10 @@
             service: &self.ticket.service.name,
             tokens: self.tokens(),
             domain: &self.shared.domain,
+            layers: LayerRange {
+                from: 0,
+                to: engines.layers,
+            },
             avoid: &[],
             first: &first,
             now: Instant::now(),
@@ -206,11 +216,14 @@
         self.reading = Some(Reading {
             body,
             connection,
-            parts: path.parts,
+            course: Course {
+                parts: path.parts,
+                reroutes: 0,
+                _reservation: reservation,
+            },
             cutter: Cutter::default(),
             heard: sent,
             begun: false,
-            _reservation: reservation,
         });
         Ok((parts.status, parts.headers))
     }
@@ -223,7 +236,7 @@
         sent: Instant,
     ) -> Result<(Exchange, AnswerHead), Failure> {
         let (first, _) = path.parts[0];
-        let exchange = self.wait(sending, &path.parts, sent, false).await?;
+        let exchange = self.wait_for_first(sending, &path.parts, sent).await?;
         let exchange = exchange.map_err(|e| self.not_sent(first, e))?;
         let head = D::answer(exchange.response.headers());
         self.judge(first, path, &exchange.response, &head)?;
--- /dev/null
+++ b/crates/kelpworks-relay/src/relay/stream/reroute.rs
@@ -0,0 +1,122 @@
+//! Changing the path of a stream while it runs.
+//!
+//! When an engine in the middle of a path stops, the others still hold the request's KV cache. An
+//! order to the first engine replaces the parts that stopped: the new parts read all tokens so far
+//! through their layers alone, nothing is sent again, and so no repeat is used. Where the first
+//! engine itself stopped, or no engine of its neighbourhood can take the layers over, the stream has
+//! to go on by another attempt.
+
+use std::sync::Arc;
+
+use log::info;
+use tokio::time::Instant;
+
+use super::Course;
+use super::Relayed;
+use super::attempt::Reservation;
+use super::trace::text_of;
+use crate::dialect::Dialect;
+use crate::dialect::EngineOrders;
+use crate::dialect::Hop;
+use crate::dialect::LayerRange;
+use crate::dialect::OrderReply;
+use crate::dialect::RerouteOrder;
+use crate::fleet::UpstreamKey;
+use crate::path;
+
+/// Changes of path that one attempt may see; each costs an order, and a stream that needs more is
+/// better off elsewhere.
+const MOST_REROUTES: u32 = 3;
+
+impl<D: Dialect, E: EngineOrders> Relayed<D, E> {
+    /// Replaces the parts of a path that stopped; whether the first engine accepted it.
+    pub(super) async fn reroute(&self, course: &mut Course, culprits: &[UpstreamKey]) -> bool {
+        if culprits.is_empty() || course.reroutes >= MOST_REROUTES {
+            return false;
+        }
+        let Some((parts, hops)) = self.detour(&course.parts, culprits) else {
+            return false;
+        };
+        course.reroutes += 1;
+        let (first, instance) = {
+            let fleet = self.shared.fleet();
+            let Some(first) = fleet.get(parts[0].0) else {
+                return false;
+            };
+            (first.entry.address, Arc::clone(&first.entry.instance))
+        };
+        let order = RerouteOrder {
+            instance: &instance,
+            request: &self.ticket.id,
+            path: &hops,
+        };
+        let reply = self.orders.reroute(first, order).await;
+        self.log_reroute(&hops, culprits, reply);
+        if reply != OrderReply::Accepted {
+            return false;
+        }
+        course._reservation = Reservation::take(&self.shared, &parts, self.tokens());
+        course.parts = parts;
+        true
+    }
+
+    /// A path with other engines in place of the culprits, if there is one that does not leave the
+    /// failure domain of the engines before: what crosses is every token so far.
+    fn detour(
+        &self,
+        parts: &[(UpstreamKey, LayerRange)],
+        culprits: &[UpstreamKey],
+    ) -> Option<(Vec<(UpstreamKey, LayerRange)>, Vec<Hop>)> {
+        let engines = self.engines.as_ref()?;
+        let fleet = self.shared.fleet();
+        let mut taken: Vec<UpstreamKey> = parts.iter().map(|&(key, _)| key).collect();
+        let mut new: Vec<(UpstreamKey, LayerRange)> = Vec::with_capacity(parts.len());
+        for &(key, layers) in parts {
+            if !culprits.contains(&key) {
+                new.push((key, layers));
+                continue;
+            }
+            let &(before, _) = new.last()?;
+            let domain = Arc::clone(&fleet.get(before)?.entry.domain);
+            let ask = path::Ask {
+                service: &self.ticket.service.name,
+                tokens: self.tokens(),
+                domain: &domain,
+                layers,
+                avoid: &taken,
+                first: &[],
+                now: Instant::now(),
+            };
+            let found = path::search(&fleet, engines, &ask, &mut rand::rng()).ok()?;
+            let stays = |k: UpstreamKey| fleet.get(k).is_some_and(|u| u.entry.domain == domain);
+            if !found.keys().all(stays) {
+                return None;
+            }
+            taken.extend(found.keys());
+            new.extend(found.parts);
+        }
+        if new.len() > path::MOST_HOPS {
+            return None;
+        }
+        let hops = path::hops(&fleet, &new)?;
+        Some((new, hops))
+    }
+
+    fn log_reroute(&self, hops: &[Hop], culprits: &[UpstreamKey], reply: OrderReply) {
+        let fleet = self.shared.fleet();
+        let name = |key: &UpstreamKey| fleet.get(*key).map(|u| u.entry.instance.to_string());
+        let stopped: Vec<String> = culprits.iter().filter_map(name).collect();
+        info!(
+            target: "decision",
+            request:% = self.ticket.id,
+            stopped:% = stopped.join(","),
+            last_event = self.last_event.unwrap_or(0),
+            path:% = text_of(hops),
+            fleet_revision = fleet.revision(),
+            outcome:% = reply.as_str();
+            "path changed"
+        );
+        let labels = [("outcome", reply.as_str())];
+        metrics::counter!("kelpworks_reroutes_total", &labels).increment(1);
+    }
+}
--- a/crates/kelpworks-relay/src/relay/stream/silence.rs
+++ b/crates/kelpworks-relay/src/relay/stream/silence.rs
@@ -5,9 +5,11 @@
 use kelpworks::verdict::Verdict;
 use tokio::time::Instant;
 
+use super::Course;
 use super::Failure;
 use super::Relayed;
 use crate::dialect::Dialect;
+use crate::dialect::EngineOrders;
 use crate::dialect::LayerRange;
 use crate::fleet::UpstreamKey;
 use crate::shared::Shared;
@@ -27,6 +29,46 @@
 /// leave after 2 s.
 const STUCK: Duration = Duration::from_millis(1_200);
 
+/// What a wait came to.
+enum Waited<T> {
+    Done(T),
+    Silent(Stop),
+}
+
+/// A stream that seems to have stopped.
+pub(super) struct Stop {
+    /// Engines that are likely to blame; none where all seem to work for others.
+    pub(super) culprits: Vec<UpstreamKey>,
+    why: &'static str,
+}
+
+/// How long a silence is borne.
+struct Patience {
+    /// When something last came.
+    since: Instant,
+    /// From then on it counts against engines.
+    noticed: Instant,
+    /// When engines are suspected next.
+    next: Instant,
+    /// Time between two looks for the engines to blame.
+    silent: Duration,
+}
+
+impl Patience {
+    /// From a moment on, with an allowance for reading a prompt.
+    fn new(shared: &Shared, since: Instant, reading: Duration) -> Patience {
+        let slowness = shared.slowness();
+        let silent = SILENT.mul_f64(slowness);
+        let reading = reading.mul_f64(slowness);
+        Patience {
+            since,
+            noticed: since + NOTICED.mul_f64(slowness) + reading,
+            next: since + silent + reading,
+            silent,
+        }
+    }
+}
+
 /// Engines that a silent stream counts against, until dropped.
 struct Silence<'a> {
     shared: &'a Shared,
@@ -52,43 +94,76 @@
     }
 }
 
-impl<D: Dialect> Relayed<D> {
-    /// Waits for something of this attempt. Fails when engines of the path seem to have stopped and
-    /// another attempt is allowed; without one, waiting on is all that is left.
-    pub(super) async fn wait<T>(
+impl<D: Dialect, E: EngineOrders> Relayed<D, E> {
+    /// Waits for the first word of an attempt. Fails when engines of the path seem to have stopped
+    /// and another attempt is allowed; without one, waiting on is all that is left.
+    pub(super) async fn wait_for_first<T>(
         &self,
         work: impl Future<Output = T>,
         parts: &[(UpstreamKey, LayerRange)],
         since: Instant,
-        begun: bool,
     ) -> Result<T, Failure> {
         tokio::pin!(work);
-        let reading = match begun {
-            true => Duration::ZERO,
-            false => self.reading_time(),
-        };
-        let slowness = self.shared.slowness();
-        let silent = SILENT.mul_f64(slowness);
-        let reading = reading.mul_f64(slowness);
-        let noticed = since + NOTICED.mul_f64(slowness) + reading;
-        if let Some(done) = self.until(&mut work, noticed).await? {
-            return Ok(done);
+        let mut patience = Patience::new(&self.shared, since, self.reading_time());
+        loop {
+            match self.until_silent(&mut work, parts, &mut patience).await? {
+                Waited::Done(done) => return Ok(done),
+                Waited::Silent(stop) => self.may_move(&stop)?,
+            }
         }
-        let now = Instant::now();
-        let suspects = self.shared.fleet().unconfirmed(parts, since, now);
+    }
+
+    /// Waits for the next events of a stream. When engines of the path seem to have stopped, the path
+    /// is changed while the request runs; where that can't be done, it fails if another attempt is
+    /// allowed.
+    pub(super) async fn wait_for_more<T>(
+        &self,
+        work: impl Future<Output = T>,
+        course: &mut Course,
+        since: Instant,
+    ) -> Result<T, Failure> {
+        tokio::pin!(work);
+        let mut patience = Patience::new(&self.shared, since, Duration::ZERO);
+        loop {
+            let parts = &course.parts;
+            match self.until_silent(&mut work, parts, &mut patience).await? {
+                Waited::Done(done) => return Ok(done),
+                Waited::Silent(stop) => {
+                    if self.reroute(course, &stop.culprits).await {
+                        let now = Instant::now();
+                        patience = Patience::new(&self.shared, now, self.reading_time());
+                        continue;
+                    }
+                    self.may_move(&stop)?;
+                }
+            }
+        }
+    }
+
+    /// Waits until engines of the path seem to have stopped.
+    async fn until_silent<T>(
+        &self,
+        work: &mut (impl Future<Output = T> + Unpin),
+        parts: &[(UpstreamKey, LayerRange)],
+        patience: &mut Patience,
+    ) -> Result<Waited<T>, Failure> {
+        if let Some(done) = self.until(work, patience.noticed).await? {
+            return Ok(Waited::Done(done));
+        }
+        let since = patience.since;
+        let suspects = self
+            .shared
+            .fleet()
+            .unconfirmed(parts, since, Instant::now());
         let _silence = Silence::note(&self.shared, suspects);
-        let mut at = since + silent + reading;
         loop {
-            if let Some(done) = self.until(&mut work, at).await? {
-                return Ok(done);
+            if let Some(done) = self.until(work, patience.next).await? {
+                return Ok(Waited::Done(done));
             }
-            if let Some(why) = self.suspect(parts, since) {
-                return Err(Failure {
-                    permitted: true,
-                    ..Failure::new(Verdict::MayHaveRun, why)
-                });
+            patience.next += patience.silent;
+            if let Some(stop) = self.suspect(parts, since) {
+                return Ok(Waited::Silent(stop));
             }
-            at += silent;
         }
     }
 
@@ -109,9 +184,8 @@
         }
     }
 
-    /// Passes the likely culprits of a silence over; the reason when the stream should move, which
-    /// is allowed then.
-    fn suspect(&self, parts: &[(UpstreamKey, LayerRange)], since: Instant) -> Option<&'static str> {
+    /// Passes the likely culprits of a silence over; `None` when there is none yet.
+    fn suspect(&self, parts: &[(UpstreamKey, LayerRange)], since: Instant) -> Option<Stop> {
         let now = Instant::now();
         let stuck = now.duration_since(since) >= STUCK;
         let culprits = {
@@ -123,16 +197,28 @@
             }
             culprits
         };
-        if culprits.is_empty() && !stuck {
-            return None;
+        match (culprits.is_empty(), stuck) {
+            (true, false) => None,
+            (true, true) => Some(Stop {
+                culprits,
+                why: "stream stuck",
+            }),
+            (false, _) => Some(Stop {
+                culprits,
+                why: "engines silent",
+            }),
         }
-        let moves = self.choose().is_ok() && self.may_go_on(Verdict::MayHaveRun);
-        let why = if culprits.is_empty() {
-            "stream stuck"
-        } else {
-            "engines silent"
-        };
-        moves.then_some(why)
+    }
+
+    /// Fails when the request is to go on by another attempt, which is allowed then.
+    fn may_move(&self, stop: &Stop) -> Result<(), Failure> {
+        if self.choose().is_ok() && self.may_go_on(Verdict::MayHaveRun) {
+            return Err(Failure {
+                permitted: true,
+                ..Failure::new(Verdict::MayHaveRun, stop.why)
+            });
+        }
+        Ok(())
     }
 
     /// Time that reading the prompt may take before the first event.
--- a/crates/kelpworks-relay/src/relay/stream/trace.rs
+++ b/crates/kelpworks-relay/src/relay/stream/trace.rs
@@ -4,12 +4,14 @@
 
 use super::Relayed;
 use crate::dialect::Dialect;
+use crate::dialect::EngineOrders;
+use crate::dialect::Hop;
 use crate::fleet::Load;
 use crate::fleet::Upstream;
 use crate::path::NoPath;
 use crate::path::Path;
 
-impl<D: Dialect> Relayed<D> {
+impl<D: Dialect, E: EngineOrders> Relayed<D, E> {
     /// Logs what stands in the way of a path: the engines that hold the layer and what they run.
     pub(super) fn log_no_path(&self, why: NoPath) {
         let fleet = self.shared.fleet();
@@ -38,10 +40,6 @@
     }
 
     pub(super) fn log_path(&self, path: &Path) {
-        let hops = path.hops.iter();
-        let text: Vec<String> = hops
-            .map(|h| format!("{}={}-{}", h.address, h.layers.from, h.layers.to))
-            .collect();
         info!(
             target: "decision",
             request:% = self.ticket.id,
@@ -51,7 +49,7 @@
             after_event = self.last_event.unwrap_or(0),
             tokens = self.tokens(),
             crossings = path.crossings,
-            path:% = text.join(",");
+            path:% = text_of(&path.hops);
             "path chosen"
         );
     }
@@ -75,3 +73,10 @@
         metrics::histogram!("kelpworks_stream_seconds").record(took.as_secs_f64());
     }
 }
+
+/// A path as it stands in the log.
+pub(super) fn text_of(path: &[Hop]) -> String {
+    let part = |h: &Hop| format!("{}={}-{}", h.address, h.layers.from, h.layers.to);
+    let parts: Vec<String> = path.iter().map(part).collect();
+    parts.join(",")
+}
--- a/crates/kelpworks-relay/tests/path.rs
+++ b/crates/kelpworks-relay/tests/path.rs
@@ -42,6 +42,7 @@
         service: "llm",
         tokens: 984.0,
         domain,
+        layers: range(0, LAYERS),
         avoid: &[],
         first,
         now: Instant::now(),
@@ -97,6 +98,33 @@
     assert_eq!(path.crossings, 0, "activations don't cross");
 }
 
+#[tokio::test]
+async fn a_part_of_a_path_is_replaced_without_the_engines_that_are_on_it() {
+    let fleet = fleet(&["a", "b"]);
+    let whole = find(&fleet, &ask("a", &[]), 1).expect("a path");
+    let taken: Vec<UpstreamKey> = whole.keys().collect();
+    for &(_, layers) in &whole.parts {
+        let part = Ask {
+            layers,
+            avoid: &taken,
+            ..ask("a", &[])
+        };
+        let Ok(path) = find(&fleet, &part, 1) else {
+            continue;
+        };
+        let (first, last) = (path.parts[0].1, path.parts[path.parts.len() - 1].1);
+        assert_eq!((first.from, last.to), (layers.from, layers.to));
+        assert!(path.parts.windows(2).all(|w| w[0].1.to == w[1].1.from));
+        assert!(path.keys().all(|k| !taken.contains(&k)));
+    }
+    let part = Ask {
+        layers: range(20, 30),
+        avoid: &taken,
+        ..ask("a", &[])
+    };
+    assert!(find(&fleet, &part, 1).is_ok(), "layers held twice");
+}
+
 #[tokio::test]
 async fn an_engine_that_failed_is_passed_over_where_others_hold_its_layers() {
     let mut fleet = fleet(&["a", "b"]);
