--- a/crates/kelpworks-relay/src/relay/stream/reroute.rs
+++ b/crates/kelpworks-relay/src/relay/stream/reroute.rs
@@ -28,13 +28,20 @@
 /// better off elsewhere.
 const MOST_REROUTES: u32 = 3;
 
+/// A path without the engines that stopped.
+struct Detour {
+    parts: Vec<(UpstreamKey, LayerRange)>,
+    /// The same as engines are told.
+    hops: Vec<Hop>,
+}
+
 impl<D: Dialect, E: EngineOrders> Relayed<D, E> {
     /// Replaces the parts of a path that stopped; whether the first engine accepted it.
     pub(super) async fn reroute(&self, course: &mut Course, culprits: &[UpstreamKey]) -> bool {
         if culprits.is_empty() || course.reroutes >= MOST_REROUTES {
             return false;
         }
-        let Some((parts, hops)) = self.detour(&course.parts, culprits) else {
+        let Some(Detour { parts, hops }) = self.detour(&course.parts, culprits) else {
             return false;
         };
         course.reroutes += 1;
@@ -66,7 +73,7 @@
         &self,
         parts: &[(UpstreamKey, LayerRange)],
         culprits: &[UpstreamKey],
-    ) -> Option<(Vec<(UpstreamKey, LayerRange)>, Vec<Hop>)> {
+    ) -> Option<Detour> {
         let engines = self.engines.as_ref()?;
         let fleet = self.shared.fleet();
         let mut taken: Vec<UpstreamKey> = parts.iter().map(|&(key, _)| key).collect();
@@ -99,7 +106,7 @@
             return None;
         }
         let hops = path::hops(&fleet, &new)?;
-        Some((new, hops))
+        Some(Detour { parts: new, hops })
     }
 
     fn log_reroute(&self, hops: &[Hop], culprits: &[UpstreamKey], reply: OrderReply) {
