Place layers without the lease's holder; tell engines' layers between daemons

What a daemon orders is also seen by others only by the engine's next registration. Ruled out: a shorter lease: it costs calls and does nothing for an outage. Change: engines' own word on their layers, dated by the count of orders they have begun, goes before their registrations, is asked for while they load, and is told to peers. A daemon that hears of no holder for a second stands in: the first by a hash of those heard. Orders stay conditional on the count, so of two only the first is begun. The messages of peers have a file of their own.

--- a/crates/kelpworks-cli/tests/relay_faults.rs
+++ b/crates/kelpworks-cli/tests/relay_faults.rs
@@ -12,6 +12,7 @@
 use relay_site::configuration;
 use relay_site::daemon::Budget;
 use relay_site::daemon::Relay;
+use relay_site::engine::Engine;
 use relay_site::engine::Fault;
 use relay_site::engine::Run;
 use relay_site::engine::is_whole;
@@ -70,13 +71,15 @@
     assert!(daemon.counter(REROUTES).await > 0);
 }
 
-/// An engine that some paths pass, but none first, and not all.
+/// An engine that some paths pass, but none first, while other paths show that the first engines of
+/// these work: without them the daemon can't tell which one stopped.
 fn inner_engine(runs: &[Run]) -> Option<String> {
     let mut later = runs.iter().flat_map(|r| &r.path[1..]);
     let is_inner = |engine: &&String| {
-        let on = runs.iter().filter(|r| r.path.contains(engine)).count();
-        let first = runs.iter().any(|r| r.first == **engine);
-        !first && on < runs.len()
+        let passes = |r: &&Run| r.path.contains(engine);
+        let is_shown = |first: &String| runs.iter().any(|r| !passes(&r) && r.path.contains(first));
+        let mut on = runs.iter().filter(passes);
+        on.all(|r| r.first != **engine && is_shown(&r.first))
     };
     later.find(is_inner).cloned()
 }
@@ -259,6 +262,29 @@
     }
 }
 
+/// Seen once: an engine died while the store was down, and its layers were placed nowhere for eight
+/// seconds, since nobody could hold the lease.
+#[tokio::test]
+async fn layers_are_placed_while_the_store_is_down_and_the_holder_of_the_lease_is_gone() {
+    let mut site = Site::start("stand-in", 3).await;
+    let holds = |d: &Relay| d.log().contains("\"reason\":\"acquired\"");
+    until(async || site.daemons.iter().any(holds)).await;
+    let holder = site.daemons.iter().position(holds).expect("a holder");
+    drop(site.daemons.remove(holder));
+    let engine = Engine::start(&site.engines, "e-new", "hall-a").await;
+    site.store.put("servers", &engine.instance, engine.entry());
+    let knows = |d: &Relay| d.log().contains("e-new");
+    until(async || site.daemons.iter().all(knows)).await;
+    site.store.set_down(true);
+    until(async || engine.held().is_some()).await;
+    let told = |d: &Relay| {
+        let log = d.log();
+        log.contains("layers loaded") || log.contains("layers told")
+    };
+    until(async || site.daemons.iter().all(told)).await;
+    assert_eq!(engine.orders(), 1);
+}
+
 async fn get(daemon: &Relay, path: &str) -> Result<u16, String> {
     let req = daemon.request(Method::GET, path, "g-1");
     let answer = daemon.send(req).await.map_err(|e| e.to_string())?;
--- a/crates/kelpworks-cli/tests/relay_site/engine.rs
+++ b/crates/kelpworks-cli/tests/relay_site/engine.rs
@@ -197,6 +197,16 @@
         })
     }
 
+    /// Layers that it holds.
+    pub(crate) fn held(&self) -> Option<(u16, u16)> {
+        *self.held.lock().expect("no panic")
+    }
+
+    /// Orders that it has begun.
+    pub(crate) fn orders(&self) -> u64 {
+        self.orders.load(Ordering::Relaxed)
+    }
+
     fn set_fault(&self, fault: Option<Fault>) {
         *self.fault.lock().expect("no panic") = fault;
     }
@@ -277,12 +287,14 @@
         let path = self.parts(&field("x-kelpworks-hops"));
         let fault = self.engine.fault.lock().expect("no panic").take();
         let refused = fault == Some(Fault::Refused);
-        let Ok(parts) = path else {
-            let at = path.err().expect("an address");
-            let _ = res.add_header("at-server", at, true);
-            let _ = res.add_header("x-kelpworks-not-executed", "1", true);
-            res.status_code(StatusCode::MISDIRECTED_REQUEST);
-            return;
+        let parts = match path {
+            Ok(parts) => parts,
+            Err(at) => {
+                let _ = res.add_header("at-server", at, true);
+                let _ = res.add_header("x-kelpworks-not-executed", "1", true);
+                res.status_code(StatusCode::MISDIRECTED_REQUEST);
+                return;
+            }
         };
         if refused {
             let _ = res.add_header("x-kelpworks-not-executed", "1", true);
--- a/crates/kelpworks-coord/src/lease.rs
+++ b/crates/kelpworks-coord/src/lease.rs
@@ -248,6 +248,12 @@
         (now + self.cfg.order_bound < bound && !self.releasing).then_some(held.record.token)
     }
 
+    /// The highest token seen.
+    pub fn latest_token(&self) -> Token {
+        self.seen
+            .map_or(Token(0), |(stored, _)| stored.record.token)
+    }
+
     /// Who holds the lease, as last seen.
     pub fn owner(&self) -> Option<Owner> {
         self.seen.and_then(|(stored, _)| stored.record.owner)
--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -212,7 +212,12 @@
         let keeping = keep_lease(keeper, Arc::clone(&peers), leave.clone());
         let lease = tokio::spawn(keeping);
         let engines = Arc::new(clients.engines);
-        let placer = Placer::new(Arc::clone(&shared), hold, Arc::clone(&engines));
+        let placer = Placer::new(
+            Arc::clone(&shared),
+            hold,
+            Arc::clone(&peers),
+            Arc::clone(&engines),
+        );
         tokio::spawn(placer.run(leave.clone()));
         let readiness = operators::readiness(&shared);
         let readiness = Server::start(listen.readiness, readiness, CALLER_IDLE).await;
--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -15,6 +15,8 @@
 use crate::dialect::LayerRange;
 use crate::dialect::Stage;
 use crate::dialect::UpstreamEntry;
+use crate::holdings::Holding;
+use crate::holdings::Holdings;
 
 new_key_type! {
     /// Key of an upstream's incarnation; never reused.
@@ -60,6 +62,8 @@
 pub struct Upstream {
     /// As registered.
     pub entry: UpstreamEntry,
+    /// Layers that can be used: as registered, or by a later word of the engine itself.
+    pub layers: Option<LayerRange>,
     /// Load by this daemon.
     pub own: Load,
     /// Load by all other daemons, as they last told.
@@ -140,6 +144,7 @@
     upstreams: SlotMap<UpstreamKey, Upstream>,
     by_instance: HashMap<Arc<str>, UpstreamKey>,
     by_service: HashMap<Arc<str>, Vec<UpstreamKey>>,
+    holdings: Holdings,
     /// Revision of the store that the registrations are of; never falls.
     revision: u64,
 }
@@ -173,6 +178,9 @@
     }
 
     fn upsert(&mut self, entry: UpstreamEntry, changes: &mut Changes) {
+        self.holdings.registered(&entry.instance, entry.layers);
+        let word = self.holdings.get(&entry.instance);
+        let layers = word.map_or(entry.layers, |h| h.usable());
         if let Some(&key) = self.by_instance.get(&entry.instance) {
             if let Some(upstream) = self.upstreams.get_mut(key) {
                 if upstream.is_open() && entry.stage == Stage::Leaving {
@@ -183,6 +191,7 @@
                         .layers
                         .push((Arc::clone(&entry.instance), entry.layers));
                 }
+                upstream.layers = layers;
                 upstream.entry = entry;
             }
             return;
@@ -191,6 +200,7 @@
         let service = Arc::clone(&entry.service);
         let key = self.upstreams.insert(Upstream {
             entry,
+            layers,
             own: Load::default(),
             others: Load::default(),
             last_good: None,
@@ -208,6 +218,7 @@
     }
 
     fn remove(&mut self, instance: &str) {
+        self.holdings.forget(instance);
         let Some(key) = self.by_instance.remove(instance) else {
             return;
         };
@@ -219,6 +230,45 @@
         }
     }
 
+    /// Takes an engine's own word on its layers, true `age` ago; whether it is news.
+    pub fn tell_holding(
+        &mut self,
+        instance: &Arc<str>,
+        holding: Holding,
+        age: Duration,
+        now: Instant,
+    ) -> bool {
+        let Some(&key) = self.by_instance.get(instance) else {
+            return false;
+        };
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return false;
+        };
+        if !self.holdings.tell(instance, holding, age, now) {
+            return false;
+        }
+        self.holdings.registered(instance, upstream.entry.layers);
+        upstream.layers = holding.usable();
+        true
+    }
+
+    /// Goes back to the registrations of engines whose own word was not confirmed in time.
+    pub fn expire_holdings(&mut self, registrations_come: bool, now: Instant) -> Vec<Arc<str>> {
+        let over = self.holdings.expire(registrations_come, now);
+        for instance in &over {
+            let key = self.by_instance.get(instance).copied();
+            if let Some(upstream) = key.and_then(|k| self.upstreams.get_mut(k)) {
+                upstream.layers = upstream.entry.layers;
+            }
+        }
+        over
+    }
+
+    /// What engines said of their layers beyond their registrations.
+    pub fn holdings(&self) -> &Holdings {
+        &self.holdings
+    }
+
     /// An upstream; `None` once its incarnation is gone.
     pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
         self.upstreams.get(key)
--- /dev/null
+++ b/crates/kelpworks-relay/src/holdings.rs
@@ -0,0 +1,148 @@
+//! What engines hold, as their own word tells it before their registrations do.
+//!
+//! A registration shows new layers up to a heartbeat after they are loaded, and nothing at all while
+//! the store is down. So whoever orders an engine notes the order, asks the engine until it has
+//! loaded, and tells the other daemons. The number of orders that an engine has begun dates each
+//! word: a later order is newer, and loaded is newer than ordered.
+//!
+//! ```
+//! use kelpworks_relay::dialect::LayerRange;
+//! use kelpworks_relay::holdings::Holding;
+//!
+//! let layers = LayerRange { from: 0, to: 9 };
+//! let ordered = Holding { orders: 2, layers, loaded: false };
+//! let loaded = Holding { loaded: true, ..ordered };
+//! assert!(loaded.is_newer_than(&ordered));
+//! ```
+//!
+//! Limits: an engine that is ordered past this table, or that loses an order which was accepted, is
+//! shown wrongly until its registration changes or [`WORD_FOR`] is over.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::dialect::LayerRange;
+
+/// How long a word counts that no registration confirms: a whole accelerator's layers load in 7 s,
+/// slower when many load at once.
+pub const WORD_FOR: Duration = Duration::from_secs(12);
+
+/// What an engine holds or is loading.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holding {
+    /// Orders that the engine had begun then, the one for these layers included.
+    pub orders: u64,
+    /// The layers.
+    pub layers: LayerRange,
+    /// Whether they are loaded; until then the engine can do no work.
+    pub loaded: bool,
+}
+
+impl Holding {
+    /// Whether it says something later than another word on the same engine.
+    pub fn is_newer_than(&self, other: &Holding) -> bool {
+        (self.orders, self.loaded) > (other.orders, other.loaded)
+    }
+
+    /// Layers that can be used.
+    pub fn usable(&self) -> Option<LayerRange> {
+        self.loaded.then_some(self.layers)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Word {
+    holding: Holding,
+    since: Instant,
+    /// A registration has said the same since. The word is kept until it would be over, so that a
+    /// late copy of it or of an older one is not taken for news.
+    confirmed: bool,
+}
+
+/// The last word on each engine.
+#[derive(Clone, Debug, Default)]
+pub struct Holdings {
+    words: HashMap<Arc<str>, Word>,
+}
+
+impl Holdings {
+    /// The last word on an engine, as long as its registration does not show it.
+    pub fn get(&self, instance: &str) -> Option<Holding> {
+        let word = self.words.get(instance)?;
+        (!word.confirmed).then_some(word.holding)
+    }
+
+    /// Orders that an engine has begun, as far as any word tells.
+    pub fn orders(&self, instance: &str) -> Option<u64> {
+        self.words.get(instance).map(|w| w.holding.orders)
+    }
+
+    /// Takes a word that was true `age` ago; whether it is news.
+    pub fn tell(
+        &mut self,
+        instance: &Arc<str>,
+        holding: Holding,
+        age: Duration,
+        now: Instant,
+    ) -> bool {
+        let known = self.words.get(instance);
+        if age >= WORD_FOR || known.is_some_and(|w| !holding.is_newer_than(&w.holding)) {
+            return false;
+        }
+        let since = now.checked_sub(age).unwrap_or(now);
+        let word = Word {
+            holding,
+            since,
+            confirmed: false,
+        };
+        self.words.insert(Arc::clone(instance), word);
+        true
+    }
+
+    /// Takes the layers that an engine registered: a word that says the same has served its turn.
+    pub fn registered(&mut self, instance: &str, layers: Option<LayerRange>) {
+        if let Some(word) = self.words.get_mut(instance) {
+            let Holding {
+                layers: told,
+                loaded,
+                ..
+            } = word.holding;
+            word.confirmed |= loaded && Some(told) == layers;
+        }
+    }
+
+    /// Forgets an engine.
+    pub fn forget(&mut self, instance: &str) {
+        self.words.remove(instance);
+    }
+
+    /// Forgets words that were not confirmed in time, and says on whom. While no registrations come,
+    /// those of loaded engines stay: nothing newer can be known.
+    pub fn expire(&mut self, registrations_come: bool, now: Instant) -> Vec<Arc<str>> {
+        let is_over = |w: &Word| {
+            let late = now.duration_since(w.since) >= WORD_FOR;
+            late && (registrations_come || w.confirmed || !w.holding.loaded)
+        };
+        let over = self.words.iter().filter(|(_, w)| is_over(w));
+        let over: Vec<Arc<str>> = over.map(|(instance, _)| Arc::clone(instance)).collect();
+        for instance in &over {
+            self.words.remove(instance);
+        }
+        over
+    }
+
+    /// Words that no registration shows, and their age; the newest first, at most so many.
+    pub fn words(&self, most: usize, now: Instant) -> Vec<(Arc<str>, Holding, Duration)> {
+        let age = |w: &Word| now.duration_since(w.since);
+        let open = self.words.iter().filter(|(_, w)| !w.confirmed);
+        let mut words: Vec<(Arc<str>, Holding, Duration)> = open
+            .map(|(instance, w)| (Arc::clone(instance), w.holding, age(w)))
+            .collect();
+        words.sort_by(|a, b| (a.2, &a.0).cmp(&(b.2, &b.0)));
+        words.truncate(most);
+        words
+    }
+}
--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod documents;
 pub mod fleet;
 mod follow;
+pub mod holdings;
 pub mod layout;
 mod operators;
 pub mod path;
--- a/crates/kelpworks-relay/src/path.rs
+++ b/crates/kelpworks-relay/src/path.rs
@@ -219,7 +219,7 @@
 
     /// Whether an engine that is open holds a layer, whatever its load.
     fn holds(fleet: &Fleet, ask: &Ask<'_>, layer: u16) -> bool {
-        let holds = |u: &Upstream| u.entry.layers.is_some_and(|r| r.contains(layer));
+        let holds = |u: &Upstream| u.layers.is_some_and(|r| r.contains(layer));
         let mut engines = fleet.of_service(ask.service);
         engines.any(|(key, u)| u.is_open() && !ask.avoid.contains(&key) && holds(u))
     }
@@ -352,7 +352,7 @@
     engines: &Engines,
     ask: &Ask<'_>,
 ) -> Option<Candidate> {
-    let range = upstream.entry.layers.filter(|r| !r.is_empty())?;
+    let range = upstream.layers.filter(|r| !r.is_empty())?;
     let kind = engines.kind(upstream.entry.kind.as_deref()?)?;
     if !upstream.is_open() || ask.avoid.contains(&key) {
         return None;
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -9,6 +9,7 @@
 //! talks to a few, most of them in its own failure domain, takes the load of those it heard for a
 //! sample of the fleet, and a few daemons of each domain watch the store for all.
 
+mod messages;
 #[cfg(test)]
 mod tests;
 
@@ -30,8 +31,6 @@
 use kelpworks::membership::links::Links;
 use log::info;
 use rand::seq::IndexedRandom;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64;
@@ -39,9 +38,16 @@
 use crate::crashes::Fingerprint;
 use crate::dialect::Dialect;
 use crate::documents::Documents;
-use crate::documents::Entries;
 use crate::documents::Source;
 use crate::shared::Shared;
+use messages::Contact;
+use messages::CrashesOf;
+use messages::Digest;
+use messages::DoubtOf;
+use messages::HoldingOf;
+use messages::Known;
+use messages::LoadOf;
+use messages::Texts;
 
 /// Time between two exchanges with each partner: load told a quarter of a second ago is still that
 /// of most streams, which last longer than a second.
@@ -77,80 +83,13 @@
 const LEARNING: Duration = Duration::from_secs(3);
 /// Fingerprints told at most in a digest.
 const MOST_FINGERPRINTS: usize = 64;
-
-/// A daemon as others know it.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub(crate) struct Contact {
-    /// Its name.
-    name: String,
-    /// Failure domain it stands in.
-    domain: String,
-    /// Where it listens for peers.
-    address: SocketAddr,
-    /// Milliseconds since it was last heard of.
-    age_ms: u64,
-}
-
-/// What a daemon runs on an upstream.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub(crate) struct LoadOf {
-    instance: Arc<str>,
-    running: f64,
-    reserved: f64,
-}
-
-/// An upstream that a daemon passes over.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub(crate) struct DoubtOf {
-    instance: Arc<str>,
-    left_ms: u64,
-}
-
-/// A request that died with upstreams.
-#[derive(Clone, Copy, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub(crate) struct CrashesOf {
-    fingerprint: u64,
-    crashes: u32,
-}
-
-/// What a daemon tells of itself.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub(crate) struct Digest {
-    from: Contact,
-    /// Version of the configuration in force there.
-    version: u64,
-    /// Revision of the upstreams' entries there.
-    revision: u64,
-    /// Whether it watches the store and the store answers it.
-    watches: bool,
-    members: Vec<Contact>,
-    load: Vec<LoadOf>,
-    doubts: Vec<DoubtOf>,
-    crashes: Vec<CrashesOf>,
-}
-
-/// Texts that a daemon holds.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub(crate) struct Texts {
-    /// The configuration, when it is newer than was asked for.
-    configuration: Option<Arc<str>>,
-    /// The entries of upstreams and their revision, when newer than was asked for.
-    entries: Option<Entries>,
-}
-
-/// What the asking daemon holds already.
-#[derive(Clone, Copy, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub(crate) struct Known {
-    version: u64,
-    revision: u64,
-}
+/// Words on engines' layers told at most in a digest: those of an order to each engine of a small
+/// fleet; the newest go first.
+const MOST_HOLDINGS: usize = 48;
+/// Silence of the lease's holder after which another daemon stands in for it: four exchanges.
+const HOLDER_SILENT: Duration = Duration::from_secs(1);
+/// The same in a larger fleet, where word of it comes through others.
+const HOLDER_SILENT_LARGE: Duration = Duration::from_millis(2_500);
 
 /// Methods of a daemon for its peers; all may be repeated.
 #[rpc(server, client, namespace = "kelpworks", namespace_separator = ".")]
@@ -188,6 +127,8 @@
     started: Instant,
     seeds: Mutex<Vec<SocketAddr>>,
     members: Mutex<HashMap<String, Member>>,
+    /// When the holder of the placement lease was last known to be at work.
+    lease_holder: Mutex<Option<Instant>>,
 }
 
 impl Peers {
@@ -207,6 +148,7 @@
             started: Instant::now(),
             seeds: Mutex::default(),
             members: Mutex::default(),
+            lease_holder: Mutex::default(),
         }
     }
 
@@ -243,7 +185,6 @@
         if !members.values().any(|m| m.watches && told(m)) {
             return true;
         }
-        let hash = |name: &str| xxh3_64(name.as_bytes());
         let own = hash(&self.name);
         let here = members
             .iter()
@@ -251,6 +192,36 @@
         here.filter(|(name, _)| hash(name) < own).count() < WATCHERS
     }
 
+    /// Notes that this daemon holds the placement lease.
+    pub(crate) fn holds_lease(&self) {
+        *lock(&self.lease_holder) = Some(Instant::now());
+    }
+
+    /// Whether this daemon gives orders in place of the lease's holder: that one has been silent, as
+    /// while the store is down, and of the daemons heard lately this one comes first by a hash. Two
+    /// that don't hear each other may both do so; engines take only the first of two orders.
+    pub(crate) fn stands_in(&self) -> bool {
+        let now = Instant::now();
+        if now.duration_since(self.started) < LEARNING {
+            return false;
+        }
+        let members = lock(&self.members);
+        let is_live = |m: &&Member| now.duration_since(m.heard) < HEARD;
+        let (silent, lately) = match members.values().filter(is_live).count() <= SMALL {
+            true => (HOLDER_SILENT, HOLDER_SILENT),
+            false => (HOLDER_SILENT_LARGE, HEARD),
+        };
+        let holder = *lock(&self.lease_holder);
+        if holder.is_some_and(|at| now.duration_since(at) < silent) {
+            return false;
+        }
+        let own = hash(&self.name);
+        let mut others = members
+            .iter()
+            .filter(|(_, m)| now.duration_since(m.heard) < lately);
+        others.all(|(name, _)| own < hash(name))
+    }
+
     /// Listens for peers.
     pub(crate) async fn listen<D: Dialect>(self: &Arc<Peers>) -> std::io::Result<ServerHandle> {
         let cfg = ServerConfig::builder()
@@ -357,8 +328,10 @@
         let now = Instant::now();
         let mut load = Vec::new();
         let mut doubts = Vec::new();
+        let holdings;
         {
             let fleet = self.shared.fleet();
+            holdings = fleet.holdings().words(MOST_HOLDINGS, now);
             for (_, u) in fleet.iter() {
                 if u.own.running > 0.0 {
                     load.push(LoadOf {
@@ -395,6 +368,12 @@
             load,
             doubts,
             crashes: crashes.collect(),
+            holdings: holdings
+                .into_iter()
+                .map(|(instance, holding, age)| HoldingOf::new(instance, holding, age))
+                .collect(),
+            lease_holder_age_ms: lock(&self.lease_holder)
+                .map(|at| now.duration_since(at).as_millis() as u64),
         }
     }
 
@@ -440,13 +419,26 @@
                     fleet.doubt_told(key, since, until);
                 }
             }
+            for word in &digest.holdings {
+                let age = Duration::from_millis(word.age_ms);
+                if fleet.tell_holding(&word.instance, word.holding(), age, now) {
+                    log_holding(word, &digest.from.name);
+                }
+            }
         }
+        self.heard_of_lease_holder(digest.lease_holder_age_ms, now);
         let mut crashes = self.shared.crashes();
         for told in &digest.crashes {
             crashes.told(Fingerprint(told.fingerprint), told.crashes, now);
         }
     }
 
+    fn heard_of_lease_holder(&self, age_ms: Option<u64>, now: Instant) {
+        let at = age_ms.and_then(|ms| now.checked_sub(Duration::from_millis(ms)));
+        let mut holder = lock(&self.lease_holder);
+        *holder = (*holder).max(at);
+    }
+
     fn meet(&self, contact: &Contact, now: Instant) {
         let age = Duration::from_millis(contact.age_ms);
         let Some(heard) = now.checked_sub(age) else {
@@ -534,6 +526,25 @@
     }
 }
 
+fn log_holding(word: &HoldingOf, peer: &str) {
+    info!(
+        target: "decision",
+        upstream:% = word.instance,
+        from = word.from,
+        to = word.to,
+        orders = word.orders,
+        loaded = word.loaded,
+        age_ms = word.age_ms,
+        peer:% = peer;
+        "layers told"
+    );
+}
+
+/// Orders daemons at random, the same for all of them.
+fn hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
 /// Tables are consistent line by line, so a panic of a holder spoils nothing.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- /dev/null
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -0,0 +1,132 @@
+//! What daemons tell each other.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::dialect::LayerRange;
+use crate::documents::Entries;
+use crate::holdings::Holding;
+
+/// A daemon as others know it.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Contact {
+    /// Its name.
+    pub(super) name: String,
+    /// Failure domain it stands in.
+    pub(super) domain: String,
+    /// Where it listens for peers.
+    pub(super) address: SocketAddr,
+    /// Milliseconds since it was last heard of.
+    pub(super) age_ms: u64,
+}
+
+/// What a daemon runs on an upstream.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct LoadOf {
+    pub(super) instance: Arc<str>,
+    pub(super) running: f64,
+    pub(super) reserved: f64,
+}
+
+/// An upstream that a daemon passes over.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct DoubtOf {
+    pub(super) instance: Arc<str>,
+    pub(super) left_ms: u64,
+}
+
+/// A request that died with upstreams.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct CrashesOf {
+    pub(super) fingerprint: u64,
+    pub(super) crashes: u32,
+}
+
+/// An engine's own word on its layers.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct HoldingOf {
+    pub(super) instance: Arc<str>,
+    /// Orders that it had begun.
+    pub(super) orders: u64,
+    /// First layer.
+    pub(super) from: u16,
+    /// First layer after them.
+    pub(super) to: u16,
+    /// Whether they are loaded.
+    pub(super) loaded: bool,
+    /// Milliseconds since it said so.
+    pub(super) age_ms: u64,
+}
+
+impl HoldingOf {
+    pub(super) fn new(instance: Arc<str>, holding: Holding, age: Duration) -> HoldingOf {
+        HoldingOf {
+            instance,
+            orders: holding.orders,
+            from: holding.layers.from,
+            to: holding.layers.to,
+            loaded: holding.loaded,
+            age_ms: age.as_millis() as u64,
+        }
+    }
+
+    pub(super) fn holding(&self) -> Holding {
+        Holding {
+            orders: self.orders,
+            layers: LayerRange {
+                from: self.from,
+                to: self.to,
+            },
+            loaded: self.loaded,
+        }
+    }
+}
+
+/// What a daemon tells of itself.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Digest {
+    pub(super) from: Contact,
+    /// Version of the configuration in force there.
+    pub(super) version: u64,
+    /// Revision of the upstreams' entries there.
+    pub(super) revision: u64,
+    /// Whether it watches the store and the store answers it.
+    pub(super) watches: bool,
+    pub(super) members: Vec<Contact>,
+    pub(super) load: Vec<LoadOf>,
+    pub(super) doubts: Vec<DoubtOf>,
+    pub(super) crashes: Vec<CrashesOf>,
+    /// Layers of engines that their registrations do not show yet.
+    pub(super) holdings: Vec<HoldingOf>,
+    /// Milliseconds since the daemon that holds the placement lease was last heard of; none when it
+    /// never was.
+    pub(super) lease_holder_age_ms: Option<u64>,
+}
+
+/// Texts that a daemon holds.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Texts {
+    /// The configuration, when it is newer than was asked for.
+    pub(super) configuration: Option<Arc<str>>,
+    /// The entries of upstreams and their revision, when newer than was asked for.
+    pub(super) entries: Option<Entries>,
+}
+
+/// What the asking daemon holds already.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Known {
+    pub(super) version: u64,
+    pub(super) revision: u64,
+}
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -54,6 +54,8 @@
         load: Vec::new(),
         doubts: Vec::new(),
         crashes: Vec::new(),
+        holdings: Vec::new(),
+        lease_holder_age_ms: None,
     }
 }
 
--- a/crates/kelpworks-relay/src/placer.rs
+++ b/crates/kelpworks-relay/src/placer.rs
@@ -1,16 +1,23 @@
 //! Gives engines their layers: one daemon at a time, by a lease.
 //!
-//! The holder plans from what engines registered and from what it ordered since, and sends each
-//! order on the condition that the engine has begun as many orders as the holder knows of. An order
-//! that is carried out late, or comes from a daemon that lost the lease unnoticed, then finds its
+//! The holder plans from what engines registered and from what they said since, and sends each order
+//! on the condition that the engine has begun as many orders as the holder knows of. An order that
+//! is carried out late, or comes from a daemon that lost the lease unnoticed, then finds its
 //! condition gone.
+//!
+//! When peers hear nothing of a holder, because it died or the store is down, one of them stands in
+//! at once. That is safe for the same reason: of two orders to one engine only the first is begun.
+//! The lease keeps two from giving orders all the time; it is not what protects an engine.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use kelpworks::executor::Hold;
+use kelpworks_coord::lease::Token;
 use log::info;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -21,11 +28,15 @@
 use crate::dialect::LayerRange;
 use crate::dialect::OrderReply;
 use crate::dialect::PlaceOrder;
+use crate::dialect::Report;
 use crate::dialect::Stage;
 use crate::fleet::Upstream;
+use crate::holdings::Holding;
+use crate::holdings::Holdings;
 use crate::layout;
 use crate::layout::Host;
 use crate::layout::Placement;
+use crate::peers::Peers;
 use crate::shared::Shared;
 
 /// Time between two looks at the fleet.
@@ -33,18 +44,41 @@
 /// How long a new fleet must stay as it is before the first plan: entries of engines that start
 /// together come within about a heartbeat.
 const SETTLE: Duration = Duration::from_millis(600);
-/// How long an order may take to show in an engine's entry, beside the time to load its layers:
-/// a heartbeat of the engine and the store's delay. After it the engine is asked itself.
-const SHOWN: Duration = Duration::from_millis(1_500);
+/// Time between two questions to an engine whether it has loaded what it was ordered to. Each costs
+/// little, and its answer comes up to a second before its registration.
+const ASK: Duration = Duration::from_millis(300);
 /// Pause before an order that was not accepted is given again.
 const AGAIN: Duration = Duration::from_secs(1);
 
-/// What was ordered of an engine, while its entry does not show it.
-#[derive(Clone, Debug)]
-struct Ordered {
-    layers: LayerRange,
-    /// Taken for not carried out after this.
-    until: Instant,
+/// By what right a daemon gives orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Authority {
+    /// It holds the lease.
+    Lease(Token),
+    /// It stands in for a holder that nobody hears; with the last token that it saw.
+    StandIn(Token),
+}
+
+impl Authority {
+    fn token(self) -> Token {
+        match self {
+            Authority::Lease(token) | Authority::StandIn(token) => token,
+        }
+    }
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Authority::Lease(_) => "lease",
+            Authority::StandIn(_) => "stand-in",
+        }
+    }
+}
+
+/// An engine that is loading what it was ordered to.
+struct Loading {
+    instance: Arc<str>,
+    address: SocketAddr,
+    holding: Holding,
 }
 
 /// Plans and orders while this daemon holds the lease.
@@ -52,10 +86,15 @@
 pub(crate) struct Placer<E> {
     shared: Arc<Shared>,
     hold: Arc<Hold>,
+    peers: Arc<Peers>,
     engines: Arc<E>,
-    ordered: HashMap<Arc<str>, Ordered>,
-    /// Orders that each incarnation has begun, as far as known.
-    counts: HashMap<Arc<str>, u64>,
+    /// Whether this daemon gives orders at present, and by what right.
+    authority: Option<Authority>,
+    /// When engines that load are asked next.
+    asked: HashMap<Arc<str>, Instant>,
+    /// Orders that each incarnation has begun, as far as known; none where it has to be asked before
+    /// the next order.
+    counts: HashMap<Arc<str>, Option<u64>>,
     not_before: HashMap<Arc<str>, Instant>,
     /// Number of engines at the last look, and since when.
     seen: (usize, Instant),
@@ -63,12 +102,19 @@
 
 impl<E: EngineOrders> Placer<E> {
     /// A placer that has ordered nothing.
-    pub(crate) fn new(shared: Arc<Shared>, hold: Arc<Hold>, engines: Arc<E>) -> Placer<E> {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        hold: Arc<Hold>,
+        peers: Arc<Peers>,
+        engines: Arc<E>,
+    ) -> Placer<E> {
         Placer {
             shared,
             hold,
+            peers,
             engines,
-            ordered: HashMap::new(),
+            authority: None,
+            asked: HashMap::new(),
             counts: HashMap::new(),
             not_before: HashMap::new(),
             seen: (0, Instant::now()),
@@ -84,15 +130,122 @@
                 () = stop.cancelled() => return,
                 _ = tick.tick() => {}
             }
-            if self.hold.fence().is_none() {
-                self.ordered.clear();
+            self.expire();
+            if self.authority().is_none() {
                 self.counts.clear();
+                self.asked.clear();
                 continue;
             }
+            self.ask_loading().await;
             self.look().await;
         }
     }
 
+    /// By what right this daemon may give orders now; to be asked for right before each order.
+    fn authority(&mut self) -> Option<Authority> {
+        let authority = match self.hold.fence() {
+            Some(token) => {
+                self.peers.holds_lease();
+                Some(Authority::Lease(token))
+            }
+            None => {
+                let stands_in = self.peers.stands_in();
+                stands_in.then(|| Authority::StandIn(self.hold.latest_token()))
+            }
+        };
+        if authority != self.authority {
+            info!(
+                target: "decision",
+                by:% = authority.map_or("nothing", Authority::as_str),
+                token = authority.map_or(0, |a| a.token().0);
+                "right to give orders"
+            );
+            self.authority = authority;
+        }
+        authority
+    }
+
+    /// Goes back to the registrations of engines whose own word was not confirmed in time.
+    fn expire(&self) {
+        let registrations_come = self.shared.store_answers.load(Ordering::Relaxed);
+        let now = Instant::now();
+        let over = self.shared.fleet().expire_holdings(registrations_come, now);
+        for instance in over {
+            info!(target: "decision", upstream:% = instance; "layers told no longer count");
+        }
+    }
+
+    /// Asks engines that should have loaded by now what they hold.
+    async fn ask_loading(&mut self) {
+        let due = self.due();
+        let next = Instant::now() + ASK;
+        for loading in &due {
+            self.asked.insert(Arc::clone(&loading.instance), next);
+        }
+        let reports = due.iter().map(|l| self.engines.report(l.address));
+        let reports = join_all(reports).await;
+        for (loading, report) in due.iter().zip(reports) {
+            let Some(report) = report.filter(|r| !r.busy) else {
+                continue;
+            };
+            self.loaded(loading, &report);
+        }
+    }
+
+    /// Engines whose load takes no longer by the configuration, and that were not asked just now.
+    fn due(&self) -> Vec<Loading> {
+        let now = Instant::now();
+        let table = self.shared.table.load();
+        let fleet = self.shared.fleet();
+        let words = fleet.holdings().words(usize::MAX, now);
+        let due = words.into_iter().filter_map(|(instance, holding, age)| {
+            let entry = &fleet.get(fleet.key_of(&instance)?)?.entry;
+            let service = table.service(&entry.service)?;
+            let loading = loading_time(service.engines.as_deref()?, holding.layers);
+            let waits = self.asked.get(&instance).is_some_and(|&at| now < at);
+            let is_due = !holding.loaded && age >= loading && !waits;
+            is_due.then_some(Loading {
+                address: entry.address,
+                instance,
+                holding,
+            })
+        });
+        due.collect()
+    }
+
+    /// Takes the word of an engine that is no longer busy.
+    fn loaded(&mut self, loading: &Loading, report: &Report) {
+        let Loading {
+            instance, holding, ..
+        } = loading;
+        let Some(layers) = report.layers else {
+            return;
+        };
+        // An engine that holds something else was ordered past this daemon.
+        let told = Holding {
+            orders: report.orders.max(holding.orders),
+            layers,
+            loaded: true,
+        };
+        let now = Instant::now();
+        let mut fleet = self.shared.fleet();
+        let is_news = fleet.tell_holding(instance, told, Duration::ZERO, now);
+        drop(fleet);
+        self.counts
+            .insert(Arc::clone(instance), Some(report.orders));
+        if is_news {
+            self.shared.tell_news();
+            info!(
+                target: "decision",
+                upstream:% = instance,
+                from = layers.from,
+                to = layers.to,
+                orders = report.orders;
+                "layers loaded"
+            );
+        }
+    }
+
     async fn look(&mut self) {
         let table = self.shared.table.load_full();
         for service in table.services() {
@@ -100,7 +253,7 @@
                 continue;
             };
             for placement in self.plan(&service.name, &engines) {
-                self.order(&engines, &placement).await;
+                self.order(&placement).await;
             }
         }
     }
@@ -119,43 +272,22 @@
         if upstreams.len() != self.seen.0 {
             self.seen = (upstreams.len(), now);
         }
-        let fresh = upstreams.iter().all(|u| u.entry.layers.is_none());
+        let host = |u: &&Upstream| host(u, fleet.holdings());
+        let hosts: Vec<Host> = upstreams.iter().filter_map(host).collect();
+        let fresh = hosts.iter().all(|h| h.layers.is_none());
         if fresh && now.duration_since(self.seen.1) < SETTLE {
             return Vec::new();
         }
-        let hosts: Vec<Host> = upstreams.iter().filter_map(|u| self.host(u, now)).collect();
         let mut orders = layout::plan(engines, &hosts);
         orders.retain(|o| self.not_before.get(&o.instance).is_none_or(|&at| at <= now));
         orders
     }
 
-    /// An engine as the planner sees it: what was ordered counts as held.
-    fn host(&mut self, upstream: &Upstream, now: Instant) -> Option<Host> {
-        let entry = &upstream.entry;
-        let shown = entry.layers.filter(|r| !r.is_empty());
-        let ordered = self.ordered.get(&entry.instance);
-        let settled = ordered.is_some_and(|o| Some(o.layers) == shown || o.until <= now);
-        if settled {
-            self.ordered.remove(&entry.instance);
-        }
-        if settled && shown.is_none() {
-            // What became of the order is not known: the engine is asked before the next one.
-            self.counts.remove(&entry.instance);
-        }
-        let pending = self.ordered.get(&entry.instance).map(|o| o.layers);
-        Some(Host {
-            instance: Arc::clone(&entry.instance),
-            domain: Arc::clone(&entry.domain),
-            kind: entry.kind.clone()?,
-            layers: pending.or(shown),
-            running: upstream.load().running,
-        })
-    }
-
-    async fn order(&mut self, engines: &Engines, placement: &Placement) {
-        let Some(fence) = self.hold.fence() else {
+    async fn order(&mut self, placement: &Placement) {
+        let Some(authority) = self.authority() else {
             return;
         };
+        let fence = authority.token();
         let address = {
             let fleet = self.shared.fleet();
             let upstream = fleet.key_of(&placement.instance).and_then(|k| fleet.get(k));
@@ -165,8 +297,10 @@
             }
         };
         let instance = &placement.instance;
-        let expected = match self.counts.get(instance) {
-            Some(&count) => count,
+        let told = self.shared.fleet().holdings().orders(instance);
+        let known = self.counts.get(instance).copied().unwrap_or(told);
+        let expected = match known {
+            Some(count) => count,
             None => match self.ask(instance, address).await {
                 Some(orders) => orders,
                 None => {
@@ -189,23 +323,20 @@
         self.log(placement, expected, fence.0, reply);
         match reply {
             OrderReply::Accepted => {
-                self.counts.insert(Arc::clone(instance), expected + 1);
-                self.remember(engines, placement);
-            }
-            OrderReply::Lost => {
-                // It may still be carried out; the count is asked for before the next order.
-                self.counts.remove(instance);
-                self.put_off(instance);
+                self.counts.insert(Arc::clone(instance), Some(expected + 1));
+                self.remember(placement, expected + 1);
             }
-            OrderReply::Conflict | OrderReply::Refused => {
-                self.counts.remove(instance);
+            // A lost one may still be carried out; the engine is asked before the next order.
+            OrderReply::Lost | OrderReply::Conflict | OrderReply::Refused => {
+                self.counts.insert(Arc::clone(instance), None);
                 self.put_off(instance);
             }
         }
     }
 
-    /// Asks an engine how many orders it has begun; `None` when it can't take another one now.
-    async fn ask(&self, instance: &Arc<str>, address: SocketAddr) -> Option<u64> {
+    /// Asks an engine how many orders it has begun; `None` when it can't take another one now, or
+    /// holds other layers than the plan was made for.
+    async fn ask(&mut self, instance: &Arc<str>, address: SocketAddr) -> Option<u64> {
         let report = self.engines.report(address).await;
         let held = report.as_ref().and_then(|r| r.layers);
         info!(
@@ -217,19 +348,37 @@
             holds:? = held;
             "engine asked"
         );
-        report.filter(|r| !r.busy).map(|r| r.orders)
+        let report = report.filter(|r| !r.busy)?;
+        self.counts
+            .insert(Arc::clone(instance), Some(report.orders));
+        let Some(layers) = held else {
+            return Some(report.orders);
+        };
+        let holding = Holding {
+            orders: report.orders,
+            layers,
+            loaded: true,
+        };
+        let now = Instant::now();
+        let mut fleet = self.shared.fleet();
+        let believed = fleet.key_of(instance).and_then(|k| fleet.get(k)?.layers);
+        if believed == held {
+            return Some(report.orders);
+        }
+        fleet.tell_holding(instance, holding, Duration::ZERO, now);
+        None
     }
 
-    fn remember(&mut self, engines: &Engines, placement: &Placement) {
-        let share = f64::from(placement.layers.len()) / f64::from(engines.layers.max(1));
-        let loading = Duration::from_secs_f64(engines.load_s * share);
-        let ordered = Ordered {
+    /// Notes an order that was accepted: until it is carried out the engine can do no work.
+    fn remember(&mut self, placement: &Placement, orders: u64) {
+        let holding = Holding {
+            orders,
             layers: placement.layers,
-            // Loads slow each other down when many run at once.
-            until: Instant::now() + SHOWN + loading * 2,
+            loaded: false,
         };
-        self.ordered
-            .insert(Arc::clone(&placement.instance), ordered);
+        let now = Instant::now();
+        let mut fleet = self.shared.fleet();
+        fleet.tell_holding(&placement.instance, holding, Duration::ZERO, now);
     }
 
     fn put_off(&mut self, instance: &Arc<str>) {
@@ -253,3 +402,23 @@
         metrics::counter!("kelpworks_orders_total", "outcome" => reply).increment(1);
     }
 }
+
+/// An engine as the planner sees it: what it is loading counts as held.
+fn host(upstream: &Upstream, holdings: &Holdings) -> Option<Host> {
+    let entry = &upstream.entry;
+    let loading = holdings.get(&entry.instance).filter(|h| !h.loaded);
+    let held = upstream.layers.filter(|r| !r.is_empty());
+    Some(Host {
+        instance: Arc::clone(&entry.instance),
+        domain: Arc::clone(&entry.domain),
+        kind: entry.kind.clone()?,
+        layers: loading.map(|h| h.layers).or(held),
+        running: upstream.load().running,
+    })
+}
+
+/// Time to load a range while no other engine loads.
+fn loading_time(engines: &Engines, layers: LayerRange) -> Duration {
+    let share = f64::from(layers.len()) / f64::from(engines.layers.max(1));
+    Duration::from_secs_f64(engines.load_s * share)
+}
--- a/crates/kelpworks-relay/src/relay/stream/trace.rs
+++ b/crates/kelpworks-relay/src/relay/stream/trace.rs
@@ -16,8 +16,7 @@
     pub(super) fn log_no_path(&self, why: NoPath) {
         let fleet = self.shared.fleet();
         let layer = why.layer();
-        let holds =
-            |u: &Upstream| layer.is_some_and(|l| u.entry.layers.is_some_and(|r| r.contains(l)));
+        let holds = |u: &Upstream| layer.is_some_and(|l| u.layers.is_some_and(|r| r.contains(l)));
         let engines = fleet.of_service(&self.ticket.service.name);
         let holders = engines.filter(|(_, u)| holds(u));
         let state = |u: &Upstream| {
--- /dev/null
+++ b/crates/kelpworks-relay/tests/holdings.rs
@@ -0,0 +1,113 @@
+//! What engines say of their layers before their registrations do.
+
+mod fleet_support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rstest::rstest;
+use tokio::time::Instant;
+
+use fleet_support::empty_hosts;
+use fleet_support::entry;
+use fleet_support::range;
+use kelpworks_relay::dialect::LayerRange;
+use kelpworks_relay::fleet::Fleet;
+use kelpworks_relay::holdings::Holding;
+use kelpworks_relay::holdings::WORD_FOR;
+
+const NO_AGE: Duration = Duration::ZERO;
+
+/// A fleet of one engine that registered these layers.
+fn fleet(layers: Option<LayerRange>) -> (Fleet, Arc<str>) {
+    let mut host = empty_hosts(&["a"]).remove(0);
+    host.layers = layers;
+    let mut fleet = Fleet::default();
+    fleet.replace(vec![entry(1, &host)], 1);
+    (fleet, host.instance)
+}
+
+/// Takes a later registration of the same engine.
+fn register(fleet: &mut Fleet, layers: LayerRange, revision: u64) {
+    let mut entry = fleet.entries().remove(0);
+    entry.layers = Some(layers);
+    fleet.replace(vec![entry], revision);
+}
+
+fn usable(fleet: &Fleet, instance: &str) -> Option<LayerRange> {
+    fleet.get(fleet.key_of(instance)?)?.layers
+}
+
+fn holding(orders: u64, layers: LayerRange, loaded: bool) -> Holding {
+    Holding {
+        orders,
+        layers,
+        loaded,
+    }
+}
+
+#[tokio::test]
+async fn an_engine_that_loads_can_do_no_work_and_then_does_before_it_registers_that() {
+    let (old, new) = (range(0, 9), range(20, 29));
+    let (mut fleet, engine) = fleet(Some(old));
+    let now = Instant::now();
+    assert_eq!(usable(&fleet, &engine), Some(old));
+    assert!(fleet.tell_holding(&engine, holding(2, new, false), NO_AGE, now));
+    assert_eq!(usable(&fleet, &engine), None);
+    assert!(fleet.tell_holding(&engine, holding(2, new, true), NO_AGE, now));
+    assert_eq!(usable(&fleet, &engine), Some(new));
+    register(&mut fleet, old, 2);
+    assert_eq!(
+        usable(&fleet, &engine),
+        Some(new),
+        "a registration of before"
+    );
+    register(&mut fleet, new, 3);
+    register(&mut fleet, range(40, 49), 4);
+    assert_eq!(usable(&fleet, &engine), Some(range(40, 49)), "a later one");
+}
+
+#[rstest]
+#[case::older_order(holding(1, range(3, 6), true))]
+#[case::same_order_loading(holding(2, range(20, 29), false))]
+#[case::same_word(holding(2, range(20, 29), true))]
+#[tokio::test]
+async fn a_late_copy_of_a_word_is_no_news_also_after_it_was_confirmed(#[case] late: Holding) {
+    let (mut fleet, engine) = fleet(Some(range(0, 9)));
+    let now = Instant::now();
+    let told = holding(2, range(20, 29), true);
+    fleet.tell_holding(&engine, told, NO_AGE, now);
+    register(&mut fleet, told.layers, 2);
+    register(&mut fleet, range(40, 49), 3);
+    assert!(!fleet.tell_holding(&engine, late, NO_AGE, now));
+    assert_eq!(usable(&fleet, &engine), Some(range(40, 49)));
+}
+
+#[rstest]
+#[case::loading_that_never_ends(false, false, Some(range(0, 9)))]
+#[case::loaded_while_no_registrations_come(true, false, Some(range(20, 29)))]
+#[case::loaded_and_never_registered(true, true, Some(range(0, 9)))]
+#[tokio::test]
+async fn a_word_that_no_registration_confirms_is_given_up(
+    #[case] loaded: bool,
+    #[case] registrations_come: bool,
+    #[case] expected: Option<LayerRange>,
+) {
+    let (mut fleet, engine) = fleet(Some(range(0, 9)));
+    let now = Instant::now();
+    fleet.tell_holding(&engine, holding(2, range(20, 29), loaded), NO_AGE, now);
+    fleet.expire_holdings(registrations_come, now + WORD_FOR);
+    assert_eq!(usable(&fleet, &engine), expected);
+}
+
+#[tokio::test]
+async fn words_that_go_round_among_daemons_end() {
+    let (mut fleet, engine) = fleet(None);
+    let now = Instant::now();
+    let word = holding(1, range(0, 9), true);
+    fleet.tell_holding(&engine, word, WORD_FOR / 2, now);
+    let later = now + WORD_FOR / 4;
+    let told = fleet.holdings().words(8, later);
+    assert_eq!(told, [(Arc::clone(&engine), word, WORD_FOR / 4 * 3)]);
+    assert!(!fleet.tell_holding(&engine, holding(2, range(0, 9), true), WORD_FOR, now));
+}
--- a/crates/kelpworks/src/executor/hold.rs
+++ b/crates/kelpworks/src/executor/hold.rs
@@ -59,6 +59,11 @@
         self.lease().fence(self.now())
     }
 
+    /// The highest token that this daemon has seen, held by whomever.
+    pub fn latest_token(&self) -> Token {
+        self.lease().latest_token()
+    }
+
     /// Now, as the state machines count it.
     pub(crate) fn now(&self) -> time::Instant {
         time::Instant::from_millis(self.start.elapsed().as_millis() as u64)
