Engines that turn slow are asked, and left

Paths knew no slowness. Ruled out: learning it from the pace of streams alone: all streams of a failure domain pass the same engines, so their pace does not tell which one is slow. Change: a pause of 0.6 of the gap target makes the engines of the path suspects; these are asked how slow they are, by few daemons, and the answers go round. The cost of a path counts it, and streams leave slow engines by a change of path.

--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -42,6 +42,7 @@
 use crate::settings;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::slowness;
 
 /// The result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -219,6 +220,8 @@
             Arc::clone(&engines),
         );
         tokio::spawn(placer.run(leave.clone()));
+        let asking = slowness::run(Arc::clone(&shared), Arc::clone(&engines), stop.clone());
+        tokio::spawn(asking);
         let readiness = operators::readiness(&shared);
         let readiness = Server::start(listen.readiness, readiness, CALLER_IDLE).await;
         let pages = operators::metrics(metrics);
--- a/crates/kelpworks-relay/src/dialect.rs
+++ b/crates/kelpworks-relay/src/dialect.rs
@@ -154,6 +154,8 @@
     pub busy: bool,
     /// Layers that it holds.
     pub layers: Option<LayerRange>,
+    /// How many times longer its work takes than its kind's usually does; 1 as a rule.
+    pub slowness: f64,
 }
 
 /// What becomes of the requests on layers that an engine gives up.
--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -50,6 +50,12 @@
 /// Refusals in a row, with nothing accepted in between, after which an engine with room takes no new
 /// work at all, as when it leaves and the store can't say so: some two seconds of only refusals.
 const CLOSED_REFUSALS: u32 = 4;
+/// How long a word on an engine's slowness counts: engines are asked again about once a second
+/// while they are slow.
+const SLOWNESS_FOR: Duration = Duration::from_secs(3);
+/// Slowness from which an engine's streams had better go by others: reading their tokens again takes
+/// some 100 ms, as long as a few of its events.
+pub const SLOW: f64 = 3.0;
 /// Weight of an attempt in the moving share of failures: about the last ten count.
 const FAILING_WEIGHT: f64 = 0.1;
 /// Weight of a new answer time in its moving average.
@@ -90,6 +96,8 @@
     moments: u32,
     /// The last of them.
     last_moment: Option<Instant>,
+    /// How many times longer its work takes than usual, and when it said so.
+    slowness: Option<(f64, Instant)>,
     /// Streams of this daemon that are silent now and have it on their path, unconfirmed.
     silent: i32,
     /// Moving average of its answer times, in milliseconds.
@@ -129,6 +137,19 @@
         self.moments >= LOST_MOMENTS && idle
     }
 
+    /// How many times longer its work takes than usual, by its own word of late; 1 as a rule.
+    pub fn slowness(&self, now: Instant) -> f64 {
+        match self.slowness {
+            Some((times, at)) if now.duration_since(at) < SLOWNESS_FOR => times.max(1.0),
+            _ => 1.0,
+        }
+    }
+
+    /// When it last said how slow it is.
+    pub fn slowness_told(&self) -> Option<(f64, Instant)> {
+        self.slowness
+    }
+
     /// Load by all daemons.
     pub fn load(&self) -> Load {
         Load {
@@ -232,6 +253,7 @@
             failures: 0,
             moments: 0,
             last_moment: None,
+            slowness: None,
             silent: 0,
             answer_ms: None,
             failing: 0.0,
@@ -408,6 +430,18 @@
         u.refused_until = Some(now + span.min(LONGEST_DOUBT));
     }
 
+    /// Takes an engine's word on its slowness at a moment; whether it is news.
+    pub fn tell_slowness(&mut self, key: UpstreamKey, times: f64, at: Instant) -> bool {
+        let Some(u) = self.upstreams.get_mut(key) else {
+            return false;
+        };
+        if u.slowness.is_some_and(|(_, known)| known >= at) {
+            return false;
+        }
+        u.slowness = Some((times, at));
+        true
+    }
+
     /// Notes that an upstream accepted a request.
     pub fn accepted(&mut self, key: UpstreamKey) {
         if let Some(u) = self.upstreams.get_mut(key) {
--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -34,3 +34,4 @@
 mod server;
 pub mod settings;
 pub mod shared;
+pub mod slowness;
--- a/crates/kelpworks-relay/src/path.rs
+++ b/crates/kelpworks-relay/src/path.rs
@@ -415,7 +415,8 @@
         key,
         range,
         domain: 0,
-        layer_ms: kind.step_factor * step * pressure * waiting / f64::from(engines.layers),
+        layer_ms: kind.step_factor * step * pressure * waiting * upstream.slowness(ask.now)
+            / f64::from(engines.layers),
         entry_ms: doubt + failing,
     })
 }
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -39,6 +39,7 @@
 use crate::dialect::Dialect;
 use crate::documents::Documents;
 use crate::documents::Source;
+use crate::fleet::Upstream;
 use crate::shared::Shared;
 use messages::Contact;
 use messages::CrashesOf;
@@ -47,6 +48,7 @@
 use messages::HoldingOf;
 use messages::Known;
 use messages::LoadOf;
+use messages::SlownessOf;
 use messages::Texts;
 
 /// Time between two exchanges with each partner: load told a quarter of a second ago is still that
@@ -86,6 +88,8 @@
 /// Words on engines' layers told at most in a digest: those of an order to each engine of a small
 /// fleet; the newest go first.
 const MOST_HOLDINGS: usize = 48;
+/// How long an engine's word on its slowness is told on: until it may be asked again.
+const SLOWNESS_TOLD: Duration = Duration::from_secs(3);
 /// Silence of the lease's holder after which another daemon stands in for it: four exchanges.
 const HOLDER_SILENT: Duration = Duration::from_secs(1);
 /// The same in a larger fleet, where word of it comes through others.
@@ -330,6 +334,7 @@
         let now = Instant::now();
         let mut load = Vec::new();
         let mut doubts = Vec::new();
+        let mut slowness = Vec::new();
         let holdings;
         {
             let fleet = self.shared.fleet();
@@ -342,6 +347,9 @@
                         reserved: u.own.reserved.round(),
                     });
                 }
+                if let Some(word) = slowness_of(u, now) {
+                    slowness.push(word);
+                }
                 let left = u.doubted_until.and_then(|d| d.checked_duration_since(now));
                 if let Some(left) = left {
                     doubts.push(DoubtOf {
@@ -371,6 +379,7 @@
             load,
             doubts,
             crashes: crashes.collect(),
+            slowness,
             holdings: holdings
                 .into_iter()
                 .map(|(instance, holding, age)| HoldingOf::new(instance, holding, age))
@@ -423,6 +432,12 @@
                     fleet.doubt_told(key, since, until);
                 }
             }
+            for word in &digest.slowness {
+                let at = now.checked_sub(Duration::from_millis(word.age_ms));
+                if let (Some(key), Some(at)) = (fleet.key_of(&word.instance), at) {
+                    fleet.tell_slowness(key, word.times, at);
+                }
+            }
             for word in &digest.holdings {
                 let age = Duration::from_millis(word.age_ms);
                 if fleet.tell_holding(&word.instance, word.holding(), age, now) {
@@ -531,6 +546,17 @@
     }
 }
 
+/// An engine's word on its slowness, while it is told on: as long as a peer might ask it again.
+fn slowness_of(upstream: &Upstream, now: Instant) -> Option<SlownessOf> {
+    let (times, at) = upstream.slowness_told()?;
+    let age = now.duration_since(at);
+    (age < SLOWNESS_TOLD).then(|| SlownessOf {
+        instance: Arc::clone(&upstream.entry.instance),
+        times,
+        age_ms: age.as_millis() as u64,
+    })
+}
+
 fn log_holding(word: &HoldingOf, peer: &str) {
     info!(
         target: "decision",
--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -42,6 +42,17 @@
     pub(super) left_ms: u64,
 }
 
+/// How slow an engine said that it is.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct SlownessOf {
+    pub(super) instance: Arc<str>,
+    /// How many times longer its work takes than usual.
+    pub(super) times: f64,
+    /// Milliseconds since it said so.
+    pub(super) age_ms: u64,
+}
+
 /// A request that died with upstreams.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -108,6 +119,8 @@
     pub(super) load: Vec<LoadOf>,
     pub(super) doubts: Vec<DoubtOf>,
     pub(super) crashes: Vec<CrashesOf>,
+    /// Words of engines on their slowness, as far as they still count.
+    pub(super) slowness: Vec<SlownessOf>,
     /// Layers of engines that their registrations do not show yet.
     pub(super) holdings: Vec<HoldingOf>,
     /// Milliseconds since the daemon that holds the placement lease was last heard of; none when it
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use tokio::time::Instant;
 use tokio::time::advance;
 
 use super::Contact;
@@ -14,6 +15,7 @@
 use super::LIVE;
 use super::LoadOf;
 use super::Peers;
+use super::SLOWNESS_TOLD;
 use super::SMALL;
 use super::WATCHERS;
 use crate::dialect::Stage;
@@ -59,6 +61,7 @@
         load: Vec::new(),
         doubts: Vec::new(),
         crashes: Vec::new(),
+        slowness: Vec::new(),
         holdings: Vec::new(),
         lease_holder_age_ms: None,
     }
@@ -190,3 +193,35 @@
     assert!(lately.is_empty(), "{lately:?}");
     assert_eq!(standing_in(fleet, age(silent)).await.len(), 1);
 }
+
+#[tokio::test(start_paused = true)]
+async fn words_on_engines_go_from_peer_to_peer_until_they_are_old() {
+    let engine = UpstreamEntry {
+        instance: Arc::from("e-1"),
+        service: Arc::from("llm"),
+        address: address(900),
+        domain: Arc::from("a"),
+        stage: Stage::Ready,
+        slots: 1,
+        layers: None,
+        kind: None,
+    };
+    let all: Vec<Peers> = (0..3).map(peers).collect();
+    for me in &all {
+        me.shared.fleet().replace(vec![engine.clone()], 1);
+    }
+    let slowness = |me: &Peers| {
+        let fleet = me.shared.fleet();
+        let key = fleet.key_of("e-1").expect("known");
+        fleet.get(key).expect("known").slowness(Instant::now())
+    };
+    let key = all[0].shared.fleet().key_of("e-1").expect("known");
+    let now = Instant::now();
+    all[0].shared.fleet().tell_slowness(key, 12.0, now);
+    all[1].heard(&all[0].digest());
+    all[2].heard(&all[1].digest());
+    assert_eq!(slowness(&all[2]), 12.0);
+    advance(SLOWNESS_TOLD).await;
+    assert_eq!(slowness(&all[2]), 1.0);
+    assert!(all[1].digest().slowness.is_empty());
+}
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -49,6 +49,9 @@
 const MOST_ATTEMPTS: u32 = 6;
 /// Pause before an attempt that follows a refusal; doubled with each one.
 const REFUSED_PAUSE: Duration = Duration::from_millis(25);
+/// Part of a route's gap target from which a pause is a reason to ask the engines of the path how
+/// slow they are: more than any pause of a calm fleet (40 ms of 250), and still on time.
+const LATE_PART: f64 = 0.6;
 /// Largest event that is waited for.
 const MOST_EVENT_BYTES: usize = 4 << 20;
 
@@ -107,6 +110,8 @@
     parts: Vec<(UpstreamKey, LayerRange)>,
     /// Times that the path was changed while the request ran.
     reroutes: u32,
+    /// When it was last looked whether it passes slow engines.
+    looked: Option<Instant>,
     _reservation: Reservation,
 }
 
@@ -334,8 +339,13 @@
                     let Ok(bytes) = frame.into_data() else {
                         continue;
                     };
+                    let pause = now.duration_since(reading.heard);
                     if reading.begun {
-                        self.shared.paused(now.duration_since(reading.heard));
+                        self.shared.paused(pause);
+                    }
+                    if pause > self.ticket.route.gap_target.mul_f64(LATE_PART) {
+                        let keys = reading.course.parts.iter().map(|&(key, _)| key);
+                        self.shared.suspects().suspect(keys);
                     }
                     reading.heard = now;
                     reading.begun = true;
@@ -349,6 +359,7 @@
                     if events.bytes.is_empty() {
                         continue;
                     }
+                    self.leave_slow_engines(&mut reading.course, now).await;
                     self.reading = Some(reading);
                     return Ok(Some(events.bytes));
                 }
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -219,6 +219,7 @@
             course: Course {
                 parts: path.parts,
                 reroutes: 0,
+                looked: None,
                 _reservation: reservation,
             },
             cutter: Cutter::default(),
--- a/crates/kelpworks-relay/src/relay/stream/reroute.rs
+++ b/crates/kelpworks-relay/src/relay/stream/reroute.rs
@@ -7,6 +7,7 @@
 //! to go on by another attempt.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use log::info;
 use tokio::time::Instant;
@@ -21,9 +22,12 @@
 use crate::dialect::LayerRange;
 use crate::dialect::OrderReply;
 use crate::dialect::RerouteOrder;
+use crate::fleet::SLOW;
 use crate::fleet::UpstreamKey;
 use crate::path;
 
+/// Time between two looks for slow engines on a stream's path.
+const LOOK_AGAIN: Duration = Duration::from_millis(400);
 /// Changes of path that one attempt may see; each costs an order, and a stream that needs more is
 /// better off elsewhere.
 const MOST_REROUTES: u32 = 3;
@@ -36,6 +40,28 @@
 }
 
 impl<D: Dialect, E: EngineOrders> Relayed<D, E> {
+    /// Changes the path of a stream that passes engines which have turned slow, where others can take
+    /// their layers over.
+    pub(super) async fn leave_slow_engines(&self, course: &mut Course, now: Instant) {
+        let is_due = course
+            .looked
+            .is_none_or(|at| now.duration_since(at) >= LOOK_AGAIN);
+        if !is_due {
+            return;
+        }
+        course.looked = Some(now);
+        let slow: Vec<UpstreamKey> = {
+            let fleet = self.shared.fleet();
+            let is_slow = |key: UpstreamKey| {
+                let slowness = fleet.get(key).map_or(1.0, |u| u.slowness(now));
+                slowness >= SLOW
+            };
+            let keys = course.parts.iter().map(|&(key, _)| key);
+            keys.filter(|&key| is_slow(key)).collect()
+        };
+        self.reroute(course, &slow).await;
+    }
+
     /// Replaces the parts of a path that stopped; whether the first engine accepted it.
     pub(super) async fn reroute(&self, course: &mut Course, culprits: &[UpstreamKey]) -> bool {
         if culprits.is_empty() || course.reroutes >= MOST_REROUTES {
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -19,6 +19,7 @@
 use crate::pool::Pool;
 use crate::repeats::Bound;
 use crate::repeats::Repeats;
+use crate::slowness::Suspects;
 
 /// Pause between two events on a calm fleet of today's kinds of accelerators, measured.
 const USUAL_PAUSE: Duration = Duration::from_millis(38);
@@ -44,6 +45,7 @@
     fleet: Mutex<Fleet>,
     repeats: Mutex<Repeats>,
     crashes: Mutex<Crashes>,
+    suspects: Mutex<Suspects>,
     /// Moving average of the pause between two events of a stream, in microseconds.
     pause_us: AtomicU64,
     /// Connections to upstreams.
@@ -68,6 +70,7 @@
             fleet: Mutex::new(Fleet::default()),
             repeats: Mutex::new(Repeats::new(bound, daemons, Instant::now())),
             crashes: Mutex::default(),
+            suspects: Mutex::default(),
             pause_us: AtomicU64::new(USUAL_PAUSE.as_micros() as u64),
             pool: Pool::default(),
             store_answers: AtomicBool::new(false),
@@ -128,6 +131,11 @@
         taken
     }
 
+    /// Engines whose streams are late.
+    pub fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        lock(&self.suspects)
+    }
+
     /// Requests that crash upstreams.
     pub fn crashes(&self) -> MutexGuard<'_, Crashes> {
         lock(&self.crashes)
--- a/crates/kelpworks-relay/tests/path.rs
+++ b/crates/kelpworks-relay/tests/path.rs
@@ -150,6 +150,24 @@
     assert!(!upstream.is_doubted(now) && !upstream.is_closed());
 }
 
+#[tokio::test]
+async fn an_engine_that_turned_slow_is_left_while_its_word_is_fresh() {
+    let mut fleet = fleet(&["a", "b"]);
+    let before = find(&fleet, &ask("a", &[]), 1).expect("a path");
+    let slow = before.parts[0].0;
+    let now = Instant::now();
+    assert!(fleet.tell_slowness(slow, 12.0, now));
+    assert!(!fleet.tell_slowness(slow, 1.0, now), "no later word");
+    let without = find(&fleet, &ask("a", &[]), 1).expect("a path");
+    assert!(without.keys().all(|k| k != slow));
+    let later = Ask {
+        now: now + Duration::from_secs(3),
+        ..ask("a", &[])
+    };
+    let mut paths = (0..20).map(|seed| find(&fleet, &later, seed).expect("a path"));
+    assert!(paths.any(|p| p.keys().any(|k| k == slow)), "an old word");
+}
+
 #[tokio::test]
 async fn a_part_of_a_path_is_replaced_without_the_engines_that_are_on_it() {
     let fleet = fleet(&["a", "b"]);
