Take back: engines presumed lost by agreement, and several moves at a time

Cause it was meant for: 2.5 to 4 s from the death of an engine to the first move. Conclusion: taken back. A move cuts the streams of the engine that moves, and engines that crash for some seconds are back before a load is over.

--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -56,14 +56,6 @@
 /// Slowness from which an engine's streams had better go by others: reading their tokens again takes
 /// some 100 ms, as long as a few of its events.
 pub const SLOW: f64 = 3.0;
-/// The same where the daemons agree: two heartbeats of discovery less one. Each of them has streams
-/// on an engine of usual load, so that within a second all see it fail.
-const LOST_AGREED_AFTER: Duration = Duration::from_secs(1);
-/// How long a failure speaks for that: a little longer than a doubt lasts, after which a dead engine
-/// fails again.
-const FAILURE_COUNTS: Duration = Duration::from_secs(5);
-/// Daemons that must see it fail for that, this one included.
-const AGREEING: u32 = 3;
 /// Weight of an attempt in the moving share of failures: about the last ten count.
 const FAILING_WEIGHT: f64 = 0.1;
 /// Weight of a new answer time in its moving average.
@@ -78,15 +70,6 @@
     pub reserved: f64,
 }
 
-/// What other daemons see of an upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Told {
-    /// Daemons that saw it fail since work last passed it.
-    pub failing: u32,
-    /// Daemons that have work there and saw no failure since it last passed.
-    pub working: u32,
-}
-
 /// An incarnation of an upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -115,8 +98,6 @@
     last_moment: Option<Instant>,
     /// How many times longer its work takes than usual, and when it said so.
     slowness: Option<(f64, Instant)>,
-    /// What other daemons last told of its failures.
-    pub told: Told,
     /// Streams of this daemon that are silent now and have it on their path, unconfirmed.
     silent: i32,
     /// Moving average of its answer times, in milliseconds.
@@ -150,24 +131,10 @@
     /// Whether it failed again and again with nothing passing in between: dead, or leaving without
     /// its entry saying so, as while the store is down.
     pub fn is_presumed_lost(&self, now: Instant) -> bool {
-        let idle_for = |span: Duration| {
-            let last = self.last_good;
-            last.is_none_or(|at| now.duration_since(at) > span)
-        };
-        let failing = self.told.failing + u32::from(self.failed_moments(now) > 0);
-        let agreed = failing >= AGREEING && self.told.working == 0;
-        let alone = self.moments >= LOST_MOMENTS && idle_for(LOST_AFTER);
-        alone || (agreed && idle_for(LOST_AGREED_AFTER))
-    }
-
-    /// Moments at which it failed since work last passed it; 0 when that was long ago, since an
-    /// engine that is not tried can't show that it works.
-    pub fn failed_moments(&self, now: Instant) -> u32 {
-        let counts = |at: Instant| now.duration_since(at) < FAILURE_COUNTS;
-        match self.last_moment.is_some_and(counts) {
-            true => self.moments,
-            false => 0,
-        }
+        let idle = self
+            .last_good
+            .is_none_or(|at| now.duration_since(at) > LOST_AFTER);
+        self.moments >= LOST_MOMENTS && idle
     }
 
     /// How many times longer its work takes than usual, by its own word of late; 1 as a rule.
@@ -287,7 +254,6 @@
             moments: 0,
             last_moment: None,
             slowness: None,
-            told: Told::default(),
             silent: 0,
             answer_ms: None,
             failing: 0.0,
@@ -380,11 +346,10 @@
         self.upstreams.values().map(|u| u.entry.clone()).collect()
     }
 
-    /// Forgets what other daemons told of their load and of failures.
+    /// Forgets what other daemons told of their load.
     pub fn clear_others(&mut self) {
         for upstream in self.upstreams.values_mut() {
             upstream.others = Load::default();
-            upstream.told = Told::default();
         }
     }
 
--- a/crates/kelpworks-relay/src/layout.rs
+++ b/crates/kelpworks-relay/src/layout.rs
@@ -20,9 +20,6 @@
 /// Usual requests that an engine must have room for beside its layers. At 86 requests a second on
 /// three domains about 37 run in each at a time, and bursts double that.
 const ROOM_REQUESTS: f64 = 85.0;
-/// Engines that move into holes at a time. The layers of a large engine that is lost need four slow
-/// ones; their loads go on side by side, and each that waits for the one before costs 250 ms.
-const MOST_MOVES: usize = 4;
 /// Weight of a layer that no engine of the fleet holds, against one that only the domain lacks.
 const NOWHERE: f64 = 1e6;
 /// Weight of a layer that no engine of the domain holds, against one more copy.
@@ -90,26 +87,7 @@
         });
     }
     if orders.is_empty() {
-        orders = rescue(engines, hosts);
-    }
-    orders
-}
-
-/// Moves engines into the holes of their domains, one after the other, as if each had moved already.
-fn rescue(engines: &Engines, hosts: &[Host]) -> Vec<Placement> {
-    let mut hosts = hosts.to_vec();
-    let mut orders: Vec<Placement> = Vec::new();
-    while orders.len() < MOST_MOVES {
-        let has_moved = |h: &Host| orders.iter().any(|o| o.instance == h.instance);
-        let mut cover = Cover::new(engines, &hosts);
-        let Some(placement) = cover.rescue(engines, &hosts, has_moved) else {
-            break;
-        };
-        let moved = hosts.iter_mut().find(|h| h.instance == placement.instance);
-        if let Some(host) = moved {
-            host.layers = Some(placement.layers);
-        }
-        orders.push(placement);
+        orders.extend(cover.rescue(engines, hosts));
     }
     orders
 }
@@ -213,12 +191,7 @@
     }
 
     /// Moves one engine to layers that its domain lacks, if its domain holds its own elsewhere.
-    fn rescue(
-        &mut self,
-        engines: &Engines,
-        hosts: &[Host],
-        has_moved: impl Fn(&Host) -> bool,
-    ) -> Option<Placement> {
+    fn rescue(&mut self, engines: &Engines, hosts: &[Host]) -> Option<Placement> {
         let lacks = |d: &&Domain| d.counts.contains(&0);
         let spare = |host: &&Host| {
             let Some(range) = host.layers else {
@@ -232,7 +205,7 @@
             let mut held = usize::from(range.from)..usize::from(range.to);
             domain.is_some_and(|d| held.all(|l| d.counts[l] > 1))
         };
-        let spared = hosts.iter().filter(|h| !has_moved(h)).filter(spare);
+        let spared = hosts.iter().filter(spare);
         let host = spared.min_by(|a, b| a.running.total_cmp(&b.running))?;
         let kind = engines.kind(&host.kind)?;
         let layers = self.window(&host.domain, layers_for(engines, kind));
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -340,11 +340,9 @@
             let fleet = self.shared.fleet();
             holdings = fleet.holdings().words(MOST_HOLDINGS, now);
             for (_, u) in fleet.iter() {
-                let failed_moments = u.failed_moments(now);
-                if u.own.running > 0.0 || failed_moments > 0 {
+                if u.own.running > 0.0 {
                     load.push(LoadOf {
                         instance: Arc::clone(&u.entry.instance),
-                        failed_moments,
                         running: u.own.running,
                         reserved: u.own.reserved.round(),
                     });
@@ -512,10 +510,6 @@
             for load in &member.load {
                 let upstream = fleet.key_of(&load.instance).and_then(|k| fleet.get_mut(k));
                 if let Some(u) = upstream {
-                    match load.failed_moments {
-                        0 => u.told.working += 1,
-                        _ => u.told.failing += 1,
-                    }
                     u.others.running += load.running * stands_for;
                     u.others.reserved += load.reserved * stands_for;
                 }
--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -30,8 +30,6 @@
 #[derive(Serialize, Deserialize)]
 pub(crate) struct LoadOf {
     pub(super) instance: Arc<str>,
-    /// Moments at which it failed since work last passed it.
-    pub(super) failed_moments: u32,
     pub(super) running: f64,
     pub(super) reserved: f64,
 }
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -118,7 +118,6 @@
     let mut told = digest(1, true);
     told.load.push(LoadOf {
         instance: Arc::from("e-1"),
-        failed_moments: 0,
         running: 2.0,
         reserved: 10.0,
     });
--- a/crates/kelpworks-relay/tests/path.rs
+++ b/crates/kelpworks-relay/tests/path.rs
@@ -17,7 +17,6 @@
 use fleet_support::range;
 use kelpworks_relay::dialect::Stage;
 use kelpworks_relay::fleet::Fleet;
-use kelpworks_relay::fleet::Told;
 use kelpworks_relay::fleet::UpstreamKey;
 use kelpworks_relay::layout::plan;
 use kelpworks_relay::path::Ask;
@@ -307,32 +306,6 @@
     assert!(!is_lost(&fleet));
 }
 
-#[rstest]
-#[case::three_see_it_fail(2, 0, true)]
-#[case::two_see_it_fail(1, 0, false)]
-#[case::work_passes_it_elsewhere(2, 1, false)]
-#[tokio::test(start_paused = true)]
-async fn daemons_that_agree_presume_an_engine_lost_sooner(
-    #[case] failing: u32,
-    #[case] working: u32,
-    #[case] lost: bool,
-) {
-    let mut fleet = fleet(&["a"]);
-    let key = find(&fleet, &ask("a", &[]), 1).expect("a path").parts[0].0;
-    fleet.good(key, Instant::now());
-    fleet.doubt(key, Instant::now());
-    fleet.get_mut(key).expect("known").told = Told { failing, working };
-    let is_lost = |fleet: &Fleet| {
-        let upstream = fleet.get(key).expect("known");
-        upstream.is_presumed_lost(Instant::now())
-    };
-    assert!(!is_lost(&fleet));
-    tokio::time::advance(Duration::from_millis(1_001)).await;
-    assert_eq!(is_lost(&fleet), lost);
-    tokio::time::advance(Duration::from_secs(5)).await;
-    assert!(!is_lost(&fleet), "nobody has tried it since");
-}
-
 #[tokio::test]
 async fn the_engine_that_most_silent_streams_share_is_blamed() {
     let mut fleet = fleet(&["a"]);
