--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -11,8 +11,10 @@
 
 mod messages;
 mod packed;
+mod roles;
 #[cfg(test)]
 mod tests;
+mod texts;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -31,18 +33,14 @@
 use jsonrpsee::server::ServerHandle;
 use kelpworks::membership::links::Links;
 use log::info;
-use log::warn;
 use rand::seq::IndexedRandom;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::crashes::Fingerprint;
 use crate::dialect::Dialect;
 use crate::documents::Documents;
-use crate::documents::Entries;
-use crate::documents::Source;
 use crate::fleet::Upstream;
 use crate::shared::Shared;
 use messages::Contact;
@@ -54,8 +52,7 @@
 use messages::LoadOf;
 use messages::SlownessOf;
 use messages::Texts;
-use packed::Pack;
-use packed::Packed;
+use texts::Packs;
 
 /// Time between two exchanges with each partner: load told a quarter of a second ago is still that
 /// of most streams, which last longer than a second.
@@ -71,8 +68,6 @@
 /// Members that a digest names in a larger fleet: three exchanges each way name every one of 66
 /// within a second.
 const NAMED: usize = 12;
-/// Daemons of each failure domain that watch the store for the others.
-const WATCHERS: usize = 2;
 /// Longest time for an exchange.
 const CALL: Duration = Duration::from_millis(400);
 /// Longest time for texts: some 300 kB over a link of 20 Mbit/s that carries other things too.
@@ -87,13 +82,6 @@
 const HEARD: Duration = Duration::from_secs(5);
 /// What a daemon told of its load and of the store counts so long.
 const LIVE: Duration = Duration::from_secs(4);
-/// A daemon counts among those that share a bound so long after it was last heard of: a daemon that
-/// can't be heard may still be working.
-const SHARING: Duration = Duration::from_secs(60);
-/// Daemons that are assumed to share a bound until a daemon has had time to hear of the others.
-const ASSUMED: usize = 8;
-/// How long that is.
-const LEARNING: Duration = Duration::from_secs(3);
 /// Fingerprints told at most in a digest.
 const MOST_FINGERPRINTS: usize = 64;
 /// Words on engines' layers told at most in a digest: those of an order to each engine of a small
@@ -101,10 +89,6 @@
 const MOST_HOLDINGS: usize = 48;
 /// How long an engine's word on its slowness is told on: until it may be asked again.
 const SLOWNESS_TOLD: Duration = Duration::from_secs(3);
-/// Silence of the lease's holder after which another daemon stands in for it: four exchanges.
-const HOLDER_SILENT: Duration = Duration::from_secs(1);
-/// The same in a larger fleet, where word of it comes through others.
-const HOLDER_SILENT_LARGE: Duration = Duration::from_millis(2_500);
 
 /// Methods of a daemon for its peers; all may be repeated.
 #[rpc(server, client, namespace = "kelpworks", namespace_separator = ".")]
@@ -180,70 +164,6 @@
         *lock(&self.seeds) = others.collect();
     }
 
-    /// Daemons that may be working now, this one included.
-    pub(crate) fn sharing(&self) -> usize {
-        let now = Instant::now();
-        let members = lock(&self.members);
-        let heard = members
-            .values()
-            .filter(|m| now.duration_since(m.heard) < SHARING);
-        let known = heard.count() + 1;
-        if now.duration_since(self.started) < LEARNING {
-            return known.max(ASSUMED);
-        }
-        known
-    }
-
-    /// Whether this daemon watches the store. In a larger fleet it does when it is among the first of
-    /// its failure domain by a hash, or has not heard for a while from a daemon that watches.
-    pub(crate) fn is_watcher(&self) -> bool {
-        let now = Instant::now();
-        let members = lock(&self.members);
-        let is_live = |m: &&Member| now.duration_since(m.heard) < HEARD;
-        if members.values().filter(is_live).count() <= SMALL {
-            return true;
-        }
-        let told = |m: &Member| m.told.is_some_and(|at| now.duration_since(at) < LIVE);
-        if !members.values().any(|m| m.watches && told(m)) {
-            return true;
-        }
-        let own = hash(&self.name);
-        let here = members
-            .iter()
-            .filter(|(_, m)| m.domain == self.shared.domain && is_live(m));
-        here.filter(|(name, _)| hash(name) < own).count() < WATCHERS
-    }
-
-    /// Notes that this daemon holds the placement lease.
-    pub(crate) fn holds_lease(&self) {
-        *lock(&self.lease_holder) = Some(Instant::now());
-    }
-
-    /// Whether this daemon gives orders in place of the lease's holder: that one has been silent, as
-    /// while the store is down, and of the daemons heard lately this one comes first by a hash. Two
-    /// that don't hear each other may both do so; engines take only the first of two orders.
-    pub(crate) fn stands_in(&self) -> bool {
-        let now = Instant::now();
-        if now.duration_since(self.started) < LEARNING {
-            return false;
-        }
-        let members = lock(&self.members);
-        let is_live = |m: &&Member| now.duration_since(m.heard) < HEARD;
-        let (silent, lately) = match members.values().filter(is_live).count() <= SMALL {
-            true => (HOLDER_SILENT, HOLDER_SILENT),
-            false => (HOLDER_SILENT_LARGE, HEARD),
-        };
-        let holder = *lock(&self.lease_holder);
-        if holder.is_some_and(|at| now.duration_since(at) < silent) {
-            return false;
-        }
-        let own = hash(&self.name);
-        let mut others = members
-            .iter()
-            .filter(|(_, m)| !m.leaving && now.duration_since(m.heard) < lately);
-        others.all(|(name, _)| own < hash(name))
-    }
-
     /// Listens for peers.
     pub(crate) async fn listen<D: Dialect>(self: &Arc<Peers>) -> std::io::Result<ServerHandle> {
         let cfg = ServerConfig::builder()
@@ -345,33 +265,6 @@
         }
     }
 
-    /// Takes texts from a peer.
-    fn take<D: Dialect>(&self, texts: Texts) {
-        if let Some(packed) = texts.configuration {
-            match packed.text() {
-                Ok(text) => {
-                    self.documents.put_configuration::<D>(&text, Source::Peer);
-                    if self.documents.version() == texts.version {
-                        lock(&self.packs).configuration.keep(texts.version, packed);
-                    }
-                }
-                Err(e) => warn!(error:% = e; "configuration of a peer can't be read"),
-            }
-        }
-        if let Some(packed) = texts.entries {
-            match entries_of(&packed) {
-                Ok(entries) => {
-                    let revision = entries.revision;
-                    self.documents.put_entries::<D>(entries, Source::Peer);
-                    if self.documents.revision() == revision {
-                        lock(&self.packs).entries.keep(revision, packed);
-                    }
-                }
-                Err(e) => warn!(error:% = e; "entries of a peer can't be read"),
-            }
-        }
-    }
-
     fn digest(&self) -> Digest {
         let now = Instant::now();
         let mut load = Vec::new();
@@ -494,12 +387,6 @@
         }
     }
 
-    fn heard_of_lease_holder(&self, age_ms: Option<u64>, now: Instant) {
-        let at = age_ms.and_then(|ms| now.checked_sub(Duration::from_millis(ms)));
-        let mut holder = lock(&self.lease_holder);
-        *holder = (*holder).max(at);
-    }
-
     fn meet(&self, contact: &Contact, now: Instant) {
         let age = Duration::from_millis(contact.age_ms);
         let Some(heard) = now.checked_sub(age) else {
@@ -558,44 +445,6 @@
             }
         }
     }
-
-    fn texts(&self, known: Known) -> Texts {
-        let (version, revision) = (self.documents.version(), self.documents.revision());
-        let mut packs = lock(&self.packs);
-        let configuration = || {
-            let text = || self.documents.configuration();
-            packs.configuration.of(version, text)
-        };
-        let configuration = (version > known.version).then(configuration);
-        let entries = || {
-            packs
-                .entries
-                .of(revision, || json_of(&self.documents.entries()))
-        };
-        Texts {
-            version,
-            configuration,
-            entries: (revision > known.revision).then(entries),
-        }
-    }
-}
-
-fn json_of(entries: &Entries) -> Arc<str> {
-    // Strings and numbers under string keys always have a JSON form.
-    let text = serde_json::to_string(entries);
-    text.unwrap_or_default().into()
-}
-
-fn entries_of(packed: &Packed) -> std::result::Result<Entries, String> {
-    let text = packed.text().map_err(|e| e.to_string())?;
-    serde_json::from_str(&text).map_err(|e| e.to_string())
-}
-
-/// Texts as they go to peers.
-#[derive(Debug, Default)]
-struct Packs {
-    configuration: Pack,
-    entries: Pack,
 }
 
 /// The server's side.
@@ -641,11 +490,6 @@
     );
 }
 
-/// Orders daemons at random, the same for all of them.
-fn hash(name: &str) -> u64 {
-    xxh3_64(name.as_bytes())
-}
-
 /// Tables are consistent line by line, so a panic of a holder spoils nothing.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- /dev/null
+++ b/crates/kelpworks-relay/src/peers/texts.rs
@@ -0,0 +1,83 @@
+//! The texts that daemons hand to each other: the configuration and the upstreams' entries.
+
+use std::sync::Arc;
+
+use log::warn;
+
+use super::Peers;
+use super::lock;
+use super::messages::Known;
+use super::messages::Texts;
+use super::packed::Pack;
+use super::packed::Packed;
+use crate::dialect::Dialect;
+use crate::documents::Entries;
+use crate::documents::Source;
+
+impl Peers {
+    /// Takes texts from a peer.
+    pub(super) fn take<D: Dialect>(&self, texts: Texts) {
+        if let Some(packed) = texts.configuration {
+            match packed.text() {
+                Ok(text) => {
+                    self.documents.put_configuration::<D>(&text, Source::Peer);
+                    if self.documents.version() == texts.version {
+                        lock(&self.packs).configuration.keep(texts.version, packed);
+                    }
+                }
+                Err(e) => warn!(error:% = e; "configuration of a peer can't be read"),
+            }
+        }
+        if let Some(packed) = texts.entries {
+            match entries_of(&packed) {
+                Ok(entries) => {
+                    let revision = entries.revision;
+                    self.documents.put_entries::<D>(entries, Source::Peer);
+                    if self.documents.revision() == revision {
+                        lock(&self.packs).entries.keep(revision, packed);
+                    }
+                }
+                Err(e) => warn!(error:% = e; "entries of a peer can't be read"),
+            }
+        }
+    }
+
+    /// The texts that are newer than known.
+    pub(super) fn texts(&self, known: Known) -> Texts {
+        let (version, revision) = (self.documents.version(), self.documents.revision());
+        let mut packs = lock(&self.packs);
+        let configuration = || {
+            let text = || self.documents.configuration();
+            packs.configuration.of(version, text)
+        };
+        let configuration = (version > known.version).then(configuration);
+        let entries = || {
+            packs
+                .entries
+                .of(revision, || json_of(&self.documents.entries()))
+        };
+        Texts {
+            version,
+            configuration,
+            entries: (revision > known.revision).then(entries),
+        }
+    }
+}
+
+fn json_of(entries: &Entries) -> Arc<str> {
+    // Strings and numbers under string keys always have a JSON form.
+    let text = serde_json::to_string(entries);
+    text.unwrap_or_default().into()
+}
+
+fn entries_of(packed: &Packed) -> std::result::Result<Entries, String> {
+    let text = packed.text().map_err(|e| e.to_string())?;
+    serde_json::from_str(&text).map_err(|e| e.to_string())
+}
+
+/// Texts as they go to peers.
+#[derive(Debug, Default)]
+pub(super) struct Packs {
+    configuration: Pack,
+    entries: Pack,
+}
