--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -61,8 +61,10 @@
 const SMALL: usize = 8;
 /// Exchanges of a larger fleet are so many times rarer.
 const RARER: u32 = 2;
-/// Daemons of the own failure domain that are called each time in a larger fleet.
-const NEAR: usize = 2;
+/// Daemons of the own failure domain that are called each time in a larger fleet: with those that
+/// call, all of 22 are heard within two seconds. With two of them a third of the load stood for the
+/// rest, and engines refused a sixteenth of all arrivals on a calm day; with five none.
+const NEAR: usize = 5;
 /// Daemons of other failure domains that are called each time: bytes between domains are paid for.
 const FAR: usize = 1;
 /// Members that a digest names in a larger fleet: three exchanges each way name every one of 66
