--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -46,6 +46,20 @@
     std::net::SocketAddr::from(([127, 0, 0, 1], 7_000 + number as u16))
 }
 
+/// The registration of an engine `e-1`.
+fn engine() -> UpstreamEntry {
+    UpstreamEntry {
+        instance: Arc::from("e-1"),
+        service: Arc::from("llm"),
+        address: address(900),
+        domain: Arc::from("a"),
+        stage: Stage::Ready,
+        slots: 1,
+        layers: None,
+        kind: None,
+    }
+}
+
 fn digest(number: usize, watches: bool) -> Digest {
     Digest {
         from: Contact {
@@ -105,17 +119,7 @@
 #[tokio::test(start_paused = true)]
 async fn what_was_told_stands_for_its_domain_and_grows_old() {
     let me = peers(0);
-    let engine = UpstreamEntry {
-        instance: Arc::from("e-1"),
-        service: Arc::from("llm"),
-        address: address(900),
-        domain: Arc::from("a"),
-        stage: Stage::Ready,
-        slots: 1,
-        layers: None,
-        kind: None,
-    };
-    me.shared.fleet().replace(vec![engine], 1);
+    me.shared.fleet().replace(vec![engine()], 1);
     let mut told = digest(1, true);
     told.load.push(LoadOf {
         instance: Arc::from("e-1"),
@@ -197,19 +201,9 @@
 
 #[tokio::test(start_paused = true)]
 async fn words_on_engines_go_from_peer_to_peer_until_they_are_old() {
-    let engine = UpstreamEntry {
-        instance: Arc::from("e-1"),
-        service: Arc::from("llm"),
-        address: address(900),
-        domain: Arc::from("a"),
-        stage: Stage::Ready,
-        slots: 1,
-        layers: None,
-        kind: None,
-    };
     let all: Vec<Peers> = (0..3).map(peers).collect();
     for me in &all {
-        me.shared.fleet().replace(vec![engine.clone()], 1);
+        me.shared.fleet().replace(vec![engine()], 1);
     }
     let slowness = |me: &Peers| {
         let fleet = me.shared.fleet();
