Draw the paths of requests from one plan for the whole fleet

Ruled out: more digests (each daemon would have to hear all others within some 50 ms); wider jitter, which spreads without regard to room. Change: spread.rs: every half second a daemon places the load of all failure domains in 72 parts, each on the path cheapest beside those before it, and draws a request's path from its domain's parts. Only the whole load of each domain has to be told, which digests carry already. The search stays for requests whose drawn paths can't be used, for detours and for requests bound to an engine.

--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -35,3 +35,4 @@
 pub mod settings;
 pub mod shared;
 pub mod slowness;
+pub mod spread;
--- a/crates/kelpworks-relay/src/path.rs
+++ b/crates/kelpworks-relay/src/path.rs
@@ -5,8 +5,8 @@
 //! at which holdings begin or end; its cost is the time that a token takes, with what the engines
 //! already run. On 38 engines a search looks at a few thousand edges.
 
-mod cost;
-mod graph;
+pub(crate) mod cost;
+pub(crate) mod graph;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -31,7 +31,7 @@
 const DOUBT_MS: f64 = 200.0;
 /// Added for an engine that fails all its attempts though it lives, in milliseconds a token; one that
 /// fails some gets that part of it. A failed attempt costs a prompt read in vain and a repeat.
-const FAILING_MS: f64 = 20.0;
+pub(crate) const FAILING_MS: f64 = 20.0;
 /// Costs are drawn within this part above and below, so that daemons with the same view spread.
 const JITTER: f64 = 0.15;
 /// How strongly promised memory raises the cost: an engine with all its room promised costs so many
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -44,6 +44,7 @@
 use crate::fleet::Owner;
 use crate::fleet::Upstream;
 use crate::shared::Shared;
+use crate::spread::Demand;
 use messages::Contact;
 use messages::CrashesOf;
 use messages::Digest;
@@ -464,12 +465,15 @@
             let there = members.values().filter(|m| m.domain == domain);
             there.filter(|m| which(m)).count() as f64
         };
+        let mut demand: Vec<Demand> = Vec::new();
         let mut fleet = self.shared.fleet();
         fleet.clear_others();
         for member in members.values().filter(told) {
             let stands_for =
                 count(&member.domain, &is_live) / count(&member.domain, &told).max(1.0);
             let stands_for = stands_for.max(1.0);
+            let reserved: f64 = member.load.iter().map(|l| l.reserved).sum();
+            add_demand(&mut demand, &member.domain, reserved * stands_for);
             for load in &member.load {
                 let upstream = fleet.key_of(&load.instance).and_then(|k| fleet.get_mut(k));
                 if let Some(u) = upstream {
@@ -478,6 +482,8 @@
                 }
             }
         }
+        drop(fleet);
+        self.shared.set_demand(demand);
     }
 }
 
@@ -510,6 +516,16 @@
     })
 }
 
+fn add_demand(demand: &mut Vec<Demand>, domain: &str, token_layers: f64) {
+    match demand.iter_mut().find(|d| *d.domain == *domain) {
+        Some(d) => d.token_layers += token_layers,
+        None => demand.push(Demand {
+            domain: Arc::from(domain),
+            token_layers,
+        }),
+    }
+}
+
 fn log_holding(word: &HoldingOf, peer: &str) {
     info!(
         target: "decision",
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -151,6 +151,13 @@
             first: &first,
             now: Instant::now(),
         };
+        let drawn = match first.is_empty() {
+            true => self.shared.draw(&fleet, engines, &ask),
+            false => None,
+        };
+        if let Some(path) = drawn {
+            return Ok(path);
+        }
         path::search(&fleet, engines, &ask, &mut rand::rng())
     }
 
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -1,5 +1,6 @@
 //! What the parts of a relaying daemon share.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -15,16 +16,21 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::config::Engines;
 use crate::config::Table;
 use crate::crashes::Crashes;
 use crate::dialect::Start;
 use crate::fleet::Changes;
 use crate::fleet::Fleet;
 use crate::fleet::Owner;
+use crate::path::Ask;
+use crate::path::Path;
 use crate::pool::Pool;
 use crate::repeats::Bound;
 use crate::repeats::Repeats;
 use crate::slowness::Suspects;
+use crate::spread::Demand;
+use crate::spread::Spread;
 
 /// Pause between two events on a calm fleet of today's kinds of accelerators, measured.
 const USUAL_PAUSE: Duration = Duration::from_millis(38);
@@ -51,6 +57,10 @@
     repeats: Mutex<Repeats>,
     crashes: Mutex<Crashes>,
     suspects: Mutex<Suspects>,
+    /// How the requests of each service of engines are to spread.
+    spreads: Mutex<HashMap<Arc<str>, Spread>>,
+    /// Load by other daemons, by their failure domain, as they last told.
+    demand: Mutex<Vec<Demand>>,
     /// Moving average of the pause between two events of a stream, in microseconds.
     pause_us: AtomicU64,
     /// Connections to upstreams.
@@ -76,6 +86,8 @@
             repeats: Mutex::new(Repeats::new(bound, daemons, Instant::now())),
             crashes: Mutex::default(),
             suspects: Mutex::default(),
+            spreads: Mutex::default(),
+            demand: Mutex::default(),
             pause_us: AtomicU64::new(USUAL_PAUSE.as_micros() as u64),
             pool: Pool::default(),
             store_answers: AtomicBool::new(false),
@@ -167,6 +179,41 @@
         lock(&self.repeats)
     }
 
+    /// Takes the load of other daemons, by their failure domain.
+    pub(crate) fn set_demand(&self, demand: Vec<Demand>) {
+        *lock(&self.demand) = demand;
+    }
+
+    /// A path for a whole request, drawn from the plan for all requests; `None` when the plan has none
+    /// that may be used now.
+    pub(crate) fn draw(&self, fleet: &Fleet, engines: &Engines, ask: &Ask<'_>) -> Option<Path> {
+        let mut spreads = lock(&self.spreads);
+        let known = spreads.get(ask.service);
+        if !known.is_some_and(|s| s.is_fresh(fleet, ask.now)) {
+            let demand = self.demand(fleet, ask.service);
+            let spread = Spread::plan(fleet, engines, ask, &demand);
+            metrics::gauge!("kelpworks_spread_placed").set(spread.placed());
+            spreads.insert(Arc::from(ask.service), spread);
+        }
+        let spread = spreads.get(ask.service)?;
+        let parts = spread.draw(fleet, engines, ask, &mut rand::rng())?;
+        Path::new(fleet, parts.clone())
+    }
+
+    /// Load of all daemons by failure domain, that of this one included.
+    fn demand(&self, fleet: &Fleet, service: &str) -> Vec<Demand> {
+        let mut demand = lock(&self.demand).clone();
+        let own: f64 = fleet.of_service(service).map(|(_, u)| u.own.reserved).sum();
+        match demand.iter_mut().find(|d| *d.domain == *self.domain) {
+            Some(d) => d.token_layers += own,
+            None => demand.push(Demand {
+                domain: Arc::from(&*self.domain),
+                token_layers: own,
+            }),
+        }
+        demand
+    }
+
     /// Notes a pause between two events of a stream.
     pub fn paused(&self, pause: Duration) {
         let pause = pause.as_micros() as u64;
--- /dev/null
+++ b/crates/kelpworks-relay/tests/spread.rs
@@ -0,0 +1,198 @@
+//! Requests of many daemons that know little of each other: they spread over the engines in the
+//! planned proportion instead of all taking the cheapest path.
+
+mod fleet_support;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rstest::rstest;
+use tokio::time::Instant;
+
+use fleet_support::LAYERS;
+use fleet_support::empty_hosts;
+use fleet_support::engines;
+use fleet_support::entry;
+use fleet_support::range;
+use kelpworks_relay::dialect::LayerRange;
+use kelpworks_relay::fleet::Fleet;
+use kelpworks_relay::fleet::UpstreamKey;
+use kelpworks_relay::layout::plan;
+use kelpworks_relay::path::Ask;
+use kelpworks_relay::path::search;
+use kelpworks_relay::spread::Demand;
+use kelpworks_relay::spread::Spread;
+
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+/// Tokens of a usual request.
+const TOKENS: f64 = 984.0;
+
+/// A fleet as the layout makes it, with as many engines in each domain as on the larger sites.
+fn fleet() -> Fleet {
+    let mut hosts = empty_hosts(&DOMAINS);
+    for order in plan(&engines(), &hosts) {
+        let host = hosts.iter_mut().find(|h| h.instance == order.instance);
+        host.expect("a known engine").layers = Some(order.layers);
+    }
+    let entries = hosts.iter().enumerate().map(|(i, h)| entry(i, h)).collect();
+    let mut fleet = Fleet::default();
+    fleet.replace(entries, 1, Instant::now());
+    fleet
+}
+
+fn ask(domain: &str) -> Ask<'_> {
+    Ask {
+        service: "llm",
+        tokens: TOKENS,
+        domain,
+        layers: range(0, LAYERS),
+        avoid: &[],
+        first: &[],
+        now: Instant::now(),
+    }
+}
+
+/// So many usual requests from each domain.
+fn demand(each: f64) -> Vec<Demand> {
+    let of = |domain: &&str| Demand {
+        domain: Arc::from(*domain),
+        token_layers: each * TOKENS * f64::from(LAYERS),
+    };
+    DOMAINS.iter().map(of).collect()
+}
+
+/// Token-layers at each engine, over its room.
+fn fills(fleet: &Fleet, held: &HashMap<UpstreamKey, f64>) -> Vec<f64> {
+    let engines = engines();
+    let fill = |(&key, reserved): (&UpstreamKey, &f64)| {
+        let u = fleet.get(key).expect("known");
+        let kind = engines.kind(u.entry.kind.as_deref().expect("a kind"));
+        let layers = u.layers.expect("layers").len();
+        reserved / engines.kv_room(kind.expect("known"), layers)
+    };
+    held.iter().map(fill).collect()
+}
+
+fn hold(held: &mut HashMap<UpstreamKey, f64>, parts: &[(UpstreamKey, LayerRange)]) {
+    for &(key, layers) in parts {
+        *held.entry(key).or_default() += TOKENS * f64::from(layers.len());
+    }
+}
+
+/// Callers of all daemons come within one exchange of digests, so that each daemon decides without the
+/// load of the others. The pattern is that of a second of usual traffic, and of all callers coming back
+/// at once. By the cheapest path engines are promised more than they have; drawn from plans none is.
+#[rstest]
+#[case::usual(90)]
+#[case::all_back_at_once(100)]
+#[tokio::test]
+async fn daemons_that_know_nothing_of_each_other_dont_overfill_engines(#[case] each: usize) {
+    let fleet = fleet();
+    let engines = engines();
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut drawn: HashMap<UpstreamKey, f64> = HashMap::new();
+    let mut cheapest: HashMap<UpstreamKey, f64> = HashMap::new();
+    for domain in DOMAINS {
+        let ask = ask(domain);
+        let spread = Spread::plan(&fleet, &engines, &ask, &demand(each as f64));
+        assert_eq!(spread.placed(), 1.0, "there is room for all");
+        for _ in 0..each {
+            let parts = spread.draw(&fleet, &engines, &ask, &mut rng);
+            hold(&mut drawn, parts.expect("a path"));
+            let path = search(&fleet, &engines, &ask, &mut rng).expect("a path");
+            hold(&mut cheapest, &path.parts);
+        }
+    }
+    let most = |held| fills(&fleet, held).into_iter().fold(0.0, f64::max);
+    assert!(most(&drawn) <= 1.0, "{}", most(&drawn));
+    assert!(most(&cheapest) > 1.0, "{}", most(&cheapest));
+}
+
+#[tokio::test]
+async fn every_planned_path_is_whole_and_stays_in_one_domain_while_there_is_room() {
+    let fleet = fleet();
+    let engines = engines();
+    let ask = ask("b");
+    let spread = Spread::plan(&fleet, &engines, &ask, &demand(60.0));
+    let mut rng = StdRng::seed_from_u64(1);
+    for _ in 0..100 {
+        let parts = spread
+            .draw(&fleet, &engines, &ask, &mut rng)
+            .expect("a path");
+        let mut next = 0;
+        let first = fleet.get(parts[0].0).expect("known");
+        for &(key, layers) in parts {
+            let upstream = fleet.get(key).expect("known");
+            assert_eq!(upstream.entry.domain, first.entry.domain);
+            let held = upstream.layers.expect("layers");
+            assert!(held.from <= layers.from && layers.to <= held.to);
+            assert_eq!(layers.from, next);
+            next = layers.to;
+        }
+        assert_eq!(next, LAYERS);
+    }
+}
+
+/// More than the fleet can hold: the plan says what part there is room for.
+#[tokio::test]
+async fn load_beyond_the_room_is_not_placed() {
+    let fleet = fleet();
+    let spread = Spread::plan(&fleet, &engines(), &ask("a"), &demand(5_000.0));
+    assert!(spread.placed() < 0.2, "{}", spread.placed());
+}
+
+/// An engine that fails after the plan was made is not drawn, nor one that has no room left.
+#[rstest]
+#[case::failed(true)]
+#[case::full(false)]
+#[tokio::test]
+async fn engines_that_may_not_be_used_now_are_not_drawn(#[case] failed: bool) {
+    let mut fleet = fleet();
+    let engines = engines();
+    let ask = ask("a");
+    let spread = Spread::plan(&fleet, &engines, &ask, &demand(60.0));
+    let mut rng = StdRng::seed_from_u64(3);
+    let parts = spread
+        .draw(&fleet, &engines, &ask, &mut rng)
+        .expect("a path");
+    let gone = parts[1].0;
+    match failed {
+        true => fleet.doubt(gone, ask.now),
+        false => fleet.take(gone, 1e12),
+    }
+    for _ in 0..200 {
+        let parts = spread.draw(&fleet, &engines, &ask, &mut rng);
+        assert!(parts.is_none_or(|p| p.iter().all(|&(k, _)| k != gone)));
+    }
+}
+
+/// An engine that turned slow gets no more than before, and little: other domains hold its layers.
+#[tokio::test]
+async fn an_engine_that_turned_slow_gets_less() {
+    let mut fleet = fleet();
+    let engines = engines();
+    let ask = ask("a");
+    let share = |fleet: &Fleet, slow: UpstreamKey| {
+        let spread = Spread::plan(fleet, &engines, &ask, &demand(60.0));
+        let mut rng = StdRng::seed_from_u64(5);
+        let draws = (0..400).filter_map(|_| spread.draw(fleet, &engines, &ask, &mut rng));
+        draws.filter(|p| p.iter().any(|&(k, _)| k == slow)).count()
+    };
+    let of_middle = fleet
+        .iter()
+        .filter(|(_, u)| u.entry.kind.as_deref() == Some("middle"));
+    let middle: Vec<UpstreamKey> = of_middle.map(|(k, _)| k).collect();
+    let mut left = 0;
+    for (i, key) in middle.into_iter().enumerate() {
+        let before = share(&fleet, key);
+        let at = ask.now + std::time::Duration::from_micros(i as u64);
+        fleet.tell_slowness(key, 40.0, at);
+        let after = share(&fleet, key);
+        fleet.tell_slowness(key, 1.0, at + std::time::Duration::from_nanos(1));
+        assert!(after <= before, "{before} to {after}");
+        left += usize::from(before > 50 && after * 4 < before);
+    }
+    assert!(left >= 3, "only {left} engines were left");
+}
