--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -483,7 +483,8 @@
             }
         }
         drop(fleet);
-        self.shared.set_demand(demand);
+        let is_sampled = members.values().filter(is_live).count() > SMALL;
+        self.shared.set_demand(demand, is_sampled);
     }
 }
 
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -61,6 +61,8 @@
     spreads: Mutex<HashMap<Arc<str>, Spread>>,
     /// Load by other daemons, by their failure domain, as they last told.
     demand: Mutex<Vec<Demand>>,
+    /// Whether the load of engines is known only from a sample of the daemons.
+    load_is_sampled: AtomicBool,
     /// Moving average of the pause between two events of a stream, in microseconds.
     pause_us: AtomicU64,
     /// Connections to upstreams.
@@ -88,6 +90,7 @@
             suspects: Mutex::default(),
             spreads: Mutex::default(),
             demand: Mutex::default(),
+            load_is_sampled: AtomicBool::new(false),
             pause_us: AtomicU64::new(USUAL_PAUSE.as_micros() as u64),
             pool: Pool::default(),
             store_answers: AtomicBool::new(false),
@@ -179,14 +182,23 @@
         lock(&self.repeats)
     }
 
-    /// Takes the load of other daemons, by their failure domain.
-    pub(crate) fn set_demand(&self, demand: Vec<Demand>) {
+    /// Takes the load of other daemons, by their failure domain, and whether it is known only from a
+    /// sample of them.
+    pub(crate) fn set_demand(&self, demand: Vec<Demand>, is_sampled: bool) {
         *lock(&self.demand) = demand;
+        self.load_is_sampled.store(is_sampled, Ordering::Relaxed);
     }
 
     /// A path for a whole request, drawn from the plan for all requests; `None` when the plan has none
     /// that may be used now.
+    ///
+    /// Where every daemon tells every other its load within a quarter of a second, the cheapest path by
+    /// that load is better than a drawn one: over five days with trouble, drawing there cost 0.02 of
+    /// worth on two sites of 6 and 7 daemons.
     pub(crate) fn draw(&self, fleet: &Fleet, engines: &Engines, ask: &Ask<'_>) -> Option<Path> {
+        if !self.load_is_sampled.load(Ordering::Relaxed) {
+            return None;
+        }
         let mut spreads = lock(&self.spreads);
         let known = spreads.get(ask.service);
         if !known.is_some_and(|s| s.is_fresh(fleet, ask.now)) {
