--- a/crates/kelpworks-cli/tests/relay_entries.rs
+++ b/crates/kelpworks-cli/tests/relay_entries.rs
@@ -191,3 +191,54 @@
         "nothing was refused and sent again"
     );
 }
+
+/// An entry that claims an engine's address, with a later start than the engine's own: the first
+/// request for it is refused by the engine, and none after it.
+#[tokio::test]
+async fn an_answer_that_names_another_upstream_settles_who_has_the_address() {
+    let site = Site::start("settled", 1).await;
+    let daemon = &site.daemons[0];
+    for engine in site.engines.all() {
+        let mut claim = engine.entry();
+        claim["born"] = json!(1_700_000_900_000_u64);
+        let name = format!("claim-{}", engine.instance);
+        site.store.put("servers", &name, claim);
+    }
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    until(&site, async || is_served(&site, "first").await).await;
+    let refused = daemon.log().matches("refused by the upstream").count();
+    site.engines.clear_runs();
+    for i in 0..6 {
+        assert!(
+            is_served(&site, &format!("then-{i}")).await,
+            "{}",
+            daemon.log()
+        );
+    }
+    let later = daemon.log().matches("refused by the upstream").count();
+    assert!(daemon.log().contains("an answer from the address"));
+    assert!(refused > 0 && later <= refused + site.engines.all().len());
+}
+
+/// A refusal that a later engine of the path gave, with its own name on it, says nothing of the first
+/// engine's address.
+#[tokio::test]
+async fn a_refusal_by_a_later_engine_leaves_the_first_one_its_address() {
+    let site = Site::start("later-engine", 1).await;
+    let daemon = &site.daemons[0];
+    let engines = site.engines.all();
+    let last = engines
+        .iter()
+        .find(|e| e.held().is_some_and(|(from, _)| from > 0));
+    last.expect("an engine that is never first")
+        .give_up_layers();
+    for i in 0..6 {
+        let _ = daemon.stream(&format!("later-{i}"), 4).await;
+    }
+    assert!(
+        daemon.log().contains("refused by the upstream"),
+        "{}",
+        daemon.log()
+    );
+    assert!(!daemon.log().contains("an answer from the address"));
+}
--- a/crates/kelpworks-cli/tests/relay_site/engine.rs
+++ b/crates/kelpworks-cli/tests/relay_site/engine.rs
@@ -220,6 +220,11 @@
         self.stopped.store(stopped, Ordering::Relaxed);
     }
 
+    /// Gives its layers up without a word.
+    pub(crate) fn give_up_layers(&self) {
+        *self.held.lock().expect("no panic") = None;
+    }
+
     /// Starts again under its id: it holds nothing and has begun no order.
     pub(crate) fn start_again(&self) {
         *self.held.lock().expect("no panic") = None;
@@ -315,12 +320,23 @@
         let field = |name: &str| req.header::<String>(name).unwrap_or_default();
         let request = field(ATTEMPT);
         let _ = res.add_header(ATTEMPT, request.clone(), true);
+        let own = &self.engine.instance;
+        if field("x-kelpworks-expect-instance") != *own {
+            let _ = res.add_header("x-kelpworks-instance-id", own, true);
+            res.status_code(StatusCode::MISDIRECTED_REQUEST);
+            return;
+        }
         let path = self.parts(&field("x-kelpworks-hops"));
         let fault = self.engine.fault.lock().expect("no panic").take();
         let refused = fault == Some(Fault::Refused);
         let parts = match path {
             Ok(parts) => parts,
             Err(at) => {
+                let engines = self.registry.engines.lock().expect("no panic");
+                let named = at.parse().ok().and_then(|a| engines.get(&a));
+                let named = named.map_or(String::new(), |e| e.instance.clone());
+                drop(engines);
+                let _ = res.add_header("x-kelpworks-instance-id", named, true);
                 let _ = res.add_header("at-server", at, true);
                 let _ = res.add_header("x-kelpworks-not-executed", "1", true);
                 res.status_code(StatusCode::MISDIRECTED_REQUEST);
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -291,8 +291,10 @@
             at.next().map(|(_, key)| key)
         });
         let blamed = named.unwrap_or(first);
-        // Whoever names itself in a refusal is at the address that the request was sent to.
-        if let Some(id) = misdirected(response, head)
+        // Whoever names itself in a refusal of its own is at the address that the request was sent to. A
+        // refusal that a later engine gave says nothing of that address.
+        let is_own = head.at_fault.is_none_or(|at| at == path.address);
+        if let Some(id) = misdirected(response, head).filter(|_| is_own)
             && id != &*path.id
         {
             self.shared.answered_by(path.address, id);
