--- a/crates/kelpworks-cli/tests/relay_entries.rs
+++ b/crates/kelpworks-cli/tests/relay_entries.rs
@@ -11,6 +11,7 @@
 
 use relay_site::BOUND;
 use relay_site::Site;
+use relay_site::engine::Engine;
 use relay_site::engine::is_whole;
 
 /// Waits until a condition holds, publishing what engines hold as their heartbeats would.
@@ -227,11 +228,10 @@
     let site = Site::start("later-engine", 1).await;
     let daemon = &site.daemons[0];
     let engines = site.engines.all();
-    let last = engines
-        .iter()
-        .find(|e| e.held().is_some_and(|(from, _)| from > 0));
-    last.expect("an engine that is never first")
-        .give_up_layers();
+    let is_never_first = |e: &&Engine| e.held().is_some_and(|(from, _)| from > 0);
+    for engine in engines.iter().filter(is_never_first) {
+        engine.give_up_layers();
+    }
     for i in 0..6 {
         let _ = daemon.stream(&format!("later-{i}"), 4).await;
     }
--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -85,7 +85,7 @@
     }
 
     /// Takes the whole list of registrations as of a revision; an older one changes nothing. Of those
-    /// that claim one address, or one id with several starts, one counts (see [`owners`]).
+    /// that claim one address, or one id with several starts, one counts.
     pub fn replace(&mut self, entries: Vec<UpstreamEntry>, revision: u64, now: Instant) -> Changes {
         if revision < self.revision {
             return Changes::default();
--- a/crates/kelpworks-relay/src/layout.rs
+++ b/crates/kelpworks-relay/src/layout.rs
@@ -62,7 +62,7 @@
 }
 
 /// Usual requests that each engine of a failure domain leaves room for: as many as its engines can
-/// without holding layers less often than [`COPIES`] times.
+/// without holding layers less often than three times.
 pub fn room_for(engines: &Engines, hosts: &[Host], domain: &str) -> f64 {
     let there = hosts.iter().filter(|h| *h.domain == *domain);
     let kinds: Vec<&Accelerator> = there.filter_map(|h| engines.kind(&h.kind)).collect();
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -36,7 +36,7 @@
 /// Words on who has an address told at most in a digest: as many as engines may start again at once.
 const MOST_OWNERS: usize = 48;
 /// How long an engine's word on its slowness is told on: until it may be asked again.
-const SLOWNESS_TOLD: Duration = Duration::from_secs(3);
+pub(super) const SLOWNESS_TOLD: Duration = Duration::from_secs(3);
 /// Members that a digest names in a larger fleet: three exchanges each way name every one of 66
 /// within a second.
 const NAMED: usize = 12;
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -7,13 +7,13 @@
 use tokio::time::Instant;
 use tokio::time::advance;
 
-use super::Contact;
 use super::Digest;
 use super::LIVE;
 use super::LoadOf;
 use super::Peers;
-use super::SLOWNESS_TOLD;
 use super::SMALL;
+use super::exchange::SLOWNESS_TOLD;
+use super::messages::Contact;
 use super::packed::Packed;
 use super::roles::HOLDER_SILENT;
 use super::roles::HOLDER_SILENT_LARGE;
--- a/crates/kelpworks-relay/tests/fleet_support/mod.rs
+++ b/crates/kelpworks-relay/tests/fleet_support/mod.rs
@@ -9,7 +9,10 @@
 use kelpworks_relay::dialect::LayerRange;
 use kelpworks_relay::dialect::Stage;
 use kelpworks_relay::dialect::UpstreamEntry;
+use kelpworks_relay::fleet::Fleet;
 use kelpworks_relay::layout::Host;
+use kelpworks_relay::layout::plan;
+use tokio::time::Instant;
 
 /// Layers of the model.
 pub(crate) const LAYERS: u16 = 80;
@@ -61,6 +64,18 @@
     hosts
 }
 
+/// A fleet of these engines, holding what the layout gives them.
+pub(crate) fn placed(mut hosts: Vec<Host>) -> Fleet {
+    for order in plan(&engines(), &hosts) {
+        let host = hosts.iter_mut().find(|h| h.instance == order.instance);
+        host.expect("a known engine").layers = Some(order.layers);
+    }
+    let entries = hosts.iter().enumerate().map(|(i, h)| entry(i, h)).collect();
+    let mut fleet = Fleet::default();
+    fleet.replace(entries, 1, Instant::now());
+    fleet
+}
+
 /// The registration of an engine.
 pub(crate) fn entry(number: usize, host: &Host) -> UpstreamEntry {
     UpstreamEntry {
--- a/crates/kelpworks-relay/tests/path.rs
+++ b/crates/kelpworks-relay/tests/path.rs
@@ -14,11 +14,11 @@
 use fleet_support::empty_hosts;
 use fleet_support::engines;
 use fleet_support::entry;
+use fleet_support::placed;
 use fleet_support::range;
 use kelpworks_relay::dialect::Stage;
 use kelpworks_relay::fleet::Fleet;
 use kelpworks_relay::fleet::UpstreamKey;
-use kelpworks_relay::layout::plan;
 use kelpworks_relay::path::Ask;
 use kelpworks_relay::path::NoPath;
 use kelpworks_relay::path::Path;
@@ -26,15 +26,7 @@
 
 /// A fleet as the layout makes it.
 fn fleet(domains: &[&str]) -> Fleet {
-    let mut hosts = empty_hosts(domains);
-    for order in plan(&engines(), &hosts) {
-        let host = hosts.iter_mut().find(|h| h.instance == order.instance);
-        host.expect("a known engine").layers = Some(order.layers);
-    }
-    let entries = hosts.iter().enumerate().map(|(i, h)| entry(i, h)).collect();
-    let mut fleet = Fleet::default();
-    fleet.replace(entries, 1, Instant::now());
-    fleet
+    placed(empty_hosts(domains))
 }
 
 fn ask<'a>(domain: &'a str, first: &'a [UpstreamKey]) -> Ask<'a> {
--- a/crates/kelpworks-relay/tests/spread.rs
+++ b/crates/kelpworks-relay/tests/spread.rs
@@ -14,12 +14,11 @@
 use fleet_support::LAYERS;
 use fleet_support::empty_hosts;
 use fleet_support::engines;
-use fleet_support::entry;
+use fleet_support::placed;
 use fleet_support::range;
 use kelpworks_relay::dialect::LayerRange;
 use kelpworks_relay::fleet::Fleet;
 use kelpworks_relay::fleet::UpstreamKey;
-use kelpworks_relay::layout::plan;
 use kelpworks_relay::path::Ask;
 use kelpworks_relay::path::search;
 use kelpworks_relay::spread::Demand;
@@ -38,14 +37,7 @@
             hosts.push(host);
         }
     }
-    for order in plan(&engines(), &hosts) {
-        let host = hosts.iter_mut().find(|h| h.instance == order.instance);
-        host.expect("a known engine").layers = Some(order.layers);
-    }
-    let entries = hosts.iter().enumerate().map(|(i, h)| entry(i, h)).collect();
-    let mut fleet = Fleet::default();
-    fleet.replace(entries, 1, Instant::now());
-    fleet
+    placed(hosts)
 }
 
 fn ask(domain: &str) -> Ask<'_> {
