--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -19,9 +19,13 @@
 use super::roles::HOLDER_SILENT_LARGE;
 use super::roles::LEARNING;
 use super::roles::WATCHERS;
+use crate::config::Accelerator;
+use crate::config::Engines;
+use crate::dialect::LayerRange;
 use crate::dialect::Stage;
 use crate::dialect::UpstreamEntry;
 use crate::documents::Documents;
+use crate::path::Ask;
 use crate::repeats::Bound;
 use crate::shared::Shared;
 
@@ -236,3 +240,60 @@
     let cut: Packed = serde_json::from_str("\"AAAA\"").expect("a string");
     assert!(cut.text().is_err());
 }
+
+/// An engine that holds the whole model of two layers, and what is known of its kind.
+fn whole_engine() -> (UpstreamEntry, Engines) {
+    let entry = UpstreamEntry {
+        layers: Some(LayerRange { from: 0, to: 2 }),
+        kind: Some(Arc::from("k")),
+        ..engine()
+    };
+    let engines = Engines {
+        layers: 2,
+        layer_mb: 1.0,
+        kv_token_bytes: 2.0,
+        step_ms: 1.0,
+        sequence_ms: 0.0,
+        context_ms: 0.0,
+        read_per_s: 1e5,
+        load_s: 1.0,
+        usual_prompt: 10.0,
+        usual_answer: 10.0,
+        kinds: vec![Accelerator {
+            name: Arc::from("k"),
+            memory_mb: 100.0,
+            step_factor: 1.0,
+            read_factor: 1.0,
+        }],
+    };
+    (entry, engines)
+}
+
+/// Paths are drawn from the plan only where a daemon does not hear the load of all others.
+#[rstest]
+#[case::all_are_heard(SMALL, false)]
+#[case::a_sample_is_heard(SMALL + 1, true)]
+#[tokio::test(start_paused = true)]
+async fn paths_are_drawn_where_load_is_a_sample(#[case] others: usize, #[case] drawn: bool) {
+    let me = peers(0);
+    let (entry, engines) = whole_engine();
+    me.shared
+        .fleet()
+        .replace(vec![entry.clone()], 1, Instant::now());
+    for other in 1..=others {
+        me.heard(&digest(other, true));
+    }
+    me.sum_load();
+    let ask = Ask {
+        service: &entry.service,
+        tokens: 20.0,
+        domain: "a",
+        layers: LayerRange { from: 0, to: 2 },
+        avoid: &[],
+        first: &[],
+        now: Instant::now(),
+    };
+    let fleet = me.shared.fleet();
+    let path = me.shared.draw(&fleet, &engines, &ask);
+    assert_eq!(path.is_some(), drawn);
+}
