Calls to the store are counted as begun, answered and failed, and who watches is logged

Cause: nothing of our own told a watch that is never answered from a store without news, nor that nobody had the duty to watch. The first could be told only by the monitoring of the store itself. Ruled out: a gauge of the age of the last answer; it is what the daemons believe, and that is in question. Change: kelpworks_store_calls_total by kind and outcome, and one line when a daemon gains or loses the duty.

--- a/crates/kelpworks-relay/src/follow.rs
+++ b/crates/kelpworks-relay/src/follow.rs
@@ -64,15 +64,23 @@
         let mut revision = None;
         let mut pause = PAUSE;
         let mut lost = false;
+        let mut watched = false;
         loop {
-            if !self.peers.is_watcher() {
+            let watches = self.peers.is_watcher();
+            if watches != watched {
+                info!(target: "decision", kind:% = self.kind::<D>(), watches; "duty to watch the store");
+                watched = watches;
+            }
+            if !watches {
                 // What others tell meanwhile is newer than this revision.
                 revision = None;
                 tokio::time::sleep(OTHERS_WATCH).await;
                 continue;
             }
+            self.count::<D>("begun");
             match self.step::<D>(revision).await {
                 Ok(seen) => {
+                    self.count::<D>("answered");
                     if lost {
                         info!(kind:% = self.kind::<D>(), revision = seen; "store regained");
                     }
@@ -84,10 +92,12 @@
                     tokio::time::sleep(GATHER).await;
                 }
                 Err(Error::Expired) => {
+                    self.count::<D>("answered");
                     info!(kind:% = self.kind::<D>(); "history of the store is gone, listing anew");
                     revision = None;
                 }
                 Err(e) => {
+                    self.count::<D>("failed");
                     if !lost {
                         warn!(kind:% = self.kind::<D>(), error:% = e; "store lost");
                     }
@@ -102,6 +112,13 @@
         }
     }
 
+    /// Counts a call; one that was begun and neither answered nor failed is still waited for.
+    fn count<D: Dialect>(&self, outcome: &'static str) {
+        let kind = self.kind::<D>();
+        metrics::counter!("kelpworks_store_calls_total", "kind" => kind, "outcome" => outcome)
+            .increment(1);
+    }
+
     /// What the store holds, for a daemon that has just started: callers may be waiting, and peers may
     /// be starting too. It asks again until somebody watches, since registrations may be coming back.
     /// Watching at once would cost each daemon of a fleet that starts a call for each registration.
