Word of the store is dated by its answers, and one watcher renews it

What callers saw: configurations were handled as many seconds before, and keys of newer ones got 401, after an outage of the store and until long after it. Cause: an unanswered long wait was taken for an answering store. A watch that was lost waits 22 s; all watchers lost theirs together, right after a change; and each told the others that the store answered it as long as none of its calls had failed, so that nobody else asked. The class: a state asserted for want of a failure, not shown by dated evidence. Short watches by all watchers: three times the paid calls. Change: word of the store is dated by answers only, by kind, and goes round with digests; the first watcher makes watches of 1.2 s; the others give theirs up and list anew when that word is overdue; whoever fails lists anew. That registrations still come, which decides how long engines' own word on layers is kept, rests on the same word now. After a failure the store is listed, since a watch from before would say nothing until its wait ends. What a fleet allows word to be on its way grows with its size, for the store as it did for whoever gives orders; more_daemons_try_a_store_that_answers_nobody_a_few_at_a_time asks for that time at 30 daemons too.

--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -209,7 +209,6 @@
             let follower = Follower {
                 api: Arc::clone(&store),
                 documents: Arc::clone(&documents),
-                shared: Arc::clone(&shared),
                 peers: Arc::clone(&peers),
                 what,
             };
--- a/crates/kelpworks-relay/src/follow.rs
+++ b/crates/kelpworks-relay/src/follow.rs
@@ -1,10 +1,12 @@
 //! Following the store: lists a kind once, then watches it.
 //!
-//! A watch waits long, since each call is paid for; that a connection has died is found by the
-//! system's keepalive, and by peers that know something newer.
+//! A watch without an answer may wait for a change, or may be lost: the store took it while it was away,
+//! or its connection has gone silent. Only an answer tells the two apart, so that what the fleet knows of
+//! the store is as old as the last answer to any of its watchers. One of them, the primary, therefore
+//! waits for [`FRESH`] at a time. The others wait long, since each call is paid for, and ask anew when
+//! word of the last answer is overdue.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use kelpworks::border::object_api::Error;
@@ -22,11 +24,19 @@
 use crate::documents::EntryChange;
 use crate::documents::Source;
 use crate::peers::Peers;
+use crate::peers::Watch;
 use crate::peers::What;
-use crate::shared::Shared;
 
-/// Longest wait of a watch: each one is a paid call, and the platform allows 30 s.
-const WATCH: Duration = Duration::from_secs(20);
+/// Wait of the primary's watches: changes must be in force within two seconds, and lost calls be noticed
+/// within three.
+const FRESH: Duration = Duration::from_millis(1_200);
+/// Wait of a standby's watches: each one is a paid call, and the platform allows 30 s.
+const LONG: Duration = Duration::from_secs(20);
+/// How long an answer may take beyond the wait that was asked for, at first; doubled with each call in a
+/// row that fails, up to [`LONGEST_PATIENCE`], for a store that is slow.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// Longest time that an answer may take: calls that were lost in an outage hold the next one up so long.
+const LONGEST_PATIENCE: Duration = Duration::from_secs(2);
 /// Pause before a watch goes on, so that changes which come together cost one call: entries of a
 /// fleet that starts come one by one, each a paid call for each daemon without it.
 const GATHER: Duration = Duration::from_millis(120);
@@ -39,12 +49,20 @@
 /// Longest pause after failed calls: a fraction of the time within which changes must hold.
 const LONGEST_PAUSE: Duration = Duration::from_millis(900);
 
+/// What came of a call.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// It was answered, as of this revision.
+    Seen(u64),
+    /// It was given up, since nobody has word of the store.
+    Overdue,
+}
+
 /// Follows one kind of the store.
 #[derive(Debug)]
 pub(crate) struct Follower<A> {
     pub(crate) api: Arc<A>,
     pub(crate) documents: Arc<Documents>,
-    pub(crate) shared: Arc<Shared>,
     /// Other daemons, which may watch in place of this one.
     pub(crate) peers: Arc<Peers>,
     pub(crate) what: What,
@@ -63,58 +81,68 @@
         self.begin::<D>().await;
         let mut revision = None;
         let mut pause = PAUSE;
+        let mut patience = PATIENCE;
         let mut lost = false;
-        let mut watched = false;
+        let mut duty = None;
         loop {
-            let watches = self.peers.is_watcher();
-            if watches != watched {
-                info!(target: "decision", kind:% = self.kind::<D>(), watches; "duty to watch the store");
-                watched = watches;
+            let watch = self.peers.watch(self.what);
+            if watch != duty {
+                let how = watch.map_or("none", Watch::as_str);
+                info!(target: "decision", kind:% = self.what.as_str(), how; "duty to watch the store");
+                duty = watch;
             }
-            if !watches {
+            let Some(watch) = watch else {
                 // What others tell meanwhile is newer than this revision.
                 revision = None;
                 tokio::time::sleep(OTHERS_WATCH).await;
                 continue;
-            }
-            self.count::<D>("begun");
-            match self.step::<D>(revision).await {
-                Ok(seen) => {
-                    self.count::<D>("answered");
+            };
+            self.count("begun");
+            match self.step::<D>(watch, revision, patience).await {
+                Ok(Step::Seen(seen)) => {
+                    self.count("answered");
                     if lost {
-                        info!(kind:% = self.kind::<D>(), revision = seen; "store regained");
+                        info!(kind:% = self.what.as_str(), revision = seen; "store regained");
                     }
                     lost = false;
-                    self.shared.store_answers.store(true, Ordering::Relaxed);
                     self.peers.store(self.what, true);
                     revision = Some(seen);
                     pause = PAUSE;
+                    patience = PATIENCE;
                     tokio::time::sleep(GATHER).await;
                 }
+                Ok(Step::Overdue) => {
+                    self.count("given up");
+                    let age_ms = self.peers.store_age(self.what).as_millis() as u64;
+                    info!(target: "decision", kind:% = self.what.as_str(), age_ms; "no word of the store, listing anew");
+                    self.api.fresh();
+                    revision = None;
+                }
                 Err(Error::Expired) => {
-                    self.count::<D>("answered");
-                    info!(kind:% = self.kind::<D>(); "history of the store is gone, listing anew");
+                    self.count("answered");
+                    info!(kind:% = self.what.as_str(); "history of the store is gone, listing anew");
                     revision = None;
                 }
                 Err(e) => {
-                    self.count::<D>("failed");
+                    self.count("failed");
                     if !lost {
-                        warn!(kind:% = self.kind::<D>(), error:% = e; "store lost");
+                        warn!(kind:% = self.what.as_str(), error:% = e; "store lost");
                     }
                     lost = true;
-                    self.shared.store_answers.store(false, Ordering::Relaxed);
                     self.peers.store(self.what, false);
                     self.api.fresh();
                     tokio::time::sleep(pause).await;
                     pause = (pause * 2).min(LONGEST_PAUSE);
+                    patience = (patience * 2).min(LONGEST_PATIENCE);
+                    revision = None;
                 }
             }
         }
     }
 
     /// Counts a call; one that was begun and neither answered nor failed is still waited for.
-    fn count<D: Dialect>(&self, outcome: &'static str) {
-        let kind = self.kind::<D>();
+    fn count(&self, outcome: &'static str) {
+        let kind = self.what.as_str();
         metrics::counter!("kelpworks_store_calls_total", "kind" => kind, "outcome" => outcome)
             .increment(1);
     }
@@ -138,7 +166,7 @@
 
     fn has_begun(&self) -> bool {
         let is_known = self.what == What::Configuration && self.documents.version() > 0;
-        is_known || self.peers.is_watcher() || self.peers.is_store_watched()
+        is_known || self.peers.watch(self.what).is_some() || self.peers.is_store_watched()
     }
 
     fn kind<D: Dialect>(&self) -> &'static str {
@@ -148,22 +176,32 @@
         }
     }
 
-    /// One call; returns the revision that was seen.
-    async fn step<D: Dialect>(&self, revision: Option<u64>) -> Result<u64> {
+    /// One call: a list, or a watch from a revision.
+    async fn step<D: Dialect>(
+        &self,
+        watch: Watch,
+        revision: Option<u64>,
+        patience: Duration,
+    ) -> Result<Step> {
         let kind = self.kind::<D>();
-        match revision {
-            None => {
-                let list = self.api.list(kind).await?;
-                self.listed::<D>(list.items, list.version);
-                Ok(list.version)
-            }
-            Some(from) => {
-                let reply = self.api.watch(kind, from, WATCH).await?;
-                let events = reply.events.into_iter().map(|e| (e.kind, e.object));
-                self.changed::<D>(events.collect(), reply.version);
-                Ok(reply.version)
+        let Some(from) = revision else {
+            let list = answered(patience, self.api.list(kind)).await?;
+            self.listed::<D>(list.items, list.version);
+            return Ok(Step::Seen(list.version));
+        };
+        let reply = match watch {
+            Watch::Primary => {
+                let reply = self.api.watch(kind, from, FRESH);
+                answered(FRESH + patience, reply).await?
             }
-        }
+            Watch::Standby => tokio::select! {
+                reply = self.api.watch(kind, from, LONG) => reply?,
+                () = self.peers.until_store_overdue(self.what) => return Ok(Step::Overdue),
+            },
+        };
+        let events = reply.events.into_iter().map(|e| (e.kind, e.object));
+        self.changed::<D>(events.collect(), reply.version);
+        Ok(Step::Seen(reply.version))
     }
 
     fn listed<D: Dialect>(&self, objects: Vec<Object>, version: u64) {
@@ -208,3 +246,9 @@
         }
     }
 }
+
+/// An answer within a bound; none within it is the silence of the store.
+async fn answered<T>(bound: Duration, answer: impl Future<Output = Result<T>>) -> Result<T> {
+    let answer = tokio::time::timeout(bound, answer).await;
+    answer.unwrap_or(Err(Error::Silent))
+}
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -59,6 +59,7 @@
 use texts::Packs;
 
 pub(crate) use roles::Right;
+pub(crate) use roles::Watch;
 pub(crate) use roles::What;
 
 /// Time between two exchanges with each partner: load told a quarter of a second ago is still that
@@ -199,6 +200,14 @@
             lock(&self.members).forget(Instant::now());
             self.shared.repeats().set_daemons(self.sharing());
             self.sum_load();
+            self.show_store_ages();
+        }
+    }
+
+    fn show_store_ages(&self) {
+        for what in [What::Configuration, What::Upstreams] {
+            let age = self.store_age(what).as_secs_f64();
+            metrics::gauge!("kelpworks_store_age_seconds", "kind" => what.as_str()).set(age);
         }
     }
 
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -23,8 +23,10 @@
 use super::messages::LoadOf;
 use super::messages::OwnerOf;
 use super::messages::SlownessOf;
+use super::messages::StoreAges;
 use super::messages::millis_since;
 use super::roles::Precedence;
+use super::roles::What;
 use crate::crashes::Fingerprint;
 use crate::fleet::Owner;
 use crate::fleet::Upstream;
@@ -85,7 +87,7 @@
             version: self.documents.version(),
             revision: self.documents.revision(),
             knows: known,
-            store_age_ms: self.store_age(now),
+            store: self.store_ages(now),
             director: self.director(now),
             members,
             load,
@@ -122,14 +124,13 @@
         }
     }
 
-    /// Age of the last word that the store answers a watcher; 0 while it answers this one.
-    fn store_age(&self, now: Instant) -> Option<u64> {
-        let watches = self.is_watcher() && self.shared.store_answers.load(Ordering::Relaxed);
-        let mut duties = lock(&self.duties);
-        if watches {
-            duties.heard_of_store(now);
+    fn store_ages(&self, now: Instant) -> StoreAges {
+        let duties = lock(&self.duties);
+        let age = |what| duties.store_seen(what).map(|at| millis_since(at, now));
+        StoreAges {
+            configuration_ms: age(What::Configuration),
+            upstreams_ms: age(What::Upstreams),
         }
-        duties.store_seen().map(|at| millis_since(at, now))
     }
 
     fn director(&self, now: Instant) -> Option<DirectorOf> {
@@ -199,8 +200,18 @@
         let members = lock(&self.members);
         let mut duties = lock(&self.duties);
         duties.met(now);
-        if let Some(at) = digest.store_age_ms.and_then(before) {
-            duties.heard_of_store(at);
+        let StoreAges {
+            configuration_ms,
+            upstreams_ms,
+        } = digest.store;
+        let ages = [
+            (What::Configuration, configuration_ms),
+            (What::Upstreams, upstreams_ms),
+        ];
+        for (what, age) in ages {
+            if let Some(at) = age.and_then(before) {
+                duties.heard_of_store(what, at);
+            }
         }
         if let Some(DirectorOf { precedence, age_ms }) = digest.director
             && let Some(at) = before(age_ms)
--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -133,6 +133,15 @@
     pub(super) age_ms: u64,
 }
 
+/// Milliseconds since the store was last known to answer a daemon that watches it, by the kind that
+/// was asked for; none where it isn't known to have answered any.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct StoreAges {
+    pub(super) configuration_ms: Option<u64>,
+    pub(super) upstreams_ms: Option<u64>,
+}
+
 /// What a daemon tells of itself.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -144,8 +153,9 @@
     pub(super) revision: u64,
     /// Daemons that it knows.
     pub(super) knows: usize,
-    /// Milliseconds since the store was last known to answer a daemon that watches it.
-    pub(super) store_age_ms: Option<u64>,
+    /// When the store was last known to answer a daemon that watches it.
+    #[serde(default)]
+    pub(super) store: StoreAges,
     /// Who gives orders, as far as known.
     pub(super) director: Option<DirectorOf>,
     pub(super) members: Vec<Contact>,
--- a/crates/kelpworks-relay/src/peers/roles.rs
+++ b/crates/kelpworks-relay/src/peers/roles.rs
@@ -1,7 +1,8 @@
 //! Duties among daemons: who shares a bound, who watches the store, who keeps the placement lease
 //! and who gives orders in its holder's place. Each daemon decides them for itself, from whom it
-//! hears and from two words that go round with every digest: when a watcher's store last answered,
-//! and who gives orders.
+//! hears and from two words that go round with every digest: when the store last answered a watcher,
+//! and who gives orders. Both are dated by what was seen last. That nothing has failed is no evidence:
+//! a call that was lost may be waited for in vain.
 //!
 //! A duty falls to the first of the live daemons by a hash of their names. Daemons with the same
 //! view choose the same one, and one with another view for a moment costs a few calls, since no
@@ -21,9 +22,13 @@
 /// Daemons that watch the store for the whole fleet: two may lose it at the same moment, and each
 /// change costs each of them a paid call.
 pub(super) const WATCHERS: usize = 3;
-/// Silence of all watchers' stores after which others try theirs: a lost watcher is replaced within
-/// two seconds by its rank alone, so that more must have happened.
+/// Age of the last word of the store after which further daemons try it: those that watch have asked
+/// anew by then, and a lost one was replaced by its rank alone, so that more must have happened. For a
+/// small fleet, as the next.
 pub(super) const STORE_SILENT: Duration = Duration::from_secs(3);
+/// Age of the last word of the store at which a standby takes its own watch for lost: more than a
+/// watch of the primary, its pause and an exchange.
+pub(super) const STORE_OVERDUE: Duration = Duration::from_millis(1_800);
 /// Further daemons that try the store for each second of that silence. All at once would cost a
 /// call each, and again at each try while the store is down.
 const MORE_A_SECOND: u64 = 2;
@@ -48,10 +53,10 @@
 /// the others, or there are none.
 pub(super) const ALONE: Duration = Duration::from_millis(1_500);
 /// Silence of whoever gives orders after which another daemon takes over: four exchanges.
-const DIRECTOR_SILENT: Duration = Duration::from_secs(1);
-/// Added for each doubling of the fleet beyond a small one: word of the director passes through
-/// one more daemon then, which takes up to an exchange.
-const DIRECTOR_SILENT_MORE: Duration = Duration::from_millis(350);
+pub(super) const DIRECTOR_SILENT: Duration = Duration::from_secs(1);
+/// Added for each doubling of the fleet beyond a small one: word passes through one more daemon then,
+/// which takes up to an exchange.
+const MORE_BY_SIZE: Duration = Duration::from_millis(350);
 /// How long a stand-in that met another's orders gives none: until word of the other has come.
 const ASIDE: Duration = Duration::from_secs(3);
 
@@ -86,6 +91,25 @@
     at: Instant,
 }
 
+/// How a daemon watches the store for all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Watch {
+    /// Its watches are short, so that there is always fresh word of the store.
+    Primary,
+    /// Its watches are long, and given up when that word grows old.
+    Standby,
+}
+
+impl Watch {
+    /// The word for the log.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Watch::Primary => "primary",
+            Watch::Standby => "standby",
+        }
+    }
+}
+
 /// A kind of the store's objects that is followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum What {
@@ -95,6 +119,16 @@
     Upstreams,
 }
 
+impl What {
+    /// The word for metrics and the log.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            What::Configuration => "configuration",
+            What::Upstreams => "upstreams",
+        }
+    }
+}
+
 /// What duties follow from, beside the members.
 #[derive(Clone, Debug)]
 pub(super) struct Duties {
@@ -102,8 +136,9 @@
     rank: u64,
     started: Instant,
     director: Option<Director>,
-    /// When the store was last known to answer one of those that watch it.
-    store_seen: Option<Instant>,
+    /// When the store was last known to answer one of those that watch it, by the kind that was asked
+    /// for; dated by answers only.
+    store_seen: [Option<Instant>; 2],
     /// Whether another daemon said that it watches the store.
     store_watched: bool,
     /// When it last failed this daemon, by the kind that was asked for; none since it answered.
@@ -120,7 +155,7 @@
             rank,
             started,
             director: None,
-            store_seen: None,
+            store_seen: [None, None],
             store_watched: false,
             store_failed: [None, None],
             met: None,
@@ -142,19 +177,25 @@
     fn store(&mut self, what: What, answered: bool, now: Instant) {
         self.store_failed[what as usize] = (!answered).then_some(now);
         if answered {
-            self.store_seen = Some(now);
+            self.store_seen[what as usize] = Some(now);
         }
     }
 
-    /// When the store was last known to answer a watcher.
-    pub(super) fn store_seen(&self) -> Option<Instant> {
-        self.store_seen
+    /// When the store was last known to answer a watcher of a kind.
+    pub(super) fn store_seen(&self, what: What) -> Option<Instant> {
+        self.store_seen[what as usize]
     }
 
     /// Takes another's word on that.
-    pub(super) fn heard_of_store(&mut self, at: Instant) {
+    pub(super) fn heard_of_store(&mut self, what: What, at: Instant) {
         self.store_watched = true;
-        self.store_seen = self.store_seen.max(Some(at));
+        let seen = &mut self.store_seen[what as usize];
+        *seen = (*seen).max(Some(at));
+    }
+
+    /// Age of the last word of the store on a kind.
+    fn store_age(&self, what: What, now: Instant) -> Duration {
+        now.duration_since(self.store_seen(what).unwrap_or(self.started))
     }
 
     fn failed_within(&self, span: Duration, now: Instant) -> bool {
@@ -188,23 +229,30 @@
         self.store_watched || now.duration_since(self.started) >= STARTING
     }
 
-    /// Whether this daemon watches the store: it is among the first that can, or the store has
-    /// answered no watcher for long, or there is nobody who could tell it what the store holds.
-    pub(super) fn watches(&self, members: &Members, now: Instant) -> bool {
-        if self.failed_within(TRY_AGAIN, now) {
-            return false;
-        }
+    /// How this daemon watches a kind of the store, if it does: it is among the first that can, or the
+    /// store has answered no watcher for long, or there is nobody who could tell it what the store holds.
+    pub(super) fn watch(&self, what: What, members: &Members, now: Instant) -> Option<Watch> {
         if self.is_alone(members, now) {
-            return true;
+            return Some(Watch::Primary);
         }
-        if !self.has_settled(members, now) {
-            return false;
+        if self.failed_within(TRY_AGAIN, now) || !self.has_settled(members, now) {
+            return None;
         }
-        let seen = self.store_seen.unwrap_or(self.started);
-        let silent = now.duration_since(seen).checked_sub(STORE_SILENT);
+        let usual = for_size(STORE_SILENT, members);
+        let silent = self.store_age(what, now).checked_sub(usual);
         let more = silent.map_or(0, |s| MORE_A_SECOND * (s.as_secs() + 1));
         let wanted = WATCHERS + more as usize;
-        members.before(self.rank, is_fit) < wanted
+        match members.before(self.rank, is_fit) {
+            0 => Some(Watch::Primary),
+            before if before < wanted => Some(Watch::Standby),
+            _ => None,
+        }
+    }
+
+    /// When a standby takes its watch of a kind for lost.
+    fn store_overdue(&self, what: What, members: &Members) -> Instant {
+        let seen = self.store_seen(what).unwrap_or(self.started);
+        seen + for_size(STORE_OVERDUE, members)
     }
 
     /// Whether this daemon should take the placement lease when it is free.
@@ -273,13 +321,17 @@
 }
 
 fn is_at_work(director: &Director, members: &Members, now: Instant) -> bool {
-    now.duration_since(director.at) < director_silent(members.live().count() + 1)
+    now.duration_since(director.at) < for_size(DIRECTOR_SILENT, members)
 }
 
-/// Silence of the director after which it counts as lost, in a fleet of so many daemons.
-pub(super) fn director_silent(daemons: usize) -> Duration {
+/// How long word may be on its way through the whole fleet, where a small one allows it so long.
+fn for_size(small: Duration, members: &Members) -> Duration {
+    for_daemons(small, members.live().count() + 1)
+}
+
+pub(super) fn for_daemons(small: Duration, daemons: usize) -> Duration {
     let times_small = daemons as f64 / SMALL as f64;
-    DIRECTOR_SILENT + DIRECTOR_SILENT_MORE.mul_f64(times_small.log2().max(0.0))
+    small + MORE_BY_SIZE.mul_f64(times_small.log2().max(0.0))
 }
 
 impl Peers {
@@ -292,10 +344,40 @@
         known
     }
 
-    /// Whether this daemon watches the store.
-    pub(crate) fn is_watcher(&self) -> bool {
+    /// How this daemon watches a kind of the store, if it does.
+    pub(crate) fn watch(&self, what: What) -> Option<Watch> {
+        let members = lock(&self.members);
+        lock(&self.duties).watch(what, &members, Instant::now())
+    }
+
+    /// Age of the last word, by whomever, that the store answers who asks for a kind; since the start of
+    /// this daemon where there was none.
+    pub(crate) fn store_age(&self, what: What) -> Duration {
+        lock(&self.duties).store_age(what, Instant::now())
+    }
+
+    /// Whether this daemon sees what the store holds of a kind, as far as it can know.
+    pub(crate) fn sees_store(&self, what: What) -> bool {
+        let now = Instant::now();
         let members = lock(&self.members);
-        lock(&self.duties).watches(&members, Instant::now())
+        let duties = lock(&self.duties);
+        let is_word_fresh = duties.store_age(what, now) < for_size(STORE_SILENT, &members);
+        is_word_fresh && duties.watch(what, &members, now).is_some()
+    }
+
+    /// Waits until the last word of the store on a kind is so old that a watch which still waits must
+    /// count as lost.
+    pub(crate) async fn until_store_overdue(&self, what: What) {
+        loop {
+            let overdue = {
+                let members = lock(&self.members);
+                lock(&self.duties).store_overdue(what, &members)
+            };
+            if overdue <= Instant::now() {
+                return;
+            }
+            tokio::time::sleep_until(overdue).await;
+        }
     }
 
     /// Whether this daemon should take the placement lease when it is free.
--- a/crates/kelpworks-relay/src/peers/store_tests.rs
+++ b/crates/kelpworks-relay/src/peers/store_tests.rs
@@ -212,7 +212,6 @@
             let follower = Follower {
                 api: Arc::new(client),
                 documents: Arc::clone(&peers.documents),
-                shared: Arc::clone(&peers.shared),
                 peers: Arc::clone(peers),
                 what,
             };
@@ -265,3 +264,17 @@
     assert_eq!(behind, 0, "of {size} daemons, after {within_s} s");
     stop.cancel();
 }
+
+/// Each call is paid for by operators: on a calm day the whole fleet makes under two a second.
+#[rstest]
+#[case::small(9)]
+#[case::large(295)]
+#[tokio::test(start_paused = true)]
+async fn a_calm_fleet_asks_the_store_less_than_twice_a_second(#[case] size: usize) {
+    let (mut fleet, store, stop) = following(size).await;
+    let before = store.calls();
+    fleet.run(Duration::from_secs(30)).await;
+    let calls = store.calls() - before;
+    assert!(calls < 60, "{calls} calls in 30 s");
+    stop.cancel();
+}
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -20,14 +20,16 @@
 use super::messages::Contact;
 use super::messages::DirectorOf;
 use super::messages::LoadOf;
+use super::messages::StoreAges;
 use super::packed::Packed;
 use super::roles::ALONE;
+use super::roles::DIRECTOR_SILENT;
 use super::roles::LEARNING;
 use super::roles::SETTLED;
 use super::roles::SETTLING;
 use super::roles::STORE_SILENT;
 use super::roles::WATCHERS;
-use super::roles::director_silent;
+use super::roles::for_daemons;
 use crate::config::Accelerator;
 use crate::config::Configuration;
 use crate::config::Engines;
@@ -51,6 +53,19 @@
     slack: 200.0,
 };
 
+/// Word that the store has just answered.
+const ANSWERS: StoreAges = StoreAges {
+    configuration_ms: Some(0),
+    upstreams_ms: Some(0),
+};
+
+/// Whether a daemon watches the store, both kinds of it alike.
+fn is_watcher(me: &Peers) -> bool {
+    let watch = me.watch(What::Upstreams);
+    assert_eq!(watch, me.watch(What::Configuration));
+    watch.is_some()
+}
+
 fn domain_of(number: usize) -> &'static str {
     ["a", "b", "c"][number % 3]
 }
@@ -100,7 +115,7 @@
         version: 0,
         revision: 0,
         knows: 0,
-        store_age_ms: None,
+        store: StoreAges::default(),
         director: None,
         members: Vec::new(),
         load: Vec::new(),
@@ -138,8 +153,8 @@
 #[case::large(295)]
 #[tokio::test(start_paused = true)]
 async fn few_daemons_watch_for_all(#[case] size: usize) {
-    let all = fleet(size, |_, told| told.store_age_ms = Some(0)).await;
-    assert_eq!(those(&all, Peers::is_watcher).len(), WATCHERS);
+    let all = fleet(size, |_, told| told.store = ANSWERS).await;
+    assert_eq!(those(&all, is_watcher).len(), WATCHERS);
 }
 
 #[rstest]
@@ -147,30 +162,33 @@
 #[case::large(295)]
 #[tokio::test(start_paused = true)]
 async fn others_watch_for_those_that_the_store_turns_away(#[case] size: usize) {
-    let first = fleet(size, |_, told| told.store_age_ms = Some(0)).await;
-    let first = those(&first, Peers::is_watcher);
+    let first = fleet(size, |_, told| told.store = ANSWERS).await;
+    let first = those(&first, is_watcher);
     let turned_away = |number: usize, told: &mut Digest| {
-        told.store_age_ms = Some(0);
+        told.store = ANSWERS;
         if first.contains(&number) {
             told.from.condition = Condition::TurnedAway;
         }
     };
     let all = fleet(size, turned_away).await;
-    let others = those(&all, Peers::is_watcher);
+    let others = those(&all, is_watcher);
     let others = others.iter().filter(|n| !first.contains(n));
     assert_eq!(others.count(), WATCHERS);
 }
 
+#[rstest]
+#[case::larger(30)]
+#[case::large(295)]
 #[tokio::test(start_paused = true)]
-async fn more_daemons_try_a_store_that_answers_nobody_a_few_at_a_time() {
-    let all = fleet(295, |_, told| told.store_age_ms = Some(0)).await;
-    advance(STORE_SILENT - Duration::from_millis(1)).await;
+async fn more_daemons_try_a_store_that_answers_nobody_a_few_at_a_time(#[case] size: usize) {
+    let all = fleet(size, |_, told| told.store = ANSWERS).await;
+    advance(for_daemons(STORE_SILENT, size) - Duration::from_millis(1)).await;
     for (number, me) in all.iter().enumerate() {
-        me.heard(&digest((number + 1) % 295));
+        me.heard(&digest((number + 1) % size));
     }
-    assert_eq!(those(&all, Peers::is_watcher).len(), WATCHERS);
+    assert_eq!(those(&all, is_watcher).len(), WATCHERS);
     advance(Duration::from_millis(1_001)).await;
-    let more = those(&all, Peers::is_watcher).len();
+    let more = those(&all, is_watcher).len();
     assert!(more > WATCHERS && more < 10, "{more}");
 }
 
@@ -178,15 +196,15 @@
 #[tokio::test(start_paused = true)]
 async fn a_daemon_that_starts_watches_only_when_it_meets_nobody() {
     let me = peers(0);
-    assert!(!me.is_watcher());
+    assert!(!is_watcher(&me));
     for other in 1..=SMALL + 1 {
         me.heard(&digest(other));
     }
     advance(SETTLING - Duration::from_millis(1)).await;
-    assert!(!me.is_watcher(), "others may be starting too");
+    assert!(!is_watcher(&me), "others may be starting too");
     let alone = peers(0);
     advance(ALONE).await;
-    assert!(alone.is_watcher(), "nobody could tell it anything");
+    assert!(is_watcher(&alone), "nobody could tell it anything");
 }
 
 /// After the loss of all daemons the first list may miss registrations that are just coming back: 224
@@ -199,26 +217,26 @@
             me.heard(&digest(other));
         }
     }
-    assert!(those(&all, Peers::is_watcher).is_empty());
+    assert!(those(&all, is_watcher).is_empty());
     advance(SETTLED).await;
-    let watchers = those(&all, Peers::is_watcher);
+    let watchers = those(&all, is_watcher);
     assert_eq!(watchers.len(), WATCHERS);
     assert!(!all[0].is_store_watched(), "nobody said so yet");
     let mut told = digest(watchers[0]);
-    told.store_age_ms = Some(0);
+    told.store = ANSWERS;
     all[0].heard(&told);
     assert!(all[0].is_store_watched());
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_daemon_that_the_store_fails_leaves_the_watch_for_a_while() {
-    let all = fleet(7, |_, told| told.store_age_ms = Some(0)).await;
-    let first = &all[those(&all, Peers::is_watcher)[0]];
+    let all = fleet(7, |_, told| told.store = ANSWERS).await;
+    let first = &all[those(&all, is_watcher)[0]];
     first.store(What::Upstreams, false);
-    assert!(!first.is_watcher());
+    assert!(!is_watcher(first));
     assert_eq!(first.digest(0).from.condition, Condition::TurnedAway);
     advance(Duration::from_secs(1)).await;
-    assert!(first.is_watcher(), "it tries again");
+    assert!(is_watcher(first), "it tries again");
     assert_eq!(first.digest(0).from.condition, Condition::TurnedAway);
     first.store(What::Upstreams, true);
     assert_eq!(first.digest(0).from.condition, Condition::Fit);
@@ -297,7 +315,7 @@
     }
     assert_eq!(lock(&me.members).live().count(), 6);
     advance(ALONE).await;
-    assert!(me.is_watcher(), "but it asks the store itself");
+    assert!(is_watcher(&me), "but it asks the store itself");
 }
 
 #[rstest]
@@ -335,7 +353,7 @@
             });
         }
     };
-    let silent = director_silent(size);
+    let silent = for_daemons(DIRECTOR_SILENT, size);
     let all = fleet(size, age(silent - Duration::from_millis(2))).await;
     assert!(those(&all, Peers::stands_in).is_empty());
     let all = fleet(size, age(silent + Duration::from_millis(1))).await;
--- a/crates/kelpworks-relay/src/placer.rs
+++ b/crates/kelpworks-relay/src/placer.rs
@@ -12,7 +12,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::future::join_all;
@@ -38,6 +37,7 @@
 use crate::layout::Placement;
 use crate::peers::Peers;
 use crate::peers::Right;
+use crate::peers::What;
 use crate::shared::Shared;
 
 /// Time between two looks at the fleet.
@@ -178,7 +178,7 @@
 
     /// Goes back to the registrations of engines whose own word was not confirmed in time.
     fn expire(&self) {
-        let registrations_come = self.shared.store_answers.load(Ordering::Relaxed);
+        let registrations_come = self.peers.sees_store(What::Upstreams);
         let now = Instant::now();
         let over = self.shared.fleet().expire_holdings(registrations_come, now);
         for instance in over {
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -68,8 +68,6 @@
     pause_us: AtomicU64,
     /// Connections to upstreams.
     pub pool: Pool,
-    /// Whether the last call to follow the store was answered.
-    pub store_answers: AtomicBool,
     /// Set from the start of a planned stop: callers are told to leave their connections.
     pub closing: AtomicBool,
     /// Requests that are being served.
@@ -94,7 +92,6 @@
             load_is_sampled: AtomicBool::new(false),
             pause_us: AtomicU64::new(USUAL_PAUSE.as_micros() as u64),
             pool: Pool::default(),
-            store_answers: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
             started: Instant::now(),
