Failing test: a watch of the configuration head that was lost hides changes for twelve seconds

The same cause in the product's own daemon: all its watchers wait 10 s and a margin of 2 s for an answer, and make their watches in the same moment. An accepted configuration is to be in force within 3 s.

--- a/crates/kelpworks/src/daemon/head_watch.rs
+++ b/crates/kelpworks/src/daemon/head_watch.rs
@@ -104,3 +104,7 @@
         Ok(reply.version)
     }
 }
+
+#[cfg(test)]
+#[path = "head_watch_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/kelpworks/src/daemon/head_watch_tests.rs
@@ -0,0 +1,118 @@
+//! A watch of the head that is never answered, without a network and in virtual time.
+//!
+//! An accepted configuration is to be in force everywhere within three seconds, of which peers need up to
+//! 1.14 to pass it on. All watchers of a fleet make their next watch in the moment of a change, so that an
+//! outage which begins then loses all of them together, and none can count on another.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use kelpworks_wire::Object;
+use kelpworks_wire::ObjectList;
+use kelpworks_wire::WatchEvent;
+use kelpworks_wire::WatchEventKind;
+use kelpworks_wire::WatchReply;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use super::HeadWatch;
+use crate::border::object_api::Condition;
+use crate::border::object_api::Deadlines;
+use crate::border::object_api::Error;
+use crate::border::object_api::ObjectApi;
+use crate::border::object_api::Result;
+use crate::config::head::HEAD_KIND;
+use crate::config::head::HEAD_NAME;
+use crate::settings::Settings;
+
+/// Within which one watcher must have the head: three seconds, less what peers need.
+const WITHIN: Duration = Duration::from_millis(1_860);
+
+/// An API that never answers the watches made so far.
+#[derive(Debug, Default)]
+struct Forgetful {
+    head: AtomicU64,
+    lost: AtomicU64,
+}
+
+impl Forgetful {
+    fn object(&self) -> Object {
+        let version = self.head.load(Ordering::Relaxed);
+        Object {
+            kind: HEAD_KIND.to_owned(),
+            name: HEAD_NAME.to_owned(),
+            version,
+            body: version.to_string(),
+        }
+    }
+}
+
+impl ObjectApi for Forgetful {
+    async fn get(&self, _kind: &str, _name: &str) -> Result<Object> {
+        Ok(self.object())
+    }
+
+    async fn put(&self, _: &str, _: &str, _: String, _: Condition) -> Result<Object> {
+        Err(Error::Unavailable)
+    }
+
+    async fn delete(&self, _: &str, _: &str, _: Condition) -> Result<()> {
+        Err(Error::Unavailable)
+    }
+
+    async fn list(&self, _kind: &str) -> Result<ObjectList> {
+        let object = self.object();
+        let version = object.version;
+        let items = vec![object];
+        Ok(ObjectList { items, version })
+    }
+
+    async fn watch(&self, _kind: &str, from: u64, wait: Duration) -> Result<WatchReply> {
+        let lost = self.lost.load(Ordering::Relaxed);
+        let object = self.object();
+        let version = object.version;
+        if version > from {
+            let kind = WatchEventKind::Put;
+            let events = vec![WatchEvent { kind, object }];
+            return Ok(WatchReply { events, version });
+        }
+        tokio::time::sleep(wait).await;
+        if lost == self.lost.load(Ordering::Relaxed) {
+            let events = Vec::new();
+            return Ok(WatchReply { events, version });
+        }
+        tokio::time::sleep(Deadlines::default().watch_margin).await;
+        Err(Error::Silent)
+    }
+
+    fn fresh(&self) {}
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_head_is_seen_soon_though_the_watch_for_it_was_lost() {
+    let api = Arc::new(Forgetful::default());
+    api.head.store(1, Ordering::Relaxed);
+    let (heads, mut seen) = mpsc::unbounded_channel();
+    let (_chosen, chosen) = watch::channel(true);
+    let settings = include_str!("../../../../testdata/aralsky/settings.toml");
+    let settings = Settings::parse("settings.toml", settings).expect("settings");
+    let head_watch = HeadWatch {
+        api: Arc::clone(&api),
+        chosen,
+        heads,
+        wait: settings.timing.watch.0,
+    };
+    let stop = CancellationToken::new();
+    tokio::spawn(head_watch.run(stop.clone()));
+    assert_eq!(seen.recv().await.as_deref(), Some("1"));
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    api.lost.store(1, Ordering::Relaxed);
+    api.head.store(2, Ordering::Relaxed);
+    let head = timeout(WITHIN, seen.recv()).await;
+    assert_eq!(head.expect("in time").as_deref(), Some("2"));
+    stop.cancel();
+}
