The configuration head is watched for 0.7 s at a time

Ruled out: that one of the eight watchers would have answered: all make their watch in the moment of a change. Change: timing.watch is 700 ms by default and in the example settings; the margin of a watch is 1 s instead of 2.

--- a/crates/kelpworks/src/border/object_api.rs
+++ b/crates/kelpworks/src/border/object_api.rs
@@ -193,7 +193,7 @@
     pub connect: Duration,
     /// For a whole call other than a watch. Default 3 s.
     pub call: Duration,
-    /// For a watch, beyond the time it was asked to wait. Default 2 s.
+    /// For a watch, beyond the time it was asked to wait. Default 1 s.
     pub watch_margin: Duration,
 }
 
@@ -202,7 +202,7 @@
         Deadlines {
             connect: Duration::from_secs(1),
             call: Duration::from_secs(3),
-            watch_margin: Duration::from_secs(2),
+            watch_margin: Duration::from_secs(1),
         }
     }
 }
--- a/crates/kelpworks/src/settings/file.rs
+++ b/crates/kelpworks/src/settings/file.rs
@@ -132,7 +132,7 @@
             step_ceiling: millis(5_000),
             state_poll: millis(500),
             host_list_poll: millis(1_000),
-            watch: millis(10_000),
+            watch: millis(700),
             heartbeat: millis(1_000),
             balancer_notice: millis(2_000),
             drain: millis(60_000),
--- a/crates/kelpworks/src/settings/mod.rs
+++ b/crates/kelpworks/src/settings/mod.rs
@@ -130,7 +130,8 @@
     pub state_poll: Span,
     /// How often the host list is read. Default 1 s.
     pub host_list_poll: Span,
-    /// Longest wait of an object API watch before it is opened anew. Default 10 s.
+    /// Longest wait of an object API watch before it is opened anew. Default 700 ms: a watch that was
+    /// lost hides changes for this long and a second, and they are to be in force within three.
     pub watch: Span,
     /// How often a heartbeat goes to peers. Default 1 s.
     pub heartbeat: Span,
