A blame that several engines share is told to nobody

What callers saw: on 295 daemons, from the loss of eight engines on, 15 to 25 in 100 streams were late for ten seconds, and 217 GB of KV cache were read again in 24 s. Cause: a daemon of a large fleet has one or two streams, so that a silent one points at all engines of its path that nothing has confirmed since, three in the mean and up to fifteen. Each was doubted, and doubts go round: all daemons passed three well engines over for each that had failed, moved their load to the others, and refused for room. Ruled out: too many changes of path (361 for 11,647 paths); the store (calls and configuration as before). Change: a doubt says whether its upstream is the only one that can have failed. Shared ones are for the daemon that has them; those of one engine alone, also by a connection not taken, go round as before.

--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -26,6 +26,7 @@
 use owners::Owners;
 
 pub use owners::Owner;
+pub use upstream::Blame;
 pub use upstream::Load;
 pub use upstream::SLOW;
 pub use upstream::Upstream;
@@ -307,7 +308,21 @@
     /// Notes a failure: the upstream is passed over for a while, longer with each one in a row.
     pub fn doubt(&mut self, key: UpstreamKey, now: Instant) {
         if let Some(u) = self.upstreams.get_mut(key) {
-            u.doubt(now);
+            u.doubt(Blame::Alone, now);
+        }
+    }
+
+    /// Notes that one of some upstreams failed, and nothing tells which. This daemon passes all of them
+    /// over for a while; others hear of it only where there is but one.
+    pub fn doubt_one_of(&mut self, keys: &[UpstreamKey], now: Instant) {
+        let blame = match keys.len() {
+            1 => Blame::Alone,
+            _ => Blame::Shared,
+        };
+        for &key in keys {
+            if let Some(u) = self.upstreams.get_mut(key) {
+                u.doubt(blame, now);
+            }
         }
     }
 
@@ -315,7 +330,7 @@
     /// no other can do its work.
     pub fn doubt_gone(&mut self, key: UpstreamKey, now: Instant) {
         if let Some(u) = self.upstreams.get_mut(key) {
-            u.doubt(now);
+            u.doubt(Blame::Alone, now);
             u.gone = true;
         }
     }
--- a/crates/kelpworks-relay/src/fleet/upstream.rs
+++ b/crates/kelpworks-relay/src/fleet/upstream.rs
@@ -40,6 +40,15 @@
 /// Weight of a new answer time in its moving average.
 const ANSWER_WEIGHT: f64 = 0.2;
 
+/// What speaks against an upstream that is doubted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Blame {
+    /// It is the only one that can have failed.
+    Alone,
+    /// It or another of the same path.
+    Shared,
+}
+
 /// Requests and memory that are promised.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
@@ -64,6 +73,10 @@
     pub last_good: Option<Instant>,
     /// Passed over until then where others can do its work.
     pub doubted_until: Option<Instant>,
+    /// What speaks against it, of this daemon's own evidence and of others' words; none where it isn't
+    /// doubted. A shared blame is kept from others: most that share one are well, and a fleet of hundreds
+    /// of daemons would soon pass a whole failure domain over for one engine.
+    blame: Option<Blame>,
     /// Whether it is doubted since it took no connection, not since it was silent.
     pub(super) gone: bool,
     /// Passed over until then since it refused requests. Work that passes it meanwhile was accepted
@@ -115,6 +128,7 @@
     /// that time drove its load onto the others, which then refused in turn: 93 engines served 0.70
     /// and 0.62 of a day instead of 0.75.
     pub(crate) fn doubt_left(&self, now: Instant) -> Option<Duration> {
+        self.blame.filter(|&b| b == Blame::Alone)?;
         let left = self.doubted_until?.checked_duration_since(now)?;
         (!left.is_zero()).then_some(left)
     }
@@ -163,6 +177,7 @@
             others: Load::default(),
             last_good: None,
             doubted_until: None,
+            blame: None,
             gone: false,
             refused_until: None,
             refusals: 0,
@@ -179,6 +194,7 @@
     pub(super) fn good(&mut self, now: Instant) {
         self.last_good = Some(now);
         self.doubted_until = None;
+        self.blame = None;
         self.gone = false;
         self.failures = 0;
         self.moments = 0;
@@ -195,7 +211,11 @@
         self.failing += FAILING_WEIGHT * (now - self.failing);
     }
 
-    pub(super) fn doubt(&mut self, now: Instant) {
+    pub(super) fn doubt(&mut self, blame: Blame, now: Instant) {
+        let is_over = self.doubted_until.is_none_or(|until| until <= now);
+        if is_over || blame == Blame::Alone {
+            self.blame = Some(blame);
+        }
         let is_new_moment = self
             .last_moment
             .is_none_or(|at| now.duration_since(at) >= MOMENT);
@@ -239,6 +259,7 @@
         let confirmed = self.last_good.is_some_and(|at| at > since);
         if !confirmed && self.doubted_until.is_none_or(|d| d < until) {
             self.doubted_until = Some(until);
+            self.blame = Some(Blame::Alone);
             self.gone |= gone;
         }
     }
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -437,6 +437,35 @@
     assert!(all[2].digest(0).doubts.is_empty());
 }
 
+/// In a fleet of hundreds of daemons each has one or two streams, so that a silent one points at all
+/// engines of its path. Told on, three well ones were passed over by everybody for each that had failed.
+#[tokio::test(start_paused = true)]
+async fn a_blame_that_several_engines_share_is_told_to_nobody() {
+    let me = peers(0);
+    let engines = [1, 2].map(|n| UpstreamEntry {
+        id: Arc::from(format!("e{n}")),
+        instance: Arc::from(format!("e-{n}")),
+        address: address(900 + n),
+        ..engine()
+    });
+    let now = Instant::now();
+    let keys = {
+        let mut fleet = me.shared.fleet();
+        fleet.replace(engines.to_vec(), 1, now);
+        ["e-1", "e-2"].map(|e| fleet.key_of(e).expect("known"))
+    };
+    me.shared.fleet().doubt_one_of(&keys, now);
+    for key in keys {
+        let fleet = me.shared.fleet();
+        assert!(fleet.get(key).is_some_and(|u| u.is_doubted(now)));
+    }
+    assert!(me.digest(0).doubts.is_empty());
+    me.shared.fleet().doubt_one_of(&keys[..1], now);
+    let told = me.digest(0).doubts;
+    let told: Vec<&str> = told.iter().map(|d| &*d.instance).collect();
+    assert_eq!(told, ["e-1"], "what points at one alone is told");
+}
+
 #[rstest]
 #[case::empty("")]
 #[case::document("{\"routes\": [], \"version\": 3}")]
--- a/crates/kelpworks-relay/src/relay/stream/silence.rs
+++ b/crates/kelpworks-relay/src/relay/stream/silence.rs
@@ -192,9 +192,7 @@
             let mut fleet = self.shared.fleet();
             let suspects = fleet.unconfirmed(parts, since, now);
             let culprits = fleet.most_silent(&suspects);
-            for &key in &culprits {
-                fleet.doubt(key, now);
-            }
+            fleet.doubt_one_of(&culprits, now);
             culprits
         };
         match (culprits.is_empty(), stuck) {
