--- a/crates/kelpworks-relay/src/follow.rs
+++ b/crates/kelpworks-relay/src/follow.rs
@@ -58,6 +58,37 @@
     Overdue,
 }
 
+/// Where a follower stands.
+#[derive(Clone, Debug)]
+struct State {
+    /// What it watches on from; it lists where there is none.
+    revision: Option<u64>,
+    duty: Option<Watch>,
+    /// Whether its last call failed.
+    lost: bool,
+    /// Before the next call, should this one fail.
+    pause: Duration,
+    /// How long an answer may take beyond the wait that is asked for.
+    patience: Duration,
+}
+
+impl State {
+    fn new() -> State {
+        State {
+            revision: None,
+            duty: None,
+            lost: false,
+            pause: PAUSE,
+            patience: PATIENCE,
+        }
+    }
+
+    fn slow_down(&mut self) {
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+        self.patience = (self.patience * 2).min(LONGEST_PATIENCE);
+    }
+}
+
 /// Follows one kind of the store.
 #[derive(Debug)]
 pub(crate) struct Follower<A> {
@@ -79,67 +110,81 @@
 
     async fn follow<D: Dialect>(&self) {
         self.begin::<D>().await;
-        let mut revision = None;
-        let mut pause = PAUSE;
-        let mut patience = PATIENCE;
-        let mut lost = false;
-        let mut duty = None;
+        let mut state = State::new();
         loop {
             let watch = self.peers.watch(self.what);
-            if watch != duty {
-                let how = watch.map_or("none", Watch::as_str);
-                info!(target: "decision", kind:% = self.what.as_str(), how; "duty to watch the store");
-                duty = watch;
-            }
+            self.note_duty(&mut state, watch);
             let Some(watch) = watch else {
                 // What others tell meanwhile is newer than this revision.
-                revision = None;
+                state.revision = None;
                 tokio::time::sleep(OTHERS_WATCH).await;
                 continue;
             };
             self.count("begun");
-            match self.step::<D>(watch, revision, patience).await {
-                Ok(Step::Seen(seen)) => {
-                    self.count("answered");
-                    if lost {
-                        info!(kind:% = self.what.as_str(), revision = seen; "store regained");
-                    }
-                    lost = false;
-                    self.peers.store(self.what, true);
-                    revision = Some(seen);
-                    pause = PAUSE;
-                    patience = PATIENCE;
+            match self.step::<D>(watch, &state).await {
+                Ok(Step::Seen(revision)) => {
+                    self.answered(&mut state, revision);
                     tokio::time::sleep(GATHER).await;
                 }
                 Ok(Step::Overdue) => {
-                    self.count("given up");
-                    let age_ms = self.peers.store_age(self.what).as_millis() as u64;
-                    info!(target: "decision", kind:% = self.what.as_str(), age_ms; "no word of the store, listing anew");
-                    self.api.fresh();
-                    revision = None;
+                    self.overdue();
+                    state.revision = None;
                 }
                 Err(Error::Expired) => {
                     self.count("answered");
                     info!(kind:% = self.what.as_str(); "history of the store is gone, listing anew");
-                    revision = None;
+                    state.revision = None;
                 }
                 Err(e) => {
-                    self.count("failed");
-                    if !lost {
-                        warn!(kind:% = self.what.as_str(), error:% = e; "store lost");
-                    }
-                    lost = true;
-                    self.peers.store(self.what, false);
-                    self.api.fresh();
-                    tokio::time::sleep(pause).await;
-                    pause = (pause * 2).min(LONGEST_PAUSE);
-                    patience = (patience * 2).min(LONGEST_PATIENCE);
-                    revision = None;
+                    self.failed(&mut state, &e);
+                    tokio::time::sleep(state.pause).await;
+                    state.slow_down();
                 }
             }
         }
     }
 
+    fn note_duty(&self, state: &mut State, watch: Option<Watch>) {
+        if watch == state.duty {
+            return;
+        }
+        state.duty = watch;
+        let how = watch.map_or("none", Watch::as_str);
+        info!(target: "decision", kind:% = self.what.as_str(), how; "duty to watch the store");
+    }
+
+    fn answered(&self, state: &mut State, revision: u64) {
+        self.count("answered");
+        self.peers.store(self.what, true);
+        if state.lost {
+            info!(kind:% = self.what.as_str(), revision; "store regained");
+        }
+        *state = State {
+            revision: Some(revision),
+            duty: state.duty,
+            ..State::new()
+        };
+    }
+
+    fn overdue(&self) {
+        self.count("given up");
+        let age_ms = self.peers.store_age(self.what).as_millis() as u64;
+        info!(target: "decision", kind:% = self.what.as_str(), age_ms; "no word of the store, listing anew");
+        self.api.fresh();
+    }
+
+    fn failed(&self, state: &mut State, error: &Error) {
+        self.count("failed");
+        if !state.lost {
+            warn!(kind:% = self.what.as_str(), error:% = error; "store lost");
+        }
+        state.lost = true;
+        // A watch would say nothing until its wait is over.
+        state.revision = None;
+        self.peers.store(self.what, false);
+        self.api.fresh();
+    }
+
     /// Counts a call; one that was begun and neither answered nor failed is still waited for.
     fn count(&self, outcome: &'static str) {
         let kind = self.what.as_str();
@@ -177,22 +222,17 @@
     }
 
     /// One call: a list, or a watch from a revision.
-    async fn step<D: Dialect>(
-        &self,
-        watch: Watch,
-        revision: Option<u64>,
-        patience: Duration,
-    ) -> Result<Step> {
+    async fn step<D: Dialect>(&self, watch: Watch, state: &State) -> Result<Step> {
         let kind = self.kind::<D>();
-        let Some(from) = revision else {
-            let list = answered(patience, self.api.list(kind)).await?;
+        let Some(from) = state.revision else {
+            let list = within(state.patience, self.api.list(kind)).await?;
             self.listed::<D>(list.items, list.version);
             return Ok(Step::Seen(list.version));
         };
         let reply = match watch {
             Watch::Primary => {
                 let reply = self.api.watch(kind, from, FRESH);
-                answered(FRESH + patience, reply).await?
+                within(FRESH + state.patience, reply).await?
             }
             Watch::Standby => tokio::select! {
                 reply = self.api.watch(kind, from, LONG) => reply?,
@@ -248,7 +288,7 @@
 }
 
 /// An answer within a bound; none within it is the silence of the store.
-async fn answered<T>(bound: Duration, answer: impl Future<Output = Result<T>>) -> Result<T> {
+async fn within<T>(bound: Duration, answer: impl Future<Output = Result<T>>) -> Result<T> {
     let answer = tokio::time::timeout(bound, answer).await;
     answer.unwrap_or(Err(Error::Silent))
 }
