--- a/crates/kelpworks-relay/src/documents.rs
+++ b/crates/kelpworks-relay/src/documents.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::SystemTime;
 
@@ -23,6 +22,7 @@
 use crate::dialect::Start;
 use crate::dialect::UpstreamEntry;
 use crate::shared::Shared;
+use crate::sync::lock;
 
 /// How far an upstream's clock may be ahead of this daemon's: clocks jump by seconds, and one that is
 /// an hour off is set right by its operators before it matters here.
@@ -208,9 +208,8 @@
         self.shared.upstreams_changed(&changes, source.as_str());
     }
 
-    /// The texts stay consistent line by line, so a panic of a holder spoils nothing.
     fn held(&self) -> MutexGuard<'_, Held> {
-        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.held)
     }
 }
 
--- a/crates/kelpworks-relay/src/fleet/upstream.rs
+++ b/crates/kelpworks-relay/src/fleet/upstream.rs
@@ -124,9 +124,8 @@
     }
 
     /// For how much longer all daemons should pass it over. A refusal is for the one that met it: most
-    /// who refuse are full for some hundred milliseconds, and to be passed over by a whole fleet for
-    /// that time drove its load onto the others, which then refused in turn: 93 engines served 0.70
-    /// and 0.62 of a day instead of 0.75.
+    /// who refuse are full for some hundred milliseconds, and were a whole fleet to pass them over for
+    /// that time, the others would fill up and refuse in turn.
     pub(crate) fn doubt_left(&self, now: Instant) -> Option<Duration> {
         self.blame.filter(|&b| b == Blame::Alone)?;
         let left = self.doubted_until?.checked_duration_since(now)?;
--- a/crates/kelpworks-relay/src/layout.rs
+++ b/crates/kelpworks-relay/src/layout.rs
@@ -20,16 +20,13 @@
 /// Usual requests that an engine must have room for beside its layers. At 86 requests a second on
 /// three domains about 37 run in each at a time, and bursts double that.
 const LEAST_ROOM: f64 = 85.0;
-/// Most room that engines are given in place of further copies of layers. With room for 190 an engine
-/// runs so many requests at once that each takes half as long again; two days with trouble of 93
-/// engines were worth 0.38 and 0.32 with 130, 0.20 and 0.23 with 190, and the second 0.17 with 85.
+/// Most room that engines are given in place of further copies of layers: with half as much again, an
+/// engine runs so many requests at once that each takes half as long again.
 const MOST_ROOM: f64 = 130.0;
 /// Step between the two.
 const ROOM_STEP: f64 = 5.0;
 /// Copies of each layer that a failure domain keeps before its engines are given more room than the
-/// least: the loss of an engine then takes a third of the room for its layers. A domain of 13 engines
-/// has one and a half; with room for 130 there, the mean of five days with trouble fell by 0.06 on one
-/// of three sites, and changed by 0.00 and 0.03 on the others.
+/// least: the loss of an engine then takes a third of the room for its layers.
 const COPIES: f64 = 3.0;
 /// Weight of a layer that no engine of the fleet holds, against one that only the domain lacks.
 const NOWHERE: f64 = 1e6;
--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -36,3 +36,4 @@
 pub mod shared;
 pub mod slowness;
 pub mod spread;
+mod sync;
--- a/crates/kelpworks-relay/src/path.rs
+++ b/crates/kelpworks-relay/src/path.rs
@@ -36,8 +36,7 @@
 const JITTER: f64 = 0.15;
 /// How strongly promised memory raises the cost: an engine with all its room promised costs so many
 /// times more, on top, than an empty one. More drives streams over the pipes between failure domains
-/// before it is needed: with 8 days with trouble lost 0.07 of worth against 3, and with 1 they gained
-/// 0.02.
+/// before it is needed.
 const PRESSURE: f64 = 1.0;
 
 /// What a path is sought for.
--- a/crates/kelpworks-relay/src/path/cost.rs
+++ b/crates/kelpworks-relay/src/path/cost.rs
@@ -8,7 +8,7 @@
 use crate::fleet::Load;
 use crate::fleet::Upstream;
 
-/// Usual time of a token over a whole path, in milliseconds; measured on calm fleets of today's
+/// Usual time of a token over a whole path, in milliseconds, on calm fleets of today's
 /// kinds of accelerators.
 const TOKEN_MS: f64 = 6.0;
 /// Most of an engine's time that reading prompts is taken to need; beyond it the formula for
@@ -26,8 +26,6 @@
     pub(crate) layers: LayerRange,
     /// Token-layers of requests that fit beside them. All of it may be promised: a stream holds what it
     /// has written, half of its answer on average, so promises exceed use, and engines rarely refuse.
-    /// With nine tenths one request in a hundred more was refused on days with trouble; 1.15 times the
-    /// room gained nothing more.
     pub(crate) room: f64,
 }
 
--- a/crates/kelpworks-relay/src/path/graph.rs
+++ b/crates/kelpworks-relay/src/path/graph.rs
@@ -13,9 +13,8 @@
 /// delay of a link and a share of the next engine's running pass.
 const HOP_MS: f64 = 0.4;
 /// Added where activations leave a failure domain, in milliseconds. It stands for the delay and for
-/// a pipe that all paths between two domains share: a prompt of 760 tokens takes 9 ms of it, in which
-/// the tokens of all other paths wait. On days with trouble 2.5 ms instead of 6 cost 0.06 to 0.09 of
-/// worth; with 15 one to two hundredths more were earned than with 6, and 40 changed nothing more.
+/// a pipe that all paths between two domains share: a prompt takes some 9 ms of it, in which the tokens
+/// of all other paths wait.
 const CROSSING_MS: f64 = 15.0;
 /// Added where the first engine is in another failure domain than the daemon, in milliseconds a
 /// token. Only the text of the answer crosses then, which costs next to nothing, so that load moves
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -27,8 +27,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use jsonrpsee::core::RpcResult;
@@ -48,6 +46,7 @@
 use crate::dialect::Dialect;
 use crate::documents::Documents;
 use crate::shared::Shared;
+use crate::sync::lock;
 use load::Loads;
 use members::Member;
 use members::Members;
@@ -70,8 +69,7 @@
 /// Exchanges of a larger fleet are so many times rarer.
 const RARER: u32 = 2;
 /// Daemons of the own failure domain that are called each time in a larger fleet: with those that
-/// call, all of 22 are heard within two seconds. With two of them a third of the load stood for the
-/// rest, and engines refused a sixteenth of all arrivals on a calm day; with five none.
+/// call, all of some twenty are heard within two seconds, so that their load is known.
 const NEAR: usize = 5;
 /// Daemons of other failure domains that are called each time: bytes between domains are paid for.
 const FAR: usize = 1;
@@ -189,8 +187,8 @@
                         continue;
                     }
                 }
-                // Told on at once: with the next exchange only, the last of 66 daemons had a new
-                // configuration 1.4 to 2.6 s after the first, where 3 s are allowed.
+                // Told on at once: by exchanges alone it takes most of the time that is allowed until the
+                // last daemon has it.
                 () = self.documents.configuration_changed() => {}
             }
             for address in self.partners() {
@@ -288,8 +286,3 @@
         Ok(self.peers.texts(known))
     }
 }
-
-/// Tables are consistent line by line, so a panic of a holder spoils nothing.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/kelpworks-relay/src/pool.rs
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -11,7 +11,6 @@
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -33,6 +32,7 @@
 
 use crate::fleet::UpstreamKey;
 use crate::repeats::Permit;
+use crate::sync::lock;
 
 /// The result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -183,8 +183,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<UpstreamKey, Vec<Kept>>> {
-        // The table is consistent after each call, also when a holder of the lock panicked.
-        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.kept)
     }
 }
 
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -13,7 +13,6 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -42,6 +41,7 @@
 use crate::pool::Connection;
 use crate::repeats::Permit;
 use crate::shared::Shared;
+use crate::sync::lock;
 use attempt::RanAt;
 use attempt::Reservation;
 use pace::Pace;
@@ -291,7 +291,7 @@
         if self.shared.crashes().refuses(self.ticket.fingerprint, now) {
             return false;
         }
-        let mut permit = self.permit.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut permit = lock(&self.permit);
         if self.reached && permit.is_none() {
             *permit = self.shared.permit_repeat(&self.ticket.service.name, now);
         }
@@ -303,8 +303,7 @@
         if !self.reached {
             return Ok(Permit::first());
         }
-        let permit = self.permit.get_mut();
-        let permit = permit.unwrap_or_else(PoisonError::into_inner).take();
+        let permit = lock(&self.permit).take();
         permit.ok_or(Failure::no_path("no repeat left"))
     }
 
--- a/crates/kelpworks-relay/src/repeats.rs
+++ b/crates/kelpworks-relay/src/repeats.rs
@@ -7,20 +7,21 @@
 //! has no equal part for one window, since the one before it may have spent it up to its end.
 //!
 //! Nothing is sent to an upstream without a [`Permit`]. One whose request was not written to a
-//! connection goes back: while engines that are gone still stand in the registration, 121 of some 450
-//! attempts that failed on a fleet of 22 daemons were not.
+//! connection goes back: while engines that are gone still stand in the registration, a good part of the
+//! attempts that fail are not.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::sync::lock;
+
 /// Part of what is allowed that is used: a window here begins a little earlier than at the
-/// service, where the repeat arrives. With 0.9 one run in 160 had 392 repeats where 390 were allowed.
+/// service, where the repeat arrives.
 const SAFETY: f64 = 0.85;
 
 /// The bound, for the whole fleet.
@@ -54,7 +55,7 @@
         service: &Arc<str>,
         now: Instant,
     ) -> Option<Permit> {
-        let mut counts = repeats.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut counts = lock(repeats);
         let taken = counts.try_take(service, now);
         drop(counts);
         taken.then(|| Permit {
@@ -74,7 +75,7 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         if let Some((repeats, service)) = self.taken.take() {
-            let mut counts = repeats.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut counts = lock(&repeats);
             counts.give_back(&service);
         }
     }
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -32,8 +31,9 @@
 use crate::slowness::Suspects;
 use crate::spread::Demand;
 use crate::spread::Spread;
+use crate::sync::lock;
 
-/// Pause between two events on a calm fleet of today's kinds of accelerators, measured.
+/// Pause between two events on a calm fleet of today's kinds of accelerators.
 const USUAL_PAUSE: Duration = Duration::from_millis(38);
 /// One in so many of the moving average is the newest pause: about what a daemon reads in a second.
 const PAUSE_WEIGHT: u64 = 256;
@@ -191,8 +191,7 @@
     /// that may be used now.
     ///
     /// Where every daemon tells every other its load within a quarter of a second, the cheapest path by
-    /// that load is better than a drawn one: over five days with trouble, drawing there cost 0.02 of
-    /// worth on two sites of 6 and 7 daemons.
+    /// that load is better than a drawn one.
     pub(crate) fn draw(&self, fleet: &Fleet, engines: &Engines, ask: &Ask<'_>) -> Option<Path> {
         if !self.load_is_sampled.load(Ordering::Relaxed) {
             return None;
@@ -256,8 +255,3 @@
         lock(&self.crashes)
     }
 }
-
-/// Each holder leaves the state consistent line by line, so a panic of one spoils nothing.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/kelpworks-relay/src/slowness.rs
+++ b/crates/kelpworks-relay/src/slowness.rs
@@ -21,9 +21,7 @@
 
 /// Time between two looks for engines to ask.
 const INTERVAL: Duration = Duration::from_millis(100);
-/// An engine that is slow is not asked again for so long after any daemon did. Questions are paid
-/// for: with a second for all engines and any event twice as late as usual as a reason, a fleet of 38
-/// was asked 2,700 times in 48 s, which cost more than it brought.
+/// An engine that is slow is not asked again for so long after any daemon did: questions are paid for.
 const ASK_SLOW_AGAIN: Duration = Duration::from_millis(1_200);
 /// And one that is not slow for so long.
 const ASK_USUAL_AGAIN: Duration = Duration::from_secs(3);
--- a/crates/kelpworks-relay/src/spread.rs
+++ b/crates/kelpworks-relay/src/spread.rs
@@ -2,8 +2,7 @@
 //!
 //! Daemons that each choose the cheapest path for each request choose the same one: what they know of
 //! each other's load is half a second old, so that the fastest engines get everything for a moment,
-//! then nothing. On a calm day of 68 daemons the busiest first engine got 14 to 21 times the mean, and
-//! engines refused one arrival in 26 for want of memory.
+//! then nothing, and refuse for want of memory while others idle.
 //!
 //! So a daemon plans for all of them: it places the load of the fleet in small parts, each on the path
 //! that is cheapest beside the parts before it, and then draws a path at random for each request.
@@ -35,7 +34,7 @@
 use crate::path::graph::Graph;
 
 /// Parts into which the load of each failure domain is cut: some ten requests a part where three hundred
-/// run in a domain. A plan for three domains takes 72 searches, 1.2 ms on 78 engines.
+/// run in a domain. Each is a search.
 const PARTS: u32 = 24;
 /// Age from which a plan is made anew: digests of a larger fleet come as often.
 const FRESH: Duration = Duration::from_millis(500);
