--- a/crates/kelpworks-cli/src/relay.rs
+++ b/crates/kelpworks-cli/src/relay.rs
@@ -5,6 +5,7 @@
 use crate::failure::Result;
 use crate::serve::Output;
 use crate::serve::start_logger;
+use kelpworks::border::era::Eras;
 use kelpworks::border::object_api::Deadlines;
 use kelpworks_platform::Objects;
 use kelpworks_platform::Orders;
@@ -27,10 +28,11 @@
     };
     let settings = Settings::read(file)?;
     let _logger = start_logger(&settings.log.level, Output::Standard)?;
-    let deadlines = Deadlines::default();
+    let eras = Eras::default();
+    let store = || Objects::new(settings.store.address, Deadlines::default(), eras.clone());
     let clients = Clients {
-        store: Objects::new(settings.store.address, deadlines)?,
-        lease: Objects::new(settings.store.address, deadlines)?,
+        store: store()?,
+        lease: store()?,
         engines: Orders::new()?,
     };
     let running = daemon::run::<Users, _, _>(file, settings, clients, signals);
--- a/crates/kelpworks-cli/tests/relay_faults.rs
+++ b/crates/kelpworks-cli/tests/relay_faults.rs
@@ -323,3 +323,36 @@
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
+
+/// Waits until every daemon has a version of the configuration in force.
+async fn until_in_force(site: &Site, version: u64) {
+    for daemon in &site.daemons {
+        let in_force = async {
+            while daemon.counter("kelpworks_config_version").await < version {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        let in_time = tokio::time::timeout(BOUND, in_force).await;
+        assert!(in_time.is_ok(), "version {version}: {}", daemon.log());
+    }
+}
+
+/// A store that comes back from an older copy gives revisions out again: daemons that watch on from one of
+/// these would miss what is written now, and take nothing that looks older than what they hold.
+#[tokio::test]
+async fn changes_are_in_force_after_the_store_came_back_from_an_older_copy() {
+    let site = Site::start("restored", 3).await;
+    site.store.take_copy();
+    for version in 4..=9 {
+        site.store.put("config", "main", configuration(version));
+        until_in_force(&site, version).await;
+    }
+    site.store.restore();
+    for version in [9, 10] {
+        site.store.put("config", "main", configuration(version));
+    }
+    until_in_force(&site, 10).await;
+    for daemon in &site.daemons {
+        assert_eq!(daemon.counter("kelpworks_store_era").await, 1);
+    }
+}
--- a/crates/kelpworks-cli/tests/relay_site/store.rs
+++ b/crates/kelpworks-cli/tests/relay_site/store.rs
@@ -16,6 +16,7 @@
 use salvo::Response;
 use salvo::Router;
 use salvo::async_trait;
+use salvo::http::HeaderValue;
 use salvo::http::Method;
 use salvo::http::ResBody;
 use salvo::http::StatusCode;
@@ -24,7 +25,7 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct State {
     revision: u64,
     objects: BTreeMap<(String, String), (u64, Value)>,
@@ -45,6 +46,10 @@
     unanswering: AtomicBool,
     /// Changes up to this revision are forgotten.
     forgotten: AtomicU64,
+    /// How often it came back from an older copy.
+    era: AtomicU64,
+    /// The copy that it comes back from.
+    copy: Mutex<State>,
 }
 
 /// How long a reply that is lost is held back: longer than callers wait.
@@ -137,6 +142,23 @@
         self.inner.forgotten.store(revision, Ordering::Relaxed);
     }
 
+    /// Takes a copy of all objects, in place of the one before.
+    pub(crate) fn take_copy(&self) {
+        let state = self.inner.state.lock().expect("no panic").clone();
+        *self.inner.copy.lock().expect("no panic") = state;
+    }
+
+    /// Comes back from the copy, in a new era: what was written since is gone, and revisions after it are
+    /// given out again.
+    pub(crate) fn restore(&self) {
+        let copy = self.inner.copy.lock().expect("no panic").clone();
+        let mut state = self.inner.state.lock().expect("no panic");
+        self.inner.era.fetch_add(1, Ordering::SeqCst);
+        *state = copy;
+        drop(state);
+        self.inner.changed.notify_waiters();
+    }
+
     /// Answers 503 to every call, and cuts waiting watches off.
     pub(crate) fn set_down(&self, down: bool) {
         self.inner.down.store(down, Ordering::Relaxed);
@@ -172,12 +194,16 @@
 }
 
 impl Objects {
-    async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Value {
+    /// The changes after a revision; `None` when it was never given out.
+    async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Option<Value> {
         let until = tokio::time::Instant::now() + wait;
         loop {
             let changed = self.inner.changed.notified();
             let (events, revision) = {
                 let state = self.inner.state.lock().expect("no panic");
+                if from > state.revision {
+                    return None;
+                }
                 let newer = state
                     .history
                     .iter()
@@ -187,7 +213,7 @@
             };
             let down = self.inner.down.load(Ordering::Relaxed);
             if !events.is_empty() || down || tokio::time::Instant::now() >= until {
-                return json!({ "events": events, "current-rev": revision });
+                return Some(json!({ "events": events, "current-rev": revision }));
             }
             let _ = tokio::time::timeout_at(until, changed).await;
         }
@@ -260,7 +286,10 @@
                 }
                 Some(from) => {
                     let wait = Duration::from_millis(req.query("wait-ms").unwrap_or(0));
-                    (StatusCode::OK, self.watch(kind, from, wait).await)
+                    match self.watch(kind, from, wait).await {
+                        Some(changes) => (StatusCode::OK, changes),
+                        None => (StatusCode::GONE, json!({})),
+                    }
                 }
                 None => (StatusCode::OK, self.list(kind)),
             },
@@ -283,6 +312,9 @@
             }
         };
         res.status_code(status);
+        let era = self.inner.era.load(Ordering::SeqCst);
+        res.headers_mut()
+            .insert("store-era", HeaderValue::from(era));
         let is_list = *req.method() == Method::GET && (kind, name) == ("servers", "");
         if is_list && body["entries"].is_array() {
             res.body(ResBody::Once(self.with_foreign(&body).into()));
--- a/crates/kelpworks-cli/tests/soak/faults.rs
+++ b/crates/kelpworks-cli/tests/soak/faults.rs
@@ -20,6 +20,11 @@
 use crate::site::Soak;
 use crate::site::document;
 
+/// Time for which a store that comes back from a copy is down.
+const RESTORE_TAKES: Duration = Duration::from_millis(100);
+/// Time after which operators and engines have written again.
+const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(250);
+
 /// Carries a plan out, and returns once all faults are over.
 pub(crate) async fn carry_out(soak: &Arc<Soak>, plan: &Plan) {
     let mut steps = JoinSet::new();
@@ -70,6 +75,7 @@
             soak.store.set_unanswering(false);
         }
         Fault::StoreForgets => soak.store.forget_history(),
+        Fault::StoreRestored => restore(&soak, lasts).await,
         Fault::StoreLink(i, state) => hold(&soak.daemons[i].store, state, lasts).await,
         Fault::EngineLink(i, state) => hold(&soak.engines[i].link, state, lasts).await,
         Fault::AppLink(state) => hold(&soak.app_link, state, lasts).await,
@@ -102,6 +108,30 @@
     }
 }
 
+/// Takes the store back to a copy. Its operators and the engines write again what they had written.
+async fn restore(soak: &Soak, lasts: Duration) {
+    let _one_at_a_time = soak.restoring.lock().await;
+    soak.store.take_copy();
+    tokio::time::sleep(lasts).await;
+    soak.store.set_down(true);
+    soak.store.restore();
+    tokio::time::sleep(RESTORE_TAKES).await;
+    soak.store.set_down(false);
+    tokio::time::sleep(WRITTEN_AGAIN_AFTER).await;
+    for at in soak
+        .engines
+        .iter()
+        .filter(|at| !at.registers.load(Ordering::Relaxed))
+    {
+        soak.store.delete("servers", &at.engine.instance);
+    }
+    let mut version = 0;
+    while version < soak.version.load(Ordering::Relaxed) {
+        version = soak.version.load(Ordering::Relaxed);
+        soak.store.put("config", "main", document(version));
+    }
+}
+
 async fn hold(link: &Link, state: LinkState, lasts: Duration) {
     link.set(state);
     tokio::time::sleep(lasts).await;
--- a/crates/kelpworks-cli/tests/soak/plan.rs
+++ b/crates/kelpworks-cli/tests/soak/plan.rs
@@ -16,6 +16,8 @@
 const BETWEEN: Duration = Duration::from_millis(350);
 /// One seed in so many draws planned work only: then nothing at all may be lost.
 const PLANNED_ONLY: u64 = 4;
+/// One unplanned seed in so many has the store come back from older copies.
+const RESTORED_IN: u64 = 2;
 
 /// Something that goes wrong, or is done on purpose.
 #[derive(Clone, Copy, Debug)]
@@ -28,6 +30,8 @@
     StoreUnanswering,
     /// The store forgets its history.
     StoreForgets,
+    /// The store loses what was written while this lasts, by coming back from a copy.
+    StoreRestored,
     /// The link between a daemon and the store.
     StoreLink(usize, LinkState),
     /// The link before an engine.
@@ -85,6 +89,9 @@
             steps.push(Step { at, lasts, fault });
             at += BETWEEN.mul_f64(rng.random_range(0.1..1.9));
         }
+        if !planned && seed.is_multiple_of(RESTORED_IN) {
+            steps.extend(draw_restores(&mut rng, length));
+        }
         Plan {
             length,
             steps,
@@ -93,6 +100,17 @@
     }
 }
 
+/// One or two restores, which may follow each other at once.
+fn draw_restores(rng: &mut StdRng, length: Duration) -> Vec<Step> {
+    let count = rng.random_range(1..=2);
+    let mut draw = || Step {
+        at: length.mul_f64(rng.random_range(0.1..0.7)),
+        lasts: Duration::from_millis(rng.random_range(200..2_000)),
+        fault: Fault::StoreRestored,
+    };
+    (0..count).map(|_| draw()).collect()
+}
+
 fn draw_planned(rng: &mut StdRng, daemons: usize) -> Fault {
     let daemon = rng.random_range(0..daemons);
     match rng.random_range(0..4) {
--- a/crates/kelpworks-cli/tests/soak/site.rs
+++ b/crates/kelpworks-cli/tests/soak/site.rs
@@ -74,6 +74,8 @@
     pub(crate) daemons: Vec<Daemon>,
     /// Version of the last configuration that was written.
     pub(crate) version: AtomicU64,
+    /// Held while the store loses writes.
+    pub(crate) restoring: tokio::sync::Mutex<()>,
     /// What callers sent and got.
     pub(crate) sent: Mutex<Vec<Sent>>,
     /// Promises that were broken.
@@ -149,6 +151,7 @@
             app_link,
             daemons: daemons.collect(),
             version: AtomicU64::new(3),
+            restoring: tokio::sync::Mutex::default(),
             sent: Mutex::default(),
             broken: Mutex::default(),
             started: Instant::now(),
--- a/crates/kelpworks-coord/src/claim/mod.rs
+++ b/crates/kelpworks-coord/src/claim/mod.rs
@@ -29,7 +29,7 @@
 //! let now = Instant::ZERO;
 //! let actions = claim.on_event(now, Event::Start);
 //! assert!(matches!(actions[..], [Action::Write { if_version: Version::ABSENT, .. }]));
-//! let actions = claim.on_event(now, Event::Api(ApiReply::Stored(Version(1))));
+//! let actions = claim.on_event(now, Event::Api(ApiReply::Stored(Version::initial(1))));
 //! assert_eq!(actions, [Action::Dispatch]);
 //! ```
 //!
--- a/crates/kelpworks-coord/src/head.rs
+++ b/crates/kelpworks-coord/src/head.rs
@@ -36,16 +36,31 @@
 use serde::Serialize;
 
 use crate::id::Digest;
+use crate::id::Era;
 use crate::id::Nonce;
 use crate::id::Version;
 use crate::time::Instant;
 use crate::time::Span;
 
-/// Number of a configuration; rises by one with each accepted change.
+/// Number of a configuration; rises with each accepted change.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct Generation(pub u64);
 
+impl Generation {
+    /// Bits of a generation below those of the era: more than there are changes in an era.
+    const ERA_SHIFT: u32 = 32;
+
+    /// The generation of a change that is accepted in an era on top of this one.
+    ///
+    /// An API that came back from an older copy shows an older head. A change on top of that would
+    /// have the number of one that is lost there and in force on daemons, if eras were not told apart.
+    fn next(self, era: Era) -> Generation {
+        let first = Generation(era.0 << Generation::ERA_SHIFT);
+        Generation(self.0 + 1).max(first)
+    }
+}
+
 /// One part of a configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
@@ -85,8 +100,8 @@
         }
     }
 
-    fn with(self, change: Change) -> Head {
-        let generation = Generation(self.generation.0 + 1);
+    fn with(self, change: Change, era: Era) -> Head {
+        let generation = self.generation.next(era);
         let part = Some(Part {
             digest: change.digest,
             since: generation,
@@ -296,14 +311,19 @@
         vec![match call {
             Call::Blob => SwapAction::PutBlob(self.change.digest),
             Call::Read => SwapAction::ReadHead,
-            Call::Validate(at) => SwapAction::Validate(at.head.with(self.change)),
+            Call::Validate(at) => SwapAction::Validate(self.changed(at)),
             Call::Swap(at) => SwapAction::SwapHead {
                 if_version: at.version,
-                head: at.head.with(self.change),
+                head: self.changed(at),
             },
         }]
     }
 
+    /// The head with the change on top of it.
+    fn changed(&self, at: StoredHead) -> Head {
+        at.head.with(self.change, at.version.era)
+    }
+
     fn on_reply(&mut self, now: Instant, call: Call, event: SwapEvent) -> Vec<SwapAction> {
         match (call, event) {
             (Call::Blob, SwapEvent::BlobStored) => self.call(Call::Read),
@@ -311,7 +331,7 @@
             (Call::Validate(at), SwapEvent::Valid) => self.call(Call::Swap(at)),
             (Call::Validate(_), SwapEvent::Invalid) => self.on_invalid(),
             (Call::Swap(at), SwapEvent::Swapped) => {
-                self.done(SwapOutcome::Accepted(at.head.with(self.change).generation))
+                self.done(SwapOutcome::Accepted(self.changed(at).generation))
             }
             (Call::Swap(_), SwapEvent::Conflict(at)) => self.on_head(now, at),
             (Call::Swap(_), SwapEvent::Lost) => {
--- a/crates/kelpworks-coord/src/id.rs
+++ b/crates/kelpworks-coord/src/id.rs
@@ -64,14 +64,65 @@
 #[derive(Serialize, Deserialize)]
 pub struct Nonce(pub u64);
 
-/// Version of an object of the object API; 0 stands for an object that does not exist.
+/// Era of the object API's history: one higher each time that the API came back from an older copy of
+/// itself. An API that never tells its era is in the first for ever.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
-pub struct Version(pub u64);
+pub struct Era(pub u64);
+
+impl Era {
+    /// The first era.
+    pub const FIRST: Era = Era(0);
+}
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// Point in the object API's history: the version of an object, or of a whole kind.
+///
+/// Versions are ordered by era first, since an older copy gives the revisions after it out again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct Version {
+    /// Era in which it was given out.
+    #[serde(default)]
+    pub era: Era,
+    /// Rises with each change within an era; 0 stands for an object that does not exist.
+    pub revision: u64,
+}
 
 impl Version {
-    /// Version of an object that does not exist, as the condition of a create.
-    pub const ABSENT: Version = Version(0);
+    /// Version of an object that does not exist, as the condition of a create in the first era.
+    pub const ABSENT: Version = Version::initial(0);
+
+    /// A version of an era.
+    pub const fn new(era: Era, revision: u64) -> Version {
+        Version { era, revision }
+    }
+
+    /// A version of the first era.
+    pub const fn initial(revision: u64) -> Version {
+        Version::new(Era::FIRST, revision)
+    }
+
+    /// Version, in an era, of an object that does not exist.
+    pub const fn absent(era: Era) -> Version {
+        Version::new(era, 0)
+    }
+
+    /// Whether it is that of an object that does not exist.
+    pub const fn is_absent(self) -> bool {
+        self.revision == 0
+    }
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.revision)
+    }
 }
 
 /// SHA-256 digest of an immutable object; also its name.
--- a/crates/kelpworks-coord/src/lease.rs
+++ b/crates/kelpworks-coord/src/lease.rs
@@ -27,7 +27,7 @@
 //! assert_eq!(lease.on_event(now, Event::Tick), [Action::Read]);
 //! let absent = Event::Api(ApiReply::Read(Stored::ABSENT));
 //! assert!(matches!(lease.on_event(now, absent)[..], [Action::Write { .. }]));
-//! let actions = lease.on_event(now, Event::Api(ApiReply::Written(Version(1))));
+//! let actions = lease.on_event(now, Event::Api(ApiReply::Written(Version::initial(1))));
 //! assert_eq!(actions, [Action::Acquired(Token(1))]);
 //! assert_eq!(lease.fence(now), Some(Token(1)));
 //! let late = now + Span::from_secs(9);
@@ -37,10 +37,16 @@
 //! While the object API is down no one can renew: the holder's orders stop when its lease runs
 //! out, and placement stays as it is until the API is back. The object must never be removed,
 //! since its token must not fall; daemons that saw it take no lease from its absence.
+//!
+//! **Eras.** An API that comes back from an older copy shows a record that may have been replaced
+//! since. Whoever hears of the new era ends its own lease at once, and nobody takes the lease on
+//! the word of a record from before the era until any lease held then has run out. Tokens of a later
+//! era are higher than all of the eras before.
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::id::Era;
 use crate::id::Incarnation;
 use crate::id::NodeId;
 use crate::id::Version;
@@ -103,13 +109,36 @@
 #[derive(Serialize, Deserialize)]
 pub struct Token(pub u64);
 
+impl Token {
+    /// Bits of a token below those of the era: more than there are revisions in an era.
+    const ERA_SHIFT: u32 = 32;
+
+    /// Lowest token of an era.
+    const fn first_of(era: Era) -> Token {
+        Token(era.0 << Token::ERA_SHIFT)
+    }
+
+    /// Token for whoever replaces a stored lease.
+    ///
+    /// In a later era a write under a condition of the era before may take the stored token back. So
+    /// tokens follow the revision there, which only rises within the era.
+    fn after(stored: &Stored) -> Token {
+        let next = Token(stored.record.token.0 + 1);
+        let Version { era, revision } = stored.version;
+        match era {
+            Era::FIRST => next,
+            era => next.max(Token(Token::first_of(era).0 + revision)),
+        }
+    }
+}
+
 /// Body of the lease object.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct Record {
     /// Who holds it; `None` after it was given up.
     pub owner: Option<Owner>,
-    /// Rises by one at each acquisition, never falls.
+    /// Rises at each acquisition. Falls only where the API comes back from an older copy.
     pub token: Token,
     /// Rises by one at each write under the same token.
     pub renewal: u64,
@@ -125,15 +154,25 @@
 }
 
 impl Stored {
-    /// A lease that no one ever held.
-    pub const ABSENT: Stored = Stored {
-        version: Version::ABSENT,
-        record: Record {
-            owner: None,
-            token: Token(0),
-            renewal: 0,
-        },
-    };
+    /// A lease that no one ever held, in the first era.
+    pub const ABSENT: Stored = Stored::absent(Era::FIRST);
+
+    /// A lease that an era shows as held by no one ever.
+    pub const fn absent(era: Era) -> Stored {
+        Stored {
+            version: Version::absent(era),
+            record: Record {
+                owner: None,
+                token: Token(0),
+                renewal: 0,
+            },
+        }
+    }
+
+    /// Whether the record was written in the era in which it is shown.
+    fn is_of_its_era(&self) -> bool {
+        self.record.token >= Token::first_of(self.version.era)
+    }
 }
 
 /// Answer of the object API to the last read or write.
@@ -160,6 +199,8 @@
     Api(ApiReply),
     /// A watch showed the object.
     Watched(Stored),
+    /// The object API is in this era, by whatever call or peer it was heard.
+    Era(Era),
     /// Give the lease up, as on a planned stop.
     Release,
 }
@@ -201,8 +242,14 @@
 pub struct Lease {
     cfg: Config,
     me: Owner,
-    /// Latest version seen, and when it was first seen. Versions never fall.
+    /// Latest era heard of; never falls.
+    era: Era,
+    /// When that was; none in the first era.
+    era_since: Option<Instant>,
+    /// Latest version seen, and when it was first seen; of the latest era. Versions never fall.
     seen: Option<(Stored, Instant)>,
+    /// Highest token seen, in whatever era; never falls.
+    highest: Token,
     held: Option<Held>,
     outstanding: Option<Call>,
     /// A write of ours whose effect is not known, and when it was first sent.
@@ -218,7 +265,10 @@
         Lease {
             cfg,
             me,
+            era: Era::FIRST,
+            era_since: None,
             seen: None,
+            highest: Token(0),
             held: None,
             outstanding: None,
             unsure: None,
@@ -233,6 +283,7 @@
             Event::Tick => self.on_tick(now),
             Event::Api(reply) => self.on_api(now, reply),
             Event::Watched(stored) => self.observe(now, stored),
+            Event::Era(era) => self.enter(now, era),
             Event::Release => {
                 self.releasing = true;
                 self.next_call = now;
@@ -255,8 +306,12 @@
 
     /// The highest token seen.
     pub fn latest_token(&self) -> Token {
-        self.seen
-            .map_or(Token(0), |(stored, _)| stored.record.token)
+        self.highest
+    }
+
+    /// The latest era heard of.
+    pub fn era(&self) -> Era {
+        self.era
     }
 
     /// Who holds the lease, as last seen.
@@ -279,8 +334,22 @@
     }
 
     fn may_take(&self, now: Instant, stored: Stored, at: Instant) -> bool {
-        let free = stored.record.owner.is_none();
-        !self.releasing && (free || now.since(at) >= self.cfg.takeover_after())
+        let free = stored.record.owner.is_none() && stored.is_of_its_era();
+        // A record from before the era tells nothing of who held the lease at its end.
+        let since = self.era_since.map_or(at, |era| era.max(at));
+        !self.releasing && (free || now.since(since) >= self.cfg.takeover_after())
+    }
+
+    /// Takes note of an era. What was seen, written or held in an earlier one counts no longer.
+    fn enter(&mut self, now: Instant, era: Era) -> Vec<Action> {
+        if era <= self.era {
+            return Vec::new();
+        }
+        self.era = era;
+        self.era_since = Some(now);
+        self.seen = None;
+        self.next_call = now;
+        self.lose()
     }
 
     fn read(&mut self) -> Vec<Action> {
@@ -310,10 +379,9 @@
     }
 
     fn write_acquisition(&mut self, now: Instant, stored: Stored) -> Vec<Action> {
-        let token = Token(stored.record.token.0 + 1);
         let record = Record {
             owner: Some(self.me),
-            token,
+            token: Token::after(&stored),
             renewal: 0,
         };
         self.write(now, stored.version, record)
@@ -368,6 +436,16 @@
 
     /// Takes note of the object, from whatever source; an older version than seen changes nothing.
     fn observe(&mut self, now: Instant, stored: Stored) -> Vec<Action> {
+        if stored.version.era < self.era {
+            self.next_call = self.next_call.min(now + self.cfg.retry);
+            return Vec::new();
+        }
+        let mut actions = self.enter(now, stored.version.era);
+        actions.extend(self.observe_in_era(now, stored));
+        actions
+    }
+
+    fn observe_in_era(&mut self, now: Instant, stored: Stored) -> Vec<Action> {
         if self.seen.is_some_and(|(s, _)| stored.version <= s.version) {
             if self.unsure.is_some() {
                 // Our write is not to be seen yet: send the same again soon.
@@ -376,6 +454,7 @@
             return Vec::new();
         }
         self.seen = Some((stored, now));
+        self.highest = self.highest.max(stored.record.token);
         let ours = stored.record.owner == Some(self.me);
         match (ours, self.unsure.filter(|(r, _)| *r == stored.record)) {
             (true, Some((record, sent))) => self.hold(now, stored.version, record, sent),
--- a/crates/kelpworks-coord/tests/claim.rs
+++ b/crates/kelpworks-coord/tests/claim.rs
@@ -33,7 +33,7 @@
 
 fn stored(version: u64, nonce: u64, phase: Phase) -> Stored {
     Stored {
-        version: Version(version),
+        version: Version::initial(version),
         record: record(nonce, phase),
     }
 }
@@ -63,7 +63,7 @@
 }
 
 #[rstest]
-#[case::created(vec![api(ApiReply::Stored(Version(1)))], "[Dispatch]")]
+#[case::created(vec![api(ApiReply::Stored(Version::initial(1)))], "[Dispatch]")]
 #[case::lost_but_created(
     vec![api(ApiReply::Lost), api(ApiReply::Found(stored(1, 1, Phase::Claimed)))],
     "[Read, Dispatch]")]
@@ -84,24 +84,24 @@
     "[AskHolder, InProgress]")]
 #[case::holder_gave_up(
     vec![api(ApiReply::Conflict(Some(stored(1, 2, Phase::Claimed)))),
-         Event::Peer(Some(PeerStatus::NeverDispatched)), api(ApiReply::Stored(Version(2)))],
+         Event::Peer(Some(PeerStatus::NeverDispatched)), api(ApiReply::Stored(Version::initial(2)))],
     "[AskHolder, Write, Dispatch]")]
 #[case::other_body(
     vec![api(ApiReply::Conflict(Some(Stored {
-        version: Version(1), record: Record { digest: 8, ..record(2, Phase::Claimed) } })))],
+        version: Version::initial(1), record: Record { digest: 8, ..record(2, Phase::Claimed) } })))],
     "[NotRun(KeyReused)]")]
 #[case::upstream_took_nothing(
-    vec![api(ApiReply::Stored(Version(1))), Event::Finished(Run::NotRun)],
+    vec![api(ApiReply::Stored(Version::initial(1))), Event::Finished(Run::NotRun)],
     "[Dispatch, NotRun(Upstream), Remove]")]
 #[case::answer_waits_for_its_recording(
-    vec![api(ApiReply::Stored(Version(1))), Event::Finished(Run::Completed(outcome()))],
+    vec![api(ApiReply::Stored(Version::initial(1))), Event::Finished(Run::Completed(outcome()))],
     "[Dispatch, Write]")]
 #[case::answer_after_recording(
-    vec![api(ApiReply::Stored(Version(1))), Event::Finished(Run::Completed(outcome())),
-         api(ApiReply::Stored(Version(2)))],
+    vec![api(ApiReply::Stored(Version::initial(1))), Event::Finished(Run::Completed(outcome())),
+         api(ApiReply::Stored(Version::initial(2)))],
     "[Dispatch, Write, Completed]")]
 #[case::unknown_end_is_told_at_once(
-    vec![api(ApiReply::Stored(Version(1))), Event::Finished(Run::MayHaveRun)],
+    vec![api(ApiReply::Stored(Version::initial(1))), Event::Finished(Run::MayHaveRun)],
     "[Dispatch, MayHaveRun, Write]")]
 fn a_claim_leads_to(#[case] events: Vec<Event>, #[case] actions: &str) {
     let taken = feed(&mut started(), events);
@@ -153,13 +153,13 @@
     assert_eq!(
         claim.on_event(later, found),
         [Action::Remove {
-            if_version: Version(4)
+            if_version: Version::initial(4)
         }]
     );
     claim.on_event(later, api(ApiReply::Removed));
     assert!(claim.is_settled());
     assert_eq!(
-        claim.on_event(later, api(ApiReply::Stored(Version(1)))),
+        claim.on_event(later, api(ApiReply::Stored(Version::initial(1)))),
         [],
         "a late reply"
     );
@@ -169,7 +169,7 @@
 fn a_daemon_paused_past_the_deadline_does_not_dispatch() {
     let mut claim = started();
     let late = Instant::from_millis(5_000);
-    let actions = claim.on_event(late, api(ApiReply::Stored(Version(1))));
+    let actions = claim.on_event(late, api(ApiReply::Stored(Version::initial(1))));
     assert_eq!(actions, [Action::Answer(Answer::NotRun(NotRun::Deadline))]);
 }
 
@@ -179,11 +179,18 @@
     let run = Event::Finished(Run::Completed(outcome()));
     feed(
         &mut claim,
-        vec![api(ApiReply::Stored(Version(1))), run, api(ApiReply::Lost)],
+        vec![
+            api(ApiReply::Stored(Version::initial(1))),
+            run,
+            api(ApiReply::Lost),
+        ],
     );
     let actions = claim.on_event(Instant::from_millis(500), Event::Tick);
     assert_eq!(names(&actions), "[Completed, Write]");
     assert_eq!(claim.status(), PeerStatus::Done(outcome()));
-    let recorded = claim.on_event(Instant::from_millis(501), api(ApiReply::Stored(Version(2))));
+    let recorded = claim.on_event(
+        Instant::from_millis(501),
+        api(ApiReply::Stored(Version::initial(2))),
+    );
     assert_eq!(recorded, [], "the caller is answered once");
 }
--- a/crates/kelpworks-coord/tests/control.rs
+++ b/crates/kelpworks-coord/tests/control.rs
@@ -64,7 +64,7 @@
         rules,
     };
     let at = StoredHead {
-        version: Version(version),
+        version: Version::initial(version),
         head,
     };
     if version > 10 {
@@ -189,7 +189,7 @@
         renewal,
     };
     Stored {
-        version: Version(version),
+        version: Version::initial(version),
         record,
     }
 }
@@ -198,7 +198,7 @@
     let mut lease = Lease::new(lease::Config::default(), ME, at(0));
     lease.on_event(at(0), Event::Tick);
     lease.on_event(at(0), Event::Api(ApiReply::Read(Stored::ABSENT)));
-    lease.on_event(at(100), Event::Api(ApiReply::Written(Version(1))));
+    lease.on_event(at(100), Event::Api(ApiReply::Written(Version::initial(1))));
     lease
 }
 
@@ -237,7 +237,7 @@
         renewal: 1,
     };
     let write = Action::Write {
-        if_version: Version(1),
+        if_version: Version::initial(1),
         record,
     };
     assert_eq!(lease.on_event(at(200), Event::Release), [write]);
@@ -246,7 +246,7 @@
         None,
         "no order while it is being given up"
     );
-    let written = Event::Api(ApiReply::Written(Version(2)));
+    let written = Event::Api(ApiReply::Written(Version::initial(2)));
     assert_eq!(lease.on_event(at(210), written), [Action::Resigned]);
     assert_eq!(
         lease.on_event(at(60_000), Event::Tick),
@@ -257,7 +257,7 @@
     let mut next = Lease::new(lease::Config::default(), OTHER, at(0));
     next.on_event(at(0), Event::Tick);
     let free = Stored {
-        version: Version(2),
+        version: Version::initial(2),
         record,
     };
     let taken = next.on_event(at(0), Event::Api(ApiReply::Read(free)));
@@ -269,7 +269,7 @@
     assert_eq!(
         taken,
         [Action::Write {
-            if_version: Version(2),
+            if_version: Version::initial(2),
             record
         }]
     );
@@ -305,7 +305,7 @@
         renewal: 0,
     };
     let write = Action::Write {
-        if_version: Version(7),
+        if_version: Version::initial(7),
         record,
     };
     assert_eq!(
--- a/crates/kelpworks-coord/tests/model_claim.rs
+++ b/crates/kelpworks-coord/tests/model_claim.rs
@@ -202,7 +202,7 @@
             _ => record,
         });
         world.version += 1;
-        let version = Version(world.version);
+        let version = Version::initial(world.version);
         let removed = record.is_none();
         let before = std::mem::replace(
             &mut world.object,
@@ -236,7 +236,7 @@
         let creates = matches!(was, Some(Call::Action(Action::Write { .. })));
         let reply = match reply {
             ApiReply::Lost if self.mutant == Mutant::LostIsStored && creates => {
-                ApiReply::Stored(Version(world.version))
+                ApiReply::Stored(Version::initial(world.version))
             }
             reply => reply,
         };
--- a/crates/kelpworks-coord/tests/model_head.rs
+++ b/crates/kelpworks-coord/tests/model_head.rs
@@ -363,7 +363,7 @@
 
 fn stored(world: &World, index: usize) -> StoredHead {
     StoredHead {
-        version: Version(index as u64),
+        version: Version::initial(index as u64),
         head: world.history[index],
     }
 }
--- a/crates/kelpworks-coord/tests/model_lease.rs
+++ b/crates/kelpworks-coord/tests/model_lease.rs
@@ -10,6 +10,7 @@
 use checker::assert_caught;
 use checker::assert_holds;
 use checker::bound;
+use kelpworks_coord::id::Era;
 use kelpworks_coord::id::Incarnation;
 use kelpworks_coord::id::NodeId;
 use kelpworks_coord::id::Version;
@@ -48,6 +49,8 @@
     NoReadBack,
     /// The lease object is removed, and with it the token.
     ObjectRemoved,
+    /// Versions are told without their era.
+    NoEra,
 }
 
 struct LeaseModel {
@@ -59,6 +62,8 @@
     faults: u8,
     crashes: u8,
     duplicates: u8,
+    /// How often the store comes back from an older copy.
+    restores: u8,
     engine_checks: bool,
     mutant: Mutant,
 }
@@ -112,6 +117,7 @@
     faults: u8,
     crashes: u8,
     duplicates: u8,
+    restores: u8,
     broken: Option<&'static str>,
 }
 
@@ -137,6 +143,10 @@
     DeliverLate(usize),
     DropOrder(usize),
     Crash(usize),
+    /// The store comes back from the copy before its last change, or from one without the lease.
+    Restore {
+        has_lease: bool,
+    },
 }
 
 impl LeaseModel {
@@ -196,6 +206,10 @@
     }
 
     fn reply(&self, world: &mut World, d: usize, reply: ApiReply) {
+        let reply = match self.mutant {
+            Mutant::NoEra => without_era(reply),
+            _ => reply,
+        };
         world.daemons[d].call = None;
         if let Some(before) = world.daemons[d].before.take() {
             world.daemons[d].lease = before;
@@ -353,18 +367,47 @@
     }
 }
 
+/// A store compares revisions; it can't know of which era a condition is.
 fn write(world: &mut World, if_version: Version, record: Record) -> bool {
-    if world.object.version != if_version {
+    let Version { era, revision } = world.object.version;
+    if revision != if_version.revision {
         return false;
     }
     world.past = world.object;
     world.object = Stored {
-        version: Version(if_version.0 + 1),
+        version: Version::new(era, revision + 1),
         record,
     };
     true
 }
 
+fn without_era(reply: ApiReply) -> ApiReply {
+    let stored = |s: Stored| Stored {
+        version: Version::initial(s.version.revision),
+        ..s
+    };
+    match reply {
+        ApiReply::Read(s) => ApiReply::Read(stored(s)),
+        ApiReply::Conflict(s) => ApiReply::Conflict(stored(s)),
+        ApiReply::Written(v) => ApiReply::Written(Version::initial(v.revision)),
+        other => other,
+    }
+}
+
+/// The store comes back in its next era.
+fn restore(world: &mut World, has_lease: bool) {
+    let era = Era(world.object.version.era.0 + 1);
+    let copy = match has_lease {
+        true => world.past,
+        false => Stored::ABSENT,
+    };
+    world.object = Stored {
+        version: Version::new(era, copy.version.revision),
+        record: copy.record,
+    };
+    world.past = world.object;
+}
+
 impl Model for LeaseModel {
     type State = World;
     type Step = Step;
@@ -384,6 +427,7 @@
             faults: self.faults,
             crashes: self.crashes,
             duplicates: self.duplicates,
+            restores: self.restores,
             broken: None,
         }
     }
@@ -396,6 +440,10 @@
         for d in 0..2 {
             self.daemon_steps(world, d, &mut steps);
         }
+        if world.restores > 0 {
+            let restore = |has_lease| Step::Restore { has_lease };
+            steps.extend([true, false].map(restore));
+        }
         steps.extend((0..world.delayed.len()).map(Step::LateWrite));
         steps.extend((0..world.late.len()).map(Step::DeliverLate));
         for i in 0..world.orders.len() {
@@ -472,6 +520,10 @@
                 world.faults -= 1;
                 world.orders.remove(i);
             }
+            Step::Restore { has_lease } => {
+                world.restores -= 1;
+                restore(world, has_lease);
+            }
             Step::Crash(d) => {
                 world.crashes -= 1;
                 delay(world, d);
@@ -510,6 +562,7 @@
         faults: 1,
         crashes: 0,
         duplicates: 0,
+        restores: 0,
         engine_checks: true,
         mutant: Mutant::None,
     }
@@ -557,6 +610,41 @@
     assert_holds("lease, ignoring engine", &model);
 }
 
+#[rstest]
+#[case::checking_engine(true)]
+#[case::ignoring_engine(false)]
+fn a_lease_holds_when_the_store_comes_back_from_an_older_copy(#[case] engine_checks: bool) {
+    let model = LeaseModel {
+        restores: 1,
+        faults: bound() as u8 - 1,
+        engine_checks,
+        ..model()
+    };
+    assert_holds("lease, restore", &model);
+}
+
+#[test]
+fn a_lease_holds_when_the_store_comes_back_from_older_copies_twice() {
+    let model = LeaseModel {
+        restores: 2,
+        faults: 0,
+        ..model()
+    };
+    assert_holds("lease, two restores", &model);
+}
+
+#[rstest]
+#[case::one_holder(1, ONE_HOLDER_A_TOKEN)]
+fn the_checker_catches_versions_without_their_era(#[case] restores: u8, #[case] invariant: &str) {
+    let model = LeaseModel {
+        restores,
+        faults: 1,
+        mutant: Mutant::NoEra,
+        ..model()
+    };
+    assert_caught("lease, no era", &model, invariant);
+}
+
 #[test]
 fn a_lease_holds_under_clock_drift() {
     let faults = bound() as u8 - 1;
--- a/crates/kelpworks-fakes/src/object_api/http.rs
+++ b/crates/kelpworks-fakes/src/object_api/http.rs
@@ -2,12 +2,16 @@
 
 use std::future::pending;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use salvo::Depot;
+use salvo::FlowCtrl;
 use salvo::Request;
+use salvo::Response;
 use salvo::Router;
 use salvo::handler;
+use salvo::http::HeaderValue;
 use salvo::http::StatusCode;
 use tokio::time::Instant;
 
@@ -30,12 +34,16 @@
 type Reply = std::result::Result<Answer, Answer>;
 type State = Arc<Shared>;
 
+/// Header field of the era.
+const ERA_FIELD: &str = "store-era";
+
 pub(super) fn router() -> Router {
     let object = Router::with_path("objects/{kind}/{name}")
         .get(get_object)
         .put(put_object)
         .delete(delete_object);
     Router::new()
+        .hoop(tell_era)
         .push(object)
         .push(Router::with_path("objects/{kind}").get(list_objects))
         .push(Router::with_path("watch/{kind}").get(get_watch))
@@ -59,6 +67,14 @@
     }
 }
 
+/// Every answer tells the era that it was given in.
+#[handler]
+async fn tell_era(req: &mut Request, depot: &mut Depot, res: &mut Response, ctrl: &mut FlowCtrl) {
+    ctrl.call_next(req, depot, res).await;
+    let era = state::<State>(depot).era.load(Ordering::SeqCst);
+    res.headers_mut().insert(ERA_FIELD, HeaderValue::from(era));
+}
+
 #[handler]
 async fn get_object(req: &mut Request, depot: &mut Depot) -> Reply {
     let api = state::<State>(depot);
--- a/crates/kelpworks-fakes/src/object_api/mod.rs
+++ b/crates/kelpworks-fakes/src/object_api/mod.rs
@@ -7,6 +7,8 @@
 use std::future::pending;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use salvo::http::StatusCode;
@@ -121,6 +123,10 @@
     /// The store's version, for watches that wait.
     version: watch::Sender<u64>,
     mode: watch::Sender<ApiMode>,
+    /// How often it came back from an older copy.
+    era: AtomicU64,
+    /// The copy that it comes back from.
+    copy: Mutex<Store>,
 }
 
 #[derive(Debug)]
@@ -159,6 +165,8 @@
             calls: Mutex::new(calls),
             version: watch::Sender::new(0),
             mode: watch::Sender::new(ApiMode::Up),
+            era: AtomicU64::new(0),
+            copy: Mutex::new(Store::new(cfg.history)),
             cfg,
         });
         let server = port.serve(faults, shared.clone(), http::router())?;
@@ -207,6 +215,21 @@
         object
     }
 
+    /// Takes a copy of all objects, in place of the one before. The first is empty.
+    pub fn take_copy(&self) {
+        *lock(&self.shared.copy) = lock(&self.shared.store).clone();
+    }
+
+    /// Comes back from the copy, in a new era: what was written since is gone, and revisions after it
+    /// are given out again.
+    pub fn restore(&self) {
+        let copy = lock(&self.shared.copy).clone();
+        let version = copy.version();
+        self.shared.era.fetch_add(1, Ordering::SeqCst);
+        *lock(&self.shared.store) = copy;
+        self.shared.version.send_replace(version);
+    }
+
     /// Stops it; the same as dropping it.
     pub fn stop(self) {}
 }
--- a/crates/kelpworks-fakes/src/object_api/store.rs
+++ b/crates/kelpworks-fakes/src/object_api/store.rs
@@ -8,14 +8,14 @@
 use kelpworks_wire::WatchEventKind;
 
 /// An object and the version before it, for stale reads.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Slot {
     current: Option<Object>,
     previous: Option<Object>,
 }
 
 /// All objects.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Store {
     /// Rises by one a change.
     version: u64,
@@ -97,10 +97,11 @@
         }
     }
 
-    /// The changes of a kind after a version; absent when some are no longer kept.
+    /// The changes of a kind after a version; absent when some are no longer kept, or when it was given
+    /// out before the store came back from an older copy.
     pub(super) fn after(&self, kind: &str, version: u64) -> Option<Vec<WatchEvent>> {
         let oldest = self.version - self.events.len() as u64;
-        if version < oldest {
+        if version < oldest || version > self.version {
             return None;
         }
         let later = self.events.iter().filter(|e| e.object.version > version);
--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -100,7 +100,8 @@
 pub struct Clients<A, E> {
     /// The store, for following it.
     pub store: A,
-    /// The store, for the lease, so that a new connection of one disturbs no watch of the other.
+    /// The store, for the lease, so that a new connection of one disturbs no watch of the other; it shares
+    /// the other's eras.
     pub lease: A,
     /// Orders to engines.
     pub engines: E,
@@ -200,6 +201,7 @@
             listen.peers,
             Arc::clone(&shared),
             Arc::clone(&documents),
+            clients.store.eras().clone(),
         );
         let peers = Arc::new(peers);
         peers.set_seeds(&settings.peers.seeds);
--- a/crates/kelpworks-relay/src/documents.rs
+++ b/crates/kelpworks-relay/src/documents.rs
@@ -7,9 +7,12 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::SystemTime;
 
+use kelpworks_coord::id::Version;
 use log::info;
 use log::warn;
 use serde::Deserialize;
@@ -46,12 +49,13 @@
     }
 }
 
-/// The upstreams' entries as of a revision of the store.
+/// The upstreams' entries as of a version.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Entries {
-    /// Revision of the store.
-    pub revision: u64,
+    /// Version of the whole list.
+    #[serde(flatten)]
+    pub version: Version,
     /// Texts by the name of the incarnation.
     pub texts: BTreeMap<Arc<str>, Arc<str>>,
 }
@@ -103,6 +107,8 @@
 pub struct Documents {
     shared: Arc<Shared>,
     held: Mutex<Held>,
+    /// Newest version that a peer said is in force there; never falls.
+    version_elsewhere: AtomicU64,
     /// Woken when another configuration is in force.
     changed: Notify,
 }
@@ -113,6 +119,7 @@
         Documents {
             shared,
             held: Mutex::default(),
+            version_elsewhere: AtomicU64::new(0),
             changed: Notify::new(),
         }
     }
@@ -122,14 +129,19 @@
         self.changed.notified().await;
     }
 
+    /// Notes which version a peer has in force.
+    pub(crate) fn note_version_elsewhere(&self, version: u64) {
+        self.version_elsewhere.fetch_max(version, Ordering::Relaxed);
+    }
+
     /// Version of the configuration in force; 0 when none is known.
     pub fn version(&self) -> u64 {
         self.shared.table.load().version()
     }
 
-    /// Revision of the upstreams' entries.
-    pub fn revision(&self) -> u64 {
-        self.held().entries.revision
+    /// Version of the upstreams' entries.
+    pub fn entries_version(&self) -> Version {
+        self.held().entries.version
     }
 
     /// Text of the configuration in force.
@@ -153,10 +165,16 @@
         };
         let mut held = self.held();
         let old = self.shared.table.load().version();
-        if configuration.version <= old {
+        let version = configuration.version;
+        if version <= old {
+            return true;
+        }
+        let elsewhere = self.version_elsewhere.load(Ordering::Relaxed);
+        if old == 0 && version < elsewhere {
+            // A list may be seconds old, or the store an older copy; that peer's text is under way.
+            info!(target: "decision", version, elsewhere, source:% = source.as_str(); "configuration not taken");
             return true;
         }
-        let version = configuration.version;
         held.configuration = Arc::from(text);
         self.shared.table.store(Arc::new(Table::new(configuration)));
         drop(held);
@@ -173,20 +191,21 @@
         true
     }
 
-    /// Takes the whole list of entries as of a revision, unless a newer one is held.
+    /// Takes the whole list of entries, unless a newer one is held.
     pub fn put_entries<D: Dialect>(&self, entries: Entries, source: Source) {
         let mut held = self.held();
-        if entries.revision < held.entries.revision {
+        if entries.version < held.entries.version {
             return;
         }
         held.entries = entries;
         self.publish::<D>(&mut held, source);
     }
 
-    /// Takes changes up to a revision.
-    pub fn change_entries<D: Dialect>(&self, changes: Vec<EntryChange>, revision: u64) {
+    /// Takes changes up to a version, unless a newer list is held. Changes of a later era are changes
+    /// of another list.
+    pub fn change_entries<D: Dialect>(&self, changes: Vec<EntryChange>, version: Version) {
         let mut held = self.held();
-        if revision < held.entries.revision {
+        if version < held.entries.version || version.era > held.entries.version.era {
             return;
         }
         for EntryChange { name, text } in changes {
@@ -195,15 +214,15 @@
                 None => held.entries.texts.remove(&name),
             };
         }
-        held.entries.revision = revision;
+        held.entries.version = version;
         self.publish::<D>(&mut held, Source::Store);
     }
 
     fn publish<D: Dialect>(&self, held: &mut Held, source: Source) {
         let decoded = held.decode::<D>();
-        let revision = held.entries.revision;
+        let version = held.entries.version;
         let mut fleet = self.shared.fleet();
-        let changes = fleet.replace(decoded, revision, Instant::now());
+        let changes = fleet.replace(decoded, version, Instant::now());
         drop(fleet);
         self.shared.upstreams_changed(&changes, source.as_str());
     }
--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -5,6 +5,7 @@
 //! This costs no probes, and finds a dead engine within a few usual pauses between events.
 
 mod owners;
+mod restored;
 mod upstream;
 
 use std::collections::HashMap;
@@ -12,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use kelpworks_coord::id::Version;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 use tokio::time::Instant;
@@ -24,6 +26,7 @@
 use crate::holdings::Holding;
 use crate::holdings::Holdings;
 use owners::Owners;
+use restored::Restored;
 
 pub use owners::Owner;
 pub use upstream::Blame;
@@ -75,28 +78,46 @@
     /// Entries as they were registered last, also those that don't count.
     registered: Vec<UpstreamEntry>,
     owners: Owners,
-    /// Revision of the store that the registrations are of; never falls.
-    revision: u64,
+    restored: Restored,
+    /// Version of the registrations; never falls.
+    version: Version,
 }
 
 impl Fleet {
-    /// Revision of the store that the registrations are of.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Version of the registrations.
+    pub fn version(&self) -> Version {
+        self.version
     }
 
-    /// Takes the whole list of registrations as of a revision; an older one changes nothing. Of those
+    /// Takes the whole list of registrations as of a version; an older one changes nothing. Of those
     /// that claim one address, or one id with several starts, one counts.
-    pub fn replace(&mut self, entries: Vec<UpstreamEntry>, revision: u64, now: Instant) -> Changes {
-        if revision < self.revision {
+    pub fn replace(
+        &mut self,
+        entries: Vec<UpstreamEntry>,
+        version: Version,
+        now: Instant,
+    ) -> Changes {
+        if version < self.version {
             return Changes::default();
         }
-        self.revision = revision;
-        self.owners.registered(&entries, now);
+        if version.era > self.version.era {
+            let before = self.restored.apply(&self.registered);
+            self.restored.begin(&before, &entries, now);
+        }
+        self.version = version;
         self.registered = entries;
+        let entries = self.restored.apply(&self.registered);
+        self.owners.registered(&entries, now);
         self.settle()
     }
 
+    /// Drops what upstreams did not register again in time after the store came back from an older
+    /// copy; `None` when no such time has ended.
+    pub fn expire_restored(&mut self, now: Instant) -> Option<Changes> {
+        let has_ended = self.restored.expire(&self.registered, now);
+        has_ended.then(|| self.settle())
+    }
+
     /// Takes an upstream's own word on who has its address; whether that is news.
     pub fn tell_owner(&mut self, owner: Owner, now: Instant) -> Option<Changes> {
         let is_news = self.owners.tell(owner, now);
@@ -148,7 +169,8 @@
             Some(&known) if known.start > entry.start => known.clone(),
             _ => entry.clone(),
         };
-        let entries: Vec<UpstreamEntry> = self.registered.iter().map(newest).collect();
+        let entries = self.restored.apply(&self.registered);
+        let entries = entries.iter().map(newest).collect();
         self.owners.counting(entries)
     }
 
--- a/crates/kelpworks-relay/src/follow.rs
+++ b/crates/kelpworks-relay/src/follow.rs
@@ -10,10 +10,12 @@
 use std::time::Duration;
 
 use kelpworks::border::object_api::Error;
+use kelpworks::border::object_api::Object;
 use kelpworks::border::object_api::ObjectApi;
 use kelpworks::border::object_api::Result;
-use kelpworks_wire::Object;
-use kelpworks_wire::WatchEventKind;
+use kelpworks::border::object_api::WatchEventKind;
+use kelpworks_coord::id::Era;
+use kelpworks_coord::id::Version;
 use log::info;
 use log::warn;
 use tokio_util::sync::CancellationToken;
@@ -52,8 +54,8 @@
 /// What came of a call.
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    /// It was answered, as of this revision.
-    Seen(u64),
+    /// It was answered, as of this version.
+    Seen(Version),
     /// It was given up, since nobody has word of the store.
     Overdue,
 }
@@ -62,7 +64,7 @@
 #[derive(Clone, Debug)]
 struct State {
     /// What it watches on from; it lists where there is none.
-    revision: Option<u64>,
+    version: Option<Version>,
     duty: Option<Watch>,
     /// Whether its last call failed.
     lost: bool,
@@ -75,7 +77,7 @@
 impl State {
     fn new() -> State {
         State {
-            revision: None,
+            version: None,
             duty: None,
             lost: false,
             pause: PAUSE,
@@ -115,25 +117,25 @@
             let watch = self.peers.watch(self.what);
             self.note_duty(&mut state, watch);
             let Some(watch) = watch else {
-                // What others tell meanwhile is newer than this revision.
-                state.revision = None;
+                // What others tell meanwhile is newer than this version.
+                state.version = None;
                 tokio::time::sleep(OTHERS_WATCH).await;
                 continue;
             };
             self.count("begun");
             match self.step::<D>(watch, &state).await {
-                Ok(Step::Seen(revision)) => {
-                    self.answered(&mut state, revision);
+                Ok(Step::Seen(version)) => {
+                    self.answered(&mut state, version);
                     tokio::time::sleep(GATHER).await;
                 }
                 Ok(Step::Overdue) => {
                     self.overdue();
-                    state.revision = None;
+                    state.version = None;
                 }
                 Err(Error::Expired) => {
                     self.count("answered");
                     info!(kind:% = self.what.as_str(); "history of the store is gone, listing anew");
-                    state.revision = None;
+                    state.version = None;
                 }
                 Err(e) => {
                     self.failed(&mut state, &e);
@@ -153,14 +155,14 @@
         info!(target: "decision", kind:% = self.what.as_str(), how; "duty to watch the store");
     }
 
-    fn answered(&self, state: &mut State, revision: u64) {
+    fn answered(&self, state: &mut State, version: Version) {
         self.count("answered");
         self.peers.store(self.what, true);
         if state.lost {
-            info!(kind:% = self.what.as_str(), revision; "store regained");
+            info!(kind:% = self.what.as_str(), version:% = version; "store regained");
         }
         *state = State {
-            revision: Some(revision),
+            version: Some(version),
             duty: state.duty,
             ..State::new()
         };
@@ -180,7 +182,7 @@
         }
         state.lost = true;
         // A watch would say nothing until its wait is over.
-        state.revision = None;
+        state.version = None;
         self.peers.store(self.what, false);
         self.api.fresh();
     }
@@ -195,11 +197,19 @@
     /// What the store holds, for a daemon that has just started: callers may be waiting, and peers may
     /// be starting too. It asks again until somebody watches, since registrations may be coming back.
     /// Watching at once would cost each daemon of a fleet that starts a call for each registration.
+    ///
+    /// A store that has ever come back from an older copy may just have done so: what it shows then waits
+    /// until peers have had time to tell of anything newer.
     async fn begin<D: Dialect>(&self) {
         let kind = self.kind::<D>();
         loop {
             match self.api.list_relaxed(kind).await {
-                Ok(list) => self.listed::<D>(list.items, list.version),
+                Ok(list) => {
+                    if list.version.era > Era::FIRST {
+                        self.peers.until_greeted().await;
+                    }
+                    self.listed::<D>(list.items, list.version);
+                }
                 Err(e) => info!(kind:% = kind, error:% = e; "no first list, left to peers"),
             }
             if self.has_begun() {
@@ -224,7 +234,7 @@
     /// One call: a list, or a watch from a revision.
     async fn step<D: Dialect>(&self, watch: Watch, state: &State) -> Result<Step> {
         let kind = self.kind::<D>();
-        let Some(from) = state.revision else {
+        let Some(from) = state.version else {
             let list = within(state.patience, self.api.list(kind)).await?;
             self.listed::<D>(list.items, list.version);
             return Ok(Step::Seen(list.version));
@@ -244,7 +254,7 @@
         Ok(Step::Seen(reply.version))
     }
 
-    fn listed<D: Dialect>(&self, objects: Vec<Object>, version: u64) {
+    fn listed<D: Dialect>(&self, objects: Vec<Object>, version: Version) {
         match self.what {
             What::Configuration => {
                 let named = objects.iter().filter(|o| o.name == D::CONFIGURATION_NAME);
@@ -258,7 +268,7 @@
                     .iter()
                     .map(|o| (Arc::from(&*o.name), Arc::from(&*o.body)));
                 let entries = Entries {
-                    revision: version,
+                    version,
                     texts: texts.collect(),
                 };
                 self.documents.put_entries::<D>(entries, Source::Store);
@@ -266,7 +276,7 @@
         }
     }
 
-    fn changed<D: Dialect>(&self, events: Vec<(WatchEventKind, Object)>, version: u64) {
+    fn changed<D: Dialect>(&self, events: Vec<(WatchEventKind, Object)>, version: Version) {
         if events.is_empty() {
             return;
         }
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -36,6 +36,7 @@
 use jsonrpsee::server::Server;
 use jsonrpsee::server::ServerConfig;
 use jsonrpsee::server::ServerHandle;
+use kelpworks::border::era::Eras;
 use kelpworks::membership::links;
 use kelpworks::membership::links::Links;
 use rand::seq::IndexedRandom;
@@ -111,6 +112,8 @@
     address: SocketAddr,
     shared: Arc<Shared>,
     documents: Arc<Documents>,
+    /// Eras of the store, shared with this daemon's clients of it.
+    eras: Eras,
     links: Links,
     started: Instant,
     seeds: Mutex<Vec<SocketAddr>>,
@@ -130,6 +133,7 @@
         address: SocketAddr,
         shared: Arc<Shared>,
         documents: Arc<Documents>,
+        eras: Eras,
     ) -> Peers {
         let started = Instant::now();
         Peers {
@@ -138,6 +142,7 @@
             address,
             shared,
             documents,
+            eras,
             links: Links::default(),
             started,
             seeds: Mutex::default(),
@@ -178,6 +183,7 @@
         let mut tick = tokio::time::interval(EXCHANGE);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut ticks = 0u32;
+        let mut era = self.eras.latest();
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
@@ -191,6 +197,8 @@
                 // Told on at once: by exchanges alone it takes most of the time that is allowed until the
                 // last daemon has it.
                 () = self.documents.configuration_changed() => {}
+                // Most daemons don't ask the store, and what they hold may be from before.
+                () = self.eras.after(era) => era = self.eras.latest(),
             }
             for address in self.partners() {
                 let peers = Arc::clone(&self);
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use kelpworks::border::era::EraSource;
 use log::info;
 use tokio::time::Instant;
 
@@ -85,7 +86,8 @@
         Digest {
             from: self.own_contact(now),
             version: self.documents.version(),
-            revision: self.documents.revision(),
+            entries: self.documents.entries_version(),
+            latest_era: self.eras.latest(),
             knows: known,
             store: self.store_ages(now),
             director: self.director(now),
@@ -144,6 +146,8 @@
     /// Takes what a daemon tells.
     pub(super) fn heard(&self, digest: &Digest) {
         let now = Instant::now();
+        self.eras.observe(digest.latest_era, EraSource::Peer);
+        self.documents.note_version_elsewhere(digest.version);
         // What was told was true up to one exchange ago.
         let since = now.checked_sub(EXCHANGE).unwrap_or(now);
         self.meet(std::iter::once(&digest.from).chain(&digest.members), now);
--- a/crates/kelpworks-relay/src/peers/fleet_tests.rs
+++ b/crates/kelpworks-relay/src/peers/fleet_tests.rs
@@ -47,6 +47,13 @@
         }
     }
 
+    /// Starts one more daemon, which knows the seeds.
+    pub(super) fn join(&mut self, new: Arc<Peers>) {
+        let seeds: Vec<SocketAddr> = (0..3).map(address).collect();
+        new.set_seeds(&seeds);
+        self.all.push(new);
+    }
+
     /// Lets every daemon exchange with its partners, once an interval, for so long.
     pub(super) async fn run(&mut self, span: Duration) {
         let until = Instant::now() + span;
--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use kelpworks_coord::id::Era;
+use kelpworks_coord::id::Version;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::Instant;
@@ -149,8 +151,12 @@
     pub(super) from: Contact,
     /// Version of the configuration in force there.
     pub(super) version: u64,
-    /// Revision of the upstreams' entries there.
-    pub(super) revision: u64,
+    /// Version of the upstreams' entries there.
+    #[serde(flatten)]
+    pub(super) entries: Version,
+    /// Latest era of the store that it has heard of.
+    #[serde(default)]
+    pub(super) latest_era: Era,
     /// Daemons that it knows.
     pub(super) knows: usize,
     /// When the store was last known to answer a daemon that watches it.
@@ -179,7 +185,7 @@
     pub(super) version: u64,
     /// The configuration, when it is newer than was asked for.
     pub(super) configuration: Option<Packed>,
-    /// The entries of upstreams and their revision, as JSON, when newer than was asked for.
+    /// The entries of upstreams and their version, as JSON, when newer than was asked for.
     pub(super) entries: Option<Packed>,
 }
 
@@ -188,7 +194,8 @@
 #[derive(Serialize, Deserialize)]
 pub(crate) struct Known {
     pub(super) version: u64,
-    pub(super) revision: u64,
+    #[serde(flatten)]
+    pub(super) entries: Version,
 }
 
 /// Age of a moment, as messages tell it.
--- a/crates/kelpworks-relay/src/peers/packed.rs
+++ b/crates/kelpworks-relay/src/peers/packed.rs
@@ -68,13 +68,13 @@
 
 /// The text of a version, packed once.
 #[derive(Debug, Default)]
-pub(super) struct Pack {
-    latest: Option<(u64, Packed)>,
+pub(super) struct Pack<V> {
+    latest: Option<(V, Packed)>,
 }
 
-impl Pack {
+impl<V: Copy + PartialEq> Pack<V> {
     /// The packed text of a version; packs it where another one was asked for last.
-    pub(super) fn of(&mut self, version: u64, text: impl FnOnce() -> Arc<str>) -> Packed {
+    pub(super) fn of(&mut self, version: V, text: impl FnOnce() -> Arc<str>) -> Packed {
         match &self.latest {
             Some((known, packed)) if *known == version => packed.clone(),
             _ => {
@@ -86,7 +86,7 @@
     }
 
     /// Keeps the packed text of a version as it came.
-    pub(super) fn keep(&mut self, version: u64, packed: Packed) {
+    pub(super) fn keep(&mut self, version: V, packed: Packed) {
         self.latest = Some((version, packed));
     }
 }
--- a/crates/kelpworks-relay/src/peers/roles.rs
+++ b/crates/kelpworks-relay/src/peers/roles.rs
@@ -34,6 +34,11 @@
 /// Time without an exchange after which a daemon acts as if there were no other: it is cut off from
 /// the others, or there are none.
 pub(super) const ALONE: Duration = Duration::from_millis(1_500);
+/// Longest time for which a daemon that starts waits for its first exchange before it trusts a store that
+/// may just have come back from an older copy.
+const GREETING: Duration = Duration::from_millis(300);
+/// Time between two looks whether that exchange has been made.
+const GREETING_POLL: Duration = Duration::from_millis(20);
 /// Silence of whoever gives orders after which another daemon takes over: four exchanges.
 pub(super) const DIRECTOR_SILENT: Duration = Duration::from_secs(1);
 /// Added for each doubling of the fleet beyond a small one: word passes through one more daemon then,
@@ -219,6 +224,14 @@
 }
 
 impl Peers {
+    /// Waits for the first exchange with another daemon, for a while.
+    pub(crate) async fn until_greeted(&self) {
+        let until = self.started + GREETING;
+        while Instant::now() < until && !lock(&self.duties).has_met_since(self.started) {
+            tokio::time::sleep(GREETING_POLL).await;
+        }
+    }
+
     /// Daemons that may be working now, this one included.
     pub(crate) fn sharing(&self) -> usize {
         let known = lock(&self.members).known() + 1;
--- a/crates/kelpworks-relay/src/peers/store_tests.rs
+++ b/crates/kelpworks-relay/src/peers/store_tests.rs
@@ -16,25 +16,30 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use kelpworks::border::era::Eras;
 use kelpworks::border::object_api::Condition;
 use kelpworks::border::object_api::Deadlines;
 use kelpworks::border::object_api::Error;
+use kelpworks::border::object_api::Object;
 use kelpworks::border::object_api::ObjectApi;
+use kelpworks::border::object_api::ObjectList;
 use kelpworks::border::object_api::Result;
-use kelpworks_wire::Object;
-use kelpworks_wire::ObjectList;
-use kelpworks_wire::WatchEvent;
-use kelpworks_wire::WatchEventKind;
-use kelpworks_wire::WatchReply;
+use kelpworks::border::object_api::WatchEvent;
+use kelpworks::border::object_api::WatchEventKind;
+use kelpworks::border::object_api::WatchReply;
+use kelpworks_coord::id::Era;
+use kelpworks_coord::id::Version;
 use rstest::rstest;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use super::Peers;
 use super::What;
 use super::fleet_tests::Simulated;
 use super::lock;
 use super::tests::Numbered;
+use super::tests::peers;
 use crate::dialect::Dialect;
 use crate::follow::Follower;
 
@@ -61,11 +66,19 @@
     changed: Notify,
 }
 
-#[derive(Debug, Default)]
-struct State {
+/// What the store keeps, and loses when it comes back from a copy.
+#[derive(Clone, Copy, Debug, Default)]
+struct Kept {
     revision: u64,
     /// Number and revision of each kind's object.
     objects: [(u64, u64); 2],
+}
+
+#[derive(Debug, Default)]
+struct State {
+    era: u64,
+    kept: Kept,
+    copy: Kept,
     is_away: bool,
     /// Calls from before are never answered.
     lost_before: Option<Instant>,
@@ -75,8 +88,22 @@
 impl Store {
     fn put(&self, what: What, number: u64) {
         let mut state = lock(&self.state);
-        state.revision += 1;
-        state.objects[what as usize] = (number, state.revision);
+        state.kept.revision += 1;
+        state.kept.objects[what as usize] = (number, state.kept.revision);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    fn take_copy(&self) {
+        let mut state = lock(&self.state);
+        state.copy = state.kept;
+    }
+
+    /// Comes back from the copy: what was written since is gone.
+    fn restore(&self) {
+        let mut state = lock(&self.state);
+        state.kept = state.copy;
+        state.era += 1;
         drop(state);
         self.changed.notify_waiters();
     }
@@ -106,9 +133,10 @@
         !state.is_away && state.lost_before.is_none_or(|lost| lost < begun)
     }
 
-    fn object(&self, what: What) -> (Object, u64) {
+    fn object(&self, what: What) -> (Object, Version) {
         let state = lock(&self.state);
-        let (number, version) = state.objects[what as usize];
+        let (number, revision) = state.kept.objects[what as usize];
+        let version = |revision| Version::new(Era(state.era), revision);
         let (kind, name) = match what {
             What::Configuration => (Numbered::CONFIGURATION_KIND, Numbered::CONFIGURATION_NAME),
             What::Upstreams => (Numbered::UPSTREAMS_KIND, "e-1"),
@@ -116,10 +144,10 @@
         let object = Object {
             kind: kind.to_owned(),
             name: name.to_owned(),
-            version,
+            version: version(revision),
             body: number.to_string(),
         };
-        (object, state.revision)
+        (object, version(state.kept.revision))
     }
 }
 
@@ -135,6 +163,45 @@
 struct Client {
     store: Arc<Store>,
     deadlines: Deadlines,
+    eras: Eras,
+}
+
+impl Client {
+    /// Waits as the store does for a change, which it judges by revisions alone.
+    async fn changes(&self, kind: &str, from: u64, wait: Duration) -> Result<WatchReply> {
+        let begun = Instant::now();
+        let given_up = begun + wait + self.deadlines.watch_margin;
+        if !self.store.begin() {
+            tokio::time::sleep_until(given_up).await;
+            return Err(Error::Silent);
+        }
+        tokio::time::sleep(LATENCY).await;
+        loop {
+            let changed = self.store.changed.notified();
+            let (object, version) = self.store.object(what(kind));
+            let answers = self.store.answers(begun);
+            let is_news = object.version.revision > from;
+            if answers && version.revision < from {
+                self.eras.of_answer(Some(version.era))?;
+                return Err(Error::Expired);
+            }
+            if answers && (is_news || begun.elapsed() >= wait) {
+                self.eras.of_answer(Some(version.era))?;
+                let kind = WatchEventKind::Put;
+                let event = WatchEvent { kind, object };
+                let events = is_news.then_some(event).into_iter().collect();
+                return Ok(WatchReply { events, version });
+            }
+            if Instant::now() >= given_up {
+                return Err(Error::Silent);
+            }
+            let until = match begun.elapsed() < wait {
+                true => begun + wait,
+                false => given_up,
+            };
+            let _ = tokio::time::timeout_at(until, changed).await;
+        }
+    }
 }
 
 impl ObjectApi for Client {
@@ -159,42 +226,45 @@
             return Err(Error::Lost);
         }
         let (object, version) = self.store.object(what(kind));
+        self.eras.of_answer(Some(version.era))?;
         let items = vec![object];
         Ok(ObjectList { items, version })
     }
 
-    async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Result<WatchReply> {
-        let begun = Instant::now();
-        let given_up = begun + wait + self.deadlines.watch_margin;
-        if !self.store.begin() {
-            tokio::time::sleep_until(given_up).await;
-            return Err(Error::Silent);
-        }
-        tokio::time::sleep(LATENCY).await;
-        loop {
-            let changed = self.store.changed.notified();
-            let (object, version) = self.store.object(what(kind));
-            let is_news = object.version > from;
-            if self.store.answers(begun) && (is_news || begun.elapsed() >= wait) {
-                let kind = WatchEventKind::Put;
-                let event = WatchEvent { kind, object };
-                let events = is_news.then_some(event).into_iter().collect();
-                return Ok(WatchReply { events, version });
-            }
-            if Instant::now() >= given_up {
-                return Err(Error::Silent);
-            }
-            let until = match begun.elapsed() < wait {
-                true => begun + wait,
-                false => given_up,
-            };
-            let _ = tokio::time::timeout_at(until, changed).await;
+    async fn watch(&self, kind: &str, from: Version, wait: Duration) -> Result<WatchReply> {
+        let reply = self.changes(kind, from.revision, wait);
+        let reply = self.eras.within(from.era, reply).await?;
+        match reply.version.era > from.era {
+            true => Err(Error::Expired),
+            false => Ok(reply),
         }
     }
 
+    fn eras(&self) -> &Eras {
+        &self.eras
+    }
+
     fn fresh(&self) {}
 }
 
+/// Lets a daemon follow both kinds.
+fn follow(peers: &Arc<Peers>, store: &Arc<Store>, stop: &CancellationToken) {
+    for what in [What::Configuration, What::Upstreams] {
+        let client = Client {
+            store: Arc::clone(store),
+            deadlines: Deadlines::default(),
+            eras: peers.eras.clone(),
+        };
+        let follower = Follower {
+            api: Arc::new(client),
+            documents: Arc::clone(&peers.documents),
+            peers: Arc::clone(peers),
+            what,
+        };
+        tokio::spawn(follower.run::<Numbered>(stop.clone()));
+    }
+}
+
 /// A fleet that follows a store, settled, with the first configuration and entry.
 async fn following(size: usize) -> (Simulated, Arc<Store>, CancellationToken) {
     let store = Arc::new(Store::default());
@@ -204,19 +274,7 @@
     let mut fleet = Simulated::start(size);
     let stop = CancellationToken::new();
     for peers in &fleet.all {
-        for what in [What::Configuration, What::Upstreams] {
-            let client = Client {
-                store: Arc::clone(&store),
-                deadlines: Deadlines::default(),
-            };
-            let follower = Follower {
-                api: Arc::new(client),
-                documents: Arc::clone(&peers.documents),
-                peers: Arc::clone(peers),
-                what,
-            };
-            tokio::spawn(follower.run::<Numbered>(stop.clone()));
-        }
+        follow(peers, &store, &stop);
     }
     fleet.run(CALM).await;
     assert_eq!(behind(&fleet, &store, What::Configuration), 0);
@@ -228,7 +286,7 @@
     let (object, _) = store.object(what);
     fleet.count(|me| match what {
         What::Configuration => me.documents.version().to_string() != object.body,
-        What::Upstreams => me.documents.revision() < object.version,
+        What::Upstreams => me.documents.entries_version() < object.version,
     })
 }
 
@@ -265,6 +323,126 @@
     stop.cancel();
 }
 
+/// How the store comes back from an older copy.
+#[derive(Clone, Copy, Debug)]
+enum Restore {
+    /// Between two calls.
+    AtOnce,
+    /// After it has answered nobody for so long.
+    AfterOutage(Duration),
+    /// Twice, the second time while upstreams and operators write again.
+    Twice,
+    /// While it turns away all daemons that watch it, for so long.
+    UnseenByWatchers(Duration),
+}
+
+/// A store that comes back from an older copy gives revisions out again. A watch from one that it had
+/// given out before misses what is written now, and nobody takes what looks older than what is held.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_soon_after_the_store_came_back_from_an_older_copy(
+    #[values(What::Configuration, What::Upstreams)] what: What,
+    #[values(
+        Restore::AtOnce,
+        Restore::AfterOutage(Duration::from_millis(400)),
+        Restore::AfterOutage(Duration::from_millis(6_800)),
+        Restore::Twice,
+        Restore::UnseenByWatchers(Duration::from_millis(1_500))
+    )]
+    restore: Restore,
+    #[values(1, 7)] lost: u64,
+    #[values((9, 3), (66, 4), (295, 5))] (size, within_s): (usize, u64),
+) {
+    let (mut fleet, store, stop) = following(size).await;
+    store.take_copy();
+    for number in 2..2 + lost {
+        store.put(what, number);
+        fleet.run(Duration::from_millis(300)).await;
+    }
+    fleet.run(CALM).await;
+    match restore {
+        Restore::AtOnce => store.restore(),
+        Restore::AfterOutage(span) => {
+            store.set_away(true);
+            fleet.run(span).await;
+            store.restore();
+            store.set_away(false);
+        }
+        Restore::Twice => {
+            store.restore();
+            fleet.run(Duration::from_secs(1)).await;
+            store.put(what, 1 + lost);
+            store.restore();
+        }
+        Restore::UnseenByWatchers(span) => {
+            store.set_away(true);
+            store.restore();
+            fleet.run(span).await;
+            store.set_away(false);
+        }
+    }
+    // What the operators and upstreams had written is written again, and a change after it.
+    fleet.run(Duration::from_millis(500)).await;
+    store.put(what, 1 + lost);
+    store.put(what, 2 + lost);
+    fleet.run(Duration::from_secs(within_s)).await;
+    let behind = behind(&fleet, &store, what);
+    assert_eq!(behind, 0, "of {size} daemons, after {within_s} s");
+    stop.cancel();
+}
+
+/// The copy shows an older configuration until its operators have written the newer one again.
+#[rstest]
+#[case::small(9)]
+#[case::larger(66)]
+#[tokio::test(start_paused = true)]
+async fn no_configuration_goes_back_and_a_daemon_that_starts_takes_the_one_of_its_peers(
+    #[case] size: usize,
+) {
+    let (mut fleet, store, stop) = following(size).await;
+    store.take_copy();
+    store.put(What::Configuration, 2);
+    fleet.run(CALM).await;
+    store.restore();
+    fleet.run(Duration::from_secs(1)).await;
+    let new = Arc::new(peers(size));
+    follow(&new, &store, &stop);
+    fleet.join(new);
+    for _ in 0..20 {
+        fleet.run(Duration::from_millis(250)).await;
+        let older = fleet.count(|me| me.documents.version() == 1);
+        assert_eq!(older, 0, "daemons that serve by the older copy");
+    }
+    assert_eq!(fleet.count(|me| me.documents.version() == 2), size + 1);
+    stop.cancel();
+}
+
+/// Each call is paid for by operators: a restored store costs no more of them than an outage.
+#[rstest]
+#[case::small(9)]
+#[case::large(295)]
+#[tokio::test(start_paused = true)]
+async fn a_restored_store_is_asked_no_more_than_one_that_was_away(#[case] size: usize) {
+    let mut calls = Vec::new();
+    for restores in [false, true] {
+        let (mut fleet, store, stop) = following(size).await;
+        store.take_copy();
+        store.put(What::Upstreams, 2);
+        fleet.run(CALM).await;
+        let before = store.calls();
+        store.set_away(true);
+        fleet.run(Duration::from_secs(1)).await;
+        if restores {
+            store.restore();
+        }
+        store.set_away(false);
+        fleet.run(CALM).await;
+        calls.push(store.calls() - before);
+        stop.cancel();
+    }
+    assert!(calls[1] <= calls[0] + 8, "calls: {calls:?}");
+}
+
 /// Each call is paid for by operators: on a calm day the whole fleet makes under two a second.
 #[rstest]
 #[case::small(9)]
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use kelpworks::border::era::Eras;
+use kelpworks_coord::id::Era;
+use kelpworks_coord::id::Version;
 use rstest::rstest;
 use tokio::time::Instant;
 use tokio::time::advance;
@@ -74,7 +77,8 @@
     let shared = Arc::new(Shared::new(domain_of(number), BOUND, 1));
     let documents = Arc::new(Documents::new(Arc::clone(&shared)));
     let address = address(number);
-    Peers::new(&format!("entry-{number}"), address, shared, documents)
+    let name = format!("entry-{number}");
+    Peers::new(&name, address, shared, documents, Eras::default())
 }
 
 pub(super) fn address(number: usize) -> std::net::SocketAddr {
@@ -113,7 +117,8 @@
     Digest {
         from: contact(number),
         version: 0,
-        revision: 0,
+        entries: Version::initial(0),
+        latest_era: Era::FIRST,
         knows: 0,
         store: StoreAges::default(),
         director: None,
@@ -245,7 +250,9 @@
 #[tokio::test(start_paused = true)]
 async fn what_was_told_stands_for_its_domain_and_grows_old() {
     let me = peers(0);
-    me.shared.fleet().replace(vec![engine()], 1, Instant::now());
+    me.shared
+        .fleet()
+        .replace(vec![engine()], Version::initial(1), Instant::now());
     let mut told = digest(1);
     told.load.push(LoadOf {
         instance: Arc::from("e-1"),
@@ -394,7 +401,9 @@
 async fn words_on_engines_go_from_peer_to_peer_until_they_are_old() {
     let all: Vec<Peers> = (0..3).map(peers).collect();
     for me in &all {
-        me.shared.fleet().replace(vec![engine()], 1, Instant::now());
+        me.shared
+            .fleet()
+            .replace(vec![engine()], Version::initial(1), Instant::now());
     }
     let slowness = |me: &Peers| {
         let fleet = me.shared.fleet();
@@ -417,7 +426,9 @@
 async fn a_doubt_goes_from_peer_to_peer_and_ends_for_all() {
     let all: Vec<Peers> = (0..3).map(peers).collect();
     for me in &all {
-        me.shared.fleet().replace(vec![engine()], 1, Instant::now());
+        me.shared
+            .fleet()
+            .replace(vec![engine()], Version::initial(1), Instant::now());
     }
     let takes_no_work = |me: &Peers| {
         let fleet = me.shared.fleet();
@@ -451,7 +462,7 @@
     let now = Instant::now();
     let keys = {
         let mut fleet = me.shared.fleet();
-        fleet.replace(engines.to_vec(), 1, now);
+        fleet.replace(engines.to_vec(), Version::initial(1), now);
         ["e-1", "e-2"].map(|e| fleet.key_of(e).expect("known"))
     };
     me.shared.fleet().doubt_one_of(&keys, now);
@@ -517,7 +528,7 @@
     let (entry, engines) = whole_engine();
     me.shared
         .fleet()
-        .replace(vec![entry.clone()], 1, Instant::now());
+        .replace(vec![entry.clone()], Version::initial(1), Instant::now());
     for other in 1..=others {
         me.heard(&digest(other));
     }
@@ -585,7 +596,7 @@
     drop(listener);
     let shared = Arc::new(Shared::new("a", BOUND, 1));
     let documents = Arc::new(Documents::new(Arc::clone(&shared)));
-    let seed = Arc::new(Peers::new("seed", free, shared, documents));
+    let seed = Arc::new(Peers::new("seed", free, shared, documents, Eras::default()));
     let server = seed.listen::<Numbered>().await.expect("it listens");
     let others: Vec<Peers> = (0..370).map(peers).collect();
     for other in &others {
--- a/crates/kelpworks-relay/src/peers/texts.rs
+++ b/crates/kelpworks-relay/src/peers/texts.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use kelpworks_coord::id::Version;
 use log::warn;
 
 use super::Peers;
@@ -20,9 +21,9 @@
     pub(super) fn known_if_older(&self, theirs: &Digest) -> Option<Known> {
         let known = Known {
             version: self.documents.version(),
-            revision: self.documents.revision(),
+            entries: self.documents.entries_version(),
         };
-        let is_older = known.version < theirs.version || known.revision < theirs.revision;
+        let is_older = known.version < theirs.version || known.entries < theirs.entries;
         is_older.then_some(known)
     }
 
@@ -42,10 +43,10 @@
         if let Some(packed) = texts.entries {
             match entries_of(&packed) {
                 Ok(entries) => {
-                    let revision = entries.revision;
+                    let version = entries.version;
                     self.documents.put_entries::<D>(entries, Source::Peer);
-                    if self.documents.revision() == revision {
-                        lock(&self.packs).entries.keep(revision, packed);
+                    if self.documents.entries_version() == version {
+                        lock(&self.packs).entries.keep(version, packed);
                     }
                 }
                 Err(e) => warn!(error:% = e; "entries of a peer can't be read"),
@@ -55,7 +56,8 @@
 
     /// The texts that are newer than known.
     pub(super) fn texts(&self, known: Known) -> Texts {
-        let (version, revision) = (self.documents.version(), self.documents.revision());
+        let version = self.documents.version();
+        let entries_version = self.documents.entries_version();
         let mut packs = lock(&self.packs);
         let configuration = || {
             let text = || self.documents.configuration();
@@ -65,12 +67,12 @@
         let entries = || {
             packs
                 .entries
-                .of(revision, || json_of(&self.documents.entries()))
+                .of(entries_version, || json_of(&self.documents.entries()))
         };
         Texts {
             version,
             configuration,
-            entries: (revision > known.revision).then(entries),
+            entries: (entries_version > known.entries).then(entries),
         }
     }
 }
@@ -89,6 +91,6 @@
 /// Texts as they go to peers.
 #[derive(Debug, Default)]
 pub(super) struct Packs {
-    configuration: Pack,
-    entries: Pack,
+    configuration: Pack<u64>,
+    entries: Pack<Version>,
 }
--- a/crates/kelpworks-relay/src/placer.rs
+++ b/crates/kelpworks-relay/src/placer.rs
@@ -176,7 +176,8 @@
         authority
     }
 
-    /// Goes back to the registrations of engines whose own word was not confirmed in time.
+    /// Goes back to the registrations of engines whose own word was not confirmed in time, or that did
+    /// not register again.
     fn expire(&self) {
         let registrations_come = self.peers.sees_store(What::Upstreams);
         let now = Instant::now();
@@ -184,6 +185,11 @@
         for instance in over {
             info!(target: "decision", upstream:% = instance; "layers told no longer count");
         }
+        let changes = self.shared.fleet().expire_restored(now);
+        if let Some(changes) = changes {
+            self.shared
+                .upstreams_changed(&changes, "entries that were not written again");
+        }
     }
 
     /// Asks engines that should have loaded by now what they hold.
@@ -423,7 +429,7 @@
             to = placement.layers.to,
             expected,
             fence,
-            fleet_revision = self.shared.fleet().revision(),
+            fleet_version:% = self.shared.fleet().version(),
             outcome:% = reply;
             "layers ordered"
         );
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -390,7 +390,7 @@
         target: "decision",
         request:% = ticket.id,
         upstream:% = instance.as_deref().unwrap_or("gone"),
-        fleet_revision = fleet.revision(),
+        fleet_version:% = fleet.version(),
         verdict:% = verdict,
         left_ms = ticket.left().as_millis() as u64,
         why:% = why;
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -318,7 +318,7 @@
             named = named.is_some(),
             running = fleet.get(blamed).map(|u| u.load().running),
             reserved = fleet.get(blamed).map(|u| u.load().reserved.round()),
-            fleet_revision = fleet.revision(),
+            fleet_version:% = fleet.version(),
             status = response.status().as_u16(),
             why:% = why;
             "engine passed over"
--- a/crates/kelpworks-relay/src/relay/stream/reroute.rs
+++ b/crates/kelpworks-relay/src/relay/stream/reroute.rs
@@ -145,7 +145,7 @@
             stopped:% = stopped.join(","),
             last_event = self.last_event.unwrap_or(0),
             path:% = text_of(hops),
-            fleet_revision = fleet.revision(),
+            fleet_version:% = fleet.version(),
             outcome:% = reply.as_str();
             "path changed"
         );
--- a/crates/kelpworks-relay/src/relay/stream/trace.rs
+++ b/crates/kelpworks-relay/src/relay/stream/trace.rs
@@ -30,7 +30,7 @@
             target: "decision",
             request:% = self.ticket.id,
             tokens = self.tokens(),
-            fleet_revision = fleet.revision(),
+            fleet_version:% = fleet.version(),
             layer = layer.unwrap_or(0),
             holders:% = holders.join("; "),
             why:% = why.as_str();
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -155,7 +155,7 @@
         }
         let fleet = self.fleet();
         self.pool.retain(|key| fleet.get(key).is_some());
-        let revision = fleet.revision();
+        let version = fleet.version();
         drop(fleet);
         self.tell_news();
         let layers = changes.layers.iter().map(|(instance, range)| match range {
@@ -165,7 +165,7 @@
         let layers: Vec<String> = layers.collect();
         info!(
             target: "decision",
-            revision,
+            version:% = version,
             source:% = source,
             added:% = changes.added.join(","),
             leaving:% = changes.leaving.join(","),
--- a/crates/kelpworks-relay/src/spread.rs
+++ b/crates/kelpworks-relay/src/spread.rs
@@ -19,6 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use kelpworks_coord::id::Version;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
@@ -63,8 +64,8 @@
 pub struct Spread {
     paths: Vec<Parts>,
     made: Instant,
-    /// Revision of the registrations that it was made for.
-    revision: u64,
+    /// Version of the registrations that it was made for.
+    version: Version,
     /// Part of the load, of all domains, for which there was room.
     placed: f64,
 }
@@ -122,7 +123,7 @@
         let mut spread = Spread {
             paths: Vec::new(),
             made: ask.now,
-            revision: fleet.revision(),
+            version: fleet.version(),
             placed: 0.0,
         };
         let room: f64 = planned.iter().map(|p| p.cost.room).sum();
@@ -172,7 +173,7 @@
 
     /// Whether it still fits the fleet.
     pub fn is_fresh(&self, fleet: &Fleet, now: Instant) -> bool {
-        self.revision == fleet.revision() && now.duration_since(self.made) < FRESH
+        self.version == fleet.version() && now.duration_since(self.made) < FRESH
     }
 
     /// Part of the fleet's load for which there was room.
--- a/crates/kelpworks-relay/tests/fleet_support/mod.rs
+++ b/crates/kelpworks-relay/tests/fleet_support/mod.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 
+use kelpworks_coord::id::Version;
 use kelpworks_relay::config::Accelerator;
 use kelpworks_relay::config::Engines;
 use kelpworks_relay::dialect::LayerRange;
@@ -72,7 +73,7 @@
     }
     let entries = hosts.iter().enumerate().map(|(i, h)| entry(i, h)).collect();
     let mut fleet = Fleet::default();
-    fleet.replace(entries, 1, Instant::now());
+    fleet.replace(entries, Version::initial(1), Instant::now());
     fleet
 }
 
--- a/crates/kelpworks-relay/tests/holdings.rs
+++ b/crates/kelpworks-relay/tests/holdings.rs
@@ -11,6 +11,7 @@
 use fleet_support::empty_hosts;
 use fleet_support::entry;
 use fleet_support::range;
+use kelpworks_coord::id::Version;
 use kelpworks_relay::dialect::LayerRange;
 use kelpworks_relay::fleet::Fleet;
 use kelpworks_relay::holdings::Holding;
@@ -23,7 +24,7 @@
     let mut host = empty_hosts(&["a"]).remove(0);
     host.layers = layers;
     let mut fleet = Fleet::default();
-    fleet.replace(vec![entry(1, &host)], 1, Instant::now());
+    fleet.replace(vec![entry(1, &host)], Version::initial(1), Instant::now());
     (fleet, host.instance)
 }
 
@@ -31,7 +32,7 @@
 fn register(fleet: &mut Fleet, layers: LayerRange, revision: u64) {
     let mut entry = fleet.entries().remove(0);
     entry.layers = Some(layers);
-    fleet.replace(vec![entry], revision, Instant::now());
+    fleet.replace(vec![entry], Version::initial(revision), Instant::now());
 }
 
 fn usable(fleet: &Fleet, instance: &str) -> Option<LayerRange> {
--- a/crates/kelpworks-relay/tests/owners.rs
+++ b/crates/kelpworks-relay/tests/owners.rs
@@ -12,6 +12,7 @@
 use fleet_support::empty_hosts;
 use fleet_support::entry;
 use fleet_support::range;
+use kelpworks_coord::id::Version;
 use kelpworks_relay::dialect::LayerRange;
 use kelpworks_relay::dialect::Start;
 use kelpworks_relay::dialect::UpstreamEntry;
@@ -60,7 +61,11 @@
     let now = Instant::now();
     let mut fleet = Fleet::default();
     let held = Some(range(0, 9));
-    fleet.replace(vec![engine("e", 1, Some(100), held)], 1, now);
+    fleet.replace(
+        vec![engine("e", 1, Some(100), held)],
+        Version::initial(1),
+        now,
+    );
     let old = fleet.key_of("e@100").expect("registered");
     fleet.take(old, 5_000.0);
     fleet.refused(old, now);
@@ -73,7 +78,11 @@
     let instance = Arc::from("e@100");
     assert!(fleet.tell_holding(&instance, loading, Duration::ZERO, now));
 
-    let changes = fleet.replace(vec![engine("e", 1, Some(200), None)], 2, now);
+    let changes = fleet.replace(
+        vec![engine("e", 1, Some(200), None)],
+        Version::initial(2),
+        now,
+    );
 
     assert_eq!(names(&fleet), ["e@200"]);
     assert_eq!(changes.removed.len() + changes.added.len(), 2);
@@ -97,14 +106,22 @@
 fn an_older_start_never_wins() {
     let now = Instant::now();
     let mut fleet = Fleet::default();
-    fleet.replace(vec![engine("e", 1, Some(200), Some(range(0, 4)))], 1, now);
-    let changes = fleet.replace(vec![engine("e", 1, Some(100), Some(range(0, 9)))], 2, now);
+    fleet.replace(
+        vec![engine("e", 1, Some(200), Some(range(0, 4)))],
+        Version::initial(1),
+        now,
+    );
+    let changes = fleet.replace(
+        vec![engine("e", 1, Some(100), Some(range(0, 9)))],
+        Version::initial(2),
+        now,
+    );
     assert!(changes.is_empty());
     assert_eq!(names(&fleet), ["e@200"]);
     let key = fleet.key_of("e@200").expect("there");
     assert_eq!(fleet.get(key).expect("there").layers, Some(range(0, 4)));
     // With its entry gone, it is gone.
-    fleet.replace(Vec::new(), 3, now);
+    fleet.replace(Vec::new(), Version::initial(3), now);
     assert_eq!(names(&fleet), Vec::<String>::new());
 }
 
@@ -113,7 +130,7 @@
     let now = Instant::now();
     let mut fleet = Fleet::default();
     let old = engine("e", 1, Some(100), Some(range(0, 9)));
-    fleet.replace(vec![old.clone()], 1, now);
+    fleet.replace(vec![old.clone()], Version::initial(1), now);
     let key = fleet.key_of("e@100").expect("there");
     assert_eq!(fleet.tell_start(key, Start(100)), None);
     assert_eq!(fleet.tell_start(key, Start(50)), None);
@@ -122,10 +139,14 @@
     let key = fleet.key_of("e@300").expect("there");
     assert_eq!(fleet.get(key).expect("there").layers, None);
     // The entry of before the start comes once more.
-    assert!(fleet.replace(vec![old], 2, now).is_empty());
+    assert!(
+        fleet
+            .replace(vec![old], Version::initial(2), now)
+            .is_empty()
+    );
     // And then its own.
     let own = engine("e", 1, Some(300), Some(range(3, 7)));
-    let changes = fleet.replace(vec![own], 3, now);
+    let changes = fleet.replace(vec![own], Version::initial(3), now);
     assert!(changes.added.is_empty() && changes.removed.is_empty());
     assert_eq!(fleet.get(key).expect("there").layers, Some(range(3, 7)));
 }
@@ -146,14 +167,14 @@
     let mut fleet = Fleet::default();
     let old = engine("old", 1, old, None);
     let new = engine("new", 1, new, None);
-    fleet.replace(vec![old.clone()], 1, now);
-    fleet.replace(vec![new.clone(), old.clone()], 2, later);
+    fleet.replace(vec![old.clone()], Version::initial(1), now);
+    fleet.replace(vec![new.clone(), old.clone()], Version::initial(2), later);
     let names = names(&fleet);
     assert_eq!(names.len(), 1);
     assert!(names[0].starts_with(counts), "{names:?}");
     // With that one gone, the other counts again.
     let other = if counts == "new" { old } else { new };
-    fleet.replace(vec![other.clone()], 3, later);
+    fleet.replace(vec![other.clone()], Version::initial(3), later);
     assert_eq!(self::names(&fleet), [&*other.instance]);
 }
 
@@ -165,10 +186,10 @@
     let mut fleet = Fleet::default();
     let old = engine("old", 1, None, Some(range(0, 9)));
     let new = engine("new", 1, None, None);
-    fleet.replace(vec![old.clone()], 1, at(0));
-    fleet.replace(Vec::new(), 2, at(4));
-    fleet.replace(vec![new.clone()], 3, at(5));
-    let changes = fleet.replace(vec![new, old], 4, at(6));
+    fleet.replace(vec![old.clone()], Version::initial(1), at(0));
+    fleet.replace(Vec::new(), Version::initial(2), at(4));
+    fleet.replace(vec![new.clone()], Version::initial(3), at(5));
+    let changes = fleet.replace(vec![new, old], Version::initial(4), at(6));
     assert!(changes.is_empty());
     assert_eq!(names(&fleet), ["new"]);
 }
@@ -181,7 +202,11 @@
     let b = engine("b", 1, None, None);
     let elsewhere = engine("c", 2, None, None);
     // A daemon that starts sees both at once and can't tell.
-    fleet.replace(vec![a.clone(), b.clone(), elsewhere.clone()], 1, now);
+    fleet.replace(
+        vec![a.clone(), b.clone(), elsewhere.clone()],
+        Version::initial(1),
+        now,
+    );
     assert_eq!(names(&fleet), ["b", "c"]);
     let changes = fleet.tell_owner(owner(&a, "a"), now).expect("news");
     assert_eq!((&*changes.removed[0], &*changes.added[0]), ("b", "a"));
@@ -189,14 +214,22 @@
     assert_eq!(fleet.tell_owner(owner(&a, "a"), now), None, "no news twice");
     assert_eq!(fleet.told_owners(8, now)[0].0, owner(&a, "a"));
     // It holds while the entries stand as they are.
-    let changes = fleet.replace(vec![b.clone(), a.clone(), elsewhere], 2, now);
+    let changes = fleet.replace(
+        vec![b.clone(), a.clone(), elsewhere],
+        Version::initial(2),
+        now,
+    );
     assert!(changes.is_empty());
     // An older word changes nothing.
     let before = now - Duration::from_secs(1);
     assert_eq!(fleet.tell_owner(owner(&a, "b"), before), None);
     // Who comes to the address later is another matter.
     let next = engine("next", 1, None, None);
-    fleet.replace(vec![a, next], 3, now + Duration::from_secs(2));
+    fleet.replace(
+        vec![a, next],
+        Version::initial(3),
+        now + Duration::from_secs(2),
+    );
     assert_eq!(names(&fleet), ["next"]);
 }
 
@@ -205,12 +238,12 @@
     let now = Instant::now();
     let mut fleet = Fleet::default();
     let gone = engine("gone", 1, None, Some(range(0, 9)));
-    fleet.replace(vec![gone.clone()], 1, now);
+    fleet.replace(vec![gone.clone()], Version::initial(1), now);
     // Its address was given to an upstream of which no entry has come yet.
     fleet.tell_owner(owner(&gone, "unknown"), now);
     assert_eq!(names(&fleet), Vec::<String>::new());
     let unknown = engine("unknown", 1, None, None);
-    fleet.replace(vec![gone, unknown], 2, now);
+    fleet.replace(vec![gone, unknown], Version::initial(2), now);
     assert_eq!(names(&fleet), ["unknown"]);
 }
 
@@ -236,7 +269,7 @@
                 }
             }
             let now = start + Duration::from_secs(i as u64);
-            fleet.replace(entries, i as u64 + 1, now);
+            fleet.replace(entries, Version::initial(i as u64 + 1), now);
             let mut addresses: Vec<_> = fleet.iter().map(|(_, u)| u.entry.address).collect();
             let mut ids: Vec<_> = fleet.iter().map(|(_, u)| Arc::clone(&u.entry.id)).collect();
             let count = addresses.len();
--- a/crates/kelpworks-relay/tests/path.rs
+++ b/crates/kelpworks-relay/tests/path.rs
@@ -16,6 +16,7 @@
 use fleet_support::entry;
 use fleet_support::placed;
 use fleet_support::range;
+use kelpworks_coord::id::Version;
 use kelpworks_relay::dialect::Stage;
 use kelpworks_relay::fleet::Fleet;
 use kelpworks_relay::fleet::UpstreamKey;
@@ -84,7 +85,7 @@
         .filter(|(_, u)| !at(u))
         .map(|(_, u)| u.entry.clone());
     let rest = rest.collect();
-    fleet.replace(rest, 2, Instant::now());
+    fleet.replace(rest, Version::initial(2), Instant::now());
     let path = find(&fleet, &ask("b", &[]), 1).expect("a path");
     assert_whole(&fleet, &path);
     assert_eq!(path.crossings, 0, "activations don't cross");
@@ -258,7 +259,7 @@
         return;
     }
     let rest = entries.filter(|e| !holds(e.layers)).collect();
-    fleet.replace(rest, 2, Instant::now());
+    fleet.replace(rest, Version::initial(2), Instant::now());
     let why = find(&fleet, &ask("a", &[]), 1);
     assert!(matches!(why, Err(NoPath::Uncovered(71..=79))), "{why:?}");
 }
@@ -273,7 +274,7 @@
             entry.stage = Stage::Leaving;
         }
     }
-    let changes = fleet.replace(entries, 2, Instant::now());
+    let changes = fleet.replace(entries, Version::initial(2), Instant::now());
     assert_eq!(changes.leaving, [std::sync::Arc::clone(&first)]);
     for seed in 0..20 {
         let path = find(&fleet, &ask("a", &[]), seed).expect("a path");
@@ -348,7 +349,7 @@
         }
         let entries = hosts.iter().enumerate().map(|(i, h)| entry(i, h)).collect();
         let mut fleet = Fleet::default();
-        fleet.replace(entries, 1, Instant::now());
+        fleet.replace(entries, Version::initial(1), Instant::now());
         let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
         runtime.expect("a runtime").block_on(async {
             if let Ok(path) = find(&fleet, &ask("a", &[]), seed) {
--- /dev/null
+++ b/crates/kelpworks-relay/tests/restored.rs
@@ -0,0 +1,176 @@
+//! Registrations after the store came back from an older copy, without a network.
+//!
+//! The pattern: the copy shows upstreams as they were some seconds ago. Some are missing, one shows
+//! layers that it has given up, and one that said it leaves is ready again. Each writes its entry
+//! again within two seconds if it lives.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use kelpworks_coord::id::Era;
+use kelpworks_coord::id::Version;
+use kelpworks_relay::dialect::LayerRange;
+use kelpworks_relay::dialect::Stage;
+use kelpworks_relay::dialect::Start;
+use kelpworks_relay::dialect::UpstreamEntry;
+use kelpworks_relay::dialect::incarnation;
+use kelpworks_relay::fleet::Fleet;
+use tokio::time::Instant;
+
+const BEFORE: Version = Version::initial(90);
+/// Lower than what was seen before, and given out again.
+const RESTORED: Version = Version::new(Era(1), 70);
+const REWRITTEN: Version = Version::new(Era(1), 90);
+
+fn engine(id: &str, port: u16, layers: (u16, u16)) -> UpstreamEntry {
+    let id: Arc<str> = Arc::from(id);
+    UpstreamEntry {
+        instance: incarnation(&id, Some(Start(100))),
+        id,
+        start: Some(Start(100)),
+        service: Arc::from("llm"),
+        address: ([10, 0, 0, 1], port).into(),
+        domain: Arc::from("a"),
+        stage: Stage::Ready,
+        slots: 1,
+        layers: Some(LayerRange {
+            from: layers.0,
+            to: layers.1,
+        }),
+        kind: None,
+    }
+}
+
+fn leaving(entry: UpstreamEntry) -> UpstreamEntry {
+    UpstreamEntry {
+        stage: Stage::Leaving,
+        ..entry
+    }
+}
+
+/// What the fleet takes to be so: id, layers, whether it takes work.
+fn shown(fleet: &Fleet) -> Vec<(String, u16, bool)> {
+    let of = |e: &UpstreamEntry| {
+        let from = e.layers.map_or(0, |l| l.from);
+        (e.id.to_string(), from, e.stage == Stage::Ready)
+    };
+    let mut shown: Vec<_> = fleet.entries().iter().map(of).collect();
+    shown.sort();
+    shown
+}
+
+fn row(id: &str, from: u16, ready: bool) -> (String, u16, bool) {
+    (id.to_owned(), from, ready)
+}
+
+fn after(ms: u64) -> Instant {
+    Instant::now() + Duration::from_millis(ms)
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_upstream_that_the_copy_lacks_is_kept_until_it_has_had_time_to_register_again() {
+    let mut fleet = Fleet::default();
+    let (a, b) = (engine("a", 1, (0, 9)), engine("b", 2, (9, 18)));
+    fleet.replace(vec![a.clone(), b], BEFORE, Instant::now());
+    let changes = fleet.replace(vec![a], RESTORED, Instant::now());
+    assert!(changes.is_empty());
+    assert!(fleet.expire_restored(after(1_999)).is_none());
+    assert_eq!(shown(&fleet), [row("a", 0, true), row("b", 9, true)]);
+    let changes = fleet
+        .expire_restored(after(2_000))
+        .expect("its time is over");
+    assert_eq!(changes.removed.len(), 1);
+    assert_eq!(shown(&fleet), [row("a", 0, true)]);
+    assert!(fleet.expire_restored(after(9_000)).is_none());
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_upstream_that_said_it_leaves_goes_on_leaving() {
+    let mut fleet = Fleet::default();
+    let a = engine("a", 1, (0, 9));
+    fleet.replace(vec![leaving(a.clone())], BEFORE, Instant::now());
+    fleet.replace(vec![a.clone()], RESTORED, Instant::now());
+    assert_eq!(shown(&fleet), [row("a", 0, false)]);
+    fleet.expire_restored(after(2_000));
+    assert_eq!(
+        shown(&fleet),
+        [row("a", 0, false)],
+        "its entry still stands"
+    );
+    let restarted = UpstreamEntry {
+        start: Some(Start(200)),
+        instance: incarnation(&a.id, Some(Start(200))),
+        ..a
+    };
+    fleet.replace(vec![restarted], REWRITTEN, Instant::now());
+    assert_eq!(shown(&fleet), [row("a", 0, true)], "another incarnation");
+}
+
+#[tokio::test(start_paused = true)]
+async fn layers_are_those_known_last_until_they_are_registered_again() {
+    let mut fleet = Fleet::default();
+    fleet.replace(vec![engine("a", 1, (40, 49))], BEFORE, Instant::now());
+    fleet.replace(vec![engine("a", 1, (0, 9))], RESTORED, Instant::now());
+    assert_eq!(shown(&fleet), [row("a", 40, true)], "the copy is older");
+    fleet.replace(vec![engine("a", 1, (60, 69))], REWRITTEN, Instant::now());
+    assert_eq!(shown(&fleet), [row("a", 60, true)], "written since");
+    let mut fleet = Fleet::default();
+    fleet.replace(vec![engine("a", 1, (40, 49))], BEFORE, Instant::now());
+    fleet.replace(vec![engine("a", 1, (0, 9))], RESTORED, Instant::now());
+    fleet.expire_restored(after(2_000));
+    assert_eq!(shown(&fleet), [row("a", 0, true)]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_upstream_that_is_removed_in_the_new_era_is_gone_at_once() {
+    let mut fleet = Fleet::default();
+    let (a, b) = (engine("a", 1, (0, 9)), engine("b", 2, (9, 18)));
+    fleet.replace(vec![a.clone(), b.clone()], BEFORE, Instant::now());
+    fleet.replace(vec![a.clone(), b], RESTORED, Instant::now());
+    let changes = fleet.replace(vec![a], REWRITTEN, Instant::now());
+    assert_eq!(changes.removed.len(), 1);
+    assert_eq!(shown(&fleet), [row("a", 0, true)]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_older_start_in_the_copy_does_not_come_back() {
+    let mut fleet = Fleet::default();
+    let old = engine("a", 1, (0, 9));
+    let new = UpstreamEntry {
+        start: Some(Start(200)),
+        instance: incarnation(&old.id, Some(Start(200))),
+        ..engine("a", 1, (40, 49))
+    };
+    fleet.replace(vec![new], BEFORE, Instant::now());
+    let changes = fleet.replace(vec![old], RESTORED, Instant::now());
+    assert!(changes.is_empty());
+    fleet.expire_restored(after(2_000));
+    assert_eq!(
+        shown(&fleet),
+        [row("a", 40, true)],
+        "the older start is over"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_second_copy_within_two_seconds_hides_nothing_either() {
+    let mut fleet = Fleet::default();
+    let (a, b) = (engine("a", 1, (0, 9)), engine("b", 2, (9, 18)));
+    fleet.replace(vec![leaving(a.clone()), b.clone()], BEFORE, Instant::now());
+    fleet.replace(vec![a.clone()], RESTORED, Instant::now());
+    tokio::time::advance(Duration::from_secs(1)).await;
+    let again = Version::new(Era(2), 60);
+    fleet.replace(vec![a], again, Instant::now());
+    assert_eq!(shown(&fleet), [row("a", 0, false), row("b", 9, true)]);
+    fleet.expire_restored(after(2_000));
+    assert_eq!(shown(&fleet), [row("a", 0, false)]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_list_of_an_earlier_era_changes_nothing_whatever_its_revision() {
+    let mut fleet = Fleet::default();
+    fleet.replace(vec![engine("a", 1, (0, 9))], RESTORED, Instant::now());
+    let changes = fleet.replace(Vec::new(), Version::initial(5_000), Instant::now());
+    assert!(changes.is_empty());
+    assert_eq!(shown(&fleet), [row("a", 0, true)]);
+}
--- a/crates/kelpworks/examples/measure/capacity/traffic.rs
+++ b/crates/kelpworks/examples/measure/capacity/traffic.rs
@@ -321,7 +321,7 @@
             match action {
                 ClaimAction::Write { record, .. } => {
                     written.push(record);
-                    let version = Version(written.len() as u64);
+                    let version = Version::initial(written.len() as u64);
                     event = Some(ClaimEvent::Api(ApiReply::Stored(version)));
                 }
                 ClaimAction::Dispatch => {
--- a/crates/kelpworks/src/border/object_api.rs
+++ b/crates/kelpworks/src/border/object_api.rs
@@ -33,19 +33,76 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+use super::era::Eras;
 use super::fresh::FreshClient;
 use super::fresh::Stage;
 use super::fresh::stage_of;
+use kelpworks_coord::id::Era;
+use kelpworks_coord::id::Version;
 use kelpworks_wire::ApiError;
 use kelpworks_wire::ApiErrorCode;
-use kelpworks_wire::Object;
 use kelpworks_wire::ObjectBody;
-use kelpworks_wire::ObjectList;
-use kelpworks_wire::WatchReply;
+
+pub use kelpworks_wire::WatchEventKind;
 
 /// The result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// Header field that tells the era of an answer, as a decimal number.
+const ERA_FIELD: &str = "store-era";
+
+/// An object.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Object {
+    /// Its kind.
+    pub kind: String,
+    /// Its name, unique among those of its kind.
+    pub name: String,
+    /// Version of its last change.
+    pub version: Version,
+    /// What it holds.
+    pub body: String,
+}
+
+impl Object {
+    /// An object of the wire, as answered in an era.
+    fn new(wire: kelpworks_wire::Object, era: Era) -> Object {
+        Object {
+            kind: wire.kind,
+            name: wire.name,
+            version: Version::new(era, wire.version),
+            body: wire.body,
+        }
+    }
+}
+
+/// The objects of a kind.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ObjectList {
+    /// The objects.
+    pub items: Vec<Object>,
+    /// Version to watch on from.
+    pub version: Version,
+}
+
+/// A change of an object.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WatchEvent {
+    /// What became of it.
+    pub kind: WatchEventKind,
+    /// The object after the change; before it where it was deleted.
+    pub object: Object,
+}
+
+/// Changes of a kind.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WatchReply {
+    /// The changes, in order.
+    pub events: Vec<WatchEvent>,
+    /// Version to watch on from.
+    pub version: Version,
+}
+
 /// Why a call to the object API failed.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Error)]
@@ -60,6 +117,9 @@
         /// The object as it stands; `None` when it does not exist.
         current: Option<Box<Object>>,
     },
+    /// The condition names a version of an earlier era; nothing was sent.
+    #[error("the object API has come back from an older copy")]
+    Outdated,
     /// The body is larger than the API takes; nothing was written.
     #[error("the body is too large for the object API")]
     TooLarge,
@@ -102,16 +162,37 @@
     /// The object does not exist.
     Absent,
     /// The object has this version.
-    Version(u64),
+    Version(Version),
 }
 
 impl Condition {
+    /// That an object has this version, or does not exist where the version says so.
+    pub fn at(version: Version) -> Condition {
+        match version.is_absent() {
+            true => Condition::Absent,
+            false => Condition::Version(version),
+        }
+    }
+
     /// The value of `if_version`, where 0 stands for an object that does not exist.
-    fn if_version(self) -> Option<u64> {
+    fn if_version(self, eras: &Eras) -> Result<Option<u64>> {
         match self {
-            Condition::Always => None,
-            Condition::Absent => Some(0),
-            Condition::Version(v) => Some(v),
+            Condition::Always => Ok(None),
+            Condition::Absent => Ok(Some(0)),
+            Condition::Version(v) => eras.condition(v).map(Some),
+        }
+    }
+
+    /// Checks the era of the answer to a write. A later one may have carried the write out on a
+    /// revision that it gave out again.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Lost`] in that case.
+    pub fn check_answer(self, era: Era) -> Result<()> {
+        match self {
+            Condition::Version(v) if v.era < era => Err(Error::Lost),
+            _ => Ok(()),
         }
     }
 }
@@ -174,14 +255,17 @@
     /// # Errors
     ///
     /// [`Error::Silent`] when nothing came within `wait` and a margin;
-    /// [`Error::Expired`] when `from` is too old.
+    /// [`Error::Expired`] when `from` is too old, or of an earlier era.
     fn watch(
         &self,
         kind: &str,
-        from: u64,
+        from: Version,
         wait: Duration,
     ) -> impl Future<Output = Result<WatchReply>> + Send;
 
+    /// The eras of the API, as far as any client that shares them has heard.
+    fn eras(&self) -> &Eras;
+
     /// Leaves all present connections behind, so that the next call opens a new one.
     fn fresh(&self);
 }
@@ -213,6 +297,7 @@
     base: Url,
     client: FreshClient,
     deadlines: Deadlines,
+    eras: Eras,
 }
 
 impl HttpObjectApi {
@@ -222,6 +307,15 @@
     ///
     /// [`Error::Url`] when the URL cannot be used.
     pub fn new(base: &str, deadlines: Deadlines) -> Result<HttpObjectApi> {
+        HttpObjectApi::sharing(base, deadlines, Eras::default())
+    }
+
+    /// The same, for one of several clients of a daemon.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpObjectApi::new`].
+    pub fn sharing(base: &str, deadlines: Deadlines, eras: Eras) -> Result<HttpObjectApi> {
         let base = Url::parse(base).map_err(|_| Error::Url)?;
         if base.cannot_be_a_base() {
             return Err(Error::Url);
@@ -231,6 +325,7 @@
             base,
             client,
             deadlines,
+            eras,
         })
     }
 
@@ -250,23 +345,51 @@
         kind: &str,
         name: &str,
         condition: Condition,
-    ) -> RequestBuilder {
+    ) -> Result<RequestBuilder> {
         let mut url = self.url(&["objects", kind, name]);
-        if let Some(version) = condition.if_version() {
+        if let Some(version) = condition.if_version(&self.eras)? {
             url.query_pairs_mut()
                 .append_pair("if_version", &version.to_string());
         }
-        self.client
-            .get()
-            .request(method, url)
-            .timeout(self.deadlines.call)
+        let req = self.client.get().request(method, url);
+        Ok(req.timeout(self.deadlines.call))
+    }
+
+    /// Sends a request and reads its reply. A reply that cannot be read counts as lost.
+    async fn read_json<T: DeserializeOwned>(&self, req: RequestBuilder) -> Result<(T, Era)> {
+        let (reply, era) = self.send(req).await?;
+        let reply = reply.json().await.map_err(|_| Error::Lost)?;
+        Ok((reply, era))
+    }
+
+    /// Sends a request; any status but success is an error.
+    async fn send(&self, req: RequestBuilder) -> Result<(reqwest::Response, Era)> {
+        let reply = req.send().await.map_err(|e| match stage_of(&e) {
+            Stage::NotSent => Error::NotSent,
+            Stage::Lost => Error::Lost,
+        })?;
+        let era = self.eras.of_answer(era_of(&reply));
+        if reply.status().is_success() {
+            return Ok((reply, era?));
+        }
+        let status = reply.status();
+        let error = match reply.json::<ApiError>().await {
+            Ok(error) => refused(error, era.clone().unwrap_or_default()),
+            Err(_) => unexplained(status),
+        };
+        match error {
+            // These tell something about an object.
+            Error::NotFound | Error::Conflict { .. } => Err(era.err().unwrap_or(error)),
+            error => Err(error),
+        }
     }
 }
 
 impl ObjectApi for HttpObjectApi {
     async fn get(&self, kind: &str, name: &str) -> Result<Object> {
-        let req = self.on_object(Method::GET, kind, name, Condition::Always);
-        read_json(req).await
+        let req = self.on_object(Method::GET, kind, name, Condition::Always)?;
+        let (object, era) = self.read_json(req).await?;
+        Ok(Object::new(object, era))
     }
 
     async fn put(
@@ -276,31 +399,56 @@
         body: String,
         condition: Condition,
     ) -> Result<Object> {
-        let req = self.on_object(Method::PUT, kind, name, condition);
-        read_json(req.json(&ObjectBody { body })).await
+        let req = self.on_object(Method::PUT, kind, name, condition)?;
+        let (object, era) = self.read_json(req.json(&ObjectBody { body })).await?;
+        condition.check_answer(era)?;
+        Ok(Object::new(object, era))
     }
 
     async fn delete(&self, kind: &str, name: &str, condition: Condition) -> Result<()> {
-        let req = self.on_object(Method::DELETE, kind, name, condition);
-        send(req).await?;
-        Ok(())
+        let req = self.on_object(Method::DELETE, kind, name, condition)?;
+        let (_, era) = self.send(req).await?;
+        condition.check_answer(era)
     }
 
     async fn list(&self, kind: &str) -> Result<ObjectList> {
         let url = self.url(&["objects", kind]);
         let req = self.client.get().get(url).timeout(self.deadlines.call);
-        read_json(req).await
+        let (list, era) = self.read_json::<kelpworks_wire::ObjectList>(req).await?;
+        let items = list.items.into_iter().map(|o| Object::new(o, era));
+        Ok(ObjectList {
+            items: items.collect(),
+            version: Version::new(era, list.version),
+        })
     }
 
-    async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Result<WatchReply> {
+    async fn watch(&self, kind: &str, from: Version, wait: Duration) -> Result<WatchReply> {
         let mut url = self.url(&["watch", kind]);
         url.query_pairs_mut()
-            .append_pair("from", &from.to_string())
+            .append_pair("from", &from.revision.to_string())
             .append_pair("wait_ms", &wait.as_millis().to_string());
         let bound = wait + self.deadlines.watch_margin;
-        let req = self.client.get().get(url);
-        let reply = tokio::time::timeout(bound, read_json(req)).await;
-        reply.unwrap_or(Err(Error::Silent))
+        let reply = self.read_json::<kelpworks_wire::WatchReply>(self.client.get().get(url));
+        let reply = async {
+            let reply = tokio::time::timeout(bound, reply).await;
+            reply.unwrap_or(Err(Error::Silent))
+        };
+        let (reply, era) = self.eras.within(from.era, reply).await?;
+        if era > from.era {
+            return Err(Error::Expired);
+        }
+        let event = |e: kelpworks_wire::WatchEvent| WatchEvent {
+            kind: e.kind,
+            object: Object::new(e.object, era),
+        };
+        Ok(WatchReply {
+            events: reply.events.into_iter().map(event).collect(),
+            version: Version::new(era, reply.version),
+        })
+    }
+
+    fn eras(&self) -> &Eras {
+        &self.eras
     }
 
     fn fresh(&self) {
@@ -308,34 +456,18 @@
     }
 }
 
-/// Sends a request and reads its reply. A reply that cannot be read counts as lost.
-async fn read_json<T: DeserializeOwned>(req: RequestBuilder) -> Result<T> {
-    let reply = send(req).await?;
-    reply.json().await.map_err(|_| Error::Lost)
-}
-
-/// Sends a request; any status but success is an error.
-async fn send(req: RequestBuilder) -> Result<reqwest::Response> {
-    let reply = req.send().await.map_err(|e| match stage_of(&e) {
-        Stage::NotSent => Error::NotSent,
-        Stage::Lost => Error::Lost,
-    })?;
-    if reply.status().is_success() {
-        return Ok(reply);
-    }
-    let status = reply.status();
-    match reply.json::<ApiError>().await {
-        Ok(error) => Err(refused(error)),
-        Err(_) => Err(unexplained(status)),
-    }
+/// The era that an answer tells; `None` where it tells none that can be read.
+fn era_of(reply: &reqwest::Response) -> Option<Era> {
+    let field = reply.headers().get(ERA_FIELD)?.to_str().ok()?;
+    field.trim().parse().ok().map(Era)
 }
 
 /// The error that the API states itself.
-fn refused(error: ApiError) -> Error {
+fn refused(error: ApiError, era: Era) -> Error {
     match error.code {
         ApiErrorCode::NotFound => Error::NotFound,
         ApiErrorCode::Conflict => Error::Conflict {
-            current: error.current.map(Box::new),
+            current: error.current.map(|o| Box::new(Object::new(o, era))),
         },
         ApiErrorCode::TooLarge => Error::TooLarge,
         ApiErrorCode::TooManyRequests => Error::OverRate,
--- a/crates/kelpworks/src/claims/drive.rs
+++ b/crates/kelpworks/src/claims/drive.rs
@@ -11,6 +11,7 @@
 
 use crate::border::object_api;
 use crate::border::object_api::Condition;
+use crate::border::object_api::Object;
 use crate::border::object_api::ObjectApi;
 use crate::claims::CLAIM_KIND;
 use crate::claims::COME_BACK;
@@ -40,7 +41,6 @@
 use kelpworks_coord::id::Nonce;
 use kelpworks_coord::id::Version;
 use kelpworks_coord::time::Instant;
-use kelpworks_wire::Object;
 
 /// First pause between two looks at a claim; it doubles up to [`LONGEST_PAUSE`] once the caller
 /// has its answer, so that many unsettled claims don't meet the object API at once when it is back.
@@ -120,11 +120,11 @@
             return ApiReply::Refused;
         }
         let body = serde_json::to_string(record).expect("a record has no maps");
-        let condition = condition(if_version);
+        let condition = Condition::at(if_version);
         let api = &self.claims.api;
         let call = api.put(CLAIM_KIND, &self.name, body, condition);
         match self.bounded(call).await {
-            Ok(object) => ApiReply::Stored(Version(object.version)),
+            Ok(object) => ApiReply::Stored(object.version),
             Err(e) => failed(&e),
         }
     }
@@ -133,7 +133,7 @@
         if !self.pay() {
             return ApiReply::Refused;
         }
-        let condition = condition(if_version);
+        let condition = Condition::at(if_version);
         let call = self.claims.api.delete(CLAIM_KIND, &self.name, condition);
         match self.bounded(call).await {
             Ok(()) | Err(object_api::Error::NotFound) => ApiReply::Removed,
@@ -325,18 +325,11 @@
     }
 }
 
-fn condition(if_version: Version) -> Condition {
-    match if_version {
-        Version::ABSENT => Condition::Absent,
-        Version(v) => Condition::Version(v),
-    }
-}
-
 /// The claim in an object; `None` where its body is not one.
 fn found(object: &Object) -> Option<Stored> {
     let record = serde_json::from_str(&object.body).ok()?;
     Some(Stored {
-        version: Version(object.version),
+        version: object.version,
         record,
     })
 }
--- a/crates/kelpworks/src/config/accept/store.rs
+++ b/crates/kelpworks/src/config/accept/store.rs
@@ -8,6 +8,7 @@
 use super::Result;
 use crate::border::object_api;
 use crate::border::object_api::Condition;
+use crate::border::object_api::Object;
 use crate::border::object_api::ObjectApi;
 use crate::config::head::BLOB_KIND;
 use crate::config::head::HEAD_KIND;
@@ -20,7 +21,6 @@
 use kelpworks_coord::head::SwapEvent;
 use kelpworks_coord::id::Digest;
 use kelpworks_coord::id::Version;
-use kelpworks_wire::Object;
 
 /// How often and how patiently calls to the object API are repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -154,16 +154,14 @@
         if_version: Version,
         head: &Head,
     ) -> Result<SwapEvent> {
-        let condition = match if_version {
-            Version::ABSENT => Condition::Absent,
-            Version(v) => Condition::Version(v),
-        };
+        let condition = Condition::at(if_version);
         let body = to_body(head).map_err(|_| Error::HeadCorrupt)?;
         match self.api.put(HEAD_KIND, HEAD_NAME, body, condition).await {
             Ok(_) => Ok(SwapEvent::Swapped),
             Err(object_api::Error::Conflict { current }) => {
                 self.conflict(current, if_version).await
             }
+            Err(object_api::Error::Outdated) => self.conflict(None, if_version).await,
             Err(e) => {
                 let may_have_run = e.may_have_run();
                 self.failed(e);
@@ -210,7 +208,7 @@
         });
     };
     Ok(StoredHead {
-        version: Version(object.version),
+        version: object.version,
         head: parse(&object.body).map_err(|_| Error::HeadCorrupt)?,
     })
 }
--- a/crates/kelpworks/src/daemon/head_watch.rs
+++ b/crates/kelpworks/src/daemon/head_watch.rs
@@ -14,6 +14,7 @@
 use crate::border::object_api::ObjectApi;
 use crate::config::head::HEAD_KIND;
 use crate::config::head::HEAD_NAME;
+use kelpworks_coord::id::Version;
 
 /// Wait after a failed call, at least and at most; doubled in between.
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
@@ -77,7 +78,7 @@
 
     /// Where to go on after a failure: from the last version, on a new connection, unless that
     /// version is no longer kept.
-    fn resume(&self, error: &object_api::Error, from: Option<u64>) -> Option<u64> {
+    fn resume(&self, error: &object_api::Error, from: Option<Version>) -> Option<Version> {
         match error {
             object_api::Error::Expired => None,
             _ => {
@@ -88,7 +89,7 @@
     }
 
     /// Reads the head, or waits for it to change; returns the version to watch on from.
-    async fn turn(&self, from: Option<u64>) -> object_api::Result<u64> {
+    async fn turn(&self, from: Option<Version>) -> object_api::Result<Version> {
         let Some(from) = from else {
             let heads = self.api.list(HEAD_KIND).await?;
             if let Some(head) = heads.items.into_iter().find(|o| o.name == HEAD_NAME) {
--- a/crates/kelpworks/src/daemon/head_watch_tests.rs
+++ b/crates/kelpworks/src/daemon/head_watch_tests.rs
@@ -9,25 +9,27 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use kelpworks_wire::Object;
-use kelpworks_wire::ObjectList;
-use kelpworks_wire::WatchEvent;
-use kelpworks_wire::WatchEventKind;
-use kelpworks_wire::WatchReply;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use super::HeadWatch;
+use crate::border::era::Eras;
 use crate::border::object_api::Condition;
 use crate::border::object_api::Deadlines;
 use crate::border::object_api::Error;
+use crate::border::object_api::Object;
 use crate::border::object_api::ObjectApi;
+use crate::border::object_api::ObjectList;
 use crate::border::object_api::Result;
+use crate::border::object_api::WatchEvent;
+use crate::border::object_api::WatchEventKind;
+use crate::border::object_api::WatchReply;
 use crate::config::head::HEAD_KIND;
 use crate::config::head::HEAD_NAME;
 use crate::settings::Settings;
+use kelpworks_coord::id::Version;
 
 /// Within which one watcher must have the head: three seconds, less what peers need.
 const WITHIN: Duration = Duration::from_millis(1_860);
@@ -37,16 +39,17 @@
 struct Forgetful {
     head: AtomicU64,
     lost: AtomicU64,
+    eras: Eras,
 }
 
 impl Forgetful {
     fn object(&self) -> Object {
-        let version = self.head.load(Ordering::Relaxed);
+        let revision = self.head.load(Ordering::Relaxed);
         Object {
             kind: HEAD_KIND.to_owned(),
             name: HEAD_NAME.to_owned(),
-            version,
-            body: version.to_string(),
+            version: Version::initial(revision),
+            body: revision.to_string(),
         }
     }
 }
@@ -71,7 +74,7 @@
         Ok(ObjectList { items, version })
     }
 
-    async fn watch(&self, _kind: &str, from: u64, wait: Duration) -> Result<WatchReply> {
+    async fn watch(&self, _kind: &str, from: Version, wait: Duration) -> Result<WatchReply> {
         let lost = self.lost.load(Ordering::Relaxed);
         let object = self.object();
         let version = object.version;
@@ -89,6 +92,10 @@
         Err(Error::Silent)
     }
 
+    fn eras(&self) -> &Eras {
+        &self.eras
+    }
+
     fn fresh(&self) {}
 }
 
--- a/crates/kelpworks/src/executor/hold.rs
+++ b/crates/kelpworks/src/executor/hold.rs
@@ -14,7 +14,9 @@
 
 use crate::border::object_api::Condition;
 use crate::border::object_api::Error;
+use crate::border::object_api::Object;
 use crate::border::object_api::ObjectApi;
+use kelpworks_coord::id::Era;
 use kelpworks_coord::id::Version;
 use kelpworks_coord::lease;
 use kelpworks_coord::lease::Action;
@@ -26,7 +28,6 @@
 use kelpworks_coord::lease::Stored;
 use kelpworks_coord::lease::Token;
 use kelpworks_coord::time;
-use kelpworks_wire::Object;
 
 /// Kind of the lease objects.
 pub const LEASE_KIND: &str = "kelpworks.lease";
@@ -69,6 +70,11 @@
         self.lease().latest_token()
     }
 
+    /// The latest era of the object API that this daemon's lease has entered.
+    fn era(&self) -> Era {
+        self.lease().era()
+    }
+
     /// Now, as the state machines count it.
     pub(crate) fn now(&self) -> time::Instant {
         time::Instant::from_millis(self.start.elapsed().as_millis() as u64)
@@ -109,8 +115,13 @@
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
+            let era = self.hold.era();
             tokio::select! {
                 () = leave.cancelled() => break,
+                () = self.api.eras().after(era) => {
+                    let latest = self.api.eras().latest();
+                    self.drive(Event::Era(latest)).await;
+                }
                 _ = tick.tick() => {}
             }
             if !self.hold.is_held() && !is_candidate() {
@@ -144,16 +155,13 @@
     async fn read(&self) -> ApiReply {
         match self.api.get(LEASE_KIND, LEASE_NAME).await {
             Ok(object) => stored(&object).map_or(ApiReply::Refused, ApiReply::Read),
-            Err(Error::NotFound) => ApiReply::Read(Stored::ABSENT),
+            Err(Error::NotFound) => ApiReply::Read(Stored::absent(self.api.eras().latest())),
             Err(e) => self.failed(&e),
         }
     }
 
     async fn write(&self, if_version: Version, record: Record) -> ApiReply {
-        let condition = match if_version {
-            Version::ABSENT => Condition::Absent,
-            Version(v) => Condition::Version(v),
-        };
+        let condition = Condition::at(if_version);
         let body = match serde_json::to_string(&record) {
             Ok(body) => body,
             Err(e) => {
@@ -163,12 +171,12 @@
         };
         let sent = self.api.put(LEASE_KIND, LEASE_NAME, body, condition);
         match sent.await {
-            Ok(object) => ApiReply::Written(Version(object.version)),
+            Ok(object) => ApiReply::Written(object.version),
             Err(Error::Conflict { current: Some(o) }) => {
                 stored(&o).map_or(ApiReply::Lost, ApiReply::Conflict)
             }
             // Read what stands there.
-            Err(Error::Conflict { current: None }) => ApiReply::Lost,
+            Err(Error::Conflict { current: None } | Error::Outdated) => ApiReply::Lost,
             Err(e) => self.failed(&e),
         }
     }
@@ -188,7 +196,7 @@
 fn stored(object: &Object) -> Option<Stored> {
     match serde_json::from_str(&object.body) {
         Ok(record) => Some(Stored {
-            version: Version(object.version),
+            version: object.version,
             record,
         }),
         Err(e) => {
--- a/crates/kelpworks/src/membership/directory.rs
+++ b/crates/kelpworks/src/membership/directory.rs
@@ -15,6 +15,7 @@
 use super::Peers;
 use crate::border::object_api;
 use crate::border::object_api::Condition;
+use crate::border::object_api::Object;
 use crate::border::object_api::ObjectApi;
 use kelpworks_wire::MemberContact;
 
@@ -93,7 +94,7 @@
         let Some(list) = self.heard(self.api.list(MEMBER_KIND).await) else {
             return false;
         };
-        let read = |o: &kelpworks_wire::Object| serde_json::from_str(&o.body).ok();
+        let read = |o: &Object| serde_json::from_str(&o.body).ok();
         let contacts: Vec<MemberContact> = list.items.iter().filter_map(read).collect();
         self.peers.listed(&contacts);
         true
--- a/crates/kelpworks/tests/border_object_api.rs
+++ b/crates/kelpworks/tests/border_object_api.rs
@@ -23,6 +23,7 @@
 use kelpworks::border::object_api::Error;
 use kelpworks::border::object_api::HttpObjectApi;
 use kelpworks::border::object_api::ObjectApi;
+use kelpworks_coord::id::Version;
 
 const OBJECT: &str = r#"{"kind": "k", "name": "n", "version": 7, "body": "text"}"#;
 const CONFLICT: &str = r#"{"code": "conflict", "message": "m", "current":
@@ -179,10 +180,15 @@
     let server = Server::start(answer).await;
     let written = server
         .api()
-        .put("k", "n", "text".to_owned(), Condition::Version(3))
+        .put(
+            "k",
+            "n",
+            "text".to_owned(),
+            Condition::Version(Version::initial(3)),
+        )
         .await;
     let text = match written {
-        Ok(object) => format!("version {}", object.version),
+        Ok(object) => format!("version {}", object.version.revision),
         Err(e) => format!("{e:?}, may have run: {}", e.may_have_run()),
     };
     assert_snapshot!(name, text);
@@ -200,9 +206,13 @@
     let _a = api.get("k", "a/b c").await;
     let _b = api.put("k", "n", String::new(), Condition::Always).await;
     let _c = api.put("k", "n", String::new(), Condition::Absent).await;
-    let _d = api.delete("k", "n", Condition::Version(5)).await;
+    let _d = api
+        .delete("k", "n", Condition::Version(Version::initial(5)))
+        .await;
     let _e = api.list("k").await;
-    let _f = api.watch("k", 4, Duration::from_millis(50)).await;
+    let _f = api
+        .watch("k", Version::initial(4), Duration::from_millis(50))
+        .await;
     assert_snapshot!(server.requests.lock().unwrap().join("\n"));
     assert_eq!(
         server.connections.load(Ordering::SeqCst),
@@ -229,11 +239,16 @@
 async fn a_silent_watch_is_reopened_on_a_new_connection() {
     let server = Server::start(Answer::FirstSilent(r#"{"events": [], "version": 12}"#)).await;
     let api = server.api();
-    let silent = api.watch("k", 4, Duration::from_millis(10)).await;
+    let silent = api
+        .watch("k", Version::initial(4), Duration::from_millis(10))
+        .await;
     assert_eq!(silent, Err(Error::Silent));
     api.fresh();
-    let bookmark = api.watch("k", 4, LONG).await.unwrap();
-    assert_eq!((bookmark.events.len(), bookmark.version), (0, 12));
+    let bookmark = api.watch("k", Version::initial(4), LONG).await.unwrap();
+    assert_eq!(
+        (bookmark.events.len(), bookmark.version),
+        (0, Version::initial(12))
+    );
     assert_eq!(server.connections.load(Ordering::SeqCst), 2);
 }
 
--- a/crates/kelpworks/tests/support/mod.rs
+++ b/crates/kelpworks/tests/support/mod.rs
@@ -6,10 +6,14 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use kelpworks::border::era::Eras;
 use kelpworks::border::object_api::Condition;
 use kelpworks::border::object_api::Error;
+use kelpworks::border::object_api::Object;
 use kelpworks::border::object_api::ObjectApi;
+use kelpworks::border::object_api::ObjectList;
 use kelpworks::border::object_api::Result;
+use kelpworks::border::object_api::WatchReply;
 use kelpworks::config::accept::Which;
 use kelpworks::config::head::BLOB_KIND;
 use kelpworks::config::head::HEAD_KIND;
@@ -22,9 +26,7 @@
 use kelpworks_coord::head::Part;
 use kelpworks_coord::id::Digest;
 use kelpworks_coord::id::Nonce;
-use kelpworks_wire::Object;
-use kelpworks_wire::ObjectList;
-use kelpworks_wire::WatchReply;
+use kelpworks_coord::id::Version;
 
 /// What befalls one write of the head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,6 +78,7 @@
 #[derive(Default)]
 pub(crate) struct MemoryApi {
     state: Mutex<State>,
+    eras: Eras,
 }
 
 fn head_key() -> Key {
@@ -158,7 +161,7 @@
         let object = Object {
             kind: key.0.clone(),
             name: key.1.clone(),
-            version: state.version,
+            version: Version::initial(state.version),
             body,
         };
         if key == head_key() {
@@ -259,9 +262,13 @@
         unimplemented!("acceptance lists nothing")
     }
 
-    async fn watch(&self, _kind: &str, _from: u64, _wait: Duration) -> Result<WatchReply> {
+    async fn watch(&self, _kind: &str, _from: Version, _wait: Duration) -> Result<WatchReply> {
         unimplemented!("acceptance watches nothing")
     }
 
+    fn eras(&self) -> &Eras {
+        &self.eras
+    }
+
     fn fresh(&self) {}
 }
