Simulated fleets miss a change where the store gives revisions out again, unless eras are told apart

Change: the other kind's objects are written besides, so that revisions pass those that watchers had seen, at once or half a second later; entries are compared by their text.

--- a/crates/kelpworks-relay/src/peers/store_tests.rs
+++ b/crates/kelpworks-relay/src/peers/store_tests.rs
@@ -12,6 +12,7 @@
 //! The bounds are what operators are owed: a change is in force at all daemons three seconds after the
 //! store is back, or after the confirmation where that is later; five in a fleet of hundreds.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -94,6 +95,17 @@
         self.changed.notify_waiters();
     }
 
+    /// Writes the object of the kind that isn't looked at.
+    fn put_others(&self, what: What, numbers: Range<u64>) {
+        let other = match what {
+            What::Configuration => What::Upstreams,
+            What::Upstreams => What::Configuration,
+        };
+        for number in numbers {
+            self.put(other, number);
+        }
+    }
+
     fn take_copy(&self) {
         let mut state = lock(&self.state);
         state.copy = state.kept;
@@ -286,7 +298,13 @@
     let (object, _) = store.object(what);
     fleet.count(|me| match what {
         What::Configuration => me.documents.version().to_string() != object.body,
-        What::Upstreams => me.documents.entries_version() < object.version,
+        What::Upstreams => {
+            let entries = me.documents.entries();
+            entries
+                .texts
+                .get(&*object.name)
+                .is_none_or(|text| **text != *object.body)
+        }
     })
 }
 
@@ -350,15 +368,13 @@
         Restore::UnseenByWatchers(Duration::from_millis(1_500))
     )]
     restore: Restore,
-    #[values(1, 7)] lost: u64,
+    #[values(Duration::ZERO, Duration::from_millis(500))] written_after: Duration,
     #[values((9, 3), (66, 4), (295, 5))] (size, within_s): (usize, u64),
 ) {
     let (mut fleet, store, stop) = following(size).await;
     store.take_copy();
-    for number in 2..2 + lost {
-        store.put(what, number);
-        fleet.run(Duration::from_millis(300)).await;
-    }
+    store.put(what, 2);
+    store.put_others(what, 2..6);
     fleet.run(CALM).await;
     match restore {
         Restore::AtOnce => store.restore(),
@@ -371,7 +387,7 @@
         Restore::Twice => {
             store.restore();
             fleet.run(Duration::from_secs(1)).await;
-            store.put(what, 1 + lost);
+            store.put(what, 2);
             store.restore();
         }
         Restore::UnseenByWatchers(span) => {
@@ -381,10 +397,12 @@
             store.set_away(false);
         }
     }
-    // What the operators and upstreams had written is written again, and a change after it.
-    fleet.run(Duration::from_millis(500)).await;
-    store.put(what, 1 + lost);
-    store.put(what, 2 + lost);
+    // What the operators and upstreams had written is written again, and a change after it. With the others'
+    // changes the revisions then are those that the watchers had seen before, and more.
+    fleet.run(written_after).await;
+    store.put(what, 2);
+    store.put(what, 3);
+    store.put_others(what, 6..14);
     fleet.run(Duration::from_secs(within_s)).await;
     let behind = behind(&fleet, &store, what);
     assert_eq!(behind, 0, "of {size} daemons, after {within_s} s");
