Keyed calls are refused for a while after the object API lost claims

Cause: a claim that was acknowledged and is gone after the API came back from an older copy let its call run again. Ruled out: telling such a repeat by other means; nothing else records that the call ran. Change: for 30 s after a daemon has entered a later era (from its start, where the API ever had one), no new claim is made and the call is refused as not run. A claim whose own answer told of the era is removed again.

--- a/crates/kelpworks-coord/tests/control.rs
+++ b/crates/kelpworks-coord/tests/control.rs
@@ -404,3 +404,58 @@
         assert_eq!(pull, [spread::Action::Pull(NodeId(0))]);
     }
 }
+
+/// Daemons have a generation in force that the store has lost. The next change is made on top of an
+/// older head, and must be newer for them all the same.
+#[test]
+fn a_change_on_top_of_an_older_copy_of_the_head_is_newer_than_the_lost_one() {
+    use kelpworks_coord::head;
+    use kelpworks_coord::id::Digest;
+    use kelpworks_coord::id::Era;
+    use kelpworks_coord::id::Nonce;
+
+    let change = |nonce| head::Change {
+        which: head::Which::Register,
+        digest: Digest([nonce; 32]),
+        nonce: Nonce(u64::from(nonce)),
+    };
+    let written = |nonce, at: head::StoredHead| {
+        let mut swap = head::Swap::new(head::Config::default(), change(nonce), Instant::ZERO);
+        swap.on_event(Instant::ZERO, head::SwapEvent::Start);
+        swap.on_event(Instant::ZERO, head::SwapEvent::BlobStored);
+        swap.on_event(Instant::ZERO, head::SwapEvent::HeadRead(at));
+        let actions = swap.on_event(Instant::ZERO, head::SwapEvent::Valid);
+        match actions[..] {
+            [head::SwapAction::SwapHead { head, .. }] => head,
+            _ => panic!("{actions:?}"),
+        }
+    };
+    let copy = written(
+        1,
+        head::StoredHead {
+            version: Version::ABSENT,
+            head: head::Head::EMPTY,
+        },
+    );
+    let lost = written(
+        2,
+        head::StoredHead {
+            version: Version::initial(5),
+            head: copy,
+        },
+    );
+    let next = written(
+        3,
+        head::StoredHead {
+            version: Version::new(Era(1), 5),
+            head: copy,
+        },
+    );
+    let mut follower = head::Follower::new();
+    follower.on_event(head::FollowerEvent::Seen(lost));
+    follower.on_event(head::FollowerEvent::Fetched(lost.generation));
+    let actions = follower.on_event(head::FollowerEvent::Seen(next));
+    assert_eq!(actions, [head::FollowerAction::Fetch(next)]);
+    let older = follower.on_event(head::FollowerEvent::Seen(copy));
+    assert_eq!(older, [], "the copy itself changes nothing");
+}
--- a/crates/kelpworks/src/claims/drive.rs
+++ b/crates/kelpworks/src/claims/drive.rs
@@ -116,7 +116,8 @@
 
     async fn write(&mut self, if_version: Version, record: &Record) -> ApiReply {
         let creates = record.phase == Phase::Claimed;
-        if (creates && self.claims.now() > self.create_by) || !self.pay() {
+        let is_late = self.claims.now() > self.create_by;
+        if creates && (is_late || self.claims.may_miss_claims()) || !self.pay() {
             return ApiReply::Refused;
         }
         let body = serde_json::to_string(record).expect("a record has no maps");
@@ -124,6 +125,11 @@
         let api = &self.claims.api;
         let call = api.put(CLAIM_KIND, &self.name, body, condition);
         match self.bounded(call).await {
+            // This answer told of the later era.
+            Ok(object) if creates && self.claims.may_miss_claims() => {
+                self.remove(object.version).await;
+                ApiReply::Refused
+            }
             Ok(object) => ApiReply::Stored(object.version),
             Err(e) => failed(&e),
         }
--- a/crates/kelpworks/src/claims/mod.rs
+++ b/crates/kelpworks/src/claims/mod.rs
@@ -61,6 +61,7 @@
 use kelpworks_coord::claim;
 use kelpworks_coord::claim::Claim;
 use kelpworks_coord::claim::PeerStatus;
+use kelpworks_coord::id::Era;
 use kelpworks_coord::id::Incarnation;
 use kelpworks_coord::id::NodeId;
 use kelpworks_coord::id::Nonce;
@@ -88,6 +89,9 @@
 const ASSUMED_MEMBERS: usize = 8;
 /// When to come back after an answer that says that an earlier submission is under way.
 const COME_BACK: Duration = Duration::from_secs(1);
+/// How long keyed calls are refused after a daemon has entered a later era of the object API, which may
+/// have lost the claims of calls that ran: callers repeat theirs within this time.
+const REFUSED_IN_NEW_ERA: Duration = Duration::from_secs(30);
 
 /// Bounds of the slice.
 #[derive(Clone, Debug, PartialEq)]
@@ -234,6 +238,8 @@
     budget: Mutex<WriteBudget>,
     /// Claims that are not settled; at most [`Config::held`].
     held: Mutex<HashMap<Nonce, Arc<Mutex<Claim>>>>,
+    /// The latest era of the object API that a call here has met, and since when.
+    entered: Mutex<Option<(Era, Instant)>>,
 }
 
 impl<A: ObjectApi + 'static, P: Peers> Claims<A, P> {
@@ -253,6 +259,7 @@
             start: Instant::now(),
             budget: Mutex::new(budget),
             held: Mutex::default(),
+            entered: Mutex::default(),
             cfg,
             api,
             peers,
@@ -307,6 +314,23 @@
         rx.await.unwrap_or(Err(lost))
     }
 
+    /// Whether the object API may just have lost claims. A daemon that starts can't know how long ago that
+    /// was.
+    fn may_miss_claims(&self) -> bool {
+        let latest = self.api.eras().latest();
+        if latest == Era::FIRST {
+            return false;
+        }
+        let mut entered = lock(&self.entered);
+        let now = Instant::now();
+        let since = match *entered {
+            Some((era, since)) if era == latest => since,
+            _ => now,
+        };
+        *entered = Some((latest, since));
+        now.duration_since(since) < REFUSED_IN_NEW_ERA
+    }
+
     /// Takes the writes of a claim from the budget.
     fn admit<E>(&self) -> Result<(), E> {
         if lock(&self.held).len() >= self.cfg.held {
--- a/crates/kelpworks/tests/claims_slice.rs
+++ b/crates/kelpworks/tests/claims_slice.rs
@@ -289,3 +289,30 @@
     let unknown = node.status(node.incarnation(), Nonce(1));
     assert_eq!(unknown, Some(PeerStatus::MayHaveRun));
 }
+
+/// The claim of a call that ran is gone, and nothing else tells that it ever was.
+#[rstest]
+#[case::another_daemon(false)]
+#[case::the_daemon_that_ran_it(true)]
+#[tokio::test]
+async fn a_call_whose_claim_the_object_api_lost_does_not_run_again(#[case] same: bool) {
+    let bench = Bench::start().await;
+    let first = bench.node(config(16), Direct::default());
+    let answer = bench.call(&first, "k", Ok(reply(b"done"))).await;
+    assert!(answer.is_ok(), "{answer:?}");
+    bench.api.restore();
+    let second = match same {
+        true => first,
+        false => bench.node(config(16), Direct::default()),
+    };
+    for _ in 0..2 {
+        let again = bench.call(&second, "k", Ok(reply(b"again"))).await;
+        let refused = matches!(again, Err(Error::Unavailable { .. }));
+        assert!(refused, "{again:?}");
+    }
+    assert_eq!(bench.runs(), 1);
+    assert!(
+        bench.api.list(CLAIM_KIND).is_empty(),
+        "nothing is left behind"
+    );
+}
