Paths are drawn from the plan also before the first exchange with another daemon

Cause: after a loss of all daemons their callers come back within one second. Ruled out: asking engines for their load at each start (a question to each by each daemon). Change: the load counts as complete only once another daemon was heard, or a daemon is known to be alone.

--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -26,6 +26,7 @@
 use super::messages::SlownessOf;
 use super::messages::StoreAges;
 use super::messages::millis_since;
+use super::roles::ALONE;
 use super::roles::Precedence;
 use super::store_word::What;
 use crate::crashes::Fingerprint;
@@ -258,8 +259,10 @@
         let mut fleet = self.shared.fleet();
         let demand = lock(&self.loads).sum(&members, &mut fleet, now);
         drop(fleet);
-        let is_sampled = members.live().count() > SMALL;
-        self.shared.set_demand(demand, is_sampled);
+        let others = members.live().count();
+        let is_alone = others == 0 && now.duration_since(self.started) >= ALONE;
+        let is_complete = is_alone || (1..=SMALL).contains(&others);
+        self.shared.set_demand(demand, is_complete);
     }
 }
 
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -547,6 +547,37 @@
     assert_eq!(path.is_some(), drawn);
 }
 
+/// After a loss of all daemons their callers come back at once, before any daemon has heard of another.
+#[tokio::test(start_paused = true)]
+async fn paths_are_drawn_until_a_daemon_has_heard_another_or_is_known_to_be_alone() {
+    let (entry, engines) = whole_engine();
+    let is_drawn = |me: &Peers| {
+        let mut fleet = me.shared.fleet();
+        fleet.replace(vec![entry.clone()], Version::initial(1), Instant::now());
+        let ask = Ask {
+            service: &entry.service,
+            tokens: 20.0,
+            domain: "a",
+            layers: LayerRange { from: 0, to: 2 },
+            avoid: &[],
+            first: &[],
+            now: Instant::now(),
+        };
+        me.shared.draw(&fleet, &engines, &ask).is_some()
+    };
+    let me = peers(0);
+    assert!(is_drawn(&me), "before its first exchange");
+    me.sum_load();
+    assert!(is_drawn(&me), "nobody was heard");
+    me.heard(&digest(1));
+    me.sum_load();
+    assert!(!is_drawn(&me));
+    let alone = peers(0);
+    advance(ALONE).await;
+    alone.sum_load();
+    assert!(!is_drawn(&alone), "its own load is all there is");
+}
+
 /// A dialect whose configurations are their versions, and whose entries can't be read.
 pub(super) struct Numbered;
 
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -62,8 +62,8 @@
     spreads: Mutex<HashMap<Arc<str>, Spread>>,
     /// Load by other daemons, by their failure domain, as they last told.
     demand: Mutex<Vec<Demand>>,
-    /// Whether the load of engines is known only from a sample of the daemons.
-    load_is_sampled: AtomicBool,
+    /// Whether every other daemon tells its load, so that the load of each engine is known.
+    load_is_complete: AtomicBool,
     /// Moving average of the pause between two events of a stream, in microseconds.
     pause_us: AtomicU64,
     /// Connections to upstreams.
@@ -89,7 +89,7 @@
             suspects: Mutex::default(),
             spreads: Mutex::default(),
             demand: Mutex::default(),
-            load_is_sampled: AtomicBool::new(false),
+            load_is_complete: AtomicBool::new(false),
             pause_us: AtomicU64::new(USUAL_PAUSE.as_micros() as u64),
             pool: Pool::default(),
             closing: AtomicBool::new(false),
@@ -180,20 +180,20 @@
         lock(&self.repeats)
     }
 
-    /// Takes the load of other daemons, by their failure domain, and whether it is known only from a
-    /// sample of them.
-    pub(crate) fn set_demand(&self, demand: Vec<Demand>, is_sampled: bool) {
+    /// Takes the load of other daemons, by their failure domain, and whether all of them told theirs.
+    pub(crate) fn set_demand(&self, demand: Vec<Demand>, is_complete: bool) {
         *lock(&self.demand) = demand;
-        self.load_is_sampled.store(is_sampled, Ordering::Relaxed);
+        self.load_is_complete.store(is_complete, Ordering::Relaxed);
     }
 
     /// A path for a whole request, drawn from the plan for all requests; `None` when the plan has none
     /// that may be used now.
     ///
     /// Where every daemon tells every other its load within a quarter of a second, the cheapest path by
-    /// that load is better than a drawn one.
+    /// that load is better than a drawn one. A daemon that has just started knows no load: after a loss of
+    /// all daemons each would choose the same path.
     pub(crate) fn draw(&self, fleet: &Fleet, engines: &Engines, ask: &Ask<'_>) -> Option<Path> {
-        if !self.load_is_sampled.load(Ordering::Relaxed) {
+        if self.load_is_complete.load(Ordering::Relaxed) {
             return None;
         }
         let mut spreads = lock(&self.spreads);
