Engines that hold more layers fill what the fast ones leave

Cause: of two slow kinds that are nearly as fast (15 and 16 times the usual step) the one with memory for six layers was placed before the one for nine, so that gaps of 20 layers between fast engines took four hops instead of three. Change: engines are placed in the order of the time that they add to a token at each layer, the layer's part of a hop included. The test fails with the order by speed alone: 17 of 20 gap layers are held by small engines only.

--- a/crates/kelpworks-relay/src/layout.rs
+++ b/crates/kelpworks-relay/src/layout.rs
@@ -4,18 +4,20 @@
 //! leaves a path), room for requests, and time (a slow accelerator with many layers slows every
 //! path over it). Room decides most: an engine without it refuses, or cuts streams off. So each
 //! engine gets as many layers as leave room for a fixed number of usual requests, and the layers
-//! are laid so that each failure domain covers the model by its fastest engines first; what is
-//! left backs up the layers that are held least.
+//! are laid so that each failure domain covers the model by its fastest engines first, and with few
+//! hops; what is left backs up the layers that are held least.
 //!
 //! What stands is kept: only engines that hold nothing are given layers. But where a failure domain
 //! lacks a layer, so that its paths would have to leave it, an engine moves whose own layers its
 //! domain holds elsewhere.
 
+use std::cmp::Ordering;
 use std::sync::Arc;
 
 use crate::config::Accelerator;
 use crate::config::Engines;
 use crate::dialect::LayerRange;
+use crate::path::graph::HOP_MS;
 
 /// Usual requests that an engine must have room for beside its layers. At 86 requests a second on
 /// three domains about 37 run in each at a time, and bursts double that.
@@ -96,7 +98,7 @@
 pub fn plan(engines: &Engines, hosts: &[Host]) -> Vec<Placement> {
     let mut cover = Cover::new(engines, hosts);
     let mut empty: Vec<&Host> = hosts.iter().filter(|h| h.layers.is_none()).collect();
-    empty.sort_by(|a, b| cover.by_speed(engines, a, b));
+    empty.sort_by(|a, b| by_speed(engines, a, b));
     let mut orders = Vec::new();
     for host in empty {
         let Some(kind) = engines.kind(&host.kind) else {
@@ -121,6 +123,24 @@
     orders
 }
 
+/// Those first that add least to the time of a token, so that they make up the path of their domain.
+fn by_speed(engines: &Engines, a: &Host, b: &Host) -> Ordering {
+    let time = |h: &Host| {
+        let kind = engines.kind(&h.kind);
+        kind.map_or(f64::MAX, |k| layer_ms(engines, k))
+    };
+    let by_time = time(a).total_cmp(&time(b));
+    by_time.then_with(|| a.instance.cmp(&b.instance))
+}
+
+/// Time that a token takes at each layer of an engine of a kind, with that layer's part of the hop there,
+/// in milliseconds: an engine that holds few layers makes a path of many hops.
+fn layer_ms(engines: &Engines, kind: &Accelerator) -> f64 {
+    let step = kind.step_factor * engines.step_ms / f64::from(engines.layers.max(1));
+    let held = layers_for(engines, kind, LEAST_ROOM).max(1);
+    step + HOP_MS / f64::from(held)
+}
+
 /// How often each layer is held, by failure domain.
 struct Cover {
     layers: u16,
@@ -149,13 +169,6 @@
         cover
     }
 
-    /// Fast accelerators first, so that they make up the path of their domain.
-    fn by_speed(&self, engines: &Engines, a: &Host, b: &Host) -> std::cmp::Ordering {
-        let factor = |h: &Host| engines.kind(&h.kind).map_or(f64::MAX, |k| k.step_factor);
-        let by_factor = factor(a).total_cmp(&factor(b));
-        by_factor.then_with(|| a.instance.cmp(&b.instance))
-    }
-
     fn add(&mut self, domain: &Arc<str>, range: LayerRange) {
         let domain = self.domain_mut(domain);
         for layer in usize::from(range.from)..usize::from(range.to).min(domain.counts.len()) {
--- a/crates/kelpworks-relay/src/path/graph.rs
+++ b/crates/kelpworks-relay/src/path/graph.rs
@@ -11,7 +11,7 @@
 
 /// Time that passing activations on takes a token within a failure domain, in milliseconds: the
 /// delay of a link and a share of the next engine's running pass.
-const HOP_MS: f64 = 1.0;
+pub(crate) const HOP_MS: f64 = 1.0;
 /// Added where activations leave a failure domain, in milliseconds. It stands for the delay and for
 /// a pipe that all paths between two domains share: a prompt takes some 9 ms of it, in which the tokens
 /// of all other paths wait.
--- a/crates/kelpworks-relay/tests/layout.rs
+++ b/crates/kelpworks-relay/tests/layout.rs
@@ -10,6 +10,8 @@
 use fleet_support::LAYERS;
 use fleet_support::empty_hosts;
 use fleet_support::engines;
+use kelpworks_relay::config::Accelerator;
+use kelpworks_relay::config::Engines;
 use kelpworks_relay::layout::Host;
 use kelpworks_relay::layout::layers_for;
 use kelpworks_relay::layout::plan;
@@ -168,3 +170,45 @@
     let copies = f64::from(held.sum::<u16>()) / f64::from(LAYERS);
     assert!(copies >= 3.0 || room == 85.0, "{copies}");
 }
+
+/// Of two slow kinds that are nearly as fast, one has memory for more layers. Each hop of a path costs a
+/// token more than the difference, so that kind fills what the fast engines leave. The pattern is usual
+/// traffic on a fleet of few fast engines.
+#[test]
+fn paths_have_few_hops_where_slow_engines_fill_gaps() {
+    let kind = |name: &str, memory_mb, step_factor| Accelerator {
+        name: Arc::from(name),
+        memory_mb,
+        step_factor,
+        read_factor: 8.0,
+    };
+    let engines = Engines {
+        kinds: vec![
+            kind("fast", 36_000.0, 3.1),
+            kind("roomy", 21_600.0, 16.0),
+            kind("small", 14_400.0, 15.0),
+        ],
+        ..engines()
+    };
+    let mut hosts = Vec::new();
+    for (kind, count) in [("fast", 4), ("roomy", 3), ("small", 24)] {
+        hosts.extend((0..count).map(|i| Host {
+            instance: Arc::from(format!("{kind}-{i}")),
+            domain: Arc::from("a"),
+            kind: Arc::from(kind),
+            layers: None,
+            running: 0.0,
+        }));
+    }
+    for order in plan(&engines, &hosts) {
+        let host = hosts.iter_mut().find(|h| h.instance == order.instance);
+        host.expect("a known engine").layers = Some(order.layers);
+    }
+    let holds = |wanted: &str, layer: u16| {
+        let mut of_kind = hosts.iter().filter(|h| *h.kind == *wanted);
+        of_kind.any(|h| h.layers.is_some_and(|r| r.contains(layer)))
+    };
+    let gaps = (0..LAYERS).filter(|&l| !holds("fast", l));
+    let by_small_alone: Vec<u16> = gaps.filter(|&l| !holds("roomy", l)).collect();
+    assert!(by_small_alone.is_empty(), "{by_small_alone:?}");
+}
