One place decides whether a watch is of the era it was begun in

Cause: both clients of the object API and the tests' one checked it in a few lines each. Change: Eras::watch_from. Two tests share a request.

--- a/crates/kelpworks-relay/src/peers/store_tests.rs
+++ b/crates/kelpworks-relay/src/peers/store_tests.rs
@@ -244,12 +244,8 @@
     }
 
     async fn watch(&self, kind: &str, from: Version, wait: Duration) -> Result<WatchReply> {
-        let reply = self.changes(kind, from.revision, wait);
-        let reply = self.eras.within(from.era, reply).await?;
-        match reply.version.era > from.era {
-            true => Err(Error::Expired),
-            false => Ok(reply),
-        }
+        let watch = self.changes(kind, from.revision, wait);
+        self.eras.watch_from(from, watch).await
     }
 
     fn eras(&self) -> &Eras {
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -518,6 +518,19 @@
     (entry, engines)
 }
 
+/// A small request to that engine.
+fn ask_whole(entry: &UpstreamEntry) -> Ask<'_> {
+    Ask {
+        service: &entry.service,
+        tokens: 20.0,
+        domain: "a",
+        layers: LayerRange { from: 0, to: 2 },
+        avoid: &[],
+        first: &[],
+        now: Instant::now(),
+    }
+}
+
 /// Paths are drawn from the plan only where a daemon does not hear the load of all others.
 #[rstest]
 #[case::all_are_heard(SMALL, false)]
@@ -533,17 +546,8 @@
         me.heard(&digest(other));
     }
     me.sum_load();
-    let ask = Ask {
-        service: &entry.service,
-        tokens: 20.0,
-        domain: "a",
-        layers: LayerRange { from: 0, to: 2 },
-        avoid: &[],
-        first: &[],
-        now: Instant::now(),
-    };
     let fleet = me.shared.fleet();
-    let path = me.shared.draw(&fleet, &engines, &ask);
+    let path = me.shared.draw(&fleet, &engines, &ask_whole(&entry));
     assert_eq!(path.is_some(), drawn);
 }
 
@@ -554,16 +558,9 @@
     let is_drawn = |me: &Peers| {
         let mut fleet = me.shared.fleet();
         fleet.replace(vec![entry.clone()], Version::initial(1), Instant::now());
-        let ask = Ask {
-            service: &entry.service,
-            tokens: 20.0,
-            domain: "a",
-            layers: LayerRange { from: 0, to: 2 },
-            avoid: &[],
-            first: &[],
-            now: Instant::now(),
-        };
-        me.shared.draw(&fleet, &engines, &ask).is_some()
+        me.shared
+            .draw(&fleet, &engines, &ask_whole(&entry))
+            .is_some()
     };
     let me = peers(0);
     assert!(is_drawn(&me), "before its first exchange");
--- a/crates/kelpworks/src/border/era.rs
+++ b/crates/kelpworks/src/border/era.rs
@@ -27,6 +27,7 @@
 
 use super::object_api::Error;
 use super::object_api::Result;
+use super::object_api::WatchReply;
 use kelpworks_coord::id::Era;
 use kelpworks_coord::id::Version;
 
@@ -124,16 +125,25 @@
         }
     }
 
-    /// The outcome of a watch from a version of an era, which a later era ends.
+    /// The outcome of a watch from a version, which a later era ends: its changes are those of another
+    /// history.
     ///
     /// # Errors
     ///
     /// [`Error::Expired`] once there is a later era.
-    pub async fn within<T>(&self, era: Era, watch: impl Future<Output = Result<T>>) -> Result<T> {
-        tokio::select! {
+    pub async fn watch_from(
+        &self,
+        from: Version,
+        watch: impl Future<Output = Result<WatchReply>>,
+    ) -> Result<WatchReply> {
+        let reply = tokio::select! {
             biased;
-            () = self.after(era) => Err(Error::Expired),
-            reply = watch => reply,
+            () = self.after(from.era) => return Err(Error::Expired),
+            reply = watch => reply?,
+        };
+        match reply.version.era > from.era {
+            true => Err(Error::Expired),
+            false => Ok(reply),
         }
     }
 }
--- a/crates/kelpworks/src/border/object_api.rs
+++ b/crates/kelpworks/src/border/object_api.rs
@@ -103,6 +103,20 @@
     pub version: Version,
 }
 
+impl WatchReply {
+    /// A reply of the wire, as answered in an era.
+    fn new(wire: kelpworks_wire::WatchReply, era: Era) -> WatchReply {
+        let event = |e: kelpworks_wire::WatchEvent| WatchEvent {
+            kind: e.kind,
+            object: Object::new(e.object, era),
+        };
+        WatchReply {
+            events: wire.events.into_iter().map(event).collect(),
+            version: Version::new(era, wire.version),
+        }
+    }
+}
+
 /// Why a call to the object API failed.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Error)]
@@ -429,22 +443,12 @@
             .append_pair("wait_ms", &wait.as_millis().to_string());
         let bound = wait + self.deadlines.watch_margin;
         let reply = self.read_json::<kelpworks_wire::WatchReply>(self.client.get().get(url));
-        let reply = async {
+        let watch = async {
             let reply = tokio::time::timeout(bound, reply).await;
-            reply.unwrap_or(Err(Error::Silent))
+            let (reply, era) = reply.unwrap_or(Err(Error::Silent))?;
+            Ok(WatchReply::new(reply, era))
         };
-        let (reply, era) = self.eras.within(from.era, reply).await?;
-        if era > from.era {
-            return Err(Error::Expired);
-        }
-        let event = |e: kelpworks_wire::WatchEvent| WatchEvent {
-            kind: e.kind,
-            object: Object::new(e.object, era),
-        };
-        Ok(WatchReply {
-            events: reply.events.into_iter().map(event).collect(),
-            version: Version::new(era, reply.version),
-        })
+        self.eras.watch_from(from, watch).await
     }
 
     fn eras(&self) -> &Eras {
