An era that skips others is believed when told twice

Cause: one answer with a number by mistake in its header would have put a daemon, and by its digests all others, in an era that the store never reaches: every later answer counts as outdated, and nothing leads back. Change: beyond the next era, an era has to be told again before an answer tells another. The first one told at all is believed. Peers that are behind take nothing back. Before/after: the new test failed at Era(900), passes.

--- a/crates/kelpworks/src/border/era.rs
+++ b/crates/kelpworks/src/border/era.rs
@@ -15,12 +15,19 @@
 //! assert!(eras.observe(Era(2), EraSource::Answer));
 //! assert!(!eras.observe(Era(1), EraSource::Peer), "a late answer changes nothing");
 //! assert_eq!(eras.latest(), Era(2));
+//! assert!(!eras.observe(Era(70), EraSource::Answer), "not on one word");
 //! ```
 //!
-//! Limits: an API that tells no era is taken to be in the first for ever.
+//! Eras rise by one, and nothing leads back from one that was told by mistake. So one that skips
+//! others has to be told twice in a row.
+//!
+//! Limits: an API that tells no era is taken to be in the first for ever. The first era that is told
+//! at all is believed, whatever it is.
 
 use std::future::Future;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use log::info;
 use tokio::sync::watch;
@@ -53,12 +60,15 @@
 #[derive(Clone, Debug)]
 pub struct Eras {
     latest: Arc<watch::Sender<Era>>,
+    /// The last era told that skips others; 0 once an answer told another.
+    skipping: Arc<AtomicU64>,
 }
 
 impl Default for Eras {
     fn default() -> Eras {
         Eras {
             latest: Arc::new(watch::Sender::new(Era::FIRST)),
+            skipping: Arc::default(),
         }
     }
 }
@@ -69,9 +79,12 @@
         *self.latest.borrow()
     }
 
-    /// Takes note of an era; whether it is later than all before.
+    /// Takes note of an era; whether it is later than all before, and believed.
     pub fn observe(&self, era: Era, source: EraSource) -> bool {
         let before = self.latest();
+        if !self.is_credible(era, before, source) {
+            return false;
+        }
         let is_later = self.latest.send_if_modified(|latest| {
             let is_later = era > *latest;
             *latest = era.max(*latest);
@@ -91,6 +104,19 @@
         is_later
     }
 
+    /// Whether an era follows the latest, is the first to be told, or was told before without an answer
+    /// of another in between. Peers may be behind, so their word takes nothing back.
+    fn is_credible(&self, era: Era, latest: Era, source: EraSource) -> bool {
+        let skips = latest > Era::FIRST && era.0 > latest.0 + 1;
+        if skips {
+            return self.skipping.swap(era.0, Ordering::Relaxed) == era.0;
+        }
+        if source == EraSource::Answer {
+            self.skipping.store(0, Ordering::Relaxed);
+        }
+        true
+    }
+
     /// Waits for an era later than this one.
     pub async fn after(&self, era: Era) {
         let mut latest = self.latest.subscribe();
@@ -102,14 +128,14 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Lost`] when the answer is of an earlier era than the latest, or can't be told from
-    /// one.
+    /// [`Error::Lost`] when the answer is of an earlier era than the latest, can't be told from one,
+    /// or tells an era that is not believed yet.
     pub fn of_answer(&self, told: Option<Era>) -> Result<Era> {
         let era = told.unwrap_or(Era::FIRST);
         self.observe(era, EraSource::Answer);
-        match era < self.latest() {
-            true => Err(Error::Lost),
-            false => Ok(era),
+        match era == self.latest() {
+            true => Ok(era),
+            false => Err(Error::Lost),
         }
     }
 
--- a/crates/kelpworks/tests/border_era.rs
+++ b/crates/kelpworks/tests/border_era.rs
@@ -128,6 +128,27 @@
     assert!(eras.latest() >= Era(3), "never falls");
 }
 
+/// Nothing leads back from an era that one answer told by mistake, and peers would spread it.
+#[test]
+fn an_era_that_skips_others_is_believed_when_told_twice_in_a_row() {
+    let eras = Eras::default();
+    assert_eq!(eras.of_answer(Some(Era(3))), Ok(Era(3)), "the first is");
+    assert_eq!(eras.of_answer(Some(Era(900))), Err(Error::Lost));
+    assert_eq!(eras.of_answer(Some(Era(3))), Ok(Era(3)), "as before");
+    assert_eq!(eras.of_answer(Some(Era(900))), Err(Error::Lost));
+    assert_eq!(eras.of_answer(Some(Era(7))), Err(Error::Lost));
+    assert!(
+        !eras.observe(Era(3), EraSource::Peer),
+        "a peer that is behind"
+    );
+    assert_eq!(eras.of_answer(Some(Era(7))), Ok(Era(7)));
+    assert_eq!(
+        eras.of_answer(Some(Era(8))),
+        Ok(Era(8)),
+        "the next one at once"
+    );
+}
+
 #[test]
 fn an_api_without_eras_is_in_the_first() {
     let eras = Eras::default();
