A costly plan is used for longer, and a fleet's entries are not copied where nothing was restored

A plan was made anew at every change of a registration, and since eras each change copied all entries twice more. Change: a plan is used for ten times the time that it took, two seconds at most, whatever changes; whoever draws passes engines over that have changed. Entries are borrowed unless the store has come back from an older copy. Test of the pattern in spread.rs.

--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -101,7 +101,7 @@
             return Changes::default();
         }
         if version.era > self.version.era {
-            let before = self.restored.apply(&self.registered);
+            let before = self.restored.apply(&self.registered).into_owned();
             self.restored.begin(&before, &entries, now);
         }
         self.version = version;
--- a/crates/kelpworks-relay/src/fleet/restored.rs
+++ b/crates/kelpworks-relay/src/fleet/restored.rs
@@ -8,6 +8,7 @@
 //!
 //! Limits: a daemon that starts while the store shows an older copy has nothing to set against it.
 
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -59,7 +60,10 @@
     }
 
     /// The entries that hold, given those that are registered now.
-    pub(super) fn apply(&self, registered: &[UpstreamEntry]) -> Vec<UpstreamEntry> {
+    pub(super) fn apply<'a>(&self, registered: &'a [UpstreamEntry]) -> Cow<'a, [UpstreamEntry]> {
+        if self.before.is_empty() && self.leaving.is_empty() {
+            return Cow::Borrowed(registered);
+        }
         let ids: HashSet<&Arc<str>> = registered.iter().map(|e| &e.id).collect();
         let is_missing = |id: &Arc<str>| !ids.contains(id) && !self.copy.contains_key(id);
         let missing = self.before.iter().filter(|(id, _)| is_missing(id));
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -200,7 +200,9 @@
         let known = spreads.get(ask.service);
         if !known.is_some_and(|s| s.is_fresh(fleet, ask.now)) {
             let demand = self.demand(fleet, ask.service);
-            let spread = Spread::plan(fleet, engines, ask, &demand);
+            let begun = Instant::now();
+            let mut spread = Spread::plan(fleet, engines, ask, &demand);
+            spread.set_took(begun.elapsed());
             metrics::gauge!("kelpworks_spread_placed").set(spread.placed());
             spreads.insert(Arc::from(ask.service), spread);
         }
--- a/crates/kelpworks-relay/src/spread.rs
+++ b/crates/kelpworks-relay/src/spread.rs
@@ -39,6 +39,11 @@
 const PARTS: u32 = 24;
 /// Age from which a plan is made anew: digests of a larger fleet come as often.
 const FRESH: Duration = Duration::from_millis(500);
+/// A plan is used for so many times the time that it took, whatever changes: its making is to take a
+/// small part of a host, also where thousands of engines register one by one.
+const MIN_USE: u32 = 10;
+/// Longest such time.
+const MAX_USE: Duration = Duration::from_secs(2);
 /// Part of the fleet's room that is planned for at least. While load is light, or not known yet after a
 /// start, this spreads requests over more engines than they need.
 const MIN_FILL: f64 = 0.3;
@@ -64,6 +69,8 @@
 pub struct Spread {
     paths: Vec<Parts>,
     made: Instant,
+    /// Time that making it took.
+    took: Duration,
     /// Version of the registrations that it was made for.
     version: Version,
     /// Part of the load, of all domains, for which there was room.
@@ -123,6 +130,7 @@
         let mut spread = Spread {
             paths: Vec::new(),
             made: ask.now,
+            took: Duration::ZERO,
             version: fleet.version(),
             placed: 0.0,
         };
@@ -171,9 +179,17 @@
         self.placed = f64::from(placed) / (all.max(1) as f64);
     }
 
-    /// Whether it still fits the fleet.
+    /// Notes the time that making it took.
+    pub fn set_took(&mut self, took: Duration) {
+        self.took = took;
+    }
+
+    /// Whether it is still to be used: it fits the fleet, or it was costly to make. Whoever draws passes
+    /// engines over that have changed since.
     pub fn is_fresh(&self, fleet: &Fleet, now: Instant) -> bool {
-        self.version == fleet.version() && now.duration_since(self.made) < FRESH
+        let age = now.duration_since(self.made);
+        let fits = self.version == fleet.version() && age < FRESH;
+        fits || age < (self.took * MIN_USE).min(MAX_USE)
     }
 
     /// Part of the fleet's load for which there was room.
--- a/crates/kelpworks-relay/tests/spread.rs
+++ b/crates/kelpworks-relay/tests/spread.rs
@@ -5,7 +5,9 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
+use kelpworks_coord::id::Version;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rstest::rstest;
@@ -197,3 +199,24 @@
     }
     assert!(left >= 3, "only {left} engines were left");
 }
+
+/// Thousands of engines register one by one, and each registration changes the fleet. The pattern is the
+/// start of a fleet of hundreds of daemons on small hosts.
+#[tokio::test(start_paused = true)]
+async fn a_plan_that_was_costly_is_used_for_longer_whatever_changes() {
+    let mut fleet = fleet(1);
+    let engines = engines();
+    let ask = ask("a");
+    let mut spread = Spread::plan(&fleet, &engines, &ask, &demand(60.0));
+    let after = |ms| ask.now + Duration::from_millis(ms);
+    assert!(spread.is_fresh(&fleet, after(499)));
+    assert!(!spread.is_fresh(&fleet, after(500)));
+    let entries = fleet.entries();
+    fleet.replace(entries, Version::initial(2), ask.now);
+    assert!(!spread.is_fresh(&fleet, after(1)), "the fleet has changed");
+    spread.set_took(Duration::from_millis(8));
+    assert!(spread.is_fresh(&fleet, after(79)));
+    assert!(!spread.is_fresh(&fleet, after(80)));
+    spread.set_took(Duration::from_secs(1));
+    assert!(!spread.is_fresh(&fleet, after(2_000)), "but not for ever");
+}
