The longest use of a costly plan is ten seconds

Cause: at 585 engines a plan takes 29 ms of a core, so some 150 ms at 2,999 by its slope, and over a second on a host with an eighth of a core. Two seconds of use then still leave a third of such a host to planning. Change: ten times the time it took, up to ten seconds.

--- a/crates/kelpworks-relay/src/spread.rs
+++ b/crates/kelpworks-relay/src/spread.rs
@@ -43,7 +43,7 @@
 /// small part of a host, also where thousands of engines register one by one.
 const MIN_USE: u32 = 10;
 /// Longest such time.
-const MAX_USE: Duration = Duration::from_secs(2);
+const MAX_USE: Duration = Duration::from_secs(10);
 /// Part of the fleet's room that is planned for at least. While load is light, or not known yet after a
 /// start, this spreads requests over more engines than they need.
 const MIN_FILL: f64 = 0.3;
