A limit that an upstream announces is read and logged

A lower limit counts at once, a higher one or none only in an answer to a request sent after the limit was last announced, since answers overtake each other. Where requests go is unchanged.

--- a/crates/kelpworks-relay/src/dialect.rs
+++ b/crates/kelpworks-relay/src/dialect.rs
@@ -14,6 +14,7 @@
 use thiserror::Error;
 
 use crate::config::Configuration;
+use crate::limits::Announcement;
 
 /// The result of decoding.
 pub type Result<T> = std::result::Result<T, DecodeError>;
@@ -115,6 +116,8 @@
     pub at_fault: Option<SocketAddr>,
     /// Version of the weights.
     pub weight_version: Option<u64>,
+    /// What it says of the requests that the upstream takes.
+    pub limit: Announcement,
 }
 
 /// State of an upstream as discovery shows it.
--- a/crates/kelpworks-relay/src/fleet/upstream.rs
+++ b/crates/kelpworks-relay/src/fleet/upstream.rs
@@ -7,6 +7,7 @@
 use crate::dialect::LayerRange;
 use crate::dialect::Stage;
 use crate::dialect::UpstreamEntry;
+use crate::limits::Limiter;
 
 /// First time that an upstream is passed over after a failure. Under the heartbeat interval of
 /// discovery (about a second), so that an upstream that recovers is tried again by then.
@@ -98,6 +99,8 @@
     pub answer_ms: Option<f64>,
     /// Moving share of attempts that it failed though it lives, 0 to 1.
     pub failing: f64,
+    /// The limit on requests that it announced.
+    pub limiter: Limiter,
 }
 
 impl Upstream {
@@ -187,6 +190,7 @@
             silent: 0,
             answer_ms: None,
             failing: 0.0,
+            limiter: Limiter::default(),
         }
     }
 
--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -24,6 +24,7 @@
 mod follow;
 pub mod holdings;
 pub mod layout;
+pub mod limits;
 mod operators;
 pub mod path;
 mod peers;
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -25,6 +25,7 @@
 use crate::dialect::Forwarded;
 use crate::fleet::Fleet;
 use crate::fleet::UpstreamKey;
+use crate::limits::Announcement;
 use crate::pool;
 use crate::pool::Exchange;
 use crate::pool::Reuse;
@@ -246,7 +247,12 @@
             .pool
             .send(upstream, address, req, reuse, permit)
             .await;
-        read::<D>(shared, ticket, address, exchange).await
+        let target = Target {
+            upstream,
+            address,
+            sent,
+        };
+        read::<D>(shared, ticket, target, exchange).await
     };
     let result = match tokio::time::timeout(patience, work).await {
         Ok(result) => result,
@@ -280,11 +286,18 @@
     }
 }
 
+/// Where a request was sent, and when.
+struct Target {
+    upstream: UpstreamKey,
+    address: SocketAddr,
+    sent: Instant,
+}
+
 /// Judges an answer and reads it whole.
 async fn read<D: Dialect>(
     shared: &Shared,
     ticket: &Ticket,
-    address: SocketAddr,
+    target: Target,
     exchange: pool::Result<Exchange>,
 ) -> Attempt {
     let Exchange {
@@ -296,9 +309,12 @@
         Err(pool::Error::Lost) => return failed(Verdict::MayHaveRun, "connection lost"),
     };
     let head = D::answer(response.headers());
+    if let Some(said) = announcement(ticket, &response, &head, target.address) {
+        shared.limit_announced(target.upstream, said, target.sent);
+    }
     if let Some((verdict, why)) = fault(ticket, &response, &head) {
         if let Some(id) = misdirected(&response, &head) {
-            shared.answered_by(address, id);
+            shared.answered_by(target.address, id);
         }
         return failed(verdict, why);
     }
@@ -331,6 +347,26 @@
     head.id.as_deref().filter(|_| is_misdirected)
 }
 
+/// What an answer says of the limit of the upstream at an address; `None` where it says nothing of that
+/// upstream.
+pub(super) fn announcement(
+    ticket: &Ticket,
+    response: &Response<Incoming>,
+    head: &AnswerHead,
+    address: SocketAddr,
+) -> Option<Announcement> {
+    let is_foreign = head
+        .request_id
+        .as_deref()
+        .is_some_and(|id| id != &*ticket.id);
+    if is_foreign || misdirected(response, head).is_some() {
+        return None;
+    }
+    let is_own = (head.signed || head.not_run) && head.at_fault.is_none_or(|at| at == address);
+    // A limit is named by its upstream alone; a head without one may be another's.
+    (is_own || head.limit != Announcement::Unlimited).then_some(head.limit)
+}
+
 /// What is wrong with an answer's head, and what that says of the request.
 pub(super) fn fault(
     ticket: &Ticket,
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -33,6 +33,7 @@
 use crate::pool::Exchange;
 use crate::pool::Reuse;
 use crate::relay::call::NOT_SENT;
+use crate::relay::call::announcement;
 use crate::relay::call::fault;
 use crate::relay::call::misdirected;
 use crate::shared::Shared;
@@ -255,6 +256,10 @@
         let exchange = self.wait_for_first(sending, &path.parts, sent).await?;
         let exchange = exchange.map_err(|e| self.not_sent(first, e))?;
         let head = D::answer(exchange.response.headers());
+        let said = announcement(&self.ticket, &exchange.response, &head, path.address);
+        if let Some(said) = said {
+            self.shared.limit_announced(first, said, sent);
+        }
         self.judge(first, path, &exchange.response, &head)?;
         let mut fleet = self.shared.fleet();
         for key in path.keys() {
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -12,6 +12,7 @@
 
 use arc_swap::ArcSwap;
 use log::info;
+use log::warn;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -22,6 +23,10 @@
 use crate::fleet::Changes;
 use crate::fleet::Fleet;
 use crate::fleet::Owner;
+use crate::fleet::UpstreamKey;
+use crate::limits::Announcement;
+use crate::limits::Change;
+use crate::limits::Rate;
 use crate::path::Ask;
 use crate::path::Path;
 use crate::pool::Pool;
@@ -135,6 +140,25 @@
         }
     }
 
+    /// Takes what an answer to a request that was sent at a moment says of its upstream's limit.
+    pub(crate) fn limit_announced(&self, key: UpstreamKey, said: Announcement, sent: Instant) {
+        let now = Instant::now();
+        let mut fleet = self.fleet();
+        let Some(upstream) = fleet.get_mut(key) else {
+            return;
+        };
+        let instance = Arc::clone(&upstream.entry.instance);
+        let is_unreadable = upstream.limiter.is_first_unreadable(said);
+        let change = upstream.limiter.hear(said, sent, now);
+        drop(fleet);
+        if is_unreadable {
+            warn!(upstream:% = instance; "announced limit ignored: not a rate");
+        }
+        if let Some(change) = change {
+            log_limit(&instance, change, "answer", Duration::ZERO);
+        }
+    }
+
     /// Takes an engine's word on its start; whether it is another than that of this incarnation.
     pub(crate) fn started_anew(&self, instance: &str, start: Option<Start>) -> bool {
         let mut fleet = self.fleet();
@@ -257,3 +281,18 @@
         lock(&self.crashes)
     }
 }
+
+/// Logs a limit that began, changed or ended; `age` is that of the announcement.
+pub(crate) fn log_limit(instance: &str, change: Change, source: &'static str, age: Duration) {
+    let per_second = |rate: Option<Rate>| rate.map(Rate::get);
+    info!(
+        target: "decision",
+        upstream:% = instance,
+        per_second = per_second(change.now),
+        before = per_second(change.before),
+        source:% = source,
+        age_ms = age.as_millis() as u64;
+        "upstream's limit changed"
+    );
+    metrics::counter!("kelpworks_limit_changes_total", "source" => source).increment(1);
+}
