A test of announced limits fails: daemons send engines and services more than they say they take

Symptom: of three daemons with 50 requests a second, an engine that announces 2 a second gets 132 in four seconds and a plain service 198, where 17 are allowed (one and a half times the limit and five). The stand-ins announce a limit and note what arrives.

--- /dev/null
+++ b/crates/kelpworks-cli/tests/relay_limits.rs
@@ -0,0 +1,142 @@
+//! Limits on requests that upstreams announce, through separate processes.
+
+mod relay_site;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use reqwest::Method;
+
+use relay_site::Site;
+use relay_site::daemon::Answer;
+use relay_site::daemon::Relay;
+use relay_site::daemon::send;
+use relay_site::engine::Engine;
+
+/// The limit that an upstream announces, in requests a second.
+const LIMIT: f64 = 2.0;
+const LIMIT_TEXT: &str = "2.0";
+/// Any span of this length counts.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time after the first announcement from which the limit has to hold.
+const GRACE: Duration = Duration::from_secs(3);
+/// Requests in a window that are allowed beyond what the limit allows.
+const BURST: f64 = 5.0;
+/// How far above its rate a limit may be exceeded.
+const TOLERANCE: f64 = 1.5;
+/// Time for which callers go on.
+const LOAD: Duration = Duration::from_secs(9);
+/// Pause of a caller between two requests to a daemon.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// The most arrivals in any window that begins at one of them, from a moment on.
+fn most_in_a_window(arrivals: &[Instant], from: Instant) -> usize {
+    let late: Vec<Instant> = arrivals.iter().copied().filter(|&at| at >= from).collect();
+    let count = |&first: &Instant| {
+        let within = late
+            .iter()
+            .filter(|&&at| at >= first && at - first <= WINDOW);
+        within.count()
+    };
+    late.iter().map(count).max().unwrap_or(0)
+}
+
+fn allowed() -> usize {
+    (TOLERANCE * LIMIT * WINDOW.as_secs_f64() + BURST) as usize
+}
+
+/// Sends a request to each daemon in turn, all the while, and returns the answers.
+async fn load<F: Future<Output = Answer> + Send + 'static>(
+    site: &Site,
+    send: impl Fn(&Relay, String) -> F,
+) -> Vec<Answer> {
+    let until = Instant::now() + LOAD;
+    let mut calls = Vec::new();
+    while Instant::now() < until {
+        for daemon in &site.daemons {
+            calls.push(tokio::spawn(send(daemon, format!("l-{}", calls.len()))));
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    let mut answers = Vec::new();
+    for call in calls {
+        answers.push(call.await.expect("no panic"));
+    }
+    answers
+}
+
+/// The engine that takes requests of a failure domain's daemons first.
+fn first_engine(site: &Site) -> Engine {
+    let runs = site.engines.runs();
+    let count = |e: &Engine| runs.iter().filter(|r| r.first == e.instance).count();
+    let all = site.engines.all();
+    all.into_iter().max_by_key(count).expect("an engine")
+}
+
+fn stream(daemon: &Relay, id: String) -> impl Future<Output = Answer> + Send + use<> {
+    let req = daemon.stream_request(&id, 2);
+    async move { send(req).await.expect("an answer") }
+}
+
+fn call(daemon: &Relay, id: String) -> impl Future<Output = Answer> + Send + use<> {
+    let req = daemon.request(Method::GET, "/often/x", &id);
+    async move { send(req).await.expect("an answer") }
+}
+
+/// Guards against daemons that send an engine more requests than it says it takes.
+#[tokio::test]
+async fn an_engine_gets_no_more_requests_than_the_limit_that_it_announces() {
+    let site = Site::start("limit-engine", 3).await;
+    for (i, daemon) in site.daemons.iter().cycle().take(12).enumerate() {
+        let answer = daemon.stream(&format!("w-{i}"), 2).await;
+        assert_eq!(answer.expect("an answer").status, 200);
+    }
+    let engine = first_engine(&site);
+    engine.limit().announce(Some(LIMIT_TEXT));
+    let named = Instant::now();
+    let answers = load(&site, stream).await;
+    let arrivals = engine.limit().arrivals();
+    let most = most_in_a_window(&arrivals, named + GRACE);
+    assert!(
+        most <= allowed(),
+        "{most} in a window, {} allowed",
+        allowed()
+    );
+    let served = answers.iter().filter(|a| a.status == 200).count();
+    assert_eq!(served, answers.len(), "other engines take what it doesn't");
+}
+
+/// Guards against daemons that send a plain service more requests than it says it takes.
+#[tokio::test]
+async fn a_service_gets_no_more_requests_than_the_limit_that_it_announces() {
+    let site = Site::start("limit-service", 3).await;
+    site.app.limit().announce(Some(LIMIT_TEXT));
+    let named = Instant::now();
+    let answers = load(&site, call).await;
+    let arrivals = site.app.limit().arrivals();
+    let most = most_in_a_window(&arrivals, named + GRACE);
+    assert!(
+        most <= allowed(),
+        "{most} in a window, {} allowed",
+        allowed()
+    );
+    let is_promise = |a: &&Answer| a.status == 503 && a.retry_after.is_some();
+    let refused = answers.iter().filter(is_promise).count();
+    let served = answers.iter().filter(|a| a.status == 200).count();
+    assert_eq!(served + refused, answers.len(), "{answers:?}");
+}
+
+/// Guards against a limit that outlasts its announcement.
+#[tokio::test]
+async fn a_limit_ends_with_the_first_answer_without_it() {
+    let site = Site::start("limit-ends", 1).await;
+    site.app.limit().announce(Some(LIMIT_TEXT));
+    load(&site, call).await;
+    site.app.limit().announce(None);
+    tokio::time::sleep(GRACE).await;
+    let daemon = &site.daemons[0];
+    let ending = call(daemon, "e-1".to_owned()).await;
+    assert_eq!(ending.status, 200);
+    let answers = load(&site, call).await;
+    assert!(answers.iter().all(|a| a.status == 200), "{answers:?}");
+}
--- a/crates/kelpworks-cli/tests/relay_site/daemon.rs
+++ b/crates/kelpworks-cli/tests/relay_site/daemon.rs
@@ -179,13 +179,7 @@
 
     /// Sends a request and reads the whole answer.
     pub(crate) async fn send(&self, req: RequestBuilder) -> reqwest::Result<Answer> {
-        let res = req.timeout(BOUND).send().await?;
-        let retry_after = res.headers().get("retry-after").cloned();
-        Ok(Answer {
-            status: res.status().as_u16(),
-            retry_after: retry_after.and_then(|v| v.to_str().ok().map(str::to_owned)),
-            body: res.text().await?,
-        })
+        send(req).await
     }
 
     /// A stream of so many events.
@@ -219,6 +213,17 @@
     }
 }
 
+/// Sends a request and reads the whole answer.
+pub(crate) async fn send(req: RequestBuilder) -> reqwest::Result<Answer> {
+    let res = req.timeout(BOUND).send().await?;
+    let retry_after = res.headers().get("retry-after").cloned();
+    Ok(Answer {
+        status: res.status().as_u16(),
+        retry_after: retry_after.and_then(|v| v.to_str().ok().map(str::to_owned)),
+        body: res.text().await?,
+    })
+}
+
 fn spawn(settings: &Path, out: File) -> Child {
     Command::new(env!("CARGO_BIN_EXE_kelpworks"))
         .args(["relay", "--settings"])
--- a/crates/kelpworks-cli/tests/relay_site/engine.rs
+++ b/crates/kelpworks-cli/tests/relay_site/engine.rs
@@ -32,6 +32,7 @@
 const EVENT: Duration = Duration::from_millis(10);
 const ATTEMPT: &str = "x-kelpworks-attempt-id";
 const STAMP: &str = "x-kelpworks-server-stamp";
+const LIMIT: &str = "server-limit";
 
 /// What goes wrong, once, with the next request that is first sent to an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,6 +77,33 @@
     working: AtomicU64,
     /// It has stopped: streams that pass it stand still.
     stopped: AtomicBool,
+    limit: Limit,
+}
+
+/// A limit on requests a second that an upstream announces, and the requests that it got.
+#[derive(Debug, Default)]
+pub(crate) struct Limit {
+    announced: Mutex<Option<String>>,
+    arrivals: Mutex<Vec<Instant>>,
+}
+
+impl Limit {
+    /// Announces a limit from the next answer on; `None` ends it.
+    pub(crate) fn announce(&self, per_second: Option<&str>) {
+        *self.announced.lock().expect("no panic") = per_second.map(str::to_owned);
+    }
+
+    /// When requests arrived, also those that were refused.
+    pub(crate) fn arrivals(&self) -> Vec<Instant> {
+        self.arrivals.lock().expect("no panic").clone()
+    }
+
+    fn arrived(&self, res: &mut Response) {
+        self.arrivals.lock().expect("no panic").push(Instant::now());
+        if let Some(per_second) = &*self.announced.lock().expect("no panic") {
+            let _ = res.add_header(LIMIT, per_second, true);
+        }
+    }
 }
 
 /// A stream that an engine is working on, until dropped.
@@ -176,6 +204,7 @@
             fault: Mutex::default(),
             working: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
+            limit: Limit::default(),
         }));
         let serve = Serve {
             engine: engine.clone(),
@@ -242,6 +271,11 @@
         self.orders.load(Ordering::Relaxed)
     }
 
+    /// The limit that it announces.
+    pub(crate) fn limit(&self) -> &Limit {
+        &self.limit
+    }
+
     pub(crate) fn set_fault(&self, fault: Option<Fault>) {
         *self.fault.lock().expect("no panic") = fault;
     }
@@ -317,6 +351,7 @@
     }
 
     fn stream(&self, req: &Request, res: &mut Response) {
+        self.engine.limit.arrived(res);
         let field = |name: &str| req.header::<String>(name).unwrap_or_default();
         let request = field(ATTEMPT);
         let _ = res.add_header(ATTEMPT, request.clone(), true);
@@ -446,20 +481,24 @@
     address: SocketAddr,
     /// Attempts that ran, by request.
     ran: Arc<Mutex<HashMap<String, u32>>>,
+    limit: Arc<Limit>,
 }
 
 impl App {
     pub(crate) async fn start(instance: &str) -> App {
         let ran: Arc<Mutex<HashMap<String, u32>>> = Arc::default();
+        let limit: Arc<Limit> = Arc::default();
         let handler = Plain {
             instance: instance.to_owned(),
             ran: Arc::clone(&ran),
+            limit: Arc::clone(&limit),
         };
         let (address, _) = super::serve(Router::with_path("{**rest}").goal(handler)).await;
         App {
             instance: instance.to_owned(),
             address,
             ran,
+            limit,
         }
     }
 
@@ -480,6 +519,11 @@
         self.address
     }
 
+    /// The limit that it announces.
+    pub(crate) fn limit(&self) -> &Limit {
+        &self.limit
+    }
+
     /// How often a request ran.
     pub(crate) fn ran(&self, request: &str) -> u32 {
         let ran = self.ran.lock().expect("no panic");
@@ -490,6 +534,7 @@
 struct Plain {
     instance: String,
     ran: Arc<Mutex<HashMap<String, u32>>>,
+    limit: Arc<Limit>,
 }
 
 #[async_trait]
@@ -501,6 +546,7 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
+        self.limit.arrived(res);
         let request = req.header::<String>(ATTEMPT).unwrap_or_default();
         let expected = req.header::<String>("x-kelpworks-expect-instance");
         assert_eq!(expected.as_deref(), Some(&*self.instance));
