Daemons keep to the limits that upstreams announce

What callers' upstreams saw: an engine that takes 7.5 requests a second got 24 (96 in four seconds where 50 are allowed), one that takes 3.1 got 38 in four seconds where 24 are allowed. Cause: nothing between an answer and the choice of an upstream held its limit. Ruled out: that each daemon kept to the whole limit by itself (the field was read nowhere), and repeats, orders or reports (no stream of those seconds was a repeat, and arrivals match the paths chosen one for one). Change: a limit is told to peers and shared out in equal parts among a few daemons that a hash draws, of the engine's own failure domain; each sends one request at a time, so that in any four seconds all send at most what the limit allows and five more. Nothing is written to a connection without the upstream's leave, which goes back if nothing was. Paths begin elsewhere while an engine's limit allows no more; calls wait for their turn within half of their target, and what no upstream takes is refused at once.

--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -273,6 +273,11 @@
         keys.filter_map(|&k| Some((k, self.upstreams.get(k)?)))
     }
 
+    /// All upstreams, to change.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Upstream> {
+        self.upstreams.values_mut()
+    }
+
     /// All upstreams.
     pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
         self.upstreams.iter()
--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -28,6 +28,7 @@
 mod operators;
 pub mod path;
 mod peers;
+pub mod permit;
 mod placer;
 pub mod pool;
 mod relay;
--- a/crates/kelpworks-relay/src/limits.rs
+++ b/crates/kelpworks-relay/src/limits.rs
@@ -1,7 +1,9 @@
 //! Limits on the requests that an upstream takes, as it announces them.
 //!
 //! An upstream in need says in its answers how many requests a second it takes from all daemons together, for
-//! as long as its answers say so.
+//! as long as its answers say so. The rate is shared out in equal parts among a few daemons, which send one
+//! request at a time; the others send it none. So all of them together stay within it without a message for
+//! each request: in any [`WINDOW`] at most what the rate allows, and [`BURST`] more.
 //!
 //! ```
 //! use std::time::Duration;
@@ -15,17 +17,36 @@
 //! let sent = Instant::now();
 //! let rate = Rate::per_second(2.0).expect("a rate");
 //! limiter.hear(Announcement::Limited(rate), sent, sent);
-//! assert_eq!(limiter.rate(), Some(rate));
+//! assert!(limiter.admit(sent).is_none(), "no share is known yet");
 //!
-//! let later = sent + Duration::from_millis(1);
-//! limiter.hear(Announcement::Unlimited, later, later);
-//! assert_eq!(limiter.rate(), None);
+//! limiter.set_share(1.0, sent);
+//! let later = sent + Duration::from_secs(1);
+//! assert!(limiter.admit(later).is_some());
+//! assert!(limiter.admit(later).is_none(), "two a second");
+//!
+//! limiter.hear(Announcement::Unlimited, later, later + Duration::from_millis(1));
+//! assert!(limiter.admit(later).is_some());
 //! ```
+//!
+//! Limits: a share that its daemon has no use for is lost. Requests that an upstream gets as a later engine of a
+//! path don't count, nor do orders and questions about its state.
+
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::Instant;
 
+/// Any span of this length counts.
+pub const WINDOW: Duration = Duration::from_secs(4);
+/// Requests that all daemons may send in a window beyond what the rate allows.
+pub const BURST: f64 = 5.0;
+/// Part of a rate that is shared out. The rest allows for the requests that its holders send at the same time.
+const SHARED_PART: f64 = 0.9;
+/// An upstream that takes less than this many requests a second gets as many all the same: its answers are all
+/// that tells when its limit ends.
+const MIN_PER_SECOND: f64 = 0.1;
+
 /// Requests a second; finite and not negative.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 #[derive(Serialize, Deserialize)]
@@ -42,6 +63,13 @@
     pub fn get(self) -> f64 {
         self.0
     }
+
+    /// Most daemons that may share it. Each may send a request at any moment, whatever its share, so that in a
+    /// window there is one for each holder beside what the rate allows.
+    pub fn max_holders(self) -> usize {
+        let left_over = (1.0 - SHARED_PART) * self.0 * WINDOW.as_secs_f64();
+        (BURST + left_over) as usize
+    }
 }
 
 /// What an answer says of the requests that its upstream takes.
@@ -80,6 +108,18 @@
     known: Option<Known>,
     /// Whether the last announcement could not be read.
     unreadable: bool,
+    /// Part of the rate that this daemon may use, 0 to 1.
+    share: f64,
+    /// When a request was last admitted, or could not have been for want of a share.
+    last: Option<Instant>,
+}
+
+/// Leave to send a request, as far as the upstream's limit goes.
+#[derive(Clone, Copy, Debug)]
+#[must_use]
+pub struct Admission {
+    at: Instant,
+    before: Option<Instant>,
 }
 
 impl Limiter {
@@ -107,7 +147,60 @@
         if (looser && is_old) || (self.known.is_none() && rate.is_none()) {
             return None;
         }
-        self.set(rate, now)
+        self.set(rate, now, now)
+    }
+
+    /// Takes a peer's word of what an upstream announced at a moment; the latest announcement counts.
+    pub fn learn(&mut self, rate: Option<Rate>, at: Instant, now: Instant) -> Option<Change> {
+        if self.known.is_some_and(|k| at <= k.at) {
+            return None;
+        }
+        self.set(rate, at, now)
+    }
+
+    /// The latest announcement, and when it was made; no rate where it ended the limit.
+    pub fn announced(&self) -> Option<(Option<Rate>, Instant)> {
+        self.known.map(|k| (k.rate, k.at))
+    }
+
+    /// Sets the part of the rate that this daemon may use.
+    pub fn set_share(&mut self, share: f64, now: Instant) {
+        if self.share <= 0.0 {
+            self.last = Some(now);
+        }
+        self.share = share;
+    }
+
+    /// How long it takes until a request may be sent, if others are not; `None` where this daemon has no share.
+    pub fn wait(&self, now: Instant) -> Option<Duration> {
+        let Some(rate) = self.rate() else {
+            return Some(Duration::ZERO);
+        };
+        let per_second = rate.get().max(MIN_PER_SECOND) * SHARED_PART * self.share;
+        let interval = Duration::try_from_secs_f64(per_second.recip()).ok()?;
+        let next = self.last.map_or(now, |last| last + interval);
+        Some(next.saturating_duration_since(now))
+    }
+
+    /// Whether a request may be sent now.
+    pub fn admits(&self, now: Instant) -> bool {
+        self.wait(now).is_some_and(|wait| wait.is_zero())
+    }
+
+    /// Leave to send a request now.
+    pub fn admit(&mut self, now: Instant) -> Option<Admission> {
+        if !self.admits(now) {
+            return None;
+        }
+        let before = self.last.replace(now);
+        Some(Admission { at: now, before })
+    }
+
+    /// Takes back an admission of which nothing came, unless there was a later one.
+    pub fn give_back(&mut self, admission: Admission) {
+        if self.last == Some(admission.at) {
+            self.last = admission.before;
+        }
     }
 
     /// Whether an announcement can't be read and the one before it could, so that each such series is logged
@@ -118,7 +211,11 @@
         is_unreadable && !was_unreadable
     }
 
-    fn set(&mut self, rate: Option<Rate>, at: Instant) -> Option<Change> {
+    fn set(&mut self, rate: Option<Rate>, at: Instant, now: Instant) -> Option<Change> {
+        // Nothing is saved up from before a limit.
+        if self.rate().is_none() {
+            self.last = Some(now);
+        }
         let change = Change {
             before: self.rate(),
             now: rate,
--- a/crates/kelpworks-relay/src/path.rs
+++ b/crates/kelpworks-relay/src/path.rs
@@ -58,6 +58,14 @@
     pub now: Instant,
 }
 
+impl Ask<'_> {
+    /// Whether a request is to be sent along the path. Later layers are those of a running request, which no
+    /// engine takes as a new one.
+    pub(crate) fn begins(&self) -> bool {
+        self.layers.from == 0
+    }
+}
+
 /// A path.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Path {
@@ -80,6 +88,8 @@
     Uncovered(u16),
     /// Engines hold this layer, but their memory for requests is promised to others.
     Full(u16),
+    /// Every engine that holds the first layer gets as many requests as its limit allows.
+    Limited,
     /// Every path that was found passes an engine twice or too many engines.
     Tangled,
 }
@@ -89,6 +99,7 @@
     pub fn layer(self) -> Option<u16> {
         match self {
             NoPath::Uncovered(layer) | NoPath::Full(layer) => Some(layer),
+            NoPath::Limited => Some(0),
             NoPath::Tangled => None,
         }
     }
@@ -98,6 +109,7 @@
         match self {
             NoPath::Uncovered(_) => "a layer is held by no engine",
             NoPath::Full(_) => "the memory of the engines is promised",
+            NoPath::Limited => "the limits of the first engines are used up",
             NoPath::Tangled => "no path without detours",
         }
     }
@@ -137,6 +149,9 @@
 ) -> Result<Path, NoPath> {
     let mut graph = graph_of(fleet, engines, ask, Ejected::Out, rng);
     if let Some(layer) = graph.uncovered(ask.first) {
+        if layer == ask.layers.from && graph.is_limited(ask.first) {
+            return Err(NoPath::Limited);
+        }
         if holds(fleet, ask, Ejected::Out, layer) {
             return Err(NoPath::Full(layer));
         }
@@ -205,6 +220,7 @@
         key,
         range: cost.layers,
         domain: 0,
+        may_begin: !ask.begins() || upstream.limiter.admits(ask.now),
         layer_ms: cost.layer_ms(load, ask.tokens) * pressure(load.reserved / cost.room),
         entry_ms: penalty_ms + upstream.failing * FAILING_MS,
     })
--- a/crates/kelpworks-relay/src/path/graph.rs
+++ b/crates/kelpworks-relay/src/path/graph.rs
@@ -29,6 +29,8 @@
     pub(crate) range: LayerRange,
     /// Index of its failure domain; set by [`Graph::add`].
     pub(crate) domain: usize,
+    /// Whether a path may begin there.
+    pub(crate) may_begin: bool,
     /// Cost of a layer, in milliseconds a token; infinite while it may not be used.
     pub(crate) layer_ms: f64,
     /// Cost of using it at all, in milliseconds a token.
@@ -68,8 +70,8 @@
 }
 
 impl Entry<'_> {
-    fn admits(&self, key: UpstreamKey) -> bool {
-        self.first.is_empty() || self.first.contains(&key)
+    fn admits(&self, candidate: &Candidate) -> bool {
+        candidate.may_begin && (self.first.is_empty() || self.first.contains(&candidate.key))
     }
 }
 
@@ -109,7 +111,7 @@
     /// The first layer that no candidate holds; the first of all has to be one of `first`.
     pub(crate) fn uncovered(&self, first: &[UpstreamKey]) -> Option<u16> {
         let LayerRange { from, to } = self.layers;
-        let at_start = |c: &Candidate| first.is_empty() || first.contains(&c.key);
+        let at_start = |c: &Candidate| c.may_begin && (first.is_empty() || first.contains(&c.key));
         let covered = |layer: u16| {
             let mut candidates = self.candidates.iter();
             candidates.any(|c| c.range.contains(layer) && (layer > from || at_start(c)))
@@ -117,6 +119,16 @@
         (from..to).find(|&l| !covered(l))
     }
 
+    /// Whether engines hold the first layer and no path may begin at any of them.
+    pub(crate) fn is_limited(&self, first: &[UpstreamKey]) -> bool {
+        let holds = |c: &&Candidate| {
+            let may_be_first = first.is_empty() || first.contains(&c.key);
+            may_be_first && c.range.contains(self.layers.from)
+        };
+        let mut holders = self.candidates.iter().filter(holds).peekable();
+        holders.peek().is_some() && holders.all(|c| !c.may_begin)
+    }
+
     /// The cheapest path for a request that enters from a failure domain.
     pub(crate) fn solve(&self, domain: &str, first: &[UpstreamKey]) -> Option<Vec<Part>> {
         let home = self.domains.iter().position(|d| &**d == domain);
@@ -149,7 +161,7 @@
                 continue;
             }
             let arrival = match b {
-                0 if !entry.admits(candidate.key) => None,
+                0 if !entry.admits(candidate) => None,
                 0 => Some((0.0, entry.home.unwrap_or(candidate.domain))),
                 _ => self.arrival(b, candidate.domain, best),
             };
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -13,6 +13,9 @@
 mod exchange;
 #[cfg(test)]
 mod fleet_tests;
+mod limits;
+#[cfg(test)]
+mod limits_tests;
 mod load;
 mod members;
 mod messages;
@@ -207,6 +210,7 @@
             lock(&self.members).forget(Instant::now());
             self.shared.repeats().set_daemons(self.sharing());
             self.sum_load();
+            self.share_limits();
             self.show_store_ages();
         }
     }
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -12,6 +12,7 @@
 use super::EXCHANGE;
 use super::Peers;
 use super::SMALL;
+use super::limits::limit_of;
 use super::lock;
 use super::members::Condition;
 use super::members::Turn;
@@ -49,6 +50,7 @@
         let mut load = Vec::new();
         let mut ejections = Vec::new();
         let mut slowness = Vec::new();
+        let mut limits = Vec::new();
         let holdings;
         let owners;
         {
@@ -63,6 +65,7 @@
                         reserved: u.own.reserved.round(),
                     });
                 }
+                limits.extend(limit_of(u, now));
                 if let Some(word) = slowness_of(u, now) {
                     slowness.push(word);
                 }
@@ -109,6 +112,7 @@
                     age_ms: age.as_millis() as u64,
                 })
                 .collect(),
+            limits,
         }
     }
 
@@ -179,6 +183,7 @@
         for word in &digest.owners {
             self.heard_of_owner(word, now);
         }
+        self.learn_limits(&digest.limits, now);
         let mut crashes = self.shared.crashes();
         for told in &digest.crashes {
             crashes.told(Fingerprint(told.fingerprint), told.crashes, now);
--- a/crates/kelpworks-relay/src/peers/fleet_tests.rs
+++ b/crates/kelpworks-relay/src/peers/fleet_tests.rs
@@ -35,7 +35,7 @@
 impl Simulated {
     pub(super) fn start(size: usize) -> Simulated {
         let all: Vec<Arc<Peers>> = (0..size).map(|n| Arc::new(peers(n))).collect();
-        let seeds: Vec<SocketAddr> = (0..3).map(address).collect();
+        let seeds: Vec<SocketAddr> = (0..size.min(3)).map(address).collect();
         for me in &all {
             me.set_seeds(&seeds);
         }
@@ -93,6 +93,7 @@
                 me.take::<Numbered>(self.all[other].texts(known));
             }
         }
+        me.share_limits();
     }
 
     fn up(&self) -> impl Iterator<Item = (usize, &Peers)> {
@@ -112,6 +113,15 @@
         self.up().map(wrong).sum()
     }
 
+    /// Ends a daemon without a word.
+    pub(super) fn stop(&mut self, number: usize) {
+        self.down.insert(number);
+    }
+
+    pub(super) fn is_down(&self, number: usize) -> bool {
+        self.down.contains(&number)
+    }
+
     pub(super) fn count(&self, is: impl Fn(&Peers) -> bool) -> usize {
         self.up().filter(|(_, me)| is(me)).count()
     }
--- a/crates/kelpworks-relay/src/peers/members.rs
+++ b/crates/kelpworks-relay/src/peers/members.rs
@@ -79,6 +79,10 @@
 }
 
 impl Member {
+    pub(super) fn name(&self) -> &str {
+        &self.name
+    }
+
     /// Whether it counts as live.
     pub(super) fn is_live(&self) -> bool {
         self.lost.is_none_or(|lost| lost < self.heard)
--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -12,6 +12,7 @@
 
 use crate::dialect::LayerRange;
 use crate::holdings::Holding;
+use crate::limits::Rate;
 use crate::peers::members::Condition;
 use crate::peers::packed::Packed;
 
@@ -135,6 +136,17 @@
     pub(super) age_ms: u64,
 }
 
+/// What an upstream last announced of its limit.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct LimitOf {
+    pub(super) instance: Arc<str>,
+    /// None where it ended the limit.
+    pub(super) per_second: Option<Rate>,
+    /// Milliseconds since it did.
+    pub(super) age_ms: u64,
+}
+
 /// Milliseconds since the store was last known to answer a daemon that watches it, by the kind that
 /// was asked for; none where it isn't known to have answered any.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -177,6 +189,9 @@
     /// Addresses that were found to be another upstream's than registered.
     #[serde(default)]
     pub(super) owners: Vec<OwnerOf>,
+    /// Limits that upstreams announced.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) limits: Vec<LimitOf>,
 }
 
 /// Texts that a daemon holds.
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -86,7 +86,7 @@
 }
 
 /// The registration of an engine `e-1`.
-fn engine() -> UpstreamEntry {
+pub(super) fn engine() -> UpstreamEntry {
     UpstreamEntry {
         id: Arc::from("e"),
         start: None,
@@ -129,6 +129,7 @@
         slowness: Vec::new(),
         holdings: Vec::new(),
         owners: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/crates/kelpworks-relay/src/permit.rs
@@ -0,0 +1,132 @@
+//! Leave to send a request to an upstream once.
+//!
+//! Nothing is sent without a [`Permit`]. It is one of the bound on repeats, where the request may have reached an
+//! upstream before, and one of the upstream's own limit, and goes back to both where nothing was written to a
+//! connection.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use tokio::time::Instant;
+
+use crate::fleet::Fleet;
+use crate::fleet::UpstreamKey;
+use crate::limits::Admission;
+use crate::repeats::Repeats;
+use crate::sync::lock;
+
+/// Leave to send a request once; given back when dropped.
+#[derive(Debug, Default)]
+#[must_use]
+pub struct Permit {
+    /// None for a first arrival.
+    repeat: Option<Repeat>,
+    /// None until the upstream is chosen.
+    admitted: Option<Admitted>,
+}
+
+/// A repeat of the service's bound, and where it goes back to.
+#[derive(Debug)]
+struct Repeat {
+    counts: Arc<Mutex<Repeats>>,
+    service: Arc<str>,
+}
+
+/// An upstream's leave to send it a request.
+#[derive(Debug)]
+#[must_use]
+pub struct Admitted {
+    fleet: Arc<Mutex<Fleet>>,
+    upstream: UpstreamKey,
+    admission: Admission,
+}
+
+impl Admitted {
+    /// Of an upstream of a fleet.
+    pub(crate) fn new(
+        fleet: &Arc<Mutex<Fleet>>,
+        upstream: UpstreamKey,
+        admission: Admission,
+    ) -> Admitted {
+        Admitted {
+            fleet: Arc::clone(fleet),
+            upstream,
+            admission,
+        }
+    }
+
+    /// The request is not sent.
+    pub(crate) fn give_back(self) {
+        let mut fleet = lock(&self.fleet);
+        if let Some(u) = fleet.get_mut(self.upstream) {
+            u.limiter.give_back(self.admission);
+        }
+    }
+}
+
+impl Permit {
+    /// For a request that has reached no upstream yet.
+    pub fn first() -> Permit {
+        Permit::default()
+    }
+
+    /// For one that may have; `None` when the bound allows no more.
+    pub fn repeat(
+        repeats: &Arc<Mutex<Repeats>>,
+        service: &Arc<str>,
+        now: Instant,
+    ) -> Option<Permit> {
+        let mut counts = lock(repeats);
+        let taken = counts.try_take(service, now);
+        drop(counts);
+        taken.then(|| Permit {
+            repeat: Some(Repeat {
+                counts: Arc::clone(repeats),
+                service: Arc::clone(service),
+            }),
+            admitted: None,
+        })
+    }
+
+    /// The same for the upstream that it is to be sent to.
+    pub fn to(mut self, admitted: Admitted) -> Permit {
+        self.admitted = Some(admitted);
+        self
+    }
+
+    /// The request is written now, and counts even if its sending is given up half way.
+    pub fn spend(mut self) -> Spent {
+        Spent {
+            repeat: self.repeat.take(),
+            admitted: self.admitted.take(),
+        }
+    }
+}
+
+/// A permit that was used.
+#[derive(Debug)]
+pub struct Spent {
+    repeat: Option<Repeat>,
+    admitted: Option<Admitted>,
+}
+
+impl Spent {
+    /// It came out that nothing was written.
+    pub fn undo(self) -> Permit {
+        Permit {
+            repeat: self.repeat,
+            admitted: self.admitted,
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if let Some(Repeat { counts, service }) = self.repeat.take() {
+            lock(&counts).give_back(&service);
+        }
+        if let Some(admitted) = self.admitted.take() {
+            admitted.give_back();
+        }
+    }
+}
--- a/crates/kelpworks-relay/src/pool.rs
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -31,7 +31,7 @@
 use tokio::time::Instant;
 
 use crate::fleet::UpstreamKey;
-use crate::repeats::Permit;
+use crate::permit::Permit;
 use crate::sync::lock;
 
 /// The result of this module.
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -26,10 +26,10 @@
 use crate::fleet::Fleet;
 use crate::fleet::UpstreamKey;
 use crate::limits::Announcement;
+use crate::permit::Permit;
 use crate::pool;
 use crate::pool::Exchange;
 use crate::pool::Reuse;
-use crate::repeats::Permit;
 use crate::shared::Shared;
 
 /// Largest answer that is read whole; the services answer with a few kilobytes.
@@ -51,6 +51,13 @@
 /// Added to it at random, so that callers don't come back together.
 const BUSY_SPREAD: Duration = Duration::from_millis(2_000);
 
+/// Part of a route's latency target for which a call waits until an upstream's limit allows it.
+const LIMIT_WAIT_PART: f64 = 0.5;
+/// Shortest such wait: another request may take the turn that this one waited for.
+const MIN_LIMIT_WAIT: Duration = Duration::from_millis(5);
+
+/// Why a request is refused that no upstream's limit allows.
+const LIMITED: &str = "the limits of the upstreams are used up";
 /// Why an attempt failed that was not written to a connection.
 pub(super) const NOT_SENT: &str = "not sent";
 
@@ -92,7 +99,21 @@
     let has_upstream = |s: &Shared| s.fleet().of_service(&ticket.service.name).next().is_some();
     shared.until_known(ticket.arrived, has_upstream).await;
     let mut reached = false;
-    while let Some((upstream, permit)) = next_upstream(shared, ticket, &tried, verdict, reached) {
+    let limited_until = Instant::now() + ticket.route.latency_target.mul_f64(LIMIT_WAIT_PART);
+    loop {
+        let (upstream, permit) = match next_upstream(shared, ticket, &tried, verdict, reached) {
+            Next::Send(upstream, permit) => (upstream, permit),
+            Next::Limited(wait) => {
+                let left = limited_until.saturating_duration_since(Instant::now());
+                if let Some(wait) = wait.filter(|&w| w <= left) {
+                    tokio::time::sleep(wait).await;
+                    continue;
+                }
+                why = LIMITED;
+                break;
+            }
+            Next::Nothing => break,
+        };
         tried.push(upstream);
         let attempt = attempt::<D>(shared, ticket, upstream, &tried, permit).await;
         match attempt {
@@ -157,15 +178,26 @@
     (BUSY_RETRY + spread).min(ticket.left() / 4)
 }
 
-/// The upstream for the next attempt, and leave to send the request there; `None` when there is to be
-/// none. `reached` tells whether the request may have reached an upstream before.
+/// What becomes of a request next.
+enum Next {
+    /// It is sent to an upstream.
+    Send(UpstreamKey, Permit),
+    /// Every upstream gets as many requests as its limit allows; one of them takes the next in so long, if this
+    /// daemon may send it any.
+    Limited(Option<Duration>),
+    /// It is not sent.
+    Nothing,
+}
+
+/// Chooses the upstream for the next attempt. `reached` tells whether the request may have reached an
+/// upstream before.
 fn next_upstream(
     shared: &Shared,
     ticket: &Ticket,
     tried: &[UpstreamKey],
     verdict: Verdict,
     reached: bool,
-) -> Option<(UpstreamKey, Permit)> {
+) -> Next {
     let attempts = tried.len() as u32;
     if attempts > 0 {
         let repeatable = verdict == Verdict::NotRun || ticket.route.kind.may_repeat();
@@ -174,15 +206,38 @@
             Verdict::MayHaveRun => ticket.route.attempts,
         };
         if !repeatable || attempts >= most || ticket.left() < WORTH_TRYING {
-            return None;
+            return Next::Nothing;
         }
     }
-    let chosen = choose(&shared.fleet(), &ticket.service.name, tried)?;
+    let service = &ticket.service.name;
+    let chosen = choose(&shared.fleet(), service, tried);
+    let Some((chosen, admitted)) = chosen.and_then(|key| Some((key, shared.admit(key)?))) else {
+        return Next::without_upstream(&shared.fleet(), service, tried);
+    };
     let permit = match reached {
-        true => shared.permit_repeat(&ticket.service.name, Instant::now())?,
-        false => Permit::first(),
+        true => shared.permit_repeat(service, Instant::now()),
+        false => Some(Permit::first()),
     };
-    Some((chosen, permit))
+    match permit {
+        Some(permit) => Next::Send(chosen, permit.to(admitted)),
+        None => {
+            admitted.give_back();
+            Next::Nothing
+        }
+    }
+}
+
+impl Next {
+    fn without_upstream(fleet: &Fleet, service: &str, tried: &[UpstreamKey]) -> Next {
+        let now = Instant::now();
+        let open = fleet.of_service(service).filter(|(_, u)| u.is_open());
+        let mut untried = open.filter(|(key, _)| !tried.contains(key)).peekable();
+        if untried.peek().is_none() {
+            return Next::Nothing;
+        }
+        let wait = untried.filter_map(|(_, u)| u.limiter.wait(now)).min();
+        Next::Limited(wait.map(|w| w.max(MIN_LIMIT_WAIT)))
+    }
 }
 
 /// The upstream with the least work for its speed among those that did not fail lately.
@@ -190,7 +245,7 @@
     let now = Instant::now();
     let open = fleet.of_service(service).filter(|(key, u)| {
         let untried = !tried.contains(key);
-        u.is_open() && untried
+        u.is_open() && untried && u.limiter.admits(now)
     });
     let cost = |key: UpstreamKey| {
         let Some(u) = fleet.get(key) else {
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -38,8 +38,9 @@
 use crate::dialect::EngineOrders;
 use crate::dialect::LayerRange;
 use crate::fleet::UpstreamKey;
+use crate::permit::Admitted;
+use crate::permit::Permit;
 use crate::pool::Connection;
-use crate::repeats::Permit;
 use crate::shared::Shared;
 use crate::sync::lock;
 use attempt::RanAt;
@@ -299,12 +300,18 @@
     }
 
     /// Leave for an attempt that begins now.
-    fn permit(&mut self) -> Result<Permit, Failure> {
-        if !self.reached {
-            return Ok(Permit::first());
+    fn permit(&mut self, admitted: Admitted) -> Result<Permit, Failure> {
+        let permit = match self.reached {
+            false => Some(Permit::first()),
+            true => lock(&self.permit).take(),
+        };
+        match permit {
+            Some(permit) => Ok(permit.to(admitted)),
+            None => {
+                admitted.give_back();
+                Err(Failure::no_path("no repeat left"))
+            }
         }
-        let permit = lock(&self.permit).take();
-        permit.ok_or(Failure::no_path("no repeat left"))
     }
 
     /// Notes a failed attempt.
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -29,6 +29,7 @@
 use crate::path;
 use crate::path::NoPath;
 use crate::path::Path;
+use crate::permit::Admitted;
 use crate::pool;
 use crate::pool::Exchange;
 use crate::pool::Reuse;
@@ -163,30 +164,38 @@
 
     /// Chooses a path, and waits a little for one where there is none: requests end all the time, and
     /// one that begins within its latency target is served in full.
-    async fn choose_when_there_is_room(&self) -> Result<Path, &'static str> {
+    async fn choose_when_there_is_room(&self) -> Result<(Path, Admitted), &'static str> {
         let is_covered = |_: &Shared| !matches!(self.choose(), Err(NoPath::Uncovered(_)));
         self.shared
             .until_known(self.ticket.arrived, is_covered)
             .await;
         let until = Instant::now() + self.ticket.route.latency_target.mul_f64(ROOM_WAIT_PART);
         loop {
-            match self.choose() {
+            match self.choose_and_admit() {
                 Err(why) if Instant::now() >= until || self.ticket.left().is_zero() => {
                     self.log_no_path(why);
                     return Err(why.as_str());
                 }
                 Err(_) => tokio::time::sleep(ROOM_PAUSE).await,
-                Ok(path) => return Ok(path),
+                Ok(chosen) => return Ok(chosen),
             }
         }
     }
 
+    /// Chooses a path and takes its first engine's leave to be sent a request.
+    fn choose_and_admit(&self) -> Result<(Path, Admitted), NoPath> {
+        let path = self.choose()?;
+        let (first, _) = path.parts[0];
+        let admitted = self.shared.admit(first).ok_or(NoPath::Limited)?;
+        Ok((path, admitted))
+    }
+
     /// Sends the request along a new path and waits for the answer's head.
     pub(super) async fn attempt(&mut self) -> Result<(StatusCode, HeaderMap), Failure> {
         self.strike_out_ended().await;
-        let path = self.choose_when_there_is_room().await;
-        let path = path.map_err(Failure::no_path)?;
-        let permit = self.permit()?;
+        let chosen = self.choose_when_there_is_room().await;
+        let (path, admitted) = chosen.map_err(Failure::no_path)?;
+        let permit = self.permit(admitted)?;
         // Whoever gives this attempt up while it is under way can't know that it did not arrive.
         let reached_before = std::mem::replace(&mut self.reached, true);
         self.attempts += 1;
@@ -334,7 +343,9 @@
 
 /// An engine that holds a whole model, by the least work.
 fn whole_engine(fleet: &Fleet, service: &str, tried: &[UpstreamKey]) -> Option<Path> {
-    let open = fleet.of_service(service).filter(|(_, u)| u.is_open());
+    let now = Instant::now();
+    let may = |u: &Upstream| u.is_open() && u.limiter.admits(now);
+    let open = fleet.of_service(service).filter(|(_, u)| may(u));
     let untried = open.filter(|(key, _)| !tried.contains(key));
     let least = |u: &Upstream| u.load().running;
     let (key, upstream) = untried.min_by(|a, b| least(a.1).total_cmp(&least(b.1)))?;
--- a/crates/kelpworks-relay/src/repeats.rs
+++ b/crates/kelpworks-relay/src/repeats.rs
@@ -6,20 +6,16 @@
 //! without a message between them, also while daemons can't hear each other. A process that starts
 //! has no equal part for one window, since the one before it may have spent it up to its end.
 //!
-//! Nothing is sent to an upstream without a [`Permit`]. One whose request was not written to a
-//! connection goes back: while engines that are gone still stand in the registration, a good part of the
-//! attempts that fail are not.
+//! A repeat whose request was not written to a connection goes back: while engines that are gone still stand in
+//! the registration, a good part of the attempts that fail are not.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use crate::sync::lock;
-
 /// Part of what is allowed that is used: a window here begins a little earlier than at the
 /// service, where the repeat arrives.
 const SAFETY: f64 = 0.85;
@@ -35,65 +31,6 @@
     pub slack: f64,
 }
 
-/// Leave to send a request to an upstream once.
-#[derive(Debug)]
-#[must_use]
-pub struct Permit {
-    /// Where a repeat goes back to that was not sent; none for a first arrival.
-    taken: Option<(Arc<Mutex<Repeats>>, Arc<str>)>,
-}
-
-impl Permit {
-    /// For a request that has reached no upstream yet.
-    pub fn first() -> Permit {
-        Permit { taken: None }
-    }
-
-    /// For one that may have; `None` when the bound allows no more.
-    pub fn repeat(
-        repeats: &Arc<Mutex<Repeats>>,
-        service: &Arc<str>,
-        now: Instant,
-    ) -> Option<Permit> {
-        let mut counts = lock(repeats);
-        let taken = counts.try_take(service, now);
-        drop(counts);
-        taken.then(|| Permit {
-            taken: Some((Arc::clone(repeats), Arc::clone(service))),
-        })
-    }
-
-    /// The request is written now, and counts even if its sending is given up half way.
-    pub fn spend(self) -> Spent {
-        let mut permit = self;
-        Spent {
-            taken: permit.taken.take(),
-        }
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        if let Some((repeats, service)) = self.taken.take() {
-            let mut counts = lock(&repeats);
-            counts.give_back(&service);
-        }
-    }
-}
-
-/// A permit that was used.
-#[derive(Debug)]
-pub struct Spent {
-    taken: Option<(Arc<Mutex<Repeats>>, Arc<str>)>,
-}
-
-impl Spent {
-    /// It came out that nothing was written.
-    pub fn undo(self) -> Permit {
-        Permit { taken: self.taken }
-    }
-}
-
 /// Requests and repeats of one service in the last window.
 #[derive(Clone, Debug, Default)]
 struct Service {
@@ -155,7 +92,7 @@
     }
 
     /// Gives a repeat back that was not sent.
-    fn give_back(&mut self, service: &Arc<str>) {
+    pub(crate) fn give_back(&mut self, service: &Arc<str>) {
         if let Some(counts) = self.services.get_mut(service) {
             counts.repeats.pop_back();
         }
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -29,9 +29,10 @@
 use crate::limits::Rate;
 use crate::path::Ask;
 use crate::path::Path;
+use crate::permit::Admitted;
+use crate::permit::Permit;
 use crate::pool::Pool;
 use crate::repeats::Bound;
-use crate::repeats::Permit;
 use crate::repeats::Repeats;
 use crate::slowness::Suspects;
 use crate::spread::Demand;
@@ -59,7 +60,7 @@
     pub domain: String,
     /// The configuration in force; its version never falls.
     pub table: ArcSwap<Table>,
-    fleet: Mutex<Fleet>,
+    fleet: Arc<Mutex<Fleet>>,
     repeats: Arc<Mutex<Repeats>>,
     crashes: Mutex<Crashes>,
     suspects: Mutex<Suspects>,
@@ -88,7 +89,7 @@
         Shared {
             domain: domain.to_owned(),
             table: ArcSwap::from_pointee(Table::default()),
-            fleet: Mutex::new(Fleet::default()),
+            fleet: Arc::default(),
             repeats: Arc::new(Mutex::new(Repeats::new(bound, daemons, Instant::now()))),
             crashes: Mutex::default(),
             suspects: Mutex::default(),
@@ -140,6 +141,17 @@
         }
     }
 
+    /// An upstream's leave to send it a request now; `None` while its limit allows none.
+    pub(crate) fn admit(&self, key: UpstreamKey) -> Option<Admitted> {
+        let mut fleet = self.fleet();
+        let limiter = &mut fleet.get_mut(key)?.limiter;
+        let admission = limiter.admit(Instant::now())?;
+        if limiter.rate().is_some() {
+            metrics::counter!("kelpworks_limited_requests_total").increment(1);
+        }
+        Some(Admitted::new(&self.fleet, key, admission))
+    }
+
     /// Takes what an answer to a request that was sent at a moment says of its upstream's limit.
     pub(crate) fn limit_announced(&self, key: UpstreamKey, said: Announcement, sent: Instant) {
         let now = Instant::now();
@@ -217,7 +229,7 @@
     /// that load is better than a drawn one. A daemon that has just started knows no load: after a loss of
     /// all daemons each would choose the same path.
     pub(crate) fn draw(&self, fleet: &Fleet, engines: &Engines, ask: &Ask<'_>) -> Option<Path> {
-        if self.load_is_complete.load(Ordering::Relaxed) {
+        if self.load_is_complete.load(Ordering::Relaxed) || self.has_limit_left(fleet, ask) {
             return None;
         }
         let mut spreads = lock(&self.spreads);
@@ -235,6 +247,16 @@
         Path::new(fleet, parts.clone())
     }
 
+    /// Whether an engine near by takes a request now of those that its limit allows. A plan has no paths that
+    /// begin at such an engine, and what it doesn't get now is lost.
+    fn has_limit_left(&self, fleet: &Fleet, ask: &Ask<'_>) -> bool {
+        let mut engines = fleet.of_service(ask.service);
+        engines.any(|(_, u)| {
+            let is_near = *u.entry.domain == *self.domain;
+            is_near && u.limiter.rate().is_some() && u.limiter.admits(ask.now)
+        })
+    }
+
     /// Load of all daemons by failure domain, that of this one included.
     fn demand(&self, fleet: &Fleet, service: &str) -> Vec<Demand> {
         let mut demand = lock(&self.demand).clone();
--- a/crates/kelpworks-relay/src/spread.rs
+++ b/crates/kelpworks-relay/src/spread.rs
@@ -121,6 +121,7 @@
                 key,
                 range: cost.layers,
                 domain: 0,
+                may_begin: upstream.limiter.rate().is_none(),
                 layer_ms: engine.layer_ms(ask.tokens),
                 entry_ms: engine.entry_ms,
             };
@@ -218,7 +219,11 @@
             let needed = ask.tokens * f64::from(range.len());
             holds && upstream.load().reserved + needed <= cost.room
         };
-        draws.find(|parts| parts.iter().all(may_take))
+        let may_begin = |parts: &&Parts| {
+            let first = parts.first().and_then(|&(key, _)| fleet.get(key));
+            first.is_some_and(|u| u.limiter.admits(ask.now))
+        };
+        draws.find(|parts| may_begin(parts) && parts.iter().all(may_take))
     }
 }
 
--- a/crates/kelpworks-relay/tests/bounds.rs
+++ b/crates/kelpworks-relay/tests/bounds.rs
@@ -10,8 +10,8 @@
 use kelpworks_relay::crashes::Crashes;
 use kelpworks_relay::crashes::Fingerprint;
 use kelpworks_relay::crashes::REFUSED_FROM;
+use kelpworks_relay::permit::Permit;
 use kelpworks_relay::repeats::Bound;
-use kelpworks_relay::repeats::Permit;
 use kelpworks_relay::repeats::Repeats;
 use kelpworks_relay::settings::Settings;
 
