Layers that only a limited engine takes requests for are placed once more

Ruled out: counting hops at such an engine too, since only the first engine of a path gets a request. Change: for the first layer an engine with a limit does not count, and is not moved itself; a spared engine of the domain takes that layer over, as after a loss. Tests: one fails before (no order is given), and plans end whatever engines are limited (property, from the start or later).

--- a/crates/kelpworks-relay/src/layout.rs
+++ b/crates/kelpworks-relay/src/layout.rs
@@ -9,7 +9,8 @@
 //!
 //! What stands is kept: only engines that hold nothing are given layers. But where a failure domain
 //! lacks a layer, so that its paths would have to leave it, an engine moves whose own layers its
-//! domain holds elsewhere.
+//! domain holds elsewhere. An engine that limits the requests it takes does not count for the first
+//! layer, where requests arrive.
 
 use std::cmp::Ordering;
 use std::sync::Arc;
@@ -48,6 +49,8 @@
     pub layers: Option<LayerRange>,
     /// Requests that pass it.
     pub running: f64,
+    /// Whether it announced a limit on requests, so that most paths have to begin elsewhere.
+    pub limited: bool,
 }
 
 /// An engine and the layers that it should hold.
@@ -164,7 +167,12 @@
         };
         for host in hosts {
             let none = LayerRange { from: 0, to: 0 };
-            cover.add(&host.domain, host.layers.unwrap_or(none));
+            let mut held = host.layers.unwrap_or(none);
+            if host.limited {
+                // What later engines of a path get is no request.
+                held.from = held.from.max(1);
+            }
+            cover.add(&host.domain, held);
         }
         cover
     }
@@ -247,7 +255,7 @@
             let mut held = usize::from(range.from)..usize::from(range.to);
             domain.is_some_and(|d| held.all(|l| d.counts[l] > 1))
         };
-        let spared = hosts.iter().filter(spare);
+        let spared = hosts.iter().filter(|h| !h.limited).filter(spare);
         let host = spared.min_by(|a, b| a.running.total_cmp(&b.running))?;
         let kind = engines.kind(&host.kind)?;
         let room = room_for(engines, hosts, &host.domain);
--- a/crates/kelpworks-relay/src/placer.rs
+++ b/crates/kelpworks-relay/src/placer.rs
@@ -448,6 +448,7 @@
         kind: entry.kind.clone()?,
         layers: loading.map(|h| h.layers).or(held),
         running: upstream.load().running,
+        limited: upstream.limiter.rate().is_some(),
     })
 }
 
--- a/crates/kelpworks-relay/tests/fleet_support/mod.rs
+++ b/crates/kelpworks-relay/tests/fleet_support/mod.rs
@@ -58,6 +58,7 @@
                     kind: Arc::from(kind),
                     layers: None,
                     running: 0.0,
+                    limited: false,
                 });
             }
         }
--- a/crates/kelpworks-relay/tests/layout.rs
+++ b/crates/kelpworks-relay/tests/layout.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use proptest::prelude::*;
+use proptest::test_runner::TestCaseError;
 use rstest::rstest;
 
 use fleet_support::LAYERS;
@@ -105,6 +106,47 @@
     assert_eq!(&*order.instance, "a-slow-2");
 }
 
+/// Seen once: the only engine of a failure domain that held the first layer took three requests a second, and
+/// no other was given that layer.
+#[test]
+fn a_first_layer_that_only_a_limited_engine_holds_is_placed_once_more() {
+    let mut hosts = empty_hosts(&["a"]);
+    carry_out(&mut hosts);
+    let holds_first = |h: &&mut Host| h.layers.is_some_and(|r| r.contains(0));
+    for host in hosts.iter_mut().filter(holds_first) {
+        host.limited = true;
+    }
+    let orders = plan(&engines(), &hosts);
+    let [order] = &orders[..] else {
+        panic!("one move: {orders:?}");
+    };
+    assert!(order.moves && order.layers.contains(0), "{order:?}");
+    carry_out(&mut hosts);
+    assert_eq!(carry_out(&mut hosts), 0, "one is enough");
+    assert_eq!(lacks(&hosts, "a"), 0);
+}
+
+/// Orders fit into the memory of their engines, and plans end.
+fn check_plans(mut hosts: Vec<Host>) -> Result<(), TestCaseError> {
+    let engines = engines();
+    let mut orders = 0;
+    while orders < 200 {
+        for order in plan(&engines, &hosts) {
+            let host = hosts.iter().find(|h| h.instance == order.instance);
+            let kind = engines.kind(&host.expect("known").kind).expect("a kind");
+            prop_assert!(f64::from(order.layers.len()) * engines.layer_mb <= kind.memory_mb);
+            prop_assert!(order.layers.to <= LAYERS && !order.layers.is_empty());
+        }
+        let given = carry_out(&mut hosts);
+        if given == 0 {
+            return Ok(());
+        }
+        orders += given;
+    }
+    prop_assert!(false, "plans don't end");
+    Ok(())
+}
+
 proptest! {
     /// Whatever engines there are, none is ordered more than its memory holds, and plans end.
     #[test]
@@ -112,22 +154,23 @@
         let mut hosts = empty_hosts(&["a", "b", "c"]);
         let mut keep = kept.iter();
         hosts.retain(|_| *keep.next().expect("as many"));
-        let engines = engines();
-        let mut orders = 0;
-        while orders < 200 {
-            for order in plan(&engines, &hosts) {
-                let host = hosts.iter().find(|h| h.instance == order.instance).expect("known");
-                let kind = engines.kind(&host.kind).expect("a kind");
-                prop_assert!(f64::from(order.layers.len()) * engines.layer_mb <= kind.memory_mb);
-                prop_assert!(order.layers.to <= LAYERS && !order.layers.is_empty());
-            }
-            let given = carry_out(&mut hosts);
-            if given == 0 {
-                return Ok(());
-            }
-            orders += given;
+        check_plans(hosts)?;
+    }
+
+    /// The same while some of them limit the requests that they take, from the start or later.
+    #[test]
+    fn orders_fit_and_end_beside_limits(
+        limited in proptest::collection::vec(any::<bool>(), 39),
+        is_placed in any::<bool>(),
+    ) {
+        let mut hosts = empty_hosts(&["a", "b", "c"]);
+        if is_placed {
+            carry_out(&mut hosts);
+        }
+        for (host, limited) in hosts.iter_mut().zip(limited) {
+            host.limited = limited;
         }
-        prop_assert!(false, "plans don't end");
+        check_plans(hosts)?;
     }
 }
 
@@ -158,6 +201,7 @@
         kind: kind.into(),
         layers: None,
         running: 0.0,
+        limited: false,
     };
     let kinds = [("large", large), ("middle", middle), ("slow", slow)];
     let hosts: Vec<Host> = kinds
@@ -198,6 +242,7 @@
             kind: Arc::from(kind),
             layers: None,
             running: 0.0,
+            limited: false,
         }));
     }
     for order in plan(&engines, &hosts) {
