--- a/crates/kelpworks-cli/tests/relay_limits.rs
+++ b/crates/kelpworks-cli/tests/relay_limits.rs
@@ -11,6 +11,7 @@
 use relay_site::daemon::Answer;
 use relay_site::daemon::Relay;
 use relay_site::daemon::send;
+use relay_site::engine::Arrival;
 use relay_site::engine::Engine;
 
 /// The limit that an upstream announces, in requests a second.
@@ -30,8 +31,9 @@
 const PAUSE: Duration = Duration::from_millis(60);
 
 /// The most arrivals in any window that begins at one of them, from a moment on.
-fn most_in_a_window(arrivals: &[Instant], from: Instant) -> usize {
-    let late: Vec<Instant> = arrivals.iter().copied().filter(|&at| at >= from).collect();
+fn most_in_a_window(arrivals: &[Arrival], from: Instant) -> usize {
+    let times = arrivals.iter().map(|a| a.at);
+    let late: Vec<Instant> = times.filter(|&at| at >= from).collect();
     let count = |&first: &Instant| {
         let within = late
             .iter()
--- a/crates/kelpworks-cli/tests/relay_site/engine.rs
+++ b/crates/kelpworks-cli/tests/relay_site/engine.rs
@@ -80,11 +80,18 @@
     limit: Limit,
 }
 
+/// A request that arrived, also one that was refused.
+#[derive(Clone, Debug)]
+pub(crate) struct Arrival {
+    pub(crate) request: String,
+    pub(crate) at: Instant,
+}
+
 /// A limit on requests a second that an upstream announces, and the requests that it got.
 #[derive(Debug, Default)]
 pub(crate) struct Limit {
     announced: Mutex<Option<String>>,
-    arrivals: Mutex<Vec<Instant>>,
+    arrivals: Mutex<Vec<Arrival>>,
 }
 
 impl Limit {
@@ -93,13 +100,16 @@
         *self.announced.lock().expect("no panic") = per_second.map(str::to_owned);
     }
 
-    /// When requests arrived, also those that were refused.
-    pub(crate) fn arrivals(&self) -> Vec<Instant> {
+    pub(crate) fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals.lock().expect("no panic").clone()
     }
 
-    fn arrived(&self, res: &mut Response) {
-        self.arrivals.lock().expect("no panic").push(Instant::now());
+    fn arrived(&self, req: &Request, res: &mut Response) {
+        let arrival = Arrival {
+            request: req.header::<String>(ATTEMPT).unwrap_or_default(),
+            at: Instant::now(),
+        };
+        self.arrivals.lock().expect("no panic").push(arrival);
         if let Some(per_second) = &*self.announced.lock().expect("no panic") {
             let _ = res.add_header(LIMIT, per_second, true);
         }
@@ -351,7 +361,7 @@
     }
 
     fn stream(&self, req: &Request, res: &mut Response) {
-        self.engine.limit.arrived(res);
+        self.engine.limit.arrived(req, res);
         let field = |name: &str| req.header::<String>(name).unwrap_or_default();
         let request = field(ATTEMPT);
         let _ = res.add_header(ATTEMPT, request.clone(), true);
@@ -546,7 +556,7 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        self.limit.arrived(res);
+        self.limit.arrived(req, res);
         let request = req.header::<String>(ATTEMPT).unwrap_or_default();
         let expected = req.header::<String>("x-kelpworks-expect-instance");
         assert_eq!(expected.as_deref(), Some(&*self.instance));
--- a/crates/kelpworks-cli/tests/soak/checks.rs
+++ b/crates/kelpworks-cli/tests/soak/checks.rs
@@ -15,6 +15,7 @@
 use crate::callers::client;
 use crate::callers::request;
 use crate::faults::still_runs;
+use crate::limits;
 use crate::relay_site::BOUND;
 use crate::relay_site::KEY;
 use crate::relay_site::engine::is_whole;
@@ -138,6 +139,7 @@
     at_most_once(soak);
     layers_in_order(soak);
     repeats_within_the_bound(soak);
+    limits::kept(soak);
     most_were_served(soak);
 }
 
--- a/crates/kelpworks-cli/tests/soak/faults.rs
+++ b/crates/kelpworks-cli/tests/soak/faults.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
+use crate::limits::Announced;
 use crate::plan::Fault;
 use crate::plan::Plan;
 use crate::plan::Step;
@@ -58,6 +59,7 @@
 async fn carry_out_step(soak: Arc<Soak>, step: Step) {
     tokio::time::sleep(step.at).await;
     let lasts = step.lasts;
+    let _disturbance = soak.limits.disturb(step.fault);
     match step.fault {
         Fault::StoreDown => {
             soak.store.set_down(true);
@@ -92,6 +94,7 @@
             tokio::time::sleep(lasts).await;
             at.registers.store(true, Ordering::Relaxed);
         }
+        Fault::EngineLimits(i, per_second) => limit(&soak, i, per_second, lasts).await,
         Fault::Kill(i) => kill(&soak, i, lasts).await,
         Fault::Pause(i) => {
             let relay = soak.daemons[i].relay.lock().await;
@@ -132,6 +135,21 @@
     }
 }
 
+/// Lets an engine announce a limit for a while.
+async fn limit(soak: &Soak, i: usize, per_second: f64, lasts: Duration) {
+    let limit = soak.engines[i].engine.limit();
+    let from = Instant::now();
+    limit.announce(Some(&per_second.to_string()));
+    tokio::time::sleep(lasts).await;
+    soak.limits.announced(Announced {
+        engine: i,
+        per_second,
+        from,
+        to: Instant::now(),
+    });
+    limit.announce(None);
+}
+
 async fn hold(link: &Link, state: LinkState, lasts: Duration) {
     link.set(state);
     tokio::time::sleep(lasts).await;
--- a/crates/kelpworks-cli/tests/soak/main.rs
+++ b/crates/kelpworks-cli/tests/soak/main.rs
@@ -3,7 +3,7 @@
 //! A seed draws a series of faults that overlap: links in front of the store, the engines and the
 //! plain service are cut, silenced or slowed; daemons are killed, paused, stopped and told to reload;
 //! the store goes down, loses replies, forgets its history and comes back from older copies; engines stop, break streams off,
-//! refuse and leave; configurations change. Callers go on all the while, and what they and the
+//! refuse, leave and limit the requests that they take; configurations change. Callers go on all the while, and what they and the
 //! upstreams see is held against the promises of `docs/PROMISES.md`.
 //!
 //! CI runs a few seeds. By hand, any number (`docs/SOAK.md`):
@@ -21,6 +21,7 @@
 mod callers;
 mod checks;
 mod faults;
+mod limits;
 mod plan;
 mod site;
 
--- a/crates/kelpworks-cli/tests/soak/plan.rs
+++ b/crates/kelpworks-cli/tests/soak/plan.rs
@@ -18,6 +18,8 @@
 const PLANNED_ONLY: u64 = 4;
 /// One unplanned seed in so many has the store come back from older copies.
 const RESTORED_IN: u64 = 2;
+/// One unplanned seed in so many has none of its engines announce a limit.
+const UNLIMITED_IN: u64 = 3;
 
 /// Something that goes wrong, or is done on purpose.
 #[derive(Clone, Copy, Debug)]
@@ -44,6 +46,8 @@
     EngineFails(usize, engine::Fault),
     /// An engine's registration goes, and comes back.
     EngineLeaves(usize),
+    /// An engine announces a limit of so many requests a second.
+    EngineLimits(usize, f64),
     /// A daemon's process is killed and started again.
     Kill(usize),
     /// A daemon's process stands still.
@@ -92,6 +96,9 @@
         if !planned && seed.is_multiple_of(RESTORED_IN) {
             steps.extend(draw_restores(&mut rng, length));
         }
+        if !planned && !seed.is_multiple_of(UNLIMITED_IN) {
+            steps.extend(draw_limits(&mut rng, length));
+        }
         Plan {
             length,
             steps,
@@ -111,6 +118,18 @@
     (0..count).map(|_| draw()).collect()
 }
 
+/// Limits of one or two engines, long enough to be held against them.
+fn draw_limits(rng: &mut StdRng, length: Duration) -> Vec<Step> {
+    let first = rng.random_range(0..ENGINES);
+    let count = rng.random_range(1..=2);
+    let mut draw = |engine| Step {
+        at: length.mul_f64(rng.random_range(0.0..0.3)),
+        lasts: Duration::from_millis(rng.random_range(5_000..9_000)),
+        fault: Fault::EngineLimits(engine, rng.random_range(0.3..8.0)),
+    };
+    (0..count).map(|i| draw((first + i) % ENGINES)).collect()
+}
+
 fn draw_planned(rng: &mut StdRng, daemons: usize) -> Fault {
     let daemon = rng.random_range(0..daemons);
     match rng.random_range(0..4) {
--- a/crates/kelpworks-cli/tests/soak/site.rs
+++ b/crates/kelpworks-cli/tests/soak/site.rs
@@ -18,6 +18,7 @@
 use crate::callers::Sent;
 use crate::checks;
 use crate::faults;
+use crate::limits::Limits;
 use crate::plan::ENGINES;
 use crate::plan::Plan;
 use crate::relay_site::BOUND;
@@ -74,6 +75,8 @@
     pub(crate) daemons: Vec<Daemon>,
     /// Version of the last configuration that was written.
     pub(crate) version: AtomicU64,
+    /// Limits that engines announced.
+    pub(crate) limits: Limits,
     /// Held while the store loses writes.
     pub(crate) restoring: tokio::sync::Mutex<()>,
     /// What callers sent and got.
@@ -151,6 +154,7 @@
             app_link,
             daemons: daemons.collect(),
             version: AtomicU64::new(3),
+            limits: Limits::default(),
             restoring: tokio::sync::Mutex::default(),
             sent: Mutex::default(),
             broken: Mutex::default(),
