--- a/crates/kelpworks-coord/tests/control.rs
+++ b/crates/kelpworks-coord/tests/control.rs
@@ -459,3 +459,36 @@
     let older = follower.on_event(head::FollowerEvent::Seen(copy));
     assert_eq!(older, [], "the copy itself changes nothing");
 }
+
+/// Guards against versions that are ordered by their revision alone.
+#[test]
+fn an_operator_goes_on_with_an_older_copy_of_a_later_era() {
+    use kelpworks_coord::head;
+    use kelpworks_coord::id::Digest;
+    use kelpworks_coord::id::Era;
+    use kelpworks_coord::id::Nonce;
+
+    let change = head::Change {
+        which: head::Which::Rules,
+        digest: Digest([1; 32]),
+        nonce: Nonce(1),
+    };
+    let read = |version| {
+        head::SwapEvent::HeadRead(head::StoredHead {
+            version,
+            head: head::Head::EMPTY,
+        })
+    };
+    let mut swap = head::Swap::new(head::Config::default(), change, Instant::ZERO);
+    swap.on_event(Instant::ZERO, head::SwapEvent::Start);
+    swap.on_event(Instant::ZERO, head::SwapEvent::BlobStored);
+    swap.on_event(Instant::ZERO, read(Version::initial(7)));
+    swap.on_event(Instant::ZERO, head::SwapEvent::Valid);
+    swap.on_event(Instant::ZERO, head::SwapEvent::Lost);
+    let copy = Version::new(Era(1), 3);
+    let actions = swap.on_event(Instant::ZERO, read(copy));
+    assert!(
+        matches!(actions[..], [head::SwapAction::Validate(_)]),
+        "{actions:?}"
+    );
+}
