Restores are drilled with daemons cut off from the store or from their peers

Change: all watchers lose the store, or two daemons their peers, before the restore, at 9, 66 and 295 daemons; and a table test of changes against lists by era.

--- a/crates/kelpworks-relay/src/peers/store_tests.rs
+++ b/crates/kelpworks-relay/src/peers/store_tests.rs
@@ -12,6 +12,8 @@
 //! The bounds are what operators are owed: a change is in force at all daemons three seconds after the
 //! store is back, or after the confirmation where that is later; five in a fleet of hundreds.
 
+use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::ops::Range;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -42,6 +44,9 @@
 use super::tests::Numbered;
 use super::tests::peers;
 use crate::dialect::Dialect;
+use crate::documents::Entries;
+use crate::documents::EntryChange;
+use crate::documents::Source;
 use crate::follow::Follower;
 
 /// Time of an answer.
@@ -81,6 +86,8 @@
     kept: Kept,
     copy: Kept,
     is_away: bool,
+    /// Daemons that it does not answer.
+    cut_off: HashSet<Arc<str>>,
     /// Calls from before are never answered.
     lost_before: Option<Instant>,
     calls: usize,
@@ -133,16 +140,22 @@
         lock(&self.state).calls
     }
 
-    fn begin(&self) -> bool {
+    /// Leaves a daemon without answers.
+    fn cut_off(&self, daemon: &Arc<str>) {
+        lock(&self.state).cut_off.insert(Arc::clone(daemon));
+    }
+
+    fn begin(&self, daemon: &str) -> bool {
         let mut state = lock(&self.state);
         state.calls += 1;
-        !state.is_away
+        !state.is_away && !state.cut_off.contains(daemon)
     }
 
-    /// Whether a call that was begun then is answered now.
-    fn answers(&self, begun: Instant) -> bool {
+    /// Whether a call of a daemon that was begun then is answered now.
+    fn answers(&self, daemon: &str, begun: Instant) -> bool {
         let state = lock(&self.state);
-        !state.is_away && state.lost_before.is_none_or(|lost| lost < begun)
+        let reaches = !state.is_away && !state.cut_off.contains(daemon);
+        reaches && state.lost_before.is_none_or(|lost| lost < begun)
     }
 
     fn object(&self, what: What) -> (Object, Version) {
@@ -173,6 +186,7 @@
 /// A daemon's client of the store.
 #[derive(Debug)]
 struct Client {
+    daemon: Arc<str>,
     store: Arc<Store>,
     deadlines: Deadlines,
     eras: Eras,
@@ -183,7 +197,7 @@
     async fn changes(&self, kind: &str, from: u64, wait: Duration) -> Result<WatchReply> {
         let begun = Instant::now();
         let given_up = begun + wait + self.deadlines.watch_margin;
-        if !self.store.begin() {
+        if !self.store.begin(&self.daemon) {
             tokio::time::sleep_until(given_up).await;
             return Err(Error::Silent);
         }
@@ -191,7 +205,7 @@
         loop {
             let changed = self.store.changed.notified();
             let (object, version) = self.store.object(what(kind));
-            let answers = self.store.answers(begun);
+            let answers = self.store.answers(&self.daemon, begun);
             let is_news = object.version.revision > from;
             if answers && version.revision < from {
                 self.eras.of_answer(Some(version.era))?;
@@ -231,9 +245,9 @@
 
     async fn list(&self, kind: &str) -> Result<ObjectList> {
         let begun = Instant::now();
-        let is_taken = self.store.begin();
+        let is_taken = self.store.begin(&self.daemon);
         tokio::time::sleep(LATENCY).await;
-        if !is_taken || !self.store.answers(begun) {
+        if !is_taken || !self.store.answers(&self.daemon, begun) {
             tokio::time::sleep(self.deadlines.call).await;
             return Err(Error::Lost);
         }
@@ -259,6 +273,7 @@
 fn follow(peers: &Arc<Peers>, store: &Arc<Store>, stop: &CancellationToken) {
     for what in [What::Configuration, What::Upstreams] {
         let client = Client {
+            daemon: Arc::clone(&peers.name),
             store: Arc::clone(store),
             deadlines: Deadlines::default(),
             eras: peers.eras.clone(),
@@ -291,17 +306,20 @@
 
 /// Daemons that do not hold what the store does.
 fn behind(fleet: &Simulated, store: &Store, what: What) -> usize {
+    fleet.count(|me| !holds(me, store, what))
+}
+
+/// Whether a daemon holds what the store does.
+fn holds(me: &Peers, store: &Store, what: What) -> bool {
     let (object, _) = store.object(what);
-    fleet.count(|me| match what {
-        What::Configuration => me.documents.version().to_string() != object.body,
+    match what {
+        What::Configuration => me.documents.version().to_string() == object.body,
         What::Upstreams => {
             let entries = me.documents.entries();
-            entries
-                .texts
-                .get(&*object.name)
-                .is_none_or(|text| **text != *object.body)
+            let text = entries.texts.get(&*object.name);
+            text.is_some_and(|text| **text == *object.body)
         }
-    })
+    }
 }
 
 #[rstest]
@@ -408,6 +426,54 @@
     stop.cancel();
 }
 
+/// What a daemon is cut off from.
+#[derive(Clone, Copy, Debug)]
+enum CutOff {
+    /// The store, but not its peers: so are all that watch it.
+    Store,
+    /// Its peers, but not the store.
+    Peers,
+}
+
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_change_after_a_restore_reaches_daemons_that_are_cut_off_from_some_others(
+    #[values(What::Configuration, What::Upstreams)] what: What,
+    #[values(CutOff::Store, CutOff::Peers)] cut_off: CutOff,
+    #[values((9, 3), (66, 4), (295, 5))] (size, within_s): (usize, u64),
+) {
+    let (mut fleet, store, stop) = following(size).await;
+    store.take_copy();
+    store.put(what, 2);
+    fleet.run(CALM).await;
+    let mut alone = Vec::new();
+    match cut_off {
+        CutOff::Store => {
+            let watches = |me: &&Arc<Peers>| me.watch(what).is_some();
+            for me in fleet.all.iter().filter(watches) {
+                store.cut_off(&me.name);
+            }
+        }
+        CutOff::Peers => {
+            for number in [1, size / 2] {
+                alone.push(Arc::clone(&fleet.all[number]));
+                fleet.stop(number);
+            }
+        }
+    }
+    fleet.run(CALM).await;
+    store.restore();
+    fleet.run(Duration::from_millis(500)).await;
+    store.put(what, 2);
+    store.put(what, 3);
+    fleet.run(Duration::from_secs(within_s)).await;
+    assert_eq!(behind(&fleet, &store, what), 0, "of {size} daemons");
+    for me in alone {
+        assert!(holds(&me, &store, what), "a daemon without peers");
+    }
+    stop.cancel();
+}
+
 /// The copy shows an older configuration until its operators have written the newer one again.
 #[rstest]
 #[case::small(9)]
@@ -434,6 +500,32 @@
     stop.cancel();
 }
 
+/// A change is one of the list that it was watched from. On top of another era's it would hide what that lacks.
+#[rstest]
+#[case::of_an_earlier_era(Version::initial(9), "1")]
+#[case::of_a_later_era(Version::new(Era(2), 2), "1")]
+#[case::of_the_same_era(Version::new(Era(1), 4), "2")]
+fn a_change_counts_only_on_top_of_a_list_of_its_own_era(
+    #[case] version: Version,
+    #[case] expected: &str,
+) {
+    let me = peers(0);
+    let name: Arc<str> = Arc::from("e-1");
+    let held = Entries {
+        version: Version::new(Era(1), 3),
+        texts: BTreeMap::from([(Arc::clone(&name), Arc::from("1"))]),
+    };
+    me.documents.put_entries::<Numbered>(held, Source::Store);
+    let change = EntryChange {
+        name: Arc::clone(&name),
+        text: Some(Arc::from("2")),
+    };
+    me.documents
+        .change_entries::<Numbered>(vec![change], version);
+    let texts = me.documents.entries().texts;
+    assert_eq!(texts.get(&name).map(|text| &**text), Some(expected));
+}
+
 /// Each call is paid for by operators: a restored store costs no more of them than an outage.
 #[rstest]
 #[case::small(9)]
