kelpworks status shows what a daemon knows of the object API's era and revision

Cause: a restore showed in a log line, a gauge and a counter, but not where operators look first. Change: the latest era that the daemon has heard of, and the version of the configuration heads that it last read itself; table and JSON. Statuses of daemons without the field are read as before.

--- a/crates/kelpworks-cli/tests/cli_commands.rs
+++ b/crates/kelpworks-cli/tests/cli_commands.rs
@@ -14,6 +14,8 @@
 const SOME_AT_2: &str = r#"{"daemon": "entry-1", "generation": 2, "members": [
     {"name": "entry-2", "generation": 1, "state": "live"},
     {"name": "entry-3", "generation": 1, "state": "down"}]}"#;
+const WITH_OBJECT_API: &str = r#"{"daemon": "entry-1", "generation": 2, "members": [],
+    "object_api": {"era": 1, "read": {"era": 1, "revision": 47}}}"#;
 const ALL_AT_2: &str = r#"{"daemon": "entry-1", "generation": 2, "members": [
     {"name": "entry-2", "generation": 3, "state": "leaving"},
     {"name": "entry-3", "generation": 1, "state": "down"}]}"#;
@@ -130,12 +132,13 @@
 }
 
 #[rstest]
-#[case::table("status_table", &[])]
-#[case::json("status_json", &["--json"])]
+#[case::table("status_table", &[], SOME_AT_2)]
+#[case::json("status_json", &["--json"], SOME_AT_2)]
+#[case::with_object_api("status_with_object_api", &[], WITH_OBJECT_API)]
 #[tokio::test]
-async fn status_of_a_daemon(#[case] name: &str, #[case] args: &[&str]) {
+async fn status_of_a_daemon(#[case] name: &str, #[case] args: &[&str], #[case] status: &str) {
     let platform = Platform::start().await;
-    platform.statuses(&[SOME_AT_2]);
+    platform.statuses(&[status]);
     let operators = format!("{},{}", dead_address(), platform.operators);
     let asked = ["status", "--operators", &operators];
     assert_snapshot!(name, report(&kelpworks(&[&asked, args].concat()).await));
--- a/crates/kelpworks/src/daemon/control.rs
+++ b/crates/kelpworks/src/daemon/control.rs
@@ -14,6 +14,7 @@
 use crate::border::host_list::HttpHostList;
 use crate::border::object_api;
 use crate::border::object_api::HttpObjectApi;
+use crate::border::object_api::ObjectApi;
 use crate::daemon::Result;
 use crate::daemon::follow::Follower;
 use crate::daemon::head_watch::HeadWatch;
@@ -25,10 +26,12 @@
 use crate::membership::RequestFacts;
 use crate::membership::TrialShare;
 use crate::membership::UpstreamFacts;
+use crate::operators;
 use crate::quarantine::Quarantine;
 use crate::register::Register;
 use crate::settings::Settings;
 use crate::upstreams::Keeper;
+use kelpworks_coord::id::Version;
 
 /// Longest wait for the tasks to end.
 const TASKS_END: Duration = Duration::from_secs(2);
@@ -47,6 +50,8 @@
 #[derive(Debug)]
 pub(crate) struct Control {
     pub(crate) peers: Peers,
+    /// Version of the configuration heads that were last read.
+    read: watch::Receiver<Option<Version>>,
     api: Arc<HttpObjectApi>,
     tasks: TaskTracker,
     pub(crate) stop: CancellationToken,
@@ -65,15 +70,17 @@
         let deadlines = host_list::Deadlines::default();
         let host_list = HttpHostList::new(&settings.platform.host_list, deadlines)?;
         let (peers, from_peers) = Peers::start(peers_config(settings), stop.child_token()).await?;
+        let (read, last_read) = watch::channel(None);
         let control = Control {
             peers,
+            read: last_read,
             api: Arc::new(api),
             tasks: TaskTracker::new(),
             stop,
         };
         control.follow_hosts(settings, host_list, &shared);
         control.carry_facts(&shared);
-        control.follow_config(settings, shared, from_peers);
+        control.follow_config(settings, shared, from_peers, read);
         Ok(control)
     }
 
@@ -84,12 +91,14 @@
         settings: &Settings,
         shared: Shared,
         from_peers: mpsc::UnboundedReceiver<crate::membership::SeenHead>,
+        read: watch::Sender<Option<Version>>,
     ) {
         let (heads, from_api) = mpsc::unbounded_channel();
         let watch = HeadWatch {
             api: Arc::clone(&self.api),
             chosen: self.peers.watcher(),
             heads,
+            read,
             wait: settings.timing.watch.0,
         };
         let trials = TrialShare {
@@ -114,6 +123,14 @@
         self.tasks.spawn(shared.keeper.run(self.stop.clone()));
     }
 
+    /// What operators are shown of the object API.
+    pub(crate) fn object_api(&self) -> operators::ObjectApiView {
+        operators::ObjectApiView {
+            eras: self.api.eras().clone(),
+            read: self.read.clone(),
+        }
+    }
+
     /// Reads the host list, and finds the other daemons.
     fn follow_hosts(&self, settings: &Settings, host_list: HttpHostList, shared: &Shared) {
         let (addresses, hosts) = watch::channel(Vec::new());
--- a/crates/kelpworks/src/daemon/head_watch.rs
+++ b/crates/kelpworks/src/daemon/head_watch.rs
@@ -28,6 +28,8 @@
     pub(crate) chosen: watch::Receiver<bool>,
     /// Bodies of the head object.
     pub(crate) heads: mpsc::UnboundedSender<String>,
+    /// Version of the heads that were last read.
+    pub(crate) read: watch::Sender<Option<Version>>,
     /// Longest wait of a watch before it is opened anew.
     pub(crate) wait: Duration,
 }
@@ -50,6 +52,7 @@
             match self.turn(from).await {
                 Ok(version) => {
                     from = Some(version);
+                    self.read.send_replace(from);
                     backoff = BACKOFF_MIN;
                     self.until_chosen().await;
                 }
--- a/crates/kelpworks/src/daemon/head_watch_tests.rs
+++ b/crates/kelpworks/src/daemon/head_watch_tests.rs
@@ -105,12 +105,14 @@
     api.head.store(1, Ordering::Relaxed);
     let (heads, mut seen) = mpsc::unbounded_channel();
     let (_chosen, chosen) = watch::channel(true);
+    let (read, last_read) = watch::channel(None);
     let settings = include_str!("../../../../testdata/aralsky/settings.toml");
     let settings = Settings::parse("settings.toml", settings).expect("settings");
     let head_watch = HeadWatch {
         api: Arc::clone(&api),
         chosen,
         heads,
+        read,
         wait: settings.timing.watch.0,
     };
     let stop = CancellationToken::new();
@@ -121,5 +123,9 @@
     api.head.store(2, Ordering::Relaxed);
     let head = timeout(WITHIN, seen.recv()).await;
     assert_eq!(head.expect("in time").as_deref(), Some("2"));
+    assert!(
+        last_read.borrow().is_some(),
+        "operators are shown what was read"
+    );
     stop.cancel();
 }
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -235,6 +235,7 @@
             served: Arc::default(),
             entry: Arc::clone(&entry),
             peers: control.peers.clone(),
+            object_api: control.object_api(),
             metrics,
         };
         let callers = Server::start(settings.listen.callers, entry::router(&entry)).await?;
--- a/crates/kelpworks/src/operators/mod.rs
+++ b/crates/kelpworks/src/operators/mod.rs
@@ -17,13 +17,18 @@
 use salvo::async_trait;
 use salvo::http::StatusCode;
 use salvo::writing::Json;
+use tokio::sync::watch;
 
+use crate::border::era::Eras;
 use crate::entry::Entry;
 use crate::fleet::Fleet;
 use crate::fleet::Health;
 use crate::fleet::ModelKey;
 use crate::membership::Peers;
+use crate::status::ObjectApiStatus;
+use crate::status::ReadVersion;
 use crate::status::Status;
+use kelpworks_coord::id::Version;
 
 /// What the operators' side shows.
 #[derive(Clone, Debug)]
@@ -36,10 +41,34 @@
     pub entry: Arc<Entry>,
     /// The other daemons.
     pub peers: Peers,
+    /// The object API.
+    pub object_api: ObjectApiView,
     /// Recorder of the metrics.
     pub metrics: PrometheusHandle,
 }
 
+/// What the daemon knows of the object API, always the latest.
+#[derive(Clone, Debug)]
+pub struct ObjectApiView {
+    /// Eras that it has heard of.
+    pub eras: Eras,
+    /// Version of the configuration heads that it last read.
+    pub read: watch::Receiver<Option<Version>>,
+}
+
+impl ObjectApiView {
+    fn status(&self) -> ObjectApiStatus {
+        let read = *self.read.borrow();
+        ObjectApiStatus {
+            era: self.eras.latest().0,
+            read: read.map(|version| ReadVersion {
+                era: version.era.0,
+                revision: version.revision,
+            }),
+        }
+    }
+}
+
 /// A page of the operators' address.
 #[derive(Clone, Copy, Debug)]
 enum Page {
@@ -73,6 +102,7 @@
             daemon: self.operators.name.clone(),
             generation: self.operators.entry.config.load().generation,
             members: self.operators.peers.members(),
+            object_api: Some(self.operators.object_api.status()),
         }
     }
 
--- a/crates/kelpworks/src/status.rs
+++ b/crates/kelpworks/src/status.rs
@@ -55,6 +55,31 @@
     pub generation: u64,
     /// The other daemons it knows.
     pub members: Vec<Member>,
+    /// What it knows of the object API; none from a daemon of a release that doesn't tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub object_api: Option<ObjectApiStatus>,
+}
+
+/// The object API as a daemon knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct ObjectApiStatus {
+    /// Latest era that the daemon has heard of, from whomever; rises each time the API comes back from an
+    /// older copy.
+    pub era: u64,
+    /// Version of the configuration heads that the daemon last read itself; none before it has read any, and
+    /// old on daemons that don't watch.
+    pub read: Option<ReadVersion>,
+}
+
+/// A version of the object API.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct ReadVersion {
+    /// Its era.
+    pub era: u64,
+    /// Its revision within the era.
+    pub revision: u64,
 }
 
 /// Another daemon.
@@ -123,6 +148,13 @@
                 m.name, m.generation, m.state
             )?;
         }
+        if let Some(ObjectApiStatus { era, read }) = self.object_api {
+            write!(f, "object API  era {era}")?;
+            if let Some(ReadVersion { era, revision }) = read {
+                write!(f, "  read at era {era}, revision {revision}")?;
+            }
+            writeln!(f)?;
+        }
         Ok(())
     }
 }
--- a/crates/kelpworks/tests/peers_daemons.rs
+++ b/crates/kelpworks/tests/peers_daemons.rs
@@ -56,6 +56,28 @@
     all_at(&daemons, 2).await;
 }
 
+#[tokio::test]
+async fn status_shows_that_the_object_api_came_back_from_an_older_copy() {
+    let platform = Platform::start().await;
+    platform.swap(1);
+    let daemons = platform.daemons(&NAMES).await;
+    all_at(&daemons, 1).await;
+    let api = &platform.fakes.object_api;
+    api.take_copy();
+    platform.swap(2);
+    all_at(&daemons, 2).await;
+    api.restore();
+    until("a daemon that watches knows of the era", async || {
+        let mut eras = Vec::new();
+        for daemon in &daemons {
+            let known = status(daemon).await.object_api.expect("of this release");
+            eras.push(known.read.map(|read| (known.era, read.era)));
+        }
+        eras.contains(&Some((1, 1)))
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn an_answer_out_of_date_moves_no_daemon_back() {
     let platform = Platform::start().await;
