Limits: the end of one is dated by the answer that ended it, and terms of the field

Cause: every later answer without a limit renewed the end of it, so that it was reported to peers for as long as its incarnation lived. Change: only what ends a limit counts; a stream that no limit admits before its short wait is over is refused at once; names and comments of the new modules (on_answer, on_report, admission, rendezvous hashing). Test: the_end_of_a_limit_is_dated_by_the_answer_that_ended_it.

--- a/crates/kelpworks-relay/src/limits.rs
+++ b/crates/kelpworks-relay/src/limits.rs
@@ -16,7 +16,7 @@
 //! let mut limiter = Limiter::default();
 //! let sent = Instant::now();
 //! let rate = Rate::per_second(2.0).expect("a rate");
-//! limiter.hear(Announcement::Limited(rate), sent, sent);
+//! limiter.on_answer(Announcement::Limited(rate), sent, sent);
 //! assert!(limiter.admit(sent).is_none(), "no share is known yet");
 //!
 //! limiter.set_share(1.0, sent);
@@ -24,7 +24,7 @@
 //! assert!(limiter.admit(later).is_some());
 //! assert!(limiter.admit(later).is_none(), "two a second");
 //!
-//! limiter.hear(Announcement::Unlimited, later, later + Duration::from_millis(1));
+//! limiter.on_answer(Announcement::Unlimited, later, later + Duration::from_millis(1));
 //! assert!(limiter.admit(later).is_some());
 //! ```
 //!
@@ -114,7 +114,7 @@
     last: Option<Instant>,
 }
 
-/// Leave to send a request, as far as the upstream's limit goes.
+/// A request that a limit admits, not sent yet.
 #[derive(Clone, Copy, Debug)]
 #[must_use]
 pub struct Admission {
@@ -128,11 +128,11 @@
         self.known.and_then(|k| k.rate)
     }
 
-    /// Takes what an answer to a request says that was sent at a moment.
+    /// Takes what an answer announces to a request that was sent at a moment.
     ///
     /// Answers overtake each other, so a lower limit counts at once, but a higher one or none only in an
     /// answer to a request that was sent after the limit was last announced.
-    pub fn hear(&mut self, said: Announcement, sent: Instant, now: Instant) -> Option<Change> {
+    pub fn on_answer(&mut self, said: Announcement, sent: Instant, now: Instant) -> Option<Change> {
         let rate = match said {
             Announcement::Unlimited => None,
             Announcement::Limited(rate) => Some(rate),
@@ -144,14 +144,15 @@
             (Some(before), Some(rate)) => rate > before,
         };
         let is_old = self.known.is_some_and(|k| sent <= k.at);
-        if (looser && is_old) || (self.known.is_none() && rate.is_none()) {
+        let is_unlimited = self.rate().is_none() && rate.is_none();
+        if (looser && is_old) || is_unlimited {
             return None;
         }
         self.set(rate, now, now)
     }
 
-    /// Takes a peer's word of what an upstream announced at a moment; the latest announcement counts.
-    pub fn learn(&mut self, rate: Option<Rate>, at: Instant, now: Instant) -> Option<Change> {
+    /// Takes what a peer reports of an announcement made at a moment; the latest one counts.
+    pub fn on_report(&mut self, rate: Option<Rate>, at: Instant, now: Instant) -> Option<Change> {
         if self.known.is_some_and(|k| at <= k.at) {
             return None;
         }
@@ -187,7 +188,7 @@
         self.wait(now).is_some_and(|wait| wait.is_zero())
     }
 
-    /// Leave to send a request now.
+    /// Admits a request now, if the limit allows one.
     pub fn admit(&mut self, now: Instant) -> Option<Admission> {
         if !self.admits(now) {
             return None;
--- a/crates/kelpworks-relay/src/peers/limits.rs
+++ b/crates/kelpworks-relay/src/peers/limits.rs
@@ -1,9 +1,10 @@
-//! Limits that upstreams announce: word of them goes round, and each is shared out among daemons.
+//! Limits that upstreams announce: they are reported to all daemons, and each is shared out among some.
 //!
-//! Which daemons hold a share is drawn by a hash of their names and the upstream's, so that daemons that know
-//! the same members agree without a message. Engines are shared out in their own failure domain, since hardly
-//! any path that begins elsewhere enters there; plain services are called from everywhere.
+//! Which daemons hold a share is decided by rendezvous hashing of their names with the upstream's, so that
+//! daemons that know the same members agree without a message. The limit of an engine is shared out in its own
+//! failure domain, since paths hardly ever begin in another; plain services are called from everywhere.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -20,24 +21,24 @@
 use crate::limits::Rate;
 use crate::shared::log_limit;
 
-/// How long the end of a limit is told: many exchanges of a larger fleet.
-const END_TOLD: Duration = Duration::from_secs(8);
+/// How long the end of a limit is reported: many exchanges of a larger fleet.
+const END_REPORTED: Duration = Duration::from_secs(8);
 
 impl Peers {
-    /// Takes a peer's word of limits.
+    /// Takes the limits that a peer reports.
     pub(super) fn learn_limits(&self, limits: &[LimitOf], now: Instant) {
-        for word in limits {
-            let age = Duration::from_millis(word.age_ms);
+        for limit in limits {
+            let age = Duration::from_millis(limit.age_ms);
             let Some(at) = now.checked_sub(age) else {
                 continue;
             };
             let mut fleet = self.shared.fleet();
-            let key = fleet.key_of(&word.instance);
+            let key = fleet.key_of(&limit.instance);
             let upstream = key.and_then(|k| fleet.get_mut(k));
-            let change = upstream.and_then(|u| u.limiter.learn(word.per_second, at, now));
+            let change = upstream.and_then(|u| u.limiter.on_report(limit.per_second, at, now));
             drop(fleet);
             if let Some(change) = change {
-                log_limit(&word.instance, change, "peer", age);
+                log_limit(&limit.instance, change, "peer", age);
             }
         }
     }
@@ -87,12 +88,12 @@
     }
 }
 
-/// What an upstream last announced, while it is told to others.
+/// What an upstream last announced, while it is reported to others.
 pub(super) fn limit_of(upstream: &Upstream, now: Instant) -> Option<LimitOf> {
     let (per_second, at) = upstream.limiter.announced()?;
-    let is_told = per_second.is_some() || now.duration_since(at) < END_TOLD;
-    is_told.then(|| LimitOf {
-        instance: std::sync::Arc::clone(&upstream.entry.instance),
+    let is_reported = per_second.is_some() || now.duration_since(at) < END_REPORTED;
+    is_reported.then(|| LimitOf {
+        instance: Arc::clone(&upstream.entry.instance),
         per_second,
         age_ms: millis_since(at, now),
     })
--- a/crates/kelpworks-relay/src/permit.rs
+++ b/crates/kelpworks-relay/src/permit.rs
@@ -1,8 +1,9 @@
-//! Leave to send a request to an upstream once.
+//! Permission to send a request to an upstream once.
 //!
-//! Nothing is sent without a [`Permit`]. It is one of the bound on repeats, where the request may have reached an
-//! upstream before, and one of the upstream's own limit, and goes back to both where nothing was written to a
-//! connection.
+//! Nothing is sent without a [`Permit`]. It holds a repeat of the service's bound, if the request may have reached
+//! an upstream before, and an admission under the upstream's own limit. Both are given back if nothing was
+//! written to a connection: a good part of the attempts that fail while engines that are gone are still
+//! registered.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -15,7 +16,7 @@
 use crate::repeats::Repeats;
 use crate::sync::lock;
 
-/// Leave to send a request once; given back when dropped.
+/// Permission to send a request once; given back when dropped.
 #[derive(Debug, Default)]
 #[must_use]
 pub struct Permit {
@@ -25,14 +26,14 @@
     admitted: Option<Admitted>,
 }
 
-/// A repeat of the service's bound, and where it goes back to.
+/// A repeat that was taken from a service's bound.
 #[derive(Debug)]
 struct Repeat {
     counts: Arc<Mutex<Repeats>>,
     service: Arc<str>,
 }
 
-/// An upstream's leave to send it a request.
+/// An admission under an upstream's limit.
 #[derive(Debug)]
 #[must_use]
 pub struct Admitted {
@@ -42,7 +43,7 @@
 }
 
 impl Admitted {
-    /// Of an upstream of a fleet.
+    /// An admission under the limit of an upstream of a fleet.
     pub(crate) fn new(
         fleet: &Arc<Mutex<Fleet>>,
         upstream: UpstreamKey,
@@ -55,7 +56,7 @@
         }
     }
 
-    /// The request is not sent.
+    /// Takes the admission back: the request is not sent.
     pub(crate) fn give_back(self) {
         let mut fleet = lock(&self.fleet);
         if let Some(u) = fleet.get_mut(self.upstream) {
@@ -88,8 +89,8 @@
         })
     }
 
-    /// The same for the upstream that it is to be sent to.
-    pub fn to(mut self, admitted: Admitted) -> Permit {
+    /// Adds the admission of the upstream that the request is to be sent to.
+    pub fn with_admission(mut self, admitted: Admitted) -> Permit {
         self.admitted = Some(admitted);
         self
     }
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -219,7 +219,7 @@
         false => Some(Permit::first()),
     };
     match permit {
-        Some(permit) => Next::Send(chosen, permit.to(admitted)),
+        Some(permit) => Next::Send(chosen, permit.with_admission(admitted)),
         None => {
             admitted.give_back();
             Next::Nothing
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -299,14 +299,14 @@
         !self.reached || permit.is_some()
     }
 
-    /// Leave for an attempt that begins now.
+    /// Permission for an attempt that begins now, at an engine that admits it.
     fn permit(&mut self, admitted: Admitted) -> Result<Permit, Failure> {
         let permit = match self.reached {
             false => Some(Permit::first()),
             true => lock(&self.permit).take(),
         };
         match permit {
-            Some(permit) => Ok(permit.to(admitted)),
+            Some(permit) => Ok(permit.with_admission(admitted)),
             None => {
                 admitted.give_back();
                 Err(Failure::no_path("no repeat left"))
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -172,7 +172,7 @@
         let until = Instant::now() + self.ticket.route.latency_target.mul_f64(ROOM_WAIT_PART);
         loop {
             match self.choose_and_admit() {
-                Err(why) if Instant::now() >= until || self.ticket.left().is_zero() => {
+                Err(why) if self.is_final(why, until) => {
                     self.log_no_path(why);
                     return Err(why.as_str());
                 }
@@ -182,7 +182,21 @@
         }
     }
 
-    /// Chooses a path and takes its first engine's leave to be sent a request.
+    /// Whether it is no use to wait for a path until a moment.
+    fn is_final(&self, why: NoPath, until: Instant) -> bool {
+        let now = Instant::now();
+        if now >= until || self.ticket.left().is_zero() {
+            return true;
+        }
+        let fleet = self.shared.fleet();
+        let mut engines = fleet.of_service(&self.ticket.service.name);
+        let left = until.duration_since(now);
+        let admits = |u: &Upstream| u.limiter.wait(now).is_some_and(|wait| wait <= left);
+        let holds_first = |u: &Upstream| u.layers.is_some_and(|r| r.contains(0));
+        why == NoPath::Limited && !engines.any(|(_, u)| holds_first(u) && admits(u))
+    }
+
+    /// Chooses a path and has its first engine admit the request.
     fn choose_and_admit(&self) -> Result<(Path, Admitted), NoPath> {
         let path = self.choose()?;
         let (first, _) = path.parts[0];
--- a/crates/kelpworks-relay/src/repeats.rs
+++ b/crates/kelpworks-relay/src/repeats.rs
@@ -6,8 +6,7 @@
 //! without a message between them, also while daemons can't hear each other. A process that starts
 //! has no equal part for one window, since the one before it may have spent it up to its end.
 //!
-//! A repeat whose request was not written to a connection goes back: while engines that are gone still stand in
-//! the registration, a good part of the attempts that fail are not.
+//! A repeat whose request was not written to a connection is given back ([`crate::permit`]).
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -141,7 +141,7 @@
         }
     }
 
-    /// An upstream's leave to send it a request now; `None` while its limit allows none.
+    /// Admits a request to an upstream now; `None` while its limit allows none.
     pub(crate) fn admit(&self, key: UpstreamKey) -> Option<Admitted> {
         let mut fleet = self.fleet();
         let limiter = &mut fleet.get_mut(key)?.limiter;
@@ -152,7 +152,7 @@
         Some(Admitted::new(&self.fleet, key, admission))
     }
 
-    /// Takes what an answer to a request that was sent at a moment says of its upstream's limit.
+    /// Takes what an answer announces of its upstream's limit; the request was sent at a moment.
     pub(crate) fn limit_announced(&self, key: UpstreamKey, said: Announcement, sent: Instant) {
         let now = Instant::now();
         let mut fleet = self.fleet();
@@ -161,7 +161,7 @@
         };
         let instance = Arc::clone(&upstream.entry.instance);
         let is_unreadable = upstream.limiter.is_first_unreadable(said);
-        let change = upstream.limiter.hear(said, sent, now);
+        let change = upstream.limiter.on_answer(said, sent, now);
         drop(fleet);
         if is_unreadable {
             warn!(upstream:% = instance; "announced limit ignored: not a rate");
--- a/crates/kelpworks-relay/tests/limits.rs
+++ b/crates/kelpworks-relay/tests/limits.rs
@@ -16,7 +16,7 @@
 /// A limit that was announced at a moment, all of which this daemon may use.
 fn limiter(per_second: f64, at: Instant) -> Limiter {
     let mut limiter = Limiter::default();
-    limiter.hear(Announcement::Limited(rate(per_second)), at, at);
+    limiter.on_answer(Announcement::Limited(rate(per_second)), at, at);
     limiter.set_share(1.0, at);
     limiter
 }
@@ -64,11 +64,11 @@
     let heard = after(start, 50);
     let lower = Announcement::Limited(rate(2.0));
     let higher = Announcement::Limited(rate(8.0));
-    limiter.hear(higher, start, heard);
+    limiter.on_answer(higher, start, heard);
     assert_eq!(limiter.rate(), Some(rate(5.0)), "it was overtaken");
-    limiter.hear(lower, start, heard);
+    limiter.on_answer(lower, start, heard);
     assert_eq!(limiter.rate(), Some(rate(2.0)));
-    limiter.hear(higher, after(heard, 1), after(heard, 60));
+    limiter.on_answer(higher, after(heard, 1), after(heard, 60));
     assert_eq!(limiter.rate(), Some(rate(8.0)));
 }
 
@@ -79,14 +79,25 @@
     let overtaken = start
         .checked_sub(Duration::from_millis(1))
         .expect("a moment");
-    limiter.hear(Announcement::Unlimited, overtaken, after(start, 10));
+    limiter.on_answer(Announcement::Unlimited, overtaken, after(start, 10));
     assert_eq!(limiter.rate(), Some(rate(5.0)));
-    limiter.hear(Announcement::Unreadable, after(start, 11), after(start, 20));
+    limiter.on_answer(Announcement::Unreadable, after(start, 11), after(start, 20));
     assert_eq!(limiter.rate(), Some(rate(5.0)));
-    limiter.hear(Announcement::Unlimited, after(start, 21), after(start, 30));
+    limiter.on_answer(Announcement::Unlimited, after(start, 21), after(start, 30));
     assert_eq!(limiter.rate(), None);
 }
 
+/// What is no limit any more is not reported for ever.
+#[test]
+fn the_end_of_a_limit_is_dated_by_the_answer_that_ended_it() {
+    let start = Instant::now();
+    let mut limiter = limiter(5.0, start);
+    let ended = after(start, 20);
+    limiter.on_answer(Announcement::Unlimited, after(start, 10), ended);
+    limiter.on_answer(Announcement::Unlimited, after(start, 30), after(start, 40));
+    assert_eq!(limiter.announced(), Some((None, ended)));
+}
+
 #[test]
 fn the_latest_announcement_counts_whoever_tells_it() {
     let start = Instant::now();
@@ -95,11 +106,11 @@
     let before = start
         .checked_sub(Duration::from_millis(1))
         .expect("a moment");
-    assert_eq!(limiter.learn(None, before, now), None);
+    assert_eq!(limiter.on_report(None, before, now), None);
     assert_eq!(limiter.rate(), Some(rate(5.0)));
-    limiter.learn(None, after(start, 100), now);
+    limiter.on_report(None, after(start, 100), now);
     assert_eq!(limiter.rate(), None);
-    limiter.learn(Some(rate(5.0)), after(start, 90), now);
+    limiter.on_report(Some(rate(5.0)), after(start, 90), now);
     assert_eq!(limiter.rate(), None, "an older word");
 }
 
