--- a/crates/kelpworks-relay/src/peers/limits_tests.rs
+++ b/crates/kelpworks-relay/src/peers/limits_tests.rs
@@ -22,7 +22,7 @@
 /// Time within which a whole fleet knows a limit.
 const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 /// Part of a limit that is used at least while callers of all daemons ask for more.
-const LEAST_USED: f64 = 0.8;
+const MIN_USED_PART: f64 = 0.8;
 
 /// A fleet that knows itself, and the one upstream of each daemon.
 struct Site {
@@ -118,7 +118,7 @@
     let allowed = (per_second * WINDOW.as_secs_f64() + BURST) as usize;
     assert!(most <= allowed, "{most} in a window, {allowed} allowed");
     let used = site.since(from) as f64 / 20.0;
-    let least = LEAST_USED * per_second;
+    let least = MIN_USED_PART * per_second;
     assert!(used >= least, "{used} a second of {per_second}");
 }
 
@@ -144,7 +144,7 @@
     site.load(Duration::from_secs(12), limited(per_second))
         .await;
     let used = site.since(again) as f64 / 12.0;
-    assert!(used >= LEAST_USED * per_second, "{used} a second");
+    assert!(used >= MIN_USED_PART * per_second, "{used} a second");
 }
 
 #[rstest]
