--- a/crates/kelpworks-cli/tests/soak/limits.rs
+++ b/crates/kelpworks-cli/tests/soak/limits.rs
@@ -1,8 +1,8 @@
-//! Limits that engines announce: what daemons that know of one send together stays near it.
+//! Checks the aggregate request rate at engines that announce a limit.
 //!
-//! A daemon counts from the moment at which an answer of the engine has told it, and not while it is killed,
-//! paused or stopped, or shortly after. Requests that are held back before an engine arrive together later, so
-//! nothing is counted near that.
+//! Requests of a daemon are counted once the daemon has received an answer with the limit, except while it is
+//! killed, paused or stopped and for [`GRACE`] afterwards. Windows close to a fault of the engine's link are
+//! skipped: delayed requests arrive in a burst.
 
 use std::sync::Arc;
 use std::sync::Mutex;
--- a/crates/kelpworks-coord/src/head.rs
+++ b/crates/kelpworks-coord/src/head.rs
@@ -53,8 +53,8 @@
 
     /// The generation of a change that is accepted in an era on top of this one.
     ///
-    /// An API that came back from an older copy shows an older head. A change on top of that would
-    /// have the number of one that is lost there and in force on daemons, if eras were not told apart.
+    /// After a restore the API returns an older head. Without the era, a change to that head would reuse the
+    /// generation of a lost change that daemons still have in force.
     fn next(self, era: Era) -> Generation {
         let first = Generation(era.0 << Generation::ERA_SHIFT);
         Generation(self.0 + 1).max(first)
--- a/crates/kelpworks-coord/src/id.rs
+++ b/crates/kelpworks-coord/src/id.rs
@@ -90,7 +90,7 @@
     /// Era in which it was given out.
     #[serde(default)]
     pub era: Era,
-    /// Rises with each change within an era; 0 stands for an object that does not exist.
+    /// Increases with each change within an era; 0 for an object that does not exist.
     pub revision: u64,
 }
 
--- a/crates/kelpworks-coord/src/lease.rs
+++ b/crates/kelpworks-coord/src/lease.rs
@@ -38,10 +38,10 @@
 //! out, and placement stays as it is until the API is back. The object must never be removed,
 //! since its token must not fall; daemons that saw it take no lease from its absence.
 //!
-//! **Eras.** An API that comes back from an older copy shows a record that may have been replaced
-//! since. Whoever hears of the new era ends its own lease at once, and nobody takes the lease on
-//! the word of a record from before the era until any lease held then has run out. Tokens of a later
-//! era are higher than all of the eras before.
+//! **Eras.** After a restore the API may return a record that had been superseded. A holder that
+//! observes a later era ends its lease at once. A record written before that era does not allow a
+//! daemon to acquire the lease until every lease held at the time has expired. Tokens of a later era
+//! are higher than all tokens of earlier ones.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -199,7 +199,7 @@
     Api(ApiReply),
     /// A watch showed the object.
     Watched(Stored),
-    /// The object API is in this era, by whatever call or peer it was heard.
+    /// An era was observed, from a call or a peer.
     Era(Era),
     /// Give the lease up, as on a planned stop.
     Release,
@@ -242,9 +242,9 @@
 pub struct Lease {
     cfg: Config,
     me: Owner,
-    /// Latest era heard of; never falls.
+    /// Latest observed era; never decreases.
     era: Era,
-    /// When that was; none in the first era.
+    /// When the latest era was first observed; none in the first era.
     era_since: Option<Instant>,
     /// Latest version seen, and when it was first seen; of the latest era. Versions never fall.
     seen: Option<(Stored, Instant)>,
@@ -309,7 +309,7 @@
         self.highest
     }
 
-    /// The latest era heard of.
+    /// Latest observed era.
     pub fn era(&self) -> Era {
         self.era
     }
--- a/crates/kelpworks-coord/tests/model_head.rs
+++ b/crates/kelpworks-coord/tests/model_head.rs
@@ -56,7 +56,7 @@
     TakesAny,
     /// A daemon takes no head from the API after the first.
     Deaf,
-    /// Versions are told without their era.
+    /// Replies carry revisions without the era.
     NoEra,
     /// Writes that are under way when the API is restored reach it all the same.
     WritesOutliveEras,
--- a/crates/kelpworks-coord/tests/model_lease.rs
+++ b/crates/kelpworks-coord/tests/model_lease.rs
@@ -49,7 +49,7 @@
     NoReadBack,
     /// The lease object is removed, and with it the token.
     ObjectRemoved,
-    /// Versions are told without their era.
+    /// Replies carry revisions without the era.
     NoEra,
 }
 
--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -273,7 +273,7 @@
         keys.filter_map(|&k| Some((k, self.upstreams.get(k)?)))
     }
 
-    /// All upstreams, to change.
+    /// All upstreams, mutable.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Upstream> {
         self.upstreams.values_mut()
     }
--- a/crates/kelpworks-relay/src/layout.rs
+++ b/crates/kelpworks-relay/src/layout.rs
@@ -3,9 +3,9 @@
 //! Three things compete for an engine's memory: layers (more copies, so that the loss of an engine
 //! leaves a path), room for requests, and time (a slow accelerator with many layers slows every
 //! path over it). Room decides most: an engine without it refuses, or cuts streams off. So each
-//! engine gets as many layers as leave room for a fixed number of usual requests, and the layers
-//! are laid so that each failure domain covers the model by its fastest engines first, and with few
-//! hops; what is left backs up the layers that are held least.
+//! engine gets as many layers as leave capacity for a fixed number of usual requests. Layers are placed
+//! so that each failure domain covers the model by its fastest engines first, and with few hops; the
+//! remaining engines back up the layers with the fewest copies.
 //!
 //! What stands is kept: only engines that hold nothing are given layers. But where a failure domain
 //! lacks a layer, so that its paths would have to leave it, an engine moves whose own layers its
--- a/crates/kelpworks-relay/src/limits.rs
+++ b/crates/kelpworks-relay/src/limits.rs
@@ -43,8 +43,7 @@
 pub const BURST: f64 = 5.0;
 /// Part of a rate that is shared out. The rest allows for the requests that its holders send at the same time.
 const SHARED_PART: f64 = 0.9;
-/// An upstream that takes less than this many requests a second gets as many all the same: its answers are all
-/// that tells when its limit ends.
+/// Least rate used for a limit: the end of a limit is only seen in answers.
 const MIN_PER_SECOND: f64 = 0.1;
 
 /// Requests a second; finite and not negative.
@@ -110,7 +109,7 @@
     unreadable: bool,
     /// Part of the rate that this daemon may use, 0 to 1.
     share: f64,
-    /// When a request was last admitted, or could not have been for want of a share.
+    /// When a request was last admitted, or when the limit or a share of it began.
     last: Option<Instant>,
 }
 
@@ -172,7 +171,7 @@
         self.share = share;
     }
 
-    /// How long it takes until a request may be sent, if others are not; `None` where this daemon has no share.
+    /// Time until the next request is admitted; `None` while this daemon has no share.
     pub fn wait(&self, now: Instant) -> Option<Duration> {
         let Some(rate) = self.rate() else {
             return Some(Duration::ZERO);
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -3,7 +3,7 @@
 //! Every [`EXCHANGE`] a daemon calls a few others with a short digest and gets theirs. Who sees that
 //! the other holds a newer configuration or newer entries of upstreams asks for the texts; so what
 //! one daemon read in the store reaches all, also those that the store turns away. Digests also
-//! carry load, ejections and suspicions, which need no history: the last one told counts.
+//! carry load, ejections and suspicions, which need no history: the latest report supersedes earlier ones.
 //!
 //! In a small fleet every daemon talks to every other. In a larger one each talks to a few, most of
 //! them in its own failure domain, and takes the load of those it heard for a sample of the fleet.
--- a/crates/kelpworks-relay/src/peers/limits.rs
+++ b/crates/kelpworks-relay/src/peers/limits.rs
@@ -21,7 +21,7 @@
 use crate::limits::Rate;
 use crate::shared::log_limit;
 
-/// How long the end of a limit is reported: many exchanges of a larger fleet.
+/// How long the end of a limit is reported to peers.
 const END_REPORTED: Duration = Duration::from_secs(8);
 
 impl Peers {
@@ -43,8 +43,7 @@
         }
     }
 
-    /// Works out which part of each limit this daemon may use. One that has not had time to hear of the others
-    /// has none.
+    /// Updates this daemon's share of each limit. It has none until it has had time to discover the others.
     pub(super) fn share_limits(&self) {
         let now = Instant::now();
         let is_learning = now.duration_since(self.started) < LEARNING;
--- a/crates/kelpworks/src/border/era.rs
+++ b/crates/kelpworks/src/border/era.rs
@@ -74,7 +74,7 @@
 }
 
 impl Eras {
-    /// The latest era heard of; never falls.
+    /// Latest observed era; never decreases.
     pub fn latest(&self) -> Era {
         *self.latest.borrow()
     }
