--- a/crates/kelpworks-relay/src/peers/store_tests.rs
+++ b/crates/kelpworks-relay/src/peers/store_tests.rs
@@ -474,6 +474,36 @@
     stop.cancel();
 }
 
+/// Guards against watchers that are replaced one after the other while a part of the fleet is cut off.
+#[rstest]
+#[case::small(9, 3)]
+#[case::larger(66, 3)]
+#[tokio::test(start_paused = true)]
+async fn a_change_is_in_force_soon_after_a_third_of_the_fleet_was_cut_off(
+    #[case] size: usize,
+    #[case] within_s: u64,
+    #[values(false, true)] from_peers: bool,
+) {
+    let (mut fleet, store, stop) = following(size).await;
+    let watches = |me: &Peers| me.watch(What::Configuration).is_some();
+    let (mut cut_off, others): (Vec<usize>, Vec<usize>) =
+        (0..size).partition(|&n| watches(&fleet.all[n]));
+    let next = size / 3 - cut_off.len();
+    cut_off.extend(others.into_iter().take(next));
+    for number in cut_off {
+        store.cut_off(&fleet.all[number].name);
+        if from_peers {
+            fleet.stop(number);
+        }
+    }
+    fleet.run(Duration::from_secs(1)).await;
+    store.put(What::Configuration, 2);
+    fleet.run(Duration::from_secs(within_s)).await;
+    let behind = behind(&fleet, &store, What::Configuration);
+    assert_eq!(behind, 0, "of {size} daemons, after {within_s} s");
+    stop.cancel();
+}
+
 /// The copy shows an older configuration until its operators have written the newer one again.
 #[rstest]
 #[case::small(9)]
