Tests: an admission under an announced limit is available again if its request was not sent

Cause: a mutation in which AdmissionGuard::refund does nothing failed no test. Change: a table of the ways in which an admitted request is not sent (dropped, undone, refused a retry), and of one that is sent. The mutation itself was not run again.

--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -63,6 +63,11 @@
 use roles::RoleState;
 use texts::PackCaches;
 
+#[cfg(test)]
+pub(crate) use tests::Numbered;
+#[cfg(test)]
+pub(crate) use tests::engine as test_engine;
+
 pub(crate) use roles::LeadershipBasis;
 pub(crate) use store_contact::StoreKind;
 pub(crate) use store_contact::WatchRole;
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -86,7 +86,7 @@
     std::net::SocketAddr::from(([127, 0, 0, 1], 7_000 + number as u16))
 }
 
-pub(super) fn engine() -> UpstreamEntry {
+pub(crate) fn engine() -> UpstreamEntry {
     UpstreamEntry {
         id: Arc::from("e"),
         start: None,
@@ -596,7 +596,7 @@
 
 /// An adapter that reads a configuration as its version number and fails to read any upstream
 /// entry.
-pub(super) struct Numbered;
+pub(crate) struct Numbered;
 
 impl Adapter for Numbered {
     const CONFIGURATION_KIND: &'static str = "configuration";
--- a/crates/kelpworks-relay/src/permit.rs
+++ b/crates/kelpworks-relay/src/permit.rs
@@ -5,6 +5,9 @@
 //! Both are refunded if nothing was written to a connection, as in many of the attempts that fail
 //! while engines that no longer run are still registered.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 
