A path search considers the cheapest of the engines that hold the same layers

Cause: a plan makes 120 searches in a fleet of five failure domains, each over all engines, and looked each hop up in a list of all engines. On a host with an eighth of a core a plan for 2,850 engines takes seconds, inside a request. Change: engines of a domain that hold the same layers form a group; a search visits the cheapest of each. A plan finds an engine by its key. Tests: the number of groups does not grow with the engines; the next engine of a group follows when one fills up; an engine that must come first is found in its group.

--- a/crates/kelpworks-relay/src/path/graph.rs
+++ b/crates/kelpworks-relay/src/path/graph.rs
@@ -4,6 +4,10 @@
 //! domain of the engine that ran the layers before it. Each engine that holds the next layer has
 //! edges to every later boundary within its range.
 
+#[cfg(test)]
+mod tests;
+
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use crate::adapter::LayerRange;
@@ -37,6 +41,13 @@
     pub(crate) entry_ms: f64,
 }
 
+impl Candidate {
+    /// Cost of its whole range, in milliseconds per token.
+    fn whole_cost(&self) -> f64 {
+        self.entry_ms + self.layer_ms * f64::from(self.range.len())
+    }
+}
+
 /// The last edge of the cheapest path to a node.
 #[derive(Clone, Copy)]
 struct Step {
@@ -49,9 +60,25 @@
 /// A part of a path: an engine and the layers that it runs.
 type PathPart = (UpstreamKey, LayerRange);
 
+/// Candidates that differ only in their costs: they hold the same layers in the same failure domain.
+/// A search considers only the cheapest of them, so that its time depends on the number of groups
+/// and not on the number of engines.
+struct Group {
+    /// Indices of the candidates.
+    members: Vec<usize>,
+    /// Index of the cheapest candidate.
+    cheapest: usize,
+}
+
+/// What the candidates of a group have in common: failure domain, layers, and whether a path may
+/// begin there.
+type GroupKey = (usize, LayerRange, bool);
+
 /// Engines and the layers that they are to run.
 pub(crate) struct Graph {
-    pub(crate) candidates: Vec<Candidate>,
+    candidates: Vec<Candidate>,
+    groups: Vec<Group>,
+    group_by_key: HashMap<GroupKey, usize>,
     layers: LayerRange,
     /// Boundaries at which an engine's range begins or ends, ascending, from the first to the last
     /// of the requested layers.
@@ -80,6 +107,8 @@
     pub(crate) fn new(layers: LayerRange) -> Graph {
         Graph {
             candidates: Vec::new(),
+            groups: Vec::new(),
+            group_by_key: HashMap::new(),
             layers,
             boundaries: vec![layers.from, layers.to],
             domains: Vec::new(),
@@ -97,9 +126,49 @@
                 self.boundaries.insert(at, boundary);
             }
         }
+        self.add_to_group(&candidate);
         self.candidates.push(candidate);
     }
 
+    /// Adds the candidate that is pushed next to its group.
+    fn add_to_group(&mut self, candidate: &Candidate) {
+        let index = self.candidates.len();
+        let key = (candidate.domain, candidate.range, candidate.may_begin);
+        match self.group_by_key.get(&key) {
+            Some(&at) => {
+                let group = &mut self.groups[at];
+                group.members.push(index);
+                if candidate.whole_cost() < self.candidates[group.cheapest].whole_cost() {
+                    group.cheapest = index;
+                }
+            }
+            None => {
+                self.group_by_key.insert(key, self.groups.len());
+                self.groups.push(Group {
+                    members: vec![index],
+                    cheapest: index,
+                });
+            }
+        }
+    }
+
+    /// Changes the cost of a layer of a candidate, in milliseconds per token.
+    pub(crate) fn set_layer_ms(&mut self, index: usize, layer_ms: f64) {
+        let candidate = &mut self.candidates[index];
+        candidate.layer_ms = layer_ms;
+        let key = (candidate.domain, candidate.range, candidate.may_begin);
+        let Some(&at) = self.group_by_key.get(&key) else {
+            return;
+        };
+        let group = &mut self.groups[at];
+        let cost = |&&i: &&usize| self.candidates[i].whole_cost();
+        let cheapest = group
+            .members
+            .iter()
+            .min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        group.cheapest = cheapest.copied().unwrap_or(group.cheapest);
+    }
+
     fn domain(&mut self, domain: &Arc<str>) -> usize {
         if let Some(i) = self.domains.iter().position(|d| d == domain) {
             return i;
@@ -162,7 +231,12 @@
     fn extend(&self, b: usize, start: &PathStart<'_>, best: &mut [Option<Step>]) {
         let width = self.domains.len();
         let layer = self.boundaries[b];
-        for (i, candidate) in self.candidates.iter().enumerate() {
+        let cheapest = self.groups.iter().map(|g| g.cheapest);
+        // Of a group, another engine than the cheapest may be one of those that must come first.
+        let required = self.candidates.iter().enumerate();
+        let required = required.filter(|(_, c)| b == 0 && start.first.contains(&c.key));
+        for i in cheapest.chain(required.map(|(i, _)| i)) {
+            let candidate = &self.candidates[i];
             if !candidate.range.contains(layer) || candidate.layer_ms.is_infinite() {
                 continue;
             }
--- a/crates/kelpworks-relay/src/traffic_plan.rs
+++ b/crates/kelpworks-relay/src/traffic_plan.rs
@@ -23,6 +23,7 @@
 use kelpworks_coord::id::Version;
 use rand::Rng;
 use rand::seq::IndexedRandom;
+use slotmap::SecondaryMap;
 use tokio::time::Instant;
 
 use crate::adapter::LayerRange;
@@ -104,6 +105,28 @@
     }
 }
 
+/// The engines of a service while a plan is computed.
+struct PlannedEngines<'a> {
+    graph: Graph,
+    /// In the order of the graph's candidates.
+    engines: Vec<PlannedEngine<'a>>,
+    index_by_key: SecondaryMap<UpstreamKey, usize>,
+}
+
+impl PlannedEngines<'_> {
+    /// Adds requests with `tokens` tokens in all to an engine that runs a range of layers for them.
+    fn add_load(&mut self, key: UpstreamKey, range: LayerRange, tokens: f64, request_tokens: f64) {
+        let Some(&index) = self.index_by_key.get(key) else {
+            return;
+        };
+        let engine = &mut self.engines[index];
+        engine.load.reserved += tokens * f64::from(range.len());
+        engine.load.running += tokens / request_tokens.max(1.0);
+        let layer_ms = engine.layer_ms(request_tokens);
+        self.graph.set_layer_ms(index, layer_ms);
+    }
+}
+
 impl TrafficPlan {
     /// Plans for the requests of a service that enter in the domain of `query`, beside those of
     /// the other domains.
@@ -115,6 +138,7 @@
     ) -> TrafficPlan {
         let mut graph = Graph::new(query.layers);
         let mut planned = Vec::new();
+        let mut index_by_key = SecondaryMap::new();
         for (key, upstream) in fleet.of_service(query.service) {
             if upstream.is_ejected(query.now) {
                 continue;
@@ -136,6 +160,7 @@
                 entry_ms: engine.entry_ms,
             };
             graph.add(candidate, &upstream.entry.domain);
+            index_by_key.insert(key, planned.len());
             planned.push(engine);
         }
         let mut plan = TrafficPlan {
@@ -146,20 +171,20 @@
             placed_fraction: 0.0,
         };
         let capacity: f64 = planned.iter().map(|p| p.cost.capacity).sum();
-        plan.place_demand(
-            &mut graph,
-            &mut planned,
-            query,
-            &raise_to_min_fill(demand, query, capacity),
-        );
+        let demand = raise_to_min_fill(demand, query, capacity);
+        let mut engines = PlannedEngines {
+            graph,
+            engines: planned,
+            index_by_key,
+        };
+        plan.place_demand(&mut engines, query, &demand);
         plan
     }
 
     /// Assigns the load portion by portion, one portion of each domain in turn.
     fn place_demand(
         &mut self,
-        graph: &mut Graph,
-        planned: &mut [PlannedEngine<'_>],
+        engines: &mut PlannedEngines<'_>,
         query: &PathQuery<'_>,
         demand: &[Demand],
     ) {
@@ -171,20 +196,13 @@
                 token_layers,
             } in demand
             {
-                let Some(parts) = graph.solve(domain, &[]) else {
+                let Some(parts) = engines.graph.solve(domain, &[]) else {
                     continue;
                 };
                 placed_portions += 1;
                 let tokens = token_layers / layers / f64::from(PORTIONS_PER_DOMAIN);
                 for &(key, range) in &parts {
-                    let at = graph.candidates.iter().position(|c| c.key == key);
-                    let Some(at) = at else {
-                        continue;
-                    };
-                    let engine = &mut planned[at];
-                    engine.load.reserved += tokens * f64::from(range.len());
-                    engine.load.running += tokens / query.tokens.max(1.0);
-                    graph.candidates[at].layer_ms = engine.layer_ms(query.tokens);
+                    engines.add_load(key, range, tokens, query.tokens);
                 }
                 if **domain == *query.domain {
                     self.paths.push(parts);
