Daemons exchange the changes of entries instead of all entries

Cause: any change of an upstream's entry made every daemon fetch, decode and compare the texts of all entries. In the whole fleet 180 entries a second register in the first 17 seconds; at 3,004 entries of 300 B that is 900 KB, some 90 KB packed, for each fetch. Change: a daemon remembers in which version each entry changed since its last whole list. A peer that holds a later version than that list gets the entries that changed since; one that holds an earlier one, another era, or runs an earlier release gets all entries. Changes that don't continue what a daemon holds are ignored, counted and logged. Tests: random sequences of writes, removals, lists, restores and transfers end with the entries of the store; one change in 3,000 entries sends one entry; changes after a gap, of an older version or of another era leave the state as it was. The code before has no changes, so these tests have nothing to run on there. Not measured by itself.

--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -206,6 +206,20 @@
     pub(super) configuration: Option<Packed>,
     /// The upstream entries and their version as JSON, if newer than the requested version.
     pub(super) entries: Option<Packed>,
+    /// The changes of the upstream entries since the requested version as JSON, in place of
+    /// `entries`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) changes: Option<Packed>,
+}
+
+/// Announcement of a configuration that a daemon has activated.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Announcement {
+    /// Address at which the sender can be asked for the configuration.
+    pub(super) from: SocketAddr,
+    /// Version of the configuration.
+    pub(super) version: u64,
 }
 
 /// Versions that the requesting daemon already has.
@@ -215,6 +229,9 @@
     pub(super) version: u64,
     #[serde(flatten)]
     pub(super) entries: Version,
+    /// Whether the daemon reads the changes of entries in place of all entries.
+    #[serde(default)]
+    pub(super) accepts_changes: bool,
 }
 
 /// Age of `at` in whole milliseconds, as sent in messages.
--- a/crates/kelpworks-relay/src/store_cache.rs
+++ b/crates/kelpworks-relay/src/store_cache.rs
@@ -4,6 +4,10 @@
 //! peer. Newer texts replace older ones and never the reverse, whether they come from the store or
 //! a peer.
 
+mod change_log;
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -27,6 +31,7 @@
 use crate::config::RoutingTable;
 use crate::shared::Shared;
 use crate::sync::lock;
+use change_log::ChangeLog;
 
 /// Maximum time by which an upstream's clock may be ahead of this daemon's. Clocks jump by seconds;
 /// operators correct one that is an hour off before it matters here.
@@ -63,6 +68,7 @@
 
 /// A change of the entry of one upstream.
 #[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct EntryChange {
     /// Name of the store object.
     pub name: Arc<str>,
@@ -70,6 +76,18 @@
     pub text: Option<Arc<str>>,
 }
 
+/// Changes that lead from an earlier version of the entries to a later one.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct EntryChanges {
+    /// Version that the changes start from, or an earlier one.
+    pub base: Version,
+    /// Version of the entries after the changes.
+    pub version: Version,
+    /// The changes, at most one for each entry.
+    pub changes: Vec<EntryChange>,
+}
+
 /// Text of an entry with its decoded form, which is `None` for an invalid entry.
 #[derive(Clone, Debug)]
 struct DecodedEntry {
@@ -81,11 +99,29 @@
 struct CacheState {
     configuration: Arc<str>,
     entries: Entries,
+    change_log: ChangeLog,
     /// Decoded form of `entries`. An entry is decoded again only when its text changes.
     decoded: BTreeMap<Arc<str>, DecodedEntry>,
 }
 
 impl CacheState {
+    /// Applies changes that lead to the entries of a version.
+    fn apply(&mut self, changes: Vec<EntryChange>, version: Version) {
+        for EntryChange { name, text } in changes {
+            match text {
+                Some(text) => {
+                    self.change_log.record_put(&name, version);
+                    self.entries.texts.insert(name, text);
+                }
+                None => {
+                    self.change_log.record_removal(&name, version);
+                    self.entries.texts.remove(&name);
+                }
+            };
+        }
+        self.entries.version = version;
+    }
+
     /// Decodes the entries whose texts have changed and returns all valid entries.
     fn decode_changed<A: Adapter>(&mut self) -> Vec<UpstreamEntry> {
         let CacheState {
@@ -208,6 +244,7 @@
         if entries.version < state.entries.version {
             return;
         }
+        state.change_log.reset(entries.version);
         state.entries = entries;
         self.publish::<A>(&mut state, source);
     }
@@ -219,16 +256,48 @@
         if version < state.entries.version || version.era > state.entries.version.era {
             return;
         }
-        for EntryChange { name, text } in changes {
-            match text {
-                Some(text) => state.entries.texts.insert(name, text),
-                None => state.entries.texts.remove(&name),
-            };
-        }
-        state.entries.version = version;
+        state.apply(changes, version);
         self.publish::<A>(&mut state, Source::Store);
     }
 
+    /// Applies the changes that a peer sent. Changes that do not continue the cached list are
+    /// ignored: its version is before their base, after their end, or of another era.
+    pub fn apply_peer_changes<A: Adapter>(&self, changes: EntryChanges) {
+        let mut state = self.state();
+        let held = state.entries.version;
+        let EntryChanges {
+            base,
+            version,
+            changes,
+        } = changes;
+        if version <= held {
+            return;
+        }
+        if held < base || held.era != version.era {
+            info!(target: "decision", held:%, base:%, version:%; "changes of entries ignored: gap");
+            metrics::counter!("kelpworks_ignored_entry_changes_total").increment(1);
+            return;
+        }
+        state.apply(changes, version);
+        self.publish::<A>(&mut state, Source::Peer);
+    }
+
+    /// Returns the changes of the entries since the version that a peer holds; `None` if they are
+    /// not known and the peer needs all entries.
+    pub fn changes_since(&self, held: Version) -> Option<EntryChanges> {
+        let state = self.state();
+        let change = |name: &Arc<str>| EntryChange {
+            name: Arc::clone(name),
+            text: state.entries.texts.get(name).cloned(),
+        };
+        let names = state.change_log.names_since(held)?;
+        Some(EntryChanges {
+            base: held,
+            version: state.entries.version,
+            changes: names.map(change).collect(),
+        })
+    }
+
     /// Decodes the entries and replaces the upstreams of the fleet with them.
     fn publish<A: Adapter>(&self, state: &mut CacheState, source: Source) {
         let decoded = state.decode_changed::<A>();
