Any daemon that reaches the store takes over the watch when the watchers get no answers

Watchers were replaced by rank, one after the other, and each step waited for time-outs that grew with the fleet. A daemon that reached the store gave the watch back to the ones cut off as soon as these were tried again. Change: the first eight in line exchange at every tick, so that they notice an overdue answer after 1.8 s at every fleet size, and all of them try then. While they get none either, others are drawn by hash, 8 at first and twice as many every 250 ms up to 64, so it doesn't matter who ranks where. Daemons that get answers come first in the order of watchers and keep the watch.

--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -124,10 +124,13 @@
     }
 
     fn own_contact(&self, now: Instant) -> Contact {
+        let roles = lock(&self.roles);
         let condition = match self.shared.stopping.load(Ordering::Relaxed) {
             true => Condition::Leaving,
-            false => lock(&self.roles).store.condition(now),
+            false => roles.store.condition(now),
         };
+        let watching = roles.store.is_watching();
+        drop(roles);
         Contact {
             name: Arc::clone(&self.name),
             domain: Arc::clone(&self.domain),
@@ -135,6 +138,7 @@
             age_ms: 0,
             lost_age_ms: None,
             condition,
+            watching,
         }
     }
 
--- a/crates/kelpworks-relay/src/peers/members.rs
+++ b/crates/kelpworks-relay/src/peers/members.rs
@@ -72,13 +72,70 @@
     pub(super) last_contact: Instant,
     /// Condition reported at `last_contact`.
     pub(super) condition: Condition,
+    /// Whether it reported at `last_contact` that it watches the store and gets answers.
+    watching: bool,
     /// Latest evidence of its loss from any daemon; never decreases.
     lost: Option<Instant>,
     /// When this daemon learned of the last change of liveness or condition.
     changed: Instant,
 }
 
+/// Fingerprint of a set of daemons: a checksum for each group of names. Empty from a daemon that
+/// sends none.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub(crate) struct Fingerprint(Vec<u32>);
+
+impl Fingerprint {
+    fn add(&mut self, rank: u64) {
+        if self.0.is_empty() {
+            self.0 = vec![0; FINGERPRINT_GROUPS];
+        }
+        // The sum does not depend on the order, and unlike exclusive or it shows a name that was
+        // added twice.
+        let group = &mut self.0[group_of(rank)];
+        *group = group.wrapping_add(rank as u32);
+    }
+
+    /// Returns whether a group differs. A daemon that sends no fingerprint differs in none.
+    fn differs_in(&self, other: &Fingerprint, group: usize) -> bool {
+        match (self.0.get(group), other.0.get(group)) {
+            (Some(own), Some(other)) => own != other,
+            _ => false,
+        }
+    }
+}
+
+fn group_of(rank: u64) -> usize {
+    // The low half of a rank is in the checksum.
+    (rank >> 32) as usize % FINGERPRINT_GROUPS
+}
+
+/// Order in which daemons watch the store; the lowest come first. Daemons that get answers of the
+/// store come before all others, so that a watch stays with daemons that reach the store while
+/// others are cut off from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct WatchOrder {
+    is_unproven: bool,
+    rank: u64,
+}
+
+impl WatchOrder {
+    /// Returns the position of a daemon of a rank that is or is not watching.
+    pub(super) fn new(watching: bool, rank: u64) -> WatchOrder {
+        WatchOrder {
+            is_unproven: !watching,
+            rank,
+        }
+    }
+}
+
 impl Member {
+    fn watch_order(&self) -> WatchOrder {
+        WatchOrder::new(self.watching, self.rank)
+    }
+
     pub(super) fn name(&self) -> &str {
         &self.name
     }
@@ -139,6 +196,7 @@
                 address: contact.address,
                 last_contact,
                 condition: contact.condition,
+                watching: contact.watching,
                 lost,
                 changed: now,
             };
@@ -150,15 +208,16 @@
             return is_live.then_some(LivenessChange::Live);
         };
         let was_live = member.is_live();
-        let condition = member.condition;
+        let reported = (member.condition, member.watching);
         if last_contact > member.last_contact {
             member.last_contact = last_contact;
             member.condition = contact.condition;
+            member.watching = contact.watching;
             member.address = contact.address;
         }
         member.lost = member.lost.max(lost);
         let change = member.liveness_change(was_live);
-        if change.is_some() || member.condition != condition {
+        if change.is_some() || (member.condition, member.watching) != reported {
             member.changed = now;
         }
         change
@@ -216,6 +275,29 @@
         lost.map(|m| m.address)
     }
 
+    /// Returns the `count` nearest live and eligible members, in any order. A member that comes or
+    /// goes changes at most one of them.
+    pub(super) fn nearest(
+        &self,
+        count: usize,
+        is_eligible: impl Fn(&Member) -> bool,
+    ) -> Vec<&Member> {
+        let eligible = self.live().filter(|m| is_eligible(m));
+        lowest(eligible.collect(), count, |m| m.distance)
+    }
+
+    /// Returns the first `count` live and fit members in the order in which they watch the store.
+    pub(super) fn first_in_watch_order(&self, count: usize) -> Vec<&Member> {
+        let eligible = self.live().filter(|m| m.condition == Condition::Fit);
+        lowest(eligible.collect(), count, |m| m.watch_order())
+    }
+
+    /// Number of live and fit members that come before `order` in watching the store.
+    pub(super) fn count_before_in_watch_order(&self, order: WatchOrder) -> usize {
+        let eligible = self.live().filter(|m| m.condition == Condition::Fit);
+        eligible.filter(|m| m.watch_order() < order).count()
+    }
+
     /// Number of live and eligible daemons with a lower rank.
     pub(super) fn count_ranked_before(
         &self,
@@ -263,6 +345,7 @@
             age_ms: millis_since(self.last_contact, now),
             lost_age_ms: self.lost.map(|at| millis_since(at, now)),
             condition: self.condition,
+            watching: self.watching,
         }
     }
 
--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -33,6 +33,13 @@
     /// Condition that it reported at the last contact.
     #[serde(default)]
     pub(super) condition: Condition,
+    /// Whether it reported at the last contact that it watches the store and gets answers.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub(super) watching: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 /// Leader, which sends orders to engines.
--- a/crates/kelpworks-relay/src/peers/roles.rs
+++ b/crates/kelpworks-relay/src/peers/roles.rs
@@ -4,6 +4,7 @@
 //! watcher (`store_contact`), and who leads.
 //!
 //! Each role goes to the live daemons with the lowest ranks, where the rank is a hash of the name.
+//! Daemons that get answers of the store go first in watching it.
 //! Daemons with the same view choose the same ones. A daemon whose view differs for a moment costs
 //! a few extra calls, since correctness does not depend on a role being held by one daemon only.
 
@@ -17,6 +18,7 @@
 use super::members::Condition;
 use super::members::Member;
 use super::members::Members;
+use super::members::WatchOrder;
 use super::store_contact::StoreContact;
 use super::store_contact::StoreKind;
 use super::store_contact::WatchRole;
@@ -106,6 +108,11 @@
         }
     }
 
+    /// Position of this daemon among those that watch the store.
+    pub(super) fn watch_order(&self) -> WatchOrder {
+        WatchOrder::new(self.store.is_watching(), self.rank)
+    }
+
     pub(super) fn record_exchange(&mut self, now: Instant) {
         self.last_exchange = Some(now);
     }
@@ -132,8 +139,8 @@
     }
 
     /// Role of this daemon in watching a kind of store object. It watches if it is among the first
-    /// fit daemons by rank, where the number of watchers grows while no answer of the store is
-    /// known, or if it is isolated and has no peer that could deliver the data.
+    /// fit daemons in the watch order, or is drawn while these get no answers, or is isolated and
+    /// has no peer that could deliver the data.
     pub(super) fn watch_role(
         &self,
         store_kind: StoreKind,
@@ -147,10 +154,15 @@
             return None;
         }
         let max_watchers = self.store.wanted_watchers(store_kind, members, now);
-        match members.count_ranked_before(self.rank, is_fit) {
+        match members.count_before_in_watch_order(self.watch_order()) {
             0 => Some(WatchRole::Primary),
             before if before < max_watchers => Some(WatchRole::Standby),
-            _ => None,
+            _ => {
+                let is_drawn = self
+                    .store
+                    .is_drawn_to_try(store_kind, self.rank, members, now);
+                is_drawn.then_some(WatchRole::Standby)
+            }
         }
     }
 
--- a/crates/kelpworks-relay/src/peers/store_contact.rs
+++ b/crates/kelpworks-relay/src/peers/store_contact.rs
@@ -4,6 +4,7 @@
 //! is no evidence: a lost call looks like one that waits for a change. Each kind of store object
 //! has its own answer time, since its watch may be lost independently.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -12,21 +13,29 @@
 use super::lock;
 use super::members::Condition;
 use super::members::Members;
+use super::members::rank_of;
 use super::roles::scaled_to_fleet;
 
 /// Daemons that watch the store for the whole fleet. Two may lose contact at the same time, and
 /// each change costs each watcher a billed call.
 pub(super) const WATCHERS: usize = 3;
-/// Age of the last store answer after which further daemons try the store, in a small fleet. By
-/// then the watchers have called again, and a single lost watcher has been replaced by rank, so the
-/// fault must be a larger one.
+/// Daemons that are first in line to watch the store, [`WATCHERS`] among them. They exchange with
+/// each other at every tick, so that each of them notices as soon at any fleet size that the
+/// watchers get no answers.
+pub(super) const WATCH_GROUP: usize = 8;
+/// Age of the last store answer up to which a daemon's view of the store counts as recent, in a
+/// small fleet.
 pub(super) const STORE_STALE_AFTER: Duration = Duration::from_secs(3);
-/// Age of the last store answer at which a standby treats its own watch as lost, in a small fleet:
-/// more than a watch of the primary, its batching delay and an exchange.
-const WATCH_OVERDUE_AFTER: Duration = Duration::from_millis(1_800);
-/// Additional watchers for each second beyond [`STORE_STALE_AFTER`]. If all daemons tried at once,
-/// each attempt during an outage would cost a call per daemon.
-const EXTRA_WATCHERS_PER_SECOND: u64 = 2;
+/// Age of the last store answer at which a standby treats its own watch as lost and the rest of the
+/// watch group tries the store too, at any fleet size: more than a watch of the primary, its
+/// batching delay and an exchange within the group.
+pub(super) const WATCH_OVERDUE_AFTER: Duration = Duration::from_millis(1_800);
+/// Interval in which daemons are drawn to try the store while the watch group gets no answers. The
+/// number that is drawn doubles with each interval.
+const DRAW_INTERVAL: Duration = Duration::from_millis(250);
+/// Intervals after which the number that is drawn stays the same and the interval is
+/// [`RETRY_DELAY`]. Each attempt during an outage costs a call.
+const DOUBLINGS: u32 = 3;
 /// Time for which a daemon leaves watching to others after a failed store call.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Time for which a daemon reports [`Condition::TurnedAway`] after a failure: longer than
@@ -80,6 +89,8 @@
     started: Instant,
     /// Last known answer of the store to any watcher, by kind; never decreases.
     last_answer: [Option<Instant>; 2],
+    /// Kinds that this daemon watches and whose latest call was answered.
+    watching: [bool; 2],
     /// Whether a peer has reported a store answer.
     peer_watches: bool,
     /// Last failed call of this daemon, by kind; `None` once a later call was answered.
@@ -91,6 +102,7 @@
         StoreContact {
             started,
             last_answer: [None, None],
+            watching: [false, false],
             peer_watches: false,
             last_failure: [None, None],
         }
@@ -99,11 +111,17 @@
     /// Records the outcome of a store call of this daemon.
     fn record_call(&mut self, store_kind: StoreKind, answered: bool, now: Instant) {
         self.last_failure[store_kind as usize] = (!answered).then_some(now);
+        self.watching[store_kind as usize] = answered;
         if answered {
             self.last_answer[store_kind as usize] = Some(now);
         }
     }
 
+    /// Returns whether this daemon watches the store and gets answers.
+    pub(super) fn is_watching(&self) -> bool {
+        self.watching.contains(&true)
+    }
+
     /// Applies a peer's report of when the store answered a watcher.
     pub(super) fn learn_answer(&mut self, store_kind: StoreKind, at: Instant) {
         self.peer_watches = true;
@@ -146,28 +164,77 @@
         self.peer_watches || now.duration_since(self.started) >= STARTUP_PERIOD
     }
 
-    /// Number of daemons that should watch a kind: [`WATCHERS`], and more the longer no answer is
-    /// known.
+    /// Number of daemons that should watch a kind: [`WATCHERS`], or the whole watch group while an
+    /// answer is overdue.
     pub(super) fn wanted_watchers(
         &self,
         store_kind: StoreKind,
         members: &Members,
         now: Instant,
     ) -> usize {
-        let stale_after = scaled_to_fleet(STORE_STALE_AFTER, members);
-        let stale_for = self.age(store_kind, now).checked_sub(stale_after);
-        let extra = stale_for.map_or(0, |s| EXTRA_WATCHERS_PER_SECOND * (s.as_secs() + 1));
-        WATCHERS + extra as usize
+        match self.age(store_kind, now) < WATCH_OVERDUE_AFTER {
+            true => WATCHERS,
+            false => WATCH_GROUP.min(members.live().count() + 1),
+        }
+    }
+
+    /// Returns whether a daemon of a rank should try the store though others come before it in the
+    /// watch order: no answer has been known for so long that the whole watch group must be cut
+    /// off. Some daemons are drawn anew in each interval, and more the longer there is no answer,
+    /// so that one that reaches the store is found soon wherever it ranks.
+    pub(super) fn is_drawn_to_try(
+        &self,
+        store_kind: StoreKind,
+        rank: u64,
+        members: &Members,
+        now: Instant,
+    ) -> bool {
+        let stale_after = scaled_to_fleet(WATCH_OVERDUE_AFTER, members);
+        let Some(stale_for) = self.age(store_kind, now).checked_sub(stale_after) else {
+            return false;
+        };
+        let doubling_time = DRAW_INTERVAL * DOUBLINGS;
+        let (interval, doublings) = match stale_for.checked_sub(doubling_time) {
+            None => {
+                let interval = stale_for.as_millis() / DRAW_INTERVAL.as_millis();
+                (interval, interval as u32)
+            }
+            Some(rest) => {
+                let interval = rest.as_millis() / RETRY_DELAY.as_millis();
+                (interval + u128::from(DOUBLINGS), DOUBLINGS)
+            }
+        };
+        let trials = WATCH_GROUP << doublings;
+        let daemons = members.live().count() + 1;
+        let draw = rank_of(&format!("{rank} {interval}")) as f64 / u64::MAX as f64;
+        draw * daemons as f64 <= trials as f64
     }
 
     /// When a standby treats its watch of a kind as lost.
-    fn overdue_at(&self, store_kind: StoreKind, members: &Members) -> Instant {
+    fn overdue_at(&self, store_kind: StoreKind) -> Instant {
         let last_answer = self.last_answer(store_kind).unwrap_or(self.started);
-        last_answer + scaled_to_fleet(WATCH_OVERDUE_AFTER, members)
+        last_answer + WATCH_OVERDUE_AFTER
     }
 }
 
 impl Peers {
+    /// Addresses of the other daemons that are first in line to watch the store, if this daemon is
+    /// one of them.
+    pub(super) fn watch_group(&self) -> Vec<SocketAddr> {
+        let members = lock(&self.members);
+        let order = lock(&self.roles).watch_order();
+        if members.count_before_in_watch_order(order) >= WATCH_GROUP {
+            return Vec::new();
+        }
+        let first = members.first_in_watch_order(WATCH_GROUP - 1);
+        first.into_iter().map(|m| m.address).collect()
+    }
+
+    /// Records that this daemon no longer watches a kind.
+    pub(crate) fn record_watch_end(&self, store_kind: StoreKind) {
+        lock(&self.roles).store.watching[store_kind as usize] = false;
+    }
+
     /// Role of this daemon in watching a kind of store object, if it has one.
     pub(crate) fn watch_role(&self, store_kind: StoreKind) -> Option<WatchRole> {
         let members = lock(&self.members);
@@ -194,10 +261,7 @@
     /// lost.
     pub(crate) async fn wait_until_watch_overdue(&self, store_kind: StoreKind) {
         loop {
-            let overdue = {
-                let members = lock(&self.members);
-                lock(&self.roles).store.overdue_at(store_kind, &members)
-            };
+            let overdue = lock(&self.roles).store.overdue_at(store_kind);
             if overdue <= Instant::now() {
                 return;
             }
--- a/crates/kelpworks-relay/src/store_watch.rs
+++ b/crates/kelpworks-relay/src/store_watch.rs
@@ -15,6 +15,7 @@
 use kelpworks::clients::object_api::ObjectApi;
 use kelpworks::clients::object_api::Result;
 use kelpworks::clients::object_api::WatchEventKind;
+use kelpworks::clients::object_api::WatchReply;
 use kelpworks_coord::id::Era;
 use kelpworks_coord::id::Version;
 use log::info;
@@ -35,6 +36,8 @@
 const PRIMARY_WAIT: Duration = Duration::from_millis(1_200);
 /// Wait of a standby's watches. Each watch is a billed call, and the platform allows at most 30 s.
 const STANDBY_WAIT: Duration = Duration::from_secs(20);
+/// Wait of the watch by which a daemon takes over from others: it returns missed changes at once.
+const RESUME_WAIT: Duration = Duration::from_millis(1);
 /// Initial response margin: time that an answer may take beyond the requested wait. Doubled for
 /// each consecutive failed call up to [`MAX_RESPONSE_MARGIN`], for a store that is slow.
 const INITIAL_RESPONSE_MARGIN: Duration = Duration::from_secs(1);
@@ -66,8 +69,11 @@
 /// State of a watcher between two calls.
 #[derive(Clone, Debug)]
 struct State {
-    /// Version that the next watch starts from; `None` makes the next call a list.
+    /// Version that the next watch starts from; `None` makes the next call a list, or a short watch
+    /// from the version that peers delivered.
     version: Option<Version>,
+    /// Whether the next call must be a list, since the store can't resume from the held version.
+    must_list: bool,
     last_role: Option<WatchRole>,
     is_failing: bool,
     /// Delay before the next call if this one fails.
@@ -80,6 +86,7 @@
     fn new() -> State {
         State {
             version: None,
+            must_list: false,
             last_role: None,
             is_failing: false,
             backoff: INITIAL_BACKOFF,
@@ -121,6 +128,7 @@
             let Some(role) = role else {
                 // Texts that peers deliver meanwhile are newer than this version.
                 state.version = None;
+                self.peers.record_watch_end(self.store_kind);
                 tokio::time::sleep(ROLE_POLL_INTERVAL).await;
                 continue;
             };
@@ -138,6 +146,7 @@
                     self.count("answered");
                     info!(kind:% = self.store_kind.as_str(); "watch version expired, listing again");
                     state.version = None;
+                    state.must_list = true;
                 }
                 Err(e) => {
                     self.record_failure(&mut state, &e);
@@ -172,6 +181,7 @@
 
     fn record_overdue(&self) {
         self.count("given up");
+        self.peers.record_watch_end(self.store_kind);
         let age_ms = self.peers.store_age(self.store_kind).as_millis() as u64;
         info!(target: "decision", kind:% = self.store_kind.as_str(), age_ms; "watch overdue, listing again");
         self.api.reset_connections();
@@ -243,6 +253,11 @@
     async fn call_store<D: Adapter>(&self, role: WatchRole, state: &State) -> Result<CallOutcome> {
         let kind = self.kind::<D>();
         let Some(from) = state.version else {
+            if let Some(held) = self.resumable_version(state) {
+                let reply = self.api.watch(kind, held, RESUME_WAIT);
+                let reply = with_timeout(state.response_margin, reply).await?;
+                return Ok(self.apply_reply::<D>(reply));
+            }
             let list = with_timeout(state.response_margin, self.api.list(kind)).await?;
             self.apply_list::<D>(list.items, list.version);
             return Ok(CallOutcome::Answered(list.version));
@@ -258,9 +273,23 @@
                     return Ok(CallOutcome::Overdue),
             },
         };
+        Ok(self.apply_reply::<D>(reply))
+    }
+
+    /// Version from which a daemon that takes over the watch can continue without a list, which
+    /// takes many calls in a large fleet.
+    fn resumable_version(&self, state: &State) -> Option<Version> {
+        if state.must_list || self.store_kind == StoreKind::Configuration {
+            return None;
+        }
+        let held = self.store_cache.entries_version();
+        (!held.is_absent()).then_some(held)
+    }
+
+    fn apply_reply<D: Adapter>(&self, reply: WatchReply) -> CallOutcome {
         let events = reply.events.into_iter().map(|e| (e.kind, e.object));
         self.apply_changes::<D>(events.collect(), reply.version);
-        Ok(CallOutcome::Answered(reply.version))
+        CallOutcome::Answered(reply.version)
     }
 
     fn apply_list<D: Adapter>(&self, objects: Vec<Object>, version: Version) {
