Daemons of a larger fleet keep to neighbors, repair what they missed, and fetch what is announced

(1) Partners were drawn from all daemons, so each daemon came to hold connections to all others: 50 MB and growing in the whole fleet. (3) A daemon that got a new configuration exchanged at once with six partners, but only a caller fetches what the other has, so nobody learned anything by it but the version. (4) All daemons that start call all three seeds at every tick. (1) Partners are drawn from 24 daemons of the own failure domain and 6 of others, chosen by hash; a member that comes or goes changes at most one of them. (2) A digest has a fingerprint of the live members, in 32 groups, and the answer names the members of the groups in which both differ. (3) A configuration is announced by a small message to four neighbors, which fetch it from the sender and announce it in turn; daemons of earlier releases refuse it and fetch at their next exchange. (4) A daemon without peers calls one seed at a time, and nobody whose answer to the last exchange is still due.

--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -7,9 +7,10 @@
 //! upstreams. These need no history: the latest report supersedes earlier ones.
 //!
 //! In a small fleet every daemon exchanges with every other. In a larger fleet each daemon
-//! exchanges with a few, most of them in its own failure domain, and extrapolates the load of the
-//! fleet from the reports of these partners. At any size three daemons watch the store for all
-//! (`roles`), and liveness is decided by dated evidence (`members`).
+//! exchanges with a few of its neighbors, a fixed set of daemons of which most are in its own
+//! failure domain, and extrapolates the load of the fleet from the reports of these partners. At
+//! any size three daemons watch the store for all (`roles`), and liveness is decided by dated
+//! evidence (`members`).
 
 mod exchange;
 #[cfg(test)]
@@ -29,6 +30,7 @@
 mod tests;
 mod texts;
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -54,9 +56,10 @@
 use crate::store_cache::StoreCache;
 use crate::sync::lock;
 use load::Loads;
-use members::Member;
+use members::Audience;
 use members::Members;
 use members::rank_of;
+use messages::Announcement;
 use messages::Digest;
 use messages::HeldVersions;
 use messages::Texts;
@@ -79,13 +82,19 @@
 const MAX_SMALL_FLEET_PEERS: usize = 8;
 /// Factor by which exchanges of a larger fleet are rarer than [`EXCHANGE_INTERVAL`].
 const LARGE_FLEET_INTERVAL_FACTOR: u32 = 2;
-/// Daemons of the own failure domain that are called in each exchange of a larger fleet. Together
-/// with incoming exchanges this reaches all daemons of a domain of about twenty within two seconds,
-/// so that their load is known.
+/// Daemons of the own failure domain among which a daemon of a larger fleet draws its partners. A
+/// fixed set bounds its connections; each is chosen by hash, so the loads are even and all sets
+/// together connect the fleet. In a domain of this size all daemons know each other's load.
+const LOCAL_NEIGHBORS: usize = 24;
+/// Daemons of other failure domains among which a daemon draws its partners.
+const REMOTE_NEIGHBORS: usize = 6;
+/// Daemons of the own failure domain that are called in each exchange of a larger fleet.
 const LOCAL_FANOUT: usize = 5;
 /// Daemons of other failure domains that are called in each exchange. Traffic between domains is
 /// billed.
 const REMOTE_FANOUT: usize = 1;
+/// Daemons to which a new configuration is announced by each daemon that activates it.
+const ANNOUNCEMENT_FANOUT: usize = 4;
 /// Timeout of an exchange.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of a request for texts: about 300 kB over a shared link of 20 Mbit/s.
@@ -94,8 +103,8 @@
 const MAX_FETCHES: usize = 2;
 /// Largest request or response body between daemons: the entries of a whole fleet.
 const MAX_BODY_BYTES: u32 = 8 << 20;
-/// Probability that an exchange also goes to a daemon that counts as lost. This rejoins the parts
-/// of a partitioned fleet; a daemon that restarts calls its seeds anyway.
+/// Probability that an exchange also goes to a daemon that counts as lost, or to a seed that is not
+/// known as live. This rejoins the parts of a partitioned fleet.
 const LOST_PEER_PROBABILITY: f64 = 0.25;
 /// Concurrent incoming peer connections: one from each daemon of a fleet of hundreds, plus those of
 /// restarted daemons whose old connections are not yet known to be closed. The smallest hosts have
@@ -112,6 +121,10 @@
     /// Returns the texts that are newer than the given versions.
     #[method(name = "texts")]
     async fn texts(&self, known: HeldVersions) -> RpcResult<Texts>;
+
+    /// Announces the version of the configuration that the caller has activated.
+    #[method(name = "announce")]
+    async fn announce(&self, announcement: Announcement) -> RpcResult<()>;
 }
 
 /// Gossip state of this daemon: its peers and what it has learned from them.
@@ -134,6 +147,9 @@
     pack_caches: Mutex<PackCaches>,
     /// Limits concurrent fetches of texts to [`MAX_FETCHES`].
     fetch_permits: Semaphore,
+    /// Partners that have not answered the latest exchange yet. They are not called again until
+    /// then: more calls would only delay a partner that is overloaded.
+    in_flight: Mutex<HashSet<SocketAddr>>,
 }
 
 impl Peers {
@@ -156,11 +172,12 @@
             connections: Connections::default(),
             started,
             seeds: Mutex::default(),
-            members: Mutex::default(),
+            members: Mutex::new(Members::new(&Arc::from(name))),
             roles: Mutex::new(RoleState::new(rank_of(name), started)),
             loads: Mutex::default(),
             pack_caches: Mutex::default(),
             fetch_permits: Semaphore::new(MAX_FETCHES),
+            in_flight: Mutex::default(),
         }
     }
 
@@ -200,20 +217,22 @@
                 () = stop.cancelled() => return,
                 _ = tick.tick() => {
                     ticks = ticks.wrapping_add(1);
-                    let is_small_fleet = lock(&self.members).known_count() <= MAX_SMALL_FLEET_PEERS;
-                    if !is_small_fleet && !ticks.is_multiple_of(LARGE_FLEET_INTERVAL_FACTOR) {
+                    self.spawn_exchanges::<D>(self.partners_at(ticks));
+                    if !self.is_full_tick(ticks) {
                         continue;
                     }
                 }
-                // A new configuration is passed on at once. With periodic exchanges alone it would
-                // take most of the allowed time to reach the last daemon.
-                () = self.store_cache.configuration_changed() => {}
+                // With periodic exchanges alone a new configuration would take most of the allowed
+                // time to reach the last daemon.
+                () = self.store_cache.configuration_changed() => {
+                    self.announce_configuration();
+                    continue;
+                }
                 // Most daemons don't call the store, and their data may be from an earlier era.
-                () = self.eras.wait_for_later(era) => era = self.eras.latest(),
-            }
-            for address in self.partners() {
-                let peers = Arc::clone(&self);
-                tokio::spawn(async move { peers.exchange_with::<D>(address).await });
+                () = self.eras.wait_for_later(era) => {
+                    era = self.eras.latest();
+                    self.spawn_exchanges::<D>(self.partners());
+                }
             }
             lock(&self.members).forget(Instant::now());
             self.shared.retry_budget().set_daemons(self.daemon_count());
@@ -230,33 +249,73 @@
         }
     }
 
-    /// Addresses to call in the next exchange: live daemons drawn at random, seeds that are not
-    /// among the live daemons, and sometimes a daemon that counts as lost.
+    /// Returns whether partners are called in a tick; a larger fleet skips some.
+    fn is_full_tick(&self, tick: u32) -> bool {
+        let is_small_fleet = lock(&self.members).known_count() <= MAX_SMALL_FLEET_PEERS;
+        is_small_fleet || tick.is_multiple_of(LARGE_FLEET_INTERVAL_FACTOR)
+    }
+
+    /// Addresses to call in a tick.
+    fn partners_at(&self, tick: u32) -> Vec<SocketAddr> {
+        let mut partners = self.watch_group();
+        if self.is_full_tick(tick) {
+            partners.extend(self.partners());
+            partners.sort_unstable();
+            partners.dedup();
+        }
+        partners
+    }
+
+    /// Addresses to call in the next exchange: neighbors drawn at random, or all daemons of a small
+    /// fleet, and sometimes a daemon that counts as lost.
     fn partners(&self) -> Vec<SocketAddr> {
         let mut rng = rand::rng();
         let members = lock(&self.members);
-        let (near, far): (Vec<&Member>, Vec<&Member>) =
-            members.live().partition(|m| m.domain == self.domain);
-        let live = near.iter().chain(&far).map(|m| m.address);
-        let live: Vec<SocketAddr> = live.collect();
-        let seeds = lock(&self.seeds);
-        let unknown = seeds.iter().filter(|s| !live.contains(s)).copied();
-        let lost = members.lost().choose(&mut rng);
-        let lost = lost.filter(|_| rand::random_bool(LOST_PEER_PROBABILITY));
-        let others = unknown.chain(lost);
-        if live.len() <= MAX_SMALL_FLEET_PEERS {
-            return live.iter().copied().chain(others).collect();
+        let live = members.live().count();
+        if live <= MAX_SMALL_FLEET_PEERS {
+            let live = members.live().map(|m| m.address);
+            return live.chain(self.lost_or_seed(&members)).collect();
         }
+        let near = members.nearest(LOCAL_NEIGHBORS, |m| m.domain == self.domain);
         let near = near.sample(&mut rng, LOCAL_FANOUT).map(|m| m.address);
         let near: Vec<SocketAddr> = near.collect();
+        let far = members.nearest(REMOTE_NEIGHBORS, |m| m.domain != self.domain);
         let far = far.sample(&mut rng, REMOTE_FANOUT).map(|m| m.address);
-        near.into_iter().chain(far).chain(others).collect()
+        let lost = self.lost_or_seed(&members);
+        near.into_iter().chain(far).chain(lost).collect()
+    }
+
+    /// Draws a daemon that may have become reachable: one that counts as lost, or a seed that is
+    /// not known as live. While no daemon is known as live, this is always a seed. Only one is
+    /// called at a time, since all daemons of a fleet that starts call the same seeds.
+    fn lost_or_seed(&self, members: &Members) -> Option<SocketAddr> {
+        let mut rng = rand::rng();
+        let seeds = lock(&self.seeds);
+        let is_live = |seed: &SocketAddr| members.live().any(|m| m.address == *seed);
+        let unknown = seeds.iter().copied().filter(|s| !is_live(s));
+        if members.live().next().is_none() {
+            return unknown.choose(&mut rng);
+        }
+        let candidate = unknown.chain(members.lost()).choose(&mut rng);
+        candidate.filter(|_| rand::random_bool(LOST_PEER_PROBABILITY))
+    }
+
+    fn spawn_exchanges<D: Adapter>(self: &Arc<Peers>, partners: Vec<SocketAddr>) {
+        for address in partners {
+            let peers = Arc::clone(self);
+            if lock(&self.in_flight).insert(address) {
+                tokio::spawn(async move {
+                    peers.exchange_with::<D>(address).await;
+                    lock(&peers.in_flight).remove(&address);
+                });
+            }
+        }
     }
 
     async fn exchange_with<D: Adapter>(&self, partner: SocketAddr) {
         let address = partner.to_string();
         let called = Instant::now();
-        let digest = self.digest(usize::MAX);
+        let digest = self.digest(&Audience::unknown());
         let exchange = self.connections.call(
             &address,
             EXCHANGE_TIMEOUT,
@@ -277,10 +336,16 @@
         let Some(held) = self.held_versions_if_older(&theirs) else {
             return;
         };
+        self.fetch_texts::<D>(partner, held).await;
+    }
+
+    /// Fetches the texts that a partner has and this daemon lacks.
+    async fn fetch_texts<D: Adapter>(&self, partner: SocketAddr, held: HeldVersions) {
         // Several partners may have the same new texts, which can be hundreds of kilobytes.
         let Ok(_permit) = self.fetch_permits.try_acquire() else {
             return;
         };
+        let address = partner.to_string();
         let texts =
             self.connections
                 .call(&address, TEXTS_TIMEOUT, &held, |client, held| async move {
@@ -290,6 +355,56 @@
             self.apply_texts::<D>(texts);
         }
     }
+
+    /// Announces the active configuration to a few neighbors, which fetch it if it is new to them
+    /// and announce it in turn.
+    fn announce_configuration(self: &Arc<Peers>) {
+        let announcement = Announcement {
+            from: self.address,
+            version: self.store_cache.version(),
+        };
+        let partners: Vec<SocketAddr> = {
+            let members = lock(&self.members);
+            let near = members.nearest(LOCAL_NEIGHBORS, |m| m.domain == self.domain);
+            let far = members.nearest(REMOTE_NEIGHBORS, |m| m.domain != self.domain);
+            let mut rng = rand::rng();
+            let far = far.sample(&mut rng, REMOTE_FANOUT);
+            let near = near.sample(&mut rng, ANNOUNCEMENT_FANOUT - REMOTE_FANOUT);
+            near.chain(far).map(|m| m.address).collect()
+        };
+        for partner in partners {
+            let peers = Arc::clone(self);
+            tokio::spawn(async move { peers.announce_to(partner, announcement).await });
+        }
+    }
+
+    /// A daemon that does not answer, or that runs an earlier release without this method, gets the
+    /// configuration by a later exchange.
+    async fn announce_to(&self, partner: SocketAddr, announcement: Announcement) {
+        let address = partner.to_string();
+        let call = self.connections.call(
+            &address,
+            EXCHANGE_TIMEOUT,
+            &announcement,
+            |client, announcement| async move { client.announce(announcement).await },
+        );
+        let outcome = match call.await {
+            Ok(()) => "delivered",
+            Err(_) => "failed",
+        };
+        metrics::counter!("kelpworks_announcements_total", "outcome" => outcome).increment(1);
+    }
+
+    /// Handles the announcement of a configuration by a peer.
+    fn on_announcement<D: Adapter>(self: &Arc<Peers>, announcement: Announcement) {
+        self.store_cache.note_peer_version(announcement.version);
+        let held = self.held_versions();
+        if held.version >= announcement.version {
+            return;
+        }
+        let peers = Arc::clone(self);
+        tokio::spawn(async move { peers.fetch_texts::<D>(announcement.from, held).await });
+    }
 }
 
 /// Server side of the peer RPC.
@@ -302,10 +417,15 @@
 impl<D: Adapter> PeerApiServer for Methods<D> {
     async fn exchange(&self, digest: Digest) -> RpcResult<Digest> {
         self.peers.learn_digest(&digest);
-        Ok(self.peers.digest(digest.knows))
+        Ok(self.peers.digest(&Audience::sender_of(&digest)))
     }
 
     async fn texts(&self, known: HeldVersions) -> RpcResult<Texts> {
         Ok(self.peers.texts(known))
     }
+
+    async fn announce(&self, announcement: Announcement) -> RpcResult<()> {
+        self.peers.on_announcement::<D>(announcement);
+        Ok(())
+    }
 }
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -14,6 +14,7 @@
 use super::Peers;
 use super::limits::limit_of;
 use super::lock;
+use super::members::Audience;
 use super::members::Condition;
 use super::members::LivenessChange;
 use super::messages::AssignmentOf;
@@ -46,8 +47,8 @@
 pub(super) const SLOWNESS_REPORT_TTL: Duration = Duration::from_secs(3);
 
 impl Peers {
-    /// Builds a digest for a peer that knows `knows` other daemons.
-    pub(super) fn digest(&self, knows: usize) -> Digest {
+    /// Builds a digest for a peer.
+    pub(super) fn digest(&self, audience: &Audience) -> Digest {
         let now = Instant::now();
         let mut load = Vec::new();
         let mut ejections = Vec::new();
@@ -87,11 +88,12 @@
             fingerprint: f.0,
             crashes,
         });
-        let (known, members) = {
+        let (known, membership, members) = {
             let members = lock(&self.members);
             (
                 members.known_count(),
-                members.select_contacts(knows, now, &mut rand::rng()),
+                members.fingerprint(),
+                members.select_contacts(audience, now, &mut rand::rng()),
             )
         };
         Digest {
@@ -120,6 +122,7 @@
                 })
                 .collect(),
             limits,
+            membership,
         }
     }
 
--- a/crates/kelpworks-relay/src/peers/fleet_tests.rs
+++ b/crates/kelpworks-relay/src/peers/fleet_tests.rs
@@ -14,11 +14,10 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
-use super::LARGE_FLEET_INTERVAL_FACTOR;
 use super::LeadershipBasis;
-use super::MAX_SMALL_FLEET_PEERS;
 use super::Peers;
 use super::lock;
+use super::members::Audience;
 use super::tests::Numbered;
 use super::tests::address;
 use super::tests::peers;
@@ -70,28 +69,27 @@
 
     fn tick(&self, number: usize) {
         let me = &self.all[number];
-        let is_skipped = lock(&me.members).known_count() > MAX_SMALL_FLEET_PEERS
-            && !self.ticks.is_multiple_of(LARGE_FLEET_INTERVAL_FACTOR);
-        if self.down.contains(&number) || is_skipped {
+        if self.down.contains(&number) {
             return;
         }
         if me.is_acting_leader() {
             me.record_leading(LeadershipBasis::Acting);
         }
         let called = Instant::now();
-        for partner in me.partners() {
+        for partner in me.partners_at(self.ticks) {
             let other = usize::from(partner.port() - address(0).port());
             if self.down.contains(&other) {
                 lock(&me.roles).record_exchange(called);
                 me.record_unanswered(partner, called);
                 continue;
             }
-            let digest = me.digest(usize::MAX);
+            let digest = me.digest(&Audience::unknown());
             self.all[other].learn_digest(&digest);
-            let theirs = self.all[other].digest(digest.knows);
+            let theirs = self.all[other].digest(&Audience::sender_of(&digest));
             me.learn_digest(&theirs);
             if let Some(held) = me.held_versions_if_older(&theirs) {
-                me.apply_texts::<Numbered>(self.all[other].texts(held));
+                let texts = self.all[other].texts(held);
+                me.apply_texts::<Numbered>(texts);
             }
         }
         me.share_limits();
@@ -223,7 +221,7 @@
     let mut fleet = SimulatedFleet::start(size);
     fleet.run(Duration::from_secs(10)).await;
     let sizes = fleet.all.iter().map(|me| {
-        let digest = serde_json::to_string(&me.digest(usize::MAX)).expect("JSON");
+        let digest = serde_json::to_string(&me.digest(&Audience::unknown())).expect("JSON");
         digest.len()
     });
     let most = sizes.max().unwrap_or(0);
--- a/crates/kelpworks-relay/src/peers/members.rs
+++ b/crates/kelpworks-relay/src/peers/members.rs
@@ -8,6 +8,10 @@
 //! and seconds late, so the lack of recent contact alone is no evidence of a loss.
 //!
 //! A digest reports recent changes first, and names many members to a daemon that has just started.
+//! Changes may be displaced by others before they have reached every daemon. So each digest also has
+//! a fingerprint of the live members, by groups, and the answer names the members of each group in
+//! which the two daemons differ: whatever one of them missed is repaired by its next exchange with a
+//! daemon that knows it.
 //!
 //! Limitation: ages are converted between clocks without the network delay, so evidence looks a few
 //! milliseconds younger at each hop. A loss that is overridden because of this is detected again by
@@ -20,6 +24,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use rand::seq::IteratorRandom;
 use rand::seq::index::sample;
 use serde::Deserialize;
 use serde::Serialize;
@@ -27,6 +32,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::messages::Contact;
+use super::messages::Digest;
 use super::messages::millis_since;
 
 /// Time without contact after which a daemon is forgotten. Until then an unreachable daemon still
@@ -40,6 +46,11 @@
 /// Members that a digest names in addition, drawn at random. In a fleet of hundreds each member is
 /// then named to a daemon every few seconds, far within [`FORGET_AFTER`].
 const RANDOM_CONTACTS: usize = 8;
+/// Groups of members that are compared by fingerprint. In a fleet of a thousand, the members of a
+/// group fit in a digest.
+const FINGERPRINT_GROUPS: usize = 32;
+/// Maximum number of members that a digest names because fingerprints differ.
+const MAX_DIFFERING: usize = 64;
 /// Members named at random to a daemon that knows few of them. A daemon that joins a fleet of 300
 /// thus knows nearly all of them within its first two seconds.
 const RANDOM_CONTACTS_TO_NEWCOMER: usize = 96;
@@ -66,6 +77,8 @@
     name: Arc<str>,
     /// Result of [`rank_of`] for the name.
     rank: u64,
+    /// Pseudo-random distance from this daemon; the nearest members are its neighbors.
+    distance: u64,
     pub(super) domain: Arc<str>,
     pub(super) address: SocketAddr,
     /// Latest evidence of its life from any daemon; never decreases.
@@ -162,6 +175,8 @@
 /// All known daemons except this one.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Members {
+    /// Name of this daemon.
+    own_name: Arc<str>,
     all: Vec<Member>,
     /// Index in `all` for each name; names are unique.
     index_by_name: HashMap<Arc<str>, usize>,
@@ -174,7 +189,34 @@
     xxh3_64(name.as_bytes())
 }
 
+/// Pseudo-random distance between two daemons. It differs by direction, so the daemons that call a
+/// daemon are others than those that it calls.
+fn distance(from: &str, to: &str) -> u64 {
+    rank_of(&format!("{from} {to}"))
+}
+
+/// Returns the `count` members with the lowest keys, in any order.
+fn lowest<K: Ord>(
+    mut members: Vec<&Member>,
+    count: usize,
+    key: impl Fn(&Member) -> K,
+) -> Vec<&Member> {
+    if members.len() > count {
+        members.select_nth_unstable_by_key(count, |m| key(m));
+        members.truncate(count);
+    }
+    members
+}
+
 impl Members {
+    /// Returns the members known to the daemon `own_name`: none yet.
+    pub(super) fn new(own_name: &Arc<str>) -> Members {
+        Members {
+            own_name: Arc::clone(own_name),
+            ..Members::default()
+        }
+    }
+
     /// Applies a membership record. Returns the change of liveness, if any.
     pub(super) fn learn_contact(
         &mut self,
@@ -192,6 +234,7 @@
             let new = Member {
                 name: Arc::clone(&contact.name),
                 rank: rank_of(&contact.name),
+                distance: distance(&self.own_name, &contact.name),
                 domain: Arc::clone(&contact.domain),
                 address: contact.address,
                 last_contact,
@@ -308,31 +351,79 @@
         before.filter(|m| is_eligible(m)).count()
     }
 
-    /// Selects the members to name in a digest for a daemon that knows `knows` others: recent
-    /// changes, then members drawn at random.
+    /// Returns the fingerprint of the live members and this daemon.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        let mut fingerprint = Fingerprint::default();
+        fingerprint.add(rank_of(&self.own_name));
+        for member in self.live() {
+            fingerprint.add(member.rank);
+        }
+        fingerprint
+    }
+
+    /// Selects the members to name in a digest for `audience`: recent changes, members of groups in
+    /// which it differs, and members drawn at random.
     pub(super) fn select_contacts<R: Rng>(
         &self,
-        knows: usize,
+        audience: &Audience,
         now: Instant,
         rng: &mut R,
     ) -> Vec<Contact> {
-        let mut recent: Vec<&Member> = self
-            .all
-            .iter()
-            .filter(|m| m.is_recently_changed(now))
-            .collect();
-        recent.sort_unstable_by_key(|m| Reverse(m.changed));
-        recent.truncate(MAX_CHANGES);
-        let is_newcomer = (knows as f64) < NEWCOMER_KNOWN_FRACTION * self.known_count() as f64;
+        let mut selected = self.recent_changes(now);
+        let is_newcomer =
+            (audience.knows as f64) < NEWCOMER_KNOWN_FRACTION * self.known_count() as f64;
         let random_contacts = if is_newcomer {
             RANDOM_CONTACTS_TO_NEWCOMER
         } else {
+            selected.extend(self.differing(&audience.membership, rng));
             RANDOM_CONTACTS
         };
         let drawn = sample(rng, self.all.len(), random_contacts.min(self.all.len()));
-        let drawn = drawn.into_iter().filter_map(|i| self.all.get(i));
-        let selected = recent.into_iter().chain(drawn);
-        selected.map(|m| m.contact(now)).collect()
+        selected.extend(drawn.into_iter().filter_map(|i| self.all.get(i)));
+        selected.into_iter().map(|m| m.contact(now)).collect()
+    }
+
+    fn recent_changes(&self, now: Instant) -> Vec<&Member> {
+        let recent = self.all.iter().filter(|m| m.is_recently_changed(now));
+        let mut recent: Vec<&Member> = recent.collect();
+        recent.sort_unstable_by_key(|m| Reverse(m.changed));
+        recent.truncate(MAX_CHANGES);
+        recent
+    }
+
+    /// Returns members of the groups in which the fingerprint of another daemon differs, lost ones
+    /// among them.
+    fn differing<R: Rng>(&self, theirs: &Fingerprint, rng: &mut R) -> Vec<&Member> {
+        let own = self.fingerprint();
+        let differs = |m: &&Member| own.differs_in(theirs, group_of(m.rank));
+        self.all.iter().filter(differs).sample(rng, MAX_DIFFERING)
+    }
+}
+
+/// What is known of the daemon that a digest is for.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Audience {
+    /// Number of other daemons that it knows.
+    pub(super) knows: usize,
+    /// Fingerprint of the daemons that it counts as live; empty if not known.
+    pub(super) membership: Fingerprint,
+}
+
+impl Audience {
+    /// Any daemon.
+    pub(super) fn unknown() -> Audience {
+        Audience {
+            knows: usize::MAX,
+            membership: Fingerprint::default(),
+        }
+    }
+
+    /// The sender of a digest.
+    pub(super) fn sender_of(digest: &Digest) -> Audience {
+        Audience {
+            knows: digest.knows,
+            membership: digest.membership.clone(),
+        }
     }
 }
 
--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -14,6 +14,7 @@
 use crate::assignments::LayerAssignment;
 use crate::limits::Rate;
 use crate::peers::members::Condition;
+use crate::peers::members::Fingerprint;
 use crate::peers::packed::Packed;
 
 /// Membership record of a daemon.
@@ -201,6 +202,9 @@
     pub(super) owners: Vec<OwnerOf>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) limits: Vec<LimitOf>,
+    /// Fingerprint of the daemons that the sender counts as live, itself among them.
+    #[serde(default)]
+    pub(super) membership: Fingerprint,
 }
 
 /// Reply with the texts that are newer than the requested versions.
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -19,8 +19,10 @@
 use super::exchange::SLOWNESS_REPORT_TTL;
 use super::load::LOAD_TTL;
 use super::lock;
+use super::members::Audience;
 use super::members::Condition;
 use super::members::FORGET_AFTER;
+use super::members::Fingerprint;
 use super::messages::Contact;
 use super::messages::LeaderOf;
 use super::messages::LoadOf;
@@ -132,6 +134,7 @@
         assignments: Vec::new(),
         owners: Vec::new(),
         limits: Vec::new(),
+        membership: Fingerprint::default(),
     }
 }
 
@@ -409,8 +412,8 @@
     alone.sort_unstable();
     all[first].record_leading(super::LeadershipBasis::Acting);
     second.record_leading(super::LeadershipBasis::Acting);
-    let ours = second.digest(0);
-    second.learn_digest(&all[first].digest(0));
+    let ours = second.digest(&Audience::default());
+    second.learn_digest(&all[first].digest(&Audience::default()));
     all[first].learn_digest(&ours);
     let are_leading = [all[first].is_acting_leader(), second.is_acting_leader()];
     assert!(are_leading != [true, true], "{are_leading:?}");
@@ -443,12 +446,12 @@
     let key = all[0].shared.fleet().key_of("e-1").expect("known");
     let now = Instant::now();
     all[0].shared.fleet().learn_slowness(key, 12.0, now);
-    all[1].learn_digest(&all[0].digest(0));
-    all[2].learn_digest(&all[1].digest(0));
+    all[1].learn_digest(&all[0].digest(&Audience::default()));
+    all[2].learn_digest(&all[1].digest(&Audience::default()));
     assert_eq!(slowness(&all[2]), 12.0);
     advance(SLOWNESS_REPORT_TTL).await;
     assert_eq!(slowness(&all[2]), 1.0);
-    assert!(all[1].digest(0).slowness.is_empty());
+    assert!(all[1].digest(&Audience::default()).slowness.is_empty());
 }
 
 /// Daemons that learn of an engine that accepts no connection send it no requests during its
@@ -470,13 +473,13 @@
     let now = Instant::now();
     let key = all[0].shared.fleet().key_of("e-1").expect("known");
     all[0].shared.fleet().eject_unreachable(key, now);
-    let left = Duration::from_millis(all[0].digest(0).ejections[0].left_ms);
-    all[1].learn_digest(&all[0].digest(0));
-    all[2].learn_digest(&all[1].digest(0));
+    let left = Duration::from_millis(all[0].digest(&Audience::default()).ejections[0].left_ms);
+    all[1].learn_digest(&all[0].digest(&Audience::default()));
+    all[2].learn_digest(&all[1].digest(&Audience::default()));
     assert!(takes_no_work(&all[2]));
     advance(left).await;
     assert!(!takes_no_work(&all[2]));
-    assert!(all[2].digest(0).ejections.is_empty());
+    assert!(all[2].digest(&Audience::default()).ejections.is_empty());
 }
 
 /// In a fleet of hundreds of daemons each has one or two streams, so a stalled stream implicates
@@ -502,9 +505,9 @@
         let fleet = me.shared.fleet();
         assert!(fleet.get(key).is_some_and(|u| u.is_ejected(now)));
     }
-    assert!(me.digest(0).ejections.is_empty());
+    assert!(me.digest(&Audience::default()).ejections.is_empty());
     me.shared.fleet().eject_one_of(&keys[..1], now);
-    let report = me.digest(0).ejections;
+    let report = me.digest(&Audience::default()).ejections;
     let report: Vec<&str> = report.iter().map(|d| &*d.instance).collect();
     assert_eq!(
         report,
