--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -57,6 +57,7 @@
 use crate::sync::lock;
 use load::Loads;
 use members::Audience;
+use members::Member;
 use members::Members;
 use members::rank_of;
 use messages::Announcement;
@@ -269,20 +270,25 @@
     /// Addresses to call in the next exchange: neighbors drawn at random, or all daemons of a small
     /// fleet, and sometimes a daemon that counts as lost.
     fn partners(&self) -> Vec<SocketAddr> {
-        let mut rng = rand::rng();
         let members = lock(&self.members);
         let live = members.live().count();
-        if live <= MAX_SMALL_FLEET_PEERS {
-            let live = members.live().map(|m| m.address);
-            return live.chain(self.lost_or_seed(&members)).collect();
-        }
+        let mut partners: Vec<SocketAddr> = match live <= MAX_SMALL_FLEET_PEERS {
+            true => members.live().map(|m| m.address).collect(),
+            false => self.draw_neighbors(&members, LOCAL_FANOUT),
+        };
+        partners.extend(self.lost_or_seed(&members));
+        partners
+    }
+
+    /// Draws neighbors: `local` of the own failure domain and [`REMOTE_FANOUT`] of others.
+    fn draw_neighbors(&self, members: &Members, local: usize) -> Vec<SocketAddr> {
+        let mut rng = rand::rng();
         let near = members.nearest(LOCAL_NEIGHBORS, |m| m.domain == self.domain);
-        let near = near.sample(&mut rng, LOCAL_FANOUT).map(|m| m.address);
-        let near: Vec<SocketAddr> = near.collect();
         let far = members.nearest(REMOTE_NEIGHBORS, |m| m.domain != self.domain);
-        let far = far.sample(&mut rng, REMOTE_FANOUT).map(|m| m.address);
-        let lost = self.lost_or_seed(&members);
-        near.into_iter().chain(far).chain(lost).collect()
+        let near = near.sample(&mut rng, local).copied();
+        let mut drawn: Vec<&Member> = near.collect();
+        drawn.extend(far.sample(&mut rng, REMOTE_FANOUT));
+        drawn.into_iter().map(|m| m.address).collect()
     }
 
     /// Draws a daemon that may have become reachable: one that counts as lost, or a seed that is
@@ -363,21 +369,17 @@
             from: self.address,
             version: self.store_cache.version(),
         };
-        let partners: Vec<SocketAddr> = {
-            let members = lock(&self.members);
-            let near = members.nearest(LOCAL_NEIGHBORS, |m| m.domain == self.domain);
-            let far = members.nearest(REMOTE_NEIGHBORS, |m| m.domain != self.domain);
-            let mut rng = rand::rng();
-            let far = far.sample(&mut rng, REMOTE_FANOUT);
-            let near = near.sample(&mut rng, ANNOUNCEMENT_FANOUT - REMOTE_FANOUT);
-            near.chain(far).map(|m| m.address).collect()
-        };
-        for partner in partners {
+        for partner in self.announcement_partners() {
             let peers = Arc::clone(self);
             tokio::spawn(async move { peers.announce_to(partner, announcement).await });
         }
     }
 
+    fn announcement_partners(&self) -> Vec<SocketAddr> {
+        let members = lock(&self.members);
+        self.draw_neighbors(&members, ANNOUNCEMENT_FANOUT - REMOTE_FANOUT)
+    }
+
     /// A daemon that does not answer, or that runs an earlier release without this method, gets the
     /// configuration by a later exchange.
     async fn announce_to(&self, partner: SocketAddr, announcement: Announcement) {
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -92,7 +92,7 @@
             let members = lock(&self.members);
             (
                 members.known_count(),
-                members.fingerprint(),
+                members.fingerprint().clone(),
                 members.select_contacts(audience, now, &mut rand::rng()),
             )
         };
--- a/crates/kelpworks-relay/src/peers/fleet_tests.rs
+++ b/crates/kelpworks-relay/src/peers/fleet_tests.rs
@@ -27,6 +27,8 @@
     pub(super) all: Vec<Arc<Peers>>,
     down: HashSet<usize>,
     ticks: u32,
+    /// Version of the configuration that each daemon has announced.
+    announced: Vec<u64>,
     /// Time of the last exchanges.
     last_tick: Instant,
 }
@@ -42,6 +44,7 @@
             all,
             down: HashSet::new(),
             ticks: 0,
+            announced: vec![0; size],
             last_tick: Instant::now(),
         }
     }
@@ -51,6 +54,7 @@
         let seeds: Vec<SocketAddr> = (0..3).map(address).collect();
         new.set_seeds(&seeds);
         self.all.push(new);
+        self.announced.push(0);
     }
 
     /// Advances time by `span`; every daemon exchanges with its partners once per interval.
@@ -63,6 +67,7 @@
             for number in 0..self.all.len() {
                 self.tick(number);
             }
+            while self.announce_configurations() {}
         }
         sleep_until(until).await;
     }
@@ -95,6 +100,29 @@
         me.share_limits();
     }
 
+    /// Announces each configuration that a daemon has activated since its last announcement.
+    /// Returns whether there was one.
+    fn announce_configurations(&mut self) -> bool {
+        let mut is_announced = false;
+        for number in 0..self.all.len() {
+            let me = &self.all[number];
+            let version = me.store_cache.version();
+            if self.down.contains(&number) || version <= self.announced[number] {
+                continue;
+            }
+            self.announced[number] = version;
+            is_announced = true;
+            for partner in me.announcement_partners() {
+                let other = usize::from(partner.port() - address(0).port());
+                let held = self.all[other].held_versions();
+                if !self.down.contains(&other) && held.version < version {
+                    self.all[other].apply_texts::<Numbered>(me.texts(held));
+                }
+            }
+        }
+        is_announced
+    }
+
     fn running(&self) -> impl Iterator<Item = (usize, &Peers)> {
         let all = self.all.iter().map(|me| &**me).enumerate();
         all.filter(|(number, _)| !self.down.contains(number))
--- a/crates/kelpworks-relay/src/peers/members.rs
+++ b/crates/kelpworks-relay/src/peers/members.rs
@@ -111,6 +111,19 @@
         *group = group.wrapping_add(rank as u32);
     }
 
+    fn remove(&mut self, rank: u64) {
+        if let Some(group) = self.0.get_mut(group_of(rank)) {
+            *group = group.wrapping_sub(rank as u32);
+        }
+    }
+
+    fn apply(&mut self, change: LivenessChange, rank: u64) {
+        match change {
+            LivenessChange::Live => self.add(rank),
+            LivenessChange::Lost => self.remove(rank),
+        }
+    }
+
     /// Returns whether a group differs. A daemon that sends no fingerprint differs in none.
     fn differs_in(&self, other: &Fingerprint, group: usize) -> bool {
         match (self.0.get(group), other.0.get(group)) {
@@ -182,6 +195,8 @@
     index_by_name: HashMap<Arc<str>, usize>,
     /// When a new daemon was last discovered.
     last_discovery: Option<Instant>,
+    /// Fingerprint of the live members and this daemon.
+    fingerprint: Fingerprint,
 }
 
 /// Pseudo-random rank of a daemon, the same at all daemons. Roles go to the lowest ranks.
@@ -211,10 +226,12 @@
 impl Members {
     /// Returns the members known to the daemon `own_name`: none yet.
     pub(super) fn new(own_name: &Arc<str>) -> Members {
-        Members {
+        let mut members = Members {
             own_name: Arc::clone(own_name),
             ..Members::default()
-        }
+        };
+        members.fingerprint = members.compute_fingerprint();
+        members
     }
 
     /// Applies a membership record. Returns the change of liveness, if any.
@@ -244,11 +261,14 @@
                 changed: now,
             };
             self.last_discovery = Some(now);
-            let is_live = new.is_live();
+            let change = new.is_live().then_some(LivenessChange::Live);
+            if let Some(change) = change {
+                self.fingerprint.apply(change, new.rank);
+            }
             self.index_by_name
                 .insert(Arc::clone(&contact.name), self.all.len());
             self.all.push(new);
-            return is_live.then_some(LivenessChange::Live);
+            return change;
         };
         let was_live = member.is_live();
         let reported = (member.condition, member.watching);
@@ -263,6 +283,9 @@
         if change.is_some() || (member.condition, member.watching) != reported {
             member.changed = now;
         }
+        if let Some(change) = change {
+            self.fingerprint.apply(change, member.rank);
+        }
         change
     }
 
@@ -279,6 +302,7 @@
         member.lost = member.lost.max(Some(called));
         let change = member.liveness_change(was_live)?;
         member.changed = now;
+        self.fingerprint.apply(change, member.rank);
         Some((Arc::clone(&member.name), change))
     }
 
@@ -291,6 +315,7 @@
         self.all.retain(is_remembered);
         let names = self.all.iter().map(|m| Arc::clone(&m.name));
         self.index_by_name = names.zip(0..).collect();
+        self.fingerprint = self.compute_fingerprint();
     }
 
     /// Looks up a daemon by name, live or lost.
@@ -352,7 +377,11 @@
     }
 
     /// Returns the fingerprint of the live members and this daemon.
-    pub(super) fn fingerprint(&self) -> Fingerprint {
+    pub(super) fn fingerprint(&self) -> &Fingerprint {
+        &self.fingerprint
+    }
+
+    fn compute_fingerprint(&self) -> Fingerprint {
         let mut fingerprint = Fingerprint::default();
         fingerprint.add(rank_of(&self.own_name));
         for member in self.live() {
@@ -394,8 +423,7 @@
     /// Returns members of the groups in which the fingerprint of another daemon differs, lost ones
     /// among them.
     fn differing<R: Rng>(&self, theirs: &Fingerprint, rng: &mut R) -> Vec<&Member> {
-        let own = self.fingerprint();
-        let differs = |m: &&Member| own.differs_in(theirs, group_of(m.rank));
+        let differs = |m: &&Member| self.fingerprint.differs_in(theirs, group_of(m.rank));
         self.all.iter().filter(differs).sample(rng, MAX_DIFFERING)
     }
 }
--- a/crates/kelpworks-relay/src/peers/store_tests.rs
+++ b/crates/kelpworks-relay/src/peers/store_tests.rs
@@ -511,6 +511,36 @@
     stop.cancel();
 }
 
+/// Guards against replacing lost watchers in an order: those that are cut off may be just the ones
+/// that come first in it. The change is confirmed a little after the cut, while no daemon has
+/// noticed it, and each bound is the time in which a configuration has to be in force at this size.
+#[rstest]
+#[case::grown(66, 3)]
+#[case::large(295, 4)]
+#[case::whole_fleet(986, 5)]
+#[tokio::test(start_paused = true)]
+async fn change_is_active_soon_after_the_first_third_in_line_was_cut_off_from_the_store(
+    #[case] size: usize,
+    #[case] within_s: u64,
+) {
+    let (mut fleet, store, stop) = start_following(size).await;
+    let mut in_line: Vec<&Arc<Peers>> = fleet.all.iter().collect();
+    in_line.sort_by_key(|me| lock(&me.roles).watch_order());
+    for me in in_line.into_iter().take(size / 3) {
+        store.cut_off(&me.name);
+    }
+    fleet.run(Duration::from_millis(1_200)).await;
+    store.put(StoreKind::Configuration, 2);
+    fleet.run(Duration::from_secs(within_s)).await;
+    let behind = count_behind(&fleet, &store, StoreKind::Configuration);
+    assert_eq!(behind, 0, "of {size} daemons, after {within_s} s");
+    store.put(StoreKind::Configuration, 3);
+    fleet.run(Duration::from_secs(within_s)).await;
+    let behind = count_behind(&fleet, &store, StoreKind::Configuration);
+    assert_eq!(behind, 0, "of {size} daemons, with the next change");
+    stop.cancel();
+}
+
 /// A restored store shows an older configuration until operators write the newer one again.
 #[rstest]
 #[case::small(9)]
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of gossip and role selection without a network: digests are passed directly between
 //! daemons.
 
+use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,8 +15,10 @@
 use tokio::time::advance;
 
 use super::Digest;
+use super::LOCAL_NEIGHBORS;
 use super::MAX_SMALL_FLEET_PEERS;
 use super::Peers;
+use super::REMOTE_NEIGHBORS;
 use super::StoreKind;
 use super::exchange::SLOWNESS_REPORT_TTL;
 use super::load::LOAD_TTL;
@@ -215,6 +219,43 @@
     }
 }
 
+/// If partners were drawn from the whole fleet, each daemon would come to hold a connection to every
+/// other.
+#[tokio::test(start_paused = true)]
+async fn daemon_of_a_large_fleet_keeps_to_a_bounded_set_of_partners() {
+    const SIZE: usize = 986;
+    let me = peers(0);
+    for other in 1..SIZE {
+        me.learn_digest(&digest(other));
+    }
+    let partners = (0..500).flat_map(|tick| me.partners_at(tick));
+    let partners: HashSet<SocketAddr> = partners.collect();
+    let bound = LOCAL_NEIGHBORS + REMOTE_NEIGHBORS + WATCH_GROUP;
+    assert!(partners.len() <= bound, "{} partners", partners.len());
+    let lost = *partners.iter().next().expect("a partner");
+    me.record_unanswered(lost, Instant::now());
+    let after = (0..500).flat_map(|tick| me.partners_at(tick));
+    let after: HashSet<SocketAddr> = after.collect();
+    let new = after.difference(&partners).count();
+    assert!(new <= 2, "{new} partners in place of one that was lost");
+}
+
+/// No daemon is called by many more than others, as a seed would be.
+#[tokio::test(start_paused = true)]
+async fn daemons_of_a_large_fleet_are_called_about_equally_often() {
+    const SIZE: usize = 120;
+    let all = fleet(SIZE, |_, _| {}).await;
+    let mut calls = [0; SIZE];
+    for me in &all {
+        for partner in (0..100).flat_map(|_| me.partners()) {
+            calls[usize::from(partner.port() - address(0).port())] += 1;
+        }
+    }
+    let mean = calls.iter().sum::<usize>() / SIZE;
+    let most = calls.into_iter().max().unwrap_or(0);
+    assert!(most <= 2 * mean, "{most} calls, {mean} in the mean");
+}
+
 /// If daemons watched right after their start, a start of the whole fleet would cost each daemon
 /// one call for each of 225 registrations.
 #[tokio::test(start_paused = true)]
