A failure domain that is not fuller or slower than the others plans for itself

Cause: a plan placed the load of all domains on all engines, though a balanced domain serves its own requests. It grew with engines times domains, on each daemon, within a request. Change: a daemon plans for its own domain first, and checks with one search whether the next request would rather leave it, with engines elsewhere as full as its own are by kind. If so, or if the domain is full or much fuller than the fleet, it plans for all domains as before. Tried first: only the fill compared; slow_engine_gets_less_load failed (1 engine of 3), since a slow engine's domain kept its load. The layers that a digest reports take one log line: 49,497 of 62,000 lines of 111 daemons in the first 20 s of the whole fleet were one line an engine.

--- a/crates/kelpworks-relay/src/path/cost.rs
+++ b/crates/kelpworks-relay/src/path/cost.rs
@@ -48,6 +48,11 @@
         })
     }
 
+    /// The kind of its accelerator.
+    pub(crate) fn kind(&self) -> &'a Accelerator {
+        self.kind
+    }
+
     /// Returns the time in milliseconds that a token of a request of `tokens` tokens takes at each
     /// layer of the engine, beside a load.
     pub(crate) fn layer_ms(&self, load: Load, tokens: f64) -> f64 {
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -192,12 +192,13 @@
                     fleet.learn_slowness(key, report.times, at);
                 }
             }
-            for report in &digest.assignments {
+            let is_new = |report: &&AssignmentOf| {
                 let age = Duration::from_millis(report.age_ms);
-                if fleet.learn_assignment(&report.instance, report.assignment(), age, now) {
-                    log_assignment(report, &digest.from.name);
-                }
-            }
+                fleet.learn_assignment(&report.instance, report.assignment(), age, now)
+            };
+            let new: Vec<&AssignmentOf> = digest.assignments.iter().filter(is_new).collect();
+            drop(fleet);
+            log_assignments(&new, &digest.from.name);
         }
         for report in &digest.owners {
             self.learn_owner_report(report, now);
@@ -335,15 +336,28 @@
     })
 }
 
-fn log_assignment(report: &AssignmentOf, peer: &str) {
+/// Logs the layers that a digest reported: one line for all of them, since thousands of engines load
+/// layers while a large fleet starts.
+fn log_assignments(reports: &[&AssignmentOf], peer: &str) {
+    if reports.is_empty() {
+        return;
+    }
+    let layers = reports.iter().map(|r| {
+        let AssignmentOf {
+            instance,
+            orders,
+            from,
+            to,
+            loaded,
+            age_ms,
+        } = r;
+        let state = if *loaded { "loaded" } else { "ordered" };
+        format!("{instance}={from}-{to}:{state}:{orders}:{age_ms}ms")
+    });
+    let layers: Vec<String> = layers.collect();
     info!(
         target: "decision",
-        upstream:% = report.instance,
-        from = report.from,
-        to = report.to,
-        orders = report.orders,
-        loaded = report.loaded,
-        age_ms = report.age_ms,
+        layers:% = layers.join(","),
         peer:% = peer;
         "layers reported by peer"
     );
--- a/crates/kelpworks-relay/src/traffic_plan.rs
+++ b/crates/kelpworks-relay/src/traffic_plan.rs
@@ -27,6 +27,7 @@
 use tokio::time::Instant;
 
 use crate::adapter::LayerRange;
+use crate::config::Accelerator;
 use crate::config::EngineProfile;
 use crate::fleet::Fleet;
 use crate::fleet::Load;
@@ -52,6 +53,9 @@
 /// Maximum share of an engine's capacity that is planned, so that the cost of a full engine stays
 /// finite.
 const MAX_PLANNED_FILL: f64 = 0.97;
+/// Fill of a failure domain, relative to that of the fleet, up to which it may serve all of its own
+/// requests.
+const MAX_RELATIVE_FILL: f64 = 1.2;
 /// Maximum draws before a path is searched for the request alone.
 const MAX_DRAWS: usize = 4;
 
@@ -113,7 +117,75 @@
     index_by_key: SecondaryMap<UpstreamKey, usize>,
 }
 
-impl PlannedEngines<'_> {
+impl<'a> PlannedEngines<'a> {
+    /// Returns the engines of a service that can be planned for, with a load on each.
+    fn new(
+        fleet: &'a Fleet,
+        engines: &'a EngineProfile,
+        query: &PathQuery<'_>,
+        includes_domain: impl Fn(&str) -> bool,
+        load_of: impl Fn(UpstreamKey, &Cost<'a>) -> Load,
+    ) -> PlannedEngines<'a> {
+        let mut planned = PlannedEngines {
+            graph: Graph::new(query.layers),
+            engines: Vec::new(),
+            index_by_key: SecondaryMap::new(),
+        };
+        for (key, upstream) in fleet.of_service(query.service) {
+            let is_included = includes_domain(&upstream.entry.domain);
+            if !is_included || upstream.is_ejected(query.now) {
+                continue;
+            }
+            let Some(cost) = Cost::of(upstream, engines, query.now) else {
+                continue;
+            };
+            let engine = PlannedEngine {
+                cost,
+                load: load_of(key, &cost),
+                entry_ms: upstream.failure_rate * crate::path::FAILURE_PENALTY_MS,
+            };
+            let candidate = Candidate {
+                key,
+                range: cost.layers,
+                domain: 0,
+                may_begin: upstream.limiter.rate().is_none(),
+                layer_ms: engine.layer_ms(query.tokens),
+                entry_ms: engine.entry_ms,
+            };
+            planned.graph.add(candidate, &upstream.entry.domain);
+            planned.index_by_key.insert(key, planned.engines.len());
+            planned.engines.push(engine);
+        }
+        planned
+    }
+
+    /// Returns the planned load of an engine; `None` for one that is not planned for.
+    fn load(&self, key: UpstreamKey) -> Option<Load> {
+        let &index = self.index_by_key.get(key)?;
+        Some(self.engines[index].load)
+    }
+
+    /// Returns the mean load of the engines of each kind.
+    fn mean_loads(&self) -> MeanLoads<'a> {
+        let mut loads = MeanLoads(Vec::new());
+        for engine in &self.engines {
+            loads.add(engine);
+        }
+        loads
+    }
+
+    /// Returns whether the cheapest path for another request passes engines that `own` lacks.
+    fn leaves_engines_of(&self, own: &PlannedEngines<'_>, query: &PathQuery<'_>) -> bool {
+        let path = self.graph.solve(query.domain, &[]).unwrap_or_default();
+        path.iter()
+            .any(|&(key, _)| !own.index_by_key.contains_key(key))
+    }
+
+    /// Returns the capacity of all engines, in token-layers.
+    fn capacity(&self) -> f64 {
+        self.engines.iter().map(|e| e.cost.capacity).sum()
+    }
+
     /// Adds requests with `tokens` tokens in all to an engine that runs a range of layers for them.
     fn add_load(&mut self, key: UpstreamKey, range: LayerRange, tokens: f64, request_tokens: f64) {
         let Some(&index) = self.index_by_key.get(key) else {
@@ -127,42 +199,94 @@
     }
 }
 
+/// Total load and number of engines of a kind.
+struct LoadOfKind<'a> {
+    kind: &'a Accelerator,
+    reserved: f64,
+    capacity: f64,
+    running: f64,
+    engines: f64,
+}
+
+/// Mean load of the engines of each kind.
+struct MeanLoads<'a>(Vec<LoadOfKind<'a>>);
+
+impl<'a> MeanLoads<'a> {
+    fn add(&mut self, engine: &PlannedEngine<'a>) {
+        let kind = engine.cost.kind();
+        let known = self.0.iter().position(|l| std::ptr::eq(l.kind, kind));
+        let at = known.unwrap_or_else(|| {
+            self.0.push(LoadOfKind {
+                kind,
+                reserved: 0.0,
+                capacity: 0.0,
+                running: 0.0,
+                engines: 0.0,
+            });
+            self.0.len() - 1
+        });
+        let total = &mut self.0[at];
+        total.reserved += engine.load.reserved;
+        total.capacity += engine.cost.capacity;
+        total.running += engine.load.running;
+        total.engines += 1.0;
+    }
+
+    /// Returns the load of an engine that is as full as the mean of its kind.
+    fn of(&self, cost: &Cost<'_>) -> Load {
+        let total = self.0.iter().find(|l| std::ptr::eq(l.kind, cost.kind()));
+        total.map_or_else(Load::default, |l| Load {
+            reserved: l.reserved / l.capacity.max(1.0) * cost.capacity,
+            running: l.running / l.engines,
+        })
+    }
+}
+
 impl TrafficPlan {
     /// Plans for the requests of a service that enter in the domain of `query`, beside those of
     /// the other domains.
+    ///
+    /// A domain that is not much fuller or slower than the others serves its own requests, since
+    /// paths from one domain to another take longer. Its plan then needs only its own engines, a
+    /// fraction of those of a large fleet.
     pub fn plan(
         fleet: &Fleet,
         engines: &EngineProfile,
         query: &PathQuery<'_>,
         demand: &[Demand],
     ) -> TrafficPlan {
-        let mut graph = Graph::new(query.layers);
-        let mut planned = Vec::new();
-        let mut index_by_key = SecondaryMap::new();
-        for (key, upstream) in fleet.of_service(query.service) {
-            if upstream.is_ejected(query.now) {
-                continue;
-            }
-            let Some(cost) = Cost::of(upstream, engines, query.now) else {
-                continue;
-            };
-            let engine = PlannedEngine {
-                cost,
-                load: Load::default(),
-                entry_ms: upstream.failure_rate * crate::path::FAILURE_PENALTY_MS,
-            };
-            let candidate = Candidate {
-                key,
-                range: cost.layers,
-                domain: 0,
-                may_begin: upstream.limiter.rate().is_none(),
-                layer_ms: engine.layer_ms(query.tokens),
-                entry_ms: engine.entry_ms,
-            };
-            graph.add(candidate, &upstream.entry.domain);
-            index_by_key.insert(key, planned.len());
-            planned.push(engine);
+        let is_own = |domain: &str| domain == query.domain;
+        let unloaded = |_, _: &Cost<'_>| Load::default();
+        let own_demand: Vec<Demand> = demand
+            .iter()
+            .filter(|d| is_own(&d.domain))
+            .cloned()
+            .collect();
+        let mut own = PlannedEngines::new(fleet, engines, query, is_own, unloaded);
+        let own_fill = total(&own_demand) / own.capacity();
+        let own_plan = TrafficPlan::within(&mut own, fleet, query, &own_demand);
+        let load_elsewhere = own.mean_loads();
+        let as_planned = |key, cost: &Cost<'_>| {
+            let own_load = own.load(key);
+            own_load.unwrap_or_else(|| load_elsewhere.of(cost))
+        };
+        let all = PlannedEngines::new(fleet, engines, query, |_| true, as_planned);
+        let max_fill = total(demand) / all.capacity() * MAX_RELATIVE_FILL;
+        let is_light = own_fill <= max_fill.max(MIN_PLANNED_FILL);
+        if own_plan.placed_fraction >= 1.0 && is_light && !all.leaves_engines_of(&own, query) {
+            return own_plan;
         }
+        let mut all = PlannedEngines::new(fleet, engines, query, |_| true, unloaded);
+        TrafficPlan::within(&mut all, fleet, query, demand)
+    }
+
+    /// Plans for a load on some engines.
+    fn within(
+        engines: &mut PlannedEngines<'_>,
+        fleet: &Fleet,
+        query: &PathQuery<'_>,
+        demand: &[Demand],
+    ) -> TrafficPlan {
         let mut plan = TrafficPlan {
             paths: Vec::new(),
             made_at: query.now,
@@ -170,14 +294,8 @@
             version: fleet.version(),
             placed_fraction: 0.0,
         };
-        let capacity: f64 = planned.iter().map(|p| p.cost.capacity).sum();
-        let demand = raise_to_min_fill(demand, query, capacity);
-        let mut engines = PlannedEngines {
-            graph,
-            engines: planned,
-            index_by_key,
-        };
-        plan.place_demand(&mut engines, query, &demand);
+        let demand = raise_to_min_fill(demand, query, engines.capacity());
+        plan.place_demand(engines, query, &demand);
         plan
     }
 
@@ -261,6 +379,10 @@
     }
 }
 
+fn total(demand: &[Demand]) -> f64 {
+    demand.iter().map(|d| d.token_layers).sum()
+}
+
 /// Returns the load of each domain, raised by equal amounts to the minimum total that is planned
 /// for.
 fn raise_to_min_fill(demand: &[Demand], query: &PathQuery<'_>, capacity: f64) -> Vec<Demand> {
@@ -271,8 +393,7 @@
             token_layers: 0.0,
         });
     }
-    let sum: f64 = demand.iter().map(|d| d.token_layers).sum();
-    let shortfall = (MIN_PLANNED_FILL * capacity - sum).max(0.0) / demand.len() as f64;
+    let shortfall = (MIN_PLANNED_FILL * capacity - total(&demand)).max(0.0) / demand.len() as f64;
     for d in &mut demand {
         d.token_layers += shortfall;
     }
