--- a/crates/kelpworks-relay/examples/traffic_plan.rs
+++ b/crates/kelpworks-relay/examples/traffic_plan.rs
@@ -25,7 +25,6 @@
 use rand::rngs::StdRng;
 use tokio::time::Instant;
 
-#[allow(dead_code, reason = "shared with the tests")]
 #[path = "../tests/fleet_support/mod.rs"]
 mod fleet_support;
 
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -236,6 +236,7 @@
                 }
             }
             lock(&self.members).forget(Instant::now());
+            self.close_unused_connections();
             self.shared.retry_budget().set_daemons(self.daemon_count());
             self.update_remote_load();
             self.share_limits();
@@ -291,6 +292,23 @@
         drawn.into_iter().map(|m| m.address).collect()
     }
 
+    /// Closes the connections to daemons of a larger fleet that are not among the partners any more:
+    /// while a daemon discovers the fleet, nearer neighbors replace those that it knew first.
+    fn close_unused_connections(&self) {
+        let members = lock(&self.members);
+        if members.live().count() <= MAX_SMALL_FLEET_PEERS {
+            return;
+        }
+        let near = members.nearest(LOCAL_NEIGHBORS, |m| m.domain == self.domain);
+        let far = members.nearest(REMOTE_NEIGHBORS, |m| m.domain != self.domain);
+        let neighbors = near.into_iter().chain(far).map(|m| m.address);
+        let mut used: HashSet<String> = neighbors.map(|a| a.to_string()).collect();
+        drop(members);
+        used.extend(self.watch_group().iter().map(SocketAddr::to_string));
+        used.extend(lock(&self.in_flight).iter().map(SocketAddr::to_string));
+        self.connections.retain(|address| used.contains(address));
+    }
+
     /// Draws a daemon that may have become reachable: one that counts as lost, or a seed that is
     /// not known as live. While no daemon is known as live, this is always a seed. Only one is
     /// called at a time, since all daemons of a fleet that starts call the same seeds.
--- a/crates/kelpworks/src/membership/connections.rs
+++ b/crates/kelpworks/src/membership/connections.rs
@@ -127,7 +127,7 @@
     }
 
     /// Closes the connections to all addresses for which `keep` returns false.
-    pub(super) fn retain(&self, keep: impl Fn(&str) -> bool) {
+    pub fn retain(&self, keep: impl Fn(&str) -> bool) {
         self.lock().by_address.retain(|address, _| keep(address));
     }
 
