--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -45,6 +45,7 @@
 use kelpworks::clients::era::Eras;
 use kelpworks::membership::connections;
 use kelpworks::membership::connections::Connections;
+use rand::RngExt;
 use rand::seq::IndexedRandom;
 use rand::seq::IteratorRandom;
 use tokio::sync::Semaphore;
@@ -91,9 +92,12 @@
 const REMOTE_NEIGHBORS: usize = 6;
 /// Daemons of the own failure domain that are called in each exchange of a larger fleet.
 const LOCAL_FANOUT: usize = 5;
-/// Daemons of other failure domains that are called in each exchange. Traffic between domains is
-/// billed.
+/// Daemons of other failure domains that are called in each exchange by a daemon of a domain of at
+/// most [`REMOTE_CALLERS`]. Traffic between domains is billed.
 const REMOTE_FANOUT: usize = 1;
+/// Daemons of a failure domain that call other domains in each exchange, in the mean. What one of
+/// them learns reaches the others of its domain within a few exchanges.
+const REMOTE_CALLERS: usize = 24;
 /// Daemons to which a new configuration is announced by each daemon that activates it.
 const ANNOUNCEMENT_FANOUT: usize = 4;
 /// Timeout of an exchange.
@@ -281,14 +285,18 @@
         partners
     }
 
-    /// Draws neighbors: `local` of the own failure domain and [`REMOTE_FANOUT`] of others.
+    /// Draws neighbors: `local` of the own failure domain and [`REMOTE_FANOUT`] of others. Of a
+    /// large domain, only some daemons draw the latter.
     fn draw_neighbors(&self, members: &Members, local: usize) -> Vec<SocketAddr> {
         let mut rng = rand::rng();
         let near = members.nearest(LOCAL_NEIGHBORS, |m| m.domain == self.domain);
-        let far = members.nearest(REMOTE_NEIGHBORS, |m| m.domain != self.domain);
         let near = near.sample(&mut rng, local).copied();
         let mut drawn: Vec<&Member> = near.collect();
-        drawn.extend(far.sample(&mut rng, REMOTE_FANOUT));
+        let in_domain = members.live().filter(|m| m.domain == self.domain).count() + 1;
+        if rng.random_range(0..in_domain) < REMOTE_CALLERS {
+            let far = members.nearest(REMOTE_NEIGHBORS, |m| m.domain != self.domain);
+            drawn.extend(far.sample(&mut rng, REMOTE_FANOUT));
+        }
         drawn.into_iter().map(|m| m.address).collect()
     }
 
--- a/crates/kelpworks-relay/src/peers/store_contact.rs
+++ b/crates/kelpworks-relay/src/peers/store_contact.rs
@@ -221,15 +221,21 @@
     /// Addresses of the other daemons that are first in line to watch the store, if this daemon is
     /// one of them.
     pub(super) fn watch_group(&self) -> Vec<SocketAddr> {
-        let members = lock(&self.members);
-        let order = lock(&self.roles).watch_order();
-        if members.count_before_in_watch_order(order) >= WATCH_GROUP {
+        if !self.is_in_watch_group() {
             return Vec::new();
         }
+        let members = lock(&self.members);
         let first = members.first_in_watch_order(WATCH_GROUP - 1);
         first.into_iter().map(|m| m.address).collect()
     }
 
+    /// Returns whether this daemon is first in line to watch the store, as far as it knows others.
+    pub(crate) fn is_in_watch_group(&self) -> bool {
+        let members = lock(&self.members);
+        let order = lock(&self.roles).watch_order();
+        members.count_before_in_watch_order(order) < WATCH_GROUP
+    }
+
     /// Records that this daemon no longer watches a kind.
     pub(crate) fn record_watch_end(&self, store_kind: StoreKind) {
         lock(&self.roles).store.watching[store_kind as usize] = false;
--- a/crates/kelpworks-relay/src/store_watch.rs
+++ b/crates/kelpworks-relay/src/store_watch.rs
@@ -48,6 +48,8 @@
 /// entries of a starting fleet arrive one by one, and without the delay each would cost every
 /// watcher a billed call.
 const BATCHING_DELAY: Duration = Duration::from_millis(120);
+/// Batching delay of a standby, whose data peers deliver meanwhile.
+const STANDBY_BATCHING_DELAY: Duration = Duration::from_millis(500);
 /// Interval between the lists of a starting daemon.
 const STARTUP_LIST_INTERVAL: Duration = Duration::from_millis(350);
 /// Interval at which a daemon without a watch role checks whether it has one.
@@ -136,7 +138,7 @@
             match self.call_store::<D>(role, &state).await {
                 Ok(CallOutcome::Answered(version)) => {
                     self.record_answer(&mut state, version);
-                    tokio::time::sleep(BATCHING_DELAY).await;
+                    tokio::time::sleep(batching_delay(role)).await;
                 }
                 Ok(CallOutcome::Overdue) => {
                     self.record_overdue();
@@ -207,30 +209,39 @@
     }
 
     /// Lists the kind after the start, while callers may be waiting and peers may be starting too.
-    /// Repeats the list, since registrations may be coming back, until this daemon or a peer
+    /// A daemon of the watch group, or one that holds nothing yet, repeats the list, since registrations may be coming back, until this daemon or a peer
     /// watches the store, a configuration is known, or the start-up period is over. Watching at
     /// once would cost each daemon of a starting fleet one call per registration.
     ///
     /// A store in a later era than the first has been restored from an older copy, perhaps just
     /// now. Its list is then applied only after peers have had time to report newer data.
     async fn run_startup_lists<D: Adapter>(&self) {
+        self.run_startup_list::<D>().await;
+        while !self.has_startup_ended() {
+            tokio::time::sleep(STARTUP_LIST_INTERVAL).await;
+            if self.holds_nothing() || self.peers.is_in_watch_group() {
+                self.run_startup_list::<D>().await;
+            }
+        }
+    }
+
+    async fn run_startup_list<D: Adapter>(&self) {
         let kind = self.kind::<D>();
-        loop {
-            match self.api.list_relaxed(kind).await {
-                Ok(list) => {
-                    if list.version.era > Era::FIRST {
-                        self.peers.wait_for_first_exchange().await;
-                    }
-                    self.apply_list::<D>(list.items, list.version);
-                }
-                Err(e) => {
-                    info!(kind:% = kind, error:% = e; "initial list failed, relying on peers")
+        match self.api.list_relaxed(kind).await {
+            Ok(list) => {
+                if list.version.era > Era::FIRST {
+                    self.peers.wait_for_first_exchange().await;
                 }
+                self.apply_list::<D>(list.items, list.version);
             }
-            if self.has_startup_ended() {
-                return;
-            }
-            tokio::time::sleep(STARTUP_LIST_INTERVAL).await;
+            Err(e) => info!(kind:% = kind, error:% = e; "initial list failed, relying on peers"),
+        }
+    }
+
+    fn holds_nothing(&self) -> bool {
+        match self.store_kind {
+            StoreKind::Configuration => self.store_cache.version() == 0,
+            StoreKind::Upstreams => self.store_cache.entries_version().is_absent(),
         }
     }
 
@@ -335,6 +346,13 @@
     }
 }
 
+fn batching_delay(role: WatchRole) -> Duration {
+    match role {
+        WatchRole::Primary => BATCHING_DELAY,
+        WatchRole::Standby => STANDBY_BATCHING_DELAY,
+    }
+}
+
 /// Waits for an answer for at most `max_wait`, and returns [`Error::Silent`] after that.
 async fn with_timeout<T>(max_wait: Duration, answer: impl Future<Output = Result<T>>) -> Result<T> {
     let answer = tokio::time::timeout(max_wait, answer).await;
