The first watcher reports store answers to those next in line, in place of exchanges among them

Change: the first in line sends the ages of the store's answers, two numbers, to the seven next in line, once for each answer. Daemons of earlier releases refuse it and learn by digests.

--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -64,8 +64,10 @@
 use messages::Announcement;
 use messages::Digest;
 use messages::HeldVersions;
+use messages::StoreAges;
 use messages::Texts;
 use roles::RoleState;
+use store_contact::WATCH_GROUP;
 use texts::PackCaches;
 
 #[cfg(test)]
@@ -127,6 +129,10 @@
     #[method(name = "texts")]
     async fn texts(&self, known: HeldVersions) -> RpcResult<Texts>;
 
+    /// Reports when the store last answered the caller.
+    #[method(name = "store_answered")]
+    async fn store_answered(&self, ages: StoreAges) -> RpcResult<()>;
+
     /// Announces the version of the configuration that the caller has activated.
     #[method(name = "announce")]
     async fn announce(&self, announcement: Announcement) -> RpcResult<()>;
@@ -222,10 +228,11 @@
                 () = stop.cancelled() => return,
                 _ = tick.tick() => {
                     ticks = ticks.wrapping_add(1);
-                    self.spawn_exchanges::<D>(self.partners_at(ticks));
+                    self.report_store_answers();
                     if !self.is_full_tick(ticks) {
                         continue;
                     }
+                    self.spawn_exchanges::<D>(self.partners());
                 }
                 // With periodic exchanges alone a new configuration would take most of the allowed
                 // time to reach the last daemon.
@@ -261,17 +268,6 @@
         is_small_fleet || tick.is_multiple_of(LARGE_FLEET_INTERVAL_FACTOR)
     }
 
-    /// Addresses to call in a tick.
-    fn partners_at(&self, tick: u32) -> Vec<SocketAddr> {
-        let mut partners = self.watch_group();
-        if self.is_full_tick(tick) {
-            partners.extend(self.partners());
-            partners.sort_unstable();
-            partners.dedup();
-        }
-        partners
-    }
-
     /// Addresses to call in the next exchange: neighbors drawn at random, or all daemons of a small
     /// fleet, and sometimes a daemon that counts as lost.
     fn partners(&self) -> Vec<SocketAddr> {
@@ -312,7 +308,11 @@
         let neighbors = near.into_iter().chain(far).map(|m| m.address);
         let mut used: HashSet<String> = neighbors.map(|a| a.to_string()).collect();
         drop(members);
-        used.extend(self.watch_group().iter().map(SocketAddr::to_string));
+        if self.is_in_watch_group() {
+            let members = lock(&self.members);
+            let group = members.first_in_watch_order(WATCH_GROUP - 1);
+            used.extend(group.into_iter().map(|m| m.address.to_string()));
+        }
         used.extend(lock(&self.in_flight).iter().map(SocketAddr::to_string));
         self.connections.retain(|address| used.contains(address));
     }
@@ -388,6 +388,33 @@
         }
     }
 
+    /// Reports answers of the store to the watch group. Reports that are lost, or sent to a daemon of
+    /// an earlier release, are made up for by digests.
+    fn report_store_answers(self: &Arc<Peers>) {
+        let Some((ages, addresses)) = self.take_store_report(Instant::now()) else {
+            return;
+        };
+        for address in addresses {
+            let peers = Arc::clone(self);
+            tokio::spawn(async move {
+                let address = address.to_string();
+                let call = peers.connections.call(
+                    &address,
+                    EXCHANGE_TIMEOUT,
+                    &ages,
+                    |client, ages| async move { client.store_answered(ages).await },
+                );
+                let outcome = if call.await.is_ok() {
+                    "delivered"
+                } else {
+                    "failed"
+                };
+                metrics::counter!("kelpworks_store_reports_total", "outcome" => outcome)
+                    .increment(1);
+            });
+        }
+    }
+
     /// Announces the active configuration to a few neighbors, which fetch it if it is new to them
     /// and announce it in turn.
     fn announce_configuration(self: &Arc<Peers>) {
@@ -452,6 +479,11 @@
         Ok(self.peers.texts(known))
     }
 
+    async fn store_answered(&self, ages: StoreAges) -> RpcResult<()> {
+        self.peers.learn_store_ages(ages, Instant::now());
+        Ok(())
+    }
+
     async fn announce(&self, announcement: Announcement) -> RpcResult<()> {
         self.peers.on_announcement::<D>(announcement);
         Ok(())
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -178,6 +178,7 @@
         let Contact { name, domain, .. } = &digest.from;
         lock(&self.loads).learn(name, domain, &digest.load, now);
         self.learn_roles(digest, now);
+        self.learn_store_ages(digest.store, now);
         {
             let mut fleet = self.shared.fleet();
             for ejection in &digest.ejections {
@@ -230,19 +231,6 @@
         let members = lock(&self.members);
         let mut roles = lock(&self.roles);
         roles.record_exchange(now);
-        let StoreAges {
-            configuration_ms,
-            upstreams_ms,
-        } = digest.store;
-        let ages = [
-            (StoreKind::Configuration, configuration_ms),
-            (StoreKind::Upstreams, upstreams_ms),
-        ];
-        for (store_kind, age) in ages {
-            if let Some(at) = age.and_then(ago) {
-                roles.store.learn_answer(store_kind, at);
-            }
-        }
         if let Some(LeaderOf { precedence, age_ms }) = digest.leader
             && let Some(at) = ago(age_ms)
         {
--- a/crates/kelpworks-relay/src/peers/store_contact.rs
+++ b/crates/kelpworks-relay/src/peers/store_contact.rs
@@ -9,19 +9,22 @@
 
 use tokio::time::Instant;
 
+use super::MAX_SMALL_FLEET_PEERS;
 use super::Peers;
 use super::lock;
 use super::members::Condition;
 use super::members::Members;
 use super::members::rank_of;
+use super::messages::StoreAges;
+use super::messages::millis_since;
 use super::roles::scaled_to_fleet;
 
 /// Daemons that watch the store for the whole fleet. Two may lose contact at the same time, and
 /// each change costs each watcher a billed call.
 pub(super) const WATCHERS: usize = 3;
-/// Daemons that are first in line to watch the store, [`WATCHERS`] among them. They exchange with
-/// each other at every tick, so that each of them notices as soon at any fleet size that the
-/// watchers get no answers.
+/// Daemons that are first in line to watch the store, [`WATCHERS`] among them. The first of them
+/// reports each answer of the store to the others, so that these notice as soon at any fleet size
+/// that it gets none.
 pub(super) const WATCH_GROUP: usize = 8;
 /// Age of the last store answer up to which a daemon's view of the store counts as recent, in a
 /// small fleet.
@@ -89,6 +92,8 @@
     started: Instant,
     /// Last known answer of the store to any watcher, by kind; never decreases.
     last_answer: [Option<Instant>; 2],
+    /// Last answer of the store to this daemon, by kind, that it has not reported to the watch group.
+    unreported: [Option<Instant>; 2],
     /// Kinds that this daemon watches and whose latest call was answered.
     watching: [bool; 2],
     /// Whether a peer has reported a store answer.
@@ -102,6 +107,7 @@
         StoreContact {
             started,
             last_answer: [None, None],
+            unreported: [None, None],
             watching: [false, false],
             peer_watches: false,
             last_failure: [None, None],
@@ -114,6 +120,7 @@
         self.watching[store_kind as usize] = answered;
         if answered {
             self.last_answer[store_kind as usize] = Some(now);
+            self.unreported[store_kind as usize] = Some(now);
         }
     }
 
@@ -218,15 +225,40 @@
 }
 
 impl Peers {
-    /// Addresses of the other daemons that are first in line to watch the store, if this daemon is
-    /// one of them.
-    pub(super) fn watch_group(&self) -> Vec<SocketAddr> {
-        if !self.is_in_watch_group() {
-            return Vec::new();
-        }
+    /// Returns the store answers that this daemon is to report now to the other daemons of the watch
+    /// group, and their addresses: if it comes first in a fleet in which they don't exchange with it
+    /// at every tick.
+    pub(super) fn take_store_report(&self, now: Instant) -> Option<(StoreAges, Vec<SocketAddr>)> {
         let members = lock(&self.members);
-        let first = members.first_in_watch_order(WATCH_GROUP - 1);
-        first.into_iter().map(|m| m.address).collect()
+        let mut roles = lock(&self.roles);
+        let is_small_fleet = members.known_count() <= MAX_SMALL_FLEET_PEERS;
+        if is_small_fleet || members.count_before_in_watch_order(roles.watch_order()) > 0 {
+            return None;
+        }
+        let [configuration, upstreams] = std::mem::take(&mut roles.store.unreported);
+        let age = |answer: Option<Instant>| answer.map(|at| millis_since(at, now));
+        let ages = StoreAges {
+            configuration_ms: age(configuration),
+            upstreams_ms: age(upstreams),
+        };
+        let group = members.first_in_watch_order(WATCH_GROUP - 1);
+        let addresses = group.into_iter().map(|m| m.address).collect();
+        (ages != StoreAges::default()).then_some((ages, addresses))
+    }
+
+    /// Applies a report of store answers.
+    pub(super) fn learn_store_ages(&self, ages: StoreAges, now: Instant) {
+        let mut roles = lock(&self.roles);
+        let ages = [
+            (StoreKind::Configuration, ages.configuration_ms),
+            (StoreKind::Upstreams, ages.upstreams_ms),
+        ];
+        for (store_kind, age) in ages {
+            let at = age.and_then(|ms| now.checked_sub(Duration::from_millis(ms)));
+            if let Some(at) = at {
+                roles.store.learn_answer(store_kind, at);
+            }
+        }
     }
 
     /// Returns whether this daemon is first in line to watch the store, as far as it knows others.
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -228,13 +228,13 @@
     for other in 1..SIZE {
         me.learn_digest(&digest(other));
     }
-    let partners = (0..500).flat_map(|tick| me.partners_at(tick));
+    let partners = (0..500).flat_map(|_| me.partners());
     let partners: HashSet<SocketAddr> = partners.collect();
-    let bound = LOCAL_NEIGHBORS + REMOTE_NEIGHBORS + WATCH_GROUP;
+    let bound = LOCAL_NEIGHBORS + REMOTE_NEIGHBORS;
     assert!(partners.len() <= bound, "{} partners", partners.len());
     let lost = *partners.iter().next().expect("a partner");
     me.record_unanswered(lost, Instant::now());
-    let after = (0..500).flat_map(|tick| me.partners_at(tick));
+    let after = (0..500).flat_map(|_| me.partners());
     let after: HashSet<SocketAddr> = after.collect();
     let new = after.difference(&partners).count();
     assert!(new <= 2, "{new} partners in place of one that was lost");
