--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -12,6 +12,7 @@
 //! any size three daemons watch the store for all (`roles`), and liveness is decided by dated
 //! evidence (`members`).
 
+mod announcements;
 mod exchange;
 #[cfg(test)]
 mod fleet_tests;
@@ -22,6 +23,7 @@
 mod members;
 mod messages;
 mod packed;
+mod partners;
 mod roles;
 mod store_contact;
 #[cfg(test)]
@@ -45,9 +47,6 @@
 use kelpworks::clients::era::Eras;
 use kelpworks::membership::connections;
 use kelpworks::membership::connections::Connections;
-use rand::RngExt;
-use rand::seq::IndexedRandom;
-use rand::seq::IteratorRandom;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -58,7 +57,6 @@
 use crate::sync::lock;
 use load::Loads;
 use members::Audience;
-use members::Member;
 use members::Members;
 use members::rank_of;
 use messages::Announcement;
@@ -67,7 +65,6 @@
 use messages::StoreAges;
 use messages::Texts;
 use roles::RoleState;
-use store_contact::WATCH_GROUP;
 use texts::PackCaches;
 
 #[cfg(test)]
@@ -86,22 +83,6 @@
 const MAX_SMALL_FLEET_PEERS: usize = 8;
 /// Factor by which exchanges of a larger fleet are rarer than [`EXCHANGE_INTERVAL`].
 const LARGE_FLEET_INTERVAL_FACTOR: u32 = 2;
-/// Daemons of the own failure domain among which a daemon of a larger fleet draws its partners. A
-/// fixed set bounds its connections; each is chosen by hash, so the loads are even and all sets
-/// together connect the fleet. In a domain of this size all daemons know each other's load.
-const LOCAL_NEIGHBORS: usize = 24;
-/// Daemons of other failure domains among which a daemon draws its partners.
-const REMOTE_NEIGHBORS: usize = 6;
-/// Daemons of the own failure domain that are called in each exchange of a larger fleet.
-const LOCAL_FANOUT: usize = 5;
-/// Daemons of other failure domains that are called in each exchange by a daemon of a domain of at
-/// most [`REMOTE_CALLERS`]. Traffic between domains is billed.
-const REMOTE_FANOUT: usize = 1;
-/// Daemons of a failure domain that call other domains in each exchange, in the mean. What one of
-/// them learns reaches the others of its domain within a few exchanges.
-const REMOTE_CALLERS: usize = 24;
-/// Daemons to which a new configuration is announced by each daemon that activates it.
-const ANNOUNCEMENT_FANOUT: usize = 4;
 /// Timeout of an exchange.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of a request for texts: about 300 kB over a shared link of 20 Mbit/s.
@@ -110,9 +91,6 @@
 const MAX_FETCHES: usize = 2;
 /// Largest request or response body between daemons: the entries of a whole fleet.
 const MAX_BODY_BYTES: u32 = 8 << 20;
-/// Probability that an exchange also goes to a daemon that counts as lost, or to a seed that is not
-/// known as live. This rejoins the parts of a partitioned fleet.
-const LOST_PEER_PROBABILITY: f64 = 0.25;
 /// Concurrent incoming peer connections: one from each daemon of a fleet of hundreds, plus those of
 /// restarted daemons whose old connections are not yet known to be closed. The smallest hosts have
 /// 4,100 file descriptors for peers, callers and upstreams.
@@ -268,70 +246,6 @@
         is_small_fleet || tick.is_multiple_of(LARGE_FLEET_INTERVAL_FACTOR)
     }
 
-    /// Addresses to call in the next exchange: neighbors drawn at random, or all daemons of a small
-    /// fleet, and sometimes a daemon that counts as lost.
-    fn partners(&self) -> Vec<SocketAddr> {
-        let members = lock(&self.members);
-        let live = members.live().count();
-        let mut partners: Vec<SocketAddr> = match live <= MAX_SMALL_FLEET_PEERS {
-            true => members.live().map(|m| m.address).collect(),
-            false => self.draw_neighbors(&members, LOCAL_FANOUT),
-        };
-        partners.extend(self.lost_or_seed(&members));
-        partners
-    }
-
-    /// Draws neighbors: `local` of the own failure domain and [`REMOTE_FANOUT`] of others. Of a
-    /// large domain, only some daemons draw the latter.
-    fn draw_neighbors(&self, members: &Members, local: usize) -> Vec<SocketAddr> {
-        let mut rng = rand::rng();
-        let near = members.nearest(LOCAL_NEIGHBORS, |m| m.domain == self.domain);
-        let near = near.sample(&mut rng, local).copied();
-        let mut drawn: Vec<&Member> = near.collect();
-        let in_domain = members.live().filter(|m| m.domain == self.domain).count() + 1;
-        if rng.random_range(0..in_domain) < REMOTE_CALLERS {
-            let far = members.nearest(REMOTE_NEIGHBORS, |m| m.domain != self.domain);
-            drawn.extend(far.sample(&mut rng, REMOTE_FANOUT));
-        }
-        drawn.into_iter().map(|m| m.address).collect()
-    }
-
-    /// Closes the connections to daemons of a larger fleet that are not among the partners any more:
-    /// while a daemon discovers the fleet, nearer neighbors replace those that it knew first.
-    fn close_unused_connections(&self) {
-        let members = lock(&self.members);
-        if members.live().count() <= MAX_SMALL_FLEET_PEERS {
-            return;
-        }
-        let near = members.nearest(LOCAL_NEIGHBORS, |m| m.domain == self.domain);
-        let far = members.nearest(REMOTE_NEIGHBORS, |m| m.domain != self.domain);
-        let neighbors = near.into_iter().chain(far).map(|m| m.address);
-        let mut used: HashSet<String> = neighbors.map(|a| a.to_string()).collect();
-        drop(members);
-        if self.is_in_watch_group() {
-            let members = lock(&self.members);
-            let group = members.first_in_watch_order(WATCH_GROUP - 1);
-            used.extend(group.into_iter().map(|m| m.address.to_string()));
-        }
-        used.extend(lock(&self.in_flight).iter().map(SocketAddr::to_string));
-        self.connections.retain(|address| used.contains(address));
-    }
-
-    /// Draws a daemon that may have become reachable: one that counts as lost, or a seed that is
-    /// not known as live. While no daemon is known as live, this is always a seed. Only one is
-    /// called at a time, since all daemons of a fleet that starts call the same seeds.
-    fn lost_or_seed(&self, members: &Members) -> Option<SocketAddr> {
-        let mut rng = rand::rng();
-        let seeds = lock(&self.seeds);
-        let is_live = |seed: &SocketAddr| members.live().any(|m| m.address == *seed);
-        let unknown = seeds.iter().copied().filter(|s| !is_live(s));
-        if members.live().next().is_none() {
-            return unknown.choose(&mut rng);
-        }
-        let candidate = unknown.chain(members.lost()).choose(&mut rng);
-        candidate.filter(|_| rand::random_bool(LOST_PEER_PROBABILITY))
-    }
-
     fn spawn_exchanges<D: Adapter>(self: &Arc<Peers>, partners: Vec<SocketAddr>) {
         for address in partners {
             let peers = Arc::clone(self);
@@ -387,79 +301,6 @@
             self.apply_texts::<D>(texts);
         }
     }
-
-    /// Reports answers of the store to the watch group. Reports that are lost, or sent to a daemon of
-    /// an earlier release, are made up for by digests.
-    fn report_store_answers(self: &Arc<Peers>) {
-        let Some((ages, addresses)) = self.take_store_report(Instant::now()) else {
-            return;
-        };
-        for address in addresses {
-            let peers = Arc::clone(self);
-            tokio::spawn(async move {
-                let address = address.to_string();
-                let call = peers.connections.call(
-                    &address,
-                    EXCHANGE_TIMEOUT,
-                    &ages,
-                    |client, ages| async move { client.store_answered(ages).await },
-                );
-                let outcome = if call.await.is_ok() {
-                    "delivered"
-                } else {
-                    "failed"
-                };
-                metrics::counter!("kelpworks_store_reports_total", "outcome" => outcome)
-                    .increment(1);
-            });
-        }
-    }
-
-    /// Announces the active configuration to a few neighbors, which fetch it if it is new to them
-    /// and announce it in turn.
-    fn announce_configuration(self: &Arc<Peers>) {
-        let announcement = Announcement {
-            from: self.address,
-            version: self.store_cache.version(),
-        };
-        for partner in self.announcement_partners() {
-            let peers = Arc::clone(self);
-            tokio::spawn(async move { peers.announce_to(partner, announcement).await });
-        }
-    }
-
-    fn announcement_partners(&self) -> Vec<SocketAddr> {
-        let members = lock(&self.members);
-        self.draw_neighbors(&members, ANNOUNCEMENT_FANOUT - REMOTE_FANOUT)
-    }
-
-    /// A daemon that does not answer, or that runs an earlier release without this method, gets the
-    /// configuration by a later exchange.
-    async fn announce_to(&self, partner: SocketAddr, announcement: Announcement) {
-        let address = partner.to_string();
-        let call = self.connections.call(
-            &address,
-            EXCHANGE_TIMEOUT,
-            &announcement,
-            |client, announcement| async move { client.announce(announcement).await },
-        );
-        let outcome = match call.await {
-            Ok(()) => "delivered",
-            Err(_) => "failed",
-        };
-        metrics::counter!("kelpworks_announcements_total", "outcome" => outcome).increment(1);
-    }
-
-    /// Handles the announcement of a configuration by a peer.
-    fn on_announcement<D: Adapter>(self: &Arc<Peers>, announcement: Announcement) {
-        self.store_cache.note_peer_version(announcement.version);
-        let held = self.held_versions();
-        if held.version >= announcement.version {
-            return;
-        }
-        let peers = Arc::clone(self);
-        tokio::spawn(async move { peers.fetch_texts::<D>(announcement.from, held).await });
-    }
 }
 
 /// Server side of the peer RPC.
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -15,10 +15,8 @@
 use tokio::time::advance;
 
 use super::Digest;
-use super::LOCAL_NEIGHBORS;
 use super::MAX_SMALL_FLEET_PEERS;
 use super::Peers;
-use super::REMOTE_NEIGHBORS;
 use super::StoreKind;
 use super::exchange::SLOWNESS_REPORT_TTL;
 use super::load::LOAD_TTL;
@@ -32,6 +30,8 @@
 use super::messages::LoadOf;
 use super::messages::StoreAges;
 use super::packed::Packed;
+use super::partners::LOCAL_NEIGHBORS;
+use super::partners::REMOTE_NEIGHBORS;
 use super::roles::DISCOVERY_QUIET_PERIOD;
 use super::roles::ISOLATION_TIMEOUT;
 use super::roles::LEADER_TIMEOUT;
@@ -199,7 +199,7 @@
 #[tokio::test(start_paused = true)]
 async fn watcher_count_grows_gradually_while_the_store_is_unreachable(#[case] size: usize) {
     let all = fleet(size, |_, report| report.store = STORE_ANSWERED).await;
-    // Daemons that exchange without news of the store; without exchanges they would be isolated.
+    // No store answer is reported, but without any exchange the daemons would act as isolated.
     let watchers_after = async |span: Duration| {
         advance(span).await;
         for (number, me) in all.iter().enumerate() {
--- a/crates/kelpworks-relay/src/placer.rs
+++ b/crates/kelpworks-relay/src/placer.rs
@@ -10,6 +10,8 @@
 //! only the first is begun. The lease keeps two daemons from sending competing orders all the time;
 //! the precondition is what protects an engine.
 
+mod orders;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,13 +24,10 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::adapter::DisplacementPolicy;
 use crate::adapter::EngineApi;
 use crate::adapter::EngineReport;
 use crate::adapter::LayerRange;
 use crate::adapter::Lifecycle;
-use crate::adapter::OrderReply;
-use crate::adapter::PlaceOrder;
 use crate::assignments::LayerAssignment;
 use crate::assignments::LayerAssignments;
 use crate::config::EngineProfile;
@@ -40,6 +39,7 @@
 use crate::peers::Peers;
 use crate::peers::StoreKind;
 use crate::shared::Shared;
+use orders::MAX_CONCURRENT_ORDERS;
 
 /// Interval at which the leader checks the fleet for due orders.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -49,15 +49,9 @@
 /// Interval at which an engine that should have loaded its layers is queried. A query is cheap, and
 /// its answer arrives up to one second before the engine's registration.
 const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(300);
-/// Delay before another order to an engine that did not accept one.
-const ORDER_RETRY_DELAY: Duration = Duration::from_secs(1);
-
 /// Fraction of an engine's KV cache capacity below which it can't be refusing requests for lack of
 /// memory: reservations exceed use by a fifth.
 const MIN_FULL_FRACTION: f64 = 0.7;
-/// Orders that are sent at the same time. In a large fleet thousands of engines register within
-/// seconds, and each order takes one or two round trips.
-const MAX_CONCURRENT_ORDERS: usize = 32;
 /// Number of conflicts in one check after which an acting leader yields to whichever daemon sent
 /// the orders that were begun instead. One or two conflicts may come from orders that arrived late.
 const MAX_ORDER_CONFLICTS: u32 = 3;
@@ -94,27 +88,6 @@
     assignment: LayerAssignment,
 }
 
-/// An order that is to be sent.
-struct Order<'p> {
-    placement: &'p Placement,
-    id: Arc<str>,
-    address: SocketAddr,
-    /// Number of orders that the engine has begun; `None` if it has to be queried first.
-    begun: Option<u64>,
-}
-
-/// What became of an order.
-struct OrderOutcome {
-    /// Number of orders that the engine must have begun; `None` if it can't take this one.
-    expected: Option<u64>,
-    /// Whether the engine was queried first.
-    is_queried: bool,
-    /// Its report, if it was queried and answered.
-    report: Option<EngineReport>,
-    /// `None` if the order was not sent.
-    reply: Option<OrderReply>,
-}
-
 /// Plans layer assignments and sends orders while this daemon leads.
 #[derive(Debug)]
 pub(crate) struct Placer<E> {
@@ -362,184 +335,6 @@
         });
         orders
     }
-
-    /// Sends orders to several engines at the same time and returns how many conflicted with
-    /// earlier ones.
-    async fn send_orders(&mut self, placements: &[Placement]) -> u32 {
-        let Some(authority) = self.authority() else {
-            return 0;
-        };
-        let token = authority.token();
-        let orders: Vec<Order> = placements.iter().filter_map(|p| self.order(p)).collect();
-        let outcomes = orders.iter().map(|order| self.send_order(order, token));
-        let outcomes = join_all(outcomes).await;
-        let mut conflicts = 0;
-        for (order, outcome) in orders.iter().zip(outcomes) {
-            conflicts += u32::from(outcome.reply == Some(OrderReply::Conflict));
-            self.apply_outcome(order, token, outcome);
-        }
-        conflicts
-    }
-
-    /// Returns the order of a placement; `None` when the engine is gone.
-    fn order<'p>(&self, placement: &'p Placement) -> Option<Order<'p>> {
-        let instance = &placement.instance;
-        let fleet = self.shared.fleet();
-        let upstream = fleet.get(fleet.key_of(instance)?)?;
-        let reported_orders = fleet.assignments().orders(instance);
-        let begun = self.begun_orders.get(instance).copied();
-        Some(Order {
-            placement,
-            id: Arc::clone(&upstream.entry.id),
-            address: upstream.entry.address,
-            begun: begun.unwrap_or(reported_orders),
-        })
-    }
-
-    /// Sends an order, after a query of the engine where its number of orders is not known.
-    async fn send_order(&self, order: &Order<'_>, token: Token) -> OrderOutcome {
-        let mut outcome = OrderOutcome {
-            expected: order.begun,
-            is_queried: order.begun.is_none(),
-            report: None,
-            reply: None,
-        };
-        if outcome.is_queried {
-            outcome.report = self.engine_client.report(order.address).await;
-            log_query(&order.placement.instance, outcome.report.as_ref());
-            outcome.expected = self.expected_orders(order, outcome.report.as_ref());
-        }
-        let Some(expected) = outcome.expected else {
-            return outcome;
-        };
-        // The lease may have been lost while the engine was queried.
-        if self.current_token() != Some(token) {
-            return outcome;
-        }
-        let request = PlaceOrder {
-            id: &order.id,
-            layers: order.placement.layers,
-            displacement: match order.placement.moves {
-                true => DisplacementPolicy::Abort,
-                false => DisplacementPolicy::Drain,
-            },
-            expected,
-            fencing_token: token.0,
-        };
-        outcome.reply = Some(self.engine_client.place(order.address, request).await);
-        outcome
-    }
-
-    /// Returns the fencing token for an order that is sent now; `None` while this daemon does not
-    /// lead.
-    fn current_token(&self) -> Option<Token> {
-        self.lease_handle.fencing_token().or_else(|| {
-            let is_acting_leader = self.peers.is_acting_leader();
-            is_acting_leader.then(|| self.lease_handle.latest_token())
-        })
-    }
-
-    /// Returns the number of orders that an engine has begun by its report. Returns `None` when it
-    /// can't take another one now, or when its layers differ from those that the plan was made for.
-    fn expected_orders(&self, order: &Order<'_>, report: Option<&EngineReport>) -> Option<u64> {
-        let report = report.filter(|r| !r.busy)?;
-        let instance = &order.placement.instance;
-        if self.shared.detect_restart(instance, report.start) {
-            return None;
-        }
-        if report.layers.is_none() {
-            return Some(report.orders);
-        }
-        let fleet = self.shared.fleet();
-        let recorded_layers = fleet.key_of(instance).and_then(|k| fleet.get(k)?.layers);
-        (recorded_layers == report.layers).then_some(report.orders)
-    }
-
-    /// Records what became of an order.
-    fn apply_outcome(&mut self, order: &Order<'_>, token: Token, outcome: OrderOutcome) {
-        let instance = &order.placement.instance;
-        if let Some(report) = outcome.report.filter(|r| !r.busy) {
-            self.record_report(instance, &report);
-        }
-        let (Some(expected), Some(reply)) = (outcome.expected, outcome.reply) else {
-            if outcome.is_queried {
-                self.back_off_orders(instance);
-            }
-            return;
-        };
-        self.log_order(order.placement, expected, token.0, reply);
-        match reply {
-            OrderReply::Accepted => {
-                self.begun_orders
-                    .insert(Arc::clone(instance), Some(expected + 1));
-                self.record_order(order.placement, expected + 1);
-            }
-            // A lost order may still be carried out: the engine is queried before the next one.
-            OrderReply::Lost | OrderReply::Conflict | OrderReply::Refused => {
-                self.begun_orders.insert(Arc::clone(instance), None);
-                self.back_off_orders(instance);
-            }
-        }
-    }
-
-    /// Records the orders and the layers that an idle engine reports.
-    fn record_report(&mut self, instance: &Arc<str>, report: &EngineReport) {
-        self.begun_orders
-            .insert(Arc::clone(instance), Some(report.orders));
-        let Some(layers) = report.layers else {
-            return;
-        };
-        let assignment = LayerAssignment {
-            orders: report.orders,
-            layers,
-            loaded: true,
-        };
-        let mut fleet = self.shared.fleet();
-        let recorded_layers = fleet.key_of(instance).and_then(|k| fleet.get(k)?.layers);
-        if recorded_layers != report.layers {
-            fleet.learn_assignment(instance, assignment, Duration::ZERO, Instant::now());
-        }
-    }
-
-    /// Records an accepted order. The engine can run no requests until it has carried the order
-    /// out.
-    fn record_order(&mut self, placement: &Placement, orders: u64) {
-        let assignment = LayerAssignment {
-            orders,
-            layers: placement.layers,
-            loaded: false,
-        };
-        let now = Instant::now();
-        let mut fleet = self.shared.fleet();
-        fleet.learn_assignment(&placement.instance, assignment, Duration::ZERO, now);
-    }
-
-    fn back_off_orders(&mut self, instance: &Arc<str>) {
-        self.backoff_until
-            .insert(Arc::clone(instance), Instant::now() + ORDER_RETRY_DELAY);
-    }
-
-    fn log_order(
-        &self,
-        placement: &Placement,
-        expected: u64,
-        fencing_token: u64,
-        reply: OrderReply,
-    ) {
-        let reply = reply.as_str();
-        info!(
-            target: "decision",
-            upstream:% = placement.instance,
-            from = placement.layers.from,
-            to = placement.layers.to,
-            expected,
-            fence = fencing_token,
-            fleet_version:% = self.shared.fleet().version(),
-            outcome:% = reply;
-            "layers ordered"
-        );
-        metrics::counter!("kelpworks_orders_total", "outcome" => reply).increment(1);
-    }
 }
 
 /// Returns the planner's view of an engine, in which layers being loaded count as loaded; `None`
@@ -558,18 +353,6 @@
     })
 }
 
-fn log_query(instance: &str, report: Option<&EngineReport>) {
-    info!(
-        target: "decision",
-        upstream:% = instance,
-        answered = report.is_some(),
-        busy = report.is_some_and(|r| r.busy),
-        orders = report.map_or(0, |r| r.orders),
-        holds:? = report.and_then(|r| r.layers);
-        "engine queried"
-    );
-}
-
 /// Whether an engine refuses new requests though it is far from full: it is leaving, and the store
 /// does not show it, as during an outage of the store.
 fn is_leaving_unannounced(upstream: &Upstream, profile: &EngineProfile) -> bool {
--- /dev/null
+++ b/crates/kelpworks-relay/src/placer/orders.rs
@@ -0,0 +1,240 @@
+//! Orders to engines: sent to several at the same time, each with the number of orders that its engine
+//! must have begun.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use kelpworks_coord::lease::Token;
+use log::info;
+use tokio::time::Instant;
+
+use super::Placer;
+use crate::adapter::DisplacementPolicy;
+use crate::adapter::EngineApi;
+use crate::adapter::EngineReport;
+use crate::adapter::OrderReply;
+use crate::adapter::PlaceOrder;
+use crate::assignments::LayerAssignment;
+use crate::layout::Placement;
+
+/// Delay before another order to an engine that did not accept one.
+const ORDER_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Orders that are sent at the same time. In a large fleet thousands of engines register within
+/// seconds, and each order takes one or two round trips.
+pub(super) const MAX_CONCURRENT_ORDERS: usize = 32;
+
+/// An order that is to be sent.
+struct Order<'p> {
+    placement: &'p Placement,
+    id: Arc<str>,
+    address: SocketAddr,
+    /// Number of orders that the engine has begun; `None` if it has to be queried first.
+    begun: Option<u64>,
+}
+
+/// What became of an order.
+struct OrderOutcome {
+    /// Number of orders that the engine must have begun; `None` if it can't take this one.
+    expected: Option<u64>,
+    /// Whether the engine was queried first.
+    is_queried: bool,
+    /// Its report, if it was queried and answered.
+    report: Option<EngineReport>,
+    /// `None` if the order was not sent.
+    reply: Option<OrderReply>,
+}
+
+impl<E: EngineApi> Placer<E> {
+    /// Sends orders to several engines at the same time and returns how many conflicted with
+    /// earlier ones.
+    pub(super) async fn send_orders(&mut self, placements: &[Placement]) -> u32 {
+        let Some(authority) = self.authority() else {
+            return 0;
+        };
+        let token = authority.token();
+        let orders: Vec<Order> = placements.iter().filter_map(|p| self.order(p)).collect();
+        let outcomes = orders.iter().map(|order| self.send_order(order, token));
+        let outcomes = join_all(outcomes).await;
+        let mut conflicts = 0;
+        for (order, outcome) in orders.iter().zip(outcomes) {
+            conflicts += u32::from(outcome.reply == Some(OrderReply::Conflict));
+            self.apply_outcome(order, token, outcome);
+        }
+        conflicts
+    }
+
+    /// Returns the order of a placement; `None` when the engine is gone.
+    fn order<'p>(&self, placement: &'p Placement) -> Option<Order<'p>> {
+        let instance = &placement.instance;
+        let fleet = self.shared.fleet();
+        let upstream = fleet.get(fleet.key_of(instance)?)?;
+        let reported_orders = fleet.assignments().orders(instance);
+        let begun = self.begun_orders.get(instance).copied();
+        Some(Order {
+            placement,
+            id: Arc::clone(&upstream.entry.id),
+            address: upstream.entry.address,
+            begun: begun.unwrap_or(reported_orders),
+        })
+    }
+
+    /// Sends an order, after a query of the engine where its number of orders is not known.
+    async fn send_order(&self, order: &Order<'_>, token: Token) -> OrderOutcome {
+        let mut outcome = OrderOutcome {
+            expected: order.begun,
+            is_queried: order.begun.is_none(),
+            report: None,
+            reply: None,
+        };
+        if outcome.is_queried {
+            outcome.report = self.engine_client.report(order.address).await;
+            log_query(&order.placement.instance, outcome.report.as_ref());
+            outcome.expected = self.expected_orders(order, outcome.report.as_ref());
+        }
+        let Some(expected) = outcome.expected else {
+            return outcome;
+        };
+        // The lease may have been lost while the engine was queried.
+        if self.current_token() != Some(token) {
+            return outcome;
+        }
+        let request = PlaceOrder {
+            id: &order.id,
+            layers: order.placement.layers,
+            displacement: match order.placement.moves {
+                true => DisplacementPolicy::Abort,
+                false => DisplacementPolicy::Drain,
+            },
+            expected,
+            fencing_token: token.0,
+        };
+        outcome.reply = Some(self.engine_client.place(order.address, request).await);
+        outcome
+    }
+
+    /// Returns the fencing token for an order that is sent now; `None` while this daemon does not
+    /// lead.
+    fn current_token(&self) -> Option<Token> {
+        self.lease_handle.fencing_token().or_else(|| {
+            let is_acting_leader = self.peers.is_acting_leader();
+            is_acting_leader.then(|| self.lease_handle.latest_token())
+        })
+    }
+
+    /// Returns the number of orders that an engine has begun by its report. Returns `None` when it
+    /// can't take another one now, or when its layers differ from those that the plan was made for.
+    fn expected_orders(&self, order: &Order<'_>, report: Option<&EngineReport>) -> Option<u64> {
+        let report = report.filter(|r| !r.busy)?;
+        let instance = &order.placement.instance;
+        if self.shared.detect_restart(instance, report.start) {
+            return None;
+        }
+        if report.layers.is_none() {
+            return Some(report.orders);
+        }
+        let fleet = self.shared.fleet();
+        let recorded_layers = fleet.key_of(instance).and_then(|k| fleet.get(k)?.layers);
+        (recorded_layers == report.layers).then_some(report.orders)
+    }
+
+    /// Records what became of an order.
+    fn apply_outcome(&mut self, order: &Order<'_>, token: Token, outcome: OrderOutcome) {
+        let instance = &order.placement.instance;
+        if let Some(report) = outcome.report.filter(|r| !r.busy) {
+            self.record_report(instance, &report);
+        }
+        let (Some(expected), Some(reply)) = (outcome.expected, outcome.reply) else {
+            if outcome.is_queried {
+                self.back_off_orders(instance);
+            }
+            return;
+        };
+        self.log_order(order.placement, expected, token.0, reply);
+        match reply {
+            OrderReply::Accepted => {
+                self.begun_orders
+                    .insert(Arc::clone(instance), Some(expected + 1));
+                self.record_order(order.placement, expected + 1);
+            }
+            // A lost order may still be carried out: the engine is queried before the next one.
+            OrderReply::Lost | OrderReply::Conflict | OrderReply::Refused => {
+                self.begun_orders.insert(Arc::clone(instance), None);
+                self.back_off_orders(instance);
+            }
+        }
+    }
+
+    /// Records the orders and the layers that an idle engine reports.
+    fn record_report(&mut self, instance: &Arc<str>, report: &EngineReport) {
+        self.begun_orders
+            .insert(Arc::clone(instance), Some(report.orders));
+        let Some(layers) = report.layers else {
+            return;
+        };
+        let assignment = LayerAssignment {
+            orders: report.orders,
+            layers,
+            loaded: true,
+        };
+        let mut fleet = self.shared.fleet();
+        let recorded_layers = fleet.key_of(instance).and_then(|k| fleet.get(k)?.layers);
+        if recorded_layers != report.layers {
+            fleet.learn_assignment(instance, assignment, Duration::ZERO, Instant::now());
+        }
+    }
+
+    /// Records an accepted order. The engine can run no requests until it has carried the order
+    /// out.
+    fn record_order(&mut self, placement: &Placement, orders: u64) {
+        let assignment = LayerAssignment {
+            orders,
+            layers: placement.layers,
+            loaded: false,
+        };
+        let now = Instant::now();
+        let mut fleet = self.shared.fleet();
+        fleet.learn_assignment(&placement.instance, assignment, Duration::ZERO, now);
+    }
+
+    fn back_off_orders(&mut self, instance: &Arc<str>) {
+        self.backoff_until
+            .insert(Arc::clone(instance), Instant::now() + ORDER_RETRY_DELAY);
+    }
+
+    fn log_order(
+        &self,
+        placement: &Placement,
+        expected: u64,
+        fencing_token: u64,
+        reply: OrderReply,
+    ) {
+        let reply = reply.as_str();
+        info!(
+            target: "decision",
+            upstream:% = placement.instance,
+            from = placement.layers.from,
+            to = placement.layers.to,
+            expected,
+            fence = fencing_token,
+            fleet_version:% = self.shared.fleet().version(),
+            outcome:% = reply;
+            "layers ordered"
+        );
+        metrics::counter!("kelpworks_orders_total", "outcome" => reply).increment(1);
+    }
+}
+
+fn log_query(instance: &str, report: Option<&EngineReport>) {
+    info!(
+        target: "decision",
+        upstream:% = instance,
+        answered = report.is_some(),
+        busy = report.is_some_and(|r| r.busy),
+        orders = report.map_or(0, |r| r.orders),
+        holds:? = report.and_then(|r| r.layers);
+        "engine queried"
+    );
+}
--- a/crates/kelpworks-relay/src/store_cache/tests.rs
+++ b/crates/kelpworks-relay/src/store_cache/tests.rs
@@ -1,7 +1,7 @@
 //! Transfer of the entries between daemons as changes.
 //!
-//! A daemon that follows the store and one that only hears from it hold the same entries after any
-//! sequence of writes, removals, lists and transfers. A change that is lost on this way would hide
+//! A daemon that follows the store and one that only exchanges with it hold the same entries after
+//! any sequence of writes, removals, lists and transfers. A change that is lost on this way would hide
 //! an upstream, or keep one that is gone, until the entry is written again.
 
 use std::sync::Arc;
@@ -60,7 +60,7 @@
 /// What happens to the store or between daemons.
 #[derive(Clone, Debug)]
 enum Event {
-    /// Entries are written and removed, and the watcher hears of all of it at once.
+    /// Entries are written and removed, and the watcher gets all changes at once.
     Changes(Vec<(usize, Option<u64>)>),
     /// The watcher replaces its entries by a list.
     List,
