--- a/crates/kelpworks-relay/src/peers/store_contact.rs
+++ b/crates/kelpworks-relay/src/peers/store_contact.rs
@@ -31,7 +31,7 @@
 pub(super) const STORE_STALE_AFTER: Duration = Duration::from_secs(3);
 /// Age of the last store answer at which a standby treats its own watch as lost and the rest of the
 /// watch group tries the store too, at any fleet size: more than a watch of the primary, its
-/// batching delay and an exchange within the group.
+/// batching delay and a report to the group.
 pub(super) const WATCH_OVERDUE_AFTER: Duration = Duration::from_millis(1_800);
 /// Interval in which daemons are drawn to try the store while the watch group gets no answers. The
 /// number that is drawn doubles with each interval.
--- a/crates/kelpworks-relay/src/store_watch.rs
+++ b/crates/kelpworks-relay/src/store_watch.rs
@@ -209,9 +209,10 @@
     }
 
     /// Lists the kind after the start, while callers may be waiting and peers may be starting too.
-    /// A daemon of the watch group, or one that holds nothing yet, repeats the list, since registrations may be coming back, until this daemon or a peer
-    /// watches the store, a configuration is known, or the start-up period is over. Watching at
-    /// once would cost each daemon of a starting fleet one call per registration.
+    /// A daemon of the watch group, or one that holds nothing yet, repeats the list, since
+    /// registrations may be coming back, until this daemon or a peer watches the store, a
+    /// configuration is known, or the start-up period is over. Watching at once would cost each
+    /// daemon of a starting fleet one call per registration.
     ///
     /// A store in a later era than the first has been restored from an older copy, perhaps just
     /// now. Its list is then applied only after peers have had time to report newer data.
