--- a/crates/kelpworks/src/clients/resettable.rs
+++ b/crates/kelpworks/src/clients/resettable.rs
@@ -23,6 +23,7 @@
 pub struct ResettableClient {
     client: ArcSwap<Client>,
     connect_timeout: Duration,
+    idle_timeout: Duration,
 }
 
 /// How far a request got before it failed.
@@ -41,10 +42,23 @@
     ///
     /// When the system's TLS or resolver can't be set up.
     pub fn new(connect_timeout: Duration) -> reqwest::Result<ResettableClient> {
-        let client = build(connect_timeout)?;
+        ResettableClient::with_idle_timeout(connect_timeout, POOL_IDLE_TIMEOUT)
+    }
+
+    /// Returns a client that closes a connection that was idle for `idle_timeout`.
+    ///
+    /// # Errors
+    ///
+    /// When the system's TLS or resolver can't be set up.
+    pub fn with_idle_timeout(
+        connect_timeout: Duration,
+        idle_timeout: Duration,
+    ) -> reqwest::Result<ResettableClient> {
+        let client = build(connect_timeout, idle_timeout)?;
         Ok(ResettableClient {
             client: ArcSwap::from_pointee(client),
             connect_timeout,
+            idle_timeout,
         })
     }
 
@@ -55,7 +69,7 @@
 
     /// Drops the pool of connections; requests in flight keep theirs.
     pub fn reset_connections(&self) {
-        match build(self.connect_timeout) {
+        match build(self.connect_timeout, self.idle_timeout) {
             Ok(client) => self.client.store(client.into()),
             Err(e) => log::warn!("connections not reset, HTTP client can't be built: {e}"),
         }
@@ -72,10 +86,10 @@
 
 /// Builds a client. Proxies set in the environment are ignored, as the platform is reached directly
 /// by address.
-fn build(connect_timeout: Duration) -> reqwest::Result<Client> {
+fn build(connect_timeout: Duration, idle_timeout: Duration) -> reqwest::Result<Client> {
     Client::builder()
         .connect_timeout(connect_timeout)
-        .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+        .pool_idle_timeout(idle_timeout)
         .tcp_keepalive(KEEPALIVE_INTERVAL)
         .tcp_keepalive_interval(KEEPALIVE_INTERVAL)
         .tcp_keepalive_retries(KEEPALIVE_RETRIES)
