--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -243,9 +243,6 @@
     /// Whether the daemon reads the changes of entries in place of all entries.
     #[serde(default)]
     pub(super) accepts_changes: bool,
-    /// Checksum of the entries that it holds.
-    #[serde(default)]
-    pub(super) checksum: Option<u64>,
 }
 
 /// Age of `at` in whole milliseconds, as sent in messages.
--- a/crates/kelpworks-relay/src/peers/texts.rs
+++ b/crates/kelpworks-relay/src/peers/texts.rs
@@ -23,20 +23,18 @@
 impl Peers {
     /// Returns the versions that this daemon holds.
     pub(super) fn held_versions(&self) -> HeldVersions {
-        let (entries, checksum) = self.store_cache.entries_checksum();
         HeldVersions {
             version: self.store_cache.version(),
-            entries,
+            entries: self.store_cache.entries_version(),
             accepts_changes: true,
-            checksum: Some(checksum),
         }
     }
 
     /// Returns the versions that this daemon holds if a digest shows a newer one.
     pub(super) fn held_versions_if_older(&self, theirs: &Digest) -> Option<HeldVersions> {
-        let is_older = self.store_cache.version() < theirs.version
-            || self.store_cache.entries_version() < theirs.entries;
-        is_older.then(|| self.held_versions())
+        let held = self.held_versions();
+        let is_older = held.version < theirs.version || held.entries < theirs.entries;
+        is_older.then_some(held)
     }
 
     /// Applies the texts that a peer sent.
@@ -94,7 +92,7 @@
         };
         let is_older = entries_version > held.entries;
         let changes = (is_older && held.accepts_changes)
-            .then(|| self.store_cache.changes_since(held.entries, held.checksum))
+            .then(|| self.store_cache.changes_since(held.entries))
             .flatten();
         Texts {
             version,
--- a/crates/kelpworks-relay/src/store_cache.rs
+++ b/crates/kelpworks-relay/src/store_cache.rs
@@ -24,7 +24,6 @@
 use serde::Serialize;
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::adapter::Adapter;
 use crate::adapter::StartTime;
@@ -67,20 +66,6 @@
     pub texts: BTreeMap<Arc<str>, Arc<str>>,
 }
 
-impl Entries {
-    /// Checksum of the names and texts, whatever the version.
-    fn checksum(&self) -> u64 {
-        let mut hasher = Xxh3::new();
-        for (name, text) in &self.texts {
-            for part in [name, text] {
-                hasher.update(&part.len().to_le_bytes());
-                hasher.update(part.as_bytes());
-            }
-        }
-        hasher.digest()
-    }
-}
-
 /// A change of the entry of one upstream.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -114,8 +99,6 @@
 struct CacheState {
     configuration: Arc<str>,
     entries: Entries,
-    /// Checksum of the texts of `entries`; `None` until it is needed after a change.
-    checksum: Option<u64>,
     change_log: ChangeLog,
     /// Decoded form of `entries`. An entry is decoded again only when its text changes.
     decoded: BTreeMap<Arc<str>, DecodedEntry>,
@@ -137,12 +120,6 @@
             };
         }
         self.entries.version = version;
-        self.checksum = None;
-    }
-
-    fn checksum(&mut self) -> u64 {
-        let entries = &self.entries;
-        *self.checksum.get_or_insert_with(|| entries.checksum())
     }
 
     /// Decodes the entries whose texts have changed and returns all valid entries.
@@ -269,7 +246,6 @@
         }
         state.change_log.reset(entries.version);
         state.entries = entries;
-        state.checksum = None;
         self.publish::<A>(&mut state, source);
     }
 
@@ -297,9 +273,7 @@
         if version <= held {
             return;
         }
-        // Without changes the texts of both versions are the same, which says nothing about others.
-        let is_gap = held < base || (changes.is_empty() && held != base);
-        if is_gap || held.era != version.era {
+        if held < base || held.era != version.era {
             info!(target: "decision", held:%, base:%, version:%; "changes of entries ignored: gap");
             metrics::counter!("kelpworks_ignored_entry_changes_total").increment(1);
             return;
@@ -308,26 +282,10 @@
         self.publish::<A>(&mut state, Source::Peer);
     }
 
-    /// Returns the version of the entries and their checksum.
-    pub fn entries_checksum(&self) -> (Version, u64) {
-        let mut state = self.state();
-        (state.entries.version, state.checksum())
-    }
-
     /// Returns the changes of the entries since the version that a peer holds; `None` if they are
-    /// not known and the peer needs all entries. Daemons that start together have listed the entries
-    /// in different versions, mostly with the same texts, which the peer's checksum shows.
-    pub fn changes_since(&self, held: Version, checksum: Option<u64>) -> Option<EntryChanges> {
-        let mut state = self.state();
-        let version = state.entries.version;
-        let is_same = held.era == version.era && checksum == Some(state.checksum());
-        if is_same {
-            return Some(EntryChanges {
-                base: held,
-                version,
-                changes: Vec::new(),
-            });
-        }
+    /// not known and the peer needs all entries.
+    pub fn changes_since(&self, held: Version) -> Option<EntryChanges> {
+        let state = self.state();
         let change = |name: &Arc<str>| EntryChange {
             name: Arc::clone(name),
             text: state.entries.texts.get(name).cloned(),
@@ -335,7 +293,7 @@
         let names = state.change_log.names_since(held)?;
         Some(EntryChanges {
             base: held,
-            version,
+            version: state.entries.version,
             changes: names.map(change).collect(),
         })
     }
--- a/crates/kelpworks-relay/src/store_cache/tests.rs
+++ b/crates/kelpworks-relay/src/store_cache/tests.rs
@@ -47,8 +47,7 @@
 
 /// Brings `follower` up to date with `source`, by changes where these are known.
 fn transfer(source: &StoreCache, follower: &StoreCache) -> bool {
-    let (held, checksum) = follower.entries_checksum();
-    let changes = source.changes_since(held, Some(checksum));
+    let changes = source.changes_since(follower.entries_version());
     let is_partial = changes.is_some();
     match changes {
         Some(changes) => follower.apply_peer_changes::<Numbered>(changes),
@@ -146,43 +145,12 @@
     assert!(!transfer(&source, &follower), "a newcomer gets all entries");
     let changes = vec![put(5, 2), removal(6), put(ENTRIES, 1)];
     source.change_entries::<Numbered>(changes, Version::initial(4));
-    let sent = source.changes_since(follower.entries_version(), None);
+    let sent = source.changes_since(follower.entries_version());
     assert_eq!(sent.map(|c| c.changes.len()), Some(3));
     assert!(transfer(&source, &follower));
     assert_eq!(source.entries(), follower.entries());
 }
 
-/// After a loss of all daemons each lists the entries in another version. If each difference of
-/// versions cost a transfer of all texts, the daemons of a large fleet would be busy with them.
-#[test]
-fn peer_with_the_same_texts_in_an_earlier_version_gets_only_the_version() {
-    let (source, follower) = (store_cache(), store_cache());
-    for (cache, revision) in [(&follower, 7), (&source, 9)] {
-        let list = Entries {
-            version: Version::initial(revision),
-            texts: (0..100)
-                .filter_map(|n| Some((put(n, 1).name, put(n, 1).text?)))
-                .collect(),
-        };
-        cache.put_entries::<Numbered>(list, Source::Store);
-    }
-    let (held, checksum) = follower.entries_checksum();
-    let changes = source
-        .changes_since(held, Some(checksum))
-        .expect("the same texts");
-    assert_eq!(changes.changes, []);
-    follower.change_entries::<Numbered>(vec![put(1, 2)], Version::initial(8));
-    follower.apply_peer_changes::<Numbered>(changes);
-    assert_eq!(
-        follower.entries_version(),
-        Version::initial(8),
-        "the texts are others by now"
-    );
-    follower.change_entries::<Numbered>(vec![put(1, 1)], Version::initial(8));
-    assert!(transfer(&source, &follower));
-    assert_eq!(source.entries(), follower.entries());
-}
-
 /// Changes that don't continue the held entries leave them as they are.
 #[rstest]
 #[case::after_a_gap(Version::initial(11), Version::initial(12))]
