--- a/crates/kelpworks-relay/src/peers/store_contact.rs
+++ b/crates/kelpworks-relay/src/peers/store_contact.rs
@@ -186,9 +186,9 @@
     }
 
     /// Returns whether a daemon of a rank should try the store though others come before it in the
-    /// watch order: no answer has been known for so long that the whole watch group must be cut
-    /// off. Some daemons are drawn anew in each interval, and more the longer there is no answer,
-    /// so that one that reaches the store is found soon wherever it ranks.
+    /// watch order: the last known answer is so old that the whole watch group must be cut off. Some
+    /// daemons are drawn anew in each interval, and more the longer there is no answer, so that one
+    /// that reaches the store is found soon wherever it ranks.
     pub(super) fn is_drawn_to_try(
         &self,
         store_kind: StoreKind,
