Retry-After and Server-Leaving of upstreams are decoded and logged

Cause: no log line shows what an upstream asks for, so a daemon that doesn't know of a requested backoff looks like one that ignores it. Change: AnswerHead has both fields; 'constraints announced' logs them with request, upstream, status and the engine at fault. Nothing acts on them yet.

--- a/crates/kelpworks-relay/src/adapter.rs
+++ b/crates/kelpworks-relay/src/adapter.rs
@@ -15,6 +15,7 @@
 use thiserror::Error;
 
 use crate::config::Configuration;
+use crate::constraints::Announced;
 use crate::limits::Announcement;
 
 /// Result of decoding.
@@ -119,6 +120,10 @@
     pub weight_version: Option<u64>,
     /// Rate limit that the upstream announces.
     pub limit: Announcement,
+    /// Time for which the upstream asks this daemon to send nothing.
+    pub backoff: Announced<Duration>,
+    /// Whether the upstream states that it is leaving.
+    pub leaving: Announced<bool>,
 }
 
 /// State of an upstream as registered in the store.
@@ -269,7 +274,8 @@
     fn set_upstream_headers(headers: &mut HeaderMap, forwarded: &ForwardedHead<'_>);
 
     /// Decodes the header fields of an upstream's answer. Malformed fields count as absent, except
-    /// that a malformed limit is [`Announcement::Unreadable`].
+    /// that a malformed limit is [`Announcement::Unreadable`] and a malformed backoff or notice of
+    /// leaving [`Announced::Unreadable`].
     fn decode_answer_head(headers: &HeaderMap) -> AnswerHead;
 
     /// Decodes a configuration.
--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod adapter;
 pub mod assignments;
 pub mod config;
+pub mod constraints;
 pub mod crashes;
 pub mod daemon;
 pub mod fleet;
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -373,6 +373,7 @@
         Err(pool::Error::Lost) => return failed_attempt(Verdict::MayHaveRun, "connection lost"),
     };
     let head = D::decode_answer_head(response.headers());
+    shared.log_constraints(target.upstream, response.status(), &head);
     if let Some(announced) = announcement(inbound, &response, &head, target.address) {
         shared.on_limit_announcement(target.upstream, announced, target.sent);
     }
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -286,6 +286,8 @@
         let exchange = self.wait_for_first(sending, &path.parts, sent).await?;
         let exchange = exchange.map_err(|e| self.record_send_error(first, e))?;
         let head = D::decode_answer_head(exchange.response.headers());
+        let status = exchange.response.status();
+        self.shared.log_constraints(first, status, &head);
         let announced = announcement(&self.inbound, &exchange.response, &head, path.address);
         if let Some(announced) = announced {
             self.shared.on_limit_announcement(first, announced, sent);
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -11,14 +11,17 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use http::StatusCode;
 use log::info;
 use log::warn;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::adapter::AnswerHead;
 use crate::adapter::StartTime;
 use crate::config::EngineProfile;
 use crate::config::RoutingTable;
+use crate::constraints::Announced;
 use crate::crashes::CrashTracker;
 use crate::fleet::AddressOwner;
 use crate::fleet::Fleet;
@@ -191,6 +194,24 @@
         }
     }
 
+    /// Logs what an answer asks of this daemon besides a rate limit.
+    pub(crate) fn log_constraints(&self, key: UpstreamKey, status: StatusCode, head: &AnswerHead) {
+        if head.backoff == Announced::Absent && head.leaving == Announced::Absent {
+            return;
+        }
+        let fleet = self.fleet();
+        info!(
+            target: "decision",
+            request:% = head.request_id.as_deref().unwrap_or(""),
+            upstream:% = fleet.get(key).map_or("gone", |u| &u.entry.instance),
+            at_fault:? = head.at_fault,
+            status = status.as_u16(),
+            backoff:? = head.backoff,
+            leaving:? = head.leaving;
+            "constraints announced"
+        );
+    }
+
     /// Records the start time that an engine reports. Returns whether the engine has restarted, so
     /// that it is no longer this incarnation.
     pub(crate) fn detect_restart(&self, instance: &str, start: Option<StartTime>) -> bool {
