Failing tests: what upstreams ask for besides a limit isn't kept

What callers and upstreams see: an upstream that answers 503 with Retry-After: 3 gets further requests, orders and queries from the same daemon within the 3 s; one whose answers state that it is leaving is used on, also after its entry in the store was written again. Stand-ins: engines and the plain service can refuse everything with a Retry-After, state that they leave, and record all messages.

--- a/crates/kelpworks-cli/tests/relay_site/engine.rs
+++ b/crates/kelpworks-cli/tests/relay_site/engine.rs
@@ -33,6 +33,7 @@
 const ATTEMPT_HEADER: &str = "x-kelpworks-attempt-id";
 const STAMP_HEADER: &str = "x-kelpworks-server-stamp";
 const LIMIT_HEADER: &str = "server-limit";
+const LEAVING_HEADER: &str = "server-leaving";
 
 /// A fault that happens once, with the next request for which the engine is first on the path.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,6 +81,7 @@
     /// Whether streams whose path includes it make no progress.
     stalled: AtomicBool,
     limit: Limit,
+    constraints: Constraints,
 }
 
 /// A request that arrived, whether it was accepted or refused.
@@ -89,6 +91,71 @@
     pub(crate) at: Instant,
 }
 
+/// What an upstream announces besides a rate limit, and the messages that arrived at it.
+#[derive(Debug, Default)]
+pub(crate) struct Constraints {
+    /// `Retry-After` with which everything that arrives is refused; `None` accepts it.
+    backoff: Mutex<Option<String>>,
+    /// Whether all answers state that it is leaving.
+    leaving: AtomicBool,
+    messages: Mutex<Vec<Message>>,
+}
+
+/// A message that arrived at an upstream, as its first or only recipient.
+#[derive(Clone, Debug)]
+pub(crate) struct Message {
+    /// Id of the request; empty for orders to load layers and queries.
+    pub(crate) request: String,
+    /// Path of the URL.
+    pub(crate) path: String,
+    pub(crate) at: Instant,
+    /// Whether it was refused with a `Retry-After`.
+    pub(crate) refused: bool,
+}
+
+impl Constraints {
+    /// Refuses everything with this `Retry-After` from now on; `None` accepts it again.
+    pub(crate) fn request_backoff(&self, retry_after: Option<&str>) {
+        *self.backoff.lock().expect("no panic") = retry_after.map(str::to_owned);
+    }
+
+    /// States in all answers from now on that the upstream is leaving.
+    pub(crate) fn announce_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Omits that statement again, as after a restart.
+    pub(crate) fn announce_staying(&self) {
+        self.leaving.store(false, Ordering::Relaxed);
+    }
+
+    pub(crate) fn messages(&self) -> Vec<Message> {
+        self.messages.lock().expect("no panic").clone()
+    }
+
+    /// Records a message and announces the constraints; returns whether it is refused.
+    fn record(&self, req: &Request, request: String, res: &mut Response) -> bool {
+        if self.leaving.load(Ordering::Relaxed) {
+            let _ = res.add_header(LEAVING_HEADER, "1", true);
+        }
+        let backoff = self.backoff.lock().expect("no panic").clone();
+        let message = Message {
+            request,
+            path: req.uri().path().to_owned(),
+            at: Instant::now(),
+            refused: backoff.is_some(),
+        };
+        self.messages.lock().expect("no panic").push(message);
+        let Some(retry_after) = backoff else {
+            return false;
+        };
+        let _ = res.add_header("retry-after", retry_after, true);
+        let _ = res.add_header("x-kelpworks-not-executed", "1", true);
+        res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        true
+    }
+}
+
 /// A request rate limit that an upstream announces, and the arrivals at it.
 #[derive(Debug, Default)]
 pub(crate) struct Limit {
@@ -218,6 +285,7 @@
             active_streams: AtomicU64::new(0),
             stalled: AtomicBool::new(false),
             limit: Limit::default(),
+            constraints: Constraints::default(),
         }));
         let handler = EngineHandler {
             engine: engine.clone(),
@@ -289,6 +357,10 @@
         &self.limit
     }
 
+    pub(crate) fn constraints(&self) -> &Constraints {
+        &self.constraints
+    }
+
     pub(crate) fn set_fault(&self, fault: Option<Fault>) {
         *self.fault.lock().expect("no panic") = fault;
     }
@@ -463,7 +535,13 @@
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
-        match req.uri().path() {
+        let path = req.uri().path().to_owned();
+        let request = request_id(req).await;
+        if self.engine.constraints.record(req, request.clone(), res) {
+            let _ = res.add_header(ATTEMPT_HEADER, request, true);
+            return;
+        }
+        match &*path {
             "/report" => res.render(Json(self.report())),
             "/order" => {
                 let status = self.order(req).await;
@@ -475,6 +553,16 @@
     }
 }
 
+/// Returns the id of the request that a message belongs to; empty for queries and orders to load
+/// layers.
+async fn request_id(req: &mut Request) -> String {
+    if req.uri().path() == "/order" {
+        let order: Value = req.parse_json().await.expect("a JSON order");
+        return order["id"].as_str().unwrap_or_default().to_owned();
+    }
+    req.header::<String>(ATTEMPT_HEADER).unwrap_or_default()
+}
+
 fn ranges(parts: &[Part]) -> Vec<(u16, u16)> {
     parts.iter().map(|&(_, range)| range).collect()
 }
@@ -501,16 +589,19 @@
     /// Number of runs, by request id.
     run_counts: Arc<Mutex<HashMap<String, u32>>>,
     limit: Arc<Limit>,
+    constraints: Arc<Constraints>,
 }
 
 impl App {
     pub(crate) async fn start(instance: &str) -> App {
         let run_counts: Arc<Mutex<HashMap<String, u32>>> = Arc::default();
         let limit: Arc<Limit> = Arc::default();
+        let constraints: Arc<Constraints> = Arc::default();
         let handler = AppHandler {
             instance: instance.to_owned(),
             run_counts: Arc::clone(&run_counts),
             limit: Arc::clone(&limit),
+            constraints: Arc::clone(&constraints),
         };
         let (address, _) = super::serve(Router::with_path("{**rest}").goal(handler)).await;
         App {
@@ -518,6 +609,7 @@
             address,
             run_counts,
             limit,
+            constraints,
         }
     }
 
@@ -542,6 +634,10 @@
         &self.limit
     }
 
+    pub(crate) fn constraints(&self) -> &Constraints {
+        &self.constraints
+    }
+
     /// Returns how often a request ran.
     pub(crate) fn run_count(&self, request: &str) -> u32 {
         let run_counts = self.run_counts.lock().expect("no panic");
@@ -553,6 +649,7 @@
     instance: String,
     run_counts: Arc<Mutex<HashMap<String, u32>>>,
     limit: Arc<Limit>,
+    constraints: Arc<Constraints>,
 }
 
 #[async_trait]
@@ -572,6 +669,10 @@
             req.headers().get("authorization").is_none(),
             "the key was passed on"
         );
+        if self.constraints.record(req, request.clone(), res) {
+            let _ = res.add_header(ATTEMPT_HEADER, request, true);
+            return;
+        }
         let path = req.uri().path().to_owned();
         if path.ends_with(REFUSE_SUFFIX) {
             let _ = res.add_header("x-kelpworks-not-executed", "1", true);
