--- a/crates/kelpworks-relay/src/adapter.rs
+++ b/crates/kelpworks-relay/src/adapter.rs
@@ -10,12 +10,14 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use http::StatusCode;
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
 
 use crate::config::Configuration;
 use crate::constraints::Announced;
+use crate::engine_calls::Clearance;
 use crate::limits::Announcement;
 
 /// Result of decoding.
@@ -293,22 +295,35 @@
     fn decode_upstream(name: &str, body: &str) -> Result<UpstreamEntry>;
 }
 
+/// An engine's answer to a query or an order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineAnswer<T> {
+    /// What was asked for.
+    pub value: T,
+    /// Status and header fields; `None` when no answer arrived.
+    pub head: Option<(StatusCode, AnswerHead)>,
+}
+
 /// Client of the engines: queries their state and sends them orders.
 pub trait EngineApi: Send + Sync + 'static {
-    /// Queries the state of an engine; `None` when it does not answer or its answer is malformed.
-    fn report(&self, address: SocketAddr) -> impl Future<Output = Option<EngineReport>> + Send;
+    /// Queries the state of an engine; the value is `None` when it does not answer or its answer
+    /// is malformed.
+    fn report(
+        &self,
+        clearance: &Clearance,
+    ) -> impl Future<Output = EngineAnswer<Option<EngineReport>>> + Send;
 
     /// Orders an engine to load a range of layers, if it has begun as many orders as expected.
     fn place(
         &self,
-        address: SocketAddr,
+        clearance: &Clearance,
         order: PlaceOrder<'_>,
-    ) -> impl Future<Output = OrderReply> + Send;
+    ) -> impl Future<Output = EngineAnswer<OrderReply>> + Send;
 
     /// Orders the first engine on a request's path to continue the request on another path.
     fn reroute(
         &self,
-        address: SocketAddr,
+        clearance: &Clearance,
         order: RerouteOrder<'_>,
-    ) -> impl Future<Output = OrderReply> + Send;
+    ) -> impl Future<Output = EngineAnswer<OrderReply>> + Send;
 }
--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -30,6 +30,7 @@
 
 use crate::adapter::Adapter;
 use crate::adapter::EngineApi;
+use crate::engine_calls::EngineCalls;
 use crate::operators;
 use crate::operators::Readiness;
 use crate::peers::Peers;
@@ -234,17 +235,18 @@
                     .await
             })
         };
-        let engine_client = Arc::new(clients.engine_client);
+        let engine_calls = EngineCalls::new(Arc::clone(&shared), clients.engine_client);
+        let engine_calls = Arc::new(engine_calls);
         let placer = Placer::new(
             Arc::clone(&shared),
             lease_handle,
             Arc::clone(&peers),
-            Arc::clone(&engine_client),
+            Arc::clone(&engine_calls),
         );
         tokio::spawn(placer.run(resign.clone()));
         let slowness_polls = slowness::run(
             Arc::clone(&shared),
-            Arc::clone(&engine_client),
+            Arc::clone(&engine_calls),
             shutdown.clone(),
         );
         tokio::spawn(slowness_polls);
@@ -253,7 +255,7 @@
             Server::start(listen.readiness, router, CONNECTION_IDLE_TIMEOUT).await;
         let router = operators::metrics_router(metrics);
         let metrics_server = Server::start(listen.operators, router, CONNECTION_IDLE_TIMEOUT).await;
-        let router = relay::router::<A, E>(&shared, &engine_client);
+        let router = relay::router::<A, E>(&shared, &engine_calls);
         let caller_server = Server::start(listen.callers, router, CONNECTION_IDLE_TIMEOUT).await;
         Ok(Daemon {
             caller_server: caller_server.map_err(listen_error("callers"))?,
--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -26,6 +26,7 @@
 use crate::adapter::incarnation;
 use crate::assignments::LayerAssignment;
 use crate::assignments::LayerAssignments;
+use crate::constraints::RemovedConstraints;
 use address_owners::AddressOwners;
 use restore_overlay::RestoreOverlay;
 
@@ -81,6 +82,7 @@
     registered: Vec<UpstreamEntry>,
     address_owners: AddressOwners,
     restore_overlay: RestoreOverlay,
+    removed_constraints: RemovedConstraints,
     /// Version of the registrations; never decreases.
     version: Version,
 }
@@ -209,7 +211,10 @@
         }
         let instance = Arc::clone(&entry.instance);
         let service = Arc::clone(&entry.service);
-        let key = self.upstreams.insert(Upstream::new(entry, layers));
+        let constraints = self.removed_constraints.take(&instance);
+        let key = self
+            .upstreams
+            .insert(Upstream::new(entry, layers, constraints));
         self.by_instance.insert(Arc::clone(&instance), key);
         self.by_service.entry(service).or_default().push(key);
         changes.added.push(instance);
@@ -223,6 +228,8 @@
         let Some(upstream) = self.upstreams.remove(key) else {
             return;
         };
+        self.removed_constraints
+            .keep(&upstream.entry.instance, upstream.constraints);
         if let Some(keys) = self.by_service.get_mut(&upstream.entry.service) {
             keys.retain(|&k| k != key);
         }
--- a/crates/kelpworks-relay/src/fleet/upstream.rs
+++ b/crates/kelpworks-relay/src/fleet/upstream.rs
@@ -8,7 +8,8 @@
 use crate::adapter::LayerRange;
 use crate::adapter::Lifecycle;
 use crate::adapter::UpstreamEntry;
-use crate::limits::Limiter;
+use crate::constraints::Constraints;
+use crate::constraints::MessageKind;
 
 /// First ejection time after a failure. Less than the heartbeat interval of discovery (about a
 /// second), so that an upstream that recovers is tried again by then.
@@ -107,14 +108,20 @@
     pub latency_ms: Option<f64>,
     /// Moving average of the share of attempts that failed while it was alive, 0 to 1.
     pub failure_rate: f64,
-    /// The request limit that it announced.
-    pub limiter: Limiter,
+    /// What it announced about what may be sent to it.
+    pub constraints: Constraints,
 }
 
 impl Upstream {
-    /// Returns whether it is registered as accepting new work.
+    /// Returns whether it accepts new work by its entry, and has not stated itself that it is
+    /// leaving.
     pub fn is_ready(&self) -> bool {
-        self.entry.lifecycle == Lifecycle::Ready
+        self.entry.lifecycle == Lifecycle::Ready && !self.constraints.is_leaving()
+    }
+
+    /// Returns whether it is ready and its constraints allow a message now.
+    pub fn allows(&self, kind: MessageKind, now: Instant) -> bool {
+        self.is_ready() && self.constraints.allows(kind, now)
     }
 
     /// Returns whether it failed or refused requests so recently that others are preferred.
@@ -182,7 +189,12 @@
     }
 
     /// Creates an upstream that was just registered, without load or health history.
-    pub(super) fn new(entry: UpstreamEntry, layers: Option<LayerRange>) -> Upstream {
+    /// `constraints` are those known from an earlier registration of the same incarnation.
+    pub(super) fn new(
+        entry: UpstreamEntry,
+        layers: Option<LayerRange>,
+        constraints: Constraints,
+    ) -> Upstream {
         Upstream {
             entry,
             layers,
@@ -201,7 +213,7 @@
             stalled_streams: 0,
             latency_ms: None,
             failure_rate: 0.0,
-            limiter: Limiter::default(),
+            constraints,
         }
     }
 
--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod constraints;
 pub mod crashes;
 pub mod daemon;
+pub mod engine_calls;
 pub mod fleet;
 pub mod layout;
 pub mod limits;
--- a/crates/kelpworks-relay/src/path.rs
+++ b/crates/kelpworks-relay/src/path.rs
@@ -10,6 +10,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rand::Rng;
 use rand::RngExt;
@@ -18,6 +19,7 @@
 use crate::adapter::Hop;
 use crate::adapter::LayerRange;
 use crate::config::EngineProfile;
+use crate::constraints::MessageKind;
 use crate::fleet::Fleet;
 use crate::fleet::Upstream;
 use crate::fleet::UpstreamKey;
@@ -89,6 +91,8 @@
     Uncovered(u16),
     /// Engines hold this layer, but their KV cache is reserved for other requests.
     Full(u16),
+    /// Engines hold this layer, but those that could run it requested a backoff.
+    Withheld(u16),
     /// Every engine that holds the first layer gets as many requests as its limit allows.
     Limited,
     /// Every path that was found passes an engine twice or too many engines.
@@ -99,7 +103,7 @@
     /// Returns the layer that can't be run; `None` where no single layer is at fault.
     pub fn layer(self) -> Option<u16> {
         match self {
-            NoPath::Uncovered(layer) | NoPath::Full(layer) => Some(layer),
+            NoPath::Uncovered(layer) | NoPath::Full(layer) | NoPath::Withheld(layer) => Some(layer),
             NoPath::Limited => Some(0),
             NoPath::OnlyInvalidPaths => None,
         }
@@ -110,6 +114,7 @@
         match self {
             NoPath::Uncovered(_) => "a layer is held by no engine",
             NoPath::Full(_) => "the memory of the engines is promised",
+            NoPath::Withheld(_) => "the engines of a layer requested a backoff",
             NoPath::Limited => "the limits of the first engines are used up",
             NoPath::OnlyInvalidPaths => "no path without detours",
         }
@@ -160,9 +165,12 @@
         graph = build_graph(fleet, engines, query, EjectedPolicy::Include, rng);
     }
     if let Some(layer) = graph.uncovered(query.first) {
-        return match holds(fleet, query, EjectedPolicy::Include, layer) {
-            true => Err(NoPath::Full(layer)),
-            false => Err(NoPath::Uncovered(layer)),
+        if holds(fleet, query, EjectedPolicy::Include, layer) {
+            return Err(NoPath::Full(layer));
+        }
+        return match backoff_of_layer(fleet, query, layer) {
+            Some(_) => Err(NoPath::Withheld(layer)),
+            None => Err(NoPath::Uncovered(layer)),
         };
     }
     graph
@@ -181,7 +189,9 @@
 ) -> Graph {
     let mut graph = Graph::new(query.layers);
     for (key, upstream) in fleet.of_service(query.service) {
-        if !ejected.admits(upstream, query.now) || query.avoid.contains(&key) {
+        let is_usable = ejected.admits(upstream, query.now)
+            && upstream.allows(MessageKind::LaterHop, query.now);
+        if !is_usable || query.avoid.contains(&key) {
             continue;
         }
         if let Some(mut candidate) = candidate(key, upstream, engines, query) {
@@ -192,14 +202,30 @@
     graph
 }
 
-/// Returns whether an engine that is ready and not excluded holds a layer, whatever its load.
+/// Returns whether an engine that accepts requests and is not excluded holds a layer, whatever its
+/// load.
 fn holds(fleet: &Fleet, query: &PathQuery<'_>, ejected: EjectedPolicy, layer: u16) -> bool {
     let holds = |u: &Upstream| u.layers.is_some_and(|r| r.contains(layer));
-    let may = |u: &Upstream| u.is_ready() && ejected.admits(u, query.now);
+    let may =
+        |u: &Upstream| u.allows(MessageKind::LaterHop, query.now) && ejected.admits(u, query.now);
     let mut engines = fleet.of_service(query.service);
     engines.any(|(key, u)| may(u) && !query.avoid.contains(&key) && holds(u))
 }
 
+/// Returns the time until the first engine that holds a layer and requested a backoff accepts
+/// requests again; `None` without such an engine.
+pub(crate) fn backoff_of_layer(
+    fleet: &Fleet,
+    query: &PathQuery<'_>,
+    layer: u16,
+) -> Option<Duration> {
+    let holds = |u: &Upstream| u.layers.is_some_and(|r| r.contains(layer));
+    let engines = fleet.of_service(query.service);
+    let usable = engines.filter(|(key, u)| u.is_ready() && !query.avoid.contains(key) && holds(u));
+    let waits = usable.map(|(_, u)| u.constraints.backoff(query.now));
+    waits.filter(|wait| !wait.is_zero()).min()
+}
+
 /// Returns an engine as a candidate; `None` if it can't be used or lacks capacity.
 fn candidate(
     key: UpstreamKey,
@@ -222,7 +248,7 @@
         key,
         range: cost.layers,
         domain: 0,
-        may_begin: !query.begins() || upstream.limiter.admits(query.now),
+        may_begin: !query.begins() || upstream.allows(MessageKind::Request, query.now),
         layer_ms: cost.layer_ms(load, query.tokens)
             * memory_cost_factor(load.reserved / cost.capacity),
         entry_ms: penalty_ms + upstream.failure_rate * FAILURE_PENALTY_MS,
--- a/crates/kelpworks-relay/src/peers/limits.rs
+++ b/crates/kelpworks-relay/src/peers/limits.rs
@@ -20,7 +20,7 @@
 use super::roles::LEARNING_PERIOD;
 use crate::fleet::Upstream;
 use crate::limits::Rate;
-use crate::shared::log_limit_change;
+use crate::shared::announcements::log_limit_change;
 
 /// Time for which the end of a limit is reported to peers.
 const END_REPORT_TTL: Duration = Duration::from_secs(8);
@@ -36,7 +36,8 @@
             let mut fleet = self.shared.fleet();
             let key = fleet.key_of(&limit.instance);
             let upstream = key.and_then(|k| fleet.get_mut(k));
-            let change = upstream.and_then(|u| u.limiter.on_report(limit.per_second, at, now));
+            let change =
+                upstream.and_then(|u| u.constraints.limiter.on_report(limit.per_second, at, now));
             drop(fleet);
             if let Some(change) = change {
                 log_limit_change(&limit.instance, change, "peer", age);
@@ -53,7 +54,7 @@
         let mut fleet = self.shared.fleet();
         let mut limited = 0;
         for upstream in fleet.iter_mut() {
-            let Some(rate) = upstream.limiter.rate() else {
+            let Some(rate) = upstream.constraints.limiter.rate() else {
                 continue;
             };
             limited += 1;
@@ -61,7 +62,7 @@
                 true => 0.0,
                 false => self.share_of(upstream, rate, &members),
             };
-            upstream.limiter.set_share(share, now);
+            upstream.constraints.limiter.set_share(share, now);
         }
         metrics::gauge!("kelpworks_limited_upstreams").set(limited);
     }
@@ -91,7 +92,7 @@
 
 /// Latest announcement of an upstream while it is reported to peers.
 pub(super) fn limit_of(upstream: &Upstream, now: Instant) -> Option<LimitOf> {
-    let (per_second, at) = upstream.limiter.latest_announcement()?;
+    let (per_second, at) = upstream.constraints.limiter.latest_announcement()?;
     let is_reported = per_second.is_some() || now.duration_since(at) < END_REPORT_TTL;
     is_reported.then(|| LimitOf {
         instance: Arc::clone(&upstream.entry.instance),
--- a/crates/kelpworks-relay/src/peers/limits_tests.rs
+++ b/crates/kelpworks-relay/src/peers/limits_tests.rs
@@ -17,6 +17,7 @@
 use crate::limits::BURST;
 use crate::limits::RATE_WINDOW;
 use crate::limits::Rate;
+use crate::permit::Permit;
 
 /// Interval between two requests to each daemon.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
@@ -57,9 +58,11 @@
                     continue;
                 }
                 let shared = &self.fleet.all[number].shared;
-                let Some(_admitted) = shared.admit(self.key) else {
+                let Some(admission) = shared.admit(vec![self.key]) else {
                     continue;
                 };
+                let sent = Permit::new(admission, None).spend();
+                assert!(sent.is_some(), "only a rate limit is announced");
                 self.arrivals.push(now);
                 shared.on_limit_announcement(self.key, limit, now);
             }
@@ -169,7 +172,7 @@
         let fleet = me.shared.fleet();
         fleet
             .get(limited_fleet.key)
-            .is_some_and(|u| u.limiter.rate().is_some())
+            .is_some_and(|u| u.constraints.limiter.rate().is_some())
     };
     assert_eq!(limited_fleet.fleet.count(knows), size);
     limited_fleet
@@ -178,7 +181,9 @@
     let key = limited_fleet.key;
     let is_free = |me: &Peers| {
         let fleet = me.shared.fleet();
-        fleet.get(key).is_some_and(|u| u.limiter.rate().is_none())
+        fleet
+            .get(key)
+            .is_some_and(|u| u.constraints.limiter.rate().is_none())
     };
     assert_eq!(limited_fleet.fleet.count(is_free), size);
 }
--- a/crates/kelpworks-relay/src/permit/tests.rs
+++ b/crates/kelpworks-relay/src/permit/tests.rs
@@ -59,10 +59,15 @@
     shared.on_limit_announcement(key, Announcement::Limited(rate), now);
     let mut fleet = shared.fleet();
     let upstream = fleet.get_mut(key).expect("registered");
-    upstream.limiter.set_share(1.0, now);
+    upstream.constraints.limiter.set_share(1.0, now);
     key
 }
 
+fn permit(shared: &Shared, key: UpstreamKey) -> Option<Permit> {
+    let admission = shared.admit(vec![key])?;
+    Some(Permit::new(admission, None))
+}
+
 #[rstest]
 #[case(Outcome::Dropped, true)]
 #[case(Outcome::Undone, true)]
@@ -74,16 +79,87 @@
     #[case] admits_another: bool,
 ) {
     let (shared, key) = limited_engine().await;
-    let admission = shared.admit(key).expect("the first request");
-    assert!(shared.admit(key).is_none(), "one request a second");
+    let admission = shared.admit(vec![key]).expect("the first request");
+    assert!(shared.admit(vec![key]).is_none(), "one request a second");
     match outcome {
-        Outcome::Dropped => drop(Permit::first().with_admission(admission)),
+        Outcome::Dropped => drop(Permit::new(admission, None)),
         Outcome::Undone => {
-            let spent = Permit::first().with_admission(admission).spend();
+            let spent = Permit::new(admission, None).spend().expect("valid");
             drop(spent.undo());
         }
-        Outcome::Refunded => admission.refund(),
-        Outcome::Sent => drop(Permit::first().with_admission(admission).spend()),
+        Outcome::Refunded => drop(admission),
+        Outcome::Sent => drop(Permit::new(admission, None).spend()),
     }
-    assert_eq!(shared.admit(key).is_some(), admits_another, "{outcome:?}");
+    assert_eq!(
+        shared.admit(vec![key]).is_some(),
+        admits_another,
+        "{outcome:?}"
+    );
+}
+
+/// What an upstream announces while a connection for a request is opened.
+#[derive(Clone, Copy, Debug)]
+enum News {
+    Backoff,
+    Leaving,
+}
+
+/// Guards against requests that are written although their upstream has asked for none since they
+/// were admitted: a connection takes up to a quarter of a second to open.
+#[rstest]
+#[case::first_engine_backs_off(News::Backoff, 0)]
+#[case::first_engine_leaves(News::Leaving, 0)]
+#[case::later_engine_backs_off(News::Backoff, 1)]
+#[case::later_engine_leaves(News::Leaving, 1)]
+#[tokio::test(start_paused = true)]
+async fn admitted_request_is_not_written_after_an_announcement(
+    #[case] news: News,
+    #[case] position: usize,
+) {
+    let shared = Shared::new("a", RETRY_LIMIT, 1);
+    let now = Instant::now();
+    let entries = ["e-1", "e-2"].map(|name| {
+        let mut entry = test_engine();
+        entry.instance = Arc::from(name);
+        entry.id = Arc::from(name);
+        entry
+            .address
+            .set_port(if name == "e-1" { 8_001 } else { 8_002 });
+        entry
+    });
+    shared
+        .fleet()
+        .replace(entries.to_vec(), Version::initial(1), now);
+    let path: Vec<UpstreamKey> = shared.fleet().iter().map(|(key, _)| key).collect();
+    let admission = shared.admit(path.clone()).expect("no constraints");
+    let mut fleet = shared.fleet();
+    let upstream = fleet.get_mut(path[position]).expect("registered");
+    match news {
+        News::Backoff => upstream
+            .constraints
+            .request_backoff(Duration::from_secs(3), now),
+        News::Leaving => upstream.constraints.announce_leaving(now),
+    };
+    drop(fleet);
+    assert!(Permit::new(admission, None).spend().is_none());
+    assert!(shared.admit(path).is_none(), "nor is another admitted");
+}
+
+fn request_backoff(shared: &Shared, key: UpstreamKey, backoff: Duration) {
+    let mut fleet = shared.fleet();
+    let upstream = fleet.get_mut(key).expect("registered");
+    let now = Instant::now();
+    upstream.constraints.request_backoff(backoff, now);
+}
+
+/// Guards against a permit that an announcement invalidates and that uses up the rate limit.
+#[tokio::test(start_paused = true)]
+async fn invalid_permit_is_refunded() {
+    let (shared, key) = limited_engine().await;
+    let unsent = permit(&shared, key).expect("the first request");
+    let backoff = Duration::from_millis(10);
+    request_backoff(&shared, key, backoff);
+    assert!(unsent.spend().is_none());
+    advance(backoff).await;
+    assert!(permit(&shared, key).is_some());
 }
--- a/crates/kelpworks-relay/src/placer.rs
+++ b/crates/kelpworks-relay/src/placer.rs
@@ -13,7 +13,6 @@
 mod orders;
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,11 +26,13 @@
 use crate::adapter::EngineApi;
 use crate::adapter::EngineReport;
 use crate::adapter::LayerRange;
-use crate::adapter::Lifecycle;
 use crate::assignments::LayerAssignment;
 use crate::assignments::LayerAssignments;
 use crate::config::EngineProfile;
+use crate::constraints::MessageKind;
+use crate::engine_calls::EngineCalls;
 use crate::fleet::Upstream;
+use crate::fleet::UpstreamKey;
 use crate::layout;
 use crate::layout::EngineState;
 use crate::layout::Placement;
@@ -84,7 +85,7 @@
 /// An engine that has been ordered to load layers and has not confirmed them yet.
 struct LoadingEngine {
     instance: Arc<str>,
-    address: SocketAddr,
+    key: UpstreamKey,
     assignment: LayerAssignment,
 }
 
@@ -94,7 +95,7 @@
     shared: Arc<Shared>,
     lease_handle: Arc<LeaseHandle>,
     peers: Arc<Peers>,
-    engine_client: Arc<E>,
+    engine_calls: Arc<EngineCalls<E>>,
     /// Basis of this daemon's leadership as last logged; `None` while it does not lead.
     authority: Option<Authority>,
     /// Earliest time of the next query to each loading engine.
@@ -114,13 +115,13 @@
         shared: Arc<Shared>,
         lease_handle: Arc<LeaseHandle>,
         peers: Arc<Peers>,
-        engine_client: Arc<E>,
+        engine_calls: Arc<EngineCalls<E>>,
     ) -> Placer<E> {
         Placer {
             shared,
             lease_handle,
             peers,
-            engine_client,
+            engine_calls,
             authority: None,
             next_load_poll: HashMap::new(),
             begun_orders: HashMap::new(),
@@ -204,7 +205,7 @@
             self.next_load_poll
                 .insert(Arc::clone(&loading.instance), next);
         }
-        let reports = due.iter().map(|l| self.engine_client.report(l.address));
+        let reports = due.iter().map(|l| self.engine_calls.report(l.key));
         let reports = join_all(reports).await;
         for (loading, report) in due.iter().zip(reports) {
             let Some(report) = report.filter(|r| !r.busy) else {
@@ -223,16 +224,18 @@
         let due = reports
             .into_iter()
             .filter_map(|(instance, assignment, age)| {
-                let entry = &fleet.get(fleet.key_of(&instance)?)?.entry;
-                let service = table.service(&entry.service)?;
+                let key = fleet.key_of(&instance)?;
+                let upstream = fleet.get(key)?;
+                let service = table.service(&upstream.entry.service)?;
                 let load_time = loading_time(service.engine_profile.as_deref()?, assignment.layers);
                 let is_polled_recently = self
                     .next_load_poll
                     .get(&instance)
                     .is_some_and(|&at| now < at);
+                let is_allowed = upstream.constraints.allows(MessageKind::Query, now);
                 let is_due = !assignment.loaded && age >= load_time && !is_polled_recently;
-                is_due.then_some(LoadingEngine {
-                    address: entry.address,
+                (is_due && is_allowed).then_some(LoadingEngine {
+                    key,
                     instance,
                     assignment,
                 })
@@ -311,7 +314,7 @@
         let fleet = shared.fleet();
         let can_take_orders = |u: &&Upstream| {
             let is_unavailable = u.is_presumed_lost(now) || is_leaving_unannounced(u, profile);
-            u.entry.lifecycle == Lifecycle::Ready && !is_unavailable
+            u.is_ready() && !is_unavailable
         };
         let upstreams: Vec<&Upstream> = fleet
             .of_service(service)
@@ -328,10 +331,14 @@
             return Vec::new();
         }
         let mut orders = layout::plan(profile, &engine_states);
+        let is_allowed = |instance: &str| {
+            let upstream = fleet.key_of(instance).and_then(|key| fleet.get(key));
+            upstream.is_some_and(|u| u.constraints.allows(MessageKind::LayerOrder, now))
+        };
+        // An engine keeps its place in the plan during a backoff, and gets its order afterwards.
         orders.retain(|o| {
-            self.backoff_until
-                .get(&o.instance)
-                .is_none_or(|&at| at <= now)
+            let backoff_until = self.backoff_until.get(&o.instance);
+            backoff_until.is_none_or(|&at| at <= now) && is_allowed(&o.instance)
         });
         orders
     }
@@ -349,7 +356,7 @@
         kind: entry.kind.clone()?,
         layers: loading.map(|h| h.layers).or(loaded),
         running: upstream.load().running,
-        limited: upstream.limiter.rate().is_some(),
+        limited: upstream.constraints.limiter.rate().is_some(),
     })
 }
 
--- a/crates/kelpworks-relay/src/placer/orders.rs
+++ b/crates/kelpworks-relay/src/placer/orders.rs
@@ -1,7 +1,6 @@
 //! Orders to engines: sent to several at the same time, each with the number of orders that its engine
 //! must have begun.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +16,7 @@
 use crate::adapter::OrderReply;
 use crate::adapter::PlaceOrder;
 use crate::assignments::LayerAssignment;
+use crate::fleet::UpstreamKey;
 use crate::layout::Placement;
 
 /// Delay before another order to an engine that did not accept one.
@@ -30,7 +30,7 @@
 struct Order<'p> {
     placement: &'p Placement,
     id: Arc<str>,
-    address: SocketAddr,
+    key: UpstreamKey,
     /// Number of orders that the engine has begun; `None` if it has to be queried first.
     begun: Option<u64>,
 }
@@ -70,13 +70,14 @@
     fn order<'p>(&self, placement: &'p Placement) -> Option<Order<'p>> {
         let instance = &placement.instance;
         let fleet = self.shared.fleet();
-        let upstream = fleet.get(fleet.key_of(instance)?)?;
+        let key = fleet.key_of(instance)?;
+        let upstream = fleet.get(key)?;
         let reported_orders = fleet.assignments().orders(instance);
         let begun = self.begun_orders.get(instance).copied();
         Some(Order {
             placement,
             id: Arc::clone(&upstream.entry.id),
-            address: upstream.entry.address,
+            key,
             begun: begun.unwrap_or(reported_orders),
         })
     }
@@ -90,7 +91,7 @@
             reply: None,
         };
         if outcome.is_queried {
-            outcome.report = self.engine_client.report(order.address).await;
+            outcome.report = self.engine_calls.report(order.key).await;
             log_query(&order.placement.instance, outcome.report.as_ref());
             outcome.expected = self.expected_orders(order, outcome.report.as_ref());
         }
@@ -111,7 +112,7 @@
             expected,
             fencing_token: token.0,
         };
-        outcome.reply = Some(self.engine_client.place(order.address, request).await);
+        outcome.reply = Some(self.engine_calls.place(order.key, request).await);
         outcome
     }
 
--- a/crates/kelpworks-relay/src/pool.rs
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -66,6 +66,9 @@
     /// No connection could be opened, or the request was not written: nothing was sent.
     #[error("not sent")]
     NotSent,
+    /// Nothing was sent, since an upstream of the request announced meanwhile that it accepts none.
+    #[error("withheld")]
+    Withheld,
     /// The connection failed after the request or a part of it was sent.
     #[error("connection lost")]
     Lost,
@@ -116,8 +119,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::NotSent`] when nothing was sent; [`Error::Lost`] when the upstream may have read
-    /// the request.
+    /// [`Error::NotSent`] and [`Error::Withheld`] when nothing was sent; [`Error::Lost`] when the
+    /// upstream may have read the request.
     pub async fn send(
         &self,
         upstream: UpstreamKey,
@@ -131,6 +134,7 @@
             match exchange(connection, unsent).await {
                 Ok(exchange) => return Ok(exchange),
                 Err(ExchangeError::Lost) => return Err(Error::Lost),
+                Err(ExchangeError::Withheld) => return Err(Error::Withheld),
                 // The upstream had closed the idle connection; nothing was written.
                 Err(ExchangeError::Unsent(returned)) => unsent = *returned,
             }
@@ -139,6 +143,7 @@
         match exchange(connection, unsent).await {
             Ok(exchange) => Ok(exchange),
             Err(ExchangeError::Lost) => Err(Error::Lost),
+            Err(ExchangeError::Withheld) => Err(Error::Withheld),
             Err(ExchangeError::Unsent(_)) => Err(Error::NotSent),
         }
     }
@@ -241,6 +246,8 @@
 enum ExchangeError {
     /// Nothing was written.
     Unsent(Box<Unsent>),
+    /// Nothing was written, since the permit was no longer valid.
+    Withheld,
     /// The request may have been read.
     Lost,
 }
@@ -250,7 +257,9 @@
     unsent: Unsent,
 ) -> std::result::Result<Exchange, ExchangeError> {
     let Unsent { req, permit } = unsent;
-    let spent_permit = permit.spend();
+    let Some(spent_permit) = permit.spend() else {
+        return Err(ExchangeError::Withheld);
+    };
     match connection.sender.try_send_request(req).await {
         Ok(response) => {
             connection.is_closing = is_closing(response.headers());
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -23,6 +23,8 @@
 use crate::adapter::Adapter;
 use crate::adapter::AnswerHead;
 use crate::adapter::ForwardedHead;
+use crate::constraints::Announced;
+use crate::constraints::MessageKind;
 use crate::fleet::Fleet;
 use crate::fleet::UpstreamKey;
 use crate::limits::Announcement;
@@ -31,6 +33,9 @@
 use crate::pool::Exchange;
 use crate::pool::Reuse;
 use crate::shared::Shared;
+use crate::shared::announcements::Announcements;
+use crate::shared::announcements::AnsweredMessage;
+use crate::shared::announcements::requested_backoff;
 
 /// Largest response body that is accepted; typical ones have a few kilobytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -56,10 +61,13 @@
 /// Minimum time between two tries: another request may take the admission this one waited for.
 const MIN_LIMIT_WAIT: Duration = Duration::from_millis(5);
 
-/// Refusal reason when no upstream's limit admits the request in time.
+/// Refusal reason when no upstream accepts the request in time.
 const LIMITED: &str = "the limits of the upstreams are used up";
 /// Failure reason of an attempt that was not written to a connection.
 pub(super) const NOT_SENT: &str = "not sent";
+/// Failure reason of an attempt whose upstream announced, before it was written, that it accepts
+/// none.
+pub(super) const WITHHELD: &str = "withheld";
 
 /// Result of one attempt.
 enum Attempt {
@@ -139,7 +147,7 @@
                 error_response,
             } => {
                 log_attempt(shared, inbound, upstream, v, attempt_reason);
-                may_have_reached |= attempt_reason != NOT_SENT;
+                may_have_reached |= attempt_reason != NOT_SENT && attempt_reason != WITHHELD;
                 verdict = verdict.max(v);
                 reason = attempt_reason;
                 last_error_response = error_response.or(last_error_response);
@@ -193,8 +201,8 @@
 enum NextAttempt {
     /// Send the request to this upstream.
     Send(UpstreamKey, Permit),
-    /// The limits of all untried upstreams are used up. Holds the time until one admits the next
-    /// request; `None` if this daemon has no share of any limit.
+    /// The limits of all untried upstreams are used up, or they requested a backoff. Holds the time
+    /// until one accepts the next request; `None` if this daemon has no share of any limit.
     Limited(Option<Duration>),
     /// Make no further attempt.
     Abandon,
@@ -222,19 +230,16 @@
     }
     let service = &inbound.service.name;
     let chosen = choose(&shared.fleet(), service, tried);
-    let Some((chosen, admission)) = chosen.and_then(|key| Some((key, shared.admit(key)?))) else {
+    let admitted = chosen.and_then(|key| Some((key, shared.admit(vec![key])?)));
+    let Some((chosen, admission)) = admitted else {
         return NextAttempt::without_candidate(&shared.fleet(), service, tried);
     };
-    let permit = match may_have_reached {
-        true => shared.permit_retry(service, Instant::now()),
-        false => Some(Permit::first()),
-    };
-    match permit {
-        Some(permit) => NextAttempt::Send(chosen, permit.with_admission(admission)),
-        None => {
-            admission.refund();
-            NextAttempt::Abandon
-        }
+    if !may_have_reached {
+        return NextAttempt::Send(chosen, Permit::new(admission, None));
+    }
+    match shared.acquire_retry(service, Instant::now()) {
+        Some(retry) => NextAttempt::Send(chosen, Permit::new(admission, Some(retry))),
+        None => NextAttempt::Abandon,
     }
 }
 
@@ -246,7 +251,8 @@
         if untried.peek().is_none() {
             return NextAttempt::Abandon;
         }
-        let wait = untried.filter_map(|(_, u)| u.limiter.wait(now)).min();
+        let waits = untried.filter_map(|(_, u)| u.constraints.wait(MessageKind::Request, now));
+        let wait = waits.min();
         NextAttempt::Limited(wait.map(|w| w.max(MIN_LIMIT_WAIT)))
     }
 }
@@ -257,7 +263,7 @@
     let now = Instant::now();
     let ready = fleet.of_service(service).filter(|(key, u)| {
         let untried = !tried.contains(key);
-        u.is_ready() && untried && u.limiter.admits(now)
+        untried && u.allows(MessageKind::Request, now)
     });
     let cost = |key: UpstreamKey| {
         let Some(u) = fleet.get(key) else {
@@ -332,6 +338,9 @@
             error_response: Some(_),
             ..
         } => fleet.record_outcome(upstream, true),
+        Attempt::Failed {
+            reason: WITHHELD, ..
+        } => {}
         Attempt::Failed { .. } => fleet.eject(upstream, Instant::now()),
     }
     result
@@ -370,12 +379,17 @@
     } = match exchange {
         Ok(exchange) => exchange,
         Err(pool::Error::NotSent) => return failed_attempt(Verdict::NotRun, NOT_SENT),
+        Err(pool::Error::Withheld) => return failed_attempt(Verdict::NotRun, WITHHELD),
         Err(pool::Error::Lost) => return failed_attempt(Verdict::MayHaveRun, "connection lost"),
     };
     let head = D::decode_answer_head(response.headers());
-    shared.log_constraints(target.upstream, response.status(), &head);
-    if let Some(announced) = announcement(inbound, &response, &head, target.address) {
-        shared.on_limit_announcement(target.upstream, announced, target.sent);
+    if let Some(announced) = announcements(inbound, &response, &head, target.address) {
+        let message = AnsweredMessage {
+            source: "answer",
+            request: &inbound.id,
+            sent_at: target.sent,
+        };
+        shared.apply_announcements(target.upstream, announced, message);
     }
     if let Some((verdict, reason)) = detect_fault(inbound, &response, &head) {
         if let Some(id) = address_owner_id(&response, &head) {
@@ -413,14 +427,18 @@
     head.id.as_deref().filter(|_| is_misdirected)
 }
 
-/// Returns what a response announces about the request limit of the upstream at `address`; `None`
-/// if it may come from another upstream.
-pub(super) fn announcement(
+/// Returns what a response announces about the upstream at `address`; `None` if it may come from
+/// another upstream.
+///
+/// A response may pass on a refusal by a later engine of the path. A limit in it is still the first
+/// engine's, and a backoff applies to the engine that answered as well as to the one that refused,
+/// but it does not show which of them is leaving.
+pub(super) fn announcements(
     inbound: &InboundRequest,
     response: &Response<Incoming>,
     head: &AnswerHead,
     address: SocketAddr,
-) -> Option<Announcement> {
+) -> Option<Announcements> {
     let is_foreign = head
         .request_id
         .as_deref()
@@ -430,7 +448,15 @@
     }
     let is_own_head = (head.signed || head.not_run) && head.at_fault.is_none_or(|at| at == address);
     // Only the upstream itself states a limit; a head without a limit may come from another one.
-    (is_own_head || head.limit != Announcement::Unlimited).then_some(head.limit)
+    let has_limit = is_own_head || head.limit != Announcement::Unlimited;
+    Some(Announcements {
+        limit: has_limit.then_some(head.limit),
+        backoff: requested_backoff(response.status(), head),
+        leaving: match is_own_head {
+            true => head.leaving,
+            false => Announced::Absent,
+        },
+    })
 }
 
 /// Returns why a response can't be passed on, and whether the request may have run; `None` for a
--- a/crates/kelpworks-relay/src/relay/mod.rs
+++ b/crates/kelpworks-relay/src/relay/mod.rs
@@ -35,6 +35,7 @@
 use crate::config::RouteKind;
 use crate::config::Service;
 use crate::crashes::Fingerprint;
+use crate::engine_calls::EngineCalls;
 use crate::pool::Body;
 use crate::shared::Shared;
 use reply::Reply;
@@ -84,18 +85,18 @@
 #[derive(Debug)]
 pub(crate) struct Relay<D, E> {
     shared: Arc<Shared>,
-    engine_api: Arc<E>,
+    engine_calls: Arc<EngineCalls<E>>,
     adapter: PhantomData<D>,
 }
 
 /// Returns the router of the callers' address, which passes every path to [`Relay`].
 pub(crate) fn router<D: Adapter, E: EngineApi>(
     shared: &Arc<Shared>,
-    engine_api: &Arc<E>,
+    engine_calls: &Arc<EngineCalls<E>>,
 ) -> Router {
     let relay: Relay<D, E> = Relay {
         shared: Arc::clone(shared),
-        engine_api: Arc::clone(engine_api),
+        engine_calls: Arc::clone(engine_calls),
         adapter: PhantomData,
     };
     Router::with_path("{**rest}").goal(relay)
@@ -136,8 +137,8 @@
         }
         match inbound.route.kind {
             RouteKind::Stream { .. } => {
-                let engine_api = Arc::clone(&self.engine_api);
-                stream::serve::<D, E>(shared, engine_api, inbound, in_flight_guard).await
+                let engine_calls = Arc::clone(&self.engine_calls);
+                stream::serve::<D, E>(shared, engine_calls, inbound, in_flight_guard).await
             }
             _ => call::serve::<D>(&shared, &inbound).await,
         }
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -37,9 +37,11 @@
 use crate::adapter::LayerRange;
 use crate::config::EngineProfile;
 use crate::config::RouteKind;
+use crate::engine_calls::EngineCalls;
 use crate::fleet::UpstreamKey;
-use crate::permit::AdmissionGuard;
+use crate::permit::Admission;
 use crate::permit::Permit;
+use crate::permit::Retry;
 use crate::pool::Connection;
 use crate::shared::Shared;
 use crate::sync::lock;
@@ -124,7 +126,7 @@
 struct StreamRelay<D, E> {
     shared: Arc<Shared>,
     /// Sends the orders that change the path of a running request.
-    engine_api: Arc<E>,
+    engine_calls: Arc<EngineCalls<E>>,
     inbound: InboundRequest,
     profile: Option<Arc<EngineProfile>>,
     /// First engines of the attempts that may have run, without engines known to have ended.
@@ -132,8 +134,8 @@
     attempts: u32,
     /// Whether an attempt may have reached an engine, so that any further one is a retry.
     may_have_reached: bool,
-    /// Permit that `may_retry` has acquired for the next attempt.
-    permit: Mutex<Option<Permit>>,
+    /// Retry that `may_retry` has acquired for the next attempt.
+    retry: Mutex<Option<Retry>>,
     /// Failed attempts in a row that had not run.
     refusals: u32,
     /// Id of the last event sent to the caller, or named by it when it resumed the stream.
@@ -152,7 +154,7 @@
 /// Forwards a streamed request; returns once the first events have arrived.
 pub(super) async fn serve<D: Adapter, E: EngineApi>(
     shared: Arc<Shared>,
-    engine_api: Arc<E>,
+    engine_calls: Arc<EngineCalls<E>>,
     inbound: InboundRequest,
     in_flight_guard: InFlightGuard,
 ) -> Reply {
@@ -160,12 +162,12 @@
         profile: inbound.service.engine_profile.clone(),
         last_event: inbound.head.last_event,
         shared,
-        engine_api,
+        engine_calls,
         inbound,
         ran_at: Vec::new(),
         attempts: 0,
         may_have_reached: false,
-        permit: Mutex::default(),
+        retry: Mutex::default(),
         refusals: 0,
         weight_version: None,
         active: None,
@@ -286,7 +288,7 @@
     }
 
     /// Returns whether the route, the time left, the crash counts and the retry budget allow
-    /// another attempt; acquires its permit where it is a retry.
+    /// another attempt; acquires a retry where it needs one.
     fn may_retry(&self, verdict: Verdict) -> bool {
         let kind = self.inbound.route.kind;
         let resumable = matches!(kind, RouteKind::Stream { resumable: true });
@@ -303,25 +305,21 @@
         {
             return false;
         }
-        let mut permit = lock(&self.permit);
-        if self.may_have_reached && permit.is_none() {
-            *permit = self.shared.permit_retry(&self.inbound.service.name, now);
+        let mut retry = lock(&self.retry);
+        if self.may_have_reached && retry.is_none() {
+            *retry = self.shared.acquire_retry(&self.inbound.service.name, now);
         }
-        !self.may_have_reached || permit.is_some()
+        !self.may_have_reached || retry.is_some()
     }
 
     /// Returns the permit for an attempt that starts now at an engine that admits it.
-    fn permit(&mut self, admission: AdmissionGuard) -> Result<Permit, Failure> {
-        let permit = match self.may_have_reached {
-            false => Some(Permit::first()),
-            true => lock(&self.permit).take(),
-        };
-        match permit {
-            Some(permit) => Ok(permit.with_admission(admission)),
-            None => {
-                admission.refund();
-                Err(Failure::no_path("no repeat left"))
-            }
+    fn permit(&mut self, admission: Admission) -> Result<Permit, Failure> {
+        if !self.may_have_reached {
+            return Ok(Permit::new(admission, None));
+        }
+        match lock(&self.retry).take() {
+            Some(retry) => Ok(Permit::new(admission, Some(retry))),
+            None => Err(Failure::no_path("no repeat left")),
         }
     }
 
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -23,21 +23,25 @@
 use crate::adapter::EngineApi;
 use crate::adapter::ForwardedHead;
 use crate::adapter::LayerRange;
+use crate::constraints::MessageKind;
 use crate::fleet::Fleet;
 use crate::fleet::Upstream;
 use crate::fleet::UpstreamKey;
 use crate::path;
 use crate::path::NoPath;
 use crate::path::Path;
-use crate::permit::AdmissionGuard;
+use crate::permit::Admission;
 use crate::pool;
 use crate::pool::Exchange;
 use crate::pool::Reuse;
 use crate::relay::call::NOT_SENT;
+use crate::relay::call::WITHHELD;
 use crate::relay::call::address_owner_id;
-use crate::relay::call::announcement;
+use crate::relay::call::announcements;
 use crate::relay::call::detect_fault;
 use crate::shared::Shared;
+use crate::shared::announcements::Announcements;
+use crate::shared::announcements::AnsweredMessage;
 
 /// Fraction of a route's latency target for which a request waits for capacity.
 const CAPACITY_WAIT_FRACTION: f64 = 0.12;
@@ -166,7 +170,7 @@
 
     /// Chooses a path; if there is none, polls for one for a fraction of the latency target.
     /// Requests end all the time, and one that starts within its latency target is served in full.
-    async fn choose_or_wait(&self) -> Result<(Path, AdmissionGuard), &'static str> {
+    async fn choose_or_wait(&self) -> Result<(Path, Admission), &'static str> {
         let is_covered = |_: &Shared| !matches!(self.choose(), Err(NoPath::Uncovered(_)));
         self.shared
             .wait_while_starting(self.inbound.arrived, is_covered)
@@ -198,17 +202,29 @@
         let fleet = self.shared.fleet();
         let mut engines = fleet.of_service(&self.inbound.service.name);
         let left = until.duration_since(now);
-        let admits = |u: &Upstream| u.limiter.wait(now).is_some_and(|wait| wait <= left);
-        let holds_first = |u: &Upstream| u.layers.is_some_and(|r| r.contains(0));
-        reason == NoPath::Limited && !engines.any(|(_, u)| holds_first(u) && admits(u))
+        let accepts = |u: &Upstream, kind: MessageKind| {
+            u.is_ready()
+                && u.constraints
+                    .wait(kind, now)
+                    .is_some_and(|wait| wait <= left)
+        };
+        let holds = |u: &Upstream, layer: u16| u.layers.is_some_and(|r| r.contains(layer));
+        match reason {
+            NoPath::Limited => {
+                !engines.any(|(_, u)| holds(u, 0) && accepts(u, MessageKind::Request))
+            }
+            NoPath::Withheld(layer) => {
+                !engines.any(|(_, u)| holds(u, layer) && accepts(u, MessageKind::LaterHop))
+            }
+            _ => false,
+        }
     }
 
-    /// Chooses a path and has its first engine admit the request.
-    fn choose_and_admit(&self) -> Result<(Path, AdmissionGuard), NoPath> {
+    /// Chooses a path and has its engines admit the request.
+    fn choose_and_admit(&self) -> Result<(Path, Admission), NoPath> {
         let path = self.choose()?;
-        let (first, _) = path.parts[0];
-        let admission = self.shared.admit(first).ok_or(NoPath::Limited)?;
-        Ok((path, admission))
+        let admission = self.shared.admit(path.keys().collect());
+        Ok((path, admission.ok_or(NoPath::Limited)?))
     }
 
     /// Sends the request along a new path and waits for the head of the response.
@@ -238,7 +254,8 @@
             .pool
             .send(first, path.address, req, Reuse::Any, permit);
         let answer = self.wait_for_head(sending, &path, sent).await;
-        if matches!(&answer, Err(f) if f.reason == NOT_SENT) {
+        let is_unsent = |f: &Failure| f.reason == NOT_SENT || f.reason == WITHHELD;
+        if answer.as_ref().is_err_and(is_unsent) {
             self.may_have_reached = had_possibly_reached;
         }
         match &answer {
@@ -286,12 +303,7 @@
         let exchange = self.wait_for_first(sending, &path.parts, sent).await?;
         let exchange = exchange.map_err(|e| self.record_send_error(first, e))?;
         let head = D::decode_answer_head(exchange.response.headers());
-        let status = exchange.response.status();
-        self.shared.log_constraints(first, status, &head);
-        let announced = announcement(&self.inbound, &exchange.response, &head, path.address);
-        if let Some(announced) = announced {
-            self.shared.on_limit_announcement(first, announced, sent);
-        }
+        self.apply_announcements(path, &exchange.response, &head, sent);
         self.check_head(first, path, &exchange.response, &head)?;
         let mut fleet = self.shared.fleet();
         for key in path.keys() {
@@ -301,6 +313,34 @@
         Ok((exchange, head))
     }
 
+    /// Applies what the head of a response announces about the first engine of the path and, if the
+    /// response passes on a refusal by another engine, about that one.
+    fn apply_announcements(
+        &self,
+        path: &Path,
+        response: &Response<Incoming>,
+        head: &AnswerHead,
+        sent_at: Instant,
+    ) {
+        let announced = announcements(&self.inbound, response, head, path.address);
+        let (Some(announced), Some(first)) = (announced, path.keys().next()) else {
+            return;
+        };
+        let message = AnsweredMessage {
+            source: "answer",
+            request: &self.inbound.id,
+            sent_at,
+        };
+        self.shared.apply_announcements(first, announced, message);
+        if let Some(key) = engine_at_fault(path, head).filter(|&key| key != first) {
+            let announced = Announcements {
+                backoff: announced.backoff,
+                ..Announcements::default()
+            };
+            self.shared.apply_announcements(key, announced, message);
+        }
+    }
+
     fn record_send_error(&self, first: UpstreamKey, error: pool::Error) -> Failure {
         let mut fleet = self.shared.fleet();
         match error {
@@ -308,6 +348,7 @@
                 fleet.eject_unreachable(first, Instant::now());
                 Failure::new(Verdict::NotRun, NOT_SENT)
             }
+            pool::Error::Withheld => Failure::new(Verdict::NotRun, WITHHELD),
             pool::Error::Lost => {
                 fleet.record_outcome(first, true);
                 Failure::crash("connection lost")
@@ -330,11 +371,7 @@
         let Some((verdict, reason)) = fault else {
             return Ok(());
         };
-        let named = head.at_fault.and_then(|address| {
-            let hops = path.hops.iter().zip(path.keys());
-            let mut at = hops.filter(|(hop, _)| hop.address == address);
-            at.next().map(|(_, key)| key)
-        });
+        let named = engine_at_fault(path, head);
         let faulty = named.unwrap_or(first);
         // An engine that refuses on its own behalf owns the address that the request was sent to. A
         // refusal by a later engine says nothing about that address.
@@ -365,10 +402,18 @@
     }
 }
 
+/// Returns the engine of a path that the head of a response names as the cause of a failure.
+fn engine_at_fault(path: &Path, head: &AnswerHead) -> Option<UpstreamKey> {
+    let address = head.at_fault?;
+    let mut hops = path.hops.iter().zip(path.keys());
+    hops.find(|(hop, _)| hop.address == address)
+        .map(|(_, key)| key)
+}
+
 /// Returns a path of one engine with the whole model: the untried one with the fewest requests.
 fn whole_model_path(fleet: &Fleet, service: &str, tried: &[UpstreamKey]) -> Option<Path> {
     let now = Instant::now();
-    let is_candidate = |u: &Upstream| u.is_ready() && u.limiter.admits(now);
+    let is_candidate = |u: &Upstream| u.allows(MessageKind::Request, now);
     let candidates = fleet.of_service(service).filter(|(_, u)| is_candidate(u));
     let untried = candidates.filter(|(key, _)| !tried.contains(key));
     let running = |u: &Upstream| u.load().running;
--- a/crates/kelpworks-relay/src/relay/stream/reroute.rs
+++ b/crates/kelpworks-relay/src/relay/stream/reroute.rs
@@ -22,6 +22,7 @@
 use crate::adapter::LayerRange;
 use crate::adapter::OrderReply;
 use crate::adapter::RerouteOrder;
+use crate::constraints::MessageKind;
 use crate::fleet::REROUTE_SLOWNESS;
 use crate::fleet::UpstreamKey;
 use crate::path;
@@ -81,20 +82,17 @@
         else {
             return false;
         };
-        running_path.reroutes += 1;
-        let (first, id) = {
-            let fleet = self.shared.fleet();
-            let Some(first) = fleet.get(parts[0].0) else {
-                return false;
-            };
-            (first.entry.address, Arc::clone(&first.entry.id))
+        let (first, _) = parts[0];
+        let Some(id) = self.reroutable_id(first) else {
+            return false;
         };
+        running_path.reroutes += 1;
         let order = RerouteOrder {
             id: &id,
             request: &self.inbound.id,
             path: &hops,
         };
-        let reply = self.engine_api.reroute(first, order).await;
+        let reply = self.engine_calls.reroute(first, order).await;
         self.log_reroute(&hops, faulty, reply);
         if reply != OrderReply::Accepted {
             return false;
@@ -104,6 +102,15 @@
         true
     }
 
+    /// Returns the id of the first engine of a path if it accepts an order to change the path now.
+    fn reroutable_id(&self, first: UpstreamKey) -> Option<Arc<str>> {
+        let fleet = self.shared.fleet();
+        let upstream = fleet.get(first)?;
+        let now = Instant::now();
+        let is_allowed = upstream.constraints.allows(MessageKind::RerouteOrder, now);
+        is_allowed.then(|| Arc::clone(&upstream.entry.id))
+    }
+
     /// Returns a path with other engines in place of the faulty ones. A replacement has to be in
     /// the failure domain of the engine before it, since it is sent the activations of all tokens
     /// so far.
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -1,5 +1,7 @@
 //! State that the tasks of a relaying daemon share.
 
+pub(crate) mod announcements;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,29 +13,23 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use http::StatusCode;
 use log::info;
-use log::warn;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::adapter::AnswerHead;
 use crate::adapter::StartTime;
 use crate::config::EngineProfile;
 use crate::config::RoutingTable;
-use crate::constraints::Announced;
+use crate::constraints::MessageKind;
 use crate::crashes::CrashTracker;
 use crate::fleet::AddressOwner;
 use crate::fleet::Fleet;
 use crate::fleet::RegistrationChanges;
 use crate::fleet::UpstreamKey;
-use crate::limits::Announcement;
-use crate::limits::LimitChange;
-use crate::limits::Rate;
 use crate::path::Path;
 use crate::path::PathQuery;
-use crate::permit::AdmissionGuard;
-use crate::permit::Permit;
+use crate::permit::Admission;
+use crate::permit::Retry;
 use crate::pool::Pool;
 use crate::retry_budget::RetryBudget;
 use crate::retry_budget::RetryLimit;
@@ -157,59 +153,10 @@
         }
     }
 
-    /// Admits a request to an upstream now; `None` while its rate limit allows none, or when the
-    /// upstream is gone.
-    pub(crate) fn admit(&self, key: UpstreamKey) -> Option<AdmissionGuard> {
-        let mut fleet = self.fleet();
-        let limiter = &mut fleet.get_mut(key)?.limiter;
-        let admission = limiter.admit(Instant::now())?;
-        if limiter.rate().is_some() {
-            metrics::counter!("kelpworks_limited_requests_total").increment(1);
-        }
-        Some(AdmissionGuard::new(&self.fleet, key, admission))
-    }
-
-    /// Applies the rate limit that an answer announces for its upstream. `sent_at` is when the
-    /// request was sent.
-    pub(crate) fn on_limit_announcement(
-        &self,
-        key: UpstreamKey,
-        announcement: Announcement,
-        sent_at: Instant,
-    ) {
-        let now = Instant::now();
-        let mut fleet = self.fleet();
-        let Some(upstream) = fleet.get_mut(key) else {
-            return;
-        };
-        let instance = Arc::clone(&upstream.entry.instance);
-        let is_unreadable = upstream.limiter.is_first_unreadable(announcement);
-        let change = upstream.limiter.on_answer(announcement, sent_at, now);
-        drop(fleet);
-        if is_unreadable {
-            warn!(upstream:% = instance; "announced limit ignored: not a rate");
-        }
-        if let Some(change) = change {
-            log_limit_change(&instance, change, "answer", Duration::ZERO);
-        }
-    }
-
-    /// Logs what an answer asks of this daemon besides a rate limit.
-    pub(crate) fn log_constraints(&self, key: UpstreamKey, status: StatusCode, head: &AnswerHead) {
-        if head.backoff == Announced::Absent && head.leaving == Announced::Absent {
-            return;
-        }
-        let fleet = self.fleet();
-        info!(
-            target: "decision",
-            request:% = head.request_id.as_deref().unwrap_or(""),
-            upstream:% = fleet.get(key).map_or("gone", |u| &u.entry.instance),
-            at_fault:? = head.at_fault,
-            status = status.as_u16(),
-            backoff:? = head.backoff,
-            leaving:? = head.leaving;
-            "constraints announced"
-        );
+    /// Admits a request that is sent to the first of these upstreams and reaches the others by it;
+    /// `None` if one of them does not accept it now, or the first is gone.
+    pub(crate) fn admit(&self, upstreams: Vec<UpstreamKey>) -> Option<Admission> {
+        Admission::acquire(&self.fleet, upstreams, Instant::now())
     }
 
     /// Records the start time that an engine reports. Returns whether the engine has restarted, so
@@ -305,7 +252,9 @@
         let mut engines = fleet.of_service(query.service);
         engines.any(|(_, u)| {
             let is_local = *u.entry.domain == *self.domain;
-            is_local && u.limiter.rate().is_some() && u.limiter.admits(query.now)
+            is_local
+                && u.constraints.limiter.rate().is_some()
+                && u.allows(MessageKind::Request, query.now)
         })
     }
 
@@ -340,12 +289,12 @@
         (pause.as_secs_f64() / TYPICAL_PAUSE.as_secs_f64()).clamp(1.0, MAX_SLOWNESS)
     }
 
-    /// Permits a retry at a service if this daemon's share of the retry budget allows it.
-    pub fn permit_retry(&self, service: &Arc<str>, now: Instant) -> Option<Permit> {
-        let permit = Permit::retry(&self.retry_budget, service, now);
-        let outcome = if permit.is_some() { "taken" } else { "denied" };
+    /// Takes a retry at a service if this daemon's share of the retry budget allows it.
+    pub fn acquire_retry(&self, service: &Arc<str>, now: Instant) -> Option<Retry> {
+        let retry = Retry::acquire(&self.retry_budget, service, now);
+        let outcome = if retry.is_some() { "taken" } else { "denied" };
         metrics::counter!("kelpworks_repeats_total", "outcome" => outcome).increment(1);
-        permit
+        retry
     }
 
     /// Locks the engines that are suspected because their streams are late.
@@ -358,23 +307,3 @@
         lock(&self.crashes)
     }
 }
-
-/// Logs a rate limit that began, changed or ended; `age` is the age of its announcement.
-pub(crate) fn log_limit_change(
-    instance: &str,
-    change: LimitChange,
-    source: &'static str,
-    age: Duration,
-) {
-    let per_second = |rate: Option<Rate>| rate.map(Rate::get);
-    info!(
-        target: "decision",
-        upstream:% = instance,
-        per_second = per_second(change.now),
-        before = per_second(change.before),
-        source:% = source,
-        age_ms = age.as_millis() as u64;
-        "upstream's limit changed"
-    );
-    metrics::counter!("kelpworks_limit_changes_total", "source" => source).increment(1);
-}
--- a/crates/kelpworks-relay/src/slowness.rs
+++ b/crates/kelpworks-relay/src/slowness.rs
@@ -15,6 +15,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::adapter::EngineApi;
+use crate::constraints::MessageKind;
+use crate::engine_calls::EngineCalls;
 use crate::fleet::Fleet;
 use crate::fleet::UpstreamKey;
 use crate::shared::Shared;
@@ -52,7 +54,7 @@
 /// Queries suspected and slow engines until `stop` is cancelled.
 pub(crate) async fn run<E: EngineApi>(
     shared: Arc<Shared>,
-    engines: Arc<E>,
+    engines: Arc<EngineCalls<E>>,
     stop: CancellationToken,
 ) {
     let mut tick = tokio::time::interval(POLL_INTERVAL);
@@ -84,7 +86,9 @@
             };
             now.duration_since(at) < probe_interval
         });
-        !is_recent && fleet.get(*key).is_some() && rand::random_bool(PROBE_CHANCE)
+        let upstream = fleet.get(*key);
+        let is_allowed = upstream.is_some_and(|u| u.constraints.allows(MessageKind::Query, now));
+        !is_recent && is_allowed && rand::random_bool(PROBE_CHANCE)
     };
     let mut due: Vec<UpstreamKey> = slow.into_iter().chain(suspects).filter(is_due).collect();
     due.sort_unstable();
@@ -92,15 +96,10 @@
     due
 }
 
-async fn probe<E: EngineApi>(shared: &Shared, engines: &E, due: Vec<UpstreamKey>) {
+async fn probe<E: EngineApi>(shared: &Shared, engines: &EngineCalls<E>, due: Vec<UpstreamKey>) {
     let probed_at = Instant::now();
-    let address = |key: &UpstreamKey| Some(shared.fleet().get(*key)?.entry.address);
-    let known: Vec<(UpstreamKey, std::net::SocketAddr)> = due
-        .iter()
-        .filter_map(|key| Some((*key, address(key)?)))
-        .collect();
-    let reports = join_all(known.iter().map(|&(_, a)| engines.report(a))).await;
-    for ((key, _), report) in known.into_iter().zip(reports) {
+    let reports = join_all(due.iter().map(|&key| engines.report(key))).await;
+    for (key, report) in due.into_iter().zip(reports) {
         // An engine that does not answer is detected by its stalled streams.
         let Some(report) = report else {
             continue;
--- a/crates/kelpworks-relay/src/traffic_plan.rs
+++ b/crates/kelpworks-relay/src/traffic_plan.rs
@@ -29,8 +29,10 @@
 use crate::adapter::LayerRange;
 use crate::config::Accelerator;
 use crate::config::EngineProfile;
+use crate::constraints::MessageKind;
 use crate::fleet::Fleet;
 use crate::fleet::Load;
+use crate::fleet::Upstream;
 use crate::fleet::UpstreamKey;
 use crate::path::PathQuery;
 use crate::path::cost::Cost;
@@ -133,7 +135,9 @@
         };
         for (key, upstream) in fleet.of_service(query.service) {
             let is_included = includes_domain(&upstream.entry.domain);
-            if !is_included || upstream.is_ejected(query.now) {
+            let is_usable = !upstream.is_ejected(query.now)
+                && upstream.allows(MessageKind::LaterHop, query.now);
+            if !is_included || !is_usable {
                 continue;
             }
             let Some(cost) = Cost::of(upstream, engines, query.now) else {
@@ -148,7 +152,7 @@
                 key,
                 range: cost.layers,
                 domain: 0,
-                may_begin: upstream.limiter.rate().is_none(),
+                may_begin: upstream.constraints.limiter.rate().is_none(),
                 layer_ms: engine.layer_ms(query.tokens),
                 entry_ms: engine.entry_ms,
             };
@@ -361,7 +365,10 @@
     ) -> Option<&PlannedPath> {
         let mut draws = (0..MAX_DRAWS).filter_map(|_| self.paths.choose(rng));
         let is_usable = |&(key, range): &(UpstreamKey, LayerRange)| {
-            let Some(upstream) = fleet.get(key).filter(|u| !u.is_ejected(query.now)) else {
+            let is_available = |u: &&Upstream| {
+                !u.is_ejected(query.now) && u.allows(MessageKind::LaterHop, query.now)
+            };
+            let Some(upstream) = fleet.get(key).filter(is_available) else {
                 return false;
             };
             let Some(cost) = Cost::of(upstream, engines, query.now) else {
@@ -373,7 +380,7 @@
         };
         let may_begin = |parts: &&PlannedPath| {
             let first = parts.first().and_then(|&(key, _)| fleet.get(key));
-            first.is_some_and(|u| u.limiter.admits(query.now))
+            first.is_some_and(|u| u.allows(MessageKind::Request, query.now))
         };
         draws.find(|parts| may_begin(parts) && parts.iter().all(is_usable))
     }
--- a/crates/kelpworks-relay/tests/bounds.rs
+++ b/crates/kelpworks-relay/tests/bounds.rs
@@ -10,7 +10,7 @@
 use kelpworks_relay::crashes::CrashTracker;
 use kelpworks_relay::crashes::Fingerprint;
 use kelpworks_relay::crashes::MIN_CRASHES_TO_REFUSE;
-use kelpworks_relay::permit::Permit;
+use kelpworks_relay::permit::Retry;
 use kelpworks_relay::retry_budget::RetryBudget;
 use kelpworks_relay::retry_budget::RetryLimit;
 use kelpworks_relay::settings::Settings;
@@ -154,25 +154,25 @@
 
 /// Guards against a fault in which retries that were never written used up a daemon's share.
 #[tokio::test(start_paused = true)]
-async fn unused_permit_refunds_its_retry() {
+async fn unused_retry_is_refunded() {
     let service: Arc<str> = Arc::from("llm");
     let budget = Arc::new(Mutex::new(RetryBudget::new(LIMIT, 7, Instant::now())));
     tokio::time::advance(LIMIT.window).await;
     let now = Instant::now();
-    let try_permit = || Permit::retry(&budget, &service, now);
-    let all: Vec<Permit> = std::iter::from_fn(try_permit).collect();
+    let try_acquire = || Retry::acquire(&budget, &service, now);
+    let all: Vec<Retry> = std::iter::from_fn(try_acquire).collect();
     let share = all.len();
     assert!(share > 2);
-    assert!(try_permit().is_none());
+    assert!(try_acquire().is_none());
     let mut all = all.into_iter();
     drop(all.next());
-    let refunded = try_permit().expect("the unused retry");
-    assert!(try_permit().is_none());
+    let refunded = try_acquire().expect("the unused retry");
+    assert!(try_acquire().is_none());
     drop(refunded.spend().undo());
-    let refunded = try_permit().expect("the retry that was not written");
+    let refunded = try_acquire().expect("the retry that was not written");
     refunded.spend();
-    for try_permit in all {
-        try_permit.spend();
+    for retry in all {
+        retry.spend();
     }
-    assert!(try_permit().is_none(), "all others were used");
+    assert!(try_acquire().is_none(), "all others were used");
 }
