Soak: upstreams request backoffs, and engines leave by their own word

Change: unplanned seeds draw backoffs of engines and of the plain service (four in five) and an engine that states that it is leaving and then restarts (two in three).

--- a/crates/kelpworks-cli/tests/relay_constraints.rs
+++ b/crates/kelpworks-cli/tests/relay_constraints.rs
@@ -36,7 +36,7 @@
 /// Returns the highest number of messages of one daemon between a refusal that it got, plus
 /// [`GRACE_PERIOD`], and the end of the backoff that the refusal asked for.
 fn max_messages_in_backoff(messages: &[Message]) -> usize {
-    let refusals = messages.iter().filter(|m| m.refused);
+    let refusals = messages.iter().filter(|m| m.backoff.is_some());
     let count = |refusal: &Message| {
         let from = refusal.at + GRACE_PERIOD;
         let until = refusal.at + BACKOFF;
@@ -106,9 +106,12 @@
         .request_backoff(Some(BACKOFF_HEADER_VALUE));
     let answers = load(&site, stream).await;
     let messages = engine.constraints().messages();
-    assert!(messages.iter().any(|m| m.refused), "the engine was asked");
+    assert!(
+        messages.iter().any(|m| m.backoff.is_some()),
+        "the engine was asked"
+    );
     assert_eq!(max_messages_in_backoff(&messages), 0);
-    let refusals = messages.iter().filter(|m| m.refused);
+    let refusals = messages.iter().filter(|m| m.backoff.is_some());
     for refusal in refusals {
         let passes = |r: &&relay_site::engine::Run| {
             let is_same_daemon = daemon_of(&r.request) == daemon_of(&refusal.request);
@@ -157,7 +160,7 @@
     }
     let messages = engine.constraints().messages();
     let is_order = |m: &&Message| m.path == "/order" || m.path == "/report";
-    assert!(messages.iter().any(|m| m.refused && is_order(&m)));
+    assert!(messages.iter().any(|m| m.backoff.is_some() && is_order(&m)));
     assert_eq!(max_messages_in_backoff(&messages), 0);
 }
 
--- a/crates/kelpworks-cli/tests/relay_site/engine.rs
+++ b/crates/kelpworks-cli/tests/relay_site/engine.rs
@@ -109,8 +109,10 @@
     /// Path of the URL.
     pub(crate) path: String,
     pub(crate) at: Instant,
-    /// Whether it was refused with a `Retry-After`.
-    pub(crate) refused: bool,
+    /// Backoff that the answer requested, with which the message was refused.
+    pub(crate) backoff: Option<Duration>,
+    /// Whether the answer stated that the upstream is leaving.
+    pub(crate) leaving: bool,
 }
 
 impl Constraints {
@@ -135,7 +137,8 @@
 
     /// Records a message and announces the constraints; returns whether it is refused.
     fn record(&self, req: &Request, request: String, res: &mut Response) -> bool {
-        if self.leaving.load(Ordering::Relaxed) {
+        let leaving = self.leaving.load(Ordering::Relaxed);
+        if leaving {
             let _ = res.add_header(LEAVING_HEADER, "1", true);
         }
         let backoff = self.backoff.lock().expect("no panic").clone();
@@ -143,7 +146,8 @@
             request,
             path: req.uri().path().to_owned(),
             at: Instant::now(),
-            refused: backoff.is_some(),
+            backoff: backoff.as_deref().and_then(parse_seconds),
+            leaving,
         };
         self.messages.lock().expect("no panic").push(message);
         let Some(retry_after) = backoff else {
@@ -553,6 +557,11 @@
     }
 }
 
+fn parse_seconds(text: &str) -> Option<Duration> {
+    let seconds = text.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// Returns the id of the request that a message belongs to; empty for queries and orders to load
 /// layers.
 async fn request_id(req: &mut Request) -> String {
--- a/crates/kelpworks-cli/tests/soak/checks.rs
+++ b/crates/kelpworks-cli/tests/soak/checks.rs
@@ -14,6 +14,7 @@
 use crate::callers::Kind;
 use crate::callers::client;
 use crate::callers::request;
+use crate::constraints;
 use crate::faults::check_still_running;
 use crate::limits;
 use crate::relay_site::KEY;
@@ -141,6 +142,7 @@
     check_layer_order(soak);
     check_retry_budget(soak);
     limits::check(soak);
+    constraints::check(soak);
     check_enough_were_served(soak);
 }
 
--- a/crates/kelpworks-cli/tests/soak/faults.rs
+++ b/crates/kelpworks-cli/tests/soak/faults.rs
@@ -17,6 +17,7 @@
 use crate::plan::Step;
 use crate::relay_site::WAIT_TIMEOUT;
 use crate::relay_site::daemon::Relay;
+use crate::relay_site::engine::Constraints;
 use crate::site::Daemon;
 use crate::site::Soak;
 use crate::site::configuration_document;
@@ -45,6 +46,7 @@
     soak.store.set_drops_replies(false);
     soak.store.set_hanging(false);
     soak.app_link.set(LinkState::Pass);
+    soak.app.constraints().request_backoff(None);
     for daemon in &soak.daemons {
         daemon.store.set(LinkState::Pass);
     }
@@ -52,6 +54,7 @@
         at.link.set(LinkState::Pass);
         at.engine.set_stalled(false);
         at.engine.set_fault(None);
+        at.engine.constraints().request_backoff(None);
         at.registers.store(true, Ordering::Relaxed);
     }
 }
@@ -101,6 +104,20 @@
         Fault::EngineAnnouncesLimit(i, per_second) => {
             announce_limit(&soak, i, per_second, duration).await
         }
+        Fault::EngineRequestsBackoff(i, backoff) => {
+            let constraints = soak.engines[i].engine.constraints();
+            request_backoff(constraints, backoff, duration).await;
+        }
+        Fault::AppRequestsBackoff(backoff) => {
+            request_backoff(soak.app.constraints(), backoff, duration).await;
+        }
+        Fault::EngineLeaves(i) => {
+            let engine = &soak.engines[i].engine;
+            engine.constraints().announce_leaving();
+            tokio::time::sleep(duration).await;
+            engine.constraints().announce_staying();
+            engine.restart();
+        }
         Fault::Kill(i) => kill(&soak, i, duration).await,
         Fault::Pause(i) => {
             let relay = soak.daemons[i].relay.lock().await;
@@ -158,6 +175,13 @@
     limit.announce(None);
 }
 
+/// Makes an upstream refuse everything with a backoff for `duration`.
+async fn request_backoff(constraints: &Constraints, backoff: Duration, duration: Duration) {
+    constraints.request_backoff(Some(&backoff.as_secs_f64().to_string()));
+    tokio::time::sleep(duration).await;
+    constraints.request_backoff(None);
+}
+
 async fn hold_link_state(link: &Link, state: LinkState, duration: Duration) {
     link.set(state);
     tokio::time::sleep(duration).await;
--- a/crates/kelpworks-cli/tests/soak/limits.rs
+++ b/crates/kelpworks-cli/tests/soak/limits.rs
@@ -35,9 +35,10 @@
 
 /// What a fault disturbs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Target {
+pub(crate) enum Target {
     Daemon(usize),
     Engine(usize),
+    App,
 }
 
 /// A fault in progress; its period is recorded when dropped.
@@ -73,6 +74,7 @@
             Fault::EngineLink(i, _) | Fault::EngineStalls(i) | Fault::EngineDeregisters(i) => {
                 Target::Engine(i)
             }
+            Fault::AppLink(_) => Target::App,
             _ => return None,
         };
         Some(Disturbance {
@@ -82,7 +84,8 @@
         })
     }
 
-    fn is_disturbed(&self, target: Target, from: Instant, to: Instant) -> bool {
+    /// Whether a recorded fault of the target overlaps with a period.
+    pub(crate) fn is_disturbed(&self, target: Target, from: Instant, to: Instant) -> bool {
         let all = self.disturbed.lock().expect("no panic");
         let mut of_target = all.iter().filter(|d| d.0 == target);
         of_target.any(|&(_, from_then, ended)| from_then <= to && ended >= from)
@@ -110,7 +113,7 @@
 
 /// Returns the daemon that a caller sent a request to, by the request's id: `d1-c0-7`,
 /// `check-1-0-..` or `v1-7`.
-fn sender(request: &str) -> Option<usize> {
+pub(crate) fn sender(request: &str) -> Option<usize> {
     let rest = ["check-", "d", "v"]
         .iter()
         .find_map(|p| request.strip_prefix(p))?;
--- a/crates/kelpworks-cli/tests/soak/main.rs
+++ b/crates/kelpworks-cli/tests/soak/main.rs
@@ -3,7 +3,8 @@
 //! A seed determines a series of overlapping faults: links in front of the store, the engines and
 //! the plain service are cut, silenced or slowed; daemons are killed, paused, stopped and reloaded;
 //! the store goes down, loses replies, drops its history and is restored from older copies; engines
-//! stall, cut streams, refuse requests, deregister and announce rate limits; configurations change.
+//! stall, cut streams, refuse requests, deregister, announce rate limits, request backoffs, and state
+//! that they are leaving; configurations change.
 //! Callers send requests throughout, and what they and the upstreams see is checked against the
 //! guarantees of `docs/PROMISES.md`.
 //!
@@ -21,6 +22,7 @@
 
 mod callers;
 mod checks;
+mod constraints;
 mod faults;
 mod limits;
 mod plan;
--- a/crates/kelpworks-cli/tests/soak/plan.rs
+++ b/crates/kelpworks-cli/tests/soak/plan.rs
@@ -20,6 +20,10 @@
 const RESTORES_EVERY: u64 = 2;
 /// One unplanned seed in this many has no engine announce a limit.
 const NO_LIMITS_EVERY: u64 = 3;
+/// One unplanned seed in this many has no upstream request a backoff.
+const NO_BACKOFFS_EVERY: u64 = 5;
+/// One unplanned seed in this many has no engine announce that it is leaving.
+const NO_LEAVING_EVERY: u64 = 3;
 
 /// A fault, or a planned operation.
 #[derive(Clone, Copy, Debug)]
@@ -48,6 +52,12 @@
     EngineDeregisters(usize),
     /// An engine announces a limit, in requests per second.
     EngineAnnouncesLimit(usize, f64),
+    /// An engine refuses everything and requests a backoff.
+    EngineRequestsBackoff(usize, Duration),
+    /// The plain service refuses everything and requests a backoff.
+    AppRequestsBackoff(Duration),
+    /// An engine announces that it is leaving, and then restarts under the same id.
+    EngineLeaves(usize),
     /// A daemon's process is killed and started again.
     Kill(usize),
     /// A daemon's process is paused (SIGSTOP).
@@ -103,6 +113,12 @@
         if !planned && !seed.is_multiple_of(NO_LIMITS_EVERY) {
             steps.extend(draw_limits(&mut rng, length));
         }
+        if !planned && !seed.is_multiple_of(NO_BACKOFFS_EVERY) {
+            steps.extend(draw_backoffs(&mut rng, length));
+        }
+        if !planned && !seed.is_multiple_of(NO_LEAVING_EVERY) {
+            steps.push(draw_leaving(&mut rng, length));
+        }
         Plan {
             length,
             steps,
@@ -134,6 +150,34 @@
     (0..count).map(|i| draw((first + i) % ENGINES)).collect()
 }
 
+/// Returns periods in which upstreams request backoffs: up to three of engines, which may overlap,
+/// and a short one of the plain service, which has no other instance.
+fn draw_backoffs(rng: &mut StdRng, length: Duration) -> Vec<Step> {
+    let mut steps = Vec::new();
+    for _ in 0..rng.random_range(1..=3) {
+        let backoff = Duration::from_millis(rng.random_range(600..4_000));
+        steps.push(Step {
+            at: length.mul_f64(rng.random_range(0.0..0.8)),
+            duration: Duration::from_millis(rng.random_range(500..4_000)),
+            fault: Fault::EngineRequestsBackoff(rng.random_range(0..ENGINES), backoff),
+        });
+    }
+    steps.push(Step {
+        at: length.mul_f64(rng.random_range(0.0..0.8)),
+        duration: Duration::from_millis(rng.random_range(100..400)),
+        fault: Fault::AppRequestsBackoff(Duration::from_millis(rng.random_range(600..1_200))),
+    });
+    steps
+}
+
+fn draw_leaving(rng: &mut StdRng, length: Duration) -> Step {
+    Step {
+        at: length.mul_f64(rng.random_range(0.1..0.6)),
+        duration: Duration::from_millis(rng.random_range(1_500..4_000)),
+        fault: Fault::EngineLeaves(rng.random_range(0..ENGINES)),
+    }
+}
+
 fn draw_planned(rng: &mut StdRng, daemons: usize) -> Fault {
     let daemon = rng.random_range(0..daemons);
     match rng.random_range(0..4) {
