A notice that an upstream is leaving is reported to all daemons

Cause: each daemon had to hear it from an answer of its own, and sent the upstream work until then if the store still showed it as ready. Change: digests carry the notices of the last 8 s, 48 at most, with their age; nothing while none leaves. A daemon of an earlier build skips the field. A backoff is not reported: it binds the daemon that was asked.

--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -16,6 +16,9 @@
 mod exchange;
 #[cfg(test)]
 mod fleet_tests;
+mod leaving;
+#[cfg(test)]
+mod leaving_tests;
 mod limits;
 #[cfg(test)]
 mod limits_tests;
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -12,6 +12,8 @@
 use super::EXCHANGE_INTERVAL;
 use super::MAX_SMALL_FLEET_PEERS;
 use super::Peers;
+use super::leaving::MAX_NOTICES;
+use super::leaving::leaving_of;
 use super::limits::limit_of;
 use super::lock;
 use super::members::Audience;
@@ -54,6 +56,7 @@
         let mut ejections = Vec::new();
         let mut slowness = Vec::new();
         let mut limits = Vec::new();
+        let mut leaving = Vec::new();
         let assignments;
         let owners;
         {
@@ -71,6 +74,7 @@
                     });
                 }
                 limits.extend(limit_of(u, now));
+                leaving.extend(leaving_of(u, now));
                 if let Some(report) = slowness_of(u, now) {
                     slowness.push(report);
                 }
@@ -83,6 +87,8 @@
                 }
             }
         }
+        leaving.sort_by_key(|notice| notice.age_ms);
+        leaving.truncate(MAX_NOTICES);
         let crashes = self.shared.crashes().top_counts(MAX_FINGERPRINTS);
         let crashes = crashes.into_iter().map(|(f, crashes)| CrashesOf {
             fingerprint: f.0,
@@ -122,6 +128,7 @@
                 })
                 .collect(),
             limits,
+            leaving,
             membership,
         }
     }
@@ -205,6 +212,7 @@
             self.learn_owner_report(report, now);
         }
         self.learn_limits(&digest.limits, now);
+        self.learn_leaving(&digest.leaving, now);
         let mut crashes = self.shared.crashes();
         for counted in &digest.crashes {
             crashes.learn(Fingerprint(counted.fingerprint), counted.crashes, now);
--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -157,6 +157,15 @@
     pub(super) age_ms: u64,
 }
 
+/// Upstream that stated in an answer that it is leaving.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct LeavingOf {
+    pub(super) instance: Arc<str>,
+    /// Milliseconds since its first notice to any daemon.
+    pub(super) age_ms: u64,
+}
+
 /// Milliseconds since the store last answered any daemon that watches it, per kind of object.
 /// `None` if no answer is known.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -202,6 +211,9 @@
     pub(super) owners: Vec<OwnerOf>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) limits: Vec<LimitOf>,
+    /// Upstreams that stated recently that they are leaving.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) leaving: Vec<LeavingOf>,
     /// Fingerprint of the daemons that the sender counts as live, itself among them.
     #[serde(default)]
     pub(super) membership: Fingerprint,
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -138,6 +138,7 @@
         assignments: Vec::new(),
         owners: Vec::new(),
         limits: Vec::new(),
+        leaving: Vec::new(),
         membership: Fingerprint::default(),
     }
 }
