A refusal for a backoff says when the upstream is back; path changes tested

Cause: a request that no upstream serves because of a backoff was refused with the fixed Retry-After of a lost engine, and with the reason of a limit. Change: its Retry-After begins with the end of the earliest backoff, with the same spread and bound, and the reason names the backoff. Tests: a first engine in a backoff gets no order to change a running stream's path, and no stream is lost for want of one.

--- a/crates/kelpworks-cli/tests/relay_constraints.rs
+++ b/crates/kelpworks-cli/tests/relay_constraints.rs
@@ -15,6 +15,7 @@
 use relay_site::daemon::send;
 use relay_site::engine::Engine;
 use relay_site::engine::Message;
+use relay_site::engine::find_inner_engine;
 
 const BACKOFF: Duration = Duration::from_secs(3);
 const BACKOFF_HEADER_VALUE: &str = "3";
@@ -22,6 +23,8 @@
 const GRACE_PERIOD: Duration = Duration::from_millis(500);
 /// Time for which callers send requests.
 const LOAD_DURATION: Duration = Duration::from_secs(7);
+/// Events of a stream that runs for longer than [`GRACE_PERIOD`].
+const STREAM_EVENTS: u64 = 200;
 /// Requests that a daemon gets at once.
 const REQUEST_BURST: usize = 3;
 /// Pause between two bursts of requests to a daemon.
@@ -164,6 +167,48 @@
     assert_eq!(max_messages_in_backoff(&messages), 0);
 }
 
+/// Guards against orders that change the path of a running stream, sent to its first engine during
+/// a backoff, and against streams that are lost because none may be sent.
+#[tokio::test]
+async fn first_engine_gets_no_reroute_orders_during_the_backoff_that_it_requested() {
+    let domain = ["hall-a", "hall-a"];
+    let budget = RetryBudget::default();
+    let site = Site::start_in_domains("backoff-reroute", 1, budget, &domain).await;
+    let daemon = &site.daemons[0];
+    let engines = site.engines.all();
+    let holds_first = |e: &&Engine| e.loaded_layers().is_some_and(|(from, _)| from == 0);
+    let first_engines: Vec<&Engine> = engines.iter().filter(holds_first).collect();
+    let mut streams = Vec::new();
+    let inner = loop {
+        let id = format!("d0-{}", streams.len());
+        streams.push(tokio::spawn(daemon.start_stream(&id, STREAM_EVENTS).await));
+        if let Some(inner) = find_inner_engine(&site.engines.runs()) {
+            break inner;
+        }
+        assert!(streams.len() < 40, "{:?}", site.engines.runs());
+    };
+    for engine in &first_engines {
+        engine
+            .constraints()
+            .request_backoff(Some(BACKOFF_HEADER_VALUE));
+    }
+    let refused = daemon.stream("d0-refused", 2).await.expect("an answer");
+    assert_eq!(refused.status, 503, "all first engines back off");
+    for engine in &first_engines {
+        engine.constraints().request_backoff(None);
+    }
+    tokio::time::sleep(GRACE_PERIOD).await;
+    site.engines.stall(&inner);
+    for stream in streams {
+        let body = stream.await.expect("no panic");
+        let events = body.matches("id: ").count();
+        assert_eq!(events as u64, STREAM_EVENTS, "{}", daemon.log());
+    }
+    for engine in first_engines {
+        assert_eq!(max_messages_in_backoff(&engine.constraints().messages()), 0);
+    }
+}
+
 /// Guards against requests to an engine after its answers stated that it is leaving, while its
 /// entry in the store still says that it is ready.
 #[tokio::test]
--- a/crates/kelpworks-cli/tests/relay_faults.rs
+++ b/crates/kelpworks-cli/tests/relay_faults.rs
@@ -14,8 +14,8 @@
 use relay_site::daemon::RetryBudget;
 use relay_site::engine::Engine;
 use relay_site::engine::Fault;
-use relay_site::engine::Run;
 use relay_site::engine::covers_all_layers;
+use relay_site::engine::find_inner_engine;
 use relay_site::route;
 
 /// Counter of path changes that engines accepted.
@@ -71,20 +71,6 @@
     assert!(daemon.counter(REROUTES_METRIC).await > 0);
 }
 
-/// Returns an engine that is on some paths but first on none, and whose paths begin with engines
-/// that are also on paths without it. Those other paths show that the first engines work; without
-/// them the daemon can't tell which engine stalled.
-fn find_inner_engine(runs: &[Run]) -> Option<String> {
-    let mut later = runs.iter().flat_map(|r| &r.path[1..]);
-    let is_inner = |engine: &&String| {
-        let passes = |r: &&Run| r.path.contains(engine);
-        let is_shown = |first: &String| runs.iter().any(|r| !passes(&r) && r.path.contains(first));
-        let mut on = runs.iter().filter(passes);
-        on.all(|r| r.first != **engine && is_shown(&r.first))
-    };
-    later.find(is_inner).cloned()
-}
-
 /// Guards against dropping a stalled stream before its retry is granted: when the retry was
 /// refused, the caller's stream was cut off.
 #[tokio::test]
--- a/crates/kelpworks-cli/tests/relay_site/engine.rs
+++ b/crates/kelpworks-cli/tests/relay_site/engine.rs
@@ -584,6 +584,20 @@
     joined && hops.last().is_some_and(|h| h.1 == LAYERS)
 }
 
+/// Returns an engine that is on some paths but first on none, and whose paths begin with engines
+/// that are also on paths without it. Those other paths show that the first engines work; without
+/// them the daemon can't tell which engine stalled.
+pub(crate) fn find_inner_engine(runs: &[Run]) -> Option<String> {
+    let mut later = runs.iter().flat_map(|r| &r.path[1..]);
+    let is_inner = |engine: &&String| {
+        let passes = |r: &&Run| r.path.contains(engine);
+        let is_shown = |first: &String| runs.iter().any(|r| !passes(&r) && r.path.contains(first));
+        let mut on = runs.iter().filter(passes);
+        on.all(|r| r.first != **engine && is_shown(&r.first))
+    };
+    later.find(is_inner).cloned()
+}
+
 /// Path endings that select how the plain service fails: the answer is lost after the run, the
 /// request is refused without having run, or the answer names another request.
 const RESET_SUFFIX: &str = "reset";
--- a/crates/kelpworks-relay/src/path.rs
+++ b/crates/kelpworks-relay/src/path.rs
@@ -10,7 +10,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use rand::Rng;
 use rand::RngExt;
@@ -168,9 +167,9 @@
         if holds(fleet, query, EjectedPolicy::Include, layer) {
             return Err(NoPath::Full(layer));
         }
-        return match backoff_of_layer(fleet, query, layer) {
-            Some(_) => Err(NoPath::Withheld(layer)),
-            None => Err(NoPath::Uncovered(layer)),
+        return match is_withheld(fleet, query, layer) {
+            true => Err(NoPath::Withheld(layer)),
+            false => Err(NoPath::Uncovered(layer)),
         };
     }
     graph
@@ -212,18 +211,14 @@
     engines.any(|(key, u)| may(u) && !query.avoid.contains(&key) && holds(u))
 }
 
-/// Returns the time until the first engine that holds a layer and requested a backoff accepts
-/// requests again; `None` without such an engine.
-pub(crate) fn backoff_of_layer(
-    fleet: &Fleet,
-    query: &PathQuery<'_>,
-    layer: u16,
-) -> Option<Duration> {
+/// Returns whether an engine that holds a layer would be usable but for a backoff.
+fn is_withheld(fleet: &Fleet, query: &PathQuery<'_>, layer: u16) -> bool {
     let holds = |u: &Upstream| u.layers.is_some_and(|r| r.contains(layer));
-    let engines = fleet.of_service(query.service);
-    let usable = engines.filter(|(key, u)| u.is_ready() && !query.avoid.contains(key) && holds(u));
-    let waits = usable.map(|(_, u)| u.constraints.backoff(query.now));
-    waits.filter(|wait| !wait.is_zero()).min()
+    let is_backing_off = |u: &Upstream| !u.constraints.backoff(query.now).is_zero();
+    let mut engines = fleet.of_service(query.service);
+    engines.any(|(key, u)| {
+        u.is_ready() && !query.avoid.contains(&key) && holds(u) && is_backing_off(u)
+    })
 }
 
 /// Returns an engine as a candidate; `None` if it can't be used or lacks capacity.
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -61,8 +61,10 @@
 /// Minimum time between two tries: another request may take the admission this one waited for.
 const MIN_LIMIT_WAIT: Duration = Duration::from_millis(5);
 
-/// Refusal reason when no upstream accepts the request in time.
+/// Refusal reason when no upstream's limit admits the request in time.
 const LIMITED: &str = "the limits of the upstreams are used up";
+/// Refusal reason when upstreams requested a backoff that lasts longer than the request can wait.
+const BACKING_OFF: &str = "the upstreams requested a backoff";
 /// Failure reason of an attempt that was not written to a connection.
 pub(super) const NOT_SENT: &str = "not sent";
 /// Failure reason of an attempt whose upstream announced, before it was written, that it accepts
@@ -104,6 +106,7 @@
     let mut verdict = Verdict::NotRun;
     let mut reason = "no upstream";
     let mut last_error_response = None;
+    let mut available_in = None;
     let has_upstream = |s: &Shared| s.fleet().of_service(&inbound.service.name).next().is_some();
     shared
         .wait_while_starting(inbound.arrived, has_upstream)
@@ -115,13 +118,14 @@
         let (upstream, permit) =
             match next_upstream(shared, inbound, &tried, verdict, may_have_reached) {
                 NextAttempt::Send(upstream, permit) => (upstream, permit),
-                NextAttempt::Limited(wait) => {
+                NextAttempt::Wait(Unavailability { wait, is_backoff }) => {
                     let remaining = limit_wait_deadline.saturating_duration_since(Instant::now());
                     if let Some(wait) = wait.filter(|&w| w <= remaining) {
                         tokio::time::sleep(wait).await;
                         continue;
                     }
-                    reason = LIMITED;
+                    reason = if is_backoff { BACKING_OFF } else { LIMITED };
+                    available_in = wait.filter(|_| is_backoff);
                     break;
                 }
                 NextAttempt::Abandon => break,
@@ -161,20 +165,22 @@
             body,
         };
     }
-    Reply::Refused(final_refusal(inbound, verdict, reason))
+    Reply::Refused(final_refusal(inbound, verdict, reason, available_in))
 }
 
-/// Returns, and logs, the refusal of a request that is not retried any more.
+/// Returns, and logs, the refusal of a request that is not retried any more. `available_in` is the
+/// time after which an upstream is known to accept requests again.
 pub(super) fn final_refusal(
     inbound: &InboundRequest,
     verdict: Verdict,
     reason: &'static str,
+    available_in: Option<Duration>,
 ) -> Refusal {
     let is_late = inbound.remaining().is_zero();
     let (status, retry_after) = match (verdict, is_late) {
         (Verdict::NotRun, _) => (
             StatusCode::SERVICE_UNAVAILABLE,
-            Some(busy_retry_after(inbound)),
+            Some(busy_retry_after(inbound, available_in)),
         ),
         (Verdict::MayHaveRun, true) => (StatusCode::GATEWAY_TIMEOUT, None),
         (Verdict::MayHaveRun, false) => (StatusCode::BAD_GATEWAY, None),
@@ -190,20 +196,20 @@
     refusal
 }
 
-/// Returns the `Retry-After` of a busy refusal: long enough for the cause to clear, and at most a
-/// quarter of the caller's remaining time.
-fn busy_retry_after(inbound: &InboundRequest) -> Duration {
+/// Returns the `Retry-After` of a busy refusal: when an upstream is available, or long enough for
+/// the cause to clear, and at most a quarter of the caller's remaining time.
+fn busy_retry_after(inbound: &InboundRequest, available_in: Option<Duration>) -> Duration {
     let jitter = RETRY_AFTER_JITTER.mul_f64(rand::rng().random_range(0.0..1.0));
-    (MIN_RETRY_AFTER + jitter).min(inbound.remaining() / 4)
+    let earliest = available_in.unwrap_or(MIN_RETRY_AFTER);
+    (earliest + jitter).min(inbound.remaining() / 4)
 }
 
 /// Decision on the next attempt of a request.
 enum NextAttempt {
     /// Send the request to this upstream.
     Send(UpstreamKey, Permit),
-    /// The limits of all untried upstreams are used up, or they requested a backoff. Holds the time
-    /// until one accepts the next request; `None` if this daemon has no share of any limit.
-    Limited(Option<Duration>),
+    /// No untried upstream accepts a request now.
+    Wait(Unavailability),
     /// Make no further attempt.
     Abandon,
 }
@@ -243,6 +249,14 @@
     }
 }
 
+/// Why no upstream accepts a request now, and for how long.
+struct Unavailability {
+    /// Time until one accepts the next request; `None` if this daemon has no share of any limit.
+    wait: Option<Duration>,
+    /// Whether an upstream requested a backoff.
+    is_backoff: bool,
+}
+
 impl NextAttempt {
     fn without_candidate(fleet: &Fleet, service: &str, tried: &[UpstreamKey]) -> NextAttempt {
         let now = Instant::now();
@@ -251,9 +265,17 @@
         if untried.peek().is_none() {
             return NextAttempt::Abandon;
         }
-        let waits = untried.filter_map(|(_, u)| u.constraints.wait(MessageKind::Request, now));
-        let wait = waits.min();
-        NextAttempt::Limited(wait.map(|w| w.max(MIN_LIMIT_WAIT)))
+        let mut wait: Option<Duration> = None;
+        let mut is_backoff = false;
+        for (_, u) in untried {
+            is_backoff |= !u.constraints.backoff(now).is_zero();
+            let next = u.constraints.wait(MessageKind::Request, now);
+            wait = wait.into_iter().chain(next).min();
+        }
+        NextAttempt::Wait(Unavailability {
+            wait: wait.map(|w| w.max(MIN_LIMIT_WAIT)),
+            is_backoff,
+        })
     }
 }
 
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -73,6 +73,8 @@
     retry_permitted: bool,
     /// Whether there was no path, so that nothing was sent and no retry was used.
     no_path_found: bool,
+    /// Time after which an engine of a missing layer is known to accept requests again.
+    available_in: Option<Duration>,
 }
 
 impl Failure {
@@ -83,6 +85,7 @@
             crash: false,
             retry_permitted: false,
             no_path_found: false,
+            available_in: None,
         }
     }
 
@@ -214,7 +217,12 @@
             // The attempt has already waited for a path. The refusal has a `Retry-After` if nothing
             // ran.
             if failure.no_path_found || (!failure.retry_permitted && !self.may_retry(verdict)) {
-                return Err(final_refusal(&self.inbound, verdict, failure.reason));
+                let Failure {
+                    reason,
+                    available_in,
+                    ..
+                } = failure;
+                return Err(final_refusal(&self.inbound, verdict, reason, available_in));
             }
             self.back_off(failure).await;
         }
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -170,7 +170,7 @@
 
     /// Chooses a path; if there is none, polls for one for a fraction of the latency target.
     /// Requests end all the time, and one that starts within its latency target is served in full.
-    async fn choose_or_wait(&self) -> Result<(Path, Admission), &'static str> {
+    async fn choose_or_wait(&self) -> Result<(Path, Admission), Failure> {
         let is_covered = |_: &Shared| !matches!(self.choose(), Err(NoPath::Uncovered(_)));
         self.shared
             .wait_while_starting(self.inbound.arrived, is_covered)
@@ -185,7 +185,10 @@
             match self.choose_and_admit() {
                 Err(reason) if self.is_waiting_useless(reason, until) => {
                     self.log_no_path(reason);
-                    return Err(reason.as_str());
+                    return Err(Failure {
+                        available_in: self.available_in(reason),
+                        ..Failure::no_path(reason.as_str())
+                    });
                 }
                 Err(_) => tokio::time::sleep(CAPACITY_POLL_INTERVAL).await,
                 Ok(chosen) => return Ok(chosen),
@@ -220,6 +223,20 @@
         }
     }
 
+    /// Returns the time until the first backoff ends of the engines for lack of which there is no
+    /// path; `None` if there is no path for another reason.
+    fn available_in(&self, reason: NoPath) -> Option<Duration> {
+        let NoPath::Withheld(layer) = reason else {
+            return None;
+        };
+        let now = Instant::now();
+        let fleet = self.shared.fleet();
+        let engines = fleet.of_service(&self.inbound.service.name);
+        let holds = |u: &Upstream| u.layers.is_some_and(|r| r.contains(layer));
+        let usable = engines.filter(|(_, u)| u.is_ready() && holds(u));
+        usable.map(|(_, u)| u.constraints.backoff(now)).min()
+    }
+
     /// Chooses a path and has its engines admit the request.
     fn choose_and_admit(&self) -> Result<(Path, Admission), NoPath> {
         let path = self.choose()?;
@@ -231,7 +248,7 @@
     pub(super) async fn attempt(&mut self) -> Result<(StatusCode, HeaderMap), Failure> {
         self.forget_ended_engines().await;
         let chosen = self.choose_or_wait().await;
-        let (path, admission) = chosen.map_err(Failure::no_path)?;
+        let (path, admission) = chosen?;
         let permit = self.permit(admission)?;
         // If this future is dropped during the attempt, the request may have arrived.
         let had_possibly_reached = std::mem::replace(&mut self.may_have_reached, true);
