Backoff of a refusal counts only engines that have one; 421 shows no leaving

Cause: found by reading. The time until a layer is available took engines without a backoff, ejected ones, as available at once; and an answer 421 comes from another upstream, so its notice is not this one's.

--- a/crates/kelpworks-relay/src/engine_calls.rs
+++ b/crates/kelpworks-relay/src/engine_calls.rs
@@ -17,6 +17,7 @@
 use crate::adapter::OrderReply;
 use crate::adapter::PlaceOrder;
 use crate::adapter::RerouteOrder;
+use crate::adapter::StartTime;
 use crate::constraints::Announced;
 use crate::constraints::MessageKind;
 use crate::fleet::UpstreamKey;
@@ -111,7 +112,7 @@
         None
     }
 
-    fn registered_start(&self, key: UpstreamKey) -> Option<crate::adapter::StartTime> {
+    fn registered_start(&self, key: UpstreamKey) -> Option<StartTime> {
         self.shared.fleet().get(key)?.entry.start
     }
 
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -469,12 +469,13 @@
         return None;
     }
     let is_own_head = (head.signed || head.not_run) && head.at_fault.is_none_or(|at| at == address);
+    let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
     // Only the upstream itself states a limit; a head without a limit may come from another one.
     let has_limit = is_own_head || head.limit != Announcement::Unlimited;
     Some(Announcements {
         limit: has_limit.then_some(head.limit),
         backoff: requested_backoff(response.status(), head),
-        leaving: match is_own_head {
+        leaving: match is_own_head && !is_misdirected {
             true => head.leaving,
             false => Announced::Absent,
         },
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -202,25 +202,18 @@
         if now >= until || self.inbound.remaining().is_zero() {
             return true;
         }
+        let left = until.duration_since(now);
+        if let NoPath::Withheld(_) = reason {
+            return self.available_in(reason).is_some_and(|wait| wait > left);
+        }
         let fleet = self.shared.fleet();
         let mut engines = fleet.of_service(&self.inbound.service.name);
-        let left = until.duration_since(now);
-        let accepts = |u: &Upstream, kind: MessageKind| {
-            u.is_ready()
-                && u.constraints
-                    .wait(kind, now)
-                    .is_some_and(|wait| wait <= left)
+        let admits = |u: &Upstream| {
+            let wait = u.constraints.wait(MessageKind::Request, now);
+            wait.is_some_and(|wait| wait <= left)
         };
-        let holds = |u: &Upstream, layer: u16| u.layers.is_some_and(|r| r.contains(layer));
-        match reason {
-            NoPath::Limited => {
-                !engines.any(|(_, u)| holds(u, 0) && accepts(u, MessageKind::Request))
-            }
-            NoPath::Withheld(layer) => {
-                !engines.any(|(_, u)| holds(u, layer) && accepts(u, MessageKind::LaterHop))
-            }
-            _ => false,
-        }
+        let holds_first = |u: &Upstream| u.layers.is_some_and(|r| r.contains(0));
+        reason == NoPath::Limited && !engines.any(|(_, u)| holds_first(u) && admits(u))
     }
 
     /// Returns the time until the first backoff ends of the engines for lack of which there is no
@@ -234,7 +227,8 @@
         let engines = fleet.of_service(&self.inbound.service.name);
         let holds = |u: &Upstream| u.layers.is_some_and(|r| r.contains(layer));
         let usable = engines.filter(|(_, u)| u.is_ready() && holds(u));
-        usable.map(|(_, u)| u.constraints.backoff(now)).min()
+        let backoffs = usable.map(|(_, u)| u.constraints.backoff(now));
+        backoffs.filter(|backoff| !backoff.is_zero()).min()
     }
 
     /// Chooses a path and has its engines admit the request.
