--- a/crates/kelpworks-relay/src/constraints.rs
+++ b/crates/kelpworks-relay/src/constraints.rs
@@ -32,7 +32,7 @@
 //! assert_eq!(constraints.wait(MessageKind::LayerOrder, now), None, "never");
 //! ```
 //!
-//! Limits: a backoff binds only the daemon that was asked for it, and is not told to others.
+//! Limits: a backoff binds only the daemon that was asked for it, and is not reported to others.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
--- a/crates/kelpworks-relay/src/peers/leaving_tests.rs
+++ b/crates/kelpworks-relay/src/peers/leaving_tests.rs
@@ -55,7 +55,7 @@
     upstream.is_some_and(|u| u.is_ready())
 }
 
-/// Guards against daemons that each have to be told by an answer of their own, while the store
+/// Guards against daemons that each need an answer of their own to learn of it, while the store
 /// still shows the upstream as ready.
 #[rstest]
 #[case::small(7)]
