Connection attempts by outcome and ejections by their source are counted

Cause: whether a daemon's own links fail, its state keeps it out, or peers spread their view could not be told apart: nothing counted connections that open or fail, nor whose failure an ejection rests on. Change: kelpworks_upstream_connects_total{outcome} and kelpworks_ejections_total{source}. No decision changes.

--- a/crates/kelpworks-relay/src/fleet/upstream.rs
+++ b/crates/kelpworks-relay/src/fleet/upstream.rs
@@ -254,6 +254,7 @@
         }
         let doublings = self.failures.min(4);
         self.failures += 1;
+        metrics::counter!("kelpworks_ejections_total", "source" => "own").increment(1);
         let span = (INITIAL_EJECTION * 2u32.pow(doublings)).min(MAX_EJECTION);
         self.ejected_until = Some(now + span);
     }
@@ -284,6 +285,9 @@
     pub(super) fn learn_ejection(&mut self, since: Instant, until: Instant, unreachable: bool) {
         let confirmed = self.last_success.is_some_and(|at| at > since);
         if !confirmed && self.ejected_until.is_none_or(|d| d < until) {
+            if !self.is_ejected(since) {
+                metrics::counter!("kelpworks_ejections_total", "source" => "peer").increment(1);
+            }
             self.ejected_until = Some(until);
             self.attribution = Some(FaultAttribution::Sole);
             self.unreachable |= unreachable;
--- a/crates/kelpworks-relay/src/pool.rs
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -202,6 +202,12 @@
 
 async fn open(upstream: UpstreamKey, address: SocketAddr) -> Result<Connection> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let outcome = match &connecting {
+        Ok(Ok(_)) => "opened",
+        Ok(Err(_)) => "refused",
+        Err(_) => "timed out",
+    };
+    metrics::counter!("kelpworks_upstream_connects_total", "outcome" => outcome).increment(1);
     let Ok(Ok(stream)) = connecting else {
         return Err(Error::NotSent);
     };
