Failing test: daemons without links to upstreams refuse their callers

Cause: a daemon that loses its own links to all upstreams refuses what its peers could serve. Two of four daemons lose them, in three ways: connections are reset, fall silent, or live on while new ones are refused.

--- a/crates/kelpworks-cli/tests/relay_site/daemon.rs
+++ b/crates/kelpworks-cli/tests/relay_site/daemon.rs
@@ -126,6 +126,11 @@
         self.child.wait().expect("a child can be waited for");
     }
 
+    /// Returns the process id.
+    pub(crate) fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub(crate) fn has_exited(&mut self) -> bool {
         let status = self
             .child
--- a/crates/kelpworks-cli/tests/relay_site/mod.rs
+++ b/crates/kelpworks-cli/tests/relay_site/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test crate uses a part")]
 
+pub(crate) mod cut;
 pub(crate) mod daemon;
 pub(crate) mod engine;
 pub(crate) mod store;
@@ -19,6 +20,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+use cut::Links;
+use cut::LinksOf;
 use daemon::Relay;
 use engine::Engine;
 use engine::Registry;
@@ -92,6 +95,15 @@
     pub(crate) engines: Registry,
     pub(crate) app: engine::App,
     pub(crate) daemons: Vec<Relay>,
+    /// Links in front of the upstreams; without any in most sites.
+    pub(crate) links: Links,
+}
+
+/// How the daemons of a site reach its upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Access {
+    Direct,
+    ByLinks,
 }
 
 impl Site {
@@ -115,25 +127,53 @@
         daemons: usize,
         budget: daemon::RetryBudget,
         domains: &[&str],
+    ) -> Site {
+        Site::start_as(name, daemons, budget, domains, Access::Direct).await
+    }
+
+    /// Like [`Site::start`], with links in front of the upstreams.
+    pub(crate) async fn start_with_links(name: &str, daemons: usize) -> Site {
+        let budget = daemon::RetryBudget::default();
+        let domains = ["hall-a", "hall-b"];
+        Site::start_as(name, daemons, budget, &domains, Access::ByLinks).await
+    }
+
+    async fn start_as(
+        name: &str,
+        daemons: usize,
+        budget: daemon::RetryBudget,
+        domains: &[&str],
+        access: Access,
     ) -> Site {
         let store = Store::start().await;
         store.put("config", "main", configuration(3));
         let engines = Registry::default();
+        let mut links = Links::default();
         let each_twice = domains.iter().flat_map(|d| [d, d]);
         for (i, domain) in each_twice.enumerate() {
             let engine = Engine::start(&engines, &format!("e-{i}"), domain).await;
+            if access == Access::ByLinks {
+                let address = links.spawn(engine.address()).await;
+                engine.set_address(&engines, address);
+            }
             store.put("servers", &engine.instance, engine.entry());
         }
-        let app = engine::App::start("s-0").await;
+        let mut app = engine::App::start("s-0").await;
+        if access == Access::ByLinks {
+            let address = links.spawn(app.address()).await;
+            app.set_address(address);
+        }
         store.put("servers", "s-0", app.entry());
         let mut site = Site {
             store,
             engines,
             app,
             daemons: Vec::new(),
+            links,
         };
         for i in 0..daemons {
             let relay = Relay::start(name, i, site.store.address, &site.daemons, &budget);
+            site.links.set(relay.pid(), LinksOf::Sound);
             site.daemons.push(relay);
         }
         site.wait_until_served().await;
@@ -148,6 +188,11 @@
         }
     }
 
+    /// Changes the links of a daemon to all upstreams.
+    pub(crate) fn set_links(&self, daemon: usize, state: LinksOf) {
+        self.links.set(self.daemons[daemon].pid(), state);
+    }
+
     /// Waits until every daemon has answered a stream.
     async fn wait_until_served(&self) {
         let until = tokio::time::Instant::now() + WAIT_TIMEOUT;
