--- a/crates/kelpworks-cli/tests/relay_site/cut.rs
+++ b/crates/kelpworks-cli/tests/relay_site/cut.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,12 +27,30 @@
     RefuseNew,
 }
 
-/// Number of times that the owner of a connection is looked up before it counts as unknown.
-const OWNER_LOOKUPS: u32 = 10;
+/// Number of times that the owner of a connection is looked up before it counts as unknown: it may
+/// have been closed already, and the operating system's table is read piece by piece.
+const OWNER_LOOKUPS: u32 = 3;
 const OWNER_LOOKUP_INTERVAL: Duration = Duration::from_millis(2);
 
-/// State of the links of each daemon, by process id.
-type States = HashMap<u32, LinksOf>;
+/// State of the links of each daemon.
+#[derive(Clone, Debug, Default)]
+struct States {
+    /// By process id.
+    by_daemon: HashMap<u32, LinksOf>,
+    /// Process ids of the owners of connections, by local port, when a state last changed.
+    owners: HashMap<u16, u32>,
+}
+
+impl States {
+    fn of(&self, daemon: Option<u32>) -> LinksOf {
+        let state = daemon.and_then(|pid| self.by_daemon.get(&pid));
+        state.copied().unwrap_or_default()
+    }
+
+    fn is_any_cut(&self) -> bool {
+        self.by_daemon.values().any(|&s| s != LinksOf::Sound)
+    }
+}
 
 /// Links in front of the upstreams of a site.
 #[derive(Debug)]
@@ -45,7 +62,7 @@
 impl Default for Links {
     fn default() -> Links {
         Links {
-            states: Arc::new(watch::Sender::new(States::new())),
+            states: Arc::new(watch::Sender::new(States::default())),
             tasks: Vec::new(),
         }
     }
@@ -64,8 +81,12 @@
 
     /// Changes the links of a daemon to all upstreams.
     pub(crate) fn set(&self, pid: u32, state: LinksOf) {
+        let mut pids: Vec<u32> = self.states.borrow().by_daemon.keys().copied().collect();
+        pids.push(pid);
+        let owners = owners_of_ports(&pids);
         self.states.send_modify(|states| {
-            states.insert(pid, state);
+            states.by_daemon.insert(pid, state);
+            states.owners = owners;
         });
     }
 }
@@ -85,11 +106,12 @@
     target: SocketAddr,
     mut states: watch::Receiver<States>,
 ) {
-    let owner = find_owner(&states, from).await;
-    let state_of = |states: &States| {
-        let state = owner.and_then(|pid| states.get(&pid));
-        state.copied().unwrap_or_default()
+    let is_any_cut = states.borrow().is_any_cut();
+    let owner = match is_any_cut {
+        true => find_owner(&states, from.port()).await,
+        false => None,
     };
+    let state_of = |states: &States| states.of(owner.or(states.owners.get(&from.port()).copied()));
     if state_of(&states.borrow_and_update()) != LinksOf::Sound {
         return reset(&inbound);
     }
@@ -111,12 +133,12 @@
     reset(&inbound);
 }
 
-/// Returns which of the daemons has the socket with this local address. The tables of the operating
-/// system are read piece by piece, so a socket may be missing from them once.
-async fn find_owner(states: &watch::Receiver<States>, address: SocketAddr) -> Option<u32> {
+/// Returns which of the daemons has the socket with this local port.
+async fn find_owner(states: &watch::Receiver<States>, port: u16) -> Option<u32> {
     for _ in 0..OWNER_LOOKUPS {
-        let pids: Vec<u32> = states.borrow().keys().copied().collect();
-        let owner = pids.into_iter().find(|&pid| owns_socket(pid, address));
+        let pids: Vec<u32> = states.borrow().by_daemon.keys().copied().collect();
+        let owners = tokio::task::spawn_blocking(move || owners_of_ports(&pids)).await;
+        let owner = owners.ok().and_then(|o| o.get(&port).copied());
         if owner.is_some() {
             return owner;
         }
@@ -130,30 +152,27 @@
     let _ = SockRef::from(connection).set_linger(Some(Duration::ZERO));
 }
 
-/// Returns whether a process has the socket with this local address.
-fn owns_socket(pid: u32, address: SocketAddr) -> bool {
-    let Some(inode) = inode_of(address) else {
-        return false;
-    };
-    let name = format!("socket:[{inode}]");
-    let Ok(files) = std::fs::read_dir(format!("/proc/{pid}/fd")) else {
-        return false;
-    };
-    let links = files.filter_map(|f| std::fs::read_link(f.ok()?.path()).ok());
-    links.into_iter().any(|link| link == Path::new(&name))
-}
-
-/// Returns the inode of the socket with this local address on the loopback interface.
-fn inode_of(address: SocketAddr) -> Option<String> {
-    let SocketAddr::V4(address) = address else {
-        return None;
+/// Returns the owners of sockets on the loopback interface, by local port.
+fn owners_of_ports(pids: &[u32]) -> HashMap<u16, u32> {
+    let mut owners: HashMap<String, u32> = HashMap::new();
+    for &pid in pids {
+        let files = std::fs::read_dir(format!("/proc/{pid}/fd"));
+        let files = files.into_iter().flatten().flatten();
+        for link in files.filter_map(|f| std::fs::read_link(f.path()).ok()) {
+            let name = link.to_string_lossy();
+            let inode = name
+                .strip_prefix("socket:[")
+                .and_then(|n| n.strip_suffix(']'));
+            owners.extend(inode.map(|inode| (inode.to_owned(), pid)));
+        }
+    }
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let owner_of_line = |line: &str| {
+        let mut fields = line.split_whitespace();
+        let (_, port) = fields.nth(1)?.split_once(':')?;
+        let inode = fields.nth(7)?;
+        let port = u16::from_str_radix(port, 16).ok()?;
+        Some((port, *owners.get(inode)?))
     };
-    let ip = u32::from_le_bytes(address.ip().octets());
-    let local = format!("{ip:08X}:{:04X}", address.port());
-    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
-    let mut fields = table.lines().map(|l| l.split_whitespace());
-    fields.find_map(|mut f| {
-        let is_local = f.nth(1) == Some(&*local);
-        is_local.then(|| f.nth(7).map(str::to_owned)).flatten()
-    })
+    table.lines().filter_map(owner_of_line).collect()
 }
--- a/crates/kelpworks-cli/tests/relay_site/daemon.rs
+++ b/crates/kelpworks-cli/tests/relay_site/daemon.rs
@@ -80,13 +80,13 @@
     ) -> Relay {
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("relay-{test}-{number}"));
         std::fs::create_dir_all(&dir).expect("a directory");
-        let [callers, readiness, operators, peers] = unique_addresses();
+        let [callers, readiness, operators, peers, handover] = unique_addresses();
         let seeds: Vec<String> = others.iter().map(|o| format!("\"{}\"", o.peers)).collect();
         let domain = ["hall-a", "hall-b"][number % 2];
         let settings = format!(
             "name = \"entry-{number}\"\nfailure_domain = \"{domain}\"\n[listen]\n\
              callers = \"{callers}\"\nreadiness = \"{readiness}\"\noperators = \"{operators}\"\n\
-             peers = \"{peers}\"\n[store]\naddress = \"{store}\"\n[peers]\nseeds = [{}]\n\
+             peers = \"{peers}\"\nhandover = \"{handover}\"\n[store]\naddress = \"{store}\"\n[peers]\nseeds = [{}]\n\
              [stop]\ngrace = \"8 s\"\n[repeats]\nwindow = \"{}\"\nratio = {:.2}\nslack = {:.2}\n",
             seeds.join(", "),
             budget.window,
@@ -260,10 +260,10 @@
 /// Returns addresses that no other test uses: each daemon of each test process has its own address
 /// of the loopback range. A free port of 127.0.0.1 can be taken by another test before the daemon
 /// listens on it.
-fn unique_addresses() -> [SocketAddr; 4] {
+fn unique_addresses() -> [SocketAddr; 5] {
     static DAEMONS: AtomicU8 = AtomicU8::new(1);
     let [_, _, high, low] = std::process::id().to_be_bytes();
     let host = DAEMONS.fetch_add(1, Ordering::Relaxed);
     let ip = [127, 1 + high % 250, low, host];
-    [8_080, 8_081, 8_082, 8_083].map(|port| SocketAddr::from((ip, port)))
+    [8_080, 8_081, 8_082, 8_083, 8_084].map(|port| SocketAddr::from((ip, port)))
 }
--- a/crates/kelpworks-relay/src/crashes.rs
+++ b/crates/kelpworks-relay/src/crashes.rs
@@ -55,6 +55,12 @@
         self.records.remove(&fingerprint);
     }
 
+    /// Removes the counts that last rose at `since` or later, as the attempts ended with a loss of
+    /// this daemon's own links.
+    pub fn forget_since(&mut self, since: Instant) {
+        self.records.retain(|_, r| r.last < since);
+    }
+
     /// Adopts a peer's count if it is higher.
     pub fn learn(&mut self, fingerprint: Fingerprint, crashes: u32, now: Instant) {
         let local = self.records.get(&fingerprint).map_or(0, |r| r.crashes);
--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -1,6 +1,7 @@
 //! A relaying daemon: starts its servers and tasks, reloads its settings, and shuts down
 //! gracefully.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -31,12 +32,15 @@
 use crate::adapter::Adapter;
 use crate::adapter::EngineApi;
 use crate::engine_calls::EngineCalls;
+use crate::link_probes;
 use crate::operators;
 use crate::operators::Readiness;
 use crate::peers::Peers;
 use crate::peers::StoreKind;
 use crate::placer::Placer;
 use crate::relay;
+use crate::relay::HandoverClient;
+use crate::relay::Relay;
 use crate::retry_budget::RetryLimit;
 use crate::server::Server;
 use crate::settings;
@@ -82,7 +86,7 @@
     /// An address could not be bound.
     #[error("failed to listen for {listener}: {source}")]
     Listen {
-        /// Name of the listener: `callers`, `peers`, `operators` or `readiness`.
+        /// Name of the listener: `callers`, `peers`, `handover`, `operators` or `readiness`.
         listener: &'static str,
         /// Error of the operating system.
         source: std::io::Error,
@@ -117,6 +121,8 @@
     caller_server: Server,
     status_servers: Vec<Server>,
     peer_server: ServerHandle,
+    /// Requests of other daemons; `None` without an address for them.
+    handover_server: Option<Server>,
     /// Cancelled at the start of a planned stop: ends the lease and the placer.
     resign: CancellationToken,
     lease_task: JoinHandle<()>,
@@ -250,12 +256,19 @@
             shutdown.clone(),
         );
         tokio::spawn(slowness_polls);
+        tokio::spawn(link_probes::run(Arc::clone(&shared), shutdown.clone()));
         let router = operators::readiness_router(&shared);
         let readiness_server =
             Server::start(listen.readiness, router, CONNECTION_IDLE_TIMEOUT).await;
         let router = operators::metrics_router(metrics);
         let metrics_server = Server::start(listen.operators, router, CONNECTION_IDLE_TIMEOUT).await;
-        let router = relay::router::<A, E>(&shared, &engine_calls);
+        let handover_client = HandoverClient::new(Arc::clone(&peers));
+        let relay: Relay<A, E> = Relay::new(&shared, &engine_calls, handover_client);
+        let handover_server = match listen.handover {
+            Some(address) => Some(start_handover_server(address, &relay, &peers).await?),
+            None => None,
+        };
+        let router = relay::router(&relay);
         let caller_server = Server::start(listen.callers, router, CONNECTION_IDLE_TIMEOUT).await;
         Ok(Daemon {
             caller_server: caller_server.map_err(listen_error("callers"))?,
@@ -266,6 +279,7 @@
             shared,
             peers,
             peer_server,
+            handover_server,
             resign,
             lease_task,
             shutdown,
@@ -317,7 +331,12 @@
         info!(in_flight = self.shared.in_flight.load(Ordering::Relaxed); "stopping");
         tokio::time::sleep(self.grace.mul_f64(DRAIN_NOTICE_FRACTION)).await;
         let time_left = deadline.saturating_duration_since(Instant::now());
-        self.caller_server.stop(time_left).await;
+        let handovers = async {
+            if let Some(server) = self.handover_server {
+                server.stop(time_left).await;
+            }
+        };
+        tokio::join!(self.caller_server.stop(time_left), handovers);
         let _ = tokio::time::timeout(FINAL_WRITES_RESERVE / 2, self.lease_task).await;
         self.shutdown.cancel();
         if let Err(e) = self.peer_server.stop() {
@@ -330,6 +349,19 @@
     }
 }
 
+/// Starts to serve requests of other daemons, and offers that to them.
+async fn start_handover_server<A: Adapter, E: EngineApi>(
+    address: SocketAddr,
+    relay: &Relay<A, E>,
+    peers: &Peers,
+) -> Result<Server> {
+    let router = relay::handover_router(relay);
+    let server = Server::start(address, router, CONNECTION_IDLE_TIMEOUT).await;
+    let server = server.map_err(listen_error("handover"))?;
+    peers.offer_handover(address.port());
+    Ok(server)
+}
+
 fn listen_error(listener: &'static str) -> impl Fn(std::io::Error) -> Error {
     move |source| Error::Listen { listener, source }
 }
--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -392,6 +392,17 @@
         }
     }
 
+    /// Ends the ejections of a service's upstreams for failures, which were due to this daemon's own
+    /// links.
+    pub fn end_ejections(&mut self, service: &str) {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        for &key in keys {
+            if let Some(u) = self.upstreams.get_mut(key) {
+                u.end_ejection();
+            }
+        }
+    }
+
     /// Records that an upstream refused a request: it is ejected, for longer with each consecutive
     /// refusal.
     pub fn record_refusal(&mut self, key: UpstreamKey, now: Instant) {
--- a/crates/kelpworks-relay/src/fleet/upstream.rs
+++ b/crates/kelpworks-relay/src/fleet/upstream.rs
@@ -219,6 +219,10 @@
 
     pub(super) fn record_success(&mut self, now: Instant) {
         self.last_success = Some(now);
+        self.end_ejection();
+    }
+
+    pub(super) fn end_ejection(&mut self) {
         self.ejected_until = None;
         self.attribution = None;
         self.unreachable = false;
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -16,6 +16,7 @@
 mod exchange;
 #[cfg(test)]
 mod fleet_tests;
+mod handover;
 mod leaving;
 #[cfg(test)]
 mod leaving_tests;
@@ -39,6 +40,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use jsonrpsee::core::RpcResult;
@@ -75,6 +77,7 @@
 #[cfg(test)]
 pub(crate) use tests::engine as test_engine;
 
+pub(crate) use handover::Candidate;
 pub(crate) use roles::LeadershipBasis;
 pub(crate) use store_contact::StoreKind;
 pub(crate) use store_contact::WatchRole;
@@ -142,6 +145,8 @@
     /// Partners that have not answered the latest exchange yet. They are not called again until
     /// then: more calls would only delay a partner that is overloaded.
     in_flight: Mutex<HashSet<SocketAddr>>,
+    /// Port on which this daemon accepts requests of other daemons; unset if it accepts none.
+    handover_port: OnceLock<u16>,
 }
 
 impl Peers {
@@ -170,6 +175,7 @@
             pack_caches: Mutex::default(),
             fetch_permits: Semaphore::new(MAX_FETCHES),
             in_flight: Mutex::default(),
+            handover_port: OnceLock::new(),
         }
     }
 
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -149,6 +149,7 @@
             lost_age_ms: None,
             condition,
             watching,
+            handover: self.handover_offer(),
         }
     }
 
--- a/crates/kelpworks-relay/src/peers/members.rs
+++ b/crates/kelpworks-relay/src/peers/members.rs
@@ -33,6 +33,7 @@
 
 use super::messages::Contact;
 use super::messages::Digest;
+use super::messages::HandoverOffer;
 use super::messages::millis_since;
 
 /// Time without contact after which a daemon is forgotten. Until then an unreachable daemon still
@@ -87,6 +88,8 @@
     pub(super) condition: Condition,
     /// Whether it reported at `last_contact` that it watches the store and gets answers.
     watching: bool,
+    /// Offer reported at `last_contact`.
+    pub(super) handover: Option<HandoverOffer>,
     /// Latest evidence of its loss from any daemon; never decreases.
     lost: Option<Instant>,
     /// When this daemon learned of the last change of liveness or condition.
@@ -257,6 +260,7 @@
                 last_contact,
                 condition: contact.condition,
                 watching: contact.watching,
+                handover: contact.handover.clone(),
                 lost,
                 changed: now,
             };
@@ -271,16 +275,20 @@
             return change;
         };
         let was_live = member.is_live();
+        let was_unreachable = member.unreachable_count();
         let reported = (member.condition, member.watching);
         if last_contact > member.last_contact {
             member.last_contact = last_contact;
             member.condition = contact.condition;
             member.watching = contact.watching;
             member.address = contact.address;
+            member.handover = contact.handover.clone();
         }
         member.lost = member.lost.max(lost);
         let change = member.liveness_change(was_live);
-        if change.is_some() || (member.condition, member.watching) != reported {
+        let has_new_report = (member.condition, member.watching) != reported
+            || member.unreachable_count() != was_unreachable;
+        if change.is_some() || has_new_report {
             member.changed = now;
         }
         if let Some(change) = change {
@@ -465,9 +473,15 @@
             lost_age_ms: self.lost.map(|at| millis_since(at, now)),
             condition: self.condition,
             watching: self.watching,
+            handover: self.handover.clone(),
         }
     }
 
+    /// Number of services whose upstreams it does not reach.
+    fn unreachable_count(&self) -> usize {
+        self.handover.as_ref().map_or(0, |o| o.unreachable.len())
+    }
+
     fn liveness_change(&self, was_live: bool) -> Option<LivenessChange> {
         match (was_live, self.is_live()) {
             (false, true) => Some(LivenessChange::Live),
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -117,6 +117,7 @@
         lost_age_ms: None,
         condition: Condition::Fit,
         watching: false,
+        handover: None,
     }
 }
 
--- a/crates/kelpworks-relay/src/permit.rs
+++ b/crates/kelpworks-relay/src/permit.rs
@@ -18,6 +18,7 @@
 use crate::fleet::Upstream;
 use crate::fleet::UpstreamKey;
 use crate::limits;
+use crate::pool::WritePermit;
 use crate::retry_budget::RetryBudget;
 use crate::sync::lock;
 
@@ -198,3 +199,15 @@
         }
     }
 }
+
+impl WritePermit for Permit {
+    type Spent = SpentPermit;
+
+    fn spend(self) -> Option<SpentPermit> {
+        Permit::spend(self)
+    }
+
+    fn undo(spent: SpentPermit) -> Permit {
+        spent.undo()
+    }
+}
--- a/crates/kelpworks-relay/src/pool.rs
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -5,10 +5,14 @@
 //! this pool is built on the connections of `hyper`, which `reqwest` uses as well: a request that
 //! was not written is returned, and nothing is sent twice unless the caller asks for it.
 //!
+//! Requests that are handed over to other daemons use a pool of the same kind.
+//!
 //! A connection whose answer was not read to its end, or that received anything unexpected, is
 //! closed.
 
 use std::collections::HashMap;
+use std::fmt::Debug;
+use std::hash::Hash;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -32,7 +36,6 @@
 use tokio::time::Instant;
 
 use crate::fleet::UpstreamKey;
-use crate::permit::Permit;
 use crate::sync::lock;
 
 /// Result of sending a request.
@@ -53,6 +56,9 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Idle time before the operating system probes a connection, and between its probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
+/// Time for which a probe connection has to stay open: several round trips within a region, after
+/// which a link or proxy that accepts connections only to reset them has done so.
+const PROBE_HOLD: Duration = Duration::from_millis(60);
 /// Maximum number of idle connections kept to one upstream.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 
@@ -74,34 +80,76 @@
     Lost,
 }
 
+/// What the connections of a pool lead to.
+pub trait Destination: Copy + Debug + Eq + Hash + Send + Sync + 'static {
+    /// Metric that counts attempts to open a connection, by outcome.
+    const CONNECTS_METRIC: &'static str;
+    /// Metric that counts opened connections.
+    const CONNECTIONS_METRIC: &'static str;
+}
+
+impl Destination for UpstreamKey {
+    const CONNECTS_METRIC: &'static str = "kelpworks_upstream_connects_total";
+    const CONNECTIONS_METRIC: &'static str = "kelpworks_upstream_connections_total";
+}
+
+/// Permission to write a request once.
+pub trait WritePermit: Debug + Send + Sized {
+    /// A permit that was used.
+    type Spent: Send;
+
+    /// Marks the permit as used, as the request is written now; `None` if it no longer holds.
+    fn spend(self) -> Option<Self::Spent>;
+
+    /// Restores the permit after it turned out that nothing was written.
+    fn undo(spent: Self::Spent) -> Self;
+}
+
 /// A connection and the answer received on it.
 #[derive(Debug)]
-pub struct Exchange {
+pub struct Exchange<K = UpstreamKey> {
     /// The answer; its body has not been read yet.
     pub response: Response<Incoming>,
     /// The connection, to be returned to the pool once the body is read.
-    pub connection: Connection,
+    pub connection: Connection<K>,
 }
 
 /// A connection in use by one request.
 #[derive(Debug)]
-pub struct Connection {
+pub struct Connection<K = UpstreamKey> {
     sender: SendRequest<Body>,
-    upstream: UpstreamKey,
+    destination: K,
     max_idle: Duration,
     is_closing: bool,
+    /// Whether it was opened for its present request.
+    is_new: bool,
+}
+
+impl<K> Connection<K> {
+    /// Returns whether it was opened for its present request.
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
 }
 
 #[derive(Debug)]
-struct IdleConnection {
-    connection: Connection,
+struct IdleConnection<K> {
+    connection: Connection<K>,
     since: Instant,
 }
 
-/// Idle connections, by upstream.
-#[derive(Debug, Default)]
-pub struct Pool {
-    kept: Mutex<HashMap<UpstreamKey, Vec<IdleConnection>>>,
+/// Idle connections, by destination.
+#[derive(Debug)]
+pub struct Pool<K = UpstreamKey> {
+    kept: Mutex<HashMap<K, Vec<IdleConnection<K>>>>,
+}
+
+impl<K> Default for Pool<K> {
+    fn default() -> Pool<K> {
+        Pool {
+            kept: Mutex::default(),
+        }
+    }
 }
 
 /// Which idle connections a request may use.
@@ -113,7 +161,7 @@
     Recent,
 }
 
-impl Pool {
+impl<K: Destination> Pool<K> {
     /// Sends a request and waits for the head of its answer. The permit is spent unless nothing
     /// was sent.
     ///
@@ -121,16 +169,16 @@
     ///
     /// [`Error::NotSent`] and [`Error::Withheld`] when nothing was sent; [`Error::Lost`] when the
     /// upstream may have read the request.
-    pub async fn send(
+    pub async fn send<P: WritePermit>(
         &self,
-        upstream: UpstreamKey,
+        destination: K,
         address: SocketAddr,
         req: Request<Body>,
         reuse: Reuse,
-        permit: Permit,
-    ) -> Result<Exchange> {
+        permit: P,
+    ) -> Result<Exchange<K>> {
         let mut unsent = Unsent { req, permit };
-        while let Some(connection) = self.take(upstream, reuse) {
+        while let Some(connection) = self.take(destination, reuse) {
             match exchange(connection, unsent).await {
                 Ok(exchange) => return Ok(exchange),
                 Err(ExchangeError::Lost) => return Err(Error::Lost),
@@ -139,7 +187,7 @@
                 Err(ExchangeError::Unsent(returned)) => unsent = *returned,
             }
         }
-        let connection = open(upstream, address).await?;
+        let connection = open(destination, address).await?;
         match exchange(connection, unsent).await {
             Ok(exchange) => Ok(exchange),
             Err(ExchangeError::Lost) => Err(Error::Lost),
@@ -149,12 +197,12 @@
     }
 
     /// Returns a connection to the pool after its answer has been read to its end.
-    pub fn keep(&self, connection: Connection) {
+    pub fn keep(&self, connection: Connection<K>) {
         if connection.is_closing || connection.sender.is_closed() {
             return;
         }
         let mut table = self.lock();
-        let kept = table.entry(connection.upstream).or_default();
+        let kept = table.entry(connection.destination).or_default();
         if kept.len() >= MAX_IDLE_CONNECTIONS {
             kept.remove(0);
         }
@@ -162,34 +210,39 @@
         kept.push(IdleConnection { connection, since });
     }
 
-    /// Closes the idle connections to all upstreams for which `keep` is false.
-    pub fn retain(&self, keep: impl Fn(UpstreamKey) -> bool) {
+    /// Closes the idle connections to all destinations for which `keep` is false.
+    pub fn retain(&self, keep: impl Fn(K) -> bool) {
         self.lock().retain(|&key, _| keep(key));
     }
 
-    /// Closes the idle connections to an upstream.
-    pub fn forget(&self, upstream: UpstreamKey) {
-        self.lock().remove(&upstream);
+    /// Closes the idle connections to a destination.
+    pub fn forget(&self, destination: K) {
+        self.lock().remove(&destination);
     }
 
     /// Takes the connection that was used last, as older ones may have been idle for too long.
-    fn take(&self, upstream: UpstreamKey, reuse: Reuse) -> Option<Connection> {
+    fn take(&self, destination: K, reuse: Reuse) -> Option<Connection<K>> {
         let mut table = self.lock();
-        let kept = table.get_mut(&upstream)?;
+        let kept = table.get_mut(&destination)?;
         let now = Instant::now();
-        while let Some(IdleConnection { connection, since }) = kept.pop() {
+        while let Some(IdleConnection {
+            mut connection,
+            since,
+        }) = kept.pop()
+        {
             let max_idle = match reuse {
                 Reuse::Any => connection.max_idle,
                 Reuse::Recent => connection.max_idle.min(MAX_RECENT_IDLE),
             };
             if now.duration_since(since) < max_idle && connection.sender.is_ready() {
+                connection.is_new = false;
                 return Some(connection);
             }
         }
         None
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<UpstreamKey, Vec<IdleConnection>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<K, Vec<IdleConnection<K>>>> {
         lock(&self.kept)
     }
 }
@@ -200,14 +253,24 @@
     matches!(connecting, Ok(Ok(_)))
 }
 
-async fn open(upstream: UpstreamKey, address: SocketAddr) -> Result<Connection> {
+/// Returns whether an address accepts a connection in time and does not close it at once.
+pub(crate) async fn holds_connection(address: SocketAddr) -> bool {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let Ok(Ok(stream)) = connecting else {
+        return false;
+    };
+    let closed = tokio::time::timeout(PROBE_HOLD, stream.readable()).await;
+    closed.is_err()
+}
+
+async fn open<K: Destination>(destination: K, address: SocketAddr) -> Result<Connection<K>> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let outcome = match &connecting {
         Ok(Ok(_)) => "opened",
         Ok(Err(_)) => "refused",
         Err(_) => "timed out",
     };
-    metrics::counter!("kelpworks_upstream_connects_total", "outcome" => outcome).increment(1);
+    metrics::counter!(K::CONNECTS_METRIC, "outcome" => outcome).increment(1);
     let Ok(Ok(stream)) = connecting else {
         return Err(Error::NotSent);
     };
@@ -218,15 +281,16 @@
     let (sender, connection) = handshake.map_err(|_| Error::NotSent)?;
     tokio::spawn(async move {
         if let Err(e) = connection.await {
-            debug!(address:%, error:% = e; "connection to an upstream ended");
+            debug!(address:%, error:% = e; "connection ended");
         }
     });
-    metrics::counter!("kelpworks_upstream_connections_total").increment(1);
+    metrics::counter!(K::CONNECTIONS_METRIC).increment(1);
     Ok(Connection {
         sender,
-        upstream,
+        destination,
         max_idle: DEFAULT_IDLE_TIMEOUT,
         is_closing: false,
+        is_new: true,
     })
 }
 
@@ -243,25 +307,25 @@
 }
 
 /// A request that has not been written yet.
-struct Unsent {
+struct Unsent<P> {
     req: Request<Body>,
-    permit: Permit,
+    permit: P,
 }
 
 /// Why an exchange failed.
-enum ExchangeError {
+enum ExchangeError<P> {
     /// Nothing was written.
-    Unsent(Box<Unsent>),
+    Unsent(Box<Unsent<P>>),
     /// Nothing was written, since the permit was no longer valid.
     Withheld,
     /// The request may have been read.
     Lost,
 }
 
-async fn exchange(
-    mut connection: Connection,
-    unsent: Unsent,
-) -> std::result::Result<Exchange, ExchangeError> {
+async fn exchange<K, P: WritePermit>(
+    mut connection: Connection<K>,
+    unsent: Unsent<P>,
+) -> std::result::Result<Exchange<K>, ExchangeError<P>> {
     let Unsent { req, permit } = unsent;
     let Some(spent_permit) = permit.spend() else {
         return Err(ExchangeError::Withheld);
@@ -277,7 +341,7 @@
         }
         Err(mut e) => match e.take_message() {
             Some(req) => {
-                let permit = spent_permit.undo();
+                let permit = P::undo(spent_permit);
                 Err(ExchangeError::Unsent(Box::new(Unsent { req, permit })))
             }
             None => Err(ExchangeError::Lost),
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -19,6 +19,12 @@
 
 use super::InboundRequest;
 use super::Refusal;
+use super::handover::HandoverClient;
+use super::handover::HandoverError;
+use super::handover::HandoverHead;
+use super::handover::MAX_HANDOVERS;
+use super::handover::NO_PEER;
+use super::handover::UNREACHABLE;
 use super::reply::Reply;
 use crate::adapter::Adapter;
 use crate::adapter::AnswerHead;
@@ -32,6 +38,7 @@
 use crate::pool;
 use crate::pool::Exchange;
 use crate::pool::Reuse;
+use crate::reach::Evidence;
 use crate::shared::Shared;
 use crate::shared::announcements::Announcements;
 use crate::shared::announcements::AnsweredMessage;
@@ -70,6 +77,10 @@
 /// Failure reason of an attempt whose upstream announced, before it was written, that it accepts
 /// none.
 pub(super) const WITHHELD: &str = "withheld";
+/// Failure reason of an attempt whose connection ended before the answer.
+const CONNECTION_LOST: &str = "connection lost";
+/// Failure reason of an attempt whose answer did not arrive in time.
+const NO_ANSWER: &str = "no answer in time";
 
 /// Result of one attempt.
 enum Attempt {
@@ -101,8 +112,16 @@
 }
 
 /// Forwards a request, with retries, until it is answered, must not be retried, or times out.
-pub(super) async fn serve<D: Adapter>(shared: &Arc<Shared>, inbound: &InboundRequest) -> Reply {
+pub(super) async fn serve<D: Adapter>(
+    shared: &Arc<Shared>,
+    handover_client: &HandoverClient,
+    inbound: &InboundRequest,
+) -> Reply {
     let mut tried: Vec<UpstreamKey> = Vec::new();
+    let mut handover = CallHandover {
+        client: handover_client,
+        tried: Vec::new(),
+    };
     let mut verdict = Verdict::NotRun;
     let mut reason = "no upstream";
     let mut last_error_response = None;
@@ -111,13 +130,22 @@
     shared
         .wait_while_starting(inbound.arrived, has_upstream)
         .await;
-    let mut may_have_reached = false;
+    let mut may_have_reached = inbound.may_have_reached();
     let limit_wait_deadline =
         Instant::now() + inbound.route.latency_target.mul_f64(LIMIT_WAIT_FRACTION);
+    let mut has_link_failure = false;
     loop {
-        let (upstream, permit) =
+        let attempt = if handover.is_due(shared, inbound, has_link_failure) {
+            handover.attempt(inbound, may_have_reached).await
+        } else {
             match next_upstream(shared, inbound, &tried, verdict, may_have_reached) {
-                NextAttempt::Send(upstream, permit) => (upstream, permit),
+                NextAttempt::Send(upstream, permit) => {
+                    tried.push(upstream);
+                    let attempt = attempt::<D>(shared, inbound, upstream, &tried, permit).await;
+                    has_link_failure |= link_evidence(&attempt).is_some();
+                    log_attempt(shared, inbound, upstream, &attempt);
+                    attempt
+                }
                 NextAttempt::Wait(Unavailability { wait, is_backoff }) => {
                     let remaining = limit_wait_deadline.saturating_duration_since(Instant::now());
                     if let Some(wait) = wait.filter(|&w| w <= remaining) {
@@ -128,17 +156,23 @@
                     available_in = wait.filter(|_| is_backoff);
                     break;
                 }
-                NextAttempt::Abandon => break,
-            };
-        tried.push(upstream);
-        let attempt = attempt::<D>(shared, inbound, upstream, &tried, permit).await;
+                NextAttempt::Abandon => {
+                    let is_retryable =
+                        verdict == Verdict::NotRun || inbound.route.kind.is_retryable();
+                    if !has_link_failure || !is_retryable || !handover.is_unused(inbound) {
+                        break;
+                    }
+                    handover.attempt(inbound, may_have_reached).await
+                }
+            }
+        };
         match attempt {
             Attempt::Completed {
                 status,
                 headers,
                 body,
             } => {
-                log_answer(inbound, status, tried.len());
+                log_answer(inbound, status, tried.len() + handover.tried.len());
                 return Reply::Buffered {
                     status,
                     headers,
@@ -150,13 +184,15 @@
                 reason: attempt_reason,
                 error_response,
             } => {
-                log_attempt(shared, inbound, upstream, v, attempt_reason);
-                may_have_reached |= attempt_reason != NOT_SENT && attempt_reason != WITHHELD;
+                may_have_reached |= !is_unsent(v, attempt_reason);
                 verdict = verdict.max(v);
                 reason = attempt_reason;
                 last_error_response = error_response.or(last_error_response);
             }
         }
+        if verdict == Verdict::MayHaveRun && !inbound.route.kind.is_retryable() {
+            break;
+        }
     }
     if let Some((status, headers, body)) = last_error_response {
         return Reply::Buffered {
@@ -168,6 +204,72 @@
     Reply::Refused(final_refusal(inbound, verdict, reason, available_in))
 }
 
+/// The ways of a call by other daemons.
+struct CallHandover<'a> {
+    client: &'a HandoverClient,
+    /// Daemons that it was handed over to.
+    tried: Vec<SocketAddr>,
+}
+
+impl CallHandover<'_> {
+    /// Returns whether the next attempt should be another daemon's: the upstreams are out of reach,
+    /// or an attempt failed and no upstream shows that this daemon's links work.
+    fn is_due(&self, shared: &Shared, inbound: &InboundRequest, has_link_failure: bool) -> bool {
+        let service = &inbound.service.name;
+        let is_due = {
+            let reach = shared.reach();
+            let is_doubtful = reach.is_doubtful(service, Instant::now());
+            reach.is_lost(service) || (has_link_failure && is_doubtful)
+        };
+        is_due && self.is_possible(inbound)
+    }
+
+    /// Returns whether a daemon is left that the call can be handed over to.
+    fn is_possible(&self, inbound: &InboundRequest) -> bool {
+        let is_allowed = inbound.handover.is_none() && self.tried.len() < MAX_HANDOVERS;
+        let service = &inbound.service.name;
+        is_allowed && self.client.has_candidate(service, &self.tried)
+    }
+
+    /// Returns whether the call was not handed over yet and can be.
+    fn is_unused(&self, inbound: &InboundRequest) -> bool {
+        self.tried.is_empty() && self.is_possible(inbound)
+    }
+
+    /// Hands the call over and reads the answer.
+    async fn attempt(&mut self, inbound: &InboundRequest, may_have_reached: bool) -> Attempt {
+        let head = HandoverHead {
+            version: inbound.version,
+            left_ms: inbound.remaining().as_millis() as u64,
+            may_have_reached,
+            ..HandoverHead::default()
+        };
+        // A retryable call leaves time for another attempt.
+        let timeout = match inbound.route.kind.is_retryable() {
+            true => inbound.remaining() / 2,
+            false => inbound.remaining(),
+        };
+        let sending = self.client.send(inbound, &head, &mut self.tried);
+        let failed = |e: HandoverError| failed_attempt(e.verdict(), e.reason());
+        let exchange = match tokio::time::timeout(timeout, sending).await {
+            Ok(Ok(exchange)) => exchange,
+            Ok(Err(e)) => return failed(e),
+            Err(_) => return failed(HandoverError::Lost),
+        };
+        let (parts, body) = exchange.response.into_parts();
+        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let Ok(Ok(body)) = tokio::time::timeout(inbound.remaining(), body).await else {
+            return failed(HandoverError::Lost);
+        };
+        self.client.keep(exchange.connection);
+        Attempt::Completed {
+            status: parts.status,
+            headers: parts.headers,
+            body: body.to_bytes(),
+        }
+    }
+}
+
 /// Returns, and logs, the refusal of a request that is not retried any more. `available_in` is the
 /// time after which an upstream is known to accept requests again.
 pub(super) fn final_refusal(
@@ -347,8 +449,9 @@
     };
     let result = match tokio::time::timeout(attempt_timeout, work).await {
         Ok(result) => result,
-        Err(_) => failed_attempt(Verdict::MayHaveRun, "no answer in time"),
+        Err(_) => failed_attempt(Verdict::MayHaveRun, NO_ANSWER),
     };
+    record_link_evidence(shared, inbound, upstream, &result);
     let mut fleet = shared.fleet();
     match &result {
         Attempt::Completed { .. } => {
@@ -368,6 +471,36 @@
     result
 }
 
+/// Records a failed attempt that may be due to this daemon's own links.
+fn record_link_evidence(
+    shared: &Shared,
+    inbound: &InboundRequest,
+    upstream: UpstreamKey,
+    attempt: &Attempt,
+) {
+    if let Some(evidence) = link_evidence(attempt) {
+        shared.record_link_failure(&inbound.service.name, upstream, evidence);
+    }
+}
+
+/// Returns what a failed attempt shows about this daemon's own links, if anything.
+fn link_evidence(attempt: &Attempt) -> Option<Evidence> {
+    let &Attempt::Failed { reason, .. } = attempt else {
+        return None;
+    };
+    match reason {
+        NOT_SENT => Some(Evidence::NotOpened),
+        CONNECTION_LOST | NO_ANSWER => Some(Evidence::Broken),
+        _ => None,
+    }
+}
+
+/// Whether nothing of a failed attempt can have reached an upstream.
+fn is_unsent(verdict: Verdict, reason: &str) -> bool {
+    let is_unsent = [NOT_SENT, WITHHELD, UNREACHABLE, NO_PEER].contains(&reason);
+    verdict == Verdict::NotRun && is_unsent
+}
+
 fn attempt_timeout(typical_ms: Option<f64>) -> Duration {
     let typical = Duration::from_secs_f64(typical_ms.unwrap_or(0.0) * ATTEMPT_TIMEOUT_FACTOR / 1e3);
     typical.max(MIN_ATTEMPT_TIMEOUT)
@@ -402,8 +535,9 @@
         Ok(exchange) => exchange,
         Err(pool::Error::NotSent) => return failed_attempt(Verdict::NotRun, NOT_SENT),
         Err(pool::Error::Withheld) => return failed_attempt(Verdict::NotRun, WITHHELD),
-        Err(pool::Error::Lost) => return failed_attempt(Verdict::MayHaveRun, "connection lost"),
+        Err(pool::Error::Lost) => return failed_attempt(Verdict::MayHaveRun, CONNECTION_LOST),
     };
+    shared.record_contact(&inbound.service.name, connection.is_new());
     let head = D::decode_answer_head(response.headers());
     if let Some(announced) = announcements(inbound, &response, &head, target.address) {
         let message = AnsweredMessage {
@@ -530,13 +664,19 @@
     metrics::histogram!("kelpworks_answer_seconds").record(elapsed.as_secs_f64());
 }
 
+/// Logs an attempt if it failed.
 fn log_attempt(
     shared: &Shared,
     inbound: &InboundRequest,
     upstream: UpstreamKey,
-    verdict: Verdict,
-    reason: &'static str,
+    attempt: &Attempt,
 ) {
+    let &Attempt::Failed {
+        verdict, reason, ..
+    } = attempt
+    else {
+        return;
+    };
     let fleet = shared.fleet();
     let instance = fleet.get(upstream).map(|u| Arc::clone(&u.entry.instance));
     info!(
--- /dev/null
+++ b/crates/kelpworks-relay/src/relay/handover.rs
@@ -0,0 +1,305 @@
+//! Requests that one daemon hands over to another.
+//!
+//! A daemon that has lost its links to the upstreams of a service passes requests on to a peer that
+//! reaches them, as they came, with what it knows of them in one more header field. The peer serves
+//! such a request like one of its own callers', but never hands it over again, and the answer comes
+//! back on the same connection: HTTP/1.1 carries flow control, cancellation and incomplete answers
+//! from end to end. A refusal by the peer itself says in a header field whether the request may have
+//! run, which tells it from an upstream's answer.
+//!
+//! The upstream side stays with the peer: retry budget, limits, backoffs and crash counts are those
+//! of the daemon that writes to the upstream.
+//!
+//! Limits: the peer is chosen by the reach that it last reported, not by its load.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use hyper::body::Incoming;
+use kelpworks::verdict::Verdict;
+use log::info;
+use rand::seq::IndexedRandom;
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+use tokio::time::Instant;
+
+use super::InboundRequest;
+use crate::peers::Candidate;
+use crate::peers::Peers;
+use crate::pool;
+use crate::pool::Body;
+use crate::pool::Connection;
+use crate::pool::Destination;
+use crate::pool::Exchange;
+use crate::pool::Pool;
+use crate::pool::Reuse;
+use crate::pool::WritePermit;
+use crate::sync::lock;
+
+/// Result of handing a request over.
+pub(super) type Result<T> = std::result::Result<T, HandoverError>;
+
+/// Header field of a request that is handed over: a [`HandoverHead`] in JSON.
+pub(super) const HANDOVER_HEADER: HeaderName = HeaderName::from_static("kelpworks-handover");
+/// Header field of a refusal by the daemon that a request was handed over to: its verdict.
+pub(super) const REFUSAL_HEADER: HeaderName = HeaderName::from_static("kelpworks-handover-refusal");
+/// Maximum number of daemons that a request is handed over to, one after the other.
+pub(super) const MAX_HANDOVERS: usize = 3;
+/// Time for which a daemon that accepted no connection is not chosen: a few exchanges of digests,
+/// after which it counts as lost if it is.
+const AVOIDANCE_PERIOD: Duration = Duration::from_secs(1);
+/// Weight of a daemon of the own failure domain against one of another when one is drawn. Traffic
+/// between domains is billed, but the daemons that are left in one domain can't serve all others.
+const LOCAL_WEIGHT: u32 = 3;
+
+/// Failure reason when no daemon is known that could serve a request.
+pub(super) const NO_PEER: &str = "no peer";
+/// Failure reason when a daemon accepted no connection.
+pub(super) const UNREACHABLE: &str = "peer unreachable";
+
+/// What a daemon knows of a request that it hands over.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct HandoverHead {
+    /// Version of the configuration that the request was admitted under.
+    pub(super) version: u64,
+    /// Milliseconds left until the deadline.
+    pub(super) left_ms: u64,
+    /// Id of the last event that the caller has.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) after: Option<u64>,
+    /// Version of the weights that must produce the answer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) weight_version: Option<u64>,
+    /// Whether the request may have reached an upstream, so that any attempt is a retry.
+    #[serde(default)]
+    pub(super) may_have_reached: bool,
+    /// Incarnations of the upstreams where it may have run.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) ran_at: Vec<Arc<str>>,
+}
+
+/// Address on which a daemon accepts requests of others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct PeerAddress(SocketAddr);
+
+impl Destination for PeerAddress {
+    const CONNECTS_METRIC: &'static str = "kelpworks_handover_connects_total";
+    const CONNECTIONS_METRIC: &'static str = "kelpworks_handover_connections_total";
+}
+
+/// No constraint applies between daemons.
+#[derive(Clone, Copy, Debug)]
+struct Unconstrained;
+
+impl WritePermit for Unconstrained {
+    type Spent = Unconstrained;
+
+    fn spend(self) -> Option<Unconstrained> {
+        Some(self)
+    }
+
+    fn undo(spent: Unconstrained) -> Unconstrained {
+        spent
+    }
+}
+
+/// Why a request that was handed over got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
+pub(super) enum HandoverError {
+    /// No daemon is known that could serve it.
+    #[error("no peer")]
+    NoPeer,
+    /// The peer accepted no connection.
+    #[error("peer unreachable")]
+    NotSent,
+    /// The connection failed after the request was sent.
+    #[error("peer lost")]
+    Lost,
+    /// The peer refused it.
+    #[error("refused by a peer")]
+    Refused(Verdict),
+}
+
+impl HandoverError {
+    pub(super) fn verdict(self) -> Verdict {
+        match self {
+            HandoverError::NoPeer | HandoverError::NotSent => Verdict::NotRun,
+            HandoverError::Lost => Verdict::MayHaveRun,
+            HandoverError::Refused(verdict) => verdict,
+        }
+    }
+
+    /// Returns the reason for logs and metric labels.
+    pub(super) fn reason(self) -> &'static str {
+        match self {
+            HandoverError::NoPeer => NO_PEER,
+            HandoverError::NotSent => UNREACHABLE,
+            HandoverError::Lost => "peer lost",
+            HandoverError::Refused(_) => "refused by a peer",
+        }
+    }
+}
+
+/// A connection to a peer that serves a request.
+pub(super) type PeerConnection = Connection<PeerAddress>;
+
+/// Hands requests over to other daemons.
+#[derive(Debug)]
+pub(crate) struct HandoverClient {
+    peers: Arc<Peers>,
+    pool: Pool<PeerAddress>,
+    /// Daemons that accepted no connection, and until when they are not chosen.
+    avoided: Mutex<HashMap<SocketAddr, Instant>>,
+}
+
+impl HandoverClient {
+    pub(crate) fn new(peers: Arc<Peers>) -> HandoverClient {
+        HandoverClient {
+            peers,
+            pool: Pool::default(),
+            avoided: Mutex::default(),
+        }
+    }
+
+    /// Returns whether a daemon other than the `tried` ones could serve a request for the service.
+    pub(super) fn has_candidate(&self, service: &str, tried: &[SocketAddr]) -> bool {
+        !self.candidates(service, tried).is_empty()
+    }
+
+    /// Hands a request over to a daemon that is not among the `tried` ones, and adds it to them.
+    ///
+    /// # Errors
+    ///
+    /// Unless the head of an upstream's answer arrived.
+    pub(super) async fn send(
+        &self,
+        inbound: &InboundRequest,
+        head: &HandoverHead,
+        tried: &mut Vec<SocketAddr>,
+    ) -> Result<Exchange<PeerAddress>> {
+        let candidates = self.candidates(&inbound.service.name, tried);
+        let peer = draw(&candidates).ok_or(HandoverError::NoPeer)?;
+        tried.push(peer);
+        let sent = Instant::now();
+        let result = self.exchange(peer, inbound, head).await;
+        log_handover(inbound, peer, &result, sent.elapsed());
+        result
+    }
+
+    /// Returns a connection to the pool after its answer has been read to its end.
+    pub(super) fn keep(&self, connection: PeerConnection) {
+        self.pool.keep(connection);
+    }
+
+    async fn exchange(
+        &self,
+        peer: SocketAddr,
+        inbound: &InboundRequest,
+        head: &HandoverHead,
+    ) -> Result<Exchange<PeerAddress>> {
+        let req = inbound.to_handover(head);
+        let reuse = match inbound.route.kind.is_retryable() {
+            true => Reuse::Any,
+            false => Reuse::Recent,
+        };
+        let sending = self
+            .pool
+            .send(PeerAddress(peer), peer, req, reuse, Unconstrained);
+        let exchange = sending.await.map_err(|e| match e {
+            pool::Error::NotSent | pool::Error::Withheld => {
+                self.avoid(peer);
+                HandoverError::NotSent
+            }
+            pool::Error::Lost => HandoverError::Lost,
+        })?;
+        match refusal_of(&exchange.response) {
+            Some(verdict) => Err(HandoverError::Refused(verdict)),
+            None => Ok(exchange),
+        }
+    }
+
+    fn avoid(&self, peer: SocketAddr) {
+        let until = Instant::now() + AVOIDANCE_PERIOD;
+        lock(&self.avoided).insert(peer, until);
+    }
+
+    fn candidates(&self, service: &str, tried: &[SocketAddr]) -> Vec<Candidate> {
+        let now = Instant::now();
+        let mut avoided = lock(&self.avoided);
+        avoided.retain(|_, until| now < *until);
+        let mut candidates = self.peers.handover_candidates(service);
+        candidates.retain(|c| !tried.contains(&c.address) && !avoided.contains_key(&c.address));
+        candidates
+    }
+}
+
+fn draw(candidates: &[Candidate]) -> Option<SocketAddr> {
+    let weight = |c: &Candidate| if c.is_local { LOCAL_WEIGHT } else { 1 };
+    let drawn = candidates.choose_weighted(&mut rand::rng(), weight);
+    drawn.ok().map(|c| c.address)
+}
+
+/// Returns the verdict of a refusal by the peer itself; `None` for an answer to pass on.
+fn refusal_of(response: &Response<Incoming>) -> Option<Verdict> {
+    let value = response.headers().get(REFUSAL_HEADER)?;
+    let is_not_run = value.as_bytes() == Verdict::NotRun.as_str().as_bytes();
+    Some(match is_not_run {
+        true => Verdict::NotRun,
+        false => Verdict::MayHaveRun,
+    })
+}
+
+/// Sets the field by which a refusal is told from an upstream's answer.
+pub(super) fn set_refusal(headers: &mut HeaderMap, verdict: Verdict) {
+    let value = HeaderValue::from_static(verdict.as_str());
+    headers.insert(REFUSAL_HEADER, value);
+}
+
+impl InboundRequest {
+    /// Builds the request that is sent to another daemon.
+    fn to_handover(&self, head: &HandoverHead) -> http::Request<Body> {
+        let mut headers = self.headers.clone();
+        let text = serde_json::to_vec(head).unwrap_or_default();
+        if let Ok(value) = HeaderValue::from_bytes(&text) {
+            headers.insert(HANDOVER_HEADER, value);
+        }
+        let mut req = http::Request::new(Body::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = http::Uri::from(self.target.clone());
+        *req.headers_mut() = headers;
+        req
+    }
+}
+
+fn log_handover(
+    inbound: &InboundRequest,
+    peer: SocketAddr,
+    result: &Result<Exchange<PeerAddress>>,
+    took: Duration,
+) {
+    let outcome = match result {
+        Ok(_) => "answered",
+        Err(e) => e.reason(),
+    };
+    info!(
+        target: "decision",
+        request:% = inbound.id,
+        peer:% = peer,
+        took_ms = took.as_millis() as u64,
+        left_ms = inbound.remaining().as_millis() as u64,
+        outcome:% = outcome;
+        "handed over"
+    );
+    metrics::counter!("kelpworks_handovers_total", "outcome" => outcome).increment(1);
+    metrics::histogram!("kelpworks_handover_seconds").record(took.as_secs_f64());
+}
--- a/crates/kelpworks-relay/src/relay/incoming.rs
+++ b/crates/kelpworks-relay/src/relay/incoming.rs
@@ -16,6 +16,7 @@
 
 use super::InboundRequest;
 use super::Refusal;
+use super::handover::HANDOVER_HEADER;
 use super::reply::end_to_end;
 use crate::adapter::Adapter;
 use crate::adapter::CallerHead;
@@ -115,6 +116,7 @@
         deadline,
         version: table.version(),
         route,
+        handover: None,
     })
 }
 
@@ -189,6 +191,7 @@
     let mut headers = end_to_end(headers.clone());
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
+    headers.remove(HANDOVER_HEADER);
     headers
 }
 
--- a/crates/kelpworks-relay/src/relay/mod.rs
+++ b/crates/kelpworks-relay/src/relay/mod.rs
@@ -2,7 +2,9 @@
 
 mod call;
 mod events;
+mod handover;
 mod incoming;
+mod receiver;
 mod reply;
 mod stream;
 
@@ -36,10 +38,15 @@
 use crate::config::Service;
 use crate::crashes::Fingerprint;
 use crate::engine_calls::EngineCalls;
+use crate::fleet::Fleet;
+use crate::fleet::UpstreamKey;
 use crate::pool::Body;
 use crate::shared::Shared;
+use handover::HandoverHead;
 use reply::Reply;
 
+pub(crate) use handover::HandoverClient;
+pub(crate) use receiver::handover_router;
 pub(crate) use reply::Refusal;
 
 /// A caller's request that was read whole and admitted.
@@ -62,6 +69,8 @@
     deadline: Instant,
     /// Version of the configuration that the request was admitted under.
     version: u64,
+    /// What the daemon that handed the request over knows of it; `None` for a request of a caller.
+    handover: Option<HandoverHead>,
 }
 
 impl InboundRequest {
@@ -69,6 +78,17 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns whether an attempt of the daemon that handed it over may have reached an upstream.
+    fn may_have_reached(&self) -> bool {
+        self.handover.as_ref().is_some_and(|h| h.may_have_reached)
+    }
+
+    /// Returns the upstreams where it may have run for the daemon that handed it over.
+    fn ran_at(&self, fleet: &Fleet) -> Vec<UpstreamKey> {
+        let ran_at = self.handover.iter().flat_map(|h| &h.ran_at);
+        ran_at.filter_map(|i| fleet.key_of(i)).collect()
+    }
+
     /// Builds the request that is sent to an upstream.
     fn to_request<D: Adapter>(&self, forwarded: &ForwardedHead<'_>) -> Request<Body> {
         let mut headers = self.headers.clone();
@@ -86,20 +106,24 @@
 pub(crate) struct Relay<D, E> {
     shared: Arc<Shared>,
     engine_calls: Arc<EngineCalls<E>>,
+    handover_client: Arc<HandoverClient>,
     adapter: PhantomData<D>,
 }
 
 /// Returns the router of the callers' address, which passes every path to [`Relay`].
-pub(crate) fn router<D: Adapter, E: EngineApi>(
-    shared: &Arc<Shared>,
-    engine_calls: &Arc<EngineCalls<E>>,
-) -> Router {
-    let relay: Relay<D, E> = Relay {
-        shared: Arc::clone(shared),
-        engine_calls: Arc::clone(engine_calls),
-        adapter: PhantomData,
-    };
-    Router::with_path("{**rest}").goal(relay)
+pub(crate) fn router<D: Adapter, E: EngineApi>(relay: &Relay<D, E>) -> Router {
+    Router::with_path("{**rest}").goal(relay.clone())
+}
+
+impl<D, E> Clone for Relay<D, E> {
+    fn clone(&self) -> Relay<D, E> {
+        Relay {
+            shared: Arc::clone(&self.shared),
+            engine_calls: Arc::clone(&self.engine_calls),
+            handover_client: Arc::clone(&self.handover_client),
+            adapter: PhantomData,
+        }
+    }
 }
 
 #[async_trait]
@@ -121,7 +145,7 @@
             }
         };
         reply.write(res);
-        if self.shared.stopping.load(Ordering::Relaxed) {
+        if self.is_stopping() {
             let close = HeaderValue::from_static("close");
             res.headers_mut().insert(header::CONNECTION, close);
         }
@@ -129,18 +153,39 @@
 }
 
 impl<D: Adapter, E: EngineApi> Relay<D, E> {
+    pub(crate) fn new(
+        shared: &Arc<Shared>,
+        engine_calls: &Arc<EngineCalls<E>>,
+        handover_client: HandoverClient,
+    ) -> Relay<D, E> {
+        Relay {
+            shared: Arc::clone(shared),
+            engine_calls: Arc::clone(engine_calls),
+            handover_client: Arc::new(handover_client),
+            adapter: PhantomData,
+        }
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.shared.stopping.load(Ordering::Relaxed)
+    }
+
     async fn forward(&self, inbound: InboundRequest, in_flight_guard: InFlightGuard) -> Reply {
         let shared = Arc::clone(&self.shared);
-        {
+        // The daemon that handed a request over has counted it.
+        if inbound.handover.is_none() {
             let mut budget = shared.retry_budget();
             budget.record_request(&inbound.service.name, inbound.arrived);
         }
         match inbound.route.kind {
             RouteKind::Stream { .. } => {
-                let engine_calls = Arc::clone(&self.engine_calls);
-                stream::serve::<D, E>(shared, engine_calls, inbound, in_flight_guard).await
+                let clients = stream::Clients {
+                    engine_calls: Arc::clone(&self.engine_calls),
+                    handover: Arc::clone(&self.handover_client),
+                };
+                stream::serve::<D, E>(shared, clients, inbound, in_flight_guard).await
             }
-            _ => call::serve::<D>(&shared, &inbound).await,
+            _ => call::serve::<D>(&shared, &self.handover_client, &inbound).await,
         }
     }
 }
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -6,13 +6,17 @@
 //! last event, within the same response.
 
 mod attempt;
+mod by_peer;
 mod reroute;
 mod stall;
 mod timings;
 mod trace;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -31,6 +35,8 @@
 use super::Refusal;
 use super::call::final_refusal;
 use super::events::EventSplitter;
+use super::handover::HandoverClient;
+use super::handover::PeerConnection;
 use super::reply::Reply;
 use crate::adapter::Adapter;
 use crate::adapter::EngineApi;
@@ -43,6 +49,7 @@
 use crate::permit::Permit;
 use crate::permit::Retry;
 use crate::pool::Connection;
+use crate::reach::Evidence;
 use crate::shared::Shared;
 use crate::sync::lock;
 use attempt::RanAt;
@@ -62,6 +69,9 @@
 /// Largest incomplete event that is buffered.
 const MAX_EVENT_BYTES: usize = 4 << 20;
 
+/// Failure reason when the retry budget is used up.
+const NO_RETRY: &str = "no repeat left";
+
 /// Failure of an attempt before the end of the stream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Failure {
@@ -104,10 +114,25 @@
     }
 }
 
+/// The connection of an attempt.
+enum StreamConnection {
+    /// To the first engine of its path.
+    Engine(Connection),
+    /// To the daemon that it was handed over to.
+    Peer(PeerConnection),
+}
+
+/// Clients by which streams are served.
+pub(super) struct Clients<E> {
+    /// Sends the orders that change the path of a running request.
+    pub(super) engine_calls: Arc<EngineCalls<E>>,
+    pub(super) handover: Arc<HandoverClient>,
+}
+
 /// The response stream of one attempt.
 struct ActiveStream {
     body: Incoming,
-    connection: Connection,
+    connection: StreamConnection,
     running_path: RunningPath,
     splitter: EventSplitter,
     /// When data last arrived; when the request was sent, before any did.
@@ -115,7 +140,8 @@
     started: bool,
 }
 
-/// Path of a running request, with its reservations at the engines.
+/// Path of a running request, with its reservations at the engines; empty while another daemon
+/// serves it.
 struct RunningPath {
     parts: Vec<(UpstreamKey, LayerRange)>,
     /// Number of reroute attempts since this attempt began.
@@ -128,8 +154,7 @@
 /// State of a streamed request over all its attempts.
 struct StreamRelay<D, E> {
     shared: Arc<Shared>,
-    /// Sends the orders that change the path of a running request.
-    engine_calls: Arc<EngineCalls<E>>,
+    clients: Clients<E>,
     inbound: InboundRequest,
     profile: Option<Arc<EngineProfile>>,
     /// First engines of the attempts that may have run, without engines known to have ended.
@@ -139,6 +164,10 @@
     may_have_reached: bool,
     /// Retry that `may_retry` has acquired for the next attempt.
     retry: Mutex<Option<Retry>>,
+    /// Daemons that the request was handed over to.
+    tried_peers: Vec<SocketAddr>,
+    /// Whether an attempt failed in a way that this daemon's own links may have caused.
+    has_link_failure: AtomicBool,
     /// Failed attempts in a row that had not run.
     refusals: u32,
     /// Id of the last event sent to the caller, or named by it when it resumed the stream.
@@ -157,22 +186,25 @@
 /// Forwards a streamed request; returns once the first events have arrived.
 pub(super) async fn serve<D: Adapter, E: EngineApi>(
     shared: Arc<Shared>,
-    engine_calls: Arc<EngineCalls<E>>,
+    clients: Clients<E>,
     inbound: InboundRequest,
     in_flight_guard: InFlightGuard,
 ) -> Reply {
+    let ran_at = RanAt::of_handover(&shared.fleet(), &inbound);
     let mut stream_relay: StreamRelay<D, E> = StreamRelay {
         profile: inbound.service.engine_profile.clone(),
         last_event: inbound.head.last_event,
+        may_have_reached: inbound.may_have_reached(),
+        weight_version: inbound.handover.as_ref().and_then(|h| h.weight_version),
         shared,
-        engine_calls,
+        clients,
         inbound,
-        ran_at: Vec::new(),
+        ran_at,
         attempts: 0,
-        may_have_reached: false,
         retry: Mutex::default(),
+        tried_peers: Vec::new(),
+        has_link_failure: AtomicBool::new(false),
         refusals: 0,
-        weight_version: None,
         active: None,
         stalled: None,
         timings: Timings::default(),
@@ -204,6 +236,10 @@
     /// Makes attempts until the first events arrive.
     async fn start(&mut self) -> Result<(StatusCode, HeaderMap, Bytes), Refusal> {
         let mut verdict = Verdict::NotRun;
+        // The daemon that handed the request over has left its retry to this one.
+        if self.may_have_reached && !self.may_retry(Verdict::MayHaveRun) {
+            return Err(final_refusal(&self.inbound, verdict, NO_RETRY, None));
+        }
         loop {
             let failure = match self.attempt().await {
                 Ok((status, headers)) => match self.read().await {
@@ -313,6 +349,10 @@
         {
             return false;
         }
+        // The daemon that serves the next attempt counts it as a retry.
+        if self.prefers_peer() {
+            return true;
+        }
         let mut retry = lock(&self.retry);
         if self.may_have_reached && retry.is_none() {
             *retry = self.shared.acquire_retry(&self.inbound.service.name, now);
@@ -327,7 +367,7 @@
         }
         match lock(&self.retry).take() {
             Some(retry) => Ok(Permit::new(admission, Some(retry))),
-            None => Err(Failure::no_path("no repeat left")),
+            None => Err(Failure::no_path(NO_RETRY)),
         }
     }
 
@@ -335,7 +375,8 @@
     fn record_failure(&mut self, failure: Failure) {
         self.active = None;
         let mut crashes = 0;
-        if failure.crash {
+        let is_reached = !self.shared.reach().is_lost(&self.inbound.service.name);
+        if failure.crash && is_reached {
             let now = Instant::now();
             crashes = self
                 .shared
@@ -398,6 +439,10 @@
                     }
                     active.last_received = now;
                     active.started = true;
+                    if let StreamConnection::Engine(_) = active.connection {
+                        self.shared
+                            .record_contact(&self.inbound.service.name, false);
+                    }
                     self.record_progress(&active.running_path.parts, now);
                     active.splitter.push(&bytes);
                     let events = active.splitter.take_events(self.last_event);
@@ -419,7 +464,12 @@
                     if let Some(&(first, _)) = active.running_path.parts.first() {
                         self.shared.fleet().record_outcome(first, false);
                     }
-                    self.shared.pool.keep(active.connection);
+                    match active.connection {
+                        StreamConnection::Engine(connection) => self.shared.pool.keep(connection),
+                        StreamConnection::Peer(connection) => {
+                            self.clients.handover.keep(connection);
+                        }
+                    }
                     return Ok(None);
                 }
             }
@@ -436,9 +486,18 @@
     /// Records a stream that ended early. The engine that closed it is not ejected, since it may
     /// still be alive: the next attempts show whether it is, as a dead one accepts no connections.
     fn record_break(&self, active: &ActiveStream) -> Failure {
-        if let Some(&(first, _)) = active.running_path.parts.first() {
-            self.shared.fleet().record_outcome(first, true);
-        }
+        let Some(&(first, _)) = active.running_path.parts.first() else {
+            return Failure::new(Verdict::MayHaveRun, "peer lost");
+        };
+        self.shared.fleet().record_outcome(first, true);
+        self.record_link_failure(first, Evidence::Broken);
         Failure::crash("stream broken off")
     }
+
+    /// Records a failure at an engine that may be due to this daemon's own links.
+    fn record_link_failure(&self, key: UpstreamKey, evidence: Evidence) {
+        self.has_link_failure.store(true, Ordering::Relaxed);
+        let service = &self.inbound.service.name;
+        self.shared.record_link_failure(service, key, evidence);
+    }
 }
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -17,6 +17,7 @@
 use super::EventSplitter;
 use super::Failure;
 use super::RunningPath;
+use super::StreamConnection;
 use super::StreamRelay;
 use crate::adapter::Adapter;
 use crate::adapter::AnswerHead;
@@ -34,6 +35,8 @@
 use crate::pool;
 use crate::pool::Exchange;
 use crate::pool::Reuse;
+use crate::reach::Evidence;
+use crate::relay::InboundRequest;
 use crate::relay::call::NOT_SENT;
 use crate::relay::call::WITHHELD;
 use crate::relay::call::address_owner_id;
@@ -93,10 +96,25 @@
 /// First engine of an attempt that may have run.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RanAt {
-    key: UpstreamKey,
+    pub(super) key: UpstreamKey,
     address: SocketAddr,
 }
 
+impl RanAt {
+    /// Returns the engines where a request that was handed over may have run.
+    pub(super) fn of_handover(fleet: &Fleet, inbound: &InboundRequest) -> Vec<RanAt> {
+        let ran_at = |key: UpstreamKey| {
+            let address = fleet.get(key)?.entry.address;
+            Some(RanAt { key, address })
+        };
+        inbound
+            .ran_at(fleet)
+            .into_iter()
+            .filter_map(ran_at)
+            .collect()
+    }
+}
+
 impl<D: Adapter, E: EngineApi> StreamRelay<D, E> {
     /// Whether another attempt has to start at an engine where the request may already have run.
     fn must_reuse_first_engine(&self) -> bool {
@@ -238,11 +256,26 @@
         Ok((path, admission.ok_or(NoPath::Limited)?))
     }
 
-    /// Sends the request along a new path and waits for the head of the response.
+    /// Makes an attempt and waits for the head of the response: by another daemon while this one
+    /// does not reach the engines, or when it finds no path after a failure.
     pub(super) async fn attempt(&mut self) -> Result<(StatusCode, HeaderMap), Failure> {
+        if self.prefers_peer() {
+            return self.attempt_by_peer().await;
+        }
         self.forget_ended_engines().await;
-        let chosen = self.choose_or_wait().await;
-        let (path, admission) = chosen?;
+        match self.choose_or_wait().await {
+            Ok((path, admission)) => self.attempt_along(path, admission).await,
+            Err(_) if self.is_last_resort() => self.attempt_by_peer().await,
+            Err(failure) => Err(failure),
+        }
+    }
+
+    /// Sends the request along a path and waits for the head of the response.
+    async fn attempt_along(
+        &mut self,
+        path: Path,
+        admission: Admission,
+    ) -> Result<(StatusCode, HeaderMap), Failure> {
         let permit = self.permit(admission)?;
         // If this future is dropped during the attempt, the request may have arrived.
         let had_possibly_reached = std::mem::replace(&mut self.may_have_reached, true);
@@ -289,7 +322,7 @@
         parts.headers.remove(header::CONTENT_LENGTH);
         self.active = Some(ActiveStream {
             body,
-            connection,
+            connection: StreamConnection::Engine(connection),
             running_path: RunningPath {
                 parts: path.parts,
                 reroutes: 0,
@@ -313,6 +346,9 @@
         let (first, _) = path.parts[0];
         let exchange = self.wait_for_first(sending, &path.parts, sent).await?;
         let exchange = exchange.map_err(|e| self.record_send_error(first, e))?;
+        let is_new = exchange.connection.is_new();
+        self.shared
+            .record_contact(&self.inbound.service.name, is_new);
         let head = D::decode_answer_head(exchange.response.headers());
         self.apply_announcements(path, &exchange.response, &head, sent);
         self.check_head(first, path, &exchange.response, &head)?;
@@ -353,6 +389,11 @@
     }
 
     fn record_send_error(&self, first: UpstreamKey, error: pool::Error) -> Failure {
+        match error {
+            pool::Error::NotSent => self.record_link_failure(first, Evidence::NotOpened),
+            pool::Error::Lost => self.record_link_failure(first, Evidence::Broken),
+            pool::Error::Withheld => {}
+        }
         let mut fleet = self.shared.fleet();
         match error {
             pool::Error::NotSent => {
--- a/crates/kelpworks-relay/src/relay/stream/reroute.rs
+++ b/crates/kelpworks-relay/src/relay/stream/reroute.rs
@@ -92,7 +92,7 @@
             request: &self.inbound.id,
             path: &hops,
         };
-        let reply = self.engine_calls.reroute(first, order).await;
+        let reply = self.clients.engine_calls.reroute(first, order).await;
         self.log_reroute(&hops, faulty, reply);
         if reply != OrderReply::Accepted {
             return false;
--- a/crates/kelpworks-relay/src/relay/stream/stall.rs
+++ b/crates/kelpworks-relay/src/relay/stream/stall.rs
@@ -12,6 +12,7 @@
 use crate::adapter::EngineApi;
 use crate::adapter::LayerRange;
 use crate::fleet::UpstreamKey;
+use crate::reach::Evidence;
 use crate::shared::Shared;
 
 /// Time without data after which a stream counts as stalled at the engines of its path that have
@@ -202,6 +203,9 @@
             fleet.eject_one_of(&faulty, now);
             faulty
         };
+        for &key in &faulty {
+            self.record_link_failure(key, Evidence::Broken);
+        }
         match (faulty.is_empty(), is_over_limit) {
             (true, false) => None,
             (true, true) => Some(Stall {
@@ -215,9 +219,11 @@
         }
     }
 
-    /// Fails if there is a path for another attempt and it is allowed; its permit is then acquired.
+    /// Fails if there is a path or a daemon for another attempt and it is allowed; its permit is then
+    /// acquired.
     fn fail_if_retry_allowed(&self, stall: &Stall) -> Result<(), Failure> {
-        if self.choose().is_ok() && self.may_retry(Verdict::MayHaveRun) {
+        let has_way = self.prefers_peer() || self.choose().is_ok();
+        if has_way && self.may_retry(Verdict::MayHaveRun) {
             return Err(Failure {
                 retry_permitted: true,
                 ..Failure::new(Verdict::MayHaveRun, stall.reason)
--- a/crates/kelpworks-relay/src/settings.rs
+++ b/crates/kelpworks-relay/src/settings.rs
@@ -105,6 +105,9 @@
     pub operators: SocketAddr,
     /// Calls of other daemons.
     pub peers: SocketAddr,
+    /// Requests that other daemons hand over, on the IP address of `peers`; accepts none if absent.
+    #[serde(default)]
+    pub handover: Option<SocketAddr>,
 }
 
 /// The platform's store.
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -31,6 +31,9 @@
 use crate::permit::Admission;
 use crate::permit::Retry;
 use crate::pool::Pool;
+use crate::reach::Evidence;
+use crate::reach::Reach;
+use crate::reach::ReachChange;
 use crate::retry_budget::RetryBudget;
 use crate::retry_budget::RetryLimit;
 use crate::slowness::Suspects;
@@ -65,6 +68,9 @@
     retry_budget: Arc<Mutex<RetryBudget>>,
     crashes: Mutex<CrashTracker>,
     suspects: Mutex<Suspects>,
+    reach: Mutex<Reach<UpstreamKey>>,
+    /// Signalled when a probe may be due earlier than before.
+    reach_changed: Notify,
     /// Latest traffic plan of each service whose upstreams are engines.
     traffic_plans: Mutex<HashMap<Arc<str>, TrafficPlan>>,
     /// Load caused by other daemons, by their failure domain, as last reported.
@@ -100,6 +106,8 @@
             ))),
             crashes: Mutex::default(),
             suspects: Mutex::default(),
+            reach: Mutex::default(),
+            reach_changed: Notify::new(),
             traffic_plans: Mutex::default(),
             remote_demand: Mutex::default(),
             load_is_complete: AtomicBool::new(false),
@@ -297,6 +305,80 @@
         retry
     }
 
+    /// Locks the record of what this daemon reaches over its own links.
+    pub fn reach(&self) -> MutexGuard<'_, Reach<UpstreamKey>> {
+        lock(&self.reach)
+    }
+
+    /// Records a failure at an upstream that may be due to this daemon's own links.
+    pub(crate) fn record_link_failure(
+        &self,
+        service: &Arc<str>,
+        upstream: UpstreamKey,
+        evidence: Evidence,
+    ) {
+        let now = Instant::now();
+        let may_be_due = self
+            .reach()
+            .record_failure(service, upstream, evidence, now);
+        if may_be_due {
+            self.reach_changed.notify_one();
+        }
+    }
+
+    /// Records data from an upstream of a service; `opened` is whether the connection that it arrived
+    /// on was opened for it.
+    pub(crate) fn record_contact(&self, service: &Arc<str>, opened: bool) {
+        self.reach().record_contact(service, opened, Instant::now());
+    }
+
+    /// Waits until a probe may be due earlier than before.
+    pub(crate) async fn reach_changed(&self) {
+        self.reach_changed.notified().await;
+    }
+
+    /// Applies the result of a probe of the upstreams of a service, and logs a change.
+    pub(crate) fn record_probe(&self, service: &Arc<str>, reached: bool) {
+        let now = Instant::now();
+        let change = self.reach().record_probe(service, reached, now);
+        match change {
+            Some(ReachChange::Lost {
+                first_failure,
+                failed,
+            }) => {
+                self.crashes().forget_since(first_failure);
+                self.close_connections(service);
+                info!(
+                    target: "decision",
+                    service:% = service,
+                    failed,
+                    first_failure_ms = now.duration_since(first_failure).as_millis() as u64;
+                    "upstreams out of reach"
+                );
+            }
+            Some(ReachChange::Back { lost_since }) => {
+                self.fleet().end_ejections(service);
+                info!(
+                    target: "decision",
+                    service:% = service,
+                    lost_ms = now.duration_since(lost_since).as_millis() as u64;
+                    "upstreams within reach"
+                );
+            }
+            None => return,
+        }
+        let lost = self.reach().lost().count();
+        metrics::gauge!("kelpworks_unreachable_services").set(lost as f64);
+    }
+
+    /// Closes the idle connections to the upstreams of a service.
+    fn close_connections(&self, service: &str) {
+        let fleet = self.fleet();
+        for (key, _) in fleet.of_service(service) {
+            self.pool.forget(key);
+        }
+    }
+
     /// Locks the engines that are suspected because their streams are late.
     pub fn suspects(&self) -> MutexGuard<'_, Suspects> {
         lock(&self.suspects)
