A daemon without links reports no ejections; a single open connection ends no loss

Callers saw: refusals by daemons whose own links were sound ("a layer is held by no engine", 14 in the two seconds after a cut of three of seven). Cause: ejections went into digests whoever's links had failed, so a daemon that lost its links made others avoid sound engines. Change: ejections are reported once an upstream of the service has shown a sign after the last failure; after a loss, most of a probe's connections have to open.

--- a/crates/kelpworks-relay/src/link_probes.rs
+++ b/crates/kelpworks-relay/src/link_probes.rs
@@ -13,6 +13,7 @@
 
 use crate::fleet::UpstreamKey;
 use crate::pool;
+use crate::reach::Probe;
 use crate::shared::Shared;
 
 /// Connections opened in a probe.
@@ -39,13 +40,16 @@
     }
 }
 
-/// Opens a few connections to upstreams of a service. One that has no upstreams counts as reached.
+/// Opens a few connections to upstreams of a service.
 async fn probe(shared: &Shared, service: &Arc<str>) {
     let addresses = select(shared, service);
     let connections = addresses.into_iter().map(pool::holds_connection);
     let held = join_all(connections).await;
-    let reached = held.is_empty() || held.contains(&true);
-    shared.record_probe(service, reached);
+    let probe = Probe {
+        opened: held.iter().filter(|&&held| held).count(),
+        of: held.len(),
+    };
+    shared.record_probe(service, probe);
 }
 
 /// Returns the addresses of the upstreams for a probe, drawn at random.
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -17,6 +17,8 @@
 #[cfg(test)]
 mod fleet_tests;
 mod handover;
+#[cfg(test)]
+mod handover_tests;
 mod leaving;
 #[cfg(test)]
 mod leaving_tests;
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -61,6 +61,7 @@
         let owners;
         {
             let fleet = self.shared.fleet();
+            let reach = self.shared.reach();
             owners = fleet.recent_owners(MAX_OWNERS, now);
             assignments = fleet
                 .assignments()
@@ -78,7 +79,9 @@
                 if let Some(report) = slowness_of(u, now) {
                     slowness.push(report);
                 }
-                if let Some(left) = u.remaining_ejection(now) {
+                // Failures that may be due to this daemon's own links are none of the upstream's.
+                let is_vouched_for = reach.is_vouched_for(&u.entry.service);
+                if let Some(left) = u.remaining_ejection(now).filter(|_| is_vouched_for) {
                     ejections.push(EjectionOf {
                         instance: Arc::clone(&u.entry.instance),
                         left_ms: left.as_millis() as u64,
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -122,7 +122,7 @@
 }
 
 /// Digest of a daemon that knows no other.
-fn digest(number: usize) -> Digest {
+pub(super) fn digest(number: usize) -> Digest {
     Digest {
         from: contact(number),
         version: 0,
--- a/crates/kelpworks-relay/src/reach.rs
+++ b/crates/kelpworks-relay/src/reach.rs
@@ -9,8 +9,9 @@
 //! use std::time::Duration;
 //!
 //! use kelpworks_relay::reach::Evidence;
-//! use kelpworks_relay::reach::Reach;
 //! use kelpworks_relay::reach::PROBE_DELAY;
+//! use kelpworks_relay::reach::Probe;
+//! use kelpworks_relay::reach::Reach;
 //! use tokio::time::Instant;
 //!
 //! let mut reach = Reach::default();
@@ -20,7 +21,7 @@
 //! assert!(reach.is_doubtful(&llm, now));
 //! assert_eq!(reach.due(now + PROBE_DELAY), ["llm".into()]);
 //!
-//! reach.record_probe(&llm, false, now + PROBE_DELAY);
+//! reach.record_probe(&llm, Probe { opened: 0, of: 3 }, now + PROBE_DELAY);
 //! assert!(reach.is_lost(&llm));
 //! ```
 //!
@@ -64,6 +65,27 @@
     Broken,
 }
 
+/// Result of a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Probe {
+    /// Connections that opened and stayed open.
+    pub opened: usize,
+    /// Connections that were tried; 0 if the service has no upstreams, which counts as reached.
+    pub of: usize,
+}
+
+impl Probe {
+    /// Whether at least one of the upstreams was reached.
+    fn is_any_open(self) -> bool {
+        self.of == 0 || self.opened > 0
+    }
+
+    /// Whether most of them were reached.
+    fn is_most_open(self) -> bool {
+        self.of == 0 || self.opened * 2 > self.of
+    }
+}
+
 /// A change that is to be acted on and logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReachChange {
@@ -268,17 +290,22 @@
         upstreams.truncate(max);
     }
 
-    /// Applies the result of a probe: whether any of its connections opened.
+    /// Applies the result of a probe. A single connection that opens is enough to count as reached,
+    /// but after a loss most of them have to open.
     pub fn record_probe(
         &mut self,
         service: &str,
-        reached: bool,
+        probe: Probe,
         now: Instant,
     ) -> Option<ReachChange> {
         let entry = self.services.get_mut(service)?;
         entry.is_probing = false;
         entry.last_probe = Some(now);
-        match (entry.state, reached) {
+        let is_good = match entry.state {
+            State::Reached => probe.is_any_open(),
+            State::Lost { .. } => probe.is_most_open(),
+        };
+        match (entry.state, is_good) {
             (State::Reached, true) => {
                 entry.last_contact = Some(now);
                 entry.clear_evidence();
--- a/crates/kelpworks-relay/src/reach/tests.rs
+++ b/crates/kelpworks-relay/src/reach/tests.rs
@@ -13,6 +13,7 @@
 use super::MIN_PROBE_INTERVAL;
 use super::MIN_SUCCESSES;
 use super::PROBE_DELAY;
+use super::Probe;
 use super::Reach;
 use super::ReachChange;
 
@@ -63,7 +64,9 @@
                     true => self.now,
                     false => self.now + PROBE_TIME,
                 };
-                changes.extend(self.reach.record_probe(&service, sound, end));
+                let opened = if sound { 3 } else { 0 };
+                let probe = Probe { opened, of: 3 };
+                changes.extend(self.reach.record_probe(&service, probe, end));
                 self.now = end;
             }
         }
@@ -169,6 +172,27 @@
     assert!(!daemon.is_lost() && !daemon.is_doubtful());
 }
 
+/// Guards against requests that go to a service of which a single upstream is reached.
+#[rstest]
+#[case::none(0, 3, true)]
+#[case::one(1, 3, true)]
+#[case::most(2, 3, false)]
+#[case::only_one_registered(1, 1, false)]
+#[case::none_registered(0, 0, false)]
+fn lost_service_counts_as_reached_once_most_connections_open(
+    #[case] opened: usize,
+    #[case] of: usize,
+    #[case] stays_lost: bool,
+) {
+    let mut daemon = Daemon::new();
+    daemon.lose_links();
+    for _ in 0..MIN_SUCCESSES {
+        let probe = Probe { opened, of };
+        daemon.reach.record_probe("llm", probe, daemon.now);
+    }
+    assert_eq!(daemon.is_lost(), stays_lost);
+}
+
 /// Guards against requests that go back and forth while links come and go each second.
 #[test]
 fn links_that_come_and_go_are_used_later_each_time() {
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -32,6 +32,7 @@
 use crate::permit::Retry;
 use crate::pool::Pool;
 use crate::reach::Evidence;
+use crate::reach::Probe;
 use crate::reach::Reach;
 use crate::reach::ReachChange;
 use crate::retry_budget::RetryBudget;
@@ -338,9 +339,9 @@
     }
 
     /// Applies the result of a probe of the upstreams of a service, and logs a change.
-    pub(crate) fn record_probe(&self, service: &Arc<str>, reached: bool) {
+    pub(crate) fn record_probe(&self, service: &Arc<str>, probe: Probe) {
         let now = Instant::now();
-        let change = self.reach().record_probe(service, reached, now);
+        let change = self.reach().record_probe(service, probe, now);
         match change {
             Some(ReachChange::Lost {
                 first_failure,
