Failures together put the links in doubt at once; crashes are not counted in doubt

Callers saw: streams broken off and requests refused as ones that crash upstreams, in the first 80 ms after all connections were reset. Cause: until a probe showed the loss, each request made its attempts on links that were gone, and each reset counted as a crash of its engine. Change: three upstreams that fail with no sign of any in between are doubt enough; in doubt no crash is counted. The engines of a stalled path count as one failure.

--- a/crates/kelpworks-relay/src/reach.rs
+++ b/crates/kelpworks-relay/src/reach.rs
@@ -43,6 +43,9 @@
 /// Number of different upstreams to which no connection could be opened that makes a service
 /// doubtful even while data arrives on older connections.
 const MIN_NOT_OPENED: usize = 2;
+/// Number of different upstreams whose failures, with no sign of any upstream in between, make a
+/// service doubtful at once: connections that are reset together.
+const MIN_FAILED_AT_ONCE: usize = 3;
 /// Minimum time between two probes while the service is not known to be out of reach.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two probes while the upstreams are out of reach.
@@ -164,7 +167,11 @@
             .last_contact
             .is_none_or(|at| now.duration_since(at) >= PROBE_DELAY);
         let is_unopened = self.not_opened.len() >= MIN_NOT_OPENED;
-        self.is_lost() || is_unopened || (!self.failed.is_empty() && is_silent)
+        let has_failed = match is_silent {
+            true => !self.failed.is_empty(),
+            false => self.failed.len() >= MIN_FAILED_AT_ONCE,
+        };
+        self.is_lost() || is_unopened || has_failed
     }
 
     /// Returns when the next probe is due; `None` while there is no reason to.
--- a/crates/kelpworks-relay/src/reach/tests.rs
+++ b/crates/kelpworks-relay/src/reach/tests.rs
@@ -114,6 +114,22 @@
     assert!(daemon.is_lost() && daemon.is_doubtful());
 }
 
+/// Guards against attempts and crash counts that are used up between a reset of all connections and
+/// the probe that shows it.
+#[test]
+fn failures_together_are_doubtful_at_once() {
+    let mut daemon = Daemon::new();
+    daemon.contact(false);
+    for upstream in [1, 2] {
+        daemon.fail(upstream, Evidence::Broken);
+        assert!(!daemon.is_doubtful());
+    }
+    daemon.fail(3, Evidence::Broken);
+    assert!(daemon.is_doubtful());
+    daemon.contact(false);
+    assert!(!daemon.is_doubtful());
+}
+
 /// Guards against a daemon that takes the failure of upstreams for that of its own links.
 #[rstest]
 #[case::one_crashes(1)]
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -375,9 +375,10 @@
     fn record_failure(&mut self, failure: Failure) {
         self.active = None;
         let mut crashes = 0;
-        let is_reached = !self.shared.reach().is_lost(&self.inbound.service.name);
-        if failure.crash && is_reached {
-            let now = Instant::now();
+        let now = Instant::now();
+        let service = &self.inbound.service.name;
+        let is_doubtful = self.shared.reach().is_doubtful(service, now);
+        if failure.crash && !is_doubtful {
             crashes = self
                 .shared
                 .crashes()
--- a/crates/kelpworks-relay/src/relay/stream/stall.rs
+++ b/crates/kelpworks-relay/src/relay/stream/stall.rs
@@ -203,7 +203,8 @@
             fleet.eject_one_of(&faulty, now);
             faulty
         };
-        for &key in &faulty {
+        // The engines of one path are a single sign.
+        if let Some(&key) = faulty.first() {
             self.record_link_failure(key, Evidence::Broken);
         }
         match (faulty.is_empty(), is_over_limit) {
