A retry goes along with a request that is handed over; peers in doubt refuse at once

Callers saw: streams cut and requests refused when all connections of five of seven daemons were reset: the two peers that were left ran out of retries ("no repeat left", 132 times in a second), and hand-overs went to peers that had lost their links as well. Cause: the budget of a fleet is split evenly, and all resumptions came to the shares of two daemons. A peer's loss was known only with its next digest. Change: the sender takes the retry from its own share and says so; the sum over all daemons stays the same. A daemon in doubt about its links refuses a hand-over at once, and the sender tries another; this counts as none of its three hand-overs.

--- a/crates/kelpworks-relay/src/permit.rs
+++ b/crates/kelpworks-relay/src/permit.rs
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 #[must_use]
 pub struct Retry {
-    /// `None` once spent.
+    /// `None` once spent, or if another daemon has taken it.
     taken: Option<TakenRetry>,
 }
 
@@ -61,6 +61,11 @@
         })
     }
 
+    /// Returns a retry that another daemon has taken from its budget.
+    pub(crate) fn taken_elsewhere() -> Retry {
+        Retry { taken: None }
+    }
+
     /// Marks the retry as used.
     pub fn spend(mut self) -> SpentRetry {
         SpentRetry {
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -25,6 +25,7 @@
 use super::handover::MAX_HANDOVERS;
 use super::handover::NO_PEER;
 use super::handover::UNREACHABLE;
+use super::handover::UNREACHABLE_BY_PEER;
 use super::reply::Reply;
 use crate::adapter::Adapter;
 use crate::adapter::AnswerHead;
@@ -35,6 +36,7 @@
 use crate::fleet::UpstreamKey;
 use crate::limits::Announcement;
 use crate::permit::Permit;
+use crate::permit::Retry;
 use crate::pool;
 use crate::pool::Exchange;
 use crate::pool::Reuse;
@@ -136,7 +138,7 @@
     let mut has_link_failure = false;
     loop {
         let attempt = if handover.is_due(shared, inbound, has_link_failure) {
-            handover.attempt(inbound, may_have_reached).await
+            handover.attempt(shared, inbound, may_have_reached).await
         } else {
             match next_upstream(shared, inbound, &tried, verdict, may_have_reached) {
                 NextAttempt::Send(upstream, permit) => {
@@ -162,7 +164,7 @@
                     if !has_link_failure || !is_retryable || !handover.is_unused(inbound) {
                         break;
                     }
-                    handover.attempt(inbound, may_have_reached).await
+                    handover.attempt(shared, inbound, may_have_reached).await
                 }
             }
         };
@@ -226,7 +228,9 @@
 
     /// Returns whether a daemon is left that the call can be handed over to.
     fn is_possible(&self, inbound: &InboundRequest) -> bool {
-        let is_allowed = inbound.handover.is_none() && self.tried.len() < MAX_HANDOVERS;
+        let is_allowed = inbound.handover.is_none()
+            && self.tried.len() < MAX_HANDOVERS
+            && inbound.remaining() >= MIN_RETRY_TIME;
         let service = &inbound.service.name;
         is_allowed && self.client.has_candidate(service, &self.tried)
     }
@@ -237,11 +241,21 @@
     }
 
     /// Hands the call over and reads the answer.
-    async fn attempt(&mut self, inbound: &InboundRequest, may_have_reached: bool) -> Attempt {
+    async fn attempt(
+        &mut self,
+        shared: &Shared,
+        inbound: &InboundRequest,
+        may_have_reached: bool,
+    ) -> Attempt {
+        let retry = match may_have_reached {
+            true => shared.acquire_retry(&inbound.service.name, Instant::now()),
+            false => None,
+        };
         let head = HandoverHead {
             version: inbound.version,
             left_ms: inbound.remaining().as_millis() as u64,
             may_have_reached,
+            has_retry: retry.is_some(),
             ..HandoverHead::default()
         };
         // A retryable call leaves time for another attempt.
@@ -251,10 +265,14 @@
         };
         let sending = self.client.send(inbound, &head, &mut self.tried);
         let failed = |e: HandoverError| failed_attempt(e.verdict(), e.reason());
-        let exchange = match tokio::time::timeout(timeout, sending).await {
-            Ok(Ok(exchange)) => exchange,
-            Ok(Err(e)) => return failed(e),
-            Err(_) => return failed(HandoverError::Lost),
+        let sent = tokio::time::timeout(timeout, sending).await;
+        let sent = sent.unwrap_or(Err(HandoverError::Lost));
+        if !sent.as_ref().is_err_and(|e| e.is_unsent()) {
+            retry.map(Retry::spend);
+        }
+        let exchange = match sent {
+            Ok(exchange) => exchange,
+            Err(e) => return failed(e),
         };
         let (parts, body) = exchange.response.into_parts();
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
@@ -345,7 +363,8 @@
     if !may_have_reached {
         return NextAttempt::Send(chosen, Permit::new(admission, None));
     }
-    match shared.acquire_retry(service, Instant::now()) {
+    let granted = inbound.retry_taken_elsewhere().filter(|_| attempts == 0);
+    match granted.or_else(|| shared.acquire_retry(service, Instant::now())) {
         Some(retry) => NextAttempt::Send(chosen, Permit::new(admission, Some(retry))),
         None => NextAttempt::Abandon,
     }
@@ -497,7 +516,14 @@
 
 /// Whether nothing of a failed attempt can have reached an upstream.
 fn is_unsent(verdict: Verdict, reason: &str) -> bool {
-    let is_unsent = [NOT_SENT, WITHHELD, UNREACHABLE, NO_PEER].contains(&reason);
+    let is_unsent = [
+        NOT_SENT,
+        WITHHELD,
+        UNREACHABLE,
+        UNREACHABLE_BY_PEER,
+        NO_PEER,
+    ]
+    .contains(&reason);
     verdict == Verdict::NotRun && is_unsent
 }
 
--- a/crates/kelpworks-relay/src/relay/handover.rs
+++ b/crates/kelpworks-relay/src/relay/handover.rs
@@ -49,22 +49,30 @@
 
 /// Header field of a request that is handed over: a [`HandoverHead`] in JSON.
 pub(super) const HANDOVER_HEADER: HeaderName = HeaderName::from_static("kelpworks-handover");
-/// Header field of a refusal by the daemon that a request was handed over to: its verdict.
+/// Header field of a refusal by the daemon that a request was handed over to: its verdict, or
+/// [`UNREACHABLE_UPSTREAMS`].
 pub(super) const REFUSAL_HEADER: HeaderName = HeaderName::from_static("kelpworks-handover-refusal");
+/// Value of [`REFUSAL_HEADER`] when nothing ran because the daemon does not reach the upstreams.
+const UNREACHABLE_UPSTREAMS: &str = "upstreams-unreachable";
 /// Maximum number of daemons that a request is handed over to, one after the other.
 pub(super) const MAX_HANDOVERS: usize = 3;
-/// Time for which a daemon that accepted no connection is not chosen: a few exchanges of digests,
-/// after which it counts as lost if it is.
+/// Time for which a daemon is not chosen that accepted no connection, or does not reach the upstreams
+/// either: a few exchanges of digests, which report both.
 const AVOIDANCE_PERIOD: Duration = Duration::from_secs(1);
 /// Weight of a daemon of the own failure domain against one of another when one is drawn. Traffic
 /// between domains is billed, but the daemons that are left in one domain can't serve all others.
 const LOCAL_WEIGHT: u32 = 3;
 
+/// Refusal reason of a daemon that was handed a request and does not reach the upstreams.
+pub(super) const OUT_OF_REACH: &str = "upstreams out of reach";
 /// Failure reason when no daemon is known that could serve a request.
 pub(super) const NO_PEER: &str = "no peer";
 /// Failure reason when a daemon accepted no connection.
 pub(super) const UNREACHABLE: &str = "peer unreachable";
 
+/// Failure reason when a daemon does not reach the upstreams either.
+pub(super) const UNREACHABLE_BY_PEER: &str = "unreachable by a peer";
+
 /// What a daemon knows of a request that it hands over.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -82,6 +90,9 @@
     /// Whether the request may have reached an upstream, so that any attempt is a retry.
     #[serde(default)]
     pub(super) may_have_reached: bool,
+    /// Whether the sender has taken a retry from its budget for the next attempt.
+    #[serde(default)]
+    pub(super) has_retry: bool,
     /// Incarnations of the upstreams where it may have run.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) ran_at: Vec<Arc<str>>,
@@ -128,12 +139,22 @@
     /// The peer refused it.
     #[error("refused by a peer")]
     Refused(Verdict),
+    /// The peer does not reach the upstreams either.
+    #[error("no peer reaches the upstreams")]
+    Unreachable,
 }
 
 impl HandoverError {
+    /// Whether nothing of the request can have reached an upstream.
+    pub(super) fn is_unsent(self) -> bool {
+        self.verdict() == Verdict::NotRun && self != HandoverError::Refused(Verdict::NotRun)
+    }
+
     pub(super) fn verdict(self) -> Verdict {
         match self {
-            HandoverError::NoPeer | HandoverError::NotSent => Verdict::NotRun,
+            HandoverError::NoPeer | HandoverError::NotSent | HandoverError::Unreachable => {
+                Verdict::NotRun
+            }
             HandoverError::Lost => Verdict::MayHaveRun,
             HandoverError::Refused(verdict) => verdict,
         }
@@ -146,6 +167,7 @@
             HandoverError::NotSent => UNREACHABLE,
             HandoverError::Lost => "peer lost",
             HandoverError::Refused(_) => "refused by a peer",
+            HandoverError::Unreachable => UNREACHABLE_BY_PEER,
         }
     }
 }
@@ -187,13 +209,22 @@
         head: &HandoverHead,
         tried: &mut Vec<SocketAddr>,
     ) -> Result<Exchange<PeerAddress>> {
-        let candidates = self.candidates(&inbound.service.name, tried);
-        let peer = draw(&candidates).ok_or(HandoverError::NoPeer)?;
-        tried.push(peer);
-        let sent = Instant::now();
-        let result = self.exchange(peer, inbound, head).await;
-        log_handover(inbound, peer, &result, sent.elapsed());
-        result
+        loop {
+            let candidates = self.candidates(&inbound.service.name, tried);
+            let peer = draw(&candidates).ok_or(HandoverError::NoPeer)?;
+            // Counts also if this future is dropped because the answer takes too long.
+            tried.push(peer);
+            let sent = Instant::now();
+            let result = self.exchange(peer, inbound, head).await;
+            log_handover(inbound, peer, &result, sent.elapsed());
+            match result {
+                Err(HandoverError::NotSent | HandoverError::Unreachable) => {
+                    tried.pop();
+                    self.avoid(peer);
+                }
+                _ => return result,
+            }
+        }
     }
 
     /// Returns a connection to the pool after its answer has been read to its end.
@@ -216,14 +247,11 @@
             .pool
             .send(PeerAddress(peer), peer, req, reuse, Unconstrained);
         let exchange = sending.await.map_err(|e| match e {
-            pool::Error::NotSent | pool::Error::Withheld => {
-                self.avoid(peer);
-                HandoverError::NotSent
-            }
+            pool::Error::NotSent | pool::Error::Withheld => HandoverError::NotSent,
             pool::Error::Lost => HandoverError::Lost,
         })?;
         match refusal_of(&exchange.response) {
-            Some(verdict) => Err(HandoverError::Refused(verdict)),
+            Some(refusal) => Err(refusal),
             None => Ok(exchange),
         }
     }
@@ -249,20 +277,27 @@
     drawn.ok().map(|c| c.address)
 }
 
-/// Returns the verdict of a refusal by the peer itself; `None` for an answer to pass on.
-fn refusal_of(response: &Response<Incoming>) -> Option<Verdict> {
-    let value = response.headers().get(REFUSAL_HEADER)?;
-    let is_not_run = value.as_bytes() == Verdict::NotRun.as_str().as_bytes();
-    Some(match is_not_run {
-        true => Verdict::NotRun,
-        false => Verdict::MayHaveRun,
+/// Returns the refusal by the peer itself; `None` for an answer to pass on.
+fn refusal_of(response: &Response<Incoming>) -> Option<HandoverError> {
+    let value = response.headers().get(REFUSAL_HEADER)?.as_bytes();
+    let is = |text: &str| value == text.as_bytes();
+    Some(if is(UNREACHABLE_UPSTREAMS) {
+        HandoverError::Unreachable
+    } else if is(Verdict::NotRun.as_str()) {
+        HandoverError::Refused(Verdict::NotRun)
+    } else {
+        HandoverError::Refused(Verdict::MayHaveRun)
     })
 }
 
-/// Sets the field by which a refusal is told from an upstream's answer.
-pub(super) fn set_refusal(headers: &mut HeaderMap, verdict: Verdict) {
-    let value = HeaderValue::from_static(verdict.as_str());
-    headers.insert(REFUSAL_HEADER, value);
+/// Sets the field by which a refusal is told from an upstream's answer. `reason` is that of the
+/// refusal.
+pub(super) fn set_refusal(headers: &mut HeaderMap, verdict: Verdict, reason: &str) {
+    let value = match reason {
+        OUT_OF_REACH => UNREACHABLE_UPSTREAMS,
+        _ => verdict.as_str(),
+    };
+    headers.insert(REFUSAL_HEADER, HeaderValue::from_static(value));
 }
 
 impl InboundRequest {
--- a/crates/kelpworks-relay/src/relay/mod.rs
+++ b/crates/kelpworks-relay/src/relay/mod.rs
@@ -40,6 +40,7 @@
 use crate::engine_calls::EngineCalls;
 use crate::fleet::Fleet;
 use crate::fleet::UpstreamKey;
+use crate::permit::Retry;
 use crate::pool::Body;
 use crate::shared::Shared;
 use handover::HandoverHead;
@@ -83,6 +84,12 @@
         self.handover.as_ref().is_some_and(|h| h.may_have_reached)
     }
 
+    /// Returns the retry that the daemon that handed it over has taken for its next attempt.
+    fn retry_taken_elsewhere(&self) -> Option<Retry> {
+        let has_retry = self.handover.as_ref().is_some_and(|h| h.has_retry);
+        has_retry.then(Retry::taken_elsewhere)
+    }
+
     /// Returns the upstreams where it may have run for the daemon that handed it over.
     fn ran_at(&self, fleet: &Fleet) -> Vec<UpstreamKey> {
         let ran_at = self.handover.iter().flat_map(|h| &h.ran_at);
--- a/crates/kelpworks-relay/src/relay/receiver.rs
+++ b/crates/kelpworks-relay/src/relay/receiver.rs
@@ -21,6 +21,7 @@
 use super::Relay;
 use super::handover::HANDOVER_HEADER;
 use super::handover::HandoverHead;
+use super::handover::OUT_OF_REACH;
 use super::handover::set_refusal;
 use super::incoming;
 use super::log_refusal;
@@ -65,18 +66,18 @@
                 Reply::Refused(refusal)
             }
         };
-        let verdict = match &reply {
-            Reply::Refused(refusal) => Some(refusal_verdict(refusal)),
+        let refusal = match &reply {
+            Reply::Refused(refusal) => Some((refusal_verdict(refusal), refusal.reason)),
             _ => None,
         };
-        let outcome = match &reply {
-            Reply::Refused(_) => "refused",
-            _ => "served",
+        let outcome = match refusal {
+            Some(_) => "refused",
+            None => "served",
         };
         metrics::counter!("kelpworks_handovers_received_total", "outcome" => outcome).increment(1);
         reply.write(res);
-        if let Some(verdict) = verdict {
-            set_refusal(res.headers_mut(), verdict);
+        if let Some((verdict, reason)) = refusal {
+            set_refusal(res.headers_mut(), verdict, reason);
         }
         if self.relay.is_stopping() {
             let close = HeaderValue::from_static("close");
@@ -106,10 +107,17 @@
     let Some(head) = head else {
         return Err(refuse(shared, "hand-over can't be read"));
     };
+    if head.left_ms == 0 {
+        return Err(refuse(shared, "deadline has passed"));
+    }
     if !wait_for_configuration(shared, head.version).await {
         return Err(refuse(shared, "configuration older than the request"));
     }
     let mut inbound = incoming::admit::<D>(shared, req, arrived).await?;
+    let service = &inbound.service.name;
+    if shared.reach().is_doubtful(service, Instant::now()) {
+        return Err(refuse(shared, OUT_OF_REACH));
+    }
     let left = Duration::from_millis(head.left_ms);
     inbound.deadline = inbound.deadline.min(arrived + left);
     inbound.head.last_event = head.after.or(inbound.head.last_event);
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -236,7 +236,9 @@
     /// Makes attempts until the first events arrive.
     async fn start(&mut self) -> Result<(StatusCode, HeaderMap, Bytes), Refusal> {
         let mut verdict = Verdict::NotRun;
-        // The daemon that handed the request over has left its retry to this one.
+        if let Some(retry) = self.inbound.retry_taken_elsewhere() {
+            *lock(&self.retry) = Some(retry);
+        }
         if self.may_have_reached && !self.may_retry(Verdict::MayHaveRun) {
             return Err(final_refusal(&self.inbound, verdict, NO_RETRY, None));
         }
@@ -349,15 +351,12 @@
         {
             return false;
         }
-        // The daemon that serves the next attempt counts it as a retry.
-        if self.prefers_peer() {
-            return true;
-        }
         let mut retry = lock(&self.retry);
         if self.may_have_reached && retry.is_none() {
             *retry = self.shared.acquire_retry(&self.inbound.service.name, now);
         }
-        !self.may_have_reached || retry.is_some()
+        // A daemon that the request is handed over to may have a retry when this one has none.
+        !self.may_have_reached || retry.is_some() || self.prefers_peer()
     }
 
     /// Returns the permit for an attempt that starts now at an engine that admits it.
--- a/crates/kelpworks-relay/src/relay/stream/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/stream/by_peer.rs
@@ -11,16 +11,19 @@
 use super::ActiveStream;
 use super::EventSplitter;
 use super::Failure;
+use super::MIN_RETRY_TIME;
 use super::RunningPath;
 use super::StreamConnection;
 use super::StreamRelay;
 use super::attempt::Reservation;
 use crate::adapter::Adapter;
 use crate::adapter::EngineApi;
+use crate::permit::Retry;
 use crate::pool::Exchange;
 use crate::relay::handover::HandoverError;
 use crate::relay::handover::HandoverHead;
 use crate::relay::handover::MAX_HANDOVERS;
+use crate::sync::lock;
 
 impl<D: Adapter, E: EngineApi> StreamRelay<D, E> {
     /// Returns whether the next attempt should be another daemon's: the engines are out of reach, or
@@ -38,7 +41,9 @@
 
     /// Returns whether a daemon is left that the request can be handed over to.
     pub(super) fn has_peer(&self) -> bool {
-        let is_allowed = self.inbound.handover.is_none() && self.tried_peers.len() < MAX_HANDOVERS;
+        let is_allowed = self.inbound.handover.is_none()
+            && self.tried_peers.len() < MAX_HANDOVERS
+            && self.inbound.remaining() >= MIN_RETRY_TIME;
         let service = &self.inbound.service.name;
         is_allowed
             && self
@@ -68,12 +73,14 @@
     pub(super) async fn attempt_by_peer(&mut self) -> Result<(StatusCode, HeaderMap), Failure> {
         let had_possibly_reached = std::mem::replace(&mut self.may_have_reached, true);
         self.attempts += 1;
+        let retry = lock(&self.retry).take();
         let head = HandoverHead {
             version: self.inbound.version,
             left_ms: self.inbound.remaining().as_millis() as u64,
             after: self.last_event,
             weight_version: self.weight_version,
             may_have_reached: had_possibly_reached,
+            has_retry: retry.is_some(),
             ran_at: self.ran_at_instances(),
         };
         let sent = Instant::now();
@@ -82,13 +89,15 @@
         let sending = handover.send(&self.inbound, &head, &mut tried_peers);
         let result = self.wait_for_first(sending, &[], sent).await;
         self.tried_peers = tried_peers;
-        let result = result?;
-        let exchange = result.map_err(|e| {
-            if matches!(e, HandoverError::NoPeer | HandoverError::NotSent) {
+        let is_unsent = matches!(&result, Ok(Err(e)) if e.is_unsent());
+        match is_unsent {
+            true => {
                 self.may_have_reached = had_possibly_reached;
+                *lock(&self.retry) = retry;
             }
-            failure_of(e)
-        })?;
+            false => drop(retry.map(Retry::spend)),
+        }
+        let exchange = result?.map_err(failure_of)?;
         let Exchange {
             response,
             connection,
