Tests of hand-overs: receiver's death, cancellation, at most once, none in reach, return, bad heads

Requests are refused at once when no daemon reaches the upstreams and nothing arrives on older connections; before, attempts on dead links ended as 502 (requests_are_refused_at_once_when_no_daemon_reaches_the_upstreams failed with 502 for 503). While upstreams still answer on older connections, as when they accept no more of them, requests are tried as before.

--- a/crates/kelpworks-cli/tests/relay_links.rs
+++ b/crates/kelpworks-cli/tests/relay_links.rs
@@ -8,9 +8,13 @@
 use reqwest::Method;
 use reqwest::RequestBuilder;
 use rstest::rstest;
+use rustix::process::Signal;
 use tokio::task::JoinHandle;
 
+use relay_site::HOST;
+use relay_site::KEY;
 use relay_site::Site;
+use relay_site::WAIT_TIMEOUT;
 use relay_site::cut::LinksOf;
 use relay_site::daemon::Answer;
 use relay_site::daemon::Relay;
@@ -120,3 +124,191 @@
         "cut: {cut:?}, others: {others:?}"
     );
 }
+
+/// Events of a stream that runs for more than a second.
+const LONG_STREAM: u64 = 150;
+/// Counter of requests that a daemon served for others.
+const RECEIVED: &str = "kelpworks_handovers_received_total{outcome=\"served\"}";
+/// Counter of requests that a daemon handed over and that were answered.
+const ANSWERED: &str = "kelpworks_handovers_total{outcome=\"answered\"}";
+/// Field of a request that is handed over.
+const HANDOVER_HEADER: &str = "kelpworks-handover";
+/// Field of a refusal by the daemon that a request was handed over to.
+const REFUSAL_HEADER: &str = "kelpworks-handover-refusal";
+/// Time within which an upstream stops work on a request whose caller has left.
+const CANCELLATION_BOUND: Duration = Duration::from_millis(500);
+
+/// Starts a site whose first daemon has lost its links, and waits until it hands requests over.
+async fn site_with_a_cut_daemon(name: &str, daemons: usize) -> Site {
+    let site = Site::start_with_links(name, daemons).await;
+    site.set_links(0, LinksOf::Reset);
+    wait_until_handed_over(&site).await;
+    site
+}
+
+async fn wait_until_handed_over(site: &Site) {
+    let cut = &site.daemons[0];
+    let until = Instant::now() + WAIT_TIMEOUT;
+    for i in 0.. {
+        let answer = cut.stream(&format!("probe-{i}"), 2).await;
+        let is_served = answer.is_ok_and(|a| a.status == 200);
+        if is_served && cut.counter(ANSWERED).await > 0 {
+            return;
+        }
+        assert!(Instant::now() < until, "not handed over: {}", cut.log());
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Returns the number of the daemon that has served most requests for others.
+async fn receiver(site: &Site) -> usize {
+    let mut counts = Vec::new();
+    for daemon in &site.daemons[1..] {
+        counts.push(daemon.counter(RECEIVED).await);
+    }
+    let (index, _) = counts
+        .iter()
+        .enumerate()
+        .max_by_key(|&(_, n)| n)
+        .expect("daemons");
+    index + 1
+}
+
+/// Guards against events that are lost or come twice when the daemon that serves a stream for
+/// another dies in the middle of it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stream_goes_on_when_the_daemon_that_it_was_handed_to_dies() {
+    let mut site = site_with_a_cut_daemon("links-receiver", 2).await;
+    let stream = site.daemons[0].start_stream("s-1", LONG_STREAM).await;
+    let receiver = receiver(&site).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.daemons[receiver].kill();
+    site.set_links(0, LinksOf::Sound);
+    let body = stream.await;
+    let ids = body.lines().filter_map(|l| l.strip_prefix("id: "));
+    let ids: Vec<u64> = ids.map(|id| id.parse().expect("a number")).collect();
+    assert_eq!(ids, (1..=LONG_STREAM).collect::<Vec<u64>>());
+}
+
+/// Guards against upstreams that work on for a caller who has left, if its request was handed over.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cancelled_stream_ends_at_the_upstream_of_the_other_daemon() {
+    let site = site_with_a_cut_daemon("links-cancel", 3).await;
+    let stream = site.daemons[0].start_stream("s-1", 1_000).await;
+    assert!(site.engines.active_streams() > 0);
+    drop(stream);
+    tokio::time::sleep(CANCELLATION_BOUND).await;
+    assert_eq!(site.engines.active_streams(), 0);
+}
+
+/// Guards against a request that may run once at most and is handed to a second daemon after the
+/// first fell silent, and against callers that wait long after their deadline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn call_is_handed_over_once_unless_it_has_not_run() {
+    let site = site_with_a_cut_daemon("links-once", 3).await;
+    for daemon in &site.daemons[1..] {
+        daemon.signal(Signal::STOP);
+    }
+    let sent = Instant::now();
+    let calls = (0..4).map(|i| {
+        let req = site.daemons[0].request(Method::POST, "/once/x", &format!("c-{i}"));
+        tokio::spawn(send(req.header("x-kelpworks-deadline-ms", "1500")))
+    });
+    for call in calls.collect::<Vec<_>>() {
+        let answer = call.await.expect("no panic").expect("an answer");
+        assert!([502, 503, 504].contains(&answer.status), "{answer:?}");
+    }
+    assert!(
+        sent.elapsed() < WAIT_TIMEOUT / 2,
+        "answered near the deadline"
+    );
+    for daemon in &site.daemons[1..] {
+        daemon.signal(Signal::CONT);
+    }
+    tokio::time::sleep(CANCELLATION_BOUND).await;
+    for i in 0..4 {
+        assert!(site.app.run_count(&format!("c-{i}")) <= 1, "ran twice");
+    }
+}
+
+/// Guards against requests that wait, or go from daemon to daemon, when none reaches the upstreams.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_refused_at_once_when_no_daemon_reaches_the_upstreams() {
+    let site = site_with_a_cut_daemon("links-none", 3).await;
+    for daemon in 1..3 {
+        site.set_links(daemon, LinksOf::Reset);
+    }
+    let until = Instant::now() + Duration::from_secs(2);
+    for i in 0.. {
+        for daemon in &site.daemons {
+            let _ = daemon.stream(&format!("w-{i}"), 2).await;
+        }
+        if Instant::now() > until {
+            break;
+        }
+    }
+    for (i, daemon) in site.daemons.iter().enumerate() {
+        let answer = daemon
+            .stream(&format!("s-{i}"), 2)
+            .await
+            .expect("an answer");
+        assert_eq!(answer.status, 503);
+        assert!(answer.retry_after.is_some());
+    }
+}
+
+/// Guards against a daemon that hands requests over long after its links are back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn daemon_serves_by_itself_again_when_its_links_are_back() {
+    let site = site_with_a_cut_daemon("links-back", 2).await;
+    site.set_links(0, LinksOf::Sound);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let cut = &site.daemons[0];
+    let before = cut.counter(ANSWERED).await;
+    for i in 0..10 {
+        let answer = cut.stream(&format!("s-{i}"), 4).await.expect("an answer");
+        assert_eq!((answer.status, answer.ids()), (200, vec![1, 2, 3, 4]));
+    }
+    assert_eq!(cut.counter(ANSWERED).await, before);
+}
+
+/// Guards against requests that run although what came with them can't be trusted or is out of
+/// date: nothing at all, not JSON, a passed deadline, a configuration that does not exist yet.
+#[rstest]
+#[case::absent("absent", None)]
+#[case::not_json("not_json", Some("{"))]
+#[case::wrong_types("wrong_types", Some(r#"{"version":"3","left_ms":-1}"#))]
+#[case::truncated("truncated", Some(r#"{"version":3,"left_ms":10"#))]
+#[case::deadline_passed("deadline_passed", Some(r#"{"version":3,"left_ms":0}"#))]
+#[case::unknown_version("unknown_version", Some(r#"{"version":99,"left_ms":2000}"#))]
+#[tokio::test]
+async fn invalid_handover_is_refused_without_running(
+    #[case] name: &str,
+    #[case] head: Option<&str>,
+) {
+    let site = Site::start(&format!("links-{name}"), 1).await;
+    let url = format!("http://{}/often/x", site.daemons[0].handover);
+    let mut req = reqwest::Client::new().get(url).bearer_auth(KEY);
+    req = req
+        .header("host", HOST)
+        .header("x-kelpworks-attempt-id", "h-1");
+    if let Some(head) = head {
+        req = req.header(HANDOVER_HEADER, head);
+    }
+    let res = req.send().await.expect("an answer");
+    assert_eq!(res.status(), 503);
+    assert_eq!(res.headers()[REFUSAL_HEADER], "not-run");
+    assert_eq!(site.app.run_count("h-1"), 0);
+}
+
+/// Guards against callers that pass for daemons: the field is ignored on their address.
+#[tokio::test]
+async fn handover_field_of_a_caller_is_ignored() {
+    let site = Site::start("links-forged", 1).await;
+    let req = site.daemons[0].request(Method::GET, "/often/x", "f-1");
+    let head = r#"{"version":99,"left_ms":0,"may_have_reached":true}"#;
+    let answer = send(req.header(HANDOVER_HEADER, head))
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status, 200);
+}
--- a/crates/kelpworks-cli/tests/relay_site/daemon.rs
+++ b/crates/kelpworks-cli/tests/relay_site/daemon.rs
@@ -51,6 +51,7 @@
     pub(crate) readiness: SocketAddr,
     operators: SocketAddr,
     pub(crate) peers: SocketAddr,
+    pub(crate) handover: SocketAddr,
     client: reqwest::Client,
 }
 
@@ -110,6 +111,7 @@
             readiness,
             operators,
             peers,
+            handover,
             client,
         }
     }
--- a/crates/kelpworks-relay/src/reach.rs
+++ b/crates/kelpworks-relay/src/reach.rs
@@ -56,6 +56,9 @@
 const MAX_SUCCESSES: u32 = 16;
 /// Time after the return of links within which a new loss counts as soon.
 const RELAPSE_PERIOD: Duration = Duration::from_secs(10);
+/// Time after the last data within which upstreams that are out of reach may still answer on older
+/// connections.
+const CONTACT_TTL: Duration = Duration::from_secs(1);
 /// Maximum number of failed upstreams that are remembered for a service.
 const MAX_FAILED: usize = 64;
 
@@ -211,6 +214,16 @@
         self.services.get(service).is_some_and(|s| s.is_lost())
     }
 
+    /// Returns whether the upstreams of a service are out of reach and send nothing on connections
+    /// that are still open either, so that an attempt would fail.
+    pub fn is_cut_off(&self, service: &str, now: Instant) -> bool {
+        let entry = self.services.get(service).filter(|s| s.is_lost());
+        entry.is_some_and(|s| {
+            let last_contact = s.last_contact;
+            last_contact.is_none_or(|at| now.duration_since(at) >= CONTACT_TTL)
+        })
+    }
+
     /// Returns whether the last failures at the service are probably due to this daemon's own links:
     /// it is out of reach, or no upstream shows a sign while some fail.
     pub fn is_doubtful(&self, service: &str, now: Instant) -> bool {
--- a/crates/kelpworks-relay/src/reach/tests.rs
+++ b/crates/kelpworks-relay/src/reach/tests.rs
@@ -7,6 +7,7 @@
 use rstest::rstest;
 use tokio::time::Instant;
 
+use super::CONTACT_TTL;
 use super::Evidence;
 use super::LOST_PROBE_INTERVAL;
 use super::MAX_SUCCESSES;
@@ -225,6 +226,20 @@
     assert!(!daemon.is_lost(), "links that stay are used");
 }
 
+/// Guards against refusals while upstreams still answer on older connections, as when they accept no
+/// more connections.
+#[test]
+fn lost_service_is_cut_off_once_nothing_arrives_any_more() {
+    let mut daemon = Daemon::new();
+    daemon.lose_links();
+    assert!(daemon.reach.is_cut_off("llm", daemon.now));
+    daemon.contact(false);
+    assert!(!daemon.reach.is_cut_off("llm", daemon.now));
+    daemon.pass(CONTACT_TTL, false);
+    assert!(daemon.reach.is_cut_off("llm", daemon.now));
+    assert!(!daemon.reach.is_cut_off("other", daemon.now));
+}
+
 /// Guards against a service that is never probed again after its evidence was cleared.
 #[test]
 fn doubt_about_connections_ends_with_one_that_opens() {
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -24,6 +24,7 @@
 use super::handover::HandoverHead;
 use super::handover::MAX_HANDOVERS;
 use super::handover::NO_PEER;
+use super::handover::OUT_OF_REACH;
 use super::handover::UNREACHABLE;
 use super::handover::UNREACHABLE_BY_PEER;
 use super::reply::Reply;
@@ -139,6 +140,12 @@
     loop {
         let attempt = if handover.is_due(shared, inbound, has_link_failure) {
             handover.attempt(shared, inbound, may_have_reached).await
+        } else if shared
+            .reach()
+            .is_cut_off(&inbound.service.name, Instant::now())
+        {
+            reason = OUT_OF_REACH;
+            break;
         } else {
             match next_upstream(shared, inbound, &tried, verdict, may_have_reached) {
                 NextAttempt::Send(upstream, permit) => {
--- a/crates/kelpworks-relay/src/relay/handover.rs
+++ b/crates/kelpworks-relay/src/relay/handover.rs
@@ -63,7 +63,7 @@
 /// between domains is billed, but the daemons that are left in one domain can't serve all others.
 const LOCAL_WEIGHT: u32 = 3;
 
-/// Refusal reason of a daemon that was handed a request and does not reach the upstreams.
+/// Refusal reason when this daemon does not reach the upstreams, and no other is known to.
 pub(super) const OUT_OF_REACH: &str = "upstreams out of reach";
 /// Failure reason when no daemon is known that could serve a request.
 pub(super) const NO_PEER: &str = "no peer";
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -42,6 +42,7 @@
 use crate::relay::call::address_owner_id;
 use crate::relay::call::announcements;
 use crate::relay::call::detect_fault;
+use crate::relay::handover::OUT_OF_REACH;
 use crate::shared::Shared;
 use crate::shared::announcements::Announcements;
 use crate::shared::announcements::AnsweredMessage;
@@ -262,6 +263,10 @@
         if self.prefers_peer() {
             return self.attempt_by_peer().await;
         }
+        let service = &self.inbound.service.name;
+        if self.shared.reach().is_cut_off(service, Instant::now()) {
+            return Err(Failure::no_path(OUT_OF_REACH));
+        }
         self.forget_ended_engines().await;
         match self.choose_or_wait().await {
             Ok((path, admission)) => self.attempt_along(path, admission).await,
