A lease holder that does not reach the engines yields to a daemon that does

Cause: the holder of the placement lease kept it as long as it reached the store; while its links to the engines were lost, orders went nowhere. Change: the lease machine has Yield: no token from then on, and the lease is released once the orders under way have taken effect, to be acquired again later. Daemons lead in order of the services that they reach, then by rank; the holder yields while a fit peer reaches more. A service that no daemon reaches changes nothing.

--- a/crates/kelpworks-coord/src/lease.rs
+++ b/crates/kelpworks-coord/src/lease.rs
@@ -211,6 +211,9 @@
     Era(Era),
     /// Release the lease and acquire it no more, for a planned stop.
     Release,
+    /// Release the lease if it is held, for another daemon to acquire it, once the orders that are
+    /// under way have taken effect. This daemon may acquire it again later.
+    Yield,
 }
 
 /// Something for the driver to do. At most one read or write is outstanding at a time.
@@ -266,6 +269,8 @@
     /// Earliest time of the next call to the object API.
     next_call: Instant,
     releasing: bool,
+    /// When this daemon began to release the held lease for another one; `None` once it is not held.
+    yielding_since: Option<Instant>,
 }
 
 impl Lease {
@@ -283,6 +288,7 @@
             unconfirmed: None,
             next_call: now,
             releasing: false,
+            yielding_since: None,
         }
     }
 
@@ -299,6 +305,13 @@
                 self.next_call = now;
                 self.on_tick(now)
             }
+            Event::Yield => {
+                if self.held.is_some() && self.yielding_since.is_none() {
+                    self.yielding_since = Some(now);
+                    self.next_call = now + self.cfg.order_bound;
+                }
+                self.on_tick(now)
+            }
         }
     }
 
@@ -307,7 +320,8 @@
     pub fn fencing_token(&self, now: Instant) -> Option<Token> {
         let held = self.held?;
         let bound = held.sent_at + self.cfg.ttl;
-        (now + self.cfg.order_bound < bound && !self.releasing).then_some(held.record.token)
+        let is_kept = !self.releasing && self.yielding_since.is_none();
+        (now + self.cfg.order_bound < bound && is_kept).then_some(held.record.token)
     }
 
     /// Returns whether this daemon holds the lease, even if too little time is left for an order.
@@ -334,8 +348,11 @@
         if self.outstanding.is_some() || now < self.next_call {
             return Vec::new();
         }
+        let released_at = self.yielding_since.map(|at| at + self.cfg.order_bound);
         match (self.observed, self.held) {
             (_, Some(held)) if self.releasing => self.write_release(now, held),
+            (_, Some(_)) if released_at.is_some_and(|at| now < at) => Vec::new(),
+            (_, Some(held)) if released_at.is_some() => self.write_release(now, held),
             (_, Some(held)) => self.write_renewal(now, held),
             (Some((stored, at)), None) if self.may_acquire(now, stored, at) => {
                 self.write_acquisition(now, stored)
@@ -505,6 +522,7 @@
 
     fn resign(&mut self) -> Vec<Action> {
         self.unconfirmed = None;
+        self.yielding_since = None;
         match self.held.take() {
             Some(_) => vec![Action::Resigned],
             None => Vec::new(),
--- a/crates/kelpworks-coord/tests/control.rs
+++ b/crates/kelpworks-coord/tests/control.rs
@@ -230,6 +230,37 @@
     assert_eq!(lease.fencing_token(at(20_010)), None);
 }
 
+#[test]
+fn yielded_lease_can_be_acquired_again() {
+    let mut lease = holder();
+    let record = Record {
+        owner: None,
+        token: Token(1),
+        renewal: 1,
+    };
+    let write = Action::Write {
+        if_version: Version::initial(1),
+        record,
+    };
+    let released = 200 + lease::Config::default().order_bound.as_millis();
+    assert_eq!(lease.on_event(at(200), Event::Yield), []);
+    assert_eq!(lease.fencing_token(at(200)), None);
+    assert_eq!(
+        lease.on_event(at(released - 1), Event::Yield),
+        [],
+        "orders may be under way"
+    );
+    assert_eq!(lease.on_event(at(released), Event::Yield), [write]);
+    let written = Event::Api(ApiReply::Written(Version::initial(2)));
+    let resigned = lease.on_event(at(released + 10), written);
+    assert_eq!(resigned, [Action::Resigned]);
+    let actions = lease.on_event(at(60_000), Event::Tick);
+    assert!(
+        matches!(actions[..], [Action::Write { record, .. }] if record.token == Token(2)),
+        "{actions:?}"
+    );
+}
+
 #[test]
 fn released_lease_can_be_acquired_at_once() {
     let mut lease = holder();
--- a/crates/kelpworks-coord/tests/model_lease.rs
+++ b/crates/kelpworks-coord/tests/model_lease.rs
@@ -65,6 +65,8 @@
     duplicates: u8,
     /// Number of times that the store may be restored from an older copy.
     restores: u8,
+    /// Number of times that a holder that does not reach the engines may give the lease up.
+    yields: u8,
     engine_checks: bool,
     mutant: Mutant,
 }
@@ -120,6 +122,7 @@
     crashes: u8,
     duplicates: u8,
     restores: u8,
+    yields: u8,
     violation: Option<&'static str>,
 }
 
@@ -129,6 +132,7 @@
     Pause(usize),
     Resume(usize),
     Tick(usize),
+    Yield(usize),
     Effect(usize),
     /// A read returns the previous state of the object.
     StaleRead(usize),
@@ -343,6 +347,8 @@
             return;
         }
         steps.extend(faulty.then_some(Step::Pause(d)));
+        let may_yield = world.yields > 0 && daemon.lease.is_held();
+        steps.extend(may_yield.then_some(Step::Yield(d)));
         match daemon.call {
             None => steps.push(Step::Tick(d)),
             Some(Call::Replied(_)) => {
@@ -435,6 +441,7 @@
             crashes: self.crashes,
             duplicates: self.duplicates,
             restores: self.restores,
+            yields: self.yields,
             violation: None,
         }
     }
@@ -472,6 +479,10 @@
             }
             Step::Resume(d) => world.daemons[d].paused = false,
             Step::Tick(d) => self.tick(world, d),
+            Step::Yield(d) => {
+                world.yields -= 1;
+                self.feed(world, d, Event::Yield);
+            }
             Step::Effect(d) => self.effect(world, d),
             Step::StaleRead(d) => {
                 world.faults -= 1;
@@ -570,6 +581,7 @@
         crashes: 0,
         duplicates: 0,
         restores: 0,
+        yields: 0,
         engine_checks: true,
         mutant: Mutant::None,
     }
@@ -630,6 +642,20 @@
     assert_holds("lease, restore", &model);
 }
 
+/// A holder that is cut off from the engines, and not from the store, gives the lease up.
+#[rstest]
+#[case::checking_engine(true)]
+#[case::ignoring_engine(false)]
+fn invariants_hold_when_holders_yield(#[case] engine_checks: bool) {
+    let model = LeaseModel {
+        yields: 2,
+        faults: bound() as u8 - 1,
+        engine_checks,
+        ..model()
+    };
+    assert_holds("lease, yield", &model);
+}
+
 #[test]
 fn invariants_hold_after_two_store_restores() {
     let model = LeaseModel {
--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -237,7 +237,11 @@
             // nothing.
             tokio::spawn(async move {
                 lease_keeper
-                    .run_while(&resign, || peers.may_take_lease())
+                    .run_while(
+                        &resign,
+                        || peers.may_take_lease(),
+                        || peers.may_keep_lease(),
+                    )
                     .await
             })
         };
--- a/crates/kelpworks-relay/src/peers/handover_tests.rs
+++ b/crates/kelpworks-relay/src/peers/handover_tests.rs
@@ -141,3 +141,40 @@
     third.learn_digest(&second.digest(&Audience::default()));
     assert!(third.handover_candidates(SERVICE).is_empty());
 }
+
+/// Guards against a fleet without orders to engines while the daemon that leads does not reach them:
+/// it gives the lease up, and the next in line that reaches them leads.
+#[tokio::test(start_paused = true)]
+async fn daemon_that_reaches_more_services_leads() {
+    let all: Vec<Peers> = (0..4).map(peers).collect();
+    for me in &all {
+        me.offer_handover(PORT);
+    }
+    let exchange_all = || {
+        for me in &all {
+            for other in &all {
+                me.learn_digest(&other.digest(&Audience::default()));
+            }
+        }
+    };
+    exchange_all();
+    advance(Duration::from_secs(30)).await;
+    exchange_all();
+    let leads = |me: &Peers| me.is_acting_leader();
+    let first = all.iter().position(leads).expect("a leader");
+    assert!(all[first].may_keep_lease());
+    let key = register(&all[first]);
+    let service: Arc<str> = Arc::from(SERVICE);
+    all[first]
+        .shared
+        .record_link_failure(&service, key, Evidence::Broken);
+    let probe = Probe { opened: 0, of: 3 };
+    all[first].shared.record_probe(&service, probe);
+    advance(Duration::from_millis(250)).await;
+    exchange_all();
+    assert!(!all[first].may_keep_lease());
+    assert!(!all[first].may_take_lease() && !leads(&all[first]));
+    let others: Vec<usize> = (0..4).filter(|&i| leads(&all[i])).collect();
+    assert_eq!(others.len(), 1, "another daemon leads");
+    assert_ne!(others[0], first);
+}
--- a/crates/kelpworks-relay/src/peers/members.rs
+++ b/crates/kelpworks-relay/src/peers/members.rs
@@ -160,7 +160,23 @@
     }
 }
 
+/// Order in which daemons lead; the lowest come first. A leader sends orders to engines, so daemons
+/// that reach more services come first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct LeadOrder {
+    /// Number of services whose upstreams the daemon does not reach.
+    pub(super) unreachable: usize,
+    pub(super) rank: u64,
+}
+
 impl Member {
+    pub(super) fn lead_order(&self) -> LeadOrder {
+        LeadOrder {
+            unreachable: self.unreachable_count(),
+            rank: self.rank,
+        }
+    }
+
     fn watch_order(&self) -> WatchOrder {
         WatchOrder::new(self.watching, self.rank)
     }
@@ -374,13 +390,13 @@
         eligible.filter(|m| m.watch_order() < order).count()
     }
 
-    /// Number of live and eligible daemons with a lower rank.
-    pub(super) fn count_ranked_before(
+    /// Number of live and eligible daemons that come before `order` in leading.
+    pub(super) fn count_before_in_lead_order(
         &self,
-        rank: u64,
+        order: LeadOrder,
         is_eligible: impl Fn(&Member) -> bool,
     ) -> usize {
-        let before = self.live().filter(|m| m.rank < rank);
+        let before = self.live().filter(|m| m.lead_order() < order);
         before.filter(|m| is_eligible(m)).count()
     }
 
--- a/crates/kelpworks-relay/src/peers/roles.rs
+++ b/crates/kelpworks-relay/src/peers/roles.rs
@@ -16,6 +16,7 @@
 use super::Peers;
 use super::lock;
 use super::members::Condition;
+use super::members::LeadOrder;
 use super::members::Member;
 use super::members::Members;
 use super::members::WatchOrder;
@@ -166,24 +167,51 @@
         }
     }
 
-    /// Returns whether this daemon should acquire the placement lease when it is free.
-    pub(super) fn may_take_lease(&self, members: &Members, now: Instant) -> bool {
-        let is_first = members.count_ranked_before(self.rank, is_fit) == 0;
+    /// Returns whether this daemon should acquire the placement lease when it is free. `unreachable`
+    /// is the number of services that it does not reach.
+    pub(super) fn may_take_lease(
+        &self,
+        unreachable: usize,
+        members: &Members,
+        now: Instant,
+    ) -> bool {
+        let order = self.lead_order(unreachable);
+        let is_first = members.count_before_in_lead_order(order, is_fit) == 0;
         is_first && self.is_warmed_up(members, now) && !self.store.is_failing(now)
     }
 
+    /// Returns whether this daemon may keep the placement lease: no other that could take it reaches
+    /// more services.
+    pub(super) fn may_keep_lease(&self, unreachable: usize, members: &Members) -> bool {
+        let reaches_more = |m: &&Member| is_fit(m) && m.lead_order().unreachable < unreachable;
+        !members.live().any(|m| reaches_more(&m))
+    }
+
+    fn lead_order(&self, unreachable: usize) -> LeadOrder {
+        LeadOrder {
+            unreachable,
+            rank: self.rank,
+        }
+    }
+
     /// Returns whether this daemon leads in place of the lease holder. It does so if no report of
     /// an active leader with precedence is known, as after the holder's death or during a store
-    /// outage, and this daemon is isolated or has the lowest rank of the live daemons that are not
-    /// leaving. Two daemons without contact may both lead; of two conflicting orders engines accept
+    /// outage, and this daemon is isolated or the first in leading of the live daemons that are not
+    /// leaving. `unreachable` is the number of services that it does not reach. Two daemons without contact may both lead; of two conflicting orders engines accept
     /// only the first.
-    pub(super) fn is_acting_leader(&self, members: &Members, now: Instant) -> bool {
+    pub(super) fn is_acting_leader(
+        &self,
+        unreachable: usize,
+        members: &Members,
+        now: Instant,
+    ) -> bool {
         let is_learning = now.duration_since(self.started) < LEARNING_PERIOD;
         if is_learning || self.backoff_until.is_some_and(|until| now < until) {
             return false;
         }
         let is_staying = |m: &Member| m.condition != Condition::Leaving;
-        let is_first = members.count_ranked_before(self.rank, is_staying) == 0;
+        let order = self.lead_order(unreachable);
+        let is_first = members.count_before_in_lead_order(order, is_staying) == 0;
         if !is_first && !self.is_isolated(members, now) {
             return false;
         }
@@ -271,14 +299,28 @@
 
     /// Returns whether this daemon should acquire the placement lease when it is free.
     pub(crate) fn may_take_lease(&self) -> bool {
+        let unreachable = self.unreachable_count();
+        let members = lock(&self.members);
+        lock(&self.roles).may_take_lease(unreachable, &members, Instant::now())
+    }
+
+    /// Returns whether this daemon may keep the placement lease.
+    pub(crate) fn may_keep_lease(&self) -> bool {
+        let unreachable = self.unreachable_count();
         let members = lock(&self.members);
-        lock(&self.roles).may_take_lease(&members, Instant::now())
+        lock(&self.roles).may_keep_lease(unreachable, &members)
+    }
+
+    /// Number of services whose upstreams this daemon does not reach.
+    fn unreachable_count(&self) -> usize {
+        self.shared.reach().lost().count()
     }
 
     /// Returns whether this daemon leads in place of the lease holder.
     pub(crate) fn is_acting_leader(&self) -> bool {
+        let unreachable = self.unreachable_count();
         let members = lock(&self.members);
-        lock(&self.roles).is_acting_leader(&members, Instant::now())
+        lock(&self.roles).is_acting_leader(unreachable, &members, Instant::now())
     }
 
     /// Records that this daemon sends orders now.
--- a/crates/kelpworks/src/executor/lease_keeper.rs
+++ b/crates/kelpworks/src/executor/lease_keeper.rs
@@ -110,12 +110,18 @@
     /// Acquires and renews the lease until `resign` is cancelled, then releases it, so that a
     /// successor does not wait for its expiry.
     pub async fn run(&self, resign: &CancellationToken) {
-        self.run_while(resign, || true).await;
+        self.run_while(resign, || true, || true).await;
     }
 
     /// Runs as [`run`](LeaseKeeper::run), but checks for a free lease and acquires it only while
-    /// `is_candidate` returns true. Once acquired, the lease is renewed regardless.
-    pub async fn run_while(&self, resign: &CancellationToken, is_candidate: impl Fn() -> bool) {
+    /// `is_candidate` returns true. Once acquired, the lease is renewed while `may_keep` returns true,
+    /// and released for another daemon otherwise.
+    pub async fn run_while(
+        &self,
+        resign: &CancellationToken,
+        is_candidate: impl Fn() -> bool,
+        may_keep: impl Fn() -> bool,
+    ) {
         let mut tick = tokio::time::interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -128,12 +134,17 @@
                 }
                 _ = tick.tick() => {}
             }
-            if !self.handle.is_held() && !is_candidate() {
+            let is_held = self.handle.is_held();
+            if !is_held && !is_candidate() {
                 continue;
             }
+            let event = match is_held && !may_keep() {
+                true => Event::Yield,
+                false => Event::Tick,
+            };
             // Not part of the select: the state machine waits for the reply of each call, so this
             // future must not be dropped before it completes.
-            self.process_event(Event::Tick).await;
+            self.process_event(event).await;
         }
         self.process_event(Event::Release).await;
     }
