--- a/crates/kelpworks-cli/tests/soak/faults.rs
+++ b/crates/kelpworks-cli/tests/soak/faults.rs
@@ -16,6 +16,7 @@
 use crate::plan::Plan;
 use crate::plan::Step;
 use crate::relay_site::WAIT_TIMEOUT;
+use crate::relay_site::cut::LinksOf;
 use crate::relay_site::daemon::Relay;
 use crate::relay_site::engine::Constraints;
 use crate::site::Daemon;
@@ -38,6 +39,15 @@
         done.expect("no panic of a fault");
     }
     clear_faults(soak);
+    for i in 0..soak.daemons.len() {
+        set_links(soak, i, LinksOf::Sound).await;
+    }
+}
+
+/// Changes the links of a daemon to all upstreams. A process that starts meanwhile has sound ones.
+async fn set_links(soak: &Soak, i: usize, state: LinksOf) {
+    let pid = soak.daemons[i].relay.lock().await.pid();
+    soak.links.set(pid, state);
 }
 
 /// Clears states that overlapping faults may have left set.
@@ -118,6 +128,11 @@
             engine.constraints().announce_staying();
             engine.restart();
         }
+        Fault::DaemonCut(i, state) => {
+            set_links(&soak, i, state).await;
+            tokio::time::sleep(duration).await;
+            set_links(&soak, i, LinksOf::Sound).await;
+        }
         Fault::Kill(i) => kill(&soak, i, duration).await,
         Fault::Pause(i) => {
             let relay = soak.daemons[i].relay.lock().await;
@@ -195,7 +210,7 @@
     daemon.incarnation.fetch_add(1, Ordering::SeqCst);
     relay.kill();
     tokio::time::sleep(duration).await;
-    restart(daemon, &mut relay).await;
+    restart(soak, daemon, &mut relay).await;
 }
 
 async fn stop(soak: &Soak, i: usize) {
@@ -209,13 +224,14 @@
         ));
     }
     daemon.incarnation.fetch_add(1, Ordering::SeqCst);
-    restart(daemon, &mut relay).await;
+    restart(soak, daemon, &mut relay).await;
 }
 
 /// Starts a daemon again and waits until it listens: a signal that arrives before a program has run
 /// its first instructions ends it, whatever signals the program handles.
-async fn restart(daemon: &Daemon, relay: &mut Relay) {
+async fn restart(soak: &Soak, daemon: &Daemon, relay: &mut Relay) {
     relay.restart();
+    soak.links.set(relay.pid(), LinksOf::Sound);
     let until = Instant::now() + WAIT_TIMEOUT;
     while TcpStream::connect(daemon.callers).await.is_err() && Instant::now() < until {
         tokio::time::sleep(Duration::from_millis(5)).await;
--- a/crates/kelpworks-cli/tests/soak/plan.rs
+++ b/crates/kelpworks-cli/tests/soak/plan.rs
@@ -8,6 +8,7 @@
 
 use kelpworks_fakes::LinkState;
 
+use crate::relay_site::cut::LinksOf;
 use crate::relay_site::engine;
 
 /// Engines of a run.
@@ -24,6 +25,8 @@
 const NO_BACKOFFS_EVERY: u64 = 5;
 /// One unplanned seed in this many has no engine announce that it is leaving.
 const NO_LEAVING_EVERY: u64 = 3;
+/// One unplanned seed in this many has no daemon lose its links to all upstreams.
+const NO_CUTS_EVERY: u64 = 5;
 
 /// A fault, or a planned operation.
 #[derive(Clone, Copy, Debug)]
@@ -58,6 +61,8 @@
     AppRequestsBackoff(Duration),
     /// An engine announces that it is leaving, and then restarts under the same id.
     EngineLeaves(usize),
+    /// A daemon loses its links to all upstreams.
+    DaemonCut(usize, LinksOf),
     /// A daemon's process is killed and started again.
     Kill(usize),
     /// A daemon's process is paused (SIGSTOP).
@@ -119,6 +124,9 @@
         if !planned && !seed.is_multiple_of(NO_LEAVING_EVERY) {
             steps.push(draw_leaving(&mut rng, length));
         }
+        if !planned && !seed.is_multiple_of(NO_CUTS_EVERY) {
+            steps.extend(draw_cuts(&mut rng, daemons, length));
+        }
         Plan {
             length,
             steps,
@@ -178,6 +186,22 @@
     }
 }
 
+/// Returns cuts of all daemons but one, or of fewer, from all upstreams, which may overlap and repeat.
+fn draw_cuts(rng: &mut StdRng, daemons: usize, length: Duration) -> Vec<Step> {
+    let first = rng.random_range(0..daemons);
+    let count = rng.random_range(1..daemons.max(2));
+    let mut draw = |i: usize| {
+        let states = [LinksOf::Reset, LinksOf::Silent, LinksOf::RefuseNew];
+        let state = states[rng.random_range(0..states.len())];
+        Step {
+            at: length.mul_f64(rng.random_range(0.0..0.7)),
+            duration: Duration::from_millis(rng.random_range(500..5_000)),
+            fault: Fault::DaemonCut((first + i) % daemons, state),
+        }
+    };
+    (0..count).map(|i| draw(i)).collect()
+}
+
 fn draw_planned(rng: &mut StdRng, daemons: usize) -> Fault {
     let daemon = rng.random_range(0..daemons);
     match rng.random_range(0..4) {
--- a/crates/kelpworks-cli/tests/soak/site.rs
+++ b/crates/kelpworks-cli/tests/soak/site.rs
@@ -24,6 +24,8 @@
 use crate::relay_site::KEY;
 use crate::relay_site::WAIT_TIMEOUT;
 use crate::relay_site::configuration;
+use crate::relay_site::cut::Links;
+use crate::relay_site::cut::LinksOf;
 use crate::relay_site::daemon::Relay;
 use crate::relay_site::daemon::RetryBudget;
 use crate::relay_site::engine::App;
@@ -72,6 +74,8 @@
     pub(crate) engines: Vec<LinkedEngine>,
     pub(crate) app: App,
     pub(crate) app_link: Link,
+    /// Links between each daemon and all upstreams, in front of the links of the upstreams.
+    pub(crate) links: Links,
     pub(crate) daemons: Vec<Daemon>,
     /// Version of the last configuration that was written.
     pub(crate) version: AtomicU64,
@@ -116,12 +120,13 @@
         let store = Store::start().await;
         store.put("config", "main", configuration_document(3));
         let registry = Registry::default();
+        let mut links = Links::default();
         let mut engines = Vec::new();
         for i in 0..ENGINES {
             let domain = ["hall-a", "hall-b"][i % 2];
             let engine = Engine::start(&registry, &format!("e-{i}"), domain).await;
             let link = Link::spawn(engine.address()).await.expect("a link");
-            engine.set_address(&registry, link.addr());
+            engine.set_address(&registry, links.spawn(link.addr()).await);
             engines.push(LinkedEngine {
                 engine,
                 link,
@@ -130,29 +135,35 @@
         }
         let mut app = App::start("s-0").await;
         let app_link = Link::spawn(app.address()).await.expect("a link");
-        app.set_address(app_link.addr());
+        app.set_address(links.spawn(app_link.addr()).await);
         store.put("servers", "s-0", app.entry());
         let mut running: Vec<Relay> = Vec::new();
-        let mut links = Vec::new();
+        let mut store_links = Vec::new();
         for i in 0..daemons {
             let link = Link::spawn(store.address).await.expect("a link");
             let name = format!("soak-{seed}");
-            running.push(Relay::start(&name, i, link.addr(), &running, &RETRY_BUDGET));
-            links.push(link);
+            let relay = Relay::start(&name, i, link.addr(), &running, &RETRY_BUDGET);
+            links.set(relay.pid(), LinksOf::Sound);
+            running.push(relay);
+            store_links.push(link);
         }
-        let daemons = running.into_iter().zip(links).map(|(relay, store)| Daemon {
-            callers: relay.callers,
-            readiness: relay.readiness,
-            relay: tokio::sync::Mutex::new(relay),
-            incarnation: AtomicU64::new(0),
-            store,
-        });
+        let daemons = running
+            .into_iter()
+            .zip(store_links)
+            .map(|(relay, store)| Daemon {
+                callers: relay.callers,
+                readiness: relay.readiness,
+                relay: tokio::sync::Mutex::new(relay),
+                incarnation: AtomicU64::new(0),
+                store,
+            });
         let soak = Arc::new(Soak {
             store,
             registry,
             engines,
             app,
             app_link,
+            links,
             daemons: daemons.collect(),
             version: AtomicU64::new(3),
             limits: Limits::default(),
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -152,7 +152,8 @@
             lost_age_ms: None,
             condition,
             watching,
-            handover: self.handover_offer(),
+            handover: self.handover_port.get().copied(),
+            unreachable: self.shared.reach().lost().cloned().collect(),
         }
     }
 
--- a/crates/kelpworks-relay/src/peers/handover.rs
+++ b/crates/kelpworks-relay/src/peers/handover.rs
@@ -6,7 +6,6 @@
 use super::lock;
 use super::members::Condition;
 use super::members::Member;
-use super::messages::HandoverOffer;
 
 /// A daemon that accepts requests for the upstreams of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,24 +22,15 @@
         let _ = self.handover_port.set(port);
     }
 
-    /// Returns what this daemon offers to others; `None` if it accepts no requests of theirs.
-    pub(super) fn handover_offer(&self) -> Option<HandoverOffer> {
-        let &port = self.handover_port.get()?;
-        Some(HandoverOffer {
-            port,
-            unreachable: self.shared.reach().lost().cloned().collect(),
-        })
-    }
-
     /// Returns the live daemons that accept requests for a service and reach its upstreams.
     pub(crate) fn handover_candidates(&self, service: &str) -> Vec<Candidate> {
         let members = lock(&self.members);
         let candidate = |member: &Member| {
-            let offer = member.handover.as_ref()?;
-            let is_unreachable = offer.unreachable.iter().any(|s| **s == *service);
+            let port = member.handover?;
+            let is_unreachable = member.unreachable.iter().any(|s| **s == *service);
             let is_usable = member.condition != Condition::Leaving && !is_unreachable;
             is_usable.then(|| Candidate {
-                address: SocketAddr::new(member.address.ip(), offer.port),
+                address: SocketAddr::new(member.address.ip(), port),
                 is_local: member.domain == self.domain,
             })
         };
--- a/crates/kelpworks-relay/src/peers/handover_tests.rs
+++ b/crates/kelpworks-relay/src/peers/handover_tests.rs
@@ -14,7 +14,6 @@
 use super::handover::Candidate;
 use super::members::Condition;
 use super::messages::Digest;
-use super::messages::HandoverOffer;
 use super::tests::address;
 use super::tests::digest;
 use super::tests::engine;
@@ -86,31 +85,26 @@
     assert!(me.digest(&Audience::default()).crashes.is_empty());
 }
 
-fn offer(unreachable: &[&str]) -> Option<HandoverOffer> {
-    Some(HandoverOffer {
-        port: PORT,
-        unreachable: unreachable.iter().map(|&s| Arc::from(s)).collect(),
-    })
-}
-
 /// Guards against hand-overs to a daemon that can't serve them: one of an older build, one that is
 /// stopping, and one that has lost its links as well.
 #[rstest]
-#[case::sound(offer(&[]), Condition::Fit, true)]
-#[case::turned_away_by_the_store(offer(&[]), Condition::TurnedAway, true)]
-#[case::other_service_lost(offer(&["app"]), Condition::Fit, true)]
-#[case::service_lost(offer(&["app", SERVICE]), Condition::Fit, false)]
-#[case::stopping(offer(&[]), Condition::Leaving, false)]
-#[case::older_build(None, Condition::Fit, false)]
+#[case::sound(Some(PORT), &[], Condition::Fit, true)]
+#[case::turned_away_by_the_store(Some(PORT), &[], Condition::TurnedAway, true)]
+#[case::other_service_lost(Some(PORT), &["app"], Condition::Fit, true)]
+#[case::service_lost(Some(PORT), &["app", SERVICE], Condition::Fit, false)]
+#[case::stopping(Some(PORT), &[], Condition::Leaving, false)]
+#[case::older_build(None, &[], Condition::Fit, false)]
 #[tokio::test(start_paused = true)]
 async fn peers_that_reach_the_service_are_candidates(
-    #[case] handover: Option<HandoverOffer>,
+    #[case] handover: Option<u16>,
+    #[case] unreachable: &[&str],
     #[case] condition: Condition,
     #[case] is_candidate: bool,
 ) {
     let me = peers(0);
     let mut report: Digest = digest(3);
     report.from.handover = handover;
+    report.from.unreachable = unreachable.iter().map(|&s| Arc::from(s)).collect();
     report.from.condition = condition;
     me.learn_digest(&report);
     let expected = is_candidate.then(|| Candidate {
--- a/crates/kelpworks-relay/src/peers/members.rs
+++ b/crates/kelpworks-relay/src/peers/members.rs
@@ -33,7 +33,6 @@
 
 use super::messages::Contact;
 use super::messages::Digest;
-use super::messages::HandoverOffer;
 use super::messages::millis_since;
 
 /// Time without contact after which a daemon is forgotten. Until then an unreachable daemon still
@@ -88,8 +87,10 @@
     pub(super) condition: Condition,
     /// Whether it reported at `last_contact` that it watches the store and gets answers.
     watching: bool,
-    /// Offer reported at `last_contact`.
-    pub(super) handover: Option<HandoverOffer>,
+    /// Port on which it accepts requests of other daemons, as reported at `last_contact`.
+    pub(super) handover: Option<u16>,
+    /// Services that it did not reach at `last_contact`.
+    pub(super) unreachable: Vec<Arc<str>>,
     /// Latest evidence of its loss from any daemon; never decreases.
     lost: Option<Instant>,
     /// When this daemon learned of the last change of liveness or condition.
@@ -172,7 +173,7 @@
 impl Member {
     pub(super) fn lead_order(&self) -> LeadOrder {
         LeadOrder {
-            unreachable: self.unreachable_count(),
+            unreachable: self.unreachable.len(),
             rank: self.rank,
         }
     }
@@ -276,7 +277,8 @@
                 last_contact,
                 condition: contact.condition,
                 watching: contact.watching,
-                handover: contact.handover.clone(),
+                handover: contact.handover,
+                unreachable: contact.unreachable.clone(),
                 lost,
                 changed: now,
             };
@@ -291,19 +293,20 @@
             return change;
         };
         let was_live = member.is_live();
-        let was_unreachable = member.unreachable_count();
+        let was_unreachable = member.unreachable.len();
         let reported = (member.condition, member.watching);
         if last_contact > member.last_contact {
             member.last_contact = last_contact;
             member.condition = contact.condition;
             member.watching = contact.watching;
             member.address = contact.address;
-            member.handover = contact.handover.clone();
+            member.handover = contact.handover;
+            member.unreachable.clone_from(&contact.unreachable);
         }
         member.lost = member.lost.max(lost);
         let change = member.liveness_change(was_live);
         let has_new_report = (member.condition, member.watching) != reported
-            || member.unreachable_count() != was_unreachable;
+            || member.unreachable.len() != was_unreachable;
         if change.is_some() || has_new_report {
             member.changed = now;
         }
@@ -489,15 +492,11 @@
             lost_age_ms: self.lost.map(|at| millis_since(at, now)),
             condition: self.condition,
             watching: self.watching,
-            handover: self.handover.clone(),
+            handover: self.handover,
+            unreachable: self.unreachable.clone(),
         }
     }
 
-    /// Number of services whose upstreams it does not reach.
-    fn unreachable_count(&self) -> usize {
-        self.handover.as_ref().map_or(0, |o| o.unreachable.len())
-    }
-
     fn liveness_change(&self, was_live: bool) -> Option<LivenessChange> {
         match (was_live, self.is_live()) {
             (false, true) => Some(LivenessChange::Live),
--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -37,18 +37,11 @@
     /// Whether it reported at the last contact that it watches the store and gets answers.
     #[serde(default, skip_serializing_if = "is_false")]
     pub(super) watching: bool,
-    /// Offer to serve requests of other daemons, as of the last contact.
+    /// Port on which it accepts requests that other daemons hand over, at the IP address of
+    /// `address`; `None` if it accepts none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub(super) handover: Option<HandoverOffer>,
-}
-
-/// Offer of a daemon to serve requests that other daemons hand over to it.
-#[derive(Clone, Debug, PartialEq)]
-#[derive(Serialize, Deserialize)]
-pub(crate) struct HandoverOffer {
-    /// Port on which it accepts them, at the IP address of its peer address.
-    pub(super) port: u16,
-    /// Services whose upstreams it does not reach.
+    pub(super) handover: Option<u16>,
+    /// Services whose upstreams it did not reach at the last contact.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) unreachable: Vec<Arc<str>>,
 }
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -118,6 +118,7 @@
         condition: Condition::Fit,
         watching: false,
         handover: None,
+        unreachable: Vec::new(),
     }
 }
 
