--- a/crates/kelpworks-cli/tests/soak/plan.rs
+++ b/crates/kelpworks-cli/tests/soak/plan.rs
@@ -199,7 +199,7 @@
             fault: Fault::DaemonCut((first + i) % daemons, state),
         }
     };
-    (0..count).map(|i| draw(i)).collect()
+    (0..count).map(draw).collect()
 }
 
 fn draw_planned(rng: &mut StdRng, daemons: usize) -> Fault {
