--- a/crates/kelpworks-cli/tests/soak/plan.rs
+++ b/crates/kelpworks-cli/tests/soak/plan.rs
@@ -190,7 +190,7 @@
 fn draw_cuts(rng: &mut StdRng, daemons: usize, length: Duration) -> Vec<Step> {
     let first = rng.random_range(0..daemons);
     let count = rng.random_range(1..daemons.max(2));
-    let mut draw = |i: usize| {
+    let draw = |i: usize| {
         let states = [LinksOf::Reset, LinksOf::Silent, LinksOf::RefuseNew];
         let state = states[rng.random_range(0..states.len())];
         Step {
