Clearance and Suspects are modules of their own, which ends two circles of imports

Cause: the adapter's interface took Clearance from engine_calls, and shared state took Suspects from slowness, both of which take shared state. Change: moved, nothing else.

--- a/crates/kelpworks-relay/src/adapter.rs
+++ b/crates/kelpworks-relay/src/adapter.rs
@@ -15,9 +15,9 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::clearance::Clearance;
 use crate::config::Configuration;
 use crate::constraints::Announced;
-use crate::engine_calls::Clearance;
 use crate::limits::Announcement;
 
 /// Result of decoding.
--- a/crates/kelpworks-relay/src/engine_calls.rs
+++ b/crates/kelpworks-relay/src/engine_calls.rs
@@ -4,7 +4,6 @@
 //! they stated that they are leaving. Their answers to orders and queries may announce both, as
 //! their answers to requests may.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use http::StatusCode;
@@ -18,6 +17,7 @@
 use crate::adapter::PlaceOrder;
 use crate::adapter::RerouteOrder;
 use crate::adapter::StartTime;
+use crate::clearance::Clearance;
 use crate::constraints::Announced;
 use crate::constraints::MessageKind;
 use crate::fleet::UpstreamKey;
@@ -26,22 +26,6 @@
 use crate::shared::announcements::AnsweredMessage;
 use crate::shared::announcements::requested_backoff;
 
-/// Permission to send one order or query to an engine.
-#[derive(Debug)]
-#[must_use]
-pub struct Clearance {
-    address: SocketAddr,
-    kind: MessageKind,
-    sent_at: Instant,
-}
-
-impl Clearance {
-    /// Returns the address of the engine.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-}
-
 /// The client of the engines, with the constraints that they announce.
 #[derive(Debug)]
 pub(crate) struct EngineCalls<E> {
@@ -94,11 +78,7 @@
         let fleet = self.shared.fleet();
         let upstream = fleet.get(key)?;
         if upstream.constraints.allows(kind, now) {
-            return Some(Clearance {
-                address: upstream.entry.address,
-                kind,
-                sent_at: now,
-            });
+            return Some(Clearance::new(upstream.entry.address, kind, now));
         }
         info!(
             target: "decision",
@@ -142,9 +122,9 @@
             },
         };
         let message = AnsweredMessage {
-            source: clearance.kind.as_str(),
+            source: clearance.kind().as_str(),
             request,
-            sent_at: clearance.sent_at,
+            sent_at: clearance.sent_at(),
         };
         self.shared.apply_announcements(key, announced, message);
     }
--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod adapter;
 pub mod assignments;
+pub mod clearance;
 pub mod config;
 pub mod constraints;
 pub mod crashes;
@@ -42,5 +43,6 @@
 pub mod slowness;
 pub mod store_cache;
 mod store_watch;
+pub mod suspects;
 mod sync;
 pub mod traffic_plan;
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -37,7 +37,7 @@
 use crate::reach::ReachChange;
 use crate::retry_budget::RetryBudget;
 use crate::retry_budget::RetryLimit;
-use crate::slowness::Suspects;
+use crate::suspects::Suspects;
 use crate::sync::lock;
 use crate::traffic_plan::Demand;
 use crate::traffic_plan::TrafficPlan;
--- a/crates/kelpworks-relay/src/slowness.rs
+++ b/crates/kelpworks-relay/src/slowness.rs
@@ -5,7 +5,6 @@
 //! path, and these are queried, each by one daemon about once a second; peers receive the answers.
 //! In a fleet without late events no engine is queried.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,23 +33,6 @@
 /// Slowness factor above which an engine counts as slow.
 const MAX_NORMAL_SLOWNESS: f64 = 1.2;
 
-/// Engines on the paths of late streams.
-#[derive(Clone, Debug, Default)]
-pub struct Suspects {
-    keys: HashSet<UpstreamKey>,
-}
-
-impl Suspects {
-    /// Adds the engines of a path.
-    pub fn suspect(&mut self, keys: impl Iterator<Item = UpstreamKey>) {
-        self.keys.extend(keys);
-    }
-
-    fn take(&mut self) -> Vec<UpstreamKey> {
-        self.keys.drain().collect()
-    }
-}
-
 /// Queries suspected and slow engines until `stop` is cancelled.
 pub(crate) async fn run<E: EngineApi>(
     shared: Arc<Shared>,
