--- a/crates/kelpworks-cli/tests/relay_links.rs
+++ b/crates/kelpworks-cli/tests/relay_links.rs
@@ -312,3 +312,21 @@
         .expect("an answer");
     assert_eq!(answer.status, 200);
 }
+
+/// Guards against requests that go from daemon to daemon: one that was handed over is not passed on,
+/// even if the daemon that it was handed to loses its links at that moment.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_that_was_handed_over_is_not_passed_on() {
+    let site = Site::start_with_links("links-hop", 2).await;
+    site.set_links(0, LinksOf::Reset);
+    let url = format!("http://{}/often/x", site.daemons[0].handover);
+    let req = reqwest::Client::new().get(url).bearer_auth(KEY);
+    let req = req
+        .header("host", HOST)
+        .header("x-kelpworks-attempt-id", "h-1")
+        .header(HANDOVER_HEADER, r#"{"version":3,"left_ms":2000}"#);
+    let res = req.send().await.expect("an answer");
+    assert!(res.status().is_server_error());
+    assert!(res.headers().contains_key(REFUSAL_HEADER));
+    assert_eq!(site.daemons[1].counter(RECEIVED).await, 0);
+}
