--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -1,17 +1,17 @@
 //! Requests to plain services, whose responses are read whole before they are passed on.
 
+mod by_peer;
+mod choice;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
-use http::Response;
 use http::StatusCode;
-use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
-use hyper::body::Incoming;
 use kelpworks::verdict::Verdict;
 use log::info;
 use rand::RngExt;
@@ -19,42 +19,34 @@
 
 use super::InboundRequest;
 use super::Refusal;
+use super::answer_head::address_owner_id;
+use super::answer_head::announcements;
+use super::answer_head::detect_fault;
 use super::handover::HandoverClient;
-use super::handover::HandoverError;
-use super::handover::HandoverHead;
-use super::handover::MAX_HANDOVERS;
 use super::handover::NO_PEER;
 use super::handover::OUT_OF_REACH;
 use super::handover::UNREACHABLE;
 use super::handover::UNREACHABLE_BY_PEER;
 use super::reply::Reply;
 use crate::adapter::Adapter;
-use crate::adapter::AnswerHead;
 use crate::adapter::ForwardedHead;
-use crate::constraints::Announced;
-use crate::constraints::MessageKind;
-use crate::fleet::Fleet;
 use crate::fleet::UpstreamKey;
-use crate::limits::Announcement;
 use crate::permit::Permit;
-use crate::permit::Retry;
 use crate::pool;
 use crate::pool::Exchange;
 use crate::pool::Reuse;
 use crate::reach::Evidence;
 use crate::shared::Shared;
-use crate::shared::announcements::Announcements;
 use crate::shared::announcements::AnsweredMessage;
-use crate::shared::announcements::requested_backoff;
+use by_peer::CallHandover;
+use choice::NextAttempt;
+use choice::Unavailability;
+use choice::next_upstream;
 
 /// Largest response body that is accepted; typical ones have a few kilobytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
-/// Added to the cost factor of an upstream in proportion to its failure rate.
-const FAILURE_COST_FACTOR: f64 = 6.0;
 /// Minimum time left for another attempt: a round trip and the typical work of a call.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(20);
-/// Attempts beyond the route's `max_attempts` while it is proven that no attempt has run.
-const EXTRA_NOT_RUN_ATTEMPTS: u32 = 1;
 /// A retryable attempt times out after this many typical response times of its upstream.
 const ATTEMPT_TIMEOUT_FACTOR: f64 = 6.0;
 /// Lower bound of that timeout: response times of these services vary by a factor of five.
@@ -68,8 +60,6 @@
 
 /// Fraction of a route's latency target for which a call waits until an upstream's limit allows it.
 const LIMIT_WAIT_FRACTION: f64 = 0.5;
-/// Minimum time between two tries: another request may take the admission this one waited for.
-const MIN_LIMIT_WAIT: Duration = Duration::from_millis(5);
 
 /// Refusal reason when no upstream's limit admits the request in time.
 const LIMITED: &str = "the limits of the upstreams are used up";
@@ -213,88 +203,6 @@
     Reply::Refused(final_refusal(inbound, verdict, reason, available_in))
 }
 
-/// The ways of a call by other daemons.
-struct CallHandover<'a> {
-    client: &'a HandoverClient,
-    /// Daemons that it was handed over to.
-    tried: Vec<SocketAddr>,
-}
-
-impl CallHandover<'_> {
-    /// Returns whether the next attempt should be another daemon's: the upstreams are out of reach,
-    /// or an attempt failed and no upstream shows that this daemon's links work.
-    fn is_due(&self, shared: &Shared, inbound: &InboundRequest, has_link_failure: bool) -> bool {
-        let service = &inbound.service.name;
-        let is_due = {
-            let reach = shared.reach();
-            let is_doubtful = reach.is_doubtful(service, Instant::now());
-            reach.is_lost(service) || (has_link_failure && is_doubtful)
-        };
-        is_due && self.is_possible(inbound)
-    }
-
-    /// Returns whether a daemon is left that the call can be handed over to.
-    fn is_possible(&self, inbound: &InboundRequest) -> bool {
-        let is_allowed = inbound.handover.is_none()
-            && self.tried.len() < MAX_HANDOVERS
-            && inbound.remaining() >= MIN_RETRY_TIME;
-        let service = &inbound.service.name;
-        is_allowed && self.client.has_candidate(service, &self.tried)
-    }
-
-    /// Returns whether the call was not handed over yet and can be.
-    fn is_unused(&self, inbound: &InboundRequest) -> bool {
-        self.tried.is_empty() && self.is_possible(inbound)
-    }
-
-    /// Hands the call over and reads the answer.
-    async fn attempt(
-        &mut self,
-        shared: &Shared,
-        inbound: &InboundRequest,
-        may_have_reached: bool,
-    ) -> Attempt {
-        let retry = match may_have_reached {
-            true => shared.acquire_retry(&inbound.service.name, Instant::now()),
-            false => None,
-        };
-        let head = HandoverHead {
-            version: inbound.version,
-            left_ms: inbound.remaining().as_millis() as u64,
-            may_have_reached,
-            has_retry: retry.is_some(),
-            ..HandoverHead::default()
-        };
-        // A retryable call leaves time for another attempt.
-        let timeout = match inbound.route.kind.is_retryable() {
-            true => inbound.remaining() / 2,
-            false => inbound.remaining(),
-        };
-        let sending = self.client.send(inbound, &head, &mut self.tried);
-        let failed = |e: HandoverError| failed_attempt(e.verdict(), e.reason());
-        let sent = tokio::time::timeout(timeout, sending).await;
-        let sent = sent.unwrap_or(Err(HandoverError::Lost));
-        if !sent.as_ref().is_err_and(|e| e.is_unsent()) {
-            retry.map(Retry::spend);
-        }
-        let exchange = match sent {
-            Ok(exchange) => exchange,
-            Err(e) => return failed(e),
-        };
-        let (parts, body) = exchange.response.into_parts();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        let Ok(Ok(body)) = tokio::time::timeout(inbound.remaining(), body).await else {
-            return failed(HandoverError::Lost);
-        };
-        self.client.keep(exchange.connection);
-        Attempt::Completed {
-            status: parts.status,
-            headers: parts.headers,
-            body: body.to_bytes(),
-        }
-    }
-}
-
 /// Returns, and logs, the refusal of a request that is not retried any more. `available_in` is the
 /// time after which an upstream is known to accept requests again.
 pub(super) fn final_refusal(
@@ -331,104 +239,6 @@
     (earliest + jitter).min(inbound.remaining() / 4)
 }
 
-/// Decision on the next attempt of a request.
-enum NextAttempt {
-    /// Send the request to this upstream.
-    Send(UpstreamKey, Permit),
-    /// No untried upstream accepts a request now.
-    Wait(Unavailability),
-    /// Make no further attempt.
-    Abandon,
-}
-
-/// Chooses the upstream for the next attempt. An attempt of a request that `may_have_reached` an
-/// upstream before needs a retry from the service's budget.
-fn next_upstream(
-    shared: &Shared,
-    inbound: &InboundRequest,
-    tried: &[UpstreamKey],
-    verdict: Verdict,
-    may_have_reached: bool,
-) -> NextAttempt {
-    let attempts = tried.len() as u32;
-    if attempts > 0 {
-        let retryable = verdict == Verdict::NotRun || inbound.route.kind.is_retryable();
-        let allowed_attempts = match verdict {
-            Verdict::NotRun => inbound.route.max_attempts + EXTRA_NOT_RUN_ATTEMPTS,
-            Verdict::MayHaveRun => inbound.route.max_attempts,
-        };
-        if !retryable || attempts >= allowed_attempts || inbound.remaining() < MIN_RETRY_TIME {
-            return NextAttempt::Abandon;
-        }
-    }
-    let service = &inbound.service.name;
-    let chosen = choose(&shared.fleet(), service, tried);
-    let admitted = chosen.and_then(|key| Some((key, shared.admit(vec![key])?)));
-    let Some((chosen, admission)) = admitted else {
-        return NextAttempt::without_candidate(&shared.fleet(), service, tried);
-    };
-    if !may_have_reached {
-        return NextAttempt::Send(chosen, Permit::new(admission, None));
-    }
-    let granted = inbound.retry_taken_elsewhere().filter(|_| attempts == 0);
-    match granted.or_else(|| shared.acquire_retry(service, Instant::now())) {
-        Some(retry) => NextAttempt::Send(chosen, Permit::new(admission, Some(retry))),
-        None => NextAttempt::Abandon,
-    }
-}
-
-/// Why no upstream accepts a request now, and for how long.
-struct Unavailability {
-    /// Time until one accepts the next request; `None` if this daemon has no share of any limit.
-    wait: Option<Duration>,
-    /// Whether an upstream requested a backoff.
-    is_backoff: bool,
-}
-
-impl NextAttempt {
-    fn without_candidate(fleet: &Fleet, service: &str, tried: &[UpstreamKey]) -> NextAttempt {
-        let now = Instant::now();
-        let ready = fleet.of_service(service).filter(|(_, u)| u.is_ready());
-        let mut untried = ready.filter(|(key, _)| !tried.contains(key)).peekable();
-        if untried.peek().is_none() {
-            return NextAttempt::Abandon;
-        }
-        let mut wait: Option<Duration> = None;
-        let mut is_backoff = false;
-        for (_, u) in untried {
-            is_backoff |= !u.constraints.backoff(now).is_zero();
-            let next = u.constraints.wait(MessageKind::Request, now);
-            wait = wait.into_iter().chain(next).min();
-        }
-        NextAttempt::Wait(Unavailability {
-            wait: wait.map(|w| w.max(MIN_LIMIT_WAIT)),
-            is_backoff,
-        })
-    }
-}
-
-/// Returns the untried upstream with the lowest expected response time, judged by its running
-/// requests, latency and failure rate; ejected upstreams only when there is no other.
-fn choose(fleet: &Fleet, service: &str, tried: &[UpstreamKey]) -> Option<UpstreamKey> {
-    let now = Instant::now();
-    let ready = fleet.of_service(service).filter(|(key, u)| {
-        let untried = !tried.contains(key);
-        untried && u.allows(MessageKind::Request, now)
-    });
-    let cost = |key: UpstreamKey| {
-        let Some(u) = fleet.get(key) else {
-            return f64::MAX;
-        };
-        let penalty = if u.is_ejected(now) { 1e6 } else { 0.0 };
-        let ms = u.latency_ms.unwrap_or(1.0);
-        let jitter = rand::rng().random_range(0.9..1.1);
-        let failure_factor = 1.0 + FAILURE_COST_FACTOR * u.failure_rate;
-        (u.load().running + 1.0) * ms * jitter * failure_factor + penalty
-    };
-    let costs = ready.map(|(key, _)| (key, cost(key)));
-    costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(key, _)| key)
-}
-
 async fn attempt<D: Adapter>(
     shared: &Shared,
     inbound: &InboundRequest,
@@ -606,82 +416,6 @@
     }
 }
 
-/// Returns the id of the upstream that owns the address, if it refused the request as meant for
-/// another upstream (status 421).
-pub(super) fn address_owner_id<'a>(
-    response: &Response<Incoming>,
-    head: &'a AnswerHead,
-) -> Option<&'a str> {
-    let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
-    head.id.as_deref().filter(|_| is_misdirected)
-}
-
-/// Returns what a response announces about the upstream at `address`; `None` if it may come from
-/// another upstream.
-///
-/// A response may pass on a refusal by a later engine of the path. A limit in it is still the first
-/// engine's, and a backoff applies to the engine that answered as well as to the one that refused,
-/// but it does not show which of them is leaving.
-pub(super) fn announcements(
-    inbound: &InboundRequest,
-    response: &Response<Incoming>,
-    head: &AnswerHead,
-    address: SocketAddr,
-) -> Option<Announcements> {
-    let is_foreign = head
-        .request_id
-        .as_deref()
-        .is_some_and(|id| id != &*inbound.id);
-    if is_foreign || address_owner_id(response, head).is_some() {
-        return None;
-    }
-    let is_own_head = (head.signed || head.not_run) && head.at_fault.is_none_or(|at| at == address);
-    let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
-    // Only the upstream itself states a limit; a head without a limit may come from another one.
-    let has_limit = is_own_head || head.limit != Announcement::Unlimited;
-    Some(Announcements {
-        limit: has_limit.then_some(head.limit),
-        backoff: requested_backoff(response.status(), head),
-        leaving: match is_own_head && !is_misdirected {
-            true => head.leaving,
-            false => Announced::Absent,
-        },
-    })
-}
-
-/// Returns why a response can't be passed on, and whether the request may have run; `None` for a
-/// valid response.
-pub(super) fn detect_fault(
-    inbound: &InboundRequest,
-    response: &Response<Incoming>,
-    head: &AnswerHead,
-) -> Option<(Verdict, &'static str)> {
-    if head
-        .request_id
-        .as_deref()
-        .is_some_and(|id| id != &*inbound.id)
-    {
-        return Some((Verdict::MayHaveRun, "answer to another request"));
-    }
-    if head.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
-        return Some((Verdict::NotRun, "refused by the upstream"));
-    }
-    if !head.signed || response.headers().contains_key(header::CONTENT_ENCODING) {
-        return Some((Verdict::MayHaveRun, "not an upstream's answer"));
-    }
-    let not_run_statuses = [
-        StatusCode::REQUEST_TIMEOUT,
-        StatusCode::TOO_MANY_REQUESTS,
-        StatusCode::SERVICE_UNAVAILABLE,
-    ];
-    if not_run_statuses.contains(&response.status()) {
-        // To callers these statuses guarantee that the request has not run, which this response
-        // does not prove.
-        return Some((Verdict::MayHaveRun, "failed without a proof"));
-    }
-    None
-}
-
 fn log_answer(inbound: &InboundRequest, status: StatusCode, attempts: usize) {
     let elapsed = inbound.arrived.elapsed();
     info!(
--- /dev/null
+++ b/crates/kelpworks-relay/src/relay/call/by_peer.rs
@@ -0,0 +1,106 @@
+//! Attempts of a call by another daemon.
+
+use std::net::SocketAddr;
+
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use tokio::time::Instant;
+
+use super::Attempt;
+use super::MAX_RESPONSE_BYTES;
+use super::MIN_RETRY_TIME;
+use super::failed_attempt;
+use crate::permit::Retry;
+use crate::relay::InboundRequest;
+use crate::relay::handover::HandoverClient;
+use crate::relay::handover::HandoverError;
+use crate::relay::handover::HandoverHead;
+use crate::relay::handover::MAX_HANDOVERS;
+use crate::shared::Shared;
+
+/// The ways of a call by other daemons.
+pub(super) struct CallHandover<'a> {
+    pub(super) client: &'a HandoverClient,
+    /// Daemons that it was handed over to.
+    pub(super) tried: Vec<SocketAddr>,
+}
+
+impl CallHandover<'_> {
+    /// Returns whether the next attempt should be another daemon's: the upstreams are out of reach,
+    /// or an attempt failed and no upstream shows that this daemon's links work.
+    pub(super) fn is_due(
+        &self,
+        shared: &Shared,
+        inbound: &InboundRequest,
+        has_link_failure: bool,
+    ) -> bool {
+        let service = &inbound.service.name;
+        let is_due = {
+            let reach = shared.reach();
+            let is_doubtful = reach.is_doubtful(service, Instant::now());
+            reach.is_lost(service) || (has_link_failure && is_doubtful)
+        };
+        is_due && self.is_possible(inbound)
+    }
+
+    /// Returns whether a daemon is left that the call can be handed over to.
+    fn is_possible(&self, inbound: &InboundRequest) -> bool {
+        let is_allowed = inbound.handover.is_none()
+            && self.tried.len() < MAX_HANDOVERS
+            && inbound.remaining() >= MIN_RETRY_TIME;
+        let service = &inbound.service.name;
+        is_allowed && self.client.has_candidate(service, &self.tried)
+    }
+
+    /// Returns whether the call was not handed over yet and can be.
+    pub(super) fn is_unused(&self, inbound: &InboundRequest) -> bool {
+        self.tried.is_empty() && self.is_possible(inbound)
+    }
+
+    /// Hands the call over and reads the answer.
+    pub(super) async fn attempt(
+        &mut self,
+        shared: &Shared,
+        inbound: &InboundRequest,
+        may_have_reached: bool,
+    ) -> Attempt {
+        let retry = match may_have_reached {
+            true => shared.acquire_retry(&inbound.service.name, Instant::now()),
+            false => None,
+        };
+        let head = HandoverHead {
+            version: inbound.version,
+            left_ms: inbound.remaining().as_millis() as u64,
+            may_have_reached,
+            has_retry: retry.is_some(),
+            ..HandoverHead::default()
+        };
+        // A retryable call leaves time for another attempt.
+        let timeout = match inbound.route.kind.is_retryable() {
+            true => inbound.remaining() / 2,
+            false => inbound.remaining(),
+        };
+        let sending = self.client.send(inbound, &head, &mut self.tried);
+        let failed = |e: HandoverError| failed_attempt(e.verdict(), e.reason());
+        let sent = tokio::time::timeout(timeout, sending).await;
+        let sent = sent.unwrap_or(Err(HandoverError::Lost));
+        if !sent.as_ref().is_err_and(|e| e.is_unsent()) {
+            retry.map(Retry::spend);
+        }
+        let exchange = match sent {
+            Ok(exchange) => exchange,
+            Err(e) => return failed(e),
+        };
+        let (parts, body) = exchange.response.into_parts();
+        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let Ok(Ok(body)) = tokio::time::timeout(inbound.remaining(), body).await else {
+            return failed(HandoverError::Lost);
+        };
+        self.client.keep(exchange.connection);
+        Attempt::Completed {
+            status: parts.status,
+            headers: parts.headers,
+            body: body.to_bytes(),
+        }
+    }
+}
--- a/crates/kelpworks-relay/src/relay/mod.rs
+++ b/crates/kelpworks-relay/src/relay/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP handler for callers: reads each request whole, matches its route and team, and forwards it.
 
+mod answer_head;
 mod call;
 mod events;
 mod handover;
