A running request is given up for a peer only with a retry in hand, or when the engines are lost

Cause: found in the daemons' logs. All engines were silent for longer than a stall is tolerated. The stream was given up because peers were known, without a retry; the peers were in doubt as well, or had no retry either, and nothing was left. Change: in doubt a running attempt is given up only with a retry, as before; without one only once a probe has shown the engines to be out of reach. Before/after: silence_of_all_engines_for_a_second_loses_no_request failed with 502 "no peer", and passes.

--- a/crates/kelpworks-cli/tests/relay_links.rs
+++ b/crates/kelpworks-cli/tests/relay_links.rs
@@ -18,7 +18,9 @@
 use relay_site::cut::LinksOf;
 use relay_site::daemon::Answer;
 use relay_site::daemon::Relay;
+use relay_site::daemon::RetryBudget;
 use relay_site::daemon::send;
+use relay_site::engine::App;
 
 const DAEMONS: usize = 4;
 /// Number of daemons that lose their links: the first ones.
@@ -330,3 +332,63 @@
     assert!(res.headers().contains_key(REFUSAL_HEADER));
     assert_eq!(site.daemons[1].counter(RECEIVED).await, 0);
 }
+
+/// Guards against a call that runs at more upstreams than its route allows because the attempts of
+/// the daemon that handed it over are not counted.
+#[rstest]
+#[case::none_before(0, 2)]
+#[case::one_before(1, 1)]
+#[case::all_before(2, 0)]
+#[tokio::test]
+async fn attempts_before_a_handover_count(#[case] runs: u32, #[case] expected: u32) {
+    let site = Site::start(&format!("links-runs-{runs}"), 1).await;
+    let second = App::start("s-1").await;
+    site.store.put("servers", "s-1", second.entry());
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let url = format!("http://{}/often/reset", site.daemons[0].handover);
+    let head = format!(
+        r#"{{"version":3,"left_ms":4000,"may_have_reached":{},"has_retry":true,"runs":{runs}}}"#,
+        runs > 0
+    );
+    let req = reqwest::Client::new().get(url).bearer_auth(KEY);
+    let req = req
+        .header("host", HOST)
+        .header("x-kelpworks-attempt-id", "r-1")
+        .header(HANDOVER_HEADER, head);
+    let res = req.send().await.expect("an answer");
+    assert!(res.status().is_server_error());
+    assert_eq!(
+        site.app.run_count("r-1") + second.run_count("r-1"),
+        expected
+    );
+}
+
+/// Guards against requests that are given up for a hand-over because all engines are silent for a
+/// second, when no daemon has a retry left: the engines go on with them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silence_of_all_engines_for_a_second_loses_no_request() {
+    let no_retries = RetryBudget {
+        ratio: 0.0,
+        slack: 0.0,
+        ..RetryBudget::default()
+    };
+    let site = Site::start_with_budget("links-silence", 2, no_retries).await;
+    let set_stalled = |stalled| {
+        for engine in site.engines.all() {
+            engine.set_stalled(stalled);
+        }
+    };
+    set_stalled(true);
+    let streams: Vec<_> = (0..8)
+        .map(|i| {
+            let req = site.daemons[i % 2].stream_request(&format!("s-{i}"), EVENTS);
+            tokio::spawn(send(req))
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    set_stalled(false);
+    for stream in streams {
+        let answer = stream.await.expect("no panic").expect("an answer");
+        assert!(is_served(&answer), "{answer:?}");
+    }
+}
--- a/crates/kelpworks-cli/tests/relay_site/cut.rs
+++ b/crates/kelpworks-cli/tests/relay_site/cut.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +13,8 @@
 use tokio::sync::watch;
 use tokio_util::task::AbortOnDropHandle;
 
+use super::sock_diag;
+
 /// How the links of a daemon to all upstreams behave. New connections are reset in each of the
 /// faulty states, since a listener can't leave the connection attempts of one process unanswered.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -27,30 +30,13 @@
     RefuseNew,
 }
 
-/// Number of times that the owner of a connection is looked up before it counts as unknown: it may
-/// have been closed already, and the operating system's table is read piece by piece.
+/// Number of times that the owner of a connection is looked up before it counts as unknown, since it
+/// may have been closed already.
 const OWNER_LOOKUPS: u32 = 3;
 const OWNER_LOOKUP_INTERVAL: Duration = Duration::from_millis(2);
 
-/// State of the links of each daemon.
-#[derive(Clone, Debug, Default)]
-struct States {
-    /// By process id.
-    by_daemon: HashMap<u32, LinksOf>,
-    /// Process ids of the owners of connections, by local port, when a state last changed.
-    owners: HashMap<u16, u32>,
-}
-
-impl States {
-    fn of(&self, daemon: Option<u32>) -> LinksOf {
-        let state = daemon.and_then(|pid| self.by_daemon.get(&pid));
-        state.copied().unwrap_or_default()
-    }
-
-    fn is_any_cut(&self) -> bool {
-        self.by_daemon.values().any(|&s| s != LinksOf::Sound)
-    }
-}
+/// State of the links of each daemon, by process id.
+type States = HashMap<u32, LinksOf>;
 
 /// Links in front of the upstreams of a site.
 #[derive(Debug)]
@@ -62,7 +48,7 @@
 impl Default for Links {
     fn default() -> Links {
         Links {
-            states: Arc::new(watch::Sender::new(States::default())),
+            states: Arc::new(watch::Sender::new(States::new())),
             tasks: Vec::new(),
         }
     }
@@ -79,14 +65,11 @@
         address
     }
 
-    /// Changes the links of a daemon to all upstreams.
+    /// Changes the links of a daemon to all upstreams. A daemon has to be known, with sound links,
+    /// before it opens connections.
     pub(crate) fn set(&self, pid: u32, state: LinksOf) {
-        let mut pids: Vec<u32> = self.states.borrow().by_daemon.keys().copied().collect();
-        pids.push(pid);
-        let owners = owners_of_ports(&pids);
         self.states.send_modify(|states| {
-            states.by_daemon.insert(pid, state);
-            states.owners = owners;
+            states.insert(pid, state);
         });
     }
 }
@@ -106,12 +89,11 @@
     target: SocketAddr,
     mut states: watch::Receiver<States>,
 ) {
-    let is_any_cut = states.borrow().is_any_cut();
-    let owner = match is_any_cut {
-        true => find_owner(&states, from.port()).await,
-        false => None,
+    let owner = find_owner(&inbound, from, &states).await;
+    let state_of = |states: &States| {
+        let state = owner.and_then(|pid| states.get(&pid));
+        state.copied().unwrap_or_default()
     };
-    let state_of = |states: &States| states.of(owner.or(states.owners.get(&from.port()).copied()));
     if state_of(&states.borrow_and_update()) != LinksOf::Sound {
         return reset(&inbound);
     }
@@ -133,12 +115,17 @@
     reset(&inbound);
 }
 
-/// Returns which of the daemons has the socket with this local port.
-async fn find_owner(states: &watch::Receiver<States>, port: u16) -> Option<u32> {
+/// Returns which of the daemons opened a connection that arrived from an address.
+async fn find_owner(
+    inbound: &TcpStream,
+    from: SocketAddr,
+    states: &watch::Receiver<States>,
+) -> Option<u32> {
+    let to = inbound.local_addr().ok()?;
     for _ in 0..OWNER_LOOKUPS {
-        let pids: Vec<u32> = states.borrow().by_daemon.keys().copied().collect();
-        let owners = tokio::task::spawn_blocking(move || owners_of_ports(&pids)).await;
-        let owner = owners.ok().and_then(|o| o.get(&port).copied());
+        let pids: Vec<u32> = states.borrow().keys().copied().collect();
+        let inode = sock_diag::inode_of(from, to);
+        let owner = inode.and_then(|inode| pids.into_iter().find(|&pid| owns(pid, inode)));
         if owner.is_some() {
             return owner;
         }
@@ -147,32 +134,15 @@
     None
 }
 
+/// Returns whether a process has the socket with this inode.
+fn owns(pid: u32, inode: u32) -> bool {
+    let name = format!("socket:[{inode}]");
+    let files = std::fs::read_dir(format!("/proc/{pid}/fd"));
+    let mut files = files.into_iter().flatten().flatten();
+    files.any(|f| std::fs::read_link(f.path()).is_ok_and(|link| link == Path::new(&name)))
+}
+
 /// Makes the connection end with a reset when it is dropped.
 fn reset(connection: &TcpStream) {
     let _ = SockRef::from(connection).set_linger(Some(Duration::ZERO));
 }
-
-/// Returns the owners of sockets on the loopback interface, by local port.
-fn owners_of_ports(pids: &[u32]) -> HashMap<u16, u32> {
-    let mut owners: HashMap<String, u32> = HashMap::new();
-    for &pid in pids {
-        let files = std::fs::read_dir(format!("/proc/{pid}/fd"));
-        let files = files.into_iter().flatten().flatten();
-        for link in files.filter_map(|f| std::fs::read_link(f.path()).ok()) {
-            let name = link.to_string_lossy();
-            let inode = name
-                .strip_prefix("socket:[")
-                .and_then(|n| n.strip_suffix(']'));
-            owners.extend(inode.map(|inode| (inode.to_owned(), pid)));
-        }
-    }
-    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    let owner_of_line = |line: &str| {
-        let mut fields = line.split_whitespace();
-        let (_, port) = fields.nth(1)?.split_once(':')?;
-        let inode = fields.nth(7)?;
-        let port = u16::from_str_radix(port, 16).ok()?;
-        Some((port, *owners.get(inode)?))
-    };
-    table.lines().filter_map(owner_of_line).collect()
-}
--- a/crates/kelpworks-cli/tests/relay_site/mod.rs
+++ b/crates/kelpworks-cli/tests/relay_site/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod cut;
 pub(crate) mod daemon;
 pub(crate) mod engine;
+mod sock_diag;
 pub(crate) mod store;
 
 use std::net::SocketAddr;
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -114,6 +114,7 @@
     let mut handover = CallHandover {
         client: handover_client,
         tried: Vec::new(),
+        runs: inbound.earlier_runs(),
     };
     let mut verdict = Verdict::NotRun;
     let mut reason = "no upstream";
@@ -156,9 +157,7 @@
                     break;
                 }
                 NextAttempt::Abandon => {
-                    let is_retryable =
-                        verdict == Verdict::NotRun || inbound.route.kind.is_retryable();
-                    if !has_link_failure || !is_retryable || !handover.is_unused(inbound) {
+                    if !has_link_failure || !handover.is_last_resort(inbound) {
                         break;
                     }
                     handover.attempt(shared, inbound, may_have_reached).await
@@ -184,6 +183,7 @@
                 error_response,
             } => {
                 may_have_reached |= !is_unsent(v, attempt_reason);
+                handover.runs += u32::from(v == Verdict::MayHaveRun);
                 verdict = verdict.max(v);
                 reason = attempt_reason;
                 last_error_response = error_response.or(last_error_response);
--- a/crates/kelpworks-relay/src/relay/call/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/call/by_peer.rs
@@ -23,6 +23,8 @@
     pub(super) client: &'a HandoverClient,
     /// Daemons that it was handed over to.
     pub(super) tried: Vec<SocketAddr>,
+    /// Number of attempts, of any daemon, that may have run.
+    pub(super) runs: u32,
 }
 
 impl CallHandover<'_> {
@@ -47,14 +49,16 @@
     fn is_possible(&self, inbound: &InboundRequest) -> bool {
         let is_allowed = inbound.handover.is_none()
             && self.tried.len() < MAX_HANDOVERS
+            && (self.runs == 0 || self.runs < inbound.route.max_attempts)
             && inbound.remaining() >= MIN_RETRY_TIME;
         let service = &inbound.service.name;
         is_allowed && self.client.has_candidate(service, &self.tried)
     }
 
-    /// Returns whether the call was not handed over yet and can be.
-    pub(super) fn is_unused(&self, inbound: &InboundRequest) -> bool {
-        self.tried.is_empty() && self.is_possible(inbound)
+    /// Returns whether the call, for which no upstream is left, can be handed over: it was not yet,
+    /// and nothing has run.
+    pub(super) fn is_last_resort(&self, inbound: &InboundRequest) -> bool {
+        self.tried.is_empty() && self.runs == 0 && self.is_possible(inbound)
     }
 
     /// Hands the call over and reads the answer.
@@ -73,6 +77,7 @@
             left_ms: inbound.remaining().as_millis() as u64,
             may_have_reached,
             has_retry: retry.is_some(),
+            runs: self.runs,
             ..HandoverHead::default()
         };
         // A retryable call leaves time for another attempt.
--- a/crates/kelpworks-relay/src/relay/call/choice.rs
+++ b/crates/kelpworks-relay/src/relay/call/choice.rs
@@ -40,7 +40,11 @@
     verdict: Verdict,
     may_have_reached: bool,
 ) -> NextAttempt {
-    let attempts = tried.len() as u32;
+    let attempts = tried.len() as u32 + inbound.earlier_runs();
+    let verdict = match inbound.earlier_runs() {
+        0 => verdict,
+        _ => Verdict::MayHaveRun,
+    };
     if attempts > 0 {
         let retryable = verdict == Verdict::NotRun || inbound.route.kind.is_retryable();
         let allowed_attempts = match verdict {
@@ -60,7 +64,7 @@
     if !may_have_reached {
         return NextAttempt::Send(chosen, Permit::new(admission, None));
     }
-    let granted = inbound.retry_taken_elsewhere().filter(|_| attempts == 0);
+    let granted = inbound.retry_taken_elsewhere().filter(|_| tried.is_empty());
     match granted.or_else(|| shared.acquire_retry(service, Instant::now())) {
         Some(retry) => NextAttempt::Send(chosen, Permit::new(admission, Some(retry))),
         None => NextAttempt::Abandon,
--- a/crates/kelpworks-relay/src/relay/handover.rs
+++ b/crates/kelpworks-relay/src/relay/handover.rs
@@ -93,7 +93,10 @@
     /// Whether the sender has taken a retry from its budget for the next attempt.
     #[serde(default)]
     pub(super) has_retry: bool,
-    /// Incarnations of the upstreams where it may have run.
+    /// Number of upstreams where a call may have run.
+    #[serde(default)]
+    pub(super) runs: u32,
+    /// Incarnations of the upstreams where a stream may have run.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) ran_at: Vec<Arc<str>>,
 }
--- a/crates/kelpworks-relay/src/relay/mod.rs
+++ b/crates/kelpworks-relay/src/relay/mod.rs
@@ -85,6 +85,11 @@
         self.handover.as_ref().is_some_and(|h| h.may_have_reached)
     }
 
+    /// Returns the number of upstreams where a call may have run for the daemon that handed it over.
+    fn earlier_runs(&self) -> u32 {
+        self.handover.as_ref().map_or(0, |h| h.runs)
+    }
+
     /// Returns the retry that the daemon that handed it over has taken for its next attempt.
     fn retry_taken_elsewhere(&self) -> Option<Retry> {
         let has_retry = self.handover.as_ref().is_some_and(|h| h.has_retry);
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -355,8 +355,9 @@
         if self.may_have_reached && retry.is_none() {
             *retry = self.shared.acquire_retry(&self.inbound.service.name, now);
         }
-        // A daemon that the request is handed over to may have a retry when this one has none.
-        !self.may_have_reached || retry.is_some() || self.prefers_peer()
+        // Once the engines are out of reach, nothing is lost by an attempt of a daemon that may have a
+        // retry left. In doubt the engines may only be silent, and go on.
+        !self.may_have_reached || retry.is_some() || self.needs_peer()
     }
 
     /// Returns the permit for an attempt that starts now at an engine that admits it.
--- a/crates/kelpworks-relay/src/relay/stream/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/stream/by_peer.rs
@@ -39,6 +39,12 @@
         is_preferred && self.has_peer()
     }
 
+    /// Returns whether the engines are out of reach and another daemon is known that reaches them.
+    pub(super) fn needs_peer(&self) -> bool {
+        let is_lost = self.shared.reach().is_lost(&self.inbound.service.name);
+        is_lost && self.has_peer()
+    }
+
     /// Returns whether a daemon is left that the request can be handed over to.
     pub(super) fn has_peer(&self) -> bool {
         let is_allowed = self.inbound.handover.is_none()
@@ -82,6 +88,7 @@
             may_have_reached: had_possibly_reached,
             has_retry: retry.is_some(),
             ran_at: self.ran_at_instances(),
+            ..HandoverHead::default()
         };
         let sent = Instant::now();
         let mut tried_peers = std::mem::take(&mut self.tried_peers);
