--- a/crates/kelpworks-cli/tests/relay_links.rs
+++ b/crates/kelpworks-cli/tests/relay_links.rs
@@ -363,7 +363,7 @@
     );
 }
 
-/// Guards against requests that are given up for a hand-over because all engines are silent for a
+/// Guards against requests that are abandoned for a hand-over because all engines are silent for a
 /// second, when no daemon has a retry left: the engines go on with them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn silence_of_all_engines_for_a_second_loses_no_request() {
--- a/crates/kelpworks-relay/src/clearance.rs
+++ b/crates/kelpworks-relay/src/clearance.rs
@@ -6,8 +6,8 @@
 
 use crate::constraints::MessageKind;
 
-/// Permission to send one order or query to an engine. Only [`crate::engine_calls`] gives it, after a
-/// look at the constraints that the engine announced.
+/// Permission to send one order or query to an engine. Only [`crate::engine_calls`] gives it, after
+/// it has checked the constraints that the engine announced.
 #[derive(Debug)]
 #[must_use]
 pub struct Clearance {
--- a/crates/kelpworks-relay/src/link_probes.rs
+++ b/crates/kelpworks-relay/src/link_probes.rs
@@ -1,6 +1,6 @@
 //! Probe connections that show whether this daemon reaches the upstreams of a service.
 //!
-//! They are opened only after failures without a sign of any upstream since, and while the service
+//! They are opened only after failures without a later contact with any upstream, and while the service
 //! is out of reach, and are closed without a request.
 
 use std::net::SocketAddr;
--- a/crates/kelpworks-relay/src/reach.rs
+++ b/crates/kelpworks-relay/src/reach.rs
@@ -1,9 +1,8 @@
 //! Whether this daemon reaches the upstreams of each service over its own links.
 //!
-//! A daemon that loses its links sees every upstream fail, as if the whole service were down. What
-//! tells the two apart is a single sign of any upstream: data that arrives, or a connection that
-//! opens. Failures without such a sign after them make a service doubtful. A few probe connections
-//! then decide whether its upstreams are out of reach, and later whether they are back.
+//! A daemon that loses its links sees every upstream fail, as if the whole service were down. Any
+//! contact with an upstream distinguishes the two: data that arrives, or a connection that opens.
+//! Failures without a contact after them make a service doubtful. A few probe connections then decide whether its upstreams are out of reach, and later whether they are back.
 //!
 //! ```
 //! use std::time::Duration;
@@ -37,13 +36,13 @@
 
 use tokio::time::Instant;
 
-/// Time for which failures have to stay without a sign of any upstream before connections are
+/// Time for which failures have to stay without a contact with any upstream before connections are
 /// probed: more than two typical pauses between the events of one stream.
 pub const PROBE_DELAY: Duration = Duration::from_millis(80);
 /// Number of different upstreams to which no connection could be opened that makes a service
 /// doubtful even while data arrives on older connections.
 const MIN_NOT_OPENED: usize = 2;
-/// Number of different upstreams whose failures, with no sign of any upstream in between, make a
+/// Number of different upstreams whose failures, with no contact in between, make a
 /// service doubtful at once: connections that are reset together.
 const MIN_FAILED_AT_ONCE: usize = 3;
 /// Minimum time between two probes while the service is not known to be out of reach.
@@ -76,7 +75,7 @@
 pub struct Probe {
     /// Connections that opened and stayed open.
     pub opened: usize,
-    /// Connections that were tried; 0 if the service has no upstreams, which counts as reached.
+    /// Connections that were attempted; 0 if the service has no upstreams, which counts as reached.
     pub of: usize,
 }
 
@@ -97,7 +96,7 @@
 pub enum ReachChange {
     /// All upstreams of the service are out of reach.
     Lost {
-        /// When the first failure without a later sign of an upstream was recorded.
+        /// When the first failure without a later contact was recorded.
         first_failure: Instant,
         /// Number of different upstreams that had failed since.
         failed: usize,
@@ -123,9 +122,9 @@
 #[derive(Clone, Debug)]
 struct ServiceReach<K> {
     state: State,
-    /// When any upstream last showed a sign.
+    /// Last contact with any upstream.
     last_contact: Option<Instant>,
-    /// Different upstreams that failed, each after the last sign of any upstream.
+    /// Different upstreams that failed, each after the last contact with any.
     failed: Vec<K>,
     /// When the first of them failed.
     first_failure: Option<Instant>,
@@ -160,7 +159,7 @@
         matches!(self.state, State::Lost { .. })
     }
 
-    /// Whether failures are known that no later sign of an upstream shows to be the upstreams' own.
+    /// Whether there are failures without a later contact.
     fn has_open_failures(&self) -> bool {
         self.is_lost() || !self.failed.is_empty() || self.not_opened.len() >= MIN_NOT_OPENED
     }
@@ -225,14 +224,14 @@
     }
 
     /// Returns whether the last failures at the service are probably due to this daemon's own links:
-    /// it is out of reach, or no upstream shows a sign while some fail.
+    /// it is out of reach, or there was no contact while some failed.
     pub fn is_doubtful(&self, service: &str, now: Instant) -> bool {
         let entry = self.services.get(service);
         entry.is_some_and(|s| s.is_doubtful(now))
     }
 
-    /// Returns whether an upstream of the service has shown a sign since the last failure at any of
-    /// them, so that the failures are the upstreams' own.
+    /// Returns whether there was a contact with an upstream of the service after the last failure at
+    /// any of them, so that the failures are the upstreams' own.
     pub fn is_vouched_for(&self, service: &str) -> bool {
         let entry = self.services.get(service);
         !entry.is_some_and(|s| s.has_open_failures())
--- a/crates/kelpworks-relay/src/relay/handover.rs
+++ b/crates/kelpworks-relay/src/relay/handover.rs
@@ -5,7 +5,7 @@
 //! such a request like one of its own callers', but never hands it over again, and the answer comes
 //! back on the same connection: HTTP/1.1 carries flow control, cancellation and incomplete answers
 //! from end to end. A refusal by the peer itself says in a header field whether the request may have
-//! run, which tells it from an upstream's answer.
+//! run, which distinguishes it from an upstream's answer.
 //!
 //! The upstream side stays with the peer: retry budget, limits, backoffs and crash counts are those
 //! of the daemon that writes to the upstream.
@@ -196,12 +196,12 @@
         }
     }
 
-    /// Returns whether a daemon other than the `tried` ones could serve a request for the service.
-    pub(super) fn has_candidate(&self, service: &str, tried: &[SocketAddr]) -> bool {
-        !self.candidates(service, tried).is_empty()
+    /// Returns whether a daemon that is not in `excluded` could serve a request for the service.
+    pub(super) fn has_candidate(&self, service: &str, excluded: &[SocketAddr]) -> bool {
+        !self.candidates(service, excluded).is_empty()
     }
 
-    /// Hands a request over to a daemon that is not among the `tried` ones, and adds it to them.
+    /// Hands a request over to a daemon that is not in `excluded`, and adds it there.
     ///
     /// # Errors
     ///
@@ -210,19 +210,19 @@
         &self,
         inbound: &InboundRequest,
         head: &HandoverHead,
-        tried: &mut Vec<SocketAddr>,
+        excluded: &mut Vec<SocketAddr>,
     ) -> Result<Exchange<PeerAddress>> {
         loop {
-            let candidates = self.candidates(&inbound.service.name, tried);
+            let candidates = self.candidates(&inbound.service.name, excluded);
             let peer = draw(&candidates).ok_or(HandoverError::NoPeer)?;
             // Counts also if this future is dropped because the answer takes too long.
-            tried.push(peer);
+            excluded.push(peer);
             let sent = Instant::now();
             let result = self.exchange(peer, inbound, head).await;
             log_handover(inbound, peer, &result, sent.elapsed());
             match result {
                 Err(HandoverError::NotSent | HandoverError::Unreachable) => {
-                    tried.pop();
+                    excluded.pop();
                     self.avoid(peer);
                 }
                 _ => return result,
@@ -264,12 +264,12 @@
         lock(&self.avoided).insert(peer, until);
     }
 
-    fn candidates(&self, service: &str, tried: &[SocketAddr]) -> Vec<Candidate> {
+    fn candidates(&self, service: &str, excluded: &[SocketAddr]) -> Vec<Candidate> {
         let now = Instant::now();
         let mut avoided = lock(&self.avoided);
         avoided.retain(|_, until| now < *until);
         let mut candidates = self.peers.handover_candidates(service);
-        candidates.retain(|c| !tried.contains(&c.address) && !avoided.contains_key(&c.address));
+        candidates.retain(|c| !excluded.contains(&c.address) && !avoided.contains_key(&c.address));
         candidates
     }
 }
@@ -293,7 +293,7 @@
     })
 }
 
-/// Sets the field by which a refusal is told from an upstream's answer. `reason` is that of the
+/// Sets the field that distinguishes a refusal from an upstream's answer. `reason` is that of the
 /// refusal.
 pub(super) fn set_refusal(headers: &mut HeaderMap, verdict: Verdict, reason: &str) {
     let value = match reason {
--- a/crates/kelpworks-relay/src/relay/stream/stall.rs
+++ b/crates/kelpworks-relay/src/relay/stream/stall.rs
@@ -203,7 +203,7 @@
             fleet.eject_one_of(&faulty, now);
             faulty
         };
-        // The engines of one path are a single sign.
+        // A stalled path is one failure, whichever of its engines caused it.
         if let Some(&key) = faulty.first() {
             self.record_link_failure(key, Evidence::Broken);
         }
