--- a/crates/kelpworks-cli/tests/relay_links.rs
+++ b/crates/kelpworks-cli/tests/relay_links.rs
@@ -288,7 +288,7 @@
     #[case] name: &str,
     #[case] head: Option<&str>,
 ) {
-    let site = Site::start(&format!("links-{name}"), 1).await;
+    let site = Site::start_with_handover(&format!("links-{name}"), 1, RetryBudget::default()).await;
     let url = format!("http://{}/often/x", site.daemons[0].handover);
     let mut req = reqwest::Client::new().get(url).bearer_auth(KEY);
     req = req
@@ -306,7 +306,7 @@
 /// Guards against callers that pass for daemons: the field is ignored on their address.
 #[tokio::test]
 async fn handover_field_of_a_caller_is_ignored() {
-    let site = Site::start("links-forged", 1).await;
+    let site = Site::start_with_handover("links-forged", 1, RetryBudget::default()).await;
     let req = site.daemons[0].request(Method::GET, "/often/x", "f-1");
     let head = r#"{"version":99,"left_ms":0,"may_have_reached":true}"#;
     let answer = send(req.header(HANDOVER_HEADER, head))
@@ -341,7 +341,8 @@
 #[case::all_before(2, 0)]
 #[tokio::test]
 async fn attempts_before_a_handover_count(#[case] runs: u32, #[case] expected: u32) {
-    let site = Site::start(&format!("links-runs-{runs}"), 1).await;
+    let site =
+        Site::start_with_handover(&format!("links-runs-{runs}"), 1, RetryBudget::default()).await;
     let second = App::start("s-1").await;
     site.store.put("servers", "s-1", second.entry());
     tokio::time::sleep(Duration::from_secs(1)).await;
@@ -372,7 +373,7 @@
         slack: 0.0,
         ..RetryBudget::default()
     };
-    let site = Site::start_with_budget("links-silence", 2, no_retries).await;
+    let site = Site::start_with_handover("links-silence", 2, no_retries).await;
     let set_stalled = |stalled| {
         for engine in site.engines.all() {
             engine.set_stalled(stalled);
--- a/crates/kelpworks-cli/tests/relay_site/daemon.rs
+++ b/crates/kelpworks-cli/tests/relay_site/daemon.rs
@@ -41,6 +41,13 @@
     }
 }
 
+/// Whether daemons accept requests of others. Builds without hand-overs don't know the setting.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Handover {
+    Offered,
+    Off,
+}
+
 /// A running daemon; killed when dropped.
 #[derive(Debug)]
 pub(crate) struct Relay {
@@ -72,22 +79,38 @@
 }
 
 impl Relay {
+    /// Starts a daemon that accepts no requests of others.
     pub(crate) fn start(
         test: &str,
         number: usize,
         store: SocketAddr,
         others: &[Relay],
         budget: &RetryBudget,
+    ) -> Relay {
+        Relay::start_as(test, number, store, others, budget, Handover::Off)
+    }
+
+    pub(crate) fn start_as(
+        test: &str,
+        number: usize,
+        store: SocketAddr,
+        others: &[Relay],
+        budget: &RetryBudget,
+        handover: Handover,
     ) -> Relay {
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("relay-{test}-{number}"));
         std::fs::create_dir_all(&dir).expect("a directory");
-        let [callers, readiness, operators, peers, handover] = unique_addresses();
+        let [callers, readiness, operators, peers, handover_address] = unique_addresses();
+        let handover_setting = match handover {
+            Handover::Offered => format!("handover = \"{handover_address}\"\n"),
+            Handover::Off => String::new(),
+        };
         let seeds: Vec<String> = others.iter().map(|o| format!("\"{}\"", o.peers)).collect();
         let domain = ["hall-a", "hall-b"][number % 2];
         let settings = format!(
             "name = \"entry-{number}\"\nfailure_domain = \"{domain}\"\n[listen]\n\
              callers = \"{callers}\"\nreadiness = \"{readiness}\"\noperators = \"{operators}\"\n\
-             peers = \"{peers}\"\nhandover = \"{handover}\"\n[store]\naddress = \"{store}\"\n[peers]\nseeds = [{}]\n\
+             peers = \"{peers}\"\n{handover_setting}[store]\naddress = \"{store}\"\n[peers]\nseeds = [{}]\n\
              [stop]\ngrace = \"8 s\"\n[repeats]\nwindow = \"{}\"\nratio = {:.2}\nslack = {:.2}\n",
             seeds.join(", "),
             budget.window,
@@ -111,7 +134,7 @@
             readiness,
             operators,
             peers,
-            handover,
+            handover: handover_address,
             client,
         }
     }
--- a/crates/kelpworks-cli/tests/relay_site/mod.rs
+++ b/crates/kelpworks-cli/tests/relay_site/mod.rs
@@ -23,6 +23,7 @@
 
 use cut::Links;
 use cut::LinksOf;
+use daemon::Handover;
 use daemon::Relay;
 use engine::Engine;
 use engine::Registry;
@@ -100,11 +101,14 @@
     pub(crate) links: Links,
 }
 
-/// How the daemons of a site reach its upstreams.
+/// How the daemons of a site reach its upstreams and each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Access {
     Direct,
-    ByLinks,
+    /// They accept requests of each other.
+    DirectWithHandover,
+    /// There are links in front of the upstreams as well.
+    ByLinksWithHandover,
 }
 
 impl Site {
@@ -132,11 +136,22 @@
         Site::start_as(name, daemons, budget, domains, Access::Direct).await
     }
 
-    /// Like [`Site::start`], with links in front of the upstreams.
+    /// Like [`Site::start`], with links in front of the upstreams and daemons that accept requests
+    /// of each other.
     pub(crate) async fn start_with_links(name: &str, daemons: usize) -> Site {
         let budget = daemon::RetryBudget::default();
         let domains = ["hall-a", "hall-b"];
-        Site::start_as(name, daemons, budget, &domains, Access::ByLinks).await
+        Site::start_as(name, daemons, budget, &domains, Access::ByLinksWithHandover).await
+    }
+
+    /// Like [`Site::start_with_budget`], with daemons that accept requests of each other.
+    pub(crate) async fn start_with_handover(
+        name: &str,
+        daemons: usize,
+        budget: daemon::RetryBudget,
+    ) -> Site {
+        let domains = ["hall-a", "hall-b"];
+        Site::start_as(name, daemons, budget, &domains, Access::DirectWithHandover).await
     }
 
     async fn start_as(
@@ -153,14 +168,14 @@
         let each_twice = domains.iter().flat_map(|d| [d, d]);
         for (i, domain) in each_twice.enumerate() {
             let engine = Engine::start(&engines, &format!("e-{i}"), domain).await;
-            if access == Access::ByLinks {
+            if access == Access::ByLinksWithHandover {
                 let address = links.spawn(engine.address()).await;
                 engine.set_address(&engines, address);
             }
             store.put("servers", &engine.instance, engine.entry());
         }
         let mut app = engine::App::start("s-0").await;
-        if access == Access::ByLinks {
+        if access == Access::ByLinksWithHandover {
             let address = links.spawn(app.address()).await;
             app.set_address(address);
         }
@@ -172,8 +187,13 @@
             daemons: Vec::new(),
             links,
         };
+        let handover = match access {
+            Access::Direct => Handover::Off,
+            Access::DirectWithHandover | Access::ByLinksWithHandover => Handover::Offered,
+        };
         for i in 0..daemons {
-            let relay = Relay::start(name, i, site.store.address, &site.daemons, &budget);
+            let store = site.store.address;
+            let relay = Relay::start_as(name, i, store, &site.daemons, &budget, handover);
             site.links.set(relay.pid(), LinksOf::Sound);
             site.daemons.push(relay);
         }
--- a/crates/kelpworks-cli/tests/soak/site.rs
+++ b/crates/kelpworks-cli/tests/soak/site.rs
@@ -26,6 +26,7 @@
 use crate::relay_site::configuration;
 use crate::relay_site::cut::Links;
 use crate::relay_site::cut::LinksOf;
+use crate::relay_site::daemon::Handover;
 use crate::relay_site::daemon::Relay;
 use crate::relay_site::daemon::RetryBudget;
 use crate::relay_site::engine::App;
@@ -142,7 +143,9 @@
         for i in 0..daemons {
             let link = Link::spawn(store.address).await.expect("a link");
             let name = format!("soak-{seed}");
-            let relay = Relay::start(&name, i, link.addr(), &running, &RETRY_BUDGET);
+            let store = link.addr();
+            let offered = Handover::Offered;
+            let relay = Relay::start_as(&name, i, store, &running, &RETRY_BUDGET, offered);
             links.set(relay.pid(), LinksOf::Sound);
             running.push(relay);
             store_links.push(link);
