Test: the deadline of a call that is handed over is the one that the test names

Traced in the daemon's log: left_ms was 7999, since the harness sets a deadline of 8 s and the test's own 1.5 s was appended as a second field. A call that may have run is answered at its deadline, 504, which is as it should be. The field is now replaced; the bound stays.

--- a/crates/kelpworks-cli/tests/relay_links.rs
+++ b/crates/kelpworks-cli/tests/relay_links.rs
@@ -7,6 +7,9 @@
 
 use reqwest::Method;
 use reqwest::RequestBuilder;
+use reqwest::header::HeaderMap;
+use reqwest::header::HeaderName;
+use reqwest::header::HeaderValue;
 use rstest::rstest;
 use rustix::process::Signal;
 use tokio::task::JoinHandle;
@@ -214,7 +217,11 @@
     let sent = Instant::now();
     let calls = (0..4).map(|i| {
         let req = site.daemons[0].request(Method::POST, "/once/x", &format!("c-{i}"));
-        tokio::spawn(send(req.header("x-kelpworks-deadline-ms", "1500")))
+        let deadline = HeaderMap::from_iter([(
+            HeaderName::from_static("x-kelpworks-deadline-ms"),
+            HeaderValue::from_static("1500"),
+        )]);
+        tokio::spawn(send(req.headers(deadline)))
     });
     for call in calls.collect::<Vec<_>>() {
         let answer = call.await.expect("no panic").expect("an answer");
