Failed attempts of calls and streams are logged with fingerprint and crash count

Cause: logs did not tell the hypotheses of the incident apart: a call's failed attempt had neither the fingerprint of its request nor a count of crashes, and no metric counted breaks. Change: both keys in the lines of both kinds; kelpworks_broken_attempts_total by kind and outcome.

--- a/crates/kelpworks-relay/src/crashes.rs
+++ b/crates/kelpworks-relay/src/crashes.rs
@@ -6,6 +6,7 @@
 //! is answered on its next attempt, which clears its count.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -22,6 +23,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Fingerprint(pub u64);
 
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Record {
     crashes: u32,
@@ -43,6 +50,11 @@
         })
     }
 
+    /// Returns the number of crashes that are known of a request.
+    pub fn count(&self, fingerprint: Fingerprint) -> u32 {
+        self.records.get(&fingerprint).map_or(0, |r| r.crashes)
+    }
+
     /// Counts an attempt that ended with the crash of its upstream; returns the new count.
     pub fn record_crash(&mut self, fingerprint: Fingerprint, now: Instant) -> u32 {
         let crashes = self.records.get(&fingerprint).map_or(0, |r| r.crashes) + 1;
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -72,6 +72,8 @@
 pub(super) const WITHHELD: &str = "withheld";
 /// Failure reason of an attempt whose connection ended before the answer.
 const CONNECTION_LOST: &str = "connection lost";
+/// Failure reason of an attempt whose connection ended within the answer.
+const CUT_OFF: &str = "answer cut off";
 /// Failure reason of an attempt whose answer did not arrive in time.
 const NO_ANSWER: &str = "no answer in time";
 
@@ -398,7 +400,7 @@
     }
     let (parts, body) = response.into_parts();
     let Ok(body) = Limited::new(body, MAX_RESPONSE_BYTES).collect().await else {
-        return failed_attempt(Verdict::MayHaveRun, "answer cut off");
+        return failed_attempt(Verdict::MayHaveRun, CUT_OFF);
     };
     shared.pool.keep(connection);
     let body = body.to_bytes();
@@ -446,9 +448,12 @@
     };
     let fleet = shared.fleet();
     let instance = fleet.get(upstream).map(|u| Arc::clone(&u.entry.instance));
+    let crashes = shared.crashes().count(inbound.fingerprint);
     info!(
         target: "decision",
         request:% = inbound.id,
+        fingerprint:% = inbound.fingerprint,
+        crashes,
         upstream:% = instance.as_deref().unwrap_or("gone"),
         fleet_version:% = fleet.version(),
         verdict:% = verdict,
@@ -458,4 +463,7 @@
     );
     let labels = [("why", reason)];
     metrics::counter!("kelpworks_failed_attempts_total", &labels).increment(1);
+    if reason == CONNECTION_LOST || reason == CUT_OFF {
+        super::count_break("call", "not counted");
+    }
 }
--- a/crates/kelpworks-relay/src/relay/mod.rs
+++ b/crates/kelpworks-relay/src/relay/mod.rs
@@ -216,6 +216,13 @@
     metrics::counter!("kelpworks_refused_total", &labels).increment(1);
 }
 
+/// Counts an attempt whose connection ended before its answer, by what became of it in the record of
+/// requests that crash upstreams.
+fn count_break(kind: &'static str, outcome: &'static str) {
+    let labels = [("kind", kind), ("outcome", outcome)];
+    metrics::counter!("kelpworks_broken_attempts_total", &labels).increment(1);
+}
+
 /// Counts a request in `Shared::in_flight` until dropped.
 #[derive(Debug)]
 struct InFlightGuard {
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -384,9 +384,14 @@
                 .crashes()
                 .record_crash(self.inbound.fingerprint, now);
         }
+        if failure.crash {
+            let outcome = if is_doubtful { "in doubt" } else { "counted" };
+            super::count_break("stream", outcome);
+        }
         info!(
             target: "decision",
             request:% = self.inbound.id,
+            fingerprint:% = self.inbound.fingerprint,
             attempt = self.attempts,
             verdict:% = failure.verdict,
             last_event = self.last_event.unwrap_or(0),
