Failing test: a request that crashed three upstreams reaches further ones

Upstreams that end under a request, and start again at their addresses under another id 2.5 s later, did not exist among the stand-ins. Change: such upstreams, and a test of four daemons as processes with a caller that repeats its request at one daemon after the other: as a call that may repeat, as one that may not, as a stream.

--- a/crates/kelpworks-cli/tests/relay_site/mod.rs
+++ b/crates/kelpworks-cli/tests/relay_site/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test crate uses a part")]
 
+pub(crate) mod crashing;
 pub(crate) mod cut;
 pub(crate) mod daemon;
 pub(crate) mod engine;
@@ -10,6 +11,8 @@
 pub(crate) mod store;
 
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use salvo::Listener;
@@ -49,6 +52,15 @@
     (address, handle)
 }
 
+/// Returns an address that no other upstream of the test process uses, and that stays its own while the
+/// upstream is down: each has an address of the loopback range for itself.
+pub(crate) fn free_address() -> SocketAddr {
+    static UPSTREAMS: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let host = UPSTREAMS.fetch_add(1, Ordering::Relaxed);
+    SocketAddr::from(([127, 1 + high % 250, low, host], 9_000))
+}
+
 /// Window of the default retry budget; daemons get their share of the budget after the first one.
 const DEFAULT_BUDGET_WINDOW: Duration = Duration::from_secs(1);
 
@@ -60,6 +72,7 @@
             route("streams", "/stream/", "streaming", "llm"),
             route("once", "/once/", "non_idempotent", "app"),
             route("often", "/often/", "idempotent", "app"),
+            route("events", "/events/", "streaming", "app"),
         ],
         "services": [
             {
