--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -21,7 +21,6 @@
 pub mod clearance;
 pub mod config;
 pub mod constraints;
-pub mod crashes;
 pub mod daemon;
 pub mod engine_calls;
 pub mod fleet;
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -13,6 +13,9 @@
 //! evidence (`members`).
 
 mod announcements;
+mod crashes;
+#[cfg(test)]
+mod crashes_tests;
 mod exchange;
 #[cfg(test)]
 mod fleet_tests;
@@ -68,6 +71,7 @@
 use members::rank_of;
 use messages::Announcement;
 use messages::Digest;
+use messages::Findings;
 use messages::HeldVersions;
 use messages::StoreAges;
 use messages::Texts;
@@ -119,6 +123,10 @@
     #[method(name = "store_answered")]
     async fn store_answered(&self, ages: StoreAges) -> RpcResult<()>;
 
+    /// Delivers facts of the ledger of crashes that the caller has just learned.
+    #[method(name = "findings")]
+    async fn findings(&self, findings: Findings) -> RpcResult<()>;
+
     /// Announces the version of the configuration that the caller has activated.
     #[method(name = "announce")]
     async fn announce(&self, announcement: Announcement) -> RpcResult<()>;
@@ -147,6 +155,8 @@
     /// Partners that have not answered the latest exchange yet. They are not called again until
     /// then: more calls would only delay a partner that is overloaded.
     in_flight: Mutex<HashSet<SocketAddr>>,
+    /// Time before which no message with findings about crashes is sent.
+    next_findings: Mutex<Instant>,
     /// Port on which this daemon accepts requests of other daemons; unset if it accepts none.
     handover_port: OnceLock<u16>,
 }
@@ -177,6 +187,7 @@
             pack_caches: Mutex::default(),
             fetch_permits: Semaphore::new(MAX_FETCHES),
             in_flight: Mutex::default(),
+            next_findings: Mutex::new(started),
             handover_port: OnceLock::new(),
         }
     }
@@ -218,6 +229,7 @@
                 _ = tick.tick() => {
                     ticks = ticks.wrapping_add(1);
                     self.report_store_answers();
+                    self.review_crashes(ticks);
                     if !self.is_full_tick(ticks) {
                         continue;
                     }
@@ -229,6 +241,10 @@
                     self.announce_configuration();
                     continue;
                 }
+                () = self.shared.crash_news() => {
+                    self.send_findings();
+                    continue;
+                }
                 // Most daemons don't call the store, and their data may be from an earlier era.
                 () = self.eras.wait_for_later(era) => {
                     era = self.eras.latest();
@@ -336,6 +352,11 @@
         Ok(())
     }
 
+    async fn findings(&self, findings: Findings) -> RpcResult<()> {
+        self.peers.on_findings(findings);
+        Ok(())
+    }
+
     async fn announce(&self, announcement: Announcement) -> RpcResult<()> {
         self.peers.on_announcement::<D>(announcement);
         Ok(())
--- /dev/null
+++ b/crates/kelpworks-relay/src/peers/crashes.rs
@@ -0,0 +1,174 @@
+//! Exchange of the ledger of crashes.
+//!
+//! A finding that a daemon makes goes to its partners at once, and in a larger fleet from each daemon to
+//! which it is new on to a few others: a caller may repeat a request at any daemon within milliseconds.
+//! Digests carry what was missed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kelpworks_coord::crash_ledger::Crash;
+use kelpworks_coord::crash_ledger::Finding;
+use kelpworks_coord::id::UpstreamId;
+use kelpworks_coord::poison::Fingerprint;
+use kelpworks_coord::time::Span;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::EXCHANGE_TIMEOUT;
+use super::MAX_SMALL_FLEET_PEERS;
+use super::PeerApiClient;
+use super::Peers;
+use super::lock;
+use super::messages::CrashesOf;
+use super::messages::Digest;
+use super::messages::Findings;
+use super::store_contact::STORE_STALE_AFTER;
+use super::store_contact::StoreKind;
+
+/// Maximum number of facts in a message or digest, some 3 kB. Those that refuse a request go first.
+pub(super) const MAX_FACTS: usize = 32;
+/// Time for which a digest carries a changed finding: several exchanges.
+const RECENT_PERIOD: Span = Span::from_secs(3);
+/// Minimum time between two messages with findings to the same partners, which bounds their rate while
+/// much breaks at once.
+const MIN_MESSAGE_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of exchange intervals between two reviews of the ledger.
+const REVIEW_TICKS: u32 = 4;
+/// Maximum number of refused requests in a digest for daemons of older builds, which count crashes.
+const MAX_COUNTS: usize = 64;
+/// Maximum number of crashes that are taken from the count of an older build.
+const MAX_COUNTED: u32 = 5;
+
+impl Peers {
+    /// Sends the findings that this daemon has made to its partners: at once, or as soon as the last
+    /// message allows it.
+    pub(super) fn send_findings(self: &Arc<Peers>) {
+        let now = Instant::now();
+        let mut next = lock(&self.next_findings);
+        if *next > now + MIN_MESSAGE_INTERVAL {
+            return;
+        }
+        let due = (*next).max(now);
+        *next = due + MIN_MESSAGE_INTERVAL;
+        drop(next);
+        let peers = Arc::clone(self);
+        tokio::spawn(async move {
+            tokio::time::sleep_until(due).await;
+            let now = peers.shared.ledger_time(Instant::now());
+            let facts = peers.shared.crashes().take_news(MAX_FACTS, now);
+            peers.spread_facts(facts, None);
+        });
+    }
+
+    /// Sends facts to partners, except to the daemon at `from`.
+    fn spread_facts(self: &Arc<Peers>, facts: Vec<Crash>, from: Option<SocketAddr>) {
+        if facts.is_empty() {
+            return;
+        }
+        let findings = Arc::new(Findings {
+            from: self.address,
+            facts,
+        });
+        for partner in self.findings_partners() {
+            if Some(partner) == from {
+                continue;
+            }
+            let peers = Arc::clone(self);
+            let findings = Arc::clone(&findings);
+            tokio::spawn(async move { peers.send_findings_to(partner, &findings).await });
+        }
+    }
+
+    fn findings_partners(&self) -> Vec<SocketAddr> {
+        match self.is_small_fleet() {
+            true => self.partners(),
+            false => self.announcement_partners(),
+        }
+    }
+
+    fn is_small_fleet(&self) -> bool {
+        lock(&self.members).live().count() <= MAX_SMALL_FLEET_PEERS
+    }
+
+    async fn send_findings_to(&self, partner: SocketAddr, findings: &Findings) {
+        let address = partner.to_string();
+        let call = self.connections.call(
+            &address,
+            EXCHANGE_TIMEOUT,
+            findings,
+            |client, findings| async move { client.findings(findings).await },
+        );
+        let outcome = match call.await {
+            Ok(()) => "delivered",
+            Err(_) => "failed",
+        };
+        metrics::counter!("kelpworks_finding_messages_total", "outcome" => outcome).increment(1);
+    }
+
+    /// Applies the findings of a peer. In a small fleet it has sent them to all daemons.
+    pub(super) fn on_findings(self: &Arc<Peers>, findings: Findings) {
+        let Findings { from, mut facts } = findings;
+        facts.truncate(MAX_FACTS);
+        let raised = self.shared.learn_crashes(facts, &from.to_string());
+        if !self.is_small_fleet() {
+            self.spread_facts(raised, Some(from));
+        }
+    }
+
+    /// Decides breaks by the registrations, once a second.
+    pub(super) fn review_crashes(&self, ticks: u32) {
+        if ticks.is_multiple_of(REVIEW_TICKS) {
+            let age = self.store_age(StoreKind::Upstreams);
+            self.shared.review_crashes(age < STORE_STALE_AFTER);
+        }
+    }
+
+    /// Returns the facts for a digest.
+    pub(super) fn reported_facts(&self, now: Instant) -> Vec<Crash> {
+        let now = self.shared.ledger_time(now);
+        let mut ledger = self.shared.crashes();
+        ledger.report(MAX_FACTS, RECENT_PERIOD, now)
+    }
+
+    /// Returns the crash counts for daemons of older builds.
+    pub(super) fn crash_counts(&self, now: Instant) -> Vec<CrashesOf> {
+        let now = self.shared.ledger_time(now);
+        let refused = self.shared.crashes().refused(MAX_COUNTS, now);
+        let counts = refused.into_iter().map(|(fingerprint, crashes)| CrashesOf {
+            fingerprint: fingerprint.0,
+            crashes: crashes as u32,
+        });
+        counts.collect()
+    }
+
+    /// Applies the facts of a digest, or the counts of an older build.
+    pub(super) fn learn_facts(&self, digest: &Digest) {
+        let mut facts = digest.facts.clone();
+        facts.truncate(MAX_FACTS);
+        if digest.facts.is_empty() {
+            let counts = digest.crashes.iter().take(MAX_COUNTS);
+            facts.extend(counts.flat_map(|c| self.facts_of_count(c)));
+        }
+        self.shared.learn_crashes(facts, &digest.from.name);
+    }
+
+    /// Returns facts in place of the crashes that an older build counts and this daemon does not know.
+    /// Their upstreams have made-up names, the same on all daemons.
+    fn facts_of_count(&self, counted: &CrashesOf) -> Vec<Crash> {
+        let fingerprint = Fingerprint(counted.fingerprint);
+        let known = self.shared.crashes().count(fingerprint) as u32;
+        let missing = known..counted.crashes.min(MAX_COUNTED);
+        let fact = |number: u32| Crash {
+            fingerprint,
+            upstream: UpstreamId(xxh3_64_with_seed(
+                &counted.fingerprint.to_le_bytes(),
+                u64::from(number),
+            )),
+            finding: Finding::Broken,
+            age: Span::ZERO,
+        };
+        missing.map(fact).collect()
+    }
+}
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -21,7 +21,6 @@
 use super::members::LivenessChange;
 use super::messages::AssignmentOf;
 use super::messages::Contact;
-use super::messages::CrashesOf;
 use super::messages::Digest;
 use super::messages::EjectionOf;
 use super::messages::LeaderOf;
@@ -33,12 +32,9 @@
 use super::roles::ISOLATION_TIMEOUT;
 use super::roles::Precedence;
 use super::store_contact::StoreKind;
-use crate::crashes::Fingerprint;
 use crate::fleet::AddressOwner;
 use crate::fleet::Upstream;
 
-/// Maximum number of crash fingerprints in a digest.
-const MAX_FINGERPRINTS: usize = 64;
 /// Maximum number of layer assignments in a digest, newest first: one for each engine of a small
 /// fleet after all of them got an order.
 const MAX_ASSIGNMENTS: usize = 48;
@@ -92,11 +88,6 @@
         }
         leaving.sort_by_key(|notice| notice.age_ms);
         leaving.truncate(MAX_NOTICES);
-        let crashes = self.shared.crashes().top_counts(MAX_FINGERPRINTS);
-        let crashes = crashes.into_iter().map(|(f, crashes)| CrashesOf {
-            fingerprint: f.0,
-            crashes,
-        });
         let (known, membership, members) = {
             let members = lock(&self.members);
             (
@@ -116,7 +107,8 @@
             members,
             load,
             ejections,
-            crashes: crashes.collect(),
+            crashes: self.crash_counts(now),
+            facts: self.reported_facts(now),
             slowness,
             assignments: assignments
                 .into_iter()
@@ -218,10 +210,7 @@
         }
         self.learn_limits(&digest.limits, now);
         self.learn_leaving(&digest.leaving, now);
-        let mut crashes = self.shared.crashes();
-        for counted in &digest.crashes {
-            crashes.learn(Fingerprint(counted.fingerprint), counted.crashes, now);
-        }
+        self.learn_facts(digest);
     }
 
     fn learn_owner_report(&self, report: &OwnerOf, now: Instant) {
--- a/crates/kelpworks-relay/src/peers/handover_tests.rs
+++ b/crates/kelpworks-relay/src/peers/handover_tests.rs
@@ -18,7 +18,6 @@
 use super::tests::digest;
 use super::tests::engine;
 use super::tests::peers;
-use crate::crashes::Fingerprint;
 use crate::fleet::UpstreamKey;
 use crate::reach::Evidence;
 use crate::reach::Probe;
@@ -26,7 +25,7 @@
 const SERVICE: &str = "llm";
 const PORT: u16 = 7_340;
 
-fn register(me: &Peers) -> UpstreamKey {
+pub(super) fn register(me: &Peers) -> UpstreamKey {
     let version = Version::initial(1);
     let mut fleet = me.shared.fleet();
     fleet.replace(vec![engine()], version, Instant::now());
@@ -69,22 +68,6 @@
     );
 }
 
-/// Guards against requests that all daemons refuse because streams were cut off at one of them, as
-/// if they had crashed their engines.
-#[tokio::test(start_paused = true)]
-async fn loss_of_links_ends_the_crash_counts_that_it_caused() {
-    let me = peers(0);
-    let key = register(&me);
-    let service: Arc<str> = Arc::from(SERVICE);
-    me.shared
-        .record_link_failure(&service, key, Evidence::Broken);
-    me.shared
-        .crashes()
-        .record_crash(Fingerprint(1), Instant::now());
-    me.shared.record_probe(&service, Probe { opened: 0, of: 3 });
-    assert!(me.digest(&Audience::default()).crashes.is_empty());
-}
-
 /// Guards against hand-overs to a daemon that can't serve them: one of an older build, one that is
 /// stopping, and one that has lost its links as well.
 #[rstest]
--- a/crates/kelpworks-relay/src/peers/limits_tests.rs
+++ b/crates/kelpworks-relay/src/peers/limits_tests.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use kelpworks_coord::id::Version;
+use kelpworks_coord::poison::Fingerprint;
 use rstest::rstest;
 use tokio::time::Instant;
 
@@ -58,7 +59,8 @@
                     continue;
                 }
                 let shared = &self.fleet.all[number].shared;
-                let Some(admission) = shared.admit(vec![self.key]) else {
+                let runnable = shared.check_crashes(Fingerprint(0)).expect("no crashes");
+                let Some(admission) = shared.admit(runnable, vec![self.key]) else {
                     continue;
                 };
                 let sent = Permit::new(admission, None).spend();
--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use kelpworks_coord::crash_ledger::Crash;
 use kelpworks_coord::id::Era;
 use kelpworks_coord::id::Version;
 use serde::Deserialize;
@@ -90,7 +91,7 @@
     pub(super) age_ms: u64,
 }
 
-/// Crash count of a request fingerprint.
+/// Crash count of a request that is refused, for daemons of older builds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub(crate) struct CrashesOf {
@@ -98,6 +99,15 @@
     pub(super) crashes: u32,
 }
 
+/// Facts of the ledger of crashes that a daemon has just learned.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct Findings {
+    /// Address at which the sender accepts calls of its peers.
+    pub(super) from: SocketAddr,
+    pub(super) facts: Vec<Crash>,
+}
+
 /// Layer assignment that an engine reported of itself.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -207,7 +217,11 @@
     pub(super) load: Vec<LoadOf>,
     #[serde(rename = "doubts")]
     pub(super) ejections: Vec<EjectionOf>,
+    /// Empty unless requests are refused.
     pub(super) crashes: Vec<CrashesOf>,
+    /// Facts of the ledger of crashes; older builds have none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) facts: Vec<Crash>,
     /// Slowness reports that have not expired.
     pub(super) slowness: Vec<SlownessOf>,
     /// Layer assignments that the registrations of the engines do not show yet.
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -136,6 +136,7 @@
         load: Vec::new(),
         ejections: Vec::new(),
         crashes: Vec::new(),
+        facts: Vec::new(),
         slowness: Vec::new(),
         assignments: Vec::new(),
         owners: Vec::new(),
--- a/crates/kelpworks-relay/src/permit/tests.rs
+++ b/crates/kelpworks-relay/src/permit/tests.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use kelpworks_coord::id::Version;
+use kelpworks_coord::poison::Fingerprint;
 use rstest::rstest;
 use tokio::time::Instant;
 use tokio::time::advance;
 
+use super::Admission;
 use super::Permit;
 use crate::fleet::UpstreamKey;
 use crate::limits::Announcement;
@@ -38,6 +40,12 @@
     Sent,
 }
 
+/// Admits a request that has crashed nothing.
+fn admit(shared: &Shared, upstreams: Vec<UpstreamKey>) -> Option<Admission> {
+    let runnable = shared.check_crashes(Fingerprint(0)).expect("no crashes");
+    shared.admit(runnable, upstreams)
+}
+
 /// A daemon with one engine that announced a limit of one request a second, after enough time for
 /// a request to be admitted.
 async fn limited_engine() -> (Shared, UpstreamKey) {
@@ -64,7 +72,7 @@
 }
 
 fn permit(shared: &Shared, key: UpstreamKey) -> Option<Permit> {
-    let admission = shared.admit(vec![key])?;
+    let admission = admit(shared, vec![key])?;
     Some(Permit::new(admission, None))
 }
 
@@ -79,8 +87,8 @@
     #[case] admits_another: bool,
 ) {
     let (shared, key) = limited_engine().await;
-    let admission = shared.admit(vec![key]).expect("the first request");
-    assert!(shared.admit(vec![key]).is_none(), "one request a second");
+    let admission = admit(&shared, vec![key]).expect("the first request");
+    assert!(admit(&shared, vec![key]).is_none(), "one request a second");
     match outcome {
         Outcome::Dropped => drop(Permit::new(admission, None)),
         Outcome::Undone => {
@@ -91,7 +99,7 @@
         Outcome::Sent => drop(Permit::new(admission, None).spend()),
     }
     assert_eq!(
-        shared.admit(vec![key]).is_some(),
+        admit(&shared, vec![key]).is_some(),
         admits_another,
         "{outcome:?}"
     );
@@ -131,7 +139,7 @@
         .fleet()
         .replace(entries.to_vec(), Version::initial(1), now);
     let path: Vec<UpstreamKey> = shared.fleet().iter().map(|(key, _)| key).collect();
-    let admission = shared.admit(path.clone()).expect("no constraints");
+    let admission = admit(&shared, path.clone()).expect("no constraints");
     let mut fleet = shared.fleet();
     let upstream = fleet.get_mut(path[position]).expect("registered");
     match news {
@@ -142,7 +150,7 @@
     };
     drop(fleet);
     assert!(Permit::new(admission, None).spend().is_none());
-    assert!(shared.admit(path).is_none(), "nor is another admitted");
+    assert!(admit(&shared, path).is_none(), "nor is another admitted");
 }
 
 fn request_backoff(shared: &Shared, key: UpstreamKey, backoff: Duration) {
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -3,7 +3,6 @@
 mod by_peer;
 mod choice;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -38,8 +37,13 @@
 use crate::reach::Evidence;
 use crate::shared::Shared;
 use crate::shared::announcements::AnsweredMessage;
+use crate::shared::crashes::Break;
+use crate::shared::crashes::BrokenAttempt;
+use crate::shared::crashes::CRASHES_UPSTREAMS;
+use crate::shared::crashes::Incarnation;
 use by_peer::CallHandover;
 use choice::NextAttempt;
+use choice::Progress;
 use choice::Unavailability;
 use choice::next_upstream;
 
@@ -131,8 +135,19 @@
         Instant::now() + inbound.route.latency_target.mul_f64(LIMIT_WAIT_FRACTION);
     let mut has_link_failure = false;
     loop {
+        // An attempt of this request, here or elsewhere, may have been one too many.
+        let runnable = match shared.check_crashes(inbound.fingerprint) {
+            Ok(runnable) => runnable,
+            Err(refusal) => {
+                reason = CRASHES_UPSTREAMS;
+                available_in = Some(refusal.retry_after);
+                break;
+            }
+        };
         let attempt = if handover.is_due(shared, inbound, has_link_failure) {
-            handover.attempt(shared, inbound, may_have_reached).await
+            handover
+                .attempt(shared, inbound, may_have_reached, runnable)
+                .await
         } else if shared
             .reach()
             .is_cut_off(&inbound.service.name, Instant::now())
@@ -140,7 +155,12 @@
             reason = OUT_OF_REACH;
             break;
         } else {
-            match next_upstream(shared, inbound, &tried, verdict, may_have_reached) {
+            let progress = Progress {
+                tried: &tried,
+                verdict,
+                may_have_reached,
+            };
+            match next_upstream(shared, inbound, progress, runnable) {
                 NextAttempt::Send(upstream, permit) => {
                     tried.push(upstream);
                     let attempt = attempt::<D>(shared, inbound, upstream, &tried, permit).await;
@@ -162,7 +182,9 @@
                     if !has_link_failure || !handover.is_last_resort(inbound) {
                         break;
                     }
-                    handover.attempt(shared, inbound, may_have_reached).await
+                    handover
+                        .attempt(shared, inbound, may_have_reached, runnable)
+                        .await
                 }
             }
         };
@@ -242,19 +264,22 @@
 }
 
 async fn attempt<D: Adapter>(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     inbound: &InboundRequest,
     upstream: UpstreamKey,
     tried: &[UpstreamKey],
     permit: Permit,
 ) -> Attempt {
-    let (address, id, latency_ms) = {
+    let Some(incarnation) = shared.incarnation(upstream) else {
+        return failed_attempt(Verdict::NotRun, "upstream gone");
+    };
+    let (id, latency_ms) = {
         let mut fleet = shared.fleet();
         fleet.reserve(upstream, 0.0);
         let Some(u) = fleet.get(upstream) else {
             return failed_attempt(Verdict::NotRun, "upstream gone");
         };
-        (u.entry.address, Arc::clone(&u.entry.id), u.latency_ms)
+        (Arc::clone(&u.entry.id), u.latency_ms)
     };
     let _running_guard = RunningGuard { shared, upstream };
     let remaining = inbound.remaining();
@@ -276,11 +301,10 @@
     let work = async {
         let exchange = shared
             .pool
-            .send(upstream, address, req, reuse, permit)
+            .send(upstream, incarnation.address, req, reuse, permit)
             .await;
         let target = Target {
-            upstream,
-            address,
+            incarnation: &incarnation,
             sent,
         };
         read::<D>(shared, inbound, target, exchange).await
@@ -290,6 +314,7 @@
         Err(_) => failed_attempt(Verdict::MayHaveRun, NO_ANSWER),
     };
     record_link_evidence(shared, inbound, upstream, &result);
+    record_end(shared, inbound, &incarnation, &result);
     let mut fleet = shared.fleet();
     match &result {
         Attempt::Completed { .. } => {
@@ -321,6 +346,36 @@
     }
 }
 
+/// Records an attempt that ended early, or that completed, in the ledger of crashes.
+fn record_end(
+    shared: &Arc<Shared>,
+    inbound: &InboundRequest,
+    incarnation: &Incarnation,
+    attempt: &Attempt,
+) {
+    let end = match attempt {
+        Attempt::Completed { status, .. } => {
+            if status.is_success() {
+                shared.clear_crashes(&inbound.id, inbound.fingerprint);
+            }
+            return;
+        }
+        Attempt::Failed { reason, .. } => match *reason {
+            CONNECTION_LOST | CUT_OFF => Break::Lost,
+            NO_ANSWER => Break::Silent,
+            _ => return,
+        },
+    };
+    shared.record_break(BrokenAttempt {
+        kind: "call",
+        request: &inbound.id,
+        fingerprint: inbound.fingerprint,
+        service: &inbound.service.name,
+        incarnation,
+        end,
+    });
+}
+
 /// Returns what a failed attempt shows about this daemon's own links, if anything.
 fn link_evidence(attempt: &Attempt) -> Option<Evidence> {
     let &Attempt::Failed { reason, .. } = attempt else {
@@ -360,9 +415,8 @@
 }
 
 /// Destination of an attempt, and when it was sent.
-struct Target {
-    upstream: UpstreamKey,
-    address: SocketAddr,
+struct Target<'a> {
+    incarnation: &'a Incarnation,
     sent: Instant,
 }
 
@@ -370,9 +424,10 @@
 async fn read<D: Adapter>(
     shared: &Shared,
     inbound: &InboundRequest,
-    target: Target,
+    target: Target<'_>,
     exchange: pool::Result<Exchange>,
 ) -> Attempt {
+    let Target { incarnation, sent } = target;
     let Exchange {
         response,
         connection,
@@ -384,20 +439,21 @@
     };
     shared.record_contact(&inbound.service.name, connection.is_new());
     let head = D::decode_answer_head(response.headers());
-    if let Some(announced) = announcements(inbound, &response, &head, target.address) {
+    if let Some(announced) = announcements(inbound, &response, &head, incarnation.address) {
         let message = AnsweredMessage {
             source: "answer",
             request: &inbound.id,
-            sent_at: target.sent,
+            sent_at: sent,
         };
-        shared.apply_announcements(target.upstream, announced, message);
+        shared.apply_announcements(incarnation.key, announced, message);
     }
     if let Some((verdict, reason)) = detect_fault(inbound, &response, &head) {
         if let Some(id) = address_owner_id(&response, &head) {
-            shared.learn_address_owner(target.address, id);
+            shared.learn_address_owner(incarnation.address, id);
         }
         return failed_attempt(verdict, reason);
     }
+    shared.record_answer(&incarnation.instance, sent);
     let (parts, body) = response.into_parts();
     let Ok(body) = Limited::new(body, MAX_RESPONSE_BYTES).collect().await else {
         return failed_attempt(Verdict::MayHaveRun, CUT_OFF);
@@ -463,7 +519,4 @@
     );
     let labels = [("why", reason)];
     metrics::counter!("kelpworks_failed_attempts_total", &labels).increment(1);
-    if reason == CONNECTION_LOST || reason == CUT_OFF {
-        super::count_break("call", "not counted");
-    }
 }
--- a/crates/kelpworks-relay/src/relay/call/choice.rs
+++ b/crates/kelpworks-relay/src/relay/call/choice.rs
@@ -13,6 +13,7 @@
 use crate::permit::Permit;
 use crate::relay::InboundRequest;
 use crate::shared::Shared;
+use crate::shared::crashes::Runnable;
 
 /// Added to the cost factor of an upstream in proportion to its failure rate.
 const FAILURE_COST_FACTOR: f64 = 6.0;
@@ -31,15 +32,30 @@
     Abandon,
 }
 
-/// Chooses the upstream for the next attempt. An attempt of a request that `may_have_reached` an
+/// What the attempts of this daemon have come to so far.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Progress<'a> {
+    /// Upstreams that were chosen for an attempt.
+    pub(super) tried: &'a [UpstreamKey],
+    /// Whether one of the attempts may have run.
+    pub(super) verdict: Verdict,
+    /// Whether one of them, of any daemon, may have reached an upstream.
+    pub(super) may_have_reached: bool,
+}
+
+/// Chooses the upstream for the next attempt. An attempt of a request that may have reached an
 /// upstream before needs a retry from the service's budget.
 pub(super) fn next_upstream(
     shared: &Shared,
     inbound: &InboundRequest,
-    tried: &[UpstreamKey],
-    verdict: Verdict,
-    may_have_reached: bool,
+    progress: Progress<'_>,
+    runnable: Runnable,
 ) -> NextAttempt {
+    let Progress {
+        tried,
+        verdict,
+        may_have_reached,
+    } = progress;
     let attempts = tried.len() as u32 + inbound.earlier_runs();
     let verdict = match inbound.earlier_runs() {
         0 => verdict,
@@ -57,7 +73,7 @@
     }
     let service = &inbound.service.name;
     let chosen = choose(&shared.fleet(), service, tried);
-    let admitted = chosen.and_then(|key| Some((key, shared.admit(vec![key])?)));
+    let admitted = chosen.and_then(|key| Some((key, shared.admit(runnable, vec![key])?)));
     let Some((chosen, admission)) = admitted else {
         return NextAttempt::without_candidate(&shared.fleet(), service, tried);
     };
--- a/crates/kelpworks-relay/src/relay/handover.rs
+++ b/crates/kelpworks-relay/src/relay/handover.rs
@@ -7,7 +7,7 @@
 //! from end to end. A refusal by the peer itself says in a header field whether the request may have
 //! run, which distinguishes it from an upstream's answer.
 //!
-//! The upstream side stays with the peer: retry budget, limits, backoffs and crash counts are those
+//! The upstream side stays with the peer: retry budget, limits, backoffs and breaks are those
 //! of the daemon that writes to the upstream.
 //!
 //! Limits: the peer is chosen by the reach that it last reported, not by its load.
@@ -42,6 +42,7 @@
 use crate::pool::Pool;
 use crate::pool::Reuse;
 use crate::pool::WritePermit;
+use crate::shared::crashes::Runnable;
 use crate::sync::lock;
 
 /// Result of handing a request over.
@@ -214,6 +215,7 @@
         inbound: &InboundRequest,
         head: &HandoverHead,
         excluded: &mut Vec<SocketAddr>,
+        _runnable: Runnable,
     ) -> Result<Exchange<PeerAddress>> {
         loop {
             let candidates = self.candidates(&inbound.service.name, excluded);
--- a/crates/kelpworks-relay/src/relay/incoming.rs
+++ b/crates/kelpworks-relay/src/relay/incoming.rs
@@ -10,6 +10,7 @@
 use http::uri::PathAndQuery;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
+use kelpworks_coord::poison::Fingerprint;
 use rand::RngExt;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3;
@@ -24,15 +25,13 @@
 use crate::config::RoutingTable;
 use crate::config::Service;
 use crate::config::Team;
-use crate::crashes::Fingerprint;
 use crate::shared::Shared;
+use crate::shared::crashes::CRASHES_UPSTREAMS;
 
 /// Longest time for reading a request body; longer than a head needs, since bodies are larger.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// `Retry-After` of a daemon that has no usable configuration yet.
 const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(300);
-/// `Retry-After` for a request that crashes upstreams.
-const CRASHING_RETRY: Duration = Duration::from_secs(60);
 
 /// Request id and the routing table that the request is checked against.
 struct RequestContext<'a> {
@@ -96,8 +95,8 @@
     let target = req.uri().path_and_query().cloned();
     let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
     let fingerprint = fingerprint(team.as_deref(), &target, &body);
-    if shared.crashes().is_refused(fingerprint, Instant::now()) {
-        return Err(context.refuse_with_retry_after(CRASHING_RETRY, "crashes upstreams"));
+    if let Err(refusal) = shared.check_crashes(fingerprint) {
+        return Err(context.refuse_with_retry_after(refusal.retry_after, CRASHES_UPSTREAMS));
     }
     let service = choose_service(&context, &route)?.clone();
     let time_limit = head.time_left.unwrap_or(route.timeout);
--- a/crates/kelpworks-relay/src/relay/mod.rs
+++ b/crates/kelpworks-relay/src/relay/mod.rs
@@ -21,6 +21,7 @@
 use http::Request;
 use http::header;
 use http::uri::PathAndQuery;
+use kelpworks_coord::poison::Fingerprint;
 use log::info;
 use salvo::Depot;
 use salvo::FlowCtrl;
@@ -37,7 +38,6 @@
 use crate::config::Route;
 use crate::config::RouteKind;
 use crate::config::Service;
-use crate::crashes::Fingerprint;
 use crate::engine_calls::EngineCalls;
 use crate::fleet::Fleet;
 use crate::fleet::UpstreamKey;
@@ -216,13 +216,6 @@
     metrics::counter!("kelpworks_refused_total", &labels).increment(1);
 }
 
-/// Counts an attempt whose connection ended before its answer, by what became of it in the record of
-/// requests that crash upstreams.
-fn count_break(kind: &'static str, outcome: &'static str) {
-    let labels = [("kind", kind), ("outcome", outcome)];
-    metrics::counter!("kelpworks_broken_attempts_total", &labels).increment(1);
-}
-
 /// Counts a request in `Shared::in_flight` until dropped.
 #[derive(Debug)]
 struct InFlightGuard {
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -51,6 +51,9 @@
 use crate::pool::Connection;
 use crate::reach::Evidence;
 use crate::shared::Shared;
+use crate::shared::crashes::Break;
+use crate::shared::crashes::BrokenAttempt;
+use crate::shared::crashes::Incarnation;
 use crate::sync::lock;
 use attempt::RanAt;
 use attempt::Reservation;
@@ -157,6 +160,8 @@
     clients: Clients<E>,
     inbound: InboundRequest,
     profile: Option<Arc<EngineProfile>>,
+    /// First engine of the last attempt of this daemon.
+    first_engine: Option<Incarnation>,
     /// First engines of the attempts that may have run, without engines known to have ended.
     ran_at: Vec<RanAt>,
     attempts: u32,
@@ -199,6 +204,7 @@
         shared,
         clients,
         inbound,
+        first_engine: None,
         ran_at,
         attempts: 0,
         retry: Mutex::default(),
@@ -300,7 +306,9 @@
         loop {
             self.record_failure(failure);
             // An attempt that found no path did not use its permit, which is still available.
-            let unused_retry = failure.no_path_found && self.refusals < MAX_ATTEMPTS;
+            let unused_retry = failure.no_path_found
+                && self.refusals < MAX_ATTEMPTS
+                && self.check_crashes().is_ok();
             if !unused_retry && !failure.retry_permitted && !self.may_retry(Verdict::MayHaveRun) {
                 self.active = stalled;
                 return match self.active {
@@ -329,7 +337,8 @@
 
     fn finish(&mut self) {
         self.done = true;
-        self.shared.crashes().clear(self.inbound.fingerprint);
+        self.shared
+            .clear_crashes(&self.inbound.id, self.inbound.fingerprint);
         self.log_end("finished", "end of the stream");
     }
 
@@ -344,11 +353,7 @@
         {
             return false;
         }
-        if self
-            .shared
-            .crashes()
-            .is_refused(self.inbound.fingerprint, now)
-        {
+        if self.check_crashes().is_err() {
             return false;
         }
         let mut retry = lock(&self.retry);
@@ -374,20 +379,10 @@
     /// Records a failed attempt and drops its stream.
     fn record_failure(&mut self, failure: Failure) {
         self.active = None;
-        let mut crashes = 0;
-        let now = Instant::now();
-        let service = &self.inbound.service.name;
-        let is_doubtful = self.shared.reach().is_doubtful(service, now);
-        if failure.crash && !is_doubtful {
-            crashes = self
-                .shared
-                .crashes()
-                .record_crash(self.inbound.fingerprint, now);
-        }
-        if failure.crash {
-            let outcome = if is_doubtful { "in doubt" } else { "counted" };
-            super::count_break("stream", outcome);
-        }
+        let crashes = match self.first_engine.take().filter(|_| failure.crash) {
+            Some(engine) => self.record_break(&engine),
+            None => self.shared.crashes().count(self.inbound.fingerprint),
+        };
         info!(
             target: "decision",
             request:% = self.inbound.id,
@@ -404,6 +399,19 @@
         metrics::counter!("kelpworks_failed_attempts_total", &labels).increment(1);
     }
 
+    /// Records the break of an attempt at its first engine; returns the crashes that count against the
+    /// request.
+    fn record_break(&self, engine: &Incarnation) -> usize {
+        self.shared.record_break(BrokenAttempt {
+            kind: "stream",
+            request: &self.inbound.id,
+            fingerprint: self.inbound.fingerprint,
+            service: &self.inbound.service.name,
+            incarnation: engine,
+            end: Break::Lost,
+        })
+    }
+
     /// Reads the next complete events; `None` at the end of the stream.
     async fn read(&mut self) -> Result<Option<Bytes>, Failure> {
         let Some(mut active) = self.active.take() else {
@@ -464,8 +472,10 @@
                     self.active = Some(active);
                     return Ok(Some(events.bytes));
                 }
-                Some(Err(_)) => return Err(self.record_break(&active)),
-                None if active.splitter.pending_len() > 0 => return Err(self.record_break(&active)),
+                Some(Err(_)) => return Err(self.record_early_end(&active)),
+                None if active.splitter.pending_len() > 0 => {
+                    return Err(self.record_early_end(&active));
+                }
                 None => {
                     if let Some(&(first, _)) = active.running_path.parts.first() {
                         self.shared.fleet().record_outcome(first, false);
@@ -491,7 +501,7 @@
 
     /// Records a stream that ended early. The engine that closed it is not ejected, since it may
     /// still be alive: the next attempts show whether it is, as a dead one accepts no connections.
-    fn record_break(&self, active: &ActiveStream) -> Failure {
+    fn record_early_end(&self, active: &ActiveStream) -> Failure {
         let Some(&(first, _)) = active.running_path.parts.first() else {
             return Failure::new(Verdict::MayHaveRun, "peer lost");
         };
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -46,6 +46,9 @@
 use crate::shared::Shared;
 use crate::shared::announcements::Announcements;
 use crate::shared::announcements::AnsweredMessage;
+use crate::shared::crashes::CRASHES_UPSTREAMS;
+use crate::shared::crashes::CrashRefusal;
+use crate::shared::crashes::Runnable;
 
 /// Fraction of a route's latency target for which a request waits for capacity.
 const CAPACITY_WAIT_FRACTION: f64 = 0.12;
@@ -201,7 +204,8 @@
                 .latency_target
                 .mul_f64(CAPACITY_WAIT_FRACTION);
         loop {
-            match self.choose_and_admit() {
+            let runnable = self.check_crashes()?;
+            match self.choose_and_admit(runnable) {
                 Err(reason) if self.is_waiting_useless(reason, until) => {
                     self.log_no_path(reason);
                     return Err(Failure {
@@ -250,10 +254,20 @@
         backoffs.filter(|backoff| !backoff.is_zero()).min()
     }
 
+    /// Returns the permission to run the request, or a failure without an attempt if it crashes engines.
+    pub(super) fn check_crashes(&self) -> Result<Runnable, Failure> {
+        let refused = |refusal: CrashRefusal| Failure {
+            available_in: Some(refusal.retry_after),
+            ..Failure::no_path(CRASHES_UPSTREAMS)
+        };
+        let runnable = self.shared.check_crashes(self.inbound.fingerprint);
+        runnable.map_err(refused)
+    }
+
     /// Chooses a path and has its engines admit the request.
-    fn choose_and_admit(&self) -> Result<(Path, Admission), NoPath> {
+    fn choose_and_admit(&self, runnable: Runnable) -> Result<(Path, Admission), NoPath> {
         let path = self.choose()?;
-        let admission = self.shared.admit(path.keys().collect());
+        let admission = self.shared.admit(runnable, path.keys().collect());
         Ok((path, admission.ok_or(NoPath::Limited)?))
     }
 
@@ -286,6 +300,7 @@
         let had_possibly_reached = std::mem::replace(&mut self.may_have_reached, true);
         self.attempts += 1;
         let (first, _) = path.parts[0];
+        self.first_engine = self.shared.incarnation(first);
         let forwarded = ForwardedHead {
             time_left: self.inbound.remaining(),
             id: Some(&path.id),
@@ -357,6 +372,9 @@
         let head = D::decode_answer_head(exchange.response.headers());
         self.apply_announcements(path, &exchange.response, &head, sent);
         self.check_head(first, path, &exchange.response, &head)?;
+        if let Some(first) = &self.first_engine {
+            self.shared.record_answer(&first.instance, sent);
+        }
         let mut fleet = self.shared.fleet();
         for key in path.keys() {
             fleet.record_acceptance(key);
--- a/crates/kelpworks-relay/src/relay/stream/reroute.rs
+++ b/crates/kelpworks-relay/src/relay/stream/reroute.rs
@@ -77,6 +77,10 @@
         if faulty.is_empty() || running_path.reroutes >= MAX_REROUTES {
             return false;
         }
+        // A new path has engines that have not run the request yet.
+        if self.check_crashes().is_err() {
+            return false;
+        }
         let Some(ReplacementPath { parts, hops }) =
             self.replacement_path(&running_path.parts, faulty)
         else {
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -1,6 +1,7 @@
 //! State that the tasks of a relaying daemon share.
 
 pub(crate) mod announcements;
+pub(crate) mod crashes;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -13,6 +14,8 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use kelpworks_coord::crash_ledger;
+use kelpworks_coord::crash_ledger::CrashLedger;
 use log::info;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -21,7 +24,6 @@
 use crate::config::EngineProfile;
 use crate::config::RoutingTable;
 use crate::constraints::MessageKind;
-use crate::crashes::CrashTracker;
 use crate::fleet::AddressOwner;
 use crate::fleet::Fleet;
 use crate::fleet::RegistrationChanges;
@@ -41,6 +43,8 @@
 use crate::sync::lock;
 use crate::traffic_plan::Demand;
 use crate::traffic_plan::TrafficPlan;
+use crashes::CheckedUpstreams;
+use crashes::Runnable;
 
 /// Pause between two events of a stream on a lightly loaded fleet of the accelerators in use.
 const TYPICAL_PAUSE: Duration = Duration::from_millis(38);
@@ -58,6 +62,9 @@
 /// read within one second, and a stream after two seconds without an event.
 const MAX_STARTUP_WAIT: Duration = Duration::from_millis(900);
 
+/// Maximum time for which data is on its way from an upstream.
+const MAX_IN_FLIGHT: Duration = Duration::from_millis(30);
+
 /// State of one daemon. Its locks are held for a few lines and never across an await point.
 #[derive(Debug)]
 pub struct Shared {
@@ -67,9 +74,15 @@
     pub table: ArcSwap<RoutingTable>,
     fleet: Arc<Mutex<Fleet>>,
     retry_budget: Arc<Mutex<RetryBudget>>,
-    crashes: Mutex<CrashTracker>,
+    crashes: Mutex<CrashLedger>,
+    /// Signalled when this daemon has raised a finding about a crash.
+    crash_news: Notify,
+    /// Upstreams that are being checked after a break; at most `crashes::MAX_CHECKS`.
+    checked_upstreams: Mutex<CheckedUpstreams>,
     suspects: Mutex<Suspects>,
     reach: Mutex<Reach<UpstreamKey>>,
+    /// Time of the last data from any upstream, in milliseconds since the start.
+    last_contact_ms: AtomicU64,
     /// Signalled when a probe may be due earlier than before.
     reach_changed: Notify,
     /// Latest traffic plan of each service whose upstreams are engines.
@@ -105,9 +118,12 @@
                 daemons,
                 Instant::now(),
             ))),
-            crashes: Mutex::default(),
+            crashes: Mutex::new(CrashLedger::new(crash_ledger::Config::default())),
+            crash_news: Notify::new(),
+            checked_upstreams: Mutex::default(),
             suspects: Mutex::default(),
             reach: Mutex::default(),
+            last_contact_ms: AtomicU64::new(0),
             reach_changed: Notify::new(),
             traffic_plans: Mutex::default(),
             remote_demand: Mutex::default(),
@@ -164,7 +180,11 @@
 
     /// Admits a request that is sent to the first of these upstreams and reaches the others by it;
     /// `None` if one of them does not accept it now, or the first is gone.
-    pub(crate) fn admit(&self, upstreams: Vec<UpstreamKey>) -> Option<Admission> {
+    pub(crate) fn admit(
+        &self,
+        _runnable: Runnable,
+        upstreams: Vec<UpstreamKey>,
+    ) -> Option<Admission> {
         Admission::acquire(&self.fleet, upstreams, Instant::now())
     }
 
@@ -192,6 +212,7 @@
         let version = fleet.version();
         drop(fleet);
         self.notify_state_change();
+        self.record_ended(&changes.removed);
         let layers = changes.layers.iter().map(|(instance, range)| match range {
             Some(r) => format!("{instance}={}-{}", r.from, r.to),
             None => format!("{instance}=none"),
@@ -330,7 +351,16 @@
     /// Records data from an upstream of a service; `opened` is whether the connection that it arrived
     /// on was opened for it.
     pub(crate) fn record_contact(&self, service: &Arc<str>, opened: bool) {
-        self.reach().record_contact(service, opened, Instant::now());
+        let now = Instant::now();
+        self.reach().record_contact(service, opened, now);
+        let since_start = now.duration_since(self.started).as_millis() as u64;
+        self.last_contact_ms.store(since_start, Ordering::Relaxed);
+    }
+
+    /// Returns whether data of any upstream arrived that was not in flight at `at`.
+    fn has_contact_since(&self, at: Instant) -> bool {
+        let since_start = Duration::from_millis(self.last_contact_ms.load(Ordering::Relaxed));
+        self.started + since_start > at + MAX_IN_FLIGHT
     }
 
     /// Waits until a probe may be due earlier than before.
@@ -347,7 +377,6 @@
                 first_failure,
                 failed,
             }) => {
-                self.crashes().forget_since(first_failure);
                 self.close_connections(service);
                 info!(
                     target: "decision",
@@ -384,9 +413,4 @@
     pub fn suspects(&self) -> MutexGuard<'_, Suspects> {
         lock(&self.suspects)
     }
-
-    /// Locks the record of requests that crash upstreams.
-    pub fn crashes(&self) -> MutexGuard<'_, CrashTracker> {
-        lock(&self.crashes)
-    }
 }
--- /dev/null
+++ b/crates/kelpworks-relay/src/shared/crashes.rs
@@ -0,0 +1,351 @@
+//! Breaks of attempts, the evidence about them, and the requests that are refused because of them.
+//!
+//! An attempt that breaks off is entered in the ledger of crashes, whichever way the request came. Then
+//! evidence decides whether its upstream crashed: connections to its address are tried for as long as
+//! no restart can answer them, its answers to later requests count, and so does the removal of its
+//! incarnation from the registrations.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use kelpworks_coord::crash_ledger::Crash;
+use kelpworks_coord::crash_ledger::CrashLedger;
+use kelpworks_coord::crash_ledger::Finding;
+use kelpworks_coord::crash_ledger::Refusal;
+use kelpworks_coord::id::UpstreamId;
+use kelpworks_coord::poison::Fingerprint;
+use kelpworks_coord::time;
+use log::info;
+use tokio::time::Instant;
+
+use super::Shared;
+use crate::fleet::UpstreamKey;
+use crate::pool;
+use crate::sync::lock;
+
+/// Reason of refusals and failures of requests that crash upstreams.
+pub(crate) const CRASHES_UPSTREAMS: &str = "crashes upstreams";
+/// `Retry-After` for a request that crashes upstreams. A caller that repeats it gains nothing.
+const CRASHING_RETRY: Duration = Duration::from_secs(60);
+/// `Retry-After` while evidence may still show that the upstreams are alive.
+const UNSETTLED_RETRY: Duration = Duration::from_secs(2);
+/// Times after a break at which a connection to its upstream is tried. All are too soon for a
+/// restart.
+const CHECK_TIMES: [Duration; 4] = [
+    Duration::from_millis(50),
+    Duration::from_millis(300),
+    Duration::from_millis(800),
+    Duration::from_millis(1_600),
+];
+/// Maximum number of upstreams that are checked at the same time.
+const MAX_CHECKS: usize = 64;
+/// Maximum number of fingerprints in a log line.
+const MAX_LOGGED: usize = 8;
+
+/// Permission to run a request: it was not refused for crashes when this was given. What writes a
+/// request to an upstream, or hands it to another daemon, requires one for each attempt.
+#[derive(Clone, Copy, Debug)]
+#[must_use]
+pub(crate) struct Runnable(());
+
+/// Refusal of a request that crashes upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct CrashRefusal {
+    pub(crate) retry_after: Duration,
+}
+
+impl CrashRefusal {
+    fn new(refusal: Refusal) -> CrashRefusal {
+        let retry_after = match refusal.is_settled {
+            true => CRASHING_RETRY,
+            false => UNSETTLED_RETRY,
+        };
+        CrashRefusal { retry_after }
+    }
+}
+
+/// Incarnation of an upstream that an attempt is sent to. It stays known when the registration is gone.
+#[derive(Clone, Debug)]
+pub(crate) struct Incarnation {
+    pub(crate) key: UpstreamKey,
+    pub(crate) instance: Arc<str>,
+    pub(crate) address: SocketAddr,
+}
+
+/// How an attempt ended early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Break {
+    /// Its connection ended before the answer was complete.
+    Lost,
+    /// It was abandoned because no answer came. The upstream may be slow.
+    Silent,
+}
+
+/// The attempt that broke off.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BrokenAttempt<'a> {
+    /// `call` or `stream`.
+    pub(crate) kind: &'static str,
+    /// Id of the request.
+    pub(crate) request: &'a str,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) service: &'a Arc<str>,
+    pub(crate) incarnation: &'a Incarnation,
+    pub(crate) end: Break,
+}
+
+impl Shared {
+    /// Locks the ledger of crashes.
+    pub fn crashes(&self) -> MutexGuard<'_, CrashLedger> {
+        lock(&self.crashes)
+    }
+
+    /// Returns `at` as the ledger counts time.
+    pub(crate) fn ledger_time(&self, at: Instant) -> time::Instant {
+        time::Instant::from_millis(at.saturating_duration_since(self.started).as_millis() as u64)
+    }
+
+    /// Returns the permission to run a request, or its refusal.
+    pub(crate) fn check_crashes(
+        &self,
+        fingerprint: Fingerprint,
+    ) -> std::result::Result<Runnable, CrashRefusal> {
+        let now = self.ledger_time(Instant::now());
+        match self.crashes().refusal(fingerprint, now) {
+            Some(refusal) => Err(CrashRefusal::new(refusal)),
+            None => Ok(Runnable(())),
+        }
+    }
+
+    /// Returns the incarnation behind a key; `None` once it has been removed.
+    pub(crate) fn incarnation(&self, key: UpstreamKey) -> Option<Incarnation> {
+        let fleet = self.fleet();
+        let entry = &fleet.get(key)?.entry;
+        Some(Incarnation {
+            key,
+            instance: Arc::clone(&entry.instance),
+            address: entry.address,
+        })
+    }
+
+    /// Records an attempt that broke off, and has its upstream checked. Returns the number of
+    /// crashes that count against the request.
+    pub(crate) fn record_break(self: &Arc<Shared>, broken: BrokenAttempt<'_>) -> usize {
+        let BrokenAttempt {
+            kind,
+            request,
+            fingerprint,
+            service,
+            incarnation,
+            end,
+        } = broken;
+        let now = Instant::now();
+        let is_doubtful = end == Break::Silent || self.reach().is_doubtful(service, now);
+        let finding = match (self.fleet().get(incarnation.key), is_doubtful) {
+            (None, _) => Finding::Ended,
+            (Some(_), true) => Finding::Doubtful,
+            (Some(_), false) => Finding::Broken,
+        };
+        let upstream = UpstreamId::of(&incarnation.instance);
+        let crashes = {
+            let mut ledger = self.crashes();
+            ledger.record(fingerprint, upstream, finding, self.ledger_time(now));
+            ledger.count(fingerprint)
+        };
+        let labels = [("kind", kind), ("finding", finding.as_str())];
+        metrics::counter!("kelpworks_broken_attempts_total", &labels).increment(1);
+        info!(
+            target: "decision",
+            request:% = request,
+            fingerprint:% = fingerprint,
+            upstream:% = incarnation.instance,
+            kind:% = kind,
+            finding:% = finding.as_str(),
+            crashes;
+            "attempt broke off at an upstream"
+        );
+        self.crash_news.notify_one();
+        self.spawn_check(incarnation.clone(), now);
+        crashes
+    }
+
+    /// Records that an upstream answered a request that was sent at `sent`.
+    pub(crate) fn record_answer(&self, instance: &str, sent: Instant) {
+        let mut ledger = self.crashes();
+        if ledger.is_empty() {
+            return;
+        }
+        let now = self.ledger_time(Instant::now());
+        let sent = self.ledger_time(sent);
+        let changed = ledger.record_alive(UpstreamId::of(instance), sent, now);
+        drop(ledger);
+        self.on_findings(&changed, Finding::Alive, instance, "an answer");
+    }
+
+    /// Records that incarnations are gone.
+    pub(crate) fn record_ended(&self, instances: &[Arc<str>]) {
+        for instance in instances {
+            let mut ledger = self.crashes();
+            if ledger.is_empty() {
+                return;
+            }
+            let now = self.ledger_time(Instant::now());
+            let changed = ledger.record_ended(UpstreamId::of(instance), now);
+            drop(ledger);
+            self.on_findings(&changed, Finding::Ended, instance, "the registrations");
+        }
+    }
+
+    /// Drops facts past their retention. Breaks whose upstreams are still registered long after them are
+    /// decided, if `are_registrations_recent`: while the store is away it removes no upstream.
+    pub(crate) fn review_crashes(&self, are_registrations_recent: bool) {
+        let mut ledger = self.crashes();
+        if ledger.is_empty() {
+            return;
+        }
+        let now = self.ledger_time(Instant::now());
+        ledger.expire(now);
+        let undecided = ledger.undecided(now);
+        drop(ledger);
+        if undecided.is_empty() || !are_registrations_recent {
+            return;
+        }
+        for instance in self.registered_among(&undecided) {
+            let upstream = UpstreamId::of(&instance);
+            let changed = self.crashes().record_registered(upstream, now);
+            self.on_findings(&changed, Finding::Alive, &instance, "still registered");
+        }
+    }
+
+    fn registered_among(&self, upstreams: &[UpstreamId]) -> Vec<Arc<str>> {
+        let fleet = self.fleet();
+        let instances = fleet.iter().map(|(_, u)| &u.entry.instance);
+        let registered = instances.filter(|i| upstreams.contains(&UpstreamId::of(i)));
+        registered.cloned().collect()
+    }
+
+    /// Clears a request that completed.
+    pub(crate) fn clear_crashes(&self, request: &str, fingerprint: Fingerprint) {
+        let mut ledger = self.crashes();
+        if ledger.is_empty() {
+            return;
+        }
+        let now = self.ledger_time(Instant::now());
+        let is_cleared = ledger.clear(fingerprint, now);
+        drop(ledger);
+        if is_cleared {
+            info!(
+                target: "decision",
+                request:% = request,
+                fingerprint:% = fingerprint;
+                "request cleared of crashes"
+            );
+            self.count_findings(Finding::Cleared, 1);
+            self.crash_news.notify_one();
+        }
+    }
+
+    /// Applies facts that a peer reported; returns those that were new.
+    pub(crate) fn learn_crashes(&self, crashes: Vec<Crash>, peer: &str) -> Vec<Crash> {
+        if crashes.is_empty() {
+            return crashes;
+        }
+        let now = self.ledger_time(Instant::now());
+        let raised = self.crashes().merge_all(crashes, now);
+        if !raised.is_empty() {
+            let facts = raised.iter().take(MAX_LOGGED).map(|c| {
+                let age_ms = c.age.as_millis();
+                format!("{}:{}:{age_ms}ms", c.fingerprint, c.finding.as_str())
+            });
+            info!(
+                target: "decision",
+                count = raised.len(),
+                facts:% = facts.collect::<Vec<String>>().join(","),
+                peer:% = peer;
+                "crashes reported by a peer"
+            );
+        }
+        raised
+    }
+
+    /// Waits until this daemon has raised a finding.
+    pub(crate) async fn crash_news(&self) {
+        self.crash_news.notified().await;
+    }
+
+    fn on_findings(
+        &self,
+        changed: &[Fingerprint],
+        finding: Finding,
+        instance: &str,
+        evidence: &'static str,
+    ) {
+        if changed.is_empty() {
+            return;
+        }
+        let fingerprints = changed.iter().take(MAX_LOGGED).map(Fingerprint::to_string);
+        info!(
+            target: "decision",
+            upstream:% = instance,
+            finding:% = finding.as_str(),
+            evidence:% = evidence,
+            requests = changed.len(),
+            fingerprints:% = fingerprints.collect::<Vec<String>>().join(",");
+            "crash decided"
+        );
+        self.count_findings(finding, changed.len());
+        self.crash_news.notify_one();
+    }
+
+    fn count_findings(&self, finding: Finding, count: usize) {
+        let labels = [("finding", finding.as_str())];
+        metrics::counter!("kelpworks_crash_findings_total", &labels).increment(count as u64);
+    }
+
+    /// Has the upstream of a break checked, unless it is being checked.
+    fn spawn_check(self: &Arc<Shared>, incarnation: Incarnation, broken_at: Instant) {
+        {
+            let mut checked = lock(&self.checked_upstreams);
+            let is_full = checked.len() >= MAX_CHECKS;
+            if is_full || !checked.insert(incarnation.key) {
+                return;
+            }
+        }
+        let shared = Arc::clone(self);
+        tokio::spawn(async move {
+            shared.check(&incarnation, broken_at).await;
+            lock(&shared.checked_upstreams).remove(&incarnation.key);
+        });
+    }
+
+    /// Tries connections to an upstream after a break. One that opens shows that the upstream is alive.
+    /// One that does not, while this daemon reaches other upstreams, shows that the break is not due to
+    /// its own links.
+    async fn check(&self, incarnation: &Incarnation, broken_at: Instant) {
+        let upstream = UpstreamId::of(&incarnation.instance);
+        for at in CHECK_TIMES {
+            tokio::time::sleep_until(broken_at + at).await;
+            if self.fleet().get(incarnation.key).is_none() {
+                return;
+            }
+            let sent = Instant::now();
+            if pool::holds_connection(incarnation.address).await {
+                self.record_answer(&incarnation.instance, sent);
+                return;
+            }
+            if !self.has_contact_since(broken_at) {
+                continue;
+            }
+            let now = self.ledger_time(Instant::now());
+            let changed = self.crashes().record_silent(upstream, now);
+            let evidence = "no connection, while others are reached";
+            self.on_findings(&changed, Finding::Broken, &incarnation.instance, evidence);
+        }
+    }
+}
+
+/// Upstreams that are being checked after a break.
+pub(super) type CheckedUpstreams = HashSet<UpstreamKey>;
--- a/crates/kelpworks-relay/tests/bounds.rs
+++ b/crates/kelpworks-relay/tests/bounds.rs
@@ -1,4 +1,4 @@
-//! The retry limit, refusal of requests that crash upstreams, and validation of settings.
+//! The retry limit and validation of settings.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -7,9 +7,6 @@
 use rstest::rstest;
 use tokio::time::Instant;
 
-use kelpworks_relay::crashes::CrashTracker;
-use kelpworks_relay::crashes::Fingerprint;
-use kelpworks_relay::crashes::MIN_CRASHES_TO_REFUSE;
 use kelpworks_relay::permit::Retry;
 use kelpworks_relay::retry_budget::RetryBudget;
 use kelpworks_relay::retry_budget::RetryLimit;
@@ -80,36 +77,6 @@
     );
 }
 
-#[tokio::test(start_paused = true)]
-async fn crashing_request_is_refused_locally_and_by_peers_that_learn_of_it() {
-    let now = Instant::now();
-    let request = Fingerprint(7);
-    let mut here = CrashTracker::default();
-    let mut there = CrashTracker::default();
-    for _ in 1..MIN_CRASHES_TO_REFUSE {
-        here.record_crash(request, now);
-        assert!(!here.is_refused(request, now));
-    }
-    here.record_crash(request, now);
-    assert!(here.is_refused(request, now));
-    for (fingerprint, crashes) in here.top_counts(8) {
-        there.learn(fingerprint, crashes, now);
-    }
-    assert!(there.is_refused(request, now));
-    assert!(!there.is_refused(Fingerprint(8), now));
-}
-
-#[tokio::test(start_paused = true)]
-async fn completed_request_clears_its_crash_count() {
-    let now = Instant::now();
-    let mut crashes = CrashTracker::default();
-    crashes.record_crash(Fingerprint(7), now);
-    crashes.clear(Fingerprint(7));
-    crashes.record_crash(Fingerprint(7), now);
-    crashes.record_crash(Fingerprint(7), now);
-    assert!(!crashes.is_refused(Fingerprint(7), now));
-}
-
 const SETTINGS: &str = r#"
 name = "entry-1"
 failure_domain = "hall-a"
