Suspects that share their crashes run in turns; breaks are checked from other daemons

What callers saw, in tests of this change: a harmless call that ran beside a poisonous one on all three upstreams was refused for good, as the two met again at each return of an upstream until both had five crashes (call 11 of 100 not served in 15 s). A crash that only a daemon in doubt of its links had seen was lost with that daemon, and the next one let the request through. A daemon whose links were cut reported breaks at sound upstreams, so a request with one crash was refused for ten seconds. Change: requests that would be refused but share all crashes run in time slots that all daemons derive from the same facts, so the next crash belongs to one of them. Breaks in doubt are reported; only abandoned attempts are not, until their upstream is gone. About three daemons check an upstream over their own links after a report.

--- a/crates/kelpworks-cli/tests/relay_crashes.rs
+++ b/crates/kelpworks-cli/tests/relay_crashes.rs
@@ -12,6 +12,9 @@
 use relay_site::Site;
 use relay_site::WAIT_TIMEOUT;
 use relay_site::crashing::CrashingApps;
+use relay_site::crashing::LONG;
+use relay_site::crashing::RESTART_DELAY;
+use relay_site::cut::LinksOf;
 use relay_site::daemon::Relay;
 
 const DAEMONS: usize = 4;
@@ -36,20 +39,21 @@
 impl Way {
     fn request(self, daemon: &Relay, name: &str, id: &str) -> RequestBuilder {
         match self {
-            Way::Call => daemon.request(Method::GET, &format!("/often/{name}"), id),
-            Way::CallThatRunsOnce => daemon.request(Method::POST, &format!("/once/{name}"), id),
+            Way::Call => daemon.request(Method::GET, &format!("/fragile/{name}"), id),
+            Way::CallThatRunsOnce => {
+                daemon.request(Method::POST, &format!("/fragile-once/{name}"), id)
+            }
             Way::Stream => {
-                let req = daemon.request(Method::POST, &format!("/events/{name}"), id);
+                let req = daemon.request(Method::POST, &format!("/fragile-events/{name}"), id);
                 req.header("x-kelpworks-token-count", "10,1")
             }
         }
     }
 }
 
-/// Starts a site whose plain service has upstreams that some requests end.
+/// Starts a site with a service whose upstreams end under some requests.
 async fn start(name: &str) -> (Site, CrashingApps) {
     let site = Site::start_with_handover(name, DAEMONS, Default::default()).await;
-    site.store.delete("servers", "s-0");
     let apps = CrashingApps::start(&site.store, UPSTREAMS).await;
     wait_until_served(&site, "warm-up").await;
     (site, apps)
@@ -60,7 +64,7 @@
     let until = Instant::now() + WAIT_TIMEOUT;
     for daemon in &site.daemons {
         loop {
-            let req = daemon.request(Method::GET, &format!("/often/{id}"), id);
+            let req = daemon.request(Method::GET, &format!("/fragile/{id}"), id);
             let answer = daemon.send(req).await;
             if answer.is_ok_and(|a| a.status == 200) {
                 break;
@@ -110,3 +114,104 @@
     assert_eq!(late, 0, "{ends:#?}");
     wait_until_served(&site, "afterwards").await;
 }
+
+/// Repeats a request at one daemon until three upstreams have ended under it, and then for a time that
+/// leaves room for their successors. Returns how many ended more than the bound after the third.
+async fn late_ends_at(site: &Site, apps: &CrashingApps, daemon: usize, way: Way) -> usize {
+    let daemon = &site.daemons[daemon];
+    let until = Instant::now() + WAIT_TIMEOUT;
+    let mut third = None;
+    for i in 0.. {
+        let _ = daemon
+            .send(way.request(daemon, "poison", &format!("p-{i}")))
+            .await;
+        tokio::time::sleep(CALLER_PAUSE).await;
+        third = third.or(apps.ends().get(MIN_CRASHES_TO_REFUSE - 1).map(|e| e.at));
+        let end = third.map(|at| at + SPREAD_BOUND + REPEAT_PERIOD);
+        if end.is_some_and(|end| Instant::now() > end) {
+            break;
+        }
+        assert!(Instant::now() < until, "fewer than three ended");
+    }
+    let bound = third.expect("three ended") + SPREAD_BOUND;
+    apps.ends().iter().filter(|e| e.at > bound).count()
+}
+
+/// Guards against crashes that the daemon to which a request was handed over does not record, and against
+/// requests that are handed over although they are refused.
+#[rstest]
+#[case::call(Way::Call)]
+#[case::stream(Way::Stream)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_that_is_handed_over_reaches_no_further_upstream(#[case] way: Way) {
+    let mut site = Site::start_with_links(&format!("crashes-by-peer-{way:?}"), DAEMONS).await;
+    let apps = CrashingApps::start_behind(&mut site.links, &site.store, UPSTREAMS).await;
+    wait_until_served(&site, "warm-up").await;
+    site.set_links(0, LinksOf::Reset);
+    assert_eq!(
+        late_ends_at(&site, &apps, 0, way).await,
+        0,
+        "{:#?}",
+        apps.ends()
+    );
+}
+
+/// Guards against a daemon that starts after the crashes and sends the request on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn daemon_that_starts_after_the_crashes_sends_the_request_nowhere() {
+    let (mut site, apps) = start("crashes-restart").await;
+    let is_below = || apps.ends().len() < MIN_CRASHES_TO_REFUSE;
+    repeat(&site, Way::Call, "poison", is_below).await;
+    site.daemons[1].kill();
+    tokio::time::sleep(RESTART_DELAY + CALLER_PAUSE).await;
+    site.daemons[1].restart();
+    wait_until_served(&site, "afterwards").await;
+    let before = apps.ends().len();
+    let daemon = &site.daemons[1];
+    for i in 0..10 {
+        let answer = daemon
+            .send(Way::Call.request(daemon, "poison", &format!("p-{i}")))
+            .await;
+        assert_eq!(answer.expect("an answer").status, 503);
+    }
+    assert_eq!(apps.ends().len(), before);
+}
+
+/// Number of harmless requests beside a poisonous one.
+const INNOCENTS: usize = 100;
+
+/// Guards against harmless requests that are refused because they ran on upstreams that a poisonous
+/// one ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn harmless_requests_beside_a_poisonous_one_are_served() {
+    let (site, apps) = start("crashes-innocents").await;
+    let calls = (0..INNOCENTS).map(|i| {
+        let daemon = &site.daemons[i % DAEMONS];
+        async move {
+            let until = Instant::now() + WAIT_TIMEOUT;
+            for attempt in 0.. {
+                let name = format!("innocent-{i}-{LONG}");
+                let req = Way::Call.request(daemon, &name, &format!("i-{i}-{attempt}"));
+                if daemon.send(req).await.is_ok_and(|a| a.status == 200) {
+                    return;
+                }
+                assert!(Instant::now() < until, "request {i} is not served");
+                tokio::time::sleep(CALLER_PAUSE).await;
+            }
+        }
+    });
+    let poison = async {
+        tokio::time::sleep(CALLER_PAUSE / 2).await;
+        let until = Instant::now() + SPREAD_BOUND + REPEAT_PERIOD;
+        repeat(&site, Way::Call, "poison", || Instant::now() < until).await;
+    };
+    tokio::join!(futures_util::future::join_all(calls), poison);
+    let refused = site.daemons.iter().map(|d| d.log());
+    let refused = refused.flat_map(|log| {
+        let lines = log.lines().filter(|l| l.contains("crashes upstreams"));
+        lines.map(str::to_owned).collect::<Vec<String>>()
+    });
+    let innocents = refused.filter(|l| l.contains("\"request\":\"i-"));
+    assert_eq!(innocents.collect::<Vec<String>>(), Vec::<String>::new());
+    assert!(apps.ends().len() <= UPSTREAMS + 1, "{:#?}", apps.ends());
+}
--- a/crates/kelpworks-cli/tests/relay_site/crashing.rs
+++ b/crates/kelpworks-cli/tests/relay_site/crashing.rs
@@ -1,4 +1,4 @@
-//! Upstreams of the plain service that end when they run a chosen request, and start again.
+//! Upstreams of a plain service of their own that end when they run a chosen request, and start again.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,13 +19,13 @@
 use salvo::Router;
 use salvo::Server;
 use salvo::async_trait;
-use salvo::conn::Acceptor;
 use salvo::conn::TcpListener;
 use salvo::http::ResBody;
 use salvo::http::StatusCode;
 use serde_json::json;
 use tokio::sync::Notify;
 
+use super::cut::Links;
 use super::store::Store;
 
 /// Part of the path of a request that ends each upstream that begins to run it.
@@ -60,20 +60,52 @@
     is_over: AtomicBool,
 }
 
-/// Upstreams of the service `app`; they stop when this is dropped.
+/// Upstreams of the service `fragile`; they do not start again once this is dropped.
 #[derive(Debug)]
 pub(crate) struct CrashingApps {
     record: Arc<Record>,
 }
 
+/// Where an upstream listens, and where others reach it.
+#[derive(Clone, Copy, Debug)]
+struct Addresses {
+    own: SocketAddr,
+    registered: SocketAddr,
+}
+
 impl CrashingApps {
     /// Starts upstreams and registers them.
     pub(crate) async fn start(store: &Store, count: usize) -> CrashingApps {
+        let addresses = (0..count).map(|_| {
+            let own = super::free_address();
+            Addresses {
+                own,
+                registered: own,
+            }
+        });
+        CrashingApps::start_at(store, addresses.collect())
+    }
+
+    /// Like [`CrashingApps::start`], with links in front of the upstreams.
+    pub(crate) async fn start_behind(
+        links: &mut Links,
+        store: &Store,
+        count: usize,
+    ) -> CrashingApps {
+        let mut addresses = Vec::new();
+        for _ in 0..count {
+            let own = super::free_address();
+            let registered = links.spawn(own).await;
+            addresses.push(Addresses { own, registered });
+        }
+        CrashingApps::start_at(store, addresses)
+    }
+
+    fn start_at(store: &Store, addresses: Vec<Addresses>) -> CrashingApps {
         let record: Arc<Record> = Arc::default();
-        for number in 0..count {
-            let address = super::free_address();
+        for (number, addresses) in addresses.into_iter().enumerate() {
             let (store, record) = (store.clone(), Arc::clone(&record));
-            tokio::spawn(run(store, record, number, address));
+            tokio::spawn(run(store, record, number, addresses));
         }
         CrashingApps { record }
     }
@@ -91,12 +123,10 @@
 }
 
 /// Runs one incarnation of an upstream after the other at an address.
-async fn run(store: Store, record: Arc<Record>, number: usize, address: SocketAddr) {
+async fn run(store: Store, record: Arc<Record>, number: usize, addresses: Addresses) {
     for incarnation in 0.. {
-        let instance = format!("app-{number}-{incarnation}");
-        let acceptor = TcpListener::new(address).bind().await;
-        let address = acceptor.holdings()[0].local_addr.clone();
-        let address = address.into_std().expect("a TCP address");
+        let instance = format!("fragile-{number}-{incarnation}");
+        let acceptor = TcpListener::new(addresses.own).bind().await;
         let server = Server::new(acceptor);
         let handle = server.handle();
         let ended = Arc::new(Notify::new());
@@ -107,9 +137,9 @@
         };
         let serving = tokio::spawn(server.serve(Router::with_path("{**rest}").goal(handler)));
         if incarnation > 0 {
-            store.delete("servers", &format!("app-{number}-{}", incarnation - 1));
+            store.delete("servers", &format!("fragile-{number}-{}", incarnation - 1));
         }
-        store.put("servers", &instance, entry(address));
+        store.put("servers", &instance, entry(addresses.registered));
         ended.notified().await;
         handle.stop_forceful();
         let _ = serving.await;
@@ -122,7 +152,7 @@
 
 fn entry(address: SocketAddr) -> serde_json::Value {
     json!({
-        "service": "app", "address": address.to_string(), "zone": "hall-a",
+        "service": "fragile", "address": address.to_string(), "zone": "hall-a",
         "version": "v1", "slots": 64, "state": "ready", "cold-left-ms": 0, "seq": 1
     })
 }
@@ -177,7 +207,7 @@
             tokio::time::sleep(LONG_WORK).await;
         }
         let _ = res.add_header(STAMP_HEADER, "stamp", true);
-        if path.starts_with("/events/") {
+        if path.starts_with("/fragile-events/") {
             let _ = res.add_header("content-type", "text/event-stream", true);
             let event = Bytes::from_static(b"id: 1\ndata: word\n\n");
             res.stream(stream::iter([Ok::<_, std::io::Error>(event)]));
--- a/crates/kelpworks-cli/tests/relay_site/mod.rs
+++ b/crates/kelpworks-cli/tests/relay_site/mod.rs
@@ -72,7 +72,9 @@
             route("streams", "/stream/", "streaming", "llm"),
             route("once", "/once/", "non_idempotent", "app"),
             route("often", "/often/", "idempotent", "app"),
-            route("events", "/events/", "streaming", "app"),
+            route("fragile", "/fragile/", "idempotent", "fragile"),
+            route("fragile-once", "/fragile-once/", "non_idempotent", "fragile"),
+            route("fragile-events", "/fragile-events/", "streaming", "fragile"),
         ],
         "services": [
             {
@@ -86,7 +88,8 @@
                     "kinds": [{"name": "big", "size-mb": 800.0, "pace": 1.0, "read-factor": 1.0}]
                 }
             },
-            {"name": "app", "health-path": "/healthz", "max-conns": 100}
+            {"name": "app", "health-path": "/healthz", "max-conns": 100},
+            {"name": "fragile", "health-path": "/healthz", "max-conns": 100}
         ],
         "limits": {
             "max-header-bytes": 8192, "max-body-bytes": 65536,
--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -8,7 +8,9 @@
 //!
 //! A request is refused once [`Config::min_crashes`] different incarnations ended under it, unless
 //! another request accounts for all of these crashes: requests that ran beside a poisonous one share its
-//! crashes, and are told from it by the first crash that they don't share.
+//! crashes. Such suspects run in turns, each in a time slot of its own, until one of them completes or
+//! has a crash that it doesn't share. Daemons that know the same facts agree on the slots, which
+//! count from the last of the crashes.
 //!
 //! ```
 //! use kelpworks_coord::crash_ledger::*;
@@ -23,7 +25,7 @@
 //!     assert_eq!(ledger.refusal(poison, now), None);
 //!     ledger.record(poison, UpstreamId(upstream), Finding::Broken, now);
 //! }
-//! assert_eq!(ledger.refusal(poison, now), Some(Refusal { is_settled: false }));
+//! assert_eq!(ledger.refusal(poison, now), Some(Refusal::Unsettled));
 //!
 //! // One of the upstreams answers a later request at once, so it had not crashed.
 //! let later = Instant::from_millis(100);
@@ -32,7 +34,7 @@
 //! ```
 //!
 //! Limits: a request that ends an upstream at some runs only is cleared by the runs that complete. Two
-//! requests that always run together account for each other's crashes until one of them is alone or has
+//! requests of which one runs for longer than a slot may go on sharing crashes; both are refused at
 //! [`Config::max_shared_crashes`].
 
 use std::collections::HashMap;
@@ -53,6 +55,9 @@
     pub min_crashes: usize,
     /// Crashes after which a request is refused even if another one accounts for all of them. Default 5.
     pub max_shared_crashes: usize,
+    /// Time slot in which one of several suspects may run. It begins to run in the first half. Default
+    /// 300 ms.
+    pub turn: Span,
     /// How long a request is refused after the crash that made it refused; each further crash
     /// doubles it. Default 2 min.
     pub refusal: Span,
@@ -73,6 +78,7 @@
         Config {
             min_crashes: 3,
             max_shared_crashes: 5,
+            turn: Span::from_millis(300),
             refusal: Span::from_secs(120),
             retention: Span::from_secs(3_600),
             min_restart: Span::from_secs(2),
@@ -87,6 +93,8 @@
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Finding {
+    /// An attempt was abandoned without an answer. Does not count, and is not reported.
+    Silent,
     /// An attempt broke off, perhaps because the daemon lost its own links. Does not count.
     Doubtful,
     /// An attempt broke off while the daemon reached other upstreams. Counts.
@@ -101,7 +109,8 @@
 
 impl Finding {
     /// All findings, in their order.
-    pub const ALL: [Finding; 5] = [
+    pub const ALL: [Finding; 6] = [
+        Finding::Silent,
         Finding::Doubtful,
         Finding::Broken,
         Finding::Alive,
@@ -117,6 +126,7 @@
     /// Returns the name for logs and metric labels.
     pub fn as_str(self) -> &'static str {
         match self {
+            Finding::Silent => "silent",
             Finding::Doubtful => "doubtful",
             Finding::Broken => "broken",
             Finding::Alive => "alive",
@@ -140,12 +150,15 @@
     pub age: Span,
 }
 
-/// Why a request is refused.
+/// Why a request may not run now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Refusal {
-    /// Whether the upstreams are known to have ended. Otherwise evidence of the next seconds may show
-    /// that some are alive.
-    pub is_settled: bool,
+pub enum Refusal {
+    /// It crashes upstreams, which are known to have ended.
+    Settled,
+    /// It probably crashes upstreams; evidence of the next seconds may show that some are alive.
+    Unsettled,
+    /// It is one of several suspects, and its turn begins after this time.
+    WaitsForTurn(Span),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -192,6 +205,11 @@
     requests: HashMap<UpstreamId, Vec<Fingerprint>>,
     /// Derived from `records`.
     refused: HashMap<Fingerprint, RefusalPeriod>,
+    /// Requests that would be refused if no others accounted for their crashes, in order. Derived
+    /// from `records`.
+    suspects: Vec<Fingerprint>,
+    /// Last crash of any suspect, from which their turns count.
+    turns_from: Instant,
     /// Facts whose findings this daemon has raised since [`CrashLedger::take_news`].
     news: Vec<Key>,
     /// Position in the order of keys from which [`CrashLedger::report`] continues.
@@ -207,6 +225,8 @@
             upstreams: HashMap::new(),
             requests: HashMap::new(),
             refused: HashMap::new(),
+            suspects: Vec::new(),
+            turns_from: Instant::ZERO,
             news: Vec::new(),
             cursor: None,
         }
@@ -222,12 +242,30 @@
         self.records.len()
     }
 
-    /// Returns why a request is refused now; `None` if it may run.
+    /// Returns why a request may not run now; `None` if it may.
     pub fn refusal(&self, fingerprint: Fingerprint, now: Instant) -> Option<Refusal> {
-        let period = self.refused.get(&fingerprint)?;
-        (now < period.until).then_some(Refusal {
-            is_settled: period.is_settled,
-        })
+        if let Some(period) = self.refused.get(&fingerprint).filter(|p| now < p.until) {
+            return Some(match period.is_settled {
+                true => Refusal::Settled,
+                false => Refusal::Unsettled,
+            });
+        }
+        let rank = self.suspects.binary_search(&fingerprint).ok()?;
+        let wait = self.time_to_turn(rank, now);
+        (wait > Span::ZERO).then_some(Refusal::WaitsForTurn(wait))
+    }
+
+    /// Returns the time until the suspect of this rank may begin to run; zero in its turn.
+    fn time_to_turn(&self, rank: usize, now: Instant) -> Span {
+        let turn = self.cfg.turn.as_millis().max(1);
+        let round = turn * self.suspects.len() as u64;
+        let begin = turn * rank as u64;
+        let in_round = now.since(self.turns_from).as_millis() % round;
+        match in_round {
+            at if at < begin => Span::from_millis(begin - at),
+            at if at < begin + turn / 2 => Span::ZERO,
+            at => Span::from_millis(begin + round - at),
+        }
     }
 
     /// Returns the number of requests that are refused now.
@@ -475,15 +513,14 @@
     }
 
     /// Returns at most `max` of the facts that this daemon has raised since the last call, those first
-    /// that refuse a request, and forgets the others: they go with [`CrashLedger::report`]. Doubtful
-    /// ones are left out.
+    /// that refuse a request, and forgets the others: they go with [`CrashLedger::report`].
     pub fn take_news(&mut self, max: usize, now: Instant) -> Vec<Crash> {
         let mut news = std::mem::take(&mut self.news);
         news.sort_unstable();
         news.dedup();
         news.sort_by_key(|key| !self.refused.contains_key(&key.fingerprint));
         let news = news.into_iter().filter_map(|key| self.crash(key, now));
-        let news = news.filter(|crash| crash.finding != Finding::Doubtful);
+        let news = news.filter(|crash| crash.finding != Finding::Silent);
         news.take(max).collect()
     }
 
@@ -494,21 +531,20 @@
         if self.records.is_empty() {
             return Vec::new();
         }
-        let is_recent =
-            |r: &Record| r.finding != Finding::Doubtful && now.since(r.learned) < recent;
+        let is_recent = |r: &Record| r.finding != Finding::Silent && now.since(r.learned) < recent;
         let changed = self.records.iter().filter(|(_, r)| is_recent(r));
         let mut changed: Vec<(Instant, Key)> = changed.map(|(&key, r)| (r.learned, key)).collect();
         changed.sort_unstable_by(|a, b| b.cmp(a));
         changed.truncate(max.div_ceil(2));
         let mut keys: Vec<Key> = changed.into_iter().map(|(_, key)| key).collect();
-        keys.extend(self.next_in_turn(max - keys.len(), &keys, now));
+        keys.extend(self.next_refusing(max - keys.len(), &keys, now));
         keys.into_iter()
             .filter_map(|key| self.crash(key, now))
             .collect()
     }
 
     /// Returns up to `max` crashes of refused requests after those of the last call, without `excluded`.
-    fn next_in_turn(&mut self, max: usize, excluded: &[Key], now: Instant) -> Vec<Key> {
+    fn next_refusing(&mut self, max: usize, excluded: &[Key], now: Instant) -> Vec<Key> {
         let refused = self.refused.iter().filter(|(_, p)| now < p.until);
         let crashes = refused.flat_map(|(&fingerprint, _)| {
             let upstreams = self.counted(fingerprint).map(|(upstream, _)| upstream);
@@ -612,24 +648,31 @@
     /// Derives which requests are refused.
     fn refresh(&mut self, now: Instant) {
         self.refused.clear();
+        self.suspects.clear();
         let candidates = self.upstreams.iter();
         let candidates = candidates.filter(|(_, u)| u.len() >= self.cfg.min_crashes);
         let candidates: Vec<Fingerprint> = candidates.map(|(&f, _)| f).collect();
         for fingerprint in candidates {
-            if let Some(period) = self.period(fingerprint).filter(|p| now < p.until) {
+            let crashes: Vec<(UpstreamId, Record)> = self.counted(fingerprint).collect();
+            let Some(period) = self.period(&crashes).filter(|p| now < p.until) else {
+                continue;
+            };
+            let may_be_innocent = crashes.len() < self.cfg.max_shared_crashes;
+            if may_be_innocent && self.is_shared(fingerprint, &crashes) {
+                self.suspects.push(fingerprint);
+            } else {
                 self.refused.insert(fingerprint, period);
             }
         }
+        self.suspects.sort_unstable();
+        let crashes = self.suspects.iter().flat_map(|&f| self.counted(f));
+        let last = crashes.map(|(_, r)| r.at).max();
+        self.turns_from = last.unwrap_or(Instant::ZERO);
     }
 
-    /// Returns how long a request is refused; `None` if it may run.
-    fn period(&self, fingerprint: Fingerprint) -> Option<RefusalPeriod> {
-        let crashes: Vec<(UpstreamId, Record)> = self.counted(fingerprint).collect();
+    /// Returns how long a request with these crashes is refused; `None` if they are too few.
+    fn period(&self, crashes: &[(UpstreamId, Record)]) -> Option<RefusalPeriod> {
         let further = crashes.len().checked_sub(self.cfg.min_crashes)?;
-        let may_be_innocent = crashes.len() < self.cfg.max_shared_crashes;
-        if may_be_innocent && self.is_shared(fingerprint, &crashes) {
-            return None;
-        }
         let last = crashes.iter().map(|(_, r)| r.at).max()?;
         let factor = 1u64.checked_shl(further as u32).unwrap_or(u64::MAX);
         let length = self.cfg.refusal.times(factor).min(self.cfg.retention);
--- a/crates/kelpworks-coord/tests/crash_ledger.rs
+++ b/crates/kelpworks-coord/tests/crash_ledger.rs
@@ -7,6 +7,7 @@
 use kelpworks_coord::crash_ledger::Crash;
 use kelpworks_coord::crash_ledger::CrashLedger;
 use kelpworks_coord::crash_ledger::Finding;
+use kelpworks_coord::crash_ledger::Refusal;
 use kelpworks_coord::id::UpstreamId;
 use kelpworks_coord::poison::Fingerprint;
 use kelpworks_coord::time::Instant;
@@ -33,6 +34,11 @@
     ledger
 }
 
+fn is_refused(ledger: &CrashLedger, fingerprint: Fingerprint, now: Instant) -> bool {
+    let refusal = ledger.refusal(fingerprint, now);
+    matches!(refusal, Some(Refusal::Settled | Refusal::Unsettled))
+}
+
 /// Guards against innocent requests that are refused because they ran beside a poisonous one, and against
 /// a poisonous one that hides behind them.
 #[rstest]
@@ -49,7 +55,7 @@
 ) {
     let ledger = ledger_of(breaks);
     for (fingerprint, _) in breaks {
-        let is_refused = ledger.refusal(Fingerprint(*fingerprint), NOW).is_some();
+        let is_refused = is_refused(&ledger, Fingerprint(*fingerprint), NOW);
         assert_eq!(is_refused, refused.contains(fingerprint), "{fingerprint}");
     }
 }
@@ -130,12 +136,39 @@
     assert_eq!(peer.refused_count(later), 30);
 }
 
-#[test]
-fn doubtful_facts_are_not_reported() {
+/// Guards against doubtful facts that are lost with the only daemon that knows them, and against a report of
+/// each attempt at a slow upstream.
+#[rstest]
+#[case::silent(Finding::Silent, 0)]
+#[case::doubtful(Finding::Doubtful, 1)]
+#[case::cleared(Finding::Cleared, 1)]
+fn facts_are_reported_unless_silent(#[case] finding: Finding, #[case] expected: usize) {
     let mut ledger = ledger();
-    ledger.record(POISON, UpstreamId(1), Finding::Doubtful, NOW);
-    assert!(ledger.take_news(8, NOW).is_empty());
-    assert!(ledger.report(8, Span::from_secs(3), NOW).is_empty());
+    ledger.record(POISON, UpstreamId(1), finding, NOW);
+    assert_eq!(ledger.report(8, Span::from_secs(3), NOW).len(), expected);
+    assert_eq!(ledger.take_news(8, NOW).len(), expected);
+}
+
+/// Guards against suspects that go on sharing upstreams, so that each crash counts against all of
+/// them.
+#[test]
+fn suspects_take_turns() {
+    let suspects = [3, 5, 9].map(Fingerprint);
+    let ledger = ledger_of(&[(3, 1..=3), (5, 1..=3), (9, 1..=3)]);
+    for ms in 0..3_000 {
+        let now = NOW + Span::from_millis(ms);
+        let may_run = |f: &&Fingerprint| ledger.refusal(**f, now).is_none();
+        assert!(suspects.iter().filter(may_run).count() <= 1);
+        for suspect in suspects {
+            if let Some(refusal) = ledger.refusal(suspect, now) {
+                let Refusal::WaitsForTurn(wait) = refusal else {
+                    panic!("{refusal:?}");
+                };
+                assert_eq!(ledger.refusal(suspect, now + wait), None);
+            }
+        }
+    }
+    assert_eq!(ledger.refusal(Fingerprint(4), NOW), None, "no suspect");
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -39,7 +39,6 @@
 use crate::shared::announcements::AnsweredMessage;
 use crate::shared::crashes::Break;
 use crate::shared::crashes::BrokenAttempt;
-use crate::shared::crashes::CRASHES_UPSTREAMS;
 use crate::shared::crashes::Incarnation;
 use by_peer::CallHandover;
 use choice::NextAttempt;
@@ -139,7 +138,7 @@
         let runnable = match shared.check_crashes(inbound.fingerprint) {
             Ok(runnable) => runnable,
             Err(refusal) => {
-                reason = CRASHES_UPSTREAMS;
+                reason = refusal.reason;
                 available_in = Some(refusal.retry_after);
                 break;
             }
--- a/crates/kelpworks-relay/src/relay/incoming.rs
+++ b/crates/kelpworks-relay/src/relay/incoming.rs
@@ -26,7 +26,6 @@
 use crate::config::Service;
 use crate::config::Team;
 use crate::shared::Shared;
-use crate::shared::crashes::CRASHES_UPSTREAMS;
 
 /// Longest time for reading a request body; longer than a head needs, since bodies are larger.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -95,8 +94,8 @@
     let target = req.uri().path_and_query().cloned();
     let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
     let fingerprint = fingerprint(team.as_deref(), &target, &body);
-    if let Err(refusal) = shared.check_crashes(fingerprint) {
-        return Err(context.refuse_with_retry_after(refusal.retry_after, CRASHES_UPSTREAMS));
+    if let Err(refusal) = shared.wait_for_turn(fingerprint).await {
+        return Err(context.refuse_with_retry_after(refusal.retry_after, refusal.reason));
     }
     let service = choose_service(&context, &route)?.clone();
     let time_limit = head.time_left.unwrap_or(route.timeout);
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -46,7 +46,6 @@
 use crate::shared::Shared;
 use crate::shared::announcements::Announcements;
 use crate::shared::announcements::AnsweredMessage;
-use crate::shared::crashes::CRASHES_UPSTREAMS;
 use crate::shared::crashes::CrashRefusal;
 use crate::shared::crashes::Runnable;
 
@@ -258,7 +257,7 @@
     pub(super) fn check_crashes(&self) -> Result<Runnable, Failure> {
         let refused = |refusal: CrashRefusal| Failure {
             available_in: Some(refusal.retry_after),
-            ..Failure::no_path(CRASHES_UPSTREAMS)
+            ..Failure::no_path(refusal.reason)
         };
         let runnable = self.shared.check_crashes(self.inbound.fingerprint);
         runnable.map_err(refused)
--- a/crates/kelpworks-relay/src/retry_budget.rs
+++ b/crates/kelpworks-relay/src/retry_budget.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Returns the number of daemons that share the limit.
+    pub fn daemons(&self) -> usize {
+        self.daemons
+    }
+
     /// Sets the number of daemons that share the limit.
     pub fn set_daemons(&mut self, daemons: usize) {
         self.daemons = daemons.max(1);
--- a/crates/kelpworks-relay/src/shared/crashes.rs
+++ b/crates/kelpworks-relay/src/shared/crashes.rs
@@ -27,7 +27,12 @@
 use crate::sync::lock;
 
 /// Reason of refusals and failures of requests that crash upstreams.
-pub(crate) const CRASHES_UPSTREAMS: &str = "crashes upstreams";
+const CRASHES_UPSTREAMS: &str = "crashes upstreams";
+/// Reason of refusals of a request that may be one of those that crash upstreams, and has to run apart
+/// from the others.
+const WAITS_FOR_TURN: &str = "runs apart after crashes";
+/// Longest wait of a request for its turn.
+const MAX_TURN_WAIT: Duration = Duration::from_secs(1);
 /// `Retry-After` for a request that crashes upstreams. A caller that repeats it gains nothing.
 const CRASHING_RETRY: Duration = Duration::from_secs(60);
 /// `Retry-After` while evidence may still show that the upstreams are alive.
@@ -42,6 +47,8 @@
 ];
 /// Maximum number of upstreams that are checked at the same time.
 const MAX_CHECKS: usize = 64;
+/// Mean number of daemons that check an upstream after another one reported a break there.
+const MAX_VIEWPOINTS: f64 = 3.0;
 /// Maximum number of fingerprints in a log line.
 const MAX_LOGGED: usize = 8;
 
@@ -51,19 +58,26 @@
 #[must_use]
 pub(crate) struct Runnable(());
 
-/// Refusal of a request that crashes upstreams.
+/// Refusal of a request because of the crashes under it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct CrashRefusal {
+    pub(crate) reason: &'static str,
     pub(crate) retry_after: Duration,
 }
 
 impl CrashRefusal {
     fn new(refusal: Refusal) -> CrashRefusal {
-        let retry_after = match refusal.is_settled {
-            true => CRASHING_RETRY,
-            false => UNSETTLED_RETRY,
+        let (reason, retry_after) = match refusal {
+            Refusal::Settled => (CRASHES_UPSTREAMS, CRASHING_RETRY),
+            Refusal::Unsettled => (CRASHES_UPSTREAMS, UNSETTLED_RETRY),
+            Refusal::WaitsForTurn(wait) => {
+                (WAITS_FOR_TURN, Duration::from_millis(wait.as_millis()))
+            }
         };
-        CrashRefusal { retry_after }
+        CrashRefusal {
+            reason,
+            retry_after,
+        }
     }
 }
 
@@ -120,6 +134,26 @@
         }
     }
 
+    /// Waits for the turn of a request that has to run apart; returns its refusal if it may not run
+    /// then either.
+    pub(crate) async fn wait_for_turn(
+        &self,
+        fingerprint: Fingerprint,
+    ) -> std::result::Result<Runnable, CrashRefusal> {
+        let until = Instant::now() + MAX_TURN_WAIT;
+        loop {
+            let checked = self.check_crashes(fingerprint);
+            let Err(refusal) = checked else {
+                return checked;
+            };
+            let turn = Instant::now() + refusal.retry_after;
+            if refusal.reason != WAITS_FOR_TURN || turn > until {
+                return checked;
+            }
+            tokio::time::sleep_until(turn).await;
+        }
+    }
+
     /// Returns the incarnation behind a key; `None` once it has been removed.
     pub(crate) fn incarnation(&self, key: UpstreamKey) -> Option<Incarnation> {
         let fleet = self.fleet();
@@ -143,11 +177,12 @@
             end,
         } = broken;
         let now = Instant::now();
-        let is_doubtful = end == Break::Silent || self.reach().is_doubtful(service, now);
-        let finding = match (self.fleet().get(incarnation.key), is_doubtful) {
-            (None, _) => Finding::Ended,
-            (Some(_), true) => Finding::Doubtful,
-            (Some(_), false) => Finding::Broken,
+        let is_registered = self.fleet().get(incarnation.key).is_some();
+        let finding = match end {
+            _ if !is_registered => Finding::Ended,
+            Break::Silent => Finding::Silent,
+            Break::Lost if self.reach().is_doubtful(service, now) => Finding::Doubtful,
+            Break::Lost => Finding::Broken,
         };
         let upstream = UpstreamId::of(&incarnation.instance);
         let crashes = {
@@ -248,8 +283,9 @@
         }
     }
 
-    /// Applies facts that a peer reported; returns those that were new.
-    pub(crate) fn learn_crashes(&self, crashes: Vec<Crash>, peer: &str) -> Vec<Crash> {
+    /// Applies facts that a peer reported; returns those that were new. Some daemons check the upstreams
+    /// of breaks over their own links.
+    pub(crate) fn learn_crashes(self: &Arc<Shared>, crashes: Vec<Crash>, peer: &str) -> Vec<Crash> {
         if crashes.is_empty() {
             return crashes;
         }
@@ -267,10 +303,29 @@
                 peer:% = peer;
                 "crashes reported by a peer"
             );
+            self.check_reported(&raised);
         }
         raised
     }
 
+    /// Checks the upstreams of breaks that a peer reported, on about [`MAX_VIEWPOINTS`] daemons.
+    fn check_reported(self: &Arc<Shared>, crashes: &[Crash]) {
+        let daemons = self.retry_budget().daemons();
+        let share = MAX_VIEWPOINTS / daemons.max(1) as f64;
+        let undecided = crashes.iter().filter(|c| c.finding < Finding::Alive);
+        let upstreams: Vec<UpstreamId> = undecided.map(|c| c.upstream).collect();
+        if upstreams.is_empty() || !rand::random_bool(share.min(1.0)) {
+            return;
+        }
+        let now = Instant::now();
+        for instance in self.registered_among(&upstreams) {
+            let key = self.fleet().key_of(&instance);
+            if let Some(incarnation) = key.and_then(|key| self.incarnation(key)) {
+                self.spawn_check(incarnation, now);
+            }
+        }
+    }
+
     /// Waits until this daemon has raised a finding.
     pub(crate) async fn crash_news(&self) {
         self.crash_news.notified().await;
