Suspects run on an upstream each; a request is held while its breaks are undecided

A suspect in its turn went on to the next upstream, as its break was in doubt; each clearance moved the turns of all later suspects, which then missed theirs; and with 40 to 60 suspects a round took 12 to 18 s. Turns keep their places when suspects are cleared. Suspects of calls have an upstream each, so as many run at a time as the service has upstreams. A hold has a reason of its own, crashes undecided.

--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -8,7 +8,7 @@
 //!
 //! A request is refused once [`Config::min_crashes`] different incarnations ended under it, unless
 //! another request accounts for all of these crashes: requests that ran beside a poisonous one share its
-//! crashes. Such suspects run in turns, each in a time slot of its own, until one of them completes or
+//! crashes. Such suspects run in turns, each in a time slot of its own on an upstream, until one of them completes or
 //! has a crash that it doesn't share. Daemons that know the same facts agree on the slots, which
 //! count from the last of the crashes.
 //!
@@ -38,6 +38,7 @@
 //! [`Config::max_shared_crashes`].
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::hash::Hash;
 
 use serde::Deserialize;
@@ -155,7 +156,7 @@
 pub enum Refusal {
     /// It crashes upstreams, which are known to have ended.
     Settled,
-    /// It probably crashes upstreams; evidence of the next seconds may show that some are alive.
+    /// It probably crashes upstreams; evidence of the next seconds decides.
     Unsettled,
     /// It is one of several suspects, and its turn begins after this time.
     WaitsForTurn(Span),
@@ -205,10 +206,15 @@
     requests: HashMap<UpstreamId, Vec<Fingerprint>>,
     /// Derived from `records`.
     refused: HashMap<Fingerprint, RefusalPeriod>,
-    /// Requests that would be refused if no others accounted for their crashes, in order. Derived
-    /// from `records`.
-    suspects: Vec<Fingerprint>,
-    /// Last crash of any suspect, from which their turns count.
+    /// Requests with at least one crash that would be refused if their doubtful breaks counted, and until
+    /// when those may be decided. Derived from `records`.
+    held: HashMap<Fingerprint, Instant>,
+    /// Requests that would be refused if no others accounted for their crashes. Derived from `records`.
+    suspects: HashSet<Fingerprint>,
+    /// Requests that have a time slot, in its order: the suspects, and those that were cleared or are
+    /// refused, so that the slots of the others stay where they are. Derived from `records`.
+    turns: Vec<Fingerprint>,
+    /// Last crash of any suspect, from which the slots count.
     turns_from: Instant,
     /// Facts whose findings this daemon has raised since [`CrashLedger::take_news`].
     news: Vec<Key>,
@@ -225,7 +231,9 @@
             upstreams: HashMap::new(),
             requests: HashMap::new(),
             refused: HashMap::new(),
-            suspects: Vec::new(),
+            held: HashMap::new(),
+            suspects: HashSet::new(),
+            turns: Vec::new(),
             turns_from: Instant::ZERO,
             news: Vec::new(),
             cursor: None,
@@ -242,24 +250,59 @@
         self.records.len()
     }
 
-    /// Returns why a request may not run now; `None` if it may.
+    /// Returns why a request may not run now; `None` if it may, which for a suspect is in its turn.
     pub fn refusal(&self, fingerprint: Fingerprint, now: Instant) -> Option<Refusal> {
+        self.refusal_in_lanes(fingerprint, 1, now)
+    }
+
+    /// Like [`CrashLedger::refusal`], for a suspect that runs only on the upstream of its lane: as many
+    /// suspects run at a time as there are lanes.
+    pub fn refusal_in_lanes(
+        &self,
+        fingerprint: Fingerprint,
+        lanes: usize,
+        now: Instant,
+    ) -> Option<Refusal> {
         if let Some(period) = self.refused.get(&fingerprint).filter(|p| now < p.until) {
             return Some(match period.is_settled {
                 true => Refusal::Settled,
                 false => Refusal::Unsettled,
             });
         }
-        let rank = self.suspects.binary_search(&fingerprint).ok()?;
-        let wait = self.time_to_turn(rank, now);
+        if self
+            .held
+            .get(&fingerprint)
+            .is_some_and(|&until| now < until)
+        {
+            return Some(Refusal::Unsettled);
+        }
+        if !self.suspects.contains(&fingerprint) {
+            return None;
+        }
+        let rank = self.turns.binary_search(&fingerprint).ok()?;
+        let wait = self.time_to_turn(rank, lanes.max(1), now);
         (wait > Span::ZERO).then_some(Refusal::WaitsForTurn(wait))
     }
 
+    /// Returns which of `lanes` lanes a request has; `None` unless it is a suspect.
+    pub fn lane(&self, fingerprint: Fingerprint, lanes: usize) -> Option<usize> {
+        if !self.suspects.contains(&fingerprint) {
+            return None;
+        }
+        let rank = self.turns.binary_search(&fingerprint).ok()?;
+        rank.checked_rem(lanes)
+    }
+
+    /// Returns whether there are suspects, which run in turns.
+    pub fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty()
+    }
+
     /// Returns the time until the suspect of this rank may begin to run; zero in its turn.
-    fn time_to_turn(&self, rank: usize, now: Instant) -> Span {
+    fn time_to_turn(&self, rank: usize, lanes: usize, now: Instant) -> Span {
         let turn = self.cfg.turn.as_millis().max(1);
-        let round = turn * self.suspects.len() as u64;
-        let begin = turn * rank as u64;
+        let round = turn * self.turns.len().div_ceil(lanes) as u64;
+        let begin = turn * (rank / lanes) as u64;
         let in_round = now.since(self.turns_from).as_millis() % round;
         match in_round {
             at if at < begin => Span::from_millis(begin - at),
@@ -597,15 +640,19 @@
 
     /// Returns the crashes that count against a request.
     fn counted(&self, fingerprint: Fingerprint) -> impl Iterator<Item = (UpstreamId, Record)> {
+        self.records_of(fingerprint)
+            .filter(|(_, r)| r.finding.counts())
+    }
+
+    fn records_of(&self, fingerprint: Fingerprint) -> impl Iterator<Item = (UpstreamId, Record)> {
         let upstreams = self.upstreams.get(&fingerprint).into_iter().flatten();
-        let records = upstreams.filter_map(move |&upstream| {
+        upstreams.filter_map(move |&upstream| {
             let key = Key {
                 fingerprint,
                 upstream,
             };
             Some((upstream, *self.records.get(&key)?))
-        });
-        records.filter(|(_, r)| r.finding.counts())
+        })
     }
 
     /// Returns whether a crash of an upstream counts against a request.
@@ -648,26 +695,68 @@
     /// Derives which requests are refused.
     fn refresh(&mut self, now: Instant) {
         self.refused.clear();
+        self.held.clear();
         self.suspects.clear();
         let candidates = self.upstreams.iter();
         let candidates = candidates.filter(|(_, u)| u.len() >= self.cfg.min_crashes);
         let candidates: Vec<Fingerprint> = candidates.map(|(&f, _)| f).collect();
         for fingerprint in candidates {
             let crashes: Vec<(UpstreamId, Record)> = self.counted(fingerprint).collect();
+            if let Some(until) = self.end_of_doubt(fingerprint, crashes.len()) {
+                self.held.insert(fingerprint, until);
+            }
             let Some(period) = self.period(&crashes).filter(|p| now < p.until) else {
                 continue;
             };
             let may_be_innocent = crashes.len() < self.cfg.max_shared_crashes;
             if may_be_innocent && self.is_shared(fingerprint, &crashes) {
-                self.suspects.push(fingerprint);
+                self.suspects.insert(fingerprint);
             } else {
                 self.refused.insert(fingerprint, period);
             }
         }
-        self.suspects.sort_unstable();
+        self.assign_turns(now);
+    }
+
+    /// Returns until when the doubtful breaks of a request may be decided, if there are so many that it would
+    /// be refused with them. One crash that counts shows that not all are due to lost links.
+    fn end_of_doubt(&self, fingerprint: Fingerprint, crashes: usize) -> Option<Instant> {
+        let doubtful = self.records_of(fingerprint);
+        let doubtful = doubtful.filter(|(_, r)| r.finding == Finding::Doubtful);
+        let doubtful: Vec<Instant> = doubtful.map(|(_, r)| r.at).collect();
+        let is_held = crashes > 0 && crashes + doubtful.len() >= self.cfg.min_crashes;
+        let last = doubtful.into_iter().max().filter(|_| is_held)?;
+        Some(last + self.cfg.min_restart)
+    }
+
+    /// Assigns time slots while there are suspects.
+    fn assign_turns(&mut self, now: Instant) {
+        self.turns.clear();
         let crashes = self.suspects.iter().flat_map(|&f| self.counted(f));
-        let last = crashes.map(|(_, r)| r.at).max();
-        self.turns_from = last.unwrap_or(Instant::ZERO);
+        let Some(last) = crashes.map(|(_, r)| r.at).max() else {
+            return;
+        };
+        self.turns_from = last;
+        let is_recent = |key: &Key| {
+            let record = self.records.get(key);
+            record.is_some_and(|r| {
+                let has_run = r.finding.counts() || r.finding == Finding::Cleared;
+                has_run && now.since(r.at) < self.cfg.refusal
+            })
+        };
+        let has_turn = |fingerprint: Fingerprint, upstreams: &[UpstreamId]| {
+            let keys = upstreams.iter().map(|&upstream| Key {
+                fingerprint,
+                upstream,
+            });
+            let recent = keys.filter(is_recent).count();
+            recent >= self.cfg.min_crashes || self.suspects.contains(&fingerprint)
+        };
+        let requests = self.upstreams.iter();
+        let turns = requests.filter(|(f, upstreams)| has_turn(**f, upstreams));
+        let mut turns: Vec<Fingerprint> = turns.map(|(&f, _)| f).collect();
+        turns.sort_unstable();
+        self.turns = turns;
     }
 
     /// Returns how long a request with these crashes is refused; `None` if they are too few.
--- a/crates/kelpworks-relay/src/config.rs
+++ b/crates/kelpworks-relay/src/config.rs
@@ -38,6 +38,11 @@
             RouteKind::Stream { resumable } => resumable,
         }
     }
+
+    /// Whether a single upstream runs a request and answers it whole.
+    pub fn is_call(self) -> bool {
+        !matches!(self, RouteKind::Stream { .. })
+    }
 }
 
 /// A service that receives part of a route's traffic.
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -135,7 +135,8 @@
     let mut has_link_failure = false;
     loop {
         // An attempt of this request, here or elsewhere, may have been one too many.
-        let runnable = match shared.check_crashes(inbound.fingerprint) {
+        let runnable = match shared.check_crashes(inbound.fingerprint, &inbound.service.name, true)
+        {
             Ok(runnable) => runnable,
             Err(refusal) => {
                 reason = refusal.reason;
--- a/crates/kelpworks-relay/src/relay/call/choice.rs
+++ b/crates/kelpworks-relay/src/relay/call/choice.rs
@@ -9,10 +9,12 @@
 use super::MIN_RETRY_TIME;
 use crate::constraints::MessageKind;
 use crate::fleet::Fleet;
+use crate::fleet::Upstream;
 use crate::fleet::UpstreamKey;
 use crate::permit::Permit;
 use crate::relay::InboundRequest;
 use crate::shared::Shared;
+use crate::shared::crashes::Lane;
 use crate::shared::crashes::Runnable;
 
 /// Added to the cost factor of an upstream in proportion to its failure rate.
@@ -72,7 +74,10 @@
         }
     }
     let service = &inbound.service.name;
-    let chosen = choose(&shared.fleet(), service, tried);
+    let chosen = match runnable.lane {
+        Some(lane) => upstream_of_lane(&shared.fleet(), service, lane),
+        None => choose(&shared.fleet(), service, tried),
+    };
     let admitted = chosen.and_then(|key| Some((key, shared.admit(runnable, vec![key])?)));
     let Some((chosen, admission)) = admitted else {
         return NextAttempt::without_candidate(&shared.fleet(), service, tried);
@@ -117,6 +122,15 @@
     }
 }
 
+/// Returns the upstream on which a suspect runs apart from others; `None` if it accepts no request now.
+fn upstream_of_lane(fleet: &Fleet, service: &str, lane: Lane) -> Option<UpstreamKey> {
+    let mut upstreams: Vec<(UpstreamKey, &Upstream)> = fleet.of_service(service).collect();
+    upstreams.sort_unstable_by_key(|(_, u)| &*u.entry.instance);
+    let (key, upstream) = upstreams.into_iter().nth(lane.index)?;
+    let is_allowed = upstream.allows(MessageKind::Request, Instant::now());
+    is_allowed.then_some(key)
+}
+
 /// Returns the untried upstream with the lowest expected response time, judged by its running
 /// requests, latency and failure rate; ejected upstreams only when there is no other.
 fn choose(fleet: &Fleet, service: &str, tried: &[UpstreamKey]) -> Option<UpstreamKey> {
--- a/crates/kelpworks-relay/src/relay/incoming.rs
+++ b/crates/kelpworks-relay/src/relay/incoming.rs
@@ -94,10 +94,12 @@
     let target = req.uri().path_and_query().cloned();
     let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
     let fingerprint = fingerprint(team.as_deref(), &target, &body);
-    if let Err(refusal) = shared.wait_for_turn(fingerprint).await {
+    let service = choose_service(&context, &route)?.clone();
+    let is_whole = route.kind.is_call();
+    let turn = shared.wait_for_turn(fingerprint, &service.name, is_whole);
+    if let Err(refusal) = turn.await {
         return Err(context.refuse_with_retry_after(refusal.retry_after, refusal.reason));
     }
-    let service = choose_service(&context, &route)?.clone();
     let time_limit = head.time_left.unwrap_or(route.timeout);
     let deadline = arrived + time_limit.min(route.timeout);
     Ok(InboundRequest {
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -259,7 +259,10 @@
             available_in: Some(refusal.retry_after),
             ..Failure::no_path(refusal.reason)
         };
-        let runnable = self.shared.check_crashes(self.inbound.fingerprint);
+        let service = &self.inbound.service.name;
+        let runnable = self
+            .shared
+            .check_crashes(self.inbound.fingerprint, service, false);
         runnable.map_err(refused)
     }
 
--- a/crates/kelpworks-relay/src/shared/crashes.rs
+++ b/crates/kelpworks-relay/src/shared/crashes.rs
@@ -26,8 +26,11 @@
 use crate::pool;
 use crate::sync::lock;
 
-/// Reason of refusals and failures of requests that crash upstreams.
+/// Reason of refusals of requests that crash upstreams.
 const CRASHES_UPSTREAMS: &str = "crashes upstreams";
+/// Reason of refusals of a request that probably crashes upstreams, while it is not known whether they have
+/// ended.
+const UNDECIDED: &str = "crashes undecided";
 /// Reason of refusals of a request that may be one of those that crash upstreams, and has to run apart
 /// from the others.
 const WAITS_FOR_TURN: &str = "runs apart after crashes";
@@ -56,7 +59,17 @@
 /// request to an upstream, or hands it to another daemon, requires one for each attempt.
 #[derive(Clone, Copy, Debug)]
 #[must_use]
-pub(crate) struct Runnable(());
+pub(crate) struct Runnable {
+    /// Upstream on which a suspect runs apart from others; `None` if it may run on any.
+    pub(crate) lane: Option<Lane>,
+}
+
+/// One of the upstreams of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Lane {
+    /// Its index among the registered upstreams of the service, in the order of their instances.
+    pub(crate) index: usize,
+}
 
 /// Refusal of a request because of the crashes under it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,7 +82,7 @@
     fn new(refusal: Refusal) -> CrashRefusal {
         let (reason, retry_after) = match refusal {
             Refusal::Settled => (CRASHES_UPSTREAMS, CRASHING_RETRY),
-            Refusal::Unsettled => (CRASHES_UPSTREAMS, UNSETTLED_RETRY),
+            Refusal::Unsettled => (UNDECIDED, UNSETTLED_RETRY),
             Refusal::WaitsForTurn(wait) => {
                 (WAITS_FOR_TURN, Duration::from_millis(wait.as_millis()))
             }
@@ -122,16 +135,28 @@
         time::Instant::from_millis(at.saturating_duration_since(self.started).as_millis() as u64)
     }
 
-    /// Returns the permission to run a request, or its refusal.
+    /// Returns the permission to run a request at a service, or its refusal. `is_whole` is whether a
+    /// single upstream runs it, so that suspects run apart on different ones.
     pub(crate) fn check_crashes(
         &self,
         fingerprint: Fingerprint,
+        service: &str,
+        is_whole: bool,
     ) -> std::result::Result<Runnable, CrashRefusal> {
         let now = self.ledger_time(Instant::now());
-        match self.crashes().refusal(fingerprint, now) {
-            Some(refusal) => Err(CrashRefusal::new(refusal)),
-            None => Ok(Runnable(())),
+        let has_lanes = is_whole && self.crashes().has_suspects();
+        let lanes = match has_lanes {
+            true => self.fleet().of_service(service).count(),
+            false => 1,
+        };
+        let ledger = self.crashes();
+        if let Some(refusal) = ledger.refusal_in_lanes(fingerprint, lanes, now) {
+            return Err(CrashRefusal::new(refusal));
         }
+        let lane = ledger.lane(fingerprint, lanes).filter(|_| has_lanes);
+        Ok(Runnable {
+            lane: lane.map(|index| Lane { index }),
+        })
     }
 
     /// Waits for the turn of a request that has to run apart; returns its refusal if it may not run
@@ -139,10 +164,12 @@
     pub(crate) async fn wait_for_turn(
         &self,
         fingerprint: Fingerprint,
+        service: &str,
+        is_whole: bool,
     ) -> std::result::Result<Runnable, CrashRefusal> {
         let until = Instant::now() + MAX_TURN_WAIT;
         loop {
-            let checked = self.check_crashes(fingerprint);
+            let checked = self.check_crashes(fingerprint, service, is_whole);
             let Err(refusal) = checked else {
                 return checked;
             };
