Soak: requests that crash upstreams, at all daemons, beside its other faults

Change: three upstreams of a service of their own, behind the links that daemons lose; one or two requests a seed that end each upstream that begins to run them, as a call, a call that may run once or a stream, repeated at one daemon after the other and now and then at all at once. Checked: at most three further ends later than 3 s after the third, and that the service is served at the end.

--- a/crates/kelpworks-cli/tests/soak/checks.rs
+++ b/crates/kelpworks-cli/tests/soak/checks.rs
@@ -17,6 +17,7 @@
 use crate::constraints;
 use crate::faults::check_still_running;
 use crate::limits;
+use crate::poisons;
 use crate::relay_site::KEY;
 use crate::relay_site::WAIT_TIMEOUT;
 use crate::relay_site::engine::covers_all_layers;
@@ -64,6 +65,7 @@
         (Method::GET, own.as_str(), KEY, StatusCode::OK),
         (Method::GET, "/often/x", KEY, StatusCode::OK),
         (Method::POST, "/once/x", KEY, StatusCode::OK),
+        (Method::GET, "/fragile/x", KEY, StatusCode::OK),
         (Method::GET, "/often/x", EVEN_KEY, key_status),
         (Method::GET, "/own-1/", KEY, StatusCode::NOT_FOUND),
     ];
@@ -143,6 +145,7 @@
     check_retry_budget(soak);
     limits::check(soak);
     constraints::check(soak);
+    poisons::check(soak);
     check_enough_were_served(soak);
 }
 
--- a/crates/kelpworks-cli/tests/soak/faults.rs
+++ b/crates/kelpworks-cli/tests/soak/faults.rs
@@ -15,6 +15,7 @@
 use crate::plan::Fault;
 use crate::plan::Plan;
 use crate::plan::Step;
+use crate::poisons;
 use crate::relay_site::WAIT_TIMEOUT;
 use crate::relay_site::cut::LinksOf;
 use crate::relay_site::daemon::Relay;
@@ -137,6 +138,7 @@
             set_links(&soak, i, LinksOf::Sound).await;
             tokio::time::sleep(RETURN_TIME).await;
         }
+        Fault::Poison(poison) => poisons::repeat(&soak, poison, duration).await,
         Fault::Kill(i) => kill(&soak, i, duration).await,
         Fault::Pause(i) => {
             let relay = soak.daemons[i].relay.lock().await;
--- a/crates/kelpworks-cli/tests/soak/main.rs
+++ b/crates/kelpworks-cli/tests/soak/main.rs
@@ -4,7 +4,8 @@
 //! the plain service are cut, silenced or slowed; daemons are killed, paused, stopped and reloaded;
 //! the store goes down, loses replies, drops its history and is restored from older copies; engines
 //! stall, cut streams, refuse requests, deregister, announce rate limits, request backoffs, and state
-//! that they are leaving; daemons lose their links to all upstreams; configurations change.
+//! that they are leaving; upstreams of a service end under chosen requests; daemons lose their links
+//! to all upstreams; configurations change.
 //! Callers send requests throughout, and what they and the upstreams see is checked against the
 //! guarantees of `docs/PROMISES.md`.
 //!
@@ -26,6 +27,7 @@
 mod faults;
 mod limits;
 mod plan;
+mod poisons;
 mod site;
 
 use std::time::Duration;
--- a/crates/kelpworks-cli/tests/soak/plan.rs
+++ b/crates/kelpworks-cli/tests/soak/plan.rs
@@ -25,6 +25,8 @@
 const NO_BACKOFFS_EVERY: u64 = 5;
 /// One unplanned seed in this many has no engine announce that it is leaving.
 const NO_LEAVING_EVERY: u64 = 3;
+/// One unplanned seed in this many has no requests that crash upstreams.
+const NO_POISON_EVERY: u64 = 3;
 /// One unplanned seed in this many has no daemon lose its links to all upstreams.
 const NO_CUTS_EVERY: u64 = 5;
 
@@ -63,6 +65,8 @@
     EngineLeaves(usize),
     /// A daemon loses its links to all upstreams.
     DaemonCut(usize, LinksOf),
+    /// A caller repeats a request that crashes each upstream that begins to run it, at all daemons.
+    Poison(Poison),
     /// A daemon's process is killed and started again.
     Kill(usize),
     /// A daemon's process is paused (SIGSTOP).
@@ -75,6 +79,14 @@
     Configure,
 }
 
+/// How a request that crashes upstreams comes in, with its number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Poison {
+    Call(u64),
+    CallThatRunsOnce(u64),
+    Stream(u64),
+}
+
 /// A fault, its start after that of the plan, and its duration.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Step {
@@ -127,6 +139,9 @@
         if !planned && !seed.is_multiple_of(NO_CUTS_EVERY) {
             steps.extend(draw_cuts(&mut rng, daemons, length));
         }
+        if !planned && !seed.is_multiple_of(NO_POISON_EVERY) {
+            steps.extend(draw_poison(&mut rng, length));
+        }
         Plan {
             length,
             steps,
@@ -202,6 +217,24 @@
     (0..count).map(draw).collect()
 }
 
+/// Returns one or two requests that crash upstreams, repeated for much of the run.
+fn draw_poison(rng: &mut StdRng, length: Duration) -> Vec<Step> {
+    let count = rng.random_range(1..=2);
+    let mut draw = |number: u64| {
+        let poison = match rng.random_range(0..3) {
+            0 => Poison::Call(number),
+            1 => Poison::CallThatRunsOnce(number),
+            _ => Poison::Stream(number),
+        };
+        Step {
+            at: length.mul_f64(rng.random_range(0.0..0.3)),
+            duration: length.mul_f64(rng.random_range(0.4..0.7)),
+            fault: Fault::Poison(poison),
+        }
+    };
+    (0..count).map(&mut draw).collect()
+}
+
 fn draw_planned(rng: &mut StdRng, daemons: usize) -> Fault {
     let daemon = rng.random_range(0..daemons);
     match rng.random_range(0..4) {
--- a/crates/kelpworks-cli/tests/soak/site.rs
+++ b/crates/kelpworks-cli/tests/soak/site.rs
@@ -24,6 +24,7 @@
 use crate::relay_site::KEY;
 use crate::relay_site::WAIT_TIMEOUT;
 use crate::relay_site::configuration;
+use crate::relay_site::crashing::CrashingApps;
 use crate::relay_site::cut::Links;
 use crate::relay_site::cut::LinksOf;
 use crate::relay_site::daemon::Handover;
@@ -45,6 +46,8 @@
 pub(crate) const BUDGET_WINDOW: Duration = Duration::from_secs(2);
 /// Time between two registrations of engines.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+/// Upstreams of the service that requests can crash.
+const FRAGILE_UPSTREAMS: usize = 3;
 const CALLERS_PER_DAEMON: usize = 4;
 /// API key that only configurations of even versions contain.
 pub(crate) const EVEN_KEY: &str = "key-of-even-versions";
@@ -75,6 +78,8 @@
     pub(crate) engines: Vec<LinkedEngine>,
     pub(crate) app: App,
     pub(crate) app_link: Link,
+    /// Upstreams that end under chosen requests.
+    pub(crate) fragile: CrashingApps,
     /// Links between each daemon and all upstreams, in front of the links of the upstreams.
     pub(crate) links: Links,
     pub(crate) daemons: Vec<Daemon>,
@@ -138,6 +143,7 @@
         let app_link = Link::spawn(app.address()).await.expect("a link");
         app.set_address(links.spawn(app_link.addr()).await);
         store.put("servers", "s-0", app.entry());
+        let fragile = CrashingApps::start_behind(&mut links, &store, FRAGILE_UPSTREAMS).await;
         let mut running: Vec<Relay> = Vec::new();
         let mut store_links = Vec::new();
         for i in 0..daemons {
@@ -166,6 +172,7 @@
             engines,
             app,
             app_link,
+            fragile,
             links,
             daemons: daemons.collect(),
             version: AtomicU64::new(3),
