A large fleet collects the breaks of a request at two daemons before it spreads them

Cause: each finding went from each of the daemons to four others. At 986 daemons one break, and there are breaks wherever a connection ends, would cost 3,944 messages, and each digest would carry all breaks of three seconds. By reading the code; a fleet of that size was not run. Change: in a fleet of more than eight peers a request's first fact goes to two daemons, drawn by a hash that all share. From the second fact on all facts of the request go to all daemons, as before; digests carry only such requests.

--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -567,15 +567,41 @@
         news.take(max).collect()
     }
 
+    /// Returns the facts of a request that daemons report, by upstream.
+    pub fn facts_of(&self, fingerprint: Fingerprint, now: Instant) -> Vec<Crash> {
+        let facts = self.records_of(fingerprint);
+        let facts = facts.filter(|(_, r)| r.finding != Finding::Silent);
+        let mut facts: Vec<Crash> = facts
+            .map(|(upstream, record)| Crash {
+                fingerprint,
+                upstream,
+                finding: record.finding,
+                age: now.since(record.at),
+            })
+            .collect();
+        facts.sort_unstable_by_key(|crash| crash.upstream);
+        facts
+    }
+
     /// Returns at most `max` facts for a peer: first those that changed within `recent`, newest first,
     /// in at most half of the places, then the crashes of refused requests in turn over
-    /// successive calls, so that a peer that knows nothing learns of each of these requests.
-    pub fn report(&mut self, max: usize, recent: Span, now: Instant) -> Vec<Crash> {
+    /// successive calls, so that a peer that knows nothing learns of each of these requests. Only
+    /// requests with at least `min_facts` facts are reported.
+    pub fn report(
+        &mut self,
+        max: usize,
+        min_facts: usize,
+        recent: Span,
+        now: Instant,
+    ) -> Vec<Crash> {
         if self.records.is_empty() {
             return Vec::new();
         }
         let is_recent = |r: &Record| r.finding != Finding::Silent && now.since(r.learned) < recent;
-        let changed = self.records.iter().filter(|(_, r)| is_recent(r));
+        let has_enough =
+            |key: &Key| min_facts <= 1 || self.facts_of(key.fingerprint, now).len() >= min_facts;
+        let changed = self.records.iter();
+        let changed = changed.filter(|(key, r)| is_recent(r) && has_enough(key));
         let mut changed: Vec<(Instant, Key)> = changed.map(|(&key, r)| (r.learned, key)).collect();
         changed.sort_unstable_by(|a, b| b.cmp(a));
         changed.truncate(max.div_ceil(2));
--- a/crates/kelpworks-coord/tests/crash_ledger.rs
+++ b/crates/kelpworks-coord/tests/crash_ledger.rs
@@ -175,7 +175,7 @@
     let later = NOW + Span::from_secs(60);
     let mut peer = CrashLedger::new(Config::default());
     for _ in 0..6 {
-        let report = ledger.report(16, Span::from_secs(3), later);
+        let report = ledger.report(16, 1, Span::from_secs(3), later);
         assert!(report.len() <= 16);
         peer.merge_all(report, later);
     }
@@ -191,7 +191,7 @@
 fn facts_are_reported_unless_silent(#[case] finding: Finding, #[case] expected: usize) {
     let mut ledger = ledger();
     ledger.record(POISON, UpstreamId(1), finding, NOW);
-    assert_eq!(ledger.report(8, Span::from_secs(3), NOW).len(), expected);
+    assert_eq!(ledger.report(8, 1, Span::from_secs(3), NOW).len(), expected);
     assert_eq!(ledger.take_news(8, NOW).len(), expected);
 }
 
@@ -221,6 +221,15 @@
     assert_eq!(ledger.refusal(Fingerprint(4), NOW), None, "no suspect");
 }
 
+/// Guards against digests of a large fleet that carry each break anywhere in it.
+#[test]
+fn report_leaves_out_requests_with_few_facts() {
+    let mut ledger = ledger_of(&[(1, 1..=2), (2, 1..=1)]);
+    let mut facts = ledger.report(8, 2, Span::from_secs(3), NOW);
+    facts.sort_unstable_by_key(|crash| crash.upstream);
+    assert_eq!(facts, ledger.facts_of(POISON, NOW));
+}
+
 #[derive(Clone, Copy, Debug)]
 struct DrawnFact(Crash);
 
@@ -317,7 +326,7 @@
                     daemons[from].record(innocent, upstream, Finding::Broken, now);
                 }
             }
-            let report = daemons[from].report(32, Span::from_secs(3), now);
+            let report = daemons[from].report(32, 1, Span::from_secs(3), now);
             match is_lost {
                 true => delayed.push((to, report)),
                 false => {
--- a/crates/kelpworks-relay/src/peers/crashes.rs
+++ b/crates/kelpworks-relay/src/peers/crashes.rs
@@ -1,8 +1,9 @@
 //! Exchange of the ledger of crashes.
 //!
-//! A finding that a daemon makes goes to its partners at once, and in a larger fleet from each daemon to
-//! which it is new on to a few others: a caller may repeat a request at any daemon within milliseconds.
-//! Digests carry what was missed.
+//! A caller may repeat a request at any daemon within milliseconds, so findings are sent at once: to all
+//! daemons of a small fleet. In a larger one two daemons, the same for all, collect the facts of a request. From
+//! the second fact on they go to all, from each daemon to which they are new on to a few others. Digests
+//! carry what was missed.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -34,6 +35,11 @@
 /// Minimum time between two messages with findings to the same partners, which bounds their rate while
 /// much breaks at once.
 const MIN_MESSAGE_INTERVAL: Duration = Duration::from_millis(50);
+/// Daemons of a larger fleet that collect the facts of a request. A second one has them if the first is lost.
+const COLLECTORS: usize = 2;
+/// Facts of a request from which all daemons of a larger fleet learn them. Most breaks are the only one of
+/// their request, and concern no other daemon.
+const MIN_FACTS_TO_SPREAD: usize = 2;
 /// Number of exchange intervals between two reviews of the ledger.
 const REVIEW_TICKS: u32 = 4;
 /// Maximum number of refused requests in a digest for daemons of older builds, which count crashes.
@@ -62,8 +68,39 @@
         });
     }
 
-    /// Sends facts to partners, except to the daemon at `from`.
+    /// Sends facts on, except to the daemon at `from`: to all daemons of a small fleet. In a larger one those
+    /// of requests with several facts go to a few neighbors, which send them on, and a first one goes to
+    /// the daemons that collect the facts of its request.
     fn spread_facts(self: &Arc<Peers>, facts: Vec<Crash>, from: Option<SocketAddr>) {
+        if facts.is_empty() {
+            return;
+        }
+        if self.is_small_fleet() {
+            return self.send_to(&self.partners(), facts, from);
+        }
+        let now = self.shared.ledger_time(Instant::now());
+        let mut requests: Vec<Fingerprint> = facts.iter().map(|c| c.fingerprint).collect();
+        requests.sort_unstable();
+        requests.dedup();
+        let mut spread = Vec::new();
+        for fingerprint in requests {
+            let known = self.shared.crashes().facts_of(fingerprint, now);
+            if known.len() >= MIN_FACTS_TO_SPREAD {
+                spread.extend(known);
+            } else if from.is_none() {
+                self.send_to(&self.collectors(fingerprint), known, None);
+            }
+        }
+        spread.truncate(MAX_FACTS);
+        self.send_to(&self.announcement_partners(), spread, from);
+    }
+
+    fn send_to(
+        self: &Arc<Peers>,
+        partners: &[SocketAddr],
+        facts: Vec<Crash>,
+        from: Option<SocketAddr>,
+    ) {
         if facts.is_empty() {
             return;
         }
@@ -71,21 +108,25 @@
             from: self.address,
             facts,
         });
-        for partner in self.findings_partners() {
-            if Some(partner) == from {
-                continue;
-            }
+        for &partner in partners.iter().filter(|&&p| Some(p) != from) {
             let peers = Arc::clone(self);
             let findings = Arc::clone(&findings);
             tokio::spawn(async move { peers.send_findings_to(partner, &findings).await });
         }
     }
 
-    fn findings_partners(&self) -> Vec<SocketAddr> {
-        match self.is_small_fleet() {
-            true => self.partners(),
-            false => self.announcement_partners(),
-        }
+    /// Addresses of the daemons that collect the facts of a request, the same on all daemons that know the
+    /// same members.
+    pub(super) fn collectors(&self, fingerprint: Fingerprint) -> Vec<SocketAddr> {
+        let weight = |name: &str| xxh3_64_with_seed(name.as_bytes(), fingerprint.0);
+        let members = lock(&self.members);
+        let live = members.live().map(|m| (weight(m.name()), m.address));
+        let mut ranked: Vec<(u64, SocketAddr)> = live.collect();
+        ranked.push((weight(&self.name), self.address));
+        ranked.sort_unstable();
+        ranked.truncate(COLLECTORS);
+        let addresses = ranked.into_iter().map(|(_, address)| address);
+        addresses.filter(|&a| a != self.address).collect()
     }
 
     fn is_small_fleet(&self) -> bool {
@@ -128,8 +169,12 @@
     /// Returns the facts for a digest.
     pub(super) fn reported_facts(&self, now: Instant) -> Vec<Crash> {
         let now = self.shared.ledger_time(now);
+        let min_facts = match self.is_small_fleet() {
+            true => 1,
+            false => MIN_FACTS_TO_SPREAD,
+        };
         let mut ledger = self.shared.crashes();
-        ledger.report(MAX_FACTS, RECENT_PERIOD, now)
+        ledger.report(MAX_FACTS, min_facts, RECENT_PERIOD, now)
     }
 
     /// Returns the crash counts for daemons of older builds.
--- a/crates/kelpworks-relay/src/peers/crashes_tests.rs
+++ b/crates/kelpworks-relay/src/peers/crashes_tests.rs
@@ -1,5 +1,6 @@
 //! What daemons make of attempts that break off, and how their findings reach each other in digests.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -236,6 +237,33 @@
     assert!(is_refused(&started));
 }
 
+/// Guards against facts of a request that never meet in a large fleet, and against a break that is sent to
+/// all of it.
+#[tokio::test(start_paused = true)]
+async fn daemons_of_a_large_fleet_agree_on_the_collectors_of_a_request() {
+    let all: Vec<Peers> = (0..40).map(daemon).collect();
+    for me in &all {
+        for number in 0..all.len() {
+            me.learn_digest(&digest(number));
+        }
+    }
+    for fingerprint in (0..20).map(Fingerprint) {
+        let mut collectors: Vec<SocketAddr> = all[0].collectors(fingerprint);
+        collectors.extend(all[1].collectors(fingerprint));
+        collectors.sort_unstable();
+        collectors.dedup();
+        assert!((1..=2).contains(&collectors.len()), "{collectors:?}");
+        for me in &all {
+            let of_me = me.collectors(fingerprint);
+            assert!(of_me.iter().all(|a| collectors.contains(a)));
+        }
+    }
+    break_off(&all[0], 0, Break::Lost);
+    assert!(all[0].digest(&Audience::default()).facts.is_empty());
+    break_off(&all[0], 1, Break::Lost);
+    assert_eq!(all[0].digest(&Audience::default()).facts.len(), 2);
+}
+
 #[tokio::test(start_paused = true)]
 async fn digest_has_no_facts_while_there_is_no_crash() {
     let text = serde_json::to_string(&daemon(0).digest(&Audience::default()));
