Stand-ins that requests crash register again after a restore of the store

Traced: the store came back from a copy with the entries of ended incarnations, and the stand-in registered only once. Real upstreams write their entries again. Change: it registers every 200 ms and removes its predecessor's entry.

--- a/crates/kelpworks-cli/tests/relay_site/crashing.rs
+++ b/crates/kelpworks-cli/tests/relay_site/crashing.rs
@@ -36,6 +36,8 @@
 const POISON_WORK: Duration = Duration::from_millis(20);
 /// Time for which an upstream works on a request whose path ends with [`LONG`].
 const LONG_WORK: Duration = Duration::from_millis(150);
+/// Time between two registrations of an upstream, which also come after a restore of the store.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after which an upstream that ended starts again, at the same address under another id.
 pub(crate) const RESTART_DELAY: Duration = Duration::from_millis(2_500);
 
@@ -136,11 +138,17 @@
             ended: Arc::clone(&ended),
         };
         let serving = tokio::spawn(server.serve(Router::with_path("{**rest}").goal(handler)));
-        if incarnation > 0 {
-            store.delete("servers", &format!("fragile-{number}-{}", incarnation - 1));
+        let mut heartbeat = tokio::time::interval(HEARTBEAT_INTERVAL);
+        loop {
+            tokio::select! {
+                () = ended.notified() => break,
+                _ = heartbeat.tick() => {}
+            }
+            if incarnation > 0 {
+                store.delete("servers", &format!("fragile-{number}-{}", incarnation - 1));
+            }
+            store.put("servers", &instance, entry(addresses.registered));
         }
-        store.put("servers", &instance, entry(addresses.registered));
-        ended.notified().await;
         handle.stop_forceful();
         let _ = serving.await;
         tokio::time::sleep(RESTART_DELAY).await;
