The parts of a prompt are decoded, and logged with an attempt that broke off

Nothing outside the headers that are passed through knew of the parts of a prompt. Change: the adapter decodes the shared parts (64 at most; the last one is the request's own), and 'attempt broke off at an upstream' names the first eight. Nothing acts on them.

--- a/crates/kelpworks-coord/src/id.rs
+++ b/crates/kelpworks-coord/src/id.rs
@@ -40,6 +40,27 @@
     }
 }
 
+/// A part of a prompt that requests may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct PartId(pub u64);
+
+impl PartId {
+    /// Returns the part with this id: the number that it is in hexadecimal, so that it is displayed as it was
+    /// named, or else a hash of the text.
+    pub fn of(id: &str) -> PartId {
+        let is_number = !id.starts_with('+');
+        let number = u64::from_str_radix(id, 16).ok().filter(|_| is_number);
+        PartId(number.unwrap_or_else(|| xxh3_64(id.as_bytes())))
+    }
+}
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
 /// A failure domain, by the hash of its name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
--- a/crates/kelpworks-relay/src/adapter.rs
+++ b/crates/kelpworks-relay/src/adapter.rs
@@ -11,6 +11,7 @@
 
 use http::HeaderMap;
 use http::StatusCode;
+use kelpworks_coord::id::PartId;
 use serde::Deserialize;
 use serde::Serialize;
 use thiserror::Error;
@@ -77,8 +78,15 @@
     pub length_hint: Option<u32>,
     /// Id of the last event that the caller read, when it resumes a broken stream.
     pub last_event: Option<u64>,
+    /// Parts of the prompt that other requests may have too, in order, at most [`MAX_SHARED_PARTS`]. The last
+    /// part of a prompt is the request's own and is not among them.
+    pub shared_parts: Box<[PartId]>,
 }
 
+/// Maximum number of parts of a prompt that are considered. The first ones are those that most requests
+/// share.
+pub const MAX_SHARED_PARTS: usize = 64;
+
 /// One hop of a path: an engine and the layers that it runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Hop {
--- a/crates/kelpworks-relay/src/peers/crashes_tests.rs
+++ b/crates/kelpworks-relay/src/peers/crashes_tests.rs
@@ -66,6 +66,7 @@
         kind: "call",
         request: "r-1",
         fingerprint: REQUEST,
+        parts: &[],
         service: &service,
         incarnation: &incarnation(me, number),
         end,
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -370,6 +370,7 @@
         kind: "call",
         request: &inbound.id,
         fingerprint: inbound.fingerprint,
+        parts: &inbound.head.shared_parts,
         service: &inbound.service.name,
         incarnation,
         end,
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -406,6 +406,7 @@
             kind: "stream",
             request: &self.inbound.id,
             fingerprint: self.inbound.fingerprint,
+            parts: &self.inbound.head.shared_parts,
             service: &self.inbound.service.name,
             incarnation: engine,
             end: Break::Lost,
--- a/crates/kelpworks-relay/src/shared/crashes.rs
+++ b/crates/kelpworks-relay/src/shared/crashes.rs
@@ -15,6 +15,7 @@
 use kelpworks_coord::crash_ledger::CrashLedger;
 use kelpworks_coord::crash_ledger::Finding;
 use kelpworks_coord::crash_ledger::Refusal;
+use kelpworks_coord::id::PartId;
 use kelpworks_coord::id::UpstreamId;
 use kelpworks_coord::poison::Fingerprint;
 use kelpworks_coord::time;
@@ -52,7 +53,7 @@
 const MAX_CHECKS: usize = 64;
 /// Mean number of daemons that check an upstream after another one reported a break there.
 const MAX_VIEWPOINTS: f64 = 3.0;
-/// Maximum number of fingerprints in a log line.
+/// Maximum number of fingerprints, or of parts of a prompt, in a log line.
 const MAX_LOGGED: usize = 8;
 
 /// Permission to run a request: it was not refused for crashes when this was given. What writes a
@@ -119,6 +120,8 @@
     /// Id of the request.
     pub(crate) request: &'a str,
     pub(crate) fingerprint: Fingerprint,
+    /// Shared parts of its prompt.
+    pub(crate) parts: &'a [PartId],
     pub(crate) service: &'a Arc<str>,
     pub(crate) incarnation: &'a Incarnation,
     pub(crate) end: Break,
@@ -199,6 +202,7 @@
             kind,
             request,
             fingerprint,
+            parts,
             service,
             incarnation,
             end,
@@ -226,7 +230,8 @@
             upstream:% = incarnation.instance,
             kind:% = kind,
             finding:% = finding.as_str(),
-            crashes;
+            crashes,
+            parts:% = format_parts(parts);
             "attempt broke off at an upstream"
         );
         self.crash_news.notify_one();
@@ -429,5 +434,11 @@
     }
 }
 
+/// Returns the first parts of a prompt for the log, separated by commas.
+fn format_parts(parts: &[PartId]) -> String {
+    let ids = parts.iter().take(MAX_LOGGED).map(PartId::to_string);
+    ids.collect::<Vec<String>>().join(",")
+}
+
 /// Upstreams that are being checked after a break.
 pub(super) type CheckedUpstreams = HashSet<UpstreamKey>;
