--- a/crates/kelpworks-cli/tests/relay_site/crashing.rs
+++ b/crates/kelpworks-cli/tests/relay_site/crashing.rs
@@ -1,4 +1,5 @@
-//! Upstreams of a plain service of their own that end when they run a chosen request, and start again.
+//! Upstreams of a plain service of their own that end when they run a chosen request, or one with a chosen part
+//! in its prompt, and start again.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,6 +10,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
 use futures_util::stream;
 use salvo::Depot;
 use salvo::FlowCtrl;
@@ -32,6 +34,13 @@
 pub(crate) const POISON: &str = "poison";
 /// Path ending of a request that an upstream works on for [`LONG_WORK`].
 pub(crate) const LONG: &str = "long";
+/// Parts of prompts that end each upstream that begins to write an answer on them.
+pub(crate) const POISON_PARTS: [&str; 2] = ["bad0", "bad1"];
+/// Time for which an upstream writes an answer on a poisonous part before it ends.
+const POISON_PART_WORK: Duration = Duration::from_millis(100);
+/// Number of events that answer a prompt with parts, and the time between two of them.
+pub(crate) const PART_EVENTS: u64 = 8;
+const PART_EVENT_INTERVAL: Duration = Duration::from_millis(40);
 /// Time for which an upstream works on a poisonous request before it ends.
 const POISON_WORK: Duration = Duration::from_millis(20);
 /// Time for which an upstream works on a request whose path ends with [`LONG`].
@@ -43,6 +52,7 @@
 
 const ATTEMPT_HEADER: &str = "x-kelpworks-attempt-id";
 const STAMP_HEADER: &str = "x-kelpworks-server-stamp";
+pub(crate) const PARTS_HEADER: &str = "x-kelpworks-prefix-hash";
 
 /// An upstream that ended under a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -54,10 +64,20 @@
     pub(crate) at: Instant,
 }
 
+/// A request with a poisonous part that arrived at an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct PoisonArrival {
+    /// Id of the request.
+    pub(crate) request: String,
+    pub(crate) part: &'static str,
+    pub(crate) at: Instant,
+}
+
 /// What the upstreams have in common.
 #[derive(Debug, Default)]
 struct Record {
     ends: Mutex<Vec<End>>,
+    poison_arrivals: Mutex<Vec<PoisonArrival>>,
     /// Set once upstreams are not to start again.
     is_over: AtomicBool,
 }
@@ -116,6 +136,12 @@
     pub(crate) fn ends(&self) -> Vec<End> {
         self.record.ends.lock().expect("no panic").clone()
     }
+
+    /// Returns the requests with a poisonous part that arrived so far, in order.
+    pub(crate) fn poison_arrivals(&self) -> Vec<PoisonArrival> {
+        let arrivals = self.record.poison_arrivals.lock();
+        arrivals.expect("no panic").clone()
+    }
 }
 
 impl Drop for CrashingApps {
@@ -165,6 +191,7 @@
     })
 }
 
+#[derive(Clone)]
 struct CrashingHandler {
     instance: String,
     record: Arc<Record>,
@@ -172,15 +199,15 @@
 }
 
 impl CrashingHandler {
-    /// Ends the upstream under a request, once.
-    async fn end(&self, path: &str) {
-        tokio::time::sleep(POISON_WORK).await;
+    /// Ends the upstream under a request, once, after it has worked for this time.
+    async fn end(self, path: String, work: Duration) {
+        tokio::time::sleep(work).await;
         {
             let mut ends = self.record.ends.lock().expect("no panic");
             if !ends.iter().any(|e| e.instance == self.instance) {
                 ends.push(End {
                     instance: self.instance.clone(),
-                    path: path.to_owned(),
+                    path,
                     at: Instant::now(),
                 });
             }
@@ -188,6 +215,36 @@
         self.ended.notify_one();
         std::future::pending().await
     }
+
+    /// Returns the poisonous part of a prompt, which is never the last one, and records the arrival.
+    fn poison_part(&self, request: &str, parts: &str) -> Option<&'static str> {
+        let (shared, _own) = parts.rsplit_once(',')?;
+        let mut ids = shared.split(',').filter_map(|p| p.split(':').next());
+        let part = ids.find_map(|id| POISON_PARTS.into_iter().find(|p| *p == id))?;
+        let arrival = PoisonArrival {
+            request: request.to_owned(),
+            part,
+            at: Instant::now(),
+        };
+        let mut arrivals = self.record.poison_arrivals.lock().expect("no panic");
+        arrivals.push(arrival);
+        Some(part)
+    }
+
+    /// Streams the events of a prompt with parts. On a poisonous one, the upstream ends after some.
+    fn stream_prompt(&self, path: String, is_poisonous: bool, res: &mut Response) {
+        let end = is_poisonous.then(|| self.clone().end(path, POISON_PART_WORK));
+        let ending = stream::iter(end).filter_map(|end| async move {
+            end.await;
+            None
+        });
+        let events = stream::iter(1..=PART_EVENTS).then(|id| async move {
+            tokio::time::sleep(PART_EVENT_INTERVAL).await;
+            let event = format!("id: {id}\ndata: word-{id}\n\n");
+            Ok::<_, std::io::Error>(Bytes::from(event))
+        });
+        res.stream(stream::select(events, ending));
+    }
 }
 
 #[async_trait]
@@ -200,7 +257,7 @@
         _ctrl: &mut FlowCtrl,
     ) {
         let request = req.header::<String>(ATTEMPT_HEADER).unwrap_or_default();
-        let _ = res.add_header(ATTEMPT_HEADER, request, true);
+        let _ = res.add_header(ATTEMPT_HEADER, request.clone(), true);
         let expected = req.header::<String>("x-kelpworks-expect-instance");
         if expected.is_some_and(|id| id != self.instance) {
             let _ = res.add_header("x-kelpworks-instance-id", &self.instance, true);
@@ -209,7 +266,12 @@
         }
         let path = req.uri().path().to_owned();
         if path.contains(POISON) {
-            self.end(&path).await;
+            self.clone().end(path.clone(), POISON_WORK).await;
+        }
+        let parts = req.header::<String>(PARTS_HEADER).unwrap_or_default();
+        let is_poisonous = self.poison_part(&request, &parts).is_some();
+        if is_poisonous && !path.starts_with("/fragile-events/") {
+            self.clone().end(path.clone(), POISON_PART_WORK).await;
         }
         if path.ends_with(LONG) {
             tokio::time::sleep(LONG_WORK).await;
@@ -217,6 +279,10 @@
         let _ = res.add_header(STAMP_HEADER, "stamp", true);
         if path.starts_with("/fragile-events/") {
             let _ = res.add_header("content-type", "text/event-stream", true);
+            if !parts.is_empty() {
+                self.stream_prompt(path, is_poisonous, res);
+                return;
+            }
             let event = Bytes::from_static(b"id: 1\ndata: word\n\n");
             res.stream(stream::iter([Ok::<_, std::io::Error>(event)]));
             return;
