--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -37,17 +37,28 @@
 //! requests of which one runs for longer than a slot may go on sharing crashes; both are refused at
 //! [`Config::max_shared_crashes`].
 
+mod facts;
+mod parts;
+mod turns;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::hash::Hash;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::id::PartId;
 use crate::id::UpstreamId;
 use crate::poison::Fingerprint;
 use crate::time::Instant;
 use crate::time::Span;
+use facts::Fact;
+use facts::Facts;
+use facts::Record;
+use parts::Parts;
+use turns::Turns;
+
+pub use parts::Lasted;
 
 /// Limits of a [`CrashLedger`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -70,7 +81,7 @@
     /// Time within which the registration of an upstream that ended is removed or replaced: a removal
     /// later than that shows no crash if the address accepted connections meanwhile. Default 10 s.
     pub decision_period: Span,
-    /// Most facts that are kept. Default 4,096.
+    /// Most facts that are kept about requests, and about parts. Default 4,096.
     pub max_facts: usize,
 }
 
@@ -89,6 +100,15 @@
     }
 }
 
+impl Config {
+    /// Returns how long a request with so many crashes is refused after the last one.
+    fn refusal_after(&self, crashes: usize) -> Span {
+        let further = crashes.saturating_sub(self.min_crashes);
+        let factor = 1u64.checked_shl(further as u32).unwrap_or(u64::MAX);
+        self.refusal.times(factor).min(self.retention)
+    }
+}
+
 /// What is known about a break, in the order in which evidence raises it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
@@ -149,6 +169,65 @@
     pub finding: Finding,
     /// Time since the break.
     pub age: Span,
+    /// Time since the run began that broke off, where it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub begun: Option<Span>,
+    /// Time since the upstream last worked, as far as the request shows it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub alive: Option<Span>,
+}
+
+/// A fact about a part of prompts, as daemons exchange it: a request with the part broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct PartCrash {
+    /// Part of the prompt of the request.
+    pub part: PartId,
+    /// Incarnation of the upstream that ran it.
+    pub upstream: UpstreamId,
+    /// What is known about the break.
+    pub finding: Finding,
+    /// Time since the break.
+    pub age: Span,
+    /// Time since the run began that broke off, where it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub begun: Option<Span>,
+    /// Time since the upstream last worked, as far as the request shows it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub alive: Option<Span>,
+}
+
+/// A run that broke off.
+#[derive(Clone, Copy, Debug)]
+pub struct BrokenRun<'a> {
+    /// Request that broke off.
+    pub fingerprint: Fingerprint,
+    /// Parts of its prompt that other requests may share.
+    pub parts: &'a [PartId],
+    /// Incarnation of the upstream that ran it.
+    pub upstream: UpstreamId,
+    /// What is known about the break.
+    pub finding: Finding,
+    /// When the run began.
+    pub begun: Option<Instant>,
+    /// Whether its answer had begun, which shows that the upstream worked on it.
+    pub is_answered: bool,
+}
+
+/// Requests and parts whose facts evidence has changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changed {
+    /// Requests, each once.
+    pub requests: Vec<Fingerprint>,
+    /// Parts, each once.
+    pub parts: Vec<PartId>,
+}
+
+impl Changed {
+    /// Returns whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty() && self.parts.is_empty()
+    }
 }
 
 /// Why a request may not run now.
@@ -162,32 +241,6 @@
     WaitsForTurn(Span),
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-struct Key {
-    fingerprint: Fingerprint,
-    upstream: UpstreamId,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Record {
-    finding: Finding,
-    /// Time of the break.
-    at: Instant,
-    /// When this daemon learned the finding.
-    learned: Instant,
-}
-
-/// What a fact added to the ledger.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Insertion {
-    /// Nothing.
-    Known,
-    /// An earlier time of the break.
-    Earlier,
-    /// A new fact or a higher finding.
-    Raised,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct RefusalPeriod {
     until: Instant,
@@ -198,28 +251,18 @@
 #[derive(Clone, Debug)]
 pub struct CrashLedger {
     cfg: Config,
-    /// At most [`Config::max_facts`].
-    records: HashMap<Key, Record>,
-    /// Upstreams in the keys of `records`, by request; no list is empty.
-    upstreams: HashMap<Fingerprint, Vec<UpstreamId>>,
-    /// Requests in the keys of `records`, by upstream; no list is empty.
-    requests: HashMap<UpstreamId, Vec<Fingerprint>>,
-    /// Derived from `records`.
+    facts: Facts<Fingerprint>,
+    parts: Parts,
+    /// Derived from `facts`, as all that follow.
     refused: HashMap<Fingerprint, RefusalPeriod>,
     /// Requests with at least one crash that would be refused if their doubtful breaks counted, and until
-    /// when those may be decided. Derived from `records`.
+    /// when those may be decided.
     held: HashMap<Fingerprint, Instant>,
-    /// Requests that would be refused if no others accounted for their crashes. Derived from `records`.
+    /// Requests that would be refused if no others accounted for their crashes.
     suspects: HashSet<Fingerprint>,
-    /// Requests that have a time slot, in its order: the suspects, and those that were cleared or are
-    /// refused, so that the slots of the others stay where they are. Derived from `records`.
-    turns: Vec<Fingerprint>,
-    /// Last crash of any suspect, from which the slots count.
-    turns_from: Instant,
-    /// Facts whose findings this daemon has raised since [`CrashLedger::take_news`].
-    news: Vec<Key>,
-    /// Position in the order of keys from which [`CrashLedger::report`] continues.
-    cursor: Option<Key>,
+    /// Slots of the suspects, and of those that were cleared or are refused, so that the slots of the others stay
+    /// where they are.
+    turns: Turns<Fingerprint>,
 }
 
 impl CrashLedger {
@@ -227,27 +270,23 @@
     pub fn new(cfg: Config) -> CrashLedger {
         CrashLedger {
             cfg,
-            records: HashMap::new(),
-            upstreams: HashMap::new(),
-            requests: HashMap::new(),
+            facts: Facts::new(cfg),
+            parts: Parts::new(cfg),
             refused: HashMap::new(),
             held: HashMap::new(),
             suspects: HashSet::new(),
-            turns: Vec::new(),
-            turns_from: Instant::ZERO,
-            news: Vec::new(),
-            cursor: None,
+            turns: Turns::new(cfg.turn),
         }
     }
 
     /// Returns whether no fact is known.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+        self.facts.is_empty() && self.parts.facts.is_empty()
     }
 
-    /// Returns the number of facts.
+    /// Returns the number of facts about requests.
     pub fn len(&self) -> usize {
-        self.records.len()
+        self.facts.len()
     }
 
     /// Returns why a request may not run now; `None` if it may, which for a suspect is in its turn.
@@ -279,18 +318,22 @@
         if !self.suspects.contains(&fingerprint) {
             return None;
         }
-        let rank = self.turns.binary_search(&fingerprint).ok()?;
-        let wait = self.time_to_turn(rank, lanes.max(1), now);
+        let rank = self.turns.rank(fingerprint)?;
+        let wait = self.turns.time_to_turn(rank, lanes.max(1), now);
         (wait > Span::ZERO).then_some(Refusal::WaitsForTurn(wait))
     }
 
+    /// Returns why no request with these parts in its prompt may run now, and because of which part.
+    pub fn refusal_of_parts(&self, parts: &[PartId], now: Instant) -> Option<(PartId, Refusal)> {
+        self.parts.refusal(parts, now)
+    }
+
     /// Returns which of `lanes` lanes a request has; `None` unless it is a suspect.
     pub fn lane(&self, fingerprint: Fingerprint, lanes: usize) -> Option<usize> {
         if !self.suspects.contains(&fingerprint) {
             return None;
         }
-        let rank = self.turns.binary_search(&fingerprint).ok()?;
-        rank.checked_rem(lanes)
+        self.turns.rank(fingerprint)?.checked_rem(lanes)
     }
 
     /// Returns whether there are suspects, which run in turns.
@@ -298,19 +341,6 @@
         !self.suspects.is_empty()
     }
 
-    /// Returns the time until the suspect of this rank may begin to run; zero in its turn.
-    fn time_to_turn(&self, rank: usize, lanes: usize, now: Instant) -> Span {
-        let turn = self.cfg.turn.as_millis().max(1);
-        let round = turn * self.turns.len().div_ceil(lanes) as u64;
-        let begin = turn * (rank / lanes) as u64;
-        let in_round = now.since(self.turns_from).as_millis() % round;
-        match in_round {
-            at if at < begin => Span::from_millis(begin - at),
-            at if at < begin + turn / 2 => Span::ZERO,
-            at => Span::from_millis(begin + round - at),
-        }
-    }
-
     /// Returns the number of requests that are refused now.
     pub fn refused_count(&self, now: Instant) -> usize {
         self.refused.values().filter(|p| now < p.until).count()
@@ -318,16 +348,17 @@
 
     /// Returns the number of crashes that count against a request.
     pub fn count(&self, fingerprint: Fingerprint) -> usize {
-        self.counted(fingerprint).count()
+        self.facts.counted(fingerprint).count()
+    }
+
+    /// Returns the number of crashes that count against a part.
+    pub fn count_of_part(&self, part: PartId) -> usize {
+        self.parts.ends(part)
     }
 
     /// Returns the finding about a request at an upstream.
     pub fn finding(&self, fingerprint: Fingerprint, upstream: UpstreamId) -> Option<Finding> {
-        let key = Key {
-            fingerprint,
-            upstream,
-        };
-        self.records.get(&key).map(|r| r.finding)
+        self.facts.get(fingerprint, upstream).map(|r| r.finding)
     }
 
     /// Records that an attempt broke off; returns whether that raised what is known.
@@ -338,20 +369,69 @@
         finding: Finding,
         now: Instant,
     ) -> bool {
-        let crash = Crash {
+        let run = BrokenRun {
             fingerprint,
+            parts: &[],
             upstream,
             finding,
+            begun: None,
+            is_answered: false,
+        };
+        self.record_run(run, now)
+    }
+
+    /// Records a run that broke off; returns whether that raised what is known of its request.
+    ///
+    /// Connections break off at sound upstreams too, and what is popular was at all of them. A break therefore counts
+    /// against parts only once it is known that the upstream is gone.
+    pub fn record_run(&mut self, run: BrokenRun<'_>, now: Instant) -> bool {
+        let begun = run.begun.map(|begun| now.since(begun));
+        let alive = begun.filter(|_| run.is_answered);
+        let fact = Fact {
+            subject: run.fingerprint,
+            upstream: run.upstream,
+            finding: run.finding,
             age: Span::ZERO,
+            begun,
+            alive,
         };
-        let is_raised = self.merge(crash, now);
-        if is_raised {
-            self.push_news(Key {
-                fingerprint,
-                upstream,
-            });
+        let merged = self.facts.record(fact, now);
+        let finding = match run.finding {
+            Finding::Broken => Finding::Doubtful,
+            finding => finding,
+        };
+        for &part in run.parts {
+            let fact = Fact {
+                subject: part,
+                upstream: run.upstream,
+                finding,
+                age: Span::ZERO,
+                begun,
+                alive,
+            };
+            self.parts.facts.record(fact, now);
+        }
+        if merged.is_changed || !run.parts.is_empty() {
+            self.evict(now);
+            self.refresh(now);
         }
-        is_raised
+        !merged.raised.is_empty()
+    }
+
+    /// Records that a run with these parts in its prompt survived: it lasted so long that its parts did not end
+    /// the upstream. Returns the parts that it cleared of earlier crashes.
+    pub fn record_survival(
+        &mut self,
+        parts: &[PartId],
+        begun: Instant,
+        lasted: Lasted,
+        now: Instant,
+    ) -> Vec<PartId> {
+        let cleared = self.parts.survive(parts, begun, lasted, now);
+        if !cleared.is_empty() {
+            self.refresh(now);
+        }
+        cleared
     }
 
     /// Merges a fact of another daemon; returns whether it raised what is known. A fact past its
@@ -366,221 +446,142 @@
         crashes: impl IntoIterator<Item = Crash>,
         now: Instant,
     ) -> Vec<Crash> {
-        let mut raised: Vec<Crash> = crashes.into_iter().collect();
-        let mut is_changed = false;
-        raised.retain(|&crash| {
-            let insertion = self.insert(crash, now);
-            is_changed |= insertion != Insertion::Known;
-            insertion == Insertion::Raised
-        });
-        if is_changed {
+        let merged = self
+            .facts
+            .merge_all(crashes.into_iter().map(Fact::from), now);
+        if merged.is_changed {
             self.evict(now);
             self.refresh(now);
         }
-        raised
-    }
-
-    fn insert(&mut self, crash: Crash, now: Instant) -> Insertion {
-        let Crash {
-            fingerprint,
-            upstream,
-            finding,
-            age,
-        } = crash;
-        if age >= self.cfg.retention {
-            return Insertion::Known;
-        }
-        let at = Instant::from_millis(now.as_millis().saturating_sub(age.as_millis()));
-        let key = Key {
-            fingerprint,
-            upstream,
-        };
-        if let Some(known) = self.records.get_mut(&key) {
-            let is_earlier = at < known.at;
-            known.at = known.at.min(at);
-            if known.finding >= finding {
-                return match is_earlier {
-                    true => Insertion::Earlier,
-                    false => Insertion::Known,
-                };
-            }
-            known.finding = finding;
-            known.learned = now;
-        } else {
-            let record = Record {
-                finding,
-                at,
-                learned: now,
-            };
-            self.records.insert(key, record);
-            self.upstreams
-                .entry(fingerprint)
-                .or_default()
-                .push(upstream);
-            self.requests.entry(upstream).or_default().push(fingerprint);
-        }
-        Insertion::Raised
-    }
-
-    fn remove(&mut self, key: Key) {
-        self.records.remove(&key);
-        remove_from(&mut self.upstreams, key.fingerprint, key.upstream);
-        remove_from(&mut self.requests, key.upstream, key.fingerprint);
+        merged.raised.into_iter().map(Crash::from).collect()
     }
 
-    fn push_news(&mut self, key: Key) {
-        self.news.push(key);
-        if self.news.len() > self.cfg.max_facts {
-            self.news.sort_unstable();
-            self.news.dedup();
-            self.news.truncate(self.cfg.max_facts);
-        }
+    /// Merges facts of another daemon about parts; returns those that raised what is known.
+    pub fn merge_parts(
+        &mut self,
+        crashes: impl IntoIterator<Item = PartCrash>,
+        now: Instant,
+    ) -> Vec<PartCrash> {
+        let facts = crashes.into_iter().map(Fact::from);
+        let raised = self.parts.merge_all(facts, now);
+        self.evict(now);
+        self.refresh(now);
+        raised.into_iter().map(PartCrash::from).collect()
     }
 
     /// Records that an upstream shows no sign of life while others do: breaks at it count from now on.
-    /// Returns the requests whose facts changed.
-    pub fn record_silent(&mut self, upstream: UpstreamId, now: Instant) -> Vec<Fingerprint> {
-        self.raise(self.keys_of_upstream(upstream), Finding::Broken, now)
+    pub fn record_silent(&mut self, upstream: UpstreamId, now: Instant) -> Changed {
+        let changed = Changed {
+            requests: self.facts.record_silent(upstream, now),
+            parts: self.parts.facts.record_silent(upstream, now),
+        };
+        self.refreshed(changed, now)
     }
 
     /// Records that an upstream has answered a request, or accepted a connection, that was sent at
     /// `sent`. Breaks after that are not affected, nor those that are older than
-    /// [`Config::min_restart`], as another process may have answered. Returns the requests whose facts
-    /// changed.
-    pub fn record_alive(
-        &mut self,
-        upstream: UpstreamId,
-        sent: Instant,
-        now: Instant,
-    ) -> Vec<Fingerprint> {
-        let mut keys = self.keys_of_upstream(upstream);
-        keys.retain(|key| {
-            let is_sent_later = self.records.get(key).is_some_and(|r| r.at < sent);
-            is_sent_later && self.age(key, now) < self.cfg.min_restart
-        });
-        self.raise(keys, Finding::Alive, now)
-    }
-
-    /// Records that an incarnation is gone. Returns the requests whose facts changed.
-    pub fn record_ended(&mut self, upstream: UpstreamId, now: Instant) -> Vec<Fingerprint> {
-        let mut keys = self.keys_of_upstream(upstream);
-        keys.retain(|key| {
-            let record = self.records.get(key);
-            let is_alive = record.is_some_and(|r| r.finding == Finding::Alive);
-            !is_alive || self.age(key, now) < self.cfg.decision_period
-        });
-        self.raise(keys, Finding::Ended, now)
+    /// [`Config::min_restart`], as another process may have answered.
+    pub fn record_alive(&mut self, upstream: UpstreamId, sent: Instant, now: Instant) -> Changed {
+        let changed = Changed {
+            requests: self.facts.record_alive(upstream, sent, now),
+            parts: self.parts.facts.record_alive(upstream, sent, now),
+        };
+        self.refreshed(changed, now)
+    }
+
+    /// Records that an incarnation is gone.
+    pub fn record_ended(&mut self, upstream: UpstreamId, now: Instant) -> Changed {
+        let changed = Changed {
+            requests: self.facts.record_ended(upstream, now),
+            parts: self.parts.facts.record_ended(upstream, now),
+        };
+        self.refreshed(changed, now)
     }
 
     /// Returns the upstreams of breaks that nothing has decided within [`Config::decision_period`].
     pub fn undecided(&self, now: Instant) -> Vec<UpstreamId> {
-        let is_undecided =
-            |r: &Record| r.finding < Finding::Alive && now.since(r.at) >= self.cfg.decision_period;
-        let undecided = self.records.iter().filter(|(_, r)| is_undecided(r));
-        let mut upstreams: Vec<UpstreamId> = undecided.map(|(key, _)| key.upstream).collect();
+        let upstreams = self.facts.undecided(now);
+        let upstreams = upstreams.chain(self.parts.facts.undecided(now));
+        let mut upstreams: Vec<UpstreamId> = upstreams.collect();
         upstreams.sort_unstable();
         upstreams.dedup();
         upstreams
     }
 
     /// Records that an incarnation is still registered, which shows that it is alive if its breaks are
-    /// older than [`Config::decision_period`]. Returns the requests whose facts changed.
-    pub fn record_registered(&mut self, upstream: UpstreamId, now: Instant) -> Vec<Fingerprint> {
-        let mut keys = self.keys_of_upstream(upstream);
-        keys.retain(|key| self.age(key, now) >= self.cfg.decision_period);
-        self.raise(keys, Finding::Alive, now)
-    }
-
-    /// Clears the facts of a request that completed; returns whether there were any to clear.
-    pub fn clear(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
-        let upstreams = self.upstreams.get(&fingerprint).into_iter().flatten();
-        let keys = upstreams.map(|&upstream| Key {
-            fingerprint,
-            upstream,
-        });
-        let keys = keys.collect();
-        !self.raise(keys, Finding::Cleared, now).is_empty()
-    }
-
-    fn keys_of_upstream(&self, upstream: UpstreamId) -> Vec<Key> {
-        let requests = self.requests.get(&upstream).into_iter().flatten();
-        let keys = requests.map(|&fingerprint| Key {
-            fingerprint,
-            upstream,
-        });
-        keys.collect()
-    }
-
-    /// Returns the time since a break; zero if it is not known.
-    fn age(&self, key: &Key, now: Instant) -> Span {
-        self.records
-            .get(key)
-            .map_or(Span::ZERO, |r| now.since(r.at))
+    /// older than [`Config::decision_period`].
+    pub fn record_registered(&mut self, upstream: UpstreamId, now: Instant) -> Changed {
+        let changed = Changed {
+            requests: self.facts.record_registered(upstream, now),
+            parts: self.parts.facts.record_registered(upstream, now),
+        };
+        self.refreshed(changed, now)
     }
 
-    /// Raises the findings of these facts that are below `finding`; returns the requests whose
-    /// facts changed.
-    fn raise(&mut self, keys: Vec<Key>, finding: Finding, now: Instant) -> Vec<Fingerprint> {
-        let mut changed = Vec::new();
-        for key in keys {
-            let Some(record) = self.records.get_mut(&key) else {
-                continue;
-            };
-            if record.finding >= finding {
-                continue;
-            }
-            record.finding = finding;
-            record.learned = now;
-            self.push_news(key);
-            changed.push(key.fingerprint);
-        }
+    fn refreshed(&mut self, changed: Changed, now: Instant) -> Changed {
         if !changed.is_empty() {
-            changed.sort_unstable();
-            changed.dedup();
             self.refresh(now);
         }
         changed
     }
 
-    /// Drops facts past their retention.
-    pub fn expire(&mut self, now: Instant) {
-        let is_over = |r: &Record| now.since(r.at) >= self.cfg.retention;
-        let over = self.records.iter().filter(|(_, r)| is_over(r));
-        let over: Vec<Key> = over.map(|(&key, _)| key).collect();
-        for &key in &over {
-            self.remove(key);
+    /// Clears the facts of a request that completed; returns whether there were any to clear.
+    pub fn clear(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
+        let all = now + Span::from_millis(1);
+        let is_cleared = self.facts.clear(fingerprint, all, now);
+        if is_cleared {
+            self.refresh(now);
         }
-        if !over.is_empty() {
+        is_cleared
+    }
+
+    /// Drops facts past their retention, and ends refusals that are over.
+    pub fn expire(&mut self, now: Instant) {
+        let has_expired = self.facts.expire(now) | self.parts.facts.expire(now);
+        if has_expired || !self.parts.facts.is_empty() {
             self.refresh(now);
         }
     }
 
-    /// Returns at most `max` of the facts that this daemon has raised since the last call, those first
-    /// that refuse a request, and forgets the others: they go with [`CrashLedger::report`].
+    /// Returns whether there are facts to send to other daemons.
+    pub fn has_news(&self) -> bool {
+        self.facts.has_news() || self.parts.facts.has_news()
+    }
+
+    /// Returns at most `max` of the facts about requests that this daemon has raised and not returned here yet, those
+    /// first that refuse a request.
     pub fn take_news(&mut self, max: usize, now: Instant) -> Vec<Crash> {
-        let mut news = std::mem::take(&mut self.news);
-        news.sort_unstable();
-        news.dedup();
-        news.sort_by_key(|key| !self.refused.contains_key(&key.fingerprint));
-        let news = news.into_iter().filter_map(|key| self.crash(key, now));
-        let news = news.filter(|crash| crash.finding != Finding::Silent);
-        news.take(max).collect()
+        let refused = &self.refused;
+        let news = self.facts.take_news(max, |f| refused.contains_key(&f), now);
+        news.into_iter().map(Crash::from).collect()
+    }
+
+    /// Like [`CrashLedger::take_news`], about parts.
+    pub fn take_news_of_parts(&mut self, max: usize, now: Instant) -> Vec<PartCrash> {
+        let refused: HashSet<PartId> = self.parts.refused(now).collect();
+        let news = self
+            .parts
+            .facts
+            .take_news(max, |p| refused.contains(&p), now);
+        news.into_iter().map(PartCrash::from).collect()
+    }
+
+    /// Returns the parts that have become refused since the last call, with the number of their crashes.
+    pub fn take_decided_parts(&mut self) -> Vec<(PartId, usize)> {
+        let decided = self.parts.take_decided().into_iter();
+        decided.map(|part| (part, self.parts.ends(part))).collect()
     }
 
     /// Returns the facts of a request that daemons report, by upstream.
     pub fn facts_of(&self, fingerprint: Fingerprint, now: Instant) -> Vec<Crash> {
-        let facts = self.records_of(fingerprint);
-        let facts = facts.filter(|(_, r)| r.finding != Finding::Silent);
-        let mut facts: Vec<Crash> = facts
-            .map(|(upstream, record)| Crash {
-                fingerprint,
-                upstream,
-                finding: record.finding,
-                age: now.since(record.at),
-            })
-            .collect();
-        facts.sort_unstable_by_key(|crash| crash.upstream);
-        facts
+        let facts = self.facts.facts_of(fingerprint, now);
+        facts.into_iter().map(Crash::from).collect()
+    }
+
+    /// Returns the facts of a part that daemons report, by upstream.
+    pub fn facts_of_part(&self, part: PartId, now: Instant) -> Vec<PartCrash> {
+        let facts = self.parts.facts.facts_of(part, now);
+        facts.into_iter().map(PartCrash::from).collect()
     }
 
     /// Returns at most `max` facts for a peer: first those that changed within `recent`, newest first,
@@ -594,54 +595,35 @@
         recent: Span,
         now: Instant,
     ) -> Vec<Crash> {
-        if self.records.is_empty() {
-            return Vec::new();
-        }
-        let is_recent = |r: &Record| r.finding != Finding::Silent && now.since(r.learned) < recent;
-        let has_enough =
-            |key: &Key| min_facts <= 1 || self.facts_of(key.fingerprint, now).len() >= min_facts;
-        let changed = self.records.iter();
-        let changed = changed.filter(|(key, r)| is_recent(r) && has_enough(key));
-        let mut changed: Vec<(Instant, Key)> = changed.map(|(&key, r)| (r.learned, key)).collect();
-        changed.sort_unstable_by(|a, b| b.cmp(a));
-        changed.truncate(max.div_ceil(2));
-        let mut keys: Vec<Key> = changed.into_iter().map(|(_, key)| key).collect();
-        keys.extend(self.next_refusing(max - keys.len(), &keys, now));
-        keys.into_iter()
-            .filter_map(|key| self.crash(key, now))
-            .collect()
-    }
-
-    /// Returns up to `max` crashes of refused requests after those of the last call, without `excluded`.
-    fn next_refusing(&mut self, max: usize, excluded: &[Key], now: Instant) -> Vec<Key> {
         let refused = self.refused.iter().filter(|(_, p)| now < p.until);
-        let crashes = refused.flat_map(|(&fingerprint, _)| {
-            let upstreams = self.counted(fingerprint).map(|(upstream, _)| upstream);
-            upstreams.map(move |upstream| Key {
-                fingerprint,
-                upstream,
-            })
-        });
-        let mut keys: Vec<Key> = crashes.collect();
-        keys.sort_unstable();
-        let start = match self.cursor {
-            Some(cursor) => keys.partition_point(|&key| key <= cursor),
-            None => 0,
-        };
-        keys.rotate_left(start);
-        keys.retain(|key| !excluded.contains(key));
-        keys.truncate(max);
-        self.cursor = keys.last().copied().or(self.cursor);
-        keys
+        let refused = refused.map(|(&f, _)| f);
+        let facts = self.facts.report(max, min_facts, recent, refused, now);
+        facts.into_iter().map(Crash::from).collect()
+    }
+
+    /// Like [`CrashLedger::report`], about parts.
+    pub fn report_parts(
+        &mut self,
+        max: usize,
+        min_facts: usize,
+        recent: Span,
+        now: Instant,
+    ) -> Vec<PartCrash> {
+        let refused: Vec<PartId> = self.parts.refused(now).collect();
+        let parts = &mut self.parts.facts;
+        let facts = parts.report(max, min_facts, recent, refused.into_iter(), now);
+        facts.into_iter().map(PartCrash::from).collect()
     }
 
     /// Returns all facts, by request and upstream.
     pub fn facts(&self, now: Instant) -> Vec<Crash> {
-        let mut keys: Vec<Key> = self.records.keys().copied().collect();
-        keys.sort_unstable();
-        keys.into_iter()
-            .filter_map(|key| self.crash(key, now))
-            .collect()
+        self.facts.all(now).into_iter().map(Crash::from).collect()
+    }
+
+    /// Returns all facts about parts, by part and upstream.
+    pub fn facts_of_parts(&self, now: Instant) -> Vec<PartCrash> {
+        let facts = self.parts.facts.all(now);
+        facts.into_iter().map(PartCrash::from).collect()
     }
 
     /// Returns the requests that are refused now, with the number of their crashes, most first.
@@ -654,88 +636,56 @@
         refused
     }
 
-    fn crash(&self, key: Key, now: Instant) -> Option<Crash> {
-        let record = self.records.get(&key)?;
-        Some(Crash {
-            fingerprint: key.fingerprint,
-            upstream: key.upstream,
-            finding: record.finding,
-            age: now.since(record.at),
-        })
-    }
-
-    /// Returns the crashes that count against a request.
-    fn counted(&self, fingerprint: Fingerprint) -> impl Iterator<Item = (UpstreamId, Record)> {
-        self.records_of(fingerprint)
-            .filter(|(_, r)| r.finding.counts())
-    }
-
-    fn records_of(&self, fingerprint: Fingerprint) -> impl Iterator<Item = (UpstreamId, Record)> {
-        let upstreams = self.upstreams.get(&fingerprint).into_iter().flatten();
-        upstreams.filter_map(move |&upstream| {
-            let key = Key {
-                fingerprint,
-                upstream,
-            };
-            Some((upstream, *self.records.get(&key)?))
-        })
-    }
-
-    /// Returns whether a crash of an upstream counts against a request.
-    fn counts(&self, fingerprint: Fingerprint, upstream: UpstreamId) -> bool {
-        let key = Key {
-            fingerprint,
-            upstream,
-        };
-        self.records.get(&key).is_some_and(|r| r.finding.counts())
+    /// Returns the parts that are refused now, with the number of their crashes, most first.
+    pub fn refused_parts(&self, now: Instant) -> Vec<(PartId, usize)> {
+        let refused = self.parts.refused(now);
+        let mut refused: Vec<(PartId, usize)> = refused.map(|p| (p, self.parts.ends(p))).collect();
+        refused.sort_unstable_by_key(|&(p, n)| (std::cmp::Reverse(n), p));
+        refused
     }
 
     /// Returns whether another request accounts for all of these crashes of a request.
-    fn is_shared(&self, fingerprint: Fingerprint, crashes: &[(UpstreamId, Record)]) -> bool {
-        let Some(((first, _), others)) = crashes.split_first() else {
-            return false;
-        };
-        let beside = self.requests.get(first).into_iter().flatten();
-        let mut beside = beside.filter(|&&f| f != fingerprint && self.counts(f, *first));
-        beside.any(|&f| others.iter().all(|&(u, _)| self.counts(f, u)))
+    fn is_shared(&self, fingerprint: Fingerprint, crashes: &[UpstreamId]) -> bool {
+        requests_at_all(&self.facts, crashes).any(|f| f != fingerprint)
     }
 
-    /// Keeps the facts within their bound. Those that don't count go first, then those of requests that
-    /// are not refused, the oldest of each first.
+    /// Keeps the facts within their bound.
     fn evict(&mut self, now: Instant) {
-        if self.records.len() <= self.cfg.max_facts {
-            return;
-        }
-        self.expire(now);
-        while self.records.len() > self.cfg.max_facts {
-            let rank = |key: &Key, r: &Record| {
-                let is_refused = self.refused.contains_key(&key.fingerprint);
-                (r.finding.counts(), is_refused, r.at, *key)
-            };
-            let first = self.records.iter().min_by_key(|(key, r)| rank(key, r));
-            let Some((&first, _)) = first else { return };
-            self.remove(first);
+        let is_over = |len: usize| len > self.cfg.max_facts;
+        if is_over(self.facts.len()) || is_over(self.parts.facts.len()) {
+            self.expire(now);
+            let refused = &self.refused;
+            self.facts.evict(|f| refused.contains_key(&f));
+            let refused: HashSet<PartId> = self.parts.refused(now).collect();
+            self.parts.facts.evict(|p| refused.contains(&p));
         }
     }
 
-    /// Derives which requests are refused.
+    /// Derives which requests and parts are refused.
     fn refresh(&mut self, now: Instant) {
+        let facts = &self.facts;
+        let is_covered = |ends: &[UpstreamId]| requests_at_all(facts, ends).next().is_some();
+        self.parts.refresh(is_covered, now);
         self.refused.clear();
         self.held.clear();
         self.suspects.clear();
-        let candidates = self.upstreams.iter();
+        let candidates = self.facts.by_subject();
         let candidates = candidates.filter(|(_, u)| u.len() >= self.cfg.min_crashes);
-        let candidates: Vec<Fingerprint> = candidates.map(|(&f, _)| f).collect();
+        let candidates: Vec<Fingerprint> = candidates.map(|(f, _)| f).collect();
         for fingerprint in candidates {
-            let crashes: Vec<(UpstreamId, Record)> = self.counted(fingerprint).collect();
+            let crashes: Vec<(UpstreamId, Record)> = self.facts.counted(fingerprint).collect();
             if let Some(until) = self.end_of_doubt(fingerprint, crashes.len()) {
                 self.held.insert(fingerprint, until);
             }
             let Some(period) = self.period(&crashes).filter(|p| now < p.until) else {
                 continue;
             };
+            let upstreams: Vec<UpstreamId> = crashes.iter().map(|&(u, _)| u).collect();
+            if self.parts.accounts_for(&upstreams) {
+                continue;
+            }
             let may_be_innocent = crashes.len() < self.cfg.max_shared_crashes;
-            if may_be_innocent && self.is_shared(fingerprint, &crashes) {
+            if may_be_innocent && self.is_shared(fingerprint, &upstreams) {
                 self.suspects.insert(fingerprint);
             } else {
                 self.refused.insert(fingerprint, period);
@@ -747,7 +697,7 @@
     /// Returns until when the doubtful breaks of a request may be decided, if there are so many that it would
     /// be refused with them. One crash that counts shows that not all are due to lost links.
     fn end_of_doubt(&self, fingerprint: Fingerprint, crashes: usize) -> Option<Instant> {
-        let doubtful = self.records_of(fingerprint);
+        let doubtful = self.facts.records_of(fingerprint);
         let doubtful = doubtful.filter(|(_, r)| r.finding == Finding::Doubtful);
         let doubtful: Vec<Instant> = doubtful.map(|(_, r)| r.at).collect();
         let is_held = crashes > 0 && crashes + doubtful.len() >= self.cfg.min_crashes;
@@ -757,58 +707,70 @@
 
     /// Assigns time slots while there are suspects.
     fn assign_turns(&mut self, now: Instant) {
-        self.turns.clear();
-        let crashes = self.suspects.iter().flat_map(|&f| self.counted(f));
+        let crashes = self.suspects.iter().flat_map(|&f| self.facts.counted(f));
         let Some(last) = crashes.map(|(_, r)| r.at).max() else {
+            self.turns.clear();
             return;
         };
-        self.turns_from = last;
-        let is_recent = |key: &Key| {
-            let record = self.records.get(key);
-            record.is_some_and(|r| {
-                let has_run = r.finding.counts() || r.finding == Finding::Cleared;
-                has_run && now.since(r.at) < self.cfg.refusal
-            })
+        let has_run_lately = |record: &Record| {
+            let has_run = record.finding.counts() || record.finding == Finding::Cleared;
+            has_run && now.since(record.at) < self.cfg.refusal
         };
-        let has_turn = |fingerprint: Fingerprint, upstreams: &[UpstreamId]| {
-            let keys = upstreams.iter().map(|&upstream| Key {
-                fingerprint,
-                upstream,
-            });
-            let recent = keys.filter(is_recent).count();
+        let has_turn = |fingerprint: Fingerprint| {
+            let records = self.facts.records_of(fingerprint);
+            let recent = records.filter(|(_, r)| has_run_lately(r)).count();
             recent >= self.cfg.min_crashes || self.suspects.contains(&fingerprint)
         };
-        let requests = self.upstreams.iter();
-        let turns = requests.filter(|(f, upstreams)| has_turn(**f, upstreams));
-        let mut turns: Vec<Fingerprint> = turns.map(|(&f, _)| f).collect();
-        turns.sort_unstable();
-        self.turns = turns;
+        let requests = self.facts.by_subject().map(|(f, _)| f);
+        self.turns.assign(requests.filter(|&f| has_turn(f)), last);
     }
 
     /// Returns how long a request with these crashes is refused; `None` if they are too few.
     fn period(&self, crashes: &[(UpstreamId, Record)]) -> Option<RefusalPeriod> {
-        let further = crashes.len().checked_sub(self.cfg.min_crashes)?;
+        if crashes.len() < self.cfg.min_crashes {
+            return None;
+        }
         let last = crashes.iter().map(|(_, r)| r.at).max()?;
-        let factor = 1u64.checked_shl(further as u32).unwrap_or(u64::MAX);
-        let length = self.cfg.refusal.times(factor).min(self.cfg.retention);
         let ended = crashes.iter().filter(|(_, r)| r.finding == Finding::Ended);
         Some(RefusalPeriod {
-            until: last + length,
+            until: last + self.cfg.refusal_after(crashes.len()),
             is_settled: ended.count() >= self.cfg.min_crashes,
         })
     }
 }
 
-fn remove_from<K, V>(lists: &mut HashMap<K, Vec<V>>, key: K, value: V)
-where
-    K: Eq + Hash,
-    V: PartialEq,
-{
-    let Some(list) = lists.get_mut(&key) else {
-        return;
-    };
-    list.retain(|v| *v != value);
-    if list.is_empty() {
-        lists.remove(&key);
+/// Returns the requests that account for all of these crashes.
+fn requests_at_all(
+    facts: &Facts<Fingerprint>,
+    crashes: &[UpstreamId],
+) -> impl Iterator<Item = Fingerprint> {
+    let first = crashes.first().map(|&u| facts.at_upstream(u));
+    let at_first = first.unwrap_or_default().iter().copied();
+    at_first.filter(|&f| crashes.iter().all(|&u| facts.counts(f, u)))
+}
+
+impl From<Crash> for Fact<Fingerprint> {
+    fn from(crash: Crash) -> Fact<Fingerprint> {
+        Fact {
+            subject: crash.fingerprint,
+            upstream: crash.upstream,
+            finding: crash.finding,
+            age: crash.age,
+            begun: crash.begun,
+            alive: crash.alive,
+        }
+    }
+}
+
+impl From<Fact<Fingerprint>> for Crash {
+    fn from(fact: Fact<Fingerprint>) -> Crash {
+        Crash {
+            fingerprint: fact.subject,
+            upstream: fact.upstream,
+            finding: fact.finding,
+            age: fact.age,
+            begun: fact.begun,
+            alive: fact.alive,
+        }
     }
 }
--- /dev/null
+++ b/crates/kelpworks-coord/src/crash_ledger/facts.rs
@@ -0,0 +1,545 @@
+//! Facts about breaks, and the evidence that raises their findings.
+//!
+//! A fact is about a subject (a request, or a part of prompts) and an incarnation of an upstream. Merging two
+//! takes the higher finding, the earlier break, and the later sign of life, so that it is commutative,
+//! associative and idempotent.
+//!
+//! An incarnation ends once: a break before its last sign of life was not its end, if there is a later one.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+use std::hash::Hash;
+
+use super::Config;
+use super::Finding;
+use crate::id::UpstreamId;
+use crate::time::Instant;
+use crate::time::Span;
+
+/// Error of the times that daemons report to each other: the time that a message takes.
+const TIME_ERROR: Span = Span::from_millis(50);
+
+/// What a fact is about.
+pub(super) trait Subject: Copy + Eq + Ord + Hash {}
+
+impl<T: Copy + Eq + Ord + Hash> Subject for T {}
+
+/// A fact as daemons exchange it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Fact<S> {
+    pub(super) subject: S,
+    pub(super) upstream: UpstreamId,
+    pub(super) finding: Finding,
+    /// Time since the break.
+    pub(super) age: Span,
+    /// Time since the run began that broke off, where it is known.
+    pub(super) begun: Option<Span>,
+    /// Time since the upstream last worked, as far as the subject shows it.
+    pub(super) alive: Option<Span>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct Key<S> {
+    pub(super) subject: S,
+    pub(super) upstream: UpstreamId,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Record {
+    pub(super) finding: Finding,
+    /// Time of the first break.
+    pub(super) at: Instant,
+    /// When the run began that broke off then, where it is known.
+    pub(super) begun: Option<Instant>,
+    /// When the upstream last worked, as far as the subject shows it.
+    alive: Option<Instant>,
+    /// When this daemon learned the finding.
+    learned: Instant,
+}
+
+impl Record {
+    /// Returns how long the run lasted; zero if its begin is not known.
+    pub(super) fn lasted(&self) -> Span {
+        self.begun.map_or(Span::ZERO, |begun| self.at.since(begun))
+    }
+
+    /// Returns whether the upstream may have ended with this break.
+    fn may_be_end(&self) -> bool {
+        self.finding.counts() || self.finding == Finding::Doubtful
+    }
+
+    fn is_before(&self, alive: Instant) -> bool {
+        self.at + TIME_ERROR < alive
+    }
+}
+
+/// What the records of an upstream show of its end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Life {
+    /// Last sign of life.
+    alive: Option<Instant>,
+    /// Whether there is a break after that.
+    has_ended: bool,
+}
+
+impl Life {
+    /// Returns whether a break was before the end of the upstream.
+    fn is_before_end(&self, record: &Record) -> bool {
+        let is_before = self.alive.is_some_and(|alive| record.is_before(alive));
+        self.has_ended && is_before
+    }
+}
+
+/// What a fact added.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Insertion {
+    /// Nothing.
+    Known,
+    /// Other times.
+    Refined,
+    /// A new fact or a higher finding.
+    Raised,
+}
+
+/// Result of merging facts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Merged<S> {
+    /// Facts that are new or have a higher finding.
+    pub(super) raised: Vec<Fact<S>>,
+    pub(super) is_changed: bool,
+}
+
+/// All facts of one kind of subject that a daemon knows.
+#[derive(Clone, Debug)]
+pub(super) struct Facts<S> {
+    cfg: Config,
+    records: HashMap<Key<S>, Record>,
+    /// Upstreams in the keys of `records`, by subject; no list is empty.
+    upstreams: HashMap<S, Vec<UpstreamId>>,
+    /// Subjects in the keys of `records`, by upstream; no list is empty.
+    subjects: HashMap<UpstreamId, Vec<S>>,
+    /// Derived from `records`, for the upstreams in their keys.
+    lives: HashMap<UpstreamId, Life>,
+    /// Facts whose findings this daemon has raised and not sent yet; at most [`Config::max_facts`].
+    news: Vec<Key<S>>,
+    /// Position in the order of keys from which [`Facts::report`] continues.
+    cursor: Option<Key<S>>,
+}
+
+impl<S: Subject> Facts<S> {
+    pub(super) fn new(cfg: Config) -> Facts<S> {
+        Facts {
+            cfg,
+            records: HashMap::new(),
+            upstreams: HashMap::new(),
+            subjects: HashMap::new(),
+            lives: HashMap::new(),
+            news: Vec::new(),
+            cursor: None,
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    pub(super) fn get(&self, subject: S, upstream: UpstreamId) -> Option<&Record> {
+        self.records.get(&Key { subject, upstream })
+    }
+
+    /// Returns the subjects with the upstreams where they broke off.
+    pub(super) fn by_subject(&self) -> impl Iterator<Item = (S, &[UpstreamId])> {
+        self.upstreams.iter().map(|(&s, list)| (s, list.as_slice()))
+    }
+
+    /// Returns the subjects that broke off at an upstream.
+    pub(super) fn at_upstream(&self, upstream: UpstreamId) -> &[S] {
+        self.subjects.get(&upstream).map_or(&[], Vec::as_slice)
+    }
+
+    pub(super) fn records_of(&self, subject: S) -> impl Iterator<Item = (UpstreamId, Record)> {
+        let upstreams = self.upstreams.get(&subject).into_iter().flatten();
+        upstreams.filter_map(move |&upstream| Some((upstream, *self.get(subject, upstream)?)))
+    }
+
+    /// Returns the records that count against a subject.
+    pub(super) fn counted(&self, subject: S) -> impl Iterator<Item = (UpstreamId, Record)> {
+        let records = self.records_of(subject);
+        records.filter(|(upstream, record)| self.is_counted(*upstream, record))
+    }
+
+    /// Returns whether a break at an upstream counts against a subject.
+    pub(super) fn counts(&self, subject: S, upstream: UpstreamId) -> bool {
+        let record = self.get(subject, upstream);
+        record.is_some_and(|record| self.is_counted(upstream, record))
+    }
+
+    fn is_counted(&self, upstream: UpstreamId, record: &Record) -> bool {
+        record.finding.counts() && !self.is_before_end(upstream, record)
+    }
+
+    /// Returns whether the upstream is known to have worked after a break, and to have ended later.
+    pub(super) fn is_before_end(&self, upstream: UpstreamId, record: &Record) -> bool {
+        let life = self.lives.get(&upstream);
+        life.is_some_and(|life| life.is_before_end(record))
+    }
+
+    /// Derives anew what the records of an upstream show of its end.
+    fn update_life(&mut self, upstream: UpstreamId) {
+        let subjects = self.at_upstream(upstream).iter();
+        let records = subjects.filter_map(|&s| self.get(s, upstream));
+        let alive = records.clone().filter_map(|r| r.alive).max();
+        let is_after = |r: &Record| alive.is_some_and(|alive| !r.is_before(alive));
+        let has_ended = records.clone().any(|r| r.may_be_end() && is_after(r));
+        match self.subjects.contains_key(&upstream) {
+            true => self.lives.insert(upstream, Life { alive, has_ended }),
+            false => self.lives.remove(&upstream),
+        };
+    }
+
+    /// Merges a fact that this daemon has found itself, and which it will send.
+    pub(super) fn record(&mut self, fact: Fact<S>, now: Instant) -> Merged<S> {
+        let merged = self.merge_all([fact], now);
+        if !merged.raised.is_empty() {
+            self.push_news(Key {
+                subject: fact.subject,
+                upstream: fact.upstream,
+            });
+        }
+        merged
+    }
+
+    /// Merges facts of another daemon. Those past their retention are ignored.
+    pub(super) fn merge_all(
+        &mut self,
+        facts: impl IntoIterator<Item = Fact<S>>,
+        now: Instant,
+    ) -> Merged<S> {
+        let mut raised: Vec<Fact<S>> = facts.into_iter().collect();
+        let mut is_changed = false;
+        raised.retain(|&fact| {
+            let insertion = self.insert(fact, now);
+            is_changed |= insertion != Insertion::Known;
+            insertion == Insertion::Raised
+        });
+        Merged { raised, is_changed }
+    }
+
+    fn insert(&mut self, fact: Fact<S>, now: Instant) -> Insertion {
+        let Fact {
+            subject,
+            upstream,
+            finding,
+            age,
+            begun,
+            alive,
+        } = fact;
+        if age >= self.cfg.retention {
+            return Insertion::Known;
+        }
+        let at = now - age;
+        let begun = begun.map(|age| now - age);
+        let alive = alive.map(|age| now - age);
+        let key = Key { subject, upstream };
+        let Some(known) = self.records.get_mut(&key) else {
+            let record = Record {
+                finding,
+                at,
+                begun,
+                alive,
+                learned: now,
+            };
+            self.records.insert(key, record);
+            self.upstreams.entry(subject).or_default().push(upstream);
+            self.subjects.entry(upstream).or_default().push(subject);
+            self.update_life(upstream);
+            return Insertion::Raised;
+        };
+        let is_raised = known.finding < finding;
+        let is_earlier = (at, Reverse(begun)) < (known.at, Reverse(known.begun));
+        let is_refined = is_earlier || alive > known.alive;
+        if is_earlier {
+            known.at = at;
+            known.begun = begun;
+        }
+        known.alive = known.alive.max(alive);
+        if is_raised {
+            known.finding = finding;
+            known.learned = now;
+        }
+        if is_raised || is_refined {
+            self.update_life(upstream);
+        }
+        match (is_raised, is_refined) {
+            (true, _) => Insertion::Raised,
+            (false, true) => Insertion::Refined,
+            (false, false) => Insertion::Known,
+        }
+    }
+
+    fn remove(&mut self, key: Key<S>) {
+        self.records.remove(&key);
+        remove_from(&mut self.upstreams, key.subject, key.upstream);
+        remove_from(&mut self.subjects, key.upstream, key.subject);
+        self.update_life(key.upstream);
+    }
+
+    fn push_news(&mut self, key: Key<S>) {
+        self.news.push(key);
+        if self.news.len() > self.cfg.max_facts {
+            self.news.sort_unstable();
+            self.news.dedup();
+            self.news.truncate(self.cfg.max_facts);
+        }
+    }
+
+    /// Records that an upstream shows no sign of life while others do: breaks at it count from now on.
+    /// Returns the subjects whose facts changed, as the functions that follow do.
+    pub(super) fn record_silent(&mut self, upstream: UpstreamId, now: Instant) -> Vec<S> {
+        self.raise(self.keys_of_upstream(upstream), Finding::Broken, now)
+    }
+
+    /// Records that an upstream has answered what was sent at `sent`.
+    pub(super) fn record_alive(
+        &mut self,
+        upstream: UpstreamId,
+        sent: Instant,
+        now: Instant,
+    ) -> Vec<S> {
+        let mut keys = self.keys_of_upstream(upstream);
+        keys.retain(|key| {
+            let is_sent_later = self.records.get(key).is_some_and(|r| r.at < sent);
+            is_sent_later && self.age(key, now) < self.cfg.min_restart
+        });
+        for key in &keys {
+            if let Some(record) = self.records.get_mut(key) {
+                record.alive = record.alive.max(Some(sent));
+            }
+        }
+        self.raise(keys, Finding::Alive, now)
+    }
+
+    /// Records that an incarnation is gone.
+    pub(super) fn record_ended(&mut self, upstream: UpstreamId, now: Instant) -> Vec<S> {
+        let mut keys = self.keys_of_upstream(upstream);
+        keys.retain(|key| {
+            let record = self.records.get(key);
+            let is_alive = record.is_some_and(|r| r.finding == Finding::Alive);
+            !is_alive || self.age(key, now) < self.cfg.decision_period
+        });
+        self.raise(keys, Finding::Ended, now)
+    }
+
+    /// Records that an incarnation is still registered.
+    pub(super) fn record_registered(&mut self, upstream: UpstreamId, now: Instant) -> Vec<S> {
+        let mut keys = self.keys_of_upstream(upstream);
+        keys.retain(|key| self.age(key, now) >= self.cfg.decision_period);
+        self.raise(keys, Finding::Alive, now)
+    }
+
+    /// Clears the breaks of a subject that happened before `begun`; returns whether there were any.
+    pub(super) fn clear(&mut self, subject: S, begun: Instant, now: Instant) -> bool {
+        let records = self.records_of(subject).filter(|(_, r)| r.at < begun);
+        let keys = records.map(|(upstream, _)| Key { subject, upstream });
+        let keys = keys.collect();
+        !self.raise(keys, Finding::Cleared, now).is_empty()
+    }
+
+    /// Returns the upstreams of breaks that nothing has decided within [`Config::decision_period`].
+    pub(super) fn undecided(&self, now: Instant) -> impl Iterator<Item = UpstreamId> {
+        let records = self.records.iter().filter(move |(_, r)| {
+            r.finding < Finding::Alive && now.since(r.at) >= self.cfg.decision_period
+        });
+        records.map(|(key, _)| key.upstream)
+    }
+
+    fn keys_of_upstream(&self, upstream: UpstreamId) -> Vec<Key<S>> {
+        let subjects = self.at_upstream(upstream).iter();
+        subjects.map(|&subject| Key { subject, upstream }).collect()
+    }
+
+    /// Returns the time since a break; zero if it is not known.
+    fn age(&self, key: &Key<S>, now: Instant) -> Span {
+        self.records
+            .get(key)
+            .map_or(Span::ZERO, |r| now.since(r.at))
+    }
+
+    /// Raises the findings of these facts that are below `finding`; returns the subjects whose facts changed.
+    fn raise(&mut self, keys: Vec<Key<S>>, finding: Finding, now: Instant) -> Vec<S> {
+        let mut changed = Vec::new();
+        for key in keys {
+            let Some(record) = self.records.get_mut(&key) else {
+                continue;
+            };
+            if record.finding >= finding {
+                continue;
+            }
+            record.finding = finding;
+            record.learned = now;
+            self.update_life(key.upstream);
+            self.push_news(key);
+            changed.push(key.subject);
+        }
+        changed.sort_unstable();
+        changed.dedup();
+        changed
+    }
+
+    /// Drops facts past their retention; returns whether there were any.
+    pub(super) fn expire(&mut self, now: Instant) -> bool {
+        let is_over = |r: &Record| now.since(r.at) >= self.cfg.retention;
+        let over = self.records.iter().filter(|(_, r)| is_over(r));
+        let over: Vec<Key<S>> = over.map(|(&key, _)| key).collect();
+        for &key in &over {
+            self.remove(key);
+        }
+        !over.is_empty()
+    }
+
+    /// Keeps the facts within their bound. Those that don't count go first, then those of subjects that
+    /// are not refused, the oldest of each first.
+    pub(super) fn evict(&mut self, is_refused: impl Fn(S) -> bool) {
+        while self.records.len() > self.cfg.max_facts {
+            let rank = |key: &Key<S>, r: &Record| {
+                (r.finding.counts(), is_refused(key.subject), r.at, *key)
+            };
+            let first = self.records.iter().min_by_key(|(key, r)| rank(key, r));
+            let Some((&first, _)) = first else { return };
+            self.remove(first);
+        }
+    }
+
+    /// Returns whether there are facts to send.
+    pub(super) fn has_news(&self) -> bool {
+        !self.news.is_empty()
+    }
+
+    /// Returns at most `max` of the facts to send: those of refused subjects first, then those of
+    /// subjects with many. The others stay for the next call.
+    pub(super) fn take_news(
+        &mut self,
+        max: usize,
+        is_refused: impl Fn(S) -> bool,
+        now: Instant,
+    ) -> Vec<Fact<S>> {
+        let mut news = std::mem::take(&mut self.news);
+        news.sort_unstable();
+        news.dedup();
+        let is_sent = |key: &Key<S>| {
+            let record = self.records.get(key);
+            record.is_some_and(|r| r.finding != Finding::Silent)
+        };
+        news.retain(is_sent);
+        let facts = |s: S| self.upstreams.get(&s).map_or(0, Vec::len);
+        news.sort_by_key(|key| {
+            let is_refused = is_refused(key.subject);
+            (!is_refused, Reverse(facts(key.subject)))
+        });
+        let rest = news.split_off(max.min(news.len()));
+        self.news = rest;
+        news.into_iter()
+            .filter_map(|key| self.fact(key, now))
+            .collect()
+    }
+
+    /// Returns the facts of a subject that daemons report, by upstream.
+    pub(super) fn facts_of(&self, subject: S, now: Instant) -> Vec<Fact<S>> {
+        let facts = self.records_of(subject);
+        let facts = facts.filter(|(_, r)| r.finding != Finding::Silent);
+        let keys = facts.map(|(upstream, _)| Key { subject, upstream });
+        let mut facts: Vec<Fact<S>> = keys.filter_map(|key| self.fact(key, now)).collect();
+        facts.sort_unstable_by_key(|fact| fact.upstream);
+        facts
+    }
+
+    /// Returns at most `max` facts for a peer: first those that changed within `recent`, newest first,
+    /// in at most half of the places, then the crashes of the `refused` subjects in turn over successive calls.
+    /// Only subjects with at least `min_facts` facts are reported.
+    pub(super) fn report(
+        &mut self,
+        max: usize,
+        min_facts: usize,
+        recent: Span,
+        refused: impl Iterator<Item = S>,
+        now: Instant,
+    ) -> Vec<Fact<S>> {
+        let is_recent = |r: &Record| r.finding != Finding::Silent && now.since(r.learned) < recent;
+        let has_enough =
+            |key: &Key<S>| min_facts <= 1 || self.facts_of(key.subject, now).len() >= min_facts;
+        let changed = self.records.iter();
+        let changed = changed.filter(|(key, r)| is_recent(r) && has_enough(key));
+        let mut changed: Vec<(Instant, Key<S>)> =
+            changed.map(|(&key, r)| (r.learned, key)).collect();
+        changed.sort_unstable_by(|a, b| b.cmp(a));
+        changed.truncate(max.div_ceil(2));
+        let mut keys: Vec<Key<S>> = changed.into_iter().map(|(_, key)| key).collect();
+        keys.extend(self.next_refusing(max - keys.len(), &keys, refused));
+        keys.into_iter()
+            .filter_map(|key| self.fact(key, now))
+            .collect()
+    }
+
+    /// Returns up to `max` crashes of refused subjects after those of the last call, without `excluded`.
+    fn next_refusing(
+        &mut self,
+        max: usize,
+        excluded: &[Key<S>],
+        refused: impl Iterator<Item = S>,
+    ) -> Vec<Key<S>> {
+        let crashes = refused.flat_map(|subject| {
+            let upstreams = self.counted(subject).map(|(upstream, _)| upstream);
+            upstreams.map(move |upstream| Key { subject, upstream })
+        });
+        let mut keys: Vec<Key<S>> = crashes.collect();
+        keys.sort_unstable();
+        let start = match self.cursor {
+            Some(cursor) => keys.partition_point(|&key| key <= cursor),
+            None => 0,
+        };
+        keys.rotate_left(start);
+        keys.retain(|key| !excluded.contains(key));
+        keys.truncate(max);
+        self.cursor = keys.last().copied().or(self.cursor);
+        keys
+    }
+
+    /// Returns all facts, by subject and upstream.
+    pub(super) fn all(&self, now: Instant) -> Vec<Fact<S>> {
+        let mut keys: Vec<Key<S>> = self.records.keys().copied().collect();
+        keys.sort_unstable();
+        keys.into_iter()
+            .filter_map(|key| self.fact(key, now))
+            .collect()
+    }
+
+    fn fact(&self, key: Key<S>, now: Instant) -> Option<Fact<S>> {
+        let record = self.records.get(&key)?;
+        Some(Fact {
+            subject: key.subject,
+            upstream: key.upstream,
+            finding: record.finding,
+            age: now.since(record.at),
+            begun: record.begun.map(|begun| now.since(begun)),
+            alive: record.alive.map(|alive| now.since(alive)),
+        })
+    }
+}
+
+fn remove_from<K, V>(lists: &mut HashMap<K, Vec<V>>, key: K, value: V)
+where
+    K: Eq + Hash,
+    V: PartialEq,
+{
+    let Some(list) = lists.get_mut(&key) else {
+        return;
+    };
+    list.retain(|v| *v != value);
+    if list.is_empty() {
+        lists.remove(&key);
+    }
+}
--- /dev/null
+++ b/crates/kelpworks-coord/src/crash_ledger/parts.rs
@@ -0,0 +1,419 @@
+//! Parts of prompts that crash upstreams, found by what the requests share whose upstreams ended.
+//!
+//! The model: a harmful part ends each upstream that begins to write an answer on it, after about the same time;
+//! upstreams also end by other causes, several at once. Of a part, a run that broke off at an upstream which ended is a
+//! failed trial, and a run that completed refutes the failed trials before its begin. What is harmful fails
+//! each trial, what is popular survives many times a second, and what is rare was seldom at three ends.
+
+use std::collections::HashMap;
+
+use super::Config;
+use super::Finding;
+use super::PartCrash;
+use super::Refusal;
+use super::RefusalPeriod;
+use super::facts::Fact;
+use super::facts::Facts;
+use super::facts::Record;
+use super::turns::Turns;
+use crate::id::PartId;
+use crate::id::UpstreamId;
+use crate::time::Instant;
+use crate::time::Span;
+
+/// Minimum time after which a run that goes on shows that its parts end no upstream.
+const MIN_SURVIVAL: Span = Span::from_secs(1);
+/// Factor by which it has to last longer than any run of the part that broke off.
+const SURVIVAL_FACTOR: u64 = 4;
+/// How long a part is refused that survived at other times. It may be innocent, and can't survive again while it
+/// is refused.
+const REFUSAL_OF_SURVIVOR: Span = Span::from_secs(15);
+/// Number of parts whose last survival is remembered, some 100 kB.
+const SURVIVALS: usize = 4_096;
+
+/// How long a run lasted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Lasted {
+    /// It has completed.
+    ToItsEnd,
+    /// It goes on, after this time.
+    For(Span),
+}
+
+/// What is thought of a part that was at several ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Verdict {
+    /// Its requests are refused until then.
+    Refused(RefusalPeriod),
+    /// Its requests run in turns with those of other suspects.
+    Suspect,
+    /// Other parts account for its ends.
+    Explained,
+}
+
+impl Verdict {
+    fn is_refused(self) -> bool {
+        matches!(self, Verdict::Refused(_))
+    }
+}
+
+/// A part that was at so many ends that it may be harmful.
+#[derive(Clone, Debug)]
+struct Candidate {
+    part: PartId,
+    /// Upstreams that ended under it, sorted.
+    ends: Vec<UpstreamId>,
+    /// Number of ends that are independent of each other: a run began after one and broke off with the next.
+    trials: usize,
+    last: Instant,
+    /// Whether a run with the part is known to have survived at any time.
+    has_survived: bool,
+}
+
+impl Candidate {
+    fn includes(&self, ends: &[UpstreamId]) -> bool {
+        ends.iter().all(|end| self.ends.binary_search(end).is_ok())
+    }
+
+    /// Whether this part, if it is harmful, explains all ends of another one.
+    fn covers(&self, other: &Candidate) -> bool {
+        self.part != other.part && self.includes(&other.ends)
+    }
+}
+
+/// When the last surviving run of a part began, for the parts that survived last.
+#[derive(Clone, Debug)]
+struct Survivals(Vec<Option<(PartId, Instant)>>);
+
+impl Survivals {
+    fn new() -> Survivals {
+        Survivals(vec![None; SURVIVALS])
+    }
+
+    fn slot(part: PartId) -> usize {
+        let spread = part.0.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        (spread >> 32) as usize % SURVIVALS
+    }
+
+    fn insert(&mut self, part: PartId, begun: Instant) {
+        let slot = &mut self.0[Survivals::slot(part)];
+        let known = slot.filter(|(p, _)| *p == part).map(|(_, at)| at);
+        *slot = Some((part, known.map_or(begun, |at| at.max(begun))));
+    }
+
+    fn get(&self, part: PartId) -> Option<Instant> {
+        let (known, begun) = self.0[Survivals::slot(part)]?;
+        (known == part).then_some(begun)
+    }
+}
+
+/// The facts about parts that one daemon knows, and what it concludes from them.
+#[derive(Clone, Debug)]
+pub(super) struct Parts {
+    cfg: Config,
+    pub(super) facts: Facts<PartId>,
+    survivals: Survivals,
+    /// Derived from `facts` and `survivals`, as all that follow.
+    candidates: Vec<(Candidate, Verdict)>,
+    refused: HashMap<PartId, RefusalPeriod>,
+    suspects: Turns<PartId>,
+    has_suspects: bool,
+    /// Parts that have become refused since [`Parts::take_decided`].
+    decided: Vec<PartId>,
+}
+
+impl Parts {
+    pub(super) fn new(cfg: Config) -> Parts {
+        Parts {
+            cfg,
+            facts: Facts::new(cfg),
+            survivals: Survivals::new(),
+            candidates: Vec::new(),
+            refused: HashMap::new(),
+            suspects: Turns::new(cfg.turn),
+            has_suspects: false,
+            decided: Vec::new(),
+        }
+    }
+
+    /// Returns why a request with these parts may not run now, and because of which part.
+    pub(super) fn refusal(&self, parts: &[PartId], now: Instant) -> Option<(PartId, Refusal)> {
+        if self.refused.is_empty() && !self.has_suspects {
+            return None;
+        }
+        if let Some(part) = parts.iter().find(|&&p| self.is_refused(p, now)) {
+            return Some((*part, Refusal::Settled));
+        }
+        // Later parts are the more specific ones, so that a request with several tests the last one.
+        let mut suspects = parts.iter().rev();
+        let (part, rank) = suspects.find_map(|&p| Some((p, self.suspects.rank(p)?)))?;
+        let wait = self.suspects.time_to_turn(rank, 1, now);
+        (wait > Span::ZERO).then_some((part, Refusal::WaitsForTurn(wait)))
+    }
+
+    pub(super) fn is_refused(&self, part: PartId, now: Instant) -> bool {
+        self.refused.get(&part).is_some_and(|p| now < p.until)
+    }
+
+    pub(super) fn refused(&self, now: Instant) -> impl Iterator<Item = PartId> {
+        let refused = self.refused.iter().filter(move |(_, p)| now < p.until);
+        refused.map(|(&part, _)| part)
+    }
+
+    /// Returns the number of upstreams that ended under a part.
+    pub(super) fn ends(&self, part: PartId) -> usize {
+        self.crashes(part).count()
+    }
+
+    /// Returns the breaks under a part at upstreams that ended. A break in doubt counts once another one shows
+    /// that its upstream has ended.
+    fn crashes(&self, part: PartId) -> impl Iterator<Item = (UpstreamId, Record)> {
+        let records = self.facts.records_of(part);
+        records.filter(|(upstream, record)| {
+            let is_broken = record.finding.counts()
+                || (record.finding == Finding::Doubtful && self.has_ended(*upstream));
+            is_broken && !self.facts.is_before_end(*upstream, record)
+        })
+    }
+
+    fn has_ended(&self, upstream: UpstreamId) -> bool {
+        let mut parts = self.facts.at_upstream(upstream).iter();
+        parts.any(|&part| {
+            let record = self.facts.get(part, upstream);
+            record.is_some_and(|r| r.finding.counts())
+        })
+    }
+
+    /// Returns whether parts account for these crashes of a request: so many are due to refused parts that the rest is
+    /// too few, or a suspect explains all of them and further ones.
+    pub(super) fn accounts_for(&self, crashes: &[UpstreamId]) -> bool {
+        let refused = self.candidates.iter().filter(|(_, v)| v.is_refused());
+        if self.unexplained(crashes, refused.map(|(c, _)| c)) < self.cfg.min_crashes {
+            return true;
+        }
+        self.candidates.iter().any(|(candidate, verdict)| {
+            let is_likely = *verdict == Verdict::Suspect && !candidate.has_survived;
+            is_likely && candidate.ends.len() > crashes.len() && candidate.includes(crashes)
+        })
+    }
+
+    /// Returns the number of ends that none of these parts explains.
+    fn unexplained<'a>(
+        &self,
+        ends: &[UpstreamId],
+        parts: impl Iterator<Item = &'a Candidate> + Clone,
+    ) -> usize {
+        let is_explained = |end: &UpstreamId| parts.clone().any(|p| p.includes(&[*end]));
+        ends.iter().filter(|end| !is_explained(end)).count()
+    }
+
+    /// Returns the parts that have become refused since the last call.
+    pub(super) fn take_decided(&mut self) -> Vec<PartId> {
+        std::mem::take(&mut self.decided)
+    }
+
+    /// Merges facts; those that a survival known here refutes are cleared at once. Returns those that raised
+    /// what is known.
+    pub(super) fn merge_all(
+        &mut self,
+        facts: impl IntoIterator<Item = Fact<PartId>>,
+        now: Instant,
+    ) -> Vec<Fact<PartId>> {
+        let merged = self.facts.merge_all(facts, now);
+        for fact in &merged.raised {
+            if let Some(begun) = self.survivals.get(fact.subject) {
+                self.facts.clear(fact.subject, begun, now);
+            }
+        }
+        merged.raised
+    }
+
+    /// Records that a run with these parts survived; returns the parts that it cleared.
+    pub(super) fn survive(
+        &mut self,
+        parts: &[PartId],
+        begun: Instant,
+        lasted: Lasted,
+        now: Instant,
+    ) -> Vec<PartId> {
+        let mut cleared = Vec::new();
+        for &part in parts {
+            if let Lasted::For(span) = lasted
+                && span < self.survival_time(part)
+            {
+                continue;
+            }
+            self.survivals.insert(part, begun);
+            if !self.facts.is_empty() && self.facts.clear(part, begun, now) {
+                cleared.push(part);
+            }
+        }
+        cleared
+    }
+
+    /// Returns the time after which a run with the part has survived.
+    fn survival_time(&self, part: PartId) -> Span {
+        let broken = self.facts.records_of(part).map(|(_, r)| r.lasted());
+        let longest = broken.max().unwrap_or(Span::ZERO);
+        MIN_SURVIVAL.max(longest.times(SURVIVAL_FACTOR))
+    }
+
+    fn has_survived(&self, part: PartId) -> bool {
+        let mut records = self.facts.records_of(part);
+        self.survivals.get(part).is_some() || records.any(|(_, r)| r.finding == Finding::Cleared)
+    }
+
+    /// Returns a part as a candidate if it was at enough ends. One that has survived at other times needs
+    /// ends that are independent of each other.
+    fn candidate(&self, part: PartId) -> Option<Candidate> {
+        let mut crashes: Vec<(UpstreamId, Record)> = self.crashes(part).collect();
+        let last = crashes.iter().map(|(_, r)| r.at).max()?;
+        if crashes.len() < self.cfg.min_crashes {
+            return None;
+        }
+        crashes.sort_unstable_by_key(|(upstream, r)| (r.at, *upstream));
+        let trials = independent_ends(crashes.iter().map(|(_, r)| r));
+        let has_survived = self.has_survived(part);
+        if has_survived && trials < self.cfg.min_crashes {
+            return None;
+        }
+        let mut ends: Vec<UpstreamId> = crashes.into_iter().map(|(upstream, _)| upstream).collect();
+        ends.sort_unstable();
+        Some(Candidate {
+            part,
+            ends,
+            trials,
+            last,
+            has_survived,
+        })
+    }
+
+    /// Derives which parts are refused. `is_covered` is whether a single request accounts for ends.
+    pub(super) fn refresh(&mut self, is_covered: impl Fn(&[UpstreamId]) -> bool, now: Instant) {
+        let parts = self.facts.by_subject();
+        let parts = parts.filter(|(_, upstreams)| upstreams.len() >= self.cfg.min_crashes);
+        let parts: Vec<PartId> = parts.map(|(part, _)| part).collect();
+        let candidates = parts.into_iter().filter_map(|part| self.candidate(part));
+        let mut candidates: Vec<Candidate> = candidates.collect();
+        candidates
+            .sort_unstable_by_key(|c| (std::cmp::Reverse(c.ends.len()), c.has_survived, c.part));
+        let mut judged: Vec<(Candidate, Verdict)> = Vec::with_capacity(candidates.len());
+        for candidate in &candidates {
+            let verdict = self.judge(candidate, &candidates, &judged, &is_covered, now);
+            judged.push((candidate.clone(), verdict));
+        }
+        self.candidates = judged;
+        self.apply_verdicts(now);
+    }
+
+    /// Judges a candidate, given the verdicts of the likelier ones: those that never survived come first, and of
+    /// these the ones with most ends.
+    fn judge(
+        &self,
+        candidate: &Candidate,
+        all: &[Candidate],
+        judged: &[(Candidate, Verdict)],
+        is_covered: &impl Fn(&[UpstreamId]) -> bool,
+        now: Instant,
+    ) -> Verdict {
+        let likelier = judged.iter().filter(|(other, verdict)| {
+            let never_survived = candidate.has_survived && !other.has_survived;
+            verdict.is_refused() || (never_survived && *verdict == Verdict::Suspect)
+        });
+        let unexplained = self.unexplained(&candidate.ends, likelier.map(|(c, _)| c));
+        if unexplained < self.cfg.min_crashes {
+            return Verdict::Explained;
+        }
+        let has_rival = all.iter().any(|other| {
+            let is_as_likely = other.has_survived <= candidate.has_survived;
+            is_as_likely && other.covers(candidate)
+        });
+        let (min_ends, length) = match candidate.has_survived {
+            true => (self.cfg.max_shared_crashes, REFUSAL_OF_SURVIVOR),
+            false => {
+                let length = self.cfg.refusal_after(candidate.ends.len());
+                (self.cfg.min_crashes, length)
+            }
+        };
+        let is_certain = !has_rival
+            && candidate.trials >= self.cfg.min_crashes
+            && candidate.ends.len() >= min_ends
+            && !is_covered(&candidate.ends);
+        let period = RefusalPeriod {
+            until: candidate.last + length,
+            is_settled: true,
+        };
+        match is_certain && now < period.until {
+            true => Verdict::Refused(period),
+            false => Verdict::Suspect,
+        }
+    }
+
+    fn apply_verdicts(&mut self, now: Instant) {
+        let earlier = std::mem::take(&mut self.refused);
+        let mut suspects = Vec::new();
+        let mut last_crash = Instant::ZERO;
+        for (candidate, verdict) in &self.candidates {
+            match verdict {
+                Verdict::Refused(period) => {
+                    let was_refused = earlier.get(&candidate.part).is_some_and(|p| now < p.until);
+                    if !was_refused {
+                        self.decided.push(candidate.part);
+                    }
+                    self.refused.insert(candidate.part, *period);
+                }
+                Verdict::Suspect => {
+                    suspects.push(candidate.part);
+                    last_crash = last_crash.max(candidate.last);
+                }
+                Verdict::Explained => {}
+            }
+        }
+        self.has_suspects = !suspects.is_empty();
+        self.suspects.assign(suspects.into_iter(), last_crash);
+    }
+}
+
+/// Returns the number of ends, in the order of time, of which each broke off a run that began after the end before.
+/// Upstreams that end together end by one cause.
+fn independent_ends<'a>(ends: impl Iterator<Item = &'a Record>) -> usize {
+    let mut count = 0;
+    let mut previous: Option<Instant> = None;
+    for end in ends {
+        let is_later = match (end.begun, previous) {
+            (Some(begun), Some(previous)) => begun >= previous,
+            _ => true,
+        };
+        if is_later {
+            count += 1;
+            previous = Some(end.at);
+        }
+    }
+    count
+}
+
+impl From<PartCrash> for Fact<PartId> {
+    fn from(crash: PartCrash) -> Fact<PartId> {
+        Fact {
+            subject: crash.part,
+            upstream: crash.upstream,
+            finding: crash.finding,
+            age: crash.age,
+            begun: crash.begun,
+            alive: crash.alive,
+        }
+    }
+}
+
+impl From<Fact<PartId>> for PartCrash {
+    fn from(fact: Fact<PartId>) -> PartCrash {
+        PartCrash {
+            part: fact.subject,
+            upstream: fact.upstream,
+            finding: fact.finding,
+            age: fact.age,
+            begun: fact.begun,
+            alive: fact.alive,
+        }
+    }
+}
--- a/crates/kelpworks-coord/src/time.rs
+++ b/crates/kelpworks-coord/src/time.rs
@@ -11,6 +11,7 @@
 //! Instants of two daemons are not comparable: each daemon counts from its own start.
 
 use std::ops::Add;
+use std::ops::Sub;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -84,3 +85,12 @@
         Instant(self.0.saturating_add(rhs.0))
     }
 }
+
+impl Sub<Span> for Instant {
+    type Output = Instant;
+
+    /// Returns the instant that much earlier, or the daemon's start if that is later.
+    fn sub(self, rhs: Span) -> Instant {
+        Instant(self.0.saturating_sub(rhs.0))
+    }
+}
--- a/crates/kelpworks-coord/tests/crash_ledger.rs
+++ b/crates/kelpworks-coord/tests/crash_ledger.rs
@@ -157,6 +157,8 @@
         upstream: UpstreamId(1_000 + n),
         finding: Finding::Broken,
         age: Span::ZERO,
+        begun: None,
+        alive: None,
     });
     for chunk in flood.collect::<Vec<_>>().chunks(64) {
         ledger.merge_all(chunk.iter().copied(), NOW + Span::from_secs(1));
@@ -239,16 +241,21 @@
 
     fn arbitrary_with((): ()) -> BoxedStrategy<DrawnFact> {
         let finding = prop::sample::select(Finding::ALL.to_vec());
-        let drawn = (0..4u64, 0..6u64, finding, 0..4_000_000u64);
+        let [begun, alive] = [0, 1].map(|_| prop::option::of(0..4_000_000u64));
+        let drawn = (0..4u64, 0..6u64, finding, 0..4_000_000u64, begun, alive);
         drawn
-            .prop_map(|(fingerprint, upstream, finding, age_ms)| {
-                DrawnFact(Crash {
-                    fingerprint: Fingerprint(fingerprint),
-                    upstream: UpstreamId(upstream),
-                    finding,
-                    age: Span::from_millis(age_ms),
-                })
-            })
+            .prop_map(
+                |(fingerprint, upstream, finding, age_ms, begun_ms, alive_ms)| {
+                    DrawnFact(Crash {
+                        fingerprint: Fingerprint(fingerprint),
+                        upstream: UpstreamId(upstream),
+                        finding,
+                        age: Span::from_millis(age_ms),
+                        begun: begun_ms.map(Span::from_millis),
+                        alive: alive_ms.map(Span::from_millis),
+                    })
+                },
+            )
             .boxed()
     }
 }
--- a/crates/kelpworks-relay/src/peers/crashes.rs
+++ b/crates/kelpworks-relay/src/peers/crashes.rs
@@ -11,6 +11,7 @@
 
 use kelpworks_coord::crash_ledger::Crash;
 use kelpworks_coord::crash_ledger::Finding;
+use kelpworks_coord::crash_ledger::PartCrash;
 use kelpworks_coord::id::UpstreamId;
 use kelpworks_coord::poison::Fingerprint;
 use kelpworks_coord::time::Span;
@@ -28,7 +29,7 @@
 use super::store_contact::STORE_STALE_AFTER;
 use super::store_contact::StoreKind;
 
-/// Maximum number of facts in a message or digest, some 3 kB. Those that refuse a request go first.
+/// Maximum number of facts of each kind in a message or digest, some 3 kB. Those that refuse a request go first.
 pub(super) const MAX_FACTS: usize = 32;
 /// Time for which a digest carries a changed finding: several exchanges.
 const RECENT_PERIOD: Span = Span::from_secs(3);
@@ -47,6 +48,39 @@
 /// Maximum number of crashes that are taken from the count of an older build.
 const MAX_COUNTED: u32 = 5;
 
+/// Facts of the ledger in a message.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FactList {
+    pub(super) requests: Vec<Crash>,
+    pub(super) parts: Vec<PartCrash>,
+}
+
+impl FactList {
+    fn of_requests(requests: Vec<Crash>) -> FactList {
+        FactList {
+            requests,
+            ..FactList::default()
+        }
+    }
+
+    fn of_parts(parts: Vec<PartCrash>) -> FactList {
+        FactList {
+            parts,
+            ..FactList::default()
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.requests.is_empty() && self.parts.is_empty()
+    }
+
+    /// Keeps at most `max` facts of each kind.
+    fn truncate(&mut self, max: usize) {
+        self.requests.truncate(max);
+        self.parts.truncate(max);
+    }
+}
+
 impl Peers {
     /// Sends the findings that this daemon has made to its partners: at once, or as soon as the last
     /// message allows it.
@@ -63,15 +97,24 @@
         tokio::spawn(async move {
             tokio::time::sleep_until(due).await;
             let now = peers.shared.ledger_time(Instant::now());
-            let facts = peers.shared.crashes().take_news(MAX_FACTS, now);
-            peers.spread_facts(facts, None);
+            let mut ledger = peers.shared.crashes();
+            let news = FactList {
+                requests: ledger.take_news(MAX_FACTS, now),
+                parts: ledger.take_news_of_parts(MAX_FACTS, now),
+            };
+            let has_more = ledger.has_news();
+            drop(ledger);
+            peers.spread_facts(news, None);
+            if has_more {
+                peers.shared.notify_crash_news();
+            }
         });
     }
 
     /// Sends facts on, except to the daemon at `from`: to all daemons of a small fleet. In a larger one those
-    /// of requests with several facts go to a few neighbors, which send them on, and a first one goes to
-    /// the daemons that collect the facts of its request.
-    fn spread_facts(self: &Arc<Peers>, facts: Vec<Crash>, from: Option<SocketAddr>) {
+    /// of requests and parts with several facts go to a few neighbors, which send them on, and a first one goes to
+    /// the daemons that collect the facts of its request or part.
+    fn spread_facts(self: &Arc<Peers>, facts: FactList, from: Option<SocketAddr>) {
         if facts.is_empty() {
             return;
         }
@@ -79,16 +122,23 @@
             return self.send_to(&self.partners(), facts, from);
         }
         let now = self.shared.ledger_time(Instant::now());
-        let mut requests: Vec<Fingerprint> = facts.iter().map(|c| c.fingerprint).collect();
-        requests.sort_unstable();
-        requests.dedup();
-        let mut spread = Vec::new();
-        for fingerprint in requests {
+        let mut spread = FactList::default();
+        for fingerprint in distinct(facts.requests.iter().map(|c| c.fingerprint)) {
             let known = self.shared.crashes().facts_of(fingerprint, now);
             if known.len() >= MIN_FACTS_TO_SPREAD {
-                spread.extend(known);
+                spread.requests.extend(known);
             } else if from.is_none() {
-                self.send_to(&self.collectors(fingerprint), known, None);
+                let collectors = self.collectors(fingerprint.0);
+                self.send_to(&collectors, FactList::of_requests(known), None);
+            }
+        }
+        for part in distinct(facts.parts.iter().map(|c| c.part)) {
+            let known = self.shared.crashes().facts_of_part(part, now);
+            if known.len() >= MIN_FACTS_TO_SPREAD {
+                spread.parts.extend(known);
+            } else if from.is_none() {
+                let collectors = self.collectors(part.0);
+                self.send_to(&collectors, FactList::of_parts(known), None);
             }
         }
         spread.truncate(MAX_FACTS);
@@ -98,7 +148,7 @@
     fn send_to(
         self: &Arc<Peers>,
         partners: &[SocketAddr],
-        facts: Vec<Crash>,
+        facts: FactList,
         from: Option<SocketAddr>,
     ) {
         if facts.is_empty() {
@@ -106,7 +156,8 @@
         }
         let findings = Arc::new(Findings {
             from: self.address,
-            facts,
+            facts: facts.requests,
+            part_facts: facts.parts,
         });
         for &partner in partners.iter().filter(|&&p| Some(p) != from) {
             let peers = Arc::clone(self);
@@ -115,10 +166,10 @@
         }
     }
 
-    /// Addresses of the daemons that collect the facts of a request, the same on all daemons that know the
-    /// same members.
-    pub(super) fn collectors(&self, fingerprint: Fingerprint) -> Vec<SocketAddr> {
-        let weight = |name: &str| xxh3_64_with_seed(name.as_bytes(), fingerprint.0);
+    /// Addresses of the daemons that collect the facts of the request or part with this hash, the same on all
+    /// daemons that know the same members.
+    pub(super) fn collectors(&self, hash: u64) -> Vec<SocketAddr> {
+        let weight = |name: &str| xxh3_64_with_seed(name.as_bytes(), hash);
         let members = lock(&self.members);
         let live = members.live().map(|m| (weight(m.name()), m.address));
         let mut ranked: Vec<(u64, SocketAddr)> = live.collect();
@@ -150,14 +201,29 @@
 
     /// Applies the findings of a peer. In a small fleet it has sent them to all daemons.
     pub(super) fn on_findings(self: &Arc<Peers>, findings: Findings) {
-        let Findings { from, mut facts } = findings;
+        let Findings {
+            from,
+            facts,
+            part_facts,
+        } = findings;
+        let mut facts = FactList {
+            requests: facts,
+            parts: part_facts,
+        };
         facts.truncate(MAX_FACTS);
-        let raised = self.shared.learn_crashes(facts, &from.to_string());
+        let raised = self.learn(facts, &from.to_string());
         if !self.is_small_fleet() {
             self.spread_facts(raised, Some(from));
         }
     }
 
+    fn learn(&self, facts: FactList, peer: &str) -> FactList {
+        FactList {
+            requests: self.shared.learn_crashes(facts.requests, peer),
+            parts: self.shared.learn_part_crashes(facts.parts, peer),
+        }
+    }
+
     /// Decides breaks by the registrations, once a second.
     pub(super) fn review_crashes(&self, ticks: u32) {
         if ticks.is_multiple_of(REVIEW_TICKS) {
@@ -167,14 +233,17 @@
     }
 
     /// Returns the facts for a digest.
-    pub(super) fn reported_facts(&self, now: Instant) -> Vec<Crash> {
+    pub(super) fn reported_facts(&self, now: Instant) -> FactList {
         let now = self.shared.ledger_time(now);
         let min_facts = match self.is_small_fleet() {
             true => 1,
             false => MIN_FACTS_TO_SPREAD,
         };
         let mut ledger = self.shared.crashes();
-        ledger.report(MAX_FACTS, min_facts, RECENT_PERIOD, now)
+        FactList {
+            requests: ledger.report(MAX_FACTS, min_facts, RECENT_PERIOD, now),
+            parts: ledger.report_parts(MAX_FACTS, min_facts, RECENT_PERIOD, now),
+        }
     }
 
     /// Returns the crash counts for daemons of older builds.
@@ -190,13 +259,17 @@
 
     /// Applies the facts of a digest, or the counts of an older build.
     pub(super) fn learn_facts(&self, digest: &Digest) {
-        let mut facts = digest.facts.clone();
+        let mut facts = FactList {
+            requests: digest.facts.clone(),
+            parts: digest.part_facts.clone(),
+        };
         facts.truncate(MAX_FACTS);
         if digest.facts.is_empty() {
             let counts = digest.crashes.iter().take(MAX_COUNTS);
-            facts.extend(counts.flat_map(|c| self.facts_of_count(c)));
+            let counted = counts.flat_map(|c| self.facts_of_count(c));
+            facts.requests.extend(counted);
         }
-        self.shared.learn_crashes(facts, &digest.from.name);
+        self.learn(facts, &digest.from.name);
     }
 
     /// Returns facts in place of the crashes that an older build counts and this daemon does not know.
@@ -213,7 +286,17 @@
             )),
             finding: Finding::Broken,
             age: Span::ZERO,
+            begun: None,
+            alive: None,
         };
         missing.map(fact).collect()
     }
 }
+
+/// Returns each of these once, in order.
+fn distinct<T: Ord>(all: impl Iterator<Item = T>) -> Vec<T> {
+    let mut distinct: Vec<T> = all.collect();
+    distinct.sort_unstable();
+    distinct.dedup();
+    distinct
+}
--- a/crates/kelpworks-relay/src/peers/crashes_tests.rs
+++ b/crates/kelpworks-relay/src/peers/crashes_tests.rs
@@ -24,11 +24,16 @@
 use crate::reach::Probe;
 use crate::shared::crashes::Break;
 use crate::shared::crashes::BrokenAttempt;
+use crate::shared::crashes::Identity;
 use crate::shared::crashes::Incarnation;
 
 const SERVICE: &str = "llm";
 const UPSTREAMS: usize = 3;
 const REQUEST: Fingerprint = Fingerprint(7);
+const IDENTITY: Identity<'static> = Identity {
+    fingerprint: REQUEST,
+    parts: &[],
+};
 
 fn entry(number: usize) -> UpstreamEntry {
     UpstreamEntry {
@@ -65,10 +70,11 @@
     me.shared.record_break(BrokenAttempt {
         kind: "call",
         request: "r-1",
-        fingerprint: REQUEST,
-        parts: &[],
+        identity: IDENTITY,
         service: &service,
         incarnation: &incarnation(me, number),
+        sent: Instant::now(),
+        is_answered: false,
         end,
     })
 }
@@ -78,7 +84,7 @@
 }
 
 fn is_refused(me: &Peers) -> bool {
-    me.shared.check_crashes(REQUEST, SERVICE, true).is_err()
+    me.shared.check_crashes(IDENTITY, SERVICE, true).is_err()
 }
 
 /// Guards against crashes that three daemons see at one moment, and that count as one.
@@ -249,13 +255,13 @@
         }
     }
     for fingerprint in (0..20).map(Fingerprint) {
-        let mut collectors: Vec<SocketAddr> = all[0].collectors(fingerprint);
-        collectors.extend(all[1].collectors(fingerprint));
+        let mut collectors: Vec<SocketAddr> = all[0].collectors(fingerprint.0);
+        collectors.extend(all[1].collectors(fingerprint.0));
         collectors.sort_unstable();
         collectors.dedup();
         assert!((1..=2).contains(&collectors.len()), "{collectors:?}");
         for me in &all {
-            let of_me = me.collectors(fingerprint);
+            let of_me = me.collectors(fingerprint.0);
             assert!(of_me.iter().all(|a| collectors.contains(a)));
         }
     }
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -96,6 +96,7 @@
                 members.select_contacts(audience, now, &mut rand::rng()),
             )
         };
+        let reported = self.reported_facts(now);
         Digest {
             from: self.own_contact(now),
             version: self.store_cache.version(),
@@ -108,7 +109,8 @@
             load,
             ejections,
             crashes: self.crash_counts(now),
-            facts: self.reported_facts(now),
+            facts: reported.requests,
+            part_facts: reported.parts,
             slowness,
             assignments: assignments
                 .into_iter()
--- a/crates/kelpworks-relay/src/peers/limits_tests.rs
+++ b/crates/kelpworks-relay/src/peers/limits_tests.rs
@@ -19,8 +19,14 @@
 use crate::limits::RATE_WINDOW;
 use crate::limits::Rate;
 use crate::permit::Permit;
+use crate::shared::crashes::Identity;
 
 /// Interval between two requests to each daemon.
+/// A request without crashes.
+const REQUEST: Identity<'static> = Identity {
+    fingerprint: Fingerprint(0),
+    parts: &[],
+};
 const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 /// Time within which all daemons of a fleet know a limit.
 const PROPAGATION_TIME: Duration = Duration::from_secs(3);
@@ -60,7 +66,7 @@
                 }
                 let shared = &self.fleet.all[number].shared;
                 let runnable = shared
-                    .check_crashes(Fingerprint(0), "llm", false)
+                    .check_crashes(REQUEST, "llm", false)
                     .expect("no crashes");
                 let Some(admission) = shared.admit(runnable, vec![self.key]) else {
                     continue;
--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use kelpworks_coord::crash_ledger::Crash;
+use kelpworks_coord::crash_ledger::PartCrash;
 use kelpworks_coord::id::Era;
 use kelpworks_coord::id::Version;
 use serde::Deserialize;
@@ -106,6 +107,9 @@
     /// Address at which the sender accepts calls of its peers.
     pub(super) from: SocketAddr,
     pub(super) facts: Vec<Crash>,
+    /// Facts about parts of prompts; older builds have none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) part_facts: Vec<PartCrash>,
 }
 
 /// Layer assignment that an engine reported of itself.
@@ -222,6 +226,9 @@
     /// Facts of the ledger of crashes; older builds have none.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) facts: Vec<Crash>,
+    /// Facts about parts of prompts; older builds have none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) part_facts: Vec<PartCrash>,
     /// Slowness reports that have not expired.
     pub(super) slowness: Vec<SlownessOf>,
     /// Layer assignments that the registrations of the engines do not show yet.
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -137,6 +137,7 @@
         ejections: Vec::new(),
         crashes: Vec::new(),
         facts: Vec::new(),
+        part_facts: Vec::new(),
         slowness: Vec::new(),
         assignments: Vec::new(),
         owners: Vec::new(),
--- a/crates/kelpworks-relay/src/permit/tests.rs
+++ b/crates/kelpworks-relay/src/permit/tests.rs
@@ -20,6 +20,7 @@
 use crate::peers::test_engine;
 use crate::retry_budget::RetryLimit;
 use crate::shared::Shared;
+use crate::shared::crashes::Identity;
 
 const RETRY_LIMIT: RetryLimit = RetryLimit {
     window: Duration::from_secs(10),
@@ -40,10 +41,16 @@
     Sent,
 }
 
+/// A request without crashes.
+const REQUEST: Identity<'static> = Identity {
+    fingerprint: Fingerprint(0),
+    parts: &[],
+};
+
 /// Admits a request that has crashed nothing.
 fn admit(shared: &Shared, upstreams: Vec<UpstreamKey>) -> Option<Admission> {
     let runnable = shared
-        .check_crashes(Fingerprint(0), "llm", false)
+        .check_crashes(REQUEST, "llm", false)
         .expect("no crashes");
     shared.admit(runnable, upstreams)
 }
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -12,6 +12,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use kelpworks::verdict::Verdict;
+use kelpworks_coord::crash_ledger::Lasted;
 use log::info;
 use rand::RngExt;
 use tokio::time::Instant;
@@ -135,8 +136,7 @@
     let mut has_link_failure = false;
     loop {
         // An attempt of this request, here or elsewhere, may have been one too many.
-        let runnable = match shared.check_crashes(inbound.fingerprint, &inbound.service.name, true)
-        {
+        let runnable = match shared.check_crashes(inbound.identity(), &inbound.service.name, true) {
             Ok(runnable) => runnable,
             Err(refusal) => {
                 reason = refusal.reason;
@@ -314,7 +314,11 @@
         Err(_) => failed_attempt(Verdict::MayHaveRun, NO_ANSWER),
     };
     record_link_evidence(shared, inbound, upstream, &result);
-    record_end(shared, inbound, &incarnation, &result);
+    let target = Target {
+        incarnation: &incarnation,
+        sent,
+    };
+    record_end(shared, inbound, target, &result);
     let mut fleet = shared.fleet();
     match &result {
         Attempt::Completed { .. } => {
@@ -350,29 +354,33 @@
 fn record_end(
     shared: &Arc<Shared>,
     inbound: &InboundRequest,
-    incarnation: &Incarnation,
+    target: Target<'_>,
     attempt: &Attempt,
 ) {
-    let end = match attempt {
+    let reason = match attempt {
         Attempt::Completed { status, .. } => {
             if status.is_success() {
                 shared.clear_crashes(&inbound.id, inbound.fingerprint);
+                let parts = &inbound.head.shared_parts;
+                shared.record_survival(parts, target.sent, Lasted::ToItsEnd);
             }
             return;
         }
-        Attempt::Failed { reason, .. } => match *reason {
-            CONNECTION_LOST | CUT_OFF => Break::Lost,
-            NO_ANSWER => Break::Silent,
-            _ => return,
-        },
+        Attempt::Failed { reason, .. } => *reason,
+    };
+    let end = match reason {
+        CONNECTION_LOST | CUT_OFF => Break::Lost,
+        NO_ANSWER => Break::Silent,
+        _ => return,
     };
     shared.record_break(BrokenAttempt {
         kind: "call",
         request: &inbound.id,
-        fingerprint: inbound.fingerprint,
-        parts: &inbound.head.shared_parts,
+        identity: inbound.identity(),
         service: &inbound.service.name,
-        incarnation,
+        incarnation: target.incarnation,
+        sent: target.sent,
+        is_answered: reason == CUT_OFF,
         end,
     });
 }
--- a/crates/kelpworks-relay/src/relay/incoming.rs
+++ b/crates/kelpworks-relay/src/relay/incoming.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use kelpworks_coord::poison::Fingerprint;
+use log::info;
 use rand::RngExt;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::Xxh3;
@@ -26,6 +27,7 @@
 use crate::config::Service;
 use crate::config::Team;
 use crate::shared::Shared;
+use crate::shared::crashes::Identity;
 
 /// Longest time for reading a request body; longer than a head needs, since bodies are larger.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -96,8 +98,21 @@
     let fingerprint = fingerprint(team.as_deref(), &target, &body);
     let service = choose_service(&context, &route)?.clone();
     let is_whole = route.kind.is_call();
-    let turn = shared.wait_for_turn(fingerprint, &service.name, is_whole);
+    let identity = Identity {
+        fingerprint,
+        parts: &head.shared_parts,
+    };
+    let turn = shared.wait_for_turn(identity, &service.name, is_whole);
     if let Err(refusal) = turn.await {
+        if let Some(part) = refusal.part {
+            info!(
+                target: "decision",
+                request:% = context.id,
+                part:% = part,
+                why:% = refusal.reason;
+                "request has a part that is held back"
+            );
+        }
         return Err(context.refuse_with_retry_after(refusal.retry_after, refusal.reason));
     }
     let time_limit = head.time_left.unwrap_or(route.timeout);
--- a/crates/kelpworks-relay/src/relay/mod.rs
+++ b/crates/kelpworks-relay/src/relay/mod.rs
@@ -44,6 +44,7 @@
 use crate::permit::Retry;
 use crate::pool::Body;
 use crate::shared::Shared;
+use crate::shared::crashes::Identity;
 use handover::HandoverHead;
 use reply::Reply;
 
@@ -80,6 +81,14 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns what crashes under it may be blamed on.
+    fn identity(&self) -> Identity<'_> {
+        Identity {
+            fingerprint: self.fingerprint,
+            parts: &self.head.shared_parts,
+        }
+    }
+
     /// Returns whether an attempt of the daemon that handed it over may have reached an upstream.
     fn may_have_reached(&self) -> bool {
         self.handover.as_ref().is_some_and(|h| h.may_have_reached)
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -27,6 +27,8 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use kelpworks::verdict::Verdict;
+use kelpworks_coord::crash_ledger::Lasted;
+use kelpworks_coord::time::Span;
 use log::info;
 use tokio::time::Instant;
 
@@ -72,6 +74,10 @@
 /// Largest incomplete event that is buffered.
 const MAX_EVENT_BYTES: usize = 4 << 20;
 
+/// Time after the first data of a stream at which it is first reported as a run that survived: the minimum that
+/// the ledger of crashes takes for one.
+const FIRST_SURVIVAL_REPORT: Duration = Duration::from_secs(1);
+
 /// Failure reason when the retry budget is used up.
 const NO_RETRY: &str = "no repeat left";
 
@@ -141,6 +147,29 @@
     /// When data last arrived; when the request was sent, before any did.
     last_received: Instant,
     started: bool,
+    survival: Survival,
+}
+
+/// Times at which a running stream is reported as a run that survived.
+#[derive(Clone, Copy, Debug, Default)]
+struct Survival {
+    first_received: Option<Instant>,
+    /// Time after the first data of the next report; doubled with each.
+    next: Duration,
+}
+
+impl Survival {
+    /// Returns for how long the stream has gone on, if a report is due.
+    fn due(&mut self, now: Instant) -> Option<Duration> {
+        let first = *self.first_received.get_or_insert(now);
+        let lasted = now.duration_since(first);
+        self.next = self.next.max(FIRST_SURVIVAL_REPORT);
+        if lasted < self.next {
+            return None;
+        }
+        self.next *= 2;
+        Some(lasted)
+    }
 }
 
 /// Path of a running request, with its reservations at the engines; empty while another daemon
@@ -162,6 +191,10 @@
     profile: Option<Arc<EngineProfile>>,
     /// First engine of the last attempt of this daemon.
     first_engine: Option<Incarnation>,
+    /// When that attempt was sent.
+    sent: Instant,
+    /// Whether the head of its response has arrived.
+    is_answered: bool,
     /// First engines of the attempts that may have run, without engines known to have ended.
     ran_at: Vec<RanAt>,
     attempts: u32,
@@ -205,6 +238,8 @@
         clients,
         inbound,
         first_engine: None,
+        sent: Instant::now(),
+        is_answered: false,
         ran_at,
         attempts: 0,
         retry: Mutex::default(),
@@ -405,10 +440,11 @@
         self.shared.record_break(BrokenAttempt {
             kind: "stream",
             request: &self.inbound.id,
-            fingerprint: self.inbound.fingerprint,
-            parts: &self.inbound.head.shared_parts,
+            identity: self.inbound.identity(),
             service: &self.inbound.service.name,
             incarnation: engine,
+            sent: self.sent,
+            is_answered: self.is_answered,
             end: Break::Lost,
         })
     }
@@ -457,6 +493,10 @@
                     if let StreamConnection::Engine(_) = active.connection {
                         self.shared
                             .record_contact(&self.inbound.service.name, false);
+                        if let Some(lasted) = active.survival.due(now) {
+                            let lasted = Span::from_millis(lasted.as_millis() as u64);
+                            self.record_survival(Lasted::For(lasted));
+                        }
                     }
                     self.record_progress(&active.running_path.parts, now);
                     active.splitter.push(&bytes);
@@ -482,7 +522,10 @@
                         self.shared.fleet().record_outcome(first, false);
                     }
                     match active.connection {
-                        StreamConnection::Engine(connection) => self.shared.pool.keep(connection),
+                        StreamConnection::Engine(connection) => {
+                            self.shared.pool.keep(connection);
+                            self.record_survival(Lasted::ToItsEnd);
+                        }
                         StreamConnection::Peer(connection) => {
                             self.clients.handover.keep(connection);
                         }
@@ -493,6 +536,12 @@
         }
     }
 
+    /// Records that the engine did not end under the last attempt.
+    fn record_survival(&self, lasted: Lasted) {
+        let parts = &self.inbound.head.shared_parts;
+        self.shared.record_survival(parts, self.sent, lasted);
+    }
+
     fn record_progress(&self, parts: &[(UpstreamKey, LayerRange)], now: Instant) {
         let mut fleet = self.shared.fleet();
         for &(key, _) in parts {
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -19,6 +19,7 @@
 use super::RunningPath;
 use super::StreamConnection;
 use super::StreamRelay;
+use super::Survival;
 use crate::adapter::Adapter;
 use crate::adapter::AnswerHead;
 use crate::adapter::EngineApi;
@@ -262,7 +263,7 @@
         let service = &self.inbound.service.name;
         let runnable = self
             .shared
-            .check_crashes(self.inbound.fingerprint, service, false);
+            .check_crashes(self.inbound.identity(), service, false);
         runnable.map_err(refused)
     }
 
@@ -316,6 +317,8 @@
         self.log_path(&path);
         let shared = Arc::clone(&self.shared);
         let sent = Instant::now();
+        self.sent = sent;
+        self.is_answered = false;
         let sending = shared
             .pool
             .send(first, path.address, req, Reuse::Any, permit);
@@ -335,6 +338,7 @@
             }),
         }
         let (exchange, head) = answer?;
+        self.is_answered = true;
         let Exchange {
             response,
             connection,
@@ -354,6 +358,7 @@
             splitter: EventSplitter::default(),
             last_received: sent,
             started: false,
+            survival: Survival::default(),
         });
         Ok((parts.status, parts.headers))
     }
--- a/crates/kelpworks-relay/src/relay/stream/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/stream/by_peer.rs
@@ -15,6 +15,7 @@
 use super::RunningPath;
 use super::StreamConnection;
 use super::StreamRelay;
+use super::Survival;
 use super::attempt::Reservation;
 use crate::adapter::Adapter;
 use crate::adapter::EngineApi;
@@ -126,6 +127,7 @@
             splitter: EventSplitter::default(),
             last_received: sent,
             started: false,
+            survival: Survival::default(),
         });
         Ok((parts.status, parts.headers))
     }
--- a/crates/kelpworks-relay/src/shared/crashes.rs
+++ b/crates/kelpworks-relay/src/shared/crashes.rs
@@ -11,9 +11,13 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use kelpworks_coord::crash_ledger::BrokenRun;
+use kelpworks_coord::crash_ledger::Changed;
 use kelpworks_coord::crash_ledger::Crash;
 use kelpworks_coord::crash_ledger::CrashLedger;
 use kelpworks_coord::crash_ledger::Finding;
+use kelpworks_coord::crash_ledger::Lasted;
+use kelpworks_coord::crash_ledger::PartCrash;
 use kelpworks_coord::crash_ledger::Refusal;
 use kelpworks_coord::id::PartId;
 use kelpworks_coord::id::UpstreamId;
@@ -29,6 +33,8 @@
 
 /// Reason of refusals of requests that crash upstreams.
 const CRASHES_UPSTREAMS: &str = "crashes upstreams";
+/// Reason of refusals of requests with a part in their prompts that crashes upstreams.
+const PART_CRASHES_UPSTREAMS: &str = "part of the prompt crashes upstreams";
 /// Reason of refusals of a request that probably crashes upstreams, while it is not known whether they have
 /// ended.
 const UNDECIDED: &str = "crashes undecided";
@@ -72,11 +78,20 @@
     pub(crate) index: usize,
 }
 
+/// What crashes may be blamed on: a request, and the parts of its prompt that it shares with others.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Identity<'a> {
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) parts: &'a [PartId],
+}
+
 /// Refusal of a request because of the crashes under it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct CrashRefusal {
     pub(crate) reason: &'static str,
     pub(crate) retry_after: Duration,
+    /// Part of the prompt that is to blame; `None` if the request itself is.
+    pub(crate) part: Option<PartId>,
 }
 
 impl CrashRefusal {
@@ -91,6 +106,20 @@
         CrashRefusal {
             reason,
             retry_after,
+            part: None,
+        }
+    }
+
+    fn of_part(part: PartId, refusal: Refusal) -> CrashRefusal {
+        let of_request = CrashRefusal::new(refusal);
+        let reason = match refusal {
+            Refusal::Settled => PART_CRASHES_UPSTREAMS,
+            _ => of_request.reason,
+        };
+        CrashRefusal {
+            reason,
+            part: Some(part),
+            ..of_request
         }
     }
 }
@@ -119,11 +148,13 @@
     pub(crate) kind: &'static str,
     /// Id of the request.
     pub(crate) request: &'a str,
-    pub(crate) fingerprint: Fingerprint,
-    /// Shared parts of its prompt.
-    pub(crate) parts: &'a [PartId],
+    pub(crate) identity: Identity<'a>,
     pub(crate) service: &'a Arc<str>,
     pub(crate) incarnation: &'a Incarnation,
+    /// When it was sent there.
+    pub(crate) sent: Instant,
+    /// Whether its answer had begun.
+    pub(crate) is_answered: bool,
     pub(crate) end: Break,
 }
 
@@ -142,10 +173,11 @@
     /// single upstream runs it, so that suspects run apart on different ones.
     pub(crate) fn check_crashes(
         &self,
-        fingerprint: Fingerprint,
+        identity: Identity<'_>,
         service: &str,
         is_whole: bool,
     ) -> std::result::Result<Runnable, CrashRefusal> {
+        let Identity { fingerprint, parts } = identity;
         let now = self.ledger_time(Instant::now());
         let has_lanes = is_whole && self.crashes().has_suspects();
         let lanes = match has_lanes {
@@ -153,6 +185,9 @@
             false => 1,
         };
         let ledger = self.crashes();
+        if let Some((part, refusal)) = ledger.refusal_of_parts(parts, now) {
+            return Err(CrashRefusal::of_part(part, refusal));
+        }
         if let Some(refusal) = ledger.refusal_in_lanes(fingerprint, lanes, now) {
             return Err(CrashRefusal::new(refusal));
         }
@@ -166,13 +201,13 @@
     /// then either.
     pub(crate) async fn wait_for_turn(
         &self,
-        fingerprint: Fingerprint,
+        identity: Identity<'_>,
         service: &str,
         is_whole: bool,
     ) -> std::result::Result<Runnable, CrashRefusal> {
         let until = Instant::now() + MAX_TURN_WAIT;
         loop {
-            let checked = self.check_crashes(fingerprint, service, is_whole);
+            let checked = self.check_crashes(identity, service, is_whole);
             let Err(refusal) = checked else {
                 return checked;
             };
@@ -201,10 +236,11 @@
         let BrokenAttempt {
             kind,
             request,
-            fingerprint,
-            parts,
+            identity: Identity { fingerprint, parts },
             service,
             incarnation,
+            sent,
+            is_answered,
             end,
         } = broken;
         let now = Instant::now();
@@ -218,7 +254,15 @@
         let upstream = UpstreamId::of(&incarnation.instance);
         let crashes = {
             let mut ledger = self.crashes();
-            ledger.record(fingerprint, upstream, finding, self.ledger_time(now));
+            let run = BrokenRun {
+                fingerprint,
+                parts,
+                upstream,
+                finding,
+                begun: Some(self.ledger_time(sent)),
+                is_answered,
+            };
+            ledger.record_run(run, self.ledger_time(now));
             ledger.count(fingerprint)
         };
         let labels = [("kind", kind), ("finding", finding.as_str())];
@@ -234,11 +278,48 @@
             parts:% = format_parts(parts);
             "attempt broke off at an upstream"
         );
+        self.log_decided_parts("a break");
         self.crash_news.notify_one();
         self.spawn_check(incarnation.clone(), now);
         crashes
     }
 
+    /// Records that a run with these parts in its prompt survived, which was sent at `sent`.
+    pub(crate) fn record_survival(&self, parts: &[PartId], sent: Instant, lasted: Lasted) {
+        if parts.is_empty() {
+            return;
+        }
+        let now = self.ledger_time(Instant::now());
+        let sent = self.ledger_time(sent);
+        let cleared = self.crashes().record_survival(parts, sent, lasted, now);
+        if cleared.is_empty() {
+            return;
+        }
+        info!(
+            target: "decision",
+            parts:% = format_parts(&cleared);
+            "parts of prompts cleared of crashes"
+        );
+        self.count_findings(Finding::Cleared, cleared.len());
+        self.log_decided_parts("a clearance");
+        self.crash_news.notify_one();
+    }
+
+    /// Logs the parts of prompts that have become refused.
+    fn log_decided_parts(&self, evidence: &'static str) {
+        let decided = self.crashes().take_decided_parts();
+        for (part, crashes) in decided {
+            info!(
+                target: "decision",
+                part:% = part,
+                crashes,
+                evidence:% = evidence;
+                "part of prompts refused"
+            );
+            metrics::counter!("kelpworks_refused_parts_total").increment(1);
+        }
+    }
+
     /// Records that an upstream answered a request that was sent at `sent`.
     pub(crate) fn record_answer(&self, instance: &str, sent: Instant) {
         let mut ledger = self.crashes();
@@ -277,6 +358,7 @@
         ledger.expire(now);
         let undecided = ledger.undecided(now);
         drop(ledger);
+        self.log_decided_parts("time");
         if undecided.is_empty() || !are_registrations_recent {
             return;
         }
@@ -335,17 +417,54 @@
                 peer:% = peer;
                 "crashes reported by a peer"
             );
-            self.check_reported(&raised);
+            let undecided = raised.iter().filter(|c| c.finding < Finding::Alive);
+            self.check_reported(undecided.map(|c| c.upstream).collect());
+            self.log_decided_parts("a peer");
+        }
+        raised
+    }
+
+    /// Like [`Shared::learn_crashes`], about parts of prompts.
+    pub(crate) fn learn_part_crashes(
+        self: &Arc<Shared>,
+        crashes: Vec<PartCrash>,
+        peer: &str,
+    ) -> Vec<PartCrash> {
+        if crashes.is_empty() {
+            return crashes;
+        }
+        let now = self.ledger_time(Instant::now());
+        let (raised, has_news) = {
+            let mut ledger = self.crashes();
+            let raised = ledger.merge_parts(crashes, now);
+            (raised, ledger.has_news())
+        };
+        if has_news {
+            self.crash_news.notify_one();
+        }
+        if !raised.is_empty() {
+            let facts = raised.iter().take(MAX_LOGGED).map(|c| {
+                let age_ms = c.age.as_millis();
+                format!("{}:{}:{age_ms}ms", c.part, c.finding.as_str())
+            });
+            info!(
+                target: "decision",
+                count = raised.len(),
+                facts:% = facts.collect::<Vec<String>>().join(","),
+                peer:% = peer;
+                "crashes under parts of prompts reported by a peer"
+            );
+            let undecided = raised.iter().filter(|c| c.finding < Finding::Alive);
+            self.check_reported(undecided.map(|c| c.upstream).collect());
+            self.log_decided_parts("a peer");
         }
         raised
     }
 
     /// Checks the upstreams of breaks that a peer reported, on about [`MAX_VIEWPOINTS`] daemons.
-    fn check_reported(self: &Arc<Shared>, crashes: &[Crash]) {
+    fn check_reported(self: &Arc<Shared>, upstreams: Vec<UpstreamId>) {
         let daemons = self.retry_budget().daemons();
         let share = MAX_VIEWPOINTS / daemons.max(1) as f64;
-        let undecided = crashes.iter().filter(|c| c.finding < Finding::Alive);
-        let upstreams: Vec<UpstreamId> = undecided.map(|c| c.upstream).collect();
         if upstreams.is_empty() || !rand::random_bool(share.min(1.0)) {
             return;
         }
@@ -363,9 +482,14 @@
         self.crash_news.notified().await;
     }
 
+    /// Wakes what sends findings.
+    pub(crate) fn notify_crash_news(&self) {
+        self.crash_news.notify_one();
+    }
+
     fn on_findings(
         &self,
-        changed: &[Fingerprint],
+        changed: &Changed,
         finding: Finding,
         instance: &str,
         evidence: &'static str,
@@ -373,17 +497,20 @@
         if changed.is_empty() {
             return;
         }
-        let fingerprints = changed.iter().take(MAX_LOGGED).map(Fingerprint::to_string);
+        let fingerprints = changed.requests.iter().take(MAX_LOGGED);
+        let fingerprints = fingerprints.map(Fingerprint::to_string);
         info!(
             target: "decision",
             upstream:% = instance,
             finding:% = finding.as_str(),
             evidence:% = evidence,
-            requests = changed.len(),
-            fingerprints:% = fingerprints.collect::<Vec<String>>().join(",");
+            requests = changed.requests.len(),
+            fingerprints:% = fingerprints.collect::<Vec<String>>().join(","),
+            parts:% = format_parts(&changed.parts);
             "crash decided"
         );
-        self.count_findings(finding, changed.len());
+        self.count_findings(finding, changed.requests.len() + changed.parts.len());
+        self.log_decided_parts(evidence);
         self.crash_news.notify_one();
     }
 
