--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -192,9 +192,12 @@
     /// Time since the run began that broke off, where it is known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub begun: Option<Span>,
-    /// Time since the upstream last worked, as far as the request shows it.
+    /// Time since the upstream last worked, as far as the part shows it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub alive: Option<Span>,
+    /// Whether any daemon knows that a run with the part survived, at whatever time.
+    #[serde(default)]
+    pub has_survived: bool,
 }
 
 /// A run that broke off.
@@ -394,6 +397,7 @@
             age: Span::ZERO,
             begun,
             alive,
+            has_survived: false,
         };
         let merged = self.facts.record(fact, now);
         let finding = match run.finding {
@@ -408,6 +412,7 @@
                 age: Span::ZERO,
                 begun,
                 alive,
+                has_survived: self.parts.has_survived(part),
             };
             self.parts.facts.record(fact, now);
         }
@@ -758,6 +763,7 @@
             age: crash.age,
             begun: crash.begun,
             alive: crash.alive,
+            has_survived: false,
         }
     }
 }
--- a/crates/kelpworks-coord/src/crash_ledger/facts.rs
+++ b/crates/kelpworks-coord/src/crash_ledger/facts.rs
@@ -17,7 +17,7 @@
 use crate::time::Span;
 
 /// Error of the times that daemons report to each other: the time that a message takes.
-const TIME_ERROR: Span = Span::from_millis(50);
+pub(super) const TIME_ERROR: Span = Span::from_millis(50);
 
 /// What a fact is about.
 pub(super) trait Subject: Copy + Eq + Ord + Hash {}
@@ -36,6 +36,8 @@
     pub(super) begun: Option<Span>,
     /// Time since the upstream last worked, as far as the subject shows it.
     pub(super) alive: Option<Span>,
+    /// Whether any daemon knows that a run of the subject survived, at whatever time.
+    pub(super) has_survived: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -53,6 +55,8 @@
     pub(super) begun: Option<Instant>,
     /// When the upstream last worked, as far as the subject shows it.
     alive: Option<Instant>,
+    /// Whether any daemon knows that a run of the subject survived, at whatever time.
+    pub(super) has_survived: bool,
     /// When this daemon learned the finding.
     learned: Instant,
 }
@@ -237,6 +241,7 @@
             age,
             begun,
             alive,
+            has_survived,
         } = fact;
         if age >= self.cfg.retention {
             return Insertion::Known;
@@ -251,6 +256,7 @@
                 at,
                 begun,
                 alive,
+                has_survived,
                 learned: now,
             };
             self.records.insert(key, record);
@@ -261,12 +267,13 @@
         };
         let is_raised = known.finding < finding;
         let is_earlier = (at, Reverse(begun)) < (known.at, Reverse(known.begun));
-        let is_refined = is_earlier || alive > known.alive;
+        let is_refined = is_earlier || alive > known.alive || has_survived > known.has_survived;
         if is_earlier {
             known.at = at;
             known.begun = begun;
         }
         known.alive = known.alive.max(alive);
+        known.has_survived |= has_survived;
         if is_raised {
             known.finding = finding;
             known.learned = now;
@@ -341,6 +348,20 @@
         self.raise(keys, Finding::Alive, now)
     }
 
+    /// Records that a run of a subject survived at some time, for the other daemons.
+    pub(super) fn set_survived(&mut self, subject: S) {
+        let upstreams = self.upstreams.get(&subject).into_iter().flatten();
+        let keys: Vec<Key<S>> = upstreams
+            .map(|&upstream| Key { subject, upstream })
+            .collect();
+        for key in keys {
+            if let Some(record) = self.records.get_mut(&key).filter(|r| !r.has_survived) {
+                record.has_survived = true;
+                self.push_news(key);
+            }
+        }
+    }
+
     /// Clears the breaks of a subject that happened before `begun`; returns whether there were any.
     pub(super) fn clear(&mut self, subject: S, begun: Instant, now: Instant) -> bool {
         let records = self.records_of(subject).filter(|(_, r)| r.at < begun);
@@ -526,6 +547,7 @@
             age: now.since(record.at),
             begun: record.begun.map(|begun| now.since(begun)),
             alive: record.alive.map(|alive| now.since(alive)),
+            has_survived: record.has_survived,
         })
     }
 }
--- a/crates/kelpworks-coord/src/crash_ledger/parts.rs
+++ b/crates/kelpworks-coord/src/crash_ledger/parts.rs
@@ -5,6 +5,7 @@
 //! failed trial, and a run that completed refutes the failed trials before its begin. What is harmful fails
 //! each trial, what is popular survives many times a second, and what is rare was seldom at three ends.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use super::Config;
@@ -15,12 +16,15 @@
 use super::facts::Fact;
 use super::facts::Facts;
 use super::facts::Record;
+use super::facts::TIME_ERROR;
 use super::turns::Turns;
 use crate::id::PartId;
 use crate::id::UpstreamId;
 use crate::time::Instant;
 use crate::time::Span;
 
+/// Number of independent ends after which a part that never survived may be refused.
+const MIN_TRIALS: usize = 2;
 /// Minimum time after which a run that goes on shows that its parts end no upstream.
 const MIN_SURVIVAL: Span = Span::from_secs(1);
 /// Factor by which it has to last longer than any run of the part that broke off.
@@ -28,6 +32,8 @@
 /// How long a part is refused that survived at other times. It may be innocent, and can't survive again while it
 /// is refused.
 const REFUSAL_OF_SURVIVOR: Span = Span::from_secs(15);
+/// Time within which connections usually decide a break.
+const DOUBT_PERIOD: Span = Span::from_millis(300);
 /// Number of parts whose last survival is remembered, some 100 kB.
 const SURVIVALS: usize = 4_096;
 
@@ -116,6 +122,9 @@
     /// Derived from `facts` and `survivals`, as all that follow.
     candidates: Vec<(Candidate, Verdict)>,
     refused: HashMap<PartId, RefusalPeriod>,
+    /// Parts that never survived and would be candidates with their breaks in doubt, and until when those may be
+    /// decided.
+    held: HashMap<PartId, Instant>,
     suspects: Turns<PartId>,
     has_suspects: bool,
     /// Parts that have become refused since [`Parts::take_decided`].
@@ -130,6 +139,7 @@
             survivals: Survivals::new(),
             candidates: Vec::new(),
             refused: HashMap::new(),
+            held: HashMap::new(),
             suspects: Turns::new(cfg.turn),
             has_suspects: false,
             decided: Vec::new(),
@@ -138,12 +148,16 @@
 
     /// Returns why a request with these parts may not run now, and because of which part.
     pub(super) fn refusal(&self, parts: &[PartId], now: Instant) -> Option<(PartId, Refusal)> {
-        if self.refused.is_empty() && !self.has_suspects {
+        if self.refused.is_empty() && self.held.is_empty() && !self.has_suspects {
             return None;
         }
         if let Some(part) = parts.iter().find(|&&p| self.is_refused(p, now)) {
             return Some((*part, Refusal::Settled));
         }
+        let is_held = |p: &&PartId| self.held.get(p).is_some_and(|&until| now < until);
+        if let Some(part) = parts.iter().find(is_held) {
+            return Some((*part, Refusal::Unsettled));
+        }
         // Later parts are the more specific ones, so that a request with several tests the last one.
         let mut suspects = parts.iter().rev();
         let (part, rank) = suspects.find_map(|&p| Some((p, self.suspects.rank(p)?)))?;
@@ -223,6 +237,7 @@
         for fact in &merged.raised {
             if let Some(begun) = self.survivals.get(fact.subject) {
                 self.facts.clear(fact.subject, begun, now);
+                self.facts.set_survived(fact.subject);
             }
         }
         merged.raised
@@ -258,9 +273,11 @@
         MIN_SURVIVAL.max(longest.times(SURVIVAL_FACTOR))
     }
 
-    fn has_survived(&self, part: PartId) -> bool {
+    /// Returns whether a run with the part is known to have survived, here or at another daemon.
+    pub(super) fn has_survived(&self, part: PartId) -> bool {
         let mut records = self.facts.records_of(part);
-        self.survivals.get(part).is_some() || records.any(|(_, r)| r.finding == Finding::Cleared)
+        self.survivals.get(part).is_some()
+            || records.any(|(_, r)| r.has_survived || r.finding == Finding::Cleared)
     }
 
     /// Returns a part as a candidate if it was at enough ends. One that has survived at other times needs
@@ -295,8 +312,7 @@
         let parts: Vec<PartId> = parts.map(|(part, _)| part).collect();
         let candidates = parts.into_iter().filter_map(|part| self.candidate(part));
         let mut candidates: Vec<Candidate> = candidates.collect();
-        candidates
-            .sort_unstable_by_key(|c| (std::cmp::Reverse(c.ends.len()), c.has_survived, c.part));
+        candidates.sort_unstable_by_key(|c| (c.has_survived, Reverse(c.ends.len()), c.part));
         let mut judged: Vec<(Candidate, Verdict)> = Vec::with_capacity(candidates.len());
         for candidate in &candidates {
             let verdict = self.judge(candidate, &candidates, &judged, &is_covered, now);
@@ -304,6 +320,28 @@
         }
         self.candidates = judged;
         self.apply_verdicts(now);
+        self.hold_doubtful(now);
+    }
+
+    /// Holds back the parts of which a break in doubt may be the last that is needed. Connections decide it
+    /// soon.
+    fn hold_doubtful(&mut self, now: Instant) {
+        let parts = self.facts.by_subject();
+        let parts = parts.filter(|(_, upstreams)| upstreams.len() >= self.cfg.min_crashes);
+        let held = parts.filter_map(|(part, _)| Some((part, self.end_of_doubt(part, now)?)));
+        self.held = held.collect();
+    }
+
+    fn end_of_doubt(&self, part: PartId, now: Instant) -> Option<Instant> {
+        let is_recent = |r: &Record| now.since(r.at) < DOUBT_PERIOD;
+        let records = self.facts.records_of(part);
+        let doubtful = records.filter(|(_, r)| r.finding == Finding::Doubtful && is_recent(r));
+        let doubtful: Vec<Instant> = doubtful.map(|(_, r)| r.at).collect();
+        let crashes = self.ends(part);
+        let may_be_last = crashes > 0 && crashes + doubtful.len() >= self.cfg.min_crashes;
+        let is_unknown = may_be_last && !self.has_survived(part);
+        let last = doubtful.into_iter().max().filter(|_| is_unknown)?;
+        Some(last + DOUBT_PERIOD)
     }
 
     /// Judges a candidate, given the verdicts of the likelier ones: those that never survived come first, and of
@@ -328,17 +366,15 @@
             let is_as_likely = other.has_survived <= candidate.has_survived;
             is_as_likely && other.covers(candidate)
         });
-        let (min_ends, length) = match candidate.has_survived {
+        let (min_trials, length) = match candidate.has_survived {
             true => (self.cfg.max_shared_crashes, REFUSAL_OF_SURVIVOR),
             false => {
                 let length = self.cfg.refusal_after(candidate.ends.len());
-                (self.cfg.min_crashes, length)
+                (MIN_TRIALS, length)
             }
         };
-        let is_certain = !has_rival
-            && candidate.trials >= self.cfg.min_crashes
-            && candidate.ends.len() >= min_ends
-            && !is_covered(&candidate.ends);
+        let is_certain =
+            !has_rival && candidate.trials >= min_trials && !is_covered(&candidate.ends);
         let period = RefusalPeriod {
             until: candidate.last + length,
             is_settled: true,
@@ -374,17 +410,17 @@
     }
 }
 
-/// Returns the number of ends, in the order of time, of which each broke off a run that began after the end before.
-/// Upstreams that end together end by one cause.
+/// Returns the number of ends, in the order of time, of which each came some time after the one before and broke off a
+/// run that began after it. Upstreams that end together end by one cause.
 fn independent_ends<'a>(ends: impl Iterator<Item = &'a Record>) -> usize {
     let mut count = 0;
     let mut previous: Option<Instant> = None;
     for end in ends {
-        let is_later = match (end.begun, previous) {
-            (Some(begun), Some(previous)) => begun >= previous,
-            _ => true,
-        };
-        if is_later {
+        let is_independent = previous.is_none_or(|previous| {
+            let is_later_run = end.begun.is_none_or(|begun| begun >= previous);
+            is_later_run && end.at >= previous + TIME_ERROR
+        });
+        if is_independent {
             count += 1;
             previous = Some(end.at);
         }
@@ -401,6 +437,7 @@
             age: crash.age,
             begun: crash.begun,
             alive: crash.alive,
+            has_survived: crash.has_survived,
         }
     }
 }
@@ -414,6 +451,7 @@
             age: fact.age,
             begun: fact.begun,
             alive: fact.alive,
+            has_survived: fact.has_survived,
         }
     }
 }
