Soak: parts of prompts that crash upstreams; the placer sees ended engines before their registrations lapse; matrix

Change: the placer leaves out engines of which a break and then closed connections show that they have ended. The matrix of ways has a column for parts. The ledger judges 64 parts at most.

--- a/crates/kelpworks-cli/tests/relay_prompt_parts.rs
+++ b/crates/kelpworks-cli/tests/relay_prompt_parts.rs
@@ -45,6 +45,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Way {
     Call,
+    CallThatRunsOnce,
     Stream,
 }
 
@@ -52,6 +53,7 @@
     fn path(self, name: &str) -> String {
         match self {
             Way::Call => format!("/fragile/{name}"),
+            Way::CallThatRunsOnce => format!("/fragile-once/{name}"),
             Way::Stream => format!("/fragile-events/{name}"),
         }
     }
@@ -65,7 +67,7 @@
     /// Whether the body of an answer is complete.
     fn is_complete(self, body: &str) -> bool {
         match self {
-            Way::Call => true,
+            Way::Call | Way::CallThatRunsOnce => true,
             Way::Stream => body.contains(&format!("word-{PART_EVENTS}\n")),
         }
     }
@@ -245,6 +247,7 @@
 #[case::middle_part_of_streams(Way::Stream, "aa:40,cc:9", "aa:40,bad0:100")]
 #[case::first_part_of_streams(Way::Stream, "aa:40,cc:9", "bad0:40,cc:9")]
 #[case::middle_part_of_calls(Way::Call, "aa:40,cc:9", "aa:40,bad0:100")]
+#[case::middle_part_of_calls_that_run_once(Way::CallThatRunsOnce, "aa:40,cc:9", "aa:40,bad0:100")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_with_a_part_that_ended_five_upstreams_reach_no_further_one(
     #[case] way: Way,
@@ -263,6 +266,21 @@
     run(&site, apps, load).await.check(MAX_LATE_ARRIVALS);
 }
 
+/// Guards against a part that hides behind another one, and against sound requests that wait for both.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn two_such_parts_at_a_time_are_both_stopped() {
+    let site = Site::start_with_handover("parts-two", DAEMONS, Default::default()).await;
+    let apps = CrashingApps::start(&site.store, UPSTREAMS).await;
+    let load = Load {
+        way: Way::Stream,
+        sound: "aa:40,cc:9",
+        poisonous: &["aa:40,bad0:100", "bad1:40,cc:9"],
+    };
+    wait_until_served(&site, load.way, load.sound).await;
+    let run = run(&site, apps, load).await;
+    run.check(load.poisonous.len() * MAX_LATE_ARRIVALS);
+}
+
 /// Guards against a daemon that hands such requests over because its own links are lost, and against a receiver
 /// that records nothing of them.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/kelpworks-cli/tests/relay_site/crashing.rs
+++ b/crates/kelpworks-cli/tests/relay_site/crashing.rs
@@ -61,6 +61,8 @@
     pub(crate) instance: String,
     /// Path of the request.
     pub(crate) path: String,
+    /// Poisonous part of its prompt, under which it ended.
+    pub(crate) part: Option<&'static str>,
     pub(crate) at: Instant,
 }
 
@@ -200,7 +202,7 @@
 
 impl CrashingHandler {
     /// Ends the upstream under a request, once, after it has worked for this time.
-    async fn end(self, path: String, work: Duration) {
+    async fn end(self, path: String, part: Option<&'static str>, work: Duration) {
         tokio::time::sleep(work).await;
         {
             let mut ends = self.record.ends.lock().expect("no panic");
@@ -208,6 +210,7 @@
                 ends.push(End {
                     instance: self.instance.clone(),
                     path,
+                    part,
                     at: Instant::now(),
                 });
             }
@@ -232,8 +235,8 @@
     }
 
     /// Streams the events of a prompt with parts. On a poisonous one, the upstream ends after some.
-    fn stream_prompt(&self, path: String, is_poisonous: bool, res: &mut Response) {
-        let end = is_poisonous.then(|| self.clone().end(path, POISON_PART_WORK));
+    fn stream_prompt(&self, path: String, poison: Option<&'static str>, res: &mut Response) {
+        let end = poison.map(|_| self.clone().end(path, poison, POISON_PART_WORK));
         let ending = stream::iter(end).filter_map(|end| async move {
             end.await;
             None
@@ -266,12 +269,14 @@
         }
         let path = req.uri().path().to_owned();
         if path.contains(POISON) {
-            self.clone().end(path.clone(), POISON_WORK).await;
+            self.clone().end(path.clone(), None, POISON_WORK).await;
         }
         let parts = req.header::<String>(PARTS_HEADER).unwrap_or_default();
-        let is_poisonous = self.poison_part(&request, &parts).is_some();
-        if is_poisonous && !path.starts_with("/fragile-events/") {
-            self.clone().end(path.clone(), POISON_PART_WORK).await;
+        let poison = self.poison_part(&request, &parts);
+        if poison.is_some() && !path.starts_with("/fragile-events/") {
+            self.clone()
+                .end(path.clone(), poison, POISON_PART_WORK)
+                .await;
         }
         if path.ends_with(LONG) {
             tokio::time::sleep(LONG_WORK).await;
@@ -280,7 +285,7 @@
         if path.starts_with("/fragile-events/") {
             let _ = res.add_header("content-type", "text/event-stream", true);
             if !parts.is_empty() {
-                self.stream_prompt(path, is_poisonous, res);
+                self.stream_prompt(path, poison, res);
                 return;
             }
             let event = Bytes::from_static(b"id: 1\ndata: word\n\n");
--- a/crates/kelpworks-cli/tests/soak/faults.rs
+++ b/crates/kelpworks-cli/tests/soak/faults.rs
@@ -139,6 +139,7 @@
             tokio::time::sleep(RETURN_TIME).await;
         }
         Fault::Poison(poison) => poisons::repeat(&soak, poison, duration).await,
+        Fault::PoisonPart(part) => poisons::send_with_part(&soak, part, duration).await,
         Fault::Kill(i) => kill(&soak, i, duration).await,
         Fault::Pause(i) => {
             let relay = soak.daemons[i].relay.lock().await;
--- a/crates/kelpworks-cli/tests/soak/plan.rs
+++ b/crates/kelpworks-cli/tests/soak/plan.rs
@@ -8,6 +8,7 @@
 
 use kelpworks_fakes::LinkState;
 
+use crate::relay_site::crashing::POISON_PARTS;
 use crate::relay_site::cut::LinksOf;
 use crate::relay_site::engine;
 
@@ -27,6 +28,8 @@
 const NO_LEAVING_EVERY: u64 = 3;
 /// One unplanned seed in this many has no requests that crash upstreams.
 const NO_POISON_EVERY: u64 = 3;
+/// One unplanned seed in this many has no part of prompts that crashes upstreams.
+const NO_POISON_PARTS_EVERY: u64 = 3;
 /// One unplanned seed in this many has no daemon lose its links to all upstreams.
 const NO_CUTS_EVERY: u64 = 5;
 
@@ -67,6 +70,8 @@
     DaemonCut(usize, LinksOf),
     /// A caller repeats a request that crashes each upstream that begins to run it, at all daemons.
     Poison(Poison),
+    /// Callers send requests, no two alike, with this part in their prompts, on which each upstream crashes.
+    PoisonPart(&'static str),
     /// A daemon's process is killed and started again.
     Kill(usize),
     /// A daemon's process is paused (SIGSTOP).
@@ -142,6 +147,9 @@
         if !planned && !seed.is_multiple_of(NO_POISON_EVERY) {
             steps.extend(draw_poison(&mut rng, length));
         }
+        if !planned && !seed.is_multiple_of(NO_POISON_PARTS_EVERY) {
+            steps.extend(draw_poison_parts(&mut rng, length));
+        }
         Plan {
             length,
             steps,
@@ -235,6 +243,18 @@
     (0..count).map(&mut draw).collect()
 }
 
+/// Returns one or two parts of prompts that crash upstreams, each for much of the run.
+fn draw_poison_parts(rng: &mut StdRng, length: Duration) -> Vec<Step> {
+    let count = rng.random_range(1..=POISON_PARTS.len());
+    let parts = POISON_PARTS.into_iter().take(count);
+    let steps = parts.map(|part| Step {
+        at: length.mul_f64(rng.random_range(0.0..0.3)),
+        duration: length.mul_f64(rng.random_range(0.4..0.7)),
+        fault: Fault::PoisonPart(part),
+    });
+    steps.collect()
+}
+
 fn draw_planned(rng: &mut StdRng, daemons: usize) -> Fault {
     let daemon = rng.random_range(0..daemons);
     match rng.random_range(0..4) {
--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -383,6 +383,12 @@
         self.record_run(run, now)
     }
 
+    /// Returns whether an upstream is known to have ended, perhaps before its registration is removed: attempts broke
+    /// off there, and then it accepted no connection while others did.
+    pub fn has_ended(&self, upstream: UpstreamId) -> bool {
+        self.parts.has_ended(upstream)
+    }
+
     /// Records a run that broke off; returns whether that raised what is known of its request.
     ///
     /// Connections break off at sound upstreams too, and what is popular was at all of them. A break therefore counts
--- a/crates/kelpworks-coord/src/crash_ledger/parts.rs
+++ b/crates/kelpworks-coord/src/crash_ledger/parts.rs
@@ -32,6 +32,9 @@
 /// How long a part is refused that survived at other times. It may be innocent, and can't survive again while it
 /// is refused.
 const REFUSAL_OF_SURVIVOR: Span = Span::from_secs(15);
+/// Maximum number of parts that are judged, those first that never survived and were at most ends; it bounds the time
+/// for which the ledger is locked.
+const MAX_CANDIDATES: usize = 64;
 /// Time within which connections usually decide a break.
 const DOUBT_PERIOD: Span = Span::from_millis(300);
 /// Number of parts whose last survival is remembered, some 100 kB.
@@ -190,7 +193,8 @@
         })
     }
 
-    fn has_ended(&self, upstream: UpstreamId) -> bool {
+    /// Returns whether a break with a part shows that its upstream has ended.
+    pub(super) fn has_ended(&self, upstream: UpstreamId) -> bool {
         let mut parts = self.facts.at_upstream(upstream).iter();
         parts.any(|&part| {
             let record = self.facts.get(part, upstream);
@@ -313,6 +317,7 @@
         let candidates = parts.into_iter().filter_map(|part| self.candidate(part));
         let mut candidates: Vec<Candidate> = candidates.collect();
         candidates.sort_unstable_by_key(|c| (c.has_survived, Reverse(c.ends.len()), c.part));
+        candidates.truncate(MAX_CANDIDATES);
         let mut judged: Vec<(Candidate, Verdict)> = Vec::with_capacity(candidates.len());
         for candidate in &candidates {
             let verdict = self.judge(candidate, &candidates, &judged, &is_covered, now);
@@ -337,6 +342,9 @@
         let records = self.facts.records_of(part);
         let doubtful = records.filter(|(_, r)| r.finding == Finding::Doubtful && is_recent(r));
         let doubtful: Vec<Instant> = doubtful.map(|(_, r)| r.at).collect();
+        if doubtful.is_empty() {
+            return None;
+        }
         let crashes = self.ends(part);
         let may_be_last = crashes > 0 && crashes + doubtful.len() >= self.cfg.min_crashes;
         let is_unknown = may_be_last && !self.has_survived(part);
--- a/crates/kelpworks-relay/src/placer.rs
+++ b/crates/kelpworks-relay/src/placer.rs
@@ -311,10 +311,11 @@
     fn plan(&mut self, service: &str, profile: &EngineProfile) -> Vec<Placement> {
         let now = Instant::now();
         let shared = Arc::clone(&self.shared);
+        let ended = shared.ended_upstreams(service);
         let fleet = shared.fleet();
         let can_take_orders = |u: &&Upstream| {
-            let is_unavailable = u.is_presumed_lost(now) || is_leaving_unannounced(u, profile);
-            u.is_ready() && !is_unavailable
+            let is_lost = u.is_presumed_lost(now) || ended.contains(&u.entry.instance);
+            u.is_ready() && !is_lost && !is_leaving_unannounced(u, profile)
         };
         let upstreams: Vec<&Upstream> = fleet
             .of_service(service)
--- a/crates/kelpworks-relay/src/shared/crashes.rs
+++ b/crates/kelpworks-relay/src/shared/crashes.rs
@@ -369,6 +369,25 @@
         }
     }
 
+    /// Returns the registered upstreams of a service that are known to have ended.
+    pub(crate) fn ended_upstreams(&self, service: &str) -> Vec<Arc<str>> {
+        if self.crashes().is_empty() {
+            return Vec::new();
+        }
+        let instances: Vec<Arc<str>> = {
+            let fleet = self.fleet();
+            let upstreams = fleet.of_service(service);
+            upstreams
+                .map(|(_, u)| Arc::clone(&u.entry.instance))
+                .collect()
+        };
+        let ledger = self.crashes();
+        let ended = instances.into_iter();
+        ended
+            .filter(|i| ledger.has_ended(UpstreamId::of(i)))
+            .collect()
+    }
+
     fn registered_among(&self, upstreams: &[UpstreamId]) -> Vec<Arc<str>> {
         let fleet = self.fleet();
         let instances = fleet.iter().map(|(_, u)| &u.entry.instance);
--- a/crates/kelpworks-relay/tests/protections.rs
+++ b/crates/kelpworks-relay/tests/protections.rs
@@ -10,7 +10,7 @@
 /// Number of ways in the table.
 const WAYS: usize = 8;
 /// Number of columns: the way and its protections.
-const COLUMNS: usize = 8;
+const COLUMNS: usize = 9;
 
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
