Ledger and evidence of crashes are split by duty; a test of shared history

Change: types, reports, evidence and survivals of streams are modules of their own; no behavior changes.

--- a/crates/kelpworks-coord/src/crash_ledger/parts.rs
+++ b/crates/kelpworks-coord/src/crash_ledger/parts.rs
@@ -10,7 +10,6 @@
 
 use super::Config;
 use super::Finding;
-use super::PartCrash;
 use super::Refusal;
 use super::RefusalPeriod;
 use super::facts::Fact;
@@ -435,31 +434,3 @@
     }
     count
 }
-
-impl From<PartCrash> for Fact<PartId> {
-    fn from(crash: PartCrash) -> Fact<PartId> {
-        Fact {
-            subject: crash.part,
-            upstream: crash.upstream,
-            finding: crash.finding,
-            age: crash.age,
-            begun: crash.begun,
-            alive: crash.alive,
-            has_survived: crash.has_survived,
-        }
-    }
-}
-
-impl From<Fact<PartId>> for PartCrash {
-    fn from(fact: Fact<PartId>) -> PartCrash {
-        PartCrash {
-            part: fact.subject,
-            upstream: fact.upstream,
-            finding: fact.finding,
-            age: fact.age,
-            begun: fact.begun,
-            alive: fact.alive,
-            has_survived: fact.has_survived,
-        }
-    }
-}
--- a/crates/kelpworks-coord/tests/crash_parts.rs
+++ b/crates/kelpworks-coord/tests/crash_parts.rs
@@ -191,6 +191,26 @@
     assert!(!case.is_refused(RARE, at(3_100)));
 }
 
+/// Guards against a daemon that has not seen a popular part before, and takes it for as likely as a harmful one.
+#[test]
+fn survival_before_the_ends_is_shared_with_daemons_that_did_not_see_it() {
+    let mut case = Case::new();
+    for n in 0..3 {
+        let runs: &[(&[PartId], Span)] = &[(&[POPULAR], FATAL), (&[HARMFUL], FATAL)];
+        case.end(runs, at(1_000 + n * 500));
+    }
+    assert!(!case.is_refused(HARMFUL, at(2_500)));
+    let mut other = CrashLedger::new(Config::default());
+    other.record_survival(&[POPULAR], at(0), Lasted::ToItsEnd, at(500));
+    let news = case.ledger.take_news_of_parts(32, at(2_500));
+    other.merge_parts(news, at(2_500));
+    case.ledger
+        .merge_parts(other.take_news_of_parts(32, at(2_500)), at(2_500));
+    assert!(case.is_refused(HARMFUL, at(2_500)));
+    let refusal = case.ledger.refusal_of_parts(&[POPULAR], at(2_500));
+    assert_eq!(refusal, None);
+}
+
 /// Guards against a harmful part that is cleared because its requests run for a while before they end the
 /// upstream.
 #[rstest]
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -9,6 +9,7 @@
 mod by_peer;
 mod reroute;
 mod stall;
+mod survival;
 mod timings;
 mod trace;
 
@@ -59,6 +60,7 @@
 use crate::sync::lock;
 use attempt::RanAt;
 use attempt::Reservation;
+use survival::Survival;
 use timings::Timings;
 
 /// Minimum time left for another attempt: reading a typical prompt again.
@@ -74,10 +76,6 @@
 /// Largest incomplete event that is buffered.
 const MAX_EVENT_BYTES: usize = 4 << 20;
 
-/// Time after the first data of a stream at which it is first reported as a run that survived: the minimum that
-/// the ledger of crashes takes for one.
-const FIRST_SURVIVAL_REPORT: Duration = Duration::from_secs(1);
-
 /// Failure reason when the retry budget is used up.
 const NO_RETRY: &str = "no repeat left";
 
@@ -150,28 +148,6 @@
     survival: Survival,
 }
 
-/// Times at which a running stream is reported as a run that survived.
-#[derive(Clone, Copy, Debug, Default)]
-struct Survival {
-    first_received: Option<Instant>,
-    /// Time after the first data of the next report; doubled with each.
-    next: Duration,
-}
-
-impl Survival {
-    /// Returns for how long the stream has gone on, if a report is due.
-    fn due(&mut self, now: Instant) -> Option<Duration> {
-        let first = *self.first_received.get_or_insert(now);
-        let lasted = now.duration_since(first);
-        self.next = self.next.max(FIRST_SURVIVAL_REPORT);
-        if lasted < self.next {
-            return None;
-        }
-        self.next *= 2;
-        Some(lasted)
-    }
-}
-
 /// Path of a running request, with its reservations at the engines; empty while another daemon
 /// serves it.
 struct RunningPath {
