--- a/crates/kelpworks-coord/tests/crash_ledger.rs
+++ b/crates/kelpworks-coord/tests/crash_ledger.rs
@@ -95,6 +95,30 @@
     ));
 }
 
+/// Guards against a harmless request that accounts for the crashes of a poisonous one because its connections
+/// were reset before.
+#[rstest]
+#[case::worked_later(true, 0)]
+#[case::nothing_known(false, 1)]
+fn break_before_a_sign_of_life_does_not_count_when_the_upstream_ends_later(
+    #[case] has_worked: bool,
+    #[case] expected: usize,
+) {
+    let mut ledger = ledger();
+    let upstream = UpstreamId(1);
+    let harmless = Fingerprint(2);
+    ledger.record(harmless, upstream, Finding::Broken, NOW);
+    if has_worked {
+        let later = NOW + Span::from_millis(200);
+        ledger.record_alive(upstream, later, later);
+    }
+    let end = NOW + Span::from_millis(400);
+    ledger.record(POISON, upstream, Finding::Broken, end);
+    ledger.record_ended(upstream, end + Span::from_secs(3));
+    assert_eq!(ledger.count(POISON), 1);
+    assert_eq!(ledger.count(harmless), expected);
+}
+
 /// Guards against a poisonous request that returns once its refusal has ended and is forgotten by then.
 #[rstest]
 #[case::three(3, 120)]
