--- a/crates/kelpworks-coord/src/crash_ledger/types.rs
+++ b/crates/kelpworks-coord/src/crash_ledger/types.rs
@@ -10,7 +10,7 @@
 use crate::time::Instant;
 use crate::time::Span;
 
-/// Limits of a [`CrashLedger`].
+/// Limits of a [`CrashLedger`](super::CrashLedger).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Config {
     /// Crashes after which a request is refused. Default 3: two may be a coincidence while much fails.
