--- a/crates/kelpworks-cli/tests/relay_unframed.rs
+++ b/crates/kelpworks-cli/tests/relay_unframed.rs
@@ -161,7 +161,7 @@
 }
 
 /// Guards against a call whose answer is passed on as whole although it was cut off, and against one that is refused
-/// because its end can't be told from a length.
+/// because no length shows its end.
 #[rstest]
 #[case::clean(Ending::Clean, 1)]
 #[case::reset(Ending::Reset, 2)]
--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -250,8 +250,8 @@
         !merged.raised.is_empty()
     }
 
-    /// Records that a run with these parts in its prompt survived: it lasted so long that its parts did not end
-    /// the upstream. Returns the parts that it cleared of earlier crashes.
+    /// Records that a run with these parts in its prompt survived: it outlasted the time in which its parts
+    /// would have ended the upstream. Returns the parts that it cleared of earlier crashes.
     pub fn record_survival(
         &mut self,
         parts: &[PartId],
--- a/crates/kelpworks-coord/src/crash_ledger/parts.rs
+++ b/crates/kelpworks-coord/src/crash_ledger/parts.rs
@@ -48,7 +48,7 @@
     For(Span),
 }
 
-/// What is thought of a part that was at several ends.
+/// What the evidence says about a part that was at several ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Verdict {
     /// Its requests are refused until then.
--- a/crates/kelpworks-coord/tests/crash_parts.rs
+++ b/crates/kelpworks-coord/tests/crash_parts.rs
@@ -120,7 +120,7 @@
     assert_eq!(case.ledger.refusal_of_parts(&[RARE], at(2_000)), None);
 }
 
-/// Guards against parts that are refused although nothing tells which of them is harmful.
+/// Guards against a sound part that is refused with a harmful one while no evidence distinguishes them.
 #[test]
 fn parts_with_the_same_ends_run_in_turns_until_one_survives() {
     let mut case = Case::new();
