Crash counts that fall, and suspects that run, are logged

The logs of the incident show counts of 6, 6, 7, 7 known crashes at four successive breaks, and nothing that says why one fell. Each fall now has a line with the evidence that led to it, and a counter; a suspect that runs in its turn has a line with its count.

--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -62,6 +62,7 @@
 pub use types::Config;
 pub use types::Crash;
 pub use types::Finding;
+pub use types::LoweredCount;
 pub use types::PartCrash;
 pub use types::Refusal;
 
@@ -87,6 +88,10 @@
     /// Slots of the suspects, and of those that were cleared or are refused, so that the slots of the others stay
     /// where they are.
     turns: Turns<Fingerprint>,
+    /// Crashes that count against each request with at least [`Config::min_crashes`] of them.
+    counts: HashMap<Fingerprint, usize>,
+    /// Counts that have fallen since [`CrashLedger::take_lowered`].
+    lowered: Vec<LoweredCount>,
 }
 
 impl CrashLedger {
@@ -100,6 +105,8 @@
             held: HashMap::new(),
             suspects: HashSet::new(),
             turns: Turns::new(cfg.turn),
+            counts: HashMap::new(),
+            lowered: Vec::new(),
         }
     }
 
@@ -160,6 +167,11 @@
         self.turns.rank(fingerprint)?.checked_rem(lanes)
     }
 
+    /// Returns whether a request is a suspect.
+    pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
+        self.suspects.contains(&fingerprint)
+    }
+
     /// Returns whether there are suspects, which run in turns.
     pub fn has_suspects(&self) -> bool {
         !self.suspects.is_empty()
@@ -404,6 +416,11 @@
         decided.map(|part| (part, self.parts.ends(part))).collect()
     }
 
+    /// Returns the requests of which fewer crashes count than before, since the last call.
+    pub fn take_lowered(&mut self) -> Vec<LoweredCount> {
+        std::mem::take(&mut self.lowered)
+    }
+
     /// Returns the facts of a request that daemons report, by upstream.
     pub fn facts_of(&self, fingerprint: Fingerprint, now: Instant) -> Vec<Crash> {
         let facts = self.facts.facts_of(fingerprint, now);
@@ -524,6 +541,26 @@
             }
         }
         self.assign_turns(now);
+        self.compare_counts();
+    }
+
+    /// Notes which counts have fallen since the last time.
+    fn compare_counts(&mut self) {
+        let facts = &self.facts;
+        let count = |f: Fingerprint| facts.counted(f).count();
+        let lowered = self
+            .counts
+            .iter()
+            .map(|(&fingerprint, &before)| LoweredCount {
+                fingerprint,
+                before,
+                after: count(fingerprint),
+            });
+        self.lowered.extend(lowered.filter(|l| l.after < l.before));
+        let requests = facts.by_subject().map(|(f, _)| (f, count(f)));
+        self.counts = requests
+            .filter(|(_, n)| *n >= self.cfg.min_crashes)
+            .collect();
     }
 
     /// Returns until when the doubtful breaks of a request may be decided, if there are so many that it would
--- a/crates/kelpworks-coord/src/crash_ledger/types.rs
+++ b/crates/kelpworks-coord/src/crash_ledger/types.rs
@@ -183,6 +183,17 @@
     }
 }
 
+/// A request of which fewer crashes count than before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct LoweredCount {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Number of its crashes that counted before.
+    pub before: usize,
+    /// Number of its crashes that count now.
+    pub after: usize,
+}
+
 /// Why a request may not run now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Refusal {
--- a/crates/kelpworks-relay/src/shared/crashes.rs
+++ b/crates/kelpworks-relay/src/shared/crashes.rs
@@ -197,6 +197,7 @@
         loop {
             let checked = self.check_crashes(identity, service, is_whole);
             let Err(refusal) = checked else {
+                self.log_suspect(identity.fingerprint);
                 return checked;
             };
             let turn = Instant::now() + refusal.retry_after;
@@ -207,6 +208,17 @@
         }
     }
 
+    /// Logs that a request runs although it is suspected.
+    fn log_suspect(&self, fingerprint: Fingerprint) {
+        let ledger = self.crashes();
+        if !ledger.is_suspect(fingerprint) {
+            return;
+        }
+        let crashes = ledger.count(fingerprint);
+        drop(ledger);
+        info!(target: "decision", fingerprint:% = fingerprint, crashes; "suspected request runs in its turn");
+    }
+
     /// Returns the incarnation behind a key; `None` once it has been removed.
     pub(crate) fn incarnation(&self, key: UpstreamKey) -> Option<Incarnation> {
         let fleet = self.fleet();
@@ -266,7 +278,7 @@
             parts:% = format_parts(parts);
             "attempt broke off at an upstream"
         );
-        self.log_decided_parts("a break");
+        self.log_changed_verdicts("a break");
         self.crash_news.notify_one();
         self.spawn_check(incarnation.clone(), now);
         crashes
@@ -289,13 +301,27 @@
             "parts of prompts cleared of crashes"
         );
         self.count_findings(Finding::Cleared, cleared.len());
-        self.log_decided_parts("a clearance");
+        self.log_changed_verdicts("a clearance");
         self.crash_news.notify_one();
     }
 
-    /// Logs the parts of prompts that have become refused.
-    fn log_decided_parts(&self, evidence: &'static str) {
-        let decided = self.crashes().take_decided_parts();
+    /// Logs the parts of prompts that have become refused, and the requests of which fewer crashes count.
+    fn log_changed_verdicts(&self, evidence: &'static str) {
+        let (decided, lowered) = {
+            let mut ledger = self.crashes();
+            (ledger.take_decided_parts(), ledger.take_lowered())
+        };
+        for count in lowered.iter().take(MAX_LOGGED) {
+            info!(
+                target: "decision",
+                fingerprint:% = count.fingerprint,
+                before = count.before,
+                after = count.after,
+                evidence:% = evidence;
+                "fewer crashes count against a request"
+            );
+        }
+        metrics::counter!("kelpworks_lowered_crash_counts_total").increment(lowered.len() as u64);
         for (part, crashes) in decided {
             info!(
                 target: "decision",
@@ -318,6 +344,7 @@
         let is_cleared = ledger.clear(fingerprint, now);
         drop(ledger);
         if is_cleared {
+            self.log_changed_verdicts("a completed run");
             info!(
                 target: "decision",
                 request:% = request,
@@ -351,8 +378,8 @@
             );
             let undecided = raised.iter().filter(|c| c.finding < Finding::Alive);
             self.check_reported(undecided.map(|c| c.upstream).collect());
-            self.log_decided_parts("a peer");
         }
+        self.log_changed_verdicts("a peer");
         raised
     }
 
@@ -388,8 +415,8 @@
             );
             let undecided = raised.iter().filter(|c| c.finding < Finding::Alive);
             self.check_reported(undecided.map(|c| c.upstream).collect());
-            self.log_decided_parts("a peer");
         }
+        self.log_changed_verdicts("a peer");
         raised
     }
 
--- a/crates/kelpworks-relay/src/shared/crashes/evidence.rs
+++ b/crates/kelpworks-relay/src/shared/crashes/evidence.rs
@@ -88,7 +88,7 @@
         ledger.expire(now);
         let undecided = ledger.undecided(now);
         drop(ledger);
-        self.log_decided_parts("time");
+        self.log_changed_verdicts("time");
         if undecided.is_empty() || !are_registrations_recent {
             return;
         }
@@ -145,7 +145,7 @@
             "crash decided"
         );
         self.count_findings(finding, changed.requests.len() + changed.parts.len());
-        self.log_decided_parts(evidence);
+        self.log_changed_verdicts(evidence);
         self.crash_news.notify_one();
     }
 
