--- a/crates/kelpworks-coord/tests/crash_ledger.rs
+++ b/crates/kelpworks-coord/tests/crash_ledger.rs
@@ -3,6 +3,7 @@
 use std::ops::RangeInclusive;
 use std::time::Instant as WallClock;
 
+use kelpworks_coord::crash_ledger::BrokenRun;
 use kelpworks_coord::crash_ledger::Config;
 use kelpworks_coord::crash_ledger::Crash;
 use kelpworks_coord::crash_ledger::CrashLedger;
@@ -119,6 +120,38 @@
     assert_eq!(ledger.count(harmless), expected);
 }
 
+/// Guards against crashes that cease to count although nothing speaks against them: each message adds the time that
+/// it takes to the last sign of life of an upstream, which passes the break in the end.
+#[test]
+fn crashes_count_however_often_daemons_report_them_to_each_other() {
+    let mut ledgers = [ledger(), ledger()];
+    for upstream in (1..=3).map(UpstreamId) {
+        for (fingerprint, lasted, broken) in [(POISON, 100, 0), (Fingerprint(2), 100, 20)] {
+            let now = NOW + Span::from_millis(broken);
+            let run = BrokenRun {
+                fingerprint,
+                parts: &[],
+                upstream,
+                finding: Finding::Broken,
+                begun: Some(NOW - Span::from_millis(lasted)),
+                is_answered: true,
+            };
+            ledgers[0].record_run(run, now);
+        }
+    }
+    for round in 1..100 {
+        let sent = NOW + Span::from_millis(round * 250);
+        let received = sent + Span::from_millis(10);
+        for from in [0, 1] {
+            let facts = ledgers[from].facts(sent);
+            ledgers[1 - from].merge_all(facts, received);
+        }
+        for ledger in &ledgers {
+            assert_eq!(ledger.count(POISON), 3, "round {round}");
+        }
+    }
+}
+
 /// Guards against a poisonous request that returns once its refusal has ended and is forgotten by then.
 #[rstest]
 #[case::three(3, 120)]
--- a/crates/kelpworks-coord/tests/crash_parts.rs
+++ b/crates/kelpworks-coord/tests/crash_parts.rs
@@ -16,6 +16,7 @@
 use kelpworks_coord::time::Instant;
 use kelpworks_coord::time::Span;
 use part_fleet::Plan;
+use part_fleet::Repeated;
 use part_fleet::play;
 use proptest::prelude::*;
 use rstest::rstest;
@@ -410,8 +411,8 @@
         let allowed = plan.harmful.len();
         let ends = &outcome.ends_ms;
         if let Some(fifth) = ends.get(5 * allowed - 1) {
-            let late = outcome.harmful_arrivals_ms.iter();
-            let late = late.filter(|&&ms| ms > fifth + BOUND_MS).count();
+            let late = outcome.harmful_arrivals.iter();
+            let late = late.filter(|(_, ms)| *ms > fifth + BOUND_MS).count();
             assert!(
                 late <= MAX_LATE * allowed,
                 "seed {seed}: {late} late, {ends:?}"
@@ -440,6 +441,82 @@
     }
 }
 
+/// A poisonous request that comes again at two daemons at a time.
+const REPEATED: Repeated = Repeated {
+    fingerprint: Fingerprint(0xdead),
+    subject: PartId(40),
+    from_ms: 4_000,
+    interval_ms: 400,
+    copies: 2,
+};
+
+/// Guards against a request that runs on after it has ended five upstreams, because its part or another request
+/// accounts for them, because all its copies run in one turn, or because what is known of its crashes is lost.
+#[rstest]
+#[case::one_at_a_time(vec![Repeated { copies: 1, ..REPEATED }])]
+#[case::pairs(vec![REPEATED])]
+#[case::at_all_daemons(vec![Repeated { copies: 7, interval_ms: 1_500, ..REPEATED }])]
+#[case::seldom(vec![Repeated { interval_ms: 2_000, ..REPEATED }])]
+#[case::two_with_different_parts(vec![
+    REPEATED,
+    Repeated { fingerprint: Fingerprint(0xdead1), subject: PartId(41), from_ms: 4_200, ..REPEATED },
+])]
+#[case::two_with_the_same_part(vec![
+    REPEATED,
+    Repeated { fingerprint: Fingerprint(0xdead1), from_ms: 4_200, ..REPEATED },
+])]
+fn request_that_comes_again_is_stopped_after_five_ends(#[case] repeated: Vec<Repeated>) {
+    let plan = Plan {
+        harmful: Vec::new(),
+        repeated,
+        upstreams: 5,
+        run_ms: 4_000,
+        attempts: 6,
+        sound_rate: 40.0,
+        until_ms: 25_000,
+        ..Plan::default()
+    };
+    for seed in 0..3 {
+        let outcome = play(&plan, seed);
+        for request in &plan.repeated {
+            let of_request = |all: &[(Fingerprint, u64)]| -> Vec<u64> {
+                let all = all.iter().filter(|(f, _)| *f == request.fingerprint);
+                all.map(|&(_, ms)| ms).collect()
+            };
+            let ends = of_request(&outcome.ends_of);
+            let arrivals = of_request(&outcome.harmful_arrivals);
+            let Some(third) = ends.get(2) else { continue };
+            let late = arrivals.iter().filter(|&&ms| ms > third + BOUND_MS);
+            assert!(
+                late.count() <= MAX_LATE,
+                "seed {seed}: {ends:?}, {arrivals:?}"
+            );
+        }
+    }
+}
+
+/// Guards against a request that five known crashes don't refuse: a suspect part that was at more ends accounted for
+/// them, and another part kept that one from being refused.
+#[test]
+fn request_at_five_ends_is_refused_although_a_suspect_part_was_at_more() {
+    let mut case = Case::new();
+    let poison = Fingerprint(7);
+    for n in 0..6 {
+        let now = at(n * 500);
+        let upstream = case.end(&[(&[RARE], FATAL), (&[HARMFUL], FATAL)], now);
+        if n < 5 {
+            case.ledger.record(poison, upstream, Finding::Broken, now);
+        }
+    }
+    assert!(!case.is_refused(RARE, at(3_000)));
+    assert_eq!(case.ledger.count(poison), 5);
+    let refusal = case.ledger.refusal(poison, at(3_000));
+    assert!(
+        matches!(refusal, Some(Refusal::Unsettled | Refusal::Settled)),
+        "{refusal:?}"
+    );
+}
+
 /// Ends until the part is refused, over the seeds; the goal is three in the median and five at most.
 #[test]
 fn three_ends_in_the_median_and_five_at_most() {
--- a/crates/kelpworks-coord/tests/part_fleet/mod.rs
+++ b/crates/kelpworks-coord/tests/part_fleet/mod.rs
@@ -28,12 +28,27 @@
 /// Time between two messages of a daemon, and the time that one takes.
 const MESSAGE_INTERVAL_MS: u64 = 50;
 const MESSAGE_MS: u64 = 5;
+/// Time between two digests of a daemon, to one other, and the longest time that one takes.
+const DIGEST_INTERVAL_MS: u64 = 250;
+const MAX_DIGEST_MS: u64 = 25;
+/// Time for which a digest carries a changed finding.
+const RECENT: Span = Span::from_secs(3);
 /// Facts of each kind in a message.
 const MAX_FACTS: usize = 32;
 /// Longest wait for a turn.
 const MAX_WAIT_MS: u64 = 1_000;
-/// Attempts of a request.
-const MAX_ATTEMPTS: u32 = 2;
+
+/// A harmful request that comes again and again, beside others with the same subject.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Repeated {
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) subject: PartId,
+    /// When it comes first, and the time between two series of copies.
+    pub(crate) from_ms: u64,
+    pub(crate) interval_ms: u64,
+    /// Copies that come at one moment, each at a daemon of its own.
+    pub(crate) copies: usize,
+}
 
 /// A fleet and its callers.
 #[derive(Clone, Debug)]
@@ -46,11 +61,15 @@
     pub(crate) subjects: u64,
     /// Time that a sound request runs, in milliseconds.
     pub(crate) run_ms: u64,
+    /// Maximum number of attempts of a request.
+    pub(crate) attempts: u32,
     /// Harmful parts, and requests per second with each.
     pub(crate) harmful: Vec<PartId>,
     pub(crate) harmful_rate: f64,
     /// When harmful requests begin.
     pub(crate) harmful_from_ms: u64,
+    /// Harmful requests that come again.
+    pub(crate) repeated: Vec<Repeated>,
     /// Whether the harmful part takes the place of the subject, which is the first part, or follows it.
     pub(crate) is_first: bool,
     /// Upstreams that end together by another cause, and when.
@@ -70,9 +89,11 @@
             sound_rate: 100.0,
             subjects: 60,
             run_ms: 2_000,
+            attempts: 2,
             harmful: vec![PartId(0xbad0)],
             harmful_rate: 3.0,
             harmful_from_ms: 4_000,
+            repeated: Vec::new(),
             is_first: false,
             joint_ends: None,
             fatal_ms: 120,
@@ -87,8 +108,10 @@
 pub(crate) struct Outcome {
     /// When upstreams ended under a harmful part.
     pub(crate) ends_ms: Vec<u64>,
-    /// Requests with a harmful part that reached an upstream, and when.
-    pub(crate) harmful_arrivals_ms: Vec<u64>,
+    /// Harmful requests that reached an upstream: which, and when.
+    pub(crate) harmful_arrivals: Vec<(Fingerprint, u64)>,
+    /// Upstreams that ended under a request that comes again: which, and when.
+    pub(crate) ends_of: Vec<(Fingerprint, u64)>,
     /// Sound requests: when each came, and whether it was refused because of its parts or itself.
     pub(crate) sound: Vec<(u64, bool)>,
 }
@@ -144,6 +167,7 @@
     now_ms: u64,
     ledgers: Vec<CrashLedger>,
     next_message_ms: Vec<u64>,
+    next_digest_ms: Vec<u64>,
     upstreams: Vec<Upstream>,
     next_id: u64,
     runs: Vec<Run>,
@@ -180,6 +204,7 @@
             now_ms: 0,
             ledgers: vec![CrashLedger::new(Config::default()); plan.daemons],
             next_message_ms: vec![0; plan.daemons],
+            next_digest_ms: (0..plan.daemons as u64).map(|n| n * 7).collect(),
             upstreams: upstreams.collect(),
             next_id: 1_000,
             runs: Vec::new(),
@@ -235,11 +260,37 @@
                 }
             }
         }
+        requests.extend(self.copies());
         for (request, daemon) in requests {
             self.start(request, daemon);
         }
     }
 
+    /// Returns the copies of repeated requests that come now.
+    fn copies(&mut self) -> Vec<(Request, usize)> {
+        let mut copies = Vec::new();
+        for repeated in &self.plan.repeated {
+            let Some(since_ms) = self.now_ms.checked_sub(repeated.from_ms) else {
+                continue;
+            };
+            if !since_ms.is_multiple_of(repeated.interval_ms) {
+                continue;
+            }
+            let first = self.rng.random_range(0..self.plan.daemons);
+            for n in 0..repeated.copies {
+                let request = Request {
+                    fingerprint: repeated.fingerprint,
+                    parts: vec![repeated.subject],
+                    is_harmful: true,
+                    attempts: 0,
+                    came_ms: self.now_ms,
+                };
+                copies.push((request, (first + n) % self.plan.daemons));
+            }
+        }
+        copies
+    }
+
     /// Starts a request, has it wait or refuses it.
     fn start(&mut self, request: Request, daemon: usize) {
         let now = self.now();
@@ -261,7 +312,8 @@
         }
         let upstream = up[self.rng.random_range(0..up.len())];
         if request.is_harmful {
-            self.outcome.harmful_arrivals_ms.push(self.now_ms);
+            let arrival = (request.fingerprint, self.now_ms);
+            self.outcome.harmful_arrivals.push(arrival);
         }
         self.runs.push(Run {
             request,
@@ -298,6 +350,8 @@
         let is_fatal = |r: &Run| r.request.is_harmful && now_ms >= r.begun_ms + fatal_ms;
         while let Some(run) = self.runs.iter().find(|r| is_fatal(r)) {
             let upstream = run.upstream;
+            let end = (run.request.fingerprint, now_ms);
+            self.outcome.ends_of.push(end);
             self.outcome.ends_ms.push(now_ms);
             self.end_upstream(upstream);
         }
@@ -352,7 +406,7 @@
             };
             self.ledgers[run.daemon].record_run(broken, now);
             run.request.attempts += 1;
-            if run.request.attempts < MAX_ATTEMPTS {
+            if run.request.attempts < self.plan.attempts {
                 run.request.came_ms = match run.request.is_harmful {
                     true => self.now_ms,
                     false => run.request.came_ms,
@@ -400,6 +454,7 @@
                 });
             }
         }
+        self.send_digests();
         let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.messages)
             .into_iter()
             .partition(|m| m.at_ms <= self.now_ms);
@@ -410,4 +465,23 @@
             ledger.merge_parts(message.parts, now);
         }
     }
+
+    /// Has each daemon report to another one, which takes longer the busier it is.
+    fn send_digests(&mut self) {
+        let now = self.now();
+        for from in 0..self.ledgers.len() {
+            if self.now_ms < self.next_digest_ms[from] || self.ledgers.len() < 2 {
+                continue;
+            }
+            self.next_digest_ms[from] = self.now_ms + DIGEST_INTERVAL_MS;
+            let distance = self.rng.random_range(1..self.ledgers.len());
+            let ledger = &mut self.ledgers[from];
+            self.messages.push(Message {
+                at_ms: self.now_ms + self.rng.random_range(1..=MAX_DIGEST_MS),
+                to: (from + distance) % self.plan.daemons,
+                requests: ledger.report(MAX_FACTS, 1, RECENT, now),
+                parts: ledger.report_parts(MAX_FACTS, 1, RECENT, now),
+            });
+        }
+    }
 }
