A break that its upstream outlived is told as such, not by a time that drifts

Callers saw a request reach engine after engine while the count of its known crashes fell from break to break. Cause: facts carried the time since the upstream last worked; each message adds the time that it takes, merging keeps the latest, and daemons repeat facts to each other for as long as a request is refused, so the sign of life crept past the break and the crash ceased to count.

Change: only times of one clock are compared, those of a daemon's own runs or of one fact; facts carry the outcome. The field on the wire stays and is read by its distance to the break, which no delay changes.

--- a/crates/kelpworks-coord/src/crash_ledger/facts.rs
+++ b/crates/kelpworks-coord/src/crash_ledger/facts.rs
@@ -1,10 +1,11 @@
 //! Facts about breaks, and the evidence that raises their findings.
 //!
 //! A fact is about a subject (a request, or a part of prompts) and an incarnation of an upstream. Merging two
-//! takes the higher finding, the earlier break, and the later sign of life, so that it is commutative,
-//! associative and idempotent.
+//! takes the higher finding and the earlier break, so that it is commutative, associative and idempotent.
 //!
-//! An incarnation ends once: a break before its last sign of life was not its end, if there is a later one.
+//! An incarnation ends once: a break that it outlived was not its end, if there is a later one. Only times of one clock
+//! are compared for that, those of a daemon's own runs or of one fact: a message adds the time that it takes to each time
+//! that it carries.
 
 mod report;
 
@@ -36,12 +37,20 @@
     pub(super) age: Span,
     /// Time since the run began that broke off, where it is known.
     pub(super) begun: Option<Span>,
-    /// Time since the upstream last worked, as far as the subject shows it.
+    /// Time since the upstream worked, if a sign of that is known.
     pub(super) alive: Option<Span>,
     /// Whether any daemon knows that a run of the subject survived, at whatever time.
     pub(super) has_survived: bool,
 }
 
+impl<S> Fact<S> {
+    /// Returns whether the upstream worked after the break.
+    fn is_outlived(&self) -> bool {
+        self.alive
+            .is_some_and(|alive| alive + TIME_ERROR < self.age)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct Key<S> {
     pub(super) subject: S,
@@ -55,8 +64,8 @@
     pub(super) at: Instant,
     /// When the run began that broke off then, where it is known.
     pub(super) begun: Option<Instant>,
-    /// When the upstream last worked, as far as the subject shows it.
-    alive: Option<Instant>,
+    /// Whether the upstream is known to have worked after the break.
+    is_outlived: bool,
     /// Whether any daemon knows that a run of the subject survived, at whatever time.
     pub(super) has_survived: bool,
     /// When this daemon learned the finding.
@@ -79,23 +88,15 @@
     }
 }
 
-/// What the records of an upstream show of its end.
+/// What is known of the life of an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 struct Life {
-    /// Last sign of life.
-    alive: Option<Instant>,
-    /// Whether there is a break after that.
+    /// Last sign of life that this daemon has seen.
+    seen_alive: Option<Instant>,
+    /// Whether there is a break that the upstream is not known to have outlived.
     has_ended: bool,
 }
 
-impl Life {
-    /// Returns whether a break was before the end of the upstream.
-    fn is_before_end(&self, record: &Record) -> bool {
-        let is_before = self.alive.is_some_and(|alive| record.is_before(alive));
-        self.has_ended && is_before
-    }
-}
-
 /// What a fact added.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Insertion {
@@ -124,7 +125,7 @@
     upstreams: HashMap<S, Vec<UpstreamId>>,
     /// Subjects in the keys of `records`, by upstream; no list is empty.
     subjects: HashMap<UpstreamId, Vec<S>>,
-    /// Derived from `records`, for the upstreams in their keys.
+    /// For the upstreams in the keys of `records`.
     lives: HashMap<UpstreamId, Life>,
     /// Facts whose findings this daemon has raised and not sent yet; at most [`Config::max_facts`].
     news: Vec<Key<S>>,
@@ -191,25 +192,55 @@
     /// Returns whether the upstream is known to have worked after a break, and to have ended later.
     pub(super) fn is_before_end(&self, upstream: UpstreamId, record: &Record) -> bool {
         let life = self.lives.get(&upstream);
-        life.is_some_and(|life| life.is_before_end(record))
+        record.is_outlived && life.is_some_and(|life| life.has_ended)
     }
 
-    /// Derives anew what the records of an upstream show of its end.
+    /// Records a sign of life that this daemon has seen.
+    fn record_sign(&mut self, upstream: UpstreamId, at: Instant) {
+        if let Some(life) = self.lives.get_mut(&upstream) {
+            life.seen_alive = life.seen_alive.max(Some(at));
+            self.update_life(upstream);
+        }
+    }
+
+    /// Derives anew which breaks an upstream outlived, and whether it has ended.
     fn update_life(&mut self, upstream: UpstreamId) {
-        let subjects = self.at_upstream(upstream).iter();
-        let records = subjects.filter_map(|&s| self.get(s, upstream));
-        let alive = records.clone().filter_map(|r| r.alive).max();
-        let is_after = |r: &Record| alive.is_some_and(|alive| !r.is_before(alive));
-        let has_ended = records.clone().any(|r| r.may_be_end() && is_after(r));
-        match self.subjects.contains_key(&upstream) {
-            true => self.lives.insert(upstream, Life { alive, has_ended }),
-            false => self.lives.remove(&upstream),
+        let Some(subjects) = self.subjects.get(&upstream) else {
+            self.lives.remove(&upstream);
+            return;
         };
+        let seen_alive = self.lives.get(&upstream).and_then(|life| life.seen_alive);
+        let mut outlived = Vec::new();
+        let mut has_ended = false;
+        for &subject in subjects {
+            let key = Key { subject, upstream };
+            let Some(record) = self.records.get_mut(&key) else {
+                continue;
+            };
+            if !record.is_outlived && seen_alive.is_some_and(|alive| record.is_before(alive)) {
+                record.is_outlived = true;
+                outlived.push(key);
+            }
+            has_ended |= record.may_be_end() && !record.is_outlived;
+        }
+        self.lives.insert(
+            upstream,
+            Life {
+                seen_alive,
+                has_ended,
+            },
+        );
+        for key in outlived {
+            self.push_news(key);
+        }
     }
 
     /// Merges a fact that this daemon has found itself, and which it will send.
     pub(super) fn record(&mut self, fact: Fact<S>, now: Instant) -> Merged<S> {
         let merged = self.merge_all([fact], now);
+        if let Some(alive) = fact.alive {
+            self.record_sign(fact.upstream, now - alive);
+        }
         if !merged.raised.is_empty() {
             self.push_news(Key {
                 subject: fact.subject,
@@ -236,13 +267,14 @@
     }
 
     fn insert(&mut self, fact: Fact<S>, now: Instant) -> Insertion {
+        let is_outlived = fact.is_outlived();
         let Fact {
             subject,
             upstream,
             finding,
             age,
             begun,
-            alive,
+            alive: _,
             has_survived,
         } = fact;
         if age >= self.cfg.retention {
@@ -250,14 +282,13 @@
         }
         let at = now - age;
         let begun = begun.map(|age| now - age);
-        let alive = alive.map(|age| now - age);
         let key = Key { subject, upstream };
         let Some(known) = self.records.get_mut(&key) else {
             let record = Record {
                 finding,
                 at,
                 begun,
-                alive,
+                is_outlived,
                 has_survived,
                 learned: now,
             };
@@ -269,12 +300,13 @@
         };
         let is_raised = known.finding < finding;
         let is_earlier = (at, Reverse(begun)) < (known.at, Reverse(known.begun));
-        let is_refined = is_earlier || alive > known.alive || has_survived & !known.has_survived;
+        let is_refined =
+            is_earlier || is_outlived & !known.is_outlived || has_survived & !known.has_survived;
         if is_earlier {
             known.at = at;
             known.begun = begun;
         }
-        known.alive = known.alive.max(alive);
+        known.is_outlived |= is_outlived;
         known.has_survived |= has_survived;
         if is_raised {
             known.finding = finding;
@@ -324,10 +356,8 @@
             let is_sent_later = self.records.get(key).is_some_and(|r| r.at < sent);
             is_sent_later && self.age(key, now) < self.cfg.min_restart
         });
-        for key in &keys {
-            if let Some(record) = self.records.get_mut(key) {
-                record.alive = record.alive.max(Some(sent));
-            }
+        if !keys.is_empty() {
+            self.record_sign(upstream, sent);
         }
         self.raise(keys, Finding::Alive, now)
     }
--- a/crates/kelpworks-coord/src/crash_ledger/facts/report.rs
+++ b/crates/kelpworks-coord/src/crash_ledger/facts/report.rs
@@ -8,9 +8,13 @@
 use super::Key;
 use super::Record;
 use super::Subject;
+use super::TIME_ERROR;
 use crate::time::Instant;
 use crate::time::Span;
 
+/// Smallest difference of two times.
+const MIN_SPAN: Span = Span::from_millis(1);
+
 impl<S: Subject> Facts<S> {
     /// Returns whether there are facts to send.
     pub(in crate::crash_ledger) fn has_news(&self) -> bool {
@@ -117,13 +121,18 @@
 
     fn fact(&self, key: Key<S>, now: Instant) -> Option<Fact<S>> {
         let record = self.records.get(&key)?;
+        let age = now.since(record.at);
+        // Any sign later than the break says it.
+        let outlived = record
+            .is_outlived
+            .then(|| record.at + TIME_ERROR + MIN_SPAN);
         Some(Fact {
             subject: key.subject,
             upstream: key.upstream,
             finding: record.finding,
-            age: now.since(record.at),
+            age,
             begun: record.begun.map(|begun| now.since(begun)),
-            alive: record.alive.map(|alive| now.since(alive)),
+            alive: outlived.map(|sign| now.since(sign)),
             has_survived: record.has_survived,
         })
     }
--- a/crates/kelpworks-coord/src/crash_ledger/types.rs
+++ b/crates/kelpworks-coord/src/crash_ledger/types.rs
@@ -122,7 +122,7 @@
     /// Time since the run began that broke off, where it is known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub begun: Option<Span>,
-    /// Time since the upstream last worked, as far as the request shows it.
+    /// Time since the upstream worked, if it is known to have worked after the break.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub alive: Option<Span>,
 }
@@ -142,7 +142,7 @@
     /// Time since the run began that broke off, where it is known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub begun: Option<Span>,
-    /// Time since the upstream last worked, as far as the part shows it.
+    /// Time since the upstream worked, if it is known to have worked after the break.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub alive: Option<Span>,
     /// Whether any daemon knows that a run with the part survived, at whatever time.
