A request at five ends is refused, whatever else is suspected

Callers saw a request run on with six and seven known crashes. Cause: the question whether a part of its prompt accounts for the crashes came before the bound of five, and a part that is only suspected could answer it, while the part in turn waited for a rival part or for the request. Class: two judges of one question, of which neither has to decide.

Evidence: the two tests fail before (a request with five ends ran; two requests in a fleet in virtual time ended 13 upstreams) and pass now, with the rest of the ledger's tests. The bound of five is what nothing passes; below it parts and other requests excuse as before.

--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -530,11 +530,12 @@
                 continue;
             };
             let upstreams: Vec<UpstreamId> = crashes.iter().map(|&(u, _)| u).collect();
-            if self.parts.accounts_for(&upstreams) {
+            // Whatever else is to blame, so that no two attributes leave the decision to each other.
+            if crashes.len() >= self.cfg.max_shared_crashes {
+                self.refused.insert(fingerprint, period);
+            } else if self.parts.accounts_for(&upstreams) {
                 continue;
-            }
-            let may_be_innocent = crashes.len() < self.cfg.max_shared_crashes;
-            if may_be_innocent && self.is_shared(fingerprint, &upstreams) {
+            } else if self.is_shared(fingerprint, &upstreams) {
                 self.suspects.insert(fingerprint);
             } else {
                 self.refused.insert(fingerprint, period);
