A suspect runs as one copy at a time over all daemons, the likeliest first

Cause: a turn admits any number of copies. Turns are long in coming because dozens of harmless requests that broke off beside it are suspects too, and nothing frees them but a turn of their own.

Change: before a copy of a request with three crashes is written, its daemon asks one daemon, drawn by a hash of the request from those that are live, for a test run; one is granted a second. Turns begin with the request whose runs were shortest. Suspects whose crashes a refused request explains run at any time, still one copy at a time. Builds that don't know the question are asked in vain, and their answer counts as before: turns alone.

The test of the copies fails without the question (17 copies in one slot) and passes with it.

--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -39,6 +39,7 @@
 
 mod facts;
 mod parts;
+mod test_runs;
 mod turns;
 mod types;
 
@@ -57,6 +58,7 @@
 use turns::Turns;
 
 pub use parts::Lasted;
+pub use test_runs::TestRuns;
 pub use types::BrokenRun;
 pub use types::Changed;
 pub use types::Config;
@@ -85,6 +87,9 @@
     held: HashMap<Fingerprint, Instant>,
     /// Requests that would be refused if no others accounted for their crashes.
     suspects: HashSet<Fingerprint>,
+    /// Requests that would be refused if refused requests or parts did not explain their crashes. They run at any
+    /// time.
+    excused: HashSet<Fingerprint>,
     /// Slots of the suspects, and of those that were cleared or are refused, so that the slots of the others stay
     /// where they are.
     turns: Turns<Fingerprint>,
@@ -104,6 +109,7 @@
             refused: HashMap::new(),
             held: HashMap::new(),
             suspects: HashSet::new(),
+            excused: HashSet::new(),
             turns: Turns::new(cfg.turn),
             counts: HashMap::new(),
             lowered: Vec::new(),
@@ -167,9 +173,16 @@
         self.turns.rank(fingerprint)?.checked_rem(lanes)
     }
 
-    /// Returns whether a request is a suspect.
-    pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
-        self.suspects.contains(&fingerprint)
+    /// Returns whether a request is refused now for its crashes.
+    pub fn is_refused(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+        let period = self.refused.get(&fingerprint);
+        period.is_some_and(|p| now < p.until)
+    }
+
+    /// Returns whether a request that may run now does so in a test run only, one copy at a time: it has as many
+    /// crashes as one that is refused, and has not completed since.
+    pub fn needs_test_run(&self, fingerprint: Fingerprint) -> bool {
+        self.suspects.contains(&fingerprint) || self.excused.contains(&fingerprint)
     }
 
     /// Returns whether there are suspects, which run in turns.
@@ -498,6 +511,16 @@
         requests_at_all(&self.facts, crashes).any(|f| f != fingerprint)
     }
 
+    /// Returns whether refused requests explain so many of these crashes that the rest is too few.
+    fn is_explained(&self, crashes: &[UpstreamId]) -> bool {
+        let is_refused = |f: &Fingerprint| self.refused.contains_key(f);
+        let unexplained = crashes.iter().filter(|&&upstream| {
+            let mut at_upstream = self.facts.at_upstream(upstream).iter();
+            !at_upstream.any(|f| is_refused(f) && self.facts.counts(*f, upstream))
+        });
+        unexplained.count() < self.cfg.min_crashes
+    }
+
     /// Keeps the facts within their bound.
     fn evict(&mut self, now: Instant) {
         let is_over = |len: usize| len > self.cfg.max_facts;
@@ -518,9 +541,11 @@
         self.refused.clear();
         self.held.clear();
         self.suspects.clear();
+        self.excused.clear();
         let candidates = self.facts.by_subject();
         let candidates = candidates.filter(|(_, u)| u.len() >= self.cfg.min_crashes);
         let candidates: Vec<Fingerprint> = candidates.map(|(f, _)| f).collect();
+        let mut undecided = Vec::new();
         for fingerprint in candidates {
             let crashes: Vec<(UpstreamId, Record)> = self.facts.counted(fingerprint).collect();
             if let Some(until) = self.end_of_doubt(fingerprint, crashes.len()) {
@@ -531,16 +556,19 @@
             };
             let upstreams: Vec<UpstreamId> = crashes.iter().map(|&(u, _)| u).collect();
             // Whatever else is to blame, so that no two attributes leave the decision to each other.
-            if crashes.len() >= self.cfg.max_shared_crashes {
-                self.refused.insert(fingerprint, period);
-            } else if self.parts.accounts_for(&upstreams) {
-                continue;
-            } else if self.is_shared(fingerprint, &upstreams) {
-                self.suspects.insert(fingerprint);
-            } else {
-                self.refused.insert(fingerprint, period);
+            let is_excluded = upstreams.len() < self.cfg.max_shared_crashes
+                && (self.parts.accounts_for(&upstreams) || self.is_shared(fingerprint, &upstreams));
+            match is_excluded {
+                true => undecided.push((fingerprint, upstreams)),
+                false => drop(self.refused.insert(fingerprint, period)),
             }
         }
+        for (fingerprint, upstreams) in undecided {
+            match self.parts.accounts_for(&upstreams) || self.is_explained(&upstreams) {
+                true => self.excused.insert(fingerprint),
+                false => self.suspects.insert(fingerprint),
+            };
+        }
         self.assign_turns(now);
         self.compare_counts();
     }
@@ -591,8 +619,14 @@
             let recent = records.filter(|(_, r)| has_run_lately(r)).count();
             recent >= self.cfg.min_crashes || self.suspects.contains(&fingerprint)
         };
+        // What ends an upstream does so soon: the request whose runs were short is tested first.
+        let longest = |fingerprint: Fingerprint| {
+            let records = self.facts.records_of(fingerprint);
+            records.map(|(_, r)| r.lasted()).max()
+        };
         let requests = self.facts.by_subject().map(|(f, _)| f);
-        self.turns.assign(requests.filter(|&f| has_turn(f)), last);
+        let requests = requests.filter(|&f| has_turn(f));
+        self.turns.assign(requests.map(|f| (longest(f), f)), last);
     }
 
     /// Returns how long a request with these crashes is refused; `None` if they are too few.
--- a/crates/kelpworks-coord/src/crash_ledger/parts.rs
+++ b/crates/kelpworks-coord/src/crash_ledger/parts.rs
@@ -413,7 +413,8 @@
             }
         }
         self.has_suspects = !suspects.is_empty();
-        self.suspects.assign(suspects.into_iter(), last_crash);
+        let suspects = suspects.into_iter().map(|part| ((), part));
+        self.suspects.assign(suspects, last_crash);
     }
 }
 
--- a/crates/kelpworks-coord/src/crash_ledger/types.rs
+++ b/crates/kelpworks-coord/src/crash_ledger/types.rs
@@ -20,6 +20,9 @@
     /// Time slot in which one of several suspects may run. It begins to run in the first half. Default
     /// 300 ms.
     pub turn: Span,
+    /// Time after the begin of a test run of a suspect in which no other copy of it begins: longer than an upstream
+    /// takes to end under it, and the other daemons to learn that. Default 1 s.
+    pub test_run: Span,
     /// How long a request is refused after the crash that made it refused; each further crash
     /// doubles it. Default 2 min.
     pub refusal: Span,
@@ -41,6 +44,7 @@
             min_crashes: 3,
             max_shared_crashes: 5,
             turn: Span::from_millis(300),
+            test_run: Span::from_secs(1),
             refusal: Span::from_secs(120),
             retention: Span::from_secs(3_600),
             min_restart: Span::from_secs(2),
--- a/crates/kelpworks-coord/tests/crash_parts.rs
+++ b/crates/kelpworks-coord/tests/crash_parts.rs
@@ -441,6 +441,23 @@
     }
 }
 
+/// Time after an end by which all daemons know of it.
+const SPREAD_MS: u64 = 150;
+
+/// A fleet whose few upstreams run long requests, of which many share the crashes of the harmful ones.
+fn plan_of(repeated: Vec<Repeated>) -> Plan {
+    Plan {
+        harmful: Vec::new(),
+        repeated,
+        upstreams: 5,
+        run_ms: 4_000,
+        attempts: 6,
+        sound_rate: 40.0,
+        until_ms: 25_000,
+        ..Plan::default()
+    }
+}
+
 /// A poisonous request that comes again at two daemons at a time.
 const REPEATED: Repeated = Repeated {
     fingerprint: Fingerprint(0xdead),
@@ -466,25 +483,12 @@
     Repeated { fingerprint: Fingerprint(0xdead1), from_ms: 4_200, ..REPEATED },
 ])]
 fn request_that_comes_again_is_stopped_after_five_ends(#[case] repeated: Vec<Repeated>) {
-    let plan = Plan {
-        harmful: Vec::new(),
-        repeated,
-        upstreams: 5,
-        run_ms: 4_000,
-        attempts: 6,
-        sound_rate: 40.0,
-        until_ms: 25_000,
-        ..Plan::default()
-    };
+    let plan = plan_of(repeated);
     for seed in 0..3 {
         let outcome = play(&plan, seed);
         for request in &plan.repeated {
-            let of_request = |all: &[(Fingerprint, u64)]| -> Vec<u64> {
-                let all = all.iter().filter(|(f, _)| *f == request.fingerprint);
-                all.map(|&(_, ms)| ms).collect()
-            };
-            let ends = of_request(&outcome.ends_of);
-            let arrivals = of_request(&outcome.harmful_arrivals);
+            let ends = outcome.ends_under(request.fingerprint);
+            let arrivals = outcome.arrivals_of(request.fingerprint);
             let Some(third) = ends.get(2) else { continue };
             let late = arrivals.iter().filter(|&&ms| ms > third + BOUND_MS);
             assert!(
@@ -495,6 +499,52 @@
     }
 }
 
+/// Guards against copies of a suspect that run at all daemons in its turn, and end an upstream each.
+#[test]
+fn copies_of_a_suspect_run_one_at_a_time_over_all_daemons() {
+    let first = Repeated {
+        copies: 1,
+        ..REPEATED
+    };
+    let second = Repeated {
+        fingerprint: Fingerprint(0xdead1),
+        subject: PartId(41),
+        from_ms: 4_200,
+        ..first
+    };
+    let at_all_daemons = |request: Repeated| Repeated {
+        from_ms: 6_000,
+        interval_ms: 500,
+        copies: 7,
+        ..request
+    };
+    let plan = plan_of(vec![
+        first,
+        second,
+        at_all_daemons(first),
+        at_all_daemons(second),
+    ]);
+    let mut tested = 0;
+    for seed in 0..2 {
+        let outcome = play(&plan, seed);
+        for request in [first, second] {
+            let Some(&third) = outcome.ends_under(request.fingerprint).get(2) else {
+                continue;
+            };
+            let arrivals = outcome.arrivals_of(request.fingerprint);
+            let tests: Vec<u64> = arrivals
+                .into_iter()
+                .filter(|&ms| ms > third + SPREAD_MS)
+                .collect();
+            tested += tests.len();
+            let period = Config::default().test_run.as_millis();
+            let is_alone = tests.windows(2).all(|pair| pair[1] >= pair[0] + period);
+            assert!(is_alone, "seed {seed}: {tests:?}");
+        }
+    }
+    assert!(tested > 0, "no suspect ran");
+}
+
 /// Guards against a request that five known crashes don't refuse: a suspect part that was at more ends accounted for
 /// them, and another part kept that one from being refused.
 #[test]
--- a/crates/kelpworks-coord/tests/part_fleet/mod.rs
+++ b/crates/kelpworks-coord/tests/part_fleet/mod.rs
@@ -9,6 +9,7 @@
 use kelpworks_coord::crash_ledger::Lasted;
 use kelpworks_coord::crash_ledger::PartCrash;
 use kelpworks_coord::crash_ledger::Refusal;
+use kelpworks_coord::crash_ledger::TestRuns;
 use kelpworks_coord::id::PartId;
 use kelpworks_coord::id::UpstreamId;
 use kelpworks_coord::poison::Fingerprint;
@@ -126,6 +127,21 @@
         let refused = came.clone().filter(|(_, is_refused)| *is_refused).count();
         (refused, came.count())
     }
+
+    /// Returns when upstreams ended under a request that comes again.
+    pub(crate) fn ends_under(&self, fingerprint: Fingerprint) -> Vec<u64> {
+        times_of(&self.ends_of, fingerprint)
+    }
+
+    /// Returns when a request that comes again reached an upstream.
+    pub(crate) fn arrivals_of(&self, fingerprint: Fingerprint) -> Vec<u64> {
+        times_of(&self.harmful_arrivals, fingerprint)
+    }
+}
+
+fn times_of(events: &[(Fingerprint, u64)], fingerprint: Fingerprint) -> Vec<u64> {
+    let events = events.iter().filter(|(f, _)| *f == fingerprint);
+    events.map(|&(_, ms)| ms).collect()
 }
 
 #[derive(Clone, Debug)]
@@ -166,6 +182,8 @@
     rng: StdRng,
     now_ms: u64,
     ledgers: Vec<CrashLedger>,
+    /// Test runs that each daemon has granted.
+    test_runs: Vec<TestRuns>,
     next_message_ms: Vec<u64>,
     next_digest_ms: Vec<u64>,
     upstreams: Vec<Upstream>,
@@ -203,6 +221,7 @@
             rng: StdRng::seed_from_u64(seed),
             now_ms: 0,
             ledgers: vec![CrashLedger::new(Config::default()); plan.daemons],
+            test_runs: vec![TestRuns::new(Config::default()); plan.daemons],
             next_message_ms: vec![0; plan.daemons],
             next_digest_ms: (0..plan.daemons as u64).map(|n| n * 7).collect(),
             upstreams: upstreams.collect(),
@@ -310,6 +329,13 @@
         if up.is_empty() {
             return;
         }
+        if ledger.needs_test_run(request.fingerprint) {
+            let owner = request.fingerprint.0 as usize % self.plan.daemons;
+            let wait = self.test_runs[owner].grant(request.fingerprint, now);
+            if wait.is_some() {
+                return self.refuse(&request);
+            }
+        }
         let upstream = up[self.rng.random_range(0..up.len())];
         if request.is_harmful {
             let arrival = (request.fingerprint, self.now_ms);
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -37,6 +37,7 @@
 mod store_contact;
 #[cfg(test)]
 mod store_tests;
+mod test_runs;
 #[cfg(test)]
 mod tests;
 mod texts;
@@ -74,6 +75,8 @@
 use messages::Findings;
 use messages::HeldVersions;
 use messages::StoreAges;
+use messages::TestRunReply;
+use messages::TestRunRequest;
 use messages::Texts;
 use roles::RoleState;
 use texts::PackCaches;
@@ -127,6 +130,10 @@
     #[method(name = "findings")]
     async fn findings(&self, findings: Findings) -> RpcResult<()>;
 
+    /// Asks the daemon that grants the test runs of a request whether one may begin.
+    #[method(name = "test_run")]
+    async fn test_run(&self, request: TestRunRequest) -> RpcResult<TestRunReply>;
+
     /// Announces the version of the configuration that the caller has activated.
     #[method(name = "announce")]
     async fn announce(&self, announcement: Announcement) -> RpcResult<()>;
@@ -223,6 +230,7 @@
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut ticks = 0u32;
         let mut era = self.eras.latest();
+        let mut questions = self.shared.take_test_run_questions();
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
@@ -241,6 +249,10 @@
                     self.announce_configuration();
                     continue;
                 }
+                Some(question) = questions.recv() => {
+                    tokio::spawn(Arc::clone(&self).answer_test_run(question));
+                    continue;
+                }
                 () = self.shared.crash_news() => {
                     self.send_findings();
                     continue;
@@ -357,6 +369,10 @@
         Ok(())
     }
 
+    async fn test_run(&self, request: TestRunRequest) -> RpcResult<TestRunReply> {
+        Ok(self.peers.on_test_run(request))
+    }
+
     async fn announce(&self, announcement: Announcement) -> RpcResult<()> {
         self.peers.on_announcement::<D>(announcement);
         Ok(())
--- a/crates/kelpworks-relay/src/peers/crashes.rs
+++ b/crates/kelpworks-relay/src/peers/crashes.rs
@@ -169,15 +169,22 @@
     /// Addresses of the daemons that collect the facts of the request or part with this hash, the same on all
     /// daemons that know the same members.
     pub(super) fn collectors(&self, hash: u64) -> Vec<SocketAddr> {
+        let mut collectors = self.by_hash(hash, COLLECTORS);
+        collectors.retain(|&a| a != self.address);
+        collectors
+    }
+
+    /// Addresses of `count` daemons that are drawn by a hash from this one and all that are live, the same on all
+    /// daemons that know the same members.
+    pub(super) fn by_hash(&self, hash: u64, count: usize) -> Vec<SocketAddr> {
         let weight = |name: &str| xxh3_64_with_seed(name.as_bytes(), hash);
         let members = lock(&self.members);
         let live = members.live().map(|m| (weight(m.name()), m.address));
         let mut ranked: Vec<(u64, SocketAddr)> = live.collect();
         ranked.push((weight(&self.name), self.address));
         ranked.sort_unstable();
-        ranked.truncate(COLLECTORS);
-        let addresses = ranked.into_iter().map(|(_, address)| address);
-        addresses.filter(|&a| a != self.address).collect()
+        ranked.truncate(count);
+        ranked.into_iter().map(|(_, address)| address).collect()
     }
 
     fn is_small_fleet(&self) -> bool {
--- a/crates/kelpworks-relay/src/peers/limits_tests.rs
+++ b/crates/kelpworks-relay/src/peers/limits_tests.rs
@@ -65,9 +65,10 @@
                     continue;
                 }
                 let shared = &self.fleet.all[number].shared;
-                let runnable = shared
+                let cleared = shared
                     .check_crashes(REQUEST, "llm", false)
                     .expect("no crashes");
+                let runnable = cleared.runnable().expect("no suspect");
                 let Some(admission) = shared.admit(runnable, vec![self.key]) else {
                     continue;
                 };
--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -112,6 +112,24 @@
     pub(super) part_facts: Vec<PartCrash>,
 }
 
+/// Question whether a test run of a suspected request may begin.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct TestRunRequest {
+    /// Address at which the sender accepts calls of its peers.
+    pub(super) from: SocketAddr,
+    pub(super) fingerprint: u64,
+}
+
+/// Answer to a [`TestRunRequest`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct TestRunReply {
+    /// Milliseconds after which it may be asked for again; absent if it may begin now.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) wait_ms: Option<u64>,
+}
+
 /// Layer assignment that an engine reported of itself.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/kelpworks-relay/src/permit/tests.rs
+++ b/crates/kelpworks-relay/src/permit/tests.rs
@@ -49,10 +49,10 @@
 
 /// Admits a request that has crashed nothing.
 fn admit(shared: &Shared, upstreams: Vec<UpstreamKey>) -> Option<Admission> {
-    let runnable = shared
+    let cleared = shared
         .check_crashes(REQUEST, "llm", false)
         .expect("no crashes");
-    shared.admit(runnable, upstreams)
+    shared.admit(cleared.runnable().expect("no suspect"), upstreams)
 }
 
 /// A daemon with one engine that announced a limit of one request a second, after enough time for
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -134,10 +134,11 @@
     let limit_wait_deadline =
         Instant::now() + inbound.route.latency_target.mul_f64(LIMIT_WAIT_FRACTION);
     let mut has_link_failure = false;
+    let mut test_run = None;
     loop {
         // An attempt of this request, here or elsewhere, may have been one too many.
-        let runnable = match shared.check_crashes(inbound.identity(), &inbound.service.name, true) {
-            Ok(runnable) => runnable,
+        let cleared = match shared.check_crashes(inbound.identity(), &inbound.service.name, true) {
+            Ok(cleared) => cleared,
             Err(refusal) => {
                 reason = refusal.reason;
                 available_in = Some(refusal.retry_after);
@@ -146,7 +147,7 @@
         };
         let attempt = if handover.is_due(shared, inbound, has_link_failure) {
             handover
-                .attempt(shared, inbound, may_have_reached, runnable)
+                .attempt(shared, inbound, may_have_reached, cleared)
                 .await
         } else if shared
             .reach()
@@ -160,8 +161,18 @@
                 verdict,
                 may_have_reached,
             };
+            let runnable = shared.permit_run(inbound.fingerprint, cleared, &mut test_run);
+            let runnable = match runnable.await {
+                Ok(runnable) => runnable,
+                Err(refusal) => {
+                    reason = refusal.reason;
+                    available_in = Some(refusal.retry_after);
+                    break;
+                }
+            };
             match next_upstream(shared, inbound, progress, runnable) {
                 NextAttempt::Send(upstream, permit) => {
+                    test_run = None;
                     tried.push(upstream);
                     let attempt = attempt::<D>(shared, inbound, upstream, &tried, permit).await;
                     has_link_failure |= link_evidence(&attempt).is_some();
@@ -183,7 +194,7 @@
                         break;
                     }
                     handover
-                        .attempt(shared, inbound, may_have_reached, runnable)
+                        .attempt(shared, inbound, may_have_reached, cleared)
                         .await
                 }
             }
--- a/crates/kelpworks-relay/src/relay/call/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/call/by_peer.rs
@@ -17,7 +17,7 @@
 use crate::relay::handover::HandoverHead;
 use crate::relay::handover::MAX_HANDOVERS;
 use crate::shared::Shared;
-use crate::shared::crashes::Runnable;
+use crate::shared::crashes::Cleared;
 
 /// The ways of a call by other daemons.
 pub(super) struct CallHandover<'a> {
@@ -68,7 +68,7 @@
         shared: &Shared,
         inbound: &InboundRequest,
         may_have_reached: bool,
-        runnable: Runnable,
+        cleared: Cleared,
     ) -> Attempt {
         let retry = match may_have_reached {
             true => shared.acquire_retry(&inbound.service.name, Instant::now()),
@@ -87,7 +87,7 @@
             true => inbound.remaining() / 2,
             false => inbound.remaining(),
         };
-        let sending = self.client.send(inbound, &head, &mut self.tried, runnable);
+        let sending = self.client.send(inbound, &head, &mut self.tried, cleared);
         let failed = |e: HandoverError| failed_attempt(e.verdict(), e.reason());
         let sent = tokio::time::timeout(timeout, sending).await;
         let sent = sent.unwrap_or(Err(HandoverError::Lost));
--- a/crates/kelpworks-relay/src/relay/handover.rs
+++ b/crates/kelpworks-relay/src/relay/handover.rs
@@ -42,7 +42,7 @@
 use crate::pool::Pool;
 use crate::pool::Reuse;
 use crate::pool::WritePermit;
-use crate::shared::crashes::Runnable;
+use crate::shared::crashes::Cleared;
 use crate::sync::lock;
 
 /// Result of handing a request over.
@@ -215,7 +215,7 @@
         inbound: &InboundRequest,
         head: &HandoverHead,
         excluded: &mut Vec<SocketAddr>,
-        _runnable: Runnable,
+        _cleared: Cleared,
     ) -> Result<Exchange<PeerAddress>> {
         loop {
             let candidates = self.candidates(&inbound.service.name, excluded);
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -57,6 +57,7 @@
 use crate::shared::crashes::Break;
 use crate::shared::crashes::BrokenAttempt;
 use crate::shared::crashes::Incarnation;
+use crate::shared::crashes::TestRun;
 use crate::sync::lock;
 use attempt::RanAt;
 use attempt::Reservation;
@@ -178,6 +179,8 @@
     may_have_reached: bool,
     /// Retry that `may_retry` has acquired for the next attempt.
     retry: Mutex<Option<Retry>>,
+    /// Test run of a suspect that has been granted and not begun.
+    test_run: Option<TestRun>,
     /// Daemons that the request was handed over to.
     tried_peers: Vec<SocketAddr>,
     /// Whether an attempt failed in a way that this daemon's own links may have caused.
@@ -219,6 +222,7 @@
         ran_at,
         attempts: 0,
         retry: Mutex::default(),
+        test_run: None,
         tried_peers: Vec::new(),
         has_link_failure: AtomicBool::new(false),
         refusals: 0,
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -47,6 +47,7 @@
 use crate::shared::Shared;
 use crate::shared::announcements::Announcements;
 use crate::shared::announcements::AnsweredMessage;
+use crate::shared::crashes::Cleared;
 use crate::shared::crashes::CrashRefusal;
 use crate::shared::crashes::Runnable;
 
@@ -192,7 +193,7 @@
 
     /// Chooses a path; if there is none, polls for one for a fraction of the latency target.
     /// Requests end all the time, and one that starts within its latency target is served in full.
-    async fn choose_or_wait(&self) -> Result<(Path, Admission), Failure> {
+    async fn choose_or_wait(&mut self) -> Result<(Path, Admission), Failure> {
         let is_covered = |_: &Shared| !matches!(self.choose(), Err(NoPath::Uncovered(_)));
         self.shared
             .wait_while_starting(self.inbound.arrived, is_covered)
@@ -204,7 +205,7 @@
                 .latency_target
                 .mul_f64(CAPACITY_WAIT_FRACTION);
         loop {
-            let runnable = self.check_crashes()?;
+            let runnable = self.permit_run().await?;
             match self.choose_and_admit(runnable) {
                 Err(reason) if self.is_waiting_useless(reason, until) => {
                     self.log_no_path(reason);
@@ -214,7 +215,10 @@
                     });
                 }
                 Err(_) => tokio::time::sleep(CAPACITY_POLL_INTERVAL).await,
-                Ok(chosen) => return Ok(chosen),
+                Ok(chosen) => {
+                    self.test_run = None;
+                    return Ok(chosen);
+                }
             }
         }
     }
@@ -254,17 +258,22 @@
         backoffs.filter(|backoff| !backoff.is_zero()).min()
     }
 
-    /// Returns the permission to run the request, or a failure without an attempt if it crashes engines.
-    pub(super) fn check_crashes(&self) -> Result<Runnable, Failure> {
-        let refused = |refusal: CrashRefusal| Failure {
-            available_in: Some(refusal.retry_after),
-            ..Failure::no_path(refusal.reason)
-        };
+    /// Returns that the request is not refused, or a failure without an attempt if it crashes engines.
+    pub(super) fn check_crashes(&self) -> Result<Cleared, Failure> {
         let service = &self.inbound.service.name;
+        let identity = self.inbound.identity();
+        let cleared = self.shared.check_crashes(identity, service, false);
+        cleared.map_err(failure_of_refusal)
+    }
+
+    /// Returns the permission to run the request, which a suspect waits for.
+    async fn permit_run(&mut self) -> Result<Runnable, Failure> {
+        let cleared = self.check_crashes()?;
+        let fingerprint = self.inbound.fingerprint;
         let runnable = self
             .shared
-            .check_crashes(self.inbound.identity(), service, false);
-        runnable.map_err(refused)
+            .permit_run(fingerprint, cleared, &mut self.test_run);
+        runnable.await.map_err(failure_of_refusal)
     }
 
     /// Chooses a path and has its engines admit the request.
@@ -509,3 +518,11 @@
         crossings: 0,
     })
 }
+
+/// Returns the failure of an attempt that was refused for crashes before it began.
+fn failure_of_refusal(refusal: CrashRefusal) -> Failure {
+    Failure {
+        available_in: Some(refusal.retry_after),
+        ..Failure::no_path(refusal.reason)
+    }
+}
--- a/crates/kelpworks-relay/src/relay/stream/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/stream/by_peer.rs
@@ -78,7 +78,7 @@
 
     /// Hands the request over and waits for the head of the response.
     pub(super) async fn attempt_by_peer(&mut self) -> Result<(StatusCode, HeaderMap), Failure> {
-        let runnable = self.check_crashes()?;
+        let cleared = self.check_crashes()?;
         let had_possibly_reached = std::mem::replace(&mut self.may_have_reached, true);
         self.attempts += 1;
         let retry = lock(&self.retry).take();
@@ -95,7 +95,7 @@
         let sent = Instant::now();
         let mut tried_peers = std::mem::take(&mut self.tried_peers);
         let handover = Arc::clone(&self.clients.handover);
-        let sending = handover.send(&self.inbound, &head, &mut tried_peers, runnable);
+        let sending = handover.send(&self.inbound, &head, &mut tried_peers, cleared);
         let result = self.wait_for_first(sending, &[], sent).await;
         self.tried_peers = tried_peers;
         let is_unsent = matches!(&result, Ok(Err(e)) if e.is_unsent());
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -16,8 +16,10 @@
 use arc_swap::ArcSwap;
 use kelpworks_coord::crash_ledger;
 use kelpworks_coord::crash_ledger::CrashLedger;
+use kelpworks_coord::crash_ledger::TestRuns;
 use log::info;
 use tokio::sync::Notify;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::adapter::StartTime;
@@ -45,6 +47,7 @@
 use crate::traffic_plan::TrafficPlan;
 use crashes::CheckedUpstreams;
 use crashes::Runnable;
+use crashes::TestRunQuestion;
 
 /// Pause between two events of a stream on a lightly loaded fleet of the accelerators in use.
 const TYPICAL_PAUSE: Duration = Duration::from_millis(38);
@@ -77,6 +80,10 @@
     crashes: Mutex<CrashLedger>,
     /// Signalled when this daemon has raised a finding about a crash.
     crash_news: Notify,
+    /// Test runs of suspects that this daemon has granted.
+    test_runs: Mutex<TestRuns>,
+    /// Takes questions for test runs to the daemon that grants them; absent until daemons exchange messages.
+    test_run_questions: Mutex<Option<mpsc::Sender<TestRunQuestion>>>,
     /// Upstreams that are being checked after a break; at most `crashes::MAX_CHECKS`.
     checked_upstreams: Mutex<CheckedUpstreams>,
     suspects: Mutex<Suspects>,
@@ -120,6 +127,8 @@
             ))),
             crashes: Mutex::new(CrashLedger::new(crash_ledger::Config::default())),
             crash_news: Notify::new(),
+            test_runs: Mutex::new(TestRuns::new(crash_ledger::Config::default())),
+            test_run_questions: Mutex::default(),
             checked_upstreams: Mutex::default(),
             suspects: Mutex::default(),
             reach: Mutex::default(),
--- a/crates/kelpworks-relay/src/shared/crashes.rs
+++ b/crates/kelpworks-relay/src/shared/crashes.rs
@@ -6,6 +6,7 @@
 //! incarnation from the registrations.
 
 mod evidence;
+mod test_runs;
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -24,6 +25,7 @@
 use kelpworks_coord::id::UpstreamId;
 use kelpworks_coord::poison::Fingerprint;
 use kelpworks_coord::time;
+use kelpworks_coord::time::Span;
 use log::info;
 use tokio::time::Instant;
 
@@ -31,6 +33,11 @@
 use crate::fleet::UpstreamKey;
 use crate::sync::lock;
 
+pub(crate) use test_runs::TEST_RUN_RETRY;
+pub(crate) use test_runs::TestRun;
+pub(crate) use test_runs::TestRunAnswer;
+pub(crate) use test_runs::TestRunQuestion;
+
 /// Reason of refusals of requests that crash upstreams.
 const CRASHES_UPSTREAMS: &str = "crashes upstreams";
 /// Reason of refusals of requests with a part in their prompts that crashes upstreams.
@@ -50,8 +57,24 @@
 /// Maximum number of fingerprints, or of parts of a prompt, in a log line.
 const MAX_LOGGED: usize = 8;
 
-/// Permission to run a request: it was not refused for crashes when this was given. What writes a
-/// request to an upstream, or hands it to another daemon, requires one for each attempt.
+/// A request that was not refused for crashes when this was given. What hands a request to another daemon requires
+/// it for each attempt.
+#[derive(Clone, Copy, Debug)]
+#[must_use]
+pub(crate) struct Cleared {
+    lane: Option<Lane>,
+    /// Whether it runs in a test run only.
+    is_suspect: bool,
+}
+
+impl Cleared {
+    /// Returns the permission to run the request; `None` if it is a suspect, whose test run has to be granted.
+    pub(crate) fn runnable(self) -> Option<Runnable> {
+        (!self.is_suspect).then_some(Runnable { lane: self.lane })
+    }
+}
+
+/// Permission to run a request. What writes a request to an upstream requires one for each attempt.
 #[derive(Clone, Copy, Debug)]
 #[must_use]
 pub(crate) struct Runnable {
@@ -87,9 +110,7 @@
         let (reason, retry_after) = match refusal {
             Refusal::Settled => (CRASHES_UPSTREAMS, CRASHING_RETRY),
             Refusal::Unsettled => (UNDECIDED, UNSETTLED_RETRY),
-            Refusal::WaitsForTurn(wait) => {
-                (WAITS_FOR_TURN, Duration::from_millis(wait.as_millis()))
-            }
+            Refusal::WaitsForTurn(wait) => return CrashRefusal::waits_for_turn(wait),
         };
         CrashRefusal {
             reason,
@@ -98,6 +119,14 @@
         }
     }
 
+    fn waits_for_turn(wait: Span) -> CrashRefusal {
+        CrashRefusal {
+            reason: WAITS_FOR_TURN,
+            retry_after: Duration::from_millis(wait.as_millis()),
+            part: None,
+        }
+    }
+
     fn of_part(part: PartId, refusal: Refusal) -> CrashRefusal {
         let of_request = CrashRefusal::new(refusal);
         let reason = match refusal {
@@ -157,14 +186,14 @@
         time::Instant::from_millis(at.saturating_duration_since(self.started).as_millis() as u64)
     }
 
-    /// Returns the permission to run a request at a service, or its refusal. `is_whole` is whether a
+    /// Returns that a request is not refused at a service, or its refusal. `is_whole` is whether a
     /// single upstream runs it, so that suspects run apart on different ones.
     pub(crate) fn check_crashes(
         &self,
         identity: Identity<'_>,
         service: &str,
         is_whole: bool,
-    ) -> std::result::Result<Runnable, CrashRefusal> {
+    ) -> std::result::Result<Cleared, CrashRefusal> {
         let Identity { fingerprint, parts } = identity;
         let now = self.ledger_time(Instant::now());
         let has_lanes = is_whole && self.crashes().has_suspects();
@@ -180,8 +209,9 @@
             return Err(CrashRefusal::new(refusal));
         }
         let lane = ledger.lane(fingerprint, lanes).filter(|_| has_lanes);
-        Ok(Runnable {
+        Ok(Cleared {
             lane: lane.map(|index| Lane { index }),
+            is_suspect: ledger.needs_test_run(fingerprint),
         })
     }
 
@@ -192,12 +222,11 @@
         identity: Identity<'_>,
         service: &str,
         is_whole: bool,
-    ) -> std::result::Result<Runnable, CrashRefusal> {
+    ) -> std::result::Result<Cleared, CrashRefusal> {
         let until = Instant::now() + MAX_TURN_WAIT;
         loop {
             let checked = self.check_crashes(identity, service, is_whole);
             let Err(refusal) = checked else {
-                self.log_suspect(identity.fingerprint);
                 return checked;
             };
             let turn = Instant::now() + refusal.retry_after;
@@ -208,17 +237,6 @@
         }
     }
 
-    /// Logs that a request runs although it is suspected.
-    fn log_suspect(&self, fingerprint: Fingerprint) {
-        let ledger = self.crashes();
-        if !ledger.is_suspect(fingerprint) {
-            return;
-        }
-        let crashes = ledger.count(fingerprint);
-        drop(ledger);
-        info!(target: "decision", fingerprint:% = fingerprint, crashes; "suspected request runs in its turn");
-    }
-
     /// Returns the incarnation behind a key; `None` once it has been removed.
     pub(crate) fn incarnation(&self, key: UpstreamKey) -> Option<Incarnation> {
         let fleet = self.fleet();
