--- a/crates/kelpworks-cli/tests/relay_crashes.rs
+++ b/crates/kelpworks-cli/tests/relay_crashes.rs
@@ -115,6 +115,35 @@
     wait_until_served(&site, "afterwards").await;
 }
 
+/// Time within which what refuses a request is stored.
+const STORE_BOUND: Duration = Duration::from_secs(1);
+
+/// Guards against verdicts that are lost with all daemons: the request would crash as many upstreams again.
+#[rstest]
+#[case::call(Way::Call)]
+#[case::stream(Way::Stream)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refused_request_reaches_no_upstream_after_a_loss_of_all_daemons(#[case] way: Way) {
+    let (mut site, apps) = start(&format!("lost-{way:?}")).await;
+    let is_below = || apps.ends().len() < MIN_CRASHES_TO_REFUSE;
+    repeat(&site, way, "poison", is_below).await;
+    let third = apps.ends()[MIN_CRASHES_TO_REFUSE - 1].at;
+    let stored = third + SPREAD_BOUND + STORE_BOUND;
+    repeat(&site, way, "poison", || Instant::now() < stored).await;
+    let before = apps.ends().len();
+    for daemon in &mut site.daemons {
+        daemon.kill();
+    }
+    for daemon in &mut site.daemons {
+        daemon.restart();
+    }
+    let until = Instant::now() + REPEAT_PERIOD + SPREAD_BOUND;
+    repeat(&site, way, "poison", || Instant::now() < until).await;
+    let ends = apps.ends();
+    assert_eq!(ends.len(), before, "{ends:#?}");
+    wait_until_served(&site, "afterwards").await;
+}
+
 /// Repeats a request at one daemon until three upstreams have ended under it, and then for a time that
 /// leaves room for their successors. Returns how many ended more than the bound after the third.
 async fn late_ends_at(site: &Site, apps: &CrashingApps, daemon: usize, way: Way) -> usize {
