What holds requests back outlasts all daemons, as a record in the store

Callers saw a request end three upstreams more after all daemons had been killed at once. Cause: the ledger lives in the daemons alone.

--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -477,6 +477,32 @@
         facts.into_iter().map(PartCrash::from).collect()
     }
 
+    /// Returns at most `max` facts that hold requests back, those first that refuse one: what has to outlast all
+    /// daemons, so that no further upstream ends for it.
+    pub fn facts_to_keep(&self, max: usize, now: Instant) -> Vec<Crash> {
+        let refused = self.refused.iter().filter(|(_, p)| now < p.until);
+        let refused = refused.map(|(&f, _)| f);
+        let tested = self.suspects.iter().chain(&self.excused).copied();
+        let mut held: Vec<(bool, Fingerprint)> = refused.map(|f| (false, f)).collect();
+        held.extend(tested.map(|f| (true, f)));
+        held.sort_unstable();
+        let facts = held.into_iter().flat_map(|(_, fingerprint)| {
+            let facts = self.facts.facts_of(fingerprint, now).into_iter();
+            facts.filter(move |f| self.facts.counts(fingerprint, f.upstream))
+        });
+        facts.take(max).map(Crash::from).collect()
+    }
+
+    /// Like [`CrashLedger::facts_to_keep`], about parts that are refused.
+    pub fn part_facts_to_keep(&self, max: usize, now: Instant) -> Vec<PartCrash> {
+        let mut refused: Vec<PartId> = self.parts.refused(now).collect();
+        refused.sort_unstable();
+        let facts = refused
+            .into_iter()
+            .flat_map(|part| self.parts.ended_facts(part, now));
+        facts.take(max).map(PartCrash::from).collect()
+    }
+
     /// Returns all facts, by request and upstream.
     pub fn facts(&self, now: Instant) -> Vec<Crash> {
         self.facts.all(now).into_iter().map(Crash::from).collect()
--- a/crates/kelpworks-coord/src/crash_ledger/parts.rs
+++ b/crates/kelpworks-coord/src/crash_ledger/parts.rs
@@ -192,6 +192,18 @@
         })
     }
 
+    /// Returns the facts of a part at upstreams that ended.
+    pub(super) fn ended_facts(&self, part: PartId, now: Instant) -> Vec<Fact<PartId>> {
+        let ends: Vec<UpstreamId> = self.crashes(part).map(|(upstream, _)| upstream).collect();
+        let mut facts = self.facts.facts_of(part, now);
+        facts.retain(|f| ends.contains(&f.upstream));
+        for fact in &mut facts {
+            // What shows the end of the upstream may not be kept beside it.
+            fact.finding = fact.finding.max(Finding::Broken);
+        }
+        facts
+    }
+
     /// Returns whether a break with a part shows that its upstream has ended.
     pub(super) fn has_ended(&self, upstream: UpstreamId) -> bool {
         let mut parts = self.facts.at_upstream(upstream).iter();
--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -49,6 +49,7 @@
 use crate::slowness;
 use crate::store_cache::StoreCache;
 use crate::store_watch::StoreWatcher;
+use crate::verdict_store::VerdictStore;
 
 /// Result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -225,6 +226,13 @@
             };
             tokio::spawn(watcher.run::<A>(shutdown.clone()));
         }
+        shared.expect_verdicts();
+        let verdict_store = VerdictStore {
+            api: Arc::clone(&store),
+            shared: Arc::clone(&shared),
+            peers: Arc::clone(&peers),
+        };
+        tokio::spawn(verdict_store.run(shutdown.clone()));
         let peer_server = peers.listen::<A>().await.map_err(listen_error("peers"))?;
         tokio::spawn(Arc::clone(&peers).run::<A>(shutdown.clone()));
         let resign = CancellationToken::new();
--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -45,3 +45,4 @@
 pub mod suspects;
 mod sync;
 pub mod traffic_plan;
+mod verdict_store;
--- a/crates/kelpworks-relay/src/peers/crashes.rs
+++ b/crates/kelpworks-relay/src/peers/crashes.rs
@@ -26,6 +26,7 @@
 use super::messages::CrashesOf;
 use super::messages::Digest;
 use super::messages::Findings;
+use super::roles::LEARNING_PERIOD;
 use super::store_contact::STORE_STALE_AFTER;
 use super::store_contact::StoreKind;
 
@@ -41,6 +42,8 @@
 /// Facts of a request from which all daemons of a larger fleet learn them. Most breaks are the only one of
 /// their request, and concern no other daemon.
 const MIN_FACTS_TO_SPREAD: usize = 2;
+/// Hash by which the daemon is drawn that keeps the record of crashes.
+const KEEPER_HASH: u64 = 0x6b65_6570_6572;
 /// Number of exchange intervals between two reviews of the ledger.
 const REVIEW_TICKS: u32 = 4;
 /// Maximum number of refused requests in a digest for daemons of older builds, which count crashes.
@@ -187,6 +190,15 @@
         ranked.into_iter().map(|(_, address)| address).collect()
     }
 
+    /// Returns whether this daemon keeps the record of crashes in the store. One that has just started and knows no
+    /// other does not.
+    pub(crate) fn keeps_verdicts(&self) -> bool {
+        let knows_others = lock(&self.members).live().next().is_some();
+        let is_alone = self.started.elapsed() >= LEARNING_PERIOD;
+        let keeper = self.by_hash(KEEPER_HASH, 1);
+        (knows_others || is_alone) && keeper.first() == Some(&self.address)
+    }
+
     fn is_small_fleet(&self) -> bool {
         lock(&self.members).live().count() <= MAX_SMALL_FLEET_PEERS
     }
--- a/crates/kelpworks-relay/src/relay/incoming.rs
+++ b/crates/kelpworks-relay/src/relay/incoming.rs
@@ -71,6 +71,9 @@
 ) -> Result<InboundRequest, Refusal> {
     let has_configuration = |s: &Shared| s.table.load().version() > 0;
     shared.wait_while_starting(arrived, has_configuration).await;
+    shared
+        .wait_while_starting(arrived, Shared::are_verdicts_known)
+        .await;
     let table = shared.table.load_full();
     let head = D::decode_request_head(req.headers());
     let id = head.as_ref().ok().and_then(|h| h.request_id.clone());
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -105,6 +105,8 @@
     pub pool: Pool,
     /// Set from the start of a planned stop; answers then ask callers to close their connections.
     pub stopping: AtomicBool,
+    /// Whether the record of crashes has not been read yet since the start.
+    are_verdicts_pending: AtomicBool,
     /// Number of requests that are being served.
     pub in_flight: AtomicU64,
     started: Instant,
@@ -140,12 +142,28 @@
             mean_pause_us: AtomicU64::new(TYPICAL_PAUSE.as_micros() as u64),
             pool: Pool::default(),
             stopping: AtomicBool::new(false),
+            are_verdicts_pending: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
             started: Instant::now(),
             state_changed: Notify::new(),
         }
     }
 
+    /// Has requests wait until [`Shared::set_verdicts_known`], as long as the daemon counts as starting.
+    pub(crate) fn expect_verdicts(&self) {
+        self.are_verdicts_pending.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that the verdicts are known that outlasted earlier daemons.
+    pub(crate) fn set_verdicts_known(&self) {
+        self.are_verdicts_pending.store(false, Ordering::Relaxed);
+        self.notify_state_change();
+    }
+
+    pub(crate) fn are_verdicts_known(&self) -> bool {
+        !self.are_verdicts_pending.load(Ordering::Relaxed)
+    }
+
     /// Wakes requests that wait for a change of the configuration or of the upstreams.
     pub(crate) fn notify_state_change(&self) {
         self.state_changed.notify_waiters();
