--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -39,6 +39,8 @@
 mod store_tests;
 mod test_runs;
 #[cfg(test)]
+mod test_runs_tests;
+#[cfg(test)]
 mod tests;
 mod texts;
 
--- a/crates/kelpworks-relay/src/shared/crashes.rs
+++ b/crates/kelpworks-relay/src/shared/crashes.rs
@@ -7,6 +7,8 @@
 
 mod evidence;
 mod test_runs;
+#[cfg(test)]
+mod test_runs_tests;
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
