A request whose connections were reset together accounts for no crash

Change: a request accounts for another's crashes only if its attempts broke off at as many moments. The new test fails without the comparison (case of one moment) and passes with it.

--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -54,6 +54,7 @@
 use facts::Fact;
 use facts::Facts;
 use facts::Record;
+use facts::TIME_ERROR;
 use parts::Parts;
 use turns::Turns;
 
@@ -68,6 +69,9 @@
 pub use types::PartCrash;
 pub use types::Refusal;
 
+/// Breaks of a request that come this soon after each other may be due to one cause that is not an end.
+const JOINT_BREAKS: Span = Span::from_millis(25);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct RefusalPeriod {
     until: Instant,
@@ -532,9 +536,30 @@
         refused
     }
 
-    /// Returns whether another request accounts for all of these crashes of a request.
+    /// Returns whether another request accounts for all of these crashes of a request. One whose attempts broke off
+    /// there at fewer moments doesn't: connections that are reset at one moment break off at several upstreams.
     fn is_shared(&self, fingerprint: Fingerprint, crashes: &[UpstreamId]) -> bool {
-        requests_at_all(&self.facts, crashes).any(|f| f != fingerprint)
+        let own = self.moments(fingerprint, crashes, TIME_ERROR);
+        requests_at_all(&self.facts, crashes)
+            .any(|f| f != fingerprint && self.moments(f, crashes, JOINT_BREAKS) >= own)
+    }
+
+    /// Returns at how many moments, this far apart, attempts of a request broke off at these upstreams.
+    fn moments(&self, fingerprint: Fingerprint, crashes: &[UpstreamId], apart: Span) -> usize {
+        let breaks = crashes
+            .iter()
+            .filter_map(|&u| self.facts.get(fingerprint, u));
+        let mut times: Vec<Instant> = breaks.map(|r| r.at).collect();
+        times.sort_unstable();
+        let mut moments = 0;
+        let mut last: Option<Instant> = None;
+        for at in times {
+            if last.is_none_or(|last| at >= last + apart) {
+                moments += 1;
+                last = Some(at);
+            }
+        }
+        moments
     }
 
     /// Returns whether refused requests explain so many of these crashes that the rest is too few.
--- a/crates/kelpworks-coord/tests/crash_ledger.rs
+++ b/crates/kelpworks-coord/tests/crash_ledger.rs
@@ -120,6 +120,27 @@
     assert_eq!(ledger.count(harmless), expected);
 }
 
+/// Guards against a harmless request that accounts for the crashes of a poisonous one because its connections to all
+/// upstreams were reset at one moment, just before.
+#[rstest]
+#[case::at_one_moment([0, 3, 6], true)]
+#[case::with_each_end([0, 300, 600], false)]
+fn request_whose_connections_were_reset_together_accounts_for_no_crash(
+    #[case] broken_ms: [u64; 3],
+    #[case] expected: bool,
+) {
+    let mut ledger = ledger();
+    for (number, broken) in broken_ms.into_iter().enumerate() {
+        let upstream = UpstreamId(number as u64);
+        let now = NOW + Span::from_millis(broken);
+        ledger.record(Fingerprint(2), upstream, Finding::Broken, now);
+        let now = NOW + Span::from_millis(300 * number as u64 + 10);
+        ledger.record(POISON, upstream, Finding::Broken, now);
+    }
+    let now = NOW + Span::from_millis(610);
+    assert_eq!(ledger.is_refused(POISON, now), expected);
+}
+
 /// Guards against crashes that cease to count although nothing speaks against them: each message adds the time that
 /// it takes to the last sign of life of an upstream, which passes the break in the end.
 #[test]
