A request whose refusal has ended runs one copy at a time

Cause: what holds a request back ended with the time of its refusal; the copies that come then went at all daemons at once.

--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -91,8 +91,8 @@
     held: HashMap<Fingerprint, Instant>,
     /// Requests that would be refused if no others accounted for their crashes.
     suspects: HashSet<Fingerprint>,
-    /// Requests that would be refused if refused requests or parts did not explain their crashes. They run at any
-    /// time.
+    /// Requests that would be refused if refused requests or parts did not explain their crashes, or if it were not
+    /// so long ago. They run at any time.
     excused: HashSet<Fingerprint>,
     /// Slots of the suspects, and of those that were cleared or are refused, so that the slots of the others stay
     /// where they are.
@@ -186,7 +186,9 @@
     /// Returns whether a request that may run now does so in a test run only, one copy at a time: it has as many
     /// crashes as one that is refused, and has not completed since.
     pub fn needs_test_run(&self, fingerprint: Fingerprint) -> bool {
-        self.suspects.contains(&fingerprint) || self.excused.contains(&fingerprint)
+        self.suspects.contains(&fingerprint)
+            || self.excused.contains(&fingerprint)
+            || self.refused.contains_key(&fingerprint)
     }
 
     /// Returns whether there are suspects, which run in turns.
@@ -484,8 +486,7 @@
     /// Returns at most `max` facts that hold requests back, those first that refuse one: what has to outlast all
     /// daemons, so that no further upstream ends for it.
     pub fn facts_to_keep(&self, max: usize, now: Instant) -> Vec<Crash> {
-        let refused = self.refused.iter().filter(|(_, p)| now < p.until);
-        let refused = refused.map(|(&f, _)| f);
+        let refused = self.refused.keys().copied();
         let tested = self.suspects.iter().chain(&self.excused).copied();
         let mut held: Vec<(bool, Fingerprint)> = refused.map(|f| (false, f)).collect();
         held.extend(tested.map(|f| (true, f)));
@@ -602,9 +603,13 @@
             if let Some(until) = self.end_of_doubt(fingerprint, crashes.len()) {
                 self.held.insert(fingerprint, until);
             }
-            let Some(period) = self.period(&crashes).filter(|p| now < p.until) else {
+            let Some(period) = self.period(&crashes) else {
                 continue;
             };
+            if now >= period.until {
+                self.excused.insert(fingerprint);
+                continue;
+            }
             let upstreams: Vec<UpstreamId> = crashes.iter().map(|&(u, _)| u).collect();
             // Whatever else is to blame, so that no two attributes leave the decision to each other.
             let is_excluded = upstreams.len() < self.cfg.max_shared_crashes
--- a/crates/kelpworks-coord/tests/crash_ledger.rs
+++ b/crates/kelpworks-coord/tests/crash_ledger.rs
@@ -96,6 +96,44 @@
     ));
 }
 
+/// Guards against harmless requests that wait for turns although the request is known that crashed their upstreams.
+#[test]
+fn suspect_whose_crashes_a_refused_request_explains_runs_at_any_time() {
+    let ledger = ledger_of(&[(1, 1..=5), (2, 1..=3), (3, 1..=4)]);
+    assert!(ledger.is_refused(POISON, NOW));
+    for innocent in [2, 3].map(Fingerprint) {
+        assert!(ledger.needs_test_run(innocent));
+        for ms in 0..1_000 {
+            let now = NOW + Span::from_millis(ms);
+            assert_eq!(ledger.refusal(innocent, now), None, "after {ms} ms");
+        }
+    }
+}
+
+/// Guards against a poisonous request that is tested last of many, long after its last crash.
+#[rstest]
+#[case::lower_fingerprint(1, 2)]
+#[case::higher_fingerprint(2, 1)]
+fn suspect_whose_runs_were_shortest_is_tested_first(#[case] short: u64, #[case] long: u64) {
+    let mut ledger = ledger();
+    for upstream in (1..=3).map(UpstreamId) {
+        for (fingerprint, lasted_ms) in [(short, 100), (long, 3_000)] {
+            let run = BrokenRun {
+                fingerprint: Fingerprint(fingerprint),
+                parts: &[],
+                upstream,
+                finding: Finding::Ended,
+                begun: Some(NOW - Span::from_millis(lasted_ms)),
+                is_answered: true,
+            };
+            ledger.record_run(run, NOW);
+        }
+    }
+    assert_eq!(ledger.refusal(Fingerprint(short), NOW), None);
+    let turn = Refusal::WaitsForTurn(Config::default().turn);
+    assert_eq!(ledger.refusal(Fingerprint(long), NOW), Some(turn));
+}
+
 /// Guards against a harmless request that accounts for the crashes of a poisonous one because its connections
 /// were reset before.
 #[rstest]
@@ -186,6 +224,20 @@
     assert_eq!(ledger.refusal(POISON, NOW + Span::from_secs(seconds)), None);
 }
 
+/// Guards against copies of a poisonous request that run at all daemons once its refusal has ended.
+#[test]
+fn request_whose_refusal_has_ended_runs_in_test_runs() {
+    let mut ledger = ledger_of(&[(1, 1..=3)]);
+    let later = NOW + Config::default().refusal;
+    assert_eq!(ledger.refusal(POISON, later), None);
+    assert!(ledger.needs_test_run(POISON));
+    ledger.expire(later);
+    ledger.record(Fingerprint(2), UpstreamId(9), Finding::Broken, later);
+    assert!(ledger.needs_test_run(POISON));
+    ledger.clear(POISON, later);
+    assert!(!ledger.needs_test_run(POISON));
+}
+
 #[test]
 fn crash_after_a_refusal_has_ended_refuses_at_once() {
     let mut ledger = ledger_of(&[(1, 1..=3)]);
