kelpworks blame shows what a relaying daemon holds back because of crashes

On-call had the log lines of each decision, and no list of what is held back now. The daemon serves it on the operators' address, the command prints it as a table or as JSON, and a break's line names team and service.

--- a/crates/kelpworks-cli/src/args.rs
+++ b/crates/kelpworks-cli/src/args.rs
@@ -37,6 +37,8 @@
     Change(Change),
     /// `status`.
     Status(StatusQuery),
+    /// `blame`.
+    Blame(BlameQuery),
 }
 
 /// A change of the register or the rules.
@@ -69,6 +71,15 @@
     pub(crate) operators: Vec<SocketAddr>,
 }
 
+/// Options of `blame`.
+#[derive(Debug)]
+pub(crate) struct BlameQuery {
+    /// Print JSON.
+    pub(crate) json: bool,
+    /// Operators' addresses of the daemons to query; at least one.
+    pub(crate) operators: Vec<SocketAddr>,
+}
+
 /// Parses the command line.
 ///
 /// # Errors
@@ -93,6 +104,7 @@
         Some("register") => change(args, PartKind::Register, "import"),
         Some("rules") => change(args, PartKind::Rules, "apply"),
         Some("status") => status(args),
+        Some("blame") => blame(args),
         Some(other) => Err(Failure::Usage(format!("unknown command `{other}`"))),
         None => Err(Failure::Usage("a command is missing".to_owned())),
     }
@@ -169,6 +181,17 @@
     }))
 }
 
+fn blame(mut args: Arguments) -> Result<Command> {
+    let json = args.contains("--json");
+    let operators = operators(&mut args)?;
+    reject_remaining(args)?;
+    if operators.is_empty() {
+        let text = "blame needs --operators ADDR";
+        return Err(Failure::Usage(text.to_owned()));
+    }
+    Ok(Command::Blame(BlameQuery { json, operators }))
+}
+
 /// Returns the next argument that is not an option.
 fn subcommand(args: &mut Arguments) -> Result<Option<String>> {
     args.subcommand().map_err(usage)
--- a/crates/kelpworks-cli/src/failure.rs
+++ b/crates/kelpworks-cli/src/failure.rs
@@ -45,6 +45,14 @@
         /// The error of the last daemon that was queried.
         reason: kelpworks::status::Error,
     },
+    /// No relaying daemon reports what it holds back.
+    #[error("{address} does not report what it holds back: {source}")]
+    Blame {
+        /// Operators' address of the last daemon that was queried.
+        address: std::net::SocketAddr,
+        /// Why it was not read.
+        source: reqwest::Error,
+    },
     /// No daemon answers.
     #[error(transparent)]
     Status(#[from] kelpworks::status::Error),
--- a/crates/kelpworks-cli/src/help.rs
+++ b/crates/kelpworks-cli/src/help.rs
@@ -11,6 +11,7 @@
   kelpworks register import FILE [--dry-run] WHERE [--wait TIME]
   kelpworks rules apply FILE [--dry-run] WHERE [--wait TIME]
   kelpworks status [--json] --operators ADDR[,ADDR...]
+  kelpworks blame [--json] --operators ADDR[,ADDR...]
 
 Commands:
   serve            Run a daemon
@@ -19,6 +20,8 @@
   register import  Make a register the fleet's, and wait until it is in force
   rules apply      Make rules the fleet's, and wait until they are in force
   status           Show the daemons and the generation each has in force
+  blame            Show which requests and parts of prompts a relaying daemon
+                   holds back because upstreams crash under them
 
 Options:
   --settings FILE        A daemon's settings. In WHERE: take the object API and
@@ -29,7 +32,7 @@
   --dry-run              Show the difference and apply nothing
   --wait TIME            How long to wait until the change is in force on every
                          daemon [default: 10 s]
-  --json                 Print the status as JSON
+  --json                 Print the result as JSON
   -h, --help             Print this
   -V, --version          Print the version
 
--- a/crates/kelpworks-cli/src/main.rs
+++ b/crates/kelpworks-cli/src/main.rs
@@ -8,6 +8,7 @@
 //! an outage); 2 bad input, and nothing was applied.
 
 mod args;
+mod blame;
 mod change;
 mod check;
 mod failure;
@@ -48,6 +49,7 @@
         Command::Serve { settings } => serve::run(&settings),
         Command::Relay { settings } => relay::run(&settings),
         Command::Change(change) => block_on(change::run(&change)),
+        Command::Blame(query) => block_on(blame::run(&query)),
         Command::Status(query) => block_on(status::run(&query)),
     }
 }
--- a/crates/kelpworks-cli/tests/cli_commands.rs
+++ b/crates/kelpworks-cli/tests/cli_commands.rs
@@ -54,6 +54,8 @@
 #[case::import_wait("import_wait", &["register", "import", "aralsky/register.toml",
     "--object-api", "http://h", "--wait", "10"])]
 #[case::status_nowhere("status_nowhere", &["status", "--json"])]
+#[case::blame_nowhere("blame_nowhere", &["blame", "--json"])]
+#[case::blame_option("blame_option", &["blame", "--wait", "1 s", "--operators", "127.0.0.1:1"])]
 #[case::status_address("status_address", &["status", "--operators", "localhost"])]
 #[tokio::test]
 async fn commands_that_need_no_platform_print_their_result(
--- a/crates/kelpworks-cli/tests/relay_crashes.rs
+++ b/crates/kelpworks-cli/tests/relay_crashes.rs
@@ -131,6 +131,10 @@
     let stored = third + SPREAD_BOUND + STORE_BOUND;
     repeat(&site, way, "poison", || Instant::now() < stored).await;
     let before = apps.ends().len();
+    let blame = site.daemons[0].blame();
+    let verdicts = blame["requests"].as_array().expect("a list").iter();
+    let refused = verdicts.filter(|r| r["verdict"] == "refused" && r["crashes"] == before);
+    assert_eq!(refused.count(), 1, "{blame}");
     for daemon in &mut site.daemons {
         daemon.kill();
     }
--- a/crates/kelpworks-cli/tests/relay_site/daemon.rs
+++ b/crates/kelpworks-cli/tests/relay_site/daemon.rs
@@ -192,6 +192,18 @@
         }
     }
 
+    /// Returns the output of `kelpworks blame --json` for this daemon.
+    pub(crate) fn blame(&self) -> serde_json::Value {
+        let operators = self.operators.to_string();
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_kelpworks"));
+        let output = command
+            .args(["blame", "--json", "--operators", &operators])
+            .output();
+        let output = output.expect("it runs");
+        assert!(output.status.success(), "{output:?}");
+        serde_json::from_slice(&output.stdout).expect("JSON")
+    }
+
     /// Returns a counter of its metrics page, by name and labels; 0 when the page lacks it.
     pub(crate) async fn counter(&self, name: &str) -> u64 {
         let url = format!("http://{}/metrics", self.operators);
--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -60,6 +60,7 @@
 
 pub use parts::Lasted;
 pub use test_runs::TestRuns;
+pub use types::Blamed;
 pub use types::BrokenRun;
 pub use types::Changed;
 pub use types::Config;
@@ -68,6 +69,7 @@
 pub use types::LoweredCount;
 pub use types::PartCrash;
 pub use types::Refusal;
+pub use types::Verdict;
 
 /// Breaks of a request that come this soon after each other may be due to one cause that is not an end.
 const JOINT_BREAKS: Span = Span::from_millis(25);
@@ -529,6 +531,31 @@
         refused
     }
 
+    /// Returns at most `max` of the requests that are held back now, by verdict and number of crashes, most first.
+    pub fn blamed(&self, max: usize, now: Instant) -> Vec<Blamed> {
+        let refused = self.refused.iter().map(|(&f, p)| match now < p.until {
+            true => (f, Verdict::Refused, Some(p.until.since(now))),
+            false => (f, Verdict::Excused, None),
+        });
+        let suspects = self.suspects.iter().map(|&f| (f, Verdict::Suspect, None));
+        let excused = self.excused.iter().map(|&f| (f, Verdict::Excused, None));
+        let blamed = refused.chain(suspects).chain(excused);
+        let blamed = blamed.map(|(fingerprint, verdict, left)| {
+            let last = self.facts.counted(fingerprint).map(|(_, r)| r.at).max();
+            Blamed {
+                fingerprint,
+                verdict,
+                crashes: self.count(fingerprint),
+                last: last.map_or(Span::ZERO, |at| now.since(at)),
+                left,
+            }
+        });
+        let mut blamed: Vec<Blamed> = blamed.collect();
+        blamed.sort_unstable_by_key(|b| (b.verdict, std::cmp::Reverse(b.crashes), b.fingerprint));
+        blamed.truncate(max);
+        blamed
+    }
+
     /// Returns the parts that are refused now, with the number of their crashes, most first.
     pub fn refused_parts(&self, now: Instant) -> Vec<(PartId, usize)> {
         let refused = self.parts.refused(now);
--- a/crates/kelpworks-coord/src/crash_ledger/types.rs
+++ b/crates/kelpworks-coord/src/crash_ledger/types.rs
@@ -187,6 +187,43 @@
     }
 }
 
+/// What the evidence says about a request with at least [`Config::min_crashes`] crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Verdict {
+    /// It does not run.
+    Refused,
+    /// It runs in its turn, one copy at a time.
+    Suspect,
+    /// It runs at any time, one copy at a time.
+    Excused,
+}
+
+impl Verdict {
+    /// Returns the name for operators.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Verdict::Refused => "refused",
+            Verdict::Suspect => "suspect",
+            Verdict::Excused => "excused",
+        }
+    }
+}
+
+/// A request that is held back, with the evidence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Blamed {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// What the evidence says.
+    pub verdict: Verdict,
+    /// Number of crashes that count.
+    pub crashes: usize,
+    /// Time since the last of them.
+    pub last: Span,
+    /// Time until the refusal ends; `None` if it is not refused.
+    pub left: Option<Span>,
+}
+
 /// A request of which fewer crashes count than before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LoweredCount {
--- a/crates/kelpworks-coord/tests/crash_ledger.rs
+++ b/crates/kelpworks-coord/tests/crash_ledger.rs
@@ -9,6 +9,7 @@
 use kelpworks_coord::crash_ledger::CrashLedger;
 use kelpworks_coord::crash_ledger::Finding;
 use kelpworks_coord::crash_ledger::Refusal;
+use kelpworks_coord::crash_ledger::Verdict;
 use kelpworks_coord::id::UpstreamId;
 use kelpworks_coord::poison::Fingerprint;
 use kelpworks_coord::time::Instant;
@@ -96,6 +97,32 @@
     ));
 }
 
+#[test]
+fn blamed_requests_are_listed_with_their_verdicts() {
+    let ledger = ledger_of(&[
+        (1, 1..=5),
+        (2, 1..=3),
+        (3, 11..=13),
+        (4, 11..=13),
+        (5, 1..=2),
+    ]);
+    let blamed = ledger.blamed(10, NOW + Span::from_secs(1));
+    let rows = blamed
+        .iter()
+        .map(|b| (b.fingerprint.0, b.verdict, b.crashes));
+    let expected = [
+        (1, Verdict::Refused, 5),
+        (3, Verdict::Suspect, 3),
+        (4, Verdict::Suspect, 3),
+        (2, Verdict::Excused, 3),
+    ];
+    assert_eq!(rows.collect::<Vec<(u64, Verdict, usize)>>(), expected);
+    assert_eq!(blamed[0].last, Span::from_secs(1));
+    assert_eq!(blamed[0].left, Some(Span::from_secs(479)));
+    assert_eq!(blamed[1].left, None);
+    assert_eq!(ledger.blamed(2, NOW).len(), 2);
+}
+
 /// Guards against harmless requests that wait for turns although the request is known that crashed their upstreams.
 #[test]
 fn suspect_whose_crashes_a_refused_request_explains_runs_at_any_time() {
--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -272,7 +272,7 @@
         let router = operators::readiness_router(&shared);
         let readiness_server =
             Server::start(listen.readiness, router, CONNECTION_IDLE_TIMEOUT).await;
-        let router = operators::metrics_router(metrics);
+        let router = operators::operators_router(metrics, &shared);
         let metrics_server = Server::start(listen.operators, router, CONNECTION_IDLE_TIMEOUT).await;
         let handover_client = HandoverClient::new(Arc::clone(&peers));
         let relay: Relay<A, E> = Relay::new(&shared, &engine_calls, handover_client);
--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod adapter;
 pub mod assignments;
+pub mod blame;
 pub mod clearance;
 pub mod config;
 pub mod constraints;
--- a/crates/kelpworks-relay/src/operators.rs
+++ b/crates/kelpworks-relay/src/operators.rs
@@ -1,4 +1,4 @@
-//! HTTP endpoints for the load balancer and for operators: readiness and metrics.
+//! HTTP endpoints for the load balancer and for operators: readiness, metrics, and what is held back because of crashes.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -12,7 +12,9 @@
 use salvo::Router;
 use salvo::async_trait;
 use salvo::http::StatusCode;
+use salvo::writing::Json;
 
+use crate::blame::Blame;
 use crate::shared::Shared;
 
 /// Whether this daemon can serve requests, and if not, why.
@@ -58,6 +60,10 @@
     shared: Arc<Shared>,
 }
 
+struct BlameHandler {
+    shared: Arc<Shared>,
+}
+
 struct MetricsHandler {
     metrics: PrometheusHandle,
 }
@@ -71,9 +77,14 @@
     Router::with_path("{**rest}").get(handler)
 }
 
-/// Returns the endpoint that serves metrics in the Prometheus format.
-pub(crate) fn metrics_router(metrics: PrometheusHandle) -> Router {
-    Router::with_path("metrics").get(MetricsHandler { metrics })
+/// Returns the endpoints that serve metrics in the Prometheus format, and what is held back as JSON.
+pub(crate) fn operators_router(metrics: PrometheusHandle, shared: &Arc<Shared>) -> Router {
+    let blame = BlameHandler {
+        shared: Arc::clone(shared),
+    };
+    Router::new()
+        .push(Router::with_path("metrics").get(MetricsHandler { metrics }))
+        .push(Router::with_path("blame").get(blame))
 }
 
 #[async_trait]
@@ -93,6 +104,19 @@
     }
 }
 
+#[async_trait]
+impl Handler for BlameHandler {
+    async fn handle(
+        &self,
+        _req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        res.render(Json(Blame::of(&self.shared)));
+    }
+}
+
 #[async_trait]
 impl Handler for MetricsHandler {
     async fn handle(
--- a/crates/kelpworks-relay/src/peers/crashes_tests.rs
+++ b/crates/kelpworks-relay/src/peers/crashes_tests.rs
@@ -70,6 +70,7 @@
     me.shared.record_break(BrokenAttempt {
         kind: "call",
         request: "r-1",
+        team: None,
         identity: IDENTITY,
         service: &service,
         incarnation: &incarnation(me, number),
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -387,6 +387,7 @@
     shared.record_break(BrokenAttempt {
         kind: "call",
         request: &inbound.id,
+        team: inbound.team.as_deref(),
         identity: inbound.identity(),
         service: &inbound.service.name,
         incarnation: target.incarnation,
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -420,6 +420,7 @@
         self.shared.record_break(BrokenAttempt {
             kind: "stream",
             request: &self.inbound.id,
+            team: self.inbound.team.as_deref(),
             identity: self.inbound.identity(),
             service: &self.inbound.service.name,
             incarnation: engine,
--- a/crates/kelpworks-relay/src/shared/crashes.rs
+++ b/crates/kelpworks-relay/src/shared/crashes.rs
@@ -167,6 +167,8 @@
     pub(crate) kind: &'static str,
     /// Id of the request.
     pub(crate) request: &'a str,
+    /// Team of its caller, if it names one.
+    pub(crate) team: Option<&'a str>,
     pub(crate) identity: Identity<'a>,
     pub(crate) service: &'a Arc<str>,
     pub(crate) incarnation: &'a Incarnation,
@@ -256,6 +258,7 @@
         let BrokenAttempt {
             kind,
             request,
+            team,
             identity: Identity { fingerprint, parts },
             service,
             incarnation,
@@ -290,6 +293,8 @@
         info!(
             target: "decision",
             request:% = request,
+            team:% = team.unwrap_or_default(),
+            service:% = service,
             fingerprint:% = fingerprint,
             upstream:% = incarnation.instance,
             kind:% = kind,
