--- a/crates/kelpworks-coord/tests/crash_ledger.rs
+++ b/crates/kelpworks-coord/tests/crash_ledger.rs
@@ -180,9 +180,13 @@
     }
     let end = NOW + Span::from_millis(400);
     ledger.record(POISON, upstream, Finding::Broken, end);
-    ledger.record_ended(upstream, end + Span::from_secs(3));
+    let known = end + Span::from_secs(3);
+    ledger.record_ended(upstream, known);
     assert_eq!(ledger.count(POISON), 1);
     assert_eq!(ledger.count(harmless), expected);
+    let mut other = self::ledger();
+    other.merge_all(ledger.facts(known), known + Span::from_millis(300));
+    assert_eq!(other.count(harmless), expected, "at another daemon");
 }
 
 /// Guards against a harmless request that accounts for the crashes of a poisonous one because its connections to all
