--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -669,10 +669,10 @@
                 after: count(fingerprint),
             });
         self.lowered.extend(lowered.filter(|l| l.after < l.before));
-        let requests = facts.by_subject().map(|(f, _)| (f, count(f)));
-        self.counts = requests
-            .filter(|(_, n)| *n >= self.cfg.min_crashes)
-            .collect();
+        let is_enough = |count: usize| count >= self.cfg.min_crashes;
+        let requests = facts.by_subject().filter(|(_, u)| is_enough(u.len()));
+        let counts = requests.map(|(f, _)| (f, count(f)));
+        self.counts = counts.filter(|(_, n)| is_enough(*n)).collect();
     }
 
     /// Returns until when the doubtful breaks of a request may be decided, if there are so many that it would
--- a/crates/kelpworks-coord/src/crash_ledger/test_runs.rs
+++ b/crates/kelpworks-coord/src/crash_ledger/test_runs.rs
@@ -1,7 +1,19 @@
 //! Test runs of suspects: one copy of each at a time.
 //!
-//! Daemons ask one of them, the same for all, before they run a suspect. What it grants is forgotten when it
-//! ends, so that its successor may grant another run meanwhile.
+//! Daemons ask one of them, the same for all, before they run a suspect. Its grants are lost with it, so that the daemon
+//! that grants runs after it may grant one more copy meanwhile.
+//!
+//! ```
+//! use kelpworks_coord::crash_ledger::*;
+//! use kelpworks_coord::poison::Fingerprint;
+//! use kelpworks_coord::time::Instant;
+//!
+//! let mut test_runs = TestRuns::new(Config::default());
+//! let now = Instant::ZERO;
+//! assert_eq!(test_runs.grant(Fingerprint(1), now), None);
+//! let wait = test_runs.grant(Fingerprint(1), now).expect("another copy runs");
+//! assert_eq!(test_runs.grant(Fingerprint(1), now + wait), None);
+//! ```
 
 use std::collections::HashMap;
 
--- a/crates/kelpworks-relay/src/relay/call/choice.rs
+++ b/crates/kelpworks-relay/src/relay/call/choice.rs
@@ -74,7 +74,7 @@
         }
     }
     let service = &inbound.service.name;
-    let chosen = match runnable.lane {
+    let chosen = match runnable.lane() {
         Some(lane) => upstream_of_lane(&shared.fleet(), service, lane),
         None => choose(&shared.fleet(), service, tried),
     };
--- a/crates/kelpworks-relay/src/shared/crashes.rs
+++ b/crates/kelpworks-relay/src/shared/crashes.rs
@@ -80,8 +80,14 @@
 #[derive(Clone, Copy, Debug)]
 #[must_use]
 pub(crate) struct Runnable {
-    /// Upstream on which a suspect runs apart from others; `None` if it may run on any.
-    pub(crate) lane: Option<Lane>,
+    lane: Option<Lane>,
+}
+
+impl Runnable {
+    /// Returns the upstream on which a suspect runs apart from others; `None` if it may run on any.
+    pub(crate) fn lane(self) -> Option<Lane> {
+        self.lane
+    }
 }
 
 /// One of the upstreams of a service.
