--- a/crates/kelpworks-coord/tests/crash_ledger.rs
+++ b/crates/kelpworks-coord/tests/crash_ledger.rs
@@ -123,6 +123,29 @@
     assert_eq!(ledger.blamed(2, NOW).len(), 2);
 }
 
+/// Guards against a loss of all daemons after which what was held back runs again.
+#[test]
+fn kept_facts_hold_back_the_same_requests_at_a_daemon_that_knows_nothing() {
+    let ledger = ledger_of(&[
+        (1, 1..=5),
+        (2, 1..=3),
+        (3, 11..=13),
+        (4, 11..=13),
+        (5, 1..=2),
+    ]);
+    let kept = ledger.facts_to_keep(100, NOW);
+    assert_eq!(kept[0].fingerprint, POISON, "refused requests come first");
+    let later = NOW + Span::from_secs(10);
+    let mut started = self::ledger();
+    started.merge_all(kept, later);
+    let verdicts = |ledger: &CrashLedger, now: Instant| -> Vec<(Fingerprint, Verdict)> {
+        let blamed = ledger.blamed(10, now).into_iter();
+        blamed.map(|b| (b.fingerprint, b.verdict)).collect()
+    };
+    assert_eq!(verdicts(&started, later), verdicts(&ledger, NOW));
+    assert_eq!(ledger.facts_to_keep(7, NOW).len(), 7);
+}
+
 /// Guards against harmless requests that wait for turns although the request is known that crashed their upstreams.
 #[test]
 fn suspect_whose_crashes_a_refused_request_explains_runs_at_any_time() {
