--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -10,7 +10,8 @@
 //! another request accounts for all of these crashes: requests that ran beside a poisonous one share its
 //! crashes. Such suspects run in turns, each in a time slot of its own on an upstream, until one of them completes or
 //! has a crash that it doesn't share. Daemons that know the same facts agree on the slots, which
-//! count from the last of the crashes.
+//! count from the last of the crashes. A request with so many crashes that may run at all does so as one copy at a time
+//! over all daemons ([`TestRuns`]), until it completes.
 //!
 //! ```
 //! use kelpworks_coord::crash_ledger::*;
@@ -35,7 +36,7 @@
 //!
 //! Limits: a request that ends an upstream at some runs only is cleared by the runs that complete. Two
 //! requests of which one runs for longer than a slot may go on sharing crashes; both are refused at
-//! [`Config::max_shared_crashes`].
+//! [`Config::max_shared_crashes`], which nothing passes.
 
 mod facts;
 mod parts;
@@ -93,8 +94,8 @@
     held: HashMap<Fingerprint, Instant>,
     /// Requests that would be refused if no others accounted for their crashes.
     suspects: HashSet<Fingerprint>,
-    /// Requests that would be refused if refused requests or parts did not explain their crashes, or if it were not
-    /// so long ago. They run at any time.
+    /// Requests whose crashes refused requests or parts explain, or whose refusal has ended. They run at any time,
+    /// one copy at a time.
     excused: HashSet<Fingerprint>,
     /// Slots of the suspects, and of those that were cleared or are refused, so that the slots of the others stay
     /// where they are.
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -258,7 +258,7 @@
         backoffs.filter(|backoff| !backoff.is_zero()).min()
     }
 
-    /// Returns that the request is not refused, or a failure without an attempt if it crashes engines.
+    /// Checks whether the request is refused because it crashes engines, which is a failure without an attempt.
     pub(super) fn check_crashes(&self) -> Result<Cleared, Failure> {
         let service = &self.inbound.service.name;
         let identity = self.inbound.identity();
@@ -266,7 +266,7 @@
         cleared.map_err(failure_of_refusal)
     }
 
-    /// Returns the permission to run the request, which a suspect waits for.
+    /// Returns the permission to run the request; a suspect needs a test run.
     async fn permit_run(&mut self) -> Result<Runnable, Failure> {
         let cleared = self.check_crashes()?;
         let fingerprint = self.inbound.fingerprint;
--- a/crates/kelpworks-relay/src/shared/crashes.rs
+++ b/crates/kelpworks-relay/src/shared/crashes.rs
@@ -196,7 +196,7 @@
         time::Instant::from_millis(at.saturating_duration_since(self.started).as_millis() as u64)
     }
 
-    /// Returns that a request is not refused at a service, or its refusal. `is_whole` is whether a
+    /// Checks whether a request is refused at a service because of crashes. `is_whole` is whether a
     /// single upstream runs it, so that suspects run apart on different ones.
     pub(crate) fn check_crashes(
         &self,
--- a/crates/kelpworks-relay/src/verdict_store.rs
+++ b/crates/kelpworks-relay/src/verdict_store.rs
@@ -1,4 +1,4 @@
-//! What is known of crashes outlasts all daemons: a record in the store.
+//! Record of crashes in the store, which outlasts all daemons.
 //!
 //! Hosts have no disks, and daemons learn of crashes from each other. When all are lost at once, a request that crashes
 //! upstreams would crash as many again. One daemon, drawn by a hash from those that are live, therefore keeps the facts
