--- /dev/null
+++ b/crates/kelpworks-cli/tests/relay_retries.rs
@@ -0,0 +1,147 @@
+//! The limit on retries, as upstreams see it: daemons as processes that are paused, that start out of
+//! reach of each other, and whose links to upstreams stand still.
+
+mod relay_site;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use kelpworks_fakes::Link;
+use kelpworks_fakes::LinkState;
+use reqwest::Method;
+use rustix::process::Signal;
+use tokio::task::JoinSet;
+
+use relay_site::Site;
+use relay_site::daemon::Handover;
+use relay_site::daemon::Relay;
+use relay_site::daemon::RetryBudget;
+use relay_site::daemon::send;
+use relay_site::engine::App;
+use relay_site::free_address;
+use relay_site::retries::most_in_a_window;
+use relay_site::retries::retry_times;
+
+/// Retries of all daemons in a window; none are granted for requests.
+const ALLOWED: usize = 20;
+/// A call that each upstream refuses without running it, so that it needs a retry.
+const REFUSED_CALL: &str = "/often/full";
+/// Time after which a daemon that discovers no peers has finished discovery.
+const DISCOVERY: Duration = Duration::from_millis(4_500);
+
+fn budget(window: &'static str) -> RetryBudget {
+    RetryBudget {
+        window,
+        ratio: 0.0,
+        slack: ALLOWED as f64,
+    }
+}
+
+/// Sends calls that need a retry each through a daemon, without waiting for their answers.
+fn send_refused_calls(calls: &mut JoinSet<()>, daemon: &Relay, name: &str, count: usize) {
+    for i in 0..count {
+        let req = daemon.request(Method::GET, REFUSED_CALL, &format!("{name}-{i}"));
+        calls.spawn(async move {
+            let _ = send(req).await;
+        });
+    }
+}
+
+/// Guards against a fixed part of the retry limit that exists several times: each daemon that starts
+/// while it reaches no other took the part of all of them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn daemons_that_start_out_of_reach_of_each_other_stay_within_the_limit_together() {
+    let window = Duration::from_secs(1);
+    let site = Site::start_without_daemons().await;
+    let second = App::start("s-1").await;
+    site.store.put("servers", "s-1", second.entry());
+    let unreachable: Vec<SocketAddr> = (0..3).map(|_| free_address()).collect();
+    let start = |i| {
+        let store = site.store.address;
+        let seeds = &unreachable;
+        Relay::start_with_seeds(
+            "retries-apart",
+            i,
+            store,
+            seeds,
+            &budget("1 s"),
+            Handover::Off,
+        )
+    };
+    let daemons: Vec<Relay> = (0..4).map(start).collect();
+    tokio::time::sleep(DISCOVERY).await;
+    let mut calls = JoinSet::new();
+    for (i, daemon) in daemons.iter().enumerate() {
+        send_refused_calls(&mut calls, daemon, &format!("c-{i}"), 2 * ALLOWED);
+    }
+    calls.join_all().await;
+    let arrivals = [site.app.limit().arrivals(), second.limit().arrivals()].concat();
+    assert!(arrivals.len() >= 8 * ALLOWED, "{} arrived", arrivals.len());
+    let most = most_in_a_window(&retry_times(arrivals), window);
+    assert!(most <= ALLOWED, "{most} retries in a window");
+}
+
+/// Guards against retries that count from their write and arrive much later, together with those of the
+/// next windows: the way to an upstream stands still for longer than a window.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn retries_that_arrive_late_stay_within_the_limit_with_later_ones() {
+    let window = Duration::from_secs(1);
+    let site = Site::start_without_daemons().await;
+    let slow = App::start("s-1").await;
+    let link = Link::spawn(slow.address()).await.expect("a link");
+    let mut entry = slow.entry();
+    entry["address"] = link.addr().to_string().into();
+    site.store.put("servers", "s-1", entry);
+    let store = site.store.address;
+    let daemon = Relay::start("retries-late", 0, store, &[], &budget("1 s"));
+    tokio::time::sleep(DISCOVERY).await;
+    link.set(LinkState::SilenceAll);
+    let mut calls = JoinSet::new();
+    for round in 0..3 {
+        send_refused_calls(&mut calls, &daemon, &format!("c-{round}"), 2 * ALLOWED);
+        tokio::time::sleep(window + window / 20).await;
+    }
+    send_refused_calls(&mut calls, &daemon, "last", 2 * ALLOWED);
+    link.set(LinkState::Pass);
+    calls.join_all().await;
+    let arrivals = [site.app.limit().arrivals(), slow.limit().arrivals()].concat();
+    let retries = retry_times(arrivals);
+    assert!(retries.len() >= ALLOWED / 2, "{} retries", retries.len());
+    let most = most_in_a_window(&retries, window);
+    assert!(most <= ALLOWED, "{most} retries in a window");
+}
+
+/// Guards against retries that cease to count while they are held: a process that is paused between the
+/// permission and the write sent them beside those of the window in which it went on.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn retries_held_by_a_paused_process_stay_within_the_limit_with_later_ones() {
+    let window = Duration::from_millis(300);
+    let site = Site::start_without_daemons().await;
+    let store = site.store.address;
+    let daemon = Relay::start("retries-held", 0, store, &[], &budget("300 ms"));
+    tokio::time::sleep(DISCOVERY).await;
+    site.heartbeat();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    site.engines.refuse_first_arrivals();
+    let mut streams = JoinSet::new();
+    let mut start = |name: &str| {
+        for i in 0..ALLOWED {
+            let req = daemon.stream_request(&format!("{name}-{i}"), 2);
+            streams.spawn(async move { send(req).await.is_ok_and(|a| a.status == 200) });
+        }
+    };
+    start("held");
+    while site.engines.arrivals().len() < ALLOWED / 2 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(8)).await;
+    daemon.signal(Signal::STOP);
+    start("later");
+    tokio::time::sleep(window + window / 3).await;
+    daemon.signal(Signal::CONT);
+    let served = streams.join_all().await;
+    let served = served.into_iter().filter(|&is_served| is_served).count();
+    assert!(served >= ALLOWED / 2, "{served} streams served");
+    let most = most_in_a_window(&retry_times(site.engines.arrivals()), window);
+    assert!(most <= ALLOWED, "{most} retries in a window");
+}
--- a/crates/kelpworks-cli/tests/relay_site/daemon.rs
+++ b/crates/kelpworks-cli/tests/relay_site/daemon.rs
@@ -97,6 +97,19 @@
         others: &[Relay],
         budget: &RetryBudget,
         handover: Handover,
+    ) -> Relay {
+        let seeds: Vec<SocketAddr> = others.iter().map(|o| o.peers).collect();
+        Relay::start_with_seeds(test, number, store, &seeds, budget, handover)
+    }
+
+    /// Starts a daemon whose settings name these seeds.
+    pub(crate) fn start_with_seeds(
+        test: &str,
+        number: usize,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+        budget: &RetryBudget,
+        handover: Handover,
     ) -> Relay {
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("relay-{test}-{number}"));
         std::fs::create_dir_all(&dir).expect("a directory");
@@ -105,7 +118,7 @@
             Handover::Offered => format!("handover = \"{handover_address}\"\n"),
             Handover::Off => String::new(),
         };
-        let seeds: Vec<String> = others.iter().map(|o| format!("\"{}\"", o.peers)).collect();
+        let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
         let domain = ["hall-a", "hall-b"][number % 2];
         let settings = format!(
             "name = \"entry-{number}\"\nfailure_domain = \"{domain}\"\n[listen]\n\
--- a/crates/kelpworks-cli/tests/relay_site/engine.rs
+++ b/crates/kelpworks-cli/tests/relay_site/engine.rs
@@ -1,6 +1,7 @@
 //! Fake engines that load layers and pass requests along a path, and a fake plain service.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -224,6 +225,8 @@
     runs: Arc<Mutex<Vec<Run>>>,
     /// Paths of requests, by request id.
     paths: Arc<Mutex<HashMap<String, Vec<Part>>>>,
+    /// Requests that were refused at their first arrival; `None` while none is.
+    refused_first: Arc<Mutex<Option<HashSet<String>>>>,
 }
 
 impl Registry {
@@ -248,6 +251,23 @@
         }
     }
 
+    /// Refuses each request at its first arrival at any engine from now on, without running it.
+    pub(crate) fn refuse_first_arrivals(&self) {
+        *self.refused_first.lock().expect("no panic") = Some(HashSet::new());
+    }
+
+    fn is_refused_first(&self, request: &str) -> bool {
+        let mut refused = self.refused_first.lock().expect("no panic");
+        let refused = refused.as_mut();
+        refused.is_some_and(|r| r.insert(request.to_owned()))
+    }
+
+    /// Returns the requests that arrived at engines which are first on their path.
+    pub(crate) fn arrivals(&self) -> Vec<Arrival> {
+        let all = self.all();
+        all.iter().flat_map(|e| e.limit.arrivals()).collect()
+    }
+
     /// Stalls the engine with this instance id.
     pub(crate) fn stall(&self, instance: &str) {
         let all = self.all();
@@ -453,7 +473,7 @@
         }
         let path = self.parts(&field("x-kelpworks-hops"));
         let fault = self.engine.fault.lock().expect("no panic").take();
-        let is_refused = fault == Some(Fault::Refuse);
+        let is_refused = fault == Some(Fault::Refuse) || self.registry.is_refused_first(&request);
         let parts = match path {
             Ok(parts) => parts,
             Err(at) => {
--- a/crates/kelpworks-cli/tests/relay_site/mod.rs
+++ b/crates/kelpworks-cli/tests/relay_site/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod cut;
 pub(crate) mod daemon;
 pub(crate) mod engine;
+pub(crate) mod retries;
 mod sock_diag;
 pub(crate) mod store;
 
@@ -218,6 +219,12 @@
         site
     }
 
+    /// Starts a store, engines and a plain service as [`Site::start`] does, without daemons.
+    pub(crate) async fn start_without_daemons() -> Site {
+        let budget = daemon::RetryBudget::default();
+        Site::start_as("", 0, budget, &["hall-a", "hall-b"], Access::Direct).await
+    }
+
     /// Publishes the engines' entries, as their heartbeats would.
     pub(crate) fn heartbeat(&self) {
         for engine in self.engines.all() {
