The time left is stated when a request is written

A request was also written after its deadline. Change: the permit states the time left as the request is written, and does not hold after the deadline. Before/after: a test of the permit in virtual time; the old permit knew no deadline, so the test has no run on it.

--- a/crates/kelpworks-relay/src/adapter.rs
+++ b/crates/kelpworks-relay/src/adapter.rs
@@ -283,6 +283,9 @@
     /// that only the daemon may set.
     fn set_upstream_headers(headers: &mut HeaderMap, forwarded: &ForwardedHead<'_>);
 
+    /// Replaces the time left until the deadline in the header fields of a request to an upstream.
+    fn set_time_left(headers: &mut HeaderMap, time_left: Duration);
+
     /// Decodes the header fields of an upstream's answer. Malformed fields count as absent, except
     /// that a malformed limit is [`Announcement::Unreadable`] and a malformed backoff or notice of
     /// leaving [`Announced::Unreadable`].
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -682,6 +682,11 @@
 
     fn set_upstream_headers(_headers: &mut HeaderMap, _forwarded: &ForwardedHead<'_>) {}
 
+    fn set_time_left(headers: &mut HeaderMap, time_left: Duration) {
+        let ms = time_left.as_millis() as u64;
+        headers.insert("time-left-ms", http::HeaderValue::from(ms));
+    }
+
     fn decode_answer_head(_headers: &HeaderMap) -> AnswerHead {
         AnswerHead::default()
     }
--- a/crates/kelpworks-relay/src/permit.rs
+++ b/crates/kelpworks-relay/src/permit.rs
@@ -10,9 +10,12 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
+use http::HeaderMap;
 use tokio::time::Instant;
 
+use crate::adapter::Adapter;
 use crate::constraints::MessageKind;
 use crate::fleet::Fleet;
 use crate::fleet::Upstream;
@@ -197,6 +200,30 @@
     }
 }
 
+/// Deadline of a request, which is stated in its header fields as the time left.
+#[derive(Clone, Copy, Debug)]
+pub struct StatedDeadline {
+    at: Instant,
+    set_time_left: fn(&mut HeaderMap, Duration),
+}
+
+impl StatedDeadline {
+    /// Returns the deadline of a request to an upstream.
+    pub fn of_upstream<D: Adapter>(at: Instant) -> StatedDeadline {
+        StatedDeadline {
+            at,
+            set_time_left: D::set_time_left,
+        }
+    }
+
+    /// States the time left; returns false if there is none.
+    fn state(&self, headers: &mut HeaderMap, now: Instant) -> bool {
+        let time_left = self.at.saturating_duration_since(now);
+        (self.set_time_left)(headers, time_left);
+        !time_left.is_zero()
+    }
+}
+
 /// Permission to send a request once; refunded when dropped.
 #[derive(Debug)]
 #[must_use]
@@ -204,6 +231,8 @@
     admission: Admission,
     /// `None` for a request that has reached no upstream yet.
     retry: Option<Retry>,
+    /// `None` if its header fields state no deadline.
+    deadline: Option<StatedDeadline>,
 }
 
 /// A permit that was used.
@@ -212,13 +241,27 @@
     admission: Admission,
     limit: Option<limits::Admission>,
     retry: Option<SentRetry>,
+    deadline: Option<StatedDeadline>,
 }
 
 impl Permit {
     /// Creates a permit for an admitted request; `retry` is required if the request may have
     /// reached an upstream before.
     pub fn new(admission: Admission, retry: Option<Retry>) -> Permit {
-        Permit { admission, retry }
+        Permit {
+            admission,
+            retry,
+            deadline: None,
+        }
+    }
+
+    /// Has the time left until the deadline stated anew when the request is written: a connection may take
+    /// long to open, and the process may be paused. The request is not written after the deadline.
+    pub fn with_deadline(self, deadline: StatedDeadline) -> Permit {
+        Permit {
+            deadline: Some(deadline),
+            ..self
+        }
     }
 
     /// Marks the permit as used, as the request is written now. It stays used even if sending is
@@ -237,6 +280,7 @@
             admission: self.admission,
             limit,
             retry,
+            deadline: self.deadline,
         })
     }
 }
@@ -248,6 +292,7 @@
         Permit {
             admission: self.admission,
             retry: self.retry.map(SentRetry::undo),
+            deadline: self.deadline,
         }
     }
 
@@ -262,7 +307,11 @@
 impl WritePermit for Permit {
     type Spent = SpentPermit;
 
-    fn spend(self) -> Option<SpentPermit> {
+    fn spend(self, headers: &mut HeaderMap) -> Option<SpentPermit> {
+        let now = Instant::now();
+        if self.deadline.is_some_and(|d| !d.state(headers, now)) {
+            return None;
+        }
         Permit::spend(self)
     }
 
--- a/crates/kelpworks-relay/src/permit/tests.rs
+++ b/crates/kelpworks-relay/src/permit/tests.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderMap;
 use kelpworks_coord::id::Version;
 use kelpworks_coord::poison::Fingerprint;
 use rstest::rstest;
@@ -14,10 +15,13 @@
 
 use super::Admission;
 use super::Permit;
+use super::StatedDeadline;
 use crate::fleet::UpstreamKey;
 use crate::limits::Announcement;
 use crate::limits::Rate;
+use crate::peers::Numbered;
 use crate::peers::test_engine;
+use crate::pool::WritePermit;
 use crate::retry_budget::RetryLimit;
 use crate::shared::Shared;
 use crate::shared::crashes::Identity;
@@ -180,3 +184,28 @@
     advance(backoff).await;
     assert!(permit(&shared, key).is_some());
 }
+
+/// Guards against requests that state more time than is left, since it was computed before the wait for a
+/// connection or a pause of the process, and against requests that are written after their deadline.
+#[rstest]
+#[case::immediately(Duration::ZERO, Some("2000"))]
+#[case::after_a_wait(Duration::from_millis(1_500), Some("500"))]
+#[case::at_the_deadline(Duration::from_secs(2), None)]
+#[case::after_the_deadline(Duration::from_secs(9), None)]
+#[tokio::test(start_paused = true)]
+async fn time_left_is_stated_when_the_request_is_written(
+    #[case] wait: Duration,
+    #[case] stated: Option<&str>,
+) {
+    let (shared, key) = limited_engine().await;
+    let deadline = Instant::now() + Duration::from_secs(2);
+    let permit = permit(&shared, key).expect("the first request");
+    let permit = permit.with_deadline(StatedDeadline::of_upstream::<Numbered>(deadline));
+    advance(wait).await;
+    let mut headers = HeaderMap::new();
+    let spent = WritePermit::spend(permit, &mut headers);
+    assert_eq!(spent.is_some(), stated.is_some());
+    if let Some(stated) = stated {
+        assert_eq!(headers["time-left-ms"], stated);
+    }
+}
--- a/crates/kelpworks-relay/src/pool.rs
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -72,7 +72,8 @@
     /// No connection could be opened, or the request was not written: nothing was sent.
     #[error("not sent")]
     NotSent,
-    /// Nothing was sent, since an upstream of the request announced meanwhile that it accepts none.
+    /// Nothing was sent, since the permit no longer held: an upstream of the request announced meanwhile
+    /// that it accepts none, fewer retries were allowed, or the deadline passed.
     #[error("withheld")]
     Withheld,
     /// The connection failed after the request or a part of it was sent.
@@ -98,8 +99,9 @@
     /// A permit that was used.
     type Spent: Send;
 
-    /// Marks the permit as used, as the request is written now; `None` if it no longer holds.
-    fn spend(self) -> Option<Self::Spent>;
+    /// Marks the permit as used, as the request with these header fields is written now, and brings up to
+    /// date those that depend on the time; `None` if the permit no longer holds.
+    fn spend(self, headers: &mut HeaderMap) -> Option<Self::Spent>;
 
     /// Restores the permit after it turned out that nothing was written.
     fn undo(spent: Self::Spent) -> Self;
@@ -330,8 +332,8 @@
     mut connection: Connection<K>,
     unsent: Unsent<P>,
 ) -> std::result::Result<Exchange<K>, ExchangeError<P>> {
-    let Unsent { req, permit } = unsent;
-    let Some(spent_permit) = permit.spend() else {
+    let Unsent { mut req, permit } = unsent;
+    let Some(spent_permit) = permit.spend(req.headers_mut()) else {
         return Err(ExchangeError::Withheld);
     };
     match connection.sender.try_send_request(req).await {
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -32,6 +32,7 @@
 use crate::adapter::ForwardedHead;
 use crate::fleet::UpstreamKey;
 use crate::permit::Permit;
+use crate::permit::StatedDeadline;
 use crate::pool;
 use crate::pool::Exchange;
 use crate::pool::Reuse;
@@ -71,8 +72,7 @@
 const BACKING_OFF: &str = "the upstreams requested a backoff";
 /// Failure reason of an attempt that was not written to a connection.
 pub(super) const NOT_SENT: &str = "not sent";
-/// Failure reason of an attempt whose upstream announced, before it was written, that it accepts
-/// none.
+/// Failure reason of an attempt that was no longer permitted when it was to be written.
 pub(super) const WITHHELD: &str = "withheld";
 /// Failure reason of an attempt whose connection ended before the answer.
 const CONNECTION_LOST: &str = "connection lost";
@@ -301,6 +301,7 @@
         ..ForwardedHead::default()
     };
     let req = inbound.to_request::<D>(&forwarded);
+    let permit = permit.with_deadline(StatedDeadline::of_upstream::<D>(inbound.deadline));
     let retryable = inbound.route.kind.is_retryable();
     let has_more = retryable && (tried.len() as u32) < inbound.route.max_attempts;
     let attempt_timeout = match has_more {
--- a/crates/kelpworks-relay/src/relay/call/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/call/by_peer.rs
@@ -78,7 +78,6 @@
         let retry = retry.and_then(Retry::send);
         let head = HandoverHead {
             version: inbound.version,
-            left_ms: inbound.remaining().as_millis() as u64,
             may_have_reached,
             has_retry: retry.is_some(),
             runs: self.runs,
--- a/crates/kelpworks-relay/src/relay/handover.rs
+++ b/crates/kelpworks-relay/src/relay/handover.rs
@@ -85,7 +85,7 @@
 pub(super) struct HandoverHead {
     /// Version of the configuration that the request was admitted under.
     pub(super) version: u64,
-    /// Milliseconds left until the deadline.
+    /// Milliseconds left until the deadline when the request is written.
     pub(super) left_ms: u64,
     /// Id of the last event that the caller has.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -116,22 +116,36 @@
     const CONNECTIONS_METRIC: &'static str = "kelpworks_handover_connections_total";
 }
 
-/// No constraint applies between daemons.
-#[derive(Clone, Copy, Debug)]
-struct Unconstrained;
+/// Permission to write a request to another daemon, which holds until the deadline.
+#[derive(Debug)]
+struct HandoverPermit {
+    head: HandoverHead,
+    deadline: Instant,
+}
 
-impl WritePermit for Unconstrained {
-    type Spent = Unconstrained;
+impl WritePermit for HandoverPermit {
+    type Spent = HandoverPermit;
 
-    fn spend(self) -> Option<Unconstrained> {
-        Some(self)
+    fn spend(mut self, headers: &mut HeaderMap) -> Option<HandoverPermit> {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        self.head.left_ms = left.as_millis() as u64;
+        set_head(headers, &self.head);
+        (self.head.left_ms > 0).then_some(self)
     }
 
-    fn undo(spent: Unconstrained) -> Unconstrained {
+    fn undo(spent: HandoverPermit) -> HandoverPermit {
         spent
     }
 
-    fn record_arrival(_spent: Unconstrained) {}
+    fn record_arrival(_spent: HandoverPermit) {}
+}
+
+/// Sets the field that says what the sender knows of a request.
+fn set_head(headers: &mut HeaderMap, head: &HandoverHead) {
+    let text = serde_json::to_vec(head).unwrap_or_default();
+    if let Ok(value) = HeaderValue::from_bytes(&text) {
+        headers.insert(HANDOVER_HEADER, value);
+    }
 }
 
 /// Why a request that was handed over got no answer.
@@ -260,14 +274,16 @@
         inbound: &InboundRequest,
         head: &HandoverHead,
     ) -> Result<Exchange<PeerAddress>> {
-        let req = inbound.to_handover(head);
+        let req = inbound.to_handover();
+        let permit = HandoverPermit {
+            head: head.clone(),
+            deadline: inbound.deadline,
+        };
         let reuse = match inbound.route.kind.is_retryable() {
             true => Reuse::Any,
             false => Reuse::Recent,
         };
-        let sending = self
-            .pool
-            .send(PeerAddress(peer), peer, req, reuse, Unconstrained);
+        let sending = self.pool.send(PeerAddress(peer), peer, req, reuse, permit);
         let exchange = sending.await.map_err(|e| match e {
             pool::Error::NotSent | pool::Error::Withheld => HandoverError::NotSent,
             pool::Error::Lost => HandoverError::Lost,
@@ -323,17 +339,12 @@
 }
 
 impl InboundRequest {
-    /// Builds the request that is sent to another daemon.
-    fn to_handover(&self, head: &HandoverHead) -> http::Request<Body> {
-        let mut headers = self.headers.clone();
-        let text = serde_json::to_vec(head).unwrap_or_default();
-        if let Ok(value) = HeaderValue::from_bytes(&text) {
-            headers.insert(HANDOVER_HEADER, value);
-        }
+    /// Builds the request that is sent to another daemon, but for the field that is set when it is written.
+    fn to_handover(&self) -> http::Request<Body> {
         let mut req = http::Request::new(Body::new(self.body.clone()));
         *req.method_mut() = self.method.clone();
         *req.uri_mut() = http::Uri::from(self.target.clone());
-        *req.headers_mut() = headers;
+        *req.headers_mut() = self.headers.clone();
         req
     }
 }
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -33,6 +33,7 @@
 use crate::path::NoPath;
 use crate::path::Path;
 use crate::permit::Admission;
+use crate::permit::StatedDeadline;
 use crate::pool;
 use crate::pool::Exchange;
 use crate::pool::Reuse;
@@ -307,7 +308,8 @@
         path: Path,
         admission: Admission,
     ) -> Result<(StatusCode, HeaderMap), Failure> {
-        let permit = self.permit(admission)?;
+        let deadline = StatedDeadline::of_upstream::<D>(self.inbound.deadline);
+        let permit = self.permit(admission)?.with_deadline(deadline);
         // If this future is dropped during the attempt, the request may have arrived.
         let had_possibly_reached = std::mem::replace(&mut self.may_have_reached, true);
         self.attempts += 1;
--- a/crates/kelpworks-relay/src/relay/stream/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/stream/by_peer.rs
@@ -85,7 +85,6 @@
         let retry = lock(&self.retry).take().and_then(Retry::send);
         let head = HandoverHead {
             version: self.inbound.version,
-            left_ms: self.inbound.remaining().as_millis() as u64,
             after: self.last_event,
             weight_version: self.weight_version,
             may_have_reached: had_possibly_reached,
