A stream or call runs at no more upstreams than allowed when daemons that it was handed over to end

Callers saw nothing; upstreams ran one request more often than its route allows. Cause: a daemon that hands a request over and loses the other one does not know where it ran. It counted none of those engines for a stream, and one for a call. Change: a hand-over allots a number of upstreams, all but one of those left; all of them count as used if the other daemon is lost. A stream without an engine left is not sent again.

--- a/crates/kelpworks-cli/tests/relay_links.rs
+++ b/crates/kelpworks-cli/tests/relay_links.rs
@@ -2,6 +2,7 @@
 
 mod relay_site;
 
+use std::collections::HashSet;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -400,3 +401,86 @@
         assert!(is_served(&answer), "{answer:?}");
     }
 }
+
+/// Maximum number of engines where a stream may run: the route's in the site's configuration.
+const MAX_ENGINES: usize = 2;
+
+/// Returns the number of a daemon, other than the first, that serves a request, once one does.
+async fn wait_for_server(site: &Site, request: &str, ended: &[usize]) -> usize {
+    let is_served = |line: &str| line.contains("handed over by a peer") && line.contains(request);
+    let serves = |&i: &usize| site.daemons[i].log().lines().any(is_served);
+    let until = Instant::now() + WAIT_TIMEOUT;
+    loop {
+        let mut others = (1..site.daemons.len()).filter(|i| !ended.contains(i));
+        if let Some(server) = others.find(serves) {
+            return server;
+        }
+        assert!(Instant::now() < until, "no daemon serves the request");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+async fn wait_until_engines_are_lost(daemon: &Relay) {
+    let is_lost = |line: &str| line.contains("out of reach") && line.contains("\"llm\"");
+    let until = Instant::now() + WAIT_TIMEOUT;
+    for i in 0.. {
+        if daemon.log().lines().any(is_lost) {
+            return;
+        }
+        assert!(Instant::now() < until, "links are not lost");
+        let _ = daemon.stream(&format!("lost-{i}"), 2).await;
+    }
+}
+
+async fn wait_until_served(daemons: &[Relay]) {
+    let until = Instant::now() + WAIT_TIMEOUT;
+    for daemon in daemons {
+        while !daemon
+            .stream("again", 2)
+            .await
+            .is_ok_and(|a| a.status == 200)
+        {
+            assert!(Instant::now() < until, "a daemon does not serve");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+/// Guards against a stream that runs at more engines than its route allows, since the daemon that handed
+/// it over does not know where daemons ran it that ended meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stream_whose_receivers_end_runs_at_no_more_engines_than_allowed() {
+    // Each domain holds the first layer several times.
+    let domains = ["hall-a", "hall-a", "hall-a", "hall-b", "hall-b", "hall-b"];
+    let mut site = Site::start_with_links_in_domains("links-receivers", 4, &domains).await;
+    let first_engines: HashSet<String> = {
+        for i in 0..40 {
+            let _ = site.daemons[i % 4].stream(&format!("w-{i}"), 2).await;
+        }
+        site.engines.runs().into_iter().map(|r| r.first).collect()
+    };
+    assert!(first_engines.len() > MAX_ENGINES, "{first_engines:?}");
+    site.set_links(0, LinksOf::Reset);
+    wait_until_engines_are_lost(&site.daemons[0]).await;
+    for round in 0..4 {
+        let request = format!("long-{round}");
+        let stream = tokio::spawn(send(site.daemons[0].stream_request(&request, 400)));
+        let mut ended = Vec::new();
+        for _ in 0..2 {
+            let server = wait_for_server(&site, &request, &ended).await;
+            tokio::time::sleep(Duration::from_millis(150)).await;
+            site.daemons[server].kill();
+            ended.push(server);
+        }
+        let _ = tokio::time::timeout(WAIT_TIMEOUT, stream).await;
+        for &i in &ended {
+            site.daemons[i].restart();
+            site.set_links(i, LinksOf::Sound);
+        }
+        wait_until_served(&site.daemons[1..]).await;
+        let runs = site.engines.runs();
+        let own = runs.iter().filter(|r| r.request == request);
+        let engines: HashSet<&String> = own.map(|r| &r.first).collect();
+        assert!(engines.len() <= MAX_ENGINES, "round {round}: {engines:?}");
+    }
+}
--- a/crates/kelpworks-cli/tests/relay_site/mod.rs
+++ b/crates/kelpworks-cli/tests/relay_site/mod.rs
@@ -162,6 +162,16 @@
         Site::start_as(name, daemons, budget, &domains, Access::ByLinksWithHandover).await
     }
 
+    /// Like [`Site::start_with_links`], with two engines in each of these failure domains.
+    pub(crate) async fn start_with_links_in_domains(
+        name: &str,
+        daemons: usize,
+        domains: &[&str],
+    ) -> Site {
+        let budget = daemon::RetryBudget::default();
+        Site::start_as(name, daemons, budget, domains, Access::ByLinksWithHandover).await
+    }
+
     /// Like [`Site::start_with_budget`], with daemons that accept requests of each other.
     pub(crate) async fn start_with_handover(
         name: &str,
--- a/crates/kelpworks-relay/src/relay/call/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/call/by_peer.rs
@@ -4,6 +4,7 @@
 
 use http_body_util::BodyExt;
 use http_body_util::Limited;
+use kelpworks::verdict::Verdict;
 use tokio::time::Instant;
 
 use super::Attempt;
@@ -16,6 +17,7 @@
 use crate::relay::handover::HandoverError;
 use crate::relay::handover::HandoverHead;
 use crate::relay::handover::MAX_HANDOVERS;
+use crate::relay::handover::allot_runs;
 use crate::shared::Shared;
 use crate::shared::crashes::Cleared;
 
@@ -76,11 +78,17 @@
         };
         // Dropped with this future, it counts as sent: the other daemon may go on.
         let retry = retry.and_then(Retry::send);
+        let left = match inbound.route.kind.is_retryable() {
+            true => inbound.route.max_attempts.saturating_sub(self.runs),
+            false => 1,
+        };
+        let max_runs = allot_runs(left);
         let head = HandoverHead {
             version: inbound.version,
             may_have_reached,
             has_retry: retry.is_some(),
             runs: self.runs,
+            max_runs: Some(max_runs),
             ..HandoverHead::default()
         };
         // A retryable call leaves time for another attempt.
@@ -89,14 +97,13 @@
             false => inbound.remaining(),
         };
         let sending = self.client.send(inbound, &head, &mut self.tried, cleared);
-        let failed = |e: HandoverError| failed_attempt(e.verdict(), e.reason());
         let sent = tokio::time::timeout(timeout, sending).await;
         let sent = sent.unwrap_or(Err(HandoverError::Lost));
         let exchange = match sent {
             Ok(exchange) => exchange,
             Err(e) => {
                 drop(retry.and_then(|retry| e.settle(retry)));
-                return failed(e);
+                return self.failed(e, max_runs);
             }
         };
         if let Some(retry) = retry {
@@ -105,7 +112,7 @@
         let (parts, body) = exchange.response.into_parts();
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let Ok(Ok(body)) = tokio::time::timeout(inbound.remaining(), body).await else {
-            return failed(HandoverError::Lost);
+            return self.failed(HandoverError::Lost, max_runs);
         };
         self.client.keep(exchange.connection);
         Attempt::Completed {
@@ -114,4 +121,14 @@
             body: body.to_bytes(),
         }
     }
+
+    /// Returns a failed attempt of another daemon, which may have run the call at `max_runs` upstreams.
+    fn failed(&mut self, error: HandoverError, max_runs: u32) -> Attempt {
+        let verdict = error.verdict();
+        if verdict == Verdict::MayHaveRun {
+            // One is counted with the attempt itself.
+            self.runs += max_runs.saturating_sub(1);
+        }
+        failed_attempt(verdict, error.reason())
+    }
 }
--- a/crates/kelpworks-relay/src/relay/call/choice.rs
+++ b/crates/kelpworks-relay/src/relay/call/choice.rs
@@ -67,7 +67,7 @@
         let retryable = verdict == Verdict::NotRun || inbound.route.kind.is_retryable();
         let allowed_attempts = match verdict {
             Verdict::NotRun => inbound.route.max_attempts + EXTRA_NOT_RUN_ATTEMPTS,
-            Verdict::MayHaveRun => inbound.route.max_attempts,
+            Verdict::MayHaveRun => inbound.max_runs(inbound.earlier_runs()),
         };
         if !retryable || attempts >= allowed_attempts || inbound.remaining() < MIN_RETRY_TIME {
             return NextAttempt::Abandon;
--- a/crates/kelpworks-relay/src/relay/handover.rs
+++ b/crates/kelpworks-relay/src/relay/handover.rs
@@ -105,6 +105,19 @@
     /// Incarnations of the upstreams where a stream may have run.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) ran_at: Vec<Arc<str>>,
+    /// Number of further upstreams where the receiver may run it. Older builds don't set it, and allow as
+    /// many as the route has left.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) max_runs: Option<u32>,
+}
+
+/// Returns how many of the upstreams where a request may still run are left to the daemon that it is handed
+/// over to. If that daemon is lost, all of them count as used, so one is kept back where there are several.
+pub(super) fn allot_runs(left: u32) -> u32 {
+    match left {
+        0 | 1 => left,
+        _ => left - 1,
+    }
 }
 
 /// Address on which a daemon accepts requests of others.
--- a/crates/kelpworks-relay/src/relay/mod.rs
+++ b/crates/kelpworks-relay/src/relay/mod.rs
@@ -99,6 +99,14 @@
         self.handover.as_ref().map_or(0, |h| h.runs)
     }
 
+    /// Returns the maximum number of upstreams where it may run, with the `earlier` ones where it may have run
+    /// for the daemon that handed it over.
+    fn max_runs(&self, earlier: u32) -> u32 {
+        let allotted = self.handover.as_ref().and_then(|h| h.max_runs);
+        let max = allotted.map_or(u32::MAX, |n| n.saturating_add(earlier));
+        max.min(self.route.max_attempts)
+    }
+
     /// Returns the retry that the daemon that handed it over has reserved for its next attempt.
     fn retry_reserved_elsewhere(&self) -> Option<Retry> {
         let has_retry = self.handover.as_ref().is_some_and(|h| h.has_retry);
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -174,6 +174,8 @@
     is_answered: bool,
     /// First engines of the attempts that may have run, without engines known to have ended.
     ran_at: Vec<RanAt>,
+    /// Number of engines where daemons that it was handed over to may have run it.
+    peer_runs: u32,
     attempts: u32,
     /// Whether an attempt may have reached an engine, so that any further one is a retry.
     may_have_reached: bool,
@@ -220,6 +222,7 @@
         sent: Instant::now(),
         is_answered: false,
         ran_at,
+        peer_runs: 0,
         attempts: 0,
         retry: Mutex::default(),
         test_run: None,
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -52,6 +52,8 @@
 use crate::shared::crashes::CrashRefusal;
 use crate::shared::crashes::Runnable;
 
+/// Failure reason when the request may have run at as many engines as its route allows.
+const RUNS_USED_UP: &str = "ran at as many engines as allowed";
 /// Fraction of a route's latency target for which a request waits for capacity.
 const CAPACITY_WAIT_FRACTION: f64 = 0.12;
 /// Time between two searches for a path while a request waits for capacity.
@@ -122,9 +124,22 @@
 }
 
 impl<D: Adapter, E: EngineApi> StreamRelay<D, E> {
+    /// Returns the number of further engines where the request may run.
+    pub(super) fn runs_left(&self) -> u32 {
+        let earlier = self.inbound.handover.as_ref().map_or(0, |h| h.ran_at.len());
+        let max = self.inbound.max_runs(earlier as u32);
+        max.saturating_sub(self.ran_at.len() as u32 + self.peer_runs)
+    }
+
     /// Whether another attempt has to start at an engine where the request may already have run.
     fn must_reuse_first_engine(&self) -> bool {
-        self.ran_at.len() as u32 >= self.inbound.route.max_attempts
+        self.runs_left() == 0
+    }
+
+    /// Returns whether there is an engine where the request may run, again or for the first time.
+    pub(super) fn has_engine_left(&self) -> bool {
+        let can_reuse = self.profile.is_some() && !self.ran_at.is_empty();
+        self.runs_left() > 0 || can_reuse
     }
 
     /// Removes engines from `ran_at` that have ended since: none of them is registered and they
@@ -295,6 +310,9 @@
             return Err(Failure::no_path(OUT_OF_REACH));
         }
         self.forget_ended_engines().await;
+        if !self.has_engine_left() {
+            return Err(Failure::no_path(RUNS_USED_UP));
+        }
         match self.choose_or_wait().await {
             Ok((path, admission)) => self.attempt_along(path, admission).await,
             Err(_) if self.is_last_resort() => self.attempt_by_peer().await,
--- a/crates/kelpworks-relay/src/relay/stream/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/stream/by_peer.rs
@@ -6,6 +6,7 @@
 use http::HeaderMap;
 use http::StatusCode;
 use http::header;
+use kelpworks::verdict::Verdict;
 use tokio::time::Instant;
 
 use super::ActiveStream;
@@ -24,6 +25,7 @@
 use crate::relay::handover::HandoverError;
 use crate::relay::handover::HandoverHead;
 use crate::relay::handover::MAX_HANDOVERS;
+use crate::relay::handover::allot_runs;
 use crate::sync::lock;
 
 impl<D: Adapter, E: EngineApi> StreamRelay<D, E> {
@@ -50,6 +52,7 @@
     pub(super) fn has_peer(&self) -> bool {
         let is_allowed = self.inbound.handover.is_none()
             && self.tried_peers.len() < MAX_HANDOVERS
+            && self.has_engine_left()
             && self.inbound.remaining() >= MIN_RETRY_TIME;
         let service = &self.inbound.service.name;
         is_allowed
@@ -81,6 +84,8 @@
         let cleared = self.check_crashes()?;
         let had_possibly_reached = std::mem::replace(&mut self.may_have_reached, true);
         self.attempts += 1;
+        let max_runs = allot_runs(self.runs_left());
+        self.peer_runs += max_runs;
         // Dropped with this future, it counts as sent: the other daemon may go on.
         let retry = lock(&self.retry).take().and_then(Retry::send);
         let head = HandoverHead {
@@ -90,6 +95,7 @@
             may_have_reached: had_possibly_reached,
             has_retry: retry.is_some(),
             ran_at: self.ran_at_instances(),
+            max_runs: Some(max_runs),
             ..HandoverHead::default()
         };
         let sent = Instant::now();
@@ -101,6 +107,9 @@
         if matches!(&result, Ok(Err(e)) if e.is_unsent()) {
             self.may_have_reached = had_possibly_reached;
         }
+        if matches!(&result, Ok(Err(e)) if e.verdict() == Verdict::NotRun) {
+            self.peer_runs -= max_runs;
+        }
         match (&result, retry) {
             (Ok(Ok(_)), Some(retry)) => retry.record_arrival(),
             (Ok(Err(e)), Some(retry)) => *lock(&self.retry) = e.settle(retry),
--- a/crates/kelpworks-relay/src/relay/stream/stall.rs
+++ b/crates/kelpworks-relay/src/relay/stream/stall.rs
@@ -223,7 +223,7 @@
     /// Fails if there is a path or a daemon for another attempt and it is allowed; its permit is then
     /// acquired.
     fn fail_if_retry_allowed(&self, stall: &Stall) -> Result<(), Failure> {
-        let has_way = self.prefers_peer() || self.choose().is_ok();
+        let has_way = self.prefers_peer() || (self.has_engine_left() && self.choose().is_ok());
         if has_way && self.may_retry(Verdict::MayHaveRun) {
             return Err(Failure {
                 retry_permitted: true,
