A request that broke off before a run began accounts for none of its crashes

Upstreams ended under a poisonous request later than 3 s after the third: it had a test run, because a harmless request broke off at the same three upstreams. Cause, by the logs of a run that failed: the harmless one broke off at all three within 1.5 ms as its daemon's links were reset, the poisonous one ended them 104 to 128 ms later within 24 ms. Both series count as one moment, so the one accounts for the other. Change: a request that broke off at each of the upstreams, by more than the error of times, before the runs of the other began there accounts for none of its crashes: an upstream that has ended begins no run. Before/after: request_that_broke_off_before_a_run_began_accounts_for_none_of_its_crashes fails without the change and passes with it; relay_crashes passes in four runs.

--- a/crates/kelpworks-coord/src/crash_ledger.rs
+++ b/crates/kelpworks-coord/src/crash_ledger.rs
@@ -569,8 +569,27 @@
     /// there at fewer moments doesn't: connections that are reset at one moment break off at several upstreams.
     fn is_shared(&self, fingerprint: Fingerprint, crashes: &[UpstreamId]) -> bool {
         let own = self.moments(fingerprint, crashes, TIME_ERROR);
-        requests_at_all(&self.facts, crashes)
-            .any(|f| f != fingerprint && self.moments(f, crashes, JOINT_BREAKS) >= own)
+        requests_at_all(&self.facts, crashes).any(|f| {
+            f != fingerprint
+                && !self.broke_off_before(f, fingerprint, crashes)
+                && self.moments(f, crashes, JOINT_BREAKS) >= own
+        })
+    }
+
+    /// Returns whether a request broke off at each of these upstreams before the run of `later` began there. An
+    /// upstream that has ended begins no run, so it did not end with these breaks.
+    fn broke_off_before(
+        &self,
+        fingerprint: Fingerprint,
+        later: Fingerprint,
+        crashes: &[UpstreamId],
+    ) -> bool {
+        crashes.iter().all(|&upstream| {
+            let break_of = self.facts.get(fingerprint, upstream).map(|r| r.at);
+            let begin_of_later = self.facts.get(later, upstream).and_then(|r| r.begun);
+            let times = break_of.zip(begin_of_later);
+            times.is_some_and(|(at, begun)| at + TIME_ERROR < begun)
+        })
     }
 
     /// Returns at how many moments, this far apart, attempts of a request broke off at these upstreams.
--- a/crates/kelpworks-coord/tests/crash_ledger.rs
+++ b/crates/kelpworks-coord/tests/crash_ledger.rs
@@ -233,6 +233,34 @@
     assert_eq!(ledger.is_refused(POISON, now), expected);
 }
 
+/// Guards against a poisonous request that is sent on because a harmless one, whose connections to all upstreams
+/// were reset before, accounts for its crashes: both broke off at all upstreams at about one moment.
+#[rstest]
+#[case::began_after_the_reset(100, true)]
+#[case::ran_at_the_reset(5, false)]
+fn request_that_broke_off_before_a_run_began_accounts_for_none_of_its_crashes(
+    #[case] begun_ms: u64,
+    #[case] expected: bool,
+) {
+    let mut ledger = ledger();
+    let run = |fingerprint, upstream, begun_ms| BrokenRun {
+        fingerprint,
+        parts: &[],
+        upstream,
+        finding: Finding::Broken,
+        begun: Some(NOW + Span::from_millis(begun_ms)),
+        is_answered: false,
+    };
+    let ends = [20, 41, 44].map(|ms| NOW + Span::from_millis(begun_ms + ms));
+    for (upstream, end) in (1..=3).map(UpstreamId).zip(ends) {
+        let reset = NOW + Span::from_millis(10);
+        ledger.record_run(run(Fingerprint(2), upstream, 9), reset);
+        ledger.record_run(run(POISON, upstream, begun_ms), end);
+    }
+    assert_eq!(ledger.is_refused(POISON, ends[2]), expected);
+    assert!(!ledger.is_refused(Fingerprint(2), ends[2]));
+}
+
 /// Guards against crashes that cease to count although nothing speaks against them: each message adds the time that
 /// it takes to the last sign of life of an upstream, which passes the break in the end.
 #[test]
