--- a/crates/kelpworks-relay/src/peers/retry_share_tests.rs
+++ b/crates/kelpworks-relay/src/peers/retry_share_tests.rs
@@ -21,7 +21,7 @@
 /// Time after the start until every daemon uses its part: a window, the longest delivery, and the first
 /// exchanges.
 const PROBATION: Duration = Duration::from_secs(15);
-/// Time between two looks at the parts.
+/// Time between two checks of the parts.
 const STEP: Duration = Duration::from_millis(500);
 /// Fraction of the allowance by which the parts may exceed it. A daemon that is lost may have used its part
 /// when one more shares the allowance; less is used than allowed for such cases.
--- a/crates/kelpworks-relay/src/relay/call/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/call/by_peer.rs
@@ -76,7 +76,7 @@
             true => shared.acquire_retry(&inbound.service.name, Instant::now()),
             false => None,
         };
-        // Dropped with this future, it counts as sent: the other daemon may go on.
+        // Counts as sent even if this future is dropped, as the other daemon may still send the request.
         let retry = retry.and_then(Retry::send);
         let left = match inbound.route.kind.is_retryable() {
             true => inbound.route.max_attempts.saturating_sub(self.runs),
--- a/crates/kelpworks-relay/src/relay/handover.rs
+++ b/crates/kelpworks-relay/src/relay/handover.rs
@@ -198,7 +198,7 @@
         }
     }
 
-    /// Settles the retry that went with the request. Returns it if nothing was sent.
+    /// Ends the flight of the retry that went with the request; returns the retry if nothing was sent.
     pub(super) fn settle(self, retry: SentRetry) -> Option<Retry> {
         if self.is_unsent() {
             return Some(retry.undo());
--- a/crates/kelpworks-relay/src/relay/stream/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/stream/by_peer.rs
@@ -86,7 +86,7 @@
         self.attempts += 1;
         let max_runs = allot_runs(self.runs_left());
         self.peer_runs += max_runs;
-        // Dropped with this future, it counts as sent: the other daemon may go on.
+        // Counts as sent even if this future is dropped, as the other daemon may still send the request.
         let retry = lock(&self.retry).take().and_then(Retry::send);
         let head = HandoverHead {
             version: self.inbound.version,
--- a/crates/kelpworks-relay/src/retry_budget.rs
+++ b/crates/kelpworks-relay/src/retry_budget.rs
@@ -30,8 +30,8 @@
 /// Fraction of the allowed retries that is used. The service counts requests in windows that end at other
 /// times than those of the daemons.
 const USABLE_FRACTION: f64 = 0.85;
-/// Longest time from the write of a request to its arrival. The operating system gives a connection up
-/// whose data are not acknowledged for so long.
+/// Longest time from the write of a request to its arrival. The operating system closes a connection whose
+/// data are not acknowledged within it.
 const LONGEST_DELIVERY: Duration = TCP_USER_TIMEOUT;
 
 /// Limit on the retries of the whole fleet.
@@ -59,8 +59,8 @@
     /// Creates a budget with no counts. `daemons` is the number of daemons assumed to share the limit until
     /// the share is renewed.
     pub fn new(limit: RetryLimit, daemons: usize, started: Instant) -> RetryBudget {
-        // For so long retries count that a former process of this daemon, or one that does not know of it,
-        // has sent.
+        // Until then, retries may count that a former process of this daemon has sent, or a daemon that
+        // does not know of this one.
         let probation = limit.window + LONGEST_DELIVERY;
         RetryBudget {
             limit,
--- a/crates/kelpworks-relay/src/retry_budget/share.rs
+++ b/crates/kelpworks-relay/src/retry_budget/share.rs
@@ -1,8 +1,8 @@
 //! This daemon's part of the fixed number of retries.
 //!
 //! All daemons take equal parts. A part is usable only while the daemon is in contact with the fleet, and
-//! only once it has been for so long that every other daemon either counts it or has lost its own part.
-//! So the parts exist once, whichever daemons start, stop or are cut off.
+//! after a probation within which every other daemon either counts this one or loses its own part. So the
+//! parts of all daemons are never more than the whole, whichever daemons start, stop or are cut off.
 
 use std::time::Duration;
 
