Test: a part that was not renewed within a window is not used

Cause: taken out alone, the check that a part has lapsed failed no test: the renewals that follow find the gap too, but for a process that uses its part before it renews it.

--- a/crates/kelpworks-relay/tests/retry_account.rs
+++ b/crates/kelpworks-relay/tests/retry_account.rs
@@ -146,6 +146,30 @@
     assert_eq!(send_all(held), 4);
 }
 
+/// Guards against a process that was paused for longer than a window, during which others may have come to
+/// share the limit without it, and that then uses its part before it has renewed it.
+#[rstest]
+#[case::shorter_than_a_window(Duration::from_secs(9), true)]
+#[case::a_window(LIMIT.window, false)]
+#[case::longer(Duration::from_secs(60), false)]
+#[tokio::test(start_paused = true)]
+async fn part_that_was_not_renewed_within_a_window_is_not_used(
+    #[case] pause: Duration,
+    #[case] is_used: bool,
+) {
+    let started = Instant::now();
+    let mut budget = RetryBudget::new(LIMIT, 1, started);
+    let mut renew = |seconds| {
+        let now = started + Duration::from_secs(seconds);
+        budget.renew_share(1, FleetContact::Last(now), now);
+        now
+    };
+    renew(0);
+    renew(7);
+    let last = renew(14);
+    assert_eq!(budget.try_reserve(&service(), last + pause), is_used);
+}
+
 /// What happens to a retry, or to the clock.
 #[derive(Clone, Copy, Debug)]
 enum Event {
