Metrics show how late the event loop runs, requests under way and open connections

Cause: none of the three hypotheses of the incident could be told from the others: a daemon that gets more than its processor can do looked like one whose callers leave. Change: a histogram of the event loop's lag, gauges of requests under way and of open connections by listener. The listener's acceptor is our own, on salvo's types, so that connections can be counted.

--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -32,6 +32,7 @@
 use crate::adapter::Adapter;
 use crate::adapter::EngineApi;
 use crate::engine_calls::EngineCalls;
+use crate::event_loop;
 use crate::link_probes;
 use crate::operators;
 use crate::operators::Readiness;
@@ -269,11 +270,23 @@
         );
         tokio::spawn(slowness_polls);
         tokio::spawn(link_probes::run(Arc::clone(&shared), shutdown.clone()));
+        tokio::spawn(event_loop::run(Arc::clone(&shared), shutdown.clone()));
         let router = operators::readiness_router(&shared);
-        let readiness_server =
-            Server::start(listen.readiness, router, CONNECTION_IDLE_TIMEOUT).await;
+        let readiness_server = Server::start(
+            "readiness",
+            listen.readiness,
+            router,
+            CONNECTION_IDLE_TIMEOUT,
+        )
+        .await;
         let router = operators::operators_router(metrics, &shared);
-        let metrics_server = Server::start(listen.operators, router, CONNECTION_IDLE_TIMEOUT).await;
+        let metrics_server = Server::start(
+            "operators",
+            listen.operators,
+            router,
+            CONNECTION_IDLE_TIMEOUT,
+        )
+        .await;
         let handover_client = HandoverClient::new(Arc::clone(&peers));
         let relay: Relay<A, E> = Relay::new(&shared, &engine_calls, handover_client);
         let handover_server = match listen.handover {
@@ -281,7 +294,8 @@
             None => None,
         };
         let router = relay::router(&relay);
-        let caller_server = Server::start(listen.callers, router, CONNECTION_IDLE_TIMEOUT).await;
+        let caller_server =
+            Server::start("callers", listen.callers, router, CONNECTION_IDLE_TIMEOUT).await;
         Ok(Daemon {
             caller_server: caller_server.map_err(listen_error("callers"))?,
             status_servers: vec![
@@ -368,7 +382,7 @@
     peers: &Peers,
 ) -> Result<Server> {
     let router = relay::handover_router(relay);
-    let server = Server::start(address, router, CONNECTION_IDLE_TIMEOUT).await;
+    let server = Server::start("handover", address, router, CONNECTION_IDLE_TIMEOUT).await;
     let server = server.map_err(listen_error("handover"))?;
     peers.offer_handover(address.port());
     Ok(server)
--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod constraints;
 pub mod daemon;
 pub mod engine_calls;
+mod event_loop;
 pub mod fleet;
 pub mod layout;
 pub mod limits;
--- a/crates/kelpworks-relay/src/server.rs
+++ b/crates/kelpworks-relay/src/server.rs
@@ -1,15 +1,18 @@
 //! HTTP servers of a daemon that can be stopped gracefully.
 
+mod acceptor;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use salvo::Listener;
 use salvo::Router;
 use salvo::Server as HttpServer;
-use salvo::conn::TcpListener;
 use salvo::server::ServerHandle;
+use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use acceptor::CountingAcceptor;
+
 /// A running server.
 #[derive(Debug)]
 pub(crate) struct Server {
@@ -18,21 +21,20 @@
 }
 
 impl Server {
-    /// Listens on an address. A connection on which no request head arrives within `idle_timeout`
-    /// is closed.
+    /// Listens on an address; `name` is that of the listener in metrics. A connection on which no request
+    /// head arrives within `idle_timeout` is closed.
     ///
     /// # Errors
     ///
     /// When the address can't be bound.
     pub(crate) async fn start(
+        name: &'static str,
         address: SocketAddr,
         router: Router,
         idle_timeout: Duration,
     ) -> std::io::Result<Server> {
-        let acceptor = TcpListener::new(address)
-            .try_bind()
-            .await
-            .map_err(|e| std::io::Error::other(e.to_string()))?;
+        let listener = TcpListener::bind(address).await?;
+        let acceptor = CountingAcceptor::new(listener, name)?;
         let mut server = HttpServer::new(acceptor).disable_fuse();
         server.http1_mut().header_read_timeout(idle_timeout);
         let handle = server.handle();
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -187,6 +187,11 @@
         }
     }
 
+    /// Returns the number of requests that are being served.
+    pub(crate) fn load(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed) as usize
+    }
+
     /// Locks the fleet of upstreams.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
         lock(&self.fleet)
