Failing test: requests while most new connections go to few daemons

Callers saw most of their requests fail while a load balancer favoured one or two of seven daemons. Change: a rig with a processor quota for each daemon process (stopped for the rest of a tenth of a second) and a balancer that favours a daemon. The quota is measured: a third of what the favoured daemon needs. Callers leave a stream after two seconds without an event and retry once if the connection was closed unread; attempts that were closed unread must not have run.

--- a/crates/kelpworks-cli/tests/relay_site/mod.rs
+++ b/crates/kelpworks-cli/tests/relay_site/mod.rs
@@ -3,10 +3,12 @@
 
 #![allow(dead_code, reason = "each test crate uses a part")]
 
+pub(crate) mod balancer;
 pub(crate) mod crashing;
 pub(crate) mod cut;
 pub(crate) mod daemon;
 pub(crate) mod engine;
+pub(crate) mod quota;
 pub(crate) mod retries;
 mod sock_diag;
 pub(crate) mod store;
