A late daemon takes on no more than it ends and closes other connections unread

Callers saw most of their requests fail while a load balancer handed most new connections to one or two daemons. Cause: nothing between the listening socket and the engines asked what the daemon's own processor can do. Everything that had begun shared it, so that nearly all ended late. Change: the event loop's lag is measured; while it is 100 ms or more in two windows running, the requests under way are limited to a fraction of what they are, and the limit grows again while the loop is prompt. Connections beyond it are reset as they are accepted, unread, which costs two system calls, and answers ask callers to close theirs. A connection counts from its acceptance. One is admitted in each second.

--- /dev/null
+++ b/crates/kelpworks-relay/src/concurrency_limit.rs
@@ -0,0 +1,172 @@
+//! Limit on the requests under way of a daemon, which follows from how late its event loop runs.
+//!
+//! A load balancer may hand a daemon more than its processor can do. All of that work shares the processor, so that each
+//! request gets a little of it and nearly none ends in time. A daemon that is late therefore takes on no more than it
+//! ends, and leaves the rest to others while it is still unread.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use kelpworks_relay::concurrency_limit::ConcurrencyLimit;
+//! use kelpworks_relay::concurrency_limit::Sample;
+//! use tokio::time::Instant;
+//!
+//! let mut limit = ConcurrencyLimit::default();
+//! let mut now = Instant::now();
+//! for _ in 0..3 {
+//!     now += Duration::from_millis(150);
+//!     let lag = Duration::from_millis(130);
+//!     limit.record(Sample { now, lag, load: 100 });
+//! }
+//! assert!(!limit.admit(100, now), "late with a hundred requests under way");
+//! assert!(limit.admit(10, now), "but these it can serve");
+//! ```
+//!
+//! Limits: a daemon that is stopped for longer than [`LATE`] again and again, for reasons other than its load, limits
+//! itself as well, down to [`MIN_LIMIT`].
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Lag of the event loop from which a daemon counts as late. Longer than the time for which a processor quota may stop
+/// a process that has no work left over, and within the delay of an event that callers accept.
+pub const LATE: Duration = Duration::from_millis(100);
+/// Lag below which a daemon takes on more.
+const PROMPT: Duration = Duration::from_millis(50);
+/// Time over which the highest lag is taken, the period of processor quotas.
+const WINDOW: Duration = Duration::from_millis(100);
+/// Number of late windows in a row that show a lasting cause, not a pause.
+const LATE_WINDOWS: u32 = 2;
+/// Least limit, in requests: a daemon with fewer is late for another reason.
+pub const MIN_LIMIT: usize = 16;
+/// Fraction of the load that is kept when a daemon is late.
+const DECREASE: f64 = 0.7;
+/// Growth of the limit in a window in which all of it was used.
+const INCREASE: f64 = 1.1;
+/// Time after which a limit that was not used up ends.
+const UNUSED_PERIOD: Duration = Duration::from_secs(2);
+/// Time without an admission after which one request is admitted whatever is under way: those requests may not end for
+/// long, for a reason other than this daemon.
+const MAX_CLOSED_PERIOD: Duration = Duration::from_secs(1);
+
+/// What was seen at one moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sample {
+    /// When the event loop got round to it.
+    pub now: Instant,
+    /// Time between the moment for which it was due and `now`.
+    pub lag: Duration,
+    /// Requests under way, connections with an unread request included.
+    pub load: usize,
+}
+
+/// Change between a daemon that keeps up and one that does not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The daemon is late, and takes on no more than this.
+    Limited(usize),
+    /// It keeps up.
+    Unlimited,
+}
+
+/// Limit on the requests under way.
+#[derive(Clone, Debug, Default)]
+pub struct ConcurrencyLimit {
+    /// At least [`MIN_LIMIT`]; `None` while the daemon keeps up.
+    limit: Option<usize>,
+    window: Option<Window>,
+    late_windows: u32,
+    /// When the limit was last reached.
+    last_used: Option<Instant>,
+    last_admission: Option<Instant>,
+}
+
+/// Highest values since the start of a window.
+#[derive(Clone, Copy, Debug)]
+struct Window {
+    start: Instant,
+    lag: Duration,
+    load: usize,
+}
+
+impl ConcurrencyLimit {
+    /// Returns the current limit; `None` if there is none.
+    pub fn limit(&self) -> Option<usize> {
+        self.limit
+    }
+
+    /// Whether a daemon with this load may take on another request now.
+    pub fn admit(&mut self, load: usize, now: Instant) -> bool {
+        let has_room = self.limit.is_none_or(|limit| load < limit);
+        let is_overdue = |at: Instant| now.duration_since(at) >= MAX_CLOSED_PERIOD;
+        let is_admitted = has_room || self.last_admission.is_some_and(is_overdue);
+        if is_admitted {
+            self.last_admission = Some(now);
+        }
+        is_admitted
+    }
+
+    /// Takes a sample into account; returns whether a limit began or ended.
+    pub fn record(&mut self, sample: Sample) -> Option<Change> {
+        let start = Window {
+            start: sample.now - sample.lag,
+            lag: Duration::ZERO,
+            load: 0,
+        };
+        let mut window = self.window.unwrap_or(start);
+        window.lag = window.lag.max(sample.lag);
+        window.load = window.load.max(sample.load);
+        if sample.now.duration_since(window.start) < WINDOW {
+            self.window = Some(window);
+            return None;
+        }
+        self.window = None;
+        let had_limit = self.limit.is_some();
+        self.adapt(window, sample);
+        match (had_limit, self.limit) {
+            (false, Some(limit)) => Some(Change::Limited(limit)),
+            (true, None) => Some(Change::Unlimited),
+            _ => None,
+        }
+    }
+
+    fn adapt(&mut self, window: Window, sample: Sample) {
+        let is_late = window.lag >= LATE;
+        self.late_windows = match is_late {
+            true => self.late_windows + 1,
+            false => 0,
+        };
+        let is_used = self.limit.is_some_and(|limit| window.load >= limit);
+        if is_used {
+            self.last_used = Some(sample.now);
+        }
+        if is_late {
+            self.decrease(sample);
+        } else if window.lag < PROMPT {
+            self.increase(is_used, sample.now);
+        }
+    }
+
+    /// Lowers the limit, unless a lower one has not taken effect yet.
+    fn decrease(&mut self, sample: Sample) {
+        let is_lasting = self.late_windows >= LATE_WINDOWS;
+        let is_in_effect = self.limit.is_none_or(|limit| sample.load <= limit);
+        if !is_lasting || !is_in_effect || sample.load < MIN_LIMIT {
+            return;
+        }
+        let kept = (sample.load as f64 * DECREASE) as usize;
+        self.limit = Some(kept.max(MIN_LIMIT));
+        self.last_used = Some(sample.now);
+    }
+
+    /// Raises a limit that is used up, and ends one that is not.
+    fn increase(&mut self, is_used: bool, now: Instant) {
+        let is_unused = |at: Instant| now.duration_since(at) >= UNUSED_PERIOD;
+        if is_used {
+            self.limit = self.limit.map(|l| (l as f64 * INCREASE) as usize + 1);
+        } else if self.last_used.is_none_or(is_unused) {
+            self.limit = None;
+        }
+    }
+}
--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -21,6 +21,7 @@
 use log::info;
 use log::warn;
 use metrics_exporter_prometheus::PrometheusBuilder;
+use salvo::Router;
 use thiserror::Error;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
@@ -41,9 +42,12 @@
 use crate::placer::Placer;
 use crate::relay;
 use crate::relay::HandoverClient;
+use crate::relay::InFlightGuard;
 use crate::relay::Relay;
 use crate::retry_budget::RetryLimit;
+use crate::server::ConnectionGate;
 use crate::server::Server;
+use crate::server::Unlimited;
 use crate::settings;
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -272,21 +276,9 @@
         tokio::spawn(link_probes::run(Arc::clone(&shared), shutdown.clone()));
         tokio::spawn(event_loop::run(Arc::clone(&shared), shutdown.clone()));
         let router = operators::readiness_router(&shared);
-        let readiness_server = Server::start(
-            "readiness",
-            listen.readiness,
-            router,
-            CONNECTION_IDLE_TIMEOUT,
-        )
-        .await;
+        let readiness_server = start_server("readiness", listen.readiness, Unlimited, router).await;
         let router = operators::operators_router(metrics, &shared);
-        let metrics_server = Server::start(
-            "operators",
-            listen.operators,
-            router,
-            CONNECTION_IDLE_TIMEOUT,
-        )
-        .await;
+        let metrics_server = start_server("operators", listen.operators, Unlimited, router).await;
         let handover_client = HandoverClient::new(Arc::clone(&peers));
         let relay: Relay<A, E> = Relay::new(&shared, &engine_calls, handover_client);
         let handover_server = match listen.handover {
@@ -294,14 +286,13 @@
             None => None,
         };
         let router = relay::router(&relay);
-        let caller_server =
-            Server::start("callers", listen.callers, router, CONNECTION_IDLE_TIMEOUT).await;
+        let gate = CallerGate {
+            shared: Arc::clone(&shared),
+        };
+        let caller_server = start_server("callers", listen.callers, gate, router).await;
         Ok(Daemon {
-            caller_server: caller_server.map_err(listen_error("callers"))?,
-            status_servers: vec![
-                readiness_server.map_err(listen_error("readiness"))?,
-                metrics_server.map_err(listen_error("operators"))?,
-            ],
+            caller_server: caller_server?,
+            status_servers: vec![readiness_server?, metrics_server?],
             shared,
             peers,
             peer_server,
@@ -382,12 +373,37 @@
     peers: &Peers,
 ) -> Result<Server> {
     let router = relay::handover_router(relay);
-    let server = Server::start("handover", address, router, CONNECTION_IDLE_TIMEOUT).await;
-    let server = server.map_err(listen_error("handover"))?;
+    let server = start_server("handover", address, Unlimited, router).await?;
     peers.offer_handover(address.port());
     Ok(server)
 }
 
+/// Serves a router on an address, to connections that `gate` admits.
+async fn start_server(
+    name: &'static str,
+    address: SocketAddr,
+    gate: impl ConnectionGate,
+    router: Router,
+) -> Result<Server> {
+    let server = Server::start(name, address, gate, router, CONNECTION_IDLE_TIMEOUT).await;
+    server.map_err(listen_error(name))
+}
+
+/// Admits connections of callers while the daemon keeps up with the requests under way.
+struct CallerGate {
+    shared: Arc<Shared>,
+}
+
+impl ConnectionGate for CallerGate {
+    type Unread = InFlightGuard;
+
+    fn admit(&self) -> Option<InFlightGuard> {
+        let load = self.shared.load();
+        let is_admitted = self.shared.concurrency_limit().admit(load, Instant::now());
+        is_admitted.then(|| InFlightGuard::new(&self.shared))
+    }
+}
+
 fn listen_error(listener: &'static str) -> impl Fn(std::io::Error) -> Error {
     move |source| Error::Listen { listener, source }
 }
--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod assignments;
 pub mod blame;
 pub mod clearance;
+pub mod concurrency_limit;
 pub mod config;
 pub mod constraints;
 pub mod daemon;
--- a/crates/kelpworks-relay/src/relay/mod.rs
+++ b/crates/kelpworks-relay/src/relay/mod.rs
@@ -175,7 +175,7 @@
             }
         };
         reply.write(res);
-        if self.is_stopping() {
+        if self.is_stopping() || self.is_limited() {
             let close = HeaderValue::from_static("close");
             res.headers_mut().insert(header::CONNECTION, close);
         }
@@ -200,6 +200,11 @@
         self.shared.stopping.load(Ordering::Relaxed)
     }
 
+    /// Whether the daemon does not keep up, so that callers should open their next connection elsewhere.
+    fn is_limited(&self) -> bool {
+        self.shared.concurrency_limit().limit().is_some()
+    }
+
     async fn forward(&self, inbound: InboundRequest, in_flight_guard: InFlightGuard) -> Reply {
         let shared = Arc::clone(&self.shared);
         // The daemon that handed a request over has counted it.
@@ -235,12 +240,12 @@
 
 /// Counts a request in `Shared::in_flight` until dropped.
 #[derive(Debug)]
-struct InFlightGuard {
+pub(crate) struct InFlightGuard {
     shared: Arc<Shared>,
 }
 
 impl InFlightGuard {
-    fn new(shared: &Arc<Shared>) -> InFlightGuard {
+    pub(crate) fn new(shared: &Arc<Shared>) -> InFlightGuard {
         shared.in_flight.fetch_add(1, Ordering::Relaxed);
         InFlightGuard {
             shared: Arc::clone(shared),
--- a/crates/kelpworks-relay/src/server.rs
+++ b/crates/kelpworks-relay/src/server.rs
@@ -11,7 +11,9 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-use acceptor::CountingAcceptor;
+pub(crate) use acceptor::ConnectionGate;
+use acceptor::GatedAcceptor;
+pub(crate) use acceptor::Unlimited;
 
 /// A running server.
 #[derive(Debug)]
@@ -21,8 +23,8 @@
 }
 
 impl Server {
-    /// Listens on an address; `name` is that of the listener in metrics. A connection on which no request
-    /// head arrives within `idle_timeout` is closed.
+    /// Listens on an address; `name` is that of the listener in metrics. Connections that `gate` does not admit are
+    /// closed unread, and one on which no request head arrives within `idle_timeout` is closed.
     ///
     /// # Errors
     ///
@@ -30,11 +32,12 @@
     pub(crate) async fn start(
         name: &'static str,
         address: SocketAddr,
+        gate: impl ConnectionGate,
         router: Router,
         idle_timeout: Duration,
     ) -> std::io::Result<Server> {
         let listener = TcpListener::bind(address).await?;
-        let acceptor = CountingAcceptor::new(listener, name)?;
+        let acceptor = GatedAcceptor::new(listener, gate, name)?;
         let mut server = HttpServer::new(acceptor).disable_fuse();
         server.http1_mut().header_read_timeout(idle_timeout);
         let handle = server.handle();
--- a/crates/kelpworks-relay/src/server/acceptor.rs
+++ b/crates/kelpworks-relay/src/server/acceptor.rs
@@ -1,10 +1,16 @@
-//! Accepts connections, and counts those that are open.
+//! Accepts connections, and closes those at once that the daemon can't serve.
+//!
+//! A caller whose connection is closed before its request was read knows that nothing has run, and its retry meets
+//! another daemon. Closing costs this daemon two system calls; a refusal would have to be read, decided and written.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
+use log::debug;
 use salvo::conn::Accepted;
 use salvo::conn::Acceptor;
 use salvo::conn::ConnCtrl;
@@ -15,41 +21,95 @@
 use salvo::fuse::ConnObserver;
 use salvo::http::Version;
 use salvo::http::uri::Scheme;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
-/// Accepts connections.
+/// Decides which new connections are served.
+pub(crate) trait ConnectionGate: Send + Sync + 'static {
+    /// Counts as a request under way until dropped.
+    type Unread: Send + 'static;
+
+    /// Admits a connection, unless the daemon takes on no more now.
+    fn admit(&self) -> Option<Self::Unread>;
+}
+
+/// Admits all connections.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Unlimited;
+
+impl ConnectionGate for Unlimited {
+    type Unread = ();
+
+    fn admit(&self) -> Option<()> {
+        Some(())
+    }
+}
+
+/// Accepts the connections that its gate admits.
 #[derive(Debug)]
-pub(crate) struct CountingAcceptor {
+pub(crate) struct GatedAcceptor<G> {
     listener: TcpListener,
     holdings: [Holding; 1],
+    gate: G,
     /// Name in metrics.
     name: &'static str,
     open: Arc<AtomicUsize>,
 }
 
-impl CountingAcceptor {
+impl<G: ConnectionGate> GatedAcceptor<G> {
     /// Accepts the connections of a listener, whose `name` is a metric label.
     ///
     /// # Errors
     ///
     /// When the listener has no local address.
-    pub(crate) fn new(listener: TcpListener, name: &'static str) -> io::Result<CountingAcceptor> {
+    pub(crate) fn new(
+        listener: TcpListener,
+        gate: G,
+        name: &'static str,
+    ) -> io::Result<GatedAcceptor<G>> {
         let holding = Holding {
             local_addr: listener.local_addr()?.into(),
             http_versions: vec![Version::HTTP_11],
             http_scheme: Scheme::HTTP,
         };
-        Ok(CountingAcceptor {
+        Ok(GatedAcceptor {
             listener,
             holdings: [holding],
+            gate,
             name,
             open: Arc::default(),
         })
     }
+
+    /// Accepts connections until one is admitted.
+    async fn accept_admitted(&self) -> io::Result<(TcpStream, SocketAddr)> {
+        loop {
+            let (stream, remote) = self.listener.accept().await?;
+            if let Some(unread) = self.gate.admit() {
+                tokio::spawn(count_until_read(unread));
+                return Ok((stream, remote));
+            }
+            reset(&stream);
+            metrics::counter!("kelpworks_connections_closed_unread_total").increment(1);
+        }
+    }
+}
+
+/// Counts a connection until its task, which is spawned after this one, has run and counts the request that it read.
+async fn count_until_read<T>(unread: T) {
+    tokio::task::yield_now().await;
+    drop(unread);
+}
+
+/// Makes a connection end with a reset when it is dropped, so that nothing of it is left to the operating system.
+fn reset(stream: &TcpStream) {
+    if let Err(e) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        debug!(error:% = e; "linger not set");
+    }
 }
 
-impl Acceptor for CountingAcceptor {
+impl<G: ConnectionGate> Acceptor for GatedAcceptor<G> {
     type Coupler = TcpCoupler<Self::Stream>;
     type Stream = StraightStream<TcpStream>;
 
@@ -61,7 +121,7 @@
         &mut self,
         _fuse_policy: Option<ArcFusePolicy>,
     ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
-        let (stream, remote) = self.listener.accept().await?;
+        let (stream, remote) = self.accept_admitted().await?;
         let conn_ctrl = ConnCtrl::new();
         let observer = OpenConnection::new(&self.open, self.name);
         let observer = Arc::new(observer);
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -23,6 +23,7 @@
 use tokio::time::Instant;
 
 use crate::adapter::StartTime;
+use crate::concurrency_limit::ConcurrencyLimit;
 use crate::config::EngineProfile;
 use crate::config::RoutingTable;
 use crate::constraints::MessageKind;
@@ -107,8 +108,9 @@
     pub stopping: AtomicBool,
     /// Whether the record of crashes has not been read yet since the start.
     are_verdicts_pending: AtomicBool,
-    /// Number of requests that are being served.
+    /// Number of requests that are being served, and of connections with a request that is not read yet.
     pub in_flight: AtomicU64,
+    concurrency_limit: Mutex<ConcurrencyLimit>,
     started: Instant,
     /// Wakes requests that wait for a configuration or for upstreams.
     state_changed: Notify,
@@ -144,6 +146,7 @@
             stopping: AtomicBool::new(false),
             are_verdicts_pending: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
+            concurrency_limit: Mutex::default(),
             started: Instant::now(),
             state_changed: Notify::new(),
         }
@@ -187,11 +190,16 @@
         }
     }
 
-    /// Returns the number of requests that are being served.
+    /// Returns the number of requests that are being served or have arrived unread.
     pub(crate) fn load(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed) as usize
     }
 
+    /// Locks the limit on the requests under way.
+    pub(crate) fn concurrency_limit(&self) -> MutexGuard<'_, ConcurrencyLimit> {
+        lock(&self.concurrency_limit)
+    }
+
     /// Locks the fleet of upstreams.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
         lock(&self.fleet)
