A daemon counts as late when work waits all the while

Cause: in a release build the favoured daemon of the users' rig (0.12 of a core, 220 requests a second) never counted as late: a quota stops it for at most 88 ms, and the highest lag stayed at 75 ms while its requests under way grew from 14 to 599. Change: the least lag of 200 ms and three samples decides, from 50 ms on. A pause, or one long computation, is one sample.

--- a/crates/kelpworks-relay/src/concurrency_limit.rs
+++ b/crates/kelpworks-relay/src/concurrency_limit.rs
@@ -4,6 +4,9 @@
 //! request gets a little of it and nearly none ends in time. A daemon that is late therefore takes on no more than it
 //! ends, and leaves the rest to others while it is still unread.
 //!
+//! Late means that even the least lag of some time is high, which shows work that waits all the while; the highest one
+//! shows a pause as well.
+//!
 //! ```
 //! use std::time::Duration;
 //!
@@ -14,30 +17,29 @@
 //! let mut limit = ConcurrencyLimit::default();
 //! let mut now = Instant::now();
 //! for _ in 0..3 {
-//!     now += Duration::from_millis(150);
-//!     let lag = Duration::from_millis(130);
+//!     now += Duration::from_millis(100);
+//!     let lag = Duration::from_millis(70);
 //!     limit.record(Sample { now, lag, load: 100 });
 //! }
 //! assert!(!limit.admit(100, now), "late with a hundred requests under way");
 //! assert!(limit.admit(10, now), "but these it can serve");
 //! ```
 //!
-//! Limits: a daemon that is stopped for longer than [`LATE`] again and again, for reasons other than its load, limits
-//! itself as well, down to [`MIN_LIMIT`].
+//! Limits: a daemon that is late for reasons other than its load limits itself as well, down to [`MIN_LIMIT`].
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-/// Lag of the event loop from which a daemon counts as late. Longer than the time for which a processor quota may stop
-/// a process that has no work left over, and within the delay of an event that callers accept.
-pub const LATE: Duration = Duration::from_millis(100);
-/// Lag below which a daemon takes on more.
-const PROMPT: Duration = Duration::from_millis(50);
-/// Time over which the highest lag is taken, the period of processor quotas.
-const WINDOW: Duration = Duration::from_millis(100);
-/// Number of late windows in a row that show a lasting cause, not a pause.
-const LATE_WINDOWS: u32 = 2;
+/// Least lag of the event loop in a window from which a daemon counts as late. Shorter than the time for which a quota of a
+/// quarter of a core stops a process in each tenth of a second, and than the delay of an event that callers accept.
+pub const LATE: Duration = Duration::from_millis(50);
+/// Least lag in a window below which a daemon takes on more.
+const PROMPT: Duration = Duration::from_millis(25);
+/// Least length of a window: several periods of a processor quota.
+const WINDOW: Duration = Duration::from_millis(200);
+/// Least number of samples in a window, so that a pause of the process, which is one of them, does not count.
+const MIN_SAMPLES: u32 = 3;
 /// Least limit, in requests: a daemon with fewer is late for another reason.
 pub const MIN_LIMIT: usize = 16;
 /// Fraction of the load that is kept when a daemon is late.
@@ -76,18 +78,39 @@
     /// At least [`MIN_LIMIT`]; `None` while the daemon keeps up.
     limit: Option<usize>,
     window: Option<Window>,
-    late_windows: u32,
     /// When the limit was last reached.
     last_used: Option<Instant>,
     last_admission: Option<Instant>,
 }
 
-/// Highest values since the start of a window.
+/// What was seen since the start of a window.
 #[derive(Clone, Copy, Debug)]
 struct Window {
     start: Instant,
-    lag: Duration,
-    load: usize,
+    samples: u32,
+    min_lag: Duration,
+    max_load: usize,
+}
+
+impl Window {
+    fn new(sample: Sample) -> Window {
+        Window {
+            start: sample.now - sample.lag,
+            samples: 0,
+            min_lag: Duration::MAX,
+            max_load: 0,
+        }
+    }
+
+    fn add(&mut self, sample: Sample) {
+        self.samples += 1;
+        self.min_lag = self.min_lag.min(sample.lag);
+        self.max_load = self.max_load.max(sample.load);
+    }
+
+    fn is_over(&self, now: Instant) -> bool {
+        self.samples >= MIN_SAMPLES && now.duration_since(self.start) >= WINDOW
+    }
 }
 
 impl ConcurrencyLimit {
@@ -109,15 +132,9 @@
 
     /// Takes a sample into account; returns whether a limit began or ended.
     pub fn record(&mut self, sample: Sample) -> Option<Change> {
-        let start = Window {
-            start: sample.now - sample.lag,
-            lag: Duration::ZERO,
-            load: 0,
-        };
-        let mut window = self.window.unwrap_or(start);
-        window.lag = window.lag.max(sample.lag);
-        window.load = window.load.max(sample.load);
-        if sample.now.duration_since(window.start) < WINDOW {
+        let mut window = self.window.unwrap_or_else(|| Window::new(sample));
+        window.add(sample);
+        if !window.is_over(sample.now) {
             self.window = Some(window);
             return None;
         }
@@ -132,27 +149,21 @@
     }
 
     fn adapt(&mut self, window: Window, sample: Sample) {
-        let is_late = window.lag >= LATE;
-        self.late_windows = match is_late {
-            true => self.late_windows + 1,
-            false => 0,
-        };
-        let is_used = self.limit.is_some_and(|limit| window.load >= limit);
+        let is_used = self.limit.is_some_and(|limit| window.max_load >= limit);
         if is_used {
             self.last_used = Some(sample.now);
         }
-        if is_late {
+        if window.min_lag >= LATE {
             self.decrease(sample);
-        } else if window.lag < PROMPT {
+        } else if window.min_lag < PROMPT {
             self.increase(is_used, sample.now);
         }
     }
 
     /// Lowers the limit, unless a lower one has not taken effect yet.
     fn decrease(&mut self, sample: Sample) {
-        let is_lasting = self.late_windows >= LATE_WINDOWS;
         let is_in_effect = self.limit.is_none_or(|limit| sample.load <= limit);
-        if !is_lasting || !is_in_effect || sample.load < MIN_LIMIT {
+        if !is_in_effect || sample.load < MIN_LIMIT {
             return;
         }
         let kept = (sample.load as f64 * DECREASE) as usize;
