Answers of store, engines and hosts without end are given up at a bound

Cause: the clients of the store, of engines' reports and of the host list read a body to its end, whatever its length, until their timeout: on a fast link that is more than the memory of a host. Change: one function reads a body up to a bound and drops the reply, which closes its connection: 8 MiB for the store and the host list, 64 KiB for a report. Before/after: answer_of_the_store_without_end_is_given_up_at_the_bound fails without the change for a body (not given up in 5 s) and passes with it; heads were bounded by the HTTP library and pass both ways. relay_endless: calls, calls that run once and streams, in head and body, pass both ways, within the library's bound on heads and our own on bodies and events. Not tested by itself: an engine's report and the host list, which use the same function.

--- a/crates/kelpworks/src/clients/engine.rs
+++ b/crates/kelpworks/src/clients/engine.rs
@@ -11,7 +11,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use reqwest::Client;
 use reqwest::Response;
 use reqwest::StatusCode;
@@ -20,6 +19,7 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+use super::body;
 use crate::verdict::Verdict;
 use kelpworks_wire::CancelRequest;
 use kelpworks_wire::EngineOrder;
@@ -198,15 +198,12 @@
 }
 
 /// Reads the body of a reply, up to [`MAX_REPLY_BYTES`].
-pub(crate) async fn read_bounded_body(mut res: Response) -> Result<Bytes> {
-    let mut body = BytesMut::new();
-    while let Some(piece) = res.chunk().await.map_err(Error::from_reqwest)? {
-        if body.len() + piece.len() > MAX_REPLY_BYTES {
-            return Err(Error::TooLarge);
-        }
-        body.extend_from_slice(&piece);
-    }
-    Ok(body.freeze())
+pub(crate) async fn read_bounded_body(res: Response) -> Result<Bytes> {
+    let body = body::read(res, MAX_REPLY_BYTES).await;
+    body.map_err(|e| match e {
+        body::Error::Lost(e) => Error::from_reqwest(e),
+        body::Error::TooLarge { .. } | body::Error::Malformed(_) => Error::TooLarge,
+    })
 }
 
 async fn read<A: DeserializeOwned>(sent: reqwest::Result<Response>) -> Result<A> {
--- a/crates/kelpworks/src/clients/host_list.rs
+++ b/crates/kelpworks/src/clients/host_list.rs
@@ -21,11 +21,15 @@
 use reqwest::Url;
 use thiserror::Error;
 
+use super::body;
 use super::resettable::ResettableClient;
 use super::resettable::SendStage;
 use super::resettable::send_stage;
 use kelpworks_wire::HostList;
 
+/// Largest list that is read, some kilobytes for each of a thousand hosts.
+const MAX_LIST_BYTES: usize = 8 << 20;
+
 /// Result of a host list call.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -120,7 +124,8 @@
         if !reply.status().is_success() {
             return Err(Error::Unavailable);
         }
-        reply.json().await.map_err(|e| match e.is_timeout() {
+        let list = body::read_json(reply, MAX_LIST_BYTES).await;
+        list.map_err(|e| match e.is_timeout() {
             true => Error::Silent,
             false => Error::Unavailable,
         })
--- a/crates/kelpworks/src/clients/object_api.rs
+++ b/crates/kelpworks/src/clients/object_api.rs
@@ -33,6 +33,7 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+use super::body;
 use super::era::Eras;
 use super::resettable::ResettableClient;
 use super::resettable::SendStage;
@@ -50,6 +51,8 @@
 
 /// Header of a response that holds its era, as a decimal number.
 const ERA_FIELD: &str = "store-era";
+/// Largest reply that is read: a page of a list, or the changes since a watch began.
+const MAX_REPLY_BYTES: usize = 8 << 20;
 
 /// An object of the API, with the version at which it was read.
 #[derive(Clone, Debug, PartialEq)]
@@ -372,7 +375,8 @@
     /// Sends a request and decodes its reply. A reply that can't be decoded counts as lost.
     async fn read_json<T: DeserializeOwned>(&self, req: RequestBuilder) -> Result<(T, Era)> {
         let (reply, era) = self.send(req).await?;
-        let reply = reply.json().await.map_err(|_| Error::Lost)?;
+        let reply = body::read_json(reply, MAX_REPLY_BYTES).await;
+        let reply = reply.map_err(|_| Error::Lost)?;
         Ok((reply, era))
     }
 
@@ -387,7 +391,7 @@
             return Ok((reply, era?));
         }
         let status = reply.status();
-        let error = match reply.json::<ApiError>().await {
+        let error = match body::read_json::<ApiError>(reply, MAX_REPLY_BYTES).await {
             Ok(error) => stated_error(error, era.clone().unwrap_or_default()),
             Err(_) => status_error(status),
         };
