An event without end is searched for its end once, and heads have a bound of our own

Cause: each piece of an incomplete event had all bytes before it searched again, so that an upstream that sends a line without end costs the square of its length until the bound of 4 MiB; heads ended at the HTTP library's bound of some 400 KiB. Change: the splitter remembers how far it has searched; heads of upstreams' and peers' answers end at 64 KiB. The existing property test of chunk boundaries and relay_endless pass.

--- a/crates/kelpworks-relay/src/pool.rs
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -59,6 +59,8 @@
 /// Time for which a probe connection has to stay open: several round trips within a region, after
 /// which a link or proxy that accepts connections only to reset them has done so.
 const PROBE_HOLD: Duration = Duration::from_millis(60);
+/// Largest head of an answer. A longer one, or one without end, ends its connection.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections kept to one upstream.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 
@@ -283,7 +285,10 @@
     if let Err(e) = set_socket_options(&stream) {
         debug!(address:%, error:% = e; "socket options not set");
     }
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, connection) = handshake.map_err(|_| Error::NotSent)?;
     tokio::spawn(async move {
         if let Err(e) = connection.await {
--- a/crates/kelpworks-relay/src/relay/events.rs
+++ b/crates/kelpworks-relay/src/relay/events.rs
@@ -22,6 +22,10 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct EventSplitter {
     buf: BytesMut,
+    /// Start of the first line in `buf` that has no end yet.
+    line_start: usize,
+    /// Number of bytes of `buf` that have been searched for the end of a line; at least `line_start`.
+    searched: usize,
 }
 
 impl EventSplitter {
@@ -40,7 +44,7 @@
     pub(super) fn take_events(&mut self, after: Option<u64>) -> WholeEvents {
         let mut out = BytesMut::new();
         let mut last_id = None;
-        while let Some(end) = end_of_event(&self.buf) {
+        while let Some(end) = self.end_of_event() {
             let event = self.buf.split_to(end);
             let id = id_of(&event);
             if id.is_some() && id <= after.or(last_id) {
@@ -54,20 +58,22 @@
             last_id,
         }
     }
-}
 
-/// Returns the length of the first event, including the blank line that ends it.
-fn end_of_event(buf: &[u8]) -> Option<usize> {
-    let mut start = 0;
-    while let Some(n) = buf[start..].iter().position(|&b| b == b'\n') {
-        let line = &buf[start..start + n];
-        let end = start + n + 1;
-        if line.is_empty() || line == b"\r" {
-            return Some(end);
+    /// Returns the length of the first event, including the blank line that ends it. No byte is searched twice.
+    fn end_of_event(&mut self) -> Option<usize> {
+        while let Some(n) = self.buf[self.searched..].iter().position(|&b| b == b'\n') {
+            let line = &self.buf[self.line_start..self.searched + n];
+            let is_blank = line.is_empty() || line == b"\r";
+            let end = self.searched + n + 1;
+            if is_blank {
+                (self.line_start, self.searched) = (0, 0);
+                return Some(end);
+            }
+            (self.line_start, self.searched) = (end, end);
         }
-        start = end;
+        self.searched = self.buf.len();
+        None
     }
-    None
 }
 
 fn id_of(event: &[u8]) -> Option<u64> {
