Tests of answers without end by hand-over and in engines' reports; callers that keep connections

Change: relay_endless: a call and a stream that were handed over go on at the other upstream by way of a third daemon, and an engine's report ends at its bound. relay_skew has callers that keep their connections. Found on the way: a daemon that is not yet sure that its links are lost spends one of the two upstreams allowed on itself, so that the first version of the hand-over test got 502 in all cases; the test now waits until the loss is known.

--- a/crates/kelpworks-cli/tests/relay_endless.rs
+++ b/crates/kelpworks-cli/tests/relay_endless.rs
@@ -18,19 +18,24 @@
 
 use relay_site::Site;
 use relay_site::WAIT_TIMEOUT;
+use relay_site::cut::LinksOf;
 use relay_site::daemon::Answer;
-use relay_site::store::Store;
+use relay_site::daemon::Relay;
 
 /// Time between two tries of a test.
 const INTERVAL: Duration = Duration::from_millis(50);
 const CALL_BODY: &str = "a body";
 const EVENTS: &str = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+/// End of the paths of requests whose answers are complete.
+const WARM_UP: &str = "/warm-up";
 /// Bytes that may be under way beyond what the daemon has read: socket buffers of both sides.
 const SOCKET_BUFFERS: usize = 16 << 20;
 /// Bounds on a head, on the body of a call, and on an event of a stream.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 const MAX_BODY_BYTES: usize = 16 << 20;
 const MAX_EVENT_BYTES: usize = 4 << 20;
+/// Bound on an engine's report.
+const MAX_REPORT_BYTES: usize = 64 << 10;
 
 /// Where the first answer to each request has no end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,8 +56,8 @@
 }
 
 impl EndlessUpstream {
-    /// Starts two upstreams, so that a request can go on at the other one.
-    async fn start(store: &Store, endless: Endless) -> Arc<EndlessUpstream> {
+    /// Starts two upstreams behind the links of a site, so that a request can go on at the other one.
+    async fn start(site: &mut Site, endless: Endless) -> Arc<EndlessUpstream> {
         let upstream = Arc::new(EndlessUpstream {
             endless,
             has_answered: AtomicUsize::new(0),
@@ -62,11 +67,13 @@
         for number in 0..2 {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
             let address = listener.local_addr().expect("an address");
+            let address = site.links.spawn(address).await;
             let entry = json!({
                 "service": "fragile", "address": address.to_string(), "zone": "hall-a",
                 "version": "v1", "slots": 64, "state": "ready", "cold-left-ms": 0, "seq": 1
             });
-            store.put("servers", &format!("endless-{number}"), entry);
+            site.store
+                .put("servers", &format!("endless-{number}"), entry);
             tokio::spawn(Arc::clone(&upstream).accept(listener));
         }
         upstream
@@ -98,7 +105,8 @@
             "HTTP/1.1 200 OK\r\nx-kelpworks-attempt-id: {request}\r\n\
              x-kelpworks-server-stamp: stamp\r\ncontent-type: {kind}\r\n"
         );
-        if self.has_answered.fetch_add(1, Ordering::Relaxed) > 0 {
+        let is_warm_up = head.contains(WARM_UP);
+        if is_warm_up || self.has_answered.fetch_add(1, Ordering::Relaxed) > 0 {
             let answer = format!("{start}connection: close\r\n\r\n{body}");
             stream.write_all(answer.as_bytes()).await?;
             return stream.shutdown().await;
@@ -116,6 +124,27 @@
         self.closed.fetch_add(1, Ordering::Relaxed);
         Ok(())
     }
+
+    /// Waits until the connection of the answer without end is closed, and checks how much of it was read.
+    async fn check_bound(&self, bound: usize) {
+        let until = Instant::now() + WAIT_TIMEOUT;
+        while self.closed.load(Ordering::Relaxed) == 0 {
+            assert!(Instant::now() < until, "the connection stays open");
+            tokio::time::sleep(INTERVAL).await;
+        }
+        let written = self.written.load(Ordering::Relaxed);
+        assert!(written <= bound + SOCKET_BUFFERS, "{written} bytes");
+    }
+}
+
+/// Waits until all daemons know both upstreams.
+async fn wait_until_registered(site: &Site) {
+    let until = Instant::now() + WAIT_TIMEOUT;
+    let knows = |d: &Relay| d.log().contains("endless-0") && d.log().contains("endless-1");
+    while !site.daemons.iter().all(knows) {
+        assert!(Instant::now() < until, "not registered");
+        tokio::time::sleep(INTERVAL).await;
+    }
 }
 
 async fn send(site: &Site, method: Method, path: &str) -> Answer {
@@ -142,22 +171,111 @@
     #[case] expected: (u16, &str),
 ) {
     let name = format!("endless-{endless:?}-{}", path.replace('/', "-"));
-    let site = Site::start(&name, 1).await;
-    let upstream = EndlessUpstream::start(&site.store, endless).await;
-    let until = Instant::now() + WAIT_TIMEOUT;
-    while !site.daemons[0].log().contains("endless-1") {
-        assert!(Instant::now() < until, "not registered");
-        tokio::time::sleep(INTERVAL).await;
-    }
+    let mut site = Site::start(&name, 1).await;
+    let upstream = EndlessUpstream::start(&mut site, endless).await;
+    wait_until_registered(&site).await;
     let answer = send(&site, method, path).await;
     assert_eq!(answer.status, expected.0, "{}", site.daemons[0].log());
     if expected.0 == 200 {
         assert_eq!(answer.body, expected.1);
     }
-    while upstream.closed.load(Ordering::Relaxed) == 0 {
-        assert!(Instant::now() < until, "the connection stays open");
+    upstream.check_bound(bound).await;
+}
+
+/// Guards against the same by the daemon that a request was handed over to: the caller gets the other upstream's answer
+/// by way of a third daemon, as one of the two upstreams allowed is kept back from the second.
+#[rstest]
+#[case::call_head(Endless::Head, Method::GET, "/fragile/x", MAX_HEAD_BYTES, CALL_BODY)]
+#[case::call_body(Endless::Body, Method::GET, "/fragile/x", MAX_BODY_BYTES, CALL_BODY)]
+#[case::stream_event(
+    Endless::Body,
+    Method::POST,
+    "/fragile-events/x",
+    MAX_EVENT_BYTES,
+    EVENTS
+)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answer_without_end_is_given_up_by_the_receiver_of_a_request(
+    #[case] endless: Endless,
+    #[case] method: Method,
+    #[case] path: &str,
+    #[case] bound: usize,
+    #[case] expected: &str,
+) {
+    let name = format!("endless-handover-{endless:?}-{}", path.replace('/', "-"));
+    let mut site = Site::start_with_links(&name, 3).await;
+    let upstream = EndlessUpstream::start(&mut site, endless).await;
+    wait_until_registered(&site).await;
+    site.set_links(0, LinksOf::Reset);
+    let until = Instant::now() + WAIT_TIMEOUT;
+    let warm_up = path.replace("/x", WARM_UP);
+    while !site.daemons[0].log().contains("upstreams out of reach") {
+        let _ = send(&site, method.clone(), &warm_up).await;
+        assert!(Instant::now() < until, "not out of reach");
+        tokio::time::sleep(INTERVAL).await;
+    }
+    let answer = send(&site, method, path).await;
+    assert_eq!((answer.status, &*answer.body), (200, expected));
+    upstream.check_bound(bound).await;
+}
+
+/// An engine that answers everything without end.
+struct EndlessEngine {
+    /// Most bytes that could be written on one connection.
+    most_written: AtomicUsize,
+    closed: AtomicUsize,
+}
+
+impl EndlessEngine {
+    /// Starts an engine, and registers it as one that has just come.
+    async fn start(site: &Site) -> Arc<EndlessEngine> {
+        let engine = Arc::new(EndlessEngine {
+            most_written: AtomicUsize::new(0),
+            closed: AtomicUsize::new(0),
+        });
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let mut entry = site.engines.all()[0].entry();
+        entry["address"] = json!(address.to_string());
+        entry["layers"] = json!(null);
+        site.store.put("servers", "endless-engine", entry);
+        let accepting = Arc::clone(&engine);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(answer_report(stream, Arc::clone(&accepting)));
+            }
+        });
+        engine
+    }
+}
+
+async fn answer_report(mut stream: TcpStream, engine: Arc<EndlessEngine>) {
+    let mut request = [0; 4096];
+    let _ = stream.read(&mut request).await;
+    let start = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n{\"seq\": \"";
+    let _ = stream.write_all(start).await;
+    let piece = [b'1'; 64 << 10];
+    let mut written = 0;
+    while let Ok(n) = stream.write(&piece).await {
+        written += n;
+        engine.most_written.fetch_max(written, Ordering::Relaxed);
+    }
+    engine.closed.fetch_add(1, Ordering::Relaxed);
+}
+
+/// Guards against a daemon that reads an engine's report for as long as its call may last, a gigabyte on a fast link.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn report_of_an_engine_without_end_is_given_up_at_the_bound() {
+    let site = Site::start("endless-report", 1).await;
+    let engine = EndlessEngine::start(&site).await;
+    let until = Instant::now() + WAIT_TIMEOUT;
+    while engine.closed.load(Ordering::Relaxed) == 0 {
+        assert!(Instant::now() < until, "no query was closed");
         tokio::time::sleep(INTERVAL).await;
     }
-    let written = upstream.written.load(Ordering::Relaxed);
-    assert!(written <= bound + SOCKET_BUFFERS, "{written} bytes");
+    let written = engine.most_written.load(Ordering::Relaxed);
+    assert!(
+        written <= MAX_REPORT_BYTES + SOCKET_BUFFERS,
+        "{written} bytes"
+    );
 }
--- a/crates/kelpworks-cli/tests/relay_skew.rs
+++ b/crates/kelpworks-cli/tests/relay_skew.rs
@@ -64,7 +64,6 @@
 
 /// A request under way.
 struct Call {
-    sent: Instant,
     /// Outcomes of its attempts, in order. A caller makes a second one only if the first was not read.
     outcomes: JoinHandle<Vec<Outcome>>,
     id: String,
@@ -84,8 +83,47 @@
     }
 }
 
-fn client() -> Client {
-    let builder = Client::builder().no_proxy().pool_max_idle_per_host(0);
+/// Whether callers keep their connections for further requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Connections {
+    Kept,
+    /// Each request has a connection of its own.
+    New,
+}
+
+/// Callers of the daemons behind a balancer.
+struct Callers {
+    balancer: Balancer,
+    /// Client that keeps connections to each daemon; none where each request has its own.
+    kept: Vec<Client>,
+    /// Number of requests made.
+    number: u32,
+}
+
+impl Callers {
+    fn new(connections: Connections) -> Callers {
+        let kept = match connections {
+            Connections::Kept => (0..DAEMONS).map(|_| client(usize::MAX)).collect(),
+            Connections::New => Vec::new(),
+        };
+        Callers {
+            balancer: Balancer::new(DAEMONS, SEED),
+            kept,
+            number: 0,
+        }
+    }
+
+    /// Returns the client for a request to a daemon.
+    fn client(&self, daemon: usize) -> Client {
+        self.kept.get(daemon).cloned().unwrap_or_else(|| client(0))
+    }
+}
+
+/// Returns a client that keeps this many idle connections.
+fn client(max_idle: usize) -> Client {
+    let builder = Client::builder()
+        .no_proxy()
+        .pool_max_idle_per_host(max_idle);
     builder.build().expect("a client")
 }
 
@@ -133,27 +171,23 @@
 }
 
 /// Makes requests for a time.
-async fn load(
-    daemons: &[Relay],
-    balancer: &mut Balancer,
-    number: &mut u32,
-    period: Duration,
-) -> Vec<Call> {
+async fn load(daemons: &[Relay], callers: &mut Callers, period: Duration) -> Vec<Call> {
     let start = Instant::now();
     let mut calls = Vec::new();
     for k in 0..period.as_secs() as u32 * RATE {
         let due = start + Duration::from_secs(1) * k / RATE;
         tokio::time::sleep(due.saturating_duration_since(Instant::now())).await;
-        let first = balancer.next();
-        let targets = [first, balancer.other_than(first)].map(|d| daemons[d].callers);
-        let (n, id) = (*number, format!("k{number}"));
-        *number += 1;
-        let client = client();
+        let first = callers.balancer.next();
+        let targets = [first, callers.balancer.other_than(first)];
+        let targets = targets.map(|d| (callers.client(d), daemons[d].callers));
+        let n = callers.number;
+        callers.number += 1;
+        let id = format!("k{n}");
         let ids = [format!("{id}-0"), format!("{id}-1")];
         let outcomes = tokio::spawn(async move {
             let mut outcomes = Vec::new();
-            for (target, id) in targets.into_iter().zip(ids) {
-                let outcome = attempt(client.clone(), target, n, id).await;
+            for ((client, target), id) in targets.into_iter().zip(ids) {
+                let outcome = attempt(client, target, n, id).await;
                 outcomes.push(outcome);
                 if outcome != Outcome::Unread {
                     break;
@@ -161,11 +195,7 @@
             }
             outcomes
         });
-        calls.push(Call {
-            sent: Instant::now(),
-            outcomes,
-            id,
-        });
+        calls.push(Call { outcomes, id });
     }
     calls
 }
@@ -193,12 +223,12 @@
 }
 
 /// Returns the quota, as a share of a core, under which the favoured daemon gets [`OVERLOAD`] times what it can do.
-async fn calibrate(daemons: &[Relay], balancer: &mut Balancer, number: &mut u32) -> f64 {
+async fn calibrate(daemons: &[Relay], callers: &mut Callers) -> f64 {
     let before = used(daemons);
     tokio::time::sleep(CALIBRATION_PERIOD).await;
     let idle = used(daemons) - before;
     let before = used(daemons);
-    let calls = load(daemons, balancer, number, CALIBRATION_PERIOD).await;
+    let calls = load(daemons, callers, CALIBRATION_PERIOD).await;
     let served = count(calls, &mut HashSet::new()).await;
     assert_eq!(served.served, served.sent, "served without quotas");
     let busy = used(daemons).saturating_sub(before + idle);
@@ -210,35 +240,35 @@
 /// Guards against the failure of most requests while a load balancer hands most new connections to few daemons: one
 /// that gets more than its processor can do reads and begins all of it, and ends nearly none in time.
 #[rstest]
-#[case::one_daemon(&[0])]
-#[case::two_daemons_in_turn(&[0, 1])]
+#[case::one_daemon("one", &[0], Connections::New)]
+#[case::two_daemons_in_turn("turns", &[0, 1], Connections::New)]
+#[case::kept_connections("kept", &[0], Connections::Kept)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn requests_are_served_while_most_new_connections_go_to_few_daemons(
+    #[case] name: &str,
     #[case] favoured: &[usize],
+    #[case] connections: Connections,
 ) {
     let _turn = ONE_AT_A_TIME.lock().await;
     let budget = RetryBudget::default();
-    let name = format!("skew-{}", favoured.len());
-    let site = Site::start_with_handover(&name, DAEMONS, budget).await;
-    let mut balancer = Balancer::new(DAEMONS, SEED);
-    let mut number = 0;
-    let quota = calibrate(&site.daemons, &mut balancer, &mut number).await;
+    let site = Site::start_with_handover(&format!("skew-{name}"), DAEMONS, budget).await;
+    let mut callers = Callers::new(connections);
+    let quota = calibrate(&site.daemons, &mut callers).await;
     let quotas: Vec<Quota> = site
         .daemons
         .iter()
         .map(|d| Quota::start(d.pid(), quota))
         .collect();
     let daemons = &site.daemons;
-    let before = load(daemons, &mut balancer, &mut number, EVEN_PERIOD).await;
+    let before = load(daemons, &mut callers, EVEN_PERIOD).await;
     let mut skewed = Vec::new();
     for &daemon in favoured {
-        balancer.favour(daemon, FAVOURED_SHARE);
+        callers.balancer.favour(daemon, FAVOURED_SHARE);
         let period = SKEWED_PERIOD / favoured.len() as u32;
-        skewed.extend(load(daemons, &mut balancer, &mut number, period).await);
+        skewed.extend(load(daemons, &mut callers, period).await);
     }
-    balancer.spread_evenly();
-    let after = load(daemons, &mut balancer, &mut number, EVEN_PERIOD).await;
-    let skewed_from = skewed.first().expect("requests").sent;
+    callers.balancer.spread_evenly();
+    let after = load(daemons, &mut callers, EVEN_PERIOD).await;
     let mut unread = HashSet::new();
     let [before, skewed, after] = [
         count(before, &mut unread).await,
@@ -252,7 +282,7 @@
     assert_eq!(ran_unread.count(), 0, "ran though closed unread");
     let calls_ran = unread.iter().map(|id| site.app.run_count(id)).sum::<u32>();
     assert_eq!(calls_ran, 0, "calls that ran though closed unread");
-    assert!(before.share() > 0.95, "served before {skewed_from:?}");
+    assert!(before.share() > 0.95, "served before: {before:?}");
     for (name, period) in [("skewed", skewed), ("after", after)] {
         let ratio = period.share() / before.share();
         assert!(
