Metrics show what becomes of abandoned requests

Change: the connection of an abandoned request is closed for sending, as before, and held until its upstream answers or closes it; a counter by evidence, a histogram of the time, a line from 1 s on. The account of retries is unchanged.

--- a/crates/kelpworks-relay/src/pool.rs
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -8,12 +8,15 @@
 //! Requests that are handed over to other daemons use a pool of the same kind.
 //!
 //! A connection whose answer was not read to its end, or that received anything unexpected, is
-//! closed.
+//! closed. One whose request was abandoned before its answer began is held for a while (see `linger`).
+
+mod linger;
 
 use std::collections::HashMap;
 use std::fmt::Debug;
 use std::hash::Hash;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
@@ -33,12 +36,16 @@
 use socket2::TcpKeepalive;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 use crate::fleet::UpstreamKey;
+use crate::permit::Permit;
 use crate::suspect_checks::CHECK_TIMEOUT;
 use crate::suspect_checks::Finding;
 use crate::sync::lock;
+use linger::Abandonment;
+use linger::MAX_LINGERING_CONNECTIONS;
 
 /// Result of sending a request.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -87,6 +94,9 @@
 
 /// What the connections of a pool lead to.
 pub trait Destination: Copy + Debug + Eq + Hash + Send + Sync + 'static {
+    /// Permission to write a request on them.
+    type Permit: WritePermit;
+
     /// Metric that counts attempts to open a connection, by outcome.
     const CONNECTS_METRIC: &'static str;
     /// Metric that counts opened connections.
@@ -94,6 +104,8 @@
 }
 
 impl Destination for UpstreamKey {
+    type Permit = Permit;
+
     const CONNECTS_METRIC: &'static str = "kelpworks_upstream_connects_total";
     const CONNECTIONS_METRIC: &'static str = "kelpworks_upstream_connections_total";
 }
@@ -101,7 +113,7 @@
 /// Permission to write a request once.
 pub trait WritePermit: Debug + Send + Sized {
     /// A permit that was used.
-    type Spent: Send;
+    type Spent: Debug + Send + Sync + 'static;
 
     /// Marks the permit as used, as the request with these header fields is written now, and brings up to
     /// date those that depend on the time; `None` if the permit no longer holds.
@@ -110,14 +122,14 @@
     /// Restores the permit after it turned out that nothing was written.
     fn undo(spent: Self::Spent) -> Self;
 
-    /// Records that the request was answered. A spent permit that is dropped without it belongs to a
-    /// request that may still arrive.
+    /// Records that the request was answered, or that its upstream has read it or never will. A spent permit
+    /// that is dropped without it belongs to a request that may still arrive.
     fn record_arrival(spent: Self::Spent);
 }
 
 /// A connection and the answer received on it.
 #[derive(Debug)]
-pub struct Exchange<K = UpstreamKey> {
+pub struct Exchange<K: Destination = UpstreamKey> {
     /// The answer; its body has not been read yet.
     pub response: Response<Incoming>,
     /// The connection, to be returned to the pool once the body is read.
@@ -126,8 +138,9 @@
 
 /// A connection in use by one request.
 #[derive(Debug)]
-pub struct Connection<K = UpstreamKey> {
+pub struct Connection<K: Destination = UpstreamKey> {
     sender: SendRequest<Body>,
+    abandonment: Abandonment<K>,
     destination: K,
     max_idle: Duration,
     is_closing: bool,
@@ -135,7 +148,7 @@
     is_new: bool,
 }
 
-impl<K> Connection<K> {
+impl<K: Destination> Connection<K> {
     /// Returns whether it was opened for its present request.
     pub fn is_new(&self) -> bool {
         self.is_new
@@ -143,21 +156,24 @@
 }
 
 #[derive(Debug)]
-struct IdleConnection<K> {
+struct IdleConnection<K: Destination> {
     connection: Connection<K>,
     since: Instant,
 }
 
 /// Idle connections, by destination.
 #[derive(Debug)]
-pub struct Pool<K = UpstreamKey> {
+pub struct Pool<K: Destination = UpstreamKey> {
     kept: Mutex<HashMap<K, Vec<IdleConnection<K>>>>,
+    /// Bounds the connections that are held for the arrival of abandoned requests.
+    lingering: Arc<Semaphore>,
 }
 
-impl<K> Default for Pool<K> {
+impl<K: Destination> Default for Pool<K> {
     fn default() -> Pool<K> {
         Pool {
             kept: Mutex::default(),
+            lingering: Arc::new(Semaphore::new(MAX_LINGERING_CONNECTIONS)),
         }
     }
 }
@@ -179,13 +195,13 @@
     ///
     /// [`Error::NotSent`] and [`Error::Withheld`] when nothing was sent; [`Error::Lost`] when the
     /// upstream may have read the request.
-    pub async fn send<P: WritePermit>(
+    pub async fn send(
         &self,
         destination: K,
         address: SocketAddr,
         req: Request<Body>,
         reuse: Reuse,
-        permit: P,
+        permit: K::Permit,
     ) -> Result<Exchange<K>> {
         let mut unsent = Unsent { req, permit };
         while let Some(connection) = self.take(destination, reuse) {
@@ -197,7 +213,7 @@
                 Err(ExchangeError::Unsent(returned)) => unsent = *returned,
             }
         }
-        let connection = open(destination, address).await?;
+        let connection = open(destination, address, &self.lingering).await?;
         match exchange(connection, unsent).await {
             Ok(exchange) => Ok(exchange),
             Err(ExchangeError::Lost) => Err(Error::Lost),
@@ -282,7 +298,11 @@
     closed.is_err()
 }
 
-async fn open<K: Destination>(destination: K, address: SocketAddr) -> Result<Connection<K>> {
+async fn open<K: Destination>(
+    destination: K,
+    address: SocketAddr,
+    lingering: &Arc<Semaphore>,
+) -> Result<Connection<K>> {
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let outcome = match &connecting {
         Ok(Ok(_)) => "opened",
@@ -301,14 +321,18 @@
         .handshake(TokioIo::new(stream))
         .await;
     let (sender, connection) = handshake.map_err(|_| Error::NotSent)?;
-    tokio::spawn(async move {
-        if let Err(e) = connection.await {
-            debug!(address:%, error:% = e; "connection ended");
-        }
-    });
+    let abandonment: Abandonment<K> = Abandonment::default();
+    let driver = linger::drive(
+        connection,
+        address,
+        abandonment.clone(),
+        Arc::clone(lingering),
+    );
+    tokio::spawn(driver);
     metrics::counter!(K::CONNECTIONS_METRIC).increment(1);
     Ok(Connection {
         sender,
+        abandonment,
         destination,
         max_idle: DEFAULT_IDLE_TIMEOUT,
         is_closing: false,
@@ -344,17 +368,19 @@
     Lost,
 }
 
-async fn exchange<K, P: WritePermit>(
+async fn exchange<K: Destination>(
     mut connection: Connection<K>,
-    unsent: Unsent<P>,
-) -> std::result::Result<Exchange<K>, ExchangeError<P>> {
+    unsent: Unsent<K::Permit>,
+) -> std::result::Result<Exchange<K>, ExchangeError<K::Permit>> {
     let Unsent { mut req, permit } = unsent;
     let Some(spent_permit) = permit.spend(req.headers_mut()) else {
         return Err(ExchangeError::Withheld);
     };
+    // If this future is dropped, the connection takes over the permit.
+    let unanswered = connection.abandonment.begin(spent_permit);
     match connection.sender.try_send_request(req).await {
         Ok(response) => {
-            P::record_arrival(spent_permit);
+            unanswered.end(K::Permit::record_arrival);
             connection.is_closing = is_closing(response.headers());
             connection.max_idle = idle_timeout(response.headers());
             Ok(Exchange {
@@ -362,13 +388,16 @@
                 connection,
             })
         }
-        Err(mut e) => match e.take_message() {
-            Some(req) => {
-                let permit = P::undo(spent_permit);
-                Err(ExchangeError::Unsent(Box::new(Unsent { req, permit })))
-            }
-            None => Err(ExchangeError::Lost),
-        },
+        Err(mut e) => {
+            let returned = e.take_message().and_then(|req| {
+                let permit = unanswered.end(K::Permit::undo)?;
+                Some(Unsent { req, permit })
+            });
+            Err(match returned {
+                Some(unsent) => ExchangeError::Unsent(Box::new(unsent)),
+                None => ExchangeError::Lost,
+            })
+        }
     }
 }
 
--- a/crates/kelpworks-relay/src/relay/handover.rs
+++ b/crates/kelpworks-relay/src/relay/handover.rs
@@ -125,13 +125,15 @@
 pub(super) struct PeerAddress(SocketAddr);
 
 impl Destination for PeerAddress {
+    type Permit = HandoverPermit;
+
     const CONNECTS_METRIC: &'static str = "kelpworks_handover_connects_total";
     const CONNECTIONS_METRIC: &'static str = "kelpworks_handover_connections_total";
 }
 
 /// Permission to write a request to another daemon, which holds until the deadline.
 #[derive(Debug)]
-struct HandoverPermit {
+pub(super) struct HandoverPermit {
     head: HandoverHead,
     deadline: Instant,
 }
