--- a/crates/kelpworks-cli/tests/relay_site/mod.rs
+++ b/crates/kelpworks-cli/tests/relay_site/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod quota;
 pub(crate) mod retries;
 mod sock_diag;
+pub(crate) mod stoppable;
 pub(crate) mod store;
 
 use std::net::SocketAddr;
