Doubt about abandoned requests ends by what their connections show

Callers saw nothing; services got more retries in a window than allowed. Cause: a request without an answer counted for 3 s after it was given up, the time after which the operating system gives up data that are not acknowledged. A stopped or starved upstream has acknowledged them, and reads them whenever it runs. Change: the permit of an abandoned request goes to the task of its connection, which closes it for sending and holds it until the upstream answers or closes it; only then is the arrival decided. A reset by a link counts as before, for 3 s. The connection is let go once nothing counts for the request, or work has passed the upstream 3 s later.

--- a/crates/kelpworks-relay/src/permit.rs
+++ b/crates/kelpworks-relay/src/permit.rs
@@ -26,6 +26,7 @@
 use crate::fleet::UpstreamKey;
 use crate::limits;
 use crate::pool::WritePermit;
+use crate::retry_budget::LONGEST_DELIVERY;
 use crate::retry_budget::RetryBudget;
 use crate::sync::lock;
 
@@ -166,6 +167,14 @@
     fn is_valid(&self, now: Instant) -> bool {
         allows_all(&lock(&self.fleet), &self.upstreams, now)
     }
+
+    /// Returns whether work has passed the first upstream so long after `since` that its process must have run.
+    fn has_passed_work(&self, since: Instant) -> bool {
+        let fleet = lock(&self.fleet);
+        let first = self.upstreams.first().and_then(|&key| fleet.get(key));
+        let last = first.and_then(|u| u.last_success);
+        last.is_some_and(|at| at > since + LONGEST_DELIVERY)
+    }
 }
 
 /// Returns whether the upstreams accept a request in any position of its path, regardless of rate
@@ -303,4 +312,9 @@
     fn record_arrival(spent: SpentPermit) {
         spent.attempt.record_arrival();
     }
+
+    fn awaits_arrival(spent: &SpentPermit, since: Instant) -> bool {
+        let are_counted = spent.attempt.attempts().are_counted();
+        are_counted && !spent.admission.has_passed_work(since)
+    }
 }
--- a/crates/kelpworks-relay/src/permit/attempts.rs
+++ b/crates/kelpworks-relay/src/permit/attempts.rs
@@ -194,6 +194,12 @@
         }
     }
 
+    /// Returns whether a retry counts for these attempts, or may yet.
+    pub(super) fn are_counted(&self) -> bool {
+        let state = lock(&self.state);
+        state.is_served || state.in_flight > 0
+    }
+
     fn send_unreserved(&self) {
         lock(&self.budget).send_unreserved(&self.service);
         metrics::counter!("kelpworks_repeats_total", "outcome" => "unreserved").increment(1);
--- a/crates/kelpworks-relay/src/pool.rs
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -125,6 +125,10 @@
     /// Records that the request was answered, or that its upstream has read it or never will. A spent permit
     /// that is dropped without it belongs to a request that may still arrive.
     fn record_arrival(spent: Self::Spent);
+
+    /// Returns whether it matters still when a request arrives whose answer is not waited for since `since`, and
+    /// nothing but its connection can show that it has.
+    fn awaits_arrival(spent: &Self::Spent, since: Instant) -> bool;
 }
 
 /// A connection and the answer received on it.
--- a/crates/kelpworks-relay/src/pool/linger.rs
+++ b/crates/kelpworks-relay/src/pool/linger.rs
@@ -40,6 +40,8 @@
 
 /// Maximum number of connections of a pool that are held for abandoned requests.
 pub(super) const MAX_LINGERING_CONNECTIONS: usize = 256;
+/// Time between two checks whether the arrival of an abandoned request matters still.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which the end of a wait for an arrival is logged.
 const LOGGED_AFTER: Duration = Duration::from_secs(1);
 
@@ -133,18 +135,21 @@
     let mut stream = connection.into_parts().io.into_inner();
     // Tells the upstream that nothing follows, also of a request that is abandoned.
     let _ = stream.shutdown().await;
-    if abandonment.abandoned().await.is_none() {
+    let Some(spent) = abandonment.abandoned().await else {
         return;
-    }
+    };
     let since = Instant::now();
     let arrival = match ended {
         Err(e) => arrival_of_error(&e),
         Ok(()) => match lingering.try_acquire() {
-            Ok(_held) => wait_for_arrival(stream).await,
+            Ok(_held) => wait_for_arrival::<K>(stream, &spent, since).await,
             Err(_) => Arrival::Unknown("too many connections held"),
         },
     };
     record(address, arrival, since);
+    if let Arrival::Decided(_) = arrival {
+        K::Permit::record_arrival(spent);
+    }
 }
 
 /// Returns what the error that ended a connection shows about the request on it.
@@ -168,12 +173,24 @@
     }
 }
 
-/// Waits until the upstream answers or closes the connection.
-async fn wait_for_arrival(mut stream: TcpStream) -> Arrival {
-    match stream.read(&mut [0; 1]).await {
-        Ok(0) => Arrival::Decided("connection closed"),
-        Ok(_) => Arrival::Decided("answered late"),
-        Err(e) => arrival_of_kind(e.kind()),
+/// Waits until the upstream answers or closes the connection, or its evidence is no longer needed.
+async fn wait_for_arrival<K: Destination>(
+    mut stream: TcpStream,
+    spent: &Spent<K>,
+    since: Instant,
+) -> Arrival {
+    let mut buf = [0; 1];
+    loop {
+        let reading = stream.read(&mut buf);
+        match tokio::time::timeout(CHECK_INTERVAL, reading).await {
+            Ok(Ok(0)) => return Arrival::Decided("connection closed"),
+            Ok(Ok(_)) => return Arrival::Decided("answered late"),
+            Ok(Err(e)) => return arrival_of_kind(e.kind()),
+            Err(_) if !K::Permit::awaits_arrival(spent, since) => {
+                return Arrival::Unknown("no longer waited for");
+            }
+            Err(_) => {}
+        }
     }
 }
 
--- a/crates/kelpworks-relay/src/relay/handover.rs
+++ b/crates/kelpworks-relay/src/relay/handover.rs
@@ -153,6 +153,10 @@
     }
 
     fn record_arrival(_spent: HandoverPermit) {}
+
+    fn awaits_arrival(_spent: &HandoverPermit, _since: Instant) -> bool {
+        false
+    }
 }
 
 /// Sets the field that says what the sender knows of a request.
