A hand-over counts until the other daemon has ended the request

Callers saw nothing; services may get more retries than allowed (by a drawn history, not seen with processes). Cause: a daemon that gives up a peer took the hand-over for arrived after 3 s. A peer that is paused reads the request later, makes its first attempt, and neither daemon has a retry for it. Change: the permit of a hand-over holds its attempt, so its connection decides it like that of any request: by the time the peer closes it, the peer counts what it has under way itself.

--- a/crates/kelpworks-relay/src/permit.rs
+++ b/crates/kelpworks-relay/src/permit.rs
@@ -296,6 +296,7 @@
 
 impl WritePermit for Permit {
     type Spent = SpentPermit;
+    type Answered = ();
 
     fn spend(self, headers: &mut HeaderMap) -> Option<SpentPermit> {
         let now = Instant::now();
@@ -309,6 +310,10 @@
         spent.undo()
     }
 
+    fn answer(spent: SpentPermit) {
+        Permit::record_arrival(spent);
+    }
+
     fn record_arrival(spent: SpentPermit) {
         spent.attempt.record_arrival();
     }
--- a/crates/kelpworks-relay/src/permit/attempts.rs
+++ b/crates/kelpworks-relay/src/permit/attempts.rs
@@ -195,7 +195,7 @@
     }
 
     /// Returns whether a retry counts for these attempts, or may yet.
-    pub(super) fn are_counted(&self) -> bool {
+    pub(crate) fn are_counted(&self) -> bool {
         let state = lock(&self.state);
         state.is_served || state.in_flight > 0
     }
@@ -264,7 +264,7 @@
     }
 
     /// Returns the attempts of its request.
-    pub(super) fn attempts(&self) -> &Arc<Attempts> {
+    pub(crate) fn attempts(&self) -> &Arc<Attempts> {
         &self.attempts
     }
 
--- a/crates/kelpworks-relay/src/pool.rs
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -114,6 +114,8 @@
 pub trait WritePermit: Debug + Send + Sized {
     /// A permit that was used.
     type Spent: Debug + Send + Sync + 'static;
+    /// What is left of it once the request is answered.
+    type Answered: Debug;
 
     /// Marks the permit as used, as the request with these header fields is written now, and brings up to
     /// date those that depend on the time; `None` if the permit no longer holds.
@@ -122,8 +124,11 @@
     /// Restores the permit after it turned out that nothing was written.
     fn undo(spent: Self::Spent) -> Self;
 
-    /// Records that the request was answered, or that its upstream has read it or never will. A spent permit
-    /// that is dropped without it belongs to a request that may still arrive.
+    /// Records that the head of the answer has arrived.
+    fn answer(spent: Self::Spent) -> Self::Answered;
+
+    /// Records that the request, whose answer is not waited for, was read or never will be. A spent permit that
+    /// is dropped without it belongs to a request that may still arrive.
     fn record_arrival(spent: Self::Spent);
 
     /// Returns whether it matters still when a request arrives whose answer is not waited for since `since`, and
@@ -138,6 +143,8 @@
     pub response: Response<Incoming>,
     /// The connection, to be returned to the pool once the body is read.
     pub connection: Connection<K>,
+    /// What is left of the permit; `None` if the connection's task has taken it over.
+    pub permit: Option<<K::Permit as WritePermit>::Answered>,
 }
 
 /// A connection in use by one request.
@@ -384,12 +391,13 @@
     let unanswered = connection.abandonment.begin(spent_permit);
     match connection.sender.try_send_request(req).await {
         Ok(response) => {
-            unanswered.end(K::Permit::record_arrival);
+            let permit = unanswered.end(K::Permit::answer);
             connection.is_closing = is_closing(response.headers());
             connection.max_idle = idle_timeout(response.headers());
             Ok(Exchange {
                 response,
                 connection,
+                permit,
             })
         }
         Err(mut e) => {
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -460,6 +460,7 @@
     let Exchange {
         response,
         connection,
+        ..
     } = match exchange {
         Ok(exchange) => exchange,
         Err(pool::Error::NotSent) => return failed_attempt(Verdict::NotRun, NOT_SENT),
--- a/crates/kelpworks-relay/src/relay/call/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/call/by_peer.rs
@@ -13,6 +13,7 @@
 use super::failed_attempt;
 use crate::permit::RequestAttempts;
 use crate::relay::InboundRequest;
+use crate::relay::handover::HandedOver;
 use crate::relay::handover::HandoverClient;
 use crate::relay::handover::HandoverError;
 use crate::relay::handover::HandoverHead;
@@ -77,8 +78,7 @@
             true => shared.acquire_retry(&inbound.service.name, Instant::now()),
             false => None,
         };
-        // Counts as sent even if this future is dropped, as the other daemon may still send the request.
-        let attempt = self.attempts.attempts().hand_over(retry);
+        let handed_over = HandedOver::new(self.attempts.attempts(), retry);
         let left = match inbound.route.kind.is_retryable() {
             true => inbound.route.max_attempts.saturating_sub(self.runs),
             false => 1,
@@ -87,7 +87,6 @@
         let head = HandoverHead {
             version: inbound.version,
             may_have_reached,
-            has_retry: attempt.has_retry(),
             runs: self.runs,
             max_runs: Some(max_runs),
             ..HandoverHead::default()
@@ -97,17 +96,16 @@
             true => inbound.remaining() / 2,
             false => inbound.remaining(),
         };
-        let sending = self.client.send(inbound, &head, &mut self.tried, cleared);
+        let tried = &mut self.tried;
+        let sending = self
+            .client
+            .send(inbound, &head, &handed_over, tried, cleared);
         let sent = tokio::time::timeout(timeout, sending).await;
         let sent = sent.unwrap_or(Err(HandoverError::Lost));
         let exchange = match sent {
             Ok(exchange) => exchange,
-            Err(e) => {
-                drop(e.settle(attempt));
-                return self.failed(e, max_runs);
-            }
+            Err(e) => return self.failed(e, max_runs),
         };
-        attempt.record_arrival();
         let (parts, body) = exchange.response.into_parts();
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let Ok(Ok(body)) = tokio::time::timeout(inbound.remaining(), body).await else {
--- a/crates/kelpworks-relay/src/relay/handover.rs
+++ b/crates/kelpworks-relay/src/relay/handover.rs
@@ -34,6 +34,7 @@
 use super::InboundRequest;
 use crate::peers::Candidate;
 use crate::peers::Peers;
+use crate::permit::Attempts;
 use crate::permit::Retry;
 use crate::permit::SentAttempt;
 use crate::pool;
@@ -131,31 +132,88 @@
     const CONNECTIONS_METRIC: &'static str = "kelpworks_handover_connections_total";
 }
 
+/// The attempts of a request that is handed over, and the retry that goes with it.
+#[derive(Clone, Debug)]
+pub(super) struct HandedOver {
+    attempts: Arc<Attempts>,
+    /// `None` while a daemon has it, or without one.
+    retry: Arc<Mutex<Option<Retry>>>,
+}
+
+impl HandedOver {
+    /// Prepares a hand-over. `retry` goes with it if it is still allowed when the request is written.
+    pub(super) fn new(attempts: Arc<Attempts>, retry: Option<Retry>) -> HandedOver {
+        HandedOver {
+            attempts,
+            retry: Arc::new(Mutex::new(retry)),
+        }
+    }
+
+    /// Returns the retry if no daemon has it.
+    pub(super) fn take_retry(&self) -> Option<Retry> {
+        lock(&self.retry).take()
+    }
+
+    fn write(&self) -> SentAttempt {
+        let retry = self.take_retry();
+        self.attempts.hand_over(retry)
+    }
+
+    fn undo(&self, attempt: SentAttempt) {
+        *lock(&self.retry) = attempt.undo();
+    }
+}
+
 /// Permission to write a request to another daemon, which holds until the deadline.
 #[derive(Debug)]
 pub(super) struct HandoverPermit {
     head: HandoverHead,
     deadline: Instant,
+    handed_over: HandedOver,
+}
+
+/// A permit that was used.
+#[derive(Debug)]
+pub(super) struct SpentHandoverPermit {
+    permit: HandoverPermit,
+    attempt: SentAttempt,
 }
 
 impl WritePermit for HandoverPermit {
-    type Spent = HandoverPermit;
+    type Spent = SpentHandoverPermit;
+    type Answered = SentAttempt;
 
-    fn spend(mut self, headers: &mut HeaderMap) -> Option<HandoverPermit> {
+    fn spend(mut self, headers: &mut HeaderMap) -> Option<SpentHandoverPermit> {
         let left = self.deadline.saturating_duration_since(Instant::now());
         self.head.left_ms = left.as_millis() as u64;
+        if self.head.left_ms == 0 {
+            return None;
+        }
+        let attempt = self.handed_over.write();
+        self.head.has_retry = attempt.has_retry();
         set_head(headers, &self.head);
-        (self.head.left_ms > 0).then_some(self)
+        Some(SpentHandoverPermit {
+            permit: self,
+            attempt,
+        })
     }
 
-    fn undo(spent: HandoverPermit) -> HandoverPermit {
-        spent
+    fn undo(spent: SpentHandoverPermit) -> HandoverPermit {
+        spent.permit.handed_over.undo(spent.attempt);
+        spent.permit
     }
 
-    fn record_arrival(_spent: HandoverPermit) {}
+    fn answer(spent: SpentHandoverPermit) -> SentAttempt {
+        spent.attempt
+    }
+
+    // Once the other daemon has closed the connection, it counts what it has under way itself.
+    fn record_arrival(spent: SpentHandoverPermit) {
+        spent.attempt.record_arrival();
+    }
 
-    fn awaits_arrival(_spent: &HandoverPermit, _since: Instant) -> bool {
-        false
+    fn awaits_arrival(spent: &SpentHandoverPermit, _since: Instant) -> bool {
+        spent.attempt.attempts().are_counted()
     }
 }
 
@@ -204,17 +262,6 @@
         }
     }
 
-    /// Ends the attempt that the hand-over was; returns its retry if nothing was sent.
-    pub(super) fn settle(self, attempt: SentAttempt) -> Option<Retry> {
-        if self.is_unsent() {
-            return attempt.undo();
-        }
-        if let HandoverError::Refused(_) = self {
-            attempt.record_arrival();
-        }
-        None
-    }
-
     /// Returns the reason for logs and metric labels.
     pub(super) fn reason(self) -> &'static str {
         match self {
@@ -262,6 +309,7 @@
         &self,
         inbound: &InboundRequest,
         head: &HandoverHead,
+        handed_over: &HandedOver,
         excluded: &mut Vec<SocketAddr>,
         _cleared: Cleared,
     ) -> Result<Exchange<PeerAddress>> {
@@ -271,7 +319,7 @@
             // Counts also if this future is dropped because the answer takes too long.
             excluded.push(peer);
             let sent = Instant::now();
-            let result = self.exchange(peer, inbound, head).await;
+            let result = self.exchange(peer, inbound, head, handed_over).await;
             log_handover(inbound, peer, &result, sent.elapsed());
             match result {
                 Err(HandoverError::NotSent) => self.avoid(peer, AVOIDANCE_PERIOD),
@@ -292,22 +340,32 @@
         peer: SocketAddr,
         inbound: &InboundRequest,
         head: &HandoverHead,
+        handed_over: &HandedOver,
     ) -> Result<Exchange<PeerAddress>> {
         let req = inbound.to_handover();
         let permit = HandoverPermit {
             head: head.clone(),
             deadline: inbound.deadline,
+            handed_over: handed_over.clone(),
         };
         let reuse = match inbound.route.kind.is_retryable() {
             true => Reuse::Any,
             false => Reuse::Recent,
         };
         let sending = self.pool.send(PeerAddress(peer), peer, req, reuse, permit);
-        let exchange = sending.await.map_err(|e| match e {
+        let mut exchange = sending.await.map_err(|e| match e {
             pool::Error::NotSent | pool::Error::Withheld => HandoverError::NotSent,
             pool::Error::Lost => HandoverError::Lost,
         })?;
-        match refusal_of(&exchange.response) {
+        let refusal = refusal_of(&exchange.response);
+        match exchange.permit.take() {
+            Some(attempt) if refusal.is_some_and(HandoverError::is_unsent) => {
+                handed_over.undo(attempt);
+            }
+            Some(attempt) => attempt.record_arrival(),
+            None => {}
+        }
+        match refusal {
             Some(refusal) => Err(refusal),
             None => Ok(exchange),
         }
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -376,6 +376,7 @@
         let Exchange {
             response,
             connection,
+            ..
         } = exchange;
         self.weight_version = self.weight_version.or(head.weight_version);
         let (mut parts, body) = response.into_parts();
--- a/crates/kelpworks-relay/src/relay/stream/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/stream/by_peer.rs
@@ -21,6 +21,7 @@
 use crate::adapter::Adapter;
 use crate::adapter::EngineApi;
 use crate::pool::Exchange;
+use crate::relay::handover::HandedOver;
 use crate::relay::handover::HandoverError;
 use crate::relay::handover::HandoverHead;
 use crate::relay::handover::MAX_HANDOVERS;
@@ -85,15 +86,13 @@
         self.attempts += 1;
         let max_runs = allot_runs(self.runs_left());
         self.peer_runs += max_runs;
-        // Counts as sent even if this future is dropped, as the other daemon may still send the request.
         let retry = lock(&self.retry).take();
-        let attempt = self.written.attempts().hand_over(retry);
+        let handed_over = HandedOver::new(self.written.attempts(), retry);
         let head = HandoverHead {
             version: self.inbound.version,
             after: self.last_event,
             weight_version: self.weight_version,
             may_have_reached: had_possibly_reached,
-            has_retry: attempt.has_retry(),
             ran_at: self.ran_at_instances(),
             max_runs: Some(max_runs),
             ..HandoverHead::default()
@@ -101,7 +100,8 @@
         let sent = Instant::now();
         let mut tried_peers = std::mem::take(&mut self.tried_peers);
         let handover = Arc::clone(&self.clients.handover);
-        let sending = handover.send(&self.inbound, &head, &mut tried_peers, cleared);
+        let tried = &mut tried_peers;
+        let sending = handover.send(&self.inbound, &head, &handed_over, tried, cleared);
         let result = self.wait_for_first(sending, &[], sent).await;
         self.tried_peers = tried_peers;
         if matches!(&result, Ok(Err(e)) if e.is_unsent()) {
@@ -110,15 +110,14 @@
         if matches!(&result, Ok(Err(e)) if e.verdict() == Verdict::NotRun) {
             self.peer_runs -= max_runs;
         }
-        match &result {
-            Ok(Ok(_)) => attempt.record_arrival(),
-            Ok(Err(e)) => *lock(&self.retry) = e.settle(attempt),
-            Err(_) => {}
+        if let Ok(Err(_)) = &result {
+            *lock(&self.retry) = handed_over.take_retry();
         }
         let exchange = result?.map_err(failure_of)?;
         let Exchange {
             response,
             connection,
+            ..
         } = exchange;
         let answer_head = D::decode_answer_head(response.headers());
         self.weight_version = self.weight_version.or(answer_head.weight_version);
