Test: several daemons whose upstream stops and goes on in series

Cause: guards against requests of several daemons that arrive together, windows after they were abandoned.

--- a/crates/kelpworks-cli/tests/relay_retries.rs
+++ b/crates/kelpworks-cli/tests/relay_retries.rs
@@ -294,3 +294,87 @@
     assert!(most <= ALLOWED, "{most} retries in a window");
     assert_retries_are_usable(&upstreams, &daemon, window).await;
 }
+
+/// Fraction of the limit that a series has to come to, or it shows little.
+const MIN_SERIES_USE: f64 = 0.5;
+
+/// Daemons whose upstream stops and goes on by turns.
+struct Series {
+    name: &'static str,
+    daemons: usize,
+    /// Retries allowed in a window.
+    allowed: usize,
+    window: (&'static str, Duration),
+    /// Time for which the upstream stops, each time, in milliseconds.
+    stops_ms: &'static [u64],
+}
+
+impl Series {
+    /// Returns the most retries in a window.
+    async fn run(&self) -> usize {
+        let upstreams = Upstreams::start(2).await;
+        let (window_text, window) = self.window;
+        let budget = RetryBudget {
+            window: window_text,
+            ratio: 0.0,
+            slack: self.allowed as f64,
+        };
+        let mut running: Vec<Relay> = Vec::new();
+        for i in 0..self.daemons {
+            let store = upstreams.site.store.address;
+            let offered = Handover::Offered;
+            let relay = Relay::start_as(self.name, i, store, &running, &budget, offered);
+            running.push(relay);
+        }
+        tokio::time::sleep(DISCOVERY + window + Duration::from_millis(50) * self.daemons as u32)
+            .await;
+        let stops = async {
+            for &stop_ms in self.stops_ms {
+                upstreams.thread.stop();
+                tokio::time::sleep(Duration::from_millis(stop_ms)).await;
+                upstreams.thread.resume();
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        };
+        let mut calls = JoinSet::new();
+        let callers = async {
+            for round in 0.. {
+                for (i, daemon) in running.iter().enumerate() {
+                    let name = format!("d{i}-r{round}");
+                    let patience = Duration::from_millis(900);
+                    send_calls(&mut calls, daemon, (REFUSED_CALL, &name), 4, patience);
+                }
+                tokio::time::sleep(Duration::from_millis(300)).await;
+            }
+        };
+        tokio::select! {
+            () = stops => {}
+            () = callers => {}
+        }
+        calls.join_all().await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        most_in_a_window(&upstreams.retry_times(), window)
+    }
+}
+
+/// Guards against requests of several daemons that arrive together, windows after they were abandoned, each time that
+/// an upstream that stops and goes on runs again.
+#[rstest]
+#[case::seven_daemons(Series {
+    name: "series",
+    daemons: 7,
+    allowed: 42,
+    window: ("1 s", Duration::from_secs(1)),
+    stops_ms: &[700, 9_500, 80, 6_000],
+})]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn retries_of_daemons_stay_within_the_limit_while_an_upstream_stops_in_series(
+    #[case] series: Series,
+) {
+    let allowed = series.allowed;
+    let most = series.run().await;
+    println!("{most} retries in a window, {allowed} allowed");
+    assert!(most <= allowed, "{most} retries in a window");
+    let least = MIN_SERIES_USE * allowed as f64;
+    assert!(most as f64 >= least, "{most} retries in a window");
+}
