--- a/crates/kelpworks-cli/tests/soak/faults.rs
+++ b/crates/kelpworks-cli/tests/soak/faults.rs
@@ -21,6 +21,7 @@
 use crate::relay_site::daemon::Relay;
 use crate::relay_site::engine;
 use crate::relay_site::engine::Constraints;
+use crate::relay_site::stoppable::Stoppable;
 use crate::site::Daemon;
 use crate::site::Soak;
 use crate::site::configuration_document;
@@ -67,7 +68,11 @@
     for daemon in &soak.daemons {
         daemon.store.set(LinkState::Pass);
     }
+    for thread in &soak.app_threads {
+        thread.resume();
+    }
     for at in &soak.engines {
+        at.thread.resume();
         at.link.set(LinkState::Pass);
         at.engine.set_stalled(false);
         at.engine.set_fault(None);
@@ -110,6 +115,8 @@
             tokio::time::sleep(duration).await;
             soak.engines[i].engine.set_stalled(false);
         }
+        Fault::EngineStops(i) => stop_upstream(&soak.engines[i].thread, duration).await,
+        Fault::AppStops(i) => stop_upstream(&soak.app_threads[i], duration).await,
         Fault::EngineFails(i, fault) => soak.engines[i].engine.set_fault(Some(fault)),
         Fault::EngineDeregisters(i) => {
             let at = &soak.engines[i];
@@ -231,6 +238,12 @@
     }
 }
 
+async fn stop_upstream(thread: &Stoppable, duration: Duration) {
+    thread.stop();
+    tokio::time::sleep(duration).await;
+    thread.resume();
+}
+
 async fn hold_link_state(link: &Link, state: LinkState, duration: Duration) {
     link.set(state);
     tokio::time::sleep(duration).await;
--- a/crates/kelpworks-cli/tests/soak/plan.rs
+++ b/crates/kelpworks-cli/tests/soak/plan.rs
@@ -12,6 +12,8 @@
 use crate::relay_site::cut::LinksOf;
 use crate::relay_site::engine;
 
+/// Instances of the plain service.
+pub(crate) const APPS: usize = 2;
 /// Engines of a run.
 pub(crate) const ENGINES: usize = 6;
 /// Mean time between two faults: most overlap with one or two others.
@@ -36,6 +38,9 @@
 /// One unplanned seed in this many has no waves of failures.
 const NO_WAVES_EVERY: u64 = 6;
 
+/// One unplanned seed in this many has upstreams that stand still.
+const UPSTREAM_STOPS_EVERY: u64 = 2;
+
 /// A fault, or a planned operation.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Fault {
@@ -59,6 +64,10 @@
     EngineStalls(usize),
     /// The next stream for which an engine is first on the path fails.
     EngineFails(usize, engine::Fault),
+    /// An engine stands still, while its operating system accepts connections and data.
+    EngineStops(usize),
+    /// An instance of the plain service stands still in the same way.
+    AppStops(usize),
     /// An engine's entry is deleted, and written again afterwards.
     EngineDeregisters(usize),
     /// An engine announces a limit, in requests per second.
@@ -160,6 +169,9 @@
         if !planned && !seed.is_multiple_of(NO_WAVES_EVERY) {
             steps.extend(draw_waves(&mut rng, daemons, length));
         }
+        if !planned && seed.is_multiple_of(UPSTREAM_STOPS_EVERY) {
+            steps.extend(draw_upstream_stops(&mut rng, length));
+        }
         Plan {
             length,
             steps,
@@ -286,6 +298,29 @@
     steps
 }
 
+/// Returns stops of upstreams in series, of which some are longer than a window of the retry budget and the longest
+/// delivery together.
+fn draw_upstream_stops(rng: &mut StdRng, length: Duration) -> Vec<Step> {
+    let mut steps = Vec::new();
+    for _ in 0..rng.random_range(2..=5) {
+        let fault = match rng.random_range(0..3) {
+            0 => Fault::AppStops(rng.random_range(0..APPS)),
+            _ => Fault::EngineStops(rng.random_range(0..ENGINES)),
+        };
+        let mut at = length.mul_f64(rng.random_range(0.0..0.4));
+        for _ in 0..rng.random_range(1..=3) {
+            let duration = Duration::from_millis(rng.random_range(50..8_000));
+            steps.push(Step {
+                at,
+                duration,
+                fault,
+            });
+            at += duration + Duration::from_millis(rng.random_range(20..1_500));
+        }
+    }
+    steps
+}
+
 fn draw_planned(rng: &mut StdRng, daemons: usize) -> Fault {
     let daemon = rng.random_range(0..daemons);
     match rng.random_range(0..4) {
