Failing test: requests that a killed daemon leaves at an upstream that stands still

The successor of a killed daemon uses its part of the retries after a window and the longest delivery; requests of its predecessor, which the operating system of a stopped upstream has acknowledged, arrive later. Not mended: a rule by evidence needs every upstream to be observed since the start, and what that costs fleets that have just restarted was not measured.

--- a/crates/kelpworks-cli/tests/relay_retries.rs
+++ b/crates/kelpworks-cli/tests/relay_retries.rs
@@ -378,3 +378,30 @@
     let least = MIN_SERIES_USE * allowed as f64;
     assert!(most as f64 >= least, "{most} retries in a window");
 }
+
+/// Guards against requests that a killed daemon leaves at an upstream that stands still: its successor uses the
+/// retries that paid for them again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_daemon_counts_what_was_left_at_an_upstream_that_stands_still() {
+    let window = Duration::from_secs(1);
+    let upstreams = Upstreams::start(2).await;
+    let mut daemon = upstreams.daemon("restarted", 0, &[]);
+    tokio::time::sleep(DISCOVERY).await;
+    upstreams.thread.stop();
+    let patience = Duration::from_millis(900);
+    let mut calls = JoinSet::new();
+    let before = (REFUSED_CALL, "before");
+    send_calls(&mut calls, &daemon, before, 3 * ALLOWED, patience);
+    calls.join_all().await;
+    daemon.kill();
+    daemon.restart();
+    tokio::time::sleep(DISCOVERY).await;
+    let mut calls = JoinSet::new();
+    let after = (REFUSED_CALL, "after");
+    send_calls(&mut calls, &daemon, after, 3 * ALLOWED, patience);
+    calls.join_all().await;
+    upstreams.thread.resume();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let most = most_in_a_window(&upstreams.retry_times(), window);
+    assert!(most <= ALLOWED, "{most} retries in a window");
+}
