--- a/crates/kelpworks-relay/src/permit.rs
+++ b/crates/kelpworks-relay/src/permit.rs
@@ -168,7 +168,7 @@
         allows_all(&lock(&self.fleet), &self.upstreams, now)
     }
 
-    /// Returns whether work has passed the first upstream so long after `since` that its process must have run.
+    /// Returns whether work has passed the first upstream more than the longest delivery after `since`.
     fn has_passed_work(&self, since: Instant) -> bool {
         let fleet = lock(&self.fleet);
         let first = self.upstreams.first().and_then(|&key| fleet.get(key));
--- a/crates/kelpworks-relay/src/permit/attempts.rs
+++ b/crates/kelpworks-relay/src/permit/attempts.rs
@@ -110,7 +110,7 @@
         origin: Origin,
         now: Instant,
     ) -> RequestAttempts {
-        // Where nobody holds a retry for an attempt of the peer, each one of this daemon is a further arrival.
+        // If the peer holds no retry for its attempt, each attempt of this daemon is a further arrival.
         let first_arrival = (origin == Origin::PeerWithoutRetry).then_some(now);
         let state = State {
             is_served: true,
--- a/crates/kelpworks-relay/src/pool/linger.rs
+++ b/crates/kelpworks-relay/src/pool/linger.rs
@@ -2,8 +2,8 @@
 //!
 //! An upstream that stands still has often acknowledged a request: its operating system holds the data, and the
 //! process reads them whenever it runs again. So time alone doesn't show that an abandoned request no longer
-//! arrives. Its connection is closed for sending, which tells the upstream that the caller has left, and is kept
-//! until the upstream answers or closes it: by then it has read the request, or never will.
+//! arrives. Its connection is closed for sending, by which the upstream notices that the caller has left, and is
+//! kept until the upstream answers or closes it: by then it has read the request, or never will.
 //!
 //! ```text
 //! 0.000  request written
@@ -133,7 +133,7 @@
         debug!(address:%, error:% = e; "connection ended");
     }
     let mut stream = connection.into_parts().io.into_inner();
-    // Tells the upstream that nothing follows, also of a request that is abandoned.
+    // The upstream notices the end of an abandoned request by this.
     let _ = stream.shutdown().await;
     let Some(spent) = abandonment.abandoned().await else {
         return;
