A restarted daemon's retries wait until its upstreams have run

Callers saw nothing; services got more retries than allowed after a daemon was killed while one of their upstreams stood still. Cause: nothing counts what a killed daemon had under way. Its successor used its part of the fixed number after a window and the longest delivery, while the upstream's operating system held acknowledged requests for as long as its process stood still. Ruled out: a part that is smaller until the doubt ends, since no fraction below the whole bounds the sum; a part that waits for work of each upstream, since a daemon with a request every three seconds never sees work of all. Change: a daemon that starts opens one connection to each upstream to which requests may have been sent, closes it for sending, and waits until the upstream closes it: its process has run, and has what was acknowledged before. The part of the fixed number is usable a window after all upstreams of the service have done so. What one daemon has found serves all that started early enough before it (one number for each service in replies, counted from the call), and daemons that start together put their checks off at random, so that the connections of a start don't grow with daemons times upstreams. Retries in proportion to requests don't wait.

--- a/crates/kelpworks-cli/tests/relay_retries.rs
+++ b/crates/kelpworks-cli/tests/relay_retries.rs
@@ -404,4 +404,27 @@
     tokio::time::sleep(Duration::from_secs(2)).await;
     let most = most_in_a_window(&upstreams.retry_times(), window);
     assert!(most <= ALLOWED, "{most} retries in a window");
+    assert_retries_are_usable(&upstreams, &daemon, window).await;
+}
+
+/// Guards against a restarted daemon without retries: upstreams that run show so within its probation.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_daemon_has_retries_as_soon_as_its_upstreams_have_run() {
+    let window = Duration::from_secs(1);
+    let upstreams = Upstreams::start(3).await;
+    let mut daemon = upstreams.daemon("restarted-soon", 0, &[]);
+    tokio::time::sleep(DISCOVERY).await;
+    daemon.kill();
+    daemon.restart();
+    tokio::time::sleep(DISCOVERY).await;
+    let mut calls = JoinSet::new();
+    let refused = (REFUSED_CALL, "after");
+    let patience = Duration::from_secs(8);
+    send_calls(&mut calls, &daemon, refused, 2 * ALLOWED, patience);
+    calls.join_all().await;
+    let retries = upstreams.retry_times();
+    let needed = USABLE_FRACTION * ALLOWED as f64;
+    assert!(retries.len() as f64 >= needed, "{} retries", retries.len());
+    let most = most_in_a_window(&retries, window);
+    assert!(most <= ALLOWED, "{most} retries in a window");
 }
--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -40,6 +40,7 @@
 use crate::peers::Peers;
 use crate::peers::StoreKind;
 use crate::placer::Placer;
+use crate::predecessor_checks;
 use crate::relay;
 use crate::relay::HandoverClient;
 use crate::relay::InFlightGuard;
@@ -229,6 +230,7 @@
             };
             tokio::spawn(watcher.run::<A>(shutdown.clone()));
         }
+        shared.retry_budget().expect_predecessor();
         shared.expect_verdicts();
         let verdict_store = VerdictStore {
             api: Arc::clone(&store),
@@ -272,6 +274,10 @@
         );
         tokio::spawn(slowness_polls);
         tokio::spawn(link_probes::run(Arc::clone(&shared), shutdown.clone()));
+        tokio::spawn(predecessor_checks::run(
+            Arc::clone(&shared),
+            shutdown.clone(),
+        ));
         tokio::spawn(event_loop::run(Arc::clone(&shared), shutdown.clone()));
         let router = operators::readiness_router(&shared);
         let readiness_server = start_server("readiness", listen.readiness, Unlimited, router).await;
--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -11,6 +11,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -302,6 +303,25 @@
         keys.filter_map(|&k| Some((k, self.upstreams.get(k)?)))
     }
 
+    /// Returns the services that have upstreams, in no particular order.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
+        let services = self.by_service.iter();
+        services.filter_map(|(service, keys)| (!keys.is_empty()).then_some(service))
+    }
+
+    /// Returns the addresses to which requests for a service may have been sent: those of plain upstreams, of engines
+    /// with the first layer, and of engines with no known layers.
+    pub fn entry_addresses(&self, service: &str) -> Vec<SocketAddr> {
+        let is_entry = |u: &Upstream| u.layers.is_none_or(|layers| layers.contains(0));
+        let entries = self.of_service(service).filter(|(_, u)| is_entry(u));
+        entries.map(|(_, u)| u.entry.address).collect()
+    }
+
+    /// Returns whether an upstream is registered at an address.
+    pub fn is_registered(&self, address: SocketAddr) -> bool {
+        self.upstreams.values().any(|u| u.entry.address == address)
+    }
+
     /// Iterates over all upstreams, mutably.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Upstream> {
         self.upstreams.values_mut()
--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod permit;
 mod placer;
 pub mod pool;
+mod predecessor_checks;
 pub mod reach;
 mod relay;
 pub mod retry_budget;
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -332,6 +332,8 @@
             }
         };
         self.learn_digest(&theirs);
+        // The reply was made after the call, so that an age in it is at least as long before the call.
+        self.learn_upstreams_ran(&theirs.upstreams_ran, called);
         self.on_contention_reply(partner, &theirs.contention);
         let Some(held) = self.held_versions_if_older(&theirs) else {
             return;
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -129,6 +129,7 @@
             leaving,
             membership,
             contention: Vec::new(),
+            upstreams_ran: self.upstreams_ran(now),
         }
     }
 
--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -223,6 +223,15 @@
     pub(super) figures: Vec<f64>,
 }
 
+/// Observation that all upstreams of a service have run.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct UpstreamsRanOf {
+    pub(super) service: Arc<str>,
+    /// Milliseconds since a time after which each of them was seen to run.
+    pub(super) age_ms: u64,
+}
+
 /// Periodic gossip message of a daemon.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -279,6 +288,9 @@
     /// Figures about the services whose requests compete for room; older builds have none.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(super) contention: Vec<ContentionOf>,
+    /// Services whose upstreams were all seen to run not long ago; older builds have none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) upstreams_ran: Vec<UpstreamsRanOf>,
 }
 
 /// Reply with the texts that are newer than the requested versions.
--- a/crates/kelpworks-relay/src/peers/retry_share.rs
+++ b/crates/kelpworks-relay/src/peers/retry_share.rs
@@ -19,6 +19,7 @@
 use super::lock;
 use super::members::FORGET_AFTER;
 use super::messages::Digest;
+use super::messages::UpstreamsRanOf;
 use super::messages::millis_since;
 use crate::retry_budget::FleetContact;
 
@@ -95,6 +96,37 @@
         latest.map_or(FleetContact::Never, FleetContact::Last)
     }
 
+    /// Returns which services' upstreams were all seen to run, for daemons that started not long ago.
+    pub(super) fn upstreams_ran(&self, now: Instant) -> Vec<UpstreamsRanOf> {
+        let observations = self.shared.retry_budget().upstreams_ran();
+        let age = |since| now.saturating_duration_since(since);
+        let recent = observations
+            .into_iter()
+            .filter(|&(_, since)| age(since) < FORGET_AFTER);
+        let reports = recent.map(|(service, since)| UpstreamsRanOf {
+            service,
+            age_ms: millis_since(since, now),
+        });
+        reports.collect()
+    }
+
+    /// Applies a peer's reports, whose ages count from `at` or later.
+    pub(super) fn learn_upstreams_ran(&self, reports: &[UpstreamsRanOf], at: Instant) {
+        for report in reports {
+            let since = at.checked_sub(Duration::from_millis(report.age_ms));
+            let is_known = self
+                .shared
+                .fleet()
+                .of_service(&report.service)
+                .next()
+                .is_some();
+            if let Some(since) = since.filter(|_| is_known) {
+                self.shared
+                    .record_upstreams_ran(&report.service, since, "a peer's report");
+            }
+        }
+    }
+
     /// Renews this daemon's part of the retry budget.
     pub(super) fn renew_retry_share(&self) {
         let now = Instant::now();
--- a/crates/kelpworks-relay/src/peers/retry_share_tests.rs
+++ b/crates/kelpworks-relay/src/peers/retry_share_tests.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use kelpworks_coord::id::Version;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -15,7 +16,9 @@
 use super::fleet_tests::SimulatedFleet;
 use super::lock;
 use super::members::FORGET_AFTER;
+use super::messages::UpstreamsRanOf;
 use super::tests::digest;
+use super::tests::engine;
 use super::tests::peers;
 
 /// Time after the start until every daemon uses its part: a window, the longest delivery, and the first
@@ -165,3 +168,41 @@
     }
     assert!(largest <= 1.0 + TOLERANCE, "{largest}");
 }
+
+/// Guards against reports that count as newer than they are, for services that nobody serves, or with ages that are no
+/// time.
+#[rstest]
+#[case::recent("llm", 1_000, true)]
+#[case::before_the_start("llm", 20_000, false)]
+#[case::no_time("llm", u64::MAX, false)]
+#[case::unknown_service("other", 0, false)]
+#[tokio::test(start_paused = true)]
+async fn report_that_upstreams_have_run_counts_from_the_call_for_it(
+    #[case] service: &str,
+    #[case] age_ms: u64,
+    #[case] counts: bool,
+) {
+    let me = peers(5);
+    me.shared.retry_budget().expect_predecessor();
+    let version = Version::initial(1);
+    me.shared
+        .fleet()
+        .replace(vec![engine()], version, Instant::now());
+    advance(Duration::from_secs(10)).await;
+    let report = UpstreamsRanOf {
+        service: Arc::from(service),
+        age_ms,
+    };
+    me.learn_upstreams_ran(&[report], Instant::now());
+    assert_eq!(!me.shared.retry_budget().awaits_upstreams("llm"), counts);
+    let told = me.upstreams_ran(Instant::now());
+    assert_eq!(
+        told.iter().any(|r| r.age_ms == age_ms),
+        counts || age_ms == 20_000
+    );
+    advance(FORGET_AFTER).await;
+    assert!(
+        me.upstreams_ran(Instant::now()).is_empty(),
+        "an old observation"
+    );
+}
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -147,6 +147,7 @@
         leaving: Vec::new(),
         membership: Fingerprint::default(),
         contention: Vec::new(),
+        upstreams_ran: Vec::new(),
     }
 }
 
--- a/crates/kelpworks-relay/src/pool.rs
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -15,6 +15,7 @@
 use std::collections::HashMap;
 use std::fmt::Debug;
 use std::hash::Hash;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -35,6 +36,8 @@
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use thiserror::Error;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
@@ -309,6 +312,34 @@
     closed.is_err()
 }
 
+/// What a connection that was opened and closed for sending at once shows of the process at its address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CloseOutcome {
+    /// It has run meanwhile, or has ended.
+    RunsOrEnded,
+    /// Its host did not respond, or accepts no further connection.
+    Unreachable,
+}
+
+/// Opens a connection, closes it for sending, and waits until it is closed from the other side as well. A process
+/// that stands still does not close it, though its operating system has accepted it.
+pub(crate) async fn observe_close(address: SocketAddr) -> CloseOutcome {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let mut stream = match connecting {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(_)) => return CloseOutcome::RunsOrEnded,
+        Err(_) => return CloseOutcome::Unreachable,
+    };
+    if let Err(e) = set_socket_options(&stream) {
+        debug!(address:%, error:% = e; "socket options not set");
+    }
+    let _ = stream.shutdown().await;
+    match stream.read(&mut [0; 1]).await {
+        Err(e) if e.kind() == ErrorKind::TimedOut => CloseOutcome::Unreachable,
+        _ => CloseOutcome::RunsOrEnded,
+    }
+}
+
 async fn open<K: Destination>(
     destination: K,
     address: SocketAddr,
--- a/crates/kelpworks-relay/src/retry_budget.rs
+++ b/crates/kelpworks-relay/src/retry_budget.rs
@@ -4,12 +4,14 @@
 //! together may cause a fixed number of retries plus a share of the requests. Each daemon applies
 //! that share to its own requests and takes an equal part of the fixed number, so the limit holds
 //! without a message for each retry, also while daemons can't reach each other (see `share`). A process
-//! that starts has no part of the fixed number until the retries of the process before it no longer count.
+//! that starts has no part of the fixed number until the retries of the process before it no longer count
+//! (see `predecessor`).
 //!
 //! A retry counts from its permission until one window after the latest arrival that it can stand for (see the
 //! account of a service in `account`, and [`crate::permit`]). One of which nothing was written is given back.
 
 mod account;
+mod predecessor;
 mod share;
 mod window;
 
@@ -21,6 +23,7 @@
 
 use crate::pool::TCP_USER_TIMEOUT;
 use account::Account;
+use predecessor::Predecessor;
 use share::Share;
 
 pub use account::RetryCounts;
@@ -71,6 +74,8 @@
     /// When this process began to count.
     started: Instant,
     services: HashMap<Arc<str>, Account>,
+    /// `None` if no former process of this daemon is expected.
+    predecessor: Option<Predecessor>,
 }
 
 impl RetryBudget {
@@ -85,9 +90,41 @@
             share: Share::new(daemons, started, probation),
             started,
             services: HashMap::new(),
+            predecessor: None,
         }
     }
 
+    /// Has the part of the fixed number of retries of each service wait for
+    /// [`RetryBudget::record_upstreams_ran`]: a former process of this daemon may have left requests at upstreams.
+    pub fn expect_predecessor(&mut self) {
+        self.predecessor = Some(Predecessor::new(self.started + LONGEST_DELIVERY));
+    }
+
+    /// Records that all upstreams of a service were seen to run after `since`. Returns whether this shows for the
+    /// first time that requests of a former process no longer arrive.
+    pub fn record_upstreams_ran(
+        &mut self,
+        service: &Arc<str>,
+        since: Instant,
+        now: Instant,
+    ) -> bool {
+        let predecessor = self.predecessor.as_mut();
+        predecessor.is_some_and(|p| p.record_run(service, since, now))
+    }
+
+    /// Returns whether requests of a former process may still arrive at a service.
+    pub fn awaits_upstreams(&self, service: &str) -> bool {
+        let predecessor = self.predecessor.as_ref();
+        predecessor.is_some_and(|p| !p.is_over(service))
+    }
+
+    /// Returns the latest time after which all upstreams of each service were seen to run, if that is known.
+    pub fn upstreams_ran(&self) -> Vec<(Arc<str>, Instant)> {
+        let observations = self.predecessor.iter().flat_map(Predecessor::observations);
+        let observations = observations.map(|(service, since)| (Arc::clone(service), since));
+        observations.collect()
+    }
+
     /// Returns the number of daemons that share the limit.
     pub fn daemons(&self) -> usize {
         self.share.daemons()
@@ -163,7 +200,12 @@
 
     /// Returns the number of retries that this daemon may cause in the window that ends at `now`.
     fn allowed(&mut self, service: &Arc<str>, now: Instant) -> f64 {
-        let fixed = self.fixed_part(now);
+        let window = self.limit.window;
+        let predecessor = self.predecessor.as_ref();
+        let fixed = match predecessor.is_none_or(|p| p.is_past(service, window, now)) {
+            true => self.fixed_part(now),
+            false => 0.0,
+        };
         let ratio = self.limit.ratio;
         let requests = self.account(service).requests(now) as f64;
         (fixed + ratio * requests) * USABLE_FRACTION
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -393,6 +393,30 @@
         retry
     }
 
+    /// Records that all upstreams of a service were seen to run after `since`, so that requests of a former process
+    /// of this daemon that arrive late have done so.
+    pub(crate) fn record_upstreams_ran(
+        &self,
+        service: &Arc<str>,
+        since: Instant,
+        source: &'static str,
+    ) {
+        let now = Instant::now();
+        let is_first = self
+            .retry_budget()
+            .record_upstreams_ran(service, since, now);
+        if is_first {
+            info!(
+                target: "decision",
+                service:% = service,
+                source:% = source,
+                age_ms = now.duration_since(since).as_millis() as u64,
+                process_age_ms = now.duration_since(self.started).as_millis() as u64;
+                "no requests of a former process left"
+            );
+        }
+    }
+
     /// Locks the record of what this daemon reaches over its own links.
     pub fn reach(&self) -> MutexGuard<'_, Reach<UpstreamKey>> {
         lock(&self.reach)
