--- a/crates/kelpworks-cli/tests/soak/retries.rs
+++ b/crates/kelpworks-cli/tests/soak/retries.rs
@@ -216,6 +216,16 @@
             time.checked += 1;
             let is_late = arrival.deadline().is_none_or(|end| end > latest);
             time.late += usize::from(is_late);
+            if is_late {
+                let after_caller = |a: &Arrival| {
+                    let end = a.deadline().unwrap_or(a.at);
+                    end.saturating_duration_since(sent_at + DEADLINE)
+                };
+                let (first, late) = (after_caller(first), after_caller(arrival));
+                println!(
+                    "{request}: time handed to {target:?} ends {late:?} late, {first:?} at first"
+                );
+            }
         }
     }
     time
