--- a/crates/kelpworks-cli/tests/relay_retries.rs
+++ b/crates/kelpworks-cli/tests/relay_retries.rs
@@ -336,8 +336,9 @@
             upstreams.thread.resume();
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
+        // What was in doubt has been decided, and the retries are usable again.
+        send_rounds(&mut calls, &running, "end", 3 * window).await;
         calls.join_all().await;
-        tokio::time::sleep(Duration::from_secs(1)).await;
         most_in_a_window(&upstreams.retry_times(), window)
     }
 
