Retries of a service that is new don't wait for its upstreams

Callers of a service whose first upstreams register after a daemon's start got no retry from the fixed number for a window. Cause: the wait for upstreams that have run applied to every service, though a former process can't have sent to one without upstreams. Change: the services that have upstreams when the check begins wait; others don't.

--- a/crates/kelpworks-relay/src/predecessor_checks.rs
+++ b/crates/kelpworks-relay/src/predecessor_checks.rs
@@ -8,7 +8,7 @@
 //! the first ones find reaches the others with the digests before most of them begin. So the connections of a
 //! start grow with the upstreams, not with the daemons times the upstreams.
 //!
-//! Limits: an upstream that is not registered when the check begins is not checked. One whose host does not respond is
+//! Limits: an upstream that is not registered when the check begins is not checked, as one that starts later. One whose host does not respond is
 //! taken for ended once it is no longer registered.
 
 #[cfg(test)]
@@ -19,6 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use log::info;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -38,11 +39,11 @@
 const CONCURRENT_CONNECTIONS: usize = 32;
 /// Time after which further connections are opened beside those to upstreams that don't respond.
 const RESPONSE_TIME: Duration = Duration::from_millis(500);
-/// Interval at which services are looked for that are not checked yet, and hosts are called again that did not
-/// respond.
+/// Interval at which is looked for registrations and observations of other daemons, and hosts are called again that
+/// did not respond.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Checks the upstreams of each service once, until `stop` is cancelled.
+/// Checks the upstreams of each service that has some, once, until `stop` is cancelled.
 pub(crate) async fn run(shared: Arc<Shared>, stop: CancellationToken) {
     tokio::select! {
         () = stop.cancelled() => {}
@@ -54,16 +55,22 @@
     tokio::time::sleep(LONGEST_DELIVERY).await;
     let daemons = shared.retry_budget().daemons();
     tokio::time::sleep(random_delay(daemons)).await;
-    let mut begun: HashSet<Arc<str>> = HashSet::new();
-    let mut checks = JoinSet::new();
+    let services = registered_services(shared).await;
+    shared
+        .retry_budget()
+        .set_predecessor_services(services.clone());
+    let checks = services.into_iter().map(|service| check(shared, service));
+    join_all(checks).await;
+}
+
+/// Waits until upstreams are registered, and returns their services.
+async fn registered_services(shared: &Shared) -> HashSet<Arc<str>> {
     loop {
-        for service in services(shared) {
-            if begun.insert(Arc::clone(&service)) {
-                checks.spawn(check(Arc::clone(shared), service));
-            }
+        let services: HashSet<Arc<str>> = shared.fleet().services().map(Arc::clone).collect();
+        if !services.is_empty() {
+            return services;
         }
         tokio::time::sleep(RETRY_INTERVAL).await;
-        while checks.try_join_next().is_some() {}
     }
 }
 
@@ -74,16 +81,8 @@
     longest.mul_f64(rand::random())
 }
 
-/// Returns the services that have upstreams which may hold requests.
-fn services(shared: &Shared) -> Vec<Arc<str>> {
-    let fleet = shared.fleet();
-    let budget = shared.retry_budget();
-    let services = fleet.services().filter(|s| budget.awaits_upstreams(s));
-    services.map(Arc::clone).collect()
-}
-
 /// Waits until all upstreams of a service were seen to run, by this daemon or another one.
-async fn check(shared: Arc<Shared>, service: Arc<str>) {
+async fn check(shared: &Arc<Shared>, service: Arc<str>) {
     let began = Instant::now();
     let addresses = shared.fleet().entry_addresses(&service);
     let seen_elsewhere = async {
@@ -93,7 +92,7 @@
     };
     tokio::select! {
         () = seen_elsewhere => {}
-        () = wait_for_runs(&shared, &service, addresses) => {
+        () = wait_for_runs(shared, &service, addresses) => {
             shared.record_upstreams_ran(&service, began, "own connections");
         }
     }
--- a/crates/kelpworks-relay/src/retry_budget.rs
+++ b/crates/kelpworks-relay/src/retry_budget.rs
@@ -16,6 +16,7 @@
 mod window;
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -100,6 +101,13 @@
         self.predecessor = Some(Predecessor::new(self.started + LONGEST_DELIVERY));
     }
 
+    /// Sets the services whose upstreams may hold requests of a former process; the parts of others don't wait.
+    pub fn set_predecessor_services(&mut self, services: HashSet<Arc<str>>) {
+        if let Some(predecessor) = &mut self.predecessor {
+            predecessor.set_services(services);
+        }
+    }
+
     /// Records that all upstreams of a service were seen to run after `since`. Returns whether this shows for the
     /// first time that requests of a former process no longer arrive.
     pub fn record_upstreams_ran(
--- a/crates/kelpworks-relay/src/retry_budget/predecessor.rs
+++ b/crates/kelpworks-relay/src/retry_budget/predecessor.rs
@@ -8,6 +8,7 @@
 //! Any daemon's observation serves all that started early enough before it.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,7 +19,9 @@
 pub(super) struct Predecessor {
     /// Time by which its last request has reached an upstream, or never will.
     last_delivery: Instant,
-    services: HashMap<Arc<str>, Observation>,
+    /// Services whose upstreams may hold requests; `None` until they are known.
+    services: Option<HashSet<Arc<str>>>,
+    observations: HashMap<Arc<str>, Observation>,
 }
 
 /// Observation that all upstreams of a service have run.
@@ -35,14 +38,20 @@
     pub(super) fn new(last_delivery: Instant) -> Predecessor {
         Predecessor {
             last_delivery,
-            services: HashMap::new(),
+            services: None,
+            observations: HashMap::new(),
         }
     }
 
+    /// Sets the services whose upstreams may hold requests. Those of other services have come later.
+    pub(super) fn set_services(&mut self, services: HashSet<Arc<str>>) {
+        self.services = Some(services);
+    }
+
     /// Records that all upstreams of a service were seen to run after `since`. Returns whether this shows for the
     /// first time that requests of the former process no longer arrive.
     pub(super) fn record_run(&mut self, service: &Arc<str>, since: Instant, now: Instant) -> bool {
-        let observation = self.services.entry(Arc::clone(service));
+        let observation = self.observations.entry(Arc::clone(service));
         let observation = observation.or_insert(Observation {
             since,
             known_at: None,
@@ -57,20 +66,29 @@
 
     /// Returns whether no request for a service arrives any more.
     pub(super) fn is_over(&self, service: &str) -> bool {
-        self.known_at(service).is_some()
+        !self.may_have_sent(service) || self.known_at(service).is_some()
     }
 
     /// Returns whether no request for a service has arrived within the window that ends at `now`, or arrives later.
     pub(super) fn is_past(&self, service: &str, window: Duration, now: Instant) -> bool {
-        self.known_at(service).is_some_and(|at| now >= at + window)
+        let is_past = |at: Instant| now >= at + window;
+        !self.may_have_sent(service) || self.known_at(service).is_some_and(is_past)
+    }
+
+    /// Returns whether the former process may have left requests at upstreams of a service.
+    fn may_have_sent(&self, service: &str) -> bool {
+        let services = self.services.as_ref();
+        services.is_none_or(|services| services.contains(service))
     }
 
     /// Iterates over the services with the latest time after which all their upstreams were seen to run.
     pub(super) fn observations(&self) -> impl Iterator<Item = (&Arc<str>, Instant)> {
-        self.services.iter().map(|(service, o)| (service, o.since))
+        self.observations
+            .iter()
+            .map(|(service, o)| (service, o.since))
     }
 
     fn known_at(&self, service: &str) -> Option<Instant> {
-        self.services.get(service)?.known_at
+        self.observations.get(service)?.known_at
     }
 }
--- a/crates/kelpworks-relay/tests/retry_predecessor.rs
+++ b/crates/kelpworks-relay/tests/retry_predecessor.rs
@@ -63,6 +63,21 @@
     assert_eq!(usable(&mut budget, &Arc::from("app")), 0, "another service");
 }
 
+/// Guards against a service that is new, and has no fixed part for a window since its upstreams were never checked.
+#[tokio::test(start_paused = true)]
+async fn fixed_part_of_a_service_without_upstreams_at_the_start_does_not_wait() {
+    let mut budget = budget();
+    advance(LIMIT.window + LONGEST_DELIVERY).await;
+    assert_eq!(
+        usable(&mut budget, &Arc::from("new")),
+        0,
+        "registrations are unknown"
+    );
+    budget.set_predecessor_services([service()].into());
+    assert_eq!(usable(&mut budget, &Arc::from("new")), USABLE);
+    assert_eq!(usable(&mut budget, &service()), 0);
+}
+
 /// Guards against an observation that is older than the last request of the former process.
 #[rstest]
 #[case::before_the_last_delivery(LONGEST_DELIVERY - Duration::from_millis(1), 0)]
