Stand-in engines answer 404 to a late order for a request that runs elsewhere

Cause: engines share the paths of requests. An order to change a path, held by an engine that stood still, was compared with the path of a later attempt at another engine; the assertion that the first part stays failed in the engine, and the poisoned lock made all engines break off each stream. Change: such an order gets 404, as from an engine that doesn't run the request. That an order names the engine that it is sent to as the first is asserted in addition; that the first part of a request that runs there stays, as before.

--- a/crates/kelpworks-cli/tests/relay_site/engine.rs
+++ b/crates/kelpworks-cli/tests/relay_site/engine.rs
@@ -446,14 +446,18 @@
         StatusCode::ACCEPTED
     }
 
-    /// Changes the path of a running request; its first part must stay.
+    /// Changes the path of a request that runs here; its first part must stay.
     fn repath(&self, order: &Value) -> StatusCode {
         let Ok(new) = self.parts(order["path"].as_str().expect("a path")) else {
             return StatusCode::CONFLICT;
         };
+        let own = &self.engine.instance;
+        assert!(*own == new[0].0.instance, "an order for another engine");
         let mut paths = self.registry.paths.lock().expect("no panic");
         let request = order["id"].as_str().expect("an id");
-        let Some(old) = paths.get_mut(request) else {
+        let running_here = paths.get_mut(request);
+        // An engine that stood still reads an order after the request has gone on elsewhere.
+        let Some(old) = running_here.filter(|parts| parts[0].0.instance == *own) else {
             return StatusCode::NOT_FOUND;
         };
         let is_first_kept = old[0].1 == new[0].1 && old[0].0.instance == new[0].0.instance;
