Skewed balancer: idle work does not get cheaper when a daemon is late

Cause: the rig multiplied the processor time of idle daemons, too, by the cost of a request at a late one, though only events that wait are passed on together. An idle daemon of a debug build uses 0.025 of a core; quotas of 0.041 left 0.017 for requests, a seventh of what the favoured daemon gets, in place of a third of its load. Ruled out: busy processes beside it; these runs were alone on the machine. Change: the factor applies to requests.

--- a/crates/kelpworks-cli/tests/relay_skew.rs
+++ b/crates/kelpworks-cli/tests/relay_skew.rs
@@ -332,7 +332,8 @@
     let busy = used(daemons).saturating_sub(before + idle);
     let idle_share = idle.div_duration_f64(CALIBRATION_PERIOD) / daemons.len() as f64;
     let all_share = busy.div_duration_f64(CALIBRATION_PERIOD) * f64::from(rate) / f64::from(RATE);
-    let quota = (idle_share + FAVOURED_SHARE * all_share) * LATE_COST / OVERLOAD;
+    let late_share = FAVOURED_SHARE * all_share * LATE_COST;
+    let quota = (idle_share + late_share) / OVERLOAD;
     println!("idle {idle_share:.4} of a core, all requests {all_share:.3}, quota {quota:.4}");
     quota
 }
