--- a/review/standins/lib.rs
+++ b/review/standins/lib.rs
@@ -297,11 +297,19 @@
     address
 }
 
-/// Returns a free port of 127.0.0.1.
+/// Returns a free port of 127.0.0.1 that it has not returned before.
 pub fn free_port() -> u16 {
-    let listener =
-        TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| could_not_run(&format!("bind: {e}")));
-    listener.local_addr().expect("an address").port()
+    static RETURNED: Mutex<Vec<u16>> = Mutex::new(Vec::new());
+    let mut returned = RETURNED.lock().expect("no panic");
+    loop {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .unwrap_or_else(|e| could_not_run(&format!("bind: {e}")));
+        let port = listener.local_addr().expect("an address").port();
+        if !returned.contains(&port) {
+            returned.push(port);
+            return port;
+        }
+    }
 }
 
 // ---------------------------------------------------------------- client
