review: add the case of an endless list of servers

Another writer's entry of nearly a megabyte with a name that is no UTF-8 makes each daemon that starts list the servers for ever.

--- a/review/standins/lib.rs
+++ b/review/standins/lib.rs
@@ -99,6 +99,13 @@
         thread::sleep(MAX_RUN);
         could_not_run("it took too long");
     });
+    let print_panic = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |panic| {
+        print_panic(panic);
+        if thread::current().name() == Some("main") {
+            could_not_run("the case itself has failed");
+        }
+    }));
     temporary_folder()
 }
 
@@ -577,6 +584,45 @@
     }
 }
 
+/// Bounds of a page of a list: about 500 objects, or 1 MB; an object that is larger is alone.
+const MAX_PAGE_OBJECTS: usize = 500;
+const MAX_PAGE_BYTES: usize = 1_000_000;
+/// Number of pages of lists that the store has answered.
+pub static PAGES: AtomicU32 = AtomicU32::new(0);
+
+/// Returns the first page of these objects, and whether more follow.
+fn page_of(objects: impl Iterator<Item = Vec<u8>>) -> (Vec<Vec<u8>>, bool) {
+    let mut page = Vec::new();
+    let mut bytes = 0;
+    for object in objects {
+        bytes += object.len();
+        let is_full = page.len() >= MAX_PAGE_OBJECTS || bytes > MAX_PAGE_BYTES;
+        if is_full && !page.is_empty() {
+            return (page, true);
+        }
+        page.push(object);
+    }
+    (page, false)
+}
+
+/// Decodes a value of a query.
+fn percent_decoded(value: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    let mut rest = value.as_bytes();
+    while let [first, tail @ ..] = rest {
+        rest = tail;
+        let hex = tail.get(..2).and_then(|h| std::str::from_utf8(h).ok());
+        match hex.and_then(|h| u8::from_str_radix(h, 16).ok()) {
+            Some(byte) if *first == b'%' => {
+                out.push(byte);
+                rest = &tail[2..];
+            }
+            _ => out.push(*first),
+        }
+    }
+    out
+}
+
 fn put(state: &mut StoreState, kind: &str, name: &[u8], spec: &str) -> u64 {
     let key = (kind.to_owned(), name.to_vec());
     if let Some(old) = state.objects.get(&key)
@@ -652,15 +698,19 @@
                     state = shared.1.wait_timeout(state, left).expect("no panic").0;
                 }
             }
-            let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
-            let entries: Vec<Vec<u8>> = of_kind
-                .map(|((_, n), o)| object(n, o.revision, &o.spec))
-                .collect();
+            let after = req.query("after").map(percent_decoded).unwrap_or_default();
+            let of_kind = state.objects.iter();
+            let of_kind = of_kind.filter(|((k, n), _)| k == kind && *n > after);
+            let objects = of_kind.map(|((_, n), o)| object(n, o.revision, &o.spec));
+            let (page, truncated) = page_of(objects);
+            PAGES.fetch_add(1, Ordering::Relaxed);
             let mut out = b"{\"entries\":[".to_vec();
-            out.extend(entries.join(&b","[..]));
-            out.extend(
-                format!("],\"truncated\":false,\"current-rev\":{}}}", state.revision).bytes(),
+            out.extend(page.join(&b","[..]));
+            let rest = format!(
+                "],\"truncated\":{truncated},\"current-rev\":{}}}",
+                state.revision
             );
+            out.extend(rest.bytes());
             (200, out)
         }
         ("GET", name) => match state
