Test what callers make a daemon hold, failing

What callers see: a crowd of callers that send heads over the limit or without end, empty lines, or many large bodies and stay connected makes the daemon hold more memory than its host has, or all of its descriptors; the host ends the process.

A test checks that the process lives, that its peak resident memory and its open descriptors stay under what the host has, and that an ordinary request is answered while the crowd stays connected.

--- a/crates/kelpworks-cli/tests/relay_site/daemon.rs
+++ b/crates/kelpworks-cli/tests/relay_site/daemon.rs
@@ -15,8 +15,11 @@
 use reqwest::Method;
 use reqwest::RequestBuilder;
 use rustix::process::Pid;
+use rustix::process::Resource;
+use rustix::process::Rlimit;
 use rustix::process::Signal;
 use rustix::process::kill_process;
+use rustix::process::prlimit;
 
 use super::HOST;
 use super::KEY;
@@ -48,6 +51,15 @@
     Off,
 }
 
+/// What a daemon's host has for it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Host {
+    /// Memory, in megabytes (10^6 bytes).
+    pub(crate) memory_mb: u64,
+    /// File descriptors; the process gets no more.
+    pub(crate) descriptors: u64,
+}
+
 /// A running daemon; killed when dropped.
 #[derive(Debug)]
 pub(crate) struct Relay {
@@ -152,6 +164,43 @@
         }
     }
 
+    /// Limits the file descriptors of the process.
+    pub(crate) fn limit_descriptors(&self, descriptors: u64) {
+        let limit = Rlimit {
+            current: Some(descriptors),
+            maximum: Some(descriptors),
+        };
+        let pid = Some(Pid::from_child(&self.child));
+        prlimit(pid, Resource::Nofile, limit).expect("limits of a child can be lowered");
+    }
+
+    /// Returns the highest resident set size of the process so far, in bytes.
+    pub(crate) fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.pid());
+        let status = std::fs::read_to_string(path).expect("the status of a child");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|l| l.trim().strip_suffix("kB"));
+        let kib: u64 = kib.expect("a size").trim().parse().expect("a number");
+        kib << 10
+    }
+
+    /// Returns the processor time of the process so far, in clock ticks of the operating system.
+    pub(crate) fn processor_ticks(&self) -> u64 {
+        let path = format!("/proc/{}/stat", self.pid());
+        let stat = std::fs::read_to_string(path).expect("the state of a child");
+        let (_, fields) = stat.rsplit_once(')').expect("the name of a child");
+        // User time, then system time: the 14th and 15th fields of the line.
+        let times = fields.split_whitespace().skip(11).take(2);
+        times.map(|t| t.parse::<u64>().expect("a number")).sum()
+    }
+
+    /// Returns the number of file descriptors that the process has open.
+    pub(crate) fn open_descriptors(&self) -> u64 {
+        let path = format!("/proc/{}/fd", self.pid());
+        let entries = std::fs::read_dir(path).expect("the descriptors of a child");
+        entries.count() as u64
+    }
+
     /// Starts the process again after it has exited.
     pub(crate) fn restart(&mut self) {
         let out = File::options().append(true).open(&self.log);
--- a/crates/kelpworks-cli/tests/relay_site/engine.rs
+++ b/crates/kelpworks-cli/tests/relay_site/engine.rs
@@ -649,6 +649,8 @@
 const RESET_SUFFIX: &str = "reset";
 const REFUSE_SUFFIX: &str = "full";
 const FOREIGN_SUFFIX: &str = "foreign";
+/// Longest body of a request that the plain service reads.
+const MAX_BODY_BYTES: usize = 16 << 20;
 
 /// A plain service; the end of a request's path selects how it answers.
 #[derive(Clone, Debug)]
@@ -749,9 +751,12 @@
             res.status_code(StatusCode::SERVICE_UNAVAILABLE);
             return;
         }
-        let mut run_counts = self.run_counts.lock().expect("no panic");
-        *run_counts.entry(request.clone()).or_default() += 1;
-        drop(run_counts);
+        {
+            let mut run_counts = self.run_counts.lock().expect("no panic");
+            *run_counts.entry(request.clone()).or_default() += 1;
+        }
+        // Without it a large body would be reset, and the answer with it.
+        let _ = req.payload_with_max_size(MAX_BODY_BYTES).await;
         let echoed = if path.ends_with(FOREIGN_SUFFIX) {
             "another".to_owned()
         } else {
--- a/crates/kelpworks-cli/tests/relay_site/mod.rs
+++ b/crates/kelpworks-cli/tests/relay_site/mod.rs
@@ -233,6 +233,18 @@
         site
     }
 
+    /// Like [`Site::start`], with one daemon on such a host and this configuration.
+    pub(crate) async fn start_on_host(name: &str, host: daemon::Host, config: Value) -> Site {
+        let mut site = Site::start_without_daemons().await;
+        site.store.put("config", "main", config);
+        let budget = daemon::RetryBudget::default();
+        let relay = Relay::start(name, 0, site.store.address, &[], &budget);
+        relay.limit_descriptors(host.descriptors);
+        site.daemons.push(relay);
+        site.wait_until_served().await;
+        site
+    }
+
     /// Starts a store, engines and a plain service as [`Site::start`] does, without daemons.
     pub(crate) async fn start_without_daemons() -> Site {
         let budget = daemon::RetryBudget::default();
