Bound the connections and request heads of callers by the host

Callers saw: a crowd that connects and sends long heads, heads without end or empty lines took the daemon's memory, and one that connects and sends nothing its descriptors, so that ordinary requests got 503.

Cause: the HTTP server's read buffer grows to some 400 KB a connection, the configured limit is compared once a head is whole, nothing counts connections, and one timer covers idle time and head.

Change: the read buffer is bounded by the configured limit at the acceptance of each connection, which takes an accept loop of our own, since the server that was used has one buffer size for all. The number of connections follows from the host's memory and descriptors, which the settings name now; beyond it the one that has waited longest for a request makes room. A head that has begun has header-timeout-ms. Listeners for readiness, operators and hand-overs are bounded as well. An answer of which nothing is taken for idle-timeout-ms ends. The receive buffer is 64 KiB, and counts in the memory for bodies once a caller sends more than its request.

--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -32,8 +32,10 @@
 
 use crate::adapter::Adapter;
 use crate::adapter::EngineApi;
+use crate::config::CallerLimits;
 use crate::engine_calls::EngineCalls;
 use crate::event_loop;
+use crate::host_limits::HostLimits;
 use crate::link_probes;
 use crate::operators;
 use crate::operators::Readiness;
@@ -46,10 +48,11 @@
 use crate::relay::InFlightGuard;
 use crate::relay::Relay;
 use crate::retry_budget::RetryLimit;
+use crate::server::ConnectionBounds;
 use crate::server::ConnectionGate;
 use crate::server::DEFAULT_HEAD_TIMEOUT;
+use crate::server::MaxConnections;
 use crate::server::Server;
-use crate::server::Unlimited;
 use crate::settings;
 use crate::settings::Settings;
 use crate::shared::Shared;
@@ -80,6 +83,8 @@
 const MAX_ORDER_DELAY: Span = Span::from_millis(700);
 /// Interval at which daemons that do not hold the lease check it.
 const LEASE_POLL_INTERVAL: Span = Span::from_millis(1_500);
+/// Maximum number of connections of load balancers, and of operators.
+const MAX_STATUS_CONNECTIONS: usize = 32;
 /// Delay before a failed call for the lease is retried.
 const LEASE_RETRY_INTERVAL: Span = Span::from_millis(400);
 
@@ -203,11 +208,10 @@
             ratio: settings.repeats.ratio,
             allowance: settings.repeats.slack,
         };
-        let shared = Arc::new(Shared::new(
-            &settings.failure_domain,
-            retry_limit,
-            INITIAL_DAEMON_COUNT,
-        ));
+        let host = settings.host.limits();
+        let domain = &settings.failure_domain;
+        let shared = Shared::new(domain, retry_limit, INITIAL_DAEMON_COUNT).on_host(host);
+        let shared = Arc::new(shared);
         let store_cache = Arc::new(StoreCache::new(Arc::clone(&shared)));
         let listen = &settings.listen;
         let peers = Peers::new(
@@ -280,20 +284,32 @@
         ));
         tokio::spawn(event_loop::run(Arc::clone(&shared), shutdown.clone()));
         let router = operators::readiness_router(&shared);
-        let readiness_server = start_server("readiness", listen.readiness, Unlimited, router).await;
+        let status_gate = MaxConnections(MAX_STATUS_CONNECTIONS);
+        let servers = Servers { shared: &shared };
+        let readiness_server = servers.start("readiness", listen.readiness, status_gate, router);
+        let readiness_server = readiness_server.await;
         let router = operators::operators_router(metrics, &shared);
-        let metrics_server = start_server("operators", listen.operators, Unlimited, router).await;
+        let metrics_server = servers.start("operators", listen.operators, status_gate, router);
+        let metrics_server = metrics_server.await;
         let handover_client = HandoverClient::new(Arc::clone(&peers));
         let relay: Relay<A, E> = Relay::new(&shared, &engine_calls, handover_client);
         let handover_server = match listen.handover {
-            Some(address) => Some(start_handover_server(address, &relay, &peers).await?),
+            Some(address) => {
+                let gate = MaxConnections(host.handover_connections());
+                let router = relay::handover_router(&relay);
+                let server = servers.start("handover", address, gate, router).await?;
+                peers.offer_handover(address.port());
+                Some(server)
+            }
             None => None,
         };
         let router = relay::router(&relay);
         let gate = CallerGate {
             shared: Arc::clone(&shared),
+            host,
         };
-        let caller_server = start_server("callers", listen.callers, gate, router).await;
+        let caller_server = servers.start("callers", listen.callers, gate, router);
+        let caller_server = caller_server.await;
         Ok(Daemon {
             caller_server: caller_server?,
             status_servers: vec![readiness_server?, metrics_server?],
@@ -370,33 +386,31 @@
     }
 }
 
-/// Starts to serve requests of other daemons, and offers that to them.
-async fn start_handover_server<A: Adapter, E: EngineApi>(
-    address: SocketAddr,
-    relay: &Relay<A, E>,
-    peers: &Peers,
-) -> Result<Server> {
-    let router = relay::handover_router(relay);
-    let server = start_server("handover", address, Unlimited, router).await?;
-    peers.offer_handover(address.port());
-    Ok(server)
+/// Starts the daemon's HTTP servers.
+struct Servers<'a> {
+    shared: &'a Shared,
 }
 
-/// Serves a router on an address, to connections that `gate` admits.
-async fn start_server(
-    name: &'static str,
-    address: SocketAddr,
-    gate: impl ConnectionGate,
-    router: Router,
-) -> Result<Server> {
-    let server = Server::start(name, address, gate, router).await;
-    server.map_err(listen_error(name))
+impl Servers<'_> {
+    /// Serves a router on an address, to connections that `gate` admits.
+    async fn start(
+        &self,
+        name: &'static str,
+        address: SocketAddr,
+        gate: impl ConnectionGate,
+        router: Router,
+    ) -> Result<Server> {
+        let memory = Arc::clone(self.shared.memory());
+        let server = Server::start(name, address, gate, router, memory).await;
+        server.map_err(listen_error(name))
+    }
 }
 
-/// Admits connections of callers while the daemon keeps up with the requests under way. The
-/// configuration in force at its acceptance determines a connection's timeout.
+/// Admits connections of callers while the daemon keeps up with the requests under way, and as many as its host has
+/// room for. The configuration in force at its acceptance determines a connection's bounds.
 struct CallerGate {
     shared: Arc<Shared>,
+    host: HostLimits,
 }
 
 impl ConnectionGate for CallerGate {
@@ -408,14 +422,26 @@
         is_admitted.then(|| InFlightGuard::new(&self.shared))
     }
 
-    fn head_timeout(&self) -> Duration {
+    fn bounds(&self) -> ConnectionBounds {
         let table = self.shared.table.load();
-        match table.version() {
+        let limits = match table.version() {
+            0 => CallerLimits::default(),
+            _ => table.limits(),
+        };
+        let or_default = |timeout: Duration| match timeout.is_zero() {
+            true => DEFAULT_HEAD_TIMEOUT,
+            false => timeout,
+        };
+        let request_timeout = match table.version() {
             0 => DEFAULT_HEAD_TIMEOUT,
-            _ => table
-                .limits()
-                .head_timeout()
-                .unwrap_or(DEFAULT_HEAD_TIMEOUT),
+            _ => limits.head_timeout().unwrap_or(DEFAULT_HEAD_TIMEOUT),
+        };
+        ConnectionBounds {
+            max_connections: self.host.caller_connections(limits.header_bytes),
+            head_bytes: limits.header_bytes,
+            request_timeout,
+            head_timeout: or_default(limits.header_timeout),
+            write_timeout: or_default(limits.idle_timeout),
         }
     }
 }
--- a/crates/kelpworks-relay/src/server.rs
+++ b/crates/kelpworks-relay/src/server.rs
@@ -1,31 +1,65 @@
-//! HTTP servers of a daemon that can be stopped gracefully.
+//! HTTP servers of a daemon, which bound what their connections take and can be stopped gracefully.
+//!
+//! A caller whose connection is closed before its request was read knows that nothing has run, and its retry meets
+//! another daemon. Closing costs this daemon two system calls; a refusal would have to be read, decided and written.
 
-mod acceptor;
+mod connections;
+mod gate;
+mod service;
+mod stream;
 
+use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use log::debug;
+use log::warn;
+use salvo::ConnCtrl;
 use salvo::Router;
-use salvo::Server as HttpServer;
-use salvo::server::ServerHandle;
+use salvo::Service;
+use salvo::http::uri::Scheme;
+use socket2::SockRef;
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
-pub(crate) use acceptor::ConnectionGate;
-pub(crate) use acceptor::DEFAULT_HEAD_TIMEOUT;
-use acceptor::GatedAcceptor;
-pub(crate) use acceptor::Unlimited;
+use crate::memory_budget::MemoryBudget;
+pub(crate) use connections::Connection;
+use connections::Connections;
+pub(crate) use gate::ConnectionBounds;
+pub(crate) use gate::ConnectionGate;
+pub(crate) use gate::DEFAULT_HEAD_TIMEOUT;
+pub(crate) use gate::MaxConnections;
+use service::RequestTracker;
+use stream::ConnectionStream;
+
+/// Bytes of a connection that the operating system holds unread at most.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+/// Size of a read buffer in addition to the largest head: what precedes it, and what the size of a head leaves out.
+const HEAD_OVERHEAD_BYTES: usize = 1 << 10;
+/// Least size of a read buffer that the HTTP server supports.
+const MIN_READ_BUFFER_BYTES: usize = 8 << 10;
+/// Pause after a connection could not be accepted, as when the process has no descriptor left.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A running server.
 #[derive(Debug)]
 pub(crate) struct Server {
-    handle: ServerHandle,
-    task: JoinHandle<()>,
+    /// Cancelled to stop accepting connections.
+    stopping: CancellationToken,
+    /// Cancelled to abort requests in flight.
+    aborting: CancellationToken,
+    tasks: TaskTracker,
 }
 
 impl Server {
     /// Listens on an address; `name` is that of the listener in metrics. Connections that `gate` does not admit are
-    /// closed unread, and one that receives no whole request head within the gate's head timeout is closed.
+    /// closed unread, and those that exceed its bounds are closed. Bytes that they leave unread count in `memory`.
     ///
     /// # Errors
     ///
@@ -35,31 +69,175 @@
         address: SocketAddr,
         gate: impl ConnectionGate,
         router: Router,
-    ) -> std::io::Result<Server> {
+        memory: Arc<MemoryBudget>,
+    ) -> io::Result<Server> {
         let listener = TcpListener::bind(address).await?;
-        let acceptor = GatedAcceptor::new(listener, gate, name)?;
-        // Without a policy the server keeps the timeouts that the acceptor sets for each connection.
-        let server = HttpServer::new(acceptor).disable_fuse();
-        let handle = server.handle();
-        let task = tokio::spawn(server.serve(router));
-        Ok(Server { handle, task })
+        // Accepted connections inherit it.
+        if let Err(e) = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+            debug!(error:% = e; "receive buffer not set");
+        }
+        let server = Server {
+            stopping: CancellationToken::new(),
+            aborting: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+        };
+        let acceptor = Acceptor {
+            local: listener.local_addr()?,
+            listener,
+            gate,
+            service: Service::new(router),
+            connections: Arc::new(Connections::new(name)),
+            memory,
+            stopping: server.stopping.clone(),
+            aborting: server.aborting.clone(),
+            tasks: server.tasks.clone(),
+        };
+        server.tasks.spawn(acceptor.run());
+        Ok(server)
     }
 
     /// Stops accepting connections. Requests in flight continue, and their connections close
     /// afterwards.
     pub(crate) fn stop_accepting(&self) {
-        self.handle.stop_graceful(None);
+        self.stopping.cancel();
+        self.tasks.close();
     }
 
     /// Stops accepting connections, waits up to `max_wait` for requests in flight, and aborts the
     /// rest.
-    pub(crate) async fn stop(mut self, max_wait: Duration) {
+    pub(crate) async fn stop(self, max_wait: Duration) {
         self.stop_accepting();
-        if tokio::time::timeout(max_wait, &mut self.task)
+        if tokio::time::timeout(max_wait, self.tasks.wait())
             .await
             .is_err()
         {
-            self.handle.stop_forceful();
+            self.aborting.cancel();
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stopping.cancel();
+    }
+}
+
+/// Accepts the connections that its gate admits, and serves them.
+struct Acceptor<G> {
+    listener: TcpListener,
+    local: SocketAddr,
+    gate: G,
+    service: Service,
+    connections: Arc<Connections>,
+    memory: Arc<MemoryBudget>,
+    stopping: CancellationToken,
+    aborting: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl<G: ConnectionGate> Acceptor<G> {
+    async fn run(self) {
+        let stopping = self.stopping.clone();
+        let accepting = async {
+            loop {
+                if let Err(e) = self.accept().await {
+                    warn!(error:% = e; "connection not accepted");
+                    tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
+                }
+            }
+        };
+        tokio::select! {
+            () = stopping.cancelled() => {}
+            () = accepting => {}
         }
     }
+
+    /// Accepts a connection, and serves it unless there is no room for it.
+    async fn accept(&self) -> io::Result<()> {
+        let (stream, remote) = self.listener.accept().await?;
+        let bounds = self.gate.bounds();
+        let admission = match self.gate.admit() {
+            Some(unread) => {
+                let connection = self.connections.admit(bounds.max_connections).await;
+                connection.map(|connection| (unread, connection))
+            }
+            None => None,
+        };
+        let Some((unread, connection)) = admission else {
+            reset(&stream);
+            metrics::counter!("kelpworks_connections_closed_unread_total").increment(1);
+            return Ok(());
+        };
+        tokio::spawn(count_until_read(unread));
+        self.serve(stream, remote, connection, &bounds);
+        Ok(())
+    }
+
+    /// Starts to serve a connection.
+    fn serve(
+        &self,
+        stream: TcpStream,
+        remote: SocketAddr,
+        connection: Connection,
+        bounds: &ConnectionBounds,
+    ) {
+        let connection = Arc::new(connection);
+        let handler = self.service.hyper_handler(
+            self.local.into(),
+            remote.into(),
+            Scheme::HTTP,
+            None,
+            ConnCtrl::new(),
+            None,
+        );
+        let service = RequestTracker::new(handler, Arc::clone(&connection));
+        let stream = ConnectionStream::new(
+            stream,
+            Arc::clone(&connection),
+            bounds,
+            Arc::clone(&self.memory),
+        );
+        let read_buffer = bounds.head_bytes.saturating_add(HEAD_OVERHEAD_BYTES);
+        let mut http = http1::Builder::new();
+        http.timer(TokioTimer::new())
+            .header_read_timeout(bounds.request_timeout)
+            .max_buf_size(read_buffer.max(MIN_READ_BUFFER_BYTES));
+        let http = http.serve_connection(TokioIo::new(stream), service);
+        let stopping = self.stopping.clone();
+        let aborting = self.aborting.clone();
+        self.tasks.spawn(async move {
+            let mut http = std::pin::pin!(http);
+            let mut is_stopping = false;
+            loop {
+                tokio::select! {
+                    biased;
+                    () = connection.closing() => return,
+                    () = aborting.cancelled() => return,
+                    () = stopping.cancelled(), if !is_stopping => {
+                        is_stopping = true;
+                        http.as_mut().graceful_shutdown();
+                    }
+                    ended = http.as_mut() => {
+                        if let Err(e) = ended {
+                            debug!(error:% = e; "connection ended");
+                        }
+                        return;
+                    }
+                }
+            }
+        });
+    }
+}
+
+/// Counts a connection until its task, which is spawned after this one, has run and counts the request that it read.
+async fn count_until_read<T>(unread: T) {
+    tokio::task::yield_now().await;
+    drop(unread);
+}
+
+/// Makes a connection end with a reset when it is dropped, so that nothing of it is left to the operating system.
+fn reset(stream: &TcpStream) {
+    if let Err(e) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        debug!(error:% = e; "linger not set");
+    }
 }
--- a/crates/kelpworks-relay/src/settings.rs
+++ b/crates/kelpworks-relay/src/settings.rs
@@ -37,9 +37,18 @@
 use serde::Deserialize;
 use thiserror::Error;
 
+use crate::host_limits::HostLimits;
+
 /// Result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// Least memory of a host, in megabytes (10^6 bytes): a daemon without callers takes two thirds of it.
+const MIN_MEMORY_MB: f64 = 32.0;
+/// Largest memory of a host, in megabytes (10^6 bytes).
+const MAX_MEMORY_MB: f64 = 1e6;
+/// Least number of file descriptors: those for files and a few connections of each kind.
+const MIN_DESCRIPTORS: u32 = 256;
+
 /// Reason why settings can't be used.
 #[derive(Debug)]
 #[derive(Error)]
@@ -87,6 +96,9 @@
     pub stop: Stop,
     /// Retry budget of the whole fleet.
     pub repeats: RetryBudgetSettings,
+    /// What its host has for it.
+    #[serde(default)]
+    pub host: Host,
     /// How it logs.
     #[serde(default)]
     pub log: Log,
@@ -152,6 +164,41 @@
     pub slack: f64,
 }
 
+/// What a host has for a daemon; see [`HostLimits`] for what others may use of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Host {
+    /// Memory, in megabytes (10^6 bytes), from 32 to 1,000,000; 256 if absent.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
+    /// File descriptors, at least 256; those that the operating system allows the process if absent.
+    #[serde(default)]
+    pub descriptors: Option<u32>,
+}
+
+impl Host {
+    /// Returns the limits of the host.
+    pub fn limits(&self) -> HostLimits {
+        let memory_bytes = self.memory_mb.map(|mb| (mb * 1e6) as usize);
+        HostLimits::new(memory_bytes, self.descriptors.map(|n| n as usize))
+    }
+
+    fn check(&self) -> Result<()> {
+        let invalid = |key, requirement| Err(Error::Value { key, requirement });
+        if self
+            .memory_mb
+            .is_some_and(|mb| !(MIN_MEMORY_MB..=MAX_MEMORY_MB).contains(&mb))
+        {
+            return invalid("host.memory_mb", "must be from 32 to 1000000");
+        }
+        if self.descriptors.is_some_and(|n| n < MIN_DESCRIPTORS) {
+            return invalid("host.descriptors", "must be at least 256");
+        }
+        Ok(())
+    }
+}
+
 /// How a daemon logs.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize)]
@@ -206,6 +253,7 @@
         if self.repeats.window.0.is_zero() {
             return invalid("repeats.window", "must be longer than 0");
         }
+        self.host.check()?;
         let numbers = [
             ("repeats.ratio", self.repeats.ratio),
             ("repeats.slack", self.repeats.slack),
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -32,6 +32,8 @@
 use crate::fleet::Fleet;
 use crate::fleet::RegistrationChanges;
 use crate::fleet::UpstreamKey;
+use crate::host_limits::HostLimits;
+use crate::memory_budget::MemoryBudget;
 use crate::path::Path;
 use crate::path::PathQuery;
 use crate::permit::Admission;
@@ -120,6 +122,8 @@
     /// Number of requests that are being served, and of connections with a request that is not read yet.
     pub in_flight: AtomicU64,
     concurrency_limit: Mutex<ConcurrencyLimit>,
+    /// Memory for bodies of requests and answers.
+    memory: Arc<MemoryBudget>,
     started: Instant,
     /// Wakes requests that wait for a configuration or for upstreams.
     state_changed: Notify,
@@ -129,6 +133,7 @@
     /// Returns the state of a starting daemon in `domain`. `daemons` is the number of daemons
     /// assumed to share the retry budget.
     pub fn new(domain: &str, retry_limit: RetryLimit, daemons: usize) -> Shared {
+        let host = HostLimits::new(None, None);
         Shared {
             domain: domain.to_owned(),
             table: ArcSwap::from_pointee(RoutingTable::default()),
@@ -158,11 +163,23 @@
             are_verdicts_pending: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
             concurrency_limit: Mutex::default(),
+            memory: Arc::new(MemoryBudget::new(host.body_bytes())),
             started: Instant::now(),
             state_changed: Notify::new(),
         }
     }
 
+    /// Sets what the daemon's host has for it, before any request arrives.
+    pub(crate) fn on_host(mut self, host: HostLimits) -> Shared {
+        self.memory = Arc::new(MemoryBudget::new(host.body_bytes()));
+        self
+    }
+
+    /// Returns the memory for bodies of requests and answers.
+    pub(crate) fn memory(&self) -> &Arc<MemoryBudget> {
+        &self.memory
+    }
+
     /// Has requests wait until [`Shared::set_verdicts_known`], as long as the daemon counts as starting.
     pub(crate) fn expect_verdicts(&self) {
         self.are_verdicts_pending.store(true, Ordering::Relaxed);
