Bound the memory of requests and answers by the host

Callers saw: many large bodies at once, whole, in pieces or in chunks, most of them stopping short of their end, took the daemon's memory; so did callers that don't read their answers. A single legal body in chunks of a byte took 36 times its size, and its 408 after 10 s.

Cause: each body was collected by itself, chunk by chunk, and nothing bounded the sum. The time for a body was 10 s whatever its size.

Change: bodies share a quarter of the host's memory, reserved as their bytes arrive and released when the last copy is dropped, so retries and hand-overs count. A body is copied into one buffer. When the memory is used up, the incomplete body that holds the most bytes for the longest time without progress gets 503; complete ones stay. A quarter of it is left to bodies of up to 64 KiB. Heads count as well. A body has its request's deadline and has to grow by 16 KiB in each 10 s. Answers that are read whole use the same memory.

--- a/crates/kelpworks-cli/tests/relay_resources.rs
+++ b/crates/kelpworks-cli/tests/relay_resources.rs
@@ -291,6 +291,25 @@
     assert_sound(&mut site, host).await;
 }
 
+/// Answers of a mebibyte to callers that read nothing.
+#[tokio::test]
+async fn unread_answers_stay_within_the_memory_of_the_host() {
+    let _crowd = CROWD.lock().await;
+    let host = Host {
+        descriptors: AMPLE_DESCRIPTORS,
+        ..SMALL_HOST
+    };
+    let config = config(MAX_BODY_BYTES);
+    let mut site = Site::start_on_host("resources-answers", host, config).await;
+    let callers = site.daemons[0].callers;
+    let request = Bytes::from(head_to("/often/large", "content-length: 0"));
+    // The kernel of a caller takes more than a whole answer.
+    let requests = vec![request; 8];
+    let _crowd = Crowd::send(callers, 128, &requests).await;
+    wait_until_read(&site).await;
+    assert_sound(&mut site, host).await;
+}
+
 /// The daemon needs descriptors for upstreams, other daemons and the store as well.
 #[tokio::test]
 async fn connections_of_callers_leave_descriptors_for_upstreams() {
--- a/crates/kelpworks-cli/tests/relay_site/engine.rs
+++ b/crates/kelpworks-cli/tests/relay_site/engine.rs
@@ -649,6 +649,8 @@
 const RESET_SUFFIX: &str = "reset";
 const REFUSE_SUFFIX: &str = "full";
 const FOREIGN_SUFFIX: &str = "foreign";
+/// End of a path whose answer is a mebibyte long.
+const LARGE_SUFFIX: &str = "large";
 /// Longest body of a request that the plain service reads.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
@@ -769,6 +771,10 @@
             res.stream(lost);
             return;
         }
+        if path.ends_with(LARGE_SUFFIX) {
+            res.body(ResBody::Once(vec![b'x'; 1 << 20].into()));
+            return;
+        }
         let team = req
             .header::<String>("x-kelpworks-tenant")
             .unwrap_or_default();
--- a/crates/kelpworks-relay/src/event_loop.rs
+++ b/crates/kelpworks-relay/src/event_loop.rs
@@ -47,6 +47,7 @@
     };
     metrics::histogram!("kelpworks_event_loop_lag_seconds").record(sample.lag.as_secs_f64());
     metrics::gauge!("kelpworks_requests_under_way").set(sample.load as f64);
+    metrics::gauge!("kelpworks_body_memory_bytes").set(shared.memory().used() as f64);
     metrics::gauge!("kelpworks_request_limit").set(limit.map_or(f64::INFINITY, |l| l as f64));
     let Some(change) = change else {
         return;
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -9,8 +9,6 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use kelpworks::verdict::Verdict;
 use kelpworks_coord::crash_ledger::Lasted;
 use log::info;
@@ -22,6 +20,7 @@
 use super::answer_head::address_owner_id;
 use super::answer_head::announcements;
 use super::answer_head::detect_fault;
+use super::body;
 use super::handover::HandoverClient;
 use super::handover::NO_PEER;
 use super::handover::OUT_OF_REACH;
@@ -78,6 +77,8 @@
 const CONNECTION_LOST: &str = "connection lost";
 /// Failure reason of an attempt whose connection ended within the answer.
 const CUT_OFF: &str = "answer cut off";
+/// Failure reason when no memory is left for an answer.
+const NO_MEMORY: &str = "memory for answers used up";
 /// Failure reason of an attempt whose answer did not arrive in time.
 const NO_ANSWER: &str = "no answer in time";
 
@@ -485,11 +486,14 @@
     }
     shared.record_answer(&incarnation.instance, sent);
     let (parts, body) = response.into_parts();
-    let Ok(body) = Limited::new(body, MAX_RESPONSE_BYTES).collect().await else {
-        return failed_attempt(Verdict::MayHaveRun, CUT_OFF);
+    let memory = shared.memory().reservation();
+    memory.complete();
+    let body = match body::read_whole(body, MAX_RESPONSE_BYTES, None, memory).await {
+        Ok(body) => body,
+        Err(body::Error::Memory(_)) => return failed_attempt(Verdict::MayHaveRun, NO_MEMORY),
+        Err(_) => return failed_attempt(Verdict::MayHaveRun, CUT_OFF),
     };
     shared.pool.keep(connection);
-    let body = body.to_bytes();
     if parts.status.is_server_error() && inbound.route.kind.is_retryable() {
         return Attempt::Failed {
             verdict: Verdict::MayHaveRun,
--- a/crates/kelpworks-relay/src/relay/call/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/call/by_peer.rs
@@ -2,8 +2,6 @@
 
 use std::net::SocketAddr;
 
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use kelpworks::verdict::Verdict;
 use tokio::time::Instant;
 
@@ -13,6 +11,7 @@
 use super::failed_attempt;
 use crate::permit::RequestAttempts;
 use crate::relay::InboundRequest;
+use crate::relay::body;
 use crate::relay::handover::HandedOver;
 use crate::relay::handover::HandoverClient;
 use crate::relay::handover::HandoverError;
@@ -107,7 +106,9 @@
             Err(e) => return self.failed(e, max_runs),
         };
         let (parts, body) = exchange.response.into_parts();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let memory = shared.memory().reservation();
+        memory.complete();
+        let body = body::read_whole(body, MAX_RESPONSE_BYTES, None, memory);
         let Ok(Ok(body)) = tokio::time::timeout(inbound.remaining(), body).await else {
             return self.failed(HandoverError::Lost, max_runs);
         };
@@ -115,7 +116,7 @@
         Attempt::Completed {
             status: parts.status,
             headers: parts.headers,
-            body: body.to_bytes(),
+            body,
         }
     }
 
--- a/crates/kelpworks-relay/src/relay/incoming.rs
+++ b/crates/kelpworks-relay/src/relay/incoming.rs
@@ -8,8 +8,7 @@
 use http::StatusCode;
 use http::header;
 use http::uri::PathAndQuery;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
+use hyper::body::Body;
 use kelpworks_coord::poison::Fingerprint;
 use log::info;
 use rand::RngExt;
@@ -18,6 +17,8 @@
 
 use super::InboundRequest;
 use super::Refusal;
+use super::body;
+use super::body::Pace;
 use super::handover::HANDOVER_HEADER;
 use super::reply::end_to_end;
 use crate::adapter::Adapter;
@@ -26,11 +27,22 @@
 use crate::config::RoutingTable;
 use crate::config::Service;
 use crate::config::Team;
+use crate::memory_budget;
+use crate::memory_budget::Reservation;
+use crate::server::Connection;
 use crate::shared::Shared;
 use crate::shared::crashes::Identity;
 
-/// Longest time for reading a request body; longer than a head needs, since bodies are larger.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time without progress of a request body; longer than a head needs, since bodies are larger.
+const BODY_PROGRESS_PERIOD: Duration = Duration::from_secs(10);
+/// Copies of a request head that a request holds at most: as it was read, as a map, and as it is sent.
+const HEAD_COPIES: usize = 3;
+/// Bytes of a body that may have arrived before it is read: those in the receive buffer.
+const UNREAD_BODY_BYTES: usize = 64 << 10;
+/// `Retry-After` of a daemon whose memory for bodies is used up; within it callers that stopped sending are evicted.
+const MEMORY_RETRY: Duration = Duration::from_millis(500);
+/// Reason of a refusal because of it.
+const NO_MEMORY: &str = "memory for requests used up";
 /// `Retry-After` of a daemon that has no usable configuration yet.
 const NO_CONFIGURATION_RETRY: Duration = Duration::from_millis(300);
 
@@ -69,6 +81,7 @@
     req: &mut salvo::Request,
     arrived: Instant,
 ) -> Result<InboundRequest, Refusal> {
+    let memory = reserve(shared, req).await;
     let has_configuration = |s: &Shared| s.table.load().version() > 0;
     shared.wait_while_starting(arrived, has_configuration).await;
     shared
@@ -84,6 +97,8 @@
     if table.version() == 0 {
         return Err(context.refuse_with_retry_after(NO_CONFIGURATION_RETRY, "no configuration yet"));
     }
+    let no_memory = |_| context.refuse_with_retry_after(MEMORY_RETRY, NO_MEMORY);
+    let memory = memory.map_err(no_memory)?;
     if head_bytes(req) > table.limits().header_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         return Err(context.refuse(status, "head too large"));
@@ -97,7 +112,9 @@
     let team = team_of(&context, &route, &head)?;
     let priority = team.and_then(|t| t.priority).unwrap_or(route.priority);
     let team = team.map(|t| Arc::clone(&t.name));
-    let body = read_body(&context, req).await?;
+    let time_limit = head.time_left.unwrap_or(route.timeout);
+    let deadline = arrived + time_limit.min(route.timeout);
+    let body = read_body(&context, req, deadline, memory.body).await?;
     let target = req.uri().path_and_query().cloned();
     let target = target.unwrap_or_else(|| PathAndQuery::from_static("/"));
     let fingerprint = fingerprint(team.as_deref(), &target, &body);
@@ -120,8 +137,6 @@
         }
         return Err(context.refuse_with_retry_after(refusal.retry_after, refusal.reason));
     }
-    let time_limit = head.time_left.unwrap_or(route.timeout);
-    let deadline = arrived + time_limit.min(route.timeout);
     let levels = table.urgency_levels(&service.name);
     let urgency = levels.map(|levels| levels.level_of(priority));
     Ok(InboundRequest {
@@ -140,9 +155,32 @@
         version: table.version(),
         route,
         handover: None,
+        _head_memory: memory.head,
     })
 }
 
+/// Memory of a request.
+struct RequestMemory {
+    head: Reservation,
+    /// Empty for a request without a body.
+    body: Reservation,
+}
+
+/// Reserves memory for the head of a request and what may have arrived of its body.
+async fn reserve(shared: &Shared, req: &salvo::Request) -> memory_budget::Result<RequestMemory> {
+    let mut head = shared.memory().reservation();
+    head.complete();
+    head.grow(HEAD_COPIES * head_bytes(req)).await?;
+    let mut body = shared.memory().reservation();
+    let incoming = req.body();
+    if !incoming.is_end_stream() {
+        let upper = incoming.size_hint().upper().unwrap_or(u64::MAX);
+        let upper = usize::try_from(upper).unwrap_or(usize::MAX);
+        body.grow(upper.min(UNREAD_BODY_BYTES)).await?;
+    }
+    Ok(RequestMemory { head, body })
+}
+
 fn head_bytes(req: &salvo::Request) -> usize {
     let line = req.uri().path_and_query().map_or(0, |p| p.as_str().len());
     let fields = req.headers().iter();
@@ -176,20 +214,28 @@
     Err(context.refuse(StatusCode::UNAUTHORIZED, "unknown key"))
 }
 
+/// Reads the body of a request until its deadline.
 async fn read_body(
     context: &RequestContext<'_>,
     req: &mut salvo::Request,
+    deadline: Instant,
+    memory: Reservation,
 ) -> Result<Bytes, Refusal> {
     let max_bytes = context.table.limits().body_bytes;
-    let body = Limited::new(req.take_body(), max_bytes);
-    match tokio::time::timeout(BODY_TIMEOUT, body.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(context.refuse(StatusCode::PAYLOAD_TOO_LARGE, "body too large"))
-        }
-        Ok(Err(_)) => Err(context.refuse(StatusCode::BAD_REQUEST, "body broken off")),
-        Err(_) => Err(context.refuse(StatusCode::REQUEST_TIMEOUT, "body too slow")),
+    let pace = Pace {
+        deadline,
+        period: BODY_PROGRESS_PERIOD,
+    };
+    let read = body::read_whole(req.take_body(), max_bytes, Some(pace), memory).await;
+    if let Some(connection) = req.extensions().get::<Arc<Connection>>() {
+        connection.set_read();
     }
+    read.map_err(|e| match e {
+        body::Error::TooLarge => context.refuse(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
+        body::Error::BrokenOff => context.refuse(StatusCode::BAD_REQUEST, "body broken off"),
+        body::Error::TooSlow => context.refuse(StatusCode::REQUEST_TIMEOUT, "body too slow"),
+        body::Error::Memory(_) => context.refuse_with_retry_after(MEMORY_RETRY, NO_MEMORY),
+    })
 }
 
 /// Draws a service by the weights of the route's targets.
--- a/crates/kelpworks-relay/src/relay/mod.rs
+++ b/crates/kelpworks-relay/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP handler for callers: reads each request whole, matches its route and team, and forwards it.
 
 mod answer_head;
+mod body;
 mod call;
 mod events;
 mod handover;
@@ -42,6 +43,7 @@
 use crate::engine_calls::EngineCalls;
 use crate::fleet::Fleet;
 use crate::fleet::UpstreamKey;
+use crate::memory_budget::Reservation;
 use crate::permit::Origin;
 use crate::permit::Retry;
 use crate::pool::Body;
@@ -79,6 +81,8 @@
     version: u64,
     /// What the daemon that handed the request over knows of it; `None` for a request of a caller.
     handover: Option<HandoverHead>,
+    /// Memory of the head.
+    _head_memory: Reservation,
 }
 
 impl InboundRequest {
