Test callers that don't read and bytes left in the receive buffer

A caller that takes nothing of its answers loses its connection: without the write timeout the connection stays open and the test fails.

--- a/crates/kelpworks-cli/tests/relay_resources.rs
+++ b/crates/kelpworks-cli/tests/relay_resources.rs
@@ -16,6 +16,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 use tokio::task::JoinSet;
@@ -25,6 +26,7 @@
 use relay_site::HOST;
 use relay_site::KEY;
 use relay_site::Site;
+use relay_site::WAIT_TIMEOUT;
 use relay_site::configuration;
 use relay_site::daemon::Answer;
 use relay_site::daemon::Host;
@@ -46,6 +48,10 @@
 const LARGE_BODY_TIMEOUT_MS: u64 = 120_000;
 /// Longest time for which a caller of a crowd sends.
 const SEND_TIMEOUT: Duration = Duration::from_secs(30);
+/// Name of the upstream that does not answer.
+const SILENT: &str = "silent-upstream";
+/// Bytes of a caller that may be under way unread: the buffers of both sides.
+const MAX_UNREAD_BYTES: usize = 1 << 20;
 /// Times that an ordinary request is sent at most, and the time between two of them.
 const MAX_TRIES: usize = 5;
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -196,7 +202,7 @@
     Ok(())
 }
 
-/// Registers an upstream that reads requests and does not answer them.
+/// Registers an upstream that reads requests and does not answer them, and waits until the daemon knows it.
 async fn start_silent_upstream(site: &Site) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
@@ -204,7 +210,7 @@
         "service": "fragile", "address": address.to_string(), "zone": "hall-a", "version": "v1",
         "slots": 64, "state": "ready", "cold-left-ms": 0, "seq": 1
     });
-    site.store.put("servers", "silent", entry);
+    site.store.put("servers", SILENT, entry);
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
             tokio::spawn(async move {
@@ -213,6 +219,11 @@
             });
         }
     });
+    let until = Instant::now() + WAIT_TIMEOUT;
+    while !site.daemons[0].log().contains(SILENT) {
+        assert!(Instant::now() < until, "the upstream is not known");
+        tokio::time::sleep(RETRY_INTERVAL).await;
+    }
 }
 
 /// Returns the answer to an ordinary request, which is sent again while it is refused, as callers do.
@@ -310,6 +321,60 @@
     assert_sound(&mut site, host).await;
 }
 
+/// A caller that reads nothing of its answers does not keep its connection.
+#[tokio::test]
+async fn connection_whose_caller_does_not_read_is_closed() {
+    let _crowd = CROWD.lock().await;
+    let mut config = config(MAX_BODY_BYTES);
+    config["limits"]["idle-timeout-ms"] = json!(1_000);
+    let site = Site::start_on_host("resources-stalled", SMALL_HOST, config).await;
+    let daemon = &site.daemons[0];
+    let request = head_to("/often/large", "content-length: 0");
+    // More answers than the buffers of both sides take.
+    let requests = vec![Bytes::from(request); 32];
+    let _crowd = Crowd::send(daemon.callers, 1, &requests).await;
+    let until = Instant::now() + WAIT_TIMEOUT;
+    let open = "kelpworks_open_connections{listener=\"callers\"}";
+    while daemon.counter(open).await > 0 {
+        assert!(Instant::now() < until, "the connection stays open");
+        tokio::time::sleep(RETRY_INTERVAL).await;
+    }
+}
+
+/// What follows a request waits in the buffers of the operating system, which count for the host as well.
+#[tokio::test]
+async fn bytes_after_a_request_are_left_to_the_caller() {
+    let _crowd = CROWD.lock().await;
+    let config = config(MAX_BODY_BYTES);
+    let site = Site::start_on_host("resources-unread", SMALL_HOST, config).await;
+    start_silent_upstream(&site).await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let buffer = MAX_UNREAD_BYTES as u32 / 4;
+    socket.set_send_buffer_size(buffer).expect("a buffer size");
+    let stream = socket.connect(site.daemons[0].callers).await;
+    let mut stream = stream.expect("a connection");
+    // The operating system enlarges the receive buffer of a connection that is read fast.
+    let head = head_to("/often/x", &format!("content-length: {MAX_BODY_BYTES}"));
+    let body = vec![b'x'; MAX_BODY_BYTES];
+    for _ in 0..32 {
+        stream.write_all(&head).await.expect("a head is read");
+        stream.write_all(&body).await.expect("a body is read");
+        let mut answer = Vec::new();
+        while !answer.ends_with(b"for team-a") {
+            let read = stream.read_buf(&mut answer).await;
+            assert!(read.expect("an answer") > 0, "closed");
+        }
+    }
+    let request = head_to("/fragile-once/x", "content-length: 0");
+    stream.write_all(&request).await.expect("a request is read");
+    let mut sent = 0;
+    let piece = [b'x'; 16 << 10];
+    while let Ok(written) = timeout(IDLE_PERIOD, stream.write(&piece)).await {
+        sent += written.expect("the connection is open");
+        assert!(sent <= MAX_UNREAD_BYTES, "{sent} bytes are held unread");
+    }
+}
+
 /// The daemon needs descriptors for upstreams, other daemons and the store as well.
 #[tokio::test]
 async fn connections_of_callers_leave_descriptors_for_upstreams() {
