Keep the crowd's heads within their time in the test of connections

Without the bound on connections the test passed, since heads that have begun end after header-timeout-ms and their descriptors are free again. The test's configuration now has a longer one: without the bound 400 of 400 descriptors are open and the test fails; with it 125 are (one run each). Crowd and bound are unchanged.

--- a/crates/kelpworks-cli/tests/relay_resources.rs
+++ b/crates/kelpworks-cli/tests/relay_resources.rs
@@ -379,7 +379,9 @@
 #[tokio::test]
 async fn connections_of_callers_leave_descriptors_for_upstreams() {
     let _crowd = CROWD.lock().await;
-    let config = config(MAX_BODY_BYTES);
+    let mut config = config(MAX_BODY_BYTES);
+    // Otherwise the crowd's heads would be late before the request is answered.
+    config["limits"]["header-timeout-ms"] = json!(60_000);
     let mut site = Site::start_on_host("resources-connections", SMALL_HOST, config).await;
     let callers = site.daemons[0].callers;
     let _crowd = Crowd::send(callers, 600, &[Bytes::from_static(b"G")]).await;
