--- a/crates/kelpworks-cli/tests/harness/process.rs
+++ b/crates/kelpworks-cli/tests/harness/process.rs
@@ -64,6 +64,16 @@
         kill_process(pid, signal).expect("a child that was not waited for can be signalled");
     }
 
+    /// Returns the highest resident set size of the process so far, in bytes.
+    pub(crate) fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the status of a child");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|l| l.trim().strip_suffix("kB"));
+        let kib: u64 = kib.expect("a size").trim().parse().expect("a number");
+        kib << 10
+    }
+
     /// Sends SIGKILL and waits for the process to exit.
     pub(crate) fn kill(&mut self) {
         self.child.kill().expect("a child can be killed");
--- a/crates/kelpworks-cli/tests/relay_resources.rs
+++ b/crates/kelpworks-cli/tests/relay_resources.rs
@@ -3,9 +3,9 @@
 //! Each crowd sends more than the daemon's host has memory or file descriptors for. The daemon must live, stay within
 //! both, and answer an ordinary request while the crowd is still connected.
 
+mod crowd;
 mod relay_site;
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,10 +19,10 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
-use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::timeout;
 
+use crowd::Crowd;
 use relay_site::HOST;
 use relay_site::KEY;
 use relay_site::Site;
@@ -46,8 +46,6 @@
 /// Longest request body of a site whose requests are large, and the time that its routes allow.
 const LARGE_BODY_BYTES: usize = 4 << 20;
 const LARGE_BODY_TIMEOUT_MS: u64 = 120_000;
-/// Longest time for which a caller of a crowd sends.
-const SEND_TIMEOUT: Duration = Duration::from_secs(30);
 /// Name of the upstream that does not answer.
 const SILENT: &str = "silent-upstream";
 /// Bytes of a caller that may be under way unread: the buffers of both sides.
@@ -162,46 +160,6 @@
     config
 }
 
-/// Connections of callers that don't end a request.
-struct Crowd {
-    streams: Vec<TcpStream>,
-}
-
-impl Crowd {
-    /// Has a number of callers write these pieces, each on a connection of its own. A caller whose connection is
-    /// closed stops.
-    async fn send(callers: SocketAddr, connections: usize, pieces: &[Bytes]) -> Crowd {
-        let mut tasks = JoinSet::new();
-        for _ in 0..connections {
-            let pieces = pieces.to_vec();
-            tasks.spawn(async move {
-                let mut stream = TcpStream::connect(callers).await.ok()?;
-                let written = timeout(SEND_TIMEOUT, write_pieces(&mut stream, &pieces));
-                let _ = written.await;
-                Some(stream)
-            });
-        }
-        let streams = tasks.join_all().await;
-        Crowd {
-            streams: streams.into_iter().flatten().collect(),
-        }
-    }
-
-    /// Has all callers write this as well.
-    async fn send_all(&mut self, bytes: &[u8]) {
-        for stream in &mut self.streams {
-            let _ = stream.try_write(bytes);
-        }
-    }
-}
-
-async fn write_pieces(stream: &mut TcpStream, pieces: &[Bytes]) -> std::io::Result<()> {
-    for piece in pieces {
-        stream.write_all(piece).await?;
-    }
-    Ok(())
-}
-
 /// Registers an upstream that reads requests and does not answer them, and waits until the daemon knows it.
 async fn start_silent_upstream(site: &Site) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
