Bound what callers make a daemon of serve hold

Callers saw: as at the relay, a crowd that sends heads without end or large bodies that stop short took the memory of a daemon of serve.

Cause: the same; its server had no bound on read buffers, connections or the sum of bodies.

Change: the accept loop, the budget for bodies and the reader of bodies move to the crate that both daemons use. Settings of serve have a table host, with defaults. A request that begins on a connection just when that is closed to make room is answered first, which matters where connections run on several threads.

Left: answers of plain services, up to 16 MiB each, are not counted in serve.

--- a/crates/kelpworks-cli/tests/serve_resources.rs
+++ b/crates/kelpworks-cli/tests/serve_resources.rs
@@ -69,7 +69,12 @@
 #[tokio::test]
 async fn memory_of_serve_stays_within_the_host(#[case] sending: Sending) {
     let _crowd = CROWD.lock().await;
-    let harness = Harness::start(Shape::default()).await;
+    let timing = format!("state_poll = \"200 ms\"\n[host]\nmemory = \"{HOST_MEMORY_BYTES} B\"");
+    let shape = Shape {
+        timing: timing.leak(),
+        ..Shape::default()
+    };
+    let harness = Harness::start(shape).await;
     let daemon = &harness.daemons[0];
     let callers = daemon.addresses.callers.parse().expect("an address");
     let _crowd = Crowd::send(callers, sending.connections(), &sending.pieces()).await;
--- a/crates/kelpworks-relay/src/permit.rs
+++ b/crates/kelpworks-relay/src/permit.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use kelpworks::sync::lock;
 use thiserror::Error;
 use tokio::time::Instant;
 
@@ -28,7 +29,6 @@
 use crate::pool::WritePermit;
 use crate::retry_budget::LONGEST_DELIVERY;
 use crate::retry_budget::RetryBudget;
-use crate::sync::lock;
 
 pub use attempts::Attempts;
 pub use attempts::Origin;
--- a/crates/kelpworks-relay/src/permit/attempts.rs
+++ b/crates/kelpworks-relay/src/permit/attempts.rs
@@ -26,13 +26,13 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
+use kelpworks::sync::lock;
 use tokio::time::Instant;
 
 use super::Reservation;
 use super::Retry;
 use crate::retry_budget::Delivery;
 use crate::retry_budget::RetryBudget;
-use crate::sync::lock;
 
 /// What daemons other than this one have done about a request, and have to know about it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/kelpworks-relay/src/pool.rs
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -32,6 +32,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use kelpworks::sync::lock;
 use log::debug;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
@@ -46,7 +47,6 @@
 use crate::permit::Permit;
 use crate::suspect_checks::CHECK_TIMEOUT;
 use crate::suspect_checks::Finding;
-use crate::sync::lock;
 use linger::Abandonment;
 use linger::MAX_LINGERING_CONNECTIONS;
 
--- a/crates/kelpworks-relay/src/pool/linger.rs
+++ b/crates/kelpworks-relay/src/pool/linger.rs
@@ -24,6 +24,7 @@
 
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use kelpworks::sync::lock;
 use log::debug;
 use log::info;
 use tokio::io::AsyncReadExt;
@@ -36,7 +37,6 @@
 use super::Body;
 use super::Destination;
 use super::WritePermit;
-use crate::sync::lock;
 
 /// Maximum number of connections of a pool that are held for abandoned requests.
 pub(super) const MAX_LINGERING_CONNECTIONS: usize = 256;
--- a/crates/kelpworks-relay/src/relay/call/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/call/by_peer.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use kelpworks::body;
 use kelpworks::verdict::Verdict;
 use tokio::time::Instant;
 
@@ -11,7 +12,6 @@
 use super::failed_attempt;
 use crate::permit::RequestAttempts;
 use crate::relay::InboundRequest;
-use crate::relay::body;
 use crate::relay::handover::HandedOver;
 use crate::relay::handover::HandoverClient;
 use crate::relay::handover::HandoverError;
--- a/crates/kelpworks-relay/src/relay/handover.rs
+++ b/crates/kelpworks-relay/src/relay/handover.rs
@@ -23,6 +23,7 @@
 use http::HeaderValue;
 use http::Response;
 use hyper::body::Incoming;
+use kelpworks::sync::lock;
 use kelpworks::verdict::Verdict;
 use log::info;
 use rand::seq::IndexedRandom;
@@ -46,7 +47,6 @@
 use crate::pool::Reuse;
 use crate::pool::WritePermit;
 use crate::shared::crashes::Cleared;
-use crate::sync::lock;
 
 /// Result of handing a request over.
 pub(super) type Result<T> = std::result::Result<T, HandoverError>;
--- a/crates/kelpworks-relay/src/relay/incoming.rs
+++ b/crates/kelpworks-relay/src/relay/incoming.rs
@@ -9,6 +9,11 @@
 use http::header;
 use http::uri::PathAndQuery;
 use hyper::body::Body;
+use kelpworks::body;
+use kelpworks::body::Pace;
+use kelpworks::http_server::set_request_read;
+use kelpworks::memory_budget;
+use kelpworks::memory_budget::Reservation;
 use kelpworks_coord::poison::Fingerprint;
 use log::info;
 use rand::RngExt;
@@ -17,8 +22,6 @@
 
 use super::InboundRequest;
 use super::Refusal;
-use super::body;
-use super::body::Pace;
 use super::handover::HANDOVER_HEADER;
 use super::reply::end_to_end;
 use crate::adapter::Adapter;
@@ -27,9 +30,6 @@
 use crate::config::RoutingTable;
 use crate::config::Service;
 use crate::config::Team;
-use crate::memory_budget;
-use crate::memory_budget::Reservation;
-use crate::server::Connection;
 use crate::shared::Shared;
 use crate::shared::crashes::Identity;
 
@@ -227,9 +227,7 @@
         period: BODY_PROGRESS_PERIOD,
     };
     let read = body::read_whole(req.take_body(), max_bytes, Some(pace), memory).await;
-    if let Some(connection) = req.extensions().get::<Arc<Connection>>() {
-        connection.set_read();
-    }
+    set_request_read(req);
     read.map_err(|e| match e {
         body::Error::TooLarge => context.refuse(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
         body::Error::BrokenOff => context.refuse(StatusCode::BAD_REQUEST, "body broken off"),
--- a/crates/kelpworks-relay/src/relay/mod.rs
+++ b/crates/kelpworks-relay/src/relay/mod.rs
@@ -1,7 +1,6 @@
 //! HTTP handler for callers: reads each request whole, matches its route and team, and forwards it.
 
 mod answer_head;
-mod body;
 mod call;
 mod events;
 mod handover;
@@ -22,6 +21,7 @@
 use http::Request;
 use http::header;
 use http::uri::PathAndQuery;
+use kelpworks::memory_budget::Reservation;
 use kelpworks_coord::poison::Fingerprint;
 use log::info;
 use salvo::Depot;
@@ -43,7 +43,6 @@
 use crate::engine_calls::EngineCalls;
 use crate::fleet::Fleet;
 use crate::fleet::UpstreamKey;
-use crate::memory_budget::Reservation;
 use crate::permit::Origin;
 use crate::permit::Retry;
 use crate::pool::Body;
--- a/crates/kelpworks-relay/src/relay/stream/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/stream/by_peer.rs
@@ -6,6 +6,7 @@
 use http::HeaderMap;
 use http::StatusCode;
 use http::header;
+use kelpworks::sync::lock;
 use kelpworks::verdict::Verdict;
 use tokio::time::Instant;
 
@@ -26,7 +27,6 @@
 use crate::relay::handover::HandoverHead;
 use crate::relay::handover::MAX_HANDOVERS;
 use crate::relay::handover::allot_runs;
-use crate::sync::lock;
 
 impl<D: Adapter, E: EngineApi> StreamRelay<D, E> {
     /// Returns whether the next attempt should be another daemon's: the engines are out of reach, or
--- a/crates/kelpworks-relay/src/relay/stream/stall.rs
+++ b/crates/kelpworks-relay/src/relay/stream/stall.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use kelpworks::sync::lock;
 use kelpworks::verdict::Verdict;
 use tokio::time::Instant;
 
@@ -16,7 +17,6 @@
 use crate::shared::Shared;
 use crate::suspect_checks::CHECK_AFTER;
 use crate::suspect_checks::CheckTimes;
-use crate::sync::lock;
 
 /// Time without data after which a stream counts as stalled at the engines of its path that have
 /// shown no progress since: more than two typical pauses between events (20 to 30 ms).
--- a/crates/kelpworks-relay/src/settings.rs
+++ b/crates/kelpworks-relay/src/settings.rs
@@ -33,12 +33,11 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use kelpworks::host_limits::HostLimits;
 use kelpworks::units::DurationSetting;
 use serde::Deserialize;
 use thiserror::Error;
 
-use crate::host_limits::HostLimits;
-
 /// Result of this module.
 pub type Result<T> = std::result::Result<T, Error>;
 
--- a/crates/kelpworks-relay/src/shared/contention.rs
+++ b/crates/kelpworks-relay/src/shared/contention.rs
@@ -6,6 +6,7 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use kelpworks::sync::lock;
 use log::info;
 use tokio::time::Instant;
 
@@ -22,7 +23,6 @@
 use crate::contention::shortage::Shortage;
 use crate::contention::shortage::figures_of;
 use crate::contention::shortage::rates_of;
-use crate::sync::lock;
 
 /// Consecutive waits of a level without success after which its requests are refused at once.
 const MAX_FAILED_WAITS: u32 = 2;
--- a/crates/kelpworks-relay/src/shared/crashes.rs
+++ b/crates/kelpworks-relay/src/shared/crashes.rs
@@ -16,6 +16,7 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use kelpworks::sync::lock;
 use kelpworks_coord::crash_ledger::BrokenRun;
 use kelpworks_coord::crash_ledger::Crash;
 use kelpworks_coord::crash_ledger::CrashLedger;
@@ -33,7 +34,6 @@
 
 use super::Shared;
 use crate::fleet::UpstreamKey;
-use crate::sync::lock;
 
 pub(crate) use test_runs::TEST_RUN_RETRY;
 pub(crate) use test_runs::TestRun;
--- a/crates/kelpworks-relay/src/shared/crashes/evidence.rs
+++ b/crates/kelpworks-relay/src/shared/crashes/evidence.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use kelpworks::sync::lock;
 use kelpworks_coord::crash_ledger::Changed;
 use kelpworks_coord::crash_ledger::Finding;
 use kelpworks_coord::id::UpstreamId;
@@ -15,7 +16,6 @@
 use super::Shared;
 use super::format_parts;
 use crate::pool;
-use crate::sync::lock;
 
 /// Times after a break at which a connection to its upstream is tried. All are too soon for a
 /// restart.
--- a/crates/kelpworks-relay/src/shared/crashes/test_runs.rs
+++ b/crates/kelpworks-relay/src/shared/crashes/test_runs.rs
@@ -4,6 +4,7 @@
 //! One daemon, the same for all, grants the runs of a request. It is asked over the connections between daemons; a
 //! daemon on its own asks itself.
 
+use kelpworks::sync::lock;
 use kelpworks_coord::poison::Fingerprint;
 use kelpworks_coord::time::Span;
 use log::info;
@@ -15,7 +16,6 @@
 use super::CrashRefusal;
 use super::Runnable;
 use super::Shared;
-use crate::sync::lock;
 
 /// Questions that wait to be sent to other daemons. More are denied.
 const MAX_QUESTIONS: usize = 256;
--- a/crates/kelpworks-relay/src/store_cache.rs
+++ b/crates/kelpworks-relay/src/store_cache.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
+use kelpworks::sync::lock;
 use kelpworks_coord::id::Version;
 use log::info;
 use log::warn;
@@ -30,7 +31,6 @@
 use crate::adapter::UpstreamEntry;
 use crate::config::RoutingTable;
 use crate::shared::Shared;
-use crate::sync::lock;
 use change_log::ChangeLog;
 
 /// Maximum time by which an upstream's clock may be ahead of this daemon's. Clocks jump by seconds;
--- a/crates/kelpworks-relay/src/relay/body.rs
+++ b/crates/kelpworks/src/body.rs
@@ -22,7 +22,7 @@
 use crate::memory_budget::Reservation;
 
 /// Result of this module.
-pub(super) type Result<T> = std::result::Result<T, Error>;
+pub type Result<T> = std::result::Result<T, Error>;
 
 /// Bytes by which a body has to grow in [`Pace::period`].
 const PROGRESS_BYTES: usize = 16 << 10;
@@ -32,7 +32,7 @@
 /// Why a body was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Error)]
-pub(super) enum Error {
+pub enum Error {
     /// It is longer than allowed.
     #[error("too large")]
     TooLarge,
@@ -49,11 +49,11 @@
 
 /// How fast a body has to arrive.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Pace {
+pub struct Pace {
     /// When it has to be complete.
-    pub(super) deadline: Instant,
+    pub deadline: Instant,
     /// Longest time in which it grows by less than 16 KiB without reaching its end.
-    pub(super) period: Duration,
+    pub period: Duration,
 }
 
 /// A body of known bytes and the memory that they take.
@@ -73,7 +73,7 @@
 /// # Errors
 ///
 /// When the body is too long, breaks off or does not keep the pace, or there is no memory for it.
-pub(super) async fn read_whole<B>(
+pub async fn read_whole<B>(
     body: B,
     max_bytes: usize,
     pace: Option<Pace>,
--- a/crates/kelpworks/src/daemon/mod.rs
+++ b/crates/kelpworks/src/daemon/mod.rs
@@ -4,7 +4,6 @@
 mod control;
 mod head_watch;
 mod host_watch;
-mod serve;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -18,6 +17,7 @@
 use metrics_exporter_prometheus::BuildError;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
+use salvo::Router;
 use thiserror::Error;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -37,15 +37,18 @@
 use crate::clients::object_api::HttpObjectApi;
 use crate::daemon::control::Control;
 use crate::daemon::control::Shared;
-use crate::daemon::serve::Server;
 use crate::entry;
 use crate::entry::Entry;
 use crate::executor;
 use crate::executor::Executor;
 use crate::fleet::Fleet;
+use crate::host_limits::HostLimits;
+use crate::http_server::ConnectionBounds;
+use crate::http_server::Server;
 use crate::membership;
 use crate::membership::PeerClaims;
 use crate::membership::Peers;
+use crate::memory_budget::MemoryBudget;
 use crate::operators;
 use crate::operators::Operators;
 use crate::pipeline::Deadlines;
@@ -71,6 +74,14 @@
 const PROBE_FLOOR: Duration = Duration::from_millis(50);
 /// Deadline for a poll of an upstream, and upper bound of the deadline for a probe.
 const PROBE_DEADLINE: Duration = Duration::from_millis(500);
+/// Maximum size of a request head of callers, in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+/// Maximum time without a whole request head on a connection of callers.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum time for which a caller takes nothing of an answer.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Maximum number of connections of operators.
+const MAX_OPERATOR_CONNECTIONS: usize = 32;
 /// Timeout at a stop for the last responses to callers and the last calls to engines.
 const FINAL_REPLY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -136,6 +147,36 @@
     leave: CancellationToken,
 }
 
+/// Starts the daemon's HTTP servers.
+struct Servers {
+    memory: Arc<MemoryBudget>,
+}
+
+impl Servers {
+    async fn start(
+        &self,
+        name: &'static str,
+        address: SocketAddr,
+        bounds: ConnectionBounds,
+        router: Router,
+    ) -> Result<Server> {
+        let memory = Arc::clone(&self.memory);
+        let server = Server::start(name, address, bounds, router, memory).await;
+        server.map_err(|source| Error::Listen { address, source })
+    }
+}
+
+/// Returns what connections of callers may take.
+fn caller_bounds(host: HostLimits) -> ConnectionBounds {
+    ConnectionBounds {
+        max_connections: host.caller_connections(MAX_HEAD_BYTES),
+        head_bytes: MAX_HEAD_BYTES,
+        request_timeout: HEAD_TIMEOUT,
+        head_timeout: HEAD_TIMEOUT,
+        write_timeout: WRITE_TIMEOUT,
+    }
+}
+
 impl Daemon {
     /// Starts a daemon. It serves requests once it has a configuration and upstreams.
     ///
@@ -216,8 +257,11 @@
         }
         let claims = Arc::new(claims(settings, &control.peers, tasks.clone())?);
         control.peers.serve_claims(&claims, control.stop.clone());
+        let host = settings.host.limits();
+        let memory = Arc::new(MemoryBudget::new(host.body_bytes()));
         let entry = Arc::new(Entry {
             limits: settings.limits.clone(),
+            memory: Arc::clone(&memory),
             request_timeout: timing.request.0,
             config,
             fleet,
@@ -238,12 +282,18 @@
             object_api: control.object_api(),
             metrics,
         };
-        let callers = Server::start(settings.listen.callers, entry::router(&entry)).await?;
-        let operators_server =
-            Server::start(settings.listen.operators, operators::router(&operators)).await?;
+        let servers = Servers { memory };
+        let listen = &settings.listen;
+        let router = entry::router(&entry);
+        let callers = servers.start("callers", listen.callers, caller_bounds(host), router);
+        let callers = callers.await?;
+        let bounds = ConnectionBounds::internal(MAX_OPERATOR_CONNECTIONS);
+        let router = operators::router(&operators);
+        let operators_server = servers.start("operators", listen.operators, bounds, router);
+        let operators_server = operators_server.await?;
         let bound = BoundAddresses {
-            callers: callers.address,
-            operators: operators_server.address,
+            callers: callers.address(),
+            operators: operators_server.address(),
             peers: control.peers.address(),
         };
         info!(callers:% = bound.callers, operators:% = bound.operators; "daemon started");
@@ -286,7 +336,7 @@
 
     /// Performs a planned stop: the load balancer's check fails first, then new requests are
     /// refused while those in flight finish, then the listeners close.
-    pub async fn stop(mut self) {
+    pub async fn stop(self) {
         self.entry.draining.store(true, Ordering::Relaxed);
         self.leave.cancel();
         self.control.peers.set_leaving();
@@ -298,7 +348,7 @@
         )
         .await;
         self.entry.closed.store(true, Ordering::Relaxed);
-        self.callers.close();
+        self.callers.stop_accepting();
         let drained_by = Instant::now() + self.drain;
         let drained = timeout_or_abort(self.drain, &self.abort, self.callers.drained()).await;
         if drained.is_none() {
--- a/crates/kelpworks/src/entry/completions.rs
+++ b/crates/kelpworks/src/entry/completions.rs
@@ -6,6 +6,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use bytes::Bytes;
 use futures_util::Stream;
 use futures_util::stream;
 use log::info;
@@ -16,7 +17,6 @@
 use salvo::Response;
 use salvo::async_trait;
 use salvo::http::HeaderValue;
-use salvo::http::ParseError;
 use salvo::http::StatusCode;
 use salvo::http::header::CONTENT_TYPE;
 use salvo::sse;
@@ -28,6 +28,8 @@
 use crate::active_config::Caller;
 use crate::admission::AdmissionRequest;
 use crate::admission::Permit;
+use crate::body;
+use crate::body::Pace;
 use crate::claims::ClaimKey;
 use crate::entry::Entry;
 use crate::entry::at_most_once;
@@ -37,6 +39,7 @@
 use crate::entry::shape::ModelRequest;
 use crate::entry::shape::ResponseMetadata;
 use crate::entry::shape::Shape;
+use crate::http_server::set_request_read;
 use crate::pipeline::Job;
 use crate::pipeline::Outcome;
 use crate::pipeline::SessionError;
@@ -51,8 +54,8 @@
 
 /// Tokens buffered for a slow caller. When the buffer is full, the session waits.
 const MAX_BUFFERED_TOKENS: usize = 32;
-/// Timeout for the whole body of a request; bounds how long a stalled caller holds resources.
-const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time without progress of a request body; bounds how long a stalled caller holds resources.
+const BODY_PROGRESS_PERIOD: Duration = Duration::from_secs(30);
 /// Last event of a stream, as clients of this API expect it.
 const DONE: &str = "[DONE]";
 
@@ -78,8 +81,8 @@
             return Err(Failure::draining());
         }
         let caller = auth::authenticate(&self.entry.config.load(), req.headers())?;
-        let body = read_body(req, self.entry.limits.body_bytes).await?;
-        let model_request = self.shape.read(body)?;
+        let body = read_body(&self.entry, req).await?;
+        let model_request = self.shape.read(&body)?;
         let job = self.job(id, &caller, &model_request)?;
         let claim = self.claim(req, &caller, &model_request)?;
         if claim.is_none() {
@@ -321,22 +324,37 @@
     }
 }
 
-/// Reads a request's body, up to `max_bytes` bytes.
-pub(crate) async fn read_body(req: &mut Request, max_bytes: u64) -> Result<&[u8]> {
-    let reading = req.payload_with_max_size(max_bytes as usize);
-    let Ok(payload) = tokio::time::timeout(BODY_TIMEOUT, reading).await else {
-        return Err(Failure::rejected(
-            StatusCode::REQUEST_TIMEOUT,
-            "body_timeout",
-            "the body did not come in time",
-        ));
+/// Reads a request's body.
+pub(crate) async fn read_body(entry: &Entry, req: &mut Request) -> Result<Bytes> {
+    let max_bytes = entry.limits.body_bytes;
+    let pace = Pace {
+        deadline: Instant::now() + entry.request_timeout,
+        period: BODY_PROGRESS_PERIOD,
     };
-    payload.map(|b| &b[..]).map_err(|e| match e {
-        ParseError::PayloadTooLarge => {
+    let memory = entry.memory.reservation();
+    let read = body::read_whole(req.take_body(), max_bytes as usize, Some(pace), memory).await;
+    set_request_read(req);
+    read.map_err(|e| match e {
+        body::Error::TooLarge => {
             let message = format!("the body is larger than {max_bytes} bytes");
             Failure::rejected(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message)
         }
-        e => Failure::rejected(StatusCode::BAD_REQUEST, "invalid_request", e.to_string()),
+        body::Error::BrokenOff => Failure::rejected(
+            StatusCode::BAD_REQUEST,
+            "invalid_request",
+            "the body broke off",
+        ),
+        body::Error::TooSlow => Failure::rejected(
+            StatusCode::REQUEST_TIMEOUT,
+            "body_timeout",
+            "the body did not come in time",
+        ),
+        body::Error::Memory(_) => Failure::failed(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no_memory",
+            "memory for requests is used up",
+            Verdict::NotRun,
+        ),
     })
 }
 
--- a/crates/kelpworks/src/entry/mod.rs
+++ b/crates/kelpworks/src/entry/mod.rs
@@ -25,6 +25,7 @@
 use crate::entry::route_error::RouteError;
 use crate::fleet::Fleet;
 use crate::membership::PeerClaims;
+use crate::memory_budget::MemoryBudget;
 use crate::pipeline::Driver;
 use crate::settings::Limits;
 use crate::upstreams::Report;
@@ -34,6 +35,8 @@
 pub struct Entry {
     /// Size and token limits of requests.
     pub limits: Limits,
+    /// Memory for the bodies of requests.
+    pub memory: Arc<MemoryBudget>,
     /// Longest time for a whole request, counted from when its body has been read.
     pub request_timeout: Duration,
     /// Active configuration, replaced with each new generation.
--- a/crates/kelpworks/src/entry/services/call.rs
+++ b/crates/kelpworks/src/entry/services/call.rs
@@ -59,7 +59,7 @@
         let query = req.uri().query().map_or(String::new(), |q| format!("?{q}"));
         let key = at_most_once::key(req.headers())?.filter(|_| !retryable);
         let mut headers = select_headers(req.headers(), &FORWARDED_HEADERS);
-        let body = Bytes::copy_from_slice(read_body(req, entry.limits.body_bytes).await?);
+        let body = read_body(entry, req).await?;
         let path = path + &query;
         let claim = key.map(|key| {
             let target = format!("service {service} {method} {path}");
--- a/crates/kelpworks-relay/src/host_limits.rs
+++ b/crates/kelpworks/src/host_limits.rs
@@ -11,7 +11,7 @@
 //! | upstreams, other daemons, the store, and the daemon itself | the rest | the rest |
 //!
 //! ```
-//! use kelpworks_relay::host_limits::HostLimits;
+//! use kelpworks::host_limits::HostLimits;
 //!
 //! let limits = HostLimits { memory_bytes: 260_000_000, descriptors: 4_100 };
 //! assert_eq!(limits.body_bytes(), 65_000_000);
--- a/crates/kelpworks-relay/src/server.rs
+++ b/crates/kelpworks/src/http_server.rs
@@ -29,12 +29,12 @@
 use tokio_util::task::TaskTracker;
 
 use crate::memory_budget::MemoryBudget;
-pub(crate) use connections::Connection;
+use connections::Connection;
 use connections::Connections;
-pub(crate) use gate::ConnectionBounds;
-pub(crate) use gate::ConnectionGate;
-pub(crate) use gate::DEFAULT_HEAD_TIMEOUT;
-pub(crate) use gate::MaxConnections;
+use connections::Phase;
+pub use gate::ConnectionBounds;
+pub use gate::ConnectionGate;
+pub use gate::DEFAULT_HEAD_TIMEOUT;
 use service::RequestTracker;
 use stream::ConnectionStream;
 
@@ -49,22 +49,23 @@
 
 /// A running server.
 #[derive(Debug)]
-pub(crate) struct Server {
+pub struct Server {
     /// Cancelled to stop accepting connections.
     stopping: CancellationToken,
     /// Cancelled to abort requests in flight.
     aborting: CancellationToken,
     tasks: TaskTracker,
+    address: SocketAddr,
 }
 
 impl Server {
-    /// Listens on an address; `name` is that of the listener in metrics. Connections that `gate` does not admit are
+    /// Listens on an address, where port 0 selects a free port; `name` is that of the listener in metrics. Connections that `gate` does not admit are
     /// closed unread, and those that exceed its bounds are closed. Bytes that they leave unread count in `memory`.
     ///
     /// # Errors
     ///
     /// When the address can't be bound.
-    pub(crate) async fn start(
+    pub async fn start(
         name: &'static str,
         address: SocketAddr,
         gate: impl ConnectionGate,
@@ -80,9 +81,10 @@
             stopping: CancellationToken::new(),
             aborting: CancellationToken::new(),
             tasks: TaskTracker::new(),
+            address: listener.local_addr()?,
         };
         let acceptor = Acceptor {
-            local: listener.local_addr()?,
+            local: server.address,
             listener,
             gate,
             service: Service::new(router),
@@ -96,18 +98,34 @@
         Ok(server)
     }
 
+    /// Returns the address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Stops accepting connections. Requests in flight continue, and their connections close
     /// afterwards.
-    pub(crate) fn stop_accepting(&self) {
+    pub fn stop_accepting(&self) {
         self.stopping.cancel();
         self.tasks.close();
     }
 
+    /// Waits until the last request in flight has been answered. Call [`Server::stop_accepting`] first.
+    pub async fn drained(&self) {
+        self.tasks.wait().await;
+    }
+
+    /// Closes the listener and all connections at once.
+    pub fn abort(self) {
+        self.stop_accepting();
+        self.aborting.cancel();
+    }
+
     /// Stops accepting connections, waits up to `max_wait` for requests in flight, and aborts the
     /// rest.
-    pub(crate) async fn stop(self, max_wait: Duration) {
+    pub async fn stop(self, max_wait: Duration) {
         self.stop_accepting();
-        if tokio::time::timeout(max_wait, self.tasks.wait())
+        if tokio::time::timeout(max_wait, self.drained())
             .await
             .is_err()
         {
@@ -207,14 +225,20 @@
         let aborting = self.aborting.clone();
         self.tasks.spawn(async move {
             let mut http = std::pin::pin!(http);
-            let mut is_stopping = false;
+            let mut is_last = false;
             loop {
                 tokio::select! {
                     biased;
-                    () = connection.closing() => return,
                     () = aborting.cancelled() => return,
-                    () = stopping.cancelled(), if !is_stopping => {
-                        is_stopping = true;
+                    () = connection.closing(), if !is_last => {
+                        if connection.phase() == Phase::Waiting {
+                            return;
+                        }
+                        is_last = true;
+                        http.as_mut().graceful_shutdown();
+                    }
+                    () = stopping.cancelled(), if !is_last => {
+                        is_last = true;
                         http.as_mut().graceful_shutdown();
                     }
                     ended = http.as_mut() => {
@@ -229,6 +253,13 @@
     }
 }
 
+/// Records that the body of a request was read to its end or given up, so that what follows it counts as unread.
+pub fn set_request_read(req: &salvo::Request) {
+    if let Some(connection) = req.extensions().get::<Arc<Connection>>() {
+        connection.set_read();
+    }
+}
+
 /// Counts a connection until its task, which is spawned after this one, has run and counts the request that it read.
 async fn count_until_read<T>(unread: T) {
     tokio::task::yield_now().await;
--- a/crates/kelpworks-relay/src/server/connections.rs
+++ b/crates/kelpworks/src/http_server/connections.rs
@@ -35,7 +35,7 @@
 #[derive(Debug)]
 pub(crate) struct Connections {
     inner: Mutex<Inner>,
-    /// Signalled when a connection has closed.
+    /// Signalled when a connection has closed, or one that was told to close has a request.
     closed: Notify,
     /// Name of the listener in metrics and logs.
     listener: &'static str,
@@ -154,6 +154,16 @@
         }
     }
 
+    /// Returns whether the connection was told to close.
+    fn begin_request(&mut self, key: ConnectionKey) -> bool {
+        self.set_busy(key);
+        let was_closing = std::mem::take(&mut self.open[key].is_closing);
+        if was_closing {
+            self.closing -= 1;
+        }
+        was_closing
+    }
+
     /// Returns whether a connection is about to close, and has one do so if none is.
     fn make_room(&mut self, listener: &'static str) -> bool {
         if self.closing > 0 {
@@ -213,14 +223,18 @@
 }
 
 impl Connection {
-    /// Records that a request has begun, so that the connection is not closed for another.
+    /// Records that a request has begun, so that the connection is not closed for another. One that was told to close
+    /// meanwhile has to answer it first, and another one makes room.
     pub(super) fn begin_request(&self) {
         self.set_phase(Phase::Reading);
-        lock(&self.connections.inner).set_busy(self.key);
+        let was_closing = lock(&self.connections.inner).begin_request(self.key);
+        if was_closing {
+            self.connections.closed.notify_waiters();
+        }
     }
 
     /// Records that the request was read to its end.
-    pub(crate) fn set_read(&self) {
+    pub(super) fn set_read(&self) {
         self.set_phase(Phase::Answering);
     }
 
@@ -242,7 +256,7 @@
         self.phase.store(phase as u8, Ordering::Relaxed);
     }
 
-    /// Completes when the connection has to be closed.
+    /// Completes when the connection has to be closed, once it has no request under way.
     pub(super) async fn closing(&self) {
         self.close.cancelled().await;
     }
--- a/crates/kelpworks-relay/src/server/connections/tests.rs
+++ b/crates/kelpworks/src/http_server/connections/tests.rs
@@ -55,3 +55,15 @@
     assert!(connections.admit(MAX).now_or_never().is_none());
     assert!(!is_closing(&first) && is_closing(&second));
 }
+
+#[tokio::test(start_paused = true)]
+async fn request_that_begins_while_its_connection_closes_is_answered() {
+    let (connections, first, second) = open_all().await;
+    let mut third = Box::pin(connections.admit(MAX));
+    assert!(third.as_mut().now_or_never().is_none());
+    first.begin_request();
+    assert!(third.as_mut().now_or_never().is_none());
+    assert!(is_closing(&second), "another one makes room");
+    drop(second);
+    assert!(third.await.is_some());
+}
--- a/crates/kelpworks/src/lib.rs
+++ b/crates/kelpworks/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod active_config;
 pub mod admission;
+pub mod body;
 pub mod claims;
 pub mod clients;
 pub mod config;
@@ -15,7 +16,10 @@
 pub mod entry;
 pub mod executor;
 pub mod fleet;
+pub mod host_limits;
+pub mod http_server;
 pub mod membership;
+pub mod memory_budget;
 pub mod operators;
 pub mod pipeline;
 pub mod placement;
@@ -26,6 +30,7 @@
 pub mod rules;
 pub mod settings;
 pub mod status;
+pub mod sync;
 pub mod units;
 pub mod upstreams;
 pub mod verdict;
--- a/crates/kelpworks-relay/src/memory_budget.rs
+++ b/crates/kelpworks/src/memory_budget.rs
@@ -9,10 +9,10 @@
 //! ```
 //! use std::sync::Arc;
 //!
-//! use kelpworks_relay::memory_budget::MemoryBudget;
+//! use kelpworks::memory_budget::MemoryBudget;
 //!
 //! # #[tokio::main(flavor = "current_thread")]
-//! # async fn main() -> kelpworks_relay::memory_budget::Result<()> {
+//! # async fn main() -> kelpworks::memory_budget::Result<()> {
 //! let budget = Arc::new(MemoryBudget::new(1 << 20));
 //! let mut body = budget.reservation();
 //! body.grow(4_000).await?;
--- a/crates/kelpworks/src/settings/check.rs
+++ b/crates/kelpworks/src/settings/check.rs
@@ -4,6 +4,7 @@
 
 use toml::Spanned;
 
+use super::Host;
 use super::Limits;
 use super::Listen;
 use super::Placement;
@@ -11,6 +12,7 @@
 use super::Result;
 use super::Settings;
 use super::Timing;
+use super::file::HostTable;
 use super::file::LimitsTable;
 use super::file::ListenTable;
 use super::file::PlacementTable;
@@ -43,6 +45,7 @@
     check_url(&mut doc, &raw.platform.object_api);
     check_url(&mut doc, &raw.platform.host_list);
     check_limits(&mut doc, &raw.limits);
+    check_host(&mut doc, &raw.host);
     check_timing(&mut doc, &raw.timing);
     check_placement(&mut doc, &raw.placement);
     doc.finish()?;
@@ -53,6 +56,7 @@
         platform: platform(raw.platform),
         log_level: raw.log.level.as_str().to_owned(),
         limits: limits(raw.limits),
+        host: host(raw.host),
         timing: timing(raw.timing),
         placement: placement(raw.placement),
     })
@@ -112,6 +116,16 @@
     require_positive(doc, target, !target.get_ref().0.is_zero());
 }
 
+/// Checks that every amount is above 0.
+fn check_host(doc: &mut Document<'_>, host: &HostTable) {
+    if let Some(memory) = &host.memory {
+        require_positive(doc, memory, memory.get_ref().0 > 0);
+    }
+    if let Some(descriptors) = &host.descriptors {
+        require_positive(doc, descriptors, *descriptors.get_ref() > 0);
+    }
+}
+
 /// Checks that every time is above 0, and that the step floor does not exceed the step ceiling.
 fn check_timing(doc: &mut Document<'_>, timing: &TimingTable) {
     let times = [
@@ -207,6 +221,13 @@
     }
 }
 
+fn host(raw: HostTable) -> Host {
+    Host {
+        memory_bytes: raw.memory.map(|m| m.into_inner().0),
+        descriptors: raw.descriptors.map(Spanned::into_inner),
+    }
+}
+
 fn timing(raw: TimingTable) -> Timing {
     Timing {
         request: raw.request.into_inner(),
--- a/crates/kelpworks/src/settings/file.rs
+++ b/crates/kelpworks/src/settings/file.rs
@@ -24,6 +24,8 @@
     #[serde(default)]
     pub(super) limits: LimitsTable,
     #[serde(default)]
+    pub(super) host: HostTable,
+    #[serde(default)]
     pub(super) timing: TimingTable,
     #[serde(default)]
     pub(super) placement: PlacementTable,
@@ -106,6 +108,15 @@
     }
 }
 
+/// `[host]`.
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub(super) struct HostTable {
+    pub(super) memory: Option<Spanned<Size>>,
+    pub(super) descriptors: Option<Spanned<u32>>,
+}
+
 /// `[timing]`.
 #[derive(Debug)]
 #[derive(Deserialize)]
--- a/crates/kelpworks/src/settings/mod.rs
+++ b/crates/kelpworks/src/settings/mod.rs
@@ -29,6 +29,7 @@
 
 use std::net::SocketAddr;
 
+use crate::host_limits::HostLimits;
 use crate::register::Register;
 use crate::units::DurationSetting;
 use crate::units::Rate;
@@ -51,6 +52,8 @@
     pub log_level: String,
     /// Limits on requests and on claim writes.
     pub limits: Limits,
+    /// What the daemon's host has for it.
+    pub host: Host,
     /// Timeouts and intervals outside placement.
     pub timing: Timing,
     /// Lease, timing and weight rate of placement.
@@ -117,6 +120,23 @@
     pub token_target: DurationSetting,
 }
 
+/// What a host has for a daemon; see [`HostLimits`] for what others may use of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Host {
+    /// Memory, in bytes. The key is `memory`, with a unit. Default 256 MB.
+    pub memory_bytes: Option<u64>,
+    /// File descriptors. Default those that the operating system allows the process.
+    pub descriptors: Option<u32>,
+}
+
+impl Host {
+    /// Returns the limits of the host.
+    pub fn limits(&self) -> HostLimits {
+        let memory_bytes = self.memory_bytes.map(|n| n as usize);
+        HostLimits::new(memory_bytes, self.descriptors.map(|n| n as usize))
+    }
+}
+
 /// Timeouts and intervals outside placement. All are above 0.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Timing {
--- a/crates/kelpworks-relay/src/sync.rs
+++ b/crates/kelpworks/src/sync.rs
@@ -5,6 +5,6 @@
 use std::sync::PoisonError;
 
 /// Locks a mutex and ignores poisoning. Only for state that is consistent after every statement.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/kelpworks-relay/tests/memory_budget.rs
+++ b/crates/kelpworks/tests/memory_budget.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use kelpworks_relay::memory_budget::Error;
-use kelpworks_relay::memory_budget::MemoryBudget;
-use kelpworks_relay::memory_budget::Reservation;
-use kelpworks_relay::memory_budget::SMALL_BYTES;
+use kelpworks::memory_budget::Error;
+use kelpworks::memory_budget::MemoryBudget;
+use kelpworks::memory_budget::Reservation;
+use kelpworks::memory_budget::SMALL_BYTES;
 use proptest::prelude::*;
 use tokio::time::advance;
 
