Refuse answers whose heads don't say where their bodies end

Callers saw: the bytes that frame a body, a part of a body, or none, as a complete answer with 200; an answer that breaks off within itself, its length beside another body; a status that is none.

Cause: the pool handed on whatever the HTTP library took for an answer. The library reads a body to the end of the connection when a transfer coding isn't chunked, lets a coding go before a length, and takes any three digits for a status; nobody asked whether the head says one length and only one. Found with a stand-in that sends 64 such answers.

Change: `answer_framing` checks status and headers of an answer; the pool, through which calls, streams and hand-overs read theirs, applies it, and checks the body while it is read. A body whose length comes from the head fails at its end if bytes that don't begin another answer have arrived behind it; one without a length fails if it begins with a chunk. Such an answer is one that broke off: it may have run, and its connection is closed. Heads that the library can't parse count as such answers too, no longer as lost connections. The length that callers get is always that of the body read.

Before/after: malformed_answer_is_one_that_broke_off on: 25, 25 and 24 of 64 forms passed on to calls, calls that run once and streams; handed over: 3, 3 and 4 of 4. rare_answer_that_is_complete_is_passed_on: 2 of 15 with lengths that aren't the body's text. Now all pass, one run of relay_malformed, and of relay_unframed, relay_endless, relay_requests, relay_links, relay_faults and the tests of kelpworks-relay.

Handled before, tested now: lengths with a sign, letters, lists that differ, none or too large; a blank, a tab or a control byte in a name or before the colon; a line that is no field; folded lines; control bytes in values; status 000, 099, 20 and 2000; versions 2.0 and none.

--- a/crates/kelpworks-relay/src/pool.rs
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -9,8 +9,11 @@
 //!
 //! A connection whose answer was not read to its end, or that received anything unexpected, is
 //! closed. One whose request was abandoned before its answer began is held for a while (see `linger`).
+//! All answers are checked by `answer`, whoever reads them.
 
+mod answer;
 mod linger;
+mod received;
 
 use std::collections::HashMap;
 use std::fmt::Debug;
@@ -24,16 +27,17 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::Method;
 use http::Request;
 use http::Response;
 use http::header;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use kelpworks::sync::lock;
 use log::debug;
+use log::info;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use thiserror::Error;
@@ -47,8 +51,10 @@
 use crate::permit::Permit;
 use crate::suspect_checks::CHECK_TIMEOUT;
 use crate::suspect_checks::Finding;
+pub use answer::AnswerBody;
 use linger::Abandonment;
 use linger::MAX_LINGERING_CONNECTIONS;
+use received::Received;
 
 /// Result of sending a request.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -93,6 +99,9 @@
     /// The connection failed after the request or a part of it was sent.
     #[error("connection lost")]
     Lost,
+    /// The request was sent, and the head of what came back is none of an answer, or doesn't say where its body ends.
+    #[error("malformed answer")]
+    Malformed,
 }
 
 /// What the connections of a pool lead to.
@@ -143,7 +152,7 @@
 #[derive(Debug)]
 pub struct Exchange<K: Destination = UpstreamKey> {
     /// The answer; its body has not been read yet.
-    pub response: Response<Incoming>,
+    pub response: Response<AnswerBody>,
     /// The connection, to be returned to the pool once the body is read.
     pub connection: Connection<K>,
     /// What is left of the permit; `None` if the connection's task has taken it over.
@@ -155,7 +164,9 @@
 pub struct Connection<K: Destination = UpstreamKey> {
     sender: SendRequest<Body>,
     abandonment: Abandonment<K>,
+    received: Received,
     destination: K,
+    address: SocketAddr,
     max_idle: Duration,
     is_closing: bool,
     /// Whether it was opened for its present request.
@@ -207,8 +218,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::NotSent`] and [`Error::Withheld`] when nothing was sent; [`Error::Lost`] when the
-    /// upstream may have read the request.
+    /// [`Error::NotSent`] and [`Error::Withheld`] when nothing was sent; [`Error::Lost`] and
+    /// [`Error::Malformed`] when the upstream may have read the request.
     pub async fn send(
         &self,
         destination: K,
@@ -222,6 +233,7 @@
             match exchange(connection, unsent).await {
                 Ok(exchange) => return Ok(exchange),
                 Err(ExchangeError::Lost) => return Err(Error::Lost),
+                Err(ExchangeError::Malformed) => return Err(Error::Malformed),
                 Err(ExchangeError::Withheld) => return Err(Error::Withheld),
                 // The upstream had closed the idle connection; nothing was written.
                 Err(ExchangeError::Unsent(returned)) => unsent = *returned,
@@ -231,6 +243,7 @@
         match exchange(connection, unsent).await {
             Ok(exchange) => Ok(exchange),
             Err(ExchangeError::Lost) => Err(Error::Lost),
+            Err(ExchangeError::Malformed) => Err(Error::Malformed),
             Err(ExchangeError::Withheld) => Err(Error::Withheld),
             Err(ExchangeError::Unsent(_)) => Err(Error::NotSent),
         }
@@ -358,6 +371,7 @@
     if let Err(e) = set_socket_options(&stream) {
         debug!(address:%, error:% = e; "socket options not set");
     }
+    let received = Received::default();
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
@@ -368,6 +382,7 @@
         connection,
         address,
         abandonment.clone(),
+        received.clone(),
         Arc::clone(lingering),
     );
     tokio::spawn(driver);
@@ -375,7 +390,9 @@
     Ok(Connection {
         sender,
         abandonment,
+        received,
         destination,
+        address,
         max_idle: DEFAULT_IDLE_TIMEOUT,
         is_closing: false,
         is_new: true,
@@ -408,6 +425,8 @@
     Withheld,
     /// The request may have been read.
     Lost,
+    /// The request was answered, and the answer can't be used.
+    Malformed,
 }
 
 async fn exchange<K: Destination>(
@@ -418,10 +437,15 @@
     let Some(spent_permit) = permit.spend(req.headers_mut()) else {
         return Err(ExchangeError::Withheld);
     };
+    let is_head_request = req.method() == Method::HEAD;
     // If this future is dropped, the connection takes over the permit.
     let unanswered = connection.abandonment.begin(spent_permit);
     match connection.sender.try_send_request(req).await {
         Ok(response) => {
+            let Some(response) = answer::check(response, is_head_request, &connection) else {
+                unanswered.end(K::Permit::record_arrival);
+                return Err(ExchangeError::Malformed);
+            };
             let permit = unanswered.end(K::Permit::answer);
             connection.is_closing = is_closing(response.headers());
             connection.max_idle = idle_timeout(response.headers());
@@ -431,6 +455,11 @@
                 permit,
             })
         }
+        Err(e) if e.error().is_parse() => {
+            unanswered.end(K::Permit::record_arrival);
+            record_malformed(connection.address, "head");
+            Err(ExchangeError::Malformed)
+        }
         Err(mut e) => {
             let returned = e.take_message().and_then(|req| {
                 let permit = unanswered.end(K::Permit::undo)?;
@@ -444,6 +473,12 @@
     }
 }
 
+/// Records an answer of an upstream or a peer that can't be used.
+fn record_malformed(address: SocketAddr, fault: &'static str) {
+    info!(target: "decision", address:% = address, fault:% = fault; "malformed answer");
+    metrics::counter!("kelpworks_malformed_answers_total", "fault" => fault).increment(1);
+}
+
 fn is_closing(headers: &HeaderMap) -> bool {
     let value = headers
         .get(header::CONNECTION)
--- a/crates/kelpworks-relay/src/pool/linger.rs
+++ b/crates/kelpworks-relay/src/pool/linger.rs
@@ -20,6 +20,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use hyper::client::conn::http1;
@@ -37,6 +39,8 @@
 use super::Body;
 use super::Destination;
 use super::WritePermit;
+use super::received::Received;
+use super::received::find_excess;
 
 /// Maximum number of connections of a pool that are held for abandoned requests.
 pub(super) const MAX_LINGERING_CONNECTIONS: usize = 256;
@@ -121,18 +125,41 @@
     Unknown(&'static str),
 }
 
+/// Drives a connection until the HTTP library is done with it. Records in `received` what follows its last answer.
+async fn drive_http(
+    connection: http1::Connection<TokioIo<TcpStream>, Body>,
+    received: Received,
+) -> (hyper::Result<()>, TcpStream) {
+    let mut connection = Some(connection);
+    poll_fn(|cx| {
+        let mut has_excess = received.lock();
+        let Some(running) = &mut connection else {
+            return Poll::Pending;
+        };
+        let ended = ready!(running.poll_without_shutdown(cx));
+        let Some(ended_connection) = connection.take() else {
+            return Poll::Pending;
+        };
+        let parts = ended_connection.into_parts();
+        let stream = parts.io.into_inner();
+        *has_excess = find_excess(cx, &parts.read_buf, &stream);
+        Poll::Ready((ended, stream))
+    })
+    .await
+}
+
 /// Drives a connection to its end, and holds it while an abandoned request of it may arrive.
 pub(super) async fn drive<K: Destination>(
-    mut connection: http1::Connection<TokioIo<TcpStream>, Body>,
+    connection: http1::Connection<TokioIo<TcpStream>, Body>,
     address: SocketAddr,
     abandonment: Abandonment<K>,
+    received: Received,
     lingering: Arc<Semaphore>,
 ) {
-    let ended = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
+    let (ended, mut stream) = drive_http(connection, received).await;
     if let Err(e) = &ended {
         debug!(address:%, error:% = e; "connection ended");
     }
-    let mut stream = connection.into_parts().io.into_inner();
     // The upstream notices the end of an abandoned request by this.
     let _ = stream.shutdown().await;
     let Some(spent) = abandonment.abandoned().await else {
--- a/crates/kelpworks-relay/src/relay/answer_head.rs
+++ b/crates/kelpworks-relay/src/relay/answer_head.rs
@@ -6,20 +6,20 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use hyper::body::Incoming;
 use kelpworks::verdict::Verdict;
 
 use super::InboundRequest;
 use crate::adapter::AnswerHead;
 use crate::constraints::Announced;
 use crate::limits::Announcement;
+use crate::pool::AnswerBody;
 use crate::shared::announcements::Announcements;
 use crate::shared::announcements::requested_backoff;
 
 /// Returns the id of the upstream that owns the address, if it refused the request as meant for
 /// another upstream (status 421).
 pub(super) fn address_owner_id<'a>(
-    response: &Response<Incoming>,
+    response: &Response<AnswerBody>,
     head: &'a AnswerHead,
 ) -> Option<&'a str> {
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
@@ -34,7 +34,7 @@
 /// but it does not show which of them is leaving.
 pub(super) fn announcements(
     inbound: &InboundRequest,
-    response: &Response<Incoming>,
+    response: &Response<AnswerBody>,
     head: &AnswerHead,
     address: SocketAddr,
 ) -> Option<Announcements> {
@@ -63,7 +63,7 @@
 /// valid response.
 pub(super) fn detect_fault(
     inbound: &InboundRequest,
-    response: &Response<Incoming>,
+    response: &Response<AnswerBody>,
     head: &AnswerHead,
 ) -> Option<(Verdict, &'static str)> {
     if head
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -75,7 +75,9 @@
 pub(super) const WITHHELD: &str = "withheld";
 /// Failure reason of an attempt whose connection ended before the answer.
 const CONNECTION_LOST: &str = "connection lost";
-/// Failure reason of an attempt whose connection ended within the answer.
+/// Failure reason of an attempt that was answered with a head that can't be used.
+pub(super) const MALFORMED: &str = "malformed answer";
+/// Failure reason of an attempt whose connection ended within the answer, or whose body does not end where its head says.
 const CUT_OFF: &str = "answer cut off";
 /// Failure reason when no memory is left for an answer.
 const NO_MEMORY: &str = "memory for answers used up";
@@ -389,7 +391,7 @@
         Attempt::Failed { reason, .. } => *reason,
     };
     let end = match reason {
-        CONNECTION_LOST | CUT_OFF => Break::Lost,
+        CONNECTION_LOST | CUT_OFF | MALFORMED => Break::Lost,
         NO_ANSWER => Break::Silent,
         _ => return,
     };
@@ -401,7 +403,7 @@
         service: &inbound.service.name,
         incarnation: target.incarnation,
         sent: target.sent,
-        is_answered: reason == CUT_OFF,
+        is_answered: [CUT_OFF, MALFORMED].contains(&reason),
         end,
     });
 }
@@ -467,6 +469,7 @@
         Err(pool::Error::NotSent) => return failed_attempt(Verdict::NotRun, NOT_SENT),
         Err(pool::Error::Withheld) => return failed_attempt(Verdict::NotRun, WITHHELD),
         Err(pool::Error::Lost) => return failed_attempt(Verdict::MayHaveRun, CONNECTION_LOST),
+        Err(pool::Error::Malformed) => return failed_attempt(Verdict::MayHaveRun, MALFORMED),
     };
     shared.record_contact(&inbound.service.name, connection.is_new());
     let head = D::decode_answer_head(response.headers());
--- a/crates/kelpworks-relay/src/relay/handover.rs
+++ b/crates/kelpworks-relay/src/relay/handover.rs
@@ -22,7 +22,6 @@
 use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
-use hyper::body::Incoming;
 use kelpworks::sync::lock;
 use kelpworks::verdict::Verdict;
 use log::info;
@@ -39,6 +38,7 @@
 use crate::permit::Retry;
 use crate::permit::SentAttempt;
 use crate::pool;
+use crate::pool::AnswerBody;
 use crate::pool::Body;
 use crate::pool::Connection;
 use crate::pool::Destination;
@@ -355,7 +355,7 @@
         let sending = self.pool.send(PeerAddress(peer), peer, req, reuse, permit);
         let mut exchange = sending.await.map_err(|e| match e {
             pool::Error::NotSent | pool::Error::Withheld => HandoverError::NotSent,
-            pool::Error::Lost => HandoverError::Lost,
+            pool::Error::Lost | pool::Error::Malformed => HandoverError::Lost,
         })?;
         let refusal = refusal_of(&exchange.response);
         match exchange.permit.take() {
@@ -393,7 +393,7 @@
 }
 
 /// Returns the refusal by the peer itself; `None` for an answer to pass on.
-fn refusal_of(response: &Response<Incoming>) -> Option<HandoverError> {
+fn refusal_of(response: &Response<AnswerBody>) -> Option<HandoverError> {
     let value = response.headers().get(REFUSAL_HEADER)?.as_bytes();
     let is = |text: &str| value == text.as_bytes();
     Some(if is(UNREACHABLE_UPSTREAMS) {
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -27,7 +27,6 @@
 use http::HeaderMap;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use kelpworks::sync::lock;
 use kelpworks::verdict::Verdict;
 use kelpworks_coord::crash_ledger::Lasted;
@@ -54,6 +53,7 @@
 use crate::permit::Permit;
 use crate::permit::RequestAttempts;
 use crate::permit::Retry;
+use crate::pool::AnswerBody;
 use crate::pool::Connection;
 use crate::reach::Evidence;
 use crate::shared::Shared;
@@ -143,7 +143,7 @@
 
 /// The response stream of one attempt.
 struct ActiveStream {
-    body: Incoming,
+    body: AnswerBody,
     connection: StreamConnection,
     running_path: RunningPath,
     splitter: EventSplitter,
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -7,8 +7,6 @@
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
-use http::header;
-use hyper::body::Incoming;
 use kelpworks::verdict::Verdict;
 use log::info;
 use tokio::time::Instant;
@@ -35,6 +33,7 @@
 use crate::permit::Admission;
 use crate::permit::StatedDeadline;
 use crate::pool;
+use crate::pool::AnswerBody;
 use crate::pool::Exchange;
 use crate::pool::Reuse;
 use crate::reach::Evidence;
@@ -42,6 +41,7 @@
 use crate::relay::answer_head::address_owner_id;
 use crate::relay::answer_head::announcements;
 use crate::relay::answer_head::detect_fault;
+use crate::relay::call::MALFORMED;
 use crate::relay::call::NOT_SENT;
 use crate::relay::call::WITHHELD;
 use crate::relay::handover::OUT_OF_REACH;
@@ -379,8 +379,7 @@
             ..
         } = exchange;
         self.weight_version = self.weight_version.or(head.weight_version);
-        let (mut parts, body) = response.into_parts();
-        parts.headers.remove(header::CONTENT_LENGTH);
+        let (parts, body) = response.into_parts();
         self.active = Some(ActiveStream {
             body,
             connection: StreamConnection::Engine(connection),
@@ -430,7 +429,7 @@
     fn apply_announcements(
         &self,
         path: &Path,
-        response: &Response<Incoming>,
+        response: &Response<AnswerBody>,
         head: &AnswerHead,
         sent_at: Instant,
     ) {
@@ -457,7 +456,7 @@
         match error {
             pool::Error::NotSent => self.record_link_failure(first, Evidence::NotOpened),
             pool::Error::Lost => self.record_link_failure(first, Evidence::Broken),
-            pool::Error::Withheld => {}
+            pool::Error::Withheld | pool::Error::Malformed => {}
         }
         let mut fleet = self.shared.fleet();
         match error {
@@ -470,6 +469,10 @@
                 fleet.record_outcome(first, true);
                 Failure::crash("connection lost")
             }
+            pool::Error::Malformed => {
+                fleet.record_outcome(first, true);
+                Failure::crash(MALFORMED)
+            }
         }
     }
 
@@ -479,7 +482,7 @@
         &self,
         first: UpstreamKey,
         path: &Path,
-        response: &Response<Incoming>,
+        response: &Response<AnswerBody>,
         head: &AnswerHead,
     ) -> Result<(), Failure> {
         let fault = detect_fault(&self.inbound, response, head);
--- a/crates/kelpworks-relay/src/relay/stream/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/stream/by_peer.rs
@@ -5,7 +5,6 @@
 
 use http::HeaderMap;
 use http::StatusCode;
-use http::header;
 use kelpworks::sync::lock;
 use kelpworks::verdict::Verdict;
 use tokio::time::Instant;
@@ -121,8 +120,7 @@
         } = exchange;
         let answer_head = D::decode_answer_head(response.headers());
         self.weight_version = self.weight_version.or(answer_head.weight_version);
-        let (mut parts, body) = response.into_parts();
-        parts.headers.remove(header::CONTENT_LENGTH);
+        let (parts, body) = response.into_parts();
         self.active = Some(ActiveStream {
             body,
             connection: StreamConnection::Peer(connection),
--- a/crates/kelpworks/src/lib.rs
+++ b/crates/kelpworks/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod active_config;
 pub mod admission;
+pub mod answer_framing;
 pub mod body;
 pub mod claims;
 pub mod clients;
