Bound the bytes of an answer that hold no data of its body

Callers saw: no answer, or a late one, from a daemon that was busy reading zeros where the size of a chunk was due, or informational answers, for as long as a request with such an answer lasted; other requests stood still with it.

Cause: heads and bodies were bounded, but not what frames them. Neither leading zeros of a chunk size nor informational answers ever reach a bound of the HTTP library, and its parser goes through the former byte by byte.

Change: a connection to an upstream or a peer fails once it has received 256 KiB without any data of a body.

Bounded before, tested now: the extension of a chunk, trailers, informational answers to a call that runs once, many bodies at once on a host with 64 MB.

--- a/crates/kelpworks-cli/tests/relay_endless.rs
+++ b/crates/kelpworks-cli/tests/relay_endless.rs
@@ -1,4 +1,4 @@
-//! Upstreams whose answers have no end, in the head or in the body.
+//! Upstreams whose answers have no end, in the head, in the body, or in what frames it.
 
 mod relay_site;
 
@@ -15,11 +15,15 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 
 use relay_site::Site;
 use relay_site::WAIT_TIMEOUT;
+use relay_site::configuration;
 use relay_site::cut::LinksOf;
+use relay_site::daemon;
 use relay_site::daemon::Answer;
+use relay_site::daemon::Host;
 use relay_site::daemon::Relay;
 
 /// Time between two tries of a test.
@@ -34,21 +38,56 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 const MAX_BODY_BYTES: usize = 16 << 20;
 const MAX_EVENT_BYTES: usize = 4 << 20;
+/// Bound on what is read without any data of a body.
+const MAX_BYTES_WITHOUT_DATA: usize = 256 << 10;
+/// Requests that get answers without end at the same time.
+const CROWD: usize = 48;
 /// Bound on an engine's report.
 const MAX_REPORT_BYTES: usize = 64 << 10;
 
-/// Where the first answer to each request has no end.
+/// Where the first answers have no end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Endless {
     Head,
     Body,
+    /// Informational answers come before it.
+    Informational,
+    /// The size of a chunk has leading zeros.
+    ChunkSize,
+    /// A chunk has an extension.
+    ChunkExtension,
+    Trailers,
 }
 
-/// Upstreams whose first answer to each request has no end; further ones are complete.
+impl Endless {
+    /// Returns what comes between the fields that all answers have and the bytes that are repeated.
+    fn start(self) -> &'static str {
+        match self {
+            Endless::Head => "x-rest: ",
+            Endless::Body => "\r\ndata: ",
+            Endless::Informational => "\r\n",
+            Endless::ChunkSize => "transfer-encoding: chunked\r\n\r\n",
+            Endless::ChunkExtension => "transfer-encoding: chunked\r\n\r\n1;",
+            Endless::Trailers => "transfer-encoding: chunked\r\n\r\n0\r\nx-rest: ",
+        }
+    }
+
+    fn repeated(self) -> Vec<u8> {
+        match self {
+            Endless::Informational => {
+                b"HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n".repeat(1_024)
+            }
+            Endless::ChunkSize => vec![b'0'; 64 << 10],
+            _ => vec![b'x'; 64 << 10],
+        }
+    }
+}
+
+/// Upstreams whose first answers have no end; further ones are complete.
 struct EndlessUpstream {
     endless: Endless,
-    /// Whether a request has arrived, at any of them.
-    has_answered: AtomicUsize,
+    /// Requests that may still get an answer without end.
+    left: AtomicUsize,
     /// Bytes of the answer without end that could be written.
     written: AtomicUsize,
     /// Connections on which it has been written until they were closed.
@@ -56,11 +95,12 @@
 }
 
 impl EndlessUpstream {
-    /// Starts two upstreams behind the links of a site, so that a request can go on at the other one.
-    async fn start(site: &mut Site, endless: Endless) -> Arc<EndlessUpstream> {
+    /// Starts two upstreams behind the links of a site, so that a request can go on at the other one. `count` answers
+    /// have no end.
+    async fn start(site: &mut Site, endless: Endless, count: usize) -> Arc<EndlessUpstream> {
         let upstream = Arc::new(EndlessUpstream {
             endless,
-            has_answered: AtomicUsize::new(0),
+            left: AtomicUsize::new(count),
             written: AtomicUsize::new(0),
             closed: AtomicUsize::new(0),
         });
@@ -101,23 +141,25 @@
             true => ("text/event-stream", EVENTS),
             false => ("text/plain", CALL_BODY),
         };
-        let start = format!(
-            "HTTP/1.1 200 OK\r\nx-kelpworks-attempt-id: {request}\r\n\
-             x-kelpworks-server-stamp: stamp\r\ncontent-type: {kind}\r\n"
+        let fields = format!(
+            "x-kelpworks-attempt-id: {request}\r\nx-kelpworks-server-stamp: stamp\r\n\
+             content-type: {kind}\r\n"
         );
         let is_warm_up = head.contains(WARM_UP);
-        if is_warm_up || self.has_answered.fetch_add(1, Ordering::Relaxed) > 0 {
-            let answer = format!("{start}connection: close\r\n\r\n{body}");
+        let take = |left: usize| left.checked_sub(1);
+        let (set, get) = (Ordering::Relaxed, Ordering::Relaxed);
+        if is_warm_up || self.left.fetch_update(set, get, take).is_err() {
+            let answer = format!("HTTP/1.1 200 OK\r\n{fields}connection: close\r\n\r\n{body}");
             stream.write_all(answer.as_bytes()).await?;
             return stream.shutdown().await;
         }
-        let rest = match self.endless {
-            Endless::Head => "x-rest: ",
-            Endless::Body => "\r\ndata: ",
+        let status = match self.endless {
+            Endless::Informational => "103 Early Hints",
+            _ => "200 OK",
         };
+        let start = format!("HTTP/1.1 {status}\r\n{fields}{}", self.endless.start());
         stream.write_all(start.as_bytes()).await?;
-        stream.write_all(rest.as_bytes()).await?;
-        let piece = [b'x'; 64 << 10];
+        let piece = self.endless.repeated();
         while let Ok(n) = stream.write(&piece).await {
             self.written.fetch_add(n, Ordering::Relaxed);
         }
@@ -162,6 +204,14 @@
 #[case::stream_event(Endless::Body, Method::POST, "/fragile-events/x", MAX_EVENT_BYTES, (200, EVENTS))]
 #[case::once_head(Endless::Head, Method::POST, "/fragile-once/x", MAX_HEAD_BYTES, (502, ""))]
 #[case::once_body(Endless::Body, Method::POST, "/fragile-once/x", MAX_BODY_BYTES, (502, ""))]
+#[case::call_informational(Endless::Informational, Method::GET, "/fragile/x", MAX_BYTES_WITHOUT_DATA, (200, CALL_BODY))]
+#[case::stream_informational(Endless::Informational, Method::POST, "/fragile-events/x", MAX_BYTES_WITHOUT_DATA, (200, EVENTS))]
+#[case::once_informational(Endless::Informational, Method::POST, "/fragile-once/x", MAX_BYTES_WITHOUT_DATA, (502, ""))]
+#[case::call_chunk_size(Endless::ChunkSize, Method::GET, "/fragile/x", MAX_BYTES_WITHOUT_DATA, (200, CALL_BODY))]
+#[case::stream_chunk_size(Endless::ChunkSize, Method::POST, "/fragile-events/x", MAX_BYTES_WITHOUT_DATA, (200, EVENTS))]
+#[case::once_chunk_size(Endless::ChunkSize, Method::POST, "/fragile-once/x", MAX_BYTES_WITHOUT_DATA, (502, ""))]
+#[case::once_chunk_extension(Endless::ChunkExtension, Method::POST, "/fragile-once/x", MAX_BYTES_WITHOUT_DATA, (502, ""))]
+#[case::once_trailers(Endless::Trailers, Method::POST, "/fragile-once/x", MAX_BYTES_WITHOUT_DATA, (502, ""))]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn answer_without_end_is_given_up_at_the_bound(
     #[case] endless: Endless,
@@ -172,7 +222,7 @@
 ) {
     let name = format!("endless-{endless:?}-{}", path.replace('/', "-"));
     let mut site = Site::start(&name, 1).await;
-    let upstream = EndlessUpstream::start(&mut site, endless).await;
+    let upstream = EndlessUpstream::start(&mut site, endless, 1).await;
     wait_until_registered(&site).await;
     let answer = send(&site, method, path).await;
     assert_eq!(answer.status, expected.0, "{}", site.daemons[0].log());
@@ -204,7 +254,7 @@
 ) {
     let name = format!("endless-handover-{endless:?}-{}", path.replace('/', "-"));
     let mut site = Site::start_with_links(&name, 3).await;
-    let upstream = EndlessUpstream::start(&mut site, endless).await;
+    let upstream = EndlessUpstream::start(&mut site, endless, 1).await;
     wait_until_registered(&site).await;
     site.set_links(0, LinksOf::Reset);
     let until = Instant::now() + WAIT_TIMEOUT;
@@ -279,3 +329,37 @@
         "{written} bytes"
     );
 }
+
+/// Guards against many answers without end that together take more memory than the host has, though each of them is
+/// bounded.
+#[rstest]
+#[case::bodies(Endless::Body, Method::GET, "/fragile/")]
+#[case::chunk_sizes(Endless::ChunkSize, Method::POST, "/fragile-events/")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn many_answers_without_end_stay_within_the_memory_of_the_host(
+    #[case] endless: Endless,
+    #[case] method: Method,
+    #[case] prefix: &str,
+) {
+    let host = Host {
+        memory_mb: 64,
+        descriptors: 4_096,
+    };
+    let name = format!("endless-many-{endless:?}-{}", prefix.replace('/', "-"));
+    let mut site = Site::start_on_host(&name, host, configuration(2)).await;
+    EndlessUpstream::start(&mut site, endless, usize::MAX).await;
+    wait_until_registered(&site).await;
+    let mut requests = JoinSet::new();
+    for n in 0..CROWD {
+        let path = format!("{prefix}{n}");
+        let req = site.daemons[0].request(method.clone(), &path, &path);
+        let req = req.header("x-kelpworks-token-count", "10,2");
+        requests.spawn(daemon::send(req));
+    }
+    for answer in requests.join_all().await {
+        assert_ne!(answer.expect("an answer").status, 200);
+    }
+    assert!(!site.daemons[0].has_exited());
+    let peak = site.daemons[0].peak_memory();
+    assert!(peak < host.memory_mb * 1_000_000, "{peak} bytes");
+}
--- a/crates/kelpworks-relay/src/pool.rs
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -54,6 +54,7 @@
 pub use answer::AnswerBody;
 use linger::Abandonment;
 use linger::MAX_LINGERING_CONNECTIONS;
+use received::BoundedStream;
 use received::Received;
 
 /// Result of sending a request.
@@ -372,6 +373,7 @@
         debug!(address:%, error:% = e; "socket options not set");
     }
     let received = Received::default();
+    let stream = BoundedStream::new(stream, received.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
@@ -438,6 +440,7 @@
         return Err(ExchangeError::Withheld);
     };
     let is_head_request = req.method() == Method::HEAD;
+    connection.received.record_progress();
     // If this future is dropped, the connection takes over the permit.
     let unanswered = connection.abandonment.begin(spent_permit);
     match connection.sender.try_send_request(req).await {
--- a/crates/kelpworks-relay/src/pool/answer.rs
+++ b/crates/kelpworks-relay/src/pool/answer.rs
@@ -135,6 +135,7 @@
 
 impl AnswerBody {
     fn check_data(&mut self, data: &[u8]) -> Result<()> {
+        self.received.record_progress();
         if self.is_forbidden && !data.is_empty() {
             return Err(Error::ForbiddenBody);
         }
--- a/crates/kelpworks-relay/src/pool/linger.rs
+++ b/crates/kelpworks-relay/src/pool/linger.rs
@@ -39,6 +39,7 @@
 use super::Body;
 use super::Destination;
 use super::WritePermit;
+use super::received::BoundedStream;
 use super::received::Received;
 use super::received::find_excess;
 
@@ -127,7 +128,7 @@
 
 /// Drives a connection until the HTTP library is done with it. Records in `received` what follows its last answer.
 async fn drive_http(
-    connection: http1::Connection<TokioIo<TcpStream>, Body>,
+    connection: http1::Connection<TokioIo<BoundedStream>, Body>,
     received: Received,
 ) -> (hyper::Result<()>, TcpStream) {
     let mut connection = Some(connection);
@@ -141,7 +142,7 @@
             return Poll::Pending;
         };
         let parts = ended_connection.into_parts();
-        let stream = parts.io.into_inner();
+        let stream = parts.io.into_inner().into_inner();
         *has_excess = find_excess(cx, &parts.read_buf, &stream);
         Poll::Ready((ended, stream))
     })
@@ -150,7 +151,7 @@
 
 /// Drives a connection to its end, and holds it while an abandoned request of it may arrive.
 pub(super) async fn drive<K: Destination>(
-    connection: http1::Connection<TokioIo<TcpStream>, Body>,
+    connection: http1::Connection<TokioIo<BoundedStream>, Body>,
     address: SocketAddr,
     abandonment: Abandonment<K>,
     received: Received,
