Count large events of streams in the memory for bodies

Callers would see: a daemon that ends for want of memory, and all requests on it with it.

Cause: an event that has no end is bounded, at 4 MiB, but nothing bounds the sum of the events under way; the bodies of calls share a budget that is a quarter of the host's memory.

Change: a stream that buffers more than 64 KiB of an event reserves it in that budget, and is broken off if none is left.

Left: the first 64 KiB of an event, and what a connection has read ahead, go uncounted.

--- a/crates/kelpworks-cli/tests/relay_endless.rs
+++ b/crates/kelpworks-cli/tests/relay_endless.rs
@@ -334,6 +334,7 @@
 /// bounded.
 #[rstest]
 #[case::bodies(Endless::Body, Method::GET, "/fragile/")]
+#[case::events(Endless::Body, Method::POST, "/fragile-events/")]
 #[case::chunk_sizes(Endless::ChunkSize, Method::POST, "/fragile-events/")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn many_answers_without_end_stay_within_the_memory_of_the_host(
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -80,7 +80,7 @@
 /// Failure reason of an attempt whose connection ended within the answer, or whose body does not end where its head says.
 const CUT_OFF: &str = "answer cut off";
 /// Failure reason when no memory is left for an answer.
-const NO_MEMORY: &str = "memory for answers used up";
+pub(super) const NO_MEMORY: &str = "memory for answers used up";
 /// Failure reason of an attempt whose answer did not arrive in time.
 const NO_ANSWER: &str = "no answer in time";
 
--- a/crates/kelpworks-relay/src/relay/events.rs
+++ b/crates/kelpworks-relay/src/relay/events.rs
@@ -34,6 +34,11 @@
         self.buf.extend_from_slice(bytes);
     }
 
+    /// Returns the memory that is kept for incomplete events, in bytes.
+    pub(super) fn capacity(&self) -> usize {
+        self.buf.capacity()
+    }
+
     /// Returns the number of buffered bytes of an incomplete event.
     pub(super) fn pending_len(&self) -> usize {
         self.buf.len()
--- a/crates/kelpworks-relay/src/relay/stream.rs
+++ b/crates/kelpworks-relay/src/relay/stream.rs
@@ -27,6 +27,8 @@
 use http::HeaderMap;
 use http::StatusCode;
 use http_body_util::BodyExt;
+use kelpworks::memory_budget;
+use kelpworks::memory_budget::SMALL_BYTES;
 use kelpworks::sync::lock;
 use kelpworks::verdict::Verdict;
 use kelpworks_coord::crash_ledger::Lasted;
@@ -37,6 +39,7 @@
 use super::InFlightGuard;
 use super::InboundRequest;
 use super::Refusal;
+use super::call::NO_MEMORY;
 use super::call::final_refusal;
 use super::events::EventSplitter;
 use super::handover::HandoverClient;
@@ -147,12 +150,32 @@
     connection: StreamConnection,
     running_path: RunningPath,
     splitter: EventSplitter,
+    /// Memory of an event that is too large to go uncounted.
+    event_memory: memory_budget::Reservation,
     /// When data last arrived; when the request was sent, before any did.
     last_received: Instant,
     started: bool,
     survival: Survival,
 }
 
+impl ActiveStream {
+    /// Reserves memory for the event that is being received; a stream of small events needs none.
+    async fn reserve_event_memory(&mut self) -> memory_budget::Result<()> {
+        let needed = match self.splitter.capacity() {
+            capacity if capacity > SMALL_BYTES => capacity,
+            _ => 0,
+        };
+        let reserved = self.event_memory.bytes();
+        if needed > reserved {
+            return self.event_memory.grow(needed - reserved).await;
+        }
+        if needed < reserved {
+            self.event_memory.shrink_to(needed);
+        }
+        Ok(())
+    }
+}
+
 /// Path of a running request, with its reservations at the engines; empty while another daemon
 /// serves it.
 struct RunningPath {
@@ -511,6 +534,9 @@
                     if active.splitter.pending_len() > MAX_EVENT_BYTES {
                         return Err(Failure::new(Verdict::MayHaveRun, "event too large"));
                     }
+                    if active.reserve_event_memory().await.is_err() {
+                        return Err(Failure::new(Verdict::MayHaveRun, NO_MEMORY));
+                    }
                     if events.bytes.is_empty() {
                         continue;
                     }
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -7,6 +7,7 @@
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
+use kelpworks::memory_budget;
 use kelpworks::verdict::Verdict;
 use log::info;
 use tokio::time::Instant;
@@ -162,6 +163,13 @@
         self.ran_at = left;
     }
 
+    /// Returns an empty reservation, which is not evicted, for the events of an attempt.
+    pub(super) fn event_memory(&self) -> memory_budget::Reservation {
+        let memory = self.shared.memory().reservation();
+        memory.complete();
+        memory
+    }
+
     /// Returns the expected number of tokens of prompt and answer.
     pub(super) fn tokens(&self) -> f64 {
         let head = &self.inbound.head;
@@ -390,6 +398,7 @@
                 _reservation: reservation,
             },
             splitter: EventSplitter::default(),
+            event_memory: self.event_memory(),
             last_received: sent,
             started: false,
             survival: Survival::default(),
--- a/crates/kelpworks-relay/src/relay/stream/by_peer.rs
+++ b/crates/kelpworks-relay/src/relay/stream/by_peer.rs
@@ -131,6 +131,7 @@
                 _reservation: Reservation::acquire(&self.shared, &[], 0.0),
             },
             splitter: EventSplitter::default(),
+            event_memory: self.event_memory(),
             last_received: sent,
             started: false,
             survival: Survival::default(),
