Check the answers of services, engines, the store and the host list too

Callers of `serve` saw: the bytes that frame a body as the body of a service's answer. Besides, an order that an engine may carry out counted as refused, a write as refused by the store, and a health check as passed.

Cause: the HTTP clients beside the pool of the relay use the same library with the same leniency.

Change: they send their requests through `clients::answer`, which applies the check of the pool to the head; bodies without a length that begin with a chunk are refused when they are read. The recognition of chunks moves to `answer_framing`.

--- a/crates/kelpworks-cli/tests/relay_malformed.rs
+++ b/crates/kelpworks-cli/tests/relay_malformed.rs
@@ -688,3 +688,100 @@
     assert_eq!(length, Some(CALL_BODY.len().into()));
     assert_eq!(upstream.arrivals("length-without-body"), 1);
 }
+
+/// What an engine answers to one kind of message; the other kind gets a sound answer.
+#[derive(Clone, Copy, Debug)]
+struct EngineFault {
+    path: &'static str,
+    start: &'static str,
+    lines: &'static str,
+}
+
+/// Starts an engine that has just come, one of whose answers is malformed.
+async fn start_engine(site: &Site, fault: EngineFault) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let mut entry = site.engines.all()[0].entry();
+    entry["address"] = json!(address.to_string());
+    entry["layers"] = json!(null);
+    let report = json!({"born": entry["born"], "busy": false, "seq": 0}).to_string();
+    site.store.put("servers", "malformed-engine", entry);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let report = report.clone();
+            tokio::spawn(async move {
+                let _ = answer_engine_calls(stream, fault, &report).await;
+            });
+        }
+    });
+}
+
+async fn answer_engine_calls(
+    mut stream: TcpStream,
+    fault: EngineFault,
+    report: &str,
+) -> std::io::Result<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await?);
+    }
+    let head = String::from_utf8_lossy(&head);
+    let (start, body) = match head.starts_with("GET /report") {
+        true => ("HTTP/1.1 200 OK\r\n", report),
+        false => ("HTTP/1.1 202 Accepted\r\n", "{}"),
+    };
+    let answer = match head.contains(fault.path) {
+        true => format!(
+            "{}{}\r\n{:x}\r\n{body}\r\n0\r\n\r\n",
+            fault.start,
+            fault.lines,
+            body.len()
+        ),
+        false => format!("{start}content-length: {}\r\n\r\n{body}", body.len()),
+    };
+    stream.write_all(answer.as_bytes()).await?;
+    stream.shutdown().await
+}
+
+/// Guards against a report that is believed, or an order that is taken for accepted or refused, by an answer that can't be
+/// used.
+#[rstest]
+#[case::report("GET /report", OK, "engine queried", "\"answered\":false")]
+#[case::order(
+    "POST /order",
+    "HTTP/1.1 202 Accepted\r\n",
+    "layers ordered",
+    "\"outcome\":\"lost\""
+)]
+#[case::status_of_an_order(
+    "POST /order",
+    "HTTP/1.1 999 X\r\n",
+    "layers ordered",
+    "\"outcome\":\"lost\""
+)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn malformed_answer_of_an_engine_is_none(
+    #[case] path: &'static str,
+    #[case] start: &'static str,
+    #[case] event: &str,
+    #[case] expected: &str,
+) {
+    let name = format!("malformed-{path}-{start}").replace(['/', ' ', '\r', '\n'], "-");
+    let site = Site::start(&name, 1).await;
+    let lines = match start.contains("999") {
+        true => "transfer-encoding: chunked\r\n",
+        false => "transfer-encoding: chunked\r\ncontent-length: 2\r\n",
+    };
+    start_engine(&site, EngineFault { path, start, lines }).await;
+    let until = Instant::now() + WAIT_TIMEOUT;
+    let line = loop {
+        let log = site.daemons[0].log();
+        let is_event = |l: &&str| l.contains(event) && l.contains("malformed-engine");
+        if let Some(line) = log.lines().find(is_event) {
+            break line.to_owned();
+        }
+        assert!(Instant::now() < until, "{log}");
+        tokio::time::sleep(INTERVAL).await;
+    };
+    assert!(line.contains(expected), "{line}");
+}
--- a/crates/kelpworks-relay/src/pool.rs
+++ b/crates/kelpworks-relay/src/pool.rs
@@ -35,9 +35,9 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use kelpworks::answer_framing;
 use kelpworks::sync::lock;
 use log::debug;
-use log::info;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use thiserror::Error;
@@ -460,7 +460,7 @@
         }
         Err(e) if e.error().is_parse() => {
             unanswered.end(K::Permit::record_arrival);
-            record_malformed(connection.address, "head");
+            answer_framing::record_fault(connection.address, "head");
             Err(ExchangeError::Malformed)
         }
         Err(mut e) => {
@@ -476,12 +476,6 @@
     }
 }
 
-/// Records an answer of an upstream or a peer that can't be used.
-fn record_malformed(address: SocketAddr, fault: &'static str) {
-    info!(target: "decision", address:% = address, fault:% = fault; "malformed answer");
-    metrics::counter!("kelpworks_malformed_answers_total", "fault" => fault).increment(1);
-}
-
 fn is_closing(headers: &HeaderMap) -> bool {
     let value = headers
         .get(header::CONNECTION)
--- a/crates/kelpworks-relay/src/pool/answer.rs
+++ b/crates/kelpworks-relay/src/pool/answer.rs
@@ -12,9 +12,6 @@
 //! Limits: bytes behind an answer count if they arrive with its end or before. A head that has lost its length without a
 //! trace is one of an answer that ends with its connection.
 
-#[cfg(test)]
-mod tests;
-
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::Context;
@@ -22,8 +19,6 @@
 use std::task::ready;
 
 use bytes::Bytes;
-use bytes::BytesMut;
-use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -33,6 +28,7 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use kelpworks::answer_framing;
+use kelpworks::answer_framing::ChunkDetector;
 use kelpworks::answer_framing::Fault;
 use kelpworks::answer_framing::Framing;
 use thiserror::Error;
@@ -40,16 +36,10 @@
 use super::Connection;
 use super::Destination;
 use super::received::Received;
-use super::record_malformed;
 
 /// Result of reading a part of a body.
 pub(super) type Result<T> = std::result::Result<T, Error>;
 
-/// Longest line with the size of a chunk that is recognised.
-const MAX_CHUNK_SIZE_LINE: usize = 64;
-/// What ends the data of a chunk.
-const CHUNK_END: &[u8] = b"\r\n";
-
 /// Why a body can't be used.
 #[derive(Debug)]
 #[derive(Error)]
@@ -91,7 +81,7 @@
     let framing = match answer_framing::check(parts.status, &parts.headers) {
         Ok(framing) => framing,
         Err(fault) => {
-            record_malformed(connection.address, fault.as_str());
+            answer_framing::record_fault(connection.address, fault.as_str());
             return None;
         }
     };
@@ -176,7 +166,7 @@
         };
         self.has_ended = !matches!(frame, Ok(Some(_)));
         if let Some(fault) = frame.as_ref().err().and_then(Error::fault) {
-            record_malformed(self.address, fault);
+            answer_framing::record_fault(self.address, fault);
         }
         Poll::Ready(frame.transpose())
     }
@@ -190,79 +180,3 @@
         self.inner.size_hint()
     }
 }
-
-/// Recognises a body in chunks behind a head that doesn't announce them, as when the name of its field is misspelt.
-#[derive(Debug)]
-struct ChunkDetector {
-    /// Whether the body is one of events, none of which begins with the size of a chunk.
-    is_event_stream: bool,
-    state: ChunkState,
-}
-
-#[derive(Debug)]
-enum ChunkState {
-    /// The first line, as far as it has arrived.
-    Size(BytesMut),
-    /// Bytes that are left until the end of the first chunk.
-    Data(u64),
-    /// Number of bytes of [`CHUNK_END`] that have arrived behind the first chunk.
-    End(usize),
-    NoChunks,
-}
-
-impl ChunkDetector {
-    fn new(headers: &HeaderMap) -> ChunkDetector {
-        let kind = headers.get(header::CONTENT_TYPE).map(HeaderValue::as_bytes);
-        let events = b"text/event-stream";
-        let kind = kind.and_then(|k| k.get(..events.len()));
-        ChunkDetector {
-            is_event_stream: kind.is_some_and(|k| k.eq_ignore_ascii_case(events)),
-            state: ChunkState::Size(BytesMut::new()),
-        }
-    }
-
-    /// Adds data; returns whether the body begins with a chunk.
-    fn push(&mut self, mut data: &[u8]) -> bool {
-        loop {
-            let next = match &mut self.state {
-                _ if data.is_empty() => return false,
-                ChunkState::NoChunks => return false,
-                ChunkState::Size(line) => {
-                    let had = line.len();
-                    let n = data.len().min(MAX_CHUNK_SIZE_LINE - had);
-                    line.extend_from_slice(&data[..n]);
-                    match httparse::parse_chunk_size(line) {
-                        Ok(httparse::Status::Complete((end, _))) if self.is_event_stream => {
-                            return end > 0;
-                        }
-                        Ok(httparse::Status::Complete((end, size))) => {
-                            data = &data[end - had..];
-                            ChunkState::Data(size)
-                        }
-                        Ok(httparse::Status::Partial) if had + n < MAX_CHUNK_SIZE_LINE => {
-                            return false;
-                        }
-                        _ => ChunkState::NoChunks,
-                    }
-                }
-                ChunkState::Data(left) => {
-                    let n = usize::try_from(*left).map_or(data.len(), |left| left.min(data.len()));
-                    data = &data[n..];
-                    match *left - n as u64 {
-                        0 => ChunkState::End(0),
-                        left => ChunkState::Data(left),
-                    }
-                }
-                ChunkState::End(seen) if data[0] == CHUNK_END[*seen] => {
-                    data = &data[1..];
-                    match *seen + 1 == CHUNK_END.len() {
-                        true => return true,
-                        false => ChunkState::End(*seen + 1),
-                    }
-                }
-                ChunkState::End(_) => ChunkState::NoChunks,
-            };
-            self.state = next;
-        }
-    }
-}
--- a/crates/kelpworks/src/answer_framing.rs
+++ b/crates/kelpworks/src/answer_framing.rs
@@ -20,17 +20,23 @@
 //! ```
 //!
 //! Limits: a length that is wrong but well-formed shows only by the bytes behind the body, and a field whose name is
-//! misspelt is another field.
+//! misspelt is another field. Where that leaves an answer without a length, [`ChunkDetector`] recognises its chunks.
 
+mod chunks;
 #[cfg(test)]
 mod tests;
 
+use std::fmt::Display;
+
 use http::HeaderMap;
 use http::HeaderValue;
 use http::StatusCode;
 use http::header;
+use log::info;
 use thiserror::Error;
 
+pub use chunks::ChunkDetector;
+
 /// Result of this module.
 pub type Result<T> = std::result::Result<T, Fault>;
 
@@ -104,6 +110,12 @@
     Ok(framing)
 }
 
+/// Records an answer that can't be used, of the server at `address`.
+pub fn record_fault(address: impl Display, fault: &'static str) {
+    info!(target: "decision", address:% = address, fault:% = fault; "malformed answer");
+    metrics::counter!("kelpworks_malformed_answers_total", "fault" => fault).increment(1);
+}
+
 /// Returns whether the body consists of chunks.
 fn is_chunked(headers: &HeaderMap) -> Result<bool> {
     let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
--- a/crates/kelpworks/src/clients/body.rs
+++ b/crates/kelpworks/src/clients/body.rs
@@ -9,6 +9,10 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+use crate::answer_framing;
+use crate::answer_framing::ChunkDetector;
+use crate::answer_framing::Framing;
+
 /// Result of reading a body.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -26,6 +30,9 @@
         /// The bound, in bytes.
         max_bytes: usize,
     },
+    /// The body consists of chunks, and the head doesn't say so.
+    #[error("chunks without a transfer coding")]
+    UnannouncedChunks,
     /// The body is no JSON of the expected form.
     #[error(transparent)]
     Malformed(#[from] serde_json::Error),
@@ -42,10 +49,17 @@
 ///
 /// # Errors
 ///
-/// When it is longer, breaks off, or does not end before the timeout of its request.
+/// When it is longer, breaks off, does not end before the timeout of its request, or consists of chunks that the head
+/// doesn't announce.
 pub async fn read(mut reply: Response, max_bytes: usize) -> Result<Bytes> {
     let mut body = BytesMut::new();
+    let framing = answer_framing::check(reply.status(), reply.headers());
+    let is_unframed = framing == Ok(Framing::Unframed);
+    let mut chunks = is_unframed.then(|| ChunkDetector::new(reply.headers()));
     while let Some(piece) = reply.chunk().await? {
+        if chunks.as_mut().is_some_and(|c| c.push(&piece)) {
+            return Err(Error::UnannouncedChunks);
+        }
         if body.len() + piece.len() > max_bytes {
             return Err(Error::TooLarge { max_bytes });
         }
--- a/crates/kelpworks/src/clients/engine.rs
+++ b/crates/kelpworks/src/clients/engine.rs
@@ -19,6 +19,7 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+use super::answer;
 use super::body;
 use crate::verdict::Verdict;
 use kelpworks_wire::CancelRequest;
@@ -69,6 +70,13 @@
         }
     }
 
+    pub(crate) fn from_send(e: answer::Error) -> Error {
+        match e {
+            answer::Error::Failed(e) => Error::from_reqwest(e),
+            answer::Error::Malformed(_) => Error::Lost(e.to_string()),
+        }
+    }
+
     /// Strips the URL: the text may reach a caller, and callers must not see upstream addresses.
     pub(crate) fn from_reqwest(e: reqwest::Error) -> Error {
         let e = e.without_url();
@@ -187,12 +195,8 @@
         deadline: Duration,
     ) -> Result<A> {
         let client = self.client(url);
-        let sent = client
-            .post(format!("{url}{path}"))
-            .timeout(deadline)
-            .json(body)
-            .send()
-            .await;
+        let req = client.post(format!("{url}{path}"));
+        let sent = answer::send(req.timeout(deadline).json(body)).await;
         read(sent).await
     }
 }
@@ -203,11 +207,12 @@
     body.map_err(|e| match e {
         body::Error::Lost(e) => Error::from_reqwest(e),
         body::Error::TooLarge { .. } | body::Error::Malformed(_) => Error::TooLarge,
+        body::Error::UnannouncedChunks => Error::Lost(e.to_string()),
     })
 }
 
-async fn read<A: DeserializeOwned>(sent: reqwest::Result<Response>) -> Result<A> {
-    let res = sent.map_err(Error::from_reqwest)?;
+async fn read<A: DeserializeOwned>(sent: answer::Result<Response>) -> Result<A> {
+    let res = sent.map_err(Error::from_send)?;
     if !res.status().is_success() {
         return Err(Error::Status(res.status()));
     }
@@ -216,14 +221,8 @@
 }
 
 async fn get_state(client: &Client, url: &Arc<str>, deadline: Duration) -> Result<EngineState> {
-    read(
-        client
-            .get(format!("{url}/v1/state"))
-            .timeout(deadline)
-            .send()
-            .await,
-    )
-    .await
+    let req = client.get(format!("{url}/v1/state"));
+    read(answer::send(req.timeout(deadline)).await).await
 }
 
 impl Engine for HttpEngine {
@@ -238,13 +237,9 @@
 
     async fn cancel(&self, url: &Arc<str>, req: &CancelRequest, deadline: Duration) -> Result<()> {
         let client = self.client(url);
-        let sent = client
-            .post(format!("{url}/v1/cancel"))
-            .timeout(deadline)
-            .json(req)
-            .send()
-            .await;
-        let res = sent.map_err(Error::from_reqwest)?;
+        let sent = client.post(format!("{url}/v1/cancel"));
+        let sent = answer::send(sent.timeout(deadline).json(req)).await;
+        let res = sent.map_err(Error::from_send)?;
         if res.status().is_success() {
             Ok(())
         } else {
--- a/crates/kelpworks/src/clients/host_list.rs
+++ b/crates/kelpworks/src/clients/host_list.rs
@@ -21,10 +21,10 @@
 use reqwest::Url;
 use thiserror::Error;
 
+use super::answer;
 use super::body;
 use super::resettable::ResettableClient;
 use super::resettable::SendStage;
-use super::resettable::send_stage;
 use kelpworks_wire::HostList;
 
 /// Largest list that is read, some kilobytes for each of a thousand hosts.
@@ -116,8 +116,8 @@
 impl HostListApi for HttpHostList {
     async fn hosts(&self) -> Result<HostList> {
         let req = self.client.get().get(self.url.clone());
-        let reply = req.timeout(self.deadlines.call).send().await;
-        let reply = reply.map_err(|e| match send_stage(&e) {
+        let reply = answer::send(req.timeout(self.deadlines.call)).await;
+        let reply = reply.map_err(|e| match e.stage() {
             SendStage::NotSent => Error::NotSent,
             SendStage::Lost => Error::Silent,
         })?;
--- a/crates/kelpworks/src/clients/mod.rs
+++ b/crates/kelpworks/src/clients/mod.rs
@@ -1,5 +1,6 @@
 //! Clients of outside systems: one small trait for each, and its HTTP implementation.
 
+pub mod answer;
 pub mod body;
 pub mod engine;
 pub mod era;
--- a/crates/kelpworks/src/clients/object_api.rs
+++ b/crates/kelpworks/src/clients/object_api.rs
@@ -33,11 +33,11 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+use super::answer;
 use super::body;
 use super::era::Eras;
 use super::resettable::ResettableClient;
 use super::resettable::SendStage;
-use super::resettable::send_stage;
 use kelpworks_coord::id::Era;
 use kelpworks_coord::id::Version;
 use kelpworks_wire::ApiError;
@@ -382,7 +382,7 @@
 
     /// Sends a request; any status other than success is an error.
     async fn send(&self, req: RequestBuilder) -> Result<(reqwest::Response, Era)> {
-        let reply = req.send().await.map_err(|e| match send_stage(&e) {
+        let reply = answer::send(req).await.map_err(|e| match e.stage() {
             SendStage::NotSent => Error::NotSent,
             SendStage::Lost => Error::Lost,
         })?;
--- a/crates/kelpworks/src/clients/plain_service.rs
+++ b/crates/kelpworks/src/clients/plain_service.rs
@@ -11,6 +11,7 @@
 use reqwest::Method;
 use reqwest::header::HeaderMap;
 
+use crate::clients::answer;
 use crate::clients::engine::Error;
 use crate::clients::engine::HttpEngine;
 use crate::clients::engine::read_bounded_body;
@@ -76,7 +77,7 @@
     deadline: Duration,
 ) -> Result<bool> {
     let req = client.get(format!("{url}{HEALTH}")).timeout(deadline);
-    let res = req.send().await.map_err(Error::from_reqwest)?;
+    let res = answer::send(req).await.map_err(Error::from_send)?;
     Ok(res.status().is_success())
 }
 
@@ -93,7 +94,7 @@
             .headers(call.headers.clone())
             .timeout(deadline)
             .body(call.body.clone());
-        let res = req.send().await.map_err(Error::from_reqwest)?;
+        let res = answer::send(req).await.map_err(Error::from_send)?;
         Ok(ServiceAnswer {
             status: res.status().as_u16(),
             headers: res.headers().clone(),
