Answer every request that a planned stop interrupts, and take none that it would

Callers saw: in a planned stop of one daemon, in calm, requests that may not be repeated taken late in the grace, passed on, and their connections closed without an answer at its end.

Cause: a stopping daemon goes on taking requests for three tenths of the grace, whatever time they have, and closes the connections of those that are still under way at its end.

Change: from the signal on, a request that may not be repeated is refused at once (503, not run) if its deadline is later than the end of the stop; callers meet another daemon. Requests that are still under way at the end are answered (502, may have run) before connections are closed. Both hold for requests that other daemons hand over.

Before/after: relay_stop on, grace 8 s, a call that runs once and takes 6 s: sent 1.5, 2.0 and 2.3 s after the signal on kept and on new connections, all six arrived at the upstream and got no answer; a call under way at the end of the grace got none either. Requests that end within the grace are served as before.

Ruled out: refusing all requests from the signal on, which turns away work that ends in time; taking by typical time, which a slow upstream exceeds.

A call that runs once and whose route allows longer than the grace is now refused though it might have ended in time.

--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -9,6 +9,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use futures_util::future::join_all;
 use jsonrpsee::server::ServerHandle;
 use kelpworks::clients::object_api::ObjectApi;
 use kelpworks::executor::LeaseHandle;
@@ -68,6 +69,8 @@
 const DRAIN_NOTICE_FRACTION: f64 = 0.3;
 /// End of the grace period that is reserved for the last writes.
 const FINAL_WRITES_RESERVE: Duration = Duration::from_millis(700);
+/// Part of that reserve for the answers to requests that did not end in time.
+const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(200);
 /// Interval at which the settings file is read again; it may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
 /// Number of daemons assumed to share the retry budget before there is any contact with a peer.
@@ -359,20 +362,26 @@
     }
 
     /// Shuts down within the grace period: readiness fails first, answers ask callers to close
-    /// their connections, and requests in flight finish.
+    /// their connections, and requests in flight finish. Those that don't are answered that they may have run.
     async fn stop(self) {
         let deadline = Instant::now() + self.grace.saturating_sub(FINAL_WRITES_RESERVE);
-        self.shared.stopping.store(true, Ordering::Relaxed);
+        self.shared.stop.begin(deadline);
         self.resign.cancel();
         info!(in_flight = self.shared.in_flight.load(Ordering::Relaxed); "stopping");
         tokio::time::sleep(self.grace.mul_f64(DRAIN_NOTICE_FRACTION)).await;
-        let time_left = deadline.saturating_duration_since(Instant::now());
-        let handovers = async {
-            if let Some(server) = self.handover_server {
-                server.stop(time_left).await;
-            }
-        };
-        tokio::join!(self.caller_server.stop(time_left), handovers);
+        let servers = self.handover_server.into_iter();
+        let servers: Vec<Server> = servers.chain([self.caller_server]).collect();
+        for server in &servers {
+            server.stop_accepting();
+        }
+        let drained = || join_all(servers.iter().map(Server::drained));
+        if tokio::time::timeout_at(deadline, drained()).await.is_err() {
+            self.shared.stop.end();
+            let _ = tokio::time::timeout(FINAL_ANSWERS_TIME, drained()).await;
+        }
+        for server in servers {
+            server.abort();
+        }
         let _ = tokio::time::timeout(FINAL_WRITES_RESERVE / 2, self.lease_task).await;
         self.shutdown.cancel();
         if let Err(e) = self.peer_server.stop() {
--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -37,6 +37,7 @@
 mod peers;
 pub mod permit;
 mod placer;
+mod planned_stop;
 pub mod pool;
 mod predecessor_checks;
 pub mod reach;
--- a/crates/kelpworks-relay/src/operators.rs
+++ b/crates/kelpworks-relay/src/operators.rs
@@ -1,7 +1,6 @@
 //! HTTP endpoints for the load balancer and for operators: readiness, metrics, and what is held back because of crashes.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use metrics_exporter_prometheus::PrometheusHandle;
 use salvo::Depot;
@@ -33,7 +32,7 @@
 impl Readiness {
     /// Returns the current readiness of a daemon.
     pub(crate) fn of(shared: &Shared) -> Readiness {
-        if shared.stopping.load(Ordering::Relaxed) {
+        if shared.stop.has_begun() {
             return Readiness::Stopping;
         }
         if shared.table.load().version() == 0 {
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use kelpworks::clients::era::EraSource;
@@ -135,7 +134,7 @@
 
     fn own_contact(&self, now: Instant) -> Contact {
         let roles = lock(&self.roles);
-        let condition = match self.shared.stopping.load(Ordering::Relaxed) {
+        let condition = match self.shared.stop.has_begun() {
             true => Condition::Leaving,
             false => roles.store.condition(now),
         };
--- a/crates/kelpworks-relay/src/relay/mod.rs
+++ b/crates/kelpworks-relay/src/relay/mod.rs
@@ -19,6 +19,7 @@
 use http::HeaderValue;
 use http::Method;
 use http::Request;
+use http::StatusCode;
 use http::header;
 use http::uri::PathAndQuery;
 use kelpworks::memory_budget::Reservation;
@@ -55,6 +56,11 @@
 pub(crate) use receiver::handover_router;
 pub(crate) use reply::Refusal;
 
+/// `Retry-After` of a daemon that stops; a new connection meets another daemon.
+const STOPPING_RETRY: Duration = Duration::from_millis(50);
+/// Reason of a refusal, or of a failure, because of it.
+const STOPPING: &str = "daemon stops";
+
 /// A caller's request that was read whole and admitted.
 #[derive(Debug)]
 struct InboundRequest {
@@ -219,7 +225,7 @@
     }
 
     fn is_stopping(&self) -> bool {
-        self.shared.stopping.load(Ordering::Relaxed)
+        self.shared.stop.has_begun()
     }
 
     /// Whether the daemon does not keep up, so that callers should open their next connection elsewhere.
@@ -227,7 +233,37 @@
         self.shared.concurrency_limit().limit().is_some()
     }
 
+    /// Forwards a request, unless a planned stop ends before it.
     async fn forward(&self, inbound: InboundRequest, in_flight_guard: InFlightGuard) -> Reply {
+        let stop = &self.shared.stop;
+        let refusal = Refusal {
+            request_id: inbound.id.clone(),
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            retry_after: Some(STOPPING_RETRY),
+            reason: STOPPING,
+            version: inbound.version,
+        };
+        if !inbound.route.kind.is_retryable() && stop.ends_before(inbound.deadline) {
+            log_refusal(&refusal);
+            return Reply::Refused(refusal);
+        }
+        tokio::select! {
+            biased;
+            reply = self.run(inbound, in_flight_guard) => reply,
+            () = stop.ended() => {
+                // It may have been sent.
+                let refusal = Refusal {
+                    status: StatusCode::BAD_GATEWAY,
+                    retry_after: None,
+                    ..refusal
+                };
+                log_refusal(&refusal);
+                Reply::Refused(refusal)
+            }
+        }
+    }
+
+    async fn run(&self, inbound: InboundRequest, in_flight_guard: InFlightGuard) -> Reply {
         let shared = Arc::clone(&self.shared);
         // The daemon that handed a request over has counted it.
         if inbound.handover.is_none() {
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -41,6 +41,7 @@
 use crate::permit::Origin;
 use crate::permit::RequestAttempts;
 use crate::permit::Retry;
+use crate::planned_stop::PlannedStop;
 use crate::pool;
 use crate::pool::Pool;
 use crate::reach::Evidence;
@@ -115,8 +116,8 @@
     mean_pause_us: AtomicU64,
     /// Connections to upstreams.
     pub pool: Pool,
-    /// Set from the start of a planned stop; answers then ask callers to close their connections.
-    pub stopping: AtomicBool,
+    /// A planned stop of the daemon.
+    pub(crate) stop: PlannedStop,
     /// Whether the record of crashes has not been read yet since the start.
     are_verdicts_pending: AtomicBool,
     /// Number of requests that are being served, and of connections with a request that is not read yet.
@@ -159,7 +160,7 @@
             load_is_complete: AtomicBool::new(false),
             mean_pause_us: AtomicU64::new(TYPICAL_PAUSE.as_micros() as u64),
             pool: Pool::default(),
-            stopping: AtomicBool::new(false),
+            stop: PlannedStop::default(),
             are_verdicts_pending: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
             concurrency_limit: Mutex::default(),
