--- a/crates/kelpworks-cli/tests/relay_malformed.rs
+++ b/crates/kelpworks-cli/tests/relay_malformed.rs
@@ -52,7 +52,7 @@
 use Form::PlainOpen;
 
 /// An answer: its name, what precedes the fields that all answers have, further lines of the head, and its body. `LEN`
-/// stands for the length of the body, `PART` for that of a part of it.
+/// stands for the length of the body, `PART` for that of a part of it, `ID` for the request.
 type Case = (&'static str, &'static str, &'static str, Form);
 
 const OK: &str = "HTTP/1.1 200 OK\r\n";
@@ -346,6 +346,12 @@
         "content-length: LEN\r\n",
         Plain,
     ),
+    (
+        "id-differs",
+        OK,
+        "x-kelpworks-attempt-id: other\r\ncontent-length: LEN\r\n",
+        Plain,
+    ),
     (
         "version-2",
         "HTTP/2.0 200 OK\r\n",
@@ -390,6 +396,12 @@
         "Transfer-Encoding: CHUNKED\r\n",
         Chunks,
     ),
+    (
+        "id-repeated",
+        OK,
+        "x-kelpworks-attempt-id: ID\r\ncontent-length: LEN\r\n",
+        Plain,
+    ),
     ("no-length", OK, "", Plain),
     ("no-length-1.0", "HTTP/1.0 200 OK\r\n", "", Plain),
     (
@@ -508,6 +520,7 @@
     };
     let lines = lines.replace("LEN", &body.len().to_string());
     let lines = lines.replace("PART", &part.to_string());
+    let lines = lines.replace("ID", id);
     let body = match form {
         _ if request.starts_with("head ") => String::new(),
         Plain | PlainOpen => body.to_owned(),
