--- a/crates/kelpworks-cli/tests/relay_malformed.rs
+++ b/crates/kelpworks-cli/tests/relay_malformed.rs
@@ -24,7 +24,7 @@
 use relay_site::cut::LinksOf;
 use relay_site::daemon::Relay;
 
-/// Time between two tries of a test, and between two requests: ejected upstreams are tried again meanwhile.
+/// Time between two tries of a test, and between two requests: in it, ejected upstreams return.
 const INTERVAL: Duration = Duration::from_millis(150);
 const UPSTREAMS: usize = 6;
 const CALL_BODY: &str = "a body of the upstream";
@@ -431,7 +431,7 @@
     ),
 ];
 
-/// Upstreams that answer the first request of an id as the case that begins it, and further ones soundly.
+/// Upstreams whose answer to the first request of an id is the case that the id names; further ones are sound.
 #[derive(Default)]
 struct Upstream {
     arrivals: Mutex<HashMap<String, usize>>,
--- a/crates/kelpworks-relay/src/planned_stop.rs
+++ b/crates/kelpworks-relay/src/planned_stop.rs
@@ -18,14 +18,14 @@
 /// Progress of a planned stop.
 #[derive(Debug, Default)]
 pub(crate) struct PlannedStop {
-    /// When requests that are still under way are given up; unset before the stop.
+    /// When requests that are still under way are aborted; unset before the stop.
     deadline: OnceLock<Instant>,
     /// Cancelled once that is due.
     ended: CancellationToken,
 }
 
 impl PlannedStop {
-    /// Begins the stop; requests under way are given up at `deadline`.
+    /// Begins the stop; requests under way are aborted at `deadline`.
     pub(crate) fn begin(&self, deadline: Instant) {
         let _ = self.deadline.set(deadline);
     }
@@ -35,17 +35,17 @@
         self.deadline.get().is_some()
     }
 
-    /// Returns whether requests are given up before `deadline`.
+    /// Returns whether requests are aborted before `deadline`.
     pub(crate) fn ends_before(&self, deadline: Instant) -> bool {
         self.deadline.get().is_some_and(|&end| end < deadline)
     }
 
-    /// Gives up the requests that are still under way.
+    /// Aborts the requests that are still under way.
     pub(crate) fn end(&self) {
         self.ended.cancel();
     }
 
-    /// Waits until requests under way are given up.
+    /// Waits until requests under way are aborted.
     pub(crate) async fn ended(&self) {
         self.ended.cancelled().await;
     }
--- a/crates/kelpworks-relay/src/pool/answer.rs
+++ b/crates/kelpworks-relay/src/pool/answer.rs
@@ -50,7 +50,7 @@
     /// More bytes follow the body than its length says.
     #[error("bytes behind the body")]
     Excess,
-    /// The body consists of chunks, and the head doesn't say so.
+    /// The body consists of chunks that the head doesn't announce.
     #[error("chunks without a transfer coding")]
     UnannouncedChunks,
     /// The status allows no body, and there is one.
--- a/crates/kelpworks/src/clients/body.rs
+++ b/crates/kelpworks/src/clients/body.rs
@@ -30,7 +30,7 @@
         /// The bound, in bytes.
         max_bytes: usize,
     },
-    /// The body consists of chunks, and the head doesn't say so.
+    /// The body consists of chunks that the head doesn't announce.
     #[error("chunks without a transfer coding")]
     UnannouncedChunks,
     /// The body is no JSON of the expected form.
