--- a/crates/kelpworks-cli/tests/relay_malformed.rs
+++ b/crates/kelpworks-cli/tests/relay_malformed.rs
@@ -334,6 +334,7 @@
         "content-length: LEN\r\n",
         Plain,
     ),
+    ("status-205-no-length", "HTTP/1.1 205 Reset\r\n", "", Plain),
     (
         "status-205-chunks",
         "HTTP/1.1 205 Reset\r\n",
