--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -686,6 +686,27 @@
     pub layers: Option<(u16, u16)>,
     pub seq: u64,
     pub busy: bool,
+    pub draining: bool,
+    /// Streams whose paths include it; true aborts one.
+    pub streams: Vec<std::sync::Weak<AtomicBool>>,
+}
+
+impl Held {
+    fn new(layers: Option<(u16, u16)>) -> Held {
+        Held {
+            layers,
+            seq: 0,
+            busy: false,
+            draining: false,
+            streams: Vec::new(),
+        }
+    }
+
+    /// Number of streams whose paths include it.
+    pub fn running(&mut self) -> usize {
+        self.streams.retain(|s| s.strong_count() > 0);
+        self.streams.len()
+    }
 }
 
 /// All model servers that run, by address.
@@ -731,20 +752,18 @@
     let layers = held.layers.map_or(String::new(), |(from, to)| {
         format!(",\"layers\":{{\"from\":{from},\"to\":{to},\"version\":1}}")
     });
+    let state = if held.draining { "draining" } else { "ready" };
     let rest = format!(
         ",\"stage\":\"colocated\",\"models\":[{{\"name\":\"m0\",\"version\":1,\"adapters\":[]}}],\"route-kind\":{}{layers}",
         quote(&spec.kind)
     );
-    entry(&spec.service, address, &spec.zone, born, &rest)
+    let ready = entry(&spec.service, address, &spec.zone, born, &rest);
+    ready.replace("\"state\":\"ready\"", &format!("\"state\":\"{state}\""))
 }
 
 impl Engine {
     pub fn start(spec: EngineSpec, at: Option<SocketAddr>, store: &Arc<Store>, fleet: &Fleet, record: &Arc<Record>) -> Engine {
-        let held = Arc::new(Mutex::new(Held {
-            layers: spec.layers,
-            seq: 0,
-            busy: false,
-        }));
+        let held = Arc::new(Mutex::new(Held::new(spec.layers)));
         let born = now_ms();
         let own: Arc<Mutex<Option<SocketAddr>>> = Arc::default();
         let handler: Handler = {
@@ -782,6 +801,19 @@
     pub fn held(&self) -> Held {
         self.held.lock().unwrap().clone()
     }
+
+    /// Reports that it is draining; it goes on serving.
+    pub fn drain(&self) {
+        let mut held = self.held.lock().unwrap();
+        held.draining = true;
+        self.store.put("servers", &self.spec.id, &engine_entry(&self.spec, self.address, self.born, &held));
+    }
+
+    /// Ends it after it has drained.
+    pub fn leave(&mut self) {
+        self.store.delete("servers", &self.spec.id);
+        self.crash();
+    }
 }
 
 struct EngineCx<'a> {
@@ -829,6 +861,7 @@
             return answer(w, 404, &[], b"");
         }
         let number = |name| doc.get(name).and_then(Json::as_u64);
+        let evicts = doc.get("strategy").and_then(Json::as_str) == Some("evict");
         let (Some(from), Some(to)) = (number("from"), number("to")) else {
             return answer(w, 400, &[], b"");
         };
@@ -840,10 +873,20 @@
             held.seq += 1;
             held.busy = true;
             held.layers = None;
+            let running = held.running();
+            if evicts {
+                self.record.line(format!("server {} evicts {running} streams", self.spec.id));
+                for stream in held.streams.iter().filter_map(std::sync::Weak::upgrade) {
+                    stream.store(true, Ordering::Relaxed);
+                }
+            }
         }
         let (spec, held, store) = (self.spec.clone(), Arc::clone(self.held), Arc::clone(self.store));
         let (address, born, fleet) = (self.address, self.born, Arc::clone(self.fleet));
         thread::spawn(move || {
+            while held.lock().unwrap().running() > 0 {
+                thread::sleep(Duration::from_millis(5));
+            }
             thread::sleep(spec.load);
             let mut state = held.lock().unwrap();
             state.layers = Some((from as u16, to as u16));
@@ -865,6 +908,7 @@
         if hops.first().is_none_or(|(a, _)| *a != self.address) {
             return answer(w, 400, &[("X-Kelpworks-Attempt-Id", &id), ("X-Kelpworks-Not-Executed", "1")], b"");
         }
+        let aborted = Arc::new(AtomicBool::new(false));
         for (address, (from, to)) in &hops {
             let held = self.fleet.lock().unwrap().get(address).cloned();
             let at = address.to_string();
@@ -872,13 +916,16 @@
             let Some(held) = held else {
                 return answer(w, 503, &refusal, b"");
             };
-            let layers = held.lock().unwrap().layers;
-            if layers.is_none_or(|(f, t)| f > *from || t < *to) {
+            let mut held = held.lock().unwrap();
+            if held.layers.is_none_or(|(f, t)| f > *from || t < *to) {
                 return answer(w, 421, &refusal, b"");
             }
+            held.running();
+            held.streams.push(Arc::downgrade(&aborted));
         }
         let after: u64 = req.header("last-event-id").and_then(|e| e.parse().ok()).unwrap_or(0);
-        self.record.line(format!("server {} runs {id} after event {after} on {} hops", self.spec.id, hops.len()));
+        let path: Vec<String> = hops.iter().map(|(a, (from, to))| format!("{a}={from}-{to}")).collect();
+        self.record.line(format!("server {} runs {id} after event {after} along {}", self.spec.id, path.join(",")));
         let stamp = format!("stamp-{}-{id}", self.spec.id);
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Kelpworks-Attempt-Id: {id}\r\nX-Kelpworks-Server-Stamp: {stamp}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -888,6 +935,10 @@
         }
         for n in after + 1..=self.spec.events {
             thread::sleep(self.spec.event_interval);
+            if aborted.load(Ordering::Relaxed) {
+                self.record.line(format!("server {} cuts {id} off before event {n}: evicted", self.spec.id));
+                return false;
+            }
             let event = format!("id: {n}\ndata: token-{n}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if w.write_all(chunk.as_bytes()).is_err() {
