--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -508,8 +508,17 @@
     objects: BTreeMap<(String, String), (u64, String)>,
     /// Revision, kind, object, whether it was deleted.
     log: Vec<(u64, String, String, bool)>,
+    /// Watches from an earlier revision get 410, as the history before it is gone.
+    compacted: u64,
+    /// Whether watches hear nothing.
+    is_muted: bool,
+    /// Number of times that waiting watches were cut off.
+    cuts: u64,
 }
 
+/// Bytes of a page of a list at most.
+const PAGE_BYTES: usize = 1 << 20;
+
 /// The platform's store.
 pub struct Store {
     state: Mutex<StoreState>,
@@ -579,16 +588,28 @@
         let json = [("Content-Type", "application/json")];
         match (req.method.as_str(), name) {
             ("GET", None) if req.param("watch").is_some() => {
-                let (status, body) = self.watch(req, kind);
-                answer(w, status, &json, body.as_bytes())
+                match self.watch(req, kind) {
+                    Some((status, body)) => answer(w, status, &json, body.as_bytes()),
+                    None => false,
+                }
             }
             ("GET", None) => {
                 let s = self.state.lock().unwrap();
-                let of_kind = s.objects.iter().filter(|((k, _), _)| k == kind);
-                let entries = of_kind.map(|((_, n), (r, spec))| object_text(n, *r, spec));
-                let entries: Vec<String> = entries.collect();
+                let after = req.param("after").unwrap_or_default();
+                let of_kind = s.objects.iter().filter(|((k, n), _)| k == kind && n.as_str() > after);
+                let mut entries: Vec<String> = Vec::new();
+                let (mut bytes, mut is_truncated) = (0, false);
+                for ((_, n), (r, spec)) in of_kind {
+                    let text = object_text(n, *r, spec);
+                    if !entries.is_empty() && bytes + text.len() > PAGE_BYTES {
+                        is_truncated = true;
+                        break;
+                    }
+                    bytes += text.len();
+                    entries.push(text);
+                }
                 let body = format!(
-                    "{{\"entries\":[{}],\"truncated\":false,\"current-rev\":{}}}",
+                    "{{\"entries\":[{}],\"truncated\":{is_truncated},\"current-rev\":{}}}",
                     entries.join(","),
                     s.revision
                 );
@@ -651,13 +672,37 @@
         (200, object)
     }
 
-    fn watch(&self, req: &Req, kind: &str) -> (u16, String) {
+    /// From now on watches hear nothing.
+    pub fn mute_watches(&self) {
+        self.state.lock().unwrap().is_muted = true;
+    }
+
+    /// Drops the history, and cuts the watches off.
+    pub fn compact(&self) {
+        let mut s = self.state.lock().unwrap();
+        s.is_muted = false;
+        s.compacted = s.revision;
+        s.cuts += 1;
+        drop(s);
+        self.changed.notify_all();
+    }
+
+    /// Returns the answer to a watch; `None` if it is cut off.
+    fn watch(&self, req: &Req, kind: &str) -> Option<(u16, String)> {
         let number = |name| req.param(name).and_then(|v| v.parse::<u64>().ok());
         let from = number("watch").unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(number("wait-ms").unwrap_or(0));
         let mut s = self.state.lock().unwrap();
+        let cuts = s.cuts;
         loop {
-            let new = s.log.iter().filter(|(r, k, _, _)| *r > from && k == kind);
+            if s.cuts != cuts {
+                return None;
+            }
+            if from < s.compacted {
+                return Some((410, "{}".to_owned()));
+            }
+            let is_muted = s.is_muted;
+            let new = s.log.iter().filter(|(r, k, _, _)| *r > from && k == kind && !is_muted);
             let events = new.map(|(_, _, o, d)| format!("{{\"object\":{o},\"deleted\":{d}}}"));
             let events: Vec<String> = events.collect();
             let left = until.saturating_duration_since(Instant::now());
@@ -665,9 +710,10 @@
                 let body = format!(
                     "{{\"events\":[{}],\"current-rev\":{}}}",
                     events.join(","),
-                    s.revision
+                    // Nothing is told of a change that watches don't hear of.
+                    if is_muted { from } else { s.revision }
                 );
-                return (200, body);
+                return Some((200, body));
             }
             s = self.changed.wait_timeout(s, left).unwrap().0;
         }
