Keep the wait for engines of a service by service

Cause: the placer waits for further engines before the first plan of a service, until their number has been the same for 600 ms. It kept one number for all services, so that with two services of different sizes each check began the wait anew.

Orders of a service and queries to engines are no longer awaited before other services are planned, and conflicts count by service. New log lines and a gauge show why an engine holds no layers.

--- a/crates/kelpworks-cli/tests/relay_site/engine.rs
+++ b/crates/kelpworks-cli/tests/relay_site/engine.rs
@@ -68,13 +68,32 @@
 /// A part of a path: an engine and the layers that it runs.
 type Part = (Engine, (u16, u16));
 
+/// What an engine is registered for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Spec {
+    pub(crate) service: &'static str,
+    /// Kind of its accelerator.
+    pub(crate) kind: &'static str,
+}
+
+/// Engines of the site's own model.
+const DEFAULT_SPEC: Spec = Spec {
+    service: "llm",
+    kind: "big",
+};
+
 #[derive(Debug)]
 pub(crate) struct Inner {
     pub(crate) instance: String,
     pub(crate) domain: String,
+    spec: Spec,
     address: Mutex<Option<SocketAddr>>,
     loaded_layers: Mutex<Option<(u16, u16)>>,
     orders: AtomicU64,
+    /// Whether it carries an order out.
+    busy: AtomicBool,
+    /// Whether its entry states that it is draining.
+    draining: AtomicBool,
     /// Start time, in milliseconds since the Unix epoch.
     started_at_ms: AtomicU64,
     fault: Mutex<Option<Fault>>,
@@ -210,18 +229,30 @@
 }
 
 /// Counts as an active stream of an engine until dropped.
-struct ActiveStream(Engine);
+struct ActiveStream {
+    engine: Engine,
+    registry: Registry,
+    request: String,
+}
 
 impl ActiveStream {
-    fn begin(engine: &Engine) -> ActiveStream {
+    fn begin(engine: &Engine, registry: &Registry, request: &str) -> ActiveStream {
         engine.active_streams.fetch_add(1, Ordering::Relaxed);
-        ActiveStream(engine.clone())
+        let mut active = registry.active.lock().expect("no panic");
+        active.insert(request.to_owned());
+        ActiveStream {
+            engine: engine.clone(),
+            registry: registry.clone(),
+            request: request.to_owned(),
+        }
     }
 }
 
 impl Drop for ActiveStream {
     fn drop(&mut self) {
-        self.0.active_streams.fetch_sub(1, Ordering::Relaxed);
+        self.engine.active_streams.fetch_sub(1, Ordering::Relaxed);
+        let mut active = self.registry.active.lock().expect("no panic");
+        active.remove(&self.request);
     }
 }
 
@@ -246,6 +277,12 @@
     paths: Arc<Mutex<HashMap<String, Vec<Part>>>>,
     /// Requests that were refused at their first arrival; `None` while none is.
     refused_first: Arc<Mutex<Option<HashSet<String>>>>,
+    /// Requests whose streams have not ended.
+    active: Arc<Mutex<HashSet<String>>>,
+    /// Requests that an order has cut off.
+    evicted: Arc<Mutex<HashSet<String>>>,
+    /// Requests that used the layers which an order replaced, by order.
+    displaced: Arc<Mutex<Vec<Vec<String>>>>,
 }
 
 impl Registry {
@@ -258,6 +295,27 @@
         self.runs.lock().expect("no panic").clone()
     }
 
+    /// Returns, for each order that replaced layers, the requests that used them.
+    pub(crate) fn displaced(&self) -> Vec<Vec<String>> {
+        self.displaced.lock().expect("no panic").clone()
+    }
+
+    /// Returns the requests under way whose path includes an engine.
+    fn requests_through(&self, engine: &Engine) -> Vec<String> {
+        let active = self.active.lock().expect("no panic");
+        let paths = self.paths.lock().expect("no panic");
+        let passes = |request: &&String| {
+            let mut parts = paths.get(*request).into_iter().flatten();
+            parts.any(|(e, _)| e.instance == engine.instance)
+        };
+        active.iter().filter(passes).cloned().collect()
+    }
+
+    /// Returns whether a request has to be cut off, once.
+    fn take_eviction(&self, request: &str) -> bool {
+        self.evicted.lock().expect("no panic").remove(request)
+    }
+
     pub(crate) fn clear_runs(&self) {
         self.runs.lock().expect("no panic").clear();
     }
@@ -320,12 +378,24 @@
 
 impl Engine {
     pub(crate) async fn start(registry: &Registry, instance: &str, domain: &str) -> Engine {
+        Engine::start_as(registry, instance, domain, DEFAULT_SPEC).await
+    }
+
+    pub(crate) async fn start_as(
+        registry: &Registry,
+        instance: &str,
+        domain: &str,
+        spec: Spec,
+    ) -> Engine {
         let engine = Engine(Arc::new(Inner {
             instance: instance.to_owned(),
             domain: domain.to_owned(),
+            spec,
             address: Mutex::default(),
             loaded_layers: Mutex::default(),
             orders: AtomicU64::new(0),
+            busy: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
             started_at_ms: AtomicU64::new(1_700_000_000_000),
             fault: Mutex::default(),
             active_streams: AtomicU64::new(0),
@@ -363,10 +433,14 @@
             Some((from, to)) => json!({ "from": from, "to": to, "version": 1 }),
             None => Value::Null,
         };
+        let state = match self.draining.load(Ordering::Relaxed) {
+            true => "draining",
+            false => "ready",
+        };
         json!({
-            "service": "llm", "address": address.to_string(), "zone": self.domain,
-            "version": "v1", "slots": 64, "state": "ready", "cold-left-ms": 0,
-            "layers": layers, "route-kind": "big", "seq": 1,
+            "service": self.spec.service, "address": address.to_string(), "zone": self.domain,
+            "version": "v1", "slots": 64, "state": state, "cold-left-ms": 0,
+            "layers": layers, "route-kind": self.spec.kind, "seq": 1,
             "born": self.started_at_ms.load(Ordering::Relaxed)
         })
     }
@@ -376,6 +450,15 @@
         self.stalled.store(stalled, Ordering::Relaxed);
     }
 
+    /// Has its entry state that it is draining; it goes on serving.
+    pub(crate) fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
     /// Unloads its layers without a new entry in the store.
     pub(crate) fn unload_layers(&self) {
         *self.loaded_layers.lock().expect("no panic") = None;
@@ -428,7 +511,8 @@
         let layers = loaded.map(|(from, to)| json!({ "from": from, "to": to }));
         let orders = self.engine.orders.load(Ordering::Relaxed);
         let born = self.engine.started_at_ms.load(Ordering::Relaxed);
-        json!({ "busy": false, "seq": orders, "layers": layers, "born": born })
+        let busy = self.engine.busy.load(Ordering::Relaxed);
+        json!({ "busy": busy, "seq": orders, "layers": layers, "born": born })
     }
 
     async fn order(&self, req: &mut Request) -> StatusCode {
@@ -440,12 +524,43 @@
         if order["expect"].as_u64().is_some_and(|e| e != orders) {
             return StatusCode::CONFLICT;
         }
+        if self.engine.busy.load(Ordering::Relaxed) {
+            return StatusCode::CONFLICT;
+        }
         let layer = |key: &str| order[key].as_u64().expect("a layer") as u16;
-        *self.engine.loaded_layers.lock().expect("no panic") = Some((layer("from"), layer("to")));
+        let layers = (layer("from"), layer("to"));
         self.engine.orders.fetch_add(1, Ordering::Relaxed);
+        let replaced = self.engine.loaded_layers.lock().expect("no panic").take();
+        if replaced.is_some() {
+            self.displace(&order["strategy"], layers);
+        } else {
+            *self.engine.loaded_layers.lock().expect("no panic") = Some(layers);
+        }
         StatusCode::ACCEPTED
     }
 
+    /// Cuts the requests off that use the replaced layers, or loads the new ones once these requests have ended.
+    fn displace(&self, strategy: &Value, layers: (u16, u16)) {
+        let (engine, registry) = (self.engine.clone(), self.registry.clone());
+        let requests = registry.requests_through(&engine);
+        let mut displaced = registry.displaced.lock().expect("no panic");
+        displaced.push(requests.clone());
+        drop(displaced);
+        if strategy == "evict" {
+            registry.evicted.lock().expect("no panic").extend(requests);
+            *engine.loaded_layers.lock().expect("no panic") = Some(layers);
+            return;
+        }
+        engine.busy.store(true, Ordering::Relaxed);
+        tokio::spawn(async move {
+            while !registry.requests_through(&engine).is_empty() {
+                tokio::time::sleep(EVENT_INTERVAL).await;
+            }
+            *engine.loaded_layers.lock().expect("no panic") = Some(layers);
+            engine.busy.store(false, Ordering::Relaxed);
+        });
+    }
+
     /// Changes the path of a request that runs here; its first part must stay.
     fn repath(&self, order: &Value) -> StatusCode {
         let Ok(new) = self.parts(order["path"].as_str().expect("a path")) else {
@@ -545,7 +660,7 @@
             true,
         );
         let _ = res.add_header("content-type", "text/event-stream", true);
-        let work = ActiveStream::begin(&self.engine);
+        let work = ActiveStream::begin(&self.engine, &self.registry, &request);
         let registry = self.registry.clone();
         let event_stream = stream::iter(after + 1..=events).then(move |id| {
             let _work = &work;
@@ -554,6 +669,9 @@
                 while registry.passes_stalled_engine(&request) {
                     tokio::time::sleep(EVENT_INTERVAL).await;
                 }
+                if registry.take_eviction(&request) {
+                    return Err(std::io::Error::other("evicted"));
+                }
                 event(id, after, fault).await
             }
         });
--- a/crates/kelpworks-cli/tests/relay_site/mod.rs
+++ b/crates/kelpworks-cli/tests/relay_site/mod.rs
@@ -68,7 +68,7 @@
 
 /// Time after which daemons use their part of the default retry budget: its window, the longest delivery of
 /// a retry, and a few exchanges.
-const BUDGET_PROBATION: Duration = Duration::from_millis(4_600);
+pub(crate) const BUDGET_PROBATION: Duration = Duration::from_millis(4_600);
 
 /// Returns the site's configuration under this version.
 pub(crate) fn configuration(version: u64) -> Value {
--- a/crates/kelpworks-relay/src/placer.rs
+++ b/crates/kelpworks-relay/src/placer.rs
@@ -5,18 +5,26 @@
 //! arrives late, or comes from a daemon that has lost the lease without noticing, fails this
 //! precondition.
 //!
+//! Each service is planned by itself: its plan depends on its own engines only, and neither waits
+//! for those of another service nor for their replies.
+//!
 //! When peers receive no gossip about a lease holder, because it died or the store is down, one of
 //! them acts as leader immediately. This is safe for the same reason: of two orders to one engine
 //! only the first is begun. The lease keeps two daemons from sending competing orders all the time;
 //! the precondition is what protects an engine.
 
 mod orders;
+#[cfg(test)]
+mod tests;
+mod warm_up;
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::join_all;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use kelpworks::executor::LeaseHandle;
 use kelpworks_coord::lease::Token;
 use log::info;
@@ -29,6 +37,7 @@
 use crate::assignments::LayerAssignment;
 use crate::assignments::LayerAssignments;
 use crate::config::EngineProfile;
+use crate::config::RoutingTable;
 use crate::constraints::MessageKind;
 use crate::engine_calls::EngineCalls;
 use crate::fleet::Upstream;
@@ -40,22 +49,26 @@
 use crate::peers::Peers;
 use crate::peers::StoreKind;
 use crate::shared::Shared;
-use orders::MAX_CONCURRENT_ORDERS;
+use orders::Dispatch;
+use orders::DispatchOutcome;
+use orders::OrderSender;
+use warm_up::Readiness;
+use warm_up::WarmUps;
 
 /// Interval at which the leader checks the fleet for due orders.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
-/// Time for which the number of engines must stay the same before the first plan, while no engine
-/// has layers. Engines that start together register within about one heartbeat.
-const FLEET_WARM_UP: Duration = Duration::from_millis(600);
 /// Interval at which an engine that should have loaded its layers is queried. A query is cheap, and
 /// its answer arrives up to one second before the engine's registration.
 const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(300);
 /// Fraction of an engine's KV cache capacity below which it can't be refusing requests for lack of
 /// memory: reservations exceed use by a fifth.
 const MIN_FULL_FRACTION: f64 = 0.7;
-/// Number of conflicts in one check after which an acting leader yields to whichever daemon sent
-/// the orders that were begun instead. One or two conflicts may come from orders that arrived late.
+/// Number of conflicts among the orders to one service's engines after which an acting leader yields
+/// to whichever daemon sent the orders that were begun instead. One or two conflicts may come from
+/// orders that arrived late.
 const MAX_ORDER_CONFLICTS: u32 = 3;
+/// Interval at which engines of a service that hold no layers are logged.
+const IDLE_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Basis on which a daemon sends orders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,12 +96,27 @@
 }
 
 /// An engine that has been ordered to load layers and has not confirmed them yet.
+#[derive(Clone, Debug)]
 struct LoadingEngine {
     instance: Arc<str>,
     key: UpstreamKey,
     assignment: LayerAssignment,
 }
 
+/// Messages to engines that are sent at the same time as those to others.
+enum Task {
+    /// Orders to engines of one service.
+    Dispatch(Dispatch),
+    /// A query to an engine that should have loaded its layers.
+    LoadPoll(LoadingEngine),
+}
+
+/// What became of a [`Task`].
+enum TaskOutcome {
+    Dispatch(DispatchOutcome),
+    LoadPoll(LoadingEngine, Option<EngineReport>),
+}
+
 /// Plans layer assignments and sends orders while this daemon leads.
 #[derive(Debug)]
 pub(crate) struct Placer<E> {
@@ -100,13 +128,18 @@
     authority: Option<Authority>,
     /// Earliest time of the next query to each loading engine.
     next_load_poll: HashMap<Arc<str>, Instant>,
+    /// Loading engines whose query is under way.
+    polled: HashSet<Arc<str>>,
     /// Number of orders that each incarnation has begun. `None` where the engine must be queried
     /// before the next order. Without an entry, the number known from gossip applies.
     begun_orders: HashMap<Arc<str>, Option<u64>>,
     /// Time until which no order is sent to an engine.
     backoff_until: HashMap<Arc<str>, Instant>,
-    /// Number of engines at the last check, and since when it has been the same.
-    fleet_size: (usize, Instant),
+    /// Services whose orders are under way; they are planned again once all of these are decided.
+    dispatching: HashSet<Arc<str>>,
+    warm_ups: WarmUps,
+    /// Time from which engines without layers are logged again, by service.
+    next_idle_log: HashMap<Arc<str>, Instant>,
 }
 
 impl<E: EngineApi> Placer<E> {
@@ -124,9 +157,12 @@
             engine_calls,
             authority: None,
             next_load_poll: HashMap::new(),
+            polled: HashSet::new(),
             begun_orders: HashMap::new(),
             backoff_until: HashMap::new(),
-            fleet_size: (0, Instant::now()),
+            dispatching: HashSet::new(),
+            warm_ups: WarmUps::default(),
+            next_idle_log: HashMap::new(),
         }
     }
 
@@ -134,19 +170,100 @@
     pub(crate) async fn run(mut self, stop: CancellationToken) {
         let mut tick = tokio::time::interval(POLL_INTERVAL);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let sender = OrderSender {
+            shared: Arc::clone(&self.shared),
+            lease_handle: Arc::clone(&self.lease_handle),
+            peers: Arc::clone(&self.peers),
+            engine_calls: Arc::clone(&self.engine_calls),
+        };
+        let mut tasks = FuturesUnordered::new();
         loop {
             tokio::select! {
-                () = stop.cancelled() => return,
-                _ = tick.tick() => {}
+                () = stop.cancelled() => break,
+                Some(outcome) = tasks.next() => self.apply(outcome),
+                _ = tick.tick() => {
+                    for task in self.due_tasks() {
+                        tasks.push(perform(&sender, task));
+                    }
+                }
             }
-            self.expire_unconfirmed();
-            if self.authority().is_none() {
-                self.begun_orders.clear();
-                self.next_load_poll.clear();
-                continue;
+        }
+        // Peers learn of the orders that engines have accepted.
+        while let Some(outcome) = tasks.next().await {
+            self.apply(outcome);
+        }
+    }
+
+    /// Returns the messages to engines that are due.
+    fn due_tasks(&mut self) -> Vec<Task> {
+        self.expire_unconfirmed();
+        let table = self.shared.table.load_full();
+        let Some(authority) = self.authority() else {
+            self.begun_orders.clear();
+            self.next_load_poll.clear();
+            return Vec::new();
+        };
+        self.forget_removed(&table);
+        let polls = self.due_load_polls();
+        let next = Instant::now() + LOAD_POLL_INTERVAL;
+        for loading in &polls {
+            self.polled.insert(Arc::clone(&loading.instance));
+            self.next_load_poll
+                .insert(Arc::clone(&loading.instance), next);
+        }
+        let mut tasks: Vec<Task> = polls.into_iter().map(Task::LoadPoll).collect();
+        tasks.extend(self.due_dispatches(&table, authority.token()));
+        tasks
+    }
+
+    /// Drops what is kept about engines that are gone and services that are not configured.
+    fn forget_removed(&mut self, table: &RoutingTable) {
+        let shared = Arc::clone(&self.shared);
+        let fleet = shared.fleet();
+        let is_known = |instance: &Arc<str>| fleet.key_of(instance).is_some();
+        self.begun_orders.retain(|instance, _| is_known(instance));
+        self.next_load_poll.retain(|instance, _| is_known(instance));
+        let now = Instant::now();
+        self.backoff_until.retain(|_, until| *until > now);
+        let is_configured = |service: &str| table.service(service).is_some();
+        self.warm_ups.retain(is_configured);
+        self.next_idle_log
+            .retain(|service, _| is_configured(service));
+    }
+
+    /// Applies what became of messages to engines.
+    fn apply(&mut self, outcome: TaskOutcome) {
+        match outcome {
+            TaskOutcome::Dispatch(outcome) => self.on_dispatched(outcome),
+            TaskOutcome::LoadPoll(loading, report) => {
+                self.polled.remove(&loading.instance);
+                if let Some(report) = report.filter(|r| !r.busy) {
+                    self.on_load_report(&loading, &report);
+                }
             }
-            self.poll_loading_engines().await;
-            self.place_services().await;
+        }
+    }
+
+    fn on_dispatched(&mut self, outcome: DispatchOutcome) {
+        let DispatchOutcome {
+            service,
+            token,
+            outcomes,
+        } = outcome;
+        self.dispatching.remove(&service);
+        let mut conflicts = 0;
+        for (order, outcome) in outcomes {
+            conflicts += u32::from(outcome.is_conflict());
+            self.apply_outcome(&order, token, outcome);
+        }
+        if conflicts >= MAX_ORDER_CONFLICTS && self.is_acting_leader() {
+            info!(
+                target: "decision",
+                service:% = service,
+                conflicts;
+                "leadership conflict, backing off"
+            );
+            self.peers.back_off();
         }
     }
 
@@ -197,24 +314,6 @@
         }
     }
 
-    /// Queries the layers of engines that should have loaded by now.
-    async fn poll_loading_engines(&mut self) {
-        let due = self.due_load_polls();
-        let next = Instant::now() + LOAD_POLL_INTERVAL;
-        for loading in &due {
-            self.next_load_poll
-                .insert(Arc::clone(&loading.instance), next);
-        }
-        let reports = due.iter().map(|l| self.engine_calls.report(l.key));
-        let reports = join_all(reports).await;
-        for (loading, report) in due.iter().zip(reports) {
-            let Some(report) = report.filter(|r| !r.busy) else {
-                continue;
-            };
-            self.on_load_report(loading, &report);
-        }
-    }
-
     /// Returns the engines whose expected loading time has passed and that are due for a query.
     fn due_load_polls(&self) -> Vec<LoadingEngine> {
         let now = Instant::now();
@@ -231,7 +330,8 @@
                 let is_polled_recently = self
                     .next_load_poll
                     .get(&instance)
-                    .is_some_and(|&at| now < at);
+                    .is_some_and(|&at| now < at)
+                    || self.polled.contains(&instance);
                 let is_allowed = upstream.constraints.allows(MessageKind::Query, now);
                 let is_due = !assignment.loaded && age >= load_time && !is_polled_recently;
                 (is_due && is_allowed).then_some(LoadingEngine {
@@ -281,26 +381,32 @@
         }
     }
 
-    /// Sends the due orders of all services.
-    async fn place_services(&mut self) {
-        let table = self.shared.table.load_full();
-        let mut conflicts = 0;
+    /// Returns the orders that are due, by service.
+    fn due_dispatches(&mut self, table: &RoutingTable, token: Token) -> Vec<Task> {
+        let mut tasks = Vec::new();
         for service in table.services() {
             let Some(profile) = service.engine_profile.clone() else {
                 continue;
             };
-            for placements in self
-                .plan(&service.name, &profile)
-                .chunks(MAX_CONCURRENT_ORDERS)
-            {
-                conflicts += self.send_orders(placements).await;
-                if conflicts >= MAX_ORDER_CONFLICTS && self.is_acting_leader() {
-                    info!(target: "decision", conflicts; "leadership conflict, backing off");
-                    self.peers.back_off();
-                    return;
-                }
+            if self.dispatching.contains(&service.name) {
+                continue;
             }
+            let placements = self.plan(&service.name, &profile);
+            if placements.is_empty() {
+                continue;
+            }
+            let orders = placements
+                .into_iter()
+                .filter_map(|p| self.order(p))
+                .collect();
+            self.dispatching.insert(Arc::clone(&service.name));
+            tasks.push(Task::Dispatch(Dispatch {
+                service: Arc::clone(&service.name),
+                token,
+                orders,
+            }));
         }
+        tasks
     }
 
     fn is_acting_leader(&self) -> bool {
@@ -308,7 +414,7 @@
     }
 
     /// Returns the orders that are due for a service.
-    fn plan(&mut self, service: &str, profile: &EngineProfile) -> Vec<Placement> {
+    fn plan(&mut self, service: &Arc<str>, profile: &EngineProfile) -> Vec<Placement> {
         let now = Instant::now();
         let shared = Arc::clone(&self.shared);
         let ended = shared.ended_upstreams(service);
@@ -317,21 +423,23 @@
             let is_lost = u.is_presumed_lost(now) || ended.contains(&u.entry.instance);
             u.is_ready() && !is_lost && !is_leaving_unannounced(u, profile)
         };
-        let upstreams: Vec<&Upstream> = fleet
+        let upstreams = fleet
             .of_service(service)
             .map(|(_, u)| u)
-            .filter(can_take_orders)
+            .filter(can_take_orders);
+        let engines: Vec<EngineState> = upstreams
+            .filter_map(|u| engine_state(u, fleet.assignments()))
             .collect();
-        if upstreams.len() != self.fleet_size.0 {
-            self.fleet_size = (upstreams.len(), now);
-        }
-        let state_of = |u: &&Upstream| engine_state(u, fleet.assignments());
-        let engine_states: Vec<EngineState> = upstreams.iter().filter_map(state_of).collect();
-        let none_loaded = engine_states.iter().all(|h| h.layers.is_none());
-        if none_loaded && now.duration_since(self.fleet_size.1) < FLEET_WARM_UP {
+        let without_layers = engines.iter().filter(|e| e.layers.is_none()).count();
+        metrics::gauge!("kelpworks_engines_without_layers", "service" => service.to_string())
+            .set(without_layers as f64);
+        let readiness = self.warm_ups.check(service, &engines, now);
+        log_warm_up(service, engines.len(), readiness);
+        if matches!(readiness, Readiness::Waiting { .. }) {
             return Vec::new();
         }
-        let mut orders = layout::plan(profile, &engine_states);
+        let mut orders = layout::plan(profile, &engines);
+        let planned = orders.len();
         let is_allowed = |instance: &str| {
             let upstream = fleet.key_of(instance).and_then(|key| fleet.get(key));
             upstream.is_some_and(|u| u.constraints.allows(MessageKind::LayerOrder, now))
@@ -341,8 +449,66 @@
             let backoff_until = self.backoff_until.get(&o.instance);
             backoff_until.is_none_or(|&at| at <= now) && is_allowed(&o.instance)
         });
+        if without_layers > orders.len() {
+            let withheld = planned - orders.len();
+            self.log_idle_engines(service, without_layers, withheld, now);
+        }
         orders
     }
+
+    /// Logs engines that hold no layers and get no order now, at a bounded rate.
+    fn log_idle_engines(
+        &mut self,
+        service: &Arc<str>,
+        engines: usize,
+        withheld: usize,
+        now: Instant,
+    ) {
+        if self.next_idle_log.get(service).is_some_and(|&at| now < at) {
+            return;
+        }
+        self.next_idle_log
+            .insert(Arc::clone(service), now + IDLE_LOG_INTERVAL);
+        info!(
+            target: "decision",
+            service:% = service,
+            engines,
+            withheld;
+            "engines without layers"
+        );
+    }
+}
+
+/// Sends the messages of a task.
+async fn perform<E: EngineApi>(sender: &OrderSender<E>, task: Task) -> TaskOutcome {
+    match task {
+        Task::Dispatch(dispatch) => TaskOutcome::Dispatch(sender.dispatch(dispatch).await),
+        Task::LoadPoll(loading) => {
+            let report = sender.engine_calls.report(loading.key).await;
+            TaskOutcome::LoadPoll(loading, report)
+        }
+    }
+}
+
+/// Logs the begin and the end of the wait before the first plan of a service.
+fn log_warm_up(service: &str, engines: usize, readiness: Readiness) {
+    match readiness {
+        Readiness::Waiting { is_new: true } => info!(
+            target: "decision",
+            service:% = service,
+            engines,
+            max_wait_ms = warm_up::MAX_WARM_UP.as_millis() as u64;
+            "plan waits for further engines"
+        ),
+        Readiness::Ready(Some(waited)) => info!(
+            target: "decision",
+            service:% = service,
+            engines,
+            waited_ms = waited.as_millis() as u64;
+            "first plan"
+        ),
+        Readiness::Waiting { is_new: false } | Readiness::Ready(None) => {}
+    }
 }
 
 /// Returns the planner's view of an engine, in which layers being loaded count as loaded; `None`
--- a/crates/kelpworks-relay/src/placer/orders.rs
+++ b/crates/kelpworks-relay/src/placer/orders.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use kelpworks::executor::LeaseHandle;
 use kelpworks_coord::lease::Token;
 use log::info;
 use tokio::time::Instant;
@@ -16,8 +17,11 @@
 use crate::adapter::OrderReply;
 use crate::adapter::PlaceOrder;
 use crate::assignments::LayerAssignment;
+use crate::engine_calls::EngineCalls;
 use crate::fleet::UpstreamKey;
 use crate::layout::Placement;
+use crate::peers::Peers;
+use crate::shared::Shared;
 
 /// Delay before another order to an engine that did not accept one.
 const ORDER_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -27,8 +31,9 @@
 pub(super) const MAX_CONCURRENT_ORDERS: usize = 32;
 
 /// An order that is to be sent.
-struct Order<'p> {
-    placement: &'p Placement,
+#[derive(Clone, Debug)]
+pub(super) struct Order {
+    placement: Placement,
     id: Arc<str>,
     key: UpstreamKey,
     /// Number of orders that the engine has begun; `None` if it has to be queried first.
@@ -36,7 +41,7 @@
 }
 
 /// What became of an order.
-struct OrderOutcome {
+pub(super) struct OrderOutcome {
     /// Number of orders that the engine must have begun; `None` if it can't take this one.
     expected: Option<u64>,
     /// Whether the engine was queried first.
@@ -47,43 +52,62 @@
     reply: Option<OrderReply>,
 }
 
-impl<E: EngineApi> Placer<E> {
-    /// Sends orders to several engines at the same time and returns how many conflicted with
-    /// earlier ones.
-    pub(super) async fn send_orders(&mut self, placements: &[Placement]) -> u32 {
-        let Some(authority) = self.authority() else {
-            return 0;
-        };
-        let token = authority.token();
-        let orders: Vec<Order> = placements.iter().filter_map(|p| self.order(p)).collect();
-        let outcomes = orders.iter().map(|order| self.send_order(order, token));
-        let outcomes = join_all(outcomes).await;
-        let mut conflicts = 0;
-        for (order, outcome) in orders.iter().zip(outcomes) {
-            conflicts += u32::from(outcome.reply == Some(OrderReply::Conflict));
-            self.apply_outcome(order, token, outcome);
-        }
-        conflicts
+impl OrderOutcome {
+    pub(super) fn is_conflict(&self) -> bool {
+        self.reply == Some(OrderReply::Conflict)
     }
+}
 
-    /// Returns the order of a placement; `None` when the engine is gone.
-    fn order<'p>(&self, placement: &'p Placement) -> Option<Order<'p>> {
-        let instance = &placement.instance;
-        let fleet = self.shared.fleet();
-        let key = fleet.key_of(instance)?;
-        let upstream = fleet.get(key)?;
-        let reported_orders = fleet.assignments().orders(instance);
-        let begun = self.begun_orders.get(instance).copied();
-        Some(Order {
-            placement,
-            id: Arc::clone(&upstream.entry.id),
-            key,
-            begun: begun.unwrap_or(reported_orders),
-        })
+/// Orders to engines of one service.
+pub(super) struct Dispatch {
+    pub(super) service: Arc<str>,
+    /// Fencing token under which they were planned.
+    pub(super) token: Token,
+    pub(super) orders: Vec<Order>,
+}
+
+/// What became of a [`Dispatch`].
+pub(super) struct DispatchOutcome {
+    pub(super) service: Arc<str>,
+    pub(super) token: Token,
+    /// The orders that were tried; the others were planned under a lease that was lost meanwhile.
+    pub(super) outcomes: Vec<(Order, OrderOutcome)>,
+}
+
+/// Sends orders while this daemon leads.
+pub(super) struct OrderSender<E> {
+    pub(super) shared: Arc<Shared>,
+    pub(super) lease_handle: Arc<LeaseHandle>,
+    pub(super) peers: Arc<Peers>,
+    pub(super) engine_calls: Arc<EngineCalls<E>>,
+}
+
+impl<E: EngineApi> OrderSender<E> {
+    /// Sends orders to the engines of a service, to several at the same time.
+    pub(super) async fn dispatch(&self, dispatch: Dispatch) -> DispatchOutcome {
+        let Dispatch {
+            service,
+            token,
+            orders,
+        } = dispatch;
+        let mut outcomes = Vec::with_capacity(orders.len());
+        for some in orders.chunks(MAX_CONCURRENT_ORDERS) {
+            if self.current_token() != Some(token) {
+                break;
+            }
+            let sent = some.iter().map(|order| self.send_order(order, token));
+            let replies = join_all(sent).await;
+            outcomes.extend(some.iter().cloned().zip(replies));
+        }
+        DispatchOutcome {
+            service,
+            token,
+            outcomes,
+        }
     }
 
     /// Sends an order, after a query of the engine where its number of orders is not known.
-    async fn send_order(&self, order: &Order<'_>, token: Token) -> OrderOutcome {
+    async fn send_order(&self, order: &Order, token: Token) -> OrderOutcome {
         let mut outcome = OrderOutcome {
             expected: order.begun,
             is_queried: order.begun.is_none(),
@@ -127,7 +151,7 @@
 
     /// Returns the number of orders that an engine has begun by its report. Returns `None` when it
     /// can't take another one now, or when its layers differ from those that the plan was made for.
-    fn expected_orders(&self, order: &Order<'_>, report: Option<&EngineReport>) -> Option<u64> {
+    fn expected_orders(&self, order: &Order, report: Option<&EngineReport>) -> Option<u64> {
         let report = report.filter(|r| !r.busy)?;
         let instance = &order.placement.instance;
         if self.shared.detect_restart(instance, report.start) {
@@ -140,9 +164,26 @@
         let recorded_layers = fleet.key_of(instance).and_then(|k| fleet.get(k)?.layers);
         (recorded_layers == report.layers).then_some(report.orders)
     }
+}
+
+impl<E: EngineApi> Placer<E> {
+    /// Returns the order of a placement; `None` when the engine is gone.
+    pub(super) fn order(&self, placement: Placement) -> Option<Order> {
+        let fleet = self.shared.fleet();
+        let key = fleet.key_of(&placement.instance)?;
+        let upstream = fleet.get(key)?;
+        let reported_orders = fleet.assignments().orders(&placement.instance);
+        let begun = self.begun_orders.get(&placement.instance).copied();
+        Some(Order {
+            id: Arc::clone(&upstream.entry.id),
+            key,
+            begun: begun.unwrap_or(reported_orders),
+            placement,
+        })
+    }
 
     /// Records what became of an order.
-    fn apply_outcome(&mut self, order: &Order<'_>, token: Token, outcome: OrderOutcome) {
+    pub(super) fn apply_outcome(&mut self, order: &Order, token: Token, outcome: OrderOutcome) {
         let instance = &order.placement.instance;
         if let Some(report) = outcome.report.filter(|r| !r.busy) {
             self.record_report(instance, &report);
@@ -153,12 +194,12 @@
             }
             return;
         };
-        self.log_order(order.placement, expected, token.0, reply);
+        self.log_order(order, expected, token.0, reply);
         match reply {
             OrderReply::Accepted => {
                 self.begun_orders
                     .insert(Arc::clone(instance), Some(expected + 1));
-                self.record_order(order.placement, expected + 1);
+                self.record_order(order, expected + 1);
             }
             // A lost order may still be carried out: the engine is queried before the next one.
             OrderReply::Lost | OrderReply::Conflict | OrderReply::Refused => {
@@ -187,17 +228,18 @@
         }
     }
 
-    /// Records an accepted order. The engine can run no requests until it has carried the order
+    /// Records an accepted order. The engine accepts no requests until it has carried the order
     /// out.
-    fn record_order(&mut self, placement: &Placement, orders: u64) {
+    fn record_order(&mut self, order: &Order, orders: u64) {
         let assignment = LayerAssignment {
             orders,
-            layers: placement.layers,
+            layers: order.placement.layers,
             loaded: false,
         };
         let now = Instant::now();
         let mut fleet = self.shared.fleet();
-        fleet.learn_assignment(&placement.instance, assignment, Duration::ZERO, now);
+        let instance = &order.placement.instance;
+        fleet.learn_assignment(instance, assignment, Duration::ZERO, now);
     }
 
     fn back_off_orders(&mut self, instance: &Arc<str>) {
@@ -205,13 +247,8 @@
             .insert(Arc::clone(instance), Instant::now() + ORDER_RETRY_DELAY);
     }
 
-    fn log_order(
-        &self,
-        placement: &Placement,
-        expected: u64,
-        fencing_token: u64,
-        reply: OrderReply,
-    ) {
+    fn log_order(&self, order: &Order, expected: u64, fencing_token: u64, reply: OrderReply) {
+        let placement = &order.placement;
         let reply = reply.as_str();
         info!(
             target: "decision",
