Wait for requests that can't run again before an engine is moved

Cause: an order that moves an engine to other layers always had it abort its requests.

Change: the engine waits where a route of its service, in force or replaced no longer ago than its timeout, has requests that can't run again; elsewhere nothing changes. The order says between daemons for how long, so that no leader takes the engine for idle or lost meanwhile.

--- a/crates/kelpworks-relay/src/adapter.rs
+++ b/crates/kelpworks-relay/src/adapter.rs
@@ -243,6 +243,16 @@
     Abort,
 }
 
+impl DisplacementPolicy {
+    /// Returns the value of the key `displacement` in the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            DisplacementPolicy::Drain => "drain",
+            DisplacementPolicy::Abort => "abort",
+        }
+    }
+}
+
 /// An order to load a range of layers.
 #[derive(Clone, Copy, Debug)]
 pub struct PlaceOrder<'a> {
--- a/crates/kelpworks-relay/src/assignments.rs
+++ b/crates/kelpworks-relay/src/assignments.rs
@@ -60,6 +60,9 @@
     assignment: LayerAssignment,
     /// When the report was true.
     since: Instant,
+    /// Longest time for which the engine waits for requests that use the layers which it replaces, before it loads
+    /// the new ones. The report counts for that much longer.
+    wait: Duration,
     /// Whether a registration has shown the same layers since. A confirmed report is kept until it
     /// expires, so that a late copy of it or of an older one is not taken as new.
     confirmed: bool,
@@ -71,6 +74,22 @@
     reports: HashMap<Arc<str>, Report>,
 }
 
+impl Report {
+    /// Returns whether it has counted for as long as it may.
+    fn is_old(&self, now: Instant) -> bool {
+        now.duration_since(self.since) >= ttl(&self.assignment, self.wait)
+    }
+}
+
+/// Returns the time for which a report counts that no registration confirms. An engine that has loaded its layers waits
+/// no longer.
+fn ttl(assignment: &LayerAssignment, wait: Duration) -> Duration {
+    match assignment.loaded {
+        true => REPORT_TTL,
+        false => REPORT_TTL.saturating_add(wait),
+    }
+}
+
 impl LayerAssignments {
     /// Returns the latest report on an engine; `None` once its registration shows the same.
     pub fn get(&self, instance: &str) -> Option<LayerAssignment> {
@@ -84,6 +103,13 @@
         report.map_or(entry.layers, |h| h.usable())
     }
 
+    /// Returns the longest time for which an engine waits for its requests before it loads the layers of its report.
+    pub fn wait(&self, instance: &str) -> Duration {
+        self.reports
+            .get(instance)
+            .map_or(Duration::ZERO, |w| w.wait)
+    }
+
     /// Returns how many orders an engine has begun; `None` without a report.
     pub fn orders(&self, instance: &str) -> Option<u64> {
         self.reports.get(instance).map(|w| w.assignment.orders)
@@ -96,15 +122,30 @@
         assignment: LayerAssignment,
         age: Duration,
         now: Instant,
+    ) -> bool {
+        self.learn_displacing(instance, assignment, Duration::ZERO, age, now)
+    }
+
+    /// Like [`learn`](LayerAssignments::learn), for an engine that may wait for its requests for up to `wait` before it
+    /// loads the layers.
+    pub fn learn_displacing(
+        &mut self,
+        instance: &Arc<str>,
+        assignment: LayerAssignment,
+        wait: Duration,
+        age: Duration,
+        now: Instant,
     ) -> bool {
         let known = self.reports.get(instance);
-        if age >= REPORT_TTL || known.is_some_and(|w| !assignment.is_newer_than(&w.assignment)) {
+        let is_old = age >= ttl(&assignment, wait);
+        if is_old || known.is_some_and(|w| !assignment.is_newer_than(&w.assignment)) {
             return false;
         }
         let since = now.checked_sub(age).unwrap_or(now);
         let report = Report {
             assignment,
             since,
+            wait,
             confirmed: false,
         };
         self.reports.insert(Arc::clone(instance), report);
@@ -130,9 +171,8 @@
     pub fn expire(&mut self, registrations_available: bool, now: Instant) -> Vec<Arc<str>> {
         let mut unconfirmed = Vec::new();
         self.reports.retain(|instance, w| {
-            let is_old = now.duration_since(w.since) >= REPORT_TTL;
             let is_expired =
-                is_old && (registrations_available || w.confirmed || !w.assignment.loaded);
+                w.is_old(now) && (registrations_available || w.confirmed || !w.assignment.loaded);
             if is_expired && !w.confirmed {
                 unconfirmed.push(Arc::clone(instance));
             }
--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -244,6 +244,19 @@
         assignment: LayerAssignment,
         age: Duration,
         now: Instant,
+    ) -> bool {
+        self.learn_displacing_assignment(instance, assignment, Duration::ZERO, age, now)
+    }
+
+    /// Like [`Fleet::learn_assignment`], for an engine that may wait for its requests for up to `wait` before it loads
+    /// the layers.
+    pub fn learn_displacing_assignment(
+        &mut self,
+        instance: &Arc<str>,
+        assignment: LayerAssignment,
+        wait: Duration,
+        age: Duration,
+        now: Instant,
     ) -> bool {
         let Some(&key) = self.by_instance.get(instance) else {
             return false;
@@ -251,7 +264,8 @@
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return false;
         };
-        if !self.assignments.learn(instance, assignment, age, now) {
+        let assignments = &mut self.assignments;
+        if !assignments.learn_displacing(instance, assignment, wait, age, now) {
             return false;
         }
         self.assignments
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -58,9 +58,13 @@
             let fleet = self.shared.fleet();
             let reach = self.shared.reach();
             owners = fleet.recent_owners(MAX_OWNERS, now);
-            assignments = fleet
-                .assignments()
-                .unconfirmed_reports(MAX_ASSIGNMENTS, now);
+            let known = fleet.assignments();
+            let unconfirmed = known.unconfirmed_reports(MAX_ASSIGNMENTS, now);
+            let unconfirmed = unconfirmed.into_iter().map(|(instance, assignment, age)| {
+                let wait = known.wait(&instance);
+                AssignmentOf::new(instance, assignment, wait, age)
+            });
+            assignments = unconfirmed.collect();
             for (_, u) in fleet.iter() {
                 if u.local_load.running > 0.0 {
                     load.push(LoadOf {
@@ -112,10 +116,7 @@
             facts: reported.requests,
             part_facts: reported.parts,
             slowness,
-            assignments: assignments
-                .into_iter()
-                .map(|(instance, assignment, age)| AssignmentOf::new(instance, assignment, age))
-                .collect(),
+            assignments,
             owners: owners
                 .into_iter()
                 .map(|(AddressOwner { address, id }, age)| OwnerOf {
@@ -204,7 +205,9 @@
             }
             let is_new = |report: &&AssignmentOf| {
                 let age = Duration::from_millis(report.age_ms);
-                fleet.learn_assignment(&report.instance, report.assignment(), age, now)
+                let wait = Duration::from_millis(report.wait_ms);
+                let assignment = report.assignment();
+                fleet.learn_displacing_assignment(&report.instance, assignment, wait, age, now)
             };
             let new: Vec<&AssignmentOf> = digest.assignments.iter().filter(is_new).collect();
             drop(fleet);
@@ -345,6 +348,7 @@
             to,
             loaded,
             age_ms,
+            wait_ms: _,
         } = r;
         let state = if *loaded { "loaded" } else { "ordered" };
         format!("{instance}={from}-{to}:{state}:{orders}:{age_ms}ms")
--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -52,6 +52,10 @@
     !value
 }
 
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
+
 /// Leader, which sends orders to engines.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -145,12 +149,17 @@
     pub(super) loaded: bool,
     /// Milliseconds since the engine reported it.
     pub(super) age_ms: u64,
+    /// Longest time in milliseconds for which the engine waits for its requests before it loads the layers; 0 in
+    /// older builds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub(super) wait_ms: u64,
 }
 
 impl AssignmentOf {
     pub(super) fn new(
         instance: Arc<str>,
         assignment: LayerAssignment,
+        wait: Duration,
         age: Duration,
     ) -> AssignmentOf {
         AssignmentOf {
@@ -160,6 +169,7 @@
             to: assignment.layers.to,
             loaded: assignment.loaded,
             age_ms: age.as_millis() as u64,
+            wait_ms: wait.as_millis() as u64,
         }
     }
 
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -50,6 +50,8 @@
 use crate::adapter::LayerRange;
 use crate::adapter::Lifecycle;
 use crate::adapter::UpstreamEntry;
+use crate::assignments::LayerAssignment;
+use crate::assignments::REPORT_TTL;
 use crate::config::Accelerator;
 use crate::config::Configuration;
 use crate::config::EngineProfile;
@@ -746,3 +748,37 @@
     assert_eq!(connected.count(), others.len());
     server.stop().expect("it runs");
 }
+
+/// Guards against a daemon that takes an engine which still waits for its requests for one that holds its former
+/// layers: the wait reaches it with the order.
+#[tokio::test(start_paused = true)]
+async fn wait_of_an_engine_for_its_requests_reaches_other_daemons() {
+    let (a, b) = (peers(0), peers(1));
+    let range = |from, to| LayerRange { from, to };
+    let entry = UpstreamEntry {
+        layers: Some(range(0, 4)),
+        ..engine()
+    };
+    let instance = Arc::clone(&entry.instance);
+    let now = Instant::now();
+    for daemon in [&a, &b] {
+        let mut fleet = daemon.shared.fleet();
+        fleet.replace(vec![entry.clone()], Version::initial(1), now);
+    }
+    let ordered = LayerAssignment {
+        orders: 2,
+        layers: range(4, 8),
+        loaded: false,
+    };
+    let wait = Duration::from_secs(20);
+    a.shared
+        .fleet()
+        .learn_displacing_assignment(&instance, ordered, wait, Duration::ZERO, now);
+    b.learn_digest(&a.digest(&Audience::default()));
+    advance(REPORT_TTL).await;
+    b.learn_digest(&a.digest(&Audience::default()));
+    let mut fleet = b.shared.fleet();
+    assert!(fleet.expire_assignments(true, Instant::now()).is_empty());
+    let usable = fleet.key_of(&instance).and_then(|k| fleet.get(k)?.layers);
+    assert_eq!(usable, None);
+}
--- a/crates/kelpworks-relay/src/placer.rs
+++ b/crates/kelpworks-relay/src/placer.rs
@@ -13,6 +13,7 @@
 //! only the first is begun. The lease keeps two daemons from sending competing orders all the time;
 //! the precondition is what protects an engine.
 
+mod displacement;
 mod orders;
 #[cfg(test)]
 mod tests;
@@ -49,6 +50,7 @@
 use crate::peers::Peers;
 use crate::peers::StoreKind;
 use crate::shared::Shared;
+use displacement::UnrepeatableWork;
 use orders::Dispatch;
 use orders::DispatchOutcome;
 use orders::OrderSender;
@@ -138,6 +140,7 @@
     /// Services whose orders are under way; they are planned again once all of these are decided.
     dispatching: HashSet<Arc<str>>,
     warm_ups: WarmUps,
+    unrepeatable_work: UnrepeatableWork,
     /// Time from which engines without layers are logged again, by service.
     next_idle_log: HashMap<Arc<str>, Instant>,
 }
@@ -162,6 +165,7 @@
             backoff_until: HashMap::new(),
             dispatching: HashSet::new(),
             warm_ups: WarmUps::default(),
+            unrepeatable_work: UnrepeatableWork::default(),
             next_idle_log: HashMap::new(),
         }
     }
@@ -198,6 +202,8 @@
     fn due_tasks(&mut self) -> Vec<Task> {
         self.expire_unconfirmed();
         let table = self.shared.table.load_full();
+        self.unrepeatable_work
+            .observe(table.routes(), Instant::now());
         let Some(authority) = self.authority() else {
             self.begun_orders.clear();
             self.next_load_poll.clear();
@@ -395,9 +401,11 @@
             if placements.is_empty() {
                 continue;
             }
+            let now = Instant::now();
+            let (displacement, wait) = self.unrepeatable_work.policy(&service.name, now);
             let orders = placements
                 .into_iter()
-                .filter_map(|p| self.order(p))
+                .filter_map(|p| self.order(p, displacement, wait))
                 .collect();
             self.dispatching.insert(Arc::clone(&service.name));
             tasks.push(Task::Dispatch(Dispatch {
--- a/crates/kelpworks-relay/src/placer/orders.rs
+++ b/crates/kelpworks-relay/src/placer/orders.rs
@@ -38,6 +38,10 @@
     key: UpstreamKey,
     /// Number of orders that the engine has begun; `None` if it has to be queried first.
     begun: Option<u64>,
+    /// What happens to requests that use the layers which it replaces.
+    displacement: DisplacementPolicy,
+    /// Longest time for which the engine waits for those requests.
+    wait: Duration,
 }
 
 /// What became of an order.
@@ -129,10 +133,7 @@
         let request = PlaceOrder {
             id: &order.id,
             layers: order.placement.layers,
-            displacement: match order.placement.moves {
-                true => DisplacementPolicy::Abort,
-                false => DisplacementPolicy::Drain,
-            },
+            displacement: order.displacement,
             expected,
             fencing_token: token.0,
         };
@@ -167,17 +168,29 @@
 }
 
 impl<E: EngineApi> Placer<E> {
-    /// Returns the order of a placement; `None` when the engine is gone.
-    pub(super) fn order(&self, placement: Placement) -> Option<Order> {
+    /// Returns the order of a placement; `None` when the engine is gone. An engine that replaces layers treats the
+    /// requests that use them by `displacement`, and waits for them for at most `wait`.
+    pub(super) fn order(
+        &self,
+        placement: Placement,
+        displacement: DisplacementPolicy,
+        wait: Duration,
+    ) -> Option<Order> {
         let fleet = self.shared.fleet();
         let key = fleet.key_of(&placement.instance)?;
         let upstream = fleet.get(key)?;
         let reported_orders = fleet.assignments().orders(&placement.instance);
         let begun = self.begun_orders.get(&placement.instance).copied();
+        let (displacement, wait) = match placement.moves {
+            true => (displacement, wait),
+            false => (DisplacementPolicy::Drain, Duration::ZERO),
+        };
         Some(Order {
             id: Arc::clone(&upstream.entry.id),
             key,
             begun: begun.unwrap_or(reported_orders),
+            displacement,
+            wait,
             placement,
         })
     }
@@ -239,7 +252,7 @@
         let now = Instant::now();
         let mut fleet = self.shared.fleet();
         let instance = &order.placement.instance;
-        fleet.learn_assignment(instance, assignment, Duration::ZERO, now);
+        fleet.learn_displacing_assignment(instance, assignment, order.wait, Duration::ZERO, now);
     }
 
     fn back_off_orders(&mut self, instance: &Arc<str>) {
@@ -255,6 +268,9 @@
             upstream:% = placement.instance,
             from = placement.layers.from,
             to = placement.layers.to,
+            moves = placement.moves,
+            displacement:% = order.displacement.as_str(),
+            wait_ms = order.wait.as_millis() as u64,
             expected,
             fence = fencing_token,
             fleet_version:% = self.shared.fleet().version(),
--- a/crates/kelpworks-relay/src/placer/tests.rs
+++ b/crates/kelpworks-relay/src/placer/tests.rs
@@ -17,12 +17,15 @@
 use kelpworks_coord::lease::Owner;
 use proptest::collection::vec;
 use proptest::prelude::*;
+use rstest::rstest;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
 
 use super::Placer;
+use super::displacement::UnrepeatableWork;
+use crate::adapter::DisplacementPolicy;
 use crate::adapter::EngineAnswer;
 use crate::adapter::EngineApi;
 use crate::adapter::EngineReport;
@@ -36,8 +39,11 @@
 use crate::config::Accelerator;
 use crate::config::Configuration;
 use crate::config::EngineProfile;
+use crate::config::Route;
+use crate::config::RouteKind;
 use crate::config::RoutingTable;
 use crate::config::Service;
+use crate::config::Target;
 use crate::engine_calls::EngineCalls;
 use crate::peers::Peers;
 use crate::retry_budget::RetryLimit;
@@ -65,10 +71,15 @@
 /// An order that an engine has accepted: its address and the layers.
 type Accepted = (SocketAddr, LayerRange);
 
+/// Time for which an engine waits for the requests that use the layers which it replaces.
+const REQUEST_TIME: Duration = Duration::from_secs(18);
+
 #[derive(Clone, Debug, Default)]
 struct FakeApi {
     engines: Arc<Mutex<HashMap<SocketAddr, FakeEngine>>>,
     accepted: Arc<Mutex<Vec<Accepted>>>,
+    /// What became of the requests that used replaced layers, by order.
+    displacements: Arc<Mutex<Vec<DisplacementPolicy>>>,
 }
 
 impl EngineApi for FakeApi {
@@ -110,8 +121,14 @@
             return answer(OrderReply::Conflict);
         }
         engine.orders += 1;
-        engine.layers = Some(order.layers);
-        engine.busy_until = Some(Instant::now() + LOAD_TIME);
+        let mut busy_for = LOAD_TIME;
+        if engine.layers.replace(order.layers).is_some() {
+            lock(&self.displacements).push(order.displacement);
+            if order.displacement == DisplacementPolicy::Drain {
+                busy_for += REQUEST_TIME;
+            }
+        }
+        engine.busy_until = Some(Instant::now() + busy_for);
         lock(&self.accepted).push((address, order.layers));
         answer(OrderReply::Accepted)
     }
@@ -216,6 +233,32 @@
     version: u64,
 }
 
+/// Starts a placer of a daemon without peers.
+fn spawn_placer(shared: &Arc<Shared>, api: &FakeApi, stop: &CancellationToken) {
+    let store_cache = Arc::new(StoreCache::new(Arc::clone(shared)));
+    let own = SocketAddr::from(([127, 0, 0, 1], 7_000));
+    let peers = Peers::new(
+        "entry-0",
+        own,
+        Arc::clone(shared),
+        store_cache,
+        Eras::default(),
+    );
+    let me = Owner {
+        node: NodeId::of("entry-0"),
+        incarnation: Incarnation(1),
+    };
+    let lease_handle = Arc::new(LeaseHandle::new(lease::Config::default(), me));
+    let engine_calls = EngineCalls::new(Arc::clone(shared), api.clone());
+    let placer = Placer::new(
+        Arc::clone(shared),
+        lease_handle,
+        Arc::new(peers),
+        Arc::new(engine_calls),
+    );
+    tokio::spawn(placer.run(stop.clone()));
+}
+
 impl Site {
     fn start(services: usize, stop: &CancellationToken) -> Site {
         let retry_limit = RetryLimit {
@@ -225,29 +268,8 @@
         };
         let shared = Arc::new(Shared::new("a", retry_limit, 1));
         shared.table.store(Arc::new(table(services)));
-        let store_cache = Arc::new(StoreCache::new(Arc::clone(&shared)));
-        let own = SocketAddr::from(([127, 0, 0, 1], 7_000));
-        let peers = Peers::new(
-            "entry-0",
-            own,
-            Arc::clone(&shared),
-            store_cache,
-            Eras::default(),
-        );
-        let me = Owner {
-            node: NodeId::of("entry-0"),
-            incarnation: Incarnation(1),
-        };
-        let lease_handle = Arc::new(LeaseHandle::new(lease::Config::default(), me));
         let api = FakeApi::default();
-        let engine_calls = EngineCalls::new(Arc::clone(&shared), api.clone());
-        let placer = Placer::new(
-            Arc::clone(&shared),
-            lease_handle,
-            Arc::new(peers),
-            Arc::new(engine_calls),
-        );
-        tokio::spawn(placer.run(stop.clone()));
+        spawn_placer(&shared, &api, stop);
         Site {
             shared,
             api,
@@ -386,3 +408,140 @@
         "{accepted:?}"
     );
 }
+
+/// Engines that start together get a plan for all of them, as one for the first alone would give it other layers.
+#[tokio::test(start_paused = true)]
+async fn first_plan_waits_for_engines_that_start_together() {
+    let stop = CancellationToken::new();
+    let mut site = Site::start(1, &stop);
+    sleep(LEARNING_PERIOD + PLACEMENT_BOUND).await;
+    for engine in 0..3 {
+        site.toggle(0, engine, false);
+        sleep(Duration::from_millis(400)).await;
+        assert_eq!(lock(&site.api.accepted).len(), 0);
+    }
+    sleep(PLACEMENT_BOUND).await;
+    assert_eq!(lock(&site.api.accepted).len(), 3);
+    stop.cancel();
+}
+
+const STREAM: RouteKind = RouteKind::Stream { resumable: false };
+const RESUMABLE: RouteKind = RouteKind::Stream { resumable: true };
+
+fn route(kind: RouteKind, max_attempts: u32) -> Route {
+    Route {
+        name: Arc::from("r"),
+        host: Box::from("site.example"),
+        prefix: Box::from("/"),
+        kind,
+        targets: vec![Target {
+            service: service_name(0),
+            weight: 1,
+        }],
+        timeout: Duration::from_secs(20),
+        latency_target: Duration::from_secs(1),
+        gap_target: Duration::from_millis(250),
+        max_attempts,
+        priority: 1,
+        anonymous: true,
+    }
+}
+
+/// Guards against requests that are lost because an engine that runs them is moved.
+#[rstest]
+#[case::stream(&[route(STREAM, 2)], DisplacementPolicy::Drain)]
+#[case::call_that_runs_once(&[route(RouteKind::NonIdempotent, 2)], DisplacementPolicy::Drain)]
+#[case::one_of_two_routes(&[route(RESUMABLE, 2), route(STREAM, 2)], DisplacementPolicy::Drain)]
+#[case::no_further_attempt(&[route(RESUMABLE, 1)], DisplacementPolicy::Drain)]
+#[case::resumable(&[route(RESUMABLE, 2)], DisplacementPolicy::Abort)]
+#[case::idempotent(&[route(RouteKind::Idempotent, 2)], DisplacementPolicy::Abort)]
+#[case::no_route(&[], DisplacementPolicy::Abort)]
+#[tokio::test(start_paused = true)]
+async fn requests_are_aborted_only_if_they_can_run_again(
+    #[case] routes: &[Route],
+    #[case] expected: DisplacementPolicy,
+) {
+    let now = Instant::now();
+    let mut work = UnrepeatableWork::default();
+    work.observe(routes, now);
+    assert_eq!(work.policy(&service_name(0), now).0, expected);
+    let other = work.policy(&service_name(1), now);
+    assert_eq!(other, (DisplacementPolicy::Abort, Duration::ZERO));
+}
+
+/// Guards against requests that began under a configuration whose route a later one has dropped.
+#[tokio::test(start_paused = true)]
+async fn route_counts_until_its_requests_have_ended() {
+    let now = Instant::now();
+    let at = |s| now + Duration::from_secs(s);
+    let mut work = UnrepeatableWork::default();
+    work.observe(&[route(STREAM, 2)], at(0));
+    work.observe(&[], at(1));
+    let policy = |s| work.policy(&service_name(0), at(s));
+    assert_eq!(
+        policy(20),
+        (DisplacementPolicy::Drain, Duration::from_secs(3))
+    );
+    assert_eq!(policy(23), (DisplacementPolicy::Abort, Duration::ZERO));
+}
+
+/// Guards against a leader that takes an engine which still waits for its requests for one that holds its former
+/// layers, or none, and orders it again.
+#[tokio::test(start_paused = true)]
+async fn engine_that_waits_for_its_requests_is_not_ordered_again() {
+    let stop = CancellationToken::new();
+    let mut site = Site::start(1, &stop);
+    let mut config = Configuration {
+        version: 2,
+        routes: vec![route(STREAM, 2)],
+        ..Configuration::default()
+    };
+    let halves = EngineProfile {
+        kinds: vec![Accelerator {
+            memory_mb: 201.0,
+            ..profile().kinds[0].clone()
+        }],
+        ..profile()
+    };
+    config.services = vec![Service {
+        engine_profile: Some(Arc::new(halves)),
+        ..table(1).services()[0].clone()
+    }];
+    site.shared.table.store(Arc::new(RoutingTable::new(config)));
+    for engine in 0..3 {
+        site.toggle(0, engine, false);
+    }
+    sleep(LEARNING_PERIOD + PLACEMENT_BOUND).await;
+    let register = |leaving: Option<usize>, version: u64| {
+        let engines = lock(&site.api.engines);
+        let entries = (0..3).map(|e| UpstreamEntry {
+            layers: engines[&address(0, e)].layers,
+            lifecycle: match leaving == Some(e) {
+                true => Lifecycle::Leaving,
+                false => Lifecycle::Ready,
+            },
+            ..entry(0, e, site.up[&(0, e)])
+        });
+        let entries = entries.collect();
+        let mut fleet = site.shared.fleet();
+        fleet.replace(entries, Version::initial(version), Instant::now());
+    };
+    register(None, 10);
+    sleep(LOAD_TIME).await;
+    let held = |e: usize| lock(&site.api.engines)[&address(0, e)].layers;
+    let others = |e: usize| (0..3).filter(move |&o| o != e);
+    let alone = (0..3).find(|&e| others(e).all(|o| held(o) != held(e)));
+    let before = lock(&site.api.accepted).len();
+    register(alone, 11);
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(lock(&site.api.accepted).len(), before + 1);
+    // Another daemon leads from now on, which knows of the order by gossip.
+    stop.cancel();
+    let stop = CancellationToken::new();
+    spawn_placer(&site.shared, &site.api, &stop);
+    sleep(REQUEST_TIME + PLACEMENT_BOUND).await;
+    assert_eq!(lock(&site.api.accepted).len(), before + 1, "ordered again");
+    let displacements = lock(&site.api.displacements).clone();
+    assert_eq!(displacements, [DisplacementPolicy::Drain]);
+    stop.cancel();
+}
--- a/crates/kelpworks-relay/tests/assignments.rs
+++ b/crates/kelpworks-relay/tests/assignments.rs
@@ -138,3 +138,20 @@
     );
     assert!(!fleet.learn_assignment(&engine, assignment(2, range(0, 9), true), REPORT_TTL, now));
 }
+
+/// Guards against an engine that counts as holding its former layers while it still waits for requests that use them.
+#[tokio::test]
+async fn engine_that_waits_for_its_requests_has_no_usable_layers() {
+    let (old, new) = (range(0, 9), range(20, 29));
+    let (mut fleet, engine) = fleet(Some(old));
+    let now = Instant::now();
+    let wait = Duration::from_secs(20);
+    let ordered = assignment(2, new, false);
+    assert!(fleet.learn_displacing_assignment(&engine, ordered, wait, NO_AGE, now));
+    let expired = fleet.expire_assignments(true, now + REPORT_TTL);
+    assert!(expired.is_empty());
+    assert_eq!(usable(&fleet, &engine), None);
+    let expired = fleet.expire_assignments(true, now + REPORT_TTL + wait);
+    assert_eq!(expired.len(), 1);
+    assert_eq!(usable(&fleet, &engine), Some(old));
+}
