Order facts about owners of addresses by start times, and check doubts

Cause: a digest that lay in the stopped daemon's socket was aged from the time of its reading, so that its report of a former owner of the address counted as later than the entry of the server that had started since. The log names the report as what removed the entry, and the server it names had ended three seconds before. No request went there afterwards that could have shown who answers.

Change: reports carry the owner's start and don't count against a later one; digests bear their sender's clock, and ages in a late one count from its sending; copies of a report count from the earliest time it was learned; an entry without effect is asked for its id. Own answers count from the time of the request.

--- a/crates/kelpworks-relay/src/adapter.rs
+++ b/crates/kelpworks-relay/src/adapter.rs
@@ -368,7 +368,7 @@
     pub head: Option<(StatusCode, AnswerHead)>,
 }
 
-/// Client of the engines: queries their state and sends them orders.
+/// Client of the engines: queries their state and sends them orders. Other upstreams are asked for their ids only.
 pub trait EngineApi: Send + Sync + 'static {
     /// Queries the state of an engine; the value is `None` when it does not answer or its answer
     /// is malformed.
@@ -377,6 +377,15 @@
         clearance: &Clearance,
     ) -> impl Future<Output = EngineAnswer<Option<EngineReport>>> + Send;
 
+    /// Asks at an address which upstream answers there, by a request for `path` that is meant for `id`; the value is the
+    /// id of the upstream that answered, `None` when none did or the answer names none.
+    fn identify(
+        &self,
+        clearance: &Clearance,
+        path: &str,
+        id: &str,
+    ) -> impl Future<Output = EngineAnswer<Option<Box<str>>>> + Send;
+
     /// Orders an engine to load a range of layers, if it has begun as many orders as expected.
     fn place(
         &self,
--- a/crates/kelpworks-relay/src/config_check/differences.rs
+++ b/crates/kelpworks-relay/src/config_check/differences.rs
@@ -268,6 +268,8 @@
     let Service {
         name: _,
         max_connections,
+        // Only the daemons' own requests go there.
+        health_path: _,
         engine_profile,
     } = old;
     // Callers don't meet this limit: it bounds the daemons' own connections.
--- a/crates/kelpworks-relay/src/daemon.rs
+++ b/crates/kelpworks-relay/src/daemon.rs
@@ -44,6 +44,7 @@
 use crate::link_probes;
 use crate::operators;
 use crate::operators::Readiness;
+use crate::owner_checks;
 use crate::peers::Peers;
 use crate::peers::StoreKind;
 use crate::placer::Placer;
@@ -279,6 +280,12 @@
             shutdown.clone(),
         );
         tokio::spawn(slowness_polls);
+        let owner_checks = owner_checks::run(
+            Arc::clone(&shared),
+            Arc::clone(&engine_calls),
+            shutdown.clone(),
+        );
+        tokio::spawn(owner_checks);
         tokio::spawn(link_probes::run(Arc::clone(&shared), shutdown.clone()));
         tokio::spawn(predecessor_checks::run(
             Arc::clone(&shared),
--- a/crates/kelpworks-relay/src/engine_calls.rs
+++ b/crates/kelpworks-relay/src/engine_calls.rs
@@ -17,6 +17,7 @@
 use crate::adapter::PlaceOrder;
 use crate::adapter::RerouteOrder;
 use crate::adapter::StartTime;
+use crate::adapter::UpstreamEntry;
 use crate::clearance::Clearance;
 use crate::constraints::Announced;
 use crate::constraints::MessageKind;
@@ -50,6 +51,13 @@
         answer.value
     }
 
+    /// Asks at the address of a registered upstream that has no effect which upstream answers there; `None` when none
+    /// does.
+    pub(crate) async fn identify(&self, entry: &UpstreamEntry, path: &str) -> Option<Box<str>> {
+        let clearance = Clearance::new(entry.address, MessageKind::Query, Instant::now());
+        self.api.identify(&clearance, path, &entry.id).await.value
+    }
+
     /// Orders an engine to load layers; refused when it accepts no such order.
     pub(crate) async fn place(&self, key: UpstreamKey, order: PlaceOrder<'_>) -> OrderReply {
         let Some(clearance) = self.clear(key, MessageKind::LayerOrder) else {
--- a/crates/kelpworks-relay/src/fleet.rs
+++ b/crates/kelpworks-relay/src/fleet.rs
@@ -32,6 +32,7 @@
 use restore_overlay::RestoreOverlay;
 
 pub use address_owners::AddressOwner;
+pub use address_owners::OwnerReport;
 pub use upstream::FaultAttribution;
 pub use upstream::Load;
 pub use upstream::REROUTE_SLOWNESS;
@@ -125,17 +126,41 @@
         has_ended.then(|| self.rebuild())
     }
 
-    /// Applies a report of which upstream answered at an address. Returns the resulting changes;
-    /// `None` if the report is outdated or the owner was already known.
+    /// Applies an answer from an address to a request of this daemon that was sent at `sent`. Returns the resulting
+    /// changes; `None` if the answer is outdated or the owner was already known.
     pub fn learn_owner(
         &mut self,
         owner: AddressOwner,
-        now: Instant,
+        sent: Instant,
+    ) -> Option<RegistrationChanges> {
+        let is_new = self.address_owners.learn(owner, sent);
+        is_new.then(|| self.rebuild())
+    }
+
+    /// Applies a peer's report of an answer to a request that was sent at `at`; like [`Fleet::learn_owner`].
+    pub fn learn_owner_report(
+        &mut self,
+        report: OwnerReport,
+        at: Instant,
     ) -> Option<RegistrationChanges> {
-        let is_new = self.address_owners.learn(owner, now);
+        let is_new = self.address_owners.learn_report(report, at);
         is_new.then(|| self.rebuild())
     }
 
+    /// Returns the registered entries that have no effect because another upstream owns their address, with the last
+    /// time at which an answer from there was reported.
+    pub fn without_address(&self) -> Vec<(UpstreamEntry, Option<Instant>)> {
+        let entries = self.restore_overlay.apply(&self.registered);
+        if entries.len() == self.upstreams.len() {
+            return Vec::new();
+        }
+        let in_effect: HashSet<&Arc<str>> = self.upstreams.values().map(|u| &u.entry.id).collect();
+        let is_without = |e: &&UpstreamEntry| !in_effect.contains(&e.id);
+        let without = entries.iter().filter(is_without);
+        let reported_at = |e: &UpstreamEntry| self.address_owners.reported_at(e.address);
+        without.map(|e| (e.clone(), reported_at(e))).collect()
+    }
+
     /// Applies an upstream's own report of its start time if it is later than the registered one:
     /// the upstream has restarted since it registered, and counts as holding no layers until it
     /// reports some. Returns `None` if the time is not later or the entry has none.
@@ -157,7 +182,7 @@
     }
 
     /// Returns at most `max` recent reports of address owners with their age, newest first.
-    pub fn recent_owners(&self, max: usize, now: Instant) -> Vec<(AddressOwner, Duration)> {
+    pub fn recent_owners(&self, max: usize, now: Instant) -> Vec<(OwnerReport, Duration)> {
         self.address_owners.recent(max, now)
     }
 
--- a/crates/kelpworks-relay/src/fleet/address_owners.rs
+++ b/crates/kelpworks-relay/src/fleet/address_owners.rs
@@ -11,7 +11,12 @@
 //! 3. the id that this daemon first saw later. An id that reappears after it was removed counts as
 //!    the older one.
 //!
-//! The other entries have no effect until an answer from the address names one of them.
+//! An answer concerns the entries that were known when its request was sent. A peer's report of one
+//! may be read late, and has no exact time here: it concerns no entry of an upstream that started
+//! after the one that answered. Start times come from the upstreams themselves.
+//!
+//! The other entries have no effect until an answer from the address names one of them. No request
+//! goes there on their account, so [`owner_checks`](crate::owner_checks) asks.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -20,6 +25,7 @@
 
 use tokio::time::Instant;
 
+use crate::adapter::StartTime;
 use crate::adapter::UpstreamEntry;
 
 /// Time for which an id is remembered after its entry has disappeared. Entries that expired during
@@ -38,69 +44,149 @@
     pub id: Arc<str>,
 }
 
-/// When an id was first and last registered.
+/// A peer's report of an address owner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnerReport {
+    /// The address and its owner.
+    pub owner: AddressOwner,
+    /// Start time of the owner, where the peer knows it.
+    pub start: Option<StartTime>,
+    /// Random number of the answer, the same in all reports of it; `None` in those of older builds.
+    pub answer: Option<u64>,
+}
+
+/// When an id was first and last registered, and the latest start time that it was registered with.
 #[derive(Clone, Copy, Debug)]
 struct Seen {
     first: Instant,
     last: Instant,
+    start: Option<StartTime>,
 }
 
+/// What is known of the owner of an address.
 #[derive(Clone, Debug)]
-struct OwnerReport {
-    id: Arc<str>,
+struct Known {
+    report: OwnerReport,
+    /// When the latest request was sent that this owner answered, by this daemon's clock.
     at: Instant,
+    /// When the latest request of this daemon itself was sent that this owner answered.
+    own: Option<Instant>,
 }
 
 /// Reports of address owners, and when each id was registered.
 #[derive(Clone, Debug, Default)]
 pub(super) struct AddressOwners {
     seen: HashMap<Arc<str>, Seen>,
-    reports: HashMap<SocketAddr, OwnerReport>,
+    reports: HashMap<SocketAddr, Known>,
+    /// Earliest time at which each answer may have been asked for, by its number. A report becomes younger with each
+    /// delay on its way, so that its copies would otherwise take turns with those of another one.
+    answers: HashMap<u64, Instant>,
 }
 
 impl AddressOwners {
     /// Records the ids that are registered now, and drops ids and reports past their retention.
     pub(super) fn on_registrations(&mut self, entries: &[UpstreamEntry], now: Instant) {
         for entry in entries {
-            let seen = self.seen.entry(Arc::clone(&entry.id));
-            seen.or_insert(Seen {
+            let seen = self.seen.entry(Arc::clone(&entry.id)).or_insert(Seen {
                 first: now,
                 last: now,
-            })
-            .last = now;
+                start: None,
+            });
+            seen.last = now;
+            seen.start = seen.start.max(entry.start);
         }
         self.seen
             .retain(|_, s| now.duration_since(s.last) < RETENTION);
+        self.answers
+            .retain(|_, at| now.duration_since(*at) < RETENTION);
         let is_claimed = |a: &SocketAddr| entries.iter().any(|e| e.address == *a);
         self.reports
             .retain(|a, w| is_claimed(a) || now.duration_since(w.at) < RETENTION);
     }
 
-    /// Applies a report made at `at`; returns whether it names another owner than before.
-    pub(super) fn learn(&mut self, owner: AddressOwner, at: Instant) -> bool {
-        let AddressOwner { address, id } = owner;
-        let previous = self.reports.get(&address);
-        if previous.is_some_and(|w| w.at >= at) {
+    /// Applies an answer to a request of this daemon that was sent at `sent`; returns whether other entries may own the
+    /// address now.
+    pub(super) fn learn(&mut self, owner: AddressOwner, sent: Instant) -> bool {
+        let previous = self.reports.get(&owner.address);
+        if previous.is_some_and(|known| sent <= known.at) {
             return false;
         }
-        let is_new = previous.is_none_or(|w| w.id != id);
-        self.reports.insert(address, OwnerReport { id, at });
-        is_new
+        let answer = rand::random();
+        self.answers.insert(answer, sent);
+        let report = OwnerReport {
+            owner,
+            start: None,
+            answer: Some(answer),
+        };
+        self.insert(report, sent, Some(sent))
+    }
+
+    /// Applies a peer's report of an answer to a request that was sent at `at`; returns whether other entries may own
+    /// the address now.
+    ///
+    /// A copy of a report counts from the same time as that, so that a report which goes from daemon to daemon doesn't
+    /// renew itself. One that names an upstream which started before the known owner has no effect.
+    pub(super) fn learn_report(&mut self, report: OwnerReport, at: Instant) -> bool {
+        let at = match report.answer {
+            Some(answer) => self.earliest(answer, at),
+            None => at,
+        };
+        let mut own = None;
+        if let Some(known) = self.reports.get(&report.owner.address) {
+            let starts = (self.start_of(&report), self.start_of(&known.report));
+            let is_earlier = matches!(starts, (Some(new), Some(old)) if new < old);
+            if is_earlier || at <= known.at {
+                return false;
+            }
+            own = known.own.filter(|_| known.report.owner == report.owner);
+        }
+        self.insert(report, at, own)
+    }
+
+    /// Returns the earliest time at which an answer may have been asked for, now that it is reported for `at`.
+    fn earliest(&mut self, answer: u64, at: Instant) -> Instant {
+        let earliest = self.answers.entry(answer).or_insert(at);
+        *earliest = at.min(*earliest);
+        *earliest
+    }
+
+    /// Replaces what is known of an address; returns whether other entries may own it now.
+    fn insert(&mut self, report: OwnerReport, at: Instant, own: Option<Instant>) -> bool {
+        let owner = report.owner.clone();
+        let new = Known { report, at, own };
+        let previous = self.reports.insert(owner.address, new);
+        previous
+            .is_none_or(|known| known.report.owner != owner || known.own.is_some() != own.is_some())
+    }
+
+    /// Returns the start time of the owner that a report names, as reported or else as registered.
+    fn start_of(&self, report: &OwnerReport) -> Option<StartTime> {
+        let seen = self.seen.get(&report.owner.id);
+        report.start.max(seen.and_then(|s| s.start))
     }
 
     /// Returns at most `max` reports that are sent to peers with their age, newest first.
-    pub(super) fn recent(&self, max: usize, now: Instant) -> Vec<(AddressOwner, Duration)> {
-        let owner = |(&address, w): (&SocketAddr, &OwnerReport)| {
-            let id = Arc::clone(&w.id);
-            (AddressOwner { address, id }, now.duration_since(w.at))
+    pub(super) fn recent(&self, max: usize, now: Instant) -> Vec<(OwnerReport, Duration)> {
+        let with_age = |known: &Known| {
+            let report = OwnerReport {
+                start: self.start_of(&known.report),
+                ..known.report.clone()
+            };
+            (report, now.duration_since(known.at))
         };
-        let mut recent: Vec<(AddressOwner, Duration)> = self.reports.iter().map(owner).collect();
+        let mut recent: Vec<(OwnerReport, Duration)> =
+            self.reports.values().map(with_age).collect();
         recent.retain(|(_, age)| *age < REPORT_TTL);
-        recent.sort_by_key(|(owner, age)| (*age, owner.address));
+        recent.sort_by_key(|(report, age)| (*age, report.owner.address));
         recent.truncate(max);
         recent
     }
 
+    /// Returns when the known report of an address was made; `None` without one.
+    pub(super) fn reported_at(&self, address: SocketAddr) -> Option<Instant> {
+        self.reports.get(&address).map(|known| known.at)
+    }
+
     /// Returns those of `entries` that own their addresses.
     pub(super) fn owning_entries(&self, entries: Vec<UpstreamEntry>) -> Vec<UpstreamEntry> {
         let mut claims: HashMap<SocketAddr, usize> = HashMap::with_capacity(entries.len());
@@ -118,12 +204,20 @@
         owning_entries.map(|(_, e)| e).collect()
     }
 
-    /// Returns whether the upstream at an entry's address has answered with another id since the
-    /// entry's id was first seen.
+    /// Returns whether another upstream owns an entry's address: it answered there after the entry's id was first
+    /// seen, and, if only a peer knows of that, did not start before the entry's upstream.
     fn is_disowned(&self, entry: &UpstreamEntry) -> bool {
+        let Some(known) = self.reports.get(&entry.address) else {
+            return false;
+        };
+        if known.report.owner.id == entry.id {
+            return false;
+        }
         let first = self.seen.get(&entry.id).map(|s| s.first);
-        let report = self.reports.get(&entry.address);
-        report.is_some_and(|w| w.id != entry.id && first.is_none_or(|first| first <= w.at))
+        let is_known_at = |at: Instant| first.is_none_or(|first| first <= at);
+        let starts = (self.start_of(&known.report), entry.start);
+        let has_started_later = matches!(starts, (Some(owner), Some(own)) if owner < own);
+        known.own.is_some_and(is_known_at) || is_known_at(known.at) && !has_started_later
     }
 
     /// Returns whether an entry prevails over another: by start time, else by when its id was
--- a/crates/kelpworks-relay/src/lib.rs
+++ b/crates/kelpworks-relay/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod limits;
 mod link_probes;
 mod operators;
+pub mod owner_checks;
 pub mod path;
 mod peers;
 pub mod permit;
--- a/crates/kelpworks-relay/src/peers.rs
+++ b/crates/kelpworks-relay/src/peers.rs
@@ -23,6 +23,9 @@
 mod handover;
 #[cfg(test)]
 mod handover_tests;
+mod lateness;
+#[cfg(test)]
+mod lateness_tests;
 mod leaving;
 #[cfg(test)]
 mod leaving_tests;
@@ -32,6 +35,8 @@
 mod load;
 mod members;
 mod messages;
+#[cfg(test)]
+mod owner_tests;
 mod packed;
 mod partners;
 mod retry_share;
@@ -73,6 +78,8 @@
 use crate::adapter::Adapter;
 use crate::shared::Shared;
 use crate::store_cache::StoreCache;
+use lateness::Clock;
+use lateness::Lateness;
 use load::Loads;
 use members::Audience;
 use members::Members;
@@ -165,6 +172,8 @@
     members: Mutex<Members>,
     roles: Mutex<RoleState>,
     loads: Mutex<Loads>,
+    clock: Clock,
+    lateness: Mutex<Lateness>,
     reported_fleet: Mutex<ReportedFleet>,
     pack_caches: Mutex<PackCaches>,
     /// Limits concurrent fetches of texts to [`MAX_FETCHES`].
@@ -201,6 +210,8 @@
             members: Mutex::new(Members::new(&Arc::from(name))),
             roles: Mutex::new(RoleState::new(rank_of(name), started)),
             loads: Mutex::default(),
+            clock: Clock::new(lateness::host_ms),
+            lateness: Mutex::default(),
             reported_fleet: Mutex::default(),
             pack_caches: Mutex::default(),
             fetch_permits: Semaphore::new(MAX_FETCHES),
@@ -210,6 +221,13 @@
         }
     }
 
+    /// Replaces the clock that digests bear.
+    #[cfg(test)]
+    fn with_clock(mut self, clock: Clock) -> Peers {
+        self.clock = clock;
+        self
+    }
+
     /// Sets the seeds: addresses that are called while no live peer is known there, but for this daemon's
     /// own, and a majority of which shows contact with the fleet.
     pub(crate) fn set_seeds(&self, seeds: &[SocketAddr]) {
@@ -274,7 +292,7 @@
                     self.spawn_exchanges::<D>(self.partners());
                 }
             }
-            lock(&self.members).forget(Instant::now());
+            self.forget_lost_members();
             self.close_unused_connections();
             self.renew_retry_share();
             self.report_retries();
@@ -285,6 +303,12 @@
         }
     }
 
+    fn forget_lost_members(&self) {
+        let mut members = lock(&self.members);
+        members.forget(Instant::now());
+        lock(&self.lateness).retain(|name| members.get(name).is_some());
+    }
+
     fn record_store_ages(&self) {
         for store_kind in [StoreKind::Configuration, StoreKind::Upstreams] {
             let age = self.store_age(store_kind).as_secs_f64();
@@ -313,6 +337,7 @@
     async fn exchange_with<D: Adapter>(&self, partner: SocketAddr) {
         let address = partner.to_string();
         let called = Instant::now();
+        let clock = self.clock.read();
         let mut digest = self.digest(&Audience::unknown());
         digest.contention = self.contention_figures(partner);
         let exchange = self.connections.call(
@@ -331,7 +356,7 @@
                 return self.record_unanswered(partner, called);
             }
         };
-        self.learn_digest(&theirs);
+        self.learn_reply(&theirs, clock);
         // The reply was made after the call, so that an age in it is at least as long before the call.
         self.learn_upstreams_ran(&theirs.upstreams_ran, called);
         self.on_contention_reply(partner, &theirs.contention);
--- a/crates/kelpworks-relay/src/peers/exchange.rs
+++ b/crates/kelpworks-relay/src/peers/exchange.rs
@@ -11,6 +11,7 @@
 use super::EXCHANGE_INTERVAL;
 use super::MAX_SMALL_FLEET_PEERS;
 use super::Peers;
+use super::lateness::ClockReading;
 use super::leaving::MAX_NOTICES;
 use super::leaving::leaving_of;
 use super::limits::limit_of;
@@ -31,7 +32,6 @@
 use super::roles::ISOLATION_TIMEOUT;
 use super::roles::Precedence;
 use super::store_contact::StoreKind;
-use crate::fleet::AddressOwner;
 use crate::fleet::Upstream;
 
 /// Maximum number of layer assignments in a digest, newest first: one for each engine of a small
@@ -102,6 +102,7 @@
         let reported = self.reported_facts(now);
         Digest {
             from: self.own_contact(now),
+            clock: Some(self.clock.read()),
             version: self.store_cache.version(),
             entries: self.store_cache.entries_version(),
             latest_era: self.eras.latest(),
@@ -119,11 +120,7 @@
             assignments,
             owners: owners
                 .into_iter()
-                .map(|(AddressOwner { address, id }, age)| OwnerOf {
-                    address,
-                    id,
-                    age_ms: age.as_millis() as u64,
-                })
+                .map(|(report, age)| OwnerOf::new(report, age))
                 .collect(),
             limits,
             leaving,
@@ -176,35 +173,70 @@
         })
     }
 
-    /// Applies the digest of a peer.
+    /// Applies the digest that a peer sent with a call.
     pub(super) fn learn_digest(&self, digest: &Digest) {
+        let lateness = self.lateness_of(digest, None);
+        self.apply_digest(digest, lateness);
+    }
+
+    /// Applies the digest with which a peer replied to a call made at `called`.
+    pub(super) fn learn_reply(&self, digest: &Digest, called: ClockReading) {
+        let lateness = self.lateness_of(digest, Some(called));
+        self.apply_digest(digest, lateness);
+    }
+
+    /// Returns for how much longer than usual a digest was under way: this daemon may have stood still while it lay in a
+    /// socket.
+    fn lateness_of(&self, digest: &Digest, called: Option<ClockReading>) -> Duration {
+        let Some(sent) = digest.clock else {
+            return Duration::ZERO;
+        };
+        let name = &digest.from.name;
+        let received = self.clock.read();
+        let lateness = lock(&self.lateness).observe(name, sent, received, called);
+        if !lateness.is_zero() {
+            info!(
+                target: "decision",
+                peer:% = name,
+                late_ms = lateness.as_millis() as u64;
+                "late digest"
+            );
+            metrics::counter!("kelpworks_late_digests_total").increment(1);
+        }
+        lateness
+    }
+
+    /// Applies a digest that was under way for `lateness` longer than usual. Its ages are counted from the time at which
+    /// it was sent.
+    fn apply_digest(&self, digest: &Digest, lateness: Duration) {
         let now = Instant::now();
+        let sent = now.checked_sub(lateness).unwrap_or(now);
         self.eras.observe(digest.latest_era, EraSource::Peer);
         self.store_cache.note_peer_version(digest.version);
         // The reports of the digest may be up to one exchange interval old.
-        let since = now.checked_sub(EXCHANGE_INTERVAL).unwrap_or(now);
-        self.learn_members(std::iter::once(&digest.from).chain(&digest.members), now);
-        self.learn_fleet_report(digest, now);
+        let since = sent.checked_sub(EXCHANGE_INTERVAL).unwrap_or(sent);
+        self.learn_members(std::iter::once(&digest.from).chain(&digest.members), sent);
+        self.learn_fleet_report(digest, sent);
         let Contact { name, domain, .. } = &digest.from;
-        lock(&self.loads).learn(name, domain, &digest.load, now);
-        self.learn_roles(digest, now);
-        self.learn_store_ages(digest.store, now);
+        lock(&self.loads).learn(name, domain, &digest.load, sent);
+        self.learn_roles(digest, sent);
+        self.learn_store_ages(digest.store, sent);
         {
             let mut fleet = self.shared.fleet();
             for ejection in &digest.ejections {
                 if let Some(key) = fleet.key_of(&ejection.instance) {
-                    let until = now + Duration::from_millis(ejection.left_ms);
+                    let until = sent + Duration::from_millis(ejection.left_ms);
                     fleet.learn_ejection(key, since, until, ejection.gone);
                 }
             }
             for report in &digest.slowness {
-                let at = now.checked_sub(Duration::from_millis(report.age_ms));
+                let at = sent.checked_sub(Duration::from_millis(report.age_ms));
                 if let (Some(key), Some(at)) = (fleet.key_of(&report.instance), at) {
                     fleet.learn_slowness(key, report.times, at);
                 }
             }
             let is_new = |report: &&AssignmentOf| {
-                let age = Duration::from_millis(report.age_ms);
+                let age = lateness + Duration::from_millis(report.age_ms);
                 let wait = Duration::from_millis(report.wait_ms);
                 let assignment = report.assignment();
                 fleet.learn_displacing_assignment(&report.instance, assignment, wait, age, now)
@@ -214,30 +246,28 @@
             log_assignments(&new, &digest.from.name);
         }
         for report in &digest.owners {
-            self.learn_owner_report(report, now);
+            self.learn_owner_report(report, sent);
         }
-        self.learn_limits(&digest.limits, now);
-        self.learn_leaving(&digest.leaving, now);
+        self.learn_limits(&digest.limits, sent);
+        self.learn_leaving(&digest.leaving, sent);
         self.learn_facts(digest);
     }
 
-    fn learn_owner_report(&self, report: &OwnerOf, now: Instant) {
-        let Some(at) = now.checked_sub(Duration::from_millis(report.age_ms)) else {
+    /// Applies a report that was sent at `sent`.
+    fn learn_owner_report(&self, report: &OwnerOf, sent: Instant) {
+        let Some(at) = sent.checked_sub(Duration::from_millis(report.age_ms)) else {
             return;
         };
-        let owner = AddressOwner {
-            address: report.address,
-            id: Arc::clone(&report.id),
-        };
-        let changes = self.shared.fleet().learn_owner(owner, at);
+        let changes = self.shared.fleet().learn_owner_report(report.report(), at);
         if let Some(changes) = changes {
             self.shared
                 .upstreams_changed(&changes, "an address owner reported by a peer");
         }
     }
 
-    fn learn_roles(&self, digest: &Digest, now: Instant) {
-        let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms));
+    fn learn_roles(&self, digest: &Digest, sent: Instant) {
+        let ago = |ms: u64| sent.checked_sub(Duration::from_millis(ms));
+        let now = Instant::now();
         let members = lock(&self.members);
         let mut roles = lock(&self.roles);
         roles.record_exchange(now);
@@ -248,12 +278,12 @@
         }
     }
 
-    fn learn_members<'a>(&self, contacts: impl Iterator<Item = &'a Contact>, now: Instant) {
+    fn learn_members<'a>(&self, contacts: impl Iterator<Item = &'a Contact>, sent: Instant) {
         let mut liveness_changes = LivenessChanges::default();
         {
             let mut members = lock(&self.members);
             for contact in contacts.filter(|c| c.name != self.name) {
-                if let Some(change) = members.learn_contact(contact, now) {
+                if let Some(change) = members.learn_contact(contact, sent) {
                     liveness_changes.add(&contact.name, change);
                 }
             }
--- a/crates/kelpworks-relay/src/peers/messages.rs
+++ b/crates/kelpworks-relay/src/peers/messages.rs
@@ -13,8 +13,12 @@
 use tokio::time::Instant;
 
 use crate::adapter::LayerRange;
+use crate::adapter::StartTime;
 use crate::assignments::LayerAssignment;
+use crate::fleet::AddressOwner;
+use crate::fleet::OwnerReport;
 use crate::limits::Rate;
+use crate::peers::lateness::ClockReading;
 use crate::peers::members::Condition;
 use crate::peers::members::Fingerprint;
 use crate::peers::packed::Packed;
@@ -191,8 +195,37 @@
 pub(crate) struct OwnerOf {
     pub(super) address: SocketAddr,
     pub(super) id: Arc<str>,
-    /// Age of this information in milliseconds.
+    /// Milliseconds since the request was sent that was answered.
     pub(super) age_ms: u64,
+    /// Start time of that upstream, if the sender knows it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) start: Option<StartTime>,
+    /// Random number of the answer; older builds have none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) answer: Option<u64>,
+}
+
+impl OwnerOf {
+    pub(super) fn new(report: OwnerReport, age: Duration) -> OwnerOf {
+        OwnerOf {
+            address: report.owner.address,
+            id: report.owner.id,
+            age_ms: age.as_millis() as u64,
+            start: report.start,
+            answer: report.answer,
+        }
+    }
+
+    pub(super) fn report(&self) -> OwnerReport {
+        OwnerReport {
+            owner: AddressOwner {
+                address: self.address,
+                id: Arc::clone(&self.id),
+            },
+            start: self.start,
+            answer: self.answer,
+        }
+    }
 }
 
 /// Latest rate limit that an upstream announced.
@@ -247,6 +280,9 @@
 #[derive(Serialize, Deserialize)]
 pub(crate) struct Digest {
     pub(super) from: Contact,
+    /// The sender's clock when it made the digest; older builds have none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) clock: Option<ClockReading>,
     /// Version of the configuration that is active at the sender.
     pub(super) version: u64,
     /// Version of the upstream entries at the sender.
--- a/crates/kelpworks-relay/src/peers/tests.rs
+++ b/crates/kelpworks-relay/src/peers/tests.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use http::HeaderMap;
@@ -19,6 +20,7 @@
 use super::Peers;
 use super::StoreKind;
 use super::exchange::SLOWNESS_REPORT_TTL;
+use super::lateness::Clock;
 use super::load::LOAD_TTL;
 use super::lock;
 use super::members::Audience;
@@ -90,6 +92,16 @@
     let address = address(number);
     let name = format!("entry-{number}");
     Peers::new(&name, address, shared, store_cache, Eras::default())
+        .with_clock(Clock::new(virtual_ms))
+}
+
+/// Reads the paused clock of a test, which counts from the first reading in the process.
+pub(super) fn virtual_ms() -> u64 {
+    static FIRST: OnceLock<std::time::Instant> = OnceLock::new();
+    let now = Instant::now().into_std();
+    // Clocks of tests that run at the same time are paused at different times.
+    let first = *FIRST.get_or_init(|| now - Duration::from_secs(3_600));
+    now.duration_since(first).as_millis() as u64
 }
 
 pub(super) fn address(number: usize) -> std::net::SocketAddr {
@@ -129,6 +141,7 @@
 pub(super) fn digest(number: usize) -> Digest {
     Digest {
         from: contact(number),
+        clock: None,
         version: 0,
         entries: Version::initial(0),
         latest_era: Era::FIRST,
--- a/crates/kelpworks-relay/src/placer/tests.rs
+++ b/crates/kelpworks-relay/src/placer/tests.rs
@@ -133,6 +133,13 @@
         answer(OrderReply::Accepted)
     }
 
+    async fn identify(&self, _: &Clearance, _: &str, _: &str) -> EngineAnswer<Option<Box<str>>> {
+        EngineAnswer {
+            value: None,
+            head: None,
+        }
+    }
+
     async fn reroute(&self, _: &Clearance, _: RerouteOrder<'_>) -> EngineAnswer<OrderReply> {
         answer(OrderReply::Refused)
     }
@@ -215,6 +222,7 @@
     let service = |s: usize| Service {
         name: service_name(s),
         max_connections: 100,
+        health_path: Box::from("/"),
         engine_profile: Some(Arc::new(profile())),
     };
     RoutingTable::new(Configuration {
--- a/crates/kelpworks-relay/src/relay/call.rs
+++ b/crates/kelpworks-relay/src/relay/call.rs
@@ -500,7 +500,7 @@
     }
     if let Some((verdict, reason)) = detect_fault(inbound, &response, &head) {
         if let Some(id) = address_owner_id(&response, &head) {
-            shared.learn_address_owner(incarnation.address, id);
+            shared.learn_address_owner(incarnation.address, id, sent);
         }
         return failed_attempt(verdict, reason);
     }
--- a/crates/kelpworks-relay/src/relay/stream/attempt.rs
+++ b/crates/kelpworks-relay/src/relay/stream/attempt.rs
@@ -406,7 +406,7 @@
             .record_contact(&self.inbound.service.name, is_new);
         let head = D::decode_answer_head(exchange.response.headers());
         self.apply_announcements(path, &exchange.response, &head, sent);
-        self.check_head(first, path, &exchange.response, &head)?;
+        self.check_head(first, path, &exchange.response, &head, sent)?;
         if let Some(first) = &self.first_engine {
             self.shared.record_answer(&first.instance, sent);
         }
@@ -478,6 +478,7 @@
         path: &Path,
         response: &Response<AnswerBody>,
         head: &AnswerHead,
+        sent: Instant,
     ) -> Result<(), Failure> {
         let fault = detect_fault(&self.inbound, response, head);
         let failed = response.status().is_server_error();
@@ -493,7 +494,7 @@
         if let Some(id) = address_owner_id(response, head).filter(|_| is_own_head)
             && id != &*path.id
         {
-            self.shared.learn_address_owner(path.address, id);
+            self.shared.learn_address_owner(path.address, id, sent);
         }
         let mut fleet = self.shared.fleet();
         match failed && !head.not_run {
--- a/crates/kelpworks-relay/src/shared.rs
+++ b/crates/kelpworks-relay/src/shared.rs
@@ -234,14 +234,14 @@
         lock(&self.fleet)
     }
 
-    /// Records which upstream answered at an address. Requests for another upstream are no longer
-    /// sent there, and peers learn of it by gossip.
-    pub(crate) fn learn_address_owner(&self, address: SocketAddr, id: &str) {
+    /// Records which upstream answered a request at an address that was sent at `sent`. Requests for
+    /// another upstream are no longer sent there, and peers learn of it by gossip.
+    pub(crate) fn learn_address_owner(&self, address: SocketAddr, id: &str, sent: Instant) {
         let owner = AddressOwner {
             address,
             id: Arc::from(id),
         };
-        let changes = self.fleet().learn_owner(owner, Instant::now());
+        let changes = self.fleet().learn_owner(owner, sent);
         if let Some(changes) = changes {
             self.upstreams_changed(&changes, "an answer from the address");
         }
--- a/crates/kelpworks-relay/tests/owners.rs
+++ b/crates/kelpworks-relay/tests/owners.rs
@@ -20,6 +20,8 @@
 use kelpworks_relay::assignments::LayerAssignment;
 use kelpworks_relay::fleet::AddressOwner;
 use kelpworks_relay::fleet::Fleet;
+use kelpworks_relay::fleet::OwnerReport;
+use kelpworks_relay::owner_checks::Schedule;
 
 /// Returns the registration of engine `id` at the address with this number, started at `start`.
 fn engine(
@@ -216,7 +218,7 @@
         None,
         "a repeated report changes nothing"
     );
-    assert_eq!(fleet.recent_owners(8, now)[0].0, owner(&a, "a"));
+    assert_eq!(fleet.recent_owners(8, now)[0].0.owner, owner(&a, "a"));
     // The owner stays while the entries are unchanged.
     let changes = fleet.replace(
         vec![b.clone(), a.clone(), elsewhere],
@@ -251,6 +253,103 @@
     assert_eq!(names(&fleet), ["unknown"]);
 }
 
+fn report(of: &UpstreamEntry, start: Option<u64>, answer: Option<u64>) -> OwnerReport {
+    OwnerReport {
+        owner: owner(of, &of.id),
+        start: start.map(StartTime),
+        answer,
+    }
+}
+
+/// Guards against a peer's report that seems younger than an entry because it was read late: it took the entry of the
+/// upstream that had started since out of use.
+#[rstest]
+#[case::reported_start(Some(100), None)]
+#[case::registered_start(None, Some(100))]
+fn report_of_an_earlier_upstream_does_not_disown_a_later_one(
+    #[case] reported: Option<u64>,
+    #[case] registered: Option<u64>,
+) {
+    let now = Instant::now();
+    let at = |s| now + Duration::from_secs(s);
+    let mut fleet = Fleet::default();
+    let old = engine("old", 1, registered, None);
+    let new = engine("new", 1, Some(200), None);
+    fleet.replace(vec![old.clone()], Version::initial(1), at(0));
+    fleet.replace(vec![new], Version::initial(2), at(1));
+    fleet.learn_owner_report(report(&old, reported, Some(1)), at(2));
+    assert_eq!(names(&fleet), ["new@200"]);
+}
+
+/// Start times are of the clocks of several hosts, so that an answer of its own goes before them for a daemon.
+#[test]
+fn own_answer_counts_against_start_times() {
+    let now = Instant::now();
+    let at = |s| now + Duration::from_secs(s);
+    let mut fleet = Fleet::default();
+    let real = engine("real", 1, Some(100), None);
+    let other = engine("other", 1, Some(200), None);
+    fleet.replace(
+        vec![real.clone(), other.clone()],
+        Version::initial(1),
+        at(0),
+    );
+    fleet.learn_owner_report(report(&real, Some(100), Some(1)), at(1));
+    assert_eq!(names(&fleet), ["other@200"], "only a peer knows");
+    fleet.learn_owner(owner(&real, "real"), at(2));
+    assert_eq!(names(&fleet), ["real@100"]);
+    // Nor does a later answer that a peer got take that back.
+    fleet.learn_owner_report(report(&real, Some(100), Some(3)), at(3));
+    assert_eq!(names(&fleet), ["real@100"]);
+    // An older answer that a peer got does not change that.
+    fleet.learn_owner_report(report(&other, Some(200), Some(2)), at(1));
+    assert_eq!(names(&fleet), ["real@100"]);
+}
+
+/// Guards against an answer to a request that was sent before an upstream started, and read after it registered.
+#[test]
+fn answer_concerns_only_entries_known_when_its_request_was_sent() {
+    let now = Instant::now();
+    let at = |s| now + Duration::from_secs(s);
+    let mut fleet = Fleet::default();
+    let old = engine("old", 1, None, None);
+    let new = engine("new", 1, None, None);
+    fleet.replace(vec![old.clone()], Version::initial(1), at(0));
+    fleet.replace(vec![new], Version::initial(2), at(2));
+    fleet.learn_owner(owner(&old, "between"), at(1));
+    assert_eq!(names(&fleet), ["new"]);
+}
+
+/// Guards against an entry that is out of use without a check of who answers at its address.
+#[test]
+fn entries_without_effect_are_checked_at_growing_intervals() {
+    let now = Instant::now();
+    let at = |s| now + Duration::from_secs(s);
+    let mut fleet = Fleet::default();
+    let entry = engine("e", 1, None, None);
+    fleet.replace(vec![entry.clone()], Version::initial(1), at(0));
+    assert_eq!(fleet.without_address(), []);
+    fleet.learn_owner(owner(&entry, "another"), at(1));
+    assert_eq!(fleet.without_address(), [(entry.clone(), Some(at(1)))]);
+    let mut schedule = Schedule::default();
+    let checked: Vec<u64> = (1..40)
+        .filter(|&s| {
+            let due = schedule.due(fleet.without_address(), 1, at(s), || 0.0);
+            !due.is_empty()
+        })
+        .collect();
+    assert_eq!(checked, [2, 4, 8, 16, 24, 32]);
+    // An answer that another daemon got puts the check off.
+    fleet.learn_owner_report(
+        report(&engine("another", 1, None, None), None, Some(1)),
+        at(39),
+    );
+    assert_eq!(schedule.due(fleet.without_address(), 1, at(40), || 0.0), []);
+    fleet.learn_owner(owner(&entry, "e"), at(41));
+    assert_eq!(fleet.without_address(), []);
+    assert_eq!(names(&fleet), ["e"]);
+}
+
 proptest! {
     /// For any registrations in any order, no two active upstreams share an address or an id.
     #[test]
