Prolong the wait for engines only by further ones

Now engines that come and go don't prolong the wait, further ones do, and it ends after 10 s. Dispatches of an acting leader that conflict stop between chunks again, and the gauge is cleared where the daemon no longer leads. Both parts of the wait taken out fail a test.

--- a/crates/kelpworks-relay/src/placer.rs
+++ b/crates/kelpworks-relay/src/placer.rs
@@ -68,7 +68,7 @@
 /// Number of conflicts among the orders to one service's engines after which an acting leader yields
 /// to whichever daemon sent the orders that were begun instead. One or two conflicts may come from
 /// orders that arrived late.
-const MAX_ORDER_CONFLICTS: u32 = 3;
+const MAX_ORDER_CONFLICTS: usize = 3;
 /// Interval at which engines of a service that hold no layers are logged.
 const IDLE_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -204,9 +204,13 @@
         let table = self.shared.table.load_full();
         self.unrepeatable_work
             .observe(table.routes(), Instant::now());
+        let has_led = self.authority.is_some();
         let Some(authority) = self.authority() else {
             self.begun_orders.clear();
             self.next_load_poll.clear();
+            if has_led {
+                clear_idle_gauges(&table);
+            }
             return Vec::new();
         };
         self.forget_removed(&table);
@@ -259,7 +263,7 @@
         self.dispatching.remove(&service);
         let mut conflicts = 0;
         for (order, outcome) in outcomes {
-            conflicts += u32::from(outcome.is_conflict());
+            conflicts += usize::from(outcome.is_conflict());
             self.apply_outcome(&order, token, outcome);
         }
         if conflicts >= MAX_ORDER_CONFLICTS && self.is_acting_leader() {
@@ -439,8 +443,7 @@
             .filter_map(|u| engine_state(u, fleet.assignments()))
             .collect();
         let without_layers = engines.iter().filter(|e| e.layers.is_none()).count();
-        metrics::gauge!("kelpworks_engines_without_layers", "service" => service.to_string())
-            .set(without_layers as f64);
+        idle_gauge(service).set(without_layers as f64);
         let readiness = self.warm_ups.check(service, &engines, now);
         log_warm_up(service, engines.len(), readiness);
         if matches!(readiness, Readiness::Waiting { .. }) {
@@ -487,6 +490,19 @@
     }
 }
 
+fn idle_gauge(service: &str) -> metrics::Gauge {
+    metrics::gauge!("kelpworks_engines_without_layers", "service" => service.to_owned())
+}
+
+/// Resets the gauges that only the leader updates.
+fn clear_idle_gauges(table: &RoutingTable) {
+    for service in table.services() {
+        if service.engine_profile.is_some() {
+            idle_gauge(&service.name).set(0.0);
+        }
+    }
+}
+
 /// Sends the messages of a task.
 async fn perform<E: EngineApi>(sender: &OrderSender<E>, task: Task) -> TaskOutcome {
     match task {
--- a/crates/kelpworks-relay/src/placer/orders.rs
+++ b/crates/kelpworks-relay/src/placer/orders.rs
@@ -10,6 +10,7 @@
 use log::info;
 use tokio::time::Instant;
 
+use super::MAX_ORDER_CONFLICTS;
 use super::Placer;
 use crate::adapter::DisplacementPolicy;
 use crate::adapter::EngineApi;
@@ -74,7 +75,8 @@
 pub(super) struct DispatchOutcome {
     pub(super) service: Arc<str>,
     pub(super) token: Token,
-    /// The orders that were tried; the others were planned under a lease that was lost meanwhile.
+    /// The orders that were tried. The others were planned under a lease that was lost meanwhile, or by an acting leader
+    /// that yields.
     pub(super) outcomes: Vec<(Order, OrderOutcome)>,
 }
 
@@ -94,9 +96,12 @@
             token,
             orders,
         } = dispatch;
-        let mut outcomes = Vec::with_capacity(orders.len());
+        let mut outcomes: Vec<(Order, OrderOutcome)> = Vec::with_capacity(orders.len());
         for some in orders.chunks(MAX_CONCURRENT_ORDERS) {
-            if self.current_token() != Some(token) {
+            let is_acting_leader = self.lease_handle.fencing_token().is_none();
+            let conflicts = outcomes.iter().filter(|(_, o)| o.is_conflict()).count();
+            let yields = is_acting_leader && conflicts >= MAX_ORDER_CONFLICTS;
+            if yields || self.current_token() != Some(token) {
                 break;
             }
             let sent = some.iter().map(|order| self.send_order(order, token));
--- a/crates/kelpworks-relay/src/placer/warm_up.rs
+++ b/crates/kelpworks-relay/src/placer/warm_up.rs
@@ -1,9 +1,9 @@
 //! Waits before the first plan of a service, so that it is made for all engines that start together.
 //!
-//! Engines that start together register within about one heartbeat, and a plan for the first of them gives each more
-//! copies of fewer layers than one for all. So while no engine of a service holds layers, its plan waits until the
-//! number of its engines has been the same for a while. Each service waits for its own engines only, and not for
-//! longer than [`MAX_WARM_UP`]: engines may come and go all the time.
+//! Engines that start together register within seconds, and a plan for the first of them distributes the layers in
+//! another way than one for all. So while no engine of a service holds layers, its plan waits until no further engine
+//! has registered for a while. Each service waits for its own engines only. Engines that come and go don't prolong the
+//! wait, as they don't make more of them, and it ends after [`MAX_WARM_UP`].
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -13,10 +13,10 @@
 
 use crate::layout::EngineState;
 
-/// Time for which the number of engines of a service must stay the same before its first plan.
+/// Time without a further engine of a service before its first plan.
 pub(super) const WARM_UP: Duration = Duration::from_millis(600);
 /// Time after the first engine of a service was seen from which its plan waits no longer.
-pub(super) const MAX_WARM_UP: Duration = Duration::from_millis(2_400);
+pub(super) const MAX_WARM_UP: Duration = Duration::from_secs(10);
 
 /// What a service's plan has to wait for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,10 +30,10 @@
 /// The engines of a service of which none holds layers.
 #[derive(Clone, Copy, Debug)]
 struct WarmUp {
-    /// Number of engines at the last check.
-    engines: usize,
-    /// Time since which their number has been the same.
-    unchanged_since: Instant,
+    /// Highest number of engines at any check.
+    most_engines: usize,
+    /// When that number was reached.
+    grown: Instant,
     /// When the first of them was seen.
     first_seen: Instant,
     /// Last check with at least one engine.
@@ -66,20 +66,19 @@
         let known = self.by_service.get(service).copied().filter(is_recent);
         let is_new = known.is_none();
         let mut warm_up = known.unwrap_or(WarmUp {
-            engines: engines.len(),
-            unchanged_since: now,
+            most_engines: engines.len(),
+            grown: now,
             first_seen: now,
             last_seen: now,
             has_ended: false,
         });
-        if warm_up.engines != engines.len() {
-            warm_up.engines = engines.len();
-            warm_up.unchanged_since = now;
+        if warm_up.most_engines < engines.len() {
+            warm_up.most_engines = engines.len();
+            warm_up.grown = now;
         }
         warm_up.last_seen = now;
         let waited = now.duration_since(warm_up.first_seen);
-        let is_ready =
-            now.duration_since(warm_up.unchanged_since) >= WARM_UP || waited >= MAX_WARM_UP;
+        let is_ready = now.duration_since(warm_up.grown) >= WARM_UP || waited >= MAX_WARM_UP;
         let ends = is_ready && !warm_up.has_ended;
         warm_up.has_ended |= is_ready;
         self.by_service.insert(Arc::clone(service), warm_up);
