Bound by how much answers put a check of an owner off

A check was put off whenever another daemon's answer had arrived since the last look, so that answers that come faster than it looks put it off without end.

--- a/crates/kelpworks-relay/src/owner_checks.rs
+++ b/crates/kelpworks-relay/src/owner_checks.rs
@@ -5,8 +5,8 @@
 //! without. So each daemon asks at the address which upstream answers, and the answer goes to the others by gossip.
 //!
 //! Daemons that learn of an owner at the same time don't all ask: each waits for a random time that grows with their
-//! number, and an answer that reaches it meanwhile puts its own check off, though not beyond [`MAX_DELAY`] and
-//! [`MAX_SPREAD`] since the one before.
+//! number, and an answer that reaches it meanwhile puts its own check off, though not for long beyond the interval of its
+//! checks.
 //!
 //! Limits: an upstream that answers nobody has no effect; one whose service no configuration names is not asked.
 
@@ -152,7 +152,7 @@
                 .entry(Arc::clone(&entry.instance))
                 .or_insert(first);
             let is_answered = check.reported_at < reported_at;
-            if is_answered {
+            if is_answered && now < check.latest {
                 check.at = (now + check.next_delay + spread).min(check.latest);
             } else if check.at <= now && due.len() < MAX_CONCURRENT_CHECKS {
                 check.at = now + check.next_delay + spread;
--- a/crates/kelpworks-relay/tests/owners.rs
+++ b/crates/kelpworks-relay/tests/owners.rs
@@ -350,6 +350,35 @@
     assert_eq!(names(&fleet), ["e"]);
 }
 
+/// Guards against a check that the answers which other daemons get put off for good.
+#[test]
+fn check_is_not_put_off_without_end() {
+    let now = Instant::now();
+    let entries = |reported| vec![(engine("e", 1, None, None), Some(reported))];
+    let mut schedule = Schedule::default();
+    let checked = (0..60).filter(|&s| {
+        let at = now + Duration::from_secs(s);
+        // Another answer from the address is reported each time.
+        !schedule.due(entries(at), 100, at, || 1.0).is_empty()
+    });
+    assert_eq!(checked.count(), 3);
+}
+
+/// Guards against reports of two answers whose copies take turns, each younger than the last one of the other.
+#[test]
+fn copy_of_an_own_answer_is_not_younger_than_the_answer() {
+    let now = Instant::now();
+    let at = |s| now + Duration::from_secs(s);
+    let mut fleet = Fleet::default();
+    let entry = engine("e", 1, None, None);
+    fleet.replace(vec![entry.clone()], Version::initial(1), at(0));
+    fleet.learn_owner(owner(&entry, "another"), at(1));
+    let (copy, _) = fleet.recent_owners(8, at(1)).remove(0);
+    fleet.learn_owner_report(report(&entry, None, Some(1)), at(2));
+    fleet.learn_owner_report(copy, at(3));
+    assert_eq!(names(&fleet), ["e"]);
+}
+
 proptest! {
     /// For any registrations in any order, no two active upstreams share an address or an id.
     #[test]
