--- a/crates/kelpworks-relay/src/config.rs
+++ b/crates/kelpworks-relay/src/config.rs
@@ -153,7 +153,7 @@
     pub name: Arc<str>,
     /// Maximum number of connections that each of its upstreams accepts, over all daemons.
     pub max_connections: u32,
-    /// Path at which each of its upstreams tells its id, beginning with a slash.
+    /// Path of the health checks of its upstreams, whose answers name the id; begins with a slash.
     pub health_path: Box<str>,
     /// Present when its upstreams are engines that load ranges of layers.
     pub engine_profile: Option<Arc<EngineProfile>>,
--- a/crates/kelpworks-relay/src/owner_checks.rs
+++ b/crates/kelpworks-relay/src/owner_checks.rs
@@ -8,7 +8,7 @@
 //! number, and an answer that reaches it meanwhile puts its own check off, though not for long beyond the interval of its
 //! checks.
 //!
-//! Limits: an upstream that answers nobody has no effect; one whose service no configuration names is not asked.
+//! Limits: an upstream that doesn't answer has no effect; one whose service is not configured is not asked.
 
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/crates/kelpworks-relay/src/peers/lateness_tests.rs
+++ b/crates/kelpworks-relay/src/peers/lateness_tests.rs
@@ -130,7 +130,7 @@
     let (_, age) = &fleet.recent_owners(8, Instant::now())[0];
     assert_eq!(*age, Duration::from_secs(4));
     drop(fleet);
-    // A leader that was heard of four seconds ago is none.
+    // A leader whose last report is four seconds old counts as lost.
     let at = super::lock(&me.roles).leader().map(|(_, at)| at);
     let age = at.map(|at| Instant::now().duration_since(at));
     assert!(age.is_some_and(|age| age > LEADER_TIMEOUT), "{age:?}");
--- a/crates/kelpworks-relay/src/placer/orders.rs
+++ b/crates/kelpworks-relay/src/placer/orders.rs
@@ -75,7 +75,7 @@
 pub(super) struct DispatchOutcome {
     pub(super) service: Arc<str>,
     pub(super) token: Token,
-    /// The orders that were tried. The others were planned under a lease that was lost meanwhile, or by an acting leader
+    /// The orders that were decided. The others were planned under a lease that was lost meanwhile, or by an acting leader
     /// that yields.
     pub(super) outcomes: Vec<(Order, OrderOutcome)>,
 }
