--- a/crates/kelpworks-relay/tests/owners.rs
+++ b/crates/kelpworks-relay/tests/owners.rs
@@ -350,6 +350,29 @@
     assert_eq!(names(&fleet), ["e"]);
 }
 
+/// Guards against a report of a former owner that seems younger than that of the current one, as it was read late.
+#[test]
+fn report_of_an_earlier_upstream_does_not_replace_that_of_a_later_one() {
+    let now = Instant::now();
+    let at = |s| now + Duration::from_secs(s);
+    let mut fleet = Fleet::default();
+    let earlier = report(&engine("earlier", 1, None, None), Some(100), Some(1));
+    let later = report(&engine("later", 1, None, None), Some(200), Some(2));
+    fleet.learn_owner_report(later.clone(), at(1));
+    fleet.learn_owner_report(earlier, at(2));
+    assert_eq!(fleet.recent_owners(8, at(2))[0].0, later);
+}
+
+/// Guards against an upstream that is out of use without a check because another entry claims its address.
+#[test]
+fn entry_beside_another_one_at_its_address_is_checked() {
+    let mut fleet = Fleet::default();
+    let a = engine("a", 1, Some(100), None);
+    let b = engine("b", 1, Some(200), None);
+    fleet.replace(vec![a.clone(), b], Version::initial(1), Instant::now());
+    assert_eq!(fleet.without_address(), [(a, None)]);
+}
+
 /// Guards against a check that the answers which other daemons get put off for good.
 #[test]
 fn check_is_not_put_off_without_end() {
